--- /dev/null
+++ b/src/agentd.rs
@@ -0,0 +1,514 @@
+//! The agent daemon's shell: moves messages between control, entries, the
+//! gate's decisions and the target.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use futures::StreamExt;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+use crate::clock;
+use crate::daemon::{self, DaemonError};
+use crate::duties::AgentBeat;
+use crate::engine::{EngineClient, EngineError, EngineStream, StreamPart};
+use crate::gate::{
+    AttemptWord, EngineOrder, GatePolicy, RunAsk, RunDispatch, RunEvent, TargetGate,
+};
+use crate::ids::{AttemptId, Incarnation, ModelName, Position};
+use crate::ledger::HoldPhase;
+use crate::member::{self, SiteFollower};
+use crate::metrics::{MetricBook, MetricKey};
+use crate::peers::{self, ControlLink, SiteSecret};
+use crate::settings::AgentSettings;
+use crate::state::MemberRole;
+use crate::view::SiteView;
+use crate::wire::{AgentOrders, AgentWire, AgentWord};
+
+/// Time between two beats.
+const BEAT: Duration = Duration::from_millis(200);
+/// Time for one beat's answer.
+const BEAT_TIME: Duration = Duration::from_millis(800);
+/// Longest pause between two looks at the queue.
+const PUMP: Duration = Duration::from_millis(20);
+/// Time between two sweeps of forgotten attempts.
+const SWEEP: Duration = Duration::from_secs(1);
+/// Longest wait of a pull.
+const MAX_PULL_MS: u64 = 2_000;
+/// Calls that one entry may have under way.
+const CALLS_A_PEER: usize = 8192;
+/// Time that a stopping agent waits for what is in flight.
+const STOP_TIME: Duration = Duration::from_secs(120);
+/// Time that a stopping agent goes on telling entries that it leaves.
+const LEAVE_NOTICE: Duration = Duration::from_millis(500);
+
+struct AgentShared {
+    settings: AgentSettings,
+    link: Arc<ControlLink>,
+    follower: SiteFollower,
+    gate: Mutex<TargetGate>,
+    life: Incarnation,
+    address: String,
+    wake: Notify,
+    readers: Mutex<BTreeMap<AttemptId, Arc<Notify>>>,
+}
+
+impl AgentShared {
+    fn gate(&self) -> MutexGuard<'_, TargetGate> {
+        self.gate
+            .lock()
+            .unwrap_or_else(|broken| broken.into_inner())
+    }
+
+    fn readers(&self) -> MutexGuard<'_, BTreeMap<AttemptId, Arc<Notify>>> {
+        self.readers
+            .lock()
+            .unwrap_or_else(|broken| broken.into_inner())
+    }
+
+    fn reader(&self, attempt: AttemptId) -> Arc<Notify> {
+        self.readers().entry(attempt).or_default().clone()
+    }
+
+    fn tell(&self, attempt: AttemptId) {
+        if let Some(reader) = self.readers().get(&attempt) {
+            reader.notify_waiters();
+        }
+    }
+
+    /// Wakes all readers: what was queued may have been refused.
+    fn tell_all(&self) {
+        for reader in self.readers().values() {
+            reader.notify_waiters();
+        }
+    }
+
+    fn word(&self, word: AttemptWord) -> AgentWord {
+        let gate = self.gate();
+        AgentWord {
+            word,
+            load: (gate.queued() + gate.running()) as u32,
+            position: self.follower.position(),
+        }
+    }
+}
+
+/// A running agent daemon.
+pub struct AgentDaemon {
+    /// Where entries reach it.
+    pub address: SocketAddr,
+    /// Where metrics and health are served.
+    pub watch: SocketAddr,
+    shared: Arc<AgentShared>,
+}
+
+impl AgentDaemon {
+    /// Joins the site and starts on the current runtime.
+    pub async fn start(settings: AgentSettings, secret: SiteSecret) -> Result<Self, DaemonError> {
+        let listener = daemon::bind("listen", settings.common.listen).await?;
+        let address = daemon::address_of("listen", &listener)?;
+        let control = settings.common.control.iter();
+        let control = control.map(|voter| voter.address.to_string()).collect();
+        let link = Arc::new(ControlLink::new(secret.clone(), control));
+        let common = &settings.common;
+        let text = address.to_string();
+        let life = member::join(&link, common, MemberRole::Agent, &text).await?;
+        let follower = SiteFollower::new(link.clone());
+        follower.start().await?;
+        let services = settings.services.iter().cloned().collect();
+        let policy = GatePolicy {
+            capacity_mib: settings.memory_mib,
+            check: settings.check,
+            lease_ms: settings.lease_ms,
+            queue: settings.queue.policy(),
+        };
+        let gate = TargetGate::new(life, policy, services, clock::monotonic_ms());
+        let engine = EngineClient::new(&settings.target_url).await;
+        let shared = Arc::new(AgentShared {
+            settings,
+            link,
+            follower,
+            gate: Mutex::new(gate),
+            life,
+            address: text,
+            wake: Notify::new(),
+            readers: Mutex::new(BTreeMap::new()),
+        });
+        learn_rows(&shared, &shared.follower.view());
+        serve(listener, secret, shared.clone());
+        let watch = serve_watch(&shared).await?;
+        start_tasks(&shared, &engine);
+        tracing::info!(%address, %watch, %life, "agent started");
+        Ok(Self {
+            address,
+            watch,
+            shared,
+        })
+    }
+
+    /// Turns new work away, ends what is in flight, and leaves the site.
+    pub async fn stop(&self) {
+        let shared = &self.shared;
+        shared.gate().leave();
+        let drained = async {
+            // Entries learn of it from control meanwhile.
+            tokio::time::sleep(LEAVE_NOTICE).await;
+            while !shared.gate().is_idle() {
+                tokio::time::sleep(PUMP).await;
+            }
+        };
+        if tokio::time::timeout(STOP_TIME, drained).await.is_err() {
+            tracing::warn!("stops with work in flight");
+        }
+        // The last pages are read within one pull.
+        tokio::time::sleep(LEAVE_NOTICE).await;
+        let beat = make_beat(shared, true);
+        if let Err(error) = send_beat(shared, beat).await {
+            tracing::debug!(%error, "left without a word");
+        }
+    }
+}
+
+fn start_tasks(shared: &Arc<AgentShared>, engine: &EngineClient) {
+    let agent = shared.clone();
+    tokio::spawn(async move {
+        let seed = member::spread_seed(&agent.settings.common.host);
+        let follower = &agent.follower;
+        follower.run(seed, |view| learn_rows(&agent, view)).await;
+    });
+    let agent = shared.clone();
+    tokio::spawn(async move { beat_loop(&agent).await });
+    let agent = shared.clone();
+    tokio::spawn(async move { sweep_loop(&agent).await });
+    daemon::spawn_local(pump_loop(shared.clone(), engine.clone()));
+    if shared.settings.memory_mib > 0 {
+        daemon::spawn_local(report_loop(shared.clone(), engine.clone()));
+    }
+}
+
+fn learn_rows(agent: &AgentShared, view: &SiteView) {
+    let mut gate = agent.gate();
+    for (id, row) in &view.rows {
+        gate.learn_row(id, row.version);
+    }
+}
+
+async fn sweep_loop(agent: &AgentShared) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        agent.gate().forget(clock::monotonic_ms());
+        agent
+            .readers()
+            .retain(|_, reader| Arc::strong_count(reader) > 1);
+    }
+}
+
+fn make_beat(agent: &AgentShared, stopped: bool) -> AgentBeat {
+    let gate = agent.gate();
+    let ledger = gate.ledger();
+    let fixed = agent.settings.services.iter();
+    let fixed = fixed.map(|service| (service.clone(), true));
+    let loaded = ledger.models();
+    let loaded = loaded.map(|(model, phase)| (model.clone(), phase == HoldPhase::Resident));
+    let known = ledger.is_open() || agent.settings.memory_mib == 0;
+    AgentBeat {
+        host: agent.settings.common.host.clone(),
+        life: agent.life,
+        position: agent.follower.position(),
+        plan: gate.plan_position(),
+        holds: known.then(|| loaded.chain(fixed).collect()),
+        busy: gate.busy(),
+        leaving: gate.is_leaving(),
+        stopped,
+    }
+}
+
+async fn send_beat(agent: &AgentShared, beat: AgentBeat) -> Result<AgentOrders, peers::PeerError> {
+    agent
+        .link
+        .decide("agent_beat", BEAT_TIME, |client, context| {
+            let beat = beat.clone();
+            async move { client.agent_beat(context, beat).await }
+        })
+        .await
+}
+
+async fn beat_loop(agent: &AgentShared) {
+    loop {
+        let asked_ms = clock::monotonic_ms();
+        let beat = make_beat(agent, false);
+        match send_beat(agent, beat).await {
+            Ok(orders) => on_orders(agent, asked_ms, orders).await,
+            Err(error) => tracing::debug!(%error, "no answer to a beat"),
+        }
+        tokio::time::sleep(BEAT).await;
+    }
+}
+
+async fn on_orders(agent: &AgentShared, asked_ms: u64, orders: AgentOrders) {
+    agent.follower.heard(orders.position);
+    match orders.plan {
+        Some(plan) => {
+            if !agent.gate().on_plan(asked_ms, plan) {
+                tracing::info!("refused an older plan");
+            }
+            agent.wake.notify_one();
+        }
+        None => {
+            let common = &agent.settings.common;
+            let role = MemberRole::Agent;
+            let back = member::rejoin(&agent.link, common, role, &agent.address, agent.life).await;
+            match back {
+                Ok(true) => tracing::info!("was taken for lost, and is back"),
+                Ok(false) => {
+                    tracing::error!("another process keeps this target: takes no more work");
+                    agent.gate().leave();
+                }
+                Err(error) => tracing::debug!(%error, "cannot rejoin"),
+            }
+        }
+    }
+}
+
+async fn report_loop(agent: Arc<AgentShared>, engine: EngineClient) {
+    loop {
+        let asked_ms = clock::monotonic_ms();
+        match engine.report().await {
+            Ok(report) => agent.gate().on_report(&report, asked_ms),
+            Err(error) => tracing::debug!(%error, "no report"),
+        }
+        agent.wake.notify_one();
+        let pause = Duration::from_millis(agent.settings.report_ms);
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Starts what may run, gives the orders that are due, one of them at a time.
+async fn pump_loop(agent: Arc<AgentShared>, engine: EngineClient) {
+    loop {
+        let _ = tokio::time::timeout(PUMP, agent.wake.notified()).await;
+        let now_ms = clock::monotonic_ms();
+        let before = agent.gate().queued();
+        let mut started = 0;
+        loop {
+            let next = agent.gate().next_run(now_ms);
+            let Some(dispatch) = next else { break };
+            started += 1;
+            daemon::spawn_local(run(agent.clone(), engine.clone(), dispatch));
+        }
+        if agent.gate().queued() + started < before {
+            agent.tell_all();
+        }
+        let order = agent.gate().next_order(now_ms);
+        if let Some(order) = order {
+            daemon::spawn_local(give_order(agent.clone(), engine.clone(), order));
+        }
+    }
+}
+
+async fn give_order(agent: Arc<AgentShared>, engine: EngineClient, order: EngineOrder) {
+    let answer = engine.order(&order).await;
+    agent.gate().order_closed(clock::monotonic_ms(), &order);
+    match answer {
+        Ok(()) => tracing::debug!(?order, "ordered"),
+        Err(error) => tracing::warn!(%error, ?order, "an order failed"),
+    }
+    agent.wake.notify_one();
+}
+
+async fn run(agent: Arc<AgentShared>, engine: EngineClient, dispatch: RunDispatch) {
+    let attempt = dispatch.attempt;
+    if dispatch.call.path.is_some() {
+        let event = match engine.serve(&dispatch).await {
+            Ok(text) => {
+                let piece = RunEvent::Piece { index: 0, text };
+                note(&agent, attempt, piece);
+                RunEvent::Ended
+            }
+            Err(EngineError::Refused { .. }) => RunEvent::Refused,
+            Err(EngineError::Lost { .. }) => {
+                // A plain service has no stream to resume.
+                note(&agent, attempt, RunEvent::Lost);
+                RunEvent::Lost
+            }
+        };
+        note(&agent, attempt, event);
+        return;
+    }
+    let mut stream = engine.run(&dispatch).await;
+    loop {
+        let event = follow(&agent, attempt, &mut stream).await;
+        match note(&agent, attempt, event) {
+            Some(from) => stream = engine.resume(attempt, from).await,
+            None => return,
+        }
+    }
+}
+
+/// Takes pieces in until the stream ends in some way.
+async fn follow(
+    agent: &AgentShared,
+    attempt: AttemptId,
+    stream: &mut Result<EngineStream, EngineError>,
+) -> RunEvent {
+    let stream = match stream {
+        Ok(stream) => stream,
+        Err(EngineError::Refused { .. }) => return RunEvent::Refused,
+        Err(EngineError::Lost { .. }) => return RunEvent::Lost,
+    };
+    loop {
+        match stream.next().await {
+            Ok(StreamPart::Piece(index, text)) => {
+                note(agent, attempt, RunEvent::Piece { index, text });
+            }
+            Ok(StreamPart::End) => return RunEvent::Ended,
+            Err(error) => {
+                tracing::info!(%attempt, %error, "a stream broke");
+                return RunEvent::Lost;
+            }
+        }
+    }
+}
+
+fn note(agent: &AgentShared, attempt: AttemptId, event: RunEvent) -> Option<u32> {
+    let ended = !matches!(event, RunEvent::Piece { .. });
+    let resume = agent.gate().on_run(clock::monotonic_ms(), attempt, event);
+    agent.tell(attempt);
+    if ended {
+        agent.wake.notify_one();
+    }
+    resume
+}
+
+#[derive(Clone)]
+struct AgentServer {
+    shared: Arc<AgentShared>,
+    cancels: tokio::sync::mpsc::UnboundedSender<AttemptId>,
+}
+
+impl AgentWire for AgentServer {
+    async fn start(self, _: Context, position: Position, ask: RunAsk) -> AgentWord {
+        let agent = &self.shared;
+        agent.follower.heard(position);
+        let word = agent.gate().start(clock::monotonic_ms(), ask);
+        agent.wake.notify_one();
+        agent.word(word)
+    }
+
+    async fn pull(
+        self,
+        _: Context,
+        attempt: AttemptId,
+        life: Incarnation,
+        offset: u32,
+        wait_ms: u64,
+    ) -> AgentWord {
+        let agent = &self.shared;
+        let wait = Duration::from_millis(wait_ms.min(MAX_PULL_MS));
+        let reader = agent.reader(attempt);
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            let news = reader.notified();
+            tokio::pin!(news);
+            news.as_mut().enable();
+            let word = agent
+                .gate()
+                .pull(clock::monotonic_ms(), attempt, life, offset);
+            if !is_empty(&word) {
+                return agent.word(word);
+            }
+            if tokio::time::timeout_at(until, news).await.is_err() {
+                return agent.word(word);
+            }
+        }
+    }
+
+    async fn seal(self, _: Context, attempt: AttemptId, life: Incarnation) -> AgentWord {
+        let agent = &self.shared;
+        let word = agent.gate().seal(clock::monotonic_ms(), attempt, life);
+        agent.tell(attempt);
+        agent.word(word)
+    }
+
+    async fn cancel(self, _: Context, attempt: AttemptId) {
+        let running = self.shared.gate().cancel(clock::monotonic_ms(), attempt);
+        if running {
+            let _ = self.cancels.send(attempt);
+        }
+        self.shared.tell(attempt);
+    }
+}
+
+fn is_empty(word: &AttemptWord) -> bool {
+    match word {
+        AttemptWord::Page(page) => page.pieces.is_empty() && page.end.is_none(),
+        AttemptWord::Unseen | AttemptWord::OtherLife(_) => false,
+    }
+}
+
+fn serve(listener: TcpListener, secret: SiteSecret, shared: Arc<AgentShared>) {
+    let (cancels, mut asked) = tokio::sync::mpsc::unbounded_channel();
+    let agent = shared.clone();
+    daemon::spawn_local(async move {
+        let engine = EngineClient::new(&agent.settings.target_url).await;
+        while let Some(attempt) = asked.recv().await {
+            if engine.cancel(attempt).await.is_ok() {
+                note(&agent, attempt, RunEvent::Cancelled);
+            }
+        }
+    });
+    let serve = move |transport| {
+        let server = AgentServer {
+            shared: shared.clone(),
+            cancels: cancels.clone(),
+        };
+        let channel = BaseChannel::with_defaults(transport).max_concurrent_requests(CALLS_A_PEER);
+        tokio::spawn(channel.execute(server.serve()).for_each(|call| async {
+            tokio::spawn(call);
+        }));
+    };
+    tokio::spawn(peers::listen(listener, secret, serve));
+}
+
+async fn serve_watch(shared: &Arc<AgentShared>) -> Result<SocketAddr, DaemonError> {
+    let address = shared.settings.common.watch;
+    let agent = shared.clone();
+    let read = move || {
+        let agent = agent.clone();
+        Box::pin(async move {
+            daemon::WatchPage {
+                ready: agent.gate().has_lease(clock::monotonic_ms()),
+                metrics: render(&agent),
+            }
+        }) as daemon::WatchRead
+    };
+    daemon::serve_watch(address, Arc::new(read)).await
+}
+
+fn render(agent: &AgentShared) -> String {
+    let position = agent.follower.position();
+    let gate = agent.gate();
+    let gauges = [
+        ("dunlinspring_table_position", position.0),
+        ("dunlinspring_running", gate.running() as u64),
+        ("dunlinspring_queued", gate.queued() as u64),
+        ("dunlinspring_memory_used_mib", gate.ledger().used_mib()),
+        ("dunlinspring_memory_free_mib", gate.ledger().free_mib()),
+        ("dunlinspring_attempts_remembered", gate.remembered() as u64),
+        ("dunlinspring_leaving", u64::from(gate.is_leaving())),
+    ];
+    let mut book = MetricBook::default();
+    for (name, value) in gauges {
+        book.gauge(MetricKey::new(name, &[]), value);
+    }
+    let ready: Vec<ModelName> = gate.ready_models();
+    book.gauge(
+        MetricKey::new("dunlinspring_models", &[]),
+        ready.len() as u64,
+    );
+    book.render()
+}
--- /dev/null
+++ b/src/caller.rs
@@ -0,0 +1,539 @@
+//! The callers' HTTP interface: OpenAI-compatible completions, and plain services.
+
+use std::sync::Arc;
+
+use ntex::http::{HeaderMap, StatusCode};
+use ntex::server::Server;
+use ntex::util::Bytes;
+use ntex::web::{self, HttpRequest, HttpResponse, types};
+use serde::Deserialize;
+use serde_json::json;
+use sha2::{Digest, Sha256};
+use tokio::sync::mpsc;
+
+use crate::auth;
+use crate::daemon::{self, DaemonError};
+use crate::entryd::{self, CallerRequest, EntryShared, FlightNote, InFlight};
+use crate::flight::{DEFAULT_RETRY_MS, EndCause, FlightOutcome};
+use crate::gate::EngineCall;
+use crate::ids::{CallKey, ModelName, PartnerName};
+use crate::operator;
+use crate::site::ModelKind;
+use crate::table::Row;
+
+/// Pieces generated where a request does not say.
+const DEFAULT_TOKENS: u32 = 256;
+/// Most pieces that a request may ask for.
+const MAX_TOKENS: u32 = 32_768;
+/// Longest idempotency key, in bytes.
+const MAX_KEY: usize = 256;
+/// Characters of a prompt that count as one token of KV memory.
+const CHARS_A_TOKEN: u64 = 4;
+
+/// Serves callers and operators until the returned server is stopped.
+pub fn serve(
+    entry: Arc<EntryShared>,
+    listener: std::net::TcpListener,
+) -> Result<Server, DaemonError> {
+    let workers = entry.settings.workers;
+    let app = async move || {
+        let limit = entry.settings.max_body;
+        web::App::new()
+            .state(entry.clone())
+            .state(types::PayloadConfig::new(limit))
+            .route("/v1/chat/completions", web::post().to(chat))
+            .route("/v1/completions", web::post().to(complete))
+            .route("/v1/models", web::get().to(models))
+            .route("/services/{name}/{path}*", web::post().to(service))
+            .configure(operator::routes)
+    };
+    daemon::run_http(listener, workers, app)
+}
+
+type Entry = types::State<Arc<EntryShared>>;
+
+#[derive(Deserialize)]
+struct ChatBody {
+    model: ModelName,
+    messages: Vec<ChatMessage>,
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Deserialize)]
+struct ChatMessage {
+    role: String,
+    content: String,
+}
+
+#[derive(Deserialize)]
+struct CompletionBody {
+    model: ModelName,
+    prompt: String,
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+/// How an answer is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AnswerForm {
+    Chat,
+    Completion,
+    Service,
+}
+
+#[derive(Clone, Debug)]
+struct AnswerHead {
+    form: AnswerForm,
+    stream: bool,
+    id: String,
+    model: ModelName,
+}
+
+/// A request that is answered without being run.
+pub(crate) struct CallerError {
+    pub status: StatusCode,
+    pub code: &'static str,
+    pub field: Option<&'static str>,
+    pub message: String,
+}
+
+impl CallerError {
+    pub fn new(
+        status: StatusCode,
+        code: &'static str,
+        field: Option<&'static str>,
+        message: impl Into<String>,
+    ) -> Self {
+        Self {
+            status,
+            code,
+            field,
+            message: message.into(),
+        }
+    }
+
+    fn bad(field: &'static str, message: impl Into<String>) -> Self {
+        Self::new(
+            StatusCode::BAD_REQUEST,
+            "invalid_request",
+            Some(field),
+            message,
+        )
+    }
+
+    pub fn response(&self) -> HttpResponse {
+        let error = json!({
+            "message": self.message,
+            "type": self.code,
+            "param": self.field,
+            "code": self.code,
+        });
+        HttpResponse::build(self.status)
+            .header("x-outcome", "not-run")
+            .json(&json!({ "error": error }))
+    }
+}
+
+async fn chat(entry: Entry, request: HttpRequest, body: Bytes) -> HttpResponse {
+    let parsed = parse::<ChatBody>(&body).and_then(|chat| {
+        if chat.messages.is_empty() {
+            return Err(CallerError::bad("messages", "must not be empty"));
+        }
+        let lines = chat.messages.iter();
+        let lines = lines.map(|message| format!("{}: {}\n", message.role, message.content));
+        let prompt = lines.collect();
+        Ok((chat.model, prompt, chat.max_tokens, chat.stream))
+    });
+    generate(&entry, &request, &body, parsed, AnswerForm::Chat).await
+}
+
+async fn complete(entry: Entry, request: HttpRequest, body: Bytes) -> HttpResponse {
+    let parsed = parse::<CompletionBody>(&body)
+        .map(|ask| (ask.model, ask.prompt, ask.max_tokens, ask.stream));
+    generate(&entry, &request, &body, parsed, AnswerForm::Completion).await
+}
+
+type ParsedBody = (ModelName, String, Option<u32>, bool);
+
+async fn generate(
+    entry: &Entry,
+    request: &HttpRequest,
+    body: &[u8],
+    parsed: Result<ParsedBody, CallerError>,
+    form: AnswerForm,
+) -> HttpResponse {
+    let prepared = authorize(entry, request.headers()).and_then(|partner| {
+        let (model, prompt, max_tokens, stream) = parsed?;
+        let max_tokens = max_tokens.unwrap_or(DEFAULT_TOKENS);
+        if max_tokens == 0 || max_tokens > MAX_TOKENS {
+            return Err(CallerError::bad("max_tokens", "must be from 1 to 32768"));
+        }
+        let kv_mib = kv_mib(entry, &model, prompt.len(), max_tokens);
+        let call = EngineCall {
+            model: model.clone(),
+            prompt,
+            path: None,
+            max_tokens,
+            given: 0,
+            kv_mib,
+        };
+        let caller = prepare(entry, request.headers(), partner, call, body)?;
+        let head = AnswerHead {
+            form,
+            stream,
+            id: caller.id.clone(),
+            model,
+        };
+        Ok((caller, head))
+    });
+    match prepared {
+        Ok((caller, head)) => run(entry, caller, head).await,
+        Err(error) => error.response(),
+    }
+}
+
+async fn service(
+    entry: Entry,
+    request: HttpRequest,
+    path: types::Path<(String, String)>,
+    body: Bytes,
+) -> HttpResponse {
+    let prepared = authorize(&entry, request.headers()).and_then(|partner| {
+        let (name, path) = path.into_inner();
+        let model = ModelName(name);
+        let prompt = String::from_utf8(body.to_vec())
+            .map_err(|_| CallerError::bad("body", "must be UTF-8 text"))?;
+        let call = EngineCall {
+            model: model.clone(),
+            prompt,
+            path: Some(path),
+            max_tokens: 1,
+            given: 0,
+            kv_mib: 0,
+        };
+        let caller = prepare(&entry, request.headers(), partner, call, &body)?;
+        let head = AnswerHead {
+            form: AnswerForm::Service,
+            stream: false,
+            id: caller.id.clone(),
+            model,
+        };
+        Ok((caller, head))
+    });
+    match prepared {
+        Ok((caller, head)) => run(&entry, caller, head).await,
+        Err(error) => error.response(),
+    }
+}
+
+async fn models(entry: Entry, request: HttpRequest) -> HttpResponse {
+    let partner = match authorize(&entry, request.headers()) {
+        Ok(partner) => partner,
+        Err(error) => return error.response(),
+    };
+    let view = entry.follower.view();
+    let rows = view.rows.values().filter(|row| row.partner == partner);
+    let names: std::collections::BTreeSet<&str> =
+        rows.map(|row| row.fields.model.as_str()).collect();
+    let data: Vec<_> = names
+        .into_iter()
+        .map(|name| json!({ "id": name, "object": "model", "owned_by": partner.as_str() }))
+        .collect();
+    HttpResponse::Ok().json(&json!({ "object": "list", "data": data }))
+}
+
+fn parse<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, CallerError> {
+    let mut reader = serde_json::Deserializer::from_slice(body);
+    serde_path_to_error::deserialize(&mut reader).map_err(|error| {
+        let message = format!("field {}: {}", error.path(), error.inner());
+        CallerError::new(StatusCode::BAD_REQUEST, "invalid_json", None, message)
+    })
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// The key that a request bears.
+pub(crate) fn bearer(headers: &HeaderMap) -> Option<&str> {
+    header(headers, "authorization")?.strip_prefix("Bearer ")
+}
+
+fn authorize(entry: &EntryShared, headers: &HeaderMap) -> Result<PartnerName, CallerError> {
+    let key = bearer(headers);
+    let partner = key.and_then(|key| auth::caller(&entry.settings, key));
+    partner.cloned().ok_or_else(|| {
+        let message = "a caller's key is needed as 'Authorization: Bearer KEY'";
+        let field = Some("authorization");
+        CallerError::new(StatusCode::UNAUTHORIZED, "invalid_key", field, message)
+    })
+}
+
+fn kv_mib(entry: &EntryShared, model: &ModelName, prompt: usize, max_tokens: u32) -> u64 {
+    let view = entry.follower.view();
+    let models = &view.site.models;
+    let spec = models.get(model);
+    // An adapter's context is its base model's.
+    let spec = match spec.map(|spec| &spec.kind) {
+        Some(ModelKind::Adapter(base)) => models.get(base),
+        _ => spec,
+    };
+    let tokens = prompt as u64 / CHARS_A_TOKEN + u64::from(max_tokens);
+    let kib = spec.map_or(0, |spec| spec.kv_kib_per_token) * tokens;
+    kib.div_ceil(1024)
+}
+
+fn prepare(
+    entry: &EntryShared,
+    headers: &HeaderMap,
+    partner: PartnerName,
+    call: EngineCall,
+    body: &[u8],
+) -> Result<CallerRequest, CallerError> {
+    let (row, fields) = find_row(entry, headers, &partner, &call.model)?;
+    let key = find_key(headers, &fields)?;
+    let id = header(headers, "x-request-id").map(str::to_owned);
+    let mut digest = Sha256::new();
+    digest.update(call.path.as_deref().unwrap_or("").as_bytes());
+    digest.update([0]);
+    digest.update(body);
+    Ok(CallerRequest {
+        partner,
+        row,
+        fields,
+        key,
+        digest: digest.finalize().into(),
+        call,
+        id: id.unwrap_or_else(|| format!("{:016x}", rand::random::<u64>())),
+    })
+}
+
+fn find_row(
+    entry: &EntryShared,
+    headers: &HeaderMap,
+    partner: &PartnerName,
+    model: &ModelName,
+) -> Result<(crate::ids::RowId, Row), CallerError> {
+    let view = entry.follower.view();
+    let class = header(headers, "x-request-class");
+    let found = match class {
+        Some(class) => view.find_row(partner, model, class),
+        None => {
+            let mut rows = view.rows.iter();
+            rows.find(|(_, row)| row.partner == *partner && row.fields.model == *model)
+        }
+    };
+    let known = || {
+        let mut rows = view.rows.values();
+        rows.any(|row| row.partner == *partner && row.fields.model == *model)
+    };
+    match found {
+        Some((id, row)) => Ok((id.clone(), row.clone())),
+        None if known() => Err(CallerError::new(
+            StatusCode::NOT_FOUND,
+            "unknown_class",
+            Some("x-request-class"),
+            format!("no row of {partner} has model {model} in this class"),
+        )),
+        None => Err(CallerError::new(
+            StatusCode::NOT_FOUND,
+            "unknown_model",
+            Some("model"),
+            format!("no row of {partner} names model {model}"),
+        )),
+    }
+}
+
+fn find_key(headers: &HeaderMap, row: &Row) -> Result<Option<CallKey>, CallerError> {
+    let key = header(headers, "idempotency-key");
+    match key {
+        _ if !row.fields.at_most_once => Ok(None),
+        Some(key) if !key.is_empty() && key.len() <= MAX_KEY => Ok(Some(CallKey::from(key))),
+        _ => Err(CallerError::bad(
+            "idempotency-key",
+            "this class may not be repeated: a key of 1 to 256 bytes is needed",
+        )),
+    }
+}
+
+async fn run(entry: &Entry, request: CallerRequest, head: AnswerHead) -> HttpResponse {
+    let guard = match entry.admit() {
+        Ok(guard) => guard,
+        Err(cause) => {
+            let retry_after_ms = DEFAULT_RETRY_MS;
+            let outcome = FlightOutcome::NotRun {
+                cause,
+                retry_after_ms,
+            };
+            entry.record(&request, &outcome, tokio::time::Instant::now());
+            return refusal(&head, &outcome);
+        }
+    };
+    let whole = request.fields.fields.whole || !head.stream;
+    let notes = launch(entry, request, guard);
+    match whole {
+        true => answer_whole(head, notes).await,
+        false => answer_stream(head, notes).await,
+    }
+}
+
+/// The flight runs as a task of its own: it outlives a caller that leaves, for
+/// as long as it takes to end what it began.
+fn launch(entry: &Entry, request: CallerRequest, guard: InFlight) -> mpsc::Receiver<FlightNote> {
+    let (sender, notes) = mpsc::channel(entryd::NOTES);
+    let entry = Arc::clone(entry);
+    ntex::rt::spawn(entryd::fly(entry, request, sender, guard));
+    notes
+}
+
+async fn answer_whole(head: AnswerHead, mut notes: mpsc::Receiver<FlightNote>) -> HttpResponse {
+    let mut text = String::new();
+    while let Some(note) = notes.recv().await {
+        match note {
+            FlightNote::Pieces(pieces) => pieces.iter().for_each(|piece| text.push_str(piece)),
+            FlightNote::End(FlightOutcome::Done) => return whole(&head, &text),
+            FlightNote::End(FlightOutcome::DoneBefore(Some(text))) => return whole(&head, &text),
+            FlightNote::End(outcome) => return refusal(&head, &outcome),
+        }
+    }
+    refusal(&head, &FlightOutcome::Unknown(EndCause::TargetLost))
+}
+
+fn whole(head: &AnswerHead, text: &str) -> HttpResponse {
+    let mut answer = HttpResponse::Ok();
+    answer.header("x-outcome", "done");
+    answer.header("x-request-id", head.id.as_str());
+    match head.form {
+        AnswerForm::Service => answer.body(text.to_owned()),
+        _ if head.stream => {
+            let mut events = chunk(head, text);
+            events.push_str(&last_event(&FlightOutcome::Done));
+            answer.content_type("text/event-stream").body(events)
+        }
+        AnswerForm::Chat => answer.json(&json!({
+            "id": head.id,
+            "object": "chat.completion",
+            "model": head.model,
+            "choices": [{
+                "index": 0,
+                "message": { "role": "assistant", "content": text },
+                "finish_reason": "stop",
+            }],
+        })),
+        AnswerForm::Completion => answer.json(&json!({
+            "id": head.id,
+            "object": "text_completion",
+            "model": head.model,
+            "choices": [{ "index": 0, "text": text, "finish_reason": "stop" }],
+        })),
+    }
+}
+
+/// Waits for the first note, so that a request that is not run gets a plain answer.
+async fn answer_stream(head: AnswerHead, mut notes: mpsc::Receiver<FlightNote>) -> HttpResponse {
+    let first = match notes.recv().await {
+        Some(FlightNote::End(outcome)) if outcome != FlightOutcome::Done => {
+            return match outcome {
+                FlightOutcome::DoneBefore(Some(text)) => whole(&head, &text),
+                outcome => refusal(&head, &outcome),
+            };
+        }
+        Some(note) => note,
+        None => return refusal(&head, &FlightOutcome::Unknown(EndCause::TargetLost)),
+    };
+    let id = head.id.clone();
+    let events = futures::stream::unfold(
+        (Some(first), notes, head),
+        |(first, mut notes, head)| async move {
+            let note = match first {
+                Some(note) => Some(note),
+                None => notes.recv().await,
+            };
+            let text = match note? {
+                FlightNote::Pieces(pieces) => {
+                    pieces.iter().map(|piece| chunk(&head, piece)).collect()
+                }
+                FlightNote::End(outcome) => last_event(&outcome),
+            };
+            let bytes = Ok::<_, std::io::Error>(Bytes::from(text));
+            Some((bytes, (None, notes, head)))
+        },
+    );
+    HttpResponse::Ok()
+        .content_type("text/event-stream")
+        .header("x-request-id", id)
+        .streaming(Box::pin(events))
+}
+
+fn chunk(head: &AnswerHead, text: &str) -> String {
+    let choice = match head.form {
+        AnswerForm::Chat => json!({ "index": 0, "delta": { "content": text } }),
+        AnswerForm::Completion | AnswerForm::Service => json!({ "index": 0, "text": text }),
+    };
+    let object = match head.form {
+        AnswerForm::Chat => "chat.completion.chunk",
+        AnswerForm::Completion | AnswerForm::Service => "text_completion",
+    };
+    let event = json!({
+        "id": head.id,
+        "object": object,
+        "model": head.model,
+        "choices": [choice],
+    });
+    format!("data: {event}\n\n")
+}
+
+/// The outcome as the last event; the customary end marker only after a whole answer.
+fn last_event(outcome: &FlightOutcome) -> String {
+    let (name, cause) = entryd::outcome_names(outcome);
+    let event = json!({ "outcome": name, "cause": cause });
+    let end = match name {
+        "done" => "data: [DONE]\n\n",
+        _ => "",
+    };
+    format!("event: outcome\ndata: {event}\n\n{end}")
+}
+
+/// The answer to a request without a whole result.
+fn refusal(head: &AnswerHead, outcome: &FlightOutcome) -> HttpResponse {
+    let (name, cause) = entryd::outcome_names(outcome);
+    let status = match outcome {
+        FlightOutcome::Done => StatusCode::OK,
+        // It ran, but its answer was longer than is kept.
+        FlightOutcome::DoneBefore(_) => StatusCode::GONE,
+        FlightOutcome::NotRun { cause, .. } => match cause {
+            EndCause::KeyReused => StatusCode::CONFLICT,
+            EndCause::Limit => StatusCode::TOO_MANY_REQUESTS,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        },
+        FlightOutcome::Unknown(EndCause::Patience) => StatusCode::GATEWAY_TIMEOUT,
+        FlightOutcome::Unknown(_) => StatusCode::BAD_GATEWAY,
+    };
+    let mut answer = HttpResponse::build(status);
+    answer.header("x-outcome", name);
+    answer.header("x-request-id", head.id.as_str());
+    let retry_ms = match outcome {
+        FlightOutcome::NotRun {
+            cause: EndCause::KeyReused,
+            ..
+        } => None,
+        FlightOutcome::NotRun { retry_after_ms, .. } => Some(*retry_after_ms),
+        FlightOutcome::Unknown(_) => Some(DEFAULT_RETRY_MS),
+        FlightOutcome::Done | FlightOutcome::DoneBefore(_) => None,
+    };
+    if let Some(ms) = retry_ms {
+        answer.header("retry-after", ms.div_ceil(1000).max(1).to_string());
+        answer.header("retry-after-ms", ms.to_string());
+    }
+    let message = match outcome {
+        FlightOutcome::NotRun { .. } => format!("the request was not run: {cause}"),
+        FlightOutcome::Unknown(_) => format!("the request may have run: {cause}"),
+        _ => "the request ran earlier; its answer is no longer kept".to_owned(),
+    };
+    answer.json(&json!({
+        "error": { "message": message, "type": name, "param": null, "code": cause },
+    }))
+}
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,79 @@
+//! The daemons' command line: a settings file, and where to write addresses.
+
+use std::path::PathBuf;
+use std::process::exit;
+
+use getopts::Options;
+
+use crate::daemon::{self, START_FAILED};
+use crate::peers::SiteSecret;
+use crate::settings::{self, Checked, CommonSettings};
+
+/// What a daemon was started with.
+pub struct DaemonStart<S> {
+    /// The checked settings.
+    pub settings: S,
+    /// The site's secret.
+    pub secret: SiteSecret,
+    /// Where to write the addresses that the system chose.
+    pub announce: Option<PathBuf>,
+    /// `--found` was given.
+    pub found: bool,
+}
+
+/// Ends the process: its start failed for this reason.
+pub fn fail(program: &str, reason: impl std::fmt::Display) -> ! {
+    eprintln!("{program}: {reason}");
+    exit(START_FAILED)
+}
+
+/// Reads the command line and settings of a daemon, and starts its logs.
+pub fn start<S: Checked>(program: &str, common: fn(&S) -> &CommonSettings) -> DaemonStart<S> {
+    let mut options = Options::new();
+    options.reqopt("s", "settings", "settings file, JSON with comments", "FILE");
+    options.optopt(
+        "a",
+        "announce",
+        "write the chosen addresses to this file",
+        "FILE",
+    );
+    options.optflag(
+        "",
+        "found",
+        "found the site in an empty data folder, and end",
+    );
+    options.optflag("h", "help", "show this text");
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    if args.iter().any(|arg| arg == "-h" || arg == "--help") {
+        println!(
+            "{}",
+            options.usage(&format!("Usage: {program} --settings FILE"))
+        );
+        exit(0);
+    }
+    let matches = match options.parse(&args) {
+        Ok(matches) if matches.free.is_empty() => matches,
+        Ok(matches) => fail(
+            program,
+            format!("unexpected argument '{}'", matches.free[0]),
+        ),
+        Err(error) => fail(program, error),
+    };
+    let path = PathBuf::from(matches.opt_str("settings").unwrap_or_default());
+    let settings: S = match settings::load(&path) {
+        Ok(settings) => settings,
+        Err(error) => fail(program, error),
+    };
+    let shared = common(&settings);
+    let secret = match settings::load_secret(&shared.secret_file) {
+        Ok(secret) => secret,
+        Err(error) => fail(program, error),
+    };
+    daemon::start_logs(&shared.log, program, &shared.host, &shared.hall);
+    DaemonStart {
+        secret,
+        announce: matches.opt_str("announce").map(PathBuf::from),
+        found: matches.opt_present("found"),
+        settings,
+    }
+}
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,492 @@
+//! The control daemon: one thread owns the voter and its disk; calls and
+//! messages reach it as events, so that one sync serves all that wait for it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
+use std::time::Duration;
+
+use sha2::{Digest, Sha256};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::claims::{ClaimKey, ClaimRecord};
+use crate::clock;
+use crate::duties::{AgentBeat, EntryBeat, LeaderDuties};
+use crate::ids::{HostName, NodeId, Position, TargetName, Term};
+use crate::journal::{DiskJournal, JournalError};
+use crate::raft::{DiskImage, DiskRecord, RaftMessage};
+use crate::replica::LogReplica;
+use crate::settings::ControlSettings;
+use crate::state::{Command, Reply};
+use crate::view::{self, SyncPage};
+use crate::wire::{self, AgentOrders, ControlRefusal, ControlStatus, EntryOrders, TableStatus};
+
+/// Longest pause between two looks at the clock.
+const TICK: Duration = Duration::from_millis(10);
+/// Most events that share one sync.
+const MAX_BATCH: usize = 1024;
+/// Longest wait of a [`ControlEvent::Sync`].
+const MAX_SYNC_WAIT_MS: u64 = 2_000;
+/// Time that a stopping leader waits for its heir.
+const HANDOVER_MS: u64 = 2_000;
+
+type Answer<T> = oneshot::Sender<Result<T, ControlRefusal>>;
+
+/// What reaches the voter's thread.
+pub enum ControlEvent {
+    /// A message from a voter.
+    Raft(NodeId, HostName, RaftMessage),
+    /// A process with a blank disk asks to be made a voter.
+    Enroll(NodeId, HostName),
+    /// Commit a command.
+    Propose(Command, Answer<(Position, Reply)>),
+    /// The changes after a cursor.
+    Sync {
+        /// The cursor.
+        cursor: Position,
+        /// How long to wait for a change, in milliseconds.
+        wait_ms: u64,
+        /// Only from a state that is surely the newest.
+        fresh: bool,
+        /// The asker.
+        answer: Answer<SyncPage>,
+    },
+    /// An agent's beat.
+    Agent(AgentBeat, Answer<AgentOrders>),
+    /// An entry's beat.
+    Entry(EntryBeat, Answer<EntryOrders>),
+    /// The table.
+    Table(Answer<TableStatus>),
+    /// A claim.
+    Claim(ClaimKey, Answer<Option<ClaimRecord>>),
+    /// This voter's account of itself.
+    Status(oneshot::Sender<ControlStatus>),
+    /// Hosts that the platform's list names as leaving.
+    Platform(BTreeSet<HostName>),
+    /// Stop: hand over first.
+    Stop(oneshot::Sender<()>),
+}
+
+struct SyncWaiter {
+    cursor: Position,
+    until_ms: u64,
+    answer: Answer<SyncPage>,
+}
+
+/// The identity of a founding voter's disk.
+pub fn founder_id(host: &HostName) -> NodeId {
+    let digest = Sha256::digest(host.as_str().as_bytes());
+    let mut word = [0; 8];
+    word.copy_from_slice(&digest[..8]);
+    NodeId(u64::from_le_bytes(word))
+}
+
+/// Founds a site's voter in an empty data folder. To be done once, on all
+/// control hosts, and never again after a disk was lost.
+pub fn found(settings: &ControlSettings) -> Result<(), JournalError> {
+    let own = founder_id(&settings.common.host);
+    let (mut journal, image) = DiskJournal::open(&settings.data_folder, Some(own))?;
+    if image != DiskImage::default() {
+        return Ok(());
+    }
+    let voters = settings.common.control.iter();
+    let voters = voters.map(|voter| founder_id(&voter.host)).collect();
+    let image = LogReplica::founding_image(voters);
+    journal.save(&[DiskRecord::Install(image.snapshot)])
+}
+
+/// Messages to one peer wait here; when it is full, they are dropped, as a
+/// network would.
+pub type PeerOutbox = BTreeMap<HostName, mpsc::Sender<RaftMessage>>;
+
+/// The voter's thread.
+pub struct ControlLoop {
+    settings: ControlSettings,
+    replica: LogReplica,
+    journal: DiskJournal,
+    duties: Option<LeaderDuties>,
+    awaiting: BTreeMap<Position, (Term, Answer<(Position, Reply)>)>,
+    waiters: Vec<SyncWaiter>,
+    hosts: BTreeMap<NodeId, HostName>,
+    outbox: PeerOutbox,
+    stopping: Option<(u64, oneshot::Sender<()>)>,
+}
+
+impl ControlLoop {
+    /// Opens the data folder.
+    pub fn open(settings: ControlSettings, outbox: PeerOutbox) -> Result<Self, JournalError> {
+        let (journal, image) = DiskJournal::open(&settings.data_folder, None)?;
+        let node = journal.identity().node;
+        let replica = LogReplica::new(
+            node,
+            settings.timing,
+            image,
+            clock::monotonic_ms(),
+            node.0 ^ clock::wall_ms(),
+            settings.compact_after,
+        );
+        let voters = settings.common.control.iter();
+        let hosts = voters.map(|voter| (founder_id(&voter.host), voter.host.clone()));
+        let mut hosts: BTreeMap<NodeId, HostName> = hosts.collect();
+        hosts.insert(node, settings.common.host.clone());
+        Ok(Self {
+            settings,
+            replica,
+            journal,
+            duties: None,
+            awaiting: BTreeMap::new(),
+            waiters: Vec::new(),
+            hosts,
+            outbox,
+            stopping: None,
+        })
+    }
+
+    /// This voter's disk.
+    pub fn node(&self) -> NodeId {
+        self.journal.identity().node
+    }
+
+    /// Whether this disk is no voter, as far as it knows.
+    pub fn is_learner(&self) -> bool {
+        !self.replica.raft().voters().contains(&self.node())
+    }
+
+    /// Runs until it is stopped, or the disk fails: then the voter says
+    /// nothing more, as it cannot know what it has kept.
+    pub fn run(mut self, events: Receiver<ControlEvent>) -> Result<(), JournalError> {
+        loop {
+            match events.recv_timeout(TICK) {
+                Ok(event) => {
+                    self.handle(event);
+                    for event in events.try_iter().take(MAX_BATCH) {
+                        self.handle(event);
+                    }
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return Ok(()),
+            }
+            self.on_time();
+            self.finish()?;
+            if self.is_stopped() {
+                return Ok(());
+            }
+        }
+    }
+
+    fn handle(&mut self, event: ControlEvent) {
+        let now_ms = clock::monotonic_ms();
+        match event {
+            ControlEvent::Raft(from, host, message) => {
+                self.hosts.insert(from, host);
+                self.replica.receive(now_ms, from, message);
+            }
+            ControlEvent::Enroll(node, host) => {
+                self.hosts.insert(node, host);
+                self.replica.raft_mut().add_learner(node);
+            }
+            ControlEvent::Propose(command, answer) => self.propose(command, Some(answer)),
+            ControlEvent::Sync {
+                cursor,
+                wait_ms,
+                fresh,
+                answer,
+            } => self.on_sync(now_ms, cursor, wait_ms, fresh, answer),
+            ControlEvent::Agent(beat, answer) => self.on_agent(now_ms, &beat, answer),
+            ControlEvent::Entry(beat, answer) => self.on_entry(now_ms, &beat, answer),
+            ControlEvent::Table(answer) => {
+                let _ = answer.send(self.read_table(now_ms));
+            }
+            ControlEvent::Claim(key, answer) => {
+                let newest = self.replica.newest(now_ms);
+                let found = newest.map(|state| state.claims.get(&key).cloned());
+                let _ = answer.send(found.ok_or_else(|| self.not_leader()));
+            }
+            ControlEvent::Status(answer) => {
+                let _ = answer.send(self.status(now_ms));
+            }
+            ControlEvent::Platform(leaving) => {
+                if let Some(duties) = &mut self.duties {
+                    duties.on_platform(leaving);
+                }
+            }
+            ControlEvent::Stop(answer) => {
+                self.replica.raft_mut().hand_over(now_ms);
+                self.stopping = Some((now_ms, answer));
+            }
+        }
+    }
+
+    fn propose(&mut self, command: Command, answer: Option<Answer<(Position, Reply)>>) {
+        let refusal = match self.stopping {
+            Some(_) => Err(ControlRefusal::Stopping),
+            None => {
+                let mark = self.replica.propose(clock::wall_ms(), command);
+                mark.map_err(|_| self.not_leader())
+            }
+        };
+        match (refusal, answer) {
+            (Ok(mark), Some(answer)) => {
+                self.awaiting.insert(mark.index, (mark.term, answer));
+            }
+            (Err(refusal), Some(answer)) => {
+                let _ = answer.send(Err(refusal));
+            }
+            (_, None) => {}
+        }
+    }
+
+    fn propose_all(&mut self, commands: Vec<Command>) {
+        if commands.is_empty() {
+            return;
+        }
+        for command in commands {
+            self.propose(command, None);
+        }
+        let last = self.replica.raft().last().index;
+        if let Some(duties) = &mut self.duties {
+            duties.await_position(last);
+        }
+    }
+
+    fn on_sync(
+        &mut self,
+        now_ms: u64,
+        cursor: Position,
+        wait_ms: u64,
+        fresh: bool,
+        answer: Answer<SyncPage>,
+    ) {
+        let newest = self.replica.newest(now_ms).is_some();
+        let state = self.replica.state();
+        match fresh {
+            true if !newest => {
+                let _ = answer.send(Err(self.not_leader()));
+            }
+            true => {
+                let _ = answer.send(Ok(view::page_after(state, cursor)));
+            }
+            false => self.waiters.push(SyncWaiter {
+                cursor,
+                until_ms: now_ms + wait_ms.min(MAX_SYNC_WAIT_MS),
+                answer,
+            }),
+        }
+    }
+
+    fn on_agent(&mut self, now_ms: u64, beat: &AgentBeat, answer: Answer<AgentOrders>) {
+        let (Some(state), Some(duties)) = (self.replica.newest(now_ms), &mut self.duties) else {
+            let _ = answer.send(Err(self.not_leader()));
+            return;
+        };
+        let commands = duties.on_agent(state, now_ms, beat);
+        let target = TargetName(beat.host.0.clone());
+        let member = state.members.get(&beat.host);
+        let current = member.is_some_and(|member| member.incarnation == beat.life);
+        let orders = AgentOrders {
+            plan: current.then(|| duties.target_plan(state, &target, beat)),
+            position: state.position,
+        };
+        let _ = answer.send(Ok(orders));
+        for command in commands {
+            self.propose(command, None);
+        }
+    }
+
+    fn on_entry(&mut self, now_ms: u64, beat: &EntryBeat, answer: Answer<EntryOrders>) {
+        let (Some(state), Some(duties)) = (self.replica.newest(now_ms), &mut self.duties) else {
+            let _ = answer.send(Err(self.not_leader()));
+            return;
+        };
+        let (grants, commands) = duties.on_entry(state, now_ms, beat);
+        let member = state.members.get(&beat.host);
+        let orders = EntryOrders {
+            grants,
+            rejoin: member.is_none_or(|member| member.incarnation != beat.life),
+            position: state.position,
+        };
+        let _ = answer.send(Ok(orders));
+        for command in commands {
+            self.propose(command, None);
+        }
+    }
+
+    fn read_table(&self, now_ms: u64) -> Result<TableStatus, ControlRefusal> {
+        match (self.replica.newest(now_ms), &self.duties) {
+            (Some(state), Some(duties)) => Ok(wire::table_status(state, |version| {
+                duties.in_force(state, version)
+            })),
+            _ => Err(self.not_leader()),
+        }
+    }
+
+    fn status(&self, now_ms: u64) -> ControlStatus {
+        let raft = self.replica.raft();
+        let state = self.replica.state();
+        let leader = raft.leader().and_then(|node| self.hosts.get(&node));
+        ControlStatus {
+            host: self.settings.common.host.clone(),
+            node: raft.id(),
+            term: raft.term(),
+            leader: leader.cloned(),
+            decides: raft.may_decide(now_ms),
+            voters: raft.voters().iter().copied().collect(),
+            position: state.position,
+            members: state.members.clone(),
+            moves: state.moves,
+            claims: state.claims.len(),
+        }
+    }
+
+    fn not_leader(&self) -> ControlRefusal {
+        let leader = self.replica.raft().leader();
+        let host = leader.and_then(|node| self.hosts.get(&node));
+        let own = &self.settings.common.host;
+        let named = self.settings.common.control.iter();
+        let mut named = named.filter(|voter| voter.host != *own);
+        let voter = host.and_then(|host| named.find(|voter| voter.host == *host));
+        ControlRefusal::NotLeader(voter.map(|voter| voter.address.to_string()))
+    }
+
+    fn on_time(&mut self) {
+        let now_ms = clock::monotonic_ms();
+        self.replica.tick(now_ms);
+        self.follow_leadership(now_ms);
+        let commands = match (self.replica.newest(now_ms), &mut self.duties) {
+            (Some(state), Some(duties)) => duties.round(state, now_ms),
+            _ => Vec::new(),
+        };
+        self.propose_all(commands);
+        self.replace_voters(now_ms);
+    }
+
+    fn follow_leadership(&mut self, now_ms: u64) {
+        let leads = self.replica.raft().is_leader();
+        let term = self.replica.raft().term();
+        let known = self.duties.as_ref().map(|duties| duties.term());
+        match leads {
+            true if known == Some(term) => {}
+            true => {
+                let policy = self.settings.duties.policy();
+                let state = self.replica.state();
+                self.duties = Some(LeaderDuties::new(policy, state, term, now_ms));
+                tracing::info!(%term, "leads");
+                self.propose(Command::Site(self.settings.site.clone()), None);
+            }
+            false => {
+                self.duties = None;
+                self.abandon();
+            }
+        }
+    }
+
+    /// What was proposed by a leader that leads no more may still be committed.
+    fn abandon(&mut self) {
+        for (_, (_, answer)) in std::mem::take(&mut self.awaiting) {
+            let _ = answer.send(Err(ControlRefusal::NoQuorum));
+        }
+    }
+
+    /// A host that came back with a blank disk takes its old disk's place: the
+    /// old one is removed first, then the new one added, one step at a time.
+    fn replace_voters(&mut self, now_ms: u64) {
+        let raft = self.replica.raft();
+        if !raft.may_decide(now_ms) {
+            return;
+        }
+        let Some(learner) = raft.ready_learners().first().copied() else {
+            return;
+        };
+        let host = self.hosts.get(&learner);
+        let mut voters: BTreeSet<NodeId> = raft.voters().clone();
+        let old = voters
+            .iter()
+            .copied()
+            .find(|node| self.hosts.get(node) == host);
+        match old {
+            Some(old) => voters.remove(&old),
+            None => voters.insert(learner),
+        };
+        let heard = |node: &&NodeId| **node == raft.id() || raft.heard_from(**node, now_ms);
+        let alive = voters.iter().filter(heard).count();
+        if alive * 2 > voters.len() && self.replica.raft_mut().propose_voters(voters).is_ok() {
+            tracing::info!(?learner, ?old, "changes the voters");
+        }
+    }
+
+    fn finish(&mut self) -> Result<(), JournalError> {
+        let now_ms = clock::monotonic_ms();
+        let output = self.replica.finish(now_ms);
+        if !output.records.is_empty() {
+            self.journal.save(&output.records)?;
+        }
+        for (node, message) in output.messages {
+            let host = self.hosts.get(&node);
+            if let Some(sender) = host.and_then(|host| self.outbox.get(host)) {
+                let _ = sender.try_send(message);
+            }
+        }
+        for (mark, reply) in output.replies {
+            if let Some((term, answer)) = self.awaiting.remove(&mark.index) {
+                let same = term == mark.term;
+                let reply = Ok((mark.index, reply));
+                let _ = answer.send(reply.and_then(|reply| match same {
+                    true => Ok(reply),
+                    false => Err(ControlRefusal::NoQuorum),
+                }));
+            }
+        }
+        self.answer_waiters(now_ms);
+        Ok(())
+    }
+
+    fn answer_waiters(&mut self, now_ms: u64) {
+        let state = self.replica.state();
+        let due = |waiter: &mut SyncWaiter| {
+            state.changed_since(waiter.cursor) || waiter.until_ms <= now_ms
+        };
+        let due: Vec<SyncWaiter> = self.waiters.extract_if(.., due).collect();
+        for waiter in due {
+            let page = view::page_after(state, waiter.cursor);
+            let _ = waiter.answer.send(Ok(page));
+        }
+    }
+
+    fn is_stopped(&mut self) -> bool {
+        let now_ms = clock::monotonic_ms();
+        let raft = self.replica.raft();
+        let heir = raft.leader().is_some_and(|leader| leader != raft.id());
+        match &self.stopping {
+            Some((since_ms, _)) if heir || since_ms + HANDOVER_MS < now_ms => {
+                if let Some((_, answer)) = self.stopping.take() {
+                    let _ = answer.send(());
+                }
+                true
+            }
+            _ => false,
+        }
+    }
+}
+
+/// Sends events to the voter's thread.
+#[derive(Clone)]
+pub struct ControlHandle(pub Sender<ControlEvent>);
+
+impl ControlHandle {
+    /// Asks, and waits for the answer.
+    pub async fn ask<T>(
+        &self,
+        make: impl FnOnce(Answer<T>) -> ControlEvent,
+    ) -> Result<T, ControlRefusal> {
+        let (answer, wait) = oneshot::channel();
+        let sent = self.0.send(make(answer));
+        match sent {
+            Ok(()) => wait.await.unwrap_or(Err(ControlRefusal::Stopping)),
+            Err(_) => Err(ControlRefusal::Stopping),
+        }
+    }
+
+    /// Tells, and waits for nothing.
+    pub fn tell(&self, event: ControlEvent) {
+        let _ = self.0.send(event);
+    }
+}
--- /dev/null
+++ b/src/controld.rs
@@ -0,0 +1,306 @@
+//! The control daemon's shell: sockets and tasks around the voter's thread.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use futures::StreamExt;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::claims::{ClaimKey, ClaimRecord};
+use crate::control::{ControlEvent, ControlHandle, ControlLoop, PeerOutbox};
+use crate::daemon::{self, DaemonError};
+use crate::duties::{AgentBeat, EntryBeat};
+use crate::ids::{HostName, NodeId, Position};
+use crate::metrics::{MetricBook, MetricKey};
+use crate::peers::{self, PeerPool, SiteSecret};
+use crate::raft::RaftMessage;
+use crate::settings::ControlSettings;
+use crate::state::{Command, Reply};
+use crate::view::SyncPage;
+use crate::wire::{
+    AgentOrders, ControlRefusal, ControlStatus, ControlWire, ControlWireClient, EntryOrders,
+    TableStatus,
+};
+
+/// Messages that wait for one peer.
+const OUTBOX: usize = 64;
+/// Time for one message to a peer.
+const MESSAGE_TIME: Duration = Duration::from_millis(500);
+/// Time between two looks at the platform's list, and two enrolments.
+const POLL: Duration = Duration::from_millis(500);
+/// Calls that one peer may have under way.
+const CALLS_A_PEER: usize = 4096;
+
+/// A running control daemon.
+pub struct ControlDaemon {
+    /// Where peers reach it.
+    pub address: SocketAddr,
+    /// Where metrics and health are served.
+    pub watch: SocketAddr,
+    handle: ControlHandle,
+    ended: oneshot::Receiver<Result<(), DaemonError>>,
+}
+
+impl ControlDaemon {
+    /// Starts on the current runtime.
+    pub async fn start(settings: ControlSettings, secret: SiteSecret) -> Result<Self, DaemonError> {
+        let listener = daemon::bind("listen", settings.common.listen).await?;
+        let address = daemon::address_of("listen", &listener)?;
+        let (outbox, senders) = open_outbox(&settings);
+        let control = ControlLoop::open(settings.clone(), outbox)?;
+        let node = control.node();
+        let learner = control.is_learner();
+        let (events, inbox) = std::sync::mpsc::channel();
+        let handle = ControlHandle(events);
+        let (end, ended) = oneshot::channel();
+        let spawned = thread::Builder::new()
+            .name("voter".to_owned())
+            .spawn(move || {
+                let result = control.run(inbox).map_err(DaemonError::from);
+                let _ = end.send(result);
+            });
+        spawned.map_err(|source| DaemonError::Thread { source })?;
+        let pool = Arc::new(PeerPool::new(secret.clone(), peers::dial_control));
+        for (host, peer, messages) in senders {
+            let from = (node, settings.common.host.clone());
+            tracing::debug!(%host, %peer, "sends to a voter");
+            tokio::spawn(send_messages(pool.clone(), from, peer, messages));
+        }
+        if learner {
+            tokio::spawn(enroll(pool.clone(), settings.clone(), node));
+        }
+        serve(listener, secret, handle.clone());
+        if let Some(url) = settings.platform_url.clone() {
+            daemon::spawn_local(watch_platform(url, handle.clone()));
+        }
+        let watch = serve_watch(&settings, handle.clone()).await?;
+        tracing::info!(%address, %watch, %node, learner, "control started");
+        Ok(Self {
+            address,
+            watch,
+            handle,
+            ended,
+        })
+    }
+
+    /// Asks this voter for its account of itself.
+    pub async fn status(&self) -> Option<ControlStatus> {
+        status(&self.handle).await
+    }
+
+    /// Waits until the voter ends by itself: its disk failed.
+    pub async fn ended(&mut self) -> Result<(), DaemonError> {
+        (&mut self.ended).await.unwrap_or(Ok(()))
+    }
+
+    /// Hands over and stops.
+    pub async fn stop(&self) {
+        let (answer, done) = oneshot::channel();
+        self.handle.tell(ControlEvent::Stop(answer));
+        let _ = done.await;
+    }
+}
+
+type PeerInbox = (HostName, String, mpsc::Receiver<RaftMessage>);
+
+fn open_outbox(settings: &ControlSettings) -> (PeerOutbox, Vec<PeerInbox>) {
+    let mut outbox = PeerOutbox::new();
+    let mut inboxes = Vec::new();
+    let own = &settings.common.host;
+    for voter in settings
+        .common
+        .control
+        .iter()
+        .filter(|voter| voter.host != *own)
+    {
+        let (sender, receiver) = mpsc::channel(OUTBOX);
+        outbox.insert(voter.host.clone(), sender);
+        inboxes.push((voter.host.clone(), voter.address.to_string(), receiver));
+    }
+    (outbox, inboxes)
+}
+
+/// Sends one peer's messages in order; a lost one is made good by the next heartbeat.
+async fn send_messages(
+    pool: Arc<PeerPool<ControlWireClient>>,
+    from: (NodeId, HostName),
+    peer: String,
+    mut messages: mpsc::Receiver<RaftMessage>,
+) {
+    while let Some(message) = messages.recv().await {
+        let (node, host) = from.clone();
+        let context = peers::within(MESSAGE_TIME);
+        let sent = pool
+            .call(&peer, "raft", |client| async move {
+                client.raft(context, node, host, message).await
+            })
+            .await;
+        if let Err(error) = sent {
+            tracing::debug!(%error, "lost a message");
+        }
+    }
+}
+
+/// A blank disk asks all control hosts, again and again; only the leader acts on it.
+async fn enroll(pool: Arc<PeerPool<ControlWireClient>>, settings: ControlSettings, node: NodeId) {
+    loop {
+        for voter in &settings.common.control {
+            let host = settings.common.host.clone();
+            let peer = voter.address.to_string();
+            let context = peers::within(MESSAGE_TIME);
+            let _ = pool
+                .call(&peer, "enroll", |client| async move {
+                    client.enroll(context, node, host).await
+                })
+                .await;
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+async fn watch_platform(url: String, handle: ControlHandle) {
+    loop {
+        match daemon::get_json::<PlatformHosts>(&url).await {
+            Ok(list) => handle.tell(ControlEvent::Platform(list.leaving)),
+            Err(error) => tracing::debug!(%error, "cannot read the platform's list"),
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+/// The platform's list of hosts. It lags.
+#[derive(Debug, Default, serde::Serialize, serde::Deserialize)]
+pub struct PlatformHosts {
+    /// Hosts that are leaving.
+    pub leaving: BTreeSet<HostName>,
+}
+
+#[derive(Clone)]
+struct ControlServer(ControlHandle);
+
+impl ControlWire for ControlServer {
+    async fn raft(self, _: Context, from: NodeId, host: HostName, message: RaftMessage) {
+        self.0.tell(ControlEvent::Raft(from, host, message));
+    }
+
+    async fn enroll(self, _: Context, node: NodeId, host: HostName) {
+        self.0.tell(ControlEvent::Enroll(node, host));
+    }
+
+    async fn sync(
+        self,
+        _: Context,
+        cursor: Position,
+        wait_ms: u64,
+        fresh: bool,
+    ) -> Result<SyncPage, ControlRefusal> {
+        let event = |answer| ControlEvent::Sync {
+            cursor,
+            wait_ms,
+            fresh,
+            answer,
+        };
+        self.0.ask(event).await
+    }
+
+    async fn propose(
+        self,
+        _: Context,
+        command: Command,
+    ) -> Result<(Position, Reply), ControlRefusal> {
+        self.0
+            .ask(|answer| ControlEvent::Propose(command, answer))
+            .await
+    }
+
+    async fn agent_beat(self, _: Context, beat: AgentBeat) -> Result<AgentOrders, ControlRefusal> {
+        self.0.ask(|answer| ControlEvent::Agent(beat, answer)).await
+    }
+
+    async fn entry_beat(self, _: Context, beat: EntryBeat) -> Result<EntryOrders, ControlRefusal> {
+        self.0.ask(|answer| ControlEvent::Entry(beat, answer)).await
+    }
+
+    async fn table(self, _: Context) -> Result<TableStatus, ControlRefusal> {
+        self.0.ask(ControlEvent::Table).await
+    }
+
+    async fn claim(self, _: Context, key: ClaimKey) -> Result<Option<ClaimRecord>, ControlRefusal> {
+        self.0.ask(|answer| ControlEvent::Claim(key, answer)).await
+    }
+
+    async fn status(self, _: Context) -> ControlStatus {
+        status(&self.0).await.unwrap_or_else(empty_status)
+    }
+}
+
+fn serve(listener: TcpListener, secret: SiteSecret, handle: ControlHandle) {
+    let serve = move |transport| {
+        let server = ControlServer(handle.clone());
+        let channel = BaseChannel::with_defaults(transport).max_concurrent_requests(CALLS_A_PEER);
+        tokio::spawn(channel.execute(server.serve()).for_each(|call| async {
+            tokio::spawn(call);
+        }));
+    };
+    tokio::spawn(peers::listen(listener, secret, serve));
+}
+
+async fn status(handle: &ControlHandle) -> Option<ControlStatus> {
+    let (answer, wait) = oneshot::channel();
+    handle.tell(ControlEvent::Status(answer));
+    wait.await.ok()
+}
+
+fn empty_status() -> ControlStatus {
+    ControlStatus {
+        host: HostName(String::new()),
+        node: NodeId(0),
+        term: Default::default(),
+        leader: None,
+        decides: false,
+        voters: Vec::new(),
+        position: Position(0),
+        members: Default::default(),
+        moves: 0,
+        claims: 0,
+    }
+}
+
+async fn serve_watch(
+    settings: &ControlSettings,
+    handle: ControlHandle,
+) -> Result<SocketAddr, DaemonError> {
+    let read = move || {
+        let handle = handle.clone();
+        Box::pin(async move {
+            let status = status(&handle).await;
+            let ready = status.as_ref().is_some_and(|s| s.leader.is_some());
+            let metrics = status.map(|status| render(&status)).unwrap_or_default();
+            daemon::WatchPage { ready, metrics }
+        }) as daemon::WatchRead
+    };
+    daemon::serve_watch(settings.common.watch, Arc::new(read)).await
+}
+
+fn render(status: &ControlStatus) -> String {
+    let mut book = MetricBook::default();
+    let gauges = [
+        ("dunlinspring_log_position", status.position.0),
+        ("dunlinspring_term", status.term.0),
+        ("dunlinspring_leads", u64::from(status.decides)),
+        ("dunlinspring_voters", status.voters.len() as u64),
+        ("dunlinspring_members", status.members.len() as u64),
+        ("dunlinspring_moves_total", status.moves),
+        ("dunlinspring_claims", status.claims as u64),
+    ];
+    for (name, value) in gauges {
+        book.gauge(MetricKey::new(name, &[]), value);
+    }
+    book.render()
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,246 @@
+//! What all daemons share: listening, health pages, small HTTP calls, signals and logs.
+
+use std::future::Future;
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::path::Path;
+use std::pin::Pin;
+use std::sync::Arc;
+
+use ntex::SharedCfg;
+use ntex::client::Client;
+use ntex::http::body::MessageBody;
+use ntex::http::{Request, Response, ResponseError};
+use ntex::server::Server;
+use ntex::web::{self, HttpResponse};
+use ntex::{IntoServiceFactory, ServiceFactory};
+use serde::de::DeserializeOwned;
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
+use tracing_subscriber::EnvFilter;
+
+use crate::ids::HallName;
+use crate::ids::HostName;
+use crate::journal::JournalError;
+use crate::peers::PeerError;
+use crate::settings::{LogSettings, SettingsError};
+
+/// Exit status of a process whose start failed.
+pub const START_FAILED: i32 = 2;
+/// Longest answer read from a platform service, in bytes.
+const MAX_ANSWER: usize = 4 << 20;
+
+/// Why a daemon cannot start or go on.
+#[derive(Debug, Snafu)]
+pub enum DaemonError {
+    /// The settings are not usable.
+    #[snafu(display("{source}"), context(false))]
+    Settings {
+        /// Which and why.
+        source: SettingsError,
+    },
+    /// The data folder is not usable, or a sync failed.
+    #[snafu(display("data folder: {source}"), context(false))]
+    Journal {
+        /// Which file and why.
+        source: JournalError,
+    },
+    /// An address cannot be listened on.
+    #[snafu(display("cannot listen on {address} (field {field}): {source}"))]
+    Listen {
+        /// The settings' field.
+        field: &'static str,
+        /// The address.
+        address: String,
+        /// The system's answer.
+        source: std::io::Error,
+    },
+    /// A thread cannot be started.
+    #[snafu(display("cannot start a thread: {source}"))]
+    Thread {
+        /// The system's answer.
+        source: std::io::Error,
+    },
+    /// Control cannot be reached.
+    #[snafu(display("{source}"), context(false))]
+    Peer {
+        /// Which peer and why.
+        source: PeerError,
+    },
+    /// A call to a target or platform service failed.
+    #[snafu(display("cannot {step} {url}: {reason}"))]
+    Http {
+        /// What was tried.
+        step: &'static str,
+        /// Where.
+        url: String,
+        /// What went wrong.
+        reason: String,
+    },
+}
+
+/// Listens for peers.
+pub async fn bind(field: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    TcpListener::bind(address).await.context(ListenSnafu {
+        field,
+        address: address.to_string(),
+    })
+}
+
+/// The address that the system chose.
+pub fn address_of(field: &'static str, listener: &TcpListener) -> Result<SocketAddr, DaemonError> {
+    listener.local_addr().context(ListenSnafu {
+        field,
+        address: "a new socket",
+    })
+}
+
+/// Listens for HTTP.
+pub fn bind_http(
+    field: &'static str,
+    address: SocketAddr,
+) -> Result<(StdListener, SocketAddr), DaemonError> {
+    let context = |address: SocketAddr| ListenSnafu {
+        field,
+        address: address.to_string(),
+    };
+    let listener = StdListener::bind(address).context(context(address))?;
+    let bound = listener.local_addr().context(context(address))?;
+    Ok((listener, bound))
+}
+
+/// Runs a task on this thread until the process ends.
+pub fn spawn_local(task: impl Future<Output = ()> + 'static) {
+    ntex::rt::spawn(task);
+}
+
+/// Serves HTTP on threads of its own until the returned server is stopped.
+pub fn run_http<F, I, S, B>(
+    listener: StdListener,
+    workers: usize,
+    factory: F,
+) -> Result<Server, DaemonError>
+where
+    F: AsyncFn() -> I + Send + Clone + 'static,
+    I: IntoServiceFactory<S, Request, SharedCfg>,
+    S: ServiceFactory<Request, SharedCfg> + 'static,
+    S::Error: ResponseError,
+    S::InitError: std::fmt::Debug,
+    S::Response: Into<Response<B>>,
+    B: MessageBody + 'static,
+{
+    let server = web::server(factory).workers(workers).disable_signals();
+    let server = server.listen(listener).context(ListenSnafu {
+        field: "http",
+        address: "a new socket",
+    })?;
+    Ok(server.run())
+}
+
+/// What a health page shows.
+pub struct WatchPage {
+    /// Whether the process serves.
+    pub ready: bool,
+    /// Its metrics as text.
+    pub metrics: String,
+}
+
+/// A health page being read.
+pub type WatchRead = Pin<Box<dyn Future<Output = WatchPage> + Send>>;
+/// Reads a process's health.
+pub type WatchSource = Arc<dyn Fn() -> WatchRead + Send + Sync>;
+
+/// Serves `/healthz`, `/readyz` and `/metrics`.
+pub async fn serve_watch(
+    address: SocketAddr,
+    source: WatchSource,
+) -> Result<SocketAddr, DaemonError> {
+    let (listener, bound) = bind_http("watch", address)?;
+    let app = async move || {
+        web::App::new()
+            .state(source.clone())
+            .route(
+                "/healthz",
+                web::get().to(async || HttpResponse::Ok().body("ok\n")),
+            )
+            .route("/readyz", web::get().to(ready))
+            .route("/metrics", web::get().to(metrics))
+    };
+    run_http(listener, 1, app)?;
+    Ok(bound)
+}
+
+async fn ready(source: web::types::State<WatchSource>) -> HttpResponse {
+    match source().await.ready {
+        true => HttpResponse::Ok().body("ready\n"),
+        false => HttpResponse::ServiceUnavailable().body("not ready\n"),
+    }
+}
+
+async fn metrics(source: web::types::State<WatchSource>) -> HttpResponse {
+    let page = source().await;
+    HttpResponse::Ok()
+        .content_type("text/plain; version=0.0.4")
+        .body(page.metrics)
+}
+
+/// Reads a small JSON document.
+pub async fn get_json<T: DeserializeOwned>(url: &str) -> Result<T, DaemonError> {
+    let failed = |step: &'static str, reason: String| DaemonError::Http {
+        step,
+        url: url.to_owned(),
+        reason,
+    };
+    let client = Client::new().await;
+    let answer = client.get(url).send().await;
+    let answer = answer.map_err(|error| failed("get", error.to_string()))?;
+    let body = answer.body().limit(MAX_ANSWER).await;
+    let body = body.map_err(|error| failed("read", error.to_string()))?;
+    serde_json::from_slice(&body).map_err(|error| failed("decode", error.to_string()))
+}
+
+/// Sets logging up; every line names the process and hall.
+pub fn start_logs(settings: &LogSettings, process: &str, host: &HostName, hall: &HallName) {
+    let filter = EnvFilter::try_new(&settings.filter).unwrap_or_else(|_| EnvFilter::new("info"));
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_ansi(false)
+        .with_writer(std::io::stderr);
+    let started = match settings.json {
+        true => builder.json().try_init(),
+        false => builder.try_init(),
+    };
+    if started.is_ok() {
+        tracing::info!(process, %host, %hall, "logs started");
+    }
+}
+
+/// Waits for SIGTERM or SIGINT: a planned stop.
+pub async fn stop_signal() {
+    use tokio::signal::unix::{SignalKind, signal};
+    let (Ok(mut term), Ok(mut int)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+}
+
+/// Writes the addresses that the system chose, for whoever started the process
+/// with port 0: one line, `name address` pairs.
+pub fn announce(path: Option<&Path>, addresses: &[(&str, SocketAddr)]) {
+    let pairs = addresses.iter();
+    let pairs: Vec<String> = pairs.map(|(name, at)| format!("{name} {at}")).collect();
+    let line = pairs.join(" ");
+    match path {
+        Some(path) => {
+            if let Err(error) = std::fs::write(path, format!("{line}\n")) {
+                tracing::warn!(%error, "cannot write the addresses");
+            }
+        }
+        None => println!("{line}"),
+    }
+}
--- /dev/null
+++ b/src/ids.rs
@@ -0,0 +1,115 @@
+//! Newtypes for the names and numbers that cross module and process borders.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(pub String);
+
+        impl $name {
+            /// Borrows the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(text.to_owned())
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+macro_rules! number_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+    };
+}
+
+name_type!(
+    /// A partner: an organisation that owns rows of the table.
+    PartnerName
+);
+name_type!(
+    /// A data hall: one failure domain of power and network.
+    HallName
+);
+name_type!(
+    /// A host that runs a process of the system.
+    HostName
+);
+name_type!(
+    /// A target: one model engine or plain service with memory of its own.
+    TargetName
+);
+name_type!(
+    /// A base model, adapter or plain service.
+    ModelName
+);
+name_type!(
+    /// A row of the table.
+    RowId
+);
+name_type!(
+    /// An operator's idempotency key for one edit.
+    EditId
+);
+name_type!(
+    /// A caller's idempotency key for one call that may not be repeated.
+    CallKey
+);
+
+number_type!(
+    /// An index of the replicated log. Also the version of whatever that entry changed.
+    Position
+);
+number_type!(
+    /// A term of leadership.
+    Term
+);
+number_type!(
+    /// The identity of one voter's disk. A replaced disk gets another.
+    NodeId
+);
+number_type!(
+    /// One life of an agent or entry: the log position at which it joined.
+    Incarnation
+);
+
+/// One try at running a request on one target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct AttemptId {
+    /// The entry process that made the attempt.
+    pub entry: Incarnation,
+    /// Rises by one for each attempt of that process.
+    pub number: u64,
+}
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.entry, self.number)
+    }
+}
--- /dev/null
+++ b/src/journal.rs
@@ -0,0 +1,349 @@
+//! The voter's files: an append-only log of records, and the last snapshot.
+//!
+//! A frame is `length | crc of length | crc of body | body`, all lengths and
+//! checksums little-endian `u32`. A frame cut short at the end of the file is
+//! an unsynced write and is dropped; a whole frame with a wrong checksum is
+//! damage, and the voter refuses to start on it.
+
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Read, Write};
+use std::path::{Path, PathBuf};
+
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
+
+use crate::ids::NodeId;
+use crate::raft::{DiskImage, DiskRecord, LogSnapshot};
+
+const HEADER_LEN: usize = 12;
+/// Longest frame: a snapshot fits, a damaged length does not allocate more.
+const MAX_FRAME: usize = 1 << 30;
+const LOG_FILE: &str = "log";
+const SNAPSHOT_FILE: &str = "snapshot";
+const IDENTITY_FILE: &str = "identity";
+
+/// Why the files cannot be used.
+#[derive(Debug, Snafu)]
+pub enum JournalError {
+    /// The operating system refused a step.
+    #[snafu(display("cannot {step} {}: {source}", path.display()))]
+    Io {
+        /// What was tried.
+        step: &'static str,
+        /// On which file.
+        path: PathBuf,
+        /// The system's answer.
+        source: io::Error,
+    },
+    /// A whole frame has a wrong checksum.
+    #[snafu(display("{} is damaged at byte {offset}: {what}", path.display()))]
+    Damaged {
+        /// The file.
+        path: PathBuf,
+        /// Where the frame starts.
+        offset: usize,
+        /// Which check failed.
+        what: &'static str,
+    },
+}
+
+type Result<T> = std::result::Result<T, JournalError>;
+
+/// Who a data folder belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DiskIdentity {
+    /// Made once for each folder, so that a lost disk never votes as its former self.
+    pub node: NodeId,
+}
+
+/// The open files of one voter.
+#[derive(Debug)]
+pub struct DiskJournal {
+    folder: PathBuf,
+    log: File,
+    identity: DiskIdentity,
+    written: u64,
+}
+
+impl DiskJournal {
+    /// Opens a data folder, or makes one: with `founder` as its identity where
+    /// the site is being founded, else with a random one.
+    pub fn open(folder: &Path, founder: Option<NodeId>) -> Result<(Self, DiskImage)> {
+        fs::create_dir_all(folder).context(IoSnafu {
+            step: "create",
+            path: folder,
+        })?;
+        let identity = load_identity(folder, founder)?;
+        let mut image = DiskImage::default();
+        load_snapshot(folder, &mut image)?;
+        let path = folder.join(LOG_FILE);
+        let sound = load_log(&path, &mut image)?;
+        let log = open_log(&path)?;
+        log.set_len(sound as u64).context(IoSnafu {
+            step: "cut the torn tail of",
+            path: &path,
+        })?;
+        log.sync_all().context(IoSnafu {
+            step: "sync",
+            path: &path,
+        })?;
+        sync_folder(folder)?;
+        let journal = Self {
+            folder: folder.to_owned(),
+            log,
+            identity,
+            written: sound as u64,
+        };
+        Ok((journal, image))
+    }
+
+    /// The folder's identity.
+    pub fn identity(&self) -> DiskIdentity {
+        self.identity
+    }
+
+    /// Bytes in the log file.
+    pub fn written(&self) -> u64 {
+        self.written
+    }
+
+    /// Writes and syncs records: once this returns, they survive a crash.
+    ///
+    /// After an error the files' content is not known: the voter must stop.
+    pub fn save(&mut self, records: &[DiskRecord]) -> Result<()> {
+        let mut bytes = Vec::new();
+        for record in records {
+            match record {
+                DiskRecord::Install(snapshot) => {
+                    self.append(&bytes)?;
+                    bytes.clear();
+                    self.install(snapshot)?;
+                }
+                record => push_frame(&mut bytes, record),
+            }
+        }
+        self.append(&bytes)
+    }
+
+    fn append(&mut self, bytes: &[u8]) -> Result<()> {
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        let path = self.folder.join(LOG_FILE);
+        self.log.write_all(bytes).context(IoSnafu {
+            step: "append to",
+            path: &path,
+        })?;
+        self.log.sync_data().context(IoSnafu {
+            step: "sync",
+            path: &path,
+        })?;
+        self.written += bytes.len() as u64;
+        Ok(())
+    }
+
+    /// The snapshot goes first: until the log is rewritten, its older entries
+    /// are read and skipped.
+    fn install(&mut self, snapshot: &LogSnapshot) -> Result<()> {
+        let path = self.folder.join(LOG_FILE);
+        let mut image = DiskImage::default();
+        load_snapshot(&self.folder, &mut image)?;
+        load_log(&path, &mut image)?;
+        let mut frame = Vec::new();
+        push_frame(&mut frame, snapshot);
+        replace(&self.folder, SNAPSHOT_FILE, &frame)?;
+        image.apply(DiskRecord::Install(snapshot.clone()));
+        let mut bytes = Vec::new();
+        push_frame(&mut bytes, &DiskRecord::Vote(image.vote.0, image.vote.1));
+        for entry in image.entries {
+            push_frame(&mut bytes, &DiskRecord::Append(entry));
+        }
+        replace(&self.folder, LOG_FILE, &bytes)?;
+        self.log = open_log(&path)?;
+        self.written = bytes.len() as u64;
+        Ok(())
+    }
+}
+
+fn open_log(path: &Path) -> Result<File> {
+    OpenOptions::new()
+        .create(true)
+        .append(true)
+        .read(true)
+        .open(path)
+        .context(IoSnafu { step: "open", path })
+}
+
+fn push_frame<T: Serialize>(bytes: &mut Vec<u8>, value: &T) {
+    let body = bincode::serialize(value).expect("records encode into memory");
+    let len = (body.len() as u32).to_le_bytes();
+    bytes.extend_from_slice(&len);
+    bytes.extend_from_slice(&crc32fast::hash(&len).to_le_bytes());
+    bytes.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
+    bytes.extend_from_slice(&body);
+}
+
+enum Frame<'a> {
+    Whole { body: &'a [u8], next: usize },
+    Torn,
+    Damaged(&'static str),
+}
+
+fn word(bytes: &[u8], at: usize) -> u32 {
+    let mut word = [0; 4];
+    word.copy_from_slice(&bytes[at..at + 4]);
+    u32::from_le_bytes(word)
+}
+
+fn read_frame(bytes: &[u8], offset: usize) -> Frame<'_> {
+    let rest = &bytes[offset..];
+    // A file grown by a write that never reached the disk reads as zeros.
+    if rest.len() < HEADER_LEN || rest.iter().all(|byte| *byte == 0) {
+        return Frame::Torn;
+    }
+    let len = word(rest, 0) as usize;
+    if crc32fast::hash(&rest[..4]) != word(rest, 4) || len > MAX_FRAME {
+        return Frame::Damaged("the checksum of a length is wrong");
+    }
+    let next = HEADER_LEN + len;
+    if rest.len() < next {
+        return Frame::Torn;
+    }
+    let body = &rest[HEADER_LEN..next];
+    match crc32fast::hash(body) == word(rest, 8) {
+        true => Frame::Whole {
+            body,
+            next: offset + next,
+        },
+        false if body.iter().all(|byte| *byte == 0) && rest.len() == next => Frame::Torn,
+        false => Frame::Damaged("the checksum of a record is wrong"),
+    }
+}
+
+fn read_file(path: &Path) -> Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    match File::open(path) {
+        Ok(mut file) => {
+            file.read_to_end(&mut bytes)
+                .context(IoSnafu { step: "read", path })?;
+        }
+        Err(error) if error.kind() == io::ErrorKind::NotFound => {}
+        Err(source) => {
+            return Err(JournalError::Io {
+                step: "open",
+                path: path.to_owned(),
+                source,
+            });
+        }
+    }
+    Ok(bytes)
+}
+
+fn damaged<T>(path: &Path, offset: usize, what: &'static str) -> Result<T> {
+    Err(JournalError::Damaged {
+        path: path.to_owned(),
+        offset,
+        what,
+    })
+}
+
+/// Replays the log into `image`; returns the length of its sound part.
+fn load_log(path: &Path, image: &mut DiskImage) -> Result<usize> {
+    let bytes = read_file(path)?;
+    let mut offset = 0;
+    while offset < bytes.len() {
+        match read_frame(&bytes, offset) {
+            Frame::Torn => break,
+            Frame::Damaged(what) => return damaged(path, offset, what),
+            Frame::Whole { body, next } => {
+                let Ok(record) = bincode::deserialize(body) else {
+                    return damaged(path, offset, "a record does not decode");
+                };
+                replay(image, record);
+                offset = next;
+            }
+        }
+    }
+    Ok(offset)
+}
+
+/// A log older than the snapshot still holds entries that the snapshot includes.
+fn replay(image: &mut DiskImage, record: DiskRecord) {
+    match record {
+        DiskRecord::Append(entry) if entry.mark.index <= image.snapshot.last.index => {}
+        record => image.apply(record),
+    }
+}
+
+/// A snapshot is replaced whole, so a torn one is damage too.
+fn load_snapshot(folder: &Path, image: &mut DiskImage) -> Result<()> {
+    let path = folder.join(SNAPSHOT_FILE);
+    let bytes = read_file(&path)?;
+    if bytes.is_empty() {
+        return Ok(());
+    }
+    match read_frame(&bytes, 0) {
+        Frame::Whole { body, .. } => match bincode::deserialize(body) {
+            Ok(snapshot) => image.snapshot = snapshot,
+            Err(_) => return damaged(&path, 0, "the snapshot does not decode"),
+        },
+        Frame::Torn => return damaged(&path, 0, "the snapshot is cut short"),
+        Frame::Damaged(what) => return damaged(&path, 0, what),
+    }
+    Ok(())
+}
+
+fn load_identity(folder: &Path, founder: Option<NodeId>) -> Result<DiskIdentity> {
+    let path = folder.join(IDENTITY_FILE);
+    let bytes = read_file(&path)?;
+    if !bytes.is_empty() {
+        return match read_frame(&bytes, 0) {
+            Frame::Whole { body, .. } => match bincode::deserialize(body) {
+                Ok(identity) => Ok(identity),
+                Err(_) => damaged(&path, 0, "the identity does not decode"),
+            },
+            _ => damaged(&path, 0, "the identity is cut short or changed"),
+        };
+    }
+    let node = founder.unwrap_or_else(|| NodeId(rand::rng().random()));
+    let identity = DiskIdentity { node };
+    let mut frame = Vec::new();
+    push_frame(&mut frame, &identity);
+    replace(folder, IDENTITY_FILE, &frame)?;
+    Ok(identity)
+}
+
+/// Replaces a file so that a crash leaves the old or the new content whole.
+fn replace(folder: &Path, name: &str, bytes: &[u8]) -> Result<()> {
+    let path = folder.join(name);
+    let fresh = folder.join(format!("{name}.new"));
+    let mut file = File::create(&fresh).context(IoSnafu {
+        step: "create",
+        path: &fresh,
+    })?;
+    file.write_all(bytes).context(IoSnafu {
+        step: "write",
+        path: &fresh,
+    })?;
+    file.sync_all().context(IoSnafu {
+        step: "sync",
+        path: &fresh,
+    })?;
+    fs::rename(&fresh, &path).context(IoSnafu {
+        step: "rename",
+        path: &fresh,
+    })?;
+    sync_folder(folder)
+}
+
+fn sync_folder(folder: &Path) -> Result<()> {
+    let handle = File::open(folder).context(IoSnafu {
+        step: "open",
+        path: folder,
+    })?;
+    handle.sync_all().context(IoSnafu {
+        step: "sync",
+        path: folder,
+    })
+}
--- /dev/null
+++ b/src/member.rs
@@ -0,0 +1,152 @@
+//! What entries and agents share: joining the site and following its log.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use tokio::sync::Notify;
+
+use crate::daemon::DaemonError;
+use crate::ids::{HostName, Incarnation, Position};
+use crate::peers::{self, ControlLink, PeerError};
+use crate::settings::CommonSettings;
+use crate::state::{Command, MemberRole, Reply};
+use crate::view::SiteView;
+
+/// Longest wait for one change.
+const SYNC_WAIT_MS: u64 = 1_000;
+/// Time for a call that waits [`SYNC_WAIT_MS`].
+const SYNC_TIME: Duration = Duration::from_millis(2_500);
+/// Pause after a control host that did not answer.
+const SYNC_PAUSE: Duration = Duration::from_millis(100);
+/// Time to join before a process gives up its start.
+const JOIN_TIME: Duration = Duration::from_secs(30);
+
+/// A member's copy of the site, shared by its tasks.
+pub struct SiteFollower {
+    link: Arc<ControlLink>,
+    view: Mutex<SiteView>,
+    behind: Notify,
+}
+
+impl SiteFollower {
+    /// A copy of nothing.
+    pub fn new(link: Arc<ControlLink>) -> Self {
+        Self {
+            link,
+            view: Mutex::new(SiteView::default()),
+            behind: Notify::new(),
+        }
+    }
+
+    /// The copy.
+    pub fn view(&self) -> MutexGuard<'_, SiteView> {
+        self.view
+            .lock()
+            .unwrap_or_else(|broken| broken.into_inner())
+    }
+
+    /// How far the copy follows the log.
+    pub fn position(&self) -> Position {
+        self.view().position
+    }
+
+    /// A peer told its position: when it is ahead, ask another control host.
+    pub fn heard(&self, position: Position) {
+        if position > self.position() {
+            self.behind.notify_one();
+        }
+    }
+
+    /// Fills the copy from a state that nothing newer existed besides.
+    pub async fn start(&self) -> Result<(), PeerError> {
+        let page = self
+            .link
+            .decide("sync", JOIN_TIME, |client, context| async move {
+                client.sync(context, Position(0), 0, true).await
+            })
+            .await?;
+        self.view().follow(&page);
+        Ok(())
+    }
+
+    /// Follows for ever. `seed` spreads members over the control hosts;
+    /// `changed` is called after each page that was followed.
+    pub async fn run(&self, seed: usize, mut changed: impl FnMut(&SiteView)) {
+        let mut number = seed;
+        loop {
+            let cursor = self.position();
+            let asked = self.link.call_any(number, "sync", |client| async move {
+                let context = peers::within(SYNC_TIME);
+                client.sync(context, cursor, SYNC_WAIT_MS, false).await
+            });
+            let answer = tokio::select! {
+                answer = asked => Some(answer),
+                () = self.behind.notified() => None,
+            };
+            match answer {
+                Some(Ok(Ok(page))) => {
+                    let mut view = self.view();
+                    if view.follow(&page) {
+                        changed(&view);
+                    }
+                }
+                None => number += 1,
+                Some(_) => {
+                    number += 1;
+                    tokio::time::sleep(SYNC_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+/// Starts a life.
+pub async fn join(
+    link: &ControlLink,
+    common: &CommonSettings,
+    role: MemberRole,
+    address: &str,
+) -> Result<Incarnation, DaemonError> {
+    let (host, hall) = (&common.host, &common.hall);
+    let command = Command::Join(host.clone(), role, address.to_owned(), hall.clone());
+    match propose(link, "join", JOIN_TIME, command).await? {
+        Reply::Joined(life) => Ok(life),
+        reply => unreachable!("a join was answered with {reply:?}"),
+    }
+}
+
+/// Goes on with a life that was taken for lost. Returns false where another
+/// process has taken the name.
+pub async fn rejoin(
+    link: &ControlLink,
+    common: &CommonSettings,
+    role: MemberRole,
+    address: &str,
+    life: Incarnation,
+) -> Result<bool, PeerError> {
+    let (host, hall) = (&common.host, &common.hall);
+    let command = Command::Rejoin(host.clone(), role, address.to_owned(), hall.clone(), life);
+    let reply = propose(link, "rejoin", SYNC_TIME, command).await?;
+    Ok(reply == Reply::Joined(life))
+}
+
+/// Commits a command.
+pub async fn propose(
+    link: &ControlLink,
+    step: &'static str,
+    patience: Duration,
+    command: Command,
+) -> Result<Reply, PeerError> {
+    let answer = link
+        .decide(step, patience, |client, context| {
+            let command = command.clone();
+            async move { client.propose(context, command).await }
+        })
+        .await;
+    answer.map(|(_, reply)| reply)
+}
+
+/// A number for a host, to spread members over control hosts.
+pub fn spread_seed(host: &HostName) -> usize {
+    crc32fast::hash(host.as_str().as_bytes()) as usize
+}
--- /dev/null
+++ b/src/packing.rs
@@ -0,0 +1,112 @@
+//! Packs models into targets: the feasibility check at acceptance, and the
+//! layout of the static baseline.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::ids::{ModelName, TargetName};
+use crate::site::{ModelKind, SiteSpec, TargetSpec};
+
+/// One home for each model.
+pub type Layout = BTreeMap<ModelName, TargetName>;
+
+/// Gives each wanted model, and the base of each wanted adapter, one home.
+///
+/// First fit decreasing over whole families (a base model with its adapters),
+/// with the site's largest targets left out as spares. Returns the first model
+/// that found no room. Costs models × targets at worst.
+pub fn pack<'a>(
+    site: &'a SiteSpec,
+    wanted: impl Iterator<Item = &'a ModelName>,
+) -> Result<Layout, ModelName> {
+    let mut families = families(site, wanted)?;
+    families.sort_by(|a, b| b.mib.cmp(&a.mib).then(a.base.cmp(b.base)));
+    let mut bins = bins(site);
+    let mut layout = Layout::new();
+    for family in &families {
+        let fits = bins.iter_mut().find(|bin| bin.free_mib >= family.mib);
+        match fits {
+            Some(bin) => {
+                bin.free_mib -= family.mib;
+                for model in &family.members {
+                    layout.insert((*model).clone(), bin.target.clone());
+                }
+            }
+            None => return Err(family.base.clone()),
+        }
+    }
+    Ok(layout)
+}
+
+/// The models that must be resident: those wanted, and the bases of wanted adapters.
+pub fn resident_set<'a>(
+    site: &'a SiteSpec,
+    wanted: impl Iterator<Item = &'a ModelName>,
+) -> BTreeSet<&'a ModelName> {
+    let mut set = BTreeSet::new();
+    for model in wanted {
+        match site.models.get(model).map(|spec| &spec.kind) {
+            Some(ModelKind::Base) => {
+                set.insert(model);
+            }
+            Some(ModelKind::Adapter(base)) => {
+                set.insert(model);
+                set.insert(base);
+            }
+            Some(ModelKind::Service(_)) | None => {}
+        }
+    }
+    set
+}
+
+struct Family<'a> {
+    base: &'a ModelName,
+    members: BTreeSet<&'a ModelName>,
+    mib: u64,
+}
+
+struct Bin<'a> {
+    target: &'a TargetName,
+    free_mib: u64,
+}
+
+fn families<'a>(
+    site: &'a SiteSpec,
+    wanted: impl Iterator<Item = &'a ModelName>,
+) -> Result<Vec<Family<'a>>, ModelName> {
+    let mut families: BTreeMap<&ModelName, Family<'a>> = BTreeMap::new();
+    for model in wanted {
+        let spec = site.models.get(model).ok_or_else(|| model.clone())?;
+        let base = match &spec.kind {
+            ModelKind::Base => model,
+            ModelKind::Adapter(base) => base,
+            ModelKind::Service(_) => continue,
+        };
+        let base_spec = site.models.get(base).ok_or_else(|| base.clone())?;
+        let family = families.entry(base).or_insert_with(|| Family {
+            base,
+            members: BTreeSet::from([base]),
+            mib: base_spec.weights_mib,
+        });
+        if family.members.insert(model) {
+            family.mib += spec.weights_mib;
+        }
+    }
+    Ok(families.into_values().collect())
+}
+
+fn bins(site: &SiteSpec) -> Vec<Bin<'_>> {
+    let mut targets: Vec<(&TargetName, &TargetSpec)> = site
+        .targets
+        .iter()
+        .filter(|(_, spec)| spec.memory_mib > 0)
+        .collect();
+    targets.sort_by(|a, b| b.1.room_mib().cmp(&a.1.room_mib()).then(a.0.cmp(b.0)));
+    targets
+        .into_iter()
+        .skip(site.spare_targets)
+        .map(|(target, spec)| Bin {
+            target,
+            free_mib: spec.room_mib(),
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/peers.rs
@@ -0,0 +1,539 @@
+//! Connections between the system's own processes: framing, the handshake by
+//! which both sides prove the shared secret, and clients that reconnect.
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::io;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use futures::future::BoxFuture;
+use futures::{SinkExt, StreamExt};
+use hmac::{Hmac, Mac};
+use rand::Rng;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use sha2::Sha256;
+use snafu::Snafu;
+use tarpc::client::RpcError;
+use tarpc::tokio_serde::formats::Bincode;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::bytes::Bytes;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::wire::{AgentWireClient, ControlRefusal, ControlWireClient, PROTOCOL};
+
+/// Longest frame of a handshake, in bytes.
+const HELLO_FRAME: usize = 4096;
+/// Longest frame afterwards: a snapshot of the largest site fits.
+const MAX_FRAME: usize = 64 << 20;
+/// Longest handshake.
+const HELLO_TIME: Duration = Duration::from_secs(2);
+/// Least time between two tries to reach the same peer.
+const REDIAL_TIME: Duration = Duration::from_millis(100);
+/// Connections that may be in their handshake at once.
+const MAX_GREETING: usize = 256;
+
+type Frames = Framed<TcpStream, LengthDelimitedCodec>;
+/// A framed, authenticated connection that carries calls.
+pub type PeerTransport<In, Out> =
+    tarpc::serde_transport::Transport<TcpStream, In, Out, Bincode<In, Out>>;
+
+/// Why a peer could not be reached or believed.
+#[derive(Debug, Snafu)]
+pub enum PeerError {
+    /// The connection failed.
+    #[snafu(display("cannot {step} peer {peer}: {source}"))]
+    Io {
+        /// What was tried.
+        step: &'static str,
+        /// The peer's address.
+        peer: String,
+        /// The system's answer.
+        source: io::Error,
+    },
+    /// The peer is of another version.
+    #[snafu(display("peer {peer} speaks protocol {theirs}, this process {PROTOCOL}"))]
+    Version {
+        /// The peer's address.
+        peer: String,
+        /// Its version.
+        theirs: u32,
+    },
+    /// The peer does not know the secret.
+    #[snafu(display("peer {peer} failed the proof of the shared secret"))]
+    Proof {
+        /// The peer's address.
+        peer: String,
+    },
+    /// The peer closed or was silent in the handshake.
+    #[snafu(display("peer {peer} did not finish the handshake"))]
+    Handshake {
+        /// The peer's address.
+        peer: String,
+    },
+    /// A call failed.
+    #[snafu(display("call {step} to peer {peer} failed: {source}"))]
+    Call {
+        /// Which call.
+        step: &'static str,
+        /// The peer's address.
+        peer: String,
+        /// Why.
+        source: RpcError,
+    },
+    /// No control host did what was asked.
+    #[snafu(display("call {step} to control failed at {peer}: {refusal:?}"))]
+    Refused {
+        /// Which call.
+        step: &'static str,
+        /// The last host asked.
+        peer: String,
+        /// Its refusal.
+        refusal: ControlRefusal,
+    },
+}
+
+/// The secret that all processes of a site share. Its text is never shown.
+#[derive(Clone)]
+pub struct SiteSecret(Arc<[u8]>);
+
+impl SiteSecret {
+    /// Takes the secret from settings.
+    pub fn new(text: &str) -> Self {
+        Self(text.as_bytes().into())
+    }
+
+    fn prove(&self, side: &str, nonces: [&[u8; 32]; 2]) -> [u8; 32] {
+        self.mac(side, nonces).finalize().into_bytes().into()
+    }
+
+    fn mac(&self, side: &str, nonces: [&[u8; 32]; 2]) -> Hmac<Sha256> {
+        let mut mac = Hmac::<Sha256>::new_from_slice(&self.0).expect("any length is a key");
+        mac.update(side.as_bytes());
+        for nonce in nonces {
+            mac.update(nonce);
+        }
+        mac
+    }
+
+    /// Compares in constant time.
+    fn check(&self, side: &str, nonces: [&[u8; 32]; 2], proof: &[u8; 32]) -> bool {
+        self.mac(side, nonces).verify_slice(proof).is_ok()
+    }
+}
+
+impl std::fmt::Debug for SiteSecret {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("SiteSecret(..)")
+    }
+}
+
+#[derive(Serialize, Deserialize)]
+struct Challenge {
+    protocol: u32,
+    nonce: [u8; 32],
+}
+
+#[derive(Serialize, Deserialize)]
+struct Proof {
+    protocol: u32,
+    nonce: [u8; 32],
+    proof: [u8; 32],
+}
+
+#[derive(Serialize, Deserialize)]
+struct Welcome {
+    proof: [u8; 32],
+}
+
+fn codec(max: usize) -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(max)
+        .new_codec()
+}
+
+async fn send<T: Serialize>(frames: &mut Frames, peer: &str, value: &T) -> Result<(), PeerError> {
+    let bytes = bincode::serialize(value).expect("greetings encode into memory");
+    frames
+        .send(Bytes::from(bytes))
+        .await
+        .map_err(|source| PeerError::Io {
+            step: "greet",
+            peer: peer.to_owned(),
+            source,
+        })
+}
+
+async fn receive<T: DeserializeOwned>(frames: &mut Frames, peer: &str) -> Result<T, PeerError> {
+    let lost = || PeerError::Handshake {
+        peer: peer.to_owned(),
+    };
+    let frame = frames.next().await.ok_or_else(lost)?.map_err(|_| lost())?;
+    bincode::deserialize(&frame).map_err(|_| lost())
+}
+
+fn check_version(peer: &str, theirs: u32) -> Result<(), PeerError> {
+    match theirs {
+        PROTOCOL => Ok(()),
+        theirs => Err(PeerError::Version {
+            peer: peer.to_owned(),
+            theirs,
+        }),
+    }
+}
+
+async fn greet_as_server(
+    stream: TcpStream,
+    peer: &str,
+    secret: &SiteSecret,
+) -> Result<Frames, PeerError> {
+    let mut frames = Framed::new(stream, codec(HELLO_FRAME));
+    let nonce: [u8; 32] = rand::rng().random();
+    let challenge = Challenge {
+        protocol: PROTOCOL,
+        nonce,
+    };
+    send(&mut frames, peer, &challenge).await?;
+    let answer: Proof = receive(&mut frames, peer).await?;
+    check_version(peer, answer.protocol)?;
+    if !secret.check("client", [&nonce, &answer.nonce], &answer.proof) {
+        return Err(PeerError::Proof {
+            peer: peer.to_owned(),
+        });
+    }
+    let proof = secret.prove("server", [&nonce, &answer.nonce]);
+    send(&mut frames, peer, &Welcome { proof }).await?;
+    Ok(frames)
+}
+
+async fn greet_as_client(
+    stream: TcpStream,
+    peer: &str,
+    secret: &SiteSecret,
+) -> Result<Frames, PeerError> {
+    let mut frames = Framed::new(stream, codec(HELLO_FRAME));
+    let challenge: Challenge = receive(&mut frames, peer).await?;
+    check_version(peer, challenge.protocol)?;
+    let nonce: [u8; 32] = rand::rng().random();
+    let answer = Proof {
+        protocol: PROTOCOL,
+        nonce,
+        proof: secret.prove("client", [&challenge.nonce, &nonce]),
+    };
+    send(&mut frames, peer, &answer).await?;
+    let welcome: Welcome = receive(&mut frames, peer).await?;
+    match secret.check("server", [&challenge.nonce, &nonce], &welcome.proof) {
+        true => Ok(frames),
+        false => Err(PeerError::Proof {
+            peer: peer.to_owned(),
+        }),
+    }
+}
+
+async fn in_time<T>(
+    peer: &str,
+    greeting: impl Future<Output = Result<T, PeerError>>,
+) -> Result<T, PeerError> {
+    let late = |_| PeerError::Handshake {
+        peer: peer.to_owned(),
+    };
+    tokio::time::timeout(HELLO_TIME, greeting)
+        .await
+        .map_err(late)?
+}
+
+fn transport<In, Out>(frames: Frames) -> PeerTransport<In, Out>
+where
+    In: DeserializeOwned,
+    Out: Serialize,
+{
+    // Nothing may be buffered: the peer speaks again only after the greeting.
+    let framed = Framed::new(frames.into_inner(), codec(MAX_FRAME));
+    tarpc::serde_transport::new(framed, Bincode::default())
+}
+
+/// Connects to a peer.
+pub async fn dial<In, Out>(
+    address: &str,
+    secret: &SiteSecret,
+) -> Result<PeerTransport<In, Out>, PeerError>
+where
+    In: DeserializeOwned,
+    Out: Serialize,
+{
+    let connect = async {
+        let stream = TcpStream::connect(address).await;
+        let stream = stream.and_then(|stream| {
+            stream.set_nodelay(true)?;
+            Ok(stream)
+        });
+        let stream = stream.map_err(|source| PeerError::Io {
+            step: "connect to",
+            peer: address.to_owned(),
+            source,
+        })?;
+        greet_as_client(stream, address, secret).await
+    };
+    Ok(transport(in_time(address, connect).await?))
+}
+
+/// Accepts peers until the listener fails; `serve` gets each that proved the secret.
+pub async fn listen<In, Out>(
+    listener: TcpListener,
+    secret: SiteSecret,
+    serve: impl Fn(PeerTransport<In, Out>) + Clone + Send + 'static,
+) where
+    In: DeserializeOwned + Send + 'static,
+    Out: Serialize + Send + 'static,
+{
+    let greeting = Arc::new(tokio::sync::Semaphore::new(MAX_GREETING));
+    loop {
+        let Ok(permit) = greeting.clone().acquire_owned().await else {
+            return;
+        };
+        let Ok((stream, address)) = listener.accept().await else {
+            // Out of file handles, most likely: let some close.
+            tokio::time::sleep(REDIAL_TIME).await;
+            continue;
+        };
+        let (secret, serve) = (secret.clone(), serve.clone());
+        tokio::spawn(async move {
+            let peer = address.to_string();
+            let _ = stream.set_nodelay(true);
+            let greeted = in_time(&peer, greet_as_server(stream, &peer, &secret)).await;
+            drop(permit);
+            match greeted {
+                Ok(frames) => serve(transport(frames)),
+                Err(error) => tracing::warn!(%peer, %error, "refused a peer"),
+            }
+        });
+    }
+}
+
+/// The context of a call that must be answered within `time`.
+pub fn within(time: Duration) -> tarpc::context::Context {
+    let mut context = tarpc::context::current();
+    context.deadline = Instant::now() + time;
+    context
+}
+
+/// Connects a client of one kind.
+pub type DialClient<C> = fn(String, SiteSecret) -> BoxFuture<'static, Result<C, PeerError>>;
+
+/// Connects a client of control.
+pub fn dial_control(
+    address: String,
+    secret: SiteSecret,
+) -> BoxFuture<'static, Result<ControlWireClient, PeerError>> {
+    Box::pin(async move {
+        let transport = dial(&address, &secret).await?;
+        Ok(ControlWireClient::new(Default::default(), transport).spawn())
+    })
+}
+
+/// Connects a client of an agent.
+pub fn dial_agent(
+    address: String,
+    secret: SiteSecret,
+) -> BoxFuture<'static, Result<AgentWireClient, PeerError>> {
+    Box::pin(async move {
+        let transport = dial(&address, &secret).await?;
+        Ok(AgentWireClient::new(Default::default(), transport).spawn())
+    })
+}
+
+enum PeerSlot<C> {
+    Open(C),
+    Broken(Instant),
+}
+
+/// Clients of one kind by address; each connects when first used, and again
+/// after it broke.
+pub struct PeerPool<C> {
+    secret: SiteSecret,
+    dial: DialClient<C>,
+    slots: Mutex<BTreeMap<String, PeerSlot<C>>>,
+}
+
+impl<C: Clone> PeerPool<C> {
+    /// A pool without connections.
+    pub fn new(secret: SiteSecret, dial: DialClient<C>) -> Self {
+        Self {
+            secret,
+            dial,
+            slots: Mutex::new(BTreeMap::new()),
+        }
+    }
+
+    /// Makes one call; `step` names it in errors.
+    pub async fn call<T, F>(
+        &self,
+        address: &str,
+        step: &'static str,
+        make: impl FnOnce(C) -> F,
+    ) -> Result<T, PeerError>
+    where
+        F: Future<Output = Result<T, RpcError>>,
+    {
+        let client = self.client(address).await?;
+        let answer = make(client).await;
+        if matches!(
+            answer,
+            Err(RpcError::Shutdown | RpcError::Channel(_) | RpcError::Send(_))
+        ) {
+            self.put(address, PeerSlot::Broken(Instant::now()));
+        }
+        answer.map_err(|source| PeerError::Call {
+            step,
+            peer: address.to_owned(),
+            source,
+        })
+    }
+
+    /// Drops the connections to addresses that `keep` no longer names.
+    pub fn retain(&self, keep: impl Fn(&str) -> bool) {
+        self.lock().retain(|address, _| keep(address));
+    }
+
+    async fn client(&self, address: &str) -> Result<C, PeerError> {
+        let broken = match self.lock().get(address) {
+            Some(PeerSlot::Open(client)) => return Ok(client.clone()),
+            Some(PeerSlot::Broken(at)) => at.elapsed() < REDIAL_TIME,
+            None => false,
+        };
+        if broken {
+            return Err(PeerError::Handshake {
+                peer: address.to_owned(),
+            });
+        }
+        let dialled = (self.dial)(address.to_owned(), self.secret.clone()).await;
+        match &dialled {
+            Ok(client) => self.put(address, PeerSlot::Open(client.clone())),
+            Err(_) => self.put(address, PeerSlot::Broken(Instant::now())),
+        }
+        dialled
+    }
+
+    fn put(&self, address: &str, slot: PeerSlot<C>) {
+        self.lock().insert(address.to_owned(), slot);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<String, PeerSlot<C>>> {
+        self.slots
+            .lock()
+            .unwrap_or_else(|broken| broken.into_inner())
+    }
+}
+
+/// Finds the control host that can answer: the leader for decisions, any for the rest.
+pub struct ControlLink {
+    pool: PeerPool<ControlWireClient>,
+    addresses: Vec<String>,
+    leader: Mutex<usize>,
+}
+
+/// Time for one call to one control host.
+const CONTROL_CALL: Duration = Duration::from_millis(1500);
+/// Pause between rounds over all control hosts.
+const CONTROL_PAUSE: Duration = Duration::from_millis(50);
+
+impl ControlLink {
+    /// A link to the control hosts of a site.
+    pub fn new(secret: SiteSecret, addresses: Vec<String>) -> Self {
+        Self {
+            pool: PeerPool::new(secret, dial_control),
+            addresses,
+            leader: Mutex::new(0),
+        }
+    }
+
+    /// The number of control hosts.
+    pub fn len(&self) -> usize {
+        self.addresses.len()
+    }
+
+    /// Whether no control host is known.
+    pub fn is_empty(&self) -> bool {
+        self.addresses.is_empty()
+    }
+
+    /// Calls the control host of that number, for what any of them can answer.
+    pub async fn call_any<T, F>(
+        &self,
+        number: usize,
+        step: &'static str,
+        make: impl FnOnce(ControlWireClient) -> F,
+    ) -> Result<T, PeerError>
+    where
+        F: Future<Output = Result<T, RpcError>>,
+    {
+        let address = &self.addresses[number % self.addresses.len()];
+        self.pool.call(address, step, make).await
+    }
+
+    /// Calls the leader, following refusals and going round the hosts until
+    /// one decides or `patience` is over.
+    ///
+    /// A call may be made more than once, so it must be safe to repeat.
+    pub async fn decide<T, F>(
+        &self,
+        step: &'static str,
+        patience: Duration,
+        make: impl Fn(ControlWireClient, tarpc::context::Context) -> F,
+    ) -> Result<T, PeerError>
+    where
+        F: Future<Output = Result<Result<T, ControlRefusal>, RpcError>>,
+    {
+        let give_up = Instant::now() + patience;
+        let mut tried = 0;
+        loop {
+            let number = *self.lock();
+            let address = &self.addresses[number % self.addresses.len()];
+            let left = give_up.saturating_duration_since(Instant::now());
+            let context = within(left.min(CONTROL_CALL));
+            let answer = self
+                .pool
+                .call(address, step, |client| make(client, context))
+                .await;
+            let error = match answer {
+                Ok(Ok(value)) => return Ok(value),
+                Ok(Err(refusal)) => {
+                    self.turn_to(number, &refusal);
+                    PeerError::Refused {
+                        step,
+                        peer: address.clone(),
+                        refusal,
+                    }
+                }
+                Err(error) => {
+                    *self.lock() = number + 1;
+                    error
+                }
+            };
+            tried += 1;
+            if Instant::now() + CONTROL_PAUSE >= give_up {
+                return Err(error);
+            }
+            if tried % self.addresses.len() == 0 {
+                tokio::time::sleep(CONTROL_PAUSE).await;
+            }
+        }
+    }
+
+    fn turn_to(&self, number: usize, refusal: &ControlRefusal) {
+        let named = match refusal {
+            ControlRefusal::NotLeader(Some(address)) => {
+                self.addresses.iter().position(|known| known == address)
+            }
+            _ => None,
+        };
+        *self.lock() = named.unwrap_or(number + 1);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, usize> {
+        self.leader
+            .lock()
+            .unwrap_or_else(|broken| broken.into_inner())
+    }
+}
--- /dev/null
+++ b/src/raft.rs
@@ -0,0 +1,968 @@
+//! The replicated log's agreement: terms, votes, leases and replication.
+//!
+//! Pure: the caller passes in the time and messages, and takes [`Output`] out.
+//! The contract with the caller is one rule: everything in `Output::records`
+//! is synced to disk before any of `Output::messages` leaves.
+//!
+//! Raft (Ongaro and Ousterhout, 2014) with pre-vote, leader stickiness, quorum
+//! leases, one-at-a-time changes of the voters, and leadership transfer.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{NodeId, Position, Term};
+
+/// Most entries in one append message.
+const MAX_BATCH: usize = 512;
+/// A leader's lease is this many thousandths of the least election timeout, so
+/// it ends before a follower whose clock runs up to 10% fast may vote.
+const LEASE_THOUSANDTHS: u64 = 850;
+
+/// Timing of elections, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RaftTiming {
+    /// Least time without a leader before a voter calls an election; the
+    /// most is twice this.
+    pub election_ms: u64,
+    /// Time between a leader's heartbeats.
+    pub heartbeat_ms: u64,
+}
+
+/// An index of the log and the term of its entry.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct LogMark {
+    /// The entry's term. First, as the newer log is judged by it first.
+    pub term: Term,
+    /// The entry's index.
+    pub index: Position,
+}
+
+/// What an entry carries.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Payload {
+    /// Nothing: opens a term.
+    Blank,
+    /// The voters from this entry on.
+    Voters(BTreeSet<NodeId>),
+    /// A command to the state machine, encoded.
+    Command(Vec<u8>),
+}
+
+/// An entry of the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogEntry {
+    /// Where it stands.
+    pub mark: LogMark,
+    /// What it carries.
+    pub payload: Payload,
+}
+
+/// The state machine up to an index, encoded.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogSnapshot {
+    /// The last entry that it includes.
+    pub last: LogMark,
+    /// The voters at that entry.
+    pub voters: BTreeSet<NodeId>,
+    /// The encoded state.
+    pub state: Vec<u8>,
+}
+
+/// A durable change; see the module's rule.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DiskRecord {
+    /// The current term and the vote given in it.
+    Vote(Term, Option<NodeId>),
+    /// Entries are dropped from this index on, then others may follow.
+    Truncate(Position),
+    /// An entry after all before it.
+    Append(LogEntry),
+    /// Replaces the log up to the snapshot.
+    Install(LogSnapshot),
+}
+
+/// What a restarted voter reads back from its disk.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct DiskImage {
+    /// Term and vote.
+    pub vote: (Term, Option<NodeId>),
+    /// The last snapshot.
+    pub snapshot: LogSnapshot,
+    /// The entries after it.
+    pub entries: Vec<LogEntry>,
+}
+
+impl DiskImage {
+    /// Replays one record.
+    pub fn apply(&mut self, record: DiskRecord) {
+        match record {
+            DiskRecord::Vote(term, vote) => self.vote = (term, vote),
+            DiskRecord::Truncate(from) => self.entries.retain(|e| e.mark.index < from),
+            DiskRecord::Append(entry) => self.entries.push(entry),
+            DiskRecord::Install(snapshot) => {
+                self.entries.retain(|e| e.mark.index > snapshot.last.index);
+                self.snapshot = snapshot;
+            }
+        }
+    }
+}
+
+/// A message between voters.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RaftMessage {
+    /// Asks whether a vote in `term` would be given.
+    PreVote {
+        /// The term the candidate would open.
+        term: Term,
+        /// The candidate's last entry.
+        last: LogMark,
+    },
+    /// Answers a pre-vote.
+    PreVoteReply {
+        /// The term asked about, or the voter's own when refused.
+        term: Term,
+        /// Whether a vote would be given.
+        granted: bool,
+    },
+    /// Asks for a vote.
+    Vote {
+        /// The candidate's term.
+        term: Term,
+        /// The candidate's last entry.
+        last: LogMark,
+        /// The old leader asked for this election and gave up its lease.
+        handover: bool,
+    },
+    /// Answers a vote.
+    VoteReply {
+        /// The voter's term.
+        term: Term,
+        /// Whether the vote was given.
+        granted: bool,
+    },
+    /// Replicates entries; a heartbeat where there are none.
+    Append {
+        /// The leader's term.
+        term: Term,
+        /// The entry before the first one sent.
+        prev: LogMark,
+        /// The entries.
+        entries: Vec<LogEntry>,
+        /// The leader's commit index.
+        commit: Position,
+        /// The leader's clock when it sent this; echoed for its lease.
+        sent_ms: u64,
+    },
+    /// Answers an append.
+    AppendReply {
+        /// The follower's term.
+        term: Term,
+        /// On success the last matching index, else where to try next.
+        at: Position,
+        /// Whether `prev` matched.
+        matched: bool,
+        /// Echo of the leader's clock.
+        sent_ms: u64,
+    },
+    /// Replaces a follower's log that is too far behind.
+    Install {
+        /// The leader's term.
+        term: Term,
+        /// The snapshot.
+        snapshot: LogSnapshot,
+        /// The leader's clock; echoed for its lease.
+        sent_ms: u64,
+    },
+    /// Asks the receiver to stand for election at once.
+    Handover {
+        /// The leader's term.
+        term: Term,
+    },
+}
+
+impl RaftMessage {
+    fn term(&self) -> Term {
+        match self {
+            Self::PreVote { term, .. }
+            | Self::PreVoteReply { term, .. }
+            | Self::Vote { term, .. }
+            | Self::VoteReply { term, .. }
+            | Self::Append { term, .. }
+            | Self::AppendReply { term, .. }
+            | Self::Install { term, .. }
+            | Self::Handover { term } => *term,
+        }
+    }
+}
+
+/// What the caller must do: sync the records, then send the messages, then
+/// apply what was committed.
+#[derive(Debug, Default, PartialEq)]
+pub struct Output {
+    /// To be synced first, in order.
+    pub records: Vec<DiskRecord>,
+    /// To be sent once the records are synced.
+    pub messages: Vec<(NodeId, RaftMessage)>,
+    /// A snapshot that replaces the state machine before `committed`.
+    pub restored: Option<LogSnapshot>,
+    /// Entries to apply, in order.
+    pub committed: Vec<LogEntry>,
+}
+
+/// Why a proposal was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProposeError {
+    /// Another voter may lead.
+    NotLeader(Option<NodeId>),
+    /// A change of voters is still under way, or this one is not a single step.
+    VotersBusy,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Role {
+    Follower,
+    PreCandidate,
+    Candidate,
+    Leader,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Progress {
+    matched: Position,
+    next: Position,
+    /// The latest own clock that this follower has echoed.
+    echoed_ms: Option<u64>,
+}
+
+/// One voter, or one learner that is not a voter yet.
+#[derive(Debug)]
+pub struct RaftCore {
+    id: NodeId,
+    timing: RaftTiming,
+    rng: SmallRng,
+    term: Term,
+    vote: Option<NodeId>,
+    snapshot: LogSnapshot,
+    entries: Vec<LogEntry>,
+    commit: Position,
+    delivered: Position,
+    role: Role,
+    leader: Option<NodeId>,
+    heard_ms: Option<u64>,
+    election_due_ms: u64,
+    heartbeat_due_ms: u64,
+    /// A voter that restarts may have promised a lease just before.
+    silent_until_ms: u64,
+    granted: BTreeSet<NodeId>,
+    progress: BTreeMap<NodeId, Progress>,
+    learners: BTreeSet<NodeId>,
+    output: Output,
+}
+
+impl RaftCore {
+    /// Starts from what the disk holds. `seed` drives the election jitter.
+    pub fn new(id: NodeId, timing: RaftTiming, image: DiskImage, now_ms: u64, seed: u64) -> Self {
+        let start = image.snapshot.last.index;
+        let mut core = Self {
+            id,
+            timing,
+            rng: SmallRng::seed_from_u64(seed),
+            term: image.vote.0,
+            vote: image.vote.1,
+            snapshot: image.snapshot,
+            entries: image.entries,
+            commit: start,
+            delivered: start,
+            role: Role::Follower,
+            leader: None,
+            heard_ms: None,
+            election_due_ms: 0,
+            heartbeat_due_ms: 0,
+            silent_until_ms: now_ms + timing.election_ms,
+            granted: BTreeSet::new(),
+            progress: BTreeMap::new(),
+            learners: BTreeSet::new(),
+            output: Output::default(),
+        };
+        core.schedule_election(now_ms);
+        core
+    }
+
+    /// This voter's identity.
+    pub fn id(&self) -> NodeId {
+        self.id
+    }
+
+    /// The current term.
+    pub fn term(&self) -> Term {
+        self.term
+    }
+
+    /// Whether this voter leads its term. Says nothing of other terms: see [`Self::may_decide`].
+    pub fn is_leader(&self) -> bool {
+        self.role == Role::Leader
+    }
+
+    /// The leader as last heard.
+    pub fn leader(&self) -> Option<NodeId> {
+        self.leader
+    }
+
+    /// The commit index.
+    pub fn commit(&self) -> Position {
+        self.commit
+    }
+
+    /// The last entry of the log.
+    pub fn last(&self) -> LogMark {
+        self.entries
+            .last()
+            .map_or(self.snapshot.last, |entry| entry.mark)
+    }
+
+    /// The number of entries after the snapshot.
+    pub fn tail_len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// The voters by the newest entry that names them, committed or not.
+    pub fn voters(&self) -> &BTreeSet<NodeId> {
+        let named = |entry: &'_ LogEntry| matches!(entry.payload, Payload::Voters(_));
+        match self.entries.iter().rev().find(|e| named(e)) {
+            Some(LogEntry {
+                payload: Payload::Voters(voters),
+                ..
+            }) => voters,
+            _ => &self.snapshot.voters,
+        }
+    }
+
+    /// Takes what is to be done; see the module's rule.
+    pub fn take_output(&mut self) -> Output {
+        std::mem::take(&mut self.output)
+    }
+
+    /// Whether a decision taken now, from the committed state, is the newest there is:
+    /// this voter leads, a quorum confirmed it within the lease, and an entry of
+    /// its own term is committed.
+    pub fn may_decide(&self, now_ms: u64) -> bool {
+        self.role == Role::Leader
+            && self.term_at(self.commit) == Some(self.term)
+            && now_ms < self.lease_until_ms(now_ms)
+    }
+
+    /// When the current lease ends, in this voter's clock; zero without one.
+    pub fn lease_until_ms(&self, now_ms: u64) -> u64 {
+        let span = self.timing.election_ms * LEASE_THOUSANDTHS / 1000;
+        let mut echoes: Vec<u64> = self
+            .voters()
+            .iter()
+            .filter_map(|voter| match voter {
+                voter if *voter == self.id => Some(now_ms),
+                voter => self.progress.get(voter).and_then(|p| p.echoed_ms),
+            })
+            .collect();
+        echoes.sort_unstable_by(|a, b| b.cmp(a));
+        match echoes.get(self.quorum() - 1) {
+            Some(echoed) => echoed + span,
+            None => 0,
+        }
+    }
+
+    /// Appends a command where this voter leads, and returns its position.
+    pub fn propose(&mut self, command: Vec<u8>) -> Result<LogMark, ProposeError> {
+        if self.role != Role::Leader {
+            return Err(ProposeError::NotLeader(self.leader));
+        }
+        Ok(self.append_own(Payload::Command(command)))
+    }
+
+    /// Sends what was proposed since the last call. Apart from `propose`, so
+    /// that many proposals share one sync and one message.
+    pub fn flush(&mut self, now_ms: u64) {
+        if self.role == Role::Leader {
+            self.replicate(now_ms);
+            self.advance_commit();
+        }
+    }
+
+    /// Adds or removes one voter.
+    pub fn propose_voters(&mut self, voters: BTreeSet<NodeId>) -> Result<LogMark, ProposeError> {
+        if self.role != Role::Leader {
+            return Err(ProposeError::NotLeader(self.leader));
+        }
+        let steps = self.voters().symmetric_difference(&voters).count();
+        let pending = self.entries.iter().any(|entry| {
+            entry.mark.index > self.commit && matches!(entry.payload, Payload::Voters(_))
+        });
+        let settled = self.term_at(self.commit) == Some(self.term);
+        if steps != 1 || pending || !settled || voters.is_empty() {
+            return Err(ProposeError::VotersBusy);
+        }
+        Ok(self.append_own(Payload::Voters(voters)))
+    }
+
+    /// Replicates to a process that is not a voter yet.
+    pub fn add_learner(&mut self, node: NodeId) {
+        if self.role == Role::Leader && !self.voters().contains(&node) {
+            self.learners.insert(node);
+            let next = Position(self.last().index.0 + 1);
+            self.progress.entry(node).or_insert(Progress {
+                next,
+                ..Progress::default()
+            });
+        }
+    }
+
+    /// The learners that have caught up with the commit index.
+    pub fn ready_learners(&self) -> Vec<NodeId> {
+        let caught_up = |node: &&NodeId| {
+            let matched = self.progress.get(node).map(|p| p.matched);
+            matched.is_some_and(|at| at >= self.commit)
+        };
+        self.learners.iter().filter(caught_up).copied().collect()
+    }
+
+    /// Whether a voter has answered within one election timeout.
+    pub fn heard_from(&self, node: NodeId, now_ms: u64) -> bool {
+        let echoed = self.progress.get(&node).and_then(|p| p.echoed_ms);
+        echoed.is_some_and(|at| at + self.timing.election_ms > now_ms)
+    }
+
+    /// Gives up the lease and asks the most up-to-date voter to stand. Returns
+    /// whether there was one to ask.
+    pub fn hand_over(&mut self, now_ms: u64) -> bool {
+        if self.role != Role::Leader {
+            return false;
+        }
+        let voters = self.voters().clone();
+        let heir = self
+            .progress
+            .iter()
+            .filter(|(node, _)| **node != self.id && voters.contains(node))
+            .filter(|(node, _)| self.heard_from(**node, now_ms))
+            .max_by_key(|(_, progress)| progress.matched)
+            .map(|(node, _)| *node);
+        match heir {
+            Some(heir) => {
+                let term = self.term;
+                self.send(heir, RaftMessage::Handover { term });
+                self.become_follower(now_ms);
+                self.leader = None;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Drops the log up to the last delivered entry, now held by `state`.
+    pub fn compact(&mut self, state: Vec<u8>) {
+        let index = self.delivered;
+        let Some(term) = self.term_at(index) else {
+            return;
+        };
+        let voters = self.voters_at(index).clone();
+        self.snapshot = LogSnapshot {
+            last: LogMark { term, index },
+            voters,
+            state,
+        };
+        self.entries.retain(|entry| entry.mark.index > index);
+        let record = DiskRecord::Install(self.snapshot.clone());
+        self.output.records.push(record);
+    }
+
+    /// Lets time pass: elections, heartbeats and stepping down.
+    pub fn tick(&mut self, now_ms: u64) {
+        match self.role {
+            Role::Leader => {
+                if now_ms >= self.heartbeat_due_ms {
+                    self.replicate(now_ms);
+                }
+                self.step_down_if_alone(now_ms);
+            }
+            _ if now_ms >= self.election_due_ms => self.start_pre_vote(now_ms),
+            _ => {}
+        }
+    }
+
+    /// Handles a message.
+    pub fn receive(&mut self, now_ms: u64, from: NodeId, message: RaftMessage) {
+        let speculative = matches!(
+            message,
+            RaftMessage::PreVote { .. } | RaftMessage::PreVoteReply { granted: true, .. }
+        );
+        let ignored = match &message {
+            RaftMessage::Vote { handover, .. } => !handover && self.bound_to_leader(now_ms),
+            _ => false,
+        };
+        if ignored {
+            return;
+        }
+        if message.term() > self.term && !speculative {
+            self.enter_term(now_ms, message.term());
+        }
+        match message {
+            RaftMessage::PreVote { term, last } => self.on_pre_vote(now_ms, from, term, last),
+            RaftMessage::PreVoteReply { term, granted } => {
+                self.on_pre_vote_reply(now_ms, from, term, granted)
+            }
+            RaftMessage::Vote { term, last, .. } => self.on_vote(now_ms, from, term, last),
+            RaftMessage::VoteReply { term, granted } => {
+                self.on_vote_reply(now_ms, from, term, granted)
+            }
+            RaftMessage::Append {
+                term,
+                prev,
+                entries,
+                commit,
+                sent_ms,
+            } => {
+                if self.follow(now_ms, from, term) {
+                    self.on_append(from, prev, entries, commit, sent_ms);
+                }
+            }
+            RaftMessage::Install {
+                term,
+                snapshot,
+                sent_ms,
+            } => {
+                if self.follow(now_ms, from, term) {
+                    self.on_install(from, snapshot, sent_ms);
+                }
+            }
+            RaftMessage::AppendReply {
+                term,
+                at,
+                matched,
+                sent_ms,
+            } => {
+                if self.role == Role::Leader && term == self.term {
+                    self.on_append_reply(now_ms, from, at, matched, sent_ms);
+                }
+            }
+            RaftMessage::Handover { term } => {
+                if term == self.term && self.leader == Some(from) {
+                    self.start_vote(now_ms, true);
+                }
+            }
+        }
+    }
+
+    fn quorum(&self) -> usize {
+        self.voters().len() / 2 + 1
+    }
+
+    fn is_voter(&self) -> bool {
+        self.voters().contains(&self.id)
+    }
+
+    fn send(&mut self, to: NodeId, message: RaftMessage) {
+        self.output.messages.push((to, message));
+    }
+
+    fn other_voters(&self) -> Vec<NodeId> {
+        let others = self.voters().iter().filter(|node| **node != self.id);
+        others.copied().collect()
+    }
+
+    fn term_at(&self, index: Position) -> Option<Term> {
+        if index == self.snapshot.last.index {
+            return Some(self.snapshot.last.term);
+        }
+        self.entry_at(index).map(|entry| entry.mark.term)
+    }
+
+    fn entry_at(&self, index: Position) -> Option<&LogEntry> {
+        let offset = index.0.checked_sub(self.snapshot.last.index.0 + 1)?;
+        self.entries.get(offset as usize)
+    }
+
+    fn voters_at(&self, index: Position) -> &BTreeSet<NodeId> {
+        let mut voters = &self.snapshot.voters;
+        for entry in self.entries.iter().filter(|e| e.mark.index <= index) {
+            if let Payload::Voters(named) = &entry.payload {
+                voters = named;
+            }
+        }
+        voters
+    }
+
+    fn schedule_election(&mut self, now_ms: u64) {
+        let least = self.timing.election_ms;
+        self.election_due_ms = now_ms + least + self.rng.random_range(0..least.max(1));
+    }
+
+    /// A voter that heard a leader lately, or may have before it restarted,
+    /// helps no other to power: the leader's lease rests on this.
+    fn bound_to_leader(&self, now_ms: u64) -> bool {
+        let heard = self.heard_ms.map_or(0, |at| at + self.timing.election_ms);
+        let leading = self.role == Role::Leader && now_ms < self.lease_until_ms(now_ms);
+        now_ms < heard || now_ms < self.silent_until_ms || leading
+    }
+
+    fn enter_term(&mut self, now_ms: u64, term: Term) {
+        self.term = term;
+        self.vote = None;
+        self.become_follower(now_ms);
+        self.leader = None;
+        self.record_vote();
+    }
+
+    fn become_follower(&mut self, now_ms: u64) {
+        self.role = Role::Follower;
+        self.progress.clear();
+        self.learners.clear();
+        self.schedule_election(now_ms);
+    }
+
+    fn record_vote(&mut self) {
+        let record = DiskRecord::Vote(self.term, self.vote);
+        self.output.records.push(record);
+    }
+
+    fn start_pre_vote(&mut self, now_ms: u64) {
+        self.schedule_election(now_ms);
+        if !self.is_voter() || now_ms < self.silent_until_ms {
+            return;
+        }
+        self.role = Role::PreCandidate;
+        self.leader = None;
+        self.granted = BTreeSet::from([self.id]);
+        if self.granted.len() >= self.quorum() {
+            return self.start_vote(now_ms, false);
+        }
+        let term = Term(self.term.0 + 1);
+        let last = self.last();
+        for peer in self.other_voters() {
+            self.send(peer, RaftMessage::PreVote { term, last });
+        }
+    }
+
+    fn start_vote(&mut self, now_ms: u64, handover: bool) {
+        if !self.is_voter() {
+            return;
+        }
+        self.term = Term(self.term.0 + 1);
+        self.vote = Some(self.id);
+        self.role = Role::Candidate;
+        self.leader = None;
+        self.granted = BTreeSet::from([self.id]);
+        self.schedule_election(now_ms);
+        self.record_vote();
+        if self.granted.len() >= self.quorum() {
+            return self.become_leader(now_ms);
+        }
+        let (term, last) = (self.term, self.last());
+        for peer in self.other_voters() {
+            let message = RaftMessage::Vote {
+                term,
+                last,
+                handover,
+            };
+            self.send(peer, message);
+        }
+    }
+
+    fn on_pre_vote(&mut self, now_ms: u64, from: NodeId, term: Term, last: LogMark) {
+        let granted = term > self.term && last >= self.last() && !self.bound_to_leader(now_ms);
+        let term = if granted { term } else { self.term };
+        self.send(from, RaftMessage::PreVoteReply { term, granted });
+    }
+
+    fn on_pre_vote_reply(&mut self, now_ms: u64, from: NodeId, term: Term, granted: bool) {
+        let mine = self.role == Role::PreCandidate && term.0 == self.term.0 + 1;
+        if granted && mine && self.voters().contains(&from) {
+            self.granted.insert(from);
+            if self.granted.len() >= self.quorum() {
+                self.start_vote(now_ms, false);
+            }
+        }
+    }
+
+    fn on_vote(&mut self, now_ms: u64, from: NodeId, term: Term, last: LogMark) {
+        let free = self.vote.is_none() || self.vote == Some(from);
+        let granted = term == self.term && free && last >= self.last();
+        if granted {
+            self.vote = Some(from);
+            self.record_vote();
+            self.schedule_election(now_ms);
+        }
+        let term = self.term;
+        self.send(from, RaftMessage::VoteReply { term, granted });
+    }
+
+    fn on_vote_reply(&mut self, now_ms: u64, from: NodeId, term: Term, granted: bool) {
+        let mine = self.role == Role::Candidate && term == self.term;
+        if granted && mine && self.voters().contains(&from) {
+            self.granted.insert(from);
+            if self.granted.len() >= self.quorum() {
+                self.become_leader(now_ms);
+            }
+        }
+    }
+
+    fn become_leader(&mut self, now_ms: u64) {
+        self.role = Role::Leader;
+        self.leader = Some(self.id);
+        let next = Position(self.last().index.0 + 1);
+        let fresh = Progress {
+            next,
+            ..Progress::default()
+        };
+        self.progress = self
+            .other_voters()
+            .into_iter()
+            .map(|p| (p, fresh))
+            .collect();
+        self.append_own(Payload::Blank);
+        self.replicate(now_ms);
+        self.advance_commit();
+    }
+
+    fn append_own(&mut self, payload: Payload) -> LogMark {
+        let mark = LogMark {
+            term: self.term,
+            index: Position(self.last().index.0 + 1),
+        };
+        let entry = LogEntry { mark, payload };
+        self.output.records.push(DiskRecord::Append(entry.clone()));
+        self.entries.push(entry);
+        mark
+    }
+
+    fn replicate(&mut self, now_ms: u64) {
+        self.heartbeat_due_ms = now_ms + self.timing.heartbeat_ms;
+        let mut peers: BTreeSet<NodeId> = self.other_voters().into_iter().collect();
+        peers.extend(&self.learners);
+        let next = Position(self.last().index.0 + 1);
+        for peer in &peers {
+            self.progress.entry(*peer).or_insert(Progress {
+                next,
+                ..Progress::default()
+            });
+            self.send_append(now_ms, *peer);
+        }
+        self.progress.retain(|node, _| peers.contains(node));
+    }
+
+    fn send_append(&mut self, now_ms: u64, peer: NodeId) {
+        let Some(progress) = self.progress.get(&peer).copied() else {
+            return;
+        };
+        let (term, sent_ms) = (self.term, now_ms);
+        let index = Position(progress.next.0.saturating_sub(1));
+        let Some(prev_term) = self.term_at(index) else {
+            let snapshot = self.snapshot.clone();
+            let message = RaftMessage::Install {
+                term,
+                snapshot,
+                sent_ms,
+            };
+            return self.send(peer, message);
+        };
+        let skip = (index.0 - self.snapshot.last.index.0) as usize;
+        let entries: Vec<LogEntry> = self
+            .entries
+            .iter()
+            .skip(skip)
+            .take(MAX_BATCH)
+            .cloned()
+            .collect();
+        if let Some(progress) = self.progress.get_mut(&peer) {
+            progress.next = Position(index.0 + 1 + entries.len() as u64);
+        }
+        let message = RaftMessage::Append {
+            term,
+            prev: LogMark {
+                term: prev_term,
+                index,
+            },
+            entries,
+            commit: self.commit,
+            sent_ms,
+        };
+        self.send(peer, message);
+    }
+
+    fn step_down_if_alone(&mut self, now_ms: u64) {
+        let lost = self.lease_until_ms(now_ms) + 2 * self.timing.election_ms < now_ms;
+        let settled = self.term_at(self.commit) == Some(self.term);
+        if lost && (settled || now_ms >= self.election_due_ms) {
+            self.become_follower(now_ms);
+            self.leader = None;
+        }
+    }
+
+    /// Takes `from` as the leader of `term` unless the term has passed.
+    fn follow(&mut self, now_ms: u64, from: NodeId, term: Term) -> bool {
+        if term < self.term {
+            let message = RaftMessage::AppendReply {
+                term: self.term,
+                at: Position(0),
+                matched: false,
+                sent_ms: 0,
+            };
+            self.send(from, message);
+            return false;
+        }
+        if self.role != Role::Follower {
+            self.become_follower(now_ms);
+        }
+        self.leader = Some(from);
+        self.heard_ms = Some(now_ms);
+        self.schedule_election(now_ms);
+        true
+    }
+
+    fn on_append(
+        &mut self,
+        from: NodeId,
+        prev: LogMark,
+        entries: Vec<LogEntry>,
+        commit: Position,
+        sent_ms: u64,
+    ) {
+        let known = prev.index < self.snapshot.last.index;
+        let matched = known || self.term_at(prev.index) == Some(prev.term);
+        let at = if matched {
+            let last = Position(prev.index.0 + entries.len() as u64);
+            self.merge(entries);
+            self.deliver_up_to(commit.min(last));
+            last
+        } else {
+            self.hint_before(prev.index)
+        };
+        let message = RaftMessage::AppendReply {
+            term: self.term,
+            at,
+            matched,
+            sent_ms,
+        };
+        self.send(from, message);
+    }
+
+    /// Where the leader should try next: before the whole term that clashed.
+    fn hint_before(&self, index: Position) -> Position {
+        let last = self.last().index;
+        if index > last {
+            return last;
+        }
+        let clash = self.term_at(index);
+        let first = self.entries.iter().find(|e| Some(e.mark.term) == clash);
+        let before = first.map_or(index.0, |entry| entry.mark.index.0);
+        Position(before.saturating_sub(1).max(self.commit.0))
+    }
+
+    fn merge(&mut self, entries: Vec<LogEntry>) {
+        for entry in entries {
+            let index = entry.mark.index;
+            match self.term_at(index) {
+                _ if index <= self.snapshot.last.index => continue,
+                Some(term) if term == entry.mark.term => continue,
+                Some(_) => {
+                    self.entries.retain(|e| e.mark.index < index);
+                    self.output.records.push(DiskRecord::Truncate(index));
+                }
+                None => {}
+            }
+            self.output.records.push(DiskRecord::Append(entry.clone()));
+            self.entries.push(entry);
+        }
+    }
+
+    fn on_install(&mut self, from: NodeId, snapshot: LogSnapshot, sent_ms: u64) {
+        let at = snapshot.last.index;
+        if at > self.commit {
+            let kept = self.term_at(at) == Some(snapshot.last.term);
+            match kept {
+                true => self.entries.retain(|e| e.mark.index > at),
+                false => {
+                    self.entries.clear();
+                    let first = Position(self.snapshot.last.index.0 + 1);
+                    self.output.records.push(DiskRecord::Truncate(first));
+                }
+            }
+            self.snapshot = snapshot.clone();
+            self.commit = at;
+            self.delivered = at;
+            let record = DiskRecord::Install(snapshot.clone());
+            self.output.records.push(record);
+            self.output.committed.clear();
+            self.output.restored = Some(snapshot);
+        }
+        let message = RaftMessage::AppendReply {
+            term: self.term,
+            at,
+            matched: true,
+            sent_ms,
+        };
+        self.send(from, message);
+    }
+
+    fn on_append_reply(
+        &mut self,
+        now_ms: u64,
+        from: NodeId,
+        at: Position,
+        matched: bool,
+        sent_ms: u64,
+    ) {
+        let last = self.last().index;
+        let Some(progress) = self.progress.get_mut(&from) else {
+            return;
+        };
+        progress.echoed_ms = progress.echoed_ms.max(Some(sent_ms));
+        match matched {
+            true => {
+                progress.matched = progress.matched.max(at);
+                progress.next = progress.next.max(Position(at.0 + 1));
+            }
+            // A late refusal must not take `next` below what has matched since.
+            false => progress.next = Position(at.0.max(progress.matched.0) + 1),
+        }
+        let behind = progress.next <= last;
+        self.advance_commit();
+        if behind || !matched {
+            self.send_append(now_ms, from);
+        }
+    }
+
+    fn advance_commit(&mut self) {
+        let mut matched: Vec<Position> = self
+            .voters()
+            .iter()
+            .map(|voter| match voter {
+                voter if *voter == self.id => self.last().index,
+                voter => self.progress.get(voter).map_or(Position(0), |p| p.matched),
+            })
+            .collect();
+        matched.sort_unstable_by(|a, b| b.cmp(a));
+        let agreed = matched[self.quorum() - 1];
+        // Only entries of the own term commit by count (Raft, section 5.4.2).
+        if agreed > self.commit && self.term_at(agreed) == Some(self.term) {
+            self.deliver_up_to(agreed);
+            let removed = !self.voters_at(self.commit).contains(&self.id);
+            if removed {
+                self.role = Role::Follower;
+                self.leader = None;
+            }
+        }
+    }
+
+    fn deliver_up_to(&mut self, commit: Position) {
+        self.commit = self.commit.max(commit);
+        while self.delivered < self.commit {
+            let next = Position(self.delivered.0 + 1);
+            let Some(entry) = self.entry_at(next).cloned() else {
+                return;
+            };
+            self.delivered = next;
+            self.output.committed.push(entry);
+        }
+    }
+}
--- /dev/null
+++ b/src/replica.rs
@@ -0,0 +1,152 @@
+//! One voter's whole logic: the log's agreement, and the state machine behind it.
+
+use std::collections::BTreeSet;
+
+use crate::ids::{NodeId, Position, Term};
+use crate::raft::{
+    DiskImage, DiskRecord, LogEntry, LogMark, LogSnapshot, Payload, ProposeError, RaftCore,
+    RaftMessage, RaftTiming,
+};
+use crate::state::{Command, Reply, SiteState, Stamped};
+
+/// What to do after a step; the records are synced before the messages leave.
+#[derive(Debug, Default)]
+pub struct ReplicaOutput {
+    /// To be synced first.
+    pub records: Vec<DiskRecord>,
+    /// To be sent then.
+    pub messages: Vec<(NodeId, RaftMessage)>,
+    /// Replies to what was committed. They are given out after the sync too.
+    pub replies: Vec<(LogMark, Reply)>,
+}
+
+/// One voter.
+#[derive(Debug)]
+pub struct LogReplica {
+    raft: RaftCore,
+    state: SiteState,
+    compact_after: usize,
+}
+
+impl LogReplica {
+    /// Starts from a disk. The log is compacted when its tail has `compact_after` entries.
+    pub fn new(
+        id: NodeId,
+        timing: RaftTiming,
+        image: DiskImage,
+        now_ms: u64,
+        seed: u64,
+        compact_after: usize,
+    ) -> Self {
+        let state = decode_state(&image.snapshot);
+        Self {
+            raft: RaftCore::new(id, timing, image, now_ms, seed),
+            state,
+            compact_after,
+        }
+    }
+
+    /// The image of a new site: its founding voters.
+    pub fn founding_image(voters: BTreeSet<NodeId>) -> DiskImage {
+        let mut image = DiskImage::default();
+        image.snapshot.voters = voters;
+        image.snapshot.state = encode_state(&SiteState::default());
+        image
+    }
+
+    /// The log's agreement.
+    pub fn raft(&self) -> &RaftCore {
+        &self.raft
+    }
+
+    /// The log's agreement, for changes of its members.
+    pub fn raft_mut(&mut self) -> &mut RaftCore {
+        &mut self.raft
+    }
+
+    /// The state as far as it is committed here.
+    pub fn state(&self) -> &SiteState {
+        &self.state
+    }
+
+    /// The state, where nothing newer can exist elsewhere.
+    pub fn newest(&self, now_ms: u64) -> Option<&SiteState> {
+        self.raft.may_decide(now_ms).then_some(&self.state)
+    }
+
+    /// Proposes a command where this voter leads.
+    pub fn propose(&mut self, at_ms: u64, command: Command) -> Result<LogMark, ProposeError> {
+        let stamped = Stamped { at_ms, command };
+        let bytes = bincode::serialize(&stamped).expect("commands encode into memory");
+        self.raft.propose(bytes)
+    }
+
+    /// Handles a message.
+    pub fn receive(&mut self, now_ms: u64, from: NodeId, message: RaftMessage) {
+        self.raft.receive(now_ms, from, message);
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now_ms: u64) {
+        self.raft.tick(now_ms);
+    }
+
+    /// Ends a batch of steps: sends what was proposed, and applies what was committed.
+    pub fn finish(&mut self, now_ms: u64) -> ReplicaOutput {
+        self.raft.flush(now_ms);
+        let mut all = ReplicaOutput::default();
+        let output = self.raft.take_output();
+        all.records = output.records;
+        all.messages = output.messages;
+        if let Some(snapshot) = &output.restored {
+            self.state = decode_state(snapshot);
+        }
+        for entry in output.committed {
+            if let Some(reply) = self.apply(&entry) {
+                all.replies.push((entry.mark, reply));
+            }
+        }
+        if self.raft.tail_len() > self.compact_after {
+            self.raft.compact(encode_state(&self.state));
+            all.records.extend(self.raft.take_output().records);
+        }
+        all
+    }
+
+    /// The term that an awaited entry must still have, else it was replaced.
+    pub fn term(&self) -> Term {
+        self.raft.term()
+    }
+
+    /// How far the state has come.
+    pub fn position(&self) -> Position {
+        self.state.position
+    }
+
+    fn apply(&mut self, entry: &LogEntry) -> Option<Reply> {
+        let position = entry.mark.index;
+        let Payload::Command(bytes) = &entry.payload else {
+            self.state.skip(position);
+            return None;
+        };
+        match bincode::deserialize::<Stamped>(bytes) {
+            Ok(stamped) => Some(self.state.apply(position, &stamped)),
+            // Every voter skips alike what none can read.
+            Err(_) => {
+                self.state.skip(position);
+                None
+            }
+        }
+    }
+}
+
+fn encode_state(state: &SiteState) -> Vec<u8> {
+    bincode::serialize(state).expect("the state encodes into memory")
+}
+
+fn decode_state(snapshot: &LogSnapshot) -> SiteState {
+    match snapshot.state.is_empty() {
+        true => SiteState::default(),
+        false => bincode::deserialize(&snapshot.state).expect("a checked snapshot decodes"),
+    }
+}
--- /dev/null
+++ b/src/standin.rs
@@ -0,0 +1,10 @@
+//! Small stand-ins for the platform's side: engines, plain services, the weight
+//! store and the list of hosts. For the demo, the load tool and tests.
+
+mod engine;
+mod platform;
+mod service;
+
+pub use engine::{EngineRecord, EngineStandin, EngineTraits, RunRecord, piece_text};
+pub use platform::{PlatformStandin, StoreStandin, StoreTraits};
+pub use service::{ServiceRecord, ServiceStandin};
--- /dev/null
+++ b/src/standin/engine.rs
@@ -0,0 +1,538 @@
+//! An engine: batches, holds memory, streams, resumes, cancels, and keeps a
+//! record of every run of its own.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use ntex::http::StatusCode;
+use ntex::util::Bytes;
+use ntex::web::{self, HttpRequest, HttpResponse, types};
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+
+use crate::daemon::{self, DaemonError};
+use crate::engine::{DONE, EnginePiece, EngineRun};
+use crate::gate::{EngineOrder, OrderAct};
+use crate::ids::{AttemptId, ModelName};
+use crate::ledger::{EngineReport, OrderSeq, ResidentInfo};
+
+/// Prefixes that the cache holds.
+const CACHED_PREFIXES: usize = 64;
+/// Characters of a prompt that count as its prefix.
+const PREFIX_LEN: usize = 64;
+
+/// What an engine is like.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EngineTraits {
+    /// Accelerator memory, in MiB.
+    pub memory_mib: u64,
+    /// Whether it refuses orders below its fence.
+    pub fenced: bool,
+    /// Time of a load, in milliseconds.
+    pub load_ms: u64,
+    /// Time before the first piece without a cached prefix, in microseconds.
+    pub prefill_us: u64,
+    /// Time of a piece when alone, in microseconds.
+    pub piece_us: u64,
+    /// Time that each further run of the batch adds to a piece, in microseconds.
+    pub batch_us: u64,
+    /// Age of a report, in milliseconds.
+    pub report_lag_ms: u64,
+    /// The weight store that is asked before a load, as an HTTP URL.
+    pub store_url: Option<String>,
+}
+
+/// One run as the engine saw it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunRecord {
+    /// The run.
+    pub attempt: AttemptId,
+    /// Its model.
+    pub model: ModelName,
+    /// Its prompt.
+    pub prompt: String,
+    /// Whether it came to its end.
+    pub whole: bool,
+}
+
+/// What the engine saw so far.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineRecord {
+    /// All runs that started.
+    pub runs: Vec<RunRecord>,
+    /// Loads and unloads done.
+    pub moves: u64,
+    /// The most memory that was ever taken, in MiB.
+    pub peak_mib: u64,
+    /// Times that an order would have taken more memory than there is.
+    pub overcommits: u64,
+    /// Orders refused below the fence.
+    pub fenced_off: u64,
+}
+
+/// Faults that a test injects; each counts down.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EngineFaults {
+    /// Orders carried out but not answered.
+    pub drop_answers: u32,
+    /// Orders lost before they are carried out.
+    pub drop_orders: u32,
+    /// Streams cut after their next piece.
+    pub cut_streams: u32,
+}
+
+struct Run {
+    call: EngineRun,
+    pieces: u32,
+    ended: bool,
+    cancelled: bool,
+    news: Arc<Notify>,
+}
+
+#[derive(Default)]
+struct EngineState {
+    boot: u64,
+    fence: OrderSeq,
+    run_fence: OrderSeq,
+    resident: BTreeMap<ModelName, ResidentInfo>,
+    runs: BTreeMap<AttemptId, Run>,
+    prefixes: VecDeque<u32>,
+    record: EngineRecord,
+    faults: EngineFaults,
+}
+
+impl EngineState {
+    fn used_mib(&self) -> u64 {
+        let models: u64 = self.resident.values().map(|info| info.mib).sum();
+        let live = self.runs.values().filter(|run| !run.ended);
+        models + live.map(|run| run.call.kv_mib).sum::<u64>()
+    }
+
+    fn note_memory(&mut self, capacity: u64) {
+        let used = self.used_mib();
+        self.record.peak_mib = self.record.peak_mib.max(used);
+        if used > capacity {
+            self.record.overcommits += 1;
+        }
+    }
+
+    fn batch(&self) -> u64 {
+        self.runs.values().filter(|run| !run.ended).count() as u64
+    }
+}
+
+struct EngineShared {
+    traits: EngineTraits,
+    state: Mutex<EngineState>,
+    reports: Mutex<VecDeque<(u64, EngineReport)>>,
+}
+
+impl EngineShared {
+    fn state(&self) -> MutexGuard<'_, EngineState> {
+        self.state
+            .lock()
+            .unwrap_or_else(|broken| broken.into_inner())
+    }
+}
+
+/// The text of a prompt's piece: any caller can tell whether an answer is
+/// whole and its own.
+pub fn piece_text(prompt: &str, index: u32) -> String {
+    format!("{:08x}.{index} ", crc32fast::hash(prompt.as_bytes()))
+}
+
+/// A running engine stand-in.
+pub struct EngineStandin {
+    /// Where it serves.
+    pub address: SocketAddr,
+    shared: Arc<EngineShared>,
+    server: ntex::server::Server,
+}
+
+impl EngineStandin {
+    /// Starts on an address; port 0 lets the system choose.
+    pub async fn start(address: SocketAddr, traits: EngineTraits) -> Result<Self, DaemonError> {
+        let (listener, address) = daemon::bind_http("engine", address)?;
+        let state = EngineState {
+            boot: rand::random(),
+            ..EngineState::default()
+        };
+        let shared = Arc::new(EngineShared {
+            traits,
+            state: Mutex::new(state),
+            reports: Mutex::new(VecDeque::new()),
+        });
+        let engine = shared.clone();
+        let app = async move || {
+            web::App::new()
+                .state(engine.clone())
+                .state(types::JsonConfig::default().limit(4 << 20))
+                .route("/v1/completions", web::post().to(run))
+                .route("/v1/runs/{id}", web::get().to(resume))
+                .route("/v1/runs/{id}", web::delete().to(cancel))
+                .route("/control/orders", web::post().to(order))
+                .route("/control/report", web::get().to(report))
+                .route("/record", web::get().to(record))
+                .route("/faults", web::post().to(faults))
+        };
+        let server = daemon::run_http(listener, 1, app)?;
+        Ok(Self {
+            address,
+            shared,
+            server,
+        })
+    }
+
+    /// What it saw so far.
+    pub fn record(&self) -> EngineRecord {
+        self.shared.state().record.clone()
+    }
+
+    /// Dies with all that it holds; its record stays readable.
+    pub async fn kill(&self) {
+        {
+            let mut state = self.shared.state();
+            state.resident.clear();
+            for run in state.runs.values_mut() {
+                run.cancelled = true;
+                run.ended = true;
+                run.news.notify_waiters();
+            }
+        }
+        self.server.stop(false).await;
+    }
+}
+
+type Engine = types::State<Arc<EngineShared>>;
+
+fn status(code: StatusCode) -> HttpResponse {
+    HttpResponse::new(code)
+}
+
+async fn run(engine: Engine, call: types::Json<EngineRun>) -> HttpResponse {
+    let call = call.into_inner();
+    let id = call.request_id;
+    let warm = {
+        let mut state = engine.state();
+        let ready = state
+            .resident
+            .get(&call.model)
+            .is_some_and(|info| info.ready);
+        if engine.traits.fenced && call.fence < state.run_fence {
+            return status(StatusCode::CONFLICT);
+        }
+        if !ready {
+            return status(StatusCode::NOT_FOUND);
+        }
+        if state.runs.contains_key(&id) {
+            return status(StatusCode::CONFLICT);
+        }
+        start_run(&mut state, &call);
+        state.note_memory(engine.traits.memory_mib);
+        note_prefix(&mut state, &call.prompt)
+    };
+    ntex::rt::spawn(generate(Arc::clone(&engine), id, warm));
+    stream(&engine, id, 0)
+}
+
+fn start_run(state: &mut EngineState, call: &EngineRun) {
+    state.record.runs.push(RunRecord {
+        attempt: call.request_id,
+        model: call.model.clone(),
+        prompt: call.prompt.clone(),
+        whole: false,
+    });
+    let run = Run {
+        call: call.clone(),
+        pieces: 0,
+        ended: false,
+        cancelled: false,
+        news: Arc::new(Notify::new()),
+    };
+    state.runs.insert(call.request_id, run);
+}
+
+/// Whether the prompt's prefix was cached; it is now.
+fn note_prefix(state: &mut EngineState, prompt: &str) -> bool {
+    let prefix: String = prompt.chars().take(PREFIX_LEN).collect();
+    let hash = crc32fast::hash(prefix.as_bytes());
+    let warm = state.prefixes.contains(&hash);
+    if !warm {
+        state.prefixes.push_back(hash);
+    }
+    if state.prefixes.len() > CACHED_PREFIXES {
+        state.prefixes.pop_front();
+    }
+    warm
+}
+
+async fn generate(engine: Arc<EngineShared>, id: AttemptId, warm: bool) {
+    let traits = &engine.traits;
+    let prefill = if warm {
+        traits.prefill_us / 10
+    } else {
+        traits.prefill_us
+    };
+    tokio::time::sleep(Duration::from_micros(prefill)).await;
+    // Pieces fall due on a schedule, so that coarse timers do not slow it.
+    let mut due = tokio::time::Instant::now();
+    loop {
+        let batch = engine.state().batch().saturating_sub(1);
+        due += Duration::from_micros(traits.piece_us + traits.batch_us * batch);
+        tokio::time::sleep_until(due).await;
+        let mut state = engine.state();
+        let Some(run) = state.runs.get_mut(&id) else {
+            return;
+        };
+        if run.cancelled {
+            run.ended = true;
+            run.news.notify_waiters();
+            return;
+        }
+        run.pieces += 1;
+        let whole = run.call.given + run.pieces >= run.call.max_tokens;
+        run.ended = whole;
+        run.news.notify_waiters();
+        if whole {
+            let mut records = state.record.runs.iter_mut().rev();
+            if let Some(record) = records.find(|record| record.attempt == id) {
+                record.whole = true;
+            }
+            return;
+        }
+    }
+}
+
+struct Reader {
+    engine: Arc<EngineShared>,
+    id: AttemptId,
+    next: u32,
+    over: bool,
+}
+
+fn stream(engine: &Engine, id: AttemptId, from: u32) -> HttpResponse {
+    let reader = Reader {
+        engine: Arc::clone(engine),
+        id,
+        next: from,
+        over: false,
+    };
+    let events = futures::stream::unfold(reader, |mut reader| async move {
+        let text = reader.read().await?;
+        Some((Ok::<_, std::io::Error>(Bytes::from(text)), reader))
+    });
+    HttpResponse::Ok()
+        .content_type("text/event-stream")
+        .streaming(Box::pin(events))
+}
+
+impl Reader {
+    /// The next events; none at the end of the stream.
+    async fn read(&mut self) -> Option<String> {
+        if self.over {
+            return None;
+        }
+        loop {
+            let news = self.engine.state().runs.get(&self.id)?.news.clone();
+            let wait = news.notified();
+            tokio::pin!(wait);
+            wait.as_mut().enable();
+            if let Some(text) = self.take() {
+                return Some(text);
+            }
+            if self.over {
+                return None;
+            }
+            wait.await;
+        }
+    }
+
+    fn take(&mut self) -> Option<String> {
+        let mut state = self.engine.state();
+        let run = state.runs.get(&self.id)?;
+        let mut text = String::new();
+        for index in self.next..run.pieces {
+            let piece = EnginePiece {
+                index,
+                text: piece_text(&run.call.prompt, run.call.given + index),
+            };
+            let json = serde_json::to_string(&piece).unwrap_or_default();
+            text.push_str(&format!("data: {json}\n\n"));
+        }
+        self.next = self.next.max(run.pieces);
+        match (run.ended, run.cancelled) {
+            (true, true) => self.over = true,
+            (true, false) => {
+                text.push_str(&format!("data: {DONE}\n\n"));
+                self.over = true;
+            }
+            (false, _) => {}
+        }
+        if state.faults.cut_streams > 0 && !text.is_empty() {
+            state.faults.cut_streams -= 1;
+            self.over = true;
+            text = text.replace(DONE, "cut");
+            let cut = text.find("data: cut").unwrap_or(text.len());
+            text.truncate(cut);
+        }
+        (!text.is_empty()).then_some(text)
+    }
+}
+
+fn parse_id(text: &str) -> Option<AttemptId> {
+    let (entry, number) = text.split_once('-')?;
+    Some(AttemptId {
+        entry: crate::ids::Incarnation(entry.parse().ok()?),
+        number: number.parse().ok()?,
+    })
+}
+
+async fn resume(engine: Engine, request: HttpRequest, id: types::Path<String>) -> HttpResponse {
+    let from = request.query_string().strip_prefix("from=");
+    let from = from.and_then(|text| text.parse().ok()).unwrap_or(0);
+    let known = |id: &AttemptId| {
+        let state = engine.state();
+        state.runs.get(id).is_some_and(|run| !run.cancelled)
+    };
+    match parse_id(&id).filter(known) {
+        Some(id) => stream(&engine, id, from),
+        None => status(StatusCode::NOT_FOUND),
+    }
+}
+
+async fn cancel(engine: Engine, id: types::Path<String>) -> HttpResponse {
+    let mut state = engine.state();
+    let run = parse_id(&id).and_then(|id| state.runs.get_mut(&id));
+    match run {
+        Some(run) => {
+            run.cancelled = !run.ended;
+            run.ended = true;
+            run.news.notify_waiters();
+            status(StatusCode::OK)
+        }
+        None => status(StatusCode::NOT_FOUND),
+    }
+}
+
+async fn order(engine: Engine, order: types::Json<EngineOrder>) -> HttpResponse {
+    let order = order.into_inner();
+    let traits = &engine.traits;
+    let load = {
+        let mut state = engine.state();
+        if state.faults.drop_orders > 0 {
+            state.faults.drop_orders -= 1;
+            return status(StatusCode::INTERNAL_SERVER_ERROR);
+        }
+        if traits.fenced && order.seq <= state.fence {
+            state.record.fenced_off += 1;
+            return status(StatusCode::CONFLICT);
+        }
+        state.fence = state.fence.max(order.seq);
+        carry_out(&mut state, traits, &order)
+    };
+    if let Some(model) = load {
+        ntex::rt::spawn(finish_load(Arc::clone(&engine), model));
+    }
+    let mut state = engine.state();
+    if state.faults.drop_answers > 0 {
+        state.faults.drop_answers -= 1;
+        return status(StatusCode::INTERNAL_SERVER_ERROR);
+    }
+    status(StatusCode::OK)
+}
+
+/// Takes or frees memory at once; returns the model whose load begins.
+fn carry_out(
+    state: &mut EngineState,
+    traits: &EngineTraits,
+    order: &EngineOrder,
+) -> Option<ModelName> {
+    match &order.act {
+        OrderAct::Fence => {
+            state.run_fence = state.run_fence.max(order.seq);
+            None
+        }
+        OrderAct::Unload(model) => {
+            if state.resident.remove(model).is_some() {
+                state.record.moves += 1;
+            }
+            None
+        }
+        OrderAct::Load(model, _) if state.resident.contains_key(model) => None,
+        OrderAct::Load(model, mib) => {
+            let info = ResidentInfo {
+                mib: *mib,
+                ready: false,
+            };
+            state.resident.insert(model.clone(), info);
+            state.record.moves += 1;
+            state.note_memory(traits.memory_mib);
+            Some(model.clone())
+        }
+    }
+}
+
+async fn finish_load(engine: Arc<EngineShared>, model: ModelName) {
+    let allowed = match &engine.traits.store_url {
+        Some(url) => daemon::get_json::<bool>(&format!("{url}/load")).await,
+        None => Ok(true),
+    };
+    tokio::time::sleep(Duration::from_millis(engine.traits.load_ms)).await;
+    let mut state = engine.state();
+    match allowed {
+        Ok(true) => {
+            if let Some(info) = state.resident.get_mut(&model) {
+                info.ready = true;
+            }
+        }
+        _ => {
+            state.resident.remove(&model);
+        }
+    }
+}
+
+async fn report(engine: Engine) -> HttpResponse {
+    let now_ms = crate::clock::monotonic_ms();
+    let fresh = {
+        let state = engine.state();
+        let live = state.runs.iter().filter(|(_, run)| !run.ended);
+        EngineReport {
+            boot: state.boot,
+            fence: state.fence,
+            run_fence: state.run_fence,
+            resident: state.resident.clone(),
+            running: live.map(|(id, _)| *id).collect(),
+        }
+    };
+    let mut reports = engine
+        .reports
+        .lock()
+        .unwrap_or_else(|broken| broken.into_inner());
+    reports.push_back((now_ms, fresh));
+    let lag_ms = engine.traits.report_lag_ms;
+    while reports.len() > 1 && reports[1].0 + lag_ms <= now_ms {
+        reports.pop_front();
+    }
+    HttpResponse::Ok().json(&reports[0].1)
+}
+
+async fn record(engine: Engine) -> HttpResponse {
+    HttpResponse::Ok().json(&engine.state().record)
+}
+
+async fn faults(engine: Engine, faults: types::Json<EngineFaults>) -> HttpResponse {
+    engine.state().faults = faults.into_inner();
+    status(StatusCode::OK)
+}
+
+/// The prompts that ran, for comparison with what callers were told.
+impl EngineRecord {
+    /// The prompts of all runs that started.
+    pub fn prompts(&self) -> BTreeSet<&str> {
+        self.runs.iter().map(|run| run.prompt.as_str()).collect()
+    }
+}
--- /dev/null
+++ b/src/standin/service.rs
@@ -0,0 +1,91 @@
+//! A plain service that keeps a record of every call.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use ntex::util::Bytes;
+use ntex::web::{self, HttpRequest, HttpResponse, types};
+use serde::{Deserialize, Serialize};
+
+use crate::daemon::{self, DaemonError};
+
+/// One call as the service saw it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceRecord {
+    /// The path.
+    pub path: String,
+    /// The body.
+    pub body: String,
+}
+
+struct ServiceShared {
+    time: Duration,
+    calls: Mutex<Vec<ServiceRecord>>,
+}
+
+/// A running service stand-in.
+pub struct ServiceStandin {
+    /// Where it serves.
+    pub address: SocketAddr,
+    shared: Arc<ServiceShared>,
+    server: ntex::server::Server,
+}
+
+impl ServiceStandin {
+    /// Starts on an address; each call takes `time`.
+    pub async fn start(address: SocketAddr, time: Duration) -> Result<Self, DaemonError> {
+        let (listener, address) = daemon::bind_http("service", address)?;
+        let shared = Arc::new(ServiceShared {
+            time,
+            calls: Mutex::new(Vec::new()),
+        });
+        let service = shared.clone();
+        let app = async move || {
+            web::App::new()
+                .state(service.clone())
+                .route("/record", web::get().to(record))
+                .default_service(web::to(call))
+        };
+        let server = daemon::run_http(listener, 1, app)?;
+        Ok(Self {
+            address,
+            shared,
+            server,
+        })
+    }
+
+    /// All calls so far.
+    pub fn record(&self) -> Vec<ServiceRecord> {
+        let calls = self.shared.calls.lock();
+        calls.unwrap_or_else(|broken| broken.into_inner()).clone()
+    }
+
+    /// Dies.
+    pub async fn kill(&self) {
+        self.server.stop(false).await;
+    }
+}
+
+type Service = types::State<Arc<ServiceShared>>;
+
+async fn call(service: Service, request: HttpRequest, body: Bytes) -> HttpResponse {
+    let body = String::from_utf8_lossy(&body).into_owned();
+    let answer = format!("sealed {:08x}", crc32fast::hash(body.as_bytes()));
+    let seen = ServiceRecord {
+        path: request.path().to_owned(),
+        body,
+    };
+    let calls = service.calls.lock();
+    calls
+        .unwrap_or_else(|broken| broken.into_inner())
+        .push(seen);
+    tokio::time::sleep(service.time).await;
+    HttpResponse::Ok().body(answer)
+}
+
+async fn record(service: Service) -> HttpResponse {
+    let calls = service.calls.lock();
+    let calls = calls.unwrap_or_else(|broken| broken.into_inner());
+    HttpResponse::Ok().json(&*calls)
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,394 @@
+//! The replicated state machine: site, table, claims, members and homes.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use crate::claims::{ClaimAnswer, ClaimAsk, ClaimBook, ClaimKey, Settlement};
+use crate::ids::{AttemptId, HallName, HostName, Incarnation, ModelName, Position, TargetName};
+use crate::site::SiteSpec;
+use crate::table::{EditAnswer, RowEdit, TableStore};
+
+/// Changes remembered for members that fall behind; further back, they get a snapshot.
+pub const JOURNAL_LEN: usize = 4096;
+
+/// What a process does for the system.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum MemberRole {
+    /// Takes callers' requests.
+    Entry,
+    /// Keeps one target.
+    Agent,
+}
+
+/// A process that joined, in its current life.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberInfo {
+    /// Its job.
+    pub role: MemberRole,
+    /// This life.
+    pub incarnation: Incarnation,
+    /// Where it listens, as `ip:port`.
+    pub address: String,
+    /// Its data hall.
+    pub hall: HallName,
+    /// It is leaving: no new work.
+    pub leaving: bool,
+}
+
+/// Where a model is in its life on a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HomePhase {
+    /// Ordered, not yet reported resident.
+    Loading,
+    /// Resident: requests may go there.
+    Ready,
+    /// Ordered out: no new requests.
+    Unloading,
+}
+
+/// One model on one target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HomeInfo {
+    /// Where it is in its life.
+    pub phase: HomePhase,
+    /// The log position of the order that led there.
+    pub order: Position,
+}
+
+/// A move of a model, decided by placement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MoveKind {
+    /// Bring the model in.
+    Load,
+    /// Take the model out.
+    Unload,
+}
+
+/// What an agent's report proved of a home.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HomeReport {
+    /// The model is resident.
+    Resident,
+    /// The model is not there.
+    Absent,
+}
+
+/// A command of the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    /// Replaces the site where the generation is newer.
+    Site(SiteSpec),
+    /// An operator's edit.
+    Edit(RowEdit),
+    /// Claims a call that may run at most once.
+    Claim(ClaimAsk),
+    /// Ends a claim.
+    Settle(ClaimKey, AttemptId, Settlement),
+    /// A process starts a life. Its old life, if any, ends.
+    Join(HostName, MemberRole, String, HallName),
+    /// A process whose life was taken for lost goes on with it, unless another
+    /// process has joined under its name since.
+    Rejoin(HostName, MemberRole, String, HallName, Incarnation),
+    /// A member plans to stop, or the platform says that its host will.
+    Leave(HostName, Incarnation),
+    /// A member was silent for too long, or stopped.
+    Lost(HostName, Incarnation),
+    /// Placement moves a model.
+    Move(TargetName, ModelName, MoveKind),
+    /// An agent's report settles a move, or shows a model where none was known.
+    Home(TargetName, Incarnation, ModelName, HomeReport),
+}
+
+/// A command with the proposer's clock.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stamped {
+    /// The leader's wall clock, in milliseconds since the epoch. The state's
+    /// clock is the highest seen, so it never goes back.
+    pub at_ms: u64,
+    /// The command.
+    pub command: Command,
+}
+
+/// The answer to a command.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    /// Nothing to say.
+    None,
+    /// To [`Command::Edit`].
+    Edit(EditAnswer),
+    /// To [`Command::Claim`].
+    Claim(ClaimAnswer),
+    /// To [`Command::Settle`]: whether this is the recorded end.
+    Settled(bool),
+    /// To [`Command::Join`] and [`Command::Rejoin`].
+    Joined(Incarnation),
+    /// To [`Command::Rejoin`]: another process has taken the name.
+    Replaced,
+}
+
+/// One change of what members need to know.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Change {
+    /// The site was replaced.
+    Site(SiteSpec),
+    /// A row was put or, with none, deleted.
+    Row(crate::ids::RowId, Option<crate::table::Row>),
+    /// A member joined or changed or, with none, was lost.
+    Member(HostName, Option<MemberInfo>),
+    /// A home changed or, with none, ended.
+    Home(TargetName, ModelName, Option<HomeInfo>),
+}
+
+/// How long the state remembers answered edits and claims, in milliseconds.
+pub const RETENTION_MS: u64 = 24 * 3600 * 1000;
+
+/// Pruning scans all records, so it runs once a minute of the state's clock.
+const PRUNE_EVERY_MS: u64 = 60_000;
+
+/// The replicated state.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct SiteState {
+    /// The last applied entry.
+    pub position: Position,
+    /// The highest proposer's clock, in milliseconds since the epoch.
+    pub clock_ms: u64,
+    /// The catalogue and targets.
+    pub site: SiteSpec,
+    /// Rows and answered edits.
+    pub table: TableStore,
+    /// Claims.
+    pub claims: ClaimBook,
+    /// Members in their current lives.
+    pub members: BTreeMap<HostName, MemberInfo>,
+    /// The newest life of each host that ever joined.
+    pub lives: BTreeMap<HostName, Incarnation>,
+    /// Homes by target.
+    pub homes: BTreeMap<TargetName, BTreeMap<ModelName, HomeInfo>>,
+    /// Loads and unloads ordered so far.
+    pub moves: u64,
+    /// When the last load was ordered, in the state's clock.
+    pub last_load_ms: u64,
+    journal: VecDeque<(Position, Change)>,
+    journal_from: Position,
+}
+
+impl SiteState {
+    /// Applies the command at `position`.
+    pub fn apply(&mut self, position: Position, stamped: &Stamped) -> Reply {
+        self.position = position;
+        self.advance_clock(stamped.at_ms);
+        match &stamped.command {
+            Command::Site(site) => self.apply_site(site),
+            Command::Edit(edit) => self.apply_edit(edit),
+            Command::Claim(ask) => Reply::Claim(self.claims.claim(position, self.clock_ms, ask)),
+            Command::Settle(key, attempt, end) => {
+                Reply::Settled(self.claims.settle(key, *attempt, end))
+            }
+            Command::Join(host, role, address, hall) => {
+                let life = Incarnation(position.0);
+                self.apply_join(host, *role, address, hall, life)
+            }
+            Command::Rejoin(host, role, address, hall, life) => match self.lives.get(host) {
+                Some(newest) if newest == life => {
+                    self.apply_join(host, *role, address, hall, *life)
+                }
+                _ => Reply::Replaced,
+            },
+            Command::Leave(host, life) => self.apply_leave(host, *life),
+            Command::Lost(host, life) => self.apply_lost(host, *life),
+            Command::Move(target, model, kind) => self.apply_move(target, model, *kind),
+            Command::Home(target, life, model, report) => {
+                self.apply_home(target, *life, model, *report)
+            }
+        }
+    }
+
+    /// Notes an entry without a command.
+    pub fn skip(&mut self, position: Position) {
+        self.position = position;
+    }
+
+    /// The changes after `cursor`, oldest first; none where the journal no
+    /// longer reaches back so far.
+    pub fn changes_after(&self, cursor: Position) -> Option<Vec<Change>> {
+        if cursor < self.journal_from {
+            return None;
+        }
+        let start = self.journal.partition_point(|(at, _)| *at <= cursor);
+        let changes = self.journal.iter().skip(start);
+        Some(changes.map(|(_, change)| change.clone()).collect())
+    }
+
+    /// Whether anything changed for members after `cursor`.
+    pub fn changed_since(&self, cursor: Position) -> bool {
+        self.journal.back().is_some_and(|(at, _)| *at > cursor)
+    }
+
+    /// Everything a member needs to know, as changes from nothing.
+    pub fn all_changes(&self) -> Vec<Change> {
+        let site = std::iter::once(Change::Site(self.site.clone()));
+        let rows = self.table.rows().iter();
+        let rows = rows.map(|(id, row)| Change::Row(id.clone(), Some(row.clone())));
+        let members = self.members.iter();
+        let members = members.map(|(host, m)| Change::Member(host.clone(), Some(m.clone())));
+        let homes = self.homes.iter().flat_map(|(target, models)| {
+            let change = |(model, home): (&ModelName, &HomeInfo)| {
+                Change::Home(target.clone(), model.clone(), Some(*home))
+            };
+            models.iter().map(change)
+        });
+        site.chain(rows).chain(members).chain(homes).collect()
+    }
+
+    /// The agent that keeps `target`, by the host of the same name.
+    pub fn keeper(&self, target: &TargetName) -> Option<&MemberInfo> {
+        let host = HostName(target.0.clone());
+        let member = self.members.get(&host)?;
+        (member.role == MemberRole::Agent).then_some(member)
+    }
+
+    fn advance_clock(&mut self, at_ms: u64) {
+        let last_ms = self.clock_ms;
+        self.clock_ms = self.clock_ms.max(at_ms);
+        if self.clock_ms / PRUNE_EVERY_MS == last_ms / PRUNE_EVERY_MS {
+            return;
+        }
+        let before_ms = self.clock_ms.saturating_sub(RETENTION_MS);
+        self.table.prune(before_ms);
+        self.claims.prune(before_ms);
+    }
+
+    fn note(&mut self, change: Change) {
+        self.journal.push_back((self.position, change));
+        while self.journal.len() > JOURNAL_LEN {
+            if let Some((dropped, _)) = self.journal.pop_front() {
+                self.journal_from = dropped;
+            }
+        }
+    }
+
+    fn apply_site(&mut self, site: &SiteSpec) -> Reply {
+        if site.generation > self.site.generation {
+            self.site = site.clone();
+            self.note(Change::Site(site.clone()));
+        }
+        Reply::None
+    }
+
+    fn apply_edit(&mut self, edit: &RowEdit) -> Reply {
+        let before = self.table.rows().get(&edit.row).cloned();
+        let answer = self
+            .table
+            .apply(&self.site, self.position, self.clock_ms, edit);
+        let after = self.table.rows().get(&edit.row).cloned();
+        if before != after {
+            self.note(Change::Row(edit.row.clone(), after));
+        }
+        Reply::Edit(answer)
+    }
+
+    fn apply_join(
+        &mut self,
+        host: &HostName,
+        role: MemberRole,
+        address: &str,
+        hall: &HallName,
+        incarnation: Incarnation,
+    ) -> Reply {
+        self.lives.insert(host.clone(), incarnation);
+        let member = MemberInfo {
+            role,
+            incarnation,
+            address: address.to_owned(),
+            hall: hall.clone(),
+            leaving: false,
+        };
+        self.members.insert(host.clone(), member.clone());
+        self.note(Change::Member(host.clone(), Some(member)));
+        Reply::Joined(incarnation)
+    }
+
+    fn apply_leave(&mut self, host: &HostName, life: Incarnation) -> Reply {
+        if let Some(member) = self.members.get_mut(host)
+            && member.incarnation == life
+            && !member.leaving
+        {
+            member.leaving = true;
+            let change = Change::Member(host.clone(), Some(member.clone()));
+            self.note(change);
+        }
+        Reply::None
+    }
+
+    fn apply_lost(&mut self, host: &HostName, life: Incarnation) -> Reply {
+        let current = self.members.get(host).map(|member| member.incarnation);
+        if current == Some(life) {
+            self.members.remove(host);
+            self.note(Change::Member(host.clone(), None));
+            self.drop_homes(&TargetName(host.0.clone()));
+        }
+        Reply::None
+    }
+
+    /// What a lost target still holds is told by its next agent.
+    fn drop_homes(&mut self, target: &TargetName) {
+        let homes = self.homes.remove(target).unwrap_or_default();
+        for model in homes.into_keys() {
+            self.note(Change::Home(target.clone(), model, None));
+        }
+    }
+
+    fn apply_move(&mut self, target: &TargetName, model: &ModelName, kind: MoveKind) -> Reply {
+        let current = self.homes.get(target).and_then(|h| h.get(model)).copied();
+        let phase = match (kind, current.map(|home| home.phase)) {
+            (MoveKind::Load, None | Some(HomePhase::Unloading)) => HomePhase::Loading,
+            (MoveKind::Unload, Some(HomePhase::Loading | HomePhase::Ready)) => HomePhase::Unloading,
+            _ => return Reply::None,
+        };
+        if phase == HomePhase::Loading {
+            self.last_load_ms = self.clock_ms;
+        }
+        self.moves += 1;
+        let order = self.position;
+        self.set_home(target, model, Some(HomeInfo { phase, order }));
+        Reply::None
+    }
+
+    fn apply_home(
+        &mut self,
+        target: &TargetName,
+        life: Incarnation,
+        model: &ModelName,
+        report: HomeReport,
+    ) -> Reply {
+        let keeper = self.keeper(target).map(|member| member.incarnation);
+        if keeper != Some(life) {
+            return Reply::None;
+        }
+        let current = self.homes.get(target).and_then(|h| h.get(model)).copied();
+        let order = current.map_or(self.position, |home| home.order);
+        let ready = HomeInfo {
+            phase: HomePhase::Ready,
+            order,
+        };
+        match (report, current.map(|home| home.phase)) {
+            (HomeReport::Resident, None | Some(HomePhase::Loading)) => {
+                self.set_home(target, model, Some(ready))
+            }
+            (HomeReport::Absent, Some(_)) => self.set_home(target, model, None),
+            _ => {}
+        }
+        Reply::None
+    }
+
+    fn set_home(&mut self, target: &TargetName, model: &ModelName, home: Option<HomeInfo>) {
+        let homes = self.homes.entry(target.clone()).or_default();
+        match home {
+            Some(info) => homes.insert(model.clone(), info),
+            None => homes.remove(model),
+        };
+        self.note(Change::Home(target.clone(), model.clone(), home));
+    }
+}
--- /dev/null
+++ b/src/view.rs
@@ -0,0 +1,145 @@
+//! What a member knows of the site: a copy that follows the log and never goes back.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{HostName, ModelName, PartnerName, Position, RowId, TargetName};
+use crate::site::SiteSpec;
+use crate::state::{Change, HomeInfo, HomePhase, MemberInfo, SiteState};
+use crate::table::Row;
+
+/// A part of the log's changes, from a cursor on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SyncPage {
+    /// The cursor asked from; none where the page starts from nothing.
+    pub from: Option<Position>,
+    /// The position after the page.
+    pub to: Position,
+    /// The changes, oldest first.
+    pub changes: Vec<Change>,
+}
+
+/// Cuts the page that a member with `cursor` needs.
+pub fn page_after(state: &SiteState, cursor: Position) -> SyncPage {
+    let to = state.position;
+    match state.changes_after(cursor) {
+        Some(changes) if cursor > Position(0) => SyncPage {
+            from: Some(cursor),
+            to,
+            changes,
+        },
+        _ => SyncPage {
+            from: None,
+            to,
+            changes: state.all_changes(),
+        },
+    }
+}
+
+/// A member's copy.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct SiteView {
+    /// How far it has followed the log.
+    pub position: Position,
+    /// The catalogue and targets.
+    pub site: SiteSpec,
+    /// The table.
+    pub rows: BTreeMap<RowId, Row>,
+    /// Members in their current lives.
+    pub members: BTreeMap<HostName, MemberInfo>,
+    /// Homes by model.
+    pub homes: BTreeMap<ModelName, BTreeMap<TargetName, HomeInfo>>,
+    /// Rows by what a caller names, so that a lookup costs no scan.
+    by_class: BTreeMap<(PartnerName, ModelName, String), RowId>,
+}
+
+impl SiteView {
+    /// Follows one page. A page that is not ahead, or that starts past this
+    /// copy, changes nothing. Returns whether it was followed.
+    pub fn follow(&mut self, page: &SyncPage) -> bool {
+        match page.from {
+            _ if page.to <= self.position => return false,
+            Some(from) if from > self.position => return false,
+            Some(_) => {}
+            None => *self = Self::default(),
+        }
+        for change in &page.changes {
+            self.apply(change);
+        }
+        self.position = page.to;
+        true
+    }
+
+    /// The row for what a caller names.
+    pub fn find_row(
+        &self,
+        partner: &PartnerName,
+        model: &ModelName,
+        class: &str,
+    ) -> Option<(&RowId, &Row)> {
+        let slot = (partner.clone(), model.clone(), class.to_owned());
+        self.rows.get_key_value(self.by_class.get(&slot)?)
+    }
+
+    /// The targets that are ready for `model`, with their keepers, but for those leaving.
+    pub fn ready_homes<'a>(
+        &'a self,
+        model: &ModelName,
+    ) -> impl Iterator<Item = (&'a TargetName, &'a MemberInfo)> {
+        let homes = self.homes.get(model).into_iter().flatten();
+        homes
+            .filter(|(_, home)| home.phase == HomePhase::Ready)
+            .filter_map(|(target, _)| Some((target, self.keeper(target)?)))
+            .filter(|(_, member)| !member.leaving)
+    }
+
+    /// The agent that keeps `target`.
+    pub fn keeper(&self, target: &TargetName) -> Option<&MemberInfo> {
+        self.members.get(&HostName(target.0.clone()))
+    }
+
+    fn apply(&mut self, change: &Change) {
+        match change {
+            Change::Site(site) => self.site = site.clone(),
+            Change::Row(id, row) => self.apply_row(id, row.as_ref()),
+            Change::Member(host, Some(member)) => {
+                self.members.insert(host.clone(), member.clone());
+            }
+            Change::Member(host, None) => {
+                self.members.remove(host);
+            }
+            Change::Home(target, model, home) => self.apply_home(target, model, *home),
+        }
+    }
+
+    fn apply_row(&mut self, id: &RowId, row: Option<&Row>) {
+        if let Some(old) = self.rows.remove(id) {
+            self.by_class.remove(&class_slot(&old));
+        }
+        if let Some(row) = row {
+            self.by_class.insert(class_slot(row), id.clone());
+            self.rows.insert(id.clone(), row.clone());
+        }
+    }
+
+    fn apply_home(&mut self, target: &TargetName, model: &ModelName, home: Option<HomeInfo>) {
+        let homes = self.homes.entry(model.clone()).or_default();
+        match home {
+            Some(info) => homes.insert(target.clone(), info),
+            None => homes.remove(target),
+        };
+        if homes.is_empty() {
+            self.homes.remove(model);
+        }
+    }
+}
+
+fn class_slot(row: &Row) -> (PartnerName, ModelName, String) {
+    let fields = &row.fields;
+    (
+        row.partner.clone(),
+        fields.model.clone(),
+        fields.class.clone(),
+    )
+}
