--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,176 @@
+//! The calls between the system's own processes.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::claims::ClaimRecord;
+use crate::duties::{AgentBeat, EntryBeat};
+use crate::gate::{AttemptWord, RunAsk, TargetPlan};
+use crate::ids::{AttemptId, HostName, Incarnation, NodeId, Position, RowId, Term};
+use crate::raft::RaftMessage;
+use crate::state::{Command, Reply, SiteState};
+use crate::table::Row;
+use crate::view::SyncPage;
+
+/// Raised with each change of a type on the wire; peers of other versions are refused.
+pub const PROTOCOL: u32 = 1;
+
+/// Why control did not do what was asked.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ControlRefusal {
+    /// Another voter leads, at this address if known.
+    NotLeader(Option<String>),
+    /// No quorum confirmed it in time: it may or may not take effect.
+    NoQuorum,
+    /// The process stops.
+    Stopping,
+}
+
+/// The answer to an agent's beat.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentOrders {
+    /// The whole wish for its target; none where its life has ended: it must
+    /// join again.
+    pub plan: Option<TargetPlan>,
+    /// The newest position of the log.
+    pub position: Position,
+}
+
+/// The answer to an entry's beat.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryOrders {
+    /// Shares of row limits above the floor.
+    pub grants: BTreeMap<RowId, u32>,
+    /// Its life has ended: it must join again.
+    pub rejoin: bool,
+    /// The newest position of the log.
+    pub position: Position,
+}
+
+/// A row with how far it is in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RowStatus {
+    /// The row.
+    pub row: Row,
+    /// Processes that follow its version.
+    pub in_force: usize,
+    /// All processes.
+    pub members: usize,
+    /// The processes that do not, at most a few.
+    pub lagging: Vec<HostName>,
+    /// Ready homes of its model.
+    pub homes: Vec<String>,
+}
+
+/// The table as operators read it back.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TableStatus {
+    /// The log position it was read at.
+    pub position: Position,
+    /// The rows.
+    pub rows: BTreeMap<RowId, RowStatus>,
+}
+
+/// A voter's account of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlStatus {
+    /// Its host.
+    pub host: HostName,
+    /// Its disk.
+    pub node: NodeId,
+    /// Its term.
+    pub term: Term,
+    /// The leader's host, as far as it knows.
+    pub leader: Option<HostName>,
+    /// Whether it may decide now.
+    pub decides: bool,
+    /// The voters' disks.
+    pub voters: Vec<NodeId>,
+    /// How far it has applied the log.
+    pub position: Position,
+    /// Members that live.
+    pub members: BTreeMap<HostName, crate::state::MemberInfo>,
+    /// Moves so far.
+    pub moves: u64,
+    /// Claims kept.
+    pub claims: usize,
+}
+
+/// Calls to control hosts.
+#[tarpc::service]
+pub trait ControlWire {
+    /// A voter's message to another.
+    async fn raft(from: NodeId, host: HostName, message: RaftMessage);
+    /// A process with a blank disk asks to be made a voter.
+    async fn enroll(node: NodeId, host: HostName);
+    /// The changes after a cursor, waiting up to `wait_ms` for one. With
+    /// `fresh`, only from a state that nothing newer can exist besides.
+    async fn sync(cursor: Position, wait_ms: u64, fresh: bool) -> Result<SyncPage, ControlRefusal>;
+    /// Commits a command.
+    async fn propose(command: Command) -> Result<(Position, Reply), ControlRefusal>;
+    /// An agent's beat.
+    async fn agent_beat(beat: AgentBeat) -> Result<AgentOrders, ControlRefusal>;
+    /// An entry's beat.
+    async fn entry_beat(beat: EntryBeat) -> Result<EntryOrders, ControlRefusal>;
+    /// The table, by a linearizable read.
+    async fn table() -> Result<TableStatus, ControlRefusal>;
+    /// Looks a claim up, by a linearizable read.
+    async fn claim(key: crate::claims::ClaimKey) -> Result<Option<ClaimRecord>, ControlRefusal>;
+    /// This voter's account of itself.
+    async fn status() -> ControlStatus;
+}
+
+/// An agent's word with its load.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentWord {
+    /// What it says of the attempt.
+    pub word: AttemptWord,
+    /// Queued and running requests.
+    pub load: u32,
+    /// How far the agent follows the log: an entry that is behind catches up.
+    pub position: Position,
+}
+
+/// Calls to agents. Each carries the caller's position, so that an agent that
+/// is behind catches up.
+#[tarpc::service]
+pub trait AgentWire {
+    /// Starts an attempt, once.
+    async fn start(position: Position, ask: RunAsk) -> AgentWord;
+    /// The answer from a piece on, waiting up to `wait_ms` for one.
+    async fn pull(attempt: AttemptId, life: Incarnation, offset: u32, wait_ms: u64) -> AgentWord;
+    /// Ends an attempt that has not started.
+    async fn seal(attempt: AttemptId, life: Incarnation) -> AgentWord;
+    /// Ends an attempt whose caller has gone.
+    async fn cancel(attempt: AttemptId);
+}
+
+/// Cuts a table's status from the newest state.
+pub fn table_status(
+    state: &SiteState,
+    in_force: impl Fn(Position) -> (usize, Vec<HostName>),
+) -> TableStatus {
+    let rows = state.table.rows().iter().map(|(id, row)| {
+        let (members, lagging) = in_force(row.version);
+        let ready = state.homes.iter().filter(|(_, homes)| {
+            let home = homes.get(&row.fields.model);
+            home.is_some_and(|home| home.phase == crate::state::HomePhase::Ready)
+        });
+        let status = RowStatus {
+            row: row.clone(),
+            in_force: members - lagging.len(),
+            members,
+            lagging: lagging.into_iter().take(MAX_LAGGING).collect(),
+            homes: ready.map(|(target, _)| target.0.clone()).collect(),
+        };
+        (id.clone(), status)
+    });
+    TableStatus {
+        position: state.position,
+        rows: rows.collect(),
+    }
+}
+
+/// Most lagging processes named for one row.
+const MAX_LAGGING: usize = 16;
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,539 @@
+//! Starts a whole site as separate processes on loopback, and breaks it.
+
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use dunlinspring::auth;
+use ntex::client::Client;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::net::TcpSocket;
+
+/// Longest wait for a condition that must come; reaching it is a failure.
+const PATIENCE: Duration = Duration::from_secs(60);
+const LOOK: Duration = Duration::from_millis(20);
+
+pub const CALLER: &str = "caller-key-of-fiji";
+pub const OPERATOR: &str = "operator-key-of-fiji";
+pub const OTHER_OPERATOR: &str = "operator-key-of-heredia";
+
+struct Process {
+    program: &'static str,
+    args: Vec<String>,
+    child: Option<Child>,
+    addresses: BTreeMap<String, SocketAddr>,
+}
+
+pub struct TestSite {
+    dir: TempDir,
+    processes: BTreeMap<String, Process>,
+    /// Bound but not listening: keeps the ports of the control hosts.
+    held: Vec<TcpSocket>,
+    control: Vec<(String, SocketAddr)>,
+}
+
+pub fn engine_traits() -> Value {
+    json!({
+        "memory_mib": 1000, "fenced": true, "load_ms": 20, "prefill_us": 1000,
+        "piece_us": 500, "batch_us": 20, "report_lag_ms": 0, "store_url": null,
+    })
+}
+
+pub fn row(model: &str, class: &str) -> Value {
+    json!({
+        "model": model, "class": class, "urgency": "interactive", "weight": 10,
+        "max_running": 64, "patience_ms": 20000,
+    })
+}
+
+pub async fn until<T>(what: &str, mut look: impl AsyncFnMut() -> Option<T>) -> T {
+    let give_up = Instant::now() + PATIENCE;
+    loop {
+        if let Some(found) = look().await {
+            return found;
+        }
+        assert!(Instant::now() < give_up, "waited in vain for {what}");
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+fn program(name: &str) -> PathBuf {
+    match name {
+        "dunlinspring-control" => env!("CARGO_BIN_EXE_dunlinspring-control").into(),
+        "dunlinspring-entry" => env!("CARGO_BIN_EXE_dunlinspring-entry").into(),
+        "dunlinspring-agent" => env!("CARGO_BIN_EXE_dunlinspring-agent").into(),
+        "dunlinspring-standin" => env!("CARGO_BIN_EXE_dunlinspring-standin").into(),
+        _ => panic!("no program {name}"),
+    }
+}
+
+impl TestSite {
+    /// Three control hosts, two entries, three engines and a service with an agent each.
+    pub async fn start() -> Self {
+        Self::start_with(&engine_traits()).await
+    }
+
+    pub async fn start_with(traits: &Value) -> Self {
+        let mut site = Self {
+            dir: TempDir::new().unwrap(),
+            processes: BTreeMap::new(),
+            held: Vec::new(),
+            control: Vec::new(),
+        };
+        std::fs::write(
+            site.dir.path().join("secret"),
+            "a-secret-of-the-test-site\n",
+        )
+        .unwrap();
+        for name in ["c1", "c2", "c3"] {
+            let address = site.hold_port();
+            site.control.push((name.to_owned(), address));
+        }
+        for name in ["c1", "c2", "c3"] {
+            site.start_control(name).await;
+        }
+        for (name, hall) in [("t1", "north"), ("t2", "south"), ("t3", "east")] {
+            site.start_target(name, hall, traits).await;
+        }
+        site.start_service("s1", "north").await;
+        for (name, hall) in [("e1", "north"), ("e2", "south")] {
+            site.start_entry(name, hall).await;
+        }
+        site
+    }
+
+    fn hold_port(&mut self) -> SocketAddr {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_reuseaddr(true).unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = socket.local_addr().unwrap();
+        self.held.push(socket);
+        address
+    }
+
+    fn common(&self, host: &str, hall: &str, listen: SocketAddr) -> Value {
+        let control = self.control.iter();
+        let control: Vec<Value> = control
+            .map(|(host, address)| json!({ "host": host, "address": address }))
+            .collect();
+        json!({
+            "host": host, "hall": hall, "listen": listen, "watch": "127.0.0.1:0",
+            "control": control, "secret_file": self.dir.path().join("secret"),
+            "log": { "filter": "info" },
+        })
+    }
+
+    fn write(&self, name: &str, settings: &Value) -> String {
+        let path = self.dir.path().join(format!("{name}.json"));
+        std::fs::write(&path, settings.to_string()).unwrap();
+        path.display().to_string()
+    }
+
+    fn site_spec() -> Value {
+        let target = |hall: &str| json!({ "hall": hall, "memory_mib": 1000, "kv_floor_mib": 200 });
+        json!({
+            "generation": 1, "load_gap_ms": 0, "loads_at_once": 4,
+            "limits": { "entries": 4, "lease_ms": 2000 },
+            "models": {
+                "review": { "kind": "base", "weights_mib": 300, "kv_kib_per_token": 8 },
+                "draft": { "kind": "base", "weights_mib": 300, "kv_kib_per_token": 8 },
+                "lookup": { "kind": "base", "weights_mib": 300, "kv_kib_per_token": 8 },
+                "review-fj": { "kind": { "adapter": "review" }, "weights_mib": 50 },
+                "seal": { "kind": { "service": ["s1"] }, "weights_mib": 0 },
+            },
+            "targets": {
+                "t1": target("north"), "t2": target("south"), "t3": target("east"),
+                "s1": { "hall": "north", "memory_mib": 0 },
+            },
+        })
+    }
+
+    pub async fn start_control(&mut self, name: &str) {
+        let address = self
+            .control
+            .iter()
+            .find(|(host, _)| host == name)
+            .unwrap()
+            .1;
+        let settings = json!({
+            "common": self.common(name, "north", address),
+            "data_folder": self.dir.path().join(format!("{name}.data")),
+            "timing": { "election_ms": 300, "heartbeat_ms": 50 },
+            "duties": { "loss_ms": 1000, "lease_ms": 800, "round_ms": 50 },
+            "site": Self::site_spec(),
+        });
+        let path = self.write(name, &settings);
+        let found = Command::new(program("dunlinspring-control"))
+            .args(["--found", "--settings", &path])
+            .stderr(Stdio::null())
+            .status()
+            .unwrap();
+        assert!(found.success());
+        let args = vec!["--settings".to_owned(), path];
+        self.add(name, "dunlinspring-control", args).await;
+    }
+
+    pub async fn start_target(&mut self, name: &str, hall: &str, traits: &Value) {
+        let engine = format!("{name}-engine");
+        let args = vec!["--traits".to_owned(), traits.to_string()];
+        self.add(&engine, "dunlinspring-standin", args).await;
+        let check = match traits["fenced"].as_bool() {
+            Some(true) => json!("fenced"),
+            _ => json!({ "late-bound": 300 }),
+        };
+        self.start_agent(name, hall, &engine, 1000, json!([]), check)
+            .await;
+    }
+
+    async fn start_service(&mut self, name: &str, hall: &str) {
+        let service = format!("{name}-service");
+        let args = vec!["--service-ms".to_owned(), "5".to_owned()];
+        self.add(&service, "dunlinspring-standin", args).await;
+        let check = json!({ "late-bound": 300 });
+        self.start_agent(name, hall, &service, 0, json!(["seal"]), check)
+            .await;
+    }
+
+    async fn start_agent(
+        &mut self,
+        name: &str,
+        hall: &str,
+        target: &str,
+        memory_mib: u64,
+        services: Value,
+        check: Value,
+    ) {
+        let settings = json!({
+            "common": self.common(name, hall, "127.0.0.1:0".parse().unwrap()),
+            "target_url": format!("http://{}", self.address(target, "listen")),
+            "check": check, "memory_mib": memory_mib, "services": services,
+            "lease_ms": 800, "report_ms": 20,
+        });
+        let args = vec!["--settings".to_owned(), self.write(name, &settings)];
+        self.add(name, "dunlinspring-agent", args).await;
+    }
+
+    pub async fn start_entry(&mut self, name: &str, hall: &str) {
+        let partner = |caller: &str, operator: &str| {
+            json!({
+                "caller_keys": [auth::digest(caller)],
+                "operator_keys": [auth::digest(operator)],
+            })
+        };
+        let settings = json!({
+            "common": self.common(name, hall, "127.0.0.1:0".parse().unwrap()),
+            "callers": "127.0.0.1:0",
+            "partners": {
+                "fiji": partner(CALLER, OPERATOR),
+                "heredia": partner("caller-key-of-heredia", OTHER_OPERATOR),
+            },
+        });
+        let args = vec!["--settings".to_owned(), self.write(name, &settings)];
+        self.add(name, "dunlinspring-entry", args).await;
+    }
+
+    async fn add(&mut self, name: &str, program: &'static str, args: Vec<String>) {
+        let process = Process {
+            program,
+            args,
+            child: None,
+            addresses: BTreeMap::new(),
+        };
+        self.processes.insert(name.to_owned(), process);
+        self.restart(name).await;
+    }
+
+    /// Starts a process that does not run, and waits until it serves.
+    pub async fn restart(&mut self, name: &str) {
+        let announce = self.dir.path().join(format!("{name}.addresses"));
+        let _ = std::fs::remove_file(&announce);
+        let log = self.dir.path().join(format!("{name}.log"));
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(log)
+            .unwrap();
+        let process = self.processes.get_mut(name).unwrap();
+        let child = Command::new(program(process.program))
+            .args(&process.args)
+            .arg("--announce")
+            .arg(&announce)
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        process.child = Some(child);
+        let line = until(&format!("{name} to start"), async || {
+            let text = std::fs::read_to_string(&announce).ok()?;
+            text.ends_with('\n').then_some(text)
+        })
+        .await;
+        let words: Vec<&str> = line.split_whitespace().collect();
+        process.addresses = words
+            .chunks(2)
+            .map(|pair| (pair[0].to_owned(), pair[1].parse().unwrap()))
+            .collect();
+    }
+
+    /// Kills a process at once.
+    pub fn kill(&mut self, name: &str) {
+        let child = self.processes.get_mut(name).unwrap().child.take();
+        let mut child = child.unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    pub fn signal(&self, name: &str, signal: &str) {
+        let child = self.processes[name].child.as_ref().unwrap();
+        let pid = child.id().to_string();
+        let status = Command::new("kill").args([signal, &pid]).status().unwrap();
+        assert!(status.success());
+    }
+
+    /// Waits for a process that was told to stop; returns whether it ended well.
+    pub async fn ended(&mut self, name: &str) -> bool {
+        let child = self.processes.get_mut(name).unwrap().child.take();
+        let mut child = child.unwrap();
+        let status = until(&format!("{name} to end"), async || {
+            child.try_wait().unwrap()
+        })
+        .await;
+        status.success()
+    }
+
+    /// Loses a control host's disk.
+    pub fn lose_disk(&self, name: &str) {
+        std::fs::remove_dir_all(self.dir.path().join(format!("{name}.data"))).unwrap();
+    }
+
+    pub fn log(&self, name: &str) -> String {
+        std::fs::read_to_string(self.dir.path().join(format!("{name}.log"))).unwrap_or_default()
+    }
+
+    pub fn address(&self, name: &str, what: &str) -> SocketAddr {
+        self.processes[name].addresses[what]
+    }
+
+    fn url(&self, entry: &str, path: &str) -> String {
+        format!("http://{}{path}", self.address(entry, "callers"))
+    }
+
+    /// Puts a row by an entry; returns the status and the body.
+    pub async fn put_row(
+        &self,
+        entry: &str,
+        operator: &str,
+        id: &str,
+        version: u64,
+        edit: &str,
+        fields: &Value,
+    ) -> (u16, Value) {
+        let client = slow_client().await;
+        let answer = client
+            .put(self.url(entry, &format!("/v1/table/rows/{id}")))
+            .bearer_auth(operator)
+            .header("if-match", version.to_string())
+            .header("idempotency-key", edit)
+            .send_json(fields)
+            .await;
+        read_json(answer).await
+    }
+
+    /// Puts a row until control accepts it.
+    pub async fn add_row(&self, id: &str, fields: &Value) -> u64 {
+        until(&format!("row {id} to be accepted"), async || {
+            let edit = format!("add-{id}");
+            let (status, body) = self.put_row("e1", OPERATOR, id, 0, &edit, fields).await;
+            match status {
+                200 => body["version"].as_u64(),
+                503 => None,
+                status => panic!("row {id} was refused: {status} {body}"),
+            }
+        })
+        .await
+    }
+
+    pub async fn table(&self, entry: &str) -> Option<Value> {
+        let client = slow_client().await;
+        let answer = client
+            .get(self.url(entry, "/v1/table"))
+            .bearer_auth(OPERATOR)
+            .send()
+            .await;
+        let (status, body) = read_json(answer).await;
+        (status == 200).then_some(body)
+    }
+
+    /// Waits until a row is in force everywhere and has homes.
+    pub async fn settled(&self, id: &str, homes: usize) {
+        until(&format!("row {id} to settle"), async || {
+            let table = self.table("e1").await?;
+            let rows = table["rows"].as_array()?;
+            let row = rows.iter().find(|row| row["id"] == id)?;
+            let everywhere = row["in_force"] == row["members"];
+            let found = row["homes"].as_array()?.len();
+            (everywhere && found >= homes).then_some(())
+        })
+        .await
+    }
+
+    pub async fn complete(&self, entry: &str, ask: &Ask<'_>) -> Told {
+        let client = slow_client().await;
+        let body = json!({
+            "model": ask.model, "prompt": ask.prompt, "max_tokens": ask.tokens,
+            "stream": ask.stream,
+        });
+        let call = client
+            .post(self.url(entry, "/v1/completions"))
+            .bearer_auth(CALLER)
+            .header("x-request-class", ask.class);
+        let call = match ask.key {
+            Some(key) => call.header("idempotency-key", key),
+            None => call,
+        };
+        told(call.send_json(&body).await).await
+    }
+
+    pub async fn seal(&self, entry: &str, key: &str, document: &str) -> Told {
+        let client = slow_client().await;
+        let call = client
+            .post(self.url(entry, "/services/seal/stamp"))
+            .bearer_auth(CALLER)
+            .header("idempotency-key", key);
+        told(call.send_body(document.to_owned()).await).await
+    }
+
+    /// What a target recorded.
+    pub async fn record(&self, target: &str) -> Value {
+        let client = slow_client().await;
+        let url = format!("http://{}/record", self.address(target, "listen"));
+        let (status, body) = read_json(client.get(url).send().await).await;
+        assert_eq!(status, 200);
+        body
+    }
+
+    pub async fn inject(&self, target: &str, faults: &Value) {
+        let client = slow_client().await;
+        let url = format!("http://{}/faults", self.address(target, "listen"));
+        let answer = client.post(url).send_json(faults).await.unwrap();
+        assert!(answer.status().is_success());
+    }
+}
+
+impl Drop for TestSite {
+    fn drop(&mut self) {
+        for (name, process) in &mut self.processes {
+            if let Some(mut child) = process.child.take() {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+            if std::thread::panicking() {
+                let log = self.dir.path().join(format!("{name}.log"));
+                let text = std::fs::read_to_string(log).unwrap_or_default();
+                let tail: Vec<&str> = text.lines().rev().take(12).collect();
+                for line in tail.iter().rev() {
+                    eprintln!("{name}: {line}");
+                }
+            }
+        }
+    }
+}
+
+pub struct Ask<'a> {
+    pub model: &'a str,
+    pub class: &'a str,
+    pub prompt: &'a str,
+    pub tokens: u32,
+    pub stream: bool,
+    pub key: Option<&'a str>,
+}
+
+/// What a caller was told.
+#[derive(Debug)]
+pub struct Told {
+    pub status: u16,
+    pub outcome: String,
+    pub text: String,
+    pub retry_after: Option<String>,
+}
+
+pub fn whole_text(prompt: &str, tokens: u32) -> String {
+    (0..tokens)
+        .map(|index| dunlinspring::standin::piece_text(prompt, index))
+        .collect()
+}
+
+async fn slow_client() -> Client {
+    let client = Client::builder().disable_timeout();
+    client.build(ntex::SharedCfg::default()).await.unwrap()
+}
+
+type Sent = Result<ntex::client::ClientResponse, ntex::client::error::ClientError>;
+
+async fn read_json(answer: Sent) -> (u16, Value) {
+    let Ok(answer) = answer else {
+        return (0, Value::Null);
+    };
+    let status = answer.status().as_u16();
+    let body = answer.body().limit(16 << 20).await.unwrap_or_default();
+    (status, serde_json::from_slice(&body).unwrap_or(Value::Null))
+}
+
+async fn told(answer: Sent) -> Told {
+    let Ok(answer) = answer else {
+        return Told {
+            status: 0,
+            outcome: String::new(),
+            text: String::new(),
+            retry_after: None,
+        };
+    };
+    let header = |name: &str| {
+        let value = answer.headers().get(name)?;
+        Some(value.to_str().unwrap().to_owned())
+    };
+    let status = answer.status().as_u16();
+    let mut outcome = header("x-outcome").unwrap_or_default();
+    let retry_after = header("retry-after");
+    let streamed = header("content-type").as_deref() == Some("text/event-stream");
+    let body = answer.body().limit(16 << 20).await.unwrap_or_default();
+    let mut text = String::from_utf8(body.to_vec()).unwrap();
+    if streamed {
+        let (joined, last) = read_events(&text);
+        text = joined;
+        outcome = last.unwrap_or_default();
+    } else if let Ok(body) = serde_json::from_str::<Value>(&text)
+        && let Some(whole) = body["choices"][0]["text"].as_str()
+    {
+        text = whole.to_owned();
+    }
+    Told {
+        status,
+        outcome,
+        text,
+        retry_after,
+    }
+}
+
+fn read_events(body: &str) -> (String, Option<String>) {
+    let mut text = String::new();
+    let mut outcome = None;
+    for line in body.lines() {
+        let Some(data) = line.strip_prefix("data: ") else {
+            continue;
+        };
+        let Ok(event) = serde_json::from_str::<Value>(data) else {
+            continue;
+        };
+        match event["choices"][0]["text"].as_str() {
+            Some(piece) => text.push_str(piece),
+            None => outcome = event["outcome"].as_str().map(str::to_owned),
+        }
+    }
+    (text, outcome)
+}
