Stateful fuzzing of the log and of the gate; an engine's reboot no longer loses the account

Two suites by proptest-state-machine against plain oracles. The log's: three voters with drifting clocks, lost, late, doubled and reordered messages, crashes with unsynced tails, lost disks, silent cuts of the leader, resent edits, claims. The gate's: requests, agents and engines (one that may check orders, one that never does), frozen agents that come back, engine reboots, late orders, lost claims.

Found by the gate's suite and mended, each before this commit red: - KV memory of runs that an agent's predecessor started was not counted (seen after 44 sound cases): reports now carry it, and it is adopted. - an engine that reboots forgets its fence, so an agent replaced long ago could start runs its successor did not count (seen after 59,402 cases): orders and runs name the engine's life; the account closes at a reboot until a report under the own fence; runs need control's lease.

Ruled out: waiting out the old agent's lease at every agent start, which closes the same gap but would pause each target for a lease at a restart.

--- a/src/control.rs
+++ b/src/control.rs
@@ -356,7 +356,13 @@
             _ => Vec::new(),
         };
         self.propose_all(commands);
-        self.replace_voters(now_ms);
+        let hosts = &self.hosts;
+        if self
+            .replica
+            .replace_voter(now_ms, |node| hosts.get(&node).cloned())
+        {
+            tracing::info!("changes the voters");
+        }
     }
 
     fn follow_leadership(&mut self, now_ms: u64) {
@@ -386,33 +392,6 @@
         }
     }
 
-    /// A host that came back with a blank disk takes its old disk's place: the
-    /// old one is removed first, then the new one added, one step at a time.
-    fn replace_voters(&mut self, now_ms: u64) {
-        let raft = self.replica.raft();
-        if !raft.may_decide(now_ms) {
-            return;
-        }
-        let Some(learner) = raft.ready_learners().first().copied() else {
-            return;
-        };
-        let host = self.hosts.get(&learner);
-        let mut voters: BTreeSet<NodeId> = raft.voters().clone();
-        let old = voters
-            .iter()
-            .copied()
-            .find(|node| self.hosts.get(node) == host);
-        match old {
-            Some(old) => voters.remove(&old),
-            None => voters.insert(learner),
-        };
-        let heard = |node: &&NodeId| **node == raft.id() || raft.heard_from(**node, now_ms);
-        let alive = voters.iter().filter(heard).count();
-        if alive * 2 > voters.len() && self.replica.raft_mut().propose_voters(voters).is_ok() {
-            tracing::info!(?learner, ?old, "changes the voters");
-        }
-    }
-
     fn finish(&mut self) -> Result<(), JournalError> {
         let now_ms = clock::monotonic_ms();
         let output = self.replica.finish(now_ms);
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -71,6 +71,8 @@
     pub priority: u8,
     /// Refused below the engine's run fence.
     pub fence: OrderSeq,
+    /// Refused by other lives of the engine.
+    pub boot: u64,
 }
 
 /// One event of a completion stream.
@@ -133,6 +135,7 @@
             kv_mib: dispatch.call.kv_mib,
             priority: priority(dispatch.urgency),
             fence: dispatch.fence,
+            boot: dispatch.boot,
         };
         let call = self.http.post(self.at("/v1/completions"));
         let answer = self.answered("run", call.send_json(&body)).await?;
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -154,6 +154,8 @@
     pub urgency: Urgency,
     /// The fence that it runs under.
     pub fence: OrderSeq,
+    /// The engine's life that it is meant for.
+    pub boot: u64,
 }
 
 /// What happened to a run at the engine.
@@ -181,6 +183,8 @@
 pub struct EngineOrder {
     /// Its place.
     pub seq: OrderSeq,
+    /// The engine's life that it is meant for.
+    pub boot: u64,
     /// What to do.
     pub act: OrderAct,
 }
@@ -439,6 +443,9 @@
             self.finish(now_ms, run.attempt, not_run(RefuseCause::Expired, 0));
         }
         self.drop_homeless(now_ms);
+        if self.must_hold_runs(now_ms) {
+            return None;
+        }
         let ledger = &self.ledger;
         let fixed = &self.fixed;
         let running = self.running();
@@ -463,6 +470,7 @@
             call: ask.call.clone(),
             urgency: ask.urgency,
             fence: self.fence,
+            boot: self.boot.unwrap_or_default(),
         })
     }
 
@@ -540,6 +548,7 @@
         if self.order_open || !self.has_lease(now_ms) {
             return None;
         }
+        let boot = self.boot?;
         let act = self.next_act(now_ms)?;
         self.last_seq += 1;
         let seq = OrderSeq {
@@ -558,7 +567,7 @@
             OrderAct::Unload(model) => self.ledger.begin_unload(model, stamp),
         }
         self.order_open = true;
-        Some(EngineOrder { seq, act })
+        Some(EngineOrder { seq, boot, act })
     }
 
     /// Notes that an order's connection closed, whether or not it was answered.
@@ -617,6 +626,12 @@
         self.attempts.len()
     }
 
+    /// An agent that was replaced sends no more runs: its successor could not
+    /// count their memory.
+    fn must_hold_runs(&self, now_ms: u64) -> bool {
+        self.policy.capacity_mib > 0 && !self.has_lease(now_ms)
+    }
+
     fn was_forgotten(&self, attempt: AttemptId) -> bool {
         let floor = self.floors.get(&attempt.entry).copied().unwrap_or(0);
         attempt.entry < self.least_entry || attempt.number <= floor
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -34,8 +34,8 @@
     pub run_fence: OrderSeq,
     /// Models resident or being loaded, with their memory in MiB.
     pub resident: BTreeMap<ModelName, ResidentInfo>,
-    /// Runs in progress.
-    pub running: Vec<AttemptId>,
+    /// Runs in progress, with their KV memory in MiB.
+    pub running: BTreeMap<AttemptId, u64>,
 }
 
 /// A model in an engine's memory.
@@ -107,9 +107,11 @@
     check: OrderCheck,
     models: BTreeMap<ModelName, ModelHold>,
     runs: BTreeMap<AttemptId, RunHold>,
-    /// Until the first report under this life's own fence, all memory counts as taken.
+    /// Until a report under this life's own fence, all memory counts as taken.
     opened: bool,
     open_after_ms: u64,
+    /// The engine's life that this account is of.
+    boot: Option<u64>,
 }
 
 impl MemoryLedger {
@@ -126,6 +128,7 @@
             runs: BTreeMap::new(),
             opened: false,
             open_after_ms,
+            boot: None,
         }
     }
 
@@ -245,10 +248,14 @@
 
     /// Takes a report that was asked for at `asked_ms` of the agent's clock.
     pub fn prove(&mut self, report: &EngineReport, asked_ms: u64, life: Incarnation) {
-        if !self.may_open(report, asked_ms, life) {
+        let reborn = self.boot != Some(report.boot);
+        self.boot = Some(report.boot);
+        if reborn && self.check == OrderCheck::Fenced {
+            self.opened = false;
+        }
+        if !self.opened && !self.open(report, asked_ms, life) {
             return;
         }
-        self.opened = true;
         let check = self.check;
         self.models.retain(|model, hold| {
             let settled = is_settled(check, hold.stamp, report.fence, asked_ms);
@@ -265,7 +272,7 @@
         });
         self.runs.retain(|attempt, run| {
             let settled = is_run_settled(check, run.stamp, report.run_fence, asked_ms);
-            !(run.adrift && settled && !report.running.contains(attempt))
+            !(run.adrift && settled && !report.running.contains_key(attempt))
         });
         self.adopt(report, asked_ms, life);
     }
@@ -287,14 +294,29 @@
                 stamp,
             });
         }
+        for (attempt, mib) in &report.running {
+            self.runs.entry(*attempt).or_insert(RunHold {
+                mib: *mib,
+                stamp,
+                adrift: true,
+            });
+        }
     }
 
-    /// Before the first report that predecessors cannot spoil, nothing is known.
-    fn may_open(&self, report: &EngineReport, asked_ms: u64, life: Incarnation) -> bool {
-        match self.check {
-            OrderCheck::Fenced => report.fence.life == life || self.opened,
-            OrderCheck::LateBound(_) => self.opened || asked_ms > self.open_after_ms,
+    /// Opens the account with a report that nothing sent before can spoil.
+    ///
+    /// An engine that checks orders refuses those for its earlier lives, and
+    /// those below this agent's fence, so such a report is the whole truth.
+    fn open(&mut self, report: &EngineReport, asked_ms: u64, life: Incarnation) -> bool {
+        self.opened = match self.check {
+            OrderCheck::Fenced => report.fence.life == life,
+            OrderCheck::LateBound(_) => asked_ms > self.open_after_ms,
+        };
+        if self.opened && self.check == OrderCheck::Fenced {
+            self.models.clear();
+            self.runs.clear();
         }
+        self.opened
     }
 
     fn fits(&self, mib: u64) -> Result<(), NoMemory> {
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use crate::ids::{NodeId, Position, Term};
+use crate::ids::{HostName, NodeId, Position, Term};
 use crate::raft::{
     DiskImage, DiskRecord, LogEntry, LogMark, LogSnapshot, Payload, ProposeError, RaftCore,
     RaftMessage, RaftTiming,
@@ -81,6 +81,33 @@
         self.raft.propose(bytes)
     }
 
+    /// A host that came back with a blank disk takes its old disk's place: the
+    /// old one is removed first, then the new one added, one step at a time.
+    /// Returns whether a step was proposed.
+    pub fn replace_voter(
+        &mut self,
+        now_ms: u64,
+        host_of: impl Fn(NodeId) -> Option<HostName>,
+    ) -> bool {
+        if !self.raft.may_decide(now_ms) {
+            return false;
+        }
+        let Some(learner) = self.raft.ready_learners().first().copied() else {
+            return false;
+        };
+        let host = host_of(learner);
+        let mut voters: BTreeSet<NodeId> = self.raft.voters().clone();
+        let old = voters.iter().copied().find(|node| host_of(*node) == host);
+        match old {
+            Some(old) => voters.remove(&old),
+            None => voters.insert(learner),
+        };
+        let raft = &self.raft;
+        let heard = |node: &&NodeId| **node == raft.id() || raft.heard_from(**node, now_ms);
+        let alive = voters.iter().filter(heard).count();
+        alive * 2 > voters.len() && self.raft.propose_voters(voters).is_ok()
+    }
+
     /// Handles a message.
     pub fn receive(&mut self, now_ms: u64, from: NodeId, message: RaftMessage) {
         self.raft.receive(now_ms, from, message);
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -222,7 +222,8 @@
             .resident
             .get(&call.model)
             .is_some_and(|info| info.ready);
-        if engine.traits.fenced && call.fence < state.run_fence {
+        let stale = call.fence < state.run_fence || call.boot != state.boot;
+        if engine.traits.fenced && stale {
             return status(StatusCode::CONFLICT);
         }
         if !ready {
@@ -427,7 +428,8 @@
             state.faults.drop_orders -= 1;
             return status(StatusCode::INTERNAL_SERVER_ERROR);
         }
-        if traits.fenced && order.seq <= state.fence {
+        let stale = order.seq <= state.fence || order.boot != state.boot;
+        if traits.fenced && stale {
             state.record.fenced_off += 1;
             return status(StatusCode::CONFLICT);
         }
@@ -505,7 +507,7 @@
             fence: state.fence,
             run_fence: state.run_fence,
             resident: state.resident.clone(),
-            running: live.map(|(id, _)| *id).collect(),
+            running: live.map(|(id, run)| (*id, run.call.kv_mib)).collect(),
         }
     };
     let mut reports = engine
--- /dev/null
+++ b/tests/fuzz/main.rs
@@ -0,0 +1,20 @@
+//! Stateful fuzzing of the core against simple oracles.
+//!
+//! `DUNLINSPRING_CASES` and `DUNLINSPRING_SEED` run more cases, or others.
+
+mod gate;
+mod log;
+
+use proptest::test_runner::{Config, RngSeed};
+
+/// Runs `cases` with a fixed seed, unless the environment asks for others.
+fn config(cases: u32) -> Config {
+    let read = |name: &str| std::env::var(name).ok()?.parse::<u64>().ok();
+    Config {
+        cases: read("DUNLINSPRING_CASES").map_or(cases, |cases| cases as u32),
+        rng_seed: RngSeed::Fixed(read("DUNLINSPRING_SEED").unwrap_or(20_261_202)),
+        max_shrink_iters: 4_000,
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
