Limits, placement and members' copies under fuzzing; four faults mended

Three more suites, each with its oracle: the sum of what runs under a row's limit; homes, room and stillness of placement; members' copies of the log.

Ruled out: moving sole homes by unloading first, which breaks reach.

--- a/src/duties.rs
+++ b/src/duties.rs
@@ -64,6 +64,8 @@
     pub life: Incarnation,
     /// How far it follows the log.
     pub position: Position,
+    /// Number of this beat in its life.
+    pub number: u64,
     /// Its claims on row limits.
     pub limits: BTreeMap<RowId, LimitClaim>,
     /// Requests of each model refused for overload since the last beat.
@@ -143,8 +145,9 @@
             beat.position,
             refused.collect(),
         );
+        let new = self.grantor.is_new(beat.life, beat.number);
         let mut grants = BTreeMap::new();
-        for (row, claim) in &beat.limits {
+        for (row, claim) in beat.limits.iter().filter(|_| new) {
             if let Some(known) = state.table.rows().get(row) {
                 let fields = &known.fields;
                 let share = self.grantor.grant(
--- a/src/entryd.rs
+++ b/src/entryd.rs
@@ -686,6 +686,7 @@
         host: entry.settings.common.host.clone(),
         life: entry.life,
         position: entry.follower.position(),
+        number: asked,
         limits: claims,
         refused: std::mem::take(&mut state.refused),
         stopped,
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -166,21 +166,36 @@
 pub struct ShareGrantor {
     policy: LimitPolicy,
     rows: BTreeMap<RowId, BTreeMap<Incarnation, GivenShare>>,
-    /// An earlier leader's leases may run until then.
-    quiet_until_ms: u64,
+    /// The newest ask of each entry.
+    asked: BTreeMap<Incarnation, u64>,
+    since_ms: u64,
 }
 
 impl ShareGrantor {
-    /// A new leader's account. `longest_run_ms` bounds how long requests of an
-    /// entry that fell silent may still run.
+    /// A new leader's account.
     pub fn new(policy: LimitPolicy, now_ms: u64) -> Self {
         Self {
             policy,
             rows: BTreeMap::new(),
-            quiet_until_ms: now_ms + policy.lease_ms,
+            asked: BTreeMap::new(),
+            since_ms: now_ms,
         }
     }
 
+    /// Whether this ask is newer than all before it. An older or doubled one
+    /// is not granted again: it says less than the entry holds by now.
+    pub fn is_new(&mut self, entry: Incarnation, asked: u64) -> bool {
+        let newest = self.asked.entry(entry).or_default();
+        let new = asked > *newest;
+        *newest = (*newest).max(asked);
+        new
+    }
+
+    /// Forgets entries that `keep` no longer names.
+    pub fn retain(&mut self, keep: impl Fn(Incarnation) -> bool) {
+        self.asked.retain(|entry, _| keep(*entry));
+    }
+
     /// Grants one entry its share of one row above the floor.
     ///
     /// `patience_ms` is the row's: requests that run when a lease ends count
@@ -207,7 +222,10 @@
             0 => 0,
             all => (u64::from(pool) * u64::from(claim.wanted) / all) as u32,
         };
-        let share = match now_ms < self.quiet_until_ms {
+        // What runs under an earlier leader's leases is not known yet: until it
+        // has ended, entries keep what they hold and get no more.
+        let quiet_until_ms = self.since_ms + self.policy.lease_ms + patience_ms;
+        let share = match now_ms < quiet_until_ms {
             true => claim.held.min(free),
             false => fair.max(claim.wanted.min(1)).min(free),
         };
--- a/src/packing.rs
+++ b/src/packing.rs
@@ -17,10 +17,30 @@
 pub fn pack<'a>(
     site: &'a SiteSpec,
     wanted: impl Iterator<Item = &'a ModelName>,
+) -> Result<Layout, ModelName> {
+    let targets = site.targets.iter();
+    let mut bins = bins(targets.filter(|(_, spec)| spec.memory_mib > 0));
+    bins.drain(..site.spare_targets.min(bins.len()));
+    pack_into(site, bins, wanted)
+}
+
+/// Packs as [`pack`] does, into the named targets and without spares.
+pub fn pack_live<'a>(
+    site: &'a SiteSpec,
+    live: impl Iterator<Item = &'a TargetName>,
+    wanted: impl Iterator<Item = &'a ModelName>,
+) -> Result<Layout, ModelName> {
+    let targets = live.filter_map(|target| site.targets.get_key_value(target));
+    pack_into(site, bins(targets), wanted)
+}
+
+fn pack_into<'a>(
+    site: &'a SiteSpec,
+    mut bins: Vec<Bin<'a>>,
+    wanted: impl Iterator<Item = &'a ModelName>,
 ) -> Result<Layout, ModelName> {
     let mut families = families(site, wanted)?;
     families.sort_by(|a, b| b.mib.cmp(&a.mib).then(a.base.cmp(b.base)));
-    let mut bins = bins(site);
     let mut layout = Layout::new();
     for family in &families {
         let fits = bins.iter_mut().find(|bin| bin.free_mib >= family.mib);
@@ -94,19 +114,14 @@
     Ok(families.into_values().collect())
 }
 
-fn bins(site: &SiteSpec) -> Vec<Bin<'_>> {
-    let mut targets: Vec<(&TargetName, &TargetSpec)> = site
-        .targets
-        .iter()
-        .filter(|(_, spec)| spec.memory_mib > 0)
-        .collect();
-    targets.sort_by(|a, b| b.1.room_mib().cmp(&a.1.room_mib()).then(a.0.cmp(b.0)));
-    targets
-        .into_iter()
-        .skip(site.spare_targets)
+/// Bins in order of their room, the largest first.
+fn bins<'a>(targets: impl Iterator<Item = (&'a TargetName, &'a TargetSpec)>) -> Vec<Bin<'a>> {
+    let mut bins: Vec<Bin<'_>> = targets
         .map(|(target, spec)| Bin {
             target,
             free_mib: spec.room_mib(),
         })
-        .collect()
+        .collect();
+    bins.sort_by(|a, b| b.free_mib.cmp(&a.free_mib).then(a.target.cmp(b.target)));
+    bins
 }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -1,9 +1,10 @@
 //! Decides which models move: repair first, then spread, then what demand is worth.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::ids::{HallName, ModelName, TargetName};
-use crate::packing;
+use crate::packing::{self, Layout};
 use crate::site::{ModelKind, SiteSpec};
 use crate::state::{HomeInfo, HomePhase, MoveKind, SiteState};
 
@@ -69,18 +70,28 @@
     let mut board = PlaceBoard::new(state);
     let mut moves = Vec::new();
     let wanted = packing::resident_set(&state.site, state.table.models());
-    // Bases come before the adapters that need them.
+    // Bases come before the adapters that need them, large ones before small:
+    // they are the hardest to place.
     let mut ordered: Vec<&ModelName> = wanted.iter().copied().collect();
-    ordered.sort_by_key(|model| (board.base_of(model).is_some(), *model));
+    ordered.sort_by_key(|model| {
+        let adapter = board.base_of(model).is_some();
+        (adapter, Reverse(board.mib(model)), *model)
+    });
     let permits = load_permits(state);
-    for model in &ordered {
-        if board.homes(model) == 0 {
-            board.add_home(model, &wanted, &mut moves);
-        }
+    let homeless: Vec<&ModelName> = ordered
+        .iter()
+        .copied()
+        .filter(|model| board.homes(model) == 0)
+        .collect();
+    for model in &homeless {
+        board.add_home(model, &wanted, &mut moves);
     }
-    for model in &ordered {
-        if board.homes(model) > 0 && board.homes(model) < policy.spread {
-            board.add_spare(model, &mut moves);
+    // A spare home must not take the room that is being made for a first one.
+    if homeless.is_empty() {
+        for model in &ordered {
+            if board.homes(model) < policy.spread {
+                board.add_spare(model, &mut moves);
+            }
         }
     }
     if policy.by_demand && moves.is_empty() {
@@ -255,37 +266,45 @@
         }
     }
 
-    /// Models on a target that may go: unwanted ones, and those with another
-    /// ready home. A base goes only without its adapters.
+    /// Whether a home may go: nobody wants the model, or it has another ready
+    /// home. A base goes only without its adapters.
+    fn is_dispensable(
+        &self,
+        board: &BoardTarget<'a>,
+        model: &ModelName,
+        wanted: &BTreeSet<&'a ModelName>,
+    ) -> bool {
+        let ready = self.targets.values().filter(|other| {
+            let home = other.homes.get(model);
+            home.is_some_and(|home| home.phase == HomePhase::Ready)
+        });
+        let missed = wanted.contains(model) && ready.count() <= 1;
+        !missed && !self.carries(board, model)
+    }
+
+    /// Whether adapters of the model are on the target.
+    fn carries(&self, board: &BoardTarget<'a>, model: &ModelName) -> bool {
+        let mut neighbours = board.homes.keys();
+        neighbours.any(|other| self.base_of(other) == Some(model))
+    }
+
+    /// The homes on a target that may go, each by itself, those missed least first.
     fn dispensable(
         &self,
         board: &BoardTarget<'a>,
         wanted: &BTreeSet<&'a ModelName>,
     ) -> Vec<&'a ModelName> {
-        let carries = |base: &ModelName| {
-            let mut adapters = board.homes.keys();
-            adapters.any(|model| self.base_of(model) == Some(base))
-        };
-        let spare = |model: &ModelName| {
-            let boards = self.targets.values();
-            let ready = boards.filter(|other| {
-                let home = other.homes.get(model);
-                home.is_some_and(|home| home.phase == HomePhase::Ready)
-            });
-            ready.count() > 1
-        };
         let homes = board.homes.iter();
         let homes = homes.filter(|(_, home)| home.phase != HomePhase::Unloading);
-        let models = homes.map(|(model, _)| *model);
-        let mut models: Vec<&ModelName> = models
-            .filter(|model| !carries(model) && (!wanted.contains(*model) || spare(model)))
+        let mut models: Vec<&ModelName> = homes
+            .map(|(model, _)| *model)
+            .filter(|model| self.is_dispensable(board, model, wanted))
             .collect();
         models.sort_by_key(|model| (wanted.contains(model), self.mib(model)));
         models
     }
 
-    /// Unloads what can be spared on the target where that gives the room, or
-    /// moves a sole home elsewhere so that it can be spared later.
+    /// Unloads what can be spared on the target where that takes least.
     fn make_room(
         &mut self,
         model: &ModelName,
@@ -320,7 +339,8 @@
                     self.unload(target, spare, moves);
                 }
             }
-            None => self.shift_sole_home(model, moves),
+            None if self.eject(model, wanted, moves) => {}
+            None => self.follow_packing(wanted, moves),
         }
     }
 
@@ -339,27 +359,120 @@
         }
     }
 
-    /// Room is there but split: a small sole home moves into a gap elsewhere,
-    /// by loading first.
-    fn shift_sole_home(&mut self, model: &ModelName, moves: &mut Vec<PlaceMove>) {
+    /// Room is there but split: gives one sole home that is in the way a second
+    /// home elsewhere, so that the first can go later.
+    fn eject(
+        &mut self,
+        model: &ModelName,
+        wanted: &BTreeSet<&'a ModelName>,
+        moves: &mut Vec<PlaceMove>,
+    ) -> bool {
         let need = self.mib(model);
-        let movable = self.targets.iter().flat_map(|(target, board)| {
-            board
-                .homes
-                .iter()
-                .map(move |(model, home)| (*target, board, *model, *home))
-        });
-        let helpful = movable.filter(|(_, board, sole, home)| {
-            home.phase == HomePhase::Ready
-                && self.homes(sole) == 1
-                && self.mib(sole) < need
-                && board.free_mib + self.mib(sole) >= need
-        });
-        let step = helpful
-            .filter_map(|(_, _, sole, _)| Some((self.mib(sole), self.fitting(sole)?, sole)))
-            .min_by_key(|(mib, target, _)| (*mib, *target));
-        if let Some((_, target, sole)) = step {
-            self.load(target, sole, moves);
+        let base = self.base_of(model);
+        let mut best: Option<(u64, &'a TargetName, &'a ModelName)> = None;
+        for board in self.targets.values() {
+            if !base.is_none_or(|base| Self::is_home(board, base)) {
+                continue;
+            }
+            let spare = self.dispensable(board, wanted);
+            let spare: u64 = spare.iter().map(|model| self.mib(model)).sum();
+            let room = board.free_mib + spare + self.unloading_mib(board);
+            for (sole, home) in &board.homes {
+                let mib = self.mib(sole);
+                let stuck = home.phase == HomePhase::Ready && self.homes(sole) == 1;
+                let helps = room + mib >= need && Some(*sole) != base;
+                let cheaper = best.is_none_or(|(least, _, _)| mib < least);
+                if stuck && helps && cheaper && !self.carries(board, sole) {
+                    best = self
+                        .fitting(sole)
+                        .map(|target| (mib, target, *sole))
+                        .or(best);
+                }
+            }
+        }
+        match best {
+            Some((_, target, sole)) => {
+                self.load(target, sole, moves);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Goes over, step by step, to a layout that is known to fit, always
+    /// loading before unloading.
+    fn follow_packing(&mut self, wanted: &BTreeSet<&'a ModelName>, moves: &mut Vec<PlaceMove>) {
+        let live = self.targets.keys().copied();
+        let Ok(layout) = packing::pack_live(self.site, live, wanted.iter().copied()) else {
+            return;
+        };
+        let before = moves.len();
+        self.clear_for(&layout, wanted, moves);
+        for (model, target) in &layout {
+            let Some((target, board)) = self.targets.get_key_value(target) else {
+                continue;
+            };
+            let base = self.base_of(model);
+            let based = base.is_none_or(|base| Self::is_home(board, base));
+            let fits = board.free_mib >= self.mib(model);
+            if based && fits && !board.homes.contains_key(model) {
+                self.load(target, model, moves);
+            }
+        }
+        if moves.len() == before {
+            self.borrow_room(&layout, moves);
+        }
+    }
+
+    /// The models that the layout puts on a target and that are not there.
+    fn missing(&self, layout: &Layout, target: &TargetName) -> u64 {
+        let board = &self.targets[target];
+        let here = layout.iter().filter(|(_, home)| *home == target);
+        let missing = here.filter(|(model, _)| !board.homes.contains_key(model));
+        missing.map(|(model, _)| self.mib(model)).sum()
+    }
+
+    /// Unloads what may go from targets that need the room.
+    fn clear_for(
+        &mut self,
+        layout: &Layout,
+        wanted: &BTreeSet<&'a ModelName>,
+        moves: &mut Vec<PlaceMove>,
+    ) {
+        let targets: Vec<&'a TargetName> = self.targets.keys().copied().collect();
+        for target in targets {
+            let missing = self.missing(layout, target);
+            for model in self.dispensable(&self.targets[target], wanted) {
+                let board = &self.targets[target];
+                let short = board.free_mib + self.unloading_mib(board) < missing;
+                let misplaced = layout.get(model) != Some(target);
+                // An unload before may have made this the last ready home.
+                if short && misplaced && self.is_dispensable(board, model, wanted) {
+                    self.unload(target, model, moves);
+                }
+            }
+        }
+    }
+
+    /// A ring of models that wait for each other's room: one of them gets a
+    /// further home wherever there is any.
+    fn borrow_room(&mut self, layout: &Layout, moves: &mut Vec<PlaceMove>) {
+        let mut stuck = Vec::new();
+        for (target, board) in &self.targets {
+            let short = board.free_mib < self.missing(layout, target);
+            for model in board.homes.keys().filter(|_| short) {
+                let misplaced = layout.get(*model) != Some(*target);
+                if misplaced && self.homes(model) == 1 && !self.carries(board, model) {
+                    stuck.push((self.mib(model), *model));
+                }
+            }
+        }
+        stuck.sort();
+        let step = stuck
+            .into_iter()
+            .find_map(|(_, model)| Some((self.fitting(model)?, model)));
+        if let Some((target, model)) = step {
+            self.load(target, model, moves);
         }
     }
 
--- a/tests/fuzz/main.rs
+++ b/tests/fuzz/main.rs
@@ -3,7 +3,10 @@
 //! `DUNLINSPRING_CASES` and `DUNLINSPRING_SEED` run more cases, or others.
 
 mod gate;
+mod limits;
 mod log;
+mod place;
+mod view;
 
 use proptest::test_runner::{Config, RngSeed};
 
--- /dev/null
+++ b/tests/fuzz/view.rs
@@ -0,0 +1,186 @@
+//! Members follow the log: late, doubled, reordered and lost pages from voters
+//! that lag, restarts, and gaps longer than the journal.
+
+use std::collections::BTreeMap;
+
+use dunlinspring::ids::*;
+use dunlinspring::state::{Command, JOURNAL_LEN, MemberRole, SiteState, Stamped};
+use dunlinspring::view::{SiteView, SyncPage, page_after};
+use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+
+const MEMBERS: usize = 3;
+const HOSTS: usize = 4;
+
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Commits joins and leaves of hosts.
+    Commit {
+        host: usize,
+        times: usize,
+    },
+    /// More changes than the journal holds.
+    Flood,
+    /// Remembers the state as a lagging voter still has it.
+    Lag,
+    Ask {
+        member: usize,
+        lagging: bool,
+    },
+    Deliver {
+        pick: usize,
+        double: bool,
+    },
+    Lose {
+        pick: usize,
+    },
+    Restart {
+        member: usize,
+    },
+}
+
+pub struct ViewScript;
+
+impl ReferenceStateMachine for ViewScript {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        let member = 0..MEMBERS;
+        prop_oneof![
+            30 => (0..HOSTS, 1usize..4).prop_map(|(host, times)| Step::Commit { host, times }),
+            1 => Just(Step::Flood),
+            5 => Just(Step::Lag),
+            30 => (member.clone(), any::<bool>())
+                .prop_map(|(member, lagging)| Step::Ask { member, lagging }),
+            40 => (any::<usize>(), any::<bool>())
+                .prop_map(|(pick, double)| Step::Deliver { pick, double }),
+            5 => any::<usize>().prop_map(|pick| Step::Lose { pick }),
+            5 => member.prop_map(|member| Step::Restart { member }),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+pub struct ViewWorld {
+    state: SiteState,
+    lagging: SiteState,
+    /// The members known at each position, by the plainest record.
+    truth: BTreeMap<Position, BTreeMap<HostName, Incarnation>>,
+    views: Vec<SiteView>,
+    bag: Vec<(usize, SyncPage)>,
+}
+
+impl ViewWorld {
+    fn commit(&mut self, host: usize) {
+        let position = Position(self.state.position.0 + 1);
+        let host = HostName(format!("h{host}"));
+        let command = match self.state.members.get(&host) {
+            Some(member) if position.0.is_multiple_of(2) => Command::Lost(host, member.incarnation),
+            _ => Command::Join(host, MemberRole::Entry, String::new(), HallName::from("x")),
+        };
+        let at_ms = position.0;
+        self.state.apply(position, &Stamped { at_ms, command });
+        let members = self.state.members.iter();
+        let members = members.map(|(host, member)| (host.clone(), member.incarnation));
+        self.truth.insert(position, members.collect());
+    }
+
+    fn check(&self) {
+        for view in &self.views {
+            let members = view.members.iter();
+            let seen: BTreeMap<HostName, Incarnation> = members
+                .map(|(host, member)| (host.clone(), member.incarnation))
+                .collect();
+            let truth = self.truth.get(&view.position).cloned().unwrap_or_default();
+            assert_eq!(
+                seen, truth,
+                "a member's copy at {} is not the log's",
+                view.position
+            );
+        }
+    }
+}
+
+pub struct ViewTest;
+
+impl StateMachineTest for ViewTest {
+    type SystemUnderTest = ViewWorld;
+    type Reference = ViewScript;
+
+    fn init_test((): &()) -> ViewWorld {
+        ViewWorld {
+            state: SiteState::default(),
+            lagging: SiteState::default(),
+            truth: BTreeMap::new(),
+            views: vec![SiteView::default(); MEMBERS],
+            bag: Vec::new(),
+        }
+    }
+
+    fn apply(mut world: ViewWorld, (): &(), step: Step) -> ViewWorld {
+        let before: Vec<Position> = world.views.iter().map(|view| view.position).collect();
+        let mut restarted = None;
+        match step {
+            Step::Commit { host, times } => (0..times).for_each(|_| world.commit(host)),
+            Step::Flood => (0..JOURNAL_LEN + 10).for_each(|at| world.commit(at % HOSTS)),
+            Step::Lag => world.lagging = world.state.clone(),
+            Step::Ask { member, lagging } => {
+                let state = match lagging {
+                    true => &world.lagging,
+                    false => &world.state,
+                };
+                let page = page_after(state, world.views[member].position);
+                world.bag.push((member, page));
+            }
+            Step::Deliver { pick, double } if !world.bag.is_empty() => {
+                let at = pick % world.bag.len();
+                let (member, page) = match double {
+                    true => world.bag[at].clone(),
+                    false => world.bag.swap_remove(at),
+                };
+                world.views[member].follow(&page);
+            }
+            Step::Lose { pick } if !world.bag.is_empty() => {
+                let at = pick % world.bag.len();
+                world.bag.swap_remove(at);
+            }
+            Step::Deliver { .. } | Step::Lose { .. } => {}
+            Step::Restart { member } => {
+                world.views[member] = SiteView::default();
+                restarted = Some(member);
+            }
+        }
+        for (member, view) in world.views.iter().enumerate() {
+            let back = view.position < before[member];
+            assert!(!back || restarted == Some(member), "a position went back");
+        }
+        world.check();
+        world
+    }
+
+    fn teardown(mut world: ViewWorld, (): ()) {
+        for view in &mut world.views {
+            let page = page_after(&world.state, view.position);
+            view.follow(&page);
+            assert_eq!(
+                view.position, world.state.position,
+                "one page is not enough"
+            );
+        }
+        world.check();
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(super::config(150))]
+
+    #[test]
+    fn copies_follow_the_log_and_never_go_back(sequential 1..80 => ViewTest);
+}
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -46,3 +46,37 @@
 mutant version-not-checked src/table.rs 's/_ if version != edit\.expected => \{/_ if false \&\& version != edit.expected => {/' fuzz $log
 mutant claim-taken-twice src/claims.rs 's/\(Some\(record\), _\) if record\.settled != Some\(Settlement::NotRun\) =>/(Some(record), _) if false \&\& record.settled != Some(Settlement::NotRun) =>/' fuzz $log
 mutant lost-disk-votes-again tests/fuzz/log.rs 's/self\.voters\[voter\]\.id = id;\n        self\.voters\[voter\]\.disk = DiskImage::default\(\);/let founders = (0..VOTERS as u64).map(NodeId).collect();\n        self.voters[voter].disk = LogReplica::founding_image(founders);/' fuzz $log
+gate=outcomes_memory_and_runs_are_true
+mutant memory-freed-at-order src/ledger.rs 's/hold\.phase = HoldPhase::Unloading;\n            hold\.stamp = stamp;/hold.phase = HoldPhase::Unloading;\n            hold.mib = 0;\n            hold.stamp = stamp;/' fuzz $gate
+mutant unanswered-load-not-counted src/ledger.rs 's/None => !settled,/None => false,/' fuzz $gate
+mutant account-open-at-once src/ledger.rs 's/OrderCheck::Fenced => report\.fence\.life == life,/OrderCheck::Fenced => true,/' fuzz $gate
+mutant no-wait-for-late-orders src/gate.rs 's/let open_after_ms = now_ms \+ policy\.lease_ms \+ late;/let open_after_ms = 0 * (now_ms + policy.lease_ms + late);/' fuzz $gate
+mutant orders-without-lease src/gate.rs 's/if self\.order_open \|\| !self\.has_lease\(now_ms\) \{/if self.order_open {/' fuzz $gate
+mutant runs-without-lease src/gate.rs 's/self\.policy\.capacity_mib > 0 && !self\.has_lease\(now_ms\)/false \&\& now_ms > 0/' fuzz $gate
+mutant predecessors-runs-not-counted src/ledger.rs 's/for \(attempt, mib\) in &report\.running \{/for (attempt, mib) in report.running.iter().take(0) {/' fuzz $gate
+mutant order-follows-late-one src/ledger.rs 's/hold\.phase == HoldPhase::Resident \|\| hold\.stamp\.open_ms \+ bound < now_ms/true || hold.stamp.open_ms + bound < now_ms/' fuzz $gate
+mutant seal-forgets src/gate.rs 's/self\.record\(now_ms, attempt, None, Stage::Ended\(end\)\);/return self.refused(attempt, RefuseCause::Sealed, RETRY_SOON_MS);/' fuzz $gate
+mutant lost-start-is-not-run src/flight.rs 's/\(Stage::Starting\(trial\), _\) => self\.stage = Stage::Sealing\(trial\),/(Stage::Starting(_), _) => self.finish_not_run(EndCause::TargetLost),/' fuzz $gate
+mutant not-run-after-maybe src/flight.rs 's/let outcome = match self\.maybe_ran \{/let outcome = match false {/' fuzz $gate
+mutant other-life-may-start src/gate.rs 's/if ask\.life != self\.life \{/if false \&\& ask.life != self.life {/' fuzz $gate
+mutant claims-reused src/claims.rs 's/\(Some\(record\), _\) if record\.settled != Some\(Settlement::NotRun\) =>/(Some(record), _) if record.settled.is_some() \&\& record.settled != Some(Settlement::NotRun) =>/' fuzz $gate
+mutant unclaimed-start src/flight.rs 's/true => Stage::Claiming\(trial\),/true => Stage::Starting(trial),/' fuzz $gate
+mutant refused-resume-is-not-run src/gate.rs 's/RunEvent::Refused if !attempt\.resumed =>/RunEvent::Refused if true || !attempt.resumed =>/' fuzz $gate
+mutant pieces-out-of-order src/gate.rs 's/if index as usize == attempt\.pieces\.len\(\) \{/if index as usize >= attempt.pieces.len() {/' fuzz $gate
+mutant short-answer-looks-whole src/flight.rs 's/Some\(RunEnd::Whole \{ pieces \}\) if have == pieces => self\.on_whole\(trial\),/Some(RunEnd::Whole { pieces: _ }) => self.on_whole(trial),/' fuzz $gate
+mutant late-page-repeats src/flight.rs 's/page\.pieces\.into_iter\(\)\.skip\(skip as usize\)\.collect\(\)/{ let _ = skip; page.pieces }/' fuzz $gate
+mutant boot-not-checked tests/fuzz/gate.rs 's/ \|\| order\.boot != self\.boot//; s/ \|\| run\.boot != engine\.boot//' fuzz $gate
+limit=no_limit_is_exceeded_in_sum
+mutant old-ask-granted src/limits.rs 's/let new = asked > \*newest;/let new = true || asked > *newest;/' fuzz $limit
+mutant new-leader-not-quiet src/limits.rs 's/let quiet_until_ms = self\.since_ms/let quiet_until_ms = 0 * self.since_ms/; s/ \+ self\.policy\.lease_ms \+ patience_ms;/;/' fuzz $limit
+mutant lease-without-patience src/limits.rs 's/until_ms: now_ms \+ self\.policy\.lease_ms \+ patience_ms,/until_ms: now_ms + self.policy.lease_ms,/' fuzz $limit
+mutant shrink-at-once src/limits.rs 's/counted: share\.max\(claim\.held\),/counted: share,/' fuzz $limit
+place=every_model_keeps_or_regains_a_home
+mutant unloads-last-home src/placement.rs 's/ready\.count\(\) <= 1/ready.count() <= 0/' fuzz $place
+mutant spares-before-repair src/placement.rs 's/if homeless\.is_empty\(\) \{/if true || homeless.is_empty() {/' fuzz $place
+mutant no-ejection src/placement.rs 's/None if self\.eject\(model, wanted, moves\) => \{\}//; s/None => self\.follow_packing\(wanted, moves\),/None => {}/' fuzz $place
+mutant unloading-memory-reused src/placement.rs 's/let taken: u64 = homes\n                \.keys\(\)/let taken: u64 = homes\n                .iter().filter(|(_, h)| h.phase != HomePhase::Unloading).map(|(m, _)| m)/' fuzz $place
+view=copies_follow_the_log_and_never_go_back
+mutant page-goes-back src/view.rs 's/_ if page\.to <= self\.position => return false,//' fuzz $view
+mutant gap-followed src/view.rs 's/Some\(from\) if from > self\.position => return false,//' fuzz $view
+mutant journal-gap-unseen src/state.rs 's/if cursor < self\.journal_from \{/if false \&\& cursor < self.journal_from {/' fuzz $view
