Demo, load tool and command line; entries no longer go stale under claims

The program dunlinspring: table, status, check, demo, load. The demo runs a whole small site in one process, sends the nine kinds of the two partners, edits rows and kills an engine meanwhile, and compares what callers were told with what the targets recorded.

Found by its first runs: - claims moved the position that members compare, so each took every control host for one that keeps changes back and broke off its own sync; entries went stale (3% of requests told stale-table). Positions now move only with what members follow. - an agent whose engine died kept its homes for ever (13 of 311 certificate lookups engine-refused): after a second without a report it refuses at once and says that it stopped, so its models are placed elsewhere; when the engine is back it goes on with the same life.

Ruled out: removing only the homes of a dead engine, as placement would then take the target for an empty one and load models there.

--- a/src/agentd.rs
+++ b/src/agentd.rs
@@ -240,8 +240,12 @@
 async fn beat_loop(agent: &AgentShared) {
     loop {
         let asked_ms = clock::monotonic_ms();
-        let beat = make_beat(agent, false);
+        // Without its engine, the target is as good as lost: its models are
+        // wanted elsewhere. It rejoins with the same life once it is back.
+        let blind = agent.gate().is_blind(asked_ms);
+        let beat = make_beat(agent, blind);
         match send_beat(agent, beat).await {
+            Ok(_) if blind => {}
             Ok(orders) => on_orders(agent, asked_ms, orders).await,
             Err(error) => tracing::debug!(%error, "no answer to a beat"),
         }
--- a/src/bin/dunlinspring.rs
+++ b/src/bin/dunlinspring.rs
@@ -1,1 +1,28 @@
-fn main() {}
+//! The operators' command line, the demo and the load tool.
+
+use dunlinspring::cli;
+use dunlinspring::commands;
+
+#[ntex::main]
+async fn main() {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let command = args.first().map(String::as_str);
+    let rest = args.get(1..).unwrap_or_default();
+    let ended = match command {
+        Some("table") => commands::table(rest).await,
+        Some("status") => commands::status(rest).await,
+        Some("check") => commands::check(rest),
+        Some("demo") => commands::demo(rest).await,
+        Some("load") => commands::load(rest).await,
+        Some("help" | "-h" | "--help") => {
+            println!("{}", commands::USAGE);
+            Ok(0)
+        }
+        Some(other) => Err(format!("no command '{other}'\n{}", commands::USAGE)),
+        None => Err(commands::USAGE.to_owned()),
+    };
+    match ended {
+        Ok(status) => std::process::exit(status),
+        Err(reason) => cli::fail("dunlinspring", reason),
+    }
+}
--- /dev/null
+++ b/src/commands.rs
@@ -0,0 +1,362 @@
+//! The subcommands of the `dunlinspring` program. Each returns the exit status,
+//! or why its command line is not usable.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::IsTerminal;
+use std::path::Path;
+use std::time::Duration;
+
+use getopts::{Matches, Options};
+use ntex::client::{Client, ClientRequest};
+use serde_json::{Value, json};
+
+use crate::demo::{self, DemoShape, DemoSite, KEYS};
+use crate::load::{self, LoadMix, LoadPlan, LoadReport};
+use crate::settings::{self, AgentSettings, Checked, ControlSettings, EntrySettings};
+
+/// The commands.
+pub const USAGE: &str = "\
+Usage: dunlinspring COMMAND [OPTIONS]
+
+  table get [--csv]                  read the table back
+  table put ID --version N FILE      create (version 0) or replace a row
+  table delete ID --version N        remove a row
+  status                             control hosts and this entry
+  check --role ROLE FILE             check settings: control, entry, agent, load
+  demo [--seconds N] [--seed N] [--json] [--serve]
+                                     a whole small site in this process
+  load --mix FILE [--seconds N] [--seed N] [--json] [--check-standin]
+                                     send a mix of requests, check the answers
+
+table, status and load take --entry IP:PORT, and table and status --key-file FILE.";
+
+/// Longest answer read, in bytes.
+const MAX_ANSWER: usize = 16 << 20;
+const PROGRESS: Duration = Duration::from_secs(1);
+
+type Ended = Result<i32, String>;
+
+fn parse(options: &Options, args: &[String]) -> Result<Matches, String> {
+    options.parse(args).map_err(|error| error.to_string())
+}
+
+fn number<T: std::str::FromStr>(matches: &Matches, name: &str, default: T) -> Result<T, String> {
+    match matches.opt_str(name) {
+        None => Ok(default),
+        Some(text) => text
+            .parse()
+            .map_err(|_| format!("--{name}: '{text}' is not a number")),
+    }
+}
+
+fn entry_options() -> Options {
+    let mut options = Options::new();
+    options.reqopt("e", "entry", "an entry", "IP:PORT");
+    options.reqopt("k", "key-file", "file with the operator's key", "FILE");
+    options
+}
+
+struct EntryCall {
+    client: Client,
+    base: String,
+    key: String,
+}
+
+impl EntryCall {
+    async fn new(matches: &Matches) -> Result<Self, String> {
+        let file = matches.opt_str("key-file").unwrap_or_default();
+        let key = std::fs::read_to_string(&file).map_err(|error| format!("{file}: {error}"))?;
+        Ok(Self {
+            client: Client::new().await,
+            base: format!("http://{}", matches.opt_str("entry").unwrap_or_default()),
+            key: key.trim().to_owned(),
+        })
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("{}{path}", self.base)
+    }
+
+    /// Prints the answer; status 1 where it is a refusal.
+    async fn show(&self, call: ClientRequest, body: Option<String>) -> Ended {
+        let call = call.bearer_auth(&self.key);
+        let sent = match body {
+            Some(body) => call.content_type("application/json").send_body(body).await,
+            None => call.send().await,
+        };
+        let answer = sent.map_err(|error| format!("{}: {error}", self.base))?;
+        let status = answer.status();
+        let body = answer.body().limit(MAX_ANSWER).await;
+        let body = body.map_err(|error| format!("{}: {error}", self.base))?;
+        let text = String::from_utf8_lossy(&body);
+        match serde_json::from_str::<Value>(&text) {
+            Ok(value) => println!("{value:#}"),
+            Err(_) => print!("{text}"),
+        }
+        Ok(if status.is_success() { 0 } else { 1 })
+    }
+}
+
+/// `table get`, `put` and `delete`.
+pub async fn table(args: &[String]) -> Ended {
+    let mut options = entry_options();
+    options.optflag("", "csv", "as comma-separated values");
+    options.optopt("v", "version", "the row's version, 0 for a new row", "N");
+    options.optopt("i", "edit-id", "the edit's id, the same for a resend", "ID");
+    let matches = parse(&options, args)?;
+    let call = EntryCall::new(&matches).await?;
+    let words: Vec<&str> = matches.free.iter().map(String::as_str).collect();
+    match words.as_slice() {
+        ["get"] => {
+            let form = match matches.opt_present("csv") {
+                true => "text/csv",
+                false => "application/json",
+            };
+            let ask = call.client.get(call.url("/v1/table"));
+            call.show(ask.header("accept", form), None).await
+        }
+        ["put", id, file] => {
+            let fields = std::fs::read_to_string(file).map_err(|e| format!("{file}: {e}"))?;
+            let ask = call.client.put(call.url(&format!("/v1/table/rows/{id}")));
+            call.show(edit_headers(ask, &matches)?, Some(fields)).await
+        }
+        ["delete", id] => {
+            let ask = call
+                .client
+                .delete(call.url(&format!("/v1/table/rows/{id}")));
+            call.show(edit_headers(ask, &matches)?, None).await
+        }
+        _ => Err(format!("table get, put ID FILE or delete ID\n{USAGE}")),
+    }
+}
+
+fn edit_headers(call: ClientRequest, matches: &Matches) -> Result<ClientRequest, String> {
+    let version = matches.opt_str("version").ok_or("--version is needed")?;
+    let fresh = || format!("{:032x}", rand::random::<u128>());
+    let id = matches.opt_str("edit-id").unwrap_or_else(fresh);
+    eprintln!("edit id {id}");
+    Ok(call
+        .header("if-match", version)
+        .header("idempotency-key", id))
+}
+
+/// `status`.
+pub async fn status(args: &[String]) -> Ended {
+    let matches = parse(&entry_options(), args)?;
+    let call = EntryCall::new(&matches).await?;
+    let ask = call.client.get(call.url("/v1/status"));
+    call.show(ask, None).await
+}
+
+/// `check`: prints the effective settings.
+pub fn check(args: &[String]) -> Ended {
+    let mut options = Options::new();
+    options.reqopt("r", "role", "control, entry, agent or load", "ROLE");
+    let matches = parse(&options, args)?;
+    let [file] = matches.free.as_slice() else {
+        return Err("check takes one file".to_owned());
+    };
+    let path = Path::new(file);
+    match matches.opt_str("role").as_deref() {
+        Some("control") => show_checked::<ControlSettings>(path),
+        Some("entry") => show_checked::<EntrySettings>(path),
+        Some("agent") => show_checked::<AgentSettings>(path),
+        Some("load") => show_checked::<LoadMix>(path),
+        _ => Err("--role is control, entry, agent or load".to_owned()),
+    }
+}
+
+fn show_checked<S: Checked>(path: &Path) -> Ended {
+    let settings: S = settings::load(path).map_err(|error| error.to_string())?;
+    println!("{}", settings::show(&settings));
+    Ok(0)
+}
+
+/// `load`.
+pub async fn load(args: &[String]) -> Ended {
+    let mut options = Options::new();
+    options.reqopt("e", "entry", "entries, with commas between", "IP:PORT");
+    options.reqopt("m", "mix", "the mix, JSON with comments", "FILE");
+    options.optopt("", "seconds", "for how long", "N");
+    options.optopt("", "seed", "seed of arrivals", "N");
+    options.optflag("", "json", "as JSON");
+    options.optflag(
+        "",
+        "check-standin",
+        "compare texts with the stand-in engine's",
+    );
+    let matches = parse(&options, args)?;
+    let path = matches.opt_str("mix").unwrap_or_default();
+    let mix = load::load_mix(Path::new(&path)).map_err(|error| error.to_string())?;
+    let entries = matches.opt_str("entry").unwrap_or_default();
+    let report = load::run(LoadPlan {
+        entries: entries.split(',').map(str::to_owned).collect(),
+        mix,
+        seconds: number(&matches, "seconds", 10.0)?,
+        seed: number(&matches, "seed", 1)?,
+        standin_text: matches.opt_present("check-standin"),
+    })
+    .await;
+    match matches.opt_present("json") {
+        true => println!("{:#}", report.json()),
+        false => print!("{}", report.text()),
+    }
+    for broken in &report.broken {
+        eprintln!("broken: {broken}");
+    }
+    Ok(i32::from(!report.broken.is_empty()))
+}
+
+/// `demo`.
+pub async fn demo(args: &[String]) -> Ended {
+    let mut options = Options::new();
+    options.optopt("", "seconds", "for how long requests are sent", "N");
+    options.optopt("", "seed", "seed of arrivals", "N");
+    options.optflag("", "json", "as JSON");
+    options.optflag("", "serve", "stay up and print addresses");
+    let matches = parse(&options, args)?;
+    let seconds: f64 = number(&matches, "seconds", 10.0)?;
+    let seed = number(&matches, "seed", 1)?;
+    let site = DemoSite::start(DemoShape::default()).await;
+    let site = site.map_err(|error| error.to_string())?;
+    if matches.opt_present("serve") {
+        serve(&site).await;
+        site.clean_up();
+        return Ok(0);
+    }
+    let plan = LoadPlan {
+        entries: site.entries.iter().map(ToString::to_string).collect(),
+        mix: demo::mix(1.0),
+        seconds,
+        seed,
+        standin_text: true,
+    };
+    let before = site.moves().await;
+    let trouble = async {
+        tokio::time::sleep(Duration::from_secs_f64(seconds * 0.3)).await;
+        let edits = edit_rows(&site, seconds * 0.3).await;
+        site.kill_engine("t0").await;
+        edits
+    };
+    let (report, edits, ()) = futures::join!(load::run(plan), trouble, show_progress(seconds));
+    let moves = site.moves().await - before;
+    let broken = find_broken(&site, &report);
+    print_demo(
+        &site,
+        &report,
+        &broken,
+        edits,
+        moves,
+        matches.opt_present("json"),
+    );
+    site.clean_up();
+    Ok(i32::from(!broken.is_empty()))
+}
+
+async fn serve(site: &DemoSite) {
+    for (entry, address) in site.entries.iter().enumerate() {
+        println!("entry {entry}: http://{address}");
+    }
+    let (_, caller, operator) = KEYS[0];
+    let at = site.entries[0];
+    println!("curl -N http://{at}/v1/completions -H 'authorization: Bearer {caller}' \\");
+    println!("  -H 'x-request-class: filing-review' -H 'content-type: application/json' \\");
+    println!("  -d '{{\"model\":\"m0\",\"prompt\":\"hello\",\"max_tokens\":20,\"stream\":true}}'");
+    println!("curl http://{at}/v1/table -H 'authorization: Bearer {operator}'");
+    crate::daemon::stop_signal().await;
+}
+
+async fn show_progress(seconds: f64) {
+    if !std::io::stderr().is_terminal() {
+        return;
+    }
+    for second in 0..seconds as u64 {
+        eprint!("\r{second} of {seconds} s ");
+        tokio::time::sleep(PROGRESS).await;
+    }
+    eprintln!("\rwaiting for the last answers");
+}
+
+/// Both partners edit rows of their own while requests run.
+async fn edit_rows(site: &DemoSite, seconds: f64) -> usize {
+    let Some(table) = site.table().await else {
+        return 0;
+    };
+    let mut edits = 0;
+    for row in table["rows"].as_array().into_iter().flatten() {
+        let (Some(id), Some(version)) = (row["id"].as_str(), row["version"].as_u64()) else {
+            continue;
+        };
+        let partner = KEYS.iter().position(|(name, _, _)| row["partner"] == *name);
+        let mut fields = row["fields"].clone();
+        fields["weight"] = json!(20);
+        let edit = site
+            .put_row(partner.unwrap_or(0), id, version, &fields)
+            .await;
+        edits += usize::from(edit.is_ok());
+        tokio::time::sleep(Duration::from_secs_f64(seconds / 20.0)).await;
+    }
+    edits
+}
+
+/// Compares what callers were told with what the targets recorded.
+pub fn find_broken(site: &DemoSite, report: &LoadReport) -> Vec<String> {
+    let mut broken = report.broken.clone();
+    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    for (name, record) in site.engine_records() {
+        if record.overcommits > 0 {
+            broken.push(format!(
+                "{name}: memory was overcommitted {} times",
+                record.overcommits
+            ));
+        }
+        for run in record.runs {
+            *runs.entry(run.prompt).or_default() += 1;
+        }
+    }
+    for call in site.service_record() {
+        *runs.entry(call.body).or_default() += 1;
+    }
+    let once: BTreeSet<&str> = ["notice-draft", "timestamp-seal"].into();
+    for told in &report.records {
+        let count = runs.get(&told.prompt).copied().unwrap_or(0);
+        let fault = match told.outcome.as_str() {
+            "not-run" if count > 0 => Some("told not run, but it ran"),
+            "done" if count == 0 => Some("told done, but no target ran it"),
+            _ if once.contains(told.class.as_str()) && count > 1 => Some("ran more than once"),
+            _ => None,
+        };
+        if let Some(fault) = fault {
+            broken.push(format!("{}: {fault}: {}", told.class, told.prompt));
+        }
+    }
+    broken
+}
+
+fn print_demo(
+    site: &DemoSite,
+    report: &LoadReport,
+    broken: &[String],
+    edits: usize,
+    moves: u64,
+    as_json: bool,
+) {
+    let per_accelerator = report.within() as f64 / site.accelerators() as f64;
+    if as_json {
+        let mut value = report.json();
+        value["edits"] = json!(edits);
+        value["moves"] = json!(moves);
+        value["attained_per_accelerator"] = json!(per_accelerator);
+        value["broken"] = json!(broken);
+        println!("{value:#}");
+        return;
+    }
+    print!("{}", report.text());
+    println!("edits accepted meanwhile: {edits}; one engine was killed");
+    println!("done within patience, per accelerator: {per_accelerator:.1}");
+    println!("moves: {moves}");
+    match broken {
+        [] => println!("every answer agrees with what the targets recorded"),
+        broken => broken.iter().for_each(|line| println!("broken: {line}")),
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -284,7 +284,7 @@
         let current = member.is_some_and(|member| member.incarnation == beat.life);
         let orders = AgentOrders {
             plan: current.then(|| duties.target_plan(state, &target, beat)),
-            position: state.position,
+            position: state.changed(),
         };
         let _ = answer.send(Ok(orders));
         for command in commands {
@@ -302,7 +302,7 @@
         let orders = EntryOrders {
             grants,
             rejoin: member.is_none_or(|member| member.incarnation != beat.life),
-            position: state.position,
+            position: state.changed(),
         };
         let _ = answer.send(Ok(orders));
         for command in commands {
@@ -420,9 +420,8 @@
 
     fn answer_waiters(&mut self, now_ms: u64) {
         let state = self.replica.state();
-        let due = |waiter: &mut SyncWaiter| {
-            state.changed_since(waiter.cursor) || waiter.until_ms <= now_ms
-        };
+        let due =
+            |waiter: &mut SyncWaiter| state.changed() > waiter.cursor || waiter.until_ms <= now_ms;
         let due: Vec<SyncWaiter> = self.waiters.extract_if(.., due).collect();
         for waiter in due {
             let page = view::page_after(state, waiter.cursor);
--- a/src/controld.rs
+++ b/src/controld.rs
@@ -51,6 +51,15 @@
     /// Starts on the current runtime.
     pub async fn start(settings: ControlSettings, secret: SiteSecret) -> Result<Self, DaemonError> {
         let listener = daemon::bind("listen", settings.common.listen).await?;
+        Self::start_on(listener, settings, secret).await
+    }
+
+    /// Starts on a listener that is bound already.
+    pub async fn start_on(
+        listener: TcpListener,
+        settings: ControlSettings,
+        secret: SiteSecret,
+    ) -> Result<Self, DaemonError> {
         let address = daemon::address_of("listen", &listener)?;
         let (outbox, senders) = open_outbox(&settings);
         let control = ControlLoop::open(settings.clone(), outbox)?;
--- /dev/null
+++ b/src/demo.rs
@@ -0,0 +1,577 @@
+//! A whole small site in one process over loopback: for the demo and for measuring.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use ntex::client::Client;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+
+use crate::agentd::AgentDaemon;
+use crate::auth;
+use crate::control;
+use crate::controld::ControlDaemon;
+use crate::daemon::{self, DaemonError};
+use crate::entryd::EntryDaemon;
+use crate::ids::{HallName, HostName, ModelName, PartnerName, TargetName};
+use crate::ledger::OrderCheck;
+use crate::limits::LimitPolicy;
+use crate::load::{LoadClass, LoadMix};
+use crate::peers::SiteSecret;
+use crate::raft::RaftTiming;
+use crate::settings::*;
+use crate::site::{ModelKind, ModelSpec, SiteSpec, TargetSpec};
+use crate::standin::{
+    EngineRecord, EngineStandin, EngineTraits, PlatformStandin, ServiceRecord, ServiceStandin,
+    StoreStandin, StoreTraits,
+};
+use crate::table::{RowFields, Urgency};
+
+const HALLS: [&str; 3] = ["north", "south", "east"];
+const SECRET: &str = "the-secret-of-a-demo-site";
+/// Loopback, with the port chosen by the system.
+const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+const TARGET_MIB: u64 = 16_000;
+const KV_FLOOR_MIB: u64 = 4_000;
+const BASE_MIB: u64 = 5_500;
+const ADAPTER_MIB: u64 = 200;
+/// The service's target.
+const SERVICE_TARGET: &str = "seals";
+/// Longest wait for a site to get ready.
+const READY_TIME: Duration = Duration::from_secs(30);
+
+/// The partners' example keys: callers', then operators'.
+pub const KEYS: [(&str, &str, &str); 2] = [
+    ("fiji", "fiji-caller-key", "fiji-operator-key"),
+    ("heredia", "heredia-caller-key", "heredia-operator-key"),
+];
+
+/// What varies between small sites.
+#[derive(Clone, Debug)]
+pub struct DemoShape {
+    /// Engine targets.
+    pub targets: usize,
+    /// Base models.
+    pub models: usize,
+    /// Adapters, each on the base model of its number.
+    pub adapters: usize,
+    /// The engines.
+    pub engine: EngineTraits,
+    /// Routing and retries.
+    pub route: RouteSettings,
+    /// Queues.
+    pub queue: QueueSettings,
+    /// Leases and placement.
+    pub duties: DutySettings,
+}
+
+impl Default for DemoShape {
+    fn default() -> Self {
+        Self {
+            targets: 8,
+            models: 10,
+            adapters: 6,
+            engine: EngineTraits {
+                memory_mib: TARGET_MIB,
+                fenced: true,
+                load_ms: 150,
+                prefill_us: 8_000,
+                piece_us: 1_000,
+                batch_us: 60,
+                report_lag_ms: 100,
+                store_url: None,
+            },
+            route: RouteSettings::default(),
+            queue: QueueSettings::default(),
+            duties: DutySettings::default(),
+        }
+    }
+}
+
+/// A running small site.
+pub struct DemoSite {
+    /// The entries' addresses.
+    pub entries: Vec<SocketAddr>,
+    /// The shape it was made with.
+    pub shape: DemoShape,
+    folder: PathBuf,
+    controls: Vec<ControlDaemon>,
+    entry_daemons: Vec<EntryDaemon>,
+    agents: BTreeMap<String, AgentDaemon>,
+    engines: BTreeMap<String, EngineStandin>,
+    service: ServiceStandin,
+    platform: PlatformStandin,
+}
+
+/// One kind of request that the partners make.
+struct DemoKind {
+    partner: usize,
+    class: &'static str,
+    model: &'static str,
+    urgency: Urgency,
+    tokens: u32,
+    patience_ms: u64,
+    rate: f64,
+    at_most_once: bool,
+    whole: bool,
+}
+
+const fn kind(
+    partner: usize,
+    class: &'static str,
+    model: &'static str,
+    urgency: Urgency,
+    tokens: u32,
+    patience_ms: u64,
+    rate: f64,
+) -> DemoKind {
+    DemoKind {
+        partner,
+        class,
+        model,
+        urgency,
+        tokens,
+        patience_ms,
+        rate,
+        at_most_once: false,
+        whole: false,
+    }
+}
+
+/// The nine kinds of the two partners.
+const KINDS: [DemoKind; 9] = [
+    kind(0, "filing-review", "m0", Urgency::Standard, 60, 3_000, 30.0),
+    kind(0, "batch-review", "m1", Urgency::Batch, 80, 20_000, 20.0),
+    DemoKind {
+        at_most_once: true,
+        ..kind(0, "notice-draft", "m2", Urgency::Standard, 50, 4_000, 8.0)
+    },
+    kind(0, "lookup", "a0", Urgency::Interactive, 10, 800, 40.0),
+    kind(
+        1,
+        "contract-summary",
+        "m3",
+        Urgency::Interactive,
+        50,
+        2_000,
+        20.0,
+    ),
+    DemoKind {
+        whole: true,
+        ..kind(1, "clause-check", "a1", Urgency::Standard, 40, 3_000, 15.0)
+    },
+    DemoKind {
+        whole: true,
+        ..kind(
+            1,
+            "resident-letter",
+            "m4",
+            Urgency::Standard,
+            60,
+            4_000,
+            10.0,
+        )
+    },
+    kind(
+        1,
+        "certificate-lookup",
+        "m5",
+        Urgency::Interactive,
+        8,
+        600,
+        40.0,
+    ),
+    DemoKind {
+        at_most_once: true,
+        ..kind(
+            1,
+            "timestamp-seal",
+            "seal",
+            Urgency::Interactive,
+            0,
+            1_500,
+            20.0,
+        )
+    },
+];
+
+/// The mix of the nine kinds, each with its usual rate times `factor`.
+pub fn mix(factor: f64) -> LoadMix {
+    let classes = KINDS.iter().map(|kind| {
+        let service = kind.tokens == 0;
+        LoadClass {
+            key: KEYS[kind.partner].1.to_owned(),
+            class: kind.class.to_owned(),
+            model: ModelName::from(kind.model),
+            rate: kind.rate * factor,
+            tokens: kind.tokens,
+            patience_ms: kind.patience_ms,
+            at_most_once: kind.at_most_once,
+            service_path: service.then(|| "stamp".to_owned()),
+            stream: !kind.whole && !service,
+            prefixes: 4,
+        }
+    });
+    LoadMix {
+        classes: classes.collect(),
+        phases: Vec::new(),
+    }
+}
+
+fn site_spec(shape: &DemoShape) -> SiteSpec {
+    let mut models = BTreeMap::new();
+    let base = ModelSpec {
+        kind: ModelKind::Base,
+        weights_mib: BASE_MIB,
+        kv_kib_per_token: 128,
+    };
+    for number in 0..shape.models {
+        models.insert(ModelName(format!("m{number}")), base.clone());
+    }
+    for number in 0..shape.adapters {
+        let spec = ModelSpec {
+            kind: ModelKind::Adapter(ModelName(format!("m{number}"))),
+            weights_mib: ADAPTER_MIB,
+            kv_kib_per_token: 0,
+        };
+        models.insert(ModelName(format!("a{number}")), spec);
+    }
+    let seal = ModelSpec {
+        kind: ModelKind::Service(vec![TargetName::from(SERVICE_TARGET)]),
+        weights_mib: 0,
+        kv_kib_per_token: 0,
+    };
+    models.insert(ModelName::from("seal"), seal);
+    let engine = |number: usize| TargetSpec {
+        hall: hall(number),
+        memory_mib: TARGET_MIB,
+        kv_floor_mib: KV_FLOOR_MIB,
+        accelerators: 1,
+    };
+    let targets = 0..shape.targets;
+    let targets = targets.map(|number| (TargetName(format!("t{number}")), engine(number)));
+    let mut targets: BTreeMap<TargetName, TargetSpec> = targets.collect();
+    let service = TargetSpec {
+        hall: hall(0),
+        memory_mib: 0,
+        kv_floor_mib: 0,
+        accelerators: 0,
+    };
+    targets.insert(TargetName::from(SERVICE_TARGET), service);
+    SiteSpec {
+        generation: 1,
+        spare_targets: 1,
+        load_gap_ms: 60,
+        loads_at_once: 4,
+        limits: LimitPolicy::default(),
+        models,
+        targets,
+    }
+}
+
+fn hall(number: usize) -> HallName {
+    HallName::from(HALLS[number % HALLS.len()])
+}
+
+fn common(
+    host: &str,
+    number: usize,
+    listen: SocketAddr,
+    control: &[VoterSettings],
+) -> CommonSettings {
+    CommonSettings {
+        host: HostName::from(host),
+        hall: hall(number),
+        listen,
+        watch: ANY,
+        control: control.to_vec(),
+        secret_file: PathBuf::new(),
+        log: LogSettings::default(),
+    }
+}
+
+impl DemoSite {
+    /// Starts everything; returns once both partners' rows are in force and
+    /// every model has a home.
+    pub async fn start(shape: DemoShape) -> Result<Self, DaemonError> {
+        let name = format!(
+            "dunlinspring-{}-{:x}",
+            std::process::id(),
+            rand::random::<u32>()
+        );
+        let folder = std::env::temp_dir().join(name);
+        let secret = SiteSecret::new(SECRET);
+        let store = StoreTraits {
+            read_ms: 20,
+            at_once: 4,
+        };
+        let store = StoreStandin::start(ANY, store).await?;
+        let platform = PlatformStandin::start(ANY, 500).await?;
+        let (voters, controls) = start_controls(&shape, &folder, &secret, &platform).await?;
+        let service = ServiceStandin::start(ANY, Duration::from_millis(4)).await?;
+        let mut site = Self {
+            entries: Vec::new(),
+            folder,
+            controls,
+            entry_daemons: Vec::new(),
+            agents: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            service,
+            platform,
+            shape,
+        };
+        site.start_targets(&voters, &secret, &store).await?;
+        site.start_entries(&voters, &secret).await?;
+        site.add_rows().await?;
+        Ok(site)
+    }
+
+    async fn start_targets(
+        &mut self,
+        voters: &[VoterSettings],
+        secret: &SiteSecret,
+        store: &StoreStandin,
+    ) -> Result<(), DaemonError> {
+        for number in 0..self.shape.targets {
+            let mut traits = self.shape.engine.clone();
+            traits.store_url = Some(format!("http://{}", store.address));
+            let engine = EngineStandin::start(ANY, traits).await?;
+            let name = format!("t{number}");
+            let settings = AgentSettings {
+                common: common(&name, number, ANY, voters),
+                target_url: format!("http://{}", engine.address),
+                check: OrderCheck::Fenced,
+                services: Vec::new(),
+                memory_mib: TARGET_MIB,
+                queue: self.shape.queue.clone(),
+                lease_ms: self.shape.duties.lease_ms,
+                report_ms: 100,
+            };
+            let agent = AgentDaemon::start(settings, secret.clone()).await?;
+            self.agents.insert(name.clone(), agent);
+            self.engines.insert(name, engine);
+        }
+        let settings = AgentSettings {
+            common: common(SERVICE_TARGET, 0, ANY, voters),
+            target_url: format!("http://{}", self.service.address),
+            check: OrderCheck::LateBound(500),
+            services: vec![ModelName::from("seal")],
+            memory_mib: 0,
+            queue: self.shape.queue.clone(),
+            lease_ms: self.shape.duties.lease_ms,
+            report_ms: 100,
+        };
+        let agent = AgentDaemon::start(settings, secret.clone()).await?;
+        self.agents.insert(SERVICE_TARGET.to_owned(), agent);
+        Ok(())
+    }
+
+    async fn start_entries(
+        &mut self,
+        voters: &[VoterSettings],
+        secret: &SiteSecret,
+    ) -> Result<(), DaemonError> {
+        for number in 0..2 {
+            let keys = |key: &str| vec![auth::digest(key)];
+            let partners = KEYS.iter().map(|(name, caller, operator)| {
+                let partner = PartnerSettings {
+                    caller_keys: keys(caller),
+                    operator_keys: keys(operator),
+                };
+                (PartnerName::from(*name), partner)
+            });
+            let settings = EntrySettings {
+                common: common(&format!("e{number}"), number, ANY, voters),
+                callers: ANY,
+                workers: 1,
+                stale_ms: 4000,
+                max_body: 1 << 20,
+                partners: partners.collect(),
+                route: self.shape.route.clone(),
+            };
+            let entry = EntryDaemon::start(settings, secret.clone()).await?;
+            self.entries.push(entry.callers);
+            self.entry_daemons.push(entry);
+        }
+        Ok(())
+    }
+
+    async fn add_rows(&self) -> Result<(), DaemonError> {
+        for kind in &KINDS {
+            let fields = RowFields {
+                model: ModelName::from(kind.model),
+                class: kind.class.to_owned(),
+                urgency: kind.urgency,
+                weight: 10,
+                max_running: 400,
+                patience_ms: kind.patience_ms,
+                at_most_once: kind.at_most_once,
+                whole: kind.whole,
+            };
+            self.put_row(kind.partner, kind.class, 0, &json!(fields))
+                .await?;
+        }
+        // More models than the kinds need, as the partners have.
+        for number in KINDS.len() - 3..self.shape.models {
+            let fields = json!({
+                "model": format!("m{number}"), "class": format!("spare-{number}"),
+                "urgency": "standard", "weight": 1, "max_running": 10, "patience_ms": 5000,
+            });
+            let partner = number % KEYS.len();
+            self.put_row(partner, &format!("spare-{number}"), 0, &fields)
+                .await?;
+        }
+        self.wait_ready().await
+    }
+
+    /// Puts a row by its partner; returns the version, or the refusal as text.
+    pub async fn put_row(
+        &self,
+        partner: usize,
+        id: &str,
+        version: u64,
+        fields: &Value,
+    ) -> Result<u64, DaemonError> {
+        let url = format!("http://{}/v1/table/rows/{id}", self.entries[0]);
+        let failed = |reason: String| DaemonError::Http {
+            step: "put",
+            url: url.clone(),
+            reason,
+        };
+        let client = Client::new().await;
+        let answer = client
+            .put(&url)
+            .bearer_auth(KEYS[partner].2)
+            .header("if-match", version.to_string())
+            .header("idempotency-key", format!("{id}-{version}"))
+            .send_json(fields)
+            .await
+            .map_err(|error| failed(error.to_string()))?;
+        let status = answer.status();
+        let body = answer
+            .body()
+            .await
+            .map_err(|error| failed(error.to_string()))?;
+        let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+        let version = body["version"].as_u64().filter(|_| status.is_success());
+        version.ok_or_else(|| failed(format!("status {status}: {body}")))
+    }
+
+    /// The table as its operators read it.
+    pub async fn table(&self) -> Option<Value> {
+        let client = Client::new().await;
+        let url = format!("http://{}/v1/table", self.entries[0]);
+        let answer = client.get(url).bearer_auth(KEYS[0].2).send().await.ok()?;
+        let body = answer.body().limit(16 << 20).await.ok()?;
+        serde_json::from_slice(&body).ok()
+    }
+
+    async fn wait_ready(&self) -> Result<(), DaemonError> {
+        let ready = |table: &Value| {
+            let rows = table["rows"].as_array()?;
+            let home = |row: &&Value| {
+                let homes = row["homes"].as_array().map_or(0, Vec::len);
+                homes > 0 && row["in_force"] == row["members"]
+            };
+            Some(!rows.is_empty() && rows.iter().filter(home).count() == rows.len())
+        };
+        let poll = async {
+            loop {
+                let table = self.table().await;
+                if table.as_ref().and_then(ready) == Some(true) {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        };
+        let late = |_| DaemonError::Http {
+            step: "wait for the homes of",
+            url: self.entries[0].to_string(),
+            reason: "not every model has a home in time".to_owned(),
+        };
+        tokio::time::timeout(READY_TIME, poll).await.map_err(late)
+    }
+
+    /// Kills an engine: its agent lives on and finds it gone.
+    pub async fn kill_engine(&self, name: &str) {
+        if let Some(engine) = self.engines.get(name) {
+            engine.kill().await;
+        }
+    }
+
+    /// Has the platform name a host as leaving.
+    pub fn leave(&self, name: &str) {
+        self.platform.leave(HostName::from(name));
+    }
+
+    /// What each engine recorded.
+    pub fn engine_records(&self) -> BTreeMap<String, EngineRecord> {
+        let engines = self.engines.iter();
+        let records = engines.map(|(name, engine)| (name.clone(), engine.record()));
+        records.collect()
+    }
+
+    /// What the service recorded.
+    pub fn service_record(&self) -> Vec<ServiceRecord> {
+        self.service.record()
+    }
+
+    /// Accelerators in use.
+    pub fn accelerators(&self) -> usize {
+        self.shape.targets
+    }
+
+    /// Moves ordered so far.
+    pub async fn moves(&self) -> u64 {
+        let mut moves = 0;
+        for control in &self.controls {
+            let status = control.status().await;
+            moves = moves.max(status.map_or(0, |status| status.moves));
+        }
+        moves
+    }
+
+    /// Removes the site's files. The process is about to end.
+    pub fn clean_up(&self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+async fn start_controls(
+    shape: &DemoShape,
+    folder: &std::path::Path,
+    secret: &SiteSecret,
+    platform: &PlatformStandin,
+) -> Result<(Vec<VoterSettings>, Vec<ControlDaemon>), DaemonError> {
+    let mut voters = Vec::new();
+    let mut listeners: Vec<TcpListener> = Vec::new();
+    for number in 0..3 {
+        let listener = daemon::bind("listen", ANY).await?;
+        let address = daemon::address_of("listen", &listener)?;
+        let host = HostName(format!("c{number}"));
+        voters.push(VoterSettings { host, address });
+        listeners.push(listener);
+    }
+    let mut controls = Vec::new();
+    for (number, listener) in listeners.into_iter().enumerate() {
+        let voter = voters[number].clone();
+        let settings = ControlSettings {
+            common: common(voter.host.as_str(), number, voter.address, &voters),
+            data_folder: folder.join(voter.host.as_str()),
+            timing: RaftTiming {
+                election_ms: 500,
+                heartbeat_ms: 100,
+            },
+            duties: shape.duties.clone(),
+            compact_after: 2000,
+            platform_url: Some(format!("http://{}/hosts", platform.address)),
+            site: site_spec(shape),
+        };
+        control::found(&settings)?;
+        let daemon = ControlDaemon::start_on(listener, settings, secret.clone()).await?;
+        controls.push(daemon);
+    }
+    Ok((voters, controls))
+}
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -18,6 +18,8 @@
 const FIRST_GUESS_MS: u64 = 20;
 /// Weight of the newest sample in the moving average of service times: 1/8.
 const SAMPLE_SHARE: u64 = 8;
+/// Silence of an engine after which it is taken for dead.
+const BLIND_MS: u64 = 1000;
 /// A lapse of the lease that queued runs wait out: a change of leaders.
 const ORPHAN_MS: u64 = 1000;
 /// Time to come back after a refusal that no forecast covers.
@@ -261,6 +263,7 @@
     fence: OrderSeq,
     fence_needed: bool,
     boot: Option<u64>,
+    reported_ms: u64,
     order_open: bool,
 }
 
@@ -296,6 +299,7 @@
             fence: OrderSeq { life, number: 0 },
             fence_needed: policy.check == OrderCheck::Fenced,
             boot: None,
+            reported_ms: now_ms,
             order_open: false,
         }
     }
@@ -375,6 +379,7 @@
         let refusal = match &ask {
             _ if self.leaving => Some(RefuseCause::Leaving),
             _ if behind => Some(RefuseCause::Behind),
+            _ if self.is_blind(now_ms) => Some(RefuseCause::Engine),
             _ if self.is_orphaned(now_ms) => Some(RefuseCause::NoLease),
             ask if !self.serves(&ask.call.model) => Some(RefuseCause::NotHome),
             _ => None,
@@ -587,8 +592,14 @@
         }
     }
 
+    /// Whether the engine has not reported for so long that it is taken for dead.
+    pub fn is_blind(&self, now_ms: u64) -> bool {
+        self.policy.capacity_mib > 0 && self.reported_ms + BLIND_MS < now_ms
+    }
+
     /// Takes a report that was asked for at `asked_ms`.
     pub fn on_report(&mut self, report: &EngineReport, asked_ms: u64) {
+        self.reported_ms = self.reported_ms.max(asked_ms);
         let fenced = self.policy.check == OrderCheck::Fenced;
         let reborn = self.boot.is_some_and(|boot| boot != report.boot);
         self.boot = Some(report.boot);
--- a/src/member.rs
+++ b/src/member.rs
@@ -1,5 +1,6 @@
 //! What entries and agents share: joining the site and following its log.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -25,6 +26,8 @@
 pub struct SiteFollower {
     link: Arc<ControlLink>,
     view: Mutex<SiteView>,
+    /// The highest position that a peer told.
+    heard: AtomicU64,
     behind: Notify,
 }
 
@@ -34,6 +37,7 @@
         Self {
             link,
             view: Mutex::new(SiteView::default()),
+            heard: AtomicU64::new(0),
             behind: Notify::new(),
         }
     }
@@ -50,13 +54,25 @@
         self.view().position
     }
 
-    /// A peer told its position: when it is ahead, ask another control host.
+    /// A peer told its position: where it stays ahead, another control host is asked.
     pub fn heard(&self, position: Position) {
-        if position > self.position() {
+        let known = self.heard.fetch_max(position.0, Ordering::SeqCst);
+        if position.0 > known {
             self.behind.notify_one();
         }
     }
 
+    /// Returns once the asked control host has kept a change back for too long.
+    async fn overdue(&self) {
+        loop {
+            self.behind.notified().await;
+            tokio::time::sleep(SYNC_PAUSE).await;
+            if self.position().0 < self.heard.load(Ordering::SeqCst) {
+                return;
+            }
+        }
+    }
+
     /// Fills the copy from a state that nothing newer existed besides.
     pub async fn start(&self) -> Result<(), PeerError> {
         let page = self
@@ -81,7 +97,7 @@
             });
             let answer = tokio::select! {
                 answer = asked => Some(answer),
-                () = self.behind.notified() => None,
+                () = self.overdue() => None,
             };
             match answer {
                 Some(Ok(Ok(page))) => {
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -13,6 +13,7 @@
 use crate::entryd::EntryShared;
 use crate::ids::{EditId, PartnerName, Position, RowId};
 use crate::member;
+use crate::peers;
 use crate::state::{Command, Reply};
 use crate::table::{EditRefusal, RowChange, RowEdit, RowFields};
 use crate::wire::{RowStatus, TableStatus};
@@ -20,12 +21,16 @@
 /// Time for an edit to be accepted, or the table to be read.
 const CONTROL_TIME: Duration = Duration::from_secs(5);
 
+/// Time for one control host to tell of itself.
+const STATUS_TIME: Duration = Duration::from_secs(1);
+
 type Entry = types::State<Arc<EntryShared>>;
 
 /// Adds the operators' routes.
 pub fn routes(config: &mut web::ServiceConfig) {
     config
         .route("/v1/table", web::get().to(read))
+        .route("/v1/status", web::get().to(status))
         .route("/v1/table/rows/{id}", web::put().to(put))
         .route("/v1/table/rows/{id}", web::delete().to(delete));
 }
@@ -60,6 +65,29 @@
     }
 }
 
+/// Each control host's account of itself, as far as it answers.
+async fn status(entry: Entry, request: HttpRequest) -> HttpResponse {
+    if let Err(error) = authorize(&entry, request.headers()) {
+        return error.response();
+    }
+    let asks = (0..entry.link.len()).map(|number| {
+        let ask = entry.link.call_any(number, "status", |client| async move {
+            client.status(peers::within(STATUS_TIME)).await
+        });
+        async move {
+            match ask.await {
+                Ok(status) => json!(status),
+                Err(error) => json!({ "error": error.to_string() }),
+            }
+        }
+    });
+    let control = futures::future::join_all(asks).await;
+    HttpResponse::Ok().json(&json!({
+        "control": control,
+        "entry": { "position": entry.follower.position(), "stale": entry.is_stale() },
+    }))
+}
+
 async fn put(
     entry: Entry,
     request: HttpRequest,
--- a/src/state.rs
+++ b/src/state.rs
@@ -170,6 +170,9 @@
     pub moves: u64,
     /// When the last load was ordered, in the state's clock.
     pub last_load_ms: u64,
+    /// The last change of what members follow. Claims and the like move the
+    /// log, but not this.
+    changed: Position,
     journal: VecDeque<(Position, Change)>,
     journal_from: Position,
 }
@@ -221,9 +224,9 @@
         Some(changes.map(|(_, change)| change.clone()).collect())
     }
 
-    /// Whether anything changed for members after `cursor`.
-    pub fn changed_since(&self, cursor: Position) -> bool {
-        self.journal.back().is_some_and(|(at, _)| *at > cursor)
+    /// The last change of what members follow: their positions are measured by it.
+    pub fn changed(&self) -> Position {
+        self.changed
     }
 
     /// Everything a member needs to know, as changes from nothing.
@@ -261,6 +264,7 @@
     }
 
     fn note(&mut self, change: Change) {
+        self.changed = self.position;
         self.journal.push_back((self.position, change));
         while self.journal.len() > JOURNAL_LEN {
             if let Some((dropped, _)) = self.journal.pop_front() {
--- a/src/view.rs
+++ b/src/view.rs
@@ -22,7 +22,7 @@
 
 /// Cuts the page that a member with `cursor` needs.
 pub fn page_after(state: &SiteState, cursor: Position) -> SyncPage {
-    let to = state.position;
+    let to = state.changed();
     match state.changes_after(cursor) {
         Some(changes) if cursor > Position(0) => SyncPage {
             from: Some(cursor),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -33,7 +33,7 @@
     /// The whole wish for its target; none where its life has ended: it must
     /// join again.
     pub plan: Option<TargetPlan>,
-    /// The newest position of the log.
+    /// The last change of what members follow.
     pub position: Position,
 }
 
@@ -44,7 +44,7 @@
     pub grants: BTreeMap<RowId, u32>,
     /// Its life has ended: it must join again.
     pub rejoin: bool,
-    /// The newest position of the log.
+    /// The last change of what members follow.
     pub position: Position,
 }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -378,3 +378,24 @@
     })
     .await;
 }
+
+#[ntex::test]
+async fn models_of_a_dead_engine_move_though_its_agent_lives() {
+    let mut site = TestSite::start().await;
+    site.add_row("review", &row("review", "filing-review"))
+        .await;
+    site.settled("review", 2).await;
+    let table = site.table("e1").await.unwrap();
+    let homes = table["rows"][0]["homes"].as_array().unwrap().clone();
+    for home in &homes {
+        site.kill(&format!("{}-engine", home.as_str().unwrap()));
+    }
+    until("a home on the engine that is left", async || {
+        let table = site.table("e1").await?;
+        let now = table["rows"][0]["homes"].as_array()?.clone();
+        (now.len() == 1 && !homes.contains(&now[0])).then_some(())
+    })
+    .await;
+    let told = site.complete("e1", &ask("on the one that is left")).await;
+    assert_eq!(told.outcome, "done", "{told:?}");
+}
--- a/tests/fuzz/view.rs
+++ b/tests/fuzz/view.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 
+use dunlinspring::claims::{ClaimKey, Settlement};
 use dunlinspring::ids::*;
 use dunlinspring::state::{Command, JOURNAL_LEN, MemberRole, SiteState, Stamped};
 use dunlinspring::view::{SiteView, SyncPage, page_after};
@@ -108,6 +109,39 @@
     }
 }
 
+/// Found by the demo: positions that claims moved made members take every
+/// control host for one that kept changes back, and entries stale.
+#[test]
+fn claims_do_not_move_the_position_that_members_follow() {
+    let mut state = SiteState::default();
+    let join = Command::Join(
+        HostName::from("h"),
+        MemberRole::Entry,
+        String::new(),
+        HallName::from("x"),
+    );
+    let settle = Command::Settle(
+        ClaimKey {
+            partner: PartnerName::from("p"),
+            key: CallKey::from("k"),
+        },
+        AttemptId {
+            entry: Incarnation(1),
+            number: 1,
+        },
+        Settlement::Unknown,
+    );
+    for (at, command) in [join, settle].into_iter().enumerate() {
+        let at_ms = at as u64;
+        state.apply(Position(at_ms + 1), &Stamped { at_ms, command });
+    }
+    assert_eq!(
+        (state.position, state.changed()),
+        (Position(2), Position(1))
+    );
+    assert_eq!(page_after(&state, Position(0)).to, Position(1));
+}
+
 pub struct ViewTest;
 
 impl StateMachineTest for ViewTest {
