A busy engine's report can be written; an idle leader is quiet; benches

Runs are a list now. - each answer to an append drew the next one, so each control host took 75 to 116% of a core when idle; the leader now sends only what is new, and heartbeats.

--- /dev/null
+++ b/benches/core.rs
@@ -0,0 +1,327 @@
+//! Slopes of the core's decisions, each at three or more sizes.
+//!
+//! `cargo bench --bench core`
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::hint::black_box;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use dunlinspring::gate::*;
+use dunlinspring::ids::*;
+use dunlinspring::ledger::OrderCheck;
+use dunlinspring::limits::{LimitClaim, LimitPolicy, ShareGrantor};
+use dunlinspring::placement::{self, DemandBook, PlacePolicy};
+use dunlinspring::queue::QueuePolicy;
+use dunlinspring::route::{self, LoadBook, RouteAsk, RouteChoice, RoutePolicy};
+use dunlinspring::site::{ModelKind, ModelSpec, SiteSpec, TargetSpec};
+use dunlinspring::state::*;
+use dunlinspring::table::{RowChange, RowEdit, RowFields, Urgency};
+use dunlinspring::view;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+fn site(models: usize, targets: usize) -> SiteSpec {
+    let model = |number: usize| {
+        let spec = ModelSpec {
+            kind: ModelKind::Base,
+            weights_mib: 1000 + (number as u64 * 37) % 2000,
+            kv_kib_per_token: 100,
+        };
+        (ModelName(format!("model-{number}")), spec)
+    };
+    let target = |number: usize| {
+        let spec = TargetSpec {
+            hall: HallName(format!("hall-{}", number % 10)),
+            memory_mib: 12_000,
+            kv_floor_mib: 2_000,
+            accelerators: 2,
+        };
+        (TargetName(format!("target-{number:05}")), spec)
+    };
+    SiteSpec {
+        generation: 1,
+        spare_targets: 1,
+        load_gap_ms: 0,
+        loads_at_once: 1000,
+        limits: LimitPolicy::default(),
+        models: (0..models).map(model).collect(),
+        targets: (0..targets).map(target).collect(),
+    }
+}
+
+fn fields(model: usize) -> RowFields {
+    RowFields {
+        model: ModelName(format!("model-{model}")),
+        class: "class".to_owned(),
+        urgency: Urgency::Standard,
+        weight: 1,
+        max_running: 100,
+        patience_ms: 1000,
+        at_most_once: false,
+        whole: false,
+    }
+}
+
+fn edit(number: usize, model: usize, expected: Position) -> RowEdit {
+    RowEdit {
+        id: EditId(format!("edit-{number}")),
+        partner: PartnerName::from("fiji"),
+        row: RowId(format!("row-{model}")),
+        expected,
+        change: RowChange::Put(fields(model)),
+    }
+}
+
+/// A state with all rows, agents and, after planning, homes.
+fn filled(models: usize, targets: usize) -> SiteState {
+    let mut state = SiteState::default();
+    let run = |state: &mut SiteState, command: Command| {
+        let position = Position(state.position.0 + 1);
+        let at_ms = position.0;
+        state.apply(position, &Stamped { at_ms, command })
+    };
+    run(&mut state, Command::Site(site(models, targets)));
+    for number in 0..targets {
+        let host = HostName(format!("target-{number:05}"));
+        let hall = HallName(format!("hall-{}", number % 10));
+        let address = "10.0.0.1:7000".to_owned();
+        run(
+            &mut state,
+            Command::Join(host, MemberRole::Agent, address, hall),
+        );
+    }
+    for model in 0..models {
+        run(&mut state, Command::Edit(edit(model, model, Position(0))));
+    }
+    for target in 0..targets {
+        for model in 0..3 {
+            let model = ModelName(format!("model-{}", (target * 3 + model) % models));
+            let target = TargetName(format!("target-{target:05}"));
+            run(&mut state, Command::Move(target, model, MoveKind::Load));
+        }
+    }
+    state
+}
+
+fn choose(c: &mut Criterion) {
+    let mut group = c.benchmark_group("route_choose");
+    let policy = RoutePolicy {
+        subset: 8,
+        affinity_slack: 2,
+        hall_slack: 1,
+        by_load: true,
+    };
+    let hall = HallName::from("hall-1");
+    for homes in [2usize, 8, 40, 200] {
+        let names: Vec<TargetName> = (0..homes)
+            .map(|number| TargetName(format!("target-{number}")))
+            .collect();
+        let choices: Vec<RouteChoice<'_>> = names
+            .iter()
+            .map(|target| RouteChoice {
+                target,
+                hall: &hall,
+            })
+            .collect();
+        let ask = RouteAsk {
+            entry: 1,
+            hall: &hall,
+            prefix: "the beginning of a prompt",
+        };
+        let book = LoadBook::default();
+        let mut rng = SmallRng::seed_from_u64(1);
+        group.bench_with_input(BenchmarkId::from_parameter(homes), &homes, |b, _| {
+            b.iter(|| black_box(route::choose(&policy, &ask, &choices, &book, 1, &mut rng)));
+        });
+    }
+    group.finish();
+}
+
+fn accept(c: &mut Criterion) {
+    let mut group = c.benchmark_group("accept_edit");
+    group.sample_size(20);
+    for (models, targets) in [(26, 100), (260, 1000), (260, 10_000)] {
+        let state = filled(models, targets);
+        let name = format!("{models}x{targets}");
+        group.bench_function(BenchmarkId::from_parameter(name), |b| {
+            let mut table = state.table.clone();
+            let mut number = 1_000_000;
+            b.iter(|| {
+                number += 1;
+                let row = RowId("row-1".to_owned());
+                let expected = table.rows()[&row].version;
+                let edit = edit(number, 1, expected);
+                black_box(table.apply(&state.site, Position(number as u64), 0, &edit))
+            });
+        });
+    }
+    group.finish();
+}
+
+fn place(c: &mut Criterion) {
+    let mut group = c.benchmark_group("placement_round");
+    group.sample_size(10);
+    let policy = PlacePolicy {
+        move_price: 1.0,
+        spread: 2,
+        by_demand: true,
+    };
+    for (models, targets) in [(26, 20), (260, 200), (260, 1000), (260, 10_000)] {
+        let state = filled(models, targets);
+        let demand = DemandBook::default();
+        let name = format!("{models}x{targets}");
+        group.bench_function(BenchmarkId::from_parameter(name), |b| {
+            b.iter(|| black_box(placement::plan(&state, &policy, &demand)));
+        });
+    }
+    group.finish();
+}
+
+fn page(c: &mut Criterion) {
+    let mut group = c.benchmark_group("sync_page");
+    group.sample_size(20);
+    for (models, targets) in [(26, 20), (260, 1000), (260, 10_000)] {
+        let state = filled(models, targets);
+        let behind = Position(state.changed().0 - 500.min(state.changed().0 - 1));
+        let whole = bincode::serialize(&view::page_after(&state, Position(0))).unwrap();
+        let tail = bincode::serialize(&view::page_after(&state, behind)).unwrap();
+        println!(
+            "page bytes {models}x{targets}: whole {}, 500 behind {}",
+            whole.len(),
+            tail.len()
+        );
+        let name = format!("{models}x{targets}");
+        group.bench_function(BenchmarkId::new("500_behind", &name), |b| {
+            b.iter(|| black_box(view::page_after(&state, behind)));
+        });
+        group.bench_function(BenchmarkId::new("whole", &name), |b| {
+            b.iter(|| black_box(view::page_after(&state, Position(0))));
+        });
+    }
+    group.finish();
+}
+
+fn run_cycle(c: &mut Criterion) {
+    let mut group = c.benchmark_group("gate_cycle");
+    for remembered in [100u64, 1000, 10_000] {
+        let queue = QueuePolicy {
+            slots: 64,
+            batch_headroom: 4,
+            refuse_early: true,
+            ordered: true,
+            limit: 1024,
+        };
+        let policy = GatePolicy {
+            capacity_mib: 0,
+            check: OrderCheck::Fenced,
+            lease_ms: 1000,
+            queue,
+        };
+        let service = ModelName::from("service");
+        let fixed = BTreeSet::from([service.clone()]);
+        let mut gate = TargetGate::new(Incarnation(1), policy, fixed, 0);
+        let mut number = 0;
+        let mut cycle = |gate: &mut TargetGate| {
+            number += 1;
+            let attempt = AttemptId {
+                entry: Incarnation(1),
+                number,
+            };
+            let call = EngineCall {
+                model: service.clone(),
+                prompt: String::new(),
+                path: None,
+                max_tokens: 1,
+                given: 0,
+                kv_mib: 0,
+            };
+            let ask = RunAsk {
+                attempt,
+                life: Incarnation(1),
+                row: RowId::from("row"),
+                version: Position(1),
+                urgency: Urgency::Interactive,
+                weight: 1,
+                at_most_once: false,
+                patience_ms: 1000,
+                call,
+            };
+            gate.start(1, ask);
+            gate.next_run(1);
+            gate.on_run(1, attempt, RunEvent::Ended);
+            black_box(gate.pull(1, attempt, Incarnation(1), 0));
+        };
+        (0..remembered).for_each(|_| cycle(&mut gate));
+        group.bench_function(BenchmarkId::from_parameter(remembered), |b| {
+            b.iter(|| cycle(&mut gate));
+        });
+    }
+    group.finish();
+}
+
+fn grant(c: &mut Criterion) {
+    let mut group = c.benchmark_group("grant_share");
+    for entries in [4u64, 60, 960] {
+        let policy = LimitPolicy {
+            entries: entries as u32,
+            lease_ms: 2000,
+        };
+        let mut grantor = ShareGrantor::new(policy, 0);
+        let row = RowId::from("row");
+        let claim = LimitClaim { held: 1, wanted: 3 };
+        let mut ask =
+            |entry: u64| grantor.grant(10_000, Incarnation(entry), &row, 5000, 1000, claim);
+        (0..entries).for_each(|entry| {
+            ask(entry);
+        });
+        group.bench_function(BenchmarkId::from_parameter(entries), |b| {
+            b.iter(|| black_box(ask(1)));
+        });
+    }
+    group.finish();
+}
+
+fn sizes(_: &mut Criterion) {
+    for models in [3usize, 10, 30] {
+        let holds: BTreeMap<ModelName, bool> = (0..models)
+            .map(|number| (ModelName(format!("model-{number}")), true))
+            .collect();
+        let busy = (0..models)
+            .map(|number| (ModelName(format!("model-{number}")), 3))
+            .collect();
+        let beat = dunlinspring::duties::AgentBeat {
+            host: HostName::from("target-00001"),
+            life: Incarnation(1),
+            position: Position(1),
+            plan: Position(1),
+            holds: Some(holds),
+            busy,
+            leaving: false,
+            stopped: false,
+        };
+        let want = (0..models).map(|number| (ModelName(format!("model-{number}")), 1000));
+        let orders = dunlinspring::wire::AgentOrders {
+            plan: Some(TargetPlan {
+                term: Term(1),
+                position: Position(1),
+                life: Incarnation(1),
+                want: Some(want.collect()),
+                lease_ms: 1500,
+            }),
+            position: Position(1),
+        };
+        let beat = bincode::serialize(&beat).unwrap().len();
+        let orders = bincode::serialize(&orders).unwrap().len();
+        println!("bytes at {models} models: beat {beat}, orders {orders}");
+    }
+    for (models, targets) in [(26, 20), (260, 1000), (260, 10_000)] {
+        let state = filled(models, targets);
+        let snapshot = bincode::serialize(&state).unwrap().len();
+        println!("snapshot bytes {models}x{targets}: {snapshot}");
+    }
+}
+
+criterion_group!(
+    benches, choose, accept, place, page, run_cycle, grant, sizes
+);
+criterion_main!(benches);
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -19,7 +19,7 @@
 /// Weight of the newest sample in the moving average of service times: 1/8.
 const SAMPLE_SHARE: u64 = 8;
 /// Silence of an engine after which it is taken for dead.
-const BLIND_MS: u64 = 1000;
+const BLIND_MS: u64 = 2500;
 /// A lapse of the lease that queued runs wait out: a change of leaders.
 const ORPHAN_MS: u64 = 1000;
 /// Time to come back after a refusal that no forecast covers.
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -4,7 +4,7 @@
 //! from after the order proves one. So the sum held is never less than what the
 //! engine may hold.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -34,8 +34,17 @@
     pub run_fence: OrderSeq,
     /// Models resident or being loaded, with their memory in MiB.
     pub resident: BTreeMap<ModelName, ResidentInfo>,
-    /// Runs in progress, with their KV memory in MiB.
-    pub running: BTreeMap<AttemptId, u64>,
+    /// Runs in progress.
+    pub running: Vec<RunningInfo>,
+}
+
+/// A run in an engine's memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunningInfo {
+    /// The run.
+    pub attempt: AttemptId,
+    /// Its KV memory, in MiB.
+    pub mib: u64,
 }
 
 /// A model in an engine's memory.
@@ -270,9 +279,11 @@
                 }
             }
         });
+        let running = report.running.iter().map(|run| run.attempt);
+        let running: BTreeSet<AttemptId> = running.collect();
         self.runs.retain(|attempt, run| {
             let settled = is_run_settled(check, run.stamp, report.run_fence, asked_ms);
-            !(run.adrift && settled && !report.running.contains_key(attempt))
+            !(run.adrift && settled && !running.contains(attempt))
         });
         self.adopt(report, asked_ms, life);
     }
@@ -294,9 +305,9 @@
                 stamp,
             });
         }
-        for (attempt, mib) in &report.running {
-            self.runs.entry(*attempt).or_insert(RunHold {
-                mib: *mib,
+        for run in &report.running {
+            self.runs.entry(run.attempt).or_insert(RunHold {
+                mib: run.mib,
                 stamp,
                 adrift: true,
             });
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -137,6 +137,9 @@
 struct PlaceBoard<'a> {
     site: &'a SiteSpec,
     targets: BTreeMap<&'a TargetName, BoardTarget<'a>>,
+    /// Homes of each model that are not on their way out, kept along: counting
+    /// them anew would cost models × targets.
+    counts: BTreeMap<&'a ModelName, usize>,
 }
 
 impl<'a> PlaceBoard<'a> {
@@ -168,9 +171,17 @@
             };
             targets.insert(target, board);
         }
+        let mut counts = BTreeMap::new();
+        for board in targets.values() {
+            for (model, home) in &board.homes {
+                let kept = home.phase != HomePhase::Unloading;
+                *counts.entry(*model).or_default() += usize::from(kept);
+            }
+        }
         Self {
             site: &state.site,
             targets,
+            counts,
         }
     }
 
@@ -192,8 +203,7 @@
     }
 
     fn homes(&self, model: &ModelName) -> usize {
-        let boards = self.targets.values();
-        boards.filter(|board| Self::is_home(board, model)).count()
+        self.counts.get(model).copied().unwrap_or(0)
     }
 
     /// Targets that could take the model as they are, best first: in a hall
@@ -226,6 +236,7 @@
                 order: crate::ids::Position(0),
             };
             board.homes.insert(name, home);
+            *self.counts.entry(name).or_default() += 1;
             moves.push(place(target, model, MoveKind::Load));
         }
     }
@@ -355,6 +366,7 @@
             && let Some(home) = board.homes.get_mut(model)
         {
             home.phase = HomePhase::Unloading;
+            *self.counts.entry(model).or_default() -= 1;
             moves.push(place(target, model, MoveKind::Unload));
         }
     }
--- a/src/raft.rs
+++ b/src/raft.rs
@@ -260,6 +260,8 @@
     granted: BTreeSet<NodeId>,
     progress: BTreeMap<NodeId, Progress>,
     learners: BTreeSet<NodeId>,
+    /// Last index and commit index that were sent to all.
+    told: (Position, Position),
     output: Output,
 }
 
@@ -286,6 +288,7 @@
             granted: BTreeSet::new(),
             progress: BTreeMap::new(),
             learners: BTreeSet::new(),
+            told: (Position(0), Position(0)),
             output: Output::default(),
         };
         core.schedule_election(now_ms);
@@ -381,10 +384,13 @@
         Ok(self.append_own(Payload::Command(command)))
     }
 
-    /// Sends what was proposed since the last call. Apart from `propose`, so
-    /// that many proposals share one sync and one message.
+    /// Sends what was proposed or committed since the last call. Apart from
+    /// `propose`, so that many proposals share one sync and one message.
     pub fn flush(&mut self, now_ms: u64) {
-        if self.role == Role::Leader {
+        let told = (self.last().index, self.commit);
+        // With nothing new, an append would only draw an answer, which would
+        // draw the next append.
+        if self.role == Role::Leader && self.told != told {
             self.replicate(now_ms);
             self.advance_commit();
         }
@@ -741,6 +747,7 @@
 
     fn replicate(&mut self, now_ms: u64) {
         self.heartbeat_due_ms = now_ms + self.timing.heartbeat_ms;
+        self.told = (self.last().index, self.commit);
         let voters = self.voters().clone();
         self.learners.retain(|node| !voters.contains(node));
         let mut peers: BTreeSet<NodeId> = self.other_voters().into_iter().collect();
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -16,7 +16,7 @@
 use crate::engine::{DONE, EnginePiece, EngineRun};
 use crate::gate::{EngineOrder, OrderAct};
 use crate::ids::{AttemptId, ModelName};
-use crate::ledger::{EngineReport, OrderSeq, ResidentInfo};
+use crate::ledger::{EngineReport, OrderSeq, ResidentInfo, RunningInfo};
 
 /// Prefixes that the cache holds.
 const CACHED_PREFIXES: usize = 64;
@@ -507,7 +507,12 @@
             fence: state.fence,
             run_fence: state.run_fence,
             resident: state.resident.clone(),
-            running: live.map(|(id, run)| (*id, run.call.kv_mib)).collect(),
+            running: live
+                .map(|(id, run)| RunningInfo {
+                    attempt: *id,
+                    mib: run.call.kv_mib,
+                })
+                .collect(),
         }
     };
     let mut reports = engine
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeSet;
 
+use dunlinspring::ledger::EngineReport;
 use futures::future::join_all;
 use serde_json::{Value, json};
 use support::{Ask, OPERATOR, OTHER_OPERATOR, TestSite, engine_traits, row, until, whole_text};
@@ -399,3 +400,32 @@
     let told = site.complete("e1", &ask("on the one that is left")).await;
     assert_eq!(told.outcome, "done", "{told:?}");
 }
+
+/// Found by measuring: a report that named a running attempt could not be
+/// written as JSON, so a busy engine looked dead.
+#[ntex::test]
+async fn a_busy_engine_reports_what_runs() {
+    let mut traits = engine_traits();
+    traits["piece_us"] = json!(20_000);
+    let site = TestSite::start_with(&traits).await;
+    site.add_row("review", &row("review", "filing-review"))
+        .await;
+    site.settled("review", 2).await;
+    let look = async {
+        until("a report that names a run", async || {
+            for target in ["t1", "t2", "t3"] {
+                let engine = site.address(&format!("{target}-engine"), "listen");
+                let url = format!("http://{engine}/control/report");
+                let report: EngineReport = dunlinspring::daemon::get_json(&url).await.ok()?;
+                if !report.running.is_empty() {
+                    return Some(());
+                }
+            }
+            None
+        })
+        .await;
+    };
+    let request = ask("long");
+    let (told, ()) = futures::join!(site.complete("e1", &request), look);
+    assert_eq!(told.outcome, "done");
+}
--- a/tests/fuzz/log.rs
+++ b/tests/fuzz/log.rs
@@ -656,6 +656,31 @@
     }
 }
 
+/// Found by measuring an idle site: each answer drew another append, and the
+/// control hosts took a whole core each.
+#[test]
+fn an_idle_leader_sends_heartbeats_only() {
+    let mut world = LogWorld::new();
+    world.calm(40);
+    let leads = |voter: &Voter| {
+        let replica = voter.replica.as_ref();
+        replica.is_some_and(|replica| replica.raft().is_leader())
+    };
+    let leader = world.voters.iter().position(leads).unwrap();
+    world.bag.clear();
+    let mut sent = 0;
+    for _ in 0..100 {
+        world.now += 2;
+        world.tick(leader);
+        for _ in 0..CALM_HOPS {
+            sent += world.bag.len();
+            world.deliver_all();
+        }
+    }
+    // 200 ms with a heartbeat every 20, to two followers, each answered.
+    assert!(sent <= 44, "{sent} messages in 200 ms of idleness");
+}
+
 pub struct LogTest;
 
 impl StateMachineTest for LogTest {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -315,6 +315,15 @@
         std::fs::read_to_string(self.dir.path().join(format!("{name}.log"))).unwrap_or_default()
     }
 
+    pub fn pid(&self, name: &str) -> u32 {
+        self.processes[name].child.as_ref().unwrap().id()
+    }
+
+    pub fn control_addresses(&self) -> Vec<String> {
+        let control = self.control.iter();
+        control.map(|(_, address)| address.to_string()).collect()
+    }
+
     pub fn address(&self, name: &str, what: &str) -> SocketAddr {
         self.processes[name].addresses[what]
     }
