--- a/src/gate.rs
+++ b/src/gate.rs
@@ -560,7 +560,7 @@
             return None;
         }
         let boot = self.boot?;
-        let act = self.next_act(now_ms)?;
+        let act = self.next_act()?;
         self.last_seq += 1;
         let seq = OrderSeq {
             life: self.life,
@@ -785,7 +785,7 @@
         }
     }
 
-    fn next_act(&mut self, now_ms: u64) -> Option<OrderAct> {
+    fn next_act(&mut self) -> Option<OrderAct> {
         if self.fence_needed {
             self.fence_needed = false;
             return Some(OrderAct::Fence);
@@ -795,10 +795,7 @@
         }
         let want = self.plan.as_ref()?.want.as_ref()?;
         let unload = self.ledger.models().find(|(model, phase)| {
-            *phase != HoldPhase::Unloading
-                && !want.contains_key(*model)
-                && !self.in_use(model)
-                && self.ledger.may_order(model, now_ms)
+            *phase != HoldPhase::Unloading && !want.contains_key(*model) && !self.in_use(model)
         });
         if let Some((model, _)) = unload {
             return Some(OrderAct::Unload(model.clone()));
@@ -806,8 +803,7 @@
         let load = want.iter().find(|(model, mib)| {
             let there = match self.ledger.phase(model) {
                 Some(HoldPhase::Loading | HoldPhase::Resident) => true,
-                Some(HoldPhase::Unloading) => !self.ledger.may_order(model, now_ms),
-                None => false,
+                Some(HoldPhase::Unloading) | None => false,
             };
             !there && self.ledger.free_mib() >= **mib
         });
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -207,17 +207,6 @@
         }
     }
 
-    /// Whether the model's last order can no longer take effect late, so that
-    /// another may follow it.
-    pub fn may_order(&self, model: &ModelName, now_ms: u64) -> bool {
-        match (self.check, self.models.get(model)) {
-            (OrderCheck::Fenced, _) | (_, None) => true,
-            (OrderCheck::LateBound(bound), Some(hold)) => {
-                hold.phase == HoldPhase::Resident || hold.stamp.open_ms + bound < now_ms
-            }
-        }
-    }
-
     /// Reserves KV memory for a run before it is sent.
     pub fn reserve_run(
         &mut self,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,40 +1,84 @@
-//! dunlinspring
-pub mod agentd;
-pub mod auth;
-pub mod caller;
+//! A serving system for many models on fewer accelerators.
+//!
+//! Operators edit rows of a shared, replicated table; the system decides where
+//! models live and which requests run, wait, or are refused. The decisions are
+//! a pure core: plain structs whose functions take the time and a message and
+//! return what is to be done. The daemons move the bytes. See
+//! `docs/ARCHITECTURE.md` for the map of the modules.
+//!
+//! Any role's decisions can be driven by calling the library:
+//!
+//! ```
+//! use std::collections::BTreeSet;
+//!
+//! use dunlinspring::ids::NodeId;
+//! use dunlinspring::raft::RaftTiming;
+//! use dunlinspring::replica::LogReplica;
+//! use dunlinspring::site::SiteSpec;
+//! use dunlinspring::state::Command;
+//!
+//! // A site with a single voter, an empty disk, and a clock of our own.
+//! let own = NodeId(1);
+//! let timing = RaftTiming { election_ms: 100, heartbeat_ms: 20 };
+//! let image = LogReplica::founding_image(BTreeSet::from([own]));
+//! let mut replica = LogReplica::new(own, timing, image, 0, 7, 1000);
+//!
+//! // It stands for election once its timeout has passed, and leads.
+//! replica.tick(300);
+//! replica.finish(300);
+//! let site = SiteSpec { generation: 1, ..SiteSpec::default() };
+//! replica.propose(0, Command::Site(site)).unwrap();
+//! let output = replica.finish(301);
+//!
+//! // What must be synced comes first; the reply is given out after that.
+//! assert_eq!(output.records.len(), 1);
+//! assert_eq!(output.replies.len(), 1);
+//! assert_eq!(replica.newest(301).unwrap().site.generation, 1);
+//! ```
+
+#![warn(missing_docs)]
+
+// The core: no sockets, clocks, threads or global random sources.
 pub mod claims;
-pub mod cli;
-pub mod clock;
-pub mod commands;
-pub mod control;
-pub mod controld;
-pub mod daemon;
-pub mod demo;
 pub mod duties;
-pub mod engine;
-pub mod entryd;
 pub mod flight;
 pub mod gate;
 pub mod ids;
-pub mod journal;
 pub mod ledger;
 pub mod limits;
-pub mod load;
-pub mod member;
-pub mod metrics;
-pub mod operator;
 pub mod packing;
-pub mod peers;
 pub mod placement;
 pub mod queue;
 pub mod raft;
 pub mod replica;
 pub mod retry;
 pub mod route;
-pub mod settings;
 pub mod site;
-pub mod standin;
 pub mod state;
 pub mod table;
 pub mod view;
+
+// The shell: sockets, files, clocks and tasks around the core.
+pub mod agentd;
+pub mod auth;
+pub mod caller;
+pub mod cli;
+pub mod clock;
+pub mod commands;
+pub mod control;
+pub mod controld;
+pub mod daemon;
+pub mod engine;
+pub mod entryd;
+pub mod journal;
+pub mod load;
+pub mod member;
+pub mod metrics;
+pub mod operator;
+pub mod peers;
+pub mod settings;
 pub mod wire;
+
+// Small stand-ins for the platform's side, and a whole small site of them.
+pub mod demo;
+pub mod standin;
