--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -431,7 +431,7 @@
 
 async fn site(scenario: &str, variant: &str, seed: u64) {
     let mut shape = shape(variant);
-    let mut mix = demo::mix(0.4);
+    let mut mix = demo::mix(0.8);
     let phase = |from_s: f64, factors: &[(&str, f64)]| LoadPhase {
         from_s,
         factors: factors
@@ -449,8 +449,8 @@
     match scenario {
         "steady" | "target_lost" => {}
         "surge" => {
-            let factors: Vec<(&str, f64)> = all.iter().map(|class| (*class, 3.5)).collect();
-            mix.phases = vec![phase(3.0, &factors), phase(9.0, &[])];
+            let factors: Vec<(&str, f64)> = all.iter().map(|class| (*class, 5.0)).collect();
+            mix.phases = vec![phase(2.0, &factors), phase(7.0, &[])];
         }
         "tenfold" => mix.phases = vec![phase(3.0, &[("filing-review", 10.0)])],
         "late_reports" => shape.engine.report_lag_ms = 2000,
@@ -461,7 +461,7 @@
     let plan = LoadPlan {
         entries: site.entries.iter().map(ToString::to_string).collect(),
         mix,
-        seconds: 12.0,
+        seconds: 10.0,
         seed,
         standin_text: true,
     };
--- a/src/caller.rs
+++ b/src/caller.rs
@@ -13,8 +13,9 @@
 
 use crate::auth;
 use crate::daemon::{self, DaemonError};
-use crate::entryd::{self, CallerRequest, EntryShared, FlightNote, InFlight};
+use crate::entryd::{self, EntryShared, InFlight};
 use crate::flight::{DEFAULT_RETRY_MS, EndCause, FlightOutcome};
+use crate::flying::{self, CallerRequest, FlightNote};
 use crate::gate::EngineCall;
 use crate::ids::{CallKey, ModelName, PartnerName};
 use crate::operator;
@@ -383,9 +384,9 @@
 /// The flight runs as a task of its own: it outlives a caller that leaves, for
 /// as long as it takes to end what it began.
 fn launch(entry: &Entry, request: CallerRequest, guard: InFlight) -> mpsc::Receiver<FlightNote> {
-    let (sender, notes) = mpsc::channel(entryd::NOTES);
+    let (sender, notes) = mpsc::channel(flying::NOTES);
     let entry = Arc::clone(entry);
-    ntex::rt::spawn(entryd::fly(entry, request, sender, guard));
+    ntex::rt::spawn(flying::fly(entry, request, sender, guard));
     notes
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,12 +40,15 @@
 
 // The core: no sockets, clocks, threads or global random sources.
 pub mod claims;
+pub mod demand;
 pub mod duties;
+pub mod entries;
 pub mod flight;
 pub mod gate;
 pub mod ids;
 pub mod ledger;
 pub mod limits;
+pub mod orders;
 pub mod packing;
 pub mod placement;
 pub mod queue;
@@ -53,6 +56,7 @@
 pub mod replica;
 pub mod retry;
 pub mod route;
+pub mod runs;
 pub mod site;
 pub mod state;
 pub mod table;
@@ -70,6 +74,7 @@
 pub mod daemon;
 pub mod engine;
 pub mod entryd;
+pub mod flying;
 pub mod journal;
 pub mod load;
 pub mod member;
