Placement: a spare home no longer takes the room that demand made

Change: what relieves more than a spare is worth goes first, a spare counts for one request a home when it is weighed for leaving, and the room made before is used before more is made.

--- a/src/placement.rs
+++ b/src/placement.rs
@@ -21,6 +21,9 @@
     pub by_demand: bool,
 }
 
+/// What a spare home is worth by itself, in concurrent requests a home.
+const SPARE_WORTH: f64 = 1.0;
+
 /// A decided move.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlaceMove {
@@ -53,17 +56,17 @@
     for model in &homeless {
         board.add_home(model, &wanted, &mut moves);
     }
-    // A spare home must not take the room that is being made for a first one.
-    if homeless.is_empty() {
+    // A spare home must not take the room that is being made for a first one,
+    // nor that for a home which relieves more than a spare is worth.
+    let claimed = !homeless.is_empty()
+        || policy.by_demand && board.follow_demand(policy, demand, &ordered, &wanted, &mut moves);
+    if !claimed {
         for model in &ordered {
             if board.homes(model) < policy.spread {
                 board.add_spare(model, &mut moves);
             }
         }
     }
-    if policy.by_demand && moves.is_empty() {
-        board.follow_demand(policy, demand, &ordered, &wanted, &mut moves);
-    }
     limit_loads(moves, permits)
 }
 
@@ -456,6 +459,7 @@
     }
 
     /// One load for the model whose homes are most crowded, if worth its price.
+    /// Returns whether free room is spoken for.
     fn follow_demand(
         &mut self,
         policy: &PlacePolicy,
@@ -463,7 +467,7 @@
         ordered: &[&'a ModelName],
         wanted: &BTreeSet<&'a ModelName>,
         moves: &mut Vec<PlaceMove>,
-    ) {
+    ) -> bool {
         let relief = |board: &Self, model: &ModelName| {
             let homes = board.homes(model) as f64;
             let level = demand.level(model);
@@ -478,12 +482,16 @@
             .filter(|(relief, _)| *relief > policy.move_price)
             .max_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(a.1)));
         let Some((gain, model)) = crowded else {
-            return;
+            return false;
         };
+        let pending = |board: &BoardTarget<'_>| self.unloading_mib(board) > 0;
         match self.fitting(model) {
             Some(target) => self.load(target, model, moves),
-            None => self.trade(model, gain, policy, demand, wanted, moves),
+            // The room that was made before comes first.
+            None if self.targets.values().any(pending) => {}
+            None => return self.trade(model, gain, policy, demand, wanted, moves),
         }
+        true
     }
 
     /// Unloads the surplus home that is missed least, where that is less than
@@ -496,14 +504,19 @@
         demand: &DemandBook,
         wanted: &BTreeSet<&'a ModelName>,
         moves: &mut Vec<PlaceMove>,
-    ) {
+    ) -> bool {
         let need = self.mib(model);
         let base = self.base_of(model);
         let loss = |model: &ModelName| {
             let homes = self.homes(model) as f64;
             let level = demand.level(model);
+            let spare = if homes as usize <= policy.spread {
+                SPARE_WORTH
+            } else {
+                0.0
+            };
             match homes > 1.0 {
-                true => level / (homes - 1.0) - level / homes,
+                true => spare + level / (homes - 1.0) - level / homes,
                 false => 0.0,
             }
         };
@@ -521,8 +534,12 @@
             *loss + policy.move_price < gain && Some(*out) != base && *out != model
         });
         let best = cheap.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(b.1)));
-        if let Some((_, target, out)) = best {
-            self.unload(target, out, moves);
+        match best {
+            Some((_, target, out)) => {
+                self.unload(target, out, moves);
+                true
+            }
+            None => false,
         }
     }
 }
--- a/tests/fuzz/gate.rs
+++ b/tests/fuzz/gate.rs
@@ -1193,7 +1193,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(super::config(400))]
+    #![proptest_config(super::config(4000))]
 
     #[test]
     fn outcomes_memory_and_runs_are_true(sequential 1..100 => GateTest);
--- a/tests/fuzz/limits.rs
+++ b/tests/fuzz/limits.rs
@@ -196,7 +196,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(super::config(1000))]
+    #![proptest_config(super::config(20000))]
 
     #[test]
     fn no_limit_is_exceeded_in_sum(sequential 1..120 => LimitTest);
--- a/tests/fuzz/log.rs
+++ b/tests/fuzz/log.rs
@@ -766,7 +766,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(super::config(120))]
+    #![proptest_config(super::config(2000))]
 
     #[test]
     fn the_log_keeps_what_it_acknowledged(sequential 1..120 => LogTest);
--- a/tests/fuzz/place.rs
+++ b/tests/fuzz/place.rs
@@ -346,7 +346,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(super::config(300))]
+    #![proptest_config(super::config(1500))]
 
     #[test]
     fn every_model_keeps_or_regains_a_home(sequential 1..80 => PlaceTest);
