--- a/benches/core.rs
+++ b/benches/core.rs
@@ -281,6 +281,13 @@
     group.finish();
 }
 
+fn resident_kib() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS"));
+    let kib = line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok());
+    kib.unwrap_or(0)
+}
+
 fn sizes(_: &mut Criterion) {
     for models in [3usize, 10, 30] {
         let holds: BTreeMap<ModelName, bool> = (0..models)
@@ -316,6 +323,15 @@
     }
     for (models, targets) in [(26, 20), (260, 1000), (260, 10_000)] {
         let state = filled(models, targets);
+        let page = view::page_after(&state, Position(0));
+        let before = resident_kib();
+        let mut copy = view::SiteView::default();
+        copy.follow(&page);
+        let kib = resident_kib().saturating_sub(before);
+        println!(
+            "member's copy {models}x{targets}: {kib} KiB, {} models",
+            copy.homes.len()
+        );
         let snapshot = bincode::serialize(&state).unwrap().len();
         println!("snapshot bytes {models}x{targets}: {snapshot}");
     }
--- a/src/caller.rs
+++ b/src/caller.rs
@@ -4,7 +4,7 @@
 
 use ntex::http::{HeaderMap, StatusCode};
 use ntex::server::Server;
-use ntex::util::Bytes;
+use ntex::util::{Bytes, BytesMut};
 use ntex::web::{self, HttpRequest, HttpResponse, types};
 use serde::Deserialize;
 use serde_json::json;
@@ -38,10 +38,8 @@
 ) -> Result<Server, DaemonError> {
     let workers = entry.settings.workers;
     let app = async move || {
-        let limit = entry.settings.max_body;
         web::App::new()
             .state(entry.clone())
-            .state(types::PayloadConfig::new(limit))
             .route("/v1/chat/completions", web::post().to(chat))
             .route("/v1/completions", web::post().to(complete))
             .route("/v1/models", web::get().to(models))
@@ -138,7 +136,36 @@
     }
 }
 
-async fn chat(entry: Entry, request: HttpRequest, body: Bytes) -> HttpResponse {
+/// Reads a body up to the settings' limit; more is refused, and not read.
+pub(crate) async fn read_body(
+    entry: &EntryShared,
+    payload: types::Payload,
+) -> Result<Bytes, CallerError> {
+    let limit = entry.settings.max_body;
+    let mut payload = payload.into_inner();
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.recv().await {
+        let chunk = chunk.map_err(|error| CallerError::bad("body", error.to_string()))?;
+        if body.len() + chunk.len() > limit {
+            let message = format!("is longer than {limit} bytes");
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            return Err(CallerError::new(
+                status,
+                "body_too_large",
+                Some("body"),
+                message,
+            ));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+async fn chat(entry: Entry, request: HttpRequest, payload: types::Payload) -> HttpResponse {
+    let body = match read_body(&entry, payload).await {
+        Ok(body) => body,
+        Err(error) => return error.response(),
+    };
     let parsed = parse::<ChatBody>(&body).and_then(|chat| {
         if chat.messages.is_empty() {
             return Err(CallerError::bad("messages", "must not be empty"));
@@ -151,7 +178,11 @@
     generate(&entry, &request, &body, parsed, AnswerForm::Chat).await
 }
 
-async fn complete(entry: Entry, request: HttpRequest, body: Bytes) -> HttpResponse {
+async fn complete(entry: Entry, request: HttpRequest, payload: types::Payload) -> HttpResponse {
+    let body = match read_body(&entry, payload).await {
+        Ok(body) => body,
+        Err(error) => return error.response(),
+    };
     let parsed = parse::<CompletionBody>(&body)
         .map(|ask| (ask.model, ask.prompt, ask.max_tokens, ask.stream));
     generate(&entry, &request, &body, parsed, AnswerForm::Completion).await
@@ -200,8 +231,12 @@
     entry: Entry,
     request: HttpRequest,
     path: types::Path<(String, String)>,
-    body: Bytes,
+    payload: types::Payload,
 ) -> HttpResponse {
+    let body = match read_body(&entry, payload).await {
+        Ok(body) => body,
+        Err(error) => return error.response(),
+    };
     let prepared = authorize(&entry, request.headers()).and_then(|partner| {
         let (name, path) = path.into_inner();
         let model = ModelName(name);
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -4,12 +4,11 @@
 use std::time::Duration;
 
 use ntex::http::{HeaderMap, StatusCode};
-use ntex::util::Bytes;
 use ntex::web::{self, HttpRequest, HttpResponse, types};
 use serde_json::{Value, json};
 
 use crate::auth;
-use crate::caller::{CallerError, bearer};
+use crate::caller::{CallerError, bearer, read_body};
 use crate::entryd::EntryShared;
 use crate::ids::{EditId, PartnerName, Position, RowId};
 use crate::member;
@@ -92,8 +91,12 @@
     entry: Entry,
     request: HttpRequest,
     id: types::Path<String>,
-    body: Bytes,
+    payload: types::Payload,
 ) -> HttpResponse {
+    let body = match read_body(&entry, payload).await {
+        Ok(body) => body,
+        Err(error) => return error.response(),
+    };
     let mut reader = serde_json::Deserializer::from_slice(&body);
     let fields: Result<RowFields, _> = serde_path_to_error::deserialize(&mut reader);
     match fields {
