--- a/src/demo.rs
+++ b/src/demo.rs
@@ -140,6 +140,9 @@
     }
 }
 
+/// Base models that the kinds name, from the first on.
+const KIND_MODELS: usize = 6;
+
 /// The nine kinds of the two partners.
 const KINDS: [DemoKind; 9] = [
     kind(0, "filing-review", "m0", Urgency::Standard, 60, 3_000, 30.0),
@@ -414,7 +417,7 @@
                 .await?;
         }
         // More models than the kinds need, as the partners have.
-        for number in KINDS.len() - 3..self.shape.models {
+        for number in KIND_MODELS..self.shape.models {
             let fields = json!({
                 "model": format!("m{number}"), "class": format!("spare-{number}"),
                 "urgency": "standard", "weight": 1, "max_running": 10, "patience_ms": 5000,
--- a/src/flying.rs
+++ b/src/flying.rs
@@ -115,6 +115,7 @@
     deadline: Instant,
     flight: RequestFlight,
     answer: String,
+    answered: bool,
     over: bool,
     tried: Vec<TargetName>,
 }
@@ -140,6 +141,7 @@
             deadline: started + Duration::from_millis(fields.patience_ms),
             flight: RequestFlight::new(policy),
             answer: String::new(),
+            answered: false,
             over: false,
             tried: Vec::new(),
         }
@@ -152,7 +154,7 @@
                 FlightStep::Choose { first } => self.choose(first).await,
                 step => self.perform_in_time(step).await,
             };
-            self.note_refusal(&event);
+            self.count_refusal(&event);
             let pieces = self.flight.on(event);
             if !pieces.is_empty() {
                 self.hand_over(pieces).await;
@@ -161,7 +163,7 @@
     }
 
     /// Overload is demand that the homes of the model do not meet.
-    fn note_refusal(&self, event: &FlightEvent) {
+    fn count_refusal(&self, event: &FlightEvent) {
         let FlightEvent::Word(AttemptWord::Page(page)) = event else {
             return;
         };
@@ -449,19 +451,20 @@
     }
 
     async fn hand_over(&mut self, pieces: Vec<String>) {
-        if self.answer.is_empty() {
+        if !self.answered {
+            self.answered = true;
             self.entry.record_first(self.request, self.started);
         }
         // Kept only as far as a claim records it.
         if self.request.key.is_some() && self.answer.len() <= MAX_RECORDED {
             pieces.iter().for_each(|piece| self.answer.push_str(piece));
-        } else if self.answer.is_empty() {
-            self.answer.push(' ');
         }
-        // A reader that stays away longer than its patience has gone.
         let sent = self.notes.send(FlightNote::Pieces(pieces));
-        if tokio::time::timeout_at(self.deadline, sent).await.is_err() {
+        let sent = tokio::time::timeout_at(self.deadline, sent).await;
+        // A reader that stays away longer than its patience has gone.
+        if !matches!(sent, Ok(Ok(()))) {
             self.over = true;
+            self.flight.on(FlightEvent::PatienceOver);
         }
     }
 }
