Leaving and planned stops: proofs that fail first

Found by taking the mechanisms out: three tests passed without what they were to prove. A leaving agent had ended before its test looked; a stop cut runs off, and a fresh attempt elsewhere hid it; a cut-off entry's test was answered by agents without a lease. Each test is stricter now: the leaving target still works on a long run while 20 others are sent; the runs of the planned stops take longer than a process that does not wait, and may not be repeated; the refusal must be the entry's own.

--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -276,17 +276,22 @@
 #[ntex::test]
 async fn planned_stops_cut_nothing_off() {
     let mut traits = engine_traits();
-    traits["piece_us"] = json!(8000);
+    // Longer than a process that did not wait would take to end.
+    traits["piece_us"] = json!(60_000);
     let mut site = TestSite::start_with(&traits).await;
-    site.add_row("review", &row("review", "filing-review"))
-        .await;
+    // May not be repeated: a run that is cut off cannot be made good elsewhere.
+    let mut once = row("review", "filing-review");
+    once["at_most_once"] = json!(true);
+    site.add_row("review", &once).await;
     site.settled("review", 2).await;
     for victim in ["t1", "t2", "e2", "c1", "c2"] {
         let prompts: Vec<String> = (0..10).map(|at| format!("{victim} stops {at}")).collect();
         let calls = prompts.iter().enumerate().map(|(at, prompt)| {
             let site = &site;
             let entry = if at % 2 == 0 { "e1" } else { "e2" };
-            async move { site.complete(entry, &ask(prompt)).await }
+            let mut keyed = ask(prompt);
+            keyed.key = Some(prompt);
+            async move { site.complete(entry, &keyed).await }
         });
         let stop = async {
             tokio::time::sleep(std::time::Duration::from_millis(80)).await;
@@ -305,27 +310,60 @@
 
 #[ntex::test]
 async fn a_leaving_target_gets_no_new_work_and_its_models_move() {
-    let mut site = TestSite::start().await;
+    let mut traits = engine_traits();
+    traits["piece_us"] = json!(20_000);
+    let mut site = TestSite::start_with(&traits).await;
     site.add_row("review", &row("review", "filing-review"))
         .await;
     site.settled("review", 2).await;
-    site.signal("t1", "-TERM");
-    assert!(site.ended("t1").await);
-    let before = site.record("t1-engine").await["runs"]
-        .as_array()
-        .unwrap()
-        .len();
-    site.settled("review", 2).await;
-    for at in 0..20 {
-        let prompt = format!("after leaving {at}");
-        let told = site.complete("e1", &ask(&prompt)).await;
-        assert_eq!(told.outcome, "done", "{told:?}");
-    }
-    let after = site.record("t1-engine").await["runs"]
-        .as_array()
-        .unwrap()
-        .len();
-    assert_eq!(before, after);
+    let mut long = ask("a long one");
+    long.tokens = 200;
+    let leave = async {
+        let leaving = until("the long one to run", async || {
+            for target in ["t1", "t2", "t3"] {
+                if runs_on(&site, target).await > 0 {
+                    return Some(target);
+                }
+            }
+            None
+        })
+        .await;
+        site.signal(leaving, "-TERM");
+        until("the others to take over", async || {
+            let table = site.table("e1").await?;
+            let homes = table["rows"][0]["homes"].as_array()?.clone();
+            let left = homes.iter().filter(|home| **home != leaving).count();
+            (left >= 2).then_some(())
+        })
+        .await;
+        // It still works on the long one, and must get nothing besides.
+        let prompts: Vec<String> = (0..20).map(|at| format!("meanwhile {at}")).collect();
+        let calls = prompts.iter().map(|prompt| {
+            let mut short = ask(prompt);
+            short.tokens = 1;
+            let site = &site;
+            async move { site.complete("e1", &short).await }
+        });
+        for told in join_all(calls).await {
+            assert_eq!(told.outcome, "done", "{told:?}");
+        }
+        assert_eq!(
+            runs_on(&site, leaving).await,
+            1,
+            "new work on a leaving target"
+        );
+        leaving
+    };
+    let (told, leaving) = futures::join!(site.complete("e1", &long), leave);
+    assert_eq!(told.outcome, "done", "{told:?}");
+    assert_eq!(told.text, whole_text("a long one", 200));
+    assert!(site.ended(leaving).await);
+}
+
+/// Runs that the target's engine has started so far.
+async fn runs_on(site: &TestSite, target: &str) -> usize {
+    let record = site.record(&format!("{target}-engine")).await;
+    record["runs"].as_array().unwrap().len()
 }
 
 #[ntex::test]
@@ -365,7 +403,8 @@
     }
     let told = until("the entry to refuse", async || {
         let told = site.complete("e1", &ask("cut off")).await;
-        (told.outcome != "done").then_some(told)
+        // Before that, agents without a lease may refuse for themselves.
+        told.text.contains("stale-table").then_some(told)
     })
     .await;
     assert_eq!((told.status, told.outcome.as_str()), (503, "not-run"));
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -8,14 +8,14 @@
 trap 'rm -rf "$scratch"' EXIT
 export CARGO_TARGET_DIR="$scratch/target"
 
-mutant() { # name file perl-expression test-target test-name
+mutant() { # name files perl-expression test-target test-name
     local name=$1 file=$2 change=$3 target=$4 test=$5
     [ ${#only[@]} -eq 0 ] || [[ " ${only[*]} " == *" $name "* ]] || return 0
     rm -rf "$scratch/src" "$scratch/tests"
     cp -r Cargo.toml Cargo.lock src tests "$scratch/"
     [ -d benches ] && cp -r benches "$scratch/"
-    perl -0pi -e "$change" "$scratch/$file"
-    if cmp -s "$file" "$scratch/$file"; then
+    (cd "$scratch" && perl -0pi -e "$change" $file)
+    if diff -rq src "$scratch/src" >/dev/null && diff -rq tests "$scratch/tests" >/dev/null; then
         echo "$name | NOT APPLIED | $test"
         return
     fi
@@ -80,3 +80,7 @@
 mutant page-goes-back src/view.rs 's/_ if page\.to <= self\.position => return false,//' fuzz $view
 mutant gap-followed src/view.rs 's/Some\(from\) if from > self\.position => return false,//' fuzz $view
 mutant journal-gap-unseen src/state.rs 's/if cursor < self\.journal_from \{/if false \&\& cursor < self.journal_from {/' fuzz $view
+mutant agent-stops-without-drain src/agentd.rs 's/while !shared\.gate\(\)\.is_idle\(\) \{/while false \&\& !shared.gate().is_idle() {/' failures planned_stops_cut_nothing_off
+mutant entry-never-stale src/entryd.rs 's/confirmed \+ self\.settings\.stale_ms < clock::monotonic_ms\(\)/false \&\& confirmed + self.settings.stale_ms < clock::monotonic_ms()/' failures an_entry_that_is_cut_off
+mutant leaving-target-takes-work 'src/gate.rs src/view.rs' 's/_ if self\.leaving => Some\(RefuseCause::Leaving\),/_ if false \&\& self.leaving => Some(RefuseCause::Leaving),/; s/!member\.leaving\)/!member.leaving || true)/' failures a_leaving_target_gets_no_new_work
+mutant silence-of-a-freeze-is-loss src/duties.rs 's/self\.decided_ms \+ self\.policy\.loss_ms \/ 2 < now_ms/false \&\& self.decided_ms < now_ms/' duties a_leader_that_was_frozen
