A plain service's failure is no proof that it did nothing

Cause, found by asking which promise one answer could still break: the adapter took 400, 404, 409, 429 and 503 for 'did nothing', which holds for engines by their interface, but not for plain services: the key of a seal was freed, the caller told not run, and the seal done again on a retry.

Before: told 503 not-run, three calls at the service for one key. After: 502 unknown, and one call, also for two resends (tests/bad_input.rs, which failed first). Only a refused connection proves that a service did nothing. Left alone: a service's own refusals are not passed through to the caller.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -162,7 +162,8 @@
         let call = self.http.post(self.at(&format!("/{path}")));
         let call = call.header("x-request-id", dispatch.attempt.to_string());
         let sent = call.send_body(dispatch.call.prompt.clone());
-        let answer = self.answered("serve", sent).await?;
+        // A service may have acted before it answered with a failure.
+        let answer = self.sorted("serve", sent, |_| false).await?;
         let body = answer.body().limit(MAX_ANSWER).await;
         let body = body.map_err(|error| self.lost("serve", error.to_string()))?;
         String::from_utf8(body.to_vec()).map_err(|error| self.lost("serve", error.to_string()))
@@ -210,11 +211,21 @@
         tokio::time::timeout(time, call).await.map_err(late)?
     }
 
-    /// Sorts the answer into done, surely not done, and not known.
+    /// The answer of an engine, whose refusals say that it did nothing.
     async fn answered(
         &self,
         step: &'static str,
         sent: impl Future<Output = Result<ClientResponse, ClientError>>,
+    ) -> Result<ClientResponse, EngineError> {
+        self.sorted(step, sent, is_refusal).await
+    }
+
+    /// Sorts the answer into done, surely not done, and not known.
+    async fn sorted(
+        &self,
+        step: &'static str,
+        sent: impl Future<Output = Result<ClientResponse, ClientError>>,
+        is_refusal: fn(StatusCode) -> bool,
     ) -> Result<ClientResponse, EngineError> {
         let refused = |reason: String| EngineError::Refused {
             step,
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -10,6 +10,9 @@
 
 use crate::daemon::{self, DaemonError};
 
+/// Calls of this path are carried out, and then answered as a failure.
+const FAILING_PATH: &str = "/failing";
+
 /// One call as the service saw it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceRecord {
@@ -81,7 +84,10 @@
         .unwrap_or_else(|broken| broken.into_inner())
         .push(seen);
     tokio::time::sleep(service.time).await;
-    HttpResponse::Ok().body(answer)
+    match request.path() {
+        FAILING_PATH => HttpResponse::ServiceUnavailable().body("failed after the fact"),
+        _ => HttpResponse::Ok().body(answer),
+    }
 }
 
 async fn record(service: Service) -> HttpResponse {
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -205,3 +205,30 @@
         "the version is not named"
     );
 }
+
+/// Found by reading: a service's 503 was taken for a proof that it did nothing,
+/// which freed the key of a call that may not be repeated.
+#[ntex::test]
+async fn a_service_that_fails_after_the_fact_is_not_called_again() {
+    let site = TestSite::start().await;
+    let mut seal = row("seal", "seal");
+    seal["at_most_once"] = json!(true);
+    site.add_row("seal", &seal).await;
+    site.settled("seal", 1).await;
+    let bearer = format!("Bearer {CALLER}");
+    let headers = [
+        ("authorization", bearer.as_str()),
+        ("idempotency-key", "deed"),
+    ];
+    for _ in 0..3 {
+        let told = post(&site, "/services/seal/failing", &headers, "deed").await;
+        assert_eq!(
+            (told.status, told.outcome.as_str()),
+            (502, "unknown"),
+            "{}",
+            told.body
+        );
+    }
+    let record = site.record("s1-service").await;
+    assert_eq!(record.as_array().unwrap().len(), 1);
+}
