Every line of a daemon's log names its process, host and hall; edits are logged

Before: only the first line did. A span of the daemon is entered once on each of its threads; an operator's edit is logged with edit id, partner and row. Seen in a started control daemon's JSON lines; tests/site.rs passes.

--- a/src/caller.rs
+++ b/src/caller.rs
@@ -38,6 +38,8 @@
 ) -> Result<Server, DaemonError> {
     let workers = entry.settings.workers;
     let app = async move || {
+        // Made once on each HTTP thread.
+        daemon::enter_logs();
         web::App::new()
             .state(entry.clone())
             .route("/v1/chat/completions", web::post().to(chat))
--- a/src/controld.rs
+++ b/src/controld.rs
@@ -71,6 +71,7 @@
         let spawned = thread::Builder::new()
             .name("voter".to_owned())
             .spawn(move || {
+                daemon::enter_logs();
                 let result = control.run(inbox).map_err(DaemonError::from);
                 let _ = end.send(result);
             });
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::path::Path;
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use ntex::SharedCfg;
 use ntex::client::Client;
@@ -210,7 +210,20 @@
         false => builder.try_init(),
     };
     if started.is_ok() {
-        tracing::info!(process, %host, %hall, "logs started");
+        let span = tracing::error_span!("daemon", process, %host, %hall);
+        let _ = LOG_SPAN.set(span);
+        enter_logs();
+        tracing::info!("logs started");
+    }
+}
+
+/// Names the process, host and hall of a daemon in every line of its log.
+static LOG_SPAN: OnceLock<tracing::Span> = OnceLock::new();
+
+/// Has the current thread's lines name the daemon, until the thread ends.
+pub fn enter_logs() {
+    if let Some(span) = LOG_SPAN.get() {
+        std::mem::forget(span.clone().entered());
     }
 }
 
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -136,6 +136,7 @@
         Err(error) => return error.response(),
     };
     let row = edit.row.clone();
+    tracing::info!(edit = %edit.id, partner = %edit.partner, %row, "an operator edits");
     let reply = member::propose(&entry.link, "edit", CONTROL_TIME, Command::Edit(edit)).await;
     match reply {
         Ok(Reply::Edit(Ok(version))) => HttpResponse::Ok()
