Reading an agent's health no longer stops it; locks in one order

Found by a test of the interfaces besides completions (tests/http.rs), which failed first: /readyz of an agent hung, and with it the agent. Cause: one expression took the gate's lock twice, as the first guard lived to its end; any scrape of an agent would have stopped it. Ruled out: the health page's own thread (healthz answered).

Looked for the same elsewhere: an entry's beat took the copy's lock under the state's, while choosing a home takes them the other way round, so the two could have waited for each other. Both locks, and the agent's two, are taken in one order now.

--- a/src/agentd.rs
+++ b/src/agentd.rs
@@ -88,11 +88,13 @@
     }
 
     fn word(&self, word: AttemptWord) -> AgentWord {
+        // The copy's lock is never taken under the gate's.
+        let position = self.follower.position();
         let gate = self.gate();
         AgentWord {
             word,
             load: (gate.queued() + gate.running()) as u32,
-            position: self.follower.position(),
+            position,
         }
     }
 }
@@ -208,6 +210,7 @@
 }
 
 fn make_beat(agent: &AgentShared, stopped: bool) -> AgentBeat {
+    let position = agent.follower.position();
     let gate = agent.gate();
     let ledger = gate.ledger();
     let fixed = agent.settings.services.iter();
@@ -218,7 +221,7 @@
     AgentBeat {
         host: agent.settings.common.host.clone(),
         life: agent.life,
-        position: agent.follower.position(),
+        position,
         plan: gate.plan_position(),
         holds: known.then(|| loaded.chain(fixed).collect()),
         busy: gate.busy(),
@@ -484,10 +487,10 @@
     let read = move || {
         let agent = agent.clone();
         Box::pin(async move {
-            daemon::WatchPage {
-                ready: agent.gate().has_lease(clock::monotonic_ms()),
-                metrics: render(&agent),
-            }
+            // Not in one expression: both take the gate's lock.
+            let ready = agent.gate().has_lease(clock::monotonic_ms());
+            let metrics = render(&agent);
+            daemon::WatchPage { ready, metrics }
         }) as daemon::WatchRead
     };
     daemon::serve_watch(address, Arc::new(read)).await
--- a/src/entryd.rs
+++ b/src/entryd.rs
@@ -241,13 +241,15 @@
         let rows = rows.map(|(id, row)| (id.clone(), row.fields.max_running));
         rows.collect::<BTreeMap<RowId, u32>>()
     };
+    // The copy's lock is never taken under the state's.
+    let position = entry.follower.position();
     let mut state = entry.state();
     let now_ms = clock::monotonic_ms();
     let (asked, claims) = state.shares.ask(now_ms, |row| limits.get(row).copied());
     let beat = EntryBeat {
         host: entry.settings.common.host.clone(),
         life: entry.life,
-        position: entry.follower.position(),
+        position,
         number: asked,
         limits: claims,
         refused: std::mem::take(&mut state.refused),
--- /dev/null
+++ b/tests/http.rs
@@ -0,0 +1,102 @@
+//! The interfaces besides completions: chat, models, the table in its forms,
+//! status, health and metrics.
+
+mod support;
+
+use ntex::client::{Client, ClientRequest};
+use serde_json::{Value, json};
+use support::{CALLER, OPERATOR, TestSite, row, until, whole_text};
+
+async fn read(call: ClientRequest, body: Option<&Value>) -> (u16, String) {
+    let url = call.get_uri().to_string();
+    let sent = match body {
+        Some(body) => call.send_json(body).await,
+        None => call.send().await,
+    };
+    let answer = sent.unwrap_or_else(|error| panic!("{error} at {url}"));
+    let status = answer.status().as_u16();
+    let body = answer.body().await.unwrap();
+    (status, String::from_utf8(body.to_vec()).unwrap())
+}
+
+#[ntex::test]
+async fn every_interface_answers_in_its_form() {
+    let site = TestSite::start().await;
+    let version = site
+        .add_row("review", &row("review", "filing-review"))
+        .await;
+    site.settled("review", 2).await;
+    let client = Client::new().await;
+    let at = |path: &str| format!("http://{}{path}", site.address("e1", "callers"));
+
+    let chat = json!({
+        "model": "review", "max_tokens": 5,
+        "messages": [{ "role": "user", "content": "hello" }],
+    });
+    let call = client.post(at("/v1/chat/completions")).bearer_auth(CALLER);
+    let (status, body) = read(call, Some(&chat)).await;
+    let body: Value = serde_json::from_str(&body).unwrap();
+    assert_eq!(status, 200);
+    assert_eq!(body["object"], "chat.completion");
+    assert_eq!(
+        body["choices"][0]["message"]["content"],
+        whole_text("user: hello\n", 5)
+    );
+
+    let (status, body) = read(client.get(at("/v1/models")).bearer_auth(CALLER), None).await;
+    let body: Value = serde_json::from_str(&body).unwrap();
+    assert_eq!((status, &body["data"][0]["id"]), (200, &json!("review")));
+
+    let call = client
+        .get(at("/v1/table"))
+        .bearer_auth(OPERATOR)
+        .header("accept", "text/csv");
+    let (status, body) = read(call, None).await;
+    let lines: Vec<&str> = body.lines().collect();
+    assert_eq!((status, lines.len()), (200, 2));
+    assert!(
+        lines[0].starts_with("id,partner,version,model"),
+        "{}",
+        lines[0]
+    );
+    assert!(lines[1].starts_with(&format!("review,fiji,{version},review,filing-review")));
+
+    let (status, body) = read(client.get(at("/v1/status")).bearer_auth(OPERATOR), None).await;
+    let body: Value = serde_json::from_str(&body).unwrap();
+    let deciding = body["control"].as_array().unwrap().iter();
+    assert_eq!(
+        (status, deciding.filter(|c| c["decides"] == true).count()),
+        (200, 1)
+    );
+    let (status, _) = read(client.get(at("/v1/table")).bearer_auth(CALLER), None).await;
+    assert_eq!(status, 401, "a caller's key reads no table");
+
+    for name in ["c1", "e1", "t1"] {
+        for (page, wanted) in [("healthz", "ok\n"), ("readyz", "ready\n")] {
+            until("a healthy process", async || {
+                let url = format!("http://{}/{page}", site.address(name, "watch"));
+                let (status, body) = read(client.get(url), None).await;
+                (status == 200 && body == wanted).then_some(())
+            })
+            .await;
+        }
+    }
+    let metrics = site.metrics("e1").await;
+    let counted = "partner=\"fiji\",class=\"filing-review\",outcome=\"done\"";
+    assert!(metrics.contains(counted), "{metrics}");
+
+    let call = client
+        .delete(at("/v1/table/rows/review"))
+        .bearer_auth(OPERATOR);
+    let call = call
+        .header("if-match", version.to_string())
+        .header("idempotency-key", "gone");
+    assert_eq!(read(call, None).await.0, 200);
+    let table = site.table("e1").await.unwrap();
+    assert_eq!(table["rows"], json!([]));
+    until("the entry to know no such model", async || {
+        let call = client.post(at("/v1/chat/completions")).bearer_auth(CALLER);
+        (read(call, Some(&chat)).await.0 == 404).then_some(())
+    })
+    .await;
+}
