Loads are spaced by the proposer's clock, not by the log's

Cause, found by reading the whole change again: the weight store's gap was measured by the state's clock, which moves only with commits. On a quiet site a repair after the first load waited for an unrelated commit, at worst for ever: a model in the table would have stayed out of reach. The demo did not show it, as claims moved the clock, nor did the suite, whose gap is 0.

Before: tests/duties.rs, a_repair_does_not_wait_for_the_log_to_move, fails. After: it passes; nothing is loaded before the gap is over either.

--- a/benches/core.rs
+++ b/benches/core.rs
@@ -171,7 +171,7 @@
         let demand = DemandBook::default();
         let name = format!("{models}x{targets}");
         group.bench_function(BenchmarkId::from_parameter(name), |b| {
-            b.iter(|| black_box(placement::plan(&state, &policy, &demand)));
+            b.iter(|| black_box(placement::plan(&state, &policy, &demand, state.clock_ms)));
         });
     }
     group.finish();
--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -338,7 +338,7 @@
             levels.insert(hot, rng.random_range(30.0..70.0));
         }
         demand.sample(&levels);
-        for step in placement::plan(&state, policy, &demand) {
+        for step in placement::plan(&state, policy, &demand, state.clock_ms) {
             run(
                 &mut state,
                 Command::Move(step.target, step.model, step.kind),
--- a/src/control.rs
+++ b/src/control.rs
@@ -352,7 +352,7 @@
         self.replica.tick(now_ms);
         self.follow_leadership(now_ms);
         let commands = match (self.replica.newest(now_ms), &mut self.duties) {
-            (Some(state), Some(duties)) => duties.round(state, now_ms),
+            (Some(state), Some(duties)) => duties.round(state, now_ms, clock::wall_ms()),
             _ => Vec::new(),
         };
         self.propose_all(commands);
--- a/src/duties.rs
+++ b/src/duties.rs
@@ -175,7 +175,9 @@
     }
 
     /// A round: losses, leaving hosts, and moves.
-    pub fn round(&mut self, state: &SiteState, now_ms: u64) -> Vec<Command> {
+    ///
+    /// `wall_ms` is the clock that commands are stamped with.
+    pub fn round(&mut self, state: &SiteState, now_ms: u64, wall_ms: u64) -> Vec<Command> {
         self.excuse_silence(now_ms);
         if now_ms < self.round_due_ms || state.position < self.pending {
             return Vec::new();
@@ -193,7 +195,7 @@
         }
         self.demand.sample(&sample);
         if self.is_settled(now_ms) {
-            let moves = placement::plan(state, &self.policy.place, &self.demand);
+            let moves = placement::plan(state, &self.policy.place, &self.demand, wall_ms);
             commands.extend(
                 moves
                     .into_iter()
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -36,7 +36,15 @@
 }
 
 /// The moves to order now, most urgent first; the weight store's limits are kept.
-pub fn plan(state: &SiteState, policy: &PlacePolicy, demand: &DemandBook) -> Vec<PlaceMove> {
+///
+/// `wall_ms` is the proposer's clock: the state's stands still while nothing is
+/// committed, and a repair must not wait for that.
+pub fn plan(
+    state: &SiteState,
+    policy: &PlacePolicy,
+    demand: &DemandBook,
+    wall_ms: u64,
+) -> Vec<PlaceMove> {
     let mut board = PlaceBoard::new(state);
     let mut moves = Vec::new();
     let wanted = packing::resident_set(&state.site, state.table.models());
@@ -47,7 +55,7 @@
         let adapter = board.base_of(model).is_some();
         (adapter, Reverse(board.mib(model)), *model)
     });
-    let permits = load_permits(state);
+    let permits = load_permits(state, wall_ms);
     let homeless: Vec<&ModelName> = ordered
         .iter()
         .copied()
@@ -71,13 +79,13 @@
 }
 
 /// Loads that may start now, by the weight store's rate and its loads at once.
-fn load_permits(state: &SiteState) -> usize {
+fn load_permits(state: &SiteState, wall_ms: u64) -> usize {
     let loading = state.homes.values().flat_map(|homes| homes.values());
     let loading = loading
         .filter(|home| home.phase == HomePhase::Loading)
         .count();
     let room = state.site.loads_at_once.saturating_sub(loading);
-    let due = state.clock_ms >= state.last_load_ms + state.site.load_gap_ms;
+    let due = wall_ms.max(state.clock_ms) >= state.last_load_ms + state.site.load_gap_ms;
     match due || state.site.load_gap_ms == 0 {
         true if state.site.load_gap_ms > 0 => room.min(1),
         true => room,
@@ -128,10 +136,9 @@
                 .flatten()
                 .map(|(model, home)| (model, *home))
                 .collect();
-            let weights = |model: &&&ModelName| state.site.models.get(**model);
             let taken: u64 = homes
                 .keys()
-                .filter_map(|model| weights(&model))
+                .filter_map(|model| state.site.models.get(*model))
                 .map(|spec| spec.weights_mib)
                 .sum();
             let board = BoardTarget {
--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -4,8 +4,10 @@
 
 use dunlinspring::duties::{AgentBeat, DutyPolicy, LeaderDuties};
 use dunlinspring::ids::*;
-use dunlinspring::placement::PlacePolicy;
-use dunlinspring::state::{Command, MemberRole, SiteState, Stamped};
+use dunlinspring::placement::{self, DemandBook, PlacePolicy};
+use dunlinspring::site::{ModelKind, ModelSpec, SiteSpec, TargetSpec};
+use dunlinspring::state::{Command, MemberRole, MoveKind, SiteState, Stamped};
+use dunlinspring::table::{RowChange, RowEdit, RowFields, Urgency};
 
 const POLICY: DutyPolicy = DutyPolicy {
     loss_ms: 1000,
@@ -42,16 +44,16 @@
     while now_ms < 3000 {
         now_ms += 100;
         duties.on_agent(&state, now_ms, &beat());
-        assert_eq!(duties.round(&state, now_ms), [], "at {now_ms} ms");
+        assert_eq!(duties.round(&state, now_ms, 0), [], "at {now_ms} ms");
     }
     // It is frozen for a minute, and wakes.
     now_ms += 60_000;
-    assert_eq!(duties.round(&state, now_ms), []);
+    assert_eq!(duties.round(&state, now_ms, 0), []);
     // The member stays silent from here on: only that counts.
     let woken_ms = now_ms;
     let lost = loop {
         now_ms += 100;
-        if let Some(command) = duties.round(&state, now_ms).pop() {
+        if let Some(command) = duties.round(&state, now_ms, 0).pop() {
             break command;
         }
         assert!(now_ms < woken_ms + 10_000, "a silent member is never lost");
@@ -59,3 +61,67 @@
     assert_eq!(lost, Command::Lost(host, Incarnation(1)));
     assert!(now_ms > woken_ms + POLICY.loss_ms);
 }
+
+/// Found by reading: the weight store's gap was measured by the log's clock,
+/// so on a quiet site the next load waited for a commit that never came.
+#[test]
+fn a_repair_does_not_wait_for_the_log_to_move() {
+    let mut state = SiteState::default();
+    let model = |name: &str| ModelName::from(name);
+    let spec = ModelSpec {
+        kind: ModelKind::Base,
+        weights_mib: 10,
+        kv_kib_per_token: 0,
+    };
+    let target = TargetSpec {
+        hall: HallName::from("north"),
+        memory_mib: 100,
+        kv_floor_mib: 0,
+        accelerators: 1,
+    };
+    let site = SiteSpec {
+        generation: 1,
+        load_gap_ms: 714,
+        loads_at_once: 15,
+        models: BTreeMap::from([(model("a"), spec.clone()), (model("b"), spec)]),
+        targets: BTreeMap::from([(TargetName::from("t1"), target)]),
+        ..SiteSpec::default()
+    };
+    let (host, hall) = (HostName::from("t1"), HallName::from("north"));
+    let mut commands = vec![
+        Command::Site(site),
+        Command::Join(host, MemberRole::Agent, String::new(), hall),
+    ];
+    for name in ["a", "b"] {
+        commands.push(Command::Edit(RowEdit {
+            id: EditId::from(name),
+            partner: PartnerName::from("fiji"),
+            row: RowId::from(name),
+            expected: Position(0),
+            change: RowChange::Put(RowFields {
+                model: model(name),
+                class: name.to_owned(),
+                urgency: Urgency::Standard,
+                weight: 1,
+                max_running: 1,
+                patience_ms: 1000,
+                at_most_once: false,
+                whole: false,
+            }),
+        }));
+    }
+    let load = Command::Move(TargetName::from("t1"), model("a"), MoveKind::Load);
+    commands.push(load);
+    for (at, command) in commands.into_iter().enumerate() {
+        let position = Position(at as u64 + 1);
+        let at_ms = 50_000;
+        state.apply(position, &Stamped { at_ms, command });
+    }
+    // Nothing is committed from here on; only time passes.
+    let demand = DemandBook::default();
+    let soon = placement::plan(&state, &POLICY.place, &demand, 50_700);
+    assert_eq!(soon, [], "before the store's gap is over");
+    let due = placement::plan(&state, &POLICY.place, &demand, 50_714);
+    assert_eq!(due.len(), 1);
+    assert_eq!((&due[0].model, due[0].kind), (&model("b"), MoveKind::Load));
+}
--- a/tests/fuzz/place.rs
+++ b/tests/fuzz/place.rs
@@ -184,7 +184,7 @@
     fn round(&mut self, answered: usize) -> usize {
         self.demand.sample(&self.levels);
         let before = self.ready_homes();
-        let moves = placement::plan(&self.state, &POLICY, &self.demand);
+        let moves = placement::plan(&self.state, &POLICY, &self.demand, self.state.clock_ms);
         let count = moves.len();
         for step in moves {
             self.run(Command::Move(step.target, step.model, step.kind));
