--- a/src/gate.rs
+++ b/src/gate.rs
@@ -471,13 +471,16 @@
     }
 
     fn refuse_orphans(&mut self, now_ms: u64) {
-        if !self.is_orphaned(now_ms) {
-            return;
+        if self.is_orphaned(now_ms) {
+            let queued = self.queue.runs().iter().map(|run| run.attempt).collect();
+            self.refuse_queued(now_ms, queued, RefuseCause::NoLease);
         }
-        let queued: Vec<AttemptId> = self.queue.runs().iter().map(|run| run.attempt).collect();
+    }
+
+    fn refuse_queued(&mut self, now_ms: u64, queued: Vec<AttemptId>, cause: RefuseCause) {
         for id in queued {
             self.queue.remove(id);
-            self.finish(now_ms, id, not_run(RefuseCause::NoLease, RETRY_SOON_MS));
+            self.finish(now_ms, id, not_run(cause, RETRY_SOON_MS));
         }
     }
 
@@ -588,17 +591,10 @@
     /// A queued run whose model left meanwhile is refused, so that its entry
     /// can send it elsewhere.
     fn drop_homeless(&mut self, now_ms: u64) {
-        let homeless: Vec<AttemptId> = self
-            .queue
-            .runs()
-            .iter()
-            .filter(|run| !self.serves(&run.model))
-            .map(|run| run.attempt)
-            .collect();
-        for id in homeless {
-            self.queue.remove(id);
-            self.finish(now_ms, id, not_run(RefuseCause::NotHome, RETRY_SOON_MS));
-        }
+        let queued = self.queue.runs().iter();
+        let homeless = queued.filter(|run| !self.serves(&run.model));
+        let homeless = homeless.map(|run| run.attempt).collect();
+        self.refuse_queued(now_ms, homeless, RefuseCause::NotHome);
     }
 
     fn next_act(&mut self) -> Option<OrderAct> {
