--- a/src/control.rs
+++ b/src/control.rs
@@ -10,15 +10,20 @@
 
 use crate::claims::{ClaimKey, ClaimRecord};
 use crate::clock;
+use crate::configuration::ConfigurationRecord;
+use crate::directory::{BeatNews, ReplicaRecord};
 use crate::duties::{AgentBeat, EntryBeat, LeaderDuties};
-use crate::ids::{HostName, NodeId, Position, TargetName, Term};
+use crate::fleet::{AdapterWish, EngineOrder, EntryReport, FleetDuties, OrderOutcome};
+use crate::ids::{HostName, NodeId, Position, ReplicaId, TargetName, Term};
 use crate::journal::{DiskJournal, JournalError};
 use crate::raft::{DiskImage, DiskRecord, RaftMessage};
 use crate::replica::LogReplica;
 use crate::settings::ControlSettings;
 use crate::state::{Command, Reply};
 use crate::view::{self, SyncPage};
-use crate::wire::{self, AgentOrders, ControlRefusal, ControlStatus, EntryOrders, TableStatus};
+use crate::wire::{
+    self, AgentOrders, ControlRefusal, ControlStatus, EntryOrders, Notice, TableStatus,
+};
 
 /// Longest pause between two looks at the clock.
 const TICK: Duration = Duration::from_millis(10);
@@ -26,6 +31,8 @@
 const MAX_BATCH: usize = 1024;
 /// Longest wait of a [`ControlEvent::Sync`].
 const MAX_SYNC_WAIT_MS: u64 = 2_000;
+/// Silence after which an even set of voters sheds one, in milliseconds.
+const SHED_MS: u64 = 3_000;
 /// Time that a stopping leader waits for its heir.
 const HANDOVER_MS: u64 = 2_000;
 
@@ -62,14 +69,40 @@
     Status(oneshot::Sender<ControlStatus>),
     /// Hosts that the platform's list names as leaving.
     Platform(BTreeSet<HostName>),
+    /// How far this voter has come.
+    Notice {
+        /// Wait for a change after this.
+        cursor: Position,
+        /// How long to wait for it, in milliseconds.
+        wait_ms: u64,
+        /// The asker.
+        answer: Answer<Notice>,
+    },
+    /// The configuration, from a state that is surely the newest.
+    Configuration(Answer<Option<ConfigurationRecord>>),
+    /// Replicas that a control host has heard; for the leader.
+    Heard(Vec<ReplicaId>, Answer<()>),
+    /// An entry's report; for the leader.
+    Report(EntryReport, Answer<u32>),
+    /// An entry's wish; for the leader.
+    Wish(AdapterWish, Answer<()>),
+    /// An engine's answer to an order of this leader.
+    Ordered(EngineOrder, OrderOutcome),
+    /// Compares a replica's heartbeat with what is committed here.
+    Compare(Box<ReplicaRecord>, oneshot::Sender<BeatNews>),
     /// Stop: hand over first.
     Stop(oneshot::Sender<()>),
 }
 
+enum WaiterAnswer {
+    Page(Answer<SyncPage>),
+    Notice(Answer<Notice>),
+}
+
 struct SyncWaiter {
     cursor: Position,
     until_ms: u64,
-    answer: Answer<SyncPage>,
+    answer: WaiterAnswer,
 }
 
 /// The identity of a founding voter's disk.
@@ -94,9 +127,31 @@
     journal.save(&[DiskRecord::Install(image.snapshot)])
 }
 
+/// Opens the way to a host that was not known before.
+pub type OpenPeer = Box<dyn Fn(&HostName) -> mpsc::Sender<RaftMessage> + Send>;
+
 /// Messages to one peer wait here; when it is full, they are dropped, as a
 /// network would.
-pub type PeerOutbox = BTreeMap<HostName, mpsc::Sender<RaftMessage>>;
+#[derive(Default)]
+pub struct PeerOutbox {
+    /// The ways that are open.
+    pub senders: BTreeMap<HostName, mpsc::Sender<RaftMessage>>,
+    /// Opens further ones, where any host may become a voter.
+    pub open: Option<OpenPeer>,
+}
+
+impl PeerOutbox {
+    fn send(&mut self, host: &HostName, message: RaftMessage) {
+        if let Some(open) = &self.open
+            && !self.senders.contains_key(host)
+        {
+            self.senders.insert(host.clone(), open(host));
+        }
+        if let Some(sender) = self.senders.get(host) {
+            let _ = sender.try_send(message);
+        }
+    }
+}
 
 /// The voter's thread.
 pub struct ControlLoop {
@@ -104,16 +159,20 @@
     replica: LogReplica,
     journal: DiskJournal,
     duties: Option<LeaderDuties>,
+    fleet: Option<FleetDuties>,
+    orders: Option<mpsc::UnboundedSender<EngineOrder>>,
     awaiting: BTreeMap<Position, (Term, Answer<(Position, Reply)>)>,
     waiters: Vec<SyncWaiter>,
     hosts: BTreeMap<NodeId, HostName>,
+    /// Hosts that this leader has proposed to note.
+    noted: BTreeSet<(NodeId, HostName)>,
     outbox: PeerOutbox,
     stopping: Option<(u64, oneshot::Sender<()>)>,
 }
 
 impl ControlLoop {
     /// Opens the data folder.
-    pub fn open(settings: ControlSettings, outbox: PeerOutbox) -> Result<Self, JournalError> {
+    pub fn open(settings: ControlSettings) -> Result<Self, JournalError> {
         let (journal, image) = DiskJournal::open(&settings.data_folder, None)?;
         let node = journal.identity().node;
         let replica = LogReplica::new(
@@ -127,20 +186,35 @@
         let voters = settings.common.control.iter();
         let hosts = voters.map(|voter| (founder_id(&voter.host), voter.host.clone()));
         let mut hosts: BTreeMap<NodeId, HostName> = hosts.collect();
+        // The newest hosts may stand in entries that are not known to be committed.
+        hosts.extend(replica.logged_hosts());
         hosts.insert(node, settings.common.host.clone());
         Ok(Self {
             settings,
             replica,
             journal,
             duties: None,
+            fleet: None,
+            orders: None,
             awaiting: BTreeMap::new(),
             waiters: Vec::new(),
             hosts,
-            outbox,
+            noted: BTreeSet::new(),
+            outbox: PeerOutbox::default(),
             stopping: None,
         })
     }
 
+    /// The ways to the other voters.
+    pub fn send_messages(&mut self, outbox: PeerOutbox) {
+        self.outbox = outbox;
+    }
+
+    /// Has the orders of this leader sent by whoever holds the other end.
+    pub fn send_orders(&mut self, orders: mpsc::UnboundedSender<EngineOrder>) {
+        self.orders = Some(orders);
+    }
+
     /// This voter's disk.
     pub fn node(&self) -> NodeId {
         self.journal.identity().node
@@ -180,10 +254,7 @@
                 self.hosts.insert(from, host);
                 self.replica.receive(now_ms, from, message);
             }
-            ControlEvent::Enroll(node, host) => {
-                self.hosts.insert(node, host);
-                self.replica.raft_mut().add_learner(node);
-            }
+            ControlEvent::Enroll(node, host) => self.enroll(node, host),
             ControlEvent::Propose(command, answer) => self.propose(command, Some(answer)),
             ControlEvent::Sync {
                 cursor,
@@ -209,6 +280,34 @@
                     duties.on_platform(leaving);
                 }
             }
+            ControlEvent::Notice {
+                cursor,
+                wait_ms,
+                answer,
+            } => self.waiters.push(SyncWaiter {
+                cursor,
+                until_ms: now_ms + wait_ms.min(MAX_SYNC_WAIT_MS),
+                answer: WaiterAnswer::Notice(answer),
+            }),
+            ControlEvent::Configuration(answer) => {
+                let newest = self.replica.newest(now_ms);
+                let held = newest.map(|state| state.configuration.as_deref().cloned());
+                let _ = answer.send(held.ok_or_else(|| self.not_leader()));
+            }
+            ControlEvent::Heard(ids, answer) => {
+                self.tell_fleet(answer, |fleet| fleet.on_heard(now_ms, &ids));
+            }
+            ControlEvent::Report(report, answer) => {
+                self.tell_fleet(answer, |fleet| fleet.on_report(now_ms, report));
+            }
+            ControlEvent::Wish(wish, answer) => {
+                self.tell_fleet(answer, |fleet| fleet.on_wish(wish));
+            }
+            ControlEvent::Ordered(order, outcome) => self.on_ordered(now_ms, &order, outcome),
+            ControlEvent::Compare(record, answer) => {
+                let state = self.replica.state();
+                let _ = answer.send(state.replicas.news(&record, state.clock_ms));
+            }
             ControlEvent::Stop(answer) => {
                 self.replica.raft_mut().hand_over(now_ms);
                 self.stopping = Some((now_ms, answer));
@@ -268,11 +367,64 @@
             false => self.waiters.push(SyncWaiter {
                 cursor,
                 until_ms: now_ms + wait_ms.min(MAX_SYNC_WAIT_MS),
-                answer,
+                answer: WaiterAnswer::Page(answer),
             }),
         }
     }
 
+    /// Only the leader acts on it, and only where it can reach the host's disk.
+    fn enroll(&mut self, node: NodeId, host: HostName) {
+        self.hosts.insert(node, host.clone());
+        if !self.replica.raft().is_leader() {
+            return;
+        }
+        self.replica.raft_mut().add_learner(node);
+        self.note_host(node, host);
+    }
+
+    /// Keeps in the log where a disk is reached, for a restart of all voters.
+    fn note_host(&mut self, node: NodeId, host: HostName) {
+        let known = self.replica.state().voter_hosts.get(&node) == Some(&host);
+        if self.settings.open_membership && !known && self.noted.insert((node, host.clone())) {
+            self.propose(Command::VoterHost(node, host), None);
+        }
+    }
+
+    fn tell_fleet<T>(&mut self, answer: Answer<T>, tell: impl FnOnce(&mut FleetDuties) -> T) {
+        let told = match &mut self.fleet {
+            Some(fleet) => Ok(tell(fleet)),
+            None => Err(self.not_leader()),
+        };
+        let _ = answer.send(told);
+    }
+
+    fn on_ordered(&mut self, now_ms: u64, order: &EngineOrder, outcome: OrderOutcome) {
+        let Some(fleet) = &mut self.fleet else {
+            return;
+        };
+        if fleet.term() != order.fence {
+            return;
+        }
+        for command in fleet.on_outcome(now_ms, order, outcome) {
+            self.propose(command, None);
+        }
+    }
+
+    fn fleet_round(&mut self, now_ms: u64) {
+        let (Some(state), Some(fleet)) = (self.replica.newest(now_ms), &mut self.fleet) else {
+            return;
+        };
+        let actions = fleet.round(state, now_ms);
+        for command in actions.commands {
+            self.propose(command, None);
+        }
+        for order in actions.orders {
+            if let Some(orders) = &self.orders {
+                let _ = orders.send(order);
+            }
+        }
+    }
+
     fn on_agent(&mut self, now_ms: u64, beat: &AgentBeat, answer: Answer<AgentOrders>) {
         let (Some(state), Some(duties)) = (self.replica.newest(now_ms), &mut self.duties) else {
             let _ = answer.send(Err(self.not_leader()));
@@ -341,6 +493,10 @@
         let leader = self.replica.raft().leader();
         let host = leader.and_then(|node| self.hosts.get(&node));
         let own = &self.settings.common.host;
+        if self.settings.open_membership {
+            let other = host.filter(|host| *host != own);
+            return ControlRefusal::NotLeader(other.map(|host| host.0.clone()));
+        }
         let named = self.settings.common.control.iter();
         let mut named = named.filter(|voter| voter.host != *own);
         let voter = host.and_then(|host| named.find(|voter| voter.host == *host));
@@ -356,12 +512,16 @@
             _ => Vec::new(),
         };
         self.propose_all(commands);
+        self.fleet_round(now_ms);
         let hosts = &self.hosts;
-        if self
-            .replica
-            .replace_voter(now_ms, |node| hosts.get(&node).cloned())
-        {
-            tracing::info!("changes the voters");
+        let host_of = |node: NodeId| hosts.get(&node).cloned();
+        let changed = match self.settings.open_membership {
+            true => self.replica.adjust_voters(now_ms, SHED_MS, host_of),
+            false => self.replica.replace_voter(now_ms, host_of),
+        };
+        if changed {
+            let voters = self.replica.raft().voters();
+            tracing::info!(?voters, "changes the voters");
         }
     }
 
@@ -375,10 +535,20 @@
                 let policy = self.settings.duties.policy();
                 let state = self.replica.state();
                 self.duties = Some(LeaderDuties::new(policy, state, term, now_ms));
+                let holder = self.settings.common.host.clone();
+                let fleet = FleetDuties::new(self.settings.fleet, holder, term, now_ms);
+                self.fleet = Some(fleet);
                 tracing::info!(%term, "leads");
                 self.propose(Command::Site(self.settings.site.clone()), None);
+                self.noted.clear();
+                for voter in self.replica.raft().voters().clone() {
+                    if let Some(host) = self.hosts.get(&voter).cloned() {
+                        self.note_host(voter, host);
+                    }
+                }
             }
             false => {
+                self.fleet = None;
                 self.duties = None;
                 self.abandon();
             }
@@ -399,9 +569,9 @@
             self.journal.save(&output.records)?;
         }
         for (node, message) in output.messages {
-            let host = self.hosts.get(&node);
-            if let Some(sender) = host.and_then(|host| self.outbox.get(host)) {
-                let _ = sender.try_send(message);
+            let known = self.replica.state().voter_hosts.get(&node);
+            if let Some(host) = self.hosts.get(&node).or(known) {
+                self.outbox.send(host, message);
             }
         }
         for (mark, reply) in output.replies {
@@ -424,8 +594,26 @@
             |waiter: &mut SyncWaiter| state.changed() > waiter.cursor || waiter.until_ms <= now_ms;
         let due: Vec<SyncWaiter> = self.waiters.extract_if(.., due).collect();
         for waiter in due {
-            let page = view::page_after(state, waiter.cursor);
-            let _ = waiter.answer.send(Ok(page));
+            match waiter.answer {
+                WaiterAnswer::Page(answer) => {
+                    let page = view::page_after(self.replica.state(), waiter.cursor);
+                    let _ = answer.send(Ok(page));
+                }
+                WaiterAnswer::Notice(answer) => {
+                    let _ = answer.send(Ok(self.notice(now_ms)));
+                }
+            }
+        }
+    }
+
+    fn notice(&self, now_ms: u64) -> Notice {
+        let state = self.replica.state();
+        let mut hosts: BTreeSet<HostName> = state.voter_hosts.values().cloned().collect();
+        hosts.insert(self.settings.common.host.clone());
+        Notice {
+            position: state.changed(),
+            leaderless_ms: self.replica.raft().leaderless_ms(now_ms),
+            hosts: hosts.into_iter().collect(),
         }
     }
 
--- a/src/controld.rs
+++ b/src/controld.rs
@@ -13,10 +13,12 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::claims::{ClaimKey, ClaimRecord};
-use crate::control::{ControlEvent, ControlHandle, ControlLoop, PeerOutbox};
+use crate::control::{ControlEvent, ControlHandle, ControlLoop, OpenPeer, PeerOutbox};
 use crate::daemon::{self, DaemonError};
 use crate::duties::{AgentBeat, EntryBeat};
-use crate::ids::{HostName, NodeId, Position};
+use crate::configuration::ConfigurationRecord;
+use crate::fleet::{AdapterWish, EngineOrder, EntryReport};
+use crate::ids::{HostName, NodeId, Position, ReplicaId};
 use crate::metrics::{MetricBook, MetricKey};
 use crate::peers::{self, PeerPool, SiteSecret};
 use crate::raft::RaftMessage;
@@ -25,7 +27,7 @@
 use crate::view::SyncPage;
 use crate::wire::{
     AgentOrders, ControlRefusal, ControlStatus, ControlWire, ControlWireClient, EntryOrders,
-    TableStatus,
+    Notice, TableStatus,
 };
 
 /// Messages that wait for one peer.
@@ -44,6 +46,7 @@
     /// Where metrics and health are served.
     pub watch: SocketAddr,
     handle: ControlHandle,
+    orders: Option<mpsc::UnboundedReceiver<EngineOrder>>,
     ended: oneshot::Receiver<Result<(), DaemonError>>,
 }
 
@@ -61,9 +64,12 @@
         secret: SiteSecret,
     ) -> Result<Self, DaemonError> {
         let address = daemon::address_of("listen", &listener)?;
-        let (outbox, senders) = open_outbox(&settings);
-        let control = ControlLoop::open(settings.clone(), outbox)?;
+        let pool = Arc::new(PeerPool::new(secret.clone(), peers::dial_control));
+        let mut control = ControlLoop::open(settings.clone())?;
         let node = control.node();
+        control.send_messages(open_outbox(&settings, node, &pool));
+        let (orders, ordered) = mpsc::unbounded_channel();
+        control.send_orders(orders);
         let learner = control.is_learner();
         let (events, inbox) = std::sync::mpsc::channel();
         let handle = ControlHandle(events);
@@ -76,14 +82,8 @@
                 let _ = end.send(result);
             });
         spawned.map_err(|source| DaemonError::Thread { source })?;
-        let pool = Arc::new(PeerPool::new(secret.clone(), peers::dial_control));
-        for (host, peer, messages) in senders {
-            let from = (node, settings.common.host.clone());
-            tracing::debug!(%host, %peer, "sends to a voter");
-            tokio::spawn(send_messages(pool.clone(), from, peer, messages));
-        }
-        if learner {
-            tokio::spawn(enroll(pool.clone(), settings.clone(), node));
+        if learner || settings.open_membership {
+            tokio::spawn(enroll(pool.clone(), settings.clone(), node, handle.clone()));
         }
         serve(listener, secret, handle.clone());
         if let Some(url) = settings.platform_url.clone() {
@@ -95,10 +95,21 @@
             address,
             watch,
             handle,
+            orders: Some(ordered),
             ended,
         })
     }
 
+    /// The way to the voter's thread.
+    pub fn handle(&self) -> ControlHandle {
+        self.handle.clone()
+    }
+
+    /// The orders to engines that this host gives while it leads; once.
+    pub fn take_orders(&mut self) -> Option<mpsc::UnboundedReceiver<EngineOrder>> {
+        self.orders.take()
+    }
+
     /// Asks this voter for its account of itself.
     pub async fn status(&self) -> Option<ControlStatus> {
         status(&self.handle).await
@@ -117,23 +128,30 @@
     }
 }
 
-type PeerInbox = (HostName, String, mpsc::Receiver<RaftMessage>);
-
-fn open_outbox(settings: &ControlSettings) -> (PeerOutbox, Vec<PeerInbox>) {
-    let mut outbox = PeerOutbox::new();
-    let mut inboxes = Vec::new();
-    let own = &settings.common.host;
-    for voter in settings
-        .common
-        .control
-        .iter()
-        .filter(|voter| voter.host != *own)
-    {
+fn open_outbox(
+    settings: &ControlSettings,
+    node: NodeId,
+    pool: &Arc<PeerPool<ControlWireClient>>,
+) -> PeerOutbox {
+    let own = settings.common.host.clone();
+    let from = (node, own.clone());
+    let runtime = tokio::runtime::Handle::current();
+    let pool = pool.clone();
+    let open = move |peer: String| {
         let (sender, receiver) = mpsc::channel(OUTBOX);
-        outbox.insert(voter.host.clone(), sender);
-        inboxes.push((voter.host.clone(), voter.address.to_string(), receiver));
+        tracing::debug!(%peer, "sends to a voter");
+        runtime.spawn(send_messages(pool.clone(), from.clone(), peer, receiver));
+        sender
+    };
+    let named = settings.common.control.iter();
+    let named = named.filter(|voter| voter.host != own);
+    let senders = named.map(|voter| (voter.host.clone(), open(voter.address.to_string())));
+    PeerOutbox {
+        senders: senders.collect(),
+        open: settings
+            .open_membership
+            .then(|| Box::new(move |host: &HostName| open(host.0.clone())) as OpenPeer),
     }
-    (outbox, inboxes)
 }
 
 /// Sends one peer's messages in order; a lost one is made good by the next heartbeat.
@@ -157,23 +175,53 @@
     }
 }
 
-/// A blank disk asks all control hosts, again and again; only the leader acts on it.
-async fn enroll(pool: Arc<PeerPool<ControlWireClient>>, settings: ControlSettings, node: NodeId) {
+/// A disk that does not vote asks all control hosts, again and again; only the
+/// leader acts on it.
+async fn enroll(
+    pool: Arc<PeerPool<ControlWireClient>>,
+    settings: ControlSettings,
+    node: NodeId,
+    handle: ControlHandle,
+) {
     loop {
-        for voter in &settings.common.control {
+        tokio::time::sleep(POLL).await;
+        let status = status(&handle).await;
+        let settled = |status: &ControlStatus| {
+            status.voters.contains(&node) && status.leader.is_some()
+        };
+        if status.as_ref().is_some_and(settled) {
+            continue;
+        }
+        for peer in enroll_peers(&settings, &handle).await {
             let host = settings.common.host.clone();
-            let peer = voter.address.to_string();
-            let context = peers::within(MESSAGE_TIME);
-            let _ = pool
-                .call(&peer, "enroll", |client| async move {
+            let pool = pool.clone();
+            tokio::spawn(async move {
+                let context = peers::within(MESSAGE_TIME);
+                let call = |client: ControlWireClient| async move {
                     client.enroll(context, node, host).await
-                })
-                .await;
+                };
+                let _ = pool.call(&peer, "enroll", call).await;
+            });
         }
-        tokio::time::sleep(POLL).await;
     }
 }
 
+async fn enroll_peers(settings: &ControlSettings, handle: &ControlHandle) -> BTreeSet<String> {
+    let named = settings.common.control.iter();
+    let mut peers: BTreeSet<String> = named.map(|voter| voter.address.to_string()).collect();
+    if settings.open_membership {
+        let notice = |answer| ControlEvent::Notice {
+            cursor: Position(0),
+            wait_ms: 0,
+            answer,
+        };
+        let known = handle.ask(notice).await.map(|notice| notice.hosts);
+        peers.extend(known.unwrap_or_default().into_iter().map(|host| host.0));
+        peers.remove(settings.common.host.as_str());
+    }
+    peers
+}
+
 async fn watch_platform(url: String, handle: ControlHandle) {
     loop {
         match daemon::get_json::<PlatformHosts>(&url).await {
@@ -245,6 +293,39 @@
         self.0.ask(|answer| ControlEvent::Claim(key, answer)).await
     }
 
+    async fn notice(
+        self,
+        _: Context,
+        cursor: Position,
+        wait_ms: u64,
+    ) -> Result<Notice, ControlRefusal> {
+        let event = |answer| ControlEvent::Notice {
+            cursor,
+            wait_ms,
+            answer,
+        };
+        self.0.ask(event).await
+    }
+
+    async fn configuration(
+        self,
+        _: Context,
+    ) -> Result<Option<ConfigurationRecord>, ControlRefusal> {
+        self.0.ask(ControlEvent::Configuration).await
+    }
+
+    async fn heard(self, _: Context, ids: Vec<ReplicaId>) -> Result<(), ControlRefusal> {
+        self.0.ask(|answer| ControlEvent::Heard(ids, answer)).await
+    }
+
+    async fn report(self, _: Context, report: EntryReport) -> Result<u32, ControlRefusal> {
+        self.0.ask(|answer| ControlEvent::Report(report, answer)).await
+    }
+
+    async fn wish(self, _: Context, wish: AdapterWish) -> Result<(), ControlRefusal> {
+        self.0.ask(|answer| ControlEvent::Wish(wish, answer)).await
+    }
+
     async fn status(self, _: Context) -> ControlStatus {
         status(&self.0).await.unwrap_or_else(empty_status)
     }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::pin::Pin;
 use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 
 use ntex::SharedCfg;
 use ntex::client::Client;
@@ -149,7 +150,7 @@
 /// Reads a process's health.
 pub type WatchSource = Arc<dyn Fn() -> WatchRead + Send + Sync>;
 
-/// Serves `/healthz`, `/readyz` and `/metrics`.
+/// Serves `/healthz`, `/readyz` (also as `/ready`) and `/metrics`.
 pub async fn serve_watch(
     address: SocketAddr,
     source: WatchSource,
@@ -163,6 +164,7 @@
                 web::get().to(async || HttpResponse::Ok().body("ok\n")),
             )
             .route("/readyz", web::get().to(ready))
+            .route("/ready", web::get().to(ready))
             .route("/metrics", web::get().to(metrics))
     };
     run_http(listener, 1, app)?;
@@ -204,7 +206,7 @@
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_ansi(false)
-        .with_writer(std::io::stderr);
+        .with_writer(std::io::stdout);
     let started = match settings.json {
         true => builder.json().try_init(),
         false => builder.try_init(),
@@ -242,6 +244,34 @@
     }
 }
 
+/// Settings to be looked at again: by SIGHUP, or because some time has passed.
+pub struct ReloadSignal {
+    hangup: Option<tokio::signal::unix::Signal>,
+    every: Duration,
+}
+
+impl ReloadSignal {
+    /// From now on SIGHUP does not end the process.
+    pub fn new(every: Duration) -> Self {
+        use tokio::signal::unix::{SignalKind, signal};
+        Self {
+            hangup: signal(SignalKind::hangup()).ok(),
+            every,
+        }
+    }
+
+    /// Waits for the next; returns whether a signal asked for it.
+    pub async fn next(&mut self) -> bool {
+        match &mut self.hangup {
+            Some(hangup) => tokio::time::timeout(self.every, hangup.recv()).await.is_ok(),
+            None => {
+                tokio::time::sleep(self.every).await;
+                false
+            }
+        }
+    }
+}
+
 /// Writes the addresses that the system chose, for whoever started the process
 /// with port 0: one line, `name address` pairs.
 pub fn announce(path: Option<&Path>, addresses: &[(&str, SocketAddr)]) {
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -570,6 +570,8 @@
             duties: shape.duties.clone(),
             compact_after: 2000,
             platform_url: Some(format!("http://{}/hosts", platform.address)),
+            open_membership: false,
+            fleet: Default::default(),
             site: site_spec(shape),
         };
         control::found(&settings)?;
--- /dev/null
+++ b/src/directory.rs
@@ -0,0 +1,215 @@
+//! The replicas that registered themselves, as the log holds them.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{HallName, ModelName, ReplicaId, ServiceName};
+
+/// Ended lives that are remembered, so that a late heartbeat cannot bring one back.
+const MAX_ENDED: usize = 1024;
+
+/// Where a replica is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ReplicaPhase {
+    /// Takes requests.
+    Ready,
+    /// Leaves: no new requests.
+    Draining,
+    /// Not heard from for a while: the last choice.
+    Silent,
+}
+
+/// A replica in one life.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaRecord {
+    /// This life.
+    pub id: ReplicaId,
+    /// The service it runs for.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its data hall.
+    pub hall: HallName,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+    /// Where it is in its life.
+    pub phase: ReplicaPhase,
+    /// The models it holds, each with its adapters.
+    pub models: BTreeMap<ModelName, BTreeSet<String>>,
+}
+
+/// What a heartbeat changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BeatNews {
+    /// Nothing that the log does not hold.
+    Known,
+    /// Something that must be committed.
+    New,
+    /// It comes from a life that has ended.
+    Ended,
+}
+
+/// How long an order's effect on adapters outweighs heartbeats, which may have
+/// left before it, in milliseconds.
+const ORDER_FRESH_MS: u64 = 3_000;
+
+/// All replicas in their current lives.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaDirectory {
+    records: BTreeMap<ReplicaId, ReplicaRecord>,
+    ended: VecDeque<ReplicaId>,
+    /// Models ordered out that a replica still tells of: no requests go there.
+    leaving: BTreeMap<ReplicaId, BTreeSet<ModelName>>,
+    /// When an order last changed a replica's adapters, in the state's clock.
+    ordered_ms: BTreeMap<ReplicaId, u64>,
+}
+
+impl ReplicaDirectory {
+    /// The replicas by id.
+    pub fn records(&self) -> &BTreeMap<ReplicaId, ReplicaRecord> {
+        &self.records
+    }
+
+    /// Whether a model that was ordered out is still there.
+    pub fn is_leaving(&self, id: &ReplicaId, model: &ModelName) -> bool {
+        let leaving = self.leaving.get(id);
+        leaving.is_some_and(|models| models.contains(model))
+    }
+
+    /// Compares a heartbeat with what is known; `clock_ms` is the state's clock.
+    pub fn news(&self, record: &ReplicaRecord, clock_ms: u64) -> BeatNews {
+        let gone = |model: &ModelName| !record.models.contains_key(model);
+        let left = self.leaving.get(&record.id);
+        let left = left.is_some_and(|models| models.iter().any(gone));
+        match self.records.get(&record.id) {
+            // A ready heartbeat from before the draining one may come late.
+            Some(known) if known.phase == ReplicaPhase::Draining => BeatNews::Known,
+            Some(known) if !left && *known == self.merge(known, record, clock_ms) => {
+                BeatNews::Known
+            }
+            Some(_) => BeatNews::New,
+            None if self.ended.contains(&record.id) => BeatNews::Ended,
+            None => BeatNews::New,
+        }
+    }
+
+    /// What a heartbeat says, corrected by the orders that it may not know of.
+    fn merge(
+        &self,
+        known: &ReplicaRecord,
+        record: &ReplicaRecord,
+        clock_ms: u64,
+    ) -> ReplicaRecord {
+        let mut merged = record.clone();
+        merged.models.retain(|model, _| !self.is_leaving(&record.id, model));
+        let ordered_ms = self.ordered_ms.get(&record.id);
+        let fresh = ordered_ms.is_some_and(|at_ms| at_ms + ORDER_FRESH_MS > clock_ms);
+        if fresh {
+            for (model, adapters) in &mut merged.models {
+                if let Some(held) = known.models.get(model) {
+                    *adapters = held.clone();
+                }
+            }
+        }
+        merged
+    }
+
+    /// Puts a record. Returns the ids of those that it replaces: an address has one replica.
+    pub fn put(&mut self, record: &ReplicaRecord, clock_ms: u64) -> Option<Vec<ReplicaId>> {
+        if self.news(record, clock_ms) != BeatNews::New {
+            return None;
+        }
+        if let Some(models) = self.leaving.get_mut(&record.id) {
+            models.retain(|model| record.models.contains_key(model));
+        }
+        let merged = match self.records.get(&record.id) {
+            Some(known) => self.merge(known, record, clock_ms),
+            None => record.clone(),
+        };
+        let same = |other: &&ReplicaRecord| other.address == record.address && other.id != record.id;
+        let replaced = self.records.values().filter(same);
+        let replaced: Vec<ReplicaId> = replaced.map(|other| other.id.clone()).collect();
+        for id in &replaced {
+            self.end(id);
+        }
+        self.records.insert(record.id.clone(), merged);
+        Some(replaced)
+    }
+
+    /// Marks a replica as not heard from. Returns whether that is new.
+    pub fn silence(&mut self, id: &ReplicaId) -> bool {
+        match self.records.get_mut(id) {
+            Some(record) if record.phase == ReplicaPhase::Ready => {
+                record.phase = ReplicaPhase::Silent;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Marks a replica as leaving. Returns whether that is new.
+    pub fn drain(&mut self, id: &ReplicaId) -> bool {
+        match self.records.get_mut(id) {
+            Some(record) if record.phase != ReplicaPhase::Draining => {
+                record.phase = ReplicaPhase::Draining;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Ends a life for good. Returns whether it was known.
+    pub fn end(&mut self, id: &ReplicaId) -> bool {
+        self.leaving.remove(id);
+        self.ordered_ms.remove(id);
+        if !self.ended.contains(id) {
+            self.ended.push_back(id.clone());
+        }
+        if self.ended.len() > MAX_ENDED {
+            self.ended.pop_front();
+        }
+        self.records.remove(id).is_some()
+    }
+
+    /// Notes that an order has brought an adapter or taken it away. Returns
+    /// whether that is new.
+    pub fn set_adapter(
+        &mut self,
+        id: &ReplicaId,
+        model: &ModelName,
+        adapter: &str,
+        held: bool,
+        clock_ms: u64,
+    ) -> bool {
+        let record = self.records.get_mut(id);
+        let changed = match record.and_then(|record| record.models.get_mut(model)) {
+            Some(adapters) if held => adapters.insert(adapter.to_owned()),
+            Some(adapters) => adapters.remove(adapter),
+            None => false,
+        };
+        if changed {
+            self.ordered_ms.insert(id.clone(), clock_ms);
+        }
+        changed
+    }
+
+    /// Notes that a model is ordered out of a replica. Returns whether that is new.
+    pub fn unload(&mut self, id: &ReplicaId, model: &ModelName) -> bool {
+        let record = self.records.get_mut(id);
+        let held = record.is_some_and(|record| record.models.remove(model).is_some());
+        if held {
+            let leaving = self.leaving.entry(id.clone()).or_default();
+            leaving.insert(model.clone());
+        }
+        held
+    }
+
+    /// Notes that a model stays after all: its next heartbeat tells of it.
+    pub fn keep(&mut self, id: &ReplicaId, model: &ModelName) {
+        if let Some(models) = self.leaving.get_mut(id) {
+            models.remove(model);
+        }
+    }
+}
--- /dev/null
+++ b/src/follow.rs
@@ -0,0 +1,165 @@
+//! A member's copy of what the log holds, fed by every control host.
+//!
+//! Each control host is asked for its position only; the changes are pulled
+//! once, from the first host that is ahead. So a host that is cut off, frozen or
+//! behind delays nothing as long as another one is up to date.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use tokio::sync::Notify;
+
+use crate::clock;
+use crate::ids::Position;
+use crate::peers::{self, ControlLink, PeerError};
+use crate::view::SiteView;
+use crate::wire::{ControlRefusal, Notice};
+
+/// Longest wait for one notice.
+const NOTICE_WAIT_MS: u64 = 1_000;
+/// Time for a call that waits [`NOTICE_WAIT_MS`].
+const NOTICE_TIME: Duration = Duration::from_millis(1_600);
+/// Time for one pull.
+const PULL_TIME: Duration = Duration::from_millis(800);
+/// Pause after another task's pull, before this host is pulled from as well.
+const PULL_PAUSE: Duration = Duration::from_millis(60);
+/// Pause after a host that did not answer; it doubles.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest such pause.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// The copy, shared by a process's tasks.
+pub struct ControlFollower {
+    link: Arc<ControlLink>,
+    view: Mutex<SiteView>,
+    watched: Mutex<BTreeSet<String>>,
+    pulling: AtomicBool,
+    fresh_ms: AtomicU64,
+    changed: Notify,
+}
+
+impl ControlFollower {
+    /// A copy of nothing.
+    pub fn new(link: Arc<ControlLink>) -> Self {
+        Self {
+            link,
+            view: Mutex::new(SiteView::default()),
+            watched: Mutex::new(BTreeSet::new()),
+            pulling: AtomicBool::new(false),
+            fresh_ms: AtomicU64::new(0),
+            changed: Notify::new(),
+        }
+    }
+
+    /// The way to the control hosts.
+    pub fn link(&self) -> &Arc<ControlLink> {
+        &self.link
+    }
+
+    /// The copy.
+    pub fn view(&self) -> MutexGuard<'_, SiteView> {
+        self.view
+            .lock()
+            .unwrap_or_else(|broken| broken.into_inner())
+    }
+
+    /// How far the copy follows the log.
+    pub fn position(&self) -> Position {
+        self.view().position
+    }
+
+    /// How long no control host with a leader has been heard, in milliseconds.
+    pub fn stale_ms(&self) -> u64 {
+        clock::monotonic_ms().saturating_sub(self.fresh_ms.load(Ordering::SeqCst))
+    }
+
+    /// Returns once the copy has changed.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    /// Watches a control host, and from then on each that it names.
+    pub fn watch(self: &Arc<Self>, address: &str) {
+        self.link.learn(address);
+        let mut watched = self.watched.lock().unwrap_or_else(|b| b.into_inner());
+        if watched.insert(address.to_owned()) {
+            tokio::spawn(watch_host(self.clone(), address.to_owned()));
+        }
+    }
+
+    fn heard(self: &Arc<Self>, notice: &Notice, asked_ms: u64) {
+        for host in &notice.hosts {
+            self.watch(host.as_str());
+        }
+        let fresh_ms = asked_ms.saturating_sub(notice.leaderless_ms);
+        self.fresh_ms.fetch_max(fresh_ms, Ordering::SeqCst);
+    }
+
+    async fn catch_up(&self, address: &str, target: Position) {
+        if self.pulling.swap(true, Ordering::SeqCst) {
+            tokio::time::sleep(PULL_PAUSE).await;
+        }
+        if self.position() >= target {
+            return;
+        }
+        self.pulling.store(true, Ordering::SeqCst);
+        let cursor = self.position();
+        let pulled = self
+            .link
+            .call_at(address, "sync", |client| async move {
+                let context = peers::within(PULL_TIME);
+                client.sync(context, cursor, 0, false).await
+            })
+            .await;
+        self.pulling.store(false, Ordering::SeqCst);
+        if let Ok(Ok(page)) = pulled
+            && self.view().follow(&page)
+        {
+            self.changed.notify_one();
+        }
+    }
+}
+
+async fn watch_host(follower: Arc<ControlFollower>, address: String) {
+    let mut pause = FIRST_PAUSE;
+    let mut reached = None;
+    loop {
+        let cursor = follower.position();
+        let asked_ms = clock::monotonic_ms();
+        let answer = ask(&follower, &address, cursor).await;
+        let answered = matches!(answer, Ok(Ok(_)));
+        if reached != Some(answered) {
+            tracing::info!(peer = %address, answered, "control host");
+            reached = Some(answered);
+        }
+        match answer {
+            Ok(Ok(notice)) => {
+                pause = FIRST_PAUSE;
+                follower.heard(&notice, asked_ms);
+                if notice.position > cursor {
+                    follower.catch_up(&address, notice.position).await;
+                }
+            }
+            _ => {
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+    }
+}
+
+async fn ask(
+    follower: &ControlFollower,
+    address: &str,
+    cursor: Position,
+) -> Result<Result<Notice, ControlRefusal>, PeerError> {
+    let link = &follower.link;
+    link.call_at(address, "notice", |client| async move {
+        client
+            .notice(peers::within(NOTICE_TIME), cursor, NOTICE_WAIT_MS)
+            .await
+    })
+    .await
+}
--- /dev/null
+++ b/src/forward/book.rs
@@ -0,0 +1,409 @@
+//! What an entry knows of the replicas, and the choice among them.
+//!
+//! Pure: the caller passes in the time. A replica's load is what it told last on
+//! an answer, corrected by this entry's own requests since; what others sent
+//! fades with the report's age.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use crate::directory::{ReplicaPhase, ReplicaRecord};
+use crate::ids::{HallName, ModelName, ReplicaId, ServiceName};
+
+/// How replicas are weighed against each other. Costs are in requests that wait.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ChoicePolicy {
+    /// Cost of a request that already runs on the replica.
+    pub running_cost: f64,
+    /// Cost of a replica in another hall.
+    pub hall_cost: f64,
+    /// Gain where the replica has read the shared start of the prompt.
+    pub prefix_gain: f64,
+    /// Cost of a whole failure rate.
+    pub failure_cost: f64,
+    /// Time by which a report of others' load has faded, in milliseconds.
+    pub fade_ms: u64,
+    /// First pause of a replica that fails, in milliseconds; it doubles.
+    pub eject_ms: u64,
+    /// Longest such pause, in milliseconds.
+    pub eject_max_ms: u64,
+}
+
+impl Default for ChoicePolicy {
+    fn default() -> Self {
+        Self {
+            running_cost: 0.1,
+            hall_cost: 0.2,
+            prefix_gain: 0.4,
+            failure_cost: 8.0,
+            fade_ms: 2_000,
+            eject_ms: 1_000,
+            eject_max_ms: 8_000,
+        }
+    }
+}
+
+/// What a request needs of a replica.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Need {
+    /// The service.
+    pub service: Option<ServiceName>,
+    /// The model.
+    pub model: Option<ModelName>,
+    /// An adapter of the model.
+    pub adapter: Option<String>,
+    /// Names the shared start of the prompt.
+    pub prefix: Option<u64>,
+    /// Tokens of the prompt and the answer.
+    pub tokens: u64,
+}
+
+/// The choice.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Choice {
+    /// This replica.
+    Send(ReplicaId),
+    /// A replica holds the model and has room, but needs the adapter first.
+    Fetch(ReplicaId),
+    /// All that could take it are full.
+    Full,
+    /// No replica holds the model.
+    Absent,
+}
+
+/// A load that a replica told on an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that may run at once.
+    pub slots: u32,
+}
+
+/// Reads a load header: running, waiting, slots.
+pub fn parse_load(text: &str) -> Option<LoadReport> {
+    let mut parts = text.split(',').map(|part| part.trim().parse::<u32>());
+    let mut next = || parts.next()?.ok();
+    let (running, waiting, slots) = (next()?, next()?, next()?);
+    Some(LoadReport {
+        running,
+        waiting,
+        slots,
+    })
+}
+
+/// How a try at a replica ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TryEnd {
+    /// A proper answer.
+    Good,
+    /// The replica said that it is full.
+    Full,
+    /// It failed: an error of its own, bytes that are no answer, or silence.
+    Failed,
+    /// It could not be reached.
+    Unreached,
+    /// Nothing is said of the replica: the caller left, or time ran out.
+    Neutral,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Told {
+    others_waiting: f64,
+    others_running: f64,
+    at_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+struct ReplicaNote {
+    record: ReplicaRecord,
+    /// Own requests that have no first byte yet.
+    waiting: u32,
+    /// Own requests whose answer has begun.
+    running: u32,
+    tokens: u64,
+    told: Told,
+    slots: u32,
+    failing: f64,
+    ejected_until_ms: u64,
+    ejections: u32,
+    full_until_ms: u64,
+    prefixes: VecDeque<u64>,
+}
+
+/// Shared starts remembered for each replica.
+const MAX_PREFIXES: usize = 256;
+/// Weight of the newest outcome in the failure rate.
+const FAIL_STEP: f64 = 0.25;
+/// Failure rate from which a replica is passed over for a while.
+const EJECT_RATE: f64 = 0.55;
+/// How long a replica that said so is taken for full, in milliseconds.
+const FULL_MS: u64 = 100;
+
+impl ReplicaNote {
+    fn new(record: ReplicaRecord) -> Self {
+        Self {
+            slots: record.slots.max(1),
+            record,
+            waiting: 0,
+            running: 0,
+            tokens: 0,
+            told: Told::default(),
+            failing: 0.0,
+            ejected_until_ms: 0,
+            ejections: 0,
+            full_until_ms: 0,
+            prefixes: VecDeque::new(),
+        }
+    }
+
+    fn fade(&self, now_ms: u64, fade_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.told.at_ms);
+        1.0 - (age_ms as f64 / fade_ms.max(1) as f64).min(1.0)
+    }
+
+    fn loads(&self, now_ms: u64, fade_ms: u64) -> (f64, f64) {
+        let fade = self.fade(now_ms, fade_ms);
+        let waiting = f64::from(self.waiting) + self.told.others_waiting * fade;
+        let running = f64::from(self.running) + self.told.others_running * fade;
+        (waiting, running)
+    }
+}
+
+/// A model whose state an entry tells the leader.
+pub type BusyModels = BTreeMap<ModelName, f64>;
+
+/// All replicas that an entry knows.
+#[derive(Clone, Debug, Default)]
+pub struct ReplicaBook {
+    policy: ChoicePolicy,
+    hall: Option<HallName>,
+    notes: BTreeMap<ReplicaId, ReplicaNote>,
+}
+
+impl ReplicaBook {
+    /// An empty book of an entry in `hall`.
+    pub fn new(policy: ChoicePolicy, hall: HallName) -> Self {
+        Self {
+            policy,
+            hall: Some(hall),
+            notes: BTreeMap::new(),
+        }
+    }
+
+    /// Takes over the records that are in force.
+    pub fn follow(&mut self, records: &BTreeMap<ReplicaId, ReplicaRecord>) {
+        self.notes.retain(|id, _| records.contains_key(id));
+        for (id, record) in records {
+            match self.notes.get_mut(id) {
+                Some(note) if note.record == *record => {}
+                Some(note) => note.record = record.clone(),
+                None => {
+                    let note = ReplicaNote::new(record.clone());
+                    self.notes.insert(id.clone(), note);
+                }
+            }
+        }
+    }
+
+    /// The record of a replica.
+    pub fn record(&self, id: &ReplicaId) -> Option<&ReplicaRecord> {
+        self.notes.get(id).map(|note| &note.record)
+    }
+
+    /// Chooses a replica for a need. `passed` names those that this request has
+    /// tried already; `memory` is the most tokens a replica holds.
+    pub fn choose(
+        &self,
+        now_ms: u64,
+        need: &Need,
+        passed: &BTreeSet<ReplicaId>,
+        memory: u64,
+    ) -> Choice {
+        let suits = |note: &&ReplicaNote| {
+            let record = &note.record;
+            let model = need.model.as_ref();
+            need.service.as_ref() == Some(&record.service)
+                && record.phase != ReplicaPhase::Draining
+                && model.is_none_or(|model| record.models.contains_key(model))
+        };
+        let mut suited: Vec<&ReplicaNote> = self.notes.values().filter(suits).collect();
+        if suited.is_empty() {
+            return Choice::Absent;
+        }
+        let fresh = |note: &ReplicaNote| !passed.contains(&note.record.id);
+        if suited.iter().any(|note| fresh(note)) {
+            suited.retain(|note| fresh(note));
+        }
+        let sound = |note: &ReplicaNote| self.is_sound(note, now_ms);
+        if suited.iter().any(|note| sound(note)) {
+            suited.retain(|note| sound(note));
+        }
+        suited.retain(|note| self.has_room(note, need, now_ms, memory));
+        let Some(best) = self.cheapest(suited.iter().copied(), need, now_ms) else {
+            return Choice::Full;
+        };
+        if self.holds_adapter(best, need) {
+            return Choice::Send(best.record.id.clone());
+        }
+        let ready = suited.iter().copied();
+        let ready = ready.filter(|note| self.holds_adapter(note, need));
+        match self.cheapest(ready, need, now_ms) {
+            // A second home of an adapter is worth its load only where the first is busy.
+            Some(holder) if self.is_slack(holder, now_ms) => {
+                Choice::Send(holder.record.id.clone())
+            }
+            _ => Choice::Fetch(best.record.id.clone()),
+        }
+    }
+
+    fn cheapest<'a>(
+        &self,
+        notes: impl Iterator<Item = &'a ReplicaNote>,
+        need: &Need,
+        now_ms: u64,
+    ) -> Option<&'a ReplicaNote> {
+        let costs = notes.map(|note| (self.cost(note, need, now_ms), note));
+        let by_id = |a: &ReplicaNote, b: &ReplicaNote| a.record.id.cmp(&b.record.id);
+        let least = costs.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| by_id(a.1, b.1)));
+        least.map(|(_, note)| note)
+    }
+
+    fn holds_adapter(&self, note: &ReplicaNote, need: &Need) -> bool {
+        match (&need.model, &need.adapter) {
+            (Some(model), Some(adapter)) => {
+                let adapters = note.record.models.get(model);
+                adapters.is_some_and(|adapters| adapters.contains(adapter))
+            }
+            _ => true,
+        }
+    }
+
+    fn is_slack(&self, note: &ReplicaNote, now_ms: u64) -> bool {
+        let (waiting, running) = note.loads(now_ms, self.policy.fade_ms);
+        waiting + running < f64::from(note.slots) / 4.0
+    }
+
+    fn is_sound(&self, note: &ReplicaNote, now_ms: u64) -> bool {
+        let probing = note.ejections > 0 && note.waiting + note.running > 0;
+        note.record.phase == ReplicaPhase::Ready && note.ejected_until_ms <= now_ms && !probing
+    }
+
+    fn has_room(&self, note: &ReplicaNote, need: &Need, now_ms: u64, memory: u64) -> bool {
+        let (waiting, running) = note.loads(now_ms, self.policy.fade_ms);
+        let fits = memory == 0 || note.tokens + need.tokens <= memory || note.tokens == 0;
+        fits && note.full_until_ms <= now_ms && waiting + running < f64::from(note.slots)
+    }
+
+    fn cost(&self, note: &ReplicaNote, need: &Need, now_ms: u64) -> f64 {
+        let policy = &self.policy;
+        let (waiting, running) = note.loads(now_ms, policy.fade_ms);
+        let away = self.hall.as_ref() != Some(&note.record.hall);
+        let warm = need.prefix.is_some_and(|prefix| note.prefixes.contains(&prefix));
+        let hall = if away { policy.hall_cost } else { 0.0 };
+        let gain = if warm { policy.prefix_gain } else { 0.0 };
+        waiting + running * policy.running_cost + hall + note.failing * policy.failure_cost - gain
+    }
+
+    /// A request goes to a replica.
+    pub fn start(&mut self, id: &ReplicaId, need: &Need) {
+        let Some(note) = self.notes.get_mut(id) else {
+            return;
+        };
+        note.waiting += 1;
+        note.tokens += need.tokens;
+        if let Some(prefix) = need.prefix {
+            note.prefixes.retain(|known| *known != prefix);
+            note.prefixes.push_back(prefix);
+            if note.prefixes.len() > MAX_PREFIXES {
+                note.prefixes.pop_front();
+            }
+        }
+    }
+
+    /// The answer to a request begins.
+    pub fn begin(&mut self, id: &ReplicaId) {
+        if let Some(note) = self.notes.get_mut(id) {
+            note.waiting = note.waiting.saturating_sub(1);
+            note.running += 1;
+        }
+    }
+
+    /// A replica told its load.
+    pub fn tell(&mut self, now_ms: u64, id: &ReplicaId, report: LoadReport) {
+        if let Some(note) = self.notes.get_mut(id) {
+            let others = |told: u32, own: u32| f64::from(told.saturating_sub(own));
+            note.told = Told {
+                others_waiting: others(report.waiting, note.waiting),
+                others_running: others(report.running, note.running),
+                at_ms: now_ms,
+            };
+            note.slots = report.slots.max(1);
+        }
+    }
+
+    /// A request has left a replica. `begun` says whether its answer had begun.
+    pub fn end(&mut self, now_ms: u64, id: &ReplicaId, need: &Need, begun: bool, end: TryEnd) {
+        let policy = self.policy;
+        let Some(note) = self.notes.get_mut(id) else {
+            return;
+        };
+        let count = if begun { &mut note.running } else { &mut note.waiting };
+        *count = count.saturating_sub(1);
+        note.tokens = note.tokens.saturating_sub(need.tokens);
+        match end {
+            TryEnd::Good => {
+                note.failing *= 1.0 - FAIL_STEP;
+                note.ejections = 0;
+            }
+            TryEnd::Full => note.full_until_ms = now_ms + FULL_MS,
+            TryEnd::Failed => {
+                note.failing += (1.0 - note.failing) * FAIL_STEP;
+                if note.failing >= EJECT_RATE {
+                    eject(note, &policy, now_ms);
+                }
+            }
+            TryEnd::Unreached => eject(note, &policy, now_ms),
+            TryEnd::Neutral => {}
+        }
+    }
+
+    /// A replica keeps a request waiting for longer than it should.
+    pub fn suspect(&mut self, id: &ReplicaId) {
+        if let Some(note) = self.notes.get_mut(id) {
+            note.failing += (1.0 - note.failing) * FAIL_STEP / 2.0;
+        }
+    }
+
+    /// A replica says that it does not hold the model or adapter.
+    pub fn correct(&mut self, id: &ReplicaId, need: &Need) {
+        let note = self.notes.get_mut(id);
+        let (Some(note), Some(model)) = (note, &need.model) else {
+            return;
+        };
+        match &need.adapter {
+            Some(adapter) => {
+                if let Some(adapters) = note.record.models.get_mut(model) {
+                    adapters.remove(adapter);
+                }
+            }
+            None => {
+                note.record.models.remove(model);
+            }
+        }
+    }
+}
+
+fn eject(note: &mut ReplicaNote, policy: &ChoicePolicy, now_ms: u64) {
+    if note.ejected_until_ms > now_ms {
+        return;
+    }
+    let pause_ms = policy.eject_ms << note.ejections.min(6);
+    note.ejected_until_ms = now_ms + pause_ms.min(policy.eject_max_ms);
+    note.ejections += 1;
+    note.failing *= 0.5;
+}
--- /dev/null
+++ b/src/forward/client.rs
@@ -0,0 +1,256 @@
+//! Connections from clients: reads requests whole, has each answered, and
+//! notices when the client leaves.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+
+use crate::configuration::ClientLimits;
+use crate::forward::chunked::ChunkDecoder;
+use crate::forward::daemon::EntryCore;
+use crate::forward::head::{self, Framing, HeadError, RequestHead};
+use crate::forward::request;
+
+/// Bytes read at once.
+const READ_SIZE: usize = 16 * 1024;
+/// Bytes of later requests that are read while one is answered.
+const MAX_AHEAD: usize = 64 * 1024;
+/// How long a refused client's bytes are read before its connection is closed,
+/// so that it can read why.
+const LINGER: Duration = Duration::from_millis(300);
+
+/// A whole request.
+#[derive(Debug)]
+pub struct ClientRequest {
+    /// The head.
+    pub head: RequestHead,
+    /// The body.
+    pub body: Vec<u8>,
+    /// When its head was whole.
+    pub since: Instant,
+}
+
+/// Writes answers to one client.
+pub struct ClientWriter {
+    stream: OwnedWriteHalf,
+    /// Bytes of the current answer have left.
+    begun: bool,
+}
+
+impl ClientWriter {
+    /// Whether bytes of the current answer have left.
+    pub fn has_begun(&self) -> bool {
+        self.begun
+    }
+
+    /// Writes bytes of the current answer.
+    pub async fn write(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.begun = true;
+        self.stream.write_all(bytes).await
+    }
+}
+
+/// What becomes of the connection after an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AfterAnswer {
+    /// It may carry another request.
+    Keep,
+    /// It is closed in good order.
+    Close,
+    /// It is cut: the answer must not look whole.
+    Cut,
+}
+
+enum ReadError {
+    /// The client closed, or was idle for too long.
+    Gone,
+    /// The request is refused with this status, and nothing more is read.
+    Refused(u16, &'static str),
+}
+
+struct ClientReader {
+    stream: OwnedReadHalf,
+    buffer: Vec<u8>,
+}
+
+impl ClientReader {
+    async fn fill(&mut self) -> Result<(), ReadError> {
+        self.buffer.reserve(READ_SIZE);
+        match self.stream.read_buf(&mut self.buffer).await {
+            Ok(0) | Err(_) => Err(ReadError::Gone),
+            Ok(_) => Ok(()),
+        }
+    }
+
+    /// Returns when the client has left.
+    async fn gone(&mut self) {
+        loop {
+            if self.buffer.len() > MAX_AHEAD {
+                return std::future::pending().await;
+            }
+            if self.fill().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn read_head(
+        &mut self,
+        limits: &ClientLimits,
+        first_byte: &dyn Fn(),
+    ) -> Result<RequestHead, ReadError> {
+        let idle = Duration::from_millis(limits.idle_ms);
+        if self.buffer.is_empty() {
+            let first = tokio::time::timeout(idle, self.fill()).await;
+            first.map_err(|_| ReadError::Gone)??;
+        }
+        first_byte();
+        let whole = async {
+            loop {
+                match head::parse_request(&self.buffer) {
+                    Ok(Some((head, len))) => {
+                        self.buffer.drain(..len);
+                        return Ok(head);
+                    }
+                    Ok(None) if self.buffer.len() > limits.header_bytes => {
+                        return Err(ReadError::Refused(431, "the head is too long"));
+                    }
+                    Ok(None) => self.fill().await?,
+                    Err(HeadError::TooMany) => {
+                        return Err(ReadError::Refused(431, "the head has too many fields"));
+                    }
+                    Err(HeadError::Malformed) => {
+                        return Err(ReadError::Refused(400, "the head is malformed"));
+                    }
+                    Err(HeadError::Framing) => {
+                        return Err(ReadError::Refused(400, "the body's length is not clear"));
+                    }
+                }
+            }
+        };
+        let limit = Duration::from_millis(limits.header_ms);
+        let late = ReadError::Refused(408, "the head took too long");
+        tokio::time::timeout(limit, whole).await.map_err(|_| late)?
+    }
+
+    async fn read_body(
+        &mut self,
+        framing: Framing,
+        limits: &ClientLimits,
+    ) -> Result<Vec<u8>, ReadError> {
+        let too_long = || ReadError::Refused(413, "the body is too long");
+        match framing {
+            Framing::Length(length) if length > limits.body_bytes as u64 => Err(too_long()),
+            Framing::Length(length) => {
+                let length = length as usize;
+                while self.buffer.len() < length {
+                    self.fill().await?;
+                }
+                let rest = self.buffer.split_off(length);
+                Ok(std::mem::replace(&mut self.buffer, rest))
+            }
+            Framing::Chunked => {
+                let mut decoder = ChunkDecoder::default();
+                let mut body = Vec::new();
+                loop {
+                    let taken = decoder.decode(&self.buffer, &mut body);
+                    let malformed = |_| ReadError::Refused(400, "the chunks are malformed");
+                    let taken = taken.map_err(malformed)?;
+                    self.buffer.drain(..taken);
+                    match decoder.is_done() {
+                        true => return Ok(body),
+                        false if body.len() > limits.body_bytes => return Err(too_long()),
+                        false => self.fill().await?,
+                    }
+                }
+            }
+            Framing::Close => Err(ReadError::Refused(400, "the body's length is not clear")),
+        }
+    }
+
+    /// Reads and drops what the client still sends, so that a refusal reaches it.
+    async fn linger(&mut self) {
+        let drain = async {
+            while self.fill().await.is_ok() {
+                self.buffer.clear();
+            }
+        };
+        let _ = tokio::time::timeout(LINGER, drain).await;
+    }
+}
+
+/// Serves one client's connection until it ends.
+pub async fn serve(core: Rc<EntryCore>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let (read, write) = stream.into_split();
+    let mut reader = ClientReader {
+        stream: read,
+        buffer: Vec::new(),
+    };
+    let mut writer = ClientWriter {
+        stream: write,
+        begun: false,
+    };
+    loop {
+        let after = serve_one(&core, &mut reader, &mut writer).await;
+        match after {
+            AfterAnswer::Keep => {}
+            AfterAnswer::Close => {
+                let _ = writer.stream.shutdown().await;
+                reader.linger().await;
+                return;
+            }
+            AfterAnswer::Cut => return,
+        }
+    }
+}
+
+async fn serve_one(
+    core: &Rc<EntryCore>,
+    reader: &mut ClientReader,
+    writer: &mut ClientWriter,
+) -> AfterAnswer {
+    writer.begun = false;
+    let limits = core.limits();
+    let busy = core.busy();
+    let request = match read_request(reader, writer, &limits, &|| busy.mark()).await {
+        Ok(request) => request,
+        Err(ReadError::Gone) => return AfterAnswer::Cut,
+        Err(ReadError::Refused(status, reason)) => {
+            core.count_refused_read(status);
+            let answer = request::own_answer(core, status, reason, None, None, true);
+            let _ = writer.write(&answer).await;
+            return AfterAnswer::Close;
+        }
+    };
+    let answered = request::answer(core, &request, writer);
+    tokio::select! {
+        after = answered => after,
+        // Dropping the answer closes the connection to the replica.
+        () = reader.gone() => AfterAnswer::Cut,
+    }
+}
+
+async fn read_request(
+    reader: &mut ClientReader,
+    writer: &mut ClientWriter,
+    limits: &ClientLimits,
+    first_byte: &dyn Fn(),
+) -> Result<ClientRequest, ReadError> {
+    let head = reader.read_head(limits, first_byte).await?;
+    let since = Instant::now();
+    let expects = head::names_token(&head.headers, "expect", "100-continue");
+    if expects && reader.buffer.is_empty() && head.framing != Framing::Length(0) {
+        let sent = writer.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+        sent.map_err(|_| ReadError::Gone)?;
+        writer.begun = false;
+    }
+    let limit = Duration::from_millis(limits.idle_ms);
+    let body = reader.read_body(head.framing, limits);
+    let late = ReadError::Refused(408, "the body took too long");
+    let body = tokio::time::timeout(limit, body).await.map_err(|_| late)??;
+    Ok(ClientRequest { head, body, since })
+}
--- /dev/null
+++ b/src/forward/daemon.rs
@@ -0,0 +1,653 @@
+//! The entry that forwards straight to replicas: its shared state and its tasks.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+use crate::clock;
+use crate::configuration::{ClientLimits, Configuration, RouteIndex, RouteSpec};
+use crate::daemon::{self, DaemonError};
+use crate::fleet::{AdapterWish, EntryReport};
+use crate::follow::ControlFollower;
+use crate::forward::book::{ChoicePolicy, Need, ReplicaBook};
+use crate::forward::budget::{ResendBudget, ResendPolicy};
+use crate::forward::client;
+use crate::forward::dialect::HeaderNames;
+use crate::forward::upstream::ConnectionPool;
+use crate::ids::{HallName, HostName, ModelName, ReplicaId};
+use crate::metrics::{MetricBook, MetricKey};
+use crate::peers::{ControlLink, SiteSecret};
+use crate::settings::LogSettings;
+
+/// Time between two reports to the leader.
+const REPORT_EVERY: Duration = Duration::from_millis(500);
+/// Time for a report or a wish.
+const REPORT_TIME: Duration = Duration::from_millis(1_000);
+/// Least time between two wishes for the same adapter, in milliseconds.
+const WISH_EVERY_MS: u64 = 150;
+/// Time between two looks at idle connections.
+const PRUNE_EVERY: Duration = Duration::from_millis(500);
+/// Log lines a second for requests that went well.
+const GOOD_LINES: u32 = 10;
+/// Log lines a second for requests that failed or were refused.
+const BAD_LINES: u32 = 40;
+/// Time between two looks at whether a stopping entry is done.
+const STOP_LOOK: Duration = Duration::from_millis(50);
+
+/// Settings of an entry that forwards to registered replicas.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ForwardSettings {
+    /// This host.
+    pub host: HostName,
+    /// Its data hall.
+    pub hall: HallName,
+    /// Where clients reach it.
+    pub clients: SocketAddr,
+    /// Where readiness, health and metrics are served.
+    pub watch: SocketAddr,
+    /// Control hosts to begin with; the others are learnt from them.
+    pub control: Vec<SocketAddr>,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogSettings,
+    /// How replicas are chosen.
+    #[serde(default)]
+    pub choice: ChoicePolicy,
+    /// How much may be sent again.
+    #[serde(default)]
+    pub resend: ResendPolicy,
+    /// Time to open a connection to a replica, in milliseconds.
+    #[serde(default = "default_connect")]
+    pub connect_ms: u64,
+    /// Longest time without word of a leader while the entry calls itself ready,
+    /// in milliseconds.
+    #[serde(default = "default_stale")]
+    pub stale_ms: u64,
+    /// Least time from a request to stop to the end, in milliseconds: callers
+    /// must have noticed by then.
+    #[serde(default = "default_stop")]
+    pub stop_ms: u64,
+    /// Most time from a request to stop to the end, in milliseconds.
+    #[serde(default = "default_grace")]
+    pub grace_ms: u64,
+}
+
+fn default_connect() -> u64 {
+    400
+}
+
+fn default_stale() -> u64 {
+    10_000
+}
+
+fn default_stop() -> u64 {
+    3_000
+}
+
+fn default_grace() -> u64 {
+    7_500
+}
+
+/// A configuration with its index.
+#[derive(Debug)]
+pub struct Routing {
+    /// The configuration.
+    pub configuration: Configuration,
+    /// Its routes by place.
+    pub index: RouteIndex,
+}
+
+/// State shared by an entry's tasks, all on one thread.
+pub struct EntryCore {
+    /// Names of headers.
+    pub names: HeaderNames,
+    /// What is known of replicas.
+    pub book: RefCell<ReplicaBook>,
+    /// Idle connections.
+    pub pool: RefCell<ConnectionPool>,
+    /// The budget for sending again.
+    pub budget: RefCell<ResendBudget>,
+    /// Woken when a replica may have room, or another one may be there.
+    pub changed: Notify,
+    settings: ForwardSettings,
+    follower: Arc<ControlFollower>,
+    routing: RefCell<Option<Rc<Routing>>>,
+    busy: RefCell<BTreeMap<ModelName, u32>>,
+    lately: RefCell<BTreeMap<ModelName, f64>>,
+    adapters: RefCell<BTreeSet<(ReplicaId, ModelName, String)>>,
+    wishes: RefCell<BTreeMap<(ReplicaId, ModelName, String), u64>>,
+    active: Cell<usize>,
+    stopping: Arc<AtomicBool>,
+    ready: Arc<AtomicBool>,
+    metrics: Arc<Mutex<MetricBook>>,
+    lines: RefCell<LineBudget>,
+}
+
+/// Counts a client's connection as busy from the first byte of a request on.
+pub struct BusyMark<'a> {
+    core: &'a EntryCore,
+    marked: Cell<bool>,
+}
+
+impl BusyMark<'_> {
+    /// A request has begun to come.
+    pub fn mark(&self) {
+        if !self.marked.replace(true) {
+            self.core.active.set(self.core.active.get() + 1);
+        }
+    }
+}
+
+impl Drop for BusyMark<'_> {
+    fn drop(&mut self) {
+        if self.marked.get() {
+            self.core.active.set(self.core.active.get() - 1);
+        }
+    }
+}
+
+/// Counts a request for its model.
+pub struct ModelMark<'a> {
+    core: &'a EntryCore,
+    model: Option<ModelName>,
+    since: Instant,
+}
+
+impl Drop for ModelMark<'_> {
+    fn drop(&mut self) {
+        let Some(model) = &self.model else {
+            return;
+        };
+        if let Some(count) = self.core.busy.borrow_mut().get_mut(model) {
+            *count = count.saturating_sub(1);
+        }
+        // The time it was here, as a part of the time between two reports.
+        let part = self.since.elapsed().as_secs_f64() / REPORT_EVERY.as_secs_f64();
+        let mut lately = self.core.lately.borrow_mut();
+        *lately.entry(model.clone()).or_default() += part.min(1.0);
+    }
+}
+
+impl EntryCore {
+    /// The configuration in force, once one is known.
+    pub fn routing(&self) -> Option<Rc<Routing>> {
+        self.routing.borrow().clone()
+    }
+
+    /// The limits on clients.
+    pub fn limits(&self) -> ClientLimits {
+        let routing = self.routing.borrow();
+        let limits = routing.as_ref().map(|routing| routing.configuration.limits);
+        limits.unwrap_or_default()
+    }
+
+    /// Whether the entry was asked to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+
+    /// Time to open a connection to a replica.
+    pub fn connect_time(&self) -> Duration {
+        Duration::from_millis(self.settings.connect_ms)
+    }
+
+    /// Marks a connection as busy once a request begins to come.
+    pub fn busy(&self) -> BusyMark<'_> {
+        BusyMark {
+            core: self,
+            marked: Cell::new(false),
+        }
+    }
+
+    /// Counts a request for its model while it is here.
+    pub fn track(&self, need: &Need) -> ModelMark<'_> {
+        if let Some(model) = &need.model {
+            *self.busy.borrow_mut().entry(model.clone()).or_default() += 1;
+        }
+        ModelMark {
+            core: self,
+            model: need.model.clone(),
+            since: Instant::now(),
+        }
+    }
+
+    /// Asks the leader for an adapter on a replica.
+    pub fn wish(self: &Rc<Self>, replica: &ReplicaId, need: &Need) {
+        let (Some(model), Some(adapter)) = (&need.model, &need.adapter) else {
+            return;
+        };
+        let now_ms = clock::monotonic_ms();
+        let place = (replica.clone(), model.clone(), adapter.clone());
+        let mut wishes = self.wishes.borrow_mut();
+        wishes.retain(|_, at_ms| *at_ms + WISH_EVERY_MS > now_ms);
+        if wishes.contains_key(&place) {
+            return;
+        }
+        wishes.insert(place, now_ms);
+        let wish = AdapterWish {
+            replica: replica.clone(),
+            model: model.clone(),
+            adapter: adapter.clone(),
+        };
+        let link = self.follower.link().clone();
+        tracing::info!(%replica, %model, adapter, "wishes for an adapter");
+        daemon::spawn_local(async move {
+            let asked = link
+                .decide("wish", REPORT_TIME, |client, context| {
+                    let wish = wish.clone();
+                    async move { client.wish(context, wish).await }
+                })
+                .await;
+            if let Err(error) = asked {
+                tracing::warn!(%error, "a wish was not heard");
+            }
+        });
+    }
+
+    /// Counts a connection opened to a replica.
+    pub fn count_opened(&self) {
+        self.count("dunlinspring_replica_connections_total", &[]);
+    }
+
+    /// Counts a request that was refused while it was read.
+    pub fn count_refused_read(&self, status: u16) {
+        let status = status.to_string();
+        self.count("dunlinspring_unread_total", &[("status", &status)]);
+    }
+
+    fn count(&self, name: &'static str, labels: &[(&'static str, &str)]) {
+        let mut metrics = self.metrics.lock().unwrap_or_else(|b| b.into_inner());
+        metrics.count(MetricKey::new(name, labels), 1);
+    }
+
+    /// Logs a request that got no further than its route.
+    pub fn log_plain(&self, id: &str, status: u16, reason: &str) {
+        let text = status.to_string();
+        self.count("dunlinspring_unrouted_total", &[("status", &text)]);
+        if self.lines.borrow_mut().may_write(false) {
+            let version = self.version();
+            tracing::info!(request = id, status, reason, version, "request");
+        }
+    }
+
+    fn version(&self) -> u64 {
+        let routing = self.routing.borrow();
+        routing.as_ref().map_or(0, |routing| routing.configuration.version)
+    }
+
+    /// Takes over what the log holds.
+    fn follow(&self) {
+        let view = self.follower.view();
+        self.book.borrow_mut().follow(&view.replicas);
+        let held = self.version();
+        let newer = view.configuration.as_ref().filter(|c| c.version > held);
+        if let Some(configuration) = newer {
+            let index = RouteIndex::new(&configuration.routes);
+            let version = configuration.version;
+            let routes = configuration.routes.len();
+            let configuration = (**configuration).clone();
+            let routing = Routing {
+                configuration,
+                index,
+            };
+            *self.routing.borrow_mut() = Some(Rc::new(routing));
+            let position = view.position;
+            tracing::info!(version, held, routes, %position, "configuration in force");
+        }
+        drop(view);
+        self.look_ready();
+        self.changed.notify_waiters();
+    }
+
+    fn look_ready(&self) {
+        let known = self.routing.borrow().is_some();
+        let fresh = self.follower.stale_ms() < self.settings.stale_ms;
+        let ready = known && fresh && !self.is_stopping();
+        if self.ready.swap(ready, Ordering::SeqCst) != ready {
+            let stale_ms = self.follower.stale_ms();
+            tracing::info!(ready, stale_ms, "readiness");
+        }
+    }
+
+    fn report(&self) -> EntryReport {
+        let mut busy = std::mem::take(&mut *self.lately.borrow_mut());
+        for (model, count) in self.busy.borrow().iter() {
+            *busy.entry(model.clone()).or_default() += f64::from(*count);
+        }
+        self.busy.borrow_mut().retain(|_, count| *count > 0);
+        EntryReport {
+            host: self.settings.host.0.clone(),
+            busy,
+            adapters: std::mem::take(&mut *self.adapters.borrow_mut()),
+        }
+    }
+}
+
+/// How a request ended, for logs and metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// A replica's answer was passed on whole.
+    Answered,
+    /// It did not run.
+    Refused,
+    /// It may have run.
+    Unknown,
+    /// Broken off midway.
+    Cut,
+    /// The client left first.
+    Left,
+}
+
+impl Outcome {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Refused => "refused",
+            Self::Unknown => "unknown",
+            Self::Cut => "cut",
+            Self::Left => "left",
+        }
+    }
+}
+
+/// What is logged of one request, in one line at its end.
+#[derive(Debug)]
+pub struct RequestLog {
+    id: String,
+    route: String,
+    service: String,
+    model: String,
+    since: Instant,
+    replica: Option<ReplicaId>,
+    tries: u32,
+    resent: u32,
+    waited: Duration,
+    first: Option<Duration>,
+    notes: Vec<String>,
+    end: (Outcome, u16, &'static str),
+}
+
+impl RequestLog {
+    /// A request that has no end yet.
+    pub fn new(id: &str, route: &RouteSpec, need: &Need, since: Instant) -> Self {
+        let model = need.model.as_ref().map_or("", |model| model.as_str());
+        let adapter = need.adapter.as_deref().map(|name| format!("/{name}"));
+        Self {
+            id: id.to_owned(),
+            route: route.name.clone(),
+            service: need.service.as_ref().map_or(String::new(), |s| s.0.clone()),
+            model: format!("{model}{}", adapter.unwrap_or_default()),
+            since,
+            replica: None,
+            tries: 0,
+            resent: 0,
+            waited: Duration::ZERO,
+            first: None,
+            notes: Vec::new(),
+            end: (Outcome::Left, 0, "the client left"),
+        }
+    }
+
+    /// A replica was found after a wait.
+    pub fn placed(&mut self, waited: Duration) {
+        self.waited += waited;
+    }
+
+    /// It goes to a replica.
+    pub fn sent(&mut self, replica: &ReplicaId) {
+        self.tries += 1;
+        self.replica = Some(replica.clone());
+    }
+
+    /// Whether the budget let it be sent again.
+    pub fn resent(&mut self, allowed: bool) {
+        match allowed {
+            true => self.resent += 1,
+            false => self.note("no budget to send it again"),
+        }
+    }
+
+    /// Something that happened on the way.
+    pub fn note(&mut self, text: &str) {
+        self.notes.push(text.to_owned());
+    }
+
+    /// The first event leaves.
+    pub fn first_event(&mut self) {
+        let since = self.since;
+        self.first.get_or_insert_with(|| since.elapsed());
+    }
+
+    /// A replica's answer was passed on.
+    pub fn answered(&mut self, status: u16) {
+        self.end = (Outcome::Answered, status, "");
+    }
+
+    /// It ends without a replica's answer.
+    pub fn ends(&mut self, outcome: Outcome, status: u16, reason: &'static str) {
+        self.end = (outcome, status, reason);
+    }
+
+    /// Writes the line and the metrics.
+    pub fn end(&self, core: &EntryCore) {
+        let (outcome, status, reason) = self.end;
+        let took = self.since.elapsed();
+        let labels = [("service", self.service.as_str()), ("outcome", outcome.name())];
+        let mut metrics = core.metrics.lock().unwrap_or_else(|b| b.into_inner());
+        metrics.count(MetricKey::new("dunlinspring_requests_total", &labels), 1);
+        let micros = |time: Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        let key = MetricKey::new("dunlinspring_request_seconds", &labels);
+        metrics.time(key, micros(took));
+        if let Some(first) = self.first {
+            let key = MetricKey::new("dunlinspring_first_event_seconds", &labels[..1]);
+            metrics.time(key, micros(first));
+        }
+        drop(metrics);
+        let good = outcome == Outcome::Answered && status < 500;
+        if core.lines.borrow_mut().may_write(good) {
+            let millis = |time: Duration| time.as_millis() as u64;
+            tracing::info!(
+                request = self.id,
+                route = self.route,
+                service = self.service,
+                model = self.model,
+                version = core.version(),
+                replica = self.replica.as_ref().map_or("", |id| id.as_str()),
+                tries = self.tries,
+                resent = self.resent,
+                waited_ms = millis(self.waited),
+                first_ms = self.first.map(millis),
+                took_ms = millis(took),
+                status,
+                outcome = outcome.name(),
+                reason,
+                notes = self.notes.join("; "),
+                "request"
+            );
+        }
+    }
+}
+
+/// Log lines that may be written in the current second.
+#[derive(Debug, Default)]
+struct LineBudget {
+    second: u64,
+    good: u32,
+    bad: u32,
+    passed: u32,
+}
+
+impl LineBudget {
+    fn may_write(&mut self, good: bool) -> bool {
+        let second = clock::monotonic_ms() / 1_000;
+        if second != self.second {
+            if self.passed > 0 {
+                tracing::info!(lines = self.passed, "request lines passed over");
+            }
+            *self = Self {
+                second,
+                ..Self::default()
+            };
+        }
+        let (count, most) = match good {
+            true => (&mut self.good, GOOD_LINES),
+            false => (&mut self.bad, BAD_LINES),
+        };
+        *count += 1;
+        let allowed = *count <= most;
+        self.passed += u32::from(!allowed);
+        allowed
+    }
+}
+
+/// A running entry.
+pub struct ForwardDaemon {
+    core: Rc<EntryCore>,
+}
+
+impl ForwardDaemon {
+    /// Starts on the current thread's runtime.
+    pub async fn start(
+        settings: ForwardSettings,
+        secret: SiteSecret,
+        names: HeaderNames,
+    ) -> Result<Self, DaemonError> {
+        let listener = TcpListener::bind(settings.clients).await;
+        let listener = listener.map_err(|source| DaemonError::Listen {
+            field: "clients",
+            address: settings.clients.to_string(),
+            source,
+        })?;
+        let control: Vec<String> = settings.control.iter().map(ToString::to_string).collect();
+        let link = Arc::new(ControlLink::new(secret, control.clone()));
+        let follower = Arc::new(ControlFollower::new(link));
+        let core = Rc::new(EntryCore {
+            names,
+            book: RefCell::new(ReplicaBook::new(settings.choice, settings.hall.clone())),
+            pool: RefCell::default(),
+            budget: RefCell::new(ResendBudget::new(settings.resend)),
+            changed: Notify::new(),
+            follower: follower.clone(),
+            routing: RefCell::default(),
+            busy: RefCell::default(),
+            lately: RefCell::default(),
+            adapters: RefCell::default(),
+            wishes: RefCell::default(),
+            active: Cell::new(0),
+            stopping: Arc::default(),
+            ready: Arc::default(),
+            metrics: Arc::default(),
+            lines: RefCell::default(),
+            settings,
+        });
+        serve_watch(&core).await?;
+        for address in control {
+            follower.watch(&address);
+        }
+        daemon::spawn_local(follow(core.clone()));
+        daemon::spawn_local(report(core.clone()));
+        daemon::spawn_local(prune(core.clone()));
+        daemon::spawn_local(accept(core.clone(), listener));
+        tracing::info!(clients = %core.settings.clients, "entry started");
+        Ok(Self { core })
+    }
+
+    /// Watches further control hosts, after a change of the settings.
+    pub fn learn_control(&self, control: &[SocketAddr]) {
+        for address in control {
+            self.core.follower.watch(&address.to_string());
+        }
+    }
+
+    /// Takes no new connections on, finishes what is under way, and returns.
+    pub async fn stop(&self) {
+        let core = &self.core;
+        let since = Instant::now();
+        core.stopping.store(true, Ordering::SeqCst);
+        core.look_ready();
+        let least = Duration::from_millis(core.settings.stop_ms);
+        let most = Duration::from_millis(core.settings.grace_ms);
+        tracing::info!(active = core.active.get(), "stopping");
+        loop {
+            let idle = core.active.get() == 0 && since.elapsed() >= least;
+            if idle || since.elapsed() >= most {
+                tracing::info!(active = core.active.get(), "stopped");
+                return;
+            }
+            tokio::time::sleep(STOP_LOOK).await;
+        }
+    }
+}
+
+async fn serve_watch(core: &EntryCore) -> Result<SocketAddr, DaemonError> {
+    let ready = core.ready.clone();
+    let metrics = core.metrics.clone();
+    let read = move || {
+        let ready = ready.load(Ordering::SeqCst);
+        let book = metrics.lock().unwrap_or_else(|b| b.into_inner());
+        let page = daemon::WatchPage {
+            ready,
+            metrics: book.render(),
+        };
+        Box::pin(async move { page }) as daemon::WatchRead
+    };
+    daemon::serve_watch(core.settings.watch, Arc::new(read)).await
+}
+
+async fn accept(core: Rc<EntryCore>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => daemon::spawn_local(client::serve(core.clone(), stream)),
+            Err(error) => {
+                tracing::warn!(%error, "cannot accept a client");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn follow(core: Rc<EntryCore>) {
+    loop {
+        let changed = core.follower.changed();
+        let _ = tokio::time::timeout(Duration::from_millis(500), changed).await;
+        core.follow();
+    }
+}
+
+async fn report(core: Rc<EntryCore>) {
+    loop {
+        tokio::time::sleep(REPORT_EVERY).await;
+        let report = core.report();
+        let told = core
+            .follower
+            .link()
+            .decide("report", REPORT_TIME, |client, context| {
+                let report = report.clone();
+                async move { client.report(context, report).await }
+            })
+            .await;
+        match told {
+            Ok(entries) => core.budget.borrow_mut().share_among(entries),
+            Err(error) => tracing::debug!(%error, "a report was not heard"),
+        }
+    }
+}
+
+async fn prune(core: Rc<EntryCore>) {
+    loop {
+        tokio::time::sleep(PRUNE_EVERY).await;
+        let book = core.book.borrow();
+        let mut pool = core.pool.borrow_mut();
+        pool.prune(|id| book.record(id).is_some());
+    }
+}
+
--- /dev/null
+++ b/src/forward/mod.rs
@@ -0,0 +1,16 @@
+//! The way of a request straight to a replica that registered itself.
+//!
+//! Data flows one way: [`client`] reads a request, [`request`] decides what
+//! becomes of it by [`book`], and [`upstream`] carries it to a replica. Parsing
+//! is in [`head`], [`chunked`] and [`events`], all pure.
+
+pub mod book;
+pub mod budget;
+pub mod chunked;
+pub mod client;
+pub mod daemon;
+pub mod dialect;
+pub mod events;
+pub mod head;
+pub mod request;
+pub mod upstream;
--- /dev/null
+++ b/src/forward/request.rs
@@ -0,0 +1,741 @@
+//! One request, from its route to its one final answer.
+//!
+//! After a byte has gone to a replica, a request that may not be repeated is
+//! sent again only where the answer says that it did not run. What is not known
+//! to have run or not is a 502 or 504, never a 503.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use crate::configuration::{RouteKind, RouteSpec};
+use crate::forward::book::{self, Choice, Need, TryEnd};
+use crate::forward::client::{AfterAnswer, ClientRequest, ClientWriter};
+use crate::forward::daemon::{EntryCore, Outcome, RequestLog, Routing};
+use crate::forward::events::EventCutter;
+use crate::forward::head::{self, Framing, ResponseHead};
+use crate::forward::upstream::{Connection, Exchange, ExchangeError, Outgoing};
+use crate::ids::{ModelName, ReplicaId, ServiceName};
+
+/// Largest answer that is held until it is whole, in bytes.
+const MAX_HELD: usize = 1024 * 1024;
+/// Longest pause between two looks at the replicas while a request waits.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
+/// Part of the aim that a request waits for room before it is refused.
+const WAIT_PART: u32 = 4;
+/// Refusals by replicas that one request takes before it is refused itself.
+const MAX_REFUSALS: u32 = 4;
+/// Time that is left for a request to be worth sending.
+const LEAST_LEFT: Duration = Duration::from_millis(20);
+
+/// Why a request is refused without having run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Refusal {
+    /// All replicas are full.
+    Full,
+    /// No replica holds the model, and it cannot be there in time.
+    Absent,
+    /// The adapter did not come in time.
+    Adapter,
+    /// Time ran out before it was sent.
+    Late,
+    /// Replicas refused it, and the budget for sending it again is spent.
+    Budget,
+}
+
+impl Refusal {
+    fn text(self) -> &'static str {
+        match self {
+            Self::Full => "all replicas are full",
+            Self::Absent => "no replica holds the model",
+            Self::Adapter => "the adapter did not come in time",
+            Self::Late => "time ran out before it was sent",
+            Self::Budget => "replicas refused it",
+        }
+    }
+}
+
+/// How a try at one replica ended.
+enum Tried {
+    /// The client has its answer.
+    Answered(AfterAnswer),
+    /// The replica did not run it.
+    NotRun,
+    /// The replica does not hold what is asked for, or is another one.
+    Misplaced,
+    /// Nothing was sent.
+    Unsent,
+    /// It may have run; the client has nothing yet.
+    Unknown,
+    /// It may have run; the client has a part of the answer.
+    Begun,
+    /// The replica was too slow for a request that may be repeated.
+    Slow,
+}
+
+/// Answers one request.
+pub async fn answer(
+    core: &Rc<EntryCore>,
+    request: &ClientRequest,
+    writer: &mut ClientWriter,
+) -> AfterAnswer {
+    let Some(routing) = core.routing() else {
+        return refuse_plainly(core, request, writer, 503, "no configuration yet").await;
+    };
+    let host = head::find(&request.head.headers, "host").unwrap_or_default();
+    let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    let path = request.head.target.split('?').next().unwrap_or_default();
+    let routes = &routing.configuration.routes;
+    let Some(number) = routing.index.find(routes, host, path) else {
+        return refuse_plainly(core, request, writer, 404, "no such route").await;
+    };
+    let mut flight = Flight::new(core, request, &routing, &routes[number]);
+    flight.run(writer).await
+}
+
+async fn refuse_plainly(
+    core: &Rc<EntryCore>,
+    request: &ClientRequest,
+    writer: &mut ClientWriter,
+    status: u16,
+    reason: &str,
+) -> AfterAnswer {
+    let id = head::find(&request.head.headers, core.names.request_id);
+    let close = closes(core, request);
+    let retry = (status == 503).then_some(Duration::from_millis(200));
+    let bytes = own_answer(core, status, reason, id, retry, close);
+    core.log_plain(id.unwrap_or_default(), status, reason);
+    finish(writer, &bytes, close).await
+}
+
+async fn finish(writer: &mut ClientWriter, bytes: &[u8], close: bool) -> AfterAnswer {
+    match (writer.write(bytes).await, close) {
+        (Err(_), _) => AfterAnswer::Cut,
+        (Ok(()), true) => AfterAnswer::Close,
+        (Ok(()), false) => AfterAnswer::Keep,
+    }
+}
+
+/// Whether the connection ends after this request.
+fn closes(core: &EntryCore, request: &ClientRequest) -> bool {
+    let headers = &request.head.headers;
+    !request.head.is_http11 || head::names_token(headers, "connection", "close") || core.is_stopping()
+}
+
+/// An answer of this system's own.
+pub fn own_answer(
+    core: &EntryCore,
+    status: u16,
+    reason: &str,
+    id: Option<&str>,
+    retry: Option<Duration>,
+    close: bool,
+) -> Vec<u8> {
+    let body = format!("{{\"error\":\"{reason}\"}}\n");
+    let mut text = format!("HTTP/1.1 {status} {}\r\n", head::reason(status));
+    head::push_header(&mut text, "Content-Type", "application/json");
+    head::push_header(&mut text, "Content-Length", &body.len().to_string());
+    if let Some(id) = id {
+        head::push_header(&mut text, core.names.request_id, id);
+    }
+    if let Some(retry) = retry {
+        let seconds = format!("{:.2}", retry.as_secs_f64());
+        head::push_header(&mut text, "Retry-After", &seconds);
+    }
+    if close {
+        head::push_header(&mut text, "Connection", "close");
+    }
+    text.push_str("\r\n");
+    text.push_str(&body);
+    text.into_bytes()
+}
+
+/// A number drawn for a request by its id, so that a resend takes the same way.
+fn draw(id: &str) -> u64 {
+    u64::from(crc32fast::hash(id.as_bytes()))
+}
+
+/// One request on its way.
+struct Flight<'a> {
+    core: &'a Rc<EntryCore>,
+    request: &'a ClientRequest,
+    routing: &'a Routing,
+    route: &'a RouteSpec,
+    id: String,
+    need: Need,
+    memory: u64,
+    deadline: Instant,
+    passed: BTreeSet<ReplicaId>,
+    /// Replicas that may have run it.
+    runs: u32,
+    refusals: u32,
+    cutter: EventCutter,
+    log: RequestLog,
+}
+
+/// Reports a try's end to the book, also where the request is dropped midway.
+struct TryGuard<'a> {
+    core: &'a EntryCore,
+    replica: ReplicaId,
+    need: Need,
+    begun: bool,
+    end: TryEnd,
+}
+
+impl<'a> TryGuard<'a> {
+    fn start(core: &'a EntryCore, replica: &ReplicaId, need: &Need) -> Self {
+        core.book.borrow_mut().start(replica, need);
+        Self {
+            core,
+            replica: replica.clone(),
+            need: need.clone(),
+            begun: false,
+            end: TryEnd::Neutral,
+        }
+    }
+
+    fn begin(&mut self) {
+        if !self.begun {
+            self.begun = true;
+            self.core.book.borrow_mut().begin(&self.replica);
+        }
+    }
+}
+
+impl Drop for TryGuard<'_> {
+    fn drop(&mut self) {
+        let now_ms = crate::clock::monotonic_ms();
+        let mut book = self.core.book.borrow_mut();
+        book.end(now_ms, &self.replica, &self.need, self.begun, self.end);
+        drop(book);
+        self.core.changed.notify_waiters();
+    }
+}
+
+impl Drop for Flight<'_> {
+    fn drop(&mut self) {
+        self.log.end(self.core);
+    }
+}
+
+impl<'a> Flight<'a> {
+    fn new(
+        core: &'a Rc<EntryCore>,
+        request: &'a ClientRequest,
+        routing: &'a Routing,
+        route: &'a RouteSpec,
+    ) -> Self {
+        let headers = &request.head.headers;
+        let id = head::find(headers, core.names.request_id).unwrap_or_default().to_owned();
+        let service = route.pick(draw(&id)).cloned();
+        let asked = head::find(headers, core.names.deadline_ms);
+        let asked_ms = asked.and_then(|text| text.trim().parse::<u64>().ok());
+        let limit_ms = asked_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+        let need = need(core, headers, service.clone());
+        let spec = service.as_ref().and_then(|s| routing.configuration.services.get(s));
+        let engine = spec.and_then(|spec| spec.engine.as_ref());
+        if let Some(service) = &service {
+            core.budget.borrow_mut().earn(service);
+        }
+        Self {
+            core,
+            request,
+            routing,
+            route,
+            log: RequestLog::new(&id, route, &need, request.since),
+            id,
+            need,
+            memory: engine.map_or(0, |engine| engine.kv_tokens),
+            deadline: request.since + Duration::from_millis(limit_ms),
+            passed: BTreeSet::new(),
+            runs: 0,
+            refusals: 0,
+            cutter: EventCutter::default(),
+        }
+    }
+
+    fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    fn aim(&self) -> Duration {
+        Duration::from_millis(self.route.aim_ms)
+    }
+
+    async fn run(&mut self, writer: &mut ClientWriter) -> AfterAnswer {
+        let _busy = self.core.track(&self.need);
+        loop {
+            let replica = match self.place().await {
+                Ok(replica) => replica,
+                Err(refusal) => return self.give_up(refusal, writer).await,
+            };
+            let tried = self.try_at(&replica, writer).await;
+            self.passed.insert(replica);
+            let again = match tried {
+                Tried::Answered(after) => return after,
+                Tried::Unsent => Ok(()),
+                Tried::NotRun | Tried::Misplaced => self.may_resend(),
+                Tried::Unknown | Tried::Slow | Tried::Begun => {
+                    self.runs += 1;
+                    self.may_rerun()
+                }
+            };
+            if let Err(refusal) = again {
+                return self.give_up(refusal, writer).await;
+            }
+        }
+    }
+
+    /// Whether a request that did not run may be sent to another replica.
+    fn may_resend(&mut self) -> Result<(), Refusal> {
+        self.refusals += 1;
+        match self.refusals <= MAX_REFUSALS && self.spend() {
+            true => Ok(()),
+            false => Err(Refusal::Budget),
+        }
+    }
+
+    /// Whether a request that may have run may run once more.
+    fn may_rerun(&mut self) -> Result<(), Refusal> {
+        let allowed = self.route.is_repeatable() && self.runs < self.route.attempts;
+        match allowed && self.spend() {
+            true => Ok(()),
+            false => Err(Refusal::Budget),
+        }
+    }
+
+    fn spend(&mut self) -> bool {
+        let service = self.need.service.as_ref();
+        let spent = service.is_some_and(|s| self.core.budget.borrow_mut().spend(s));
+        self.log.resent(spent);
+        spent
+    }
+
+    /// The final answer of a request that no replica has answered.
+    async fn give_up(&mut self, refusal: Refusal, writer: &mut ClientWriter) -> AfterAnswer {
+        if writer.has_begun() {
+            self.log.ends(Outcome::Cut, 0, "broken off midway");
+            return AfterAnswer::Cut;
+        }
+        let late = self.left() < LEAST_LEFT;
+        let (status, reason) = match (self.runs, late) {
+            (0, _) => (503, refusal.text()),
+            (_, true) => (504, "no answer in time; it may have run"),
+            (_, false) => (502, "the replica failed; it may have run"),
+        };
+        let retry = (status == 503).then(|| self.come_back(refusal));
+        let outcome = if status == 503 { Outcome::Refused } else { Outcome::Unknown };
+        self.log.ends(outcome, status, reason);
+        let close = closes(self.core, self.request);
+        let bytes = own_answer(self.core, status, reason, Some(&self.id), retry, close);
+        finish(writer, &bytes, close).await
+    }
+
+    /// When a refused request is worth sending again.
+    fn come_back(&self, refusal: Refusal) -> Duration {
+        match refusal {
+            Refusal::Absent => self.load_time(),
+            Refusal::Full | Refusal::Adapter | Refusal::Late | Refusal::Budget => {
+                self.aim() / WAIT_PART
+            }
+        }
+    }
+
+    fn load_time(&self) -> Duration {
+        let services = &self.routing.configuration.services;
+        let spec = self.need.service.as_ref().and_then(|s| services.get(s));
+        let engine = spec.and_then(|spec| spec.engine.as_ref());
+        let model = engine.zip(self.need.model.as_ref());
+        let model = model.and_then(|(engine, model)| engine.models.get(model));
+        Duration::from_millis(model.map_or(1_000, |model| model.load_ms))
+    }
+
+    /// Waits until a replica may take the request, or it must be refused.
+    async fn place(&mut self) -> Result<ReplicaId, Refusal> {
+        let since = Instant::now();
+        loop {
+            if self.left() < LEAST_LEFT {
+                return Err(Refusal::Late);
+            }
+            let changed = self.core.changed.notified();
+            let now_ms = crate::clock::monotonic_ms();
+            let book = self.core.book.borrow();
+            let choice = book.choose(now_ms, &self.need, &self.passed, self.memory);
+            drop(book);
+            let waited = since.elapsed();
+            let (refusal, limit) = match choice {
+                Choice::Send(replica) => {
+                    self.log.placed(waited);
+                    return Ok(replica);
+                }
+                Choice::Fetch(replica) => {
+                    self.core.wish(&replica, &self.need);
+                    (Refusal::Adapter, self.aim().min(self.left() / 2))
+                }
+                Choice::Full => (Refusal::Full, self.aim() / WAIT_PART),
+                Choice::Absent if self.load_time() < self.left() => {
+                    (Refusal::Absent, self.left())
+                }
+                Choice::Absent => (Refusal::Absent, Duration::ZERO),
+            };
+            if waited >= limit {
+                return Err(refusal);
+            }
+            let pause = LOOK_AGAIN.min(limit - waited);
+            let _ = tokio::time::timeout(pause, changed).await;
+        }
+    }
+
+    /// How long a replica may take to begin its answer.
+    fn try_limit(&self) -> Duration {
+        let more = self.route.is_repeatable() && self.runs + 1 < self.route.attempts;
+        match more {
+            true => (self.aim() * 2).min(self.left()),
+            false => self.left(),
+        }
+    }
+
+    async fn try_at(&mut self, replica: &ReplicaId, writer: &mut ClientWriter) -> Tried {
+        let core = self.core;
+        let address = core.book.borrow().record(replica).map(|record| record.address);
+        let Some(address) = address else {
+            return Tried::Unsent;
+        };
+        let mut guard = TryGuard::start(core, replica, &self.need);
+        self.log.sent(replica);
+        let kept = core.pool.borrow_mut().take(replica);
+        let opened = match kept {
+            Some(connection) => Ok(connection),
+            None => {
+                core.count_opened();
+                Connection::open(address, core.connect_time()).await
+            }
+        };
+        let connection = match opened {
+            Ok(connection) => connection,
+            Err(error) => {
+                guard.end = TryEnd::Unreached;
+                self.log.failed(&error);
+                return Tried::Unsent;
+            }
+        };
+        let bytes = self.outgoing(replica);
+        let method = self.request.head.method.clone();
+        let id = self.id.clone();
+        let outgoing = Outgoing {
+            bytes: &bytes,
+            method: &method,
+            identity: Some((core.names.request_id, &id)),
+        };
+        let sent = Exchange::send(connection, &outgoing);
+        let sent = tokio::time::timeout(self.try_limit(), sent).await;
+        match sent {
+            Ok(Ok((exchange, head))) => {
+                self.take_answer(exchange, head, &mut guard, writer).await
+            }
+            Ok(Err(error)) => {
+                guard.end = TryEnd::Failed;
+                self.log.failed(&error);
+                Tried::Unknown
+            }
+            Err(_) => {
+                guard.end = TryEnd::Failed;
+                self.log.note("no answer in time");
+                Tried::Slow
+            }
+        }
+    }
+
+    async fn take_answer(
+        &mut self,
+        exchange: Exchange,
+        head: ResponseHead,
+        guard: &mut TryGuard<'_>,
+        writer: &mut ClientWriter,
+    ) -> Tried {
+        let core = self.core;
+        let load = head::find(&head.headers, core.names.load).and_then(book::parse_load);
+        if let Some(load) = load {
+            let now_ms = crate::clock::monotonic_ms();
+            core.book.borrow_mut().tell(now_ms, &guard.replica, load);
+        }
+        let not_executed = head::find(&head.headers, core.names.not_executed).is_some();
+        if head.status == 421 || not_executed {
+            return self.not_run(exchange, &head, guard).await;
+        }
+        let signed = head::find(&head.headers, core.names.stamp).is_some();
+        let good = (200..300).contains(&head.status);
+        // A promise that the replica did not make must not be passed on.
+        let promise = matches!(head.status, 408 | 421 | 429 | 503);
+        let fails = head.status >= 500 || (good && !signed) || promise;
+        if fails && (self.route.is_repeatable() || promise || good || !signed) {
+            guard.end = TryEnd::Failed;
+            self.log.note("the replica failed");
+            keep(core, &guard.replica, exchange).await;
+            return Tried::Unknown;
+        }
+        let streams = self.route.kind == RouteKind::Streaming && good;
+        if writer.has_begun() && !streams {
+            guard.end = TryEnd::Failed;
+            self.log.note("the stream cannot go on there");
+            return Tried::Begun;
+        }
+        guard.begin();
+        match streams {
+            true => self.pass_stream(exchange, &head, guard, writer).await,
+            false => self.pass_whole(exchange, &head, guard, writer).await,
+        }
+    }
+
+    async fn not_run(
+        &mut self,
+        exchange: Exchange,
+        head: &ResponseHead,
+        guard: &mut TryGuard<'_>,
+    ) -> Tried {
+        let misplaced = head.status == 421;
+        guard.end = match misplaced {
+            true => TryEnd::Neutral,
+            false => TryEnd::Full,
+        };
+        self.log.note(if misplaced { "misplaced" } else { "refused by the replica" });
+        keep(self.core, &guard.replica, exchange).await;
+        match misplaced {
+            true => {
+                let mut book = self.core.book.borrow_mut();
+                book.correct(&guard.replica, &self.need);
+                Tried::Misplaced
+            }
+            false => Tried::NotRun,
+        }
+    }
+
+    /// Passes on an answer once it is whole.
+    async fn pass_whole(
+        &mut self,
+        mut exchange: Exchange,
+        head: &ResponseHead,
+        guard: &mut TryGuard<'_>,
+        writer: &mut ClientWriter,
+    ) -> Tried {
+        let mut body = Vec::new();
+        loop {
+            let next = tokio::time::timeout(self.left(), exchange.next()).await;
+            match next {
+                Ok(Ok(Some(bytes))) => body.extend_from_slice(&bytes),
+                Ok(Ok(None)) => break,
+                Ok(Err(error)) => {
+                    guard.end = TryEnd::Failed;
+                    self.log.failed(&error);
+                    return Tried::Unknown;
+                }
+                Err(_) => {
+                    self.log.note("no whole answer in time");
+                    return Tried::Slow;
+                }
+            }
+            if body.len() > MAX_HELD {
+                self.log.note("the answer is too long to be held");
+                guard.end = TryEnd::Failed;
+                return Tried::Unknown;
+            }
+        }
+        guard.end = if head.status < 500 { TryEnd::Good } else { TryEnd::Failed };
+        put_back(self.core, &guard.replica, exchange);
+        let close = closes(self.core, self.request);
+        let length = body.len().to_string();
+        let mut bytes = self.answer_head(head, &[("Content-Length", &length)], close);
+        if self.request.head.method != "HEAD" {
+            bytes.extend_from_slice(&body);
+        }
+        self.log.answered(head.status);
+        Tried::Answered(finish(writer, &bytes, close).await)
+    }
+
+    /// Passes on the events of a stream as they come whole.
+    async fn pass_stream(
+        &mut self,
+        mut exchange: Exchange,
+        head: &ResponseHead,
+        guard: &mut TryGuard<'_>,
+        writer: &mut ClientWriter,
+    ) -> Tried {
+        let close = closes(self.core, self.request);
+        let chunked = self.request.head.is_http11;
+        let mut out = Vec::new();
+        if !writer.has_begun() {
+            let coding = [("Transfer-Encoding", "chunked")];
+            out = self.answer_head(head, if chunked { &coding } else { &[] }, close);
+        }
+        self.cutter.drop_part();
+        loop {
+            let next = tokio::time::timeout(self.left(), exchange.next()).await;
+            let bytes = match next {
+                Ok(Ok(Some(bytes))) => bytes,
+                Ok(Ok(None)) => break,
+                Ok(Err(error)) => {
+                    guard.end = TryEnd::Failed;
+                    self.log.failed(&error);
+                    return self.broken(writer);
+                }
+                Err(_) => {
+                    self.log.note("the stream ran out of time");
+                    self.runs = self.route.attempts;
+                    return self.broken(writer);
+                }
+            };
+            let Ok(events) = self.cutter.push(&bytes) else {
+                guard.end = TryEnd::Failed;
+                self.log.note("an event is too long");
+                return self.broken(writer);
+            };
+            if events.is_empty() {
+                continue;
+            }
+            self.log.first_event();
+            push_piece(&mut out, &events, chunked);
+            if writer.write(&std::mem::take(&mut out)).await.is_err() {
+                return Tried::Answered(AfterAnswer::Cut);
+            }
+        }
+        if !self.cutter.is_between() {
+            // A length or chunks that end inside an event: the replica broke off.
+            guard.end = TryEnd::Failed;
+            self.log.note("the stream ended inside an event");
+            return self.broken(writer);
+        }
+        guard.end = TryEnd::Good;
+        put_back(self.core, &guard.replica, exchange);
+        if chunked {
+            out.extend_from_slice(b"0\r\n\r\n");
+        }
+        self.log.answered(head.status);
+        Tried::Answered(finish(writer, &out, close || !chunked).await)
+    }
+
+    fn broken(&self, writer: &ClientWriter) -> Tried {
+        match writer.has_begun() {
+            true => Tried::Begun,
+            false => Tried::Unknown,
+        }
+    }
+
+    /// The head that the client gets, with the framing of this hop.
+    fn answer_head(&self, head: &ResponseHead, framing: &[(&str, &str)], close: bool) -> Vec<u8> {
+        let mut text = format!("HTTP/1.1 {} {}\r\n", head.status, head.reason);
+        for (name, value) in head::end_to_end(&head.headers, &[]) {
+            head::push_header(&mut text, name, value);
+        }
+        for (name, value) in framing {
+            head::push_header(&mut text, name, value);
+        }
+        if close {
+            head::push_header(&mut text, "Connection", "close");
+        }
+        text.push_str("\r\n");
+        text.into_bytes()
+    }
+
+    /// The request as the replica gets it.
+    fn outgoing(&self, replica: &ReplicaId) -> Vec<u8> {
+        let names = &self.core.names;
+        let head = &self.request.head;
+        let mut text = format!("{} {} HTTP/1.1\r\n", head.method, head.target);
+        let mut drop = vec![names.deadline_ms, names.expect_replica, names.priority, "expect"];
+        drop.extend_from_slice(names.reserved);
+        let resumed = self.cutter.last_id();
+        if resumed.is_some() {
+            drop.push(names.last_event);
+        }
+        for (name, value) in head::end_to_end(&head.headers, &drop) {
+            head::push_header(&mut text, name, value);
+        }
+        let left_ms = self.left().as_millis().to_string();
+        head::push_header(&mut text, names.deadline_ms, &left_ms);
+        head::push_header(&mut text, names.expect_replica, replica.as_str());
+        if self.need.model.is_some() {
+            let urgency = self.route.priority.min(9).to_string();
+            head::push_header(&mut text, names.priority, &urgency);
+        }
+        if let Some(id) = resumed {
+            head::push_header(&mut text, names.last_event, id);
+        }
+        let bare = head.framing == Framing::Length(0) && matches!(head.method.as_str(), "GET" | "HEAD");
+        if !bare {
+            let length = self.request.body.len().to_string();
+            head::push_header(&mut text, "Content-Length", &length);
+        }
+        text.push_str("\r\n");
+        let mut bytes = text.into_bytes();
+        bytes.extend_from_slice(&self.request.body);
+        bytes
+    }
+}
+
+/// What a request needs of a replica, by its headers.
+fn need(core: &EntryCore, headers: &[head::Header], service: Option<ServiceName>) -> Need {
+    let names = &core.names;
+    let model = head::find(headers, names.model);
+    let (model, adapter) = match model.map(|text| text.split_once('/')) {
+        Some(Some((model, adapter))) => (Some(model), Some(adapter.to_owned())),
+        Some(None) => (model, None),
+        None => (None, None),
+    };
+    let tokens = head::find(headers, names.tokens).unwrap_or_default();
+    let tokens = tokens.split(',').filter_map(|part| part.trim().parse::<u64>().ok());
+    let parts = head::find(headers, names.prefix).unwrap_or_default();
+    // The last part belongs to the request alone.
+    let shared = parts.rsplit_once(',').map(|(shared, _)| shared);
+    let prefix = shared.map(|shared| {
+        let text = format!("{}/{}/{shared}", model.unwrap_or_default(), adapter.as_deref().unwrap_or_default());
+        draw(&text)
+    });
+    Need {
+        service,
+        model: model.map(ModelName::from),
+        adapter,
+        prefix,
+        tokens: tokens.sum(),
+    }
+}
+
+fn push_piece(out: &mut Vec<u8>, bytes: &[u8], chunked: bool) {
+    match chunked {
+        true => {
+            out.extend_from_slice(format!("{:x}\r\n", bytes.len()).as_bytes());
+            out.extend_from_slice(bytes);
+            out.extend_from_slice(b"\r\n");
+        }
+        false => out.extend_from_slice(bytes),
+    }
+}
+
+/// Reads the rest of a short answer, so that its connection can be kept.
+async fn keep(core: &EntryCore, replica: &ReplicaId, mut exchange: Exchange) {
+    let rest = async {
+        let mut left = 64;
+        while let Ok(Some(_)) = exchange.next().await {
+            left -= 1;
+            if left == 0 {
+                return None;
+            }
+        }
+        Some(exchange)
+    };
+    let rest = tokio::time::timeout(Duration::from_millis(5), rest).await;
+    if let Ok(Some(exchange)) = rest {
+        put_back(core, replica, exchange);
+    }
+}
+
+fn put_back(core: &EntryCore, replica: &ReplicaId, exchange: Exchange) {
+    if let Some(connection) = exchange.finish() {
+        core.pool.borrow_mut().put(replica, connection);
+    }
+}
+
+impl RequestLog {
+    fn failed(&mut self, error: &ExchangeError) {
+        self.note(&error.to_string());
+    }
+}
--- /dev/null
+++ b/src/forward/upstream.rs
@@ -0,0 +1,351 @@
+//! Connections to replicas: one request at a time on each, its answer told
+//! apart from surplus ones, and what is known of whether the request has left.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use snafu::Snafu;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::forward::chunked::ChunkDecoder;
+use crate::forward::head::{self, Framing, ResponseHead};
+use crate::ids::ReplicaId;
+
+/// Longest head of an answer, in bytes.
+const MAX_HEAD: usize = 64 * 1024;
+/// Bytes read at once.
+const READ_SIZE: usize = 16 * 1024;
+/// Surplus answers that are passed over while the due one is awaited.
+const MAX_SURPLUS: usize = 4;
+/// An idle connection is given up this part of its time before its end.
+const KEEP_PART: f64 = 0.6;
+/// Longest rest of a connection whose end was not told.
+const KEEP_UNTOLD: Duration = Duration::from_secs(4);
+/// Idle connections kept to one replica.
+const MAX_IDLE: usize = 64;
+
+/// Why an exchange with a replica did not go well.
+#[derive(Debug, Snafu)]
+pub enum ExchangeError {
+    /// No connection: nothing was sent.
+    #[snafu(display("cannot connect to {peer}: {source}"))]
+    Connect {
+        /// The replica's address.
+        peer: SocketAddr,
+        /// The system's answer.
+        source: io::Error,
+    },
+    /// The connection broke after something was sent.
+    #[snafu(display("the connection to {peer} broke: {source}"))]
+    Broken {
+        /// The replica's address.
+        peer: SocketAddr,
+        /// The system's answer.
+        source: io::Error,
+    },
+    /// The replica closed before its answer was whole.
+    #[snafu(display("{peer} closed before its answer was whole"))]
+    Closed {
+        /// The replica's address.
+        peer: SocketAddr,
+    },
+    /// What came is no answer to the request.
+    #[snafu(display("{peer} sent what is no answer: {reason}"))]
+    Malformed {
+        /// The replica's address.
+        peer: SocketAddr,
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+/// A connection to a replica.
+#[derive(Debug)]
+pub struct Connection {
+    peer: SocketAddr,
+    stream: TcpStream,
+    buffer: Vec<u8>,
+    rested: Instant,
+    keep: Duration,
+}
+
+impl Connection {
+    /// Opens a connection.
+    pub async fn open(peer: SocketAddr, limit: Duration) -> Result<Self, ExchangeError> {
+        let late = |_| io::Error::from(io::ErrorKind::TimedOut);
+        let opened = tokio::time::timeout(limit, TcpStream::connect(peer)).await;
+        let stream = opened.map_err(late).and_then(|opened| opened);
+        let stream = stream.map_err(|source| ExchangeError::Connect { peer, source })?;
+        let _ = stream.set_nodelay(true);
+        Ok(Self {
+            peer,
+            stream,
+            buffer: Vec::new(),
+            rested: Instant::now(),
+            keep: KEEP_UNTOLD,
+        })
+    }
+
+    /// Whether the connection may carry another request: nothing unasked has
+    /// come, and the replica has not closed it.
+    fn is_sound(&self) -> bool {
+        let mut probe = [0; 1];
+        let quiet = match self.stream.try_read(&mut probe) {
+            Err(error) => error.kind() == io::ErrorKind::WouldBlock,
+            Ok(_) => false,
+        };
+        quiet && self.buffer.is_empty() && self.rested.elapsed() < self.keep
+    }
+
+    async fn fill(&mut self) -> Result<usize, ExchangeError> {
+        self.buffer.reserve(READ_SIZE);
+        let peer = self.peer;
+        let read = self.stream.read_buf(&mut self.buffer).await;
+        read.map_err(|source| ExchangeError::Broken { peer, source })
+    }
+}
+
+/// Idle connections by replica.
+#[derive(Debug, Default)]
+pub struct ConnectionPool {
+    idle: BTreeMap<ReplicaId, Vec<Connection>>,
+}
+
+impl ConnectionPool {
+    /// The connection used last that is still sound.
+    pub fn take(&mut self, id: &ReplicaId) -> Option<Connection> {
+        let idle = self.idle.get_mut(id)?;
+        while let Some(connection) = idle.pop() {
+            if connection.is_sound() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection for the next request.
+    pub fn put(&mut self, id: &ReplicaId, mut connection: Connection) {
+        connection.rested = Instant::now();
+        let idle = self.idle.entry(id.clone()).or_default();
+        if idle.len() < MAX_IDLE {
+            idle.push(connection);
+        }
+    }
+
+    /// Closes connections that are no longer sound, and those to replicas that
+    /// `keep` does not name.
+    pub fn prune(&mut self, keep: impl Fn(&ReplicaId) -> bool) {
+        self.idle.retain(|id, _| keep(id));
+        for idle in self.idle.values_mut() {
+            idle.retain(Connection::is_sound);
+        }
+    }
+}
+
+/// A request on its way to be sent.
+#[derive(Debug)]
+pub struct Outgoing<'a> {
+    /// Head and body.
+    pub bytes: &'a [u8],
+    /// The method.
+    pub method: &'a str,
+    /// The name of the header that tells answers apart, and its value; none
+    /// where the connection carries nothing else.
+    pub identity: Option<(&'a str, &'a str)>,
+}
+
+enum BodyState {
+    Length(u64),
+    Chunked(ChunkDecoder),
+    Close,
+    Done,
+}
+
+impl BodyState {
+    fn new(framing: Framing) -> Self {
+        match framing {
+            Framing::Length(0) => Self::Done,
+            Framing::Length(length) => Self::Length(length),
+            Framing::Chunked => Self::Chunked(ChunkDecoder::default()),
+            Framing::Close => Self::Close,
+        }
+    }
+}
+
+/// A request under way on a connection, from its answer's head on.
+pub struct Exchange {
+    connection: Connection,
+    body: BodyState,
+    reusable: bool,
+}
+
+impl Exchange {
+    /// Sends a request and reads the head of the answer that belongs to it.
+    pub async fn send(
+        mut connection: Connection,
+        request: &Outgoing<'_>,
+    ) -> Result<(Self, ResponseHead), ExchangeError> {
+        let mut written = 0;
+        for _ in 0..=MAX_SURPLUS {
+            let head = read_head(&mut connection, request, &mut written).await?;
+            let reusable = keeps_alive(&head) && written == request.bytes.len();
+            if let Some(keep) = keep_time(&head) {
+                connection.keep = keep;
+            }
+            let body = BodyState::new(head.framing);
+            let mut exchange = Self {
+                connection,
+                body,
+                reusable,
+            };
+            let belongs = match request.identity {
+                Some((name, value)) => head::find(&head.headers, name) == Some(value),
+                None => true,
+            };
+            match head.status {
+                100..=199 => {}
+                _ if belongs => return Ok((exchange, head)),
+                _ if head.framing == Framing::Close => {
+                    return Err(exchange.malformed("it belongs to another request"));
+                }
+                // A surplus answer in the place of the one that is due.
+                _ => while exchange.next().await?.is_some() {},
+            }
+            connection = exchange.connection;
+        }
+        Err(ExchangeError::Malformed {
+            peer: connection.peer,
+            reason: "too many surplus answers".to_owned(),
+        })
+    }
+
+    /// The next bytes of the body; none after its end.
+    pub async fn next(&mut self) -> Result<Option<Vec<u8>>, ExchangeError> {
+        loop {
+            if let Some(bytes) = self.decode()? {
+                return Ok(Some(bytes));
+            }
+            if matches!(self.body, BodyState::Done) {
+                return Ok(None);
+            }
+            if self.connection.fill().await? == 0 {
+                return match self.body {
+                    BodyState::Close => {
+                        self.body = BodyState::Done;
+                        self.reusable = false;
+                        Ok(None)
+                    }
+                    _ => Err(ExchangeError::Closed {
+                        peer: self.connection.peer,
+                    }),
+                };
+            }
+        }
+    }
+
+    /// The connection, if it may carry another request.
+    pub fn finish(self) -> Option<Connection> {
+        let done = matches!(self.body, BodyState::Done);
+        let clean = self.connection.buffer.is_empty();
+        (done && clean && self.reusable).then_some(self.connection)
+    }
+
+    fn malformed(&self, reason: &str) -> ExchangeError {
+        ExchangeError::Malformed {
+            peer: self.connection.peer,
+            reason: reason.to_owned(),
+        }
+    }
+
+    fn decode(&mut self) -> Result<Option<Vec<u8>>, ExchangeError> {
+        let buffer = &mut self.connection.buffer;
+        if buffer.is_empty() {
+            return Ok(None);
+        }
+        match &mut self.body {
+            BodyState::Done => Ok(None),
+            BodyState::Close => Ok(Some(std::mem::take(buffer))),
+            BodyState::Length(left) => {
+                let len = buffer.len().min(usize::try_from(*left).unwrap_or(usize::MAX));
+                let rest = buffer.split_off(len);
+                let bytes = std::mem::replace(buffer, rest);
+                *left -= len as u64;
+                if *left == 0 {
+                    self.body = BodyState::Done;
+                }
+                Ok(Some(bytes))
+            }
+            BodyState::Chunked(decoder) => {
+                let mut bytes = Vec::new();
+                let decoded = decoder.decode(buffer, &mut bytes);
+                let done = decoder.is_done();
+                let Ok(taken) = decoded else {
+                    return Err(self.malformed("its chunks are malformed"));
+                };
+                buffer.drain(..taken);
+                if done {
+                    self.body = BodyState::Done;
+                }
+                Ok((!bytes.is_empty()).then_some(bytes))
+            }
+        }
+    }
+}
+
+fn keeps_alive(head: &ResponseHead) -> bool {
+    head.is_http11 && !head::names_token(&head.headers, "connection", "close")
+}
+
+/// How long the connection may rest, by the replica's word.
+fn keep_time(head: &ResponseHead) -> Option<Duration> {
+    let text = head::find(&head.headers, "keep-alive")?;
+    let mut parts = text.split(',').map(str::trim);
+    let seconds = parts.find_map(|part| part.strip_prefix("timeout="))?;
+    let seconds: f64 = seconds.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds * KEEP_PART).ok()
+}
+
+/// Writes what is left of the request, and reads until a head is whole. The
+/// answer may come before the request is out.
+async fn read_head(
+    connection: &mut Connection,
+    request: &Outgoing<'_>,
+    written: &mut usize,
+) -> Result<ResponseHead, ExchangeError> {
+    let peer = connection.peer;
+    let broken = |source| ExchangeError::Broken { peer, source };
+    loop {
+        let parsed = head::parse_response(&connection.buffer, request.method);
+        match parsed {
+            Ok(Some((head, len))) => {
+                connection.buffer.drain(..len);
+                return Ok(head);
+            }
+            Ok(None) if connection.buffer.len() <= MAX_HEAD => {}
+            Ok(None) => {
+                let reason = "its head is too long".to_owned();
+                return Err(ExchangeError::Malformed { peer, reason });
+            }
+            Err(error) => {
+                let reason = error.to_string();
+                return Err(ExchangeError::Malformed { peer, reason });
+            }
+        }
+        let left = &request.bytes[*written..];
+        connection.buffer.reserve(READ_SIZE);
+        let (mut reader, mut writer) = connection.stream.split();
+        tokio::select! {
+            sent = writer.write(left), if !left.is_empty() => {
+                *written += sent.map_err(broken)?;
+            }
+            read = reader.read_buf(&mut connection.buffer) => {
+                if read.map_err(broken)? == 0 {
+                    return Err(ExchangeError::Closed { peer });
+                }
+            }
+        }
+    }
+}
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -69,6 +69,14 @@
     /// A base model, adapter or plain service.
     ModelName
 );
+name_type!(
+    /// A service that replicas register for.
+    ServiceName
+);
+name_type!(
+    /// One life of a replica that registered itself.
+    ReplicaId
+);
 name_type!(
     /// A row of the table.
     RowId
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,9 +40,12 @@
 
 // The core: no sockets, clocks, threads or global random sources.
 pub mod claims;
+pub mod configuration;
 pub mod demand;
+pub mod directory;
 pub mod duties;
 pub mod entries;
+pub mod fleet;
 pub mod flight;
 pub mod gate;
 pub mod ids;
@@ -75,12 +78,16 @@
 pub mod engine;
 pub mod entryd;
 pub mod flying;
+pub mod follow;
+pub mod forward;
 pub mod journal;
 pub mod load;
 pub mod member;
 pub mod metrics;
 pub mod operator;
+pub mod orderer;
 pub mod peers;
+pub mod registry;
 pub mod settings;
 pub mod wire;
 
--- /dev/null
+++ b/src/orderer.rs
@@ -0,0 +1,197 @@
+//! Carries the leader's orders to engines, one at a time to each.
+//!
+//! Every order names the count of orders that the engine must have taken so far.
+//! So an order without an answer can be sent again, and takes effect once at
+//! most, however late either of them is carried out.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::{Mutex, mpsc};
+
+use crate::control::{ControlEvent, ControlHandle};
+use crate::daemon;
+use crate::fleet::{EngineOrder, OrderOutcome};
+use crate::forward::head;
+use crate::forward::upstream::{Connection, Exchange, ExchangeError, Outgoing};
+use crate::ids::ReplicaId;
+
+/// Time for one call to an engine.
+const CALL_TIME: Duration = Duration::from_millis(800);
+/// Time to connect to an engine.
+const CONNECT_TIME: Duration = Duration::from_millis(400);
+/// Pause before an engine's report shows what came before.
+const REPORT_LAG: Duration = Duration::from_millis(300);
+/// Time in which an adapter arrives after its order was taken.
+const ADAPTER_TIME: Duration = Duration::from_millis(30);
+/// Tries of one order.
+const MAX_TRIES: u32 = 4;
+/// Longest body of an engine's answer, in bytes.
+const MAX_BODY: usize = 1024 * 1024;
+
+/// A call to an engine, as its deployment words it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineCall {
+    /// The method.
+    pub method: &'static str,
+    /// The path.
+    pub path: &'static str,
+    /// Headers besides those of every call.
+    pub headers: Vec<(&'static str, String)>,
+    /// The body, JSON; empty for none.
+    pub body: String,
+}
+
+/// What an engine reports of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EngineReport {
+    /// Orders taken in this life.
+    pub orders: u64,
+    /// An order is under way.
+    pub busy: bool,
+}
+
+/// How calls to engines are worded.
+#[derive(Clone, Copy)]
+pub struct EngineDialect {
+    /// An order that expects a count of orders.
+    pub order: fn(&EngineOrder, u64) -> EngineCall,
+    /// The question for a report.
+    pub report: fn(&ReplicaId) -> EngineCall,
+    /// Reads a report.
+    pub read_report: fn(&[u8]) -> Option<EngineReport>,
+    /// What a status says of an order.
+    pub outcome: fn(u16) -> OrderOutcome,
+}
+
+/// The count of orders that an engine has taken, where it is known.
+type OrderCount = Rc<Mutex<Option<u64>>>;
+
+/// Sends orders until the channel closes.
+pub async fn run(
+    mut orders: mpsc::UnboundedReceiver<EngineOrder>,
+    handle: ControlHandle,
+    dialect: EngineDialect,
+) {
+    let counts: RefCell<BTreeMap<ReplicaId, OrderCount>> = RefCell::default();
+    while let Some(order) = orders.recv().await {
+        let count = counts.borrow_mut().entry(order.replica.clone()).or_default().clone();
+        let handle = handle.clone();
+        daemon::spawn_local(async move {
+            let mut count = count.lock().await;
+            let outcome = carry_out(&order, &mut count, &dialect).await;
+            tracing::info!(
+                replica = %order.replica, kind = ?order.kind, model = %order.model,
+                adapter = order.adapter, term = %order.fence, count = *count, ?outcome, "order"
+            );
+            drop(count);
+            if order.adapter.is_some() && outcome == OrderOutcome::Taken {
+                tokio::time::sleep(ADAPTER_TIME).await;
+            }
+            handle.tell(ControlEvent::Ordered(order, outcome));
+        });
+    }
+}
+
+async fn carry_out(
+    order: &EngineOrder,
+    count: &mut Option<u64>,
+    dialect: &EngineDialect,
+) -> OrderOutcome {
+    let mut outcome = OrderOutcome::Unknown;
+    let mut sent: Option<u64> = None;
+    for _ in 0..MAX_TRIES {
+        let expected = match *count {
+            Some(known) => known,
+            None => match ask_report(order, dialect).await {
+                // Nobody else orders: a count that has risen shows that ours was taken.
+                Some(report) if sent.is_some_and(|sent| report.orders > sent) => {
+                    *count = Some(report.orders);
+                    return OrderOutcome::Taken;
+                }
+                Some(report) => report.orders,
+                None => continue,
+            },
+        };
+        let call = (dialect.order)(order, expected);
+        outcome = match exchange(order.address, &call).await {
+            Ok((status, _)) => (dialect.outcome)(status),
+            Err(error) => {
+                tracing::warn!(%error, replica = %order.replica, "an order got no answer");
+                OrderOutcome::Unknown
+            }
+        };
+        match outcome {
+            OrderOutcome::Taken => {
+                *count = Some(expected + 1);
+                return outcome;
+            }
+            OrderOutcome::Unknown => {
+                sent = Some(expected);
+                *count = None;
+            }
+            // The count is another, or an order is under way: look before the next try.
+            OrderOutcome::Busy => *count = None,
+            OrderOutcome::Held | OrderOutcome::Fenced | OrderOutcome::Refused => {
+                *count = None;
+                return outcome;
+            }
+        }
+        tokio::time::sleep(REPORT_LAG).await;
+    }
+    outcome
+}
+
+async fn ask_report(order: &EngineOrder, dialect: &EngineDialect) -> Option<EngineReport> {
+    let call = (dialect.report)(&order.replica);
+    match exchange(order.address, &call).await {
+        Ok((200, body)) => (dialect.read_report)(&body),
+        _ => None,
+    }
+}
+
+/// One call on a connection of its own.
+async fn exchange(
+    address: SocketAddr,
+    call: &EngineCall,
+) -> Result<(u16, Vec<u8>), ExchangeError> {
+    let late = || ExchangeError::Closed { peer: address };
+    let called = tokio::time::timeout(CALL_TIME, exchange_in_time(address, call)).await;
+    called.map_err(|_| late())?
+}
+
+async fn exchange_in_time(
+    address: SocketAddr,
+    call: &EngineCall,
+) -> Result<(u16, Vec<u8>), ExchangeError> {
+    let connection = Connection::open(address, CONNECT_TIME).await?;
+    let mut text = format!("{} {} HTTP/1.1\r\n", call.method, call.path);
+    head::push_header(&mut text, "Host", &address.to_string());
+    head::push_header(&mut text, "Connection", "close");
+    for (name, value) in &call.headers {
+        head::push_header(&mut text, name, value);
+    }
+    if !call.body.is_empty() {
+        head::push_header(&mut text, "Content-Type", "application/json");
+        head::push_header(&mut text, "Content-Length", &call.body.len().to_string());
+    }
+    text.push_str("\r\n");
+    text.push_str(&call.body);
+    let outgoing = Outgoing {
+        bytes: text.as_bytes(),
+        method: call.method,
+        identity: None,
+    };
+    let (mut exchange, head) = Exchange::send(connection, &outgoing).await?;
+    let mut body = Vec::new();
+    while let Some(bytes) = exchange.next().await? {
+        body.extend_from_slice(&bytes);
+        if body.len() > MAX_BODY {
+            break;
+        }
+    }
+    Ok((head.status, body))
+}
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -28,7 +28,7 @@
 /// Longest frame afterwards: a snapshot of the largest site fits.
 const MAX_FRAME: usize = 64 << 20;
 /// Longest handshake.
-const HELLO_TIME: Duration = Duration::from_secs(2);
+const HELLO_TIME: Duration = Duration::from_millis(1_000);
 /// Least time between two tries to reach the same peer.
 const REDIAL_TIME: Duration = Duration::from_millis(100);
 /// Connections that may be in their handshake at once.
@@ -380,7 +380,11 @@
         let answer = make(client).await;
         if matches!(
             answer,
-            Err(RpcError::Shutdown | RpcError::Channel(_) | RpcError::Send(_))
+            // A peer behind a cut says nothing: the next call starts anew.
+            Err(RpcError::Shutdown
+                | RpcError::Channel(_)
+                | RpcError::Send(_)
+                | RpcError::DeadlineExceeded)
         ) {
             self.put(address, PeerSlot::Broken(Instant::now()));
         }
@@ -429,7 +433,7 @@
 /// Finds the control host that can answer: the leader for decisions, any for the rest.
 pub struct ControlLink {
     pool: PeerPool<ControlWireClient>,
-    addresses: Vec<String>,
+    addresses: Mutex<Vec<String>>,
     leader: Mutex<usize>,
 }
 
@@ -443,19 +447,56 @@
     pub fn new(secret: SiteSecret, addresses: Vec<String>) -> Self {
         Self {
             pool: PeerPool::new(secret, dial_control),
-            addresses,
+            addresses: Mutex::new(addresses),
             leader: Mutex::new(0),
         }
     }
 
     /// The number of control hosts.
     pub fn len(&self) -> usize {
-        self.addresses.len()
+        self.known().len()
     }
 
     /// Whether no control host is known.
     pub fn is_empty(&self) -> bool {
-        self.addresses.is_empty()
+        self.known().is_empty()
+    }
+
+    /// The control hosts that are known.
+    pub fn addresses(&self) -> Vec<String> {
+        self.known().clone()
+    }
+
+    /// Adds a control host that was not known.
+    pub fn learn(&self, address: &str) {
+        let mut known = self.known();
+        if !known.iter().any(|other| other == address) {
+            known.push(address.to_owned());
+        }
+    }
+
+    /// Calls one control host by its address.
+    pub async fn call_at<T, F>(
+        &self,
+        address: &str,
+        step: &'static str,
+        make: impl FnOnce(ControlWireClient) -> F,
+    ) -> Result<T, PeerError>
+    where
+        F: Future<Output = Result<T, RpcError>>,
+    {
+        self.pool.call(address, step, make).await
+    }
+
+    fn known(&self) -> std::sync::MutexGuard<'_, Vec<String>> {
+        self.addresses
+            .lock()
+            .unwrap_or_else(|broken| broken.into_inner())
+    }
+
+    fn address(&self, number: usize) -> String {
+        let known = self.known();
+        known[number % known.len()].clone()
     }
 
     /// Calls the control host of that number, for what any of them can answer.
@@ -468,8 +509,8 @@
     where
         F: Future<Output = Result<T, RpcError>>,
     {
-        let address = &self.addresses[number % self.addresses.len()];
-        self.pool.call(address, step, make).await
+        let address = self.address(number);
+        self.pool.call(&address, step, make).await
     }
 
     /// Calls the leader, following refusals and going round the hosts until
@@ -489,7 +530,7 @@
         let mut tried = 0;
         loop {
             let number = *self.lock();
-            let address = &self.addresses[number % self.addresses.len()];
+            let address = &self.address(number);
             let left = give_up.saturating_duration_since(Instant::now());
             let context = within(left.min(CONTROL_CALL));
             let answer = self
@@ -515,7 +556,7 @@
             if Instant::now() + CONTROL_PAUSE >= give_up {
                 return Err(error);
             }
-            if tried % self.addresses.len() == 0 {
+            if tried % self.len() == 0 {
                 tokio::time::sleep(CONTROL_PAUSE).await;
             }
         }
@@ -524,7 +565,8 @@
     fn turn_to(&self, number: usize, refusal: &ControlRefusal) {
         let named = match refusal {
             ControlRefusal::NotLeader(Some(address)) => {
-                self.addresses.iter().position(|known| known == address)
+                self.learn(address);
+                self.known().iter().position(|known| known == address)
             }
             _ => None,
         };
--- a/src/raft.rs
+++ b/src/raft.rs
@@ -91,6 +91,8 @@
     heard_ms: Option<u64>,
     election_due_ms: u64,
     heartbeat_due_ms: u64,
+    /// When this voter last became leader.
+    led_since_ms: u64,
     /// A voter that restarts may have promised a lease just before.
     silent_until_ms: u64,
     granted: BTreeSet<NodeId>,
@@ -120,6 +122,7 @@
             heard_ms: None,
             election_due_ms: 0,
             heartbeat_due_ms: 0,
+            led_since_ms: 0,
             silent_until_ms: now_ms + timing.election_ms,
             granted: BTreeSet::new(),
             progress: BTreeMap::new(),
@@ -163,6 +166,11 @@
             .map_or(self.snapshot.last, |entry| entry.mark)
     }
 
+    /// The entries after the snapshot, committed or not.
+    pub fn tail(&self) -> &[LogEntry] {
+        &self.entries
+    }
+
     /// The number of entries after the snapshot.
     pub fn tail_len(&self) -> usize {
         self.entries.len()
@@ -279,6 +287,24 @@
         echoed.is_some_and(|at| at + self.timing.election_ms > now_ms)
     }
 
+    /// How long a leader has not heard from a voter, in milliseconds.
+    pub fn silence_ms(&self, node: NodeId, now_ms: u64) -> u64 {
+        let echoed = self.progress.get(&node).and_then(|p| p.echoed_ms);
+        let since_ms = echoed.unwrap_or(0).max(self.led_since_ms);
+        match node == self.id {
+            true => 0,
+            false => now_ms.saturating_sub(since_ms),
+        }
+    }
+
+    /// How long this voter has not heard from a leader, in milliseconds.
+    pub fn leaderless_ms(&self, now_ms: u64) -> u64 {
+        match self.role {
+            Role::Leader => 0,
+            _ => now_ms.saturating_sub(self.heard_ms.unwrap_or(0)),
+        }
+    }
+
     /// Gives up the lease and asks the most up-to-date voter to stand. Returns
     /// whether there was one to ask.
     pub fn hand_over(&mut self, now_ms: u64) -> bool {
@@ -554,6 +580,7 @@
 
     fn become_leader(&mut self, now_ms: u64) {
         self.role = Role::Leader;
+        self.led_since_ms = now_ms;
         self.leader = Some(self.id);
         let next = Position(self.last().index.0 + 1);
         let fresh = Progress {
--- /dev/null
+++ b/src/registry.rs
@@ -0,0 +1,227 @@
+//! What replicas and operators tell a control host, whichever it is: heartbeats,
+//! leaving, and whole configurations.
+//!
+//! Each call is acknowledged only once what it says cannot be lost: a known
+//! heartbeat at once, anything else when it is committed.
+
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use snafu::Snafu;
+use tokio::sync::oneshot;
+
+use crate::configuration::{Configuration, ConfigurationError, ConfigurationRecord};
+use crate::control::{ControlEvent, ControlHandle};
+use crate::directory::{BeatNews, ReplicaPhase, ReplicaRecord};
+use crate::ids::ReplicaId;
+use crate::peers::{self, ControlLink, PeerError};
+use crate::state::{Command, ConfigureAnswer, Reply};
+use crate::wire::{ControlRefusal, ControlWireClient};
+
+/// Time within which a replica's call is answered: it goes elsewhere after a second.
+const BEAT_TIME: Duration = Duration::from_millis(900);
+/// Time within which an operator's call is answered.
+const CONFIGURE_TIME: Duration = Duration::from_millis(900);
+/// Time for one call to the leader.
+const LEADER_TIME: Duration = Duration::from_millis(700);
+/// Pause before a command is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(25);
+/// Time between two tellings of who was heard.
+const HEARD_EVERY: Duration = Duration::from_millis(400);
+
+/// Why a call was not taken.
+#[derive(Debug, Snafu)]
+pub enum RegistryError {
+    /// The configuration is not valid.
+    #[snafu(display("{source}"), context(false))]
+    Invalid {
+        /// What is wrong.
+        source: ConfigurationError,
+    },
+    /// The version in force has other contents.
+    #[snafu(display("version {version} is in force with other contents"))]
+    Conflict {
+        /// The version.
+        version: u64,
+    },
+    /// The call comes from a life that has ended.
+    #[snafu(display("this replica has ended"))]
+    Ended,
+    /// Nothing was committed in time; it may still be.
+    #[snafu(display("no quorum in time"))]
+    NoQuorum,
+}
+
+/// One control host's way to the log.
+pub struct Registry {
+    handle: ControlHandle,
+    link: Arc<ControlLink>,
+    heard: Mutex<BTreeSet<ReplicaId>>,
+}
+
+impl Registry {
+    /// The registry of a control host; `link` reaches the others.
+    pub fn new(handle: ControlHandle, link: Arc<ControlLink>) -> Self {
+        Self {
+            handle,
+            link,
+            heard: Mutex::default(),
+        }
+    }
+
+    /// A replica's heartbeat.
+    pub async fn beat(&self, record: ReplicaRecord) -> Result<(), RegistryError> {
+        let id = record.id.clone();
+        self.heard().insert(id.clone());
+        match self.compare(&record).await? {
+            BeatNews::Known => Ok(()),
+            BeatNews::Ended => Err(RegistryError::Ended),
+            BeatNews::New => {
+                let phase = record.phase;
+                let models = record.models.len();
+                tracing::info!(replica = %id, service = %record.service, ?phase, models, "replica tells news");
+                let leaves = phase == ReplicaPhase::Draining;
+                let command = Command::Replica(Box::new(record));
+                let committed = self.commit(command, BEAT_TIME).await;
+                // A replica that stays may take requests before all know of it.
+                match (committed, leaves) {
+                    (Err(error), true) => Err(error),
+                    _ => Ok(()),
+                }
+            }
+        }
+    }
+
+    /// A replica that is leaving for good; it serves on for a while.
+    pub async fn leave(&self, id: ReplicaId) -> Result<(), RegistryError> {
+        tracing::info!(replica = %id, "replica leaves");
+        let command = Command::ReplicaDrains(id);
+        self.commit(command, BEAT_TIME).await.map(|_| ())
+    }
+
+    /// An operator's configuration, with its text.
+    pub async fn configure(
+        &self,
+        configuration: Configuration,
+        source: Vec<u8>,
+    ) -> Result<ConfigureAnswer, RegistryError> {
+        configuration.check()?;
+        let version = configuration.version;
+        let record = ConfigurationRecord {
+            configuration,
+            source,
+        };
+        let command = Command::Configure(Box::new(record));
+        let reply = self.commit(command, CONFIGURE_TIME).await;
+        tracing::info!(version, ?reply, "configuration");
+        match reply? {
+            Reply::Configured(ConfigureAnswer::Conflict) => {
+                Err(RegistryError::Conflict { version })
+            }
+            Reply::Configured(answer) => Ok(answer),
+            reply => unreachable!("a configuration was answered with {reply:?}"),
+        }
+    }
+
+    /// The configuration, by a read that nothing newer can exist besides.
+    pub async fn configuration(&self) -> Result<Option<ConfigurationRecord>, RegistryError> {
+        let give_up = Instant::now() + CONFIGURE_TIME;
+        loop {
+            let held = match self.handle.ask(ControlEvent::Configuration).await {
+                Err(ControlRefusal::NotLeader(Some(leader))) => {
+                    let context = peers::within(LEADER_TIME);
+                    let call = |client: ControlWireClient| async move {
+                        client.configuration(context).await
+                    };
+                    told(self.link.call_at(&leader, "configuration", call).await)
+                }
+                held => held,
+            };
+            match held {
+                Ok(record) => return Ok(record),
+                Err(_) if Instant::now() + RETRY_PAUSE >= give_up => {
+                    return Err(RegistryError::NoQuorum);
+                }
+                Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+            }
+        }
+    }
+
+    /// Tells the leader, again and again, whom this host has heard.
+    pub async fn tell_heard(&self) {
+        loop {
+            tokio::time::sleep(HEARD_EVERY).await;
+            let ids: Vec<ReplicaId> = std::mem::take(&mut *self.heard()).into_iter().collect();
+            if ids.is_empty() {
+                continue;
+            }
+            let own = |answer| ControlEvent::Heard(ids.clone(), answer);
+            if let Err(ControlRefusal::NotLeader(Some(leader))) = self.handle.ask(own).await {
+                let context = peers::within(LEADER_TIME);
+                let ids = ids.clone();
+                let call = |client: ControlWireClient| async move {
+                    client.heard(context, ids).await
+                };
+                let _ = self.link.call_at(&leader, "heard", call).await;
+            }
+        }
+    }
+
+    fn heard(&self) -> std::sync::MutexGuard<'_, BTreeSet<ReplicaId>> {
+        self.heard.lock().unwrap_or_else(|broken| broken.into_inner())
+    }
+
+    async fn compare(&self, record: &ReplicaRecord) -> Result<BeatNews, RegistryError> {
+        let (answer, wait) = oneshot::channel();
+        self.handle
+            .tell(ControlEvent::Compare(Box::new(record.clone()), answer));
+        let waited = tokio::time::timeout(BEAT_TIME, wait).await;
+        let answered = waited.map_err(|_| RegistryError::NoQuorum)?;
+        answered.map_err(|_| RegistryError::NoQuorum)
+    }
+
+    /// Commits a command here or at the leader. It may be committed more than
+    /// once, so each command must be safe to repeat.
+    async fn commit(&self, command: Command, patience: Duration) -> Result<Reply, RegistryError> {
+        let give_up = Instant::now() + patience;
+        loop {
+            let propose = |answer| ControlEvent::Propose(command.clone(), answer);
+            let own = tokio::time::timeout_at(give_up.into(), self.handle.ask(propose)).await;
+            let reply = match own {
+                Err(_) => return Err(RegistryError::NoQuorum),
+                Ok(Err(ControlRefusal::NotLeader(Some(leader)))) => {
+                    let command = command.clone();
+                    let left = give_up.saturating_duration_since(Instant::now());
+                    let context = peers::within(LEADER_TIME.min(left));
+                    let call = |client: ControlWireClient| async move {
+                        client.propose(context, command).await
+                    };
+                    let called = self.link.call_at(&leader, "propose", call);
+                    match tokio::time::timeout_at(give_up.into(), called).await {
+                        Ok(called) => told(called),
+                        Err(_) => return Err(RegistryError::NoQuorum),
+                    }
+                }
+                Ok(reply) => reply,
+            };
+            match reply {
+                Ok((_, reply)) => return Ok(reply),
+                Err(_) if Instant::now() + RETRY_PAUSE >= give_up => {
+                    return Err(RegistryError::NoQuorum);
+                }
+                Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+            }
+        }
+    }
+}
+
+fn told<T>(called: Result<Result<T, ControlRefusal>, PeerError>) -> Result<T, ControlRefusal> {
+    match called {
+        Ok(told) => told,
+        Err(error) => {
+            tracing::debug!(%error, "the leader did not answer");
+            Err(ControlRefusal::NoQuorum)
+        }
+    }
+}
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -1,6 +1,6 @@
 //! One voter's whole logic: the log's agreement, and the state machine behind it.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::ids::{HostName, NodeId, Position, Term};
 use crate::raft::{
@@ -9,6 +9,9 @@
 };
 use crate::state::{Command, Reply, SiteState, Stamped};
 
+/// Most voters where any host may enrol; more only slow each agreement.
+const MAX_VOTERS: usize = 9;
+
 /// What to do after a step; the records are synced before the messages leave.
 #[derive(Debug, Default)]
 pub struct ReplicaOutput {
@@ -54,6 +57,21 @@
         image
     }
 
+    /// Where disks are reached, by the state and by entries that may not be committed.
+    pub fn logged_hosts(&self) -> BTreeMap<NodeId, HostName> {
+        let mut hosts = self.state.voter_hosts.clone();
+        for entry in self.raft.tail() {
+            let Payload::Command(bytes) = &entry.payload else {
+                continue;
+            };
+            let stamped = bincode::deserialize::<Stamped>(bytes);
+            if let Ok(Command::VoterHost(node, host)) = stamped.map(|stamped| stamped.command) {
+                hosts.insert(node, host);
+            }
+        }
+        hosts
+    }
+
     /// The log's agreement.
     pub fn raft(&self) -> &RaftCore {
         &self.raft
@@ -108,6 +126,47 @@
         alive * 2 > voters.len() && self.raft.propose_voters(voters).is_ok()
     }
 
+    /// Where any host may enrol: takes one step towards a set of all live voters.
+    ///
+    /// A disk that came to the host of another voter replaces it, a learner that
+    /// has caught up becomes a voter, and a set of an even size sheds a voter
+    /// that has been silent for `silent_ms`: its successor is in already.
+    pub fn adjust_voters(
+        &mut self,
+        now_ms: u64,
+        silent_ms: u64,
+        host_of: impl Fn(NodeId) -> Option<HostName>,
+    ) -> bool {
+        if !self.raft.may_decide(now_ms) {
+            return false;
+        }
+        let mut voters: BTreeSet<NodeId> = self.raft.voters().clone();
+        let learner = self.raft.ready_learners().first().copied();
+        let same_host = learner.and_then(|learner| {
+            let host = host_of(learner);
+            let mut others = voters.iter().copied();
+            others.find(|node| host.is_some() && host_of(*node) == host)
+        });
+        let raft = &self.raft;
+        let longest = voters
+            .iter()
+            .copied()
+            .map(|node| (raft.silence_ms(node, now_ms), node))
+            .max();
+        let silent = longest.filter(|(span_ms, _)| *span_ms >= silent_ms);
+        match (same_host, learner, silent) {
+            (Some(old), _, _) => voters.remove(&old),
+            (None, Some(learner), _) if voters.len() < MAX_VOTERS => voters.insert(learner),
+            (None, _, Some((_, old))) if voters.len() % 2 == 0 && voters.len() > 2 => {
+                voters.remove(&old)
+            }
+            _ => return false,
+        };
+        let heard = |node: &&NodeId| **node == raft.id() || raft.heard_from(**node, now_ms);
+        let alive = voters.iter().filter(heard).count();
+        alive * 2 > voters.len() && self.raft.propose_voters(voters).is_ok()
+    }
+
     /// Handles a message.
     pub fn receive(&mut self, now_ms: u64, from: NodeId, message: RaftMessage) {
         self.raft.receive(now_ms, from, message);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -13,6 +13,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::duties::DutyPolicy;
+use crate::fleet::FleetPolicy;
 use crate::ids::{HallName, HostName, ModelName, PartnerName};
 use crate::ledger::OrderCheck;
 use crate::peers::SiteSecret;
@@ -177,7 +178,15 @@
     /// Where the platform lists leaving hosts, as an HTTP URL.
     #[serde(default)]
     pub platform_url: Option<String>,
+    /// Hosts that `common.control` does not name may become voters. Those it
+    /// names are the founders, and where the others are first looked for.
+    #[serde(default)]
+    pub open_membership: bool,
+    /// Replicas that register themselves.
+    #[serde(default)]
+    pub fleet: FleetPolicy,
     /// The catalogue and the targets.
+    #[serde(default)]
     pub site: SiteSpec,
 }
 
@@ -381,7 +390,9 @@
         let own = named.filter(|voter| voter.host == self.common.host).count();
         let duties = &self.duties;
         match self {
-            _ if own != 1 => wrong("control", "must name this host once"),
+            _ if own != 1 && !self.open_membership => {
+                wrong("control", "must name this host once")
+            }
             s if s.timing.heartbeat_ms == 0 || s.timing.election_ms < 3 * s.timing.heartbeat_ms => {
                 wrong("timing.election_ms", "must be at least 3 heartbeats")
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,7 +5,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::claims::{ClaimAnswer, ClaimAsk, ClaimBook, ClaimKey, Settlement};
-use crate::ids::{AttemptId, HallName, HostName, Incarnation, ModelName, Position, TargetName};
+use crate::configuration::{Configuration, ConfigurationRecord};
+use crate::directory::{ReplicaDirectory, ReplicaRecord};
+use crate::ids::{
+    AttemptId, HallName, HostName, Incarnation, ModelName, NodeId, Position, ReplicaId, TargetName,
+};
 use crate::site::SiteSpec;
 use crate::table::{EditAnswer, RowEdit, TableStore};
 
@@ -99,6 +103,35 @@
     Move(TargetName, ModelName, MoveKind),
     /// An agent's report settles a move, or shows a model where none was known.
     Home(TargetName, Incarnation, ModelName, HomeReport),
+    /// Replaces the configuration where the version is newer.
+    Configure(Box<ConfigurationRecord>),
+    /// A replica registered, or told something new of itself.
+    Replica(Box<ReplicaRecord>),
+    /// A replica has not been heard from for too long.
+    ReplicaSilent(ReplicaId),
+    /// A replica has ended.
+    ReplicaEnded(ReplicaId),
+    /// An order has brought an adapter to a replica, or taken it away.
+    ReplicaAdapter(ReplicaId, ModelName, String, bool),
+    /// An order takes a model from a replica.
+    ReplicaUnload(ReplicaId, ModelName),
+    /// An order to take a model away had no effect.
+    ReplicaKeep(ReplicaId, ModelName),
+    /// A replica leaves, and serves on for a while.
+    ReplicaDrains(ReplicaId),
+    /// Where the host of a voter's disk is reached.
+    VoterHost(NodeId, HostName),
+}
+
+/// The answer to [`Command::Configure`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ConfigureAnswer {
+    /// In force now, or already.
+    Held,
+    /// A higher version is in force: nothing changed.
+    Superseded,
+    /// The version in force has other contents: nothing changed.
+    Conflict,
 }
 
 /// A command with the proposer's clock.
@@ -126,6 +159,8 @@
     Joined(Incarnation),
     /// To [`Command::Rejoin`]: another process has taken the name.
     Replaced,
+    /// To [`Command::Configure`].
+    Configured(ConfigureAnswer),
 }
 
 /// One change of what members need to know.
@@ -139,6 +174,10 @@
     Member(HostName, Option<MemberInfo>),
     /// A home changed or, with none, ended.
     Home(TargetName, ModelName, Option<HomeInfo>),
+    /// The configuration was replaced.
+    Configuration(Box<Configuration>),
+    /// A replica was put or, with none, ended.
+    Replica(ReplicaId, Option<ReplicaRecord>),
 }
 
 /// How long the state remembers answered edits and claims, in milliseconds.
@@ -170,6 +209,12 @@
     pub moves: u64,
     /// When the last load was ordered, in the state's clock.
     pub last_load_ms: u64,
+    /// The configuration in force, once there is one.
+    pub configuration: Option<Box<ConfigurationRecord>>,
+    /// The replicas that registered.
+    pub replicas: ReplicaDirectory,
+    /// Where voters' disks are reached.
+    pub voter_hosts: BTreeMap<NodeId, HostName>,
     /// The last change of what members follow. Claims and the like move the
     /// log, but not this.
     changed: Position,
@@ -205,6 +250,48 @@
             Command::Home(target, life, model, report) => {
                 self.apply_home(target, *life, model, *report)
             }
+            Command::Configure(record) => Reply::Configured(self.apply_configuration(record)),
+            Command::Replica(record) => self.apply_replica(record),
+            Command::ReplicaSilent(id) => {
+                if self.replicas.silence(id) {
+                    self.note_replica(id);
+                }
+                Reply::None
+            }
+            Command::ReplicaEnded(id) => {
+                if self.replicas.end(id) {
+                    self.note_replica(id);
+                }
+                Reply::None
+            }
+            Command::ReplicaAdapter(id, model, adapter, held) => {
+                let clock_ms = self.clock_ms;
+                if self.replicas.set_adapter(id, model, adapter, *held, clock_ms) {
+                    self.note_replica(id);
+                }
+                Reply::None
+            }
+            Command::ReplicaUnload(id, model) => {
+                if self.replicas.unload(id, model) {
+                    self.note_replica(id);
+                }
+                Reply::None
+            }
+            Command::ReplicaKeep(id, model) => {
+                self.replicas.keep(id, model);
+                Reply::None
+            }
+            Command::ReplicaDrains(id) => {
+                if self.replicas.drain(id) {
+                    self.note_replica(id);
+                }
+                Reply::None
+            }
+            Command::VoterHost(node, host) => {
+                self.voter_hosts.retain(|_, known| known != host);
+                self.voter_hosts.insert(*node, host.clone());
+                Reply::None
+            }
         }
     }
 
@@ -242,7 +329,13 @@
             };
             models.iter().map(change)
         });
-        site.chain(rows).chain(members).chain(homes).collect()
+        let configuration = self.configuration.iter();
+        let configuration = configuration
+            .map(|record| Change::Configuration(Box::new(record.configuration.clone())));
+        let replicas = self.replicas.records().iter();
+        let replicas = replicas.map(|(id, r)| Change::Replica(id.clone(), Some(r.clone())));
+        let table = site.chain(rows).chain(members).chain(homes);
+        table.chain(configuration).chain(replicas).collect()
     }
 
     /// The agent that keeps `target`, by the host of the same name.
@@ -281,6 +374,42 @@
         Reply::None
     }
 
+    fn apply_configuration(&mut self, record: &ConfigurationRecord) -> ConfigureAnswer {
+        let version = record.configuration.version;
+        match &self.configuration {
+            Some(held) if held.configuration.version > version => ConfigureAnswer::Superseded,
+            Some(held) if held.configuration.version < version => self.configure(record),
+            Some(held) if **held == *record => ConfigureAnswer::Held,
+            Some(_) => ConfigureAnswer::Conflict,
+            None => self.configure(record),
+        }
+    }
+
+    fn configure(&mut self, record: &ConfigurationRecord) -> ConfigureAnswer {
+        self.configuration = Some(Box::new(record.clone()));
+        // Only the newest one counts, and each is large.
+        let is_other = |change: &Change| !matches!(change, Change::Configuration(_));
+        self.journal.retain(|(_, change)| is_other(change));
+        let configuration = Box::new(record.configuration.clone());
+        self.note(Change::Configuration(configuration));
+        ConfigureAnswer::Held
+    }
+
+    fn apply_replica(&mut self, record: &ReplicaRecord) -> Reply {
+        if let Some(replaced) = self.replicas.put(record, self.clock_ms) {
+            for id in &replaced {
+                self.note_replica(id);
+            }
+            self.note_replica(&record.id);
+        }
+        Reply::None
+    }
+
+    fn note_replica(&mut self, id: &ReplicaId) {
+        let record = self.replicas.records().get(id).cloned();
+        self.note(Change::Replica(id.clone(), record));
+    }
+
     fn apply_edit(&mut self, edit: &RowEdit) -> Reply {
         let before = self.table.rows().get(&edit.row).cloned();
         let answer = self
--- a/src/view.rs
+++ b/src/view.rs
@@ -4,7 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{HostName, ModelName, PartnerName, Position, RowId, TargetName};
+use crate::configuration::Configuration;
+use crate::directory::ReplicaRecord;
+use crate::ids::{HostName, ModelName, PartnerName, Position, ReplicaId, RowId, TargetName};
 use crate::site::SiteSpec;
 use crate::state::{Change, HomeInfo, HomePhase, MemberInfo, SiteState};
 use crate::table::Row;
@@ -50,6 +52,10 @@
     pub members: BTreeMap<HostName, MemberInfo>,
     /// Homes by model.
     pub homes: BTreeMap<ModelName, BTreeMap<TargetName, HomeInfo>>,
+    /// The configuration in force, once there is one.
+    pub configuration: Option<Box<Configuration>>,
+    /// The replicas that registered.
+    pub replicas: BTreeMap<ReplicaId, ReplicaRecord>,
     /// Rows by what a caller names, so that a lookup costs no scan.
     by_class: BTreeMap<(PartnerName, ModelName, String), RowId>,
 }
@@ -110,6 +116,15 @@
                 self.members.remove(host);
             }
             Change::Home(target, model, home) => self.apply_home(target, model, *home),
+            Change::Configuration(configuration) => {
+                self.configuration = Some(configuration.clone());
+            }
+            Change::Replica(id, Some(record)) => {
+                self.replicas.insert(id.clone(), record.clone());
+            }
+            Change::Replica(id, None) => {
+                self.replicas.remove(id);
+            }
         }
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -5,16 +5,18 @@
 use serde::{Deserialize, Serialize};
 
 use crate::claims::ClaimRecord;
+use crate::configuration::ConfigurationRecord;
 use crate::duties::{AgentBeat, EntryBeat};
+use crate::fleet::{AdapterWish, EntryReport};
 use crate::gate::{AttemptWord, RunAsk, TargetPlan};
-use crate::ids::{AttemptId, HostName, Incarnation, NodeId, Position, RowId, Term};
+use crate::ids::{AttemptId, HostName, Incarnation, NodeId, Position, ReplicaId, RowId, Term};
 use crate::raft::RaftMessage;
 use crate::state::{Command, Reply, SiteState};
 use crate::table::Row;
 use crate::view::SyncPage;
 
 /// Raised with each change of a type on the wire; peers of other versions are refused.
-pub const PROTOCOL: u32 = 1;
+pub const PROTOCOL: u32 = 2;
 
 /// Why control did not do what was asked.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -97,6 +99,17 @@
     pub claims: usize,
 }
 
+/// How far a control host has come, without the changes themselves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notice {
+    /// The last change of what members follow.
+    pub position: Position,
+    /// How long this host has not heard from a leader, in milliseconds.
+    pub leaderless_ms: u64,
+    /// The control hosts that it knows.
+    pub hosts: Vec<HostName>,
+}
+
 /// Calls to control hosts.
 #[tarpc::service]
 pub trait ControlWire {
@@ -119,6 +132,16 @@
     async fn claim(key: crate::claims::ClaimKey) -> Result<Option<ClaimRecord>, ControlRefusal>;
     /// This voter's account of itself.
     async fn status() -> ControlStatus;
+    /// How far this host has come, waiting up to `wait_ms` for a change after a cursor.
+    async fn notice(cursor: Position, wait_ms: u64) -> Result<Notice, ControlRefusal>;
+    /// The configuration, by a linearizable read.
+    async fn configuration() -> Result<Option<ConfigurationRecord>, ControlRefusal>;
+    /// Replicas that another control host has heard; for the leader.
+    async fn heard(ids: Vec<ReplicaId>) -> Result<(), ControlRefusal>;
+    /// An entry's report on demand; for the leader, which tells how many entries report.
+    async fn report(report: EntryReport) -> Result<u32, ControlRefusal>;
+    /// An entry wants an adapter; for the leader.
+    async fn wish(wish: AdapterWish) -> Result<(), ControlRefusal>;
 }
 
 /// An agent's word with its load.
