--- a/src/directory.rs
+++ b/src/directory.rs
@@ -62,6 +62,8 @@
     ended: VecDeque<ReplicaId>,
     /// Models ordered out that a replica still tells of: no requests go there.
     leaving: BTreeMap<ReplicaId, BTreeSet<ModelName>>,
+    /// Models ordered in that a replica does not tell of yet: they take room.
+    loading: BTreeMap<ReplicaId, BTreeSet<ModelName>>,
     /// When an order last changed a replica's adapters, in the state's clock.
     ordered_ms: BTreeMap<ReplicaId, u64>,
 }
@@ -78,6 +80,16 @@
         leaving.is_some_and(|models| models.contains(model))
     }
 
+    /// Models that were ordered out and are still there.
+    pub fn leaving(&self, id: &ReplicaId) -> impl Iterator<Item = &ModelName> {
+        self.leaving.get(id).into_iter().flatten()
+    }
+
+    /// Models that were ordered in and are not there yet.
+    pub fn loading(&self, id: &ReplicaId) -> impl Iterator<Item = &ModelName> {
+        self.loading.get(id).into_iter().flatten()
+    }
+
     /// Compares a heartbeat with what is known; `clock_ms` is the state's clock.
     pub fn news(&self, record: &ReplicaRecord, clock_ms: u64) -> BeatNews {
         let gone = |model: &ModelName| !record.models.contains_key(model);
@@ -124,6 +136,9 @@
         if let Some(models) = self.leaving.get_mut(&record.id) {
             models.retain(|model| record.models.contains_key(model));
         }
+        if let Some(models) = self.loading.get_mut(&record.id) {
+            models.retain(|model| !record.models.contains_key(model));
+        }
         let merged = match self.records.get(&record.id) {
             Some(known) => self.merge(known, record, clock_ms),
             None => record.clone(),
@@ -163,6 +178,7 @@
     /// Ends a life for good. Returns whether it was known.
     pub fn end(&mut self, id: &ReplicaId) -> bool {
         self.leaving.remove(id);
+        self.loading.remove(id);
         self.ordered_ms.remove(id);
         if !self.ended.contains(id) {
             self.ended.push_back(id.clone());
@@ -206,10 +222,21 @@
         held
     }
 
-    /// Notes that a model stays after all: its next heartbeat tells of it.
-    pub fn keep(&mut self, id: &ReplicaId, model: &ModelName) {
-        if let Some(models) = self.leaving.get_mut(id) {
-            models.remove(model);
+    /// Notes that a model is ordered into a replica.
+    pub fn load(&mut self, id: &ReplicaId, model: &ModelName) {
+        let held = self.records.get(id);
+        if held.is_some_and(|record| !record.models.contains_key(model)) {
+            let loading = self.loading.entry(id.clone()).or_default();
+            loading.insert(model.clone());
+        }
+    }
+
+    /// Notes that no order on a model is under way: heartbeats tell of it.
+    pub fn settle(&mut self, id: &ReplicaId, model: &ModelName) {
+        for under_way in [&mut self.leaving, &mut self.loading] {
+            if let Some(models) = under_way.get_mut(id) {
+                models.remove(model);
+            }
         }
     }
 }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -135,6 +135,8 @@
     kind: OrderKind,
     model: ModelName,
     since_ms: u64,
+    /// When it is to be sent; none while an answer or its effect is awaited.
+    send_ms: Option<u64>,
 }
 
 #[derive(Clone, Debug)]
@@ -143,6 +145,12 @@
     busy: BTreeMap<ModelName, f64>,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct AdapterOrder {
+    kind: OrderKind,
+    since_ms: u64,
+}
+
 /// An adapter on a replica.
 type AdapterPlace = (ReplicaId, ModelName, String);
 
@@ -160,7 +168,7 @@
     round_due_ms: u64,
     last_load_ms: BTreeMap<ServiceName, u64>,
     pending: BTreeMap<ReplicaId, PendingOrder>,
-    adapters_pending: BTreeMap<AdapterPlace, u64>,
+    adapters_pending: BTreeMap<AdapterPlace, AdapterOrder>,
     adapters_used: BTreeMap<AdapterPlace, u64>,
     wishes: VecDeque<AdapterWish>,
     fenced: BTreeSet<ReplicaId>,
@@ -173,12 +181,24 @@
 /// Adapters that may be on their way to one replica.
 const ADAPTERS_AT_ONCE: usize = 4;
 /// Time after which an adapter's order is forgotten, in milliseconds.
-const ADAPTER_ORDER_MS: u64 = 1_500;
+const ADAPTER_ORDER_MS: u64 = 4_000;
+/// Pause before an order to a busy engine is sent again, in milliseconds.
+const BUSY_MS: u64 = 1_000;
 /// Wishes kept for the next round.
 const MAX_WISHES: usize = 256;
+/// Time in which an order's command is committed, in milliseconds.
+const COMMIT_MS: u64 = 2_000;
 /// Loads at once where the configuration names no bound.
 const LOADS_AT_ONCE: usize = 64;
 
+/// Whether an order stands in the log and its effect does not show yet.
+fn under_way(replicas: &ReplicaDirectory, id: &ReplicaId, order: &PendingOrder) -> bool {
+    match order.kind {
+        OrderKind::Load => replicas.loading(id).any(|model| *model == order.model),
+        OrderKind::Unload => replicas.leaving(id).any(|model| *model == order.model),
+    }
+}
+
 impl FleetDuties {
     /// A new leader's duties.
     pub fn new(policy: FleetPolicy, holder: HostName, term: Term, now_ms: u64) -> Self {
@@ -247,8 +267,11 @@
         match &order.adapter {
             Some(adapter) => {
                 let place = (order.replica.clone(), order.model.clone(), adapter.clone());
-                self.adapters_pending.remove(&place);
                 if failed {
+                    // One without an answer still counts until its time is over.
+                    if outcome != OrderOutcome::Unknown {
+                        self.adapters_pending.remove(&place);
+                    }
                     return Vec::new();
                 }
                 self.adapters_used.insert(place, now_ms);
@@ -256,20 +279,31 @@
                 let (id, model) = (order.replica.clone(), order.model.clone());
                 vec![Command::ReplicaAdapter(id, model, adapter.clone(), held)]
             }
-            None => {
-                let id = &order.replica;
-                // An unknown order counts as under way until a report or time settles it.
-                let open = matches!(outcome, OrderOutcome::Taken | OrderOutcome::Unknown);
-                if open {
-                    return Vec::new();
-                }
+            None => self.on_model_outcome(now_ms, order, outcome),
+        }
+    }
+
+    fn on_model_outcome(
+        &mut self,
+        now_ms: u64,
+        order: &EngineOrder,
+        outcome: OrderOutcome,
+    ) -> Vec<Command> {
+        let id = &order.replica;
+        let Some(pending) = self.pending.get_mut(id) else {
+            return Vec::new();
+        };
+        match outcome {
+            // Its effect will show; an unknown one counts as under way as well.
+            OrderOutcome::Taken | OrderOutcome::Held | OrderOutcome::Unknown => Vec::new(),
+            // Perhaps with this very order, given by the leader before.
+            OrderOutcome::Busy => {
+                pending.send_ms = Some(now_ms + BUSY_MS);
+                Vec::new()
+            }
+            OrderOutcome::Fenced | OrderOutcome::Refused => {
                 self.pending.remove(id);
-                match order.kind {
-                    OrderKind::Load => Vec::new(),
-                    OrderKind::Unload => {
-                        vec![Command::ReplicaKeep(id.clone(), order.model.clone())]
-                    }
-                }
+                vec![Command::ReplicaSettled(id.clone(), order.model.clone())]
             }
         }
     }
@@ -287,8 +321,9 @@
         if now_ms < self.since_ms + self.policy.order_lease_ms {
             return actions;
         }
-        let kept = self.settle(&state.replicas, now_ms);
-        actions.commands.extend(kept);
+        let settled = self.settle(&state.replicas, now_ms);
+        actions.commands.extend(settled);
+        actions.orders = self.send_due(&state.replicas, now_ms);
         let engines = record.configuration.services.iter();
         let engines = engines.filter_map(|(name, spec)| Some((name, spec.engine.as_ref()?)));
         let engines: Vec<(&ServiceName, &EngineSpec)> = engines.collect();
@@ -333,35 +368,69 @@
         self.demand.sample(&sum);
     }
 
-    /// Forgets orders whose effect shows, or that show none for too long.
+    /// Forgets orders whose effect shows, or that show none for too long, and
+    /// takes over those of the leader before.
     fn settle(&mut self, replicas: &ReplicaDirectory, now_ms: u64) -> Vec<Command> {
         let records = replicas.records();
         let limit_ms = self.policy.order_ms;
         let mut commands = Vec::new();
         self.pending.retain(|id, order| {
-            let Some(record) = records.get(id) else {
+            if !records.contains_key(id) {
                 return false;
-            };
-            let leaving = replicas.is_leaving(id, &order.model);
-            let done = match order.kind {
-                OrderKind::Load => record.models.contains_key(&order.model),
-                // The command that takes it from the record may not be committed yet.
-                OrderKind::Unload => !leaving && !record.models.contains_key(&order.model),
-            };
+            }
             let late = now_ms >= order.since_ms + limit_ms;
-            if late && leaving {
-                commands.push(Command::ReplicaKeep(id.clone(), order.model.clone()));
+            if late {
+                commands.push(Command::ReplicaSettled(id.clone(), order.model.clone()));
             }
-            !done && !late
+            // Until its command is committed, its effect cannot show.
+            let waits = order.since_ms + COMMIT_MS > now_ms;
+            !late && (waits || under_way(replicas, id, order))
+        });
+        for id in records.keys() {
+            let loading = replicas.loading(id).map(|model| (OrderKind::Load, model));
+            let leaving = replicas.leaving(id).map(|model| (OrderKind::Unload, model));
+            if let Some((kind, model)) = loading.chain(leaving).next()
+                && !self.pending.contains_key(id)
+            {
+                let order = PendingOrder {
+                    kind,
+                    model: model.clone(),
+                    since_ms: now_ms,
+                    send_ms: Some(now_ms),
+                };
+                self.pending.insert(id.clone(), order);
+            }
+        }
+        let shows = |(id, model, name): &AdapterPlace, kind: OrderKind| {
+            let held = records.get(id).and_then(|record| record.models.get(model));
+            let held = held.is_some_and(|adapters| adapters.contains(name));
+            held == (kind == OrderKind::Load)
+        };
+        self.adapters_pending.retain(|place, order| {
+            now_ms < order.since_ms + ADAPTER_ORDER_MS && !shows(place, order.kind)
         });
-        self.adapters_pending
-            .retain(|_, since_ms| now_ms < *since_ms + ADAPTER_ORDER_MS);
         self.adapters_used
             .retain(|(id, _, _), _| records.contains_key(id));
         self.fenced.retain(|id| records.contains_key(id));
         commands
     }
 
+    /// Sends the orders that are due and whose commands are committed.
+    fn send_due(&mut self, replicas: &ReplicaDirectory, now_ms: u64) -> Vec<EngineOrder> {
+        let mut due = Vec::new();
+        for (id, order) in &mut self.pending {
+            let is_due = order.send_ms.is_some_and(|at_ms| at_ms <= now_ms);
+            if is_due && under_way(replicas, id, order) {
+                order.send_ms = None;
+                due.push((id.clone(), order.kind, order.model.clone()));
+            }
+        }
+        let records = replicas.records();
+        let due = due.into_iter();
+        due.filter_map(|(id, kind, model)| Some(self.order(records.get(&id)?, kind, &model, None)))
+            .collect()
+    }
+
     fn order(
         &self,
         record: &ReplicaRecord,
@@ -420,8 +489,10 @@
         if known || leaving || !self.may_order(record) {
             return;
         }
-        let here = |id: &ReplicaId| *id == record.id;
-        let coming = self.adapters_pending.keys().filter(|(id, _, _)| here(id)).count();
+        let coming = |((id, _, _), order): &(&AdapterPlace, &AdapterOrder)| {
+            *id == record.id && order.kind == OrderKind::Load
+        };
+        let coming = self.adapters_pending.iter().filter(coming).count();
         let held: usize = record.models.values().map(BTreeSet::len).sum();
         if coming >= ADAPTERS_AT_ONCE {
             return;
@@ -429,14 +500,22 @@
         if held + coming >= engine.adapter_slots as usize {
             if let Some((model, adapter)) = self.least_used(record) {
                 let victim = (record.id.clone(), model.clone(), adapter.clone());
-                self.adapters_pending.insert(victim, now_ms);
+                let going = AdapterOrder {
+                    kind: OrderKind::Unload,
+                    since_ms: now_ms,
+                };
+                self.adapters_pending.insert(victim, going);
                 let order = self.order(record, OrderKind::Unload, &model, Some(&adapter));
                 actions.orders.push(order);
             }
             // The wish comes again once there is room.
             return;
         }
-        self.adapters_pending.insert(place, now_ms);
+        let coming = AdapterOrder {
+            kind: OrderKind::Load,
+            since_ms: now_ms,
+        };
+        self.adapters_pending.insert(place, coming);
         let order = self.order(record, OrderKind::Load, &wish.model, Some(&wish.adapter));
         actions.orders.push(order);
     }
@@ -498,19 +577,20 @@
             kind,
             model: step.model.clone(),
             since_ms: now_ms,
+            send_ms: Some(now_ms),
         };
         self.pending.insert(id.clone(), pending);
-        match kind {
+        // The order leaves once its command is committed: whoever leads next
+        // must know of the room that it takes, and entries must have stopped
+        // sending to what goes.
+        let command = match kind {
             OrderKind::Load => {
                 self.last_load_ms.insert(service.clone(), now_ms);
+                Command::ReplicaLoad(id, step.model.clone())
             }
-            // Entries must stop sending there before the engine drops it.
-            OrderKind::Unload => {
-                let command = Command::ReplicaUnload(id, step.model.clone());
-                actions.commands.push(command);
-            }
-        }
-        actions.orders.push(self.order(record, kind, &step.model, None));
+            OrderKind::Unload => Command::ReplicaUnload(id, step.model.clone()),
+        };
+        actions.commands.push(command);
     }
 
     /// The service's replicas as placement sees targets.
@@ -534,7 +614,7 @@
         let adapters_mb = adapter_mb.unwrap_or(0) * u64::from(engine.adapter_slots);
         let records = state.replicas.records().values();
         for record in records.filter(|record| record.service == *service) {
-            self.add_target(&mut board, record, engine, adapters_mb);
+            self.add_target(&mut board, state, record, engine, adapters_mb);
         }
         board
     }
@@ -542,6 +622,7 @@
     fn add_target(
         &self,
         board: &mut SiteState,
+        state: &SiteState,
         record: &ReplicaRecord,
         engine: &EngineSpec,
         adapters_mb: u64,
@@ -570,6 +651,12 @@
         for model in record.models.keys() {
             homes.insert(model.clone(), home(HomePhase::Ready));
         }
+        for model in state.replicas.loading(&record.id) {
+            homes.insert(model.clone(), home(HomePhase::Loading));
+        }
+        for model in state.replicas.leaving(&record.id) {
+            homes.insert(model.clone(), home(HomePhase::Unloading));
+        }
         if let Some(order) = self.pending.get(&record.id) {
             let phase = match order.kind {
                 OrderKind::Load => HomePhase::Loading,
--- a/src/forward/client.rs
+++ b/src/forward/client.rs
@@ -67,6 +67,8 @@
 enum ReadError {
     /// The client closed, or was idle for too long.
     Gone,
+    /// The entry stops, and no request has come.
+    Idle,
     /// The request is refused with this status, and nothing more is read.
     Refused(u16, &'static str),
 }
@@ -74,6 +76,8 @@
 struct ClientReader {
     stream: OwnedReadHalf,
     buffer: Vec<u8>,
+    /// A request has been answered on the connection.
+    served: bool,
 }
 
 impl ClientReader {
@@ -100,12 +104,19 @@
     async fn read_head(
         &mut self,
         limits: &ClientLimits,
+        core: &EntryCore,
         first_byte: &dyn Fn(),
     ) -> Result<RequestHead, ReadError> {
         let idle = Duration::from_millis(limits.idle_ms);
         if self.buffer.is_empty() {
-            let first = tokio::time::timeout(idle, self.fill()).await;
-            first.map_err(|_| ReadError::Gone)??;
+            tokio::select! {
+                // A request that has come already is taken before the connection is closed.
+                biased;
+                first = tokio::time::timeout(idle, self.fill()) => {
+                    first.map_err(|_| ReadError::Gone)??;
+                }
+                () = core.closes_idle(), if self.served => return Err(ReadError::Idle),
+            }
         }
         first_byte();
         let whole = async {
@@ -189,6 +200,7 @@
     let mut reader = ClientReader {
         stream: read,
         buffer: Vec::new(),
+        served: false,
     };
     let mut writer = ClientWriter {
         stream: write,
@@ -197,7 +209,7 @@
     loop {
         let after = serve_one(&core, &mut reader, &mut writer).await;
         match after {
-            AfterAnswer::Keep => {}
+            AfterAnswer::Keep => reader.served = true,
             AfterAnswer::Close => {
                 let _ = writer.stream.shutdown().await;
                 reader.linger().await;
@@ -216,9 +228,10 @@
     writer.begun = false;
     let limits = core.limits();
     let busy = core.busy();
-    let request = match read_request(reader, writer, &limits, &|| busy.mark()).await {
+    let request = match read_request(core, reader, writer, &limits, &|| busy.mark()).await {
         Ok(request) => request,
         Err(ReadError::Gone) => return AfterAnswer::Cut,
+        Err(ReadError::Idle) => return AfterAnswer::Close,
         Err(ReadError::Refused(status, reason)) => {
             core.count_refused_read(status);
             let answer = request::own_answer(core, status, reason, None, None, true);
@@ -235,12 +248,13 @@
 }
 
 async fn read_request(
+    core: &EntryCore,
     reader: &mut ClientReader,
     writer: &mut ClientWriter,
     limits: &ClientLimits,
     first_byte: &dyn Fn(),
 ) -> Result<ClientRequest, ReadError> {
-    let head = reader.read_head(limits, first_byte).await?;
+    let head = reader.read_head(limits, core, first_byte).await?;
     let since = Instant::now();
     let expects = head::names_token(&head.headers, "expect", "100-continue");
     if expects && reader.buffer.is_empty() && head.framing != Framing::Length(0) {
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -127,6 +127,7 @@
     wishes: RefCell<BTreeMap<(ReplicaId, ModelName, String), u64>>,
     active: Cell<usize>,
     stopping: Arc<AtomicBool>,
+    stop_told: Notify,
     ready: Arc<AtomicBool>,
     metrics: Arc<Mutex<MetricBook>>,
     lines: RefCell<LineBudget>,
@@ -195,6 +196,23 @@
         self.stopping.load(Ordering::SeqCst)
     }
 
+    /// Returns once the entry stops and a resting connection is to be closed.
+    pub async fn closes_idle(&self) {
+        loop {
+            let told = self.stop_told.notified();
+            if self.is_stopping() {
+                return;
+            }
+            told.await;
+        }
+    }
+
+    /// Returns once callers must have noticed that the entry stops.
+    async fn closes_listener(&self) {
+        self.closes_idle().await;
+        tokio::time::sleep(Duration::from_millis(self.settings.stop_ms)).await;
+    }
+
     /// Time to open a connection to a replica.
     pub fn connect_time(&self) -> Duration {
         Duration::from_millis(self.settings.connect_ms)
@@ -544,6 +562,7 @@
             wishes: RefCell::default(),
             active: Cell::new(0),
             stopping: Arc::default(),
+            stop_told: Notify::new(),
             ready: Arc::default(),
             metrics: Arc::default(),
             lines: RefCell::default(),
@@ -573,12 +592,13 @@
         let core = &self.core;
         let since = Instant::now();
         core.stopping.store(true, Ordering::SeqCst);
+        core.stop_told.notify_waiters();
         core.look_ready();
         let least = Duration::from_millis(core.settings.stop_ms);
         let most = Duration::from_millis(core.settings.grace_ms);
         tracing::info!(active = core.active.get(), "stopping");
         loop {
-            let idle = core.active.get() == 0 && since.elapsed() >= least;
+            let idle = core.active.get() == 0 && since.elapsed() > least + STOP_LOOK;
             if idle || since.elapsed() >= most {
                 tracing::info!(active = core.active.get(), "stopped");
                 return;
@@ -603,9 +623,14 @@
     daemon::serve_watch(core.settings.watch, Arc::new(read)).await
 }
 
+/// Accepts clients until some time after the entry was asked to stop.
 async fn accept(core: Rc<EntryCore>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = core.closes_listener() => return,
+        };
+        match accepted {
             Ok((stream, _)) => daemon::spawn_local(client::serve(core.clone(), stream)),
             Err(error) => {
                 tracing::warn!(%error, "cannot accept a client");
--- a/src/state.rs
+++ b/src/state.rs
@@ -115,8 +115,10 @@
     ReplicaAdapter(ReplicaId, ModelName, String, bool),
     /// An order takes a model from a replica.
     ReplicaUnload(ReplicaId, ModelName),
-    /// An order to take a model away had no effect.
-    ReplicaKeep(ReplicaId, ModelName),
+    /// An order brings a model to a replica.
+    ReplicaLoad(ReplicaId, ModelName),
+    /// No order on a model is under way at a replica any more.
+    ReplicaSettled(ReplicaId, ModelName),
     /// A replica leaves, and serves on for a while.
     ReplicaDrains(ReplicaId),
     /// Where the host of a voter's disk is reached.
@@ -277,8 +279,12 @@
                 }
                 Reply::None
             }
-            Command::ReplicaKeep(id, model) => {
-                self.replicas.keep(id, model);
+            Command::ReplicaLoad(id, model) => {
+                self.replicas.load(id, model);
+                Reply::None
+            }
+            Command::ReplicaSettled(id, model) => {
+                self.replicas.settle(id, model);
                 Reply::None
             }
             Command::ReplicaDrains(id) => {
