Enrolling hosts hear of the leader from whomever they ask

Ruled out: the learner's catching up. Test: a_host_that_knows_only_a_follower_becomes_a_voter, failed before.

--- a/src/control.rs
+++ b/src/control.rs
@@ -43,7 +43,7 @@
     /// A message from a voter.
     Raft(NodeId, HostName, RaftMessage),
     /// A process with a blank disk asks to be made a voter.
-    Enroll(NodeId, HostName),
+    Enroll(NodeId, HostName, Answer<Notice>),
     /// Commit a command.
     Propose(Command, Answer<(Position, Reply)>),
     /// The changes after a cursor.
@@ -254,7 +254,10 @@
                 self.hosts.insert(from, host);
                 self.replica.receive(now_ms, from, message);
             }
-            ControlEvent::Enroll(node, host) => self.enroll(node, host),
+            ControlEvent::Enroll(node, host, answer) => {
+                self.enroll(node, host);
+                let _ = answer.send(Ok(self.notice(now_ms)));
+            }
             ControlEvent::Propose(command, answer) => self.propose(command, Some(answer)),
             ControlEvent::Sync {
                 cursor,
@@ -610,6 +613,8 @@
         let state = self.replica.state();
         let mut hosts: BTreeSet<HostName> = state.voter_hosts.values().cloned().collect();
         hosts.insert(self.settings.common.host.clone());
+        let leader = self.replica.raft().leader();
+        hosts.extend(leader.and_then(|node| self.hosts.get(&node)).cloned());
         Notice {
             position: state.changed(),
             leaderless_ms: self.replica.raft().leaderless_ms(now_ms),
--- a/src/controld.rs
+++ b/src/controld.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -175,14 +175,18 @@
     }
 }
 
-/// A disk that does not vote asks all control hosts, again and again; only the
-/// leader acts on it.
+/// A disk that does not vote asks all control hosts that it hears of, again and
+/// again; only the leader acts on it.
 async fn enroll(
     pool: Arc<PeerPool<ControlWireClient>>,
     settings: ControlSettings,
     node: NodeId,
     handle: ControlHandle,
 ) {
+    let named = settings.common.control.iter();
+    let named = named.map(|voter| voter.address.to_string());
+    let known: Arc<Mutex<BTreeSet<String>>> = Arc::new(Mutex::new(named.collect()));
+    let own = settings.common.host.clone();
     loop {
         tokio::time::sleep(POLL).await;
         let status = status(&handle).await;
@@ -192,34 +196,27 @@
         if status.as_ref().is_some_and(settled) {
             continue;
         }
-        for peer in enroll_peers(&settings, &handle).await {
-            let host = settings.common.host.clone();
-            let pool = pool.clone();
+        let peers = lock(&known).clone();
+        for peer in peers.into_iter().filter(|peer| *peer != own.0) {
+            let (pool, known, own) = (pool.clone(), known.clone(), own.clone());
+            let open = settings.open_membership;
             tokio::spawn(async move {
                 let context = peers::within(MESSAGE_TIME);
                 let call = |client: ControlWireClient| async move {
-                    client.enroll(context, node, host).await
+                    client.enroll(context, node, own).await
                 };
-                let _ = pool.call(&peer, "enroll", call).await;
+                let answer = pool.call(&peer, "enroll", call).await;
+                if let (Ok(Ok(notice)), true) = (answer, open) {
+                    let hosts = notice.hosts.into_iter();
+                    lock(&known).extend(hosts.map(|host| host.0));
+                }
             });
         }
     }
 }
 
-async fn enroll_peers(settings: &ControlSettings, handle: &ControlHandle) -> BTreeSet<String> {
-    let named = settings.common.control.iter();
-    let mut peers: BTreeSet<String> = named.map(|voter| voter.address.to_string()).collect();
-    if settings.open_membership {
-        let notice = |answer| ControlEvent::Notice {
-            cursor: Position(0),
-            wait_ms: 0,
-            answer,
-        };
-        let known = handle.ask(notice).await.map(|notice| notice.hosts);
-        peers.extend(known.unwrap_or_default().into_iter().map(|host| host.0));
-        peers.remove(settings.common.host.as_str());
-    }
-    peers
+fn lock<T>(shared: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(|broken| broken.into_inner())
 }
 
 async fn watch_platform(url: String, handle: ControlHandle) {
@@ -247,8 +244,15 @@
         self.0.tell(ControlEvent::Raft(from, host, message));
     }
 
-    async fn enroll(self, _: Context, node: NodeId, host: HostName) {
-        self.0.tell(ControlEvent::Enroll(node, host));
+    async fn enroll(
+        self,
+        _: Context,
+        node: NodeId,
+        host: HostName,
+    ) -> Result<Notice, ControlRefusal> {
+        self.0
+            .ask(|answer| ControlEvent::Enroll(node, host, answer))
+            .await
     }
 
     async fn sync(
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -115,8 +115,9 @@
 pub trait ControlWire {
     /// A voter's message to another.
     async fn raft(from: NodeId, host: HostName, message: RaftMessage);
-    /// A process with a blank disk asks to be made a voter.
-    async fn enroll(node: NodeId, host: HostName);
+    /// A process with a blank disk asks to be made a voter. The leader acts on
+    /// it; each host tells the control hosts that it knows.
+    async fn enroll(node: NodeId, host: HostName) -> Result<Notice, ControlRefusal>;
     /// The changes after a cursor, waiting up to `wait_ms` for one. With
     /// `fresh`, only from a state that nothing newer can exist besides.
     async fn sync(cursor: Position, wait_ms: u64, fresh: bool) -> Result<SyncPage, ControlRefusal>;
