--- a/src/control.rs
+++ b/src/control.rs
@@ -85,7 +85,7 @@
     /// An entry's report; for the leader.
     Report(EntryReport, Answer<u32>),
     /// An entry's wish; for the leader.
-    Wish(AdapterWish, Answer<()>),
+    Wish(AdapterWish, Answer<bool>),
     /// An engine's answer to an order of this leader.
     Ordered(EngineOrder, OrderOutcome),
     /// Compares a replica's heartbeat with what is committed here.
@@ -304,7 +304,7 @@
                 self.tell_fleet(answer, |fleet| fleet.on_report(now_ms, report));
             }
             ControlEvent::Wish(wish, answer) => {
-                self.tell_fleet(answer, |fleet| fleet.on_wish(wish));
+                let _ = answer.send(self.on_wish(now_ms, &wish));
             }
             ControlEvent::Ordered(order, outcome) => self.on_ordered(now_ms, &order, outcome),
             ControlEvent::Compare(record, answer) => {
@@ -401,6 +401,17 @@
         let _ = answer.send(told);
     }
 
+    fn on_wish(&mut self, now_ms: u64, wish: &AdapterWish) -> Result<bool, ControlRefusal> {
+        let (Some(state), Some(fleet)) = (self.replica.newest(now_ms), &mut self.fleet) else {
+            return Err(self.not_leader());
+        };
+        let (soon, order) = fleet.on_wish(state, now_ms, wish);
+        if let (Some(order), Some(orders)) = (order, &self.orders) {
+            let _ = orders.send(order);
+        }
+        Ok(soon)
+    }
+
     fn on_ordered(&mut self, now_ms: u64, order: &EngineOrder, outcome: OrderOutcome) {
         let Some(fleet) = &mut self.fleet else {
             return;
--- a/src/controld.rs
+++ b/src/controld.rs
@@ -326,7 +326,7 @@
         self.0.ask(|answer| ControlEvent::Report(report, answer)).await
     }
 
-    async fn wish(self, _: Context, wish: AdapterWish) -> Result<(), ControlRefusal> {
+    async fn wish(self, _: Context, wish: AdapterWish) -> Result<bool, ControlRefusal> {
         self.0.ask(|answer| ControlEvent::Wish(wish, answer)).await
     }
 
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -4,11 +4,12 @@
 //! Pure. Soft state only: a new leader starts with none, and gives no order
 //! until the lease of whoever led before it has run out.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
+use crate::adapters::{AdapterOrders, AdapterPlace, WishAnswer};
 use crate::configuration::EngineSpec;
 use crate::demand::DemandBook;
 use crate::directory::{ReplicaDirectory, ReplicaPhase, ReplicaRecord};
@@ -107,11 +108,11 @@
     /// Requests of each model under way, waiting or refused lately.
     pub busy: BTreeMap<ModelName, f64>,
     /// Adapters in use by replica.
-    pub adapters: BTreeSet<(ReplicaId, ModelName, String)>,
+    pub adapters: BTreeSet<AdapterWish>,
 }
 
-/// An entry wants an adapter on a replica.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// An adapter that an entry wants or uses on a replica.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct AdapterWish {
     /// The replica.
     pub replica: ReplicaId,
@@ -145,15 +146,6 @@
     busy: BTreeMap<ModelName, f64>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct AdapterOrder {
-    kind: OrderKind,
-    since_ms: u64,
-}
-
-/// An adapter on a replica.
-type AdapterPlace = (ReplicaId, ModelName, String);
-
 /// The leader's soft state.
 #[derive(Debug)]
 pub struct FleetDuties {
@@ -168,9 +160,7 @@
     round_due_ms: u64,
     last_load_ms: BTreeMap<ServiceName, u64>,
     pending: BTreeMap<ReplicaId, PendingOrder>,
-    adapters_pending: BTreeMap<AdapterPlace, AdapterOrder>,
-    adapters_used: BTreeMap<AdapterPlace, u64>,
-    wishes: VecDeque<AdapterWish>,
+    adapters: AdapterOrders,
     fenced: BTreeSet<ReplicaId>,
 }
 
@@ -178,14 +168,8 @@
 const SAMPLE_MS: u64 = 500;
 /// An entry that has not reported for so long counts no more, in milliseconds.
 const ENTRY_MS: u64 = 2_500;
-/// Adapters that may be on their way to one replica.
-const ADAPTERS_AT_ONCE: usize = 4;
-/// Time after which an adapter's order is forgotten, in milliseconds.
-const ADAPTER_ORDER_MS: u64 = 4_000;
 /// Pause before an order to a busy engine is sent again, in milliseconds.
 const BUSY_MS: u64 = 1_000;
-/// Wishes kept for the next round.
-const MAX_WISHES: usize = 256;
 /// Time in which an order's command is committed, in milliseconds.
 const COMMIT_MS: u64 = 2_000;
 /// Loads at once where the configuration names no bound.
@@ -214,9 +198,7 @@
             round_due_ms: now_ms,
             last_load_ms: BTreeMap::new(),
             pending: BTreeMap::new(),
-            adapters_pending: BTreeMap::new(),
-            adapters_used: BTreeMap::new(),
-            wishes: VecDeque::new(),
+            adapters: AdapterOrders::default(),
             fenced: BTreeSet::new(),
         }
     }
@@ -236,7 +218,12 @@
     /// An entry's report. Returns how many entries report.
     pub fn on_report(&mut self, now_ms: u64, report: EntryReport) -> u32 {
         for place in report.adapters {
-            self.adapters_used.insert(place, now_ms);
+            let place = AdapterPlace {
+                replica: place.replica,
+                model: place.model,
+                adapter: place.adapter,
+            };
+            self.adapters.note_used(place, now_ms);
         }
         let note = EntryNote {
             heard_ms: now_ms,
@@ -246,10 +233,38 @@
         self.entries.len() as u32
     }
 
-    /// An entry's wish; it is looked at in the next round.
-    pub fn on_wish(&mut self, wish: AdapterWish) {
-        if self.wishes.len() < MAX_WISHES && !self.wishes.contains(&wish) {
-            self.wishes.push_back(wish);
+    /// An entry's wish. Returns whether it will be met soon, and the order to send.
+    pub fn on_wish(
+        &mut self,
+        state: &SiteState,
+        now_ms: u64,
+        wish: &AdapterWish,
+    ) -> (bool, Option<EngineOrder>) {
+        let record = state.replicas.records().get(&wish.replica);
+        let configuration = state.configuration.as_ref().map(|held| &held.configuration);
+        let (Some(record), Some(configuration)) = (record, configuration) else {
+            return (false, None);
+        };
+        let service = configuration.services.get(&record.service);
+        let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
+            return (false, None);
+        };
+        let waits = now_ms < self.since_ms + self.policy.order_lease_ms;
+        if waits || self.pending.contains_key(&record.id) || !self.may_order(record) {
+            return (false, None);
+        }
+        let slots = engine.adapter_slots as usize;
+        match self.adapters.decide(record, slots, wish, now_ms) {
+            WishAnswer::Known => (true, None),
+            WishAnswer::Refused => (false, None),
+            WishAnswer::Load => {
+                let adapter = Some(wish.adapter.as_str());
+                (true, Some(self.order(record, OrderKind::Load, &wish.model, adapter)))
+            }
+            WishAnswer::Evict(place) => {
+                let adapter = Some(place.adapter.as_str());
+                (true, Some(self.order(record, OrderKind::Unload, &place.model, adapter)))
+            }
         }
     }
 
@@ -263,21 +278,19 @@
         if outcome == OrderOutcome::Fenced {
             self.fenced.insert(order.replica.clone());
         }
-        let failed = !matches!(outcome, OrderOutcome::Taken | OrderOutcome::Held);
         match &order.adapter {
             Some(adapter) => {
-                let place = (order.replica.clone(), order.model.clone(), adapter.clone());
-                if failed {
-                    // One without an answer still counts until its time is over.
-                    if outcome != OrderOutcome::Unknown {
-                        self.adapters_pending.remove(&place);
-                    }
+                let place = AdapterPlace {
+                    replica: order.replica.clone(),
+                    model: order.model.clone(),
+                    adapter: adapter.clone(),
+                };
+                if !self.adapters.on_outcome(&place, outcome, now_ms) {
                     return Vec::new();
                 }
-                self.adapters_used.insert(place, now_ms);
                 let held = order.kind == OrderKind::Load;
-                let (id, model) = (order.replica.clone(), order.model.clone());
-                vec![Command::ReplicaAdapter(id, model, adapter.clone(), held)]
+                let (id, model) = (place.replica, place.model);
+                vec![Command::ReplicaAdapter(id, model, place.adapter, held)]
             }
             None => self.on_model_outcome(now_ms, order, outcome),
         }
@@ -327,7 +340,6 @@
         let engines = record.configuration.services.iter();
         let engines = engines.filter_map(|(name, spec)| Some((name, spec.engine.as_ref()?)));
         let engines: Vec<(&ServiceName, &EngineSpec)> = engines.collect();
-        self.grant_wishes(state, &engines, now_ms, &mut actions);
         if now_ms >= self.round_due_ms {
             self.round_due_ms = now_ms + self.policy.round_ms;
             for (service, engine) in engines {
@@ -401,16 +413,7 @@
                 self.pending.insert(id.clone(), order);
             }
         }
-        let shows = |(id, model, name): &AdapterPlace, kind: OrderKind| {
-            let held = records.get(id).and_then(|record| record.models.get(model));
-            let held = held.is_some_and(|adapters| adapters.contains(name));
-            held == (kind == OrderKind::Load)
-        };
-        self.adapters_pending.retain(|place, order| {
-            now_ms < order.since_ms + ADAPTER_ORDER_MS && !shows(place, order.kind)
-        });
-        self.adapters_used
-            .retain(|(id, _, _), _| records.contains_key(id));
+        self.adapters.settle(replicas, now_ms);
         self.fenced.retain(|id| records.contains_key(id));
         commands
     }
@@ -453,86 +456,6 @@
         record.phase == ReplicaPhase::Ready && !self.fenced.contains(&record.id)
     }
 
-    fn grant_wishes(
-        &mut self,
-        state: &SiteState,
-        engines: &[(&ServiceName, &EngineSpec)],
-        now_ms: u64,
-        actions: &mut FleetActions,
-    ) {
-        for wish in std::mem::take(&mut self.wishes) {
-            let Some(record) = state.replicas.records().get(&wish.replica) else {
-                continue;
-            };
-            let engine = engines.iter().find(|(name, _)| **name == record.service);
-            if let Some((_, engine)) = engine {
-                self.grant(record, engine, &wish, now_ms, actions);
-            }
-        }
-    }
-
-    fn grant(
-        &mut self,
-        record: &ReplicaRecord,
-        engine: &EngineSpec,
-        wish: &AdapterWish,
-        now_ms: u64,
-        actions: &mut FleetActions,
-    ) {
-        let Some(held) = record.models.get(&wish.model) else {
-            return;
-        };
-        let place = (wish.replica.clone(), wish.model.clone(), wish.adapter.clone());
-        let known = held.contains(&wish.adapter) || self.adapters_pending.contains_key(&place);
-        let leaving = self.pending.get(&record.id);
-        let leaving = leaving.is_some_and(|order| order.model == wish.model);
-        if known || leaving || !self.may_order(record) {
-            return;
-        }
-        let coming = |((id, _, _), order): &(&AdapterPlace, &AdapterOrder)| {
-            *id == record.id && order.kind == OrderKind::Load
-        };
-        let coming = self.adapters_pending.iter().filter(coming).count();
-        let held: usize = record.models.values().map(BTreeSet::len).sum();
-        if coming >= ADAPTERS_AT_ONCE {
-            return;
-        }
-        if held + coming >= engine.adapter_slots as usize {
-            if let Some((model, adapter)) = self.least_used(record) {
-                let victim = (record.id.clone(), model.clone(), adapter.clone());
-                let going = AdapterOrder {
-                    kind: OrderKind::Unload,
-                    since_ms: now_ms,
-                };
-                self.adapters_pending.insert(victim, going);
-                let order = self.order(record, OrderKind::Unload, &model, Some(&adapter));
-                actions.orders.push(order);
-            }
-            // The wish comes again once there is room.
-            return;
-        }
-        let coming = AdapterOrder {
-            kind: OrderKind::Load,
-            since_ms: now_ms,
-        };
-        self.adapters_pending.insert(place, coming);
-        let order = self.order(record, OrderKind::Load, &wish.model, Some(&wish.adapter));
-        actions.orders.push(order);
-    }
-
-    fn least_used(&self, record: &ReplicaRecord) -> Option<(ModelName, String)> {
-        let held = record.models.iter();
-        let held = held.flat_map(|(model, names)| names.iter().map(move |name| (model, name)));
-        let used = |model: &ModelName, name: &String| {
-            let place = (record.id.clone(), model.clone(), name.clone());
-            let pending = self.adapters_pending.contains_key(&place);
-            (!pending).then(|| self.adapters_used.get(&place).copied().unwrap_or(0))
-        };
-        held.filter_map(|(model, name)| Some((used(model, name)?, model, name)))
-            .min()
-            .map(|(_, model, name)| (model.clone(), name.clone()))
-    }
-
     fn place(
         &mut self,
         state: &SiteState,
--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -73,6 +73,15 @@
     Absent,
 }
 
+/// Bounds of a service's engines; all zero for plain services.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EngineBounds {
+    /// Most tokens that a replica holds.
+    pub memory: u64,
+    /// Most adapters that a replica holds.
+    pub adapter_slots: u32,
+}
+
 /// A load that a replica told on an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LoadReport {
@@ -132,6 +141,7 @@
     ejected_until_ms: u64,
     ejections: u32,
     full_until_ms: u64,
+    no_fetch_until_ms: u64,
     prefixes: VecDeque<u64>,
 }
 
@@ -141,6 +151,8 @@
 const FAIL_STEP: f64 = 0.25;
 /// Failure rate from which a replica is passed over for a while.
 const EJECT_RATE: f64 = 0.55;
+/// How long a replica is passed over for adapters after a refusal, in milliseconds.
+const NO_FETCH_MS: u64 = 500;
 /// How long a replica that said so is taken for full, in milliseconds.
 const FULL_MS: u64 = 100;
 
@@ -157,10 +169,15 @@
             ejected_until_ms: 0,
             ejections: 0,
             full_until_ms: 0,
+            no_fetch_until_ms: 0,
             prefixes: VecDeque::new(),
         }
     }
 
+    fn adapters(&self) -> usize {
+        self.record.models.values().map(BTreeSet::len).sum()
+    }
+
     fn fade(&self, now_ms: u64, fade_ms: u64) -> f64 {
         let age_ms = now_ms.saturating_sub(self.told.at_ms);
         1.0 - (age_ms as f64 / fade_ms.max(1) as f64).min(1.0)
@@ -216,13 +233,13 @@
     }
 
     /// Chooses a replica for a need. `passed` names those that this request has
-    /// tried already; `memory` is the most tokens a replica holds.
+    /// tried already.
     pub fn choose(
         &self,
         now_ms: u64,
         need: &Need,
         passed: &BTreeSet<ReplicaId>,
-        memory: u64,
+        bounds: EngineBounds,
     ) -> Choice {
         let suits = |note: &&ReplicaNote| {
             let record = &note.record;
@@ -243,7 +260,7 @@
         if suited.iter().any(|note| sound(note)) {
             suited.retain(|note| sound(note));
         }
-        suited.retain(|note| self.has_room(note, need, now_ms, memory));
+        suited.retain(|note| self.has_room(note, need, now_ms, bounds.memory));
         let Some(best) = self.cheapest(suited.iter().copied(), need, now_ms) else {
             return Choice::Full;
         };
@@ -252,12 +269,22 @@
         }
         let ready = suited.iter().copied();
         let ready = ready.filter(|note| self.holds_adapter(note, need));
-        match self.cheapest(ready, need, now_ms) {
+        let holder = self.cheapest(ready, need, now_ms);
+        let open = |note: &&ReplicaNote| note.no_fetch_until_ms <= now_ms;
+        let open = suited.iter().copied().filter(open);
+        let (full, free): (Vec<_>, Vec<_>) =
+            open.partition(|note| note.adapters() >= bounds.adapter_slots as usize);
+        let fetcher = self
+            .cheapest(free.into_iter(), need, now_ms)
+            .or_else(|| self.cheapest(full.into_iter(), need, now_ms));
+        match (holder, fetcher) {
             // A second home of an adapter is worth its load only where the first is busy.
-            Some(holder) if self.is_slack(holder, now_ms) => {
+            (Some(holder), _) if self.is_slack(holder, now_ms) => {
                 Choice::Send(holder.record.id.clone())
             }
-            _ => Choice::Fetch(best.record.id.clone()),
+            (_, Some(fetcher)) => Choice::Fetch(fetcher.record.id.clone()),
+            (Some(holder), None) => Choice::Send(holder.record.id.clone()),
+            (None, None) => Choice::Full,
         }
     }
 
@@ -372,6 +399,13 @@
         }
     }
 
+    /// A replica will not get an adapter soon.
+    pub fn refuse_fetch(&mut self, now_ms: u64, id: &ReplicaId) {
+        if let Some(note) = self.notes.get_mut(id) {
+            note.no_fetch_until_ms = now_ms + NO_FETCH_MS;
+        }
+    }
+
     /// A replica keeps a request waiting for longer than it should.
     pub fn suspect(&mut self, id: &ReplicaId) {
         if let Some(note) = self.notes.get_mut(id) {
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -123,8 +123,8 @@
     routing: RefCell<Option<Rc<Routing>>>,
     busy: RefCell<BTreeMap<ModelName, u32>>,
     lately: RefCell<BTreeMap<ModelName, f64>>,
-    adapters: RefCell<BTreeSet<(ReplicaId, ModelName, String)>>,
-    wishes: RefCell<BTreeMap<(ReplicaId, ModelName, String), u64>>,
+    adapters: RefCell<BTreeSet<AdapterWish>>,
+    wishes: RefCell<BTreeMap<AdapterWish, u64>>,
     active: Cell<usize>,
     stopping: Arc<AtomicBool>,
     stop_told: Notify,
@@ -238,37 +238,26 @@
         }
     }
 
+    /// Notes that an adapter is used on a replica, for the next report.
+    pub fn note_adapter(&self, replica: &ReplicaId, need: &Need) {
+        if let Some(place) = adapter_place(replica, need) {
+            self.adapters.borrow_mut().insert(place);
+        }
+    }
+
     /// Asks the leader for an adapter on a replica.
     pub fn wish(self: &Rc<Self>, replica: &ReplicaId, need: &Need) {
-        let (Some(model), Some(adapter)) = (&need.model, &need.adapter) else {
+        let Some(wish) = adapter_place(replica, need) else {
             return;
         };
         let now_ms = clock::monotonic_ms();
-        let place = (replica.clone(), model.clone(), adapter.clone());
         let mut wishes = self.wishes.borrow_mut();
         wishes.retain(|_, at_ms| *at_ms + WISH_EVERY_MS > now_ms);
-        if wishes.contains_key(&place) {
+        if wishes.contains_key(&wish) {
             return;
         }
-        wishes.insert(place, now_ms);
-        let wish = AdapterWish {
-            replica: replica.clone(),
-            model: model.clone(),
-            adapter: adapter.clone(),
-        };
-        let link = self.follower.link().clone();
-        tracing::info!(%replica, %model, adapter, "wishes for an adapter");
-        daemon::spawn_local(async move {
-            let asked = link
-                .decide("wish", REPORT_TIME, |client, context| {
-                    let wish = wish.clone();
-                    async move { client.wish(context, wish).await }
-                })
-                .await;
-            if let Err(error) = asked {
-                tracing::warn!(%error, "a wish was not heard");
-            }
-        });
+        wishes.insert(wish.clone(), now_ms);
+        daemon::spawn_local(ask_adapter(self.clone(), wish));
     }
 
     /// Counts a connection opened to a replica.
@@ -667,6 +656,38 @@
     }
 }
 
+fn adapter_place(replica: &ReplicaId, need: &Need) -> Option<AdapterWish> {
+    Some(AdapterWish {
+        replica: replica.clone(),
+        model: need.model.clone()?,
+        adapter: need.adapter.clone()?,
+    })
+}
+
+async fn ask_adapter(core: Rc<EntryCore>, wish: AdapterWish) {
+    let link = core.follower.link();
+    let asked = link
+        .decide("wish", REPORT_TIME, |client, context| {
+            let wish = wish.clone();
+            async move { client.wish(context, wish).await }
+        })
+        .await;
+    let (replica, model, adapter) = (&wish.replica, &wish.model, &wish.adapter);
+    match asked {
+        Ok(soon) => {
+            tracing::info!(%replica, %model, adapter, soon, "wish for an adapter");
+            if !soon {
+                let now_ms = clock::monotonic_ms();
+                core.book.borrow_mut().refuse_fetch(now_ms, replica);
+                core.changed.notify_waiters();
+            }
+        }
+        Err(error) => {
+            tracing::warn!(%error, %replica, %model, adapter, "a wish was not heard");
+        }
+    }
+}
+
 async fn prune(core: Rc<EntryCore>) {
     loop {
         tokio::time::sleep(PRUNE_EVERY).await;
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crate::configuration::{RouteKind, RouteSpec};
-use crate::forward::book::{self, Choice, Need, TryEnd};
+use crate::forward::book::{self, Choice, EngineBounds, Need, TryEnd};
 use crate::forward::client::{AfterAnswer, ClientRequest, ClientWriter};
 use crate::forward::daemon::{EntryCore, Outcome, RequestLog, Routing};
 use crate::forward::events::EventCutter;
@@ -163,7 +163,7 @@
     route: &'a RouteSpec,
     id: String,
     need: Need,
-    memory: u64,
+    bounds: EngineBounds,
     deadline: Instant,
     passed: BTreeSet<ReplicaId>,
     /// Replicas that may have run it.
@@ -245,7 +245,10 @@
             log: RequestLog::new(&id, route, &need, request.since),
             id,
             need,
-            memory: engine.map_or(0, |engine| engine.kv_tokens),
+            bounds: engine.map_or(EngineBounds::default(), |engine| EngineBounds {
+                memory: engine.kv_tokens,
+                adapter_slots: engine.adapter_slots,
+            }),
             deadline: request.since + Duration::from_millis(limit_ms),
             passed: BTreeSet::new(),
             runs: 0,
@@ -360,7 +363,7 @@
             let changed = self.core.changed.notified();
             let now_ms = crate::clock::monotonic_ms();
             let book = self.core.book.borrow();
-            let choice = book.choose(now_ms, &self.need, &self.passed, self.memory);
+            let choice = book.choose(now_ms, &self.need, &self.passed, self.bounds);
             drop(book);
             let waited = since.elapsed();
             let (refusal, limit) = match choice {
@@ -402,6 +405,7 @@
             return Tried::Unsent;
         };
         let mut guard = TryGuard::start(core, replica, &self.need);
+        core.note_adapter(replica, &self.need);
         self.log.sent(replica);
         let kept = core.pool.borrow_mut().take(replica);
         let opened = match kept {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 #![warn(missing_docs)]
 
 // The core: no sockets, clocks, threads or global random sources.
+pub mod adapters;
 pub mod claims;
 pub mod configuration;
 pub mod demand;
--- a/src/orderer.rs
+++ b/src/orderer.rs
@@ -133,9 +133,12 @@
                 sent = Some(expected);
                 *count = None;
             }
-            // The count is another, or an order is under way: look before the next try.
-            OrderOutcome::Busy => *count = None,
-            OrderOutcome::Held | OrderOutcome::Fenced | OrderOutcome::Refused => {
+            // The count is another, or an order is under way: the leader decides
+            // when to try again, by what it knows then.
+            OrderOutcome::Busy
+            | OrderOutcome::Held
+            | OrderOutcome::Fenced
+            | OrderOutcome::Refused => {
                 *count = None;
                 return outcome;
             }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -141,8 +141,8 @@
     async fn heard(ids: Vec<ReplicaId>) -> Result<(), ControlRefusal>;
     /// An entry's report on demand; for the leader, which tells how many entries report.
     async fn report(report: EntryReport) -> Result<u32, ControlRefusal>;
-    /// An entry wants an adapter; for the leader.
-    async fn wish(wish: AdapterWish) -> Result<(), ControlRefusal>;
+    /// An entry wants an adapter; the leader tells whether it comes soon.
+    async fn wish(wish: AdapterWish) -> Result<bool, ControlRefusal>;
 }
 
 /// An agent's word with its load.
