--- a/src/configuration.rs
+++ b/src/configuration.rs
@@ -77,6 +77,10 @@
     pub weights_mb: u64,
     /// Time of a load from the weight store, in milliseconds.
     pub load_ms: u64,
+    /// Time of a load from a copy in the replica's host memory, in milliseconds.
+    pub warm_ms: Option<u64>,
+    /// Time of a load from a copy on the replica's disk, in milliseconds.
+    pub disk_ms: Option<u64>,
     /// Number of its adapters, named `a1`, `a2` and so forth.
     pub adapters: u32,
     /// Size of each adapter, in MB.
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -38,6 +38,10 @@
     pub phase: ReplicaPhase,
     /// The models it holds, each with its adapters.
     pub models: BTreeMap<ModelName, BTreeSet<String>>,
+    /// Models with a copy in host memory.
+    pub in_memory: BTreeSet<ModelName>,
+    /// Models with a copy on disk.
+    pub on_disk: BTreeSet<ModelName>,
 }
 
 /// What a heartbeat changes.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -13,10 +13,9 @@
 use crate::configuration::EngineSpec;
 use crate::demand::DemandBook;
 use crate::directory::{ReplicaDirectory, ReplicaPhase, ReplicaRecord};
-use crate::ids::{HostName, ModelName, Position, ReplicaId, ServiceName, TargetName, Term};
-use crate::placement::{self, PlaceMove, PlacePolicy};
-use crate::site::{ModelKind, ModelSpec, SiteSpec, TargetSpec};
-use crate::state::{Command, HomeInfo, HomePhase, MemberInfo, MemberRole, MoveKind, SiteState};
+use crate::fleet_plan::{self, PlanModel, PlanReplica, PlanStep};
+use crate::ids::{HostName, ModelName, ReplicaId, ServiceName, Term};
+use crate::state::{Command, SiteState};
 
 /// How the fleet is watched and ordered.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
@@ -32,10 +31,6 @@
     pub round_ms: u64,
     /// Relief in concurrent requests that a load for demand must bring.
     pub move_price: f64,
-    /// Homes that each model keeps where memory allows.
-    pub spread: usize,
-    /// Follow demand; else only repair and spread.
-    pub by_demand: bool,
     /// Time after which an order that shows no effect is forgotten, in milliseconds.
     pub order_ms: u64,
 }
@@ -48,8 +43,6 @@
             order_lease_ms: 3_000,
             round_ms: 100,
             move_price: 0.5,
-            spread: 1,
-            by_demand: true,
             order_ms: 20_000,
         }
     }
@@ -172,8 +165,6 @@
 const BUSY_MS: u64 = 1_000;
 /// Time in which an order's command is committed, in milliseconds.
 const COMMIT_MS: u64 = 2_000;
-/// Loads at once where the configuration names no bound.
-const LOADS_AT_ONCE: usize = 64;
 
 /// Whether an order stands in the log and its effect does not show yet.
 fn under_way(replicas: &ReplicaDirectory, id: &ReplicaId, order: &PendingOrder) -> bool {
@@ -464,128 +455,109 @@
         now_ms: u64,
         actions: &mut FleetActions,
     ) {
-        let board = self.board(state, service, engine);
-        let policy = PlacePolicy {
-            move_price: self.policy.move_price,
-            spread: self.policy.spread,
-            by_demand: self.policy.by_demand,
+        let models = self.plan_models(engine);
+        let records = state.replicas.records().values();
+        let records = records.filter(|record| record.service == *service);
+        let replicas = records
+            .map(|record| self.plan_replica(state, record, engine))
+            .collect();
+        let last_ms = self.last_load_ms.get(service).copied();
+        let due = last_ms.is_none_or(|at_ms| at_ms + engine.load_gap_ms <= now_ms);
+        let permits = match engine.load_gap_ms {
+            0 => usize::MAX,
+            _ => usize::from(due),
         };
-        let wanted: BTreeSet<&ModelName> = board.site.models.keys().collect();
-        let moves = placement::plan_resident(&board, &wanted, &policy, &self.demand, now_ms);
-        for step in moves {
-            self.order_move(state, service, &step, now_ms, actions);
+        let steps = fleet_plan::plan(replicas, &models, self.policy.move_price, permits);
+        for step in steps {
+            self.order_step(service, step, now_ms, actions);
         }
     }
 
-    fn order_move(
-        &mut self,
+    fn plan_models(&self, engine: &EngineSpec) -> BTreeMap<ModelName, PlanModel> {
+        let models = engine.models.iter().map(|(name, model)| {
+            let plan = PlanModel {
+                weights_mb: model.weights_mb,
+                load_ms: model.load_ms,
+                level: self.demand.level(name),
+            };
+            (name.clone(), plan)
+        });
+        models.collect()
+    }
+
+    fn plan_replica(
+        &self,
         state: &SiteState,
+        record: &ReplicaRecord,
+        engine: &EngineSpec,
+    ) -> PlanReplica {
+        let adapter_mb = engine.models.values().map(|model| model.adapter_mb).max();
+        let adapters_mb = adapter_mb.unwrap_or(0) * u64::from(engine.adapter_slots);
+        let mut coming: BTreeSet<ModelName> =
+            state.replicas.loading(&record.id).cloned().collect();
+        let mut going: BTreeSet<ModelName> =
+            state.replicas.leaving(&record.id).cloned().collect();
+        let mut held: BTreeSet<ModelName> = record.models.keys().cloned().collect();
+        match self.pending.get(&record.id) {
+            Some(order) if order.kind == OrderKind::Load => {
+                coming.insert(order.model.clone());
+            }
+            Some(order) => {
+                held.remove(&order.model);
+                going.insert(order.model.clone());
+            }
+            None => {}
+        }
+        let weight = |model: &ModelName| engine.models.get(model).map_or(0, |m| m.weights_mb);
+        // What may be there, by whatever order is carried out or not.
+        let taken: BTreeSet<&ModelName> = held.iter().chain(&coming).chain(&going).collect();
+        let taken_mb: u64 = taken.into_iter().map(weight).sum();
+        let load_ms = |name: &ModelName, memory: bool| {
+            let model = engine.models.get(name)?;
+            Some((name.clone(), if memory { model.warm_ms } else { model.disk_ms }?))
+        };
+        let disk = record.on_disk.iter().filter_map(|name| load_ms(name, false));
+        let memory = record.in_memory.iter().filter_map(|name| load_ms(name, true));
+        let stays = record.phase == ReplicaPhase::Ready;
+        if !stays {
+            held.clear();
+        }
+        PlanReplica {
+            id: record.id.clone(),
+            hall: record.hall.clone(),
+            open: self.may_order(record) && !self.pending.contains_key(&record.id),
+            free_mb: engine.weights_mb.saturating_sub(adapters_mb + taken_mb),
+            held,
+            coming,
+            at_hand: disk.chain(memory).collect(),
+        }
+    }
+
+    fn order_step(
+        &mut self,
         service: &ServiceName,
-        step: &PlaceMove,
+        step: PlanStep,
         now_ms: u64,
         actions: &mut FleetActions,
     ) {
-        let id = ReplicaId(step.target.0.clone());
-        let Some(record) = state.replicas.records().get(&id) else {
-            return;
-        };
-        if self.pending.contains_key(&id) || !self.may_order(record) {
-            return;
-        }
-        let kind = match step.kind {
-            MoveKind::Load => OrderKind::Load,
-            MoveKind::Unload => OrderKind::Unload,
-        };
+        let id = step.replica;
         let pending = PendingOrder {
-            kind,
+            kind: step.kind,
             model: step.model.clone(),
             since_ms: now_ms,
             send_ms: Some(now_ms),
         };
         self.pending.insert(id.clone(), pending);
+        if step.from_store {
+            self.last_load_ms.insert(service.clone(), now_ms);
+        }
         // The order leaves once its command is committed: whoever leads next
         // must know of the room that it takes, and entries must have stopped
         // sending to what goes.
-        let command = match kind {
-            OrderKind::Load => {
-                self.last_load_ms.insert(service.clone(), now_ms);
-                Command::ReplicaLoad(id, step.model.clone())
-            }
-            OrderKind::Unload => Command::ReplicaUnload(id, step.model.clone()),
+        let command = match step.kind {
+            OrderKind::Load => Command::ReplicaLoad(id, step.model),
+            OrderKind::Unload => Command::ReplicaUnload(id, step.model),
         };
         actions.commands.push(command);
     }
-
-    /// The service's replicas as placement sees targets.
-    fn board(&self, state: &SiteState, service: &ServiceName, engine: &EngineSpec) -> SiteState {
-        let mut board = SiteState::default();
-        board.last_load_ms = self.last_load_ms.get(service).copied().unwrap_or(0);
-        board.site = SiteSpec {
-            load_gap_ms: engine.load_gap_ms,
-            loads_at_once: LOADS_AT_ONCE,
-            ..SiteSpec::default()
-        };
-        for (name, model) in &engine.models {
-            let spec = ModelSpec {
-                kind: ModelKind::Base,
-                weights_mib: model.weights_mb,
-                kv_kib_per_token: 0,
-            };
-            board.site.models.insert(name.clone(), spec);
-        }
-        let adapter_mb = engine.models.values().map(|model| model.adapter_mb).max();
-        let adapters_mb = adapter_mb.unwrap_or(0) * u64::from(engine.adapter_slots);
-        let records = state.replicas.records().values();
-        for record in records.filter(|record| record.service == *service) {
-            self.add_target(&mut board, state, record, engine, adapters_mb);
-        }
-        board
-    }
-
-    fn add_target(
-        &self,
-        board: &mut SiteState,
-        state: &SiteState,
-        record: &ReplicaRecord,
-        engine: &EngineSpec,
-        adapters_mb: u64,
-    ) {
-        let target = TargetName(record.id.0.clone());
-        let spec = TargetSpec {
-            hall: record.hall.clone(),
-            memory_mib: engine.weights_mb,
-            kv_floor_mib: adapters_mb,
-            accelerators: 1,
-        };
-        board.site.targets.insert(target.clone(), spec);
-        let member = MemberInfo {
-            role: MemberRole::Agent,
-            incarnation: Default::default(),
-            address: String::new(),
-            hall: record.hall.clone(),
-            leaving: record.phase != ReplicaPhase::Ready,
-        };
-        board.members.insert(HostName(record.id.0.clone()), member);
-        let homes = board.homes.entry(target).or_default();
-        let home = |phase| HomeInfo {
-            phase,
-            order: Position(0),
-        };
-        for model in record.models.keys() {
-            homes.insert(model.clone(), home(HomePhase::Ready));
-        }
-        for model in state.replicas.loading(&record.id) {
-            homes.insert(model.clone(), home(HomePhase::Loading));
-        }
-        for model in state.replicas.leaving(&record.id) {
-            homes.insert(model.clone(), home(HomePhase::Unloading));
-        }
-        if let Some(order) = self.pending.get(&record.id) {
-            let phase = match order.kind {
-                OrderKind::Load => HomePhase::Loading,
-                OrderKind::Unload => HomePhase::Unloading,
-            };
-            homes.insert(order.model.clone(), home(phase));
-        }
-    }
 }
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -161,6 +161,14 @@
     core: &'a EntryCore,
     model: Option<ModelName>,
     since: Instant,
+    refused: Cell<bool>,
+}
+
+impl ModelMark<'_> {
+    /// The request is refused: what it would have taken counts.
+    pub fn refuse(&self) {
+        self.refused.set(true);
+    }
 }
 
 impl Drop for ModelMark<'_> {
@@ -171,8 +179,12 @@
         if let Some(count) = self.core.busy.borrow_mut().get_mut(model) {
             *count = count.saturating_sub(1);
         }
-        // The time it was here, as a part of the time between two reports.
-        let part = self.since.elapsed().as_secs_f64() / REPORT_EVERY.as_secs_f64();
+        // The time it was here, as a part of the time between two reports. One
+        // that was refused would have been here for longer.
+        let part = match self.refused.get() {
+            true => 1.0,
+            false => self.since.elapsed().as_secs_f64() / REPORT_EVERY.as_secs_f64(),
+        };
         let mut lately = self.core.lately.borrow_mut();
         *lately.entry(model.clone()).or_default() += part.min(1.0);
     }
@@ -235,6 +247,7 @@
             core: self,
             model: need.model.clone(),
             since: Instant::now(),
+            refused: Cell::new(false),
         }
     }
 
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -266,11 +266,15 @@
     }
 
     async fn run(&mut self, writer: &mut ClientWriter) -> AfterAnswer {
-        let _busy = self.core.track(&self.need);
+        let core = self.core;
+        let mark = core.track(&self.need);
         loop {
             let replica = match self.place().await {
                 Ok(replica) => replica,
-                Err(refusal) => return self.give_up(refusal, writer).await,
+                Err(refusal) => {
+                    mark.refuse();
+                    return self.give_up(refusal, writer).await;
+                }
             };
             let tried = self.try_at(&replica, writer).await;
             self.passed.insert(replica);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod duties;
 pub mod entries;
 pub mod fleet;
+pub mod fleet_plan;
 pub mod flight;
 pub mod gate;
 pub mod ids;
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -44,21 +44,10 @@
     policy: &PlacePolicy,
     demand: &DemandBook,
     wall_ms: u64,
-) -> Vec<PlaceMove> {
-    let wanted = packing::resident_set(&state.site, state.table.models());
-    plan_resident(state, &wanted, policy, demand, wall_ms)
-}
-
-/// Plans as [`plan`] does, for the models that must be resident.
-pub fn plan_resident<'a>(
-    state: &'a SiteState,
-    wanted: &BTreeSet<&'a ModelName>,
-    policy: &PlacePolicy,
-    demand: &DemandBook,
-    wall_ms: u64,
 ) -> Vec<PlaceMove> {
     let mut board = PlaceBoard::new(state);
     let mut moves = Vec::new();
+    let wanted = packing::resident_set(&state.site, state.table.models());
     // Bases come before the adapters that need them, large ones before small:
     // they are the hardest to place.
     let mut ordered: Vec<&ModelName> = wanted.iter().copied().collect();
@@ -73,12 +62,12 @@
         .filter(|model| board.homes(model) == 0)
         .collect();
     for model in &homeless {
-        board.add_home(model, wanted, &mut moves);
+        board.add_home(model, &wanted, &mut moves);
     }
     // A spare home must not take the room that is being made for a first one,
     // nor that for a home which relieves more than a spare is worth.
     let claimed = !homeless.is_empty()
-        || policy.by_demand && board.follow_demand(policy, demand, &ordered, wanted, &mut moves);
+        || policy.by_demand && board.follow_demand(policy, demand, &ordered, &wanted, &mut moves);
     if !claimed {
         for model in &ordered {
             if board.homes(model) < policy.spread {
