Requests go only where their answer is likely to begin in time; a stopping entry refuses what waits

Cause: a replica that reads prompts without pause gives each run a token a step of over 100 ms, so accepted requests ran out of time and slowed all others. The entry learns each replica's time to a first event by token read before, and counts what is as urgent or more.

--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -58,6 +58,10 @@
     pub prefix: Option<u64>,
     /// Tokens of the prompt and the answer.
     pub tokens: u64,
+    /// Urgency, 0 to 9; 0 goes first.
+    pub urgency: usize,
+    /// Time within which the answer should begin, in milliseconds.
+    pub limit_ms: u64,
 }
 
 /// The choice.
@@ -135,6 +139,11 @@
     /// Own requests whose answer has begun.
     running: u32,
     tokens: u64,
+    /// Tokens of own requests that wait, by urgency.
+    waiting_tokens: [u64; URGENCIES],
+    /// Milliseconds until an answer begins, for each token that is read before;
+    /// none until the first answer.
+    pace_ms: Option<f64>,
     told: Told,
     slots: u32,
     failing: f64,
@@ -145,6 +154,12 @@
     prefixes: VecDeque<u64>,
 }
 
+/// Degrees of urgency.
+const URGENCIES: usize = 10;
+/// Weight of the newest answer in a replica's pace.
+const PACE_STEP: f64 = 0.2;
+/// Part of the time limit that the predicted beginning may take.
+const PACE_PART: f64 = 0.9;
 /// Shared starts remembered for each replica.
 const MAX_PREFIXES: usize = 256;
 /// Weight of the newest outcome in the failure rate.
@@ -164,6 +179,8 @@
             waiting: 0,
             running: 0,
             tokens: 0,
+            waiting_tokens: [0; URGENCIES],
+            pace_ms: None,
             told: Told::default(),
             failing: 0.0,
             ejected_until_ms: 0,
@@ -174,6 +191,29 @@
         }
     }
 
+    fn stop_waiting(&mut self, need: &Need) {
+        let tokens = &mut self.waiting_tokens[need.urgency.min(URGENCIES - 1)];
+        *tokens = tokens.saturating_sub(need.tokens);
+        self.waiting = self.waiting.saturating_sub(1);
+    }
+
+    /// Tokens that are read before the answer to a request can begin, its own
+    /// among them.
+    fn ahead(&self, need: &Need, now_ms: u64, fade_ms: u64) -> u64 {
+        let urgency = need.urgency.min(URGENCIES - 1);
+        let own: u64 = self.waiting_tokens[..=urgency].iter().sum();
+        let others = self.told.others_waiting * self.fade(now_ms, fade_ms);
+        own + need.tokens + (others * need.tokens as f64) as u64
+    }
+
+    /// Whether an answer is likely to begin in time.
+    fn is_quick(&self, need: &Need, now_ms: u64, fade_ms: u64) -> bool {
+        let ahead = self.ahead(need, now_ms, fade_ms);
+        let idle = self.waiting == 0;
+        let predicted_ms = self.pace_ms.unwrap_or(0.0) * ahead as f64;
+        idle || need.model.is_none() || predicted_ms <= need.limit_ms as f64 * PACE_PART
+    }
+
     fn adapters(&self) -> usize {
         self.record.models.values().map(BTreeSet::len).sum()
     }
@@ -323,7 +363,9 @@
     fn has_room(&self, note: &ReplicaNote, need: &Need, now_ms: u64, memory: u64) -> bool {
         let (waiting, running) = note.loads(now_ms, self.policy.fade_ms);
         let fits = memory == 0 || note.tokens + need.tokens <= memory || note.tokens == 0;
-        fits && note.full_until_ms <= now_ms && waiting + running < f64::from(note.slots)
+        let quick = note.is_quick(need, now_ms, self.policy.fade_ms);
+        let room = waiting + running < f64::from(note.slots);
+        fits && quick && room && note.full_until_ms <= now_ms
     }
 
     fn cost(&self, note: &ReplicaNote, need: &Need, now_ms: u64) -> f64 {
@@ -336,11 +378,15 @@
         waiting + running * policy.running_cost + hall + note.failing * policy.failure_cost - gain
     }
 
-    /// A request goes to a replica.
-    pub fn start(&mut self, id: &ReplicaId, need: &Need) {
+    /// A request goes to a replica. Returns the tokens that are read before its
+    /// answer can begin.
+    pub fn start(&mut self, now_ms: u64, id: &ReplicaId, need: &Need) -> u64 {
+        let fade_ms = self.policy.fade_ms;
         let Some(note) = self.notes.get_mut(id) else {
-            return;
+            return 0;
         };
+        let ahead = note.ahead(need, now_ms, fade_ms);
+        note.waiting_tokens[need.urgency.min(URGENCIES - 1)] += need.tokens;
         note.waiting += 1;
         note.tokens += need.tokens;
         if let Some(prefix) = need.prefix {
@@ -350,13 +396,19 @@
                 note.prefixes.pop_front();
             }
         }
+        ahead
     }
 
-    /// The answer to a request begins.
-    pub fn begin(&mut self, id: &ReplicaId) {
+    /// The answer to a request begins, `took_ms` after it was sent.
+    pub fn begin(&mut self, id: &ReplicaId, need: &Need, ahead: u64, took_ms: f64) {
         if let Some(note) = self.notes.get_mut(id) {
-            note.waiting = note.waiting.saturating_sub(1);
+            note.stop_waiting(need);
             note.running += 1;
+            if ahead > 0 {
+                let pace_ms = took_ms / ahead as f64;
+                let known_ms = note.pace_ms.unwrap_or(pace_ms);
+                note.pace_ms = Some(known_ms + (pace_ms - known_ms) * PACE_STEP);
+            }
         }
     }
 
@@ -379,8 +431,10 @@
         let Some(note) = self.notes.get_mut(id) else {
             return;
         };
-        let count = if begun { &mut note.running } else { &mut note.waiting };
-        *count = count.saturating_sub(1);
+        match begun {
+            true => note.running = note.running.saturating_sub(1),
+            false => note.stop_waiting(need),
+        }
         note.tokens = note.tokens.saturating_sub(need.tokens);
         match end {
             TryEnd::Good => {
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -180,12 +180,17 @@
     need: Need,
     begun: bool,
     end: TryEnd,
+    since: Instant,
+    /// Tokens that had to be read before its answer could begin.
+    ahead: u64,
 }
 
 impl<'a> TryGuard<'a> {
     fn start(core: &'a EntryCore, replica: &ReplicaId, need: &Need) -> Self {
-        core.book.borrow_mut().start(replica, need);
+        let ahead = core.book.borrow_mut().start(crate::clock::monotonic_ms(), replica, need);
         Self {
+            since: Instant::now(),
+            ahead,
             core,
             replica: replica.clone(),
             need: need.clone(),
@@ -197,7 +202,9 @@
     fn begin(&mut self) {
         if !self.begun {
             self.begun = true;
-            self.core.book.borrow_mut().begin(&self.replica);
+            let took_ms = self.since.elapsed().as_secs_f64() * 1000.0;
+            let mut book = self.core.book.borrow_mut();
+            book.begin(&self.replica, &self.need, self.ahead, took_ms);
         }
     }
 }
@@ -231,7 +238,9 @@
         let asked = head::find(headers, core.names.deadline_ms);
         let asked_ms = asked.and_then(|text| text.trim().parse::<u64>().ok());
         let limit_ms = asked_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
-        let need = need(core, headers, service.clone());
+        let mut need = need(core, headers, service.clone());
+        need.urgency = route.priority.min(9) as usize;
+        need.limit_ms = route.aim_ms.min(limit_ms);
         let spec = service.as_ref().and_then(|s| routing.configuration.services.get(s));
         let engine = spec.and_then(|spec| spec.engine.as_ref());
         if let Some(service) = &service {
@@ -385,7 +394,8 @@
                 }
                 Choice::Absent => (Refusal::Absent, Duration::ZERO),
             };
-            if waited >= limit {
+            // A stopping entry would end before what the request waits for.
+            if waited >= limit || self.core.is_stopping() {
                 return Err(refusal);
             }
             let pause = LOOK_AGAIN.min(limit - waited);
@@ -704,6 +714,7 @@
         adapter,
         prefix,
         tokens: tokens.sum(),
+        ..Need::default()
     }
 }
 
