--- a/src/adapters.rs
+++ b/src/adapters.rs
@@ -79,7 +79,10 @@
             model: wish.model.clone(),
             adapter: wish.adapter.clone(),
         };
-        let busy = self.busy_ms.get(&record.id).is_some_and(|until_ms| *until_ms > now_ms);
+        let busy = self
+            .busy_ms
+            .get(&record.id)
+            .is_some_and(|until_ms| *until_ms > now_ms);
         match self.pending.get(&place) {
             Some(order) if order.kind == OrderKind::Load => return WishAnswer::Known,
             Some(_) => return WishAnswer::Refused,
@@ -137,7 +140,8 @@
             let done = order.kind == OrderKind::Load && shows && order.until_ms.is_some();
             record.is_some() && !over && !done
         });
-        self.used_ms.retain(|place, _| records.contains_key(&place.replica));
+        self.used_ms
+            .retain(|place, _| records.contains_key(&place.replica));
         self.busy_ms.retain(|_, until_ms| *until_ms > now_ms);
     }
 
@@ -150,8 +154,12 @@
     }
 
     fn coming(&self, id: &ReplicaId) -> usize {
-        let here = self.pending.iter().filter(|(place, _)| place.replica == *id);
-        here.filter(|(_, order)| order.kind == OrderKind::Load).count()
+        let here = self
+            .pending
+            .iter()
+            .filter(|(place, _)| place.replica == *id);
+        here.filter(|(_, order)| order.kind == OrderKind::Load)
+            .count()
     }
 
     /// Places that are taken, by whatever order may still be carried out.
--- a/src/controld.rs
+++ b/src/controld.rs
@@ -13,10 +13,10 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::claims::{ClaimKey, ClaimRecord};
+use crate::configuration::ConfigurationRecord;
 use crate::control::{ControlEvent, ControlHandle, ControlLoop, OpenPeer, PeerOutbox};
 use crate::daemon::{self, DaemonError};
 use crate::duties::{AgentBeat, EntryBeat};
-use crate::configuration::ConfigurationRecord;
 use crate::fleet::{AdapterWish, EngineOrder, EntryReport};
 use crate::ids::{HostName, NodeId, Position, ReplicaId};
 use crate::metrics::{MetricBook, MetricKey};
@@ -190,9 +190,8 @@
     loop {
         tokio::time::sleep(POLL).await;
         let status = status(&handle).await;
-        let settled = |status: &ControlStatus| {
-            status.voters.contains(&node) && status.leader.is_some()
-        };
+        let settled =
+            |status: &ControlStatus| status.voters.contains(&node) && status.leader.is_some();
         if status.as_ref().is_some_and(settled) {
             continue;
         }
@@ -323,7 +322,9 @@
     }
 
     async fn report(self, _: Context, report: EntryReport) -> Result<u32, ControlRefusal> {
-        self.0.ask(|answer| ControlEvent::Report(report, answer)).await
+        self.0
+            .ask(|answer| ControlEvent::Report(report, answer))
+            .await
     }
 
     async fn wish(self, _: Context, wish: AdapterWish) -> Result<bool, ControlRefusal> {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -263,7 +263,9 @@
     /// Waits for the next; returns whether a signal asked for it.
     pub async fn next(&mut self) -> bool {
         match &mut self.hangup {
-            Some(hangup) => tokio::time::timeout(self.every, hangup.recv()).await.is_ok(),
+            Some(hangup) => tokio::time::timeout(self.every, hangup.recv())
+                .await
+                .is_ok(),
             None => {
                 tokio::time::sleep(self.every).await;
                 false
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -112,14 +112,11 @@
     }
 
     /// What a heartbeat says, corrected by the orders that it may not know of.
-    fn merge(
-        &self,
-        known: &ReplicaRecord,
-        record: &ReplicaRecord,
-        clock_ms: u64,
-    ) -> ReplicaRecord {
+    fn merge(&self, known: &ReplicaRecord, record: &ReplicaRecord, clock_ms: u64) -> ReplicaRecord {
         let mut merged = record.clone();
-        merged.models.retain(|model, _| !self.is_leaving(&record.id, model));
+        merged
+            .models
+            .retain(|model, _| !self.is_leaving(&record.id, model));
         let ordered_ms = self.ordered_ms.get(&record.id);
         let fresh = ordered_ms.is_some_and(|at_ms| at_ms + ORDER_FRESH_MS > clock_ms);
         if fresh {
@@ -147,7 +144,8 @@
             Some(known) => self.merge(known, record, clock_ms),
             None => record.clone(),
         };
-        let same = |other: &&ReplicaRecord| other.address == record.address && other.id != record.id;
+        let same =
+            |other: &&ReplicaRecord| other.address == record.address && other.id != record.id;
         let replaced = self.records.values().filter(same);
         let replaced: Vec<ReplicaId> = replaced.map(|other| other.id.clone()).collect();
         for id in &replaced {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -128,6 +128,8 @@
 struct PendingOrder {
     kind: OrderKind,
     model: ModelName,
+    /// The model that an unload makes room for.
+    for_model: Option<ModelName>,
     since_ms: u64,
     /// When it is to be sent; none while an answer or its effect is awaited.
     send_ms: Option<u64>,
@@ -250,11 +252,17 @@
             WishAnswer::Refused => (false, None),
             WishAnswer::Load => {
                 let adapter = Some(wish.adapter.as_str());
-                (true, Some(self.order(record, OrderKind::Load, &wish.model, adapter)))
+                (
+                    true,
+                    Some(self.order(record, OrderKind::Load, &wish.model, adapter)),
+                )
             }
             WishAnswer::Evict(place) => {
                 let adapter = Some(place.adapter.as_str());
-                (true, Some(self.order(record, OrderKind::Unload, &place.model, adapter)))
+                (
+                    true,
+                    Some(self.order(record, OrderKind::Unload, &place.model, adapter)),
+                )
             }
         }
     }
@@ -361,7 +369,8 @@
             return;
         }
         self.sampled_ms = now_ms;
-        self.entries.retain(|_, note| note.heard_ms + ENTRY_MS > now_ms);
+        self.entries
+            .retain(|_, note| note.heard_ms + ENTRY_MS > now_ms);
         let mut sum: BTreeMap<ModelName, f64> = BTreeMap::new();
         for note in self.entries.values() {
             for (model, busy) in &note.busy {
@@ -398,6 +407,7 @@
                 let order = PendingOrder {
                     kind,
                     model: model.clone(),
+                    for_model: None,
                     since_ms: now_ms,
                     send_ms: Some(now_ms),
                 };
@@ -493,10 +503,8 @@
     ) -> PlanReplica {
         let adapter_mb = engine.models.values().map(|model| model.adapter_mb).max();
         let adapters_mb = adapter_mb.unwrap_or(0) * u64::from(engine.adapter_slots);
-        let mut coming: BTreeSet<ModelName> =
-            state.replicas.loading(&record.id).cloned().collect();
-        let mut going: BTreeSet<ModelName> =
-            state.replicas.leaving(&record.id).cloned().collect();
+        let mut coming: BTreeSet<ModelName> = state.replicas.loading(&record.id).cloned().collect();
+        let mut going: BTreeSet<ModelName> = state.replicas.leaving(&record.id).cloned().collect();
         let mut held: BTreeSet<ModelName> = record.models.keys().cloned().collect();
         match self.pending.get(&record.id) {
             Some(order) if order.kind == OrderKind::Load => {
@@ -508,16 +516,28 @@
             }
             None => {}
         }
+        let promised = self.pending.get(&record.id);
+        let promised = promised.and_then(|order| order.for_model.clone());
         let weight = |model: &ModelName| engine.models.get(model).map_or(0, |m| m.weights_mb);
         // What may be there, by whatever order is carried out or not.
         let taken: BTreeSet<&ModelName> = held.iter().chain(&coming).chain(&going).collect();
         let taken_mb: u64 = taken.into_iter().map(weight).sum();
+        coming.extend(promised);
         let load_ms = |name: &ModelName, memory: bool| {
             let model = engine.models.get(name)?;
-            Some((name.clone(), if memory { model.warm_ms } else { model.disk_ms }?))
+            Some((
+                name.clone(),
+                if memory { model.warm_ms } else { model.disk_ms }?,
+            ))
         };
-        let disk = record.on_disk.iter().filter_map(|name| load_ms(name, false));
-        let memory = record.in_memory.iter().filter_map(|name| load_ms(name, true));
+        let disk = record
+            .on_disk
+            .iter()
+            .filter_map(|name| load_ms(name, false));
+        let memory = record
+            .in_memory
+            .iter()
+            .filter_map(|name| load_ms(name, true));
         let stays = record.phase == ReplicaPhase::Ready;
         if !stays {
             held.clear();
@@ -544,6 +564,7 @@
         let pending = PendingOrder {
             kind: step.kind,
             model: step.model.clone(),
+            for_model: step.for_model,
             since_ms: now_ms,
             send_ms: Some(now_ms),
         };
--- a/src/fleet_plan.rs
+++ b/src/fleet_plan.rs
@@ -65,6 +65,8 @@
     pub kind: OrderKind,
     /// The load comes from the weight store.
     pub from_store: bool,
+    /// The model that an unload makes room for.
+    pub for_model: Option<ModelName>,
 }
 
 /// What a model costs with so many homes.
@@ -170,28 +172,36 @@
             .map(|replica| &replica.hall)
             .collect();
         let spec = self.models.get(model)?;
-        let offers = self.replicas.iter().enumerate().filter_map(|(number, replica)| {
-            let there = replica.held.contains(model) || replica.coming.contains(model);
-            if there || !replica.open {
-                return None;
-            }
-            let load_ms = match replica.at_hand.get(model) {
-                Some(load_ms) => *load_ms,
-                None if store => spec.load_ms,
-                None => return None,
-            };
-            let (victim, loss) = self.room(replica, spec.weights_mb)?;
-            let spread = if halls.contains(&replica.hall) { 0.0 } else { HALL_WORTH };
-            let worth = gain - loss + spread - self.load(replica) * LOAD_WEIGHT;
-            let price = self.price * if victim.is_some() { 2.0 } else { 1.0 };
-            let rank = worth / ((load_ms as f64 + MOVE_MS) / MOVE_MS);
-            (gain - loss > price).then(|| Offer {
-                rank,
-                replica: number,
-                model: model.clone(),
-                victim,
-            })
-        });
+        let offers = self
+            .replicas
+            .iter()
+            .enumerate()
+            .filter_map(|(number, replica)| {
+                let there = replica.held.contains(model) || replica.coming.contains(model);
+                if there || !replica.open {
+                    return None;
+                }
+                let load_ms = match replica.at_hand.get(model) {
+                    Some(load_ms) => *load_ms,
+                    None if store => spec.load_ms,
+                    None => return None,
+                };
+                let (victim, loss) = self.room(replica, spec.weights_mb)?;
+                let spread = if halls.contains(&replica.hall) {
+                    0.0
+                } else {
+                    HALL_WORTH
+                };
+                let worth = gain - loss + spread - self.load(replica) * LOAD_WEIGHT;
+                let price = self.price * if victim.is_some() { 2.0 } else { 1.0 };
+                let rank = worth / ((load_ms as f64 + MOVE_MS) / MOVE_MS);
+                (gain - loss > price).then(|| Offer {
+                    rank,
+                    replica: number,
+                    model: model.clone(),
+                    victim,
+                })
+            });
         offers.max_by(|a, b| a.rank.total_cmp(&b.rank))
     }
 
@@ -202,7 +212,11 @@
         }
         let weight = |model: &ModelName| self.models.get(model).map_or(0, |m| m.weights_mb);
         let enough = |model: &&ModelName| replica.free_mb + weight(model) >= need_mb;
-        let losses = replica.held.iter().filter(enough).map(|model| (self.loss(model), model));
+        let losses = replica
+            .held
+            .iter()
+            .filter(enough)
+            .map(|model| (self.loss(model), model));
         let least = losses.min_by(|a, b| a.0.total_cmp(&b.0))?;
         Some((Some(least.1.clone()), least.0))
     }
@@ -216,12 +230,13 @@
                 // The room is spoken for, though the load itself comes later.
                 replica.coming.insert(offer.model.clone());
                 *self.homes.entry(victim.clone()).or_default() -= 1;
-                *self.homes.entry(offer.model).or_default() += 1;
+                *self.homes.entry(offer.model.clone()).or_default() += 1;
                 PlanStep {
                     replica: replica.id.clone(),
                     model: victim,
                     kind: OrderKind::Unload,
                     from_store: false,
+                    for_model: Some(offer.model),
                 }
             }
             None => {
@@ -234,6 +249,7 @@
                     from_store: !replica.at_hand.contains_key(&offer.model),
                     model: offer.model,
                     kind: OrderKind::Load,
+                    for_model: None,
                 }
             }
         }
--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -372,7 +372,9 @@
         let policy = &self.policy;
         let (waiting, running) = note.loads(now_ms, policy.fade_ms);
         let away = self.hall.as_ref() != Some(&note.record.hall);
-        let warm = need.prefix.is_some_and(|prefix| note.prefixes.contains(&prefix));
+        let warm = need
+            .prefix
+            .is_some_and(|prefix| note.prefixes.contains(&prefix));
         let hall = if away { policy.hall_cost } else { 0.0 };
         let gain = if warm { policy.prefix_gain } else { 0.0 };
         waiting + running * policy.running_cost + hall + note.failing * policy.failure_cost - gain
--- a/src/forward/chunked.rs
+++ b/src/forward/chunked.rs
@@ -98,7 +98,9 @@
 
 fn chunk_size(text: &[u8]) -> Result<u64, ChunkError> {
     let digits = text.split(|byte| *byte == b';').next().unwrap_or_default();
-    let digits = std::str::from_utf8(digits).map_err(|_| ChunkError)?.trim_end();
+    let digits = std::str::from_utf8(digits)
+        .map_err(|_| ChunkError)?
+        .trim_end();
     let plain = (1..=15).contains(&digits.len()) && digits.bytes().all(|b| b.is_ascii_hexdigit());
     match plain {
         true => u64::from_str_radix(digits, 16).map_err(|_| ChunkError),
--- a/src/forward/client.rs
+++ b/src/forward/client.rs
@@ -265,6 +265,8 @@
     let limit = Duration::from_millis(limits.idle_ms);
     let body = reader.read_body(head.framing, limits);
     let late = ReadError::Refused(408, "the body took too long");
-    let body = tokio::time::timeout(limit, body).await.map_err(|_| late)??;
+    let body = tokio::time::timeout(limit, body)
+        .await
+        .map_err(|_| late)??;
     Ok(ClientRequest { head, body, since })
 }
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -301,7 +301,9 @@
 
     fn version(&self) -> u64 {
         let routing = self.routing.borrow();
-        routing.as_ref().map_or(0, |routing| routing.configuration.version)
+        routing
+            .as_ref()
+            .map_or(0, |routing| routing.configuration.version)
     }
 
     /// Takes over what the log holds.
@@ -461,7 +463,10 @@
     pub fn end(&self, core: &EntryCore) {
         let (outcome, status, reason) = self.end;
         let took = self.since.elapsed();
-        let labels = [("service", self.service.as_str()), ("outcome", outcome.name())];
+        let labels = [
+            ("service", self.service.as_str()),
+            ("outcome", outcome.name()),
+        ];
         let mut metrics = core.metrics.lock().unwrap_or_else(|b| b.into_inner());
         metrics.count(MetricKey::new("dunlinspring_requests_total", &labels), 1);
         let micros = |time: Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
@@ -531,6 +536,8 @@
 
 /// A running entry.
 pub struct ForwardDaemon {
+    /// Where clients reach it.
+    pub address: SocketAddr,
     core: Rc<EntryCore>,
 }
 
@@ -547,6 +554,7 @@
             address: settings.clients.to_string(),
             source,
         })?;
+        let address = daemon::address_of("clients", &listener)?;
         let control: Vec<String> = settings.control.iter().map(ToString::to_string).collect();
         let link = Arc::new(ControlLink::new(secret, control.clone()));
         let follower = Arc::new(ControlFollower::new(link));
@@ -578,8 +586,8 @@
         daemon::spawn_local(report(core.clone()));
         daemon::spawn_local(prune(core.clone()));
         daemon::spawn_local(accept(core.clone(), listener));
-        tracing::info!(clients = %core.settings.clients, "entry started");
-        Ok(Self { core })
+        tracing::info!(clients = %address, "entry started");
+        Ok(Self { address, core })
     }
 
     /// Watches further control hosts, after a change of the settings.
@@ -709,4 +717,3 @@
         pool.prune(|id| book.record(id).is_some());
     }
 }
-
--- a/src/forward/head.rs
+++ b/src/forward/head.rs
@@ -88,7 +88,9 @@
 
 /// Whether a comma-separated header names a token.
 pub fn names_token(headers: &[Header], name: &str, token: &str) -> bool {
-    let same = headers.iter().filter(|(other, _)| other.eq_ignore_ascii_case(name));
+    let same = headers
+        .iter()
+        .filter(|(other, _)| other.eq_ignore_ascii_case(name));
     same.flat_map(|(_, value)| value.split(','))
         .any(|part| part.trim().eq_ignore_ascii_case(token))
 }
@@ -106,7 +108,9 @@
     let headers = copy_headers(request.headers)?;
     let is_http11 = request.version == Some(1);
     let framing = request_framing(&headers, is_http11)?;
-    let hosts = headers.iter().filter(|(name, _)| name.eq_ignore_ascii_case("host"));
+    let hosts = headers
+        .iter()
+        .filter(|(name, _)| name.eq_ignore_ascii_case("host"));
     let target = request.path.unwrap_or_default();
     if hosts.count() != 1 || !target.starts_with('/') {
         return Err(HeadError::Malformed);
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -119,7 +119,9 @@
 /// Whether the connection ends after this request.
 fn closes(core: &EntryCore, request: &ClientRequest) -> bool {
     let headers = &request.head.headers;
-    !request.head.is_http11 || head::names_token(headers, "connection", "close") || core.is_stopping()
+    !request.head.is_http11
+        || head::names_token(headers, "connection", "close")
+        || core.is_stopping()
 }
 
 /// An answer of this system's own.
@@ -187,7 +189,10 @@
 
 impl<'a> TryGuard<'a> {
     fn start(core: &'a EntryCore, replica: &ReplicaId, need: &Need) -> Self {
-        let ahead = core.book.borrow_mut().start(crate::clock::monotonic_ms(), replica, need);
+        let ahead = core
+            .book
+            .borrow_mut()
+            .start(crate::clock::monotonic_ms(), replica, need);
         Self {
             since: Instant::now(),
             ahead,
@@ -233,7 +238,9 @@
         route: &'a RouteSpec,
     ) -> Self {
         let headers = &request.head.headers;
-        let id = head::find(headers, core.names.request_id).unwrap_or_default().to_owned();
+        let id = head::find(headers, core.names.request_id)
+            .unwrap_or_default()
+            .to_owned();
         let service = route.pick(draw(&id)).cloned();
         let asked = head::find(headers, core.names.deadline_ms);
         let asked_ms = asked.and_then(|text| text.trim().parse::<u64>().ok());
@@ -241,7 +248,9 @@
         let mut need = need(core, headers, service.clone());
         need.urgency = route.priority.min(9) as usize;
         need.limit_ms = route.aim_ms.min(limit_ms);
-        let spec = service.as_ref().and_then(|s| routing.configuration.services.get(s));
+        let spec = service
+            .as_ref()
+            .and_then(|s| routing.configuration.services.get(s));
         let engine = spec.and_then(|spec| spec.engine.as_ref());
         if let Some(service) = &service {
             core.budget.borrow_mut().earn(service);
@@ -340,7 +349,11 @@
             (_, false) => (502, "the replica failed; it may have run"),
         };
         let retry = (status == 503).then(|| self.come_back(refusal));
-        let outcome = if status == 503 { Outcome::Refused } else { Outcome::Unknown };
+        let outcome = if status == 503 {
+            Outcome::Refused
+        } else {
+            Outcome::Unknown
+        };
         self.log.ends(outcome, status, reason);
         let close = closes(self.core, self.request);
         let bytes = own_answer(self.core, status, reason, Some(&self.id), retry, close);
@@ -389,9 +402,7 @@
                     (Refusal::Adapter, self.aim().min(self.left() / 2))
                 }
                 Choice::Full => (Refusal::Full, self.aim() / WAIT_PART),
-                Choice::Absent if self.load_time() < self.left() => {
-                    (Refusal::Absent, self.left())
-                }
+                Choice::Absent if self.load_time() < self.left() => (Refusal::Absent, self.left()),
                 Choice::Absent => (Refusal::Absent, Duration::ZERO),
             };
             // A stopping entry would end before what the request waits for.
@@ -414,7 +425,11 @@
 
     async fn try_at(&mut self, replica: &ReplicaId, writer: &mut ClientWriter) -> Tried {
         let core = self.core;
-        let address = core.book.borrow().record(replica).map(|record| record.address);
+        let address = core
+            .book
+            .borrow()
+            .record(replica)
+            .map(|record| record.address);
         let Some(address) = address else {
             return Tried::Unsent;
         };
@@ -448,9 +463,7 @@
         let sent = Exchange::send(connection, &outgoing);
         let sent = tokio::time::timeout(self.try_limit(), sent).await;
         match sent {
-            Ok(Ok((exchange, head))) => {
-                self.take_answer(exchange, head, &mut guard, writer).await
-            }
+            Ok(Ok((exchange, head))) => self.take_answer(exchange, head, &mut guard, writer).await,
             Ok(Err(error)) => {
                 guard.end = TryEnd::Failed;
                 self.log.failed(&error);
@@ -516,7 +529,11 @@
             true => TryEnd::Neutral,
             false => TryEnd::Full,
         };
-        self.log.note(if misplaced { "misplaced" } else { "refused by the replica" });
+        self.log.note(if misplaced {
+            "misplaced"
+        } else {
+            "refused by the replica"
+        });
         keep(self.core, &guard.replica, exchange).await;
         match misplaced {
             true => {
@@ -558,7 +575,11 @@
                 return Tried::Unknown;
             }
         }
-        guard.end = if head.status < 500 { TryEnd::Good } else { TryEnd::Failed };
+        guard.end = if head.status < 500 {
+            TryEnd::Good
+        } else {
+            TryEnd::Failed
+        };
         put_back(self.core, &guard.replica, exchange);
         let close = closes(self.core, self.request);
         let length = body.len().to_string();
@@ -659,7 +680,12 @@
         let names = &self.core.names;
         let head = &self.request.head;
         let mut text = format!("{} {} HTTP/1.1\r\n", head.method, head.target);
-        let mut drop = vec![names.deadline_ms, names.expect_replica, names.priority, "expect"];
+        let mut drop = vec![
+            names.deadline_ms,
+            names.expect_replica,
+            names.priority,
+            "expect",
+        ];
         drop.extend_from_slice(names.reserved);
         let resumed = self.cutter.last_id();
         if resumed.is_some() {
@@ -678,7 +704,8 @@
         if let Some(id) = resumed {
             head::push_header(&mut text, names.last_event, id);
         }
-        let bare = head.framing == Framing::Length(0) && matches!(head.method.as_str(), "GET" | "HEAD");
+        let bare =
+            head.framing == Framing::Length(0) && matches!(head.method.as_str(), "GET" | "HEAD");
         if !bare {
             let length = self.request.body.len().to_string();
             head::push_header(&mut text, "Content-Length", &length);
@@ -700,12 +727,18 @@
         None => (None, None),
     };
     let tokens = head::find(headers, names.tokens).unwrap_or_default();
-    let tokens = tokens.split(',').filter_map(|part| part.trim().parse::<u64>().ok());
+    let tokens = tokens
+        .split(',')
+        .filter_map(|part| part.trim().parse::<u64>().ok());
     let parts = head::find(headers, names.prefix).unwrap_or_default();
     // The last part belongs to the request alone.
     let shared = parts.rsplit_once(',').map(|(shared, _)| shared);
     let prefix = shared.map(|shared| {
-        let text = format!("{}/{}/{shared}", model.unwrap_or_default(), adapter.as_deref().unwrap_or_default());
+        let text = format!(
+            "{}/{}/{shared}",
+            model.unwrap_or_default(),
+            adapter.as_deref().unwrap_or_default()
+        );
         draw(&text)
     });
     Need {
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -269,7 +269,9 @@
             BodyState::Done => Ok(None),
             BodyState::Close => Ok(Some(std::mem::take(buffer))),
             BodyState::Length(left) => {
-                let len = buffer.len().min(usize::try_from(*left).unwrap_or(usize::MAX));
+                let len = buffer
+                    .len()
+                    .min(usize::try_from(*left).unwrap_or(usize::MAX));
                 let rest = buffer.split_off(len);
                 let bytes = std::mem::replace(buffer, rest);
                 *left -= len as u64;
--- a/src/orderer.rs
+++ b/src/orderer.rs
@@ -78,7 +78,11 @@
 ) {
     let counts: RefCell<BTreeMap<ReplicaId, OrderCount>> = RefCell::default();
     while let Some(order) = orders.recv().await {
-        let count = counts.borrow_mut().entry(order.replica.clone()).or_default().clone();
+        let count = counts
+            .borrow_mut()
+            .entry(order.replica.clone())
+            .or_default()
+            .clone();
         let handle = handle.clone();
         daemon::spawn_local(async move {
             let mut count = count.lock().await;
@@ -157,10 +161,7 @@
 }
 
 /// One call on a connection of its own.
-async fn exchange(
-    address: SocketAddr,
-    call: &EngineCall,
-) -> Result<(u16, Vec<u8>), ExchangeError> {
+async fn exchange(address: SocketAddr, call: &EngineCall) -> Result<(u16, Vec<u8>), ExchangeError> {
     let late = || ExchangeError::Closed { peer: address };
     let called = tokio::time::timeout(CALL_TIME, exchange_in_time(address, call)).await;
     called.map_err(|_| late())?
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -160,16 +160,17 @@
             if let Err(ControlRefusal::NotLeader(Some(leader))) = self.handle.ask(own).await {
                 let context = peers::within(LEADER_TIME);
                 let ids = ids.clone();
-                let call = |client: ControlWireClient| async move {
-                    client.heard(context, ids).await
-                };
+                let call =
+                    |client: ControlWireClient| async move { client.heard(context, ids).await };
                 let _ = self.link.call_at(&leader, "heard", call).await;
             }
         }
     }
 
     fn heard(&self) -> std::sync::MutexGuard<'_, BTreeSet<ReplicaId>> {
-        self.heard.lock().unwrap_or_else(|broken| broken.into_inner())
+        self.heard
+            .lock()
+            .unwrap_or_else(|broken| broken.into_inner())
     }
 
     async fn compare(&self, record: &ReplicaRecord) -> Result<BeatNews, RegistryError> {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -390,9 +390,7 @@
         let own = named.filter(|voter| voter.host == self.common.host).count();
         let duties = &self.duties;
         match self {
-            _ if own != 1 && !self.open_membership => {
-                wrong("control", "must name this host once")
-            }
+            _ if own != 1 && !self.open_membership => wrong("control", "must name this host once"),
             s if s.timing.heartbeat_ms == 0 || s.timing.election_ms < 3 * s.timing.heartbeat_ms => {
                 wrong("timing.election_ms", "must be at least 3 heartbeats")
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -268,7 +268,10 @@
             }
             Command::ReplicaAdapter(id, model, adapter, held) => {
                 let clock_ms = self.clock_ms;
-                if self.replicas.set_adapter(id, model, adapter, *held, clock_ms) {
+                if self
+                    .replicas
+                    .set_adapter(id, model, adapter, *held, clock_ms)
+                {
                     self.note_replica(id);
                 }
                 Reply::None
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,382 @@
+//! The leader's plan for replicas that register themselves: orders, adapters,
+//! and what the directory makes of heartbeats.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use dunlinspring::adapters::{AdapterOrders, AdapterPlace, WishAnswer};
+use dunlinspring::configuration::{
+    Configuration, ConfigurationRecord, EngineModel, EngineSpec, ServiceSpec,
+};
+use dunlinspring::directory::{BeatNews, ReplicaDirectory, ReplicaPhase, ReplicaRecord};
+use dunlinspring::fleet::{
+    AdapterWish, EngineOrder, EntryReport, FleetDuties, FleetPolicy, OrderKind, OrderOutcome,
+};
+use dunlinspring::fleet_plan::{PlanModel, PlanReplica, plan};
+use dunlinspring::ids::{HallName, HostName, ModelName, Position, ReplicaId, ServiceName, Term};
+use dunlinspring::state::{Command, SiteState, Stamped};
+
+fn record(id: &str, port: u16, models: &[&str]) -> ReplicaRecord {
+    let models = models
+        .iter()
+        .map(|model| (ModelName::from(*model), BTreeSet::new()));
+    ReplicaRecord {
+        id: ReplicaId::from(id),
+        service: ServiceName::from("llm"),
+        address: format!("127.0.0.1:{port}").parse().unwrap(),
+        hall: HallName::from("here"),
+        slots: 4,
+        phase: ReplicaPhase::Ready,
+        models: models.collect(),
+        in_memory: BTreeSet::new(),
+        on_disk: BTreeSet::new(),
+    }
+}
+
+/// A state that applies commands as they are proposed.
+struct World {
+    state: SiteState,
+    duties: FleetDuties,
+    orders: Vec<EngineOrder>,
+}
+
+fn engine(models: &[&str]) -> EngineSpec {
+    let spec = EngineModel {
+        weights_mb: 70,
+        load_ms: 9_000,
+        warm_ms: Some(800),
+        disk_ms: Some(2_000),
+        adapters: 4,
+        adapter_mb: 1,
+    };
+    EngineSpec {
+        slots: 4,
+        kv_tokens: 1_000,
+        weights_mb: 150,
+        adapter_slots: 2,
+        load_gap_ms: 700,
+        models: models
+            .iter()
+            .map(|name| (ModelName::from(*name), spec))
+            .collect(),
+    }
+}
+
+impl World {
+    fn new(models: &[&str]) -> Self {
+        let service = ServiceSpec {
+            max_connections: 10,
+            engine: Some(engine(models)),
+        };
+        let configuration = Configuration {
+            version: 1,
+            services: BTreeMap::from([(ServiceName::from("llm"), service)]),
+            ..Configuration::default()
+        };
+        let record = ConfigurationRecord {
+            configuration,
+            source: Vec::new(),
+        };
+        let mut world = Self {
+            state: SiteState::default(),
+            duties: leader(1, 0),
+            orders: Vec::new(),
+        };
+        world.apply(Command::Configure(Box::new(record)));
+        world
+    }
+
+    fn apply(&mut self, command: Command) {
+        let position = Position(self.state.position.0 + 1);
+        let stamped = Stamped { at_ms: 0, command };
+        self.state.apply(position, &stamped);
+    }
+
+    fn beat(&mut self, record: &ReplicaRecord) {
+        self.apply(Command::Replica(Box::new(record.clone())));
+    }
+
+    fn round(&mut self, now_ms: u64) {
+        let ids: Vec<ReplicaId> = self.state.replicas.records().keys().cloned().collect();
+        self.duties.on_heard(now_ms, &ids);
+        let actions = self.duties.round(&self.state, now_ms);
+        for command in actions.commands {
+            self.apply(command);
+        }
+        self.orders.extend(actions.orders);
+    }
+
+    fn rounds(&mut self, from_ms: u64, until_ms: u64) {
+        for now_ms in (from_ms..until_ms).step_by(100) {
+            self.round(now_ms);
+        }
+    }
+}
+
+fn leader(term: u64, now_ms: u64) -> FleetDuties {
+    FleetDuties::new(
+        FleetPolicy::default(),
+        HostName::from("c1"),
+        Term(term),
+        now_ms,
+    )
+}
+
+fn busy(model: &str, level: f64) -> EntryReport {
+    EntryReport {
+        host: "e1".to_owned(),
+        busy: BTreeMap::from([(ModelName::from(model), level)]),
+        adapters: BTreeSet::new(),
+    }
+}
+
+#[test]
+fn a_new_leader_waits_for_the_lease_of_the_one_before() {
+    let mut world = World::new(&["a"]);
+    world.beat(&record("r1", 1, &[]));
+    world.rounds(0, 3_000);
+    assert!(world.orders.is_empty());
+    world.rounds(3_000, 3_500);
+    assert_eq!(world.orders.len(), 1);
+    assert_eq!(world.orders[0].fence, Term(1));
+}
+
+#[test]
+fn room_that_a_predecessor_ordered_is_not_given_out_twice() {
+    // Room for two models: the first leader orders both, and dies unheard.
+    let mut world = World::new(&["a", "b", "c"]);
+    world.beat(&record("r1", 1, &[]));
+    world.rounds(3_000, 3_500);
+    let first = world.orders[0].clone();
+    world.duties = leader(2, 4_000);
+    world.orders.clear();
+    world.rounds(4_000, 9_000);
+    // The next one repeats that order, and orders no other into the same room.
+    let models: BTreeSet<&ModelName> = world.orders.iter().map(|order| &order.model).collect();
+    assert_eq!(models, BTreeSet::from([&first.model]));
+    world
+        .duties
+        .on_outcome(9_000, &world.orders[0].clone(), OrderOutcome::Held);
+    world.rounds(9_000, 12_000);
+    let loading = world.state.replicas.loading(&ReplicaId::from("r1")).count();
+    assert_eq!(loading, 1);
+}
+
+#[test]
+fn a_model_that_goes_takes_room_until_its_replica_says_that_it_is_gone() {
+    let mut world = World::new(&["a", "b", "c"]);
+    world.beat(&record("r1", 1, &["a", "b"]));
+    world.beat(&record("r2", 2, &["a", "b"]));
+    world.duties.on_report(3_000, busy("c", 1.0));
+    world.rounds(3_000, 3_600);
+    let order = world.orders[0].clone();
+    assert_eq!(order.kind, OrderKind::Unload);
+    world.duties.on_outcome(3_600, &order, OrderOutcome::Taken);
+    // A heartbeat from before still tells of it: no load yet, and no request.
+    let id = order.replica.clone();
+    world.beat(&record(
+        id.as_str(),
+        if id.as_str() == "r1" { 1 } else { 2 },
+        &["a", "b"],
+    ));
+    world.rounds(3_600, 5_000);
+    assert_eq!(world.orders.len(), 1);
+    let held = &world.state.replicas.records()[&id].models;
+    assert!(!held.contains_key(&order.model));
+    let left = if order.model.as_str() == "a" {
+        "b"
+    } else {
+        "a"
+    };
+    world.beat(&record(
+        id.as_str(),
+        if id.as_str() == "r1" { 1 } else { 2 },
+        &[left],
+    ));
+    world.rounds(5_000, 6_000);
+    assert_eq!(world.orders[1].model, ModelName::from("c"));
+    assert_eq!(world.orders[1].kind, OrderKind::Load);
+}
+
+#[test]
+fn loads_from_the_store_keep_their_distance() {
+    let mut world = World::new(&["a", "b", "c", "d", "e", "f"]);
+    for number in 1..=6 {
+        world.beat(&record(&format!("r{number}"), number, &[]));
+    }
+    let mut last_ms = None;
+    for now_ms in (3_000..9_000).step_by(10) {
+        let before = world.state.replicas.records().keys();
+        let count = |state: &SiteState, id: &ReplicaId| state.replicas.loading(id).count();
+        let before: usize = before.map(|id| count(&world.state, id)).sum();
+        world.round(now_ms);
+        let after = world.state.replicas.records().keys();
+        let after: usize = after.map(|id| count(&world.state, id)).sum();
+        if after > before {
+            assert_eq!(after, before + 1);
+            assert!(last_ms.is_none_or(|at_ms| now_ms >= at_ms + 700));
+            last_ms = Some(now_ms);
+        }
+    }
+    assert!(last_ms.is_some());
+}
+
+#[test]
+fn silence_is_told_and_then_an_end() {
+    let mut world = World::new(&["a"]);
+    world.beat(&record("r1", 1, &["a"]));
+    let policy = FleetPolicy::default();
+    let mut commands = Vec::new();
+    for now_ms in [0, policy.silent_ms, policy.lost_ms] {
+        commands.extend(world.duties.round(&world.state, now_ms).commands);
+    }
+    let id = ReplicaId::from("r1");
+    let expected = [
+        Command::ReplicaSilent(id.clone()),
+        Command::ReplicaEnded(id),
+    ];
+    assert_eq!(commands, expected);
+}
+
+fn plan_replica(id: &str, free_mb: u64, held: &[&str]) -> PlanReplica {
+    PlanReplica {
+        id: ReplicaId::from(id),
+        hall: HallName::from("here"),
+        open: true,
+        free_mb,
+        held: held.iter().map(|model| ModelName::from(*model)).collect(),
+        coming: BTreeSet::new(),
+        at_hand: BTreeMap::new(),
+    }
+}
+
+fn plan_models(levels: &[(&str, f64)]) -> BTreeMap<ModelName, PlanModel> {
+    let models = levels.iter().map(|(name, level)| {
+        let model = PlanModel {
+            weights_mb: 70,
+            load_ms: 9_000,
+            level: *level,
+        };
+        (ModelName::from(*name), model)
+    });
+    models.collect()
+}
+
+#[test]
+fn the_model_that_is_missed_most_comes_first() {
+    let models = plan_models(&[("cold", 0.0), ("hot", 5.0), ("warm", 1.0)]);
+    let steps = plan(vec![plan_replica("r1", 70, &[])], &models, 0.5, 1);
+    assert_eq!(steps[0].model, ModelName::from("hot"));
+}
+
+#[test]
+fn a_copy_at_hand_goes_before_the_store_and_needs_no_permit() {
+    let models = plan_models(&[("a", 1.0), ("b", 1.0)]);
+    let mut with_copy = plan_replica("r1", 70, &[]);
+    with_copy.at_hand.insert(ModelName::from("b"), 2_000);
+    let steps = plan(
+        vec![with_copy, plan_replica("r2", 70, &[])],
+        &models,
+        0.5,
+        0,
+    );
+    assert_eq!(steps.len(), 1);
+    assert_eq!(steps[0].model, ModelName::from("b"));
+    assert!(!steps[0].from_store);
+}
+
+#[test]
+fn the_only_home_of_a_model_in_demand_is_not_given_up() {
+    let models = plan_models(&[("cold", 0.0), ("warm", 1.0)]);
+    let full = vec![
+        plan_replica("r1", 0, &["warm"]),
+        plan_replica("r2", 0, &["warm"]),
+    ];
+    let steps = plan(full, &models, 0.2, 1);
+    assert_eq!(steps.len(), 1);
+    assert_eq!(steps[0].kind, OrderKind::Unload);
+    let alone = plan(vec![plan_replica("r1", 0, &["warm"])], &models, 0.2, 1);
+    assert!(alone.is_empty());
+}
+
+fn wish(adapter: &str) -> AdapterWish {
+    AdapterWish {
+        replica: ReplicaId::from("r1"),
+        model: ModelName::from("a"),
+        adapter: adapter.to_owned(),
+    }
+}
+
+fn place(adapter: &str) -> AdapterPlace {
+    AdapterPlace {
+        replica: ReplicaId::from("r1"),
+        model: ModelName::from("a"),
+        adapter: adapter.to_owned(),
+    }
+}
+
+#[test]
+fn adapters_whose_orders_may_still_act_take_places() {
+    let mut orders = AdapterOrders::default();
+    let record = record("r1", 1, &["a"]);
+    assert_eq!(orders.decide(&record, 2, &wish("x"), 0), WishAnswer::Load);
+    assert_eq!(orders.decide(&record, 2, &wish("y"), 0), WishAnswer::Load);
+    assert_eq!(
+        orders.decide(&record, 2, &wish("z"), 0),
+        WishAnswer::Refused
+    );
+    assert!(!orders.on_outcome(&place("x"), OrderOutcome::Unknown, 0));
+    let mut directory = ReplicaDirectory::default();
+    directory.put(&record, 0);
+    orders.settle(&directory, 12_000);
+    assert_eq!(
+        orders.decide(&record, 2, &wish("z"), 12_000),
+        WishAnswer::Refused
+    );
+    orders.settle(&directory, 14_000);
+    assert_eq!(
+        orders.decide(&record, 2, &wish("z"), 14_000),
+        WishAnswer::Load
+    );
+}
+
+#[test]
+fn an_adapter_in_use_is_not_taken_away() {
+    let mut orders = AdapterOrders::default();
+    let mut full = record("r1", 1, &["a"]);
+    let names = BTreeSet::from(["x".to_owned(), "y".to_owned()]);
+    full.models.insert(ModelName::from("a"), names);
+    orders.note_used(place("x"), 9_000);
+    orders.note_used(place("y"), 9_500);
+    assert_eq!(
+        orders.decide(&full, 2, &wish("z"), 10_000),
+        WishAnswer::Refused
+    );
+    let evict = WishAnswer::Evict(place("x"));
+    assert_eq!(orders.decide(&full, 2, &wish("z"), 11_000), evict);
+}
+
+#[test]
+fn a_late_heartbeat_neither_undoes_an_order_nor_brings_back_the_dead() {
+    let mut directory = ReplicaDirectory::default();
+    let plain = record("r1", 1, &["a"]);
+    directory.put(&plain, 10_000);
+    let (id, model) = (ReplicaId::from("r1"), ModelName::from("a"));
+    assert!(directory.set_adapter(&id, &model, "x", true, 10_000));
+    assert_eq!(directory.news(&plain, 11_000), BeatNews::Known);
+    assert_eq!(directory.news(&plain, 14_000), BeatNews::New);
+    directory.end(&id);
+    assert_eq!(directory.news(&plain, 11_000), BeatNews::Ended);
+    assert_eq!(directory.put(&plain, 11_000), None);
+}
+
+#[test]
+fn an_address_has_one_replica_and_draining_is_not_taken_back() {
+    let mut directory = ReplicaDirectory::default();
+    directory.put(&record("r1", 1, &["a"]), 0);
+    let replaced = directory.put(&record("r2", 1, &["a"]), 0);
+    assert_eq!(replaced, Some(vec![ReplicaId::from("r1")]));
+    assert!(directory.drain(&ReplicaId::from("r2")));
+    assert_eq!(directory.news(&record("r2", 1, &["a"]), 0), BeatNews::Known);
+    let phase = directory.records()[&ReplicaId::from("r2")].phase;
+    assert_eq!(phase, ReplicaPhase::Draining);
+}
--- /dev/null
+++ b/tests/forward_parts.rs
@@ -0,0 +1,367 @@
+//! The pure parts of forwarding: heads, chunks, events, budgets and the choice.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use dunlinspring::configuration::{
+    Configuration, ConfigurationError, RouteIndex, RouteKind, RouteSpec, ServiceSpec,
+};
+use dunlinspring::directory::{ReplicaPhase, ReplicaRecord};
+use dunlinspring::forward::book::{
+    Choice, ChoicePolicy, EngineBounds, LoadReport, Need, ReplicaBook, TryEnd, parse_load,
+};
+use dunlinspring::forward::budget::{ResendBudget, ResendPolicy};
+use dunlinspring::forward::chunked::ChunkDecoder;
+use dunlinspring::forward::events::EventCutter;
+use dunlinspring::forward::head::{self, Framing, HeadError};
+use dunlinspring::ids::{HallName, ModelName, ReplicaId, ServiceName};
+use proptest::prelude::*;
+
+fn refused(text: &str) -> HeadError {
+    head::parse_request(text.as_bytes()).unwrap_err()
+}
+
+#[test]
+fn no_request_hides_in_another() {
+    let two_lengths =
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n";
+    assert_eq!(refused(two_lengths), HeadError::Framing);
+    let both =
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n";
+    assert_eq!(refused(both), HeadError::Framing);
+    let other = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n";
+    assert_eq!(refused(other), HeadError::Framing);
+    let signed = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +3\r\n\r\n";
+    assert_eq!(refused(signed), HeadError::Framing);
+    let old = "POST / HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    assert_eq!(refused(old), HeadError::Framing);
+    let two_hosts = "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n";
+    assert_eq!(refused(two_hosts), HeadError::Malformed);
+    let folded = "GET / HTTP/1.1\r\nHost: a\r\nX: b\r\n c\r\n\r\n";
+    assert_eq!(refused(folded), HeadError::Malformed);
+}
+
+#[test]
+fn a_head_is_taken_only_whole() {
+    let text = "POST /a/b?c HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi";
+    let end = text.len() - 2;
+    for cut in 0..end {
+        assert_eq!(head::parse_request(&text.as_bytes()[..cut]).unwrap(), None);
+    }
+    let (parsed, len) = head::parse_request(text.as_bytes()).unwrap().unwrap();
+    assert_eq!((parsed.target.as_str(), len), ("/a/b?c", end));
+    assert_eq!(parsed.framing, Framing::Length(2));
+}
+
+#[test]
+fn headers_of_one_connection_stay_there() {
+    let text = "GET / HTTP/1.1\r\nHost: x\r\nConnection: close, X-Mine\r\nX-Mine: 1\r\nKeep-Alive: 2\r\nX-Other: 3\r\n\r\n";
+    let (parsed, _) = head::parse_request(text.as_bytes()).unwrap().unwrap();
+    let names = head::end_to_end(&parsed.headers, &["host"]).map(|(name, _)| name.as_str());
+    assert_eq!(names.collect::<Vec<_>>(), ["X-Other"]);
+}
+
+fn decode_in(parts: &[&[u8]]) -> Option<(Vec<u8>, bool, usize)> {
+    let mut decoder = ChunkDecoder::default();
+    let (mut held, mut body) = (Vec::new(), Vec::new());
+    for part in parts {
+        held.extend_from_slice(part);
+        let taken = decoder.decode(&held, &mut body).ok()?;
+        held.drain(..taken);
+    }
+    Some((body, decoder.is_done(), held.len()))
+}
+
+#[test]
+fn chunks_decode_alike_wherever_they_are_cut() {
+    let text = b"5\r\nhello\r\nA;x=y\r\n0123456789\r\n0\r\nT: 1\r\n\r\nnext";
+    for cut in 0..text.len() {
+        let (body, done, left) = decode_in(&[&text[..cut], &text[cut..]]).unwrap();
+        assert_eq!(body, b"hello0123456789");
+        assert!(done);
+        assert_eq!(left, 4);
+    }
+}
+
+#[test]
+fn malformed_chunks_are_refused() {
+    for text in [
+        "x\r\n",
+        "5\nhello",
+        "2\r\nabc\r\n",
+        "-1\r\n",
+        "+5\r\n",
+        "FFFFFFFFFFFFFFFFF\r\n",
+    ] {
+        assert!(decode_in(&[text.as_bytes()]).is_none(), "{text:?}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(256) })]
+
+    #[test]
+    fn events_pass_whole_wherever_they_are_cut(cuts in prop::collection::vec(1usize..9, 0..40)) {
+        let text: String = (1..9).map(|n| format!("id: {n}\ndata: piece {n}\n\n")).collect();
+        let mut cutter = EventCutter::default();
+        let (mut passed, mut rest) = (Vec::new(), text.as_bytes());
+        for cut in cuts {
+            let (part, after) = rest.split_at(cut.min(rest.len()));
+            let events = cutter.push(part).unwrap();
+            prop_assert!(events.is_empty() || events.ends_with(b"\n\n"));
+            passed.extend(events);
+            rest = after;
+        }
+        prop_assert!(text.as_bytes().starts_with(&passed));
+        let whole = passed.windows(2).filter(|pair| pair == b"\n\n").count();
+        prop_assert_eq!(cutter.count(), whole as u64);
+        prop_assert_eq!(cutter.last_id().map(str::to_owned), (whole > 0).then(|| whole.to_string()));
+        passed.extend(cutter.push(rest).unwrap());
+        prop_assert_eq!(passed, text.into_bytes());
+    }
+
+    #[test]
+    fn resends_stay_within_their_share(entries in 1u32..40, requests in 1usize..400) {
+        let policy = ResendPolicy { earned: 0.15, slack: 26.0 };
+        let service = ServiceName::from("plain");
+        let mut budget = ResendBudget::new(policy);
+        budget.share_among(entries);
+        let mut spent = 0;
+        for _ in 0..requests {
+            budget.earn(&service);
+            while budget.spend(&service) {
+                spent += 1;
+            }
+        }
+        let most = (26.0 / f64::from(entries)).max(1.0) + requests as f64 * 0.15;
+        prop_assert!(f64::from(spent) <= most);
+    }
+}
+
+fn record(id: &str, models: &[(&str, &[&str])]) -> ReplicaRecord {
+    let models = models.iter().map(|(model, adapters)| {
+        let adapters = adapters.iter().map(|adapter| (*adapter).to_owned());
+        (ModelName::from(*model), adapters.collect())
+    });
+    ReplicaRecord {
+        id: ReplicaId::from(id),
+        service: ServiceName::from("llm"),
+        address: "127.0.0.1:9".parse().unwrap(),
+        hall: HallName::from("here"),
+        slots: 4,
+        phase: ReplicaPhase::Ready,
+        models: models.collect(),
+        in_memory: BTreeSet::new(),
+        on_disk: BTreeSet::new(),
+    }
+}
+
+fn book(records: Vec<ReplicaRecord>) -> ReplicaBook {
+    let records: BTreeMap<ReplicaId, ReplicaRecord> = records
+        .into_iter()
+        .map(|record| (record.id.clone(), record))
+        .collect();
+    let mut book = ReplicaBook::new(ChoicePolicy::default(), HallName::from("here"));
+    book.follow(&records);
+    book
+}
+
+fn need(model: &str, adapter: Option<&str>) -> Need {
+    Need {
+        service: Some(ServiceName::from("llm")),
+        model: Some(ModelName::from(model)),
+        adapter: adapter.map(str::to_owned),
+        prefix: None,
+        tokens: 100,
+        urgency: 1,
+        limit_ms: 800,
+    }
+}
+
+const BOUNDS: EngineBounds = EngineBounds {
+    memory: 1_000,
+    adapter_slots: 2,
+};
+
+fn choose(book: &ReplicaBook, need: &Need) -> Choice {
+    book.choose(1_000, need, &BTreeSet::new(), BOUNDS)
+}
+
+fn send(id: &str) -> Choice {
+    Choice::Send(ReplicaId::from(id))
+}
+
+#[test]
+fn the_less_loaded_home_is_chosen_and_a_full_one_never() {
+    let mut book = book(vec![record("a", &[("m", &[])]), record("b", &[("m", &[])])]);
+    let need = need("m", None);
+    book.start(1_000, &ReplicaId::from("a"), &need);
+    assert_eq!(choose(&book, &need), send("b"));
+    let full = LoadReport {
+        running: 4,
+        waiting: 0,
+        slots: 4,
+    };
+    book.tell(1_000, &ReplicaId::from("b"), full);
+    assert_eq!(choose(&book, &need), send("a"));
+    book.tell(1_000, &ReplicaId::from("a"), full);
+    assert_eq!(choose(&book, &need), Choice::Full);
+    assert_eq!(choose(&book, &self::need("other", None)), Choice::Absent);
+    // What others sent fades with the report's age.
+    let later = book.choose(4_000, &need, &BTreeSet::new(), BOUNDS);
+    assert_eq!(later, send("b"));
+}
+
+#[test]
+fn a_draining_home_is_never_chosen_and_a_silent_one_last() {
+    let mut silent = record("a", &[("m", &[])]);
+    silent.phase = ReplicaPhase::Silent;
+    let mut draining = record("b", &[("m", &[])]);
+    draining.phase = ReplicaPhase::Draining;
+    let alone = book(vec![silent.clone(), draining.clone()]);
+    assert_eq!(choose(&alone, &need("m", None)), send("a"));
+    let mut busy = book(vec![silent, draining, record("c", &[("m", &[])])]);
+    for _ in 0..3 {
+        busy.start(1_000, &ReplicaId::from("c"), &need("m", None));
+    }
+    assert_eq!(choose(&busy, &need("m", None)), send("c"));
+}
+
+#[test]
+fn an_adapter_is_used_where_it_is_until_that_home_is_busy() {
+    let mut book = book(vec![
+        record("a", &[("m", &["x"])]),
+        record("b", &[("m", &[])]),
+    ]);
+    let need = need("m", Some("x"));
+    book.start(1_000, &ReplicaId::from("a"), &need);
+    book.begin(&ReplicaId::from("a"), &need, 0, 1.0);
+    assert_eq!(choose(&book, &need), Choice::Fetch(ReplicaId::from("b")));
+    book.refuse_fetch(1_000, &ReplicaId::from("b"));
+    book.refuse_fetch(1_000, &ReplicaId::from("a"));
+    assert_eq!(choose(&book, &need), send("a"));
+}
+
+#[test]
+fn a_request_goes_only_where_its_answer_is_likely_to_begin_in_time() {
+    let mut book = book(vec![record("a", &[("m", &[])])]);
+    let (id, mut ask) = (ReplicaId::from("a"), need("m", None));
+    let ahead = book.start(1_000, &id, &ask);
+    assert_eq!(ahead, 100);
+    book.begin(&id, &ask, ahead, 600.0);
+    book.end(1_000, &id, &ask, true, TryEnd::Good);
+    // Six ms a token: one may wait, a second one would begin after 1,200 ms.
+    assert_eq!(choose(&book, &ask), send("a"));
+    book.start(1_000, &id, &ask);
+    assert_eq!(choose(&book, &ask), Choice::Full);
+    // A more urgent one is read before those that wait.
+    ask.urgency = 0;
+    assert_eq!(choose(&book, &ask), send("a"));
+}
+
+#[test]
+fn a_replica_that_cannot_be_reached_rests_and_comes_back_by_one_request() {
+    let mut book = book(vec![record("a", &[("m", &[])]), record("b", &[("m", &[])])]);
+    let (id, ask) = (ReplicaId::from("a"), need("m", None));
+    book.start(1_000, &id, &ask);
+    book.end(1_000, &id, &ask, false, TryEnd::Unreached);
+    book.start(1_000, &ReplicaId::from("b"), &ask);
+    book.start(1_000, &ReplicaId::from("b"), &ask);
+    assert_eq!(choose(&book, &ask), send("b"));
+    let at = |book: &ReplicaBook| book.choose(2_500, &ask, &BTreeSet::new(), BOUNDS);
+    assert_eq!(at(&book), send("a"));
+    book.start(2_500, &id, &ask);
+    assert_eq!(at(&book), send("b"));
+    book.end(2_600, &id, &ask, false, TryEnd::Good);
+    assert_eq!(at(&book), send("a"));
+}
+
+#[test]
+fn a_load_header_is_read_or_passed_over() {
+    let told = LoadReport {
+        running: 3,
+        waiting: 0,
+        slots: 8,
+    };
+    assert_eq!(parse_load("3,0, 8"), Some(told));
+    for text in ["", "3,0", "a,b,c", "3,-1,8"] {
+        assert_eq!(parse_load(text), None);
+    }
+}
+
+fn route(name: &str, prefix: &str, split: &[(&str, u32)]) -> RouteSpec {
+    let split = split
+        .iter()
+        .map(|(service, weight)| (ServiceName::from(*service), *weight));
+    RouteSpec {
+        name: name.to_owned(),
+        host: "a.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: RouteKind::Safe,
+        timeout_ms: 1_000,
+        aim_ms: 100,
+        gap_ms: 0,
+        priority: 1,
+        attempts: 1,
+        resumable: false,
+        split: split.collect(),
+    }
+}
+
+fn configuration(routes: Vec<RouteSpec>) -> Configuration {
+    let plain = ServiceSpec {
+        max_connections: 10,
+        engine: None,
+    };
+    Configuration {
+        version: 1,
+        routes,
+        services: BTreeMap::from([(ServiceName::from("plain"), plain)]),
+        limits: Default::default(),
+    }
+}
+
+#[test]
+fn an_invalid_configuration_is_refused_with_its_cause() {
+    let sound = route("one", "/a/", &[("plain", 1)]);
+    assert_eq!(configuration(vec![sound.clone()]).check(), Ok(()));
+    let unknown = configuration(vec![route("one", "/a/", &[("other", 1)])]).check();
+    assert!(matches!(
+        unknown,
+        Err(ConfigurationError::UnknownService { .. })
+    ));
+    let same = configuration(vec![sound.clone(), route("two", "/a/", &[("plain", 1)])]).check();
+    assert!(matches!(same, Err(ConfigurationError::SamePlace { .. })));
+    let none = configuration(vec![route("one", "/a/", &[("plain", 0)])]).check();
+    assert!(matches!(none, Err(ConfigurationError::NoWeight { .. })));
+    let mut timeless = sound.clone();
+    timeless.timeout_ms = 0;
+    let timeless = configuration(vec![timeless]).check();
+    assert!(matches!(
+        timeless,
+        Err(ConfigurationError::NoTimeout { .. })
+    ));
+    let prefix = configuration(vec![route("one", "/a", &[("plain", 1)])]).check();
+    assert!(matches!(prefix, Err(ConfigurationError::Prefix { .. })));
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = vec![
+        route("short", "/a/", &[("plain", 1)]),
+        route("long", "/a/b/", &[("plain", 1)]),
+    ];
+    let index = RouteIndex::new(&routes);
+    assert_eq!(index.find(&routes, "A.example", "/a/b/c"), Some(1));
+    assert_eq!(index.find(&routes, "a.example", "/a/bc"), Some(0));
+    assert_eq!(index.find(&routes, "a.example", "/ab"), None);
+    assert_eq!(index.find(&routes, "b.example", "/a/b/c"), None);
+}
+
+#[test]
+fn a_split_follows_its_weights() {
+    let split = route("one", "/a/", &[("x", 3), ("none", 0), ("y", 1)]);
+    let picked = (0..400).map(|draw| split.pick(draw).unwrap().0.clone());
+    let picked: Vec<String> = picked.collect();
+    let count = |name: &str| picked.iter().filter(|service| *service == name).count();
+    assert_eq!((count("x"), count("none"), count("y")), (300, 0, 100));
+}
--- a/tests/open_membership.rs
+++ b/tests/open_membership.rs
@@ -75,7 +75,10 @@
     what: &str,
     holds: impl Fn(&ControlStatus) -> bool,
 ) -> ControlStatus {
-    until(what, async || daemon.status().await.filter(|status| holds(status))).await
+    until(what, async || {
+        daemon.status().await.filter(|status| holds(status))
+    })
+    .await
 }
 
 /// Three founders on empty disks.
@@ -118,7 +121,9 @@
     let (daemons, addresses) = founders(folder.path()).await;
     let leader = leader_of(&daemons).await;
     let mut others = addresses.iter();
-    let follower = others.find(|address| address.to_string() != leader.0).unwrap();
+    let follower = others
+        .find(|address| address.to_string() != leader.0)
+        .unwrap();
     let fourth = joins(folder.path(), &[*follower]).await;
     let own = fourth.status().await.unwrap().node;
     status_where(&fourth, "the fourth to vote", |s| s.voters.contains(&own)).await;
