--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -31,6 +31,8 @@
     pub round_ms: u64,
     /// Relief in concurrent requests that a load for demand must bring.
     pub move_price: f64,
+    /// Part of a model's demand that remains after each quieter half second.
+    pub demand_fall: f64,
     /// Time after which an order that shows no effect is forgotten, in milliseconds.
     pub order_ms: u64,
 }
@@ -43,6 +45,7 @@
             order_lease_ms: 3_000,
             round_ms: 100,
             move_price: 0.5,
+            demand_fall: 0.88,
             order_ms: 20_000,
         }
     }
@@ -130,11 +133,20 @@
     model: ModelName,
     /// The model that an unload makes room for.
     for_model: Option<ModelName>,
+    /// Its command has been seen in the log.
+    committed: bool,
     since_ms: u64,
     /// When it is to be sent; none while an answer or its effect is awaited.
     send_ms: Option<u64>,
 }
 
+/// Room that was made for a model: no other may take it for a while.
+#[derive(Clone, Debug)]
+struct Promise {
+    model: ModelName,
+    until_ms: u64,
+}
+
 #[derive(Clone, Debug)]
 struct EntryNote {
     heard_ms: u64,
@@ -155,6 +167,7 @@
     round_due_ms: u64,
     last_load_ms: BTreeMap<ServiceName, u64>,
     pending: BTreeMap<ReplicaId, PendingOrder>,
+    promised: BTreeMap<ReplicaId, Promise>,
     adapters: AdapterOrders,
     fenced: BTreeSet<ReplicaId>,
 }
@@ -167,6 +180,8 @@
 const BUSY_MS: u64 = 1_000;
 /// Time in which an order's command is committed, in milliseconds.
 const COMMIT_MS: u64 = 2_000;
+/// How long room that was made for a model is kept for it, in milliseconds.
+const PROMISE_MS: u64 = 4_000;
 
 /// Whether an order stands in the log and its effect does not show yet.
 fn under_way(replicas: &ReplicaDirectory, id: &ReplicaId, order: &PendingOrder) -> bool {
@@ -186,11 +201,12 @@
             since_ms: now_ms,
             heard: BTreeMap::new(),
             entries: BTreeMap::new(),
-            demand: DemandBook::default(),
+            demand: DemandBook::falling(policy.demand_fall),
             sampled_ms: now_ms,
             round_due_ms: now_ms,
             last_load_ms: BTreeMap::new(),
             pending: BTreeMap::new(),
+            promised: BTreeMap::new(),
             adapters: AdapterOrders::default(),
             fenced: BTreeSet::new(),
         }
@@ -386,6 +402,7 @@
         let records = replicas.records();
         let limit_ms = self.policy.order_ms;
         let mut commands = Vec::new();
+        let mut promised = Vec::new();
         self.pending.retain(|id, order| {
             if !records.contains_key(id) {
                 return false;
@@ -395,9 +412,21 @@
                 commands.push(Command::ReplicaSettled(id.clone(), order.model.clone()));
             }
             // Until its command is committed, its effect cannot show.
-            let waits = order.since_ms + COMMIT_MS > now_ms;
-            !late && (waits || under_way(replicas, id, order))
+            let open = under_way(replicas, id, order);
+            order.committed |= open;
+            let waits = !order.committed && order.since_ms + COMMIT_MS > now_ms;
+            let stays = !late && (waits || open);
+            if let (false, Some(model)) = (stays || late, order.for_model.take()) {
+                promised.push((id.clone(), model));
+            }
+            stays
         });
+        for (id, model) in promised {
+            let until_ms = now_ms + PROMISE_MS;
+            self.promised.insert(id, Promise { model, until_ms });
+        }
+        self.promised
+            .retain(|id, promise| records.contains_key(id) && promise.until_ms > now_ms);
         for id in records.keys() {
             let loading = replicas.loading(id).map(|model| (OrderKind::Load, model));
             let leaving = replicas.leaving(id).map(|model| (OrderKind::Unload, model));
@@ -408,6 +437,7 @@
                     kind,
                     model: model.clone(),
                     for_model: None,
+                    committed: true,
                     since_ms: now_ms,
                     send_ms: Some(now_ms),
                 };
@@ -477,12 +507,51 @@
             0 => usize::MAX,
             _ => usize::from(due),
         };
-        let steps = fleet_plan::plan(replicas, &models, self.policy.move_price, permits);
-        for step in steps {
+        let replicas: Vec<PlanReplica> = replicas;
+        let (kept, from_store) = self.keep_promises(&replicas, &models, permits > 0);
+        let permits = permits.saturating_sub(from_store);
+        let price = self.policy.move_price;
+        let steps = fleet_plan::plan(replicas, &models, price, permits);
+        for step in kept.into_iter().chain(steps) {
             self.order_step(service, step, now_ms, actions);
         }
     }
 
+    /// Loads into the room that was made for them, and how many come from the store.
+    fn keep_promises(
+        &mut self,
+        replicas: &[PlanReplica],
+        models: &BTreeMap<ModelName, PlanModel>,
+        store: bool,
+    ) -> (Vec<PlanStep>, usize) {
+        let mut steps = Vec::new();
+        let mut from_store = 0;
+        for replica in replicas {
+            let Some(promise) = self.promised.get(&replica.id) else {
+                continue;
+            };
+            let at_hand = replica.at_hand.contains_key(&promise.model);
+            let size_mb = models.get(&promise.model).map(|model| model.weights_mb);
+            let fits = size_mb.is_some_and(|size_mb| replica.free_mb >= size_mb);
+            let permitted = at_hand || (store && from_store == 0);
+            if !fits || !permitted || self.pending.contains_key(&replica.id) {
+                continue;
+            }
+            from_store += usize::from(!at_hand);
+            steps.push(PlanStep {
+                replica: replica.id.clone(),
+                model: promise.model.clone(),
+                kind: OrderKind::Load,
+                from_store: !at_hand,
+                for_model: None,
+            });
+        }
+        for step in &steps {
+            self.promised.remove(&step.replica);
+        }
+        (steps, from_store)
+    }
+
     fn plan_models(&self, engine: &EngineSpec) -> BTreeMap<ModelName, PlanModel> {
         let models = engine.models.iter().map(|(name, model)| {
             let plan = PlanModel {
@@ -518,11 +587,14 @@
         }
         let promised = self.pending.get(&record.id);
         let promised = promised.and_then(|order| order.for_model.clone());
+        let kept = self.promised.get(&record.id);
+        let kept = kept.map(|promise| promise.model.clone());
         let weight = |model: &ModelName| engine.models.get(model).map_or(0, |m| m.weights_mb);
         // What may be there, by whatever order is carried out or not.
         let taken: BTreeSet<&ModelName> = held.iter().chain(&coming).chain(&going).collect();
         let taken_mb: u64 = taken.into_iter().map(weight).sum();
-        coming.extend(promised);
+        let open = !self.pending.contains_key(&record.id) && kept.is_none();
+        coming.extend(promised.or(kept));
         let load_ms = |name: &ModelName, memory: bool| {
             let model = engine.models.get(name)?;
             Some((
@@ -545,7 +617,7 @@
         PlanReplica {
             id: record.id.clone(),
             hall: record.hall.clone(),
-            open: self.may_order(record) && !self.pending.contains_key(&record.id),
+            open: open && self.may_order(record),
             free_mb: engine.weights_mb.saturating_sub(adapters_mb + taken_mb),
             held,
             coming,
@@ -565,6 +637,7 @@
             kind: step.kind,
             model: step.model.clone(),
             for_model: step.for_model,
+            committed: false,
             since_ms: now_ms,
             send_ms: Some(now_ms),
         };
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -388,9 +388,7 @@
             }
             let changed = self.core.changed.notified();
             let now_ms = crate::clock::monotonic_ms();
-            let book = self.core.book.borrow();
-            let choice = book.choose(now_ms, &self.need, &self.passed, self.bounds);
-            drop(book);
+            let choice = self.choose(now_ms);
             let waited = since.elapsed();
             let (refusal, limit) = match choice {
                 Choice::Send(replica) => {
@@ -414,6 +412,11 @@
         }
     }
 
+    fn choose(&self, now_ms: u64) -> Choice {
+        let book = self.core.book.borrow();
+        book.choose(now_ms, &self.need, &self.passed, self.bounds)
+    }
+
     /// How long a replica may take to begin its answer.
     fn try_limit(&self) -> Duration {
         let more = self.route.is_repeatable() && self.runs + 1 < self.route.attempts;
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -157,7 +157,7 @@
         match (same_host, learner, silent) {
             (Some(old), _, _) => voters.remove(&old),
             (None, Some(learner), _) if voters.len() < MAX_VOTERS => voters.insert(learner),
-            (None, _, Some((_, old))) if voters.len() % 2 == 0 && voters.len() > 2 => {
+            (None, _, Some((_, old))) if voters.len().is_multiple_of(2) && voters.len() > 2 => {
                 voters.remove(&old)
             }
             _ => return false,
