Forwarding over real sockets under test; logs on standard output, never blocking

An unload no longer forgets what it makes room for while it is under way (found by a_model_that_goes_takes_room_until_its_replica_says_that_it_is_gone).

--- a/src/bin/dunlinspring-control.rs
+++ b/src/bin/dunlinspring-control.rs
@@ -26,9 +26,11 @@
         () = daemon::stop_signal() => control.stop().await,
         ended = control.ended() => {
             if let Err(error) = ended {
+                daemon::end_logs();
                 eprintln!("{PROGRAM}: {error}");
                 std::process::exit(1);
             }
         }
     }
+    daemon::end_logs();
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::path::Path;
 use std::pin::Pin;
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::Duration;
 
 use ntex::SharedCfg;
@@ -17,6 +17,7 @@
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
 use crate::ids::HallName;
@@ -180,9 +181,14 @@
 
 async fn metrics(source: web::types::State<WatchSource>) -> HttpResponse {
     let page = source().await;
+    let dropped = dropped_lines();
+    let logs = format!(
+        "# TYPE dunlinspring_log_lines_dropped_total counter\n\
+         dunlinspring_log_lines_dropped_total {dropped}\n"
+    );
     HttpResponse::Ok()
         .content_type("text/plain; version=0.0.4")
-        .body(page.metrics)
+        .body(page.metrics + &logs)
 }
 
 /// Reads a small JSON document.
@@ -203,15 +209,22 @@
 /// Sets logging up; every line names the process and hall.
 pub fn start_logs(settings: &LogSettings, process: &str, host: &HostName, hall: &HallName) {
     let filter = EnvFilter::try_new(&settings.filter).unwrap_or_else(|_| EnvFilter::new("info"));
+    // A reader that is stuck costs lines, never time.
+    let (writer, guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(LOG_BUFFER)
+        .finish(std::io::stdout());
+    let _ = LOG_DROPPED.set(writer.error_counter());
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_ansi(false)
-        .with_writer(std::io::stdout);
+        .with_writer(writer);
     let started = match settings.json {
         true => builder.json().try_init(),
         false => builder.try_init(),
     };
     if started.is_ok() {
+        *lock_guard() = Some(guard);
         let span = tracing::error_span!("daemon", process, %host, %hall);
         let _ = LOG_SPAN.set(span);
         enter_logs();
@@ -219,6 +232,31 @@
     }
 }
 
+/// Lines that wait to be written; further ones are dropped and counted.
+const LOG_BUFFER: usize = 8_192;
+/// Counts the lines that were dropped.
+static LOG_DROPPED: OnceLock<ErrorCounter> = OnceLock::new();
+/// Keeps the writer's thread.
+static LOG_GUARD: Mutex<Option<WorkerGuard>> = Mutex::new(None);
+
+fn lock_guard() -> MutexGuard<'static, Option<WorkerGuard>> {
+    LOG_GUARD
+        .lock()
+        .unwrap_or_else(|broken| broken.into_inner())
+}
+
+/// Log lines that were dropped, as standard output was not read.
+pub fn dropped_lines() -> u64 {
+    LOG_DROPPED
+        .get()
+        .map_or(0, |lines| lines.dropped_lines() as u64)
+}
+
+/// Writes out what waits; nothing is logged afterwards.
+pub fn end_logs() {
+    drop(lock_guard().take());
+}
+
 /// Names the process, host and hall of a daemon in every line of its log.
 static LOG_SPAN: OnceLock<tracing::Span> = OnceLock::new();
 
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -416,8 +416,9 @@
             order.committed |= open;
             let waits = !order.committed && order.since_ms + COMMIT_MS > now_ms;
             let stays = !late && (waits || open);
-            if let (false, Some(model)) = (stays || late, order.for_model.take()) {
-                promised.push((id.clone(), model));
+            if !stays && !late {
+                let model = order.for_model.take();
+                promised.extend(model.map(|model| (id.clone(), model)));
             }
             stays
         });
--- a/src/forward/client.rs
+++ b/src/forward/client.rs
@@ -109,13 +109,14 @@
     ) -> Result<RequestHead, ReadError> {
         let idle = Duration::from_millis(limits.idle_ms);
         if self.buffer.is_empty() {
+            let served = self.served;
             tokio::select! {
                 // A request that has come already is taken before the connection is closed.
                 biased;
                 first = tokio::time::timeout(idle, self.fill()) => {
                     first.map_err(|_| ReadError::Gone)??;
                 }
-                () = core.closes_idle(), if self.served => return Err(ReadError::Idle),
+                () = core.closes_resting(served) => return Err(ReadError::Idle),
             }
         }
         first_byte();
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -208,8 +208,17 @@
         self.stopping.load(Ordering::SeqCst)
     }
 
-    /// Returns once the entry stops and a resting connection is to be closed.
-    pub async fn closes_idle(&self) {
+    /// Returns once the entry stops and a resting connection is to be closed: at
+    /// once where it has been served, else when no new ones are taken either.
+    pub async fn closes_resting(&self, served: bool) {
+        match served {
+            true => self.stops().await,
+            false => self.closes_listener().await,
+        }
+    }
+
+    /// Returns once the entry was asked to stop.
+    async fn stops(&self) {
         loop {
             let told = self.stop_told.notified();
             if self.is_stopping() {
@@ -221,7 +230,7 @@
 
     /// Returns once callers must have noticed that the entry stops.
     async fn closes_listener(&self) {
-        self.closes_idle().await;
+        self.stops().await;
         tokio::time::sleep(Duration::from_millis(self.settings.stop_ms)).await;
     }
 
@@ -590,6 +599,11 @@
         Ok(Self { address, core })
     }
 
+    /// Whether the entry knows a replica in this life.
+    pub fn knows(&self, replica: &ReplicaId) -> bool {
+        self.core.book.borrow().record(replica).is_some()
+    }
+
     /// Watches further control hosts, after a change of the settings.
     pub fn learn_control(&self, control: &[SocketAddr]) {
         for address in control {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -179,7 +179,7 @@
         &["a", "b"],
     ));
     world.rounds(3_600, 5_000);
-    assert_eq!(world.orders.len(), 1);
+    assert_eq!(world.orders.len(), 1, "{:?}", world.orders);
     let held = &world.state.replicas.records()[&id].models;
     assert!(!held.contains_key(&order.model));
     let left = if order.model.as_str() == "a" {
--- /dev/null
+++ b/tests/forwarding.rs
@@ -0,0 +1,245 @@
+//! Requests through an entry to replicas over real sockets, where replicas and
+//! clients misbehave.
+
+mod support_forward;
+
+use std::time::Duration;
+
+use support_forward::{Answer, Behaviour, ForwardSite, RouteShape, answered};
+
+const PLAIN: RouteShape = RouteShape::plain("/plain/");
+const UNSAFE: RouteShape = RouteShape::unsafe_("/once/");
+const STREAM: RouteShape = RouteShape::stream("/stream/", false);
+const RESUMED: RouteShape = RouteShape::stream("/resumed/", true);
+
+#[ntex::test]
+async fn an_answer_passes_unchanged() {
+    let mut site = ForwardSite::start(&[PLAIN]).await;
+    site.add_replica("r1", vec![Behaviour::Answer(200, "the whole body")])
+        .await;
+    let answer = site.ask("POST", "/plain/a?b=c", "id-1", "hello").await;
+    assert_eq!(
+        (answer.status, answer.body.as_str()),
+        (200, "the whole body")
+    );
+    assert_eq!(answer.header("stamp"), Some("r1"));
+    assert_eq!(answer.header("x-other"), Some("kept"));
+    let seen = site.seen("r1");
+    assert_eq!(seen.len(), 1);
+    assert_eq!(
+        (seen[0].method.as_str(), seen[0].target.as_str()),
+        ("POST", "/plain/a?b=c")
+    );
+    assert_eq!(seen[0].body, "hello");
+    assert_eq!(seen[0].header("expect-replica"), Some("r1"));
+    assert!(
+        seen[0]
+            .header("deadline-ms")
+            .unwrap()
+            .parse::<u64>()
+            .unwrap()
+            <= 2_000
+    );
+}
+
+#[ntex::test]
+async fn what_may_have_run_is_never_sent_again_nor_told_as_not_run() {
+    let mut site = ForwardSite::start(&[UNSAFE]).await;
+    site.add_replica(
+        "r1",
+        vec![
+            Behaviour::Close,
+            Behaviour::Answer(503, "busy"),
+            Behaviour::Unsigned,
+        ],
+    )
+    .await;
+    for id in ["a", "b", "c"] {
+        let answer = site.ask("POST", "/once/x", id, "").await;
+        assert_eq!(answer.status, 502, "{id}");
+        assert_eq!(answer.header("stamp"), None);
+    }
+    assert_eq!(site.seen("r1").len(), 3);
+}
+
+#[ntex::test]
+async fn what_did_not_run_goes_to_another_replica() {
+    let mut site = ForwardSite::start(&[UNSAFE]).await;
+    site.add_replica("r1", vec![Behaviour::NotExecuted; 4])
+        .await;
+    site.add_replica("r2", vec![Behaviour::Answer(200, "done"); 4])
+        .await;
+    for id in ["a", "b", "c"] {
+        let answer = site.ask("POST", "/once/x", id, "").await;
+        assert_eq!((answer.status, answer.body.as_str()), (200, "done"));
+    }
+}
+
+#[ntex::test]
+async fn a_refusal_tells_when_to_come_back() {
+    let mut site = ForwardSite::start(&[UNSAFE]).await;
+    site.add_replica("r1", vec![Behaviour::NotExecuted; 40])
+        .await;
+    let answer = site.ask("POST", "/once/x", "a", "").await;
+    assert_eq!(answer.status, 503);
+    assert!(
+        answer
+            .header("retry-after")
+            .unwrap()
+            .parse::<f64>()
+            .unwrap()
+            > 0.0
+    );
+    assert!(!site.seen("r1").is_empty());
+}
+
+#[ntex::test]
+async fn a_surplus_answer_is_passed_over() {
+    let mut site = ForwardSite::start(&[PLAIN]).await;
+    site.add_replica(
+        "r1",
+        vec![
+            Behaviour::SurplusFirst("mine"),
+            Behaviour::Answer(200, "next"),
+        ],
+    )
+    .await;
+    assert_eq!(site.ask("GET", "/plain/a", "a", "").await.body, "mine");
+    assert_eq!(site.ask("GET", "/plain/b", "b", "").await.body, "next");
+}
+
+#[ntex::test]
+async fn a_late_surplus_answer_reaches_nobody() {
+    let mut site = ForwardSite::start(&[PLAIN]).await;
+    site.add_replica(
+        "r1",
+        vec![
+            Behaviour::SurplusAfter("one"),
+            Behaviour::Answer(200, "two"),
+        ],
+    )
+    .await;
+    assert_eq!(site.ask("GET", "/plain/a", "a", "").await.body, "one");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert_eq!(site.ask("GET", "/plain/b", "b", "").await.body, "two");
+}
+
+#[ntex::test]
+async fn a_short_answer_never_looks_whole() {
+    let mut site = ForwardSite::start(&[UNSAFE, STREAM]).await;
+    site.add_replica("r1", vec![Behaviour::CutBody, Behaviour::CutStream(2)])
+        .await;
+    assert_eq!(site.ask("POST", "/once/x", "a", "").await.status, 502);
+    let answer = site.ask("POST", "/stream/x", "b", "").await;
+    assert_eq!(answer.status, 200);
+    assert!(!answer.whole);
+    // The event that broke off is not passed on.
+    assert_eq!(answer.body, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n");
+}
+
+#[ntex::test]
+async fn a_stream_goes_on_elsewhere_after_its_last_whole_event() {
+    let mut site = ForwardSite::start(&[RESUMED]).await;
+    // Of two that are alike, the first by name is chosen.
+    site.add_replica("r1", vec![Behaviour::CutStream(2)]).await;
+    site.add_replica("r2", vec![Behaviour::Events(4)]).await;
+    let answer = site.ask("POST", "/resumed/x", "a", "").await;
+    assert!(answer.whole);
+    let events: String = (1..=4).map(|n| format!("id: {n}\ndata: {n}\n\n")).collect();
+    assert_eq!(answer.body, events);
+    // The head is that of the first replica.
+    assert_eq!(answer.header("stamp"), Some("r1"));
+    assert_eq!(site.seen("r2")[0].header("last-event"), Some("2"));
+}
+
+#[ntex::test]
+async fn a_stream_that_nobody_can_go_on_with_does_not_look_whole() {
+    let mut site = ForwardSite::start(&[RESUMED]).await;
+    site.add_replica("r1", vec![Behaviour::CutStream(2); 9])
+        .await;
+    assert!(!site.ask("POST", "/resumed/x", "a", "").await.whole);
+}
+
+#[ntex::test]
+async fn a_client_that_leaves_ends_its_run() {
+    let mut site = ForwardSite::start(&[STREAM]).await;
+    site.add_replica("r1", vec![Behaviour::HangAfter(1)]).await;
+    site.ask_and_leave("/stream/x", "a").await;
+    answered("the replica's connection to close", async || {
+        site.closed("r1").then_some(())
+    })
+    .await;
+}
+
+#[ntex::test]
+async fn smuggled_and_oversized_requests_reach_no_replica() {
+    let mut site = ForwardSite::start(&[PLAIN]).await;
+    site.add_replica("r1", vec![Behaviour::Answer(200, "x"); 9])
+        .await;
+    let smuggled = "POST /plain/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: a\r\nContent-Length: 40\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /plain/b HTTP/1.1\r\n\r\n";
+    assert_eq!(site.send_raw(smuggled).await.status, 400);
+    let long = format!(
+        "GET /plain/a HTTP/1.1\r\nHost: h.example\r\nX: {}\r\n\r\n",
+        "y".repeat(40_000)
+    );
+    assert_eq!(site.send_raw(&long).await.status, 431);
+    let large = "POST /plain/a HTTP/1.1\r\nHost: h.example\r\nContent-Length: 99999999\r\n\r\n";
+    assert_eq!(site.send_raw(large).await.status, 413);
+    let nowhere =
+        "GET /other/ HTTP/1.1\r\nHost: h.example\r\nRequest-Id: z\r\nConnection: close\r\n\r\n";
+    assert_eq!(site.send_raw(nowhere).await.status, 404);
+    assert!(site.seen("r1").is_empty());
+}
+
+#[ntex::test]
+async fn a_draining_replica_gets_nothing_once_that_is_acknowledged() {
+    let mut site = ForwardSite::start(&[PLAIN]).await;
+    site.add_replica("r1", vec![Behaviour::Answer(200, "one"); 20])
+        .await;
+    site.add_replica("r2", vec![Behaviour::Answer(200, "two"); 20])
+        .await;
+    site.drain("r1").await;
+    answered("the entry to know", async || {
+        let answer: Answer = site.ask("GET", "/plain/a", "probe", "").await;
+        (answer.body == "two").then_some(())
+    })
+    .await;
+    let before = site.seen("r1").len();
+    for _ in 0..8 {
+        assert_eq!(site.ask("GET", "/plain/a", "x", "").await.body, "two");
+    }
+    assert_eq!(site.seen("r1").len(), before);
+}
+
+#[ntex::test]
+async fn a_newer_configuration_holds_and_an_older_one_changes_nothing() {
+    let mut site = ForwardSite::start(&[PLAIN]).await;
+    site.add_replica("r1", vec![Behaviour::Answer(200, "x"); 99])
+        .await;
+    site.configure(7, &[PLAIN, UNSAFE]).await.unwrap();
+    answered("the new route", async || {
+        (site.ask("POST", "/once/a", "a", "").await.status == 200).then_some(())
+    })
+    .await;
+    site.configure(6, &[]).await.unwrap();
+    assert!(site.configure(7, &[]).await.is_err());
+    assert!(site.configure(7, &[PLAIN, UNSAFE]).await.is_ok());
+    assert_eq!(site.ask("POST", "/once/a", "b", "").await.status, 200);
+    assert_eq!(site.configuration_read().await, 7);
+}
+
+#[ntex::test]
+async fn a_stopping_entry_answers_what_it_has_read_and_refuses_what_waits() {
+    let mut site = ForwardSite::start(&[PLAIN, STREAM]).await;
+    site.add_replica("r1", vec![Behaviour::Slow(400, "late but whole")])
+        .await;
+    let (answer, ()) = futures::join!(site.ask("GET", "/plain/a", "a", ""), async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        site.stop().await;
+    });
+    assert_eq!(
+        (answer.status, answer.body.as_str()),
+        (200, "late but whole")
+    );
+    assert_eq!(answer.header("connection"), Some("close"));
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -263,7 +263,7 @@
             .args(&process.args)
             .arg("--announce")
             .arg(&announce)
-            .stdout(Stdio::null())
+            .stdout(log.try_clone().unwrap())
             .stderr(log)
             .spawn()
             .unwrap();
--- /dev/null
+++ b/tests/support_forward/mod.rs
@@ -0,0 +1,496 @@
+//! One control host, one entry, and replicas that follow a script.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use dunlinspring::configuration::{Configuration, RouteKind, RouteSpec, ServiceSpec};
+use dunlinspring::control;
+use dunlinspring::controld::ControlDaemon;
+use dunlinspring::directory::{ReplicaPhase, ReplicaRecord};
+use dunlinspring::forward::chunked::ChunkDecoder;
+use dunlinspring::forward::daemon::{ForwardDaemon, ForwardSettings};
+use dunlinspring::forward::dialect::HeaderNames;
+use dunlinspring::forward::head::{self, Framing, Header};
+use dunlinspring::ids::{HallName, HostName, ReplicaId, ServiceName};
+use dunlinspring::peers::{ControlLink, SiteSecret};
+use dunlinspring::raft::RaftTiming;
+use dunlinspring::registry::{Registry, RegistryError};
+use dunlinspring::settings::{CommonSettings, ControlSettings, VoterSettings};
+use tempfile::TempDir;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Longest wait for a condition that must come; reaching it is a failure.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+const NAMES: HeaderNames = HeaderNames {
+    request_id: "Request-Id",
+    deadline_ms: "Deadline-Ms",
+    stamp: "Stamp",
+    expect_replica: "Expect-Replica",
+    not_executed: "Not-Executed",
+    load: "Load",
+    model: "Model",
+    tokens: "Tokens",
+    prefix: "Prefix",
+    priority: "Priority",
+    last_event: "Last-Event",
+    reserved: &[],
+};
+
+/// A route of the test's service.
+#[derive(Clone, Copy)]
+pub struct RouteShape {
+    prefix: &'static str,
+    kind: RouteKind,
+    resumable: bool,
+}
+
+impl RouteShape {
+    pub const fn plain(prefix: &'static str) -> Self {
+        Self {
+            prefix,
+            kind: RouteKind::Safe,
+            resumable: false,
+        }
+    }
+
+    pub const fn unsafe_(prefix: &'static str) -> Self {
+        Self {
+            prefix,
+            kind: RouteKind::Unsafe,
+            resumable: false,
+        }
+    }
+
+    pub const fn stream(prefix: &'static str, resumable: bool) -> Self {
+        Self {
+            prefix,
+            kind: RouteKind::Streaming,
+            resumable,
+        }
+    }
+
+    fn spec(&self) -> RouteSpec {
+        RouteSpec {
+            name: self.prefix.to_owned(),
+            host: "h.example".to_owned(),
+            prefix: self.prefix.to_owned(),
+            kind: self.kind,
+            timeout_ms: 2_000,
+            aim_ms: 800,
+            gap_ms: 400,
+            priority: 1,
+            attempts: 3,
+            resumable: self.resumable,
+            split: vec![(ServiceName::from("plain"), 1)],
+        }
+    }
+}
+
+/// What a replica does with one request.
+#[derive(Clone, Copy, Debug)]
+pub enum Behaviour {
+    /// Answers, signed.
+    Answer(u16, &'static str),
+    /// Answers after so many milliseconds.
+    Slow(u64, &'static str),
+    /// Answers a success without a signature.
+    Unsigned,
+    /// Says that it did not run it.
+    NotExecuted,
+    /// Closes without an answer.
+    Close,
+    /// Sends another request's answer first.
+    SurplusFirst(&'static str),
+    /// Sends another answer after the due one.
+    SurplusAfter(&'static str),
+    /// Closes within the body.
+    CutBody,
+    /// Sends so many events and a part of the next one, then closes.
+    CutStream(u32),
+    /// Sends events up to this one, from the one after the caller's last.
+    Events(u32),
+    /// Sends so many events, and nothing more.
+    HangAfter(u32),
+}
+
+/// A request as a replica saw it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub method: String,
+    pub target: String,
+    pub headers: Vec<Header>,
+    pub body: String,
+}
+
+impl Seen {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        head::find(&self.headers, name)
+    }
+}
+
+/// An answer as a client saw it.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: Vec<Header>,
+    pub body: String,
+    /// Its end came in the protocol.
+    pub whole: bool,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        head::find(&self.headers, name)
+    }
+}
+
+#[derive(Default)]
+struct ReplicaState {
+    script: VecDeque<Behaviour>,
+    seen: Vec<Seen>,
+    closed: bool,
+}
+
+type SharedReplica = Rc<RefCell<ReplicaState>>;
+
+pub struct ForwardSite {
+    _folder: TempDir,
+    _control: ControlDaemon,
+    registry: Registry,
+    entry: ForwardDaemon,
+    replicas: BTreeMap<String, (ReplicaRecord, SharedReplica)>,
+}
+
+pub async fn answered<T>(what: &str, mut look: impl AsyncFnMut() -> Option<T>) -> T {
+    let give_up = Instant::now() + PATIENCE;
+    loop {
+        if let Some(found) = look().await {
+            return found;
+        }
+        assert!(Instant::now() < give_up, "waited in vain for {what}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+fn loopback() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+async fn start_control(folder: &TempDir) -> (ControlDaemon, SocketAddr) {
+    let listener = TcpListener::bind(loopback()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let host = HostName(address.to_string());
+    let settings = ControlSettings {
+        common: CommonSettings {
+            host: host.clone(),
+            hall: HallName::from("hall"),
+            listen: address,
+            watch: loopback(),
+            control: vec![VoterSettings { host, address }],
+            secret_file: Default::default(),
+            log: Default::default(),
+        },
+        data_folder: folder.path().join("control"),
+        timing: RaftTiming {
+            election_ms: 200,
+            heartbeat_ms: 40,
+        },
+        duties: Default::default(),
+        compact_after: 50,
+        platform_url: None,
+        open_membership: true,
+        fleet: Default::default(),
+        site: Default::default(),
+    };
+    control::found(&settings).unwrap();
+    let control = ControlDaemon::start_on(listener, settings, secret())
+        .await
+        .unwrap();
+    (control, address)
+}
+
+fn secret() -> SiteSecret {
+    SiteSecret::new("a secret of these tests")
+}
+
+impl ForwardSite {
+    pub async fn start(routes: &[RouteShape]) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let (control, address) = start_control(&folder).await;
+        let link = Arc::new(ControlLink::new(secret(), vec![address.to_string()]));
+        let registry = Registry::new(control.handle(), link);
+        let settings = ForwardSettings {
+            host: HostName::from("entry"),
+            hall: HallName::from("hall"),
+            clients: loopback(),
+            watch: loopback(),
+            control: vec![address],
+            log: Default::default(),
+            choice: Default::default(),
+            resend: Default::default(),
+            connect_ms: 1_000,
+            stale_ms: 60_000,
+            stop_ms: 200,
+            grace_ms: 5_000,
+        };
+        let entry = ForwardDaemon::start(settings, secret(), NAMES)
+            .await
+            .unwrap();
+        let site = Self {
+            _folder: folder,
+            _control: control,
+            registry,
+            entry,
+            replicas: BTreeMap::new(),
+        };
+        let configured = async || site.configure(1, routes).await.ok();
+        answered("a leader", configured).await;
+        let known = async || {
+            let answer = site.ask("GET", "/no-route/", "probe", "").await;
+            (answer.status == 404).then_some(())
+        };
+        answered("the configuration", known).await;
+        site
+    }
+
+    pub async fn configure(
+        &self,
+        version: u64,
+        routes: &[RouteShape],
+    ) -> Result<(), RegistryError> {
+        let plain = ServiceSpec {
+            max_connections: 99,
+            engine: None,
+        };
+        let configuration = Configuration {
+            version,
+            routes: routes.iter().map(RouteShape::spec).collect(),
+            services: BTreeMap::from([(ServiceName::from("plain"), plain)]),
+            ..Configuration::default()
+        };
+        let source = format!("{version} {}", routes.len()).into_bytes();
+        self.registry
+            .configure(configuration, source)
+            .await
+            .map(|_| ())
+    }
+
+    pub async fn configuration_read(&self) -> u64 {
+        let record = self.registry.configuration().await.unwrap();
+        record.unwrap().configuration.version
+    }
+
+    /// Starts a replica, and waits until the entry sends to it.
+    pub async fn add_replica(&mut self, name: &str, script: Vec<Behaviour>) {
+        let listener = TcpListener::bind(loopback()).await.unwrap();
+        let record = ReplicaRecord {
+            id: ReplicaId::from(name),
+            service: ServiceName::from("plain"),
+            address: listener.local_addr().unwrap(),
+            hall: HallName::from("hall"),
+            slots: 8,
+            phase: ReplicaPhase::Ready,
+            models: BTreeMap::new(),
+            in_memory: Default::default(),
+            on_disk: Default::default(),
+        };
+        let state = SharedReplica::default();
+        state.borrow_mut().script = script.into();
+        ntex::rt::spawn(serve_replica(listener, name.to_owned(), state.clone()));
+        self.registry.beat(record.clone()).await.unwrap();
+        self.replicas.insert(name.to_owned(), (record, state));
+        answered("the entry to know the replica", async || {
+            self.entry.knows(&ReplicaId::from(name)).then_some(())
+        })
+        .await;
+    }
+
+    pub fn seen(&self, name: &str) -> Vec<Seen> {
+        self.replicas[name].1.borrow().seen.clone()
+    }
+
+    /// Whether a connection was closed while the replica was at work on it.
+    pub fn closed(&self, name: &str) -> bool {
+        self.replicas[name].1.borrow().closed
+    }
+
+    pub async fn drain(&self, name: &str) {
+        let mut record = self.replicas[name].0.clone();
+        record.phase = ReplicaPhase::Draining;
+        self.registry.beat(record).await.unwrap();
+    }
+
+    pub async fn stop(&self) {
+        self.entry.stop().await;
+    }
+
+    pub async fn ask(&self, method: &str, target: &str, id: &str, body: &str) -> Answer {
+        let length = body.len();
+        let text = format!(
+            "{method} {target} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\n\
+             Deadline-Ms: 1500\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n{body}"
+        );
+        self.send_raw(&text).await
+    }
+
+    /// Sends bytes on a connection of their own, and reads one answer.
+    pub async fn send_raw(&self, text: &str) -> Answer {
+        let mut stream = TcpStream::connect(self.entry.address).await.unwrap();
+        let _ = stream.write_all(text.as_bytes()).await;
+        let mut bytes = Vec::new();
+        let _ = stream.read_to_end(&mut bytes).await;
+        parse_answer(&bytes)
+    }
+
+    /// Sends a request, reads a first part of its answer, and leaves.
+    pub async fn ask_and_leave(&self, target: &str, id: &str) {
+        let mut stream = TcpStream::connect(self.entry.address).await.unwrap();
+        let text = format!("GET {target} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\n\r\n");
+        stream.write_all(text.as_bytes()).await.unwrap();
+        let mut first = [0; 16];
+        stream.read_exact(&mut first).await.unwrap();
+    }
+}
+
+fn parse_answer(bytes: &[u8]) -> Answer {
+    let parsed = head::parse_response(bytes, "GET").unwrap();
+    let (head, len) = parsed.expect("a whole head");
+    let rest = &bytes[len..];
+    let (body, whole) = match head.framing {
+        Framing::Length(length) => (rest.to_vec(), rest.len() as u64 == length),
+        Framing::Chunked => {
+            let mut decoder = ChunkDecoder::default();
+            let mut body = Vec::new();
+            decoder.decode(rest, &mut body).unwrap();
+            (body, decoder.is_done())
+        }
+        Framing::Close => (rest.to_vec(), true),
+    };
+    Answer {
+        status: head.status,
+        headers: head.headers,
+        body: String::from_utf8(body).unwrap(),
+        whole,
+    }
+}
+
+async fn serve_replica(listener: TcpListener, name: String, state: SharedReplica) {
+    while let Ok((stream, _)) = listener.accept().await {
+        ntex::rt::spawn(serve_connection(stream, name.clone(), state.clone()));
+    }
+}
+
+async fn serve_connection(mut stream: TcpStream, name: String, state: SharedReplica) {
+    let mut buffer = Vec::new();
+    while let Some(seen) = read_request(&mut stream, &mut buffer).await {
+        let id = seen.header("request-id").unwrap_or_default().to_owned();
+        let last = seen
+            .header("last-event")
+            .and_then(|id| id.parse().ok())
+            .unwrap_or(0);
+        state.borrow_mut().seen.push(seen);
+        let next = state.borrow_mut().script.pop_front();
+        let behaviour = next.unwrap_or(Behaviour::Answer(200, "unscripted"));
+        if !behave(&mut stream, behaviour, &name, &id, last, &state).await {
+            return;
+        }
+    }
+}
+
+async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<Seen> {
+    loop {
+        if let Some((head, len)) = head::parse_request(buffer).unwrap() {
+            let Framing::Length(length) = head.framing else {
+                panic!("an entry sends bodies with a length");
+            };
+            let end = len + length as usize;
+            if buffer.len() >= end {
+                let body = String::from_utf8(buffer[len..end].to_vec()).unwrap();
+                buffer.drain(..end);
+                return Some(Seen {
+                    method: head.method,
+                    target: head.target,
+                    headers: head.headers,
+                    body,
+                });
+            }
+        }
+        if stream.read_buf(buffer).await.unwrap_or(0) == 0 {
+            return None;
+        }
+    }
+}
+
+fn whole_answer(status: u16, name: &str, id: &str, body: &str, extra: &str) -> String {
+    let length = body.len();
+    format!(
+        "HTTP/1.1 {status} Any\r\nRequest-Id: {id}\r\nStamp: {name}\r\nX-Other: kept\r\n\
+         {extra}Content-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+fn event_chunks(from: u32, to: u32) -> String {
+    let event = |number: u32| {
+        let text = format!("id: {number}\ndata: {number}\n\n");
+        format!("{:x}\r\n{text}\r\n", text.len())
+    };
+    (from..=to).map(event).collect()
+}
+
+/// Returns whether the connection stays open.
+async fn behave(
+    stream: &mut TcpStream,
+    behaviour: Behaviour,
+    name: &str,
+    id: &str,
+    last: u32,
+    state: &SharedReplica,
+) -> bool {
+    let stream_head = format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nStamp: {name}\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    let text = match behaviour {
+        Behaviour::Answer(status, body) => whole_answer(status, name, id, body, ""),
+        Behaviour::Slow(millis, body) => {
+            tokio::time::sleep(Duration::from_millis(millis)).await;
+            whole_answer(200, name, id, body, "")
+        }
+        Behaviour::Unsigned => {
+            format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: 2\r\n\r\nhi")
+        }
+        Behaviour::NotExecuted => whole_answer(503, name, id, "", "Not-Executed: 1\r\n"),
+        Behaviour::Close => return false,
+        Behaviour::SurplusFirst(body) => {
+            let surplus = whole_answer(200, name, "another", "not yours", "");
+            surplus + &whole_answer(200, name, id, body, "")
+        }
+        Behaviour::SurplusAfter(body) => {
+            whole_answer(200, name, id, body, "") + &whole_answer(200, name, id, "again", "")
+        }
+        Behaviour::CutBody => {
+            format!(
+                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nStamp: {name}\r\nContent-Length: 9\r\n\r\nhalf"
+            )
+        }
+        Behaviour::CutStream(count) => stream_head + &event_chunks(1, count) + "6\r\nid: 9\n\r\n",
+        Behaviour::Events(count) => stream_head + &event_chunks(last + 1, count) + "0\r\n\r\n",
+        Behaviour::HangAfter(count) => stream_head + &event_chunks(1, count),
+    };
+    let _ = stream.write_all(text.as_bytes()).await;
+    match behaviour {
+        Behaviour::CutBody | Behaviour::CutStream(_) => false,
+        Behaviour::HangAfter(_) => {
+            let mut probe = [0; 1];
+            let left = stream.read(&mut probe).await.unwrap_or(0) == 0;
+            state.borrow_mut().closed = left;
+            false
+        }
+        _ => true,
+    }
+}
