--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -159,7 +159,7 @@
 /// Weight of the newest answer in a replica's pace.
 const PACE_STEP: f64 = 0.2;
 /// Part of the time limit that the predicted beginning may take.
-const PACE_PART: f64 = 0.9;
+const PACE_PART: f64 = 0.6;
 /// Shared starts remembered for each replica.
 const MAX_PREFIXES: usize = 256;
 /// Weight of the newest outcome in the failure rate.
