A restarted voter applies what it knew to be committed

The commit index goes to disk along with other records. Test: a_restarted_voter_knows_what_it_knew_to_be_committed, failed before.

--- a/src/entries.rs
+++ b/src/entries.rs
@@ -57,6 +57,9 @@
     Append(LogEntry),
     /// Replaces the log up to the snapshot.
     Install(LogSnapshot),
+    /// Entries up to this one are committed. Written along with other records,
+    /// so that a restarted voter knows them before it has heard a leader.
+    Commit(Position),
 }
 
 /// What a restarted voter reads back from its disk.
@@ -68,6 +71,8 @@
     pub snapshot: LogSnapshot,
     /// The entries after it.
     pub entries: Vec<LogEntry>,
+    /// The highest entry that is known to be committed.
+    pub commit: Position,
 }
 
 impl DiskImage {
@@ -77,6 +82,7 @@
             DiskRecord::Vote(term, vote) => self.vote = (term, vote),
             DiskRecord::Truncate(from) => self.entries.retain(|e| e.mark.index < from),
             DiskRecord::Append(entry) => self.entries.push(entry),
+            DiskRecord::Commit(index) => self.commit = self.commit.max(index),
             DiskRecord::Install(snapshot) => {
                 self.entries.retain(|e| e.mark.index > snapshot.last.index);
                 self.snapshot = snapshot;
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -159,6 +159,7 @@
         for entry in image.entries {
             push_frame(&mut bytes, &DiskRecord::Append(entry));
         }
+        push_frame(&mut bytes, &DiskRecord::Commit(image.commit));
         replace(&self.folder, LOG_FILE, &bytes)?;
         self.log = open_log(&path)?;
         self.written = bytes.len() as u64;
--- a/src/raft.rs
+++ b/src/raft.rs
@@ -86,6 +86,10 @@
     entries: Vec<LogEntry>,
     commit: Position,
     delivered: Position,
+    /// The commit index on disk.
+    saved_commit: Position,
+    /// When the commit index was last saved.
+    saved_ms: u64,
     role: Role,
     leader: Option<NodeId>,
     heard_ms: Option<u64>,
@@ -117,6 +121,8 @@
             entries: image.entries,
             commit: start,
             delivered: start,
+            saved_commit: image.commit,
+            saved_ms: now_ms,
             role: Role::Follower,
             leader: None,
             heard_ms: None,
@@ -131,6 +137,8 @@
             output: Output::default(),
         };
         core.schedule_election(now_ms);
+        let known = image.commit.min(core.last().index);
+        core.deliver_up_to(known);
         core
     }
 
@@ -190,9 +198,19 @@
 
     /// Takes what is to be done; see the module's rule.
     pub fn take_output(&mut self) -> Output {
+        if !self.output.records.is_empty() {
+            self.save_commit();
+        }
         std::mem::take(&mut self.output)
     }
 
+    fn save_commit(&mut self) {
+        if self.commit > self.saved_commit {
+            self.saved_commit = self.commit;
+            self.output.records.push(DiskRecord::Commit(self.commit));
+        }
+    }
+
     /// Whether a decision taken now, from the committed state, is the newest there is:
     /// this voter leads, a quorum confirmed it within the lease, and an entry of
     /// its own term is committed.
@@ -350,6 +368,11 @@
 
     /// Lets time pass: elections, heartbeats and stepping down.
     pub fn tick(&mut self, now_ms: u64) {
+        // With other records it costs no sync of its own; alone it waits a while.
+        if now_ms >= self.saved_ms + self.timing.heartbeat_ms {
+            self.saved_ms = now_ms;
+            self.save_commit();
+        }
         match self.role {
             Role::Leader => {
                 if now_ms >= self.heartbeat_due_ms {
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -42,11 +42,15 @@
         compact_after: usize,
     ) -> Self {
         let state = decode_state(&image.snapshot);
-        Self {
+        let mut replica = Self {
             raft: RaftCore::new(id, timing, image, now_ms, seed),
             state,
             compact_after,
+        };
+        for entry in replica.raft.take_output().committed {
+            replica.apply(&entry);
         }
+        replica
     }
 
     /// The image of a new site: its founding voters.
