--- a/src/follow.rs
+++ b/src/follow.rs
@@ -26,9 +26,9 @@
 /// Pause after another task's pull, before this host is pulled from as well.
 const PULL_PAUSE: Duration = Duration::from_millis(60);
 /// Pause after a host that did not answer; it doubles.
-const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest such pause.
-const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 
 /// The copy, shared by a process's tasks.
 pub struct ControlFollower {
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -29,6 +29,9 @@
 const MAX_FRAME: usize = 64 << 20;
 /// Longest handshake.
 const HELLO_TIME: Duration = Duration::from_millis(1_000);
+/// Longest time for a connection to come up. A host without power says nothing,
+/// and a lost first packet is sent again only after a second.
+const CONNECT_TIME: Duration = Duration::from_millis(250);
 /// Least time between two tries to reach the same peer.
 const REDIAL_TIME: Duration = Duration::from_millis(100);
 /// Connections that may be in their handshake at once.
@@ -263,7 +266,9 @@
     Out: Serialize,
 {
     let connect = async {
-        let stream = TcpStream::connect(address).await;
+        let late = |_| io::Error::from(io::ErrorKind::TimedOut);
+        let stream = tokio::time::timeout(CONNECT_TIME, TcpStream::connect(address)).await;
+        let stream = stream.map_err(late).and_then(|stream| stream);
         let stream = stream.and_then(|stream| {
             stream.set_nodelay(true)?;
             Ok(stream)
