--- a/src/fleet_plan.rs
+++ b/src/fleet_plan.rs
@@ -186,7 +186,7 @@
                     None if store => spec.load_ms,
                     None => return None,
                 };
-                let (victim, loss) = self.room(replica, spec.weights_mb)?;
+                let (victim, loss) = self.room(replica, spec.weights_mb, self.homes(model) == 0)?;
                 let spread = if halls.contains(&replica.hall) {
                     0.0
                 } else {
@@ -205,18 +205,22 @@
         offers.max_by(|a, b| a.rank.total_cmp(&b.rank))
     }
 
-    /// What must go from a replica first to make room, and what that costs.
-    fn room(&self, replica: &PlanReplica, need_mb: u64) -> Option<(Option<ModelName>, f64)> {
+    /// What must go from a replica first to make room, and what that costs. The
+    /// last home of a model goes only for the first one of another.
+    fn room(
+        &self,
+        replica: &PlanReplica,
+        need_mb: u64,
+        first: bool,
+    ) -> Option<(Option<ModelName>, f64)> {
         if replica.free_mb >= need_mb {
             return Some((None, 0.0));
         }
         let weight = |model: &ModelName| self.models.get(model).map_or(0, |m| m.weights_mb);
         let enough = |model: &&ModelName| replica.free_mb + weight(model) >= need_mb;
-        let losses = replica
-            .held
-            .iter()
-            .filter(enough)
-            .map(|model| (self.loss(model), model));
+        let spare = |model: &&ModelName| first || self.homes(model) > 1;
+        let held = replica.held.iter().filter(enough).filter(spare);
+        let losses = held.map(|model| (self.loss(model), model));
         let least = losses.min_by(|a, b| a.0.total_cmp(&b.0))?;
         Some((Some(least.1.clone()), least.0))
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -298,6 +298,18 @@
     assert!(alone.is_empty());
 }
 
+#[test]
+fn the_last_home_of_a_model_goes_only_for_the_first_of_another() {
+    let models = plan_models(&[("cold", 0.0), ("hot", 50.0)]);
+    let full = vec![
+        plan_replica("r1", 0, &["cold"]),
+        plan_replica("r2", 0, &["hot"]),
+    ];
+    assert!(plan(full, &models, 0.2, 1).is_empty());
+    let absent = plan(vec![plan_replica("r1", 0, &["cold"])], &models, 0.2, 1);
+    assert_eq!(absent[0].for_model, Some(ModelName::from("hot")));
+}
+
 fn wish(adapter: &str) -> AdapterWish {
     AdapterWish {
         replica: ReplicaId::from("r1"),
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -22,7 +22,11 @@
     let mut disk = LogReplica::founding_image(BTreeSet::from([NodeId(1)]));
     let mut first = voter(disk.clone(), 0);
     first.tick(300);
-    first.finish(300).records.into_iter().for_each(|r| disk.apply(r));
+    first
+        .finish(300)
+        .records
+        .into_iter()
+        .for_each(|r| disk.apply(r));
     let record = ConfigurationRecord {
         configuration: Configuration {
             version: 3,
@@ -30,10 +34,16 @@
         },
         source: b"three".to_vec(),
     };
-    first.propose(0, Command::Configure(Box::new(record))).unwrap();
+    first
+        .propose(0, Command::Configure(Box::new(record)))
+        .unwrap();
     for now_ms in [301, 500, 700] {
         first.tick(now_ms);
-        first.finish(now_ms).records.into_iter().for_each(|r| disk.apply(r));
+        first
+            .finish(now_ms)
+            .records
+            .into_iter()
+            .for_each(|r| disk.apply(r));
     }
     let again = voter(disk, 1_000);
     let held = again.state().configuration.as_ref();
