--- a/src/adapters.rs
+++ b/src/adapters.rs
@@ -47,6 +47,8 @@
     kind: OrderKind,
     /// Until when it counts; none while it has no outcome.
     until_ms: Option<u64>,
+    /// It has left for the engine.
+    sent: bool,
 }
 
 /// Orders on adapters that are under way, and when adapters were used.
@@ -55,6 +57,8 @@
     pending: BTreeMap<AdapterPlace, PendingOrder>,
     used_ms: BTreeMap<AdapterPlace, u64>,
     busy_ms: BTreeMap<ReplicaId, u64>,
+    /// The orders of the leader before have been taken over.
+    adopted: bool,
 }
 
 impl AdapterOrders {
@@ -68,6 +72,7 @@
         &mut self,
         record: &ReplicaRecord,
         slots: usize,
+        replicas: &ReplicaDirectory,
         wish: &AdapterWish,
         now_ms: u64,
     ) -> WishAnswer {
@@ -90,7 +95,7 @@
             None if busy || self.coming(&record.id) >= AT_ONCE => return WishAnswer::Refused,
             None => {}
         }
-        if self.taken(record) < slots {
+        if self.taken(record, replicas) < slots {
             self.open(place, OrderKind::Load);
             return WishAnswer::Load;
         }
@@ -130,9 +135,25 @@
         }
     }
 
-    /// Forgets what shows in the directory, or counts no more.
-    pub fn settle(&mut self, replicas: &ReplicaDirectory, now_ms: u64) {
+    /// The loads whose places are committed and that have not left yet. Whoever
+    /// leads next must know of a place before an order takes it.
+    pub fn take_due(&mut self, replicas: &ReplicaDirectory) -> Vec<AdapterPlace> {
+        let mut due = Vec::new();
+        for (place, order) in &mut self.pending {
+            let unsent = order.kind == OrderKind::Load && !order.sent;
+            if unsent && is_coming(replicas, place) {
+                order.sent = true;
+                due.push(place.clone());
+            }
+        }
+        due
+    }
+
+    /// Forgets what shows in the directory, or counts no more, and takes over the
+    /// orders of the leader before. Returns places whose orders are settled.
+    pub fn settle(&mut self, replicas: &ReplicaDirectory, now_ms: u64) -> Vec<AdapterPlace> {
         let records = replicas.records();
+        self.adopt(replicas, now_ms);
         self.pending.retain(|place, order| {
             let record = records.get(&place.replica);
             let over = order.until_ms.is_some_and(|until_ms| until_ms <= now_ms);
@@ -140,15 +161,37 @@
             let done = order.kind == OrderKind::Load && shows && order.until_ms.is_some();
             record.is_some() && !over && !done
         });
+        let coming = records.keys().flat_map(|id| coming_places(replicas, id));
+        let over = coming.filter(|place| !self.pending.contains_key(place));
+        let over = over.collect();
         self.used_ms
             .retain(|place, _| records.contains_key(&place.replica));
         self.busy_ms.retain(|_, until_ms| *until_ms > now_ms);
+        over
+    }
+
+    /// Orders of the leader before count as if they had no answer.
+    fn adopt(&mut self, replicas: &ReplicaDirectory, now_ms: u64) {
+        if std::mem::replace(&mut self.adopted, true) {
+            return;
+        }
+        for id in replicas.records().keys() {
+            for place in coming_places(replicas, id) {
+                let order = PendingOrder {
+                    kind: OrderKind::Load,
+                    until_ms: Some(now_ms + LATE_MS),
+                    sent: true,
+                };
+                self.pending.entry(place).or_insert(order);
+            }
+        }
     }
 
     fn open(&mut self, place: AdapterPlace, kind: OrderKind) {
         let order = PendingOrder {
             kind,
             until_ms: None,
+            sent: kind == OrderKind::Unload,
         };
         self.pending.insert(place, order);
     }
@@ -163,11 +206,13 @@
     }
 
     /// Places that are taken, by whatever order may still be carried out.
-    fn taken(&self, record: &ReplicaRecord) -> usize {
+    fn taken(&self, record: &ReplicaRecord, replicas: &ReplicaDirectory) -> usize {
         let held: usize = record.models.values().map(BTreeSet::len).sum();
-        let pending = self.pending.keys();
+        let pending = self.pending.keys().cloned();
         let pending = pending.filter(|place| place.replica == record.id);
-        held + pending.filter(|place| !holds(record, place)).count()
+        let ordered: BTreeSet<AdapterPlace> =
+            pending.chain(coming_places(replicas, &record.id)).collect();
+        held + ordered.iter().filter(|place| !holds(record, place)).count()
     }
 
     fn least_used(&self, record: &ReplicaRecord, now_ms: u64) -> Option<AdapterPlace> {
@@ -187,6 +232,24 @@
     }
 }
 
+/// The places of a replica that stand in the log as ordered.
+fn coming_places<'a>(
+    replicas: &'a ReplicaDirectory,
+    id: &'a ReplicaId,
+) -> impl Iterator<Item = AdapterPlace> + 'a {
+    replicas
+        .adapters_coming(id)
+        .map(|(model, adapter)| AdapterPlace {
+            replica: id.clone(),
+            model: model.clone(),
+            adapter: adapter.clone(),
+        })
+}
+
+fn is_coming(replicas: &ReplicaDirectory, place: &AdapterPlace) -> bool {
+    coming_places(replicas, &place.replica).any(|coming| coming == *place)
+}
+
 fn holds(record: &ReplicaRecord, place: &AdapterPlace) -> bool {
     let held = record.models.get(&place.model);
     held.is_some_and(|adapters| adapters.contains(&place.adapter))
--- a/src/bin/dunlinspring.rs
+++ b/src/bin/dunlinspring.rs
@@ -14,6 +14,7 @@
         Some("check") => commands::check(rest),
         Some("demo") => commands::demo(rest).await,
         Some("load") => commands::load(rest).await,
+        Some("explain") => commands::explain(rest),
         Some("help" | "-h" | "--help") => {
             println!("{}", commands::USAGE);
             Ok(0)
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -22,6 +22,7 @@
   table put ID --version N FILE      create (version 0) or replace a row
   table delete ID --version N        remove a row
   status                             control hosts and this entry
+  explain ID FILE...                 a request's story, from the logs of all processes
   check --role ROLE FILE             check settings: control, entry, agent, load
   demo [--seconds N] [--seed N] [--json] [--serve]
                                      a whole small site in this process
@@ -34,6 +35,27 @@
 const MAX_ANSWER: usize = 16 << 20;
 const PROGRESS: Duration = Duration::from_secs(1);
 
+/// `explain`: prints the story of one request.
+pub fn explain(args: &[String]) -> Result<i32, String> {
+    let [id, files @ ..] = args else {
+        return Err("explain ID FILE...".to_owned());
+    };
+    let mut text = String::new();
+    for file in files {
+        let read = std::fs::read(file).map_err(|error| format!("{file}: {error}"))?;
+        text.push_str(&String::from_utf8_lossy(&read));
+        text.push('\n');
+    }
+    let story = crate::explain::explain(id, text.lines());
+    for line in &story {
+        println!("{line}");
+    }
+    match story.is_empty() {
+        true => Err(format!("no line names request {id}")),
+        false => Ok(0),
+    }
+}
+
 type Ended = Result<i32, String>;
 
 fn parse(options: &Options, args: &[String]) -> Result<Matches, String> {
--- a/src/control.rs
+++ b/src/control.rs
@@ -430,6 +430,7 @@
         };
         let actions = fleet.round(state, now_ms);
         for command in actions.commands {
+            tracing::info!(?command, "fleet decision");
             self.propose(command, None);
         }
         for order in actions.orders {
@@ -562,7 +563,10 @@
                 }
             }
             false => {
-                self.fleet = None;
+                if let Some(fleet) = self.fleet.take() {
+                    let leader = self.replica.raft().leader();
+                    tracing::info!(term = %fleet.term(), ?leader, "leads no more");
+                }
                 self.duties = None;
                 self.abandon();
             }
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -68,6 +68,8 @@
     leaving: BTreeMap<ReplicaId, BTreeSet<ModelName>>,
     /// Models ordered in that a replica does not tell of yet: they take room.
     loading: BTreeMap<ReplicaId, BTreeSet<ModelName>>,
+    /// Adapters ordered in, by replica, until they are there or their order is settled.
+    adapters_coming: BTreeMap<ReplicaId, BTreeSet<(ModelName, String)>>,
     /// When an order last changed a replica's adapters, in the state's clock.
     ordered_ms: BTreeMap<ReplicaId, u64>,
 }
@@ -94,6 +96,26 @@
         self.loading.get(id).into_iter().flatten()
     }
 
+    /// Adapters that were ordered in and are not settled yet.
+    pub fn adapters_coming(&self, id: &ReplicaId) -> impl Iterator<Item = &(ModelName, String)> {
+        self.adapters_coming.get(id).into_iter().flatten()
+    }
+
+    /// Notes that an adapter is ordered into a replica, before the order leaves.
+    pub fn order_adapter(&mut self, id: &ReplicaId, model: &ModelName, adapter: &str) {
+        if self.records.contains_key(id) {
+            let coming = self.adapters_coming.entry(id.clone()).or_default();
+            coming.insert((model.clone(), adapter.to_owned()));
+        }
+    }
+
+    /// Notes that no order on an adapter is under way any more.
+    pub fn settle_adapter(&mut self, id: &ReplicaId, model: &ModelName, adapter: &str) {
+        if let Some(coming) = self.adapters_coming.get_mut(id) {
+            coming.remove(&(model.clone(), adapter.to_owned()));
+        }
+    }
+
     /// Compares a heartbeat with what is known; `clock_ms` is the state's clock.
     pub fn news(&self, record: &ReplicaRecord, clock_ms: u64) -> BeatNews {
         let gone = |model: &ModelName| !record.models.contains_key(model);
@@ -181,6 +203,7 @@
     pub fn end(&mut self, id: &ReplicaId) -> bool {
         self.leaving.remove(id);
         self.loading.remove(id);
+        self.adapters_coming.remove(id);
         self.ordered_ms.remove(id);
         if !self.ended.contains(id) {
             self.ended.push_back(id.clone());
@@ -207,6 +230,9 @@
             Some(adapters) => adapters.remove(adapter),
             None => false,
         };
+        if held {
+            self.settle_adapter(id, model, adapter);
+        }
         if changed {
             self.ordered_ms.insert(id.clone(), clock_ms);
         }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -170,6 +170,8 @@
     promised: BTreeMap<ReplicaId, Promise>,
     adapters: AdapterOrders,
     fenced: BTreeSet<ReplicaId>,
+    /// Commands for the next round.
+    proposed: Vec<Command>,
 }
 
 /// Time between two samples of demand, in milliseconds.
@@ -209,6 +211,7 @@
             promised: BTreeMap::new(),
             adapters: AdapterOrders::default(),
             fenced: BTreeSet::new(),
+            proposed: Vec::new(),
         }
     }
 
@@ -263,15 +266,17 @@
             return (false, None);
         }
         let slots = engine.adapter_slots as usize;
-        match self.adapters.decide(record, slots, wish, now_ms) {
+        match self
+            .adapters
+            .decide(record, slots, &state.replicas, wish, now_ms)
+        {
             WishAnswer::Known => (true, None),
             WishAnswer::Refused => (false, None),
             WishAnswer::Load => {
-                let adapter = Some(wish.adapter.as_str());
-                (
-                    true,
-                    Some(self.order(record, OrderKind::Load, &wish.model, adapter)),
-                )
+                let (id, model) = (wish.replica.clone(), wish.model.clone());
+                let command = Command::ReplicaAdapterOrdered(id, model, wish.adapter.clone());
+                self.proposed.push(command);
+                (true, None)
             }
             WishAnswer::Evict(place) => {
                 let adapter = Some(place.adapter.as_str());
@@ -351,6 +356,7 @@
         }
         let settled = self.settle(&state.replicas, now_ms);
         actions.commands.extend(settled);
+        actions.commands.append(&mut self.proposed);
         actions.orders = self.send_due(&state.replicas, now_ms);
         let engines = record.configuration.services.iter();
         let engines = engines.filter_map(|(name, spec)| Some((name, spec.engine.as_ref()?)));
@@ -445,7 +451,10 @@
                 self.pending.insert(id.clone(), order);
             }
         }
-        self.adapters.settle(replicas, now_ms);
+        for place in self.adapters.settle(replicas, now_ms) {
+            let (id, model) = (place.replica, place.model);
+            commands.push(Command::ReplicaAdapterSettled(id, model, place.adapter));
+        }
         self.fenced.retain(|id| records.contains_key(id));
         commands
     }
@@ -461,9 +470,18 @@
             }
         }
         let records = replicas.records();
-        let due = due.into_iter();
-        due.filter_map(|(id, kind, model)| Some(self.order(records.get(&id)?, kind, &model, None)))
-            .collect()
+        let mut orders = Vec::new();
+        for (id, kind, model) in due {
+            let record = records.get(&id);
+            orders.extend(record.map(|record| self.order(record, kind, &model, None)));
+        }
+        for place in self.adapters.take_due(replicas) {
+            let record = records.get(&place.replica);
+            let adapter = Some(place.adapter.as_str());
+            let order = |record| self.order(record, OrderKind::Load, &place.model, adapter);
+            orders.extend(record.map(order));
+        }
+        orders
     }
 
     fn order(
--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -160,6 +160,8 @@
 const PACE_STEP: f64 = 0.2;
 /// Part of the time limit that the predicted beginning may take.
 const PACE_PART: f64 = 0.6;
+/// Replicas that one log line describes.
+const MAX_DESCRIBED: usize = 4;
 /// Shared starts remembered for each replica.
 const MAX_PREFIXES: usize = 256;
 /// Weight of the newest outcome in the failure rate.
@@ -231,8 +233,18 @@
     }
 }
 
-/// A model whose state an entry tells the leader.
-pub type BusyModels = BTreeMap<ModelName, f64>;
+/// What an entry has come to believe of a replica.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EjectNews {
+    /// The replica.
+    pub replica: ReplicaId,
+    /// Its failure rate, from 0 to 1.
+    pub failing: f64,
+    /// It is passed over for so long, in milliseconds.
+    pub pause_ms: u64,
+    /// How it failed last.
+    pub end: TryEnd,
+}
 
 /// All replicas that an entry knows.
 #[derive(Clone, Debug, Default)]
@@ -240,6 +252,7 @@
     policy: ChoicePolicy,
     hall: Option<HallName>,
     notes: BTreeMap<ReplicaId, ReplicaNote>,
+    news: Vec<EjectNews>,
 }
 
 impl ReplicaBook {
@@ -249,9 +262,15 @@
             policy,
             hall: Some(hall),
             notes: BTreeMap::new(),
+            news: Vec::new(),
         }
     }
 
+    /// What it has come to believe since the last call, to be logged.
+    pub fn take_news(&mut self) -> Vec<EjectNews> {
+        std::mem::take(&mut self.news)
+    }
+
     /// Takes over the records that are in force.
     pub fn follow(&mut self, records: &BTreeMap<ReplicaId, ReplicaRecord>) {
         self.notes.retain(|id, _| records.contains_key(id));
@@ -267,6 +286,34 @@
         }
     }
 
+    /// The replicas that are known.
+    pub fn ids(&self) -> impl Iterator<Item = &ReplicaId> {
+        self.notes.keys()
+    }
+
+    /// What is believed of the replicas that could meet a need, for a log line:
+    /// load, predicted beginning, the age of the report, and what is against them.
+    pub fn describe(&self, now_ms: u64, need: &Need) -> String {
+        let fade_ms = self.policy.fade_ms;
+        let suited = self.notes.values().filter(|note| suits(note, need));
+        let lines = suited.take(MAX_DESCRIBED).map(|note| {
+            let (waiting, running) = note.loads(now_ms, fade_ms);
+            let ahead = note.ahead(need, now_ms, fade_ms) as f64;
+            let begin_ms = note.pace_ms.unwrap_or(0.0) * ahead;
+            let age_ms = now_ms.saturating_sub(note.told.at_ms);
+            let ejected_ms = note.ejected_until_ms.saturating_sub(now_ms);
+            format!(
+                "{} waiting {waiting:.1} running {running:.1} of {} begins in {begin_ms:.0} ms, \
+                 told {age_ms} ms ago, {:?}, passed over for {ejected_ms} ms, adapter {}",
+                note.record.id,
+                note.slots,
+                note.record.phase,
+                self.holds_adapter(note, need)
+            )
+        });
+        lines.collect::<Vec<String>>().join("; ")
+    }
+
     /// The record of a replica.
     pub fn record(&self, id: &ReplicaId) -> Option<&ReplicaRecord> {
         self.notes.get(id).map(|note| &note.record)
@@ -281,14 +328,8 @@
         passed: &BTreeSet<ReplicaId>,
         bounds: EngineBounds,
     ) -> Choice {
-        let suits = |note: &&ReplicaNote| {
-            let record = &note.record;
-            let model = need.model.as_ref();
-            need.service.as_ref() == Some(&record.service)
-                && record.phase != ReplicaPhase::Draining
-                && model.is_none_or(|model| record.models.contains_key(model))
-        };
-        let mut suited: Vec<&ReplicaNote> = self.notes.values().filter(suits).collect();
+        let all = self.notes.values();
+        let mut suited: Vec<&ReplicaNote> = all.filter(|note| suits(note, need)).collect();
         if suited.is_empty() {
             return Choice::Absent;
         }
@@ -447,10 +488,14 @@
             TryEnd::Failed => {
                 note.failing += (1.0 - note.failing) * FAIL_STEP;
                 if note.failing >= EJECT_RATE {
-                    eject(note, &policy, now_ms);
+                    let news = eject(note, &policy, now_ms, end);
+                    self.news.extend(news);
                 }
             }
-            TryEnd::Unreached => eject(note, &policy, now_ms),
+            TryEnd::Unreached => {
+                let news = eject(note, &policy, now_ms, end);
+                self.news.extend(news);
+            }
             TryEnd::Neutral => {}
         }
     }
@@ -488,12 +533,34 @@
     }
 }
 
-fn eject(note: &mut ReplicaNote, policy: &ChoicePolicy, now_ms: u64) {
+/// Whether a replica serves what is needed and stays.
+fn suits(note: &ReplicaNote, need: &Need) -> bool {
+    let record = &note.record;
+    let model = need.model.as_ref();
+    need.service.as_ref() == Some(&record.service)
+        && record.phase != ReplicaPhase::Draining
+        && model.is_none_or(|model| record.models.contains_key(model))
+}
+
+fn eject(
+    note: &mut ReplicaNote,
+    policy: &ChoicePolicy,
+    now_ms: u64,
+    end: TryEnd,
+) -> Option<EjectNews> {
     if note.ejected_until_ms > now_ms {
-        return;
+        return None;
     }
     let pause_ms = policy.eject_ms << note.ejections.min(6);
-    note.ejected_until_ms = now_ms + pause_ms.min(policy.eject_max_ms);
+    let pause_ms = pause_ms.min(policy.eject_max_ms);
+    let news = EjectNews {
+        replica: note.record.id.clone(),
+        failing: note.failing,
+        pause_ms,
+        end,
+    };
+    note.ejected_until_ms = now_ms + pause_ms;
     note.ejections += 1;
     note.failing *= 0.5;
+    Some(news)
 }
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -17,7 +17,7 @@
 use crate::daemon::{self, DaemonError};
 use crate::fleet::{AdapterWish, EntryReport};
 use crate::follow::ControlFollower;
-use crate::forward::book::{ChoicePolicy, Need, ReplicaBook};
+use crate::forward::book::{ChoicePolicy, EjectNews, Need, ReplicaBook};
 use crate::forward::budget::{ResendBudget, ResendPolicy};
 use crate::forward::client;
 use crate::forward::dialect::HeaderNames;
@@ -26,6 +26,7 @@
 use crate::metrics::{MetricBook, MetricKey};
 use crate::peers::{ControlLink, SiteSecret};
 use crate::settings::LogSettings;
+use crate::view::SiteView;
 
 /// Time between two reports to the leader.
 const REPORT_EVERY: Duration = Duration::from_millis(500);
@@ -308,6 +309,20 @@
         }
     }
 
+    /// Logs replicas that are passed over from now on.
+    pub fn log_ejected(&self, news: &[EjectNews]) {
+        for ejected in news {
+            self.count("dunlinspring_ejections_total", &[]);
+            tracing::warn!(
+                replica = %ejected.replica,
+                failing = ejected.failing,
+                pause_ms = ejected.pause_ms,
+                end = ?ejected.end,
+                "replica passed over"
+            );
+        }
+    }
+
     fn version(&self) -> u64 {
         let routing = self.routing.borrow();
         routing
@@ -318,6 +333,7 @@
     /// Takes over what the log holds.
     fn follow(&self) {
         let view = self.follower.view();
+        self.log_replicas(&view);
         self.book.borrow_mut().follow(&view.replicas);
         let held = self.version();
         let newer = view.configuration.as_ref().filter(|c| c.version > held);
@@ -339,6 +355,26 @@
         self.changed.notify_waiters();
     }
 
+    /// Logs what is new of replicas: phase and models; adapters come and go too often.
+    fn log_replicas(&self, view: &SiteView) {
+        let book = self.book.borrow();
+        let position = view.position;
+        for (id, record) in &view.replicas {
+            let known = book.record(id);
+            let same = known.is_some_and(|known| {
+                known.phase == record.phase && known.models.keys().eq(record.models.keys())
+            });
+            if !same {
+                let models: Vec<&str> = record.models.keys().map(ModelName::as_str).collect();
+                let models = models.join(",");
+                tracing::info!(replica = %id, phase = ?record.phase, models, %position, "replica known");
+            }
+        }
+        for id in book.ids().filter(|id| !view.replicas.contains_key(*id)) {
+            tracing::info!(replica = %id, %position, "replica gone");
+        }
+    }
+
     fn look_ready(&self) {
         let known = self.routing.borrow().is_some();
         let fresh = self.follower.stale_ms() < self.settings.stale_ms;
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -219,7 +219,9 @@
         let now_ms = crate::clock::monotonic_ms();
         let mut book = self.core.book.borrow_mut();
         book.end(now_ms, &self.replica, &self.need, self.begun, self.end);
+        let news = book.take_news();
         drop(book);
+        self.core.log_ejected(&news);
         self.core.changed.notify_waiters();
     }
 }
@@ -348,6 +350,11 @@
             (_, true) => (504, "no answer in time; it may have run"),
             (_, false) => (502, "the replica failed; it may have run"),
         };
+        if self.runs == 0 {
+            let book = self.core.book.borrow();
+            self.log
+                .note(&book.describe(crate::clock::monotonic_ms(), &self.need));
+        }
         let retry = (status == 503).then(|| self.come_back(refusal));
         let outcome = if status == 503 {
             Outcome::Refused
@@ -602,7 +609,8 @@
         guard: &mut TryGuard<'_>,
         writer: &mut ClientWriter,
     ) -> Tried {
-        let close = closes(self.core, self.request);
+        let core = self.core;
+        let close = closes(core, self.request);
         let chunked = self.request.head.is_http11;
         let mut out = Vec::new();
         if !writer.has_begun() {
@@ -652,7 +660,9 @@
             out.extend_from_slice(b"0\r\n\r\n");
         }
         self.log.answered(head.status);
-        Tried::Answered(finish(writer, &out, close || !chunked).await)
+        // A stop may have been asked for since the head left.
+        let close = close || !chunked || core.is_stopping();
+        Tried::Answered(finish(writer, &out, close).await)
     }
 
     fn broken(&self, writer: &ClientWriter) -> Tried {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -79,6 +79,7 @@
 pub mod daemon;
 pub mod engine;
 pub mod entryd;
+pub mod explain;
 pub mod flying;
 pub mod follow;
 pub mod forward;
--- a/src/state.rs
+++ b/src/state.rs
@@ -113,6 +113,10 @@
     ReplicaEnded(ReplicaId),
     /// An order has brought an adapter to a replica, or taken it away.
     ReplicaAdapter(ReplicaId, ModelName, String, bool),
+    /// An order is to bring an adapter to a replica.
+    ReplicaAdapterOrdered(ReplicaId, ModelName, String),
+    /// No order on an adapter is under way at a replica any more.
+    ReplicaAdapterSettled(ReplicaId, ModelName, String),
     /// An order takes a model from a replica.
     ReplicaUnload(ReplicaId, ModelName),
     /// An order brings a model to a replica.
@@ -276,6 +280,14 @@
                 }
                 Reply::None
             }
+            Command::ReplicaAdapterOrdered(id, model, adapter) => {
+                self.replicas.order_adapter(id, model, adapter);
+                Reply::None
+            }
+            Command::ReplicaAdapterSettled(id, model, adapter) => {
+                self.replicas.settle_adapter(id, model, adapter);
+                Reply::None
+            }
             Command::ReplicaUnload(id, model) => {
                 if self.replicas.unload(id, model) {
                     self.note_replica(id);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -330,41 +330,78 @@
 fn adapters_whose_orders_may_still_act_take_places() {
     let mut orders = AdapterOrders::default();
     let record = record("r1", 1, &["a"]);
-    assert_eq!(orders.decide(&record, 2, &wish("x"), 0), WishAnswer::Load);
-    assert_eq!(orders.decide(&record, 2, &wish("y"), 0), WishAnswer::Load);
+    let mut directory = ReplicaDirectory::default();
+    directory.put(&record, 0);
+    assert_eq!(
+        orders.decide(&record, 2, &directory, &wish("x"), 0),
+        WishAnswer::Load
+    );
     assert_eq!(
-        orders.decide(&record, 2, &wish("z"), 0),
+        orders.decide(&record, 2, &directory, &wish("y"), 0),
+        WishAnswer::Load
+    );
+    assert_eq!(
+        orders.decide(&record, 2, &directory, &wish("z"), 0),
         WishAnswer::Refused
     );
     assert!(!orders.on_outcome(&place("x"), OrderOutcome::Unknown, 0));
-    let mut directory = ReplicaDirectory::default();
-    directory.put(&record, 0);
     orders.settle(&directory, 12_000);
     assert_eq!(
-        orders.decide(&record, 2, &wish("z"), 12_000),
+        orders.decide(&record, 2, &directory, &wish("z"), 12_000),
         WishAnswer::Refused
     );
     orders.settle(&directory, 14_000);
     assert_eq!(
-        orders.decide(&record, 2, &wish("z"), 14_000),
+        orders.decide(&record, 2, &directory, &wish("z"), 14_000),
         WishAnswer::Load
     );
 }
 
+#[test]
+fn an_adapter_is_ordered_once_its_place_is_committed_and_the_next_leader_counts_it() {
+    let mut world = World::new(&["a"]);
+    world.beat(&record("r1", 1, &["a"]));
+    world.rounds(3_000, 3_200);
+    for adapter in ["x", "y"] {
+        assert!(world.duties.on_wish(&world.state, 3_200, &wish(adapter)).0);
+    }
+    assert!(world.orders.is_empty());
+    world.rounds(3_200, 3_400);
+    let sent: Vec<_> = world
+        .orders
+        .iter()
+        .filter_map(|o| o.adapter.as_deref())
+        .collect();
+    assert_eq!(sent, ["x", "y"]);
+    // The next leader has heard nothing of them from the replica.
+    world.duties = leader(2, 3_400);
+    world.rounds(3_400, 7_000);
+    assert_eq!(
+        world.duties.on_wish(&world.state, 7_000, &wish("z")),
+        (false, None)
+    );
+    world.rounds(7_000, 21_000);
+    assert!(world.duties.on_wish(&world.state, 21_000, &wish("z")).0);
+}
+
 #[test]
 fn an_adapter_in_use_is_not_taken_away() {
     let mut orders = AdapterOrders::default();
+    let directory = ReplicaDirectory::default();
     let mut full = record("r1", 1, &["a"]);
     let names = BTreeSet::from(["x".to_owned(), "y".to_owned()]);
     full.models.insert(ModelName::from("a"), names);
     orders.note_used(place("x"), 9_000);
     orders.note_used(place("y"), 9_500);
     assert_eq!(
-        orders.decide(&full, 2, &wish("z"), 10_000),
+        orders.decide(&full, 2, &directory, &wish("z"), 10_000),
         WishAnswer::Refused
     );
     let evict = WishAnswer::Evict(place("x"));
-    assert_eq!(orders.decide(&full, 2, &wish("z"), 11_000), evict);
+    assert_eq!(
+        orders.decide(&full, 2, &directory, &wish("z"), 11_000),
+        evict
+    );
 }
 
 #[test]
--- a/tests/forward_parts.rs
+++ b/tests/forward_parts.rs
@@ -247,9 +247,9 @@
     let (id, mut ask) = (ReplicaId::from("a"), need("m", None));
     let ahead = book.start(1_000, &id, &ask);
     assert_eq!(ahead, 100);
-    book.begin(&id, &ask, ahead, 600.0);
+    book.begin(&id, &ask, ahead, 400.0);
     book.end(1_000, &id, &ask, true, TryEnd::Good);
-    // Six ms a token: one may wait, a second one would begin after 1,200 ms.
+    // Four ms a token: one may wait, a second one would begin after 800 of 800 ms.
     assert_eq!(choose(&book, &ask), send("a"));
     book.start(1_000, &id, &ask);
     assert_eq!(choose(&book, &ask), Choice::Full);
