--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -129,6 +129,7 @@
     active: Cell<usize>,
     stopping: Arc<AtomicBool>,
     stop_told: Notify,
+    stopped_at: Cell<Option<Instant>>,
     ready: Arc<AtomicBool>,
     metrics: Arc<Mutex<MetricBook>>,
     lines: RefCell<LineBudget>,
@@ -232,7 +233,10 @@
     /// Returns once callers must have noticed that the entry stops.
     async fn closes_listener(&self) {
         self.stops().await;
-        tokio::time::sleep(Duration::from_millis(self.settings.stop_ms)).await;
+        // By the time of the stop: a connection may have come at any moment since.
+        let since = self.stopped_at.get().unwrap_or_else(Instant::now);
+        let until = since + Duration::from_millis(self.settings.stop_ms);
+        tokio::time::sleep_until(until.into()).await;
     }
 
     /// Time to open a connection to a replica.
@@ -618,6 +622,7 @@
             active: Cell::new(0),
             stopping: Arc::default(),
             stop_told: Notify::new(),
+            stopped_at: Cell::default(),
             ready: Arc::default(),
             metrics: Arc::default(),
             lines: RefCell::default(),
@@ -651,6 +656,7 @@
     pub async fn stop(&self) {
         let core = &self.core;
         let since = Instant::now();
+        core.stopped_at.set(Some(since));
         core.stopping.store(true, Ordering::SeqCst);
         core.stop_told.notify_waiters();
         core.look_ready();
--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -3,6 +3,7 @@
 
 mod support_forward;
 
+use std::cell::RefCell;
 use std::time::Duration;
 
 use support_forward::{Answer, Behaviour, ForwardSite, RouteShape, answered};
@@ -228,6 +229,27 @@
     assert_eq!(site.configuration_read().await, 7);
 }
 
+#[ntex::test]
+async fn a_connection_that_stays_silent_is_closed_when_the_listener_is() {
+    let mut site = ForwardSite::start(&[PLAIN]).await;
+    // The listener closes 1,000 ms after the stop began, the answer comes after 1,500.
+    site.add_replica("r1", vec![Behaviour::Slow(1_500, "last")])
+        .await;
+    let order = RefCell::new(Vec::new());
+    let answer = async {
+        site.ask("GET", "/plain/a", "a", "").await;
+        order.borrow_mut().push("answer");
+    };
+    let silent = async {
+        // It comes while the entry stops already, and sends nothing.
+        tokio::time::sleep(Duration::from_millis(900)).await;
+        site.silent_connection().await;
+        order.borrow_mut().push("silent");
+    };
+    futures::join!(answer, silent, site.stop());
+    assert_eq!(order.into_inner(), ["silent", "answer"]);
+}
+
 #[ntex::test]
 async fn a_stopping_entry_answers_what_it_has_read_and_refuses_what_waits() {
     let mut site = ForwardSite::start(&[PLAIN, STREAM]).await;
