The library's example names the records that it expects

Its count of one record was no longer true: the commit index goes to disk along with the next record. It now asks for exactly these two, in this order, which is stricter.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,7 +12,7 @@
 //! use std::collections::BTreeSet;
 //!
 //! use dunlinspring::ids::NodeId;
-//! use dunlinspring::raft::RaftTiming;
+//! use dunlinspring::raft::{DiskRecord, RaftTiming};
 //! use dunlinspring::replica::LogReplica;
 //! use dunlinspring::site::SiteSpec;
 //! use dunlinspring::state::Command;
@@ -31,7 +31,8 @@
 //! let output = replica.finish(301);
 //!
 //! // What must be synced comes first; the reply is given out after that.
-//! assert_eq!(output.records.len(), 1);
+//! // With the entry goes how far the log was committed before it.
+//! assert!(matches!(output.records[..], [DiskRecord::Append(_), DiskRecord::Commit(_)]));
 //! assert_eq!(output.replies.len(), 1);
 //! assert_eq!(replica.newest(301).unwrap().site.generation, 1);
 //! ```
