--- a/src/bin/dunlinspring.rs
+++ b/src/bin/dunlinspring.rs
@@ -8,6 +8,11 @@
     let args: Vec<String> = std::env::args().skip(1).collect();
     let command = args.first().map(String::as_str);
     let rest = args.get(1..).unwrap_or_default();
+    let asks_help = |arg: &String| matches!(arg.as_str(), "-h" | "--help");
+    if rest.iter().any(asks_help) {
+        println!("{}", commands::USAGE);
+        return;
+    }
     let ended = match command {
         Some("table") => commands::table(rest).await,
         Some("status") => commands::status(rest).await,
--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -229,6 +229,32 @@
     assert_eq!(site.configuration_read().await, 7);
 }
 
+#[ntex::test]
+async fn a_stopping_entry_refuses_at_once_what_waits_for_a_model() {
+    let site = ForwardSite::start(&[RouteShape::model("/model/")]).await;
+    let text = "POST /model/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: a\r\nModel: m\r\n\
+                Deadline-Ms: 60000\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    let order = RefCell::new(Vec::new());
+    let waits = async {
+        let answer = site.send_raw(text).await;
+        order.borrow_mut().push("answer");
+        answer
+    };
+    let stops = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        site.stop().await;
+    };
+    // Its time would be over after two seconds.
+    let later = async {
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        order.borrow_mut().push("later");
+    };
+    let (answer, (), ()) = futures::join!(waits, stops, later);
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(order.into_inner(), ["answer", "later"]);
+}
+
 #[ntex::test]
 async fn a_connection_that_stays_silent_is_closed_when_the_listener_is() {
     let mut site = ForwardSite::start(&[PLAIN]).await;
--- a/tests/support_forward/mod.rs
+++ b/tests/support_forward/mod.rs
@@ -7,7 +7,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use dunlinspring::configuration::{Configuration, RouteKind, RouteSpec, ServiceSpec};
+use dunlinspring::configuration::{
+    Configuration, EngineModel, EngineSpec, RouteKind, RouteSpec, ServiceSpec,
+};
 use dunlinspring::control;
 use dunlinspring::controld::ControlDaemon;
 use dunlinspring::directory::{ReplicaPhase, ReplicaRecord};
@@ -15,7 +17,7 @@
 use dunlinspring::forward::daemon::{ForwardDaemon, ForwardSettings};
 use dunlinspring::forward::dialect::HeaderNames;
 use dunlinspring::forward::head::{self, Framing, Header};
-use dunlinspring::ids::{HallName, HostName, ReplicaId, ServiceName};
+use dunlinspring::ids::{HallName, HostName, ModelName, ReplicaId, ServiceName};
 use dunlinspring::peers::{ControlLink, SiteSecret};
 use dunlinspring::raft::RaftTiming;
 use dunlinspring::registry::{Registry, RegistryError};
@@ -48,14 +50,26 @@
     prefix: &'static str,
     kind: RouteKind,
     resumable: bool,
+    service: &'static str,
 }
 
 impl RouteShape {
+    /// Streams of a model; its engines load it within 100 ms.
+    pub const fn model(prefix: &'static str) -> Self {
+        Self {
+            prefix,
+            kind: RouteKind::Streaming,
+            resumable: false,
+            service: "llm",
+        }
+    }
+
     pub const fn plain(prefix: &'static str) -> Self {
         Self {
             prefix,
             kind: RouteKind::Safe,
             resumable: false,
+            service: "plain",
         }
     }
 
@@ -64,6 +78,7 @@
             prefix,
             kind: RouteKind::Unsafe,
             resumable: false,
+            service: "plain",
         }
     }
 
@@ -72,6 +87,7 @@
             prefix,
             kind: RouteKind::Streaming,
             resumable,
+            service: "plain",
         }
     }
 
@@ -87,7 +103,7 @@
             priority: 1,
             attempts: 3,
             resumable: self.resumable,
-            split: vec![(ServiceName::from("plain"), 1)],
+            split: vec![(ServiceName::from(self.service), 1)],
         }
     }
 }
@@ -178,6 +194,28 @@
     }
 }
 
+fn engine_service() -> ServiceSpec {
+    let model = EngineModel {
+        weights_mb: 10,
+        load_ms: 100,
+        warm_ms: None,
+        disk_ms: None,
+        adapters: 0,
+        adapter_mb: 0,
+    };
+    ServiceSpec {
+        max_connections: 99,
+        engine: Some(EngineSpec {
+            slots: 4,
+            kv_tokens: 1_000,
+            weights_mb: 20,
+            adapter_slots: 1,
+            load_gap_ms: 100,
+            models: BTreeMap::from([(ModelName::from("m"), model)]),
+        }),
+    }
+}
+
 fn loopback() -> SocketAddr {
     "127.0.0.1:0".parse().unwrap()
 }
@@ -271,7 +309,10 @@
         let configuration = Configuration {
             version,
             routes: routes.iter().map(RouteShape::spec).collect(),
-            services: BTreeMap::from([(ServiceName::from("plain"), plain)]),
+            services: BTreeMap::from([
+                (ServiceName::from("plain"), plain),
+                (ServiceName::from("llm"), engine_service()),
+            ]),
             ..Configuration::default()
         };
         let source = format!("{version} {}", routes.len()).into_bytes();
