--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -244,9 +244,9 @@
         tokio::time::sleep(Duration::from_millis(100)).await;
         site.stop().await;
     };
-    // Its time would be over after two seconds.
+    // Left alone it would wait for half of its two seconds.
     let later = async {
-        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        tokio::time::sleep(Duration::from_millis(600)).await;
         order.borrow_mut().push("later");
     };
     let (answer, (), ()) = futures::join!(waits, stops, later);
