Tests wait for log lines, which a thread of their own writes

Cause of the failure of peers_without_the_secret_or_with_wild_frames_are_refused beside six busy processes: it read the log at once, and since logs never block, a line is written a little after it was given. Shown by the panic, 'the version is not named', with all else as expected. The test now waits for the line, which must come all the same; the one other test that reads a log (a_lost_disk_is_replaced_and_the_next_loss_survived) does so as well.

--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -199,11 +199,9 @@
         })
         .await;
     assert!(status.is_ok(), "{status:?}");
-    let log = site.log("c1");
-    assert!(
-        log.contains("speaks protocol 99"),
-        "the version is not named"
-    );
+    // Lines are written by a thread of their own.
+    let named = async || site.log("c1").contains("speaks protocol 99").then_some(());
+    until("the version to be named", named).await;
 }
 
 /// Found by reading: a service's 503 was taken for a proof that it did nothing,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -83,11 +83,9 @@
     site.kill("c1");
     site.lose_disk("c1");
     site.restart("c1").await;
-    let blank = site.log("c1");
-    assert!(
-        blank.contains("learner=true"),
-        "a blank disk started as a voter"
-    );
+    // Lines are written by a thread of their own.
+    let blank = async || site.log("c1").contains("learner=true").then_some(());
+    until("the blank disk to start as no voter", blank).await;
     until("the new disk to be a voter", async || {
         let metrics = site.metrics("c1").await;
         let whole = metrics.contains("dunlinspring_voters 3");
