An order that was given up is not sent again; what is proposed waits for its commit

Cause 1: an order that was refused, or showed nothing for 20 s, was dropped while its place still stood in the log, taken over as if from another leader, and sent once more; carried out after its place was settled, it could overcommit a replica. It now stays, given up, until the log says so. Cause 2: what follows from the log was proposed, and logged, at each look at the clock until it was committed: 50 times in half a second without a commit. Tests, both failing before: an_order_that_was_given_up_..., what_is_proposed_is_not_.... A function nobody called goes.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -138,6 +138,9 @@
     since_ms: u64,
     /// When it is to be sent; none while an answer or its effect is awaited.
     send_ms: Option<u64>,
+    /// It was given up, and the log is to say so: it is neither sent again nor
+    /// taken over anew meanwhile.
+    given_up: bool,
 }
 
 /// Room that was made for a model: no other may take it for a while.
@@ -172,6 +175,9 @@
     fenced: BTreeSet<ReplicaId>,
     /// Commands for the next round.
     proposed: Vec<Command>,
+    /// Commands that follow from what the log says, and when each was proposed:
+    /// the log says the same until they are committed.
+    awaited: Vec<(u64, Command)>,
 }
 
 /// Time between two samples of demand, in milliseconds.
@@ -212,6 +218,7 @@
             adapters: AdapterOrders::default(),
             fenced: BTreeSet::new(),
             proposed: Vec::new(),
+            awaited: Vec::new(),
         }
     }
 
@@ -335,16 +342,27 @@
                 Vec::new()
             }
             OrderOutcome::Fenced | OrderOutcome::Refused => {
-                self.pending.remove(id);
-                vec![Command::ReplicaSettled(id.clone(), order.model.clone())]
+                pending.given_up = true;
+                pending.send_ms = None;
+                Vec::new()
             }
         }
     }
 
+    /// Keeps those commands that were not proposed a moment ago.
+    fn propose_once(&mut self, now_ms: u64, mut commands: Vec<Command>) -> Vec<Command> {
+        self.awaited.retain(|(at_ms, _)| at_ms + COMMIT_MS > now_ms);
+        commands.retain(|command| !self.awaited.iter().any(|(_, other)| other == command));
+        let proposed = commands.iter().map(|command| (now_ms, command.clone()));
+        self.awaited.extend(proposed);
+        commands
+    }
+
     /// One look at the clock: marks the silent, and plans where a round is due.
     pub fn round(&mut self, state: &SiteState, now_ms: u64) -> FleetActions {
+        let watched = self.watch(&state.replicas, now_ms);
         let mut actions = FleetActions {
-            commands: self.watch(&state.replicas, now_ms),
+            commands: self.propose_once(now_ms, watched),
             orders: Vec::new(),
         };
         self.sample(now_ms);
@@ -355,7 +373,7 @@
             return actions;
         }
         let settled = self.settle(&state.replicas, now_ms);
-        actions.commands.extend(settled);
+        actions.commands.extend(self.propose_once(now_ms, settled));
         actions.commands.append(&mut self.proposed);
         actions.orders = self.send_due(&state.replicas, now_ms);
         let engines = record.configuration.services.iter();
@@ -413,16 +431,22 @@
             if !records.contains_key(id) {
                 return false;
             }
-            let late = now_ms >= order.since_ms + limit_ms;
-            if late {
-                commands.push(Command::ReplicaSettled(id.clone(), order.model.clone()));
+            let open = under_way(replicas, id, order);
+            if now_ms >= order.since_ms + limit_ms {
+                order.given_up = true;
+                order.send_ms = None;
+            }
+            if order.given_up {
+                if open {
+                    commands.push(Command::ReplicaSettled(id.clone(), order.model.clone()));
+                }
+                return open;
             }
             // Until its command is committed, its effect cannot show.
-            let open = under_way(replicas, id, order);
             order.committed |= open;
             let waits = !order.committed && order.since_ms + COMMIT_MS > now_ms;
-            let stays = !late && (waits || open);
-            if !stays && !late {
+            let stays = waits || open;
+            if !stays {
                 let model = order.for_model.take();
                 promised.extend(model.map(|model| (id.clone(), model)));
             }
@@ -447,6 +471,7 @@
                     committed: true,
                     since_ms: now_ms,
                     send_ms: Some(now_ms),
+                    given_up: false,
                 };
                 self.pending.insert(id.clone(), order);
             }
@@ -659,6 +684,7 @@
             committed: false,
             since_ms: now_ms,
             send_ms: Some(now_ms),
+            given_up: false,
         };
         self.pending.insert(id.clone(), pending);
         if step.from_store {
--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -526,13 +526,6 @@
         }
     }
 
-    /// A replica keeps a request waiting for longer than it should.
-    pub fn suspect(&mut self, id: &ReplicaId) {
-        if let Some(note) = self.notes.get_mut(id) {
-            note.failing += (1.0 - note.failing) * FAIL_STEP / 2.0;
-        }
-    }
-
     /// A replica says that it does not hold the model or adapter.
     pub fn correct(&mut self, id: &ReplicaId, need: &Need) {
         let note = self.notes.get_mut(id);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -197,6 +197,37 @@
     assert_eq!(world.orders[1].kind, OrderKind::Load);
 }
 
+#[test]
+fn an_order_that_was_given_up_is_not_sent_again_before_that_is_committed() {
+    let mut world = World::new(&["a"]);
+    world.beat(&record("r1", 1, &[]));
+    world.rounds(3_000, 3_500);
+    let order = world.orders[0].clone();
+    let mut given_up = world
+        .duties
+        .on_outcome(3_500, &order, OrderOutcome::Refused);
+    // Its place is still in the log, though nobody counts on the order any more.
+    let before = world.duties.round(&world.state, 3_600);
+    assert!(before.orders.is_empty(), "{:?}", before.orders);
+    given_up.extend(before.commands);
+    for command in given_up {
+        world.apply(command);
+    }
+    let id = ReplicaId::from("r1");
+    assert_eq!(world.state.replicas.loading(&id).count(), 0);
+}
+
+#[test]
+fn what_is_proposed_is_not_proposed_again_with_each_look_at_the_clock() {
+    let mut world = World::new(&["a"]);
+    world.beat(&record("r1", 1, &["a"]));
+    let silent_ms = FleetPolicy::default().silent_ms;
+    world.duties.round(&world.state, 0);
+    let looks = (silent_ms..silent_ms + 500).step_by(10);
+    let commands = looks.flat_map(|now_ms| world.duties.round(&world.state, now_ms).commands);
+    assert_eq!(commands.count(), 1);
+}
+
 #[test]
 fn loads_from_the_store_keep_their_distance() {
     let mut world = World::new(&["a", "b", "c", "d", "e", "f"]);
