--- a/src/fleet_plan.rs
+++ b/src/fleet_plan.rs
@@ -11,8 +11,9 @@
 
 /// What the absence of a model costs, by its demand.
 const ABSENT_COST: f64 = 4.0;
-/// What the absence of a model costs without any demand.
-const HOME_WORTH: f64 = 1.0;
+/// What the absence of a model costs without any demand, in concurrent requests:
+/// enough to take the room of a further home of a model with little demand.
+const HOME_WORTH: f64 = 2.0;
 /// Models that are looked at for each step, those with most to gain.
 const CANDIDATES: usize = 8;
 /// Most steps of one round.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -299,6 +299,18 @@
     assert_eq!(steps[0].model, ModelName::from("hot"));
 }
 
+#[test]
+fn a_model_without_a_home_nor_demand_takes_the_room_of_a_further_home() {
+    let models = plan_models(&[("lost", 0.0), ("warm", 1.0)]);
+    let full = vec![
+        plan_replica("r1", 0, &["warm"]),
+        plan_replica("r2", 0, &["warm"]),
+    ];
+    let steps = plan(full, &models, 0.5, 1);
+    assert_eq!(steps.len(), 1);
+    assert_eq!(steps[0].for_model, Some(ModelName::from("lost")));
+}
+
 #[test]
 fn a_copy_at_hand_goes_before_the_store_and_needs_no_permit() {
     let models = plan_models(&[("a", 1.0), ("b", 1.0)]);
