A load for demand must bring 2.0, four times as much as before; one for a model without a home does not

Cause: with a price of 0.5, demand that moves by a few requests drew loads of nine seconds and evictions of models that were wanted again soon; each unload loses its replica's share at once and brings the other only after the load.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -44,7 +44,7 @@
             lost_ms: 30_000,
             order_lease_ms: 3_000,
             round_ms: 100,
-            move_price: 0.5,
+            move_price: 2.0,
             demand_fall: 0.88,
             order_ms: 20_000,
         }
--- a/src/fleet_plan.rs
+++ b/src/fleet_plan.rs
@@ -14,6 +14,8 @@
 /// What the absence of a model costs without any demand, in concurrent requests:
 /// enough to take the room of a further home of a model with little demand.
 const HOME_WORTH: f64 = 2.0;
+/// What the load of a model without a home must bring at most, in concurrent requests.
+const HOME_PRICE: f64 = 0.5;
 /// Models that are looked at for each step, those with most to gain.
 const CANDIDATES: usize = 8;
 /// Most steps of one round.
@@ -137,6 +139,15 @@
         cost(level, homes) - cost(level, homes + 1)
     }
 
+    /// What a move for a model must bring; less where the model has no home yet, as
+    /// it must stay reachable.
+    fn price_of(&self, model: &ModelName) -> f64 {
+        match self.homes(model) {
+            0 => self.price.min(HOME_PRICE),
+            _ => self.price,
+        }
+    }
+
     fn loss(&self, model: &ModelName) -> f64 {
         let level = self.models.get(model).map_or(0.0, |model| model.level);
         let homes = self.homes(model);
@@ -157,7 +168,7 @@
             .models
             .keys()
             .map(|model| (self.gain(model), model))
-            .filter(|(gain, _)| *gain > self.price)
+            .filter(|(gain, model)| *gain > self.price_of(model))
             .collect();
         gains.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(b.1)));
         let offers = gains.into_iter().take(CANDIDATES);
@@ -194,7 +205,7 @@
                     HALL_WORTH
                 };
                 let worth = gain - loss + spread - self.load(replica) * LOAD_WEIGHT;
-                let price = self.price * if victim.is_some() { 2.0 } else { 1.0 };
+                let price = self.price_of(model) * if victim.is_some() { 2.0 } else { 1.0 };
                 let rank = worth / ((load_ms as f64 + MOVE_MS) / MOVE_MS);
                 (gain - loss > price).then(|| Offer {
                     rank,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -306,9 +306,25 @@
         plan_replica("r1", 0, &["warm"]),
         plan_replica("r2", 0, &["warm"]),
     ];
-    let steps = plan(full, &models, 0.5, 1);
-    assert_eq!(steps.len(), 1);
-    assert_eq!(steps[0].for_model, Some(ModelName::from("lost")));
+    // However dear moves are that only relieve a model with homes.
+    for price in [0.5, 3.0] {
+        let steps = plan(full.clone(), &models, price, 1);
+        assert_eq!(steps.len(), 1);
+        assert_eq!(steps[0].for_model, Some(ModelName::from("lost")));
+    }
+}
+
+#[test]
+fn a_further_home_is_not_worth_its_load_where_it_relieves_little() {
+    let models = plan_models(&[("warm", 3.0)]);
+    let replicas = || {
+        vec![
+            plan_replica("r1", 0, &["warm"]),
+            plan_replica("r2", 70, &[]),
+        ]
+    };
+    assert!(plan(replicas(), &models, 2.0, 1).is_empty());
+    assert_eq!(plan(replicas(), &models, 1.0, 1).len(), 1);
 }
 
 #[test]
