A voter whose disk is full waits for room instead of ending

Now a write that a full disk refuses is taken back from the log, nothing that follows from it leaves, and it is tried again every 100 ms; meanwhile askers are refused at once and go elsewhere, and a stop is obeyed. Any other failure of the disk still ends the voter, as the files' content is not known then. Both tests fail without the change (the voter has ended).

--- a/src/control.rs
+++ b/src/control.rs
@@ -15,7 +15,7 @@
 use crate::duties::{AgentBeat, EntryBeat, LeaderDuties};
 use crate::fleet::{AdapterWish, EngineOrder, EntryReport, FleetDuties, OrderOutcome};
 use crate::ids::{HostName, NodeId, Position, ReplicaId, TargetName, Term};
-use crate::journal::{DiskJournal, JournalError};
+use crate::journal::{DiskJournal, JournalError, WriteCheck};
 use crate::raft::{DiskImage, DiskRecord, RaftMessage};
 use crate::replica::LogReplica;
 use crate::settings::ControlSettings;
@@ -33,6 +33,8 @@
 const MAX_SYNC_WAIT_MS: u64 = 2_000;
 /// Silence after which an even set of voters sheds one, in milliseconds.
 const SHED_MS: u64 = 3_000;
+/// Pause before a full disk is tried again.
+const FULL_PAUSE: Duration = Duration::from_millis(100);
 /// Time that a stopping leader waits for its heir.
 const HANDOVER_MS: u64 = 2_000;
 
@@ -127,6 +129,31 @@
     journal.save(&[DiskRecord::Install(image.snapshot)])
 }
 
+/// Whether the voter goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RunState {
+    Runs,
+    Stopped,
+}
+
+/// Drops what comes for a while, as a network would: askers are refused and go
+/// elsewhere. A stop is obeyed.
+fn pass_over(events: &Receiver<ControlEvent>) -> RunState {
+    let until_ms = clock::monotonic_ms() + FULL_PAUSE.as_millis() as u64;
+    loop {
+        let left_ms = until_ms.saturating_sub(clock::monotonic_ms());
+        match events.recv_timeout(Duration::from_millis(left_ms)) {
+            Ok(ControlEvent::Stop(answer)) => {
+                let _ = answer.send(());
+                return RunState::Stopped;
+            }
+            Ok(_) => {}
+            Err(RecvTimeoutError::Timeout) => return RunState::Runs,
+            Err(RecvTimeoutError::Disconnected) => return RunState::Stopped,
+        }
+    }
+}
+
 /// Opens the way to a host that was not known before.
 pub type OpenPeer = Box<dyn Fn(&HostName) -> mpsc::Sender<RaftMessage> + Send>;
 
@@ -215,6 +242,11 @@
         self.orders = Some(orders);
     }
 
+    /// Has each write to the disk checked first, for tests of disks that fail.
+    pub fn check_writes(&mut self, check: WriteCheck) {
+        self.journal.check_writes(check);
+    }
+
     /// This voter's disk.
     pub fn node(&self) -> NodeId {
         self.journal.identity().node
@@ -240,8 +272,7 @@
                 Err(RecvTimeoutError::Disconnected) => return Ok(()),
             }
             self.on_time();
-            self.finish()?;
-            if self.is_stopped() {
+            if self.finish(&events)? == RunState::Stopped || self.is_stopped() {
                 return Ok(());
             }
         }
@@ -580,11 +611,11 @@
         }
     }
 
-    fn finish(&mut self) -> Result<(), JournalError> {
+    fn finish(&mut self, events: &Receiver<ControlEvent>) -> Result<RunState, JournalError> {
         let now_ms = clock::monotonic_ms();
         let output = self.replica.finish(now_ms);
-        if !output.records.is_empty() {
-            self.journal.save(&output.records)?;
+        if self.save(&output.records, events)? == RunState::Stopped {
+            return Ok(RunState::Stopped);
         }
         for (node, message) in output.messages {
             let known = self.replica.state().voter_hosts.get(&node);
@@ -603,7 +634,38 @@
             }
         }
         self.answer_waiters(now_ms);
-        Ok(())
+        Ok(RunState::Runs)
+    }
+
+    /// Saves all records, and waits where the disk is full: until they are on it,
+    /// nothing that follows from them may leave.
+    fn save(
+        &mut self,
+        records: &[DiskRecord],
+        events: &Receiver<ControlEvent>,
+    ) -> Result<RunState, JournalError> {
+        let mut left = records;
+        let mut full_since_ms = None;
+        while !left.is_empty() {
+            match self.journal.save_part(left) {
+                Ok(saved) => left = &left[saved..],
+                Err(error) if error.is_full() => {
+                    if full_since_ms.is_none() {
+                        tracing::warn!(%error, "the disk is full: this voter waits for room");
+                        full_since_ms = Some(clock::monotonic_ms());
+                    }
+                    if pass_over(events) == RunState::Stopped {
+                        return Ok(RunState::Stopped);
+                    }
+                }
+                Err(error) => return Err(error),
+            }
+        }
+        if let Some(since_ms) = full_since_ms {
+            let waited_ms = clock::monotonic_ms() - since_ms;
+            tracing::info!(waited_ms, "the disk has room again");
+        }
+        Ok(RunState::Runs)
     }
 
     fn answer_waiters(&mut self, now_ms: u64) {
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -5,6 +5,7 @@
 //! an unsynced write and is dropped; a whole frame with a wrong checksum is
 //! damage, and the voter refuses to start on it.
 
+use std::fmt;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
@@ -48,8 +49,21 @@
     },
 }
 
+impl JournalError {
+    /// Whether the disk has no room left: nothing was lost, and the step may be tried again.
+    pub fn is_full(&self) -> bool {
+        match self {
+            Self::Io { source, .. } => source.kind() == io::ErrorKind::StorageFull,
+            Self::Damaged { .. } => false,
+        }
+    }
+}
+
 type Result<T> = std::result::Result<T, JournalError>;
 
+/// Asked before each write of so many bytes; its refusal stands for the disk's own.
+pub type WriteCheck = Box<dyn FnMut(usize) -> io::Result<()> + Send>;
+
 /// Who a data folder belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DiskIdentity {
@@ -58,12 +72,22 @@
 }
 
 /// The open files of one voter.
-#[derive(Debug)]
 pub struct DiskJournal {
     folder: PathBuf,
     log: File,
     identity: DiskIdentity,
     written: u64,
+    write_check: Option<WriteCheck>,
+}
+
+impl fmt::Debug for DiskJournal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("DiskJournal")
+            .field("folder", &self.folder)
+            .field("identity", &self.identity)
+            .field("written", &self.written)
+            .finish_non_exhaustive()
+    }
 }
 
 impl DiskJournal {
@@ -94,6 +118,7 @@
             log,
             identity,
             written: sound as u64,
+            write_check: None,
         };
         Ok((journal, image))
     }
@@ -108,29 +133,60 @@
         self.written
     }
 
+    /// Has each write checked first, for tests of disks that fail.
+    pub fn check_writes(&mut self, check: WriteCheck) {
+        self.write_check = Some(check);
+    }
+
     /// Writes and syncs records: once this returns, they survive a crash.
     ///
-    /// After an error the files' content is not known: the voter must stop.
+    /// After an error the files' content is not known: the voter must stop, unless
+    /// the disk is full. Then what was saved before stays, and nothing of the rest.
     pub fn save(&mut self, records: &[DiskRecord]) -> Result<()> {
+        let mut left = records;
+        while !left.is_empty() {
+            let saved = self.save_part(left)?;
+            left = &left[saved..];
+        }
+        Ok(())
+    }
+
+    /// Saves the first records, at least one, and returns how many: a snapshot, or
+    /// all up to the next snapshot.
+    pub fn save_part(&mut self, records: &[DiskRecord]) -> Result<usize> {
+        if let Some(DiskRecord::Install(snapshot)) = records.first() {
+            self.install(snapshot)?;
+            return Ok(1);
+        }
+        let appended = records
+            .iter()
+            .take_while(|record| !matches!(record, DiskRecord::Install(_)));
         let mut bytes = Vec::new();
-        for record in records {
-            match record {
-                DiskRecord::Install(snapshot) => {
-                    self.append(&bytes)?;
-                    bytes.clear();
-                    self.install(snapshot)?;
-                }
-                record => push_frame(&mut bytes, record),
-            }
+        let mut count = 0;
+        for record in appended {
+            push_frame(&mut bytes, record);
+            count += 1;
         }
-        self.append(&bytes)
+        self.append(&bytes)?;
+        Ok(count)
     }
 
     fn append(&mut self, bytes: &[u8]) -> Result<()> {
-        if bytes.is_empty() {
-            return Ok(());
+        let appended = self.try_append(bytes);
+        match &appended {
+            Ok(()) => self.written += bytes.len() as u64,
+            Err(error) if error.is_full() => self.cut_log()?,
+            Err(_) => {}
         }
+        appended
+    }
+
+    fn try_append(&mut self, bytes: &[u8]) -> Result<()> {
         let path = self.folder.join(LOG_FILE);
+        self.ask_write(bytes.len()).context(IoSnafu {
+            step: "append to",
+            path: &path,
+        })?;
         self.log.write_all(bytes).context(IoSnafu {
             step: "append to",
             path: &path,
@@ -138,9 +194,23 @@
         self.log.sync_data().context(IoSnafu {
             step: "sync",
             path: &path,
-        })?;
-        self.written += bytes.len() as u64;
-        Ok(())
+        })
+    }
+
+    /// Takes back what a write has left behind that did not get through.
+    fn cut_log(&mut self) -> Result<()> {
+        let path = self.folder.join(LOG_FILE);
+        self.log.set_len(self.written).context(IoSnafu {
+            step: "cut the torn tail of",
+            path: &path,
+        })
+    }
+
+    fn ask_write(&mut self, len: usize) -> io::Result<()> {
+        match &mut self.write_check {
+            Some(check) => check(len),
+            None => Ok(()),
+        }
     }
 
     /// The snapshot goes first: until the log is rewritten, its older entries
@@ -152,6 +222,10 @@
         load_log(&path, &mut image)?;
         let mut frame = Vec::new();
         push_frame(&mut frame, snapshot);
+        self.ask_write(frame.len()).context(IoSnafu {
+            step: "write",
+            path: self.folder.join(SNAPSHOT_FILE),
+        })?;
         replace(&self.folder, SNAPSHOT_FILE, &frame)?;
         image.apply(DiskRecord::Install(snapshot.clone()));
         let mut bytes = Vec::new();
--- /dev/null
+++ b/tests/full_disk.rs
@@ -0,0 +1,105 @@
+//! A voter whose disk is full for a while.
+
+use std::io::ErrorKind;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::thread::{self, JoinHandle};
+
+use dunlinspring::configuration::{Configuration, ConfigurationRecord};
+use dunlinspring::control::{self, ControlEvent, ControlHandle, ControlLoop};
+use dunlinspring::ids::{HallName, HostName};
+use dunlinspring::journal::JournalError;
+use dunlinspring::raft::RaftTiming;
+use dunlinspring::settings::{CommonSettings, ControlSettings, VoterSettings};
+use dunlinspring::state::{Command, ConfigureAnswer, Reply};
+use tempfile::TempDir;
+
+/// Writes that the disk refuses.
+const REFUSED_WRITES: u32 = 3;
+
+fn settings(folder: &TempDir) -> ControlSettings {
+    let address = "127.0.0.1:1".parse().unwrap();
+    let host = HostName("c1".to_owned());
+    ControlSettings {
+        common: CommonSettings {
+            host: host.clone(),
+            hall: HallName::from("here"),
+            listen: address,
+            watch: address,
+            control: vec![VoterSettings { host, address }],
+            secret_file: PathBuf::new(),
+            log: Default::default(),
+        },
+        data_folder: folder.path().to_owned(),
+        timing: RaftTiming {
+            election_ms: 50,
+            heartbeat_ms: 10,
+        },
+        duties: Default::default(),
+        compact_after: 400,
+        platform_url: None,
+        open_membership: false,
+        fleet: Default::default(),
+        site: Default::default(),
+    }
+}
+
+fn configuration(version: u64) -> Command {
+    let configuration = Configuration {
+        version,
+        ..Configuration::default()
+    };
+    let record = ConfigurationRecord {
+        configuration,
+        source: Vec::new(),
+    };
+    Command::Configure(Box::new(record))
+}
+
+/// Commits a command, however often the voter has to be asked.
+async fn commit(voter: &RunningVoter, command: &Command) -> Reply {
+    loop {
+        assert!(!voter.thread.is_finished(), "the voter has ended");
+        let propose = |answer| ControlEvent::Propose(command.clone(), answer);
+        if let Ok((_, reply)) = voter.handle.ask(propose).await {
+            return reply;
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+struct RunningVoter {
+    handle: ControlHandle,
+    thread: JoinHandle<Result<(), JournalError>>,
+}
+
+/// Found on the users' platform: a full disk ended the process, which was started
+/// again and ended again.
+#[tokio::test]
+async fn a_voter_waits_until_its_disk_has_room() {
+    let folder = TempDir::new().unwrap();
+    let settings = settings(&folder);
+    control::found(&settings).unwrap();
+    let mut voter = ControlLoop::open(settings).unwrap();
+    let full = Arc::new(AtomicU32::new(0));
+    let left = full.clone();
+    voter.check_writes(Box::new(move |_| {
+        let refuse = left.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| n.checked_sub(1));
+        match refuse {
+            Ok(_) => Err(ErrorKind::StorageFull.into()),
+            Err(_) => Ok(()),
+        }
+    }));
+    let (events, inbox) = std::sync::mpsc::channel();
+    let handle = ControlHandle(events);
+    let thread = thread::spawn(move || voter.run(inbox));
+    let voter = RunningVoter { handle, thread };
+    let held = Reply::Configured(ConfigureAnswer::Held);
+    assert_eq!(commit(&voter, &configuration(1)).await, held);
+    full.store(REFUSED_WRITES, Ordering::SeqCst);
+    assert_eq!(commit(&voter, &configuration(2)).await, held);
+    assert_eq!(full.load(Ordering::SeqCst), 0, "the disk was not full");
+    drop(voter.handle);
+    voter.thread.join().unwrap().unwrap();
+}
--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -1,6 +1,7 @@
 //! The voter's files after crashes and damage.
 
 use std::fs;
+use std::io::ErrorKind;
 use std::path::Path;
 
 use dunlinspring::ids::{NodeId, Position, Term};
@@ -132,6 +133,39 @@
     assert_eq!(image.vote, (Term(1), Some(NodeId(7))));
 }
 
+#[test]
+fn a_full_disk_takes_no_part_of_what_it_refuses_and_takes_it_later() {
+    let folder = TempDir::new().unwrap();
+    let mut image = saved(folder.path(), 3);
+    let (mut journal, _) = DiskJournal::open(folder.path(), None).unwrap();
+    let install = DiskRecord::Install(LogSnapshot {
+        last: entry(2).mark,
+        voters: [NodeId(7)].into(),
+        state: vec![9; 64],
+    });
+    let records = [
+        DiskRecord::Append(entry(4)),
+        install,
+        DiskRecord::Append(entry(5)),
+    ];
+    for refused in 0..records.len() {
+        let mut writes = 0;
+        journal.check_writes(Box::new(move |_| {
+            writes += 1;
+            match writes > 1 {
+                true => Ok(()),
+                false => Err(ErrorKind::StorageFull.into()),
+            }
+        }));
+        let left = &records[refused..];
+        assert!(journal.save_part(left).unwrap_err().is_full());
+        assert_eq!(reopened(folder.path()), image, "refused at {refused}");
+        assert_eq!(journal.save_part(left).unwrap(), 1);
+        image.apply(records[refused].clone());
+        assert_eq!(reopened(folder.path()), image, "taken at {refused}");
+    }
+}
+
 #[test]
 fn a_new_folder_gets_an_identity_of_its_own_and_keeps_it() {
     let (one, two) = (TempDir::new().unwrap(), TempDir::new().unwrap());
