Heartbeats tell of adapters that no order changed lately; an adapter ordered out counts until they tell

Any order on a replica's adapters made heartbeats count for nothing for three seconds on all of them, and on a busy replica the next order always came sooner; so the next leader forgot the place after thirteen seconds and gave it out again.

Now an order outweighs heartbeats for its own adapter alone. Found beside it: an adapter that is ordered out while in use counted for four seconds, which may end just before heartbeats tell that it is still there; now six. Both tests fail without the change.

--- a/src/adapters.rs
+++ b/src/adapters.rs
@@ -37,6 +37,9 @@
 const LATELY_MS: u64 = 2_000;
 /// Time in which an order's effect shows in the directory, in milliseconds.
 const SHOWS_MS: u64 = 4_000;
+/// Time in which heartbeats tell of an adapter that is ordered out and still in use,
+/// in milliseconds: longer than they are outweighed by the order.
+const GOES_MS: u64 = 6_000;
 /// Time within which an order without an answer may still be carried out, in milliseconds.
 const LATE_MS: u64 = 13_000;
 /// Pause after a replica was busy, in milliseconds.
@@ -119,7 +122,11 @@
                 true
             }
             OrderOutcome::Taken | OrderOutcome::Held => {
-                order.until_ms = Some(now_ms + SHOWS_MS);
+                let shows_ms = match order.kind {
+                    OrderKind::Load => SHOWS_MS,
+                    OrderKind::Unload => GOES_MS,
+                };
+                order.until_ms = Some(now_ms + shows_ms);
                 true
             }
             OrderOutcome::Unknown => {
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -55,7 +55,7 @@
     Ended,
 }
 
-/// How long an order's effect on adapters outweighs heartbeats, which may have
+/// How long an order's effect on an adapter outweighs heartbeats, which may have
 /// left before it, in milliseconds.
 const ORDER_FRESH_MS: u64 = 3_000;
 
@@ -70,8 +70,8 @@
     loading: BTreeMap<ReplicaId, BTreeSet<ModelName>>,
     /// Adapters ordered in, by replica, until they are there or their order is settled.
     adapters_coming: BTreeMap<ReplicaId, BTreeSet<(ModelName, String)>>,
-    /// When an order last changed a replica's adapters, in the state's clock.
-    ordered_ms: BTreeMap<ReplicaId, u64>,
+    /// When an order last changed an adapter of a replica, in the state's clock.
+    ordered_ms: BTreeMap<ReplicaId, BTreeMap<(ModelName, String), u64>>,
 }
 
 impl ReplicaDirectory {
@@ -139,13 +139,19 @@
         merged
             .models
             .retain(|model, _| !self.is_leaving(&record.id, model));
-        let ordered_ms = self.ordered_ms.get(&record.id);
-        let fresh = ordered_ms.is_some_and(|at_ms| at_ms + ORDER_FRESH_MS > clock_ms);
-        if fresh {
-            for (model, adapters) in &mut merged.models {
-                if let Some(held) = known.models.get(model) {
-                    *adapters = held.clone();
+        let ordered = self.ordered_ms.get(&record.id).into_iter().flatten();
+        for ((model, adapter), at_ms) in ordered {
+            let held = known.models.get(model);
+            let held = held.is_some_and(|adapters| adapters.contains(adapter));
+            match merged.models.get_mut(model) {
+                _ if at_ms + ORDER_FRESH_MS <= clock_ms => {}
+                Some(adapters) if held => {
+                    adapters.insert(adapter.clone());
                 }
+                Some(adapters) => {
+                    adapters.remove(adapter);
+                }
+                None => {}
             }
         }
         merged
@@ -234,7 +240,9 @@
             self.settle_adapter(id, model, adapter);
         }
         if changed {
-            self.ordered_ms.insert(id.clone(), clock_ms);
+            let ordered = self.ordered_ms.entry(id.clone()).or_default();
+            ordered.retain(|_, at_ms| *at_ms + ORDER_FRESH_MS > clock_ms);
+            ordered.insert((model.clone(), adapter.to_owned()), clock_ms);
         }
         changed
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -477,6 +477,66 @@
     assert_eq!(directory.put(&plain, 11_000), None);
 }
 
+/// Found in a hunt: a leader froze before it noted that its adapter was taken, and
+/// orders on other adapters kept heartbeats from telling of it.
+#[test]
+fn heartbeats_tell_of_an_adapter_while_orders_change_others() {
+    let mut replicas = ReplicaDirectory::default();
+    let (id, model) = (ReplicaId::from("r1"), ModelName::from("a"));
+    let beat = |adapters: &[&str]| {
+        let mut record = record("r1", 1, &["a"]);
+        let adapters = adapters.iter().map(|name| (*name).to_owned());
+        record.models.insert(model.clone(), adapters.collect());
+        record
+    };
+    replicas.put(&beat(&[]), 0);
+    replicas.order_adapter(&id, &model, "a8");
+    replicas.set_adapter(&id, &model, "b0", true, 0);
+    for step in 1..20 {
+        let clock_ms = step * 1_000;
+        replicas.set_adapter(&id, &model, &format!("b{step}"), true, clock_ms);
+        replicas.set_adapter(&id, &model, &format!("b{}", step - 1), false, clock_ms);
+        // A heartbeat that left before the last order.
+        let late = beat(&["a8", &format!("b{}", step - 1)]);
+        replicas.put(&late, clock_ms);
+        let held: Vec<&str> = replicas.records()[&id].models[&model]
+            .iter()
+            .map(String::as_str)
+            .collect();
+        assert_eq!(held, ["a8", &format!("b{step}")]);
+    }
+}
+
+#[test]
+fn an_adapter_ordered_out_while_in_use_takes_its_place_until_heartbeats_tell() {
+    let slots = 1;
+    let mut orders = AdapterOrders::default();
+    let mut replicas = ReplicaDirectory::default();
+    let mut held = record("r1", 1, &["a"]);
+    let model = ModelName::from("a");
+    held.models
+        .insert(model.clone(), BTreeSet::from(["a1".to_owned()]));
+    replicas.put(&held, 0);
+    let record_of = |replicas: &ReplicaDirectory| replicas.records()[&held.id].clone();
+    let evicted = orders.decide(&record_of(&replicas), slots, &replicas, &wish("a2"), 10_000);
+    assert_eq!(evicted, WishAnswer::Evict(place("a1")));
+    assert!(orders.on_outcome(&place("a1"), OrderOutcome::Taken, 10_000));
+    replicas.set_adapter(&held.id, &model, "a1", false, 10_000);
+    for now_ms in (10_100..25_000).step_by(100) {
+        // Its heartbeats say all the while that it is still there.
+        if now_ms % 1_400 == 300 {
+            replicas.put(&held, now_ms);
+        }
+        orders.settle(&replicas, now_ms);
+        let answer = orders.decide(&record_of(&replicas), slots, &replicas, &wish("a2"), now_ms);
+        assert_ne!(answer, WishAnswer::Load, "at {now_ms}");
+        if answer == WishAnswer::Evict(place("a1")) {
+            return;
+        }
+    }
+    panic!("it is never ordered out again");
+}
+
 #[test]
 fn an_address_has_one_replica_and_draining_is_not_taken_back() {
     let mut directory = ReplicaDirectory::default();
