--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -19,10 +19,13 @@
 use tokio::net::TcpListener;
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::util::SubscriberInitExt;
 
 use crate::ids::HallName;
 use crate::ids::HostName;
 use crate::journal::JournalError;
+use crate::log_limit::{self, LineLimiter};
 use crate::peers::PeerError;
 use crate::settings::{LogSettings, SettingsError};
 
@@ -182,9 +185,12 @@
 async fn metrics(source: web::types::State<WatchSource>) -> HttpResponse {
     let page = source().await;
     let dropped = dropped_lines();
+    let passed = log_limit::passed_over();
     let logs = format!(
         "# TYPE dunlinspring_log_lines_dropped_total counter\n\
-         dunlinspring_log_lines_dropped_total {dropped}\n"
+         dunlinspring_log_lines_dropped_total {dropped}\n\
+         # TYPE dunlinspring_log_lines_passed_over_total counter\n\
+         dunlinspring_log_lines_passed_over_total {passed}\n"
     );
     HttpResponse::Ok()
         .content_type("text/plain; version=0.0.4")
@@ -219,9 +225,10 @@
         .with_env_filter(filter)
         .with_ansi(false)
         .with_writer(writer);
+    let limiter = || LineLimiter::new(crate::clock::monotonic_ms);
     let started = match settings.json {
-        true => builder.json().try_init(),
-        false => builder.try_init(),
+        true => builder.json().finish().with(limiter()).try_init(),
+        false => builder.finish().with(limiter()).try_init(),
     };
     if started.is_ok() {
         *lock_guard() = Some(guard);
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -13,4 +13,5 @@
 pub mod events;
 pub mod head;
 pub mod request;
+pub mod request_log;
 pub mod upstream;
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -11,9 +11,10 @@
 use crate::configuration::{RouteKind, RouteSpec};
 use crate::forward::book::{self, Choice, EngineBounds, Need, TryEnd};
 use crate::forward::client::{AfterAnswer, ClientRequest, ClientWriter};
-use crate::forward::daemon::{EntryCore, Outcome, RequestLog, Routing};
+use crate::forward::daemon::{EntryCore, Routing};
 use crate::forward::events::EventCutter;
 use crate::forward::head::{self, Framing, ResponseHead};
+use crate::forward::request_log::{Outcome, RequestLog};
 use crate::forward::upstream::{Connection, Exchange, ExchangeError, Outgoing};
 use crate::ids::{ModelName, ReplicaId, ServiceName};
 
--- /dev/null
+++ b/src/forward/request_log.rs
@@ -0,0 +1,197 @@
+//! One line and the figures of each request, at its end; lines are bounded each second,
+//! those of failures apart from the others.
+
+use std::time::{Duration, Instant};
+
+use crate::clock;
+use crate::configuration::RouteSpec;
+use crate::forward::book::Need;
+use crate::forward::daemon::EntryCore;
+use crate::ids::ReplicaId;
+use crate::metrics::MetricKey;
+
+/// Log lines a second for requests that went well.
+const GOOD_LINES: u32 = 10;
+/// Log lines a second for requests that failed or were refused.
+const BAD_LINES: u32 = 40;
+
+/// How a request ended, for logs and metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// A replica's answer was passed on whole.
+    Answered,
+    /// It did not run.
+    Refused,
+    /// It may have run.
+    Unknown,
+    /// Broken off midway.
+    Cut,
+    /// The client left first.
+    Left,
+}
+
+impl Outcome {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Refused => "refused",
+            Self::Unknown => "unknown",
+            Self::Cut => "cut",
+            Self::Left => "left",
+        }
+    }
+}
+
+/// What is logged of one request, in one line at its end.
+#[derive(Debug)]
+pub struct RequestLog {
+    id: String,
+    route: String,
+    service: String,
+    model: String,
+    since: Instant,
+    replica: Option<ReplicaId>,
+    tries: u32,
+    resent: u32,
+    waited: Duration,
+    first: Option<Duration>,
+    notes: Vec<String>,
+    end: (Outcome, u16, &'static str),
+}
+
+impl RequestLog {
+    /// A request that has no end yet.
+    pub fn new(id: &str, route: &RouteSpec, need: &Need, since: Instant) -> Self {
+        let model = need.model.as_ref().map_or("", |model| model.as_str());
+        let adapter = need.adapter.as_deref().map(|name| format!("/{name}"));
+        Self {
+            id: id.to_owned(),
+            route: route.name.clone(),
+            service: need.service.as_ref().map_or(String::new(), |s| s.0.clone()),
+            model: format!("{model}{}", adapter.unwrap_or_default()),
+            since,
+            replica: None,
+            tries: 0,
+            resent: 0,
+            waited: Duration::ZERO,
+            first: None,
+            notes: Vec::new(),
+            end: (Outcome::Left, 0, "the client left"),
+        }
+    }
+
+    /// A replica was found after a wait.
+    pub fn placed(&mut self, waited: Duration) {
+        self.waited += waited;
+    }
+
+    /// It goes to a replica.
+    pub fn sent(&mut self, replica: &ReplicaId) {
+        self.tries += 1;
+        self.replica = Some(replica.clone());
+    }
+
+    /// Whether the budget let it be sent again.
+    pub fn resent(&mut self, allowed: bool) {
+        match allowed {
+            true => self.resent += 1,
+            false => self.note("no budget to send it again"),
+        }
+    }
+
+    /// Something that happened on the way.
+    pub fn note(&mut self, text: &str) {
+        self.notes.push(text.to_owned());
+    }
+
+    /// The first event leaves.
+    pub fn first_event(&mut self) {
+        let since = self.since;
+        self.first.get_or_insert_with(|| since.elapsed());
+    }
+
+    /// A replica's answer was passed on.
+    pub fn answered(&mut self, status: u16) {
+        self.end = (Outcome::Answered, status, "");
+    }
+
+    /// It ends without a replica's answer.
+    pub fn ends(&mut self, outcome: Outcome, status: u16, reason: &'static str) {
+        self.end = (outcome, status, reason);
+    }
+
+    /// Writes the line and the metrics.
+    pub fn end(&self, core: &EntryCore) {
+        let (outcome, status, reason) = self.end;
+        let took = self.since.elapsed();
+        let labels = [
+            ("service", self.service.as_str()),
+            ("outcome", outcome.name()),
+        ];
+        let mut metrics = core.metrics.lock().unwrap_or_else(|b| b.into_inner());
+        metrics.count(MetricKey::new("dunlinspring_requests_total", &labels), 1);
+        let micros = |time: Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        let key = MetricKey::new("dunlinspring_request_seconds", &labels);
+        metrics.time(key, micros(took));
+        if let Some(first) = self.first {
+            let key = MetricKey::new("dunlinspring_first_event_seconds", &labels[..1]);
+            metrics.time(key, micros(first));
+        }
+        drop(metrics);
+        let good = outcome == Outcome::Answered && status < 500;
+        if core.lines.borrow_mut().may_write(good) {
+            let millis = |time: Duration| time.as_millis() as u64;
+            tracing::info!(
+                request = self.id,
+                route = self.route,
+                service = self.service,
+                model = self.model,
+                version = core.version(),
+                replica = self.replica.as_ref().map_or("", |id| id.as_str()),
+                tries = self.tries,
+                resent = self.resent,
+                waited_ms = millis(self.waited),
+                first_ms = self.first.map(millis),
+                took_ms = millis(took),
+                status,
+                outcome = outcome.name(),
+                reason,
+                notes = self.notes.join("; "),
+                "request"
+            );
+        }
+    }
+}
+
+/// Log lines that may be written in the current second.
+#[derive(Debug, Default)]
+pub(super) struct LineBudget {
+    second: u64,
+    good: u32,
+    bad: u32,
+    passed: u32,
+}
+
+impl LineBudget {
+    /// Whether one more line may be written; what went well has a bound of its own.
+    pub(super) fn may_write(&mut self, good: bool) -> bool {
+        let second = clock::monotonic_ms() / 1_000;
+        if second != self.second {
+            if self.passed > 0 {
+                tracing::info!(lines = self.passed, "request lines passed over");
+            }
+            *self = Self {
+                second,
+                ..Self::default()
+            };
+        }
+        let (count, most) = match good {
+            true => (&mut self.good, GOOD_LINES),
+            false => (&mut self.bad, BAD_LINES),
+        };
+        *count += 1;
+        let allowed = *count <= most;
+        self.passed += u32::from(!allowed);
+        allowed
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -86,6 +86,7 @@
 pub mod forward;
 pub mod journal;
 pub mod load;
+pub mod log_limit;
 pub mod member;
 pub mod metrics;
 pub mod operator;
