The home that serves does not go while another is still loading

What is lost by an unload is now told by the homes that are there, and the last of these goes only for a model without any. The test fails without the change.

--- a/src/fleet_plan.rs
+++ b/src/fleet_plan.rs
@@ -80,10 +80,22 @@
     }
 }
 
+/// How often each model stands in a list.
+fn count<'a>(models: impl Iterator<Item = &'a ModelName>) -> BTreeMap<ModelName, usize> {
+    let mut counts = BTreeMap::new();
+    for model in models {
+        *counts.entry(model.clone()).or_default() += 1;
+    }
+    counts
+}
+
 struct Board<'a> {
     replicas: Vec<PlanReplica>,
     models: &'a BTreeMap<ModelName, PlanModel>,
+    /// Replicas that hold a model or are to hold it.
     homes: BTreeMap<ModelName, usize>,
+    /// Replicas that hold a model now.
+    present: BTreeMap<ModelName, usize>,
     price: f64,
 }
 
@@ -103,16 +115,17 @@
     price: f64,
     permits: usize,
 ) -> Vec<PlanStep> {
-    let mut homes: BTreeMap<ModelName, usize> = BTreeMap::new();
-    for replica in &replicas {
-        for model in replica.held.iter().chain(&replica.coming) {
-            *homes.entry(model.clone()).or_default() += 1;
-        }
-    }
+    let held = replicas.iter().flat_map(|replica| &replica.held);
+    let present = count(held);
+    let known = replicas
+        .iter()
+        .flat_map(|replica| replica.held.iter().chain(&replica.coming));
+    let homes = count(known);
     let mut board = Board {
         replicas,
         models,
         homes,
+        present,
         price,
     };
     let mut left = permits;
@@ -133,6 +146,10 @@
         self.homes.get(model).copied().unwrap_or(0)
     }
 
+    fn present(&self, model: &ModelName) -> usize {
+        self.present.get(model).copied().unwrap_or(0)
+    }
+
     fn gain(&self, model: &ModelName) -> f64 {
         let level = self.models.get(model).map_or(0.0, |model| model.level);
         let homes = self.homes(model);
@@ -148,10 +165,12 @@
         }
     }
 
+    /// What is lost at once where a model goes from a replica: a home that is still
+    /// to come serves nobody yet.
     fn loss(&self, model: &ModelName) -> f64 {
         let level = self.models.get(model).map_or(0.0, |model| model.level);
-        let homes = self.homes(model);
-        cost(level, homes.saturating_sub(1)) - cost(level, homes.max(1))
+        let present = self.present(model);
+        cost(level, present.saturating_sub(1)) - cost(level, present.max(1))
     }
 
     /// Demand on a replica, shared with the other homes of its models.
@@ -230,7 +249,7 @@
         }
         let weight = |model: &ModelName| self.models.get(model).map_or(0, |m| m.weights_mb);
         let enough = |model: &&ModelName| replica.free_mb + weight(model) >= need_mb;
-        let spare = |model: &&ModelName| first || self.homes(model) > 1;
+        let spare = |model: &&ModelName| first || self.present(model) > 1;
         let held = replica.held.iter().filter(enough).filter(spare);
         let losses = held.map(|model| (self.loss(model), model));
         let least = losses.min_by(|a, b| a.0.total_cmp(&b.0))?;
@@ -246,6 +265,7 @@
                 // The room is spoken for, though the load itself comes later.
                 replica.coming.insert(offer.model.clone());
                 *self.homes.entry(victim.clone()).or_default() -= 1;
+                *self.present.entry(victim.clone()).or_default() -= 1;
                 *self.homes.entry(offer.model.clone()).or_default() += 1;
                 PlanStep {
                     replica: replica.id.clone(),
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -314,6 +314,22 @@
     }
 }
 
+/// Found in an incident: the only home of a busy model went while its second one was
+/// still loading, and the replica of that one crashed.
+#[test]
+fn the_only_home_that_serves_does_not_go_while_another_is_loading() {
+    let models = plan_models(&[("busy", 2.0), ("hot", 60.0)]);
+    let mut loading = plan_replica("r2", 0, &[]);
+    loading.coming.insert(ModelName::from("busy"));
+    loading.open = false;
+    let full = vec![
+        plan_replica("r1", 0, &["busy"]),
+        loading,
+        plan_replica("r3", 0, &["hot"]),
+    ];
+    assert_eq!(plan(full, &models, 0.5, 1), []);
+}
+
 #[test]
 fn a_further_home_is_not_worth_its_load_where_it_relieves_little() {
     let models = plan_models(&[("warm", 3.0)]);
