Control hosts without a disk relay; the named hosts that have one found the site

A count of machines a hall takes diskless ones as well, whose process ended for want of a data folder.

Ruled out: one machine a hall (misses disks where a hall has two), refusing to start without a disk (the process is started again and again), a vote kept in memory.

Change: a second role of the same program beside the entry. Whether a process votes comes from its settings alone: one without a data folder relays heartbeats, leaving, configurations and reads to the hosts that keep the log, answers no read by itself, and names these hosts to whoever knows only relays. At the first start the named hosts ask each other who has a disk; where none has, the first of them names one founder.

--- a/src/control.rs
+++ b/src/control.rs
@@ -115,16 +115,25 @@
     NodeId(u64::from_le_bytes(word))
 }
 
-/// Founds a site's voter in an empty data folder. To be done once, on all
-/// control hosts, and never again after a disk was lost.
+/// Founds a site's voter in an empty data folder, by all control hosts that the
+/// settings name. To be done once, on each of them, and never again after a disk
+/// was lost.
 pub fn found(settings: &ControlSettings) -> Result<(), JournalError> {
+    let named = settings.common.control.iter();
+    found_by(settings, named.map(|voter| &voter.host))
+}
+
+/// Founds a site's voter, as one of `founders`.
+pub fn found_by<'a>(
+    settings: &ControlSettings,
+    founders: impl Iterator<Item = &'a HostName>,
+) -> Result<(), JournalError> {
     let own = founder_id(&settings.common.host);
     let (mut journal, image) = DiskJournal::open(&settings.data_folder, Some(own))?;
     if image != DiskImage::default() {
         return Ok(());
     }
-    let voters = settings.common.control.iter();
-    let voters = voters.map(|voter| founder_id(&voter.host)).collect();
+    let voters = founders.map(founder_id).collect();
     let image = LogReplica::founding_image(voters);
     journal.save(&[DiskRecord::Install(image.snapshot)])
 }
--- a/src/controld.rs
+++ b/src/controld.rs
@@ -14,11 +14,14 @@
 
 use crate::claims::{ClaimKey, ClaimRecord};
 use crate::configuration::ConfigurationRecord;
-use crate::control::{ControlEvent, ControlHandle, ControlLoop, OpenPeer, PeerOutbox};
+use crate::control::{self, ControlEvent, ControlHandle, ControlLoop, OpenPeer, PeerOutbox};
 use crate::daemon::{self, DaemonError};
+use crate::directory::{BeatNews, ReplicaRecord};
 use crate::duties::{AgentBeat, EntryBeat};
 use crate::fleet::{AdapterWish, EngineOrder, EntryReport};
+use crate::founding::{self, FoundingPart};
 use crate::ids::{HostName, NodeId, Position, ReplicaId};
+use crate::journal;
 use crate::metrics::{MetricBook, MetricKey};
 use crate::peers::{self, PeerPool, SiteSecret};
 use crate::raft::RaftMessage;
@@ -62,17 +65,56 @@
         listener: TcpListener,
         settings: ControlSettings,
         secret: SiteSecret,
+    ) -> Result<Self, DaemonError> {
+        Self::open(listener, settings, secret, SiteStart::Founded).await
+    }
+
+    /// Starts where the whole site starts for the first time: the named hosts that
+    /// have a disk found it, each with [`ControlDaemon::start_first`].
+    pub async fn start_first(
+        settings: ControlSettings,
+        secret: SiteSecret,
+    ) -> Result<Self, DaemonError> {
+        let listener = daemon::bind("listen", settings.common.listen).await?;
+        Self::start_first_on(listener, settings, secret).await
+    }
+
+    /// [`ControlDaemon::start_first`] on a listener that is bound already.
+    pub async fn start_first_on(
+        listener: TcpListener,
+        settings: ControlSettings,
+        secret: SiteSecret,
+    ) -> Result<Self, DaemonError> {
+        let blank = journal::is_blank(&settings.data_folder);
+        let start = if blank {
+            SiteStart::First
+        } else {
+            SiteStart::Founded
+        };
+        Self::open(listener, settings, secret, start).await
+    }
+
+    async fn open(
+        listener: TcpListener,
+        settings: ControlSettings,
+        secret: SiteSecret,
+        start: SiteStart,
     ) -> Result<Self, DaemonError> {
         let address = daemon::address_of("listen", &listener)?;
         let pool = Arc::new(PeerPool::new(secret.clone(), peers::dial_control));
+        let (events, inbox) = std::sync::mpsc::channel();
+        let handle = ControlHandle(events);
+        // Founders ask each other before any of them has a log.
+        serve(listener, secret, handle.clone());
+        if start == SiteStart::First {
+            found_site(&pool, &settings).await?;
+        }
         let mut control = ControlLoop::open(settings.clone())?;
         let node = control.node();
         control.send_messages(open_outbox(&settings, node, &pool));
         let (orders, ordered) = mpsc::unbounded_channel();
         control.send_orders(orders);
         let learner = control.is_learner();
-        let (events, inbox) = std::sync::mpsc::channel();
-        let handle = ControlHandle(events);
         let (end, ended) = oneshot::channel();
         let spawned = thread::Builder::new()
             .name("voter".to_owned())
@@ -85,7 +127,6 @@
         if learner || settings.open_membership {
             tokio::spawn(enroll(pool.clone(), settings.clone(), node, handle.clone()));
         }
-        serve(listener, secret, handle.clone());
         if let Some(url) = settings.platform_url.clone() {
             daemon::spawn_local(watch_platform(url, handle.clone()));
         }
@@ -128,6 +169,27 @@
     }
 }
 
+/// Whether the site is there already.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SiteStart {
+    /// It starts for the first time, and this disk is blank.
+    First,
+    /// It was founded; a blank disk enrols.
+    Founded,
+}
+
+async fn found_site(
+    pool: &PeerPool<ControlWireClient>,
+    settings: &ControlSettings,
+) -> Result<(), DaemonError> {
+    let part = founding::agree(pool, settings).await;
+    tracing::info!(?part, "the site starts for the first time");
+    match part {
+        FoundingPart::Founds(founders) => Ok(control::found_by(settings, founders.iter())?),
+        FoundingPart::Joins => Ok(()),
+    }
+}
+
 fn open_outbox(
     settings: &ControlSettings,
     node: NodeId,
@@ -331,8 +393,24 @@
         self.0.ask(|answer| ControlEvent::Wish(wish, answer)).await
     }
 
+    async fn compare(self, _: Context, record: ReplicaRecord) -> Result<BeatNews, ControlRefusal> {
+        let (answer, wait) = oneshot::channel();
+        self.0.tell(ControlEvent::Compare(Box::new(record), answer));
+        wait.await.map_err(|_| ControlRefusal::Stopping)
+    }
+
+    async fn keeps_log(self, _: Context) -> bool {
+        true
+    }
+
+    async fn appoint(self, _: Context, _: HostName) -> Result<HostName, ControlRefusal> {
+        // A host with a disk founds the site itself.
+        Err(ControlRefusal::NotLeader(None))
+    }
+
     async fn status(self, _: Context) -> ControlStatus {
-        status(&self.0).await.unwrap_or_else(empty_status)
+        let told = status(&self.0).await;
+        told.unwrap_or_else(|| ControlStatus::without_log(HostName(String::new())))
     }
 }
 
@@ -353,21 +431,6 @@
     wait.await.ok()
 }
 
-fn empty_status() -> ControlStatus {
-    ControlStatus {
-        host: HostName(String::new()),
-        node: NodeId(0),
-        term: Default::default(),
-        leader: None,
-        decides: false,
-        voters: Vec::new(),
-        position: Position(0),
-        members: Default::default(),
-        moves: 0,
-        claims: 0,
-    }
-}
-
 async fn serve_watch(
     settings: &ControlSettings,
     handle: ControlHandle,
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -45,7 +45,7 @@
 }
 
 /// What a heartbeat changes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum BeatNews {
     /// Nothing that the log does not hold.
     Known,
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -90,6 +90,15 @@
     }
 }
 
+/// Whether nothing of a log is in a data folder yet: no snapshot, no record.
+pub fn is_blank(folder: &Path) -> bool {
+    let is_empty = |name: &str| {
+        let data = fs::metadata(folder.join(name));
+        data.map_or(true, |data| data.len() == 0)
+    };
+    is_empty(SNAPSHOT_FILE) && is_empty(LOG_FILE)
+}
+
 impl DiskJournal {
     /// Opens a data folder, or makes one: with `founder` as its identity where
     /// the site is being founded, else with a random one.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -84,6 +84,7 @@
 pub mod flying;
 pub mod follow;
 pub mod forward;
+pub mod founding;
 pub mod journal;
 pub mod load;
 pub mod log_limit;
@@ -93,6 +94,7 @@
 pub mod orderer;
 pub mod peers;
 pub mod registry;
+pub mod relayd;
 pub mod settings;
 pub mod wire;
 
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -472,12 +472,20 @@
         self.known().clone()
     }
 
-    /// Adds a control host that was not known.
-    pub fn learn(&self, address: &str) {
+    /// Adds a control host. Returns whether it was not known.
+    pub fn learn(&self, address: &str) -> bool {
         let mut known = self.known();
-        if !known.iter().any(|other| other == address) {
+        let new = !known.iter().any(|other| other == address);
+        if new {
             known.push(address.to_owned());
         }
+        new
+    }
+
+    /// The control host that decided last, or is to be asked next.
+    pub fn presumed_leader(&self) -> Option<String> {
+        let number = *self.lock();
+        (!self.is_empty()).then(|| self.address(number))
     }
 
     /// Calls one control host by its address.
@@ -567,6 +575,22 @@
         }
     }
 
+    /// Notes what a host that was taken for the leader answered: after a refusal,
+    /// another one is presumed to lead.
+    pub fn note_answer<T>(
+        &self,
+        address: &str,
+        answer: Result<T, ControlRefusal>,
+    ) -> Result<T, ControlRefusal> {
+        let number = self.known().iter().position(|known| known == address);
+        match (&answer, number) {
+            (Ok(_), Some(number)) => *self.lock() = number,
+            (Err(refusal), Some(number)) => self.turn_to(number, refusal),
+            (_, None) => {}
+        }
+        answer
+    }
+
     fn turn_to(&self, number: usize, refusal: &ControlRefusal) {
         let named = match refusal {
             ControlRefusal::NotLeader(Some(address)) => {
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -25,6 +25,8 @@
 const CONFIGURE_TIME: Duration = Duration::from_millis(900);
 /// Time for one call to the leader.
 const LEADER_TIME: Duration = Duration::from_millis(700);
+/// Time for one call of a host without a log, so that another one can be asked.
+const RELAY_TIME: Duration = Duration::from_millis(400);
 /// Pause before a command is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(25);
 /// Time between two tellings of who was heard.
@@ -53,18 +55,26 @@
     NoQuorum,
 }
 
+/// How a control host reaches the log.
+pub enum LogAccess {
+    /// It keeps the log itself.
+    Own(ControlHandle),
+    /// It has no disk: all goes to the hosts that keep the log.
+    Relayed,
+}
+
 /// One control host's way to the log.
 pub struct Registry {
-    handle: ControlHandle,
+    access: LogAccess,
     link: Arc<ControlLink>,
     heard: Mutex<BTreeSet<ReplicaId>>,
 }
 
 impl Registry {
     /// The registry of a control host; `link` reaches the others.
-    pub fn new(handle: ControlHandle, link: Arc<ControlLink>) -> Self {
+    pub fn new(access: LogAccess, link: Arc<ControlLink>) -> Self {
         Self {
-            handle,
+            access,
             link,
             heard: Mutex::default(),
         }
@@ -128,13 +138,14 @@
     pub async fn configuration(&self) -> Result<Option<ConfigurationRecord>, RegistryError> {
         let give_up = Instant::now() + CONFIGURE_TIME;
         loop {
-            let held = match self.handle.ask(ControlEvent::Configuration).await {
+            let held = match self.ask_own(ControlEvent::Configuration).await {
                 Err(ControlRefusal::NotLeader(Some(leader))) => {
-                    let context = peers::within(LEADER_TIME);
+                    let context = peers::within(self.leader_time());
                     let call = |client: ControlWireClient| async move {
                         client.configuration(context).await
                     };
-                    told(self.link.call_at(&leader, "configuration", call).await)
+                    let called = self.link.call_at(&leader, "configuration", call).await;
+                    self.link.note_answer(&leader, told(called))
                 }
                 held => held,
             };
@@ -157,12 +168,14 @@
                 continue;
             }
             let own = |answer| ControlEvent::Heard(ids.clone(), answer);
-            if let Err(ControlRefusal::NotLeader(Some(leader))) = self.handle.ask(own).await {
-                let context = peers::within(LEADER_TIME);
+            if let Err(ControlRefusal::NotLeader(Some(leader))) = self.ask_own(own).await {
+                let context = peers::within(self.leader_time());
                 let ids = ids.clone();
                 let call =
                     |client: ControlWireClient| async move { client.heard(context, ids).await };
-                let _ = self.link.call_at(&leader, "heard", call).await;
+                let called = self.link.call_at(&leader, "heard", call).await;
+                // Replicas are heard again before long, here or elsewhere.
+                let _ = self.link.note_answer(&leader, told(called));
             }
         }
     }
@@ -173,13 +186,46 @@
             .unwrap_or_else(|broken| broken.into_inner())
     }
 
+    fn leader_time(&self) -> Duration {
+        match self.access {
+            LogAccess::Own(_) => LEADER_TIME,
+            LogAccess::Relayed => RELAY_TIME,
+        }
+    }
+
+    /// Asks the log that this host keeps; one that keeps none names where to ask.
+    async fn ask_own<T>(
+        &self,
+        make: impl FnOnce(oneshot::Sender<Result<T, ControlRefusal>>) -> ControlEvent,
+    ) -> Result<T, ControlRefusal> {
+        match &self.access {
+            LogAccess::Own(handle) => handle.ask(make).await,
+            LogAccess::Relayed => Err(ControlRefusal::NotLeader(self.link.presumed_leader())),
+        }
+    }
+
     async fn compare(&self, record: &ReplicaRecord) -> Result<BeatNews, RegistryError> {
-        let (answer, wait) = oneshot::channel();
-        self.handle
-            .tell(ControlEvent::Compare(Box::new(record.clone()), answer));
-        let waited = tokio::time::timeout(BEAT_TIME, wait).await;
-        let answered = waited.map_err(|_| RegistryError::NoQuorum)?;
-        answered.map_err(|_| RegistryError::NoQuorum)
+        match &self.access {
+            LogAccess::Own(handle) => {
+                let (answer, wait) = oneshot::channel();
+                handle.tell(ControlEvent::Compare(Box::new(record.clone()), answer));
+                let waited = tokio::time::timeout(BEAT_TIME, wait).await;
+                let answered = waited.map_err(|_| RegistryError::NoQuorum)?;
+                answered.map_err(|_| RegistryError::NoQuorum)
+            }
+            LogAccess::Relayed => {
+                let call = |client: ControlWireClient, _| {
+                    let record = record.clone();
+                    let context = peers::within(RELAY_TIME);
+                    async move { client.compare(context, record).await }
+                };
+                let compared = self.link.decide("compare", BEAT_TIME, call).await;
+                compared.map_err(|error| {
+                    tracing::debug!(%error, "a heartbeat was not compared");
+                    RegistryError::NoQuorum
+                })
+            }
+        }
     }
 
     /// Commits a command here or at the leader. It may be committed more than
@@ -188,19 +234,19 @@
         let give_up = Instant::now() + patience;
         loop {
             let propose = |answer| ControlEvent::Propose(command.clone(), answer);
-            let own = tokio::time::timeout_at(give_up.into(), self.handle.ask(propose)).await;
+            let own = tokio::time::timeout_at(give_up.into(), self.ask_own(propose)).await;
             let reply = match own {
                 Err(_) => return Err(RegistryError::NoQuorum),
                 Ok(Err(ControlRefusal::NotLeader(Some(leader)))) => {
                     let command = command.clone();
                     let left = give_up.saturating_duration_since(Instant::now());
-                    let context = peers::within(LEADER_TIME.min(left));
+                    let context = peers::within(self.leader_time().min(left));
                     let call = |client: ControlWireClient| async move {
                         client.propose(context, command).await
                     };
                     let called = self.link.call_at(&leader, "propose", call);
                     match tokio::time::timeout_at(give_up.into(), called).await {
-                        Ok(called) => told(called),
+                        Ok(called) => self.link.note_answer(&leader, told(called)),
                         Err(_) => return Err(RegistryError::NoQuorum),
                     }
                 }
--- /dev/null
+++ b/src/relayd.rs
@@ -0,0 +1,337 @@
+//! A control host without a disk: it keeps no log and never votes. Replicas and
+//! operators may call it like any other; it passes on what they say to the hosts
+//! that keep the log, and names these to processes that know no other.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tokio::net::TcpListener;
+
+use crate::claims::{ClaimKey, ClaimRecord};
+use crate::clock;
+use crate::configuration::ConfigurationRecord;
+use crate::daemon::{self, DaemonError};
+use crate::directory::{BeatNews, ReplicaRecord};
+use crate::duties::{AgentBeat, EntryBeat};
+use crate::fleet::{AdapterWish, EntryReport};
+use crate::founding::{self, KnownFounders};
+use crate::ids::{HostName, NodeId, Position, ReplicaId};
+use crate::metrics::{MetricBook, MetricKey};
+use crate::peers::{self, ControlLink, PeerError, SiteSecret};
+use crate::raft::RaftMessage;
+use crate::settings::CommonSettings;
+use crate::state::{Command, Reply};
+use crate::view::SyncPage;
+use crate::wire::{
+    AgentOrders, ControlRefusal, ControlStatus, ControlWire, ControlWireClient, EntryOrders,
+    Notice, TableStatus,
+};
+
+/// Pause before an asker that knows nothing yet is answered: it asks again at once.
+const NOTICE_PAUSE: Duration = Duration::from_millis(100);
+/// Hosts that enrolled, remembered until the hosts that keep the log are known.
+const MAX_ENROLLED: usize = 64;
+/// Time without word of a leader until the relay is not ready, in milliseconds.
+const STALE_MS: u64 = 10_000;
+/// How long a host that keeps the log may hold a question, in milliseconds.
+const WATCH_WAIT_MS: u64 = 1_000;
+/// Time for such a question.
+const WATCH_TIME: Duration = Duration::from_millis(1_600);
+/// Pause after a host that did not answer, or that had hosts to tell of.
+const WATCH_PAUSE: Duration = Duration::from_millis(250);
+
+/// A running relay.
+pub struct RelayDaemon {
+    /// Where peers reach it.
+    pub address: SocketAddr,
+    /// Where metrics and health are served.
+    pub watch: SocketAddr,
+    hosts: Arc<HostBook>,
+}
+
+impl RelayDaemon {
+    /// Starts on the current runtime.
+    pub async fn start(settings: CommonSettings, secret: SiteSecret) -> Result<Self, DaemonError> {
+        let listener = daemon::bind("listen", settings.listen).await?;
+        Self::start_on(listener, settings, secret).await
+    }
+
+    /// Starts on a listener that is bound already.
+    pub async fn start_on(
+        listener: TcpListener,
+        settings: CommonSettings,
+        secret: SiteSecret,
+    ) -> Result<Self, DaemonError> {
+        let address = daemon::address_of("listen", &listener)?;
+        let named = settings.control.iter();
+        let others = named.filter(|voter| voter.host != settings.host);
+        let others: Vec<String> = others.map(|voter| voter.address.to_string()).collect();
+        let link = Arc::new(ControlLink::new(secret.clone(), Vec::new()));
+        let hosts = Arc::new(HostBook {
+            own: settings.host.clone(),
+            link,
+            fresh_ms: AtomicU64::new(0),
+        });
+        for other in others {
+            hosts.watch(&other);
+        }
+        let relay = RelayServer {
+            hosts: hosts.clone(),
+            enrolled: Arc::default(),
+            founder: Arc::default(),
+        };
+        serve(listener, secret, relay);
+        let watch = serve_watch(settings.watch, hosts.clone()).await?;
+        tracing::info!(%address, %watch, "relay started: no disk, no vote");
+        Ok(Self {
+            address,
+            watch,
+            hosts,
+        })
+    }
+
+    /// Watches further control hosts, after a change of the settings.
+    pub fn learn_control(&self, control: &[SocketAddr]) {
+        for address in control {
+            self.hosts.watch(&address.to_string());
+        }
+    }
+
+    /// The way to the hosts that keep the log.
+    pub fn link(&self) -> &Arc<ControlLink> {
+        &self.hosts.link
+    }
+}
+
+fn serve(listener: TcpListener, secret: SiteSecret, relay: RelayServer) {
+    let serve = move |transport| {
+        let relay = relay.clone();
+        let channel = BaseChannel::with_defaults(transport);
+        tokio::spawn(channel.execute(relay.serve()).for_each(|call| async {
+            tokio::spawn(call);
+        }));
+    };
+    tokio::spawn(peers::listen(listener, secret, serve));
+}
+
+async fn serve_watch(address: SocketAddr, hosts: Arc<HostBook>) -> Result<SocketAddr, DaemonError> {
+    let read = move || {
+        let stale_ms = hosts.stale_ms();
+        let mut book = MetricBook::default();
+        book.gauge(MetricKey::new("dunlinspring_relay_stale_ms", &[]), stale_ms);
+        let page = daemon::WatchPage {
+            ready: stale_ms < STALE_MS,
+            metrics: book.render(),
+        };
+        Box::pin(async move { page }) as daemon::WatchRead
+    };
+    daemon::serve_watch(address, Arc::new(read)).await
+}
+
+/// The control hosts that a relay knows, and how fresh their word of a leader is.
+struct HostBook {
+    own: HostName,
+    link: Arc<ControlLink>,
+    /// When a leader was last known to lead, by this host's steady clock.
+    fresh_ms: AtomicU64,
+}
+
+impl HostBook {
+    fn stale_ms(&self) -> u64 {
+        clock::monotonic_ms().saturating_sub(self.fresh_ms.load(Ordering::SeqCst))
+    }
+
+    /// Watches a control host, and from then on each that it names.
+    fn watch(self: &Arc<Self>, address: &str) {
+        if address != self.own.0 && self.link.learn(address) {
+            tokio::spawn(watch_host(self.clone(), address.to_owned()));
+        }
+    }
+
+    async fn ask(&self, address: &str, cursor: Position) -> Result<Notice, PeerError> {
+        let context = peers::within(WATCH_TIME);
+        let call = |client: ControlWireClient| async move {
+            client.notice(context, cursor, WATCH_WAIT_MS).await
+        };
+        let told = self.link.call_at(address, "notice", call).await?;
+        told.map_err(|refusal| PeerError::Refused {
+            step: "notice",
+            peer: address.to_owned(),
+            refusal,
+        })
+    }
+}
+
+/// Boxed, as the hosts that one names are watched in turn.
+fn watch_host(hosts: Arc<HostBook>, address: String) -> BoxFuture<'static, ()> {
+    Box::pin(async move {
+        loop {
+            // A relay without a leader wants all names at once; else only whether
+            // the host is still there, after the whole wait.
+            let cursor = match hosts.stale_ms() {
+                stale_ms if stale_ms > 2 * WATCH_WAIT_MS => Position(0),
+                _ => Position(u64::MAX),
+            };
+            let asked_ms = clock::monotonic_ms();
+            match hosts.ask(&address, cursor).await {
+                Ok(notice) => {
+                    for host in &notice.hosts {
+                        hosts.watch(host.as_str());
+                    }
+                    let fresh_ms = asked_ms.saturating_sub(notice.leaderless_ms);
+                    hosts.fresh_ms.fetch_max(fresh_ms, Ordering::SeqCst);
+                }
+                Err(error) => tracing::debug!(%error, "a control host is silent"),
+            }
+            tokio::time::sleep(WATCH_PAUSE).await;
+        }
+    })
+}
+
+#[derive(Clone)]
+struct RelayServer {
+    hosts: Arc<HostBook>,
+    /// Hosts with a disk that asked to become voters here.
+    enrolled: Arc<Mutex<BTreeSet<HostName>>>,
+    /// The host that was named to found the site.
+    founder: Arc<Mutex<Option<HostName>>>,
+}
+
+fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(|broken| broken.into_inner())
+}
+
+impl RelayServer {
+    fn elsewhere(&self) -> ControlRefusal {
+        ControlRefusal::NotLeader(self.hosts.link.presumed_leader())
+    }
+
+    fn known_hosts(&self) -> Notice {
+        let known = self.hosts.link.addresses().into_iter().map(HostName);
+        let enrolled = lock(&self.enrolled).clone();
+        let others = known.chain(enrolled);
+        let hosts: BTreeSet<HostName> = others.collect();
+        Notice {
+            position: Position(0),
+            leaderless_ms: clock::monotonic_ms(),
+            hosts: hosts.into_iter().collect(),
+        }
+    }
+}
+
+impl ControlWire for RelayServer {
+    async fn raft(self, _: Context, from: NodeId, _: HostName, _: RaftMessage) {
+        tracing::debug!(%from, "a voter's message came to a host without a log");
+    }
+
+    async fn enroll(self, _: Context, _: NodeId, host: HostName) -> Result<Notice, ControlRefusal> {
+        let mut enrolled = lock(&self.enrolled);
+        if enrolled.len() < MAX_ENROLLED {
+            enrolled.insert(host);
+        }
+        drop(enrolled);
+        Ok(self.known_hosts())
+    }
+
+    async fn sync(
+        self,
+        _: Context,
+        _: Position,
+        _: u64,
+        _: bool,
+    ) -> Result<SyncPage, ControlRefusal> {
+        Err(self.elsewhere())
+    }
+
+    async fn propose(self, _: Context, _: Command) -> Result<(Position, Reply), ControlRefusal> {
+        Err(self.elsewhere())
+    }
+
+    async fn agent_beat(self, _: Context, _: AgentBeat) -> Result<AgentOrders, ControlRefusal> {
+        Err(self.elsewhere())
+    }
+
+    async fn entry_beat(self, _: Context, _: EntryBeat) -> Result<EntryOrders, ControlRefusal> {
+        Err(self.elsewhere())
+    }
+
+    async fn table(self, _: Context) -> Result<TableStatus, ControlRefusal> {
+        Err(self.elsewhere())
+    }
+
+    async fn claim(self, _: Context, _: ClaimKey) -> Result<Option<ClaimRecord>, ControlRefusal> {
+        Err(self.elsewhere())
+    }
+
+    async fn notice(
+        self,
+        _: Context,
+        cursor: Position,
+        wait_ms: u64,
+    ) -> Result<Notice, ControlRefusal> {
+        let wait = Duration::from_millis(wait_ms);
+        // Whoever follows the log has nothing to learn here.
+        let pause = match cursor {
+            Position(0) => NOTICE_PAUSE.min(wait),
+            _ => wait,
+        };
+        tokio::time::sleep(pause).await;
+        Ok(self.known_hosts())
+    }
+
+    async fn configuration(
+        self,
+        _: Context,
+    ) -> Result<Option<ConfigurationRecord>, ControlRefusal> {
+        Err(self.elsewhere())
+    }
+
+    async fn heard(self, _: Context, _: Vec<ReplicaId>) -> Result<(), ControlRefusal> {
+        Err(self.elsewhere())
+    }
+
+    async fn report(self, _: Context, _: EntryReport) -> Result<u32, ControlRefusal> {
+        Err(self.elsewhere())
+    }
+
+    async fn wish(self, _: Context, _: AdapterWish) -> Result<bool, ControlRefusal> {
+        Err(self.elsewhere())
+    }
+
+    async fn compare(self, _: Context, _: ReplicaRecord) -> Result<BeatNews, ControlRefusal> {
+        Err(self.elsewhere())
+    }
+
+    async fn keeps_log(self, _: Context) -> bool {
+        false
+    }
+
+    async fn appoint(self, _: Context, host: HostName) -> Result<HostName, ControlRefusal> {
+        let appointed = lock(&self.founder).clone();
+        if let Some(founder) = appointed {
+            return Ok(founder);
+        }
+        match founding::known_founders(&self.hosts.link).await {
+            KnownFounders::None => {}
+            KnownFounders::Host(address) => {
+                return Err(ControlRefusal::NotLeader(Some(address)));
+            }
+            KnownFounders::Unclear => return Err(ControlRefusal::NoQuorum),
+        }
+        let founder = lock(&self.founder).get_or_insert(host).clone();
+        self.hosts.watch(founder.as_str());
+        tracing::info!(%founder, "named the founder of the site");
+        Ok(founder)
+    }
+
+    async fn status(self, _: Context) -> ControlStatus {
+        ControlStatus::without_log(self.hosts.own.clone())
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -6,6 +6,7 @@
 
 use crate::claims::ClaimRecord;
 use crate::configuration::ConfigurationRecord;
+use crate::directory::{BeatNews, ReplicaRecord};
 use crate::duties::{AgentBeat, EntryBeat};
 use crate::fleet::{AdapterWish, EntryReport};
 use crate::gate::{AttemptWord, RunAsk, TargetPlan};
@@ -16,7 +17,7 @@
 use crate::view::SyncPage;
 
 /// Raised with each change of a type on the wire; peers of other versions are refused.
-pub const PROTOCOL: u32 = 2;
+pub const PROTOCOL: u32 = 3;
 
 /// Why control did not do what was asked.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -99,6 +100,24 @@
     pub claims: usize,
 }
 
+impl ControlStatus {
+    /// The account of a host that keeps no log, or can no longer tell.
+    pub fn without_log(host: HostName) -> Self {
+        Self {
+            host,
+            node: NodeId(0),
+            term: Term::default(),
+            leader: None,
+            decides: false,
+            voters: Vec::new(),
+            position: Position(0),
+            members: BTreeMap::new(),
+            moves: 0,
+            claims: 0,
+        }
+    }
+}
+
 /// How far a control host has come, without the changes themselves.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Notice {
@@ -143,6 +162,15 @@
     async fn report(report: EntryReport) -> Result<u32, ControlRefusal>;
     /// An entry wants an adapter; the leader tells whether it comes soon.
     async fn wish(wish: AdapterWish) -> Result<bool, ControlRefusal>;
+    /// Compares a replica's heartbeat with what is committed here; for hosts that
+    /// keep no log.
+    async fn compare(record: ReplicaRecord) -> Result<BeatNews, ControlRefusal>;
+    /// Whether this host keeps the log on a disk of its own. It is answered before
+    /// the site is founded: its founders are found by it.
+    async fn keeps_log() -> bool;
+    /// A host with a disk asks one without to name the only founder, where no host
+    /// that all know of has a disk. The first that asks is named, and stays so.
+    async fn appoint(host: HostName) -> Result<HostName, ControlRefusal>;
 }
 
 /// An agent's word with its load.
--- a/tests/open_membership.rs
+++ b/tests/open_membership.rs
@@ -1,85 +1,14 @@
 //! Control hosts that nobody named become voters, whichever host they ask.
 
+mod support_control;
+
 use std::net::SocketAddr;
 use std::path::Path;
-use std::time::{Duration, Instant};
 
 use dunlinspring::control;
 use dunlinspring::controld::ControlDaemon;
-use dunlinspring::ids::{HallName, HostName};
-use dunlinspring::peers::SiteSecret;
-use dunlinspring::raft::RaftTiming;
-use dunlinspring::settings::{CommonSettings, ControlSettings, VoterSettings};
-use dunlinspring::wire::ControlStatus;
-use tokio::net::TcpListener;
-
-/// Longest wait for a condition that must come; reaching it is a failure.
-const PATIENCE: Duration = Duration::from_secs(60);
-
-fn settings(folder: &Path, own: SocketAddr, founders: &[SocketAddr]) -> ControlSettings {
-    let voter = |address: &SocketAddr| VoterSettings {
-        host: HostName(address.to_string()),
-        address: *address,
-    };
-    ControlSettings {
-        common: CommonSettings {
-            host: HostName(own.to_string()),
-            hall: HallName::from("hall"),
-            listen: own,
-            watch: "127.0.0.1:0".parse().unwrap(),
-            control: founders.iter().map(voter).collect(),
-            secret_file: Default::default(),
-            log: Default::default(),
-        },
-        data_folder: folder.join(own.port().to_string()),
-        timing: RaftTiming {
-            election_ms: 300,
-            heartbeat_ms: 50,
-        },
-        duties: Default::default(),
-        compact_after: 100,
-        platform_url: None,
-        open_membership: true,
-        fleet: Default::default(),
-        site: Default::default(),
-    }
-}
-
-async fn listeners(count: usize) -> Vec<(TcpListener, SocketAddr)> {
-    let mut bound = Vec::new();
-    for _ in 0..count {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        bound.push((listener, address));
-    }
-    bound
-}
 
-fn secret() -> SiteSecret {
-    SiteSecret::new("a secret of this test")
-}
-
-async fn until<T>(what: &str, mut look: impl AsyncFnMut() -> Option<T>) -> T {
-    let give_up = Instant::now() + PATIENCE;
-    loop {
-        if let Some(found) = look().await {
-            return found;
-        }
-        assert!(Instant::now() < give_up, "waited in vain for {what}");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
-
-async fn status_where(
-    daemon: &ControlDaemon,
-    what: &str,
-    holds: impl Fn(&ControlStatus) -> bool,
-) -> ControlStatus {
-    until(what, async || {
-        daemon.status().await.filter(|status| holds(status))
-    })
-    .await
-}
+use support_control::{leader_of, listeners, secret, settings, status_where};
 
 /// Three founders on empty disks.
 async fn founders(folder: &Path) -> (Vec<ControlDaemon>, Vec<SocketAddr>) {
@@ -95,19 +24,6 @@
     (daemons, addresses)
 }
 
-async fn leader_of(daemons: &[ControlDaemon]) -> HostName {
-    until("a leader", async || {
-        for daemon in daemons {
-            let status = daemon.status().await?;
-            if status.decides {
-                return Some(status.host);
-            }
-        }
-        None
-    })
-    .await
-}
-
 async fn joins(folder: &Path, asked: &[SocketAddr]) -> ControlDaemon {
     let (listener, own) = listeners(1).await.remove(0);
     let settings = settings(folder, own, asked);
--- /dev/null
+++ b/tests/relay.rs
@@ -0,0 +1,161 @@
+//! Control hosts without a disk: they take part in founding, name the hosts that keep
+//! the log, and pass on what replicas and operators say. They never vote.
+
+mod support_control;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+
+use dunlinspring::configuration::{ClientLimits, Configuration};
+use dunlinspring::controld::ControlDaemon;
+use dunlinspring::directory::{ReplicaPhase, ReplicaRecord};
+use dunlinspring::ids::{HallName, ReplicaId, ServiceName};
+use dunlinspring::peers::ControlLink;
+use dunlinspring::registry::{LogAccess, Registry, RegistryError};
+use dunlinspring::relayd::RelayDaemon;
+use tokio::net::TcpListener;
+
+use support_control::{leader_of, listeners, secret, settings, status_where, until};
+
+async fn relay(listener: TcpListener, own: SocketAddr, named: &[SocketAddr]) -> RelayDaemon {
+    let settings = settings(Path::new(""), own, named).common;
+    let relay = RelayDaemon::start_on(listener, settings, secret()).await;
+    relay.unwrap()
+}
+
+async fn first_voter(
+    folder: &Path,
+    listener: TcpListener,
+    own: SocketAddr,
+    named: &[SocketAddr],
+) -> ControlDaemon {
+    let settings = settings(folder, own, named);
+    let daemon = ControlDaemon::start_first_on(listener, settings, secret()).await;
+    daemon.unwrap()
+}
+
+/// The registry of a relay that knows `named`.
+fn relayed(named: &[SocketAddr]) -> Registry {
+    let named = named.iter().map(ToString::to_string).collect();
+    Registry::new(
+        LogAccess::Relayed,
+        Arc::new(ControlLink::new(secret(), named)),
+    )
+}
+
+fn replica(id: &str) -> ReplicaRecord {
+    ReplicaRecord {
+        id: ReplicaId::from(id),
+        service: ServiceName::from("lookup"),
+        address: "127.0.0.1:9".parse().unwrap(),
+        hall: HallName::from("hall"),
+        slots: 4,
+        phase: ReplicaPhase::Ready,
+        models: BTreeMap::new(),
+        in_memory: BTreeSet::new(),
+        on_disk: BTreeSet::new(),
+    }
+}
+
+fn configuration(version: u64) -> Configuration {
+    Configuration {
+        version,
+        routes: Vec::new(),
+        services: BTreeMap::new(),
+        limits: ClientLimits::default(),
+    }
+}
+
+#[ntex::test]
+async fn named_hosts_with_a_disk_found_the_site_and_those_without_never_vote() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut bound = listeners(4).await;
+    let (listener, third) = bound.pop().unwrap();
+    let named: Vec<SocketAddr> = bound.iter().map(|(_, address)| *address).collect();
+    let (other, without) = bound.pop().unwrap();
+    let relay = relay(other, without, &named).await;
+    let [first, second] = <[_; 2]>::try_from(bound).unwrap();
+    let voters = futures::future::join(
+        first_voter(folder.path(), first.0, first.1, &named),
+        first_voter(folder.path(), second.0, second.1, &named),
+    );
+    let (first, second) = voters.await;
+    let founded = |daemon| status_where(daemon, "two founders", |s| s.voters.len() == 2);
+    founded(&first).await;
+    founded(&second).await;
+    // A further host knows only the one without a disk.
+    let third = first_voter(folder.path(), listener, third, &[relay.address]).await;
+    let status = status_where(&third, "three voters", |s| s.voters.len() == 3).await;
+    assert!(status.voters.contains(&status.node));
+}
+
+#[ntex::test]
+async fn one_host_founds_the_site_where_no_named_one_has_a_disk() {
+    let folder = tempfile::tempdir().unwrap();
+    let bound = listeners(3).await;
+    let named: Vec<SocketAddr> = bound.iter().map(|(_, address)| *address).collect();
+    let mut relays = Vec::new();
+    for (listener, own) in bound {
+        relays.push(relay(listener, own, &named).await);
+    }
+    let starts = listeners(3).await.into_iter();
+    let starts = starts.map(|(listener, own)| first_voter(folder.path(), listener, own, &named));
+    let voters = futures::future::join_all(starts).await;
+    for voter in &voters {
+        status_where(voter, "three voters", |s| s.voters.len() == 3).await;
+    }
+}
+
+#[ntex::test]
+async fn a_relay_passes_on_heartbeats_and_configurations_and_answers_nothing_stale() {
+    let folder = tempfile::tempdir().unwrap();
+    let bound = listeners(3).await;
+    let named: Vec<SocketAddr> = bound.iter().map(|(_, address)| *address).collect();
+    let starts = bound
+        .into_iter()
+        .map(|(listener, own)| first_voter(folder.path(), listener, own, &named));
+    let voters = futures::future::join_all(starts).await;
+    leader_of(&voters).await;
+    let registry = relayed(&named);
+    let source = b"as sent".to_vec();
+    let taken = until("a quorum", async || {
+        let sent = registry.configure(configuration(3), source.clone()).await;
+        sent.ok()
+    });
+    taken.await;
+    let held = registry.configuration().await.unwrap().unwrap();
+    assert_eq!((held.configuration.version, held.source), (3, source));
+
+    registry.beat(replica("i-1")).await.unwrap();
+    registry.leave("i-1".into()).await.unwrap();
+    for voter in voters {
+        voter.stop().await;
+    }
+    // Nobody is left to tell what is newest.
+    let read = registry.configuration().await;
+    assert!(matches!(read, Err(RegistryError::NoQuorum)), "{read:?}");
+    let beat = registry.beat(replica("i-2")).await;
+    assert!(matches!(beat, Err(RegistryError::NoQuorum)), "{beat:?}");
+}
+
+#[ntex::test]
+async fn a_restarted_relay_finds_the_voters_through_another_relay() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut bound = listeners(3).await;
+    let (other, second) = bound.pop().unwrap();
+    let (listener, own) = bound.pop().unwrap();
+    let (voting, first) = bound.pop().unwrap();
+    let voter = first_voter(folder.path(), voting, first, &[first]).await;
+    leader_of(std::slice::from_ref(&voter)).await;
+    let _relay = relay(listener, own, &[first]).await;
+    // It starts again knowing nothing but a relay.
+    let restarted = relay(other, second, &[own]).await;
+    let link = restarted.link().clone();
+    let registry = Registry::new(LogAccess::Relayed, link);
+    let known = until("the voter to be found", async || {
+        registry.configuration().await.ok()
+    });
+    assert_eq!(known.await, None);
+}
--- a/tests/support_forward/mod.rs
+++ b/tests/support_forward/mod.rs
@@ -20,7 +20,7 @@
 use dunlinspring::ids::{HallName, HostName, ModelName, ReplicaId, ServiceName};
 use dunlinspring::peers::{ControlLink, SiteSecret};
 use dunlinspring::raft::RaftTiming;
-use dunlinspring::registry::{Registry, RegistryError};
+use dunlinspring::registry::{LogAccess, Registry, RegistryError};
 use dunlinspring::settings::{CommonSettings, ControlSettings, VoterSettings};
 use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -262,7 +262,7 @@
         let folder = tempfile::tempdir().unwrap();
         let (control, address) = start_control(&folder).await;
         let link = Arc::new(ControlLink::new(secret(), vec![address.to_string()]));
-        let registry = Registry::new(control.handle(), link);
+        let registry = Registry::new(LogAccess::Own(control.handle()), link);
         let settings = ForwardSettings {
             host: HostName::from("entry"),
             hall: HallName::from("hall"),
