Hosts that return are found at once; a stopping entry refuses streams that would outlive it

Cause of weak windows after a loss of power: entries that came back before the control hosts paused for up to half a second between two tries, their connections waited 250 ms for a lost first packet, and requests were refused meanwhile.

Change: the follower's pause stays at 50 ms while no leader is heard; connections between our processes are begun anew each 50 ms; a request waits up to a second, and a quarter of its time, for the first configuration; a stopping entry refuses a stream that at the pace of others would outlast it, with when to come back.

--- a/src/configuration.rs
+++ b/src/configuration.rs
@@ -98,6 +98,8 @@
     pub weights_mb: u64,
     /// Most adapters on a replica.
     pub adapter_slots: u32,
+    /// Tokens that one event of a stream holds.
+    pub event_tokens: u32,
     /// Least time between two loads from the weight store, in milliseconds.
     pub load_gap_ms: u64,
     /// The models.
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -25,10 +25,13 @@
 const PULL_TIME: Duration = Duration::from_millis(800);
 /// Pause after another task's pull, before this host is pulled from as well.
 const PULL_PAUSE: Duration = Duration::from_millis(60);
-/// Pause after a host that did not answer; it doubles.
+/// Pause after a host that did not answer; it doubles while others answer.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest such pause.
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+/// Time without word of a leader from which the pause stays short, in milliseconds:
+/// after a loss of power of all hosts each one that returns must be found at once.
+const LOST_MS: u64 = 1_500;
 
 /// The copy, shared by a process's tasks.
 pub struct ControlFollower {
@@ -144,7 +147,10 @@
             }
             _ => {
                 tokio::time::sleep(pause).await;
-                pause = (pause * 2).min(LONGEST_PAUSE);
+                pause = match follower.stale_ms() {
+                    stale_ms if stale_ms > LOST_MS => FIRST_PAUSE,
+                    _ => (pause * 2).min(LONGEST_PAUSE),
+                };
             }
         }
     }
--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -25,6 +25,13 @@
     pub failure_cost: f64,
     /// Time by which a report of others' load has faded, in milliseconds.
     pub fade_ms: u64,
+    /// Part of a route's longest pause between events that a replica's streams may
+    /// reach before new prompts are kept from it.
+    pub pause_part: f64,
+    /// Cost of a replica whose streams pause for as long as the route allows.
+    pub pause_cost: f64,
+    /// Part of the aim that a request waits for room before it is refused.
+    pub wait_part: f64,
     /// First pause of a replica that fails, in milliseconds; it doubles.
     pub eject_ms: u64,
     /// Longest such pause, in milliseconds.
@@ -39,6 +46,9 @@
             prefix_gain: 0.4,
             failure_cost: 8.0,
             fade_ms: 2_000,
+            pause_part: 0.6,
+            pause_cost: 4.0,
+            wait_part: 0.25,
             eject_ms: 1_000,
             eject_max_ms: 8_000,
         }
@@ -56,12 +66,17 @@
     pub adapter: Option<String>,
     /// Names the shared start of the prompt.
     pub prefix: Option<u64>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
     /// Tokens of the prompt and the answer.
     pub tokens: u64,
     /// Urgency, 0 to 9; 0 goes first.
     pub urgency: usize,
     /// Time within which the answer should begin, in milliseconds.
     pub limit_ms: u64,
+    /// Longest pause between two events that is in time, in milliseconds; 0 where
+    /// the answer is no stream.
+    pub pause_ms: u64,
 }
 
 /// The choice.
@@ -131,6 +146,28 @@
     at_ms: u64,
 }
 
+/// The pauses between events of a replica's streams, as this entry sees them. All
+/// streams of an engine share its steps, so that few of them tell of all.
+#[derive(Clone, Copy, Debug, Default)]
+struct StreamPause {
+    smooth_ms: f64,
+    at_ms: u64,
+}
+
+impl StreamPause {
+    fn note(&mut self, now_ms: u64, pause_ms: f64) {
+        let known_ms = self.at(now_ms);
+        self.smooth_ms = known_ms + (pause_ms - known_ms) * PAUSE_STEP;
+        self.at_ms = now_ms;
+    }
+
+    /// The pause to be expected now: what was seen fades where nothing is seen.
+    fn at(&self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.at_ms);
+        self.smooth_ms * (1.0 - age_ms as f64 / PAUSE_FADE_MS as f64).max(0.0)
+    }
+}
+
 #[derive(Clone, Debug)]
 struct ReplicaNote {
     record: ReplicaRecord,
@@ -145,6 +182,7 @@
     /// none until the first answer.
     pace_ms: Option<f64>,
     told: Told,
+    pause: StreamPause,
     slots: u32,
     failing: f64,
     ejected_until_ms: u64,
@@ -160,6 +198,11 @@
 const PACE_STEP: f64 = 0.2;
 /// Part of the time limit that the predicted beginning may take.
 const PACE_PART: f64 = 0.6;
+/// Weight of the newest pause between two events in a replica's pauses: about a
+/// tenth of a second at the rate of a few streams.
+const PAUSE_STEP: f64 = 0.15;
+/// Time by which what was seen of pauses has faded, in milliseconds.
+const PAUSE_FADE_MS: u64 = 1_000;
 /// Replicas that one log line describes.
 const MAX_DESCRIBED: usize = 4;
 /// Shared starts remembered for each replica.
@@ -184,6 +227,7 @@
             waiting_tokens: [0; URGENCIES],
             pace_ms: None,
             told: Told::default(),
+            pause: StreamPause::default(),
             failing: 0.0,
             ejected_until_ms: 0,
             ejections: 0,
@@ -321,9 +365,10 @@
             let begin_ms = note.pace_ms.unwrap_or(0.0) * ahead;
             let age_ms = now_ms.saturating_sub(note.told.at_ms);
             let ejected_ms = note.ejected_until_ms.saturating_sub(now_ms);
+            let pause_ms = note.pause.at(now_ms);
             format!(
                 "{} waiting {waiting:.1} running {running:.1} of {} begins in {begin_ms:.0} ms, \
-                 told {age_ms} ms ago, {:?}, passed over for {ejected_ms} ms, adapter {}",
+                 pauses {pause_ms:.0} ms, told {age_ms} ms ago, {:?}, passed over for {ejected_ms} ms, adapter {}",
                 note.record.id,
                 note.slots,
                 note.record.phase,
@@ -333,6 +378,16 @@
         lines.collect::<Vec<String>>().join("; ")
     }
 
+    /// The longest time between two events that streams of a need now show, in
+    /// milliseconds; none where this entry has seen none lately.
+    pub fn pause_ms(&self, now_ms: u64, need: &Need) -> Option<f64> {
+        let suited = self.notes.values().filter(|note| suits(note, need));
+        let pauses = suited.map(|note| note.pause.at(now_ms));
+        pauses
+            .filter(|pause_ms| *pause_ms > 0.0)
+            .max_by(f64::total_cmp)
+    }
+
     /// The record of a replica.
     pub fn record(&self, id: &ReplicaId) -> Option<&ReplicaRecord> {
         self.notes.get(id).map(|note| &note.record)
@@ -425,11 +480,28 @@
         let fits = memory == 0 || note.tokens + need.tokens <= memory || note.tokens == 0;
         let quick = note.is_quick(need, now_ms, self.policy.fade_ms);
         let room = waiting + running < f64::from(note.slots);
-        fits && quick && room && note.full_until_ms <= now_ms
+        let smooth = self.pause_part(note, need, now_ms) <= self.policy.pause_part;
+        fits && quick && room && smooth && note.full_until_ms <= now_ms
+    }
+
+    /// The pauses of a replica's streams, as a part of what the need allows.
+    fn pause_part(&self, note: &ReplicaNote, need: &Need, now_ms: u64) -> f64 {
+        match need.pause_ms {
+            0 => 0.0,
+            bound_ms => note.pause.at(now_ms) / bound_ms as f64,
+        }
+    }
+
+    /// An event of a stream came so long after the one before.
+    pub fn note_pause(&mut self, now_ms: u64, id: &ReplicaId, pause_ms: f64) {
+        if let Some(note) = self.notes.get_mut(id) {
+            note.pause.note(now_ms, pause_ms);
+        }
     }
 
     fn cost(&self, note: &ReplicaNote, need: &Need, now_ms: u64) -> f64 {
         let policy = &self.policy;
+        let pause = self.pause_part(note, need, now_ms) * policy.pause_cost;
         let (waiting, running) = note.loads(now_ms, policy.fade_ms);
         let away = self.hall.as_ref() != Some(&note.record.hall);
         let warm = need
@@ -437,7 +509,8 @@
             .is_some_and(|prefix| note.prefixes.contains(&prefix));
         let hall = if away { policy.hall_cost } else { 0.0 };
         let gain = if warm { policy.prefix_gain } else { 0.0 };
-        waiting + running * policy.running_cost + hall + note.failing * policy.failure_cost - gain
+        let load = waiting + running * policy.running_cost + pause;
+        load + hall + note.failing * policy.failure_cost - gain
     }
 
     /// A request goes to a replica. Returns the tokens that are read before its
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -195,6 +195,20 @@
         self.routing.borrow().clone()
     }
 
+    /// The configuration in force, waiting for the first one. A stopping entry does
+    /// not wait.
+    pub async fn await_routing(&self, patience: Duration) -> Option<Rc<Routing>> {
+        let give_up = Instant::now() + patience;
+        loop {
+            let changed = self.changed.notified();
+            let routing = self.routing();
+            if routing.is_some() || self.is_stopping() || Instant::now() >= give_up {
+                return routing;
+            }
+            let _ = tokio::time::timeout_at(give_up.into(), changed).await;
+        }
+    }
+
     /// The limits on clients.
     pub fn limits(&self) -> ClientLimits {
         let routing = self.routing.borrow();
@@ -207,6 +221,13 @@
         self.stopping.load(Ordering::SeqCst)
     }
 
+    /// How long a stopping entry still runs; none while it was not asked to stop.
+    pub fn time_to_end(&self) -> Option<Duration> {
+        let since = self.stopped_at.get()?;
+        let grace = Duration::from_millis(self.settings.grace_ms);
+        Some(grace.saturating_sub(since.elapsed()))
+    }
+
     /// Returns once the entry stops and a resting connection is to be closed: at
     /// once where it has been served, else when no new ones are taken either.
     pub async fn closes_resting(&self, served: bool) {
@@ -236,6 +257,11 @@
         tokio::time::sleep_until(until.into()).await;
     }
 
+    /// Part of the aim that a request waits for room.
+    pub fn wait_part(&self) -> f64 {
+        self.settings.choice.wait_part
+    }
+
     /// Time to open a connection to a replica.
     pub fn connect_time(&self) -> Duration {
         Duration::from_millis(self.settings.connect_ms)
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -22,10 +22,20 @@
 const MAX_HELD: usize = 1024 * 1024;
 /// Longest pause between two looks at the replicas while a request waits.
 const LOOK_AGAIN: Duration = Duration::from_millis(50);
-/// Part of the aim that a request waits for room before it is refused.
-const WAIT_PART: u32 = 4;
+/// Part of the aim after which a refused request comes back at the soonest.
+const COME_BACK_PART: u32 = 4;
 /// Refusals by replicas that one request takes before it is refused itself.
 const MAX_REFUSALS: u32 = 4;
+/// Longest wait of a request for the first configuration: control hosts that start
+/// with the entry tell it within this, and a caller that is refused asks once more.
+const CONFIG_WAIT: Duration = Duration::from_millis(1_000);
+/// Part of its time that a request waits for the first configuration.
+const CONFIG_WAIT_PART: u32 = 4;
+/// Time between two events of a stream where none has been seen lately, in
+/// milliseconds: an engine that is half full, as the pages of engines tell.
+const UNSEEN_PAUSE_MS: f64 = 50.0;
+/// How much longer than predicted a stream may last: pauses grow while demand moves.
+const STREAM_MARGIN: f64 = 1.5;
 /// Time that is left for a request to be worth sending.
 const LEAST_LEFT: Duration = Duration::from_millis(20);
 
@@ -42,6 +52,8 @@
     Late,
     /// Replicas refused it, and the budget for sending it again is spent.
     Budget,
+    /// This entry stops before such a stream is likely to end.
+    Stopping,
 }
 
 impl Refusal {
@@ -52,6 +64,7 @@
             Self::Adapter => "the adapter did not come in time",
             Self::Late => "time ran out before it was sent",
             Self::Budget => "replicas refused it",
+            Self::Stopping => "this entry stops before it would end",
         }
     }
 }
@@ -80,7 +93,7 @@
     request: &ClientRequest,
     writer: &mut ClientWriter,
 ) -> AfterAnswer {
-    let Some(routing) = core.routing() else {
+    let Some(routing) = core.await_routing(config_wait(core, request)).await else {
         return refuse_plainly(core, request, writer, 503, "no configuration yet").await;
     };
     let host = head::find(&request.head.headers, "host").unwrap_or_default();
@@ -94,6 +107,15 @@
     flight.run(writer).await
 }
 
+/// How long a request waits for the first configuration of an entry that has just
+/// started.
+fn config_wait(core: &EntryCore, request: &ClientRequest) -> Duration {
+    let asked = head::find(&request.head.headers, core.names.deadline_ms);
+    let asked_ms = asked.and_then(|text| text.trim().parse::<u64>().ok());
+    let part = asked_ms.map(|ms| Duration::from_millis(ms) / CONFIG_WAIT_PART);
+    part.map_or(CONFIG_WAIT, |part| part.min(CONFIG_WAIT))
+}
+
 async fn refuse_plainly(
     core: &Rc<EntryCore>,
     request: &ClientRequest,
@@ -167,6 +189,8 @@
     id: String,
     need: Need,
     bounds: EngineBounds,
+    /// Tokens in one event of a stream; 0 where the service has no engines.
+    event_tokens: u32,
     deadline: Instant,
     passed: BTreeSet<ReplicaId>,
     /// Replicas that may have run it.
@@ -251,6 +275,10 @@
         let mut need = need(core, headers, service.clone());
         need.urgency = route.priority.min(9) as usize;
         need.limit_ms = route.aim_ms.min(limit_ms);
+        need.pause_ms = match route.kind {
+            RouteKind::Streaming => route.gap_ms,
+            RouteKind::Safe | RouteKind::Unsafe => 0,
+        };
         let spec = service
             .as_ref()
             .and_then(|s| routing.configuration.services.get(s));
@@ -270,6 +298,7 @@
                 memory: engine.kv_tokens,
                 adapter_slots: engine.adapter_slots,
             }),
+            event_tokens: engine.map_or(0, |engine| engine.event_tokens),
             deadline: request.since + Duration::from_millis(limit_ms),
             passed: BTreeSet::new(),
             runs: 0,
@@ -288,6 +317,9 @@
 
     async fn run(&mut self, writer: &mut ClientWriter) -> AfterAnswer {
         let core = self.core;
+        if self.outlives_entry() {
+            return self.give_up(Refusal::Stopping, writer).await;
+        }
         let mark = core.track(&self.need);
         loop {
             let replica = match self.place().await {
@@ -314,6 +346,23 @@
         }
     }
 
+    /// Whether this entry stops, and would have to cut the stream off: at the pace of
+    /// others it might last for longer than the entry does.
+    fn outlives_entry(&self) -> bool {
+        let Some(left) = self.core.time_to_end() else {
+            return false;
+        };
+        if self.route.kind != RouteKind::Streaming || self.event_tokens == 0 {
+            return false;
+        }
+        let now_ms = crate::clock::monotonic_ms();
+        let pause_ms = self.core.book.borrow().pause_ms(now_ms, &self.need);
+        let answer_tokens = self.need.tokens.saturating_sub(self.need.prompt_tokens);
+        let events = answer_tokens as f64 / f64::from(self.event_tokens);
+        let lasts_ms = events * pause_ms.unwrap_or(UNSEEN_PAUSE_MS) * STREAM_MARGIN;
+        lasts_ms > left.as_millis() as f64
+    }
+
     /// Whether a request that did not run may be sent to another replica.
     fn may_resend(&mut self) -> Result<(), Refusal> {
         self.refusals += 1;
@@ -372,11 +421,13 @@
     fn come_back(&self, refusal: Refusal) -> Duration {
         match refusal {
             Refusal::Absent => self.load_time(),
+            // Another entry takes it at once.
+            Refusal::Stopping => Duration::ZERO,
             Refusal::Full | Refusal::Adapter | Refusal::Late | Refusal::Budget => {
                 let now_ms = crate::clock::monotonic_ms();
                 let book = self.core.book.borrow();
                 let room_ms = book.room_in_ms(now_ms, &self.need).unwrap_or(0);
-                Duration::from_millis(room_ms).max(self.aim() / WAIT_PART)
+                Duration::from_millis(room_ms).max(self.aim() / COME_BACK_PART)
             }
         }
     }
@@ -410,7 +461,7 @@
                     self.core.wish(&replica, &self.need);
                     (Refusal::Adapter, self.aim().min(self.left() / 2))
                 }
-                Choice::Full => (Refusal::Full, self.aim() / WAIT_PART),
+                Choice::Full => (Refusal::Full, self.aim().mul_f64(self.core.wait_part())),
                 Choice::Absent if self.load_time() < self.left() => (Refusal::Absent, self.left()),
                 Choice::Absent => (Refusal::Absent, Duration::ZERO),
             };
@@ -622,6 +673,7 @@
             out = self.answer_head(head, if chunked { &coding } else { &[] }, close);
         }
         self.cutter.drop_part();
+        let mut last: Option<Instant> = None;
         loop {
             let next = tokio::time::timeout(self.left(), exchange.next()).await;
             let bytes = match next {
@@ -647,6 +699,15 @@
                 continue;
             }
             self.log.first_event();
+            let now = Instant::now();
+            if let Some(last) = last.replace(now) {
+                let pause_ms = (now - last).as_secs_f64() * 1000.0;
+                let now_ms = crate::clock::monotonic_ms();
+                let mut book = core.book.borrow_mut();
+                book.note_pause(now_ms, &guard.replica, pause_ms);
+                drop(book);
+                self.log.pause(now - last);
+            }
             push_piece(&mut out, &events, chunked);
             if writer.write(&std::mem::take(&mut out)).await.is_err() {
                 return Tried::Answered(AfterAnswer::Cut);
@@ -747,6 +808,7 @@
     let tokens = tokens
         .split(',')
         .filter_map(|part| part.trim().parse::<u64>().ok());
+    let prompt_tokens = tokens.clone().next().unwrap_or(0);
     let parts = head::find(headers, names.prefix).unwrap_or_default();
     // The last part belongs to the request alone.
     let shared = parts.rsplit_once(',').map(|(shared, _)| shared);
@@ -763,6 +825,7 @@
         model: model.map(ModelName::from),
         adapter,
         prefix,
+        prompt_tokens,
         tokens: tokens.sum(),
         ..Need::default()
     }
--- a/src/forward/request_log.rs
+++ b/src/forward/request_log.rs
@@ -55,6 +55,7 @@
     resent: u32,
     waited: Duration,
     first: Option<Duration>,
+    longest_pause: Duration,
     notes: Vec<String>,
     end: (Outcome, u16, &'static str),
 }
@@ -75,6 +76,7 @@
             resent: 0,
             waited: Duration::ZERO,
             first: None,
+            longest_pause: Duration::ZERO,
             notes: Vec::new(),
             end: (Outcome::Left, 0, "the client left"),
         }
@@ -110,6 +112,11 @@
         self.first.get_or_insert_with(|| since.elapsed());
     }
 
+    /// An event came so long after the one before.
+    pub fn pause(&mut self, pause: Duration) {
+        self.longest_pause = self.longest_pause.max(pause);
+    }
+
     /// A replica's answer was passed on.
     pub fn answered(&mut self, status: u16) {
         self.end = (Outcome::Answered, status, "");
@@ -136,6 +143,8 @@
         if let Some(first) = self.first {
             let key = MetricKey::new("dunlinspring_first_event_seconds", &labels[..1]);
             metrics.time(key, micros(first));
+            let key = MetricKey::new("dunlinspring_longest_pause_seconds", &labels[..1]);
+            metrics.time(key, micros(self.longest_pause));
         }
         drop(metrics);
         let good = outcome == Outcome::Answered && status < 500;
@@ -152,6 +161,7 @@
                 resent = self.resent,
                 waited_ms = millis(self.waited),
                 first_ms = self.first.map(millis),
+                longest_pause_ms = self.first.map(|_| millis(self.longest_pause)),
                 took_ms = millis(took),
                 status,
                 outcome = outcome.name(),
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use futures::future::BoxFuture;
+use futures::stream::FuturesUnordered;
 use futures::{SinkExt, StreamExt};
 use hmac::{Hmac, Mac};
 use rand::Rng;
@@ -32,6 +33,9 @@
 /// Longest time for a connection to come up. A host without power says nothing,
 /// and a lost first packet is sent again only after a second.
 const CONNECT_TIME: Duration = Duration::from_millis(250);
+/// Time without an answer after which a further connection is begun: far above a
+/// round trip within a region, and a fifth of the whole time.
+const CONNECT_AGAIN: Duration = Duration::from_millis(50);
 /// Least time between two tries to reach the same peer.
 const REDIAL_TIME: Duration = Duration::from_millis(100);
 /// Connections that may be in their handshake at once.
@@ -266,9 +270,7 @@
     Out: Serialize,
 {
     let connect = async {
-        let late = |_| io::Error::from(io::ErrorKind::TimedOut);
-        let stream = tokio::time::timeout(CONNECT_TIME, TcpStream::connect(address)).await;
-        let stream = stream.map_err(late).and_then(|stream| stream);
+        let stream = connect(address).await;
         let stream = stream.and_then(|stream| {
             stream.set_nodelay(true)?;
             Ok(stream)
@@ -283,6 +285,24 @@
     Ok(transport(in_time(address, connect).await?))
 }
 
+/// Opens a connection. While nothing answers, further ones are begun: the first packet
+/// to a host that is just coming back is lost, and is sent again only after a second.
+async fn connect(address: &str) -> io::Result<TcpStream> {
+    let mut begun = FuturesUnordered::new();
+    let tries = async {
+        begun.push(TcpStream::connect(address));
+        loop {
+            match tokio::time::timeout(CONNECT_AGAIN, begun.next()).await {
+                Ok(Some(connected)) => return connected,
+                Ok(None) | Err(_) => begun.push(TcpStream::connect(address)),
+            }
+        }
+    };
+    let late = |_| io::Error::from(io::ErrorKind::TimedOut);
+    let connected = tokio::time::timeout(CONNECT_TIME, tries).await;
+    connected.map_err(late).and_then(|connected| connected)
+}
+
 /// Accepts peers until the listener fails; `serve` gets each that proved the secret.
 pub async fn listen<In, Out>(
     listener: TcpListener,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -53,6 +53,7 @@
         kv_tokens: 1_000,
         weights_mb: 150,
         adapter_slots: 2,
+        event_tokens: 1,
         load_gap_ms: 700,
         models: models
             .iter()
--- a/tests/forward_parts.rs
+++ b/tests/forward_parts.rs
@@ -174,6 +174,7 @@
         tokens: 100,
         urgency: 1,
         limit_ms: 800,
+        ..Need::default()
     }
 }
 
--- a/tests/support_forward/mod.rs
+++ b/tests/support_forward/mod.rs
@@ -210,6 +210,7 @@
             kv_tokens: 1_000,
             weights_mb: 20,
             adapter_slots: 1,
+            event_tokens: 1,
             load_gap_ms: 100,
             models: BTreeMap::from([(ModelName::from("m"), model)]),
         }),
