A read waits until the state holds what is known to be committed

A new leader that learns within one batch of events that an entry of its own term is committed may decide from then on, but its state takes in what was committed only at the end of the batch; a read in between saw the state before.

Ruled out: a lost entry (78 was read back at the end), a vote for a shorter log (the state went on to 78), an answer by a relay (they pass reads on).

Change: reads of the newest state that come while the state lags wait for the end of the batch, when it holds all that is committed and the disk what it follows from.

--- a/src/control.rs
+++ b/src/control.rs
@@ -96,6 +96,17 @@
     Stop(oneshot::Sender<()>),
 }
 
+impl ControlEvent {
+    /// Whether it asks for a state that nothing newer can exist besides.
+    fn reads_newest(&self) -> bool {
+        match self {
+            Self::Configuration(_) | Self::Table(_) | Self::Claim(..) => true,
+            Self::Sync { fresh, .. } => *fresh,
+            _ => false,
+        }
+    }
+}
+
 enum WaiterAnswer {
     Page(Answer<SyncPage>),
     Notice(Answer<Notice>),
@@ -203,6 +214,8 @@
     /// Hosts that this leader has proposed to note.
     noted: BTreeSet<(NodeId, HostName)>,
     outbox: PeerOutbox,
+    /// Reads that wait for the end of this batch of events.
+    deferred: Vec<ControlEvent>,
     stopping: Option<(u64, oneshot::Sender<()>)>,
 }
 
@@ -237,6 +250,7 @@
             hosts,
             noted: BTreeSet::new(),
             outbox: PeerOutbox::default(),
+            deferred: Vec::new(),
             stopping: None,
         })
     }
@@ -284,12 +298,16 @@
             if self.finish(&events)? == RunState::Stopped || self.is_stopped() {
                 return Ok(());
             }
+            for event in std::mem::take(&mut self.deferred) {
+                self.handle(event);
+            }
         }
     }
 
     fn handle(&mut self, event: ControlEvent) {
         let now_ms = clock::monotonic_ms();
         match event {
+            event if event.reads_newest() && self.replica.lags() => self.deferred.push(event),
             ControlEvent::Raft(from, host, message) => {
                 self.hosts.insert(from, host);
                 self.replica.receive(now_ms, from, message);
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -96,6 +96,12 @@
         self.raft.may_decide(now_ms).then_some(&self.state)
     }
 
+    /// Whether entries are committed that the state does not hold yet: until the end
+    /// of this batch of steps, a read would miss what a leader before acknowledged.
+    pub fn lags(&self) -> bool {
+        self.state.position < self.raft.committed()
+    }
+
     /// Proposes a command where this voter leads.
     pub fn propose(&mut self, at_ms: u64, command: Command) -> Result<LogMark, ProposeError> {
         let stamped = Stamped { at_ms, command };
