--- a/src/raft.rs
+++ b/src/raft.rs
@@ -211,11 +211,6 @@
         }
     }
 
-    /// How far the log is known to be committed.
-    pub fn committed(&self) -> Position {
-        self.commit
-    }
-
     /// Whether a decision taken now, from the committed state, is the newest there is:
     /// this voter leads, a quorum confirmed it within the lease, and an entry of
     /// its own term is committed.
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -99,7 +99,7 @@
     /// Whether entries are committed that the state does not hold yet: until the end
     /// of this batch of steps, a read would miss what a leader before acknowledged.
     pub fn lags(&self) -> bool {
-        self.state.position < self.raft.committed()
+        self.state.position < self.raft.commit()
     }
 
     /// Proposes a command where this voter leads.
