--- a/src/control.rs
+++ b/src/control.rs
@@ -91,7 +91,7 @@
     /// An engine's answer to an order of this leader.
     Ordered(EngineOrder, OrderOutcome),
     /// Compares a replica's heartbeat with what is committed here.
-    Compare(Box<ReplicaRecord>, oneshot::Sender<BeatNews>),
+    Compare(Box<ReplicaRecord>, Answer<BeatNews>),
     /// Stop: hand over first.
     Stop(oneshot::Sender<()>),
 }
@@ -367,7 +367,7 @@
             ControlEvent::Ordered(order, outcome) => self.on_ordered(now_ms, &order, outcome),
             ControlEvent::Compare(record, answer) => {
                 let state = self.replica.state();
-                let _ = answer.send(state.replicas.news(&record, state.clock_ms));
+                let _ = answer.send(Ok(state.replicas.news(&record, state.clock_ms)));
             }
             ControlEvent::Stop(answer) => {
                 self.replica.raft_mut().hand_over(now_ms);
--- a/src/controld.rs
+++ b/src/controld.rs
@@ -39,6 +39,7 @@
 const MESSAGE_TIME: Duration = Duration::from_millis(500);
 /// Time between two looks at the platform's list, and two enrolments.
 const POLL: Duration = Duration::from_millis(500);
+
 /// Calls that one peer may have under way.
 const CALLS_A_PEER: usize = 4096;
 
@@ -85,11 +86,9 @@
         settings: ControlSettings,
         secret: SiteSecret,
     ) -> Result<Self, DaemonError> {
-        let blank = journal::is_blank(&settings.data_folder);
-        let start = if blank {
-            SiteStart::First
-        } else {
-            SiteStart::Founded
+        let start = match journal::is_blank(&settings.data_folder) {
+            true => SiteStart::First,
+            false => SiteStart::Founded,
         };
         Self::open(listener, settings, secret, start).await
     }
@@ -105,9 +104,9 @@
         let (events, inbox) = std::sync::mpsc::channel();
         let handle = ControlHandle(events);
         // Founders ask each other before any of them has a log.
-        serve(listener, secret, handle.clone());
+        serve(listener, secret.clone(), handle.clone());
         if start == SiteStart::First {
-            found_site(&pool, &settings).await?;
+            found_site(secret, &settings).await?;
         }
         let mut control = ControlLoop::open(settings.clone())?;
         let node = control.node();
@@ -178,11 +177,9 @@
     Founded,
 }
 
-async fn found_site(
-    pool: &PeerPool<ControlWireClient>,
-    settings: &ControlSettings,
-) -> Result<(), DaemonError> {
-    let part = founding::agree(pool, settings).await;
+async fn found_site(secret: SiteSecret, settings: &ControlSettings) -> Result<(), DaemonError> {
+    let link = ControlLink::new(secret, Vec::new());
+    let part = founding::agree(&link, settings).await;
     tracing::info!(?part, "the site starts for the first time");
     match part {
         FoundingPart::Founds(founders) => Ok(control::found_by(settings, founders.iter())?),
@@ -279,7 +276,7 @@
         if status.as_ref().is_some_and(settled) {
             continue;
         }
-        let peers = lock(&known).clone();
+        let peers = peers::lock(&known).clone();
         for peer in peers.into_iter().filter(|peer| *peer != own.0) {
             let (pool, known, own) = (pool.clone(), known.clone(), own.clone());
             let open = settings.open_membership;
@@ -291,17 +288,13 @@
                 let answer = pool.call(&peer, "enroll", call).await;
                 if let (Ok(Ok(notice)), true) = (answer, open) {
                     let hosts = notice.hosts.into_iter();
-                    lock(&known).extend(hosts.map(|host| host.0));
+                    peers::lock(&known).extend(hosts.map(|host| host.0));
                 }
             });
         }
     }
 }
 
-fn lock<T>(shared: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    shared.lock().unwrap_or_else(|broken| broken.into_inner())
-}
-
 async fn watch_platform(url: String, handle: ControlHandle) {
     loop {
         match daemon::get_json::<PlatformHosts>(&url).await {
@@ -416,9 +409,9 @@
     }
 
     async fn compare(self, _: Context, record: ReplicaRecord) -> Result<BeatNews, ControlRefusal> {
-        let (answer, wait) = oneshot::channel();
-        self.0.tell(ControlEvent::Compare(Box::new(record), answer));
-        wait.await.map_err(|_| ControlRefusal::Stopping)
+        self.0
+            .ask(|answer| ControlEvent::Compare(Box::new(record), answer))
+            .await
     }
 
     async fn keeps_log(self, _: Context) -> bool {
--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -366,13 +366,11 @@
     }
 
     /// The longest time between two events that streams of a need now show, in
-    /// milliseconds; none where this entry has seen none lately.
-    pub fn pause_ms(&self, now_ms: u64, need: &Need) -> Option<f64> {
+    /// milliseconds; 0 where this entry has seen none lately.
+    pub fn pause_ms(&self, now_ms: u64, need: &Need) -> f64 {
         let suited = self.notes.values().filter(|note| suits(note, need));
         let pauses = suited.map(|note| note.pause.at(now_ms));
-        pauses
-            .filter(|pause_ms| *pause_ms > 0.0)
-            .max_by(f64::total_cmp)
+        pauses.fold(0.0, f64::max)
     }
 
     /// The record of a replica.
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -109,12 +109,16 @@
     flight.run(writer).await
 }
 
+/// How long the client will wait, by its own word, in milliseconds.
+fn asked_ms(core: &EntryCore, request: &ClientRequest) -> Option<u64> {
+    let asked = head::find(&request.head.headers, core.names.deadline_ms)?;
+    asked.trim().parse().ok()
+}
+
 /// How long a request waits for the first configuration of an entry that has just
 /// started.
 fn config_wait(core: &EntryCore, request: &ClientRequest) -> Duration {
-    let asked = head::find(&request.head.headers, core.names.deadline_ms);
-    let asked_ms = asked.and_then(|text| text.trim().parse::<u64>().ok());
-    let part = asked_ms.map(|ms| Duration::from_millis(ms) / CONFIG_WAIT_PART);
+    let part = asked_ms(core, request).map(|ms| Duration::from_millis(ms) / CONFIG_WAIT_PART);
     part.map_or(CONFIG_WAIT, |part| part.min(CONFIG_WAIT))
 }
 
@@ -271,9 +275,9 @@
             .unwrap_or_default()
             .to_owned();
         let service = route.pick(draw(&id)).cloned();
-        let asked = head::find(headers, core.names.deadline_ms);
-        let asked_ms = asked.and_then(|text| text.trim().parse::<u64>().ok());
-        let limit_ms = asked_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+        let limit_ms = asked_ms(core, request)
+            .unwrap_or(u64::MAX)
+            .min(route.timeout_ms);
         let mut need = need(core, headers, service.clone());
         need.urgency = route.priority.min(9) as usize;
         need.limit_ms = route.aim_ms.min(limit_ms);
@@ -357,8 +361,7 @@
         let pause_ms = self.core.book.borrow().pause_ms(now_ms, &self.need);
         let answer_tokens = self.need.tokens.saturating_sub(self.need.prompt_tokens);
         let events = answer_tokens as f64 / f64::from(self.event_tokens);
-        let pause_ms = pause_ms.unwrap_or(0.0).max(LEAST_PAUSE_MS);
-        let lasts_ms = events * pause_ms * STREAM_MARGIN;
+        let lasts_ms = events * pause_ms.max(LEAST_PAUSE_MS) * STREAM_MARGIN;
         lasts_ms > left.as_millis() as f64
     }
 
--- a/src/founding.rs
+++ b/src/founding.rs
@@ -9,10 +9,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use tarpc::client::RpcError;
-
 use crate::ids::HostName;
-use crate::peers::{self, ControlLink, PeerPool};
+use crate::peers::{self, ControlLink};
 use crate::settings::ControlSettings;
 use crate::wire::{ControlRefusal, ControlWireClient};
 
@@ -41,7 +39,7 @@
 
 /// Asks the named hosts until this host's part is known. It waits for as long as
 /// one whose answer counts is silent: a founder that is left out would be lost.
-pub async fn agree(pool: &PeerPool<ControlWireClient>, settings: &ControlSettings) -> FoundingPart {
+pub async fn agree(link: &ControlLink, settings: &ControlSettings) -> FoundingPart {
     let own = &settings.common.host;
     let named = &settings.common.control;
     let is_named = named.iter().any(|voter| voter.host == *own);
@@ -53,7 +51,7 @@
         for voter in named {
             let known = told.with_disk.contains(&voter.host) || told.without.contains(&voter.host);
             if !known {
-                match keeps_log(pool, &voter.address.to_string()).await {
+                match keeps_log(link, &voter.address.to_string()).await {
                     Some(true) => told.with_disk.insert(voter.host.clone()),
                     Some(false) => told.without.insert(voter.host.clone()),
                     None => continue,
@@ -64,7 +62,7 @@
         match told.with_disk.is_empty() {
             false if !is_named => return FoundingPart::Joins,
             false if all => return FoundingPart::Founds(told.with_disk),
-            true if all => return ask_appointment(pool, settings).await,
+            true if all => return ask_appointment(link, settings).await,
             _ => {}
         }
         if round % ROUNDS_A_LINE == 0 {
@@ -76,10 +74,10 @@
     unreachable!("the rounds end only with an answer")
 }
 
-async fn keeps_log(pool: &PeerPool<ControlWireClient>, address: &str) -> Option<bool> {
+async fn keeps_log(link: &ControlLink, address: &str) -> Option<bool> {
     let context = peers::within(ASK_TIME);
     let call = |client: ControlWireClient| async move { client.keeps_log(context).await };
-    let told = pool.call(address, "keeps_log", call).await;
+    let told = link.call_at(address, "keeps_log", call).await;
     told.inspect_err(|error| tracing::debug!(%error, "a named host is silent"))
         .ok()
 }
@@ -99,25 +97,17 @@
 pub async fn known_founders(link: &ControlLink) -> KnownFounders {
     let mut known = KnownFounders::None;
     for address in link.addresses() {
-        let context = peers::within(ASK_TIME);
-        let call = |client: ControlWireClient| async move { client.keeps_log(context).await };
-        match link.call_at(&address, "keeps_log", call).await {
-            Ok(true) => return KnownFounders::Host(address),
-            Ok(false) => {}
-            Err(error) => {
-                tracing::debug!(%error, "a named host is silent");
-                known = KnownFounders::Unclear;
-            }
+        match keeps_log(link, &address).await {
+            Some(true) => return KnownFounders::Host(address),
+            Some(false) => {}
+            None => known = KnownFounders::Unclear,
         }
     }
     known
 }
 
 /// Has the first of the named hosts, none of which has a disk, name the founder.
-async fn ask_appointment(
-    pool: &PeerPool<ControlWireClient>,
-    settings: &ControlSettings,
-) -> FoundingPart {
+async fn ask_appointment(link: &ControlLink, settings: &ControlSettings) -> FoundingPart {
     let own = &settings.common.host;
     let named = settings.common.control.iter();
     let Some(first) = named.map(|voter| voter.address).min() else {
@@ -126,12 +116,8 @@
     loop {
         let host = own.clone();
         let context = peers::within(ASK_TIME);
-        let call = |client: ControlWireClient| async move {
-            let answer: Result<Result<HostName, ControlRefusal>, RpcError> =
-                client.appoint(context, host).await;
-            answer
-        };
-        match pool.call(&first.to_string(), "appoint", call).await {
+        let call = |client: ControlWireClient| async move { client.appoint(context, host).await };
+        match link.call_at(&first.to_string(), "appoint", call).await {
             Ok(Ok(founder)) if founder == *own => {
                 return FoundingPart::Founds(BTreeSet::from([founder]));
             }
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::io;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use futures::future::BoxFuture;
@@ -357,6 +357,11 @@
     })
 }
 
+/// Locks what a holder that panicked may have left: each change here is one step.
+pub(crate) fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(|broken| broken.into_inner())
+}
+
 /// Connects a client of an agent.
 pub fn dial_agent(
     address: String,
@@ -508,17 +513,11 @@
     /// The control host that answered last as one that keeps the log, while it does.
     /// Others may be sent there; a guess would send relays to each other.
     pub fn confirmed(&self) -> Option<String> {
-        self.confirmed_slot().clone()
-    }
-
-    fn confirmed_slot(&self) -> std::sync::MutexGuard<'_, Option<String>> {
-        self.confirmed
-            .lock()
-            .unwrap_or_else(|broken| broken.into_inner())
+        lock(&self.confirmed).clone()
     }
 
     fn note_confirmed(&self, address: &str, answered: bool) {
-        let mut confirmed = self.confirmed_slot();
+        let mut confirmed = lock(&self.confirmed);
         match answered {
             true => *confirmed = Some(address.to_owned()),
             false if confirmed.as_deref() == Some(address) => *confirmed = None,
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use snafu::Snafu;
+use tarpc::client::RpcError;
 use tokio::sync::oneshot;
 
 use crate::configuration::{Configuration, ConfigurationError, ConfigurationRecord};
@@ -144,8 +145,7 @@
                     let call = |client: ControlWireClient| async move {
                         client.configuration(context).await
                     };
-                    let called = self.link.call_at(&leader, "configuration", call).await;
-                    self.link.note_answer(&leader, told(called))
+                    self.ask_leader(&leader, "configuration", call).await
                 }
                 held => held,
             };
@@ -173,9 +173,8 @@
                 let ids = ids.clone();
                 let call =
                     |client: ControlWireClient| async move { client.heard(context, ids).await };
-                let called = self.link.call_at(&leader, "heard", call).await;
                 // Replicas are heard again before long, here or elsewhere.
-                let _ = self.link.note_answer(&leader, told(called));
+                let _ = self.ask_leader(&leader, "heard", call).await;
             }
         }
     }
@@ -204,12 +203,26 @@
         }
     }
 
+    /// Asks the host that is taken for the leader, and notes what it answers.
+    async fn ask_leader<T, F>(
+        &self,
+        leader: &str,
+        step: &'static str,
+        make: impl FnOnce(ControlWireClient) -> F,
+    ) -> Result<T, ControlRefusal>
+    where
+        F: Future<Output = Result<Result<T, ControlRefusal>, RpcError>>,
+    {
+        let called = self.link.call_at(leader, step, make).await;
+        self.link.note_answer(leader, told(called))
+    }
+
     async fn compare(&self, record: &ReplicaRecord) -> Result<BeatNews, RegistryError> {
         match &self.access {
             LogAccess::Own(handle) => {
-                let (answer, wait) = oneshot::channel();
-                handle.tell(ControlEvent::Compare(Box::new(record.clone()), answer));
-                let waited = tokio::time::timeout(BEAT_TIME, wait).await;
+                let record = Box::new(record.clone());
+                let asked = handle.ask(|answer| ControlEvent::Compare(record, answer));
+                let waited = tokio::time::timeout(BEAT_TIME, asked).await;
                 let answered = waited.map_err(|_| RegistryError::NoQuorum)?;
                 answered.map_err(|_| RegistryError::NoQuorum)
             }
@@ -244,9 +257,9 @@
                     let call = |client: ControlWireClient| async move {
                         client.propose(context, command).await
                     };
-                    let called = self.link.call_at(&leader, "propose", call);
-                    match tokio::time::timeout_at(give_up.into(), called).await {
-                        Ok(called) => self.link.note_answer(&leader, told(called)),
+                    let asked = self.ask_leader(&leader, "propose", call);
+                    match tokio::time::timeout_at(give_up.into(), asked).await {
+                        Ok(answer) => answer,
                         Err(_) => return Err(RegistryError::NoQuorum),
                     }
                 }
--- a/src/relayd.rs
+++ b/src/relayd.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use futures::StreamExt;
@@ -204,10 +204,6 @@
     founder: Arc<Mutex<Option<HostName>>>,
 }
 
-fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
-    shared.lock().unwrap_or_else(|broken| broken.into_inner())
-}
-
 impl RelayServer {
     fn elsewhere(&self) -> ControlRefusal {
         ControlRefusal::NotLeader(self.hosts.link.confirmed())
@@ -215,7 +211,7 @@
 
     fn known_hosts(&self) -> Notice {
         let known = self.hosts.link.addresses().into_iter().map(HostName);
-        let enrolled = lock(&self.enrolled).clone();
+        let enrolled = peers::lock(&self.enrolled).clone();
         let others = known.chain(enrolled);
         let hosts: BTreeSet<HostName> = others.collect();
         Notice {
@@ -232,7 +228,7 @@
     }
 
     async fn enroll(self, _: Context, _: NodeId, host: HostName) -> Result<Notice, ControlRefusal> {
-        let mut enrolled = lock(&self.enrolled);
+        let mut enrolled = peers::lock(&self.enrolled);
         if enrolled.len() < MAX_ENROLLED {
             enrolled.insert(host);
         }
@@ -318,7 +314,7 @@
     }
 
     async fn appoint(self, _: Context, host: HostName) -> Result<HostName, ControlRefusal> {
-        let appointed = lock(&self.founder).clone();
+        let appointed = peers::lock(&self.founder).clone();
         if let Some(founder) = appointed {
             return Ok(founder);
         }
@@ -329,7 +325,7 @@
             }
             KnownFounders::Unclear => return Err(ControlRefusal::NoQuorum),
         }
-        let founder = lock(&self.founder).get_or_insert(host).clone();
+        let founder = peers::lock(&self.founder).get_or_insert(host).clone();
         self.hosts.watch(founder.as_str());
         tracing::info!(%founder, "named the founder of the site");
         Ok(founder)
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -36,6 +36,18 @@
     daemon.unwrap()
 }
 
+/// A voter that leads alone, and where it is.
+async fn only_voter(folder: &Path) -> (ControlDaemon, SocketAddr) {
+    let (listener, own) = listeners(1).await.remove(0);
+    let voter = first_voter(folder, listener, own, &[own]).await;
+    leader_of(std::slice::from_ref(&voter)).await;
+    (voter, own)
+}
+
+async fn two_listeners() -> [(TcpListener, SocketAddr); 2] {
+    listeners(2).await.try_into().unwrap()
+}
+
 /// The registry of a relay that knows `named`.
 fn relayed(named: &[SocketAddr]) -> Registry {
     let named = named.iter().map(ToString::to_string).collect();
@@ -143,12 +155,8 @@
 #[ntex::test]
 async fn a_restarted_relay_finds_the_voters_through_another_relay() {
     let folder = tempfile::tempdir().unwrap();
-    let mut bound = listeners(3).await;
-    let (other, second) = bound.pop().unwrap();
-    let (listener, own) = bound.pop().unwrap();
-    let (voting, first) = bound.pop().unwrap();
-    let voter = first_voter(folder.path(), voting, first, &[first]).await;
-    leader_of(std::slice::from_ref(&voter)).await;
+    let (_voter, first) = only_voter(folder.path()).await;
+    let [(listener, own), (other, second)] = two_listeners().await;
     let _relay = relay(listener, own, &[first]).await;
     // It starts again knowing nothing but a relay.
     let restarted = relay(other, second, &[own]).await;
@@ -163,12 +171,8 @@
 #[ntex::test]
 async fn relays_that_know_only_each_other_learn_of_voters_that_announce_themselves() {
     let folder = tempfile::tempdir().unwrap();
-    let mut bound = listeners(3).await;
-    let (other, second) = bound.pop().unwrap();
-    let (listener, own) = bound.pop().unwrap();
-    let (voting, first) = bound.pop().unwrap();
-    let voter = first_voter(folder.path(), voting, first, &[first]).await;
-    leader_of(std::slice::from_ref(&voter)).await;
+    let (_voter, first) = only_voter(folder.path()).await;
+    let [(listener, own), (other, second)] = two_listeners().await;
     // The seeds were exchanged for these two, and then all lost power.
     let one = relay(listener, own, &[own, second]).await;
     let _two = relay(other, second, &[own, second]).await;
