--- a/benches/core.rs
+++ b/benches/core.rs
@@ -6,17 +6,17 @@
 use std::hint::black_box;
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
-use dunlinspring::gate::*;
+use dunlinspring::admission::gate::*;
+use dunlinspring::admission::ledger::OrderCheck;
+use dunlinspring::admission::queue::QueuePolicy;
+use dunlinspring::consensus::state::*;
 use dunlinspring::ids::*;
-use dunlinspring::ledger::OrderCheck;
-use dunlinspring::limits::{LimitClaim, LimitPolicy, ShareGrantor};
-use dunlinspring::placement::{self, DemandBook, PlacePolicy};
-use dunlinspring::queue::QueuePolicy;
-use dunlinspring::route::{self, LoadBook, RouteAsk, RouteChoice, RoutePolicy};
-use dunlinspring::site::{ModelKind, ModelSpec, SiteSpec, TargetSpec};
-use dunlinspring::state::*;
-use dunlinspring::table::{RowChange, RowEdit, RowFields, Urgency};
-use dunlinspring::view;
+use dunlinspring::placement::moves::{self, DemandBook, PlacePolicy};
+use dunlinspring::routing::route::{self, LoadBook, RouteAsk, RouteChoice, RoutePolicy};
+use dunlinspring::routing::view;
+use dunlinspring::table::limits::{LimitClaim, LimitPolicy, ShareGrantor};
+use dunlinspring::table::rows::{RowChange, RowEdit, RowFields, Urgency};
+use dunlinspring::table::site::{ModelKind, ModelSpec, SiteSpec, TargetSpec};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -171,7 +171,7 @@
         let demand = DemandBook::default();
         let name = format!("{models}x{targets}");
         group.bench_function(BenchmarkId::from_parameter(name), |b| {
-            b.iter(|| black_box(placement::plan(&state, &policy, &demand, state.clock_ms)));
+            b.iter(|| black_box(moves::plan(&state, &policy, &demand, state.clock_ms)));
         });
     }
     group.finish();
@@ -296,7 +296,7 @@
         let busy = (0..models)
             .map(|number| (ModelName(format!("model-{number}")), 3))
             .collect();
-        let beat = dunlinspring::duties::AgentBeat {
+        let beat = dunlinspring::placement::duties::AgentBeat {
             host: HostName::from("target-00001"),
             life: Incarnation(1),
             position: Position(1),
@@ -307,7 +307,7 @@
             stopped: false,
         };
         let want = (0..models).map(|number| (ModelName(format!("model-{number}")), 1000));
-        let orders = dunlinspring::wire::AgentOrders {
+        let orders = dunlinspring::process::wire::AgentOrders {
             plan: Some(TargetPlan {
                 term: Term(1),
                 position: Position(1),
--- a/benches/figures.rs
+++ b/benches/figures.rs
@@ -9,11 +9,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use dunlinspring::consensus::state::Command;
 use dunlinspring::ids::*;
-use dunlinspring::member::{self, SiteFollower};
-use dunlinspring::peers::{self, ControlLink, SiteSecret};
-use dunlinspring::state::Command;
-use dunlinspring::table::{RowChange, RowEdit, RowFields, Urgency};
+use dunlinspring::process::member::{self, SiteFollower};
+use dunlinspring::process::peers::{self, ControlLink, SiteSecret};
+use dunlinspring::table::rows::{RowChange, RowEdit, RowFields, Urgency};
 use futures::future::join_all;
 use ntex::client::Client;
 use serde_json::json;
@@ -61,7 +61,7 @@
     let engine = site.address(&format!("{home}-engine"), "listen");
     let report: serde_json::Value = {
         let url = format!("http://{engine}/control/report");
-        dunlinspring::daemon::get_json(&url).await.unwrap()
+        dunlinspring::process::daemon::get_json(&url).await.unwrap()
     };
     for number in 0..600u64 {
         let prompt = format!("measure {number}");
@@ -219,7 +219,7 @@
                         let command = match kind {
                             "edit" => edit(number, Position(0)),
                             _ => Command::Settle(
-                                dunlinspring::claims::ClaimKey {
+                                dunlinspring::consensus::claims::ClaimKey {
                                     partner: PartnerName::from("fiji"),
                                     key: CallKey(number.to_string()),
                                 },
@@ -227,7 +227,7 @@
                                     entry: Incarnation(1),
                                     number: 1,
                                 },
-                                dunlinspring::claims::Settlement::Unknown,
+                                dunlinspring::consensus::claims::Settlement::Unknown,
                             ),
                         };
                         let time = Duration::from_secs(5);
@@ -354,8 +354,12 @@
         "whole_table" => bincode::serialize(&whole).unwrap().len(),
         _ => {
             let rows = whole.changes.iter();
-            let row = rows
-                .filter(|change| matches!(change, dunlinspring::state::Change::Row(_, Some(_))));
+            let row = rows.filter(|change| {
+                matches!(
+                    change,
+                    dunlinspring::consensus::state::Change::Row(_, Some(_))
+                )
+            });
             row.map(|change| bincode::serialize(change).unwrap().len())
                 .max()
                 .unwrap_or(0)
--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -6,17 +6,17 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use dunlinspring::commands;
-use dunlinspring::demo::{self, DemoShape, DemoSite};
+use dunlinspring::admission::queue::{QueuePolicy, QueuedRun, RunQueue};
+use dunlinspring::cli::commands;
+use dunlinspring::cli::demo::{self, DemoShape, DemoSite};
+use dunlinspring::cli::load::{self, LoadPhase, LoadPlan};
+use dunlinspring::consensus::state::*;
 use dunlinspring::ids::*;
-use dunlinspring::load::{self, LoadPhase, LoadPlan};
-use dunlinspring::placement::{self, DemandBook, PlacePolicy};
-use dunlinspring::queue::{QueuePolicy, QueuedRun, RunQueue};
-use dunlinspring::retry::{RetryBudget, RetryPolicy};
-use dunlinspring::route::{self, LoadBook, RouteAsk, RouteChoice, RoutePolicy};
-use dunlinspring::site::{ModelKind, ModelSpec, SiteSpec, TargetSpec};
-use dunlinspring::state::*;
-use dunlinspring::table::{RowChange, RowEdit, RowFields, Urgency};
+use dunlinspring::placement::moves::{self, DemandBook, PlacePolicy};
+use dunlinspring::routing::retry::{RetryBudget, RetryPolicy};
+use dunlinspring::routing::route::{self, LoadBook, RouteAsk, RouteChoice, RoutePolicy};
+use dunlinspring::table::rows::{RowChange, RowEdit, RowFields, Urgency};
+use dunlinspring::table::site::{ModelKind, ModelSpec, SiteSpec, TargetSpec};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -338,7 +338,7 @@
             levels.insert(hot, rng.random_range(30.0..70.0));
         }
         demand.sample(&levels);
-        for step in placement::plan(&state, policy, &demand, state.clock_ms) {
+        for step in moves::plan(&state, policy, &demand, state.clock_ms) {
             run(
                 &mut state,
                 Command::Move(step.target, step.model, step.kind),
--- a/src/gate.rs
+++ b/src/admission/gate.rs
@@ -3,13 +3,15 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::ids::{AttemptId, Incarnation, ModelName, Position, RowId};
-use crate::ledger::{EngineReport, HoldPhase, MemoryLedger, OrderCheck, OrderSeq, OrderStamp};
-pub use crate::orders::{EngineOrder, OrderAct, TargetPlan};
-use crate::queue::{QueuePolicy, QueuedRun, RunQueue};
-pub use crate::runs::{
+use crate::admission::ledger::{
+    EngineReport, HoldPhase, MemoryLedger, OrderCheck, OrderSeq, OrderStamp,
+};
+pub use crate::admission::orders::{EngineOrder, OrderAct, TargetPlan};
+use crate::admission::queue::{QueuePolicy, QueuedRun, RunQueue};
+pub use crate::admission::runs::{
     AnswerPage, AttemptWord, EngineCall, NotRun, RefuseCause, RunAsk, RunDispatch, RunEnd, RunEvent,
 };
+use crate::ids::{AttemptId, Incarnation, ModelName, Position, RowId};
 
 /// A finished attempt is remembered this long after its last touch.
 const KEEP_MS: u64 = 120_000;
--- a/src/orders.rs
+++ b/src/admission/orders.rs
@@ -4,8 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::admission::ledger::OrderSeq;
 use crate::ids::{Incarnation, ModelName, Position, Term};
-use crate::ledger::OrderSeq;
 
 /// An order to the engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/queue.rs
+++ b/src/admission/queue.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use crate::ids::{AttemptId, ModelName, RowId};
-use crate::table::Urgency;
+use crate::table::rows::Urgency;
 
 /// A row's share of the target is measured in this many units a millisecond of
 /// work at weight one.
--- a/src/runs.rs
+++ b/src/admission/runs.rs
@@ -2,9 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::admission::ledger::OrderSeq;
 use crate::ids::{AttemptId, Incarnation, ModelName, Position, RowId};
-use crate::ledger::OrderSeq;
-use crate::table::Urgency;
+use crate::table::rows::Urgency;
 
 /// What an entry asks to run.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/engine.rs
+++ b/src/agent/engine.rs
@@ -9,10 +9,10 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
-use crate::gate::{EngineOrder, RunDispatch};
+use crate::admission::gate::{EngineOrder, RunDispatch};
+use crate::admission::ledger::{EngineReport, OrderSeq};
 use crate::ids::{AttemptId, ModelName};
-use crate::ledger::{EngineReport, OrderSeq};
-use crate::table::Urgency;
+use crate::table::rows::Urgency;
 
 /// Time for an order's answer: a load's answer says that it began.
 pub const ORDER_TIME: Duration = Duration::from_millis(1000);
--- a/src/agentd.rs
+++ b/src/agent/shell.rs
@@ -12,22 +12,22 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
-use crate::clock;
-use crate::daemon::{self, DaemonError};
-use crate::duties::AgentBeat;
-use crate::engine::{EngineClient, EngineError, EngineStream, StreamPart};
-use crate::gate::{
+use crate::admission::gate::{
     AttemptWord, EngineOrder, GatePolicy, RunAsk, RunDispatch, RunEvent, TargetGate,
 };
+use crate::admission::ledger::HoldPhase;
+use crate::agent::engine::{EngineClient, EngineError, EngineStream, StreamPart};
+use crate::clock;
+use crate::consensus::state::MemberRole;
 use crate::ids::{AttemptId, Incarnation, ModelName, Position};
-use crate::ledger::HoldPhase;
-use crate::member::{self, SiteFollower};
-use crate::metrics::{MetricBook, MetricKey};
-use crate::peers::{self, ControlLink, SiteSecret};
-use crate::settings::AgentSettings;
-use crate::state::MemberRole;
-use crate::view::SiteView;
-use crate::wire::{AgentOrders, AgentWire, AgentWord};
+use crate::placement::duties::AgentBeat;
+use crate::process::daemon::{self, DaemonError};
+use crate::process::member::{self, SiteFollower};
+use crate::process::metrics::{MetricBook, MetricKey};
+use crate::process::peers::{self, ControlLink, SiteSecret};
+use crate::process::settings::AgentSettings;
+use crate::process::wire::{AgentOrders, AgentWire, AgentWord};
+use crate::routing::view::SiteView;
 
 /// Time between two beats.
 const BEAT: Duration = Duration::from_millis(200);
--- a/src/bin/dunlinspring-control.rs
+++ b/src/bin/dunlinspring-control.rs
@@ -1,24 +1,25 @@
 //! The control daemon: the replicated log and the leader's duties.
 
-use dunlinspring::controld::ControlDaemon;
-use dunlinspring::settings::ControlSettings;
-use dunlinspring::{cli, control, daemon};
+use dunlinspring::control::shell::ControlDaemon;
+use dunlinspring::control::voter;
+use dunlinspring::process::settings::ControlSettings;
+use dunlinspring::process::{arguments, daemon};
 
 const PROGRAM: &str = "dunlinspring-control";
 
 #[ntex::main]
 async fn main() {
-    let start = cli::start::<ControlSettings>(PROGRAM, |settings| &settings.common);
+    let start = arguments::start::<ControlSettings>(PROGRAM, |settings| &settings.common);
     if start.found {
-        match control::found(&start.settings) {
+        match voter::found(&start.settings) {
             Ok(()) => return,
-            Err(error) => cli::fail(PROGRAM, error),
+            Err(error) => arguments::fail(PROGRAM, error),
         }
     }
     let started = ControlDaemon::start(start.settings, start.secret).await;
     let mut control = match started {
         Ok(control) => control,
-        Err(error) => cli::fail(PROGRAM, error),
+        Err(error) => arguments::fail(PROGRAM, error),
     };
     let addresses = [("listen", control.address), ("watch", control.watch)];
     daemon::announce(start.announce.as_deref(), &addresses);
--- a/src/bin/dunlinspring-standin.rs
+++ b/src/bin/dunlinspring-standin.rs
@@ -4,8 +4,8 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use dunlinspring::process::{arguments, daemon};
 use dunlinspring::standin::{EngineStandin, EngineTraits, ServiceStandin};
-use dunlinspring::{cli, daemon};
 use getopts::Options;
 
 const PROGRAM: &str = "dunlinspring-standin";
@@ -30,21 +30,21 @@
     let args: Vec<String> = std::env::args().skip(1).collect();
     let matches = match options.parse(&args) {
         Ok(matches) => matches,
-        Err(error) => cli::fail(PROGRAM, error),
+        Err(error) => arguments::fail(PROGRAM, error),
     };
     let listen = matches
         .opt_str("listen")
         .unwrap_or("127.0.0.1:0".to_owned());
     let listen: SocketAddr = match listen.parse() {
         Ok(listen) => listen,
-        Err(error) => cli::fail(PROGRAM, format!("--listen: {error}")),
+        Err(error) => arguments::fail(PROGRAM, format!("--listen: {error}")),
     };
     let announce = matches.opt_str("announce").map(PathBuf::from);
     let address = match (matches.opt_str("traits"), matches.opt_str("service-ms")) {
         (Some(traits), _) => {
             let traits: EngineTraits = match serde_json::from_str(&traits) {
                 Ok(traits) => traits,
-                Err(error) => cli::fail(PROGRAM, format!("--traits: {error}")),
+                Err(error) => arguments::fail(PROGRAM, format!("--traits: {error}")),
             };
             EngineStandin::start(listen, traits)
                 .await
@@ -55,13 +55,13 @@
                 let service = ServiceStandin::start(listen, Duration::from_millis(ms)).await;
                 service.map(|service| service.address)
             }
-            Err(error) => cli::fail(PROGRAM, format!("--service-ms: {error}")),
+            Err(error) => arguments::fail(PROGRAM, format!("--service-ms: {error}")),
         },
-        (None, None) => cli::fail(PROGRAM, "--traits or --service-ms is needed"),
+        (None, None) => arguments::fail(PROGRAM, "--traits or --service-ms is needed"),
     };
     match address {
         Ok(address) => daemon::announce(announce.as_deref(), &[("listen", address)]),
-        Err(error) => cli::fail(PROGRAM, error),
+        Err(error) => arguments::fail(PROGRAM, error),
     }
     daemon::stop_signal().await;
 }
--- a/src/bin/dunlinspring.rs
+++ b/src/bin/dunlinspring.rs
@@ -1,7 +1,7 @@
 //! The operators' command line, the demo and the load tool.
 
-use dunlinspring::cli;
-use dunlinspring::commands;
+use dunlinspring::cli::commands;
+use dunlinspring::process::arguments;
 
 #[ntex::main]
 async fn main() {
@@ -29,6 +29,6 @@
     };
     match ended {
         Ok(status) => std::process::exit(status),
-        Err(reason) => cli::fail("dunlinspring", reason),
+        Err(reason) => arguments::fail("dunlinspring", reason),
     }
 }
--- a/src/commands.rs
+++ b/src/cli/commands.rs
@@ -10,9 +10,9 @@
 use ntex::client::{Client, ClientRequest};
 use serde_json::{Value, json};
 
-use crate::demo::{self, DemoShape, DemoSite, KEYS};
-use crate::load::{self, LoadMix, LoadPlan, LoadReport};
-use crate::settings::{self, AgentSettings, Checked, ControlSettings, EntrySettings};
+use crate::cli::demo::{self, DemoShape, DemoSite, KEYS};
+use crate::cli::load::{self, LoadMix, LoadPlan, LoadReport};
+use crate::process::settings::{self, AgentSettings, Checked, ControlSettings, EntrySettings};
 
 /// The commands.
 pub const USAGE: &str = "\
@@ -46,7 +46,7 @@
         text.push_str(&String::from_utf8_lossy(&read));
         text.push('\n');
     }
-    let story = crate::explain::explain(id, text.lines());
+    let story = crate::cli::explain::explain(id, text.lines());
     for line in &story {
         println!("{line}");
     }
@@ -285,7 +285,7 @@
     println!("  -H 'x-request-class: filing-review' -H 'content-type: application/json' \\");
     println!("  -d '{{\"model\":\"m0\",\"prompt\":\"hello\",\"max_tokens\":20,\"stream\":true}}'");
     println!("curl http://{at}/v1/table -H 'authorization: Bearer {operator}'");
-    crate::daemon::stop_signal().await;
+    crate::process::daemon::stop_signal().await;
 }
 
 async fn show_progress(seconds: f64) {
--- a/src/demo.rs
+++ b/src/cli/demo.rs
@@ -9,25 +9,25 @@
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 
-use crate::agentd::AgentDaemon;
-use crate::auth;
-use crate::control;
-use crate::controld::ControlDaemon;
-use crate::daemon::{self, DaemonError};
-use crate::entryd::EntryDaemon;
+use crate::admission::ledger::OrderCheck;
+use crate::agent::shell::AgentDaemon;
+use crate::cli::load::{LoadClass, LoadMix};
+use crate::consensus::raft::RaftTiming;
+use crate::control::shell::ControlDaemon;
+use crate::control::voter;
+use crate::entry::shell::EntryDaemon;
 use crate::ids::{HallName, HostName, ModelName, PartnerName, TargetName};
-use crate::ledger::OrderCheck;
-use crate::limits::LimitPolicy;
-use crate::load::{LoadClass, LoadMix};
-use crate::peers::SiteSecret;
-use crate::raft::RaftTiming;
-use crate::settings::*;
-use crate::site::{ModelKind, ModelSpec, SiteSpec, TargetSpec};
+use crate::process::auth;
+use crate::process::daemon::{self, DaemonError};
+use crate::process::peers::SiteSecret;
+use crate::process::settings::*;
 use crate::standin::{
     EngineRecord, EngineStandin, EngineTraits, PlatformStandin, ServiceRecord, ServiceStandin,
     StoreStandin, StoreTraits,
 };
-use crate::table::{RowFields, Urgency};
+use crate::table::limits::LimitPolicy;
+use crate::table::rows::{RowFields, Urgency};
+use crate::table::site::{ModelKind, ModelSpec, SiteSpec, TargetSpec};
 
 const HALLS: [&str; 3] = ["north", "south", "east"];
 const SECRET: &str = "the-secret-of-a-demo-site";
@@ -574,7 +574,7 @@
             fleet: Default::default(),
             site: site_spec(shape),
         };
-        control::found(&settings)?;
+        voter::found(&settings)?;
         let daemon = ControlDaemon::start_on(listener, settings, secret.clone()).await?;
         controls.push(daemon);
     }
--- a/src/load.rs
+++ b/src/cli/load.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 
 use crate::ids::ModelName;
-use crate::settings::{Checked, SettingsError};
+use crate::process::settings::{Checked, SettingsError};
 use crate::standin;
 
 /// Most requests in flight; arrivals beyond it are counted as not sent.
@@ -117,7 +117,7 @@
 
 /// Reads and checks a mix.
 pub fn load_mix(path: &Path) -> Result<LoadMix, SettingsError> {
-    crate::settings::load(path)
+    crate::process::settings::load(path)
 }
 
 /// How the tool runs.
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,7 @@
+//! The `dunlinspring` program: operators' commands, `explain`, the load tool and the demo
+//! site. May use every other folder.
+
+pub mod commands;
+pub mod demo;
+pub mod explain;
+pub mod load;
--- /dev/null
+++ b/src/consensus/mod.rs
@@ -0,0 +1,13 @@
+//! The replicated log and the state that follows from it: agreement between voters,
+//! claims, the directory of replicas.
+//!
+//! Pure: messages, ticks and records read from disk enter; messages to send, records to
+//! sync and replies come out. Uses `table` and [`crate::ids`]. The files and sockets
+//! around it are in [`crate::control`].
+
+pub mod claims;
+pub mod directory;
+pub mod entries;
+pub mod raft;
+pub mod replica;
+pub mod state;
--- a/src/raft.rs
+++ b/src/consensus/raft.rs
@@ -13,7 +13,7 @@
 use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
 
-pub use crate::entries::{
+pub use crate::consensus::entries::{
     DiskImage, DiskRecord, LogEntry, LogMark, LogSnapshot, Payload, RaftMessage,
 };
 use crate::ids::{NodeId, Position, Term};
--- a/src/replica.rs
+++ b/src/consensus/replica.rs
@@ -2,12 +2,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::ids::{HostName, NodeId, Position, Term};
-use crate::raft::{
+use crate::consensus::raft::{
     DiskImage, DiskRecord, LogEntry, LogMark, LogSnapshot, Payload, ProposeError, RaftCore,
     RaftMessage, RaftTiming,
 };
-use crate::state::{Command, Reply, SiteState, Stamped};
+use crate::consensus::state::{Command, Reply, SiteState, Stamped};
+use crate::ids::{HostName, NodeId, Position, Term};
 
 /// Most voters where any host may enrol; more only slow each agreement.
 const MAX_VOTERS: usize = 9;
--- a/src/state.rs
+++ b/src/consensus/state.rs
@@ -4,14 +4,14 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::claims::{ClaimAnswer, ClaimAsk, ClaimBook, ClaimKey, Settlement};
-use crate::configuration::{Configuration, ConfigurationRecord};
-use crate::directory::{ReplicaDirectory, ReplicaRecord};
+use crate::consensus::claims::{ClaimAnswer, ClaimAsk, ClaimBook, ClaimKey, Settlement};
+use crate::consensus::directory::{ReplicaDirectory, ReplicaRecord};
 use crate::ids::{
     AttemptId, HallName, HostName, Incarnation, ModelName, NodeId, Position, ReplicaId, TargetName,
 };
-use crate::site::SiteSpec;
-use crate::table::{EditAnswer, RowEdit, TableStore};
+use crate::table::configuration::{Configuration, ConfigurationRecord};
+use crate::table::rows::{EditAnswer, RowEdit, TableStore};
+use crate::table::site::SiteSpec;
 
 /// Changes remembered for members that fall behind; further back, they get a snapshot.
 pub const JOURNAL_LEN: usize = 4096;
@@ -175,7 +175,7 @@
     /// The site was replaced.
     Site(SiteSpec),
     /// A row was put or, with none, deleted.
-    Row(crate::ids::RowId, Option<crate::table::Row>),
+    Row(crate::ids::RowId, Option<crate::table::rows::Row>),
     /// A member joined or changed or, with none, was lost.
     Member(HostName, Option<MemberInfo>),
     /// A home changed or, with none, ended.
--- a/src/founding.rs
+++ b/src/control/founding.rs
@@ -10,9 +10,9 @@
 use std::time::Duration;
 
 use crate::ids::HostName;
-use crate::peers::{self, ControlLink};
-use crate::settings::ControlSettings;
-use crate::wire::{ControlRefusal, ControlWireClient};
+use crate::process::peers::{self, ControlLink};
+use crate::process::settings::ControlSettings;
+use crate::process::wire::{ControlRefusal, ControlWireClient};
 
 /// Time for one question to one host.
 const ASK_TIME: Duration = Duration::from_millis(300);
--- a/src/journal.rs
+++ b/src/control/journal.rs
@@ -14,8 +14,9 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
+use crate::consensus::raft::{DiskImage, DiskRecord, LogSnapshot};
 use crate::ids::NodeId;
-use crate::raft::{DiskImage, DiskRecord, LogSnapshot};
+use crate::process::daemon::DaemonError;
 
 const HEADER_LEN: usize = 12;
 /// Longest frame: a snapshot fits, a damaged length does not allocate more.
@@ -49,6 +50,14 @@
     },
 }
 
+impl From<JournalError> for DaemonError {
+    fn from(error: JournalError) -> Self {
+        Self::Storage {
+            source: Box::new(error),
+        }
+    }
+}
+
 impl JournalError {
     /// Whether the disk has no room left: nothing was lost, and the step may be tried again.
     pub fn is_full(&self) -> bool {
--- a/src/orderer.rs
+++ b/src/control/orderer.rs
@@ -12,12 +12,12 @@
 
 use tokio::sync::{Mutex, mpsc};
 
-use crate::control::{ControlEvent, ControlHandle};
-use crate::daemon;
-use crate::fleet::{EngineOrder, OrderOutcome};
+use crate::control::voter::{ControlEvent, ControlHandle};
 use crate::forward::head;
 use crate::forward::upstream::{Connection, Exchange, ExchangeError, Outgoing};
 use crate::ids::ReplicaId;
+use crate::placement::fleet::{EngineOrder, OrderOutcome};
+use crate::process::daemon;
 
 /// Time for one call to an engine.
 const CALL_TIME: Duration = Duration::from_millis(800);
--- a/src/registry.rs
+++ b/src/control/registry.rs
@@ -12,13 +12,13 @@
 use tarpc::client::RpcError;
 use tokio::sync::oneshot;
 
-use crate::configuration::{Configuration, ConfigurationError, ConfigurationRecord};
-use crate::control::{ControlEvent, ControlHandle};
-use crate::directory::{BeatNews, ReplicaPhase, ReplicaRecord};
+use crate::consensus::directory::{BeatNews, ReplicaPhase, ReplicaRecord};
+use crate::consensus::state::{Command, ConfigureAnswer, Reply};
+use crate::control::voter::{ControlEvent, ControlHandle};
 use crate::ids::ReplicaId;
-use crate::peers::{self, ControlLink, PeerError};
-use crate::state::{Command, ConfigureAnswer, Reply};
-use crate::wire::{ControlRefusal, ControlWireClient};
+use crate::process::peers::{self, ControlLink, PeerError};
+use crate::process::wire::{ControlRefusal, ControlWireClient};
+use crate::table::configuration::{Configuration, ConfigurationError, ConfigurationRecord};
 
 /// Time within which a replica's call is answered: it goes elsewhere after a second.
 const BEAT_TIME: Duration = Duration::from_millis(900);
--- a/src/relayd.rs
+++ b/src/control/relay.rs
@@ -14,25 +14,25 @@
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::TcpListener;
 
-use crate::claims::{ClaimKey, ClaimRecord};
 use crate::clock;
-use crate::configuration::ConfigurationRecord;
-use crate::daemon::{self, DaemonError};
-use crate::directory::{BeatNews, ReplicaRecord};
-use crate::duties::{AgentBeat, EntryBeat};
-use crate::fleet::{AdapterWish, EntryReport};
-use crate::founding::{self, KnownFounders};
+use crate::consensus::claims::{ClaimKey, ClaimRecord};
+use crate::consensus::directory::{BeatNews, ReplicaRecord};
+use crate::consensus::raft::RaftMessage;
+use crate::consensus::state::{Command, Reply};
+use crate::control::founding::{self, KnownFounders};
 use crate::ids::{HostName, NodeId, Position, ReplicaId};
-use crate::metrics::{MetricBook, MetricKey};
-use crate::peers::{self, ControlLink, PeerError, SiteSecret};
-use crate::raft::RaftMessage;
-use crate::settings::CommonSettings;
-use crate::state::{Command, Reply};
-use crate::view::SyncPage;
-use crate::wire::{
+use crate::placement::duties::{AgentBeat, EntryBeat};
+use crate::placement::fleet::{AdapterWish, EntryReport};
+use crate::process::daemon::{self, DaemonError};
+use crate::process::metrics::{MetricBook, MetricKey};
+use crate::process::peers::{self, ControlLink, PeerError, SiteSecret};
+use crate::process::settings::CommonSettings;
+use crate::process::wire::{
     AgentOrders, ControlRefusal, ControlStatus, ControlWire, ControlWireClient, EntryOrders,
     Notice, TableStatus,
 };
+use crate::routing::view::SyncPage;
+use crate::table::configuration::ConfigurationRecord;
 
 /// Pause before an asker that knows nothing yet is answered: it asks again at once.
 const NOTICE_PAUSE: Duration = Duration::from_millis(100);
--- a/src/controld.rs
+++ b/src/control/shell.rs
@@ -12,26 +12,26 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::claims::{ClaimKey, ClaimRecord};
-use crate::configuration::ConfigurationRecord;
-use crate::control::{self, ControlEvent, ControlHandle, ControlLoop, OpenPeer, PeerOutbox};
-use crate::daemon::{self, DaemonError};
-use crate::directory::{BeatNews, ReplicaRecord};
-use crate::duties::{AgentBeat, EntryBeat};
-use crate::fleet::{AdapterWish, EngineOrder, EntryReport};
-use crate::founding::{self, FoundingPart};
+use crate::consensus::claims::{ClaimKey, ClaimRecord};
+use crate::consensus::directory::{BeatNews, ReplicaRecord};
+use crate::consensus::raft::RaftMessage;
+use crate::consensus::state::{Command, Reply};
+use crate::control::founding::{self, FoundingPart};
+use crate::control::journal;
+use crate::control::voter::{self, ControlEvent, ControlHandle, ControlLoop, OpenPeer, PeerOutbox};
 use crate::ids::{HostName, NodeId, Position, ReplicaId};
-use crate::journal;
-use crate::metrics::{MetricBook, MetricKey};
-use crate::peers::{self, ControlLink, PeerPool, SiteSecret};
-use crate::raft::RaftMessage;
-use crate::settings::ControlSettings;
-use crate::state::{Command, Reply};
-use crate::view::SyncPage;
-use crate::wire::{
+use crate::placement::duties::{AgentBeat, EntryBeat};
+use crate::placement::fleet::{AdapterWish, EngineOrder, EntryReport};
+use crate::process::daemon::{self, DaemonError};
+use crate::process::metrics::{MetricBook, MetricKey};
+use crate::process::peers::{self, ControlLink, PeerPool, SiteSecret};
+use crate::process::settings::ControlSettings;
+use crate::process::wire::{
     AgentOrders, ControlRefusal, ControlStatus, ControlWire, ControlWireClient, EntryOrders,
     Notice, TableStatus,
 };
+use crate::routing::view::SyncPage;
+use crate::table::configuration::ConfigurationRecord;
 
 /// Messages that wait for one peer.
 const OUTBOX: usize = 64;
@@ -182,7 +182,7 @@
     let part = founding::agree(&link, settings).await;
     tracing::info!(?part, "the site starts for the first time");
     match part {
-        FoundingPart::Founds(founders) => Ok(control::found_by(settings, founders.iter())?),
+        FoundingPart::Founds(founders) => Ok(voter::found_by(settings, founders.iter())?),
         FoundingPart::Joins => Ok(()),
     }
 }
--- a/src/control.rs
+++ b/src/control/voter.rs
@@ -8,22 +8,22 @@
 use sha2::{Digest, Sha256};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::claims::{ClaimKey, ClaimRecord};
 use crate::clock;
-use crate::configuration::ConfigurationRecord;
-use crate::directory::{BeatNews, ReplicaRecord};
-use crate::duties::{AgentBeat, EntryBeat, LeaderDuties};
-use crate::fleet::{AdapterWish, EngineOrder, EntryReport, FleetDuties, OrderOutcome};
+use crate::consensus::claims::{ClaimKey, ClaimRecord};
+use crate::consensus::directory::{BeatNews, ReplicaRecord};
+use crate::consensus::raft::{DiskImage, DiskRecord, RaftMessage};
+use crate::consensus::replica::LogReplica;
+use crate::consensus::state::{Command, Reply};
+use crate::control::journal::{DiskJournal, JournalError, WriteCheck};
 use crate::ids::{HostName, NodeId, Position, ReplicaId, TargetName, Term};
-use crate::journal::{DiskJournal, JournalError, WriteCheck};
-use crate::raft::{DiskImage, DiskRecord, RaftMessage};
-use crate::replica::LogReplica;
-use crate::settings::ControlSettings;
-use crate::state::{Command, Reply};
-use crate::view::{self, SyncPage};
-use crate::wire::{
+use crate::placement::duties::{AgentBeat, EntryBeat, LeaderDuties};
+use crate::placement::fleet::{AdapterWish, EngineOrder, EntryReport, FleetDuties, OrderOutcome};
+use crate::process::settings::ControlSettings;
+use crate::process::wire::{
     self, AgentOrders, ControlRefusal, ControlStatus, EntryOrders, Notice, TableStatus,
 };
+use crate::routing::view::{self, SyncPage};
+use crate::table::configuration::ConfigurationRecord;
 
 /// Longest pause between two looks at the clock.
 const TICK: Duration = Duration::from_millis(10);
--- a/src/caller.rs
+++ b/src/entry/caller.rs
@@ -11,16 +11,16 @@
 use sha2::{Digest, Sha256};
 use tokio::sync::mpsc;
 
-use crate::auth;
-use crate::daemon::{self, DaemonError};
-use crate::entryd::{self, EntryShared, InFlight};
-use crate::flight::{DEFAULT_RETRY_MS, EndCause, FlightOutcome};
-use crate::flying::{self, CallerRequest, FlightNote};
-use crate::gate::EngineCall;
+use crate::admission::gate::EngineCall;
+use crate::entry::flight_steps::{self, CallerRequest, FlightNote};
+use crate::entry::operator;
+use crate::entry::shell::{self, EntryShared, InFlight};
 use crate::ids::{CallKey, ModelName, PartnerName};
-use crate::operator;
-use crate::site::ModelKind;
-use crate::table::Row;
+use crate::process::auth;
+use crate::process::daemon::{self, DaemonError};
+use crate::routing::flight::{DEFAULT_RETRY_MS, EndCause, FlightOutcome};
+use crate::table::rows::Row;
+use crate::table::site::ModelKind;
 
 /// Pieces generated where a request does not say.
 const DEFAULT_TOKENS: u32 = 256;
@@ -421,9 +421,9 @@
 /// The flight runs as a task of its own: it outlives a caller that leaves, for
 /// as long as it takes to end what it began.
 fn launch(entry: &Entry, request: CallerRequest, guard: InFlight) -> mpsc::Receiver<FlightNote> {
-    let (sender, notes) = mpsc::channel(flying::NOTES);
+    let (sender, notes) = mpsc::channel(flight_steps::NOTES);
     let entry = Arc::clone(entry);
-    ntex::rt::spawn(flying::fly(entry, request, sender, guard));
+    ntex::rt::spawn(flight_steps::fly(entry, request, sender, guard));
     notes
 }
 
@@ -526,7 +526,7 @@
 
 /// The outcome as the last event; the customary end marker only after a whole answer.
 fn last_event(outcome: &FlightOutcome) -> String {
-    let (name, cause) = entryd::outcome_names(outcome);
+    let (name, cause) = shell::outcome_names(outcome);
     let event = json!({ "outcome": name, "cause": cause });
     let end = match name {
         "done" => "data: [DONE]\n\n",
@@ -537,7 +537,7 @@
 
 /// The answer to a request without a whole result.
 fn refusal(head: &AnswerHead, outcome: &FlightOutcome) -> HttpResponse {
-    let (name, cause) = entryd::outcome_names(outcome);
+    let (name, cause) = shell::outcome_names(outcome);
     let status = match outcome {
         FlightOutcome::Done => StatusCode::OK,
         // It ran, but its answer was longer than is kept.
--- a/src/flying.rs
+++ b/src/entry/flight_steps.rs
@@ -7,21 +7,20 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::claims::{ClaimAsk, ClaimKey, Settlement};
+use crate::admission::gate::{AttemptWord, EngineCall, RefuseCause, RunAsk, RunEnd};
 use crate::clock;
-use crate::entryd::{EntryShared, InFlight, outcome_names};
-use crate::flight::{
+use crate::consensus::claims::{ClaimAsk, ClaimKey, Settlement};
+use crate::consensus::state::{Command, Reply};
+use crate::entry::shell::{EntryShared, InFlight, outcome_names};
+use crate::ids::{CallKey, PartnerName, RowId, TargetName};
+use crate::process::wire::{AgentWireClient, AgentWord};
+use crate::process::{member, peers};
+use crate::routing::flight::{
     DEFAULT_RETRY_MS, EndCause, FlightEvent, FlightOutcome, FlightPolicy, FlightStep, FlightTrial,
     RequestFlight,
 };
-use crate::gate::{AttemptWord, EngineCall, RefuseCause, RunAsk, RunEnd};
-use crate::ids::{CallKey, PartnerName, RowId, TargetName};
-use crate::member;
-use crate::peers;
-use crate::route::{self, RouteAsk, RouteChoice};
-use crate::state::{Command, Reply};
-use crate::table::Row;
-use crate::wire::{AgentWireClient, AgentWord};
+use crate::routing::route::{self, RouteAsk, RouteChoice};
+use crate::table::rows::Row;
 
 /// Time for an agent to answer a start or a seal.
 const START_TIME: Duration = Duration::from_millis(1000);
--- a/src/operator.rs
+++ b/src/entry/operator.rs
@@ -7,15 +7,13 @@
 use ntex::web::{self, HttpRequest, HttpResponse, types};
 use serde_json::{Value, json};
 
-use crate::auth;
-use crate::caller::{CallerError, bearer, read_body};
-use crate::entryd::EntryShared;
+use crate::consensus::state::{Command, Reply};
+use crate::entry::caller::{CallerError, bearer, read_body};
+use crate::entry::shell::EntryShared;
 use crate::ids::{EditId, PartnerName, Position, RowId};
-use crate::member;
-use crate::peers;
-use crate::state::{Command, Reply};
-use crate::table::{EditRefusal, RowChange, RowEdit, RowFields};
-use crate::wire::{RowStatus, TableStatus};
+use crate::process::wire::{RowStatus, TableStatus};
+use crate::process::{auth, member, peers};
+use crate::table::rows::{EditRefusal, RowChange, RowEdit, RowFields};
 
 /// Time for an edit to be accepted, or the table to be read.
 const CONTROL_TIME: Duration = Duration::from_secs(5);
--- a/src/entryd.rs
+++ b/src/entry/shell.rs
@@ -10,22 +10,22 @@
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
-use crate::caller;
 use crate::clock;
-use crate::daemon::{self, DaemonError};
-use crate::duties::EntryBeat;
-use crate::flight::{EndCause, FlightOutcome};
-use crate::flying::CallerRequest;
+use crate::consensus::state::MemberRole;
+use crate::entry::caller;
+use crate::entry::flight_steps::CallerRequest;
 use crate::ids::{AttemptId, Incarnation, ModelName, Position, RowId};
-use crate::limits::ShareHolder;
-use crate::member::{self, SiteFollower};
-use crate::metrics::{MetricBook, MetricKey};
-use crate::peers::{self, ControlLink, PeerPool, SiteSecret};
-use crate::retry::RetryBudget;
-use crate::route::LoadBook;
-use crate::settings::EntrySettings;
-use crate::state::MemberRole;
-use crate::wire::{AgentWireClient, EntryOrders};
+use crate::placement::duties::EntryBeat;
+use crate::process::daemon::{self, DaemonError};
+use crate::process::member::{self, SiteFollower};
+use crate::process::metrics::{MetricBook, MetricKey};
+use crate::process::peers::{self, ControlLink, PeerPool, SiteSecret};
+use crate::process::settings::EntrySettings;
+use crate::process::wire::{AgentWireClient, EntryOrders};
+use crate::routing::flight::{EndCause, FlightOutcome};
+use crate::routing::retry::RetryBudget;
+use crate::routing::route::LoadBook;
+use crate::table::limits::ShareHolder;
 
 /// Time between two beats.
 const BEAT: Duration = Duration::from_millis(250);
--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::directory::{ReplicaPhase, ReplicaRecord};
+use crate::consensus::directory::{ReplicaPhase, ReplicaRecord};
 use crate::ids::{HallName, ModelName, ReplicaId, ServiceName};
 
 /// How replicas are weighed against each other. Costs are in requests that wait.
--- a/src/forward/client.rs
+++ b/src/forward/client.rs
@@ -8,11 +8,11 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
-use crate::configuration::ClientLimits;
 use crate::forward::chunked::ChunkDecoder;
 use crate::forward::daemon::EntryCore;
 use crate::forward::head::{self, Framing, HeadError, RequestHead};
 use crate::forward::request;
+use crate::table::configuration::ClientLimits;
 
 /// Bytes read at once.
 const READ_SIZE: usize = 16 * 1024;
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -13,10 +13,6 @@
 use tokio::sync::Notify;
 
 use crate::clock;
-use crate::configuration::{ClientLimits, Configuration, RouteIndex};
-use crate::daemon::{self, DaemonError};
-use crate::fleet::{AdapterWish, EntryReport};
-use crate::follow::ControlFollower;
 use crate::forward::book::{ChoicePolicy, EjectNews, Need, ReplicaBook};
 use crate::forward::budget::{ResendBudget, ResendPolicy};
 use crate::forward::client;
@@ -24,10 +20,14 @@
 use crate::forward::request_log::LineBudget;
 use crate::forward::upstream::ConnectionPool;
 use crate::ids::{HallName, HostName, ModelName, ReplicaId};
-use crate::metrics::{MetricBook, MetricKey};
-use crate::peers::{ControlLink, SiteSecret};
-use crate::settings::LogSettings;
-use crate::view::SiteView;
+use crate::placement::fleet::{AdapterWish, EntryReport};
+use crate::process::daemon::{self, DaemonError};
+use crate::process::follow::ControlFollower;
+use crate::process::metrics::{MetricBook, MetricKey};
+use crate::process::peers::{ControlLink, SiteSecret};
+use crate::process::settings::LogSettings;
+use crate::routing::view::SiteView;
+use crate::table::configuration::{ClientLimits, Configuration, RouteIndex};
 
 /// Time between two reports to the leader.
 const REPORT_EVERY: Duration = Duration::from_millis(500);
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -8,7 +8,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use crate::configuration::{RouteKind, RouteSpec};
 use crate::forward::book::{self, Choice, EngineBounds, Need, TryEnd};
 use crate::forward::client::{AfterAnswer, ClientRequest, ClientWriter};
 use crate::forward::daemon::{EntryCore, Routing};
@@ -17,6 +16,7 @@
 use crate::forward::request_log::{Outcome, RequestLog};
 use crate::forward::upstream::{Connection, Exchange, ExchangeError, Outgoing};
 use crate::ids::{ModelName, ReplicaId, ServiceName};
+use crate::table::configuration::{RouteKind, RouteSpec};
 
 /// Largest answer that is held until it is whole, in bytes.
 const MAX_HELD: usize = 1024 * 1024;
--- a/src/forward/request_log.rs
+++ b/src/forward/request_log.rs
@@ -4,11 +4,11 @@
 use std::time::{Duration, Instant};
 
 use crate::clock;
-use crate::configuration::RouteSpec;
 use crate::forward::book::Need;
 use crate::forward::daemon::EntryCore;
 use crate::ids::ReplicaId;
-use crate::metrics::MetricKey;
+use crate::process::metrics::MetricKey;
+use crate::table::configuration::RouteSpec;
 
 /// Log lines a second for requests that went well.
 const GOOD_LINES: u32 = 10;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,10 +12,10 @@
 //! use std::collections::BTreeSet;
 //!
 //! use dunlinspring::ids::NodeId;
-//! use dunlinspring::raft::{DiskRecord, RaftTiming};
-//! use dunlinspring::replica::LogReplica;
-//! use dunlinspring::site::SiteSpec;
-//! use dunlinspring::state::Command;
+//! use dunlinspring::consensus::raft::{DiskRecord, RaftTiming};
+//! use dunlinspring::consensus::replica::LogReplica;
+//! use dunlinspring::table::site::SiteSpec;
+//! use dunlinspring::consensus::state::Command;
 //!
 //! // A site with a single voter, an empty disk, and a clock of our own.
 //! let own = NodeId(1);
@@ -40,64 +40,21 @@
 #![warn(missing_docs)]
 
 // The core: no sockets, clocks, threads or global random sources.
-pub mod adapters;
-pub mod claims;
-pub mod configuration;
-pub mod demand;
-pub mod directory;
-pub mod duties;
-pub mod entries;
-pub mod fleet;
-pub mod fleet_plan;
-pub mod flight;
-pub mod gate;
+pub mod admission;
+pub mod consensus;
 pub mod ids;
-pub mod ledger;
-pub mod limits;
-pub mod orders;
-pub mod packing;
 pub mod placement;
-pub mod queue;
-pub mod raft;
-pub mod replica;
-pub mod retry;
-pub mod route;
-pub mod runs;
-pub mod site;
-pub mod state;
+pub mod routing;
 pub mod table;
-pub mod view;
 
 // The shell: sockets, files, clocks and tasks around the core.
-pub mod agentd;
-pub mod auth;
-pub mod caller;
+pub mod agent;
 pub mod cli;
 pub mod clock;
-pub mod commands;
 pub mod control;
-pub mod controld;
-pub mod daemon;
-pub mod engine;
-pub mod entryd;
-pub mod explain;
-pub mod flying;
-pub mod follow;
+pub mod entry;
 pub mod forward;
-pub mod founding;
-pub mod journal;
-pub mod load;
-pub mod log_limit;
-pub mod member;
-pub mod metrics;
-pub mod operator;
-pub mod orderer;
-pub mod peers;
-pub mod registry;
-pub mod relayd;
-pub mod settings;
-pub mod wire;
+pub mod process;
 
 // Small stand-ins for the platform's side, and a whole small site of them.
-pub mod demo;
 pub mod standin;
--- a/src/adapters.rs
+++ b/src/placement/adapters.rs
@@ -3,9 +3,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::directory::{ReplicaDirectory, ReplicaRecord};
-use crate::fleet::{AdapterWish, OrderKind, OrderOutcome};
+use crate::consensus::directory::{ReplicaDirectory, ReplicaRecord};
 use crate::ids::{ModelName, ReplicaId};
+use crate::placement::fleet::{AdapterWish, OrderKind, OrderOutcome};
 
 /// An adapter on a replica.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/duties.rs
+++ b/src/placement/duties.rs
@@ -5,12 +5,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::gate::TargetPlan;
+use crate::admission::gate::TargetPlan;
+use crate::consensus::state::{Command, HomePhase, HomeReport, SiteState};
 use crate::ids::{HostName, Incarnation, ModelName, Position, RowId, TargetName, Term};
-use crate::limits::{LimitClaim, ShareGrantor};
-use crate::placement::{self, DemandBook, PlacePolicy};
-use crate::site::ModelKind;
-use crate::state::{Command, HomePhase, HomeReport, SiteState};
+use crate::placement::moves::{self, DemandBook, PlacePolicy};
+use crate::table::limits::{LimitClaim, ShareGrantor};
+use crate::table::site::ModelKind;
 
 /// Settings of the leader's duties.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -195,7 +195,7 @@
         }
         self.demand.sample(&sample);
         if self.is_settled(now_ms) {
-            let moves = placement::plan(state, &self.policy.place, &self.demand, wall_ms);
+            let moves = moves::plan(state, &self.policy.place, &self.demand, wall_ms);
             commands.extend(
                 moves
                     .into_iter()
--- a/src/fleet.rs
+++ b/src/placement/fleet.rs
@@ -9,13 +9,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::adapters::{AdapterOrders, AdapterPlace, WishAnswer};
-use crate::configuration::EngineSpec;
-use crate::demand::DemandBook;
-use crate::directory::{ReplicaDirectory, ReplicaPhase, ReplicaRecord};
-use crate::fleet_plan::{self, PlanModel, PlanReplica, PlanStep};
+use crate::consensus::directory::{ReplicaDirectory, ReplicaPhase, ReplicaRecord};
+use crate::consensus::state::{Command, SiteState};
 use crate::ids::{HostName, ModelName, ReplicaId, ServiceName, Term};
-use crate::state::{Command, SiteState};
+use crate::placement::adapters::{AdapterOrders, AdapterPlace, WishAnswer};
+use crate::placement::demand::DemandBook;
+use crate::placement::fleet_plan::{self, PlanModel, PlanReplica, PlanStep};
+use crate::table::configuration::EngineSpec;
 
 /// How the fleet is watched and ordered.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/fleet_plan.rs
+++ b/src/placement/fleet_plan.rs
@@ -6,8 +6,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::fleet::OrderKind;
 use crate::ids::{HallName, ModelName, ReplicaId};
+use crate::placement::fleet::OrderKind;
 
 /// What the absence of a model costs, by its demand.
 const ABSENT_COST: f64 = 4.0;
--- /dev/null
+++ b/src/placement/mod.rs
@@ -0,0 +1,12 @@
+//! Where models and adapters live: demand, moves, and the leader's orders to replicas.
+//!
+//! Pure and soft: a leader starts with nothing and learns it again from heartbeats.
+//! Heartbeats and entries' reports enter; commands for the log and orders come out. Uses
+//! `table`, `consensus` and `admission`.
+
+pub mod adapters;
+pub mod demand;
+pub mod duties;
+pub mod fleet;
+pub mod fleet_plan;
+pub mod moves;
--- a/src/placement.rs
+++ b/src/placement/moves.rs
@@ -3,11 +3,11 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
-pub use crate::demand::DemandBook;
+use crate::consensus::state::{HomeInfo, HomePhase, MoveKind, SiteState};
 use crate::ids::{HallName, ModelName, TargetName};
-use crate::packing::{self, Layout};
-use crate::site::{ModelKind, SiteSpec};
-use crate::state::{HomeInfo, HomePhase, MoveKind, SiteState};
+pub use crate::placement::demand::DemandBook;
+use crate::table::packing::{self, Layout};
+use crate::table::site::{ModelKind, SiteSpec};
 
 /// How moves are decided.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/cli.rs
+++ b/src/process/arguments.rs
@@ -5,9 +5,9 @@
 
 use getopts::Options;
 
-use crate::daemon::{self, START_FAILED};
-use crate::peers::SiteSecret;
-use crate::settings::{self, Checked, CommonSettings};
+use crate::process::daemon::{self, START_FAILED};
+use crate::process::peers::SiteSecret;
+use crate::process::settings::{self, Checked, CommonSettings};
 
 /// What a daemon was started with.
 pub struct DaemonStart<S> {
--- a/src/auth.rs
+++ b/src/process/auth.rs
@@ -4,7 +4,7 @@
 use subtle::ConstantTimeEq;
 
 use crate::ids::PartnerName;
-use crate::settings::{EntrySettings, PartnerSettings};
+use crate::process::settings::{EntrySettings, PartnerSettings};
 
 /// The partner whose caller key this is.
 pub fn caller<'a>(settings: &'a EntrySettings, key: &str) -> Option<&'a PartnerName> {
--- a/src/daemon.rs
+++ b/src/process/daemon.rs
@@ -22,12 +22,10 @@
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
 
-use crate::ids::HallName;
-use crate::ids::HostName;
-use crate::journal::JournalError;
-use crate::log_limit::{self, LineLimiter};
-use crate::peers::PeerError;
-use crate::settings::{LogSettings, SettingsError};
+use crate::ids::{HallName, HostName};
+use crate::process::log_limit::{self, LineLimiter};
+use crate::process::peers::PeerError;
+use crate::process::settings::{LogSettings, SettingsError};
 
 /// Exit status of a process whose start failed.
 pub const START_FAILED: i32 = 2;
@@ -44,10 +42,10 @@
         source: SettingsError,
     },
     /// The data folder is not usable, or a sync failed.
-    #[snafu(display("data folder: {source}"), context(false))]
-    Journal {
+    #[snafu(display("data folder: {source}"))]
+    Storage {
         /// Which file and why.
-        source: JournalError,
+        source: Box<dyn std::error::Error + Send + Sync>,
     },
     /// An address cannot be listened on.
     #[snafu(display("cannot listen on {address} (field {field}): {source}"))]
--- a/src/follow.rs
+++ b/src/process/follow.rs
@@ -13,9 +13,9 @@
 
 use crate::clock;
 use crate::ids::Position;
-use crate::peers::{self, ControlLink, PeerError};
-use crate::view::SiteView;
-use crate::wire::{ControlRefusal, Notice};
+use crate::process::peers::{self, ControlLink, PeerError};
+use crate::process::wire::{ControlRefusal, Notice};
+use crate::routing::view::SiteView;
 
 /// Longest wait for one notice.
 const NOTICE_WAIT_MS: u64 = 1_000;
--- a/src/member.rs
+++ b/src/process/member.rs
@@ -6,12 +6,12 @@
 
 use tokio::sync::Notify;
 
-use crate::daemon::DaemonError;
+use crate::consensus::state::{Command, MemberRole, Reply};
 use crate::ids::{HostName, Incarnation, Position};
-use crate::peers::{self, ControlLink, PeerError};
-use crate::settings::CommonSettings;
-use crate::state::{Command, MemberRole, Reply};
-use crate::view::SiteView;
+use crate::process::daemon::DaemonError;
+use crate::process::peers::{self, ControlLink, PeerError};
+use crate::process::settings::CommonSettings;
+use crate::routing::view::SiteView;
 
 /// Longest wait for one change.
 const SYNC_WAIT_MS: u64 = 1_000;
--- a/src/peers.rs
+++ b/src/process/peers.rs
@@ -22,7 +22,7 @@
 use tokio_util::bytes::Bytes;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::wire::{AgentWireClient, ControlRefusal, ControlWireClient, PROTOCOL};
+use crate::process::wire::{AgentWireClient, ControlRefusal, ControlWireClient, PROTOCOL};
 
 /// Longest frame of a handshake, in bytes.
 const HELLO_FRAME: usize = 4096;
--- a/src/settings.rs
+++ b/src/process/settings.rs
@@ -12,17 +12,17 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
-use crate::duties::DutyPolicy;
-use crate::fleet::FleetPolicy;
+use crate::admission::ledger::OrderCheck;
+use crate::admission::queue::QueuePolicy;
+use crate::consensus::raft::RaftTiming;
 use crate::ids::{HallName, HostName, ModelName, PartnerName};
-use crate::ledger::OrderCheck;
-use crate::peers::SiteSecret;
-use crate::placement::PlacePolicy;
-use crate::queue::QueuePolicy;
-use crate::raft::RaftTiming;
-use crate::retry::RetryPolicy;
-use crate::route::RoutePolicy;
-use crate::site::{ModelKind, SiteSpec};
+use crate::placement::duties::DutyPolicy;
+use crate::placement::fleet::FleetPolicy;
+use crate::placement::moves::PlacePolicy;
+use crate::process::peers::SiteSecret;
+use crate::routing::retry::RetryPolicy;
+use crate::routing::route::RoutePolicy;
+use crate::table::site::{ModelKind, SiteSpec};
 
 /// Why settings cannot be used.
 #[derive(Debug, Snafu)]
--- a/src/wire.rs
+++ b/src/process/wire.rs
@@ -4,17 +4,17 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::claims::ClaimRecord;
-use crate::configuration::ConfigurationRecord;
-use crate::directory::{BeatNews, ReplicaRecord};
-use crate::duties::{AgentBeat, EntryBeat};
-use crate::fleet::{AdapterWish, EntryReport};
-use crate::gate::{AttemptWord, RunAsk, TargetPlan};
+use crate::admission::gate::{AttemptWord, RunAsk, TargetPlan};
+use crate::consensus::claims::ClaimRecord;
+use crate::consensus::directory::{BeatNews, ReplicaRecord};
+use crate::consensus::raft::RaftMessage;
+use crate::consensus::state::{Command, Reply, SiteState};
 use crate::ids::{AttemptId, HostName, Incarnation, NodeId, Position, ReplicaId, RowId, Term};
-use crate::raft::RaftMessage;
-use crate::state::{Command, Reply, SiteState};
-use crate::table::Row;
-use crate::view::SyncPage;
+use crate::placement::duties::{AgentBeat, EntryBeat};
+use crate::placement::fleet::{AdapterWish, EntryReport};
+use crate::routing::view::SyncPage;
+use crate::table::configuration::ConfigurationRecord;
+use crate::table::rows::Row;
 
 /// Raised with each change of a type on the wire; peers of other versions are refused.
 pub const PROTOCOL: u32 = 3;
@@ -93,7 +93,7 @@
     /// How far it has applied the log.
     pub position: Position,
     /// Members that live.
-    pub members: BTreeMap<HostName, crate::state::MemberInfo>,
+    pub members: BTreeMap<HostName, crate::consensus::state::MemberInfo>,
     /// Moves so far.
     pub moves: u64,
     /// Claims kept.
@@ -149,7 +149,9 @@
     /// The table, by a linearizable read.
     async fn table() -> Result<TableStatus, ControlRefusal>;
     /// Looks a claim up, by a linearizable read.
-    async fn claim(key: crate::claims::ClaimKey) -> Result<Option<ClaimRecord>, ControlRefusal>;
+    async fn claim(
+        key: crate::consensus::claims::ClaimKey,
+    ) -> Result<Option<ClaimRecord>, ControlRefusal>;
     /// This voter's account of itself.
     async fn status() -> ControlStatus;
     /// How far this host has come, waiting up to `wait_ms` for a change after a cursor.
@@ -210,7 +212,7 @@
         let (members, lagging) = in_force(row.version);
         let ready = state.homes.iter().filter(|(_, homes)| {
             let home = homes.get(&row.fields.model);
-            home.is_some_and(|home| home.phase == crate::state::HomePhase::Ready)
+            home.is_some_and(|home| home.phase == crate::consensus::state::HomePhase::Ready)
         });
         let status = RowStatus {
             row: row.clone(),
--- a/src/flight.rs
+++ b/src/routing/flight.rs
@@ -1,8 +1,8 @@
 //! Follows one request to its one outcome. Pure: the entry's shell performs
 //! each [`FlightStep`] and brings back the [`FlightEvent`].
 
-use crate::claims::{ClaimAnswer, ClaimRecord, Settlement};
-use crate::gate::{AnswerPage, AttemptWord, NotRun, RefuseCause, RunEnd};
+use crate::admission::gate::{AnswerPage, AttemptWord, NotRun, RefuseCause, RunEnd};
+use crate::consensus::claims::{ClaimAnswer, ClaimRecord, Settlement};
 use crate::ids::{AttemptId, Incarnation, TargetName};
 
 /// Time to come back where no agent gave one, in milliseconds.
--- /dev/null
+++ b/src/routing/mod.rs
@@ -0,0 +1,9 @@
+//! Where one request goes, what becomes of it, and what a member knows of the site.
+//!
+//! Pure: events of one request and changes of the log enter; steps to perform come out.
+//! Uses `table`, `consensus` and `admission`.
+
+pub mod flight;
+pub mod retry;
+pub mod route;
+pub mod view;
--- a/src/view.rs
+++ b/src/routing/view.rs
@@ -4,12 +4,12 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::configuration::Configuration;
-use crate::directory::ReplicaRecord;
+use crate::consensus::directory::ReplicaRecord;
+use crate::consensus::state::{Change, HomeInfo, HomePhase, MemberInfo, SiteState};
 use crate::ids::{HostName, ModelName, PartnerName, Position, ReplicaId, RowId, TargetName};
-use crate::site::SiteSpec;
-use crate::state::{Change, HomeInfo, HomePhase, MemberInfo, SiteState};
-use crate::table::Row;
+use crate::table::configuration::Configuration;
+use crate::table::rows::Row;
+use crate::table::site::SiteSpec;
 
 /// A part of the log's changes, from a cursor on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -12,11 +12,11 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
-use crate::daemon::{self, DaemonError};
-use crate::engine::{DONE, EnginePiece, EngineRun};
-use crate::gate::{EngineOrder, OrderAct};
+use crate::admission::gate::{EngineOrder, OrderAct};
+use crate::admission::ledger::{EngineReport, OrderSeq, ResidentInfo, RunningInfo};
+use crate::agent::engine::{DONE, EnginePiece, EngineRun};
 use crate::ids::{AttemptId, ModelName};
-use crate::ledger::{EngineReport, OrderSeq, ResidentInfo, RunningInfo};
+use crate::process::daemon::{self, DaemonError};
 
 /// Prefixes that the cache holds.
 const CACHED_PREFIXES: usize = 64;
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -9,9 +9,9 @@
 use ntex::web::{self, HttpResponse, types};
 
 use crate::clock;
-use crate::controld::PlatformHosts;
-use crate::daemon::{self, DaemonError};
+use crate::control::shell::PlatformHosts;
 use crate::ids::HostName;
+use crate::process::daemon::{self, DaemonError};
 
 /// What the weight store is like.
 #[derive(Clone, Copy, Debug)]
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -8,7 +8,7 @@
 use ntex::web::{self, HttpRequest, HttpResponse, types};
 use serde::{Deserialize, Serialize};
 
-use crate::daemon::{self, DaemonError};
+use crate::process::daemon::{self, DaemonError};
 
 /// Calls of this path are carried out, and then answered as a failure.
 const FAILING_PATH: &str = "/failing";
--- a/src/packing.rs
+++ b/src/table/packing.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::ids::{ModelName, TargetName};
-use crate::site::{ModelKind, SiteSpec, TargetSpec};
+use crate::table::site::{ModelKind, SiteSpec, TargetSpec};
 
 /// One home for each model.
 pub type Layout = BTreeMap<ModelName, TargetName>;
--- a/src/table.rs
+++ b/src/table/rows.rs
@@ -6,8 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{EditId, ModelName, PartnerName, Position, RowId};
-use crate::packing;
-use crate::site::SiteSpec;
+use crate::table::packing;
+use crate::table::site::SiteSpec;
 
 /// Longest accepted name of a row, in bytes.
 pub const MAX_NAME: usize = 128;
--- a/src/site.rs
+++ b/src/table/site.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{HallName, ModelName, TargetName};
-use crate::limits::LimitPolicy;
+use crate::table::limits::LimitPolicy;
 
 /// What a catalogue entry is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -6,7 +6,7 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-use dunlinspring::peers::{self, PeerPool, SiteSecret};
+use dunlinspring::process::peers::{self, PeerPool, SiteSecret};
 use ntex::client::Client;
 use serde_json::{Value, json};
 use support::{Ask, CALLER, TestSite, engine_traits, row, until};
@@ -150,7 +150,7 @@
         for target in ["t1", "t2", "t3"] {
             let engine = site.address(&format!("{target}-engine"), "listen");
             let url = format!("http://{engine}/control/report");
-            let report: Value = dunlinspring::daemon::get_json(&url).await.ok()?;
+            let report: Value = dunlinspring::process::daemon::get_json(&url).await.ok()?;
             runs += report["running"].as_array()?.len();
         }
         (runs == 0).then_some(())
--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -2,12 +2,12 @@
 
 use std::collections::BTreeMap;
 
-use dunlinspring::duties::{AgentBeat, DutyPolicy, LeaderDuties};
+use dunlinspring::consensus::state::{Command, MemberRole, MoveKind, SiteState, Stamped};
 use dunlinspring::ids::*;
-use dunlinspring::placement::{self, DemandBook, PlacePolicy};
-use dunlinspring::site::{ModelKind, ModelSpec, SiteSpec, TargetSpec};
-use dunlinspring::state::{Command, MemberRole, MoveKind, SiteState, Stamped};
-use dunlinspring::table::{RowChange, RowEdit, RowFields, Urgency};
+use dunlinspring::placement::duties::{AgentBeat, DutyPolicy, LeaderDuties};
+use dunlinspring::placement::moves::{self, DemandBook, PlacePolicy};
+use dunlinspring::table::rows::{RowChange, RowEdit, RowFields, Urgency};
+use dunlinspring::table::site::{ModelKind, ModelSpec, SiteSpec, TargetSpec};
 
 const POLICY: DutyPolicy = DutyPolicy {
     loss_ms: 1000,
@@ -119,9 +119,9 @@
     }
     // Nothing is committed from here on; only time passes.
     let demand = DemandBook::default();
-    let soon = placement::plan(&state, &POLICY.place, &demand, 50_700);
+    let soon = moves::plan(&state, &POLICY.place, &demand, 50_700);
     assert_eq!(soon, [], "before the store's gap is over");
-    let due = placement::plan(&state, &POLICY.place, &demand, 50_714);
+    let due = moves::plan(&state, &POLICY.place, &demand, 50_714);
     assert_eq!(due.len(), 1);
     assert_eq!((&due[0].model, due[0].kind), (&model("b"), MoveKind::Load));
 }
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -1,6 +1,6 @@
 //! The story of a request, from the logs of several processes.
 
-use dunlinspring::explain::explain;
+use dunlinspring::cli::explain::explain;
 
 const LOG: &str = r#"
 {"timestamp":"2026-01-01T10:00:01.000000Z","fields":{"message":"order","replica":"r1","model":"m","kind":"Unload"},"span":{"host":"c1"}}
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeSet;
 
-use dunlinspring::ledger::EngineReport;
+use dunlinspring::admission::ledger::EngineReport;
 use futures::future::join_all;
 use serde_json::{Value, json};
 use support::{Ask, OPERATOR, OTHER_OPERATOR, TestSite, engine_traits, row, until, whole_text};
@@ -453,7 +453,8 @@
             for target in ["t1", "t2", "t3"] {
                 let engine = site.address(&format!("{target}-engine"), "listen");
                 let url = format!("http://{engine}/control/report");
-                let report: EngineReport = dunlinspring::daemon::get_json(&url).await.ok()?;
+                let report: EngineReport =
+                    dunlinspring::process::daemon::get_json(&url).await.ok()?;
                 if !report.running.is_empty() {
                     return Some(());
                 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -3,17 +3,17 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use dunlinspring::adapters::{AdapterOrders, AdapterPlace, WishAnswer};
-use dunlinspring::configuration::{
-    Configuration, ConfigurationRecord, EngineModel, EngineSpec, ServiceSpec,
-};
-use dunlinspring::directory::{BeatNews, ReplicaDirectory, ReplicaPhase, ReplicaRecord};
-use dunlinspring::fleet::{
+use dunlinspring::consensus::directory::{BeatNews, ReplicaDirectory, ReplicaPhase, ReplicaRecord};
+use dunlinspring::consensus::state::{Command, SiteState, Stamped};
+use dunlinspring::ids::{HallName, HostName, ModelName, Position, ReplicaId, ServiceName, Term};
+use dunlinspring::placement::adapters::{AdapterOrders, AdapterPlace, WishAnswer};
+use dunlinspring::placement::fleet::{
     AdapterWish, EngineOrder, EntryReport, FleetDuties, FleetPolicy, OrderKind, OrderOutcome,
 };
-use dunlinspring::fleet_plan::{PlanModel, PlanReplica, plan};
-use dunlinspring::ids::{HallName, HostName, ModelName, Position, ReplicaId, ServiceName, Term};
-use dunlinspring::state::{Command, SiteState, Stamped};
+use dunlinspring::placement::fleet_plan::{PlanModel, PlanReplica, plan};
+use dunlinspring::table::configuration::{
+    Configuration, ConfigurationRecord, EngineModel, EngineSpec, ServiceSpec,
+};
 
 fn record(id: &str, port: u16, models: &[&str]) -> ReplicaRecord {
     let models = models
--- a/tests/forward_parts.rs
+++ b/tests/forward_parts.rs
@@ -2,10 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use dunlinspring::configuration::{
-    Configuration, ConfigurationError, RouteIndex, RouteKind, RouteSpec, ServiceSpec,
-};
-use dunlinspring::directory::{ReplicaPhase, ReplicaRecord};
+use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
 use dunlinspring::forward::book::{
     Choice, ChoicePolicy, EngineBounds, LoadReport, Need, ReplicaBook, TryEnd, parse_load,
 };
@@ -14,6 +11,9 @@
 use dunlinspring::forward::events::EventCutter;
 use dunlinspring::forward::head::{self, Framing, HeadError};
 use dunlinspring::ids::{HallName, ModelName, ReplicaId, ServiceName};
+use dunlinspring::table::configuration::{
+    Configuration, ConfigurationError, RouteIndex, RouteKind, RouteSpec, ServiceSpec,
+};
 use proptest::prelude::*;
 
 fn refused(text: &str) -> HeadError {
--- a/tests/full_disk.rs
+++ b/tests/full_disk.rs
@@ -6,13 +6,13 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread::{self, JoinHandle};
 
-use dunlinspring::configuration::{Configuration, ConfigurationRecord};
-use dunlinspring::control::{self, ControlEvent, ControlHandle, ControlLoop};
+use dunlinspring::consensus::raft::RaftTiming;
+use dunlinspring::consensus::state::{Command, ConfigureAnswer, Reply};
+use dunlinspring::control::journal::JournalError;
+use dunlinspring::control::voter::{self, ControlEvent, ControlHandle, ControlLoop};
 use dunlinspring::ids::{HallName, HostName};
-use dunlinspring::journal::JournalError;
-use dunlinspring::raft::RaftTiming;
-use dunlinspring::settings::{CommonSettings, ControlSettings, VoterSettings};
-use dunlinspring::state::{Command, ConfigureAnswer, Reply};
+use dunlinspring::process::settings::{CommonSettings, ControlSettings, VoterSettings};
+use dunlinspring::table::configuration::{Configuration, ConfigurationRecord};
 use tempfile::TempDir;
 
 /// Writes that the disk refuses.
@@ -80,7 +80,7 @@
 async fn a_voter_waits_until_its_disk_has_room() {
     let folder = TempDir::new().unwrap();
     let settings = settings(&folder);
-    control::found(&settings).unwrap();
+    voter::found(&settings).unwrap();
     let mut voter = ControlLoop::open(settings).unwrap();
     let full = Arc::new(AtomicU32::new(0));
     let left = full.clone();
--- a/tests/fuzz/gate.rs
+++ b/tests/fuzz/gate.rs
@@ -3,13 +3,15 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use dunlinspring::claims::{ClaimAsk, ClaimBook, ClaimKey, Settlement};
-use dunlinspring::flight::*;
-use dunlinspring::gate::*;
+use dunlinspring::admission::gate::*;
+use dunlinspring::admission::ledger::{
+    EngineReport, OrderCheck, OrderSeq, ResidentInfo, RunningInfo,
+};
+use dunlinspring::admission::queue::QueuePolicy;
+use dunlinspring::consensus::claims::{ClaimAsk, ClaimBook, ClaimKey, Settlement};
 use dunlinspring::ids::*;
-use dunlinspring::ledger::{EngineReport, OrderCheck, OrderSeq, ResidentInfo, RunningInfo};
-use dunlinspring::queue::QueuePolicy;
-use dunlinspring::table::Urgency;
+use dunlinspring::routing::flight::*;
+use dunlinspring::table::rows::Urgency;
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
--- a/tests/fuzz/limits.rs
+++ b/tests/fuzz/limits.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use dunlinspring::ids::{Incarnation, RowId};
-use dunlinspring::limits::{LimitClaim, LimitPolicy, ShareGrantor, ShareHolder};
+use dunlinspring::table::limits::{LimitClaim, LimitPolicy, ShareGrantor, ShareHolder};
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
--- a/tests/fuzz/log.rs
+++ b/tests/fuzz/log.rs
@@ -3,14 +3,16 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use dunlinspring::claims::{ClaimAnswer, ClaimAsk, ClaimKey, Settlement};
+use dunlinspring::consensus::claims::{ClaimAnswer, ClaimAsk, ClaimKey, Settlement};
+use dunlinspring::consensus::raft::{
+    DiskImage, LogEntry, LogMark, Payload, RaftMessage, RaftTiming,
+};
+use dunlinspring::consensus::replica::LogReplica;
+use dunlinspring::consensus::state::{Command, Reply, SiteState, Stamped};
 use dunlinspring::ids::*;
-use dunlinspring::limits::LimitPolicy;
-use dunlinspring::raft::{DiskImage, LogEntry, LogMark, Payload, RaftMessage, RaftTiming};
-use dunlinspring::replica::LogReplica;
-use dunlinspring::site::{ModelKind, ModelSpec, SiteSpec, TargetSpec};
-use dunlinspring::state::{Command, Reply, SiteState, Stamped};
-use dunlinspring::table::{EditRefusal, RowChange, RowEdit, RowFields, Urgency};
+use dunlinspring::table::limits::LimitPolicy;
+use dunlinspring::table::rows::{EditRefusal, RowChange, RowEdit, RowFields, Urgency};
+use dunlinspring::table::site::{ModelKind, ModelSpec, SiteSpec, TargetSpec};
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
--- a/tests/fuzz/place.rs
+++ b/tests/fuzz/place.rs
@@ -3,13 +3,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use dunlinspring::consensus::state::*;
 use dunlinspring::ids::*;
-use dunlinspring::limits::LimitPolicy;
-use dunlinspring::packing;
-use dunlinspring::placement::{self, DemandBook, PlacePolicy};
-use dunlinspring::site::{ModelKind, ModelSpec, SiteSpec, TargetSpec};
-use dunlinspring::state::*;
-use dunlinspring::table::{RowChange, RowEdit, RowFields, Urgency};
+use dunlinspring::placement::moves::{self, DemandBook, PlacePolicy};
+use dunlinspring::table::limits::LimitPolicy;
+use dunlinspring::table::packing;
+use dunlinspring::table::rows::{RowChange, RowEdit, RowFields, Urgency};
+use dunlinspring::table::site::{ModelKind, ModelSpec, SiteSpec, TargetSpec};
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
@@ -184,7 +184,7 @@
     fn round(&mut self, answered: usize) -> usize {
         self.demand.sample(&self.levels);
         let before = self.ready_homes();
-        let moves = placement::plan(&self.state, &POLICY, &self.demand, self.state.clock_ms);
+        let moves = moves::plan(&self.state, &POLICY, &self.demand, self.state.clock_ms);
         let count = moves.len();
         for step in moves {
             self.run(Command::Move(step.target, step.model, step.kind));
--- a/tests/fuzz/view.rs
+++ b/tests/fuzz/view.rs
@@ -3,10 +3,10 @@
 
 use std::collections::BTreeMap;
 
-use dunlinspring::claims::{ClaimKey, Settlement};
+use dunlinspring::consensus::claims::{ClaimKey, Settlement};
+use dunlinspring::consensus::state::{Command, JOURNAL_LEN, MemberRole, SiteState, Stamped};
 use dunlinspring::ids::*;
-use dunlinspring::state::{Command, JOURNAL_LEN, MemberRole, SiteState, Stamped};
-use dunlinspring::view::{SiteView, SyncPage, page_after};
+use dunlinspring::routing::view::{SiteView, SyncPage, page_after};
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -4,9 +4,11 @@
 use std::io::ErrorKind;
 use std::path::Path;
 
+use dunlinspring::consensus::raft::{
+    DiskImage, DiskRecord, LogEntry, LogMark, LogSnapshot, Payload,
+};
+use dunlinspring::control::journal::DiskJournal;
 use dunlinspring::ids::{NodeId, Position, Term};
-use dunlinspring::journal::DiskJournal;
-use dunlinspring::raft::{DiskImage, DiskRecord, LogEntry, LogMark, LogSnapshot, Payload};
 use tempfile::TempDir;
 
 fn entry(index: u64) -> LogEntry {
--- a/tests/log_limit.rs
+++ b/tests/log_limit.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
-use dunlinspring::log_limit::{self, LINES_A_SECOND, LineLimiter};
+use dunlinspring::process::log_limit::{self, LINES_A_SECOND, LineLimiter};
 use tracing_subscriber::layer::SubscriberExt;
 
 /// The time that the limiter is told, in milliseconds.
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -36,51 +36,51 @@
 
 only=("$@")
 log=the_log_keeps_what_it_acknowledged
-mutant lease-too-long src/raft.rs 's/LEASE_THOUSANDTHS: u64 = 850/LEASE_THOUSANDTHS: u64 = 1700/' fuzz $log
-mutant no-silence-after-restart src/raft.rs 's/silent_until_ms: now_ms \+ timing.election_ms/silent_until_ms: 0/' fuzz $log
-mutant votes-while-leader-heard src/raft.rs 's/now_ms < heard \|\| now_ms < self\.silent_until_ms \|\| leading/now_ms < self.silent_until_ms/' fuzz $log
-mutant vote-not-synced src/raft.rs 's/self\.output\.records\.push\(record\);\n    \}\n\n    fn start_pre_vote/let _ = record;\n    }\n\n    fn start_pre_vote/' fuzz $log
-mutant entries-not-synced src/raft.rs 's/self\.output\.records\.push\(DiskRecord::Append\(entry\.clone\(\)\)\);\n            self\.entries/self.entries/' fuzz $log
-mutant votes-for-shorter-log src/raft.rs 's/last >= self\.last\(\)/last >= LogMark::default()/g' fuzz $log
-mutant read-without-own-entry src/raft.rs 's/            && self\.term_at\(self\.commit\) == Some\(self\.term\)\n//' fuzz $log
-mutant edit-ids-forgotten src/table.rs 's/Some\(record\) if record\.edit == \*edit => return record\.answer\.clone\(\),/Some(record) if record.edit == *edit => {}/' fuzz $log
-mutant edit-ids-not-in-snapshot src/table.rs 's/    answered: BTreeMap<\(PartnerName, EditId\), EditRecord>,/    #[serde(skip)]\n    answered: BTreeMap<(PartnerName, EditId), EditRecord>,/' fuzz $log
-mutant other-partners-row src/table.rs 's/Some\(row\) if row\.partner != edit\.partner => \{/Some(row) if false \&\& row.partner != edit.partner => {/' fuzz $log
-mutant version-not-checked src/table.rs 's/_ if version != edit\.expected => \{/_ if false \&\& version != edit.expected => {/' fuzz $log
-mutant claim-taken-twice src/claims.rs 's/\(Some\(record\), _\) if record\.settled != Some\(Settlement::NotRun\) =>/(Some(record), _) if false \&\& record.settled != Some(Settlement::NotRun) =>/' fuzz $log
+mutant lease-too-long src/consensus/raft.rs 's/LEASE_THOUSANDTHS: u64 = 850/LEASE_THOUSANDTHS: u64 = 1700/' fuzz $log
+mutant no-silence-after-restart src/consensus/raft.rs 's/silent_until_ms: now_ms \+ timing.election_ms/silent_until_ms: 0/' fuzz $log
+mutant votes-while-leader-heard src/consensus/raft.rs 's/now_ms < heard \|\| now_ms < self\.silent_until_ms \|\| leading/now_ms < self.silent_until_ms/' fuzz $log
+mutant vote-not-synced src/consensus/raft.rs 's/self\.output\.records\.push\(record\);\n    \}\n\n    fn start_pre_vote/let _ = record;\n    }\n\n    fn start_pre_vote/' fuzz $log
+mutant entries-not-synced src/consensus/raft.rs 's/self\.output\.records\.push\(DiskRecord::Append\(entry\.clone\(\)\)\);\n            self\.entries/self.entries/' fuzz $log
+mutant votes-for-shorter-log src/consensus/raft.rs 's/last >= self\.last\(\)/last >= LogMark::default()/g' fuzz $log
+mutant read-without-own-entry src/consensus/raft.rs 's/            && self\.term_at\(self\.commit\) == Some\(self\.term\)\n//' fuzz $log
+mutant edit-ids-forgotten src/table/rows.rs 's/Some\(record\) if record\.edit == \*edit => return record\.answer\.clone\(\),/Some(record) if record.edit == *edit => {}/' fuzz $log
+mutant edit-ids-not-in-snapshot src/table/rows.rs 's/    answered: BTreeMap<\(PartnerName, EditId\), EditRecord>,/    #[serde(skip)]\n    answered: BTreeMap<(PartnerName, EditId), EditRecord>,/' fuzz $log
+mutant other-partners-row src/table/rows.rs 's/Some\(row\) if row\.partner != edit\.partner => \{/Some(row) if false \&\& row.partner != edit.partner => {/' fuzz $log
+mutant version-not-checked src/table/rows.rs 's/_ if version != edit\.expected => \{/_ if false \&\& version != edit.expected => {/' fuzz $log
+mutant claim-taken-twice src/consensus/claims.rs 's/\(Some\(record\), _\) if record\.settled != Some\(Settlement::NotRun\) =>/(Some(record), _) if false \&\& record.settled != Some(Settlement::NotRun) =>/' fuzz $log
 mutant lost-disk-votes-again tests/fuzz/log.rs 's/self\.voters\[voter\]\.id = id;\n        self\.voters\[voter\]\.disk = DiskImage::default\(\);/let founders = (0..VOTERS as u64).map(NodeId).collect();\n        self.voters[voter].disk = LogReplica::founding_image(founders);/' fuzz $log
 gate=outcomes_memory_and_runs_are_true
-mutant memory-freed-at-order src/ledger.rs 's/hold\.phase = HoldPhase::Unloading;\n            hold\.stamp = stamp;/hold.phase = HoldPhase::Unloading;\n            hold.mib = 0;\n            hold.stamp = stamp;/' fuzz $gate
-mutant unanswered-load-not-counted src/ledger.rs 's/None => !settled,/None => false,/' fuzz $gate
-mutant account-open-at-once src/ledger.rs 's/OrderCheck::Fenced => report\.fence\.life == life,/OrderCheck::Fenced => true,/' fuzz $gate
-mutant no-wait-for-late-orders src/gate.rs 's/let open_after_ms = now_ms \+ policy\.lease_ms \+ late;/let open_after_ms = 0 * (now_ms + policy.lease_ms + late);/' fuzz $gate
-mutant orders-without-lease src/gate.rs 's/if self\.order_open \|\| !self\.has_lease\(now_ms\) \{/if self.order_open {/' fuzz $gate
-mutant runs-without-lease src/gate.rs 's/self\.policy\.capacity_mib > 0 && !self\.has_lease\(now_ms\)/false \&\& now_ms > 0/' fuzz $gate
-mutant predecessors-runs-not-counted src/ledger.rs 's/for run in &report\.running \{/for run in report.running.iter().take(0) {/' fuzz $gate
-mutant seal-forgets src/gate.rs 's/self\.record\(now_ms, attempt, None, Stage::Ended\(end\)\);/return self.refused(attempt, RefuseCause::Sealed, RETRY_SOON_MS);/' fuzz $gate
-mutant lost-start-is-not-run src/flight.rs 's/\(Stage::Starting\(trial\), _\) => self\.stage = Stage::Sealing\(trial\),/(Stage::Starting(_), _) => self.finish_not_run(EndCause::TargetLost),/' fuzz $gate
-mutant not-run-after-maybe src/flight.rs 's/let outcome = match self\.maybe_ran \{/let outcome = match false {/' fuzz $gate
-mutant other-life-may-start src/gate.rs 's/if ask\.life != self\.life \{/if false \&\& ask.life != self.life {/' fuzz $gate
-mutant claims-reused src/claims.rs 's/\(Some\(record\), _\) if record\.settled != Some\(Settlement::NotRun\) =>/(Some(record), _) if record.settled.is_some() \&\& record.settled != Some(Settlement::NotRun) =>/' fuzz $gate
-mutant unclaimed-start src/flight.rs 's/true => Stage::Claiming\(trial\),/true => Stage::Starting(trial),/' fuzz $gate
-mutant refused-resume-is-not-run src/gate.rs 's/RunEvent::Refused if !attempt\.resumed =>/RunEvent::Refused if true || !attempt.resumed =>/' fuzz $gate
-mutant pieces-out-of-order src/gate.rs 's/if index as usize == attempt\.pieces\.len\(\) \{/if index as usize + 1 >= attempt.pieces.len() {/' fuzz $gate
+mutant memory-freed-at-order src/admission/ledger.rs 's/hold\.phase = HoldPhase::Unloading;\n            hold\.stamp = stamp;/hold.phase = HoldPhase::Unloading;\n            hold.mib = 0;\n            hold.stamp = stamp;/' fuzz $gate
+mutant unanswered-load-not-counted src/admission/ledger.rs 's/None => !settled,/None => false,/' fuzz $gate
+mutant account-open-at-once src/admission/ledger.rs 's/OrderCheck::Fenced => report\.fence\.life == life,/OrderCheck::Fenced => true,/' fuzz $gate
+mutant no-wait-for-late-orders src/admission/gate.rs 's/let open_after_ms = now_ms \+ policy\.lease_ms \+ late;/let open_after_ms = 0 * (now_ms + policy.lease_ms + late);/' fuzz $gate
+mutant orders-without-lease src/admission/gate.rs 's/if self\.order_open \|\| !self\.has_lease\(now_ms\) \{/if self.order_open {/' fuzz $gate
+mutant runs-without-lease src/admission/gate.rs 's/self\.policy\.capacity_mib > 0 && !self\.has_lease\(now_ms\)/false \&\& now_ms > 0/' fuzz $gate
+mutant predecessors-runs-not-counted src/admission/ledger.rs 's/for run in &report\.running \{/for run in report.running.iter().take(0) {/' fuzz $gate
+mutant seal-forgets src/admission/gate.rs 's/self\.record\(now_ms, attempt, None, Stage::Ended\(end\)\);/return self.refused(attempt, RefuseCause::Sealed, RETRY_SOON_MS);/' fuzz $gate
+mutant lost-start-is-not-run src/routing/flight.rs 's/\(Stage::Starting\(trial\), _\) => self\.stage = Stage::Sealing\(trial\),/(Stage::Starting(_), _) => self.finish_not_run(EndCause::TargetLost),/' fuzz $gate
+mutant not-run-after-maybe src/routing/flight.rs 's/let outcome = match self\.maybe_ran \{/let outcome = match false {/' fuzz $gate
+mutant other-life-may-start src/admission/gate.rs 's/if ask\.life != self\.life \{/if false \&\& ask.life != self.life {/' fuzz $gate
+mutant claims-reused src/consensus/claims.rs 's/\(Some\(record\), _\) if record\.settled != Some\(Settlement::NotRun\) =>/(Some(record), _) if record.settled.is_some() \&\& record.settled != Some(Settlement::NotRun) =>/' fuzz $gate
+mutant unclaimed-start src/routing/flight.rs 's/true => Stage::Claiming\(trial\),/true => Stage::Starting(trial),/' fuzz $gate
+mutant refused-resume-is-not-run src/admission/gate.rs 's/RunEvent::Refused if !attempt\.resumed =>/RunEvent::Refused if true || !attempt.resumed =>/' fuzz $gate
+mutant pieces-out-of-order src/admission/gate.rs 's/if index as usize == attempt\.pieces\.len\(\) \{/if index as usize + 1 >= attempt.pieces.len() {/' fuzz $gate
 mutant boot-not-checked tests/fuzz/gate.rs 's/ \|\| order\.boot != self\.boot//; s/ \|\| run\.boot != engine\.boot//' fuzz $gate
 limit=no_limit_is_exceeded_in_sum
-mutant old-ask-granted src/limits.rs 's/let new = asked > \*newest;/let new = true || asked > *newest;/' fuzz $limit
-mutant new-leader-not-quiet src/limits.rs 's/let quiet_until_ms = self\.since_ms/let quiet_until_ms = 0 * self.since_ms/; s/ \+ self\.policy\.lease_ms \+ patience_ms;/;/' fuzz $limit
-mutant lease-without-patience src/limits.rs 's/until_ms: now_ms \+ self\.policy\.lease_ms \+ patience_ms,/until_ms: now_ms + self.policy.lease_ms,/' fuzz $limit
-mutant shrink-at-once src/limits.rs 's/counted: share\.max\(claim\.held\),/counted: share,/' fuzz $limit
+mutant old-ask-granted src/table/limits.rs 's/let new = asked > \*newest;/let new = true || asked > *newest;/' fuzz $limit
+mutant new-leader-not-quiet src/table/limits.rs 's/let quiet_until_ms = self\.since_ms/let quiet_until_ms = 0 * self.since_ms/; s/ \+ self\.policy\.lease_ms \+ patience_ms;/;/' fuzz $limit
+mutant lease-without-patience src/table/limits.rs 's/until_ms: now_ms \+ self\.policy\.lease_ms \+ patience_ms,/until_ms: now_ms + self.policy.lease_ms,/' fuzz $limit
+mutant shrink-at-once src/table/limits.rs 's/counted: share\.max\(claim\.held\),/counted: share,/' fuzz $limit
 place=every_model_keeps_or_regains_a_home
-mutant unloads-last-home src/placement.rs 's/ready\.count\(\) <= 1/ready.count() <= 0/' fuzz $place
-mutant spares-before-repair src/placement.rs 's/if homeless\.is_empty\(\) \{/if true || homeless.is_empty() {/' fuzz $place
-mutant no-ejection src/placement.rs 's/None if self\.eject\(model, wanted, moves\) => \{\}//; s/None => self\.follow_packing\(wanted, moves\),/None => {}/' fuzz $place
-mutant unloading-memory-reused src/placement.rs 's/let taken: u64 = homes\n                \.keys\(\)/let taken: u64 = homes\n                .iter().filter(|(_, h)| h.phase != HomePhase::Unloading).map(|(m, _)| m)/' fuzz $place
+mutant unloads-last-home src/placement/moves.rs 's/ready\.count\(\) <= 1/ready.count() <= 0/' fuzz $place
+mutant spares-before-repair src/placement/moves.rs 's/if homeless\.is_empty\(\) \{/if true || homeless.is_empty() {/' fuzz $place
+mutant no-ejection src/placement/moves.rs 's/None if self\.eject\(model, wanted, moves\) => \{\}//; s/None => self\.follow_packing\(wanted, moves\),/None => {}/' fuzz $place
+mutant unloading-memory-reused src/placement/moves.rs 's/let taken: u64 = homes\n                \.keys\(\)/let taken: u64 = homes\n                .iter().filter(|(_, h)| h.phase != HomePhase::Unloading).map(|(m, _)| m)/' fuzz $place
 view=copies_follow_the_log_and_never_go_back
-mutant page-goes-back src/view.rs 's/_ if page\.to <= self\.position => return false,//' fuzz $view
-mutant gap-followed src/view.rs 's/Some\(from\) if from > self\.position => return false,//' fuzz $view
-mutant journal-gap-unseen src/state.rs 's/if cursor < self\.journal_from \{/if false \&\& cursor < self.journal_from {/' fuzz $view
-mutant agent-stops-without-drain src/agentd.rs 's/while !shared\.gate\(\)\.is_idle\(\) \{/while false \&\& !shared.gate().is_idle() {/' failures planned_stops_cut_nothing_off
-mutant entry-never-stale src/entryd.rs 's/confirmed \+ self\.settings\.stale_ms < clock::monotonic_ms\(\)/false \&\& confirmed + self.settings.stale_ms < clock::monotonic_ms()/' failures an_entry_that_is_cut_off
-mutant leaving-target-takes-work 'src/gate.rs src/view.rs' 's/_ if self\.leaving => Some\(RefuseCause::Leaving\),/_ if false \&\& self.leaving => Some(RefuseCause::Leaving),/; s/!member\.leaving\)/!member.leaving || true)/' failures a_leaving_target_gets_no_new_work
-mutant silence-of-a-freeze-is-loss src/duties.rs 's/self\.decided_ms \+ self\.policy\.loss_ms \/ 2 < now_ms/false \&\& self.decided_ms < now_ms/' duties a_leader_that_was_frozen
+mutant page-goes-back src/routing/view.rs 's/_ if page\.to <= self\.position => return false,//' fuzz $view
+mutant gap-followed src/routing/view.rs 's/Some\(from\) if from > self\.position => return false,//' fuzz $view
+mutant journal-gap-unseen src/consensus/state.rs 's/if cursor < self\.journal_from \{/if false \&\& cursor < self.journal_from {/' fuzz $view
+mutant agent-stops-without-drain src/agent/shell.rs 's/while !shared\.gate\(\)\.is_idle\(\) \{/while false \&\& !shared.gate().is_idle() {/' failures planned_stops_cut_nothing_off
+mutant entry-never-stale src/entry/shell.rs 's/confirmed \+ self\.settings\.stale_ms < clock::monotonic_ms\(\)/false \&\& confirmed + self.settings.stale_ms < clock::monotonic_ms()/' failures an_entry_that_is_cut_off
+mutant leaving-target-takes-work 'src/admission/gate.rs src/routing/view.rs' 's/_ if self\.leaving => Some\(RefuseCause::Leaving\),/_ if false \&\& self.leaving => Some(RefuseCause::Leaving),/; s/!member\.leaving\)/!member.leaving || true)/' failures a_leaving_target_gets_no_new_work
+mutant silence-of-a-freeze-is-loss src/placement/duties.rs 's/self\.decided_ms \+ self\.policy\.loss_ms \/ 2 < now_ms/false \&\& self.decided_ms < now_ms/' duties a_leader_that_was_frozen
--- a/tests/open_membership.rs
+++ b/tests/open_membership.rs
@@ -5,8 +5,8 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-use dunlinspring::control;
-use dunlinspring::controld::ControlDaemon;
+use dunlinspring::control::shell::ControlDaemon;
+use dunlinspring::control::voter;
 
 use support_control::{leader_of, listeners, secret, settings, status_where};
 
@@ -17,7 +17,7 @@
     let mut daemons = Vec::new();
     for (listener, address) in bound {
         let settings = settings(folder, address, &addresses);
-        control::found(&settings).unwrap();
+        voter::found(&settings).unwrap();
         let daemon = ControlDaemon::start_on(listener, settings, secret()).await;
         daemons.push(daemon.unwrap());
     }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -8,13 +8,13 @@
 use std::path::Path;
 use std::sync::Arc;
 
-use dunlinspring::configuration::{ClientLimits, Configuration};
-use dunlinspring::controld::{self, ControlDaemon};
-use dunlinspring::directory::{ReplicaPhase, ReplicaRecord};
+use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
+use dunlinspring::control::registry::{LogAccess, Registry, RegistryError};
+use dunlinspring::control::relay::RelayDaemon;
+use dunlinspring::control::shell::{self, ControlDaemon};
 use dunlinspring::ids::{HallName, HostName, ReplicaId, ServiceName};
-use dunlinspring::peers::ControlLink;
-use dunlinspring::registry::{LogAccess, Registry, RegistryError};
-use dunlinspring::relayd::RelayDaemon;
+use dunlinspring::process::peers::ControlLink;
+use dunlinspring::table::configuration::{ClientLimits, Configuration};
 use tokio::net::TcpListener;
 
 use support_control::{leader_of, listeners, secret, settings, status_where, until};
@@ -180,7 +180,7 @@
     let seeds = vec![own.to_string(), second.to_string()];
     let link = Arc::new(ControlLink::new(secret(), seeds));
     let host = HostName(first.to_string());
-    tokio::spawn(controld::announce(host, link));
+    tokio::spawn(shell::announce(host, link));
     let known = until("the voter to be known", async || {
         registry.configuration().await.ok()
     });
--- a/tests/replica_read.rs
+++ b/tests/replica_read.rs
@@ -2,11 +2,11 @@
 
 use std::collections::BTreeSet;
 
+use dunlinspring::consensus::raft::{DiskImage, RaftMessage, RaftTiming};
+use dunlinspring::consensus::replica::LogReplica;
+use dunlinspring::consensus::state::Command;
 use dunlinspring::ids::{NodeId, Position};
-use dunlinspring::raft::{DiskImage, RaftMessage, RaftTiming};
-use dunlinspring::replica::LogReplica;
-use dunlinspring::site::SiteSpec;
-use dunlinspring::state::Command;
+use dunlinspring::table::site::SiteSpec;
 
 const TIMING: RaftTiming = RaftTiming {
     election_ms: 100,
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -2,11 +2,11 @@
 
 use std::collections::BTreeSet;
 
-use dunlinspring::configuration::{Configuration, ConfigurationRecord};
+use dunlinspring::consensus::raft::{DiskImage, RaftTiming};
+use dunlinspring::consensus::replica::LogReplica;
+use dunlinspring::consensus::state::Command;
 use dunlinspring::ids::NodeId;
-use dunlinspring::raft::{DiskImage, RaftTiming};
-use dunlinspring::replica::LogReplica;
-use dunlinspring::state::Command;
+use dunlinspring::table::configuration::{Configuration, ConfigurationRecord};
 
 const TIMING: RaftTiming = RaftTiming {
     election_ms: 100,
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -2,8 +2,10 @@
 
 use std::path::Path;
 
-use dunlinspring::load::LoadMix;
-use dunlinspring::settings::{AgentSettings, Checked, ControlSettings, EntrySettings, parse, show};
+use dunlinspring::cli::load::LoadMix;
+use dunlinspring::process::settings::{
+    AgentSettings, Checked, ControlSettings, EntrySettings, parse, show,
+};
 
 fn example<S: Checked>(name: &str) -> (S, String) {
     let path = Path::new(env!("CARGO_MANIFEST_DIR"))
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -8,7 +8,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-use dunlinspring::auth;
+use dunlinspring::process::auth;
 use ntex::client::Client;
 use serde_json::{Value, json};
 use tempfile::TempDir;
--- a/tests/support_control/mod.rs
+++ b/tests/support_control/mod.rs
@@ -4,12 +4,12 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use dunlinspring::controld::ControlDaemon;
+use dunlinspring::consensus::raft::RaftTiming;
+use dunlinspring::control::shell::ControlDaemon;
 use dunlinspring::ids::{HallName, HostName};
-use dunlinspring::peers::SiteSecret;
-use dunlinspring::raft::RaftTiming;
-use dunlinspring::settings::{CommonSettings, ControlSettings, VoterSettings};
-use dunlinspring::wire::ControlStatus;
+use dunlinspring::process::peers::SiteSecret;
+use dunlinspring::process::settings::{CommonSettings, ControlSettings, VoterSettings};
+use dunlinspring::process::wire::ControlStatus;
 use tokio::net::TcpListener;
 
 /// Longest wait for a condition that must come; reaching it is a failure.
--- a/tests/support_forward/mod.rs
+++ b/tests/support_forward/mod.rs
@@ -7,21 +7,21 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use dunlinspring::configuration::{
-    Configuration, EngineModel, EngineSpec, RouteKind, RouteSpec, ServiceSpec,
-};
-use dunlinspring::control;
-use dunlinspring::controld::ControlDaemon;
-use dunlinspring::directory::{ReplicaPhase, ReplicaRecord};
+use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
+use dunlinspring::consensus::raft::RaftTiming;
+use dunlinspring::control::registry::{LogAccess, Registry, RegistryError};
+use dunlinspring::control::shell::ControlDaemon;
+use dunlinspring::control::voter;
 use dunlinspring::forward::chunked::ChunkDecoder;
 use dunlinspring::forward::daemon::{ForwardDaemon, ForwardSettings};
 use dunlinspring::forward::dialect::HeaderNames;
 use dunlinspring::forward::head::{self, Framing, Header};
 use dunlinspring::ids::{HallName, HostName, ModelName, ReplicaId, ServiceName};
-use dunlinspring::peers::{ControlLink, SiteSecret};
-use dunlinspring::raft::RaftTiming;
-use dunlinspring::registry::{LogAccess, Registry, RegistryError};
-use dunlinspring::settings::{CommonSettings, ControlSettings, VoterSettings};
+use dunlinspring::process::peers::{ControlLink, SiteSecret};
+use dunlinspring::process::settings::{CommonSettings, ControlSettings, VoterSettings};
+use dunlinspring::table::configuration::{
+    Configuration, EngineModel, EngineSpec, RouteKind, RouteSpec, ServiceSpec,
+};
 use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -247,7 +247,7 @@
         fleet: Default::default(),
         site: Default::default(),
     };
-    control::found(&settings).unwrap();
+    voter::found(&settings).unwrap();
     let control = ControlDaemon::start_on(listener, settings, secret())
         .await
         .unwrap();
