Requests spread evenly over homes that cost the same

Cause: of the homes of a model that cost the same, every entry took the one with the lowest id. A hundred entries that each see a hundredth of the requests know nothing of each other's, so that one of three homes got 54 of 81 requests, and 20 of 180 replicas held 74% of all late requests.

Change: the order among equals is drawn for each request by its id, so that a resend takes the same way.

--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -64,6 +64,8 @@
     pub urgency: usize,
     /// Time within which the answer should begin, in milliseconds.
     pub limit_ms: u64,
+    /// Drawn for the request: spreads requests of different entries evenly.
+    pub draw: u64,
 }
 
 /// The choice.
@@ -434,10 +436,14 @@
         need: &Need,
         now_ms: u64,
     ) -> Option<&'a ReplicaNote> {
-        let costs = notes.map(|note| (self.cost(note, need, now_ms), note));
-        let by_id = |a: &ReplicaNote, b: &ReplicaNote| a.record.id.cmp(&b.record.id);
-        let least = costs.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| by_id(a.1, b.1)));
-        least.map(|(_, note)| note)
+        // Entries that know nothing of each other's requests find the same replica cheapest:
+        // each request has its own order among those that cost the same.
+        let costs = notes.map(|note| {
+            let cost = self.cost(note, need, now_ms);
+            (cost, drawn_rank(need.draw, &note.record.id), note)
+        });
+        let least = costs.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
+        least.map(|(_, _, note)| note)
     }
 
     fn holds_adapter(&self, note: &ReplicaNote, need: &Need) -> bool {
@@ -592,6 +598,18 @@
     }
 }
 
+/// A replica's place in the order that a request's draw gives.
+fn drawn_rank(draw: u64, id: &ReplicaId) -> u64 {
+    mix(draw ^ u64::from(crc32fast::hash(id.as_str().as_bytes())))
+}
+
+/// Spreads close numbers over the whole range: the finalizer of the generator SplitMix64.
+fn mix(number: u64) -> u64 {
+    let number = (number ^ (number >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    let number = (number ^ (number >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    number ^ (number >> 31)
+}
+
 /// Whether a replica serves what is needed and stays.
 fn suits(note: &ReplicaNote, need: &Need) -> bool {
     let record = &note.record;
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -281,6 +281,7 @@
         let mut need = need(core, headers, service.clone());
         need.urgency = route.priority.min(9) as usize;
         need.limit_ms = route.aim_ms.min(limit_ms);
+        need.draw = draw(&id);
         let spec = service
             .as_ref()
             .and_then(|s| routing.configuration.services.get(s));
--- a/tests/forward_parts.rs
+++ b/tests/forward_parts.rs
@@ -227,6 +227,32 @@
     assert_eq!(choose(&busy, &need("m", None)), send("c"));
 }
 
+/// Found on a site of a hundred entries: each found the same home cheapest, which got 54
+/// of 81 requests of its model while two others had little to do.
+#[test]
+fn entries_that_know_nothing_of_each_other_use_equal_homes_evenly() {
+    let homes = ["a", "b", "c", "d"];
+    let records = homes.map(|id| record(id, &[("m", &[])]));
+    let book = book(records.to_vec());
+    let mut counts: BTreeMap<ReplicaId, u32> = BTreeMap::new();
+    for draw in 0..400 {
+        let need = Need {
+            draw,
+            ..need("m", None)
+        };
+        let Choice::Send(id) = choose(&book, &need) else {
+            panic!("no home for {draw}");
+        };
+        *counts.entry(id).or_default() += 1;
+        // The same request takes the same way again.
+        assert_eq!(choose(&book, &need), choose(&book, &need));
+    }
+    for id in homes {
+        let count = counts[&ReplicaId::from(id)];
+        assert!((70..=130).contains(&count), "{counts:?}");
+    }
+}
+
 #[test]
 fn an_adapter_is_used_where_it_is_until_that_home_is_busy() {
     let mut book = book(vec![
