Orders and reports have files of their own; a report that cannot be true is passed over

Cause: adapters, fleet and fleet_plan imported each other for OrderKind and its like, AdapterWish and AdapterPlace were the same three fields, and a NaN in one entry's report would have spoilt the leader's sum of all entries without a word.

Change: placement/order.rs and placement/report.rs below the three; one AdapterPlace; a report whose figures are not finite or negative is logged with the field's name and counts without figures. A test for the check. The circle inside placement/ is gone.

--- a/src/control/orderer.rs
+++ b/src/control/orderer.rs
@@ -16,7 +16,7 @@
 use crate::forward::head;
 use crate::forward::upstream::{Connection, Exchange, ExchangeError, Outgoing};
 use crate::ids::ReplicaId;
-use crate::placement::fleet::{EngineOrder, OrderOutcome};
+use crate::placement::order::{EngineOrder, OrderOutcome};
 use crate::process::daemon;
 
 /// Time for one call to an engine.
--- a/src/control/relay.rs
+++ b/src/control/relay.rs
@@ -22,7 +22,8 @@
 use crate::control::founding::{self, KnownFounders};
 use crate::ids::{HostName, NodeId, Position, ReplicaId};
 use crate::placement::duties::{AgentBeat, EntryBeat};
-use crate::placement::fleet::{AdapterWish, EntryReport};
+use crate::placement::order::AdapterPlace;
+use crate::placement::report::EntryReport;
 use crate::process::daemon::{self, DaemonError};
 use crate::process::metrics::{MetricBook, MetricKey};
 use crate::process::peers::{self, ControlLink, PeerError, SiteSecret};
@@ -297,7 +298,7 @@
         Err(self.elsewhere())
     }
 
-    async fn wish(self, _: Context, _: AdapterWish) -> Result<bool, ControlRefusal> {
+    async fn wish(self, _: Context, _: AdapterPlace) -> Result<bool, ControlRefusal> {
         Err(self.elsewhere())
     }
 
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -21,7 +21,8 @@
 use crate::control::voter::{self, ControlEvent, ControlHandle, ControlLoop, OpenPeer, PeerOutbox};
 use crate::ids::{HostName, NodeId, Position, ReplicaId};
 use crate::placement::duties::{AgentBeat, EntryBeat};
-use crate::placement::fleet::{AdapterWish, EngineOrder, EntryReport};
+use crate::placement::order::{AdapterPlace, EngineOrder};
+use crate::placement::report::EntryReport;
 use crate::process::daemon::{self, DaemonError};
 use crate::process::metrics::{MetricBook, MetricKey};
 use crate::process::peers::{self, ControlLink, PeerPool, SiteSecret};
@@ -404,7 +405,7 @@
             .await
     }
 
-    async fn wish(self, _: Context, wish: AdapterWish) -> Result<bool, ControlRefusal> {
+    async fn wish(self, _: Context, wish: AdapterPlace) -> Result<bool, ControlRefusal> {
         self.0.ask(|answer| ControlEvent::Wish(wish, answer)).await
     }
 
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -17,7 +17,9 @@
 use crate::control::journal::{DiskJournal, JournalError, WriteCheck};
 use crate::ids::{HostName, NodeId, Position, ReplicaId, TargetName, Term};
 use crate::placement::duties::{AgentBeat, EntryBeat, LeaderDuties};
-use crate::placement::fleet::{AdapterWish, EngineOrder, EntryReport, FleetDuties, OrderOutcome};
+use crate::placement::fleet::FleetDuties;
+use crate::placement::order::{AdapterPlace, EngineOrder, OrderOutcome};
+use crate::placement::report::EntryReport;
 use crate::process::settings::ControlSettings;
 use crate::process::wire::{
     self, AgentOrders, ControlRefusal, ControlStatus, EntryOrders, Notice, TableStatus,
@@ -87,7 +89,7 @@
     /// An entry's report; for the leader.
     Report(EntryReport, Answer<u32>),
     /// An entry's wish; for the leader.
-    Wish(AdapterWish, Answer<bool>),
+    Wish(AdapterPlace, Answer<bool>),
     /// An engine's answer to an order of this leader.
     Ordered(EngineOrder, OrderOutcome),
     /// Compares a replica's heartbeat with what is committed here.
@@ -359,6 +361,7 @@
                 self.tell_fleet(answer, |fleet| fleet.on_heard(now_ms, &ids));
             }
             ControlEvent::Report(report, answer) => {
+                let report = believe(report);
                 self.tell_fleet(answer, |fleet| fleet.on_report(now_ms, report));
             }
             ControlEvent::Wish(wish, answer) => {
@@ -459,7 +462,7 @@
         let _ = answer.send(told);
     }
 
-    fn on_wish(&mut self, now_ms: u64, wish: &AdapterWish) -> Result<bool, ControlRefusal> {
+    fn on_wish(&mut self, now_ms: u64, wish: &AdapterPlace) -> Result<bool, ControlRefusal> {
         let (Some(state), Some(fleet)) = (self.replica.newest(now_ms), &mut self.fleet) else {
             return Err(self.not_leader());
         };
@@ -765,3 +768,18 @@
         let _ = self.0.send(event);
     }
 }
+
+/// An entry's report, without figures where one cannot be true: the entry still counts
+/// among those that report.
+fn believe(report: EntryReport) -> EntryReport {
+    match report.check() {
+        Ok(()) => report,
+        Err(error) => {
+            tracing::warn!(host = report.host, %error, "a report cannot be true");
+            EntryReport {
+                host: report.host,
+                ..EntryReport::default()
+            }
+        }
+    }
+}
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -20,7 +20,8 @@
 use crate::forward::request_log::LineBudget;
 use crate::forward::upstream::ConnectionPool;
 use crate::ids::{HallName, HostName, ModelName, ReplicaId};
-use crate::placement::fleet::{AdapterWish, EntryReport};
+use crate::placement::order::AdapterPlace;
+use crate::placement::report::EntryReport;
 use crate::process::daemon::{self, DaemonError};
 use crate::process::follow::ControlFollower;
 use crate::process::metrics::{MetricBook, MetricKey};
@@ -121,8 +122,8 @@
     routing: RefCell<Option<Rc<Routing>>>,
     busy: RefCell<BTreeMap<ModelName, u32>>,
     lately: RefCell<BTreeMap<ModelName, f64>>,
-    adapters: RefCell<BTreeSet<AdapterWish>>,
-    wishes: RefCell<BTreeMap<AdapterWish, u64>>,
+    adapters: RefCell<BTreeSet<AdapterPlace>>,
+    wishes: RefCell<BTreeMap<AdapterPlace, u64>>,
     active: Cell<usize>,
     stopping: Arc<AtomicBool>,
     stop_told: Notify,
@@ -572,15 +573,15 @@
     }
 }
 
-fn adapter_place(replica: &ReplicaId, need: &Need) -> Option<AdapterWish> {
-    Some(AdapterWish {
+fn adapter_place(replica: &ReplicaId, need: &Need) -> Option<AdapterPlace> {
+    Some(AdapterPlace {
         replica: replica.clone(),
         model: need.model.clone()?,
         adapter: need.adapter.clone()?,
     })
 }
 
-async fn ask_adapter(core: Rc<EntryCore>, wish: AdapterWish) {
+async fn ask_adapter(core: Rc<EntryCore>, wish: AdapterPlace) {
     let link = core.follower.link();
     let asked = link
         .decide("wish", REPORT_TIME, |client, context| {
--- a/src/placement/adapters.rs
+++ b/src/placement/adapters.rs
@@ -4,19 +4,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::consensus::directory::{ReplicaDirectory, ReplicaRecord};
-use crate::ids::{ModelName, ReplicaId};
-use crate::placement::fleet::{AdapterWish, OrderKind, OrderOutcome};
-
-/// An adapter on a replica.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct AdapterPlace {
-    /// The replica.
-    pub replica: ReplicaId,
-    /// The base model.
-    pub model: ModelName,
-    /// The adapter.
-    pub adapter: String,
-}
+use crate::ids::ReplicaId;
+use crate::placement::order::{AdapterPlace, OrderKind, OrderOutcome};
 
 /// What becomes of a wish.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -76,7 +65,7 @@
         record: &ReplicaRecord,
         slots: usize,
         replicas: &ReplicaDirectory,
-        wish: &AdapterWish,
+        wish: &AdapterPlace,
         now_ms: u64,
     ) -> WishAnswer {
         let Some(held) = record.models.get(&wish.model) else {
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -5,16 +5,17 @@
 //! until the lease of whoever led before it has run out.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
 use crate::consensus::directory::{ReplicaDirectory, ReplicaPhase, ReplicaRecord};
 use crate::consensus::state::{Command, SiteState};
 use crate::ids::{HostName, ModelName, ReplicaId, ServiceName, Term};
-use crate::placement::adapters::{AdapterOrders, AdapterPlace, WishAnswer};
+use crate::placement::adapters::{AdapterOrders, WishAnswer};
 use crate::placement::demand::DemandBook;
 use crate::placement::fleet_plan::{self, PlanModel, PlanReplica, PlanStep};
+use crate::placement::order::{AdapterPlace, EngineOrder, OrderKind, OrderOutcome};
+use crate::placement::report::EntryReport;
 use crate::table::configuration::EngineSpec;
 
 /// How the fleet is watched and ordered.
@@ -53,73 +54,6 @@
     }
 }
 
-/// What an order does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum OrderKind {
-    /// Bring the model or adapter in.
-    Load,
-    /// Take it out.
-    Unload,
-}
-
-/// An order to an engine.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EngineOrder {
-    /// The replica's life that is meant.
-    pub replica: ReplicaId,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Who orders.
-    pub holder: HostName,
-    /// The fencing token: the leader's term.
-    pub fence: Term,
-    /// In or out.
-    pub kind: OrderKind,
-    /// The model.
-    pub model: ModelName,
-    /// The adapter, where not the model itself is meant.
-    pub adapter: Option<String>,
-}
-
-/// How an order ended at the engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum OrderOutcome {
-    /// It is being carried out.
-    Taken,
-    /// It holds already.
-    Held,
-    /// The engine is busy, or its count of orders is another.
-    Busy,
-    /// Another holder has a higher fencing token.
-    Fenced,
-    /// The engine refuses it, or is another one.
-    Refused,
-    /// No answer: it may be carried out, or not.
-    Unknown,
-}
-
-/// What an entry asks of the leader and tells it.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct EntryReport {
-    /// The entry's host.
-    pub host: String,
-    /// Requests of each model under way, waiting or refused lately.
-    pub busy: BTreeMap<ModelName, f64>,
-    /// Adapters in use by replica.
-    pub adapters: BTreeSet<AdapterWish>,
-}
-
-/// An adapter that an entry wants or uses on a replica.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct AdapterWish {
-    /// The replica.
-    pub replica: ReplicaId,
-    /// The base model, which is there.
-    pub model: ModelName,
-    /// The adapter.
-    pub adapter: String,
-}
-
 /// What the leader must do now.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct FleetActions {
@@ -239,11 +173,6 @@
     /// An entry's report. Returns how many entries report.
     pub fn on_report(&mut self, now_ms: u64, report: EntryReport) -> u32 {
         for place in report.adapters {
-            let place = AdapterPlace {
-                replica: place.replica,
-                model: place.model,
-                adapter: place.adapter,
-            };
             self.adapters.note_used(place, now_ms);
         }
         let note = EntryNote {
@@ -259,7 +188,7 @@
         &mut self,
         state: &SiteState,
         now_ms: u64,
-        wish: &AdapterWish,
+        wish: &AdapterPlace,
     ) -> (bool, Option<EngineOrder>) {
         let record = state.replicas.records().get(&wish.replica);
         let configuration = state.configuration.as_ref().map(|held| &held.configuration);
--- a/src/placement/fleet_plan.rs
+++ b/src/placement/fleet_plan.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::ids::{HallName, ModelName, ReplicaId};
-use crate::placement::fleet::OrderKind;
+use crate::placement::order::OrderKind;
 
 /// What the absence of a model costs, by its demand.
 const ABSENT_COST: f64 = 4.0;
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -10,3 +10,5 @@
 pub mod fleet;
 pub mod fleet_plan;
 pub mod moves;
+pub mod order;
+pub mod report;
--- /dev/null
+++ b/src/placement/order.rs
@@ -0,0 +1,63 @@
+//! Orders to the engines of replicas that registered themselves, and what they answer.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{HostName, ModelName, ReplicaId, Term};
+
+/// What an order does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OrderKind {
+    /// Bring the model or adapter in.
+    Load,
+    /// Take it out.
+    Unload,
+}
+
+/// An order to an engine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineOrder {
+    /// The replica's life that is meant.
+    pub replica: ReplicaId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Who orders.
+    pub holder: HostName,
+    /// The fencing token: the leader's term.
+    pub fence: Term,
+    /// In or out.
+    pub kind: OrderKind,
+    /// The model.
+    pub model: ModelName,
+    /// The adapter, where not the model itself is meant.
+    pub adapter: Option<String>,
+}
+
+/// How an order ended at the engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OrderOutcome {
+    /// It is being carried out.
+    Taken,
+    /// It holds already.
+    Held,
+    /// The engine is busy, or its count of orders is another.
+    Busy,
+    /// Another holder has a higher fencing token.
+    Fenced,
+    /// The engine refuses it, or is another one.
+    Refused,
+    /// No answer: it may be carried out, or not.
+    Unknown,
+}
+
+/// An adapter on a replica: wanted, used, or ordered there.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct AdapterPlace {
+    /// The replica.
+    pub replica: ReplicaId,
+    /// The base model, which is there.
+    pub model: ModelName,
+    /// The adapter.
+    pub adapter: String,
+}
--- a/src/process/wire.rs
+++ b/src/process/wire.rs
@@ -11,7 +11,8 @@
 use crate::consensus::state::{Command, Reply, SiteState};
 use crate::ids::{AttemptId, HostName, Incarnation, NodeId, Position, ReplicaId, RowId, Term};
 use crate::placement::duties::{AgentBeat, EntryBeat};
-use crate::placement::fleet::{AdapterWish, EntryReport};
+use crate::placement::order::AdapterPlace;
+use crate::placement::report::EntryReport;
 use crate::routing::view::SyncPage;
 use crate::table::configuration::ConfigurationRecord;
 use crate::table::rows::Row;
@@ -163,7 +164,7 @@
     /// An entry's report on demand; for the leader, which tells how many entries report.
     async fn report(report: EntryReport) -> Result<u32, ControlRefusal>;
     /// An entry wants an adapter; the leader tells whether it comes soon.
-    async fn wish(wish: AdapterWish) -> Result<bool, ControlRefusal>;
+    async fn wish(wish: AdapterPlace) -> Result<bool, ControlRefusal>;
     /// Compares a replica's heartbeat with what is committed here; for hosts that
     /// keep no log.
     async fn compare(record: ReplicaRecord) -> Result<BeatNews, ControlRefusal>;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -6,11 +6,11 @@
 use dunlinspring::consensus::directory::{BeatNews, ReplicaDirectory, ReplicaPhase, ReplicaRecord};
 use dunlinspring::consensus::state::{Command, SiteState, Stamped};
 use dunlinspring::ids::{HallName, HostName, ModelName, Position, ReplicaId, ServiceName, Term};
-use dunlinspring::placement::adapters::{AdapterOrders, AdapterPlace, WishAnswer};
-use dunlinspring::placement::fleet::{
-    AdapterWish, EngineOrder, EntryReport, FleetDuties, FleetPolicy, OrderKind, OrderOutcome,
-};
+use dunlinspring::placement::adapters::{AdapterOrders, WishAnswer};
+use dunlinspring::placement::fleet::{FleetDuties, FleetPolicy};
 use dunlinspring::placement::fleet_plan::{PlanModel, PlanReplica, plan};
+use dunlinspring::placement::order::{AdapterPlace, EngineOrder, OrderKind, OrderOutcome};
+use dunlinspring::placement::report::EntryReport;
 use dunlinspring::table::configuration::{
     Configuration, ConfigurationRecord, EngineModel, EngineSpec, ServiceSpec,
 };
@@ -386,11 +386,12 @@
     assert_eq!(absent[0].for_model, Some(ModelName::from("hot")));
 }
 
-fn wish(adapter: &str) -> AdapterWish {
-    AdapterWish {
-        replica: ReplicaId::from("r1"),
-        model: ModelName::from("a"),
-        adapter: adapter.to_owned(),
+#[test]
+fn a_report_that_cannot_be_true_is_not_taken() {
+    assert_eq!(busy("a", 1.0).check(), Ok(()));
+    for level in [f64::NAN, f64::INFINITY, -1.0] {
+        let error = busy("a", level).check().unwrap_err();
+        assert_eq!(error.to_string(), format!("field busy.a: {level}"));
     }
 }
 
@@ -409,26 +410,26 @@
     let mut directory = ReplicaDirectory::default();
     directory.put(&record, 0);
     assert_eq!(
-        orders.decide(&record, 2, &directory, &wish("x"), 0),
+        orders.decide(&record, 2, &directory, &place("x"), 0),
         WishAnswer::Load
     );
     assert_eq!(
-        orders.decide(&record, 2, &directory, &wish("y"), 0),
+        orders.decide(&record, 2, &directory, &place("y"), 0),
         WishAnswer::Load
     );
     assert_eq!(
-        orders.decide(&record, 2, &directory, &wish("z"), 0),
+        orders.decide(&record, 2, &directory, &place("z"), 0),
         WishAnswer::Refused
     );
     assert!(!orders.on_outcome(&place("x"), OrderOutcome::Unknown, 0));
     orders.settle(&directory, 12_000);
     assert_eq!(
-        orders.decide(&record, 2, &directory, &wish("z"), 12_000),
+        orders.decide(&record, 2, &directory, &place("z"), 12_000),
         WishAnswer::Refused
     );
     orders.settle(&directory, 14_000);
     assert_eq!(
-        orders.decide(&record, 2, &directory, &wish("z"), 14_000),
+        orders.decide(&record, 2, &directory, &place("z"), 14_000),
         WishAnswer::Load
     );
 }
@@ -439,7 +440,7 @@
     world.beat(&record("r1", 1, &["a"]));
     world.rounds(3_000, 3_200);
     for adapter in ["x", "y"] {
-        assert!(world.duties.on_wish(&world.state, 3_200, &wish(adapter)).0);
+        assert!(world.duties.on_wish(&world.state, 3_200, &place(adapter)).0);
     }
     assert!(world.orders.is_empty());
     world.rounds(3_200, 3_400);
@@ -453,11 +454,11 @@
     world.duties = leader(2, 3_400);
     world.rounds(3_400, 7_000);
     assert_eq!(
-        world.duties.on_wish(&world.state, 7_000, &wish("z")),
+        world.duties.on_wish(&world.state, 7_000, &place("z")),
         (false, None)
     );
     world.rounds(7_000, 21_000);
-    assert!(world.duties.on_wish(&world.state, 21_000, &wish("z")).0);
+    assert!(world.duties.on_wish(&world.state, 21_000, &place("z")).0);
 }
 
 #[test]
@@ -470,12 +471,12 @@
     orders.note_used(place("x"), 9_000);
     orders.note_used(place("y"), 9_500);
     assert_eq!(
-        orders.decide(&full, 2, &directory, &wish("z"), 10_000),
+        orders.decide(&full, 2, &directory, &place("z"), 10_000),
         WishAnswer::Refused
     );
     let evict = WishAnswer::Evict(place("x"));
     assert_eq!(
-        orders.decide(&full, 2, &directory, &wish("z"), 11_000),
+        orders.decide(&full, 2, &directory, &place("z"), 11_000),
         evict
     );
 }
@@ -535,7 +536,13 @@
         .insert(model.clone(), BTreeSet::from(["a1".to_owned()]));
     replicas.put(&held, 0);
     let record_of = |replicas: &ReplicaDirectory| replicas.records()[&held.id].clone();
-    let evicted = orders.decide(&record_of(&replicas), slots, &replicas, &wish("a2"), 10_000);
+    let evicted = orders.decide(
+        &record_of(&replicas),
+        slots,
+        &replicas,
+        &place("a2"),
+        10_000,
+    );
     assert_eq!(evicted, WishAnswer::Evict(place("a1")));
     assert!(orders.on_outcome(&place("a1"), OrderOutcome::Taken, 10_000));
     replicas.set_adapter(&held.id, &model, "a1", false, 10_000);
@@ -545,7 +552,13 @@
             replicas.put(&held, now_ms);
         }
         orders.settle(&replicas, now_ms);
-        let answer = orders.decide(&record_of(&replicas), slots, &replicas, &wish("a2"), now_ms);
+        let answer = orders.decide(
+            &record_of(&replicas),
+            slots,
+            &replicas,
+            &place("a2"),
+            now_ms,
+        );
         assert_ne!(answer, WishAnswer::Load, "at {now_ms}");
         if answer == WishAnswer::Evict(place("a1")) {
             return;
