Adapters wait for what a predecessor ordered out; stamps follow the steady clock

- Between the end of the lease and a new leader's first round, a wish for an adapter was decided while a model of the replica was still on its way out by the predecessor's order: its adapters, which the replica keeps until its requests end, were not counted.
- What was ordered counts as fresher than heartbeats for three seconds of the state's clock, which followed the leader's time of day: where that jumps ahead, a late heartbeat undoes an order at once, and afterwards orders hide what heartbeats tell for as long as the jump was.

Ruled out: a read of a lagging state by the leader's rounds, as these wait for the lease.

Change: a wish looks into the log for orders under way; stamps are the time of day at the process's start, carried on by the steady clock. The test for the first fails with the code before. The second has no test of its own beyond the suite. Open: an adapter that is ordered out while in use counts for six seconds at the leader that ordered it, and not at the next one.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -9,6 +9,17 @@
     START.get_or_init(Instant::now).elapsed().as_millis() as u64
 }
 
+/// Milliseconds since the epoch, as this process first read them, carried on by the steady
+/// clock: where the time of day jumps, what is stamped with it neither ages at once nor
+/// stays new.
+pub fn stamp_ms() -> u64 {
+    static START_MS: OnceLock<u64> = OnceLock::new();
+    // Both clocks are read together, so that the steady one counts from here.
+    let now_ms = monotonic_ms();
+    let start_ms = START_MS.get_or_init(|| wall_ms().saturating_sub(now_ms));
+    start_ms + now_ms
+}
+
 /// Milliseconds since the epoch.
 pub fn wall_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -383,7 +383,7 @@
         let refusal = match self.stopping {
             Some(_) => Err(ControlRefusal::Stopping),
             None => {
-                let mark = self.replica.propose(clock::wall_ms(), command);
+                let mark = self.replica.propose(clock::stamp_ms(), command);
                 mark.map_err(|_| self.not_leader())
             }
         };
@@ -584,7 +584,7 @@
         self.replica.tick(now_ms);
         self.follow_leadership(now_ms);
         let commands = match (self.replica.newest(now_ms), &mut self.duties) {
-            (Some(state), Some(duties)) => duties.round(state, now_ms, clock::wall_ms()),
+            (Some(state), Some(duties)) => duties.round(state, now_ms, clock::stamp_ms()),
             _ => Vec::new(),
         };
         self.propose_all(commands);
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -200,7 +200,12 @@
             return (false, None);
         };
         let waits = now_ms < self.since_ms + self.policy.order_lease_ms;
-        if waits || self.pending.contains_key(&record.id) || !self.may_order(record) {
+        // By the log as well: the leader before may have ordered a model out that is still
+        // there with its adapters, and the first round after the lease may yet come.
+        let loading = state.replicas.loading(&record.id).next();
+        let under_way = loading.or(state.replicas.leaving(&record.id).next());
+        let ordered = under_way.is_some() || self.pending.contains_key(&record.id);
+        if waits || ordered || !self.may_order(record) {
             return (false, None);
         }
         let slots = engine.adapter_slots as usize;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -461,6 +461,24 @@
     assert!(world.duties.on_wish(&world.state, 21_000, &place("z")).0);
 }
 
+/// A replica keeps the adapters of a model that is ordered out until its requests end.
+#[test]
+fn a_new_leader_brings_no_adapter_while_a_model_leaves_by_its_predecessors_order() {
+    let mut world = World::new(&["a", "b"]);
+    let mut full = record("r1", 1, &["a", "b"]);
+    let names = BTreeSet::from(["x".to_owned(), "y".to_owned()]);
+    full.models.insert(ModelName::from("b"), names);
+    world.beat(&full);
+    world.apply(Command::ReplicaUnload(
+        full.id.clone(),
+        ModelName::from("b"),
+    ));
+    world.duties = leader(2, 4_000);
+    // The lease is over, and no round has come yet.
+    let answer = world.duties.on_wish(&world.state, 7_000, &place("z"));
+    assert_eq!(answer, (false, None));
+}
+
 #[test]
 fn an_adapter_in_use_is_not_taken_away() {
     let mut orders = AdapterOrders::default();
