--- a/src/cli/commands.rs
+++ b/src/cli/commands.rs
@@ -23,6 +23,7 @@
   table delete ID --version N        remove a row
   status                             control hosts and this entry
   explain ID FILE...                 a request's story, from the logs of all processes
+  explain --day FILE...              when and where requests were late, refused or lost
   check --role ROLE FILE             check settings: control, entry, agent, load
   demo [--seconds N] [--seed N] [--json] [--serve]
                                      a whole small site in this process
@@ -35,10 +36,10 @@
 const MAX_ANSWER: usize = 16 << 20;
 const PROGRESS: Duration = Duration::from_secs(1);
 
-/// `explain`: prints the story of one request.
+/// `explain`: prints the story of one request, or the tables of all.
 pub fn explain(args: &[String]) -> Result<i32, String> {
     let [id, files @ ..] = args else {
-        return Err("explain ID FILE...".to_owned());
+        return Err("explain ID FILE..., or explain --day FILE...".to_owned());
     };
     let mut text = String::new();
     for file in files {
@@ -46,6 +47,11 @@
         text.push_str(&String::from_utf8_lossy(&read));
         text.push('\n');
     }
+    if id == "--day" {
+        let tables = crate::cli::day_table::day_table(text.lines());
+        println!("{}", tables.ok_or("no line tells of a request")?);
+        return Ok(0);
+    }
     let story = crate::cli::explain::explain(id, text.lines());
     for line in &story {
         println!("{line}");
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -5,69 +5,11 @@
 
 use std::collections::BTreeSet;
 
-use serde_json::{Map, Value};
+use crate::cli::log_line::LogLine;
 
 /// How long before and after a request other lines belong to its story, in seconds.
 const AROUND_S: f64 = 5.0;
 
-/// One JSON log line.
-#[derive(Clone, Debug)]
-struct LogLine {
-    at: String,
-    at_s: f64,
-    host: String,
-    message: String,
-    fields: Map<String, Value>,
-}
-
-impl LogLine {
-    /// Reads a line; text before the JSON is passed over, and so is what is no log line.
-    fn parse(text: &str) -> Option<Self> {
-        let json = &text[text.find('{')?..];
-        let value: Value = serde_json::from_str(json).ok()?;
-        let at = value.get("timestamp")?.as_str()?.to_owned();
-        let mut fields = value.get("fields")?.as_object()?.clone();
-        let message = fields.remove("message")?.as_str()?.to_owned();
-        let host = value.get("span").and_then(|span| span.get("host"));
-        let host = host.and_then(Value::as_str).unwrap_or("?").to_owned();
-        Some(Self {
-            at_s: seconds(&at)?,
-            at,
-            host,
-            message,
-            fields,
-        })
-    }
-
-    fn field(&self, name: &str) -> Option<&str> {
-        self.fields.get(name)?.as_str()
-    }
-
-    fn show(&self) -> String {
-        let fields = self.fields.iter();
-        let shown = fields.map(|(name, value)| match value.as_str() {
-            Some(text) => format!("{name}={text:?}"),
-            None => format!("{name}={value}"),
-        });
-        let shown: Vec<String> = shown.collect();
-        format!(
-            "{} {} {}: {}",
-            self.at,
-            self.host,
-            self.message,
-            shown.join(" ")
-        )
-    }
-}
-
-/// Seconds within the day of an RFC 3339 time.
-fn seconds(at: &str) -> Option<f64> {
-    let clock = at.split_once('T')?.1.trim_end_matches('Z');
-    let mut parts = clock.split(':').map(|part| part.parse::<f64>().ok());
-    let (hours, minutes, rest) = (parts.next()??, parts.next()??, parts.next()??);
-    Some(hours * 3600.0 + minutes * 60.0 + rest)
-}
-
 /// The lines that explain a request, oldest first; none where no line names it.
 pub fn explain<'a>(id: &str, lines: impl Iterator<Item = &'a str>) -> Vec<String> {
     let lines: Vec<LogLine> = lines.filter_map(LogLine::parse).collect();
--- /dev/null
+++ b/src/cli/log_line.rs
@@ -0,0 +1,74 @@
+//! Reads the JSON lines that all processes write.
+
+use serde_json::{Map, Value};
+
+/// One JSON log line.
+#[derive(Clone, Debug)]
+pub(super) struct LogLine {
+    /// The time, as it was written.
+    pub(super) at: String,
+    /// Seconds within the day.
+    pub(super) at_s: f64,
+    /// The host that wrote it; `?` where the line does not tell.
+    pub(super) host: String,
+    /// What it is about.
+    pub(super) message: String,
+    /// What it tells besides.
+    pub(super) fields: Map<String, Value>,
+}
+
+impl LogLine {
+    /// Reads a line; text before the JSON is passed over, and so is what is no log line.
+    pub(super) fn parse(text: &str) -> Option<Self> {
+        let json = &text[text.find('{')?..];
+        let value: Value = serde_json::from_str(json).ok()?;
+        let at = value.get("timestamp")?.as_str()?.to_owned();
+        let mut fields = value.get("fields")?.as_object()?.clone();
+        let message = fields.remove("message")?.as_str()?.to_owned();
+        let host = value.get("span").and_then(|span| span.get("host"));
+        let host = host.and_then(Value::as_str).unwrap_or("?").to_owned();
+        Some(Self {
+            at_s: seconds(&at)?,
+            at,
+            host,
+            message,
+            fields,
+        })
+    }
+
+    /// A field that holds text.
+    pub(super) fn field(&self, name: &str) -> Option<&str> {
+        self.fields.get(name)?.as_str()
+    }
+
+    /// A field that holds a number; 0 where there is none.
+    pub(super) fn number(&self, name: &str) -> f64 {
+        let value = self.fields.get(name).and_then(Value::as_f64);
+        value.unwrap_or(0.0)
+    }
+
+    /// The line as people read it.
+    pub(super) fn show(&self) -> String {
+        let fields = self.fields.iter();
+        let shown = fields.map(|(name, value)| match value.as_str() {
+            Some(text) => format!("{name}={text:?}"),
+            None => format!("{name}={value}"),
+        });
+        let shown: Vec<String> = shown.collect();
+        format!(
+            "{} {} {}: {}",
+            self.at,
+            self.host,
+            self.message,
+            shown.join(" ")
+        )
+    }
+}
+
+/// Seconds within the day of an RFC 3339 time.
+fn seconds(at: &str) -> Option<f64> {
+    let clock = at.split_once('T')?.1.trim_end_matches('Z');
+    let mut parts = clock.split(':').map(|part| part.parse::<f64>().ok());
+    let (hours, minutes, rest) = (parts.next()??, parts.next()??, parts.next()??);
+    Some(hours * 3600.0 + minutes * 60.0 + rest)
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,6 +2,8 @@
 //! site. May use every other folder.
 
 pub mod commands;
+pub mod day_table;
 pub mod demo;
 pub mod explain;
 pub mod load;
+mod log_line;
