Where places are short, models that nobody asks for give way; nothing goes before demand is known

Before traffic the platform had put the busy models on up to eight replicas; the leader, which had heard of no demand, took these homes for models without any, until each model that was there had one. From then on a busy model could not get a second home, as every place was somebody's last home.

Ruled out: the entries' refusals themselves; 595 of 1,082 were for models no replica held, 476 for homes that were full, each the only one.

Change: the absence of a model that nobody asks for costs nothing but free room where there are fewer places than models, and such a model's last home may go for a further one of a busy model; for 30 seconds a leader that has heard of no demand orders nothing out. With a place for each model the plan is as before.

--- a/src/placement/demand.rs
+++ b/src/placement/demand.rs
@@ -47,6 +47,11 @@
         self.levels.retain(|_, level| *level > 0.01);
     }
 
+    /// Whether there is no demand for any model.
+    pub fn is_empty(&self) -> bool {
+        self.levels.is_empty()
+    }
+
     /// The level of one model.
     pub fn level(&self, model: &ModelName) -> f64 {
         self.levels.get(model).copied().unwrap_or(0.0)
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -124,6 +124,9 @@
 const BUSY_MS: u64 = 1_000;
 /// Time in which an order's command is committed, in milliseconds.
 const COMMIT_MS: u64 = 2_000;
+/// How long a new leader that has heard of no demand orders nothing out, in milliseconds:
+/// it would take further homes of models that will be busy for others that will not.
+const UNAWARE_MS: u64 = 30_000;
 /// How long room that was made for a model is kept for it, in milliseconds.
 const PROMISE_MS: u64 = 4_000;
 
@@ -476,18 +479,23 @@
         actions: &mut FleetActions,
     ) {
         let models = self.plan_models(engine);
+        let largest_mb = models.values().map(|model| model.weights_mb).max();
+        let unaware = self.demand.is_empty() && now_ms < self.since_ms + UNAWARE_MS;
         let records = state.replicas.records().values();
         let records = records.filter(|record| record.service == *service);
-        let replicas = records
-            .map(|record| self.plan_replica(state, record, engine))
-            .collect();
+        let replicas = records.map(|record| {
+            let mut replica = self.plan_replica(state, record, engine);
+            // Only what fits without anything going first.
+            replica.open &= !unaware || replica.free_mb >= largest_mb.unwrap_or(0);
+            replica
+        });
+        let replicas: Vec<PlanReplica> = replicas.collect();
         let last_ms = self.last_load_ms.get(service).copied();
         let due = last_ms.is_none_or(|at_ms| at_ms + engine.load_gap_ms <= now_ms);
         let permits = match engine.load_gap_ms {
             0 => usize::MAX,
             _ => usize::from(due),
         };
-        let replicas: Vec<PlanReplica> = replicas;
         let (kept, from_store) = self.keep_promises(&replicas, &models, permits > 0);
         let permits = permits.saturating_sub(from_store);
         let price = self.policy.move_price;
--- a/src/placement/fleet_plan.rs
+++ b/src/placement/fleet_plan.rs
@@ -11,8 +11,11 @@
 
 /// What the absence of a model costs, by its demand.
 const ABSENT_COST: f64 = 4.0;
-/// What the absence of a model costs without any demand, in concurrent requests:
-/// enough to take the room of a further home of a model with little demand.
+/// What the absence of a model costs without any demand, in concurrent requests, where
+/// there is a place for each model: enough to take the room of a further home of a model
+/// with little demand. Where there are fewer places, it is worth free room only: else
+/// models that nobody asks for take all further homes of the busy ones, and on a site with
+/// 35 replicas 10.7% of a calm day's requests were rejected instead of 7.1%.
 const HOME_WORTH: f64 = 2.0;
 /// What the load of a model without a home must bring at most, in concurrent requests.
 const HOME_PRICE: f64 = 0.5;
@@ -72,14 +75,6 @@
     pub for_model: Option<ModelName>,
 }
 
-/// What a model costs with so many homes.
-fn cost(level: f64, homes: usize) -> f64 {
-    match homes {
-        0 => level * ABSENT_COST + HOME_WORTH,
-        homes => level / homes as f64,
-    }
-}
-
 /// How often each model stands in a list.
 fn count<'a>(models: impl Iterator<Item = &'a ModelName>) -> BTreeMap<ModelName, usize> {
     let mut counts = BTreeMap::new();
@@ -97,6 +92,8 @@
     /// Replicas that hold a model now.
     present: BTreeMap<ModelName, usize>,
     price: f64,
+    /// There is a place for each model.
+    all_fit: bool,
 }
 
 /// A move that could be made.
@@ -121,12 +118,14 @@
         .iter()
         .flat_map(|replica| replica.held.iter().chain(&replica.coming));
     let homes = count(known);
+    let all_fit = places(&replicas, models) >= models.len();
     let mut board = Board {
         replicas,
         models,
         homes,
         present,
         price,
+        all_fit,
     };
     let mut left = permits;
     let mut steps = Vec::new();
@@ -141,7 +140,40 @@
     steps
 }
 
+/// How many of the largest models all replicas hold together.
+fn places(replicas: &[PlanReplica], models: &BTreeMap<ModelName, PlanModel>) -> usize {
+    let weight = |model: &ModelName| models.get(model).map_or(0, |model| model.weights_mb);
+    let largest_mb = models.values().map(|model| model.weights_mb).max();
+    let largest_mb = largest_mb.unwrap_or(0).max(1);
+    let rooms = replicas.iter().map(|replica| {
+        let taken: u64 = replica.held.union(&replica.coming).map(weight).sum();
+        (replica.free_mb + taken) / largest_mb
+    });
+    rooms.sum::<u64>() as usize
+}
+
 impl Board<'_> {
+    /// What a model costs with so many homes.
+    fn cost(&self, level: f64, homes: usize) -> f64 {
+        match homes {
+            0 => level * ABSENT_COST + self.home_worth(),
+            homes => level / homes as f64,
+        }
+    }
+
+    /// What the absence of a model costs without any demand: nothing where it could only
+    /// take the place of another.
+    fn home_worth(&self) -> f64 {
+        let largest_mb = self.models.values().map(|model| model.weights_mb).max();
+        let free = |replica: &PlanReplica| {
+            replica.open && replica.free_mb >= largest_mb.unwrap_or(u64::MAX)
+        };
+        match self.all_fit || self.replicas.iter().any(free) {
+            true => HOME_WORTH,
+            false => 0.0,
+        }
+    }
+
     fn homes(&self, model: &ModelName) -> usize {
         self.homes.get(model).copied().unwrap_or(0)
     }
@@ -153,7 +185,7 @@
     fn gain(&self, model: &ModelName) -> f64 {
         let level = self.models.get(model).map_or(0.0, |model| model.level);
         let homes = self.homes(model);
-        cost(level, homes) - cost(level, homes + 1)
+        self.cost(level, homes) - self.cost(level, homes + 1)
     }
 
     /// What a move for a model must bring; less where the model has no home yet, as
@@ -170,7 +202,7 @@
     fn loss(&self, model: &ModelName) -> f64 {
         let level = self.models.get(model).map_or(0.0, |model| model.level);
         let present = self.present(model);
-        cost(level, present.saturating_sub(1)) - cost(level, present.max(1))
+        self.cost(level, present.saturating_sub(1)) - self.cost(level, present.max(1))
     }
 
     /// Demand on a replica, shared with the other homes of its models.
@@ -237,7 +269,8 @@
     }
 
     /// What must go from a replica first to make room, and what that costs. The
-    /// last home of a model goes only for the first one of another.
+    /// last home of a model goes only for the first one of another, or, where there are
+    /// fewer places than models, if nobody asks for it.
     fn room(
         &self,
         replica: &PlanReplica,
@@ -249,7 +282,9 @@
         }
         let weight = |model: &ModelName| self.models.get(model).map_or(0, |m| m.weights_mb);
         let enough = |model: &&ModelName| replica.free_mb + weight(model) >= need_mb;
-        let spare = |model: &&ModelName| first || self.present(model) > 1;
+        let idle = |model: &ModelName| self.models.get(model).is_none_or(|m| m.level <= 0.0);
+        let unasked = |model: &ModelName| !self.all_fit && idle(model);
+        let spare = |model: &&ModelName| first || self.present(model) > 1 || unasked(model);
         let held = replica.held.iter().filter(enough).filter(spare);
         let losses = held.map(|model| (self.loss(model), model));
         let least = losses.min_by(|a, b| a.0.total_cmp(&b.0))?;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -395,6 +395,51 @@
     }
 }
 
+/// Found on a site with a third of the places: nothing but first homes was left of models
+/// that had eight, and none of them could get a second one any more.
+#[test]
+fn where_places_are_short_models_that_nobody_asks_for_give_way() {
+    let models = plan_models(&[("cold", 0.0), ("hot", 30.0), ("lost", 0.0), ("off", 0.0)]);
+    let two_hot = vec![
+        plan_replica("r1", 0, &["hot"]),
+        plan_replica("r2", 0, &["hot"]),
+    ];
+    assert_eq!(plan(two_hot, &models, 1.0, 1), []);
+    let one_hot = vec![
+        plan_replica("r1", 0, &["hot"]),
+        plan_replica("r2", 0, &["cold"]),
+    ];
+    let steps = plan(one_hot, &models, 1.0, 1);
+    assert_eq!(steps.len(), 1);
+    assert_eq!(steps[0].model, ModelName::from("cold"));
+    assert_eq!(steps[0].for_model, Some(ModelName::from("hot")));
+    let asked = plan_models(&[("cold", 1.0), ("hot", 30.0), ("lost", 0.0)]);
+    let both = vec![
+        plan_replica("r1", 0, &["hot"]),
+        plan_replica("r2", 0, &["cold"]),
+    ];
+    assert_eq!(plan(both, &asked, 1.0, 1), []);
+}
+
+#[test]
+fn a_leader_that_has_heard_of_no_demand_orders_nothing_out() {
+    let mut world = World::new(&["a", "b", "c"]);
+    world.beat(&record("r1", 1, &["a", "b"]));
+    world.beat(&record("r2", 2, &["a", "b"]));
+    world.rounds(0, 20_000);
+    assert_eq!(world.orders, []);
+    // Somebody asks for another model: now it may.
+    world.duties.on_report(20_000, busy("a", 1.0));
+    world.rounds(20_000, 21_000);
+    assert_eq!(world.orders[0].kind, OrderKind::Unload);
+    // Without any demand it waits no longer than this.
+    let mut idle = World::new(&["a", "b", "c"]);
+    idle.beat(&record("r1", 1, &["a", "b"]));
+    idle.beat(&record("r2", 2, &["a", "b"]));
+    idle.rounds(0, 31_000);
+    assert_eq!(idle.orders[0].kind, OrderKind::Unload);
+}
+
 fn place(adapter: &str) -> AdapterPlace {
     AdapterPlace {
         replica: ReplicaId::from("r1"),
