--- a/src/consensus/directory.rs
+++ b/src/consensus/directory.rs
@@ -44,6 +44,24 @@
     pub on_disk: BTreeSet<ModelName>,
 }
 
+impl ReplicaRecord {
+    /// What members follow of it: not the copies at hand, which only matter to whoever
+    /// orders loads, and change as often as adapters do.
+    pub fn for_members(&self) -> Self {
+        Self {
+            in_memory: BTreeSet::new(),
+            on_disk: BTreeSet::new(),
+            id: self.id.clone(),
+            service: self.service.clone(),
+            address: self.address,
+            hall: self.hall.clone(),
+            slots: self.slots,
+            phase: self.phase,
+            models: self.models.clone(),
+        }
+    }
+}
+
 /// What a heartbeat changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum BeatNews {
--- a/src/consensus/state.rs
+++ b/src/consensus/state.rs
@@ -1,6 +1,6 @@
 //! The replicated state machine: site, table, claims, members and homes.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
@@ -328,8 +328,19 @@
             return None;
         }
         let start = self.journal.partition_point(|(at, _)| *at <= cursor);
-        let changes = self.journal.iter().skip(start);
-        Some(changes.map(|(_, change)| change.clone()).collect())
+        let changes = self.journal.iter().skip(start).map(|(_, change)| change);
+        // Of a replica only its newest record counts.
+        let mut newest = BTreeSet::new();
+        let mut kept: Vec<Change> = changes
+            .rev()
+            .filter(|change| match change {
+                Change::Replica(id, _) => newest.insert(id),
+                _ => true,
+            })
+            .cloned()
+            .collect();
+        kept.reverse();
+        Some(kept)
     }
 
     /// The last change of what members follow: their positions are measured by it.
@@ -354,7 +365,7 @@
         let configuration = configuration
             .map(|record| Change::Configuration(Box::new(record.configuration.clone())));
         let replicas = self.replicas.records().iter();
-        let replicas = replicas.map(|(id, r)| Change::Replica(id.clone(), Some(r.clone())));
+        let replicas = replicas.map(|(id, r)| Change::Replica(id.clone(), Some(r.for_members())));
         let table = site.chain(rows).chain(members).chain(homes);
         table.chain(configuration).chain(replicas).collect()
     }
@@ -417,17 +428,25 @@
     }
 
     fn apply_replica(&mut self, record: &ReplicaRecord) -> Reply {
+        let before = self.member_record(&record.id);
         if let Some(replaced) = self.replicas.put(record, self.clock_ms) {
             for id in &replaced {
                 self.note_replica(id);
             }
-            self.note_replica(&record.id);
+            if before != self.member_record(&record.id) {
+                self.note_replica(&record.id);
+            }
         }
         Reply::None
     }
 
+    fn member_record(&self, id: &ReplicaId) -> Option<ReplicaRecord> {
+        let record = self.replicas.records().get(id);
+        record.map(ReplicaRecord::for_members)
+    }
+
     fn note_replica(&mut self, id: &ReplicaId) {
-        let record = self.replicas.records().get(id).cloned();
+        let record = self.member_record(id);
         self.note(Change::Replica(id.clone(), record));
     }
 
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -10,7 +10,7 @@
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot};
 
 use crate::clock;
 use crate::consensus::claims::{ClaimKey, ClaimRecord};
@@ -46,6 +46,11 @@
 /// Time between two looks at the platform's list, and two enrolments.
 const POLL: Duration = Duration::from_millis(500);
 
+/// Pages of everything that leave at a time, and how long each counts: after a loss of
+/// power all members ask at once, and each page is a megabyte at thousands of replicas.
+const WHOLE_PAGES: usize = 8;
+/// See [`WHOLE_PAGES`].
+const WHOLE_PAGE_HOLD: Duration = Duration::from_millis(250);
 /// Calls that one peer may have under way.
 const CALLS_A_PEER: usize = 4096;
 
@@ -340,11 +345,28 @@
 }
 
 #[derive(Clone)]
-struct ControlServer(ControlHandle);
+struct ControlServer {
+    handle: ControlHandle,
+    /// Pages from nothing that may be under way.
+    whole_pages: Arc<Semaphore>,
+}
+
+impl ControlServer {
+    /// Waits for its turn with a page that holds everything.
+    async fn await_turn(&self) {
+        let Ok(permit) = self.whole_pages.clone().acquire_owned().await else {
+            return;
+        };
+        tokio::spawn(async move {
+            tokio::time::sleep(WHOLE_PAGE_HOLD).await;
+            drop(permit);
+        });
+    }
+}
 
 impl ControlWire for ControlServer {
     async fn raft(self, _: Context, from: NodeId, host: HostName, message: RaftMessage) {
-        self.0.tell(ControlEvent::Raft(from, host, message));
+        self.handle.tell(ControlEvent::Raft(from, host, message));
     }
 
     async fn enroll(
@@ -353,7 +375,7 @@
         node: NodeId,
         host: HostName,
     ) -> Result<Notice, ControlRefusal> {
-        self.0
+        self.handle
             .ask(|answer| ControlEvent::Enroll(node, host, answer))
             .await
     }
@@ -365,13 +387,16 @@
         wait_ms: u64,
         fresh: bool,
     ) -> Result<SyncPage, ControlRefusal> {
+        if cursor == Position(0) {
+            self.await_turn().await;
+        }
         let event = |answer| ControlEvent::Sync {
             cursor,
             wait_ms,
             fresh,
             answer,
         };
-        self.0.ask(event).await
+        self.handle.ask(event).await
     }
 
     async fn propose(
@@ -379,25 +404,25 @@
         _: Context,
         command: Command,
     ) -> Result<(Position, Reply), ControlRefusal> {
-        self.0
+        self.handle
             .ask(|answer| ControlEvent::Propose(command, answer))
             .await
     }
 
     async fn agent_beat(self, _: Context, beat: AgentBeat) -> Result<AgentOrders, ControlRefusal> {
-        self.0.ask(|answer| ControlEvent::Agent(beat, answer)).await
+        self.handle.ask(|answer| ControlEvent::Agent(beat, answer)).await
     }
 
     async fn entry_beat(self, _: Context, beat: EntryBeat) -> Result<EntryOrders, ControlRefusal> {
-        self.0.ask(|answer| ControlEvent::Entry(beat, answer)).await
+        self.handle.ask(|answer| ControlEvent::Entry(beat, answer)).await
     }
 
     async fn table(self, _: Context) -> Result<TableStatus, ControlRefusal> {
-        self.0.ask(ControlEvent::Table).await
+        self.handle.ask(ControlEvent::Table).await
     }
 
     async fn claim(self, _: Context, key: ClaimKey) -> Result<Option<ClaimRecord>, ControlRefusal> {
-        self.0.ask(|answer| ControlEvent::Claim(key, answer)).await
+        self.handle.ask(|answer| ControlEvent::Claim(key, answer)).await
     }
 
     async fn notice(
@@ -411,40 +436,40 @@
             wait_ms,
             answer,
         };
-        self.0.ask(event).await
+        self.handle.ask(event).await
     }
 
     async fn configuration(
         self,
         _: Context,
     ) -> Result<Option<ConfigurationRecord>, ControlRefusal> {
-        self.0.ask(ControlEvent::Configuration).await
+        self.handle.ask(ControlEvent::Configuration).await
     }
 
     async fn confirm(self, _: Context) -> Result<u64, ControlRefusal> {
-        self.0.ask(ControlEvent::Confirm).await
+        self.handle.ask(ControlEvent::Confirm).await
     }
 
     async fn quota(self, _: Context, ask: QuotaAsk) -> Result<QuotaGrants, ControlRefusal> {
-        self.0.ask(|answer| ControlEvent::Quota(ask, answer)).await
+        self.handle.ask(|answer| ControlEvent::Quota(ask, answer)).await
     }
 
     async fn heard(self, _: Context, ids: Vec<ReplicaId>) -> Result<(), ControlRefusal> {
-        self.0.ask(|answer| ControlEvent::Heard(ids, answer)).await
+        self.handle.ask(|answer| ControlEvent::Heard(ids, answer)).await
     }
 
     async fn report(self, _: Context, report: EntryReport) -> Result<u32, ControlRefusal> {
-        self.0
+        self.handle
             .ask(|answer| ControlEvent::Report(report, answer))
             .await
     }
 
     async fn wish(self, _: Context, wish: AdapterPlace) -> Result<bool, ControlRefusal> {
-        self.0.ask(|answer| ControlEvent::Wish(wish, answer)).await
+        self.handle.ask(|answer| ControlEvent::Wish(wish, answer)).await
     }
 
     async fn compare(self, _: Context, record: ReplicaRecord) -> Result<BeatNews, ControlRefusal> {
-        self.0
+        self.handle
             .ask(|answer| ControlEvent::Compare(Box::new(record), answer))
             .await
     }
@@ -464,14 +489,18 @@
     }
 
     async fn status(self, _: Context) -> ControlStatus {
-        let told = status(&self.0).await;
+        let told = status(&self.handle).await;
         told.unwrap_or_else(|| ControlStatus::without_log(HostName(String::new())))
     }
 }
 
 fn serve(listener: TcpListener, secret: SiteSecret, handle: ControlHandle) {
+    let server = ControlServer {
+        handle,
+        whole_pages: Arc::new(Semaphore::new(WHOLE_PAGES)),
+    };
     let serve = move |transport| {
-        let server = ControlServer(handle.clone());
+        let server = server.clone();
         let channel = BaseChannel::with_defaults(transport).max_concurrent_requests(CALLS_A_PEER);
         tokio::spawn(channel.execute(server.serve()).for_each(|call| async {
             tokio::spawn(call);
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -35,6 +35,10 @@
 const MAX_BATCH: usize = 1024;
 /// Longest wait of a [`ControlEvent::Sync`].
 const MAX_SYNC_WAIT_MS: u64 = 2_000;
+/// Least time between two tellings of changes to members, in milliseconds. A change that
+/// comes alone is told at once; where replicas change hundreds of times a second, a member
+/// asks and pulls ten times a second rather than each time.
+const NEWS_GAP_MS: u64 = 100;
 /// Silence after which an even set of voters sheds one, in milliseconds.
 const SHED_MS: u64 = 3_000;
 /// Pause before a full disk is tried again.
@@ -228,6 +232,8 @@
     orders: Option<mpsc::UnboundedSender<EngineOrder>>,
     awaiting: BTreeMap<Position, (Term, Answer<(Position, Reply)>)>,
     waiters: Vec<SyncWaiter>,
+    /// When members were last told of a change.
+    told_ms: u64,
     hosts: BTreeMap<NodeId, HostName>,
     /// Hosts that this leader has proposed to note.
     noted: BTreeSet<(NodeId, HostName)>,
@@ -267,6 +273,7 @@
             orders: None,
             awaiting: BTreeMap::new(),
             waiters: Vec::new(),
+            told_ms: 0,
             hosts,
             noted: BTreeSet::new(),
             outbox: PeerOutbox::default(),
@@ -740,10 +747,16 @@
     }
 
     fn answer_waiters(&mut self, now_ms: u64) {
-        let state = self.replica.state();
-        let due =
-            |waiter: &mut SyncWaiter| state.changed() > waiter.cursor || waiter.until_ms <= now_ms;
+        let changed = self.replica.state().changed();
+        let tells = now_ms >= self.told_ms + NEWS_GAP_MS;
+        let has_news = |waiter: &SyncWaiter| changed > waiter.cursor;
+        let due = |waiter: &mut SyncWaiter| {
+            waiter.until_ms <= now_ms || (tells && has_news(waiter))
+        };
         let due: Vec<SyncWaiter> = self.waiters.extract_if(.., due).collect();
+        if due.iter().any(has_news) {
+            self.told_ms = now_ms;
+        }
         for waiter in due {
             match waiter.answer {
                 WaiterAnswer::Page(answer) => {
--- a/src/process/follow.rs
+++ b/src/process/follow.rs
@@ -22,10 +22,12 @@
 const NOTICE_WAIT_MS: u64 = 1_000;
 /// Time for a call that waits [`NOTICE_WAIT_MS`].
 const NOTICE_TIME: Duration = Duration::from_millis(1_600);
-/// Time for one pull.
-const PULL_TIME: Duration = Duration::from_millis(800);
-/// Pause after another task's pull, before this host is pulled from as well.
-const PULL_PAUSE: Duration = Duration::from_millis(60);
+/// Time for one pull: all of thousands of replicas takes a second over a link of 10 Mbit/s,
+/// and others may be served first. Other hosts are pulled from meanwhile.
+const PULL_TIME: Duration = Duration::from_millis(4_000);
+/// Pause after another task's pull, before this host is pulled from as well; it is longer
+/// where all is pulled: five copies at once would take five times as long.
+const PULL_PAUSE: [Duration; 2] = [Duration::from_millis(60), Duration::from_millis(1_500)];
 /// Pause after a host that did not answer; it doubles while others answer.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest such pause.
@@ -43,6 +45,7 @@
     fresh_ms: AtomicU64,
     proofs: Mutex<ProofBook>,
     changed: Notify,
+    pulled: Notify,
     proven: Notify,
 }
 
@@ -57,6 +60,7 @@
             fresh_ms: AtomicU64::new(0),
             proofs: Mutex::default(),
             changed: Notify::new(),
+            pulled: Notify::new(),
             proven: Notify::new(),
         }
     }
@@ -123,7 +127,8 @@
 
     async fn catch_up(&self, address: &str, target: Position) {
         if self.pulling.swap(true, Ordering::SeqCst) {
-            tokio::time::sleep(PULL_PAUSE).await;
+            let whole = usize::from(self.position() == Position(0));
+            let _ = tokio::time::timeout(PULL_PAUSE[whole], self.pulled.notified()).await;
         }
         if self.position() >= target {
             return;
@@ -138,6 +143,7 @@
             })
             .await;
         self.pulling.store(false, Ordering::SeqCst);
+        self.pulled.notify_waiters();
         if let Ok(Ok(page)) = pulled
             && self.view().follow(&page)
         {
