Members pull from a host of their own hall, a busy host sends askers on, lines on replicas bounded

Cause: after all hosts were killed, askers of whole pages queued at the host that was up first, past their own time; entries pulled from any hall; an entry that starts wrote a line for each of thousands of replicas. Change as said.

--- a/src/control/relay.rs
+++ b/src/control/relay.rs
@@ -20,7 +20,7 @@
 use crate::consensus::raft::RaftMessage;
 use crate::consensus::state::{Command, Reply};
 use crate::control::founding::{self, KnownFounders};
-use crate::ids::{HostName, NodeId, Position, ReplicaId};
+use crate::ids::{HallName, HostName, NodeId, Position, ReplicaId};
 use crate::placement::duties::{AgentBeat, EntryBeat};
 use crate::placement::order::AdapterPlace;
 use crate::placement::report::EntryReport;
@@ -78,6 +78,7 @@
         let link = Arc::new(ControlLink::new(secret.clone(), Vec::new()));
         let hosts = Arc::new(HostBook {
             own: settings.host.clone(),
+            hall: settings.hall.clone(),
             link,
             fresh_ms: AtomicU64::new(0),
         });
@@ -140,6 +141,7 @@
 /// The control hosts that a relay knows, and how fresh their word of a leader is.
 struct HostBook {
     own: HostName,
+    hall: HallName,
     link: Arc<ControlLink>,
     /// When a leader was last known to lead, by this host's steady clock.
     fresh_ms: AtomicU64,
@@ -217,6 +219,7 @@
         let others = known.chain(enrolled);
         let hosts: BTreeSet<HostName> = others.collect();
         Notice {
+            hall: self.hosts.hall.clone(),
             position: Position(0),
             leaderless_ms: clock::monotonic_ms(),
             hosts: hosts.into_iter().collect(),
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -48,9 +48,11 @@
 
 /// Pages of everything that leave at a time, and how long each counts: after a loss of
 /// power all members ask at once, and each page is a megabyte at thousands of replicas.
-const WHOLE_PAGES: usize = 8;
+const WHOLE_PAGES: usize = 24;
 /// See [`WHOLE_PAGES`].
-const WHOLE_PAGE_HOLD: Duration = Duration::from_millis(250);
+const WHOLE_PAGE_HOLD: Duration = Duration::from_millis(200);
+/// Longest wait for a turn; then another host may have room.
+const WHOLE_PAGE_WAIT: Duration = Duration::from_millis(300);
 /// Calls that one peer may have under way.
 const CALLS_A_PEER: usize = 4096;
 
@@ -353,14 +355,16 @@
 
 impl ControlServer {
     /// Waits for its turn with a page that holds everything.
-    async fn await_turn(&self) {
-        let Ok(permit) = self.whole_pages.clone().acquire_owned().await else {
-            return;
+    async fn await_turn(&self) -> Result<(), ControlRefusal> {
+        let turn = self.whole_pages.clone().acquire_owned();
+        let Ok(Ok(permit)) = tokio::time::timeout(WHOLE_PAGE_WAIT, turn).await else {
+            return Err(ControlRefusal::Busy);
         };
         tokio::spawn(async move {
             tokio::time::sleep(WHOLE_PAGE_HOLD).await;
             drop(permit);
         });
+        Ok(())
     }
 }
 
@@ -388,7 +392,7 @@
         fresh: bool,
     ) -> Result<SyncPage, ControlRefusal> {
         if cursor == Position(0) {
-            self.await_turn().await;
+            self.await_turn().await?;
         }
         let event = |answer| ControlEvent::Sync {
             cursor,
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -776,6 +776,7 @@
         let leader = self.replica.raft().leader();
         hosts.extend(leader.and_then(|node| self.hosts.get(&node)).cloned());
         Notice {
+            hall: self.settings.common.hall.clone(),
             position: state.changed(),
             leaderless_ms: self.replica.raft().leaderless_ms(now_ms),
             hosts: hosts.into_iter().collect(),
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -14,6 +14,7 @@
 use tokio::sync::Notify;
 
 use crate::clock;
+use crate::consensus::directory::ReplicaRecord;
 use crate::forward::book::{ChoicePolicy, EjectNews, Need, ReplicaBook};
 use crate::forward::budget::{ResendBudget, ResendPolicy};
 use crate::forward::client;
@@ -46,6 +47,9 @@
 const QUOTA_PAUSE: Duration = Duration::from_millis(10);
 /// Time between two looks whether a configuration that was proven has come.
 const AUTHORITY_LOOK: Duration = Duration::from_millis(50);
+/// Most lines on replicas, each way, for one step of the copy: an entry that has just started
+/// learns of thousands at once.
+const MAX_REPLICA_LINES: usize = 32;
 /// Time between two looks at idle connections.
 const PRUNE_EVERY: Duration = Duration::from_millis(500);
 /// Time between two looks at whether a stopping entry is done.
@@ -501,20 +505,27 @@
     fn log_replicas(&self, view: &SiteView) {
         let book = self.book.borrow();
         let position = view.position;
-        for (id, record) in &view.replicas {
+        let is_new = |(id, record): &(&ReplicaId, &ReplicaRecord)| {
             let known = book.record(id);
             let same = known.is_some_and(|known| {
                 known.phase == record.phase && known.models.keys().eq(record.models.keys())
             });
-            if !same {
-                let models: Vec<&str> = record.models.keys().map(ModelName::as_str).collect();
-                let models = models.join(",");
-                tracing::info!(replica = %id, phase = ?record.phase, models, %position, "replica known");
-            }
+            !same
+        };
+        let mut known = view.replicas.iter().filter(is_new);
+        for (id, record) in known.by_ref().take(MAX_REPLICA_LINES) {
+            let models: Vec<&str> = record.models.keys().map(ModelName::as_str).collect();
+            let models = models.join(",");
+            tracing::info!(replica = %id, phase = ?record.phase, models, %position, "replica known");
         }
-        for id in book.ids().filter(|id| !view.replicas.contains_key(*id)) {
+        let mut gone = book.ids().filter(|id| !view.replicas.contains_key(*id));
+        for id in gone.by_ref().take(MAX_REPLICA_LINES) {
             tracing::info!(replica = %id, %position, "replica gone");
         }
+        let (more_known, more_gone) = (known.count(), gone.count());
+        if more_known + more_gone > 0 {
+            tracing::info!(more_known, more_gone, %position, "more replicas known or gone");
+        }
     }
 
     fn look_ready(&self) {
@@ -570,7 +581,7 @@
         let address = daemon::address_of("clients", &listener)?;
         let control: Vec<String> = settings.control.iter().map(ToString::to_string).collect();
         let link = Arc::new(ControlLink::new(secret, control.clone()));
-        let follower = Arc::new(ControlFollower::new(link));
+        let follower = Arc::new(ControlFollower::new(link, settings.hall.clone()));
         let life = EntryLife {
             host: settings.host.clone(),
             life: rand::rng().random(),
--- a/src/process/follow.rs
+++ b/src/process/follow.rs
@@ -12,7 +12,7 @@
 use tokio::sync::Notify;
 
 use crate::clock;
-use crate::ids::Position;
+use crate::ids::{HallName, Position};
 use crate::process::peers::{self, ControlLink, PeerError};
 use crate::process::wire::{ControlRefusal, Notice};
 use crate::routing::authority::ProofBook;
@@ -28,6 +28,9 @@
 /// Pause after another task's pull, before this host is pulled from as well; it is longer
 /// where all is pulled: five copies at once would take five times as long.
 const PULL_PAUSE: [Duration; 2] = [Duration::from_millis(60), Duration::from_millis(1_500)];
+/// How long a host of the same hall that was heard is waited for with what others tell of,
+/// in milliseconds: bytes between halls are dear, and each host answers once a second.
+const NEAR_MS: u64 = 1_500;
 /// Pause after a host that did not answer; it doubles while others answer.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest such pause.
@@ -39,6 +42,9 @@
 /// The copy, shared by a process's tasks.
 pub struct ControlFollower {
     link: Arc<ControlLink>,
+    hall: HallName,
+    /// When a control host of the same hall was last heard that has news.
+    near_ms: AtomicU64,
     view: Mutex<SiteView>,
     watched: Mutex<BTreeSet<String>>,
     pulling: AtomicBool,
@@ -50,10 +56,12 @@
 }
 
 impl ControlFollower {
-    /// A copy of nothing.
-    pub fn new(link: Arc<ControlLink>) -> Self {
+    /// A copy of nothing, for a member in that hall.
+    pub fn new(link: Arc<ControlLink>, hall: HallName) -> Self {
         Self {
             link,
+            hall,
+            near_ms: AtomicU64::new(0),
             view: Mutex::new(SiteView::default()),
             watched: Mutex::new(BTreeSet::new()),
             pulling: AtomicBool::new(false),
@@ -117,6 +125,10 @@
         for host in &notice.hosts {
             self.watch(host.as_str());
         }
+        if notice.hall == self.hall && notice.position >= self.position() {
+            let now_ms = clock::monotonic_ms();
+            self.near_ms.fetch_max(now_ms, Ordering::SeqCst);
+        }
         let fresh_ms = asked_ms.saturating_sub(notice.leaderless_ms);
         self.fresh_ms.fetch_max(fresh_ms, Ordering::SeqCst);
         if let Some(proof) = notice.proof {
@@ -125,7 +137,16 @@
         }
     }
 
-    async fn catch_up(&self, address: &str, target: Position) {
+    /// Whether a host of the same hall may be left to bring what another one tells of.
+    fn leaves_to_near(&self, hall: &HallName) -> bool {
+        let near_ms = self.near_ms.load(Ordering::SeqCst);
+        *hall != self.hall && clock::monotonic_ms() < near_ms + NEAR_MS
+    }
+
+    async fn catch_up(&self, address: &str, hall: &HallName, target: Position) {
+        if self.leaves_to_near(hall) {
+            tokio::time::sleep(PULL_PAUSE[0]).await;
+        }
         if self.pulling.swap(true, Ordering::SeqCst) {
             let whole = usize::from(self.position() == Position(0));
             let _ = tokio::time::timeout(PULL_PAUSE[whole], self.pulled.notified()).await;
@@ -169,7 +190,9 @@
                 pause = FIRST_PAUSE;
                 follower.heard(&notice, asked_ms);
                 if notice.position > cursor {
-                    follower.catch_up(&address, notice.position).await;
+                    follower
+                        .catch_up(&address, &notice.hall, notice.position)
+                        .await;
                 }
             }
             _ => {
--- a/src/process/wire.rs
+++ b/src/process/wire.rs
@@ -9,7 +9,9 @@
 use crate::consensus::directory::{BeatNews, ReplicaRecord};
 use crate::consensus::raft::RaftMessage;
 use crate::consensus::state::{Command, Reply, SiteState};
-use crate::ids::{AttemptId, HostName, Incarnation, NodeId, Position, ReplicaId, RowId, Term};
+use crate::ids::{
+    AttemptId, HallName, HostName, Incarnation, NodeId, Position, ReplicaId, RowId, Term,
+};
 use crate::placement::duties::{AgentBeat, EntryBeat};
 use crate::placement::order::AdapterPlace;
 use crate::placement::report::EntryReport;
@@ -31,6 +33,8 @@
     NoQuorum,
     /// The process stops.
     Stopping,
+    /// It serves as many as it can: another one may have room.
+    Busy,
 }
 
 /// The answer to an agent's beat.
@@ -124,6 +128,8 @@
 /// How far a control host has come, without the changes themselves.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Notice {
+    /// The data hall of this host.
+    pub hall: HallName,
     /// The last change of what members follow.
     pub position: Position,
     /// How long this host has not heard from a leader, in milliseconds.
