An order leaves only while its leader decides

The order's task looked at nothing between the decision and its calls, four tries of 0.8 s included.

Change: each order asks the voter, once its connection is open, whether its term still decides; if not, nothing is sent. Ruled out: the successor's wait (3,000 ms from its start, kept).

--- a/src/control/orderer.rs
+++ b/src/control/orderer.rs
@@ -3,6 +3,9 @@
 //! Every order names the count of orders that the engine must have taken so far.
 //! So an order without an answer can be sent again, and takes effect once at
 //! most, however late either of them is carried out.
+//!
+//! Each leaves only while its leader still decides, looked at once the connection is
+//! open: a leader that stood still, or was cut off, would send it beside the next one's.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -10,12 +13,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use snafu::Snafu;
 use tokio::sync::{Mutex, mpsc};
 
 use crate::control::voter::{ControlEvent, ControlHandle};
 use crate::forward::head;
 use crate::forward::upstream::{Connection, Exchange, ExchangeError, Outgoing};
-use crate::ids::ReplicaId;
+use crate::ids::{ReplicaId, Term};
 use crate::placement::order::{EngineOrder, OrderOutcome};
 use crate::process::daemon;
 
@@ -86,7 +90,7 @@
         let handle = handle.clone();
         daemon::spawn_local(async move {
             let mut count = count.lock().await;
-            let outcome = carry_out(&order, &mut count, &dialect).await;
+            let outcome = carry_out(&order, &mut count, &handle, &dialect).await;
             tracing::info!(
                 replica = %order.replica, kind = ?order.kind, model = %order.model,
                 adapter = order.adapter, term = %order.fence, count = *count, ?outcome, "order"
@@ -103,6 +107,7 @@
 async fn carry_out(
     order: &EngineOrder,
     count: &mut Option<u64>,
+    handle: &ControlHandle,
     dialect: &EngineDialect,
 ) -> OrderOutcome {
     let mut outcome = OrderOutcome::Unknown;
@@ -121,8 +126,12 @@
             },
         };
         let call = (dialect.order)(order, expected);
-        outcome = match exchange(order.address, &call).await {
+        outcome = match exchange(order.address, &call, Some((handle, order.fence))).await {
             Ok((status, _)) => (dialect.outcome)(status),
+            Err(CallError::Deposed) => {
+                tracing::info!(replica = %order.replica, term = %order.fence, "an order was held back: its leader decides no more");
+                return OrderOutcome::Unknown;
+            }
             Err(error) => {
                 tracing::warn!(%error, replica = %order.replica, "an order got no answer");
                 OrderOutcome::Unknown
@@ -154,24 +163,47 @@
 
 async fn ask_report(order: &EngineOrder, dialect: &EngineDialect) -> Option<EngineReport> {
     let call = (dialect.report)(&order.replica);
-    match exchange(order.address, &call).await {
+    match exchange(order.address, &call, None).await {
         Ok((200, body)) => (dialect.read_report)(&body),
         _ => None,
     }
 }
 
-/// One call on a connection of its own.
-async fn exchange(address: SocketAddr, call: &EngineCall) -> Result<(u16, Vec<u8>), ExchangeError> {
-    let late = || ExchangeError::Closed { peer: address };
-    let called = tokio::time::timeout(CALL_TIME, exchange_in_time(address, call)).await;
-    called.map_err(|_| late())?
+/// Why a call brought no answer.
+#[derive(Debug, Snafu)]
+enum CallError {
+    /// The connection failed, or the time was over.
+    #[snafu(display("{source}"), context(false))]
+    Exchange {
+        /// Why, and the peer.
+        source: ExchangeError,
+    },
+    /// Nothing was sent: the leader decides no more.
+    #[snafu(display("the leader decides no more"))]
+    Deposed,
+}
+
+/// One call on a connection of its own; with a leader's term, only while it decides.
+async fn exchange(
+    address: SocketAddr,
+    call: &EngineCall,
+    leader: Option<(&ControlHandle, Term)>,
+) -> Result<(u16, Vec<u8>), CallError> {
+    let late = |_| ExchangeError::Closed { peer: address };
+    let called = tokio::time::timeout(CALL_TIME, exchange_in_time(address, call, leader)).await;
+    called.map_err(late)?
 }
 
 async fn exchange_in_time(
     address: SocketAddr,
     call: &EngineCall,
-) -> Result<(u16, Vec<u8>), ExchangeError> {
+    leader: Option<(&ControlHandle, Term)>,
+) -> Result<(u16, Vec<u8>), CallError> {
     let connection = Connection::open(address, CONNECT_TIME).await?;
+    if let Some((handle, term)) = leader {
+        let may = handle.ask(|answer| ControlEvent::MayOrder(term, answer));
+        may.await.map_err(|_| CallError::Deposed)?;
+    }
     let mut text = format!("{} {} HTTP/1.1\r\n", call.method, call.path);
     head::push_header(&mut text, "Host", &address.to_string());
     head::push_header(&mut text, "Connection", "close");
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -107,6 +107,8 @@
     Report(EntryReport, Answer<u32>),
     /// An entry's wish; for the leader.
     Wish(AdapterPlace, Answer<bool>),
+    /// Whether an order of that term may leave now.
+    MayOrder(Term, Answer<()>),
     /// An engine's answer to an order of this leader.
     Ordered(EngineOrder, OrderOutcome),
     /// Compares a replica's heartbeat with what is committed here.
@@ -403,6 +405,14 @@
             ControlEvent::Wish(wish, answer) => {
                 let _ = answer.send(self.on_wish(now_ms, &wish));
             }
+            ControlEvent::MayOrder(term, answer) => {
+                let decides = self.replica.newest(now_ms).is_some();
+                let may = decides && term == self.replica.term() && self.stopping.is_none();
+                let _ = answer.send(match may {
+                    true => Ok(()),
+                    false => Err(self.not_leader()),
+                });
+            }
             ControlEvent::Ordered(order, outcome) => self.on_ordered(now_ms, &order, outcome),
             ControlEvent::Compare(record, answer) => {
                 let state = self.replica.state();
