--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -11,8 +11,8 @@
 mutant() { # name files perl-expression test-target test-name
     local name=$1 file=$2 change=$3 target=$4 test=$5
     [ ${#only[@]} -eq 0 ] || [[ " ${only[*]} " == *" $name "* ]] || return 0
-    rm -rf "$scratch/src" "$scratch/tests"
-    cp -r Cargo.toml Cargo.lock src tests "$scratch/"
+    rm -rf "$scratch/src" "$scratch/tests" "$scratch/platform"
+    cp -r Cargo.toml Cargo.lock src tests platform "$scratch/"
     [ -d benches ] && cp -r benches "$scratch/"
     (cd "$scratch" && perl -0pi -e "$change" $file)
     if diff -rq src "$scratch/src" >/dev/null && diff -rq tests "$scratch/tests" >/dev/null; then
@@ -84,3 +84,13 @@
 mutant entry-never-stale src/entry/shell.rs 's/confirmed \+ self\.settings\.stale_ms < clock::monotonic_ms\(\)/false \&\& confirmed + self.settings.stale_ms < clock::monotonic_ms()/' failures an_entry_that_is_cut_off
 mutant leaving-target-takes-work 'src/admission/gate.rs src/routing/view.rs' 's/_ if self\.leaving => Some\(RefuseCause::Leaving\),/_ if false \&\& self.leaving => Some(RefuseCause::Leaving),/; s/!member\.leaving\)/!member.leaving || true)/' failures a_leaving_target_gets_no_new_work
 mutant silence-of-a-freeze-is-loss src/placement/duties.rs 's/self\.decided_ms \+ self\.policy\.loss_ms \/ 2 < now_ms/false \&\& self.decided_ms < now_ms/' duties a_leader_that_was_frozen
+sum=the_sum_holds_whatever_happens_to_entries_and_leaders
+mutant drawn-quota-not-counted src/table/quota.rs 's/\(depth - self\.outstanding\(\) as f64\)\.max\(0\.0\)/depth/' quota $sum
+mutant quota-never-lapses src/table/quota.rs 's/if now_ms >= self\.until_ms \{/if now_ms == u64::MAX {/' quota what_is_held_lapses_and_what_did_not_run_is_given_back
+mutant doubled-ask-draws-twice src/table/quota.rs 's/let known = ask\.number <= newest\.0;/let known = false;/' quota a_doubled_ask_draws_once_and_a_late_answer_is_dropped
+mutant proof-without-age src/routing/authority.rs 's/asked_ms\.saturating_sub\(proof\.age_ms\)/asked_ms/' accounts a_proof_counts_for_whoever_holds_its_version
+mutant keys-obeyed-without-word src/forward/daemon.rs 's/age_ms < self\.settings\.authority_ms/age_ms < u64::MAX/' forwarding where_nothing_newer_can_be_heard_no_key_is_obeyed_for_long
+mutant key-passed-on src/forward/request.rs 's/drop\.extend\(\[names\.key, names\.account\]\);//' forwarding a_key_stays_here_and_its_account_goes_on
+mutant order-without-its-leader src/control/orderer.rs 's/may\.await\.map_err\(\|_\| CallError::Deposed\)\?;/let _ = may.await;/' orderer an_order_leaves_only_while_its_leader_decides
+mutant snapshot-with-each-heartbeat src/consensus/raft.rs 's/progress\.installing_ms = now_ms \+ INSTALL_MS;/progress.installing_ms = 0;/' raft a_snapshot_is_sent_once_until_it_may_be_lost
+mutant no-entries-before-the-snapshot src/consensus/raft.rs 's/self\.past\.extend\(self\.entries\.drain\(\.\.kept\)\);/self.entries.drain(..kept);/' raft a_follower_that_lags_across_a_compaction_is_sent_entries
