--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -84,8 +84,7 @@
 mutant entry-never-stale src/entry/shell.rs 's/confirmed \+ self\.settings\.stale_ms < clock::monotonic_ms\(\)/false \&\& confirmed + self.settings.stale_ms < clock::monotonic_ms()/' failures an_entry_that_is_cut_off
 mutant leaving-target-takes-work 'src/admission/gate.rs src/routing/view.rs' 's/_ if self\.leaving => Some\(RefuseCause::Leaving\),/_ if false \&\& self.leaving => Some(RefuseCause::Leaving),/; s/!member\.leaving\)/!member.leaving || true)/' failures a_leaving_target_gets_no_new_work
 mutant silence-of-a-freeze-is-loss src/placement/duties.rs 's/self\.decided_ms \+ self\.policy\.loss_ms \/ 2 < now_ms/false \&\& self.decided_ms < now_ms/' duties a_leader_that_was_frozen
-sum=the_sum_holds_whatever_happens_to_entries_and_leaders
-mutant drawn-quota-not-counted src/table/quota.rs 's/\(depth - self\.outstanding\(\) as f64\)\.max\(0\.0\)/depth/' quota $sum
+mutant drawn-quota-not-counted src/table/quota.rs 's/\(depth - self\.outstanding\(\) as f64\)\.max\(0\.0\)/depth/' quota what_entries_hold_is_a_part_of_the_bucket
 mutant quota-never-lapses src/table/quota.rs 's/if now_ms >= self\.until_ms \{/if now_ms == u64::MAX {/' quota what_is_held_lapses_and_what_did_not_run_is_given_back
 mutant doubled-ask-draws-twice src/table/quota.rs 's/let known = ask\.number <= newest\.0;/let known = false;/' quota a_doubled_ask_draws_once_and_a_late_answer_is_dropped
 mutant proof-without-age src/routing/authority.rs 's/asked_ms\.saturating_sub\(proof\.age_ms\)/asked_ms/' accounts a_proof_counts_for_whoever_holds_its_version
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -3,10 +3,12 @@
 
 mod support_quota;
 
+use std::collections::BTreeMap;
+
 use dunlinspring::ids::{AccountName, HostName};
 use dunlinspring::table::accounts::QuotaSpec;
 use dunlinspring::table::quota::{
-    EntryLife, LEASE_MS, QuotaCharge, QuotaGrantor, QuotaGrants, QuotaHolder,
+    EntryLife, LEASE_MS, QuotaAsk, QuotaCharge, QuotaClaim, QuotaGrantor, QuotaGrants, QuotaHolder,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -209,3 +211,35 @@
     holder.refund(woken_ms, &account, 300);
     assert_eq!(holder.charge(woken_ms, &account, 300), QuotaCharge::Ask);
 }
+
+#[test]
+fn what_entries_hold_is_a_part_of_the_bucket() {
+    let account = AccountName::from(ACCOUNT);
+    let quota = SiteShape::large().quota();
+    let mut leader = grantor(quota);
+    let mut ask = |now_ms: u64, entry: u64, claim: QuotaClaim| {
+        let claims = BTreeMap::from([(account.clone(), claim)]);
+        let ask = QuotaAsk {
+            entry: life(entry),
+            number: now_ms,
+            told: true,
+            claims,
+        };
+        drawn(&leader.grant(now_ms, &ask))
+    };
+    let ahead = QuotaClaim {
+        ahead: 150_000,
+        ..QuotaClaim::default()
+    };
+    assert_eq!(ask(10_000, 1, ahead), 150_000);
+    // Long enough for an empty bucket to fill: the part that the first one holds stays out.
+    let all = QuotaClaim {
+        least: 1,
+        needed: 200_000,
+        ..QuotaClaim::default()
+    };
+    assert_eq!(ask(12_000, 2, all), 50_000);
+    // Once the first one's lease is over, what it held counts as spent.
+    let lapsed_ms = 10_000 + LEASE_MS;
+    assert_eq!(ask(lapsed_ms, 3, all), 150_000);
+}
