One look-up of a key's holder; a change of a replica copies its record once less

Cause, from reading the change once more: the holder of a key was looked up in two ways, a method of the entry only passed a setting on, an applied heartbeat copied the told record a third time to note it, and two pauses stood in one array by number. Ruled out: one digest type for the older table's operators as well, which compares hex text of settings.

Change: holder() serves identify and recheck; wait_for_room is called with the setting; the record that was compared is the one noted; PULL_PAUSE and WHOLE_PULL_PAUSE. Behaviour, tests and bounds as they were.

--- a/src/consensus/state.rs
+++ b/src/consensus/state.rs
@@ -433,8 +433,9 @@
             for id in &replaced {
                 self.note_replica(id);
             }
-            if before != self.member_record(&record.id) {
-                self.note_replica(&record.id);
+            let after = self.member_record(&record.id);
+            if before != after {
+                self.note(Change::Replica(record.id.clone(), after));
             }
         }
         Reply::None
--- a/src/forward/caller.rs
+++ b/src/forward/caller.rs
@@ -93,14 +93,11 @@
     headers: &[Header],
     patience: Duration,
 ) -> Result<Option<CallerIdentity>, CallerRefusal> {
-    let Some(accounts) = &routing.configuration.accounts else {
+    if routing.configuration.accounts.is_none() {
         return Ok(None);
-    };
+    }
     let key = shown_key(headers, core.names.key);
-    let known = key.and_then(|key| {
-        let number = routing.keys.find(&key)?;
-        Some(CallerIdentity::new(key, &accounts.accounts[number]))
-    });
+    let known = key.and_then(|key| holder(routing, &key));
     match (known, key) {
         (None, _) if route.public => Ok(None),
         (None, None) => Err(CallerRefusal::Key),
@@ -128,10 +125,15 @@
     }
 }
 
+/// Who holds a key by the newest configuration that is known here.
 fn recheck(core: &EntryCore, key: &KeyDigest) -> Result<CallerIdentity, CallerRefusal> {
     let routing = core.routing().ok_or(CallerRefusal::Stale)?;
-    let accounts = routing.configuration.accounts.as_ref();
-    let held = accounts.and_then(|accounts| accounts.accounts.get(routing.keys.find(key)?));
-    let identity = held.map(|account| CallerIdentity::new(*key, account));
-    identity.ok_or(CallerRefusal::Key)
+    holder(&routing, key).ok_or(CallerRefusal::Key)
+}
+
+/// Who holds a key by one configuration.
+fn holder(routing: &Routing, key: &KeyDigest) -> Option<CallerIdentity> {
+    let book = routing.configuration.accounts.as_ref()?;
+    let account = book.accounts.get(routing.keys.find(key)?)?;
+    Some(CallerIdentity::new(*key, account))
 }
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -19,7 +19,6 @@
 use crate::forward::budget::{ResendBudget, ResendPolicy};
 use crate::forward::client;
 use crate::forward::dialect::HeaderNames;
-use crate::forward::patience;
 use crate::forward::request_log::LineBudget;
 use crate::forward::upstream::ConnectionPool;
 use crate::ids::{AccountName, HallName, HostName, ModelName, ReplicaId};
@@ -369,11 +368,6 @@
         &self.settings.choice
     }
 
-    /// How long a request with that aim waits for room.
-    pub fn wait_for_room(&self, aim: Duration) -> Duration {
-        patience::wait_for_room(aim, self.settings.choice.room_part)
-    }
-
     /// Time to open a connection to a replica.
     pub fn connect_time(&self) -> Duration {
         Duration::from_millis(self.settings.connect_ms)
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -543,7 +543,10 @@
                     self.core.wish(&replica, &self.need);
                     (Refusal::Adapter, self.aim().min(self.left() / 2))
                 }
-                Choice::Full => (Refusal::Full, self.core.wait_for_room(self.aim())),
+                Choice::Full => (
+                    Refusal::Full,
+                    patience::wait_for_room(self.aim(), self.core.choice().room_part),
+                ),
                 Choice::Absent => {
                     let wait = patience::wait_for_load(self.load_time(), waited, self.left());
                     (Refusal::Absent, wait)
--- a/src/process/follow.rs
+++ b/src/process/follow.rs
@@ -25,9 +25,10 @@
 /// Time for one pull: all of thousands of replicas takes a second over a link of 10 Mbit/s,
 /// and others may be served first. Other hosts are pulled from meanwhile.
 const PULL_TIME: Duration = Duration::from_millis(4_000);
-/// Pause after another task's pull, before this host is pulled from as well; it is longer
-/// where all is pulled: five copies at once would take five times as long.
-const PULL_PAUSE: [Duration; 2] = [Duration::from_millis(60), Duration::from_millis(1_500)];
+/// Pause after another task's pull, before this host is pulled from as well.
+const PULL_PAUSE: Duration = Duration::from_millis(60);
+/// The same pause where all is pulled: five copies at once would take five times as long.
+const WHOLE_PULL_PAUSE: Duration = Duration::from_millis(1_500);
 /// How long a host of the same hall that was heard is waited for with what others tell of,
 /// in milliseconds: bytes between halls are dear, and each host answers once a second.
 const NEAR_MS: u64 = 1_500;
@@ -144,11 +145,14 @@
 
     async fn catch_up(&self, address: &str, hall: &HallName, target: Position) {
         if self.leaves_to_near(hall) {
-            tokio::time::sleep(PULL_PAUSE[0]).await;
+            tokio::time::sleep(PULL_PAUSE).await;
         }
-        let whole = usize::from(self.position() == Position(0));
+        let pause = match self.position() {
+            Position(0) => WHOLE_PULL_PAUSE,
+            _ => PULL_PAUSE,
+        };
         // One at a time, but for one that takes too long.
-        let _turn = tokio::time::timeout(PULL_PAUSE[whole], self.turn.lock()).await;
+        let _turn = tokio::time::timeout(pause, self.turn.lock()).await;
         if self.position() >= target {
             return;
         }
