A leader that is its own quorum commits what a heartbeat sends first

Cause: a proposal commits in flush, where something new is to be told. Where a heartbeat was due in the same turn, the heartbeat had told it already, and flush passed over it. With other voters their answers commit it; a leader alone waited until the next proposal, and the caller got NoQuorum after 900 ms. On a slow disk each turn takes longer than a heartbeat, and nothing ever commits.

Ruled out: load alone.

Change: a heartbeat looks for what may commit, as flush does.

Both new tests fail without the change.

--- a/src/consensus/raft.rs
+++ b/src/consensus/raft.rs
@@ -392,6 +392,8 @@
             Role::Leader => {
                 if now_ms >= self.heartbeat_due_ms {
                     self.replicate(now_ms);
+                    // No answer will commit what was proposed to a leader that is alone.
+                    self.advance_commit();
                 }
                 self.step_down_if_alone(now_ms);
             }
--- a/tests/full_disk.rs
+++ b/tests/full_disk.rs
@@ -1,10 +1,11 @@
-//! A voter whose disk is full for a while.
+//! A voter whose disk is full for a while, or slow.
 
 use std::io::ErrorKind;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread::{self, JoinHandle};
+use std::time::Duration;
 
 use dunlinspring::consensus::raft::RaftTiming;
 use dunlinspring::consensus::state::{Command, ConfigureAnswer, Reply};
@@ -74,6 +75,13 @@
     thread: JoinHandle<Result<(), JournalError>>,
 }
 
+fn start(voter: ControlLoop) -> RunningVoter {
+    let (events, inbox) = std::sync::mpsc::channel();
+    let handle = ControlHandle(events);
+    let thread = thread::spawn(move || voter.run(inbox));
+    RunningVoter { handle, thread }
+}
+
 /// Found on the users' platform: a full disk ended the process, which was started
 /// again and ended again.
 #[tokio::test]
@@ -91,10 +99,7 @@
             Err(_) => Ok(()),
         }
     }));
-    let (events, inbox) = std::sync::mpsc::channel();
-    let handle = ControlHandle(events);
-    let thread = thread::spawn(move || voter.run(inbox));
-    let voter = RunningVoter { handle, thread };
+    let voter = start(voter);
     let held = Reply::Configured(ConfigureAnswer::Held);
     assert_eq!(commit(&voter, &configuration(1)).await, held);
     full.store(REFUSED_WRITES, Ordering::SeqCst);
@@ -103,3 +108,22 @@
     drop(voter.handle);
     voter.thread.join().unwrap().unwrap();
 }
+
+/// A disk may take longer for a write than a voter waits before it stands for election.
+#[tokio::test]
+async fn a_voter_whose_disk_is_slow_still_leads() {
+    let folder = TempDir::new().unwrap();
+    let settings = settings(&folder);
+    let slow = Duration::from_millis(3 * settings.timing.election_ms);
+    voter::found(&settings).unwrap();
+    let mut voter = ControlLoop::open(settings).unwrap();
+    voter.check_writes(Box::new(move |_| {
+        thread::sleep(slow);
+        Ok(())
+    }));
+    let voter = start(voter);
+    let held = Reply::Configured(ConfigureAnswer::Held);
+    assert_eq!(commit(&voter, &configuration(1)).await, held);
+    drop(voter.handle);
+    voter.thread.join().unwrap().unwrap();
+}
--- a/tests/raft.rs
+++ b/tests/raft.rs
@@ -1,5 +1,5 @@
 //! What a leader sends to followers that lag: entries where it still has them, else a
-//! snapshot, and that one once until it may be lost.
+//! snapshot, and that one once until it may be lost. What a leader alone commits.
 
 use std::collections::BTreeSet;
 
@@ -144,3 +144,21 @@
     pair.pass(1_000);
     assert_eq!(installs(&pair.unheard), 2);
 }
+
+#[test]
+fn a_leader_that_is_its_own_quorum_commits_what_a_heartbeat_sends_first() {
+    let mut image = DiskImage::default();
+    image.snapshot.voters = BTreeSet::from([LEADER]);
+    let mut core = RaftCore::new(LEADER, TIMING, image, 0, 1);
+    let mut now_ms = 0;
+    while !core.is_leader() {
+        now_ms += 1;
+        core.tick(now_ms);
+    }
+    core.take_output();
+    let mark = core.propose(vec![7; 10]).unwrap();
+    // The proposal comes in the same turn as a heartbeat is due.
+    core.tick(now_ms + TIMING.heartbeat_ms);
+    core.flush(now_ms + TIMING.heartbeat_ms);
+    assert_eq!(core.commit(), mark.index);
+}
