Entries hear from the leader which replicas are crowded by all of them

Each of 31 sends one request where it has none itself, and hears of the home once in four seconds.

Ruled out: that the home is slow (it read 19 tokens a ms), that entries wait too long (they sent at once), pacing by each entry alone (31 with one request each hold the same queue).

Change: an entry tells the leader what it has waiting at replicas, by a call of its own, twice a second while anything waits, at once where it sees a crowd; the leader keeps sums and names the most crowded replicas, 32 at most. A home of which an entry has no answer is taken to read as its service does.

Measured: tests/crowd.rs, one home with twice the demand that it can serve: 9 answers in aim and 228 late before, 194 and 22 after.

--- a/src/control/relay.rs
+++ b/src/control/relay.rs
@@ -21,6 +21,7 @@
 use crate::consensus::state::{Command, Reply};
 use crate::control::founding::{self, KnownFounders};
 use crate::ids::{HallName, HostName, NodeId, Position, ReplicaId};
+use crate::placement::crowd::{CrowdReport, WaitingTokens};
 use crate::placement::duties::{AgentBeat, EntryBeat};
 use crate::placement::order::AdapterPlace;
 use crate::placement::report::EntryReport;
@@ -311,6 +312,10 @@
         Err(self.elsewhere())
     }
 
+    async fn crowd(self, _: Context, _: CrowdReport) -> Result<WaitingTokens, ControlRefusal> {
+        Err(self.elsewhere())
+    }
+
     async fn wish(self, _: Context, _: AdapterPlace) -> Result<bool, ControlRefusal> {
         Err(self.elsewhere())
     }
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -21,6 +21,7 @@
 use crate::control::journal;
 use crate::control::voter::{self, ControlEvent, ControlHandle, ControlLoop, OpenPeer, PeerOutbox};
 use crate::ids::{HostName, NodeId, Position, ReplicaId};
+use crate::placement::crowd::{CrowdReport, WaitingTokens};
 use crate::placement::duties::{AgentBeat, EntryBeat};
 use crate::placement::order::{AdapterPlace, EngineOrder};
 use crate::placement::report::EntryReport;
@@ -478,6 +479,12 @@
             .await
     }
 
+    async fn crowd(self, _: Context, report: CrowdReport) -> Result<WaitingTokens, ControlRefusal> {
+        self.handle
+            .ask(|answer| ControlEvent::Crowd(report, answer))
+            .await
+    }
+
     async fn wish(self, _: Context, wish: AdapterPlace) -> Result<bool, ControlRefusal> {
         self.handle
             .ask(|answer| ControlEvent::Wish(wish, answer))
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -16,6 +16,7 @@
 use crate::consensus::state::{Command, Reply, SiteState};
 use crate::control::journal::{DiskJournal, JournalError, WriteCheck};
 use crate::ids::{HostName, NodeId, Position, ReplicaId, TargetName, Term};
+use crate::placement::crowd::{CrowdReport, WaitingTokens};
 use crate::placement::duties::{AgentBeat, EntryBeat, LeaderDuties};
 use crate::placement::fleet::FleetDuties;
 use crate::placement::order::{AdapterPlace, EngineOrder, OrderOutcome};
@@ -105,6 +106,8 @@
     Heard(Vec<ReplicaId>, Answer<()>),
     /// An entry's report; for the leader.
     Report(EntryReport, Answer<u32>),
+    /// What an entry has waiting at replicas; for the leader.
+    Crowd(CrowdReport, Answer<WaitingTokens>),
     /// An entry's wish; for the leader.
     Wish(AdapterPlace, Answer<bool>),
     /// Whether an order of that term may leave now.
@@ -402,6 +405,9 @@
                 let report = believe(report);
                 self.tell_fleet(answer, |fleet| fleet.on_report(now_ms, report));
             }
+            ControlEvent::Crowd(report, answer) => {
+                self.tell_fleet(answer, |fleet| fleet.on_crowd(now_ms, report));
+            }
             ControlEvent::Wish(wish, answer) => {
                 let _ = answer.send(self.on_wish(now_ms, &wish));
             }
--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -12,6 +12,7 @@
 use crate::consensus::directory::{ReplicaPhase, ReplicaRecord};
 use crate::forward::separation::AnswerMix;
 use crate::ids::{HallName, ModelName, ReplicaId, ServiceName};
+use crate::placement::crowd::WaitingTokens;
 use crate::table::configuration::SLACK_RANKS;
 
 /// How replicas are weighed against each other. Costs are in requests that wait.
@@ -177,6 +178,22 @@
     at_ms: u64,
 }
 
+/// What other entries have waiting at a replica, as the leader told it.
+#[derive(Clone, Copy, Debug, Default)]
+struct CrowdNote {
+    tokens: u64,
+    at_ms: u64,
+}
+
+impl CrowdNote {
+    fn at(&self, now_ms: u64) -> u64 {
+        match now_ms.saturating_sub(self.at_ms) {
+            age_ms if age_ms < CROWD_MS => self.tokens,
+            _ => 0,
+        }
+    }
+}
+
 /// The pauses between events of a replica's streams, as this entry sees them. All
 /// streams of an engine share its steps, so that few of them tell of all.
 #[derive(Clone, Copy, Debug, Default)]
@@ -213,6 +230,7 @@
     /// none until the first answer.
     pace_ms: Option<f64>,
     told: Told,
+    crowd: CrowdNote,
     pause: StreamPause,
     slots: u32,
     failing: f64,
@@ -227,6 +245,10 @@
 const URGENCIES: usize = 10;
 /// Weight of the newest answer in a replica's pace.
 const PACE_STEP: f64 = 0.2;
+/// Weight of the newest answer in the pace of a service: of a few hundred answers.
+const SERVICE_PACE_STEP: f64 = 0.01;
+/// Part of the time limit from which a predicted beginning is told to the leader.
+const CROWDING_PART: f64 = 0.3;
 /// Part of the time limit that the predicted beginning may take.
 const PACE_PART: f64 = 0.6;
 /// Weight of the newest pause between two events in a replica's pauses: about a
@@ -234,6 +256,9 @@
 const PAUSE_STEP: f64 = 0.15;
 /// Time by which what was seen of pauses has faded, in milliseconds.
 const PAUSE_FADE_MS: u64 = 1_000;
+/// How long the leader's word on crowded replicas counts, in milliseconds: two more reports
+/// may go unanswered.
+const CROWD_MS: u64 = 1_500;
 /// Replicas that one log line describes.
 const MAX_DESCRIBED: usize = 4;
 /// Shared starts remembered for each replica.
@@ -258,6 +283,7 @@
             waiting_tokens: [0; URGENCIES],
             pace_ms: None,
             told: Told::default(),
+            crowd: CrowdNote::default(),
             pause: StreamPause::default(),
             failing: 0.0,
             ejected_until_ms: 0,
@@ -280,14 +306,16 @@
         let urgency = need.urgency.min(URGENCIES - 1);
         let own: u64 = self.waiting_tokens[..=urgency].iter().sum();
         let others = self.told.others_waiting * self.fade(now_ms, fade_ms);
-        own + need.tokens + (others * need.tokens as f64) as u64
+        let others = (others * need.tokens as f64) as u64;
+        own + need.tokens + others.max(self.crowd.at(now_ms))
     }
 
-    /// Whether an answer is likely to begin in time.
-    fn is_quick(&self, need: &Need, now_ms: u64, fade_ms: u64) -> bool {
+    /// Whether an answer is likely to begin in time; `usual_ms` is the pace of others.
+    fn is_quick(&self, need: &Need, now_ms: u64, fade_ms: u64, usual_ms: f64) -> bool {
         let ahead = self.ahead(need, now_ms, fade_ms);
-        let idle = self.waiting == 0;
-        let predicted_ms = self.pace_ms.unwrap_or(0.0) * ahead as f64;
+        // Without word of others it has to be tried: its pace is learned by answers alone.
+        let idle = self.waiting == 0 && self.crowd.at(now_ms) == 0;
+        let predicted_ms = self.pace_ms.unwrap_or(usual_ms) * ahead as f64;
         idle || need.model.is_none() || predicted_ms <= need.limit_ms as f64 * PACE_PART
     }
 
@@ -329,6 +357,8 @@
     notes: BTreeMap<ReplicaId, ReplicaNote>,
     news: Vec<EjectNews>,
     mixes: BTreeMap<ServiceName, AnswerMix>,
+    /// Milliseconds for each token, over the replicas of a service.
+    paces: BTreeMap<ServiceName, f64>,
 }
 
 impl ReplicaBook {
@@ -340,6 +370,7 @@
             notes: BTreeMap::new(),
             news: Vec::new(),
             mixes: BTreeMap::new(),
+            paces: BTreeMap::new(),
         }
     }
 
@@ -363,6 +394,45 @@
         }
     }
 
+    /// What own requests have waiting, by replica.
+    pub fn waiting(&self) -> WaitingTokens {
+        let tokens = |note: &ReplicaNote| note.waiting_tokens.iter().sum::<u64>();
+        let waits = self.notes.values().filter(|note| note.waiting > 0);
+        let waiting = waits.map(|note| (note.record.id.clone(), tokens(note)));
+        waiting.filter(|(_, tokens)| *tokens > 0).collect()
+    }
+
+    /// Takes the leader's word on crowded replicas; `own` is what this entry had told.
+    pub fn follow_crowd(&mut self, now_ms: u64, own: &WaitingTokens, crowded: &WaitingTokens) {
+        for (id, tokens) in crowded {
+            let own = own.get(id).copied().unwrap_or(0);
+            if let Some(note) = self.notes.get_mut(id) {
+                note.crowd = CrowdNote {
+                    tokens: tokens.saturating_sub(own),
+                    at_ms: now_ms,
+                };
+            }
+        }
+        let told = |id: &ReplicaId| crowded.contains_key(id);
+        for note in self
+            .notes
+            .values_mut()
+            .filter(|note| !told(&note.record.id))
+        {
+            note.crowd = CrowdNote::default();
+        }
+    }
+
+    /// Whether a request that was just sent makes a replica worth telling of: its answer
+    /// begins late, or nothing is known of the replica yet.
+    pub fn is_crowding(&self, id: &ReplicaId, need: &Need, ahead: u64) -> bool {
+        let note = self.notes.get(id).filter(|_| need.model.is_some());
+        note.is_some_and(|note| match note.pace_ms {
+            Some(pace_ms) => pace_ms * ahead as f64 > need.limit_ms as f64 * CROWDING_PART,
+            None => true,
+        })
+    }
+
     /// The replicas that are known.
     pub fn ids(&self) -> impl Iterator<Item = &ReplicaId> {
         self.notes.keys()
@@ -539,11 +609,18 @@
     fn has_room(&self, note: &ReplicaNote, need: &Need, now_ms: u64, memory: u64) -> bool {
         let (waiting, running) = note.loads(now_ms, self.policy.fade_ms);
         let fits = memory == 0 || note.tokens + need.tokens <= memory || note.tokens == 0;
-        let quick = note.is_quick(need, now_ms, self.policy.fade_ms);
+        let usual_ms = self.usual_pace(need);
+        let quick = note.is_quick(need, now_ms, self.policy.fade_ms, usual_ms);
         let room = waiting + running < f64::from(note.slots);
         fits && quick && room && note.full_until_ms <= now_ms
     }
 
+    /// The pace of a replica of a service of which nothing is known, in milliseconds a token.
+    fn usual_pace(&self, need: &Need) -> f64 {
+        let pace = need.service.as_ref().and_then(|s| self.paces.get(s));
+        pace.copied().unwrap_or(0.0)
+    }
+
     /// An event of a stream came so long after the one before.
     pub fn note_pause(&mut self, now_ms: u64, id: &ReplicaId, pause_ms: f64) {
         if let Some(note) = self.notes.get_mut(id) {
@@ -596,6 +673,10 @@
                 let pace_ms = took_ms / ahead as f64;
                 let known_ms = note.pace_ms.unwrap_or(pace_ms);
                 note.pace_ms = Some(known_ms + (pace_ms - known_ms) * PACE_STEP);
+                if let Some(service) = &need.service {
+                    let usual_ms = self.paces.entry(service.clone()).or_insert(pace_ms);
+                    *usual_ms += (pace_ms - *usual_ms) * SERVICE_PACE_STEP;
+                }
             }
         }
     }
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -18,6 +18,7 @@
 use crate::forward::book::{ChoicePolicy, EjectNews, Need, ReplicaBook};
 use crate::forward::budget::{ResendBudget, ResendPolicy};
 use crate::forward::client;
+use crate::forward::crowd;
 use crate::forward::dialect::HeaderNames;
 use crate::forward::request_log::LineBudget;
 use crate::forward::upstream::ConnectionPool;
@@ -170,6 +171,8 @@
     wishes: RefCell<BTreeMap<AdapterPlace, u64>>,
     quotas: RefCell<QuotaHolder>,
     quota_asked: Notify,
+    /// A replica is crowded, as far as this entry sees.
+    pub crowd_seen: Notify,
     quota_told: Notify,
     active: Cell<usize>,
     stopping: Arc<AtomicBool>,
@@ -382,6 +385,16 @@
         Duration::from_millis(self.settings.connect_ms)
     }
 
+    /// The way to control hosts.
+    pub fn link(&self) -> &ControlLink {
+        self.follower.link()
+    }
+
+    /// This host.
+    pub fn host(&self) -> &HostName {
+        &self.settings.host
+    }
+
     /// Longest wait of a request for the first configuration.
     pub fn config_wait(&self) -> Duration {
         Duration::from_millis(self.settings.config_wait_ms)
@@ -623,6 +636,7 @@
             wishes: RefCell::default(),
             quotas: RefCell::new(QuotaHolder::new(life, clock::monotonic_ms())),
             quota_asked: Notify::new(),
+            crowd_seen: Notify::new(),
             quota_told: Notify::new(),
             active: Cell::new(0),
             stopping: Arc::default(),
@@ -640,6 +654,7 @@
         daemon::spawn_local(follow(core.clone()));
         daemon::spawn_local(report(core.clone()));
         daemon::spawn_local(draw_quotas(core.clone()));
+        daemon::spawn_local(crowd::tell_crowd(core.clone()));
         daemon::spawn_local(prune(core.clone()));
         daemon::spawn_local(accept(core.clone(), listener));
         tracing::info!(clients = %address, "entry started");
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -9,6 +9,7 @@
 pub mod caller;
 pub mod chunked;
 pub mod client;
+pub mod crowd;
 pub mod daemon;
 pub mod dialect;
 pub mod events;
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -256,10 +256,12 @@
 
 impl<'a> TryGuard<'a> {
     fn start(core: &'a EntryCore, replica: &ReplicaId, need: &Need) -> Self {
-        let ahead = core
-            .book
-            .borrow_mut()
-            .start(crate::clock::monotonic_ms(), replica, need);
+        let mut book = core.book.borrow_mut();
+        let ahead = book.start(crate::clock::monotonic_ms(), replica, need);
+        if book.is_crowding(replica, need, ahead) {
+            core.crowd_seen.notify_one();
+        }
+        drop(book);
         Self {
             since: Instant::now(),
             ahead,
@@ -541,10 +543,11 @@
                     self.core.wish(&replica, &self.need);
                     (Refusal::Adapter, self.aim().min(self.left() / 2))
                 }
-                Choice::Full => (
-                    Refusal::Full,
-                    patience::wait_for_room(self.aim(), self.core.choice().room_part),
-                ),
+                Choice::Full => {
+                    self.core.crowd_seen.notify_one();
+                    let wait = patience::wait_for_room(self.aim(), self.core.choice().room_part);
+                    (Refusal::Full, wait)
+                }
                 Choice::Absent => {
                     let wait = patience::wait_for_load(self.load_time(), waited, self.left());
                     (Refusal::Absent, wait)
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -12,6 +12,7 @@
 use crate::consensus::state::{Command, SiteState};
 use crate::ids::{HostName, ModelName, ReplicaId, ServiceName, Term};
 use crate::placement::adapters::{AdapterOrders, WishAnswer};
+use crate::placement::crowd::{CrowdReport, CrowdSums, WaitingTokens};
 use crate::placement::demand::DemandBook;
 use crate::placement::fleet_plan::{self, PlanModel, PlanReplica, PlanStep};
 use crate::placement::order::{AdapterPlace, EngineOrder, OrderKind, OrderOutcome};
@@ -38,6 +39,9 @@
     pub demand_fall: f64,
     /// Time after which an order that shows no effect is forgotten, in milliseconds.
     pub order_ms: u64,
+    /// Tokens that wait at a replica from which entries are told of it: a quarter of a second
+    /// of an engine that reads 16 in a millisecond. What is less is read before they know.
+    pub crowded_tokens: u64,
 }
 
 impl Default for FleetPolicy {
@@ -50,6 +54,7 @@
             move_price: 1.0,
             demand_fall: 0.7,
             order_ms: 20_000,
+            crowded_tokens: 4_000,
         }
     }
 }
@@ -101,6 +106,7 @@
     since_ms: u64,
     heard: BTreeMap<ReplicaId, u64>,
     entries: BTreeMap<String, EntryNote>,
+    crowd: CrowdSums,
     demand: DemandBook,
     sampled_ms: u64,
     round_due_ms: u64,
@@ -148,6 +154,7 @@
             since_ms: now_ms,
             heard: BTreeMap::new(),
             entries: BTreeMap::new(),
+            crowd: CrowdSums::default(),
             demand: DemandBook::falling(policy.demand_fall),
             sampled_ms: now_ms,
             round_due_ms: now_ms,
@@ -186,6 +193,11 @@
         self.entries.len() as u32
     }
 
+    /// What an entry has waiting at replicas. Returns the most crowded ones.
+    pub fn on_crowd(&mut self, now_ms: u64, report: CrowdReport) -> WaitingTokens {
+        self.crowd.take(now_ms, report, self.policy.crowded_tokens)
+    }
+
     /// An entry's wish. Returns whether it will be met soon, and the order to send.
     pub fn on_wish(
         &mut self,
--- a/src/process/wire.rs
+++ b/src/process/wire.rs
@@ -12,6 +12,7 @@
 use crate::ids::{
     AttemptId, HallName, HostName, Incarnation, NodeId, Position, ReplicaId, RowId, Term,
 };
+use crate::placement::crowd::{CrowdReport, WaitingTokens};
 use crate::placement::duties::{AgentBeat, EntryBeat};
 use crate::placement::order::AdapterPlace;
 use crate::placement::report::EntryReport;
@@ -22,7 +23,7 @@
 use crate::table::rows::Row;
 
 /// Raised with each change of a type on the wire; peers of other versions are refused.
-pub const PROTOCOL: u32 = 4;
+pub const PROTOCOL: u32 = 5;
 
 /// Why control did not do what was asked.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -179,6 +180,8 @@
     async fn heard(ids: Vec<ReplicaId>) -> Result<(), ControlRefusal>;
     /// An entry's report on demand; for the leader, which tells how many entries report.
     async fn report(report: EntryReport) -> Result<u32, ControlRefusal>;
+    /// What an entry has waiting at replicas; the leader tells which ones are crowded.
+    async fn crowd(report: CrowdReport) -> Result<WaitingTokens, ControlRefusal>;
     /// An entry wants an adapter; the leader tells whether it comes soon.
     async fn wish(wish: AdapterPlace) -> Result<bool, ControlRefusal>;
     /// Compares a replica's heartbeat with what is committed here; for hosts that
--- /dev/null
+++ b/tests/crowd.rs
@@ -0,0 +1,250 @@
+//! What entries tell each other, by way of the leader, of prompts that wait at replicas.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
+use dunlinspring::forward::book::{
+    Choice, ChoicePolicy, EngineBounds, LoadReport, Need, ReplicaBook, TryEnd,
+};
+use dunlinspring::ids::{HallName, HostName, ModelName, ReplicaId, ServiceName};
+use dunlinspring::placement::crowd::{CrowdReport, CrowdSums, WaitingTokens};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+fn report(entry: usize, waiting: WaitingTokens) -> CrowdReport {
+    CrowdReport {
+        host: HostName(format!("entry-{entry}")),
+        waiting,
+    }
+}
+
+fn tokens(id: &str, tokens: u64) -> WaitingTokens {
+    WaitingTokens::from([(ReplicaId::from(id), tokens)])
+}
+
+#[test]
+fn the_most_crowded_are_told_and_no_more_than_a_few() {
+    let mut sums = CrowdSums::default();
+    let many: WaitingTokens = (0..100)
+        .map(|number| (ReplicaId(format!("r{number:02}")), 5_000 + number))
+        .collect();
+    sums.take(0, report(1, many), 5_000);
+    let crowded = sums.take(1, report(2, tokens("r00", 9_000)), 5_000);
+    assert_eq!(crowded.len(), 32);
+    assert_eq!(crowded[&ReplicaId::from("r00")], 14_000);
+    assert!(crowded.contains_key(&ReplicaId::from("r99")));
+    assert!(!crowded.contains_key(&ReplicaId::from("r01")));
+    let nothing = sums.take(2, report(1, WaitingTokens::new()), 9_001);
+    assert!(nothing.is_empty());
+    let left = sums.take(3, report(1, WaitingTokens::new()), 1);
+    assert_eq!(left, tokens("r00", 9_000));
+}
+
+#[test]
+fn an_entry_that_falls_silent_counts_no_more() {
+    let mut sums = CrowdSums::default();
+    sums.take(0, report(1, tokens("a", 9_000)), 1);
+    let both = sums.take(1_900, report(2, tokens("a", 5_000)), 1);
+    assert_eq!(both, tokens("a", 14_000));
+    let left = sums.take(3_800, report(2, tokens("a", 5_000)), 1);
+    assert_eq!(left, tokens("a", 5_000));
+}
+
+#[test]
+fn sums_are_those_of_the_last_reports() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut sums = CrowdSums::default();
+    let mut last = vec![WaitingTokens::new(); 6];
+    for _ in 0..2_000 {
+        let entry = rng.random_range(0..last.len());
+        let mut new = WaitingTokens::new();
+        for id in ["a", "b", "c", "d"] {
+            if rng.random_bool(0.5) {
+                new.insert(ReplicaId::from(id), rng.random_range(1..50));
+            }
+        }
+        last[entry] = new.clone();
+        let crowded = sums.take(0, report(entry, new), 1);
+        let mut whole = WaitingTokens::new();
+        for (id, tokens) in last.iter().flatten() {
+            *whole.entry(id.clone()).or_default() += tokens;
+        }
+        assert_eq!(crowded, whole);
+    }
+}
+
+/// Time within which an answer should begin, in milliseconds.
+const AIM_MS: u64 = 800;
+/// Tokens of a request.
+const TOKENS: u64 = 2_400;
+/// Tokens that the home reads in a millisecond.
+const READS: u64 = 19;
+const ENTRIES: usize = 31;
+/// Longest and least time between two reports of an entry.
+const REPORT_MS: (u64, u64) = (500, 100);
+
+struct SentRequest {
+    entry: usize,
+    sent_ms: u64,
+    ahead: u64,
+}
+
+/// One home of a model behind many entries, with more demand than it can serve.
+struct CrowdedHome {
+    books: Vec<ReplicaBook>,
+    /// By entry: when it reported last, and whether it sees a crowd since.
+    reported: Vec<(u64, bool)>,
+    sums: CrowdSums,
+    told: bool,
+    queue: VecDeque<SentRequest>,
+    busy_until_ms: u64,
+    in_aim: u32,
+    late: u32,
+}
+
+fn home() -> ReplicaId {
+    ReplicaId::from("home")
+}
+
+fn need(draw: u64) -> Need {
+    Need {
+        service: Some(ServiceName::from("llm")),
+        model: Some(ModelName::from("m")),
+        prompt_tokens: TOKENS,
+        tokens: TOKENS,
+        limit_ms: AIM_MS,
+        draw,
+        ..Need::default()
+    }
+}
+
+impl CrowdedHome {
+    fn new(told: bool) -> Self {
+        let record = ReplicaRecord {
+            id: home(),
+            service: ServiceName::from("llm"),
+            address: "127.0.0.1:1".parse().unwrap(),
+            hall: HallName::from("here"),
+            slots: 64,
+            phase: ReplicaPhase::Ready,
+            models: BTreeMap::from([(ModelName::from("m"), BTreeSet::new())]),
+            in_memory: Default::default(),
+            on_disk: Default::default(),
+        };
+        let records = BTreeMap::from([(home(), record)]);
+        let mut book = ReplicaBook::new(ChoicePolicy::default(), HallName::from("here"));
+        book.follow(&records);
+        Self {
+            books: vec![book; ENTRIES],
+            reported: vec![(0, false); ENTRIES],
+            sums: CrowdSums::default(),
+            told,
+            queue: VecDeque::new(),
+            busy_until_ms: 0,
+            in_aim: 0,
+            late: 0,
+        }
+    }
+
+    fn ask(&mut self, now_ms: u64, entry: usize, draw: u64) {
+        let bounds = EngineBounds {
+            memory: 94_000,
+            adapter_slots: 8,
+        };
+        let (need, none) = (need(draw), BTreeSet::new());
+        let book = &mut self.books[entry];
+        let Choice::Send(id) = book.choose(now_ms, &need, &none, bounds) else {
+            self.reported[entry].1 = true;
+            return;
+        };
+        let ahead = book.start(now_ms, &id, &need);
+        self.reported[entry].1 |= book.is_crowding(&id, &need, ahead);
+        self.queue.push_back(SentRequest {
+            entry,
+            sent_ms: now_ms,
+            ahead,
+        });
+    }
+
+    /// The home begins an answer each time that it has read a prompt.
+    fn serve(&mut self, now_ms: u64) {
+        if self.queue.is_empty() {
+            self.busy_until_ms = now_ms + TOKENS / READS;
+        }
+        if now_ms < self.busy_until_ms {
+            return;
+        }
+        let Some(request) = self.queue.pop_front() else {
+            return;
+        };
+        self.busy_until_ms = now_ms + TOKENS / READS;
+        let took_ms = now_ms - request.sent_ms;
+        match took_ms <= AIM_MS {
+            true => self.in_aim += 1,
+            false => self.late += 1,
+        }
+        let report = LoadReport {
+            running: 1,
+            waiting: self.queue.len() as u32,
+            slots: 64,
+        };
+        let (book, need) = (&mut self.books[request.entry], need(0));
+        book.begin(&home(), &need, request.ahead, took_ms as f64);
+        book.tell(now_ms, &home(), report);
+        book.end(now_ms, &home(), &need, true, TryEnd::Good);
+    }
+
+    fn report(&mut self, now_ms: u64, entry: usize) {
+        let (last_ms, seen) = self.reported[entry];
+        let (longest_ms, least_ms) = REPORT_MS;
+        let due_ms = last_ms + if seen { least_ms } else { longest_ms };
+        if now_ms < due_ms {
+            return;
+        }
+        self.reported[entry] = (now_ms, false);
+        let book = &mut self.books[entry];
+        let waiting = book.waiting();
+        let crowded = self
+            .sums
+            .take(now_ms, report(entry, waiting.clone()), 4_000);
+        if self.told {
+            book.follow_crowd(now_ms, &waiting, &crowded);
+        }
+    }
+
+    /// Twice what the home can serve, for half a minute.
+    fn play(&mut self) {
+        let mut rng = SmallRng::seed_from_u64(7);
+        let asked = 2.0 * READS as f64 / TOKENS as f64;
+        for now_ms in 1..30_000 {
+            if rng.random_bool(asked) {
+                let entry = rng.random_range(0..ENTRIES);
+                self.ask(now_ms, entry, rng.random());
+            }
+            self.serve(now_ms);
+            for entry in 0..ENTRIES {
+                self.report(now_ms, entry);
+            }
+        }
+    }
+}
+
+/// Of about 236 answers that the home can give.
+#[test]
+fn entries_that_know_of_each_other_keep_no_queue_that_makes_all_late() {
+    let mut apart = CrowdedHome::new(false);
+    apart.play();
+    let mut together = CrowdedHome::new(true);
+    together.play();
+    println!(
+        "in aim and late: {} and {} apart, {} and {} together",
+        apart.in_aim, apart.late, together.in_aim, together.late
+    );
+    let served = together.in_aim + together.late;
+    assert!(together.in_aim * 10 >= served * 8, "most are in time");
+    assert!(together.in_aim >= 2 * apart.in_aim);
+    assert!(
+        served * 10 >= (apart.in_aim + apart.late) * 9,
+        "the home is used"
+    );
+}
