dunlinspring accounts: limits, and what is drawn of them

Cause: operators saw an account's limit in its configuration only, and that it was short in logs only.

Change: the leader tells each account's rank, number of keys, limit, level, what entries hold, demand and entries; the command asks any control host, as a table or JSON. Keys are counted, never told.

Ruled out: the watch port of control hosts; it needs no secret.

Measured: tests of the command line and of forwarding.

--- a/src/bin/dunlinspring.rs
+++ b/src/bin/dunlinspring.rs
@@ -1,6 +1,6 @@
 //! The operators' command line, the demo and the load tool.
 
-use dunlinspring::cli::commands;
+use dunlinspring::cli::{accounts, commands};
 use dunlinspring::process::arguments;
 
 #[ntex::main]
@@ -16,6 +16,7 @@
     let ended = match command {
         Some("table") => commands::table(rest).await,
         Some("status") => commands::status(rest).await,
+        Some("accounts") => accounts::accounts(rest).await,
         Some("check") => commands::check(rest),
         Some("demo") => commands::demo(rest).await,
         Some("load") => commands::load(rest).await,
--- a/src/cli/commands.rs
+++ b/src/cli/commands.rs
@@ -22,6 +22,8 @@
   table put ID --version N FILE      create (version 0) or replace a row
   table delete ID --version N        remove a row
   status                             control hosts and this entry
+  accounts --control IP:PORT --secret-file FILE [--json]
+                                     limits of client accounts, and what is drawn
   explain ID FILE...                 a request's story, from the logs of all processes
   explain --day FILE...              when and where requests were late, refused or lost
   check --role ROLE FILE             check settings: control, entry, agent, load
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! The `dunlinspring` program: operators' commands, `explain`, the load tool and the demo
 //! site. May use every other folder.
 
+pub mod accounts;
 pub mod commands;
 pub mod day_table;
 pub mod demo;
--- a/src/control/relay.rs
+++ b/src/control/relay.rs
@@ -30,8 +30,8 @@
 use crate::process::peers::{self, ControlLink, PeerError, SiteSecret};
 use crate::process::settings::CommonSettings;
 use crate::process::wire::{
-    AgentOrders, ControlRefusal, ControlStatus, ControlWire, ControlWireClient, EntryOrders,
-    Notice, TableStatus,
+    AccountStatus, AgentOrders, ControlRefusal, ControlStatus, ControlWire, ControlWireClient,
+    EntryOrders, Notice, TableStatus,
 };
 use crate::routing::view::SyncPage;
 use crate::table::configuration::ConfigurationRecord;
@@ -304,6 +304,10 @@
         Err(self.elsewhere())
     }
 
+    async fn accounts(self, _: Context) -> Result<Vec<AccountStatus>, ControlRefusal> {
+        Err(self.elsewhere())
+    }
+
     async fn heard(self, _: Context, _: Vec<ReplicaId>) -> Result<(), ControlRefusal> {
         Err(self.elsewhere())
     }
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -30,8 +30,8 @@
 use crate::process::peers::{self, ControlLink, PeerPool, SiteSecret};
 use crate::process::settings::ControlSettings;
 use crate::process::wire::{
-    AgentOrders, ControlRefusal, ControlStatus, ControlWire, ControlWireClient, EntryOrders,
-    Notice, TableStatus,
+    AccountStatus, AgentOrders, ControlRefusal, ControlStatus, ControlWire, ControlWireClient,
+    EntryOrders, Notice, TableStatus,
 };
 use crate::routing::view::SyncPage;
 use crate::table::configuration::ConfigurationRecord;
@@ -467,6 +467,10 @@
             .await
     }
 
+    async fn accounts(self, _: Context) -> Result<Vec<AccountStatus>, ControlRefusal> {
+        self.handle.ask(ControlEvent::Accounts).await
+    }
+
     async fn heard(self, _: Context, ids: Vec<ReplicaId>) -> Result<(), ControlRefusal> {
         self.handle
             .ask(|answer| ControlEvent::Heard(ids, answer))
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -23,10 +23,12 @@
 use crate::placement::report::EntryReport;
 use crate::process::settings::ControlSettings;
 use crate::process::wire::{
-    self, AgentOrders, ControlRefusal, ControlStatus, EntryOrders, Notice, TableStatus,
+    self, AccountStatus, AgentOrders, ControlRefusal, ControlStatus, EntryOrders, LimitStatus,
+    Notice, TableStatus,
 };
 use crate::routing::authority::FreshnessProof;
 use crate::routing::view::{self, SyncPage};
+use crate::table::accounts::AccountSpec;
 use crate::table::configuration::ConfigurationRecord;
 use crate::table::quota::{QuotaAsk, QuotaGrantor, QuotaGrants};
 
@@ -102,6 +104,8 @@
     },
     /// An entry draws from quotas; for the leader.
     Quota(QuotaAsk, Answer<QuotaGrants>),
+    /// All client accounts, for operators; for the leader.
+    Accounts(Answer<Vec<AccountStatus>>),
     /// Replicas that a control host has heard; for the leader.
     Heard(Vec<ReplicaId>, Answer<()>),
     /// An entry's report; for the leader.
@@ -395,6 +399,9 @@
             ControlEvent::Confirmed { version, asked_ms } => {
                 self.confirmed = Some((version, asked_ms));
             }
+            ControlEvent::Accounts(answer) => {
+                let _ = answer.send(self.account_statuses(now_ms));
+            }
             ControlEvent::Quota(ask, answer) => {
                 let _ = answer.send(self.on_quota(now_ms, &ask));
             }
@@ -514,6 +521,26 @@
         let _ = answer.send(told);
     }
 
+    fn account_statuses(&mut self, now_ms: u64) -> Result<Vec<AccountStatus>, ControlRefusal> {
+        let (Some(state), Some(quotas)) = (self.replica.newest(now_ms), &mut self.quotas) else {
+            return Err(self.not_leader());
+        };
+        let record = state.configuration.as_ref();
+        let book = record.and_then(|record| record.configuration.accounts.as_ref());
+        quotas.follow(configured_version(state), book);
+        let accounts = book.map_or(&[][..], |book| &book.accounts);
+        let status = |account: &AccountSpec| AccountStatus {
+            name: account.name.clone(),
+            priority: account.priority,
+            keys: account.keys.len(),
+            limit: account.quota.map(|quota| LimitStatus {
+                quota,
+                usage: quotas.usage(now_ms, &account.name).unwrap_or_default(),
+            }),
+        };
+        Ok(accounts.iter().map(status).collect())
+    }
+
     fn on_quota(&mut self, now_ms: u64, ask: &QuotaAsk) -> Result<QuotaGrants, ControlRefusal> {
         let (Some(state), Some(quotas)) = (self.replica.newest(now_ms), &mut self.quotas) else {
             return Err(self.not_leader());
--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -245,7 +245,7 @@
 const URGENCIES: usize = 10;
 /// Weight of the newest answer in a replica's pace.
 const PACE_STEP: f64 = 0.2;
-/// Weight of the newest answer in the pace of a service: of a few hundred answers.
+/// Weight of the newest answer in the pace of a service: a mean of its last hundred.
 const SERVICE_PACE_STEP: f64 = 0.01;
 /// Part of the time limit from which a predicted beginning is told to the leader.
 const CROWDING_PART: f64 = 0.3;
@@ -310,12 +310,12 @@
         own + need.tokens + others.max(self.crowd.at(now_ms))
     }
 
-    /// Whether an answer is likely to begin in time; `usual_ms` is the pace of others.
-    fn is_quick(&self, need: &Need, now_ms: u64, fade_ms: u64, usual_ms: f64) -> bool {
+    /// Whether an answer is likely to begin in time, at so many milliseconds a token.
+    fn is_quick(&self, need: &Need, now_ms: u64, fade_ms: u64, pace_ms: f64) -> bool {
         let ahead = self.ahead(need, now_ms, fade_ms);
         // Without word of others it has to be tried: its pace is learned by answers alone.
         let idle = self.waiting == 0 && self.crowd.at(now_ms) == 0;
-        let predicted_ms = self.pace_ms.unwrap_or(usual_ms) * ahead as f64;
+        let predicted_ms = pace_ms * ahead as f64;
         idle || need.model.is_none() || predicted_ms <= need.limit_ms as f64 * PACE_PART
     }
 
@@ -446,7 +446,8 @@
         let waits = suited.map(|note| {
             let (waiting, running) = note.loads(now_ms, fade_ms);
             let full = waiting + running >= f64::from(note.slots);
-            let begin_ms = note.pace_ms.unwrap_or(0.0) * note.ahead(need, now_ms, fade_ms) as f64;
+            let ahead = note.ahead(need, now_ms, fade_ms);
+            let begin_ms = self.pace_ms(note, need) * ahead as f64;
             let over_ms = begin_ms - need.limit_ms as f64 * PACE_PART;
             match full {
                 true => over_ms.max(need.limit_ms as f64),
@@ -465,13 +466,14 @@
         let lines = suited.take(MAX_DESCRIBED).map(|note| {
             let (waiting, running) = note.loads(now_ms, fade_ms);
             let ahead = note.ahead(need, now_ms, fade_ms) as f64;
-            let begin_ms = note.pace_ms.unwrap_or(0.0) * ahead;
+            let begin_ms = self.pace_ms(note, need) * ahead;
             let age_ms = now_ms.saturating_sub(note.told.at_ms);
             let ejected_ms = note.ejected_until_ms.saturating_sub(now_ms);
             let pause_ms = note.pause.at(now_ms);
+            let others = note.crowd.at(now_ms);
             format!(
                 "{} waiting {waiting:.1} running {running:.1} of {} begins in {begin_ms:.0} ms, \
-                 pauses {pause_ms:.0} ms, told {age_ms} ms ago, {:?}, passed over for {ejected_ms} ms, adapter {}",
+                 others have {others} tokens waiting, pauses {pause_ms:.0} ms, told {age_ms} ms ago, {:?}, passed over for {ejected_ms} ms, adapter {}",
                 note.record.id,
                 note.slots,
                 note.record.phase,
@@ -609,16 +611,20 @@
     fn has_room(&self, note: &ReplicaNote, need: &Need, now_ms: u64, memory: u64) -> bool {
         let (waiting, running) = note.loads(now_ms, self.policy.fade_ms);
         let fits = memory == 0 || note.tokens + need.tokens <= memory || note.tokens == 0;
-        let usual_ms = self.usual_pace(need);
-        let quick = note.is_quick(need, now_ms, self.policy.fade_ms, usual_ms);
+        let pace_ms = self.pace_ms(note, need);
+        let quick = note.is_quick(need, now_ms, self.policy.fade_ms, pace_ms);
         let room = waiting + running < f64::from(note.slots);
         fits && quick && room && note.full_until_ms <= now_ms
     }
 
-    /// The pace of a replica of a service of which nothing is known, in milliseconds a token.
-    fn usual_pace(&self, need: &Need) -> f64 {
-        let pace = need.service.as_ref().and_then(|s| self.paces.get(s));
-        pace.copied().unwrap_or(0.0)
+    /// A replica's pace, or where no answer of it has come, that of its service.
+    fn pace_ms(&self, note: &ReplicaNote, need: &Need) -> f64 {
+        let usual = || {
+            need.service
+                .as_ref()
+                .and_then(|s| self.paces.get(s).copied())
+        };
+        note.pace_ms.or_else(usual).unwrap_or(0.0)
     }
 
     /// An event of a stream came so long after the one before.
--- a/src/process/wire.rs
+++ b/src/process/wire.rs
@@ -10,7 +10,8 @@
 use crate::consensus::raft::RaftMessage;
 use crate::consensus::state::{Command, Reply, SiteState};
 use crate::ids::{
-    AttemptId, HallName, HostName, Incarnation, NodeId, Position, ReplicaId, RowId, Term,
+    AccountName, AttemptId, HallName, HostName, Incarnation, NodeId, Position, ReplicaId, RowId,
+    Term,
 };
 use crate::placement::crowd::{CrowdReport, WaitingTokens};
 use crate::placement::duties::{AgentBeat, EntryBeat};
@@ -18,8 +19,9 @@
 use crate::placement::report::EntryReport;
 use crate::routing::authority::FreshnessProof;
 use crate::routing::view::SyncPage;
+use crate::table::accounts::QuotaSpec;
 use crate::table::configuration::ConfigurationRecord;
-use crate::table::quota::{QuotaAsk, QuotaGrants};
+use crate::table::quota::{QuotaAsk, QuotaGrants, QuotaUsage};
 use crate::table::rows::Row;
 
 /// Raised with each change of a type on the wire; peers of other versions are refused.
@@ -83,6 +85,28 @@
     pub rows: BTreeMap<RowId, RowStatus>,
 }
 
+/// A client account as operators read it; its keys are only counted.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AccountStatus {
+    /// Its name.
+    pub name: AccountName,
+    /// Its rank, where it has one.
+    pub priority: Option<u32>,
+    /// How many keys it has.
+    pub keys: usize,
+    /// None where it has no limit.
+    pub limit: Option<LimitStatus>,
+}
+
+/// An account's limit.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitStatus {
+    /// As configured.
+    pub quota: QuotaSpec,
+    /// As far as this leader knows.
+    pub usage: QuotaUsage,
+}
+
 /// A voter's account of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ControlStatus {
@@ -176,6 +200,8 @@
     async fn confirm() -> Result<u64, ControlRefusal>;
     /// An entry draws from the quotas of accounts; for the leader.
     async fn quota(ask: QuotaAsk) -> Result<QuotaGrants, ControlRefusal>;
+    /// All client accounts, with what is drawn of their quotas; for the leader.
+    async fn accounts() -> Result<Vec<AccountStatus>, ControlRefusal>;
     /// Replicas that another control host has heard; for the leader.
     async fn heard(ids: Vec<ReplicaId>) -> Result<(), ControlRefusal>;
     /// An entry's report on demand; for the leader, which tells how many entries report.
--- a/src/table/quota.rs
+++ b/src/table/quota.rs
@@ -501,6 +501,21 @@
     until_ms: u64,
 }
 
+/// What is drawn of one account's quota.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaUsage {
+    /// Units that may be drawn at once.
+    pub level: u64,
+    /// Units that entries hold and have not spent.
+    pub drawn: u64,
+    /// Units asked for a second.
+    pub demand: u64,
+    /// Entries that draw.
+    pub entries: usize,
+    /// Little is left.
+    pub short: bool,
+}
+
 /// The leader's account of all quotas.
 #[derive(Debug)]
 pub struct QuotaGrantor {
@@ -570,6 +585,40 @@
         }
     }
 
+    /// What is drawn of an account that has a limit; none without one.
+    pub fn usage(&mut self, now_ms: u64, account: &AccountName) -> Option<QuotaUsage> {
+        let quota = self.limits.get(account).copied()?;
+        let part = self.part(now_ms);
+        let Some(bucket) = self.buckets.get_mut(account) else {
+            return Some(QuotaUsage {
+                level: (depth(&quota) * part) as u64,
+                ..QuotaUsage::default()
+            });
+        };
+        bucket.drawn.lapse(now_ms);
+        bucket.fill(now_ms, &quota, part);
+        Some(QuotaUsage {
+            level: bucket.level.max(0.0) as u64,
+            drawn: bucket.drawn.outstanding,
+            demand: bucket.drawn.demand,
+            entries: bucket.drawn.entries.len(),
+            short: self.short.contains(account),
+        })
+    }
+
+    /// Part of the bucket that may be full now.
+    fn part(&self, now_ms: u64) -> f64 {
+        match self.is_young(now_ms) && self.succeeds {
+            true => YOUNG_PART,
+            false => 1.0,
+        }
+    }
+
+    /// Whether what a leader before gave may still be spent.
+    fn is_young(&self, now_ms: u64) -> bool {
+        now_ms < self.since_ms + LEASE_MS
+    }
+
     /// Notes an ask; nothing where it is not the newest of its entry's life.
     fn admit(&mut self, now_ms: u64, ask: &QuotaAsk) -> Option<EntryIndex> {
         if now_ms >= self.swept_ms + LEASE_MS {
@@ -584,7 +633,7 @@
             return newer.then_some(asked.index);
         }
         // What an entry was told before its first ask here was told by a leader before.
-        self.succeeds |= ask.told && now_ms < self.since_ms + LEASE_MS;
+        self.succeeds |= ask.told && self.is_young(now_ms);
         let index = self.next;
         self.next = EntryIndex(index.0 + 1);
         let asked = AskedEntry {
@@ -604,12 +653,9 @@
         claim: &QuotaClaim,
         quota: &QuotaSpec,
     ) -> QuotaGrant {
-        let young = now_ms < self.since_ms + LEASE_MS;
+        let young = self.is_young(now_ms);
         let since_ms = self.since_ms;
-        let part = match young && self.succeeds {
-            true => YOUNG_PART,
-            false => 1.0,
-        };
+        let part = self.part(now_ms);
         let bucket = self.buckets.entry(account.clone());
         let bucket = bucket.or_insert_with(|| QuotaBucket::new(quota, part, since_ms));
         bucket.drawn.lapse(now_ms);
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -2,6 +2,12 @@
 
 use std::process::Command;
 
+use dunlinspring::cli::accounts;
+use dunlinspring::ids::AccountName;
+use dunlinspring::process::wire::{AccountStatus, LimitStatus};
+use dunlinspring::table::accounts::{QuotaSpec, QuotaUnit};
+use dunlinspring::table::quota::QuotaUsage;
+
 fn run(args: &[&str]) -> (bool, String) {
     let program = env!("CARGO_BIN_EXE_dunlinspring");
     let ended = Command::new(program).args(args).output().unwrap();
@@ -11,7 +17,9 @@
 
 #[test]
 fn every_command_answers_help() {
-    for command in ["table", "status", "check", "demo", "load", "explain"] {
+    for command in [
+        "table", "status", "accounts", "check", "demo", "load", "explain",
+    ] {
         let (good, text) = run(&[command, "--help"]);
         assert!(good, "{command}: {text}");
         assert!(text.starts_with("Usage: dunlinspring"), "{command}: {text}");
@@ -27,3 +35,38 @@
     assert!(!good);
     assert!(text.contains("no line names request some-id"), "{text}");
 }
+
+#[test]
+fn accounts_are_shown_a_line_each() {
+    let account = |name: &str, limit| AccountStatus {
+        name: AccountName::from(name),
+        priority: Some(1),
+        keys: 2,
+        limit,
+    };
+    let limit = LimitStatus {
+        quota: QuotaSpec {
+            unit: QuotaUnit::Tokens,
+            per_s: 18_000.0,
+            burst: 36_000.0,
+            plain_tokens: 200,
+        },
+        usage: QuotaUsage {
+            level: 1_200,
+            drawn: 4_000,
+            demand: 21_000,
+            entries: 31,
+            short: true,
+        },
+    };
+    let accounts = [account("acme", Some(limit)), account("free", None)];
+    insta::assert_snapshot!(accounts::table(&accounts));
+}
+
+#[test]
+fn accounts_asks_for_what_it_needs() {
+    let (good, text) = run(&["accounts", "--control", "127.0.0.1:1"]);
+    assert!(!good && text.contains("secret-file"), "{text}");
+    let (good, text) = run(&["accounts", "-c", "127.0.0.1:1", "-s", "/no/such/file"]);
+    assert!(!good && text.contains("/no/such/file"), "{text}");
+}
--- a/tests/forward_parts.rs
+++ b/tests/forward_parts.rs
@@ -11,6 +11,7 @@
 use dunlinspring::forward::events::EventCutter;
 use dunlinspring::forward::head::{self, Framing, HeadError};
 use dunlinspring::ids::{HallName, ModelName, ReplicaId, ServiceName};
+use dunlinspring::placement::crowd::WaitingTokens;
 use dunlinspring::table::configuration::{
     Configuration, ConfigurationError, RouteIndex, RouteKind, RouteSpec, ServiceSpec, slack_ranks,
 };
@@ -494,3 +495,68 @@
     let count = |name: &str| picked.iter().filter(|service| *service == name).count();
     assert_eq!((count("x"), count("none"), count("y")), (300, 0, 100));
 }
+
+/// What the leader says waits at home `a`, of all entries.
+fn crowd(tokens: u64) -> WaitingTokens {
+    WaitingTokens::from([(ReplicaId::from("a"), tokens)])
+}
+
+/// A home at which one request of 100 tokens was answered at once, and one after so long.
+fn answered_once(took_ms: f64) -> ReplicaBook {
+    let mut book = book(vec![record("a", &[("m", &[])])]);
+    let (id, need) = (ReplicaId::from("a"), need("m", None));
+    for took_ms in [5.0, took_ms] {
+        let ahead = book.start(1_000, &id, &need);
+        book.begin(&id, &need, ahead, took_ms);
+        book.end(1_000, &id, &need, true, TryEnd::Good);
+    }
+    book
+}
+
+#[test]
+fn a_home_that_others_crowd_takes_no_more() {
+    let mut book = answered_once(5.0);
+    let (none, need) = (WaitingTokens::new(), need("m", None));
+    // At 0.05 ms a token 480 ms are 9,600 tokens, its own among them.
+    book.follow_crowd(1_000, &none, &crowd(9_000));
+    assert_eq!(choose(&book, &need), send("a"));
+    book.follow_crowd(1_000, &none, &crowd(10_000));
+    assert_eq!(choose(&book, &need), Choice::Full);
+    // What this entry had told of itself does not count twice.
+    book.follow_crowd(1_000, &crowd(1_000), &crowd(10_000));
+    assert_eq!(choose(&book, &need), send("a"));
+    // A home that is not named is not crowded; the word does not last.
+    book.follow_crowd(1_000, &none, &crowd(10_000));
+    let later = book.choose(2_500, &need, &BTreeSet::new(), BOUNDS);
+    assert_eq!(later, send("a"));
+    book.follow_crowd(1_000, &none, &none);
+    assert_eq!(choose(&book, &need), send("a"));
+}
+
+#[test]
+fn a_home_that_is_new_is_taken_to_read_as_its_service_does() {
+    let homes = vec![record("a", &[("m", &[])]), record("b", &[("n", &[])])];
+    let mut book = book(homes);
+    let (slow, need) = (self::need("n", None), need("m", None));
+    let ahead = book.start(1_000, &ReplicaId::from("b"), &slow);
+    book.begin(&ReplicaId::from("b"), &slow, ahead, 300.0);
+    // At 3 ms a token 480 ms are 160 tokens: what waits makes the next one late.
+    book.start(1_000, &ReplicaId::from("a"), &need);
+    assert_eq!(choose(&book, &need), Choice::Full);
+}
+
+#[test]
+fn a_home_is_told_of_where_it_is_new_or_late() {
+    let mut new = book(vec![record("a", &[("m", &[])])]);
+    let (id, need) = (ReplicaId::from("a"), need("m", None));
+    let ahead = new.start(1_000, &id, &need);
+    assert!(new.is_crowding(&id, &need, ahead));
+    assert_eq!(new.waiting(), crowd(100));
+    let mut known = answered_once(5.0);
+    let ahead = known.start(1_000, &id, &need);
+    assert!(!known.is_crowding(&id, &need, ahead));
+    let slow = answered_once(2_000.0);
+    assert!(slow.is_crowding(&id, &need, ahead));
+    known.end(1_000, &id, &need, false, TryEnd::Neutral);
+    assert_eq!(known.waiting(), WaitingTokens::new());
+}
