Forwarding in smaller files: own answers, quotas, needs, notes of replicas

Change: code moved, names and behaviour as before: own_answer (refusals and how a caller is told), quotas (paying and drawing), need (what a request needs, how replicas are weighed), replica_note (one replica as seen here).

--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -4,112 +4,15 @@
 //! an answer, corrected by this entry's own requests since; what others sent
 //! fades with the report's age.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-
-use serde::de::Error;
-use serde::{Deserialize, Deserializer, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::consensus::directory::{ReplicaPhase, ReplicaRecord};
+use crate::forward::need::URGENCIES;
+pub use crate::forward::need::{ChoicePolicy, Need};
+use crate::forward::replica_note::{CrowdNote, PACE_PART, ReplicaNote, ToldLoad};
 use crate::forward::separation::AnswerMix;
-use crate::ids::{HallName, ModelName, ReplicaId, ServiceName};
+use crate::ids::{HallName, ReplicaId, ServiceName};
 use crate::placement::crowd::WaitingTokens;
-use crate::table::configuration::SLACK_RANKS;
-
-/// How replicas are weighed against each other. Costs are in requests that wait.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct ChoicePolicy {
-    /// Cost of a request that already runs on the replica.
-    pub running_cost: f64,
-    /// Cost of a replica in another hall.
-    pub hall_cost: f64,
-    /// Gain where the replica has read the shared start of the prompt.
-    pub prefix_gain: f64,
-    /// Cost of a whole failure rate.
-    pub failure_cost: f64,
-    /// Time by which a report of others' load has faded, in milliseconds.
-    pub fade_ms: u64,
-    /// First pause of a replica that fails, in milliseconds; it doubles.
-    pub eject_ms: u64,
-    /// Longest such pause, in milliseconds.
-    pub eject_max_ms: u64,
-    /// Cost of a home that is for requests of the other kind, long answers or short ones:
-    /// less than two requests that wait, so that it is used where the others are crowded.
-    pub apart_cost: f64,
-    /// At replicas, what can wait lets others go first, within the rank of its account. On a
-    /// site where a third of the work has an aim of six seconds it made no difference to
-    /// worth: 0.745 and 0.751 with it, 0.737, 0.754 and 0.746 without (means of five days).
-    pub by_slack: bool,
-    /// Part of the aim that a request waits for room, before it is refused; 0 to 10. There a
-    /// tenth, a quarter and the whole aim made no difference: 0.743, 0.746 and 0.754.
-    #[serde(deserialize_with = "read_room_part")]
-    pub room_part: f64,
-}
-
-impl Default for ChoicePolicy {
-    fn default() -> Self {
-        Self {
-            running_cost: 0.1,
-            hall_cost: 0.2,
-            prefix_gain: 0.4,
-            failure_cost: 8.0,
-            fade_ms: 2_000,
-            eject_ms: 1_000,
-            eject_max_ms: 8_000,
-            apart_cost: 1.0,
-            by_slack: false,
-            room_part: 0.25,
-        }
-    }
-}
-
-/// The last of the ten places in the order at a replica.
-const LAST_URGENCY: u32 = URGENCIES as u32 - 1;
-
-impl ChoicePolicy {
-    /// A request's place in the order at a replica: by the rank of its account, or of its
-    /// route where it has none, and by how well it can wait; see
-    /// [`crate::table::configuration::slack_ranks`].
-    pub fn urgency(&self, rank: Option<u32>, priority: u32, slack: u32) -> usize {
-        let place = match rank {
-            _ if !self.by_slack => rank.unwrap_or(priority),
-            Some(rank) => rank.saturating_mul(SLACK_RANKS).saturating_add(slack),
-            None => slack * SLACK_RANKS + priority.min(SLACK_RANKS - 1),
-        };
-        place.min(LAST_URGENCY) as usize
-    }
-}
-
-fn read_room_part<'de, D: Deserializer<'de>>(deserializer: D) -> Result<f64, D::Error> {
-    let part = f64::deserialize(deserializer)?;
-    match (0.0..=10.0).contains(&part) {
-        true => Ok(part),
-        false => Err(D::Error::custom("room_part: must be from 0 to 10")),
-    }
-}
-
-/// What a request needs of a replica.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Need {
-    /// The service.
-    pub service: Option<ServiceName>,
-    /// The model.
-    pub model: Option<ModelName>,
-    /// An adapter of the model.
-    pub adapter: Option<String>,
-    /// Names the shared start of the prompt.
-    pub prefix: Option<u64>,
-    /// Tokens of the prompt.
-    pub prompt_tokens: u64,
-    /// Tokens of the prompt and the answer.
-    pub tokens: u64,
-    /// Urgency, 0 to 9; 0 goes first.
-    pub urgency: usize,
-    /// Time within which the answer should begin, in milliseconds.
-    pub limit_ms: u64,
-    /// Drawn for the request: spreads requests of different entries evenly.
-    pub draw: u64,
-}
 
 /// The choice.
 #[derive(Clone, Debug, PartialEq)]
@@ -171,94 +74,25 @@
     Neutral,
 }
 
-#[derive(Clone, Debug, Default)]
-struct Told {
-    others_waiting: f64,
-    others_running: f64,
-    at_ms: u64,
-}
-
-/// What other entries have waiting at a replica, as the leader told it.
-#[derive(Clone, Copy, Debug, Default)]
-struct CrowdNote {
-    tokens: u64,
-    at_ms: u64,
-}
-
-impl CrowdNote {
-    fn at(&self, now_ms: u64) -> u64 {
-        match now_ms.saturating_sub(self.at_ms) {
-            age_ms if age_ms < CROWD_MS => self.tokens,
-            _ => 0,
-        }
-    }
-}
-
-/// The pauses between events of a replica's streams, as this entry sees them. All
-/// streams of an engine share its steps, so that few of them tell of all.
-#[derive(Clone, Copy, Debug, Default)]
-struct StreamPause {
-    smooth_ms: f64,
-    at_ms: u64,
-}
-
-impl StreamPause {
-    fn note(&mut self, now_ms: u64, pause_ms: f64) {
-        let known_ms = self.at(now_ms);
-        self.smooth_ms = known_ms + (pause_ms - known_ms) * PAUSE_STEP;
-        self.at_ms = now_ms;
-    }
-
-    /// The pause to be expected now: what was seen fades where nothing is seen.
-    fn at(&self, now_ms: u64) -> f64 {
-        let age_ms = now_ms.saturating_sub(self.at_ms);
-        self.smooth_ms * (1.0 - age_ms as f64 / PAUSE_FADE_MS as f64).max(0.0)
-    }
-}
-
-#[derive(Clone, Debug)]
-struct ReplicaNote {
-    record: ReplicaRecord,
-    /// Own requests that have no first byte yet.
-    waiting: u32,
-    /// Own requests whose answer has begun.
-    running: u32,
-    tokens: u64,
-    /// Tokens of own requests that wait, by urgency.
-    waiting_tokens: [u64; URGENCIES],
-    /// Milliseconds until an answer begins, for each token that is read before;
-    /// none until the first answer.
-    pace_ms: Option<f64>,
-    told: Told,
-    crowd: CrowdNote,
-    pause: StreamPause,
-    slots: u32,
-    failing: f64,
-    ejected_until_ms: u64,
-    ejections: u32,
-    full_until_ms: u64,
-    no_fetch_until_ms: u64,
-    prefixes: VecDeque<u64>,
+/// What an entry has come to believe of a replica.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EjectNews {
+    /// The replica.
+    pub replica: ReplicaId,
+    /// Its failure rate, from 0 to 1.
+    pub failing: f64,
+    /// It is passed over for so long, in milliseconds.
+    pub pause_ms: u64,
+    /// How it failed last.
+    pub end: TryEnd,
 }
 
-/// Degrees of urgency.
-const URGENCIES: usize = 10;
 /// Weight of the newest answer in a replica's pace.
 const PACE_STEP: f64 = 0.2;
 /// Weight of the newest answer in the pace of a service: a mean of its last hundred.
 const SERVICE_PACE_STEP: f64 = 0.01;
 /// Part of the time limit from which a predicted beginning is told to the leader.
 const CROWDING_PART: f64 = 0.3;
-/// Part of the time limit that the predicted beginning may take.
-const PACE_PART: f64 = 0.6;
-/// Weight of the newest pause between two events in a replica's pauses: about a
-/// tenth of a second at the rate of a few streams.
-const PAUSE_STEP: f64 = 0.15;
-/// Time by which what was seen of pauses has faded, in milliseconds.
-const PAUSE_FADE_MS: u64 = 1_000;
-/// How long the leader's word on crowded replicas counts, in milliseconds: two more reports
-/// may go unanswered.
-const CROWD_MS: u64 = 1_500;
 /// Replicas that one log line describes.
 const MAX_DESCRIBED: usize = 4;
 /// Shared starts remembered for each replica.
@@ -272,83 +106,6 @@
 /// How long a replica that said so is taken for full, in milliseconds.
 const FULL_MS: u64 = 100;
 
-impl ReplicaNote {
-    fn new(record: ReplicaRecord) -> Self {
-        Self {
-            slots: record.slots.max(1),
-            record,
-            waiting: 0,
-            running: 0,
-            tokens: 0,
-            waiting_tokens: [0; URGENCIES],
-            pace_ms: None,
-            told: Told::default(),
-            crowd: CrowdNote::default(),
-            pause: StreamPause::default(),
-            failing: 0.0,
-            ejected_until_ms: 0,
-            ejections: 0,
-            full_until_ms: 0,
-            no_fetch_until_ms: 0,
-            prefixes: VecDeque::new(),
-        }
-    }
-
-    fn stop_waiting(&mut self, need: &Need) {
-        let tokens = &mut self.waiting_tokens[need.urgency.min(URGENCIES - 1)];
-        *tokens = tokens.saturating_sub(need.tokens);
-        self.waiting = self.waiting.saturating_sub(1);
-    }
-
-    /// Tokens that are read before the answer to a request can begin, its own
-    /// among them.
-    fn ahead(&self, need: &Need, now_ms: u64, fade_ms: u64) -> u64 {
-        let urgency = need.urgency.min(URGENCIES - 1);
-        let own: u64 = self.waiting_tokens[..=urgency].iter().sum();
-        let others = self.told.others_waiting * self.fade(now_ms, fade_ms);
-        let others = (others * need.tokens as f64) as u64;
-        own + need.tokens + others.max(self.crowd.at(now_ms))
-    }
-
-    /// Whether an answer is likely to begin in time, at so many milliseconds a token.
-    fn is_quick(&self, need: &Need, now_ms: u64, fade_ms: u64, pace_ms: f64) -> bool {
-        let ahead = self.ahead(need, now_ms, fade_ms);
-        // Without word of others it has to be tried: its pace is learned by answers alone.
-        let idle = self.waiting == 0 && self.crowd.at(now_ms) == 0;
-        let predicted_ms = pace_ms * ahead as f64;
-        idle || need.model.is_none() || predicted_ms <= need.limit_ms as f64 * PACE_PART
-    }
-
-    fn adapters(&self) -> usize {
-        self.record.models.values().map(BTreeSet::len).sum()
-    }
-
-    fn fade(&self, now_ms: u64, fade_ms: u64) -> f64 {
-        let age_ms = now_ms.saturating_sub(self.told.at_ms);
-        1.0 - (age_ms as f64 / fade_ms.max(1) as f64).min(1.0)
-    }
-
-    fn loads(&self, now_ms: u64, fade_ms: u64) -> (f64, f64) {
-        let fade = self.fade(now_ms, fade_ms);
-        let waiting = f64::from(self.waiting) + self.told.others_waiting * fade;
-        let running = f64::from(self.running) + self.told.others_running * fade;
-        (waiting, running)
-    }
-}
-
-/// What an entry has come to believe of a replica.
-#[derive(Clone, Debug, PartialEq)]
-pub struct EjectNews {
-    /// The replica.
-    pub replica: ReplicaId,
-    /// Its failure rate, from 0 to 1.
-    pub failing: f64,
-    /// It is passed over for so long, in milliseconds.
-    pub pause_ms: u64,
-    /// How it failed last.
-    pub end: TryEnd,
-}
-
 /// All replicas that an entry knows.
 #[derive(Clone, Debug, Default)]
 pub struct ReplicaBook {
@@ -691,7 +448,7 @@
     pub fn tell(&mut self, now_ms: u64, id: &ReplicaId, report: LoadReport) {
         if let Some(note) = self.notes.get_mut(id) {
             let others = |told: u32, own: u32| f64::from(told.saturating_sub(own));
-            note.told = Told {
+            note.told = ToldLoad {
                 others_waiting: others(report.waiting, note.waiting),
                 others_running: others(report.running, note.running),
                 at_ms: now_ms,
--- a/src/forward/client.rs
+++ b/src/forward/client.rs
@@ -11,6 +11,7 @@
 use crate::forward::chunked::ChunkDecoder;
 use crate::forward::daemon::EntryCore;
 use crate::forward::head::{self, Framing, HeadError, RequestHead};
+use crate::forward::own_answer;
 use crate::forward::request;
 use crate::table::configuration::ClientLimits;
 
@@ -235,7 +236,7 @@
         Err(ReadError::Idle) => return AfterAnswer::Close,
         Err(ReadError::Refused(status, reason)) => {
             core.count_refused_read(status);
-            let answer = request::own_answer(core, status, reason, None, None, true);
+            let answer = own_answer::own_answer(core, status, reason, None, None, true);
             let _ = writer.write(&answer).await;
             return AfterAnswer::Close;
         }
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -20,9 +20,10 @@
 use crate::forward::client;
 use crate::forward::crowd;
 use crate::forward::dialect::HeaderNames;
+use crate::forward::quotas::{self, QuotaClient};
 use crate::forward::request_log::LineBudget;
 use crate::forward::upstream::ConnectionPool;
-use crate::ids::{AccountName, HallName, HostName, ModelName, ReplicaId};
+use crate::ids::{HallName, HostName, ModelName, ReplicaId};
 use crate::placement::order::AdapterPlace;
 use crate::placement::report::EntryReport;
 use crate::process::daemon::{self, DaemonError};
@@ -33,7 +34,7 @@
 use crate::routing::view::SiteView;
 use crate::table::accounts::KeyIndex;
 use crate::table::configuration::{ClientLimits, Configuration, RouteIndex, slack_ranks};
-use crate::table::quota::{EntryLife, QuotaAsk, QuotaCharge, QuotaGrants, QuotaHolder};
+use crate::table::quota::{EntryLife, QuotaHolder};
 
 /// Time between two reports to the leader.
 const REPORT_EVERY: Duration = Duration::from_millis(500);
@@ -41,11 +42,6 @@
 const REPORT_TIME: Duration = Duration::from_millis(1_000);
 /// Least time between two wishes for the same adapter, in milliseconds.
 const WISH_EVERY_MS: u64 = 150;
-/// Longest wait for an answer on quotas: a call to the leader takes two round trips and its
-/// batch of events; much longer, and it is lost.
-const QUOTA_TIME: Duration = Duration::from_millis(150);
-/// Least time between two questions for quotas: what comes meanwhile shares the next.
-const QUOTA_PAUSE: Duration = Duration::from_millis(10);
 /// Time between two looks whether a configuration that was proven has come.
 const AUTHORITY_LOOK: Duration = Duration::from_millis(50);
 /// Most lines on replicas, each way, for one step of the copy: an entry that has just started
@@ -128,15 +124,6 @@
     7_500
 }
 
-/// Why an account does not pay for a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum QuotaRefusal {
-    /// It is at its limit, for so long.
-    Over(Duration),
-    /// No leader told what is left in time.
-    Unknown,
-}
-
 /// A configuration with its index.
 #[derive(Debug)]
 pub struct Routing {
@@ -169,11 +156,10 @@
     lately: RefCell<BTreeMap<ModelName, f64>>,
     adapters: RefCell<BTreeSet<AdapterPlace>>,
     wishes: RefCell<BTreeMap<AdapterPlace, u64>>,
-    quotas: RefCell<QuotaHolder>,
-    quota_asked: Notify,
+    /// What is drawn of accounts' quotas.
+    pub quotas: QuotaClient,
     /// A replica is crowded, as far as this entry sees.
     pub crowd_seen: Notify,
-    quota_told: Notify,
     active: Cell<usize>,
     stopping: Arc<AtomicBool>,
     stop_told: Notify,
@@ -295,38 +281,6 @@
         }
     }
 
-    /// Pays for a request out of its account's quota, asking the leader where what was
-    /// drawn is spent. Returns how long the account is short where it is.
-    pub async fn pay(&self, account: &AccountName, cost: u64) -> Result<(), QuotaRefusal> {
-        self.quotas.borrow_mut().note(account, cost);
-        let give_up = Instant::now() + QUOTA_TIME;
-        loop {
-            let told = self.quota_told.notified();
-            let now_ms = clock::monotonic_ms();
-            let charge = self.quotas.borrow_mut().charge(now_ms, account, cost);
-            if self.quotas.borrow().is_hungry() {
-                self.quota_asked.notify_one();
-            }
-            match charge {
-                QuotaCharge::Paid => return Ok(()),
-                QuotaCharge::Short(ms) => {
-                    return Err(QuotaRefusal::Over(Duration::from_millis(ms)));
-                }
-                QuotaCharge::Unknown => return Err(QuotaRefusal::Unknown),
-                QuotaCharge::Ask if Instant::now() >= give_up => return Err(QuotaRefusal::Unknown),
-                QuotaCharge::Ask => {
-                    let _ = tokio::time::timeout_at(give_up.into(), told).await;
-                }
-            }
-        }
-    }
-
-    /// Gives back what a request cost that did not run.
-    pub fn refund(&self, account: &AccountName, cost: u64) {
-        let now_ms = clock::monotonic_ms();
-        self.quotas.borrow_mut().refund(now_ms, account, cost);
-    }
-
     /// The limits on clients.
     pub fn limits(&self) -> ClientLimits {
         let routing = self.routing.borrow();
@@ -454,7 +408,7 @@
         self.count("dunlinspring_unread_total", &[("status", &status)]);
     }
 
-    fn count(&self, name: &'static str, labels: &[(&'static str, &str)]) {
+    pub(super) fn count(&self, name: &'static str, labels: &[(&'static str, &str)]) {
         let mut metrics = self.metrics.lock().unwrap_or_else(|b| b.into_inner());
         metrics.count(MetricKey::new(name, labels), 1);
     }
@@ -469,21 +423,6 @@
         }
     }
 
-    /// Logs accounts that are at their limit.
-    fn log_short(&self, ask: &QuotaAsk, grants: &QuotaGrants) {
-        let short = grants.accounts.iter();
-        for (account, grant) in short.filter(|(_, grant)| grant.again_ms > 0) {
-            self.count("dunlinspring_short_accounts_total", &[]);
-            let claim = ask.claims.get(account).copied().unwrap_or_default();
-            if self.lines.borrow_mut().may_write(false) {
-                let (drawn, again_ms) = (grant.drawn, grant.again_ms);
-                let (least, needed) = (claim.least, claim.needed);
-                let number = ask.number;
-                tracing::info!(%account, number, least, needed, drawn, again_ms, "account short");
-            }
-        }
-    }
-
     /// Logs replicas that are passed over from now on.
     pub fn log_ejected(&self, news: &[EjectNews]) {
         for ejected in news {
@@ -528,7 +467,7 @@
                 keys,
             };
             *self.routing.borrow_mut() = Some(Rc::new(routing));
-            self.quotas.borrow_mut().forget_short();
+            self.quotas.forget_short();
             let position = view.position;
             tracing::info!(version, held, routes, %position, "configuration in force");
         }
@@ -634,10 +573,8 @@
             lately: RefCell::default(),
             adapters: RefCell::default(),
             wishes: RefCell::default(),
-            quotas: RefCell::new(QuotaHolder::new(life, clock::monotonic_ms())),
-            quota_asked: Notify::new(),
+            quotas: QuotaClient::new(QuotaHolder::new(life, clock::monotonic_ms())),
             crowd_seen: Notify::new(),
-            quota_told: Notify::new(),
             active: Cell::new(0),
             stopping: Arc::default(),
             stop_told: Notify::new(),
@@ -653,7 +590,7 @@
         }
         daemon::spawn_local(follow(core.clone()));
         daemon::spawn_local(report(core.clone()));
-        daemon::spawn_local(draw_quotas(core.clone()));
+        daemon::spawn_local(quotas::draw_quotas(core.clone()));
         daemon::spawn_local(crowd::tell_crowd(core.clone()));
         daemon::spawn_local(prune(core.clone()));
         daemon::spawn_local(accept(core.clone(), listener));
@@ -754,42 +691,6 @@
     }
 }
 
-/// Draws from the quotas of accounts: regularly while there is demand, and at once when
-/// requests wait for it.
-async fn draw_quotas(core: Rc<EntryCore>) {
-    loop {
-        let hungry = core.quota_asked.notified();
-        let _ = tokio::time::timeout(REPORT_EVERY, hungry).await;
-        let asked_ms = clock::monotonic_ms();
-        let Some(ask) = core.quotas.borrow_mut().ask(asked_ms) else {
-            continue;
-        };
-        let number = ask.number;
-        let granted = core
-            .follower
-            .link()
-            .decide("quota", QUOTA_TIME, |client, context| {
-                let ask = ask.clone();
-                async move { client.quota(context, ask).await }
-            })
-            .await;
-        match granted {
-            Ok(grants) => {
-                let now_ms = clock::monotonic_ms();
-                core.log_short(&ask, &grants);
-                let mut quotas = core.quotas.borrow_mut();
-                quotas.take(number, asked_ms, now_ms, &grants);
-            }
-            Err(error) => {
-                tracing::debug!(%error, "quotas were not drawn");
-                core.quotas.borrow_mut().miss();
-            }
-        }
-        core.quota_told.notify_waiters();
-        tokio::time::sleep(QUOTA_PAUSE).await;
-    }
-}
-
 fn adapter_place(replica: &ReplicaId, need: &Need) -> Option<AdapterPlace> {
     Some(AdapterPlace {
         replica: replica.clone(),
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -1,8 +1,8 @@
 //! The way of a request straight to a replica that registered itself.
 //!
 //! Data flows one way: [`client`] reads a request, [`request`] decides what
-//! becomes of it by [`book`], and [`upstream`] carries it to a replica. Parsing
-//! is in [`head`], [`chunked`] and [`events`], all pure.
+//! becomes of it by [`book`], and [`upstream`] carries it to a replica; [`own_answer`]
+//! is what a caller gets that no replica answers. Parsing is in [`head`], [`chunked`] and [`events`], all pure.
 
 pub mod book;
 pub mod budget;
@@ -14,7 +14,11 @@
 pub mod dialect;
 pub mod events;
 pub mod head;
+pub mod need;
+pub mod own_answer;
 pub mod patience;
+pub mod quotas;
+mod replica_note;
 pub mod request;
 pub mod request_log;
 pub mod separation;
--- /dev/null
+++ b/src/forward/own_answer.rs
@@ -0,0 +1,125 @@
+//! Answers of this system's own: why a request is refused, and how a caller is told.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::forward::caller::CallerRefusal;
+use crate::forward::client::{AfterAnswer, ClientRequest, ClientWriter};
+use crate::forward::daemon::EntryCore;
+use crate::forward::head;
+use crate::forward::quotas::QuotaRefusal;
+
+/// When a caller comes back whose key or quota is not known here: an election takes longer,
+/// but another entry may know.
+pub(super) const UNKNOWN_RETRY: Duration = Duration::from_millis(200);
+
+/// Why a request is refused without having run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Refusal {
+    /// All replicas are full.
+    Full,
+    /// No replica holds the model, and it cannot be there in time.
+    Absent,
+    /// The adapter did not come in time.
+    Adapter,
+    /// Time ran out before it was sent.
+    Late,
+    /// Replicas refused it, and the budget for sending it again is spent.
+    Budget,
+    /// This entry stops before such a stream is likely to end.
+    Stopping,
+    /// The caller may not act, or not any more.
+    Caller(CallerRefusal),
+    /// Its account does not pay for it.
+    Quota(QuotaRefusal),
+}
+
+impl Refusal {
+    /// What the caller is told.
+    pub(super) fn text(self) -> &'static str {
+        match self {
+            Self::Full => "all replicas are full",
+            Self::Absent => "no replica holds the model",
+            Self::Adapter => "the adapter did not come in time",
+            Self::Late => "time ran out before it was sent",
+            Self::Budget => "replicas refused it",
+            Self::Stopping => "this entry stops before it would end",
+            Self::Caller(refusal) => refusal.text(),
+            Self::Quota(QuotaRefusal::Over(_)) => "the account is at its limit",
+            Self::Quota(QuotaRefusal::Unknown) => "what is left of the limit is not known",
+        }
+    }
+
+    /// The status of a request that has not run.
+    pub(super) fn status(self) -> u16 {
+        match self {
+            Self::Caller(refusal) => refusal.status(),
+            Self::Quota(QuotaRefusal::Over(_)) => 429,
+            _ => 503,
+        }
+    }
+}
+
+/// Refuses a request that got no further than its route.
+pub(super) async fn refuse_plainly(
+    core: &Rc<EntryCore>,
+    request: &ClientRequest,
+    writer: &mut ClientWriter,
+    status: u16,
+    reason: &str,
+) -> AfterAnswer {
+    let id = head::find(&request.head.headers, core.names.request_id);
+    let close = closes(core, request);
+    let retry = (status == 503).then_some(UNKNOWN_RETRY);
+    let bytes = own_answer(core, status, reason, id, retry, close);
+    core.log_plain(id.unwrap_or_default(), status, reason);
+    finish(writer, &bytes, close).await
+}
+
+/// Writes an answer's last bytes.
+pub(super) async fn finish(writer: &mut ClientWriter, bytes: &[u8], close: bool) -> AfterAnswer {
+    match (writer.write(bytes).await, close) {
+        (Err(_), _) => AfterAnswer::Cut,
+        (Ok(()), true) => AfterAnswer::Close,
+        (Ok(()), false) => AfterAnswer::Keep,
+    }
+}
+
+/// Whether the connection ends after this request.
+pub(super) fn closes(core: &EntryCore, request: &ClientRequest) -> bool {
+    let headers = &request.head.headers;
+    !request.head.is_http11
+        || head::names_token(headers, "connection", "close")
+        || core.is_stopping()
+}
+
+/// An answer of this system's own.
+pub fn own_answer(
+    core: &EntryCore,
+    status: u16,
+    reason: &str,
+    id: Option<&str>,
+    retry: Option<Duration>,
+    close: bool,
+) -> Vec<u8> {
+    let body = format!("{{\"error\":\"{reason}\"}}\n");
+    let mut text = format!("HTTP/1.1 {status} {}\r\n", head::reason(status));
+    head::push_header(&mut text, "Content-Type", "application/json");
+    head::push_header(&mut text, "Content-Length", &body.len().to_string());
+    if let Some(id) = id {
+        head::push_header(&mut text, core.names.request_id, id);
+    }
+    if status == 401 {
+        head::push_header(&mut text, "WWW-Authenticate", "Bearer");
+    }
+    if let Some(retry) = retry {
+        let seconds = format!("{:.2}", retry.as_secs_f64());
+        head::push_header(&mut text, "Retry-After", &seconds);
+    }
+    if close {
+        head::push_header(&mut text, "Connection", "close");
+    }
+    text.push_str("\r\n");
+    text.push_str(&body);
+    text.into_bytes()
+}
--- /dev/null
+++ b/src/forward/replica_note.rs
@@ -0,0 +1,154 @@
+//! What an entry notes of one replica: its own requests there, what it and others told, and
+//! how it answered.
+
+use std::collections::{BTreeSet, VecDeque};
+
+use crate::consensus::directory::ReplicaRecord;
+use crate::forward::need::{Need, URGENCIES};
+
+/// Part of the time limit that the predicted beginning may take.
+pub(super) const PACE_PART: f64 = 0.6;
+/// Weight of the newest pause between two events in a replica's pauses: about a
+/// tenth of a second at the rate of a few streams.
+const PAUSE_STEP: f64 = 0.15;
+/// Time by which what was seen of pauses has faded, in milliseconds.
+const PAUSE_FADE_MS: u64 = 1_000;
+/// How long the leader's word on crowded replicas counts, in milliseconds: two more reports
+/// may go unanswered.
+const CROWD_MS: u64 = 1_500;
+
+/// The load that a replica told on an answer, without this entry's own requests.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ToldLoad {
+    pub(super) others_waiting: f64,
+    pub(super) others_running: f64,
+    pub(super) at_ms: u64,
+}
+
+/// What other entries have waiting at a replica, as the leader told it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct CrowdNote {
+    pub(super) tokens: u64,
+    pub(super) at_ms: u64,
+}
+
+impl CrowdNote {
+    pub(super) fn at(&self, now_ms: u64) -> u64 {
+        match now_ms.saturating_sub(self.at_ms) {
+            age_ms if age_ms < CROWD_MS => self.tokens,
+            _ => 0,
+        }
+    }
+}
+
+/// The pauses between events of a replica's streams, as this entry sees them. All
+/// streams of an engine share its steps, so that few of them tell of all.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct StreamPause {
+    smooth_ms: f64,
+    at_ms: u64,
+}
+
+impl StreamPause {
+    pub(super) fn note(&mut self, now_ms: u64, pause_ms: f64) {
+        let known_ms = self.at(now_ms);
+        self.smooth_ms = known_ms + (pause_ms - known_ms) * PAUSE_STEP;
+        self.at_ms = now_ms;
+    }
+
+    /// The pause to be expected now: what was seen fades where nothing is seen.
+    pub(super) fn at(&self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.at_ms);
+        self.smooth_ms * (1.0 - age_ms as f64 / PAUSE_FADE_MS as f64).max(0.0)
+    }
+}
+
+/// One replica, as this entry sees it.
+#[derive(Clone, Debug)]
+pub(super) struct ReplicaNote {
+    pub(super) record: ReplicaRecord,
+    /// Own requests that have no first byte yet.
+    pub(super) waiting: u32,
+    /// Own requests whose answer has begun.
+    pub(super) running: u32,
+    pub(super) tokens: u64,
+    /// Tokens of own requests that wait, by urgency.
+    pub(super) waiting_tokens: [u64; URGENCIES],
+    /// Milliseconds until an answer begins, for each token that is read before;
+    /// none until the first answer.
+    pub(super) pace_ms: Option<f64>,
+    pub(super) told: ToldLoad,
+    pub(super) crowd: CrowdNote,
+    pub(super) pause: StreamPause,
+    pub(super) slots: u32,
+    pub(super) failing: f64,
+    pub(super) ejected_until_ms: u64,
+    pub(super) ejections: u32,
+    pub(super) full_until_ms: u64,
+    pub(super) no_fetch_until_ms: u64,
+    pub(super) prefixes: VecDeque<u64>,
+}
+
+impl ReplicaNote {
+    pub(super) fn new(record: ReplicaRecord) -> Self {
+        Self {
+            slots: record.slots.max(1),
+            record,
+            waiting: 0,
+            running: 0,
+            tokens: 0,
+            waiting_tokens: [0; URGENCIES],
+            pace_ms: None,
+            told: ToldLoad::default(),
+            crowd: CrowdNote::default(),
+            pause: StreamPause::default(),
+            failing: 0.0,
+            ejected_until_ms: 0,
+            ejections: 0,
+            full_until_ms: 0,
+            no_fetch_until_ms: 0,
+            prefixes: VecDeque::new(),
+        }
+    }
+
+    pub(super) fn stop_waiting(&mut self, need: &Need) {
+        let tokens = &mut self.waiting_tokens[need.urgency.min(URGENCIES - 1)];
+        *tokens = tokens.saturating_sub(need.tokens);
+        self.waiting = self.waiting.saturating_sub(1);
+    }
+
+    /// Tokens that are read before the answer to a request can begin, its own
+    /// among them.
+    pub(super) fn ahead(&self, need: &Need, now_ms: u64, fade_ms: u64) -> u64 {
+        let urgency = need.urgency.min(URGENCIES - 1);
+        let own: u64 = self.waiting_tokens[..=urgency].iter().sum();
+        let others = self.told.others_waiting * self.fade(now_ms, fade_ms);
+        let others = (others * need.tokens as f64) as u64;
+        own + need.tokens + others.max(self.crowd.at(now_ms))
+    }
+
+    /// Whether an answer is likely to begin in time, at so many milliseconds a token.
+    pub(super) fn is_quick(&self, need: &Need, now_ms: u64, fade_ms: u64, pace_ms: f64) -> bool {
+        let ahead = self.ahead(need, now_ms, fade_ms);
+        // Without word of others it has to be tried: its pace is learned by answers alone.
+        let idle = self.waiting == 0 && self.crowd.at(now_ms) == 0;
+        let predicted_ms = pace_ms * ahead as f64;
+        idle || need.model.is_none() || predicted_ms <= need.limit_ms as f64 * PACE_PART
+    }
+
+    pub(super) fn adapters(&self) -> usize {
+        self.record.models.values().map(BTreeSet::len).sum()
+    }
+
+    pub(super) fn fade(&self, now_ms: u64, fade_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.told.at_ms);
+        1.0 - (age_ms as f64 / fade_ms.max(1) as f64).min(1.0)
+    }
+
+    pub(super) fn loads(&self, now_ms: u64, fade_ms: u64) -> (f64, f64) {
+        let fade = self.fade(now_ms, fade_ms);
+        let waiting = f64::from(self.waiting) + self.told.others_waiting * fade;
+        let running = f64::from(self.running) + self.told.others_running * fade;
+        (waiting, running)
+    }
+}
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -11,10 +11,12 @@
 use crate::forward::book::{self, Choice, EngineBounds, Need, TryEnd};
 use crate::forward::caller::{self, CallerIdentity, CallerRefusal};
 use crate::forward::client::{AfterAnswer, ClientRequest, ClientWriter};
-use crate::forward::daemon::{EntryCore, QuotaRefusal, Routing};
+use crate::forward::daemon::{EntryCore, Routing};
 use crate::forward::events::EventCutter;
 use crate::forward::head::{self, Framing, ResponseHead};
+use crate::forward::own_answer::{self, Refusal, UNKNOWN_RETRY, closes, finish, refuse_plainly};
 use crate::forward::patience;
+use crate::forward::quotas::QuotaRefusal;
 use crate::forward::request_log::{Outcome, RequestLog};
 use crate::forward::upstream::{Connection, Exchange, ExchangeError, Outgoing};
 use crate::ids::{AccountName, ModelName, ReplicaId, ServiceName};
@@ -36,58 +38,9 @@
 /// How much longer than predicted a stream may last: pauses grow while demand moves.
 /// With 1.5 one play in two of a day with a rolling restart still cut one off.
 const STREAM_MARGIN: f64 = 2.0;
-/// When a caller comes back whose key or quota is not known here: an election takes longer,
-/// but another entry may know.
-const UNKNOWN_RETRY: Duration = Duration::from_millis(200);
 /// Time that is left for a request to be worth sending.
 const LEAST_LEFT: Duration = Duration::from_millis(20);
 
-/// Why a request is refused without having run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Refusal {
-    /// All replicas are full.
-    Full,
-    /// No replica holds the model, and it cannot be there in time.
-    Absent,
-    /// The adapter did not come in time.
-    Adapter,
-    /// Time ran out before it was sent.
-    Late,
-    /// Replicas refused it, and the budget for sending it again is spent.
-    Budget,
-    /// This entry stops before such a stream is likely to end.
-    Stopping,
-    /// The caller may not act, or not any more.
-    Caller(CallerRefusal),
-    /// Its account does not pay for it.
-    Quota(QuotaRefusal),
-}
-
-impl Refusal {
-    fn text(self) -> &'static str {
-        match self {
-            Self::Full => "all replicas are full",
-            Self::Absent => "no replica holds the model",
-            Self::Adapter => "the adapter did not come in time",
-            Self::Late => "time ran out before it was sent",
-            Self::Budget => "replicas refused it",
-            Self::Stopping => "this entry stops before it would end",
-            Self::Caller(refusal) => refusal.text(),
-            Self::Quota(QuotaRefusal::Over(_)) => "the account is at its limit",
-            Self::Quota(QuotaRefusal::Unknown) => "what is left of the limit is not known",
-        }
-    }
-
-    /// The status of a request that has not run.
-    fn status(self) -> u16 {
-        match self {
-            Self::Caller(refusal) => refusal.status(),
-            Self::Quota(QuotaRefusal::Over(_)) => 429,
-            _ => 503,
-        }
-    }
-}
-
 /// How a try at one replica ended.
 enum Tried {
     /// The client has its answer.
@@ -152,68 +105,6 @@
     part.map_or(longest, |part| part.min(longest))
 }
 
-async fn refuse_plainly(
-    core: &Rc<EntryCore>,
-    request: &ClientRequest,
-    writer: &mut ClientWriter,
-    status: u16,
-    reason: &str,
-) -> AfterAnswer {
-    let id = head::find(&request.head.headers, core.names.request_id);
-    let close = closes(core, request);
-    let retry = (status == 503).then_some(UNKNOWN_RETRY);
-    let bytes = own_answer(core, status, reason, id, retry, close);
-    core.log_plain(id.unwrap_or_default(), status, reason);
-    finish(writer, &bytes, close).await
-}
-
-async fn finish(writer: &mut ClientWriter, bytes: &[u8], close: bool) -> AfterAnswer {
-    match (writer.write(bytes).await, close) {
-        (Err(_), _) => AfterAnswer::Cut,
-        (Ok(()), true) => AfterAnswer::Close,
-        (Ok(()), false) => AfterAnswer::Keep,
-    }
-}
-
-/// Whether the connection ends after this request.
-fn closes(core: &EntryCore, request: &ClientRequest) -> bool {
-    let headers = &request.head.headers;
-    !request.head.is_http11
-        || head::names_token(headers, "connection", "close")
-        || core.is_stopping()
-}
-
-/// An answer of this system's own.
-pub fn own_answer(
-    core: &EntryCore,
-    status: u16,
-    reason: &str,
-    id: Option<&str>,
-    retry: Option<Duration>,
-    close: bool,
-) -> Vec<u8> {
-    let body = format!("{{\"error\":\"{reason}\"}}\n");
-    let mut text = format!("HTTP/1.1 {status} {}\r\n", head::reason(status));
-    head::push_header(&mut text, "Content-Type", "application/json");
-    head::push_header(&mut text, "Content-Length", &body.len().to_string());
-    if let Some(id) = id {
-        head::push_header(&mut text, core.names.request_id, id);
-    }
-    if status == 401 {
-        head::push_header(&mut text, "WWW-Authenticate", "Bearer");
-    }
-    if let Some(retry) = retry {
-        let seconds = format!("{:.2}", retry.as_secs_f64());
-        head::push_header(&mut text, "Retry-After", &seconds);
-    }
-    if close {
-        head::push_header(&mut text, "Connection", "close");
-    }
-    text.push_str("\r\n");
-    text.push_str(&body);
-    text.into_bytes()
-}
-
 /// A number drawn for a request by its id, so that a resend takes the same way.
 fn draw(id: &str) -> u64 {
     u64::from(crc32fast::hash(id.as_bytes()))
@@ -411,7 +302,7 @@
     async fn pay(&mut self) -> Result<(), QuotaRefusal> {
         match self.cost() {
             Some((account, cost)) if self.paid == 0 => {
-                self.core.pay(&account, cost).await?;
+                self.core.quotas.pay(&account, cost).await?;
                 self.paid = cost;
                 Ok(())
             }
@@ -423,7 +314,7 @@
     fn refund(&mut self) {
         let paid = std::mem::take(&mut self.paid);
         if let (Some(caller), true) = (&self.caller, paid > 0) {
-            self.core.refund(&caller.account, paid);
+            self.core.quotas.refund(&caller.account, paid);
         }
     }
 
@@ -493,7 +384,7 @@
         };
         self.log.ends(outcome, status, reason);
         let close = closes(self.core, self.request);
-        let bytes = own_answer(self.core, status, reason, Some(&self.id), retry, close);
+        let bytes = own_answer::own_answer(self.core, status, reason, Some(&self.id), retry, close);
         finish(writer, &bytes, close).await
     }
 
--- a/src/forward/separation.rs
+++ b/src/forward/separation.rs
@@ -10,7 +10,7 @@
 //! Pure. All entries come to the same homes without telling each other, as the order of
 //! the homes follows from the model and the replicas alone.
 
-use crate::forward::book::Need;
+use crate::forward::need::Need;
 
 /// An answer is long from this multiple of the mean answer on.
 const LONG_FACTOR: f64 = 1.5;
--- a/tests/forwarding/accounts.rs
+++ b/tests/forwarding/accounts.rs
@@ -174,6 +174,13 @@
     let ran = site.seen("r1").len();
     assert_eq!(ran, 10);
     assert_eq!(site.ask_as("/plain/x", "other", "k2", "").await.status, 200);
+    let [acme, free] = &site.account_statuses().await[..] else {
+        panic!("two accounts");
+    };
+    let usage = acme.limit.unwrap().usage;
+    assert_eq!((acme.name.as_str(), acme.keys), ("acme", 1));
+    assert_eq!((usage.level, usage.short), (0, true));
+    assert_eq!((free.name.as_str(), free.limit), ("free", None));
 }
 
 #[ntex::test]
--- a/tests/forwarding/support.rs
+++ b/tests/forwarding/support.rs
@@ -19,6 +19,7 @@
 use dunlinspring::ids::{HallName, HostName, ModelName, ReplicaId, ServiceName};
 use dunlinspring::process::peers::{ControlLink, SiteSecret};
 use dunlinspring::process::settings::{CommonSettings, ControlSettings, VoterSettings};
+use dunlinspring::process::wire::{AccountStatus, ControlWireClient};
 use dunlinspring::table::accounts::AccountBook;
 use dunlinspring::table::configuration::{
     Configuration, EngineModel, EngineSpec, RouteKind, RouteSpec, ServiceSpec,
@@ -199,6 +200,7 @@
     _folder: TempDir,
     control: ControlDaemon,
     registry: Registry,
+    link: Arc<ControlLink>,
     entry: ForwardDaemon,
     replicas: BTreeMap<String, (ReplicaRecord, SharedReplica)>,
 }
@@ -315,7 +317,7 @@
         let folder = tempfile::tempdir().unwrap();
         let (control, address) = start_control(&folder).await;
         let link = Arc::new(ControlLink::new(secret(), vec![address.to_string()]));
-        let registry = Registry::new(LogAccess::Own(control.handle()), link);
+        let registry = Registry::new(LogAccess::Own(control.handle()), link.clone());
         let settings = ForwardSettings {
             host: HostName::from("entry"),
             hall: HallName::from("hall"),
@@ -339,6 +341,7 @@
             _folder: folder,
             control,
             registry,
+            link,
             entry,
             replicas: BTreeMap::new(),
         }
@@ -388,6 +391,13 @@
         record.unwrap().configuration.version
     }
 
+    /// The client accounts, as operators are told of them.
+    pub async fn account_statuses(&self) -> Vec<AccountStatus> {
+        let call =
+            |client: ControlWireClient, context| async move { client.accounts(context).await };
+        self.link.decide("accounts", PATIENCE, call).await.unwrap()
+    }
+
     /// Starts a replica, and waits until the entry sends to it.
     pub async fn add_replica(&mut self, name: &str, script: Vec<Behaviour>) {
         self.add("plain", name, BTreeMap::new(), script).await;
