Of the replica's word and the leader's the newest counts

Others were counted twice: in the pace learned while they were unseen, and in the leader's sum; and the larger of two words counted, whichever was older.

Change: while the leader tells, the pace is that of the replica alone, learned from its best answers; of both words the newest counts.

--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -9,7 +9,9 @@
 use crate::consensus::directory::{ReplicaPhase, ReplicaRecord};
 use crate::forward::need::URGENCIES;
 pub use crate::forward::need::{ChoicePolicy, Need};
-use crate::forward::replica_note::{CrowdNote, PACE_PART, ReplicaNote, ToldLoad};
+use crate::forward::replica_note::{
+    CROWD_MS, CrowdNote, PACE_PART, ReadPace, ReplicaNote, ToldLoad,
+};
 use crate::forward::separation::AnswerMix;
 use crate::ids::{HallName, ReplicaId, ServiceName};
 use crate::placement::crowd::WaitingTokens;
@@ -87,10 +89,6 @@
     pub end: TryEnd,
 }
 
-/// Weight of the newest answer in a replica's pace.
-const PACE_STEP: f64 = 0.2;
-/// Weight of the newest answer in the pace of a service: a mean of its last hundred.
-const SERVICE_PACE_STEP: f64 = 0.01;
 /// Part of the time limit from which a predicted beginning is told to the leader.
 const CROWDING_PART: f64 = 0.3;
 /// Replicas that one log line describes.
@@ -114,8 +112,10 @@
     notes: BTreeMap<ReplicaId, ReplicaNote>,
     news: Vec<EjectNews>,
     mixes: BTreeMap<ServiceName, AnswerMix>,
-    /// Milliseconds for each token, over the replicas of a service.
-    paces: BTreeMap<ServiceName, f64>,
+    /// Over the replicas of a service, for those of which nothing is known.
+    paces: BTreeMap<ServiceName, ReadPace>,
+    /// Until when the leader's word on crowded replicas counts.
+    crowd_until_ms: u64,
 }
 
 impl ReplicaBook {
@@ -128,6 +128,7 @@
             news: Vec::new(),
             mixes: BTreeMap::new(),
             paces: BTreeMap::new(),
+            crowd_until_ms: 0,
         }
     }
 
@@ -161,6 +162,7 @@
 
     /// Takes the leader's word on crowded replicas; `own` is what this entry had told.
     pub fn follow_crowd(&mut self, now_ms: u64, own: &WaitingTokens, crowded: &WaitingTokens) {
+        self.crowd_until_ms = now_ms + CROWD_MS;
         for (id, tokens) in crowded {
             let own = own.get(id).copied().unwrap_or(0);
             if let Some(note) = self.notes.get_mut(id) {
@@ -184,7 +186,7 @@
     /// begins late, or nothing is known of the replica yet.
     pub fn is_crowding(&self, id: &ReplicaId, need: &Need, ahead: u64) -> bool {
         let note = self.notes.get(id).filter(|_| need.model.is_some());
-        note.is_some_and(|note| match note.pace_ms {
+        note.is_some_and(|note| match note.pace.smooth_ms {
             Some(pace_ms) => pace_ms * ahead as f64 > need.limit_ms as f64 * CROWDING_PART,
             None => true,
         })
@@ -204,7 +206,7 @@
             let (waiting, running) = note.loads(now_ms, fade_ms);
             let full = waiting + running >= f64::from(note.slots);
             let ahead = note.ahead(need, now_ms, fade_ms);
-            let begin_ms = self.pace_ms(note, need) * ahead as f64;
+            let begin_ms = self.pace_ms(note, need, now_ms) * ahead as f64;
             let over_ms = begin_ms - need.limit_ms as f64 * PACE_PART;
             match full {
                 true => over_ms.max(need.limit_ms as f64),
@@ -223,7 +225,7 @@
         let lines = suited.take(MAX_DESCRIBED).map(|note| {
             let (waiting, running) = note.loads(now_ms, fade_ms);
             let ahead = note.ahead(need, now_ms, fade_ms) as f64;
-            let begin_ms = self.pace_ms(note, need) * ahead;
+            let begin_ms = self.pace_ms(note, need, now_ms) * ahead;
             let age_ms = now_ms.saturating_sub(note.told.at_ms);
             let ejected_ms = note.ejected_until_ms.saturating_sub(now_ms);
             let pause_ms = note.pause.at(now_ms);
@@ -368,20 +370,26 @@
     fn has_room(&self, note: &ReplicaNote, need: &Need, now_ms: u64, memory: u64) -> bool {
         let (waiting, running) = note.loads(now_ms, self.policy.fade_ms);
         let fits = memory == 0 || note.tokens + need.tokens <= memory || note.tokens == 0;
-        let pace_ms = self.pace_ms(note, need);
+        let pace_ms = self.pace_ms(note, need, now_ms);
         let quick = note.is_quick(need, now_ms, self.policy.fade_ms, pace_ms);
         let room = waiting + running < f64::from(note.slots);
         fits && quick && room && note.full_until_ms <= now_ms
     }
 
-    /// A replica's pace, or where no answer of it has come, that of its service.
-    fn pace_ms(&self, note: &ReplicaNote, need: &Need) -> f64 {
+    /// A replica's pace, or where no answer of it has come, that of its service. While the
+    /// leader tells what others have waiting it is that of the replica alone; otherwise the
+    /// others are in it.
+    fn pace_ms(&self, note: &ReplicaNote, need: &Need, now_ms: u64) -> f64 {
+        let known = |pace: &ReadPace| match now_ms < self.crowd_until_ms {
+            true => pace.best_ms,
+            false => pace.smooth_ms,
+        };
         let usual = || {
             need.service
                 .as_ref()
-                .and_then(|s| self.paces.get(s).copied())
+                .and_then(|s| known(self.paces.get(s)?))
         };
-        note.pace_ms.or_else(usual).unwrap_or(0.0)
+        known(&note.pace).or_else(usual).unwrap_or(0.0)
     }
 
     /// An event of a stream came so long after the one before.
@@ -434,11 +442,9 @@
             note.running += 1;
             if ahead > 0 {
                 let pace_ms = took_ms / ahead as f64;
-                let known_ms = note.pace_ms.unwrap_or(pace_ms);
-                note.pace_ms = Some(known_ms + (pace_ms - known_ms) * PACE_STEP);
+                note.pace.note(pace_ms);
                 if let Some(service) = &need.service {
-                    let usual_ms = self.paces.entry(service.clone()).or_insert(pace_ms);
-                    *usual_ms += (pace_ms - *usual_ms) * SERVICE_PACE_STEP;
+                    self.paces.entry(service.clone()).or_default().note(pace_ms);
                 }
             }
         }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! Data flows one way: [`client`] reads a request, [`request`] decides what
 //! becomes of it by [`book`], and [`upstream`] carries it to a replica; [`own_answer`]
-//! is what a caller gets that no replica answers. Parsing is in [`head`], [`chunked`] and [`events`], all pure.
+//! is what a caller gets that no replica answers. Parsing is in [`head`], [`chunked`] and
+//! [`events`], all pure.
 
 pub mod book;
 pub mod budget;
--- a/src/forward/replica_note.rs
+++ b/src/forward/replica_note.rs
@@ -6,6 +6,12 @@
 use crate::consensus::directory::ReplicaRecord;
 use crate::forward::need::{Need, URGENCIES};
 
+/// Weight of the newest answer in a pace.
+const PACE_STEP: f64 = 0.2;
+/// Weight of the newest answer in the best pace, where it is better.
+const PACE_FALL: f64 = 0.3;
+/// The same where it is worse: most are so as others had requests waiting.
+const PACE_RISE: f64 = 0.03;
 /// Part of the time limit that the predicted beginning may take.
 pub(super) const PACE_PART: f64 = 0.6;
 /// Weight of the newest pause between two events in a replica's pauses: about a
@@ -15,7 +21,7 @@
 const PAUSE_FADE_MS: u64 = 1_000;
 /// How long the leader's word on crowded replicas counts, in milliseconds: two more reports
 /// may go unanswered.
-const CROWD_MS: u64 = 1_500;
+pub(super) const CROWD_MS: u64 = 1_500;
 
 /// The load that a replica told on an answer, without this entry's own requests.
 #[derive(Clone, Debug, Default)]
@@ -25,6 +31,28 @@
     pub(super) at_ms: u64,
 }
 
+/// Milliseconds until an answer begins, for each token that is read before.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ReadPace {
+    /// As answers show it: the higher, the more others have waiting unseen.
+    pub(super) smooth_ms: Option<f64>,
+    /// As answers show it at their best: of the replica alone.
+    pub(super) best_ms: Option<f64>,
+}
+
+impl ReadPace {
+    pub(super) fn note(&mut self, pace_ms: f64) {
+        let smooth_ms = self.smooth_ms.unwrap_or(pace_ms);
+        self.smooth_ms = Some(smooth_ms + (pace_ms - smooth_ms) * PACE_STEP);
+        let best_ms = self.best_ms.unwrap_or(pace_ms);
+        let step = match pace_ms < best_ms {
+            true => PACE_FALL,
+            false => PACE_RISE,
+        };
+        self.best_ms = Some(best_ms + (pace_ms - best_ms) * step);
+    }
+}
+
 /// What other entries have waiting at a replica, as the leader told it.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct CrowdNote {
@@ -74,9 +102,7 @@
     pub(super) tokens: u64,
     /// Tokens of own requests that wait, by urgency.
     pub(super) waiting_tokens: [u64; URGENCIES],
-    /// Milliseconds until an answer begins, for each token that is read before;
-    /// none until the first answer.
-    pub(super) pace_ms: Option<f64>,
+    pub(super) pace: ReadPace,
     pub(super) told: ToldLoad,
     pub(super) crowd: CrowdNote,
     pub(super) pause: StreamPause,
@@ -98,7 +124,7 @@
             running: 0,
             tokens: 0,
             waiting_tokens: [0; URGENCIES],
-            pace_ms: None,
+            pace: ReadPace::default(),
             told: ToldLoad::default(),
             crowd: CrowdNote::default(),
             pause: StreamPause::default(),
@@ -122,9 +148,19 @@
     pub(super) fn ahead(&self, need: &Need, now_ms: u64, fade_ms: u64) -> u64 {
         let urgency = need.urgency.min(URGENCIES - 1);
         let own: u64 = self.waiting_tokens[..=urgency].iter().sum();
-        let others = self.told.others_waiting * self.fade(now_ms, fade_ms);
-        let others = (others * need.tokens as f64) as u64;
-        own + need.tokens + others.max(self.crowd.at(now_ms))
+        own + need.tokens + self.others(need, now_ms, fade_ms)
+    }
+
+    /// Tokens that others have waiting, by the newest word: what the replica told of all its
+    /// requests, or what the leader told of all entries.
+    fn others(&self, need: &Need, now_ms: u64, fade_ms: u64) -> u64 {
+        match self.crowd.at(now_ms) {
+            tokens if tokens > 0 && self.crowd.at_ms >= self.told.at_ms => tokens,
+            _ => {
+                let waiting = self.told.others_waiting * self.fade(now_ms, fade_ms);
+                (waiting * need.tokens as f64) as u64
+            }
+        }
     }
 
     /// Whether an answer is likely to begin in time, at so many milliseconds a token.
