--- a/src/placement/crowd.rs
+++ b/src/placement/crowd.rs
@@ -4,6 +4,11 @@
 //! An entry sees only its own requests and, on answers, what a replica tells of all. Where
 //! 31 entries share a home that answers eight requests a second, each hears of it once in
 //! four seconds, and together they keep a queue there that none of them sees.
+//!
+//! A queue that goes by itself is left alone, as its requests are served late at worst. One
+//! that stands makes all requests late and serves none more: entries are told of it (the
+//! distinction, and the idea of a least time, are those of CoDel: Nichols and Jacobson,
+//! "Controlling Queue Delay", ACM Queue 10(5), 2012).
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -42,13 +47,24 @@
     sums: WaitingTokens,
     /// By tokens, so that the most crowded are found without a look at all replicas.
     ranked: BTreeSet<(u64, ReplicaId)>,
+    /// Since when each crowded replica has been so, without a pause.
+    since: BTreeMap<ReplicaId, u64>,
+}
+
+/// From when on a replica counts as crowded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CrowdBound {
+    /// Tokens that wait there.
+    pub tokens: u64,
+    /// For so long without a pause, in milliseconds.
+    pub for_ms: u64,
 }
 
 impl CrowdSums {
-    /// Takes an entry's report in place of its last one. Returns the most crowded replicas,
-    /// of those with so many waiting tokens or more.
-    pub fn take(&mut self, now_ms: u64, report: CrowdReport, least_tokens: u64) -> WaitingTokens {
+    /// Takes an entry's report in place of its last one. Returns the most crowded replicas.
+    pub fn take(&mut self, now_ms: u64, report: CrowdReport, bound: CrowdBound) -> WaitingTokens {
         self.lapse(now_ms);
+        let named: Vec<ReplicaId> = report.waiting.keys().cloned().collect();
         self.add(&report.waiting);
         let note = CrowdNote {
             heard_ms: now_ms,
@@ -56,10 +72,16 @@
         };
         if let Some(last) = self.entries.insert(report.host, note) {
             self.subtract(&last.waiting);
+            self.watch(now_ms, last.waiting.keys(), bound);
         }
+        self.watch(now_ms, named.iter(), bound);
         let most = self.ranked.iter().rev();
-        let crowded = most.take_while(|(tokens, _)| *tokens >= least_tokens);
-        let listed = crowded.take(MAX_CROWDED);
+        let crowded = most.take_while(|(tokens, _)| *tokens >= bound.tokens);
+        let stands = |id: &ReplicaId| {
+            let since_ms = self.since.get(id);
+            since_ms.is_some_and(|since_ms| now_ms >= since_ms + bound.for_ms)
+        };
+        let listed = crowded.filter(|(_, id)| stands(id)).take(MAX_CROWDED);
         listed.map(|(tokens, id)| (id.clone(), *tokens)).collect()
     }
 
@@ -78,6 +100,25 @@
         }
     }
 
+    /// Notes which of these replicas have become crowded, or are so no more.
+    fn watch<'a>(
+        &mut self,
+        now_ms: u64,
+        ids: impl Iterator<Item = &'a ReplicaId>,
+        bound: CrowdBound,
+    ) {
+        for id in ids {
+            match self.sums.get(id).is_some_and(|sum| *sum >= bound.tokens) {
+                true => {
+                    self.since.entry(id.clone()).or_insert(now_ms);
+                }
+                false => {
+                    self.since.remove(id);
+                }
+            }
+        }
+    }
+
     fn add(&mut self, waiting: &WaitingTokens) {
         for (id, tokens) in waiting {
             self.change(id, |sum| sum.saturating_add(*tokens));
@@ -97,6 +138,8 @@
         if sum > 0 {
             self.sums.insert(id.clone(), sum);
             self.ranked.insert((sum, id.clone()));
+        } else {
+            self.since.remove(id);
         }
     }
 }
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -12,7 +12,7 @@
 use crate::consensus::state::{Command, SiteState};
 use crate::ids::{HostName, ModelName, ReplicaId, ServiceName, Term};
 use crate::placement::adapters::{AdapterOrders, WishAnswer};
-use crate::placement::crowd::{CrowdReport, CrowdSums, WaitingTokens};
+use crate::placement::crowd::{CrowdBound, CrowdReport, CrowdSums, WaitingTokens};
 use crate::placement::demand::DemandBook;
 use crate::placement::fleet_plan::{self, PlanModel, PlanReplica, PlanStep};
 use crate::placement::order::{AdapterPlace, EngineOrder, OrderKind, OrderOutcome};
@@ -42,6 +42,8 @@
     /// Tokens that wait at a replica from which entries are told of it: a quarter of a second
     /// of an engine that reads 16 in a millisecond. What is less is read before they know.
     pub crowded_tokens: u64,
+    /// For how long without a pause, in milliseconds: a shorter queue goes by itself.
+    pub crowded_ms: u64,
 }
 
 impl Default for FleetPolicy {
@@ -55,6 +57,7 @@
             demand_fall: 0.7,
             order_ms: 20_000,
             crowded_tokens: 4_000,
+            crowded_ms: 500,
         }
     }
 }
@@ -195,7 +198,11 @@
 
     /// What an entry has waiting at replicas. Returns the most crowded ones.
     pub fn on_crowd(&mut self, now_ms: u64, report: CrowdReport) -> WaitingTokens {
-        self.crowd.take(now_ms, report, self.policy.crowded_tokens)
+        let bound = CrowdBound {
+            tokens: self.policy.crowded_tokens,
+            for_ms: self.policy.crowded_ms,
+        };
+        self.crowd.take(now_ms, report, bound)
     }
 
     /// An entry's wish. Returns whether it will be met soon, and the order to send.
