The bound on crowded replicas holds before any are passed over

Cause: read in the code: a burst that crowds thousands of replicas for a moment had each report look at all of them; and a replica that fell below the bound as an entry went silent counted as standing at once when it rose again.

--- a/src/placement/crowd.rs
+++ b/src/placement/crowd.rs
@@ -63,7 +63,7 @@
 impl CrowdSums {
     /// Takes an entry's report in place of its last one. Returns the most crowded replicas.
     pub fn take(&mut self, now_ms: u64, report: CrowdReport, bound: CrowdBound) -> WaitingTokens {
-        self.lapse(now_ms);
+        self.lapse(now_ms, bound);
         let named: Vec<ReplicaId> = report.waiting.keys().cloned().collect();
         self.add(&report.waiting);
         let note = CrowdNote {
@@ -81,12 +81,14 @@
             let since_ms = self.since.get(id);
             since_ms.is_some_and(|since_ms| now_ms >= since_ms + bound.for_ms)
         };
-        let listed = crowded.filter(|(_, id)| stands(id)).take(MAX_CROWDED);
+        // Bounded before the filter: a burst may crowd thousands for a moment.
+        let listed = crowded.take(MAX_CROWDED);
+        let listed = listed.filter(|(_, id)| stands(id));
         listed.map(|(tokens, id)| (id.clone(), *tokens)).collect()
     }
 
     /// Forgets entries that have fallen silent, once in a while.
-    fn lapse(&mut self, now_ms: u64) {
+    fn lapse(&mut self, now_ms: u64, bound: CrowdBound) {
         if now_ms < self.swept_ms + REPORT_MS {
             return;
         }
@@ -97,6 +99,7 @@
         self.entries = heard;
         for note in gone.values() {
             self.subtract(&note.waiting);
+            self.watch(now_ms, note.waiting.keys(), bound);
         }
     }
 
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -72,6 +72,15 @@
     assert_eq!(both, tokens("a", 14_000));
     let left = sums.take(3_800, report(2, tokens("a", 5_000)), least(1));
     assert_eq!(left, tokens("a", 5_000));
+    // What stood by its word alone stands no more.
+    let bound = CrowdBound {
+        tokens: 9_000,
+        for_ms: 500,
+    };
+    sums.take(4_000, report(3, tokens("b", 9_000)), bound);
+    sums.take(6_100, report(2, WaitingTokens::new()), bound);
+    let again = sums.take(6_200, report(2, tokens("b", 9_000)), bound);
+    assert!(again.is_empty());
 }
 
 #[test]
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -96,4 +96,4 @@
 mutant lone-leader-waits src/consensus/raft.rs 's/replicate\(now_ms\);\n[^\n]*\n                    self\.advance_commit\(\);/replicate(now_ms);/' raft a_leader_that_is_its_own_quorum_commits_what_a_heartbeat_sends_first
 mutant crowd-not-heeded src/forward/book.rs 's/tokens: tokens\.saturating_sub\(own\),/tokens: 0 * tokens.saturating_sub(own),/' crowd entries_that_know_of_each_other_keep_no_queue_that_makes_all_late
 mutant own-counted-as-crowd src/forward/book.rs 's/let own = own\.get\(id\)\.copied\(\)\.unwrap_or\(0\);/let own = 0 * own.get(id).copied().unwrap_or(0);/' forward_parts a_home_that_others_crowd_takes_no_more
-mutant silent-entry-counts src/placement/crowd.rs 's/        self\.lapse\(now_ms\);\n//' crowd an_entry_that_falls_silent_counts_no_more
+mutant silent-entry-counts src/placement/crowd.rs 's/        self\.lapse\(now_ms, bound\);\n//' crowd an_entry_that_falls_silent_counts_no_more
