Read once more: one piece where the change had two

- control/voter: quotas and accounts asked for the leader and the newest accounts by the same lines: use_quotas.
- placement/crowd: a sum, its rank and since when it is crowded change in one place; no list of names is kept aside, no second pass.
- forward/book: the leader's word on crowds is taken in one pass, the sum of waiting tokens made once.
- forward/replica_note: the told load fades in one place.
- forward/caller: the look at a key before bytes leave copies no account.
- forward/request: the wait for configurations is computed once, and paying copies no name of an account.
- cli/accounts calls the command line's parse; tests share one account.

--- a/src/cli/accounts.rs
+++ b/src/cli/accounts.rs
@@ -4,6 +4,7 @@
 
 use getopts::Options;
 
+use crate::cli::commands;
 use crate::process::peers::ControlLink;
 use crate::process::settings;
 use crate::process::wire::{AccountStatus, ControlWireClient};
@@ -18,7 +19,7 @@
     options.reqopt("c", "control", "a control host", "IP:PORT");
     options.reqopt("s", "secret-file", "file with the site's secret", "FILE");
     options.optflag("j", "json", "as JSON");
-    let matches = options.parse(args).map_err(|error| error.to_string())?;
+    let matches = commands::parse(&options, args)?;
     if let Some(word) = matches.free.first() {
         return Err(format!("accounts: '{word}' is not an option"));
     }
--- a/src/cli/commands.rs
+++ b/src/cli/commands.rs
@@ -66,7 +66,7 @@
 
 type Ended = Result<i32, String>;
 
-fn parse(options: &Options, args: &[String]) -> Result<Matches, String> {
+pub(super) fn parse(options: &Options, args: &[String]) -> Result<Matches, String> {
     options.parse(args).map_err(|error| error.to_string())
 }
 
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -28,7 +28,7 @@
 };
 use crate::routing::authority::FreshnessProof;
 use crate::routing::view::{self, SyncPage};
-use crate::table::accounts::AccountSpec;
+use crate::table::accounts::{AccountBook, AccountSpec};
 use crate::table::configuration::ConfigurationRecord;
 use crate::table::quota::{QuotaAsk, QuotaGrantor, QuotaGrants};
 
@@ -403,7 +403,8 @@
                 let _ = answer.send(self.account_statuses(now_ms));
             }
             ControlEvent::Quota(ask, answer) => {
-                let _ = answer.send(self.on_quota(now_ms, &ask));
+                let granted = self.use_quotas(now_ms, |quotas, _| quotas.grant(now_ms, &ask));
+                let _ = answer.send(granted);
             }
             ControlEvent::Heard(ids, answer) => {
                 self.tell_fleet(answer, |fleet| fleet.on_heard(now_ms, &ids));
@@ -522,33 +523,34 @@
     }
 
     fn account_statuses(&mut self, now_ms: u64) -> Result<Vec<AccountStatus>, ControlRefusal> {
-        let (Some(state), Some(quotas)) = (self.replica.newest(now_ms), &mut self.quotas) else {
-            return Err(self.not_leader());
-        };
-        let record = state.configuration.as_ref();
-        let book = record.and_then(|record| record.configuration.accounts.as_ref());
-        quotas.follow(configured_version(state), book);
-        let accounts = book.map_or(&[][..], |book| &book.accounts);
-        let status = |account: &AccountSpec| AccountStatus {
-            name: account.name.clone(),
-            priority: account.priority,
-            keys: account.keys.len(),
-            limit: account.quota.map(|quota| LimitStatus {
-                quota,
-                usage: quotas.usage(now_ms, &account.name).unwrap_or_default(),
-            }),
-        };
-        Ok(accounts.iter().map(status).collect())
+        self.use_quotas(now_ms, |quotas, book| {
+            let accounts = book.map_or(&[][..], |book| &book.accounts);
+            let status = |account: &AccountSpec| AccountStatus {
+                name: account.name.clone(),
+                priority: account.priority,
+                keys: account.keys.len(),
+                limit: account.quota.map(|quota| LimitStatus {
+                    quota,
+                    usage: quotas.usage(now_ms, &account.name).unwrap_or_default(),
+                }),
+            };
+            accounts.iter().map(status).collect()
+        })
     }
 
-    fn on_quota(&mut self, now_ms: u64, ask: &QuotaAsk) -> Result<QuotaGrants, ControlRefusal> {
+    /// What a leader makes of its quotas, by the accounts of the newest configuration.
+    fn use_quotas<T>(
+        &mut self,
+        now_ms: u64,
+        make: impl FnOnce(&mut QuotaGrantor, Option<&AccountBook>) -> T,
+    ) -> Result<T, ControlRefusal> {
         let (Some(state), Some(quotas)) = (self.replica.newest(now_ms), &mut self.quotas) else {
             return Err(self.not_leader());
         };
         let record = state.configuration.as_ref();
-        let accounts = record.and_then(|record| record.configuration.accounts.as_ref());
-        quotas.follow(configured_version(state), accounts);
-        Ok(quotas.grant(now_ms, ask))
+        let book = record.and_then(|record| record.configuration.accounts.as_ref());
+        quotas.follow(configured_version(state), book);
+        Ok(make(quotas, book))
     }
 
     fn on_wish(&mut self, now_ms: u64, wish: &AdapterPlace) -> Result<bool, ControlRefusal> {
--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -155,30 +155,20 @@
     /// What own requests have waiting, by replica.
     pub fn waiting(&self) -> WaitingTokens {
         let tokens = |note: &ReplicaNote| note.waiting_tokens.iter().sum::<u64>();
-        let waits = self.notes.values().filter(|note| note.waiting > 0);
-        let waiting = waits.map(|note| (note.record.id.clone(), tokens(note)));
-        waiting.filter(|(_, tokens)| *tokens > 0).collect()
+        let all = self.notes.iter().map(|(id, note)| (id, tokens(note)));
+        let waiting = all.filter(|(_, tokens)| *tokens > 0);
+        waiting.map(|(id, tokens)| (id.clone(), tokens)).collect()
     }
 
     /// Takes the leader's word on crowded replicas; `own` is what this entry had told.
     pub fn follow_crowd(&mut self, now_ms: u64, own: &WaitingTokens, crowded: &WaitingTokens) {
         self.crowd_until_ms = now_ms + CROWD_MS;
-        for (id, tokens) in crowded {
-            let own = own.get(id).copied().unwrap_or(0);
-            if let Some(note) = self.notes.get_mut(id) {
-                note.crowd = CrowdNote {
-                    tokens: tokens.saturating_sub(own),
-                    at_ms: now_ms,
-                };
-            }
-        }
-        let told = |id: &ReplicaId| crowded.contains_key(id);
-        for note in self
-            .notes
-            .values_mut()
-            .filter(|note| !told(&note.record.id))
-        {
-            note.crowd = CrowdNote::default();
+        for (id, note) in &mut self.notes {
+            let told = crowded.get(id).map(|tokens| CrowdNote {
+                tokens: tokens.saturating_sub(own.get(id).copied().unwrap_or(0)),
+                at_ms: now_ms,
+            });
+            note.crowd = told.unwrap_or_default();
         }
     }
 
--- a/src/forward/caller.rs
+++ b/src/forward/caller.rs
@@ -97,7 +97,7 @@
         return Ok(None);
     }
     let key = shown_key(headers, core.names.key);
-    let known = key.and_then(|key| holder(routing, &key));
+    let known = key.and_then(|key| identity(routing, key));
     match (known, key) {
         (None, _) if route.public => Ok(None),
         (None, None) => Err(CallerRefusal::Key),
@@ -105,7 +105,9 @@
         (None, Some(_)) if !core.await_authority(patience).await => Err(CallerRefusal::Stale),
         (None, Some(key)) => {
             core.catch_up();
-            recheck(core, &key).map(Some)
+            let newest = core.routing().ok_or(CallerRefusal::Stale)?;
+            let caller = identity(&newest, key).ok_or(CallerRefusal::Key)?;
+            Ok(Some(caller))
         }
         (Some(_), _) if !core.await_authority(patience).await => Err(CallerRefusal::Stale),
         (Some(caller), _) => Ok(Some(caller)),
@@ -118,22 +120,24 @@
     match caller {
         None => Ok(()),
         Some(_) if !core.has_authority() => Err(CallerRefusal::Stale),
-        Some(caller) => match recheck(core, &caller.key) {
-            Ok(now) if now.account == caller.account => Ok(()),
-            _ => Err(CallerRefusal::Key),
-        },
+        Some(caller) => {
+            let newest = core.routing().ok_or(CallerRefusal::Key)?;
+            let holder = holder(&newest, &caller.key);
+            match holder.is_some_and(|account| account.name == caller.account) {
+                true => Ok(()),
+                false => Err(CallerRefusal::Key),
+            }
+        }
     }
 }
 
-/// Who holds a key by the newest configuration that is known here.
-fn recheck(core: &EntryCore, key: &KeyDigest) -> Result<CallerIdentity, CallerRefusal> {
-    let routing = core.routing().ok_or(CallerRefusal::Stale)?;
-    holder(&routing, key).ok_or(CallerRefusal::Key)
+/// The caller that shows a key, by one configuration.
+fn identity(routing: &Routing, key: KeyDigest) -> Option<CallerIdentity> {
+    holder(routing, &key).map(|account| CallerIdentity::new(key, account))
 }
 
 /// Who holds a key by one configuration.
-fn holder(routing: &Routing, key: &KeyDigest) -> Option<CallerIdentity> {
+fn holder<'a>(routing: &'a Routing, key: &KeyDigest) -> Option<&'a AccountSpec> {
     let book = routing.configuration.accounts.as_ref()?;
-    let account = book.accounts.get(routing.keys.find(key)?)?;
-    Some(CallerIdentity::new(*key, account))
+    book.accounts.get(routing.keys.find(key)?)
 }
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -52,6 +52,13 @@
 /// Time between two looks at whether a stopping entry is done.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
+/// Default of [`ForwardSettings::connect_ms`].
+pub const CONNECT_MS: u64 = 400;
+/// Default of [`ForwardSettings::stale_ms`].
+pub const STALE_MS: u64 = 10_000;
+/// Default of [`ForwardSettings::config_wait_ms`].
+pub const CONFIG_WAIT_MS: u64 = 1_000;
+
 /// Settings of an entry that forwards to registered replicas.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -101,11 +108,11 @@
 }
 
 fn default_connect() -> u64 {
-    400
+    CONNECT_MS
 }
 
 fn default_stale() -> u64 {
-    10_000
+    STALE_MS
 }
 
 fn default_authority() -> u64 {
@@ -113,7 +120,7 @@
 }
 
 fn default_config_wait() -> u64 {
-    1_000
+    CONFIG_WAIT_MS
 }
 
 fn default_stop() -> u64 {
@@ -504,14 +511,11 @@
     }
 
     fn look_ready(&self) {
-        let known = self.routing.borrow().is_some();
+        let routing = self.routing();
+        let known = routing.is_some();
         let fresh = self.follower.stale_ms() < self.settings.stale_ms;
-        let routing = self.routing.borrow();
-        let keyed = routing
-            .as_ref()
-            .is_some_and(|routing| routing.configuration.accounts.is_some());
+        let keyed = routing.is_some_and(|routing| routing.configuration.accounts.is_some());
         let authorized = !keyed || self.has_authority();
-        drop(routing);
         let ready = known && fresh && authorized && !self.is_stopping();
         if self.ready.swap(ready, Ordering::SeqCst) != ready {
             let stale_ms = self.follower.stale_ms();
--- a/src/forward/replica_note.rs
+++ b/src/forward/replica_note.rs
@@ -157,8 +157,8 @@
         match self.crowd.at(now_ms) {
             tokens if tokens > 0 && self.crowd.at_ms >= self.told.at_ms => tokens,
             _ => {
-                let waiting = self.told.others_waiting * self.fade(now_ms, fade_ms);
-                (waiting * need.tokens as f64) as u64
+                let told = self.told_load(now_ms, fade_ms);
+                (told.others_waiting * need.tokens as f64) as u64
             }
         }
     }
@@ -176,15 +176,22 @@
         self.record.models.values().map(BTreeSet::len).sum()
     }
 
-    pub(super) fn fade(&self, now_ms: u64, fade_ms: u64) -> f64 {
+    /// What is left of the told load: it fades with its age.
+    fn told_load(&self, now_ms: u64, fade_ms: u64) -> ToldLoad {
         let age_ms = now_ms.saturating_sub(self.told.at_ms);
-        1.0 - (age_ms as f64 / fade_ms.max(1) as f64).min(1.0)
+        let left = 1.0 - (age_ms as f64 / fade_ms.max(1) as f64).min(1.0);
+        ToldLoad {
+            others_waiting: self.told.others_waiting * left,
+            others_running: self.told.others_running * left,
+            at_ms: self.told.at_ms,
+        }
     }
 
+    /// Requests that wait, and that run: its own and what was told of others.
     pub(super) fn loads(&self, now_ms: u64, fade_ms: u64) -> (f64, f64) {
-        let fade = self.fade(now_ms, fade_ms);
-        let waiting = f64::from(self.waiting) + self.told.others_waiting * fade;
-        let running = f64::from(self.running) + self.told.others_running * fade;
+        let told = self.told_load(now_ms, fade_ms);
+        let waiting = f64::from(self.waiting) + told.others_waiting;
+        let running = f64::from(self.running) + told.others_running;
         (waiting, running)
     }
 }
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -19,7 +19,7 @@
 use crate::forward::quotas::QuotaRefusal;
 use crate::forward::request_log::{Outcome, RequestLog};
 use crate::forward::upstream::{Connection, Exchange, ExchangeError, Outgoing};
-use crate::ids::{AccountName, ModelName, ReplicaId, ServiceName};
+use crate::ids::{ModelName, ReplicaId, ServiceName};
 use crate::table::configuration::{RouteKind, RouteSpec};
 
 /// Largest answer that is held until it is whole, in bytes.
@@ -67,7 +67,8 @@
     request: &ClientRequest,
     writer: &mut ClientWriter,
 ) -> AfterAnswer {
-    let Some(routing) = core.await_routing(config_wait(core, request)).await else {
+    let patience = config_wait(core, request);
+    let Some(routing) = core.await_routing(patience).await else {
         return refuse_plainly(core, request, writer, 503, "no configuration yet").await;
     };
     let host = head::find(&request.head.headers, "host").unwrap_or_default();
@@ -78,7 +79,6 @@
         return refuse_plainly(core, request, writer, 404, "no such route").await;
     };
     let (route, slack) = (&routes[number], routing.slack_ranks[number]);
-    let patience = config_wait(core, request);
     let headers = &request.head.headers;
     let caller = match caller::identify(core, &routing, route, headers, patience).await {
         Ok(caller) => caller,
@@ -290,24 +290,19 @@
         }
     }
 
-    /// What one run counts against its account's quota; none where nothing is counted.
-    fn cost(&self) -> Option<(AccountName, u64)> {
-        let caller = self.caller.as_ref()?;
-        let counted = head::find(&self.request.head.headers, self.core.names.tokens);
-        let tokens = counted.map(|_| self.need.tokens);
-        Some((caller.account.clone(), caller.quota?.cost(tokens)))
-    }
-
-    /// Pays for one run, where nothing is paid yet.
+    /// Pays for one run, where its account has a quota and nothing is paid yet.
     async fn pay(&mut self) -> Result<(), QuotaRefusal> {
-        match self.cost() {
-            Some((account, cost)) if self.paid == 0 => {
-                self.core.quotas.pay(&account, cost).await?;
-                self.paid = cost;
-                Ok(())
-            }
-            _ => Ok(()),
-        }
+        let Some(caller) = self.caller.as_ref().filter(|_| self.paid == 0) else {
+            return Ok(());
+        };
+        let Some(quota) = caller.quota else {
+            return Ok(());
+        };
+        let counted = head::find(&self.request.head.headers, self.core.names.tokens);
+        let cost = quota.cost(counted.map(|_| self.need.tokens));
+        self.core.quotas.pay(&caller.account, cost).await?;
+        self.paid = cost;
+        Ok(())
     }
 
     /// Gives back what is paid for a run that has not begun.
--- a/src/placement/crowd.rs
+++ b/src/placement/crowd.rs
@@ -33,8 +33,9 @@
     pub waiting: WaitingTokens,
 }
 
+/// The last report of an entry.
 #[derive(Debug)]
-struct CrowdNote {
+struct HeardReport {
     heard_ms: u64,
     waiting: WaitingTokens,
 }
@@ -42,7 +43,7 @@
 /// The leader's sums over all entries.
 #[derive(Debug, Default)]
 pub struct CrowdSums {
-    entries: BTreeMap<HostName, CrowdNote>,
+    entries: BTreeMap<HostName, HeardReport>,
     swept_ms: u64,
     sums: WaitingTokens,
     /// By tokens, so that the most crowded are found without a look at all replicas.
@@ -64,17 +65,17 @@
     /// Takes an entry's report in place of its last one. Returns the most crowded replicas.
     pub fn take(&mut self, now_ms: u64, report: CrowdReport, bound: CrowdBound) -> WaitingTokens {
         self.lapse(now_ms, bound);
-        let named: Vec<ReplicaId> = report.waiting.keys().cloned().collect();
-        self.add(&report.waiting);
-        let note = CrowdNote {
+        // First what is new: a replica that is crowded by both reports stays so.
+        for (id, tokens) in &report.waiting {
+            self.change(now_ms, bound, id, |sum| sum.saturating_add(*tokens));
+        }
+        let heard = HeardReport {
             heard_ms: now_ms,
             waiting: report.waiting,
         };
-        if let Some(last) = self.entries.insert(report.host, note) {
-            self.subtract(&last.waiting);
-            self.watch(now_ms, last.waiting.keys(), bound);
+        if let Some(last) = self.entries.insert(report.host, heard) {
+            self.forget(now_ms, bound, &last.waiting);
         }
-        self.watch(now_ms, named.iter(), bound);
         let most = self.ranked.iter().rev();
         let crowded = most.take_while(|(tokens, _)| *tokens >= bound.tokens);
         let stands = |id: &ReplicaId| {
@@ -95,54 +96,41 @@
         self.swept_ms = now_ms;
         let entries = std::mem::take(&mut self.entries).into_iter();
         let (heard, gone): (BTreeMap<_, _>, BTreeMap<_, _>) =
-            entries.partition(|(_, note)| now_ms < note.heard_ms + REPORT_MS);
+            entries.partition(|(_, last)| now_ms < last.heard_ms + REPORT_MS);
         self.entries = heard;
-        for note in gone.values() {
-            self.subtract(&note.waiting);
-            self.watch(now_ms, note.waiting.keys(), bound);
-        }
-    }
-
-    /// Notes which of these replicas have become crowded, or are so no more.
-    fn watch<'a>(
-        &mut self,
-        now_ms: u64,
-        ids: impl Iterator<Item = &'a ReplicaId>,
-        bound: CrowdBound,
-    ) {
-        for id in ids {
-            match self.sums.get(id).is_some_and(|sum| *sum >= bound.tokens) {
-                true => {
-                    self.since.entry(id.clone()).or_insert(now_ms);
-                }
-                false => {
-                    self.since.remove(id);
-                }
-            }
-        }
-    }
-
-    fn add(&mut self, waiting: &WaitingTokens) {
-        for (id, tokens) in waiting {
-            self.change(id, |sum| sum.saturating_add(*tokens));
+        for last in gone.values() {
+            self.forget(now_ms, bound, &last.waiting);
         }
     }
 
-    fn subtract(&mut self, waiting: &WaitingTokens) {
+    fn forget(&mut self, now_ms: u64, bound: CrowdBound, waiting: &WaitingTokens) {
         for (id, tokens) in waiting {
-            self.change(id, |sum| sum.saturating_sub(*tokens));
+            self.change(now_ms, bound, id, |sum| sum.saturating_sub(*tokens));
         }
     }
 
-    fn change(&mut self, id: &ReplicaId, change: impl FnOnce(u64) -> u64) {
+    /// Changes one sum, its rank, and since when the replica is crowded.
+    fn change(
+        &mut self,
+        now_ms: u64,
+        bound: CrowdBound,
+        id: &ReplicaId,
+        change: impl FnOnce(u64) -> u64,
+    ) {
         let sum = self.sums.remove(id).unwrap_or(0);
         self.ranked.remove(&(sum, id.clone()));
         let sum = change(sum);
         if sum > 0 {
             self.sums.insert(id.clone(), sum);
             self.ranked.insert((sum, id.clone()));
-        } else {
-            self.since.remove(id);
+        }
+        match sum >= bound.tokens.max(1) {
+            true => {
+                self.since.entry(id.clone()).or_insert(now_ms);
+            }
+            false => {
+                self.since.remove(id);
+            }
         }
     }
 }
--- a/src/table/quota.rs
+++ b/src/table/quota.rs
@@ -8,9 +8,10 @@
 //! entries spend in any span is at most the burst and what the span adds.
 //!
 //! An entry whose question gets no answer borrows for an account that was not short at
-//! the last word: its part of the limit by demand, as the leader told it, or one request. What it borrowed is taken from
-//! the bucket once the leader hears of it. A new leader does not know what was drawn
-//! before; what was borrowed while nobody led it does not count, as nothing was drawn then.
+//! the last word: its part of the limit by demand, as the leader told it, or one request.
+//! What it borrowed is taken from the bucket once the leader hears of it. A new leader does
+//! not know what was drawn before; what was borrowed while nobody led it does not count, as
+//! nothing was drawn then.
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/tests/accounts.rs
+++ b/tests/accounts.rs
@@ -1,24 +1,17 @@
 //! The pure parts of client accounts: what makes sense, how a key is found, and how old a
 //! word of the newest configuration is.
 
+mod support_accounts;
+
 use std::collections::BTreeMap;
 
 use dunlinspring::forward::caller;
-use dunlinspring::ids::AccountName;
 use dunlinspring::routing::authority::{FreshnessProof, ProofBook};
 use dunlinspring::table::accounts::{
     AccountBook, AccountError, AccountSpec, KeyDigest, KeyIndex, QuotaSpec, QuotaUnit,
 };
 use proptest::prelude::*;
-
-fn account(name: &str, keys: &[&str]) -> AccountSpec {
-    AccountSpec {
-        name: AccountName::from(name),
-        keys: keys.iter().map(|key| KeyDigest::of(key)).collect(),
-        priority: Some(0),
-        quota: None,
-    }
-}
+use support_accounts::account;
 
 #[test]
 fn accounts_that_make_no_sense_are_refused_with_field_and_place() {
--- a/tests/forwarding/accounts.rs
+++ b/tests/forwarding/accounts.rs
@@ -1,25 +1,19 @@
 //! Client accounts through an entry: which keys are obeyed and for how long, what replicas
 //! are told, and limits.
 
+#[path = "../support_accounts/mod.rs"]
+mod support_accounts;
+
 use std::time::Duration;
 
-use dunlinspring::ids::AccountName;
-use dunlinspring::table::accounts::{AccountBook, AccountSpec, KeyDigest, QuotaSpec, QuotaUnit};
+use dunlinspring::table::accounts::{AccountBook, AccountSpec, QuotaSpec, QuotaUnit};
 
 use crate::support::{Answer, Behaviour, ForwardSite, RouteShape, answered};
+use support_accounts::account;
 
 const PLAIN: RouteShape = RouteShape::plain("/plain/");
 const OPEN: RouteShape = RouteShape::open("/open/");
 
-fn account(name: &str, keys: &[&str]) -> AccountSpec {
-    AccountSpec {
-        name: AccountName::from(name),
-        keys: keys.iter().map(|key| KeyDigest::of(key)).collect(),
-        priority: Some(0),
-        quota: None,
-    }
-}
-
 fn book(accounts: Vec<AccountSpec>) -> Option<AccountBook> {
     Some(AccountBook { accounts })
 }
--- /dev/null
+++ b/tests/support_accounts/mod.rs
@@ -0,0 +1,14 @@
+//! Client accounts for tests.
+
+use dunlinspring::ids::AccountName;
+use dunlinspring::table::accounts::{AccountSpec, KeyDigest};
+
+/// An account of the most urgent rank, without a limit.
+pub fn account(name: &str, keys: &[&str]) -> AccountSpec {
+    AccountSpec {
+        name: AccountName::from(name),
+        keys: keys.iter().map(|key| KeyDigest::of(key)).collect(),
+        priority: Some(0),
+        quota: None,
+    }
+}
