Each order is told from its decision to its end by one id

Cause: the logs of an order named neither its leader's decision nor the moment at which it left, so that a record at the target could not be laid beside them, nor an order that was late tell where it had waited.

Change: orders have an id, the leader's term and a number; 'order decided' and 'order sent' say how much of the lease was left, in milliseconds. The voter's yes says until when its lease lasts; nothing acts on that yet. No decision changes.

--- a/src/control/orderer.rs
+++ b/src/control/orderer.rs
@@ -16,10 +16,11 @@
 use snafu::Snafu;
 use tokio::sync::{Mutex, mpsc};
 
-use crate::control::voter::{ControlEvent, ControlHandle};
+use crate::clock;
+use crate::control::voter::{ControlEvent, ControlHandle, SendPermit};
 use crate::forward::head;
 use crate::forward::upstream::{Connection, Exchange, ExchangeError, Outgoing};
-use crate::ids::{ReplicaId, Term};
+use crate::ids::ReplicaId;
 use crate::placement::order::{EngineOrder, OrderOutcome};
 use crate::process::daemon;
 
@@ -92,8 +93,9 @@
             let mut count = count.lock().await;
             let outcome = carry_out(&order, &mut count, &handle, &dialect).await;
             tracing::info!(
-                replica = %order.replica, kind = ?order.kind, model = %order.model,
-                adapter = order.adapter, term = %order.fence, count = *count, ?outcome, "order"
+                order = %order.id, replica = %order.replica, kind = ?order.kind,
+                model = %order.model, adapter = order.adapter, term = %order.fence,
+                count = *count, ?outcome, "order"
             );
             drop(count);
             if order.adapter.is_some() && outcome == OrderOutcome::Taken {
@@ -112,7 +114,7 @@
 ) -> OrderOutcome {
     let mut outcome = OrderOutcome::Unknown;
     let mut sent: Option<u64> = None;
-    for _ in 0..MAX_TRIES {
+    for number in 1..=MAX_TRIES {
         let expected = match *count {
             Some(known) => known,
             None => match ask_report(order, dialect).await {
@@ -126,14 +128,25 @@
             },
         };
         let call = (dialect.order)(order, expected);
-        outcome = match exchange(order.address, &call, Some((handle, order.fence))).await {
+        let permission = Permission {
+            handle,
+            order,
+            number,
+        };
+        outcome = match exchange(order.address, &call, Some(permission)).await {
             Ok((status, _)) => (dialect.outcome)(status),
             Err(CallError::Deposed) => {
-                tracing::info!(replica = %order.replica, term = %order.fence, "an order was held back: its leader decides no more");
+                tracing::info!(
+                    order = %order.id, replica = %order.replica, term = %order.fence,
+                    "an order was held back: its leader decides no more"
+                );
                 return OrderOutcome::Unknown;
             }
             Err(error) => {
-                tracing::warn!(%error, replica = %order.replica, "an order got no answer");
+                tracing::warn!(
+                    %error, order = %order.id, number, replica = %order.replica,
+                    "an order got no answer"
+                );
                 OrderOutcome::Unknown
             }
         };
@@ -183,26 +196,54 @@
     Deposed,
 }
 
-/// One call on a connection of its own; with a leader's term, only while it decides.
+/// Who is asked whether an order may leave.
+#[derive(Clone, Copy)]
+struct Permission<'a> {
+    handle: &'a ControlHandle,
+    order: &'a EngineOrder,
+    /// Which try of the order it is, from 1.
+    number: u32,
+}
+
+impl Permission<'_> {
+    async fn ask(self) -> Result<SendPermit, CallError> {
+        let term = self.order.fence;
+        let may = self
+            .handle
+            .ask(|answer| ControlEvent::MayOrder(term, answer));
+        may.await.map_err(|_| CallError::Deposed)
+    }
+
+    /// Notes that the order leaves now.
+    fn note_sent(self, permit: SendPermit) {
+        let lease_left_ms = permit.until_ms as i64 - clock::monotonic_ms() as i64;
+        tracing::info!(
+            order = %self.order.id, number = self.number, replica = %self.order.replica,
+            lease_left_ms, "order sent"
+        );
+    }
+}
+
+/// One call on a connection of its own; an order leaves only while its leader decides.
 async fn exchange(
     address: SocketAddr,
     call: &EngineCall,
-    leader: Option<(&ControlHandle, Term)>,
+    permission: Option<Permission<'_>>,
 ) -> Result<(u16, Vec<u8>), CallError> {
     let late = |_| ExchangeError::Closed { peer: address };
-    let called = tokio::time::timeout(CALL_TIME, exchange_in_time(address, call, leader)).await;
+    let called = tokio::time::timeout(CALL_TIME, exchange_in_time(address, call, permission)).await;
     called.map_err(late)?
 }
 
 async fn exchange_in_time(
     address: SocketAddr,
     call: &EngineCall,
-    leader: Option<(&ControlHandle, Term)>,
+    permission: Option<Permission<'_>>,
 ) -> Result<(u16, Vec<u8>), CallError> {
     let connection = Connection::open(address, CONNECT_TIME).await?;
-    if let Some((handle, term)) = leader {
-        let may = handle.ask(|answer| ControlEvent::MayOrder(term, answer));
-        may.await.map_err(|_| CallError::Deposed)?;
+    if let Some(permission) = permission {
+        let permit = permission.ask().await?;
+        permission.note_sent(permit);
     }
     let mut text = format!("{} {} HTTP/1.1\r\n", call.method, call.path);
     head::push_header(&mut text, "Host", &address.to_string());
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -114,8 +114,8 @@
     Crowd(CrowdReport, Answer<WaitingTokens>),
     /// An entry's wish; for the leader.
     Wish(AdapterPlace, Answer<bool>),
-    /// Whether an order of that term may leave now.
-    MayOrder(Term, Answer<()>),
+    /// Whether an order of that term may leave now, and for how long.
+    MayOrder(Term, Answer<SendPermit>),
     /// An engine's answer to an order of this leader.
     Ordered(EngineOrder, OrderOutcome),
     /// Compares a replica's heartbeat with what is committed here.
@@ -135,6 +135,13 @@
     }
 }
 
+/// Leave to send an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SendPermit {
+    /// When the leader's lease ends unless it is confirmed anew, by [`clock::monotonic_ms`].
+    pub until_ms: u64,
+}
+
 enum WaiterAnswer {
     Page(Answer<SyncPage>),
     Notice(Answer<Notice>),
@@ -420,12 +427,7 @@
                 let _ = answer.send(self.on_wish(now_ms, &wish));
             }
             ControlEvent::MayOrder(term, answer) => {
-                let decides = self.replica.newest(now_ms).is_some();
-                let may = decides && term == self.replica.term() && self.stopping.is_none();
-                let _ = answer.send(match may {
-                    true => Ok(()),
-                    false => Err(self.not_leader()),
-                });
+                let _ = answer.send(self.permit_order(now_ms, term));
             }
             ControlEvent::Ordered(order, outcome) => self.on_ordered(now_ms, &order, outcome),
             ControlEvent::Compare(record, answer) => {
@@ -558,12 +560,38 @@
             return Err(self.not_leader());
         };
         let (soon, order) = fleet.on_wish(state, now_ms, wish);
-        if let (Some(order), Some(orders)) = (order, &self.orders) {
-            let _ = orders.send(order);
+        if let Some(order) = order {
+            self.send_order(now_ms, order);
         }
         Ok(soon)
     }
 
+    fn permit_order(&self, now_ms: u64, term: Term) -> Result<SendPermit, ControlRefusal> {
+        let decides = self.replica.newest(now_ms).is_some();
+        let may = decides && term == self.replica.term() && self.stopping.is_none();
+        match may {
+            true => Ok(SendPermit {
+                until_ms: self.replica.raft().lease_until_ms(now_ms),
+            }),
+            false => Err(self.not_leader()),
+        }
+    }
+
+    fn send_order(&self, now_ms: u64, order: EngineOrder) {
+        let lease_left_ms = self
+            .replica
+            .raft()
+            .lease_until_ms(now_ms)
+            .saturating_sub(now_ms);
+        tracing::info!(
+            order = %order.id, replica = %order.replica, kind = ?order.kind, model = %order.model,
+            adapter = order.adapter, lease_left_ms, "order decided"
+        );
+        if let Some(orders) = &self.orders {
+            let _ = orders.send(order);
+        }
+    }
+
     fn on_ordered(&mut self, now_ms: u64, order: &EngineOrder, outcome: OrderOutcome) {
         let Some(fleet) = &mut self.fleet else {
             return;
@@ -586,9 +614,7 @@
             self.propose(command, None);
         }
         for order in actions.orders {
-            if let Some(orders) = &self.orders {
-                let _ = orders.send(order);
-            }
+            self.send_order(now_ms, order);
         }
     }
 
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -15,7 +15,7 @@
 use crate::placement::crowd::{CrowdBound, CrowdReport, CrowdSums, WaitingTokens};
 use crate::placement::demand::DemandBook;
 use crate::placement::fleet_plan::{self, PlanModel, PlanReplica, PlanStep};
-use crate::placement::order::{AdapterPlace, EngineOrder, OrderKind, OrderOutcome};
+use crate::placement::order::{AdapterPlace, EngineOrder, OrderId, OrderKind, OrderOutcome};
 use crate::placement::report::EntryReport;
 use crate::table::configuration::EngineSpec;
 
@@ -106,6 +106,8 @@
     policy: FleetPolicy,
     holder: HostName,
     term: Term,
+    /// Orders given in this term.
+    given: u64,
     since_ms: u64,
     heard: BTreeMap<ReplicaId, u64>,
     entries: BTreeMap<String, EntryNote>,
@@ -154,6 +156,7 @@
             policy,
             holder,
             term,
+            given: 0,
             since_ms: now_ms,
             heard: BTreeMap::new(),
             entries: BTreeMap::new(),
@@ -468,13 +471,18 @@
     }
 
     fn order(
-        &self,
+        &mut self,
         record: &ReplicaRecord,
         kind: OrderKind,
         model: &ModelName,
         adapter: Option<&str>,
     ) -> EngineOrder {
+        self.given += 1;
         EngineOrder {
+            id: OrderId {
+                term: self.term,
+                number: self.given,
+            },
             replica: record.id.clone(),
             address: record.address,
             holder: self.holder.clone(),
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -1,5 +1,6 @@
 //! Orders to the engines of replicas that registered themselves, and what they answer.
 
+use std::fmt;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -15,9 +16,26 @@
     Unload,
 }
 
+/// Tells an order apart in all logs: the leader's term, and a number within it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct OrderId {
+    /// The leader's term.
+    pub term: Term,
+    /// The number of the order in that term, from 1.
+    pub number: u64,
+}
+
+impl fmt::Display for OrderId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.term, self.number)
+    }
+}
+
 /// An order to an engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineOrder {
+    /// Which order it is.
+    pub id: OrderId,
     /// The replica's life that is meant.
     pub replica: ReplicaId,
     /// Where it listens.
--- a/tests/orderer.rs
+++ b/tests/orderer.rs
@@ -2,10 +2,11 @@
 
 use std::sync::mpsc;
 
+use dunlinspring::clock;
 use dunlinspring::control::orderer::{self, EngineCall, EngineDialect, EngineReport};
-use dunlinspring::control::voter::{ControlEvent, ControlHandle};
+use dunlinspring::control::voter::{ControlEvent, ControlHandle, SendPermit};
 use dunlinspring::ids::{HostName, ModelName, ReplicaId, Term};
-use dunlinspring::placement::order::{EngineOrder, OrderKind, OrderOutcome};
+use dunlinspring::placement::order::{EngineOrder, OrderId, OrderKind, OrderOutcome};
 use dunlinspring::process::wire::ControlRefusal;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -51,7 +52,10 @@
                 ControlEvent::MayOrder(term, answer) => {
                     let refusal = Err(ControlRefusal::NotLeader(None));
                     let may = decides && term == Term(7);
-                    answer.send(if may { Ok(()) } else { refusal }).unwrap();
+                    let permit = SendPermit {
+                        until_ms: clock::monotonic_ms() + 400,
+                    };
+                    answer.send(if may { Ok(permit) } else { refusal }).unwrap();
                 }
                 ControlEvent::Ordered(_, outcome) => {
                     ended.send(outcome).unwrap();
@@ -64,6 +68,10 @@
     let (orders, ordered) = tokio::sync::mpsc::unbounded_channel();
     ntex::rt::spawn(orderer::run(ordered, ControlHandle(events), dialect()));
     let order = EngineOrder {
+        id: OrderId {
+            term: Term(7),
+            number: 1,
+        },
         replica: ReplicaId::from("r"),
         address,
         holder: HostName::from("c1"),
