The orders of one target, beside what arrived there

Cause: two hosts ordered one target, and no command laid the orders of all hosts beside what the target saw.

Without arrivals it judges by what was sent, and says so; with neither it says that nothing is judged. Times count from 1970.

--- a/src/cli/commands.rs
+++ b/src/cli/commands.rs
@@ -11,7 +11,9 @@
 use serde_json::{Value, json};
 
 use crate::cli::demo::{self, DemoShape, DemoSite, KEYS};
+use crate::cli::explain_target;
 use crate::cli::load::{self, LoadMix, LoadPlan, LoadReport};
+use crate::ids::ReplicaId;
 use crate::process::settings::{self, AgentSettings, Checked, ControlSettings, EntrySettings};
 
 /// The commands.
@@ -26,6 +28,8 @@
                                      limits of client accounts, and what is drawn
   explain ID FILE...                 a request's story, from the logs of all processes
   explain --day FILE...              when and where requests were late, refused or lost
+  explain --target ID [--lease-ms N] FILE...
+                                     who ordered a target, and who should not have
   check --role ROLE FILE             check settings: control, entry, agent, load
   demo [--seconds N] [--seed N] [--json] [--serve]
                                      a whole small site in this process
@@ -37,18 +41,20 @@
 /// Longest answer read, in bytes.
 const MAX_ANSWER: usize = 16 << 20;
 const PROGRESS: Duration = Duration::from_secs(1);
+/// How long an order holds off those of others, where the command line does not tell.
+const LEASE_MS: u64 = 3_000;
+const EXPLAIN_FORMS: &str =
+    "explain ID FILE..., explain --day FILE..., or explain --target ID FILE...";
 
-/// `explain`: prints the story of one request, or the tables of all.
-pub fn explain(args: &[String]) -> Result<i32, String> {
+/// `explain`: prints the story of one request or of one target, or the tables of all.
+pub fn explain(args: &[String]) -> Ended {
+    if args.iter().any(|arg| is_target_option(arg)) {
+        return explain_target(args);
+    }
     let [id, files @ ..] = args else {
-        return Err("explain ID FILE..., or explain --day FILE...".to_owned());
+        return Err(EXPLAIN_FORMS.to_owned());
     };
-    let mut text = String::new();
-    for file in files {
-        let read = std::fs::read(file).map_err(|error| format!("{file}: {error}"))?;
-        text.push_str(&String::from_utf8_lossy(&read));
-        text.push('\n');
-    }
+    let text = read_logs(files)?;
     if id == "--day" {
         let tables = crate::cli::day_table::day_table(text.lines());
         println!("{}", tables.ok_or("no line tells of a request")?);
@@ -64,6 +70,49 @@
     }
 }
 
+fn is_target_option(arg: &str) -> bool {
+    let name = arg.split('=').next().unwrap_or(arg);
+    matches!(name, "--target" | "--lease-ms")
+}
+
+/// Prints the story of one target's orders; status 1 where there are findings.
+fn explain_target(args: &[String]) -> Ended {
+    let mut options = Options::new();
+    options.reqopt("", "target", "a target's id", "ID");
+    options.optopt("", "lease-ms", "how long an order holds off others", "N");
+    let matches = parse(&options, args)?;
+    let target = matches.opt_str("target").unwrap_or_default();
+    let lease_ms = match number(&matches, "lease-ms", LEASE_MS)? {
+        0 => return Err("--lease-ms: 0 is no lease".to_owned()),
+        lease_ms => lease_ms,
+    };
+    let files = &matches.free;
+    if files.is_empty() {
+        return Err(format!("explain --target {target}: no FILE to read"));
+    }
+    let text = read_logs(files)?;
+    let target = ReplicaId(target);
+    let story = explain_target::explain_target(&target, lease_ms, text.lines());
+    let nothing = || {
+        let files = files.join(", ");
+        format!("--target: no line of {files} tells of an order of '{target}'")
+    };
+    let story = story.ok_or_else(nothing)?;
+    print!("{story}");
+    Ok(i32::from(!story.findings.is_empty()))
+}
+
+/// The lines of all files, one file after the other.
+fn read_logs(files: &[String]) -> Result<String, String> {
+    let mut text = String::new();
+    for file in files {
+        let read = std::fs::read(file).map_err(|error| format!("{file}: {error}"))?;
+        text.push_str(&String::from_utf8_lossy(&read));
+        text.push('\n');
+    }
+    Ok(text)
+}
+
 type Ended = Result<i32, String>;
 
 pub(super) fn parse(options: &Options, args: &[String]) -> Result<Matches, String> {
--- a/src/cli/log_line.rs
+++ b/src/cli/log_line.rs
@@ -2,12 +2,15 @@
 
 use serde_json::{Map, Value};
 
+/// Days from the first of March of the year 0 to 1970.
+const DAYS_BEFORE_1970: i64 = 719_468;
+
 /// One JSON log line.
 #[derive(Clone, Debug)]
 pub(super) struct LogLine {
     /// The time, as it was written.
     pub(super) at: String,
-    /// Seconds within the day.
+    /// Seconds since 1970.
     pub(super) at_s: f64,
     /// The host that wrote it; `?` where the line does not tell.
     pub(super) host: String,
@@ -47,6 +50,14 @@
         value.unwrap_or(0.0)
     }
 
+    /// A field that holds a whole number, bare or as text.
+    pub(super) fn whole(&self, name: &str) -> Option<u64> {
+        match self.fields.get(name)? {
+            Value::String(text) => text.parse().ok(),
+            value => value.as_u64(),
+        }
+    }
+
     /// The line as people read it.
     pub(super) fn show(&self) -> String {
         let fields = self.fields.iter();
@@ -65,10 +76,24 @@
     }
 }
 
-/// Seconds within the day of an RFC 3339 time.
+/// Seconds since 1970 of an RFC 3339 time in UTC.
 fn seconds(at: &str) -> Option<f64> {
-    let clock = at.split_once('T')?.1.trim_end_matches('Z');
+    let (date, clock) = at.split_once('T')?;
+    let clock = clock.strip_suffix('Z').or(clock.strip_suffix("+00:00"))?;
     let mut parts = clock.split(':').map(|part| part.parse::<f64>().ok());
     let (hours, minutes, rest) = (parts.next()??, parts.next()??, parts.next()??);
-    Some(hours * 3600.0 + minutes * 60.0 + rest)
+    Some(days(date)? as f64 * 86_400.0 + hours * 3600.0 + minutes * 60.0 + rest)
+}
+
+/// Days since 1970 of a date. Years begin in March here, so that a leap day ends one.
+fn days(date: &str) -> Option<i64> {
+    let mut parts = date.split('-').map(|part| part.parse::<i64>().ok());
+    let (year, month, day) = (parts.next()??, parts.next()??, parts.next()??);
+    let (year, month) = match month {
+        3.. => (year, month - 3),
+        _ => (year - 1, month + 9),
+    };
+    let leap_days = year / 4 - year / 100 + year / 400;
+    let before_month = (153 * month + 2) / 5;
+    Some(year * 365 + leap_days + before_month + day - 1 - DAYS_BEFORE_1970)
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -6,5 +6,7 @@
 pub mod day_table;
 pub mod demo;
 pub mod explain;
+pub mod explain_target;
 pub mod load;
 mod log_line;
+pub mod order_sight;
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -36,6 +36,45 @@
     assert!(text.contains("no line names request some-id"), "{text}");
 }
 
+#[test]
+fn explain_of_a_target_names_what_is_wrong_with_its_command() {
+    let folder = tempfile::tempdir().unwrap();
+    let log = folder.path().join("log");
+    std::fs::write(&log, "no log line\n").unwrap();
+    let log = log.to_str().unwrap();
+    let no_order = format!("--target: no line of {log} tells of an order of 'r9'");
+    let cases: [(&[&str], &str); 7] = [
+        (&["--target", "r9", log], &no_order),
+        (&["--target", "r9"], "explain --target r9: no FILE to read"),
+        (&["--target", "r9", "/no/such/file"], "/no/such/file: "),
+        (&[log, "--target"], "'target'"),
+        (&["--lease-ms", "5", log], "'target'"),
+        (
+            &["--target", "r9", "--lease-ms", "soon", log],
+            "--lease-ms: 'soon' is not a number",
+        ),
+        (
+            &["--target", "r9", "--lease-ms=0", log],
+            "--lease-ms: 0 is no lease",
+        ),
+    ];
+    for (args, told) in cases {
+        let (good, text) = run(&[&["explain"], args].concat());
+        assert!(!good && text.contains(told), "{args:?}: {text}");
+    }
+}
+
+#[test]
+fn explain_of_a_target_ends_with_status_1_on_findings() {
+    let log = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/data/two-hosts.log");
+    let (good, text) = run(&["explain", "--target", "r1", log]);
+    assert!(!good && text.contains("finding: "), "{text}");
+    let (good, text) = run(&["explain", "--target", "r1", "--lease-ms", "100", log]);
+    assert!(!good && !text.contains("within a lease"), "{text}");
+    let (good, text) = run(&["explain", "--target=r2", log]);
+    assert!(good && text.contains("no finding"), "{text}");
+}
+
 #[test]
 fn accounts_are_shown_a_line_each() {
     let account = |name: &str, limit| AccountStatus {
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -1,7 +1,10 @@
-//! The story of a request, from the logs of several processes.
+//! The stories of a request and of a target, from the logs of several processes.
 
 use dunlinspring::cli::day_table::day_table;
 use dunlinspring::cli::explain::explain;
+use dunlinspring::cli::explain_target::{StoryBasis, TargetStory, explain_target};
+use dunlinspring::cli::order_sight::FindingKind;
+use dunlinspring::ids::ReplicaId;
 
 const LOG: &str = r#"
 {"timestamp":"2026-01-01T10:00:01.000000Z","fields":{"message":"order","replica":"r1","model":"m","kind":"Unload"},"span":{"host":"c1"}}
@@ -39,3 +42,114 @@
     insta::assert_snapshot!(day_table(DAY.lines()).unwrap());
     assert_eq!(day_table("nothing".lines()), None);
 }
+
+/// Both hosts order `r1`: `c1` stood still while its last order was under way.
+const TWO_HOSTS: &str = include_str!("data/two-hosts.log");
+
+fn story(log: &str) -> TargetStory {
+    explain_target(&ReplicaId::from("r1"), 3_000, log.lines()).unwrap()
+}
+
+fn kinds(log: &str) -> Vec<FindingKind> {
+    story(log).findings.iter().map(|found| found.kind).collect()
+}
+
+/// The record of an order's arrival at `r1`, some milliseconds after a minute began.
+fn arrival(at_ms: u32, from: &str, holder: &str, fence: u64) -> String {
+    let (at_s, rest) = (at_ms / 1_000, at_ms % 1_000);
+    format!(
+        r#"{{"timestamp":"2026-01-01T10:00:{at_s:02}.{rest:03}000Z","fields":{{"message":"order arrived","replica":"r1","from":"{from}","holder":"{holder}","fence":{fence},"count":3,"kind":"load","model":"m","status":202}},"span":{{"host":"r1"}}}}
+"#
+    )
+}
+
+#[test]
+fn a_target_is_told_with_all_hosts_its_arrivals_and_leadership() {
+    insta::assert_snapshot!(story(TWO_HOSTS));
+}
+
+#[test]
+fn a_clean_change_of_leaders_is_no_finding() {
+    let log = arrival(1_000, "127.0.0.5", "c1", 7)
+        + &arrival(2_000, "127.0.0.5", "c1", 7)
+        + &arrival(5_000, "127.0.0.6", "c2", 8);
+    let told = story(&log);
+    assert_eq!((told.basis, told.judged), (StoryBasis::Arrivals, 3));
+    assert!(told.findings.is_empty(), "{told}");
+    assert!(told.to_string().ends_with("no finding\n"), "{told}");
+}
+
+#[test]
+fn one_fence_of_two_senders_is_found_once_for_each() {
+    let log = arrival(1_000, "127.0.0.5", "c1", 7)
+        + &arrival(5_000, "127.0.0.6", "c2", 7)
+        + &arrival(6_000, "127.0.0.6", "c2", 7);
+    assert_eq!(kinds(&log), [FindingKind::OneFence]);
+}
+
+#[test]
+fn two_hosts_with_one_name_are_two_senders() {
+    let log = arrival(1_000, "127.0.0.5", "c1", 7) + &arrival(5_000, "127.0.0.6", "c1", 7);
+    assert_eq!(kinds(&log), [FindingKind::OneFence]);
+}
+
+#[test]
+fn ports_of_one_host_are_one_sender() {
+    let log =
+        arrival(1_000, "127.0.0.5:4001", "c1", 7) + &arrival(1_500, "127.0.0.5:4002", "c1", 7);
+    assert_eq!(kinds(&log), []);
+}
+
+#[test]
+fn each_lower_fence_after_a_higher_one_is_found() {
+    let log = arrival(1_000, "127.0.0.5", "c1", 7)
+        + &arrival(5_000, "127.0.0.6", "c2", 6)
+        + &arrival(6_000, "127.0.0.6", "c2", 6);
+    assert_eq!(kinds(&log), [FindingKind::LowerFence; 2]);
+    let one_host = arrival(1_000, "127.0.0.5", "c1", 7) + &arrival(1_500, "127.0.0.5", "c1", 6);
+    assert_eq!(kinds(&one_host), [FindingKind::LowerFence]);
+}
+
+#[test]
+fn two_senders_within_a_lease_are_found() {
+    let log = arrival(1_000, "127.0.0.5", "c1", 7) + &arrival(3_999, "127.0.0.6", "c2", 8);
+    assert_eq!(kinds(&log), [FindingKind::WithinLease]);
+    let later = arrival(1_000, "127.0.0.5", "c1", 7) + &arrival(4_000, "127.0.0.6", "c2", 8);
+    assert_eq!(kinds(&later), []);
+}
+
+#[test]
+fn midnight_is_no_gap() {
+    let early = arrival(1_000, "127.0.0.6", "c2", 8).replace("2026-01-01T10", "2028-03-01T00");
+    let late =
+        arrival(59_000, "127.0.0.5", "c1", 7).replace("2026-01-01T10:00", "2028-02-29T23:59");
+    assert_eq!(kinds(&(early + &late)), [FindingKind::WithinLease]);
+}
+
+#[test]
+fn the_holder_is_the_sender_where_no_host_is_told() {
+    let log = arrival(1_000, "127.0.0.5", "c1", 7) + &arrival(5_000, "127.0.0.5", "c2", 7);
+    assert_eq!(kinds(&log), []);
+    let nameless = log.replace(r#""from":"127.0.0.5","#, "");
+    assert_eq!(kinds(&nameless), [FindingKind::OneFence]);
+}
+
+#[test]
+fn an_arrival_that_tells_too_little_is_counted() {
+    let log = arrival(1_000, "127.0.0.5", "c1", 7).replace(r#""fence":7,"#, "");
+    assert_eq!(story(&log).in_part, 1);
+}
+
+#[test]
+fn without_arrivals_what_was_sent_is_judged_and_said_so() {
+    let sent = |line: &&str| !line.contains("order arrived");
+    let log: Vec<&str> = TWO_HOSTS.lines().filter(sent).collect();
+    insta::assert_snapshot!(story(&log.join("\n")));
+}
+
+#[test]
+fn logs_that_tell_neither_are_not_called_clean() {
+    let told = story(LOG);
+    assert_eq!(told.basis, StoryBasis::Nothing);
+    assert!(told.to_string().ends_with("nothing is judged\n"), "{told}");
+}
