Three tests that fail: what a lease allowed outlives it

Each shows one way in which an order of a leader arrives beside its successor's, at a target that does not check fences: its bytes are still delivered after the lease's end; a leader that stops gives up the lease under its own orders; a successor waits for the lease alone.

Measured on the code as it is: the link sees the connection closed in good order, 800 ms after the order left, with a lease of 200 ms; a successor decides 225 ms before the end of a permit; the first order leaves 3,000 ms after the election.

Ruled out: two leaders that both may decide at one moment; none of the three needs that.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -141,6 +141,27 @@
     assert_eq!(world.orders[0].fence, Term(1));
 }
 
+/// **What users saw:** two hosts ordered one target that does not check fences.
+///
+/// **Order of events:** the last order of a leader left at the very end of its lease and took
+/// a while to arrive, sent again by its kernel. Its successor had been elected meanwhile and
+/// counted one lease from then: less than a lease lay between the two arrivals.
+///
+/// **Cause:** the successor's wait held the lease alone, and nothing for the way of the last
+/// order, although a call was given 800 ms.
+///
+/// **Evidence:** on the code before, the first order leaves 3,000 ms after the election.
+#[test]
+fn a_new_leader_waits_for_the_last_order_of_the_one_before_to_arrive() {
+    let mut world = World::new(&["a"]);
+    world.duties = FleetDuties::new(FleetPolicy::default(), HostName::from("c1"), Term(1), 0);
+    world.beat(&record("r1", 1, &[]));
+    world.rounds(0, 3_500);
+    assert!(world.orders.is_empty());
+    world.rounds(3_500, 4_000);
+    assert_eq!(world.orders.len(), 1);
+}
+
 #[test]
 fn room_that_a_predecessor_ordered_is_not_given_out_twice() {
     // Room for two models: the first leader orders both, and dies unheard.
--- /dev/null
+++ b/tests/handover.rs
@@ -0,0 +1,103 @@
+//! A leader that is asked to stop hands over once nothing that it allowed is on its way.
+
+mod support_control;
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use dunlinspring::clock;
+use dunlinspring::control::shell::ControlDaemon;
+use dunlinspring::control::voter::{self, ControlEvent, SendPermit};
+use dunlinspring::process::wire::ControlStatus;
+
+use support_control::{leader_of, listeners, secret, settings, status_where, until};
+
+/// Control hosts of one site.
+const HOSTS: usize = 3;
+
+async fn start_site(folder: &Path) -> Vec<ControlDaemon> {
+    let bound = listeners(HOSTS).await;
+    let addresses: Vec<SocketAddr> = bound.iter().map(|(_, address)| *address).collect();
+    let mut daemons = Vec::new();
+    for (listener, address) in bound {
+        let settings = settings(folder, address, &addresses);
+        voter::found(&settings).unwrap();
+        let daemon = ControlDaemon::start_on(listener, settings, secret()).await;
+        daemons.push(daemon.unwrap());
+    }
+    daemons
+}
+
+/// The leader's leave to send an order.
+async fn permit_of(daemons: &[ControlDaemon]) -> (ControlStatus, SendPermit) {
+    until("leave to send an order", async || {
+        for daemon in daemons {
+            let status = daemon.status().await?;
+            let handle = daemon.handle();
+            let asked = handle.ask(|answer| ControlEvent::MayOrder(status.term, answer));
+            if let Ok(permit) = asked.await {
+                return Some((status, permit));
+            }
+        }
+        None
+    })
+    .await
+}
+
+/// **What users saw:** two hosts ordered one target that does not check fences.
+///
+/// **Order of events:** a leader allowed an order, and was asked to stop while the order was
+/// on its way. It gave up its lease at once and had another host elected, within
+/// milliseconds. The order arrived later than its successor's election, so that less than a
+/// lease lay between it and the successor's first order.
+///
+/// **Cause:** what was allowed under a lease outlived the lease: it was given up early, which
+/// no look at the clock by the order could show.
+///
+/// **Evidence:** on the code before, a successor decides while the permit still lasts. All
+/// hosts of this test run in one process and so share a clock.
+#[ntex::test]
+async fn a_stopping_leader_keeps_its_lease_while_orders_may_be_on_their_way() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut daemons = start_site(folder.path()).await;
+    leader_of(&daemons).await;
+    let (leader, permit) = permit_of(&daemons).await;
+    let at = async |host: &ControlDaemon| host.status().await.unwrap().node == leader.node;
+    let mut place = 0;
+    while !at(&daemons[place]).await {
+        place += 1;
+    }
+    let stopping = daemons.remove(place);
+    let stopped = ntex::rt::spawn(async move { stopping.stop().await });
+    let first = status_where(&daemons[0], "a successor", |s| s.decides);
+    let second = status_where(&daemons[1], "a successor", |s| s.decides);
+    tokio::select! {
+        _ = first => {}
+        _ = second => {}
+    }
+    let decided_ms = clock::monotonic_ms();
+    assert!(
+        decided_ms >= permit.until_ms,
+        "a successor decides {} ms before the permit's end",
+        permit.until_ms - decided_ms
+    );
+    stopped.await.unwrap();
+}
+
+/// From the moment it is asked to stop, it allows no more orders.
+#[ntex::test]
+async fn a_stopping_leader_allows_no_more_orders() {
+    let folder = tempfile::tempdir().unwrap();
+    let daemons = start_site(folder.path()).await;
+    leader_of(&daemons).await;
+    let (leader, _) = permit_of(&daemons).await;
+    for daemon in &daemons {
+        if daemon.status().await.unwrap().node != leader.node {
+            continue;
+        }
+        let handle = daemon.handle();
+        daemon.stop().await;
+        let asked = handle.ask(|answer| ControlEvent::MayOrder(leader.term, answer));
+        assert!(asked.await.is_err());
+    }
+}
--- a/tests/orderer.rs
+++ b/tests/orderer.rs
@@ -1,5 +1,7 @@
-//! Orders leave only while their leader decides.
+//! Orders are on their way only while their leader decides.
 
+use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::sync::mpsc;
 
 use dunlinspring::clock;
@@ -9,7 +11,8 @@
 use dunlinspring::placement::order::{EngineOrder, OrderId, OrderKind, OrderOutcome};
 use dunlinspring::process::wire::ControlRefusal;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 
 fn dialect() -> EngineDialect {
     EngineDialect {
@@ -38,24 +41,34 @@
     }
 }
 
-/// Sends one order of a leader that decides, or does not any more. Returns the first lines
-/// that the engine got, and the outcome.
-async fn send_order(decides: bool) -> (Vec<String>, OrderOutcome) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
+/// How long the lease lasts that the voter's stand-in gives, in milliseconds.
+const LEASE_MS: u64 = 200;
+
+fn lease() -> Result<SendPermit, ControlRefusal> {
+    Ok(SendPermit {
+        until_ms: clock::monotonic_ms() + LEASE_MS,
+    })
+}
+
+fn deposed() -> Result<SendPermit, ControlRefusal> {
+    Err(ControlRefusal::NotLeader(None))
+}
+
+/// Stands for the voter's thread: answers whether an order may leave, by how often it was
+/// asked before, and tells of the order's outcome, with which it ends.
+fn start_voter(
+    permit: impl Fn(u32) -> Result<SendPermit, ControlRefusal> + Send + 'static,
+) -> (ControlHandle, UnboundedReceiver<OrderOutcome>) {
     let (events, inbox) = mpsc::channel();
-    let (ended, mut end) = tokio::sync::mpsc::unbounded_channel();
-    // Stands for the voter's thread: it ends with the order's outcome.
-    let voter = std::thread::spawn(move || {
+    let (ended, end) = unbounded_channel();
+    std::thread::spawn(move || {
+        let mut asked = 0;
         for event in inbox {
             match event {
-                ControlEvent::MayOrder(term, answer) => {
-                    let refusal = Err(ControlRefusal::NotLeader(None));
-                    let may = decides && term == Term(7);
-                    let permit = SendPermit {
-                        until_ms: clock::monotonic_ms() + 400,
-                    };
-                    answer.send(if may { Ok(permit) } else { refusal }).unwrap();
+                ControlEvent::MayOrder(Term(7), answer) => {
+                    // An asker that gave up has dropped its end.
+                    let _ = answer.send(permit(asked));
+                    asked += 1;
                 }
                 ControlEvent::Ordered(_, outcome) => {
                     ended.send(outcome).unwrap();
@@ -65,8 +78,13 @@
             }
         }
     });
-    let (orders, ordered) = tokio::sync::mpsc::unbounded_channel();
-    ntex::rt::spawn(orderer::run(ordered, ControlHandle(events), dialect()));
+    (ControlHandle(events), end)
+}
+
+/// Has one order of term 7 carried to `address`.
+fn start_order(handle: ControlHandle, address: SocketAddr) {
+    let (orders, ordered) = unbounded_channel();
+    ntex::rt::spawn(orderer::run(ordered, handle, dialect()));
     let order = EngineOrder {
         id: OrderId {
             term: Term(7),
@@ -81,26 +99,42 @@
         adapter: None,
     };
     orders.send(order).unwrap();
+}
+
+/// Reads the next request of a new connection: its first line.
+async fn read_line(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = vec![0; 4096];
+    let read = stream.read(&mut bytes).await.unwrap();
+    let text = String::from_utf8_lossy(&bytes[..read]).into_owned();
+    text.lines().next().map(str::to_owned)
+}
+
+async fn answer(stream: &mut TcpStream, line: &str) {
+    let status = if line.starts_with("POST") { 202 } else { 200 };
+    let text = format!("HTTP/1.1 {status} Any\r\nContent-Length: 0\r\n\r\n");
+    stream.write_all(text.as_bytes()).await.unwrap();
+}
+
+/// Sends one order of a leader that decides, or does not any more. Returns the first lines
+/// that the engine got, and the outcome.
+async fn send_order(decides: bool) -> (Vec<String>, OrderOutcome) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (handle, mut end) = start_voter(move |_| if decides { lease() } else { deposed() });
+    start_order(handle, listener.local_addr().unwrap());
     let mut lines = Vec::new();
     let outcome = loop {
         tokio::select! {
             outcome = end.recv() => break outcome.unwrap(),
             accepted = listener.accept() => {
                 let (mut stream, _) = accepted.unwrap();
-                let mut bytes = vec![0; 4096];
-                let read = stream.read(&mut bytes).await.unwrap();
-                let text = String::from_utf8_lossy(&bytes[..read]).into_owned();
-                let Some(line) = text.lines().next().map(str::to_owned) else {
+                let Some(line) = read_line(&mut stream).await else {
                     continue;
                 };
-                let status = if line.starts_with("POST") { 202 } else { 200 };
-                let answer = format!("HTTP/1.1 {status} Any\r\nContent-Length: 0\r\n\r\n");
-                stream.write_all(answer.as_bytes()).await.unwrap();
+                answer(&mut stream, &line).await;
                 lines.push(line);
             }
         }
     };
-    voter.join().unwrap();
     (lines, outcome)
 }
 
@@ -115,3 +149,42 @@
     assert_eq!(lines, ["GET /report HTTP/1.1"]);
     assert_eq!(outcome, OrderOutcome::Unknown);
 }
+
+/// Sends an order whose answer does not come, and plays the link that holds its bytes.
+/// Returns what the link sees next of the sender.
+async fn hold_order(
+    permit: impl Fn(u32) -> Result<SendPermit, ControlRefusal> + Send + 'static,
+) -> std::io::Result<usize> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (handle, _end) = start_voter(permit);
+    start_order(handle, listener.local_addr().unwrap());
+    loop {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let Some(line) = read_line(&mut stream).await else {
+            continue;
+        };
+        if line.starts_with("POST") {
+            return stream.read(&mut [0; 16]).await;
+        }
+        answer(&mut stream, &line).await;
+    }
+}
+
+/// **What users saw:** two hosts ordered one target that does not check fences.
+///
+/// **Order of events:** a leader was allowed to send an order, and a link held its bytes. Its
+/// lease ended; it went on waiting for the answer, for longer than a successor's head start,
+/// and then closed the connection in good order: its kernel still had the bytes, and sent
+/// them again and again. They arrived when the successor had begun to order.
+///
+/// **Cause:** the lease was looked at before the bytes left, and nothing tied them to it
+/// afterwards.
+///
+/// **Evidence:** on the code before, the link sees the connection closed in good order, so
+/// that what it holds is still delivered; a reset tells it to drop that.
+#[ntex::test]
+async fn an_order_on_its_way_ends_with_its_leaders_lease() {
+    let seen = hold_order(|asked| if asked == 0 { lease() } else { deposed() }).await;
+    let kind = seen.map_err(|error| error.kind());
+    assert_eq!(kind, Err(ErrorKind::ConnectionReset));
+}
