What a lease allows ends with the lease

Cause: an order's authority was looked at once, before it left, and nothing tied the order to it afterwards. The class: authority checked at one moment and used at a later one, at a peer that cannot check it.

Change, wherever it acts on orders: - the voter's yes lasts until the end of its lease as it stood; the order's connection is reset then unless the yes is renewed, or an answer has come. A call that is given up is reset too, so that no try survives the next; - the sender's kernel gives up by the same moment, also while the process stands still; - a leader that stops hands over only once every yes it gave has ended; - a successor waits for a lease and for the way of the last order (500 ms: one trip, and 5% of the wait for a clock that runs fast); - the clock behind leases goes on while a machine is suspended.

Ruled out: a closer look in the sender alone, as it cannot call back bytes; two leaders that may both decide (the log's suite).

Left: a process that stands still between its last look at the clock and the write; what it writes when it wakes is on its way for its permit's rest at most. That the clock since boot counts suspension is the system's word, not shown by a run.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,12 +1,23 @@
 //! The clocks of the shell. The core never reads one.
 
 use std::sync::OnceLock;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// Milliseconds since this process first asked; goes on while it is frozen.
+use nix::time::{ClockId, clock_gettime};
+
+/// Milliseconds since this process first asked; goes on while it is frozen, and while its
+/// machine is suspended: a lease must not outlast either.
 pub fn monotonic_ms() -> u64 {
-    static START: OnceLock<Instant> = OnceLock::new();
-    START.get_or_init(Instant::now).elapsed().as_millis() as u64
+    static START: OnceLock<Duration> = OnceLock::new();
+    let now = since_boot();
+    let start = *START.get_or_init(|| now);
+    now.saturating_sub(start).as_millis() as u64
+}
+
+/// The clock that the standard library's steady one leaves out: it counts suspended time.
+fn since_boot() -> Duration {
+    let now = clock_gettime(ClockId::CLOCK_BOOTTIME).expect("the system has a clock since boot");
+    Duration::from(now)
 }
 
 /// Milliseconds since the epoch, as this process first read them, carried on by the steady
--- a/src/control/orderer.rs
+++ b/src/control/orderer.rs
@@ -4,8 +4,10 @@
 //! So an order without an answer can be sent again, and takes effect once at
 //! most, however late either of them is carried out.
 //!
-//! Each leaves only while its leader still decides, looked at once the connection is
-//! open: a leader that stood still, or was cut off, would send it beside the next one's.
+//! Each is on its way only while its leader decides: it leaves by a permit of the voter, the
+//! kernel gives it up with the permit's end, and it is reset unless the permit is renewed. A
+//! leader that stood still, was cut off, or whose link holds its bytes, would else have it
+//! arrive beside the next one's.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -137,11 +139,18 @@
             Ok((status, _)) => (dialect.outcome)(status),
             Err(CallError::Deposed) => {
                 tracing::info!(
-                    order = %order.id, replica = %order.replica, term = %order.fence,
+                    order = %order.id, number, replica = %order.replica, term = %order.fence,
                     "an order was held back: its leader decides no more"
                 );
                 return OrderOutcome::Unknown;
             }
+            Err(CallError::CutOff) => {
+                tracing::warn!(
+                    order = %order.id, number, replica = %order.replica, term = %order.fence,
+                    "an order was cut off: its leader's lease ended"
+                );
+                return OrderOutcome::Unknown;
+            }
             Err(error) => {
                 tracing::warn!(
                     %error, order = %order.id, number, replica = %order.replica,
@@ -194,6 +203,9 @@
     /// Nothing was sent: the leader decides no more.
     #[snafu(display("the leader decides no more"))]
     Deposed,
+    /// It was sent, and reset: the leader decides no more.
+    #[snafu(display("the leader's lease ended before an answer came"))]
+    CutOff,
 }
 
 /// Who is asked whether an order may leave.
@@ -206,17 +218,29 @@
 }
 
 impl Permission<'_> {
-    async fn ask(self) -> Result<SendPermit, CallError> {
+    /// How long the order may be on its way from now on; none where the leader decides no
+    /// more, or this process stood still since the voter answered.
+    async fn ask(self) -> Option<Duration> {
         let term = self.order.fence;
         let may = self
             .handle
             .ask(|answer| ControlEvent::MayOrder(term, answer));
-        may.await.map_err(|_| CallError::Deposed)
+        let permit: SendPermit = may.await.ok()?;
+        let left_ms = permit.until_ms.checked_sub(clock::monotonic_ms())?;
+        (left_ms > 0).then_some(Duration::from_millis(left_ms))
+    }
+
+    /// Returns once the permit has ended and is not renewed.
+    async fn ended(self, left: Duration) {
+        let mut left = Some(left);
+        while let Some(span) = left {
+            tokio::time::sleep(span).await;
+            left = self.ask().await;
+        }
     }
 
-    /// Notes that the order leaves now.
-    fn note_sent(self, permit: SendPermit) {
-        let lease_left_ms = permit.until_ms as i64 - clock::monotonic_ms() as i64;
+    fn note_sent(self, left: Duration) {
+        let lease_left_ms = left.as_millis() as u64;
         tracing::info!(
             order = %self.order.id, number = self.number, replica = %self.order.replica,
             lease_left_ms, "order sent"
@@ -241,10 +265,22 @@
     permission: Option<Permission<'_>>,
 ) -> Result<(u16, Vec<u8>), CallError> {
     let connection = Connection::open(address, CONNECT_TIME).await?;
-    if let Some(permission) = permission {
-        let permit = permission.ask().await?;
-        permission.note_sent(permit);
+    let text = call_text(address, call);
+    let Some(permission) = permission else {
+        return call_on(connection, call.method, &text).await;
+    };
+    let left = permission.ask().await.ok_or(CallError::Deposed)?;
+    connection.bound_sending(left)?;
+    permission.note_sent(left);
+    tokio::select! {
+        biased;
+        answered = call_on(connection, call.method, &text) => answered,
+        // Dropping the call resets its connection.
+        () = permission.ended(left) => Err(CallError::CutOff),
     }
+}
+
+fn call_text(address: SocketAddr, call: &EngineCall) -> String {
     let mut text = format!("{} {} HTTP/1.1\r\n", call.method, call.path);
     head::push_header(&mut text, "Host", &address.to_string());
     head::push_header(&mut text, "Connection", "close");
@@ -257,9 +293,17 @@
     }
     text.push_str("\r\n");
     text.push_str(&call.body);
+    text
+}
+
+async fn call_on(
+    connection: Connection,
+    method: &str,
+    text: &str,
+) -> Result<(u16, Vec<u8>), CallError> {
     let outgoing = Outgoing {
         bytes: text.as_bytes(),
-        method: call.method,
+        method,
         identity: None,
     };
     let (mut exchange, head) = Exchange::send(connection, &outgoing).await?;
@@ -270,5 +314,6 @@
             break;
         }
     }
+    exchange.close();
     Ok((head.status, body))
 }
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -138,7 +138,8 @@
 /// Leave to send an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SendPermit {
-    /// When the leader's lease ends unless it is confirmed anew, by [`clock::monotonic_ms`].
+    /// Until then no other leader decides, by [`clock::monotonic_ms`]: the leader's lease as
+    /// it was when this was given. Nothing of the order may leave later.
     pub until_ms: u64,
 }
 
@@ -256,7 +257,17 @@
     outbox: PeerOutbox,
     /// Reads that wait for the end of this batch of events.
     deferred: Vec<ControlEvent>,
-    stopping: Option<(u64, oneshot::Sender<()>)>,
+    stopping: Option<VoterStop>,
+    /// The latest end of a [`SendPermit`] that was given.
+    permitted_ms: u64,
+}
+
+/// A stop that was asked for.
+struct VoterStop {
+    since_ms: u64,
+    answer: oneshot::Sender<()>,
+    /// This voter has given up its lease, or had none.
+    handed_over: bool,
 }
 
 impl ControlLoop {
@@ -295,6 +306,7 @@
             outbox: PeerOutbox::default(),
             deferred: Vec::new(),
             stopping: None,
+            permitted_ms: 0,
         })
     }
 
@@ -435,8 +447,11 @@
                 let _ = answer.send(Ok(state.replicas.news(&record, state.clock_ms)));
             }
             ControlEvent::Stop(answer) => {
-                self.replica.raft_mut().hand_over(now_ms);
-                self.stopping = Some((now_ms, answer));
+                self.stopping = Some(VoterStop {
+                    since_ms: now_ms,
+                    answer,
+                    handed_over: false,
+                });
             }
         }
     }
@@ -566,14 +581,25 @@
         Ok(soon)
     }
 
-    fn permit_order(&self, now_ms: u64, term: Term) -> Result<SendPermit, ControlRefusal> {
+    fn permit_order(&mut self, now_ms: u64, term: Term) -> Result<SendPermit, ControlRefusal> {
         let decides = self.replica.newest(now_ms).is_some();
-        let may = decides && term == self.replica.term() && self.stopping.is_none();
-        match may {
-            true => Ok(SendPermit {
-                until_ms: self.replica.raft().lease_until_ms(now_ms),
-            }),
-            false => Err(self.not_leader()),
+        if !decides || term != self.replica.term() || self.stopping.is_some() {
+            return Err(self.not_leader());
+        }
+        let until_ms = self.replica.raft().lease_until_ms(now_ms);
+        self.permitted_ms = self.permitted_ms.max(until_ms);
+        Ok(SendPermit { until_ms })
+    }
+
+    /// Hands over once asked to stop. A permit promises that no other decides until its end:
+    /// an heir, which is elected within milliseconds, would order beside what was permitted.
+    fn hand_over_when_free(&mut self, now_ms: u64) {
+        match &mut self.stopping {
+            Some(stop) if !stop.handed_over && now_ms >= self.permitted_ms => {
+                stop.handed_over = true;
+                self.replica.raft_mut().hand_over(now_ms);
+            }
+            _ => {}
         }
     }
 
@@ -698,6 +724,7 @@
 
     fn on_time(&mut self) {
         let now_ms = clock::monotonic_ms();
+        self.hand_over_when_free(now_ms);
         self.replica.tick(now_ms);
         self.follow_leadership(now_ms);
         let commands = match (self.replica.newest(now_ms), &mut self.duties) {
@@ -874,14 +901,13 @@
         let now_ms = clock::monotonic_ms();
         let raft = self.replica.raft();
         let heir = raft.leader().is_some_and(|leader| leader != raft.id());
-        match &self.stopping {
-            Some((since_ms, _)) if heir || since_ms + HANDOVER_MS < now_ms => {
-                if let Some((_, answer)) = self.stopping.take() {
-                    let _ = answer.send(());
-                }
+        let done = |stop: &mut VoterStop| heir || stop.since_ms + HANDOVER_MS < now_ms;
+        match self.stopping.take_if(done) {
+            Some(stop) => {
+                let _ = stop.answer.send(());
                 true
             }
-            _ => false,
+            None => false,
         }
     }
 }
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use snafu::Snafu;
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -89,6 +90,20 @@
         })
     }
 
+    /// From now on, what was written and is not acknowledged ends with the connection, and
+    /// that at the latest `left` after it was written. The kernel would go on sending it for
+    /// minutes, after a close as well, and while this process stands still.
+    pub fn bound_sending(&self, left: Duration) -> Result<(), ExchangeError> {
+        // None stands for the system's own bound.
+        let left = left.max(Duration::from_millis(1));
+        let socket = SockRef::from(&self.stream);
+        let bounded = socket
+            .set_tcp_user_timeout(Some(left))
+            .and_then(|()| socket.set_linger(Some(Duration::ZERO)));
+        let peer = self.peer;
+        bounded.map_err(|source| ExchangeError::Connect { peer, source })
+    }
+
     /// Whether the connection may carry another request: nothing unasked has
     /// come, and the replica has not closed it.
     fn is_sound(&self) -> bool {
@@ -246,6 +261,12 @@
         }
     }
 
+    /// Closes in good order, once the whole answer has come: the request has arrived.
+    pub fn close(self) {
+        // Where it fails, the connection is reset, which the peer bears as well.
+        let _ = SockRef::from(&self.connection.stream).set_linger(None);
+    }
+
     /// The connection, if it may carry another request.
     pub fn finish(self) -> Option<Connection> {
         let done = matches!(self.body, BodyState::Done);
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -2,7 +2,7 @@
 //! still heard from, which models go where, and the orders that bring them there.
 //!
 //! Pure. Soft state only: a new leader starts with none, and gives no order
-//! until the lease of whoever led before it has run out.
+//! until one of whoever led before can neither have arrived lately nor arrive any more.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -27,8 +27,12 @@
     pub silent_ms: u64,
     /// Silence after which a replica has ended, in milliseconds.
     pub lost_ms: u64,
-    /// Time that a new leader waits before its first order, in milliseconds.
+    /// Least time between orders of two leaders to a replica, in milliseconds.
     pub order_lease_ms: u64,
+    /// Longest way of an order that left at the end of its leader's lease, in milliseconds:
+    /// one trip to the engine, as the sender's kernel gives up with the lease, and what a
+    /// clock that runs 5% fast cuts off the wait for the lease.
+    pub order_transit_ms: u64,
     /// Time between placement rounds, in milliseconds.
     pub round_ms: u64,
     /// Relief in concurrent requests that a load for demand must bring. From rounds of
@@ -52,6 +56,7 @@
             silent_ms: 5_000,
             lost_ms: 30_000,
             order_lease_ms: 3_000,
+            order_transit_ms: 500,
             round_ms: 100,
             move_price: 1.0,
             demand_fall: 0.7,
@@ -224,13 +229,12 @@
         let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
             return (false, None);
         };
-        let waits = now_ms < self.since_ms + self.policy.order_lease_ms;
         // By the log as well: the leader before may have ordered a model out that is still
         // there with its adapters, and the first round after the lease may yet come.
         let loading = state.replicas.loading(&record.id).next();
         let under_way = loading.or(state.replicas.leaving(&record.id).next());
         let ordered = under_way.is_some() || self.pending.contains_key(&record.id);
-        if waits || ordered || !self.may_order(record) {
+        if self.waits(now_ms) || ordered || !self.may_order(record) {
             return (false, None);
         }
         let slots = engine.adapter_slots as usize;
@@ -330,7 +334,7 @@
         let Some(record) = &state.configuration else {
             return actions;
         };
-        if now_ms < self.since_ms + self.policy.order_lease_ms {
+        if self.waits(now_ms) {
             return actions;
         }
         let settled = self.settle(&state.replicas, now_ms);
@@ -493,6 +497,12 @@
         }
     }
 
+    /// Whether an order of the leader before may have arrived so lately, or may still arrive,
+    /// that one of this leader would meet it: its lease had ended when this one was elected.
+    fn waits(&self, now_ms: u64) -> bool {
+        now_ms < self.since_ms + self.policy.order_lease_ms + self.policy.order_transit_ms
+    }
+
     fn may_order(&self, record: &ReplicaRecord) -> bool {
         record.phase == ReplicaPhase::Ready && !self.fenced.contains(&record.id)
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -114,12 +114,12 @@
 }
 
 fn leader(term: u64, now_ms: u64) -> FleetDuties {
-    FleetDuties::new(
-        FleetPolicy::default(),
-        HostName::from("c1"),
-        Term(term),
-        now_ms,
-    )
+    // Orders are at once where they go, unless a test is about their way.
+    let policy = FleetPolicy {
+        order_transit_ms: 0,
+        ..FleetPolicy::default()
+    };
+    FleetDuties::new(policy, HostName::from("c1"), Term(term), now_ms)
 }
 
 fn busy(model: &str, level: f64) -> EntryReport {
--- a/tests/orderer.rs
+++ b/tests/orderer.rs
@@ -188,3 +188,41 @@
     let kind = seen.map_err(|error| error.kind());
     assert_eq!(kind, Err(ErrorKind::ConnectionReset));
 }
+
+/// The time for a call ends before the lease does: the order may be sent again, so that
+/// nothing of this try may still arrive.
+#[ntex::test]
+async fn an_order_that_is_given_up_leaves_nothing_on_its_way() {
+    let seen = hold_order(|_| lease()).await;
+    let kind = seen.map_err(|error| error.kind());
+    assert_eq!(kind, Err(ErrorKind::ConnectionReset));
+}
+
+/// A leader whose lease is confirmed anew waits on for an answer that is slow.
+#[ntex::test]
+async fn an_order_outlives_a_lease_that_is_confirmed_anew() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (renewed, mut renewal) = unbounded_channel();
+    let (handle, mut end) = start_voter(move |asked| {
+        renewed.send(asked).unwrap();
+        lease()
+    });
+    start_order(handle, listener.local_addr().unwrap());
+    let outcome = loop {
+        tokio::select! {
+            outcome = end.recv() => break outcome.unwrap(),
+            accepted = listener.accept() => {
+                let (mut stream, _) = accepted.unwrap();
+                let Some(line) = read_line(&mut stream).await else {
+                    continue;
+                };
+                if line.starts_with("POST") {
+                    // The second question comes at the end of the first lease.
+                    while renewal.recv().await.is_some_and(|asked| asked == 0) {}
+                }
+                answer(&mut stream, &line).await;
+            }
+        }
+    };
+    assert_eq!(outcome, OrderOutcome::Taken);
+}
