The data folder's own name lasts; the broken-off first start by its folder; twins in the members' fuzz

A folder that the voter made was synced, the folder that holds its name was not: a loss of power may take the name, and the disk passes for one that was lost. The holders of what was made are synced once.

--- a/src/control/journal.rs
+++ b/src/control/journal.rs
@@ -411,11 +411,21 @@
     Ok(())
 }
 
+/// Makes a folder that lasts: after a loss of power, a folder without its name would pass
+/// for a disk that was lost, with all that was acknowledged on it.
 fn make_folder(folder: &Path) -> Result<()> {
+    let missing = folder.ancestors().take_while(|made| !made.exists());
+    let missing: Vec<&Path> = missing.collect();
     fs::create_dir_all(folder).context(IoSnafu {
         step: "create",
         path: folder,
-    })
+    })?;
+    let holders = missing.into_iter().filter_map(Path::parent);
+    for holder in holders {
+        let here = holder.as_os_str().is_empty();
+        sync_folder(if here { Path::new(".") } else { holder })?;
+    }
+    Ok(())
 }
 
 /// The one value of a small file that is replaced whole; none where there is no file.
--- a/tests/fuzz/members.rs
+++ b/tests/fuzz/members.rs
@@ -140,22 +140,24 @@
     ]
 }
 
-/// The steps do not depend on the state: picks wrap around.
+/// Whether the last two hosts carry one name; then steps that do not depend on the state.
 pub struct MemberScript;
 
 impl ReferenceStateMachine for MemberScript {
-    type State = ();
+    type State = bool;
     type Transition = MemberStep;
 
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
+    fn init_state() -> BoxedStrategy<bool> {
+        prop::bool::weighted(0.2).boxed()
     }
 
-    fn transitions((): &()) -> BoxedStrategy<MemberStep> {
+    fn transitions(_: &bool) -> BoxedStrategy<MemberStep> {
         step().boxed()
     }
 
-    fn apply((): (), _: &MemberStep) {}
+    fn apply(twins: bool, _: &MemberStep) -> bool {
+        twins
+    }
 }
 
 struct Host {
@@ -175,6 +177,7 @@
 }
 
 pub struct MemberWorld {
+    twins: bool,
     hosts: Vec<Host>,
     /// The host of each identity that ever was.
     places: BTreeMap<NodeId, usize>,
@@ -192,12 +195,16 @@
     wiped: usize,
 }
 
-fn name(host: usize) -> HostName {
-    HostName(format!("host{host}"))
+fn name(twins: bool, host: usize) -> HostName {
+    let number = match twins {
+        true => host.min(HOSTS - 2),
+        false => host,
+    };
+    HostName(format!("host{number}"))
 }
 
 impl MemberWorld {
-    fn new() -> Self {
+    fn new(twins: bool) -> Self {
         let founders: BTreeSet<NodeId> = (0..FOUNDERS as u64).map(NodeId).collect();
         let image = LogReplica::founding_image(founders);
         let host = |number: usize| Host {
@@ -212,6 +219,7 @@
             started_at: 0,
         };
         let mut world = Self {
+            twins,
             hosts: (0..HOSTS).map(host).collect(),
             places: (0..HOSTS).map(|host| (NodeId(host as u64), host)).collect(),
             bag: Vec::new(),
@@ -275,10 +283,11 @@
 
     fn tick(&mut self, host: usize) {
         let clock = self.clock(host);
-        let places = self.places.clone();
+        let (twins, places) = (self.twins, self.places.clone());
+        let host_of = |node| Some(name(twins, *places.get(&node)?));
         if let Some(replica) = self.running(host) {
             replica.tick(clock);
-            replica.adjust_voters(clock, SHED_MS, |node| places.get(&node).copied().map(name));
+            replica.adjust_voters(clock, SHED_MS, host_of);
             self.flush(host);
         }
     }
@@ -412,7 +421,7 @@
             if !self.reaches(host, other) {
                 continue;
             }
-            let note = Command::VoterHost(id, name(host));
+            let note = Command::VoterHost(id, name(self.twins, host));
             let at_ms = self.now;
             let Some(replica) = self.running(other).filter(|r| r.raft().is_leader()) else {
                 continue;
@@ -427,7 +436,7 @@
 
     fn propose(&mut self, host: usize) {
         let (id, life, at_ms) = (self.hosts[host].id, self.hosts[host].life, self.now);
-        let command = Command::VoterHost(id, name(host));
+        let command = Command::VoterHost(id, name(self.twins, host));
         if let Some(replica) = self.running(host)
             && let Ok(mark) = replica.propose(at_ms, command)
         {
@@ -535,11 +544,11 @@
     type SystemUnderTest = MemberWorld;
     type Reference = MemberScript;
 
-    fn init_test((): &()) -> MemberWorld {
-        MemberWorld::new()
+    fn init_test(twins: &bool) -> MemberWorld {
+        MemberWorld::new(*twins)
     }
 
-    fn apply(mut world: MemberWorld, (): &(), step: MemberStep) -> MemberWorld {
+    fn apply(mut world: MemberWorld, _: &bool, step: MemberStep) -> MemberWorld {
         match step {
             MemberStep::Deliver { pick, double } if !world.bag.is_empty() => {
                 let at = pick % world.bag.len();
@@ -580,7 +589,7 @@
         world
     }
 
-    fn teardown(mut world: MemberWorld, (): ()) {
+    fn teardown(mut world: MemberWorld, _: bool) {
         world.cut = 0;
         for host in 0..HOSTS {
             world.hosts[host].frozen = false;
--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -7,8 +7,9 @@
 use dunlinspring::consensus::raft::{
     DiskImage, DiskRecord, LogEntry, LogMark, LogSnapshot, Payload,
 };
-use dunlinspring::control::journal::DiskJournal;
-use dunlinspring::ids::{NodeId, Position, Term};
+use dunlinspring::control::journal::{self, DiskJournal};
+use dunlinspring::ids::{HostName, NodeId, Position, Term};
+use dunlinspring::process::settings::VoterSettings;
 use tempfile::TempDir;
 
 fn entry(index: u64) -> LogEntry {
@@ -189,3 +190,33 @@
         .to_string();
     assert!(error.starts_with("cannot create"), "{error}");
 }
+
+/// Killed at its first start, a host comes back without the word that it is the first.
+#[test]
+fn a_first_start_goes_on_until_the_folder_has_a_log_or_an_identity_of_its_own() {
+    const FOUNDER: NodeId = NodeId(7);
+    let named = vec![VoterSettings {
+        host: HostName::from("c1"),
+        address: "127.0.0.1:9".parse().unwrap(),
+    }];
+    let begun = || {
+        let folder = TempDir::new().unwrap();
+        journal::begin_first_start(folder.path(), &named).unwrap();
+        folder
+    };
+    let unfinished =
+        |folder: &TempDir| journal::unfinished_first_start(folder.path(), FOUNDER).unwrap();
+    assert_eq!(unfinished(&TempDir::new().unwrap()), None, "never begun");
+    assert_eq!(unfinished(&begun()), Some(named.clone()));
+
+    let founds = begun();
+    let (mut journal, _) = DiskJournal::open(founds.path(), Some(FOUNDER)).unwrap();
+    assert_eq!(unfinished(&founds), Some(named.clone()), "an identity only");
+    let snapshot = LogSnapshot::default();
+    journal.save(&[DiskRecord::Install(snapshot)]).unwrap();
+    assert_eq!(unfinished(&founds), None, "founded");
+
+    let joins = begun();
+    DiskJournal::open(joins.path(), None).unwrap();
+    assert_eq!(unfinished(&joins), None, "asks to be taken in");
+}
