Founding and the log played further: any order of starts, late votes, a hand-over nobody tells of

tests/founding.rs: three named hosts without a disk and six with one, started within 0.3 s in three drawn orders, come to one site of six voters; a second process of a host is refused before it opens the disk (the port goes before it). tests/fuzz/members.rs: votes that were asked for while the leader was away arrive when it leads again; a leader that handed over hears nothing of its heir.

--- a/tests/founding.rs
+++ b/tests/founding.rs
@@ -15,6 +15,9 @@
 use dunlinspring::ids::HostName;
 use dunlinspring::process::peers::ControlLink;
 use dunlinspring::process::settings::CommonSettings;
+use futures::future;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use tokio::sync::oneshot;
 
 use support_control::{leader_of, secret, settings, status_where};
@@ -186,7 +189,7 @@
     for own in &named[..2] {
         killed_while_it_asks(folder.path(), *own, &named);
     }
-    let founders = futures::future::join3(
+    let founders = future::join3(
         // The settings name other hosts by now.
         restarts(folder.path(), named[0], &named[..1]),
         restarts(folder.path(), named[1], &named[..1]),
@@ -197,3 +200,49 @@
         status_where(founder, "a leader", |status| status.leader.is_some()).await;
     }
 }
+
+/// Three named hosts without a disk and six with one start within 0.3 s, in any order.
+#[ntex::test]
+async fn all_that_start_together_found_one_site() {
+    for seed in 0..3 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let folder = tempfile::tempdir().unwrap();
+        let all = addresses(9);
+        let named = &all[..3];
+        let mut delay = || Duration::from_millis(rng.random_range(0..300));
+        let mut relays = Vec::new();
+        for own in named {
+            let (settings, after) = (relay_settings(*own, named), delay());
+            relays.push(async move {
+                tokio::time::sleep(after).await;
+                RelayDaemon::start_first(settings, secret()).await.unwrap()
+            });
+        }
+        let mut hosts = Vec::new();
+        for own in &all[3..] {
+            let (after, path) = (delay(), folder.path());
+            hosts.push(async move {
+                tokio::time::sleep(after).await;
+                starts_first(path, *own, named).await
+            });
+        }
+        let started = future::join(future::join_all(relays), future::join_all(hosts));
+        let (_relays, hosts) = started.await;
+        for host in &hosts {
+            status_where(host, "six voters", |status| status.voters.len() == 6).await;
+        }
+    }
+}
+
+/// While a process of a host runs, another one cannot: it is refused before it has
+/// opened the disk, so that no two vote under one identity.
+#[ntex::test]
+async fn a_second_process_of_a_host_does_not_start() {
+    let folder = tempfile::tempdir().unwrap();
+    let own = addresses(1)[0];
+    let first = starts_first(folder.path(), own, &[own]).await;
+    leader_of(std::slice::from_ref(&first)).await;
+    let settings = settings(folder.path(), own, &[own]);
+    let second = ControlDaemon::start(settings, secret()).await;
+    assert!(second.is_err(), "two processes with one disk");
+}
--- a/tests/fuzz/members.rs
+++ b/tests/fuzz/members.rs
@@ -34,6 +34,8 @@
 const ROUND_MS: u64 = 15;
 /// Most messages under way.
 const MAX_WAITING: usize = 250;
+/// Rounds until someone must have stood for election: twice the longest wait for one.
+const STAND_ROUNDS: usize = 30;
 /// Rounds of calm at the end: several elections, and a change of every voter.
 const LAST_ROUNDS: usize = 250;
 
@@ -104,8 +106,15 @@
     FreezeLeader {
         rounds: usize,
     },
-    /// The leader stops: hands over, and is killed.
+    /// Votes are asked for while the leader is cut off, and arrive when it leads again and
+    /// has just been cut off once more.
+    LateVotes {
+        rounds: usize,
+    },
+    /// The leader hands over and is killed later; with `cut`, it is cut off once its heir
+    /// knows, and hears nothing of the election.
     StopLeader {
+        cut: bool,
         rounds: usize,
     },
 }
@@ -136,7 +145,9 @@
         1 => (0u8..64, 1usize..30)
             .prop_map(|(restarts, rounds)| MemberStep::CutLeader { restarts, rounds }),
         1 => (1usize..30).prop_map(|rounds| MemberStep::FreezeLeader { rounds }),
-        1 => (1usize..10).prop_map(|rounds| MemberStep::StopLeader { rounds }),
+        1 => (1usize..20).prop_map(|rounds| MemberStep::LateVotes { rounds }),
+        1 => (any::<bool>(), 1usize..10)
+            .prop_map(|(cut, rounds)| MemberStep::StopLeader { cut, rounds }),
     ]
 }
 
@@ -484,10 +495,42 @@
         }
     }
 
-    fn stop_leader(&mut self, rounds: usize) {
+    fn late_votes(&mut self, rounds: usize) {
+        let Some(leader) = self.leader() else {
+            return;
+        };
+        let asks_vote = |letter: &mut Letter| matches!(letter.message, RaftMessage::Vote { .. });
+        self.cut = 1 << leader;
+        let mut held = Vec::new();
+        for _ in 0..STAND_ROUNDS {
+            self.now += ROUND_MS;
+            (0..HOSTS).for_each(|host| self.tick(host));
+            self.deliver_all();
+            held.extend(self.bag.extract_if(.., asks_vote));
+            if !held.is_empty() {
+                break;
+            }
+        }
+        let Some(candidate) = held.first().map(|letter| letter.from.0) else {
+            return;
+        };
+        self.cut = 1 << candidate;
+        self.calm(rounds);
+        self.cut = 1 << leader;
+        self.bag.extend(held);
+        for _ in 0..CALM_HOPS {
+            self.deliver_all();
+        }
+    }
+
+    fn stop_leader(&mut self, cut: bool, rounds: usize) {
         if let Some(leader) = self.leader() {
             self.hand_over(leader);
             self.check();
+            if cut {
+                self.deliver_all();
+                self.cut = 1 << leader;
+            }
             self.calm(rounds);
             self.kill(leader);
         }
@@ -583,7 +626,8 @@
             MemberStep::Enroll { host } => world.enroll(host),
             MemberStep::CutLeader { restarts, rounds } => world.cut_leader(restarts, rounds),
             MemberStep::FreezeLeader { rounds } => world.freeze_leader(rounds),
-            MemberStep::StopLeader { rounds } => world.stop_leader(rounds),
+            MemberStep::LateVotes { rounds } => world.late_votes(rounds),
+            MemberStep::StopLeader { cut, rounds } => world.stop_leader(cut, rounds),
         }
         world.check();
         world
