The members' fuzz asks for progress where a voter can be elected, by the rule of elections

Its last check took the voters of the newest log on any disk. Now: some voter whose own list of voters has a majority that is there, with logs no newer than its own.

--- a/tests/fuzz/members.rs
+++ b/tests/fuzz/members.rs
@@ -560,27 +560,35 @@
         assert!(deciding.len() <= 1, "two decide at once: {deciding:?}");
     }
 
-    /// Whether the newest log's voters still have a majority of their disks.
+    /// Whether a voter can still be elected: a majority of the voters that it knows of have
+    /// their disks, with logs that are no newer than its own.
     fn can_go_on(&self) -> bool {
-        let disks = self.hosts.iter().map(|host| &host.disk);
-        let last = |disk: &&DiskImage| disk.entries.last().map_or(disk.snapshot.last, |e| e.mark);
-        let Some(newest) = disks.max_by_key(last) else {
-            return false;
+        let electable = |host: &Host| {
+            let voters = voters_on(&host.disk);
+            let votes = |other: &&Host| {
+                voters.contains(&other.id) && last_on(&other.disk) <= last_on(&host.disk)
+            };
+            let votes = self.hosts.iter().filter(votes).count();
+            voters.contains(&host.id) && votes * 2 > voters.len()
         };
-        let named = newest
-            .entries
-            .iter()
-            .rev()
-            .find_map(|entry| match &entry.payload {
-                Payload::Voters(voters) => Some(voters),
-                _ => None,
-            });
-        let voters = named.unwrap_or(&newest.snapshot.voters);
-        let kept = self.hosts.iter().filter(|host| voters.contains(&host.id));
-        kept.count() * 2 > voters.len()
+        self.hosts.iter().any(electable)
     }
 }
 
+fn last_on(disk: &DiskImage) -> LogMark {
+    let last = disk.entries.last();
+    last.map_or(disk.snapshot.last, |entry| entry.mark)
+}
+
+fn voters_on(disk: &DiskImage) -> &BTreeSet<NodeId> {
+    let mut entries = disk.entries.iter().rev();
+    let named = entries.find_map(|entry| match &entry.payload {
+        Payload::Voters(voters) => Some(voters),
+        _ => None,
+    });
+    named.unwrap_or(&disk.snapshot.voters)
+}
+
 pub struct MemberTest;
 
 impl StateMachineTest for MemberTest {
