--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -5,9 +5,11 @@
 //! log's changes and orders to replicas leave. Uses the pure folders, `process`, and the
 //! connections to replicas of [`crate::forward`].
 
+pub mod event;
 pub mod founding;
 pub mod journal;
 pub mod orderer;
+pub mod outbox;
 pub mod registry;
 pub mod relay;
 pub mod shell;
--- a/src/control/orderer.rs
+++ b/src/control/orderer.rs
@@ -19,7 +19,7 @@
 use tokio::sync::{Mutex, mpsc};
 
 use crate::clock;
-use crate::control::voter::{ControlEvent, ControlHandle, SendPermit};
+use crate::control::event::{ControlEvent, ControlHandle, SendPermit};
 use crate::forward::head;
 use crate::forward::upstream::{Connection, Exchange, ExchangeError, Outgoing};
 use crate::ids::ReplicaId;
--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -14,7 +14,7 @@
 
 use crate::consensus::directory::{BeatNews, ReplicaPhase, ReplicaRecord};
 use crate::consensus::state::{Command, ConfigureAnswer, Reply};
-use crate::control::voter::{ControlEvent, ControlHandle};
+use crate::control::event::{ControlEvent, ControlHandle};
 use crate::ids::ReplicaId;
 use crate::process::peers::{self, ControlLink, PeerError};
 use crate::process::wire::{ControlRefusal, ControlWireClient};
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -2,21 +2,20 @@
 //! messages reach it as events, so that one sync serves all that wait for it.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::Duration;
 
 use sha2::{Digest, Sha256};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::clock;
-use crate::consensus::claims::{ClaimKey, ClaimRecord};
-use crate::consensus::directory::{BeatNews, ReplicaRecord};
-use crate::consensus::raft::{DiskImage, DiskRecord, RaftMessage};
+use crate::consensus::raft::{DiskImage, DiskRecord};
 use crate::consensus::replica::LogReplica;
 use crate::consensus::state::{Command, Reply, SiteState};
+use crate::control::event::{Answer, ControlEvent, SendPermit};
 use crate::control::journal::{self, DiskJournal, JournalError, WriteCheck};
-use crate::ids::{HostName, NodeId, Position, ReplicaId, TargetName, Term};
-use crate::placement::crowd::{CrowdReport, WaitingTokens};
+use crate::control::outbox::PeerOutbox;
+use crate::ids::{HostName, NodeId, Position, TargetName, Term};
 use crate::placement::duties::{AgentBeat, EntryBeat, LeaderDuties};
 use crate::placement::fleet::FleetDuties;
 use crate::placement::order::{AdapterPlace, EngineOrder, OrderOutcome};
@@ -29,8 +28,7 @@
 use crate::routing::authority::FreshnessProof;
 use crate::routing::view::{self, SyncPage};
 use crate::table::accounts::{AccountBook, AccountSpec};
-use crate::table::configuration::ConfigurationRecord;
-use crate::table::quota::{QuotaAsk, QuotaGrantor, QuotaGrants};
+use crate::table::quota::QuotaGrantor;
 
 /// Longest pause between two looks at the clock.
 const TICK: Duration = Duration::from_millis(10);
@@ -49,100 +47,6 @@
 /// Time that a stopping leader waits for its heir.
 const HANDOVER_MS: u64 = 2_000;
 
-type Answer<T> = oneshot::Sender<Result<T, ControlRefusal>>;
-
-/// What reaches the voter's thread.
-pub enum ControlEvent {
-    /// A message from a voter.
-    Raft(NodeId, HostName, RaftMessage),
-    /// A process with a blank disk asks to be made a voter.
-    Enroll(NodeId, HostName, Answer<Notice>),
-    /// Commit a command.
-    Propose(Command, Answer<(Position, Reply)>),
-    /// The changes after a cursor.
-    Sync {
-        /// The cursor.
-        cursor: Position,
-        /// How long to wait for a change, in milliseconds.
-        wait_ms: u64,
-        /// Only from a state that is surely the newest.
-        fresh: bool,
-        /// The asker.
-        answer: Answer<SyncPage>,
-    },
-    /// An agent's beat.
-    Agent(AgentBeat, Answer<AgentOrders>),
-    /// An entry's beat.
-    Entry(EntryBeat, Answer<EntryOrders>),
-    /// The table.
-    Table(Answer<TableStatus>),
-    /// A claim.
-    Claim(ClaimKey, Answer<Option<ClaimRecord>>),
-    /// This voter's account of itself.
-    Status(oneshot::Sender<ControlStatus>),
-    /// Hosts that the platform's list names as leaving.
-    Platform(BTreeSet<HostName>),
-    /// How far this voter has come.
-    Notice {
-        /// Wait for a change after this.
-        cursor: Position,
-        /// How long to wait for it, in milliseconds.
-        wait_ms: u64,
-        /// The asker.
-        answer: Answer<Notice>,
-    },
-    /// The configuration, from a state that is surely the newest.
-    Configuration(Answer<Option<ConfigurationRecord>>),
-    /// The version of the newest configuration; for the leader.
-    Confirm(Answer<u64>),
-    /// The leader confirmed that version, asked at a moment of this host's steady clock.
-    Confirmed {
-        /// The version; 0 for none.
-        version: u64,
-        /// When it was asked.
-        asked_ms: u64,
-    },
-    /// An entry draws from quotas; for the leader.
-    Quota(QuotaAsk, Answer<QuotaGrants>),
-    /// All client accounts, for operators; for the leader.
-    Accounts(Answer<Vec<AccountStatus>>),
-    /// Replicas that a control host has heard; for the leader.
-    Heard(Vec<ReplicaId>, Answer<()>),
-    /// An entry's report; for the leader.
-    Report(EntryReport, Answer<u32>),
-    /// What an entry has waiting at replicas; for the leader.
-    Crowd(CrowdReport, Answer<WaitingTokens>),
-    /// An entry's wish; for the leader.
-    Wish(AdapterPlace, Answer<bool>),
-    /// Whether an order of that term may leave now, and for how long.
-    MayOrder(Term, Answer<SendPermit>),
-    /// An engine's answer to an order of this leader.
-    Ordered(EngineOrder, OrderOutcome),
-    /// Compares a replica's heartbeat with what is committed here.
-    Compare(Box<ReplicaRecord>, Answer<BeatNews>),
-    /// Stop: hand over first.
-    Stop(oneshot::Sender<()>),
-}
-
-impl ControlEvent {
-    /// Whether it asks for a state that nothing newer can exist besides.
-    fn reads_newest(&self) -> bool {
-        match self {
-            Self::Configuration(_) | Self::Table(_) | Self::Claim(..) | Self::Confirm(_) => true,
-            Self::Sync { fresh, .. } => *fresh,
-            _ => false,
-        }
-    }
-}
-
-/// Leave to send an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct SendPermit {
-    /// Until then no other leader decides, by [`clock::monotonic_ms`]: the leader's lease as
-    /// it was when this was given. Nothing of the order may leave later.
-    pub until_ms: u64,
-}
-
 enum WaiterAnswer {
     Page(Answer<SyncPage>),
     Notice(Answer<Notice>),
@@ -218,32 +122,6 @@
     }
 }
 
-/// Opens the way to a host that was not known before.
-pub type OpenPeer = Box<dyn Fn(&HostName) -> mpsc::Sender<RaftMessage> + Send>;
-
-/// Messages to one peer wait here; when it is full, they are dropped, as a
-/// network would.
-#[derive(Default)]
-pub struct PeerOutbox {
-    /// The ways that are open.
-    pub senders: BTreeMap<HostName, mpsc::Sender<RaftMessage>>,
-    /// Opens further ones, where any host may become a voter.
-    pub open: Option<OpenPeer>,
-}
-
-impl PeerOutbox {
-    fn send(&mut self, host: &HostName, message: RaftMessage) {
-        if let Some(open) = &self.open
-            && !self.senders.contains_key(host)
-        {
-            self.senders.insert(host.clone(), open(host));
-        }
-        if let Some(sender) = self.senders.get(host) {
-            let _ = sender.try_send(message);
-        }
-    }
-}
-
 /// The voter's thread.
 pub struct ControlLoop {
     settings: ControlSettings,
@@ -925,30 +803,6 @@
     record.map_or(0, |record| record.configuration.version)
 }
 
-/// Sends events to the voter's thread.
-#[derive(Clone)]
-pub struct ControlHandle(pub Sender<ControlEvent>);
-
-impl ControlHandle {
-    /// Asks, and waits for the answer.
-    pub async fn ask<T>(
-        &self,
-        make: impl FnOnce(Answer<T>) -> ControlEvent,
-    ) -> Result<T, ControlRefusal> {
-        let (answer, wait) = oneshot::channel();
-        let sent = self.0.send(make(answer));
-        match sent {
-            Ok(()) => wait.await.unwrap_or(Err(ControlRefusal::Stopping)),
-            Err(_) => Err(ControlRefusal::Stopping),
-        }
-    }
-
-    /// Tells, and waits for nothing.
-    pub fn tell(&self, event: ControlEvent) {
-        let _ = self.0.send(event);
-    }
-}
-
 /// An entry's report, without figures where one cannot be true: the entry still counts
 /// among those that report.
 fn believe(report: EntryReport) -> EntryReport {
--- a/tests/full_disk.rs
+++ b/tests/full_disk.rs
@@ -9,8 +9,9 @@
 
 use dunlinspring::consensus::raft::RaftTiming;
 use dunlinspring::consensus::state::{Command, ConfigureAnswer, Reply};
+use dunlinspring::control::event::{ControlEvent, ControlHandle};
 use dunlinspring::control::journal::JournalError;
-use dunlinspring::control::voter::{self, ControlEvent, ControlHandle, ControlLoop};
+use dunlinspring::control::voter::{self, ControlLoop};
 use dunlinspring::ids::{HallName, HostName};
 use dunlinspring::process::settings::{CommonSettings, ControlSettings, VoterSettings};
 use dunlinspring::table::configuration::{Configuration, ConfigurationRecord};
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -6,8 +6,9 @@
 use std::path::Path;
 
 use dunlinspring::clock;
+use dunlinspring::control::event::{ControlEvent, SendPermit};
 use dunlinspring::control::shell::ControlDaemon;
-use dunlinspring::control::voter::{self, ControlEvent, SendPermit};
+use dunlinspring::control::voter;
 use dunlinspring::process::wire::ControlStatus;
 
 use support_control::{leader_of, listeners, secret, settings, status_where, until};
--- a/tests/orderer.rs
+++ b/tests/orderer.rs
@@ -5,8 +5,8 @@
 use std::sync::mpsc;
 
 use dunlinspring::clock;
+use dunlinspring::control::event::{ControlEvent, ControlHandle, SendPermit};
 use dunlinspring::control::orderer::{self, EngineCall, EngineDialect, EngineReport};
-use dunlinspring::control::voter::{ControlEvent, ControlHandle, SendPermit};
 use dunlinspring::ids::{HostName, ModelName, ReplicaId, Term};
 use dunlinspring::placement::order::{EngineOrder, OrderId, OrderKind, OrderOutcome};
 use dunlinspring::process::wire::ControlRefusal;
