--- a/tests/bounded_sending.rs
+++ b/tests/bounded_sending.rs
@@ -1,10 +1,12 @@
 //! What a connection has written and its peer has not taken ends by itself.
 
 use std::io::ErrorKind;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use dunlinspring::forward::upstream::{Connection, Exchange, ExchangeError, Outgoing};
-use tokio::net::TcpListener;
+use socket2::{SockFilter, SockRef};
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream};
 
 /// How long the kernel may go on.
 const BOUND: Duration = Duration::from_millis(300);
@@ -35,3 +37,41 @@
         "{error:?}"
     );
 }
+
+/// Has the link lose all that comes to this end.
+fn lose_all(stream: &TcpStream) {
+    // Takes no byte of any packet.
+    let none = SockFilter::new(6, 0, 0, 0);
+    SockRef::from(stream).attach_filter(&[none]).unwrap();
+}
+
+/// A process that stands still resets nothing: what its kernel sends again after the bound
+/// arrives. The link loses packets until just after the bound.
+#[ntex::test]
+async fn the_kernel_sends_nothing_again_after_the_bound() {
+    for bound_ms in [50, 425] {
+        let bound = Duration::from_millis(bound_ms);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let peer = listener.local_addr().unwrap();
+        let connection = Connection::open(peer, PATIENCE).await.unwrap();
+        let (mut far, _) = listener.accept().await.unwrap();
+        lose_all(&far);
+        connection.bound_sending(bound).unwrap();
+        let begun = Instant::now();
+        let outgoing = Outgoing {
+            bytes: b"an order",
+            method: "POST",
+            identity: None,
+        };
+        let mut sending = std::pin::pin!(Exchange::send(connection, &outgoing));
+        let limit = bound + Duration::from_millis(10);
+        let _ = tokio::time::timeout(limit, &mut sending).await;
+        SockRef::from(&far).detach_filter().unwrap();
+        let seen = tokio::time::timeout(Duration::from_secs(3), far.read(&mut [0; 16])).await;
+        let arrived_ms = begun.elapsed().as_millis();
+        assert!(
+            !matches!(seen, Ok(Ok(1..))),
+            "bounded by {bound_ms} ms, it arrived {arrived_ms} ms after it was written"
+        );
+    }
+}
--- a/tests/orderer.rs
+++ b/tests/orderer.rs
@@ -3,6 +3,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::mpsc;
+use std::time::{Duration, Instant};
 
 use dunlinspring::clock;
 use dunlinspring::control::orderer::{self, EngineCall, EngineDialect, EngineReport};
@@ -226,3 +227,26 @@
     };
     assert_eq!(outcome, OrderOutcome::Taken);
 }
+
+/// **Order of events:** a leader was allowed to send an order, and its voter is held up by
+/// a slow disk when the permit ends. Nobody renews the permit; the question for its renewal
+/// waits for the disk, and the order stays on its way meanwhile.
+#[ntex::test]
+async fn an_order_ends_with_its_permit_also_while_the_voter_is_held_up() {
+    let begun = Instant::now();
+    let seen = hold_order(|asked| {
+        if asked > 0 {
+            std::thread::sleep(Duration::from_secs(5));
+        }
+        lease()
+    })
+    .await;
+    // From before the first question, so that the permit's end lies within this span.
+    let seen_ms = begun.elapsed().as_millis() as u64;
+    let kind = seen.map_err(|error| error.kind());
+    assert_eq!(kind, Err(ErrorKind::ConnectionReset));
+    assert!(
+        seen_ms < LEASE_MS * 3,
+        "a permit of {LEASE_MS} ms, the link sees its end after {seen_ms} ms"
+    );
+}
