A test that fails: a change of leader gives out a whole burst again

The half that a new leader holds back is taken by whether an entry that asked so far was answered lately. Where the first that asks was not, the bucket opens full (tests/quota.rs: 400,000 units within 30 ms, 306,000 are the bound).

--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -243,3 +243,44 @@
     let lapsed_ms = 10_000 + LEASE_MS;
     assert_eq!(ask(lapsed_ms, 3, all), 150_000);
 }
+
+/// A leader hands over while an entry holds all of an account's burst. The first that asks
+/// the next leader is one that nobody has answered lately, as it had no demand for a while.
+#[test]
+fn a_new_leader_gives_half_of_the_burst_whoever_asks_first() {
+    let account = AccountName::from(ACCOUNT);
+    let quota = SiteShape::large().quota();
+    let ask = |leader: &mut QuotaGrantor, now_ms: u64, entry: u64, told: bool, ahead: bool| {
+        let units = quota.burst as u64;
+        let claim = QuotaClaim {
+            least: 1,
+            needed: units,
+            ..QuotaClaim::default()
+        };
+        let holds = QuotaClaim {
+            balance: units,
+            demand: units,
+            ..QuotaClaim::default()
+        };
+        let claim = if ahead { holds } else { claim };
+        let claims = BTreeMap::from([(account.clone(), claim)]);
+        let ask = QuotaAsk {
+            entry: life(entry),
+            number: now_ms,
+            told,
+            claims,
+        };
+        drawn(&leader.grant(now_ms, &ask))
+    };
+    let mut before = grantor(quota);
+    let held = ask(&mut before, 10_000, 1, true, false);
+    assert_eq!(held, quota.burst as u64);
+    let mut next = QuotaGrantor::new(10_010);
+    next.follow(1, Some(&book(quota)));
+    let fresh = ask(&mut next, 10_020, 2, false, false);
+    ask(&mut next, 10_030, 1, true, true);
+    // What comes in these 30 ms, and the half that a change of leader may cost.
+    let bound = quota.burst * 1.5 + quota.per_s * 0.03;
+    let given = held + fresh;
+    assert!(given as f64 <= bound, "{given} of {bound} within 30 ms");
+}
