Room stays taken until it is shown that no order can act on it

Two steps of adapters_whose_orders_may_still_act_take_places and an_adapter_is_ordered_once... said that a place is free 13 s after an order without an answer; that is the fault, and they now say that it is taken until an answer, at 60 s as well.

--- a/src/consensus/directory.rs
+++ b/src/consensus/directory.rs
@@ -42,6 +42,9 @@
     pub in_memory: BTreeSet<ModelName>,
     /// Models with a copy on disk.
     pub on_disk: BTreeSet<ModelName>,
+    /// The number of the heartbeat that told this, which rises with each; 0 where they
+    /// carry none.
+    pub beat: u64,
 }
 
 impl ReplicaRecord {
@@ -51,6 +54,7 @@
         Self {
             in_memory: BTreeSet::new(),
             on_disk: BTreeSet::new(),
+            beat: 0,
             id: self.id.clone(),
             service: self.service.clone(),
             address: self.address,
@@ -73,6 +77,17 @@
     Ended,
 }
 
+/// What an order has done to an adapter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AdapterEffect {
+    /// It is there, or on its way.
+    There,
+    /// It goes once no request uses it.
+    Goes,
+    /// It is gone.
+    Gone,
+}
+
 /// How long an order's effect on an adapter outweighs heartbeats, which may have
 /// left before it, in milliseconds.
 const ORDER_FRESH_MS: u64 = 3_000;
@@ -82,12 +97,17 @@
 pub struct ReplicaDirectory {
     records: BTreeMap<ReplicaId, ReplicaRecord>,
     ended: VecDeque<ReplicaId>,
-    /// Models ordered out that a replica still tells of: no requests go there.
-    leaving: BTreeMap<ReplicaId, BTreeSet<ModelName>>,
+    /// Models ordered out that a replica still tells of, with their adapters: no requests
+    /// go there, and they take room.
+    leaving: BTreeMap<ReplicaId, BTreeMap<ModelName, BTreeSet<String>>>,
     /// Models ordered in that a replica does not tell of yet: they take room.
     loading: BTreeMap<ReplicaId, BTreeSet<ModelName>>,
     /// Adapters ordered in, by replica, until they are there or their order is settled.
     adapters_coming: BTreeMap<ReplicaId, BTreeSet<(ModelName, String)>>,
+    /// Adapters ordered out while in use, until a heartbeat lacks them: they take places.
+    adapters_going: BTreeMap<ReplicaId, BTreeSet<(ModelName, String)>>,
+    /// Replicas of which no heartbeat was put since an order changed something.
+    unheard: BTreeSet<ReplicaId>,
     /// When an order last changed an adapter of a replica, in the state's clock.
     ordered_ms: BTreeMap<ReplicaId, BTreeMap<(ModelName, String), u64>>,
 }
@@ -101,12 +121,13 @@
     /// Whether a model that was ordered out is still there.
     pub fn is_leaving(&self, id: &ReplicaId, model: &ModelName) -> bool {
         let leaving = self.leaving.get(id);
-        leaving.is_some_and(|models| models.contains(model))
+        leaving.is_some_and(|models| models.contains_key(model))
     }
 
     /// Models that were ordered out and are still there.
     pub fn leaving(&self, id: &ReplicaId) -> impl Iterator<Item = &ModelName> {
-        self.leaving.get(id).into_iter().flatten()
+        let leaving = self.leaving.get(id);
+        leaving.into_iter().flat_map(BTreeMap::keys)
     }
 
     /// Models that were ordered in and are not there yet.
@@ -114,11 +135,24 @@
         self.loading.get(id).into_iter().flatten()
     }
 
+    /// Adapters that take places by orders, whatever heartbeats tell: ordered in and not
+    /// settled yet, or ordered out and perhaps still there.
+    pub fn adapters_ordered(&self, id: &ReplicaId) -> impl Iterator<Item = &(ModelName, String)> {
+        let going = self.adapters_going.get(id).into_iter().flatten();
+        self.adapters_coming(id).chain(going)
+    }
+
     /// Adapters that were ordered in and are not settled yet.
     pub fn adapters_coming(&self, id: &ReplicaId) -> impl Iterator<Item = &(ModelName, String)> {
         self.adapters_coming.get(id).into_iter().flatten()
     }
 
+    /// Whether an adapter was ordered out while in use, and no heartbeat lacks it yet.
+    pub fn is_adapter_going(&self, id: &ReplicaId, model: &ModelName, adapter: &str) -> bool {
+        let mut going = self.adapters_going.get(id).into_iter().flatten();
+        going.any(|(base, name)| base == model && name == adapter)
+    }
+
     /// Notes that an adapter is ordered into a replica, before the order leaves.
     pub fn order_adapter(&mut self, id: &ReplicaId, model: &ModelName, adapter: &str) {
         if self.records.contains_key(id) {
@@ -138,19 +172,30 @@
     pub fn news(&self, record: &ReplicaRecord, clock_ms: u64) -> BeatNews {
         let gone = |model: &ModelName| !record.models.contains_key(model);
         let left = self.leaving.get(&record.id);
-        let left = left.is_some_and(|models| models.iter().any(gone));
+        let left = left.is_some_and(|models| models.keys().any(gone));
         match self.records.get(&record.id) {
+            // What a replica told before says nothing of what it holds by now: a host that
+            // stood still passes on what it heard seconds ago.
+            Some(known) if record.beat <= known.beat && known.beat > 0 => BeatNews::Known,
             // A ready heartbeat from before the draining one may come late.
             Some(known) if known.phase == ReplicaPhase::Draining => BeatNews::Known,
-            Some(known) if !left && *known == self.merge(known, record, clock_ms) => {
-                BeatNews::Known
-            }
+            // The first one after an order is put for its number: else one from before the
+            // order could come later still, and be taken for the newest.
+            Some(_) if record.beat > 0 && self.unheard.contains(&record.id) => BeatNews::New,
+            Some(known) if !left && self.tells_the_same(known, record, clock_ms) => BeatNews::Known,
             Some(_) => BeatNews::New,
             None if self.ended.contains(&record.id) => BeatNews::Ended,
             None => BeatNews::New,
         }
     }
 
+    /// Whether a heartbeat brings nothing but its number.
+    fn tells_the_same(&self, known: &ReplicaRecord, record: &ReplicaRecord, clock_ms: u64) -> bool {
+        let mut merged = self.merge(known, record, clock_ms);
+        merged.beat = known.beat;
+        *known == merged
+    }
+
     /// What a heartbeat says, corrected by the orders that it may not know of.
     fn merge(&self, known: &ReplicaRecord, record: &ReplicaRecord, clock_ms: u64) -> ReplicaRecord {
         let mut merged = record.clone();
@@ -181,15 +226,23 @@
             return None;
         }
         if let Some(models) = self.leaving.get_mut(&record.id) {
-            models.retain(|model| record.models.contains_key(model));
+            models.retain(|model, _| record.models.contains_key(model));
         }
         if let Some(models) = self.loading.get_mut(&record.id) {
             models.retain(|model| !record.models.contains_key(model));
         }
+        self.unheard.remove(&record.id);
         let merged = match self.records.get(&record.id) {
             Some(known) => self.merge(known, record, clock_ms),
             None => record.clone(),
         };
+        if let Some(going) = self.adapters_going.get_mut(&record.id) {
+            let tells = |record: &ReplicaRecord, (model, adapter): &(ModelName, String)| {
+                let adapters = record.models.get(model);
+                adapters.is_some_and(|adapters| adapters.contains(adapter))
+            };
+            going.retain(|place| tells(record, place) && !tells(&merged, place));
+        }
         let same =
             |other: &&ReplicaRecord| other.address == record.address && other.id != record.id;
         let replaced = self.records.values().filter(same);
@@ -228,6 +281,8 @@
         self.leaving.remove(id);
         self.loading.remove(id);
         self.adapters_coming.remove(id);
+        self.adapters_going.remove(id);
+        self.unheard.remove(id);
         self.ordered_ms.remove(id);
         if !self.ended.contains(id) {
             self.ended.push_back(id.clone());
@@ -238,29 +293,40 @@
         self.records.remove(id).is_some()
     }
 
-    /// Notes that an order has brought an adapter or taken it away. Returns
-    /// whether that is new.
+    /// Notes what an order has done to an adapter. Returns whether that is new.
     pub fn set_adapter(
         &mut self,
         id: &ReplicaId,
         model: &ModelName,
         adapter: &str,
-        held: bool,
+        effect: AdapterEffect,
         clock_ms: u64,
     ) -> bool {
-        let record = self.records.get_mut(id);
-        let changed = match record.and_then(|record| record.models.get_mut(model)) {
-            Some(adapters) if held => adapters.insert(adapter.to_owned()),
+        let place = (model.clone(), adapter.to_owned());
+        let there = effect == AdapterEffect::There;
+        let Some(record) = self.records.get_mut(id) else {
+            return false;
+        };
+        let changed = match record.models.get_mut(model) {
+            Some(adapters) if there => adapters.insert(adapter.to_owned()),
             Some(adapters) => adapters.remove(adapter),
             None => false,
         };
-        if held {
+        let going = self.adapters_going.entry(id.clone()).or_default();
+        // Whoever leads next must know that it may still be there.
+        match effect {
+            AdapterEffect::Goes if changed => going.insert(place.clone()),
+            AdapterEffect::Goes => false,
+            AdapterEffect::There | AdapterEffect::Gone => going.remove(&place),
+        };
+        if there {
             self.settle_adapter(id, model, adapter);
         }
         if changed {
             let ordered = self.ordered_ms.entry(id.clone()).or_default();
             ordered.retain(|_, at_ms| *at_ms + ORDER_FRESH_MS > clock_ms);
-            ordered.insert((model.clone(), adapter.to_owned()), clock_ms);
+            ordered.insert(place, clock_ms);
+            self.unheard.insert(id.clone());
         }
         changed
     }
@@ -268,12 +334,13 @@
     /// Notes that a model is ordered out of a replica. Returns whether that is new.
     pub fn unload(&mut self, id: &ReplicaId, model: &ModelName) -> bool {
         let record = self.records.get_mut(id);
-        let held = record.is_some_and(|record| record.models.remove(model).is_some());
-        if held {
-            let leaving = self.leaving.entry(id.clone()).or_default();
-            leaving.insert(model.clone());
-        }
-        held
+        let Some(adapters) = record.and_then(|record| record.models.remove(model)) else {
+            return false;
+        };
+        let leaving = self.leaving.entry(id.clone()).or_default();
+        leaving.insert(model.clone(), adapters);
+        self.unheard.insert(id.clone());
+        true
     }
 
     /// Notes that a model is ordered into a replica.
@@ -282,15 +349,27 @@
         if held.is_some_and(|record| !record.models.contains_key(model)) {
             let loading = self.loading.entry(id.clone()).or_default();
             loading.insert(model.clone());
+            self.unheard.insert(id.clone());
         }
     }
 
-    /// Notes that no order on a model is under way: heartbeats tell of it.
-    pub fn settle(&mut self, id: &ReplicaId, model: &ModelName) {
-        for under_way in [&mut self.leaving, &mut self.loading] {
-            if let Some(models) = under_way.get_mut(id) {
-                models.remove(model);
+    /// Notes that no order on a model is under way: heartbeats tell of it. Returns
+    /// whether members follow what that changes.
+    ///
+    /// A model that was to go is there until a heartbeat lacks it, whatever became of its
+    /// order: else its room would be given away between this and the next heartbeat.
+    pub fn settle(&mut self, id: &ReplicaId, model: &ModelName) -> bool {
+        if let Some(models) = self.loading.get_mut(id) {
+            models.remove(model);
+        }
+        let leaving = self.leaving.get_mut(id);
+        let adapters = leaving.and_then(|models| models.remove(model));
+        match (self.records.get_mut(id), adapters) {
+            (Some(record), Some(adapters)) => {
+                record.models.insert(model.clone(), adapters);
+                true
             }
+            _ => false,
         }
     }
 }
--- a/src/consensus/state.rs
+++ b/src/consensus/state.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::consensus::claims::{ClaimAnswer, ClaimAsk, ClaimBook, ClaimKey, Settlement};
-use crate::consensus::directory::{ReplicaDirectory, ReplicaRecord};
+use crate::consensus::directory::{AdapterEffect, ReplicaDirectory, ReplicaRecord};
 use crate::ids::{
     AttemptId, HallName, HostName, Incarnation, ModelName, NodeId, Position, ReplicaId, TargetName,
 };
@@ -112,7 +112,7 @@
     /// A replica has ended.
     ReplicaEnded(ReplicaId),
     /// An order has brought an adapter to a replica, or taken it away.
-    ReplicaAdapter(ReplicaId, ModelName, String, bool),
+    ReplicaAdapter(ReplicaId, ModelName, String, AdapterEffect),
     /// An order is to bring an adapter to a replica.
     ReplicaAdapterOrdered(ReplicaId, ModelName, String),
     /// No order on an adapter is under way at a replica any more.
@@ -270,11 +270,11 @@
                 }
                 Reply::None
             }
-            Command::ReplicaAdapter(id, model, adapter, held) => {
+            Command::ReplicaAdapter(id, model, adapter, effect) => {
                 let clock_ms = self.clock_ms;
                 if self
                     .replicas
-                    .set_adapter(id, model, adapter, *held, clock_ms)
+                    .set_adapter(id, model, adapter, *effect, clock_ms)
                 {
                     self.note_replica(id);
                 }
@@ -299,7 +299,9 @@
                 Reply::None
             }
             Command::ReplicaSettled(id, model) => {
-                self.replicas.settle(id, model);
+                if self.replicas.settle(id, model) {
+                    self.note_replica(id);
+                }
                 Reply::None
             }
             Command::ReplicaDrains(id) => {
--- a/src/control/orderer.rs
+++ b/src/control/orderer.rs
@@ -8,7 +8,7 @@
 //! open: a leader that stood still, or was cut off, would send it beside the next one's.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,8 +19,8 @@
 use crate::control::voter::{ControlEvent, ControlHandle};
 use crate::forward::head;
 use crate::forward::upstream::{Connection, Exchange, ExchangeError, Outgoing};
-use crate::ids::{ReplicaId, Term};
-use crate::placement::order::{EngineOrder, OrderOutcome};
+use crate::ids::{ModelName, ReplicaId, Term};
+use crate::placement::order::{EngineOrder, OrderKind, OrderOutcome};
 use crate::process::daemon;
 
 /// Time for one call to an engine.
@@ -50,12 +50,26 @@
 }
 
 /// What an engine reports of itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EngineReport {
     /// Orders taken in this life.
     pub orders: u64,
     /// An order is under way.
     pub busy: bool,
+    /// The models that are there, each with its adapters, those on their way in as well.
+    pub models: BTreeMap<ModelName, BTreeSet<String>>,
+}
+
+impl EngineReport {
+    /// Whether what an order asks for holds.
+    fn shows(&self, order: &EngineOrder) -> bool {
+        let held = self.models.get(&order.model);
+        let there = match &order.adapter {
+            Some(adapter) => held.is_some_and(|adapters| adapters.contains(adapter)),
+            None => held.is_some(),
+        };
+        there == (order.kind == OrderKind::Load)
+    }
 }
 
 /// How calls to engines are worded.
@@ -110,23 +124,29 @@
     handle: &ControlHandle,
     dialect: &EngineDialect,
 ) -> OrderOutcome {
-    let mut outcome = OrderOutcome::Unknown;
-    let mut sent: Option<u64> = None;
+    let mut unanswered: Option<u64> = None;
     for _ in 0..MAX_TRIES {
         let expected = match *count {
             Some(known) => known,
             None => match ask_report(order, dialect).await {
-                // Nobody else orders: a count that has risen shows that ours was taken.
-                Some(report) if sent.is_some_and(|sent| report.orders > sent) => {
+                // A count that has risen doesn't show whose order was taken: a leader before
+                // may have sent one that is carried out only now. What is there shows it.
+                Some(report)
+                    if unanswered.is_some_and(|tried| report.orders > tried)
+                        && report.shows(order) =>
+                {
                     *count = Some(report.orders);
-                    return OrderOutcome::Taken;
+                    return match order.kind {
+                        OrderKind::Load => OrderOutcome::Taken,
+                        OrderKind::Unload => OrderOutcome::Held,
+                    };
                 }
                 Some(report) => report.orders,
                 None => continue,
             },
         };
         let call = (dialect.order)(order, expected);
-        outcome = match exchange(order.address, &call, Some((handle, order.fence))).await {
+        let outcome = match exchange(order.address, &call, Some((handle, order.fence))).await {
             Ok((status, _)) => (dialect.outcome)(status),
             Err(CallError::Deposed) => {
                 tracing::info!(replica = %order.replica, term = %order.fence, "an order was held back: its leader decides no more");
@@ -143,9 +163,14 @@
                 return outcome;
             }
             OrderOutcome::Unknown => {
-                sent = Some(expected);
+                unanswered = Some(expected);
                 *count = None;
             }
+            // It says nothing of the try before, which may still be carried out.
+            OrderOutcome::Busy if unanswered.is_some() => {
+                *count = None;
+                return OrderOutcome::Unknown;
+            }
             // The count is another, or an order is under way: the leader decides
             // when to try again, by what it knows then.
             OrderOutcome::Busy
@@ -158,7 +183,7 @@
         }
         tokio::time::sleep(REPORT_LAG).await;
     }
-    outcome
+    OrderOutcome::Unknown
 }
 
 async fn ask_report(order: &EngineOrder, dialect: &EngineDialect) -> Option<EngineReport> {
--- a/src/placement/adapters.rs
+++ b/src/placement/adapters.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::consensus::directory::{ReplicaDirectory, ReplicaRecord};
-use crate::ids::ReplicaId;
+use crate::ids::{ModelName, ReplicaId};
 use crate::placement::order::{AdapterPlace, OrderKind, OrderOutcome};
 
 /// What becomes of a wish.
@@ -29,18 +29,25 @@
 /// Time in which heartbeats tell of an adapter that is ordered out and still in use,
 /// in milliseconds: longer than they are outweighed by the order.
 const GOES_MS: u64 = 6_000;
-/// Time within which an order without an answer may still be carried out, in milliseconds.
+/// How long an adapter of which an order out has no answer, or that the leader before
+/// ordered, is left alone, in milliseconds: mostly heartbeats tell meanwhile what became of
+/// it. It takes its place all the while, and after it.
 const LATE_MS: u64 = 13_000;
 /// Pause after a replica was busy, in milliseconds.
 const BUSY_MS: u64 = 500;
+/// Pause before a load that got no answer is sent again, in milliseconds.
+const AGAIN_MS: u64 = 1_000;
 
 #[derive(Clone, Copy, Debug)]
 struct PendingOrder {
     kind: OrderKind,
     /// Until when it counts; none while it has no outcome.
     until_ms: Option<u64>,
-    /// It has left for the engine.
-    sent: bool,
+    /// When it is to be sent; none while an answer or its effect is awaited.
+    send_ms: Option<u64>,
+    /// It was sent without an answer, by this leader or the one before, and may still be
+    /// carried out.
+    unanswered: bool,
 }
 
 /// Orders on adapters that are under way, and when adapters were used.
@@ -80,16 +87,19 @@
             Some(order) if order.kind == OrderKind::Load => return WishAnswer::Known,
             Some(_) => return WishAnswer::Refused,
             None if held.contains(&wish.adapter) => return WishAnswer::Known,
+            None if replicas.is_adapter_going(&record.id, &wish.model, &wish.adapter) => {
+                return WishAnswer::Refused;
+            }
             None if busy || self.coming(&record.id) >= AT_ONCE => return WishAnswer::Refused,
             None => {}
         }
         if self.taken(record, replicas) < slots {
-            self.open(place, OrderKind::Load);
+            self.open(place, OrderKind::Load, now_ms);
             return WishAnswer::Load;
         }
         match self.least_used(record, now_ms) {
             Some(victim) => {
-                self.open(victim.clone(), OrderKind::Unload);
+                self.open(victim.clone(), OrderKind::Unload, now_ms);
                 WishAnswer::Evict(victim)
             }
             None => WishAnswer::Refused,
@@ -112,12 +122,24 @@
                     OrderKind::Unload => GOES_MS,
                 };
                 order.until_ms = Some(now_ms + shows_ms);
+                order.unanswered = false;
                 true
             }
-            OrderOutcome::Unknown => {
+            OrderOutcome::Unknown if order.kind == OrderKind::Unload => {
                 order.until_ms = Some(now_ms + LATE_MS);
                 false
             }
+            // Its place stays taken until an answer shows that the try before is over: an
+            // engine that counts orders carries out one of them at most.
+            OrderOutcome::Unknown => {
+                order.unanswered = true;
+                order.send_ms = Some(now_ms + AGAIN_MS);
+                false
+            }
+            OrderOutcome::Busy if order.unanswered => {
+                order.send_ms = Some(now_ms + AGAIN_MS);
+                false
+            }
             OrderOutcome::Busy | OrderOutcome::Fenced | OrderOutcome::Refused => {
                 self.pending.remove(place);
                 let until_ms = now_ms + BUSY_MS;
@@ -127,14 +149,15 @@
         }
     }
 
-    /// The loads whose places are committed and that have not left yet. Whoever
-    /// leads next must know of a place before an order takes it.
-    pub fn take_due(&mut self, replicas: &ReplicaDirectory) -> Vec<AdapterPlace> {
+    /// The loads that are to be sent and whose places are committed. Whoever leads next
+    /// must know of a place before an order takes it.
+    pub fn take_due(&mut self, replicas: &ReplicaDirectory, now_ms: u64) -> Vec<AdapterPlace> {
         let mut due = Vec::new();
         for (place, order) in &mut self.pending {
-            let unsent = order.kind == OrderKind::Load && !order.sent;
-            if unsent && is_coming(replicas, place) {
-                order.sent = true;
+            let goes = replicas.is_leaving(&place.replica, &place.model);
+            let is_due = order.send_ms.is_some_and(|at_ms| at_ms <= now_ms) && !goes;
+            if is_due && is_coming(replicas, place) {
+                order.send_ms = None;
                 due.push(place.clone());
             }
         }
@@ -150,8 +173,13 @@
             let record = records.get(&place.replica);
             let over = order.until_ms.is_some_and(|until_ms| until_ms <= now_ms);
             let shows = record.is_some_and(|record| holds(record, place));
-            let done = order.kind == OrderKind::Load && shows && order.until_ms.is_some();
-            record.is_some() && !over && !done
+            let answered = order.until_ms.is_some() || order.unanswered;
+            let done = order.kind == OrderKind::Load && shows && answered;
+            // Without its model it cannot come, and an order that brings the model back moves
+            // the engine's count past whatever was sent before.
+            let based = record.is_some_and(|record| record.models.contains_key(&place.model))
+                || replicas.is_leaving(&place.replica, &place.model);
+            based && !over && !done
         });
         let coming = records.keys().flat_map(|id| coming_places(replicas, id));
         let over = coming.filter(|place| !self.pending.contains_key(place));
@@ -171,19 +199,22 @@
             for place in coming_places(replicas, id) {
                 let order = PendingOrder {
                     kind: OrderKind::Load,
-                    until_ms: Some(now_ms + LATE_MS),
-                    sent: true,
+                    until_ms: None,
+                    send_ms: Some(now_ms + LATE_MS),
+                    unanswered: true,
                 };
                 self.pending.entry(place).or_insert(order);
             }
         }
     }
 
-    fn open(&mut self, place: AdapterPlace, kind: OrderKind) {
+    fn open(&mut self, place: AdapterPlace, kind: OrderKind, now_ms: u64) {
         let order = PendingOrder {
             kind,
             until_ms: None,
-            sent: kind == OrderKind::Unload,
+            // An order out leaves at once.
+            send_ms: (kind == OrderKind::Load).then_some(now_ms),
+            unanswered: false,
         };
         self.pending.insert(place, order);
     }
@@ -202,8 +233,9 @@
         let held: usize = record.models.values().map(BTreeSet::len).sum();
         let pending = self.pending.keys().cloned();
         let pending = pending.filter(|place| place.replica == record.id);
-        let ordered: BTreeSet<AdapterPlace> =
-            pending.chain(coming_places(replicas, &record.id)).collect();
+        let ordered = replicas.adapters_ordered(&record.id);
+        let ordered = ordered.map(|(model, adapter)| place_of(&record.id, model, adapter));
+        let ordered: BTreeSet<AdapterPlace> = pending.chain(ordered).collect();
         held + ordered.iter().filter(|place| !holds(record, place)).count()
     }
 
@@ -229,13 +261,16 @@
     replicas: &'a ReplicaDirectory,
     id: &'a ReplicaId,
 ) -> impl Iterator<Item = AdapterPlace> + 'a {
-    replicas
-        .adapters_coming(id)
-        .map(|(model, adapter)| AdapterPlace {
-            replica: id.clone(),
-            model: model.clone(),
-            adapter: adapter.clone(),
-        })
+    let coming = replicas.adapters_coming(id);
+    coming.map(|(model, adapter)| place_of(id, model, adapter))
+}
+
+fn place_of(id: &ReplicaId, model: &ModelName, adapter: &str) -> AdapterPlace {
+    AdapterPlace {
+        replica: id.clone(),
+        model: model.clone(),
+        adapter: adapter.to_owned(),
+    }
 }
 
 fn is_coming(replicas: &ReplicaDirectory, place: &AdapterPlace) -> bool {
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::consensus::directory::{ReplicaDirectory, ReplicaPhase, ReplicaRecord};
+use crate::consensus::directory::{AdapterEffect, ReplicaDirectory, ReplicaPhase, ReplicaRecord};
 use crate::consensus::state::{Command, SiteState};
 use crate::ids::{HostName, ModelName, ReplicaId, ServiceName, Term};
 use crate::placement::adapters::{AdapterOrders, WishAnswer};
@@ -37,7 +37,8 @@
     /// Part of a model's demand that remains after each quieter half second: with 0.7
     /// what was asked for gives way within two seconds, about the time of a stream.
     pub demand_fall: f64,
-    /// Time after which an order that shows no effect is forgotten, in milliseconds.
+    /// Time after which an order that was taken and shows no effect is sent again, in
+    /// milliseconds.
     pub order_ms: u64,
     /// Tokens that wait at a replica from which entries are told of it: a quarter of a second
     /// of an engine that reads 16 in a millisecond. What is less is read before they know.
@@ -80,11 +81,11 @@
     /// Its command has been seen in the log.
     committed: bool,
     since_ms: u64,
-    /// When it is to be sent; none while an answer or its effect is awaited.
+    /// When it is to be sent; none while an answer is awaited.
     send_ms: Option<u64>,
-    /// It was given up, and the log is to say so: it is neither sent again nor
+    /// The engine refused it, and the log is to say so: it is neither sent again nor
     /// taken over anew meanwhile.
-    given_up: bool,
+    refused: bool,
 }
 
 /// Room that was made for a model: no other may take it for a while.
@@ -129,7 +130,8 @@
 const SAMPLE_MS: u64 = 500;
 /// An entry that has not reported for so long counts no more, in milliseconds.
 const ENTRY_MS: u64 = 2_500;
-/// Pause before an order to a busy engine is sent again, in milliseconds.
+/// Pause before an order is sent again to an engine that was busy or did not answer, in
+/// milliseconds.
 const BUSY_MS: u64 = 1_000;
 /// Time in which an order's command is committed, in milliseconds.
 const COMMIT_MS: u64 = 2_000;
@@ -273,9 +275,13 @@
                 if !self.adapters.on_outcome(&place, outcome, now_ms) {
                     return Vec::new();
                 }
-                let held = order.kind == OrderKind::Load;
+                let effect = match (order.kind, outcome) {
+                    (OrderKind::Load, _) => AdapterEffect::There,
+                    (OrderKind::Unload, OrderOutcome::Held) => AdapterEffect::Gone,
+                    (OrderKind::Unload, _) => AdapterEffect::Goes,
+                };
                 let (id, model) = (place.replica, place.model);
-                vec![Command::ReplicaAdapter(id, model, place.adapter, held)]
+                vec![Command::ReplicaAdapter(id, model, place.adapter, effect)]
             }
             None => self.on_model_outcome(now_ms, order, outcome),
         }
@@ -291,20 +297,23 @@
         let Some(pending) = self.pending.get_mut(id) else {
             return Vec::new();
         };
+        // Time alone settles no order: one without an answer may be carried out long after,
+        // and one that was taken may wait for requests. It takes room until its effect
+        // shows, and is sent again meanwhile; the engine's count of orders lets one act.
         match outcome {
-            // Its effect will show; an unknown one counts as under way as well.
-            OrderOutcome::Taken | OrderOutcome::Held | OrderOutcome::Unknown => Vec::new(),
-            // Perhaps with this very order, given by the leader before.
-            OrderOutcome::Busy => {
+            OrderOutcome::Taken | OrderOutcome::Held => {
+                pending.send_ms = Some(now_ms + self.policy.order_ms);
+            }
+            // Perhaps with this very order, sent before or by the leader before.
+            OrderOutcome::Busy | OrderOutcome::Unknown => {
                 pending.send_ms = Some(now_ms + BUSY_MS);
-                Vec::new()
             }
             OrderOutcome::Fenced | OrderOutcome::Refused => {
-                pending.given_up = true;
+                pending.refused = true;
                 pending.send_ms = None;
-                Vec::new()
             }
         }
+        Vec::new()
     }
 
     /// Keeps those commands that were not proposed a moment ago.
@@ -378,11 +387,10 @@
         self.demand.sample(&sum);
     }
 
-    /// Forgets orders whose effect shows, or that show none for too long, and
-    /// takes over those of the leader before.
+    /// Forgets orders whose effect shows, or that were refused, and takes over those of
+    /// the leader before.
     fn settle(&mut self, replicas: &ReplicaDirectory, now_ms: u64) -> Vec<Command> {
         let records = replicas.records();
-        let limit_ms = self.policy.order_ms;
         let mut commands = Vec::new();
         let mut promised = Vec::new();
         self.pending.retain(|id, order| {
@@ -390,11 +398,7 @@
                 return false;
             }
             let open = under_way(replicas, id, order);
-            if now_ms >= order.since_ms + limit_ms {
-                order.given_up = true;
-                order.send_ms = None;
-            }
-            if order.given_up {
+            if order.refused {
                 if open {
                     commands.push(Command::ReplicaSettled(id.clone(), order.model.clone()));
                 }
@@ -429,7 +433,7 @@
                     committed: true,
                     since_ms: now_ms,
                     send_ms: Some(now_ms),
-                    given_up: false,
+                    refused: false,
                 };
                 self.pending.insert(id.clone(), order);
             }
@@ -458,7 +462,7 @@
             let record = records.get(&id);
             orders.extend(record.map(|record| self.order(record, kind, &model, None)));
         }
-        for place in self.adapters.take_due(replicas) {
+        for place in self.adapters.take_due(replicas, now_ms) {
             let record = records.get(&place.replica);
             let adapter = Some(place.adapter.as_str());
             let order = |record| self.order(record, OrderKind::Load, &place.model, adapter);
@@ -647,7 +651,7 @@
             committed: false,
             since_ms: now_ms,
             send_ms: Some(now_ms),
-            given_up: false,
+            refused: false,
         };
         self.pending.insert(id.clone(), pending);
         if step.from_store {
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -167,6 +167,7 @@
             models: BTreeMap::from([(ModelName::from("m"), BTreeSet::new())]),
             in_memory: Default::default(),
             on_disk: Default::default(),
+            beat: 0,
         };
         let records = BTreeMap::from([(home(), record)]);
         let mut book = ReplicaBook::new(ChoicePolicy::default(), HallName::from("here"));
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -3,7 +3,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use dunlinspring::consensus::directory::{BeatNews, ReplicaDirectory, ReplicaPhase, ReplicaRecord};
+use dunlinspring::consensus::directory::{
+    AdapterEffect, BeatNews, ReplicaDirectory, ReplicaPhase, ReplicaRecord,
+};
 use dunlinspring::consensus::state::{Command, SiteState, Stamped};
 use dunlinspring::ids::{HallName, HostName, ModelName, Position, ReplicaId, ServiceName, Term};
 use dunlinspring::placement::adapters::{AdapterOrders, WishAnswer};
@@ -29,6 +31,7 @@
         models: models.collect(),
         in_memory: BTreeSet::new(),
         on_disk: BTreeSet::new(),
+        beat: 0,
     }
 }
 
@@ -243,6 +246,55 @@
     assert!(again.count() > 1, "{:?}", world.orders);
 }
 
+/// A host that wakes passes on what replicas told it before it stood still: a model that
+/// came meanwhile is there all the same, and its room is taken.
+#[test]
+fn a_heartbeat_that_was_held_up_changes_nothing() {
+    let mut directory = ReplicaDirectory::default();
+    let beat = |number: u64, models: &[&str]| {
+        let mut record = record("r1", 1, models);
+        record.beat = number;
+        record
+    };
+    let (id, a, b) = (
+        ReplicaId::from("r1"),
+        ModelName::from("a"),
+        ModelName::from("b"),
+    );
+    directory.put(&beat(4, &["a"]), 0);
+    directory.load(&id, &b);
+    directory.put(&beat(6, &["a", "b"]), 0);
+    assert_eq!(directory.news(&beat(5, &["a"]), 5_000), BeatNews::Known);
+    assert_eq!(directory.put(&beat(5, &["a"]), 5_000), None);
+    assert!(directory.records()[&id].models.contains_key(&b));
+    // Nor is a model gone because a heartbeat from before it came lacks it.
+    directory.unload(&id, &b);
+    directory.put(&beat(5, &["a"]), 6_000);
+    assert!(directory.is_leaving(&id, &b));
+    directory.put(&beat(7, &["a"]), 6_000);
+    assert!(!directory.is_leaving(&id, &b));
+    assert!(directory.records()[&id].models.contains_key(&a));
+    // A number alone is no news.
+    assert_eq!(directory.news(&beat(8, &["a"]), 7_000), BeatNews::Known);
+}
+
+/// A refused order settles nothing of what is there: heartbeats do.
+#[test]
+fn a_model_whose_unload_was_refused_is_held_with_its_adapters() {
+    let mut world = World::new(&["a", "b"]);
+    let mut full = record("r1", 1, &["a", "b"]);
+    let names = BTreeSet::from(["x".to_owned()]);
+    full.models.insert(ModelName::from("b"), names.clone());
+    world.beat(&full);
+    let model = ModelName::from("b");
+    world.apply(Command::ReplicaUnload(full.id.clone(), model.clone()));
+    assert!(world.state.replicas.is_leaving(&full.id, &model));
+    world.apply(Command::ReplicaSettled(full.id.clone(), model.clone()));
+    let held = &world.state.replicas.records()[&full.id].models;
+    assert_eq!(held.get(&model), Some(&names));
+    assert!(!world.state.replicas.is_leaving(&full.id, &model));
+}
+
 #[test]
 fn an_order_that_was_given_up_is_not_sent_again_before_that_is_committed() {
     let mut world = World::new(&["a"]);
@@ -517,13 +569,47 @@
         orders.decide(&record, 2, &directory, &place("z"), 12_000),
         WishAnswer::Refused
     );
-    orders.settle(&directory, 14_000);
+    // However long that is: only an answer shows that the try before is over.
+    orders.settle(&directory, 60_000);
+    assert_eq!(
+        orders.decide(&record, 2, &directory, &place("z"), 60_000),
+        WishAnswer::Refused
+    );
+    // Another order is under way: nothing is said of the try before.
+    assert!(!orders.on_outcome(&place("x"), OrderOutcome::Busy, 60_000));
+    orders.settle(&directory, 61_000);
     assert_eq!(
-        orders.decide(&record, 2, &directory, &place("z"), 14_000),
+        orders.decide(&record, 2, &directory, &place("z"), 61_000),
+        WishAnswer::Refused
+    );
+    assert!(!orders.on_outcome(&place("x"), OrderOutcome::Refused, 61_000));
+    orders.settle(&directory, 62_000);
+    assert_eq!(
+        orders.decide(&record, 2, &directory, &place("z"), 62_000),
         WishAnswer::Load
     );
 }
 
+#[test]
+fn an_adapter_without_an_answer_takes_no_place_once_its_model_is_gone() {
+    let mut orders = AdapterOrders::default();
+    let mut directory = ReplicaDirectory::default();
+    directory.put(&record("r1", 1, &["a", "b"]), 0);
+    let (id, model) = (ReplicaId::from("r1"), ModelName::from("a"));
+    let held = directory.records()[&id].clone();
+    let answer = orders.decide(&held, 1, &directory, &place("x"), 0);
+    assert_eq!(answer, WishAnswer::Load);
+    directory.order_adapter(&id, &model, "x");
+    assert_eq!(orders.take_due(&directory, 0), [place("x")]);
+    orders.on_outcome(&place("x"), OrderOutcome::Unknown, 0);
+    // While its model goes, it may still come, and is not sent again.
+    directory.unload(&id, &model);
+    assert_eq!(orders.settle(&directory, 60_000), []);
+    assert_eq!(orders.take_due(&directory, 60_000), []);
+    directory.put(&record("r1", 1, &["b"]), 60_000);
+    assert_eq!(orders.settle(&directory, 60_100), [place("x")]);
+}
+
 #[test]
 fn an_adapter_is_ordered_once_its_place_is_committed_and_the_next_leader_counts_it() {
     let mut world = World::new(&["a"]);
@@ -547,8 +633,21 @@
         world.duties.on_wish(&world.state, 7_000, &place("z")),
         (false, None)
     );
-    world.rounds(7_000, 21_000);
-    assert!(world.duties.on_wish(&world.state, 21_000, &place("z")).0);
+    world.rounds(7_000, 60_000);
+    assert_eq!(
+        world.duties.on_wish(&world.state, 60_000, &place("z")),
+        (false, None)
+    );
+    // It asks the replica by sending them again, and goes by the answers.
+    let again = world.orders.split_off(2);
+    let names: Vec<_> = again.iter().filter_map(|o| o.adapter.as_deref()).collect();
+    assert_eq!(names, ["x", "y"]);
+    let refused = world
+        .duties
+        .on_outcome(60_000, &again[0], OrderOutcome::Refused);
+    assert!(refused.is_empty());
+    world.rounds(60_100, 61_000);
+    assert!(world.duties.on_wish(&world.state, 61_000, &place("z")).0);
 }
 
 /// A replica keeps the adapters of a model that is ordered out until its requests end.
@@ -595,7 +694,7 @@
     let plain = record("r1", 1, &["a"]);
     directory.put(&plain, 10_000);
     let (id, model) = (ReplicaId::from("r1"), ModelName::from("a"));
-    assert!(directory.set_adapter(&id, &model, "x", true, 10_000));
+    assert!(directory.set_adapter(&id, &model, "x", AdapterEffect::There, 10_000));
     assert_eq!(directory.news(&plain, 11_000), BeatNews::Known);
     assert_eq!(directory.news(&plain, 14_000), BeatNews::New);
     directory.end(&id);
@@ -617,11 +716,23 @@
     };
     replicas.put(&beat(&[]), 0);
     replicas.order_adapter(&id, &model, "a8");
-    replicas.set_adapter(&id, &model, "b0", true, 0);
+    replicas.set_adapter(&id, &model, "b0", AdapterEffect::There, 0);
     for step in 1..20 {
         let clock_ms = step * 1_000;
-        replicas.set_adapter(&id, &model, &format!("b{step}"), true, clock_ms);
-        replicas.set_adapter(&id, &model, &format!("b{}", step - 1), false, clock_ms);
+        replicas.set_adapter(
+            &id,
+            &model,
+            &format!("b{step}"),
+            AdapterEffect::There,
+            clock_ms,
+        );
+        replicas.set_adapter(
+            &id,
+            &model,
+            &format!("b{}", step - 1),
+            AdapterEffect::Gone,
+            clock_ms,
+        );
         // A heartbeat that left before the last order.
         let late = beat(&["a8", &format!("b{}", step - 1)]);
         replicas.put(&late, clock_ms);
@@ -653,7 +764,7 @@
     );
     assert_eq!(evicted, WishAnswer::Evict(place("a1")));
     assert!(orders.on_outcome(&place("a1"), OrderOutcome::Taken, 10_000));
-    replicas.set_adapter(&held.id, &model, "a1", false, 10_000);
+    replicas.set_adapter(&held.id, &model, "a1", AdapterEffect::Goes, 10_000);
     for now_ms in (10_100..25_000).step_by(100) {
         // Its heartbeats say all the while that it is still there.
         if now_ms % 1_400 == 300 {
@@ -675,6 +786,80 @@
     panic!("it is never ordered out again");
 }
 
+/// A leader orders an adapter out that a request uses, and stops: the next one must not take
+/// its place for free before a heartbeat lacks it.
+#[test]
+fn an_adapter_ordered_out_while_in_use_takes_its_place_at_the_next_leader() {
+    let mut world = World::new(&["a"]);
+    let beat = |number: u64, adapters: &[&str]| {
+        let mut record = record("r1", 1, &["a"]);
+        let adapters = adapters.iter().map(|name| (*name).to_owned());
+        record
+            .models
+            .insert(ModelName::from("a"), adapters.collect());
+        record.beat = number;
+        record
+    };
+    world.beat(&beat(1, &["x", "y"]));
+    world.rounds(3_000, 3_200);
+    let (soon, evicted) = world.duties.on_wish(&world.state, 3_200, &place("z"));
+    let evicted = evicted.unwrap();
+    assert!(soon && evicted.kind == OrderKind::Unload);
+    let told = world
+        .duties
+        .on_outcome(3_300, &evicted, OrderOutcome::Taken);
+    for command in told {
+        world.apply(command);
+    }
+    world.duties = leader(2, 3_300);
+    world.rounds(3_300, 7_000);
+    let other = if evicted.adapter.as_deref() == Some("x") {
+        "y"
+    } else {
+        "x"
+    };
+    for adapter in ["z", evicted.adapter.as_deref().unwrap()] {
+        let (_, order) = world.duties.on_wish(&world.state, 7_000, &place(adapter));
+        assert_ne!(order.map(|order| order.kind), Some(OrderKind::Load));
+        let coming = world.state.replicas.adapters_coming(&evicted.replica);
+        assert_eq!(coming.count(), 0);
+    }
+    world.beat(&beat(2, &[other]));
+    world.duties = leader(3, 7_000);
+    world.rounds(7_000, 10_200);
+    assert!(world.duties.on_wish(&world.state, 10_200, &place("z")).0);
+    world.rounds(10_200, 10_400);
+    let load = world.orders.last().unwrap();
+    assert_eq!(load.adapter.as_deref(), Some("z"));
+    assert_eq!(load.kind, OrderKind::Load);
+}
+
+/// The first heartbeat after an order is put, though it brings nothing else: one from before
+/// the order, held up by a host that stood still, is known as such by its number.
+#[test]
+fn a_heartbeat_from_before_an_order_is_known_after_the_first_one_since() {
+    let mut directory = ReplicaDirectory::default();
+    let beat = |number: u64, adapters: &[&str]| {
+        let mut record = record("r1", 1, &["a"]);
+        let adapters = adapters.iter().map(|name| (*name).to_owned());
+        record
+            .models
+            .insert(ModelName::from("a"), adapters.collect());
+        record.beat = number;
+        record
+    };
+    let (id, model) = (ReplicaId::from("r1"), ModelName::from("a"));
+    directory.put(&beat(1, &[]), 0);
+    directory.set_adapter(&id, &model, "x", AdapterEffect::There, 0);
+    assert_eq!(directory.news(&beat(3, &["x"]), 1_000), BeatNews::New);
+    directory.put(&beat(3, &["x"]), 1_000);
+    assert_eq!(directory.news(&beat(4, &["x"]), 2_000), BeatNews::Known);
+    for late in [2, 3] {
+        assert_eq!(directory.put(&beat(late, &[]), 9_000), None);
+    }
+    assert!(directory.records()[&id].models[&model].contains("x"));
+}
+
 #[test]
 fn an_address_has_one_replica_and_draining_is_not_taken_back() {
     let mut directory = ReplicaDirectory::default();
--- a/tests/forward_parts.rs
+++ b/tests/forward_parts.rs
@@ -153,6 +153,7 @@
         models: models.collect(),
         in_memory: BTreeSet::new(),
         on_disk: BTreeSet::new(),
+        beat: 0,
     }
 }
 
--- a/tests/forwarding/support.rs
+++ b/tests/forwarding/support.rs
@@ -428,6 +428,7 @@
             models,
             in_memory: Default::default(),
             on_disk: Default::default(),
+            beat: 0,
         };
         let state = SharedReplica::default();
         state.borrow_mut().script = script.into();
--- a/tests/orderer.rs
+++ b/tests/orderer.rs
@@ -1,5 +1,6 @@
 //! Orders leave only while their leader decides.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::mpsc;
 
@@ -25,12 +26,7 @@
             headers: Vec::new(),
             body: String::new(),
         },
-        read_report: |_| {
-            Some(EngineReport {
-                orders: 0,
-                busy: false,
-            })
-        },
+        read_report: |_| Some(EngineReport::default()),
         outcome: |status| match status {
             202 => OrderOutcome::Taken,
             _ => OrderOutcome::Refused,
@@ -122,7 +118,7 @@
 
 /// Sends one order to an engine that answers each try in turn and then reports a count of
 /// orders. Returns the counts that the tries expected, and the outcome.
-async fn try_order(turns: &[(Answer, u64)]) -> (Vec<u64>, OrderOutcome) {
+async fn try_order(turns: &[(Answer, &'static str)]) -> (Vec<u64>, OrderOutcome) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (events, inbox) = mpsc::channel();
@@ -147,10 +143,13 @@
             body: "{}".to_owned(),
         },
         read_report: |body| {
-            let orders = std::str::from_utf8(body).ok()?.parse().ok()?;
+            let mut words = std::str::from_utf8(body).ok()?.split_whitespace();
+            let orders = words.next()?.parse().ok()?;
+            let models = words.map(|name| (ModelName::from(name), BTreeSet::new()));
             Some(EngineReport {
                 orders,
-                busy: false,
+                models: models.collect(),
+                ..EngineReport::default()
             })
         },
         outcome: |status| match status {
@@ -164,7 +163,7 @@
     let (orders, ordered) = tokio::sync::mpsc::unbounded_channel();
     ntex::rt::spawn(orderer::run(ordered, ControlHandle(events), counting));
     orders.send(order_to(address)).unwrap();
-    let mut count = 4;
+    let mut report = "4";
     let mut turns = turns.iter();
     let mut expected = Vec::new();
     let outcome = loop {
@@ -176,12 +175,11 @@
                 let read = stream.read(&mut bytes).await.unwrap();
                 let text = String::from_utf8_lossy(&bytes[..read]).into_owned();
                 let tried = text.lines().find_map(|line| line.strip_prefix("Expected: "));
-                let body = count.to_string();
                 let status = match tried {
                     Some(tried) => {
                         expected.push(tried.parse().unwrap());
                         let (answer, then) = turns.next().expect("one more try");
-                        count = *then;
+                        report = *then;
                         match answer {
                             Answer::Status(status) => *status,
                             Answer::Nothing => continue,
@@ -189,8 +187,8 @@
                     }
                     None => 200,
                 };
-                let length = body.len();
-                let answer = format!("HTTP/1.1 {status} Any\r\nContent-Length: {length}\r\n\r\n{body}");
+                let length = report.len();
+                let answer = format!("HTTP/1.1 {status} Any\r\nContent-Length: {length}\r\n\r\n{report}");
                 stream.write_all(answer.as_bytes()).await.unwrap();
             }
         }
@@ -203,16 +201,24 @@
 /// the leader before had moved the count, and the next one's own was believed to be taken.
 #[ntex::test]
 async fn a_count_that_has_risen_does_not_say_whose_order_was_taken() {
-    let turns = [(Answer::Nothing, 5), (Answer::Status(202), 6)];
+    let turns = [(Answer::Nothing, "5"), (Answer::Status(202), "6")];
     let (expected, outcome) = try_order(&turns).await;
     assert_eq!(expected, [4, 5]);
     assert_eq!(outcome, OrderOutcome::Taken);
 }
 
+/// What is there shows it, once the count has gone past the try: it isn't sent again.
+#[ntex::test]
+async fn a_try_without_an_answer_was_taken_where_its_effect_is_reported() {
+    let (expected, outcome) = try_order(&[(Answer::Nothing, "5 m")]).await;
+    assert_eq!(expected, [4]);
+    assert_eq!(outcome, OrderOutcome::Taken);
+}
+
 /// A refusal of the second try says nothing of the first, which may still be carried out.
 #[ntex::test]
 async fn a_try_without_an_answer_may_still_act_when_the_next_finds_the_engine_busy() {
-    let turns = [(Answer::Nothing, 4), (Answer::Status(409), 4)];
+    let turns = [(Answer::Nothing, "4"), (Answer::Status(409), "4")];
     let (expected, outcome) = try_order(&turns).await;
     assert_eq!(expected, [4, 4]);
     assert_eq!(outcome, OrderOutcome::Unknown);
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -68,6 +68,7 @@
         models: BTreeMap::new(),
         in_memory: BTreeSet::new(),
         on_disk: BTreeSet::new(),
+        beat: 0,
     }
 }
 
--- a/tests/replica_changes.rs
+++ b/tests/replica_changes.rs
@@ -18,6 +18,7 @@
         models: BTreeMap::from([(ModelName::from("m"), BTreeSet::new())]),
         in_memory: BTreeSet::new(),
         on_disk: BTreeSet::new(),
+        beat: 0,
     }
 }
 
