--- a/src/process/wire.rs
+++ b/src/process/wire.rs
@@ -26,7 +26,7 @@
 use crate::table::rows::Row;
 
 /// Raised with each change of a type on the wire; peers of other versions are refused.
-pub const PROTOCOL: u32 = 5;
+pub const PROTOCOL: u32 = 6;
 
 /// Why control did not do what was asked.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
