--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -152,7 +152,8 @@
 struct VoterStop {
     since_ms: u64,
     answer: oneshot::Sender<()>,
-    /// This voter has given up its lease, or had none.
+    /// An heir has been asked to stand. Until then it is tried again: this voter may win an
+    /// election that was under way, or its followers may be heard again.
     handed_over: bool,
 }
 
@@ -482,8 +483,7 @@
     fn hand_over_when_free(&mut self, now_ms: u64) {
         match &mut self.stopping {
             Some(stop) if !stop.handed_over && now_ms >= self.permitted_ms => {
-                stop.handed_over = true;
-                self.replica.raft_mut().hand_over(now_ms);
+                stop.handed_over = self.replica.raft_mut().hand_over(now_ms);
             }
             _ => {}
         }
