The site's first leader gives whole bursts; an order's try in a function of its own

The half burst of a new leader met the first leader of a site too, which has no predecessor: an_account_at_its_limit_is_told_when_to_come_back failed (5 of 10 within the burst). Whoever leads in term 1 starts with full buckets; a first leader elected later only gives less.

--- a/src/control/orderer.rs
+++ b/src/control/orderer.rs
@@ -153,39 +153,17 @@
                 None => continue,
             },
         };
-        let call = (dialect.order)(order, expected);
         let permission = Permission {
             handle,
             order,
             number,
         };
-        let outcome = match exchange(order.address, &call, Some(permission)).await {
-            Ok((status, _)) => (dialect.outcome)(status),
-            Err(CallError::Deposed) => {
-                tracing::info!(
-                    order = %order.id, number, replica = %order.replica, term = %order.fence,
-                    "an order was held back: its leader decides no more"
-                );
-                // What surely never left may be given again at once, by whoever leads.
-                return match unanswered {
-                    Some(_) => OrderOutcome::Unknown,
-                    None => OrderOutcome::Busy,
-                };
-            }
-            Err(CallError::CutOff) => {
-                tracing::warn!(
-                    order = %order.id, number, replica = %order.replica, term = %order.fence,
-                    "an order was cut off: its leader's lease ended"
-                );
-                OrderOutcome::Unknown
-            }
-            Err(error) => {
-                tracing::warn!(
-                    %error, order = %order.id, number, replica = %order.replica,
-                    "an order got no answer"
-                );
-                OrderOutcome::Unknown
-            }
+        let outcome = match try_once(permission, expected, dialect).await {
+            TryEnd::Answered(outcome) => outcome,
+            TryEnd::NoAnswer => OrderOutcome::Unknown,
+            TryEnd::HeldBack if unanswered.is_some() => return OrderOutcome::Unknown,
+            // What surely never left may be given again at once, by whoever leads.
+            TryEnd::HeldBack => return OrderOutcome::Busy,
         };
         match outcome {
             OrderOutcome::Taken => {
@@ -216,6 +194,45 @@
     OrderOutcome::Unknown
 }
 
+/// What became of one try of an order.
+enum TryEnd {
+    /// The engine answered.
+    Answered(OrderOutcome),
+    /// It may be carried out, or not.
+    NoAnswer,
+    /// It never left: its leader decides no more.
+    HeldBack,
+}
+
+async fn try_once(permission: Permission<'_>, expected: u64, dialect: &EngineDialect) -> TryEnd {
+    let Permission { order, number, .. } = permission;
+    let call = (dialect.order)(order, expected);
+    match exchange(order.address, &call, Some(permission)).await {
+        Ok((status, _)) => TryEnd::Answered((dialect.outcome)(status)),
+        Err(CallError::Deposed) => {
+            tracing::info!(
+                order = %order.id, number, replica = %order.replica, term = %order.fence,
+                "an order was held back: its leader decides no more"
+            );
+            TryEnd::HeldBack
+        }
+        Err(CallError::CutOff) => {
+            tracing::warn!(
+                order = %order.id, number, replica = %order.replica, term = %order.fence,
+                "an order was cut off: its leader's lease ended"
+            );
+            TryEnd::NoAnswer
+        }
+        Err(error) => {
+            tracing::warn!(
+                %error, order = %order.id, number, replica = %order.replica,
+                "an order got no answer"
+            );
+            TryEnd::NoAnswer
+        }
+    }
+}
+
 async fn ask_report(order: &EngineOrder, dialect: &EngineDialect) -> Option<EngineReport> {
     let call = (dialect.report)(&order.replica);
     match exchange(order.address, &call, None).await {
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -42,6 +42,8 @@
 const NEWS_GAP_MS: u64 = 100;
 /// Silence after which an even set of voters sheds one, in milliseconds.
 const SHED_MS: u64 = 3_000;
+/// Whoever leads in it has no predecessor.
+const FIRST_TERM: Term = Term(1);
 /// Pause before a full disk is tried again.
 const FULL_PAUSE: Duration = Duration::from_millis(100);
 /// Time that a stopping leader waits for its heir.
@@ -644,7 +646,10 @@
                 let holder = self.settings.common.host.clone();
                 let fleet = FleetDuties::new(self.settings.fleet, holder, term, now_ms);
                 self.fleet = Some(fleet);
-                self.quotas = Some(QuotaGrantor::new(now_ms));
+                self.quotas = Some(match term {
+                    FIRST_TERM => QuotaGrantor::of_first_leader(now_ms),
+                    _ => QuotaGrantor::new(now_ms),
+                });
                 tracing::info!(%term, "leads");
                 self.propose(Command::Site(self.settings.site.clone()), None);
                 self.noted.clear();
--- a/src/table/quota.rs
+++ b/src/table/quota.rs
@@ -530,9 +530,19 @@
     swept_ms: u64,
     next: EntryIndex,
     since_ms: u64,
+    /// A leader before may have given grants.
+    succeeds: bool,
 }
 
 impl QuotaGrantor {
+    /// The account of the site's first leader: nobody has given anything.
+    pub fn of_first_leader(now_ms: u64) -> Self {
+        Self {
+            succeeds: false,
+            ..Self::new(now_ms)
+        }
+    }
+
     /// A new leader's account.
     pub fn new(now_ms: u64) -> Self {
         Self {
@@ -544,6 +554,7 @@
             swept_ms: now_ms,
             next: EntryIndex(0),
             since_ms: now_ms,
+            succeeds: true,
         }
     }
 
@@ -607,7 +618,7 @@
     /// Part of the bucket that may be full now. Whoever asks first may not have been told of
     /// a leader before, which may have given all of it to another entry.
     fn part(&self, now_ms: u64) -> f64 {
-        match self.is_young(now_ms) {
+        match self.succeeds && self.is_young(now_ms) {
             true => YOUNG_PART,
             false => 1.0,
         }
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -1,34 +1,16 @@
 //! A leader that is asked to stop hands over once nothing that it allowed is on its way.
 
 mod support_control;
-
-use std::net::SocketAddr;
-use std::path::Path;
+mod support_founders;
 
 use dunlinspring::clock;
 use dunlinspring::control::event::{ControlEvent, SendPermit};
 use dunlinspring::control::shell::ControlDaemon;
-use dunlinspring::control::voter;
 use dunlinspring::process::wire::ControlStatus;
 use tokio::sync::oneshot;
 
-use support_control::{leader_of, listeners, secret, settings, status_where, until};
-
-/// Control hosts of one site.
-const HOSTS: usize = 3;
-
-async fn start_site(folder: &Path) -> Vec<ControlDaemon> {
-    let bound = listeners(HOSTS).await;
-    let addresses: Vec<SocketAddr> = bound.iter().map(|(_, address)| *address).collect();
-    let mut daemons = Vec::new();
-    for (listener, address) in bound {
-        let settings = settings(folder, address, &addresses);
-        voter::found(&settings).unwrap();
-        let daemon = ControlDaemon::start_on(listener, settings, secret()).await;
-        daemons.push(daemon.unwrap());
-    }
-    daemons
-}
+use support_control::{leader_of, status_where, until};
+use support_founders::founders;
 
 /// The leader's leave to send an order.
 async fn permit_of(daemons: &[ControlDaemon]) -> (ControlStatus, SendPermit) {
@@ -61,7 +43,7 @@
 #[ntex::test]
 async fn a_stopping_leader_keeps_its_lease_while_orders_may_be_on_their_way() {
     let folder = tempfile::tempdir().unwrap();
-    let mut daemons = start_site(folder.path()).await;
+    let (mut daemons, _) = founders(folder.path()).await;
     leader_of(&daemons).await;
     let (leader, permit) = permit_of(&daemons).await;
     let at = async |host: &ControlDaemon| host.status().await.unwrap().node == leader.node;
@@ -91,7 +73,7 @@
 #[ntex::test]
 async fn a_stopping_leader_allows_no_more_orders() {
     let folder = tempfile::tempdir().unwrap();
-    let daemons = start_site(folder.path()).await;
+    let (daemons, _) = founders(folder.path()).await;
     leader_of(&daemons).await;
     let (leader, _) = permit_of(&daemons).await;
     for daemon in &daemons {
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -96,7 +96,7 @@
 mutant kernel-goes-on src/forward/upstream.rs 's/socket\n            \.set_tcp_user_timeout\(Some\(left\)\)\n            \.and_then\(\|\(\)\| (socket\.set_linger\(Some\(Duration::ZERO\)\))\)/$1/' bounded_sending the_kernel_sends_nothing_again_after_the_wait_for_an_orders_way
 mutant deposed-leader-is-free src/consensus/raft.rs 's/self\.silent_until_ms = self\.silent_until_ms\.max\(lease_ms\);/let _ = lease_ms;/' permit a_leader_that_steps_down_helps_nobody_to_power_before_its_permits_end
 mutant stopping-leader-allows src/control/voter.rs 's/ \|\| self\.stopping\.is_some\(\)//' handover a_stopping_leader_allows_no_more_orders
-mutant new-leader-gives-all src/table/quota.rs 's/match self\.is_young\(now_ms\) \{/match false \&\& self.is_young(now_ms) {/' quota a_new_leader_gives_half_of_the_burst_whoever_asks_first
+mutant new-leader-gives-all src/table/quota.rs 's/match self\.succeeds \&\& /match false \&\& /' quota a_new_leader_gives_half_of_the_burst_whoever_asks_first
 mutant lease-handed-over-early src/control/voter.rs 's/now_ms >= self\.permitted_ms/true/' handover a_stopping_leader_keeps_its_lease_while_orders_may_be_on_their_way
 mutant no-way-for-the-last-order src/placement/fleet.rs 's/self\.policy\.order_lease_ms \+ self\.policy\.order_transit_ms/self.policy.order_lease_ms/' fleet a_new_leader_waits_for_the_last_order_of_the_one_before_to_arrive
 mutant snapshot-with-each-heartbeat src/consensus/raft.rs 's/progress\.installing_ms = now_ms \+ INSTALL_MS;/progress.installing_ms = 0;/' raft a_snapshot_is_sent_once_until_it_may_be_lost
--- a/tests/open_membership.rs
+++ b/tests/open_membership.rs
@@ -1,28 +1,15 @@
 //! Control hosts that nobody named become voters, whichever host they ask.
 
 mod support_control;
+mod support_founders;
 
 use std::net::SocketAddr;
 use std::path::Path;
 
 use dunlinspring::control::shell::ControlDaemon;
-use dunlinspring::control::voter;
 
 use support_control::{leader_of, listeners, secret, settings, status_where};
-
-/// Three founders on empty disks.
-async fn founders(folder: &Path) -> (Vec<ControlDaemon>, Vec<SocketAddr>) {
-    let bound = listeners(3).await;
-    let addresses: Vec<SocketAddr> = bound.iter().map(|(_, address)| *address).collect();
-    let mut daemons = Vec::new();
-    for (listener, address) in bound {
-        let settings = settings(folder, address, &addresses);
-        voter::found(&settings).unwrap();
-        let daemon = ControlDaemon::start_on(listener, settings, secret()).await;
-        daemons.push(daemon.unwrap());
-    }
-    (daemons, addresses)
-}
+use support_founders::founders;
 
 async fn joins(folder: &Path, asked: &[SocketAddr]) -> ControlDaemon {
     let (listener, own) = listeners(1).await.remove(0);
--- /dev/null
+++ b/tests/support_founders/mod.rs
@@ -0,0 +1,23 @@
+//! A site of three control hosts, for tests that start with one.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use dunlinspring::control::shell::ControlDaemon;
+use dunlinspring::control::voter;
+
+use crate::support_control::{listeners, secret, settings};
+
+/// Three founders on empty disks, and their addresses.
+pub async fn founders(folder: &Path) -> (Vec<ControlDaemon>, Vec<SocketAddr>) {
+    let bound = listeners(3).await;
+    let addresses: Vec<SocketAddr> = bound.iter().map(|(_, address)| *address).collect();
+    let mut daemons = Vec::new();
+    for (listener, address) in bound {
+        let settings = settings(folder, address, &addresses);
+        voter::found(&settings).unwrap();
+        let daemon = ControlDaemon::start_on(listener, settings, secret()).await;
+        daemons.push(daemon.unwrap());
+    }
+    (daemons, addresses)
+}
