Read once more: what stood twice stands once, and what was dead is gone

Found by reading the whole change: - an order carried its leader's term twice, in its id and as its fence: the id follows from the fence and a number now; - entries told the leader whether one had answered them lately, which nobody reads since a new leader's buckets are half full whoever asks; - 'the record holds this adapter' was written three times: ReplicaRecord::holds_adapter; - the control daemon's start on a bound listener only passed its arguments on: one function; - how a site is founded stood in the voter's file: it stands with the rest of founding; - tests: numbered heartbeats and what several voters send were each built twice.

Left as they are, alike in shape only: the steps of the two fuzzed logs, the relay's and the control daemon's starts. Behaviour is the same; no assertion changed, but two literals lost a field that is gone.

--- a/benches/core.rs
+++ b/benches/core.rs
@@ -320,7 +320,6 @@
             life: 1,
         },
         number,
-        told: true,
         claims: claims.collect(),
     }
 }
--- a/src/consensus/directory.rs
+++ b/src/consensus/directory.rs
@@ -48,6 +48,12 @@
 }
 
 impl ReplicaRecord {
+    /// Whether an adapter of a model is there.
+    pub fn holds_adapter(&self, model: &ModelName, adapter: &str) -> bool {
+        let held = self.models.get(model);
+        held.is_some_and(|adapters| adapters.contains(adapter))
+    }
+
     /// What members follow of it: not the copies at hand, which only matter to whoever
     /// orders loads, and change as often as adapters do.
     pub fn for_members(&self) -> Self {
@@ -204,8 +210,7 @@
             .retain(|model, _| !self.is_leaving(&record.id, model));
         let ordered = self.ordered_ms.get(&record.id).into_iter().flatten();
         for ((model, adapter), at_ms) in ordered {
-            let held = known.models.get(model);
-            let held = held.is_some_and(|adapters| adapters.contains(adapter));
+            let held = known.holds_adapter(model, adapter);
             match merged.models.get_mut(model) {
                 _ if at_ms + ORDER_FRESH_MS <= clock_ms => {}
                 Some(adapters) if held => {
@@ -237,11 +242,9 @@
             None => record.clone(),
         };
         if let Some(going) = self.adapters_going.get_mut(&record.id) {
-            let tells = |record: &ReplicaRecord, (model, adapter): &(ModelName, String)| {
-                let adapters = record.models.get(model);
-                adapters.is_some_and(|adapters| adapters.contains(adapter))
-            };
-            going.retain(|place| tells(record, place) && !tells(&merged, place));
+            going.retain(|(model, adapter)| {
+                record.holds_adapter(model, adapter) && !merged.holds_adapter(model, adapter)
+            });
         }
         let same =
             |other: &&ReplicaRecord| other.address == record.address && other.id != record.id;
--- a/src/control/founding.rs
+++ b/src/control/founding.rs
@@ -1,3 +1,5 @@
+//! How a site is founded, and by whom.
+//!
 //! Who founds a site whose hosts were told the same few control hosts, when not all
 //! of these have a disk.
 //!
@@ -11,11 +13,15 @@
 use std::time::Duration;
 
 use futures::future;
+use sha2::{Digest, Sha256};
 
 use crate::consensus::naming::{NamingAnswer, NamingAsk};
-use crate::ids::HostName;
+use crate::consensus::raft::{DiskImage, DiskRecord};
+use crate::consensus::replica::LogReplica;
+use crate::control::journal::{self, DiskJournal, JournalError};
+use crate::ids::{HostName, NodeId};
 use crate::process::peers::{self, ControlLink};
-use crate::process::settings::VoterSettings;
+use crate::process::settings::{ControlSettings, VoterSettings};
 use crate::process::wire::{ControlRefusal, ControlStatus, ControlWireClient};
 
 /// Time for one question to one host.
@@ -28,6 +34,45 @@
 /// Rounds without all answers between two log lines.
 const ROUNDS_A_LINE: u32 = 25;
 
+/// The identity of a founding voter's disk.
+pub fn founder_id(host: &HostName) -> NodeId {
+    let digest = Sha256::digest(host.as_str().as_bytes());
+    let mut word = [0; 8];
+    word.copy_from_slice(&digest[..8]);
+    NodeId(u64::from_le_bytes(word))
+}
+
+/// Founds a site's voter in an empty data folder, by all control hosts that the
+/// settings name. To be done once, on each of them, and never again after a disk
+/// was lost.
+pub fn found(settings: &ControlSettings) -> Result<(), JournalError> {
+    let named = settings.common.control.iter();
+    found_by(settings, named.map(|voter| &voter.host))
+}
+
+/// Founds a site's voter, as one of `founders`.
+pub fn found_by<'a>(
+    settings: &ControlSettings,
+    founders: impl Iterator<Item = &'a HostName>,
+) -> Result<(), JournalError> {
+    let own = founder_id(&settings.common.host);
+    let (mut journal, image) = DiskJournal::open(&settings.data_folder, Some(own))?;
+    if image != DiskImage::default() {
+        return Ok(());
+    }
+    let voters = founders.map(founder_id).collect();
+    let image = LogReplica::founding_image(voters);
+    journal.save(&[DiskRecord::Install(image.snapshot)])
+}
+
+/// The hosts that this one's founding was begun with, where its process ended before it
+/// was founded or taken in. The disk has never voted then, under no identity.
+pub fn unfinished_first_start(
+    settings: &ControlSettings,
+) -> Result<Option<Vec<VoterSettings>>, JournalError> {
+    journal::unfinished_first_start(&settings.data_folder, founder_id(&settings.common.host))
+}
+
 /// What a host with a blank disk is at the site's first start.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FoundingPart {
--- a/src/control/orderer.rs
+++ b/src/control/orderer.rs
@@ -113,7 +113,7 @@
             let mut count = count.lock().await;
             let outcome = carry_out(&order, &mut count, &handle, &dialect).await;
             tracing::info!(
-                order = %order.id, replica = %order.replica, kind = ?order.kind,
+                order = %order.id(), replica = %order.replica, kind = ?order.kind,
                 model = %order.model, adapter = order.adapter, term = %order.fence,
                 count = *count, ?outcome, "order"
             );
@@ -211,21 +211,21 @@
         Ok((status, _)) => TryEnd::Answered((dialect.outcome)(status)),
         Err(CallError::Deposed) => {
             tracing::info!(
-                order = %order.id, number, replica = %order.replica, term = %order.fence,
+                order = %order.id(), number, replica = %order.replica, term = %order.fence,
                 "an order was held back: its leader decides no more"
             );
             TryEnd::HeldBack
         }
         Err(CallError::CutOff) => {
             tracing::warn!(
-                order = %order.id, number, replica = %order.replica, term = %order.fence,
+                order = %order.id(), number, replica = %order.replica, term = %order.fence,
                 "an order was cut off: its leader's lease ended"
             );
             TryEnd::NoAnswer
         }
         Err(error) => {
             tracing::warn!(
-                %error, order = %order.id, number, replica = %order.replica,
+                %error, order = %order.id(), number, replica = %order.replica,
                 "an order got no answer"
             );
             TryEnd::NoAnswer
@@ -295,7 +295,7 @@
     fn note_sent(self, left: Duration) {
         let lease_left_ms = left.as_millis() as u64;
         tracing::info!(
-            order = %self.order.id, number = self.number, replica = %self.order.replica,
+            order = %self.order.id(), number = self.number, replica = %self.order.replica,
             lease_left_ms, "order sent"
         );
     }
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -22,7 +22,7 @@
 use crate::control::founding::{self, FoundingPart};
 use crate::control::journal;
 use crate::control::outbox::{OpenPeer, PeerOutbox};
-use crate::control::voter::{self, ControlLoop};
+use crate::control::voter::ControlLoop;
 use crate::ids::{HostName, NodeId, Position, ReplicaId};
 use crate::placement::crowd::{CrowdReport, WaitingTokens};
 use crate::placement::duties::{AgentBeat, EntryBeat};
@@ -78,15 +78,6 @@
         Self::start_on(listener, settings, secret).await
     }
 
-    /// Starts on a listener that is bound already.
-    pub async fn start_on(
-        listener: TcpListener,
-        settings: ControlSettings,
-        secret: SiteSecret,
-    ) -> Result<Self, DaemonError> {
-        Self::open(listener, settings, secret).await
-    }
-
     /// Starts where the whole site starts for the first time: the named hosts that
     /// have a disk found it, each with [`ControlDaemon::start_first`].
     pub async fn start_first(
@@ -104,14 +95,15 @@
         secret: SiteSecret,
     ) -> Result<Self, DaemonError> {
         let blank = journal::is_blank(&settings.data_folder);
-        let begun = voter::unfinished_first_start(&settings)?;
+        let begun = founding::unfinished_first_start(&settings)?;
         if blank && begun.is_none() {
             journal::begin_first_start(&settings.data_folder, &settings.common.control)?;
         }
-        Self::open(listener, settings, secret).await
+        Self::start_on(listener, settings, secret).await
     }
 
-    async fn open(
+    /// Starts on a listener that is bound already.
+    pub async fn start_on(
         listener: TcpListener,
         mut settings: ControlSettings,
         secret: SiteSecret,
@@ -123,7 +115,7 @@
         // Founders ask each other before any of them has a log.
         serve(listener, secret.clone(), handle.clone());
         // Also where a first start was broken off: only this disk still knows of it.
-        if let Some(named) = voter::unfinished_first_start(&settings)? {
+        if let Some(named) = founding::unfinished_first_start(&settings)? {
             found_site(secret, &settings, &named).await?;
             // Founders know each other from nowhere else until they have a leader.
             let control = &mut settings.common.control;
@@ -202,7 +194,7 @@
     let part = founding::agree(&link, &settings.common.host, named).await;
     tracing::info!(?part, "the site starts for the first time");
     match part {
-        FoundingPart::Founds(founders) => Ok(voter::found_by(settings, founders.iter())?),
+        FoundingPart::Founds(founders) => Ok(founding::found_by(settings, founders.iter())?),
         FoundingPart::Joins => Ok(()),
     }
 }
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -5,22 +5,22 @@
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::Duration;
 
-use sha2::{Digest, Sha256};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::clock;
-use crate::consensus::raft::{DiskImage, DiskRecord};
+use crate::consensus::raft::DiskRecord;
 use crate::consensus::replica::LogReplica;
 use crate::consensus::state::{Command, Reply, SiteState};
 use crate::control::event::{Answer, ControlEvent, SendPermit};
-use crate::control::journal::{self, DiskJournal, JournalError, WriteCheck};
+use crate::control::founding;
+use crate::control::journal::{DiskJournal, JournalError, WriteCheck};
 use crate::control::outbox::PeerOutbox;
 use crate::ids::{HostName, NodeId, Position, TargetName, Term};
 use crate::placement::duties::{AgentBeat, EntryBeat, LeaderDuties};
 use crate::placement::fleet::FleetDuties;
 use crate::placement::order::{AdapterPlace, EngineOrder, OrderOutcome};
 use crate::placement::report::EntryReport;
-use crate::process::settings::{ControlSettings, VoterSettings};
+use crate::process::settings::ControlSettings;
 use crate::process::wire::{
     self, AccountStatus, AgentOrders, ControlRefusal, ControlStatus, EntryOrders, LimitStatus,
     Notice, TableStatus,
@@ -60,45 +60,6 @@
     answer: WaiterAnswer,
 }
 
-/// The identity of a founding voter's disk.
-pub fn founder_id(host: &HostName) -> NodeId {
-    let digest = Sha256::digest(host.as_str().as_bytes());
-    let mut word = [0; 8];
-    word.copy_from_slice(&digest[..8]);
-    NodeId(u64::from_le_bytes(word))
-}
-
-/// Founds a site's voter in an empty data folder, by all control hosts that the
-/// settings name. To be done once, on each of them, and never again after a disk
-/// was lost.
-pub fn found(settings: &ControlSettings) -> Result<(), JournalError> {
-    let named = settings.common.control.iter();
-    found_by(settings, named.map(|voter| &voter.host))
-}
-
-/// Founds a site's voter, as one of `founders`.
-pub fn found_by<'a>(
-    settings: &ControlSettings,
-    founders: impl Iterator<Item = &'a HostName>,
-) -> Result<(), JournalError> {
-    let own = founder_id(&settings.common.host);
-    let (mut journal, image) = DiskJournal::open(&settings.data_folder, Some(own))?;
-    if image != DiskImage::default() {
-        return Ok(());
-    }
-    let voters = founders.map(founder_id).collect();
-    let image = LogReplica::founding_image(voters);
-    journal.save(&[DiskRecord::Install(image.snapshot)])
-}
-
-/// The hosts that this one's founding was begun with, where its process ended before it
-/// was founded or taken in. The disk has never voted then, under no identity.
-pub fn unfinished_first_start(
-    settings: &ControlSettings,
-) -> Result<Option<Vec<VoterSettings>>, JournalError> {
-    journal::unfinished_first_start(&settings.data_folder, founder_id(&settings.common.host))
-}
-
 /// Whether the voter goes on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RunState {
@@ -173,7 +134,7 @@
             settings.compact_after,
         );
         let voters = settings.common.control.iter();
-        let hosts = voters.map(|voter| (founder_id(&voter.host), voter.host.clone()));
+        let hosts = voters.map(|voter| (founding::founder_id(&voter.host), voter.host.clone()));
         let mut hosts: BTreeMap<NodeId, HostName> = hosts.collect();
         // The newest hosts may stand in entries that are not known to be committed.
         hosts.extend(replica.logged_hosts());
@@ -498,7 +459,7 @@
             .lease_until_ms(now_ms)
             .saturating_sub(now_ms);
         tracing::info!(
-            order = %order.id, replica = %order.replica, kind = ?order.kind, model = %order.model,
+            order = %order.id(), replica = %order.replica, kind = ?order.kind, model = %order.model,
             adapter = order.adapter, lease_left_ms, "order decided"
         );
         if let Some(orders) = &self.orders {
--- a/src/placement/adapters.rs
+++ b/src/placement/adapters.rs
@@ -278,6 +278,5 @@
 }
 
 fn holds(record: &ReplicaRecord, place: &AdapterPlace) -> bool {
-    let held = record.models.get(&place.model);
-    held.is_some_and(|adapters| adapters.contains(&place.adapter))
+    record.holds_adapter(&place.model, &place.adapter)
 }
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -15,7 +15,7 @@
 use crate::placement::crowd::{CrowdBound, CrowdReport, CrowdSums, WaitingTokens};
 use crate::placement::demand::DemandBook;
 use crate::placement::fleet_plan::{self, PlanModel, PlanReplica, PlanStep};
-use crate::placement::order::{AdapterPlace, EngineOrder, OrderId, OrderKind, OrderOutcome};
+use crate::placement::order::{AdapterPlace, EngineOrder, OrderKind, OrderOutcome};
 use crate::placement::report::EntryReport;
 use crate::table::configuration::EngineSpec;
 
@@ -489,10 +489,7 @@
     ) -> EngineOrder {
         self.given += 1;
         EngineOrder {
-            id: OrderId {
-                term: self.term,
-                number: self.given,
-            },
+            number: self.given,
             replica: record.id.clone(),
             address: record.address,
             holder: self.holder.clone(),
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -34,8 +34,8 @@
 /// An order to an engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineOrder {
-    /// Which order it is.
-    pub id: OrderId,
+    /// Its number within the leader's term, from 1.
+    pub number: u64,
     /// The replica's life that is meant.
     pub replica: ReplicaId,
     /// Where it listens.
@@ -52,6 +52,16 @@
     pub adapter: Option<String>,
 }
 
+impl EngineOrder {
+    /// Which order it is.
+    pub fn id(&self) -> OrderId {
+        OrderId {
+            term: self.fence,
+            number: self.number,
+        }
+    }
+}
+
 /// How an order ended at the engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OrderOutcome {
--- a/src/table/quota.rs
+++ b/src/table/quota.rs
@@ -85,8 +85,6 @@
     pub entry: EntryLife,
     /// Rises with each ask of this life.
     pub number: u64,
-    /// A leader has answered it lately: it may hold what that one gave.
-    pub told: bool,
     /// By account; those without demand are left out.
     pub claims: BTreeMap<AccountName, QuotaClaim>,
 }
@@ -318,9 +316,6 @@
         (!claims.is_empty()).then(|| QuotaAsk {
             entry: self.entry.clone(),
             number: self.number,
-            told: self
-                .told_ms
-                .is_some_and(|told_ms| now_ms < told_ms + LEASE_MS),
             claims,
         })
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -35,6 +35,16 @@
     }
 }
 
+/// A numbered heartbeat of replica `r1`, which holds model `a` with these adapters.
+fn beat(number: u64, adapters: &[&str]) -> ReplicaRecord {
+    let mut record = record("r1", 1, &["a"]);
+    let adapters = adapters.iter().map(|name| (*name).to_owned());
+    let adapters = adapters.collect();
+    record.models.insert(ModelName::from("a"), adapters);
+    record.beat = number;
+    record
+}
+
 /// A state that applies commands as they are proposed.
 struct World {
     state: SiteState,
@@ -264,9 +274,9 @@
     }
     // It is ordered out again, rather than forgotten.
     let same = |other: &&EngineOrder| {
-        let id = order.id;
+        let number = order.number;
         EngineOrder {
-            id,
+            number,
             ..(*other).clone()
         } == order
     };
@@ -819,15 +829,6 @@
 #[test]
 fn an_adapter_ordered_out_while_in_use_takes_its_place_at_the_next_leader() {
     let mut world = World::new(&["a"]);
-    let beat = |number: u64, adapters: &[&str]| {
-        let mut record = record("r1", 1, &["a"]);
-        let adapters = adapters.iter().map(|name| (*name).to_owned());
-        record
-            .models
-            .insert(ModelName::from("a"), adapters.collect());
-        record.beat = number;
-        record
-    };
     world.beat(&beat(1, &["x", "y"]));
     world.rounds(3_000, 3_200);
     let (soon, evicted) = world.duties.on_wish(&world.state, 3_200, &place("z"));
@@ -867,15 +868,6 @@
 #[test]
 fn a_heartbeat_from_before_an_order_is_known_after_the_first_one_since() {
     let mut directory = ReplicaDirectory::default();
-    let beat = |number: u64, adapters: &[&str]| {
-        let mut record = record("r1", 1, &["a"]);
-        let adapters = adapters.iter().map(|name| (*name).to_owned());
-        record
-            .models
-            .insert(ModelName::from("a"), adapters.collect());
-        record.beat = number;
-        record
-    };
     let (id, model) = (ReplicaId::from("r1"), ModelName::from("a"));
     directory.put(&beat(1, &[]), 0);
     directory.set_adapter(&id, &model, "x", AdapterEffect::There, 0);
--- a/tests/forwarding/support.rs
+++ b/tests/forwarding/support.rs
@@ -9,9 +9,9 @@
 
 use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
 use dunlinspring::consensus::raft::RaftTiming;
+use dunlinspring::control::founding;
 use dunlinspring::control::registry::{LogAccess, Registry, RegistryError};
 use dunlinspring::control::shell::ControlDaemon;
-use dunlinspring::control::voter;
 use dunlinspring::forward::chunked::ChunkDecoder;
 use dunlinspring::forward::daemon::{ForwardDaemon, ForwardSettings};
 use dunlinspring::forward::dialect::HeaderNames;
@@ -277,7 +277,7 @@
         fleet: Default::default(),
         site: Default::default(),
     };
-    voter::found(&settings).unwrap();
+    founding::found(&settings).unwrap();
     let control = ControlDaemon::start_on(listener, settings, secret())
         .await
         .unwrap();
--- a/tests/orderer.rs
+++ b/tests/orderer.rs
@@ -11,7 +11,7 @@
 use dunlinspring::control::event::{ControlEvent, ControlHandle, SendPermit};
 use dunlinspring::control::orderer::{self, EngineCall, EngineDialect, EngineReport};
 use dunlinspring::ids::{HostName, ModelName, ReplicaId, Term};
-use dunlinspring::placement::order::{EngineOrder, OrderId, OrderKind, OrderOutcome};
+use dunlinspring::placement::order::{EngineOrder, OrderKind, OrderOutcome};
 use dunlinspring::process::wire::ControlRefusal;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -86,10 +86,7 @@
     let (orders, ordered) = unbounded_channel();
     ntex::rt::spawn(orderer::run(ordered, handle, dialect));
     let order = EngineOrder {
-        id: OrderId {
-            term: Term(7),
-            number: 1,
-        },
+        number: 1,
         replica: ReplicaId::from("r"),
         address,
         holder: HostName::from("c1"),
--- a/tests/permit.rs
+++ b/tests/permit.rs
@@ -1,10 +1,14 @@
 //! What a leader permitted under its lease is kept also once it leads no more.
 
+mod support_raft;
+
 use std::collections::BTreeSet;
 
 use dunlinspring::consensus::raft::{DiskImage, RaftCore, RaftMessage, RaftTiming};
 use dunlinspring::ids::NodeId;
 
+use support_raft::take_sent;
+
 const TIMING: RaftTiming = RaftTiming {
     election_ms: 500,
     heartbeat_ms: 50,
@@ -34,6 +38,10 @@
     NodeId(place as u64 + 1)
 }
 
+fn place_of(node: NodeId) -> usize {
+    node.0 as usize - 1
+}
+
 impl Trio {
     fn new(seed: u64) -> Self {
         let core = |place| {
@@ -63,21 +71,12 @@
 
     fn deliver(&mut self) {
         loop {
-            let mut sent = Vec::new();
-            for (from, core) in self.cores.iter_mut().enumerate() {
-                core.flush(self.now_ms);
-                let messages = core.take_output().messages;
-                sent.extend(
-                    messages
-                        .into_iter()
-                        .map(|(to, message)| (from, to, message)),
-                );
-            }
+            let sent = take_sent(&mut self.cores, self.now_ms);
             if sent.is_empty() {
                 return;
             }
             for (from, to, message) in sent {
-                let to = to.0 as usize - 1;
+                let (from, to) = (place_of(from), place_of(to));
                 let dropped =
                     (self.still && (from == 0 || to == 0)) || (self.lost && from == 0 && to == 1);
                 if dropped {
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -222,7 +222,6 @@
         let ask = QuotaAsk {
             entry: life(entry),
             number: now_ms,
-            told: true,
             claims,
         };
         drawn(&leader.grant(now_ms, &ask))
@@ -250,7 +249,7 @@
 fn a_new_leader_gives_half_of_the_burst_whoever_asks_first() {
     let account = AccountName::from(ACCOUNT);
     let quota = SiteShape::large().quota();
-    let ask = |leader: &mut QuotaGrantor, now_ms: u64, entry: u64, told: bool, ahead: bool| {
+    let ask = |leader: &mut QuotaGrantor, now_ms: u64, entry: u64, ahead: bool| {
         let units = quota.burst as u64;
         let claim = QuotaClaim {
             least: 1,
@@ -267,18 +266,17 @@
         let ask = QuotaAsk {
             entry: life(entry),
             number: now_ms,
-            told,
             claims,
         };
         drawn(&leader.grant(now_ms, &ask))
     };
     let mut before = grantor(quota);
-    let held = ask(&mut before, 10_000, 1, true, false);
+    let held = ask(&mut before, 10_000, 1, false);
     assert_eq!(held, quota.burst as u64);
     let mut next = QuotaGrantor::new(10_010);
     next.follow(1, Some(&book(quota)));
-    let fresh = ask(&mut next, 10_020, 2, false, false);
-    ask(&mut next, 10_030, 1, true, true);
+    let fresh = ask(&mut next, 10_020, 2, false);
+    ask(&mut next, 10_030, 1, true);
     // What comes in these 30 ms, and the half that a change of leader may cost.
     let bound = quota.burst * 1.5 + quota.per_s * 0.03;
     let given = held + fresh;
--- a/tests/raft.rs
+++ b/tests/raft.rs
@@ -1,11 +1,15 @@
 //! What a leader sends to followers that lag: entries where it still has them, else a
 //! snapshot, and that one once until it may be lost. What a leader alone commits.
 
+mod support_raft;
+
 use std::collections::BTreeSet;
 
 use dunlinspring::consensus::raft::{DiskImage, RaftCore, RaftMessage, RaftTiming};
 use dunlinspring::ids::{NodeId, Position};
 
+use support_raft::take_sent;
+
 const TIMING: RaftTiming = RaftTiming {
     election_ms: 100,
     heartbeat_ms: 20,
@@ -46,17 +50,7 @@
     /// Delivers between the two until both are silent.
     fn deliver(&mut self) {
         loop {
-            let mut sent = Vec::new();
-            for core in &mut self.cores {
-                core.flush(self.now_ms);
-                let from = core.id();
-                let messages = core.take_output().messages;
-                sent.extend(
-                    messages
-                        .into_iter()
-                        .map(|(to, message)| (from, to, message)),
-                );
-            }
+            let sent = take_sent(&mut self.cores, self.now_ms);
             if sent.is_empty() {
                 return;
             }
