--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -19,7 +19,8 @@
 use crate::forward::quotas::QuotaRefusal;
 use crate::forward::request_log::{Outcome, RequestLog};
 use crate::forward::upstream::{Connection, Exchange, ExchangeError, Outgoing};
-use crate::ids::{ModelName, ReplicaId, ServiceName};
+use crate::ids::{ContentDigest, ModelName, ReplicaId, ServiceName};
+use crate::routing::content::{self, ContentParts};
 use crate::table::configuration::{RouteKind, RouteSpec};
 
 /// Largest answer that is held until it is whole, in bytes.
@@ -516,7 +517,7 @@
             }
             Ok(Err(error)) => {
                 guard.end = TryEnd::Failed;
-                self.log.failed(&error);
+                self.broke_off(&error);
                 Tried::Unknown
             }
             Err(_) => {
@@ -611,7 +612,7 @@
                 Ok(Ok(None)) => break,
                 Ok(Err(error)) => {
                     guard.end = TryEnd::Failed;
-                    self.log.failed(&error);
+                    self.broke_off(&error);
                     return Tried::Unknown;
                 }
                 Err(_) => {
@@ -666,7 +667,7 @@
                 Ok(Ok(None)) => break,
                 Ok(Err(error)) => {
                     guard.end = TryEnd::Failed;
-                    self.log.failed(&error);
+                    self.broke_off(&error);
                     return self.broken(writer);
                 }
                 Err(_) => {
@@ -715,6 +716,25 @@
         Tried::Answered(finish(writer, &out, close).await)
     }
 
+    /// The connection to a replica ended under a run.
+    fn broke_off(&mut self, error: &ExchangeError) {
+        self.core.count("dunlinspring_broken_runs_total", &[]);
+        self.log.failed(error);
+        self.log.content(self.content());
+    }
+
+    /// What it asks, the same for all its repeats.
+    fn content(&self) -> ContentDigest {
+        let headers = &self.request.head.headers;
+        let caller = self.caller.as_ref().map(|caller| caller.account.as_str());
+        content::digest(&ContentParts {
+            caller: caller.unwrap_or_default(),
+            host: head::find(headers, "host").unwrap_or_default(),
+            target: &self.request.head.target,
+            body: &self.request.body,
+        })
+    }
+
     fn broken(&self, writer: &ClientWriter) -> Tried {
         match writer.has_begun() {
             true => Tried::Begun,
--- a/src/forward/request_log.rs
+++ b/src/forward/request_log.rs
@@ -7,7 +7,7 @@
 use crate::forward::book::Need;
 use crate::forward::caller::CallerIdentity;
 use crate::forward::daemon::EntryCore;
-use crate::ids::ReplicaId;
+use crate::ids::{ContentDigest, ReplicaId};
 use crate::process::metrics::MetricKey;
 use crate::table::configuration::RouteSpec;
 
@@ -63,6 +63,7 @@
     first: Option<Duration>,
     longest_pause: Duration,
     notes: Vec<String>,
+    content: Option<ContentDigest>,
     end: (Outcome, u16, &'static str),
 }
 
@@ -94,6 +95,7 @@
             first: None,
             longest_pause: Duration::ZERO,
             notes: Vec::new(),
+            content: None,
             end: (Outcome::Left, 0, "the client left"),
         }
     }
@@ -122,6 +124,11 @@
         self.notes.push(text.to_owned());
     }
 
+    /// What it asks: shown where a replica broke off under it, or it is refused for that.
+    pub fn content(&mut self, digest: ContentDigest) {
+        self.content = Some(digest);
+    }
+
     /// The first event leaves.
     pub fn first_event(&mut self) {
         let since = self.since;
@@ -207,6 +214,7 @@
                 outcome = outcome.name(),
                 reason,
                 notes = self.notes.join("; "),
+                content = self.content.map(|digest| digest.to_string()),
                 "request"
             );
         }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -111,6 +111,35 @@
     Incarnation
 );
 
+/// Names what a request asks, the same for all its repeats.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ContentDigest(pub [u8; ContentDigest::LEN]);
+
+impl ContentDigest {
+    /// Its length in bytes: nobody finds a second content with the same name.
+    pub const LEN: usize = 16;
+
+    /// Reads what [`fmt::Display`] writes.
+    pub fn parse(text: &str) -> Option<Self> {
+        let digits = text.len() == Self::LEN * 2 && text.bytes().all(|b| b.is_ascii_hexdigit());
+        let number = u128::from_str_radix(text, 16).ok().filter(|_| digits)?;
+        Some(Self(number.to_be_bytes()))
+    }
+}
+
+impl fmt::Display for ContentDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", u128::from_be_bytes(self.0))
+    }
+}
+
+impl fmt::Debug for ContentDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "ContentDigest({self})")
+    }
+}
+
 /// One try at running a request on one target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct AttemptId {
