Contents that end replicas are sent no more once three have ended

Cause: an attempt was known by its id alone, and a replica's end by the entry alone that saw it; nothing put the harm and what did it together, over entries and repeats. Change: a run that broke off makes its entry find out whether the replica ended: it refuses connections, or has begun another life. Then the content (caller, host, path, body) and that life go into the log, which all entries follow. From the first crash on one attempt of it runs at a time, by a turn of the leader, and suspects are kept apart; a run to its end clears a suspect; from the third crash on it is refused at once. The system's own further attempts wait for the finding. A content's digest is computed only while something is suspect. Ruled out: counting at each entry (no entry sees three), soft state of the leader (lost with it), a verdict by broken connections alone (resets, garbled answers and planned ends look so). Found by the tests: a late end of a turn freed the next one of the same attempt (4 ended); each ask has a ticket of its own now.

--- a/src/consensus/directory.rs
+++ b/src/consensus/directory.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{HallName, ModelName, ReplicaId, ServiceName};
+use crate::ids::{HallName, ModelName, ReplicaId, ReplicaLife, ServiceName};
 
 /// Ended lives that are remembered, so that a late heartbeat cannot bring one back.
 const MAX_ENDED: usize = 1024;
@@ -45,9 +45,20 @@
     /// The number of the heartbeat that told this, which rises with each; 0 where they
     /// carry none.
     pub beat: u64,
+    /// When this life began, in milliseconds since the epoch by the replica's clock; 0 where
+    /// it does not tell.
+    pub born_ms: u64,
 }
 
 impl ReplicaRecord {
+    /// This life.
+    pub fn life(&self) -> ReplicaLife {
+        ReplicaLife {
+            id: self.id.clone(),
+            born_ms: self.born_ms,
+        }
+    }
+
     /// Whether an adapter of a model is there.
     pub fn holds_adapter(&self, model: &ModelName, adapter: &str) -> bool {
         let held = self.models.get(model);
@@ -68,6 +79,7 @@
             slots: self.slots,
             phase: self.phase,
             models: self.models.clone(),
+            born_ms: self.born_ms,
         }
     }
 }
--- a/src/consensus/mod.rs
+++ b/src/consensus/mod.rs
@@ -6,6 +6,7 @@
 //! around it are in [`crate::control`].
 
 pub mod claims;
+pub mod crashes;
 pub mod directory;
 pub mod entries;
 pub mod naming;
--- a/src/consensus/state.rs
+++ b/src/consensus/state.rs
@@ -5,9 +5,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::consensus::claims::{ClaimAnswer, ClaimAsk, ClaimBook, ClaimKey, Settlement};
+use crate::consensus::crashes::{CrashBook, CrashCounts, CrashReport};
 use crate::consensus::directory::{AdapterEffect, ReplicaDirectory, ReplicaRecord};
 use crate::ids::{
-    AttemptId, HallName, HostName, Incarnation, ModelName, NodeId, Position, ReplicaId, TargetName,
+    AttemptId, ContentDigest, HallName, HostName, Incarnation, ModelName, NodeId, Position,
+    ReplicaId, TargetName,
 };
 use crate::table::configuration::{Configuration, ConfigurationRecord};
 use crate::table::rows::{EditAnswer, RowEdit, TableStore};
@@ -127,6 +129,12 @@
     ReplicaDrains(ReplicaId),
     /// Where the host of a voter's disk is reached.
     VoterHost(NodeId, HostName),
+    /// A replica ended while it ran these contents.
+    Crashed(CrashReport),
+    /// A content ran to its end.
+    ContentCleared(ContentDigest),
+    /// An operator lets a barred content be tried again.
+    ContentLifted(ContentDigest),
 }
 
 /// The answer to [`Command::Configure`].
@@ -167,6 +175,8 @@
     Replaced,
     /// To [`Command::Configure`].
     Configured(ConfigureAnswer),
+    /// To [`Command::ContentLifted`]: whether the content was barred.
+    Lifted(bool),
 }
 
 /// One change of what members need to know.
@@ -184,6 +194,8 @@
     Configuration(Box<Configuration>),
     /// A replica was put or, with none, ended.
     Replica(ReplicaId, Option<ReplicaRecord>),
+    /// How often replicas have ended under these contents has changed.
+    Contents(CrashCounts),
 }
 
 /// How long the state remembers answered edits and claims, in milliseconds.
@@ -219,6 +231,8 @@
     pub configuration: Option<Box<ConfigurationRecord>>,
     /// The replicas that registered.
     pub replicas: ReplicaDirectory,
+    /// Contents under which replicas ended.
+    pub crashes: CrashBook,
     /// Where voters' disks are reached.
     pub voter_hosts: BTreeMap<NodeId, HostName>,
     /// The last change of what members follow. Claims and the like move the
@@ -315,6 +329,25 @@
                 self.voter_hosts.insert(*node, host.clone());
                 Reply::None
             }
+            Command::Crashed(report) => {
+                let changed = self.crashes.note(report, self.clock_ms);
+                self.note_contents(changed);
+                Reply::None
+            }
+            Command::ContentCleared(content) => {
+                if self.crashes.clear(content) {
+                    self.note_contents(CrashCounts::from([(*content, 0)]));
+                }
+                Reply::None
+            }
+            Command::ContentLifted(content) => {
+                let lifted = self.crashes.lift(content);
+                if lifted {
+                    let count = self.crashes.count(content);
+                    self.note_contents(CrashCounts::from([(*content, count)]));
+                }
+                Reply::Lifted(lifted)
+            }
         }
     }
 
@@ -368,8 +401,11 @@
             .map(|record| Change::Configuration(Box::new(record.configuration.clone())));
         let replicas = self.replicas.records().iter();
         let replicas = replicas.map(|(id, r)| Change::Replica(id.clone(), Some(r.for_members())));
+        let counts = Some(self.crashes.counts()).filter(|counts| !counts.is_empty());
+        let contents = counts.map(Change::Contents);
         let table = site.chain(rows).chain(members).chain(homes);
-        table.chain(configuration).chain(replicas).collect()
+        let fleet = configuration.chain(replicas).chain(contents);
+        table.chain(fleet).collect()
     }
 
     /// The agent that keeps `target`, by the host of the same name.
@@ -388,6 +424,14 @@
         let before_ms = self.clock_ms.saturating_sub(RETENTION_MS);
         self.table.prune(before_ms);
         self.claims.prune(before_ms);
+        let forgotten = self.crashes.prune(before_ms);
+        self.note_contents(forgotten);
+    }
+
+    fn note_contents(&mut self, changed: CrashCounts) {
+        if !changed.is_empty() {
+            self.note(Change::Contents(changed));
+        }
     }
 
     fn note(&mut self, change: Change) {
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -6,6 +6,7 @@
 use tokio::sync::oneshot;
 
 use crate::consensus::claims::{ClaimKey, ClaimRecord};
+use crate::consensus::crashes::CrashBook;
 use crate::consensus::directory::{BeatNews, ReplicaRecord};
 use crate::consensus::raft::RaftMessage;
 use crate::consensus::state::{Command, Reply};
@@ -14,6 +15,7 @@
 use crate::placement::duties::{AgentBeat, EntryBeat};
 use crate::placement::order::{AdapterPlace, EngineOrder, OrderOutcome};
 use crate::placement::report::EntryReport;
+use crate::placement::turns::{TurnAnswer, TurnAsk, TurnEnd};
 use crate::process::wire::{
     AccountStatus, AgentOrders, ControlRefusal, ControlStatus, EntryOrders, Notice, TableStatus,
 };
@@ -87,6 +89,12 @@
     Crowd(CrowdReport, Answer<WaitingTokens>),
     /// An entry's wish; for the leader.
     Wish(AdapterPlace, Answer<bool>),
+    /// An entry asks for the turn of a suspect content; for the leader.
+    Turn(TurnAsk, Answer<TurnAnswer>),
+    /// A turn has ended; for the leader.
+    TurnEnded(TurnEnd, Answer<()>),
+    /// The contents under which replicas ended, from a state that is surely the newest.
+    Contents(Answer<CrashBook>),
     /// Whether an order of that term may leave now, and for how long.
     MayOrder(Term, Answer<SendPermit>),
     /// An engine's answer to an order of this leader.
@@ -101,7 +109,12 @@
     /// Whether it asks for a state that nothing newer can exist besides.
     pub(super) fn reads_newest(&self) -> bool {
         match self {
-            Self::Configuration(_) | Self::Table(_) | Self::Claim(..) | Self::Confirm(_) => true,
+            Self::Configuration(_)
+            | Self::Table(_)
+            | Self::Claim(..)
+            | Self::Confirm(_)
+            | Self::Contents(_)
+            | Self::Turn(..) => true,
             Self::Sync { fresh, .. } => *fresh,
             _ => false,
         }
--- a/src/control/relay.rs
+++ b/src/control/relay.rs
@@ -16,6 +16,7 @@
 
 use crate::clock;
 use crate::consensus::claims::{ClaimKey, ClaimRecord};
+use crate::consensus::crashes::CrashBook;
 use crate::consensus::directory::{BeatNews, ReplicaRecord};
 use crate::consensus::naming::{self, NamingAnswer, NamingAsk, NamingBook};
 use crate::consensus::raft::RaftMessage;
@@ -26,6 +27,7 @@
 use crate::placement::duties::{AgentBeat, EntryBeat};
 use crate::placement::order::AdapterPlace;
 use crate::placement::report::EntryReport;
+use crate::placement::turns::{TurnAnswer, TurnAsk, TurnEnd};
 use crate::process::daemon::{self, DaemonError};
 use crate::process::metrics::{MetricBook, MetricKey};
 use crate::process::peers::{self, ControlLink, PeerError, SiteSecret};
@@ -396,6 +398,18 @@
         Err(self.elsewhere())
     }
 
+    async fn turn(self, _: Context, _: TurnAsk) -> Result<TurnAnswer, ControlRefusal> {
+        Err(self.elsewhere())
+    }
+
+    async fn end_turn(self, _: Context, _: TurnEnd) -> Result<(), ControlRefusal> {
+        Err(self.elsewhere())
+    }
+
+    async fn contents(self, _: Context) -> Result<CrashBook, ControlRefusal> {
+        Err(self.elsewhere())
+    }
+
     async fn compare(self, _: Context, _: ReplicaRecord) -> Result<BeatNews, ControlRefusal> {
         Err(self.elsewhere())
     }
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -14,6 +14,7 @@
 
 use crate::clock;
 use crate::consensus::claims::{ClaimKey, ClaimRecord};
+use crate::consensus::crashes::CrashBook;
 use crate::consensus::directory::{BeatNews, ReplicaRecord};
 use crate::consensus::naming::{NamingAnswer, NamingAsk};
 use crate::consensus::raft::RaftMessage;
@@ -28,6 +29,7 @@
 use crate::placement::duties::{AgentBeat, EntryBeat};
 use crate::placement::order::{AdapterPlace, EngineOrder};
 use crate::placement::report::EntryReport;
+use crate::placement::turns::{TurnAnswer, TurnAsk, TurnEnd};
 use crate::process::daemon::{self, DaemonError};
 use crate::process::metrics::{MetricBook, MetricKey};
 use crate::process::peers::{self, ControlLink, PeerPool, SiteSecret};
@@ -492,6 +494,22 @@
             .await
     }
 
+    async fn turn(self, _: Context, ask: TurnAsk) -> Result<TurnAnswer, ControlRefusal> {
+        self.handle
+            .ask(|answer| ControlEvent::Turn(ask, answer))
+            .await
+    }
+
+    async fn end_turn(self, _: Context, end: TurnEnd) -> Result<(), ControlRefusal> {
+        self.handle
+            .ask(|answer| ControlEvent::TurnEnded(end, answer))
+            .await
+    }
+
+    async fn contents(self, _: Context) -> Result<CrashBook, ControlRefusal> {
+        self.handle.ask(ControlEvent::Contents).await
+    }
+
     async fn compare(self, _: Context, record: ReplicaRecord) -> Result<BeatNews, ControlRefusal> {
         self.handle
             .ask(|answer| ControlEvent::Compare(Box::new(record), answer))
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -8,6 +8,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::clock;
+use crate::consensus::crashes::ContentStanding;
 use crate::consensus::raft::DiskRecord;
 use crate::consensus::replica::LogReplica;
 use crate::consensus::state::{Command, Reply, SiteState};
@@ -20,6 +21,7 @@
 use crate::placement::fleet::FleetDuties;
 use crate::placement::order::{AdapterPlace, EngineOrder, OrderOutcome};
 use crate::placement::report::EntryReport;
+use crate::placement::turns::{TurnAnswer, TurnAsk, TurnDesk};
 use crate::process::settings::ControlSettings;
 use crate::process::wire::{
     self, AccountStatus, AgentOrders, ControlRefusal, ControlStatus, EntryOrders, LimitStatus,
@@ -93,6 +95,7 @@
     duties: Option<LeaderDuties>,
     fleet: Option<FleetDuties>,
     quotas: Option<QuotaGrantor>,
+    turns: Option<TurnDesk>,
     /// The newest configuration that a leader confirmed, and when this host asked.
     confirmed: Option<(u64, u64)>,
     orders: Option<mpsc::UnboundedSender<EngineOrder>>,
@@ -146,6 +149,7 @@
             duties: None,
             fleet: None,
             quotas: None,
+            turns: None,
             confirmed: None,
             orders: None,
             awaiting: BTreeMap::new(),
@@ -288,6 +292,18 @@
             ControlEvent::Wish(wish, answer) => {
                 let _ = answer.send(self.on_wish(now_ms, &wish));
             }
+            ControlEvent::Turn(ask, answer) => {
+                let _ = answer.send(self.on_turn(now_ms, &ask));
+            }
+            ControlEvent::TurnEnded(end, answer) => {
+                let ended = self.turns.as_mut().map(|turns| turns.end(end));
+                let _ = answer.send(ended.ok_or_else(|| self.not_leader()));
+            }
+            ControlEvent::Contents(answer) => {
+                let newest = self.replica.newest(now_ms);
+                let book = newest.map(|state| state.crashes.clone());
+                let _ = answer.send(book.ok_or_else(|| self.not_leader()));
+            }
             ControlEvent::MayOrder(term, answer) => {
                 let _ = answer.send(self.permit_order(now_ms, term));
             }
@@ -431,6 +447,17 @@
         Ok(soon)
     }
 
+    fn on_turn(&mut self, now_ms: u64, ask: &TurnAsk) -> Result<TurnAnswer, ControlRefusal> {
+        let (Some(state), Some(turns)) = (self.replica.newest(now_ms), &mut self.turns) else {
+            return Err(self.not_leader());
+        };
+        let standing = ContentStanding::of(state.crashes.count(&ask.content));
+        let answer = turns.ask(now_ms, standing, ask);
+        let (content, replica) = (ask.content, &ask.replica);
+        tracing::debug!(%content, %replica, ?standing, ?answer, "turn of a suspect content");
+        Ok(answer)
+    }
+
     fn permit_order(&mut self, now_ms: u64, term: Term) -> Result<SendPermit, ControlRefusal> {
         let decides = self.replica.newest(now_ms).is_some();
         if !decides || term != self.replica.term() || self.stopping.is_some() {
@@ -607,6 +634,7 @@
                 let holder = self.settings.common.host.clone();
                 let fleet = FleetDuties::new(self.settings.fleet, holder, term, now_ms);
                 self.fleet = Some(fleet);
+                self.turns = Some(TurnDesk::default());
                 self.quotas = Some(match term {
                     FIRST_TERM => QuotaGrantor::of_first_leader(now_ms),
                     _ => QuotaGrantor::new(now_ms),
@@ -627,6 +655,7 @@
                 }
                 self.duties = None;
                 self.quotas = None;
+                self.turns = None;
                 self.abandon();
             }
         }
--- /dev/null
+++ b/src/forward/crashes.rs
@@ -0,0 +1,361 @@
+//! Finds out whether a replica ended under the runs that broke off there, tells the log, and
+//! has suspect contents wait for their turn.
+//!
+//! A broken connection is no proof: a reset, a garbled answer and a planned end look alike. A
+//! replica whose process has ended refuses connections at once, and one that started again
+//! tells so: the first shows within milliseconds, the second within a heartbeat. Silence
+//! proves nothing: it may be the link.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+
+use crate::clock;
+use crate::consensus::crashes::{ContentStanding, CrashReport};
+use crate::consensus::directory::{ReplicaPhase, ReplicaRecord};
+use crate::consensus::state::Command;
+use crate::forward::daemon::EntryCore;
+use crate::forward::upstream::Connection;
+use crate::ids::{ContentDigest, Position, ReplicaId, ReplicaLife};
+use crate::placement::turns::{TurnAnswer, TurnAsk, TurnEnd};
+use crate::process::daemon;
+use crate::process::peers::PeerError;
+use crate::routing::suspects::SuspectBook;
+
+/// Time in which the connections that a replica's end breaks are seen to break, all of them.
+const GATHER: Duration = Duration::from_millis(10);
+/// Time in which a process that ended refuses a connection: a round trip between halls.
+const PROBE_TIME: Duration = Duration::from_millis(150);
+/// How long a replica that may have ended is watched for word of a new life, in
+/// milliseconds: it is back after some seconds, and tells so by its first heartbeat.
+const WATCH_MS: u64 = 15_000;
+/// The same where it took a connection right after: it may have been back by then.
+const SHORT_WATCH_MS: u64 = 2_000;
+/// Time for one report to the log.
+const REPORT_TIME: Duration = Duration::from_millis(1_000);
+/// Pause before a report that was not taken is made again.
+const REPORT_PAUSE: Duration = Duration::from_millis(100);
+/// Reports are tried so often: longer than control hosts are without a leader.
+const REPORT_TRIES: u32 = 60;
+/// Time for one question for a turn.
+const TURN_TIME: Duration = Duration::from_millis(250);
+/// Contents that one log line names.
+const MAX_NAMED: usize = 8;
+
+/// Runs that broke off at one replica at about the same time, and what is found out of it.
+pub struct CrashCase {
+    record: ReplicaRecord,
+    contents: RefCell<BTreeSet<ContentDigest>>,
+    closed: Cell<bool>,
+    found: Notify,
+}
+
+impl CrashCase {
+    /// Returns once it is known whether the replica ended, as far as it ever will be, and
+    /// the log holds it if it did.
+    pub async fn found(&self) {
+        loop {
+            let found = self.found.notified();
+            if self.closed.get() {
+                return;
+            }
+            found.await;
+        }
+    }
+}
+
+/// A replica that may have ended.
+struct WatchedLife {
+    life: ReplicaLife,
+    address: SocketAddr,
+    contents: BTreeSet<ContentDigest>,
+    until_ms: u64,
+}
+
+/// What an entry knows of crashes.
+#[derive(Default)]
+pub struct CrashWatch {
+    suspects: RefCell<SuspectBook>,
+    open: RefCell<BTreeMap<ReplicaId, Rc<CrashCase>>>,
+    watched: RefCell<Vec<WatchedLife>>,
+}
+
+impl CrashWatch {
+    /// Whether no content is suspect, so that nobody needs a request's digest.
+    pub fn is_quiet(&self) -> bool {
+        self.suspects.borrow().is_empty()
+    }
+
+    /// What is to be made of a content.
+    pub fn standing(&self, content: &ContentDigest) -> ContentStanding {
+        self.suspects.borrow().standing(content)
+    }
+}
+
+/// The turn of one attempt; ends when it is dropped.
+pub struct TurnGuard {
+    core: Rc<EntryCore>,
+    end: TurnEnd,
+    /// What is being found out of a replica that broke off under it.
+    pub case: Option<Rc<CrashCase>>,
+    /// It ran to its end.
+    pub cleared: bool,
+}
+
+impl Drop for TurnGuard {
+    fn drop(&mut self) {
+        let (core, end) = (self.core.clone(), self.end);
+        let (case, cleared) = (self.case.take(), self.cleared);
+        daemon::spawn_local(async move {
+            // The next attempt must be decided by what this one has done.
+            if let Some(case) = case {
+                case.found().await;
+            }
+            if cleared {
+                clear(&core, end.content).await;
+            }
+            let ended = core
+                .link()
+                .decide("end_turn", TURN_TIME, |client, context| async move {
+                    client.end_turn(context, end).await
+                })
+                .await;
+            if let Err(error) = ended {
+                tracing::debug!(%error, content = %end.content, "the end of a turn was not heard");
+            }
+        });
+    }
+}
+
+/// Whether a suspect's attempt may go to a replica.
+pub enum Clearance {
+    /// It may, for as long as this is held.
+    Go(Option<TurnGuard>),
+    /// Not now.
+    Wait,
+    /// Another replica is better.
+    Elsewhere,
+    /// Not at all.
+    Barred,
+}
+
+impl EntryCore {
+    /// A run broke off at a replica, and it is to be found out whether that ended. None
+    /// where it is known to leave anyway, or not known any more.
+    pub fn suspect_crash(
+        self: &Rc<Self>,
+        replica: &ReplicaId,
+        content: ContentDigest,
+    ) -> Option<Rc<CrashCase>> {
+        let record = self.book.borrow().record(replica).cloned()?;
+        if record.phase == ReplicaPhase::Draining {
+            return None;
+        }
+        let mut open = self.crashes.open.borrow_mut();
+        let known = open.get(replica).cloned();
+        let case = known.unwrap_or_else(|| {
+            let case = Rc::new(CrashCase {
+                record,
+                contents: RefCell::default(),
+                closed: Cell::new(false),
+                found: Notify::new(),
+            });
+            open.insert(replica.clone(), case.clone());
+            daemon::spawn_local(examine(self.clone(), case.clone()));
+            case
+        });
+        case.contents.borrow_mut().insert(content);
+        Some(case)
+    }
+
+    /// Asks whether an attempt of a content may go to a replica.
+    pub async fn clear_turn(self: &Rc<Self>, ask: TurnAsk) -> Clearance {
+        match self.crashes.standing(&ask.content) {
+            ContentStanding::Harmless => return Clearance::Go(None),
+            ContentStanding::Barred => return Clearance::Barred,
+            ContentStanding::Suspect(_) => {}
+        }
+        let end = TurnEnd {
+            content: ask.content,
+            ticket: ask.ticket,
+        };
+        let asked = self
+            .link()
+            .decide("turn", TURN_TIME, |client, context| {
+                let ask = ask.clone();
+                async move { client.turn(context, ask).await }
+            })
+            .await;
+        let guard = || TurnGuard {
+            core: self.clone(),
+            end,
+            case: None,
+            cleared: false,
+        };
+        match asked {
+            Ok(TurnAnswer::Go) => Clearance::Go(Some(guard())),
+            Ok(TurnAnswer::Wait) => Clearance::Wait,
+            Ok(TurnAnswer::Elsewhere) => Clearance::Elsewhere,
+            Ok(TurnAnswer::Barred) => Clearance::Barred,
+            Err(error) => {
+                tracing::debug!(%error, content = %end.content, "a turn was not asked");
+                // It may have been given all the same.
+                drop(guard());
+                Clearance::Wait
+            }
+        }
+    }
+
+    /// A content ran to its end, and its replica lives.
+    pub fn ran_to_its_end(self: &Rc<Self>, content: ContentDigest) {
+        if matches!(self.crashes.standing(&content), ContentStanding::Suspect(_)) {
+            let core = self.clone();
+            daemon::spawn_local(async move { clear(&core, content).await });
+        }
+    }
+
+    /// Takes over what the log holds, and looks for new lives of replicas that may have ended.
+    pub(super) fn follow_crashes(self: &Rc<Self>) {
+        let view = self.follower.view();
+        let mut suspects = self.crashes.suspects.borrow_mut();
+        suspects.follow(view.position, &view.contents);
+        drop(suspects);
+        let now_ms = clock::monotonic_ms();
+        let mut watched = self.crashes.watched.borrow_mut();
+        let born_again = |watched: &WatchedLife| {
+            let at = |record: &&ReplicaRecord| record.address == watched.address;
+            let there = view.replicas.values().find(at);
+            there.is_some_and(|record| record.life() != watched.life)
+        };
+        let ended: Vec<WatchedLife> = watched
+            .extract_if(.., |watched| born_again(watched))
+            .collect();
+        watched.retain(|watched| watched.until_ms > now_ms);
+        drop(watched);
+        drop(view);
+        for watched in ended {
+            let report = CrashReport {
+                replica: watched.life,
+                contents: watched.contents,
+            };
+            daemon::spawn_local(tell_crash(self.clone(), report, "it started again"));
+        }
+    }
+}
+
+/// Finds out whether a replica has ended.
+async fn examine(core: Rc<EntryCore>, case: Rc<CrashCase>) {
+    tokio::time::sleep(GATHER).await;
+    let life = case.record.life();
+    let probe = probe(&core, &case.record).await;
+    core.crashes.open.borrow_mut().remove(&life.id);
+    let contents = case.contents.borrow().clone();
+    let report = CrashReport {
+        replica: life.clone(),
+        contents: contents.clone(),
+    };
+    let watch_ms = match probe {
+        Probe::Ended => {
+            tell_crash(core.clone(), report, "it refuses connections").await;
+            None
+        }
+        Probe::Lives => Some(SHORT_WATCH_MS),
+        Probe::Silent => Some(WATCH_MS),
+    };
+    if let Some(watch_ms) = watch_ms {
+        core.crashes.watched.borrow_mut().push(WatchedLife {
+            life,
+            address: case.record.address,
+            contents,
+            until_ms: clock::monotonic_ms() + watch_ms,
+        });
+    }
+    case.closed.set(true);
+    case.found.notify_waiters();
+}
+
+/// What a replica does with a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Probe {
+    /// It takes it.
+    Lives,
+    /// Nobody listens there.
+    Ended,
+    /// Nothing is heard.
+    Silent,
+}
+
+async fn probe(core: &EntryCore, record: &ReplicaRecord) -> Probe {
+    // Where one that rests is still open, a new one need not be paid for.
+    let kept = core.pool.borrow_mut().take(&record.id);
+    let opened = match kept {
+        Some(connection) => Ok(connection),
+        None => {
+            core.count_opened();
+            Connection::open(record.address, PROBE_TIME).await
+        }
+    };
+    match opened {
+        Ok(connection) => {
+            core.pool.borrow_mut().put(&record.id, connection);
+            Probe::Lives
+        }
+        Err(error) if error.is_refused() => Probe::Ended,
+        Err(_) => Probe::Silent,
+    }
+}
+
+/// Tells the log of a replica's end, until it holds it.
+async fn tell_crash(core: Rc<EntryCore>, report: CrashReport, proof: &'static str) {
+    core.count("dunlinspring_replica_crashes_total", &[]);
+    log_crash(&report, proof);
+    core.crashes.suspects.borrow_mut().note(&report, None);
+    for _ in 0..REPORT_TRIES {
+        match propose(&core, Command::Crashed(report.clone())).await {
+            Ok(position) => {
+                let mut suspects = core.crashes.suspects.borrow_mut();
+                suspects.note(&report, Some(position));
+                return;
+            }
+            Err(error) => {
+                tracing::warn!(%error, replica = %report.replica, "a crash was not told");
+                tokio::time::sleep(REPORT_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn log_crash(report: &CrashReport, proof: &str) {
+    let named = report.contents.iter().take(MAX_NAMED);
+    let named: Vec<String> = named.map(ToString::to_string).collect();
+    tracing::warn!(
+        replica = %report.replica.id,
+        born_ms = report.replica.born_ms,
+        contents = named.join(","),
+        count = report.contents.len(),
+        proof,
+        "replica ended under requests"
+    );
+}
+
+async fn clear(core: &EntryCore, content: ContentDigest) {
+    match propose(core, Command::ContentCleared(content)).await {
+        Ok(_) => tracing::info!(%content, "content cleared: it ran to its end"),
+        Err(error) => tracing::debug!(%error, %content, "a content was not cleared"),
+    }
+}
+
+async fn propose(core: &EntryCore, command: Command) -> Result<Position, PeerError> {
+    let proposed = core
+        .link()
+        .decide("propose", REPORT_TIME, |client, context| {
+            let command = command.clone();
+            async move { client.propose(context, command).await }
+        })
+        .await;
+    proposed.map(|(position, _)| position)
+}
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -18,6 +18,7 @@
 use crate::forward::book::{ChoicePolicy, EjectNews, Need, ReplicaBook};
 use crate::forward::budget::{ResendBudget, ResendPolicy};
 use crate::forward::client;
+use crate::forward::crashes::CrashWatch;
 use crate::forward::crowd;
 use crate::forward::dialect::HeaderNames;
 use crate::forward::quotas::{self, QuotaClient};
@@ -156,8 +157,10 @@
     pub budget: RefCell<ResendBudget>,
     /// Woken when a replica may have room, or another one may be there.
     pub changed: Notify,
+    /// What is known of contents under which replicas ended.
+    pub crashes: CrashWatch,
     settings: ForwardSettings,
-    follower: Arc<ControlFollower>,
+    pub(super) follower: Arc<ControlFollower>,
     routing: RefCell<Option<Rc<Routing>>>,
     busy: RefCell<BTreeMap<ModelName, u32>>,
     lately: RefCell<BTreeMap<ModelName, f64>>,
@@ -275,7 +278,7 @@
     }
 
     /// Takes over a newer configuration at once, if the copy of the log has one.
-    pub fn catch_up(&self) {
+    pub fn catch_up(self: &Rc<Self>) {
         let held = self.version();
         let view = self.follower.view();
         let newer = view
@@ -453,7 +456,8 @@
     }
 
     /// Takes over what the log holds.
-    fn follow(&self) {
+    fn follow(self: &Rc<Self>) {
+        self.follow_crashes();
         let view = self.follower.view();
         self.log_replicas(&view);
         self.book.borrow_mut().follow(&view.replicas);
@@ -571,6 +575,7 @@
             pool: RefCell::default(),
             budget: RefCell::new(ResendBudget::new(settings.resend)),
             changed: Notify::new(),
+            crashes: CrashWatch::default(),
             follower: follower.clone(),
             routing: RefCell::default(),
             busy: RefCell::default(),
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -10,6 +10,7 @@
 pub mod caller;
 pub mod chunked;
 pub mod client;
+pub mod crashes;
 pub mod crowd;
 pub mod daemon;
 pub mod dialect;
--- a/src/forward/own_answer.rs
+++ b/src/forward/own_answer.rs
@@ -13,6 +13,10 @@
 /// but another entry may know.
 pub(super) const UNKNOWN_RETRY: Duration = Duration::from_millis(200);
 
+/// When a caller comes back whose content is sent no more: nothing it could do helps, and an
+/// operator needs minutes to look at it.
+pub(super) const BARRED_RETRY: Duration = Duration::from_secs(60);
+
 /// Why a request is refused without having run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Refusal {
@@ -28,6 +32,10 @@
     Budget,
     /// This entry stops before such a stream is likely to end.
     Stopping,
+    /// A replica ended under it, and another attempt of it is being tried.
+    Turn,
+    /// Too many replicas ended under it.
+    Barred,
     /// The caller may not act, or not any more.
     Caller(CallerRefusal),
     /// Its account does not pay for it.
@@ -44,6 +52,8 @@
             Self::Late => "time ran out before it was sent",
             Self::Budget => "replicas refused it",
             Self::Stopping => "this entry stops before it would end",
+            Self::Turn => "a replica ended under it, and another attempt of it is tried first",
+            Self::Barred => "replicas ended under it each time: it is sent no more",
             Self::Caller(refusal) => refusal.text(),
             Self::Quota(QuotaRefusal::Over(_)) => "the account is at its limit",
             Self::Quota(QuotaRefusal::Unknown) => "what is left of the limit is not known",
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -8,18 +8,25 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use rand::Rng;
+
+use crate::consensus::crashes::ContentStanding;
 use crate::forward::book::{self, Choice, EngineBounds, Need, TryEnd};
 use crate::forward::caller::{self, CallerIdentity, CallerRefusal};
 use crate::forward::client::{AfterAnswer, ClientRequest, ClientWriter};
+use crate::forward::crashes::{Clearance, CrashCase, TurnGuard};
 use crate::forward::daemon::{EntryCore, Routing};
 use crate::forward::events::EventCutter;
 use crate::forward::head::{self, Framing, ResponseHead};
-use crate::forward::own_answer::{self, Refusal, UNKNOWN_RETRY, closes, finish, refuse_plainly};
+use crate::forward::own_answer::{
+    self, BARRED_RETRY, Refusal, UNKNOWN_RETRY, closes, finish, refuse_plainly,
+};
 use crate::forward::patience;
 use crate::forward::quotas::QuotaRefusal;
 use crate::forward::request_log::{Outcome, RequestLog};
 use crate::forward::upstream::{Connection, Exchange, ExchangeError, Outgoing};
 use crate::ids::{ContentDigest, ModelName, ReplicaId, ServiceName};
+use crate::placement::turns::TurnAsk;
 use crate::routing::content::{self, ContentParts};
 use crate::table::configuration::{RouteKind, RouteSpec};
 
@@ -132,6 +139,14 @@
     refusals: u32,
     cutter: EventCutter,
     log: RequestLog,
+    /// Its name, once somebody needed it.
+    content: Option<ContentDigest>,
+    /// Its turn, where its content is suspect.
+    turn: Option<TurnGuard>,
+    /// What is being found out of a replica that broke off under it.
+    case: Option<Rc<CrashCase>>,
+    /// Replicas where other suspects run.
+    shared: BTreeSet<ReplicaId>,
 }
 
 /// Reports a try's end to the book, also where the request is dropped midway.
@@ -242,6 +257,10 @@
             runs: 0,
             refusals: 0,
             cutter: EventCutter::default(),
+            content: None,
+            turn: None,
+            case: None,
+            shared: BTreeSet::new(),
         }
     }
 
@@ -258,6 +277,9 @@
         if self.outlives_entry() {
             return self.give_up(Refusal::Stopping, writer).await;
         }
+        if self.is_barred() {
+            return self.give_up(Refusal::Barred, writer).await;
+        }
         if let Err(refusal) = self.pay().await {
             return self.give_up(Refusal::Quota(refusal), writer).await;
         }
@@ -271,6 +293,7 @@
                 }
             };
             let tried = self.try_at(&replica, writer).await;
+            self.end_turn(&tried);
             self.passed.insert(replica);
             let again = match tried {
                 Tried::Answered(after) => return after,
@@ -280,7 +303,7 @@
                 Tried::Unknown | Tried::Slow | Tried::Begun => {
                     self.runs += 1;
                     match self.may_rerun() {
-                        Ok(()) => self.pay().await.map_err(Refusal::Quota),
+                        Ok(()) => self.rerun().await,
                         refused => refused,
                     }
                 }
@@ -291,6 +314,66 @@
         }
     }
 
+    /// Gets ready to run once more: first it is found out whether the replica ended under
+    /// this request, which would then end the next one as well.
+    async fn rerun(&mut self) -> Result<(), Refusal> {
+        if let Some(case) = self.case.take() {
+            let _ = tokio::time::timeout(self.left(), case.found()).await;
+        }
+        self.pay().await.map_err(Refusal::Quota)
+    }
+
+    /// Whether its content is sent no more.
+    fn is_barred(&mut self) -> bool {
+        if self.core.crashes.is_quiet() {
+            return false;
+        }
+        let content = self.content();
+        let barred = self.core.crashes.standing(&content) == ContentStanding::Barred;
+        if barred {
+            self.core.count("dunlinspring_barred_total", &[]);
+            self.log.content(content);
+        }
+        barred
+    }
+
+    /// Whether it may go to a replica, as far as its content is concerned.
+    async fn clear_turn(&mut self, replica: &ReplicaId) -> Clearance {
+        if self.core.crashes.is_quiet() {
+            return Clearance::Go(None);
+        }
+        let content = self.content();
+        let ask = TurnAsk {
+            content,
+            replica: replica.clone(),
+            // Another one each time: the end of a turn that it had may still be on its way.
+            ticket: rand::rng().random(),
+            lasts_ms: self.left().as_millis() as u64,
+            insists: self.shared.contains(replica),
+        };
+        let clearance = self.core.clear_turn(ask).await;
+        if !matches!(clearance, Clearance::Go(None)) {
+            self.log.content(content);
+        }
+        clearance
+    }
+
+    /// Ends its turn, if it had one, by what became of its try.
+    fn end_turn(&mut self, tried: &Tried) {
+        let cleared = matches!(tried, Tried::Answered(_)) && self.log.is_answered();
+        match self.turn.take() {
+            Some(mut turn) => {
+                turn.cleared = cleared;
+                turn.case = self.case.clone();
+            }
+            None if cleared && !self.core.crashes.is_quiet() => {
+                let content = self.content();
+                self.core.ran_to_its_end(content);
+            }
+            None => {}
+        }
+    }
+
     /// Pays for one run, where its account has a quota and nothing is paid yet.
     async fn pay(&mut self) -> Result<(), QuotaRefusal> {
         let Some(caller) = self.caller.as_ref().filter(|_| self.paid == 0) else {
@@ -390,6 +473,9 @@
             Refusal::Absent => self.load_time(),
             // Another entry takes it at once.
             Refusal::Stopping => Duration::ZERO,
+            Refusal::Barred => BARRED_RETRY,
+            // About as long as the other attempt takes.
+            Refusal::Turn => self.aim(),
             Refusal::Quota(QuotaRefusal::Over(short)) => short,
             Refusal::Quota(QuotaRefusal::Unknown) | Refusal::Caller(_) => UNKNOWN_RETRY,
             Refusal::Full | Refusal::Adapter | Refusal::Late | Refusal::Budget => {
@@ -422,18 +508,23 @@
             let choice = self.choose(now_ms);
             let waited = since.elapsed();
             let (refusal, limit) = match choice {
-                Choice::Send(replica) => {
-                    self.log.placed(waited);
-                    return Ok(replica);
-                }
+                Choice::Send(replica) => match self.clear_turn(&replica).await {
+                    Clearance::Go(turn) => {
+                        self.turn = turn;
+                        self.log.placed(waited);
+                        return Ok(replica);
+                    }
+                    Clearance::Barred => return Err(Refusal::Barred),
+                    Clearance::Elsewhere if self.shared.insert(replica) => continue,
+                    Clearance::Elsewhere | Clearance::Wait => (Refusal::Turn, self.room_wait()),
+                },
                 Choice::Fetch(replica) => {
                     self.core.wish(&replica, &self.need);
                     (Refusal::Adapter, self.aim().min(self.left() / 2))
                 }
                 Choice::Full => {
                     self.core.crowd_seen.notify_one();
-                    let wait = patience::wait_for_room(self.aim(), self.core.choice().room_part);
-                    (Refusal::Full, wait)
+                    (Refusal::Full, self.room_wait())
                 }
                 Choice::Absent => {
                     let wait = patience::wait_for_load(self.load_time(), waited, self.left());
@@ -449,9 +540,14 @@
         }
     }
 
+    fn room_wait(&self) -> Duration {
+        patience::wait_for_room(self.aim(), self.core.choice().room_part)
+    }
+
     fn choose(&self, now_ms: u64) -> Choice {
         let book = self.core.book.borrow();
-        book.choose(now_ms, &self.need, &self.passed, self.bounds)
+        let passed: BTreeSet<ReplicaId> = self.passed.union(&self.shared).cloned().collect();
+        book.choose(now_ms, &self.need, &passed, self.bounds)
     }
 
     /// How long a replica may take to begin its answer.
@@ -517,7 +613,7 @@
             }
             Ok(Err(error)) => {
                 guard.end = TryEnd::Failed;
-                self.broke_off(&error);
+                self.broke_off(replica, &error);
                 Tried::Unknown
             }
             Err(_) => {
@@ -612,7 +708,7 @@
                 Ok(Ok(None)) => break,
                 Ok(Err(error)) => {
                     guard.end = TryEnd::Failed;
-                    self.broke_off(&error);
+                    self.broke_off(&guard.replica, &error);
                     return Tried::Unknown;
                 }
                 Err(_) => {
@@ -667,7 +763,7 @@
                 Ok(Ok(None)) => break,
                 Ok(Err(error)) => {
                     guard.end = TryEnd::Failed;
-                    self.broke_off(&error);
+                    self.broke_off(&guard.replica, &error);
                     return self.broken(writer);
                 }
                 Err(_) => {
@@ -717,22 +813,32 @@
     }
 
     /// The connection to a replica ended under a run.
-    fn broke_off(&mut self, error: &ExchangeError) {
-        self.core.count("dunlinspring_broken_runs_total", &[]);
+    fn broke_off(&mut self, replica: &ReplicaId, error: &ExchangeError) {
         self.log.failed(error);
-        self.log.content(self.content());
+        if !error.broke_off() {
+            return;
+        }
+        self.core.count("dunlinspring_broken_runs_total", &[]);
+        let content = self.content();
+        self.log.content(content);
+        self.case = self.core.suspect_crash(replica, content);
     }
 
     /// What it asks, the same for all its repeats.
-    fn content(&self) -> ContentDigest {
+    fn content(&mut self) -> ContentDigest {
+        if let Some(content) = self.content {
+            return content;
+        }
         let headers = &self.request.head.headers;
         let caller = self.caller.as_ref().map(|caller| caller.account.as_str());
-        content::digest(&ContentParts {
+        let content = content::digest(&ContentParts {
             caller: caller.unwrap_or_default(),
             host: head::find(headers, "host").unwrap_or_default(),
             target: &self.request.head.target,
             body: &self.request.body,
-        })
+        });
+        self.content = Some(content);
+        content
     }
 
     fn broken(&self, writer: &ClientWriter) -> Tried {
--- a/src/forward/request_log.rs
+++ b/src/forward/request_log.rs
@@ -145,6 +145,11 @@
         self.end = (Outcome::Answered, status, "");
     }
 
+    /// Whether a replica's whole answer was passed on.
+    pub fn is_answered(&self) -> bool {
+        self.end.0 == Outcome::Answered
+    }
+
     /// It ends without a replica's answer.
     pub fn ends(&mut self, outcome: Outcome, status: u16, reason: &'static str) {
         self.end = (outcome, status, reason);
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -63,6 +63,18 @@
     },
 }
 
+impl ExchangeError {
+    /// Whether nobody listens at the address: the process there has ended.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect { source, .. } if source.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
+    /// Whether the connection ended under a request that may have run.
+    pub fn broke_off(&self) -> bool {
+        matches!(self, Self::Broken { .. } | Self::Closed { .. })
+    }
+}
+
 /// A connection to a replica.
 #[derive(Debug)]
 pub struct Connection {
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -111,6 +111,23 @@
     Incarnation
 );
 
+/// One life of a replica. Some start again under the id that they had, and hold and know
+/// nothing of before.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ReplicaLife {
+    /// Its id.
+    pub id: ReplicaId,
+    /// When this life began, in milliseconds since the epoch by its own clock; 0 where it
+    /// does not tell, and has another id in each life.
+    pub born_ms: u64,
+}
+
+impl fmt::Display for ReplicaLife {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.id, self.born_ms)
+    }
+}
+
 /// Names what a request asks, the same for all its repeats.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -13,3 +13,4 @@
 pub mod moves;
 pub mod order;
 pub mod report;
+pub mod turns;
--- /dev/null
+++ b/src/placement/turns.rs
@@ -0,0 +1,117 @@
+//! Turns of suspect contents: the leader lets one attempt of each run at a time, over all
+//! entries, so that its next crash is known before the next attempt leaves.
+//!
+//! A crash makes suspects of all that ran at the replica, up to a batch of its engine, and
+//! one of them did it. Suspects are kept apart so that they do not share the next crash, too:
+//! those with one crash where another replica is free of suspects, those with more always.
+//! So who ran beside is not drawn along to the third.
+//!
+//! Pure, and soft state: a new leader knows of no turns, and one attempt more may run then.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::consensus::crashes::ContentStanding;
+use crate::ids::{ContentDigest, ReplicaId};
+
+/// Longest turn, in milliseconds: an entry that ended tells of no end.
+const MAX_TURN_MS: u64 = 60_000;
+/// Crashes from which a suspect shares a replica with no other suspect.
+const APART_CRASHES: u8 = 2;
+
+/// An entry asks for the turn of one attempt at a replica.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnAsk {
+    /// What it asks.
+    pub content: ContentDigest,
+    /// Where it is to run.
+    pub replica: ReplicaId,
+    /// Drawn for this ask: tells the turn apart from others that were asked for.
+    pub ticket: u64,
+    /// How long it may run, in milliseconds.
+    pub lasts_ms: u64,
+    /// No replica is free of suspects, as far as the entry knows.
+    pub insists: bool,
+}
+
+/// An attempt has ended, and what it has done is known; or it never left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnEnd {
+    /// What it asked.
+    pub content: ContentDigest,
+    /// The attempt.
+    pub ticket: u64,
+}
+
+/// What the leader says to an ask.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TurnAnswer {
+    /// It may run there now.
+    Go,
+    /// Another attempt of the same content runs.
+    Wait,
+    /// Another suspect runs there: another replica is better.
+    Elsewhere,
+    /// It is sent no more.
+    Barred,
+}
+
+#[derive(Clone, Debug)]
+struct TakenTurn {
+    ticket: u64,
+    replica: ReplicaId,
+    crashes: u8,
+    until_ms: u64,
+}
+
+/// The turns that are taken.
+#[derive(Debug, Default)]
+pub struct TurnDesk {
+    taken: BTreeMap<ContentDigest, TakenTurn>,
+}
+
+impl TurnDesk {
+    /// Answers an ask; `standing` is what the log says of its content.
+    pub fn ask(&mut self, now_ms: u64, standing: ContentStanding, ask: &TurnAsk) -> TurnAnswer {
+        self.taken.retain(|_, turn| turn.until_ms > now_ms);
+        let crashes = match standing {
+            // Its entry has not heard yet that it was cleared.
+            ContentStanding::Harmless => return TurnAnswer::Go,
+            ContentStanding::Barred => return TurnAnswer::Barred,
+            ContentStanding::Suspect(crashes) => crashes,
+        };
+        let holder = self.taken.get(&ask.content);
+        if holder.is_some_and(|turn| turn.ticket != ask.ticket) {
+            return TurnAnswer::Wait;
+        }
+        let beside = self
+            .taken
+            .iter()
+            .filter(|(content, turn)| **content != ask.content && turn.replica == ask.replica);
+        let most = beside.map(|(_, turn)| turn.crashes).max();
+        match most {
+            Some(most) if !ask.insists || most.max(crashes) >= APART_CRASHES => {
+                TurnAnswer::Elsewhere
+            }
+            _ => {
+                let turn = TakenTurn {
+                    ticket: ask.ticket,
+                    replica: ask.replica.clone(),
+                    crashes,
+                    until_ms: now_ms + ask.lasts_ms.min(MAX_TURN_MS),
+                };
+                self.taken.insert(ask.content, turn);
+                TurnAnswer::Go
+            }
+        }
+    }
+
+    /// Ends a turn.
+    pub fn end(&mut self, end: TurnEnd) {
+        let taken = self.taken.get(&end.content);
+        if taken.is_some_and(|turn| turn.ticket == end.ticket) {
+            self.taken.remove(&end.content);
+        }
+    }
+}
--- a/src/process/wire.rs
+++ b/src/process/wire.rs
@@ -6,6 +6,7 @@
 
 use crate::admission::gate::{AttemptWord, RunAsk, TargetPlan};
 use crate::consensus::claims::ClaimRecord;
+use crate::consensus::crashes::CrashBook;
 use crate::consensus::directory::{BeatNews, ReplicaRecord};
 use crate::consensus::naming::{NamingAnswer, NamingAsk};
 use crate::consensus::raft::RaftMessage;
@@ -18,6 +19,7 @@
 use crate::placement::duties::{AgentBeat, EntryBeat};
 use crate::placement::order::AdapterPlace;
 use crate::placement::report::EntryReport;
+use crate::placement::turns::{TurnAnswer, TurnAsk, TurnEnd};
 use crate::routing::authority::FreshnessProof;
 use crate::routing::view::SyncPage;
 use crate::table::accounts::QuotaSpec;
@@ -26,7 +28,7 @@
 use crate::table::rows::Row;
 
 /// Raised with each change of a type on the wire; peers of other versions are refused.
-pub const PROTOCOL: u32 = 6;
+pub const PROTOCOL: u32 = 7;
 
 /// Why control did not do what was asked.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -211,6 +213,12 @@
     async fn crowd(report: CrowdReport) -> Result<WaitingTokens, ControlRefusal>;
     /// An entry wants an adapter; the leader tells whether it comes soon.
     async fn wish(wish: AdapterPlace) -> Result<bool, ControlRefusal>;
+    /// An entry asks for the turn of an attempt of a suspect content; for the leader.
+    async fn turn(ask: TurnAsk) -> Result<TurnAnswer, ControlRefusal>;
+    /// An attempt that had a turn has ended; for the leader.
+    async fn end_turn(end: TurnEnd) -> Result<(), ControlRefusal>;
+    /// The contents under which replicas ended, by a linearizable read.
+    async fn contents() -> Result<CrashBook, ControlRefusal>;
     /// Compares a replica's heartbeat with what is committed here; for hosts that
     /// keep no log.
     async fn compare(record: ReplicaRecord) -> Result<BeatNews, ControlRefusal>;
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -8,4 +8,5 @@
 pub mod flight;
 pub mod retry;
 pub mod route;
+pub mod suspects;
 pub mod view;
--- a/src/routing/view.rs
+++ b/src/routing/view.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::consensus::crashes::CrashCounts;
 use crate::consensus::directory::ReplicaRecord;
 use crate::consensus::state::{Change, HomeInfo, HomePhase, MemberInfo, SiteState};
 use crate::ids::{HostName, ModelName, PartnerName, Position, ReplicaId, RowId, TargetName};
@@ -56,6 +57,8 @@
     pub configuration: Option<Box<Configuration>>,
     /// The replicas that registered.
     pub replicas: BTreeMap<ReplicaId, ReplicaRecord>,
+    /// How often replicas have ended under contents that are suspect or barred.
+    pub contents: CrashCounts,
     /// Rows by what a caller names, so that a lookup costs no scan.
     by_class: BTreeMap<(PartnerName, ModelName, String), RowId>,
 }
@@ -125,6 +128,16 @@
             Change::Replica(id, None) => {
                 self.replicas.remove(id);
             }
+            Change::Contents(counts) => self.apply_contents(counts),
+        }
+    }
+
+    fn apply_contents(&mut self, counts: &CrashCounts) {
+        for (content, count) in counts {
+            match count {
+                0 => self.contents.remove(content),
+                count => self.contents.insert(*content, *count),
+            };
         }
     }
 
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -168,6 +168,7 @@
             in_memory: Default::default(),
             on_disk: Default::default(),
             beat: 0,
+            born_ms: 0,
         };
         let records = BTreeMap::from([(home(), record)]);
         let mut book = ReplicaBook::new(ChoicePolicy::default(), HallName::from("here"));
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -32,6 +32,7 @@
         in_memory: BTreeSet::new(),
         on_disk: BTreeSet::new(),
         beat: 0,
+        born_ms: 0,
     }
 }
 
--- a/tests/forward_parts.rs
+++ b/tests/forward_parts.rs
@@ -154,6 +154,7 @@
         in_memory: BTreeSet::new(),
         on_disk: BTreeSet::new(),
         beat: 0,
+        born_ms: 0,
     }
 }
 
--- a/tests/forwarding/crashes.rs
+++ b/tests/forwarding/crashes.rs
@@ -146,3 +146,37 @@
     let (answer, ()) = futures::join!(asked, lets_go);
     assert_eq!(answer.status, 200);
 }
+
+#[ntex::test]
+async fn of_many_copies_at_once_one_runs_at_a_time() {
+    let site = start().await;
+    site.ask_at(0, "/stream/x", "first", DEADLY).await;
+    site.all_back().await;
+    let copies = (0..9).map(|copy| {
+        let site = &site;
+        async move {
+            let id = format!("copy-{copy}");
+            site.ask_at(copy % ENTRIES, "/stream/x", &id, DEADLY).await
+        }
+    });
+    let answers = futures::future::join_all(copies).await;
+    // Some may have given up before the last that was let go had its turn.
+    assert!(matches!(site.ended(), 2..=3), "{} ended", site.ended());
+    let ran = answers.iter().filter(|answer| answer.status == 502);
+    assert_eq!(ran.count() as u32 + 1, site.ended());
+}
+
+#[ntex::test]
+async fn an_entry_that_saw_no_crash_refuses_as_the_others_do() {
+    let mut site = start().await;
+    for repeat in 0..3 {
+        let id = format!("repeat-{repeat}");
+        site.ask_at(0, "/stream/x", &id, DEADLY).await;
+        site.all_back().await;
+    }
+    let late = site.add_entry().await;
+    let answer = site.ask_at(late, "/stream/x", "late", DEADLY).await;
+    assert_eq!((answer.status, site.ended()), (503, 3));
+    let answer = site.ask_at(late, "/stream/x", "other", "harmless").await;
+    assert_eq!(answer.status, 200);
+}
--- a/tests/forwarding/support.rs
+++ b/tests/forwarding/support.rs
@@ -458,6 +458,7 @@
             in_memory: Default::default(),
             on_disk: Default::default(),
             beat: 0,
+            born_ms: 0,
         };
         let state = SharedReplica::default();
         state.borrow_mut().script = script.into();
--- a/tests/forwarding/support/mortal.rs
+++ b/tests/forwarding/support/mortal.rs
@@ -138,6 +138,7 @@
         in_memory: Default::default(),
         on_disk: Default::default(),
         beat: 0,
+        born_ms: 0,
     };
     let told = async || past_quorum(registry.beat(record.clone()).await);
     answered("a quorum", told).await.unwrap();
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -69,6 +69,7 @@
         in_memory: BTreeSet::new(),
         on_disk: BTreeSet::new(),
         beat: 0,
+        born_ms: 0,
     }
 }
 
