A replica that starts again under its id is another life

Cause: a life was its id alone. A replica born again was unheard until its numbers had passed those of before, kept draining, held what the log had noted of the life before, and its orders named counts of that. Change: born tells lives apart, in the directory (a later birth replaces all but what may still be ordered in; an earlier one changes nothing; an ended life is remembered with its birth), in the leader's orders (counts and refused fences by life; an end names the life), and in what entries note of a replica.

--- a/src/consensus/directory.rs
+++ b/src/consensus/directory.rs
@@ -7,7 +7,7 @@
 
 use crate::ids::{HallName, ModelName, ReplicaId, ReplicaLife, ServiceName};
 
-/// Ended lives that are remembered, so that a late heartbeat cannot bring one back.
+/// Replicas whose ended lives are remembered, so that a late heartbeat cannot bring one back.
 const MAX_ENDED: usize = 1024;
 
 /// Where a replica is in its life.
@@ -114,7 +114,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaDirectory {
     records: BTreeMap<ReplicaId, ReplicaRecord>,
-    ended: VecDeque<ReplicaId>,
+    /// The newest ended life of each replica, oldest first.
+    ended: VecDeque<ReplicaLife>,
     /// Models ordered out that a replica still tells of, with their adapters: no requests
     /// go there, and they take room.
     leaving: BTreeMap<ReplicaId, BTreeMap<ModelName, BTreeSet<String>>>,
@@ -192,6 +193,11 @@
         let left = self.leaving.get(&record.id);
         let left = left.is_some_and(|models| models.keys().any(gone));
         match self.records.get(&record.id) {
+            // A later birth is another life, whatever is known of the one before: its numbers
+            // begin anew, and it neither leaves nor holds anything because that did.
+            Some(known) if record.born_ms > known.born_ms => BeatNews::New,
+            // It comes from the life before, or from somebody else.
+            Some(known) if record.born_ms < known.born_ms => BeatNews::Known,
             // What a replica told before says nothing of what it holds by now: a host that
             // stood still passes on what it heard seconds ago.
             Some(known) if record.beat <= known.beat && known.beat > 0 => BeatNews::Known,
@@ -202,11 +208,26 @@
             Some(_) if record.beat > 0 && self.unheard.contains(&record.id) => BeatNews::New,
             Some(known) if !left && self.tells_the_same(known, record, clock_ms) => BeatNews::Known,
             Some(_) => BeatNews::New,
-            None if self.ended.contains(&record.id) => BeatNews::Ended,
+            None if self.has_ended(record) => BeatNews::Ended,
             None => BeatNews::New,
         }
     }
 
+    fn has_ended(&self, record: &ReplicaRecord) -> bool {
+        let mut ended = self.ended.iter();
+        ended.any(|life| life.id == record.id && life.born_ms >= record.born_ms)
+    }
+
+    /// Forgets what was known of a replica's life before, as a later one has begun. What was
+    /// ordered in stays: its order may be on its way still, names the id that the replica
+    /// still has, and would be carried out in the new life.
+    fn begin_life(&mut self, id: &ReplicaId) {
+        self.leaving.remove(id);
+        self.adapters_going.remove(id);
+        self.unheard.remove(id);
+        self.ordered_ms.remove(id);
+    }
+
     /// Whether a heartbeat brings nothing but its number.
     fn tells_the_same(&self, known: &ReplicaRecord, record: &ReplicaRecord, clock_ms: u64) -> bool {
         let mut merged = self.merge(known, record, clock_ms);
@@ -242,6 +263,10 @@
         if self.news(record, clock_ms) != BeatNews::New {
             return None;
         }
+        let known = self.records.get(&record.id);
+        if known.is_some_and(|known| known.born_ms < record.born_ms) {
+            self.begin_life(&record.id);
+        }
         if let Some(models) = self.leaving.get_mut(&record.id) {
             models.retain(|model, _| record.models.contains_key(model));
         }
@@ -291,7 +316,13 @@
         }
     }
 
-    /// Ends a life for good. Returns whether it was known.
+    /// Ends a life for good, unless a later one has begun. Returns whether it was known.
+    pub fn end_life(&mut self, life: &ReplicaLife) -> bool {
+        let known = self.records.get(&life.id);
+        known.is_some_and(|record| record.life() == *life) && self.end(&life.id)
+    }
+
+    /// Ends a replica's current life for good. Returns whether it was known.
     pub fn end(&mut self, id: &ReplicaId) -> bool {
         self.leaving.remove(id);
         self.loading.remove(id);
@@ -299,13 +330,15 @@
         self.adapters_going.remove(id);
         self.unheard.remove(id);
         self.ordered_ms.remove(id);
-        if !self.ended.contains(id) {
-            self.ended.push_back(id.clone());
+        let record = self.records.remove(id);
+        if let Some(record) = &record {
+            self.ended.retain(|life| life.id != *id);
+            self.ended.push_back(record.life());
         }
         if self.ended.len() > MAX_ENDED {
             self.ended.pop_front();
         }
-        self.records.remove(id).is_some()
+        record.is_some()
     }
 
     /// Notes what an order has done to an adapter. Returns whether that is new.
--- a/src/consensus/state.rs
+++ b/src/consensus/state.rs
@@ -9,7 +9,7 @@
 use crate::consensus::directory::{AdapterEffect, ReplicaDirectory, ReplicaRecord};
 use crate::ids::{
     AttemptId, ContentDigest, HallName, HostName, Incarnation, ModelName, NodeId, Position,
-    ReplicaId, TargetName,
+    ReplicaId, ReplicaLife, TargetName,
 };
 use crate::table::configuration::{Configuration, ConfigurationRecord};
 use crate::table::rows::{EditAnswer, RowEdit, TableStore};
@@ -111,8 +111,8 @@
     Replica(Box<ReplicaRecord>),
     /// A replica has not been heard from for too long.
     ReplicaSilent(ReplicaId),
-    /// A replica has ended.
-    ReplicaEnded(ReplicaId),
+    /// A replica's life has ended; a later one goes on.
+    ReplicaEnded(ReplicaLife),
     /// An order has brought an adapter to a replica, or taken it away.
     ReplicaAdapter(ReplicaId, ModelName, String, AdapterEffect),
     /// An order is to bring an adapter to a replica.
@@ -278,9 +278,9 @@
                 }
                 Reply::None
             }
-            Command::ReplicaEnded(id) => {
-                if self.replicas.end(id) {
-                    self.note_replica(id);
+            Command::ReplicaEnded(life) => {
+                if self.replicas.end_life(life) {
+                    self.note_replica(&life.id);
                 }
                 Reply::None
             }
--- a/src/control/orderer.rs
+++ b/src/control/orderer.rs
@@ -23,7 +23,7 @@
 use crate::control::event::{ControlEvent, ControlHandle, SendPermit};
 use crate::forward::head;
 use crate::forward::upstream::{Connection, Exchange, ExchangeError, Outgoing};
-use crate::ids::{ModelName, ReplicaId};
+use crate::ids::{ModelName, ReplicaId, ReplicaLife};
 use crate::placement::order::{EngineOrder, OrderKind, OrderOutcome};
 use crate::process::daemon;
 
@@ -101,13 +101,9 @@
     handle: ControlHandle,
     dialect: EngineDialect,
 ) {
-    let counts: RefCell<BTreeMap<ReplicaId, OrderCount>> = RefCell::default();
+    let counts: RefCell<BTreeMap<ReplicaLife, OrderCount>> = RefCell::default();
     while let Some(order) = orders.recv().await {
-        let count = counts
-            .borrow_mut()
-            .entry(order.replica.clone())
-            .or_default()
-            .clone();
+        let count = count_of(&mut counts.borrow_mut(), order.life());
         let handle = handle.clone();
         daemon::spawn_local(async move {
             let mut count = count.lock().await;
@@ -126,6 +122,13 @@
     }
 }
 
+/// The count of one life: the next one counts from the start, and that of the life before
+/// would be taken for it where both have the same id.
+fn count_of(counts: &mut BTreeMap<ReplicaLife, OrderCount>, life: ReplicaLife) -> OrderCount {
+    counts.retain(|other, _| other.id != life.id || *other == life);
+    counts.entry(life).or_default().clone()
+}
+
 async fn carry_out(
     order: &EngineOrder,
     count: &mut Option<u64>,
--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -143,6 +143,7 @@
         for (id, record) in records {
             match self.notes.get_mut(id) {
                 Some(note) if note.record == *record => {}
+                Some(note) if note.record.born_ms != record.born_ms => note.begin_life(record),
                 Some(note) => note.record = record.clone(),
                 None => {
                     let note = ReplicaNote::new(record.clone());
--- a/src/forward/replica_note.rs
+++ b/src/forward/replica_note.rs
@@ -137,6 +137,18 @@
         }
     }
 
+    /// The replica has started again under its id: nothing of the life before tells of this
+    /// one, but for the requests that this entry still has there.
+    pub(super) fn begin_life(&mut self, record: &ReplicaRecord) {
+        *self = Self {
+            waiting: self.waiting,
+            running: self.running,
+            tokens: self.tokens,
+            waiting_tokens: self.waiting_tokens,
+            ..Self::new(record.clone())
+        };
+    }
+
     pub(super) fn stop_waiting(&mut self, need: &Need) {
         let tokens = &mut self.waiting_tokens[need.urgency.min(URGENCIES - 1)];
         *tokens = tokens.saturating_sub(need.tokens);
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -10,7 +10,7 @@
 
 use crate::consensus::directory::{AdapterEffect, ReplicaDirectory, ReplicaPhase, ReplicaRecord};
 use crate::consensus::state::{Command, SiteState};
-use crate::ids::{HostName, ModelName, ReplicaId, ServiceName, Term};
+use crate::ids::{HostName, ModelName, ReplicaId, ReplicaLife, ServiceName, Term};
 use crate::placement::adapters::{AdapterOrders, WishAnswer};
 use crate::placement::crowd::{CrowdBound, CrowdReport, CrowdSums, WaitingTokens};
 use crate::placement::demand::DemandBook;
@@ -125,7 +125,8 @@
     pending: BTreeMap<ReplicaId, PendingOrder>,
     promised: BTreeMap<ReplicaId, Promise>,
     adapters: AdapterOrders,
-    fenced: BTreeSet<ReplicaId>,
+    /// Lives that refuse this leader: an engine forgets fences when it starts again.
+    fenced: BTreeSet<ReplicaLife>,
     /// Commands for the next round.
     proposed: Vec<Command>,
     /// Commands that follow from what the log says, and when each was proposed:
@@ -272,7 +273,7 @@
         outcome: OrderOutcome,
     ) -> Vec<Command> {
         if outcome == OrderOutcome::Fenced {
-            self.fenced.insert(order.replica.clone());
+            self.fenced.insert(order.life());
         }
         match &order.adapter {
             Some(adapter) => {
@@ -372,7 +373,7 @@
             let heard_ms = *self.heard.entry(id.clone()).or_insert(now_ms);
             let silent_ms = now_ms.saturating_sub(heard_ms);
             if silent_ms >= self.policy.lost_ms {
-                commands.push(Command::ReplicaEnded(id.clone()));
+                commands.push(Command::ReplicaEnded(record.life()));
             } else if silent_ms >= self.policy.silent_ms && record.phase == ReplicaPhase::Ready {
                 commands.push(Command::ReplicaSilent(id.clone()));
             }
@@ -451,7 +452,11 @@
             let (id, model) = (place.replica, place.model);
             commands.push(Command::ReplicaAdapterSettled(id, model, place.adapter));
         }
-        self.fenced.retain(|id| records.contains_key(id));
+        self.fenced.retain(|life| {
+            records
+                .get(&life.id)
+                .is_some_and(|record| record.life() == *life)
+        });
         commands
     }
 
@@ -491,6 +496,7 @@
         EngineOrder {
             number: self.given,
             replica: record.id.clone(),
+            born_ms: record.born_ms,
             address: record.address,
             holder: self.holder.clone(),
             fence: self.term,
@@ -508,7 +514,7 @@
     }
 
     fn may_order(&self, record: &ReplicaRecord) -> bool {
-        record.phase == ReplicaPhase::Ready && !self.fenced.contains(&record.id)
+        record.phase == ReplicaPhase::Ready && !self.fenced.contains(&record.life())
     }
 
     fn place(
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{HostName, ModelName, ReplicaId, Term};
+use crate::ids::{HostName, ModelName, ReplicaId, ReplicaLife, Term};
 
 /// What an order does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -36,8 +36,10 @@
 pub struct EngineOrder {
     /// Its number within the leader's term, from 1.
     pub number: u64,
-    /// The replica's life that is meant.
+    /// The replica that is meant.
     pub replica: ReplicaId,
+    /// When its life that is meant began; see [`ReplicaLife`].
+    pub born_ms: u64,
     /// Where it listens.
     pub address: SocketAddr,
     /// Who orders.
@@ -53,6 +55,14 @@
 }
 
 impl EngineOrder {
+    /// The replica's life that is meant.
+    pub fn life(&self) -> ReplicaLife {
+        ReplicaLife {
+            id: self.replica.clone(),
+            born_ms: self.born_ms,
+        }
+    }
+
     /// Which order it is.
     pub fn id(&self) -> OrderId {
         OrderId {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -400,11 +400,54 @@
     let id = ReplicaId::from("r1");
     let expected = [
         Command::ReplicaSilent(id.clone()),
-        Command::ReplicaEnded(id),
+        Command::ReplicaEnded(record("r1", 1, &[]).life()),
     ];
     assert_eq!(commands, expected);
 }
 
+/// A life that began while the one before was being given up goes on.
+#[test]
+fn the_end_of_a_life_does_not_end_the_next() {
+    let mut world = World::new(&["a"]);
+    let mut first = record("r1", 1, &["a"]);
+    first.born_ms = 1_000;
+    let mut next = record("r1", 1, &[]);
+    next.born_ms = 2_000;
+    world.beat(&first);
+    world.beat(&next);
+    world.apply(Command::ReplicaEnded(first.life()));
+    assert_eq!(world.state.replicas.records()[&next.id], next);
+    world.apply(Command::ReplicaEnded(next.life()));
+    assert!(world.state.replicas.records().is_empty());
+}
+
+/// An engine forgets fences with its life: what refused this leader takes its orders again.
+#[test]
+fn a_replica_that_is_born_again_is_ordered_again() {
+    let mut world = World::new(&["a"]);
+    let mut replica = record("r1", 1, &[]);
+    replica.born_ms = 1_000;
+    world.beat(&replica);
+    let ordered = |world: &mut World, from_ms: u64| {
+        world.orders.clear();
+        for now_ms in (from_ms..from_ms + 8_000).step_by(100) {
+            world.duties.on_report(now_ms, busy("a", 3.0));
+            world.round(now_ms);
+        }
+        world.orders.first().cloned()
+    };
+    let order = ordered(&mut world, 4_000).expect("a load");
+    let refused = world
+        .duties
+        .on_outcome(12_000, &order, OrderOutcome::Fenced);
+    assert!(refused.is_empty());
+    assert_eq!(ordered(&mut world, 12_100), None);
+    replica.born_ms = 2_000;
+    world.beat(&replica);
+    let again = ordered(&mut world, 20_200).expect("a load in the new life");
+    assert_eq!((again.kind, again.born_ms), (OrderKind::Load, 2_000));
+}
+
 fn plan_replica(id: &str, free_mb: u64, held: &[&str]) -> PlanReplica {
     PlanReplica {
         id: ReplicaId::from(id),
--- a/tests/forward_parts.rs
+++ b/tests/forward_parts.rs
@@ -349,6 +349,35 @@
     assert_eq!(at(&book), send("a"));
 }
 
+/// A replica that starts again under its id is another one: what the life before did and had
+/// read says nothing of it. Requests that are still here count on.
+#[test]
+fn a_replica_that_is_born_again_is_judged_anew() {
+    let lives = |born_ms: u64| {
+        let mut first = record("a", &[("m", &[])]);
+        first.born_ms = born_ms;
+        let records = [first, record("b", &[("m", &[])])];
+        records.map(|record| (record.id.clone(), record)).into()
+    };
+    let mut book = ReplicaBook::new(ChoicePolicy::default(), HallName::from("here"));
+    book.follow(&lives(1));
+    let (id, ask) = (ReplicaId::from("a"), need("m", None));
+    book.start(1_000, &id, &ask);
+    book.end(1_000, &id, &ask, false, TryEnd::Unreached);
+    for _ in 0..2 {
+        book.start(1_000, &ReplicaId::from("b"), &ask);
+    }
+    assert_eq!(choose(&book, &ask), send("b"));
+    book.follow(&lives(2));
+    assert_eq!(choose(&book, &ask), send("a"));
+    book.start(1_000, &id, &ask);
+    book.start(1_000, &id, &ask);
+    book.start(1_000, &id, &ask);
+    assert_eq!(choose(&book, &ask), send("b"));
+    book.follow(&lives(3));
+    assert_eq!(choose(&book, &ask), send("b"));
+}
+
 /// Found on a site where many replicas crashed: a request whose only home refused
 /// connections dialled it 1,155 times in five seconds.
 #[test]
--- a/tests/orderer.rs
+++ b/tests/orderer.rs
@@ -81,20 +81,26 @@
     (ControlHandle(events), end)
 }
 
-/// Has one order of term 7 carried to `address`.
-fn start_order(handle: ControlHandle, address: SocketAddr, dialect: EngineDialect) {
-    let (orders, ordered) = unbounded_channel();
-    ntex::rt::spawn(orderer::run(ordered, handle, dialect));
-    let order = EngineOrder {
+/// An order of term 7 to a life of an engine.
+fn order_of(born_ms: u64, address: SocketAddr) -> EngineOrder {
+    EngineOrder {
         number: 1,
         replica: ReplicaId::from("r"),
+        born_ms,
         address,
         holder: HostName::from("c1"),
         fence: Term(7),
         kind: OrderKind::Load,
         model: ModelName::from("m"),
         adapter: None,
-    };
+    }
+}
+
+/// Has one order of term 7 carried to `address`.
+fn start_order(handle: ControlHandle, address: SocketAddr, dialect: EngineDialect) {
+    let (orders, ordered) = unbounded_channel();
+    ntex::rt::spawn(orderer::run(ordered, handle, dialect));
+    let order = order_of(1, address);
     orders.send(order).unwrap();
 }
 
@@ -260,13 +266,9 @@
     Nothing,
 }
 
-/// Sends one order to an engine that answers each try in turn and then reports a count of
-/// orders. Returns the counts that the tries expected, and the outcome.
-async fn try_order(turns: &[(EngineAnswer, &'static str)]) -> (Vec<u64>, OrderOutcome) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let (handle, mut end) = start_voter(|_| lease());
-    let counting = EngineDialect {
+/// Names the expected count in a header, and reads a report of a count and models.
+fn counting() -> EngineDialect {
+    EngineDialect {
         order: |_, expected| EngineCall {
             method: "POST",
             path: "/order",
@@ -290,8 +292,16 @@
             _ => OrderOutcome::Refused,
         },
         ..dialect()
-    };
-    start_order(handle, address, counting);
+    }
+}
+
+/// Sends one order to an engine that answers each try in turn and then reports a count of
+/// orders. Returns the counts that the tries expected, and the outcome.
+async fn try_order(turns: &[(EngineAnswer, &'static str)]) -> (Vec<u64>, OrderOutcome) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (handle, mut end) = start_voter(|_| lease());
+    start_order(handle, address, counting());
     let mut report = "4";
     let mut turns = turns.iter();
     let mut expected = Vec::new();
@@ -357,3 +367,48 @@
     assert_eq!(expected, [4, 4]);
     assert_eq!(outcome, OrderOutcome::Unknown);
 }
+
+/// An engine that started again under its id counts from the start: what was counted before
+/// is not expected of it.
+#[ntex::test]
+async fn the_count_of_a_life_is_not_expected_of_the_next() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (events, inbox) = mpsc::channel();
+    let (told, mut outcomes) = unbounded_channel();
+    std::thread::spawn(move || {
+        for event in inbox {
+            match event {
+                ControlEvent::MayOrder(_, answer) => drop(answer.send(lease())),
+                ControlEvent::Ordered(order, outcome) => {
+                    told.send((order.born_ms, outcome)).unwrap()
+                }
+                _ => panic!("nothing else is asked"),
+            }
+        }
+    });
+    let (orders, ordered) = unbounded_channel();
+    ntex::rt::spawn(orderer::run(ordered, ControlHandle(events), counting()));
+    let mut seen = Vec::new();
+    for (born_ms, report) in [(1, "4"), (2, "0")] {
+        orders.send(order_of(born_ms, address)).unwrap();
+        let outcome = loop {
+            tokio::select! {
+                outcome = outcomes.recv() => break outcome.unwrap(),
+                accepted = listener.accept() => {
+                    let (mut stream, _) = accepted.unwrap();
+                    let mut bytes = vec![0; 4096];
+                    let read = stream.read(&mut bytes).await.unwrap();
+                    let text = String::from_utf8_lossy(&bytes[..read]).into_owned();
+                    let tried = text.lines().find_map(|line| line.strip_prefix("Expected: "));
+                    seen.extend(tried.map(str::to_owned));
+                    let status = if tried.is_some() { 202 } else { 200 };
+                    let answer = format!("HTTP/1.1 {status} Any\r\nContent-Length: 1\r\n\r\n{report}");
+                    stream.write_all(answer.as_bytes()).await.unwrap();
+                }
+            }
+        };
+        assert_eq!(outcome, (born_ms, OrderOutcome::Taken));
+    }
+    assert_eq!(seen, ["4", "0"]);
+}
