--- a/src/consensus/directory.rs
+++ b/src/consensus/directory.rs
@@ -93,6 +93,8 @@
     New,
     /// It comes from a life that has ended.
     Ended,
+    /// It is for a service that nobody configured: another writer's.
+    Foreign,
 }
 
 /// What an order has done to an adapter.
--- a/src/consensus/state.rs
+++ b/src/consensus/state.rs
@@ -6,7 +6,7 @@
 
 use crate::consensus::claims::{ClaimAnswer, ClaimAsk, ClaimBook, ClaimKey, Settlement};
 use crate::consensus::crashes::{CrashBook, CrashCounts, CrashReport};
-use crate::consensus::directory::{AdapterEffect, ReplicaDirectory, ReplicaRecord};
+use crate::consensus::directory::{AdapterEffect, BeatNews, ReplicaDirectory, ReplicaRecord};
 use crate::ids::{
     AttemptId, ContentDigest, HallName, HostName, Incarnation, ModelName, NodeId, Position,
     ReplicaId, ReplicaLife, TargetName,
@@ -473,7 +473,25 @@
         ConfigureAnswer::Held
     }
 
+    /// What a heartbeat changes. One for a service that the configuration doesn't name comes
+    /// from another writer, and could end the replica whose address it tells. A replica that
+    /// is known keeps being heard where its service is dropped, as it must learn that it may
+    /// leave.
+    pub fn replica_news(&self, record: &ReplicaRecord) -> BeatNews {
+        let configured = self.configuration.as_ref().map(|held| &held.configuration);
+        let named = configured.is_none_or(|c| c.services.contains_key(&record.service));
+        let known = self.replicas.records().get(&record.id);
+        let same = known.is_some_and(|known| known.service == record.service);
+        match named || same {
+            true => self.replicas.news(record, self.clock_ms),
+            false => BeatNews::Foreign,
+        }
+    }
+
     fn apply_replica(&mut self, record: &ReplicaRecord) -> Reply {
+        if self.replica_news(record) == BeatNews::Foreign {
+            return Reply::None;
+        }
         let before = self.member_record(&record.id);
         if let Some(replaced) = self.replicas.put(record, self.clock_ms) {
             for id in &replaced {
--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -15,7 +15,7 @@
 use crate::consensus::directory::{BeatNews, ReplicaPhase, ReplicaRecord};
 use crate::consensus::state::{Command, ConfigureAnswer, Reply};
 use crate::control::event::{ControlEvent, ControlHandle};
-use crate::ids::ReplicaId;
+use crate::ids::{ReplicaId, ServiceName};
 use crate::process::peers::{self, ControlLink, PeerError};
 use crate::process::wire::{ControlRefusal, ControlWireClient};
 use crate::table::configuration::{Configuration, ConfigurationError, ConfigurationRecord};
@@ -51,6 +51,12 @@
     /// The call comes from a life that has ended.
     #[snafu(display("this replica has ended"))]
     Ended,
+    /// The configuration names no such service.
+    #[snafu(display("the configuration names no service '{service}'"))]
+    Foreign {
+        /// The service.
+        service: ServiceName,
+    },
     /// Nothing was committed in time; it may still be.
     #[snafu(display("no quorum in time"))]
     NoQuorum,
@@ -88,6 +94,9 @@
         match self.compare(&record).await? {
             BeatNews::Known => Ok(()),
             BeatNews::Ended => Err(RegistryError::Ended),
+            BeatNews::Foreign => Err(RegistryError::Foreign {
+                service: record.service,
+            }),
             BeatNews::New => {
                 let phase = record.phase;
                 let models = record.models.len();
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -309,8 +309,7 @@
             }
             ControlEvent::Ordered(order, outcome) => self.on_ordered(now_ms, &order, outcome),
             ControlEvent::Compare(record, answer) => {
-                let state = self.replica.state();
-                let _ = answer.send(Ok(state.replicas.news(&record, state.clock_ms)));
+                let _ = answer.send(Ok(self.replica.state().replica_news(&record)));
             }
             ControlEvent::Stop(answer) => {
                 self.stopping = Some(VoterStop {
--- a/tests/replica_changes.rs
+++ b/tests/replica_changes.rs
@@ -2,10 +2,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
+use dunlinspring::consensus::directory::{BeatNews, ReplicaPhase, ReplicaRecord};
 use dunlinspring::consensus::state::{Change, Command, SiteState, Stamped};
 use dunlinspring::ids::{HallName, ModelName, Position, ReplicaId, ServiceName};
 use dunlinspring::routing::view::{SiteView, page_after};
+use dunlinspring::table::configuration::{Configuration, ConfigurationRecord, ServiceSpec};
 
 fn record(id: &str, port: u16) -> ReplicaRecord {
     ReplicaRecord {
@@ -80,3 +81,52 @@
     });
     assert_eq!(told, Some(&record("a", 1)));
 }
+
+/// A heartbeat for a service that the configuration does not name is another writer's.
+#[test]
+fn a_replica_of_a_service_that_nobody_names_changes_nothing() {
+    let mut state = SiteState::default();
+    let service = ServiceSpec {
+        max_connections: 9,
+        engine: None,
+    };
+    let named = |version: u64, names: &[&str]| {
+        let services = names
+            .iter()
+            .map(|name| (ServiceName::from(*name), service.clone()));
+        let configuration = Configuration {
+            version,
+            services: services.collect(),
+            ..Configuration::default()
+        };
+        let source = Vec::new();
+        Command::Configure(Box::new(ConfigurationRecord {
+            configuration,
+            source,
+        }))
+    };
+    let apply = |state: &mut SiteState, command: Command| {
+        let position = Position(state.position.0 + 1);
+        state.apply(position, &Stamped { at_ms: 0, command });
+    };
+    // Replicas may come before the first configuration.
+    commit(&mut state, &record("a", 1));
+    apply(&mut state, named(1, &["llm"]));
+    let mut foreign = record("b", 1);
+    foreign.service = ServiceName::from("other");
+    assert_eq!(state.replica_news(&foreign), BeatNews::Foreign);
+    let before = state.replicas.clone();
+    commit(&mut state, &foreign);
+    assert_eq!(state.replicas, before);
+    let mut taken_over = record("a", 1);
+    taken_over.service = ServiceName::from("other");
+    assert_eq!(state.replica_news(&taken_over), BeatNews::Foreign);
+    // One whose service is dropped is heard on: it may have to be told that it may leave.
+    apply(&mut state, named(2, &["other"]));
+    let mut leaves = record("a", 1);
+    leaves.phase = ReplicaPhase::Draining;
+    assert_eq!(state.replica_news(&leaves), BeatNews::New);
+    commit(&mut state, &leaves);
+    let held = &state.replicas.records()[&ReplicaId::from("a")];
+    assert_eq!(held.phase, ReplicaPhase::Draining);
+}
