A request's time runs by the clock that counts suspensions

Cause: a request's deadline, the waits for a replica's answer and the rest of kept connections ran by the steady clock, which stands still while the machine is suspended. After six seconds of it a replica was told 18,398 ms of at most 14,000 that were left, and a request whose time had gone by waited on. Ruled out as already right: leases, permits, quotas, the age of the word on keys (boot clock); time-outs of calls between processes only delay, and nothing rests on them.

--- a/src/entry/flight_steps.rs
+++ b/src/entry/flight_steps.rs
@@ -111,7 +111,8 @@
     request: &'a CallerRequest,
     notes: &'a mpsc::Sender<FlightNote>,
     started: Instant,
-    deadline: Instant,
+    /// When the caller's patience ends, by [`clock::monotonic_ms`].
+    until_ms: u64,
     flight: RequestFlight,
     answer: String,
     answered: bool,
@@ -137,7 +138,7 @@
             request,
             notes,
             started,
-            deadline: started + Duration::from_millis(fields.patience_ms),
+            until_ms: clock::monotonic_ms().saturating_add(fields.patience_ms),
             flight: RequestFlight::new(policy),
             answer: String::new(),
             answered: false,
@@ -146,6 +147,11 @@
         }
     }
 
+    /// What is left of the caller's patience.
+    fn left(&self) -> Duration {
+        Duration::from_millis(self.until_ms.saturating_sub(clock::monotonic_ms()))
+    }
+
     async fn run(&mut self) -> FlightOutcome {
         loop {
             let event = match self.flight.step() {
@@ -178,15 +184,14 @@
     /// A step ends early when patience is over or the caller has gone; from
     /// then on, each step gets only a moment.
     async fn perform_in_time(&mut self, step: FlightStep) -> FlightEvent {
-        let left = match self.over {
-            true => Instant::now() + LAST_WORD_TIME,
-            false => self.deadline,
+        let until_ms = match self.over {
+            true => clock::monotonic_ms() + LAST_WORD_TIME.as_millis() as u64,
+            false => self.until_ms,
         };
         let over = self.over;
         let notes = self.notes;
         let early = tokio::select! {
-            event = self.perform(step) => Some(event),
-            () = tokio::time::sleep_until(left) => None,
+            event = clock::wait_until(until_ms, self.perform(step)) => event,
             () = notes.closed(), if !over => None,
         };
         match early {
@@ -234,9 +239,7 @@
     /// A model without a ready home is being brought back to one: that is worth
     /// a part of the caller's patience.
     async fn pick_in_time(&self) -> Option<FlightTrial> {
-        let now = Instant::now();
-        let left = self.deadline.saturating_duration_since(now);
-        let until = now + (left / 2).min(HOME_WAIT);
+        let until = Instant::now() + (self.left() / 2).min(HOME_WAIT);
         loop {
             let trial = self.pick();
             let gone = self.notes.is_closed();
@@ -343,7 +346,7 @@
     }
 
     async fn start(&self, trial: FlightTrial) -> FlightEvent {
-        let left = self.deadline.saturating_duration_since(Instant::now());
+        let left = self.left();
         let fields = &self.request.fields.fields;
         let version = {
             let view = self.entry.follower.view();
@@ -454,9 +457,9 @@
             pieces.iter().for_each(|piece| self.answer.push_str(piece));
         }
         let sent = self.notes.send(FlightNote::Pieces(pieces));
-        let sent = tokio::time::timeout_at(self.deadline, sent).await;
+        let sent = clock::wait_until(self.until_ms, sent).await;
         // A reader that stays away longer than its patience has gone.
-        if !matches!(sent, Ok(Ok(()))) {
+        if !matches!(sent, Some(Ok(()))) {
             self.over = true;
             self.flight.on(FlightEvent::PatienceOver);
         }
--- a/src/forward/client.rs
+++ b/src/forward/client.rs
@@ -8,6 +8,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
+use crate::clock;
 use crate::forward::chunked::ChunkDecoder;
 use crate::forward::daemon::EntryCore;
 use crate::forward::head::{self, Framing, HeadError, RequestHead};
@@ -32,6 +33,8 @@
     pub body: Vec<u8>,
     /// When its head was whole.
     pub since: Instant,
+    /// The same by [`clock::monotonic_ms`], by which its time runs out.
+    pub since_ms: u64,
 }
 
 /// Writes answers to one client.
@@ -257,7 +260,7 @@
     first_byte: &dyn Fn(),
 ) -> Result<ClientRequest, ReadError> {
     let head = reader.read_head(limits, core, first_byte).await?;
-    let since = Instant::now();
+    let (since, since_ms) = (Instant::now(), clock::monotonic_ms());
     let expects = head::names_token(&head.headers, "expect", "100-continue");
     if expects && reader.buffer.is_empty() && head.framing != Framing::Length(0) {
         let sent = writer.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
@@ -270,5 +273,10 @@
     let body = tokio::time::timeout(limit, body)
         .await
         .map_err(|_| late)??;
-    Ok(ClientRequest { head, body, since })
+    Ok(ClientRequest {
+        head,
+        body,
+        since,
+        since_ms,
+    })
 }
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -10,6 +10,7 @@
 
 use rand::Rng;
 
+use crate::clock;
 use crate::consensus::crashes::ContentStanding;
 use crate::forward::book::{self, Choice, EngineBounds, Need, TryEnd};
 use crate::forward::caller::{self, CallerIdentity, CallerRefusal};
@@ -132,7 +133,8 @@
     bounds: EngineBounds,
     /// Tokens in one event of a stream; 0 where the service has no engines.
     event_tokens: u32,
-    deadline: Instant,
+    /// When it has to be over, by [`clock::monotonic_ms`].
+    until_ms: u64,
     passed: BTreeSet<ReplicaId>,
     /// Replicas that may have run it.
     runs: u32,
@@ -164,7 +166,7 @@
 impl<'a> TryGuard<'a> {
     fn start(core: &'a EntryCore, replica: &ReplicaId, need: &Need) -> Self {
         let mut book = core.book.borrow_mut();
-        let ahead = book.start(crate::clock::monotonic_ms(), replica, need);
+        let ahead = book.start(clock::monotonic_ms(), replica, need);
         if book.is_crowding(replica, need, ahead) {
             core.crowd_seen.notify_one();
         }
@@ -192,7 +194,7 @@
 
 impl Drop for TryGuard<'_> {
     fn drop(&mut self) {
-        let now_ms = crate::clock::monotonic_ms();
+        let now_ms = clock::monotonic_ms();
         let mut book = self.core.book.borrow_mut();
         book.end(now_ms, &self.replica, &self.need, self.begun, self.end);
         let news = book.take_news();
@@ -252,7 +254,7 @@
                 adapter_slots: engine.adapter_slots,
             }),
             event_tokens: engine.map_or(0, |engine| engine.event_tokens),
-            deadline: request.since + Duration::from_millis(limit_ms),
+            until_ms: request.since_ms.saturating_add(limit_ms),
             passed: BTreeSet::new(),
             runs: 0,
             refusals: 0,
@@ -265,7 +267,7 @@
     }
 
     fn left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        Duration::from_millis(self.until_ms.saturating_sub(clock::monotonic_ms()))
     }
 
     fn aim(&self) -> Duration {
@@ -318,7 +320,7 @@
     /// this request, which would then end the next one as well.
     async fn rerun(&mut self) -> Result<(), Refusal> {
         if let Some(case) = self.case.take() {
-            let _ = tokio::time::timeout(self.left(), case.found()).await;
+            let _ = clock::wait_until(self.until_ms, case.found()).await;
         }
         self.pay().await.map_err(Refusal::Quota)
     }
@@ -406,7 +408,7 @@
         if self.route.kind != RouteKind::Streaming || self.event_tokens == 0 {
             return false;
         }
-        let now_ms = crate::clock::monotonic_ms();
+        let now_ms = clock::monotonic_ms();
         let pause_ms = self.core.book.borrow().pause_ms(now_ms, &self.need);
         let answer_tokens = self.need.tokens.saturating_sub(self.need.prompt_tokens);
         let events = answer_tokens as f64 / f64::from(self.event_tokens);
@@ -454,7 +456,7 @@
         if self.runs == 0 {
             let book = self.core.book.borrow();
             self.log
-                .note(&book.describe(crate::clock::monotonic_ms(), &self.need));
+                .note(&book.describe(clock::monotonic_ms(), &self.need));
         }
         let retry = matches!(status, 429 | 503).then(|| self.come_back(refusal));
         let outcome = match self.runs {
@@ -479,7 +481,7 @@
             Refusal::Quota(QuotaRefusal::Over(short)) => short,
             Refusal::Quota(QuotaRefusal::Unknown) | Refusal::Caller(_) => UNKNOWN_RETRY,
             Refusal::Full | Refusal::Adapter | Refusal::Late | Refusal::Budget => {
-                let now_ms = crate::clock::monotonic_ms();
+                let now_ms = clock::monotonic_ms();
                 let book = self.core.book.borrow();
                 let room_ms = book.room_in_ms(now_ms, &self.need).unwrap_or(0);
                 Duration::from_millis(room_ms).max(self.aim() / RETURN_PART)
@@ -504,7 +506,7 @@
                 return Err(Refusal::Late);
             }
             let changed = self.core.changed.notified();
-            let now_ms = crate::clock::monotonic_ms();
+            let now_ms = clock::monotonic_ms();
             let choice = self.choose(now_ms);
             let waited = since.elapsed();
             let (refusal, limit) = match choice {
@@ -550,12 +552,13 @@
         book.choose(now_ms, &self.need, &passed, self.bounds)
     }
 
-    /// How long a replica may take to begin its answer.
-    fn try_limit(&self) -> Duration {
+    /// Until when a replica may begin its answer.
+    fn try_until_ms(&self) -> u64 {
         let more = self.route.is_repeatable() && self.runs + 1 < self.route.attempts;
+        let quick_ms = clock::monotonic_ms() + self.route.aim_ms * 2;
         match more {
-            true => (self.aim() * 2).min(self.left()),
-            false => self.left(),
+            true => quick_ms.min(self.until_ms),
+            false => self.until_ms,
         }
     }
 
@@ -602,21 +605,21 @@
             identity: Some((core.names.request_id, &id)),
         };
         let sent = Exchange::send(connection, &outgoing);
-        let sent = tokio::time::timeout(self.try_limit(), sent).await;
+        let sent = clock::wait_until(self.try_until_ms(), sent).await;
         match sent {
-            Ok(Ok((exchange, head))) => {
+            Some(Ok((exchange, head))) => {
                 let tried = self.take_answer(exchange, head, &mut guard, writer).await;
                 if matches!(tried, Tried::NotRun | Tried::Misplaced) {
                     self.paid = paid;
                 }
                 tried
             }
-            Ok(Err(error)) => {
+            Some(Err(error)) => {
                 guard.end = TryEnd::Failed;
                 self.broke_off(replica, &error);
                 Tried::Unknown
             }
-            Err(_) => {
+            None => {
                 guard.end = TryEnd::Failed;
                 self.log.note("no answer in time");
                 Tried::Slow
@@ -634,7 +637,7 @@
         let core = self.core;
         let load = head::find(&head.headers, core.names.load).and_then(book::parse_load);
         if let Some(load) = load {
-            let now_ms = crate::clock::monotonic_ms();
+            let now_ms = clock::monotonic_ms();
             core.book.borrow_mut().tell(now_ms, &guard.replica, load);
         }
         let not_executed = head::find(&head.headers, core.names.not_executed).is_some();
@@ -702,16 +705,16 @@
     ) -> Tried {
         let mut body = Vec::new();
         loop {
-            let next = tokio::time::timeout(self.left(), exchange.next()).await;
+            let next = clock::wait_until(self.until_ms, exchange.next()).await;
             match next {
-                Ok(Ok(Some(bytes))) => body.extend_from_slice(&bytes),
-                Ok(Ok(None)) => break,
-                Ok(Err(error)) => {
+                Some(Ok(Some(bytes))) => body.extend_from_slice(&bytes),
+                Some(Ok(None)) => break,
+                Some(Err(error)) => {
                     guard.end = TryEnd::Failed;
                     self.broke_off(&guard.replica, &error);
                     return Tried::Unknown;
                 }
-                Err(_) => {
+                None => {
                     self.log.note("no whole answer in time");
                     return Tried::Slow;
                 }
@@ -757,16 +760,16 @@
         self.cutter.drop_part();
         let mut last: Option<Instant> = None;
         loop {
-            let next = tokio::time::timeout(self.left(), exchange.next()).await;
+            let next = clock::wait_until(self.until_ms, exchange.next()).await;
             let bytes = match next {
-                Ok(Ok(Some(bytes))) => bytes,
-                Ok(Ok(None)) => break,
-                Ok(Err(error)) => {
+                Some(Ok(Some(bytes))) => bytes,
+                Some(Ok(None)) => break,
+                Some(Err(error)) => {
                     guard.end = TryEnd::Failed;
                     self.broke_off(&guard.replica, &error);
                     return self.broken(writer);
                 }
-                Err(_) => {
+                None => {
                     self.log.note("the stream ran out of time");
                     self.runs = self.route.attempts;
                     return self.broken(writer);
@@ -784,7 +787,7 @@
             let now = Instant::now();
             if let Some(last) = last.replace(now) {
                 let pause_ms = (now - last).as_secs_f64() * 1000.0;
-                let now_ms = crate::clock::monotonic_ms();
+                let now_ms = clock::monotonic_ms();
                 let mut book = core.book.borrow_mut();
                 book.note_pause(now_ms, &guard.replica, pause_ms);
                 drop(book);
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -4,13 +4,14 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use snafu::Snafu;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use crate::clock;
 use crate::forward::chunked::ChunkDecoder;
 use crate::forward::head::{self, Framing, ResponseHead};
 use crate::ids::ReplicaId;
@@ -81,7 +82,9 @@
     peer: SocketAddr,
     stream: TcpStream,
     buffer: Vec<u8>,
-    rested: Instant,
+    /// Since when it rests, by [`clock::monotonic_ms`]: the replica counts on while this
+    /// machine is suspended.
+    rested_ms: u64,
     keep: Duration,
 }
 
@@ -97,7 +100,7 @@
             peer,
             stream,
             buffer: Vec::new(),
-            rested: Instant::now(),
+            rested_ms: clock::monotonic_ms(),
             keep: KEEP_UNTOLD,
         })
     }
@@ -126,7 +129,8 @@
             Err(error) => error.kind() == io::ErrorKind::WouldBlock,
             Ok(_) => false,
         };
-        quiet && self.buffer.is_empty() && self.rested.elapsed() < self.keep
+        let rested_ms = clock::monotonic_ms().saturating_sub(self.rested_ms);
+        quiet && self.buffer.is_empty() && Duration::from_millis(rested_ms) < self.keep
     }
 
     async fn fill(&mut self) -> Result<usize, ExchangeError> {
@@ -157,7 +161,7 @@
 
     /// Keeps a connection for the next request.
     pub fn put(&mut self, id: &ReplicaId, mut connection: Connection) {
-        connection.rested = Instant::now();
+        connection.rested_ms = clock::monotonic_ms();
         let idle = self.idle.entry(id.clone()).or_default();
         if idle.len() < MAX_IDLE {
             idle.push(connection);
