--- a/src/bin/dunlinspring.rs
+++ b/src/bin/dunlinspring.rs
@@ -1,6 +1,6 @@
 //! The operators' command line, the demo and the load tool.
 
-use dunlinspring::cli::{accounts, commands};
+use dunlinspring::cli::{accounts, commands, contents};
 use dunlinspring::process::arguments;
 
 #[ntex::main]
@@ -17,6 +17,7 @@
         Some("table") => commands::table(rest).await,
         Some("status") => commands::status(rest).await,
         Some("accounts") => accounts::accounts(rest).await,
+        Some("contents") => contents::contents(rest).await,
         Some("check") => commands::check(rest),
         Some("demo") => commands::demo(rest).await,
         Some("load") => commands::load(rest).await,
--- a/src/cli/commands.rs
+++ b/src/cli/commands.rs
@@ -26,6 +26,10 @@
   status                             control hosts and this entry
   accounts --control IP:PORT --secret-file FILE [--json]
                                      limits of client accounts, and what is drawn
+  contents --control IP:PORT --secret-file FILE [--json]
+                                     contents under which replicas ended
+  contents lift DIGEST --control IP:PORT --secret-file FILE
+                                     let a barred one be tried again
   explain ID FILE...                 a request's story, from the logs of all processes
   explain --day FILE...              when and where requests were late, refused or lost
   explain --target ID [--lease-ms N] FILE...
--- /dev/null
+++ b/src/cli/contents.rs
@@ -0,0 +1,94 @@
+//! The `contents` command: contents under which replicas ended, and the lifting of a bar.
+
+use crate::cli::{commands, control};
+use crate::consensus::crashes::{ContentRecord, ContentStanding, CrashBook};
+use crate::consensus::state::{Command, Reply};
+use crate::ids::{ContentDigest, ReplicaLife};
+use crate::process::peers::ControlLink;
+use crate::process::wire::ControlWireClient;
+
+/// `contents` and `contents lift DIGEST`: asks a control host for what the log holds.
+pub async fn contents(args: &[String]) -> Result<i32, String> {
+    let matches = commands::parse(&control::options(), args)?;
+    let link = control::link(&matches)?;
+    match matches.free.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+        [] => list(&link, matches.opt_present("json")).await,
+        ["lift", digest] => lift(&link, digest).await,
+        _ => Err("contents takes nothing, or lift DIGEST".to_owned()),
+    }
+}
+
+async fn list(link: &ControlLink, as_json: bool) -> Result<i32, String> {
+    let call = |client: ControlWireClient, context| async move { client.contents(context).await };
+    let asked = link.decide("contents", control::PATIENCE, call).await;
+    let book = asked.map_err(|error| error.to_string())?;
+    match as_json {
+        true => println!("{}", control::json(&rows(&book))?),
+        false => print!("{}", table(&book)),
+    }
+    Ok(0)
+}
+
+async fn lift(link: &ControlLink, text: &str) -> Result<i32, String> {
+    let digest = ContentDigest::parse(text);
+    let digest = digest.ok_or_else(|| format!("lift: '{text}' is not 32 hexadecimal digits"))?;
+    let call = |client: ControlWireClient, context| async move {
+        let command = Command::ContentLifted(digest);
+        client.propose(context, command).await
+    };
+    let asked = link.decide("lift", control::PATIENCE, call).await;
+    match asked.map_err(|error| error.to_string())? {
+        (_, Reply::Lifted(true)) => {
+            println!("{digest} may be tried again; one more crash bars it");
+            Ok(0)
+        }
+        _ => Err(format!("lift: {digest} is not barred")),
+    }
+}
+
+/// One content, as operators read it.
+#[derive(serde::Serialize)]
+struct ContentRow {
+    content: String,
+    state: &'static str,
+    crashes: Vec<String>,
+    last_ms: u64,
+}
+
+impl ContentRow {
+    fn new(content: &ContentDigest, record: &ContentRecord) -> Self {
+        Self {
+            content: content.to_string(),
+            state: match ContentStanding::of(record.count()) {
+                ContentStanding::Barred => "barred",
+                _ => "suspect",
+            },
+            crashes: record.crashes.iter().map(ReplicaLife::to_string).collect(),
+            last_ms: record.last_ms,
+        }
+    }
+}
+
+/// The contents, those with the most crashes first.
+fn rows(book: &CrashBook) -> Vec<ContentRow> {
+    let records = book.records().iter();
+    let mut rows: Vec<ContentRow> = records
+        .map(|(id, record)| ContentRow::new(id, record))
+        .collect();
+    rows.sort_by_key(|row| (std::cmp::Reverse(row.crashes.len()), row.last_ms));
+    rows
+}
+
+/// A line a content.
+pub fn table(book: &CrashBook) -> String {
+    let mut text = format!(
+        "{:<32} {:<8} {:>14} replicas that ended under it\n",
+        "content", "state", "last, ms"
+    );
+    for row in rows(book) {
+        let lives = row.crashes.join(" ");
+        let (content, state, last_ms) = (&row.content, row.state, row.last_ms);
+        text.push_str(&format!("{content:<32} {state:<8} {last_ms:>14} {lives}\n"));
+    }
+    text
+}
--- /dev/null
+++ b/src/cli/control.rs
@@ -0,0 +1,34 @@
+//! What commands have in common that ask the leader through a control host.
+
+use std::time::Duration;
+
+use getopts::{Matches, Options};
+use serde::Serialize;
+
+use crate::process::peers::ControlLink;
+use crate::process::settings;
+
+/// Time in which a leader must be found.
+pub(super) const PATIENCE: Duration = Duration::from_secs(5);
+
+/// The options of such a command.
+pub(super) fn options() -> Options {
+    let mut options = Options::new();
+    options.reqopt("c", "control", "a control host", "IP:PORT");
+    options.reqopt("s", "secret-file", "file with the site's secret", "FILE");
+    options.optflag("j", "json", "as JSON");
+    options
+}
+
+/// The way to the leader.
+pub(super) fn link(matches: &Matches) -> Result<ControlLink, String> {
+    let file = matches.opt_str("secret-file").unwrap_or_default();
+    let secret = settings::load_secret(file.as_ref()).map_err(|error| error.to_string())?;
+    let control = matches.opt_str("control").unwrap_or_default();
+    Ok(ControlLink::new(secret, vec![control]))
+}
+
+/// A value as JSON.
+pub(super) fn json(value: &impl Serialize) -> Result<String, String> {
+    serde_json::to_string_pretty(value).map_err(|error| error.to_string())
+}
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -32,7 +32,13 @@
         .into_iter()
         .map(|model| model.split('/').next().unwrap_or(model))
         .collect();
+    let contents = named("content");
     let belongs = |line: &LogLine| {
+        // The ends behind a refusal, however long ago they were.
+        let ended = line.field("contents").is_some_and(|list| {
+            let mut listed = list.split(',');
+            listed.any(|content| contents.contains(content))
+        });
         let other = line.field("request").is_some_and(|request| request != id);
         let replica = line
             .field("replica")
@@ -51,7 +57,9 @@
         let general =
             general && (hosts.contains(line.host.as_str()) || line.message.starts_with("leads"));
         let near = (from_s..=until_s).contains(&line.at_s);
-        line.field("request") == Some(id) || (near && !other && (replica || model || general))
+        line.field("request") == Some(id)
+            || ended
+            || (near && !other && (replica || model || general))
     };
     if own.is_empty() {
         return Vec::new();
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -3,6 +3,8 @@
 
 pub mod accounts;
 pub mod commands;
+pub mod contents;
+mod control;
 pub mod day_table;
 pub mod demo;
 pub mod explain;
--- a/src/forward/crashes.rs
+++ b/src/forward/crashes.rs
@@ -43,8 +43,9 @@
 const REPORT_TRIES: u32 = 60;
 /// Time for one question for a turn.
 const TURN_TIME: Duration = Duration::from_millis(250);
-/// Contents that one log line names.
-const MAX_NAMED: usize = 8;
+/// Contents that one log line names: a batch of an engine, so that each refused request finds
+/// the ends behind it.
+const MAX_NAMED: usize = 64;
 
 /// Runs that broke off at one replica at about the same time, and what is found out of it.
 pub struct CrashCase {
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -2,8 +2,10 @@
 
 use std::process::Command;
 
-use dunlinspring::cli::accounts;
+use dunlinspring::cli::{accounts, contents};
+use dunlinspring::consensus::crashes::{CrashBook, CrashReport};
 use dunlinspring::ids::AccountName;
+use dunlinspring::ids::{ContentDigest, ReplicaId, ReplicaLife};
 use dunlinspring::process::wire::{AccountStatus, LimitStatus};
 use dunlinspring::table::accounts::{QuotaSpec, QuotaUnit};
 use dunlinspring::table::quota::QuotaUsage;
@@ -18,7 +20,7 @@
 #[test]
 fn every_command_answers_help() {
     for command in [
-        "table", "status", "accounts", "check", "demo", "load", "explain",
+        "table", "status", "accounts", "contents", "check", "demo", "load", "explain",
     ] {
         let (good, text) = run(&[command, "--help"]);
         assert!(good, "{command}: {text}");
@@ -109,3 +111,39 @@
     let (good, text) = run(&["accounts", "-c", "127.0.0.1:1", "-s", "/no/such/file"]);
     assert!(!good && text.contains("/no/such/file"), "{text}");
 }
+
+#[test]
+fn contents_are_shown_a_line_each_the_barred_ones_first() {
+    let mut book = CrashBook::default();
+    let content = |number: u8| ContentDigest([number; ContentDigest::LEN]);
+    for born_ms in 1..=3 {
+        let contents = match born_ms {
+            1 => vec![content(1), content(2)],
+            _ => vec![content(2)],
+        };
+        let report = CrashReport {
+            replica: ReplicaLife {
+                id: ReplicaId::from("r1"),
+                born_ms,
+            },
+            contents: contents.into_iter().collect(),
+        };
+        book.note(&report, 1_000 * born_ms);
+    }
+    insta::assert_snapshot!(contents::table(&book));
+}
+
+#[test]
+fn contents_asks_for_what_it_needs() {
+    let (good, text) = run(&["contents", "-c", "127.0.0.1:1"]);
+    assert!(!good && text.contains("secret-file"), "{text}");
+    let secret = tempfile::NamedTempFile::new().unwrap();
+    std::fs::write(secret.path(), "a secret that is long enough").unwrap();
+    let file = secret.path().to_str().unwrap();
+    let wrong = ["contents", "lift", "c2", "-c", "127.0.0.1:1", "-s", file];
+    let (good, text) = run(&wrong);
+    assert!(
+        !good && text.contains("'c2' is not 32 hexadecimal digits"),
+        "{text}"
+    );
+}
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -30,6 +30,20 @@
     assert!(explain("unknown", LOG.lines()).is_empty());
 }
 
+const ENDS: &str = r#"
+{"timestamp":"2026-01-01T10:00:00.000000Z","fields":{"message":"replica ended under requests","replica":"r1","contents":"c1,c2"},"span":{"host":"e1"}}
+{"timestamp":"2026-01-01T10:00:01.000000Z","fields":{"message":"replica ended under requests","replica":"r2","contents":"c3"},"span":{"host":"e2"}}
+{"timestamp":"2026-01-01T10:20:00.000000Z","fields":{"message":"replica ended under requests","replica":"r3","contents":"c2"},"span":{"host":"e2"}}
+{"timestamp":"2026-01-01T11:00:00.000000Z","fields":{"message":"request","request":"a","content":"c2","status":503},"span":{"host":"e3"}}
+"#;
+
+#[test]
+fn a_refused_request_is_told_with_the_ends_behind_it() {
+    let story = explain("a", ENDS.lines());
+    let at: Vec<&str> = story.iter().map(|line| &line[11..19]).collect();
+    assert_eq!(at, ["10:00:00", "10:20:00", "11:00:00"]);
+}
+
 const DAY: &str = r#"
 {"timestamp":"2026-01-01T10:00:01.000000Z","fields":{"message":"request","request":"a","route":"chat","replica":"r1","model":"m","prompt_tokens":2000,"waited_ms":0,"took_ms":400,"late":"","outcome":"answered","reason":""},"span":{"host":"e1"}}
 {"timestamp":"2026-01-01T10:00:04.500000Z","fields":{"message":"request","request":"b","route":"chat","replica":"r2","model":"m/a1","prompt_tokens":3000,"waited_ms":200,"took_ms":900,"late":"pause","outcome":"answered","reason":""},"span":{"host":"e2"}}
--- a/tests/forwarding/crashes.rs
+++ b/tests/forwarding/crashes.rs
@@ -180,3 +180,28 @@
     let answer = site.ask_at(late, "/stream/x", "other", "harmless").await;
     assert_eq!(answer.status, 200);
 }
+
+#[ntex::test]
+async fn what_an_operator_lifts_is_tried_and_barred_by_one_more_end() {
+    let site = start().await;
+    for repeat in 0..3 {
+        let id = format!("repeat-{repeat}");
+        site.ask_at(0, "/stream/x", &id, DEADLY).await;
+        site.all_back().await;
+    }
+    let barred = site.contents().await;
+    let (content, record) = barred.records().iter().next().expect("one content");
+    assert_eq!((barred.records().len(), record.count()), (1, 3));
+    assert!(site.lift(*content).await);
+    answered("a try of what was lifted", async || {
+        let answer = site.ask_at(1, "/stream/x", "lifted", DEADLY).await;
+        (answer.status == 502).then_some(())
+    })
+    .await;
+    assert_eq!(site.ended(), 4);
+    for entry in 0..ENTRIES {
+        let answer = site.ask_at(entry, "/stream/x", "again", DEADLY).await;
+        assert_eq!(answer.status, 503);
+    }
+    assert_eq!(site.ended(), 4);
+}
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -9,8 +9,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use dunlinspring::consensus::crashes::CrashBook;
 use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
 use dunlinspring::consensus::raft::RaftTiming;
+use dunlinspring::consensus::state::{Command, Reply};
 use dunlinspring::control::founding;
 use dunlinspring::control::registry::{LogAccess, Registry, RegistryError};
 use dunlinspring::control::shell::ControlDaemon;
@@ -18,7 +20,7 @@
 use dunlinspring::forward::daemon::{ForwardDaemon, ForwardSettings};
 use dunlinspring::forward::dialect::HeaderNames;
 use dunlinspring::forward::head::{self, Framing, Header};
-use dunlinspring::ids::{HallName, HostName, ModelName, ReplicaId, ServiceName};
+use dunlinspring::ids::{ContentDigest, HallName, HostName, ModelName, ReplicaId, ServiceName};
 use dunlinspring::process::peers::{ControlLink, SiteSecret};
 use dunlinspring::process::settings::{CommonSettings, ControlSettings, VoterSettings};
 use dunlinspring::process::wire::{AccountStatus, ControlWireClient};
@@ -427,6 +429,24 @@
         self.link.decide("accounts", PATIENCE, call).await.unwrap()
     }
 
+    /// The contents under which replicas ended, as operators are told of them.
+    pub async fn contents(&self) -> CrashBook {
+        let call =
+            |client: ControlWireClient, context| async move { client.contents(context).await };
+        self.link.decide("contents", PATIENCE, call).await.unwrap()
+    }
+
+    /// Lets a content be tried again. Returns whether it was barred.
+    pub async fn lift(&self, content: ContentDigest) -> bool {
+        let call = |client: ControlWireClient, context| async move {
+            client
+                .propose(context, Command::ContentLifted(content))
+                .await
+        };
+        let (_, reply) = self.link.decide("lift", PATIENCE, call).await.unwrap();
+        reply == Reply::Lifted(true)
+    }
+
     /// Starts a replica, and waits until the entry sends to it.
     pub async fn add_replica(&mut self, name: &str, script: Vec<Behaviour>) {
         self.add("plain", name, BTreeMap::new(), script).await;
