Ends under requests that were given up count; silence is asked again

Cause, read in the change before: a request whose caller left, or whose time went by, may still end its replica, and nobody had it in mind then; a replica that a broken connection's entry no longer knew was passed over; one lost packet made a crash look like silence. Change: what was given up is kept for 5 s beside the life it was sent to, and counts where that ends; the life is noted when a request is sent; a silent replica is asked three times in a second. A host's port is no part of a content. Known bounds: 1,024 lives watched by an entry. Test: an_end_counts_though_the_caller_has_left.

--- a/src/forward/crashes.rs
+++ b/src/forward/crashes.rs
@@ -7,7 +7,7 @@
 //! proves nothing: it may be the link.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,21 +20,33 @@
 use crate::consensus::state::Command;
 use crate::forward::daemon::EntryCore;
 use crate::forward::upstream::Connection;
-use crate::ids::{ContentDigest, Position, ReplicaId, ReplicaLife};
+use crate::ids::{ContentDigest, Position, ReplicaLife};
 use crate::placement::turns::{TurnAnswer, TurnAsk, TurnEnd};
 use crate::process::daemon;
 use crate::process::peers::PeerError;
 use crate::routing::suspects::SuspectBook;
+use crate::routing::view::SiteView;
 
 /// Time in which the connections that a replica's end breaks are seen to break, all of them.
 const GATHER: Duration = Duration::from_millis(10);
 /// Time in which a process that ended refuses a connection: a round trip between halls.
 const PROBE_TIME: Duration = Duration::from_millis(150);
+/// Pauses before a replica that said nothing is asked again: links lose packets.
+const PROBE_PAUSES: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(200),
+    Duration::from_millis(800),
+];
 /// How long a replica that may have ended is watched for word of a new life, in
 /// milliseconds: it is back after some seconds, and tells so by its first heartbeat.
 const WATCH_MS: u64 = 15_000;
 /// The same where it took a connection right after: it may have been back by then.
 const SHORT_WATCH_MS: u64 = 2_000;
+/// How long a request that this entry gave up may still end its replica, in milliseconds:
+/// most replicas drop it, the others begin it within their queue's time.
+const LEFT_MS: u64 = 5_000;
+/// Lives that are watched at most, the newest.
+const MAX_WATCHED: usize = 1_024;
 /// Time for one report to the log.
 const REPORT_TIME: Duration = Duration::from_millis(1_000);
 /// Pause before a report that was not taken is made again.
@@ -47,9 +59,28 @@
 /// the ends behind it.
 const MAX_NAMED: usize = 64;
 
+/// Where a request was sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SentTo {
+    /// The replica, in the life that was meant.
+    pub life: ReplicaLife,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+impl SentTo {
+    /// A replica as it is known now.
+    pub fn new(record: &ReplicaRecord) -> Self {
+        Self {
+            life: record.life(),
+            address: record.address,
+        }
+    }
+}
+
 /// Runs that broke off at one replica at about the same time, and what is found out of it.
 pub struct CrashCase {
-    record: ReplicaRecord,
+    at: SentTo,
     contents: RefCell<BTreeSet<ContentDigest>>,
     closed: Cell<bool>,
     found: Notify,
@@ -69,10 +100,9 @@
     }
 }
 
-/// A replica that may have ended.
+/// A replica that may have ended, or may end under a request that was given up.
 struct WatchedLife {
-    life: ReplicaLife,
-    address: SocketAddr,
+    at: SentTo,
     contents: BTreeSet<ContentDigest>,
     until_ms: u64,
 }
@@ -81,8 +111,8 @@
 #[derive(Default)]
 pub struct CrashWatch {
     suspects: RefCell<SuspectBook>,
-    open: RefCell<BTreeMap<ReplicaId, Rc<CrashCase>>>,
-    watched: RefCell<Vec<WatchedLife>>,
+    open: RefCell<BTreeMap<ReplicaLife, Rc<CrashCase>>>,
+    watched: RefCell<VecDeque<WatchedLife>>,
 }
 
 impl CrashWatch {
@@ -91,6 +121,31 @@
         self.suspects.borrow().is_empty()
     }
 
+    fn watch(&self, at: SentTo, contents: BTreeSet<ContentDigest>, for_ms: u64) {
+        let mut watched = self.watched.borrow_mut();
+        watched.push_back(WatchedLife {
+            at,
+            contents,
+            until_ms: clock::monotonic_ms() + for_ms,
+        });
+        if watched.len() > MAX_WATCHED {
+            watched.pop_front();
+        }
+    }
+
+    /// What else may have run in a life that has ended.
+    fn take_watched(&self, life: &ReplicaLife) -> BTreeSet<ContentDigest> {
+        let now_ms = clock::monotonic_ms();
+        let mut watched = self.watched.borrow_mut();
+        let same = |other: &WatchedLife| other.at.life == *life && other.until_ms > now_ms;
+        let found = watched.iter().filter(|other| same(other));
+        let contents = found
+            .flat_map(|other| other.contents.iter().copied())
+            .collect();
+        watched.retain(|other| other.at.life != *life);
+        contents
+    }
+
     /// What is to be made of a content.
     pub fn standing(&self, content: &ContentDigest) -> ContentStanding {
         self.suspects.borrow().standing(content)
@@ -146,26 +201,26 @@
 
 impl EntryCore {
     /// A run broke off at a replica, and it is to be found out whether that ended. None
-    /// where it is known to leave anyway, or not known any more.
+    /// where it is known to leave anyway.
     pub fn suspect_crash(
         self: &Rc<Self>,
-        replica: &ReplicaId,
+        at: &SentTo,
         content: ContentDigest,
     ) -> Option<Rc<CrashCase>> {
-        let record = self.book.borrow().record(replica).cloned()?;
-        if record.phase == ReplicaPhase::Draining {
+        let leaves = |record: &ReplicaRecord| record.phase == ReplicaPhase::Draining;
+        if self.book.borrow().record(&at.life.id).is_some_and(leaves) {
             return None;
         }
         let mut open = self.crashes.open.borrow_mut();
-        let known = open.get(replica).cloned();
+        let known = open.get(&at.life).cloned();
         let case = known.unwrap_or_else(|| {
             let case = Rc::new(CrashCase {
-                record,
+                at: at.clone(),
                 contents: RefCell::default(),
                 closed: Cell::new(false),
                 found: Notify::new(),
             });
-            open.insert(replica.clone(), case.clone());
+            open.insert(at.life.clone(), case.clone());
             daemon::spawn_local(examine(self.clone(), case.clone()));
             case
         });
@@ -173,6 +228,13 @@
         Some(case)
     }
 
+    /// A request that was sent is given up, as its caller left or its time went by: its
+    /// replica may still run it.
+    pub fn leave_run(&self, at: SentTo, content: ContentDigest) {
+        let contents = BTreeSet::from([content]);
+        self.crashes.watch(at, contents, LEFT_MS);
+    }
+
     /// Asks whether an attempt of a content may go to a replica.
     pub async fn clear_turn(self: &Rc<Self>, ask: TurnAsk) -> Clearance {
         match self.crashes.standing(&ask.content) {
@@ -227,53 +289,51 @@
         drop(suspects);
         let now_ms = clock::monotonic_ms();
         let mut watched = self.crashes.watched.borrow_mut();
-        let born_again = |watched: &WatchedLife| {
-            let at = |record: &&ReplicaRecord| record.address == watched.address;
-            let there = view.replicas.values().find(at);
-            there.is_some_and(|record| record.life() != watched.life)
-        };
-        let ended: Vec<WatchedLife> = watched
-            .extract_if(.., |watched| born_again(watched))
-            .collect();
         watched.retain(|watched| watched.until_ms > now_ms);
+        let born_again = |watched: &&WatchedLife| has_next_life(&view, &watched.at);
+        let ended = watched.iter().filter(born_again);
+        let ended: BTreeSet<ReplicaLife> = ended.map(|watched| watched.at.life.clone()).collect();
         drop(watched);
         drop(view);
-        for watched in ended {
-            let report = CrashReport {
-                replica: watched.life,
-                contents: watched.contents,
-            };
+        for life in ended {
+            let contents = self.crashes.take_watched(&life);
+            let replica = life;
+            let report = CrashReport { replica, contents };
             daemon::spawn_local(tell_crash(self.clone(), report, "it started again"));
         }
     }
 }
 
+/// Whether another life has begun where a replica was.
+fn has_next_life(view: &SiteView, at: &SentTo) -> bool {
+    let known = view.replicas.get(&at.life.id);
+    match known {
+        Some(record) if record.life() == at.life => false,
+        _ => {
+            let mut others = view.replicas.values();
+            others.any(|record| record.address == at.address && record.life() != at.life)
+        }
+    }
+}
+
 /// Finds out whether a replica has ended.
 async fn examine(core: Rc<EntryCore>, case: Rc<CrashCase>) {
     tokio::time::sleep(GATHER).await;
-    let life = case.record.life();
-    let probe = probe(&core, &case.record).await;
-    core.crashes.open.borrow_mut().remove(&life.id);
-    let contents = case.contents.borrow().clone();
-    let report = CrashReport {
-        replica: life.clone(),
-        contents: contents.clone(),
-    };
-    let watch_ms = match probe {
+    let life = case.at.life.clone();
+    let probe = probe_again(&core, &case.at).await;
+    core.crashes.open.borrow_mut().remove(&life);
+    let mut contents = case.contents.borrow().clone();
+    match probe {
         Probe::Ended => {
+            contents.extend(core.crashes.take_watched(&life));
+            let replica = life;
+            let report = CrashReport { replica, contents };
             tell_crash(core.clone(), report, "it refuses connections").await;
-            None
         }
-        Probe::Lives => Some(SHORT_WATCH_MS),
-        Probe::Silent => Some(WATCH_MS),
-    };
-    if let Some(watch_ms) = watch_ms {
-        core.crashes.watched.borrow_mut().push(WatchedLife {
-            life,
-            address: case.record.address,
-            contents,
-            until_ms: clock::monotonic_ms() + watch_ms,
-        });
+        Probe::Lives => core
+            .crashes
+            .watch(case.at.clone(), contents, SHORT_WATCH_MS),
+        Probe::Silent => core.crashes.watch(case.at.clone(), contents, WATCH_MS),
     }
     case.closed.set(true);
     case.found.notify_waiters();
@@ -290,19 +350,30 @@
     Silent,
 }
 
-async fn probe(core: &EntryCore, record: &ReplicaRecord) -> Probe {
+async fn probe_again(core: &EntryCore, at: &SentTo) -> Probe {
+    for pause in PROBE_PAUSES {
+        tokio::time::sleep(pause).await;
+        match probe(core, at).await {
+            Probe::Silent => {}
+            probe => return probe,
+        }
+    }
+    Probe::Silent
+}
+
+async fn probe(core: &EntryCore, at: &SentTo) -> Probe {
     // Where one that rests is still open, a new one need not be paid for.
-    let kept = core.pool.borrow_mut().take(&record.id);
+    let kept = core.pool.borrow_mut().take(&at.life.id);
     let opened = match kept {
         Some(connection) => Ok(connection),
         None => {
             core.count_opened();
-            Connection::open(record.address, PROBE_TIME).await
+            Connection::open(at.address, PROBE_TIME).await
         }
     };
     match opened {
         Ok(connection) => {
-            core.pool.borrow_mut().put(&record.id, connection);
+            core.pool.borrow_mut().put(&at.life.id, connection);
             Probe::Lives
         }
         Err(error) if error.is_refused() => Probe::Ended,
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -15,7 +15,7 @@
 use crate::forward::book::{self, Choice, EngineBounds, Need, TryEnd};
 use crate::forward::caller::{self, CallerIdentity, CallerRefusal};
 use crate::forward::client::{AfterAnswer, ClientRequest, ClientWriter};
-use crate::forward::crashes::{Clearance, CrashCase, TurnGuard};
+use crate::forward::crashes::{Clearance, CrashCase, SentTo, TurnGuard};
 use crate::forward::daemon::{EntryCore, Routing};
 use crate::forward::events::EventCutter;
 use crate::forward::head::{self, Framing, ResponseHead};
@@ -50,6 +50,10 @@
 /// Time that is left for a request to be worth sending.
 const LEAST_LEFT: Duration = Duration::from_millis(20);
 
+/// Longest time that a further attempt waits for what is found out of the replica that broke
+/// off: one that ended shows within some 15 ms.
+const FINDING: Duration = Duration::from_millis(250);
+
 /// How a try at one replica ended.
 enum Tried {
     /// The client has its answer.
@@ -80,8 +84,7 @@
     let Some(routing) = core.await_routing(patience).await else {
         return refuse_plainly(core, request, writer, 503, "no configuration yet").await;
     };
-    let host = head::find(&request.head.headers, "host").unwrap_or_default();
-    let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    let host = asked_host(&request.head.headers);
     let path = request.head.target.split('?').next().unwrap_or_default();
     let routes = &routing.configuration.routes;
     let Some(number) = routing.index.find(routes, host, path) else {
@@ -100,6 +103,12 @@
     flight.run(writer).await
 }
 
+/// The host that is asked for, without a port.
+fn asked_host(headers: &[head::Header]) -> &str {
+    let host = head::find(headers, "host").unwrap_or_default();
+    host.rsplit_once(':').map_or(host, |(name, _)| name)
+}
+
 /// How long the client will wait, by its own word, in milliseconds.
 fn asked_ms(core: &EntryCore, request: &ClientRequest) -> Option<u64> {
     let asked = head::find(&request.head.headers, core.names.deadline_ms)?;
@@ -145,6 +154,8 @@
     content: Option<ContentDigest>,
     /// Its turn, where its content is suspect.
     turn: Option<TurnGuard>,
+    /// Where it was sent, while it may run there.
+    sent: Option<SentTo>,
     /// What is being found out of a replica that broke off under it.
     case: Option<Rc<CrashCase>>,
     /// Replicas where other suspects run.
@@ -206,6 +217,7 @@
 
 impl Drop for Flight<'_> {
     fn drop(&mut self) {
+        self.leave_run();
         self.refund();
         self.log.end(self.core);
     }
@@ -261,6 +273,7 @@
             cutter: EventCutter::default(),
             content: None,
             turn: None,
+            sent: None,
             case: None,
             shared: BTreeSet::new(),
         }
@@ -320,7 +333,7 @@
     /// this request, which would then end the next one as well.
     async fn rerun(&mut self) -> Result<(), Refusal> {
         if let Some(case) = self.case.take() {
-            let _ = clock::wait_until(self.until_ms, case.found()).await;
+            let _ = tokio::time::timeout(FINDING, case.found()).await;
         }
         self.pay().await.map_err(Refusal::Quota)
     }
@@ -360,8 +373,21 @@
         clearance
     }
 
+    /// Notes a run that is given up, as its caller left or its time went by.
+    fn leave_run(&mut self) {
+        if let Some(sent) = self.sent.take() {
+            let content = self.content();
+            self.core.leave_run(sent, content);
+        }
+    }
+
     /// Ends its turn, if it had one, by what became of its try.
     fn end_turn(&mut self, tried: &Tried) {
+        match tried {
+            Tried::Answered(_) if self.log.is_answered() => self.sent = None,
+            Tried::NotRun | Tried::Misplaced => self.sent = None,
+            _ => self.leave_run(),
+        }
         let cleared = matches!(tried, Tried::Answered(_)) && self.log.is_answered();
         match self.turn.take() {
             Some(mut turn) => {
@@ -564,12 +590,8 @@
 
     async fn try_at(&mut self, replica: &ReplicaId, writer: &mut ClientWriter) -> Tried {
         let core = self.core;
-        let address = core
-            .book
-            .borrow()
-            .record(replica)
-            .map(|record| record.address);
-        let Some(address) = address else {
+        let sent = core.book.borrow().record(replica).map(SentTo::new);
+        let Some(sent) = sent else {
             return Tried::Unsent;
         };
         let mut guard = TryGuard::start(core, replica, &self.need);
@@ -580,7 +602,7 @@
             Some(connection) => Ok(connection),
             None => {
                 core.count_opened();
-                Connection::open(address, core.connect_time()).await
+                Connection::open(sent.address, core.connect_time()).await
             }
         };
         let connection = match opened {
@@ -595,6 +617,7 @@
             core.pool.borrow_mut().put(replica, connection);
             return Tried::Barred(refusal);
         }
+        self.sent = Some(sent);
         let bytes = self.outgoing(replica);
         let paid = std::mem::take(&mut self.paid);
         let method = self.request.head.method.clone();
@@ -616,7 +639,7 @@
             }
             Some(Err(error)) => {
                 guard.end = TryEnd::Failed;
-                self.broke_off(replica, &error);
+                self.broke_off(&error);
                 Tried::Unknown
             }
             None => {
@@ -651,6 +674,7 @@
         let fails = head.status >= 500 || (good && !signed) || promise;
         if fails && (self.route.is_repeatable() || promise || good || !signed) {
             guard.end = TryEnd::Failed;
+            self.sent = None;
             self.log.note("the replica failed");
             keep(core, &guard.replica, exchange).await;
             return Tried::Unknown;
@@ -711,7 +735,7 @@
                 Some(Ok(None)) => break,
                 Some(Err(error)) => {
                     guard.end = TryEnd::Failed;
-                    self.broke_off(&guard.replica, &error);
+                    self.broke_off(&error);
                     return Tried::Unknown;
                 }
                 None => {
@@ -766,7 +790,7 @@
                 Some(Ok(None)) => break,
                 Some(Err(error)) => {
                     guard.end = TryEnd::Failed;
-                    self.broke_off(&guard.replica, &error);
+                    self.broke_off(&error);
                     return self.broken(writer);
                 }
                 None => {
@@ -802,6 +826,7 @@
             // A length or chunks that end inside an event: the replica broke off.
             guard.end = TryEnd::Failed;
             self.log.note("the stream ended inside an event");
+            self.suspect_crash();
             return self.broken(writer);
         }
         guard.end = TryEnd::Good;
@@ -816,15 +841,22 @@
     }
 
     /// The connection to a replica ended under a run.
-    fn broke_off(&mut self, replica: &ReplicaId, error: &ExchangeError) {
+    fn broke_off(&mut self, error: &ExchangeError) {
         self.log.failed(error);
-        if !error.broke_off() {
-            return;
+        if error.broke_off() {
+            self.suspect_crash();
         }
+    }
+
+    /// Has it found out whether the replica ended under this run.
+    fn suspect_crash(&mut self) {
+        let Some(sent) = self.sent.take() else {
+            return;
+        };
         self.core.count("dunlinspring_broken_runs_total", &[]);
         let content = self.content();
         self.log.content(content);
-        self.case = self.core.suspect_crash(replica, content);
+        self.case = self.core.suspect_crash(&sent, content);
     }
 
     /// What it asks, the same for all its repeats.
@@ -836,7 +868,7 @@
         let caller = self.caller.as_ref().map(|caller| caller.account.as_str());
         let content = content::digest(&ContentParts {
             caller: caller.unwrap_or_default(),
-            host: head::find(headers, "host").unwrap_or_default(),
+            host: asked_host(headers),
             target: &self.request.head.target,
             body: &self.request.body,
         });
--- a/tests/forwarding/crashes.rs
+++ b/tests/forwarding/crashes.rs
@@ -14,6 +14,8 @@
 //! The evidence: broken-off attempts of one content at an even pace from all entries, with one
 //! replica each and none sent again by the system.
 
+use dunlinspring::consensus::crashes::ContentRecord;
+
 use crate::support::mortal::{DEADLY, LASTING};
 use crate::support::{Behaviour, ForwardSite, RouteShape, answered};
 
@@ -205,3 +207,34 @@
     }
     assert_eq!(site.ended(), 4);
 }
+
+#[ntex::test]
+async fn an_end_counts_though_the_caller_has_left() {
+    let mut site = ForwardSite::start(&[STREAM]).await;
+    let replica = site.add_mortal("r1").await;
+    for repeat in 1..=3 {
+        let text = format!(
+            "POST /stream/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {repeat}\r\n\
+             Content-Length: {}\r\n\r\n{DEADLY}",
+            DEADLY.len()
+        );
+        let runs = async || (replica.ran(DEADLY) == repeat).then_some(());
+        site.send_and_leave(&text, runs).await;
+        answered("the end", async || {
+            (replica.ended() as usize == repeat).then_some(())
+        })
+        .await;
+        site.all_back().await;
+        answered("the log to know", async || {
+            let book = site.contents().await;
+            let counts: Vec<u8> = book.records().values().map(ContentRecord::count).collect();
+            (counts == [repeat as u8]).then_some(())
+        })
+        .await;
+    }
+    assert_eq!(
+        site.ask_at(0, "/stream/x", "last", DEADLY).await.status,
+        503
+    );
+    assert_eq!(replica.ended(), 3);
+}
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -567,6 +567,13 @@
         let _ = stream.read_to_end(&mut rest).await;
     }
 
+    /// Sends a request, waits for something, and leaves without an answer.
+    pub async fn send_and_leave(&self, text: &str, waits_for: impl AsyncFnMut() -> Option<()>) {
+        let mut stream = TcpStream::connect(self.entries[0].address).await.unwrap();
+        stream.write_all(text.as_bytes()).await.unwrap();
+        answered("what is waited for", waits_for).await;
+    }
+
     /// Sends a request, reads a first part of its answer, and leaves.
     pub async fn ask_and_leave(&self, target: &str, id: &str) {
         let mut stream = TcpStream::connect(self.entries[0].address).await.unwrap();
