Before agents, too: an engine's end counts for what ran there, and three bar it

Cause, the same class: an attempt that broke off was sent on to the next target, and nothing put an engine's end and what it ran together. Change: the agent beside the target keeps lost runs until a report shows whether the engine is in another life, and tells the log; entries refuse what is barred, also between attempts of the system, and clear a suspect that ran to its end. One core for both paths: consensus/crashes, routing/{content,suspects}. Not here: turns, so copies at once are not held back before the third end is known. Test: what_has_ended_three_engines_is_run_no_more, over real processes (fails before: nothing counts there); a report's meaning for lost runs.

--- a/benches/core.rs
+++ b/benches/core.rs
@@ -247,6 +247,7 @@
                 at_most_once: false,
                 patience_ms: 1000,
                 call,
+                content: ContentDigest([0; ContentDigest::LEN]),
             };
             gate.start(1, ask);
             gate.next_run(1);
--- a/src/admission/gate.rs
+++ b/src/admission/gate.rs
@@ -6,6 +6,7 @@
 use crate::admission::ledger::{
     EngineReport, HoldPhase, MemoryLedger, OrderCheck, OrderSeq, OrderStamp,
 };
+use crate::admission::lost_runs::{EndedLife, LostRuns};
 pub use crate::admission::orders::{EngineOrder, OrderAct, TargetPlan};
 use crate::admission::queue::{QueuePolicy, QueuedRun, RunQueue};
 pub use crate::admission::runs::{
@@ -48,6 +49,8 @@
     stage: Stage,
     touched_ms: u64,
     started_ms: u64,
+    /// The engine's life that it was sent to.
+    boot: u64,
     resumed: bool,
 }
 
@@ -81,6 +84,8 @@
     fence: OrderSeq,
     fence_needed: bool,
     boot: Option<u64>,
+    /// Runs whose engine may have ended under them.
+    lost: LostRuns,
     reported_ms: u64,
     order_open: bool,
 }
@@ -117,6 +122,7 @@
             fence: OrderSeq { life, number: 0 },
             fence_needed: policy.check == OrderCheck::Fenced,
             boot: None,
+            lost: LostRuns::default(),
             reported_ms: now_ms,
             order_open: false,
         }
@@ -293,13 +299,14 @@
         self.running.insert(run.attempt);
         attempt.stage = Stage::Running;
         attempt.started_ms = now_ms;
+        attempt.boot = self.boot.unwrap_or_default();
         let ask = attempt.ask.as_ref()?;
         Some(RunDispatch {
             attempt: run.attempt,
             call: ask.call.clone(),
             urgency: ask.urgency,
             fence: self.fence,
-            boot: self.boot.unwrap_or_default(),
+            boot: attempt.boot,
         })
     }
 
@@ -341,6 +348,9 @@
                 return Some(attempt.pieces.len() as u32);
             }
             RunEvent::Lost | RunEvent::Refused => {
+                if let Some(ask) = &attempt.ask {
+                    self.lost.note(attempt.boot, ask.content, now_ms);
+                }
                 self.ledger.lose_run(id, now_ms);
                 self.fence_needed = true;
                 self.finish(now_ms, id, RunEnd::Broken);
@@ -415,8 +425,9 @@
         self.policy.capacity_mib > 0 && self.reported_ms + BLIND_MS < now_ms
     }
 
-    /// Takes a report that was asked for at `asked_ms`.
-    pub fn on_report(&mut self, report: &EngineReport, asked_ms: u64) {
+    /// Takes a report that was asked for at `asked_ms`. Returns the lives of the engine that
+    /// have ended under runs.
+    pub fn on_report(&mut self, report: &EngineReport, asked_ms: u64) -> Vec<EndedLife> {
         self.reported_ms = self.reported_ms.max(asked_ms);
         let fenced = self.policy.check == OrderCheck::Fenced;
         let reborn = self.boot.is_some_and(|boot| boot != report.boot);
@@ -426,6 +437,7 @@
         let unproven = !self.order_open && self.ledger.needs_fence(report);
         self.fence_needed |= reborn || unfenced || unproven;
         self.fence_needed &= fenced;
+        self.lost.on_report(report.boot, asked_ms)
     }
 
     /// Forgets attempts that ended long ago; their numbers never start again.
@@ -517,6 +529,7 @@
             stage,
             touched_ms: now_ms,
             started_ms: now_ms,
+            boot: 0,
             resumed: false,
         };
         self.attempts.insert(id, attempt);
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod gate;
 pub mod ledger;
+pub mod lost_runs;
 pub mod orders;
 pub mod queue;
 pub mod runs;
--- a/src/admission/runs.rs
+++ b/src/admission/runs.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::admission::ledger::OrderSeq;
-use crate::ids::{AttemptId, Incarnation, ModelName, Position, RowId};
+use crate::ids::{AttemptId, ContentDigest, Incarnation, ModelName, Position, RowId};
 use crate::table::rows::Urgency;
 
 /// What an entry asks to run.
@@ -27,6 +27,8 @@
     pub patience_ms: u64,
     /// What the engine or service is asked.
     pub call: EngineCall,
+    /// Names what is asked, for all attempts of the same caller at it.
+    pub content: ContentDigest,
 }
 
 /// What the engine or service is asked.
--- a/src/agent/shell.rs
+++ b/src/agent/shell.rs
@@ -16,10 +16,12 @@
     AttemptWord, EngineOrder, GatePolicy, RunAsk, RunDispatch, RunEvent, TargetGate,
 };
 use crate::admission::ledger::HoldPhase;
+use crate::admission::lost_runs::EndedLife;
 use crate::agent::engine::{EngineClient, EngineError, EngineStream, StreamPart};
 use crate::clock;
-use crate::consensus::state::MemberRole;
-use crate::ids::{AttemptId, Incarnation, ModelName, Position};
+use crate::consensus::crashes::CrashReport;
+use crate::consensus::state::{Command, MemberRole};
+use crate::ids::{AttemptId, Incarnation, ModelName, Position, ReplicaId, ReplicaLife};
 use crate::placement::duties::AgentBeat;
 use crate::process::daemon::{self, DaemonError};
 use crate::process::member::{self, SiteFollower};
@@ -37,6 +39,11 @@
 const PUMP: Duration = Duration::from_millis(20);
 /// Time between two sweeps of forgotten attempts.
 const SWEEP: Duration = Duration::from_secs(1);
+/// Time for one report of an engine's end, and the pause before it is made again; so many
+/// tries are longer than control hosts are without a leader.
+const CRASH_TIME: Duration = Duration::from_millis(1_000);
+const CRASH_PAUSE: Duration = Duration::from_millis(100);
+const CRASH_TRIES: u32 = 60;
 /// Longest wait of a pull.
 const MAX_PULL_MS: u64 = 2_000;
 /// Calls that one entry may have under way.
@@ -285,7 +292,12 @@
     loop {
         let asked_ms = clock::monotonic_ms();
         match engine.report().await {
-            Ok(report) => agent.gate().on_report(&report, asked_ms),
+            Ok(report) => {
+                let ended = agent.gate().on_report(&report, asked_ms);
+                for life in ended {
+                    tokio::spawn(tell_crash(agent.clone(), life));
+                }
+            }
             Err(error) => tracing::debug!(%error, "no report"),
         }
         agent.wake.notify_one();
@@ -294,6 +306,31 @@
     }
 }
 
+/// Tells the log of an end of the engine, until it holds it.
+async fn tell_crash(agent: Arc<AgentShared>, ended: EndedLife) {
+    let report = CrashReport {
+        replica: ReplicaLife {
+            id: ReplicaId::from(agent.settings.common.host.as_str()),
+            born_ms: ended.boot,
+        },
+        contents: ended.contents,
+    };
+    tracing::warn!(
+        replica = %report.replica.id, boot = ended.boot, count = report.contents.len(),
+        "engine ended under requests"
+    );
+    for _ in 0..CRASH_TRIES {
+        let command = Command::Crashed(report.clone());
+        match member::propose(&agent.link, "crash", CRASH_TIME, command).await {
+            Ok(_) => return,
+            Err(error) => {
+                tracing::warn!(%error, "a crash was not told");
+                tokio::time::sleep(CRASH_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Starts what may run, gives the orders that are due, one of them at a time.
 async fn pump_loop(agent: Arc<AgentShared>, engine: EngineClient) {
     loop {
--- a/src/entry/flight_steps.rs
+++ b/src/entry/flight_steps.rs
@@ -10,11 +10,13 @@
 use crate::admission::gate::{AttemptWord, EngineCall, RefuseCause, RunAsk, RunEnd};
 use crate::clock;
 use crate::consensus::claims::{ClaimAsk, ClaimKey, Settlement};
+use crate::consensus::crashes::ContentStanding;
 use crate::consensus::state::{Command, Reply};
 use crate::entry::shell::{EntryShared, InFlight, outcome_names};
-use crate::ids::{CallKey, PartnerName, RowId, TargetName};
+use crate::ids::{CallKey, ContentDigest, PartnerName, RowId, TargetName};
 use crate::process::wire::{AgentWireClient, AgentWord};
 use crate::process::{member, peers};
+use crate::routing::content::{self, ContentParts};
 use crate::routing::flight::{
     DEFAULT_RETRY_MS, EndCause, FlightEvent, FlightOutcome, FlightPolicy, FlightStep, FlightTrial,
     RequestFlight,
@@ -91,6 +93,10 @@
         true => {
             let mut flying = FlyingRequest::new(&entry, &request, &notes, started);
             let outcome = flying.run().await;
+            let suspect = matches!(flying.standing(), ContentStanding::Suspect(_));
+            if outcome == FlightOutcome::Done && suspect {
+                flying.clear();
+            }
             entry.state().shares.release(&request.row);
             outcome
         }
@@ -113,6 +119,8 @@
     started: Instant,
     /// When the caller's patience ends, by [`clock::monotonic_ms`].
     until_ms: u64,
+    /// Names what it asks.
+    content: ContentDigest,
     flight: RequestFlight,
     answer: String,
     answered: bool,
@@ -139,6 +147,12 @@
             notes,
             started,
             until_ms: clock::monotonic_ms().saturating_add(fields.patience_ms),
+            content: content::digest(&ContentParts {
+                caller: request.partner.as_str(),
+                host: "",
+                target: request.row.as_str(),
+                body: &request.digest,
+            }),
             flight: RequestFlight::new(policy),
             answer: String::new(),
             answered: false,
@@ -217,6 +231,9 @@
     }
 
     async fn choose(&mut self, first: bool) -> FlightEvent {
+        if self.standing() == ContentStanding::Barred {
+            return FlightEvent::Barred;
+        }
         if !first {
             tokio::time::sleep(RETRY_PAUSE).await;
         }
@@ -236,6 +253,25 @@
         FlightEvent::Chosen(trial)
     }
 
+    /// What the log says of what it asks.
+    fn standing(&self) -> ContentStanding {
+        let view = self.entry.follower.view();
+        let count = view.contents.get(&self.content);
+        ContentStanding::of(count.copied().unwrap_or(0))
+    }
+
+    /// It ran to its end, and its target lives: what it asks is no suspect any more.
+    fn clear(&self) {
+        let (entry, content) = (self.entry.clone(), self.content);
+        tokio::spawn(async move {
+            let command = Command::ContentCleared(content);
+            let cleared = member::propose(&entry.link, "clear", CLAIM_TIME, command).await;
+            if let Err(error) = cleared {
+                tracing::debug!(%error, %content, "a content was not cleared");
+            }
+        });
+    }
+
     /// A model without a ready home is being brought back to one: that is worth
     /// a part of the caller's patience.
     async fn pick_in_time(&self) -> Option<FlightTrial> {
@@ -363,6 +399,7 @@
             urgency: fields.urgency,
             weight: fields.weight,
             at_most_once: fields.at_most_once,
+            content: self.content,
             patience_ms: left.as_millis() as u64,
             call,
         };
--- a/src/forward/own_answer.rs
+++ b/src/forward/own_answer.rs
@@ -13,10 +13,6 @@
 /// but another entry may know.
 pub(super) const UNKNOWN_RETRY: Duration = Duration::from_millis(200);
 
-/// When a caller comes back whose content is sent no more: nothing it could do helps, and an
-/// operator needs minutes to look at it.
-pub(super) const BARRED_RETRY: Duration = Duration::from_secs(60);
-
 /// Why a request is refused without having run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Refusal {
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -19,9 +19,7 @@
 use crate::forward::daemon::{EntryCore, Routing};
 use crate::forward::events::EventCutter;
 use crate::forward::head::{self, Framing, ResponseHead};
-use crate::forward::own_answer::{
-    self, BARRED_RETRY, Refusal, UNKNOWN_RETRY, closes, finish, refuse_plainly,
-};
+use crate::forward::own_answer::{self, Refusal, UNKNOWN_RETRY, closes, finish, refuse_plainly};
 use crate::forward::patience;
 use crate::forward::quotas::QuotaRefusal;
 use crate::forward::request_log::{Outcome, RequestLog};
@@ -29,6 +27,7 @@
 use crate::ids::{ContentDigest, ModelName, ReplicaId, ServiceName};
 use crate::placement::turns::TurnAsk;
 use crate::routing::content::{self, ContentParts};
+use crate::routing::suspects::BARRED_RETRY_MS;
 use crate::table::configuration::{RouteKind, RouteSpec};
 
 /// Largest answer that is held until it is whole, in bytes.
@@ -501,7 +500,7 @@
             Refusal::Absent => self.load_time(),
             // Another entry takes it at once.
             Refusal::Stopping => Duration::ZERO,
-            Refusal::Barred => BARRED_RETRY,
+            Refusal::Barred => Duration::from_millis(BARRED_RETRY_MS),
             // About as long as the other attempt takes.
             Refusal::Turn => self.aim(),
             Refusal::Quota(QuotaRefusal::Over(short)) => short,
--- a/src/routing/flight.rs
+++ b/src/routing/flight.rs
@@ -4,6 +4,7 @@
 use crate::admission::gate::{AnswerPage, AttemptWord, NotRun, RefuseCause, RunEnd};
 use crate::consensus::claims::{ClaimAnswer, ClaimRecord, Settlement};
 use crate::ids::{AttemptId, Incarnation, TargetName};
+use crate::routing::suspects::BARRED_RETRY_MS;
 
 /// Time to come back where no agent gave one, in milliseconds.
 pub const DEFAULT_RETRY_MS: u64 = 1000;
@@ -43,6 +44,8 @@
     NoHome,
     /// An agent refused it.
     Refused(RefuseCause),
+    /// Too many targets ended under it.
+    Barred,
     /// No quorum recorded the claim.
     NoQuorum,
     /// The idempotency key was used with another body.
@@ -74,6 +77,7 @@
             Self::Refused(RefuseCause::Behind) => "table-changed",
             Self::Refused(RefuseCause::Engine) => "engine-refused",
             Self::Refused(RefuseCause::NoLease) => "no-lease",
+            Self::Barred => "targets-ended",
             Self::NoQuorum => "no-quorum",
             Self::KeyReused => "key-reused",
             Self::KeyTooOld => "key-too-old",
@@ -131,6 +135,8 @@
 pub enum FlightEvent {
     /// The chosen trial; none where no target may be tried.
     Chosen(Option<FlightTrial>),
+    /// Too many targets have ended under what it asks.
+    Barred,
     /// The log's answer to the claim.
     Claimed(ClaimAnswer),
     /// The agent's word.
@@ -220,6 +226,7 @@
             (Stage::Finished(outcome), _) => self.stage = Stage::Finished(outcome),
             (stage, FlightEvent::PatienceOver) => self.on_patience_over(stage),
             (Stage::Choosing, FlightEvent::Chosen(trial)) => self.on_chosen(trial),
+            (Stage::Choosing, FlightEvent::Barred) => self.finish_not_run(EndCause::Barred),
             (Stage::Claiming(trial), FlightEvent::Claimed(answer)) => {
                 self.on_claimed(trial, answer)
             }
@@ -409,6 +416,7 @@
     /// Says `not run` only where no attempt may have run.
     fn finish_not_run(&mut self, cause: EndCause) {
         let retry_after_ms = match self.refusal {
+            _ if cause == EndCause::Barred => BARRED_RETRY_MS,
             Some(refusal) if refusal.retry_after_ms > 0 => refusal.retry_after_ms,
             _ => DEFAULT_RETRY_MS,
         };
--- a/src/routing/suspects.rs
+++ b/src/routing/suspects.rs
@@ -6,6 +6,10 @@
 use crate::consensus::crashes::{ContentStanding, CrashCounts, CrashReport};
 use crate::ids::{ContentDigest, Position, ReplicaLife};
 
+/// When a caller comes back whose content is sent no more, in milliseconds: nothing it could
+/// do helps, and an operator needs minutes to look at it.
+pub const BARRED_RETRY_MS: u64 = 60_000;
+
 /// Where in the log an end stands; none while the log was not told.
 type ToldAt = Option<Position>;
 
--- /dev/null
+++ b/tests/engine_crashes.rs
@@ -0,0 +1,110 @@
+//! Requests under which engines beside agents end: what the log is told, over real processes.
+
+mod support;
+
+use dunlinspring::admission::lost_runs::{EndedLife, LostRuns};
+use dunlinspring::ids::ContentDigest;
+use serde_json::{Value, json};
+use support::{Ask, TestSite, engine_traits, row, until};
+
+fn ask(prompt: &str, tokens: u32) -> Ask<'_> {
+    Ask {
+        model: "review",
+        class: "filing-review",
+        prompt,
+        tokens,
+        stream: false,
+        key: None,
+    }
+}
+
+const ENGINES: [&str; 3] = ["t1-engine", "t2-engine", "t3-engine"];
+
+/// How often an engine has begun to run a prompt in its life.
+async fn runs_of(site: &TestSite, engine: &str, prompt: &str) -> usize {
+    let record = site.record(engine).await;
+    let runs = record["runs"].as_array().unwrap().iter();
+    runs.filter(|run| run["prompt"] == prompt).count()
+}
+
+/// The engine that has begun to run a prompt once more than before.
+async fn runner(site: &TestSite, prompt: &str, before: &[usize]) -> &'static str {
+    until("a run", async || {
+        for (engine, before) in ENGINES.iter().zip(before) {
+            if runs_of(site, engine, prompt).await > *before {
+                return Some(*engine);
+            }
+        }
+        None
+    })
+    .await
+}
+
+#[test]
+fn a_report_shows_whether_an_engine_ended_under_a_lost_run() {
+    let content = |number: u8| ContentDigest([number; ContentDigest::LEN]);
+    let mut runs = LostRuns::default();
+    runs.note(7, content(1), 100);
+    // Asked before the loss: it says nothing.
+    assert!(runs.on_report(7, 100).is_empty());
+    runs.note(7, content(2), 110);
+    let ended = EndedLife {
+        boot: 7,
+        contents: [content(1), content(2)].into(),
+    };
+    assert_eq!(runs.on_report(8, 120), [ended]);
+    // The same life, asked after the loss: the connection broke, and no more.
+    runs.note(8, content(3), 200);
+    assert!(runs.on_report(8, 201).is_empty());
+    assert!(runs.on_report(9, 300).is_empty());
+}
+
+#[ntex::test]
+async fn what_has_ended_three_engines_is_run_no_more() {
+    let mut traits = engine_traits();
+    traits["piece_us"] = json!(20_000);
+    let mut site = TestSite::start_with(&traits).await;
+    site.add_row("one", &row("review", "filing-review")).await;
+    for count in 1..=3 {
+        let entry = ["e1", "e2"][count % 2];
+        let deadly = ask("deadly", 500);
+        let mut before = Vec::new();
+        for engine in ENGINES {
+            before.push(runs_of(&site, engine, "deadly").await);
+        }
+        let ends = async {
+            let engine = runner(&site, "deadly", &before).await;
+            site.signal(engine, "-KILL");
+            engine
+        };
+        // While its model has no home it is refused.
+        let asks = async {
+            loop {
+                let told = site.complete(entry, &deadly).await;
+                assert!(told.text.contains("-home"), "{}", told.text);
+            }
+        };
+        // Its caller leaves with the end: further attempts would go on elsewhere.
+        let engine = tokio::select! {
+            engine = ends => engine,
+            () = asks => unreachable!("it asks on"),
+        };
+        site.kill(engine);
+        site.restart_in_place(engine).await;
+        until("the log to know", async || {
+            let counts = site.crash_counts().await;
+            (counts == [count as u8]).then_some(())
+        })
+        .await;
+    }
+    for entry in ["e1", "e2"] {
+        let refused = until("a refusal", async || {
+            let told = site.complete(entry, &ask("deadly", 500)).await;
+            (told.status == 503).then_some(told)
+        })
+        .await;
+        let body: Value = serde_json::from_str(&refused.text).unwrap_or_default();
+        assert_eq!(body["error"]["code"], "targets-ended", "{}", refused.text);
+        assert_eq!(site.complete(entry, &ask("harmless", 3)).await.status, 200);
+    }
+}
--- a/tests/fuzz/gate.rs
+++ b/tests/fuzz/gate.rs
@@ -970,6 +970,7 @@
                 given: flying.flight.delivered(),
                 kv_mib: KV,
             },
+            content: ContentDigest([7; ContentDigest::LEN]),
         };
         self.call(at, trial, Call::Start(ask));
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -10,6 +10,7 @@
 
 use dunlinspring::ids::Position;
 use dunlinspring::process::peers::{self, ControlLink, SiteSecret};
+use dunlinspring::process::wire::ControlWireClient;
 use dunlinspring::process::{auth, settings};
 use ntex::client::Client;
 use serde_json::{Value, json};
@@ -284,6 +285,25 @@
             .collect();
     }
 
+    /// Starts a process that does not run at the address that it had.
+    pub async fn restart_in_place(&mut self, name: &str) {
+        let address = self.address(name, "listen").to_string();
+        let process = self.processes.get_mut(name).unwrap();
+        if !process.args.iter().any(|arg| arg == "--listen") {
+            process.args.extend(["--listen".to_owned(), address]);
+        }
+        self.restart(name).await;
+    }
+
+    /// How often engines have ended under each content that the log holds.
+    pub async fn crash_counts(&self) -> Vec<u8> {
+        let link = ControlLink::new(self.secret(), self.control_addresses());
+        let call =
+            |client: ControlWireClient, context| async move { client.contents(context).await };
+        let book = link.decide("contents", PATIENCE, call).await.unwrap();
+        book.counts().into_values().collect()
+    }
+
     /// Kills a process at once.
     pub fn kill(&mut self, name: &str) {
         let child = self.processes.get_mut(name).unwrap().child.take();
