A request's part in crashes stands in a file of its own

A refusal by the leader's word on a barred content is counted as one by the entry's own; nothing else changes.

--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -4,14 +4,13 @@
 //! sent again only where the answer says that it did not run. What is not known
 //! to have run or not is a 502 or 504, never a 503.
 
+mod crashes;
+
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use rand::Rng;
-
 use crate::clock;
-use crate::consensus::crashes::ContentStanding;
 use crate::forward::book::{self, Choice, EngineBounds, Need, TryEnd};
 use crate::forward::caller::{self, CallerIdentity, CallerRefusal};
 use crate::forward::client::{AfterAnswer, ClientRequest, ClientWriter};
@@ -25,8 +24,6 @@
 use crate::forward::request_log::{Outcome, RequestLog};
 use crate::forward::upstream::{Connection, Exchange, ExchangeError, Outgoing};
 use crate::ids::{ContentDigest, ModelName, ReplicaId, ServiceName};
-use crate::placement::turns::TurnAsk;
-use crate::routing::content::{self, ContentParts};
 use crate::routing::suspects::BARRED_RETRY_MS;
 use crate::table::configuration::{RouteKind, RouteSpec};
 
@@ -49,10 +46,6 @@
 /// Time that is left for a request to be worth sending.
 const LEAST_LEFT: Duration = Duration::from_millis(20);
 
-/// Longest time that a further attempt waits for what is found out of the replica that broke
-/// off: one that ended shows within some 15 ms.
-const FINDING: Duration = Duration::from_millis(250);
-
 /// How a try at one replica ended.
 enum Tried {
     /// The client has its answer.
@@ -328,79 +321,6 @@
         }
     }
 
-    /// Gets ready to run once more: first it is found out whether the replica ended under
-    /// this request, which would then end the next one as well.
-    async fn rerun(&mut self) -> Result<(), Refusal> {
-        if let Some(case) = self.case.take() {
-            let _ = tokio::time::timeout(FINDING, case.found()).await;
-        }
-        self.pay().await.map_err(Refusal::Quota)
-    }
-
-    /// Whether its content is sent no more.
-    fn is_barred(&mut self) -> bool {
-        if self.core.crashes.is_quiet() {
-            return false;
-        }
-        let content = self.content();
-        let barred = self.core.crashes.standing(&content) == ContentStanding::Barred;
-        if barred {
-            self.core.count("dunlinspring_barred_total", &[]);
-            self.log.content(content);
-        }
-        barred
-    }
-
-    /// Whether it may go to a replica, as far as its content is concerned.
-    async fn clear_turn(&mut self, replica: &ReplicaId) -> Clearance {
-        if self.core.crashes.is_quiet() {
-            return Clearance::Go(None);
-        }
-        let content = self.content();
-        let ask = TurnAsk {
-            content,
-            replica: replica.clone(),
-            // Another one each time: the end of a turn that it had may still be on its way.
-            ticket: rand::rng().random(),
-            lasts_ms: self.left().as_millis() as u64,
-            insists: self.shared.contains(replica),
-        };
-        let clearance = self.core.clear_turn(ask).await;
-        if !matches!(clearance, Clearance::Go(None)) {
-            self.log.content(content);
-        }
-        clearance
-    }
-
-    /// Notes a run that is given up, as its caller left or its time went by.
-    fn leave_run(&mut self) {
-        if let Some(sent) = self.sent.take() {
-            let content = self.content();
-            self.core.leave_run(sent, content);
-        }
-    }
-
-    /// Ends its turn, if it had one, by what became of its try.
-    fn end_turn(&mut self, tried: &Tried) {
-        match tried {
-            Tried::Answered(_) if self.log.is_answered() => self.sent = None,
-            Tried::NotRun | Tried::Misplaced => self.sent = None,
-            _ => self.leave_run(),
-        }
-        let cleared = matches!(tried, Tried::Answered(_)) && self.log.is_answered();
-        match self.turn.take() {
-            Some(mut turn) => {
-                turn.cleared = cleared;
-                turn.case = self.case.clone();
-            }
-            None if cleared && !self.core.crashes.is_quiet() => {
-                let content = self.content();
-                self.core.ran_to_its_end(content);
-            }
-            None => {}
-        }
-    }
-
     /// Pays for one run, where its account has a quota and nothing is paid yet.
     async fn pay(&mut self) -> Result<(), QuotaRefusal> {
         let Some(caller) = self.caller.as_ref().filter(|_| self.paid == 0) else {
@@ -472,6 +392,9 @@
             self.log.ends(Outcome::Cut, 0, "broken off midway");
             return AfterAnswer::Cut;
         }
+        if refusal == Refusal::Barred {
+            self.core.count("dunlinspring_barred_total", &[]);
+        }
         let late = self.left() < LEAST_LEFT;
         let (status, reason) = match (self.runs, late) {
             (0, _) => (refusal.status(), refusal.text()),
@@ -839,42 +762,6 @@
         Tried::Answered(finish(writer, &out, close).await)
     }
 
-    /// The connection to a replica ended under a run.
-    fn broke_off(&mut self, error: &ExchangeError) {
-        self.log.failed(error);
-        if error.broke_off() {
-            self.suspect_crash();
-        }
-    }
-
-    /// Has it found out whether the replica ended under this run.
-    fn suspect_crash(&mut self) {
-        let Some(sent) = self.sent.take() else {
-            return;
-        };
-        self.core.count("dunlinspring_broken_runs_total", &[]);
-        let content = self.content();
-        self.log.content(content);
-        self.case = self.core.suspect_crash(&sent, content);
-    }
-
-    /// What it asks, the same for all its repeats.
-    fn content(&mut self) -> ContentDigest {
-        if let Some(content) = self.content {
-            return content;
-        }
-        let headers = &self.request.head.headers;
-        let caller = self.caller.as_ref().map(|caller| caller.account.as_str());
-        let content = content::digest(&ContentParts {
-            caller: caller.unwrap_or_default(),
-            host: asked_host(headers),
-            target: &self.request.head.target,
-            body: &self.request.body,
-        });
-        self.content = Some(content);
-        content
-    }
-
     fn broken(&self, writer: &ClientWriter) -> Tried {
         match writer.has_begun() {
             true => Tried::Begun,
--- /dev/null
+++ b/src/forward/request/crashes.rs
@@ -0,0 +1,130 @@
+//! What a request has to do with replicas that ended under it, or under its repeats: its
+//! content, its turn, and what becomes of a run that broke off.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::consensus::crashes::ContentStanding;
+use crate::forward::crashes::Clearance;
+use crate::forward::own_answer::Refusal;
+use crate::forward::upstream::ExchangeError;
+use crate::ids::{ContentDigest, ReplicaId};
+use crate::placement::turns::TurnAsk;
+use crate::routing::content::{self, ContentParts};
+
+use super::{Flight, Tried, asked_host};
+
+/// Longest time that a further attempt waits for what is found out of the replica that broke
+/// off: one that ended shows within some 15 ms.
+const FINDING: Duration = Duration::from_millis(250);
+
+impl Flight<'_> {
+    /// Gets ready to run once more: first it is found out whether the replica ended under
+    /// this request, which would then end the next one as well.
+    pub(super) async fn rerun(&mut self) -> Result<(), Refusal> {
+        if let Some(case) = self.case.take() {
+            let _ = tokio::time::timeout(FINDING, case.found()).await;
+        }
+        self.pay().await.map_err(Refusal::Quota)
+    }
+
+    /// Whether its content is sent no more.
+    pub(super) fn is_barred(&mut self) -> bool {
+        if self.core.crashes.is_quiet() {
+            return false;
+        }
+        let content = self.content();
+        let barred = self.core.crashes.standing(&content) == ContentStanding::Barred;
+        if barred {
+            self.log.content(content);
+        }
+        barred
+    }
+
+    /// Whether it may go to a replica, as far as its content is concerned.
+    pub(super) async fn clear_turn(&mut self, replica: &ReplicaId) -> Clearance {
+        if self.core.crashes.is_quiet() {
+            return Clearance::Go(None);
+        }
+        let content = self.content();
+        let ask = TurnAsk {
+            content,
+            replica: replica.clone(),
+            // Another one each time: the end of a turn that it had may still be on its way.
+            ticket: rand::rng().random(),
+            lasts_ms: self.left().as_millis() as u64,
+            insists: self.shared.contains(replica),
+        };
+        let clearance = self.core.clear_turn(ask).await;
+        if !matches!(clearance, Clearance::Go(None)) {
+            self.log.content(content);
+        }
+        clearance
+    }
+
+    /// Notes a run that is given up, as its caller left or its time went by.
+    pub(super) fn leave_run(&mut self) {
+        if let Some(sent) = self.sent.take() {
+            let content = self.content();
+            self.core.leave_run(sent, content);
+        }
+    }
+
+    /// Ends its turn, if it had one, by what became of its try.
+    pub(super) fn end_turn(&mut self, tried: &Tried) {
+        match tried {
+            Tried::Answered(_) if self.log.is_answered() => self.sent = None,
+            Tried::NotRun | Tried::Misplaced => self.sent = None,
+            _ => self.leave_run(),
+        }
+        let cleared = matches!(tried, Tried::Answered(_)) && self.log.is_answered();
+        match self.turn.take() {
+            Some(mut turn) => {
+                turn.cleared = cleared;
+                turn.case = self.case.clone();
+            }
+            None if cleared && !self.core.crashes.is_quiet() => {
+                let content = self.content();
+                self.core.ran_to_its_end(content);
+            }
+            None => {}
+        }
+    }
+
+    /// The connection to a replica ended under a run.
+    pub(super) fn broke_off(&mut self, error: &ExchangeError) {
+        self.log.failed(error);
+        if error.broke_off() {
+            self.suspect_crash();
+        }
+    }
+
+    /// Has it found out whether the replica ended under this run.
+    pub(super) fn suspect_crash(&mut self) {
+        let Some(sent) = self.sent.take() else {
+            return;
+        };
+        self.core.count("dunlinspring_broken_runs_total", &[]);
+        let content = self.content();
+        self.log.content(content);
+        self.case = self.core.suspect_crash(&sent, content);
+    }
+
+    /// What it asks, the same for all its repeats.
+    pub(super) fn content(&mut self) -> ContentDigest {
+        if let Some(content) = self.content {
+            return content;
+        }
+        let headers = &self.request.head.headers;
+        let caller = self.caller.as_ref().map(|caller| caller.account.as_str());
+        let content = content::digest(&ContentParts {
+            caller: caller.unwrap_or_default(),
+            host: asked_host(headers),
+            target: &self.request.head.target,
+            body: &self.request.body,
+        });
+        self.content = Some(content);
+        content
+    }
+}
