--- a/src/consensus/directory.rs
+++ b/src/consensus/directory.rs
@@ -24,7 +24,7 @@
 /// A replica in one life.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaRecord {
-    /// This life.
+    /// Its id.
     pub id: ReplicaId,
     /// The service it runs for.
     pub service: ServiceName,
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -78,7 +78,8 @@
     ServiceName
 );
 name_type!(
-    /// One life of a replica that registered itself.
+    /// A replica that registered itself. Some have another id in each life, others start
+    /// again under the same: see [`ReplicaLife`].
     ReplicaId
 );
 name_type!(
