Sight: a request's line names who refused it, and the pause that was asked for

Cause of the change: the lines of an incident could not tell its hypotheses apart: they name the last replica alone, and not what a refusal asked for. No logic changes.

--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -600,7 +600,8 @@
         if fails && (self.route.is_repeatable() || promise || good || !signed) {
             guard.end = TryEnd::Failed;
             self.sent = None;
-            self.log.note("the replica failed");
+            self.log
+                .failed_by(&guard.replica, head.status, asked_pause(&head));
             keep(core, &guard.replica, exchange).await;
             return Tried::Unknown;
         }
@@ -628,11 +629,10 @@
             true => TryEnd::Neutral,
             false => TryEnd::Full,
         };
-        self.log.note(if misplaced {
-            "misplaced"
-        } else {
-            "refused by the replica"
-        });
+        match misplaced {
+            true => self.log.note("misplaced"),
+            false => self.log.refused(&guard.replica, asked_pause(head)),
+        }
         keep(self.core, &guard.replica, exchange).await;
         match misplaced {
             true => {
@@ -884,6 +884,11 @@
     }
 }
 
+/// For how long a replica asks to be left alone, as it words it.
+fn asked_pause(head: &ResponseHead) -> Option<&str> {
+    head::find(&head.headers, "retry-after")
+}
+
 /// Reads the rest of a short answer, so that its connection can be kept.
 async fn keep(core: &EntryCore, replica: &ReplicaId, mut exchange: Exchange) {
     let rest = async {
--- a/src/forward/request_log.rs
+++ b/src/forward/request_log.rs
@@ -124,6 +124,20 @@
         self.notes.push(text.to_owned());
     }
 
+    /// A replica did not run it, and asked for so long a pause.
+    pub fn refused(&mut self, replica: &ReplicaId, pause: Option<&str>) {
+        let asked = asked_text(pause);
+        self.notes
+            .push(format!("refused by the replica {replica}{asked}"));
+    }
+
+    /// A replica failed it by a status of its own, and asked for so long a pause.
+    pub fn failed_by(&mut self, replica: &ReplicaId, status: u16, pause: Option<&str>) {
+        let asked = asked_text(pause);
+        self.notes
+            .push(format!("the replica {replica} failed: {status}{asked}"));
+    }
+
     /// What it asks: shown where a replica broke off under it, or it is refused for that.
     pub fn content(&mut self, digest: ContentDigest) {
         self.content = Some(digest);
@@ -226,6 +240,14 @@
     }
 }
 
+/// Longest part of a header's value that a line shows.
+const MAX_SHOWN: usize = 32;
+
+fn asked_text(pause: Option<&str>) -> String {
+    let shown = pause.map(|text| text.chars().take(MAX_SHOWN).collect::<String>());
+    shown.map_or(String::new(), |text| format!(", retry after {text}"))
+}
+
 /// Log lines that may be written in the current second.
 #[derive(Debug, Default)]
 pub(super) struct LineBudget {
