Tests that fail: what a peer asks for in its answer is not kept

These tests bring the fault about on the code as it is: a replica that answers 503 with Retry-After, or says that it leaves, is asked again by the same entry (10 of 11 tests of tests/forwarding/pauses.rs fail; the eleventh guards against shutting a replica out by a word that is no time). The header names take the new word, without any logic.

--- a/src/forward/dialect.rs
+++ b/src/forward/dialect.rs
@@ -16,6 +16,8 @@
     pub not_executed: &'static str,
     /// A replica's running and waiting requests, and its slots.
     pub load: &'static str,
+    /// Says that a replica leaves; in all its answers from then on.
+    pub leaving: &'static str,
     /// The model, and after a slash its adapter.
     pub model: &'static str,
     /// Tokens of the prompt, and the most that may be produced.
--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -3,6 +3,7 @@
 
 mod accounts;
 mod crashes;
+mod pauses;
 mod support;
 
 use std::cell::RefCell;
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -33,6 +33,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+/// What a replica that leaves says in its heads.
+const LEAVING: &str = "Leaving: 1\r\n";
+
 /// Longest wait for a condition that must come; reaching it is a failure.
 const PATIENCE: Duration = Duration::from_secs(60);
 
@@ -46,6 +49,7 @@
     expect_replica: "Expect-Replica",
     not_executed: "Not-Executed",
     load: "Load",
+    leaving: "Leaving",
     model: "Model",
     tokens: "Tokens",
     prefix: "Prefix",
@@ -145,6 +149,20 @@
     Unsigned,
     /// Says that it did not run it.
     NotExecuted,
+    /// The same, with a line of the head that says when to come back.
+    Pause(&'static str),
+    /// Fails, and does not say that it did not run it, with a line of the head.
+    Fail(&'static str),
+    /// Answers well, with a line of the head.
+    Busy(&'static str),
+    /// Answers, and says that it leaves.
+    Leaving(u16),
+    /// Says so in the answer to another request, and answers.
+    LeavingSurplus,
+    /// Says that it did not run it, and that it leaves.
+    LeavingRefusal,
+    /// Sends so many events of a stream under a head that says that it leaves.
+    LeavingStream(u32),
     /// Closes without an answer.
     Close,
     /// Sends another request's answer first.
@@ -691,6 +709,23 @@
             format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: 2\r\n\r\nhi")
         }
         Behaviour::NotExecuted => whole_answer(503, name, id, "", "Not-Executed: 1\r\n"),
+        Behaviour::Pause(line) => {
+            whole_answer(503, name, id, "", &format!("Not-Executed: 1\r\n{line}"))
+        }
+        Behaviour::Busy(line) => whole_answer(200, name, id, "well", line),
+        Behaviour::Fail(line) => whole_answer(503, name, id, "", line),
+        Behaviour::Leaving(status) => whole_answer(status, name, id, "last", LEAVING),
+        Behaviour::LeavingSurplus => {
+            whole_answer(200, name, "another", "not yours", LEAVING)
+                + &whole_answer(200, name, id, "yours", "")
+        }
+        Behaviour::LeavingRefusal => {
+            whole_answer(503, name, id, "", &format!("Not-Executed: 1\r\n{LEAVING}"))
+        }
+        Behaviour::LeavingStream(count) => {
+            let head = stream_head.replacen("\r\n", &format!("\r\n{LEAVING}"), 1);
+            head + &event_chunks(last + 1, count) + "0\r\n\r\n"
+        }
         Behaviour::Close => return false,
         Behaviour::SurplusFirst(body) => {
             let surplus = whole_answer(200, name, "another", "not yours", "");
