What a replica asks for in its answers is kept: a pause to its end, and that it leaves

Cause: nothing read Retry-After or the word of a replica that leaves. A refusal counted for 100 ms of the entry's own, whatever it asked for. Ruled out: a note that is lost and made anew, and bursts at an end (the arrivals of the record come at an even pace); last resort (other homes had room and were ready). Change: routing/backoff.rs says whether a peer may be sent to, pure, kept apart from records so that it outlives them. An entry asks it when it chooses, and again right before the bytes leave. Heads of all answers are heard, surplus ones too. After a pause one request goes first, then more. Where all homes ask for a pause, who can wait waits, who can't is told when the first ends.

--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -13,8 +13,9 @@
     CROWD_MS, CrowdNote, PACE_PART, ReadPace, ReplicaNote, ToldLoad,
 };
 use crate::forward::separation::AnswerMix;
-use crate::ids::{HallName, ReplicaId, ServiceName};
+use crate::ids::{HallName, ReplicaId, ReplicaLife, ServiceName};
 use crate::placement::crowd::WaitingTokens;
+use crate::routing::backoff::{AskedPause, BackoffBook, ClaimEnd, SendBar, SendClaim};
 
 /// The choice.
 #[derive(Clone, Debug, PartialEq)]
@@ -25,6 +26,9 @@
     Fetch(ReplicaId),
     /// All that could take it are full.
     Full,
+    /// All that could take it asked to be left alone; the first one for so much longer, in
+    /// milliseconds.
+    Paused(u64),
     /// No replica holds the model.
     Absent,
 }
@@ -116,6 +120,8 @@
     paces: BTreeMap<ServiceName, ReadPace>,
     /// Until when the leader's word on crowded replicas counts.
     crowd_until_ms: u64,
+    /// What replicas asked for in their answers.
+    backoffs: BackoffBook<ReplicaId>,
 }
 
 impl ReplicaBook {
@@ -129,9 +135,48 @@
             mixes: BTreeMap::new(),
             paces: BTreeMap::new(),
             crowd_until_ms: 0,
+            backoffs: BackoffBook::default(),
         }
     }
 
+    /// A replica asks to be left alone.
+    pub fn pause(&mut self, now_ms: u64, id: &ReplicaId, asked: AskedPause) {
+        self.backoffs.pause(now_ms, id, asked);
+    }
+
+    /// A replica says that it leaves. Returns whether that is news.
+    pub fn leave(&mut self, now_ms: u64, life: &ReplicaLife) -> bool {
+        let known = self.leaves(life);
+        self.backoffs.leave(now_ms, &life.id, life.born_ms);
+        !known
+    }
+
+    /// Whether a replica has said that it leaves.
+    pub fn leaves(&self, life: &ReplicaLife) -> bool {
+        self.backoffs.leaves(&life.id, life.born_ms)
+    }
+
+    /// The last look, right before a request leaves for a replica.
+    pub fn claim(&mut self, now_ms: u64, life: &ReplicaLife) -> Result<SendClaim, SendBar> {
+        self.backoffs.claim(now_ms, &life.id, life.born_ms)
+    }
+
+    /// A request that was let through is answered, or given up.
+    pub fn release(&mut self, now_ms: u64, id: &ReplicaId, claim: SendClaim, end: ClaimEnd) {
+        self.backoffs.release(now_ms, id, claim, end);
+    }
+
+    /// Forgets what replicas asked for, where it says nothing any more.
+    pub fn prune_backoffs(&mut self, now_ms: u64) {
+        self.backoffs.prune(now_ms);
+    }
+
+    /// Why nothing may be sent to a replica now, by its own word.
+    fn bar(&self, note: &ReplicaNote, now_ms: u64) -> Option<SendBar> {
+        let record = &note.record;
+        self.backoffs.bar(now_ms, &record.id, record.born_ms)
+    }
+
     /// What it has come to believe since the last call, to be logged.
     pub fn take_news(&mut self) -> Vec<EjectNews> {
         std::mem::take(&mut self.news)
@@ -193,16 +238,22 @@
     pub fn room_in_ms(&self, now_ms: u64, need: &Need) -> Option<u64> {
         let fade_ms = self.policy.fade_ms;
         let suited = self.notes.values().filter(|note| suits(note, need));
-        let waits = suited.map(|note| {
+        let waits = suited.filter_map(|note| {
+            let paused_ms = match self.bar(note, now_ms) {
+                Some(SendBar::Leaving) => return None,
+                Some(SendBar::Paused { left_ms }) => left_ms as f64,
+                Some(SendBar::Reopening) | None => 0.0,
+            };
             let (waiting, running) = note.loads(now_ms, fade_ms);
             let full = waiting + running >= f64::from(note.slots);
             let ahead = note.ahead(need, now_ms, fade_ms);
             let begin_ms = self.pace_ms(note, need, now_ms) * ahead as f64;
             let over_ms = begin_ms - need.limit_ms as f64 * PACE_PART;
-            match full {
+            let room_ms = match full {
                 true => over_ms.max(need.limit_ms as f64),
                 false => over_ms.max(0.0),
-            }
+            };
+            Some(room_ms.max(paused_ms))
         });
         let least = waits.min_by(f64::total_cmp)?;
         Some(least as u64)
@@ -223,10 +274,11 @@
             let others = note.crowd.at(now_ms);
             format!(
                 "{} waiting {waiting:.1} running {running:.1} of {} begins in {begin_ms:.0} ms, \
-                 others have {others} tokens waiting, pauses {pause_ms:.0} ms, told {age_ms} ms ago, {:?}, passed over for {ejected_ms} ms, adapter {}",
+                 others have {others} tokens waiting, pauses {pause_ms:.0} ms, told {age_ms} ms ago, {:?}, passed over for {ejected_ms} ms, {}, adapter {}",
                 note.record.id,
                 note.slots,
                 note.record.phase,
+                bar_text(self.bar(note, now_ms)),
                 self.holds_adapter(note, need)
             )
         });
@@ -256,11 +308,14 @@
         bounds: EngineBounds,
     ) -> Choice {
         let all = self.notes.values();
-        let mut suited: Vec<&ReplicaNote> = all.filter(|note| suits(note, need)).collect();
-        if suited.is_empty() {
-            return Choice::Absent;
-        }
+        let suited: Vec<&ReplicaNote> = all.filter(|note| suits(note, need)).collect();
         let apart = self.set_apart(&suited, need);
+        // Before anything that falls back on what is left: what a replica asked for holds
+        // also where it is the last one.
+        let mut suited = match self.unbarred(suited, now_ms) {
+            Ok(suited) => suited,
+            Err(choice) => return choice,
+        };
         let fresh = |note: &ReplicaNote| !passed.contains(&note.record.id);
         if suited.iter().any(|note| fresh(note)) {
             suited.retain(|note| fresh(note));
@@ -300,6 +355,27 @@
         }
     }
 
+    /// Of some replicas, those that nothing they asked for bars; else what is left to choose.
+    fn unbarred<'a>(
+        &self,
+        suited: Vec<&'a ReplicaNote>,
+        now_ms: u64,
+    ) -> Result<Vec<&'a ReplicaNote>, Choice> {
+        let mut otherwise = Choice::Absent;
+        let open = suited.into_iter().filter(|note| {
+            let bar = self.bar(note, now_ms);
+            if let Some(bar) = bar {
+                otherwise = sooner(&otherwise, bar);
+            }
+            bar.is_none()
+        });
+        let open: Vec<&ReplicaNote> = open.collect();
+        match open.is_empty() {
+            true => Err(otherwise),
+            false => Ok(open),
+        }
+    }
+
     fn cheapest<'a>(
         &self,
         notes: impl Iterator<Item = &'a ReplicaNote>,
@@ -512,6 +588,29 @@
     }
 }
 
+/// Of what is left to choose without another replica, and with one that is barred, what comes
+/// sooner.
+fn sooner(choice: &Choice, bar: SendBar) -> Choice {
+    match (choice, bar) {
+        // It shows within some hundred milliseconds whether it has room.
+        (Choice::Full, _) | (_, SendBar::Reopening) => Choice::Full,
+        (choice, SendBar::Leaving) => choice.clone(),
+        (Choice::Paused(known_ms), SendBar::Paused { left_ms }) => {
+            Choice::Paused(left_ms.min(*known_ms))
+        }
+        (_, SendBar::Paused { left_ms }) => Choice::Paused(left_ms),
+    }
+}
+
+fn bar_text(bar: Option<SendBar>) -> String {
+    match bar {
+        Some(SendBar::Paused { left_ms }) => format!("asked for {left_ms} ms more of pause"),
+        Some(SendBar::Reopening) => "opens again after a pause".to_owned(),
+        Some(SendBar::Leaving) => "says that it leaves".to_owned(),
+        None => "open".to_owned(),
+    }
+}
+
 /// A replica's place in the order that a request's draw gives.
 fn drawn_rank(draw: u64, id: &ReplicaId) -> u64 {
     mix(draw ^ u64::from(crc32fast::hash(id.as_str().as_bytes())))
--- a/src/forward/crashes.rs
+++ b/src/forward/crashes.rs
@@ -148,10 +148,12 @@
         at: &SentTo,
         content: ContentDigest,
     ) -> Option<Rc<CrashCase>> {
-        let leaves = |record: &ReplicaRecord| record.phase == ReplicaPhase::Draining;
-        if self.book.borrow().record(&at.life.id).is_some_and(leaves) {
+        let drains = |record: &ReplicaRecord| record.phase == ReplicaPhase::Draining;
+        let book = self.book.borrow();
+        if book.leaves(&at.life) || book.record(&at.life.id).is_some_and(drains) {
             return None;
         }
+        drop(book);
         let mut open = self.crashes.open.borrow_mut();
         let known = open.get(&at.life).cloned();
         let case = known.unwrap_or_else(|| {
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -735,7 +735,8 @@
 async fn prune(core: Rc<EntryCore>) {
     loop {
         tokio::time::sleep(PRUNE_EVERY).await;
-        let book = core.book.borrow();
+        let mut book = core.book.borrow_mut();
+        book.prune_backoffs(clock::monotonic_ms());
         let mut pool = core.pool.borrow_mut();
         pool.prune(|id| book.record(id).is_some());
     }
--- a/src/forward/head.rs
+++ b/src/forward/head.rs
@@ -86,12 +86,18 @@
     found.map(|(_, value)| value.as_str())
 }
 
-/// Whether a comma-separated header names a token.
-pub fn names_token(headers: &[Header], name: &str, token: &str) -> bool {
+/// All values of a header, in order.
+pub fn find_all<'a>(headers: &'a [Header], name: &str) -> impl Iterator<Item = &'a str> {
     let same = headers
         .iter()
-        .filter(|(other, _)| other.eq_ignore_ascii_case(name));
-    same.flat_map(|(_, value)| value.split(','))
+        .filter(move |(other, _)| other.eq_ignore_ascii_case(name));
+    same.map(|(_, value)| value.as_str())
+}
+
+/// Whether a comma-separated header names a token.
+pub fn names_token(headers: &[Header], name: &str, token: &str) -> bool {
+    find_all(headers, name)
+        .flat_map(|value| value.split(','))
         .any(|part| part.trim().eq_ignore_ascii_case(token))
 }
 
--- a/src/forward/own_answer.rs
+++ b/src/forward/own_answer.rs
@@ -18,6 +18,8 @@
 pub(super) enum Refusal {
     /// All replicas are full.
     Full,
+    /// All replicas asked to be left alone for longer than it can wait.
+    Paused,
     /// No replica holds the model, and it cannot be there in time.
     Absent,
     /// The adapter did not come in time.
@@ -43,6 +45,7 @@
     pub(super) fn text(self) -> &'static str {
         match self {
             Self::Full => "all replicas are full",
+            Self::Paused => "all replicas asked for a pause",
             Self::Absent => "no replica holds the model",
             Self::Adapter => "the adapter did not come in time",
             Self::Late => "time ran out before it was sent",
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -4,6 +4,7 @@
 //! sent again only where the answer says that it did not run. What is not known
 //! to have run or not is a 502 or 504, never a 503.
 
+mod answer_heads;
 mod crashes;
 
 use std::collections::BTreeSet;
@@ -25,6 +26,7 @@
 use crate::forward::turns::{Clearance, TurnGuard};
 use crate::forward::upstream::{Connection, Exchange, ExchangeError, Outgoing};
 use crate::ids::{ContentDigest, ModelName, ReplicaId, ServiceName};
+use crate::routing::backoff::{ClaimEnd, SendClaim};
 use crate::routing::suspects::BARRED_RETRY_MS;
 use crate::table::configuration::{RouteKind, RouteSpec};
 
@@ -165,6 +167,8 @@
     since: Instant,
     /// Tokens that had to be read before its answer could begin.
     ahead: u64,
+    /// The leave to send, until an answer shows what came of it.
+    claim: Option<SendClaim>,
 }
 
 impl<'a> TryGuard<'a> {
@@ -183,6 +187,16 @@
             need: need.clone(),
             begun: false,
             end: TryEnd::Neutral,
+            claim: None,
+        }
+    }
+
+    /// An answer has come, or none will: a next request may leave in place of this one.
+    fn release(&mut self, end: ClaimEnd) {
+        if let Some(claim) = self.claim.take() {
+            let now_ms = clock::monotonic_ms();
+            let mut book = self.core.book.borrow_mut();
+            book.release(now_ms, &self.replica, claim, end);
         }
     }
 
@@ -198,6 +212,7 @@
 
 impl Drop for TryGuard<'_> {
     fn drop(&mut self) {
+        self.release(ClaimEnd::Other);
         let now_ms = clock::monotonic_ms();
         let mut book = self.core.book.borrow_mut();
         book.end(now_ms, &self.replica, &self.need, self.begun, self.end);
@@ -429,7 +444,11 @@
             Refusal::Turn => self.aim(),
             Refusal::Quota(QuotaRefusal::Over(short)) => short,
             Refusal::Quota(QuotaRefusal::Unknown) | Refusal::Caller(_) => UNKNOWN_RETRY,
-            Refusal::Full | Refusal::Adapter | Refusal::Late | Refusal::Budget => {
+            Refusal::Full
+            | Refusal::Paused
+            | Refusal::Adapter
+            | Refusal::Late
+            | Refusal::Budget => {
                 let now_ms = clock::monotonic_ms();
                 let book = self.core.book.borrow();
                 let room_ms = book.room_in_ms(now_ms, &self.need).unwrap_or(0);
@@ -480,6 +499,15 @@
                     self.core.crowd_seen.notify_one();
                     (Refusal::Full, self.room_wait())
                 }
+                Choice::Paused(left_ms) => {
+                    let limit = self.room_wait();
+                    let ends = waited + Duration::from_millis(left_ms);
+                    // Surely not in time: it is told so now, with the time that was named.
+                    if ends > limit.min(self.left()) {
+                        return Err(Refusal::Paused);
+                    }
+                    (Refusal::Paused, limit)
+                }
                 Choice::Absent => {
                     let wait = patience::wait_for_load(self.load_time(), waited, self.left());
                     (Refusal::Absent, wait)
@@ -542,15 +570,26 @@
             core.pool.borrow_mut().put(replica, connection);
             return Tried::Barred(refusal);
         }
+        // What the replica asked for may have come since it was chosen: a turn, a connection
+        // that was slow to open and a suspension lie between.
+        guard.claim = match self.claim(&sent) {
+            Ok(claim) => Some(claim),
+            Err(_) => {
+                core.pool.borrow_mut().put(replica, connection);
+                return Tried::Unsent;
+            }
+        };
+        let id = self.id.clone();
+        let hear = answer_heads::ear(core, &sent, &id);
         self.sent = Some(sent);
         let bytes = self.outgoing(replica);
         let paid = std::mem::take(&mut self.paid);
         let method = self.request.head.method.clone();
-        let id = self.id.clone();
         let outgoing = Outgoing {
             bytes: &bytes,
             method: &method,
             identity: Some((core.names.request_id, &id)),
+            ear: &hear,
         };
         let sent = Exchange::send(connection, &outgoing);
         let sent = clock::wait_until(self.try_until_ms(), sent).await;
@@ -589,6 +628,11 @@
             core.book.borrow_mut().tell(now_ms, &guard.replica, load);
         }
         let not_executed = head::find(&head.headers, core.names.not_executed).is_some();
+        guard.release(match head.status {
+            421 | 429 | 500.. => ClaimEnd::Other,
+            _ if not_executed => ClaimEnd::Other,
+            _ => ClaimEnd::Taken,
+        });
         if head.status == 421 || not_executed {
             return self.not_run(exchange, &head, guard).await;
         }
@@ -601,7 +645,7 @@
             guard.end = TryEnd::Failed;
             self.sent = None;
             self.log
-                .failed_by(&guard.replica, head.status, asked_pause(&head));
+                .failed_by(&guard.replica, head.status, answer_heads::pause_text(&head));
             keep(core, &guard.replica, exchange).await;
             return Tried::Unknown;
         }
@@ -631,7 +675,9 @@
         };
         match misplaced {
             true => self.log.note("misplaced"),
-            false => self.log.refused(&guard.replica, asked_pause(head)),
+            false => self
+                .log
+                .refused(&guard.replica, answer_heads::pause_text(head)),
         }
         keep(self.core, &guard.replica, exchange).await;
         match misplaced {
@@ -775,7 +821,8 @@
     /// The head that the client gets, with the framing of this hop.
     fn answer_head(&self, head: &ResponseHead, framing: &[(&str, &str)], close: bool) -> Vec<u8> {
         let mut text = format!("HTTP/1.1 {} {}\r\n", head.status, head.reason);
-        for (name, value) in head::end_to_end(&head.headers, &[]) {
+        // That the replica leaves is said to this system alone.
+        for (name, value) in head::end_to_end(&head.headers, &[self.core.names.leaving]) {
             head::push_header(&mut text, name, value);
         }
         for (name, value) in framing {
@@ -884,11 +931,6 @@
     }
 }
 
-/// For how long a replica asks to be left alone, as it words it.
-fn asked_pause(head: &ResponseHead) -> Option<&str> {
-    head::find(&head.headers, "retry-after")
-}
-
 /// Reads the rest of a short answer, so that its connection can be kept.
 async fn keep(core: &EntryCore, replica: &ReplicaId, mut exchange: Exchange) {
     let rest = async {
--- /dev/null
+++ b/src/forward/request/answer_heads.rs
@@ -0,0 +1,69 @@
+//! What replicas say of themselves in the heads of their answers, whatever becomes of the
+//! answer: that they want to be left alone for a time, or that they leave.
+
+use std::rc::Rc;
+
+use crate::clock;
+use crate::forward::crashes::SentTo;
+use crate::forward::daemon::EntryCore;
+use crate::forward::head::{self, ResponseHead};
+use crate::routing::backoff::{AskedPause, SendBar, SendClaim};
+
+use super::Flight;
+
+/// Tells when to come back, in seconds.
+const RETRY_AFTER: &str = "retry-after";
+
+/// The pause that a head asks for, as it words it.
+pub(super) fn pause_text(head: &ResponseHead) -> Option<&str> {
+    head::find(&head.headers, RETRY_AFTER)
+}
+
+/// The pause that a head asks for. Only who turns a request away asks for one.
+fn asked_pause(head: &ResponseHead) -> Option<AskedPause> {
+    let turned_away = matches!(head.status, 429 | 503);
+    let values = head::find_all(&head.headers, RETRY_AFTER).filter(|_| turned_away);
+    AskedPause::parse(values)
+}
+
+/// Notes what the replica says in each head that comes.
+pub(super) fn ear<'a>(
+    core: &'a Rc<EntryCore>,
+    sent: &SentTo,
+    request: &'a str,
+) -> impl Fn(&ResponseHead) + use<'a> {
+    let life = sent.life.clone();
+    move |head| {
+        let now_ms = clock::monotonic_ms();
+        if let Some(pause) = asked_pause(head) {
+            core.book.borrow_mut().pause(now_ms, &life.id, pause);
+            core.count("dunlinspring_pauses_asked_total", &[]);
+            let (replica, status) = (&life.id, head.status);
+            tracing::info!(%replica, request, status, pause_ms = pause.ms, "replica asks for a pause");
+        }
+        if head::find(&head.headers, core.names.leaving).is_none() {
+            return;
+        }
+        let news = core.book.borrow_mut().leave(now_ms, &life);
+        if news {
+            core.pool.borrow_mut().forget(&life.id);
+            core.count("dunlinspring_replicas_leaving_total", &[]);
+            let replica = &life.id;
+            tracing::info!(%replica, born_ms = life.born_ms, request, "replica says that it leaves");
+        }
+    }
+}
+
+impl Flight<'_> {
+    /// The last look at what the replica asked for, right before the request leaves.
+    pub(super) fn claim(&mut self, sent: &SentTo) -> Result<SendClaim, SendBar> {
+        let now_ms = clock::monotonic_ms();
+        let claimed = self.core.book.borrow_mut().claim(now_ms, &sent.life);
+        if let Err(bar) = &claimed {
+            self.core.count("dunlinspring_held_back_total", &[]);
+            self.log
+                .note(&format!("held back from {}: {bar:?}", sent.life.id));
+        }
+        claimed
+    }
+}
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -159,6 +159,11 @@
         None
     }
 
+    /// Closes the idle connections to a replica that leaves.
+    pub fn forget(&mut self, id: &ReplicaId) {
+        self.idle.remove(id);
+    }
+
     /// Keeps a connection for the next request.
     pub fn put(&mut self, id: &ReplicaId, mut connection: Connection) {
         connection.rested_ms = clock::monotonic_ms();
@@ -178,8 +183,11 @@
     }
 }
 
+/// Hears the head of each answer that comes on a connection, also of one that belongs to
+/// another request: what a peer says there of itself holds all the same.
+pub type HeadEar<'a> = &'a dyn Fn(&ResponseHead);
+
 /// A request on its way to be sent.
-#[derive(Debug)]
 pub struct Outgoing<'a> {
     /// Head and body.
     pub bytes: &'a [u8],
@@ -188,6 +196,8 @@
     /// The name of the header that tells answers apart, and its value; none
     /// where the connection carries nothing else.
     pub identity: Option<(&'a str, &'a str)>,
+    /// Told of each head before anything comes of it.
+    pub ear: HeadEar<'a>,
 }
 
 enum BodyState {
@@ -224,6 +234,7 @@
         let mut written = 0;
         for _ in 0..=MAX_SURPLUS {
             let head = read_head(&mut connection, request, &mut written).await?;
+            (request.ear)(&head);
             let reusable = keeps_alive(&head) && written == request.bytes.len();
             if let Some(keep) = keep_time(&head) {
                 connection.keep = keep;
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -4,6 +4,7 @@
 //! Uses `table`, `consensus` and `admission`.
 
 pub mod authority;
+pub mod backoff;
 pub mod content;
 pub mod flight;
 pub mod retry;
--- /dev/null
+++ b/tests/backoff.rs
@@ -0,0 +1,253 @@
+//! What peers asked for in their answers, and what may be sent to them: by cases, and by any
+//! order of events against a count of its own.
+
+use std::collections::BTreeMap;
+
+use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
+use dunlinspring::forward::book::{Choice, ChoicePolicy, EngineBounds, Need, ReplicaBook};
+use dunlinspring::ids::{HallName, ReplicaId, ServiceName};
+use dunlinspring::routing::backoff::{
+    AskedPause, BackoffBook, ClaimEnd, LONGEST_PAUSE_MS, SendBar,
+};
+use proptest::prelude::*;
+
+const LIFE: u64 = 7;
+
+fn paused(ms: u64) -> BackoffBook<&'static str> {
+    let mut book = BackoffBook::default();
+    book.pause(1_000, &"r", AskedPause { ms });
+    book
+}
+
+fn pause_of(values: &[&str]) -> Option<u64> {
+    AskedPause::parse(values.iter().copied()).map(|pause| pause.ms)
+}
+
+#[test]
+fn a_pause_is_a_positive_number_of_seconds_the_longest_of_several() {
+    assert_eq!(pause_of(&["3"]), Some(3_000));
+    assert_eq!(pause_of(&["0.2001"]), Some(201));
+    assert_eq!(pause_of(&["1", "3", "2"]), Some(3_000));
+    assert_eq!(pause_of(&["1, 3"]), Some(3_000));
+    assert_eq!(pause_of(&["1e9"]), Some(1_000_000_000_000));
+    assert_eq!(pause_of(&["1e300"]), Some(u64::MAX));
+    for word in ["", " ", "0", "-1", "inf", "NaN", "soon", "1 s"] {
+        assert_eq!(pause_of(&[word]), None, "{word}");
+    }
+    assert_eq!(pause_of(&["Wed, 21 Oct 2099 07:28:00 GMT"]), None);
+    assert_eq!(pause_of(&[]), None);
+}
+
+#[test]
+fn a_pause_lasts_to_its_end_and_no_longer() {
+    let mut book = paused(3_000);
+    assert_eq!(
+        book.bar(1_000, &"r", LIFE),
+        Some(SendBar::Paused { left_ms: 3_000 })
+    );
+    assert!(book.claim(3_999, &"r", LIFE).is_err());
+    assert!(book.claim(4_000, &"r", LIFE).is_ok());
+    assert_eq!(book.bar(2_000, &"other", LIFE), None);
+}
+
+#[test]
+fn a_later_word_moves_the_end_further_away_and_never_nearer() {
+    let mut book = paused(3_000);
+    book.pause(2_000, &"r", AskedPause { ms: 500 });
+    assert!(book.bar(3_999, &"r", LIFE).is_some());
+    book.pause(3_000, &"r", AskedPause { ms: 4_000 });
+    assert!(book.bar(6_999, &"r", LIFE).is_some());
+    assert_eq!(book.bar(7_000, &"r", LIFE), None);
+}
+
+#[test]
+fn after_a_pause_one_request_goes_first_and_then_more() {
+    let mut book = paused(3_000);
+    let first = book.claim(4_000, &"r", LIFE).unwrap();
+    assert_eq!(book.claim(4_001, &"r", LIFE), Err(SendBar::Reopening));
+    book.release(4_020, &"r", first, ClaimEnd::Taken);
+    let _second = book.claim(4_021, &"r", LIFE).unwrap();
+    let _third = book.claim(4_022, &"r", LIFE).unwrap();
+    assert_eq!(book.claim(4_023, &"r", LIFE), Err(SendBar::Reopening));
+    // One that answers late is not kept from work for it.
+    for _ in 0..50 {
+        let _more = book.claim(6_000, &"r", LIFE).unwrap();
+    }
+    book.prune(6_000);
+    assert_eq!(book.bar(6_000, &"r", LIFE), None);
+}
+
+#[test]
+fn a_refused_first_request_leaves_the_others_away() {
+    let mut book = paused(3_000);
+    let first = book.claim(4_000, &"r", LIFE).unwrap();
+    book.pause(4_010, &"r", AskedPause { ms: 3_000 });
+    book.release(4_010, &"r", first, ClaimEnd::Other);
+    assert!(book.claim(7_009, &"r", LIFE).is_err());
+    let _next = book.claim(7_010, &"r", LIFE).unwrap();
+    assert_eq!(book.claim(7_011, &"r", LIFE), Err(SendBar::Reopening));
+}
+
+#[test]
+fn a_very_long_pause_ends_with_two_trials_or_with_a_good_answer() {
+    let mut book = paused(1_000_000_000_000);
+    let mut at_ms = 1_000 + LONGEST_PAUSE_MS;
+    for _ in 0..2 {
+        assert!(book.claim(at_ms - 1, &"r", LIFE).is_err());
+        let trial = book.claim(at_ms, &"r", LIFE).unwrap();
+        book.pause(at_ms, &"r", AskedPause { ms: 1_000 });
+        book.release(at_ms, &"r", trial, ClaimEnd::Other);
+        at_ms += 1_000;
+    }
+    assert!(book.claim(at_ms + LONGEST_PAUSE_MS, &"r", LIFE).is_err());
+    // A liar serves, and has taken it back.
+    let mut book = paused(1_000_000_000_000);
+    let at_ms = 1_000 + LONGEST_PAUSE_MS;
+    let trial = book.claim(at_ms, &"r", LIFE).unwrap();
+    book.release(at_ms + 5, &"r", trial, ClaimEnd::Taken);
+    for step in 0..9 {
+        assert!(book.claim(at_ms + 10_000 + step, &"r", LIFE).is_ok());
+    }
+}
+
+#[test]
+fn one_that_leaves_gets_nothing_in_that_life_and_its_next_one_does() {
+    let mut book: BackoffBook<&str> = BackoffBook::default();
+    book.leave(1_000, &"r", LIFE);
+    assert_eq!(book.bar(500_000, &"r", LIFE), Some(SendBar::Leaving));
+    assert_eq!(book.claim(500_000, &"r", LIFE), Err(SendBar::Leaving));
+    assert_eq!(book.bar(1_000, &"r", LIFE + 1), None);
+    // A late word of the life before.
+    book.leave(2_000, &"r", LIFE + 1);
+    book.leave(2_001, &"r", LIFE);
+    assert_eq!(book.bar(2_002, &"r", LIFE + 1), Some(SendBar::Leaving));
+}
+
+fn record(id: &str, phase: ReplicaPhase) -> ReplicaRecord {
+    ReplicaRecord {
+        id: ReplicaId::from(id),
+        service: ServiceName::from("plain"),
+        address: "127.0.0.1:9".parse().unwrap(),
+        hall: HallName::from("hall"),
+        slots: 8,
+        phase,
+        models: BTreeMap::new(),
+        in_memory: Default::default(),
+        on_disk: Default::default(),
+        beat: 0,
+        born_ms: LIFE,
+    }
+}
+
+/// A record that goes and comes back, with another leader or relay, brings nothing back that
+/// the replica itself has asked for; nor does an older heartbeat that says `ready`.
+#[test]
+fn what_a_replica_asked_for_outlives_its_record() {
+    let ready = || {
+        let records = ["a", "b"].map(|id| (ReplicaId::from(id), record(id, ReplicaPhase::Ready)));
+        BTreeMap::from(records)
+    };
+    let need = Need {
+        service: Some(ServiceName::from("plain")),
+        ..Need::default()
+    };
+    let mut book = ReplicaBook::new(ChoicePolicy::default(), HallName::from("hall"));
+    book.follow(&ready());
+    let (a, b) = (ReplicaId::from("a"), ReplicaId::from("b"));
+    book.pause(1_000, &a, AskedPause { ms: 3_000 });
+    book.leave(1_000, &ready()[&b].life());
+    book.follow(&BTreeMap::new());
+    book.follow(&ready());
+    let choose = |book: &ReplicaBook, at_ms| {
+        book.choose(at_ms, &need, &Default::default(), EngineBounds::default())
+    };
+    assert_eq!(choose(&book, 1_500), Choice::Paused(2_500));
+    assert_eq!(book.room_in_ms(1_500, &need), Some(2_500));
+    assert_eq!(choose(&book, 4_000), Choice::Send(a.clone()));
+    // The one that asked is the only one, and is not asked all the same.
+    let only = BTreeMap::from([(a.clone(), record("a", ReplicaPhase::Ready))]);
+    book.follow(&only);
+    assert_eq!(choose(&book, 3_999), Choice::Paused(1));
+    assert!(book.claim(3_999, &only[&a].life()).is_err());
+}
+
+/// One step of a play with a peer.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// Time goes by.
+    Wait(u64),
+    /// A request wants to leave.
+    Send,
+    /// The oldest one without an answer gets one.
+    Answer,
+    /// It is refused, and asked for a pause.
+    Refuse(u64),
+    /// Its record goes and comes back, and what says nothing any more is forgotten.
+    Prune,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        3 => (1u64..700).prop_map(Step::Wait),
+        1 => (1u64..2 * LONGEST_PAUSE_MS).prop_map(Step::Wait),
+        6 => Just(Step::Send),
+        2 => Just(Step::Answer),
+        2 => (1u64..9_000).prop_map(Step::Refuse),
+        1 => Just(Step::Refuse(5_000_000)),
+        1 => Just(Step::Prune),
+    ]
+}
+
+fn cases() -> u32 {
+    let named = std::env::var("DUNLINSPRING_CASES");
+    named.map_or(512, |text| text.parse().expect("a number of cases"))
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(cases()))]
+
+    /// Whatever the order of events, at most two requests arrive within a time that the peer
+    /// named, from half a second after its word on; none, where the time is not very long.
+    #[test]
+    fn a_named_time_brings_two_requests_at_most(steps in prop::collection::vec(step(), 1..200)) {
+        let mut book: BackoffBook<&str> = BackoffBook::default();
+        let mut now_ms = 10;
+        let mut open = Vec::new();
+        let mut windows: Vec<(u64, u64, u32)> = Vec::new();
+        for step in steps {
+            match step {
+                Step::Wait(ms) => now_ms += ms,
+                Step::Prune => book.prune(now_ms),
+                Step::Send => {
+                    if let Ok(claim) = book.claim(now_ms, &"r", LIFE) {
+                        open.push(claim);
+                        for (from_ms, until_ms, count) in &mut windows {
+                            *count += u32::from((*from_ms..*until_ms).contains(&now_ms));
+                        }
+                    }
+                }
+                Step::Answer if open.is_empty() => {}
+                Step::Answer => {
+                    book.release(now_ms, &"r", open.remove(0), ClaimEnd::Taken);
+                    // It serves after the longest pause: what it had named is taken back.
+                    let kept = |(from_ms, until_ms, _): &(u64, u64, u32)| {
+                        (from_ms - 500 + LONGEST_PAUSE_MS).min(*until_ms) > now_ms
+                    };
+                    if !windows.iter().any(kept) {
+                        windows.clear();
+                    }
+                }
+                Step::Refuse(_) if open.is_empty() => {}
+                Step::Refuse(ms) => {
+                    book.pause(now_ms, &"r", AskedPause { ms });
+                    book.release(now_ms, &"r", open.remove(0), ClaimEnd::Other);
+                    windows.push((now_ms + 500, now_ms + ms, 0));
+                }
+            }
+            for (from_ms, until_ms, count) in &windows {
+                let most = if until_ms - from_ms.min(until_ms) > LONGEST_PAUSE_MS { 2 } else { 0 };
+                prop_assert!(*count <= most, "{count} within {from_ms}..{until_ms}");
+            }
+        }
+    }
+}
