--- a/src/control/orderer.rs
+++ b/src/control/orderer.rs
@@ -370,7 +370,7 @@
         bytes: text.as_bytes(),
         method,
         identity: None,
-        ear: &|_| {},
+        on_head: &|_| {},
     };
     let (mut exchange, head) = Exchange::send(connection, &outgoing).await?;
     let mut body = Vec::new();
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -6,6 +6,8 @@
 
 mod answer_heads;
 mod crashes;
+mod try_guard;
+mod wire_heads;
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -18,18 +20,20 @@
 use crate::forward::crashes::{CrashCase, SentTo};
 use crate::forward::daemon::{EntryCore, Routing};
 use crate::forward::events::EventCutter;
-use crate::forward::head::{self, Framing, ResponseHead};
+use crate::forward::head::{self, ResponseHead};
 use crate::forward::own_answer::{self, Refusal, UNKNOWN_RETRY, closes, finish, refuse_plainly};
 use crate::forward::patience;
 use crate::forward::quotas::QuotaRefusal;
 use crate::forward::request_log::{Outcome, RequestLog};
 use crate::forward::turns::{Clearance, TurnGuard};
 use crate::forward::upstream::{Connection, Exchange, ExchangeError, Outgoing};
-use crate::ids::{ContentDigest, ModelName, ReplicaId, ServiceName};
-use crate::routing::backoff::{ClaimEnd, SendClaim};
+use crate::ids::{ContentDigest, ReplicaId};
+use crate::routing::backoff::ClaimEnd;
 use crate::routing::suspects::BARRED_RETRY_MS;
 use crate::table::configuration::{RouteKind, RouteSpec};
 
+use try_guard::TryGuard;
+
 /// Largest answer that is held until it is whole, in bytes.
 const MAX_HELD: usize = 1024 * 1024;
 /// Longest pause between two looks at the replicas while a request waits.
@@ -157,72 +161,6 @@
     shared: BTreeSet<ReplicaId>,
 }
 
-/// Reports a try's end to the book, also where the request is dropped midway.
-struct TryGuard<'a> {
-    core: &'a EntryCore,
-    replica: ReplicaId,
-    need: Need,
-    begun: bool,
-    end: TryEnd,
-    since: Instant,
-    /// Tokens that had to be read before its answer could begin.
-    ahead: u64,
-    /// The leave to send, until an answer shows what came of it.
-    claim: Option<SendClaim>,
-}
-
-impl<'a> TryGuard<'a> {
-    fn start(core: &'a EntryCore, replica: &ReplicaId, need: &Need) -> Self {
-        let mut book = core.book.borrow_mut();
-        let ahead = book.start(clock::monotonic_ms(), replica, need);
-        if book.is_crowding(replica, need, ahead) {
-            core.crowd_seen.notify_one();
-        }
-        drop(book);
-        Self {
-            since: Instant::now(),
-            ahead,
-            core,
-            replica: replica.clone(),
-            need: need.clone(),
-            begun: false,
-            end: TryEnd::Neutral,
-            claim: None,
-        }
-    }
-
-    /// An answer has come, or none will: a next request may leave in place of this one.
-    fn release(&mut self, end: ClaimEnd) {
-        if let Some(claim) = self.claim.take() {
-            let now_ms = clock::monotonic_ms();
-            let mut book = self.core.book.borrow_mut();
-            book.release(now_ms, &self.replica, claim, end);
-        }
-    }
-
-    fn begin(&mut self) {
-        if !self.begun {
-            self.begun = true;
-            let took_ms = self.since.elapsed().as_secs_f64() * 1000.0;
-            let mut book = self.core.book.borrow_mut();
-            book.begin(&self.replica, &self.need, self.ahead, took_ms);
-        }
-    }
-}
-
-impl Drop for TryGuard<'_> {
-    fn drop(&mut self) {
-        self.release(ClaimEnd::Other);
-        let now_ms = clock::monotonic_ms();
-        let mut book = self.core.book.borrow_mut();
-        book.end(now_ms, &self.replica, &self.need, self.begun, self.end);
-        let news = book.take_news();
-        drop(book);
-        self.core.log_ejected(&news);
-        self.core.changed.notify_waiters();
-    }
-}
-
 impl Drop for Flight<'_> {
     fn drop(&mut self) {
         self.leave_run();
@@ -247,7 +185,7 @@
         let limit_ms = asked_ms(core, request)
             .unwrap_or(u64::MAX)
             .min(route.timeout_ms);
-        let mut need = need(core, headers, service.clone());
+        let mut need = wire_heads::need(core, headers, service.clone());
         let rank = caller.as_ref().and_then(|caller| caller.priority);
         need.urgency = core.choice().urgency(rank, route.priority, slack);
         need.limit_ms = route.aim_ms.min(limit_ms);
@@ -580,7 +518,7 @@
             }
         };
         let id = self.id.clone();
-        let hear = answer_heads::ear(core, &sent, &id);
+        let observer = answer_heads::observer(core, &sent, &id);
         self.sent = Some(sent);
         let bytes = self.outgoing(replica);
         let paid = std::mem::take(&mut self.paid);
@@ -589,7 +527,7 @@
             bytes: &bytes,
             method: &method,
             identity: Some((core.names.request_id, &id)),
-            ear: &hear,
+            on_head: &observer,
         };
         let sent = Exchange::send(connection, &outgoing);
         let sent = clock::wait_until(self.try_until_ms(), sent).await;
@@ -817,107 +755,6 @@
             false => Tried::Unknown,
         }
     }
-
-    /// The head that the client gets, with the framing of this hop.
-    fn answer_head(&self, head: &ResponseHead, framing: &[(&str, &str)], close: bool) -> Vec<u8> {
-        let mut text = format!("HTTP/1.1 {} {}\r\n", head.status, head.reason);
-        // That the replica leaves is said to this system alone.
-        for (name, value) in head::end_to_end(&head.headers, &[self.core.names.leaving]) {
-            head::push_header(&mut text, name, value);
-        }
-        for (name, value) in framing {
-            head::push_header(&mut text, name, value);
-        }
-        if close {
-            head::push_header(&mut text, "Connection", "close");
-        }
-        text.push_str("\r\n");
-        text.into_bytes()
-    }
-
-    /// The request as the replica gets it.
-    fn outgoing(&self, replica: &ReplicaId) -> Vec<u8> {
-        let names = &self.core.names;
-        let head = &self.request.head;
-        let mut text = format!("{} {} HTTP/1.1\r\n", head.method, head.target);
-        let mut drop = vec![
-            names.deadline_ms,
-            names.expect_replica,
-            names.priority,
-            "expect",
-        ];
-        drop.extend_from_slice(names.reserved);
-        if self.routing.configuration.accounts.is_some() {
-            // Who calls is this system's word, and a key is nobody else's.
-            drop.extend([names.key, names.account]);
-        }
-        let resumed = self.cutter.last_id();
-        if resumed.is_some() {
-            drop.push(names.last_event);
-        }
-        for (name, value) in head::end_to_end(&head.headers, &drop) {
-            head::push_header(&mut text, name, value);
-        }
-        let left_ms = self.left().as_millis().to_string();
-        head::push_header(&mut text, names.deadline_ms, &left_ms);
-        head::push_header(&mut text, names.expect_replica, replica.as_str());
-        if self.need.model.is_some() {
-            let urgency = self.need.urgency.to_string();
-            head::push_header(&mut text, names.priority, &urgency);
-        }
-        if let Some(caller) = &self.caller {
-            head::push_header(&mut text, names.account, caller.account.as_str());
-        }
-        if let Some(id) = resumed {
-            head::push_header(&mut text, names.last_event, id);
-        }
-        let bare =
-            head.framing == Framing::Length(0) && matches!(head.method.as_str(), "GET" | "HEAD");
-        if !bare {
-            let length = self.request.body.len().to_string();
-            head::push_header(&mut text, "Content-Length", &length);
-        }
-        text.push_str("\r\n");
-        let mut bytes = text.into_bytes();
-        bytes.extend_from_slice(&self.request.body);
-        bytes
-    }
-}
-
-/// What a request needs of a replica, by its headers.
-fn need(core: &EntryCore, headers: &[head::Header], service: Option<ServiceName>) -> Need {
-    let names = &core.names;
-    let model = head::find(headers, names.model);
-    let (model, adapter) = match model.map(|text| text.split_once('/')) {
-        Some(Some((model, adapter))) => (Some(model), Some(adapter.to_owned())),
-        Some(None) => (model, None),
-        None => (None, None),
-    };
-    let tokens = head::find(headers, names.tokens).unwrap_or_default();
-    let tokens = tokens
-        .split(',')
-        .filter_map(|part| part.trim().parse::<u64>().ok());
-    let prompt_tokens = tokens.clone().next().unwrap_or(0);
-    let parts = head::find(headers, names.prefix).unwrap_or_default();
-    // The last part belongs to the request alone.
-    let shared = parts.rsplit_once(',').map(|(shared, _)| shared);
-    let prefix = shared.map(|shared| {
-        let text = format!(
-            "{}/{}/{shared}",
-            model.unwrap_or_default(),
-            adapter.as_deref().unwrap_or_default()
-        );
-        draw(&text)
-    });
-    Need {
-        service,
-        model: model.map(ModelName::from),
-        adapter,
-        prefix,
-        prompt_tokens,
-        tokens: tokens.sum(),
-        ..Need::default()
-    }
 }
 
 fn push_piece(out: &mut Vec<u8>, bytes: &[u8], chunked: bool) {
--- a/src/forward/request/answer_heads.rs
+++ b/src/forward/request/answer_heads.rs
@@ -27,7 +27,7 @@
 }
 
 /// Notes what the replica says in each head that comes.
-pub(super) fn ear<'a>(
+pub(super) fn observer<'a>(
     core: &'a Rc<EntryCore>,
     sent: &SentTo,
     request: &'a str,
--- /dev/null
+++ b/src/forward/request/try_guard.rs
@@ -0,0 +1,76 @@
+//! One try at one replica, as the book of replicas counts it: from its choice to its end,
+//! however that comes.
+
+use std::time::Instant;
+
+use crate::clock;
+use crate::forward::book::{Need, TryEnd};
+use crate::forward::daemon::EntryCore;
+use crate::ids::ReplicaId;
+use crate::routing::backoff::{ClaimEnd, SendClaim};
+
+/// Reports a try's end to the book, also where the request is dropped midway.
+pub(super) struct TryGuard<'a> {
+    core: &'a EntryCore,
+    pub(super) replica: ReplicaId,
+    need: Need,
+    begun: bool,
+    pub(super) end: TryEnd,
+    since: Instant,
+    /// Tokens that had to be read before its answer could begin.
+    ahead: u64,
+    /// The leave to send, until an answer shows what came of it.
+    pub(super) claim: Option<SendClaim>,
+}
+
+impl<'a> TryGuard<'a> {
+    pub(super) fn start(core: &'a EntryCore, replica: &ReplicaId, need: &Need) -> Self {
+        let mut book = core.book.borrow_mut();
+        let ahead = book.start(clock::monotonic_ms(), replica, need);
+        if book.is_crowding(replica, need, ahead) {
+            core.crowd_seen.notify_one();
+        }
+        drop(book);
+        Self {
+            since: Instant::now(),
+            ahead,
+            core,
+            replica: replica.clone(),
+            need: need.clone(),
+            begun: false,
+            end: TryEnd::Neutral,
+            claim: None,
+        }
+    }
+
+    /// An answer has come, or none will: a next request may leave in place of this one.
+    pub(super) fn release(&mut self, end: ClaimEnd) {
+        if let Some(claim) = self.claim.take() {
+            let now_ms = clock::monotonic_ms();
+            let mut book = self.core.book.borrow_mut();
+            book.release(now_ms, &self.replica, claim, end);
+        }
+    }
+
+    pub(super) fn begin(&mut self) {
+        if !self.begun {
+            self.begun = true;
+            let took_ms = self.since.elapsed().as_secs_f64() * 1000.0;
+            let mut book = self.core.book.borrow_mut();
+            book.begin(&self.replica, &self.need, self.ahead, took_ms);
+        }
+    }
+}
+
+impl Drop for TryGuard<'_> {
+    fn drop(&mut self) {
+        self.release(ClaimEnd::Other);
+        let now_ms = clock::monotonic_ms();
+        let mut book = self.core.book.borrow_mut();
+        book.end(now_ms, &self.replica, &self.need, self.begun, self.end);
+        let news = book.take_news();
+        drop(book);
+        self.core.log_ejected(&news);
+        self.core.changed.notify_waiters();
+    }
+}
--- /dev/null
+++ b/src/forward/request/wire_heads.rs
@@ -0,0 +1,121 @@
+//! What a request's headers say of its need, and the heads that go on: the request's to a
+//! replica, and the answer's to the client.
+
+use crate::forward::book::Need;
+use crate::forward::daemon::EntryCore;
+use crate::forward::head::{self, Framing, ResponseHead};
+use crate::ids::{ModelName, ReplicaId, ServiceName};
+
+use super::{Flight, draw};
+
+impl Flight<'_> {
+    /// The head that the client gets, with the framing of this hop.
+    pub(super) fn answer_head(
+        &self,
+        head: &ResponseHead,
+        framing: &[(&str, &str)],
+        close: bool,
+    ) -> Vec<u8> {
+        let mut text = format!("HTTP/1.1 {} {}\r\n", head.status, head.reason);
+        // That the replica leaves is said to this system alone.
+        for (name, value) in head::end_to_end(&head.headers, &[self.core.names.leaving]) {
+            head::push_header(&mut text, name, value);
+        }
+        for (name, value) in framing {
+            head::push_header(&mut text, name, value);
+        }
+        if close {
+            head::push_header(&mut text, "Connection", "close");
+        }
+        text.push_str("\r\n");
+        text.into_bytes()
+    }
+
+    /// The request as the replica gets it.
+    pub(super) fn outgoing(&self, replica: &ReplicaId) -> Vec<u8> {
+        let names = &self.core.names;
+        let head = &self.request.head;
+        let mut text = format!("{} {} HTTP/1.1\r\n", head.method, head.target);
+        let mut drop = vec![
+            names.deadline_ms,
+            names.expect_replica,
+            names.priority,
+            "expect",
+        ];
+        drop.extend_from_slice(names.reserved);
+        if self.routing.configuration.accounts.is_some() {
+            // Who calls is this system's word, and a key is nobody else's.
+            drop.extend([names.key, names.account]);
+        }
+        let resumed = self.cutter.last_id();
+        if resumed.is_some() {
+            drop.push(names.last_event);
+        }
+        for (name, value) in head::end_to_end(&head.headers, &drop) {
+            head::push_header(&mut text, name, value);
+        }
+        let left_ms = self.left().as_millis().to_string();
+        head::push_header(&mut text, names.deadline_ms, &left_ms);
+        head::push_header(&mut text, names.expect_replica, replica.as_str());
+        if self.need.model.is_some() {
+            let urgency = self.need.urgency.to_string();
+            head::push_header(&mut text, names.priority, &urgency);
+        }
+        if let Some(caller) = &self.caller {
+            head::push_header(&mut text, names.account, caller.account.as_str());
+        }
+        if let Some(id) = resumed {
+            head::push_header(&mut text, names.last_event, id);
+        }
+        let bare =
+            head.framing == Framing::Length(0) && matches!(head.method.as_str(), "GET" | "HEAD");
+        if !bare {
+            let length = self.request.body.len().to_string();
+            head::push_header(&mut text, "Content-Length", &length);
+        }
+        text.push_str("\r\n");
+        let mut bytes = text.into_bytes();
+        bytes.extend_from_slice(&self.request.body);
+        bytes
+    }
+}
+
+/// What a request needs of a replica, by its headers.
+pub(super) fn need(
+    core: &EntryCore,
+    headers: &[head::Header],
+    service: Option<ServiceName>,
+) -> Need {
+    let names = &core.names;
+    let model = head::find(headers, names.model);
+    let (model, adapter) = match model.map(|text| text.split_once('/')) {
+        Some(Some((model, adapter))) => (Some(model), Some(adapter.to_owned())),
+        Some(None) => (model, None),
+        None => (None, None),
+    };
+    let tokens = head::find(headers, names.tokens).unwrap_or_default();
+    let tokens = tokens
+        .split(',')
+        .filter_map(|part| part.trim().parse::<u64>().ok());
+    let prompt_tokens = tokens.clone().next().unwrap_or(0);
+    let parts = head::find(headers, names.prefix).unwrap_or_default();
+    // The last part belongs to the request alone.
+    let shared = parts.rsplit_once(',').map(|(shared, _)| shared);
+    let prefix = shared.map(|shared| {
+        let text = format!(
+            "{}/{}/{shared}",
+            model.unwrap_or_default(),
+            adapter.as_deref().unwrap_or_default()
+        );
+        draw(&text)
+    });
+    Need {
+        service,
+        model: model.map(ModelName::from),
+        adapter,
+        prefix,
+        prompt_tokens,
+        tokens: tokens.sum(),
+        ..Need::default()
+    }
+}
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -183,9 +183,9 @@
     }
 }
 
-/// Hears the head of each answer that comes on a connection, also of one that belongs to
+/// Sees the head of each answer that comes on a connection, also of one that belongs to
 /// another request: what a peer says there of itself holds all the same.
-pub type HeadEar<'a> = &'a dyn Fn(&ResponseHead);
+pub type HeadObserver<'a> = &'a dyn Fn(&ResponseHead);
 
 /// A request on its way to be sent.
 pub struct Outgoing<'a> {
@@ -197,7 +197,7 @@
     /// where the connection carries nothing else.
     pub identity: Option<(&'a str, &'a str)>,
     /// Told of each head before anything comes of it.
-    pub ear: HeadEar<'a>,
+    pub on_head: HeadObserver<'a>,
 }
 
 enum BodyState {
@@ -234,7 +234,7 @@
         let mut written = 0;
         for _ in 0..=MAX_SURPLUS {
             let head = read_head(&mut connection, request, &mut written).await?;
-            (request.ear)(&head);
+            (request.on_head)(&head);
             let reusable = keeps_alive(&head) && written == request.bytes.len();
             if let Some(keep) = keep_time(&head) {
                 connection.keep = keep;
--- a/tests/bounded_sending.rs
+++ b/tests/bounded_sending.rs
@@ -30,7 +30,7 @@
         bytes: &bytes,
         method: "POST",
         identity: None,
-        ear: &|_| {},
+        on_head: &|_| {},
     };
     let sent = tokio::time::timeout(PATIENCE, Exchange::send(connection, &outgoing)).await;
     let error = sent.expect("the kernel gives up").err();
@@ -68,7 +68,7 @@
             bytes: b"an order",
             method: "POST",
             identity: None,
-            ear: &|_| {},
+            on_head: &|_| {},
         };
         let mut sending = std::pin::pin!(Exchange::send(connection, &outgoing));
         let limit = bound + transit;
