--- a/tests/forwarding/pauses.rs
+++ b/tests/forwarding/pauses.rs
@@ -16,7 +16,7 @@
 
 use std::time::Duration;
 
-use crate::support::{Behaviour, ForwardSite, RouteShape};
+use crate::support::{Behaviour, ForwardSite, RouteShape, answered};
 
 const SAFE: RouteShape = RouteShape::plain("/plain/");
 const STREAM: RouteShape = RouteShape::stream("/stream/", true);
@@ -115,6 +115,34 @@
     assert_eq!(ask_on(&site, "/plain/x").await, REQUESTS);
 }
 
+/// A connection takes long to open, as the replica's listener is full; meanwhile the replica
+/// asks for a pause. What was to leave on that connection was chosen before.
+#[ntex::test]
+async fn a_request_whose_connection_was_slow_to_open_does_not_leave_in_a_pause() {
+    let mut site = ForwardSite::start(&[SAFE]).await;
+    site.add_replica("r1", vec![WELL, Behaviour::PauseLater(500, LONG), WELL])
+        .await;
+    // Its connection is kept.
+    assert_eq!(site.ask("GET", "/plain/x", "first", "").await.status, 200);
+    let waiting = site.shut("r1").await;
+    let refused = async {
+        let refused = site.ask("GET", "/plain/x", "refused", "").await;
+        drop(waiting);
+        site.open("r1");
+        refused
+    };
+    let late = async {
+        answered("the refused one to arrive", async || {
+            (site.seen("r1").len() == 2).then_some(())
+        })
+        .await;
+        site.ask("GET", "/plain/x", "late", "").await
+    };
+    let (refused, late) = futures::join!(refused, late);
+    assert_eq!((refused.status, late.status), (503, 503));
+    assert_eq!(site.seen("r1").len(), 2);
+}
+
 /// A replica that says in one answer that it leaves, while its heartbeats say that it is
 /// ready, gets nothing after it.
 async fn is_left(path: &str, last: Behaviour, good: Behaviour) {
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -31,7 +31,7 @@
 use mortal::MortalReplica;
 use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// What a replica that leaves says in its heads.
 const LEAVING: &str = "Leaving: 1\r\n";
@@ -42,6 +42,10 @@
 /// Time of a request on every route, in milliseconds.
 pub const TIMEOUT_MS: u64 = 20_000;
 
+/// Time for a connection to a replica: longer than a kernel takes to ask a full listener
+/// again.
+const CONNECT_MS: u64 = 10_000;
+
 const NAMES: HeaderNames = HeaderNames {
     request_id: "Request-Id",
     deadline_ms: "Deadline-Ms",
@@ -149,6 +153,9 @@
     Unsigned,
     /// Says that it did not run it.
     NotExecuted,
+    /// The same after so many milliseconds, with a line of the head that says when to come
+    /// back.
+    PauseLater(u64, &'static str),
     /// The same, with a line of the head that says when to come back.
     Pause(&'static str),
     /// Fails, and does not say that it did not run it, with a line of the head.
@@ -215,6 +222,8 @@
     script: VecDeque<Behaviour>,
     seen: Vec<Seen>,
     closed: bool,
+    /// It accepts no connections for now.
+    shut: bool,
 }
 
 type SharedReplica = Rc<RefCell<ReplicaState>>;
@@ -355,7 +364,7 @@
             log: Default::default(),
             choice: Default::default(),
             resend: Default::default(),
-            connect_ms: 1_000,
+            connect_ms: CONNECT_MS,
             stale_ms: 60_000,
             authority_ms,
             config_wait_ms,
@@ -484,7 +493,7 @@
         models: BTreeMap<ModelName, BTreeSet<String>>,
         script: Vec<Behaviour>,
     ) {
-        let listener = TcpListener::bind(loopback()).await.unwrap();
+        let listener = small_listener();
         let record = ReplicaRecord {
             id: ReplicaId::from(name),
             service: ServiceName::from(service),
@@ -510,6 +519,25 @@
         self.replicas.insert(name.to_owned(), (record, state));
     }
 
+    /// Has a replica accept no new connections, until it is opened again. Returns once its
+    /// listener is full.
+    pub async fn shut(&self, name: &str) -> Vec<TcpStream> {
+        let (record, state) = &self.replicas[name];
+        state.borrow_mut().shut = true;
+        let mut waiting = Vec::new();
+        loop {
+            let opening = TcpStream::connect(record.address);
+            match tokio::time::timeout(Duration::from_millis(200), opening).await {
+                Ok(opened) => waiting.push(opened.unwrap()),
+                Err(_) => return waiting,
+            }
+        }
+    }
+
+    pub fn open(&self, name: &str) {
+        self.replicas[name].1.borrow_mut().shut = false;
+    }
+
     pub fn seen(&self, name: &str) -> Vec<Seen> {
         self.replicas[name].1.borrow().seen.clone()
     }
@@ -624,8 +652,21 @@
     }
 }
 
+/// A listener that is full with a few connections.
+fn small_listener() -> TcpListener {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(loopback()).unwrap();
+    socket.listen(64).unwrap()
+}
+
 async fn serve_replica(listener: TcpListener, name: String, state: SharedReplica) {
-    while let Ok((stream, _)) = listener.accept().await {
+    loop {
+        while state.borrow().shut {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let Ok((stream, _)) = listener.accept().await else {
+            return;
+        };
         ntex::rt::spawn(serve_connection(stream, name.clone(), state.clone()));
     }
 }
@@ -709,6 +750,10 @@
             format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: 2\r\n\r\nhi")
         }
         Behaviour::NotExecuted => whole_answer(503, name, id, "", "Not-Executed: 1\r\n"),
+        Behaviour::PauseLater(millis, line) => {
+            tokio::time::sleep(Duration::from_millis(millis)).await;
+            whole_answer(503, name, id, "", &format!("Not-Executed: 1\r\n{line}"))
+        }
         Behaviour::Pause(line) => {
             whole_answer(503, name, id, "", &format!("Not-Executed: 1\r\n{line}"))
         }
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -89,7 +89,7 @@
 mutant doubled-ask-draws-twice src/table/quota.rs 's/let known = ask\.number <= newest\.0;/let known = false;/' quota a_doubled_ask_draws_once_and_a_late_answer_is_dropped
 mutant proof-without-age src/routing/authority.rs 's/asked_ms\.saturating_sub\(proof\.age_ms\)/asked_ms/' accounts a_proof_counts_for_whoever_holds_its_version
 mutant keys-obeyed-without-word src/forward/daemon.rs 's/age_ms < self\.settings\.authority_ms/age_ms < u64::MAX/' forwarding where_nothing_newer_can_be_heard_no_key_is_obeyed_for_long
-mutant key-passed-on src/forward/request.rs 's/drop\.extend\(\[names\.key, names\.account\]\);//' forwarding a_key_stays_here_and_its_account_goes_on
+mutant key-passed-on src/forward/request/wire_heads.rs 's/drop\.extend\(\[names\.key, names\.account\]\);//' forwarding a_key_stays_here_and_its_account_goes_on
 mutant order-without-its-leader src/control/orderer.rs 's/\.ok_or\(CallError::Deposed\)\?;/.unwrap_or(SendPermit { until_ms: u64::MAX });/' orderer an_order_leaves_only_while_its_leader_decides
 mutant renewal-waits-for-the-voter src/control/orderer.rs 's/tokio::time::timeout\(left, self\.ask\(\)\)\.await/Ok::<_, ()>(self.ask().await)/' orderer an_order_ends_with_its_permit_also_while_the_voter_is_held_up
 mutant order-closed-in-good-order src/forward/upstream.rs 's/\.and_then\(\|\(\)\| socket\.set_linger\(Some\(Duration::ZERO\)\)\)//' orderer an_order_that_is_given_up_leaves_nothing_on_its_way
@@ -111,3 +111,9 @@
 mutant suspects-together src/placement/turns.rs 's/\*\*content != ask\.content \&\& turn\.replica == ask\.replica/**content != ask.content \&\& false/' crashes suspects_are_kept_apart
 mutant broken-is-a-crash src/forward/crashes.rs 's/(put\(&at\.life\.id, connection\);\s+)Probe::Lives/$1Probe::Ended/' forwarding a_connection_that_breaks_off_is_no_crash
 mutant later-life-unheard src/consensus/directory.rs 's/Some\(known\) if record\.born_ms > known\.born_ms => BeatNews::New,\n//' replica_born a_new_life_is_heard_though_its_numbers_begin_anew
+mutant pause-not-kept src/routing/backoff.rs 's/note if now_ms < note\.until_ms => /note if false \&\& now_ms < note.until_ms => /' backoff a_named_time_brings_two_requests_at_most
+mutant trials-without-bound src/routing/backoff.rs 's/note\.trials >= MOST_TRIALS/false/' backoff a_named_time_brings_two_requests_at_most
+mutant crowd-after-a-pause src/routing/backoff.rs 's/note\.limit = 1;/note.limit = NO_LIMIT;/' backoff after_a_pause_one_request_goes_first
+mutant leaving-not-kept src/routing/backoff.rs 's/note if note\.leaves\(life\) => /note if false \&\& note.leaves(life) => /' forwarding a_replica_that_says_in_an_answer
+mutant no-last-look src/forward/request.rs 's/Err\(_\) => \{\n                core\.pool\.borrow_mut\(\)\.put\(replica, connection\);\n                return Tried::Unsent;\n            \}/Err(_) => None,/' forwarding a_request_whose_connection_was_slow
+mutant refusals-not-kept src/entry/flight_steps.rs 's/state\.refusals\.note\([^;]*;//' overload a_home_that_refused_a_row
