--- a/tests/suspension/main.rs
+++ b/tests/suspension/main.rs
@@ -72,3 +72,21 @@
     assert_eq!(answer.status, 504);
     assert_eq!(order.into_inner(), ["answer", "later"]);
 }
+
+/// A replica's pause goes on while the machine is suspended, and ends with it: its time is
+/// the replica's.
+#[ntex::test]
+async fn a_pause_that_was_asked_for_ends_meanwhile() {
+    let _turn = TURN.lock().await;
+    let mut site = ForwardSite::start(&[PLAIN]).await;
+    let paused = Behaviour::Pause("Retry-After: 300\r\n");
+    site.add_replica("r1", vec![paused, Behaviour::Answer(200, "well")])
+        .await;
+    assert_eq!(site.ask("GET", "/plain/x", "a", "").await.status, 503);
+    clock::suspend(Duration::from_secs(100));
+    assert_eq!(site.ask("GET", "/plain/x", "b", "").await.status, 503);
+    assert_eq!(site.seen("r1").len(), 1);
+    clock::suspend(Duration::from_secs(200));
+    let answer = site.ask("GET", "/plain/x", "c", "").await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "well"));
+}
