--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -361,15 +361,14 @@
         suited: Vec<&'a ReplicaNote>,
         now_ms: u64,
     ) -> Result<Vec<&'a ReplicaNote>, Choice> {
+        let mut open = Vec::new();
         let mut otherwise = Choice::Absent;
-        let open = suited.into_iter().filter(|note| {
-            let bar = self.bar(note, now_ms);
-            if let Some(bar) = bar {
-                otherwise = sooner(&otherwise, bar);
+        for note in suited {
+            match self.bar(note, now_ms) {
+                None => open.push(note),
+                Some(bar) => otherwise = sooner(otherwise, bar),
             }
-            bar.is_none()
-        });
-        let open: Vec<&ReplicaNote> = open.collect();
+        }
         match open.is_empty() {
             true => Err(otherwise),
             false => Ok(open),
@@ -590,13 +589,13 @@
 
 /// Of what is left to choose without another replica, and with one that is barred, what comes
 /// sooner.
-fn sooner(choice: &Choice, bar: SendBar) -> Choice {
+fn sooner(choice: Choice, bar: SendBar) -> Choice {
     match (choice, bar) {
         // It shows within some hundred milliseconds whether it has room.
         (Choice::Full, _) | (_, SendBar::Reopening) => Choice::Full,
-        (choice, SendBar::Leaving) => choice.clone(),
+        (choice, SendBar::Leaving) => choice,
         (Choice::Paused(known_ms), SendBar::Paused { left_ms }) => {
-            Choice::Paused(left_ms.min(*known_ms))
+            Choice::Paused(left_ms.min(known_ms))
         }
         (_, SendBar::Paused { left_ms }) => Choice::Paused(left_ms),
     }
--- a/src/forward/request_log.rs
+++ b/src/forward/request_log.rs
@@ -15,6 +15,8 @@
 const GOOD_LINES: u32 = 10;
 /// Log lines a second for requests that failed or were refused.
 const BAD_LINES: u32 = 40;
+/// Longest part of a header's value that a line shows, in characters.
+const MAX_SHOWN: usize = 32;
 
 /// How a request ended, for logs and metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -240,9 +242,7 @@
     }
 }
 
-/// Longest part of a header's value that a line shows.
-const MAX_SHOWN: usize = 32;
-
+/// The pause that came with a refusal, for a line; empty for none.
 fn asked_text(pause: Option<&str>) -> String {
     let shown = pause.map(|text| text.chars().take(MAX_SHOWN).collect::<String>());
     shown.map_or(String::new(), |text| format!(", retry after {text}"))
--- a/src/routing/refusals.rs
+++ b/src/routing/refusals.rs
@@ -23,6 +23,7 @@
 }
 
 impl RefusalScope {
+    /// What callers are told who are held back by such a refusal.
     fn cause(&self) -> RefuseCause {
         match self {
             Self::Target => RefuseCause::NoLease,
