--- a/src/consensus/directory.rs
+++ b/src/consensus/directory.rs
@@ -48,6 +48,9 @@
     /// When this life began, in milliseconds since the epoch by the replica's clock; 0 where
     /// it does not tell.
     pub born_ms: u64,
+    /// For how much longer it warms up, in milliseconds; 0 once it is warm, and where its
+    /// service names no rate for it.
+    pub cold_ms: u64,
 }
 
 impl ReplicaRecord {
@@ -59,6 +62,12 @@
         }
     }
 
+    /// What tells one word on whether it is warm from another: each comes with a heartbeat, or
+    /// with a life.
+    pub fn word_on_warmth(&self) -> (u64, u64) {
+        (self.born_ms, self.cold_ms)
+    }
+
     /// Whether an adapter of a model is there.
     pub fn holds_adapter(&self, model: &ModelName, adapter: &str) -> bool {
         let held = self.models.get(model);
@@ -80,6 +89,7 @@
             phase: self.phase,
             models: self.models.clone(),
             born_ms: self.born_ms,
+            cold_ms: self.cold_ms,
         }
     }
 }
@@ -131,6 +141,8 @@
     unheard: BTreeSet<ReplicaId>,
     /// When an order last changed an adapter of a replica, in the state's clock.
     ordered_ms: BTreeMap<ReplicaId, BTreeMap<(ModelName, String), u64>>,
+    /// Until when a replica is taken for cold whatever it tells, in the state's clock.
+    cold_until_ms: BTreeMap<ReplicaId, u64>,
 }
 
 impl ReplicaDirectory {
@@ -228,6 +240,7 @@
         self.adapters_going.remove(id);
         self.unheard.remove(id);
         self.ordered_ms.remove(id);
+        self.cold_until_ms.remove(id);
     }
 
     /// Whether a heartbeat brings nothing but its number.
@@ -243,6 +256,8 @@
         merged
             .models
             .retain(|model, _| !self.is_leaving(&record.id, model));
+        let cold_until_ms = self.cold_until_ms.get(&record.id).copied().unwrap_or(0);
+        merged.cold_ms = merged.cold_ms.max(cold_until_ms.saturating_sub(clock_ms));
         let ordered = self.ordered_ms.get(&record.id).into_iter().flatten();
         for ((model, adapter), at_ms) in ordered {
             let held = known.holds_adapter(model, adapter);
@@ -307,6 +322,19 @@
         }
     }
 
+    /// Takes a replica for cold for so long, as it may have turned so unheard: a heartbeat
+    /// from before that may come late. Returns whether it is known.
+    pub fn cool(&mut self, id: &ReplicaId, cold_ms: u64, clock_ms: u64) -> bool {
+        let Some(record) = self.records.get_mut(id) else {
+            return false;
+        };
+        record.cold_ms = cold_ms;
+        self.cold_until_ms
+            .retain(|_, until_ms| *until_ms > clock_ms);
+        self.cold_until_ms.insert(id.clone(), clock_ms + cold_ms);
+        true
+    }
+
     /// Marks a replica as leaving. Returns whether that is new.
     pub fn drain(&mut self, id: &ReplicaId) -> bool {
         match self.records.get_mut(id) {
@@ -332,6 +360,7 @@
         self.adapters_going.remove(id);
         self.unheard.remove(id);
         self.ordered_ms.remove(id);
+        self.cold_until_ms.remove(id);
         let record = self.records.remove(id);
         if let Some(record) = &record {
             self.ended.retain(|life| life.id != *id);
--- a/src/consensus/state.rs
+++ b/src/consensus/state.rs
@@ -1,5 +1,6 @@
 //! The replicated state machine: site, table, claims, members and homes.
 
+use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
@@ -9,9 +10,9 @@
 use crate::consensus::directory::{AdapterEffect, BeatNews, ReplicaDirectory, ReplicaRecord};
 use crate::ids::{
     AttemptId, ContentDigest, HallName, HostName, Incarnation, ModelName, NodeId, Position,
-    ReplicaId, ReplicaLife, TargetName,
+    ReplicaId, ReplicaLife, ServiceName, TargetName,
 };
-use crate::table::configuration::{Configuration, ConfigurationRecord};
+use crate::table::configuration::{Configuration, ConfigurationRecord, WarmupSpec};
 use crate::table::rows::{EditAnswer, RowEdit, TableStore};
 use crate::table::site::SiteSpec;
 
@@ -135,6 +136,10 @@
     ContentCleared(ContentDigest),
     /// An operator lets a barred content be tried again.
     ContentLifted(ContentDigest),
+    /// An operator wants nothing more sent to the replicas of a data hall.
+    Evacuate(HallName),
+    /// An operator takes an evacuated data hall back.
+    Restore(HallName),
 }
 
 /// The answer to [`Command::Configure`].
@@ -196,6 +201,17 @@
     Replica(ReplicaId, Option<ReplicaRecord>),
     /// How often replicas have ended under these contents has changed.
     Contents(CrashCounts),
+    /// A data hall was evacuated, or taken back.
+    Hall(HallName, HallStanding),
+}
+
+/// Whether requests may go to the replicas of a data hall.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HallStanding {
+    /// They may.
+    Open,
+    /// An operator wants none sent there.
+    Evacuated,
 }
 
 /// How long the state remembers answered edits and claims, in milliseconds.
@@ -233,6 +249,8 @@
     pub replicas: ReplicaDirectory,
     /// Contents under which replicas ended.
     pub crashes: CrashBook,
+    /// Data halls whose replicas are to get nothing more.
+    pub evacuated: BTreeSet<HallName>,
     /// Where voters' disks are reached.
     pub voter_hosts: BTreeMap<NodeId, HostName>,
     /// The last change of what members follow. Claims and the like move the
@@ -348,6 +366,19 @@
                 }
                 Reply::Lifted(lifted)
             }
+            Command::Evacuate(hall) => {
+                if self.evacuated.insert(hall.clone()) {
+                    self.note(Change::Hall(hall.clone(), HallStanding::Evacuated));
+                }
+                Reply::None
+            }
+            Command::Restore(hall) => {
+                if self.evacuated.remove(hall) {
+                    self.cool_hall(hall);
+                    self.note(Change::Hall(hall.clone(), HallStanding::Open));
+                }
+                Reply::None
+            }
         }
     }
 
@@ -403,8 +434,10 @@
         let replicas = replicas.map(|(id, r)| Change::Replica(id.clone(), Some(r.for_members())));
         let counts = Some(self.crashes.counts()).filter(|counts| !counts.is_empty());
         let contents = counts.map(Change::Contents);
+        let halls = self.evacuated.iter().cloned();
+        let halls = halls.map(|hall| Change::Hall(hall, HallStanding::Evacuated));
         let table = site.chain(rows).chain(members).chain(homes);
-        let fleet = configuration.chain(replicas).chain(contents);
+        let fleet = configuration.chain(replicas).chain(contents).chain(halls);
         table.chain(fleet).collect()
     }
 
@@ -483,17 +516,56 @@
         let known = self.replicas.records().get(&record.id);
         let same = known.is_some_and(|known| known.service == record.service);
         match named || same {
-            true => self.replicas.news(record, self.clock_ms),
+            true => {
+                let record = self.with_warm_up(record);
+                self.replicas.news(&record, self.clock_ms)
+            }
             false => BeatNews::Foreign,
         }
     }
 
+    /// How replicas of a service warm up, where they bear fewer requests meanwhile.
+    pub fn warm_up(&self, service: &ServiceName) -> Option<WarmupSpec> {
+        let configured = self.configuration.as_ref().map(|held| &held.configuration);
+        configured?.services.get(service)?.warm_up
+    }
+
+    /// A record that tells of warming up only where that matters: each heartbeat that does
+    /// is committed.
+    fn with_warm_up<'a>(&self, record: &'a ReplicaRecord) -> Cow<'a, ReplicaRecord> {
+        match record.cold_ms > 0 && self.warm_up(&record.service).is_none() {
+            true => Cow::Owned(ReplicaRecord {
+                cold_ms: 0,
+                ..record.clone()
+            }),
+            false => Cow::Borrowed(record),
+        }
+    }
+
+    /// Takes the replicas of a data hall for cold: nobody has sent them anything for a while,
+    /// and those that turned cold shortly before may not have told yet.
+    fn cool_hall(&mut self, hall: &HallName) {
+        let records = self.replicas.records().values();
+        let there = records.filter(|record| record.hall == *hall);
+        let cold = there.filter_map(|record| {
+            let spec = self.warm_up(&record.service)?;
+            Some((record.id.clone(), spec.lasts_ms))
+        });
+        let cold: Vec<(ReplicaId, u64)> = cold.collect();
+        for (id, cold_ms) in cold {
+            if self.replicas.cool(&id, cold_ms, self.clock_ms) {
+                self.note_replica(&id);
+            }
+        }
+    }
+
     fn apply_replica(&mut self, record: &ReplicaRecord) -> Reply {
         if self.replica_news(record) == BeatNews::Foreign {
             return Reply::None;
         }
+        let record = self.with_warm_up(record);
         let before = self.member_record(&record.id);
-        if let Some(replaced) = self.replicas.put(record, self.clock_ms) {
+        if let Some(replaced) = self.replicas.put(&record, self.clock_ms) {
             for id in &replaced {
                 self.note_replica(id);
             }
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -16,6 +16,7 @@
 use crate::placement::order::{AdapterPlace, EngineOrder, OrderOutcome};
 use crate::placement::report::EntryReport;
 use crate::placement::turns::{TurnAnswer, TurnAsk, TurnEnd};
+use crate::placement::warm_up::{WarmupAnswer, WarmupAsk};
 use crate::process::wire::{
     AccountStatus, AgentOrders, ControlRefusal, ControlStatus, EntryOrders, Notice, TableStatus,
 };
@@ -93,6 +94,8 @@
     Turn(TurnAsk, Answer<TurnAnswer>),
     /// A turn has ended; for the leader.
     TurnEnded(TurnEnd, Answer<()>),
+    /// Whether one request may go to a replica that warms up.
+    Warmup(WarmupAsk, Answer<WarmupAnswer>),
     /// The contents under which replicas ended, from a state that is surely the newest.
     Contents(Answer<CrashBook>),
     /// Whether an order of that term may leave now, and for how long.
--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -13,9 +13,9 @@
 use tokio::sync::oneshot;
 
 use crate::consensus::directory::{BeatNews, ReplicaPhase, ReplicaRecord};
-use crate::consensus::state::{Command, ConfigureAnswer, Reply};
+use crate::consensus::state::{Command, ConfigureAnswer, HallStanding, Reply};
 use crate::control::event::{ControlEvent, ControlHandle};
-use crate::ids::{ReplicaId, ServiceName};
+use crate::ids::{HallName, ReplicaId, ServiceName};
 use crate::process::peers::{self, ControlLink, PeerError};
 use crate::process::wire::{ControlRefusal, ControlWireClient};
 use crate::table::configuration::{Configuration, ConfigurationError, ConfigurationRecord};
@@ -51,6 +51,12 @@
     /// The call comes from a life that has ended.
     #[snafu(display("this replica has ended"))]
     Ended,
+    /// There is no such data hall.
+    #[snafu(display("there is no data hall '{hall}'"))]
+    UnknownHall {
+        /// The data hall.
+        hall: HallName,
+    },
     /// The configuration names no such service.
     #[snafu(display("the configuration names no service '{service}'"))]
     Foreign {
@@ -74,15 +80,18 @@
 pub struct Registry {
     access: LogAccess,
     link: Arc<ControlLink>,
+    /// The data halls that there are; empty where nobody has told.
+    halls: BTreeSet<HallName>,
     heard: Mutex<BTreeSet<ReplicaId>>,
 }
 
 impl Registry {
     /// The registry of a control host; `link` reaches the others.
-    pub fn new(access: LogAccess, link: Arc<ControlLink>) -> Self {
+    pub fn new(access: LogAccess, link: Arc<ControlLink>, halls: BTreeSet<HallName>) -> Self {
         Self {
             access,
             link,
+            halls,
             heard: Mutex::default(),
         }
     }
@@ -144,6 +153,24 @@
         }
     }
 
+    /// An operator's word on a data hall: whether its replicas may get requests.
+    pub async fn set_hall(
+        &self,
+        hall: HallName,
+        standing: HallStanding,
+    ) -> Result<(), RegistryError> {
+        if !self.halls.is_empty() && !self.halls.contains(&hall) {
+            return Err(RegistryError::UnknownHall { hall });
+        }
+        let command = match standing {
+            HallStanding::Evacuated => Command::Evacuate(hall.clone()),
+            HallStanding::Open => Command::Restore(hall.clone()),
+        };
+        let reply = self.commit(command, CONFIGURE_TIME).await;
+        tracing::info!(%hall, ?standing, ?reply, "data hall");
+        reply.map(|_| ())
+    }
+
     /// The configuration, by a read that nothing newer can exist besides.
     pub async fn configuration(&self) -> Result<Option<ConfigurationRecord>, RegistryError> {
         let give_up = Instant::now() + CONFIGURE_TIME;
--- a/src/control/relay.rs
+++ b/src/control/relay.rs
@@ -28,6 +28,7 @@
 use crate::placement::order::AdapterPlace;
 use crate::placement::report::EntryReport;
 use crate::placement::turns::{TurnAnswer, TurnAsk, TurnEnd};
+use crate::placement::warm_up::{WarmupAnswer, WarmupAsk};
 use crate::process::daemon::{self, DaemonError};
 use crate::process::metrics::{MetricBook, MetricKey};
 use crate::process::peers::{self, ControlLink, PeerError, SiteSecret};
@@ -406,6 +407,10 @@
         Err(self.elsewhere())
     }
 
+    async fn warm_up(self, _: Context, _: WarmupAsk) -> Result<WarmupAnswer, ControlRefusal> {
+        Err(self.elsewhere())
+    }
+
     async fn contents(self, _: Context) -> Result<CrashBook, ControlRefusal> {
         Err(self.elsewhere())
     }
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -30,6 +30,7 @@
 use crate::placement::order::{AdapterPlace, EngineOrder};
 use crate::placement::report::EntryReport;
 use crate::placement::turns::{TurnAnswer, TurnAsk, TurnEnd};
+use crate::placement::warm_up::{WarmupAnswer, WarmupAsk};
 use crate::process::daemon::{self, DaemonError};
 use crate::process::metrics::{MetricBook, MetricKey};
 use crate::process::peers::{self, ControlLink, PeerPool, SiteSecret};
@@ -506,6 +507,12 @@
             .await
     }
 
+    async fn warm_up(self, _: Context, ask: WarmupAsk) -> Result<WarmupAnswer, ControlRefusal> {
+        self.handle
+            .ask(|answer| ControlEvent::Warmup(ask, answer))
+            .await
+    }
+
     async fn contents(self, _: Context) -> Result<CrashBook, ControlRefusal> {
         self.handle.ask(ControlEvent::Contents).await
     }
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -22,6 +22,7 @@
 use crate::placement::order::{AdapterPlace, EngineOrder, OrderOutcome};
 use crate::placement::report::EntryReport;
 use crate::placement::turns::{TurnAnswer, TurnAsk, TurnDesk};
+use crate::placement::warm_up::{WarmupAnswer, WarmupAsk, WarmupDesk};
 use crate::process::settings::ControlSettings;
 use crate::process::wire::{
     self, AccountStatus, AgentOrders, ControlRefusal, ControlStatus, EntryOrders, LimitStatus,
@@ -96,6 +97,7 @@
     fleet: Option<FleetDuties>,
     quotas: Option<QuotaGrantor>,
     turns: Option<TurnDesk>,
+    warm_ups: Option<WarmupDesk>,
     /// The newest configuration that a leader confirmed, and when this host asked.
     confirmed: Option<(u64, u64)>,
     orders: Option<mpsc::UnboundedSender<EngineOrder>>,
@@ -150,6 +152,7 @@
             fleet: None,
             quotas: None,
             turns: None,
+            warm_ups: None,
             confirmed: None,
             orders: None,
             awaiting: BTreeMap::new(),
@@ -299,6 +302,9 @@
                 let ended = self.turns.as_mut().map(|turns| turns.end(end));
                 let _ = answer.send(ended.ok_or_else(|| self.not_leader()));
             }
+            ControlEvent::Warmup(ask, answer) => {
+                let _ = answer.send(self.on_warm_up(now_ms, &ask));
+            }
             ControlEvent::Contents(answer) => {
                 let newest = self.replica.newest(now_ms);
                 let book = newest.map(|state| state.crashes.clone());
@@ -457,6 +463,17 @@
         Ok(answer)
     }
 
+    fn on_warm_up(&mut self, now_ms: u64, ask: &WarmupAsk) -> Result<WarmupAnswer, ControlRefusal> {
+        let (Some(state), Some(desk)) = (self.replica.newest(now_ms), &mut self.warm_ups) else {
+            return Err(self.not_leader());
+        };
+        Ok(match state.warm_up(&ask.service) {
+            Some(spec) => desk.ask(now_ms, &ask.replica, spec),
+            // Its service has been told to go without since.
+            None => WarmupAnswer::Go,
+        })
+    }
+
     fn permit_order(&mut self, now_ms: u64, term: Term) -> Result<SendPermit, ControlRefusal> {
         let decides = self.replica.newest(now_ms).is_some();
         if !decides || term != self.replica.term() || self.stopping.is_some() {
@@ -634,6 +651,7 @@
                 let fleet = FleetDuties::new(self.settings.fleet, holder, term, now_ms);
                 self.fleet = Some(fleet);
                 self.turns = Some(TurnDesk::default());
+                self.warm_ups = Some(WarmupDesk::new(now_ms));
                 self.quotas = Some(match term {
                     FIRST_TERM => QuotaGrantor::of_first_leader(now_ms),
                     _ => QuotaGrantor::new(now_ms),
@@ -655,6 +673,7 @@
                 self.duties = None;
                 self.quotas = None;
                 self.turns = None;
+                self.warm_ups = None;
                 self.abandon();
             }
         }
--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -13,9 +13,12 @@
     CROWD_MS, CrowdNote, PACE_PART, ReadPace, ReplicaNote, ToldLoad,
 };
 use crate::forward::separation::AnswerMix;
+use crate::forward::warm_up::WarmupLeave;
 use crate::ids::{HallName, ReplicaId, ReplicaLife, ServiceName};
 use crate::placement::crowd::WaitingTokens;
 use crate::routing::backoff::{AskedPause, BackoffBook, ClaimEnd, SendBar, SendClaim};
+use crate::routing::warm_up::WarmupBook;
+use crate::table::configuration::{ServiceSpec, WarmupSpec};
 
 /// The choice.
 #[derive(Clone, Debug, PartialEq)]
@@ -29,10 +32,28 @@
     /// All that could take it asked to be left alone; the first one for so much longer, in
     /// milliseconds.
     Paused(u64),
+    /// All that could take it warm up, and have got what they bear for now.
+    WarmingUp,
+    /// All that could take it are in evacuated halls, and the leader brings no others.
+    Evacuated,
     /// No replica holds the model.
     Absent,
 }
 
+/// Why nothing may be sent to a replica now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReplicaBar {
+    /// An operator wants nothing sent to its data hall.
+    Evacuated,
+    /// It warms up, and has got what it bears for so much longer, in milliseconds.
+    WarmingUp {
+        /// Until it may be asked for again.
+        left_ms: u64,
+    },
+    /// It asked for that itself.
+    Asked(SendBar),
+}
+
 /// Bounds of a service's engines; all zero for plain services.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EngineBounds {
@@ -122,6 +143,12 @@
     crowd_until_ms: u64,
     /// What replicas asked for in their answers.
     backoffs: BackoffBook<ReplicaId>,
+    /// Which replicas warm up.
+    warm_ups: WarmupBook<ReplicaId>,
+    /// Services whose replicas bear fewer requests while they warm up.
+    warm_up_specs: BTreeMap<ServiceName, WarmupSpec>,
+    /// Data halls whose replicas are to get nothing.
+    evacuated: BTreeSet<HallName>,
 }
 
 impl ReplicaBook {
@@ -136,6 +163,9 @@
             paces: BTreeMap::new(),
             crowd_until_ms: 0,
             backoffs: BackoffBook::default(),
+            warm_ups: WarmupBook::default(),
+            warm_up_specs: BTreeMap::new(),
+            evacuated: BTreeSet::new(),
         }
     }
 
@@ -156,9 +186,49 @@
         self.backoffs.leaves(&life.id, life.born_ms)
     }
 
-    /// The last look, right before a request leaves for a replica.
-    pub fn claim(&mut self, now_ms: u64, life: &ReplicaLife) -> Result<SendClaim, SendBar> {
-        self.backoffs.claim(now_ms, &life.id, life.born_ms)
+    /// The last look, right before a request leaves for a replica; `leave` is the leader's,
+    /// where it was asked.
+    pub fn claim(
+        &mut self,
+        now_ms: u64,
+        life: &ReplicaLife,
+        leave: Option<WarmupLeave>,
+    ) -> Result<SendClaim, ReplicaBar> {
+        let record = self.notes.get(&life.id).map(|note| &note.record);
+        if record.is_some_and(|record| self.evacuated.contains(&record.hall)) {
+            return Err(ReplicaBar::Evacuated);
+        }
+        let leave = leave.filter(|leave| leave.holds(now_ms));
+        if leave.is_none() && self.is_cold(now_ms, &life.id) {
+            return Err(ReplicaBar::WarmingUp { left_ms: 0 });
+        }
+        let claimed = self.backoffs.claim(now_ms, &life.id, life.born_ms);
+        claimed.map_err(ReplicaBar::Asked)
+    }
+
+    /// Whether a replica warms up, so that the leader is asked for each request.
+    pub fn is_cold(&self, now_ms: u64, id: &ReplicaId) -> bool {
+        let Some(record) = self.notes.get(id).map(|note| &note.record) else {
+            return false;
+        };
+        let silent = record.phase == ReplicaPhase::Silent;
+        let limited = self.warm_up_specs.contains_key(&record.service);
+        limited && (silent || self.warm_ups.is_cold(now_ms, id))
+    }
+
+    /// The leader lets no request go to a replica that warms up, for so long.
+    pub fn refuse_warm_up(&mut self, now_ms: u64, id: &ReplicaId, for_ms: u64) {
+        self.warm_ups.refuse(now_ms, id, for_ms);
+    }
+
+    /// A replica could not be reached, or broke off: it may be another one by now, that has
+    /// just started.
+    pub fn suspect_start(&mut self, now_ms: u64, id: &ReplicaId) {
+        let service = self.notes.get(id).map(|note| &note.record.service);
+        let spec = service.and_then(|service| self.warm_up_specs.get(service));
+        if let Some(spec) = spec {
+            self.warm_ups.suspect(now_ms, id, spec.lasts_ms);
+        }
     }
 
     /// A request that was let through is answered, or given up.
@@ -166,15 +236,25 @@
         self.backoffs.release(now_ms, id, claim, end);
     }
 
-    /// Forgets what replicas asked for, where it says nothing any more.
-    pub fn prune_backoffs(&mut self, now_ms: u64) {
+    /// Forgets what is known of replicas, where it says nothing any more.
+    pub fn prune(&mut self, now_ms: u64) {
         self.backoffs.prune(now_ms);
+        self.warm_ups.prune(now_ms);
     }
 
-    /// Why nothing may be sent to a replica now, by its own word.
-    fn bar(&self, note: &ReplicaNote, now_ms: u64) -> Option<SendBar> {
+    /// Why nothing may be sent to a replica now.
+    fn bar(&self, note: &ReplicaNote, now_ms: u64) -> Option<ReplicaBar> {
         let record = &note.record;
-        self.backoffs.bar(now_ms, &record.id, record.born_ms)
+        if self.evacuated.contains(&record.hall) {
+            return Some(ReplicaBar::Evacuated);
+        }
+        let asked = self.backoffs.bar(now_ms, &record.id, record.born_ms);
+        let refused_ms = match self.is_cold(now_ms, &record.id) {
+            true => self.warm_ups.refused_ms(now_ms, &record.id),
+            false => None,
+        };
+        let warming = refused_ms.map(|left_ms| ReplicaBar::WarmingUp { left_ms });
+        asked.map(ReplicaBar::Asked).or(warming)
     }
 
     /// What it has come to believe since the last call, to be logged.
@@ -182,10 +262,28 @@
         std::mem::take(&mut self.news)
     }
 
+    /// Takes over how replicas of services warm up.
+    pub fn follow_services(&mut self, services: &BTreeMap<ServiceName, ServiceSpec>) {
+        let specs = services.iter();
+        let limited = specs.filter_map(|(name, spec)| Some((name.clone(), spec.warm_up?)));
+        self.warm_up_specs = limited.collect();
+    }
+
+    /// Takes over which data halls are to get nothing.
+    pub fn follow_halls(&mut self, evacuated: &BTreeSet<HallName>) {
+        if self.evacuated != *evacuated {
+            self.evacuated = evacuated.clone();
+        }
+    }
+
     /// Takes over the records that are in force.
-    pub fn follow(&mut self, records: &BTreeMap<ReplicaId, ReplicaRecord>) {
+    pub fn follow(&mut self, now_ms: u64, records: &BTreeMap<ReplicaId, ReplicaRecord>) {
         self.notes.retain(|id, _| records.contains_key(id));
         for (id, record) in records {
+            let known = self.notes.get(id).map(|note| &note.record);
+            if known.is_none_or(|known| known.word_on_warmth() != record.word_on_warmth()) {
+                self.warm_ups.tell(now_ms, id, record.cold_ms);
+            }
             match self.notes.get_mut(id) {
                 Some(note) if note.record == *record => {}
                 Some(note) if note.record.born_ms != record.born_ms => note.begin_life(record),
@@ -240,9 +338,10 @@
         let suited = self.notes.values().filter(|note| suits(note, need));
         let waits = suited.filter_map(|note| {
             let paused_ms = match self.bar(note, now_ms) {
-                Some(SendBar::Leaving) => return None,
-                Some(SendBar::Paused { left_ms }) => left_ms as f64,
-                Some(SendBar::Reopening) | None => 0.0,
+                Some(ReplicaBar::Evacuated | ReplicaBar::Asked(SendBar::Leaving)) => return None,
+                Some(ReplicaBar::Asked(SendBar::Paused { left_ms })) => left_ms as f64,
+                Some(ReplicaBar::WarmingUp { left_ms }) => left_ms as f64,
+                Some(ReplicaBar::Asked(SendBar::Reopening)) | None => 0.0,
             };
             let (waiting, running) = note.loads(now_ms, fade_ms);
             let full = waiting + running >= f64::from(note.slots);
@@ -313,6 +412,8 @@
         // also where it is the last one.
         let open = match self.unbarred(&suited, now_ms) {
             Ok(open) => open,
+            // What a replica loads can be loaded elsewhere.
+            Err(Choice::Evacuated) if need.model.is_some() => return Choice::Absent,
             Err(choice) => return choice,
         };
         let apart = self.set_apart(&suited, need);
@@ -590,23 +691,29 @@
 
 /// Of what is left to choose without another replica, and with one that is barred, what comes
 /// sooner.
-fn sooner(choice: Choice, bar: SendBar) -> Choice {
+fn sooner(choice: Choice, bar: ReplicaBar) -> Choice {
+    use ReplicaBar::{Asked, Evacuated, WarmingUp};
     match (choice, bar) {
         // It shows within some hundred milliseconds whether it has room.
-        (Choice::Full, _) | (_, SendBar::Reopening) => Choice::Full,
-        (choice, SendBar::Leaving) => choice,
-        (Choice::Paused(known_ms), SendBar::Paused { left_ms }) => {
+        (Choice::Full, _) | (_, Asked(SendBar::Reopening)) => Choice::Full,
+        (Choice::WarmingUp, _) | (_, WarmingUp { .. }) => Choice::WarmingUp,
+        (Choice::Absent, Evacuated) => Choice::Evacuated,
+        (choice, Evacuated | Asked(SendBar::Leaving)) => choice,
+        (Choice::Paused(known_ms), Asked(SendBar::Paused { left_ms })) => {
             Choice::Paused(left_ms.min(known_ms))
         }
-        (_, SendBar::Paused { left_ms }) => Choice::Paused(left_ms),
+        (_, Asked(SendBar::Paused { left_ms })) => Choice::Paused(left_ms),
     }
 }
 
-fn bar_text(bar: Option<SendBar>) -> String {
+fn bar_text(bar: Option<ReplicaBar>) -> String {
+    use ReplicaBar::{Asked, Evacuated, WarmingUp};
     match bar {
-        Some(SendBar::Paused { left_ms }) => format!("asked for {left_ms} ms more of pause"),
-        Some(SendBar::Reopening) => "opens again after a pause".to_owned(),
-        Some(SendBar::Leaving) => "says that it leaves".to_owned(),
+        Some(Evacuated) => "in an evacuated hall".to_owned(),
+        Some(WarmingUp { left_ms }) => format!("warms up, the next in {left_ms} ms"),
+        Some(Asked(SendBar::Paused { left_ms })) => format!("asked for {left_ms} ms more of pause"),
+        Some(Asked(SendBar::Reopening)) => "opens again after a pause".to_owned(),
+        Some(Asked(SendBar::Leaving)) => "says that it leaves".to_owned(),
         None => "open".to_owned(),
     }
 }
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -460,7 +460,10 @@
         let view = self.follower.view();
         self.follow_crashes(&view);
         self.log_replicas(&view);
-        self.book.borrow_mut().follow(&view.replicas);
+        let mut book = self.book.borrow_mut();
+        book.follow_halls(&view.evacuated);
+        book.follow(clock::monotonic_ms(), &view.replicas);
+        drop(book);
         let held = self.version();
         let newer = view.configuration.as_ref().filter(|c| c.version > held);
         if let Some(configuration) = newer {
@@ -468,6 +471,9 @@
             let version = configuration.version;
             let routes = configuration.routes.len();
             let configuration = (**configuration).clone();
+            let mut book = self.book.borrow_mut();
+            book.follow_services(&configuration.services);
+            drop(book);
             let accounts = configuration.accounts.as_ref();
             let keys = accounts.map(KeyIndex::new).unwrap_or_default();
             let slack_ranks = slack_ranks(&configuration.routes);
@@ -736,7 +742,7 @@
     loop {
         tokio::time::sleep(PRUNE_EVERY).await;
         let mut book = core.book.borrow_mut();
-        book.prune_backoffs(clock::monotonic_ms());
+        book.prune(clock::monotonic_ms());
         let mut pool = core.pool.borrow_mut();
         pool.prune(|id| book.record(id).is_some());
     }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -26,3 +26,4 @@
 pub mod separation;
 pub mod turns;
 pub mod upstream;
+pub mod warm_up;
--- a/src/forward/own_answer.rs
+++ b/src/forward/own_answer.rs
@@ -20,6 +20,10 @@
     Full,
     /// All replicas asked to be left alone for longer than it can wait.
     Paused,
+    /// All replicas are in evacuated halls.
+    Evacuated,
+    /// All replicas warm up, and have got what they bear.
+    WarmingUp,
     /// No replica holds the model, and it cannot be there in time.
     Absent,
     /// The adapter did not come in time.
@@ -46,6 +50,8 @@
         match self {
             Self::Full => "all replicas are full",
             Self::Paused => "all replicas asked for a pause",
+            Self::Evacuated => "all replicas are in evacuated halls",
+            Self::WarmingUp => "all replicas warm up",
             Self::Absent => "no replica holds the model",
             Self::Adapter => "the adapter did not come in time",
             Self::Late => "time ran out before it was sent",
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -27,6 +27,7 @@
 use crate::forward::request_log::{Outcome, RequestLog};
 use crate::forward::turns::{Clearance, TurnGuard};
 use crate::forward::upstream::{Connection, Exchange, ExchangeError, Outgoing};
+use crate::forward::warm_up::WarmupLeave;
 use crate::ids::{ContentDigest, ReplicaId};
 use crate::routing::backoff::ClaimEnd;
 use crate::routing::suspects::BARRED_RETRY_MS;
@@ -50,6 +51,8 @@
 /// How much longer than predicted a stream may last: pauses grow while demand moves.
 /// With 1.5 one play in two of a day with a rolling restart still cut one off.
 const STREAM_MARGIN: f64 = 2.0;
+/// When a request comes back whose replicas are all in evacuated halls.
+const EVACUATED_RETRY: Duration = Duration::from_millis(1_000);
 /// Time that is left for a request to be worth sending.
 const LEAST_LEFT: Duration = Duration::from_millis(20);
 
@@ -153,6 +156,8 @@
     content: Option<ContentDigest>,
     /// Its turn, where its content is suspect.
     turn: Option<TurnGuard>,
+    /// The leader's leave to send it, where the chosen replica warms up.
+    leave: Option<WarmupLeave>,
     /// Where it was sent, while it may run there.
     sent: Option<SentTo>,
     /// What is being found out of a replica that broke off under it.
@@ -219,6 +224,7 @@
             cutter: EventCutter::default(),
             content: None,
             turn: None,
+            leave: None,
             sent: None,
             case: None,
             shared: BTreeSet::new(),
@@ -375,6 +381,7 @@
     fn come_back(&self, refusal: Refusal) -> Duration {
         match refusal {
             Refusal::Absent => self.load_time(),
+            Refusal::Evacuated => EVACUATED_RETRY,
             // Another entry takes it at once.
             Refusal::Stopping => Duration::ZERO,
             Refusal::Barred => Duration::from_millis(BARRED_RETRY_MS),
@@ -384,6 +391,7 @@
             Refusal::Quota(QuotaRefusal::Unknown) | Refusal::Caller(_) => UNKNOWN_RETRY,
             Refusal::Full
             | Refusal::Paused
+            | Refusal::WarmingUp
             | Refusal::Adapter
             | Refusal::Late
             | Refusal::Budget => {
@@ -416,6 +424,8 @@
             let choice = self.choose(now_ms);
             let waited = since.elapsed();
             let (refusal, limit) = match choice {
+                // It is chosen once more, without this replica for a while.
+                Choice::Send(replica) if !self.may_warm_up(&replica).await => continue,
                 Choice::Send(replica) => match self.clear_turn(&replica).await {
                     Clearance::Go(turn) => {
                         self.turn = turn;
@@ -446,6 +456,8 @@
                     }
                     (Refusal::Paused, limit)
                 }
+                Choice::WarmingUp => (Refusal::WarmingUp, self.room_wait()),
+                Choice::Evacuated => return Err(Refusal::Evacuated),
                 Choice::Absent => {
                     let wait = patience::wait_for_load(self.load_time(), waited, self.left());
                     (Refusal::Absent, wait)
@@ -460,6 +472,16 @@
         }
     }
 
+    /// Whether a replica is warm, or the leader lets this request go to it.
+    async fn may_warm_up(&mut self, replica: &ReplicaId) -> bool {
+        let core = self.core;
+        let Some(record) = core.cold_record(replica) else {
+            return true;
+        };
+        self.leave = core.ask_warm_up(&record).await;
+        self.leave.is_some()
+    }
+
     fn room_wait(&self) -> Duration {
         patience::wait_for_room(self.aim(), self.core.choice().room_part)
     }
@@ -500,6 +522,7 @@
             Ok(connection) => connection,
             Err(error) => {
                 guard.end = TryEnd::Unreached;
+                self.suspect_start(replica);
                 self.log.failed(&error);
                 return Tried::Unsent;
             }
--- a/src/forward/request/answer_heads.rs
+++ b/src/forward/request/answer_heads.rs
@@ -4,10 +4,11 @@
 use std::rc::Rc;
 
 use crate::clock;
+use crate::forward::book::ReplicaBar;
 use crate::forward::crashes::SentTo;
 use crate::forward::daemon::EntryCore;
 use crate::forward::head::{self, ResponseHead};
-use crate::routing::backoff::{AskedPause, SendBar, SendClaim};
+use crate::routing::backoff::{AskedPause, SendClaim};
 
 use super::Flight;
 
@@ -55,10 +56,13 @@
 }
 
 impl Flight<'_> {
-    /// The last look at what the replica asked for, right before the request leaves.
-    pub(super) fn claim(&mut self, sent: &SentTo) -> Result<SendClaim, SendBar> {
+    /// The last look at whether the replica may be sent to, right before the request leaves.
+    pub(super) fn claim(&mut self, sent: &SentTo) -> Result<SendClaim, ReplicaBar> {
         let now_ms = clock::monotonic_ms();
-        let claimed = self.core.book.borrow_mut().claim(now_ms, &sent.life);
+        let leave = self.leave.take();
+        let mut book = self.core.book.borrow_mut();
+        let claimed = book.claim(now_ms, &sent.life, leave);
+        drop(book);
         if let Err(bar) = &claimed {
             self.core.count("dunlinspring_held_back_total", &[]);
             self.log
--- a/src/forward/request/crashes.rs
+++ b/src/forward/request/crashes.rs
@@ -5,6 +5,7 @@
 
 use rand::Rng;
 
+use crate::clock;
 use crate::consensus::crashes::ContentStanding;
 use crate::forward::own_answer::Refusal;
 use crate::forward::turns::Clearance;
@@ -96,10 +97,19 @@
     pub(super) fn broke_off(&mut self, error: &ExchangeError) {
         self.log.failed(error);
         if error.broke_off() {
+            if let Some(sent) = &self.sent {
+                self.suspect_start(&sent.life.id);
+            }
             self.suspect_crash();
         }
     }
 
+    /// A replica may be another one by now, that has just started.
+    pub(super) fn suspect_start(&self, replica: &ReplicaId) {
+        let now_ms = clock::monotonic_ms();
+        self.core.book.borrow_mut().suspect_start(now_ms, replica);
+    }
+
     /// Has it found out whether the replica ended under this run.
     pub(super) fn suspect_crash(&mut self) {
         let Some(sent) = self.sent.take() else {
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -10,7 +10,7 @@
 
 use crate::consensus::directory::{AdapterEffect, ReplicaDirectory, ReplicaPhase, ReplicaRecord};
 use crate::consensus::state::{Command, SiteState};
-use crate::ids::{HostName, ModelName, ReplicaId, ReplicaLife, ServiceName, Term};
+use crate::ids::{HallName, HostName, ModelName, ReplicaId, ReplicaLife, ServiceName, Term};
 use crate::placement::adapters::{AdapterOrders, WishAnswer};
 use crate::placement::crowd::{CrowdBound, CrowdReport, CrowdSums, WaitingTokens};
 use crate::placement::demand::DemandBook;
@@ -239,7 +239,8 @@
         let loading = state.replicas.loading(&record.id).next();
         let under_way = loading.or(state.replicas.leaving(&record.id).next());
         let ordered = under_way.is_some() || self.pending.contains_key(&record.id);
-        if self.waits(now_ms) || ordered || !self.may_order(record) {
+        let evacuated = state.evacuated.contains(&record.hall);
+        if self.waits(now_ms) || ordered || evacuated || !self.may_order(record) {
             return (false, None);
         }
         let slots = engine.adapter_slots as usize;
@@ -529,7 +530,9 @@
         let largest_mb = models.values().map(|model| model.weights_mb).max();
         let unaware = self.demand.is_empty() && now_ms < self.since_ms + UNAWARE_MS;
         let records = state.replicas.records().values();
-        let records = records.filter(|record| record.service == *service);
+        // Nothing is placed in an evacuated hall, and what it holds counts as gone.
+        let open = |hall: &HallName| !state.evacuated.contains(hall);
+        let records = records.filter(|record| record.service == *service && open(&record.hall));
         let replicas = records.map(|record| {
             let mut replica = self.plan_replica(state, record, engine);
             // Only what fits without anything going first.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -14,3 +14,4 @@
 pub mod order;
 pub mod report;
 pub mod turns;
+pub mod warm_up;
--- a/src/process/wire.rs
+++ b/src/process/wire.rs
@@ -20,6 +20,7 @@
 use crate::placement::order::AdapterPlace;
 use crate::placement::report::EntryReport;
 use crate::placement::turns::{TurnAnswer, TurnAsk, TurnEnd};
+use crate::placement::warm_up::{WarmupAnswer, WarmupAsk};
 use crate::routing::authority::FreshnessProof;
 use crate::routing::view::SyncPage;
 use crate::table::accounts::QuotaSpec;
@@ -28,7 +29,7 @@
 use crate::table::rows::Row;
 
 /// Raised with each change of a type on the wire; peers of other versions are refused.
-pub const PROTOCOL: u32 = 7;
+pub const PROTOCOL: u32 = 8;
 
 /// Why control did not do what was asked.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -217,6 +218,8 @@
     async fn turn(ask: TurnAsk) -> Result<TurnAnswer, ControlRefusal>;
     /// An attempt that had a turn has ended; for the leader.
     async fn end_turn(end: TurnEnd) -> Result<(), ControlRefusal>;
+    /// Asks the leader whether one request may go to a replica that warms up.
+    async fn warm_up(ask: WarmupAsk) -> Result<WarmupAnswer, ControlRefusal>;
     /// The contents under which replicas ended, by a linearizable read.
     async fn contents() -> Result<CrashBook, ControlRefusal>;
     /// Compares a replica's heartbeat with what is committed here; for hosts that
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -12,3 +12,4 @@
 pub mod route;
 pub mod suspects;
 pub mod view;
+pub mod warm_up;
--- a/src/routing/view.rs
+++ b/src/routing/view.rs
@@ -1,13 +1,15 @@
 //! What a member knows of the site: a copy that follows the log and never goes back.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
 use crate::consensus::crashes::CrashCounts;
 use crate::consensus::directory::ReplicaRecord;
-use crate::consensus::state::{Change, HomeInfo, HomePhase, MemberInfo, SiteState};
-use crate::ids::{HostName, ModelName, PartnerName, Position, ReplicaId, RowId, TargetName};
+use crate::consensus::state::{Change, HallStanding, HomeInfo, HomePhase, MemberInfo, SiteState};
+use crate::ids::{
+    HallName, HostName, ModelName, PartnerName, Position, ReplicaId, RowId, TargetName,
+};
 use crate::table::configuration::Configuration;
 use crate::table::rows::Row;
 use crate::table::site::SiteSpec;
@@ -59,6 +61,8 @@
     pub replicas: BTreeMap<ReplicaId, ReplicaRecord>,
     /// How often replicas have ended under contents that are suspect or barred.
     pub contents: CrashCounts,
+    /// Data halls whose replicas are to get nothing more.
+    pub evacuated: BTreeSet<HallName>,
     /// Rows by what a caller names, so that a lookup costs no scan.
     by_class: BTreeMap<(PartnerName, ModelName, String), RowId>,
 }
@@ -91,7 +95,8 @@
         self.rows.get_key_value(self.by_class.get(&slot)?)
     }
 
-    /// The targets that are ready for `model`, with their keepers, but for those leaving.
+    /// The targets that are ready for `model`, with their keepers, but for those leaving
+    /// and those in evacuated halls.
     pub fn ready_homes<'a>(
         &'a self,
         model: &ModelName,
@@ -100,7 +105,7 @@
         homes
             .filter(|(_, home)| home.phase == HomePhase::Ready)
             .filter_map(|(target, _)| Some((target, self.keeper(target)?)))
-            .filter(|(_, member)| !member.leaving)
+            .filter(|(_, member)| !member.leaving && !self.evacuated.contains(&member.hall))
     }
 
     /// The agent that keeps `target`.
@@ -129,6 +134,12 @@
                 self.replicas.remove(id);
             }
             Change::Contents(counts) => self.apply_contents(counts),
+            Change::Hall(hall, HallStanding::Evacuated) => {
+                self.evacuated.insert(hall.clone());
+            }
+            Change::Hall(hall, HallStanding::Open) => {
+                self.evacuated.remove(hall);
+            }
         }
     }
 
--- a/src/table/configuration.rs
+++ b/src/table/configuration.rs
@@ -110,11 +110,23 @@
     pub models: BTreeMap<ModelName, EngineModel>,
 }
 
+/// How replicas of a service warm up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WarmupSpec {
+    /// Least time between two requests to one that warms up, in milliseconds, from all
+    /// callers together.
+    pub request_gap_ms: u64,
+    /// How long it takes at the longest, in milliseconds.
+    pub lasts_ms: u64,
+}
+
 /// A service that replicas register for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceSpec {
     /// Connections that a replica takes from all callers together.
     pub max_connections: u32,
+    /// Present where replicas that warm up bear fewer requests.
+    pub warm_up: Option<WarmupSpec>,
     /// Present where the replicas are model engines.
     pub engine: Option<EngineSpec>,
 }
--- a/tests/backoff.rs
+++ b/tests/backoff.rs
@@ -136,6 +136,7 @@
         on_disk: Default::default(),
         beat: 0,
         born_ms: LIFE,
+        cold_ms: 0,
     }
 }
 
@@ -152,12 +153,12 @@
         ..Need::default()
     };
     let mut book = ReplicaBook::new(ChoicePolicy::default(), HallName::from("hall"));
-    book.follow(&ready());
+    book.follow(0, &ready());
     let (a, b) = (ReplicaId::from("a"), ReplicaId::from("b"));
     book.pause(1_000, &a, AskedPause { ms: 3_000 });
     book.leave(1_000, &ready()[&b].life());
-    book.follow(&BTreeMap::new());
-    book.follow(&ready());
+    book.follow(0, &BTreeMap::new());
+    book.follow(0, &ready());
     let choose = |book: &ReplicaBook, at_ms| {
         book.choose(at_ms, &need, &Default::default(), EngineBounds::default())
     };
@@ -166,9 +167,9 @@
     assert_eq!(choose(&book, 4_000), Choice::Send(a.clone()));
     // The one that asked is the only one, and is not asked all the same.
     let only = BTreeMap::from([(a.clone(), record("a", ReplicaPhase::Ready))]);
-    book.follow(&only);
+    book.follow(0, &only);
     assert_eq!(choose(&book, 3_999), Choice::Paused(1));
-    assert!(book.claim(3_999, &only[&a].life()).is_err());
+    assert!(book.claim(3_999, &only[&a].life(), None).is_err());
 }
 
 /// One step of a play with a peer.
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -169,10 +169,11 @@
             on_disk: Default::default(),
             beat: 0,
             born_ms: 0,
+            cold_ms: 0,
         };
         let records = BTreeMap::from([(home(), record)]);
         let mut book = ReplicaBook::new(ChoicePolicy::default(), HallName::from("here"));
-        book.follow(&records);
+        book.follow(0, &records);
         Self {
             books: vec![book; ENTRIES],
             reported: vec![(0, false); ENTRIES],
--- /dev/null
+++ b/tests/evacuation.rs
@@ -0,0 +1,213 @@
+//! Evacuated data halls: what the log holds, what members follow, what entries choose and
+//! where the leader places models meanwhile.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
+use dunlinspring::consensus::state::{Change, Command, HallStanding, SiteState, Stamped};
+use dunlinspring::forward::book::{Choice, EngineBounds, Need, ReplicaBar, ReplicaBook};
+use dunlinspring::forward::need::ChoicePolicy;
+use dunlinspring::ids::{HallName, HostName, ModelName, Position, ReplicaId, ServiceName, Term};
+use dunlinspring::placement::fleet::{FleetDuties, FleetPolicy};
+use dunlinspring::placement::order::{AdapterPlace, OrderKind};
+use dunlinspring::routing::view::{SiteView, page_after};
+use dunlinspring::table::configuration::{
+    Configuration, ConfigurationRecord, EngineModel, EngineSpec, ServiceSpec,
+};
+
+const MODEL: &str = "m";
+
+fn record(id: &str, port: u16, hall: &str, models: &[&str]) -> ReplicaRecord {
+    let models = models.iter();
+    ReplicaRecord {
+        id: ReplicaId::from(id),
+        service: ServiceName::from("llm"),
+        address: format!("127.0.0.1:{port}").parse().unwrap(),
+        hall: HallName::from(hall),
+        slots: 4,
+        phase: ReplicaPhase::Ready,
+        models: models
+            .map(|model| (ModelName::from(*model), BTreeSet::new()))
+            .collect(),
+        in_memory: Default::default(),
+        on_disk: Default::default(),
+        beat: 0,
+        born_ms: 0,
+        cold_ms: 0,
+    }
+}
+
+fn apply(state: &mut SiteState, command: Command) {
+    let position = Position(state.position.0 + 1);
+    state.apply(position, &Stamped { at_ms: 0, command });
+}
+
+/// Two replicas with the model in `old`, an empty one there and one in `new`.
+fn two_halls() -> SiteState {
+    let model = EngineModel {
+        weights_mb: 70,
+        load_ms: 1_000,
+        warm_ms: None,
+        disk_ms: None,
+        adapters: 2,
+        adapter_mb: 1,
+    };
+    let engine = EngineSpec {
+        slots: 4,
+        kv_tokens: 1_000,
+        weights_mb: 150,
+        adapter_slots: 2,
+        event_tokens: 1,
+        load_gap_ms: 0,
+        models: BTreeMap::from([(ModelName::from(MODEL), model)]),
+    };
+    let service = ServiceSpec {
+        max_connections: 9,
+        warm_up: None,
+        engine: Some(engine),
+    };
+    let configuration = Configuration {
+        version: 1,
+        services: BTreeMap::from([(ServiceName::from("llm"), service)]),
+        ..Configuration::default()
+    };
+    let mut state = SiteState::default();
+    let record_of = ConfigurationRecord {
+        configuration,
+        source: Vec::new(),
+    };
+    apply(&mut state, Command::Configure(Box::new(record_of)));
+    let records = [
+        record("old-1", 1, "old", &[MODEL]),
+        record("old-2", 2, "old", &[MODEL]),
+        record("old-3", 3, "old", &[]),
+        record("new-1", 4, "new", &[]),
+    ];
+    for record in records {
+        apply(&mut state, Command::Replica(Box::new(record)));
+    }
+    state
+}
+
+fn evacuate(state: &mut SiteState) {
+    apply(state, Command::Evacuate(HallName::from("old")));
+}
+
+fn restore(state: &mut SiteState) {
+    apply(state, Command::Restore(HallName::from("old")));
+}
+
+#[test]
+fn members_learn_of_it_by_changes_and_from_nothing() {
+    let mut state = two_halls();
+    let mut view = SiteView::default();
+    view.follow(&page_after(&state, view.position));
+    evacuate(&mut state);
+    let once = state.changed();
+    // The same word again changes nothing.
+    evacuate(&mut state);
+    assert_eq!(state.changed(), once);
+    let page = page_after(&state, view.position);
+    let told = Change::Hall(HallName::from("old"), HallStanding::Evacuated);
+    assert!(page.changes.contains(&told));
+    view.follow(&page);
+    let evacuated = BTreeSet::from([HallName::from("old")]);
+    assert_eq!(view.evacuated, evacuated);
+    let mut late = SiteView::default();
+    late.follow(&page_after(&state, late.position));
+    assert_eq!(late.evacuated, evacuated);
+    restore(&mut state);
+    view.follow(&page_after(&state, view.position));
+    assert_eq!(view.evacuated, BTreeSet::new());
+}
+
+#[test]
+fn a_snapshot_keeps_it() {
+    let mut state = two_halls();
+    evacuate(&mut state);
+    let bytes = bincode::serialize(&state).unwrap();
+    let read: SiteState = bincode::deserialize(&bytes).unwrap();
+    assert_eq!(read.evacuated, BTreeSet::from([HallName::from("old")]));
+}
+
+#[test]
+fn an_entry_sends_nothing_there_not_even_what_was_chosen_before() {
+    let mut book = ReplicaBook::new(ChoicePolicy::default(), HallName::from("old"));
+    let mut state = two_halls();
+    book.follow(0, state.replicas.records());
+    let need = Need {
+        service: Some(ServiceName::from("llm")),
+        model: Some(ModelName::from(MODEL)),
+        ..Need::default()
+    };
+    let choose =
+        |book: &ReplicaBook| book.choose(0, &need, &BTreeSet::new(), EngineBounds::default());
+    let Choice::Send(chosen) = choose(&book) else {
+        panic!("both replicas have room");
+    };
+    let life = state.replicas.records()[&chosen].life();
+    evacuate(&mut state);
+    book.follow_halls(&state.evacuated);
+    assert_eq!(book.claim(0, &life, None), Err(ReplicaBar::Evacuated));
+    // The same as if nobody held the model: the leader brings it elsewhere.
+    assert_eq!(choose(&book), Choice::Absent);
+    // Nobody brings a plain service elsewhere: it is refused at once.
+    let plain = Need {
+        model: None,
+        ..need.clone()
+    };
+    let choice = book.choose(0, &plain, &BTreeSet::new(), EngineBounds::default());
+    assert_eq!(choice, Choice::Evacuated);
+    restore(&mut state);
+    book.follow_halls(&state.evacuated);
+    assert!(book.claim(0, &life, None).is_ok());
+}
+
+fn orders_of(
+    state: &mut SiteState,
+    duties: &mut FleetDuties,
+    from_ms: u64,
+) -> Vec<(OrderKind, ReplicaId)> {
+    let mut orders = Vec::new();
+    for now_ms in (from_ms..from_ms + 3_000).step_by(100) {
+        let ids: Vec<ReplicaId> = state.replicas.records().keys().cloned().collect();
+        duties.on_heard(now_ms, &ids);
+        let actions = duties.round(state, now_ms);
+        for command in actions.commands {
+            apply(state, command);
+        }
+        orders.extend(
+            actions
+                .orders
+                .into_iter()
+                .map(|order| (order.kind, order.replica)),
+        );
+    }
+    orders
+}
+
+#[test]
+fn the_leader_makes_its_homes_good_elsewhere_and_places_nothing_there() {
+    let mut state = two_halls();
+    let policy = FleetPolicy {
+        order_transit_ms: 0,
+        ..FleetPolicy::default()
+    };
+    let mut duties = FleetDuties::new(policy, HostName::from("c"), Term(1), 0);
+    assert_eq!(orders_of(&mut state, &mut duties, 4_000), []);
+    evacuate(&mut state);
+    let orders = orders_of(&mut state, &mut duties, 8_000);
+    assert!(!orders.is_empty());
+    let elsewhere = |(kind, id): &(OrderKind, ReplicaId)| {
+        *kind == OrderKind::Load && *id == ReplicaId::from("new-1")
+    };
+    assert!(orders.iter().all(elsewhere), "{orders:?}");
+    let wish = AdapterPlace {
+        replica: ReplicaId::from("old-1"),
+        model: ModelName::from(MODEL),
+        adapter: "a1".to_owned(),
+    };
+    assert_eq!(duties.on_wish(&state, 12_000, &wish), (false, None));
+    restore(&mut state);
+    assert_eq!(duties.on_wish(&state, 12_000, &wish), (true, None));
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -33,6 +33,7 @@
         on_disk: BTreeSet::new(),
         beat: 0,
         born_ms: 0,
+        cold_ms: 0,
     }
 }
 
@@ -80,6 +81,7 @@
     fn new(models: &[&str]) -> Self {
         let service = ServiceSpec {
             max_connections: 10,
+            warm_up: None,
             engine: Some(engine(models)),
         };
         let configuration = Configuration {
--- a/tests/forward_parts.rs
+++ b/tests/forward_parts.rs
@@ -155,6 +155,7 @@
         on_disk: BTreeSet::new(),
         beat: 0,
         born_ms: 0,
+        cold_ms: 0,
     }
 }
 
@@ -164,7 +165,7 @@
         .map(|record| (record.id.clone(), record))
         .collect();
     let mut book = ReplicaBook::new(ChoicePolicy::default(), HallName::from("here"));
-    book.follow(&records);
+    book.follow(0, &records);
     book
 }
 
@@ -360,7 +361,7 @@
         records.map(|record| (record.id.clone(), record)).into()
     };
     let mut book = ReplicaBook::new(ChoicePolicy::default(), HallName::from("here"));
-    book.follow(&lives(1));
+    book.follow(0, &lives(1));
     let (id, ask) = (ReplicaId::from("a"), need("m", None));
     book.start(1_000, &id, &ask);
     book.end(1_000, &id, &ask, false, TryEnd::Unreached);
@@ -368,13 +369,13 @@
         book.start(1_000, &ReplicaId::from("b"), &ask);
     }
     assert_eq!(choose(&book, &ask), send("b"));
-    book.follow(&lives(2));
+    book.follow(0, &lives(2));
     assert_eq!(choose(&book, &ask), send("a"));
     book.start(1_000, &id, &ask);
     book.start(1_000, &id, &ask);
     book.start(1_000, &id, &ask);
     assert_eq!(choose(&book, &ask), send("b"));
-    book.follow(&lives(3));
+    book.follow(0, &lives(3));
     assert_eq!(choose(&book, &ask), send("b"));
 }
 
@@ -469,6 +470,7 @@
 
 fn configuration(routes: Vec<RouteSpec>) -> Configuration {
     let plain = ServiceSpec {
+        warm_up: None,
         max_connections: 10,
         engine: None,
     };
--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -3,6 +3,7 @@
 
 mod accounts;
 mod crashes;
+mod halls;
 mod pauses;
 mod support;
 
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -12,7 +12,7 @@
 use dunlinspring::consensus::crashes::CrashBook;
 use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
 use dunlinspring::consensus::raft::RaftTiming;
-use dunlinspring::consensus::state::{Command, Reply};
+use dunlinspring::consensus::state::{Command, HallStanding, Reply};
 use dunlinspring::control::founding;
 use dunlinspring::control::registry::{LogAccess, Registry, RegistryError};
 use dunlinspring::control::shell::ControlDaemon;
@@ -262,6 +262,7 @@
     };
     ServiceSpec {
         max_connections: 99,
+        warm_up: None,
         engine: Some(EngineSpec {
             slots: 4,
             kv_tokens: 1_000,
@@ -347,6 +348,7 @@
         let registry = Rc::new(Registry::new(
             LogAccess::Own(control.handle()),
             link.clone(),
+            BTreeSet::from([HallName::from("hall")]),
         ));
         let settings = ForwardSettings {
             host: HostName::from("entry"),
@@ -416,6 +418,7 @@
     ) -> Result<(), RegistryError> {
         let plain = ServiceSpec {
             max_connections: 99,
+            warm_up: None,
             engine: None,
         };
         let configuration = Configuration {
@@ -436,6 +439,15 @@
         answered("a quorum", configure).await.map(|_| ())
     }
 
+    /// An operator's word on a data hall.
+    pub async fn set_hall(&self, hall: &str, standing: HallStanding) -> Result<(), RegistryError> {
+        let set = async || {
+            let hall = HallName::from(hall);
+            past_quorum(self.registry.set_hall(hall, standing).await)
+        };
+        answered("a quorum", set).await
+    }
+
     pub async fn configuration_read(&self) -> u64 {
         let read = async || past_quorum(self.registry.configuration().await);
         let record = answered("a quorum", read).await.unwrap();
@@ -499,6 +511,7 @@
             on_disk: Default::default(),
             beat: 0,
             born_ms: 0,
+            cold_ms: 0,
         };
         let state = SharedReplica::default();
         state.borrow_mut().script = script.into();
--- a/tests/forwarding/support/mortal.rs
+++ b/tests/forwarding/support/mortal.rs
@@ -139,6 +139,7 @@
         on_disk: Default::default(),
         beat: 0,
         born_ms: 0,
+        cold_ms: 0,
     };
     let told = async || past_quorum(registry.beat(record.clone()).await);
     answered("a quorum", told).await.unwrap();
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -54,6 +54,7 @@
     Registry::new(
         LogAccess::Relayed,
         Arc::new(ControlLink::new(secret(), named)),
+        BTreeSet::new(),
     )
 }
 
@@ -70,12 +71,14 @@
         on_disk: BTreeSet::new(),
         beat: 0,
         born_ms: 0,
+        cold_ms: 0,
     }
 }
 
 fn lookup() -> ServiceSpec {
     ServiceSpec {
         max_connections: 9,
+        warm_up: None,
         engine: None,
     }
 }
@@ -176,7 +179,7 @@
     // It starts again knowing nothing but a relay.
     let restarted = relay(other, second, &[own]).await;
     let link = restarted.link().clone();
-    let registry = Registry::new(LogAccess::Relayed, link);
+    let registry = Registry::new(LogAccess::Relayed, link, BTreeSet::new());
     let known = until("the voter to be found", async || {
         registry.configuration().await.ok()
     });
@@ -191,7 +194,7 @@
     // The seeds were exchanged for these two, and then all lost power.
     let one = relay(listener, own, &[own, second]).await;
     let _two = relay(other, second, &[own, second]).await;
-    let registry = Registry::new(LogAccess::Relayed, one.link().clone());
+    let registry = Registry::new(LogAccess::Relayed, one.link().clone(), BTreeSet::new());
     let seeds = vec![own.to_string(), second.to_string()];
     let link = Arc::new(ControlLink::new(secret(), seeds));
     let host = HostName(first.to_string());
--- a/tests/replica_born.rs
+++ b/tests/replica_born.rs
@@ -25,6 +25,7 @@
         on_disk: BTreeSet::new(),
         beat,
         born_ms,
+        cold_ms: 0,
     }
 }
 
--- a/tests/replica_changes.rs
+++ b/tests/replica_changes.rs
@@ -21,6 +21,7 @@
         on_disk: BTreeSet::new(),
         beat: 0,
         born_ms: 0,
+        cold_ms: 0,
     }
 }
 
@@ -88,6 +89,7 @@
     let mut state = SiteState::default();
     let service = ServiceSpec {
         max_connections: 9,
+        warm_up: None,
         engine: None,
     };
     let named = |version: u64, names: &[&str]| {
--- /dev/null
+++ b/tests/warm_up.rs
@@ -0,0 +1,302 @@
+//! Replicas that warm up: what all entries together send to one, and what the log tells of it.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
+use dunlinspring::consensus::state::{Change, Command, SiteState, Stamped};
+use dunlinspring::forward::book::{Choice, EngineBounds, Need, ReplicaBar, ReplicaBook};
+use dunlinspring::forward::need::ChoicePolicy;
+use dunlinspring::ids::{HallName, Position, ReplicaId, ReplicaLife, ServiceName};
+use dunlinspring::placement::warm_up::{LEAVE_MS, WarmupAnswer, WarmupDesk};
+use dunlinspring::routing::warm_up::WarmupBook;
+use dunlinspring::table::configuration::{
+    Configuration, ConfigurationRecord, ServiceSpec, WarmupSpec,
+};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+const SPEC: WarmupSpec = WarmupSpec {
+    request_gap_ms: 140,
+    lasts_ms: 3_000,
+};
+/// What a replica bears in any second, as its users state it: half more than its rate, and
+/// a few.
+const MOST_PER_S: usize = 3 * 1_000 / (2 * SPEC.request_gap_ms as usize) + 5;
+
+fn life() -> ReplicaLife {
+    ReplicaLife {
+        id: ReplicaId::from("r"),
+        born_ms: 7,
+    }
+}
+
+fn record(cold_ms: u64, beat: u64) -> ReplicaRecord {
+    ReplicaRecord {
+        id: ReplicaId::from("r"),
+        service: ServiceName::from("plain"),
+        address: "127.0.0.1:9".parse().unwrap(),
+        hall: HallName::from("hall"),
+        slots: 4,
+        phase: ReplicaPhase::Ready,
+        models: Default::default(),
+        in_memory: Default::default(),
+        on_disk: Default::default(),
+        beat,
+        born_ms: 7,
+        cold_ms,
+    }
+}
+
+fn services() -> BTreeMap<ServiceName, ServiceSpec> {
+    let service = ServiceSpec {
+        max_connections: 9,
+        warm_up: Some(SPEC),
+        engine: None,
+    };
+    BTreeMap::from([(ServiceName::from("plain"), service)])
+}
+
+/// Something that happens to entries and leaders.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// So many milliseconds go by.
+    Wait(u64),
+    /// An entry asks; the answer, and then the request, take so long.
+    Ask(u64, u64),
+    /// Many entries ask at once.
+    Crowd(u64),
+    /// Another leader follows; it knows nothing of what was given.
+    Lead,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (1u64..200).prop_map(Step::Wait),
+        8 => (0u64..200, 0u64..200).prop_map(|(answer, way)| Step::Ask(answer, way)),
+        3 => (0u64..250).prop_map(Step::Crowd),
+        1 => Just(Step::Lead),
+    ]
+}
+
+/// When requests leave for one replica, by what entries and leaders do.
+fn departures(steps: &[Step]) -> Vec<u64> {
+    let mut now_ms = 10_000;
+    let mut desk = WarmupDesk::new(0);
+    let mut sent = Vec::new();
+    let ask = |desk: &mut WarmupDesk, now_ms: u64, lag_ms: u64| {
+        let granted = desk.ask(now_ms, &life(), SPEC) == WarmupAnswer::Go;
+        // The entry counts from before it asked, and looks again right before it sends.
+        (granted && lag_ms < LEAVE_MS).then_some(now_ms + lag_ms)
+    };
+    for step in steps {
+        match *step {
+            Step::Wait(for_ms) => now_ms += for_ms,
+            Step::Ask(answer_ms, way_ms) => sent.extend(ask(&mut desk, now_ms, answer_ms + way_ms)),
+            Step::Crowd(lag_ms) => {
+                let many = (0..40).filter_map(|_| ask(&mut desk, now_ms, lag_ms));
+                sent.extend(many);
+            }
+            Step::Lead => desk = WarmupDesk::new(now_ms),
+        }
+    }
+    sent.sort_unstable();
+    sent
+}
+
+fn most_in_a_second(sent: &[u64]) -> usize {
+    let mut span = VecDeque::new();
+    let mut most = 0;
+    for at_ms in sent {
+        span.push_back(*at_ms);
+        while span.front().is_some_and(|first| first + 1_000 <= *at_ms) {
+            span.pop_front();
+        }
+        most = most.max(span.len());
+    }
+    most
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 500,
+        rng_seed: RngSeed::Fixed(42),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    /// 500 cases of up to 200 steps: over 50,000 in all.
+    #[test]
+    fn no_second_brings_more_than_a_replica_bears(steps in prop::collection::vec(step(), 100..200)) {
+        let sent = departures(&steps);
+        let most = most_in_a_second(&sent);
+        prop_assert!(most <= MOST_PER_S, "{} in a second, {} allowed", most, MOST_PER_S);
+    }
+}
+
+#[test]
+fn while_there_is_demand_most_of_the_rate_is_used() {
+    let mut desk = WarmupDesk::new(0);
+    let granted = (10_000..20_000)
+        .step_by(10)
+        .filter(|now_ms| desk.ask(*now_ms, &life(), SPEC) == WarmupAnswer::Go)
+        .count();
+    let rate = 10_000 / SPEC.request_gap_ms as usize;
+    assert!(granted * 10 >= rate * 8, "{granted} of {rate}");
+    assert!(granted <= rate + 2, "{granted} of {rate}");
+}
+
+#[test]
+fn each_life_has_a_rate_of_its_own_and_a_new_leader_gives_nothing_at_first() {
+    let mut desk = WarmupDesk::new(5_000);
+    assert!(matches!(desk.ask(5_100, &life(), SPEC), WarmupAnswer::Wait(wait_ms) if wait_ms > 900));
+    let next = ReplicaLife {
+        born_ms: 8,
+        ..life()
+    };
+    let mut ask = |replica: &ReplicaLife| desk.ask(9_000, replica, SPEC);
+    assert_eq!(
+        (ask(&life()), ask(&life())),
+        (WarmupAnswer::Go, WarmupAnswer::Go)
+    );
+    assert_eq!(ask(&life()), WarmupAnswer::Wait(SPEC.request_gap_ms));
+    assert_eq!(ask(&next), WarmupAnswer::Go);
+}
+
+#[test]
+fn a_suspicion_lasts_until_the_replica_tells_or_would_be_warm() {
+    let mut book = WarmupBook::default();
+    book.suspect(1_000, &"r", 3_000);
+    assert!(book.is_cold(3_999, &"r") && !book.is_cold(4_000, &"r"));
+    book.tell(2_000, &"r", 500);
+    assert!(book.is_cold(2_499, &"r") && !book.is_cold(2_500, &"r"));
+    book.refuse(2_000, &"r", 100);
+    assert_eq!(book.refused_ms(2_040, &"r"), Some(60));
+    assert_eq!(book.refused_ms(2_100, &"r"), None);
+    book.tell(2_040, &"r", 0);
+    assert_eq!(book.refused_ms(2_040, &"r"), None);
+    assert!(!book.is_cold(2_040, &"r"));
+}
+
+fn need() -> Need {
+    Need {
+        service: Some(ServiceName::from("plain")),
+        ..Need::default()
+    }
+}
+
+fn choose(book: &ReplicaBook, now_ms: u64) -> Choice {
+    book.choose(
+        now_ms,
+        &need(),
+        &Default::default(),
+        EngineBounds::default(),
+    )
+}
+
+#[test]
+fn an_entry_sends_to_a_cold_replica_by_the_leaders_leave_only() {
+    let mut book = ReplicaBook::new(ChoicePolicy::default(), HallName::from("hall"));
+    let id = ReplicaId::from("r");
+    book.follow_services(&services());
+    book.follow(1_000, &BTreeMap::from([(id.clone(), record(2_000, 1))]));
+    // It may be asked for, but nothing leaves without an answer.
+    assert_eq!(choose(&book, 1_100), Choice::Send(id.clone()));
+    assert!(book.is_cold(1_100, &id));
+    let barred = book.claim(1_100, &life(), None);
+    assert_eq!(barred, Err(ReplicaBar::WarmingUp { left_ms: 0 }));
+    book.refuse_warm_up(1_100, &id, 140);
+    assert_eq!(choose(&book, 1_200), Choice::WarmingUp);
+    assert_eq!(book.room_in_ms(1_200, &need()), Some(40));
+    assert_eq!(choose(&book, 1_240), Choice::Send(id.clone()));
+    // By time, or by its own word, it is warm.
+    assert!(book.claim(3_000, &life(), None).is_ok());
+    book.follow(1_300, &BTreeMap::from([(id.clone(), record(0, 2))]));
+    assert!(book.claim(1_300, &life(), None).is_ok());
+    // One that could not be reached may be another one by now, and so may one that nobody
+    // has heard for long.
+    book.suspect_start(5_000, &id);
+    assert!(book.claim(5_001, &life(), None).is_err());
+    assert!(book.claim(8_000, &life(), None).is_ok());
+    let silent = ReplicaRecord {
+        phase: ReplicaPhase::Silent,
+        ..record(0, 2)
+    };
+    book.follow(9_000, &BTreeMap::from([(id.clone(), silent)]));
+    assert!(book.is_cold(60_000, &id));
+}
+
+fn apply(state: &mut SiteState, at_ms: u64, command: Command) {
+    let position = Position(state.position.0 + 1);
+    state.apply(position, &Stamped { at_ms, command });
+}
+
+fn configured(services: BTreeMap<ServiceName, ServiceSpec>) -> SiteState {
+    let mut state = SiteState::default();
+    let configuration = Configuration {
+        version: 1,
+        services,
+        ..Configuration::default()
+    };
+    let record = ConfigurationRecord {
+        configuration,
+        source: Vec::new(),
+    };
+    apply(&mut state, 0, Command::Configure(Box::new(record)));
+    state
+}
+
+fn cold_ms(state: &SiteState) -> u64 {
+    state.replicas.records()[&ReplicaId::from("r")].cold_ms
+}
+
+fn beat(state: &mut SiteState, at_ms: u64, record: ReplicaRecord) {
+    apply(state, at_ms, Command::Replica(Box::new(record)));
+}
+
+#[test]
+fn members_are_told_while_a_replica_warms_up_and_once_it_is_warm() {
+    let mut state = configured(services());
+    for (number, cold) in [(1, 2_900), (2, 1_700), (3, 500), (4, 0), (5, 0)] {
+        let before = state.position;
+        beat(&mut state, number * 1_200, record(cold, number));
+        assert_eq!(cold_ms(&state), cold);
+        let changes = state.changes_after(before).unwrap();
+        let told = changes
+            .iter()
+            .any(|change| matches!(change, Change::Replica(..)));
+        assert_eq!(told, number < 5, "heartbeat {number}");
+    }
+}
+
+/// Each heartbeat of a start would be committed, for replicas that need no care.
+#[test]
+fn a_replica_whose_service_names_no_rate_tells_nothing_by_warming_up() {
+    let mut services = services();
+    services
+        .get_mut(&ServiceName::from("plain"))
+        .unwrap()
+        .warm_up = None;
+    let mut state = configured(services);
+    beat(&mut state, 0, record(2_900, 1));
+    let changed = state.changed();
+    beat(&mut state, 1_200, record(1_700, 2));
+    assert_eq!((cold_ms(&state), state.changed()), (0, changed));
+}
+
+/// **What users saw:** a hall was taken back, its replicas had turned cold a moment before,
+/// and one of them got 16 requests in a second where 15 were allowed.
+///
+/// **Cause:** entries went by the heartbeat from before the replica turned cold.
+#[test]
+fn replicas_of_a_hall_that_is_taken_back_are_cold_whatever_a_late_heartbeat_says() {
+    let hall = HallName::from("hall");
+    let mut state = configured(services());
+    beat(&mut state, 0, record(0, 1));
+    apply(&mut state, 10_000, Command::Evacuate(hall.clone()));
+    apply(&mut state, 20_000, Command::Restore(hall));
+    assert_eq!(cold_ms(&state), SPEC.lasts_ms);
+    beat(&mut state, 21_000, record(0, 2));
+    assert_eq!(cold_ms(&state), SPEC.lasts_ms - 1_000);
+    beat(&mut state, 23_000, record(0, 3));
+    assert_eq!(cold_ms(&state), 0);
+}
