--- a/src/bin/dunlinspring.rs
+++ b/src/bin/dunlinspring.rs
@@ -1,6 +1,6 @@
 //! The operators' command line, the demo and the load tool.
 
-use dunlinspring::cli::{accounts, commands, contents};
+use dunlinspring::cli::{accounts, commands, contents, halls};
 use dunlinspring::process::arguments;
 
 #[ntex::main]
@@ -18,6 +18,7 @@
         Some("status") => commands::status(rest).await,
         Some("accounts") => accounts::accounts(rest).await,
         Some("contents") => contents::contents(rest).await,
+        Some("halls") => halls::halls(rest).await,
         Some("check") => commands::check(rest),
         Some("demo") => commands::demo(rest).await,
         Some("load") => commands::load(rest).await,
--- a/src/cli/commands.rs
+++ b/src/cli/commands.rs
@@ -30,6 +30,11 @@
                                      contents under which replicas ended
   contents lift DIGEST --control IP:PORT --secret-file FILE
                                      let a barred one be tried again
+  halls --control IP:PORT --secret-file FILE [--json]
+                                     data halls, and which are evacuated
+  halls evacuate NAME --control IP:PORT --secret-file FILE
+  halls restore NAME --control IP:PORT --secret-file FILE
+                                     send nothing there, or again
   explain ID FILE...                 a request's story, from the logs of all processes
   explain --day FILE...              when and where requests were late, refused or lost
   explain --target ID [--lease-ms N] FILE...
--- /dev/null
+++ b/src/cli/halls.rs
@@ -0,0 +1,108 @@
+//! The `halls` command: data halls, and whether their replicas may get requests.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::cli::{commands, control};
+use crate::consensus::state::Command;
+use crate::ids::{HallName, Position};
+use crate::process::peers::ControlLink;
+use crate::process::wire::ControlWireClient;
+use crate::routing::view::SiteView;
+
+/// `halls`, `halls evacuate NAME` and `halls restore NAME`.
+pub async fn halls(args: &[String]) -> Result<i32, String> {
+    let matches = commands::parse(&control::options(), args)?;
+    let link = control::link(&matches)?;
+    match matches.free.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+        [] => list(&link, matches.opt_present("json")).await,
+        ["evacuate", name] => tell(&link, name, Command::Evacuate(name.into())).await,
+        ["restore", name] => tell(&link, name, Command::Restore(name.into())).await,
+        _ => Err("halls takes nothing, evacuate NAME, or restore NAME".to_owned()),
+    }
+}
+
+/// One data hall, as operators read it.
+#[derive(Debug, Default, PartialEq, Eq, serde::Serialize)]
+pub struct HallRow {
+    /// Nothing is sent to its replicas.
+    pub evacuated: bool,
+    /// Replicas that registered themselves there.
+    pub replicas: usize,
+    /// Those of them that warm up.
+    pub cold: usize,
+    /// Members there: entries and agents.
+    pub members: usize,
+}
+
+/// The data halls that anything tells of.
+pub fn rows(view: &SiteView) -> BTreeMap<HallName, HallRow> {
+    let mut rows: BTreeMap<HallName, HallRow> = BTreeMap::new();
+    for record in view.replicas.values() {
+        let row = rows.entry(record.hall.clone()).or_default();
+        row.replicas += 1;
+        row.cold += usize::from(record.cold_ms > 0);
+    }
+    for member in view.members.values() {
+        rows.entry(member.hall.clone()).or_default().members += 1;
+    }
+    for hall in &view.evacuated {
+        rows.entry(hall.clone()).or_default().evacuated = true;
+    }
+    rows
+}
+
+/// A line a data hall.
+pub fn table(rows: &BTreeMap<HallName, HallRow>) -> String {
+    let mut text = format!(
+        "{:<24} {:<10} {:>8} {:>6} {:>8}\n",
+        "hall", "state", "replicas", "cold", "members"
+    );
+    for (hall, row) in rows {
+        let state = if row.evacuated { "evacuated" } else { "open" };
+        let (hall, replicas) = (hall.as_str(), row.replicas);
+        let (cold, members) = (row.cold, row.members);
+        text.push_str(&format!(
+            "{hall:<24} {state:<10} {replicas:>8} {cold:>6} {members:>8}\n"
+        ));
+    }
+    text
+}
+
+async fn read(link: &ControlLink) -> Result<SiteView, String> {
+    let call = |client: ControlWireClient, context| async move {
+        client.sync(context, Position(0), 0, true).await
+    };
+    let asked = link.decide("sync", control::PATIENCE, call).await;
+    let page = asked.map_err(|error| error.to_string())?;
+    let mut view = SiteView::default();
+    view.follow(&page);
+    Ok(view)
+}
+
+async fn list(link: &ControlLink, as_json: bool) -> Result<i32, String> {
+    let rows = rows(&read(link).await?);
+    match as_json {
+        true => println!("{}", control::json(&rows)?),
+        false => print!("{}", table(&rows)),
+    }
+    Ok(0)
+}
+
+async fn tell(link: &ControlLink, name: &str, command: Command) -> Result<i32, String> {
+    let known: BTreeSet<HallName> = rows(&read(link).await?).into_keys().collect();
+    if !known.contains(&HallName::from(name)) {
+        let known: Vec<&str> = known.iter().map(HallName::as_str).collect();
+        let known = known.join(", ");
+        return Err(format!(
+            "halls: there is no data hall '{name}'; there are {known}"
+        ));
+    }
+    let call = |client: ControlWireClient, context| {
+        let command = command.clone();
+        async move { client.propose(context, command).await }
+    };
+    let asked = link.decide("halls", control::PATIENCE, call).await;
+    asked.map_err(|error| error.to_string())?;
+    println!("{name}: taken");
+    Ok(0)
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -9,6 +9,7 @@
 pub mod demo;
 pub mod explain;
 pub mod explain_target;
+pub mod halls;
 pub mod load;
 mod log_line;
 pub mod order_sight;
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -2,11 +2,14 @@
 
 use std::process::Command;
 
-use dunlinspring::cli::{accounts, contents};
+use dunlinspring::cli::{accounts, contents, halls};
 use dunlinspring::consensus::crashes::{CrashBook, CrashReport};
-use dunlinspring::ids::AccountName;
-use dunlinspring::ids::{ContentDigest, ReplicaId, ReplicaLife};
+use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
+use dunlinspring::ids::{
+    AccountName, ContentDigest, HallName, ReplicaId, ReplicaLife, ServiceName,
+};
 use dunlinspring::process::wire::{AccountStatus, LimitStatus};
+use dunlinspring::routing::view::SiteView;
 use dunlinspring::table::accounts::{QuotaSpec, QuotaUnit};
 use dunlinspring::table::quota::QuotaUsage;
 
@@ -20,7 +23,7 @@
 #[test]
 fn every_command_answers_help() {
     for command in [
-        "table", "status", "accounts", "contents", "check", "demo", "load", "explain",
+        "table", "status", "accounts", "contents", "halls", "check", "demo", "load", "explain",
     ] {
         let (good, text) = run(&[command, "--help"]);
         assert!(good, "{command}: {text}");
@@ -133,6 +136,48 @@
     insta::assert_snapshot!(contents::table(&book));
 }
 
+#[test]
+fn halls_are_shown_a_line_each_also_one_that_is_empty() {
+    let mut view = SiteView::default();
+    let evacuated = ["drained", "empty"];
+    view.evacuated = evacuated.into_iter().map(HallName::from).collect();
+    for (id, hall, cold_ms) in [("r1", "drained", 0), ("r2", "open", 900), ("r3", "open", 0)] {
+        let record = ReplicaRecord {
+            id: ReplicaId::from(id),
+            service: ServiceName::from("llm"),
+            address: "127.0.0.1:9".parse().unwrap(),
+            hall: HallName::from(hall),
+            slots: 4,
+            phase: ReplicaPhase::Ready,
+            models: Default::default(),
+            in_memory: Default::default(),
+            on_disk: Default::default(),
+            beat: 0,
+            born_ms: 0,
+            cold_ms,
+        };
+        view.replicas.insert(record.id.clone(), record);
+    }
+    insta::assert_snapshot!(halls::table(&halls::rows(&view)), @r"
+hall                     state      replicas   cold  members
+drained                  evacuated         1      0        0
+empty                    evacuated         0      0        0
+open                     open              2      1        0
+");
+}
+
+#[test]
+fn halls_asks_for_what_it_needs() {
+    let (good, text) = run(&["halls", "-c", "127.0.0.1:1"]);
+    assert!(!good && text.contains("secret-file"), "{text}");
+    let secret = tempfile::NamedTempFile::new().unwrap();
+    std::fs::write(secret.path(), "a secret that is long enough").unwrap();
+    let file = secret.path().to_str().unwrap();
+    let wrong = ["halls", "close", "h1", "-c", "127.0.0.1:1", "-s", file];
+    let (good, text) = run(&wrong);
+    assert!(!good && text.contains("evacuate NAME"), "{text}");
+}
+
 #[test]
 fn contents_asks_for_what_it_needs() {
     let (good, text) = run(&["contents", "-c", "127.0.0.1:1"]);
