Regions, slow readers, and how long work takes on shared hosts

A client that read nothing held its replica until the route's time was over. The fourth figure of the load header was passed over.

Ruled out: a check of regions beside the choice. What a replica must suit is asked at each choice, so waits and retries keep to it by themselves.

Change: regions of routes and accounts, both bind, part of what a replica must suit; no region in common is refused at once. In the choice the own hall goes before the own region, and that before others. A client that takes nothing for five seconds is cut. A refusal for an adapter is named so. The pace of work is read; its weight is a setting.

--- a/benches/core.rs
+++ b/benches/core.rs
@@ -298,6 +298,7 @@
             burst: 1e9,
             plain_tokens: 100,
         }),
+        regions: Default::default(),
     };
     AccountBook {
         accounts: (0..accounts).map(account).collect(),
--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -9,6 +9,7 @@
 use crate::consensus::directory::{ReplicaPhase, ReplicaRecord};
 use crate::forward::need::URGENCIES;
 pub use crate::forward::need::{ChoicePolicy, Need};
+use crate::forward::place::{EntryPlace, HallDistance};
 use crate::forward::replica_note::{
     CROWD_MS, CrowdNote, PACE_PART, ReadPace, ReplicaNote, ToldLoad,
 };
@@ -29,6 +30,8 @@
     Fetch(ReplicaId),
     /// All that could take it are full.
     Full,
+    /// Replicas hold the model and have room, but none has the adapter or gets it now.
+    NoAdapter,
     /// All that could take it asked to be left alone; the first one for so much longer, in
     /// milliseconds.
     Paused(u64),
@@ -72,17 +75,22 @@
     pub waiting: u32,
     /// Requests that may run at once.
     pub slots: u32,
+    /// How long work takes on its host now, in hundredths of the usual; none where it does not
+    /// tell.
+    pub work_percent: Option<u32>,
 }
 
-/// Reads a load header: running, waiting, slots.
+/// Reads a load header: running, waiting, slots, and how long work takes.
 pub fn parse_load(text: &str) -> Option<LoadReport> {
     let mut parts = text.split(',').map(|part| part.trim().parse::<u32>());
     let mut next = || parts.next()?.ok();
     let (running, waiting, slots) = (next()?, next()?, next()?);
+    let work_percent = next();
     Some(LoadReport {
         running,
         waiting,
         slots,
+        work_percent,
     })
 }
 
@@ -133,7 +141,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ReplicaBook {
     policy: ChoicePolicy,
-    hall: Option<HallName>,
+    place: EntryPlace,
     notes: BTreeMap<ReplicaId, ReplicaNote>,
     news: Vec<EjectNews>,
     mixes: BTreeMap<ServiceName, AnswerMix>,
@@ -152,11 +160,11 @@
 }
 
 impl ReplicaBook {
-    /// An empty book of an entry in `hall`.
-    pub fn new(policy: ChoicePolicy, hall: HallName) -> Self {
+    /// An empty book of an entry at a place.
+    pub fn new(policy: ChoicePolicy, place: EntryPlace) -> Self {
         Self {
             policy,
-            hall: Some(hall),
+            place,
             notes: BTreeMap::new(),
             news: Vec::new(),
             mixes: BTreeMap::new(),
@@ -335,7 +343,7 @@
     /// none where no replica holds what is needed.
     pub fn room_in_ms(&self, now_ms: u64, need: &Need) -> Option<u64> {
         let fade_ms = self.policy.fade_ms;
-        let suited = self.notes.values().filter(|note| suits(note, need));
+        let suited = self.notes.values().filter(|note| self.suits(note, need));
         let waits = suited.filter_map(|note| {
             let paused_ms = match self.bar(note, now_ms) {
                 Some(ReplicaBar::Evacuated | ReplicaBar::Asked(SendBar::Leaving)) => return None,
@@ -362,7 +370,7 @@
     /// load, predicted beginning, the age of the report, and what is against them.
     pub fn describe(&self, now_ms: u64, need: &Need) -> String {
         let fade_ms = self.policy.fade_ms;
-        let suited = self.notes.values().filter(|note| suits(note, need));
+        let suited = self.notes.values().filter(|note| self.suits(note, need));
         let lines = suited.take(MAX_DESCRIBED).map(|note| {
             let (waiting, running) = note.loads(now_ms, fade_ms);
             let ahead = note.ahead(need, now_ms, fade_ms) as f64;
@@ -387,7 +395,7 @@
     /// The longest time between two events that streams of a need now show, in
     /// milliseconds; 0 where this entry has seen none lately.
     pub fn pause_ms(&self, now_ms: u64, need: &Need) -> f64 {
-        let suited = self.notes.values().filter(|note| suits(note, need));
+        let suited = self.notes.values().filter(|note| self.suits(note, need));
         let pauses = suited.map(|note| note.pause.at(now_ms));
         pauses.fold(0.0, f64::max)
     }
@@ -407,7 +415,7 @@
         bounds: EngineBounds,
     ) -> Choice {
         let all = self.notes.values();
-        let suited: Vec<&ReplicaNote> = all.filter(|note| suits(note, need)).collect();
+        let suited: Vec<&ReplicaNote> = all.filter(|note| self.suits(note, need)).collect();
         // Before anything that falls back on what is left: what a replica asked for holds
         // also where it is the last one.
         let open = match self.unbarred(&suited, now_ms) {
@@ -453,7 +461,7 @@
             }
             (_, Some(fetcher)) => Choice::Fetch(fetcher.record.id.clone()),
             (Some(holder), None) => Choice::Send(holder.record.id.clone()),
-            (None, None) => Choice::Full,
+            (None, None) => Choice::NoAdapter,
         }
     }
 
@@ -515,6 +523,11 @@
         others.map(|(_, (_, id))| id).collect()
     }
 
+    /// Whether a replica serves what is needed, where it may be served, and stays.
+    fn suits(&self, note: &ReplicaNote, need: &Need) -> bool {
+        holds_need(note, need) && self.place.may_serve(&note.record.hall, &need.regions)
+    }
+
     fn holds_adapter(&self, note: &ReplicaNote, need: &Need) -> bool {
         match (&need.model, &need.adapter) {
             (Some(model), Some(adapter)) => {
@@ -570,13 +583,18 @@
     fn cost(&self, note: &ReplicaNote, need: &Need, now_ms: u64) -> f64 {
         let policy = &self.policy;
         let (waiting, running) = note.loads(now_ms, policy.fade_ms);
-        let away = self.hall.as_ref() != Some(&note.record.hall);
         let warm = need
             .prefix
             .is_some_and(|prefix| note.prefixes.contains(&prefix));
-        let hall = if away { policy.hall_cost } else { 0.0 };
+        let way = match self.place.distance(&note.record.hall) {
+            HallDistance::Here => 0.0,
+            HallDistance::Region => policy.hall_cost,
+            HallDistance::Away => policy.region_cost,
+        };
         let gain = if warm { policy.prefix_gain } else { 0.0 };
-        waiting + running * policy.running_cost + hall + note.failing * policy.failure_cost - gain
+        let load = waiting + running * policy.running_cost;
+        let slow = note.work.excess(now_ms, policy.work_fade_ms) * policy.work_cost;
+        load + way + slow + note.failing * policy.failure_cost - gain
     }
 
     /// A request goes to a replica. Returns the tokens that are read before its
@@ -628,6 +646,9 @@
                 at_ms: now_ms,
             };
             note.slots = report.slots.max(1);
+            if let Some(percent) = report.work_percent {
+                note.work.note(now_ms, percent);
+            }
         }
     }
 
@@ -730,8 +751,8 @@
     number ^ (number >> 31)
 }
 
-/// Whether a replica serves what is needed and stays.
-fn suits(note: &ReplicaNote, need: &Need) -> bool {
+/// Whether a replica holds what is needed and stays.
+fn holds_need(note: &ReplicaNote, need: &Need) -> bool {
     let record = &note.record;
     let model = need.model.as_ref();
     need.service.as_ref() == Some(&record.service)
--- a/src/forward/caller.rs
+++ b/src/forward/caller.rs
@@ -4,12 +4,13 @@
 //! A key is obeyed only while no newer configuration can have taken it away for longer
 //! than the bound of the settings; see [`crate::routing::authority`].
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use crate::forward::daemon::{EntryCore, Routing};
 use crate::forward::head::Header;
-use crate::ids::AccountName;
+use crate::ids::{AccountName, RegionName};
 use crate::table::accounts::{AccountSpec, KeyDigest, QuotaSpec};
 use crate::table::configuration::RouteSpec;
 
@@ -56,6 +57,8 @@
     pub priority: Option<u32>,
     /// Its quota, if it has one.
     pub quota: Option<QuotaSpec>,
+    /// Regions in which its requests may be served; empty for all.
+    pub regions: BTreeSet<RegionName>,
 }
 
 impl CallerIdentity {
@@ -65,6 +68,7 @@
             account: account.name.clone(),
             priority: account.priority,
             quota: account.quota,
+            regions: account.regions.clone(),
         }
     }
 }
--- a/src/forward/client.rs
+++ b/src/forward/client.rs
@@ -1,6 +1,7 @@
 //! Connections from clients: reads requests whole, has each answered, and
 //! notices when the client leaves.
 
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -11,6 +12,8 @@
 use crate::clock;
 use crate::forward::chunked::ChunkDecoder;
 use crate::forward::daemon::EntryCore;
+#[cfg(doc)]
+use crate::forward::daemon::ForwardSettings;
 use crate::forward::head::{self, Framing, HeadError, RequestHead};
 use crate::forward::own_answer;
 use crate::forward::request;
@@ -42,6 +45,8 @@
     stream: OwnedWriteHalf,
     /// Bytes of the current answer have left.
     begun: bool,
+    /// Longest time in which the client takes nothing.
+    stall: Duration,
 }
 
 impl ClientWriter {
@@ -50,10 +55,22 @@
         self.begun
     }
 
-    /// Writes bytes of the current answer.
+    /// Writes bytes of the current answer. Meanwhile nothing more is read of it, so that no
+    /// more than one piece is held for a client that reads slowly. One that takes nothing for
+    /// [`ForwardSettings::stall_ms`] has gone: its replica would hold the rest for it.
     pub async fn write(&mut self, bytes: &[u8]) -> std::io::Result<()> {
         self.begun = true;
-        self.stream.write_all(bytes).await
+        let mut rest = bytes;
+        while !rest.is_empty() {
+            let written = tokio::time::timeout(self.stall, self.stream.write(rest));
+            match written.await {
+                Ok(Ok(0)) => return Err(ErrorKind::WriteZero.into()),
+                Ok(Ok(count)) => rest = &rest[count..],
+                Ok(Err(error)) => return Err(error),
+                Err(_) => return Err(ErrorKind::TimedOut.into()),
+            }
+        }
+        Ok(())
     }
 }
 
@@ -210,6 +227,7 @@
     let mut writer = ClientWriter {
         stream: write,
         begun: false,
+        stall: core.stall_time(),
     };
     loop {
         let after = serve_one(&core, &mut reader, &mut writer).await;
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -21,10 +21,11 @@
 use crate::forward::crashes::CrashWatch;
 use crate::forward::crowd;
 use crate::forward::dialect::HeaderNames;
+use crate::forward::place::EntryPlace;
 use crate::forward::quotas::{self, QuotaClient};
 use crate::forward::request_log::LineBudget;
 use crate::forward::upstream::ConnectionPool;
-use crate::ids::{HallName, HostName, ModelName, ReplicaId};
+use crate::ids::{HallName, HostName, ModelName, RegionName, ReplicaId};
 use crate::placement::order::AdapterPlace;
 use crate::placement::report::EntryReport;
 use crate::process::daemon::{self, DaemonError};
@@ -57,6 +58,9 @@
 pub const CONNECT_MS: u64 = 400;
 /// Default of [`ForwardSettings::stale_ms`].
 pub const STALE_MS: u64 = 10_000;
+/// Default of [`ForwardSettings::stall_ms`]: clients give a stream up after a pause of some
+/// seconds, and replicas cut off what stays unread for longer.
+pub const STALL_MS: u64 = 5_000;
 /// Default of [`ForwardSettings::config_wait_ms`].
 pub const CONFIG_WAIT_MS: u64 = 1_000;
 
@@ -68,6 +72,9 @@
     pub host: HostName,
     /// Its data hall.
     pub hall: HallName,
+    /// The region of each data hall; a hall that is not named is in none.
+    #[serde(default)]
+    pub regions: BTreeMap<HallName, RegionName>,
     /// Where clients reach it.
     pub clients: SocketAddr,
     /// Where readiness, health and metrics are served.
@@ -99,6 +106,10 @@
     /// asks once more.
     #[serde(default = "default_config_wait")]
     pub config_wait_ms: u64,
+    /// Longest time in which a client takes nothing of its answer, in milliseconds; then its
+    /// connection is cut.
+    #[serde(default = "default_stall")]
+    pub stall_ms: u64,
     /// Least time from a request to stop to the end, in milliseconds: callers
     /// must have noticed by then.
     #[serde(default = "default_stop")]
@@ -124,6 +135,10 @@
     CONFIG_WAIT_MS
 }
 
+fn default_stall() -> u64 {
+    STALL_MS
+}
+
 fn default_stop() -> u64 {
     3_000
 }
@@ -349,6 +364,11 @@
         Duration::from_millis(self.settings.connect_ms)
     }
 
+    /// Longest time in which a client takes nothing.
+    pub fn stall_time(&self) -> Duration {
+        Duration::from_millis(self.settings.stall_ms)
+    }
+
     /// The way to control hosts.
     pub fn link(&self) -> &ControlLink {
         self.follower.link()
@@ -577,7 +597,10 @@
         };
         let core = Rc::new(EntryCore {
             names,
-            book: RefCell::new(ReplicaBook::new(settings.choice, settings.hall.clone())),
+            book: RefCell::new(ReplicaBook::new(
+                settings.choice,
+                EntryPlace::new(settings.hall.clone(), settings.regions.clone()),
+            )),
             pool: RefCell::default(),
             budget: RefCell::new(ResendBudget::new(settings.resend)),
             changed: Notify::new(),
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -19,6 +19,7 @@
 pub mod need;
 pub mod own_answer;
 pub mod patience;
+pub mod place;
 pub mod quotas;
 mod replica_note;
 pub mod request;
--- a/src/forward/need.rs
+++ b/src/forward/need.rs
@@ -3,6 +3,7 @@
 use serde::de::Error;
 use serde::{Deserialize, Deserializer, Serialize};
 
+use crate::forward::place::AllowedRegions;
 use crate::ids::{ModelName, ServiceName};
 use crate::table::configuration::SLACK_RANKS;
 
@@ -28,6 +29,8 @@
     pub urgency: usize,
     /// Time within which the answer should begin, in milliseconds.
     pub limit_ms: u64,
+    /// Regions in which it may be served.
+    pub regions: AllowedRegions,
     /// Drawn for the request: spreads requests of different entries evenly.
     pub draw: u64,
 }
@@ -40,12 +43,19 @@
     pub running_cost: f64,
     /// Cost of a replica in another hall.
     pub hall_cost: f64,
+    /// Cost of a replica in another region.
+    pub region_cost: f64,
     /// Gain where the replica has read the shared start of the prompt.
     pub prefix_gain: f64,
     /// Cost of a whole failure rate.
     pub failure_cost: f64,
     /// Time by which a report of others' load has faded, in milliseconds.
     pub fade_ms: u64,
+    /// Cost of a replica on whose host work takes twice as long as usual.
+    pub work_cost: f64,
+    /// Time by which half of such a word has faded, in milliseconds: hosts that are shared
+    /// with others change many times a second.
+    pub work_fade_ms: u64,
     /// First pause of a replica that fails, in milliseconds; it doubles.
     pub eject_ms: u64,
     /// Longest such pause, in milliseconds.
@@ -68,9 +78,12 @@
         Self {
             running_cost: 0.1,
             hall_cost: 0.2,
+            region_cost: 1.0,
             prefix_gain: 0.4,
             failure_cost: 8.0,
             fade_ms: 2_000,
+            work_cost: 0.0,
+            work_fade_ms: 200,
             eject_ms: 1_000,
             eject_max_ms: 8_000,
             apart_cost: 1.0,
--- a/src/forward/own_answer.rs
+++ b/src/forward/own_answer.rs
@@ -22,6 +22,8 @@
     Paused,
     /// All replicas are in evacuated halls.
     Evacuated,
+    /// Its route and its account allow no region in common.
+    NoRegion,
     /// All replicas warm up, and have got what they bear.
     WarmingUp,
     /// No replica holds the model, and it cannot be there in time.
@@ -51,6 +53,7 @@
             Self::Full => "all replicas are full",
             Self::Paused => "all replicas asked for a pause",
             Self::Evacuated => "all replicas are in evacuated halls",
+            Self::NoRegion => "its route and its account allow no region in common",
             Self::WarmingUp => "all replicas warm up",
             Self::Absent => "no replica holds the model",
             Self::Adapter => "the adapter did not come in time",
--- a/src/forward/replica_note.rs
+++ b/src/forward/replica_note.rs
@@ -23,6 +23,9 @@
 /// may go unanswered.
 pub(super) const CROWD_MS: u64 = 1_500;
 
+/// What a host tells on which work takes as long as usual.
+const USUAL_PERCENT: u32 = 100;
+
 /// The load that a replica told on an answer, without this entry's own requests.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ToldLoad {
@@ -91,6 +94,27 @@
     }
 }
 
+/// How long work takes on a replica's host, by its newest word.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct WorkPace {
+    percent: u32,
+    at_ms: u64,
+}
+
+impl WorkPace {
+    pub(super) fn note(&mut self, now_ms: u64, percent: u32) {
+        self.percent = percent;
+        self.at_ms = now_ms;
+    }
+
+    /// How much longer than usual, as a part of the usual; of an old word so much less.
+    pub(super) fn excess(&self, now_ms: u64, half_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.at_ms) as f64;
+        let told = f64::from(self.percent.saturating_sub(USUAL_PERCENT)) / 100.0;
+        told * (-age_ms / half_ms.max(1) as f64).exp2()
+    }
+}
+
 /// One replica, as this entry sees it.
 #[derive(Clone, Debug)]
 pub(super) struct ReplicaNote {
@@ -106,6 +130,7 @@
     pub(super) told: ToldLoad,
     pub(super) crowd: CrowdNote,
     pub(super) pause: StreamPause,
+    pub(super) work: WorkPace,
     pub(super) slots: u32,
     pub(super) failing: f64,
     pub(super) ejected_until_ms: u64,
@@ -128,6 +153,7 @@
             told: ToldLoad::default(),
             crowd: CrowdNote::default(),
             pause: StreamPause::default(),
+            work: WorkPace::default(),
             failing: 0.0,
             ejected_until_ms: 0,
             ejections: 0,
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -23,6 +23,7 @@
 use crate::forward::head::{self, ResponseHead};
 use crate::forward::own_answer::{self, Refusal, UNKNOWN_RETRY, closes, finish, refuse_plainly};
 use crate::forward::patience;
+use crate::forward::place::AllowedRegions;
 use crate::forward::quotas::QuotaRefusal;
 use crate::forward::request_log::{Outcome, RequestLog};
 use crate::forward::turns::{Clearance, TurnGuard};
@@ -195,6 +196,8 @@
         need.urgency = core.choice().urgency(rank, route.priority, slack);
         need.limit_ms = route.aim_ms.min(limit_ms);
         need.draw = draw(&id);
+        let regions = caller.as_ref().map(|caller| &caller.regions);
+        need.regions = AllowedRegions::of(&route.regions, regions);
         let spec = service
             .as_ref()
             .and_then(|s| routing.configuration.services.get(s));
@@ -247,6 +250,9 @@
         if self.is_barred() {
             return self.give_up(Refusal::Barred, writer).await;
         }
+        if self.need.regions.is_none() {
+            return self.give_up(Refusal::NoRegion, writer).await;
+        }
         if let Err(refusal) = self.pay().await {
             return self.give_up(Refusal::Quota(refusal), writer).await;
         }
@@ -381,6 +387,8 @@
     fn come_back(&self, refusal: Refusal) -> Duration {
         match refusal {
             Refusal::Absent => self.load_time(),
+            // Until the configuration changes.
+            Refusal::NoRegion => Duration::from_millis(BARRED_RETRY_MS),
             Refusal::Evacuated => EVACUATED_RETRY,
             // Another entry takes it at once.
             Refusal::Stopping => Duration::ZERO,
@@ -447,6 +455,7 @@
                     self.core.crowd_seen.notify_one();
                     (Refusal::Full, self.room_wait())
                 }
+                Choice::NoAdapter => (Refusal::Adapter, self.room_wait()),
                 Choice::Paused(left_ms) => {
                     let limit = self.room_wait();
                     let ends = waited + Duration::from_millis(left_ms);
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -61,6 +61,10 @@
     /// A data hall: one failure domain of power and network.
     HallName
 );
+name_type!(
+    /// A region: data halls near each other.
+    RegionName
+);
 name_type!(
     /// A host that runs a process of the system.
     HostName
--- a/src/table/accounts.rs
+++ b/src/table/accounts.rs
@@ -12,7 +12,7 @@
 use snafu::Snafu;
 use subtle::ConstantTimeEq;
 
-use crate::ids::AccountName;
+use crate::ids::{AccountName, RegionName};
 
 /// Longest name of an account, in bytes: it travels in a header.
 const MAX_NAME: usize = 256;
@@ -81,6 +81,8 @@
     pub priority: Option<u32>,
     /// None for no limit.
     pub quota: Option<QuotaSpec>,
+    /// Regions in which its requests may be served; empty for all.
+    pub regions: BTreeSet<RegionName>,
 }
 
 /// All client accounts of a configuration.
--- a/src/table/configuration.rs
+++ b/src/table/configuration.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
-use crate::ids::{ModelName, ServiceName};
+use crate::ids::{ModelName, RegionName, ServiceName};
 use crate::table::accounts::{AccountBook, AccountError};
 
 /// What may be repeated of a route's requests, and how they are answered.
@@ -46,6 +46,8 @@
     pub resumable: bool,
     /// Callers need no key, also where there are accounts.
     pub public: bool,
+    /// Regions in which its requests may be served; empty for all.
+    pub regions: BTreeSet<RegionName>,
     /// Services and their weights.
     pub split: Vec<(ServiceName, u32)>,
 }
--- a/tests/backoff.rs
+++ b/tests/backoff.rs
@@ -5,6 +5,7 @@
 
 use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
 use dunlinspring::forward::book::{Choice, ChoicePolicy, EngineBounds, Need, ReplicaBook};
+use dunlinspring::forward::place::EntryPlace;
 use dunlinspring::ids::{HallName, ReplicaId, ServiceName};
 use dunlinspring::routing::backoff::{
     AskedPause, BackoffBook, ClaimEnd, LONGEST_PAUSE_MS, SendBar,
@@ -13,6 +14,11 @@
 
 const LIFE: u64 = 7;
 
+/// An entry in a hall of a site without regions.
+fn place(hall: &str) -> EntryPlace {
+    EntryPlace::new(HallName::from(hall), BTreeMap::new())
+}
+
 fn paused(ms: u64) -> BackoffBook<&'static str> {
     let mut book = BackoffBook::default();
     book.pause(1_000, &"r", AskedPause { ms });
@@ -152,7 +158,7 @@
         service: Some(ServiceName::from("plain")),
         ..Need::default()
     };
-    let mut book = ReplicaBook::new(ChoicePolicy::default(), HallName::from("hall"));
+    let mut book = ReplicaBook::new(ChoicePolicy::default(), place("hall"));
     book.follow(0, &ready());
     let (a, b) = (ReplicaId::from("a"), ReplicaId::from("b"));
     book.pause(1_000, &a, AskedPause { ms: 3_000 });
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -6,11 +6,17 @@
 use dunlinspring::forward::book::{
     Choice, ChoicePolicy, EngineBounds, LoadReport, Need, ReplicaBook, TryEnd,
 };
+use dunlinspring::forward::place::EntryPlace;
 use dunlinspring::ids::{HallName, HostName, ModelName, ReplicaId, ServiceName};
 use dunlinspring::placement::crowd::{CrowdBound, CrowdReport, CrowdSums, WaitingTokens};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+/// An entry in a hall of a site without regions.
+fn place(hall: &str) -> EntryPlace {
+    EntryPlace::new(HallName::from(hall), BTreeMap::new())
+}
+
 fn report(entry: usize, waiting: WaitingTokens) -> CrowdReport {
     CrowdReport {
         host: HostName(format!("entry-{entry}")),
@@ -172,7 +178,7 @@
             cold_ms: 0,
         };
         let records = BTreeMap::from([(home(), record)]);
-        let mut book = ReplicaBook::new(ChoicePolicy::default(), HallName::from("here"));
+        let mut book = ReplicaBook::new(ChoicePolicy::default(), place("here"));
         book.follow(0, &records);
         Self {
             books: vec![book; ENTRIES],
@@ -227,6 +233,7 @@
             running: 1,
             waiting: self.queue.len() as u32,
             slots: 64,
+            work_percent: None,
         };
         let (book, need) = (&mut self.books[request.entry], need(0));
         book.begin(&home(), &need, request.ahead, took_ms as f64);
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -7,6 +7,7 @@
 use dunlinspring::consensus::state::{Change, Command, HallStanding, SiteState, Stamped};
 use dunlinspring::forward::book::{Choice, EngineBounds, Need, ReplicaBar, ReplicaBook};
 use dunlinspring::forward::need::ChoicePolicy;
+use dunlinspring::forward::place::EntryPlace;
 use dunlinspring::ids::{HallName, HostName, ModelName, Position, ReplicaId, ServiceName, Term};
 use dunlinspring::placement::fleet::{FleetDuties, FleetPolicy};
 use dunlinspring::placement::order::{AdapterPlace, OrderKind};
@@ -17,6 +18,11 @@
 
 const MODEL: &str = "m";
 
+/// An entry in a hall of a site without regions.
+fn place(hall: &str) -> EntryPlace {
+    EntryPlace::new(HallName::from(hall), BTreeMap::new())
+}
+
 fn record(id: &str, port: u16, hall: &str, models: &[&str]) -> ReplicaRecord {
     let models = models.iter();
     ReplicaRecord {
@@ -132,7 +138,7 @@
 
 #[test]
 fn an_entry_sends_nothing_there_not_even_what_was_chosen_before() {
-    let mut book = ReplicaBook::new(ChoicePolicy::default(), HallName::from("old"));
+    let mut book = ReplicaBook::new(ChoicePolicy::default(), place("old"));
     let mut state = two_halls();
     book.follow(0, state.replicas.records());
     let need = Need {
@@ -156,8 +162,12 @@
         model: None,
         ..need.clone()
     };
+    let mut of_hall = state.replicas.records().clone();
+    of_hall.retain(|_, record| record.hall == HallName::from("old"));
+    book.follow(0, &of_hall);
     let choice = book.choose(0, &plain, &BTreeSet::new(), EngineBounds::default());
     assert_eq!(choice, Choice::Evacuated);
+    book.follow(0, state.replicas.records());
     restore(&mut state);
     book.follow_halls(&state.evacuated);
     assert!(book.claim(0, &life, None).is_ok());
--- a/tests/forward_parts.rs
+++ b/tests/forward_parts.rs
@@ -10,6 +10,7 @@
 use dunlinspring::forward::chunked::ChunkDecoder;
 use dunlinspring::forward::events::EventCutter;
 use dunlinspring::forward::head::{self, Framing, HeadError};
+use dunlinspring::forward::place::EntryPlace;
 use dunlinspring::ids::{HallName, ModelName, ReplicaId, ServiceName};
 use dunlinspring::placement::crowd::WaitingTokens;
 use dunlinspring::table::configuration::{
@@ -17,6 +18,11 @@
 };
 use proptest::prelude::*;
 
+/// An entry in a hall of a site without regions.
+fn place(hall: &str) -> EntryPlace {
+    EntryPlace::new(HallName::from(hall), BTreeMap::new())
+}
+
 fn refused(text: &str) -> HeadError {
     head::parse_request(text.as_bytes()).unwrap_err()
 }
@@ -164,7 +170,7 @@
         .into_iter()
         .map(|record| (record.id.clone(), record))
         .collect();
-    let mut book = ReplicaBook::new(ChoicePolicy::default(), HallName::from("here"));
+    let mut book = ReplicaBook::new(ChoicePolicy::default(), place("here"));
     book.follow(0, &records);
     book
 }
@@ -205,6 +211,7 @@
         running: 4,
         waiting: 0,
         slots: 4,
+        work_percent: None,
     };
     book.tell(1_000, &ReplicaId::from("b"), full);
     assert_eq!(choose(&book, &need), send("a"));
@@ -360,7 +367,7 @@
         let records = [first, record("b", &[("m", &[])])];
         records.map(|record| (record.id.clone(), record)).into()
     };
-    let mut book = ReplicaBook::new(ChoicePolicy::default(), HallName::from("here"));
+    let mut book = ReplicaBook::new(ChoicePolicy::default(), place("here"));
     book.follow(0, &lives(1));
     let (id, ask) = (ReplicaId::from("a"), need("m", None));
     book.start(1_000, &id, &ask);
@@ -441,8 +448,15 @@
         running: 3,
         waiting: 0,
         slots: 8,
+        work_percent: None,
     };
     assert_eq!(parse_load("3,0, 8"), Some(told));
+    let slow = LoadReport {
+        work_percent: Some(140),
+        ..told
+    };
+    assert_eq!(parse_load("3,0,8,140"), Some(slow));
+    assert_eq!(parse_load("3,0,8,often"), Some(told));
     for text in ["", "3,0", "a,b,c", "3,-1,8"] {
         assert_eq!(parse_load(text), None);
     }
@@ -464,6 +478,7 @@
         attempts: 1,
         resumable: false,
         public: false,
+        regions: BTreeSet::new(),
         split: split.collect(),
     }
 }
@@ -483,6 +498,38 @@
     }
 }
 
+/// A host that is shared with others is passed over while its word is new, where the policy
+/// says so.
+#[test]
+fn a_slow_host_is_the_second_choice_while_its_word_is_new() {
+    let policy = ChoicePolicy {
+        work_cost: 1.0,
+        work_fade_ms: 200,
+        ..ChoicePolicy::default()
+    };
+    let mut book = ReplicaBook::new(policy, place("here"));
+    let records = [record("r1", &[]), record("r2", &[])];
+    let records = records
+        .into_iter()
+        .map(|record| (record.id.clone(), record));
+    book.follow(0, &records.collect());
+    let need = Need {
+        service: Some(ServiceName::from("llm")),
+        ..Need::default()
+    };
+    let choose = |book: &ReplicaBook, now_ms| {
+        book.choose(now_ms, &need, &BTreeSet::new(), EngineBounds::default())
+    };
+    let Choice::Send(first) = choose(&book, 1_000) else {
+        panic!("both have room");
+    };
+    let slow = parse_load("0,0,8,180").unwrap();
+    book.tell(1_000, &first, slow);
+    assert_ne!(choose(&book, 1_000), Choice::Send(first.clone()));
+    book.tell(1_200, &first, parse_load("0,0,8,100").unwrap());
+    assert_eq!(choose(&book, 1_200), Choice::Send(first));
+}
+
 #[test]
 fn an_invalid_configuration_is_refused_with_its_cause() {
     let sound = route("one", "/a/", &[("plain", 1)]);
--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -113,6 +113,15 @@
     assert_eq!(site.ask("GET", "/plain/b", "b", "").await.body, "next");
 }
 
+/// Replicas hold what entries don't take, and entries what clients don't take.
+#[ntex::test]
+async fn a_client_that_reads_nothing_is_cut_and_its_replica_is_free() {
+    let mut site = ForwardSite::start(&[STREAM]).await;
+    site.add_replica("r1", vec![Behaviour::Flood]).await;
+    let freed = async || site.closed("r1").then_some(());
+    site.ask_without_reading("/stream/x", freed).await;
+}
+
 #[ntex::test]
 async fn a_late_surplus_answer_reaches_nobody() {
     let mut site = ForwardSite::start(&[PLAIN]).await;
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -46,6 +46,9 @@
 /// again.
 const CONNECT_MS: u64 = 10_000;
 
+/// Time in which a client takes nothing before it is cut.
+const STALL_MS: u64 = 300;
+
 const NAMES: HeaderNames = HeaderNames {
     request_id: "Request-Id",
     deadline_ms: "Deadline-Ms",
@@ -137,6 +140,7 @@
             attempts: 3,
             resumable: self.resumable,
             public: self.public,
+            regions: BTreeSet::new(),
             split: vec![(ServiceName::from(self.service), 1)],
         }
     }
@@ -175,6 +179,8 @@
     CutStream(u32),
     /// Sends events up to this one, from the one after the caller's last.
     Events(u32),
+    /// A stream without an end, as fast as it is taken.
+    Flood,
     /// Sends so many events, and nothing more.
     HangAfter(u32),
 }
@@ -353,6 +359,7 @@
         let settings = ForwardSettings {
             host: HostName::from("entry"),
             hall: HallName::from("hall"),
+            regions: BTreeMap::new(),
             clients: loopback(),
             watch: loopback(),
             control: vec![address],
@@ -363,6 +370,7 @@
             stale_ms: 60_000,
             authority_ms,
             config_wait_ms,
+            stall_ms: STALL_MS,
             stop_ms: 1_000,
             grace_ms: 5_000,
         };
@@ -626,6 +634,12 @@
         answered("what is waited for", waits_for).await;
     }
 
+    /// Sends a request and reads nothing, until something has come about.
+    pub async fn ask_without_reading(&self, target: &str, until: impl AsyncFnMut() -> Option<()>) {
+        let text = format!("GET {target} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: idle\r\n\r\n");
+        self.send_and_leave(&text, until).await;
+    }
+
     /// Sends a request, reads a first part of its answer, and leaves.
     pub async fn ask_and_leave(&self, target: &str, id: &str) {
         let mut stream = TcpStream::connect(self.entries[0].address).await.unwrap();
@@ -738,6 +752,18 @@
     (from..=to).map(event).collect()
 }
 
+/// Sends events without end. Returns once nobody takes them.
+async fn flood(stream: &mut TcpStream, head: &str) -> bool {
+    let mut written = stream.write_all(head.as_bytes()).await;
+    let mut number = 1;
+    while written.is_ok() {
+        let text = event_chunks(number, number + 99);
+        written = stream.write_all(text.as_bytes()).await;
+        number += 100;
+    }
+    true
+}
+
 /// Returns whether the connection stays open.
 async fn behave(
     stream: &mut TcpStream,
@@ -789,6 +815,10 @@
         }
         Behaviour::CutStream(count) => stream_head + &event_chunks(1, count) + "6\r\nid: 9\n\r\n",
         Behaviour::Events(count) => stream_head + &event_chunks(last + 1, count) + "0\r\n\r\n",
+        Behaviour::Flood => {
+            state.borrow_mut().closed = flood(stream, &stream_head).await;
+            return false;
+        }
         Behaviour::HangAfter(count) => stream_head + &event_chunks(1, count),
     };
     let _ = stream.write_all(text.as_bytes()).await;
--- /dev/null
+++ b/tests/regions.rs
@@ -0,0 +1,106 @@
+//! Regions: where a request may be served, and which replicas are near.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
+use dunlinspring::forward::book::{Choice, EngineBounds, Need, ReplicaBook};
+use dunlinspring::forward::need::ChoicePolicy;
+use dunlinspring::forward::place::{AllowedRegions, EntryPlace, HallDistance};
+use dunlinspring::ids::{HallName, RegionName, ReplicaId, ServiceName};
+
+/// Halls `a1` and `a2` in region `a`, `b1` in region `b`; `c1` is in none that is known.
+const HALLS: [(&str, &str); 3] = [("a1", "a"), ("a2", "a"), ("b1", "b")];
+
+fn place() -> EntryPlace {
+    let halls = HALLS.iter();
+    let regions = halls.map(|(hall, region)| (HallName::from(*hall), RegionName::from(*region)));
+    EntryPlace::new(HallName::from("a1"), regions.collect())
+}
+
+fn regions(names: &[&str]) -> BTreeSet<RegionName> {
+    names.iter().map(|name| RegionName::from(*name)).collect()
+}
+
+fn record(hall: &str) -> (ReplicaId, ReplicaRecord) {
+    let id = ReplicaId(format!("in-{hall}"));
+    let record = ReplicaRecord {
+        id: id.clone(),
+        service: ServiceName::from("plain"),
+        address: "127.0.0.1:9".parse().unwrap(),
+        hall: HallName::from(hall),
+        slots: 4,
+        phase: ReplicaPhase::Ready,
+        models: BTreeMap::new(),
+        in_memory: BTreeSet::new(),
+        on_disk: BTreeSet::new(),
+        beat: 0,
+        born_ms: 0,
+        cold_ms: 0,
+    };
+    (id, record)
+}
+
+fn need(allowed: AllowedRegions) -> Need {
+    Need {
+        service: Some(ServiceName::from("plain")),
+        regions: allowed,
+        ..Need::default()
+    }
+}
+
+fn choose(halls: &[&str], allowed: AllowedRegions) -> Choice {
+    let mut book = ReplicaBook::new(ChoicePolicy::default(), place());
+    let records = halls.iter().map(|hall| record(hall));
+    book.follow(0, &records.collect());
+    book.choose(0, &need(allowed), &BTreeSet::new(), EngineBounds::default())
+}
+
+fn sent_to(hall: &str) -> Choice {
+    Choice::Send(ReplicaId(format!("in-{hall}")))
+}
+
+#[test]
+fn the_words_of_a_route_and_of_an_account_both_bind() {
+    let of = |route: &[&str], account: &[&str]| {
+        AllowedRegions::of(&regions(route), Some(&regions(account)))
+    };
+    let only = |names: &[&str]| AllowedRegions::Only(regions(names));
+    assert_eq!(of(&[], &[]), AllowedRegions::All);
+    assert_eq!(of(&["a"], &[]), only(&["a"]));
+    assert_eq!(of(&[], &["b"]), only(&["b"]));
+    assert_eq!(of(&["a", "b"], &["b", "c"]), only(&["b"]));
+    assert!(of(&["a"], &["b"]).is_none() && !of(&[], &[]).is_none());
+    let without_account = AllowedRegions::of(&regions(&["a"]), None);
+    assert_eq!(without_account, only(&["a"]));
+}
+
+#[test]
+fn a_request_goes_to_no_replica_outside_its_regions() {
+    let only = |names: &[&str]| AllowedRegions::Only(regions(names));
+    assert_eq!(choose(&["a1", "a2", "b1"], only(&["b"])), sent_to("b1"));
+    assert_eq!(choose(&["a1", "a2"], only(&["b"])), Choice::Absent);
+    assert_eq!(choose(&["a1", "b1"], only(&[])), Choice::Absent);
+    // Nobody says that a hall of no known region is in one of them.
+    assert_eq!(choose(&["c1"], only(&["a", "b"])), Choice::Absent);
+    assert_eq!(choose(&["c1"], AllowedRegions::All), sent_to("c1"));
+}
+
+#[test]
+fn the_own_hall_goes_before_the_own_region_and_that_before_others() {
+    let all = || AllowedRegions::All;
+    assert_eq!(choose(&["a1", "a2", "b1"], all()), sent_to("a1"));
+    assert_eq!(choose(&["a2", "b1"], all()), sent_to("a2"));
+    assert_eq!(
+        choose(&["b1", "c1"], AllowedRegions::Only(regions(&["b"]))),
+        sent_to("b1")
+    );
+    let place = place();
+    let distance = |hall: &str| place.distance(&HallName::from(hall));
+    assert_eq!(distance("a1"), HallDistance::Here);
+    assert_eq!(distance("a2"), HallDistance::Region);
+    assert_eq!(distance("b1"), HallDistance::Away);
+    assert_eq!(distance("c1"), HallDistance::Away);
+    // Without regions all halls are as near as they were.
+    let flat = EntryPlace::new(HallName::from("x"), BTreeMap::new());
+    assert_eq!(flat.distance(&HallName::from("y")), HallDistance::Region);
+}
--- a/tests/support_accounts/mod.rs
+++ b/tests/support_accounts/mod.rs
@@ -10,5 +10,6 @@
         keys: keys.iter().map(|key| KeyDigest::of(key)).collect(),
         priority: Some(0),
         quota: None,
+        regions: Default::default(),
     }
 }
--- a/tests/support_quota/mod.rs
+++ b/tests/support_quota/mod.rs
@@ -67,6 +67,7 @@
         keys: Vec::new(),
         priority: None,
         quota: Some(quota),
+        regions: Default::default(),
     };
     AccountBook {
         accounts: vec![account],
--- a/tests/warm_up.rs
+++ b/tests/warm_up.rs
@@ -6,6 +6,7 @@
 use dunlinspring::consensus::state::{Change, Command, SiteState, Stamped};
 use dunlinspring::forward::book::{Choice, EngineBounds, Need, ReplicaBar, ReplicaBook};
 use dunlinspring::forward::need::ChoicePolicy;
+use dunlinspring::forward::place::EntryPlace;
 use dunlinspring::ids::{HallName, Position, ReplicaId, ReplicaLife, ServiceName};
 use dunlinspring::placement::warm_up::{LEAVE_MS, WarmupAnswer, WarmupDesk};
 use dunlinspring::routing::warm_up::WarmupBook;
@@ -23,6 +24,11 @@
 /// a few.
 const MOST_PER_S: usize = 3 * 1_000 / (2 * SPEC.request_gap_ms as usize) + 5;
 
+/// An entry in a hall of a site without regions.
+fn place(hall: &str) -> EntryPlace {
+    EntryPlace::new(HallName::from(hall), BTreeMap::new())
+}
+
 fn life() -> ReplicaLife {
     ReplicaLife {
         id: ReplicaId::from("r"),
@@ -195,7 +201,7 @@
 
 #[test]
 fn an_entry_sends_to_a_cold_replica_by_the_leaders_leave_only() {
-    let mut book = ReplicaBook::new(ChoicePolicy::default(), HallName::from("hall"));
+    let mut book = ReplicaBook::new(ChoicePolicy::default(), place("hall"));
     let id = ReplicaId::from("r");
     book.follow_services(&services());
     book.follow(1_000, &BTreeMap::from([(id.clone(), record(2_000, 1))]));
