Adapters that are nowhere are brought to one home of their model ahead of need

Ruled out: full replicas, as the refusals said: theirs were idle. A shorter wait of a new leader, as orders out of adapters leave without a word in the log.

Change: twice a second the leader brings adapters that nobody holds, up to 32 on their way, the most wanted models first, where two places stay free. tests/ahead.rs plays it: without a leader an entry can send none of 108 adapters' requests before, all of them after.

--- a/src/placement/adapters.rs
+++ b/src/placement/adapters.rs
@@ -50,6 +50,15 @@
     unanswered: bool,
 }
 
+/// Room of a replica for further adapters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AdapterRoom {
+    /// So many more may be on their way to it.
+    pub may_come: usize,
+    /// So many of its places are free.
+    pub free_places: usize,
+}
+
 /// Orders on adapters that are under way, and when adapters were used.
 #[derive(Clone, Debug, Default)]
 pub struct AdapterOrders {
@@ -106,6 +115,39 @@
         }
     }
 
+    /// How many more adapters may be on their way to a replica, and how many of its places
+    /// nothing takes or may come to take.
+    pub fn room(
+        &self,
+        record: &ReplicaRecord,
+        slots: usize,
+        replicas: &ReplicaDirectory,
+        now_ms: u64,
+    ) -> AdapterRoom {
+        let busy_ms = self.busy_ms.get(&record.id);
+        let may_come = match busy_ms.is_some_and(|until_ms| *until_ms > now_ms) {
+            true => 0,
+            false => AT_ONCE.saturating_sub(self.coming(&record.id)),
+        };
+        let free_places = slots.saturating_sub(self.taken(record, replicas));
+        AdapterRoom {
+            may_come,
+            free_places,
+        }
+    }
+
+    /// Begins to bring an adapter for which there is [`Self::room`].
+    pub fn bring(&mut self, place: AdapterPlace, now_ms: u64) {
+        self.open(place, OrderKind::Load, now_ms);
+    }
+
+    /// Adapters that are on their way in.
+    pub fn loads(&self) -> impl Iterator<Item = &AdapterPlace> {
+        let loads = self.pending.iter();
+        let loads = loads.filter(|(_, order)| order.kind == OrderKind::Load);
+        loads.map(|(place, _)| place)
+    }
+
     /// An engine answered. Returns whether the order holds.
     pub fn on_outcome(&mut self, place: &AdapterPlace, outcome: OrderOutcome, now_ms: u64) -> bool {
         let Some(order) = self.pending.get_mut(place) else {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -5,6 +5,7 @@
 //! `table`, `consensus` and `admission`.
 
 pub mod adapters;
+pub mod ahead;
 pub mod crowd;
 pub mod demand;
 pub mod duties;
--- /dev/null
+++ b/tests/ahead.rs
@@ -0,0 +1,225 @@
+//! Adapters that are brought before anybody asks for them, and what callers get where no
+//! leader brings any.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
+use dunlinspring::consensus::state::{Command, SiteState, Stamped};
+use dunlinspring::forward::book::{Choice, EngineBounds, Need, ReplicaBook};
+use dunlinspring::forward::need::ChoicePolicy;
+use dunlinspring::forward::place::EntryPlace;
+use dunlinspring::ids::{HallName, HostName, ModelName, Position, ReplicaId, ServiceName, Term};
+use dunlinspring::placement::ahead::{AheadReplica, SPARE_PLACES, plan_ahead};
+use dunlinspring::placement::fleet::{FleetDuties, FleetPolicy};
+use dunlinspring::placement::order::OrderOutcome;
+use dunlinspring::table::configuration::{
+    Configuration, ConfigurationRecord, EngineModel, EngineSpec, ServiceSpec,
+};
+
+const SLOTS: u32 = 8;
+const MODELS: u32 = 12;
+const ADAPTERS: u32 = 9;
+
+fn model(number: u32) -> ModelName {
+    ModelName(format!("m{number}"))
+}
+
+fn engine() -> EngineSpec {
+    let spec = EngineModel {
+        weights_mb: 70,
+        load_ms: 8_000,
+        warm_ms: None,
+        disk_ms: None,
+        adapters: ADAPTERS,
+        adapter_mb: 1,
+    };
+    EngineSpec {
+        slots: 4,
+        kv_tokens: 1_000,
+        weights_mb: 220,
+        adapter_slots: SLOTS,
+        event_tokens: 1,
+        load_gap_ms: 10,
+        models: (0..MODELS).map(|number| (model(number), spec)).collect(),
+    }
+}
+
+/// A replica with two models.
+fn record(number: u32) -> ReplicaRecord {
+    let models = [number % MODELS, (number + 5) % MODELS];
+    let models = models
+        .into_iter()
+        .map(|number| (model(number), BTreeSet::new()));
+    ReplicaRecord {
+        id: ReplicaId(format!("r{number}")),
+        service: ServiceName::from("llm"),
+        address: format!("127.0.0.1:{}", number + 1).parse().unwrap(),
+        hall: HallName::from("here"),
+        slots: 4,
+        phase: ReplicaPhase::Ready,
+        models: models.collect(),
+        in_memory: BTreeSet::new(),
+        on_disk: BTreeSet::new(),
+        beat: 0,
+        born_ms: 0,
+        cold_ms: 0,
+    }
+}
+
+fn apply(state: &mut SiteState, command: Command) {
+    let position = Position(state.position.0 + 1);
+    state.apply(position, &Stamped { at_ms: 0, command });
+}
+
+fn site(replicas: u32) -> SiteState {
+    let service = ServiceSpec {
+        max_connections: 9,
+        warm_up: None,
+        engine: Some(engine()),
+    };
+    let configuration = Configuration {
+        version: 1,
+        services: BTreeMap::from([(ServiceName::from("llm"), service)]),
+        ..Configuration::default()
+    };
+    let mut state = SiteState::default();
+    let source = Vec::new();
+    let configured = ConfigurationRecord {
+        configuration,
+        source,
+    };
+    apply(&mut state, Command::Configure(Box::new(configured)));
+    for number in 0..replicas {
+        apply(&mut state, Command::Replica(Box::new(record(number))));
+    }
+    state
+}
+
+/// A leader's rounds, whose orders are all taken. Returns how many it gave.
+fn lead(state: &mut SiteState, for_ms: u64) -> usize {
+    let mut duties = FleetDuties::new(FleetPolicy::default(), HostName::from("c"), Term(1), 0);
+    let mut given = 0;
+    for now_ms in (0..for_ms).step_by(50) {
+        let ids: Vec<ReplicaId> = state.replicas.records().keys().cloned().collect();
+        duties.on_heard(now_ms, &ids);
+        let actions = duties.round(state, now_ms);
+        for command in actions.commands {
+            apply(state, command);
+        }
+        for order in actions
+            .orders
+            .into_iter()
+            .filter(|order| order.adapter.is_some())
+        {
+            given += 1;
+            for command in duties.on_outcome(now_ms, &order, OrderOutcome::Taken) {
+                apply(state, command);
+            }
+        }
+    }
+    given
+}
+
+/// Part of all adapters that an entry could send a request for, without any leader.
+fn served_part(state: &SiteState) -> f64 {
+    let place = EntryPlace::new(HallName::from("here"), BTreeMap::new());
+    let mut book = ReplicaBook::new(ChoicePolicy::default(), place);
+    book.follow(0, state.replicas.records());
+    let bounds = EngineBounds {
+        memory: 0,
+        adapter_slots: SLOTS,
+    };
+    let served = |model: &ModelName, adapter: u32| {
+        let need = Need {
+            service: Some(ServiceName::from("llm")),
+            model: Some(model.clone()),
+            adapter: Some(format!("a{adapter}")),
+            ..Need::default()
+        };
+        matches!(
+            book.choose(0, &need, &BTreeSet::new(), bounds),
+            Choice::Send(_)
+        )
+    };
+    let all = (0..MODELS).flat_map(|number| (1..=ADAPTERS).map(move |a| (model(number), a)));
+    let served = all
+        .filter(|(model, adapter)| served(model, *adapter))
+        .count();
+    served as f64 / f64::from(MODELS * ADAPTERS)
+}
+
+/// **What users saw:** while a leader was cut off, one request in twenty was refused: all of
+/// them asked for an adapter that no home had, and nobody brings one without a leader.
+#[test]
+fn requests_for_adapters_are_served_without_a_leader() {
+    let mut state = site(24);
+    assert_eq!(served_part(&state), 0.0);
+    lead(&mut state, 30_000);
+    assert_eq!(served_part(&state), 1.0);
+}
+
+#[test]
+fn each_adapter_is_brought_once_and_places_are_left_for_wishes() {
+    let mut state = site(24);
+    let given = lead(&mut state, 30_000);
+    assert_eq!(given, (MODELS * ADAPTERS) as usize);
+    for record in state.replicas.records().values() {
+        let held: usize = record.models.values().map(BTreeSet::len).sum();
+        assert!(
+            held + SPARE_PLACES <= SLOTS as usize,
+            "{}: {held}",
+            record.id
+        );
+    }
+}
+
+#[test]
+fn where_places_are_short_the_most_wanted_models_come_first() {
+    let home = AheadReplica {
+        id: ReplicaId::from("r"),
+        models: BTreeSet::from([model(1), model(2)]),
+        free_places: SPARE_PLACES + 2,
+        may_come: 4,
+    };
+    let adapters = [(model(2), 1), (model(3), 5), (model(1), 5)];
+    let known = BTreeMap::from([(model(1), BTreeSet::from(["a1".to_owned()]))]);
+    let places = plan_ahead(&adapters, &known, &mut [home.clone()], 9);
+    let named: Vec<(ModelName, &str)> = places
+        .iter()
+        .map(|place| (place.model.clone(), place.adapter.as_str()))
+        .collect();
+    assert_eq!(named, [(model(2), "a1"), (model(1), "a2")]);
+    assert_eq!(
+        plan_ahead(&adapters, &known, &mut [home.clone()], 1).len(),
+        1
+    );
+    let full = AheadReplica {
+        may_come: 0,
+        ..home
+    };
+    assert_eq!(plan_ahead(&adapters, &known, &mut [full], 9), []);
+}
+
+/// The refusal names its cause.
+#[test]
+fn where_no_replica_gets_the_adapter_none_is_called_full() {
+    let state = site(1);
+    let place = EntryPlace::new(HallName::from("here"), BTreeMap::new());
+    let mut book = ReplicaBook::new(ChoicePolicy::default(), place);
+    book.follow(0, state.replicas.records());
+    let need = Need {
+        service: Some(ServiceName::from("llm")),
+        model: Some(model(0)),
+        adapter: Some("a1".to_owned()),
+        ..Need::default()
+    };
+    let bounds = EngineBounds {
+        memory: 0,
+        adapter_slots: SLOTS,
+    };
+    let id = ReplicaId::from("r0");
+    let choose = |book: &ReplicaBook| book.choose(0, &need, &BTreeSet::new(), bounds);
+    assert_eq!(choose(&book), Choice::Fetch(id.clone()));
+    book.refuse_fetch(0, &id);
+    assert_eq!(choose(&book), Choice::NoAdapter);
+}
