Placing and what is brought ahead stand by themselves; a refused cold replica is left alone

Cause: an entry that was told to wait for a replica that nobody has heard for a while kept no note of it, and asked the leader again at once until the request's time was over (read).

Change: the refusal is noted for any replica.

Test: tests/warm_up.rs, the silent replica.

--- a/src/consensus/directory.rs
+++ b/src/consensus/directory.rs
@@ -64,7 +64,7 @@
 
     /// What tells one word on whether it is warm from another: each comes with a heartbeat, or
     /// with a life.
-    pub fn word_on_warmth(&self) -> (u64, u64) {
+    pub fn warm_up_word(&self) -> (u64, u64) {
         (self.born_ms, self.cold_ms)
     }
 
--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -289,7 +289,7 @@
         self.notes.retain(|id, _| records.contains_key(id));
         for (id, record) in records {
             let known = self.notes.get(id).map(|note| &note.record);
-            if known.is_none_or(|known| known.word_on_warmth() != record.word_on_warmth()) {
+            if known.is_none_or(|known| known.warm_up_word() != record.warm_up_word()) {
                 self.warm_ups.tell(now_ms, id, record.cold_ms);
             }
             match self.notes.get_mut(id) {
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -6,6 +6,7 @@
 
 mod answer_heads;
 mod crashes;
+mod placing;
 mod try_guard;
 mod wire_heads;
 
@@ -14,7 +15,7 @@
 use std::time::{Duration, Instant};
 
 use crate::clock;
-use crate::forward::book::{self, Choice, EngineBounds, Need, TryEnd};
+use crate::forward::book::{self, EngineBounds, Need, TryEnd};
 use crate::forward::caller::{self, CallerIdentity, CallerRefusal};
 use crate::forward::client::{AfterAnswer, ClientRequest, ClientWriter};
 use crate::forward::crashes::{CrashCase, SentTo};
@@ -22,11 +23,10 @@
 use crate::forward::events::EventCutter;
 use crate::forward::head::{self, ResponseHead};
 use crate::forward::own_answer::{self, Refusal, UNKNOWN_RETRY, closes, finish, refuse_plainly};
-use crate::forward::patience;
 use crate::forward::place::AllowedRegions;
 use crate::forward::quotas::QuotaRefusal;
 use crate::forward::request_log::{Outcome, RequestLog};
-use crate::forward::turns::{Clearance, TurnGuard};
+use crate::forward::turns::TurnGuard;
 use crate::forward::upstream::{Connection, Exchange, ExchangeError, Outgoing};
 use crate::forward::warm_up::WarmupLeave;
 use crate::ids::{ContentDigest, ReplicaId};
@@ -38,8 +38,6 @@
 
 /// Largest answer that is held until it is whole, in bytes.
 const MAX_HELD: usize = 1024 * 1024;
-/// Longest pause between two looks at the replicas while a request waits.
-const LOOK_AGAIN: Duration = Duration::from_millis(50);
 /// Part of the aim after which a refused request comes back at the soonest.
 const RETURN_PART: u32 = 4;
 /// Refusals by replicas that one request takes before it is refused itself.
@@ -158,7 +156,7 @@
     /// Its turn, where its content is suspect.
     turn: Option<TurnGuard>,
     /// The leader's leave to send it, where the chosen replica warms up.
-    leave: Option<WarmupLeave>,
+    warm_up_leave: Option<WarmupLeave>,
     /// Where it was sent, while it may run there.
     sent: Option<SentTo>,
     /// What is being found out of a replica that broke off under it.
@@ -227,7 +225,7 @@
             cutter: EventCutter::default(),
             content: None,
             turn: None,
-            leave: None,
+            warm_up_leave: None,
             sent: None,
             case: None,
             shared: BTreeSet::new(),
@@ -420,86 +418,6 @@
         Duration::from_millis(model.map_or(1_000, |model| model.load_ms))
     }
 
-    /// Waits until a replica may take the request, or it must be refused.
-    async fn place(&mut self) -> Result<ReplicaId, Refusal> {
-        let since = Instant::now();
-        loop {
-            if self.left() < LEAST_LEFT {
-                return Err(Refusal::Late);
-            }
-            let changed = self.core.changed.notified();
-            let now_ms = clock::monotonic_ms();
-            let choice = self.choose(now_ms);
-            let waited = since.elapsed();
-            let (refusal, limit) = match choice {
-                // It is chosen once more, without this replica for a while.
-                Choice::Send(replica) if !self.may_warm_up(&replica).await => continue,
-                Choice::Send(replica) => match self.clear_turn(&replica).await {
-                    Clearance::Go(turn) => {
-                        self.turn = turn;
-                        self.log.placed(waited);
-                        return Ok(replica);
-                    }
-                    Clearance::Barred => return Err(Refusal::Barred),
-                    Clearance::Elsewhere if self.shared.insert(replica.clone()) => {
-                        self.passed.insert(replica);
-                        continue;
-                    }
-                    Clearance::Elsewhere | Clearance::Wait => (Refusal::Turn, self.room_wait()),
-                },
-                Choice::Fetch(replica) => {
-                    self.core.wish(&replica, &self.need);
-                    (Refusal::Adapter, self.aim().min(self.left() / 2))
-                }
-                Choice::Full => {
-                    self.core.crowd_seen.notify_one();
-                    (Refusal::Full, self.room_wait())
-                }
-                Choice::NoAdapter => (Refusal::Adapter, self.room_wait()),
-                Choice::Paused(left_ms) => {
-                    let limit = self.room_wait();
-                    let ends = waited + Duration::from_millis(left_ms);
-                    // Surely not in time: it is told so now, with the time that was named.
-                    if ends > limit.min(self.left()) {
-                        return Err(Refusal::Paused);
-                    }
-                    (Refusal::Paused, limit)
-                }
-                Choice::WarmingUp => (Refusal::WarmingUp, self.room_wait()),
-                Choice::Evacuated => return Err(Refusal::Evacuated),
-                Choice::Absent => {
-                    let wait = patience::wait_for_load(self.load_time(), waited, self.left());
-                    (Refusal::Absent, wait)
-                }
-            };
-            // A stopping entry would end before what the request waits for.
-            if waited >= limit || self.core.is_stopping() {
-                return Err(refusal);
-            }
-            let pause = LOOK_AGAIN.min(limit - waited);
-            let _ = tokio::time::timeout(pause, changed).await;
-        }
-    }
-
-    /// Whether a replica is warm, or the leader lets this request go to it.
-    async fn may_warm_up(&mut self, replica: &ReplicaId) -> bool {
-        let core = self.core;
-        let Some(record) = core.cold_record(replica) else {
-            return true;
-        };
-        self.leave = core.ask_warm_up(&record).await;
-        self.leave.is_some()
-    }
-
-    fn room_wait(&self) -> Duration {
-        patience::wait_for_room(self.aim(), self.core.choice().room_part)
-    }
-
-    fn choose(&self, now_ms: u64) -> Choice {
-        let book = self.core.book.borrow();
-        book.choose(now_ms, &self.need, &self.passed, self.bounds)
-    }
-
     /// Until when a replica may begin its answer.
     fn try_until_ms(&self) -> u64 {
         let more = self.route.is_repeatable() && self.runs + 1 < self.route.attempts;
--- a/src/routing/warm_up.rs
+++ b/src/routing/warm_up.rs
@@ -60,9 +60,8 @@
 
     /// The leader lets no request go there for so long.
     pub fn refuse(&mut self, now_ms: u64, id: &Id, for_ms: u64) {
-        if let Some(note) = self.notes.get_mut(id) {
-            note.refused_until_ms = now_ms + for_ms;
-        }
+        let note = self.notes.entry(id.clone()).or_default();
+        note.refused_until_ms = now_ms + for_ms;
     }
 
     /// Whether a peer is to be treated as cold.
@@ -71,16 +70,17 @@
         note.is_some_and(|note| now_ms < note.cold_until_ms())
     }
 
-    /// How long nothing may be sent to a peer that warms up, in milliseconds; none where the
-    /// leader may be asked, or where it is warm.
+    /// For how much longer the leader lets no request go to a peer, in milliseconds; none where
+    /// it may be asked.
     pub fn refused_ms(&self, now_ms: u64, id: &Id) -> Option<u64> {
         let note = self.notes.get(id)?;
-        let until_ms = note.refused_until_ms.min(note.cold_until_ms());
-        until_ms.checked_sub(now_ms).filter(|left_ms| *left_ms > 0)
+        let left_ms = note.refused_until_ms.saturating_sub(now_ms);
+        (left_ms > 0).then_some(left_ms)
     }
 
     /// Forgets what says nothing any more.
     pub fn prune(&mut self, now_ms: u64) {
-        self.notes.retain(|_, note| now_ms < note.cold_until_ms());
+        let counts = |note: &WarmupNote| note.cold_until_ms().max(note.refused_until_ms);
+        self.notes.retain(|_, note| now_ms < counts(note));
     }
 }
--- a/tests/warm_up.rs
+++ b/tests/warm_up.rs
@@ -229,6 +229,12 @@
     };
     book.follow(9_000, &BTreeMap::from([(id.clone(), silent)]));
     assert!(book.is_cold(60_000, &id));
+    // Refused, it is left alone as the others are.
+    book.refuse_warm_up(60_000, &id, 300);
+    assert_eq!(choose(&book, 60_299), Choice::WarmingUp);
+    book.prune(60_100);
+    assert_eq!(choose(&book, 60_200), Choice::WarmingUp);
+    assert_eq!(choose(&book, 60_300), Choice::Send(id.clone()));
 }
 
 fn apply(state: &mut SiteState, at_ms: u64, command: Command) {
