Targets in an evacuated hall: their homes are made good elsewhere, too

Cause: before agents an evacuated hall got no new requests, but placement still counted its homes and could load there. Change: the board of targets leaves the hall out, as one whose agent leaves. Test: the_homes_of_targets_in_it_are_made_good_elsewhere, which fails without the line (its loads are empty).

--- a/src/placement/moves.rs
+++ b/src/placement/moves.rs
@@ -121,12 +121,13 @@
 }
 
 impl<'a> PlaceBoard<'a> {
-    /// Only targets with a live agent that stays.
+    /// Only targets with a live agent that stays, in halls that are open.
     fn new(state: &'a SiteState) -> Self {
         let mut targets = BTreeMap::new();
         for (target, spec) in &state.site.targets {
             let stays = state.keeper(target).is_some_and(|keeper| !keeper.leaving);
-            if !stays || spec.memory_mib == 0 {
+            let open = !state.evacuated.contains(&spec.hall);
+            if !stays || !open || spec.memory_mib == 0 {
                 continue;
             }
             let homes: BTreeMap<&ModelName, HomeInfo> = state
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -4,17 +4,25 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
-use dunlinspring::consensus::state::{Change, Command, HallStanding, SiteState, Stamped};
+use dunlinspring::consensus::state::{
+    Change, Command, HallStanding, HomeReport, MemberRole, MoveKind, SiteState, Stamped,
+};
 use dunlinspring::forward::book::{Choice, EngineBounds, Need, ReplicaBar, ReplicaBook};
 use dunlinspring::forward::need::ChoicePolicy;
 use dunlinspring::forward::place::EntryPlace;
-use dunlinspring::ids::{HallName, HostName, ModelName, Position, ReplicaId, ServiceName, Term};
+use dunlinspring::ids::{
+    EditId, HallName, HostName, ModelName, PartnerName, Position, ReplicaId, RowId, ServiceName,
+    TargetName, Term,
+};
 use dunlinspring::placement::fleet::{FleetDuties, FleetPolicy};
+use dunlinspring::placement::moves::{self, DemandBook, PlacePolicy};
 use dunlinspring::placement::order::{AdapterPlace, OrderKind};
 use dunlinspring::routing::view::{SiteView, page_after};
 use dunlinspring::table::configuration::{
     Configuration, ConfigurationRecord, EngineModel, EngineSpec, ServiceSpec,
 };
+use dunlinspring::table::rows::{RowChange, RowEdit, RowFields, Urgency};
+use dunlinspring::table::site::{ModelKind, ModelSpec, SiteSpec, TargetSpec};
 
 const MODEL: &str = "m";
 
@@ -221,3 +229,85 @@
     restore(&mut state);
     assert_eq!(duties.on_wish(&state, 12_000, &wish), (true, None));
 }
+
+/// The same for targets with agents.
+#[test]
+fn the_homes_of_targets_in_it_are_made_good_elsewhere() {
+    let model = ModelName::from(MODEL);
+    let spec = ModelSpec {
+        kind: ModelKind::Base,
+        weights_mib: 10,
+        kv_kib_per_token: 0,
+    };
+    let target = |hall: &str| TargetSpec {
+        hall: HallName::from(hall),
+        memory_mib: 100,
+        kv_floor_mib: 0,
+        accelerators: 1,
+    };
+    let site = SiteSpec {
+        generation: 1,
+        loads_at_once: 15,
+        models: BTreeMap::from([(model.clone(), spec)]),
+        targets: BTreeMap::from([
+            (TargetName::from("t-old"), target("old")),
+            (TargetName::from("t-new"), target("new")),
+        ]),
+        ..SiteSpec::default()
+    };
+    let row = RowEdit {
+        id: EditId::from("e"),
+        partner: PartnerName::from("fiji"),
+        row: RowId::from("row"),
+        expected: Position(0),
+        change: RowChange::Put(RowFields {
+            model: model.clone(),
+            class: "chat".to_owned(),
+            urgency: Urgency::Standard,
+            weight: 1,
+            max_running: 1,
+            patience_ms: 1_000,
+            at_most_once: false,
+            whole: false,
+        }),
+    };
+    let join = |host: &str, hall: &str| {
+        let (host, hall) = (HostName::from(host), HallName::from(hall));
+        Command::Join(host, MemberRole::Agent, "127.0.0.1:9".to_owned(), hall)
+    };
+    let mut state = SiteState::default();
+    apply(&mut state, Command::Site(site));
+    apply(&mut state, join("t-old", "old"));
+    apply(&mut state, join("t-new", "new"));
+    apply(&mut state, Command::Edit(row));
+    let old = TargetName::from("t-old");
+    apply(
+        &mut state,
+        Command::Move(old.clone(), model.clone(), MoveKind::Load),
+    );
+    let life = state.members[&HostName::from("t-old")].incarnation;
+    let there = HomeReport::Resident;
+    apply(
+        &mut state,
+        Command::Home(old.clone(), life, model.clone(), there),
+    );
+    let policy = PlacePolicy {
+        move_price: 1.0,
+        spread: 1,
+        by_demand: false,
+    };
+    let plan = |state: &SiteState| moves::plan(state, &policy, &DemandBook::default(), 60_000);
+    let homes = |state: &SiteState| {
+        let mut view = SiteView::default();
+        view.follow(&page_after(state, view.position));
+        view.ready_homes(&model).count()
+    };
+    assert_eq!((plan(&state).len(), homes(&state)), (0, 1));
+    evacuate(&mut state);
+    let planned = plan(&state);
+    let loads: Vec<&TargetName> = planned.iter().map(|planned| &planned.target).collect();
+    assert_eq!(loads, [&TargetName::from("t-new")]);
+    assert_eq!(homes(&state), 0);
+    restore(&mut state);
+    assert_eq!((plan(&state).len(), homes(&state)), (0, 1));
+}
