Permits are called so; a line and a count for halls and for what the leader answers

Cause: 'leave' stood for a permit and for a replica that leaves, in one file. Names only, but for the line that an entry writes as halls change and the count of asks.

--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -14,7 +14,7 @@
     CROWD_MS, CrowdNote, PACE_PART, ReadPace, ReplicaNote, ToldLoad,
 };
 use crate::forward::separation::AnswerMix;
-use crate::forward::warm_up::WarmupLeave;
+use crate::forward::warm_up::WarmupPermit;
 use crate::ids::{HallName, ReplicaId, ReplicaLife, ServiceName};
 use crate::placement::crowd::WaitingTokens;
 use crate::routing::backoff::{AskedPause, BackoffBook, ClaimEnd, SendBar, SendClaim};
@@ -194,20 +194,20 @@
         self.backoffs.leaves(&life.id, life.born_ms)
     }
 
-    /// The last look, right before a request leaves for a replica; `leave` is the leader's,
+    /// The last look, right before a request leaves for a replica; `permit` is the leader's,
     /// where it was asked.
     pub fn claim(
         &mut self,
         now_ms: u64,
         life: &ReplicaLife,
-        leave: Option<WarmupLeave>,
+        permit: Option<WarmupPermit>,
     ) -> Result<SendClaim, ReplicaBar> {
         let record = self.notes.get(&life.id).map(|note| &note.record);
         if record.is_some_and(|record| self.evacuated.contains(&record.hall)) {
             return Err(ReplicaBar::Evacuated);
         }
-        let leave = leave.filter(|leave| leave.holds(now_ms));
-        if leave.is_none() && self.is_cold(now_ms, &life.id) {
+        let permit = permit.filter(|permit| permit.holds(now_ms));
+        if permit.is_none() && self.is_cold(now_ms, &life.id) {
             return Err(ReplicaBar::WarmingUp { left_ms: 0 });
         }
         let claimed = self.backoffs.claim(now_ms, &life.id, life.born_ms);
@@ -277,11 +277,13 @@
         self.warm_up_specs = limited.collect();
     }
 
-    /// Takes over which data halls are to get nothing.
-    pub fn follow_halls(&mut self, evacuated: &BTreeSet<HallName>) {
-        if self.evacuated != *evacuated {
+    /// Takes over which data halls are to get nothing. Returns whether that is news.
+    pub fn follow_halls(&mut self, evacuated: &BTreeSet<HallName>) -> bool {
+        let is_news = self.evacuated != *evacuated;
+        if is_news {
             self.evacuated = evacuated.clone();
         }
+        is_news
     }
 
     /// Takes over the records that are in force.
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -481,7 +481,10 @@
         self.follow_crashes(&view);
         self.log_replicas(&view);
         let mut book = self.book.borrow_mut();
-        book.follow_halls(&view.evacuated);
+        if book.follow_halls(&view.evacuated) {
+            let (evacuated, position) = (&view.evacuated, view.position);
+            tracing::info!(?evacuated, %position, "evacuated halls");
+        }
         book.follow(clock::monotonic_ms(), &view.replicas);
         drop(book);
         let held = self.version();
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -28,7 +28,7 @@
 use crate::forward::request_log::{Outcome, RequestLog};
 use crate::forward::turns::TurnGuard;
 use crate::forward::upstream::{Connection, Exchange, ExchangeError, Outgoing};
-use crate::forward::warm_up::WarmupLeave;
+use crate::forward::warm_up::WarmupPermit;
 use crate::ids::{ContentDigest, ReplicaId};
 use crate::routing::backoff::ClaimEnd;
 use crate::routing::suspects::BARRED_RETRY_MS;
@@ -155,8 +155,8 @@
     content: Option<ContentDigest>,
     /// Its turn, where its content is suspect.
     turn: Option<TurnGuard>,
-    /// The leader's leave to send it, where the chosen replica warms up.
-    warm_up_leave: Option<WarmupLeave>,
+    /// The leader's permit to send it, where the chosen replica warms up.
+    warm_up_permit: Option<WarmupPermit>,
     /// Where it was sent, while it may run there.
     sent: Option<SentTo>,
     /// What is being found out of a replica that broke off under it.
@@ -225,7 +225,7 @@
             cutter: EventCutter::default(),
             content: None,
             turn: None,
-            warm_up_leave: None,
+            warm_up_permit: None,
             sent: None,
             case: None,
             shared: BTreeSet::new(),
--- a/src/forward/request/answer_heads.rs
+++ b/src/forward/request/answer_heads.rs
@@ -59,9 +59,9 @@
     /// The last look at whether the replica may be sent to, right before the request leaves.
     pub(super) fn claim(&mut self, sent: &SentTo) -> Result<SendClaim, ReplicaBar> {
         let now_ms = clock::monotonic_ms();
-        let leave = self.warm_up_leave.take();
+        let permit = self.warm_up_permit.take();
         let mut book = self.core.book.borrow_mut();
-        let claimed = book.claim(now_ms, &sent.life, leave);
+        let claimed = book.claim(now_ms, &sent.life, permit);
         drop(book);
         if let Err(bar) = &claimed {
             self.core.count("dunlinspring_held_back_total", &[]);
--- a/src/forward/request/placing.rs
+++ b/src/forward/request/placing.rs
@@ -79,13 +79,13 @@
     /// Whether a replica is warm, or the leader lets this request go to it.
     async fn may_warm_up(&mut self, replica: &ReplicaId) -> bool {
         // One that was given for another replica says nothing of this one.
-        self.warm_up_leave = None;
+        self.warm_up_permit = None;
         let core = self.core;
         let Some(record) = core.cold_record(replica) else {
             return true;
         };
-        self.warm_up_leave = core.ask_warm_up(&record).await;
-        self.warm_up_leave.is_some()
+        self.warm_up_permit = core.ask_warm_up(&record).await;
+        self.warm_up_permit.is_some()
     }
 
     fn room_wait(&self) -> Duration {
--- a/src/forward/warm_up.rs
+++ b/src/forward/warm_up.rs
@@ -1,4 +1,4 @@
-//! Leave to send to replicas that warm up: asked of the leader for each request. See
+//! Permits to send to replicas that warm up: asked of the leader for each request. See
 //! [`crate::placement::warm_up`].
 
 use std::time::Duration;
@@ -7,21 +7,21 @@
 use crate::consensus::directory::ReplicaRecord;
 use crate::forward::daemon::EntryCore;
 use crate::ids::ReplicaId;
-use crate::placement::warm_up::{LEAVE_MS, WarmupAnswer, WarmupAsk};
+use crate::placement::warm_up::{PERMIT_MS, WarmupAnswer, WarmupAsk};
 
-/// Time for one question; the leave that it brings would be over after it.
-const ASK_TIME: Duration = Duration::from_millis(LEAVE_MS / 2);
+/// Time for one question; the permit that it brings would be over after it.
+const ASK_TIME: Duration = Duration::from_millis(PERMIT_MS / 2);
 /// Pause after a question that nobody answered, in milliseconds: other replicas are sent to
 /// meanwhile.
 const SILENT_MS: u64 = 300;
 
-/// The leave to send one request to a replica that warms up.
+/// The permit to send one request to a replica that warms up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct WarmupLeave {
+pub struct WarmupPermit {
     until_ms: u64,
 }
 
-impl WarmupLeave {
+impl WarmupPermit {
     /// Whether it may still be used.
     pub fn holds(&self, now_ms: u64) -> bool {
         now_ms < self.until_ms
@@ -37,7 +37,7 @@
     }
 
     /// Asks whether one request may go to a replica that warms up.
-    pub async fn ask_warm_up(&self, record: &ReplicaRecord) -> Option<WarmupLeave> {
+    pub async fn ask_warm_up(&self, record: &ReplicaRecord) -> Option<WarmupPermit> {
         let asked_ms = clock::monotonic_ms();
         let ask = WarmupAsk {
             replica: record.life(),
@@ -50,14 +50,20 @@
                 async move { client.warm_up(context, ask).await }
             })
             .await;
+        let answer = match &asked {
+            Ok(WarmupAnswer::Go) => "go",
+            Ok(WarmupAnswer::Wait(_)) => "wait",
+            Err(_) => "none",
+        };
+        self.count("dunlinspring_warm_up_asks_total", &[("answer", answer)]);
         let wait_ms = match asked {
             Ok(WarmupAnswer::Go) => {
-                let until_ms = asked_ms + LEAVE_MS;
-                return Some(WarmupLeave { until_ms });
+                let until_ms = asked_ms + PERMIT_MS;
+                return Some(WarmupPermit { until_ms });
             }
             Ok(WarmupAnswer::Wait(wait_ms)) => wait_ms,
             Err(error) => {
-                tracing::debug!(%error, replica = %record.id, "leave to send was not asked");
+                tracing::debug!(%error, replica = %record.id, "a permit to send was not asked for");
                 SILENT_MS
             }
         };
--- a/src/placement/warm_up.rs
+++ b/src/placement/warm_up.rs
@@ -1,8 +1,8 @@
-//! Leave to send to replicas that warm up: the leader counts out each replica's rate, over
+//! Permits to send to replicas that warm up: the leader counts out each replica's rate, over
 //! all entries together.
 //!
-//! An entry asks for each request, right before it leaves, and may use the leave for
-//! [`LEAVE_MS`] only: what a replica gets in any second is then bounded by its rate, whatever
+//! An entry asks for each request, right before it leaves, and may use the permit for
+//! [`PERMIT_MS`] only: what a replica gets in any second is then bounded by its rate, whatever
 //! happens to entries in between. Without a leader nobody sends to a replica that warms up.
 //!
 //! Pure, and soft state: a new leader waits until nothing that the one before gave can count
@@ -15,9 +15,9 @@
 use crate::ids::{ReplicaLife, ServiceName};
 use crate::table::configuration::WarmupSpec;
 
-/// How long a leave may be used from before it was asked for, in milliseconds: a call between
+/// How long a permit may be used from before it was asked for, in milliseconds: a call between
 /// halls, and the opening of a connection.
-pub const LEAVE_MS: u64 = 250;
+pub const PERMIT_MS: u64 = 250;
 /// The span in which arrivals at a replica are counted against its rate, in milliseconds.
 const SPAN_MS: u64 = 1_000;
 /// Requests that may go at once, where none went for a while.
@@ -55,7 +55,7 @@
     /// The desk of a leader that leads since `now_ms`.
     pub fn new(now_ms: u64) -> Self {
         Self {
-            opens_ms: now_ms + SPAN_MS + LEAVE_MS,
+            opens_ms: now_ms + SPAN_MS + PERMIT_MS,
             due_ms: BTreeMap::new(),
         }
     }
--- a/tests/warm_up.rs
+++ b/tests/warm_up.rs
@@ -8,7 +8,7 @@
 use dunlinspring::forward::need::ChoicePolicy;
 use dunlinspring::forward::place::EntryPlace;
 use dunlinspring::ids::{HallName, Position, ReplicaId, ReplicaLife, ServiceName};
-use dunlinspring::placement::warm_up::{LEAVE_MS, WarmupAnswer, WarmupDesk};
+use dunlinspring::placement::warm_up::{PERMIT_MS, WarmupAnswer, WarmupDesk};
 use dunlinspring::routing::warm_up::WarmupBook;
 use dunlinspring::table::configuration::{
     Configuration, ConfigurationRecord, ServiceSpec, WarmupSpec,
@@ -92,7 +92,7 @@
     let ask = |desk: &mut WarmupDesk, now_ms: u64, lag_ms: u64| {
         let granted = desk.ask(now_ms, &life(), SPEC) == WarmupAnswer::Go;
         // The entry counts from before it asked, and looks again right before it sends.
-        (granted && lag_ms < LEAVE_MS).then_some(now_ms + lag_ms)
+        (granted && lag_ms < PERMIT_MS).then_some(now_ms + lag_ms)
     };
     for step in steps {
         match *step {
@@ -200,7 +200,7 @@
 }
 
 #[test]
-fn an_entry_sends_to_a_cold_replica_by_the_leaders_leave_only() {
+fn an_entry_sends_to_a_cold_replica_by_the_leaders_permit_only() {
     let mut book = ReplicaBook::new(ChoicePolicy::default(), place("hall"));
     let id = ReplicaId::from("r");
     book.follow_services(&services());
