--- a/src/consensus/directory.rs
+++ b/src/consensus/directory.rs
@@ -217,6 +217,9 @@
             Some(known) if record.beat <= known.beat && known.beat > 0 => BeatNews::Known,
             // A ready heartbeat from before the draining one may come late.
             Some(known) if known.phase == ReplicaPhase::Draining => BeatNews::Known,
+            // While one is cold each counts: the state's clock, by which it is warm again, moves
+            // with what is committed only.
+            Some(known) if known.cold_ms > 0 || record.cold_ms > 0 => BeatNews::New,
             // The first one after an order is put for its number: else one from before the
             // order could come later still, and be taken for the newest.
             Some(_) if record.beat > 0 && self.unheard.contains(&record.id) => BeatNews::New,
--- a/tests/warm_up.rs
+++ b/tests/warm_up.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
+use dunlinspring::consensus::directory::{BeatNews, ReplicaPhase, ReplicaRecord};
 use dunlinspring::consensus::state::{Change, Command, SiteState, Stamped};
 use dunlinspring::forward::book::{Choice, EngineBounds, Need, ReplicaBar, ReplicaBook};
 use dunlinspring::forward::need::ChoicePolicy;
@@ -307,6 +307,8 @@
     apply(&mut state, 10_000, Command::Evacuate(hall.clone()));
     apply(&mut state, 20_000, Command::Restore(hall));
     assert_eq!(cold_ms(&state), SPEC.lasts_ms);
+    // Where nothing else is committed, the state's clock stands still.
+    assert_eq!(state.replica_news(&record(0, 2)), BeatNews::New);
     beat(&mut state, 21_000, record(0, 2));
     assert_eq!(cold_ms(&state), SPEC.lasts_ms - 1_000);
     beat(&mut state, 23_000, record(0, 3));
