What is brought ahead is looked up by model; whether a replica may be sent to stands by itself

Change: homes are indexed by model, names are borrowed, and nothing more is done where nothing is missing.

--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -4,6 +4,8 @@
 //! an answer, corrected by this entry's own requests since; what others sent
 //! fades with the report's age.
 
+mod bars;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::consensus::directory::{ReplicaPhase, ReplicaRecord};
@@ -14,12 +16,12 @@
     CROWD_MS, CrowdNote, PACE_PART, ReadPace, ReplicaNote, ToldLoad,
 };
 use crate::forward::separation::AnswerMix;
-use crate::forward::warm_up::WarmupPermit;
-use crate::ids::{HallName, ReplicaId, ReplicaLife, ServiceName};
+use crate::ids::{HallName, ReplicaId, ServiceName};
 use crate::placement::crowd::WaitingTokens;
-use crate::routing::backoff::{AskedPause, BackoffBook, ClaimEnd, SendBar, SendClaim};
+use crate::routing::backoff::{BackoffBook, SendBar};
 use crate::routing::warm_up::WarmupBook;
-use crate::table::configuration::{ServiceSpec, WarmupSpec};
+use crate::table::configuration::WarmupSpec;
+pub use bars::ReplicaBar;
 
 /// The choice.
 #[derive(Clone, Debug, PartialEq)]
@@ -43,20 +45,6 @@
     Absent,
 }
 
-/// Why nothing may be sent to a replica now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReplicaBar {
-    /// An operator wants nothing sent to its data hall.
-    Evacuated,
-    /// It warms up, and has got what it bears for so much longer, in milliseconds.
-    WarmingUp {
-        /// Until it may be asked for again.
-        left_ms: u64,
-    },
-    /// It asked for that itself.
-    Asked(SendBar),
-}
-
 /// Bounds of a service's engines; all zero for plain services.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EngineBounds {
@@ -177,115 +165,11 @@
         }
     }
 
-    /// A replica asks to be left alone.
-    pub fn pause(&mut self, now_ms: u64, id: &ReplicaId, asked: AskedPause) {
-        self.backoffs.pause(now_ms, id, asked);
-    }
-
-    /// A replica says that it leaves. Returns whether that is news.
-    pub fn leave(&mut self, now_ms: u64, life: &ReplicaLife) -> bool {
-        let known = self.leaves(life);
-        self.backoffs.leave(now_ms, &life.id, life.born_ms);
-        !known
-    }
-
-    /// Whether a replica has said that it leaves.
-    pub fn leaves(&self, life: &ReplicaLife) -> bool {
-        self.backoffs.leaves(&life.id, life.born_ms)
-    }
-
-    /// The last look, right before a request leaves for a replica; `permit` is the leader's,
-    /// where it was asked.
-    pub fn claim(
-        &mut self,
-        now_ms: u64,
-        life: &ReplicaLife,
-        permit: Option<WarmupPermit>,
-    ) -> Result<SendClaim, ReplicaBar> {
-        let record = self.notes.get(&life.id).map(|note| &note.record);
-        if record.is_some_and(|record| self.evacuated.contains(&record.hall)) {
-            return Err(ReplicaBar::Evacuated);
-        }
-        let permit = permit.filter(|permit| permit.holds(now_ms));
-        if permit.is_none() && self.is_cold(now_ms, &life.id) {
-            return Err(ReplicaBar::WarmingUp { left_ms: 0 });
-        }
-        let claimed = self.backoffs.claim(now_ms, &life.id, life.born_ms);
-        claimed.map_err(ReplicaBar::Asked)
-    }
-
-    /// Whether a replica warms up, so that the leader is asked for each request.
-    pub fn is_cold(&self, now_ms: u64, id: &ReplicaId) -> bool {
-        let Some(record) = self.notes.get(id).map(|note| &note.record) else {
-            return false;
-        };
-        let silent = record.phase == ReplicaPhase::Silent;
-        let limited = self.warm_up_specs.contains_key(&record.service);
-        limited && (silent || self.warm_ups.is_cold(now_ms, id))
-    }
-
-    /// The leader lets no request go to a replica that warms up, for so long.
-    pub fn refuse_warm_up(&mut self, now_ms: u64, id: &ReplicaId, for_ms: u64) {
-        self.warm_ups.refuse(now_ms, id, for_ms);
-    }
-
-    /// A replica could not be reached, or broke off: it may be another one by now, that has
-    /// just started.
-    pub fn suspect_start(&mut self, now_ms: u64, id: &ReplicaId) {
-        let service = self.notes.get(id).map(|note| &note.record.service);
-        let spec = service.and_then(|service| self.warm_up_specs.get(service));
-        if let Some(spec) = spec {
-            self.warm_ups.suspect(now_ms, id, spec.lasts_ms);
-        }
-    }
-
-    /// A request that was let through is answered, or given up.
-    pub fn release(&mut self, now_ms: u64, id: &ReplicaId, claim: SendClaim, end: ClaimEnd) {
-        self.backoffs.release(now_ms, id, claim, end);
-    }
-
-    /// Forgets what is known of replicas, where it says nothing any more.
-    pub fn prune(&mut self, now_ms: u64) {
-        self.backoffs.prune(now_ms);
-        self.warm_ups.prune(now_ms);
-    }
-
-    /// Why nothing may be sent to a replica now.
-    fn bar(&self, note: &ReplicaNote, now_ms: u64) -> Option<ReplicaBar> {
-        let record = &note.record;
-        if self.evacuated.contains(&record.hall) {
-            return Some(ReplicaBar::Evacuated);
-        }
-        let asked = self.backoffs.bar(now_ms, &record.id, record.born_ms);
-        let refused_ms = match self.is_cold(now_ms, &record.id) {
-            true => self.warm_ups.refused_ms(now_ms, &record.id),
-            false => None,
-        };
-        let warming = refused_ms.map(|left_ms| ReplicaBar::WarmingUp { left_ms });
-        asked.map(ReplicaBar::Asked).or(warming)
-    }
-
     /// What it has come to believe since the last call, to be logged.
     pub fn take_news(&mut self) -> Vec<EjectNews> {
         std::mem::take(&mut self.news)
     }
 
-    /// Takes over how replicas of services warm up.
-    pub fn follow_services(&mut self, services: &BTreeMap<ServiceName, ServiceSpec>) {
-        let specs = services.iter();
-        let limited = specs.filter_map(|(name, spec)| Some((name.clone(), spec.warm_up?)));
-        self.warm_up_specs = limited.collect();
-    }
-
-    /// Takes over which data halls are to get nothing. Returns whether that is news.
-    pub fn follow_halls(&mut self, evacuated: &BTreeSet<HallName>) -> bool {
-        let is_news = self.evacuated != *evacuated;
-        if is_news {
-            self.evacuated = evacuated.clone();
-        }
-        is_news
-    }
-
     /// Takes over the records that are in force.
     pub fn follow(&mut self, now_ms: u64, records: &BTreeMap<ReplicaId, ReplicaRecord>) {
         self.notes.retain(|id, _| records.contains_key(id));
@@ -387,7 +271,7 @@
                 note.record.id,
                 note.slots,
                 note.record.phase,
-                bar_text(self.bar(note, now_ms)),
+                bars::bar_text(self.bar(note, now_ms)),
                 self.holds_adapter(note, need)
             )
         });
@@ -467,26 +351,6 @@
         }
     }
 
-    /// Of some replicas, those that nothing they asked for bars; else what is left to choose.
-    fn unbarred<'a>(
-        &self,
-        suited: &[&'a ReplicaNote],
-        now_ms: u64,
-    ) -> Result<Vec<&'a ReplicaNote>, Choice> {
-        let mut open = Vec::new();
-        let mut otherwise = Choice::Absent;
-        for &note in suited {
-            match self.bar(note, now_ms) {
-                None => open.push(note),
-                Some(bar) => otherwise = sooner(otherwise, bar),
-            }
-        }
-        match open.is_empty() {
-            true => Err(otherwise),
-            false => Ok(open),
-        }
-    }
-
     fn cheapest<'a>(
         &self,
         notes: impl Iterator<Item = &'a ReplicaNote>,
@@ -712,35 +576,6 @@
     }
 }
 
-/// Of what is left to choose without another replica, and with one that is barred, what comes
-/// sooner.
-fn sooner(choice: Choice, bar: ReplicaBar) -> Choice {
-    use ReplicaBar::{Asked, Evacuated, WarmingUp};
-    match (choice, bar) {
-        // It shows within some hundred milliseconds whether it has room.
-        (Choice::Full, _) | (_, Asked(SendBar::Reopening)) => Choice::Full,
-        (Choice::WarmingUp, _) | (_, WarmingUp { .. }) => Choice::WarmingUp,
-        (Choice::Absent, Evacuated) => Choice::Evacuated,
-        (choice, Evacuated | Asked(SendBar::Leaving)) => choice,
-        (Choice::Paused(known_ms), Asked(SendBar::Paused { left_ms })) => {
-            Choice::Paused(left_ms.min(known_ms))
-        }
-        (_, Asked(SendBar::Paused { left_ms })) => Choice::Paused(left_ms),
-    }
-}
-
-fn bar_text(bar: Option<ReplicaBar>) -> String {
-    use ReplicaBar::{Asked, Evacuated, WarmingUp};
-    match bar {
-        Some(Evacuated) => "in an evacuated hall".to_owned(),
-        Some(WarmingUp { left_ms }) => format!("warms up, the next in {left_ms} ms"),
-        Some(Asked(SendBar::Paused { left_ms })) => format!("asked for {left_ms} ms more of pause"),
-        Some(Asked(SendBar::Reopening)) => "opens again after a pause".to_owned(),
-        Some(Asked(SendBar::Leaving)) => "says that it leaves".to_owned(),
-        None => "open".to_owned(),
-    }
-}
-
 /// A replica's place in the order that a request's draw gives.
 fn drawn_rank(draw: u64, id: &ReplicaId) -> u64 {
     mix(draw ^ u64::from(crc32fast::hash(id.as_str().as_bytes())))
--- a/src/placement/ahead.rs
+++ b/src/placement/ahead.rs
@@ -14,6 +14,26 @@
 /// Places of a replica that are left to wishes.
 pub const SPARE_PLACES: usize = 2;
 
+/// The adapters of a model that are nowhere.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MissingAdapters {
+    /// The model.
+    pub model: ModelName,
+    /// Their names.
+    pub names: Vec<String>,
+}
+
+impl MissingAdapters {
+    /// Those of a model with `count` of them, named `a1`, `a2` and so forth, but for those that
+    /// are `known` to be somewhere or to come.
+    pub fn of(model: &ModelName, count: u32, known: &BTreeSet<&str>) -> Option<Self> {
+        let all = (1..=count).map(|number| format!("a{number}"));
+        let names: Vec<String> = all.filter(|name| !known.contains(name.as_str())).collect();
+        let model = model.clone();
+        (!names.is_empty()).then_some(Self { model, names })
+    }
+}
+
 /// A replica that adapters may be brought to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AheadReplica {
@@ -27,43 +47,51 @@
     pub may_come: usize,
 }
 
-/// What is brought where, `most` at a time. `adapters` counts those of each model, the most
-/// wanted model first, and `known` names those that some replica holds or is to hold.
+impl AheadReplica {
+    fn has_place(&self) -> bool {
+        self.free_places > SPARE_PLACES && self.may_come > 0
+    }
+}
+
+/// What is brought where, `most` at a time, in the order of what is `missing`.
 pub fn plan_ahead(
-    adapters: &[(ModelName, u32)],
-    known: &BTreeMap<ModelName, BTreeSet<String>>,
+    missing: &[MissingAdapters],
     replicas: &mut [AheadReplica],
     most: usize,
 ) -> Vec<AdapterPlace> {
+    let homes = homes_by_model(replicas);
     let mut places = Vec::new();
-    for (model, count) in adapters {
-        let there = known.get(model);
-        let missing = (1..=*count)
-            .map(|number| format!("a{number}"))
-            .filter(|name| !there.is_some_and(|names| names.contains(name)));
-        for adapter in missing {
+    for MissingAdapters { model, names } in missing {
+        let homes = homes.get(model).map_or(&[][..], Vec::as_slice);
+        for adapter in names {
             if places.len() >= most {
                 return places;
             }
-            let homes = replicas.iter_mut();
-            let homes = homes.filter(|home| home.models.contains(model) && home.has_place());
-            let Some(home) = homes.max_by_key(|home| home.free_places) else {
+            let open = homes.iter().filter(|home| replicas[**home].has_place());
+            let Some(home) = open.max_by_key(|home| replicas[**home].free_places) else {
                 break;
             };
+            let home = &mut replicas[*home];
             home.free_places -= 1;
             home.may_come -= 1;
             places.push(AdapterPlace {
                 replica: home.id.clone(),
                 model: model.clone(),
-                adapter,
+                adapter: adapter.clone(),
             });
         }
     }
     places
 }
 
-impl AheadReplica {
-    fn has_place(&self) -> bool {
-        self.free_places > SPARE_PLACES && self.may_come > 0
+/// The numbers of the replicas that hold each model: a look at all of them for each adapter
+/// would cost adapters × replicas.
+fn homes_by_model(replicas: &[AheadReplica]) -> BTreeMap<ModelName, Vec<usize>> {
+    let mut homes: BTreeMap<ModelName, Vec<usize>> = BTreeMap::new();
+    for (number, replica) in replicas.iter().enumerate() {
+        for model in &replica.models {
+            homes.entry(model.clone()).or_default().push(number);
+        }
     }
+    homes
 }
--- a/src/placement/fleet/bring_ahead.rs
+++ b/src/placement/fleet/bring_ahead.rs
@@ -5,7 +5,7 @@
 use crate::consensus::directory::ReplicaRecord;
 use crate::consensus::state::{Command, SiteState};
 use crate::ids::{ModelName, ServiceName};
-use crate::placement::ahead::{self, AheadReplica};
+use crate::placement::ahead::{self, AheadReplica, MissingAdapters};
 use crate::table::configuration::EngineSpec;
 
 use super::FleetDuties;
@@ -24,34 +24,23 @@
     ) {
         let under_way = self.adapters.loads().count();
         let most = MAX_AHEAD.saturating_sub(under_way);
-        let with_adapters = engine.models.iter().filter(|(_, model)| model.adapters > 0);
-        let mut adapters: Vec<(ModelName, u32)> = with_adapters
-            .map(|(name, model)| (name.clone(), model.adapters))
-            .collect();
-        if most == 0 || adapters.is_empty() {
+        if most == 0 || engine.adapter_slots == 0 {
             return;
         }
-        adapters.sort_by(|a, b| {
-            let level = |model: &ModelName| self.demand.level(model);
-            level(&b.0).total_cmp(&level(&a.0))
-        });
-        let mut known: BTreeMap<ModelName, BTreeSet<String>> = BTreeMap::new();
-        for place in self.adapters.loads() {
-            let names = known.entry(place.model.clone()).or_default();
-            names.insert(place.adapter.clone());
-        }
-        let mut replicas = Vec::new();
-        for record in state.replicas.records().values() {
-            if record.service != *service || state.evacuated.contains(&record.hall) {
-                continue;
-            }
-            for (model, held) in &record.models {
-                let names = known.entry(model.clone()).or_default();
-                names.extend(held.iter().cloned());
-            }
-            replicas.extend(self.ahead_replica(state, record, engine, now_ms));
+        let open = |record: &&ReplicaRecord| {
+            record.service == *service && !state.evacuated.contains(&record.hall)
+        };
+        let records = state.replicas.records().values().filter(open);
+        let records: Vec<&ReplicaRecord> = records.collect();
+        let missing = self.missing_adapters(engine, &records);
+        if missing.is_empty() {
+            return;
         }
-        for place in ahead::plan_ahead(&adapters, &known, &mut replicas, most) {
+        let replicas = records
+            .into_iter()
+            .filter_map(|record| self.ahead_replica(state, record, engine, now_ms));
+        let mut replicas: Vec<AheadReplica> = replicas.collect();
+        for place in ahead::plan_ahead(&missing, &mut replicas, most) {
             self.adapters.bring(place.clone(), now_ms);
             let (id, model) = (place.replica, place.model);
             let command = Command::ReplicaAdapterOrdered(id, model, place.adapter);
@@ -59,6 +48,33 @@
         }
     }
 
+    /// The adapters that none of these replicas holds or is to hold, those of the most wanted
+    /// model first.
+    fn missing_adapters(
+        &self,
+        engine: &EngineSpec,
+        records: &[&ReplicaRecord],
+    ) -> Vec<MissingAdapters> {
+        let mut known: BTreeMap<&ModelName, BTreeSet<&str>> = BTreeMap::new();
+        for place in self.adapters.loads() {
+            let names = known.entry(&place.model).or_default();
+            names.insert(&place.adapter);
+        }
+        for (model, held) in records.iter().flat_map(|record| &record.models) {
+            let names = known.entry(model).or_default();
+            names.extend(held.iter().map(String::as_str));
+        }
+        let nothing = BTreeSet::new();
+        let missing = engine.models.iter().filter_map(|(model, spec)| {
+            let known = known.get(model).unwrap_or(&nothing);
+            MissingAdapters::of(model, spec.adapters, known)
+        });
+        let mut missing: Vec<MissingAdapters> = missing.collect();
+        let level = |missing: &MissingAdapters| self.demand.level(&missing.model);
+        missing.sort_by(|a, b| level(b).total_cmp(&level(a)));
+        missing
+    }
+
     /// A replica that adapters may be brought to; none while a model comes or goes there.
     fn ahead_replica(
         &self,
--- a/tests/ahead.rs
+++ b/tests/ahead.rs
@@ -9,7 +9,7 @@
 use dunlinspring::forward::need::ChoicePolicy;
 use dunlinspring::forward::place::EntryPlace;
 use dunlinspring::ids::{HallName, HostName, ModelName, Position, ReplicaId, ServiceName, Term};
-use dunlinspring::placement::ahead::{AheadReplica, SPARE_PLACES, plan_ahead};
+use dunlinspring::placement::ahead::{AheadReplica, MissingAdapters, SPARE_PLACES, plan_ahead};
 use dunlinspring::placement::fleet::{FleetDuties, FleetPolicy};
 use dunlinspring::placement::order::OrderOutcome;
 use dunlinspring::table::configuration::{
@@ -181,23 +181,29 @@
         free_places: SPARE_PLACES + 2,
         may_come: 4,
     };
-    let adapters = [(model(2), 1), (model(3), 5), (model(1), 5)];
-    let known = BTreeMap::from([(model(1), BTreeSet::from(["a1".to_owned()]))]);
-    let places = plan_ahead(&adapters, &known, &mut [home.clone()], 9);
+    let none = BTreeSet::new();
+    let missing: Vec<MissingAdapters> = [
+        MissingAdapters::of(&model(2), 1, &none),
+        MissingAdapters::of(&model(3), 5, &none),
+        MissingAdapters::of(&model(1), 5, &BTreeSet::from(["a1"])),
+    ]
+    .into_iter()
+    .flatten()
+    .collect();
+    let places = plan_ahead(&missing, &mut [home.clone()], 9);
     let named: Vec<(ModelName, &str)> = places
         .iter()
         .map(|place| (place.model.clone(), place.adapter.as_str()))
         .collect();
     assert_eq!(named, [(model(2), "a1"), (model(1), "a2")]);
-    assert_eq!(
-        plan_ahead(&adapters, &known, &mut [home.clone()], 1).len(),
-        1
-    );
+    assert_eq!(plan_ahead(&missing, &mut [home.clone()], 1).len(), 1);
     let full = AheadReplica {
         may_come: 0,
         ..home
     };
-    assert_eq!(plan_ahead(&adapters, &known, &mut [full], 9), []);
+    assert_eq!(plan_ahead(&missing, &mut [full], 9), []);
+    let all = BTreeSet::from(["a1", "a2"]);
+    assert_eq!(MissingAdapters::of(&model(1), 2, &all), None);
 }
 
 /// The refusal names its cause.
