A replica is cold for no longer than its service says, whatever it tells

Cause: another writer's heartbeat, or a configuration with odd figures, could name a time so long that sums of times overflow: a panic where overflow is checked, a wrong time elsewhere (read). Change: what a heartbeat tells is cut to what its service names, and sums of times saturate. Test: a_replica_is_cold_for_no_longer_than_its_service_says_whatever_it_tells.

--- a/src/consensus/directory.rs
+++ b/src/consensus/directory.rs
@@ -334,7 +334,8 @@
         record.cold_ms = cold_ms;
         self.cold_until_ms
             .retain(|_, until_ms| *until_ms > clock_ms);
-        self.cold_until_ms.insert(id.clone(), clock_ms + cold_ms);
+        let until_ms = clock_ms.saturating_add(cold_ms);
+        self.cold_until_ms.insert(id.clone(), until_ms);
         true
     }
 
--- a/src/consensus/state.rs
+++ b/src/consensus/state.rs
@@ -530,12 +530,14 @@
         configured?.services.get(service)?.warm_up
     }
 
-    /// A record that tells of warming up only where that matters: each heartbeat that does
-    /// is committed.
+    /// A record that tells of warming up only where that matters, as each heartbeat that does
+    /// is committed, and for no longer than it can last.
     fn with_warm_up<'a>(&self, record: &'a ReplicaRecord) -> Cow<'a, ReplicaRecord> {
-        match record.cold_ms > 0 && self.warm_up(&record.service).is_none() {
+        let spec = self.warm_up(&record.service);
+        let most_ms = spec.map_or(0, |spec| spec.lasts_ms);
+        match record.cold_ms > most_ms {
             true => Cow::Owned(ReplicaRecord {
-                cold_ms: 0,
+                cold_ms: most_ms,
                 ..record.clone()
             }),
             false => Cow::Borrowed(record),
--- a/src/placement/warm_up.rs
+++ b/src/placement/warm_up.rs
@@ -75,7 +75,7 @@
         if due_ms > now_ms {
             return WarmupAnswer::Wait(due_ms - now_ms);
         }
-        let next_ms = due_ms + spec.request_gap_ms;
+        let next_ms = due_ms.saturating_add(spec.request_gap_ms);
         self.due_ms.insert(replica.clone(), next_ms);
         WarmupAnswer::Go
     }
--- a/src/routing/warm_up.rs
+++ b/src/routing/warm_up.rs
@@ -48,20 +48,21 @@
             return;
         }
         let note = self.notes.entry(id.clone()).or_default();
-        note.told_until_ms = now_ms + cold_ms;
+        note.told_until_ms = now_ms.saturating_add(cold_ms);
         note.suspected_until_ms = 0;
     }
 
     /// A peer may have started again, and would be cold for so long; nobody knows yet.
     pub fn suspect(&mut self, now_ms: u64, id: &Id, cold_ms: u64) {
         let note = self.notes.entry(id.clone()).or_default();
-        note.suspected_until_ms = note.suspected_until_ms.max(now_ms + cold_ms);
+        let until_ms = now_ms.saturating_add(cold_ms);
+        note.suspected_until_ms = note.suspected_until_ms.max(until_ms);
     }
 
     /// The leader lets no request go there for so long.
     pub fn refuse(&mut self, now_ms: u64, id: &Id, for_ms: u64) {
         let note = self.notes.entry(id.clone()).or_default();
-        note.refused_until_ms = now_ms + for_ms;
+        note.refused_until_ms = now_ms.saturating_add(for_ms);
     }
 
     /// Whether a peer is to be treated as cold.
--- a/tests/warm_up.rs
+++ b/tests/warm_up.rs
@@ -280,6 +280,29 @@
     }
 }
 
+/// Another writer's heartbeat, or a configuration with odd figures, stops nothing.
+#[test]
+fn a_replica_is_cold_for_no_longer_than_its_service_says_whatever_it_tells() {
+    let mut state = configured(services());
+    beat(&mut state, 0, record(u64::MAX, 1));
+    assert_eq!(cold_ms(&state), SPEC.lasts_ms);
+    let mut book = WarmupBook::default();
+    book.tell(5, &"r", u64::MAX);
+    book.suspect(5, &"r", u64::MAX);
+    book.refuse(5, &"r", u64::MAX);
+    assert!(book.is_cold(u64::MAX - 1, &"r"));
+    let slow = WarmupSpec {
+        request_gap_ms: u64::MAX,
+        lasts_ms: u64::MAX,
+    };
+    let mut desk = WarmupDesk::new(0);
+    assert_eq!(desk.ask(9_000, &life(), slow), WarmupAnswer::Go);
+    assert!(matches!(
+        desk.ask(9_000, &life(), slow),
+        WarmupAnswer::Wait(_)
+    ));
+}
+
 /// Each heartbeat of a start would be committed, for replicas that need no care.
 #[test]
 fn a_replica_whose_service_names_no_rate_tells_nothing_by_warming_up() {
