Read once more: what the change wrote twice stands once

Cause: found by reading the whole diff. A wish for an adapter and what is brought ahead asked the same of a replica in two places (a model under way, its hall, its phase), and counted its room in two; placement and what is brought ahead left evacuated halls out each by itself; the entry looked a replica's record up a second time for each home of each request, and twice for each record that it follows; a heartbeat that says too much was cut twice; three arms and a match stood twice.

Change: takes_adapters, open_records and room serve both; the questions before a request leaves take the record that they have; a record that has not changed is passed over at once. Behaviour is as it was. Names only: the guard of a try holds a claim, not a leave.

Not timed: no figure is claimed for the lookups that are saved.

--- a/src/cli/halls.rs
+++ b/src/cli/halls.rs
@@ -1,6 +1,6 @@
 //! The `halls` command: data halls, and whether their replicas may get requests.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use crate::cli::{commands, control};
 use crate::consensus::state::Command;
@@ -89,9 +89,9 @@
 }
 
 async fn tell(link: &ControlLink, name: &str, command: Command) -> Result<i32, String> {
-    let known: BTreeSet<HallName> = rows(&read(link).await?).into_keys().collect();
-    if !known.contains(&HallName::from(name)) {
-        let known: Vec<&str> = known.iter().map(HallName::as_str).collect();
+    let rows = rows(&read(link).await?);
+    if !rows.contains_key(&HallName::from(name)) {
+        let known: Vec<&str> = rows.keys().map(HallName::as_str).collect();
         let known = known.join(", ");
         return Err(format!(
             "halls: there is no data hall '{name}'; there are {known}"
--- a/src/consensus/state.rs
+++ b/src/consensus/state.rs
@@ -562,10 +562,10 @@
     }
 
     fn apply_replica(&mut self, record: &ReplicaRecord) -> Reply {
-        if self.replica_news(record) == BeatNews::Foreign {
+        let record = self.with_warm_up(record);
+        if self.replica_news(&record) == BeatNews::Foreign {
             return Reply::None;
         }
-        let record = self.with_warm_up(record);
         let before = self.member_record(&record.id);
         if let Some(replaced) = self.replicas.put(&record, self.clock_ms) {
             for id in &replaced {
--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -174,12 +174,15 @@
     pub fn follow(&mut self, now_ms: u64, records: &BTreeMap<ReplicaId, ReplicaRecord>) {
         self.notes.retain(|id, _| records.contains_key(id));
         for (id, record) in records {
-            let known = self.notes.get(id).map(|note| &note.record);
+            let note = self.notes.get_mut(id);
+            let known = note.as_ref().map(|note| &note.record);
+            if known == Some(record) {
+                continue;
+            }
             if known.is_none_or(|known| known.warm_up_word() != record.warm_up_word()) {
                 self.warm_ups.tell(now_ms, id, record.cold_ms);
             }
-            match self.notes.get_mut(id) {
-                Some(note) if note.record == *record => {}
+            match note {
                 Some(note) if note.record.born_ms != record.born_ms => note.begin_life(record),
                 Some(note) => note.record = record.clone(),
                 None => {
@@ -233,8 +236,10 @@
         let waits = suited.filter_map(|note| {
             let paused_ms = match self.bar(note, now_ms) {
                 Some(ReplicaBar::Evacuated | ReplicaBar::Asked(SendBar::Leaving)) => return None,
-                Some(ReplicaBar::Asked(SendBar::Paused { left_ms })) => left_ms as f64,
-                Some(ReplicaBar::WarmingUp { left_ms }) => left_ms as f64,
+                Some(
+                    ReplicaBar::Asked(SendBar::Paused { left_ms })
+                    | ReplicaBar::WarmingUp { left_ms },
+                ) => left_ms as f64,
                 Some(ReplicaBar::Asked(SendBar::Reopening)) | None => 0.0,
             };
             let (waiting, running) = note.loads(now_ms, fade_ms);
--- a/src/forward/book/bars.rs
+++ b/src/forward/book/bars.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::consensus::directory::ReplicaPhase;
+use crate::consensus::directory::{ReplicaPhase, ReplicaRecord};
 use crate::forward::replica_note::ReplicaNote;
 use crate::forward::warm_up::WarmupPermit;
 use crate::ids::{HallName, ReplicaId, ReplicaLife, ServiceName};
@@ -52,13 +52,13 @@
         life: &ReplicaLife,
         permit: Option<WarmupPermit>,
     ) -> Result<SendClaim, ReplicaBar> {
-        let record = self.notes.get(&life.id).map(|note| &note.record);
-        if record.is_some_and(|record| self.evacuated.contains(&record.hall)) {
-            return Err(ReplicaBar::Evacuated);
-        }
         let permit = permit.filter(|permit| permit.holds(now_ms));
-        if permit.is_none() && self.is_cold(now_ms, &life.id) {
-            return Err(ReplicaBar::WarmingUp { left_ms: 0 });
+        match self.record(&life.id) {
+            Some(record) if self.is_evacuated(record) => return Err(ReplicaBar::Evacuated),
+            Some(record) if permit.is_none() && self.warms_up(now_ms, record) => {
+                return Err(ReplicaBar::WarmingUp { left_ms: 0 });
+            }
+            _ => {}
         }
         let claimed = self.backoffs.claim(now_ms, &life.id, life.born_ms);
         claimed.map_err(ReplicaBar::Asked)
@@ -66,12 +66,18 @@
 
     /// Whether a replica warms up, so that the leader is asked for each request.
     pub fn is_cold(&self, now_ms: u64, id: &ReplicaId) -> bool {
-        let Some(record) = self.notes.get(id).map(|note| &note.record) else {
-            return false;
-        };
+        self.record(id)
+            .is_some_and(|record| self.warms_up(now_ms, record))
+    }
+
+    fn warms_up(&self, now_ms: u64, record: &ReplicaRecord) -> bool {
         let silent = record.phase == ReplicaPhase::Silent;
         let limited = self.warm_up_specs.contains_key(&record.service);
-        limited && (silent || self.warm_ups.is_cold(now_ms, id))
+        limited && (silent || self.warm_ups.is_cold(now_ms, &record.id))
+    }
+
+    fn is_evacuated(&self, record: &ReplicaRecord) -> bool {
+        self.evacuated.contains(&record.hall)
     }
 
     /// The leader lets no request go to a replica that warms up, for so long.
@@ -82,8 +88,8 @@
     /// A replica could not be reached, or broke off: it may be another one by now, that has
     /// just started.
     pub fn suspect_start(&mut self, now_ms: u64, id: &ReplicaId) {
-        let service = self.notes.get(id).map(|note| &note.record.service);
-        let spec = service.and_then(|service| self.warm_up_specs.get(service));
+        let record = self.record(id);
+        let spec = record.and_then(|record| self.warm_up_specs.get(&record.service));
         if let Some(spec) = spec {
             self.warm_ups.suspect(now_ms, id, spec.lasts_ms);
         }
@@ -103,16 +109,15 @@
     /// Why nothing may be sent to a replica now.
     pub(super) fn bar(&self, note: &ReplicaNote, now_ms: u64) -> Option<ReplicaBar> {
         let record = &note.record;
-        if self.evacuated.contains(&record.hall) {
-            return Some(ReplicaBar::Evacuated);
+        match self.backoffs.bar(now_ms, &record.id, record.born_ms) {
+            _ if self.is_evacuated(record) => Some(ReplicaBar::Evacuated),
+            Some(bar) => Some(ReplicaBar::Asked(bar)),
+            None if self.warms_up(now_ms, record) => {
+                let left_ms = self.warm_ups.refused_ms(now_ms, &record.id)?;
+                Some(ReplicaBar::WarmingUp { left_ms })
+            }
+            None => None,
         }
-        let asked = self.backoffs.bar(now_ms, &record.id, record.born_ms);
-        let refused_ms = match self.is_cold(now_ms, &record.id) {
-            true => self.warm_ups.refused_ms(now_ms, &record.id),
-            false => None,
-        };
-        let warming = refused_ms.map(|left_ms| ReplicaBar::WarmingUp { left_ms });
-        asked.map(ReplicaBar::Asked).or(warming)
     }
 
     /// Takes over how replicas of services warm up.
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -494,9 +494,8 @@
             let version = configuration.version;
             let routes = configuration.routes.len();
             let configuration = (**configuration).clone();
-            let mut book = self.book.borrow_mut();
-            book.follow_services(&configuration.services);
-            drop(book);
+            let services = &configuration.services;
+            self.book.borrow_mut().follow_services(services);
             let accounts = configuration.accounts.as_ref();
             let keys = accounts.map(KeyIndex::new).unwrap_or_default();
             let slack_ranks = slack_ranks(&configuration.routes);
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -385,12 +385,11 @@
     fn come_back(&self, refusal: Refusal) -> Duration {
         match refusal {
             Refusal::Absent => self.load_time(),
-            // Until the configuration changes.
-            Refusal::NoRegion => Duration::from_millis(BARRED_RETRY_MS),
             Refusal::Evacuated => EVACUATED_RETRY,
             // Another entry takes it at once.
             Refusal::Stopping => Duration::ZERO,
-            Refusal::Barred => Duration::from_millis(BARRED_RETRY_MS),
+            // Until an operator changes that.
+            Refusal::Barred | Refusal::NoRegion => Duration::from_millis(BARRED_RETRY_MS),
             // About as long as the other attempt takes.
             Refusal::Turn => self.aim(),
             Refusal::Quota(QuotaRefusal::Over(short)) => short,
--- a/src/forward/request/try_guard.rs
+++ b/src/forward/request/try_guard.rs
@@ -19,7 +19,7 @@
     since: Instant,
     /// Tokens that had to be read before its answer could begin.
     ahead: u64,
-    /// The leave to send, until an answer shows what came of it.
+    /// The claim to send, until an answer shows what came of it.
     pub(super) claim: Option<SendClaim>,
 }
 
--- a/src/forward/warm_up.rs
+++ b/src/forward/warm_up.rs
@@ -50,23 +50,19 @@
                 async move { client.warm_up(context, ask).await }
             })
             .await;
-        let answer = match &asked {
-            Ok(WarmupAnswer::Go) => "go",
-            Ok(WarmupAnswer::Wait(_)) => "wait",
-            Err(_) => "none",
-        };
-        self.count("dunlinspring_warm_up_asks_total", &[("answer", answer)]);
-        let wait_ms = match asked {
-            Ok(WarmupAnswer::Go) => {
-                let until_ms = asked_ms + PERMIT_MS;
-                return Some(WarmupPermit { until_ms });
-            }
-            Ok(WarmupAnswer::Wait(wait_ms)) => wait_ms,
+        let (answer, wait_ms) = match asked {
+            Ok(WarmupAnswer::Go) => ("go", None),
+            Ok(WarmupAnswer::Wait(wait_ms)) => ("wait", Some(wait_ms)),
             Err(error) => {
                 tracing::debug!(%error, replica = %record.id, "a permit to send was not asked for");
-                SILENT_MS
+                ("none", Some(SILENT_MS))
             }
         };
+        self.count("dunlinspring_warm_up_asks_total", &[("answer", answer)]);
+        let Some(wait_ms) = wait_ms else {
+            let until_ms = asked_ms + PERMIT_MS;
+            return Some(WarmupPermit { until_ms });
+        };
         let now_ms = clock::monotonic_ms();
         let mut book = self.book.borrow_mut();
         book.refuse_warm_up(now_ms, &record.id, wait_ms);
--- a/src/placement/adapters.rs
+++ b/src/placement/adapters.rs
@@ -87,25 +87,26 @@
         let Some(held) = record.models.get(&wish.model) else {
             return WishAnswer::Refused;
         };
-        let place = wish.clone();
-        let busy = self
-            .busy_ms
-            .get(&record.id)
-            .is_some_and(|until_ms| *until_ms > now_ms);
-        match self.pending.get(&place) {
+        match self.pending.get(wish) {
             Some(order) if order.kind == OrderKind::Load => return WishAnswer::Known,
             Some(_) => return WishAnswer::Refused,
             None if held.contains(&wish.adapter) => return WishAnswer::Known,
             None if replicas.is_adapter_going(&record.id, &wish.model, &wish.adapter) => {
                 return WishAnswer::Refused;
             }
-            None if busy || self.coming(&record.id) >= AT_ONCE => return WishAnswer::Refused,
             None => {}
         }
-        if self.taken(record, replicas) < slots {
-            self.open(place, OrderKind::Load, now_ms);
-            return WishAnswer::Load;
+        match self.room(record, slots, replicas, now_ms) {
+            room if room.may_come == 0 => WishAnswer::Refused,
+            room if room.free_places > 0 => {
+                self.bring(wish.clone(), now_ms);
+                WishAnswer::Load
+            }
+            _ => self.evict(record, now_ms),
         }
+    }
+
+    fn evict(&mut self, record: &ReplicaRecord, now_ms: u64) -> WishAnswer {
         match self.least_used(record, now_ms) {
             Some(victim) => {
                 self.open(victim.clone(), OrderKind::Unload, now_ms);
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -12,7 +12,7 @@
 
 use crate::consensus::directory::{AdapterEffect, ReplicaDirectory, ReplicaPhase, ReplicaRecord};
 use crate::consensus::state::{Command, SiteState};
-use crate::ids::{HallName, HostName, ModelName, ReplicaId, ReplicaLife, ServiceName, Term};
+use crate::ids::{HostName, ModelName, ReplicaId, ReplicaLife, ServiceName, Term};
 use crate::placement::adapters::{AdapterOrders, WishAnswer};
 use crate::placement::crowd::{CrowdBound, CrowdReport, CrowdSums, WaitingTokens};
 use crate::placement::demand::DemandBook;
@@ -165,6 +165,17 @@
     }
 }
 
+/// The replicas of a service in open halls: nothing is placed in an evacuated one, and what it
+/// holds counts as gone.
+fn open_records<'a>(
+    state: &'a SiteState,
+    service: &'a ServiceName,
+) -> impl Iterator<Item = &'a ReplicaRecord> {
+    let records = state.replicas.records().values();
+    let open = |record: &ReplicaRecord| !state.evacuated.contains(&record.hall);
+    records.filter(move |record| record.service == *service && open(record))
+}
+
 impl FleetDuties {
     /// A new leader's duties.
     pub fn new(policy: FleetPolicy, holder: HostName, term: Term, now_ms: u64) -> Self {
@@ -241,13 +252,7 @@
         let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
             return (false, None);
         };
-        // By the log as well: the leader before may have ordered a model out that is still
-        // there with its adapters, and the first round after the lease may yet come.
-        let loading = state.replicas.loading(&record.id).next();
-        let under_way = loading.or(state.replicas.leaving(&record.id).next());
-        let ordered = under_way.is_some() || self.pending.contains_key(&record.id);
-        let evacuated = state.evacuated.contains(&record.hall);
-        if self.waits(now_ms) || ordered || evacuated || !self.may_order(record) {
+        if self.waits(now_ms) || !self.takes_adapters(state, record) {
             return (false, None);
         }
         let slots = engine.adapter_slots as usize;
@@ -527,6 +532,18 @@
         now_ms < self.since_ms + wait_ms + wait_ms / CLOCK_DRIFT_PART
     }
 
+    /// Whether adapters may be ordered to a replica: no model comes or goes there, and its hall
+    /// is open.
+    fn takes_adapters(&self, state: &SiteState, record: &ReplicaRecord) -> bool {
+        // By the log as well: the leader before may have ordered a model out that is still
+        // there with its adapters, and the first round after the lease may yet come.
+        let loading = state.replicas.loading(&record.id).next();
+        let under_way = loading.or(state.replicas.leaving(&record.id).next());
+        let ordered = under_way.is_some() || self.pending.contains_key(&record.id);
+        let open = !state.evacuated.contains(&record.hall);
+        !ordered && open && self.may_order(record)
+    }
+
     fn may_order(&self, record: &ReplicaRecord) -> bool {
         record.phase == ReplicaPhase::Ready && !self.fenced.contains(&record.life())
     }
@@ -542,11 +559,7 @@
         let models = self.plan_models(engine);
         let largest_mb = models.values().map(|model| model.weights_mb).max();
         let unaware = self.demand.is_empty() && now_ms < self.since_ms + UNAWARE_MS;
-        let records = state.replicas.records().values();
-        // Nothing is placed in an evacuated hall, and what it holds counts as gone.
-        let open = |hall: &HallName| !state.evacuated.contains(hall);
-        let records = records.filter(|record| record.service == *service && open(&record.hall));
-        let replicas = records.map(|record| {
+        let replicas = open_records(state, service).map(|record| {
             let mut replica = self.plan_replica(state, record, engine);
             // Only what fits without anything going first.
             replica.open &= !unaware || replica.free_mb >= largest_mb.unwrap_or(0);
--- a/src/placement/fleet/bring_ahead.rs
+++ b/src/placement/fleet/bring_ahead.rs
@@ -8,7 +8,7 @@
 use crate::placement::ahead::{self, AheadReplica, MissingAdapters};
 use crate::table::configuration::EngineSpec;
 
-use super::FleetDuties;
+use super::{FleetDuties, open_records};
 
 /// Adapters on their way in from which none are brought before somebody asks: wishes go first.
 const MAX_AHEAD: usize = 32;
@@ -27,11 +27,7 @@
         if most == 0 || engine.adapter_slots == 0 {
             return;
         }
-        let open = |record: &&ReplicaRecord| {
-            record.service == *service && !state.evacuated.contains(&record.hall)
-        };
-        let records = state.replicas.records().values().filter(open);
-        let records: Vec<&ReplicaRecord> = records.collect();
+        let records: Vec<&ReplicaRecord> = open_records(state, service).collect();
         let missing = self.missing_adapters(engine, &records);
         if missing.is_empty() {
             return;
@@ -75,7 +71,7 @@
         missing
     }
 
-    /// A replica that adapters may be brought to; none while a model comes or goes there.
+    /// A replica that adapters may be brought to.
     fn ahead_replica(
         &self,
         state: &SiteState,
@@ -83,10 +79,7 @@
         engine: &EngineSpec,
         now_ms: u64,
     ) -> Option<AheadReplica> {
-        let loading = state.replicas.loading(&record.id).next();
-        let under_way = loading.or(state.replicas.leaving(&record.id).next());
-        let ordered = under_way.is_some() || self.pending.contains_key(&record.id);
-        if ordered || record.cold_ms > 0 || !self.may_order(record) {
+        if record.cold_ms > 0 || !self.takes_adapters(state, record) {
             return None;
         }
         let slots = engine.adapter_slots as usize;
