One replica, one place and one state for the tests that are made of them

Cause: the record of a ready replica was written out in fourteen test files, so that each new field changed all of them; five files had the same entry without regions, three the same state with one service.

Change: support_replicas, support_place and support_state; each test names what it is about.

--- a/tests/ahead.rs
+++ b/tests/ahead.rs
@@ -1,20 +1,24 @@
 //! Adapters that are brought before anybody asks for them, and what callers get where no
 //! leader brings any.
 
-use std::collections::{BTreeMap, BTreeSet};
+mod support_place;
+mod support_replicas;
+mod support_state;
 
-use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
-use dunlinspring::consensus::state::{Command, SiteState, Stamped};
+use std::collections::BTreeSet;
+
+use dunlinspring::consensus::directory::ReplicaRecord;
+use dunlinspring::consensus::state::{Command, SiteState};
 use dunlinspring::forward::book::{Choice, EngineBounds, Need, ReplicaBook};
 use dunlinspring::forward::need::ChoicePolicy;
-use dunlinspring::forward::place::EntryPlace;
-use dunlinspring::ids::{HallName, HostName, ModelName, Position, ReplicaId, ServiceName, Term};
+use dunlinspring::ids::{HallName, HostName, ModelName, ReplicaId, ServiceName, Term};
 use dunlinspring::placement::ahead::{AheadReplica, MissingAdapters, SPARE_PLACES, plan_ahead};
 use dunlinspring::placement::fleet::{FleetDuties, FleetPolicy};
 use dunlinspring::placement::order::OrderOutcome;
-use dunlinspring::table::configuration::{
-    Configuration, ConfigurationRecord, EngineModel, EngineSpec, ServiceSpec,
-};
+use dunlinspring::table::configuration::{EngineModel, EngineSpec, ServiceSpec};
+use support_place::flat_place;
+use support_replicas::ready_replica;
+use support_state::{apply, configured};
 
 const SLOTS: u32 = 8;
 const MODELS: u32 = 12;
@@ -51,46 +55,22 @@
         .into_iter()
         .map(|number| (model(number), BTreeSet::new()));
     ReplicaRecord {
-        id: ReplicaId(format!("r{number}")),
-        service: ServiceName::from("llm"),
         address: format!("127.0.0.1:{}", number + 1).parse().unwrap(),
         hall: HallName::from("here"),
-        slots: 4,
-        phase: ReplicaPhase::Ready,
         models: models.collect(),
-        in_memory: BTreeSet::new(),
-        on_disk: BTreeSet::new(),
-        beat: 0,
-        born_ms: 0,
-        cold_ms: 0,
+        ..ready_replica(ReplicaId(format!("r{number}")), "llm")
     }
 }
 
-fn apply(state: &mut SiteState, command: Command) {
-    let position = Position(state.position.0 + 1);
-    state.apply(position, &Stamped { at_ms: 0, command });
-}
-
 fn site(replicas: u32) -> SiteState {
     let service = ServiceSpec {
         max_connections: 9,
         warm_up: None,
         engine: Some(engine()),
     };
-    let configuration = Configuration {
-        version: 1,
-        services: BTreeMap::from([(ServiceName::from("llm"), service)]),
-        ..Configuration::default()
-    };
-    let mut state = SiteState::default();
-    let source = Vec::new();
-    let configured = ConfigurationRecord {
-        configuration,
-        source,
-    };
-    apply(&mut state, Command::Configure(Box::new(configured)));
+    let mut state = configured("llm", service);
     for number in 0..replicas {
-        apply(&mut state, Command::Replica(Box::new(record(number))));
+        apply(&mut state, 0, Command::Replica(Box::new(record(number))));
     }
     state
 }
@@ -104,7 +84,7 @@
         duties.on_heard(now_ms, &ids);
         let actions = duties.round(state, now_ms);
         for command in actions.commands {
-            apply(state, command);
+            apply(state, 0, command);
         }
         for order in actions
             .orders
@@ -113,7 +93,7 @@
         {
             given += 1;
             for command in duties.on_outcome(now_ms, &order, OrderOutcome::Taken) {
-                apply(state, command);
+                apply(state, 0, command);
             }
         }
     }
@@ -122,8 +102,7 @@
 
 /// Part of all adapters that an entry could send a request for, without any leader.
 fn served_part(state: &SiteState) -> f64 {
-    let place = EntryPlace::new(HallName::from("here"), BTreeMap::new());
-    let mut book = ReplicaBook::new(ChoicePolicy::default(), place);
+    let mut book = ReplicaBook::new(ChoicePolicy::default(), flat_place("here"));
     book.follow(0, state.replicas.records());
     let bounds = EngineBounds {
         memory: 0,
@@ -210,8 +189,7 @@
 #[test]
 fn where_no_replica_gets_the_adapter_none_is_called_full() {
     let state = site(1);
-    let place = EntryPlace::new(HallName::from("here"), BTreeMap::new());
-    let mut book = ReplicaBook::new(ChoicePolicy::default(), place);
+    let mut book = ReplicaBook::new(ChoicePolicy::default(), flat_place("here"));
     book.follow(0, state.replicas.records());
     let need = Need {
         service: Some(ServiceName::from("llm")),
--- a/tests/backoff.rs
+++ b/tests/backoff.rs
@@ -1,24 +1,23 @@
 //! What peers asked for in their answers, and what may be sent to them: by cases, and by any
 //! order of events against a count of its own.
 
+mod support_place;
+mod support_replicas;
+
 use std::collections::BTreeMap;
 
 use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
 use dunlinspring::forward::book::{Choice, ChoicePolicy, EngineBounds, Need, ReplicaBook};
-use dunlinspring::forward::place::EntryPlace;
-use dunlinspring::ids::{HallName, ReplicaId, ServiceName};
+use dunlinspring::ids::{ReplicaId, ServiceName};
 use dunlinspring::routing::backoff::{
     AskedPause, BackoffBook, ClaimEnd, LONGEST_PAUSE_MS, SendBar,
 };
 use proptest::prelude::*;
+use support_place::flat_place;
+use support_replicas::ready_replica;
 
 const LIFE: u64 = 7;
 
-/// An entry in a hall of a site without regions.
-fn place(hall: &str) -> EntryPlace {
-    EntryPlace::new(HallName::from(hall), BTreeMap::new())
-}
-
 fn paused(ms: u64) -> BackoffBook<&'static str> {
     let mut book = BackoffBook::default();
     book.pause(1_000, &"r", AskedPause { ms });
@@ -131,18 +130,10 @@
 
 fn record(id: &str, phase: ReplicaPhase) -> ReplicaRecord {
     ReplicaRecord {
-        id: ReplicaId::from(id),
-        service: ServiceName::from("plain"),
-        address: "127.0.0.1:9".parse().unwrap(),
-        hall: HallName::from("hall"),
         slots: 8,
         phase,
-        models: BTreeMap::new(),
-        in_memory: Default::default(),
-        on_disk: Default::default(),
-        beat: 0,
         born_ms: LIFE,
-        cold_ms: 0,
+        ..ready_replica(id, "plain")
     }
 }
 
@@ -158,7 +149,7 @@
         service: Some(ServiceName::from("plain")),
         ..Need::default()
     };
-    let mut book = ReplicaBook::new(ChoicePolicy::default(), place("hall"));
+    let mut book = ReplicaBook::new(ChoicePolicy::default(), flat_place("hall"));
     book.follow(0, &ready());
     let (a, b) = (ReplicaId::from("a"), ReplicaId::from("b"));
     book.pause(1_000, &a, AskedPause { ms: 3_000 });
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -1,17 +1,18 @@
 //! The operators' program, as typed.
 
+mod support_replicas;
+
 use std::process::Command;
 
 use dunlinspring::cli::{accounts, contents, halls};
 use dunlinspring::consensus::crashes::{CrashBook, CrashReport};
-use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
-use dunlinspring::ids::{
-    AccountName, ContentDigest, HallName, ReplicaId, ReplicaLife, ServiceName,
-};
+use dunlinspring::consensus::directory::ReplicaRecord;
+use dunlinspring::ids::{AccountName, ContentDigest, HallName, ReplicaId, ReplicaLife};
 use dunlinspring::process::wire::{AccountStatus, LimitStatus};
 use dunlinspring::routing::view::SiteView;
 use dunlinspring::table::accounts::{QuotaSpec, QuotaUnit};
 use dunlinspring::table::quota::QuotaUsage;
+use support_replicas::ready_replica;
 
 fn run(args: &[&str]) -> (bool, String) {
     let program = env!("CARGO_BIN_EXE_dunlinspring");
@@ -143,18 +144,9 @@
     view.evacuated = evacuated.into_iter().map(HallName::from).collect();
     for (id, hall, cold_ms) in [("r1", "drained", 0), ("r2", "open", 900), ("r3", "open", 0)] {
         let record = ReplicaRecord {
-            id: ReplicaId::from(id),
-            service: ServiceName::from("llm"),
-            address: "127.0.0.1:9".parse().unwrap(),
             hall: HallName::from(hall),
-            slots: 4,
-            phase: ReplicaPhase::Ready,
-            models: Default::default(),
-            in_memory: Default::default(),
-            on_disk: Default::default(),
-            beat: 0,
-            born_ms: 0,
             cold_ms,
+            ..ready_replica(id, "llm")
         };
         view.replicas.insert(record.id.clone(), record);
     }
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -1,21 +1,20 @@
 //! What entries tell each other, by way of the leader, of prompts that wait at replicas.
 
+mod support_place;
+mod support_replicas;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
+use dunlinspring::consensus::directory::ReplicaRecord;
 use dunlinspring::forward::book::{
     Choice, ChoicePolicy, EngineBounds, LoadReport, Need, ReplicaBook, TryEnd,
 };
-use dunlinspring::forward::place::EntryPlace;
 use dunlinspring::ids::{HallName, HostName, ModelName, ReplicaId, ServiceName};
 use dunlinspring::placement::crowd::{CrowdBound, CrowdReport, CrowdSums, WaitingTokens};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-
-/// An entry in a hall of a site without regions.
-fn place(hall: &str) -> EntryPlace {
-    EntryPlace::new(HallName::from(hall), BTreeMap::new())
-}
+use support_place::flat_place;
+use support_replicas::ready_replica;
 
 fn report(entry: usize, waiting: WaitingTokens) -> CrowdReport {
     CrowdReport {
@@ -164,21 +163,14 @@
 impl CrowdedHome {
     fn new(told: bool) -> Self {
         let record = ReplicaRecord {
-            id: home(),
-            service: ServiceName::from("llm"),
             address: "127.0.0.1:1".parse().unwrap(),
             hall: HallName::from("here"),
             slots: 64,
-            phase: ReplicaPhase::Ready,
             models: BTreeMap::from([(ModelName::from("m"), BTreeSet::new())]),
-            in_memory: Default::default(),
-            on_disk: Default::default(),
-            beat: 0,
-            born_ms: 0,
-            cold_ms: 0,
+            ..ready_replica(home(), "llm")
         };
         let records = BTreeMap::from([(home(), record)]);
-        let mut book = ReplicaBook::new(ChoicePolicy::default(), place("here"));
+        let mut book = ReplicaBook::new(ChoicePolicy::default(), flat_place("here"));
         book.follow(0, &records);
         Self {
             books: vec![book; ENTRIES],
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -1,15 +1,18 @@
 //! Evacuated data halls: what the log holds, what members follow, what entries choose and
 //! where the leader places models meanwhile.
 
+mod support_place;
+mod support_replicas;
+mod support_state;
+
 use std::collections::{BTreeMap, BTreeSet};
 
-use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
+use dunlinspring::consensus::directory::ReplicaRecord;
 use dunlinspring::consensus::state::{
-    Change, Command, HallStanding, HomeReport, MemberRole, MoveKind, SiteState, Stamped,
+    Change, Command, HallStanding, HomeReport, MemberRole, MoveKind, SiteState,
 };
 use dunlinspring::forward::book::{Choice, EngineBounds, Need, ReplicaBar, ReplicaBook};
 use dunlinspring::forward::need::ChoicePolicy;
-use dunlinspring::forward::place::EntryPlace;
 use dunlinspring::ids::{
     EditId, HallName, HostName, ModelName, PartnerName, Position, ReplicaId, RowId, ServiceName,
     TargetName, Term,
@@ -18,44 +21,27 @@
 use dunlinspring::placement::moves::{self, DemandBook, PlacePolicy};
 use dunlinspring::placement::order::{AdapterPlace, OrderKind};
 use dunlinspring::routing::view::{SiteView, page_after};
-use dunlinspring::table::configuration::{
-    Configuration, ConfigurationRecord, EngineModel, EngineSpec, ServiceSpec,
-};
+use dunlinspring::table::configuration::{EngineModel, EngineSpec, ServiceSpec};
 use dunlinspring::table::rows::{RowChange, RowEdit, RowFields, Urgency};
 use dunlinspring::table::site::{ModelKind, ModelSpec, SiteSpec, TargetSpec};
+use support_place::flat_place;
+use support_replicas::ready_replica;
+use support_state::{apply, configured};
 
 const MODEL: &str = "m";
 
-/// An entry in a hall of a site without regions.
-fn place(hall: &str) -> EntryPlace {
-    EntryPlace::new(HallName::from(hall), BTreeMap::new())
-}
-
 fn record(id: &str, port: u16, hall: &str, models: &[&str]) -> ReplicaRecord {
     let models = models.iter();
     ReplicaRecord {
-        id: ReplicaId::from(id),
-        service: ServiceName::from("llm"),
         address: format!("127.0.0.1:{port}").parse().unwrap(),
         hall: HallName::from(hall),
-        slots: 4,
-        phase: ReplicaPhase::Ready,
         models: models
             .map(|model| (ModelName::from(*model), BTreeSet::new()))
             .collect(),
-        in_memory: Default::default(),
-        on_disk: Default::default(),
-        beat: 0,
-        born_ms: 0,
-        cold_ms: 0,
+        ..ready_replica(id, "llm")
     }
 }
 
-fn apply(state: &mut SiteState, command: Command) {
-    let position = Position(state.position.0 + 1);
-    state.apply(position, &Stamped { at_ms: 0, command });
-}
-
 /// Two replicas with the model in `old`, an empty one there and one in `new`.
 fn two_halls() -> SiteState {
     let model = EngineModel {
@@ -80,17 +66,7 @@
         warm_up: None,
         engine: Some(engine),
     };
-    let configuration = Configuration {
-        version: 1,
-        services: BTreeMap::from([(ServiceName::from("llm"), service)]),
-        ..Configuration::default()
-    };
-    let mut state = SiteState::default();
-    let record_of = ConfigurationRecord {
-        configuration,
-        source: Vec::new(),
-    };
-    apply(&mut state, Command::Configure(Box::new(record_of)));
+    let mut state = configured("llm", service);
     let records = [
         record("old-1", 1, "old", &[MODEL]),
         record("old-2", 2, "old", &[MODEL]),
@@ -98,17 +74,17 @@
         record("new-1", 4, "new", &[]),
     ];
     for record in records {
-        apply(&mut state, Command::Replica(Box::new(record)));
+        apply(&mut state, 0, Command::Replica(Box::new(record)));
     }
     state
 }
 
 fn evacuate(state: &mut SiteState) {
-    apply(state, Command::Evacuate(HallName::from("old")));
+    apply(state, 0, Command::Evacuate(HallName::from("old")));
 }
 
 fn restore(state: &mut SiteState) {
-    apply(state, Command::Restore(HallName::from("old")));
+    apply(state, 0, Command::Restore(HallName::from("old")));
 }
 
 #[test]
@@ -146,7 +122,7 @@
 
 #[test]
 fn an_entry_sends_nothing_there_not_even_what_was_chosen_before() {
-    let mut book = ReplicaBook::new(ChoicePolicy::default(), place("old"));
+    let mut book = ReplicaBook::new(ChoicePolicy::default(), flat_place("old"));
     let mut state = two_halls();
     book.follow(0, state.replicas.records());
     let need = Need {
@@ -192,7 +168,7 @@
         duties.on_heard(now_ms, &ids);
         let actions = duties.round(state, now_ms);
         for command in actions.commands {
-            apply(state, command);
+            apply(state, 0, command);
         }
         orders.extend(
             actions
@@ -276,19 +252,21 @@
         Command::Join(host, MemberRole::Agent, "127.0.0.1:9".to_owned(), hall)
     };
     let mut state = SiteState::default();
-    apply(&mut state, Command::Site(site));
-    apply(&mut state, join("t-old", "old"));
-    apply(&mut state, join("t-new", "new"));
-    apply(&mut state, Command::Edit(row));
+    apply(&mut state, 0, Command::Site(site));
+    apply(&mut state, 0, join("t-old", "old"));
+    apply(&mut state, 0, join("t-new", "new"));
+    apply(&mut state, 0, Command::Edit(row));
     let old = TargetName::from("t-old");
     apply(
         &mut state,
+        0,
         Command::Move(old.clone(), model.clone(), MoveKind::Load),
     );
     let life = state.members[&HostName::from("t-old")].incarnation;
     let there = HomeReport::Resident;
     apply(
         &mut state,
+        0,
         Command::Home(old.clone(), life, model.clone(), there),
     );
     let policy = PlacePolicy {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,6 +1,8 @@
 //! The leader's plan for replicas that register themselves: orders, adapters,
 //! and what the directory makes of heartbeats.
 
+mod support_replicas;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use dunlinspring::consensus::directory::{
@@ -16,24 +18,17 @@
 use dunlinspring::table::configuration::{
     Configuration, ConfigurationRecord, EngineModel, EngineSpec, ServiceSpec,
 };
+use support_replicas::ready_replica;
 
 fn record(id: &str, port: u16, models: &[&str]) -> ReplicaRecord {
     let models = models
         .iter()
         .map(|model| (ModelName::from(*model), BTreeSet::new()));
     ReplicaRecord {
-        id: ReplicaId::from(id),
-        service: ServiceName::from("llm"),
         address: format!("127.0.0.1:{port}").parse().unwrap(),
         hall: HallName::from("here"),
-        slots: 4,
-        phase: ReplicaPhase::Ready,
         models: models.collect(),
-        in_memory: BTreeSet::new(),
-        on_disk: BTreeSet::new(),
-        beat: 0,
-        born_ms: 0,
-        cold_ms: 0,
+        ..ready_replica(id, "llm")
     }
 }
 
--- a/tests/forward_parts.rs
+++ b/tests/forward_parts.rs
@@ -1,5 +1,8 @@
 //! The pure parts of forwarding: heads, chunks, events, budgets and the choice.
 
+mod support_place;
+mod support_replicas;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
@@ -10,18 +13,14 @@
 use dunlinspring::forward::chunked::ChunkDecoder;
 use dunlinspring::forward::events::EventCutter;
 use dunlinspring::forward::head::{self, Framing, HeadError};
-use dunlinspring::forward::place::EntryPlace;
 use dunlinspring::ids::{HallName, ModelName, ReplicaId, ServiceName};
 use dunlinspring::placement::crowd::WaitingTokens;
 use dunlinspring::table::configuration::{
     Configuration, ConfigurationError, RouteIndex, RouteKind, RouteSpec, ServiceSpec, slack_ranks,
 };
 use proptest::prelude::*;
-
-/// An entry in a hall of a site without regions.
-fn place(hall: &str) -> EntryPlace {
-    EntryPlace::new(HallName::from(hall), BTreeMap::new())
-}
+use support_place::flat_place;
+use support_replicas::ready_replica;
 
 fn refused(text: &str) -> HeadError {
     head::parse_request(text.as_bytes()).unwrap_err()
@@ -150,18 +149,9 @@
         (ModelName::from(*model), adapters.collect())
     });
     ReplicaRecord {
-        id: ReplicaId::from(id),
-        service: ServiceName::from("llm"),
-        address: "127.0.0.1:9".parse().unwrap(),
         hall: HallName::from("here"),
-        slots: 4,
-        phase: ReplicaPhase::Ready,
         models: models.collect(),
-        in_memory: BTreeSet::new(),
-        on_disk: BTreeSet::new(),
-        beat: 0,
-        born_ms: 0,
-        cold_ms: 0,
+        ..ready_replica(id, "llm")
     }
 }
 
@@ -170,7 +160,7 @@
         .into_iter()
         .map(|record| (record.id.clone(), record))
         .collect();
-    let mut book = ReplicaBook::new(ChoicePolicy::default(), place("here"));
+    let mut book = ReplicaBook::new(ChoicePolicy::default(), flat_place("here"));
     book.follow(0, &records);
     book
 }
@@ -367,7 +357,7 @@
         let records = [first, record("b", &[("m", &[])])];
         records.map(|record| (record.id.clone(), record)).into()
     };
-    let mut book = ReplicaBook::new(ChoicePolicy::default(), place("here"));
+    let mut book = ReplicaBook::new(ChoicePolicy::default(), flat_place("here"));
     book.follow(0, &lives(1));
     let (id, ask) = (ReplicaId::from("a"), need("m", None));
     book.start(1_000, &id, &ask);
@@ -507,7 +497,7 @@
         work_fade_ms: 200,
         ..ChoicePolicy::default()
     };
-    let mut book = ReplicaBook::new(policy, place("here"));
+    let mut book = ReplicaBook::new(policy, flat_place("here"));
     let records = [record("r1", &[]), record("r2", &[])];
     let records = records
         .into_iter()
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -1,6 +1,8 @@
 //! One control host, one entry, and replicas that follow a script.
 
 pub mod mortal;
+#[path = "../../support_replicas/mod.rs"]
+mod support_replicas;
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -29,6 +31,7 @@
     Configuration, EngineModel, EngineSpec, RouteKind, RouteSpec, ServiceSpec,
 };
 use mortal::MortalReplica;
+use support_replicas::ready_replica;
 use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -508,18 +511,10 @@
     ) {
         let listener = small_listener();
         let record = ReplicaRecord {
-            id: ReplicaId::from(name),
-            service: ServiceName::from(service),
             address: listener.local_addr().unwrap(),
-            hall: HallName::from("hall"),
             slots: 8,
-            phase: ReplicaPhase::Ready,
             models,
-            in_memory: Default::default(),
-            on_disk: Default::default(),
-            beat: 0,
-            born_ms: 0,
-            cold_ms: 0,
+            ..ready_replica(name, service)
         };
         let state = SharedReplica::default();
         state.borrow_mut().script = script.into();
--- a/tests/forwarding/support/mortal.rs
+++ b/tests/forwarding/support/mortal.rs
@@ -5,15 +5,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
+use dunlinspring::consensus::directory::ReplicaRecord;
 use dunlinspring::control::registry::Registry;
-use dunlinspring::ids::{HallName, ReplicaId, ServiceName};
+use dunlinspring::ids::ReplicaId;
 use futures::future::{AbortHandle, abortable};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
-use super::{ForwardSite, Seen, answered, event_chunks, loopback, past_quorum, read_request};
+use super::{
+    ForwardSite, Seen, answered, event_chunks, loopback, past_quorum, read_request, ready_replica,
+};
 
 /// A body under which a replica ends.
 pub const DEADLY: &str = "deadly";
@@ -128,18 +130,9 @@
 
 async fn register(replica: &MortalReplica, registry: &Registry) {
     let record = ReplicaRecord {
-        id: replica.id(),
-        service: ServiceName::from("plain"),
         address: replica.address.get().unwrap(),
-        hall: HallName::from("hall"),
         slots: 8,
-        phase: ReplicaPhase::Ready,
-        models: Default::default(),
-        in_memory: Default::default(),
-        on_disk: Default::default(),
-        beat: 0,
-        born_ms: 0,
-        cold_ms: 0,
+        ..ready_replica(replica.id(), "plain")
     };
     let told = async || past_quorum(registry.beat(record.clone()).await);
     answered("a quorum", told).await.unwrap();
--- a/tests/regions.rs
+++ b/tests/regions.rs
@@ -1,12 +1,15 @@
 //! Regions: where a request may be served, and which replicas are near.
 
+mod support_replicas;
+
 use std::collections::{BTreeMap, BTreeSet};
 
-use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
+use dunlinspring::consensus::directory::ReplicaRecord;
 use dunlinspring::forward::book::{Choice, EngineBounds, Need, ReplicaBook};
 use dunlinspring::forward::need::ChoicePolicy;
 use dunlinspring::forward::place::{AllowedRegions, EntryPlace, HallDistance};
 use dunlinspring::ids::{HallName, RegionName, ReplicaId, ServiceName};
+use support_replicas::ready_replica;
 
 /// Halls `a1` and `a2` in region `a`, `b1` in region `b`; `c1` is in none that is known.
 const HALLS: [(&str, &str); 3] = [("a1", "a"), ("a2", "a"), ("b1", "b")];
@@ -24,18 +27,8 @@
 fn record(hall: &str) -> (ReplicaId, ReplicaRecord) {
     let id = ReplicaId(format!("in-{hall}"));
     let record = ReplicaRecord {
-        id: id.clone(),
-        service: ServiceName::from("plain"),
-        address: "127.0.0.1:9".parse().unwrap(),
         hall: HallName::from(hall),
-        slots: 4,
-        phase: ReplicaPhase::Ready,
-        models: BTreeMap::new(),
-        in_memory: BTreeSet::new(),
-        on_disk: BTreeSet::new(),
-        beat: 0,
-        born_ms: 0,
-        cold_ms: 0,
+        ..ready_replica(id.clone(), "plain")
     };
     (id, record)
 }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -1,6 +1,8 @@
 //! Control hosts without a disk: they take part in founding, name the hosts that keep
 //! the log, and pass on what replicas and operators say. They never vote.
 
+mod support_replicas;
+
 mod support_control;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -8,16 +10,17 @@
 use std::path::Path;
 use std::sync::Arc;
 
-use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
+use dunlinspring::consensus::directory::ReplicaRecord;
 use dunlinspring::control::registry::{LogAccess, Registry, RegistryError};
 use dunlinspring::control::relay::RelayDaemon;
 use dunlinspring::control::shell::{self, ControlDaemon};
-use dunlinspring::ids::{HallName, HostName, ReplicaId, ServiceName};
+use dunlinspring::ids::{HostName, ServiceName};
 use dunlinspring::process::peers::ControlLink;
 use dunlinspring::table::configuration::{ClientLimits, Configuration, ServiceSpec};
 use tokio::net::TcpListener;
 
 use support_control::{leader_of, listeners, secret, settings, status_where, until};
+use support_replicas::ready_replica;
 
 async fn relay(listener: TcpListener, own: SocketAddr, named: &[SocketAddr]) -> RelayDaemon {
     let settings = settings(Path::new(""), own, named).common;
@@ -59,20 +62,7 @@
 }
 
 fn replica(id: &str) -> ReplicaRecord {
-    ReplicaRecord {
-        id: ReplicaId::from(id),
-        service: ServiceName::from("lookup"),
-        address: "127.0.0.1:9".parse().unwrap(),
-        hall: HallName::from("hall"),
-        slots: 4,
-        phase: ReplicaPhase::Ready,
-        models: BTreeMap::new(),
-        in_memory: BTreeSet::new(),
-        on_disk: BTreeSet::new(),
-        beat: 0,
-        born_ms: 0,
-        cold_ms: 0,
-    }
+    ready_replica(id, "lookup")
 }
 
 fn lookup() -> ServiceSpec {
--- a/tests/replica_born.rs
+++ b/tests/replica_born.rs
@@ -1,12 +1,15 @@
 //! Replicas that start again under the id that they had: a later birth is another life, which
 //! holds and knows nothing of before and numbers its heartbeats anew.
 
+mod support_replicas;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use dunlinspring::consensus::directory::{
     AdapterEffect, BeatNews, ReplicaDirectory, ReplicaPhase, ReplicaRecord,
 };
-use dunlinspring::ids::{HallName, ModelName, ReplicaId, ServiceName};
+use dunlinspring::ids::{ModelName, ReplicaId};
+use support_replicas::ready_replica;
 
 /// Heartbeat `beat` of replica `r` in the life that began at `born_ms`.
 fn heartbeat(born_ms: u64, beat: u64, models: &[&str]) -> ReplicaRecord {
@@ -14,18 +17,12 @@
         .iter()
         .map(|name| (ModelName::from(*name), BTreeSet::new()));
     ReplicaRecord {
-        id: ReplicaId::from("r"),
-        service: ServiceName::from("llm"),
         address: ([127, 0, 0, 1], 7).into(),
-        hall: HallName::from("hall"),
         slots: 8,
-        phase: ReplicaPhase::Ready,
         models: models.collect::<BTreeMap<_, _>>(),
-        in_memory: BTreeSet::new(),
-        on_disk: BTreeSet::new(),
         beat,
         born_ms,
-        cold_ms: 0,
+        ..ready_replica("r", "llm")
     }
 }
 
--- a/tests/replica_changes.rs
+++ b/tests/replica_changes.rs
@@ -1,27 +1,22 @@
 //! What members are told of replicas: the newest record of each, and only what they use.
 
+mod support_replicas;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use dunlinspring::consensus::directory::{BeatNews, ReplicaPhase, ReplicaRecord};
 use dunlinspring::consensus::state::{Change, Command, SiteState, Stamped};
-use dunlinspring::ids::{HallName, ModelName, Position, ReplicaId, ServiceName};
+use dunlinspring::ids::{ModelName, Position, ReplicaId, ServiceName};
 use dunlinspring::routing::view::{SiteView, page_after};
 use dunlinspring::table::configuration::{Configuration, ConfigurationRecord, ServiceSpec};
+use support_replicas::ready_replica;
 
 fn record(id: &str, port: u16) -> ReplicaRecord {
     ReplicaRecord {
-        id: ReplicaId::from(id),
-        service: ServiceName::from("llm"),
         address: ([127, 0, 0, 1], port).into(),
-        hall: HallName::from("hall"),
         slots: 8,
-        phase: ReplicaPhase::Ready,
         models: BTreeMap::from([(ModelName::from("m"), BTreeSet::new())]),
-        in_memory: BTreeSet::new(),
-        on_disk: BTreeSet::new(),
-        beat: 0,
-        born_ms: 0,
-        cold_ms: 0,
+        ..ready_replica(id, "llm")
     }
 }
 
--- /dev/null
+++ b/tests/support_place/mod.rs
@@ -0,0 +1,11 @@
+//! Where entries of tests stand.
+
+use std::collections::BTreeMap;
+
+use dunlinspring::forward::place::EntryPlace;
+use dunlinspring::ids::HallName;
+
+/// An entry in a hall of a site without regions.
+pub fn flat_place(hall: &str) -> EntryPlace {
+    EntryPlace::new(HallName::from(hall), BTreeMap::new())
+}
--- /dev/null
+++ b/tests/support_replicas/mod.rs
@@ -0,0 +1,22 @@
+//! Replicas that tests are made of.
+
+use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
+use dunlinspring::ids::{HallName, ReplicaId, ServiceName};
+
+/// A replica that is ready and warm and holds nothing; tests name what else they are about.
+pub fn ready_replica(id: impl Into<ReplicaId>, service: &str) -> ReplicaRecord {
+    ReplicaRecord {
+        id: id.into(),
+        service: ServiceName::from(service),
+        address: ([127, 0, 0, 1], 9).into(),
+        hall: HallName::from("hall"),
+        slots: 4,
+        phase: ReplicaPhase::Ready,
+        models: Default::default(),
+        in_memory: Default::default(),
+        on_disk: Default::default(),
+        beat: 0,
+        born_ms: 0,
+        cold_ms: 0,
+    }
+}
--- a/tests/warm_up.rs
+++ b/tests/warm_up.rs
@@ -1,20 +1,24 @@
 //! Replicas that warm up: what all entries together send to one, and what the log tells of it.
 
+mod support_place;
+mod support_replicas;
+mod support_state;
+
 use std::collections::{BTreeMap, VecDeque};
 
 use dunlinspring::consensus::directory::{BeatNews, ReplicaPhase, ReplicaRecord};
-use dunlinspring::consensus::state::{Change, Command, SiteState, Stamped};
+use dunlinspring::consensus::state::{Change, Command, SiteState};
 use dunlinspring::forward::book::{Choice, EngineBounds, Need, ReplicaBar, ReplicaBook};
 use dunlinspring::forward::need::ChoicePolicy;
-use dunlinspring::forward::place::EntryPlace;
-use dunlinspring::ids::{HallName, Position, ReplicaId, ReplicaLife, ServiceName};
+use dunlinspring::ids::{HallName, ReplicaId, ReplicaLife, ServiceName};
 use dunlinspring::placement::warm_up::{PERMIT_MS, WarmupAnswer, WarmupDesk};
 use dunlinspring::routing::warm_up::WarmupBook;
-use dunlinspring::table::configuration::{
-    Configuration, ConfigurationRecord, ServiceSpec, WarmupSpec,
-};
+use dunlinspring::table::configuration::{ServiceSpec, WarmupSpec};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
+use support_place::flat_place;
+use support_replicas::ready_replica;
+use support_state::{apply, configured};
 
 const SPEC: WarmupSpec = WarmupSpec {
     request_gap_ms: 140,
@@ -24,11 +28,6 @@
 /// a few.
 const MOST_PER_S: usize = 3 * 1_000 / (2 * SPEC.request_gap_ms as usize) + 5;
 
-/// An entry in a hall of a site without regions.
-fn place(hall: &str) -> EntryPlace {
-    EntryPlace::new(HallName::from(hall), BTreeMap::new())
-}
-
 fn life() -> ReplicaLife {
     ReplicaLife {
         id: ReplicaId::from("r"),
@@ -38,28 +37,23 @@
 
 fn record(cold_ms: u64, beat: u64) -> ReplicaRecord {
     ReplicaRecord {
-        id: ReplicaId::from("r"),
-        service: ServiceName::from("plain"),
-        address: "127.0.0.1:9".parse().unwrap(),
-        hall: HallName::from("hall"),
-        slots: 4,
-        phase: ReplicaPhase::Ready,
-        models: Default::default(),
-        in_memory: Default::default(),
-        on_disk: Default::default(),
         beat,
         born_ms: 7,
         cold_ms,
+        ..ready_replica("r", "plain")
     }
 }
 
-fn services() -> BTreeMap<ServiceName, ServiceSpec> {
-    let service = ServiceSpec {
+fn plain_service(warm_up: Option<WarmupSpec>) -> ServiceSpec {
+    ServiceSpec {
         max_connections: 9,
-        warm_up: Some(SPEC),
+        warm_up,
         engine: None,
-    };
-    BTreeMap::from([(ServiceName::from("plain"), service)])
+    }
+}
+
+fn cold_service() -> ServiceSpec {
+    plain_service(Some(SPEC))
 }
 
 /// Something that happens to entries and leaders.
@@ -201,9 +195,12 @@
 
 #[test]
 fn an_entry_sends_to_a_cold_replica_by_the_leaders_permit_only() {
-    let mut book = ReplicaBook::new(ChoicePolicy::default(), place("hall"));
+    let mut book = ReplicaBook::new(ChoicePolicy::default(), flat_place("hall"));
     let id = ReplicaId::from("r");
-    book.follow_services(&services());
+    book.follow_services(&BTreeMap::from([(
+        ServiceName::from("plain"),
+        cold_service(),
+    )]));
     book.follow(1_000, &BTreeMap::from([(id.clone(), record(2_000, 1))]));
     // It may be asked for, but nothing leaves without an answer.
     assert_eq!(choose(&book, 1_100), Choice::Send(id.clone()));
@@ -237,26 +234,6 @@
     assert_eq!(choose(&book, 60_300), Choice::Send(id.clone()));
 }
 
-fn apply(state: &mut SiteState, at_ms: u64, command: Command) {
-    let position = Position(state.position.0 + 1);
-    state.apply(position, &Stamped { at_ms, command });
-}
-
-fn configured(services: BTreeMap<ServiceName, ServiceSpec>) -> SiteState {
-    let mut state = SiteState::default();
-    let configuration = Configuration {
-        version: 1,
-        services,
-        ..Configuration::default()
-    };
-    let record = ConfigurationRecord {
-        configuration,
-        source: Vec::new(),
-    };
-    apply(&mut state, 0, Command::Configure(Box::new(record)));
-    state
-}
-
 fn cold_ms(state: &SiteState) -> u64 {
     state.replicas.records()[&ReplicaId::from("r")].cold_ms
 }
@@ -267,7 +244,7 @@
 
 #[test]
 fn members_are_told_while_a_replica_warms_up_and_once_it_is_warm() {
-    let mut state = configured(services());
+    let mut state = configured("plain", cold_service());
     for (number, cold) in [(1, 2_900), (2, 1_700), (3, 500), (4, 0), (5, 0)] {
         let before = state.position;
         beat(&mut state, number * 1_200, record(cold, number));
@@ -283,7 +260,7 @@
 /// Another writer's heartbeat, or a configuration with odd figures, stops nothing.
 #[test]
 fn a_replica_is_cold_for_no_longer_than_its_service_says_whatever_it_tells() {
-    let mut state = configured(services());
+    let mut state = configured("plain", cold_service());
     beat(&mut state, 0, record(u64::MAX, 1));
     assert_eq!(cold_ms(&state), SPEC.lasts_ms);
     let mut book = WarmupBook::default();
@@ -306,12 +283,7 @@
 /// Each heartbeat of a start would be committed, for replicas that need no care.
 #[test]
 fn a_replica_whose_service_names_no_rate_tells_nothing_by_warming_up() {
-    let mut services = services();
-    services
-        .get_mut(&ServiceName::from("plain"))
-        .unwrap()
-        .warm_up = None;
-    let mut state = configured(services);
+    let mut state = configured("plain", plain_service(None));
     beat(&mut state, 0, record(2_900, 1));
     let changed = state.changed();
     beat(&mut state, 1_200, record(1_700, 2));
@@ -325,7 +297,7 @@
 #[test]
 fn replicas_of_a_hall_that_is_taken_back_are_cold_whatever_a_late_heartbeat_says() {
     let hall = HallName::from("hall");
-    let mut state = configured(services());
+    let mut state = configured("plain", cold_service());
     beat(&mut state, 0, record(0, 1));
     apply(&mut state, 10_000, Command::Evacuate(hall.clone()));
     apply(&mut state, 20_000, Command::Restore(hall));
