--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -326,7 +326,7 @@
             suited.retain(|note| sound(note));
         }
         // A replica that this request could not reach, or that failed it, is not tried again
-        // before its pause is over: with one home, a request had dialled it 1,155 times.
+        // before its pause is over: with one home it would dial without end.
         suited.retain(|note| fresh(note) || sound(note));
         suited.retain(|note| self.has_room(note, need, now_ms, bounds.memory));
         let Some(best) = self.cheapest(suited.iter().copied(), need, &apart, now_ms) else {
@@ -364,8 +364,7 @@
         now_ms: u64,
     ) -> Option<&'a ReplicaNote> {
         // Entries that know nothing of each other's requests find the same replica cheapest:
-        // each request has its own order among those that cost the same. With the order of
-        // ids, 20 of 180 replicas behind 103 entries had 74% of all late requests.
+        // each request has its own order among those that cost the same, so that they spread.
         let costs = notes.map(|note| {
             let other = apart.contains(&note.record.id);
             let other_cost = if other { self.policy.apart_cost } else { 0.0 };
--- a/src/forward/need.rs
+++ b/src/forward/need.rs
@@ -63,12 +63,9 @@
     /// Cost of a home that is for requests of the other kind, long answers or short ones:
     /// less than two requests that wait, so that it is used where the others are crowded.
     pub apart_cost: f64,
-    /// At replicas, what can wait lets others go first, within the rank of its account. On a
-    /// site where a third of the work has an aim of six seconds it made no difference to
-    /// worth: 0.745 and 0.751 with it, 0.737, 0.754 and 0.746 without (means of five days).
+    /// At replicas, what can wait lets others go first, within the rank of its account.
     pub by_slack: bool,
-    /// Part of the aim that a request waits for room, before it is refused; 0 to 10. There a
-    /// tenth, a quarter and the whole aim made no difference: 0.743, 0.746 and 0.754.
+    /// Part of the aim that a request waits for room, before it is refused; 0 to 10.
     #[serde(deserialize_with = "read_room_part")]
     pub room_part: f64,
 }
--- a/src/forward/patience.rs
+++ b/src/forward/patience.rs
@@ -16,8 +16,7 @@
 
 /// How long a request waits in all for a model that no replica holds: until its load,
 /// which takes `load`, should be over; not at all where that is after the request's time.
-/// On a site short of places for models, 10.7% of a calm day's requests were rejected
-/// instead of 13.5% with a wait that ended once a whole load took longer than what was left.
+/// A load that has begun is over sooner than a whole one takes, so what was waited counts.
 pub fn wait_for_load(load: Duration, waited: Duration, left: Duration) -> Duration {
     let expected = LOAD_BEGINS + load;
     match expected.saturating_sub(waited) < left {
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -48,7 +48,6 @@
 /// milliseconds: what engines show that are half full.
 const LEAST_PAUSE_MS: f64 = 50.0;
 /// How much longer than predicted a stream may last: pauses grow while demand moves.
-/// With 1.5 one play in two of a day with a rolling restart still cut one off.
 const STREAM_MARGIN: f64 = 2.0;
 /// When a request comes back whose replicas are all in evacuated halls.
 const EVACUATED_RETRY: Duration = Duration::from_millis(1_000);
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -32,13 +32,11 @@
     /// Least time between orders of two leaders to a replica, in milliseconds.
     pub order_lease_ms: u64,
     /// Longest way of an order after the end of its leader's lease, in milliseconds: what
-    /// the kernel of a sender that stands still goes on for (434 measured, with links that
-    /// take some milliseconds), and a trip to the engine.
+    /// the kernel of a sender that stands still goes on for, and a trip to the engine.
     pub order_transit_ms: u64,
     /// Time between placement rounds, in milliseconds.
     pub round_ms: u64,
-    /// Relief in concurrent requests that a load for demand must bring. From rounds of
-    /// 20 plays a site: 1.0 with a quick fall of demand is better than 2.0, or as good.
+    /// Relief in concurrent requests that a load for demand must bring.
     pub move_price: f64,
     /// Part of a model's demand that remains after each quieter half second: with 0.7
     /// what was asked for gives way within two seconds, about the time of a stream.
--- a/src/placement/fleet_plan.rs
+++ b/src/placement/fleet_plan.rs
@@ -14,8 +14,7 @@
 /// What the absence of a model costs without any demand, in concurrent requests, where
 /// there is a place for each model: enough to take the room of a further home of a model
 /// with little demand. Where there are fewer places, it is worth free room only: else
-/// models that nobody asks for take all further homes of the busy ones, and on a site with
-/// 35 replicas 10.7% of a calm day's requests were rejected instead of 7.1%.
+/// models that nobody asks for take all further homes of the busy ones.
 const HOME_WORTH: f64 = 2.0;
 /// What the load of a model without a home must bring at most, in concurrent requests.
 const HOME_PRICE: f64 = 0.5;
--- a/src/routing/refusals.rs
+++ b/src/routing/refusals.rs
@@ -1,7 +1,5 @@
 //! What agents said when they refused attempts, kept for an entry's next ones: without it each
-//! request asks anew what the one before was told. With a queue of some 20 s and callers that
-//! wait for 3 s, 40 requests of a row brought 97 attempts to a home that had refused the row, and
-//! bring one at most with it (counted by its agent).
+//! request asks anew what the one before was told.
 //!
 //! Pure: the caller passes in the time. By the same book as replicas without agents.
 
