Headers of replicas that this system does not know are counted by name

Change: each entry counts unknown headers of answers by name (dunlinspring_unknown_headers_total), 32 names at most, and writes one line with the value for each new one. Tested with made-up names.

--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -24,6 +24,7 @@
 use crate::forward::place::EntryPlace;
 use crate::forward::quotas::{self, QuotaClient};
 use crate::forward::request_log::LineBudget;
+use crate::forward::unknown_headers::UnknownHeaders;
 use crate::forward::upstream::ConnectionPool;
 use crate::ids::{HallName, HostName, ModelName, RegionName, ReplicaId};
 use crate::placement::order::AdapterPlace;
@@ -192,6 +193,7 @@
     ready: Arc<AtomicBool>,
     pub(super) metrics: Arc<Mutex<MetricBook>>,
     pub(super) lines: RefCell<LineBudget>,
+    pub(super) unknown_headers: RefCell<UnknownHeaders>,
 }
 
 /// Counts a client's connection as busy from the first byte of a request on.
@@ -622,6 +624,7 @@
             ready: Arc::default(),
             metrics: Arc::default(),
             lines: RefCell::default(),
+            unknown_headers: RefCell::default(),
             settings,
         });
         serve_watch(&core).await?;
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -26,5 +26,6 @@
 pub mod request_log;
 pub mod separation;
 pub mod turns;
+pub mod unknown_headers;
 pub mod upstream;
 pub mod warm_up;
--- a/src/forward/request/answer_heads.rs
+++ b/src/forward/request/answer_heads.rs
@@ -8,6 +8,7 @@
 use crate::forward::crashes::SentTo;
 use crate::forward::daemon::EntryCore;
 use crate::forward::head::{self, ResponseHead};
+use crate::ids::ReplicaId;
 use crate::routing::backoff::{AskedPause, SendClaim};
 
 use super::Flight;
@@ -35,6 +36,7 @@
 ) -> impl Fn(&ResponseHead) + use<'a> {
     let life = sent.life.clone();
     move |head| {
+        count_unknown(core, &life.id, request, head);
         let now_ms = clock::monotonic_ms();
         if let Some(pause) = asked_pause(head) {
             core.book.borrow_mut().pause(now_ms, &life.id, pause);
@@ -55,6 +57,19 @@
     }
 }
 
+/// Counts headers that this system does not know, with one line for each name.
+fn count_unknown(core: &EntryCore, replica: &ReplicaId, request: &str, head: &ResponseHead) {
+    let mut known = core.unknown_headers.borrow_mut();
+    for header in known.find(&core.names, &head.headers) {
+        let labels = [("name", header.name.as_str())];
+        core.count("dunlinspring_unknown_headers_total", &labels);
+        if header.is_new {
+            let (name, value) = (&header.name, &header.value);
+            tracing::info!(%replica, request, name, value, "unknown header of a replica");
+        }
+    }
+}
+
 impl Flight<'_> {
     /// The last look at whether the replica may be sent to, right before the request leaves.
     pub(super) fn claim(&mut self, sent: &SentTo) -> Result<SendClaim, ReplicaBar> {
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -1,6 +1,8 @@
 //! One control host, one entry, and replicas that follow a script.
 
 pub mod mortal;
+#[path = "../../support_names/mod.rs"]
+mod support_names;
 #[path = "../../support_replicas/mod.rs"]
 mod support_replicas;
 
@@ -20,7 +22,6 @@
 use dunlinspring::control::shell::ControlDaemon;
 use dunlinspring::forward::chunked::ChunkDecoder;
 use dunlinspring::forward::daemon::{ForwardDaemon, ForwardSettings};
-use dunlinspring::forward::dialect::HeaderNames;
 use dunlinspring::forward::head::{self, Framing, Header};
 use dunlinspring::ids::{ContentDigest, HallName, HostName, ModelName, ReplicaId, ServiceName};
 use dunlinspring::process::peers::{ControlLink, SiteSecret};
@@ -31,6 +32,7 @@
     Configuration, EngineModel, EngineSpec, RouteKind, RouteSpec, ServiceSpec,
 };
 use mortal::MortalReplica;
+use support_names::NAMES;
 use support_replicas::ready_replica;
 use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -52,24 +54,6 @@
 /// Time in which a client takes nothing before it is cut.
 const STALL_MS: u64 = 300;
 
-const NAMES: HeaderNames = HeaderNames {
-    request_id: "Request-Id",
-    deadline_ms: "Deadline-Ms",
-    stamp: "Stamp",
-    expect_replica: "Expect-Replica",
-    not_executed: "Not-Executed",
-    load: "Load",
-    leaving: "Leaving",
-    model: "Model",
-    tokens: "Tokens",
-    prefix: "Prefix",
-    priority: "Priority",
-    key: "Authorization",
-    account: "Account",
-    last_event: "Last-Event",
-    reserved: &[],
-};
-
 /// A route of the test's service.
 #[derive(Clone, Copy)]
 pub struct RouteShape {
@@ -191,6 +175,7 @@
 /// A request as a replica saw it.
 #[derive(Clone, Debug)]
 pub struct Seen {
+    pub at: Instant,
     pub method: String,
     pub target: String,
     pub headers: Vec<Header>,
@@ -400,6 +385,11 @@
         number
     }
 
+    /// How many entries there are.
+    pub fn entries(&self) -> usize {
+        self.entries.len()
+    }
+
     /// Starts a further entry, and waits until it has the configuration.
     pub async fn add_entry(&mut self) -> usize {
         let entry = self.start_entry().await;
@@ -714,6 +704,7 @@
                 let body = String::from_utf8(buffer[len..end].to_vec()).unwrap();
                 buffer.drain(..end);
                 return Some(Seen {
+                    at: Instant::now(),
                     method: head.method,
                     target: head.target,
                     headers: head.headers,
--- /dev/null
+++ b/tests/support_names/mod.rs
@@ -0,0 +1,22 @@
+//! Header names of the tests' deployment.
+
+use dunlinspring::forward::dialect::HeaderNames;
+
+/// All names, in the case that tests use.
+pub const NAMES: HeaderNames = HeaderNames {
+    request_id: "Request-Id",
+    deadline_ms: "Deadline-Ms",
+    stamp: "Stamp",
+    expect_replica: "Expect-Replica",
+    not_executed: "Not-Executed",
+    load: "Load",
+    leaving: "Leaving",
+    model: "Model",
+    tokens: "Tokens",
+    prefix: "Prefix",
+    priority: "Priority",
+    key: "Authorization",
+    account: "Account",
+    last_event: "Last-Event",
+    reserved: &[],
+};
