Failing test: five entries send what demand brings to a replica that names a limit

Two replicas name 1 request a second in each answer, while callers ask all of five entries. Arrivals are counted at the replica over each 4 s. Seen: 200 where 11 are allowed.

--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -4,6 +4,7 @@
 mod accounts;
 mod crashes;
 mod halls;
+mod limits;
 mod pauses;
 mod support;
 
