--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -13,10 +13,11 @@
 use crate::ids::{HostName, NodeId, Position, ReplicaId, Term};
 use crate::placement::crowd::{CrowdReport, WaitingTokens};
 use crate::placement::duties::{AgentBeat, EntryBeat};
+use crate::placement::named_limits::{LimitPage, LimitReport};
 use crate::placement::order::{AdapterPlace, EngineOrder, OrderOutcome};
-use crate::placement::report::EntryReport;
+use crate::placement::replica_rates::{PermitReply, PermitRequest};
+use crate::placement::report::{EntryReport, ReportReply};
 use crate::placement::turns::{TurnAnswer, TurnAsk, TurnEnd};
-use crate::placement::warm_up::{WarmupAnswer, WarmupAsk};
 use crate::process::wire::{
     AccountStatus, AgentOrders, ControlRefusal, ControlStatus, EntryOrders, Notice, TableStatus,
 };
@@ -85,7 +86,7 @@
     /// Replicas that a control host has heard; for the leader.
     Heard(Vec<ReplicaId>, Answer<()>),
     /// An entry's report; for the leader.
-    Report(EntryReport, Answer<u32>),
+    Report(EntryReport, Answer<ReportReply>),
     /// What an entry has waiting at replicas; for the leader.
     Crowd(CrowdReport, Answer<WaitingTokens>),
     /// An entry's wish; for the leader.
@@ -94,8 +95,10 @@
     Turn(TurnAsk, Answer<TurnAnswer>),
     /// A turn has ended; for the leader.
     TurnEnded(TurnEnd, Answer<()>),
-    /// Whether one request may go to a replica that warms up.
-    Warmup(WarmupAsk, Answer<WarmupAnswer>),
+    /// Whether one request may go to a replica that takes few; for the leader.
+    Permit(PermitRequest, Answer<PermitReply>),
+    /// What an entry heard of replicas' limits; for the leader.
+    Limits(LimitReport, Answer<LimitPage>),
     /// The contents under which replicas ended, from a state that is surely the newest.
     Contents(Answer<CrashBook>),
     /// Whether an order of that term may leave now, and for how long.
--- a/src/control/relay.rs
+++ b/src/control/relay.rs
@@ -25,10 +25,11 @@
 use crate::ids::{HallName, HostName, Incarnation, NodeId, Position, ReplicaId};
 use crate::placement::crowd::{CrowdReport, WaitingTokens};
 use crate::placement::duties::{AgentBeat, EntryBeat};
+use crate::placement::named_limits::{LimitPage, LimitReport};
 use crate::placement::order::AdapterPlace;
-use crate::placement::report::EntryReport;
+use crate::placement::replica_rates::{PermitReply, PermitRequest};
+use crate::placement::report::{EntryReport, ReportReply};
 use crate::placement::turns::{TurnAnswer, TurnAsk, TurnEnd};
-use crate::placement::warm_up::{WarmupAnswer, WarmupAsk};
 use crate::process::daemon::{self, DaemonError};
 use crate::process::metrics::{MetricBook, MetricKey};
 use crate::process::peers::{self, ControlLink, PeerError, SiteSecret};
@@ -387,7 +388,7 @@
         Err(self.elsewhere())
     }
 
-    async fn report(self, _: Context, _: EntryReport) -> Result<u32, ControlRefusal> {
+    async fn report(self, _: Context, _: EntryReport) -> Result<ReportReply, ControlRefusal> {
         Err(self.elsewhere())
     }
 
@@ -407,7 +408,11 @@
         Err(self.elsewhere())
     }
 
-    async fn warm_up(self, _: Context, _: WarmupAsk) -> Result<WarmupAnswer, ControlRefusal> {
+    async fn permit(self, _: Context, _: PermitRequest) -> Result<PermitReply, ControlRefusal> {
+        Err(self.elsewhere())
+    }
+
+    async fn limits(self, _: Context, _: LimitReport) -> Result<LimitPage, ControlRefusal> {
         Err(self.elsewhere())
     }
 
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -27,10 +27,11 @@
 use crate::ids::{HostName, NodeId, Position, ReplicaId};
 use crate::placement::crowd::{CrowdReport, WaitingTokens};
 use crate::placement::duties::{AgentBeat, EntryBeat};
+use crate::placement::named_limits::{LimitPage, LimitReport};
 use crate::placement::order::{AdapterPlace, EngineOrder};
-use crate::placement::report::EntryReport;
+use crate::placement::replica_rates::{PermitReply, PermitRequest};
+use crate::placement::report::{EntryReport, ReportReply};
 use crate::placement::turns::{TurnAnswer, TurnAsk, TurnEnd};
-use crate::placement::warm_up::{WarmupAnswer, WarmupAsk};
 use crate::process::daemon::{self, DaemonError};
 use crate::process::metrics::{MetricBook, MetricKey};
 use crate::process::peers::{self, ControlLink, PeerPool, SiteSecret};
@@ -477,7 +478,7 @@
             .await
     }
 
-    async fn report(self, _: Context, report: EntryReport) -> Result<u32, ControlRefusal> {
+    async fn report(self, _: Context, report: EntryReport) -> Result<ReportReply, ControlRefusal> {
         self.handle
             .ask(|answer| ControlEvent::Report(report, answer))
             .await
@@ -507,9 +508,19 @@
             .await
     }
 
-    async fn warm_up(self, _: Context, ask: WarmupAsk) -> Result<WarmupAnswer, ControlRefusal> {
+    async fn permit(
+        self,
+        _: Context,
+        request: PermitRequest,
+    ) -> Result<PermitReply, ControlRefusal> {
+        self.handle
+            .ask(|answer| ControlEvent::Permit(request, answer))
+            .await
+    }
+
+    async fn limits(self, _: Context, report: LimitReport) -> Result<LimitPage, ControlRefusal> {
         self.handle
-            .ask(|answer| ControlEvent::Warmup(ask, answer))
+            .ask(|answer| ControlEvent::Limits(report, answer))
             .await
     }
 
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -16,13 +16,14 @@
 use crate::control::founding;
 use crate::control::journal::{DiskJournal, JournalError, WriteCheck};
 use crate::control::outbox::PeerOutbox;
-use crate::ids::{HostName, NodeId, Position, TargetName, Term};
+use crate::ids::{HostName, NodeId, Position, ReplicaLife, TargetName, Term};
 use crate::placement::duties::{AgentBeat, EntryBeat, LeaderDuties};
 use crate::placement::fleet::FleetDuties;
+use crate::placement::named_limits::{LifeState, LimitPage, LimitReport};
 use crate::placement::order::{AdapterPlace, EngineOrder, OrderOutcome};
-use crate::placement::report::EntryReport;
+use crate::placement::replica_rates::{PermitReply, PermitRequest, ReplicaRates};
+use crate::placement::report::{EntryReport, ReportReply};
 use crate::placement::turns::{TurnAnswer, TurnAsk, TurnDesk};
-use crate::placement::warm_up::{WarmupAnswer, WarmupAsk, WarmupDesk};
 use crate::process::settings::ControlSettings;
 use crate::process::wire::{
     self, AccountStatus, AgentOrders, ControlRefusal, ControlStatus, EntryOrders, LimitStatus,
@@ -97,7 +98,7 @@
     fleet: Option<FleetDuties>,
     quotas: Option<QuotaGrantor>,
     turns: Option<TurnDesk>,
-    warm_ups: Option<WarmupDesk>,
+    rates: Option<ReplicaRates>,
     /// The newest configuration that a leader confirmed, and when this host asked.
     confirmed: Option<(u64, u64)>,
     orders: Option<mpsc::UnboundedSender<EngineOrder>>,
@@ -152,7 +153,7 @@
             fleet: None,
             quotas: None,
             turns: None,
-            warm_ups: None,
+            rates: None,
             confirmed: None,
             orders: None,
             awaiting: BTreeMap::new(),
@@ -286,8 +287,7 @@
                 self.tell_fleet(answer, |fleet| fleet.on_heard(now_ms, &ids));
             }
             ControlEvent::Report(report, answer) => {
-                let report = believe(report);
-                self.tell_fleet(answer, |fleet| fleet.on_report(now_ms, report));
+                let _ = answer.send(self.on_report(now_ms, report));
             }
             ControlEvent::Crowd(report, answer) => {
                 self.tell_fleet(answer, |fleet| fleet.on_crowd(now_ms, report));
@@ -302,8 +302,11 @@
                 let ended = self.turns.as_mut().map(|turns| turns.end(end));
                 let _ = answer.send(ended.ok_or_else(|| self.not_leader()));
             }
-            ControlEvent::Warmup(ask, answer) => {
-                let _ = answer.send(self.on_warm_up(now_ms, &ask));
+            ControlEvent::Permit(request, answer) => {
+                let _ = answer.send(self.on_permit(now_ms, &request));
+            }
+            ControlEvent::Limits(report, answer) => {
+                let _ = answer.send(self.on_limits(now_ms, &report));
             }
             ControlEvent::Contents(answer) => {
                 let newest = self.replica.newest(now_ms);
@@ -463,14 +466,42 @@
         Ok(answer)
     }
 
-    fn on_warm_up(&mut self, now_ms: u64, ask: &WarmupAsk) -> Result<WarmupAnswer, ControlRefusal> {
-        let (Some(state), Some(desk)) = (self.replica.newest(now_ms), &mut self.warm_ups) else {
+    fn on_permit(
+        &mut self,
+        now_ms: u64,
+        request: &PermitRequest,
+    ) -> Result<PermitReply, ControlRefusal> {
+        let (Some(state), Some(rates)) = (self.replica.newest(now_ms), &mut self.rates) else {
+            return Err(self.not_leader());
+        };
+        Ok(rates.permit(now_ms, request, state.warm_up(&request.service)))
+    }
+
+    fn on_limits(
+        &mut self,
+        now_ms: u64,
+        report: &LimitReport,
+    ) -> Result<LimitPage, ControlRefusal> {
+        let (Some(_), Some(rates)) = (self.replica.newest(now_ms), &mut self.rates) else {
             return Err(self.not_leader());
         };
-        Ok(match state.warm_up(&ask.service) {
-            Some(spec) => desk.ask(now_ms, &ask.replica, spec),
-            // Its service has been told to go without since.
-            None => WarmupAnswer::Go,
+        Ok(rates.report(now_ms, report))
+    }
+
+    fn on_report(
+        &mut self,
+        now_ms: u64,
+        report: EntryReport,
+    ) -> Result<ReportReply, ControlRefusal> {
+        let leads = self.replica.newest(now_ms).is_some();
+        let (true, Some(fleet), Some(rates)) = (leads, &mut self.fleet, &self.rates) else {
+            return Err(self.not_leader());
+        };
+        let report = believe(report);
+        let limits = rates.page(now_ms, report.limits);
+        Ok(ReportReply {
+            entries: fleet.on_report(now_ms, report),
+            limits,
         })
     }
 
@@ -625,6 +656,9 @@
         };
         self.propose_all(commands);
         self.fleet_round(now_ms);
+        if let (Some(state), Some(rates)) = (self.replica.newest(now_ms), &mut self.rates) {
+            rates.prune(now_ms, |life| life_state(state, life));
+        }
         let hosts = &self.hosts;
         let host_of = |node: NodeId| hosts.get(&node).cloned();
         let changed = match self.settings.open_membership {
@@ -651,7 +685,7 @@
                 let fleet = FleetDuties::new(self.settings.fleet, holder, term, now_ms);
                 self.fleet = Some(fleet);
                 self.turns = Some(TurnDesk::default());
-                self.warm_ups = Some(WarmupDesk::new(now_ms));
+                self.rates = Some(ReplicaRates::new(term, now_ms));
                 self.quotas = Some(match term {
                     FIRST_TERM => QuotaGrantor::of_first_leader(now_ms),
                     _ => QuotaGrantor::new(now_ms),
@@ -673,7 +707,7 @@
                 self.duties = None;
                 self.quotas = None;
                 self.turns = None;
-                self.warm_ups = None;
+                self.rates = None;
                 self.abandon();
             }
         }
@@ -818,6 +852,15 @@
 
 /// An entry's report, without figures where one cannot be true: the entry still counts
 /// among those that report.
+fn life_state(state: &SiteState, life: &ReplicaLife) -> LifeState {
+    match state.replicas.records().get(&life.id) {
+        Some(record) if record.born_ms > life.born_ms => LifeState::Over,
+        Some(_) => LifeState::Known,
+        None => LifeState::Unknown,
+    }
+}
+
+/// A report whose figures cannot be true tells of nothing but its entry.
 fn believe(report: EntryReport) -> EntryReport {
     match report.check() {
         Ok(()) => report,
@@ -825,6 +868,7 @@
             tracing::warn!(host = report.host, %error, "a report cannot be true");
             EntryReport {
                 host: report.host,
+                limits: report.limits,
                 ..EntryReport::default()
             }
         }
--- a/src/forward/book.rs
+++ b/src/forward/book.rs
@@ -19,6 +19,8 @@
 use crate::ids::{HallName, ReplicaId, ServiceName};
 use crate::placement::crowd::WaitingTokens;
 use crate::routing::backoff::{BackoffBook, SendBar};
+use crate::routing::limited_peers::LimitedPeers;
+use crate::routing::permit_pace::PermitPace;
 use crate::routing::warm_up::WarmupBook;
 use crate::table::configuration::WarmupSpec;
 pub use bars::ReplicaBar;
@@ -37,8 +39,9 @@
     /// All that could take it asked to be left alone; the first one for so much longer, in
     /// milliseconds.
     Paused(u64),
-    /// All that could take it warm up, and have got what they bear for now.
-    WarmingUp,
+    /// All that could take it take few requests, and have got them; the first one may take
+    /// another in so many milliseconds.
+    RateLimited(u64),
     /// All that could take it are in evacuated halls, and the leader brings no others.
     Evacuated,
     /// No replica holds the model.
@@ -141,6 +144,10 @@
     backoffs: BackoffBook<ReplicaId>,
     /// Which replicas warm up.
     warm_ups: WarmupBook<ReplicaId>,
+    /// Which replicas name a limit.
+    limits: LimitedPeers,
+    /// When permits for those that take few requests may be asked for.
+    permit_pace: PermitPace<ReplicaId>,
     /// Services whose replicas bear fewer requests while they warm up.
     warm_up_specs: BTreeMap<ServiceName, WarmupSpec>,
     /// Data halls whose replicas are to get nothing.
@@ -160,6 +167,8 @@
             crowd_until_ms: 0,
             backoffs: BackoffBook::default(),
             warm_ups: WarmupBook::default(),
+            limits: LimitedPeers::default(),
+            permit_pace: PermitPace::default(),
             warm_up_specs: BTreeMap::new(),
             evacuated: BTreeSet::new(),
         }
@@ -238,7 +247,7 @@
                 Some(ReplicaBar::Evacuated | ReplicaBar::Asked(SendBar::Leaving)) => return None,
                 Some(
                     ReplicaBar::Asked(SendBar::Paused { left_ms })
-                    | ReplicaBar::WarmingUp { left_ms },
+                    | ReplicaBar::RateLimited { left_ms },
                 ) => left_ms as f64,
                 Some(ReplicaBar::Asked(SendBar::Reopening)) | None => 0.0,
             };
--- a/src/forward/book/bars.rs
+++ b/src/forward/book/bars.rs
@@ -1,13 +1,15 @@
 //! Whether a replica may be sent to: asked when it is chosen, and again right before the bytes
-//! leave. What it asked for, whether it warms up, and whether its data hall is open.
+//! leave. What it asked for, whether it takes few requests, and whether its data hall is open.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::consensus::directory::{ReplicaPhase, ReplicaRecord};
+use crate::forward::permits::RatePermit;
 use crate::forward::replica_note::ReplicaNote;
-use crate::forward::warm_up::WarmupPermit;
 use crate::ids::{HallName, ReplicaId, ReplicaLife, ServiceName};
 use crate::routing::backoff::{AskedPause, ClaimEnd, SendBar, SendClaim};
+use crate::routing::limited_peers::LimitedPeers;
+use crate::routing::permit_pace::PermitPace;
 use crate::table::configuration::ServiceSpec;
 
 use super::{Choice, ReplicaBook};
@@ -17,9 +19,9 @@
 pub enum ReplicaBar {
     /// An operator wants nothing sent to its data hall.
     Evacuated,
-    /// It warms up, and has got what it bears for so much longer, in milliseconds.
-    WarmingUp {
-        /// Until it may be asked for again.
+    /// It warms up or names a limit, and has got what it takes.
+    RateLimited {
+        /// Until it may be asked for again, in milliseconds.
         left_ms: u64,
     },
     /// It asked for that itself.
@@ -50,13 +52,16 @@
         &mut self,
         now_ms: u64,
         life: &ReplicaLife,
-        permit: Option<WarmupPermit>,
+        permit: Option<RatePermit>,
     ) -> Result<SendClaim, ReplicaBar> {
-        let permit = permit.filter(|permit| permit.holds(now_ms));
+        let permit = permit.filter(|permit| permit.holds(now_ms, life));
         match self.record(&life.id) {
             Some(record) if self.is_evacuated(record) => return Err(ReplicaBar::Evacuated),
-            Some(record) if permit.is_none() && self.warms_up(now_ms, record) => {
-                return Err(ReplicaBar::WarmingUp { left_ms: 0 });
+            Some(record) if permit.is_none() && self.takes_few(now_ms, record) => {
+                return Err(ReplicaBar::RateLimited { left_ms: 0 });
+            }
+            None if permit.is_none() && self.limits.is_limited(life) => {
+                return Err(ReplicaBar::RateLimited { left_ms: 0 });
             }
             _ => {}
         }
@@ -64,7 +69,27 @@
         claimed.map_err(ReplicaBar::Asked)
     }
 
-    /// Whether a replica warms up, so that the leader is asked for each request.
+    /// Whether the leader is asked for each request to a replica.
+    pub fn needs_permit(&self, now_ms: u64, id: &ReplicaId) -> bool {
+        self.record(id)
+            .is_some_and(|record| self.takes_few(now_ms, record))
+    }
+
+    fn takes_few(&self, now_ms: u64, record: &ReplicaRecord) -> bool {
+        self.warms_up(now_ms, record) || self.limits.is_limited(&record.life())
+    }
+
+    /// Which replicas name a limit.
+    pub fn limits(&self) -> &LimitedPeers {
+        &self.limits
+    }
+
+    /// The same, to be changed.
+    pub fn limits_mut(&mut self) -> &mut LimitedPeers {
+        &mut self.limits
+    }
+
+    /// Whether a replica warms up.
     pub fn is_cold(&self, now_ms: u64, id: &ReplicaId) -> bool {
         self.record(id)
             .is_some_and(|record| self.warms_up(now_ms, record))
@@ -80,9 +105,9 @@
         self.evacuated.contains(&record.hall)
     }
 
-    /// The leader lets no request go to a replica that warms up, for so long.
-    pub fn refuse_warm_up(&mut self, now_ms: u64, id: &ReplicaId, for_ms: u64) {
-        self.warm_ups.refuse(now_ms, id, for_ms);
+    /// When permits for replicas that take few requests may be asked for.
+    pub fn pace_mut(&mut self) -> &mut PermitPace<ReplicaId> {
+        &mut self.permit_pace
     }
 
     /// A replica could not be reached, or broke off: it may be another one by now, that has
@@ -104,6 +129,13 @@
     pub fn prune(&mut self, now_ms: u64) {
         self.backoffs.prune(now_ms);
         self.warm_ups.prune(now_ms);
+        self.permit_pace.prune(now_ms);
+        let notes = &self.notes;
+        let is_over = |life: &ReplicaLife| {
+            let known = notes.get(&life.id);
+            known.is_some_and(|note| note.record.born_ms > life.born_ms)
+        };
+        self.limits.prune(is_over);
     }
 
     /// Why nothing may be sent to a replica now.
@@ -112,9 +144,9 @@
         match self.backoffs.bar(now_ms, &record.id, record.born_ms) {
             _ if self.is_evacuated(record) => Some(ReplicaBar::Evacuated),
             Some(bar) => Some(ReplicaBar::Asked(bar)),
-            None if self.warms_up(now_ms, record) => {
-                let left_ms = self.warm_ups.refused_ms(now_ms, &record.id)?;
-                Some(ReplicaBar::WarmingUp { left_ms })
+            None if self.takes_few(now_ms, record) => {
+                let left_ms = self.permit_pace.left_ms(now_ms, &record.id)?;
+                Some(ReplicaBar::RateLimited { left_ms })
             }
             None => None,
         }
@@ -160,25 +192,26 @@
 /// Of what is left to choose without another replica, and with one that is barred, what comes
 /// sooner.
 fn sooner(choice: Choice, bar: ReplicaBar) -> Choice {
-    use ReplicaBar::{Asked, Evacuated, WarmingUp};
+    use ReplicaBar::{Asked, Evacuated, RateLimited};
     match (choice, bar) {
         // It shows within some hundred milliseconds whether it has room.
         (Choice::Full, _) | (_, Asked(SendBar::Reopening)) => Choice::Full,
-        (Choice::WarmingUp, _) | (_, WarmingUp { .. }) => Choice::WarmingUp,
         (Choice::Absent, Evacuated) => Choice::Evacuated,
         (choice, Evacuated | Asked(SendBar::Leaving)) => choice,
-        (Choice::Paused(known_ms), Asked(SendBar::Paused { left_ms })) => {
-            Choice::Paused(left_ms.min(known_ms))
-        }
+        (
+            choice @ (Choice::Paused(known_ms) | Choice::RateLimited(known_ms)),
+            Asked(SendBar::Paused { left_ms }) | RateLimited { left_ms },
+        ) if known_ms <= left_ms => choice,
         (_, Asked(SendBar::Paused { left_ms })) => Choice::Paused(left_ms),
+        (_, RateLimited { left_ms }) => Choice::RateLimited(left_ms),
     }
 }
 
 pub(super) fn bar_text(bar: Option<ReplicaBar>) -> String {
-    use ReplicaBar::{Asked, Evacuated, WarmingUp};
+    use ReplicaBar::{Asked, Evacuated, RateLimited};
     match bar {
         Some(Evacuated) => "in an evacuated hall".to_owned(),
-        Some(WarmingUp { left_ms }) => format!("warms up, the next in {left_ms} ms"),
+        Some(RateLimited { left_ms }) => format!("takes few requests, the next in {left_ms} ms"),
         Some(Asked(SendBar::Paused { left_ms })) => format!("asked for {left_ms} ms more of pause"),
         Some(Asked(SendBar::Reopening)) => "opens again after a pause".to_owned(),
         Some(Asked(SendBar::Leaving)) => "says that it leaves".to_owned(),
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -21,6 +21,7 @@
 use crate::forward::crashes::CrashWatch;
 use crate::forward::crowd;
 use crate::forward::dialect::HeaderNames;
+use crate::forward::limits;
 use crate::forward::place::EntryPlace;
 use crate::forward::quotas::{self, QuotaClient};
 use crate::forward::request_log::LineBudget;
@@ -186,6 +187,8 @@
     pub quotas: QuotaClient,
     /// A replica is crowded, as far as this entry sees.
     pub crowd_seen: Notify,
+    /// Something of replicas' limits is to be told to the leader.
+    pub limit_heard: Notify,
     active: Cell<usize>,
     stopping: Arc<AtomicBool>,
     stop_told: Notify,
@@ -567,6 +570,7 @@
             host: self.settings.host.0.clone(),
             busy,
             adapters: std::mem::take(&mut *self.adapters.borrow_mut()),
+            limits: self.book.borrow().limits().cursor(),
         }
     }
 }
@@ -617,6 +621,7 @@
             wishes: RefCell::default(),
             quotas: QuotaClient::new(QuotaHolder::new(life, clock::monotonic_ms())),
             crowd_seen: Notify::new(),
+            limit_heard: Notify::new(),
             active: Cell::new(0),
             stopping: Arc::default(),
             stop_told: Notify::new(),
@@ -635,6 +640,7 @@
         daemon::spawn_local(report(core.clone()));
         daemon::spawn_local(quotas::draw_quotas(core.clone()));
         daemon::spawn_local(crowd::tell_crowd(core.clone()));
+        daemon::spawn_local(limits::tell_limits(core.clone()));
         daemon::spawn_local(prune(core.clone()));
         daemon::spawn_local(accept(core.clone(), listener));
         tracing::info!(clients = %address, "entry started");
@@ -728,7 +734,10 @@
             })
             .await;
         match told {
-            Ok(entries) => core.budget.borrow_mut().share_among(entries),
+            Ok(reply) => {
+                core.budget.borrow_mut().share_among(reply.entries);
+                core.follow_limits(&reply.limits);
+            }
             Err(error) => tracing::debug!(%error, "a report was not heard"),
         }
     }
--- a/src/forward/dialect.rs
+++ b/src/forward/dialect.rs
@@ -18,6 +18,9 @@
     pub load: &'static str,
     /// Says that a replica leaves; in all its answers from then on.
     pub leaving: &'static str,
+    /// The requests a second that a replica takes from all entries together, in all its
+    /// answers for as long as that holds.
+    pub limit: &'static str,
     /// The model, and after a slash its adapter.
     pub model: &'static str,
     /// Tokens of the prompt, and the most that may be produced.
--- a/src/forward/own_answer.rs
+++ b/src/forward/own_answer.rs
@@ -24,8 +24,8 @@
     Evacuated,
     /// Its route and its account allow no region in common.
     NoRegion,
-    /// All replicas warm up, and have got what they bear.
-    WarmingUp,
+    /// All replicas take few requests, and none of them one more in time.
+    RateLimited,
     /// No replica holds the model, and it cannot be there in time.
     Absent,
     /// The adapter did not come in time.
@@ -54,7 +54,7 @@
             Self::Paused => "all replicas asked for a pause",
             Self::Evacuated => "all replicas are in evacuated halls",
             Self::NoRegion => "its route and its account allow no region in common",
-            Self::WarmingUp => "all replicas warm up",
+            Self::RateLimited => "all replicas take few requests, and have got them",
             Self::Absent => "no replica holds the model",
             Self::Adapter => "the adapter did not come in time",
             Self::Late => "time ran out before it was sent",
--- /dev/null
+++ b/src/forward/permits.rs
@@ -0,0 +1,115 @@
+//! Permits to send to replicas that take few requests: asked of the leader for each request.
+//! See [`crate::placement::replica_rates`].
+
+use std::time::Duration;
+
+use crate::clock;
+use crate::consensus::directory::ReplicaRecord;
+use crate::forward::daemon::EntryCore;
+use crate::ids::{ReplicaId, ReplicaLife};
+use crate::placement::named_limits::PermitStamp;
+use crate::placement::rate_limit::PERMIT_MS;
+use crate::placement::replica_rates::{PermitReply, PermitRequest};
+use crate::process::peers::PeerError;
+use crate::routing::permit_pace::ASK_MS;
+
+/// Pause after a question that nobody answered, in milliseconds: other replicas are sent to
+/// meanwhile.
+const SILENT_MS: u64 = 300;
+
+/// The permit to send one request to a replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RatePermit {
+    /// The replica, in the life that was meant.
+    pub replica: ReplicaLife,
+    /// Until when it may be used, in milliseconds of the steady clock.
+    pub until_ms: u64,
+    /// When the leader gave it.
+    pub stamp: PermitStamp,
+}
+
+impl RatePermit {
+    /// Whether it may still be used for a replica.
+    pub fn holds(&self, now_ms: u64, replica: &ReplicaLife) -> bool {
+        now_ms < self.until_ms && self.replica == *replica
+    }
+}
+
+impl EntryCore {
+    /// The record of a replica that takes few requests; none where it takes any number.
+    pub fn limited_record(&self, replica: &ReplicaId) -> Option<ReplicaRecord> {
+        let book = self.book.borrow();
+        let limited = book.needs_permit(clock::monotonic_ms(), replica);
+        book.record(replica).filter(|_| limited).cloned()
+    }
+
+    /// Asks whether one request may go to a replica that takes few.
+    pub async fn ask_permit(&self, record: &ReplicaRecord) -> Option<RatePermit> {
+        let asked_ms = clock::monotonic_ms();
+        let request = self.permit_request(asked_ms, record);
+        self.book.borrow_mut().pace_mut().ask(asked_ms, &record.id);
+        let asked = self
+            .link()
+            .decide(
+                "permit",
+                Duration::from_millis(ASK_MS),
+                |client, context| {
+                    let request = request.clone();
+                    async move { client.permit(context, request).await }
+                },
+            )
+            .await;
+        let granted = self.take_reply(asked_ms, &request.replica, asked);
+        // Others wait for the answer to ask for themselves.
+        self.changed.notify_waiters();
+        granted.map(|stamp| RatePermit {
+            replica: request.replica,
+            until_ms: asked_ms + PERMIT_MS,
+            stamp,
+        })
+    }
+
+    fn take_reply(
+        &self,
+        asked_ms: u64,
+        replica: &ReplicaLife,
+        asked: Result<PermitReply, PeerError>,
+    ) -> Option<PermitStamp> {
+        let now_ms = clock::monotonic_ms();
+        let mut book = self.book.borrow_mut();
+        if asked.is_ok() {
+            book.limits_mut().confirm_word(asked_ms, replica);
+        }
+        let pace = book.pace_mut();
+        let (answer, granted) = match asked {
+            Ok(PermitReply::Granted(stamp)) => {
+                pace.grant(asked_ms, &replica.id);
+                ("granted", Some(stamp))
+            }
+            Ok(PermitReply::Wait(wait_ms)) => {
+                pace.refuse(now_ms, asked_ms, &replica.id, wait_ms);
+                ("wait", None)
+            }
+            Err(error) => {
+                tracing::debug!(%error, %replica, "a permit to send was not asked for");
+                pace.refuse(now_ms, asked_ms, &replica.id, SILENT_MS);
+                ("none", None)
+            }
+        };
+        self.count("dunlinspring_permits_asked_total", &[("answer", answer)]);
+        granted
+    }
+
+    fn permit_request(&self, now_ms: u64, record: &ReplicaRecord) -> PermitRequest {
+        let book = self.book.borrow();
+        let (limits, replica) = (book.limits(), record.life());
+        PermitRequest {
+            service: record.service.clone(),
+            is_cold: book.is_cold(now_ms, &record.id),
+            is_limited: limits.is_limited(&replica),
+            named: limits.word(now_ms, &replica),
+            cursor: limits.cursor(),
+            replica,
+        }
+    }
+}
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -23,12 +23,12 @@
 use crate::forward::events::EventCutter;
 use crate::forward::head::{self, ResponseHead};
 use crate::forward::own_answer::{self, Refusal, UNKNOWN_RETRY, closes, finish, refuse_plainly};
+use crate::forward::permits::RatePermit;
 use crate::forward::place::AllowedRegions;
 use crate::forward::quotas::QuotaRefusal;
 use crate::forward::request_log::{Outcome, RequestLog};
 use crate::forward::turns::TurnGuard;
 use crate::forward::upstream::{Connection, Exchange, ExchangeError, Outgoing};
-use crate::forward::warm_up::WarmupPermit;
 use crate::ids::{ContentDigest, ReplicaId};
 use crate::routing::backoff::ClaimEnd;
 use crate::routing::suspects::BARRED_RETRY_MS;
@@ -154,8 +154,8 @@
     content: Option<ContentDigest>,
     /// Its turn, where its content is suspect.
     turn: Option<TurnGuard>,
-    /// The leader's permit to send it, where the chosen replica warms up.
-    warm_up_permit: Option<WarmupPermit>,
+    /// The leader's permit to send it, where the chosen replica takes few requests.
+    permit: Option<RatePermit>,
     /// Where it was sent, while it may run there.
     sent: Option<SentTo>,
     /// What is being found out of a replica that broke off under it.
@@ -224,7 +224,7 @@
             cutter: EventCutter::default(),
             content: None,
             turn: None,
-            warm_up_permit: None,
+            permit: None,
             sent: None,
             case: None,
             shared: BTreeSet::new(),
@@ -395,7 +395,7 @@
             Refusal::Quota(QuotaRefusal::Unknown) | Refusal::Caller(_) => UNKNOWN_RETRY,
             Refusal::Full
             | Refusal::Paused
-            | Refusal::WarmingUp
+            | Refusal::RateLimited
             | Refusal::Adapter
             | Refusal::Late
             | Refusal::Budget => {
@@ -458,7 +458,9 @@
         }
         // What the replica asked for may have come since it was chosen: a turn, a connection
         // that was slow to open and a suspension lie between.
-        guard.claim = match self.claim(&sent) {
+        let permit = self.permit.take();
+        guard.permit = permit.as_ref().map(|permit| permit.stamp);
+        guard.claim = match self.claim(&sent, permit) {
             Ok(claim) => Some(claim),
             Err(_) => {
                 core.pool.borrow_mut().put(replica, connection);
@@ -466,7 +468,7 @@
             }
         };
         let id = self.id.clone();
-        let observer = answer_heads::observer(core, &sent, &id);
+        let observer = answer_heads::observer(core, &sent, &id, guard.permit);
         self.sent = Some(sent);
         let bytes = self.outgoing(replica);
         let paid = std::mem::take(&mut self.paid);
@@ -514,11 +516,13 @@
             core.book.borrow_mut().tell(now_ms, &guard.replica, load);
         }
         let not_executed = head::find(&head.headers, core.names.not_executed).is_some();
-        guard.release(match head.status {
+        let end = match head.status {
             421 | 429 | 500.. => ClaimEnd::Other,
             _ if not_executed => ClaimEnd::Other,
             _ => ClaimEnd::Taken,
-        });
+        };
+        guard.release(end);
+        self.hear_end_of_limit(&head, guard.permit, end);
         if head.status == 421 || not_executed {
             return self.not_run(exchange, &head, guard).await;
         }
--- a/src/forward/request/answer_heads.rs
+++ b/src/forward/request/answer_heads.rs
@@ -1,5 +1,6 @@
 //! What replicas say of themselves in the heads of their answers, whatever becomes of the
-//! answer: that they want to be left alone for a time, or that they leave.
+//! answer: that they want to be left alone for a time, that they leave, or that they take so
+//! many requests a second.
 
 use std::rc::Rc;
 
@@ -8,8 +9,11 @@
 use crate::forward::crashes::SentTo;
 use crate::forward::daemon::EntryCore;
 use crate::forward::head::{self, ResponseHead};
+use crate::forward::permits::RatePermit;
 use crate::ids::ReplicaId;
-use crate::routing::backoff::{AskedPause, SendClaim};
+use crate::placement::named_limits::PermitStamp;
+use crate::routing::backoff::{AskedPause, ClaimEnd, SendClaim};
+use crate::routing::named_rate::NamedRate;
 
 use super::Flight;
 
@@ -33,10 +37,16 @@
     core: &'a Rc<EntryCore>,
     sent: &SentTo,
     request: &'a str,
+    permit: Option<PermitStamp>,
 ) -> impl Fn(&ResponseHead) + use<'a> {
     let life = sent.life.clone();
     move |head| {
         count_unknown(core, &life.id, request, head);
+        if let Some(rate) = named_rate(core, head) {
+            // The permit proves when the answered request left, not that of a surplus answer.
+            let is_due = head::find(&head.headers, core.names.request_id) == Some(request);
+            core.hear_limit(&life, rate, permit.filter(|_| is_due));
+        }
         let now_ms = clock::monotonic_ms();
         if let Some(pause) = asked_pause(head) {
             core.book.borrow_mut().pause(now_ms, &life.id, pause);
@@ -57,6 +67,11 @@
     }
 }
 
+/// The rate that a head names.
+fn named_rate(core: &EntryCore, head: &ResponseHead) -> Option<NamedRate> {
+    NamedRate::parse(head::find_all(&head.headers, core.names.limit))
+}
+
 /// Counts headers that this system does not know, with one line for each name.
 fn count_unknown(core: &EntryCore, replica: &ReplicaId, request: &str, head: &ResponseHead) {
     let mut known = core.unknown_headers.borrow_mut();
@@ -72,9 +87,12 @@
 
 impl Flight<'_> {
     /// The last look at whether the replica may be sent to, right before the request leaves.
-    pub(super) fn claim(&mut self, sent: &SentTo) -> Result<SendClaim, ReplicaBar> {
+    pub(super) fn claim(
+        &mut self,
+        sent: &SentTo,
+        permit: Option<RatePermit>,
+    ) -> Result<SendClaim, ReplicaBar> {
         let now_ms = clock::monotonic_ms();
-        let permit = self.warm_up_permit.take();
         let mut book = self.core.book.borrow_mut();
         let claimed = book.claim(now_ms, &sent.life, permit);
         drop(book);
@@ -85,4 +103,20 @@
         }
         claimed
     }
+
+    /// Notes where a replica that took the request names no limit any more.
+    pub(super) fn hear_end_of_limit(
+        &self,
+        head: &ResponseHead,
+        permit: Option<PermitStamp>,
+        end: ClaimEnd,
+    ) {
+        let names_limit = head::find(&head.headers, self.core.names.limit).is_some();
+        match (permit, &self.sent) {
+            (Some(permit), Some(sent)) if end == ClaimEnd::Taken && !names_limit => {
+                self.core.hear_no_limit(&sent.life, permit);
+            }
+            _ => {}
+        }
+    }
 }
--- a/src/forward/request/placing.rs
+++ b/src/forward/request/placing.rs
@@ -28,7 +28,7 @@
             let waited = since.elapsed();
             let (refusal, limit) = match choice {
                 // It is chosen once more, without this replica for a while.
-                Choice::Send(replica) if !self.may_warm_up(&replica).await => continue,
+                Choice::Send(replica) if !self.has_permit(&replica).await => continue,
                 Choice::Send(replica) => match self.clear_turn(&replica).await {
                     Clearance::Go(turn) => {
                         self.turn = turn;
@@ -60,7 +60,14 @@
                     }
                     (Refusal::Paused, limit)
                 }
-                Choice::WarmingUp => (Refusal::WarmingUp, self.room_wait()),
+                Choice::RateLimited(left_ms) => {
+                    let limit = self.room_wait();
+                    let ends = waited + Duration::from_millis(left_ms);
+                    if ends > limit.min(self.left()) {
+                        return Err(Refusal::RateLimited);
+                    }
+                    (Refusal::RateLimited, limit)
+                }
                 Choice::Evacuated => return Err(Refusal::Evacuated),
                 Choice::Absent => {
                     let wait = patience::wait_for_load(self.load_time(), waited, self.left());
@@ -76,16 +83,15 @@
         }
     }
 
-    /// Whether a replica is warm, or the leader lets this request go to it.
-    async fn may_warm_up(&mut self, replica: &ReplicaId) -> bool {
-        // One that was given for another replica says nothing of this one.
-        self.warm_up_permit = None;
+    /// Whether a replica takes any number of requests, or the leader lets this one go to it.
+    async fn has_permit(&mut self, replica: &ReplicaId) -> bool {
+        self.permit = None;
         let core = self.core;
-        let Some(record) = core.cold_record(replica) else {
+        let Some(record) = core.limited_record(replica) else {
             return true;
         };
-        self.warm_up_permit = core.ask_warm_up(&record).await;
-        self.warm_up_permit.is_some()
+        self.permit = core.ask_permit(&record).await;
+        self.permit.is_some()
     }
 
     fn room_wait(&self) -> Duration {
--- a/src/forward/request/try_guard.rs
+++ b/src/forward/request/try_guard.rs
@@ -7,6 +7,7 @@
 use crate::forward::book::{Need, TryEnd};
 use crate::forward::daemon::EntryCore;
 use crate::ids::ReplicaId;
+use crate::placement::named_limits::PermitStamp;
 use crate::routing::backoff::{ClaimEnd, SendClaim};
 
 /// Reports a try's end to the book, also where the request is dropped midway.
@@ -21,6 +22,8 @@
     ahead: u64,
     /// The claim to send, until an answer shows what came of it.
     pub(super) claim: Option<SendClaim>,
+    /// When the leader let it go, where the replica takes few requests.
+    pub(super) permit: Option<PermitStamp>,
 }
 
 impl<'a> TryGuard<'a> {
@@ -40,6 +43,7 @@
             begun: false,
             end: TryEnd::Neutral,
             claim: None,
+            permit: None,
         }
     }
 
--- a/src/forward/request/wire_heads.rs
+++ b/src/forward/request/wire_heads.rs
@@ -17,8 +17,9 @@
         close: bool,
     ) -> Vec<u8> {
         let mut text = format!("HTTP/1.1 {} {}\r\n", head.status, head.reason);
-        // That the replica leaves is said to this system alone.
-        for (name, value) in head::end_to_end(&head.headers, &[self.core.names.leaving]) {
+        // What the replica says of itself is said to this system alone.
+        let own = [self.core.names.leaving, self.core.names.limit];
+        for (name, value) in head::end_to_end(&head.headers, &own) {
             head::push_header(&mut text, name, value);
         }
         for (name, value) in framing {
--- a/src/forward/unknown_headers.rs
+++ b/src/forward/unknown_headers.rs
@@ -84,7 +84,11 @@
 }
 
 fn beginning(text: &str) -> &str {
-    &text[..text.floor_char_boundary(MAX_TOLD)]
+    let ends = text
+        .char_indices()
+        .map(|(at, letter)| at + letter.len_utf8());
+    let end = ends.take_while(|end| *end <= MAX_TOLD).last();
+    &text[..end.unwrap_or(0)]
 }
 
 fn is_known(names: &HeaderNames, name: &str) -> bool {
@@ -94,6 +98,7 @@
         names.not_executed,
         names.load,
         names.leaving,
+        names.limit,
     ];
     let mut known = own.iter().chain(&HTTP_HEADERS);
     known.any(|known| known.eq_ignore_ascii_case(name))
--- /dev/null
+++ b/src/placement/rate_limit.rs
@@ -0,0 +1,96 @@
+//! A token bucket for each replica that takes few requests: the leader counts them over all
+//! entries together.
+//!
+//! An entry asks for each request, right before it leaves, and may use the permit for
+//! [`PERMIT_MS`] only: what a replica gets in any span is then bounded by its rate, whatever
+//! happens to entries in between. Without a leader nobody sends to such a replica.
+//!
+//! Pure, and soft state: a new leader waits until nothing that the one before gave can count
+//! beside its own.
+
+use std::collections::BTreeMap;
+
+use crate::ids::ReplicaLife;
+
+/// How long a permit may be used from before it was asked for, in milliseconds: a call between
+/// halls, and the opening of a connection.
+pub const PERMIT_MS: u64 = 250;
+/// The span in which arrivals at a replica that warms up are counted, in milliseconds.
+const SPAN_MS: u64 = 1_000;
+/// Requests that may go at once, where none went for a while.
+const AT_ONCE: u64 = 2;
+/// Longest time until a refused entry asks again, in milliseconds: others may have stopped
+/// asking since.
+const LONGEST_WAIT_MS: u64 = 10_000;
+/// Replicas from which on those that are done are forgotten.
+const MANY: usize = 64;
+
+/// When requests of one replica are due, in microseconds.
+#[derive(Clone, Copy, Debug, Default)]
+struct TokenBucket {
+    /// The next one.
+    due_us: u64,
+    /// The one that the last refused entry was told to ask for.
+    offered_us: u64,
+}
+
+impl TokenBucket {
+    fn last_us(&self) -> u64 {
+        self.due_us.max(self.offered_us)
+    }
+}
+
+/// The buckets of one leader.
+#[derive(Debug)]
+pub struct RateLimiter {
+    opens_ms: u64,
+    buckets: BTreeMap<ReplicaLife, TokenBucket>,
+}
+
+impl RateLimiter {
+    /// The limiter of a leader that leads since `now_ms`.
+    pub fn new(now_ms: u64) -> Self {
+        Self {
+            opens_ms: now_ms + SPAN_MS + PERMIT_MS,
+            buckets: BTreeMap::new(),
+        }
+    }
+
+    /// Lets one request go to a replica that takes one in `gap_us`, or returns for how long an
+    /// entry waits until it asks again, in milliseconds.
+    pub fn take(&mut self, now_ms: u64, replica: &ReplicaLife, gap_us: u64) -> Result<(), u64> {
+        if now_ms < self.opens_ms {
+            return Err(self.opens_ms - now_ms);
+        }
+        let now_us = now_ms.saturating_mul(1_000);
+        self.forget_idle(now_us);
+        let bucket = self.buckets.entry(replica.clone()).or_default();
+        // As if requests had gone evenly until now, but for the few that may go at once.
+        let ahead_us = gap_us.saturating_mul(AT_ONCE - 1);
+        let due_us = bucket.due_us.max(now_us.saturating_sub(ahead_us));
+        if due_us <= now_us {
+            bucket.due_us = due_us.saturating_add(gap_us);
+            return Ok(());
+        }
+        // Each refused entry is told a time of its own: if all came back for the next request,
+        // all but one would have asked in vain.
+        let latest_us = now_us.saturating_add(LONGEST_WAIT_MS * 1_000);
+        let next_us = bucket.offered_us.saturating_add(gap_us);
+        bucket.offered_us = next_us.max(due_us).min(latest_us.max(due_us));
+        let wait_us = bucket.offered_us - now_us;
+        Err(wait_us.div_ceil(1_000).min(LONGEST_WAIT_MS))
+    }
+
+    /// Empties a replica's bucket: what was saved up under another rate does not count.
+    pub fn drain(&mut self, now_ms: u64, replica: &ReplicaLife, gap_us: u64) {
+        let bucket = self.buckets.entry(replica.clone()).or_default();
+        let next_us = now_ms.saturating_mul(1_000).saturating_add(gap_us);
+        bucket.due_us = bucket.due_us.max(next_us);
+    }
+
+    fn forget_idle(&mut self, now_us: u64) {
+        if self.buckets.len() >= MANY {
+            self.buckets.retain(|_, bucket| bucket.last_us() > now_us);
+        }
+    }
+}
--- /dev/null
+++ b/src/placement/replica_rates.rs
@@ -0,0 +1,133 @@
+//! What replicas get that take few requests, over all entries together: those that warm up, by
+//! the rate of their service, and those that name a limit. Where both hold, the lower rate
+//! counts.
+//!
+//! One leader's state; see [`crate::placement::rate_limit`] and
+//! [`crate::placement::named_limits`].
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{ReplicaLife, ServiceName, Term};
+use crate::placement::named_limits::{
+    LifeState, LimitCursor, LimitPage, LimitReport, LimitWord, NamedLimits, PermitStamp,
+};
+use crate::placement::rate_limit::RateLimiter;
+use crate::table::configuration::WarmupSpec;
+
+/// When an entry asks again that has not heard of this leader, in milliseconds.
+const FOLLOW_MS: u64 = 100;
+/// Time between two looks at what can be forgotten, in milliseconds.
+const PRUNE_EVERY_MS: u64 = 1_000;
+
+/// An entry asks to send one request to a replica.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PermitRequest {
+    /// The replica.
+    pub replica: ReplicaLife,
+    /// Its service.
+    pub service: ServiceName,
+    /// It warms up, as far as the entry knows.
+    pub is_cold: bool,
+    /// It names a limit, as far as the entry knows.
+    pub is_limited: bool,
+    /// The last answer with a limit that the entry heard.
+    pub named: Option<LimitWord>,
+    /// The changes of limits that the entry has.
+    pub cursor: LimitCursor,
+}
+
+/// What the leader says to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PermitReply {
+    /// One request may go there.
+    Granted(PermitStamp),
+    /// None may, and the entry asks again after so many milliseconds.
+    Wait(u64),
+}
+
+/// Rates and limits as one leader knows them.
+#[derive(Debug)]
+pub struct ReplicaRates {
+    limits: NamedLimits,
+    limiter: RateLimiter,
+    prune_due_ms: u64,
+}
+
+impl ReplicaRates {
+    /// Those of a leader of this term, who leads since `now_ms`.
+    pub fn new(term: Term, now_ms: u64) -> Self {
+        Self {
+            limits: NamedLimits::new(term, now_ms),
+            limiter: RateLimiter::new(now_ms),
+            prune_due_ms: now_ms,
+        }
+    }
+
+    /// Answers a request for a permit; `warm_up` is what the replica's service names.
+    pub fn permit(
+        &mut self,
+        now_ms: u64,
+        request: &PermitRequest,
+        warm_up: Option<WarmupSpec>,
+    ) -> PermitReply {
+        if let Some(word) = &request.named {
+            self.name(now_ms, word);
+        }
+        // The entry tells this leader first what it knows by the one before.
+        if request.is_limited && !self.limits.is_followed(request.cursor) {
+            return PermitReply::Wait(FOLLOW_MS);
+        }
+        let warm_up = warm_up.filter(|_| request.is_cold);
+        let cold_us = warm_up.map(|spec| spec.request_gap_ms.saturating_mul(1_000));
+        let named_us = self.limits.rate(&request.replica).map(|rate| rate.gap_us);
+        let taken = match cold_us.max(named_us) {
+            Some(gap_us) => self.limiter.take(now_ms, &request.replica, gap_us),
+            // The entry has not heard yet that it may send freely.
+            None => Ok(()),
+        };
+        match taken {
+            Ok(()) => PermitReply::Granted(self.limits.stamp(now_ms)),
+            Err(wait_ms) => PermitReply::Wait(wait_ms),
+        }
+    }
+
+    /// Takes what an entry heard of limits. Returns what changed for it.
+    pub fn report(&mut self, now_ms: u64, report: &LimitReport) -> LimitPage {
+        for word in &report.named {
+            self.name(now_ms, word);
+        }
+        for end in &report.ended {
+            if self.limits.end(now_ms, end) {
+                tracing::info!(replica = %end.replica, "limit of a replica ended");
+            }
+        }
+        self.limits.report(now_ms, report)
+    }
+
+    /// What changed since an entry's last page.
+    pub fn page(&self, now_ms: u64, cursor: LimitCursor) -> LimitPage {
+        self.limits.page(now_ms, cursor)
+    }
+
+    /// Whether a replica names a limit.
+    pub fn is_limited(&self, replica: &ReplicaLife) -> bool {
+        self.limits.rate(replica).is_some()
+    }
+
+    /// Forgets what is over, once in a while.
+    pub fn prune(&mut self, now_ms: u64, life_of: impl Fn(&ReplicaLife) -> LifeState) {
+        if now_ms >= self.prune_due_ms {
+            self.prune_due_ms = now_ms + PRUNE_EVERY_MS;
+            self.limits.prune(now_ms, life_of);
+        }
+    }
+
+    fn name(&mut self, now_ms: u64, word: &LimitWord) {
+        if !self.limits.name(now_ms, word) {
+            return;
+        }
+        self.limiter.drain(now_ms, &word.replica, word.rate.gap_us);
+        let (replica, per_s) = (&word.replica, word.rate.per_s());
+        tracing::info!(%replica, per_s, age_ms = word.age_ms, "replica names a limit");
+    }
+}
--- a/src/placement/report.rs
+++ b/src/placement/report.rs
@@ -6,6 +6,7 @@
 use snafu::Snafu;
 
 use crate::ids::ModelName;
+use crate::placement::named_limits::{LimitCursor, LimitPage};
 use crate::placement::order::AdapterPlace;
 
 /// What an entry asks of the leader and tells it.
@@ -17,6 +18,17 @@
     pub busy: BTreeMap<ModelName, f64>,
     /// Adapters in use by replica.
     pub adapters: BTreeSet<AdapterPlace>,
+    /// The changes of replicas' limits that it has.
+    pub limits: LimitCursor,
+}
+
+/// What the leader says to a report.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportReply {
+    /// How many entries report.
+    pub entries: u32,
+    /// Changes of replicas' limits.
+    pub limits: LimitPage,
 }
 
 /// A figure of an entry's report that cannot be true.
--- a/src/process/wire.rs
+++ b/src/process/wire.rs
@@ -17,10 +17,11 @@
 };
 use crate::placement::crowd::{CrowdReport, WaitingTokens};
 use crate::placement::duties::{AgentBeat, EntryBeat};
+use crate::placement::named_limits::{LimitPage, LimitReport};
 use crate::placement::order::AdapterPlace;
-use crate::placement::report::EntryReport;
+use crate::placement::replica_rates::{PermitReply, PermitRequest};
+use crate::placement::report::{EntryReport, ReportReply};
 use crate::placement::turns::{TurnAnswer, TurnAsk, TurnEnd};
-use crate::placement::warm_up::{WarmupAnswer, WarmupAsk};
 use crate::routing::authority::FreshnessProof;
 use crate::routing::view::SyncPage;
 use crate::table::accounts::QuotaSpec;
@@ -29,7 +30,7 @@
 use crate::table::rows::Row;
 
 /// Raised with each change of a type on the wire; peers of other versions are refused.
-pub const PROTOCOL: u32 = 8;
+pub const PROTOCOL: u32 = 9;
 
 /// Why control did not do what was asked.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -208,8 +209,8 @@
     async fn accounts() -> Result<Vec<AccountStatus>, ControlRefusal>;
     /// Replicas that another control host has heard; for the leader.
     async fn heard(ids: Vec<ReplicaId>) -> Result<(), ControlRefusal>;
-    /// An entry's report on demand; for the leader, which tells how many entries report.
-    async fn report(report: EntryReport) -> Result<u32, ControlRefusal>;
+    /// An entry's report on demand; for the leader.
+    async fn report(report: EntryReport) -> Result<ReportReply, ControlRefusal>;
     /// What an entry has waiting at replicas; the leader tells which ones are crowded.
     async fn crowd(report: CrowdReport) -> Result<WaitingTokens, ControlRefusal>;
     /// An entry wants an adapter; the leader tells whether it comes soon.
@@ -218,8 +219,10 @@
     async fn turn(ask: TurnAsk) -> Result<TurnAnswer, ControlRefusal>;
     /// An attempt that had a turn has ended; for the leader.
     async fn end_turn(end: TurnEnd) -> Result<(), ControlRefusal>;
-    /// Asks the leader whether one request may go to a replica that warms up.
-    async fn warm_up(ask: WarmupAsk) -> Result<WarmupAnswer, ControlRefusal>;
+    /// Asks the leader whether one request may go to a replica that takes few.
+    async fn permit(request: PermitRequest) -> Result<PermitReply, ControlRefusal>;
+    /// What an entry heard of the limits that replicas name; for the leader.
+    async fn limits(report: LimitReport) -> Result<LimitPage, ControlRefusal>;
     /// The contents under which replicas ended, by a linearizable read.
     async fn contents() -> Result<CrashBook, ControlRefusal>;
     /// Compares a replica's heartbeat with what is committed here; for hosts that
--- /dev/null
+++ b/src/routing/limited_peers.rs
@@ -0,0 +1,221 @@
+//! Which peers name a limit, as one entry knows: by their answers, and by the leader's word.
+//!
+//! How many requests such a peer gets from all entries together is counted by the leader, see
+//! [`crate::placement::replica_rates`]. What the leader takes back has ended; but what was heard
+//! here and not told yet is told first.
+//!
+//! Pure: the caller passes in the time.
+
+use std::collections::BTreeMap;
+
+use crate::ids::ReplicaLife;
+use crate::placement::named_limits::{
+    LimitCursor, LimitEnd, LimitPage, LimitReport, LimitState, LimitWord, PermitStamp,
+};
+use crate::routing::named_rate::NamedRate;
+
+/// The last answer with a limit.
+#[derive(Clone, Copy, Debug)]
+struct HeardLimit {
+    rate: NamedRate,
+    at_ms: u64,
+    permit: Option<PermitStamp>,
+    /// The leader has weighed it.
+    told: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+struct LimitNote {
+    /// By the leader's word.
+    known: Option<NamedRate>,
+    /// When that word came.
+    known_ms: u64,
+    heard: Option<HeardLimit>,
+    /// The newest permit whose answer named no limit any more.
+    ended: Option<PermitStamp>,
+}
+
+/// What an entry knows of all limits.
+#[derive(Clone, Debug, Default)]
+pub struct LimitedPeers {
+    notes: BTreeMap<ReplicaLife, LimitNote>,
+    cursor: LimitCursor,
+    /// Something is to be told before the next regular report.
+    has_news: bool,
+}
+
+impl LimitedPeers {
+    /// An answer named a limit. Returns whether that is news.
+    pub fn hear(
+        &mut self,
+        now_ms: u64,
+        peer: &ReplicaLife,
+        rate: NamedRate,
+        permit: Option<PermitStamp>,
+    ) -> bool {
+        let note = self.notes.entry(peer.clone()).or_default();
+        let known = note.known.or(note.heard.map(|heard| heard.rate));
+        let is_news = known != Some(rate);
+        note.heard = Some(HeardLimit {
+            rate,
+            at_ms: now_ms,
+            permit,
+            told: false,
+        });
+        self.has_news |= is_news;
+        is_news
+    }
+
+    /// An answer to a request that needed this permit named no limit. Returns whether it may
+    /// end one.
+    pub fn hear_none(&mut self, peer: &ReplicaLife, permit: PermitStamp) -> bool {
+        let Some(note) = self.notes.get_mut(peer) else {
+            return false;
+        };
+        note.ended = Some(permit);
+        self.has_news = true;
+        true
+    }
+
+    /// Whether a peer names a limit.
+    pub fn is_limited(&self, peer: &ReplicaLife) -> bool {
+        let note = self.notes.get(peer);
+        note.is_some_and(|note| note.known.is_some() || note.heard.is_some())
+    }
+
+    /// The last answer of a peer that named a limit, for the leader.
+    pub fn word(&self, now_ms: u64, peer: &ReplicaLife) -> Option<LimitWord> {
+        let heard = self.notes.get(peer)?.heard?;
+        Some(LimitWord {
+            replica: peer.clone(),
+            rate: heard.rate,
+            age_ms: now_ms.saturating_sub(heard.at_ms),
+            permit: heard.permit,
+        })
+    }
+
+    /// Up to where the leader's word is known.
+    pub fn cursor(&self) -> LimitCursor {
+        self.cursor
+    }
+
+    /// Whether a leader's word is known.
+    pub fn follows(&self) -> bool {
+        self.cursor != LimitCursor::default()
+    }
+
+    /// Whether something is to be told at once.
+    pub fn has_news(&self) -> bool {
+        self.has_news
+    }
+
+    /// What is to be told: ends, and limits that the leader has not weighed.
+    pub fn report(&mut self, now_ms: u64) -> LimitReport {
+        self.has_news = false;
+        let untold = self.notes.iter().filter(|(_, note)| match &note.heard {
+            Some(heard) => !heard.told,
+            None => false,
+        });
+        let named = untold.filter_map(|(peer, _)| self.word(now_ms, peer));
+        let ended = self.notes.iter().filter_map(|(peer, note)| {
+            Some(LimitEnd {
+                replica: peer.clone(),
+                permit: note.ended?,
+            })
+        });
+        LimitReport {
+            named: named.collect(),
+            ended: ended.collect(),
+            cursor: self.cursor,
+        }
+    }
+
+    /// The leader has weighed a report that was made at `asked_ms`.
+    pub fn confirm(&mut self, asked_ms: u64, report: &LimitReport) {
+        for end in &report.ended {
+            match self.notes.get_mut(&end.replica) {
+                Some(note) if note.ended == Some(end.permit) => note.ended = None,
+                _ => {}
+            }
+        }
+        for word in &report.named {
+            self.confirm_word(asked_ms, &word.replica);
+        }
+    }
+
+    /// The leader has weighed the last answer of a peer as it was at `asked_ms`.
+    pub fn confirm_word(&mut self, asked_ms: u64, peer: &ReplicaLife) {
+        let note = self.notes.get_mut(peer);
+        match note.and_then(|note| note.heard.as_mut()) {
+            Some(heard) if heard.at_ms <= asked_ms => heard.told = true,
+            _ => {}
+        }
+    }
+
+    /// A report could not be told.
+    pub fn miss(&mut self) {
+        self.has_news = true;
+    }
+
+    /// Takes the leader's word. Returns whether a limit has ended by it.
+    pub fn follow(&mut self, now_ms: u64, page: &LimitPage) -> bool {
+        let before = self.limited();
+        let is_new_leader = page.cursor.term != self.cursor.term;
+        self.cursor = page.cursor;
+        if is_new_leader {
+            self.tell_anew(now_ms);
+        }
+        if page.whole {
+            for note in self.notes.values_mut() {
+                note.known = None;
+                note.heard = note.heard.filter(|heard| !heard.told);
+            }
+        }
+        for state in &page.limits {
+            self.take(now_ms, state);
+        }
+        self.notes
+            .retain(|_, note| note.known.is_some() || note.heard.is_some() || note.ended.is_some());
+        self.limited() < before
+    }
+
+    fn limited(&self) -> usize {
+        let notes = self.notes.values();
+        notes
+            .filter(|note| note.known.is_some() || note.heard.is_some())
+            .count()
+    }
+
+    /// Another leader knows nothing of what the one before told or was told.
+    fn tell_anew(&mut self, now_ms: u64) {
+        for note in self.notes.values_mut() {
+            let known = note.known.map(|rate| HeardLimit {
+                rate,
+                at_ms: note.known_ms.min(now_ms),
+                permit: None,
+                told: false,
+            });
+            note.heard = note.heard.or(known);
+            if let Some(heard) = &mut note.heard {
+                heard.told = false;
+            }
+            note.ended = None;
+            self.has_news |= note.heard.is_some();
+        }
+    }
+
+    fn take(&mut self, now_ms: u64, state: &LimitState) {
+        let note = self.notes.entry(state.replica.clone()).or_default();
+        note.known = state.rate;
+        note.known_ms = now_ms;
+        if state.rate.is_none() {
+            note.heard = note.heard.filter(|heard| !heard.told);
+            self.has_news |= note.heard.is_some();
+        }
+    }
+
+    /// Forgets lives that are over; `is_over` knows which.
+    pub fn prune(&mut self, is_over: impl Fn(&ReplicaLife) -> bool) {
+        self.notes.retain(|peer, _| !is_over(peer));
+    }
+}
--- /dev/null
+++ b/src/routing/named_rate.rs
@@ -0,0 +1,37 @@
+//! The rate that a replica names in its answers: how many requests a second it takes from all
+//! entries together.
+
+use serde::{Deserialize, Serialize};
+
+/// Longest gap between two requests, in microseconds. Only an answer tells that a limit has
+/// ended, so a replica that names next to nothing is still sent a request this often.
+const LONGEST_GAP_US: u64 = 10_000_000;
+const SECOND_US: f64 = 1e6;
+
+/// A rate, as the time between two requests. A longer gap is the stricter rate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct NamedRate {
+    /// Time between two requests, in microseconds.
+    pub gap_us: u64,
+}
+
+impl NamedRate {
+    /// Reads the values of a header, in requests a second: the lowest counts. None where no
+    /// value is a finite number from 0 on.
+    pub fn parse<'a>(values: impl Iterator<Item = &'a str>) -> Option<Self> {
+        let parts = values.flat_map(|value| value.split(','));
+        let rates = parts.filter_map(|part| part.trim().parse::<f64>().ok());
+        let rates = rates.filter(|rate| rate.is_finite() && *rate >= 0.0);
+        let lowest = rates.min_by(f64::total_cmp)?;
+        // A quotient that is too large ends at the largest integer.
+        let gap_us = (SECOND_US / lowest.abs()).ceil() as u64;
+        Some(Self {
+            gap_us: gap_us.min(LONGEST_GAP_US),
+        })
+    }
+
+    /// Requests a second.
+    pub fn per_s(self) -> f64 {
+        SECOND_US / self.gap_us.max(1) as f64
+    }
+}
--- a/src/routing/warm_up.rs
+++ b/src/routing/warm_up.rs
@@ -1,7 +1,7 @@
-//! Which peers warm up, as one entry believes, and when it may ask to send to them again.
+//! Which peers warm up, as one entry believes.
 //!
 //! A peer that warms up bears few requests. How many it gets from all entries together is
-//! counted by the leader, see [`crate::placement::warm_up`]; this is what each entry holds
+//! counted by the leader, see [`crate::placement::replica_rates`]; this is what each entry holds
 //! by itself: until when it treats a peer as cold.
 //!
 //! Pure: the caller passes in the time.
@@ -15,8 +15,6 @@
     told_until_ms: u64,
     /// As it may have started again since that word.
     suspected_until_ms: u64,
-    /// The leader has none to give before.
-    refused_until_ms: u64,
 }
 
 impl WarmupNote {
@@ -59,29 +57,14 @@
         note.suspected_until_ms = note.suspected_until_ms.max(until_ms);
     }
 
-    /// The leader lets no request go there for so long.
-    pub fn refuse(&mut self, now_ms: u64, id: &Id, for_ms: u64) {
-        let note = self.notes.entry(id.clone()).or_default();
-        note.refused_until_ms = now_ms.saturating_add(for_ms);
-    }
-
     /// Whether a peer is to be treated as cold.
     pub fn is_cold(&self, now_ms: u64, id: &Id) -> bool {
         let note = self.notes.get(id);
         note.is_some_and(|note| now_ms < note.cold_until_ms())
     }
 
-    /// For how much longer the leader lets no request go to a peer, in milliseconds; none where
-    /// it may be asked.
-    pub fn refused_ms(&self, now_ms: u64, id: &Id) -> Option<u64> {
-        let note = self.notes.get(id)?;
-        let left_ms = note.refused_until_ms.saturating_sub(now_ms);
-        (left_ms > 0).then_some(left_ms)
-    }
-
     /// Forgets what says nothing any more.
     pub fn prune(&mut self, now_ms: u64) {
-        let counts = |note: &WarmupNote| note.cold_until_ms().max(note.refused_until_ms);
-        self.notes.retain(|_, note| now_ms < counts(note));
+        self.notes.retain(|_, note| now_ms < note.cold_until_ms());
     }
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -135,6 +135,7 @@
 
 fn busy(model: &str, level: f64) -> EntryReport {
     EntryReport {
+        limits: Default::default(),
         host: "e1".to_owned(),
         busy: BTreeMap::from([(ModelName::from(model), level)]),
         adapters: BTreeSet::new(),
--- /dev/null
+++ b/tests/replica_limits/main.rs
@@ -0,0 +1,206 @@
+//! Limits that replicas name, over all entries together: what arrives is counted against what
+//! they named, while leaders are lost, and entries start again, stand still and are cut off.
+
+mod world;
+
+use std::collections::VecDeque;
+
+use dunlinspring::routing::named_rate::NamedRate;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use world::{Phase, Step, World};
+
+/// The span in which arrivals are counted, in milliseconds.
+const SPAN_MS: u64 = 4_000;
+/// Time from the first answer that names a limit on, in milliseconds; its users allow 3 s.
+const FIRST_MS: u64 = 1_500;
+/// Time from when an entry knows of it on, in milliseconds.
+const KNOWN_MS: u64 = 500;
+/// Sizes of the deployments that are drawn.
+const SIZES: [usize; 4] = [1, 5, 60, 360];
+
+/// What may arrive in a span, as the replicas' users state it.
+fn allowed(per_s: f64) -> usize {
+    (1.5 * per_s * SPAN_MS as f64 / 1_000.0) as usize + 5
+}
+
+/// Most arrivals in a span of a phase, from entries that knew.
+fn most_in_a_span(world: &World, phase: &Phase) -> usize {
+    let from_ms = phase.from_ms + FIRST_MS;
+    let mut span = VecDeque::new();
+    let mut most = 0;
+    for arrival in &world.arrivals {
+        let knew = arrival
+            .known_ms
+            .is_some_and(|ms| ms + KNOWN_MS <= arrival.at_ms);
+        if !knew || !(from_ms..phase.until_ms).contains(&arrival.at_ms) {
+            continue;
+        }
+        span.push_back(arrival.at_ms);
+        while span
+            .front()
+            .is_some_and(|first| first + SPAN_MS <= arrival.at_ms)
+        {
+            span.pop_front();
+        }
+        most = most.max(span.len());
+    }
+    most
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        12 => (1u64..400).prop_map(Step::Wait),
+        3 => (400u64..3_000).prop_map(Step::Wait),
+        10 => (any::<usize>(), 1u32..20).prop_map(|(entry, count)| Step::Demand(entry, count)),
+        6 => (1usize..400).prop_map(Step::Crowd),
+        2 => (200u32..20_000).prop_map(Step::Name),
+        1 => Just(Step::Name(0)),
+        1 => Just(Step::Recover),
+        1 => (1u64..2_000).prop_map(Step::Slow),
+        1 => Just(Step::LoseLeader),
+        1 => any::<usize>().prop_map(Step::Restart),
+        1 => (any::<usize>(), 100u64..6_000).prop_map(|(entry, ms)| Step::Freeze(entry, ms)),
+        1 => (any::<usize>(), 100u64..6_000).prop_map(|(entry, ms)| Step::Cut(entry, ms)),
+    ]
+}
+
+fn cases() -> u32 {
+    let named = std::env::var("DUNLINSPRING_CASES");
+    named.ok().and_then(|text| text.parse().ok()).unwrap_or(100)
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: cases(),
+        rng_seed: RngSeed::Fixed(46),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn no_span_brings_more_than_a_replica_named(
+        size in prop::sample::select(&SIZES[..]),
+        seed in any::<u64>(),
+        first in 200u32..20_000,
+        steps in prop::collection::vec(step(), 50..150),
+    ) {
+        let mut world = World::new(size, seed);
+        world.step(Step::Name(first));
+        for step in steps {
+            world.step(step);
+        }
+        for phase in &world.phases {
+            let most = most_in_a_span(&world, phase);
+            let allowed = allowed(phase.per_s);
+            prop_assert!(most <= allowed, "{} in a span, {} allowed, {:?}", most, allowed, phase);
+        }
+    }
+}
+
+/// Demand at all entries for so long.
+fn press(world: &mut World, size: usize, for_ms: u64) {
+    for _ in 0..for_ms / 20 {
+        world.step(Step::Crowd(size));
+        world.step(Step::Wait(20));
+    }
+}
+
+#[test]
+fn while_there_is_demand_most_of_the_limit_is_used() {
+    for size in SIZES {
+        for thousandths in [200, 1_000, 5_000, 20_000] {
+            let mut world = World::new(size, 1);
+            world.step(Step::Name(thousandths));
+            press(&mut world, size, 5_000);
+            let (before, asked) = (world.arrivals.len(), world.asked);
+            press(&mut world, size, 60_000);
+            let got = world.arrivals.len() - before;
+            let limit = f64::from(thousandths) / 1_000.0 * 60.0;
+            println!(
+                "{size} entries, {limit} allowed in 60 s: {got} came, {} asked",
+                world.asked - asked
+            );
+            assert!(
+                got as f64 >= limit * 0.8,
+                "{size} entries: {got} of {limit}"
+            );
+        }
+    }
+}
+
+#[test]
+fn permits_asked_do_not_grow_with_the_entries_times_the_rate() {
+    let mut world = World::new(360, 1);
+    world.step(Step::Name(1_000));
+    press(&mut world, 360, 20_000);
+    let before = world.asked;
+    press(&mut world, 360, 60_000);
+    // One each for the requests that go, and each entry looks again every 10 s.
+    let most = 60 + 360 * 6;
+    assert!(
+        world.asked - before <= most + most / 10,
+        "{}",
+        world.asked - before
+    );
+}
+
+#[test]
+fn after_an_answer_without_a_limit_all_entries_send_freely_within_a_second() {
+    for size in SIZES {
+        for seed in 0..20 {
+            let mut world = World::new(size, seed);
+            world.step(Step::Name(2_000));
+            press(&mut world, size, 6_000);
+            assert_eq!(world.limited(), size);
+            world.step(Step::Recover);
+            while world.limited() > 0 {
+                press(&mut world, size.min(2), 20);
+                let free_ms = world.free_ms.unwrap_or(world.now_ms());
+                assert!(
+                    world.now_ms() < free_ms + 1_000,
+                    "{} entries still",
+                    world.limited()
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn a_limit_is_read_as_the_lowest_number_there_is() {
+    let gap_us = |values: &[&str]| NamedRate::parse(values.iter().copied()).map(|rate| rate.gap_us);
+    assert_eq!(gap_us(&["2"]), Some(500_000));
+    assert_eq!(gap_us(&[" 0.5 "]), Some(2_000_000));
+    assert_eq!(gap_us(&["3"]), Some(333_334));
+    assert_eq!(gap_us(&["5", "2"]), Some(500_000));
+    assert_eq!(gap_us(&["2, 5", "x"]), Some(500_000));
+    assert_eq!(gap_us(&["1e9"]), Some(1));
+    for next_to_nothing in ["0", "-0", "1e-9", "1e-320"] {
+        assert_eq!(gap_us(&[next_to_nothing]), Some(10_000_000));
+    }
+    for none in ["", "-1", "inf", "NaN", "-inf", "soon", "1;2", "0x10"] {
+        assert_eq!(gap_us(&[none]), None, "{none}");
+    }
+    assert_eq!(gap_us(&[]), None);
+}
+
+/// A leader that was not told of a limit would let requests go as to any other replica.
+#[test]
+fn a_new_leader_gives_no_permit_to_an_entry_that_knows_of_a_limit_by_the_one_before() {
+    let mut world = World::new(5, 1);
+    world.step(Step::Name(1_000));
+    press(&mut world, 1, 6_000);
+    assert_eq!(world.limited(), 5);
+    // Entry 0 alone has heard an answer that names the limit.
+    world.step(Step::Restart(0));
+    world.step(Step::LoseLeader);
+    let before = world.arrivals.len();
+    for _ in 0..200 {
+        world.step(Step::Demand(1, 1));
+        world.step(Step::Demand(2, 1));
+        world.step(Step::Wait(20));
+    }
+    let sent = world.arrivals.len() - before;
+    assert!(sent <= allowed(1.0), "{sent} sent");
+}
--- a/tests/support_names/mod.rs
+++ b/tests/support_names/mod.rs
@@ -11,6 +11,7 @@
     not_executed: "Not-Executed",
     load: "Load",
     leaving: "Leaving",
+    limit: "Limit",
     model: "Model",
     tokens: "Tokens",
     prefix: "Prefix",
--- a/tests/warm_up.rs
+++ b/tests/warm_up.rs
@@ -11,7 +11,8 @@
 use dunlinspring::forward::book::{Choice, EngineBounds, Need, ReplicaBar, ReplicaBook};
 use dunlinspring::forward::need::ChoicePolicy;
 use dunlinspring::ids::{HallName, ReplicaId, ReplicaLife, ServiceName};
-use dunlinspring::placement::warm_up::{PERMIT_MS, WarmupAnswer, WarmupDesk};
+use dunlinspring::placement::rate_limit::{PERMIT_MS, RateLimiter};
+use dunlinspring::routing::permit_pace::PermitPace;
 use dunlinspring::routing::warm_up::WarmupBook;
 use dunlinspring::table::configuration::{ServiceSpec, WarmupSpec};
 use proptest::prelude::*;
@@ -24,6 +25,8 @@
     request_gap_ms: 140,
     lasts_ms: 3_000,
 };
+/// The time between two requests, in microseconds.
+const GAP_US: u64 = SPEC.request_gap_ms * 1_000;
 /// What a replica bears in any second, as its users state it: half more than its rate, and
 /// a few.
 const MOST_PER_S: usize = 3 * 1_000 / (2 * SPEC.request_gap_ms as usize) + 5;
@@ -81,22 +84,24 @@
 /// When requests leave for one replica, by what entries and leaders do.
 fn departures(steps: &[Step]) -> Vec<u64> {
     let mut now_ms = 10_000;
-    let mut desk = WarmupDesk::new(0);
+    let mut limiter = RateLimiter::new(0);
     let mut sent = Vec::new();
-    let ask = |desk: &mut WarmupDesk, now_ms: u64, lag_ms: u64| {
-        let granted = desk.ask(now_ms, &life(), SPEC) == WarmupAnswer::Go;
+    let ask = |limiter: &mut RateLimiter, now_ms: u64, lag_ms: u64| {
+        let granted = limiter.take(now_ms, &life(), GAP_US).is_ok();
         // The entry counts from before it asked, and looks again right before it sends.
         (granted && lag_ms < PERMIT_MS).then_some(now_ms + lag_ms)
     };
     for step in steps {
         match *step {
             Step::Wait(for_ms) => now_ms += for_ms,
-            Step::Ask(answer_ms, way_ms) => sent.extend(ask(&mut desk, now_ms, answer_ms + way_ms)),
+            Step::Ask(answer_ms, way_ms) => {
+                sent.extend(ask(&mut limiter, now_ms, answer_ms + way_ms))
+            }
             Step::Crowd(lag_ms) => {
-                let many = (0..40).filter_map(|_| ask(&mut desk, now_ms, lag_ms));
+                let many = (0..40).filter_map(|_| ask(&mut limiter, now_ms, lag_ms));
                 sent.extend(many);
             }
-            Step::Lead => desk = WarmupDesk::new(now_ms),
+            Step::Lead => limiter = RateLimiter::new(now_ms),
         }
     }
     sent.sort_unstable();
@@ -135,10 +140,10 @@
 
 #[test]
 fn while_there_is_demand_most_of_the_rate_is_used() {
-    let mut desk = WarmupDesk::new(0);
+    let mut limiter = RateLimiter::new(0);
     let granted = (10_000..20_000)
         .step_by(10)
-        .filter(|now_ms| desk.ask(*now_ms, &life(), SPEC) == WarmupAnswer::Go)
+        .filter(|now_ms| limiter.take(*now_ms, &life(), GAP_US).is_ok())
         .count();
     let rate = 10_000 / SPEC.request_gap_ms as usize;
     assert!(granted * 10 >= rate * 8, "{granted} of {rate}");
@@ -147,19 +152,17 @@
 
 #[test]
 fn each_life_has_a_rate_of_its_own_and_a_new_leader_gives_nothing_at_first() {
-    let mut desk = WarmupDesk::new(5_000);
-    assert!(matches!(desk.ask(5_100, &life(), SPEC), WarmupAnswer::Wait(wait_ms) if wait_ms > 900));
+    let mut limiter = RateLimiter::new(5_000);
+    let refused = limiter.take(5_100, &life(), GAP_US);
+    assert!(refused.is_err_and(|wait_ms| wait_ms > 900));
     let next = ReplicaLife {
         born_ms: 8,
         ..life()
     };
-    let mut ask = |replica: &ReplicaLife| desk.ask(9_000, replica, SPEC);
-    assert_eq!(
-        (ask(&life()), ask(&life())),
-        (WarmupAnswer::Go, WarmupAnswer::Go)
-    );
-    assert_eq!(ask(&life()), WarmupAnswer::Wait(SPEC.request_gap_ms));
-    assert_eq!(ask(&next), WarmupAnswer::Go);
+    let mut ask = |replica: &ReplicaLife| limiter.take(9_000, replica, GAP_US);
+    assert_eq!((ask(&life()), ask(&life())), (Ok(()), Ok(())));
+    assert_eq!(ask(&life()), Err(SPEC.request_gap_ms));
+    assert_eq!(ask(&next), Ok(()));
 }
 
 #[test]
@@ -169,12 +172,12 @@
     assert!(book.is_cold(3_999, &"r") && !book.is_cold(4_000, &"r"));
     book.tell(2_000, &"r", 500);
     assert!(book.is_cold(2_499, &"r") && !book.is_cold(2_500, &"r"));
-    book.refuse(2_000, &"r", 100);
-    assert_eq!(book.refused_ms(2_040, &"r"), Some(60));
-    assert_eq!(book.refused_ms(2_100, &"r"), None);
     book.tell(2_040, &"r", 0);
-    assert_eq!(book.refused_ms(2_040, &"r"), None);
     assert!(!book.is_cold(2_040, &"r"));
+    let mut pace = PermitPace::default();
+    pace.refuse(2_000, 2_000, &"r", 100);
+    assert_eq!(pace.left_ms(2_040, &"r"), Some(60));
+    assert_eq!(pace.left_ms(2_100, &"r"), None);
 }
 
 fn need() -> Need {
@@ -206,9 +209,9 @@
     assert_eq!(choose(&book, 1_100), Choice::Send(id.clone()));
     assert!(book.is_cold(1_100, &id));
     let barred = book.claim(1_100, &life(), None);
-    assert_eq!(barred, Err(ReplicaBar::WarmingUp { left_ms: 0 }));
-    book.refuse_warm_up(1_100, &id, 140);
-    assert_eq!(choose(&book, 1_200), Choice::WarmingUp);
+    assert_eq!(barred, Err(ReplicaBar::RateLimited { left_ms: 0 }));
+    book.pace_mut().refuse(1_100, 1_100, &id, 140);
+    assert_eq!(choose(&book, 1_200), Choice::RateLimited(40));
     assert_eq!(book.room_in_ms(1_200, &need()), Some(40));
     assert_eq!(choose(&book, 1_240), Choice::Send(id.clone()));
     // By time, or by its own word, it is warm.
@@ -227,10 +230,10 @@
     book.follow(9_000, &BTreeMap::from([(id.clone(), silent)]));
     assert!(book.is_cold(60_000, &id));
     // Refused, it is left alone as the others are.
-    book.refuse_warm_up(60_000, &id, 300);
-    assert_eq!(choose(&book, 60_299), Choice::WarmingUp);
+    book.pace_mut().refuse(60_000, 60_000, &id, 300);
+    assert_eq!(choose(&book, 60_299), Choice::RateLimited(1));
     book.prune(60_100);
-    assert_eq!(choose(&book, 60_200), Choice::WarmingUp);
+    assert_eq!(choose(&book, 60_200), Choice::RateLimited(100));
     assert_eq!(choose(&book, 60_300), Choice::Send(id.clone()));
 }
 
@@ -266,18 +269,13 @@
     let mut book = WarmupBook::default();
     book.tell(5, &"r", u64::MAX);
     book.suspect(5, &"r", u64::MAX);
-    book.refuse(5, &"r", u64::MAX);
+    let mut pace = PermitPace::default();
+    pace.refuse(5, 5, &"r", u64::MAX);
+    assert!(pace.left_ms(u64::MAX - 1, &"r").is_some());
     assert!(book.is_cold(u64::MAX - 1, &"r"));
-    let slow = WarmupSpec {
-        request_gap_ms: u64::MAX,
-        lasts_ms: u64::MAX,
-    };
-    let mut desk = WarmupDesk::new(0);
-    assert_eq!(desk.ask(9_000, &life(), slow), WarmupAnswer::Go);
-    assert!(matches!(
-        desk.ask(9_000, &life(), slow),
-        WarmupAnswer::Wait(_)
-    ));
+    let mut limiter = RateLimiter::new(0);
+    assert_eq!(limiter.take(9_000, &life(), u64::MAX), Ok(()));
+    assert!(limiter.take(9_000, &life(), u64::MAX).is_err());
 }
 
 /// Each heartbeat of a start would be committed, for replicas that need no care.
