A home that names a limit does not count as one for a model that is asked for

What callers would see: a model whose only homes name limits is refused for as long as they do, with memory free elsewhere. Cause: the plan counts homes, and knew of no limit. Change: the leader's plan counts a limited replica as a home only of models with less than one request under way, and orders nothing there. Test first: the busy model stayed with its one home; now another replica loads it.

--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -557,6 +557,9 @@
         let (Some(state), Some(fleet)) = (self.replica.newest(now_ms), &mut self.fleet) else {
             return;
         };
+        if let Some(rates) = &self.rates {
+            fleet.follow_limits(rates.limited());
+        }
         let actions = fleet.round(state, now_ms);
         for command in actions.commands {
             tracing::info!(?command, "fleet decision");
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -128,6 +128,8 @@
     adapters: AdapterOrders,
     /// Lives that refuse this leader: an engine forgets fences when it starts again.
     fenced: BTreeSet<ReplicaLife>,
+    /// Lives that name a limit.
+    limited: BTreeSet<ReplicaLife>,
     /// Commands for the next round.
     proposed: Vec<Command>,
     /// Commands that follow from what the log says, and when each was proposed:
@@ -149,6 +151,9 @@
 /// How long a new leader that has heard of no demand orders nothing out, in milliseconds:
 /// it would take further homes of models that will be busy for others that will not.
 const UNAWARE_MS: u64 = 30_000;
+/// Demand for a model from which a home that names a limit does not count as one, in concurrent
+/// requests.
+const LIMITED_LEVEL: f64 = 1.0;
 /// How long room that was made for a model is kept for it, in milliseconds.
 const PROMISE_MS: u64 = 4_000;
 
@@ -195,6 +200,7 @@
             promised: BTreeMap::new(),
             adapters: AdapterOrders::default(),
             fenced: BTreeSet::new(),
+            limited: BTreeSet::new(),
             proposed: Vec::new(),
             awaited: Vec::new(),
         }
@@ -234,6 +240,11 @@
         self.crowd.take(now_ms, report, bound)
     }
 
+    /// Takes over which replicas name a limit.
+    pub fn follow_limits<'a>(&mut self, limited: impl Iterator<Item = &'a ReplicaLife>) {
+        self.limited = limited.cloned().collect();
+    }
+
     /// An entry's wish. Returns whether it will be met soon, and the order to send.
     pub fn on_wish(
         &mut self,
@@ -673,13 +684,16 @@
             .iter()
             .filter_map(|name| load_ms(name, true));
         let stays = record.phase == ReplicaPhase::Ready;
+        let limited = self.limited.contains(&record.life());
         if !stays {
             held.clear();
+        } else if limited {
+            held.retain(|model| self.demand.level(model) < LIMITED_LEVEL);
         }
         PlanReplica {
             id: record.id.clone(),
             hall: record.hall.clone(),
-            open: open && self.may_order(record),
+            open: open && !limited && self.may_order(record),
             free_mb: engine.weights_mb.saturating_sub(adapters_mb + taken_mb),
             held,
             coming,
--- a/src/placement/named_limits.rs
+++ b/src/placement/named_limits.rs
@@ -136,10 +136,10 @@
         self.notes.get(replica)?.rate
     }
 
-    /// Replicas that name a limit, with their rates.
-    pub fn limited(&self) -> impl Iterator<Item = (&ReplicaLife, NamedRate)> {
-        let notes = self.notes.iter();
-        notes.filter_map(|(replica, note)| Some((replica, note.rate?)))
+    /// Replicas that name a limit.
+    pub fn limited(&self) -> impl Iterator<Item = &ReplicaLife> {
+        let limited = self.notes.iter().filter(|(_, note)| note.rate.is_some());
+        limited.map(|(replica, _)| replica)
     }
 
     /// Whether an entry follows this leader.
--- a/src/placement/replica_rates.rs
+++ b/src/placement/replica_rates.rs
@@ -109,9 +109,9 @@
         self.limits.page(now_ms, cursor)
     }
 
-    /// Whether a replica names a limit.
-    pub fn is_limited(&self, replica: &ReplicaLife) -> bool {
-        self.limits.rate(replica).is_some()
+    /// Replicas that name a limit.
+    pub fn limited(&self) -> impl Iterator<Item = &ReplicaLife> {
+        self.limits.limited()
     }
 
     /// Forgets what is over, once in a while.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -933,3 +933,18 @@
     let phase = directory.records()[&ReplicaId::from("r2")].phase;
     assert_eq!(phase, ReplicaPhase::Draining);
 }
+
+#[test]
+fn a_busy_model_whose_only_home_names_a_limit_gets_another_one() {
+    let mut world = World::new(&["a"]);
+    let limited = record("r1", 1, &["a"]);
+    world.beat(&limited);
+    world.beat(&record("r2", 2, &[]));
+    world.duties.follow_limits([limited.life()].iter());
+    for now_ms in (3_000..6_000).step_by(100) {
+        world.duties.on_report(now_ms, busy("a", 3.0));
+        world.round(now_ms);
+    }
+    let loads = world.orders.iter().map(|order| &order.replica);
+    assert_eq!(loads.collect::<Vec<_>>(), [&ReplicaId::from("r2")]);
+}
