--- a/tests/replica_limits/main.rs
+++ b/tests/replica_limits/main.rs
@@ -5,10 +5,15 @@
 
 use std::collections::VecDeque;
 
+use dunlinspring::ids::{ReplicaLife, Term};
+use dunlinspring::placement::named_limits::{
+    LifeState, LimitCursor, LimitEnd, LimitReport, LimitWord, NamedLimits, PermitStamp,
+};
+use dunlinspring::routing::limited_peers::LimitedPeers;
 use dunlinspring::routing::named_rate::NamedRate;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
-use world::{Phase, Step, World};
+use world::{Phase, Step, World, replica};
 
 /// The span in which arrivals are counted, in milliseconds.
 const SPAN_MS: u64 = 4_000;
@@ -204,3 +209,117 @@
     let sent = world.arrivals.len() - before;
     assert!(sent <= allowed(1.0), "{sent} sent");
 }
+
+const TERM: Term = Term(3);
+
+fn stamp(granted_ms: u64) -> PermitStamp {
+    PermitStamp {
+        term: TERM,
+        granted_ms,
+    }
+}
+
+fn word(per_s: &str, age_ms: u64, permit: Option<PermitStamp>) -> LimitWord {
+    LimitWord {
+        replica: replica(),
+        rate: NamedRate::parse([per_s].into_iter()).unwrap(),
+        age_ms,
+        permit,
+    }
+}
+
+fn end(permit: PermitStamp) -> LimitEnd {
+    LimitEnd {
+        replica: replica(),
+        permit,
+    }
+}
+
+#[test]
+fn an_older_answer_that_comes_late_neither_ends_nor_begins_a_limit() {
+    let mut limits = NamedLimits::new(TERM, 0);
+    assert!(limits.name(5_000, &word("2", 0, None)));
+    // Its request left before the limit was heard of.
+    assert!(!limits.end(6_000, &end(stamp(5_000))));
+    let other_leader = PermitStamp {
+        term: Term(2),
+        granted_ms: 9_000,
+    };
+    assert!(!limits.end(6_000, &end(other_leader)));
+    assert!(limits.rate(&replica()).is_some());
+    assert!(limits.end(7_000, &end(stamp(6_000))));
+    // It came before the request left that showed the end.
+    assert!(!limits.name(7_500, &word("2", 1_500, None)));
+    assert!(limits.rate(&replica()).is_none());
+    assert!(limits.name(7_500, &word("2", 1_499, None)));
+}
+
+#[test]
+fn a_lower_number_counts_at_once_and_a_higher_one_by_a_newer_request() {
+    let mut limits = NamedLimits::new(TERM, 0);
+    let gap_us = |limits: &NamedLimits| limits.rate(&replica()).unwrap().gap_us;
+    limits.name(5_000, &word("2", 0, None));
+    limits.name(5_500, &word("1", 0, Some(stamp(100))));
+    assert_eq!(gap_us(&limits), 1_000_000);
+    limits.name(6_000, &word("4", 0, Some(stamp(5_500))));
+    assert_eq!(gap_us(&limits), 1_000_000);
+    limits.name(6_500, &word("4", 0, Some(stamp(5_501))));
+    assert_eq!(gap_us(&limits), 250_000);
+}
+
+#[test]
+fn no_limit_outlives_a_life_and_none_goes_with_a_record() {
+    let later = ReplicaLife {
+        born_ms: 8,
+        ..replica()
+    };
+    let mut limits = NamedLimits::new(TERM, 0);
+    limits.name(5_000, &word("2", 0, None));
+    assert!(limits.rate(&later).is_none());
+    limits.prune(500_000, |_| LifeState::Unknown);
+    assert!(limits.rate(&replica()).is_some());
+    limits.prune(500_000, |_| LifeState::Known);
+    limits.prune(1_000_000, |_| LifeState::Unknown);
+    assert!(limits.rate(&replica()).is_some());
+    limits.prune(1_000_001, |_| LifeState::Over);
+    assert!(limits.rate(&replica()).is_none());
+    // An entry that had it is told all that is left.
+    let had = LimitCursor {
+        term: TERM,
+        revision: 0,
+    };
+    let page = limits.page(1_000_001, had);
+    assert!(page.whole && page.limits.is_empty());
+
+    let mut peers = LimitedPeers::default();
+    peers.hear(1_000, &replica(), word("2", 0, None).rate, None);
+    assert!(peers.is_limited(&replica()) && !peers.is_limited(&later));
+    peers.prune(|life| life.born_ms < 8);
+    assert!(!peers.is_limited(&replica()));
+}
+
+#[test]
+fn an_entry_that_was_cut_off_while_a_limit_ended_gives_it_up() {
+    let mut limits = NamedLimits::new(TERM, 0);
+    let mut peers = LimitedPeers::default();
+    peers.hear(5_000, &replica(), word("2", 0, None).rate, None);
+    let told = peers.report(5_000);
+    let page = {
+        limits.name(5_010, &told.named[0]);
+        limits.report(5_010, &told)
+    };
+    peers.confirm(5_000, &told);
+    peers.follow(5_020, &page);
+    // Heard once more, but not told.
+    peers.hear(5_500, &replica(), word("2", 0, None).rate, None);
+    limits.end(9_000, &end(stamp(8_000)));
+    let missed = limits.page(9_500, peers.cursor());
+    peers.follow(9_500, &missed);
+    assert!(peers.is_limited(&replica()) && peers.has_news());
+    let report: LimitReport = peers.report(9_600);
+    limits.name(9_610, &report.named[0]);
+    let page = limits.report(9_610, &report);
+    peers.confirm(9_600, &report);
+    peers.follow(9_620, &page);
+    assert!(!peers.is_limited(&replica()));
+}
