A call that may not be repeated claims again where one claim met no quorum

What callers saw: as an agent stopped, beside much load, a call was told not-run, no-quorum, in place of done (known red, planned_stops_cut_nothing_off). Of the two ways to that word only the claim can give it: where a run was refused and its end not recorded, the refusal is told. Cause: one claim without an answer within 3 s ended the call, whatever patience its caller had. Change: the same attempt claims again, as often as a lost pull is repeated. A claim is told apart by its attempt, so one that was recorded is granted once more. Test first: the flight finished after the first lost claim. The fuzz of outcomes holds. Left: that this was the cause of what was seen is read from the code; the entry stays listed.

--- a/src/routing/flight.rs
+++ b/src/routing/flight.rs
@@ -251,8 +251,7 @@
             (Stage::Claiming(trial), FlightEvent::Claimed(answer)) => {
                 self.on_claimed(trial, answer)
             }
-            // Nothing was started, and a later resolver can only seal it.
-            (Stage::Claiming(_), _) => self.finish_not_run(EndCause::NoQuorum),
+            (Stage::Claiming(trial), _) => self.on_unclaimed(trial),
             (
                 Stage::Starting(trial) | Stage::Following(trial) | Stage::Sealing(trial),
                 FlightEvent::Word(word),
@@ -298,6 +297,17 @@
         }
     }
 
+    /// The claim got no answer in time. The same attempt may claim once more, whether it holds
+    /// the claim by now or not.
+    fn on_unclaimed(&mut self, trial: FlightTrial) {
+        self.lost += 1;
+        match self.lost > self.policy.lost_pulls {
+            false => self.stage = Stage::Claiming(trial),
+            // Nothing was started, and a later resolver can only seal it.
+            true => self.finish_not_run(EndCause::NoQuorum),
+        }
+    }
+
     /// Another attempt holds the key: end it if it has not started, else follow it.
     fn on_taken(&mut self, record: ClaimRecord) {
         self.stage = match record.settled {
