--- a/src/forward/request/placing.rs
+++ b/src/forward/request/placing.rs
@@ -52,21 +52,12 @@
                 }
                 Choice::NoAdapter => (Refusal::Adapter, self.room_wait()),
                 Choice::Paused(left_ms) => {
-                    let limit = self.room_wait();
-                    let ends = waited + Duration::from_millis(left_ms);
-                    // Surely not in time: it is told so now, with the time that was named.
-                    if ends > limit.min(self.left()) {
-                        return Err(Refusal::Paused);
-                    }
-                    (Refusal::Paused, limit)
+                    let refusal = Refusal::Paused;
+                    (refusal, self.wait_for(refusal, waited, left_ms)?)
                 }
                 Choice::RateLimited(left_ms) => {
-                    let limit = self.room_wait();
-                    let ends = waited + Duration::from_millis(left_ms);
-                    if ends > limit.min(self.left()) {
-                        return Err(Refusal::RateLimited);
-                    }
-                    (Refusal::RateLimited, limit)
+                    let refusal = Refusal::RateLimited;
+                    (refusal, self.wait_for(refusal, waited, left_ms)?)
                 }
                 Choice::Evacuated => return Err(Refusal::Evacuated),
                 Choice::Absent => {
@@ -94,6 +85,22 @@
         self.permit.is_some()
     }
 
+    /// How long a request waits that has waited for so long, where a replica takes one in
+    /// `left_ms`. One that surely comes too late is refused now.
+    fn wait_for(
+        &self,
+        refusal: Refusal,
+        waited: Duration,
+        left_ms: u64,
+    ) -> Result<Duration, Refusal> {
+        let limit = self.room_wait();
+        let ends = waited + Duration::from_millis(left_ms);
+        match ends > limit.min(self.left()) {
+            true => Err(refusal),
+            false => Ok(limit),
+        }
+    }
+
     fn room_wait(&self) -> Duration {
         patience::wait_for_room(self.aim(), self.core.choice().room_part)
     }
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -117,3 +117,9 @@
 mutant leaving-not-kept src/routing/backoff.rs 's/note if note\.leaves\(life\) => /note if false \&\& note.leaves(life) => /' forwarding a_replica_that_says_in_an_answer
 mutant no-last-look src/forward/request.rs 's/Err\(_\) => \{\n                core\.pool\.borrow_mut\(\)\.put\(replica, connection\);\n                return Tried::Unsent;\n            \}/Err(_) => None,/' forwarding a_request_whose_connection_was_slow
 mutant refusals-not-kept src/entry/flight_steps.rs 's/state\.refusals\.note\([^;]*;//' overload a_home_that_refused_a_row
+limits=no_span_brings_more_than_a_replica_named
+mutant limit-not-adopted src/placement/replica_rates.rs 's/cold_us\.max\(named_us\)/cold_us/' replica_limits $limits
+mutant permit-outside-of-the-known-term src/placement/replica_rates.rs 's/if request\.is_limited && !self\.limits/if false \&\& !self.limits/' replica_limits a_new_leader_gives_no_permit
+mutant limit-ended-by-any-answer src/placement/named_limits.rs 's/ && granted_ms > note\.named_ms//' replica_limits an_older_answer_that_comes_late
+mutant bucket-full-at-a-new-limit src/placement/rate_limit.rs 's/bucket\.due_us = bucket\.due_us\.max\(next_us\);/let _ = next_us;/' replica_limits $limits
+mutant limit-heard-by-one-entry src/placement/named_limits.rs 's/let changes = self\.changes\.range\(from \+ 1\.\.\);/let changes = self.changes.range(u64::MAX..);/' replica_limits after_an_answer_without
