A replica that names a higher limit gets it at the next permit, at all entries

What callers would see: a replica that had named next to nothing and then 20 a second got one request in ten seconds on: 1 of 100 in 5 s with 5 entries. Found by a test of the change of a limit. Cause: another entry's notice of the lower number, heard long before, lowered it again; and both bucket and entries went on to wait for the longer gap. Change: an answer that came before the request was permitted whose answer showed the higher number says nothing, as after an end; a shorter gap ends what waits for a longer one, and an entry asks anew once the leader tells another rate. Ruled out: the notice that raises was taken, and then undone. Test first, then all four sizes within 12 s of the change; the other tests hold. Notices are called so.

--- a/src/forward/permits.rs
+++ b/src/forward/permits.rs
@@ -78,7 +78,7 @@
         let now_ms = clock::monotonic_ms();
         let mut book = self.book.borrow_mut();
         if asked.is_ok() {
-            book.limits_mut().confirm_word(asked_ms, replica);
+            book.limits_mut().confirm_notice(asked_ms, replica);
         }
         let pace = book.pace_mut();
         let (answer, granted) = match asked {
@@ -107,7 +107,7 @@
             service: record.service.clone(),
             is_cold: book.is_cold(now_ms, &record.id),
             is_limited: limits.is_limited(&replica),
-            named: limits.word(now_ms, &replica),
+            named: limits.last_notice(now_ms, &replica),
             cursor: limits.cursor(),
             replica,
         }
--- a/src/placement/named_limits.rs
+++ b/src/placement/named_limits.rs
@@ -32,7 +32,7 @@
 
 /// An answer that names a limit.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LimitWord {
+pub struct LimitNotice {
     /// The replica.
     pub replica: ReplicaLife,
     /// What it takes.
@@ -65,7 +65,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LimitReport {
     /// Answers with a limit.
-    pub named: Vec<LimitWord>,
+    pub named: Vec<LimitNotice>,
     /// Answers without one any more.
     pub ended: Vec<LimitEnd>,
     /// The changes that it has.
@@ -97,8 +97,9 @@
     rate: Option<NamedRate>,
     /// When this rate was heard of first.
     named_ms: u64,
-    /// When the request was permitted that showed its end.
-    ended_ms: Option<u64>,
+    /// When the request was permitted whose answer showed the end or a higher rate: answers that
+    /// came before say nothing.
+    settled_ms: Option<u64>,
     /// Its last change.
     revision: u64,
     /// When the log knew the replica last, or the limit ended.
@@ -156,26 +157,33 @@
     }
 
     /// An answer named a limit. Returns whether the replica takes less than was known.
-    pub fn name(&mut self, now_ms: u64, word: &LimitWord) -> bool {
-        if word.age_ms >= KEPT_MS {
+    pub fn name(&mut self, now_ms: u64, notice: &LimitNotice) -> bool {
+        if notice.age_ms >= KEPT_MS {
             return false;
         }
-        let heard_ms = now_ms.saturating_sub(word.age_ms);
-        let note = self.notes.entry(word.replica.clone()).or_default();
-        let proven = word
-            .permit
-            .is_some_and(|permit| permit.term == self.term && permit.granted_ms > note.named_ms);
-        let tightens = match note.rate {
-            None if note.ended_ms.is_some_and(|ended_ms| heard_ms <= ended_ms) => return false,
-            None => true,
-            Some(known) if word.rate > known => true,
-            Some(known) if word.rate < known && proven => false,
-            Some(_) => return false,
+        let heard_ms = now_ms.saturating_sub(notice.age_ms);
+        let note = self.notes.entry(notice.replica.clone()).or_default();
+        if note
+            .settled_ms
+            .is_some_and(|settled_ms| heard_ms <= settled_ms)
+        {
+            return false;
+        }
+        let proof = notice.permit.filter(|permit| permit.term == self.term);
+        let proof = proof.filter(|permit| permit.granted_ms > note.named_ms);
+        let tightens = match (note.rate, proof) {
+            (None, _) => true,
+            (Some(known), _) if notice.rate > known => true,
+            (Some(known), Some(permit)) if notice.rate < known => {
+                note.settled_ms = Some(permit.granted_ms);
+                false
+            }
+            _ => return false,
         };
-        note.rate = Some(word.rate);
+        note.rate = Some(notice.rate);
         note.named_ms = now_ms;
         note.kept_since_ms = now_ms;
-        self.note_change(&word.replica);
+        self.note_change(&notice.replica);
         tightens
     }
 
@@ -188,7 +196,7 @@
             return false;
         };
         note.rate = None;
-        note.ended_ms = Some(granted_ms);
+        note.settled_ms = Some(granted_ms);
         note.kept_since_ms = now_ms;
         self.note_change(&end.replica);
         true
@@ -208,7 +216,7 @@
     /// that it told of.
     pub fn report(&mut self, now_ms: u64, report: &LimitReport) -> LimitPage {
         let mut page = self.page(now_ms, report.cursor);
-        let named = report.named.iter().map(|word| &word.replica);
+        let named = report.named.iter().map(|notice| &notice.replica);
         let ended = report.ended.iter().map(|end| &end.replica);
         let told = named.chain(ended).map(|replica| LimitState {
             replica: replica.clone(),
@@ -247,8 +255,8 @@
         }
     }
 
-    /// Forgets limits that ended long ago, and those of lives that are over. `knows` tells
-    /// whether the log knows a life, or a later one of the same replica.
+    /// Forgets limits that ended long ago, and those of lives that are over;
+    /// `life_of` looks a life up in the log.
     pub fn prune(&mut self, now_ms: u64, life_of: impl Fn(&ReplicaLife) -> LifeState) {
         let mut over = Vec::new();
         for (replica, note) in &mut self.notes {
--- a/src/placement/rate_limit.rs
+++ b/src/placement/rate_limit.rs
@@ -32,9 +32,20 @@
     due_us: u64,
     /// The one that the last refused entry was told to ask for.
     offered_us: u64,
+    /// Time between two requests, as it was last.
+    gap_us: u64,
 }
 
 impl TokenBucket {
+    /// Takes over a gap; after a shorter one nothing waits for the longer one before.
+    fn follow_gap(&mut self, now_us: u64, gap_us: u64) {
+        if gap_us < self.gap_us {
+            self.due_us = self.due_us.min(now_us.saturating_add(gap_us));
+            self.offered_us = 0;
+        }
+        self.gap_us = gap_us;
+    }
+
     fn last_us(&self) -> u64 {
         self.due_us.max(self.offered_us)
     }
@@ -65,6 +76,7 @@
         let now_us = now_ms.saturating_mul(1_000);
         self.forget_idle(now_us);
         let bucket = self.buckets.entry(replica.clone()).or_default();
+        bucket.follow_gap(now_us, gap_us);
         // As if requests had gone evenly until now, but for the few that may go at once.
         let ahead_us = gap_us.saturating_mul(AT_ONCE - 1);
         let due_us = bucket.due_us.max(now_us.saturating_sub(ahead_us));
@@ -82,7 +94,7 @@
     }
 
     /// Empties a replica's bucket: what was saved up under another rate does not count.
-    pub fn drain(&mut self, now_ms: u64, replica: &ReplicaLife, gap_us: u64) {
+    pub fn empty(&mut self, now_ms: u64, replica: &ReplicaLife, gap_us: u64) {
         let bucket = self.buckets.entry(replica.clone()).or_default();
         let next_us = now_ms.saturating_mul(1_000).saturating_add(gap_us);
         bucket.due_us = bucket.due_us.max(next_us);
--- a/src/placement/replica_rates.rs
+++ b/src/placement/replica_rates.rs
@@ -9,7 +9,7 @@
 
 use crate::ids::{ReplicaLife, ServiceName, Term};
 use crate::placement::named_limits::{
-    LifeState, LimitCursor, LimitPage, LimitReport, LimitWord, NamedLimits, PermitStamp,
+    LifeState, LimitCursor, LimitNotice, LimitPage, LimitReport, NamedLimits, PermitStamp,
 };
 use crate::placement::rate_limit::RateLimiter;
 use crate::table::configuration::WarmupSpec;
@@ -31,7 +31,7 @@
     /// It names a limit, as far as the entry knows.
     pub is_limited: bool,
     /// The last answer with a limit that the entry heard.
-    pub named: Option<LimitWord>,
+    pub named: Option<LimitNotice>,
     /// The changes of limits that the entry has.
     pub cursor: LimitCursor,
 }
@@ -70,8 +70,8 @@
         request: &PermitRequest,
         warm_up: Option<WarmupSpec>,
     ) -> PermitReply {
-        if let Some(word) = &request.named {
-            self.name(now_ms, word);
+        if let Some(notice) = &request.named {
+            self.name(now_ms, notice);
         }
         // The entry tells this leader first what it knows by the one before.
         if request.is_limited && !self.limits.is_followed(request.cursor) {
@@ -93,8 +93,8 @@
 
     /// Takes what an entry heard of limits. Returns what changed for it.
     pub fn report(&mut self, now_ms: u64, report: &LimitReport) -> LimitPage {
-        for word in &report.named {
-            self.name(now_ms, word);
+        for notice in &report.named {
+            self.name(now_ms, notice);
         }
         for end in &report.ended {
             if self.limits.end(now_ms, end) {
@@ -122,12 +122,13 @@
         }
     }
 
-    fn name(&mut self, now_ms: u64, word: &LimitWord) {
-        if !self.limits.name(now_ms, word) {
+    fn name(&mut self, now_ms: u64, notice: &LimitNotice) {
+        if !self.limits.name(now_ms, notice) {
             return;
         }
-        self.limiter.drain(now_ms, &word.replica, word.rate.gap_us);
-        let (replica, per_s) = (&word.replica, word.rate.per_s());
-        tracing::info!(%replica, per_s, age_ms = word.age_ms, "replica names a limit");
+        self.limiter
+            .empty(now_ms, &notice.replica, notice.rate.gap_us);
+        let (replica, per_s) = (&notice.replica, notice.rate.per_s());
+        tracing::info!(%replica, per_s, age_ms = notice.age_ms, "replica names a limit");
     }
 }
--- a/src/routing/limited_peers.rs
+++ b/src/routing/limited_peers.rs
@@ -1,4 +1,4 @@
-//! Which peers name a limit, as one entry knows: by their answers, and by the leader's word.
+//! Which peers name a limit, as one entry knows: by their answers, and by what the leader tells.
 //!
 //! How many requests such a peer gets from all entries together is counted by the leader, see
 //! [`crate::placement::replica_rates`]. What the leader takes back has ended; but what was heard
@@ -10,7 +10,7 @@
 
 use crate::ids::ReplicaLife;
 use crate::placement::named_limits::{
-    LimitCursor, LimitEnd, LimitPage, LimitReport, LimitState, LimitWord, PermitStamp,
+    LimitCursor, LimitEnd, LimitNotice, LimitPage, LimitReport, LimitState, PermitStamp,
 };
 use crate::routing::named_rate::NamedRate;
 
@@ -26,9 +26,9 @@
 
 #[derive(Clone, Debug, Default)]
 struct LimitNote {
-    /// By the leader's word.
+    /// As the leader told.
     known: Option<NamedRate>,
-    /// When that word came.
+    /// When it told so.
     known_ms: u64,
     heard: Option<HeardLimit>,
     /// The newest permit whose answer named no limit any more.
@@ -77,6 +77,12 @@
         true
     }
 
+    /// Whether the leader tells another rate of a peer than before.
+    pub fn is_news(&self, state: &LimitState) -> bool {
+        let note = self.notes.get(&state.replica);
+        note.and_then(|note| note.known) != state.rate
+    }
+
     /// Whether a peer names a limit.
     pub fn is_limited(&self, peer: &ReplicaLife) -> bool {
         let note = self.notes.get(peer);
@@ -84,9 +90,9 @@
     }
 
     /// The last answer of a peer that named a limit, for the leader.
-    pub fn word(&self, now_ms: u64, peer: &ReplicaLife) -> Option<LimitWord> {
+    pub fn last_notice(&self, now_ms: u64, peer: &ReplicaLife) -> Option<LimitNotice> {
         let heard = self.notes.get(peer)?.heard?;
-        Some(LimitWord {
+        Some(LimitNotice {
             replica: peer.clone(),
             rate: heard.rate,
             age_ms: now_ms.saturating_sub(heard.at_ms),
@@ -94,12 +100,12 @@
         })
     }
 
-    /// Up to where the leader's word is known.
+    /// Up to where the leader's changes are known.
     pub fn cursor(&self) -> LimitCursor {
         self.cursor
     }
 
-    /// Whether a leader's word is known.
+    /// Whether it follows a leader.
     pub fn follows(&self) -> bool {
         self.cursor != LimitCursor::default()
     }
@@ -116,7 +122,7 @@
             Some(heard) => !heard.told,
             None => false,
         });
-        let named = untold.filter_map(|(peer, _)| self.word(now_ms, peer));
+        let named = untold.filter_map(|(peer, _)| self.last_notice(now_ms, peer));
         let ended = self.notes.iter().filter_map(|(peer, note)| {
             Some(LimitEnd {
                 replica: peer.clone(),
@@ -138,13 +144,13 @@
                 _ => {}
             }
         }
-        for word in &report.named {
-            self.confirm_word(asked_ms, &word.replica);
+        for notice in &report.named {
+            self.confirm_notice(asked_ms, &notice.replica);
         }
     }
 
     /// The leader has weighed the last answer of a peer as it was at `asked_ms`.
-    pub fn confirm_word(&mut self, asked_ms: u64, peer: &ReplicaLife) {
+    pub fn confirm_notice(&mut self, asked_ms: u64, peer: &ReplicaLife) {
         let note = self.notes.get_mut(peer);
         match note.and_then(|note| note.heard.as_mut()) {
             Some(heard) if heard.at_ms <= asked_ms => heard.told = true,
@@ -157,13 +163,13 @@
         self.has_news = true;
     }
 
-    /// Takes the leader's word. Returns whether a limit has ended by it.
+    /// Takes over the leader's changes. Returns whether a limit has ended by it.
     pub fn follow(&mut self, now_ms: u64, page: &LimitPage) -> bool {
         let before = self.limited();
         let is_new_leader = page.cursor.term != self.cursor.term;
         self.cursor = page.cursor;
         if is_new_leader {
-            self.tell_anew(now_ms);
+            self.report_anew(now_ms);
         }
         if page.whole {
             for note in self.notes.values_mut() {
@@ -187,7 +193,7 @@
     }
 
     /// Another leader knows nothing of what the one before told or was told.
-    fn tell_anew(&mut self, now_ms: u64) {
+    fn report_anew(&mut self, now_ms: u64) {
         for note in self.notes.values_mut() {
             let known = note.known.map(|rate| HeardLimit {
                 rate,
--- a/src/routing/permit_pace.rs
+++ b/src/routing/permit_pace.rs
@@ -69,6 +69,11 @@
         note.refused_until_ms = now_ms.saturating_add(for_ms);
     }
 
+    /// A peer takes another number of requests than before: what was refused says nothing.
+    pub fn forget(&mut self, id: &Id) {
+        self.notes.remove(id);
+    }
+
     /// Time until a permit may be asked for, in milliseconds; none where it may now.
     pub fn left_ms(&self, now_ms: u64, id: &Id) -> Option<u64> {
         self.notes.get(id)?.left_ms(now_ms)
--- a/tests/replica_limits/main.rs
+++ b/tests/replica_limits/main.rs
@@ -7,7 +7,7 @@
 
 use dunlinspring::ids::{ReplicaLife, Term};
 use dunlinspring::placement::named_limits::{
-    LifeState, LimitCursor, LimitEnd, LimitReport, LimitWord, NamedLimits, PermitStamp,
+    LifeState, LimitCursor, LimitEnd, LimitNotice, LimitReport, NamedLimits, PermitStamp,
 };
 use dunlinspring::routing::limited_peers::LimitedPeers;
 use dunlinspring::routing::named_rate::NamedRate;
@@ -219,8 +219,8 @@
     }
 }
 
-fn word(per_s: &str, age_ms: u64, permit: Option<PermitStamp>) -> LimitWord {
-    LimitWord {
+fn notice(per_s: &str, age_ms: u64, permit: Option<PermitStamp>) -> LimitNotice {
+    LimitNotice {
         replica: replica(),
         rate: NamedRate::parse([per_s].into_iter()).unwrap(),
         age_ms,
@@ -238,7 +238,7 @@
 #[test]
 fn an_older_answer_that_comes_late_neither_ends_nor_begins_a_limit() {
     let mut limits = NamedLimits::new(TERM, 0);
-    assert!(limits.name(5_000, &word("2", 0, None)));
+    assert!(limits.name(5_000, &notice("2", 0, None)));
     // Its request left before the limit was heard of.
     assert!(!limits.end(6_000, &end(stamp(5_000))));
     let other_leader = PermitStamp {
@@ -249,21 +249,21 @@
     assert!(limits.rate(&replica()).is_some());
     assert!(limits.end(7_000, &end(stamp(6_000))));
     // It came before the request left that showed the end.
-    assert!(!limits.name(7_500, &word("2", 1_500, None)));
+    assert!(!limits.name(7_500, &notice("2", 1_500, None)));
     assert!(limits.rate(&replica()).is_none());
-    assert!(limits.name(7_500, &word("2", 1_499, None)));
+    assert!(limits.name(7_500, &notice("2", 1_499, None)));
 }
 
 #[test]
 fn a_lower_number_counts_at_once_and_a_higher_one_by_a_newer_request() {
     let mut limits = NamedLimits::new(TERM, 0);
     let gap_us = |limits: &NamedLimits| limits.rate(&replica()).unwrap().gap_us;
-    limits.name(5_000, &word("2", 0, None));
-    limits.name(5_500, &word("1", 0, Some(stamp(100))));
+    limits.name(5_000, &notice("2", 0, None));
+    limits.name(5_500, &notice("1", 0, Some(stamp(100))));
     assert_eq!(gap_us(&limits), 1_000_000);
-    limits.name(6_000, &word("4", 0, Some(stamp(5_500))));
+    limits.name(6_000, &notice("4", 0, Some(stamp(5_500))));
     assert_eq!(gap_us(&limits), 1_000_000);
-    limits.name(6_500, &word("4", 0, Some(stamp(5_501))));
+    limits.name(6_500, &notice("4", 0, Some(stamp(5_501))));
     assert_eq!(gap_us(&limits), 250_000);
 }
 
@@ -274,7 +274,7 @@
         ..replica()
     };
     let mut limits = NamedLimits::new(TERM, 0);
-    limits.name(5_000, &word("2", 0, None));
+    limits.name(5_000, &notice("2", 0, None));
     assert!(limits.rate(&later).is_none());
     limits.prune(500_000, |_| LifeState::Unknown);
     assert!(limits.rate(&replica()).is_some());
@@ -292,7 +292,7 @@
     assert!(page.whole && page.limits.is_empty());
 
     let mut peers = LimitedPeers::default();
-    peers.hear(1_000, &replica(), word("2", 0, None).rate, None);
+    peers.hear(1_000, &replica(), notice("2", 0, None).rate, None);
     assert!(peers.is_limited(&replica()) && !peers.is_limited(&later));
     peers.prune(|life| life.born_ms < 8);
     assert!(!peers.is_limited(&replica()));
@@ -302,7 +302,7 @@
 fn an_entry_that_was_cut_off_while_a_limit_ended_gives_it_up() {
     let mut limits = NamedLimits::new(TERM, 0);
     let mut peers = LimitedPeers::default();
-    peers.hear(5_000, &replica(), word("2", 0, None).rate, None);
+    peers.hear(5_000, &replica(), notice("2", 0, None).rate, None);
     let told = peers.report(5_000);
     let page = {
         limits.name(5_010, &told.named[0]);
@@ -311,7 +311,7 @@
     peers.confirm(5_000, &told);
     peers.follow(5_020, &page);
     // Heard once more, but not told.
-    peers.hear(5_500, &replica(), word("2", 0, None).rate, None);
+    peers.hear(5_500, &replica(), notice("2", 0, None).rate, None);
     limits.end(9_000, &end(stamp(8_000)));
     let missed = limits.page(9_500, peers.cursor());
     peers.follow(9_500, &missed);
@@ -323,3 +323,19 @@
     peers.follow(9_620, &page);
     assert!(!peers.is_limited(&replica()));
 }
+
+#[test]
+fn a_replica_that_names_a_higher_limit_gets_it_soon() {
+    for size in SIZES {
+        let mut world = World::new(size, 1);
+        world.step(Step::Name(0));
+        press(&mut world, size, 25_000);
+        world.step(Step::Name(20_000));
+        // The next request that goes there brings the word of it.
+        press(&mut world, size, 12_000);
+        let before = world.arrivals.len();
+        press(&mut world, size, 5_000);
+        let got = world.arrivals.len() - before;
+        assert!(got >= 80, "{size} entries: {got} of 100");
+    }
+}
--- a/tests/replica_limits/world.rs
+++ b/tests/replica_limits/world.rs
@@ -359,7 +359,7 @@
             is_cold: false,
             is_limited: true,
             cursor: entry.peers.cursor(),
-            named: entry.peers.word(now_ms, &replica()),
+            named: entry.peers.last_notice(now_ms, &replica()),
         };
         let asked = self.call_leader(number, Event::AskArrives(number, life, request, now_ms));
         let pace = &mut self.entries[number].pace;
@@ -372,7 +372,7 @@
     fn take_reply(&mut self, number: usize, reply: PermitReply, asked_ms: u64) {
         let now_ms = self.now_ms;
         let entry = &mut self.entries[number];
-        entry.peers.confirm_word(asked_ms, &replica());
+        entry.peers.confirm_notice(asked_ms, &replica());
         match reply {
             // A connection opens meanwhile, for up to the rest of the permit's time.
             PermitReply::Granted(stamp) if now_ms < asked_ms + PERMIT_MS => {
@@ -441,6 +441,11 @@
             entry.telling = false;
             entry.peers.confirm(asked_ms, &report);
         }
+        for state in &page.limits {
+            if entry.peers.is_news(state) {
+                entry.pace.forget(&state.replica);
+            }
+        }
         entry.peers.follow(now_ms, page);
         if entry.peers.has_news() {
             self.tell(number);
