A page of limits that comes after a newer one is passed over

Cause: two questions of an entry may be under way, its report and what it heard of a limit; an older page that came last took back a limit that had begun again, for up to half a second. Found by reading. Change: pages of a leader count by their revision, those of leaders by their term; a leader that still gathers is heard in any order, as it takes nothing back. Test first: the older page ended the limit.

--- a/src/placement/named_limits.rs
+++ b/src/placement/named_limits.rs
@@ -53,7 +53,7 @@
 }
 
 /// Up to where an entry knows what a leader knows.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct LimitCursor {
     /// The leader's term.
     pub term: Term,
--- a/src/routing/limited_peers.rs
+++ b/src/routing/limited_peers.rs
@@ -165,6 +165,11 @@
 
     /// Takes over the leader's changes. Returns whether a limit has ended by it.
     pub fn follow(&mut self, now_ms: u64, page: &LimitPage) -> bool {
+        // Two questions may be under way, and the later answer may come first.
+        let gathers = page.cursor == LimitCursor::default();
+        if page.cursor < self.cursor && !gathers {
+            return false;
+        }
         let before = self.limited();
         let is_new_leader = page.cursor.term != self.cursor.term;
         self.cursor = page.cursor;
--- a/tests/replica_limits/main.rs
+++ b/tests/replica_limits/main.rs
@@ -339,3 +339,17 @@
         assert!(got >= 80, "{size} entries: {got} of 100");
     }
 }
+
+#[test]
+fn an_older_page_that_comes_after_a_newer_one_ends_no_limit() {
+    let mut limits = NamedLimits::new(TERM, 0);
+    let mut peers = LimitedPeers::default();
+    limits.name(5_000, &notice("2", 0, None));
+    limits.end(6_000, &end(stamp(5_500)));
+    let older = limits.page(6_000, peers.cursor());
+    limits.name(6_100, &notice("2", 0, None));
+    let newer = limits.page(6_100, peers.cursor());
+    peers.follow(6_200, &newer);
+    peers.follow(6_210, &older);
+    assert!(peers.is_limited(&replica()));
+}
