One guard for what leaders do with rates; limits are copied for the plan only when they change

Found by reading the change again. The leader copied the set of limited replicas into its plan on each tick, though it changes with a limit only: now by the revision that pages have anyway. Three functions had the same guard of leadership: use_rates, as use_quotas beside it. The last look asked for a limit in two arms, by the record's life or without a record: it is asked for the life that is sent to. An entry went through a page twice and wrote a line for states that it had: one pass, and a line for news only.

--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -471,10 +471,9 @@
         now_ms: u64,
         request: &PermitRequest,
     ) -> Result<PermitReply, ControlRefusal> {
-        let (Some(state), Some(rates)) = (self.replica.newest(now_ms), &mut self.rates) else {
-            return Err(self.not_leader());
-        };
-        Ok(rates.permit(now_ms, request, state.warm_up(&request.service)))
+        self.use_rates(now_ms, |rates, state| {
+            rates.permit(now_ms, request, state.warm_up(&request.service))
+        })
     }
 
     fn on_limits(
@@ -482,10 +481,18 @@
         now_ms: u64,
         report: &LimitReport,
     ) -> Result<LimitPage, ControlRefusal> {
-        let (Some(_), Some(rates)) = (self.replica.newest(now_ms), &mut self.rates) else {
-            return Err(self.not_leader());
-        };
-        Ok(rates.report(now_ms, report))
+        self.use_rates(now_ms, |rates, _| rates.report(now_ms, report))
+    }
+
+    fn use_rates<T>(
+        &mut self,
+        now_ms: u64,
+        make: impl FnOnce(&mut ReplicaRates, &SiteState) -> T,
+    ) -> Result<T, ControlRefusal> {
+        match (self.replica.newest(now_ms), &mut self.rates) {
+            (Some(state), Some(rates)) => Ok(make(rates, state)),
+            _ => Err(self.not_leader()),
+        }
     }
 
     fn on_report(
@@ -558,7 +565,7 @@
             return;
         };
         if let Some(rates) = &self.rates {
-            fleet.follow_limits(rates.limited());
+            fleet.follow_limits(rates.revision(), rates.limited());
         }
         let actions = fleet.round(state, now_ms);
         for command in actions.commands {
@@ -659,9 +666,9 @@
         };
         self.propose_all(commands);
         self.fleet_round(now_ms);
-        if let (Some(state), Some(rates)) = (self.replica.newest(now_ms), &mut self.rates) {
+        let _ = self.use_rates(now_ms, |rates, state| {
             rates.prune(now_ms, |life| life_state(state, life));
-        }
+        });
         let hosts = &self.hosts;
         let host_of = |node: NodeId| hosts.get(&node).cloned();
         let changed = match self.settings.open_membership {
--- a/src/forward/book/bars.rs
+++ b/src/forward/book/bars.rs
@@ -55,15 +55,13 @@
         permit: Option<RatePermit>,
     ) -> Result<SendClaim, ReplicaBar> {
         let permit = permit.filter(|permit| permit.holds(now_ms, life));
-        match self.record(&life.id) {
-            Some(record) if self.is_evacuated(record) => return Err(ReplicaBar::Evacuated),
-            Some(record) if permit.is_none() && self.takes_few(now_ms, record) => {
-                return Err(ReplicaBar::RateLimited { left_ms: 0 });
-            }
-            None if permit.is_none() && self.limits.is_limited(life) => {
-                return Err(ReplicaBar::RateLimited { left_ms: 0 });
-            }
-            _ => {}
+        let record = self.record(&life.id);
+        if record.is_some_and(|record| self.is_evacuated(record)) {
+            return Err(ReplicaBar::Evacuated);
+        }
+        let cold = record.is_some_and(|record| self.warms_up(now_ms, record));
+        if permit.is_none() && (cold || self.limits.is_limited(life)) {
+            return Err(ReplicaBar::RateLimited { left_ms: 0 });
         }
         let claimed = self.backoffs.claim(now_ms, &life.id, life.born_ms);
         claimed.map_err(ReplicaBar::Asked)
--- a/src/forward/limits.rs
+++ b/src/forward/limits.rs
@@ -6,7 +6,7 @@
 use crate::clock;
 use crate::forward::daemon::EntryCore;
 use crate::ids::ReplicaLife;
-use crate::placement::named_limits::{LimitPage, LimitState, PermitStamp};
+use crate::placement::named_limits::{LimitPage, PermitStamp};
 use crate::routing::named_rate::NamedRate;
 
 /// Least time between two reports.
@@ -82,15 +82,13 @@
 
     /// Takes over the leader's changes of limits.
     pub fn follow_limits(&self, page: &LimitPage) {
-        for state in &page.limits {
-            let per_s = state.rate.map(|rate| rate.per_s());
-            tracing::info!(replica = %state.replica, per_s, "limit of a replica");
-        }
         let mut book = self.book.borrow_mut();
-        let news = page.limits.iter();
-        let news: Vec<&LimitState> = news.filter(|state| book.limits().is_news(state)).collect();
-        for state in news {
-            book.pace_mut().forget(&state.replica.id);
+        for state in &page.limits {
+            if book.limits().is_news(state) {
+                let per_s = state.rate.map(|rate| rate.per_s());
+                tracing::info!(replica = %state.replica, per_s, "limit of a replica");
+                book.pace_mut().forget(&state.replica.id);
+            }
         }
         let limits = book.limits_mut();
         let ended = limits.follow(clock::monotonic_ms(), page);
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -130,6 +130,8 @@
     fenced: BTreeSet<ReplicaLife>,
     /// Lives that name a limit.
     limited: BTreeSet<ReplicaLife>,
+    /// The change of limits that this is from.
+    limits_revision: u64,
     /// Commands for the next round.
     proposed: Vec<Command>,
     /// Commands that follow from what the log says, and when each was proposed:
@@ -201,6 +203,7 @@
             adapters: AdapterOrders::default(),
             fenced: BTreeSet::new(),
             limited: BTreeSet::new(),
+            limits_revision: 0,
             proposed: Vec::new(),
             awaited: Vec::new(),
         }
@@ -240,9 +243,16 @@
         self.crowd.take(now_ms, report, bound)
     }
 
-    /// Takes over which replicas name a limit.
-    pub fn follow_limits<'a>(&mut self, limited: impl Iterator<Item = &'a ReplicaLife>) {
-        self.limited = limited.cloned().collect();
+    /// Takes over which replicas name a limit, as of a change that rises.
+    pub fn follow_limits<'a>(
+        &mut self,
+        revision: u64,
+        limited: impl Iterator<Item = &'a ReplicaLife>,
+    ) {
+        if self.limits_revision != revision {
+            self.limits_revision = revision;
+            self.limited = limited.cloned().collect();
+        }
     }
 
     /// An entry's wish. Returns whether it will be met soon, and the order to send.
--- a/src/placement/named_limits.rs
+++ b/src/placement/named_limits.rs
@@ -137,6 +137,11 @@
         self.notes.get(replica)?.rate
     }
 
+    /// The last change.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Replicas that name a limit.
     pub fn limited(&self) -> impl Iterator<Item = &ReplicaLife> {
         let limited = self.notes.iter().filter(|(_, note)| note.rate.is_some());
--- a/src/placement/replica_rates.rs
+++ b/src/placement/replica_rates.rs
@@ -109,6 +109,11 @@
         self.limits.page(now_ms, cursor)
     }
 
+    /// The last change of limits.
+    pub fn revision(&self) -> u64 {
+        self.limits.revision()
+    }
+
     /// Replicas that name a limit.
     pub fn limited(&self) -> impl Iterator<Item = &ReplicaLife> {
         self.limits.limited()
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -940,7 +940,7 @@
     let limited = record("r1", 1, &["a"]);
     world.beat(&limited);
     world.beat(&record("r2", 2, &[]));
-    world.duties.follow_limits([limited.life()].iter());
+    world.duties.follow_limits(1, [limited.life()].iter());
     for now_ms in (3_000..6_000).step_by(100) {
         world.duties.on_report(now_ms, busy("a", 3.0));
         world.round(now_ms);
