--- a/tests/forwarding/limits.rs
+++ b/tests/forwarding/limits.rs
@@ -4,6 +4,7 @@
 
 use futures::future::join_all;
 
+use crate::support::support_spans::most_within;
 use crate::support::{Behaviour, ForwardSite, RouteShape};
 
 const SAFE: RouteShape = RouteShape::plain("/plain/");
@@ -25,13 +26,7 @@
     let arrivals: Vec<Instant> = site.seen(replica).iter().map(|seen| seen.at).collect();
     let from = arrivals.first().map(|first| *first + HEARD);
     let counted = arrivals.iter().filter(|at| Some(**at) >= from);
-    let counted: Vec<Instant> = counted.copied().collect();
-    let within = |begin: Instant| {
-        let span = begin..begin + SPAN;
-        counted.iter().filter(|at| span.contains(*at)).count()
-    };
-    let spans = counted.iter().map(|begin| within(*begin));
-    spans.max().unwrap_or(0)
+    most_within(counted.copied(), SPAN)
 }
 
 /// Callers at all entries for so long. Returns how many were served.
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -5,6 +5,8 @@
 mod support_names;
 #[path = "../../support_replicas/mod.rs"]
 mod support_replicas;
+#[path = "../../support_spans/mod.rs"]
+pub mod support_spans;
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
--- a/tests/replica_limits/main.rs
+++ b/tests/replica_limits/main.rs
@@ -1,10 +1,10 @@
 //! Limits that replicas name, over all entries together: what arrives is counted against what
 //! they named, while leaders are lost, and entries start again, stand still and are cut off.
 
+#[path = "../support_spans/mod.rs"]
+mod support_spans;
 mod world;
 
-use std::collections::VecDeque;
-
 use dunlinspring::ids::{ReplicaLife, Term};
 use dunlinspring::placement::named_limits::{
     LifeState, LimitCursor, LimitEnd, LimitNotice, LimitReport, NamedLimits, PermitStamp,
@@ -13,6 +13,7 @@
 use dunlinspring::routing::named_rate::NamedRate;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
+use support_spans::most_within;
 use world::{Phase, Step, World, replica};
 
 /// The span in which arrivals are counted, in milliseconds.
@@ -32,25 +33,12 @@
 /// Most arrivals in a span of a phase, from entries that knew.
 fn most_in_a_span(world: &World, phase: &Phase) -> usize {
     let from_ms = phase.from_ms + FIRST_MS;
-    let mut span = VecDeque::new();
-    let mut most = 0;
-    for arrival in &world.arrivals {
-        let knew = arrival
-            .known_ms
-            .is_some_and(|ms| ms + KNOWN_MS <= arrival.at_ms);
-        if !knew || !(from_ms..phase.until_ms).contains(&arrival.at_ms) {
-            continue;
-        }
-        span.push_back(arrival.at_ms);
-        while span
-            .front()
-            .is_some_and(|first| first + SPAN_MS <= arrival.at_ms)
-        {
-            span.pop_front();
-        }
-        most = most.max(span.len());
-    }
-    most
+    let counted = world.arrivals.iter().filter(|arrival| {
+        let known_ms = arrival.known_ms;
+        let knew = known_ms.is_some_and(|ms| ms + KNOWN_MS <= arrival.at_ms);
+        knew && (from_ms..phase.until_ms).contains(&arrival.at_ms)
+    });
+    most_within(counted.map(|arrival| arrival.at_ms), SPAN_MS)
 }
 
 fn step() -> impl Strategy<Value = Step> {
--- /dev/null
+++ b/tests/support_spans/mod.rs
@@ -0,0 +1,22 @@
+//! Arrivals within a span.
+
+use std::collections::VecDeque;
+use std::ops::Add;
+
+/// Most of some ascending times that lie within any span.
+pub fn most_within<T, D>(times: impl IntoIterator<Item = T>, span: D) -> usize
+where
+    T: Copy + PartialOrd + Add<D, Output = T>,
+    D: Copy,
+{
+    let mut within = VecDeque::new();
+    let mut most = 0;
+    for time in times {
+        within.push_back(time);
+        while within.front().is_some_and(|first| *first + span <= time) {
+            within.pop_front();
+        }
+        most = most.max(within.len());
+    }
+    most
+}
--- a/tests/warm_up.rs
+++ b/tests/warm_up.rs
@@ -2,9 +2,10 @@
 
 mod support_place;
 mod support_replicas;
+mod support_spans;
 mod support_state;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use dunlinspring::consensus::directory::{BeatNews, ReplicaPhase, ReplicaRecord};
 use dunlinspring::consensus::state::{Change, Command, SiteState};
@@ -19,6 +20,7 @@
 use proptest::test_runner::{Config, RngSeed};
 use support_place::flat_place;
 use support_replicas::ready_replica;
+use support_spans::most_within;
 use support_state::{apply, configured};
 
 const SPEC: WarmupSpec = WarmupSpec {
@@ -108,19 +110,6 @@
     sent
 }
 
-fn most_in_a_second(sent: &[u64]) -> usize {
-    let mut span = VecDeque::new();
-    let mut most = 0;
-    for at_ms in sent {
-        span.push_back(*at_ms);
-        while span.front().is_some_and(|first| first + 1_000 <= *at_ms) {
-            span.pop_front();
-        }
-        most = most.max(span.len());
-    }
-    most
-}
-
 proptest! {
     #![proptest_config(Config {
         cases: 500,
@@ -133,7 +122,7 @@
     #[test]
     fn no_second_brings_more_than_a_replica_bears(steps in prop::collection::vec(step(), 100..200)) {
         let sent = departures(&steps);
-        let most = most_in_a_second(&sent);
+        let most = most_within(sent, 1_000);
         prop_assert!(most <= MOST_PER_S, "{} in a second, {} allowed", most, MOST_PER_S);
     }
 }
