--- a/src/forward/limits.rs
+++ b/src/forward/limits.rs
@@ -87,7 +87,7 @@
             if book.limits().is_news(state) {
                 let per_s = state.rate.map(|rate| rate.per_s());
                 tracing::info!(replica = %state.replica, per_s, "limit of a replica");
-                book.pace_mut().forget(&state.replica.id);
+                book.pace_mut().follow(&state.replica.id, state.rate);
             }
         }
         let limits = book.limits_mut();
--- a/src/forward/permits.rs
+++ b/src/forward/permits.rs
@@ -9,13 +9,16 @@
 use crate::ids::{ReplicaId, ReplicaLife};
 use crate::placement::named_limits::PermitStamp;
 use crate::placement::rate_limit::PERMIT_MS;
-use crate::placement::replica_rates::{PermitReply, PermitRequest};
+use crate::placement::replica_rates::{PermitRefusal, PermitReply, PermitRequest};
 use crate::process::peers::PeerError;
 use crate::routing::permit_pace::ASK_MS;
 
-/// Pause after a question that nobody answered, in milliseconds: other replicas are sent to
+/// What stands for an answer that nobody gave: other replicas are sent to
 /// meanwhile.
-const SILENT_MS: u64 = 300;
+const SILENT: PermitRefusal = PermitRefusal {
+    wait_ms: 300,
+    rate: None,
+};
 
 /// The permit to send one request to a replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -86,13 +89,13 @@
                 pace.grant(asked_ms, &replica.id);
                 ("granted", Some(stamp))
             }
-            Ok(PermitReply::Wait(wait_ms)) => {
-                pace.refuse(now_ms, asked_ms, &replica.id, wait_ms);
+            Ok(PermitReply::Refused(refusal)) => {
+                pace.refuse(now_ms, asked_ms, &replica.id, refusal);
                 ("wait", None)
             }
             Err(error) => {
                 tracing::debug!(%error, %replica, "a permit to send was not asked for");
-                pace.refuse(now_ms, asked_ms, &replica.id, SILENT_MS);
+                pace.refuse(now_ms, asked_ms, &replica.id, SILENT);
                 ("none", None)
             }
         };
--- a/src/placement/rate_limit.rs
+++ b/src/placement/rate_limit.rs
@@ -21,9 +21,11 @@
 const AT_ONCE: u64 = 2;
 /// Longest time until a refused entry asks again, in milliseconds: others may have stopped
 /// asking since.
-const LONGEST_WAIT_MS: u64 = 20_000;
-/// Parts of a gap by which the times that more entries share than there are requests differ.
-const PHASES: u64 = 8;
+const LONGEST_WAIT_MS: u64 = 10_000;
+/// Entries that are told the longest wait come back at so many times, so far apart, in
+/// microseconds: not all at once.
+const SPREAD_STEPS: u64 = 64;
+const SPREAD_STEP_US: u64 = 8_000;
 /// Replicas from which on those that are done are forgotten.
 const MANY: usize = 64;
 
@@ -34,8 +36,8 @@
     due_us: u64,
     /// The one that the last refused entry was told to ask for.
     offered_us: u64,
-    /// How often the times up to the longest wait have been told.
-    laps: u64,
+    /// Entries that were told the longest wait.
+    beyond: u64,
     /// Time between two requests, as it was last.
     gap_us: u64,
 }
@@ -50,18 +52,16 @@
         self.gap_us = gap_us;
     }
 
-    /// When the next refused entry asks again. Beyond the longest wait it begins anew, between
-    /// the times that were told before.
+    /// When the next refused entry asks again.
     fn offer(&mut self, now_us: u64, due_us: u64) -> u64 {
         let latest_us = now_us.saturating_add(LONGEST_WAIT_MS * 1_000);
         let next_us = self.offered_us.saturating_add(self.gap_us);
         if next_us > latest_us {
-            self.laps += 1;
-            let phase_us = self.gap_us / PHASES * (self.laps % PHASES);
-            self.offered_us = due_us.saturating_add(phase_us);
-        } else {
-            self.offered_us = next_us.max(due_us);
+            self.beyond += 1;
+            let sooner_us = self.beyond % SPREAD_STEPS * SPREAD_STEP_US;
+            return due_us.max(latest_us - sooner_us);
         }
+        self.offered_us = next_us.max(due_us);
         self.offered_us
     }
 
--- a/src/placement/replica_rates.rs
+++ b/src/placement/replica_rates.rs
@@ -12,6 +12,7 @@
     LifeState, LimitCursor, LimitNotice, LimitPage, LimitReport, NamedLimits, PermitStamp,
 };
 use crate::placement::rate_limit::RateLimiter;
+use crate::routing::named_rate::NamedRate;
 use crate::table::configuration::WarmupSpec;
 
 /// When an entry asks again that has not heard of this leader, in milliseconds.
@@ -41,8 +42,17 @@
 pub enum PermitReply {
     /// One request may go there.
     Granted(PermitStamp),
-    /// None may, and the entry asks again after so many milliseconds.
-    Wait(u64),
+    /// None may for now.
+    Refused(PermitRefusal),
+}
+
+/// Why a permit is not given, and for how long.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PermitRefusal {
+    /// Time until the entry asks again, in milliseconds.
+    pub wait_ms: u64,
+    /// The limit that the replica names, as the leader knows it.
+    pub rate: Option<NamedRate>,
 }
 
 /// Rates and limits as one leader knows them.
@@ -75,19 +85,22 @@
         }
         // The entry tells this leader first what it knows by the one before.
         if request.is_limited && !self.limits.is_followed(request.cursor) {
-            return PermitReply::Wait(FOLLOW_MS);
+            return PermitReply::Refused(PermitRefusal {
+                wait_ms: FOLLOW_MS,
+                rate: None,
+            });
         }
         let warm_up = warm_up.filter(|_| request.is_cold);
         let cold_us = warm_up.map(|spec| spec.request_gap_ms.saturating_mul(1_000));
-        let named_us = self.limits.rate(&request.replica).map(|rate| rate.gap_us);
-        let taken = match cold_us.max(named_us) {
+        let rate = self.limits.rate(&request.replica);
+        let taken = match cold_us.max(rate.map(|rate| rate.gap_us)) {
             Some(gap_us) => self.limiter.take(now_ms, &request.replica, gap_us),
             // The entry has not heard yet that it may send freely.
             None => Ok(()),
         };
         match taken {
             Ok(()) => PermitReply::Granted(self.limits.stamp(now_ms)),
-            Err(wait_ms) => PermitReply::Wait(wait_ms),
+            Err(wait_ms) => PermitReply::Refused(PermitRefusal { wait_ms, rate }),
         }
     }
 
--- a/src/routing/permit_pace.rs
+++ b/src/routing/permit_pace.rs
@@ -5,6 +5,9 @@
 
 use std::collections::BTreeMap;
 
+use crate::placement::replica_rates::PermitRefusal;
+use crate::routing::named_rate::NamedRate;
+
 /// Time after which a question gets no answer any more, in milliseconds.
 pub const ASK_MS: u64 = 125;
 /// Questions at once after a permit was given; after a refusal it is one.
@@ -15,6 +18,8 @@
 #[derive(Clone, Debug, Default)]
 struct PaceNote {
     refused_until_ms: u64,
+    /// The limit under which it was refused.
+    rate: Option<NamedRate>,
     /// When each question that has no answer was asked.
     asking: Vec<u64>,
     granted: bool,
@@ -61,17 +66,20 @@
         note.granted = true;
     }
 
-    /// What was asked at `asked_ms` is refused, and so is all else for so long.
-    pub fn refuse(&mut self, now_ms: u64, asked_ms: u64, id: &Id, for_ms: u64) {
+    /// What was asked at `asked_ms` is refused, and so is all else for a time.
+    pub fn refuse(&mut self, now_ms: u64, asked_ms: u64, id: &Id, refusal: PermitRefusal) {
         let note = self.notes.entry(id.clone()).or_default();
         note.asking.retain(|at| *at != asked_ms);
         note.granted = false;
-        note.refused_until_ms = now_ms.saturating_add(for_ms);
+        note.refused_until_ms = now_ms.saturating_add(refusal.wait_ms);
+        note.rate = refusal.rate;
     }
 
-    /// A peer takes another number of requests than before: what was refused says nothing.
-    pub fn forget(&mut self, id: &Id) {
-        self.notes.remove(id);
+    /// A peer names another limit: what was refused under the one before says nothing.
+    pub fn follow(&mut self, id: &Id, rate: Option<NamedRate>) {
+        if self.notes.get(id).is_some_and(|note| note.rate != rate) {
+            self.notes.remove(id);
+        }
     }
 
     /// Time until a permit may be asked for, in milliseconds; none where it may now.
--- a/tests/replica_limits/world.rs
+++ b/tests/replica_limits/world.rs
@@ -5,7 +5,9 @@
 use dunlinspring::ids::{ReplicaId, ReplicaLife, ServiceName, Term};
 use dunlinspring::placement::named_limits::{LimitCursor, LimitPage, LimitReport, PermitStamp};
 use dunlinspring::placement::rate_limit::PERMIT_MS;
-use dunlinspring::placement::replica_rates::{PermitReply, PermitRequest, ReplicaRates};
+use dunlinspring::placement::replica_rates::{
+    PermitRefusal, PermitReply, PermitRequest, ReplicaRates,
+};
 use dunlinspring::routing::limited_peers::LimitedPeers;
 use dunlinspring::routing::named_rate::NamedRate;
 use dunlinspring::routing::permit_pace::PermitPace;
@@ -16,8 +18,11 @@
 const REPORT_MS: u64 = 500;
 /// Longest time of one message, in milliseconds.
 const WAY_MS: u64 = 60;
-/// Pause of an entry whose question nobody answered, in milliseconds.
-const SILENT_MS: u64 = 300;
+/// Stands for an answer that nobody gave.
+const SILENT: PermitRefusal = PermitRefusal {
+    wait_ms: 300,
+    rate: None,
+};
 /// Time in which a report of an entry is answered, in milliseconds.
 const TELL_MS: u64 = 250;
 /// Time until a new leader is there, in milliseconds.
@@ -369,7 +374,7 @@
         let pace = &mut self.entries[number].pace;
         match asked {
             true => pace.ask(now_ms, &replica()),
-            false => pace.refuse(now_ms, now_ms, &replica(), SILENT_MS),
+            false => pace.refuse(now_ms, now_ms, &replica(), SILENT),
         }
     }
 
@@ -384,8 +389,8 @@
                 self.send(number, Some(stamp));
             }
             PermitReply::Granted(_) => {}
-            PermitReply::Wait(wait_ms) => {
-                entry.pace.refuse(now_ms, asked_ms, &replica(), wait_ms);
+            PermitReply::Refused(refusal) => {
+                entry.pace.refuse(now_ms, asked_ms, &replica(), refusal);
             }
         }
     }
@@ -448,7 +453,7 @@
         }
         for state in &page.limits {
             if entry.peers.is_news(state) {
-                entry.pace.forget(&state.replica);
+                entry.pace.follow(&state.replica, state.rate);
             }
         }
         entry.peers.follow(now_ms, page);
--- a/tests/warm_up.rs
+++ b/tests/warm_up.rs
@@ -13,6 +13,7 @@
 use dunlinspring::forward::need::ChoicePolicy;
 use dunlinspring::ids::{HallName, ReplicaId, ReplicaLife, ServiceName};
 use dunlinspring::placement::rate_limit::{PERMIT_MS, RateLimiter};
+use dunlinspring::placement::replica_rates::PermitRefusal;
 use dunlinspring::routing::permit_pace::PermitPace;
 use dunlinspring::routing::warm_up::WarmupBook;
 use dunlinspring::table::configuration::{ServiceSpec, WarmupSpec};
@@ -33,6 +34,13 @@
 /// a few.
 const MOST_PER_S: usize = 3 * 1_000 / (2 * SPEC.request_gap_ms as usize) + 5;
 
+fn wait(wait_ms: u64) -> PermitRefusal {
+    PermitRefusal {
+        wait_ms,
+        rate: None,
+    }
+}
+
 fn life() -> ReplicaLife {
     ReplicaLife {
         id: ReplicaId::from("r"),
@@ -164,7 +172,7 @@
     book.tell(2_040, &"r", 0);
     assert!(!book.is_cold(2_040, &"r"));
     let mut pace = PermitPace::default();
-    pace.refuse(2_000, 2_000, &"r", 100);
+    pace.refuse(2_000, 2_000, &"r", wait(100));
     assert_eq!(pace.left_ms(2_040, &"r"), Some(60));
     assert_eq!(pace.left_ms(2_100, &"r"), None);
 }
@@ -199,7 +207,7 @@
     assert!(book.is_cold(1_100, &id));
     let barred = book.claim(1_100, &life(), None);
     assert_eq!(barred, Err(ReplicaBar::RateLimited { left_ms: 0 }));
-    book.pace_mut().refuse(1_100, 1_100, &id, 140);
+    book.pace_mut().refuse(1_100, 1_100, &id, wait(140));
     assert_eq!(choose(&book, 1_200), Choice::RateLimited(40));
     assert_eq!(book.room_in_ms(1_200, &need()), Some(40));
     assert_eq!(choose(&book, 1_240), Choice::Send(id.clone()));
@@ -219,7 +227,7 @@
     book.follow(9_000, &BTreeMap::from([(id.clone(), silent)]));
     assert!(book.is_cold(60_000, &id));
     // Refused, it is left alone as the others are.
-    book.pace_mut().refuse(60_000, 60_000, &id, 300);
+    book.pace_mut().refuse(60_000, 60_000, &id, wait(300));
     assert_eq!(choose(&book, 60_299), Choice::RateLimited(1));
     book.prune(60_100);
     assert_eq!(choose(&book, 60_200), Choice::RateLimited(100));
@@ -259,7 +267,7 @@
     book.tell(5, &"r", u64::MAX);
     book.suspect(5, &"r", u64::MAX);
     let mut pace = PermitPace::default();
-    pace.refuse(5, 5, &"r", u64::MAX);
+    pace.refuse(5, 5, &"r", wait(u64::MAX));
     assert!(pace.left_ms(u64::MAX - 1, &"r").is_some());
     assert!(book.is_cold(u64::MAX - 1, &"r"));
     let mut limiter = RateLimiter::new(0);
