The rate that a replica names stands in placement, which both sides use

placement took it from routing, which lies below it: a circle between two folders. It moves with its module; no behaviour changes.

--- a/src/forward/limits.rs
+++ b/src/forward/limits.rs
@@ -7,7 +7,7 @@
 use crate::forward::daemon::EntryCore;
 use crate::ids::ReplicaLife;
 use crate::placement::named_limits::{LimitPage, PermitStamp};
-use crate::routing::named_rate::NamedRate;
+use crate::placement::named_rate::NamedRate;
 
 /// Least time between two reports.
 const PAUSE: Duration = Duration::from_millis(50);
--- a/src/forward/request/answer_heads.rs
+++ b/src/forward/request/answer_heads.rs
@@ -12,8 +12,8 @@
 use crate::forward::permits::RatePermit;
 use crate::ids::ReplicaId;
 use crate::placement::named_limits::PermitStamp;
+use crate::placement::named_rate::NamedRate;
 use crate::routing::backoff::{AskedPause, ClaimEnd, SendClaim};
-use crate::routing::named_rate::NamedRate;
 
 use super::Flight;
 
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -13,6 +13,7 @@
 pub mod fleet_plan;
 pub mod moves;
 pub mod named_limits;
+pub mod named_rate;
 pub mod order;
 pub mod rate_limit;
 pub mod replica_rates;
--- a/src/placement/named_limits.rs
+++ b/src/placement/named_limits.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{ReplicaLife, Term};
-use crate::routing::named_rate::NamedRate;
+use crate::placement::named_rate::NamedRate;
 
 /// How long an ended limit is remembered, and one whose replica the log does not know, in
 /// milliseconds. What was heard longer ago is not believed: its end may be forgotten.
--- a/src/placement/replica_rates.rs
+++ b/src/placement/replica_rates.rs
@@ -11,8 +11,8 @@
 use crate::placement::named_limits::{
     LifeState, LimitCursor, LimitNotice, LimitPage, LimitReport, NamedLimits, PermitStamp,
 };
+use crate::placement::named_rate::NamedRate;
 use crate::placement::rate_limit::RateLimiter;
-use crate::routing::named_rate::NamedRate;
 use crate::table::configuration::WarmupSpec;
 
 /// When an entry asks again that has not heard of this leader, in milliseconds.
--- a/src/routing/limited_peers.rs
+++ b/src/routing/limited_peers.rs
@@ -12,7 +12,7 @@
 use crate::placement::named_limits::{
     LimitCursor, LimitEnd, LimitNotice, LimitPage, LimitReport, LimitState, PermitStamp,
 };
-use crate::routing::named_rate::NamedRate;
+use crate::placement::named_rate::NamedRate;
 
 /// The last answer with a limit.
 #[derive(Clone, Copy, Debug)]
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,14 +1,13 @@
 //! Where one request goes, what becomes of it, and what a member knows of the site.
 //!
 //! Pure: events of one request and changes of the log enter; steps to perform come out.
-//! Uses `table`, `consensus` and `admission`.
+//! Uses `table`, `consensus`, `admission` and `placement`.
 
 pub mod authority;
 pub mod backoff;
 pub mod content;
 pub mod flight;
 pub mod limited_peers;
-pub mod named_rate;
 pub mod permit_pace;
 pub mod refusals;
 pub mod retry;
--- a/src/routing/permit_pace.rs
+++ b/src/routing/permit_pace.rs
@@ -5,8 +5,8 @@
 
 use std::collections::BTreeMap;
 
+use crate::placement::named_rate::NamedRate;
 use crate::placement::replica_rates::PermitRefusal;
-use crate::routing::named_rate::NamedRate;
 
 /// Time after which a question gets no answer any more, in milliseconds.
 pub const ASK_MS: u64 = 125;
--- a/tests/replica_limits/main.rs
+++ b/tests/replica_limits/main.rs
@@ -9,8 +9,8 @@
 use dunlinspring::placement::named_limits::{
     LifeState, LimitCursor, LimitEnd, LimitNotice, LimitReport, NamedLimits, PermitStamp,
 };
+use dunlinspring::placement::named_rate::NamedRate;
 use dunlinspring::routing::limited_peers::LimitedPeers;
-use dunlinspring::routing::named_rate::NamedRate;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use support_spans::most_within;
--- a/tests/replica_limits/world.rs
+++ b/tests/replica_limits/world.rs
@@ -4,12 +4,12 @@
 
 use dunlinspring::ids::{ReplicaId, ReplicaLife, ServiceName, Term};
 use dunlinspring::placement::named_limits::{LimitCursor, LimitPage, LimitReport, PermitStamp};
+use dunlinspring::placement::named_rate::NamedRate;
 use dunlinspring::placement::rate_limit::PERMIT_MS;
 use dunlinspring::placement::replica_rates::{
     PermitRefusal, PermitReply, PermitRequest, ReplicaRates,
 };
 use dunlinspring::routing::limited_peers::LimitedPeers;
-use dunlinspring::routing::named_rate::NamedRate;
 use dunlinspring::routing::permit_pace::PermitPace;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
