--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -9,4 +9,5 @@
 pub mod lost_runs;
 pub mod orders;
 pub mod queue;
+pub mod quote;
 pub mod runs;
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -8,6 +8,7 @@
 pub mod auth;
 pub mod crash_report;
 pub mod daemon;
+pub mod datagram;
 pub mod follow;
 pub mod log_limit;
 pub mod member;
--- a/src/process/peers.rs
+++ b/src/process/peers.rs
@@ -117,7 +117,7 @@
         self.mac(side, nonces).finalize().into_bytes().into()
     }
 
-    fn mac(&self, side: &str, nonces: [&[u8; 32]; 2]) -> Hmac<Sha256> {
+    fn mac<const N: usize>(&self, side: &str, nonces: [&[u8; 32]; N]) -> Hmac<Sha256> {
         let mut mac = Hmac::<Sha256>::new_from_slice(&self.0).expect("any length is a key");
         mac.update(side.as_bytes());
         for nonce in nonces {
@@ -130,6 +130,20 @@
     fn check(&self, side: &str, nonces: [&[u8; 32]; 2], proof: &[u8; 32]) -> bool {
         self.mac(side, nonces).verify_slice(proof).is_ok()
     }
+
+    /// Computes the authentication code of a datagram.
+    pub(super) fn tag(&self, bytes: &[u8]) -> [u8; 32] {
+        self.datagram_mac(bytes).finalize().into_bytes().into()
+    }
+
+    /// Compares a truncated authentication code of a datagram in constant time.
+    pub(super) fn matches_tag(&self, bytes: &[u8], tag: &[u8]) -> bool {
+        self.datagram_mac(bytes).verify_truncated_left(tag).is_ok()
+    }
+
+    fn datagram_mac(&self, bytes: &[u8]) -> Hmac<Sha256> {
+        self.mac("datagram", []).chain_update(bytes)
+    }
 }
 
 impl std::fmt::Debug for SiteSecret {
