Shared prompt parts replace the hash of the whole prefix

A request carried one hash over the text of its shared prefix, so two prompts that share only their first part had nothing in common. Each part now has a chain hash over the model, the adapter and all part ids up to it. Requests whose shared tokens take a tenth of their time limit to prefill weigh the cached tokens of a home in place of the fixed prefix gain, which stays for all others.

Home order, cost and prompt parts have modules of their own.

--- a/src/forward/need.rs
+++ b/src/forward/need.rs
@@ -3,6 +3,7 @@
 use serde::de::Error;
 use serde::{Deserialize, Deserializer, Serialize};
 
+use crate::admission::quote::PromptPart;
 use crate::forward::locality::AllowedRegions;
 use crate::ids::{ModelName, ServiceName};
 use crate::table::configuration::SLACK_RANKS;
@@ -19,8 +20,8 @@
     pub model: Option<ModelName>,
     /// An adapter of the model.
     pub adapter: Option<String>,
-    /// Hash of the prompt prefix that the request shares with others.
-    pub prefix: Option<u64>,
+    /// Parts at the start of the prompt that the request shares with others.
+    pub parts: Vec<PromptPart>,
     /// Prompt tokens.
     pub prompt_tokens: u64,
     /// Prompt tokens and the maximum number of output tokens.
@@ -45,7 +46,8 @@
     pub hall_cost: f64,
     /// Cost of a replica in another region.
     pub region_cost: f64,
-    /// Gain if the replica has processed the shared prompt prefix.
+    /// Gain if the replica has processed the shared parts of the prompt. Requests that call for
+    /// the reuse of cached parts weigh the cached tokens instead.
     pub prefix_gain: f64,
     /// Cost of a failure rate of 1.
     pub failure_cost: f64,
--- /dev/null
+++ b/src/forward/prefix_reuse.rs
@@ -0,0 +1,86 @@
+//! Which requests call for the reuse of cached prompt parts: those whose shared tokens take a
+//! substantial part of their time limit to prefill.
+//!
+//! Pure. The prefill time is measured over the requests of one service at this entry.
+
+use crate::forward::need::Need;
+
+/// Fraction of the time limit from which the prefill of the shared tokens calls for reuse.
+const CALL_FRACTION: f64 = 0.1;
+/// Fraction of a service's requests that call for reuse, from which it is prefill-bound.
+const BOUND_FRACTION: f64 = 0.1;
+/// Fraction below which a service is no longer prefill-bound. Half of the other, so that a mix of
+/// requests near the limit does not switch back and forth.
+const UNBOUND_FRACTION: f64 = 0.05;
+/// Weight of the newest request in the fraction that calls for reuse: covers about the last
+/// hundred requests.
+const CALL_WEIGHT: f64 = 0.01;
+/// Weight of a response in the prefill time, if it is faster.
+const FALL_WEIGHT: f64 = 0.3;
+/// The same if it is slower: slower responses come from queues of other entries and from prompts
+/// that were not cached.
+const RISE_WEIGHT: f64 = 0.01;
+/// Smallest fraction of a prompt that counts as prefilled. With less, the time until the first
+/// event says little about the prefill.
+const MIN_OWN_FRACTION: f64 = 0.25;
+
+/// Prefill time of a service, and how many of its requests call for reuse.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ReuseStats {
+    ms_per_token: Option<f64>,
+    requests: u32,
+    calling: f64,
+    prefill_bound: bool,
+}
+
+impl ReuseStats {
+    /// Records the time until a response started. `tokens_ahead` is the number of tokens that were
+    /// to be processed before it, including the request's own.
+    pub fn observe_response(&mut self, need: &Need, tokens_ahead: u64, took_ms: f64) {
+        let prompt = need.prompt_tokens as f64;
+        // Behind a known queue the time includes the prefill of other prompts.
+        if need.model.is_none() || need.prompt_tokens == 0 || tokens_ahead > need.tokens {
+            return;
+        }
+        // Other entries may have sent the shared parts to the replica. If they count as prefilled,
+        // cached prompts make the prefill look faster than it is: a service would no longer call
+        // for reuse because of the success of reuse.
+        let own = prompt - f64::from(shared_tokens(need));
+        let ms_per_token = took_ms / own.max(prompt * MIN_OWN_FRACTION);
+        let known = self.ms_per_token.unwrap_or(ms_per_token);
+        let weight = match ms_per_token < known {
+            true => FALL_WEIGHT,
+            false => RISE_WEIGHT,
+        };
+        self.ms_per_token = Some(known + (ms_per_token - known) * weight);
+    }
+
+    /// Records that a request is sent.
+    pub fn observe_request(&mut self, need: &Need) {
+        self.requests = self.requests.saturating_add(1);
+        // The first requests have equal weight, so that the fraction is accurate early.
+        let step = CALL_WEIGHT.max(1.0 / f64::from(self.requests));
+        let calls = f64::from(u8::from(self.calls_for_reuse(need)));
+        self.calling += (calls - self.calling) * step;
+        self.prefill_bound = match self.prefill_bound {
+            true => self.calling >= UNBOUND_FRACTION,
+            false => self.calling >= BOUND_FRACTION,
+        };
+    }
+
+    /// Whether the prefill of the shared tokens would take a substantial part of the time limit.
+    pub fn calls_for_reuse(&self, need: &Need) -> bool {
+        let shared = shared_tokens(need);
+        let prefill_ms = self.ms_per_token.map(|ms| ms * f64::from(shared));
+        shared > 0 && prefill_ms.is_some_and(|ms| ms >= need.limit_ms as f64 * CALL_FRACTION)
+    }
+
+    /// Whether enough requests call for reuse.
+    pub fn is_prefill_bound(&self) -> bool {
+        self.prefill_bound
+    }
+}
+
+fn shared_tokens(need: &Need) -> u32 {
+    need.parts.last().map_or(0, |part| part.end_tokens)
+}
--- a/src/forward/replica_state.rs
+++ b/src/forward/replica_state.rs
@@ -1,10 +1,11 @@
 //! State that an entry keeps of one replica: its own requests there, the load reported by the
 //! replica and by the leader, and how the replica responded.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 
 use crate::consensus::directory::ReplicaRecord;
 use crate::forward::need::{Need, URGENCY_LEVELS};
+use crate::forward::prompt_parts::PromptMemory;
 
 /// Weight of the newest response in the moving average of the time per token.
 const PREFILL_WEIGHT: f64 = 0.2;
@@ -138,7 +139,8 @@
     pub(super) ejections: u32,
     pub(super) full_until_ms: u64,
     pub(super) fetch_refused_until_ms: u64,
-    pub(super) prefixes: VecDeque<u64>,
+    /// Prompts that this entry sent.
+    pub(super) prompts: PromptMemory,
 }
 
 impl ReplicaState {
@@ -160,7 +162,7 @@
             ejections: 0,
             full_until_ms: 0,
             fetch_refused_until_ms: 0,
-            prefixes: VecDeque::new(),
+            prompts: PromptMemory::default(),
         }
     }
 
--- a/src/forward/replica_table.rs
+++ b/src/forward/replica_table.rs
@@ -5,14 +5,16 @@
 //! the age of the report.
 
 mod blocks;
+mod cost;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::consensus::directory::{ReplicaPhase, ReplicaRecord};
 use crate::forward::answer_separation::AnswerStats;
-use crate::forward::locality::{EntryLocation, HallDistance};
+use crate::forward::locality::EntryLocation;
 use crate::forward::need::URGENCY_LEVELS;
 pub use crate::forward::need::{ChoicePolicy, Need};
+use crate::forward::prefix_reuse::ReuseStats;
 use crate::forward::replica_state::{
     CONGESTION_TTL_MS, CongestionSample, PrefillTime, ReplicaState, ReportedLoad, START_FRACTION,
 };
@@ -118,8 +120,6 @@
 const CONGESTION_FRACTION: f64 = 0.3;
 /// Replicas described in one log line.
 const MAX_DESCRIBED_REPLICAS: usize = 4;
-/// Shared prompt prefixes remembered for each replica.
-const MAX_PREFIXES: usize = 256;
 /// Weight of the newest attempt in the moving average of failures.
 const FAILURE_WEIGHT: f64 = 0.25;
 /// Failure rate from which a replica is ejected.
@@ -137,6 +137,7 @@
     states: BTreeMap<ReplicaId, ReplicaState>,
     new_ejections: Vec<Ejection>,
     answer_stats: BTreeMap<ServiceName, AnswerStats>,
+    reuse_stats: BTreeMap<ServiceName, ReuseStats>,
     /// Per service, for replicas without measurements of their own.
     prefill_times: BTreeMap<ServiceName, PrefillTime>,
     /// Until when the leader's figures on congested replicas are valid.
@@ -164,6 +165,7 @@
             states: BTreeMap::new(),
             new_ejections: Vec::new(),
             answer_stats: BTreeMap::new(),
+            reuse_stats: BTreeMap::new(),
             prefill_times: BTreeMap::new(),
             congestion_until_ms: 0,
             backoffs: BackoffTracker::default(),
@@ -337,7 +339,7 @@
             Err(Choice::Evacuated) if need.model.is_some() => return Choice::Absent,
             Err(choice) => return choice,
         };
-        let reserved = self.reserved_for_others(&candidates, need);
+        let preferences = self.preferences(&candidates, need);
         let mut candidates = open;
         let untried = |state: &ReplicaState| !attempted.contains(&state.record.id);
         if candidates.iter().any(|state| untried(state)) {
@@ -352,7 +354,8 @@
         // loop.
         candidates.retain(|state| untried(state) || healthy(state));
         candidates.retain(|state| self.has_capacity(state, need, now_ms, bounds.memory));
-        let Some(best) = self.cheapest(candidates.iter().copied(), need, &reserved, now_ms) else {
+        let Some(best) = self.cheapest(candidates.iter().copied(), need, &preferences, now_ms)
+        else {
             return Choice::Full;
         };
         if self.holds_adapter(best, need) {
@@ -360,14 +363,14 @@
         }
         let ready = candidates.iter().copied();
         let ready = ready.filter(|state| self.holds_adapter(state, need));
-        let holder = self.cheapest(ready, need, &reserved, now_ms);
+        let holder = self.cheapest(ready, need, &preferences, now_ms);
         let open = |state: &&ReplicaState| state.fetch_refused_until_ms <= now_ms;
         let open = candidates.iter().copied().filter(open);
         let (full, free): (Vec<_>, Vec<_>) =
             open.partition(|state| state.adapters() >= bounds.adapter_slots as usize);
         let fetcher = self
-            .cheapest(free.into_iter(), need, &reserved, now_ms)
-            .or_else(|| self.cheapest(full.into_iter(), need, &reserved, now_ms));
+            .cheapest(free.into_iter(), need, &preferences, now_ms)
+            .or_else(|| self.cheapest(full.into_iter(), need, &preferences, now_ms));
         match (holder, fetcher) {
             // Loading the adapter on a second replica pays off only if the first holder is busy.
             (Some(holder), _) if self.is_lightly_loaded(holder, now_ms) => {
@@ -379,56 +382,6 @@
         }
     }
 
-    fn cheapest<'a>(
-        &self,
-        states: impl Iterator<Item = &'a ReplicaState>,
-        need: &Need,
-        reserved: &BTreeSet<&ReplicaId>,
-        now_ms: u64,
-    ) -> Option<&'a ReplicaState> {
-        // Entries do not see each other's newest requests and find the same replica cheapest. A
-        // per-request hash breaks ties, so that requests spread over replicas of equal cost.
-        let costs = states.map(|state| {
-            let is_reserved = reserved.contains(&state.record.id);
-            let reserved_cost = if is_reserved {
-                self.policy.apart_cost
-            } else {
-                0.0
-            };
-            let cost = self.cost(state, need, now_ms) + reserved_cost;
-            (cost, hash_rank(need.id_hash, &state.record.id), state)
-        });
-        let best = costs.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
-        best.map(|(_, _, state)| state)
-    }
-
-    /// Returns the candidates that are reserved for requests of the other kind (long or short
-    /// answers).
-    fn reserved_for_others<'a>(
-        &self,
-        candidates: &[&'a ReplicaState],
-        need: &Need,
-    ) -> BTreeSet<&'a ReplicaId> {
-        let answers = need.service.as_ref().and_then(|s| self.answer_stats.get(s));
-        let (Some(answers), Some(model)) = (answers, &need.model) else {
-            return BTreeSet::new();
-        };
-        // Uses the directory alone, so that all entries compute the same order.
-        let ready = |state: &&&ReplicaState| state.record.phase == ReplicaPhase::Ready;
-        let ids = candidates
-            .iter()
-            .filter(ready)
-            .map(|state| &state.record.id);
-        let model_hash = u64::from(crc32fast::hash(model.as_str().as_bytes()));
-        let mut homes: Vec<(u64, &ReplicaId)> =
-            ids.map(|id| (hash_rank(model_hash, id), id)).collect();
-        homes.sort_unstable();
-        let range = answers.homes_for(need, homes.len());
-        let indexed = homes.into_iter().enumerate();
-        let others = indexed.filter(|(index, _)| !range.contains(*index));
-        others.map(|(_, (_, id))| id).collect()
-    }
-
     /// Whether a replica serves what the request needs, is not draining, and is in an allowed
     /// region.
     fn can_serve(&self, state: &ReplicaState, need: &Need) -> bool {
@@ -488,23 +441,6 @@
         }
     }
 
-    fn cost(&self, state: &ReplicaState, need: &Need, now_ms: u64) -> f64 {
-        let policy = &self.policy;
-        let (waiting, running) = state.loads(now_ms, policy.fade_ms);
-        let has_prefix = need
-            .prefix
-            .is_some_and(|prefix| state.prefixes.contains(&prefix));
-        let distance_cost = match self.location.distance(&state.record.hall) {
-            HallDistance::SameHall => 0.0,
-            HallDistance::SameRegion => policy.hall_cost,
-            HallDistance::OtherRegion => policy.region_cost,
-        };
-        let gain = if has_prefix { policy.prefix_gain } else { 0.0 };
-        let load = waiting + running * policy.running_cost;
-        let slowdown_cost = state.slowdown.excess(now_ms, policy.work_fade_ms) * policy.work_cost;
-        load + distance_cost + slowdown_cost + state.failure_rate * policy.failure_cost - gain
-    }
-
     /// Records that a request is sent to a replica. Returns the number of tokens to be processed
     /// before its response can start.
     pub fn record_sent(&mut self, now_ms: u64, id: &ReplicaId, need: &Need) -> u64 {
@@ -514,6 +450,10 @@
                 .entry(service.clone())
                 .or_default()
                 .observe(need);
+            self.reuse_stats
+                .entry(service.clone())
+                .or_default()
+                .observe_request(need);
         }
         let Some(state) = self.states.get_mut(id) else {
             return 0;
@@ -522,13 +462,7 @@
         state.waiting_tokens[need.urgency.min(URGENCY_LEVELS - 1)] += need.tokens;
         state.waiting += 1;
         state.tokens += need.tokens;
-        if let Some(prefix) = need.prefix {
-            state.prefixes.retain(|known| *known != prefix);
-            state.prefixes.push_back(prefix);
-            if state.prefixes.len() > MAX_PREFIXES {
-                state.prefixes.pop_front();
-            }
-        }
+        state.prompts.record(&need.parts);
         tokens_ahead
     }
 
@@ -551,6 +485,10 @@
                         .entry(service.clone())
                         .or_default()
                         .observe(ms_per_token);
+                    self.reuse_stats
+                        .entry(service.clone())
+                        .or_default()
+                        .observe_response(need, tokens_ahead, took_ms);
                 }
             }
         }
@@ -637,18 +575,6 @@
     }
 }
 
-/// Position of a replica in the pseudo-random order that the hash gives.
-fn hash_rank(id_hash: u64, id: &ReplicaId) -> u64 {
-    splitmix64(id_hash ^ u64::from(crc32fast::hash(id.as_str().as_bytes())))
-}
-
-/// Spreads adjacent numbers over the whole range: the finalizer of the generator SplitMix64.
-fn splitmix64(number: u64) -> u64 {
-    let number = (number ^ (number >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-    let number = (number ^ (number >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-    number ^ (number >> 31)
-}
-
 /// Whether a replica serves the service and holds the model, and is not draining.
 fn serves_need(state: &ReplicaState, need: &Need) -> bool {
     let record = &state.record;
--- a/src/forward/replica_table/blocks.rs
+++ b/src/forward/replica_table/blocks.rs
@@ -104,7 +104,7 @@
         limited && (silent || self.warm_ups.is_cold(now_ms, &record.id))
     }
 
-    fn is_evacuated(&self, record: &ReplicaRecord) -> bool {
+    pub(super) fn is_evacuated(&self, record: &ReplicaRecord) -> bool {
         self.evacuated.contains(&record.hall)
     }
 
--- a/src/forward/request/wire_heads.rs
+++ b/src/forward/request/wire_heads.rs
@@ -3,10 +3,11 @@
 
 use crate::forward::daemon::EntryCore;
 use crate::forward::head::{self, Framing, ResponseHead};
+use crate::forward::prompt_parts;
 use crate::forward::replica_table::Need;
 use crate::ids::{ModelName, ReplicaId, ServiceName};
 
-use super::{ForwardedRequest, id_hash};
+use super::ForwardedRequest;
 
 impl ForwardedRequest<'_> {
     /// Builds the response head for the client, with the framing of this hop.
@@ -100,21 +101,12 @@
         .filter_map(|part| part.trim().parse::<u64>().ok());
     let prompt_tokens = tokens.clone().next().unwrap_or(0);
     let parts = head::find(headers, names.prefix).unwrap_or_default();
-    // The last part belongs to this request alone.
-    let shared = parts.rsplit_once(',').map(|(shared, _)| shared);
-    let prefix = shared.map(|shared| {
-        let text = format!(
-            "{}/{}/{shared}",
-            model.unwrap_or_default(),
-            adapter.as_deref().unwrap_or_default()
-        );
-        id_hash(&text)
-    });
+    let parts = prompt_parts::parse(model.unwrap_or_default(), adapter.as_deref(), parts);
     Need {
         service,
         model: model.map(ModelName::from),
         adapter,
-        prefix,
+        parts,
         prompt_tokens,
         tokens: tokens.sum(),
         ..Need::default()
--- a/tests/forward_parts.rs
+++ b/tests/forward_parts.rs
@@ -170,7 +170,6 @@
         service: Some(ServiceName::from("llm")),
         model: Some(ModelName::from(model)),
         adapter: adapter.map(str::to_owned),
-        prefix: None,
         tokens: 100,
         urgency: 1,
         limit_ms: 800,
