Cached prompt parts decide where a request that calls for reuse goes

A simulated service of 61 prompts with 6,300 shared tokens each prefilled 28 to 43% of its shared tokens again in 20 s where no request called for reuse (time limit of 8 s). Entries without a measurement were ruled out as the main cause: measured ones still read 11 to 14% again. Two causes were found: the load of a home counted waiting requests as whole prompts, although they are cached as well, and an entry took parts for cached that it had sent long ago.

--- a/src/forward/prefix_reuse.rs
+++ b/src/forward/prefix_reuse.rs
@@ -4,6 +4,7 @@
 //! Pure. The prefill time is measured over the requests of one service at this entry.
 
 use crate::forward::need::Need;
+use crate::forward::prompt_parts::shared_tokens;
 
 /// Fraction of the time limit from which the prefill of the shared tokens calls for reuse.
 const CALL_FRACTION: f64 = 0.1;
@@ -71,16 +72,17 @@
     /// Whether the prefill of the shared tokens would take a substantial part of the time limit.
     pub fn calls_for_reuse(&self, need: &Need) -> bool {
         let shared = shared_tokens(need);
-        let prefill_ms = self.ms_per_token.map(|ms| ms * f64::from(shared));
+        let prefill_ms = self.prefill_ms(u64::from(shared));
         shared > 0 && prefill_ms.is_some_and(|ms| ms >= need.limit_ms as f64 * CALL_FRACTION)
     }
 
+    /// Returns the time to prefill a number of tokens; `None` until it was measured.
+    pub fn prefill_ms(&self, tokens: u64) -> Option<f64> {
+        self.ms_per_token.map(|ms| ms * tokens as f64)
+    }
+
     /// Whether enough requests call for reuse.
     pub fn is_prefill_bound(&self) -> bool {
         self.prefill_bound
     }
 }
-
-fn shared_tokens(need: &Need) -> u32 {
-    need.parts.last().map_or(0, |part| part.end_tokens)
-}
--- a/src/forward/prompt_parts.rs
+++ b/src/forward/prompt_parts.rs
@@ -8,6 +8,7 @@
 use sha2::{Digest, Sha256};
 
 pub use crate::admission::quote::{MAX_PROMPT_PARTS, PromptPart};
+use crate::forward::need::Need;
 
 /// Prompts remembered for each replica.
 const MAX_PROMPTS: usize = 256;
@@ -67,6 +68,11 @@
         .fold(0, |value, byte| value << 8 | u64::from(*byte))
 }
 
+/// Returns the number of shared tokens at the start of a request's prompt.
+pub fn shared_tokens(need: &Need) -> u32 {
+    need.parts.last().map_or(0, |part| part.end_tokens)
+}
+
 /// The prompts that were last sent to a replica, and their shared parts.
 #[derive(Clone, Debug, Default)]
 pub struct PromptMemory {
@@ -74,11 +80,17 @@
     prompts: BTreeMap<u64, KnownPrompt>,
     /// Hash of the deepest part, by the time of the last use.
     by_use: BTreeMap<u64, u64>,
-    /// In how many of the prompts each part is.
-    parts: BTreeMap<u64, u32>,
+    parts: BTreeMap<u64, KnownPart>,
     uses: u64,
 }
 
+#[derive(Clone, Copy, Debug, Default)]
+struct KnownPart {
+    /// In how many of the prompts it is.
+    prompts: u32,
+    sent_ms: u64,
+}
+
 #[derive(Clone, Debug)]
 struct KnownPrompt {
     last_use: u64,
@@ -87,7 +99,7 @@
 
 impl PromptMemory {
     /// Records that a prompt with these shared parts was sent.
-    pub fn record(&mut self, parts: &[PromptPart]) {
+    pub fn record(&mut self, now_ms: u64, parts: &[PromptPart]) {
         let Some(deepest) = parts.last().map(|part| part.chain) else {
             return;
         };
@@ -100,7 +112,7 @@
             None => {
                 let chains: Vec<u64> = parts.iter().map(|part| part.chain).collect();
                 for chain in &chains {
-                    *self.parts.entry(*chain).or_default() += 1;
+                    self.parts.entry(*chain).or_default().prompts += 1;
                 }
                 let known = KnownPrompt {
                     last_use: self.uses,
@@ -110,6 +122,11 @@
             }
         }
         self.by_use.insert(self.uses, deepest);
+        for part in parts {
+            if let Some(known) = self.parts.get_mut(&part.chain) {
+                known.sent_ms = now_ms;
+            }
+        }
         if self.by_use.len() > MAX_PROMPTS {
             self.drop_oldest();
         }
@@ -119,9 +136,9 @@
         let oldest = self.by_use.pop_first();
         let oldest = oldest.and_then(|(_, deepest)| self.prompts.remove(&deepest));
         for chain in oldest.into_iter().flat_map(|known| known.parts) {
-            if let Some(count) = self.parts.get_mut(&chain) {
-                *count -= 1;
-                if *count == 0 {
+            if let Some(known) = self.parts.get_mut(&chain) {
+                known.prompts -= 1;
+                if known.prompts == 0 {
                     self.parts.remove(&chain);
                 }
             }
@@ -134,12 +151,14 @@
         deepest.is_some_and(|part| self.prompts.contains_key(&part.chain))
     }
 
-    /// Returns how many tokens at the start of a prompt with these shared parts are remembered.
-    pub fn known_tokens(&self, parts: &[PromptPart]) -> u32 {
-        let known = parts
-            .iter()
-            .rev()
-            .find(|part| self.parts.contains_key(&part.chain));
-        known.map_or(0, |part| part.end_tokens)
+    /// Returns how many tokens at the start of a prompt with these shared parts were sent at or
+    /// after `since_ms`.
+    pub fn known_tokens(&self, parts: &[PromptPart], since_ms: u64) -> u32 {
+        let is_known = |part: &&PromptPart| {
+            let known = self.parts.get(&part.chain);
+            known.is_some_and(|known| known.sent_ms >= since_ms)
+        };
+        let deepest = parts.iter().rev().find(is_known);
+        deepest.map_or(0, |part| part.end_tokens)
     }
 }
--- a/src/forward/replica_table.rs
+++ b/src/forward/replica_table.rs
@@ -339,7 +339,7 @@
             Err(Choice::Evacuated) if need.model.is_some() => return Choice::Absent,
             Err(choice) => return choice,
         };
-        let preferences = self.preferences(&candidates, need);
+        let preferences = self.preferences(now_ms, &candidates, need, bounds.memory);
         let mut candidates = open;
         let untried = |state: &ReplicaState| !attempted.contains(&state.record.id);
         if candidates.iter().any(|state| untried(state)) {
@@ -462,7 +462,7 @@
         state.waiting_tokens[need.urgency.min(URGENCY_LEVELS - 1)] += need.tokens;
         state.waiting += 1;
         state.tokens += need.tokens;
-        state.prompts.record(&need.parts);
+        state.prompts.record(now_ms, &need.parts);
         tokens_ahead
     }
 
--- a/src/forward/replica_table/cost.rs
+++ b/src/forward/replica_table/cost.rs
@@ -6,18 +6,32 @@
 use crate::forward::home_order::{self, hash_rank};
 use crate::forward::locality::HallDistance;
 use crate::forward::need::Need;
+use crate::forward::prompt_parts::shared_tokens;
 use crate::forward::replica_state::ReplicaState;
 use crate::ids::{ReplicaId, ServiceName};
 
 use super::ReplicaTable;
 
+/// Smallest weight of a load in the cost of a request that calls for reuse. Without it, a prompt
+/// that is shared almost entirely would ignore the load.
+const MIN_LOAD_WEIGHT: f64 = 0.25;
+
 /// Replicas that a request prefers or avoids.
 pub(super) struct HomePreferences<'a> {
     /// Reserved for requests of the other kind (long or short answers).
     reserved: BTreeSet<&'a ReplicaId>,
-    /// The first and the second home in the order that all entries share, if the request calls
-    /// for the reuse of cached prompt parts.
-    reuse: Option<[Option<&'a ReplicaId>; 2]>,
+    /// Only for a request that calls for the reuse of cached prompt parts.
+    reuse: Option<ReusePreference<'a>>,
+}
+
+/// Where the shared parts of a prompt are likely to be cached.
+struct ReusePreference<'a> {
+    /// The first and the second home in the order that all entries share.
+    first_homes: [Option<&'a ReplicaId>; 2],
+    /// Parts that this entry sent to a home before this time may have been evicted there.
+    known_since_ms: u64,
+    /// Weight of a home's load.
+    load_weight: f64,
 }
 
 impl ReplicaTable {
@@ -50,18 +64,37 @@
         stats.is_some_and(|stats| stats.is_prefill_bound())
     }
 
+    /// `memory` is the number of tokens that fit into a replica's memory; 0 for no limit.
     pub(super) fn preferences<'a>(
         &'a self,
+        now_ms: u64,
         candidates: &[&'a ReplicaState],
         need: &Need,
+        memory: u64,
     ) -> HomePreferences<'a> {
-        let reuse = self.calls_for_reuse(need).then(|| {
-            let mut homes = self.homes_in_order(need).into_iter();
-            [homes.next(), homes.next()]
-        });
+        let reuse = self.calls_for_reuse(need);
         HomePreferences {
             reserved: self.reserved_for_others(candidates, need),
-            reuse,
+            reuse: reuse.then(|| self.reuse_preference(now_ms, need, memory)),
+        }
+    }
+
+    fn reuse_preference(&self, now_ms: u64, need: &Need, memory: u64) -> ReusePreference<'_> {
+        let mut homes = self.homes_in_order(need).into_iter();
+        let stats = need.service.as_ref().and_then(|s| self.reuse_stats.get(s));
+        let refill_ms = match memory {
+            0 => None,
+            tokens => stats.and_then(|stats| stats.prefill_ms(tokens)),
+        };
+        ReusePreference {
+            first_homes: [homes.next(), homes.next()],
+            // All entries together cannot fill a replica's memory faster than it prefills.
+            known_since_ms: refill_ms.map_or(0, |ms| now_ms.saturating_sub(ms as u64)),
+            // Most of the requests at a home were sent there for their cached parts, so they take
+            // as much of a whole prefill as this one does where it is cached. At full weight, four
+            // running requests would outweigh half of the shared tokens of a brief, and homes
+            // would prefill the parts of each other.
+            load_weight: uncached_fraction(need, shared_tokens(need)).max(MIN_LOAD_WEIGHT),
         }
     }
 
@@ -81,8 +114,7 @@
             } else {
                 0.0
             };
-            let prompt_cost = self.prompt_cost(state, need, preferences);
-            let cost = self.cost(state, now_ms) + prompt_cost + reserved_cost;
+            let cost = self.cost(state, need, preferences, now_ms) + reserved_cost;
             (cost, hash_rank(need.id_hash, &state.record.id), state)
         });
         let best = costs.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
@@ -113,8 +145,13 @@
         others.map(|(_, id)| id).collect()
     }
 
-    /// Cost of a replica whatever the prompt is.
-    fn cost(&self, state: &ReplicaState, now_ms: u64) -> f64 {
+    fn cost(
+        &self,
+        state: &ReplicaState,
+        need: &Need,
+        preferences: &HomePreferences<'_>,
+        now_ms: u64,
+    ) -> f64 {
         let policy = &self.policy;
         let (waiting, running) = state.loads(now_ms, policy.fade_ms);
         let distance_cost = match self.location.distance(&state.record.hall) {
@@ -124,31 +161,33 @@
         };
         let load = waiting + running * policy.running_cost;
         let slowdown_cost = state.slowdown.excess(now_ms, policy.work_fade_ms) * policy.work_cost;
-        load + distance_cost + slowdown_cost + state.failure_rate * policy.failure_cost
+        let others_cost =
+            |load| load + distance_cost + slowdown_cost + state.failure_rate * policy.failure_cost;
+        match &preferences.reuse {
+            Some(reuse) => others_cost(load * reuse.load_weight) + reuse.prompt_cost(state, need),
+            None if state.prompts.has_prompt(&need.parts) => others_cost(load) - policy.prefix_gain,
+            None => others_cost(load),
+        }
     }
+}
 
+impl ReusePreference<'_> {
     /// Cost of the request's own prompt. The unit is the prefill of one prompt, of which cached
     /// tokens take off their share.
-    fn prompt_cost(
-        &self,
-        state: &ReplicaState,
-        need: &Need,
-        preferences: &HomePreferences<'_>,
-    ) -> f64 {
-        let Some(first_homes) = preferences.reuse else {
-            let known = state.prompts.has_prompt(&need.parts);
-            return if known { -self.policy.prefix_gain } else { 0.0 };
-        };
-        let shared = need.parts.last().map_or(0, |part| part.end_tokens);
+    fn prompt_cost(&self, state: &ReplicaState, need: &Need) -> f64 {
         let id = Some(&state.record.id);
-        let assumed = match first_homes {
-            [first, _] if first == id => shared,
-            [_, second] if second == id => shared / 2,
+        let assumed = match self.first_homes {
+            [first, _] if first == id => shared_tokens(need),
+            [_, second] if second == id => shared_tokens(need) / 2,
             _ => 0,
         };
-        let cached = assumed.max(state.prompts.known_tokens(&need.parts));
-        // The number of prompt tokens is another header of the client, which may be absent.
-        let prompt = need.prompt_tokens.max(u64::from(shared)).max(1);
-        1.0 - f64::from(cached) / prompt as f64
+        let sent = state.prompts.known_tokens(&need.parts, self.known_since_ms);
+        uncached_fraction(need, assumed.max(sent))
     }
 }
+
+fn uncached_fraction(need: &Need, cached: u32) -> f64 {
+    // The number of prompt tokens is in another header of the client, which may be absent.
+    let prompt = need.prompt_tokens.max(u64::from(shared_tokens(need)));
+    1.0 - f64::from(cached) / prompt.max(1) as f64
+}
