Reuse is called for by the shortest latency goal of a service

A change of whether a service is prefill-bound is logged.

Test: a_request_with_a_long_goal_calls_for_reuse_beside_one_with_a_short_goal.

--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -37,7 +37,9 @@
 use crate::process::settings::LogSettings;
 use crate::routing::view::SiteView;
 use crate::table::accounts::KeyIndex;
-use crate::table::configuration::{ClientLimits, Configuration, RouteIndex, slack_ranks};
+use crate::table::configuration::{
+    ClientLimits, Configuration, RouteIndex, shortest_goals, slack_ranks,
+};
 use crate::table::quota::{EntryIncarnation, QuotaHolder};
 
 /// Time between two reports to the leader.
@@ -503,7 +505,10 @@
             let routes = configuration.routes.len();
             let configuration = (**configuration).clone();
             let services = &configuration.services;
-            self.replicas.borrow_mut().update_services(services);
+            let mut replicas = self.replicas.borrow_mut();
+            replicas.update_services(services);
+            replicas.update_shortest_goals(&shortest_goals(&configuration.routes));
+            drop(replicas);
             let accounts = configuration.accounts.as_ref();
             let keys = accounts.map(KeyIndex::new).unwrap_or_default();
             let slack_ranks = slack_ranks(&configuration.routes);
--- a/src/forward/prefix_reuse.rs
+++ b/src/forward/prefix_reuse.rs
@@ -1,12 +1,13 @@
 //! Which requests call for the reuse of cached prompt parts: those whose shared tokens take a
-//! substantial part of their time limit to prefill.
+//! substantial part of the shortest latency goal of their service to prefill. A request with a
+//! longer goal counts as well, because its prefill delays the others.
 //!
 //! Pure. The prefill time is measured over the requests of one service at this entry.
 
 use crate::forward::need::Need;
 use crate::forward::prompt_parts::shared_tokens;
 
-/// Fraction of the time limit from which the prefill of the shared tokens calls for reuse.
+/// Fraction of the latency goal from which the prefill of the shared tokens calls for reuse.
 const CALL_FRACTION: f64 = 0.1;
 /// Fraction of a service's requests that call for reuse, from which it is prefill-bound.
 const BOUND_FRACTION: f64 = 0.1;
@@ -29,6 +30,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ReuseStats {
     ms_per_token: Option<f64>,
+    /// Shortest latency goal of the service, if a configuration is known.
+    shortest_goal_ms: Option<u64>,
     requests: u32,
     calling: f64,
     prefill_bound: bool,
@@ -56,8 +59,10 @@
         self.ms_per_token = Some(known + (ms_per_token - known) * weight);
     }
 
-    /// Records that a request is sent.
-    pub fn observe_request(&mut self, need: &Need) {
+    /// Records that a request is sent. Returns whether that changed whether the service is
+    /// prefill-bound.
+    pub fn observe_request(&mut self, need: &Need) -> bool {
+        let was_bound = self.prefill_bound;
         self.requests = self.requests.saturating_add(1);
         // The first requests have equal weight, so that the fraction is accurate early.
         let step = CALL_WEIGHT.max(1.0 / f64::from(self.requests));
@@ -67,13 +72,20 @@
             true => self.calling >= UNBOUND_FRACTION,
             false => self.calling >= BOUND_FRACTION,
         };
+        self.prefill_bound != was_bound
     }
 
-    /// Whether the prefill of the shared tokens would take a substantial part of the time limit.
+    /// Updates the shortest latency goal of the service's routes.
+    pub fn update_shortest_goal(&mut self, goal_ms: Option<u64>) {
+        self.shortest_goal_ms = goal_ms;
+    }
+
+    /// Whether the prefill of the shared tokens would take a substantial part of the latency goal.
     pub fn calls_for_reuse(&self, need: &Need) -> bool {
         let shared = shared_tokens(need);
         let prefill_ms = self.prefill_ms(u64::from(shared));
-        shared > 0 && prefill_ms.is_some_and(|ms| ms >= need.limit_ms as f64 * CALL_FRACTION)
+        let goal_ms = self.shortest_goal_ms.unwrap_or(u64::MAX).min(need.limit_ms);
+        shared > 0 && prefill_ms.is_some_and(|ms| ms >= goal_ms as f64 * CALL_FRACTION)
     }
 
     /// Returns the time to prefill a number of tokens; `None` until it was measured.
--- a/src/forward/replica_table.rs
+++ b/src/forward/replica_table.rs
@@ -138,6 +138,8 @@
     new_ejections: Vec<Ejection>,
     answer_stats: BTreeMap<ServiceName, AnswerStats>,
     reuse_stats: BTreeMap<ServiceName, ReuseStats>,
+    /// Services that have become prefill-bound, or no longer are, to be logged.
+    prefill_bound_changes: Vec<(ServiceName, bool)>,
     /// Per service, for replicas without measurements of their own.
     prefill_times: BTreeMap<ServiceName, PrefillTime>,
     /// Until when the leader's figures on congested replicas are valid.
@@ -166,6 +168,7 @@
             new_ejections: Vec::new(),
             answer_stats: BTreeMap::new(),
             reuse_stats: BTreeMap::new(),
+            prefill_bound_changes: Vec::new(),
             prefill_times: BTreeMap::new(),
             congestion_until_ms: 0,
             backoffs: BackoffTracker::default(),
@@ -182,6 +185,11 @@
         std::mem::take(&mut self.new_ejections)
     }
 
+    /// Returns the services that have become prefill-bound, or no longer are, since the last call.
+    pub fn take_prefill_bound_changes(&mut self) -> Vec<(ServiceName, bool)> {
+        std::mem::take(&mut self.prefill_bound_changes)
+    }
+
     /// Replaces the replica records by those of the log and drops replicas that are gone. A replica
     /// that restarted under its id begins with fresh state.
     pub fn update_records(&mut self, now_ms: u64, records: &BTreeMap<ReplicaId, ReplicaRecord>) {
@@ -450,10 +458,11 @@
                 .entry(service.clone())
                 .or_default()
                 .observe(need);
-            self.reuse_stats
-                .entry(service.clone())
-                .or_default()
-                .observe_request(need);
+            let stats = self.reuse_stats.entry(service.clone()).or_default();
+            if stats.observe_request(need) {
+                let change = (service.clone(), stats.is_prefill_bound());
+                self.prefill_bound_changes.push(change);
+            }
         }
         let Some(state) = self.states.get_mut(id) else {
             return 0;
--- a/src/forward/replica_table/cost.rs
+++ b/src/forward/replica_table/cost.rs
@@ -1,6 +1,6 @@
 //! Cost of sending a request to a replica, and the replicas that a request prefers.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::consensus::directory::ReplicaPhase;
 use crate::forward::home_order::{self, hash_rank};
@@ -57,6 +57,14 @@
         stats.is_some_and(|stats| stats.calls_for_reuse(need))
     }
 
+    /// Updates the shortest latency goal of each service's routes, in milliseconds.
+    pub fn update_shortest_goals(&mut self, goals: &BTreeMap<ServiceName, u64>) {
+        for (service, goal_ms) in goals {
+            let stats = self.reuse_stats.entry(service.clone()).or_default();
+            stats.update_shortest_goal(Some(*goal_ms));
+        }
+    }
+
     /// Whether at least a tenth of a service's requests at this entry call for the reuse of cached
     /// prompt parts.
     pub fn is_prefill_bound(&self, service: &ServiceName) -> bool {
--- a/src/forward/request/attempt_guard.rs
+++ b/src/forward/request/attempt_guard.rs
@@ -32,7 +32,11 @@
         if replicas.causes_congestion(replica, need, tokens_ahead) {
             core.congestion_seen.notify_one();
         }
+        let changes = replicas.take_prefill_bound_changes();
         drop(replicas);
+        for (service, prefill_bound) in changes {
+            tracing::info!(%service, prefill_bound, "prefill-bound service changed");
+        }
         Self {
             since: Instant::now(),
             tokens_ahead,
--- a/src/table/configuration.rs
+++ b/src/table/configuration.rs
@@ -307,6 +307,21 @@
     routes.iter().map(rank).collect()
 }
 
+/// Returns the shortest latency goal of each service's streaming routes, in milliseconds.
+pub fn shortest_goals(routes: &[RouteSpec]) -> BTreeMap<ServiceName, u64> {
+    let mut shortest_ms = BTreeMap::new();
+    let streaming = routes
+        .iter()
+        .filter(|route| route.kind == RouteKind::Streaming);
+    for route in streaming {
+        for (service, _) in &route.split {
+            let known_ms = shortest_ms.entry(service.clone()).or_insert(u64::MAX);
+            *known_ms = route.latency_goal_ms.min(*known_ms);
+        }
+    }
+    shortest_ms
+}
+
 /// Index of routes by host, then by longest prefix.
 #[derive(Clone, Debug, Default)]
 pub struct RouteIndex {
--- a/tests/prefix_reuse.rs
+++ b/tests/prefix_reuse.rs
@@ -119,6 +119,23 @@
     assert!(!table.calls_for_reuse(&other));
 }
 
+/// Requests that can wait would prefill the parts again that others have cached, and delay these.
+#[test]
+fn a_request_with_a_long_goal_calls_for_reuse_beside_one_with_a_short_goal() {
+    let mut table = table(4, "hall-0");
+    serve(&mut table, 0, &brief(1, 2), 9_190.0 / BRIEF_SPEED);
+    let patient = Need {
+        limit_ms: 8_000,
+        ..brief(1, 2)
+    };
+    assert!(!table.calls_for_reuse(&patient));
+    table.update_shortest_goals(&BTreeMap::from([(service(), LIMIT_MS)]));
+    assert!(table.calls_for_reuse(&patient));
+    let one_goal = BTreeMap::from([(service(), 8_000)]);
+    table.update_shortest_goals(&one_goal);
+    assert!(!table.calls_for_reuse(&patient));
+}
+
 /// 568 shared tokens at 19 tokens a millisecond are 4% of the limit. Responses that waited behind
 /// known or unknown queues would make them look like a tenth.
 #[test]
