Order of requests that wait for capacity: rank, account share, time left

Requests that found no capacity raced for it, so the order of service was that of the timers and not of the requests' ranks. The rule is pure and tested alone: one line for each service and model, ordered by rank, then by the recent work done for the account, then by the time left until the latency target. Requests with slack go behind those without until it is used up.

Moving requests with used-up slack ahead of their rank without a bound was ruled out: under lasting overload their kind would be served completely at the expense of the more urgent kind. They do so only while their kind is served no better than the others of its rank.

--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -30,3 +30,4 @@
 pub mod suspect_leases;
 pub mod unknown_headers;
 pub mod upstream;
+pub mod waiting_line;
