Requests wait for capacity in order; room in the queues of plain services

Now the first in order tries, and wakes the next when it took capacity or gave up. This holds for services that are prefill-bound, and for plain services whose replicas have reported a queue; other services wait as before. A request with a long latency target may wait up to half of it.

A plain service's replica counted as full with its slots, though it queues more and its requests are short. With the setting queue_room (off by default) it counts as full by its predicted wait.

Log lines of refused requests said that they had not waited, as the wait was recorded only if a replica was found.

--- a/src/cli/daily_summary.rs
+++ b/src/cli/daily_summary.rs
@@ -1,5 +1,5 @@
-//! Counts late, refused and lost requests by time, route, reason, replica and model, from the
-//! logs of all entries.
+//! Counts late, refused and lost requests by time, route, account, reason, replica and model, from
+//! the logs of all entries.
 //!
 //! Pure: log lines in, text out. Entries limit the lines they write per second, so the counts
 //! under heavy load cover only some of the requests.
@@ -66,6 +66,29 @@
     }
 }
 
+/// Returns the table by account and rank. Empty if no line has a rank: entries of older versions
+/// log none.
+fn rank_table(counts: &BTreeMap<(String, u64), RequestCount>) -> Option<String> {
+    let title = "account, rank";
+    let headings = "  asked  in time   late  refused  failed";
+    let mut text = format!("{title:<24}{headings}\n");
+    for ((account, rank), count) in counts {
+        let account = if account.is_empty() { "-" } else { account };
+        let name = format!("{account}, {rank}");
+        let (late, failed) = (count.late(), count.lost);
+        let ended_otherwise = late + count.refused + failed + count.client_left;
+        // Writing to a string does not fail.
+        let _ = writeln!(
+            text,
+            "{name:<24}{:>7} {:>8} {late:>6} {:>8} {failed:>7}",
+            count.total,
+            count.total - ended_otherwise,
+            count.refused,
+        );
+    }
+    (!counts.is_empty()).then_some(text)
+}
+
 const HEADINGS: &str =
     "requests  late:first  pause  whole  refused  lost  left  wait ms  1k tokens";
 
@@ -97,6 +120,7 @@
     let first_s = requests.iter().map(started_s).reduce(f64::min)?;
     let mut times: BTreeMap<u64, RequestCount> = BTreeMap::new();
     let mut routes: BTreeMap<String, RequestCount> = BTreeMap::new();
+    let mut ranks: BTreeMap<(String, u64), RequestCount> = BTreeMap::new();
     let mut replicas: BTreeMap<String, RequestCount> = BTreeMap::new();
     let mut models: BTreeMap<String, RequestCount> = BTreeMap::new();
     let mut reasons: BTreeMap<String, RequestCount> = BTreeMap::new();
@@ -112,6 +136,13 @@
             }
         };
         count(&mut routes, named("route"));
+        if let Some(rank) = line.integer("rank") {
+            let account = line.field("account").unwrap_or_default();
+            ranks
+                .entry((account.to_owned(), rank))
+                .or_default()
+                .add(line);
+        }
         count(&mut replicas, named("replica"));
         count(&mut models, model);
         count(&mut reasons, named("reason"));
@@ -119,11 +150,13 @@
     let times = times.into_iter();
     let times = times.map(|(row, count)| (format!("{:.0} s", row as f64 * BUCKET_S), count));
     let tables = [
-        table("from", times),
-        table("route", routes.into_iter()),
-        table("reason", reasons.into_iter()),
-        table("replica", most_late(replicas)),
-        table("model", most_late(models)),
+        Some(table("from", times)),
+        Some(table("route", routes.into_iter())),
+        rank_table(&ranks),
+        Some(table("reason", reasons.into_iter())),
+        Some(table("replica", most_late(replicas))),
+        Some(table("model", most_late(models))),
     ];
+    let tables: Vec<String> = tables.into_iter().flatten().collect();
     Some(tables.join("\n"))
 }
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -16,6 +16,7 @@
 use crate::clock;
 use crate::consensus::directory::ReplicaRecord;
 use crate::forward::budget::{ResendBudget, ResendPolicy};
+use crate::forward::capacity_waiters::CapacityWaiters;
 use crate::forward::client;
 use crate::forward::crashes::CrashTracker;
 use crate::forward::dialect::HeaderNames;
@@ -173,6 +174,8 @@
     pub budget: RefCell<ResendBudget>,
     /// Notified when a replica may have free capacity, or another replica may be available.
     pub changed: Notify,
+    /// Requests that wait for capacity in order.
+    pub waiters: CapacityWaiters,
     /// Crashes, and the contents that are suspect because of them.
     pub crashes: CrashTracker,
     settings: ForwardSettings,
@@ -317,6 +320,13 @@
         limits.unwrap_or_default()
     }
 
+    /// Wakes the requests that wait for a replica: one may have free capacity, or another one may be
+    /// available.
+    pub fn notify_changed(&self) {
+        self.changed.notify_waiters();
+        self.waiters.capacity_changed();
+    }
+
     /// Whether the entry was requested to stop.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::SeqCst)
@@ -520,7 +530,7 @@
         }
         drop(view);
         self.update_readiness();
-        self.changed.notify_waiters();
+        self.notify_changed();
     }
 
     /// Logs new and changed replicas, by phase and models, and removed ones. Adapters change too
@@ -583,6 +593,8 @@
 pub struct ForwardDaemon {
     /// Address for clients.
     pub address: SocketAddr,
+    /// Address for readiness, health and metrics.
+    pub watch: SocketAddr,
     core: Rc<EntryCore>,
 }
 
@@ -616,6 +628,7 @@
             pool: RefCell::default(),
             budget: RefCell::new(ResendBudget::new(settings.resend)),
             changed: Notify::new(),
+            waiters: CapacityWaiters::default(),
             crashes: CrashTracker::default(),
             follower: follower.clone(),
             routing: RefCell::default(),
@@ -636,7 +649,7 @@
             unknown_headers: RefCell::default(),
             settings,
         });
-        serve_health(&core).await?;
+        let watch = serve_health(&core).await?;
         for address in control {
             follower.watch(&address);
         }
@@ -648,7 +661,11 @@
         daemon::spawn_local(prune(core.clone()));
         daemon::spawn_local(accept(core.clone(), listener));
         tracing::info!(clients = %address, "entry started");
-        Ok(Self { address, core })
+        Ok(Self {
+            address,
+            watch,
+            core,
+        })
     }
 
     /// Whether the entry knows the replica.
@@ -656,6 +673,11 @@
         self.core.replicas.borrow().record(replica).is_some()
     }
 
+    /// Number of requests that wait for capacity in order.
+    pub fn waiting(&self) -> usize {
+        self.core.waiters.len()
+    }
+
     /// Watches further control hosts, after a change of the settings.
     pub fn add_control_hosts(&self, control: &[SocketAddr]) {
         for address in control {
@@ -740,6 +762,7 @@
         match reply {
             Ok(reply) => {
                 core.budget.borrow_mut().set_entries(reply.entries);
+                core.replicas.borrow_mut().set_entries(reply.entries);
                 core.apply_limits(&reply.limits);
             }
             Err(error) => tracing::debug!(%error, "report to the leader failed"),
@@ -772,7 +795,7 @@
                 core.replicas
                     .borrow_mut()
                     .record_fetch_refusal(now_ms, replica);
-                core.changed.notify_waiters();
+                core.notify_changed();
             }
         }
         Err(error) => {
@@ -788,5 +811,6 @@
         replicas.prune(clock::monotonic_ms());
         let mut pool = core.pool.borrow_mut();
         pool.prune(|id| replicas.record(id).is_some());
+        core.waiters.prune();
     }
 }
--- a/src/forward/limits.rs
+++ b/src/forward/limits.rs
@@ -114,7 +114,7 @@
         let has_news = limits.is_report_due();
         drop(replicas);
         if ended {
-            self.changed.notify_waiters();
+            self.notify_changed();
         }
         if has_news {
             self.limit_changed.notify_one();
--- a/src/forward/max_wait.rs
+++ b/src/forward/max_wait.rs
@@ -15,6 +15,12 @@
     aim.mul_f64(fraction)
 }
 
+/// How long a request with a long latency target waits for free capacity at least: the rest of its
+/// target is left for its service.
+pub fn slack_wait(aim: Duration) -> Duration {
+    aim / 2
+}
+
 /// How long a request waits in total for a model that no replica holds: until its load, which takes
 /// `load`, should be complete, or not at all if that is after the deadline. A load that has already
 /// started completes earlier, so the time waited so far counts.
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -8,6 +8,7 @@
 pub mod answer_separation;
 pub mod budget;
 pub mod caller;
+pub mod capacity_waiters;
 pub mod chunked;
 pub mod client;
 pub mod crashes;
--- a/src/forward/need.rs
+++ b/src/forward/need.rs
@@ -73,6 +73,12 @@
     /// 0 to 10.
     #[serde(deserialize_with = "read_room_part")]
     pub room_part: f64,
+    /// Whether requests of plain services whose replicas queue wait for capacity in order of rank,
+    /// account share and time left.
+    pub ordered_wait: bool,
+    /// Whether requests are sent to a replica of a plain service with no free slot if it is
+    /// predicted to serve them in time.
+    pub queue_room: bool,
 }
 
 impl Default for ChoicePolicy {
@@ -91,6 +97,8 @@
             apart_cost: 1.0,
             by_slack: false,
             room_part: 0.25,
+            ordered_wait: true,
+            queue_room: false,
         }
     }
 }
--- a/src/forward/permits.rs
+++ b/src/forward/permits.rs
@@ -66,7 +66,7 @@
             .await;
         let granted = self.handle_reply(sent_ms, &request.replica, reply);
         // Other requests wait for this reply before they request a permit.
-        self.changed.notify_waiters();
+        self.notify_changed();
         granted.map(|stamp| RatePermit {
             replica: request.replica,
             until_ms: sent_ms + PERMIT_VALIDITY_MS,
--- a/src/forward/queue_reports.rs
+++ b/src/forward/queue_reports.rs
@@ -47,7 +47,7 @@
                 let mut replicas = core.replicas.borrow_mut();
                 replicas.update_congestion(clock::monotonic_ms(), &report.waiting, &congested);
                 drop(replicas);
-                core.changed.notify_waiters();
+                core.notify_changed();
             }
             Err(error) => {
                 tracing::debug!(%error, "report of queued tokens failed");
--- a/src/forward/replica_state.rs
+++ b/src/forward/replica_state.rs
@@ -6,6 +6,7 @@
 use crate::consensus::directory::ReplicaRecord;
 use crate::forward::need::{Need, URGENCY_LEVELS};
 use crate::forward::prompt_parts::PromptMemory;
+use crate::forward::replica_table::queue_room::ReplicaQueue;
 
 /// Weight of the newest response in the moving average of the time per token.
 const PREFILL_WEIGHT: f64 = 0.2;
@@ -134,6 +135,7 @@
     pub(super) event_gap: EventGap,
     pub(super) slowdown: HostSlowdown,
     pub(super) slots: u32,
+    pub(super) queue: ReplicaQueue,
     pub(super) failure_rate: f64,
     pub(super) ejected_until_ms: u64,
     pub(super) ejections: u32,
@@ -157,6 +159,7 @@
             congestion: CongestionSample::default(),
             event_gap: EventGap::default(),
             slowdown: HostSlowdown::default(),
+            queue: ReplicaQueue::default(),
             failure_rate: 0.0,
             ejected_until_ms: 0,
             ejections: 0,
--- a/src/forward/replica_table.rs
+++ b/src/forward/replica_table.rs
@@ -6,6 +6,7 @@
 
 mod blocks;
 mod cost;
+pub mod queue_room;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -26,6 +27,7 @@
 use crate::routing::warm_up::WarmupTracker;
 use crate::table::configuration::WarmupSpec;
 pub use blocks::SendBlock;
+use queue_room::ServiceQueue;
 
 /// Result of choosing a replica for a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -138,6 +140,9 @@
     new_ejections: Vec<Ejection>,
     answer_stats: BTreeMap<ServiceName, AnswerStats>,
     reuse_stats: BTreeMap<ServiceName, ReuseStats>,
+    service_queues: BTreeMap<ServiceName, ServiceQueue>,
+    /// Number of entries, once the leader has reported it.
+    entries: Option<u32>,
     /// Per service, for replicas without measurements of their own.
     prefill_times: BTreeMap<ServiceName, PrefillTime>,
     /// Until when the leader's figures on congested replicas are valid.
@@ -166,6 +171,8 @@
             new_ejections: Vec::new(),
             answer_stats: BTreeMap::new(),
             reuse_stats: BTreeMap::new(),
+            service_queues: BTreeMap::new(),
+            entries: None,
             prefill_times: BTreeMap::new(),
             congestion_until_ms: 0,
             backoffs: BackoffTracker::default(),
@@ -413,7 +420,8 @@
         let fits = memory == 0 || state.tokens + need.tokens <= memory || state.tokens == 0;
         let ms_per_token = self.ms_per_token(state, need, now_ms);
         let in_time = state.starts_in_time(need, now_ms, self.policy.fade_ms, ms_per_token);
-        let has_slot = waiting + running < f64::from(state.slots);
+        let has_slot =
+            waiting + running < f64::from(state.slots) || self.has_queue_room(state, need, now_ms);
         fits && in_time && has_slot && state.full_until_ms <= now_ms
     }
 
@@ -477,6 +485,10 @@
         if let Some(state) = self.states.get_mut(id) {
             state.stop_waiting(need);
             state.running += 1;
+            if let (None, Some(service)) = (&need.model, &need.service) {
+                let queue = self.service_queues.entry(service.clone()).or_default();
+                queue.record_response(&mut state.queue, took_ms);
+            }
             if tokens_ahead > 0 {
                 let ms_per_token = took_ms / tokens_ahead as f64;
                 state.prefill.observe(ms_per_token);
@@ -504,9 +516,16 @@
                 at_ms: now_ms,
             };
             state.slots = report.slots.max(1);
+            let own = state.waiting + state.running;
+            state.queue.record_report(report, own);
             if let Some(percent) = report.work_percent {
                 state.slowdown.observe(now_ms, percent);
             }
+            if report.waiting > 0 {
+                let service = &state.record.service;
+                let queue = self.service_queues.entry(service.clone()).or_default();
+                queue.record_waiting();
+            }
         }
     }
 
@@ -533,7 +552,10 @@
                 state.failure_rate *= 1.0 - FAILURE_WEIGHT;
                 state.ejections = 0;
             }
-            AttemptResult::Full => state.full_until_ms = now_ms + FULL_BACKOFF_MS,
+            AttemptResult::Full => {
+                state.full_until_ms = now_ms + FULL_BACKOFF_MS;
+                state.queue.record_refusal();
+            }
             AttemptResult::Failed => {
                 state.failure_rate += (1.0 - state.failure_rate) * FAILURE_WEIGHT;
                 if state.failure_rate >= EJECT_FAILURE_RATE {
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -8,6 +8,7 @@
 mod attempt_guard;
 mod crashes;
 mod placing;
+mod waiting;
 mod wire_heads;
 
 use std::collections::BTreeSet;
@@ -34,7 +35,7 @@
 use crate::ids::{ContentDigest, ReplicaId};
 use crate::routing::backoff::SlotOutcome;
 use crate::routing::suspects::QUARANTINE_RETRY_MS;
-use crate::table::configuration::{RouteKind, RouteSpec};
+use crate::table::configuration::{RouteKind, RouteSpec, SLACK_RANKS};
 
 use attempt_guard::AttemptGuard;
 
@@ -141,6 +142,10 @@
     paid: u64,
     id: String,
     need: Need,
+    /// Rank of its account, or of its route; 0 is the most urgent.
+    rank: u32,
+    /// Whether its latency target is long compared with the shortest one of its service.
+    can_wait: bool,
     bounds: EngineBounds,
     /// Tokens in one event of a stream; 0 if the service has no engines.
     event_tokens: u32,
@@ -214,6 +219,8 @@
             paid: 0,
             id,
             need,
+            rank: rank.unwrap_or(route.priority),
+            can_wait: slack + 1 >= SLACK_RANKS,
             bounds: engine.map_or(EngineBounds::default(), |engine| EngineBounds {
                 memory: engine.kv_tokens,
                 adapter_slots: engine.adapter_slots,
--- a/src/forward/request/attempt_guard.rs
+++ b/src/forward/request/attempt_guard.rs
@@ -62,6 +62,9 @@
             let took_ms = self.since.elapsed().as_secs_f64() * 1000.0;
             let mut replicas = self.core.replicas.borrow_mut();
             replicas.record_response_start(&self.replica, &self.need, self.tokens_ahead, took_ms);
+            drop(replicas);
+            // Its prompt is no longer ahead of others.
+            self.core.waiters.capacity_changed();
         }
     }
 }
@@ -75,6 +78,6 @@
         let ejections = replicas.take_ejections();
         drop(replicas);
         self.core.log_ejected(&ejections);
-        self.core.changed.notify_waiters();
+        self.core.notify_changed();
     }
 }
--- a/src/forward/request/placing.rs
+++ b/src/forward/request/placing.rs
@@ -3,10 +3,12 @@
 use std::time::{Duration, Instant};
 
 use crate::clock;
+use crate::forward::capacity_waiters::LinePlace;
 use crate::forward::max_wait;
 use crate::forward::own_answer::Refusal;
 use crate::forward::replica_table::Choice;
 use crate::forward::suspect_leases::Clearance;
+use crate::forward::waiting_line::LineKey;
 use crate::ids::ReplicaId;
 
 use super::{ForwardedRequest, MIN_TIME_LEFT};
@@ -17,14 +19,30 @@
 impl ForwardedRequest<'_> {
     /// Waits until a replica may take the request, or the request must be refused.
     pub(super) async fn choose_replica(&mut self) -> Result<ReplicaId, Refusal> {
+        let line = self.line();
+        self.log.begin_wait();
+        let chosen = self.await_replica(line.as_ref()).await;
+        self.log.end_wait();
+        if let Some(line) = &line {
+            self.record_line_end(line, &chosen);
+        }
+        chosen
+    }
+
+    async fn await_replica(&mut self, line: Option<&LineKey>) -> Result<ReplicaId, Refusal> {
         let since = Instant::now();
+        let mut place = self.join_behind_others(line);
         loop {
             if self.left() < MIN_TIME_LEFT {
                 return Err(Refusal::DeadlinePassed);
             }
             let changed = self.core.changed.notified();
             let now_ms = clock::monotonic_ms();
-            let choice = self.choose(now_ms);
+            let may_try = place.as_ref().is_none_or(LinePlace::is_first);
+            let choice = match may_try {
+                true => self.choose(now_ms),
+                false => Choice::Full,
+            };
             let waited = since.elapsed();
             let (refusal, limit) = match choice {
                 // The next round chooses again; the refused permit blocks this replica for a while.
@@ -32,7 +50,6 @@
                 Choice::Send(replica) => match self.request_suspect_lease(&replica).await {
                     Clearance::Go(lease) => {
                         self.lease = lease;
-                        self.log.record_wait(waited);
                         return Ok(replica);
                     }
                     Clearance::Quarantined => return Err(Refusal::Quarantined),
@@ -48,7 +65,8 @@
                 }
                 Choice::Full => {
                     self.core.congestion_seen.notify_one();
-                    (Refusal::Full, self.max_wait())
+                    let limit = line.map_or_else(|| self.max_wait(), |_| self.line_wait());
+                    (Refusal::Full, limit)
                 }
                 Choice::NoAdapter => (Refusal::Adapter, self.max_wait()),
                 Choice::BackingOff(left_ms) => {
@@ -69,8 +87,23 @@
             if waited >= limit || self.core.is_stopping() {
                 return Err(refusal);
             }
+            place = match (refusal, line, place) {
+                (Refusal::Full, Some(_), Some(place)) => Some(place),
+                (Refusal::Full, Some(line), None) => Some(self.join(line)),
+                _ => None,
+            };
             let pause = RECHECK_INTERVAL.min(limit - waited);
-            let _ = tokio::time::timeout(pause, changed).await;
+            match &place {
+                Some(place) => {
+                    if may_try && self.is_limited_to_some_replicas() {
+                        place.pass_over();
+                    }
+                    place.wait(pause).await;
+                }
+                None => {
+                    let _ = tokio::time::timeout(pause, changed).await;
+                }
+            }
         }
     }
 
@@ -101,7 +134,7 @@
         }
     }
 
-    fn max_wait(&self) -> Duration {
+    pub(super) fn max_wait(&self) -> Duration {
         max_wait::capacity_wait(self.aim(), self.core.choice().room_part)
     }
 
--- a/src/forward/request_log.rs
+++ b/src/forward/request_log.rs
@@ -50,6 +50,7 @@
 pub struct RequestLog {
     id: String,
     account: String,
+    rank: u32,
     route: String,
     service: String,
     model: String,
@@ -63,6 +64,8 @@
     attempts: u32,
     resent: u32,
     waited: Duration,
+    /// When the wait for a replica began, if it has not ended.
+    waits_since: Option<Instant>,
     first: Option<Duration>,
     longest_pause: Duration,
     notes: Vec<String>,
@@ -84,6 +87,9 @@
         Self {
             id: id.to_owned(),
             account: caller.map_or(String::new(), |caller| caller.account.0.clone()),
+            rank: caller
+                .and_then(|caller| caller.priority)
+                .unwrap_or(route.priority),
             route: route.name.clone(),
             service: need.service.as_ref().map_or(String::new(), |s| s.0.clone()),
             model: format!("{model}{}", adapter.unwrap_or_default()),
@@ -95,6 +101,7 @@
             attempts: 0,
             resent: 0,
             waited: Duration::ZERO,
+            waits_since: None,
             first: None,
             longest_pause: Duration::ZERO,
             notes: Vec::new(),
@@ -103,9 +110,21 @@
         }
     }
 
-    /// Adds the time spent waiting for a replica.
-    pub fn record_wait(&mut self, waited: Duration) {
-        self.waited += waited;
+    /// Records that the request begins to wait for a replica.
+    pub fn begin_wait(&mut self) {
+        self.waits_since = Some(Instant::now());
+    }
+
+    /// Records that the request has a replica, or is refused.
+    pub fn end_wait(&mut self) {
+        self.waited = self.waited();
+        self.waits_since = None;
+    }
+
+    /// Time spent waiting for a replica. A request that its client abandons may still wait.
+    fn waited(&self) -> Duration {
+        let waits = self.waits_since.map(|since| since.elapsed());
+        self.waited + waits.unwrap_or_default()
     }
 
     /// Records that the request is sent to a replica.
@@ -197,6 +216,8 @@
         let micros = |time: Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
         let key = MetricKey::new("dunlinspring_request_seconds", &labels);
         metrics.time(key, micros(took));
+        let key = MetricKey::new("dunlinspring_waited_seconds", &labels);
+        metrics.time(key, micros(self.waited()));
         if !self.account.is_empty() {
             let labels = [
                 ("account", metrics.account_label(&self.account)),
@@ -220,6 +241,7 @@
             tracing::info!(
                 request = self.id,
                 account = self.account,
+                rank = self.rank,
                 route = self.route,
                 service = self.service,
                 model = self.model,
@@ -228,7 +250,7 @@
                 replica = self.replica.as_ref().map_or("", |id| id.as_str()),
                 tries = self.attempts,
                 resent = self.resent,
-                waited_ms = millis(self.waited),
+                waited_ms = millis(self.waited()),
                 first_ms = self.first.map(millis),
                 longest_pause_ms = self.first.map(|_| millis(self.longest_pause)),
                 took_ms = millis(took),
--- a/src/forward/waiting_line.rs
+++ b/src/forward/waiting_line.rs
@@ -277,6 +277,14 @@
         }
     }
 
+    /// Ends the effect of [`Self::pass_over`].
+    pub fn reopen(&mut self, ticket: &WaitTicket) {
+        let line = self.lines.get_mut(&ticket.line);
+        if let Some(waiter) = line.and_then(|line| line.get_mut(&ticket.number)) {
+            waiter.passed_over = None;
+        }
+    }
+
     /// Records that capacity may have become free.
     pub fn start_round(&mut self) {
         self.round += 1;
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -57,6 +57,22 @@
     assert_eq!(daily_summary("nothing".lines()), None);
 }
 
+const RANKED_LOG: &str = r#"
+{"timestamp":"2026-01-01T10:00:01.000000Z","fields":{"message":"request","request":"a","account":"hot","rank":0,"route":"chat","waited_ms":0,"took_ms":400,"late":"","outcome":"answered","reason":""},"span":{"host":"e1"}}
+{"timestamp":"2026-01-01T10:00:01.100000Z","fields":{"message":"request","request":"b","account":"hot","rank":0,"route":"chat","waited_ms":0,"took_ms":900,"late":"first event","outcome":"answered","reason":""},"span":{"host":"e1"}}
+{"timestamp":"2026-01-01T10:00:01.200000Z","fields":{"message":"request","request":"c","account":"hot","rank":2,"route":"bill","waited_ms":30,"took_ms":30,"outcome":"refused","reason":"all replicas are full"},"span":{"host":"e2"}}
+{"timestamp":"2026-01-01T10:00:01.300000Z","fields":{"message":"request","request":"d","account":"","rank":1,"route":"open","took_ms":30,"outcome":"unknown","reason":"the replica failed; it may have run"},"span":{"host":"e2"}}
+{"timestamp":"2026-01-01T10:00:01.400000Z","fields":{"message":"request","request":"e","account":"","rank":1,"route":"open","took_ms":30,"outcome":"left","reason":"the client left"},"span":{"host":"e2"}}
+{"timestamp":"2026-01-01T10:00:01.500000Z","fields":{"message":"request","request":"f","account":"old","route":"chat","took_ms":30,"outcome":"answered","reason":""},"span":{"host":"e2"}}
+"#;
+
+/// Guards against outcomes that are counted for another account or rank, and against a request of
+/// an entry without ranks in its log being counted for rank 0.
+#[test]
+fn a_day_is_summarized_by_account_and_rank() {
+    insta::assert_snapshot!(daily_summary(RANKED_LOG.lines()).unwrap());
+}
+
 /// Log of two hosts that both order `r1`: `c1` was suspended while its last order was in transit.
 const TWO_HOSTS: &str = include_str!("data/two-hosts.log");
 
--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod pauses;
 mod support;
+mod waiting;
 
 use std::cell::RefCell;
 use std::time::Duration;
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -26,6 +26,7 @@
 use dunlinspring::forward::chunked::ChunkDecoder;
 use dunlinspring::forward::daemon::{ForwardDaemon, ForwardSettings};
 use dunlinspring::forward::head::{self, Framing, Header};
+use dunlinspring::forward::need::ChoicePolicy;
 use dunlinspring::ids::{ContentDigest, HallName, HostName, ModelName, ReplicaId, ServiceName};
 use dunlinspring::process::peers::{ControlLink, SiteSecret};
 use dunlinspring::process::settings::{CommonSettings, ControlSettings, VoterSettings};
@@ -64,6 +65,7 @@
     resumable: bool,
     public: bool,
     service: &'static str,
+    priority: u32,
 }
 
 impl RouteShape {
@@ -75,6 +77,7 @@
             resumable: false,
             public: false,
             service: "llm",
+            priority: 1,
         }
     }
 
@@ -85,6 +88,7 @@
             resumable: false,
             public: false,
             service: "plain",
+            priority: 1,
         }
     }
 
@@ -103,6 +107,7 @@
             resumable: false,
             public: false,
             service: "plain",
+            priority: 1,
         }
     }
 
@@ -113,9 +118,14 @@
             resumable,
             public: false,
             service: "plain",
+            priority: 1,
         }
     }
 
+    pub const fn ranked(self, priority: u32) -> Self {
+        Self { priority, ..self }
+    }
+
     fn spec(&self) -> RouteSpec {
         RouteSpec {
             name: self.prefix.to_owned(),
@@ -125,7 +135,7 @@
             timeout_ms: TIMEOUT_MS,
             latency_goal_ms: 800,
             max_event_gap_ms: 400,
-            priority: 1,
+            priority: self.priority,
             attempts: 3,
             resumable: self.resumable,
             public: self.public,
@@ -314,7 +324,13 @@
 
 impl ForwardSite {
     pub async fn start(routes: &[RouteShape]) -> Self {
-        let site = Self::start_bare().await;
+        Self::start_with(routes, ChoicePolicy::default()).await
+    }
+
+    /// Starts a site whose entry chooses replicas by the given policy.
+    pub async fn start_with(routes: &[RouteShape], choice: ChoicePolicy) -> Self {
+        let wait_ms = MAX_WAIT.as_millis() as u64;
+        let site = Self::start_with_waits(wait_ms, wait_ms, choice).await;
         let configured = async || site.configure(1, routes).await.ok();
         wait_for("a leader", configured).await;
         let known = async || {
@@ -328,16 +344,20 @@
     /// Starts a site without a configuration.
     pub async fn start_bare() -> Self {
         let patience_ms = MAX_WAIT.as_millis() as u64;
-        Self::start_with_waits(patience_ms, patience_ms).await
+        Self::start_with_waits(patience_ms, patience_ms, ChoicePolicy::default()).await
     }
 
     /// Starts a site whose entry accepts API keys for at most `authority_ms` after the last
     /// contact with the control host. Requests wait 1 s for newer state.
     pub async fn start_bounded(authority_ms: u64) -> Self {
-        Self::start_with_waits(authority_ms, 1_000).await
+        Self::start_with_waits(authority_ms, 1_000, ChoicePolicy::default()).await
     }
 
-    async fn start_with_waits(authority_ms: u64, config_wait_ms: u64) -> Self {
+    async fn start_with_waits(
+        authority_ms: u64,
+        config_wait_ms: u64,
+        choice: ChoicePolicy,
+    ) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let (control, address) = start_control(&folder).await;
         let link = Arc::new(ControlLink::new(secret(), vec![address.to_string()]));
@@ -354,7 +374,7 @@
             watch: loopback(),
             control: vec![address],
             log: Default::default(),
-            choice: Default::default(),
+            choice,
             resend: Default::default(),
             connect_ms: CONNECT_MS,
             stale_ms: 60_000,
@@ -580,6 +600,21 @@
         self.send_raw(&text).await
     }
 
+    /// Returns the number of requests that wait for capacity at the first entry.
+    pub fn waiting(&self) -> usize {
+        self.entries[0].waiting()
+    }
+
+    /// Reads the metrics of the first entry.
+    pub async fn metrics(&self) -> String {
+        let mut stream = TcpStream::connect(self.entries[0].watch).await.unwrap();
+        let text = "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+        stream.write_all(text.as_bytes()).await.unwrap();
+        let mut bytes = Vec::new();
+        let _ = stream.read_to_end(&mut bytes).await;
+        decode_response(&bytes).body
+    }
+
     /// Sends a POST request to the given entry.
     pub async fn send_at(&self, entry: usize, target: &str, id: &str, body: &str) -> Response {
         let length = body.len();
