--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -513,7 +513,10 @@
             let routes = configuration.routes.len();
             let configuration = (**configuration).clone();
             let services = &configuration.services;
-            self.replicas.borrow_mut().update_services(services);
+            let mut replicas = self.replicas.borrow_mut();
+            replicas.update_services(services);
+            replicas.update_routes(&configuration.routes);
+            drop(replicas);
             let accounts = configuration.accounts.as_ref();
             let keys = accounts.map(KeyIndex::new).unwrap_or_default();
             let slack_ranks = slack_ranks(&configuration.routes);
--- a/src/forward/replica_table.rs
+++ b/src/forward/replica_table.rs
@@ -141,6 +141,8 @@
     answer_stats: BTreeMap<ServiceName, AnswerStats>,
     reuse_stats: BTreeMap<ServiceName, ReuseStats>,
     service_queues: BTreeMap<ServiceName, ServiceQueue>,
+    /// Shortest latency target of each service's routes.
+    shortest_targets_ms: BTreeMap<ServiceName, u64>,
     /// Number of entries, once the leader has reported it.
     entries: Option<u32>,
     /// Per service, for replicas without measurements of their own.
@@ -172,6 +174,7 @@
             answer_stats: BTreeMap::new(),
             reuse_stats: BTreeMap::new(),
             service_queues: BTreeMap::new(),
+            shortest_targets_ms: BTreeMap::new(),
             entries: None,
             prefill_times: BTreeMap::new(),
             congestion_until_ms: 0,
--- a/src/forward/replica_table/queue_room.rs
+++ b/src/forward/replica_table/queue_room.rs
@@ -10,6 +10,7 @@
 use crate::forward::need::Need;
 use crate::forward::replica_state::ReplicaState;
 use crate::ids::ServiceName;
+use crate::table::configuration::RouteSpec;
 
 use super::{LoadReport, ReplicaTable};
 
@@ -18,6 +19,10 @@
 /// Entries are of unequal size, and not all of them use all replicas: each may use twice its equal
 /// part. The reported load limits the sum wherever it is not outdated.
 const FAIR_FACTOR: f64 = 2.0;
+/// Part of the predicted room that requests of each rank may use; further ranks use the last one. A
+/// plain service serves its queue in the order of arrival, so that without a margin, bursts of a
+/// less urgent rank would fill it before urgent requests arrive.
+const RANK_PARTS: [f64; 3] = [1.0, 0.75, 0.5];
 
 /// Moving average of the time that a replica works on one request, in milliseconds.
 #[derive(Clone, Copy, Debug, Default)]
@@ -109,9 +114,10 @@
 }
 
 impl QueueView {
-    /// Whether one more request would end within its latency target, and this entry has not used
-    /// up its part of the requests that the replica can serve in that time.
-    pub fn has_room(&self, limit_ms: u64) -> bool {
+    /// Whether one more request of this urgency would end within the latency target, and this entry
+    /// has not used up its part of the requests that the replica can serve in that time.
+    pub fn has_room(&self, limit_ms: u64, urgency: usize) -> bool {
+        let rank_part = RANK_PARTS[urgency.min(RANK_PARTS.len() - 1)];
         let slots = f64::from(self.slots.max(1));
         let spare_ms = limit_ms as f64 - self.request_ms;
         let wait_ms = (self.load - slots + 1.0) * self.request_ms / slots;
@@ -120,7 +126,7 @@
         let queue_full = self
             .limit
             .is_some_and(|limit| self.waiting >= f64::from(limit));
-        wait_ms <= spare_ms && f64::from(self.own) + 1.0 <= part.max(1.0) && !queue_full
+        wait_ms <= spare_ms * rank_part && f64::from(self.own) + 1.0 <= part.max(1.0) && !queue_full
     }
 }
 
@@ -130,6 +136,18 @@
         self.entries = Some(entries.max(1));
     }
 
+    /// Replaces the shortest latency targets of services.
+    pub fn update_routes(&mut self, routes: &[RouteSpec]) {
+        self.shortest_targets_ms.clear();
+        for route in routes {
+            for (service, _) in &route.split {
+                let known = self.shortest_targets_ms.entry(service.clone());
+                let shortest_ms = known.or_insert(route.latency_goal_ms);
+                *shortest_ms = route.latency_goal_ms.min(*shortest_ms);
+            }
+        }
+    }
+
     /// Whether replicas of a plain service queue requests beyond their slots: one has reported
     /// waiting requests.
     pub fn queues_requests(&self, service: &ServiceName) -> bool {
@@ -144,8 +162,12 @@
         if !self.policy.queue_room || need.model.is_some() || !fresh {
             return false;
         }
+        // Requests with a long target would otherwise fill the queue up to it, and leave no room for
+        // those with a short one.
+        let shortest_ms = self.shortest_targets_ms.get(&state.record.service);
+        let limit_ms = shortest_ms.map_or(need.limit_ms, |ms| need.limit_ms.min(*ms));
         let view = self.queue_view(state);
-        view.is_some_and(|view| view.has_room(need.limit_ms))
+        view.is_some_and(|view| view.has_room(limit_ms, need.urgency))
     }
 
     fn queue_view(&self, state: &ReplicaState) -> Option<QueueView> {
--- a/tests/forwarding/waiting.rs
+++ b/tests/forwarding/waiting.rs
@@ -1,5 +1,7 @@
 //! Requests that wait at an entry for capacity.
 
+use std::time::Duration;
+
 use dunlinspring::forward::need::ChoicePolicy;
 use futures::future::join;
 
@@ -85,3 +87,22 @@
     assert_eq!(batch.status, 200);
     assert_eq!((site.waiting(), site.seen("r1").len()), (0, 2));
 }
+
+/// Guards against an effect on services whose replicas do not queue: their requests wait in no
+/// order, as before.
+#[ntex::test]
+async fn requests_of_a_service_without_queues_wait_in_no_line() {
+    let busy = Behaviour::Headed(200, "Load: 1000000,0,8\r\n");
+    let mut site = ForwardSite::start(&[BATCH]).await;
+    site.add_replica("r1", vec![busy]).await;
+    assert_eq!(site.send("GET", "/batch/x", "first", "").await.status, 200);
+    let mut request = std::pin::pin!(site.send("GET", "/batch/x", "second", ""));
+    let refused = loop {
+        let look_again = Duration::from_millis(5);
+        if let Ok(refused) = tokio::time::timeout(look_again, request.as_mut()).await {
+            break refused;
+        }
+        assert_eq!(site.waiting(), 0);
+    };
+    assert_eq!(refused.status, 503);
+}
--- a/tests/queue_room.rs
+++ b/tests/queue_room.rs
@@ -11,6 +11,7 @@
     AttemptResult, Choice, EngineBounds, LoadReport, Need, ReplicaTable,
 };
 use dunlinspring::ids::{ReplicaId, ServiceName};
+use dunlinspring::table::configuration::{RouteKind, RouteSpec};
 use support_place::flat_location;
 use support_replicas::ready_replica;
 
@@ -172,6 +173,52 @@
     assert_eq!(choose_at(&table, later_ms, 60_000), Choice::Send(id()));
 }
 
+fn route(latency_goal_ms: u64) -> RouteSpec {
+    RouteSpec {
+        name: latency_goal_ms.to_string(),
+        host: "h.example".to_owned(),
+        prefix: format!("/{latency_goal_ms}/"),
+        kind: RouteKind::Safe,
+        timeout_ms: 20_000,
+        latency_goal_ms,
+        max_event_gap_ms: 0,
+        priority: 1,
+        attempts: 2,
+        resumable: false,
+        public: false,
+        regions: BTreeSet::new(),
+        split: vec![(ServiceName::from("plain"), 1)],
+    }
+}
+
+/// Guards against requests with a long target, or of a less urgent rank, that fill the queue of a
+/// replica before urgent requests with a short target arrive: it serves them in order of arrival.
+#[test]
+fn urgent_requests_with_a_short_target_find_room_behind_all_others() {
+    let mut table = measured(QUEUE_ROOM);
+    table.update_routes(&[route(120), route(8_000)]);
+    let urgent = need(120);
+    let others = [1, 2].map(|urgency| Need {
+        urgency,
+        ..need(8_000)
+    });
+    for other in others {
+        for waiting in 0..QUEUE {
+            table.record_load(NOW_MS, &id(), load(SLOTS, waiting));
+            let choose =
+                |need| table.choose(NOW_MS, need, &BTreeSet::new(), EngineBounds::default());
+            if choose(&other) == Choice::Send(id()) {
+                let after = load(SLOTS, waiting + 1);
+                table.record_load(NOW_MS, &id(), after);
+                assert_eq!(
+                    choose_at(&table, NOW_MS, urgent.limit_ms),
+                    Choice::Send(id())
+                );
+            }
+        }
+    }
+}
+
 /// Guards against entries that all use the room in the same outdated report: together they would
 /// exceed it by the number of entries.
 #[test]
@@ -190,7 +237,7 @@
                 request_ms: REQUEST_MS,
                 entries: ENTRIES,
             };
-            view.has_room(limit_ms)
+            view.has_room(limit_ms, 0)
         });
         let sent = sent.count() as f64;
         assert!(sent >= 1.0, "{limit_ms}");
