--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -8,6 +8,7 @@
 pub mod answer_separation;
 pub mod budget;
 pub mod caller;
+pub mod capacity_waiters;
 pub mod chunked;
 pub mod client;
 pub mod crashes;
@@ -33,3 +34,4 @@
 pub mod suspect_leases;
 pub mod unknown_headers;
 pub mod upstream;
+pub mod waiting_line;
--- a/src/forward/need.rs
+++ b/src/forward/need.rs
@@ -73,6 +73,14 @@
     /// 0 to 10.
     #[serde(deserialize_with = "read_room_part")]
     pub room_part: f64,
+    /// Whether requests wait for capacity in order of rank, account share and time left: those of
+    /// prefill-bound services, and of plain services whose replicas queue. If not set, only at
+    /// entries that have a prefill-bound service.
+    pub ordered_wait: Option<bool>,
+    /// Whether requests are sent to a replica of a plain service with no free slot if it is
+    /// predicted to serve them in time. If not set, only at entries that have a prefill-bound
+    /// service.
+    pub queue_room: Option<bool>,
 }
 
 impl Default for ChoicePolicy {
@@ -91,6 +99,8 @@
             apart_cost: 1.0,
             by_slack: false,
             room_part: 0.25,
+            ordered_wait: None,
+            queue_room: None,
         }
     }
 }
--- a/src/forward/prefix_reuse.rs
+++ b/src/forward/prefix_reuse.rs
@@ -1,13 +1,13 @@
 //! Which requests call for the reuse of cached prompt parts: those whose shared tokens take a
-//! substantial part of the shortest latency goal of their service to prefill. A request with a
-//! longer goal counts as well, because its prefill delays the others.
+//! substantial part of the shortest latency target of their service to prefill. A request with a
+//! longer target counts as well, because its prefill delays the others.
 //!
 //! Pure. The prefill time is measured over the requests of one service at this entry.
 
 use crate::forward::need::Need;
 use crate::forward::prompt_parts::shared_tokens;
 
-/// Fraction of the latency goal from which the prefill of the shared tokens calls for reuse.
+/// Fraction of the latency target from which the prefill of the shared tokens calls for reuse.
 const CALL_FRACTION: f64 = 0.1;
 /// Fraction of a service's requests that call for reuse, from which it is prefill-bound.
 const BOUND_FRACTION: f64 = 0.1;
@@ -30,8 +30,6 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ReuseStats {
     ms_per_token: Option<f64>,
-    /// Shortest latency goal of the service, if a configuration is known.
-    shortest_goal_ms: Option<u64>,
     requests: u32,
     calling: f64,
     prefill_bound: bool,
@@ -61,12 +59,12 @@
 
     /// Records that a request is sent. Returns whether that changed whether the service is
     /// prefill-bound.
-    pub fn observe_request(&mut self, need: &Need) -> bool {
+    pub fn observe_request(&mut self, need: &Need, shortest_ms: Option<u64>) -> bool {
         let was_bound = self.prefill_bound;
         self.requests = self.requests.saturating_add(1);
         // The first requests have equal weight, so that the fraction is accurate early.
         let step = CALL_WEIGHT.max(1.0 / f64::from(self.requests));
-        let calls = f64::from(u8::from(self.calls_for_reuse(need)));
+        let calls = f64::from(u8::from(self.calls_for_reuse(need, shortest_ms)));
         self.calling += (calls - self.calling) * step;
         self.prefill_bound = match self.prefill_bound {
             true => self.calling >= UNBOUND_FRACTION,
@@ -75,17 +73,13 @@
         self.prefill_bound != was_bound
     }
 
-    /// Updates the shortest latency goal of the service's routes.
-    pub fn update_shortest_goal(&mut self, goal_ms: Option<u64>) {
-        self.shortest_goal_ms = goal_ms;
-    }
-
-    /// Whether the prefill of the shared tokens would take a substantial part of the latency goal.
-    pub fn calls_for_reuse(&self, need: &Need) -> bool {
+    /// Whether the prefill of the shared tokens would take a substantial part of the latency target.
+    /// `shortest_ms` is the shortest one of the service's routes, if a configuration is known.
+    pub fn calls_for_reuse(&self, need: &Need, shortest_ms: Option<u64>) -> bool {
         let shared = shared_tokens(need);
         let prefill_ms = self.prefill_ms(u64::from(shared));
-        let goal_ms = self.shortest_goal_ms.unwrap_or(u64::MAX).min(need.limit_ms);
-        shared > 0 && prefill_ms.is_some_and(|ms| ms >= goal_ms as f64 * CALL_FRACTION)
+        let limit_ms = shortest_ms.unwrap_or(u64::MAX).min(need.limit_ms);
+        shared > 0 && prefill_ms.is_some_and(|ms| ms >= limit_ms as f64 * CALL_FRACTION)
     }
 
     /// Returns the time to prefill a number of tokens; `None` until it was measured.
--- a/src/forward/replica_table/cost.rs
+++ b/src/forward/replica_table/cost.rs
@@ -1,11 +1,12 @@
 //! Cost of sending a request to a replica, and the replicas that a request prefers.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use crate::consensus::directory::ReplicaPhase;
 use crate::forward::home_order::{self, hash_rank};
 use crate::forward::locality::HallDistance;
 use crate::forward::need::Need;
+use crate::forward::prefix_reuse::ReuseStats;
 use crate::forward::prompt_parts::shared_tokens;
 use crate::forward::replica_state::ReplicaState;
 use crate::ids::{ReplicaId, ServiceName};
@@ -54,15 +55,8 @@
     pub fn calls_for_reuse(&self, need: &Need) -> bool {
         let service = need.service.as_ref();
         let stats = service.and_then(|service| self.reuse_stats.get(service));
-        stats.is_some_and(|stats| stats.calls_for_reuse(need))
-    }
-
-    /// Updates the shortest latency goal of each service's routes, in milliseconds.
-    pub fn update_shortest_goals(&mut self, goals: &BTreeMap<ServiceName, u64>) {
-        for (service, goal_ms) in goals {
-            let stats = self.reuse_stats.entry(service.clone()).or_default();
-            stats.update_shortest_goal(Some(*goal_ms));
-        }
+        let shortest_ms = service.and_then(|service| self.shortest_targets_ms.get(service));
+        stats.is_some_and(|stats| stats.calls_for_reuse(need, shortest_ms.copied()))
     }
 
     /// Whether at least a tenth of a service's requests at this entry call for the reuse of cached
@@ -72,6 +66,11 @@
         stats.is_some_and(|stats| stats.is_prefill_bound())
     }
 
+    /// Whether any service of this entry is prefill-bound.
+    pub fn has_prefill_bound_service(&self) -> bool {
+        self.reuse_stats.values().any(ReuseStats::is_prefill_bound)
+    }
+
     /// `memory` is the number of tokens that fit into a replica's memory; 0 for no limit.
     pub(super) fn preferences<'a>(
         &'a self,
--- a/tests/prefix_reuse.rs
+++ b/tests/prefix_reuse.rs
@@ -13,6 +13,7 @@
     AttemptResult, Choice, ChoicePolicy, EngineBounds, LoadReport, Need, ReplicaTable,
 };
 use dunlinspring::ids::{HallName, ModelName, ReplicaId, ServiceName};
+use dunlinspring::table::configuration::{RouteKind, RouteSpec};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use support_place::flat_location;
@@ -119,6 +120,24 @@
     assert!(!table.calls_for_reuse(&other));
 }
 
+fn route(latency_goal_ms: u64) -> RouteSpec {
+    RouteSpec {
+        name: latency_goal_ms.to_string(),
+        host: "h.example".to_owned(),
+        prefix: format!("/{latency_goal_ms}/"),
+        kind: RouteKind::Streaming,
+        timeout_ms: 20_000,
+        latency_goal_ms,
+        max_event_gap_ms: 600,
+        priority: 1,
+        attempts: 1,
+        resumable: false,
+        public: false,
+        regions: BTreeSet::new(),
+        split: vec![(service(), 1)],
+    }
+}
+
 /// Requests that can wait would prefill the parts again that others have cached, and delay these.
 #[test]
 fn a_request_with_a_long_goal_calls_for_reuse_beside_one_with_a_short_goal() {
@@ -129,10 +148,9 @@
         ..brief(1, 2)
     };
     assert!(!table.calls_for_reuse(&patient));
-    table.update_shortest_goals(&BTreeMap::from([(service(), LIMIT_MS)]));
+    table.update_routes(&[route(8_000), route(LIMIT_MS)]);
     assert!(table.calls_for_reuse(&patient));
-    let one_goal = BTreeMap::from([(service(), 8_000)]);
-    table.update_shortest_goals(&one_goal);
+    table.update_routes(&[route(8_000)]);
     assert!(!table.calls_for_reuse(&patient));
 }
 
