Tests of ordered waiting set the policy that they test

Cause: lines of plain services exist by default only at entries with a prefill-bound service since the merge, and these two tests have none.

--- a/tests/forwarding/waiting.rs
+++ b/tests/forwarding/waiting.rs
@@ -46,6 +46,7 @@
 #[ntex::test]
 async fn the_most_urgent_waiting_request_is_sent_first() {
     let choice = ChoicePolicy {
+        ordered_wait: Some(true),
         room_part: 10.0,
         ..ChoicePolicy::default()
     };
@@ -75,6 +76,7 @@
 #[ntex::test]
 async fn an_abandoned_request_leaves_the_line() {
     let choice = ChoicePolicy {
+        ordered_wait: Some(true),
         room_part: 10.0,
         ..ChoicePolicy::default()
     };
