--- a/src/admission/prefill_meter.rs
+++ b/src/admission/prefill_meter.rs
@@ -1,22 +1,33 @@
-//! Measures how long a replica takes to prefill one token. Pure.
+//! Measures how long a replica takes to prefill prompts. Pure.
 //!
-//! Reports show the end of a prefill late, by up to the time between two reports. A busy period, in
-//! which the replica prefills without a pause, is measured from the end of one prefill to the end
-//! of another: both are seen late, and the errors of successive periods cancel out. Single runs are
-//! used only where there was no busy period lately; their time includes the decode steps of the
-//! first event.
-
-/// Number of units over which an average is taken; earlier ones fade.
-const AVERAGE_TOKENS: f64 = 40_000.0;
-/// Fewest prefilled tokens of a sample per run: the time of shorter prefills is mostly decode
-/// steps and the delay of reports.
-const MIN_SAMPLE_TOKENS: u32 = 512;
-/// Longest time between two reports of a sample, in milliseconds. Across a longer one it is not
+//! An event takes several decode steps after the prefill, and a report shows it late by up to the
+//! time between two reports, so the time of a single run is more than its prefill. Two measurements
+//! separate them:
+//!
+//! - A busy period, from when the replica begins to prefill until all that it has begun have
+//!   produced an event. Its time grows with its tokens; a linear regression gives the time per
+//!   token and the fixed time for one event.
+//! - A saturated period, in which several runs are in their prefill all along, from the first event
+//!   of one run to that of another. Both come equally late, so the fixed time cancels out.
+
+/// Number of units over which the average of saturated periods is taken; earlier ones fade.
+const AVERAGE_TOKENS: f64 = 100_000.0;
+/// Number of busy periods over which the regression is taken; earlier ones fade.
+const AVERAGE_PERIODS: f64 = 64.0;
+/// Least standard deviation of the tokens of busy periods from which their fixed time is known.
+const MIN_TOKENS_DEVIATION: f64 = 300.0;
+/// Least part of the mean time per token that is prefill, whatever the regression gives: a bound on
+/// the effect of wrong samples, such as prompts that are cached without being known to be.
+const MIN_PREFILL_PART: f64 = 0.3;
+/// Shortest saturated period, in milliseconds. The first events of runs come closer to each other
+/// than their prefills when the last of several prefills has ended, which distorts short ones.
+const MIN_SATURATED_MS: f64 = 2_000.0;
+/// Longest time between two reports of a period, in milliseconds. Across a longer one it is not
 /// known whether the replica was busy.
 const MAX_REPORT_GAP_MS: u64 = 100;
-/// Time for which a busy period is preferred to single runs, in milliseconds. Hosts are shared,
+/// Time for which a saturated period is preferred to busy ones, in milliseconds. Hosts are shared,
 /// so speeds change.
-const BUSY_SAMPLE_MS: u64 = 30_000;
+const SATURATED_SAMPLE_MS: u64 = 30_000;
 
 /// Moving average of the time per unit of work, weighted by the work.
 #[derive(Clone, Copy, Debug, Default)]
@@ -43,6 +54,57 @@
     }
 }
 
+/// Time of prefills: a fixed time until the first event, and a time per token.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PrefillTime {
+    /// Prefill time per token, in milliseconds.
+    pub ms_per_token: f64,
+    /// Time to the first event beyond the prefill, in milliseconds.
+    pub fixed_ms: f64,
+}
+
+/// Linear regression of the time of busy periods over their tokens.
+#[derive(Clone, Copy, Debug, Default)]
+struct PeriodRegression {
+    count: f64,
+    tokens: f64,
+    ms: f64,
+    tokens_squared: f64,
+    tokens_by_ms: f64,
+}
+
+impl PeriodRegression {
+    fn add(&mut self, tokens: f64, ms: f64) {
+        let kept = 1.0 - 1.0 / AVERAGE_PERIODS;
+        self.count = self.count * kept + 1.0;
+        self.tokens = self.tokens * kept + tokens;
+        self.ms = self.ms * kept + ms;
+        self.tokens_squared = self.tokens_squared * kept + tokens * tokens;
+        self.tokens_by_ms = self.tokens_by_ms * kept + tokens * ms;
+    }
+
+    fn time(&self) -> Option<PrefillTime> {
+        if self.tokens <= 0.0 {
+            return None;
+        }
+        let mean = self.ms / self.tokens;
+        let determinant = self.count * self.tokens_squared - self.tokens * self.tokens;
+        let deviation = determinant.max(0.0).sqrt() / self.count;
+        let ms_per_token = match deviation >= MIN_TOKENS_DEVIATION {
+            true => {
+                let slope = (self.count * self.tokens_by_ms - self.tokens * self.ms) / determinant;
+                slope.clamp(mean * MIN_PREFILL_PART, mean)
+            }
+            false => mean,
+        };
+        let fixed_ms = (self.ms - ms_per_token * self.tokens) / self.count;
+        Some(PrefillTime {
+            ms_per_token,
+            fixed_ms: fixed_ms.max(0.0),
+        })
+    }
+}
+
 /// What a report shows of prefills.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PrefillProgress {
@@ -50,81 +112,133 @@
     pub tokens: u32,
     /// Number of these runs.
     pub runs: u32,
-    /// Whether runs of unknown length ended their prefill, too.
+    /// Whether runs of unknown length produced their first event as well.
     pub unknown_runs: bool,
-    /// Whether some prompt is certainly being prefilled.
-    pub is_busy: bool,
+    /// Runs in progress that have not produced an event.
+    pub prefilling: u32,
+    /// Runs that the replica has not begun.
+    pub queued: u32,
 }
 
-/// Measures the prefill time per token.
+#[derive(Clone, Copy, Debug)]
+struct OpenPeriod {
+    since_ms: f64,
+    tokens: u32,
+    is_saturated: bool,
+}
+
+/// Measures the prefill time.
 #[derive(Clone, Debug, Default)]
 pub struct PrefillMeter {
-    busy: UnitTime,
-    busy_sampled_ms: u64,
-    single: UnitTime,
-    /// Since when the replica has prefilled without a pause, at the end of some prefill.
-    busy_since_ms: Option<u64>,
+    busy: PeriodRegression,
+    saturated: UnitTime,
+    saturated_ms: u64,
+    period: Option<OpenPeriod>,
     reported_ms: Option<u64>,
+    /// Whether the last report showed a run that had not produced an event.
+    was_prefilling: bool,
 }
 
 impl PrefillMeter {
-    /// Returns the prefill time per token, in milliseconds; `None` until it was measured.
-    pub fn ms_per_token(&self, now_ms: u64) -> Option<f64> {
-        let is_recent = now_ms.saturating_sub(self.busy_sampled_ms) < BUSY_SAMPLE_MS;
-        let busy = self.busy.ms_per_unit();
-        let single = self.single.ms_per_unit();
+    /// Returns the measured time; `None` until one was measured.
+    pub fn time(&self, now_ms: u64) -> Option<PrefillTime> {
+        let is_recent = now_ms.saturating_sub(self.saturated_ms) < SATURATED_SAMPLE_MS;
+        let busy = self.busy.time();
+        let saturated = self
+            .saturated
+            .ms_per_unit()
+            .map(|ms_per_token| PrefillTime {
+                ms_per_token,
+                fixed_ms: busy.map_or(0.0, |busy| busy.fixed_ms),
+            });
         match is_recent {
-            true => busy.or(single),
-            false => single.or(busy),
+            true => saturated.or(busy),
+            false => busy.or(saturated),
         }
     }
 
+    /// Records that a run was sent while the replica was idle.
+    pub fn on_idle_arrival(&mut self, now_ms: u64) {
+        self.period = Some(OpenPeriod {
+            since_ms: now_ms as f64,
+            tokens: 0,
+            is_saturated: false,
+        });
+    }
+
     /// Records a report.
     pub fn on_report(&mut self, progress: &PrefillProgress, now_ms: u64) {
-        if self.report_gap_ms(now_ms).is_none() {
-            self.interrupt();
-        }
-        let ended = progress.runs > 0 || progress.unknown_runs;
-        let since_ms = self.busy_since_ms;
-        match since_ms.filter(|_| ended && !progress.unknown_runs) {
-            Some(since_ms) if progress.tokens >= MIN_SAMPLE_TOKENS * progress.runs => {
-                let took_ms = now_ms.saturating_sub(since_ms) as f64;
-                self.busy
-                    .add(f64::from(progress.tokens), took_ms, AVERAGE_TOKENS);
-                self.busy_sampled_ms = now_ms;
+        let now = now_ms as f64;
+        let last_ms = self.reported_ms.replace(now_ms);
+        let was_prefilling = std::mem::replace(&mut self.was_prefilling, progress.prefilling > 0);
+        let gap_ms = last_ms.map(|last_ms| now_ms.saturating_sub(last_ms));
+        let Some(gap_ms) = gap_ms.filter(|gap_ms| *gap_ms <= MAX_REPORT_GAP_MS) else {
+            // A period that began since the last report can go on.
+            let last_ms = last_ms.unwrap_or(0) as f64;
+            let period = self.period.filter(|period| period.since_ms >= last_ms);
+            self.period = period.filter(|_| progress.runs == 0 && !progress.unknown_runs);
+            return;
+        };
+        // What was seen now came at an unknown time since the last report.
+        let seen_ms = now - gap_ms as f64 / 2.0;
+        self.period = match self.period {
+            _ if progress.unknown_runs => None,
+            Some(mut period) => {
+                period.tokens = period.tokens.saturating_add(progress.tokens);
+                self.go_on(period, progress, now_ms, seen_ms)
             }
-            _ => {}
-        }
-        self.busy_since_ms = match progress.is_busy {
-            true if ended => Some(now_ms),
-            true => since_ms,
-            false => None,
+            None if progress.prefilling > 0 && !was_prefilling => Some(OpenPeriod {
+                since_ms: seen_ms,
+                tokens: 0,
+                is_saturated: false,
+            }),
+            None if progress.prefilling >= 2 && progress.runs > 0 => Some(OpenPeriod {
+                since_ms: now,
+                tokens: 0,
+                is_saturated: true,
+            }),
+            None => None,
         };
-        self.reported_ms = Some(now_ms);
     }
 
-    /// Records the first event of a run that found the replica without other prefills, and was sent
-    /// at `sent_ms`. Called before [`PrefillMeter::on_report`] of the report that shows it.
-    pub fn on_single_run(&mut self, tokens: u32, sent_ms: u64, now_ms: u64) {
-        match self.report_gap_ms(now_ms) {
-            Some(gap_ms) if tokens >= MIN_SAMPLE_TOKENS => {
-                // The event came at an unknown time since the last report.
-                let event_ms = now_ms as f64 - gap_ms as f64 / 2.0;
-                let took_ms = (event_ms - sent_ms as f64).max(1.0);
-                self.single.add(f64::from(tokens), took_ms, AVERAGE_TOKENS);
+    /// Returns what a period becomes with a report, and takes a sample where it ends.
+    fn go_on(
+        &mut self,
+        period: OpenPeriod,
+        progress: &PrefillProgress,
+        now_ms: u64,
+        seen_ms: f64,
+    ) -> Option<OpenPeriod> {
+        let has_ended = progress.runs > 0;
+        let tokens = f64::from(period.tokens);
+        let took_ms = now_ms as f64 - period.since_ms;
+        match (period.is_saturated, progress.prefilling) {
+            (false, 0) if has_ended => {
+                self.busy.add(tokens, (seen_ms - period.since_ms).max(1.0));
+                None
             }
-            _ => {}
+            // It waits for a slot or memory.
+            (false, 0) if progress.queued > 0 => None,
+            // It is on its way.
+            (false, 0) => Some(period),
+            (is_saturated, 2..) if has_ended && took_ms >= MIN_SATURATED_MS => {
+                if is_saturated {
+                    self.saturated.add(tokens, took_ms, AVERAGE_TOKENS);
+                    self.saturated_ms = now_ms;
+                }
+                Some(OpenPeriod {
+                    since_ms: now_ms as f64,
+                    tokens: 0,
+                    is_saturated: true,
+                })
+            }
+            (true, 0 | 1) => None,
+            _ => Some(period),
         }
     }
 
-    /// Ends a busy period without a sample: a prefill may have ended early.
+    /// Ends a period without a sample: a prefill may have ended early.
     pub fn interrupt(&mut self) {
-        self.busy_since_ms = None;
-    }
-
-    /// Returns the time since the last report; `None` if it is too long for a sample.
-    fn report_gap_ms(&self, now_ms: u64) -> Option<u64> {
-        let gap_ms = now_ms.saturating_sub(self.reported_ms?);
-        (gap_ms <= MAX_REPORT_GAP_MS).then_some(gap_ms)
+        self.period = None;
     }
 }
--- a/src/admission/replica_load.rs
+++ b/src/admission/replica_load.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 
 use crate::admission::part_cache::PartCache;
-use crate::admission::prefill_meter::{PrefillMeter, PrefillProgress, UnitTime};
+use crate::admission::prefill_meter::{PrefillMeter, PrefillProgress, PrefillTime, UnitTime};
 use crate::admission::quote::{QuoteReply, RunOutline};
 use crate::ids::ModelName;
 
@@ -91,8 +91,6 @@
     sent_ms: u64,
     expires_ms: u64,
     stage: RunStage,
-    /// Whether no other prefill has delayed it.
-    is_alone: bool,
 }
 
 impl AnnouncedRun {
@@ -180,15 +178,18 @@
         }
         self.expire(now_ms);
         self.learn_slots(report);
-        self.match_runs(report, now_ms);
+        let progress = self.match_runs(report, now_ms);
         self.drop_unseen(report, now_ms);
         let unlisted = self.runs.iter().filter(|run| !run.is_listed()).count();
         let reported = report.prefilling().saturating_add(report.queued);
         let unannounced = reported.saturating_sub(unlisted as u32);
         self.mark_begun(report.prefilling(), now_ms);
-        if unannounced > 0 || (report.queued > 0 && report.prefilling() == 0) {
-            self.runs.iter_mut().for_each(|run| run.is_alone = false);
-        }
+        let progress = PrefillProgress {
+            prefilling: report.prefilling(),
+            queued: report.queued,
+            ..progress
+        };
+        self.meter.on_report(&progress, now_ms);
         self.parts.retain_models(&report.models);
         let free_tokens = report.total_tokens.saturating_sub(report.used_tokens);
         self.parts.limit(free_tokens);
@@ -228,8 +229,11 @@
         let change = (f64::from(uncached_tokens) - mean) * MEAN_TOKENS_WEIGHT;
         self.mean_tokens = Some(mean + change);
         let is_empty = |last: &LastReport| last.queued == 0 && last.running <= last.listed;
-        let is_alone = self.runs.iter().all(AnnouncedRun::is_listed)
+        let is_idle = self.runs.iter().all(AnnouncedRun::is_listed)
             && self.last.as_ref().is_none_or(is_empty);
+        if is_idle {
+            self.meter.on_idle_arrival(now_ms);
+        }
         let lease_ms = u64::from(run.deadline_ms).min(MAX_LEASE_MS);
         self.runs.push(AnnouncedRun {
             request: run.request,
@@ -240,11 +244,10 @@
             max_gap_ms: run.max_gap_ms,
             sent_ms: now_ms,
             expires_ms: now_ms.saturating_add(lease_ms),
-            stage: match is_alone {
+            stage: match is_idle {
                 true => RunStage::Begun { since_ms: now_ms },
                 false => RunStage::Waiting,
             },
-            is_alone,
         });
         true
     }
@@ -274,9 +277,15 @@
         &self.parts
     }
 
-    /// Returns the measured prefill time per token, in milliseconds.
-    pub fn prefill_ms_per_token(&self, now_ms: u64) -> Option<f64> {
-        self.meter.ms_per_token(now_ms)
+    /// Returns the measured prefill time.
+    pub fn prefill_time(&self, now_ms: u64) -> Option<PrefillTime> {
+        self.meter.time(now_ms)
+    }
+
+    fn ms_per_token(&self, now_ms: u64) -> f64 {
+        self.meter
+            .time(now_ms)
+            .map_or(0.0, |time| time.ms_per_token)
     }
 
     /// Returns the age of the last report in milliseconds; `None` without a report.
@@ -294,14 +303,14 @@
         let uncached_tokens = self.parts.uncached_tokens(run);
         let own = f64::from(uncached_tokens);
         let queue = self.queue_totals(run.urgency, now_ms);
-        let ms_per_token = self.meter.ms_per_token(now_ms);
-        let first_event = |ms_per_token: f64| {
-            let ahead_ms = queue.tokens_ahead * ms_per_token;
+        let time = self.meter.time(now_ms);
+        let first_event = |time: PrefillTime| {
+            let ahead_ms = queue.tokens_ahead * time.ms_per_token;
             let room_ms = self.room_wait_ms(run, &queue, now_ms);
-            (ahead_ms.max(room_ms) + own * ms_per_token) as u32
+            (ahead_ms.max(room_ms) + own * time.ms_per_token + time.fixed_ms) as u32
         };
-        let queued_ms = queue.tokens * ms_per_token.unwrap_or(0.0);
-        let row_ms = queued_ms + own * ms_per_token.unwrap_or(0.0);
+        let queued_ms = queue.tokens * self.ms_per_token(now_ms);
+        let row_ms = queued_ms + own * self.ms_per_token(now_ms);
         let is_late = |run: &&AnnouncedRun| {
             run.is_listed() && run.max_gap_ms > 0 && f64::from(run.max_gap_ms) < row_ms
         };
@@ -310,7 +319,7 @@
         let age_ms = self.report_age_ms(now_ms);
         Some(QuoteReply {
             query,
-            first_event_ms: ms_per_token.map(first_event),
+            first_event_ms: time.map(first_event),
             uncached_tokens,
             queued_tokens: queue.tokens as u32,
             late_streams: self.active(now_ms).filter(is_late).count() as u32,
@@ -370,13 +379,14 @@
     /// Returns the tokens that have been prefilled of the runs that have begun, the first of them
     /// at `since_ms`.
     fn begun_progress(&self, since_ms: u64, now_ms: u64) -> f64 {
-        let Some(ms_per_token) = self.meter.ms_per_token(now_ms) else {
+        let ms_per_token = self.ms_per_token(now_ms);
+        if ms_per_token <= 0.0 {
             return 0.0;
-        };
+        }
         let since_ms = since_ms.max(self.prefill_ended_ms);
         let begun = self.active(now_ms).filter(|run| run.begun_ms().is_some());
         let total: f64 = begun.map(|run| f64::from(run.uncached_tokens)).sum();
-        let done = now_ms.saturating_sub(since_ms) as f64 / ms_per_token.max(f64::MIN_POSITIVE);
+        let done = now_ms.saturating_sub(since_ms) as f64 / ms_per_token;
         done.min(total)
     }
 
@@ -425,14 +435,12 @@
         let recent = self.recent.iter();
         let recent = recent.filter(|(ended_ms, _)| now_ms.saturating_sub(*ended_ms) < RECENT_MS);
         let tokens: f64 = recent.map(|(_, tokens)| f64::from(*tokens)).sum();
-        let ms_per_token = self.meter.ms_per_token(now_ms).unwrap_or(0.0);
-        (tokens * ms_per_token / RECENT_MS as f64).min(1.0)
+        (tokens * self.ms_per_token(now_ms) / RECENT_MS as f64).min(1.0)
     }
 
     /// Returns the mean prefill time of one prompt.
     fn prompt_ms(&self, now_ms: u64) -> f64 {
-        let ms_per_token = self.meter.ms_per_token(now_ms).unwrap_or(0.0);
-        self.mean_tokens.unwrap_or(0.0) * ms_per_token
+        self.mean_tokens.unwrap_or(0.0) * self.ms_per_token(now_ms)
     }
 
     /// Removes runs. If one of them had begun, its prefill may have ended early.
@@ -459,68 +467,45 @@
         }
     }
 
-    /// Matches the announced runs with those that the report lists, and measures times.
-    fn match_runs(&mut self, report: &ReplicaReport, now_ms: u64) {
+    /// Matches the announced runs with those that the report lists. Returns which prefills have
+    /// ended, and whether those of other runs have.
+    fn match_runs(&mut self, report: &ReplicaReport, now_ms: u64) -> PrefillProgress {
         let mut progress = PrefillProgress::default();
-        let gap_ms = self.report_age_ms(now_ms).unwrap_or(0);
-        let mut announced = 0;
-        let mut overtaken = false;
-        for run in &mut self.runs {
-            let listed = report
-                .runs
-                .iter()
-                .find(|other| other.request == run.request);
-            match (run.stage, listed) {
+        let gap_ms = self.report_age_ms(now_ms).unwrap_or(0) as f64;
+        self.runs.retain_mut(|run| {
+            let listed = report.runs.iter();
+            let listed = listed.filter(|listed| listed.request == run.request);
+            match (run.stage, listed.last()) {
+                (RunStage::Listed { .. }, None) => return false,
+                (_, None) => {}
                 (RunStage::Listed { tokens }, Some(listed)) => {
-                    let produced = listed.tokens.saturating_sub(tokens);
-                    self.decode
-                        .add(f64::from(produced), gap_ms as f64, AVERAGE_OUTPUT_TOKENS);
-                    announced += 1;
+                    let produced = f64::from(listed.tokens.saturating_sub(tokens));
+                    self.decode.add(produced, gap_ms, AVERAGE_OUTPUT_TOKENS);
+                    run.stage = RunStage::Listed {
+                        tokens: listed.tokens,
+                    };
                 }
-                (_, Some(_)) => {
+                (_, Some(listed)) => {
                     progress.tokens = progress.tokens.saturating_add(run.uncached_tokens);
                     progress.runs += 1;
-                    if run.is_alone {
-                        let tokens = run.uncached_tokens;
-                        self.meter.on_single_run(tokens, run.sent_ms, now_ms);
-                    }
                     self.recent.push_back((now_ms, run.uncached_tokens));
                     self.prefill_ended_ms = now_ms;
-                    overtaken = true;
-                    announced += 1;
+                    run.stage = RunStage::Listed {
+                        tokens: listed.tokens,
+                    };
                 }
-                (_, None) => {}
-            }
-            if let Some(listed) = listed {
-                run.stage = RunStage::Listed {
-                    tokens: listed.tokens,
-                };
             }
-        }
+            true
+        });
         while self.recent.len() > MAX_RECENT_PREFILLS {
             self.recent.pop_front();
         }
-        // A run without an announcement that has produced a single event has just been prefilled.
-        let is_new = |other: &&ReportedRun| other.events <= 1;
-        let new = report.runs.iter().filter(is_new);
-        let is_known = |other: &ReportedRun| self.runs.iter().any(|r| r.request == other.request);
-        progress.unknown_runs =
-            announced < report.runs.len() && new.into_iter().any(|other| !is_known(other));
-        let is_full = self.slots.is_some_and(|slots| report.running >= slots);
-        // The first of two may be in the decode steps of its first event.
-        progress.is_busy = match report.prefilling() {
-            0 => false,
-            1 => report.queued > 0 && !is_full,
-            _ => true,
+        // A run without an announcement that has produced a single event was prefilled just now.
+        let is_unknown = |listed: &ReportedRun| {
+            listed.events <= 1 && !self.runs.iter().any(|run| run.request == listed.request)
         };
-        self.meter.on_report(&progress, now_ms);
-        let is_gone = |run: &AnnouncedRun| {
-            run.is_listed() && !report.runs.iter().any(|other| other.request == run.request)
-        };
-        self.runs.retain(|run| !is_gone(run));
-        if overtaken {
-            self.runs.iter_mut().for_each(|run| run.is_alone = false);
-        }
+        progress.unknown_runs = report.runs.iter().any(is_unknown);
+        progress
     }
 
     /// Drops runs that should have arrived by now, but are more than the report counts: those first
--- a/src/agent/replica_agent.rs
+++ b/src/agent/replica_agent.rs
@@ -164,8 +164,9 @@
         if counts == AgentCounts::default() {
             return;
         }
-        let ms_per_token = self.load.prefill_ms_per_token(now_ms);
-        let prefill_ms = ms_per_token.map(|ms| (ms * 10_000.0).round() / 10.0);
+        let time = self.load.prefill_time(now_ms);
+        let prefill_ms = time.map(|time| (time.ms_per_token * 10_000.0).round() / 10.0);
+        let fixed_ms = time.map(|time| time.fixed_ms.round());
         tracing::info!(
             quotes = counts.quotes,
             not_held = counts.not_held,
@@ -179,6 +180,7 @@
             polls = counts.polls,
             failed_polls = counts.failed_polls,
             prefill_ms_per_1000_tokens = prefill_ms,
+            first_event_fixed_ms = fixed_ms,
             cached_parts = self.load.parts().len(),
             cached_tokens = self.load.parts().tokens(),
             runs = self.load.announced_runs(),
