--- a/src/admission/prefill_meter.rs
+++ b/src/admission/prefill_meter.rs
@@ -4,17 +4,18 @@
 //! time between two reports, so the time of a single run is more than its prefill. Two measurements
 //! separate them:
 //!
-//! - A busy period, from when the replica begins to prefill until all that it has begun have
-//!   produced an event. Its time grows with its tokens; a linear regression gives the time per
-//!   token and the fixed time for one event.
+//! - A run that is prefilled alone, from when the replica begins it until it has produced an event.
+//!   Its time grows with its tokens; a linear regression gives the time per token and the fixed time
+//!   of the event. Periods of several runs do not count: prefill may pause between two of them,
+//!   while the first is in the decode steps of its event.
 //! - A saturated period, in which several runs are in their prefill all along, from the first event
 //!   of one run to that of another. Both come equally late, so the fixed time cancels out.
 
 /// Number of units over which the average of saturated periods is taken; earlier ones fade.
 const AVERAGE_TOKENS: f64 = 100_000.0;
-/// Number of busy periods over which the regression is taken; earlier ones fade.
-const AVERAGE_PERIODS: f64 = 64.0;
-/// Least standard deviation of the tokens of busy periods from which their fixed time is known.
+/// Number of single runs over which the regression is taken; earlier ones fade.
+const AVERAGE_RUNS: f64 = 64.0;
+/// Least standard deviation of the tokens of single runs from which their fixed time is known.
 const MIN_TOKENS_DEVIATION: f64 = 300.0;
 /// Least part of the mean time per token that is prefill, whatever the regression gives: a bound on
 /// the effect of wrong samples, such as prompts that are cached without being known to be.
@@ -25,9 +26,9 @@
 /// Longest time between two reports of a period, in milliseconds. Across a longer one it is not
 /// known whether the replica was busy.
 const MAX_REPORT_GAP_MS: u64 = 100;
-/// Time for which a saturated period is preferred to busy ones, in milliseconds. Hosts are shared,
+/// Time for which single runs are preferred to saturated periods, in milliseconds. Hosts are shared,
 /// so speeds change.
-const SATURATED_SAMPLE_MS: u64 = 30_000;
+const SINGLE_SAMPLE_MS: u64 = 30_000;
 
 /// Moving average of the time per unit of work, weighted by the work.
 #[derive(Clone, Copy, Debug, Default)]
@@ -63,9 +64,9 @@
     pub fixed_ms: f64,
 }
 
-/// Linear regression of the time of busy periods over their tokens.
+/// Linear regression of the time of single runs over their tokens.
 #[derive(Clone, Copy, Debug, Default)]
-struct PeriodRegression {
+struct RunRegression {
     count: f64,
     tokens: f64,
     ms: f64,
@@ -73,9 +74,9 @@
     tokens_by_ms: f64,
 }
 
-impl PeriodRegression {
+impl RunRegression {
     fn add(&mut self, tokens: f64, ms: f64) {
-        let kept = 1.0 - 1.0 / AVERAGE_PERIODS;
+        let kept = 1.0 - 1.0 / AVERAGE_RUNS;
         self.count = self.count * kept + 1.0;
         self.tokens = self.tokens * kept + tokens;
         self.ms = self.ms * kept + ms;
@@ -124,15 +125,17 @@
 struct OpenPeriod {
     since_ms: f64,
     tokens: u32,
+    runs: u32,
     is_saturated: bool,
 }
 
 /// Measures the prefill time.
 #[derive(Clone, Debug, Default)]
 pub struct PrefillMeter {
-    busy: PeriodRegression,
+    single: RunRegression,
+    /// When the last single run was measured.
+    single_ms: u64,
     saturated: UnitTime,
-    saturated_ms: u64,
     period: Option<OpenPeriod>,
     reported_ms: Option<u64>,
     /// Whether the last report showed a run that had not produced an event.
@@ -142,18 +145,18 @@
 impl PrefillMeter {
     /// Returns the measured time; `None` until one was measured.
     pub fn time(&self, now_ms: u64) -> Option<PrefillTime> {
-        let is_recent = now_ms.saturating_sub(self.saturated_ms) < SATURATED_SAMPLE_MS;
-        let busy = self.busy.time();
+        let is_recent = now_ms.saturating_sub(self.single_ms) < SINGLE_SAMPLE_MS;
+        let single = self.single.time();
         let saturated = self
             .saturated
             .ms_per_unit()
             .map(|ms_per_token| PrefillTime {
                 ms_per_token,
-                fixed_ms: busy.map_or(0.0, |busy| busy.fixed_ms),
+                fixed_ms: single.map_or(0.0, |single| single.fixed_ms),
             });
         match is_recent {
-            true => saturated.or(busy),
-            false => busy.or(saturated),
+            true => single.or(saturated),
+            false => saturated.or(single),
         }
     }
 
@@ -162,6 +165,7 @@
         self.period = Some(OpenPeriod {
             since_ms: now_ms as f64,
             tokens: 0,
+            runs: 0,
             is_saturated: false,
         });
     }
@@ -185,16 +189,19 @@
             _ if progress.unknown_runs => None,
             Some(mut period) => {
                 period.tokens = period.tokens.saturating_add(progress.tokens);
+                period.runs = period.runs.saturating_add(progress.runs);
                 self.go_on(period, progress, now_ms, seen_ms)
             }
             None if progress.prefilling > 0 && !was_prefilling => Some(OpenPeriod {
                 since_ms: seen_ms,
                 tokens: 0,
+                runs: 0,
                 is_saturated: false,
             }),
             None if progress.prefilling >= 2 && progress.runs > 0 => Some(OpenPeriod {
                 since_ms: now,
                 tokens: 0,
+                runs: 0,
                 is_saturated: true,
             }),
             None => None,
@@ -214,7 +221,11 @@
         let took_ms = now_ms as f64 - period.since_ms;
         match (period.is_saturated, progress.prefilling) {
             (false, 0) if has_ended => {
-                self.busy.add(tokens, (seen_ms - period.since_ms).max(1.0));
+                if period.runs == 1 {
+                    self.single
+                        .add(tokens, (seen_ms - period.since_ms).max(1.0));
+                    self.single_ms = now_ms;
+                }
                 None
             }
             // It waits for a slot or memory.
@@ -224,11 +235,11 @@
             (is_saturated, 2..) if has_ended && took_ms >= MIN_SATURATED_MS => {
                 if is_saturated {
                     self.saturated.add(tokens, took_ms, AVERAGE_TOKENS);
-                    self.saturated_ms = now_ms;
                 }
                 Some(OpenPeriod {
                     since_ms: now_ms as f64,
                     tokens: 0,
+                    runs: 0,
                     is_saturated: true,
                 })
             }
--- a/src/agent/replica_agent.rs
+++ b/src/agent/replica_agent.rs
@@ -43,6 +43,9 @@
     pub listen: SocketAddr,
     /// Address of the replica.
     pub replica: SocketAddr,
+    /// Shortest time between two connections to the replica, normally
+    /// [`RECONNECT_INTERVAL`](crate::agent::report_connection::RECONNECT_INTERVAL).
+    pub reconnect_interval: Duration,
     /// Service of the replica, for log lines.
     pub service: Option<ServiceName>,
     /// Logging.
@@ -272,7 +275,12 @@
 
     /// Reads the replica's report while it is needed.
     async fn poll(&self, state: &RefCell<AgentState>, wake: &Notify) {
-        let mut connection = ReportConnection::new(self.settings.replica, self.dialect.path);
+        let settings = &self.settings;
+        let mut connection = ReportConnection::new(
+            settings.replica,
+            self.dialect.path,
+            settings.reconnect_interval,
+        );
         loop {
             while !state.borrow_mut().needs_reports(clock::monotonic_ms()) {
                 wake.notified().await;
--- a/src/agent/report_connection.rs
+++ b/src/agent/report_connection.rs
@@ -17,7 +17,7 @@
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Shortest time between two connections, so that a replica that fails, or closes each connection,
 /// does not get one for each report.
-const RECONNECT_INTERVAL: Duration = Duration::from_millis(1_000);
+pub const RECONNECT_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Longest head or body of a response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 256 * 1024;
 /// Bytes read at once.
@@ -75,6 +75,7 @@
 pub struct ReportConnection {
     peer: SocketAddr,
     request: String,
+    reconnect_interval: Duration,
     stream: Option<TcpStream>,
     opened_at: Option<Instant>,
     buffer: Vec<u8>,
@@ -83,12 +84,13 @@
 
 impl ReportConnection {
     /// Creates a connection to a replica, which gives its report under `path`.
-    pub fn new(peer: SocketAddr, path: &str) -> Self {
+    pub fn new(peer: SocketAddr, path: &str, reconnect_interval: Duration) -> Self {
         Self {
             peer,
             request: format!(
                 "GET {path} HTTP/1.1\r\nHost: {peer}\r\nAccept: application/json\r\n\r\n"
             ),
+            reconnect_interval,
             stream: None,
             opened_at: None,
             buffer: Vec::new(),
@@ -127,7 +129,7 @@
 
     async fn try_fetch(&mut self) -> Result<(), FetchError> {
         if let (None, Some(opened_at)) = (&self.stream, self.opened_at) {
-            tokio::time::sleep_until(opened_at + RECONNECT_INTERVAL).await;
+            tokio::time::sleep_until(opened_at + self.reconnect_interval).await;
         }
         let exchange = tokio::time::timeout(FETCH_TIMEOUT, self.exchange()).await;
         let read = exchange.unwrap_or(Err(FetchError::TimedOut));
