Entries have a client for the agents beside replicas

An entry learns a replica's load only from the last response that it got from there.

An entry without that port or without a socket serves without agents.

--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -15,6 +15,7 @@
 
 use crate::clock;
 use crate::consensus::directory::ReplicaRecord;
+use crate::forward::agent_client::{AgentAddress, AgentClient};
 use crate::forward::budget::{ResendBudget, ResendPolicy};
 use crate::forward::client;
 use crate::forward::crashes::CrashTracker;
@@ -92,6 +93,10 @@
     /// How many requests may be resent.
     #[serde(default)]
     pub resend: ResendPolicy,
+    /// UDP port of the agents beside replicas, at the replicas' addresses; no agents are asked if
+    /// it is not set.
+    #[serde(default)]
+    pub agent_port: Option<u16>,
     /// Time limit to connect to a replica, in milliseconds.
     #[serde(default = "default_connect")]
     pub connect_ms: u64,
@@ -175,6 +180,8 @@
     pub changed: Notify,
     /// Crashes, and the contents that are suspect because of them.
     pub crashes: CrashTracker,
+    /// Client for the agents beside replicas; `None` if none are to be asked.
+    pub agents: Option<AgentClient>,
     settings: ForwardSettings,
     follower: Arc<ControlFollower>,
     routing: RefCell<Option<Rc<Routing>>>,
@@ -363,6 +370,15 @@
         &self.settings.choice
     }
 
+    /// Returns the address of the agent beside a replica, if agents are used.
+    pub fn agent_of(&self, record: &ReplicaRecord) -> Option<AgentAddress> {
+        let port = self.agents.as_ref().and(self.settings.agent_port)?;
+        Some(AgentAddress {
+            replica: record.id.clone(),
+            address: SocketAddr::new(record.address.ip(), port),
+        })
+    }
+
     /// Time limit to connect to a replica.
     pub fn connect_time(&self) -> Duration {
         Duration::from_millis(self.settings.connect_ms)
@@ -601,6 +617,8 @@
         })?;
         let address = daemon::address_of("clients", &listener)?;
         let control: Vec<String> = settings.control.iter().map(ToString::to_string).collect();
+        let metrics: Arc<Mutex<MetricRegistry>> = Arc::default();
+        let agents = open_agent_client(&settings, secret.clone(), metrics.clone()).await;
         let link = Arc::new(ControlLink::new(secret, control.clone()));
         let follower = Arc::new(ControlFollower::new(link, settings.hall.clone()));
         let incarnation = EntryIncarnation {
@@ -617,6 +635,7 @@
             budget: RefCell::new(ResendBudget::new(settings.resend)),
             changed: Notify::new(),
             crashes: CrashTracker::default(),
+            agents,
             follower: follower.clone(),
             routing: RefCell::default(),
             in_flight: RefCell::default(),
@@ -631,7 +650,7 @@
             stop_requested: Notify::new(),
             stopped_at: Cell::default(),
             ready: Arc::default(),
-            metrics: Arc::default(),
+            metrics,
             lines: RefCell::default(),
             unknown_headers: RefCell::default(),
             settings,
@@ -646,6 +665,7 @@
         daemon::spawn_local(queue_reports::report_queued_tokens(core.clone()));
         daemon::spawn_local(limits::report_limits(core.clone()));
         daemon::spawn_local(prune(core.clone()));
+        daemon::spawn_local(receive_quotes(core.clone()));
         daemon::spawn_local(accept(core.clone(), listener));
         tracing::info!(clients = %address, "entry started");
         Ok(Self { address, core })
@@ -700,6 +720,32 @@
     daemon::serve_health(core.settings.watch, Arc::new(read)).await
 }
 
+/// Opens the client for agents, if the settings name their port and agents are to be asked. Without
+/// a socket, the entry serves as without agents.
+async fn open_agent_client(
+    settings: &ForwardSettings,
+    secret: SiteSecret,
+    metrics: Arc<Mutex<MetricRegistry>>,
+) -> Option<AgentClient> {
+    settings
+        .agent_port
+        .filter(|_| settings.choice.ask_homes > 0)?;
+    match AgentClient::open(settings.clients.ip(), secret, metrics).await {
+        Ok(agents) => Some(agents),
+        Err(error) => {
+            tracing::warn!(%error, "no socket for agents: none are asked");
+            None
+        }
+    }
+}
+
+/// Receives the replies of agents, if agents are used.
+async fn receive_quotes(core: Rc<EntryCore>) {
+    if let Some(agents) = &core.agents {
+        agents.receive().await;
+    }
+}
+
 /// Accepts clients until some time after the stop request.
 async fn accept(core: Rc<EntryCore>, listener: TcpListener) {
     loop {
@@ -788,5 +834,8 @@
         replicas.prune(clock::monotonic_ms());
         let mut pool = core.pool.borrow_mut();
         pool.prune(|id| replicas.record(id).is_some());
+        if let Some(agents) = &core.agents {
+            agents.prune(|id| replicas.record(id).is_some());
+        }
     }
 }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -5,6 +5,8 @@
 //! that do not come from a replica. Parsing is in [`head`], [`chunked`] and [`events`], which do no
 //! I/O.
 
+pub mod agent_backoff;
+pub mod agent_client;
 pub mod answer_separation;
 pub mod budget;
 pub mod caller;
--- a/src/forward/need.rs
+++ b/src/forward/need.rs
@@ -10,6 +10,9 @@
 /// Number of urgency levels.
 pub(super) const URGENCY_LEVELS: usize = 10;
 
+/// Greatest value of [`ChoicePolicy::ask_homes`]: further replicas cost datagrams and rarely win.
+const MAX_ASK_HOMES: u32 = 16;
+
 /// What a request needs of a replica.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Need {
@@ -71,6 +74,10 @@
     /// 0 to 10.
     #[serde(deserialize_with = "read_room_part")]
     pub room_part: f64,
+    /// Number of replicas whose agents are asked at once for a request of a prefill-bound service;
+    /// 0 to 16, 0 for none.
+    #[serde(deserialize_with = "read_ask_homes")]
+    pub ask_homes: u32,
 }
 
 impl Default for ChoicePolicy {
@@ -89,6 +96,7 @@
             apart_cost: 1.0,
             by_slack: false,
             room_part: 0.25,
+            ask_homes: 4,
         }
     }
 }
@@ -117,3 +125,11 @@
         false => Err(D::Error::custom("room_part: must be from 0 to 10")),
     }
 }
+
+fn read_ask_homes<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u32, D::Error> {
+    let homes = u32::deserialize(deserializer)?;
+    match (0..=MAX_ASK_HOMES).contains(&homes) {
+        true => Ok(homes),
+        false => Err(D::Error::custom("ask_homes: must be from 0 to 16")),
+    }
+}
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -356,6 +356,7 @@
             log: Default::default(),
             choice: Default::default(),
             resend: Default::default(),
+            agent_port: None,
             connect_ms: CONNECT_MS,
             stale_ms: 60_000,
             authority_ms,
