Adapters: count unloads, load when the freed slot is free

Cause: an unload of an adapter that no request uses takes effect at once, is answered with 200 and raises the replica's count of orders. The dispatcher read the count again from a report that is some 200 ms old, so the orders that followed were refused with 409, and each refusal blocked the replica for 500 ms. The leader only sent the unload; the load began when an entry asked again 150 ms later, and a request for another adapter could take the slot. An adapter loaded for a request was the next to be evicted, as no report had told of its use yet. A repeated request evicted a second adapter while the first unload was in progress.

Not ruled out: that some of the refusals came from a busy replica.

Changed: after such an unload the next order expects the count plus one, on a 409 the count before, on another 409 the reported one. A refusal for the count is told from a busy replica by the report and blocks nothing. The leader remembers for a second what it evicts for, reserves the freed slot, and starts the load once the log shows that the slot is free, with the command in the log before the order as before. A requested adapter counts as used.

--- a/src/control/order_dispatcher.rs
+++ b/src/control/order_dispatcher.rs
@@ -92,8 +92,35 @@
     pub outcome: fn(u16) -> OrderOutcome,
 }
 
-/// Number of orders that an engine has taken, if known.
-type OrderCount = Rc<Mutex<Option<u64>>>;
+/// Number of orders that an engine has taken, as far as its responses show it.
+///
+/// An assumed count may be one too high, or too low after a late order of an earlier leader: the
+/// engine refuses the next order, and the count is corrected. If that order gets no response
+/// instead, it can only be executed after one more order: after its own repetition it changes
+/// nothing, and after another order it is a late one like any other, whose slot stays claimed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum KnownCount {
+    /// Not known: read from the engine's report.
+    #[default]
+    Unknown,
+    /// After an order that was accepted, or as reported.
+    Confirmed(u64),
+    /// After an unload of an adapter that was answered as held. It is counted if the adapter was
+    /// there, which the response does not tell.
+    Assumed(u64),
+}
+
+impl KnownCount {
+    fn value(self) -> Option<u64> {
+        match self {
+            Self::Unknown => None,
+            Self::Confirmed(count) | Self::Assumed(count) => Some(count),
+        }
+    }
+}
+
+/// Count of one incarnation of an engine; locked while an order is delivered to it.
+type OrderCount = Rc<Mutex<KnownCount>>;
 
 /// Sends orders until the channel closes.
 pub async fn run(
@@ -111,7 +138,7 @@
             tracing::info!(
                 order = %order.id(), replica = %order.replica, kind = ?order.kind,
                 model = %order.model, adapter = order.adapter, term = %order.fence,
-                count = *count, ?outcome, "order"
+                count = count.value(), ?outcome, "order"
             );
             drop(count);
             if order.adapter.is_some() && outcome == OrderOutcome::Taken {
@@ -134,13 +161,14 @@
 
 async fn deliver(
     order: &ReplicaOrder,
-    count: &mut Option<u64>,
+    count: &mut KnownCount,
     handle: &ControlHandle,
     dialect: &EngineDialect,
 ) -> OrderOutcome {
     let mut unconfirmed: Option<u64> = None;
+    let mut refused_counts: Vec<u64> = Vec::new();
     for number in 1..=MAX_ATTEMPTS {
-        let expected = match *count {
+        let expected = match count.value() {
             Some(known) => known,
             None => match query_report(order, dialect).await {
                 // A higher count does not show whose order was taken: one of an earlier leader
@@ -150,7 +178,7 @@
                     if unconfirmed.is_some_and(|sent_count| report.orders > sent_count)
                         && report.is_fulfilled(order) =>
                 {
-                    *count = Some(report.orders);
+                    *count = KnownCount::Confirmed(report.orders);
                     return match order.kind {
                         OrderKind::Load => OrderOutcome::Taken,
                         OrderKind::Unload => OrderOutcome::Held,
@@ -174,25 +202,40 @@
         };
         match outcome {
             OrderOutcome::Taken => {
-                *count = Some(expected + 1);
+                *count = KnownCount::Confirmed(expected + 1);
+                return outcome;
+            }
+            OrderOutcome::Held if unloads_adapter(order) => {
+                *count = KnownCount::Assumed(expected + 1);
                 return outcome;
             }
             OrderOutcome::Unknown => {
                 unconfirmed = Some(expected);
-                *count = None;
+                *count = KnownCount::Unknown;
             }
             // This says nothing of the earlier attempt, which may still be executed.
             OrderOutcome::Busy if unconfirmed.is_some() => {
-                *count = None;
+                *count = KnownCount::Unknown;
                 return OrderOutcome::Unknown;
             }
-            // The count differs, or an order is being executed: the leader decides on its
-            // current state whether to issue the order again.
-            OrderOutcome::Busy
+            OrderOutcome::Busy => {
+                refused_counts.push(expected);
+                let next = next_count(*count, &refused_counts, order, dialect).await;
+                *count = KnownCount::Unknown;
+                match next {
+                    Ok(next) if number < MAX_ATTEMPTS => *count = KnownCount::Confirmed(next),
+                    Ok(_) => return OrderOutcome::CountMismatch,
+                    Err(outcome) => return outcome,
+                }
+                // The engine has executed nothing: the next attempt needs no newer report.
+                continue;
+            }
+            // The leader decides on its current state whether to issue the order again.
+            OrderOutcome::CountMismatch
             | OrderOutcome::Held
             | OrderOutcome::Fenced
             | OrderOutcome::Refused => {
-                *count = None;
+                *count = KnownCount::Unknown;
                 return outcome;
             }
         }
@@ -201,6 +244,34 @@
     OrderOutcome::Unknown
 }
 
+fn unloads_adapter(order: &ReplicaOrder) -> bool {
+    order.kind == OrderKind::Unload && order.adapter.is_some()
+}
+
+/// Returns the count to expect after an engine refused an order as busy, or the outcome if there is
+/// none to try. `refused_counts` are those that the order has expected so far. Only an assumed count
+/// is corrected here: if another one is refused, orders of an earlier leader were executed, and the
+/// leader decides on its current state.
+async fn next_count(
+    count: KnownCount,
+    refused_counts: &[u64],
+    order: &ReplicaOrder,
+    dialect: &EngineDialect,
+) -> Result<u64, OrderOutcome> {
+    // The unload before found nothing to unload, and was not counted.
+    if let KnownCount::Assumed(assumed) = count {
+        return Ok(assumed - 1);
+    }
+    match query_report(order, dialect).await {
+        None => Err(OrderOutcome::Busy),
+        Some(report) if report.busy => Err(OrderOutcome::Busy),
+        Some(report) if refused_counts.len() > 1 && !refused_counts.contains(&report.orders) => {
+            Ok(report.orders)
+        }
+        Some(_) => Err(OrderOutcome::CountMismatch),
+    }
+}
+
 /// End of one attempt of an order.
 enum AttemptEnd {
     /// The engine responded.
--- a/src/placement/adapters.rs
+++ b/src/placement/adapters.rs
@@ -10,11 +10,12 @@
 /// Decision on an adapter request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AdapterDecision {
-    /// The adapter is loaded, or a load is pending.
+    /// The adapter is loaded, a load is pending, or a slot is being freed for it.
     Available,
     /// A load was started.
     Load,
-    /// This adapter must be unloaded first; its unload was started.
+    /// This adapter must be unloaded first; its unload was started. The load follows; see
+    /// [`AdapterOrders::start_waiting_loads`].
     Evict(AdapterPlacement),
     /// The adapter is not available and no load was started.
     Refused,
@@ -36,6 +37,9 @@
 const UNKNOWN_OUTCOME_MS: u64 = 13_000;
 /// Time for which no load is started at a replica that did not accept an order, in milliseconds.
 const BUSY_BACKOFF_MS: u64 = 500;
+/// Time after the last request for an adapter within which it is loaded when its slot becomes free,
+/// in milliseconds. Its requests have been refused or served elsewhere by then.
+const REQUEST_TTL_MS: u64 = 1_000;
 /// Delay before a load without a response is sent again, in milliseconds.
 const RESEND_DELAY_MS: u64 = 1_000;
 
@@ -51,6 +55,31 @@
     may_be_running: bool,
 }
 
+/// State of the slot that a requested load waits for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum SlotState {
+    /// The unload of this adapter is in progress.
+    Unloading(AdapterPlacement),
+    /// The unload is done: the slot is reserved.
+    Freed,
+    /// The unload takes effect later, if at all: any slot that becomes free is used.
+    Open,
+}
+
+/// A requested load that waits for a slot.
+#[derive(Clone, Debug)]
+struct WaitingLoad {
+    /// When the adapter was last requested.
+    requested_ms: u64,
+    slot: SlotState,
+}
+
+impl WaitingLoad {
+    fn is_current(&self, now_ms: u64) -> bool {
+        self.requested_ms + REQUEST_TTL_MS > now_ms
+    }
+}
+
 /// Capacity of a replica for further adapters.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AdapterCapacity {
@@ -64,6 +93,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct AdapterOrders {
     pending: BTreeMap<AdapterPlacement, PendingOrder>,
+    /// By the requested adapter.
+    waiting: BTreeMap<AdapterPlacement, WaitingLoad>,
     used_ms: BTreeMap<AdapterPlacement, u64>,
     busy_ms: BTreeMap<ReplicaId, u64>,
     /// The loads of the previous leader have been taken over.
@@ -92,34 +123,128 @@
         match self.pending.get(request) {
             Some(order) if order.kind == OrderKind::Load => return AdapterDecision::Available,
             Some(_) => return AdapterDecision::Refused,
-            None if held.contains(&request.adapter) => return AdapterDecision::Available,
+            None if held.contains(&request.adapter) => {
+                self.record_use(request.clone(), now_ms);
+                return AdapterDecision::Available;
+            }
             None if replicas.is_adapter_unloading(&record.id, &request.model, &request.adapter) => {
                 return AdapterDecision::Refused;
             }
             None => {}
         }
+        match self.waiting.get_mut(request) {
+            Some(waiting) if matches!(waiting.slot, SlotState::Unloading(_)) => {
+                waiting.requested_ms = now_ms;
+                return AdapterDecision::Available;
+            }
+            // The load starts once the log shows that the slot is free.
+            Some(waiting) if waiting.slot == SlotState::Freed && waiting.is_current(now_ms) => {
+                return AdapterDecision::Available;
+            }
+            _ => {}
+        }
         match self.capacity(record, slots, replicas, now_ms) {
             capacity if capacity.loads_allowed == 0 => AdapterDecision::Refused,
             capacity if capacity.free_slots > 0 => {
-                self.start_load(request.clone(), now_ms);
+                self.start_requested_load(request.clone(), now_ms);
                 AdapterDecision::Load
             }
-            _ => self.start_eviction(record, now_ms),
+            _ => self.start_eviction(record, request, now_ms),
         }
     }
 
-    fn start_eviction(&mut self, record: &ReplicaRecord, now_ms: u64) -> AdapterDecision {
+    fn start_eviction(
+        &mut self,
+        record: &ReplicaRecord,
+        request: &AdapterPlacement,
+        now_ms: u64,
+    ) -> AdapterDecision {
         match self.least_recently_used(record, now_ms) {
             Some(victim) => {
                 self.insert_pending(victim.clone(), OrderKind::Unload, now_ms);
+                let waiting = WaitingLoad {
+                    requested_ms: now_ms,
+                    slot: SlotState::Unloading(victim.clone()),
+                };
+                self.waiting.insert(request.clone(), waiting);
                 AdapterDecision::Evict(victim)
             }
             None => AdapterDecision::Refused,
         }
     }
 
+    /// Starts the loads whose slots have become free since they were requested, at the replicas for
+    /// which `slots` returns a number of adapter slots. Returns them.
+    pub fn start_waiting_loads(
+        &mut self,
+        replicas: &ReplicaDirectory,
+        slots: impl Fn(&ReplicaRecord) -> Option<usize>,
+        now_ms: u64,
+    ) -> Vec<AdapterPlacement> {
+        let records = replicas.records();
+        self.waiting.retain(|request, waiting| {
+            let record = records.get(&request.replica);
+            let is_missing = record.is_some_and(|record| {
+                record.models.contains_key(&request.model) && !holds(record, request)
+            });
+            is_missing && waiting.is_current(now_ms)
+        });
+        // An unload ends without an outcome if its model is gone.
+        for waiting in self.waiting.values_mut() {
+            let unload = match &waiting.slot {
+                SlotState::Unloading(victim) => self.pending.get(victim),
+                SlotState::Freed | SlotState::Open => continue,
+            };
+            if unload.is_none() {
+                waiting.slot = SlotState::Open;
+            }
+        }
+        let mut started = Vec::new();
+        for (request, waiting) in self.waiting.clone() {
+            let record = &records[&request.replica];
+            let Some(slots) = slots(record) else {
+                continue;
+            };
+            // The slot that is reserved for this adapter is free for it.
+            self.waiting.remove(&request);
+            let capacity = self.capacity(record, slots, replicas, now_ms);
+            if capacity.free_slots > 0 && capacity.loads_allowed > 0 {
+                self.start_requested_load(request.clone(), now_ms);
+                started.push(request);
+            } else {
+                self.waiting.insert(request, waiting);
+            }
+        }
+        started
+    }
+
+    /// Number of slots of a replica that were freed for adapters whose loads have not started.
+    fn reserved_slots(&self, id: &ReplicaId) -> usize {
+        let here = self.waiting.iter();
+        let here = here.filter(|(request, _)| request.replica == *id);
+        here.filter(|(_, waiting)| waiting.slot == SlotState::Freed)
+            .count()
+    }
+
+    /// Updates the load that waits for the unload of `victim`.
+    fn set_slot(&mut self, victim: &AdapterPlacement, slot: SlotState) {
+        for waiting in self.waiting.values_mut() {
+            if matches!(&waiting.slot, SlotState::Unloading(other) if other == victim) {
+                waiting.slot = slot.clone();
+            }
+        }
+    }
+
+    /// Starts a load for a request that waits for it. It counts as a use: entries report uses only
+    /// twice a second, and the adapter would be the next one to be evicted.
+    fn start_requested_load(&mut self, request: AdapterPlacement, now_ms: u64) {
+        self.record_use(request.clone(), now_ms);
+        self.start_load(request, now_ms);
+    }
+
     /// Returns how many more loads may be started at a replica, and how many of its slots are
-    /// neither occupied nor claimed by an order that may still take effect.
+    /// neither occupied, nor claimed by an order that may still take effect, nor freed for another
+    /// adapter.
     pub fn capacity(
         &self,
         record: &ReplicaRecord,
@@ -132,7 +257,8 @@
             true => 0,
             false => MAX_LOADS_PER_REPLICA.saturating_sub(self.pending_load_count(&record.id)),
         };
-        let free_slots = slots.saturating_sub(self.occupied_slots(record, replicas));
+        let taken = self.occupied_slots(record, replicas) + self.reserved_slots(&record.id);
+        let free_slots = slots.saturating_sub(taken);
         AdapterCapacity {
             loads_allowed,
             free_slots,
@@ -141,6 +267,7 @@
 
     /// Starts to load an adapter. The caller has checked [`Self::capacity`].
     pub fn start_load(&mut self, placement: AdapterPlacement, now_ms: u64) {
+        self.waiting.remove(&placement);
         self.insert_pending(placement, OrderKind::Load, now_ms);
     }
 
@@ -165,6 +292,7 @@
         match outcome {
             OrderOutcome::Held if order.kind == OrderKind::Unload => {
                 self.pending.remove(placement);
+                self.set_slot(placement, SlotState::Freed);
                 true
             }
             OrderOutcome::Taken | OrderOutcome::Held => {
@@ -174,10 +302,12 @@
                 };
                 order.expires_ms = Some(now_ms + effect_ms);
                 order.may_be_running = false;
+                self.set_slot(placement, SlotState::Open);
                 true
             }
             OrderOutcome::Unknown if order.kind == OrderKind::Unload => {
                 order.expires_ms = Some(now_ms + UNKNOWN_OUTCOME_MS);
+                self.set_slot(placement, SlotState::Open);
                 false
             }
             // The slot stays occupied until a response shows that the earlier attempt is over. An
@@ -187,12 +317,19 @@
                 order.send_at_ms = Some(now_ms + RESEND_DELAY_MS);
                 false
             }
-            OrderOutcome::Busy if order.may_be_running => {
+            OrderOutcome::Busy | OrderOutcome::CountMismatch if order.may_be_running => {
                 order.send_at_ms = Some(now_ms + RESEND_DELAY_MS);
                 false
             }
+            // Nothing else is running there: the next request may order at once.
+            OrderOutcome::CountMismatch => {
+                self.pending.remove(placement);
+                self.set_slot(placement, SlotState::Open);
+                false
+            }
             OrderOutcome::Busy | OrderOutcome::Fenced | OrderOutcome::Refused => {
                 self.pending.remove(placement);
+                self.set_slot(placement, SlotState::Open);
                 let expires_ms = now_ms + BUSY_BACKOFF_MS;
                 self.busy_ms.insert(placement.replica.clone(), expires_ms);
                 false
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -19,7 +19,7 @@
 use crate::placement::fleet_plan::{self, PlanModel, PlanReplica, PlanStep};
 use crate::placement::order::{AdapterPlacement, OrderKind, OrderOutcome, ReplicaOrder};
 use crate::placement::report::EntryReport;
-use crate::table::configuration::EngineSpec;
+use crate::table::configuration::{ConfigurationRecord, EngineSpec};
 
 /// Settings of the fleet controller.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
@@ -287,9 +287,7 @@
             AdapterDecision::Available => (true, None),
             AdapterDecision::Refused => (false, None),
             AdapterDecision::Load => {
-                let (id, model) = (request.replica.clone(), request.model.clone());
-                let command = Command::ReplicaAdapterOrdered(id, model, request.adapter.clone());
-                self.queued_commands.push(command);
+                self.queue_adapter_load(request.clone());
                 (true, None)
             }
             AdapterDecision::Evict(placement) => {
@@ -302,6 +300,34 @@
         }
     }
 
+    /// Queues the command that must be committed before the order of an adapter load is sent.
+    fn queue_adapter_load(&mut self, placement: AdapterPlacement) {
+        let (id, model) = (placement.replica, placement.model);
+        let command = Command::ReplicaAdapterOrdered(id, model, placement.adapter);
+        self.queued_commands.push(command);
+    }
+
+    /// Starts the requested adapter loads whose slots have become free.
+    fn start_waiting_adapter_loads(
+        &mut self,
+        state: &SiteState,
+        configuration: &ConfigurationRecord,
+        now_ms: u64,
+    ) {
+        let mut adapters = std::mem::take(&mut self.adapters);
+        let slots = |record: &ReplicaRecord| {
+            let services = &configuration.configuration.services;
+            let engine = services.get(&record.service)?.engine.as_ref()?;
+            let accepts = self.accepts_adapter_orders(state, record);
+            accepts.then_some(engine.adapter_slots as usize)
+        };
+        let started = adapters.start_waiting_loads(&state.replicas, slots, now_ms);
+        self.adapters = adapters;
+        for placement in started {
+            self.queue_adapter_load(placement);
+        }
+    }
+
     /// Handles the outcome of an order. Returns the commands that follow from it.
     pub fn on_outcome(
         &mut self,
@@ -358,7 +384,7 @@
                 pending.send_ms = Some(now_ms + self.policy.order_ms);
             }
             // The engine may be busy with this same order, sent earlier or by the previous leader.
-            OrderOutcome::Busy | OrderOutcome::Unknown => {
+            OrderOutcome::Busy | OrderOutcome::CountMismatch | OrderOutcome::Unknown => {
                 pending.send_ms = Some(now_ms + RESEND_DELAY_MS);
             }
             OrderOutcome::Fenced | OrderOutcome::Refused => {
@@ -396,6 +422,7 @@
         }
         let settled = self.settle_orders(&state.replicas, now_ms);
         actions.commands.extend(self.propose_once(now_ms, settled));
+        self.start_waiting_adapter_loads(state, record, now_ms);
         actions.commands.append(&mut self.queued_commands);
         actions.orders = self.send_due(&state.replicas, now_ms);
         let engines = record.configuration.services.iter();
--- a/src/placement/fleet/preload_adapters.rs
+++ b/src/placement/fleet/preload_adapters.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::consensus::directory::ReplicaRecord;
-use crate::consensus::state::{Command, SiteState};
+use crate::consensus::state::SiteState;
 use crate::ids::{ModelName, ServiceName};
 use crate::placement::preload::{self, MissingAdapters, PreloadReplica};
 use crate::table::configuration::EngineSpec;
@@ -40,9 +40,7 @@
         let mut replicas: Vec<PreloadReplica> = replicas.collect();
         for placement in preload::plan_preloads(&missing, &mut replicas, limit) {
             self.adapters.start_load(placement.clone(), now_ms);
-            let (id, model) = (placement.replica, placement.model);
-            let command = Command::ReplicaAdapterOrdered(id, model, placement.adapter);
-            self.queued_commands.push(command);
+            self.queue_adapter_load(placement);
         }
     }
 
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -79,8 +79,11 @@
     Taken,
     /// The effect of the order already holds.
     Held,
-    /// The engine is busy or expected another order count, or the order was not sent.
+    /// The engine is busy, or the order was not sent.
     Busy,
+    /// The engine has taken another number of orders than the order expected, and reports that none
+    /// is being executed.
+    CountMismatch,
     /// The engine has accepted a higher fencing token from another holder.
     Fenced,
     /// The engine refused the order, or is not the replica that the order names.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -794,6 +794,191 @@
     );
 }
 
+/// Guards against a request that is told forever that its adapter will come, as the unload that it
+/// waits for ended with the model of the unloaded adapter.
+#[test]
+fn an_adapter_is_evicted_anew_when_the_model_of_the_first_one_is_gone() {
+    let mut orders = AdapterOrders::default();
+    let mut directory = ReplicaDirectory::default();
+    let mut held = record("r1", 1, &["a", "b"]);
+    let hold = |held: &mut ReplicaRecord, model: &str, names: &[&str]| {
+        let names = names.iter().map(|name| (*name).to_owned()).collect();
+        held.models.insert(ModelName::from(model), names);
+    };
+    hold(&mut held, "a", &["x"]);
+    hold(&mut held, "b", &["y"]);
+    directory.put(&held, 0);
+    orders.record_use(placement("x"), 5_000);
+    let first = AdapterPlacement {
+        model: ModelName::from("b"),
+        ..placement("y")
+    };
+    let decision = orders.decide(&held, 2, &directory, &placement("z"), 10_000);
+    assert_eq!(decision, AdapterDecision::Evict(first));
+    held.models.remove(&ModelName::from("b"));
+    hold(&mut held, "a", &["w", "x"]);
+    directory.put(&held, 10_100);
+    orders.record_use(placement("w"), 6_000);
+    orders.settle(&directory, 10_100);
+    let started = orders.start_waiting_loads(&directory, |_| Some(2), 10_100);
+    assert_eq!(started, []);
+    let decision = orders.decide(&held, 2, &directory, &placement("z"), 10_110);
+    assert_eq!(decision, AdapterDecision::Evict(placement("x")));
+}
+
+/// An adapter that had been loaded for a request was the next one to be evicted, as no entry had
+/// reported its use yet.
+#[test]
+fn an_adapter_that_was_just_requested_is_not_the_next_to_be_evicted() {
+    let mut orders = AdapterOrders::default();
+    let mut directory = ReplicaDirectory::default();
+    directory.put(&heartbeat(1, &["y"]), 0);
+    let held = heartbeat(1, &["y"]);
+    let decision = orders.decide(&held, 2, &directory, &placement("x"), 10_000);
+    assert_eq!(decision, AdapterDecision::Load);
+    orders.on_outcome(&placement("x"), OrderOutcome::Taken, 10_010);
+    let (id, model) = (ReplicaId::from("r1"), ModelName::from("a"));
+    directory.set_adapter(&id, &model, "x", AdapterEffect::Present, 10_010);
+    orders.settle(&directory, 10_020);
+    orders.record_use(placement("y"), 6_000);
+    let held = directory.records()[&id].clone();
+    let decision = orders.decide(&held, 2, &directory, &placement("z"), 10_100);
+    assert_eq!(decision, AdapterDecision::Evict(placement("y")));
+}
+
+/// After each eviction, the next order was refused for its outdated order count, and the replica
+/// got no load for 500 ms although nothing else was running there.
+#[test]
+fn a_wrong_order_count_does_not_block_further_loads() {
+    for (outcome, next) in [
+        (OrderOutcome::CountMismatch, AdapterDecision::Load),
+        (OrderOutcome::Busy, AdapterDecision::Refused),
+    ] {
+        let mut orders = AdapterOrders::default();
+        let mut directory = ReplicaDirectory::default();
+        let held = heartbeat(1, &[]);
+        directory.put(&held, 0);
+        let request =
+            |orders: &mut AdapterOrders| orders.decide(&held, 2, &directory, &placement("x"), 0);
+        assert_eq!(request(&mut orders), AdapterDecision::Load);
+        orders.on_outcome(&placement("x"), outcome, 0);
+        assert_eq!(request(&mut orders), next, "after {outcome:?}");
+    }
+}
+
+impl TestFleet {
+    /// Returns a fleet whose only replica has no free adapter slot, shortly after its leader was
+    /// elected.
+    fn with_full_slots() -> Self {
+        let mut fleet = Self::new(&["a"]);
+        fleet.heartbeat(&heartbeat(1, &["x", "y"]));
+        fleet.rounds(3_000, 3_200);
+        fleet
+    }
+
+    fn request(&mut self, now_ms: u64, adapter: &str) -> (bool, Option<ReplicaOrder>) {
+        self.controller
+            .on_adapter_request(&self.state, now_ms, &placement(adapter))
+    }
+
+    fn end_order(&mut self, now_ms: u64, order: &ReplicaOrder, outcome: OrderOutcome) {
+        for command in self.controller.on_outcome(now_ms, order, outcome) {
+            self.apply(command);
+        }
+    }
+
+    /// Number of slots that are occupied, or claimed by orders in the log.
+    fn claimed_slots(&self) -> usize {
+        let id = ReplicaId::from("r1");
+        let record = &self.state.replicas.records()[&id];
+        let ordered = self.state.replicas.adapters_ordered(&id);
+        let ordered = ordered.filter(|(model, name)| !record.holds_adapter(model, name));
+        record.models.values().map(BTreeSet::len).sum::<usize>() + ordered.count()
+    }
+
+    /// Runs rounds, 10 ms apart, and returns the adapters that are loaded in them.
+    fn loads(&mut self, from_ms: u64, until_ms: u64) -> Vec<String> {
+        let earlier = self.orders.len();
+        for now_ms in (from_ms..until_ms).step_by(10) {
+            self.round(now_ms);
+            assert!(self.claimed_slots() <= 2, "at {now_ms}");
+        }
+        let orders = self.orders[earlier..].iter();
+        let loads = orders.filter(|order| order.kind == OrderKind::Load);
+        loads.filter_map(|order| order.adapter.clone()).collect()
+    }
+}
+
+/// The leader only sent the unload. The load began when an entry asked again, 150 ms later, which
+/// was when its request was refused.
+#[test]
+fn an_adapter_is_loaded_when_the_slot_that_is_freed_for_it_is_free() {
+    let mut fleet = TestFleet::with_full_slots();
+    let (soon, unload) = fleet.request(3_200, "z");
+    let unload = unload.unwrap();
+    assert!(soon && unload.kind == OrderKind::Unload);
+    assert!(fleet.loads(3_200, 3_250).is_empty());
+    // Another request while the unload is in progress evicts nothing more.
+    assert_eq!(fleet.request(3_250, "z"), (true, None));
+    fleet.end_order(3_250, &unload, OrderOutcome::Held);
+    assert_eq!(fleet.loads(3_250, 3_300), ["z"]);
+    let load = fleet.orders.last().unwrap().clone();
+    fleet.end_order(3_300, &load, OrderOutcome::Taken);
+    assert!(fleet.loads(3_300, 3_500).is_empty());
+    assert_eq!(fleet.request(3_500, "z"), (true, None));
+}
+
+/// A request for another adapter took the slot that had been freed, and the requests that it was
+/// freed for were refused.
+#[test]
+fn a_freed_slot_is_reserved_for_the_adapter_that_it_was_freed_for() {
+    let mut fleet = TestFleet::with_full_slots();
+    let (_, first) = fleet.request(3_200, "z");
+    fleet.end_order(3_210, &first.unwrap(), OrderOutcome::Held);
+    let (soon, second) = fleet.request(3_210, "w");
+    let second = second.unwrap();
+    assert!(soon && second.kind == OrderKind::Unload);
+    assert_eq!(fleet.loads(3_210, 3_300), ["z"]);
+    fleet.end_order(3_300, &second, OrderOutcome::Held);
+    assert_eq!(fleet.loads(3_300, 3_400), ["w"]);
+}
+
+/// Guards against loads that nobody waits for any more, and against a load into a slot that the
+/// unload has not freed.
+#[test]
+fn no_adapter_is_loaded_after_an_eviction_that_nobody_waits_for_or_that_freed_no_slot() {
+    let mut fleet = TestFleet::with_full_slots();
+    let (_, unload) = fleet.request(3_200, "z");
+    fleet.end_order(4_200, &unload.unwrap(), OrderOutcome::Held);
+    assert!(fleet.loads(4_200, 6_000).is_empty(), "a second later");
+
+    let mut fleet = TestFleet::with_full_slots();
+    let (_, unload) = fleet.request(3_200, "z");
+    fleet.end_order(3_210, &unload.unwrap(), OrderOutcome::Held);
+    fleet.controller = leader(2, 3_210);
+    assert!(fleet.loads(3_210, 9_000).is_empty(), "the next leader");
+
+    let mut fleet = TestFleet::with_full_slots();
+    let (_, unload) = fleet.request(3_200, "z");
+    fleet.end_order(3_210, &unload.unwrap(), OrderOutcome::Held);
+    let model = ModelName::from("a");
+    fleet.apply(Command::ReplicaUnload(ReplicaId::from("r1"), model));
+    assert!(fleet.loads(3_210, 4_000).is_empty(), "without its model");
+
+    for outcome in [
+        OrderOutcome::Taken,
+        OrderOutcome::Busy,
+        OrderOutcome::CountMismatch,
+        OrderOutcome::Refused,
+        OrderOutcome::Unknown,
+    ] {
+        let mut fleet = TestFleet::with_full_slots();
+        let (_, unload) = fleet.request(3_200, "z");
+        fleet.end_order(3_210, &unload.unwrap(), outcome);
+        assert!(fleet.loads(3_210, 6_000).is_empty(), "{outcome:?}");
+    }
+}
+
 #[test]
 fn a_late_heartbeat_neither_undoes_an_order_nor_restores_an_ended_replica() {
     let mut directory = ReplicaDirectory::default();
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -124,3 +124,7 @@
 mutant limit-ended-by-any-answer src/placement/advertised_limits.rs 's/ && granted_ms > record\.observed_ms//' replica_limits a_late_older_response
 mutant bucket-full-at-a-new-limit src/placement/rate_limit.rs 's/bucket\.due_us = bucket\.due_us\.max\(next_us\);/let _ = next_us;/' replica_limits $limits
 mutant limit-heard-by-one-entry src/placement/advertised_limits.rs 's/let changes = self\.changes\.range\(from \+ 1\.\.\);/let changes = self.changes.range(u64::MAX..);/' replica_limits after_a_response_without
+mutant unload-not-counted src/control/order_dispatcher.rs 's/KnownCount::Assumed\(expected \+ 1\)/KnownCount::Unknown/' orderer an_unload_that_took_effect_at_once_counts_as_an_order
+mutant assumed-count-not-corrected src/control/order_dispatcher.rs 's/return Ok\(assumed - 1\);/let _ = assumed;/' orderer an_unload_that_took_effect_at_once_counts_as_an_order
+mutant eviction-without-load src/placement/adapters.rs 's/REQUEST_TTL_MS: u64 = 1_000/REQUEST_TTL_MS: u64 = 0/' fleet an_adapter_is_loaded_when_the_slot_that_is_freed_for_it_is_free
+mutant freed-slot-not-reserved src/placement/adapters.rs 's/waiting\.slot == SlotState::Freed\)\n/false \&\& waiting.slot == SlotState::Freed)\n/' fleet a_freed_slot_is_reserved_for_the_adapter_that_it_was_freed_for
--- a/tests/orderer.rs
+++ b/tests/orderer.rs
@@ -412,3 +412,243 @@
     }
     assert_eq!(seen, [4, 0]);
 }
+
+/// Engine that counts orders as the platform does: an adapter that no request uses is unloaded
+/// immediately, which is answered with 200 and counted, while a 200 for an effect that already
+/// holds is not counted.
+#[derive(Default)]
+struct CountingEngine {
+    orders: u64,
+    adapters: BTreeSet<String>,
+    /// Count in its reports, if they are older than its state.
+    reported: Option<u64>,
+    /// Another order is being executed.
+    busy: bool,
+    /// Number of orders to receive without a reply, and without executing them.
+    lost: u32,
+}
+
+impl CountingEngine {
+    /// Executes an order or returns the report; no status if there is no reply.
+    fn handle(&mut self, call: &EngineCallText) -> (Option<u16>, String) {
+        let Some(expected) = call.expected else {
+            let orders = self.reported.unwrap_or(self.orders);
+            let busy = if self.busy { " busy" } else { "" };
+            return (Some(200), format!("{orders}{busy}"));
+        };
+        if self.lost > 0 {
+            self.lost -= 1;
+            return (None, String::new());
+        }
+        let held = self.adapters.contains(&call.adapter);
+        let status = match call.kind.as_str() {
+            _ if self.busy || expected != self.orders => 409,
+            "Load" if held => 200,
+            "Unload" if !held => 200,
+            "Load" => {
+                self.orders += 1;
+                self.adapters.insert(call.adapter.clone());
+                202
+            }
+            _ => {
+                self.orders += 1;
+                self.adapters.remove(&call.adapter);
+                200
+            }
+        };
+        (Some(status), String::new())
+    }
+}
+
+/// A call in the [`adapter_dialect`].
+struct EngineCallText {
+    /// Expected count; `None` for a request for the report.
+    expected: Option<u64>,
+    kind: String,
+    adapter: String,
+}
+
+/// Dialect for orders on adapters; reports consist of a count, and `busy` if an order is being
+/// executed.
+fn adapter_dialect() -> EngineDialect {
+    EngineDialect {
+        order: |order, expected| EngineCall {
+            method: "POST",
+            path: "/order",
+            headers: vec![
+                ("Expected", expected.to_string()),
+                ("Kind", format!("{:?}", order.kind)),
+                ("Adapter", order.adapter.clone().unwrap()),
+            ],
+            body: "{}".to_owned(),
+        },
+        read_report: |body| {
+            let text = std::str::from_utf8(body).ok()?;
+            let orders = text.split_whitespace().next()?.parse().ok()?;
+            Some(EngineReport {
+                orders,
+                busy: text.ends_with("busy"),
+                ..EngineReport::default()
+            })
+        },
+        ..counting()
+    }
+}
+
+async fn read_call(stream: &mut TcpStream) -> EngineCallText {
+    let mut bytes = vec![0; 4096];
+    let read = stream.read(&mut bytes).await.unwrap();
+    let text = String::from_utf8_lossy(&bytes[..read]).into_owned();
+    let header = |name: &str| {
+        let value = text.lines().find_map(|line| line.strip_prefix(name));
+        value.map(str::to_owned)
+    };
+    EngineCallText {
+        expected: header("Expected: ").map(|count| count.parse().unwrap()),
+        kind: header("Kind: ").unwrap_or_default(),
+        adapter: header("Adapter: ").unwrap_or_default(),
+    }
+}
+
+/// Dispatches one order after the other, each once the one before has its outcome, and lets `change`
+/// alter the engine before each. Returns the counts that the attempts of each order expected, and
+/// the outcomes.
+async fn dispatch(
+    engine: &mut CountingEngine,
+    orders: &[(OrderKind, &str)],
+    mut change: impl FnMut(usize, &mut CountingEngine),
+) -> Vec<(Vec<u64>, OrderOutcome)> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (events, inbox) = mpsc::channel();
+    let (sent_outcomes, mut outcomes) = unbounded_channel();
+    std::thread::spawn(move || {
+        for event in inbox {
+            match event {
+                ControlEvent::OrderPermit(_, reply) => drop(reply.send(lease())),
+                ControlEvent::OrderDone(_, outcome) => sent_outcomes.send(outcome).unwrap(),
+                _ => panic!("unexpected event"),
+            }
+        }
+    });
+    let (dispatcher, ordered) = unbounded_channel();
+    let handle = ControlHandle(events);
+    ntex::rt::spawn(order_dispatcher::run(ordered, handle, adapter_dialect()));
+    let mut seen = Vec::new();
+    for (number, (kind, adapter)) in orders.iter().enumerate() {
+        change(number, engine);
+        let order = ReplicaOrder {
+            kind: *kind,
+            adapter: Some((*adapter).to_owned()),
+            ..order_of(1, address)
+        };
+        dispatcher.send(order).unwrap();
+        let mut expected = Vec::new();
+        let outcome = loop {
+            tokio::select! {
+                outcome = outcomes.recv() => break outcome.unwrap(),
+                accepted = listener.accept() => {
+                    let (mut stream, _) = accepted.unwrap();
+                    let call = read_call(&mut stream).await;
+                    expected.extend(call.expected);
+                    if let (Some(status), text) = engine.handle(&call) {
+                        reply_with(&mut stream, status, &text).await;
+                    }
+                }
+            }
+        };
+        seen.push((expected, outcome));
+    }
+    seen
+}
+
+/// Returns an engine that has taken 4 orders and holds these adapters. Its reports stay those of
+/// its start.
+fn engine_with_old_reports(adapters: &[&str]) -> CountingEngine {
+    CountingEngine {
+        orders: 4,
+        reported: Some(4),
+        adapters: adapters.iter().map(|name| (*name).to_owned()).collect(),
+        ..CountingEngine::default()
+    }
+}
+
+/// After an unload that was answered with 200, the next orders were refused with 409 for some
+/// 200 ms: the count was read from a report that was older than the unload.
+#[ntex::test]
+async fn an_unload_that_took_effect_at_once_counts_as_an_order() {
+    let mut engine = engine_with_old_reports(&["x", "y"]);
+    let orders = [
+        (OrderKind::Unload, "x"),
+        (OrderKind::Unload, "y"),
+        (OrderKind::Load, "z"),
+        // Not there: the engine does not count this one.
+        (OrderKind::Unload, "x"),
+        (OrderKind::Load, "x"),
+        (OrderKind::Load, "y"),
+    ];
+    let seen = dispatch(&mut engine, &orders, |_, _| {}).await;
+    let expected = [
+        (vec![4], OrderOutcome::Held),
+        (vec![5], OrderOutcome::Held),
+        (vec![6], OrderOutcome::Taken),
+        (vec![7], OrderOutcome::Held),
+        (vec![8, 7], OrderOutcome::Taken),
+        (vec![8], OrderOutcome::Taken),
+    ];
+    assert_eq!(seen, expected);
+    assert_eq!(engine.orders, 9);
+}
+
+/// Guards against orders that are refused for good after an assumption that was wrong twice: an
+/// order of an earlier leader was executed after the unload.
+#[ntex::test]
+async fn the_count_is_read_again_when_neither_assumption_holds() {
+    let mut engine = engine_with_old_reports(&["x"]);
+    let orders = [(OrderKind::Unload, "x"), (OrderKind::Load, "y")];
+    let seen = dispatch(&mut engine, &orders, |number, engine| {
+        if number == 1 {
+            engine.orders = 9;
+            engine.reported = Some(9);
+        }
+    })
+    .await;
+    assert_eq!(seen[1], (vec![5, 4, 9], OrderOutcome::Taken));
+}
+
+/// An order with an assumed count that gets no reply is treated as any other: it may be executed
+/// later, so a refusal of its repetition does not show that it was not.
+#[ntex::test]
+async fn an_order_with_an_assumed_count_may_be_executed_late() {
+    let orders = [(OrderKind::Unload, "x"), (OrderKind::Load, "y")];
+    let lose_one = |reported| {
+        move |number, engine: &mut CountingEngine| {
+            if number == 1 {
+                engine.lost = 1;
+                engine.reported = Some(reported);
+            }
+        }
+    };
+    let mut engine = engine_with_old_reports(&["x"]);
+    let seen = dispatch(&mut engine, &orders, lose_one(5)).await;
+    assert_eq!(seen[1], (vec![5, 5], OrderOutcome::Taken));
+    // The report that is read after the lost attempt is older than the unload.
+    let mut engine = engine_with_old_reports(&["x"]);
+    let seen = dispatch(&mut engine, &orders, lose_one(4)).await;
+    assert_eq!(seen[1], (vec![5, 4], OrderOutcome::Unknown));
+}
+
+/// A replica that refused an order for its count, and at which nothing else ran, counted as busy
+/// and got no load for 500 ms.
+#[ntex::test]
+async fn a_wrong_count_is_not_reported_as_a_busy_engine() {
+    let orders = [(OrderKind::Load, "x")];
+    let mut outdated = engine_with_old_reports(&[]);
+    outdated.orders = 5;
+    let seen = dispatch(&mut outdated, &orders, |_, _| {}).await;
+    assert_eq!(seen, [(vec![4], OrderOutcome::CountMismatch)]);
+    let mut busy = engine_with_old_reports(&[]);
+    busy.busy = true;
+    let seen = dispatch(&mut busy, &orders, |_, _| {}).await;
+    assert_eq!(seen, [(vec![4], OrderOutcome::Busy)]);
+}
