Adapters: entries ask again in time, and use a home that holds the adapter

Cause: when all homes had refused an adapter, a request waited a quarter of its latency target, 150 ms of 600, while no home was asked again for 500 ms. A request for an adapter whose home was not lightly loaded waited for a second copy, even where another adapter had to be evicted for it, or where the copy was requested from the home itself, which had a free slot and held the adapter already; it was refused although the home had capacity.

Changed: a request waits for an adapter until its latency target, refused or not; a refused home is asked again after 150 ms, the shortest time between two requests of an entry; a second copy is requested only at a home that lacks the adapter and has a free slot.

Shown by new tests in tests/forward_parts.rs and tests/patience.rs; those in forward_parts fail with the mechanisms reverted.

--- a/src/forward/max_wait.rs
+++ b/src/forward/max_wait.rs
@@ -15,6 +15,13 @@
     aim.mul_f64(fraction)
 }
 
+/// How long a request waits for an adapter that its replicas do not hold, whether or not the leader
+/// has refused to load it so far: a refusal ends when an order at the replica does, and within the
+/// wait the leader is asked again.
+pub fn adapter_wait(aim: Duration, left: Duration) -> Duration {
+    aim.min(left / 2)
+}
+
 /// How long a request waits in total for a model that no replica holds: until its load, which takes
 /// `load`, should be complete, or not at all if that is after the deadline. A load that has already
 /// started completes earlier, so the time waited so far counts.
--- a/src/forward/replica_table.rs
+++ b/src/forward/replica_table.rs
@@ -124,8 +124,10 @@
 const FAILURE_WEIGHT: f64 = 0.25;
 /// Failure rate from which a replica is ejected.
 const EJECT_FAILURE_RATE: f64 = 0.55;
-/// How long no adapter is requested on a replica after the leader refused one, in milliseconds.
-const FETCH_REFUSED_MS: u64 = 500;
+/// How long no adapter is requested on a replica after the leader refused one, in milliseconds. A
+/// fraction of the latency targets of 500 ms and more, within which a request waits for an adapter:
+/// with 500 ms, a request that all homes had refused was never served.
+const FETCH_REFUSED_MS: u64 = 150;
 /// How long a replica that reported so is treated as full, in milliseconds.
 const FULL_BACKOFF_MS: u64 = 100;
 
@@ -361,16 +363,20 @@
         let ready = candidates.iter().copied();
         let ready = ready.filter(|state| self.holds_adapter(state, need));
         let holder = self.cheapest(ready, need, &reserved, now_ms);
-        let open = |state: &&ReplicaState| state.fetch_refused_until_ms <= now_ms;
+        let open = |state: &&ReplicaState| {
+            state.fetch_refused_until_ms <= now_ms && !self.holds_adapter(state, need)
+        };
         let open = candidates.iter().copied().filter(open);
         let (full, free): (Vec<_>, Vec<_>) =
             open.partition(|state| state.adapters() >= bounds.adapter_slots as usize);
+        let has_free = !free.is_empty();
         let fetcher = self
             .cheapest(free.into_iter(), need, &reserved, now_ms)
             .or_else(|| self.cheapest(full.into_iter(), need, &reserved, now_ms));
         match (holder, fetcher) {
-            // Loading the adapter on a second replica pays off only if the first holder is busy.
-            (Some(holder), _) if self.is_lightly_loaded(holder, now_ms) => {
+            // Loading the adapter on a second replica pays off only if the first holder is busy,
+            // and no other adapter has to be evicted for it.
+            (Some(holder), _) if !has_free || self.is_lightly_loaded(holder, now_ms) => {
                 Choice::Send(holder.record.id.clone())
             }
             (_, Some(fetcher)) => Choice::Fetch(fetcher.record.id.clone()),
--- a/src/forward/request/placing.rs
+++ b/src/forward/request/placing.rs
@@ -44,13 +44,13 @@
                 },
                 Choice::Fetch(replica) => {
                     self.core.request_adapter(&replica, &self.need);
-                    (Refusal::Adapter, self.aim().min(self.left() / 2))
+                    (Refusal::Adapter, self.adapter_wait())
                 }
                 Choice::Full => {
                     self.core.congestion_seen.notify_one();
                     (Refusal::Full, self.max_wait())
                 }
-                Choice::NoAdapter => (Refusal::Adapter, self.max_wait()),
+                Choice::NoAdapter => (Refusal::Adapter, self.adapter_wait()),
                 Choice::BackingOff(left_ms) => {
                     let refusal = Refusal::BackingOff;
                     (refusal, self.wait_limit(refusal, waited, left_ms)?)
@@ -105,6 +105,10 @@
         max_wait::capacity_wait(self.aim(), self.core.choice().room_part)
     }
 
+    fn adapter_wait(&self) -> Duration {
+        max_wait::adapter_wait(self.aim(), self.left())
+    }
+
     fn choose(&self, now_ms: u64) -> Choice {
         let replicas = self.core.replicas.borrow();
         replicas.choose(now_ms, &self.need, &self.attempted, self.bounds)
--- a/tests/forward_parts.rs
+++ b/tests/forward_parts.rs
@@ -4,12 +4,14 @@
 mod support_replicas;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
 use dunlinspring::forward::budget::{ResendBudget, ResendPolicy};
 use dunlinspring::forward::chunked::ChunkDecoder;
 use dunlinspring::forward::events::EventBuffer;
 use dunlinspring::forward::head::{self, Framing, HeadError};
+use dunlinspring::forward::max_wait::adapter_wait;
 use dunlinspring::forward::replica_table::{
     AttemptResult, Choice, ChoicePolicy, EngineBounds, LoadReport, Need, ReplicaTable, parse_load,
 };
@@ -303,6 +305,36 @@
     assert_eq!(choose(&table, &need), send("a"));
 }
 
+/// A request for a loaded adapter whose home had capacity waited for a second copy, for which
+/// another adapter had to be evicted, or for a copy at the home itself, which had a free slot. It
+/// was refused when that did not come in time.
+#[test]
+fn no_adapter_is_evicted_for_a_second_copy_while_the_home_has_capacity() {
+    let mut table = table(vec![
+        record("a", &[("m", &["x"])]),
+        record("b", &[("m", &["y", "z"])]),
+    ]);
+    let need = need("m", Some("x"));
+    let home = ReplicaId::from("a");
+    table.record_sent(1_000, &home, &need);
+    table.record_response_start(&home, &need, 0, 1.0);
+    assert_eq!(choose(&table, &need), send("a"));
+}
+
+/// A replica at which the leader had refused an adapter was asked again only after the requests
+/// for it had been refused.
+#[test]
+fn an_adapter_is_requested_again_within_the_wait_for_it() {
+    let mut table = table(vec![record("a", &[("m", &[])])]);
+    let (id, need) = (ReplicaId::from("a"), need("m", Some("x")));
+    table.record_fetch_refusal(1_000, &id);
+    assert_eq!(choose(&table, &need), Choice::NoAdapter);
+    let wait = adapter_wait(Duration::from_millis(600), Duration::from_millis(2_000));
+    let asked_at_ms = 1_000 + wait.as_millis() as u64 / 2;
+    let choice = table.choose(asked_at_ms, &need, &BTreeSet::new(), BOUNDS);
+    assert_eq!(choice, Choice::Fetch(id));
+}
+
 #[test]
 fn a_request_goes_only_where_its_response_should_start_in_time() {
     let mut table = table(vec![record("a", &[("m", &[])])]);
--- a/tests/patience.rs
+++ b/tests/patience.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dunlinspring::forward::max_wait::{capacity_wait, load_wait};
+use dunlinspring::forward::max_wait::{adapter_wait, capacity_wait, load_wait};
 
 const LOAD: Duration = Duration::from_millis(8_600);
 
@@ -35,3 +35,12 @@
         Duration::from_millis(200)
     );
 }
+
+/// A request whose adapter the leader had refused at all homes waited a quarter of its latency
+/// target, 150 ms of 600, and was refused before the leader could be asked again.
+#[test]
+fn a_request_waits_for_a_refused_adapter_until_its_latency_target() {
+    let aim = Duration::from_millis(600);
+    assert_eq!(adapter_wait(aim, seconds(5)), aim);
+    assert_eq!(adapter_wait(aim, seconds(1)), Duration::from_millis(500));
+}
