--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -128,3 +128,4 @@
 mutant assumed-count-not-corrected src/control/order_dispatcher.rs 's/return Ok\(assumed - 1\);/let _ = assumed;/' orderer an_unload_that_took_effect_at_once_counts_as_an_order
 mutant eviction-without-load src/placement/adapters.rs 's/REQUEST_TTL_MS: u64 = 1_000/REQUEST_TTL_MS: u64 = 0/' fleet an_adapter_is_loaded_when_the_slot_that_is_freed_for_it_is_free
 mutant freed-slot-not-reserved src/placement/adapters.rs 's/waiting\.slot == SlotState::Freed\)\n/false \&\& waiting.slot == SlotState::Freed)\n/' fleet a_freed_slot_is_reserved_for_the_adapter_that_it_was_freed_for
+mutant waits-for-an-ended-unload src/placement/adapters.rs 's/if unload\.is_none\(\) \{/if false \&\& unload.is_none() {/' fleet an_adapter_is_evicted_anew_when_the_model_of_the_first_one_is_gone
