Requests of prefill-bound services choose a replica by quotes

An entry chose by the load that a replica had reported in its last response to that entry, which is seconds old. It now asks the agents of up to ask_homes replicas: the first two homes in the order of the prompt's parts, one that holds the adapter, then the cheapest. The choice is the least cost in milliseconds: quoted first event, half of the time limit for each stream that becomes late, the excess of the own event gap, and 1 ms for another hall. A replica in another region, and one that fails its requests, also costs what it does in the choice by loads, in prefill times of one prompt: a replica that fails its requests has few of them and quotes well.

If no quoted replica has capacity in time, the next homes are asked once; then the replicas without a quote are judged by their known loads, so that those without a replying agent are still used. A waiting request asks again after 20 ms at the earliest: agents poll their replicas every 25 ms, and asking at each change would multiply datagrams with the waiting requests. What blocks a replica is checked as before, after the replies and again right before the request is sent. Agents are told of requests that are sent, and of those that the replica did not run to their end.

--- a/src/forward/agent_client.rs
+++ b/src/forward/agent_client.rs
@@ -263,7 +263,7 @@
             Err(error) => return self.count_dropped(cause(&error)),
         };
         let Some(quote) = self.pending.borrow_mut().remove(&reply.query) else {
-            return self.count_dropped("unknown query");
+            return self.count_dropped("unknown_query");
         };
         let PendingQuote { replica, open } = quote;
         if self.backoff.borrow_mut().record_reply(&replica) {
@@ -328,6 +328,6 @@
         DatagramError::Forged => "forged",
         DatagramError::Version { .. } => "version",
         DatagramError::Malformed => "malformed",
-        DatagramError::TooLong { .. } => "too long",
+        DatagramError::TooLong { .. } => "too_long",
     }
 }
--- a/src/forward/need.rs
+++ b/src/forward/need.rs
@@ -33,6 +33,8 @@
     pub urgency: usize,
     /// Time within which the response should start, in milliseconds.
     pub limit_ms: u64,
+    /// Longest allowed gap between two events of the stream, in milliseconds; 0 for no limit.
+    pub max_gap_ms: u64,
     /// Regions in which the request may be served.
     pub regions: AllowedRegions,
     /// Hash of the request's id: breaks ties, so that requests of different entries spread evenly.
--- a/src/forward/replica_table.rs
+++ b/src/forward/replica_table.rs
@@ -6,6 +6,7 @@
 
 mod blocks;
 mod cost;
+mod quotes;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -26,6 +27,8 @@
 use crate::routing::warm_up::WarmupTracker;
 use crate::table::configuration::WarmupSpec;
 pub use blocks::SendBlock;
+use cost::HomePreferences;
+pub use quotes::Quotes;
 
 /// Result of choosing a replica for a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -330,6 +333,18 @@
         attempted: &BTreeSet<ReplicaId>,
         bounds: EngineBounds,
     ) -> Choice {
+        self.choose_unquoted(now_ms, need, attempted, bounds, &Quotes::new())
+    }
+
+    /// Returns the replicas that may be tried now, whether or not they have free capacity, or the
+    /// choice that is left if there are none. Also returns which of them the request prefers.
+    fn remaining(
+        &self,
+        now_ms: u64,
+        need: &Need,
+        attempted: &BTreeSet<ReplicaId>,
+        bounds: EngineBounds,
+    ) -> Result<(Vec<&ReplicaState>, HomePreferences<'_>), Choice> {
         let all = self.states.values();
         let candidates: Vec<&ReplicaState> =
             all.filter(|state| self.can_serve(state, need)).collect();
@@ -338,8 +353,8 @@
         let open = match self.unblocked(&candidates, now_ms) {
             Ok(open) => open,
             // A model, unlike a plain service, can be loaded in another hall.
-            Err(Choice::Evacuated) if need.model.is_some() => return Choice::Absent,
-            Err(choice) => return choice,
+            Err(Choice::Evacuated) if need.model.is_some() => return Err(Choice::Absent),
+            Err(choice) => return Err(choice),
         };
         let preferences = self.preferences(now_ms, &candidates, need, bounds.memory);
         let mut candidates = open;
@@ -355,9 +370,21 @@
         // it is ejected; with a single replica the request would otherwise reconnect in a tight
         // loop.
         candidates.retain(|state| untried(state) || healthy(state));
-        candidates.retain(|state| self.has_capacity(state, need, now_ms, bounds.memory));
-        let Some(best) = self.cheapest(candidates.iter().copied(), need, &preferences, now_ms)
-        else {
+        Ok((candidates, preferences))
+    }
+
+    /// Chooses among replicas with free capacity. `cheapest` and `is_lightly_loaded` judge them by
+    /// what is known of their load.
+    fn choose_among<'a>(
+        &self,
+        candidates: &[&'a ReplicaState],
+        need: &Need,
+        now_ms: u64,
+        bounds: EngineBounds,
+        cheapest: impl Fn(&[&'a ReplicaState]) -> Option<&'a ReplicaState>,
+        is_lightly_loaded: impl Fn(&ReplicaState) -> bool,
+    ) -> Choice {
+        let Some(best) = cheapest(candidates) else {
             return Choice::Full;
         };
         if self.holds_adapter(best, need) {
@@ -365,21 +392,18 @@
         }
         let ready = candidates.iter().copied();
         let ready = ready.filter(|state| self.holds_adapter(state, need));
-        let holder = self.cheapest(ready, need, &preferences, now_ms);
+        let holder = cheapest(&ready.collect::<Vec<_>>());
         let open = |state: &&ReplicaState| {
             state.fetch_refused_until_ms <= now_ms && !self.holds_adapter(state, need)
         };
         let open = candidates.iter().copied().filter(open);
         let (full, free): (Vec<_>, Vec<_>) =
             open.partition(|state| state.adapters() >= bounds.adapter_slots as usize);
-        let has_free = !free.is_empty();
-        let fetcher = self
-            .cheapest(free.into_iter(), need, &preferences, now_ms)
-            .or_else(|| self.cheapest(full.into_iter(), need, &preferences, now_ms));
+        let fetcher = cheapest(&free).or_else(|| cheapest(&full));
         match (holder, fetcher) {
             // Loading the adapter on a second replica pays off only if the first holder is busy,
             // and no other adapter has to be evicted for it.
-            (Some(holder), _) if !has_free || self.is_lightly_loaded(holder, now_ms) => {
+            (Some(holder), _) if free.is_empty() || is_lightly_loaded(holder) => {
                 Choice::Send(holder.record.id.clone())
             }
             (_, Some(fetcher)) => Choice::Fetch(fetcher.record.id.clone()),
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -5,6 +5,7 @@
 //! never with 503.
 
 mod answer_heads;
+mod asking;
 mod attempt_guard;
 mod crashes;
 mod placing;
@@ -36,6 +37,7 @@
 use crate::routing::suspects::QUARANTINE_RETRY_MS;
 use crate::table::configuration::{RouteKind, RouteSpec};
 
+use asking::QuotesAtHand;
 use attempt_guard::AttemptGuard;
 
 /// Largest response that is buffered until it is complete, in bytes.
@@ -147,6 +149,8 @@
     /// Deadline of the request, on the clock of [`clock::monotonic_ms`].
     until_ms: u64,
     attempted: BTreeSet<ReplicaId>,
+    /// Quotes of agents, if the request asks for them.
+    quoted: QuotesAtHand,
     /// Attempts that may have run the request.
     runs: u32,
     refusals: u32,
@@ -194,6 +198,10 @@
         let rank = caller.as_ref().and_then(|caller| caller.priority);
         need.urgency = core.choice().urgency(rank, route.priority, slack);
         need.limit_ms = route.latency_goal_ms.min(limit_ms);
+        need.max_gap_ms = match route.kind {
+            RouteKind::Streaming => route.max_event_gap_ms,
+            _ => 0,
+        };
         need.id_hash = id_hash(&id);
         let regions = caller.as_ref().map(|caller| &caller.regions);
         need.regions = AllowedRegions::of(&route.regions, regions);
@@ -221,6 +229,7 @@
             event_tokens: engine.map_or(0, |engine| engine.event_tokens),
             until_ms: request.since_ms.saturating_add(limit_ms),
             attempted: BTreeSet::new(),
+            quoted: QuotesAtHand::default(),
             runs: 0,
             refusals: 0,
             event_buffer: EventBuffer::default(),
@@ -405,7 +414,12 @@
             | Refusal::Budget => {
                 let now_ms = clock::monotonic_ms();
                 let replicas = self.core.replicas.borrow();
-                let room_ms = replicas.capacity_in_ms(now_ms, &self.need).unwrap_or(0);
+                let room_ms = match refusal {
+                    Refusal::Full => self.quoted_capacity_in_ms(),
+                    _ => None,
+                };
+                let room_ms = room_ms.or_else(|| replicas.capacity_in_ms(now_ms, &self.need));
+                let room_ms = room_ms.unwrap_or(0);
                 Duration::from_millis(room_ms).max(self.aim() / RETRY_DIVISOR)
             }
         }
@@ -471,6 +485,7 @@
                 return AttemptOutcome::NotSent;
             }
         };
+        guard.announced = self.announce_run(&sent);
         let id = self.id.clone();
         let observer = answer_heads::observer(core, &sent, &id, guard.permit);
         self.sent = Some(sent);
--- a/src/forward/request/attempt_guard.rs
+++ b/src/forward/request/attempt_guard.rs
@@ -9,6 +9,8 @@
 use crate::placement::advertised_limits::PermitStamp;
 use crate::routing::backoff::{SendSlot, SlotOutcome};
 
+use super::asking::AnnouncedRun;
+
 /// Reports the end of an attempt to the replica table, even if the request is dropped midway.
 pub(super) struct AttemptGuard<'a> {
     core: &'a EntryCore,
@@ -23,6 +25,8 @@
     pub(super) claim: Option<SendSlot>,
     /// The leader's permit, if the replica is rate limited.
     pub(super) permit: Option<PermitStamp>,
+    /// The run, if the replica's agent was told of it.
+    pub(super) announced: Option<AnnouncedRun>,
 }
 
 impl<'a> AttemptGuard<'a> {
@@ -43,6 +47,7 @@
             end: AttemptResult::Neutral,
             claim: None,
             permit: None,
+            announced: None,
         }
     }
 
@@ -69,6 +74,11 @@
 impl Drop for AttemptGuard<'_> {
     fn drop(&mut self) {
         self.release(SlotOutcome::Other);
+        // The agent sees by the replica's report when a run ends there by itself.
+        let announced = self.announced.take();
+        if let (Some(run), false) = (announced, self.end == AttemptResult::Good) {
+            run.end(self.core);
+        }
         let now_ms = clock::monotonic_ms();
         let mut replicas = self.core.replicas.borrow_mut();
         replicas.record_end(now_ms, &self.replica, &self.need, self.begun, self.end);
--- a/src/forward/request/placing.rs
+++ b/src/forward/request/placing.rs
@@ -2,7 +2,6 @@
 
 use std::time::{Duration, Instant};
 
-use crate::clock;
 use crate::forward::max_wait;
 use crate::forward::own_answer::Refusal;
 use crate::forward::replica_table::Choice;
@@ -13,6 +12,8 @@
 
 /// Longest time between two checks of the replicas while a request waits.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// The same for a request that has quotes: agents learn of a change within 25 ms.
+const QUOTED_RECHECK_INTERVAL: Duration = Duration::from_millis(25);
 
 impl ForwardedRequest<'_> {
     /// Waits until a replica may take the request, or the request must be refused.
@@ -23,8 +24,7 @@
                 return Err(Refusal::DeadlinePassed);
             }
             let changed = self.core.changed.notified();
-            let now_ms = clock::monotonic_ms();
-            let choice = self.choose(now_ms);
+            let choice = self.choose().await;
             let waited = since.elapsed();
             let (refusal, limit) = match choice {
                 // The next round chooses again; the refused permit blocks this replica for a while.
@@ -69,11 +69,19 @@
             if waited >= limit || self.core.is_stopping() {
                 return Err(refusal);
             }
-            let pause = RECHECK_INTERVAL.min(limit - waited);
+            let pause = self.recheck_interval().min(limit - waited);
             let _ = tokio::time::timeout(pause, changed).await;
         }
     }
 
+    /// Longest time until the replicas are checked again: less with quotes, which expire earlier.
+    fn recheck_interval(&self) -> Duration {
+        match self.quotes_expire() {
+            true => QUOTED_RECHECK_INTERVAL,
+            false => RECHECK_INTERVAL,
+        }
+    }
+
     /// Whether the replica is not rate limited, or the leader grants a permit for this request.
     async fn obtain_permit(&mut self, replica: &ReplicaId) -> bool {
         self.permit = None;
@@ -108,9 +116,4 @@
     fn adapter_wait(&self) -> Duration {
         max_wait::adapter_wait(self.aim(), self.left())
     }
-
-    fn choose(&self, now_ms: u64) -> Choice {
-        let replicas = self.core.replicas.borrow();
-        replicas.choose(now_ms, &self.need, &self.attempted, self.bounds)
-    }
 }
--- a/src/forward/request_log.rs
+++ b/src/forward/request_log.rs
@@ -67,6 +67,11 @@
     longest_pause: Duration,
     notes: Vec<String>,
     content: Option<ContentDigest>,
+    /// Agents that were asked for quotes, and how many replied.
+    agents: (usize, usize),
+    /// Quoted time to the first event at the chosen replica, or the shortest one, and the age of the report on which it
+    /// is based, in milliseconds.
+    quote: Option<(u64, u32)>,
     end: (Outcome, u16, &'static str),
 }
 
@@ -99,6 +104,8 @@
             longest_pause: Duration::ZERO,
             notes: Vec::new(),
             content: None,
+            agents: (0, 0),
+            quote: None,
             end: (Outcome::Left, 0, "the client left"),
         }
     }
@@ -122,6 +129,17 @@
         }
     }
 
+    /// Records how many agents were asked for quotes, and how many replied.
+    pub fn record_asked(&mut self, asked: usize, replied: usize) {
+        self.agents.0 += asked;
+        self.agents.1 += replied;
+    }
+
+    /// Records the quote of the chosen replica, or the best one if none has free capacity.
+    pub fn record_quote(&mut self, first_event_ms: u64, report_age_ms: u32) {
+        self.quote = Some((first_event_ms, report_age_ms));
+    }
+
     /// Adds a note to the log line.
     pub fn note(&mut self, text: &str) {
         self.notes.push(text.to_owned());
@@ -217,6 +235,7 @@
         let good = outcome == Outcome::Answered && status < 500;
         if core.lines.borrow_mut().may_write(good) {
             let millis = |time: Duration| time.as_millis() as u64;
+            let (asked, replied) = self.agents;
             tracing::info!(
                 request = self.id,
                 account = self.account,
@@ -238,6 +257,10 @@
                 reason,
                 notes = self.notes.join("; "),
                 content = self.content.map(|digest| digest.to_string()),
+                agents_asked = (asked > 0).then_some(asked),
+                agents_replied = (asked > 0).then_some(replied),
+                quoted_first_ms = self.quote.map(|(first_ms, _)| first_ms),
+                quote_age_ms = self.quote.map(|(_, age_ms)| age_ms),
                 "request"
             );
         }
--- a/tests/agent_client.rs
+++ b/tests/agent_client.rs
@@ -235,7 +235,7 @@
         };
         let (asked, ()) = tokio::join!(client.ask_until([&agent], future::pending()), replies);
         assert_eq!(first_events(&asked), BTreeMap::from([("r1", Some(30))]));
-        client.await_dropped("unknown query", 2).await;
+        client.await_dropped("unknown_query", 2).await;
         assert_eq!(client.dropped("forged"), 2);
         assert_eq!(client.dropped("version"), 1);
         assert_eq!(client.dropped("malformed"), 1);
@@ -255,7 +255,7 @@
         assert_eq!((asked.asked, asked.quotes.len()), (1, 0));
         let (query, from) = late.unwrap();
         agent.reply(from, quote(query, 1)).await;
-        client.await_dropped("unknown query", 1).await;
+        client.await_dropped("unknown_query", 1).await;
         let (asked, ()) = tokio::join!(
             client.ask_until([&agent], future::pending()),
             agent.reply_once(30, 5)
@@ -350,7 +350,7 @@
         let agents = [agent.address()];
         let asked = client.client.ask_until(&agents, &run, future::pending());
         assert_eq!(asked.await, AskedQuotes::default());
-        assert_eq!(client.dropped("too long"), 1);
+        assert_eq!(client.dropped("too_long"), 1);
         assert!(client.client.may_ask(&agent.replica));
     };
     LocalSet::new().run_until(test).await;
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -30,6 +30,25 @@
     assert!(explain("unknown", LOG.lines()).is_empty());
 }
 
+/// Log of a request for which agents were asked. One of them has just fallen silent.
+const QUOTED_LOG: &str = r#"
+{"timestamp":"2026-01-01T10:00:01.000000Z","fields":{"message":"agent does not reply","replica":"r1","pause_ms":250},"span":{"host":"e2"}}
+{"timestamp":"2026-01-01T10:00:03.000000Z","fields":{"message":"request","request":"a","replica":"r1","took_ms":900,"agents_asked":4,"agents_replied":3,"quoted_first_ms":120,"quote_age_ms":17},"span":{"host":"e2"}}
+"#;
+
+/// Guards against an explanation that does not tell what agents said, or how old that was.
+#[test]
+fn a_request_is_explained_with_what_agents_quoted() {
+    let story = explain("a", QUOTED_LOG.lines());
+    assert_eq!(
+        story,
+        [
+            "2026-01-01T10:00:01.000000Z e2 agent does not reply: pause_ms=250 replica=\"r1\"",
+            "2026-01-01T10:00:03.000000Z e2 request: agents_asked=4 agents_replied=3 quote_age_ms=17 quoted_first_ms=120 replica=\"r1\" request=\"a\" took_ms=900",
+        ]
+    );
+}
+
 const CRASH_LOG: &str = r#"
 {"timestamp":"2026-01-01T10:00:00.000000Z","fields":{"message":"replica ended under requests","replica":"r1","contents":"c1,c2"},"span":{"host":"e1"}}
 {"timestamp":"2026-01-01T10:00:01.000000Z","fields":{"message":"replica ended under requests","replica":"r2","contents":"c3"},"span":{"host":"e2"}}
--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -2,6 +2,7 @@
 //! clients.
 
 mod accounts;
+mod agents;
 mod crashes;
 mod halls;
 mod limits;
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -10,7 +10,7 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -308,13 +308,26 @@
     (control, address)
 }
 
-fn secret() -> SiteSecret {
+/// Secret of the site.
+pub fn secret() -> SiteSecret {
     SiteSecret::new("a secret of these tests")
 }
 
 impl ForwardSite {
     pub async fn start(routes: &[RouteShape]) -> Self {
         let site = Self::start_bare().await;
+        site.configured_with(routes).await
+    }
+
+    /// Starts a site whose entry asks the agents at this port.
+    pub async fn start_with_agents(routes: &[RouteShape], agent_port: u16) -> Self {
+        let patience_ms = MAX_WAIT.as_millis() as u64;
+        let site = Self::start_with(patience_ms, patience_ms, Some(agent_port)).await;
+        site.configured_with(routes).await
+    }
+
+    async fn configured_with(self, routes: &[RouteShape]) -> Self {
+        let site = self;
         let configured = async || site.configure(1, routes).await.ok();
         wait_for("a leader", configured).await;
         let known = async || {
@@ -328,16 +341,16 @@
     /// Starts a site without a configuration.
     pub async fn start_bare() -> Self {
         let patience_ms = MAX_WAIT.as_millis() as u64;
-        Self::start_with_waits(patience_ms, patience_ms).await
+        Self::start_with(patience_ms, patience_ms, None).await
     }
 
     /// Starts a site whose entry accepts API keys for at most `authority_ms` after the last
     /// contact with the control host. Requests wait 1 s for newer state.
     pub async fn start_bounded(authority_ms: u64) -> Self {
-        Self::start_with_waits(authority_ms, 1_000).await
+        Self::start_with(authority_ms, 1_000, None).await
     }
 
-    async fn start_with_waits(authority_ms: u64, config_wait_ms: u64) -> Self {
+    async fn start_with(authority_ms: u64, config_wait_ms: u64, agent_port: Option<u16>) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let (control, address) = start_control(&folder).await;
         let link = Arc::new(ControlLink::new(secret(), vec![address.to_string()]));
@@ -356,7 +369,7 @@
             log: Default::default(),
             choice: Default::default(),
             resend: Default::default(),
-            agent_port: None,
+            agent_port,
             connect_ms: CONNECT_MS,
             stale_ms: 60_000,
             authority_ms,
@@ -502,6 +515,18 @@
             .await;
     }
 
+    /// Starts a replica at this address that holds a model, with a script.
+    pub async fn add_model_replica_at(
+        &mut self,
+        ip: Ipv4Addr,
+        name: &str,
+        model: &str,
+        script: Vec<Behaviour>,
+    ) {
+        let models = BTreeMap::from([(ModelName::from(model), Default::default())]);
+        self.add_at(ip, "llm", name, models, script).await;
+    }
+
     async fn add(
         &mut self,
         service: &str,
@@ -509,7 +534,19 @@
         models: BTreeMap<ModelName, BTreeSet<String>>,
         script: Vec<Behaviour>,
     ) {
-        let listener = small_listener();
+        self.add_at(Ipv4Addr::LOCALHOST, service, name, models, script)
+            .await;
+    }
+
+    async fn add_at(
+        &mut self,
+        ip: Ipv4Addr,
+        service: &str,
+        name: &str,
+        models: BTreeMap<ModelName, BTreeSet<String>>,
+        script: Vec<Behaviour>,
+    ) {
+        let listener = small_listener(ip);
         let record = ReplicaRecord {
             address: listener.local_addr().unwrap(),
             slots: 8,
@@ -547,6 +584,11 @@
         self.replicas[name].1.borrow_mut().shut = false;
     }
 
+    /// Replaces a replica's script.
+    pub fn set_script(&self, name: &str, script: Vec<Behaviour>) {
+        self.replicas[name].1.borrow_mut().script = script.into();
+    }
+
     pub fn seen(&self, name: &str) -> Vec<ReceivedRequest> {
         self.replicas[name].1.borrow().seen.clone()
     }
@@ -672,9 +714,9 @@
 }
 
 /// Returns a listener with a backlog small enough for a test to fill.
-fn small_listener() -> TcpListener {
+fn small_listener(ip: Ipv4Addr) -> TcpListener {
     let socket = TcpSocket::new_v4().unwrap();
-    socket.bind(loopback()).unwrap();
+    socket.bind((ip, 0).into()).unwrap();
     socket.listen(64).unwrap()
 }
 
