--- a/src/admission/replica_load.rs
+++ b/src/admission/replica_load.rs
@@ -474,8 +474,8 @@
         let gap_ms = self.report_age_ms(now_ms).unwrap_or(0) as f64;
         self.runs.retain_mut(|run| {
             let listed = report.runs.iter();
-            let listed = listed.filter(|listed| listed.request == run.request);
-            match (run.stage, listed.last()) {
+            let mut listed = listed.filter(|listed| listed.request == run.request);
+            match (run.stage, listed.next_back()) {
                 (RunStage::Listed { .. }, None) => return false,
                 (_, None) => {}
                 (RunStage::Listed { tokens }, Some(listed)) => {
--- a/src/forward/need.rs
+++ b/src/forward/need.rs
@@ -11,6 +11,9 @@
 /// Number of urgency levels.
 pub(super) const URGENCY_LEVELS: usize = 10;
 
+/// Greatest value of [`ChoicePolicy::ask_homes`]: further replicas cost datagrams and rarely win.
+const MAX_ASK_HOMES: u32 = 16;
+
 /// What a request needs of a replica.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Need {
@@ -30,6 +33,8 @@
     pub urgency: usize,
     /// Time within which the response should start, in milliseconds.
     pub limit_ms: u64,
+    /// Longest allowed gap between two events of the stream, in milliseconds; 0 for no limit.
+    pub max_gap_ms: u64,
     /// Regions in which the request may be served.
     pub regions: AllowedRegions,
     /// Hash of the request's id: breaks ties, so that requests of different entries spread evenly.
@@ -81,6 +86,10 @@
     /// predicted to serve them in time. If not set, only at entries that have a prefill-bound
     /// service.
     pub queue_room: Option<bool>,
+    /// Number of replicas whose agents are asked at once for a request of a prefill-bound service;
+    /// 0 to 16, 0 for none.
+    #[serde(deserialize_with = "read_ask_homes")]
+    pub ask_homes: u32,
 }
 
 impl Default for ChoicePolicy {
@@ -101,6 +110,7 @@
             room_part: 0.25,
             ordered_wait: None,
             queue_room: None,
+            ask_homes: 4,
         }
     }
 }
@@ -129,3 +139,11 @@
         false => Err(D::Error::custom("room_part: must be from 0 to 10")),
     }
 }
+
+fn read_ask_homes<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u32, D::Error> {
+    let homes = u32::deserialize(deserializer)?;
+    match (0..=MAX_ASK_HOMES).contains(&homes) {
+        true => Ok(homes),
+        false => Err(D::Error::custom("ask_homes: must be from 0 to 16")),
+    }
+}
--- a/src/forward/request/placing.rs
+++ b/src/forward/request/placing.rs
@@ -2,7 +2,6 @@
 
 use std::time::{Duration, Instant};
 
-use crate::clock;
 use crate::forward::capacity_waiters::LinePlace;
 use crate::forward::max_wait;
 use crate::forward::own_answer::Refusal;
@@ -15,6 +14,8 @@
 
 /// Longest time between two checks of the replicas while a request waits.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// The same for a request that has quotes: agents learn of a change within 25 ms.
+const QUOTED_RECHECK_INTERVAL: Duration = Duration::from_millis(25);
 
 impl ForwardedRequest<'_> {
     /// Waits until a replica may take the request, or the request must be refused.
@@ -37,10 +38,9 @@
                 return Err(Refusal::DeadlinePassed);
             }
             let changed = self.core.changed.notified();
-            let now_ms = clock::monotonic_ms();
             let may_try = place.as_ref().is_none_or(LinePlace::is_first);
             let choice = match may_try {
-                true => self.choose(now_ms),
+                true => self.choose().await,
                 false => Choice::Full,
             };
             let waited = since.elapsed();
@@ -92,7 +92,7 @@
                 (Refusal::Full, Some(line), None) => Some(self.join(line)),
                 _ => None,
             };
-            let pause = RECHECK_INTERVAL.min(limit - waited);
+            let pause = self.recheck_interval().min(limit - waited);
             match &place {
                 Some(place) => {
                     if may_try && self.is_limited_to_some_replicas() {
@@ -107,6 +107,14 @@
         }
     }
 
+    /// Longest time until the replicas are checked again: less with quotes, which expire earlier.
+    fn recheck_interval(&self) -> Duration {
+        match self.quotes_expire() {
+            true => QUOTED_RECHECK_INTERVAL,
+            false => RECHECK_INTERVAL,
+        }
+    }
+
     /// Whether the replica is not rate limited, or the leader grants a permit for this request.
     async fn obtain_permit(&mut self, replica: &ReplicaId) -> bool {
         self.permit = None;
@@ -141,9 +149,4 @@
     fn adapter_wait(&self) -> Duration {
         max_wait::adapter_wait(self.aim(), self.left())
     }
-
-    fn choose(&self, now_ms: u64) -> Choice {
-        let replicas = self.core.replicas.borrow();
-        replicas.choose(now_ms, &self.need, &self.attempted, self.bounds)
-    }
 }
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -10,7 +10,7 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -318,7 +318,8 @@
     (control, address)
 }
 
-fn secret() -> SiteSecret {
+/// Secret of the site.
+pub fn secret() -> SiteSecret {
     SiteSecret::new("a secret of these tests")
 }
 
@@ -330,7 +331,20 @@
     /// Starts a site whose entry chooses replicas by the given policy.
     pub async fn start_with(routes: &[RouteShape], choice: ChoicePolicy) -> Self {
         let wait_ms = MAX_WAIT.as_millis() as u64;
-        let site = Self::start_with_waits(wait_ms, wait_ms, choice).await;
+        let site = Self::start_with_waits(wait_ms, wait_ms, choice, None).await;
+        site.configured_with(routes).await
+    }
+
+    /// Starts a site whose entry asks the agents at this port.
+    pub async fn start_with_agents(routes: &[RouteShape], agent_port: u16) -> Self {
+        let wait_ms = MAX_WAIT.as_millis() as u64;
+        let (choice, port) = (ChoicePolicy::default(), Some(agent_port));
+        let site = Self::start_with_waits(wait_ms, wait_ms, choice, port).await;
+        site.configured_with(routes).await
+    }
+
+    async fn configured_with(self, routes: &[RouteShape]) -> Self {
+        let site = self;
         let configured = async || site.configure(1, routes).await.ok();
         wait_for("a leader", configured).await;
         let known = async || {
@@ -344,19 +358,20 @@
     /// Starts a site without a configuration.
     pub async fn start_bare() -> Self {
         let patience_ms = MAX_WAIT.as_millis() as u64;
-        Self::start_with_waits(patience_ms, patience_ms, ChoicePolicy::default()).await
+        Self::start_with_waits(patience_ms, patience_ms, ChoicePolicy::default(), None).await
     }
 
     /// Starts a site whose entry accepts API keys for at most `authority_ms` after the last
     /// contact with the control host. Requests wait 1 s for newer state.
     pub async fn start_bounded(authority_ms: u64) -> Self {
-        Self::start_with_waits(authority_ms, 1_000, ChoicePolicy::default()).await
+        Self::start_with_waits(authority_ms, 1_000, ChoicePolicy::default(), None).await
     }
 
     async fn start_with_waits(
         authority_ms: u64,
         config_wait_ms: u64,
         choice: ChoicePolicy,
+        agent_port: Option<u16>,
     ) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let (control, address) = start_control(&folder).await;
@@ -376,6 +391,7 @@
             log: Default::default(),
             choice,
             resend: Default::default(),
+            agent_port,
             connect_ms: CONNECT_MS,
             stale_ms: 60_000,
             authority_ms,
@@ -521,6 +537,18 @@
             .await;
     }
 
+    /// Starts a replica at this address that holds a model, with a script.
+    pub async fn add_model_replica_at(
+        &mut self,
+        ip: Ipv4Addr,
+        name: &str,
+        model: &str,
+        script: Vec<Behaviour>,
+    ) {
+        let models = BTreeMap::from([(ModelName::from(model), Default::default())]);
+        self.add_at(ip, "llm", name, models, script).await;
+    }
+
     async fn add(
         &mut self,
         service: &str,
@@ -528,7 +556,19 @@
         models: BTreeMap<ModelName, BTreeSet<String>>,
         script: Vec<Behaviour>,
     ) {
-        let listener = small_listener();
+        self.add_at(Ipv4Addr::LOCALHOST, service, name, models, script)
+            .await;
+    }
+
+    async fn add_at(
+        &mut self,
+        ip: Ipv4Addr,
+        service: &str,
+        name: &str,
+        models: BTreeMap<ModelName, BTreeSet<String>>,
+        script: Vec<Behaviour>,
+    ) {
+        let listener = small_listener(ip);
         let record = ReplicaRecord {
             address: listener.local_addr().unwrap(),
             slots: 8,
@@ -566,6 +606,11 @@
         self.replicas[name].1.borrow_mut().shut = false;
     }
 
+    /// Replaces a replica's script.
+    pub fn set_script(&self, name: &str, script: Vec<Behaviour>) {
+        self.replicas[name].1.borrow_mut().script = script.into();
+    }
+
     pub fn seen(&self, name: &str) -> Vec<ReceivedRequest> {
         self.replicas[name].1.borrow().seen.clone()
     }
@@ -706,9 +751,9 @@
 }
 
 /// Returns a listener with a backlog small enough for a test to fill.
-fn small_listener() -> TcpListener {
+fn small_listener(ip: Ipv4Addr) -> TcpListener {
     let socket = TcpSocket::new_v4().unwrap();
-    socket.bind(loopback()).unwrap();
+    socket.bind((ip, 0).into()).unwrap();
     socket.listen(64).unwrap()
 }
 
--- a/tests/queue_room.rs
+++ b/tests/queue_room.rs
@@ -41,6 +41,7 @@
         room_part: 0.25,
         ordered_wait: Some(true),
         queue_room: Some(queue_room),
+        ask_homes: 4,
     }
 }
 
