--- a/tests/forwarding/agents.rs
+++ b/tests/forwarding/agents.rs
@@ -238,3 +238,26 @@
     assert_eq!(agents[home].notices("complete"), [true]);
     assert_eq!(agents[1 - home].notices("refused"), [true]);
 }
+
+/// Guards against a refused caller that is told to come back long before a replica has capacity.
+#[ntex::test]
+async fn a_request_without_quoted_capacity_is_refused_with_the_time_until_there_is_some() {
+    let (sockets, port) = agent_sockets().await;
+    let agents = sockets.map(|socket| FakeAgent::start(socket, Mode::Silent));
+    let site = site(port).await;
+    home_by_load(&site).await;
+    for (agent, first_ms) in agents.iter().zip([3_000, 5_000]) {
+        agent.mode.set(Mode::Quotes(first_ms));
+    }
+    let mut count = 0;
+    // A reply that is late on a busy machine leaves the choice to the known loads.
+    let refused = wait_for("a request refused by quotes", async || {
+        count += 1;
+        let answer = send(&site, &format!("refused-{count}"), "aa").await;
+        (answer.status == 503).then_some(answer)
+    })
+    .await;
+    let retry_after = refused.header("retry-after").unwrap();
+    // The first event is quoted in 3 s, and the latency target is 800 ms.
+    assert_eq!(retry_after.parse::<f64>().unwrap(), 2.2);
+}
