--- a/src/forward/replica_table/cost.rs
+++ b/src/forward/replica_table/cost.rs
@@ -20,7 +20,7 @@
 /// Replicas that a request prefers or avoids.
 pub(super) struct HomePreferences<'a> {
     /// Reserved for requests of the other kind (long or short answers).
-    reserved: BTreeSet<&'a ReplicaId>,
+    pub(super) reserved: BTreeSet<&'a ReplicaId>,
     /// Only for a request that calls for the reuse of cached prompt parts.
     reuse: Option<ReusePreference<'a>>,
 }
@@ -44,10 +44,23 @@
             let ready = state.record.phase == ReplicaPhase::Ready;
             ready && self.can_serve(state, need) && !self.is_evacuated(&state.record)
         });
-        home_order::in_order(
-            home_order::home_key(need),
-            homes.map(|state| &state.record.id),
-        )
+        let homes: Vec<&ReplicaState> = homes.collect();
+        let reserved = match self.serves_prefill_bound(need) {
+            true => self.reserved_for_others(&homes, need),
+            false => BTreeSet::new(),
+        };
+        let ids = homes.iter().map(|state| &state.record.id);
+        let (others, own): (Vec<_>, Vec<_>) = ids.partition(|id| reserved.contains(id));
+        let key = home_order::home_key(need);
+        let mut order = home_order::in_order(key, own.into_iter());
+        order.extend(home_order::in_order(key, others.into_iter()));
+        order
+    }
+
+    /// Whether a request is for a prefill-bound service.
+    fn serves_prefill_bound(&self, need: &Need) -> bool {
+        let service = need.service.as_ref();
+        service.is_some_and(|service| self.is_prefill_bound(service))
     }
 
     /// Whether prefilling the shared tokens of a request would take a substantial part of its time
@@ -146,7 +159,10 @@
             .filter(ready)
             .map(|state| &state.record.id);
         let homes = home_order::in_order(home_order::model_key(model), ids);
-        let range = answers.homes_for(need, homes.len());
+        let range = match self.serves_prefill_bound(need) {
+            true => answers.homes_by_work(need, homes.len()),
+            false => answers.homes_for(need, homes.len()),
+        };
         let indexed = homes.into_iter().enumerate();
         let others = indexed.filter(|(index, _)| !range.contains(*index));
         others.map(|(_, id)| id).collect()
--- a/src/forward/replica_table/quotes.rs
+++ b/src/forward/replica_table/quotes.rs
@@ -7,9 +7,9 @@
 
 use crate::admission::quote::QuoteReply;
 use crate::consensus::directory::ReplicaRecord;
-use crate::forward::home_order;
 use crate::forward::locality::HallDistance;
 use crate::forward::need::Need;
+use crate::forward::prompt_parts::shared_tokens;
 use crate::forward::replica_state::ReplicaState;
 use crate::ids::ReplicaId;
 
@@ -26,9 +26,26 @@
 const ASKED_IN_ORDER: usize = 2;
 /// Cost of a stream that would become late, as a fraction of the time limit.
 const LATE_STREAM_FRACTION: f64 = 0.5;
+/// Cost of a replica that is reserved for requests of the other kind (prefill or decode), as a
+/// fraction of the time limit: it is used if the others would use up half of the limit.
+const RESERVED_FRACTION: f64 = 0.5;
+/// Cost of prefilling shared tokens that are not cached, as a multiple of their prefill time: at the
+/// first home in order, at the second and at others. Later requests for the same parts go to the
+/// first homes; what another home prefills is prefilled again.
+const UNCACHED_FACTORS: [f64; 3] = [0.5, 1.0, 2.0];
+/// Part of the time limit that a quoted first event may take at a home that holds the adapter before
+/// the adapter is loaded at another one: the load and its way through the log take time as well.
+const HOLDER_START_FRACTION: f64 = 0.5;
 /// Cost of a replica in another data hall, in milliseconds: about a round trip.
 const HALL_COST_MS: f64 = 1.0;
 
+/// The homes for a request in the order that all entries share, and those among them that are
+/// reserved for requests of the other kind.
+struct HomeOrder<'a> {
+    homes: Vec<&'a ReplicaId>,
+    reserved: BTreeSet<&'a ReplicaId>,
+}
+
 /// A candidate with its quote.
 struct QuotedHome<'a> {
     state: &'a ReplicaState,
@@ -60,8 +77,8 @@
             let asked = already_asked.contains(&state.record.id);
             !asked && state.full_until_ms <= now_ms
         });
-        let ids = left.iter().map(|state| &state.record.id);
-        let mut first = home_order::in_order(home_order::home_key(need), ids);
+        let mut first = self.homes_in_order(need);
+        first.retain(|id| left.iter().any(|state| state.record.id == **id));
         first.truncate(ASKED_IN_ORDER.min(limit));
         let (mut asked, mut left): (Vec<_>, Vec<_>) = left
             .into_iter()
@@ -93,11 +110,14 @@
         bounds: EngineBounds,
         quotes: &Quotes,
     ) -> Choice {
-        let candidates = match self.remaining(now_ms, need, attempted, bounds) {
-            Ok((candidates, _)) => candidates,
+        let (candidates, preferences) = match self.remaining(now_ms, need, attempted, bounds) {
+            Ok(remaining) => remaining,
             Err(choice) => return choice,
         };
-        let order = self.homes_in_order(need);
+        let order = HomeOrder {
+            homes: self.homes_in_order(need),
+            reserved: preferences.reserved,
+        };
         let homes = candidates.iter().filter_map(|state| {
             let quote = quotes.get(&state.record.id)?;
             let home = self.quoted_home(state, quote, need, now_ms, &order);
@@ -120,7 +140,7 @@
                 });
                 best.map(|home| home.state)
             },
-            |state| home(state).is_some_and(QuotedHome::is_lightly_loaded),
+            |state| home(state).is_some_and(|home| home.starts_early(need)),
         )
     }
 
@@ -153,13 +173,18 @@
 
     /// Returns the predicted time from sending a request to its first event, in milliseconds.
     pub fn quoted_first_event_ms(&self, need: &Need, quote: &QuoteReply) -> f64 {
+        let tokens = u64::from(quote.queued_tokens) + u64::from(quote.uncached_tokens);
+        let own_ms = || self.prefill_ms(need, tokens);
+        quote.first_event_ms.map_or_else(own_ms, f64::from)
+    }
+
+    /// Returns the time to prefill tokens by the measurements of this entry, in milliseconds; 0
+    /// without one.
+    fn prefill_ms(&self, need: &Need, tokens: u64) -> f64 {
         let service = need.service.as_ref();
         let stats = service.and_then(|service| self.reuse_stats.get(service));
-        let tokens = u64::from(quote.queued_tokens) + u64::from(quote.uncached_tokens);
-        let own_ms = stats.and_then(|stats| stats.prefill_ms(tokens));
-        quote
-            .first_event_ms
-            .map_or(own_ms.unwrap_or(0.0), f64::from)
+        let prefill_ms = stats.and_then(|stats| stats.prefill_ms(tokens));
+        prefill_ms.unwrap_or(0.0)
     }
 
     /// Returns the shortest quoted time to the first event less the time limit, in milliseconds:
@@ -177,7 +202,7 @@
         quote: &'a QuoteReply,
         need: &Need,
         now_ms: u64,
-        order: &[&ReplicaId],
+        order: &HomeOrder<'_>,
     ) -> QuotedHome<'a> {
         let first_event_ms = self.quoted_first_event_ms(need, quote);
         let late_ms = f64::from(quote.late_streams) * need.limit_ms as f64 * LATE_STREAM_FRACTION;
@@ -195,21 +220,29 @@
         // A replica that fails its requests has few of them, so its quotes are good.
         let failure_ms = state.failure_rate * self.policy.failure_cost * prompt_ms;
         let id = &state.record.id;
-        let position = order.iter().position(|home| *home == id);
+        let position = order.homes.iter().position(|home| *home == id);
+        let position = position.unwrap_or(order.homes.len());
+        let reserved_ms = match order.reserved.contains(id) {
+            true => need.limit_ms as f64 * RESERVED_FRACTION,
+            false => 0.0,
+        };
+        let uncached = u64::from(quote.uncached_tokens.min(shared_tokens(need)));
+        let uncached_factor = UNCACHED_FACTORS[position.min(UNCACHED_FACTORS.len() - 1)];
+        let uncached_ms = self.prefill_ms(need, uncached) * uncached_factor;
+        let wait_ms = first_event_ms + late_ms + gap_ms as f64;
         QuotedHome {
             state,
             quote,
             first_event_ms,
-            cost_ms: first_event_ms + late_ms + gap_ms as f64 + hall_ms + failure_ms,
-            position: position.unwrap_or(order.len()),
+            cost_ms: wait_ms + reserved_ms + uncached_ms + hall_ms + failure_ms,
+            position,
         }
     }
 }
 
 impl QuotedHome<'_> {
-    fn is_lightly_loaded(&self) -> bool {
-        let load = f64::from(self.quote.running) + f64::from(self.quote.waiting);
-        load < f64::from(self.state.slots) / 4.0
+    fn starts_early(&self, need: &Need) -> bool {
+        self.first_event_ms <= need.limit_ms as f64 * HOLDER_START_FRACTION
     }
 
     /// Whether the replica has free capacity for the request within its time limit.
