--- a/src/forward/home_order.rs
+++ b/src/forward/home_order.rs
@@ -18,6 +18,12 @@
     u64::from(crc32fast::hash(model.as_str().as_bytes()))
 }
 
+/// Returns the key by which the homes of all models of a service are ordered.
+pub fn service_key(need: &Need) -> u64 {
+    let name = need.service.as_ref().map_or("", |service| service.as_str());
+    u64::from(crc32fast::hash(name.as_bytes()))
+}
+
 /// Sorts replicas into the order of a key.
 pub fn in_order<'a>(key: u64, ids: impl Iterator<Item = &'a ReplicaId>) -> Vec<&'a ReplicaId> {
     let mut ranked: Vec<(u64, &ReplicaId)> = ids.map(|id| (hash_rank(key, id), id)).collect();
--- a/src/forward/replica_table/cost.rs
+++ b/src/forward/replica_table/cost.rs
@@ -158,8 +158,15 @@
             .iter()
             .filter(ready)
             .map(|state| &state.record.id);
-        let homes = home_order::in_order(home_order::model_key(model), ids);
-        let range = match self.serves_prefill_bound(need) {
+        // What a replica reads for one model pauses its streams of all models. So the order is the
+        // same for all models where that decides which replicas are reserved.
+        let by_work = self.serves_prefill_bound(need);
+        let key = match by_work {
+            true => home_order::service_key(need),
+            false => home_order::model_key(model),
+        };
+        let homes = home_order::in_order(key, ids);
+        let range = match by_work {
             true => answers.homes_by_work(need, homes.len()),
             false => answers.homes_for(need, homes.len()),
         };
