--- a/src/forward/answer_separation.rs
+++ b/src/forward/answer_separation.rs
@@ -20,9 +20,10 @@
 /// Largest fraction of the replicas reserved for long answers. If long answers have most of the
 /// prompt tokens, the few remaining replicas would be congested.
 const MAX_LONG_FRACTION: f64 = 0.5;
-/// Work of one output token, in prompt tokens: a decode step takes about as long as the prefill of
-/// 200 tokens, and some 50 streams share it.
-const OUTPUT_TOKEN_WORK: f64 = 4.0;
+/// Work of one output token of the maximum that a request may produce, in prompt tokens: a decode
+/// step takes about as long as the prefill of 200 tokens, some 50 streams share it, and answers use
+/// about a third of their maximum.
+const OUTPUT_TOKEN_WORK: f64 = 1.3;
 /// Number of homes from which at least one is reserved for streams.
 const MIN_HOMES_TO_SEPARATE: usize = 3;
 /// Weight of the newest request in the means: covers about the last hundred requests.
@@ -38,9 +39,9 @@
     /// Mean prompt tokens of a request, and the part of them that belongs to long answers.
     prompt_mean: f64,
     long_prompt_mean: f64,
-    /// Mean work of a request, and the part of it that belongs to requests that mostly decode.
+    /// Mean work of a request, and the part of it that belongs to answers above the mean.
     work_mean: f64,
-    decode_work_mean: f64,
+    stream_work_mean: f64,
 }
 
 /// Which of a model's replicas a request prefers, by index in the order that all entries share.
@@ -75,11 +76,6 @@
     answer_tokens(need) * OUTPUT_TOKEN_WORK
 }
 
-/// Whether a request takes more work for its output than for its prompt.
-fn mostly_decodes(need: &Need) -> bool {
-    decode_work(need) >= prefill_work(need)
-}
-
 fn answer_tokens(need: &Need) -> f64 {
     need.tokens.saturating_sub(need.prompt_tokens) as f64
 }
@@ -98,8 +94,14 @@
         self.long_prompt_mean += (long_prompt - self.long_prompt_mean) * step;
         let work = prefill_work(need) + decode_work(need);
         self.work_mean += (work - self.work_mean) * step;
-        let decoded = if mostly_decodes(need) { work } else { 0.0 };
-        self.decode_work_mean += (decoded - self.decode_work_mean) * step;
+        let stream_work = if self.is_stream(need) { work } else { 0.0 };
+        self.stream_work_mean += (stream_work - self.stream_work_mean) * step;
+    }
+
+    /// Whether an answer is longer than the mean. Without a factor, as a burst of long answers
+    /// raises the mean.
+    fn is_stream(&self, need: &Need) -> bool {
+        answer_tokens(need) > self.mean_answer
     }
 
     fn is_long(&self, need: &Need) -> bool {
@@ -122,16 +124,15 @@
     }
 
     /// Returns the range that a request of a prefill-bound service prefers among `homes` replicas:
-    /// requests that mostly decode have as many homes as their part of the work takes, so that no
-    /// long prefill pauses their streams. They need few, as a decode step costs about the same
-    /// whatever the number of streams.
+    /// requests with long answers have as many homes as their part of the work takes, so that no
+    /// long prefill pauses their streams.
     pub fn homes_by_work(&self, need: &Need, homes: usize) -> HomeRange {
-        let fraction = self.decode_work_mean / self.work_mean.max(1.0);
-        let reserved = (homes as f64 * fraction) as usize;
+        let fraction = self.stream_work_mean / self.work_mean.max(1.0);
+        let reserved = (homes as f64 * fraction.min(MAX_LONG_FRACTION)) as usize;
         let reserved = reserved.max(1).min(homes.saturating_sub(1));
-        match mostly_decodes(need) {
+        match self.is_stream(need) {
             _ if self.requests < MIN_REQUESTS || homes < MIN_HOMES_TO_SEPARATE => HomeRange::All,
-            _ if fraction == 0.0 || fraction > MAX_LONG_FRACTION => HomeRange::All,
+            _ if fraction == 0.0 => HomeRange::All,
             true => HomeRange::Before(reserved),
             false => HomeRange::From(reserved),
         }
