--- a/src/forward/prefix_reuse.rs
+++ b/src/forward/prefix_reuse.rs
@@ -8,7 +8,7 @@
 use crate::forward::prompt_parts::shared_tokens;
 
 /// Fraction of the latency target from which the prefill of the shared tokens calls for reuse.
-const CALL_FRACTION: f64 = 0.1;
+const CALL_FRACTION: f64 = 0.15;
 /// Fraction of a service's requests that call for reuse, from which it is prefill-bound.
 const BOUND_FRACTION: f64 = 0.1;
 /// Fraction below which a service is no longer prefill-bound. Half of the other, so that a mix of
@@ -19,9 +19,15 @@
 const CALL_WEIGHT: f64 = 0.01;
 /// Weight of a response in the prefill time, if it is faster.
 const FALL_WEIGHT: f64 = 0.3;
-/// The same if it is slower: slower responses come from queues of other entries and from prompts
-/// that were not cached.
-const RISE_WEIGHT: f64 = 0.01;
+/// Factor by which one slower response raises the prefill time at most: slower responses come from
+/// queues of other entries and from prompts that were not cached. With a weight of 0.01, some
+/// seconds of overload made short shared parts call for reuse.
+const MAX_RISE: f64 = 1.0005;
+/// Responses of which the fastest one counts: replicas that have just started are slow.
+const FIRST_RESPONSES: u32 = 5;
+/// Smallest own part of a prompt whose response is measured, in tokens: with less, the time of the
+/// first decode steps and of the way there dominates.
+const MIN_OWN_TOKENS: f64 = 1_000.0;
 /// Smallest fraction of a prompt that counts as prefilled. With less, the time until the first
 /// event says little about the prefill.
 const MIN_OWN_FRACTION: f64 = 0.25;
@@ -30,6 +36,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ReuseStats {
     ms_per_token: Option<f64>,
+    responses: u32,
     requests: u32,
     calling: f64,
     prefill_bound: bool,
@@ -48,13 +55,18 @@
         // cached prompts make the prefill look faster than it is: a service would no longer call
         // for reuse because of the success of reuse.
         let own = prompt - f64::from(shared_tokens(need));
+        if own < MIN_OWN_TOKENS {
+            return;
+        }
         let ms_per_token = took_ms / own.max(prompt * MIN_OWN_FRACTION);
         let known = self.ms_per_token.unwrap_or(ms_per_token);
-        let weight = match ms_per_token < known {
-            true => FALL_WEIGHT,
-            false => RISE_WEIGHT,
+        let updated = match ms_per_token < known {
+            true if self.responses < FIRST_RESPONSES => ms_per_token,
+            true => known + (ms_per_token - known) * FALL_WEIGHT,
+            false => ms_per_token.min(known * MAX_RISE),
         };
-        self.ms_per_token = Some(known + (ms_per_token - known) * weight);
+        self.ms_per_token = Some(updated);
+        self.responses = self.responses.saturating_add(1);
     }
 
     /// Records that a request is sent. Returns whether that changed whether the service is
