--- a/src/forward/prefix_reuse.rs
+++ b/src/forward/prefix_reuse.rs
@@ -54,8 +54,9 @@
         // Other entries may have sent the shared parts to the replica. If they count as prefilled,
         // cached prompts make the prefill look faster than it is: a service would no longer call
         // for reuse because of the success of reuse.
+        // Negative if the headers of the prompt contradict each other.
         let own = prompt - f64::from(shared_tokens(need));
-        if own < MIN_OWN_TOKENS {
+        if (0.0..MIN_OWN_TOKENS).contains(&own) {
             return;
         }
         let ms_per_token = took_ms / own.max(prompt * MIN_OWN_FRACTION);
