One set of reserved homes for a choice; shared lookups and keys

The homes that are reserved for streams were computed for the cost of a request and again for the order of homes, once with and once without the replicas of evacuated halls, so that the two could disagree while a hall was evacuated. They are now computed once, for prefill-bound services without evacuated replicas; other services reserve as before. The key functions for models and services were the same, as were the lookups of a service's reuse statistics (four) and the default of the two settings that apply at entries with a prefill-bound service (two): one function each. The error for ask_homes names the constant.

--- a/src/admission/replica_load.rs
+++ b/src/admission/replica_load.rs
@@ -44,7 +44,7 @@
 /// Report of a replica about itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ReplicaReport {
-    /// Number of orders taken; goes back when the replica restarts.
+    /// Number of orders taken; starts again from zero when the replica restarts.
     pub orders: u64,
     /// Models that the replica holds.
     pub models: Vec<ModelName>,
@@ -116,7 +116,7 @@
     listed: u32,
     free_tokens: u64,
     next_tokens: u32,
-    /// Requests without an event that nobody announced.
+    /// Unannounced requests that have produced no event.
     unannounced: u32,
     received_ms: u64,
 }
@@ -341,7 +341,8 @@
         self.runs.iter().filter(move |run| run.expires_ms > now_ms)
     }
 
-    /// Returns what waits at the replica, and what of it goes before a request of this urgency.
+    /// Returns the work that waits at the replica, and the part of it that is admitted before a
+    /// request of this urgency.
     fn queue_totals(&self, urgency: u8, now_ms: u64) -> QueueTotals {
         let mut totals = QueueTotals::default();
         let mut begun_ms = None;
--- a/src/agent/replica_agent.rs
+++ b/src/agent/replica_agent.rs
@@ -1,8 +1,8 @@
 //! The daemon beside a replica that registers itself: reads the replica's report, and answers the
 //! quotes of entries.
 //!
-//! It runs on one thread and holds one UDP socket and one connection to the replica. It gives
-//! orders to nobody; without it, entries serve requests by what replicas report in responses.
+//! It runs on one thread and holds one UDP socket and one connection to the replica. It sends
+//! no orders; without it, entries serve requests by the load that replicas report in responses.
 
 use std::cell::RefCell;
 use std::future::Future;
--- a/src/forward/answer_separation.rs
+++ b/src/forward/answer_separation.rs
@@ -8,7 +8,8 @@
 //! and 4% fewer did.
 //!
 //! Pure. All entries compute the same assignment without communication, as the order of the
-//! replicas follows from the model and the replica ids alone.
+//! replicas follows from the model (for prefill-bound services, from the service) and the replica
+//! ids alone.
 
 use crate::forward::need::Need;
 use crate::forward::prompt_parts::shared_tokens;
--- a/src/forward/home_order.rs
+++ b/src/forward/home_order.rs
@@ -2,25 +2,22 @@
 //! communication, and a home that comes or goes moves no other.
 
 use crate::forward::need::Need;
-use crate::ids::{ModelName, ReplicaId};
+use crate::ids::ReplicaId;
 
 /// Returns the key by which the homes for a request are ordered: the deepest shared part of its
 /// prompt, or else its model.
 pub fn home_key(need: &Need) -> u64 {
     match need.parts.last() {
         Some(part) => part.chain,
-        None => need.model.as_ref().map_or(0, model_key),
+        None => need
+            .model
+            .as_ref()
+            .map_or(0, |model| name_key(model.as_str())),
     }
 }
 
-/// Returns the key by which the homes of a model are ordered.
-pub fn model_key(model: &ModelName) -> u64 {
-    u64::from(crc32fast::hash(model.as_str().as_bytes()))
-}
-
-/// Returns the key by which the homes of all models of a service are ordered.
-pub fn service_key(need: &Need) -> u64 {
-    let name = need.service.as_ref().map_or("", |service| service.as_str());
+/// Returns the key by which homes are ordered for a model, or for all models of a service.
+pub fn name_key(name: &str) -> u64 {
     u64::from(crc32fast::hash(name.as_bytes()))
 }
 
--- a/src/forward/need.rs
+++ b/src/forward/need.rs
@@ -144,6 +144,8 @@
     let homes = u32::deserialize(deserializer)?;
     match (0..=MAX_ASK_HOMES).contains(&homes) {
         true => Ok(homes),
-        false => Err(D::Error::custom("ask_homes: must be from 0 to 16")),
+        false => Err(D::Error::custom(format!(
+            "ask_homes: must be from 0 to {MAX_ASK_HOMES}"
+        ))),
     }
 }
--- a/src/forward/replica_table/cost.rs
+++ b/src/forward/replica_table/cost.rs
@@ -40,17 +40,26 @@
     /// deepest shared part of its prompt, or of its model if there is none.
     pub fn homes_in_order(&self, need: &Need) -> Vec<&ReplicaId> {
         let states = self.states.values();
-        let homes = states.filter(|state| {
-            let ready = state.record.phase == ReplicaPhase::Ready;
-            ready && self.can_serve(state, need) && !self.is_evacuated(&state.record)
+        let candidates: Vec<&ReplicaState> =
+            states.filter(|state| self.can_serve(state, need)).collect();
+        let reserved = self.reserved_for_others(&candidates, need);
+        self.in_shared_order(&candidates, &reserved, need)
+    }
+
+    /// As [`Self::homes_in_order`], among `candidates`. Homes of a prefill-bound service that are
+    /// reserved for requests of the other kind come last.
+    fn in_shared_order<'a>(
+        &self,
+        candidates: &[&'a ReplicaState],
+        reserved: &BTreeSet<&ReplicaId>,
+        need: &Need,
+    ) -> Vec<&'a ReplicaId> {
+        let open = candidates.iter().filter(|state| {
+            state.record.phase == ReplicaPhase::Ready && !self.is_evacuated(&state.record)
         });
-        let homes: Vec<&ReplicaState> = homes.collect();
-        let reserved = match self.serves_prefill_bound(need) {
-            true => self.reserved_for_others(&homes, need),
-            false => BTreeSet::new(),
-        };
-        let ids = homes.iter().map(|state| &state.record.id);
-        let (others, own): (Vec<_>, Vec<_>) = ids.partition(|id| reserved.contains(id));
+        let ids = open.map(|state| &state.record.id);
+        let by_work = self.serves_prefill_bound(need);
+        let (others, own): (Vec<_>, Vec<_>) = ids.partition(|id| by_work && reserved.contains(id));
         let key = home_order::home_key(need);
         let mut order = home_order::in_order(key, own.into_iter());
         order.extend(home_order::in_order(key, others.into_iter()));
@@ -59,16 +68,20 @@
 
     /// Whether a request is for a prefill-bound service.
     fn serves_prefill_bound(&self, need: &Need) -> bool {
-        let service = need.service.as_ref();
-        service.is_some_and(|service| self.is_prefill_bound(service))
+        let stats = self.reuse_stats_for(need);
+        stats.is_some_and(ReuseStats::is_prefill_bound)
+    }
+
+    pub(super) fn reuse_stats_for(&self, need: &Need) -> Option<&ReuseStats> {
+        self.reuse_stats.get(need.service.as_ref()?)
     }
 
     /// Whether prefilling the shared tokens of a request would take a substantial part of its time
     /// limit. Not if the prefill time of its service has not been measured.
     pub fn calls_for_reuse(&self, need: &Need) -> bool {
         let service = need.service.as_ref();
-        let stats = service.and_then(|service| self.reuse_stats.get(service));
         let shortest_ms = service.and_then(|service| self.shortest_targets_ms.get(service));
+        let stats = self.reuse_stats_for(need);
         stats.is_some_and(|stats| stats.calls_for_reuse(need, shortest_ms.copied()))
     }
 
@@ -79,9 +92,11 @@
         stats.is_some_and(|stats| stats.is_prefill_bound())
     }
 
-    /// Whether any service of this entry is prefill-bound.
-    pub fn has_prefill_bound_service(&self) -> bool {
-        self.reuse_stats.values().any(ReuseStats::is_prefill_bound)
+    /// Whether a policy applies whose setting may be absent: then it does if any service of this
+    /// entry is prefill-bound.
+    pub fn applies(&self, setting: Option<bool>) -> bool {
+        let by_default = || self.reuse_stats.values().any(ReuseStats::is_prefill_bound);
+        setting.unwrap_or_else(by_default)
     }
 
     /// `memory` is the number of tokens that fit into a replica's memory; 0 for no limit.
@@ -92,16 +107,23 @@
         need: &Need,
         memory: u64,
     ) -> HomePreferences<'a> {
-        let reuse = self.calls_for_reuse(need);
-        HomePreferences {
-            reserved: self.reserved_for_others(candidates, need),
-            reuse: reuse.then(|| self.reuse_preference(now_ms, need, memory)),
-        }
+        let reserved = self.reserved_for_others(candidates, need);
+        let reuse = self.calls_for_reuse(need).then(|| {
+            let homes = self.in_shared_order(candidates, &reserved, need);
+            self.reuse_preference(now_ms, homes, need, memory)
+        });
+        HomePreferences { reserved, reuse }
     }
 
-    fn reuse_preference(&self, now_ms: u64, need: &Need, memory: u64) -> ReusePreference<'_> {
-        let mut homes = self.homes_in_order(need).into_iter();
-        let stats = need.service.as_ref().and_then(|s| self.reuse_stats.get(s));
+    fn reuse_preference<'a>(
+        &self,
+        now_ms: u64,
+        homes: Vec<&'a ReplicaId>,
+        need: &Need,
+        memory: u64,
+    ) -> ReusePreference<'a> {
+        let mut homes = homes.into_iter();
+        let stats = self.reuse_stats_for(need);
         let refill_ms = match memory {
             0 => None,
             tokens => stats.and_then(|stats| stats.prefill_ms(tokens)),
@@ -152,18 +174,21 @@
         let (Some(answers), Some(model)) = (answers, &need.model) else {
             return BTreeSet::new();
         };
+        let by_work = self.serves_prefill_bound(need);
         // Uses the directory alone, so that all entries compute the same order.
-        let ready = |state: &&&ReplicaState| state.record.phase == ReplicaPhase::Ready;
+        let ready = |state: &&&ReplicaState| {
+            let usable = !by_work || !self.is_evacuated(&state.record);
+            state.record.phase == ReplicaPhase::Ready && usable
+        };
         let ids = candidates
             .iter()
             .filter(ready)
             .map(|state| &state.record.id);
-        // What a replica reads for one model pauses its streams of all models. So the order is the
-        // same for all models where that decides which replicas are reserved.
-        let by_work = self.serves_prefill_bound(need);
-        let key = match by_work {
-            true => home_order::service_key(need),
-            false => home_order::model_key(model),
+        // The prefill of one model pauses the streams of all models of a replica. So the order is
+        // the same for all models where that decides which replicas are reserved.
+        let key = match (&need.service, by_work) {
+            (Some(service), true) => home_order::name_key(service.as_str()),
+            _ => home_order::name_key(model.as_str()),
         };
         let homes = home_order::in_order(key, ids);
         let range = match by_work {
--- a/src/forward/replica_table/queue_room.rs
+++ b/src/forward/replica_table/queue_room.rs
@@ -159,9 +159,7 @@
     /// request in time.
     pub(super) fn has_queue_room(&self, state: &ReplicaState, need: &Need, now_ms: u64) -> bool {
         let fresh = now_ms.saturating_sub(state.reported.at_ms) < self.policy.fade_ms;
-        let enabled = self.policy.queue_room;
-        let enabled = enabled.unwrap_or_else(|| self.has_prefill_bound_service());
-        if !enabled || need.model.is_some() || !fresh {
+        if need.model.is_some() || !fresh || !self.applies(self.policy.queue_room) {
             return false;
         }
         // Requests with a long target would otherwise fill the queue up to it, and leave no room for
--- a/src/forward/replica_table/quotes.rs
+++ b/src/forward/replica_table/quotes.rs
@@ -181,8 +181,7 @@
     /// Returns the time to prefill tokens by the measurements of this entry, in milliseconds; 0
     /// without one.
     fn prefill_ms(&self, need: &Need, tokens: u64) -> f64 {
-        let service = need.service.as_ref();
-        let stats = service.and_then(|service| self.reuse_stats.get(service));
+        let stats = self.reuse_stats_for(need);
         let prefill_ms = stats.and_then(|stats| stats.prefill_ms(tokens));
         prefill_ms.unwrap_or(0.0)
     }
--- a/src/forward/request/waiting.rs
+++ b/src/forward/request/waiting.rs
@@ -17,13 +17,12 @@
     pub(super) fn line(&self) -> Option<LineKey> {
         let service = self.need.service.as_ref()?;
         let replicas = self.core.replicas.borrow();
-        let enabled = self.core.choice().ordered_wait;
-        let enabled = enabled.unwrap_or_else(|| replicas.has_prefill_bound_service());
         let ordered = match &self.need.model {
             Some(_) => replicas.is_prefill_bound(service),
             None => replicas.queues_requests(service),
         };
-        (enabled && ordered).then(|| LineKey {
+        let applies = ordered && replicas.applies(self.core.choice().ordered_wait);
+        applies.then(|| LineKey {
             service: service.clone(),
             model: self.need.model.clone(),
         })
--- a/src/forward/request_log.rs
+++ b/src/forward/request_log.rs
@@ -72,8 +72,8 @@
     content: Option<ContentDigest>,
     /// Agents that were asked for quotes, and how many replied.
     agents: (usize, usize),
-    /// Quoted time to the first event at the chosen replica, or the shortest one, and the age of the report on which it
-    /// is based, in milliseconds.
+    /// Quoted time to the first event at the chosen replica, or the shortest one, and the age of the
+    /// report on which it is based, in milliseconds.
     quote: Option<(u64, u32)>,
     end: (Outcome, u16, &'static str),
 }
--- a/tests/home_order.rs
+++ b/tests/home_order.rs
@@ -145,7 +145,7 @@
         parts: Vec::new(),
         ..need(1)
     };
-    let (key, ids) = (home_order::model_key(&ModelName::from("m")), ids());
+    let (key, ids) = (home_order::name_key("m"), ids());
     let expected = home_order::in_order(key, ids.iter());
     assert_eq!(table.homes_in_order(&bare), expected);
     assert_ne!(table.homes_in_order(&need(1)), expected);
