A call to the leader that fails or is slow logs whom it asked, how long, and why it ended

The listed failure planned_stops_cut_nothing_off (a call that may not be repeated told not-run, no-quorum) has five hypotheses, and no log told them apart: the one line of the entry named the last host that was asked alone.

Change: one line for each failed call to the leader, and for one of 500 ms or more, with the hosts asked, how often, how long each took and its reason. At most eight different reasons are kept; the lines are limited per second as all others. The tests that start a site keep the logs of all processes in the folder that DUNLINSPRING_LOGS names.

A claim: attempts=10 waited_ms=3001, "NoQuorum x1 in 844 ms", then NotLeader from all three control hosts in turn, which named each other or nobody; a settle: attempts=25 waited_ms=3004. Ruled out by the same lines: a connection that the stop took along (none was lost), an entry that asks one voter alone (all three were asked 3 to 10 times), an answer that came late after a commit (the one leader that had the claim answered NoQuorum itself). What is left is elections: 30 terms began during the run.

--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod arguments;
 pub mod auth;
+pub mod call_trace;
 pub mod crash_report;
 pub mod daemon;
 pub mod datagram;
--- a/src/process/peers.rs
+++ b/src/process/peers.rs
@@ -22,6 +22,7 @@
 use tokio_util::bytes::Bytes;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+use crate::process::call_trace::CallTrace;
 use crate::process::wire::{AgentWireClient, ControlRefusal, ControlWireClient, PROTOCOL};
 
 /// Maximum length of a frame during the handshake.
@@ -103,6 +104,20 @@
     },
 }
 
+impl PeerError {
+    /// Returns the reason without the peer and the call.
+    pub(super) fn reason(&self) -> String {
+        match self {
+            Self::Io { step, source, .. } => format!("cannot {step}: {}", source.kind()),
+            Self::Version { theirs, .. } => format!("protocol {theirs}"),
+            Self::Proof { .. } => "failed proof".to_owned(),
+            Self::Handshake { .. } => "no handshake".to_owned(),
+            Self::Call { source, .. } => source.to_string(),
+            Self::Refused { refusal, .. } => format!("{refusal:?}"),
+        }
+    }
+}
+
 /// Secret that all processes of a site share. Its text is never shown.
 #[derive(Clone)]
 pub struct SiteSecret(Arc<[u8]>);
@@ -606,10 +621,12 @@
     {
         let deadline = Instant::now() + timeout;
         let mut attempts = 0;
+        let mut trace = CallTrace::start(step);
         loop {
             let number = *self.lock();
             let address = &self.address(number);
-            let left = deadline.saturating_duration_since(Instant::now());
+            let called = Instant::now();
+            let left = deadline.saturating_duration_since(called);
             let context = within(left.min(CALL_TIMEOUT));
             let answer = self
                 .pool
@@ -617,7 +634,10 @@
                 .await;
             self.record_confirmed(address, matches!(answer, Ok(Ok(_))));
             let error = match answer {
-                Ok(Ok(value)) => return Ok(value),
+                Ok(Ok(value)) => {
+                    trace.log_decided(address);
+                    return Ok(value);
+                }
                 Ok(Err(refusal)) => {
                     self.follow_refusal(number, &refusal);
                     PeerError::Refused {
@@ -631,8 +651,10 @@
                     error
                 }
             };
+            trace.record_failure(address, &error, called.elapsed());
             attempts += 1;
             if Instant::now() + ROUND_PAUSE >= deadline {
+                trace.log_failed();
                 return Err(error);
             }
             if attempts % self.len() == 0 {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -347,6 +347,20 @@
         std::fs::remove_dir_all(self.dir.path().join(format!("{name}.data"))).unwrap();
     }
 
+    /// Copies the logs of all processes to a new folder in the one that `DUNLINSPRING_LOGS` names,
+    /// if it is set.
+    fn keep_logs(&self) {
+        let Some(folder) = std::env::var_os("DUNLINSPRING_LOGS") else {
+            return;
+        };
+        let kept = PathBuf::from(folder).join(self.dir.path().file_name().unwrap());
+        if std::fs::create_dir_all(&kept).is_ok() {
+            for name in self.processes.keys() {
+                let _ = std::fs::write(kept.join(format!("{name}.log")), self.log(name));
+            }
+        }
+    }
+
     pub fn log(&self, name: &str) -> String {
         std::fs::read_to_string(self.dir.path().join(format!("{name}.log"))).unwrap_or_default()
     }
@@ -539,6 +553,7 @@
 
 impl Drop for TestSite {
     fn drop(&mut self) {
+        self.keep_logs();
         for (name, process) in &mut self.processes {
             if let Some(mut child) = process.child.take() {
                 let _ = child.kill();
