--- a/src/consensus/raft.rs
+++ b/src/consensus/raft.rs
@@ -193,9 +193,10 @@
         &self.entries
     }
 
-    /// Returns the number of entries after the snapshot.
-    pub fn tail_len(&self) -> usize {
-        self.entries.len()
+    /// Returns the number of entries after the snapshot that a new snapshot could include.
+    pub fn compactable_len(&self) -> usize {
+        let len = self.delivered.0.saturating_sub(self.snapshot.last.index.0);
+        len as usize
     }
 
     /// Returns the voters set by the newest membership entry, committed or not.
--- a/src/consensus/replica.rs
+++ b/src/consensus/replica.rs
@@ -32,8 +32,8 @@
 }
 
 impl LogReplica {
-    /// Restores the voter from a disk image. The log is compacted once its tail exceeds
-    /// `compact_after` entries.
+    /// Restores the voter from a disk image. The log is compacted once more than `compact_after`
+    /// applied entries follow the snapshot.
     pub fn new(
         id: NodeId,
         timing: RaftTiming,
@@ -204,7 +204,7 @@
                 all.replies.push((entry.mark, reply));
             }
         }
-        if self.raft.tail_len() > self.compact_after {
+        if self.raft.compactable_len() > self.compact_after {
             self.raft.compact(encode_state(&self.state));
             all.records.extend(self.raft.take_output().records);
         }
