A voter goes on while its disk is slow

What callers saw: as a target stopped, a call that may not be repeated was told not-run, no-quorum (planned_stops_cut_nothing_off, listed as known red); beside slow disks also unknown, target-lost and not-run, stale-table. Cause: a voter's thread stood still during a write. With writes longer than the election timeout, a leader's followers missed its heartbeats, votes left too late for the election that asked for them, and each election was replaced by the next one before it ended. Change: a thread of its own writes the log. Votes and replies that confirm entries wait for their records; heartbeats, entries for followers and replies that confirm a lease alone do not, and a leader counts its own copy of an entry only once it is written. Elections count from the moment the vote is on disk, and their timeout doubles, up to eight times, with each one without a result. Why it works: neither leases nor elections depend on the length of a write any more; commits do, as they must.

--- a/src/consensus/mod.rs
+++ b/src/consensus/mod.rs
@@ -13,3 +13,4 @@
 pub mod raft;
 pub mod replica;
 pub mod state;
+pub mod write_queue;
--- a/src/consensus/raft.rs
+++ b/src/consensus/raft.rs
@@ -26,6 +26,8 @@
 /// Time allowed for a snapshot to arrive before it is sent again, in milliseconds. When sent
 /// with every heartbeat, copies of several megabytes filled the leader's memory.
 const SNAPSHOT_RESEND_MS: u64 = 1_000;
+/// Maximum factor on the election timeouts after elections without a result.
+const MAX_ELECTION_SCALE: u64 = 8;
 /// Length of a leader's lease, in thousandths of the minimum election timeout. The lease ends
 /// before a follower whose clock runs up to 10% fast may vote.
 const LEASE_PER_MILLE: u64 = 850;
@@ -104,6 +106,11 @@
     leader: Option<NodeId>,
     leader_seen_ms: Option<u64>,
     election_due_ms: u64,
+    /// Factor on the election timeout. Doubles with each election without a result: with votes
+    /// that take longer than the timeout to be saved, elections would replace each other forever.
+    election_scale: u64,
+    /// Whether this voter has voted in an election whose result it does not know.
+    election_open: bool,
     heartbeat_due_ms: u64,
     /// Time at which this voter last became leader.
     leader_since_ms: u64,
@@ -116,6 +123,8 @@
     learners: BTreeSet<NodeId>,
     /// Last index and commit index most recently sent to all followers.
     broadcast: (Position, Position),
+    /// First entry that may not be on disk yet; `None` if all are.
+    unsaved_from: Option<Position>,
     output: Output,
 }
 
@@ -140,6 +149,8 @@
             leader: None,
             leader_seen_ms: None,
             election_due_ms: 0,
+            election_scale: 1,
+            election_open: false,
             heartbeat_due_ms: 0,
             leader_since_ms: 0,
             no_vote_until_ms: now_ms + timing.election_ms,
@@ -147,6 +158,7 @@
             progress: BTreeMap::new(),
             learners: BTreeSet::new(),
             broadcast: (Position(0), Position(0)),
+            unsaved_from: None,
             output: Output::default(),
         };
         core.schedule_election(now_ms);
@@ -219,6 +231,24 @@
         std::mem::take(&mut self.output)
     }
 
+    /// Sets the first entry that may not be on disk yet, for a caller that sends messages of
+    /// [`Self::take_output`] before it has synced the records; see
+    /// [`crate::consensus::write_queue`]. A leader does not count entries as replicated to itself
+    /// before they are on its disk.
+    pub fn set_unsaved_from(&mut self, from: Option<Position>) {
+        self.unsaved_from = from;
+        if self.role == Role::Leader {
+            self.advance_commit();
+        }
+    }
+
+    /// Records that a vote is on disk: the time for its election counts from here.
+    pub fn vote_saved(&mut self, now_ms: u64) {
+        if self.election_open {
+            self.schedule_election(now_ms);
+        }
+    }
+
     fn persist_commit(&mut self) {
         if self.commit > self.persisted_commit {
             self.persisted_commit = self.commit;
@@ -506,7 +536,7 @@
     }
 
     fn schedule_election(&mut self, now_ms: u64) {
-        let least = self.timing.election_ms;
+        let least = self.timing.election_ms * self.election_scale;
         self.election_due_ms = now_ms + least + self.rng.random_range(0..least.max(1));
     }
 
@@ -547,6 +577,9 @@
     }
 
     fn start_pre_vote(&mut self, now_ms: u64) {
+        if std::mem::take(&mut self.election_open) {
+            self.election_scale = (self.election_scale * 2).min(MAX_ELECTION_SCALE);
+        }
         self.schedule_election(now_ms);
         if !self.is_voter() || now_ms < self.no_vote_until_ms {
             return;
@@ -573,6 +606,7 @@
         self.role = Role::Candidate;
         self.leader = None;
         self.granted = BTreeSet::from([self.id]);
+        self.election_open = true;
         self.schedule_election(now_ms);
         self.record_vote();
         if self.granted.len() >= self.quorum() {
@@ -610,6 +644,7 @@
         let granted = term == self.term && free && last >= self.last();
         if granted {
             self.vote = Some(from);
+            self.election_open = true;
             self.record_vote();
             self.schedule_election(now_ms);
         }
@@ -629,6 +664,7 @@
 
     fn become_leader(&mut self, now_ms: u64) {
         self.role = Role::Leader;
+        self.election_decided();
         self.leader_since_ms = now_ms;
         self.leader = Some(self.id);
         let next = Position(self.last().index.0 + 1);
@@ -645,6 +681,11 @@
         self.replicate(now_ms);
     }
 
+    fn election_decided(&mut self) {
+        self.election_open = false;
+        self.election_scale = 1;
+    }
+
     fn append_own(&mut self, payload: Payload) -> LogMark {
         let mark = LogMark {
             term: self.term,
@@ -756,6 +797,7 @@
         if self.role != Role::Follower {
             self.become_follower(now_ms);
         }
+        self.election_decided();
         self.leader = Some(from);
         self.leader_seen_ms = Some(now_ms);
         self.schedule_election(now_ms);
@@ -883,12 +925,19 @@
         }
     }
 
+    /// Returns the index of the last entry on this voter's own disk.
+    fn last_saved(&self) -> Position {
+        let last = self.last().index;
+        let saved = self.unsaved_from.map(|from| from.0.saturating_sub(1));
+        saved.map_or(last, |saved| last.min(Position(saved)))
+    }
+
     fn advance_commit(&mut self) {
         let mut matched: Vec<Position> = self
             .voters()
             .iter()
             .map(|voter| match voter {
-                voter if *voter == self.id => self.last().index,
+                voter if *voter == self.id => self.last_saved(),
                 voter => self.progress.get(voter).map_or(Position(0), |p| p.matched),
             })
             .collect();
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,9 +8,11 @@
 pub mod bootstrap;
 pub mod event;
 pub mod journal;
+mod log_writer;
 pub mod order_dispatcher;
 pub mod outbox;
 pub mod registry;
 pub mod relay;
 pub mod shell;
+mod stall_monitor;
 pub mod voter;
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -9,13 +9,15 @@
 
 use crate::clock;
 use crate::consensus::crashes::ContentStanding;
-use crate::consensus::raft::DiskRecord;
 use crate::consensus::replica::LogReplica;
 use crate::consensus::state::{Command, Reply, SiteState};
+use crate::consensus::write_queue::{ReleasedOutput, WriteQueue};
 use crate::control::bootstrap;
 use crate::control::event::{ControlEvent, ReplySender, SendPermit};
 use crate::control::journal::{DiskJournal, JournalError, WriteCheck};
+use crate::control::log_writer::{LogWriter, WriteProgress};
 use crate::control::outbox::PeerOutbox;
+use crate::control::stall_monitor::StallMonitor;
 use crate::ids::{HostName, NodeId, Position, ReplicaIncarnation, TargetName, Term};
 use crate::placement::advertised_limits::{IncarnationState, LimitPage, LimitReport};
 use crate::placement::fleet::FleetController;
@@ -48,8 +50,12 @@
 const SHED_VOTER_MS: u64 = 3_000;
 /// The first term, whose leader has no predecessor.
 const FIRST_TERM: Term = Term(1);
-/// Delay before a write to a full disk is retried.
-const DISK_FULL_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Time for which events are discarded while the disk is full.
+const DISK_FULL_PAUSE: Duration = Duration::from_millis(100);
+/// A voter waits for a write for its heartbeat interval divided by this, then goes on.
+const WRITE_WAIT_DIVISOR: u32 = 2;
+/// Number of batches to be written from which the voter waits for the disk.
+const MAX_UNSAVED_BATCHES: usize = 256;
 /// Time for which a stopping leader waits for its successor, in milliseconds.
 const HANDOVER_TIMEOUT_MS: u64 = 2_000;
 
@@ -74,7 +80,7 @@
 /// Discards events for a while, as a network would: callers are refused and turn to another
 /// host. A stop is still obeyed.
 fn discard_events(events: &Receiver<ControlEvent>) -> RunState {
-    let until_ms = clock::monotonic_ms() + DISK_FULL_RETRY_DELAY.as_millis() as u64;
+    let until_ms = clock::monotonic_ms() + DISK_FULL_PAUSE.as_millis() as u64;
     loop {
         let left_ms = until_ms.saturating_sub(clock::monotonic_ms());
         match events.recv_timeout(Duration::from_millis(left_ms)) {
@@ -93,7 +99,8 @@
 pub struct ControlLoop {
     settings: ControlSettings,
     replica: LogReplica,
-    journal: DiskJournal,
+    writer: LogWriter,
+    writes: WriteQueue,
     targets: Option<TargetController>,
     fleet: Option<FleetController>,
     quotas: Option<QuotaGrantor>,
@@ -116,6 +123,7 @@
     stopping: Option<StopRequest>,
     /// Latest expiry of all send permits that were given.
     permitted_until_ms: u64,
+    stalls: StallMonitor,
 }
 
 /// A requested stop.
@@ -148,9 +156,11 @@
         hosts.extend(replica.logged_hosts());
         hosts.insert(node, settings.common.host.clone());
         Ok(Self {
+            stalls: StallMonitor::new(settings.timing.heartbeat_ms),
             settings,
             replica,
-            journal,
+            writer: LogWriter::new(journal),
+            writes: WriteQueue::default(),
             targets: None,
             fleet: None,
             quotas: None,
@@ -182,12 +192,12 @@
 
     /// Installs a check before each write to the disk, for tests of failing disks.
     pub fn set_write_check(&mut self, check: WriteCheck) {
-        self.journal.set_write_check(check);
+        self.writer.set_write_check(check);
     }
 
     /// Returns the identity of this voter's disk.
     pub fn node(&self) -> NodeId {
-        self.journal.identity().node
+        self.writer.node()
     }
 
     /// Returns whether this disk does not vote, as far as it knows.
@@ -198,8 +208,11 @@
     /// Runs until it is stopped or its disk fails. After a failure the voter sends nothing
     /// more, as it cannot know what was saved.
     pub fn run(mut self, events: Receiver<ControlEvent>) -> Result<(), JournalError> {
+        self.writer.start();
         loop {
-            match events.recv_timeout(TICK_INTERVAL) {
+            let received = events.recv_timeout(TICK_INTERVAL);
+            self.stalls.turn_begins(clock::monotonic_ms());
+            match received {
                 Ok(event) => {
                     self.handle(event);
                     for event in events.try_iter().take(MAX_BATCH_EVENTS) {
@@ -216,6 +229,7 @@
             for event in std::mem::take(&mut self.deferred) {
                 self.handle(event);
             }
+            self.stalls.turn_ends(self.replica.raft());
         }
     }
 
@@ -759,68 +773,128 @@
 
     /// Refuses all pending proposals of a former leader; they may still be committed.
     fn fail_pending(&mut self) {
-        for (_, (_, answer)) in std::mem::take(&mut self.pending_proposals) {
+        let pending = std::mem::take(&mut self.pending_proposals);
+        if !pending.is_empty() {
+            let (term, pending) = (self.replica.term(), pending.len());
+            tracing::info!(%term, pending, "proposals of a former leader refused");
+        }
+        for (_, (_, answer)) in pending {
             let _ = answer.send(Err(ControlRefusal::NoQuorum));
         }
     }
 
     fn finish(&mut self, events: &Receiver<ControlEvent>) -> Result<RunState, JournalError> {
-        let now_ms = clock::monotonic_ms();
-        let output = self.replica.finish(now_ms);
-        if self.save(&output.records, events)? == RunState::Stopped {
-            return Ok(RunState::Stopped);
-        }
-        for (node, message) in output.messages {
-            let known = self.replica.state().voter_hosts.get(&node);
-            if let Some(host) = self.hosts.get(&node).or(known) {
-                self.outbox.send(host, message);
+        while let Some(progress) = self.writer.progress(Duration::ZERO) {
+            if self.on_write_progress(progress, events)? == RunState::Stopped {
+                return Ok(RunState::Stopped);
             }
         }
-        for (mark, reply) in output.replies {
-            if let Some((term, answer)) = self.pending_proposals.remove(&mark.index) {
-                let same_term = term == mark.term;
-                let reply = Ok((mark.index, reply));
-                let _ = answer.send(reply.and_then(|reply| match same_term {
-                    true => Ok(reply),
-                    false => Err(ControlRefusal::NoQuorum),
-                }));
+        let was_behind = !self.writes.is_empty();
+        let now_ms = clock::monotonic_ms();
+        let output = self.replica.finish(now_ms);
+        let (batch, released) = self.writes.push(output);
+        self.deliver(released);
+        if let Some(batch) = batch {
+            self.writer.write(batch);
+            self.update_unsaved();
+            if self.await_write(was_behind, events)? == RunState::Stopped {
+                return Ok(RunState::Stopped);
             }
         }
         self.reply_to_waiters(now_ms);
         Ok(RunState::Runs)
     }
 
-    /// Saves all records, and waits while the disk is full: nothing that depends on them may be
-    /// sent before they are saved.
-    fn save(
+    /// Waits for the write of this turn, not much longer than a write usually takes: the followers
+    /// of a leader with a slow disk must not miss its heartbeats. A voter that is its own quorum
+    /// waits until the write is done, as its state holds entries that no other disk has.
+    fn await_write(
         &mut self,
-        records: &[DiskRecord],
+        was_behind: bool,
         events: &Receiver<ControlEvent>,
     ) -> Result<RunState, JournalError> {
-        let mut left = records;
-        let mut full_since_ms = None;
-        while !left.is_empty() {
-            match self.journal.save_prefix(left) {
-                Ok(saved) => left = &left[saved..],
-                Err(error) if error.is_full() => {
-                    if full_since_ms.is_none() {
-                        tracing::warn!(%error, "disk is full; the voter waits for free space");
-                        full_since_ms = Some(clock::monotonic_ms());
-                    }
-                    if discard_events(events) == RunState::Stopped {
+        let alone = self.replica.raft().voters().len() == 1;
+        let heartbeat = Duration::from_millis(self.settings.timing.heartbeat_ms);
+        let wait = heartbeat / WRITE_WAIT_DIVISOR;
+        while !self.writes.is_empty() {
+            let must_wait = alone || self.writes.len() >= MAX_UNSAVED_BATCHES;
+            if was_behind && !must_wait {
+                return Ok(RunState::Runs);
+            }
+            match self.writer.progress(wait) {
+                Some(progress) => {
+                    if self.on_write_progress(progress, events)? == RunState::Stopped {
                         return Ok(RunState::Stopped);
                     }
                 }
-                Err(error) => return Err(error),
+                None if must_wait => {}
+                None => return Ok(RunState::Runs),
             }
         }
-        if let Some(since_ms) = full_since_ms {
-            let waited_ms = clock::monotonic_ms() - since_ms;
-            tracing::info!(waited_ms, "disk has free space again");
-        }
         Ok(RunState::Runs)
     }
 
+    /// Delivers what waited for a write. While the disk is full, discards events until the write
+    /// is done: the voter confirms nothing that it cannot save.
+    fn on_write_progress(
+        &mut self,
+        mut progress: WriteProgress,
+        events: &Receiver<ControlEvent>,
+    ) -> Result<RunState, JournalError> {
+        loop {
+            match progress {
+                WriteProgress::Saved(number) => {
+                    self.on_saved(number);
+                    return Ok(RunState::Runs);
+                }
+                WriteProgress::Failed(error) => return Err(error),
+                WriteProgress::DiskFull => {}
+            }
+            progress = loop {
+                if discard_events(events) == RunState::Stopped {
+                    return Ok(RunState::Stopped);
+                }
+                if let Some(progress) = self.writer.progress(Duration::ZERO) {
+                    break progress;
+                }
+            };
+        }
+    }
+
+    fn on_saved(&mut self, number: u64) {
+        let released = self.writes.saved(number);
+        self.update_unsaved();
+        if released.vote_saved {
+            let now_ms = clock::monotonic_ms();
+            self.replica.raft_mut().vote_saved(now_ms);
+        }
+        self.deliver(released);
+    }
+
+    fn update_unsaved(&mut self) {
+        let unsaved_from = self.writes.unsaved_from();
+        self.replica.raft_mut().set_unsaved_from(unsaved_from);
+    }
+
+    fn deliver(&mut self, released: ReleasedOutput) {
+        for (node, message) in released.messages {
+            let known = self.replica.state().voter_hosts.get(&node);
+            if let Some(host) = self.hosts.get(&node).or(known) {
+                self.outbox.send(host, message);
+            }
+        }
+        for (mark, reply) in released.replies {
+            if let Some((term, answer)) = self.pending_proposals.remove(&mark.index) {
+                let same_term = term == mark.term;
+                let reply = Ok((mark.index, reply));
+                let _ = answer.send(reply.and_then(|reply| match same_term {
+                    true => Ok(reply),
+                    false => Err(ControlRefusal::NoQuorum),
+                }));
+            }
+        }
+    }
+
     fn reply_to_waiters(&mut self, now_ms: u64) {
         let changed = self.replica.state().changed();
         let may_send = now_ms >= self.notified_ms + NOTIFY_INTERVAL_MS;
--- a/tests/fuzz/log.rs
+++ b/tests/fuzz/log.rs
@@ -1,7 +1,7 @@
 //! The replicated log, table and claims under lost, late, duplicated and reordered messages,
-//! crashes with unsynced records, lost disks, partitions and clock drift.
+//! crashes with unsynced records, slow and lost disks, partitions and clock drift.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use dunlinspring::consensus::claims::{ClaimKey, ClaimReply, ClaimRequest, Settlement};
 use dunlinspring::consensus::raft::{
@@ -9,6 +9,7 @@
 };
 use dunlinspring::consensus::replica::LogReplica;
 use dunlinspring::consensus::state::{Command, Reply, SiteState, Stamped};
+use dunlinspring::consensus::write_queue::{ReleasedOutput, WriteBatch, WriteQueue};
 use dunlinspring::ids::*;
 use dunlinspring::table::limits::LimitPolicy;
 use dunlinspring::table::rows::{EditRefusal, RowChange, RowEdit, RowFields, Urgency};
@@ -61,6 +62,16 @@
     Restart {
         voter: usize,
     },
+    /// Makes a voter's disk slow or fast. A slow one writes only in its own steps, and in rounds
+    /// without faults.
+    SlowDisk {
+        voter: usize,
+        slow: bool,
+    },
+    /// Writes the oldest batch of a voter.
+    Write {
+        voter: usize,
+    },
     /// Cuts off one follower for some rounds, then the leader instead. The other follower, the
     /// only one that knows of the leader's lease, may restart.
     StaleLeader {
@@ -113,6 +124,9 @@
         1 => (voter.clone(), any::<bool>())
             .prop_map(|(voter, unsynced)| Step::Crash { voter, unsynced }),
         2 => voter.clone().prop_map(|voter| Step::Restart { voter }),
+        2 => (voter.clone(), any::<bool>())
+            .prop_map(|(voter, slow)| Step::SlowDisk { voter, slow }),
+        3 => voter.clone().prop_map(|voter| Step::Write { voter }),
         1 => voter.clone().prop_map(|voter| Step::LoseDisk { voter }),
         1 => voter.clone().prop_map(|voter| Step::HandOver { voter }),
         2 => (0usize..2, 0usize..14, any::<bool>(), 1usize..14).prop_map(
@@ -152,6 +166,9 @@
     id: NodeId,
     disk: DiskImage,
     replica: Option<LogReplica>,
+    writes: WriteQueue,
+    unwritten: VecDeque<WriteBatch>,
+    slow: bool,
     cut: bool,
     clock_base: u64,
     started_at: u64,
@@ -213,6 +230,9 @@
             id: *id,
             disk: image.clone(),
             replica: None,
+            writes: WriteQueue::default(),
+            unwritten: VecDeque::new(),
+            slow: false,
             cut: false,
             clock_base: 1000 * (id.0 + 1),
             started_at: 0,
@@ -282,46 +302,84 @@
         self.flush(voter);
     }
 
-    /// Writes records to the disk, sends messages and records replies, in this order.
+    /// Takes a voter's output, and writes its records unless the disk is slow.
     fn flush(&mut self, voter: usize) {
+        self.take_output(voter);
+        while !self.voters[voter].slow && self.write(voter) {}
+        self.record_agreed(voter);
+    }
+
+    fn take_output(&mut self, voter: usize) {
         let clock = self.clock(voter);
         let node = &mut self.voters[voter];
         let Some(replica) = &mut node.replica else {
             return;
         };
         let output = replica.finish(clock);
-        for record in output.records {
+        let (batch, released) = node.writes.push(output);
+        node.unwritten.extend(batch);
+        let unsaved_from = node.writes.unsaved_from();
+        replica.raft_mut().set_unsaved_from(unsaved_from);
+        self.deliver_released(voter, released);
+    }
+
+    /// Writes the oldest batch to the disk. Returns whether there was one.
+    fn write(&mut self, voter: usize) -> bool {
+        let clock = self.clock(voter);
+        let node = &mut self.voters[voter];
+        let Some(batch) = node.unwritten.pop_front() else {
+            return false;
+        };
+        for record in batch.records {
             node.disk.apply(record);
         }
-        let id = node.id;
-        for (to, message) in output.messages {
+        let released = node.writes.saved(batch.number);
+        if let Some(replica) = &mut node.replica {
+            let unsaved_from = node.writes.unsaved_from();
+            replica.raft_mut().set_unsaved_from(unsaved_from);
+            if released.vote_saved {
+                replica.raft_mut().vote_saved(clock);
+            }
+        }
+        self.deliver_released(voter, released);
+        // What the write has committed is applied before the next step.
+        self.take_output(voter);
+        true
+    }
+
+    /// Sends messages and records replies.
+    fn deliver_released(&mut self, voter: usize, released: ReleasedOutput) {
+        let id = self.voters[voter].id;
+        for (to, message) in released.messages {
             self.in_flight.push((id, to, message));
         }
-        for (mark, reply) in output.replies {
+        for (mark, reply) in released.replies {
             let known = self.replies.entry(mark.index).or_insert(reply.clone());
             assert_eq!(*known, reply, "two voters replied differently to {mark:?}");
             if self.waiting.remove(&(id, mark)).is_some() {
                 self.acknowledged = self.acknowledged.max(mark.index);
             }
         }
-        self.record_agreed(voter);
     }
 
-    /// Checks that entries up to the commit index are the same on all disks.
+    /// Checks that the entries that a voter takes for committed are the same at all voters, and
+    /// on all disks those up to the commit index that the disk holds. The entries of a slow disk
+    /// above that index may have been replaced in memory.
     fn record_agreed(&mut self, voter: usize) {
         let node = &self.voters[voter];
         let Some(replica) = &node.replica else {
             return;
         };
         let commit = replica.raft().commit();
-        let committed = node
-            .disk
-            .entries
-            .iter()
-            .filter(|entry| entry.mark.index <= commit);
+        let up_to = |entries: &[LogEntry], commit: Position| {
+            let committed = entries.iter().filter(|entry| entry.mark.index <= commit);
+            committed.cloned().collect::<Vec<_>>()
+        };
+        let mut committed = up_to(replica.raft().tail(), commit);
+        committed.extend(up_to(&node.disk.entries, node.disk.commit));
         for entry in committed {
             let known = self.agreed.entry(entry.mark.index).or_insert(entry.clone());
-            assert_eq!(known, entry, "committed entries differ");
+            assert_eq!(*known, entry, "committed entries differ");
         }
         self.voters[voter].compared = commit;
     }
@@ -329,9 +387,13 @@
     fn crash(&mut self, voter: usize, unsynced: bool) {
         if !unsynced {
             self.flush(voter);
+            while self.write(voter) {}
         }
-        let id = self.voters[voter].id;
-        self.voters[voter].replica = None;
+        let node = &mut self.voters[voter];
+        let id = node.id;
+        node.replica = None;
+        node.writes = WriteQueue::default();
+        node.unwritten.clear();
         self.waiting.retain(|(node, _), ()| *node != id);
     }
 
@@ -400,6 +462,7 @@
             self.enroll();
             for voter in 0..VOTERS {
                 self.tick(voter);
+                while self.write(voter) {}
             }
             for _ in 0..DELIVERIES_PER_ROUND {
                 self.deliver_all();
@@ -719,6 +782,10 @@
             Step::Cut { voter, cut } => world.voters[voter].cut = cut,
             Step::Crash { voter, unsynced } => world.crash(voter, unsynced),
             Step::Restart { voter } => world.restart(voter),
+            Step::SlowDisk { voter, slow } => world.voters[voter].slow = slow,
+            Step::Write { voter } => {
+                world.write(voter);
+            }
             Step::LoseDisk { voter } => world.lose_disk(voter),
             Step::HandOver { voter } => {
                 let clock = world.clock(voter);
@@ -752,6 +819,7 @@
         // Once all faults end, the log must make progress and keep acknowledged changes.
         for voter in 0..VOTERS {
             world.voters[voter].cut = false;
+            world.voters[voter].slow = false;
             world.restart(voter);
         }
         let before = world.acknowledged;
