An entry before agents counts requests as ended

What callers saw: nothing reported; a target that joins, or takes the place of another, got all requests of an entry until it had been sent as many as the others since the entry started. Cause: LoadTracker::record_ended was called by a benchmark alone, so the estimate of a target's load was at least all requests ever sent there. Change: a guard counts an attempt from its start until its end is known or the driver is gone. Ruled out: pruning (a target that stays in the directory is never pruned), and forward's tables, whose counts are held by guards. Why it works: every way out of an attempt drops the guard, also that of a caller who disconnects.

--- a/src/entry/request_driver.rs
+++ b/src/entry/request_driver.rs
@@ -131,6 +131,30 @@
     /// Whether the deadline has passed or the caller has disconnected.
     abandoned: bool,
     attempted: Vec<TargetName>,
+    /// Counts the current attempt in the load of its target.
+    load: Option<LoadGuard>,
+}
+
+/// Counts an attempt in the load of its target until it is dropped.
+struct LoadGuard {
+    entry: Arc<EntryShared>,
+    target: TargetName,
+}
+
+impl LoadGuard {
+    fn new(entry: &Arc<EntryShared>, target: &TargetName) -> Self {
+        entry.state().loads.record_sent(target);
+        Self {
+            entry: entry.clone(),
+            target: target.clone(),
+        }
+    }
+}
+
+impl Drop for LoadGuard {
+    fn drop(&mut self) {
+        self.entry.state().loads.record_ended(&self.target);
+    }
 }
 
 /// A home and its agent.
@@ -177,6 +201,7 @@
             first_piece_sent: false,
             abandoned: false,
             attempted: Vec::new(),
+            load: None,
         }
     }
 
@@ -189,6 +214,7 @@
         loop {
             let step = self.lifecycle.step();
             let attempt = step.attempt().cloned();
+            self.track_load(&step);
             let event = match step {
                 RequestStep::Finish(outcome) => return outcome,
                 RequestStep::Choose { first } => self.choose(first).await,
@@ -202,6 +228,20 @@
         }
     }
 
+    /// Counts an attempt in the load of its target from its start until its end is known.
+    fn track_load(&mut self, step: &RequestStep) {
+        self.load = match step {
+            RequestStep::Start(attempt) => Some(LoadGuard::new(self.entry, &attempt.target)),
+            RequestStep::Pull(..) | RequestStep::Seal(_) | RequestStep::Cancel(_) => {
+                self.load.take()
+            }
+            RequestStep::Choose { .. }
+            | RequestStep::Claim(_)
+            | RequestStep::Settle(..)
+            | RequestStep::Finish(_) => None,
+        };
+    }
+
     /// Records an agent's refusal, which applies to the next requests as well. A refusal for
     /// overload also counts as unmet demand for the model, whether an agent has just sent it or
     /// it is expected from an earlier one.
@@ -478,7 +518,6 @@
             call,
         };
         let position = self.entry.follower.position();
-        self.entry.state().loads.record_sent(&attempt.target);
         self.call_agent(&attempt, "start", |client| async move {
             client
                 .start(peers::within(START_TIMEOUT), position, request)
