--- a/src/entry/request_driver.rs
+++ b/src/entry/request_driver.rs
@@ -330,7 +330,11 @@
                 false => {}
             }
         }
-        match self.await_home().await {
+        let pick = self.await_home().await;
+        if !first && !matches!(pick, Pick::Home(_)) {
+            self.entry.state().retries.refund(row);
+        }
+        match pick {
             Pick::Home(attempt) => {
                 self.attempted.push(attempt.target.clone());
                 RequestEvent::Chosen(Some(attempt))
--- a/src/routing/retry.rs
+++ b/src/routing/retry.rs
@@ -53,6 +53,14 @@
         }
     }
 
+    /// Returns a retry of a row that was not used.
+    pub fn refund(&mut self, row: &RowId) {
+        let full = self.policy.burst * HUNDREDTHS_PER_RETRY;
+        if let Some(tokens) = self.rows.get_mut(row) {
+            *tokens = (*tokens + HUNDREDTHS_PER_RETRY).min(full);
+        }
+    }
+
     /// Removes rows that `keep` rejects.
     pub fn retain(&mut self, keep: impl Fn(&RowId) -> bool) {
         self.rows.retain(|row, _| keep(row));
--- a/tests/forwarding/pauses.rs
+++ b/tests/forwarding/pauses.rs
@@ -11,6 +11,8 @@
 
 use std::time::Duration;
 
+use dunlinspring::forward::budget::ResendPolicy;
+
 use crate::support::{Behaviour, DRAINING, ForwardSite, RouteShape, wait_for};
 
 const SAFE: RouteShape = RouteShape::plain("/plain/");
@@ -192,3 +194,25 @@
     assert_eq!(answer.status, 200);
     assert_eq!(answer.header("leaving"), None);
 }
+
+/// A refused request that found all other homes in a backoff period had spent a resend, so a later
+/// one that another home could have taken was refused.
+#[ntex::test]
+async fn a_request_that_no_home_can_take_spends_no_resend() {
+    let policy = ResendPolicy {
+        earned: 0.0,
+        slack: 1.0,
+    };
+    let mut site = ForwardSite::start_with_resends(&[SAFE], policy).await;
+    for (name, id) in [("r1", "first"), ("r2", "second")] {
+        site.add_replica(name, vec![Behaviour::Refuse(LONG)]).await;
+        assert_eq!(site.send("GET", "/plain/x", id, "").await.status, 503);
+        assert_eq!(site.seen(name).len(), 1);
+    }
+    let mut refusing = vec![Behaviour::Refuse(LONG)];
+    refusing.extend(vec![OK; REQUESTS]);
+    site.add_replica("r3", refusing).await;
+    site.add_replica("r4", vec![OK; 2 * REQUESTS]).await;
+    assert_eq!(send_repeatedly(&site, "/plain/x").await, REQUESTS);
+    assert_eq!(site.seen("r3").len(), 1);
+}
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -23,6 +23,7 @@
 use dunlinspring::control::bootstrap;
 use dunlinspring::control::registry::{LogAccess, Registry, RegistryError};
 use dunlinspring::control::shell::ControlDaemon;
+use dunlinspring::forward::budget::ResendPolicy;
 use dunlinspring::forward::chunked::ChunkDecoder;
 use dunlinspring::forward::daemon::{ForwardDaemon, ForwardSettings};
 use dunlinspring::forward::head::{self, Framing, Header};
@@ -367,11 +368,29 @@
         Self::start_with_waits(authority_ms, 1_000, ChoicePolicy::default(), None).await
     }
 
+    /// Starts a site whose entry may resend as this policy allows.
+    pub async fn start_with_resends(routes: &[RouteShape], resend: ResendPolicy) -> Self {
+        let wait_ms = MAX_WAIT.as_millis() as u64;
+        let waits = (wait_ms, wait_ms);
+        let site = Self::start_set(waits, ChoicePolicy::default(), None, resend).await;
+        site.configured_with(routes).await
+    }
+
     async fn start_with_waits(
         authority_ms: u64,
         config_wait_ms: u64,
         choice: ChoicePolicy,
         agent_port: Option<u16>,
+    ) -> Self {
+        let waits = (authority_ms, config_wait_ms);
+        Self::start_set(waits, choice, agent_port, ResendPolicy::default()).await
+    }
+
+    async fn start_set(
+        (authority_ms, config_wait_ms): (u64, u64),
+        choice: ChoicePolicy,
+        agent_port: Option<u16>,
+        resend: ResendPolicy,
     ) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let (control, address) = start_control(&folder).await;
@@ -390,7 +409,7 @@
             control: vec![address],
             log: Default::default(),
             choice,
-            resend: Default::default(),
+            resend,
             agent_port,
             connect_ms: CONNECT_MS,
             stale_ms: 60_000,
