A request held back for an engine's refusal is told so

What callers and operators saw: not-home, as if the target did not hold the model, for requests that were held back because its engine had refused an earlier one. Cause: one scope of refusals, the model at a target, stood for both causes. Evidence: the test fails on the code before (NotHome in place of Engine). Change and why it works: a scope for each cause. Which requests are held back, and how long, stays.

--- a/src/routing/refusals.rs
+++ b/src/routing/refusals.rs
@@ -13,8 +13,10 @@
 enum RefusalScope {
     /// All attempts at the target.
     Target,
-    /// Attempts for one model.
+    /// Attempts for one model, which the target does not hold.
     Model(ModelName),
+    /// Attempts for one model, which the target's engine refuses.
+    Engine(ModelName),
     /// Attempts of one row, which all have its urgency and its wait limit.
     Row(RowId),
 }
@@ -25,6 +27,7 @@
         match self {
             Self::Target => RefuseCause::NoLease,
             Self::Model(_) => RefuseCause::NotHome,
+            Self::Engine(_) => RefuseCause::Engine,
             Self::Row(_) => RefuseCause::Overload,
         }
     }
@@ -63,9 +66,8 @@
                     .record_draining(now_ms, &id, request.incarnation.0);
             }
             RefuseCause::NoLease => (RefusalScope::Target, retry_ms),
-            RefuseCause::NotHome | RefuseCause::Engine => {
-                (RefusalScope::Model(request.model.clone()), retry_ms)
-            }
+            RefuseCause::NotHome => (RefusalScope::Model(request.model.clone()), retry_ms),
+            RefuseCause::Engine => (RefusalScope::Engine(request.model.clone()), retry_ms),
             // The agent reports when its queue will be empty, but it accepts the next request of
             // the row as soon as the work before it fits into the row's wait limit. A row that
             // keeps a home busy by itself would otherwise leave it idle.
@@ -95,6 +97,7 @@
         let scopes = [
             RefusalScope::Target,
             RefusalScope::Model(request.model.clone()),
+            RefusalScope::Engine(request.model.clone()),
             RefusalScope::Row(request.row.clone()),
         ];
         let refusals = scopes.into_iter().filter_map(|scope| {
