tests/mutants.sh tells a run that hit its time limit from one that failed

Cause: the exit code of timeout, 124, was taken for that of a failed test, so a mutant whose build was slow counted as seen: a proof that could not fail. Change: such a run is printed as TIME LIMIT. MUTANT_LIMIT_S sets the limit.

--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -2,7 +2,8 @@
 # Mutation tests: removes one mechanism at a time from a scratch copy and checks that the
 # named test then fails. Prints the mutant, the result, the test and, for property tests,
 # the number of cases that passed before the failure.
-# Not part of CI. Usage: tests/mutants.sh [NAME ...]
+# A run that hits its time limit, MUTANT_LIMIT_S seconds with its build, proves nothing and is
+# printed as such. Not part of CI. Usage: tests/mutants.sh [NAME ...]
 set -u
 cd "$(dirname "$0")/.."
 scratch=$(mktemp -d)
@@ -24,12 +25,13 @@
     local cases=20000
     [ "$test" = the_log_keeps_acknowledged_changes ] && cases=20000
     [ "$test" = the_sum_of_running_requests_stays_within_the_limit ] && cases=100000
-    out=$(cd "$scratch" && DUNLINSPRING_CASES=$cases timeout 500 cargo test --offline --test "$target" -- "$test" 2>&1)
+    out=$(cd "$scratch" && DUNLINSPRING_CASES=$cases timeout "${MUTANT_LIMIT_S:-500}" cargo test --offline --test "$target" -- "$test" 2>&1)
     local code=$?
     local reason
     cases=$(grep -oE 'successes: [0-9]+' <<<"$out" | tail -1)
     reason=$(grep -A1 "panicked at" <<<"$out" | grep -v "panicked at\|^--" | tail -1 | cut -c1-90)
     if [ $code -eq 0 ]; then echo "$name | SURVIVED | $test"
+    elif [ $code -eq 124 ]; then echo "$name | TIME LIMIT | $test"
     elif grep -q "^error" <<<"$out" && ! grep -q "test result" <<<"$out"; then echo "$name | DID NOT BUILD | $test"
     else echo "$name | seen, ${cases:-a plain test} | $test | $reason"
     fi
