--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -159,8 +159,6 @@
     /// Attempts that may have run the request.
     runs: u32,
     refusals: u32,
-    /// Whether a resend was spent that has not been sent.
-    resend_paid: bool,
     event_buffer: EventBuffer,
     log: RequestLog,
     /// Digest of the content, computed on first use.
@@ -181,7 +179,6 @@
     fn drop(&mut self) {
         self.abandon_run();
         self.refund();
-        self.refund_resend();
         self.log.write(self.core);
     }
 }
@@ -242,7 +239,6 @@
             quoted: QuotesAtHand::default(),
             runs: 0,
             refusals: 0,
-            resend_paid: false,
             event_buffer: EventBuffer::default(),
             content: None,
             lease: None,
@@ -286,7 +282,6 @@
             };
             let outcome = self.attempt(&replica, writer).await;
             self.end_attempt(&outcome);
-            self.record_resend(&outcome);
             self.attempted.insert(replica);
             let again = match outcome {
                 AttemptOutcome::Answered(after) => return after,
@@ -369,26 +364,9 @@
 
     fn spend(&mut self) -> bool {
         let service = self.need.service.as_ref();
-        self.resend_paid = service.is_some_and(|s| self.core.budget.borrow_mut().spend(s));
-        if !self.resend_paid {
-            self.log.resent(false);
-        }
-        self.resend_paid
-    }
-
-    /// Counts a resend once it was sent.
-    fn record_resend(&mut self, outcome: &AttemptOutcome) {
-        if !matches!(outcome, AttemptOutcome::NotSent) && std::mem::take(&mut self.resend_paid) {
-            self.log.resent(true);
-        }
-    }
-
-    /// Refunds a resend that no replica could take.
-    fn refund_resend(&mut self) {
-        if let (Some(service), true) = (&self.need.service, self.resend_paid) {
-            self.resend_paid = false;
-            self.core.budget.borrow_mut().refund(service);
-        }
+        let spent = service.is_some_and(|s| self.core.budget.borrow_mut().spend(s));
+        self.log.resent(spent);
+        spent
     }
 
     /// Sends the final response of a request that no replica completed.
