--- a/src/consensus/raft.rs
+++ b/src/consensus/raft.rs
@@ -1,7 +1,8 @@
 //! Raft consensus for the replicated log: terms, votes, leases and replication.
 //!
 //! Pure: the caller passes in the time and messages, and takes [`Output`] out. The caller must
-//! sync everything in `Output::records` to disk before it sends any of `Output::messages`.
+//! sync everything in `Output::records` to disk before it sends any of `Output::messages`, except
+//! those that [`crate::consensus::write_queue`] releases before.
 //!
 //! Implements Raft (Ongaro and Ousterhout, 2014) with pre-vote, leader stickiness, quorum
 //! leases, single-step membership changes, and leadership transfer.
--- a/src/consensus/write_queue.rs
+++ b/src/consensus/write_queue.rs
@@ -149,7 +149,7 @@
 /// Returns whether a message states something that must be on disk before it is sent.
 ///
 /// What a leader sends states nothing of its own disk: it counts its entries as replicated to
-/// itself only once they are saved. Pre-votes bind nobody.
+/// itself only once they are saved. Pre-votes promise nothing.
 fn needs_records(message: &RaftMessage) -> bool {
     match message {
         RaftMessage::Append { .. }
