Logged requests name the shared parts of their prompts; a test of parts that crash replicas

Log lines could not show that they share a part: the id of a part was dropped when the header was parsed, and its hash covers the model, the adapter and all parts before it. The line of a broken request now names each shared part by a digest of service and id. No decision changes.

--- a/src/forward/crashes.rs
+++ b/src/forward/crashes.rs
@@ -18,6 +18,7 @@
 use crate::consensus::crashes::{ContentStanding, CrashReport};
 use crate::consensus::directory::{ReplicaPhase, ReplicaRecord};
 use crate::forward::daemon::EntryCore;
+use crate::forward::request_log::join_digests;
 use crate::forward::upstream::Connection;
 use crate::ids::{ContentDigest, ReplicaIncarnation};
 use crate::process::{crash_report, daemon};
@@ -301,11 +302,10 @@
 
 fn log_crash(report: &CrashReport, proof: &str) {
     let logged = report.contents.iter().take(MAX_LOGGED_CONTENTS);
-    let logged: Vec<String> = logged.map(ToString::to_string).collect();
     tracing::warn!(
         replica = %report.replica.id,
         born_ms = report.replica.started_ms,
-        contents = logged.join(","),
+        contents = join_digests(logged),
         count = report.contents.len(),
         proof,
         "replica ended under requests"
--- a/src/forward/need.rs
+++ b/src/forward/need.rs
@@ -5,7 +5,7 @@
 
 use crate::admission::quote::PromptPart;
 use crate::forward::locality::AllowedRegions;
-use crate::ids::{ModelName, ServiceName};
+use crate::ids::{ContentDigest, ModelName, ServiceName};
 use crate::table::configuration::SLACK_RANKS;
 
 /// Number of urgency levels.
@@ -25,6 +25,8 @@
     pub adapter: Option<String>,
     /// Parts at the start of the prompt that the request shares with others.
     pub parts: Vec<PromptPart>,
+    /// Digests of these parts, each by itself.
+    pub part_digests: Vec<ContentDigest>,
     /// Prompt tokens.
     pub prompt_tokens: u64,
     /// Prompt tokens and the maximum number of output tokens.
--- a/src/forward/prompt_parts.rs
+++ b/src/forward/prompt_parts.rs
@@ -9,7 +9,11 @@
 
 pub use crate::admission::quote::{MAX_PROMPT_PARTS, PromptPart};
 use crate::forward::need::Need;
+use crate::ids::ContentDigest;
+use crate::routing::content;
 
+/// Maximum number of shared parts of one prompt that are told apart when a replica crashes.
+const MAX_PART_DIGESTS: usize = 16;
 /// Prompts remembered for each replica.
 const MAX_PROMPTS: usize = 256;
 
@@ -42,6 +46,16 @@
     Some(parts)
 }
 
+/// Returns the digests of the shared parts of a prompt to a service, each of which may crash a
+/// replica whatever surrounds it. A malformed header has none.
+pub fn digests(service: &str, header: &str) -> Vec<ContentDigest> {
+    let shared = header.rsplit_once(',').map_or("", |(shared, _)| shared);
+    let parts = shared.split(',').map(parse_part);
+    let ids: Option<Vec<&str>> = parts.map(|part| part.map(|(id, _)| id)).collect();
+    let ids = ids.unwrap_or_default().into_iter().take(MAX_PART_DIGESTS);
+    ids.map(|id| content::part_digest(service, id)).collect()
+}
+
 fn parse_part(text: &str) -> Option<(&str, u32)> {
     let (id, tokens) = text.trim().split_once(':')?;
     let is_hex = !id.is_empty() && id.bytes().all(|byte| byte.is_ascii_hexdigit());
--- a/src/forward/request/wire_heads.rs
+++ b/src/forward/request/wire_heads.rs
@@ -100,13 +100,16 @@
         .split(',')
         .filter_map(|part| part.trim().parse::<u64>().ok());
     let prompt_tokens = tokens.clone().next().unwrap_or(0);
-    let parts = head::find(headers, names.prefix).unwrap_or_default();
-    let parts = prompt_parts::parse(model.unwrap_or_default(), adapter.as_deref(), parts);
+    let prefix = head::find(headers, names.prefix).unwrap_or_default();
+    let parts = prompt_parts::parse(model.unwrap_or_default(), adapter.as_deref(), prefix);
+    let name = service.as_ref().map_or("", |service| service.as_str());
+    let part_digests = prompt_parts::digests(name, prefix);
     Need {
         service,
         model: model.map(ModelName::from),
         adapter,
         parts,
+        part_digests,
         prompt_tokens,
         tokens: tokens.sum(),
         ..Need::default()
--- a/src/forward/request_log.rs
+++ b/src/forward/request_log.rs
@@ -70,6 +70,8 @@
     longest_pause: Duration,
     notes: Vec<String>,
     content: Option<ContentDigest>,
+    /// Digests of the shared parts of its prompt.
+    parts: Vec<ContentDigest>,
     /// Agents that were asked for quotes, and how many replied.
     agents: (usize, usize),
     /// Quoted time to the first event at the chosen replica, or the shortest one, and the age of the
@@ -111,6 +113,7 @@
             longest_pause: Duration::ZERO,
             notes: Vec::new(),
             content: None,
+            parts: need.part_digests.clone(),
             agents: (0, 0),
             quote: None,
             end: (Outcome::Left, 0, "the client left"),
@@ -279,6 +282,7 @@
                 reason,
                 notes = self.notes.join("; "),
                 content = self.content.map(|digest| digest.to_string()),
+                parts = self.content.map(|_| join_digests(&self.parts)),
                 agents_asked = (asked > 0).then_some(asked),
                 agents_replied = (asked > 0).then_some(replied),
                 quoted_first_ms = self.quote.map(|(first_ms, _)| first_ms),
@@ -289,6 +293,12 @@
     }
 }
 
+/// Joins digests by commas.
+pub(super) fn join_digests<'a>(digests: impl IntoIterator<Item = &'a ContentDigest>) -> String {
+    let digests: Vec<String> = digests.into_iter().map(ToString::to_string).collect();
+    digests.join(",")
+}
+
 /// Returns the `Retry-After` value as a suffix for a note; empty if there is none.
 fn retry_after_suffix(retry_after: Option<&str>) -> String {
     let shown = retry_after.map(|text| text.chars().take(MAX_SHOWN_CHARS).collect::<String>());
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -134,7 +134,8 @@
     }
 }
 
-/// Digest that identifies the content of a request: equal for all retries of it.
+/// Digest that identifies the content of a request, equal for all retries of it, or a part that
+/// prompts share.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct ContentDigest(pub [u8; ContentDigest::LEN]);
--- a/src/routing/content.rs
+++ b/src/routing/content.rs
@@ -1,5 +1,7 @@
-//! Identifies the content of a request by a short digest. All attempts of one caller at the same
-//! request share it, whatever ID an attempt has and whichever entry receives it.
+//! Identifies what may crash a replica by a short digest: the content of a request, or a part of its
+//! prompt. All attempts of one caller at the same request share its content, whatever ID an attempt
+//! has and whichever entry receives it. All requests to a service whose prompts hold a part share
+//! that part, whatever else they hold.
 
 use sha2::{Digest, Sha256};
 
@@ -29,6 +31,23 @@
         hash.update(part.as_bytes());
     }
     hash.update(parts.body);
+    shorten(hash)
+}
+
+/// Returns the digest of a part that prompts to a service share. Accounts share it as well: a part
+/// crashes replicas whoever sends it.
+pub fn part_digest(service: &str, part: &str) -> ContentDigest {
+    let mut hash = Sha256::new();
+    // No host is this long, so that no content has the digest of a part.
+    hash.update(u64::MAX.to_be_bytes());
+    for text in [service, &part.to_ascii_lowercase()] {
+        hash.update((text.len() as u64).to_be_bytes());
+        hash.update(text.as_bytes());
+    }
+    shorten(hash)
+}
+
+fn shorten(hash: Sha256) -> ContentDigest {
     let full: [u8; 32] = hash.finalize().into();
     let mut short = [0; ContentDigest::LEN];
     short.copy_from_slice(&full[..ContentDigest::LEN]);
--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -4,6 +4,7 @@
 mod accounts;
 mod agents;
 mod crashes;
+mod crashing_parts;
 mod halls;
 mod limits;
 mod pauses;
--- a/tests/forwarding/support/crashing.rs
+++ b/tests/forwarding/support/crashing.rs
@@ -1,4 +1,5 @@
-//! Replicas that crash when they receive a certain request body, and then restart.
+//! Replicas that crash when they receive a certain request body or part of a prompt, and then
+//! restart.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -14,12 +15,14 @@
 use tokio::sync::Notify;
 
 use super::{
-    ForwardSite, ReceivedRequest, event_chunks, loopback, read_request, ready_replica,
-    unless_no_quorum, wait_for,
+    ForwardSite, ReceivedRequest, Response, TIMEOUT_MS, event_chunks, loopback, read_request,
+    ready_replica, unless_no_quorum, wait_for,
 };
 
 /// Request body that crashes the replica that runs it.
 pub const CRASHING: &str = "deadly";
+/// Id of a part of prompts that crashes the replica that begins to answer them.
+pub const CRASHING_PART: &str = "dead";
 /// Request body that runs until its replica crashes or releases it.
 pub const LONG_RUNNING: &str = "lasting";
 /// Time between a crash and the restart.
@@ -38,6 +41,8 @@
     crash: Notify,
     release: Notify,
     seen: RefCell<Vec<ReceivedRequest>>,
+    /// Id of the part that crashes it, if it crashes on prompts.
+    part: String,
 }
 
 impl CrashingReplica {
@@ -71,6 +76,11 @@
     /// Starts a replica that crashes on [`CRASHING`] requests and restarts under another id
     /// at the same address. Waits until all entries know it.
     pub async fn add_crashing(&mut self, name: &str) -> Rc<CrashingReplica> {
+        self.add_crashing_on(name, CRASHING_PART).await
+    }
+
+    /// The same for a replica that crashes on another part of prompts as well.
+    pub async fn add_crashing_on(&mut self, name: &str, part: &str) -> Rc<CrashingReplica> {
         let replica = Rc::new(CrashingReplica {
             name: name.to_owned(),
             address: Cell::new(None),
@@ -80,6 +90,7 @@
             crash: Notify::new(),
             release: Notify::new(),
             seen: RefCell::default(),
+            part: part.to_owned(),
         });
         ntex::rt::spawn(run_incarnations(replica.clone(), self.registry.clone()));
         self.crashing_replicas.push(replica.clone());
@@ -163,13 +174,16 @@
             seen.header("request-id").unwrap_or_default().to_owned(),
             seen.body.clone(),
         );
+        let prompt = seen.header("prefix").unwrap_or_default();
+        let mut parts = prompt.split(',').map(|part| part.split(':').next());
+        let crashes = body == CRASHING || parts.any(|part| part == Some(&replica.part));
         replica.seen.borrow_mut().push(seen);
         let stamp = replica.id();
         let head = format!(
             "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nStamp: {stamp}\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
         match body.as_str() {
-            CRASHING => {
+            _ if crashes => {
                 tokio::time::sleep(CRASH_DELAY).await;
                 replica.crash.notify_one();
                 std::future::pending::<()>().await;
@@ -183,3 +197,23 @@
         }
     }
 }
+
+impl ForwardSite {
+    /// Sends a request whose prompt has these parts, and one of its own.
+    pub async fn send_prompt(
+        &self,
+        entry: usize,
+        target: &str,
+        id: &str,
+        parts: &[&str],
+    ) -> Response {
+        let prompt: String = parts.iter().map(|part| format!("{part}:10,")).collect();
+        let text = format!(
+            "POST {target} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\n\
+             Deadline-Ms: {TIMEOUT_MS}\r\nConnection: close\r\nPrefix: {prompt}ff:5\r\n\
+             Content-Length: {}\r\n\r\n{id}",
+            id.len()
+        );
+        self.send_raw_at(entry, &text).await
+    }
+}
