--- a/src/consensus/part_crashes.rs
+++ b/src/consensus/part_crashes.rs
@@ -164,12 +164,33 @@
         if self.known_crashes.len() > MAX_KNOWN_CRASHES {
             self.known_crashes.pop_front();
         }
-        if self.standing == PartStanding::Held {
+        if self.standing == PartStanding::Held && self.held_crashes.len() < MAX_KNOWN_CRASHES {
             self.held_crashes.insert(replica.clone());
         }
         self.crashes += 1;
         self.last_ms = clock_ms;
     }
+
+    /// Makes a quarantined part a suspect with two crashes. Returns its known crashes before.
+    fn lift(&mut self) -> VecDeque<ReplicaIncarnation> {
+        let known = self.known_crashes.clone();
+        self.crashes = MIN_GUILTY_CRASHES - 1;
+        let older = known.len().saturating_sub(self.crashes as usize);
+        self.known_crashes.drain(..older);
+        self.held_crashes.clear();
+        self.sound = 0;
+        self.sound_before = false;
+        known
+    }
+
+    /// Removes crashes that have another cause.
+    fn forget(&mut self, crashes: &VecDeque<ReplicaIncarnation>) {
+        let known = self.known_crashes.len();
+        self.known_crashes.retain(|crash| !crashes.contains(crash));
+        self.held_crashes.retain(|crash| !crashes.contains(crash));
+        let forgotten = known - self.known_crashes.len();
+        self.crashes = self.crashes.saturating_sub(forgotten as u32);
+    }
 }
 
 /// Most sound runs that a guilty part has after a number of crashes.
@@ -254,17 +275,17 @@
     /// Lifts the quarantine of a part at an operator's request. It remains suspect, and one more
     /// crash quarantines it again. Returns the changed standings, none if it was not quarantined.
     pub fn lift(&mut self, part: &ContentDigest) -> PartStandings {
+        if self.standing(part) != PartStanding::Barred {
+            return PartStandings::new();
+        }
         let before = self.standings();
-        let record = self.records.get_mut(part);
-        if let Some(record) = record.filter(|record| record.standing() == PartStanding::Barred) {
-            record.held_crashes.clear();
-            record.sound = 0;
-            record.sound_before = false;
-            record.crashes = MIN_GUILTY_CRASHES - 1;
-            while record.known_crashes.len() > record.crashes as usize {
-                record.known_crashes.pop_front();
-            }
+        let lifted = self.records.get_mut(part);
+        let crashes = lifted.map(PartRecord::lift).unwrap_or_default();
+        // What it explained is not held against others.
+        for (_, record) in self.records.iter_mut().filter(|(other, _)| *other != part) {
+            record.forget(&crashes);
         }
+        self.records.retain(|_, record| record.crashes > 0);
         self.judge(&before)
     }
 
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -113,6 +113,9 @@
 mutant turns-for-all src/placement/suspect_leases.rs 's/return SuspectLeaseReply::Wait;/{}/' crashes one_attempt_of_a_suspect_runs_at_a_time
 mutant suspects-together src/placement/suspect_leases.rs 's/\*\*key != request\.content \&\& lease\.replica == request\.replica/**key != request.content \&\& false/' crashes suspects_do_not_share_a_replica
 mutant broken-is-a-crash src/forward/crashes.rs 's/(put\(&at\.incarnation\.id, connection\);\s+)Probe::Alive/$1Probe::Ended/' forwarding a_broken_connection_is_not_a_crash
+mutant rivals-not-held src/consensus/part_crashes.rs 's/\(rivals\.is_empty\(\) \&\& !record\.is_doubtful\(\)\)/!record.is_doubtful()/' part_crashes parts_that_always_come_together_are_held_until_a_run_tells_them_apart
+mutant ends-not-confirmed src/forward/request/crashes.rs 's/_ if exchange\.is_delimited\(\)/_ if exchange.is_delimited() || true/' forwarding a_response_that_ends_with_its_replica_is_not_passed_on_as_complete
+mutant lifted-blames-others src/consensus/part_crashes.rs 's/record\.forget\(\&crashes\);/let _ = (record, \&crashes);/' part_crashes lifting_a_part_blames_none_whose_crashes_it_explained
 mutant later-life-unheard src/consensus/directory.rs 's/Some\(known\) if record\.started_ms > known\.started_ms => HeartbeatStatus::New,\n//' replica_born a_new_incarnation_is_accepted_though_its_numbers_restart
 mutant pause-not-kept src/routing/backoff.rs 's/peer if now_ms < peer\.until_ms => /peer if false \&\& now_ms < peer.until_ms => /' backoff at_most_two_requests_arrive_within_a_backoff_period
 mutant trials-without-bound src/routing/backoff.rs 's/peer\.probes >= MAX_PROBES/false/' backoff at_most_two_requests_arrive_within_a_backoff_period
--- a/tests/part_crashes.rs
+++ b/tests/part_crashes.rs
@@ -225,6 +225,22 @@
     assert_eq!(store.standing(&part(1)), PartStanding::Barred);
 }
 
+#[test]
+fn lifting_a_part_blames_none_whose_crashes_it_explained() {
+    let mut store = PartStore::default();
+    for replica in 1..=6 {
+        let parts: &[u64] = match replica {
+            1..=3 => &[1, 2],
+            _ => &[1],
+        };
+        store.record(&crash(replica, parts), 0);
+    }
+    assert_eq!(store.standing(&part(1)), PartStanding::Barred);
+    assert_eq!(store.standing(&part(2)), PartStanding::Suspect);
+    store.lift(&part(1));
+    assert_eq!(store.standing(&part(2)), PartStanding::Harmless);
+}
+
 #[test]
 fn a_flood_of_watched_parts_is_bounded_and_evicts_no_quarantined_one() {
     let mut store = PartStore::default();
