--- a/tests/forwarding/crashing_parts.rs
+++ b/tests/forwarding/crashing_parts.rs
@@ -3,7 +3,7 @@
 use dunlinspring::consensus::part_crashes::PartStanding;
 use dunlinspring::routing::content::part_digest;
 
-use crate::support::crashing::{CLOSING, CRASHING_PART, CUT_BY_CRASH};
+use crate::support::crashing::{CLOSING, CRASHING_PART, CUT_BY_CRASH, LONG_RUNNING};
 use crate::support::{ForwardSite, RouteShape, wait_for};
 
 const STREAM: RouteShape = RouteShape::stream("/stream/", false);
@@ -99,6 +99,26 @@
     assert_eq!(site.crash_count(), crashes + 1);
 }
 
+#[ntex::test]
+async fn a_run_that_has_not_begun_is_withdrawn_when_its_part_is_quarantined() {
+    let mut site = ForwardSite::start(&[STREAM]).await;
+    let replica = site.add_crashing("r1").await;
+    let response = site.send_prompt(0, "/stream/x", LONG_RUNNING, &[FIRST_PART, "bad0"]);
+    let quarantines = async {
+        wait_for("the run", async || {
+            (replica.run_count(LONG_RUNNING) == 1).then_some(())
+        })
+        .await;
+        for crash in 1..=3 {
+            let part = part_digest("plain", "bad0");
+            site.report_part_crash(part, crash).await;
+        }
+    };
+    // Without the verdict the request would end with 504 at its deadline.
+    let (response, ()) = futures::join!(response, quarantines);
+    assert_eq!((response.status, replica.crash_count()), (502, 0));
+}
+
 #[ntex::test]
 async fn a_response_that_ends_with_its_replica_is_not_passed_on_as_complete() {
     let mut site = ForwardSite::start(&[STREAM]).await;
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -18,7 +18,7 @@
 use crashing::CrashingReplica;
 use dunlinspring::consensus::crashes::CrashStore;
 use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
-use dunlinspring::consensus::part_crashes::PartStore;
+use dunlinspring::consensus::part_crashes::{PartCrashReport, PartStore};
 use dunlinspring::consensus::raft::RaftTiming;
 use dunlinspring::consensus::state::{Command, HallStanding, Reply};
 use dunlinspring::control::bootstrap;
@@ -29,7 +29,9 @@
 use dunlinspring::forward::daemon::{ForwardDaemon, ForwardSettings};
 use dunlinspring::forward::head::{self, Framing, Header};
 use dunlinspring::forward::need::ChoicePolicy;
-use dunlinspring::ids::{ContentDigest, HallName, HostName, ModelName, ReplicaId, ServiceName};
+use dunlinspring::ids::{
+    ContentDigest, HallName, HostName, ModelName, ReplicaId, ReplicaIncarnation, ServiceName,
+};
 use dunlinspring::process::peers::{ControlLink, SiteSecret};
 use dunlinspring::process::settings::{CommonSettings, ControlSettings, VoterSettings};
 use dunlinspring::process::wire::{AccountStatus, ControlWireClient};
@@ -544,6 +546,25 @@
             .unwrap()
     }
 
+    /// Reports the crash of an unrelated replica as a prompt part began there.
+    pub async fn report_part_crash(&self, part: ContentDigest, crash: u64) {
+        let report = PartCrashReport {
+            replica: ReplicaIncarnation {
+                id: ReplicaId::from("elsewhere"),
+                started_ms: crash,
+            },
+            parts: BTreeMap::from([(part, false)]),
+        };
+        let call = |client: ControlWireClient, context| {
+            let command = Command::PartsCrashed(report.clone());
+            async move { client.propose(context, command).await }
+        };
+        self.link
+            .call_leader("crash", MAX_WAIT, call)
+            .await
+            .unwrap();
+    }
+
     /// Lifts the quarantine of a content or prompt part. Returns whether it was quarantined.
     pub async fn lift(&self, content: ContentDigest) -> bool {
         let call = |client: ControlWireClient, context| async move {
