--- a/tests/part_crashes.rs
+++ b/tests/part_crashes.rs
@@ -297,3 +297,15 @@
     let read: SiteState = bincode::deserialize(before).unwrap();
     assert_eq!(read, state);
 }
+
+#[test]
+fn a_sound_part_is_not_quarantined_by_an_unrelated_crash_while_it_is_held() {
+    let mut store = PartStore::default();
+    for replica in 1..=3 {
+        store.record(&crash(replica, &[1, 2]), 0);
+    }
+    assert_eq!(store.standing(&part(1)), PartStanding::Held);
+    // A replica is restarted as a run of the sound part begins there.
+    store.record(&crash(4, &[1, 3]), 0);
+    assert_ne!(store.standing(&part(1)), PartStanding::Barred);
+}
