One probe of a replica and one report of a crash serve both callers

The check of a response without length opened, kept and classified a connection as the probe of a lost one does, and entries and agents each built the report of prompt parts beside that of contents. Both now call the same code. Agents commit the two reports at once, as entries did, no longer one after the other; nothing else changes.

--- a/src/agent/shell.rs
+++ b/src/agent/shell.rs
@@ -21,7 +21,6 @@
 use crate::agent::engine::{EngineClient, EngineError, EngineStream, StreamPart};
 use crate::clock;
 use crate::consensus::crashes::CrashReport;
-use crate::consensus::part_crashes::PartCrashReport;
 use crate::consensus::state::MemberRole;
 use crate::ids::{AttemptId, Incarnation, ModelName, Position, ReplicaId, ReplicaIncarnation};
 use crate::placement::target_controller::AgentHeartbeat;
@@ -313,28 +312,20 @@
 
 /// Reports a crash of the engine to the log, with retries.
 async fn report_crash(agent: Arc<AgentShared>, crashed: CrashedIncarnation) {
-    let replica = ReplicaIncarnation {
-        id: ReplicaId::from(agent.settings.common.host.as_str()),
-        started_ms: crashed.boot,
-    };
-    // Entries report sound runs, and this process knows of none before.
-    let parts = crashed.parts.into_iter().map(|part| (part, false));
-    let part_report = PartCrashReport {
-        replica: replica.clone(),
-        parts: parts.collect(),
-    };
     let report = CrashReport {
-        replica,
+        replica: ReplicaIncarnation {
+            id: ReplicaId::from(agent.settings.common.host.as_str()),
+            started_ms: crashed.boot,
+        },
         contents: crashed.contents,
     };
     tracing::warn!(
         replica = %report.replica.id, boot = crashed.boot, count = report.contents.len(),
         "engine crashed during requests"
     );
-    crash_report::report_crash(&agent.link, &report).await;
-    if !part_report.parts.is_empty() {
-        crash_report::report_part_crash(&agent.link, &part_report).await;
-    }
+    // Entries report sound runs, and this process knows of none before.
+    let parts = crashed.parts.into_iter().map(|part| (part, false));
+    crash_report::report_crash(&agent.link, &report, parts.collect()).await;
 }
 
 /// Starts the runs that the engine can take, and sends due orders one at a time.
--- a/src/forward/crashes.rs
+++ b/src/forward/crashes.rs
@@ -17,11 +17,11 @@
 use crate::clock;
 use crate::consensus::crashes::{ContentStanding, CrashReport};
 use crate::consensus::directory::{ReplicaPhase, ReplicaRecord};
-use crate::consensus::part_crashes::{PartCrashReport, PartStandings};
+use crate::consensus::part_crashes::PartStandings;
 use crate::forward::daemon::EntryCore;
 use crate::forward::request_log::join_digests;
 use crate::forward::sound_runs::SoundRuns;
-use crate::forward::upstream::Connection;
+use crate::forward::upstream::{Connection, ExchangeError};
 use crate::ids::{ContentDigest, ReplicaIncarnation};
 use crate::process::{crash_report, daemon};
 use crate::routing::suspects::{PromptStanding, SuspectIndex, prompt_standing};
@@ -226,15 +226,11 @@
             return None;
         }
         // An idle connection would not prove it: its own close may still be on the way.
-        self.count_opened();
-        match Connection::open(at.address, PROBE_TIMEOUT).await {
-            Ok(connection) => {
-                let mut pool = self.pool.borrow_mut();
-                pool.put(&at.incarnation.id, connection);
-                Some(true)
-            }
-            Err(error) if error.is_refused() => Some(false),
-            Err(_) => None,
+        let opened = open_probe(self, at).await;
+        match conclude_probe(self, at, opened) {
+            Probe::Alive => Some(true),
+            Probe::Ended => Some(false),
+            Probe::Silent => None,
         }
     }
 
@@ -331,11 +327,22 @@
     let kept = core.pool.borrow_mut().take(&at.incarnation.id);
     let opened = match kept {
         Some(connection) => Ok(connection),
-        None => {
-            core.count_opened();
-            Connection::open(at.address, PROBE_TIMEOUT).await
-        }
+        None => open_probe(core, at).await,
     };
+    conclude_probe(core, at, opened)
+}
+
+async fn open_probe(core: &EntryCore, at: &SentTo) -> Result<Connection, ExchangeError> {
+    core.count_opened();
+    Connection::open(at.address, PROBE_TIMEOUT).await
+}
+
+/// Returns what a connection shows, and keeps it for the next request.
+fn conclude_probe(
+    core: &EntryCore,
+    at: &SentTo,
+    opened: Result<Connection, ExchangeError>,
+) -> Probe {
     match opened {
         Ok(connection) => {
             core.pool.borrow_mut().put(&at.incarnation.id, connection);
@@ -357,26 +364,16 @@
     log_crash(&replica, &runs, proof);
     let parts = runs.parts.iter();
     let parts = parts.map(|part| (*part, core.crashes.sound_runs.has_run(part)));
-    let part_report = PartCrashReport {
-        replica: replica.clone(),
-        parts: parts.collect(),
-    };
+    let parts = parts.collect();
     let report = CrashReport {
         replica,
         contents: runs.contents,
     };
-    let report_parts = async {
-        if !part_report.parts.is_empty() {
-            crash_report::report_part_crash(core.link(), &part_report).await;
-        }
-    };
     core.crashes
         .suspects
         .borrow_mut()
         .record_crash(&report, None);
-    let report_contents = crash_report::report_crash(core.link(), &report);
-    let (position, ()) = futures::join!(report_contents, report_parts);
-    if let Some(position) = position {
+    if let Some(position) = crash_report::report_crash(core.link(), &report, parts).await {
         let mut suspects = core.crashes.suspects.borrow_mut();
         suspects.record_crash(&report, Some(position));
     }
--- a/src/process/crash_report.rs
+++ b/src/process/crash_report.rs
@@ -1,6 +1,7 @@
 //! Reports to the log on contents and prompt parts during which replicas or engines crashed, and on
 //! those that ran without a crash.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::consensus::crashes::CrashReport;
@@ -18,20 +19,28 @@
 /// leader.
 const MAX_REPORT_ATTEMPTS: u32 = 60;
 
-/// Reports the contents of a crash to the log until it is committed. Returns its position, or
-/// `None` after the last attempt.
-pub async fn report_crash(link: &ControlLink, report: &CrashReport) -> Option<Position> {
-    commit_crash(link, &report.replica, &Command::Crashed(report.clone())).await
-}
-
-/// Reports the prompt parts of a crash to the log until it is committed.
-pub async fn report_part_crash(link: &ControlLink, report: &PartCrashReport) {
-    commit_crash(
-        link,
-        &report.replica,
-        &Command::PartsCrashed(report.clone()),
-    )
-    .await;
+/// Reports a crash to the log until it is committed: the contents that ran and, if there are any, the
+/// prompt parts that had just begun, each with whether it had run soundly before. Returns the
+/// position of the contents, or `None` after the last attempt.
+pub async fn report_crash(
+    link: &ControlLink,
+    report: &CrashReport,
+    parts: BTreeMap<ContentDigest, bool>,
+) -> Option<Position> {
+    let replica = &report.replica;
+    let commit_parts = async {
+        if !parts.is_empty() {
+            let report = PartCrashReport {
+                replica: replica.clone(),
+                parts,
+            };
+            commit_crash(link, replica, &Command::PartsCrashed(report)).await;
+        }
+    };
+    let contents = Command::Crashed(report.clone());
+    let commit_contents = commit_crash(link, replica, &contents);
+    let (position, ()) = futures::join!(commit_contents, commit_parts);
+    position
 }
 
 async fn commit_crash(
