Tests of crashing replicas share their start; comments in the usual terms

The start of a site with crashing replicas stood twice, and a parameter for another crashing part had one caller. Comments: over-long lines wrapped, a note on how a value was chosen and a figure of speech taken out. Assertions are unchanged.

--- a/src/admission/runs.rs
+++ b/src/admission/runs.rs
@@ -7,8 +7,8 @@
 use crate::last_field;
 use crate::table::rows::Urgency;
 
-/// Time after its first piece at which a run is sound, and until which it may be the cause of a crash,
-/// in milliseconds. A part that crashed replicas did so within 100 ms after their first token.
+/// Time after its first piece at which a run is sound, and until which it may be the cause of a
+/// crash, in milliseconds.
 pub const BEGINNING_MS: u64 = 400;
 
 /// Request of an entry to start an attempt.
--- a/src/consensus/part_crashes.rs
+++ b/src/consensus/part_crashes.rs
@@ -3,9 +3,9 @@
 //!
 //! A part may crash each replica that begins to answer a prompt with it, while no two of the
 //! requests are alike. All that ran beside it is part of the same crash, so a number of crashes
-//! proves nothing by itself. Two more signals tell a guilty part from its company: runs of the part
-//! that went on after their beginning, and crashes that another guilty part explains already. Where
-//! both are silent, a part is held: it runs one at a time until a run shows which it is.
+//! proves nothing by itself. Two more signals separate a guilty part from those that ran beside it:
+//! runs of the part that went on after their beginning, and crashes that another guilty part explains
+//! already. Where neither decides, a part is held: it runs one at a time until a run shows which it is.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
--- a/src/forward/suspect_leases.rs
+++ b/src/forward/suspect_leases.rs
@@ -1,5 +1,5 @@
-//! Leases for suspect contents and prompt parts: an attempt requests a lease from the leader and releases it once
-//! its outcome is known. See [`crate::placement::suspect_leases`].
+//! Leases for suspect contents and prompt parts: an attempt requests a lease from the leader and
+//! releases it once its outcome is known. See [`crate::placement::suspect_leases`].
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
--- a/tests/forwarding/crashes.rs
+++ b/tests/forwarding/crashes.rs
@@ -20,14 +20,7 @@
 const ENTRIES: usize = 3;
 
 async fn start() -> ForwardSite {
-    let mut site = ForwardSite::start(&[STREAM, SAFE]).await;
-    for _ in 1..ENTRIES {
-        site.add_entry().await;
-    }
-    for name in ["r1", "r2", "r3", "r4"] {
-        site.add_crashing(name).await;
-    }
-    site
+    ForwardSite::start_crashing(&[STREAM, SAFE], ENTRIES).await
 }
 
 #[ntex::test]
--- a/tests/forwarding/crashing_parts.rs
+++ b/tests/forwarding/crashing_parts.rs
@@ -13,14 +13,7 @@
 const FIRST_PART: &str = "aa";
 
 async fn start() -> ForwardSite {
-    let mut site = ForwardSite::start(&[STREAM]).await;
-    for _ in 1..ENTRIES {
-        site.add_entry().await;
-    }
-    for name in ["r1", "r2", "r3", "r4"] {
-        site.add_crashing(name).await;
-    }
-    site
+    ForwardSite::start_crashing(&[STREAM], ENTRIES).await
 }
 
 #[ntex::test]
--- a/tests/forwarding/support/crashing.rs
+++ b/tests/forwarding/support/crashing.rs
@@ -15,8 +15,8 @@
 use tokio::sync::Notify;
 
 use super::{
-    ForwardSite, ReceivedRequest, Response, TIMEOUT_MS, event_chunks, loopback, read_request,
-    ready_replica, unless_no_quorum, wait_for,
+    ForwardSite, ReceivedRequest, Response, RouteShape, TIMEOUT_MS, event_chunks, loopback,
+    read_request, ready_replica, unless_no_quorum, wait_for,
 };
 
 /// Request body that crashes the replica that runs it.
@@ -45,8 +45,6 @@
     crash: Notify,
     release: Notify,
     seen: RefCell<Vec<ReceivedRequest>>,
-    /// Id of the part that crashes it, if it crashes on prompts.
-    part: String,
 }
 
 impl CrashingReplica {
@@ -77,14 +75,21 @@
 }
 
 impl ForwardSite {
-    /// Starts a replica that crashes on [`CRASHING`] requests and restarts under another id
-    /// at the same address. Waits until all entries know it.
-    pub async fn add_crashing(&mut self, name: &str) -> Rc<CrashingReplica> {
-        self.add_crashing_on(name, CRASHING_PART).await
+    /// Starts a site with this number of entries and four replicas that crash.
+    pub async fn start_crashing(routes: &[RouteShape], entries: usize) -> Self {
+        let mut site = Self::start(routes).await;
+        for _ in 1..entries {
+            site.add_entry().await;
+        }
+        for name in ["r1", "r2", "r3", "r4"] {
+            site.add_crashing(name).await;
+        }
+        site
     }
 
-    /// The same for a replica that crashes on another part of prompts as well.
-    pub async fn add_crashing_on(&mut self, name: &str, part: &str) -> Rc<CrashingReplica> {
+    /// Starts a replica that crashes on [`CRASHING`] requests and prompts with [`CRASHING_PART`],
+    /// and restarts under another id at the same address. Waits until all entries know it.
+    pub async fn add_crashing(&mut self, name: &str) -> Rc<CrashingReplica> {
         let replica = Rc::new(CrashingReplica {
             name: name.to_owned(),
             address: Cell::new(None),
@@ -94,7 +99,6 @@
             crash: Notify::new(),
             release: Notify::new(),
             seen: RefCell::default(),
-            part: part.to_owned(),
         });
         ntex::rt::spawn(run_incarnations(replica.clone(), self.registry.clone()));
         self.crashing_replicas.push(replica.clone());
@@ -180,7 +184,7 @@
         );
         let prompt = seen.header("prefix").unwrap_or_default();
         let mut parts = prompt.split(',').map(|part| part.split(':').next());
-        let crashes = body == CRASHING || parts.any(|part| part == Some(&replica.part));
+        let crashes = body == CRASHING || parts.any(|part| part == Some(CRASHING_PART));
         replica.seen.borrow_mut().push(seen);
         let stamp = replica.id();
         let head = format!(
