Software versions of replicas are kept in the log and shown in logs and metrics

No log line could tell whether a service ran several software versions, which replica ran which, or whether a request takes a stream up: heartbeats name the version and it was dropped where they are read. No choice depends on it yet.

- A version belongs to an incarnation, not to an id or an address.
A replica that names none has a version that equals no other one.
- "replica known" and "replica reports a change" name the version and the birth; "stream continues" names who continues a stream (the entry or its client), the attempt that the client resumes, the first and the next replica with their versions, and the age of the view.
Metrics: versions per service, continuations by whether the version is the same.
- The protocol of the system's own processes is 10: heartbeats are compared with their version.

a_page_holds_only_the_newest_record_of_each_replica begins with both replicas known: a service's second unnamed version is a change of its own, and the test is about records. Its checks are as before.

--- a/src/consensus/mod.rs
+++ b/src/consensus/mod.rs
@@ -13,5 +13,6 @@
 pub mod paxos;
 pub mod raft;
 pub mod replica;
+pub mod software_versions;
 pub mod state;
 pub mod write_queue;
--- a/src/consensus/state.rs
+++ b/src/consensus/state.rs
@@ -13,9 +13,12 @@
 use crate::consensus::part_crashes::{
     PartCrashReport, PartStanding, PartStandings, PartStore, SoundReport,
 };
+use crate::consensus::software_versions::{
+    ReplicaHeartbeat, SoftwareVersion, VersionMix, VersionStore,
+};
 use crate::ids::{
     AttemptId, ContentDigest, HallName, HostName, Incarnation, ModelName, NodeId, Position,
-    ReplicaId, ReplicaIncarnation, ServiceName, TargetName,
+    ReplicaId, ReplicaIncarnation, ServiceName, TargetName, VersionName,
 };
 use crate::last_field;
 use crate::table::configuration::{Configuration, ConfigurationRecord, WarmupSpec};
@@ -151,6 +154,11 @@
     PartsCrashed(PartCrashReport),
     /// Records sound runs of watched prompt parts.
     PartsSound(SoundReport),
+    /// Stores the record of a replica that named its software version.
+    VersionedReplica(Box<ReplicaRecord>, VersionName),
+    /// Records that a service's replicas have run this version alone for longer than a stream may
+    /// last.
+    VersionSettled(ServiceName, SoftwareVersion),
 }
 
 /// Result of [`Command::Configure`].
@@ -216,6 +224,10 @@
     Hall(HallName, HallStanding),
     /// The standings of these prompt parts changed.
     Parts(PartStandings),
+    /// An incarnation named its software version.
+    ReplicaVersion(ReplicaIncarnation, VersionName),
+    /// The software versions of a service changed.
+    VersionMix(ServiceName, VersionMix),
 }
 
 /// Whether the replicas of a data hall receive requests.
@@ -271,10 +283,13 @@
     changed: Position,
     journal: VecDeque<(Position, Change)>,
     journal_from: Position,
-    /// Prompt parts that ran when replicas crashed. The last field: snapshots of earlier versions
-    /// end before it.
+    /// Prompt parts that ran when replicas crashed. Snapshots of earlier versions end before this
+    /// field or the next one.
     #[serde(deserialize_with = "last_field::read_or_default")]
     parts: PartStore,
+    /// Software versions of the replicas.
+    #[serde(deserialize_with = "last_field::read_or_default")]
+    versions: VersionStore,
 }
 
 impl SiteState {
@@ -307,7 +322,16 @@
                 self.apply_home(target, *incarnation, model, *report)
             }
             Command::Configure(record) => Reply::Configured(self.apply_configuration(record)),
-            Command::Replica(record) => self.apply_replica(record),
+            Command::Replica(record) => self.apply_replica(record, None),
+            Command::VersionedReplica(record, version) => self.apply_replica(record, Some(version)),
+            Command::VersionSettled(service, version) => {
+                let records = self.replicas.records().values();
+                if self.versions.settle(service, version, records) {
+                    let mix = VersionMix::Sole(version.clone());
+                    self.record_change(Change::VersionMix(service.clone(), mix));
+                }
+                Reply::None
+            }
             Command::ReplicaSilent(id) => {
                 if self.replicas.mark_silent(id) {
                     self.record_replica_change(id);
@@ -461,8 +485,16 @@
         let configuration = self.configuration.iter();
         let configuration = configuration
             .map(|record| Change::Configuration(Box::new(record.configuration.clone())));
+        let versions = self.versions.named().iter();
+        let versions = versions.map(|(incarnation, version)| {
+            Change::ReplicaVersion(incarnation.clone(), version.clone())
+        });
+        let mixes = self.versions.mixes().iter();
+        let mixes = mixes.map(|(service, mix)| Change::VersionMix(service.clone(), mix.clone()));
         let replicas = self.replicas.records().iter();
         let replicas = replicas.map(|(id, r)| Change::Replica(id.clone(), Some(r.for_members())));
+        // A replica's version precedes its record, so that no record is without one.
+        let replicas = versions.chain(mixes).chain(replicas);
         let counts = Some(self.crashes.counts()).filter(|counts| !counts.is_empty());
         let contents = counts.map(Change::Contents);
         let parts = Some(self.parts.standings()).filter(|standings| !standings.is_empty());
@@ -503,6 +535,11 @@
         }
     }
 
+    /// Returns the software versions of the replicas.
+    pub fn versions(&self) -> &VersionStore {
+        &self.versions
+    }
+
     /// Returns the prompt parts that ran when replicas crashed.
     pub fn parts(&self) -> &PartStore {
         &self.parts
@@ -565,6 +602,18 @@
     /// an unrelated sender, and could end the replica whose address it names. A known replica
     /// is still observed after its service is removed from the configuration, as it must learn
     /// that it may shut down.
+    pub fn compare_versioned(&self, heartbeat: &ReplicaHeartbeat) -> HeartbeatStatus {
+        let status = self.compare_heartbeat(&heartbeat.record);
+        let names_version = self.versions.is_new(heartbeat);
+        let known = self.replicas.records().get(&heartbeat.record.id);
+        let same = known.is_some_and(|known| known.incarnation() == heartbeat.record.incarnation());
+        match status {
+            HeartbeatStatus::Known if names_version && same => HeartbeatStatus::New,
+            status => status,
+        }
+    }
+
+    /// Returns the effect of a heartbeat, apart from its software version.
     pub fn compare_heartbeat(&self, record: &ReplicaRecord) -> HeartbeatStatus {
         let configured = self.configuration.as_ref().map(|held| &held.configuration);
         let named = configured.is_none_or(|c| c.services.contains_key(&record.service));
@@ -616,24 +665,49 @@
         }
     }
 
-    fn apply_replica(&mut self, record: &ReplicaRecord) -> Reply {
-        let record = self.with_warm_up(record);
+    fn apply_replica(&mut self, record: &ReplicaRecord, version: Option<&VersionName>) -> Reply {
+        let record = self.with_warm_up(record).into_owned();
         if self.compare_heartbeat(&record) == HeartbeatStatus::Foreign {
             return Reply::None;
         }
         let before = self.member_record(&record.id);
-        if let Some(replaced) = self.replicas.put(&record, self.clock_ms) {
-            for id in &replaced {
-                self.record_replica_change(id);
-            }
-            let after = self.member_record(&record.id);
-            if before != after {
-                self.record_change(Change::Replica(record.id.clone(), after));
-            }
+        let replaced = self.replicas.put(&record, self.clock_ms);
+        for id in replaced.iter().flatten() {
+            self.record_replica_change(id);
+        }
+        let after = self.member_record(&record.id);
+        let current = after.as_ref().map(ReplicaRecord::incarnation);
+        if current == Some(record.incarnation()) {
+            self.observe_version(&record, version);
+        }
+        if before != after {
+            self.record_change(Change::Replica(record.id.clone(), after));
         }
         Reply::None
     }
 
+    /// Records the software version of a replica's current incarnation.
+    fn observe_version(&mut self, record: &ReplicaRecord, version: Option<&VersionName>) {
+        let incarnation = record.incarnation();
+        if let Some(version) = version
+            && !self.versions.named().contains_key(&incarnation)
+        {
+            self.versions.name(&incarnation, version);
+            self.record_change(Change::ReplicaVersion(incarnation, version.clone()));
+        }
+        let version = self.versions.version(record);
+        let mut others = self.replicas.records().values();
+        let is_alone =
+            !others.any(|other| other.service == record.service && other.id != record.id);
+        let mix = self
+            .versions
+            .observe(&record.service, &version, is_alone)
+            .cloned();
+        if let Some(mix) = mix {
+            self.record_change(Change::VersionMix(record.service.clone(), mix));
+        }
+    }
+
     fn member_record(&self, id: &ReplicaId) -> Option<ReplicaRecord> {
         let record = self.replicas.records().get(id);
         record.map(ReplicaRecord::for_members)
@@ -641,6 +715,9 @@
 
     fn record_replica_change(&mut self, id: &ReplicaId) {
         let record = self.member_record(id);
+        if record.is_none() {
+            self.versions.forget(id);
+        }
         self.record_change(Change::Replica(id.clone(), record));
     }
 
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -7,9 +7,10 @@
 
 use crate::consensus::claims::{ClaimKey, ClaimRecord};
 use crate::consensus::crashes::CrashStore;
-use crate::consensus::directory::{HeartbeatStatus, ReplicaRecord};
+use crate::consensus::directory::HeartbeatStatus;
 use crate::consensus::part_crashes::PartStore;
 use crate::consensus::raft::RaftMessage;
+use crate::consensus::software_versions::ReplicaHeartbeat;
 use crate::consensus::state::{Command, Reply};
 use crate::ids::{HostName, NodeId, Position, ReplicaId, Term};
 use crate::placement::advertised_limits::{LimitPage, LimitReport};
@@ -113,7 +114,7 @@
     /// An order of this leader has ended with that outcome.
     OrderDone(ReplicaOrder, OrderOutcome),
     /// Compares a replica's heartbeat with the state that is committed here.
-    Compare(Box<ReplicaRecord>, ReplySender<HeartbeatStatus>),
+    Compare(Box<ReplicaHeartbeat>, ReplySender<HeartbeatStatus>),
     /// Hands over the leadership and stops.
     Stop(oneshot::Sender<()>),
 }
--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -14,10 +14,11 @@
 use tarpc::client::RpcError;
 use tokio::sync::oneshot;
 
-use crate::consensus::directory::{HeartbeatStatus, ReplicaPhase, ReplicaRecord};
+use crate::consensus::directory::{HeartbeatStatus, ReplicaPhase};
+use crate::consensus::software_versions::ReplicaHeartbeat;
 use crate::consensus::state::{Command, ConfigureResult, HallStanding, Reply};
 use crate::control::event::{ControlEvent, ControlHandle};
-use crate::ids::{HallName, ReplicaId, ServiceName};
+use crate::ids::{HallName, ReplicaId, ServiceName, VersionName};
 use crate::process::peers::{self, ControlLink, PeerError};
 use crate::process::wire::{ControlRefusal, ControlWireClient};
 use crate::table::configuration::{Configuration, ConfigurationError, ConfigurationRecord};
@@ -99,10 +100,16 @@
     }
 
     /// Handles a replica's heartbeat.
-    pub async fn heartbeat(&self, record: ReplicaRecord) -> Result<(), RegistryError> {
-        let id = record.id.clone();
+    pub async fn heartbeat(
+        &self,
+        heartbeat: impl Into<ReplicaHeartbeat>,
+    ) -> Result<(), RegistryError> {
+        let heartbeat = heartbeat.into();
+        let id = heartbeat.record.id.clone();
         self.seen().insert(id.clone());
-        match self.compare(&record).await? {
+        let status = self.compare(&heartbeat).await?;
+        let ReplicaHeartbeat { record, version } = heartbeat;
+        match status {
             HeartbeatStatus::Known => Ok(()),
             HeartbeatStatus::Ended => Err(RegistryError::Ended),
             HeartbeatStatus::Foreign => Err(RegistryError::UnknownService {
@@ -113,10 +120,16 @@
                 let models = record.models.len();
                 tracing::info!(
                     replica = %id, service = %record.service, ?phase, models,
+                    software = version.as_ref().map_or("unnamed", VersionName::as_str),
+                    born_ms = record.started_ms,
                     "replica reports a change"
                 );
                 let is_draining = phase == ReplicaPhase::Draining;
-                let command = Command::Replica(Box::new(record));
+                let record = Box::new(record);
+                let command = match version {
+                    Some(version) => Command::VersionedReplica(record, version),
+                    None => Command::Replica(record),
+                };
                 let committed = self.commit(command, HEARTBEAT_TIMEOUT).await;
                 // Only a draining replica needs the commit: one that stays may receive requests
                 // before its change is known everywhere.
@@ -261,20 +274,23 @@
         self.link.record_reply(leader, flatten_reply(called))
     }
 
-    async fn compare(&self, record: &ReplicaRecord) -> Result<HeartbeatStatus, RegistryError> {
+    async fn compare(
+        &self,
+        heartbeat: &ReplicaHeartbeat,
+    ) -> Result<HeartbeatStatus, RegistryError> {
         match &self.access {
             LogAccess::Local(handle) => {
-                let record = Box::new(record.clone());
-                let request = handle.request(|answer| ControlEvent::Compare(record, answer));
+                let heartbeat = Box::new(heartbeat.clone());
+                let request = handle.request(|answer| ControlEvent::Compare(heartbeat, answer));
                 let waited = tokio::time::timeout(HEARTBEAT_TIMEOUT, request).await;
                 let answered = waited.map_err(|_| RegistryError::NoQuorum)?;
                 answered.map_err(|_| RegistryError::NoQuorum)
             }
             LogAccess::Remote => {
                 let call = |client: ControlWireClient, _| {
-                    let record = record.clone();
+                    let heartbeat = heartbeat.clone();
                     let context = peers::within(RELAY_CALL_TIMEOUT);
-                    async move { client.compare(context, record).await }
+                    async move { client.compare(context, heartbeat).await }
                 };
                 let compared = self
                     .link
--- a/src/control/relay.rs
+++ b/src/control/relay.rs
@@ -17,10 +17,11 @@
 use crate::clock;
 use crate::consensus::claims::{ClaimKey, ClaimRecord};
 use crate::consensus::crashes::CrashStore;
-use crate::consensus::directory::{HeartbeatStatus, ReplicaRecord};
+use crate::consensus::directory::HeartbeatStatus;
 use crate::consensus::part_crashes::PartStore;
 use crate::consensus::paxos::{self, PaxosAcceptor, PaxosReply, PaxosRequest};
 use crate::consensus::raft::RaftMessage;
+use crate::consensus::software_versions::ReplicaHeartbeat;
 use crate::consensus::state::{Command, Reply};
 use crate::control::bootstrap;
 use crate::ids::{HallName, HostName, Incarnation, NodeId, Position, ReplicaId};
@@ -459,7 +460,7 @@
     async fn compare(
         self,
         _: Context,
-        _: ReplicaRecord,
+        _: ReplicaHeartbeat,
     ) -> Result<HeartbeatStatus, ControlRefusal> {
         Err(self.not_leader())
     }
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -15,10 +15,11 @@
 use crate::clock;
 use crate::consensus::claims::{ClaimKey, ClaimRecord};
 use crate::consensus::crashes::CrashStore;
-use crate::consensus::directory::{HeartbeatStatus, ReplicaRecord};
+use crate::consensus::directory::HeartbeatStatus;
 use crate::consensus::part_crashes::PartStore;
 use crate::consensus::paxos::{PaxosReply, PaxosRequest};
 use crate::consensus::raft::RaftMessage;
+use crate::consensus::software_versions::ReplicaHeartbeat;
 use crate::consensus::state::{Command, Reply};
 use crate::control::bootstrap::{self, InitialRole};
 use crate::control::event::{ControlEvent, ControlHandle};
@@ -555,10 +556,10 @@
     async fn compare(
         self,
         _: Context,
-        record: ReplicaRecord,
+        heartbeat: ReplicaHeartbeat,
     ) -> Result<HeartbeatStatus, ControlRefusal> {
         self.handle
-            .request(|answer| ControlEvent::Compare(Box::new(record), answer))
+            .request(|answer| ControlEvent::Compare(Box::new(heartbeat), answer))
             .await
     }
 
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -340,8 +340,8 @@
                 let _ = answer.send(self.permit_order(now_ms, term));
             }
             ControlEvent::OrderDone(order, outcome) => self.on_order_done(now_ms, &order, outcome),
-            ControlEvent::Compare(record, answer) => {
-                let _ = answer.send(Ok(self.replica.state().compare_heartbeat(&record)));
+            ControlEvent::Compare(heartbeat, answer) => {
+                let _ = answer.send(Ok(self.replica.state().compare_versioned(&heartbeat)));
             }
             ControlEvent::Stop(answer) => {
                 self.stopping = Some(StopRequest {
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -29,7 +29,7 @@
 use crate::forward::request_log::LogLineLimit;
 use crate::forward::unknown_headers::UnknownHeaders;
 use crate::forward::upstream::ConnectionPool;
-use crate::ids::{HallName, HostName, ModelName, RegionName, ReplicaId};
+use crate::ids::{HallName, HostName, ModelName, RegionName, ReplicaId, ServiceName};
 use crate::placement::order::AdapterPlacement;
 use crate::placement::report::EntryReport;
 use crate::process::daemon::{self, DaemonError};
@@ -520,6 +520,8 @@
             tracing::info!(?evacuated, %position, "evacuated halls changed");
         }
         replicas.update_records(clock::monotonic_ms(), &view.replicas);
+        replicas.update_versions(&view.versions);
+        self.show_versions(&replicas);
         drop(replicas);
         let held = self.version();
         let newer = view.configuration.as_ref().filter(|c| c.version > held);
@@ -568,7 +570,11 @@
         for (id, record) in known.by_ref().take(MAX_REPLICA_LOG_LINES) {
             let models: Vec<&str> = record.models.keys().map(ModelName::as_str).collect();
             let models = models.join(",");
-            tracing::info!(replica = %id, phase = ?record.phase, models, %position, "replica known");
+            let (software, born_ms) = (view.version(record), record.started_ms);
+            tracing::info!(
+                replica = %id, service = %record.service, phase = ?record.phase, models, %software, born_ms,
+                %position, "replica known"
+            );
         }
         let mut gone = replicas.ids().filter(|id| !view.replicas.contains_key(*id));
         for id in gone.by_ref().take(MAX_REPLICA_LOG_LINES) {
@@ -580,6 +586,25 @@
         }
     }
 
+    /// Shows the software versions of each service in the metrics.
+    fn show_versions(&self, replicas: &ReplicaTable) {
+        let mut counts: BTreeMap<&ServiceName, u64> = BTreeMap::new();
+        for (service, _) in replicas.versions().into_keys() {
+            *counts.entry(service).or_default() += 1;
+        }
+        let mut metrics = self.metrics.lock().unwrap_or_else(|b| b.into_inner());
+        for (service, count) in counts {
+            let labels = [("service", service.as_str())];
+            let key = MetricKey::new("dunlinspring_service_versions", &labels);
+            metrics.gauge(key, count);
+        }
+    }
+
+    /// Time since a control host last knew a leader, as this entry knows, in milliseconds.
+    pub(super) fn view_age_ms(&self) -> u64 {
+        self.follower.stale_ms()
+    }
+
     fn update_readiness(&self) {
         let routing = self.routing();
         let known = routing.is_some();
--- a/src/forward/dialect.rs
+++ b/src/forward/dialect.rs
@@ -35,6 +35,8 @@
     pub account: &'static str,
     /// Id of the last event that the caller received.
     pub last_event: &'static str,
+    /// Id of the client's attempt that brought the first event of the stream that it takes up.
+    pub resumes: &'static str,
     /// Headers that only this system may set; removed from clients' requests.
     pub reserved: &'static [&'static str],
 }
--- a/src/forward/replica_state.rs
+++ b/src/forward/replica_state.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 
 use crate::consensus::directory::ReplicaRecord;
+use crate::consensus::software_versions::SoftwareVersion;
 use crate::forward::need::{Need, URGENCY_LEVELS};
 use crate::forward::prompt_parts::PromptMemory;
 use crate::forward::replica_table::queue_room::ReplicaQueue;
@@ -122,6 +123,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct ReplicaState {
     pub(super) record: ReplicaRecord,
+    /// Software version of the record's incarnation.
+    pub(super) version: SoftwareVersion,
     /// Own requests whose response has not started.
     pub(super) waiting: u32,
     /// Own requests whose response has started.
@@ -149,6 +152,7 @@
     pub(super) fn new(record: ReplicaRecord) -> Self {
         Self {
             slots: record.slots.max(1),
+            version: SoftwareVersion::Unnamed(record.incarnation()),
             record,
             waiting: 0,
             running: 0,
--- a/src/forward/replica_table.rs
+++ b/src/forward/replica_table.rs
@@ -12,6 +12,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::consensus::directory::{ReplicaPhase, ReplicaRecord};
+use crate::consensus::software_versions::{self, NamedVersions, SoftwareVersion};
 use crate::forward::answer_separation::AnswerStats;
 use crate::forward::locality::EntryLocation;
 use crate::forward::need::URGENCY_LEVELS;
@@ -229,6 +230,30 @@
         }
     }
 
+    /// Replaces the names of the replicas' software versions by those of the log. To be called after
+    /// [`Self::update_records`], which resets the version of a replica that restarted.
+    pub fn update_versions(&mut self, named: &NamedVersions) {
+        for state in self.states.values_mut() {
+            state.version = software_versions::version_of(named, &state.record);
+        }
+    }
+
+    /// Returns the software version of a replica's current incarnation.
+    pub fn version(&self, id: &ReplicaId) -> Option<&SoftwareVersion> {
+        self.states.get(id).map(|state| &state.version)
+    }
+
+    /// Returns the number of ready replicas by service and software version.
+    pub fn versions(&self) -> BTreeMap<(&ServiceName, &SoftwareVersion), u64> {
+        let mut counts = BTreeMap::new();
+        let ready = self.states.values();
+        for state in ready.filter(|state| state.record.phase == ReplicaPhase::Ready) {
+            let slot = (&state.record.service, &state.version);
+            *counts.entry(slot).or_default() += 1;
+        }
+        counts
+    }
+
     /// Returns the prompt and answer tokens of this entry's waiting requests, by replica.
     pub fn queued_tokens(&self) -> QueuedTokens {
         let tokens = |state: &ReplicaState| state.waiting_tokens.iter().sum::<u64>();
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -7,6 +7,7 @@
 mod answer_heads;
 mod asking;
 mod attempt_guard;
+mod continuing;
 mod crashes;
 mod placing;
 mod waiting;
@@ -40,6 +41,7 @@
 
 use asking::QuotesAtHand;
 use attempt_guard::AttemptGuard;
+use continuing::EventSource;
 
 /// Largest response that is buffered until it is complete, in bytes.
 const MAX_BUFFERED_BYTES: usize = 1024 * 1024;
@@ -169,6 +171,10 @@
     permit: Option<RatePermit>,
     /// Where the request was sent, while it may still run there.
     sent: Option<SentTo>,
+    /// Where the events of the current attempt come from.
+    source: Option<EventSource>,
+    /// Where the first event of the response came from.
+    first_source: Option<EventSource>,
     /// When the response of the current attempt began.
     begun: Option<Instant>,
     /// Whether the current attempt has run beyond its beginning.
@@ -250,6 +256,8 @@
             leases: Vec::new(),
             permit: None,
             sent: None,
+            source: None,
+            first_source: None,
             begun: None,
             is_sound: false,
             has_ended: false,
@@ -512,6 +520,7 @@
         guard.announced = self.announce_run(&sent);
         let id = self.id.clone();
         let observer = answer_heads::observer(core, &sent, &id, guard.permit);
+        self.begin_source(&sent);
         self.sent = Some(sent);
         let bytes = self.outgoing(replica);
         let paid = std::mem::take(&mut self.paid);
@@ -735,6 +744,7 @@
                 continue;
             }
             self.log.first_event();
+            self.record_event_source();
             self.record_progress();
             let now = Instant::now();
             if let Some(last) = last.replace(now) {
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -81,6 +81,10 @@
     /// Name of a service that replicas register for.
     ServiceName
 );
+name_type!(
+    /// Software version that replicas name; it has no order.
+    VersionName
+);
 name_type!(
     /// Id of a self-registered replica. Depending on the replica, a restart yields a new id or
     /// reuses the old one; [`ReplicaIncarnation`] distinguishes the two runs.
--- a/src/process/wire.rs
+++ b/src/process/wire.rs
@@ -7,10 +7,11 @@
 use crate::admission::controller::{AttemptStatus, RunRequest, TargetPlan};
 use crate::consensus::claims::ClaimRecord;
 use crate::consensus::crashes::CrashStore;
-use crate::consensus::directory::{HeartbeatStatus, ReplicaRecord};
+use crate::consensus::directory::HeartbeatStatus;
 use crate::consensus::part_crashes::PartStore;
 use crate::consensus::paxos::{PaxosReply, PaxosRequest};
 use crate::consensus::raft::RaftMessage;
+use crate::consensus::software_versions::ReplicaHeartbeat;
 use crate::consensus::state::{Command, Reply, SiteState};
 use crate::ids::{
     AccountName, AttemptId, HallName, HostName, Incarnation, NodeId, Position, ReplicaId, RowId,
@@ -34,7 +35,7 @@
 
 /// Protocol version. Incremented with each change of a type on the wire; peers with another
 /// version are refused.
-pub const PROTOCOL: u32 = 9;
+pub const PROTOCOL: u32 = 10;
 
 /// Reason why a control host refused a call.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -234,7 +235,7 @@
     async fn contents() -> Result<CrashStore, ControlRefusal>;
     /// Compares a replica's heartbeat with the state that is committed here; for hosts that
     /// keep no log.
-    async fn compare(record: ReplicaRecord) -> Result<HeartbeatStatus, ControlRefusal>;
+    async fn compare(heartbeat: ReplicaHeartbeat) -> Result<HeartbeatStatus, ControlRefusal>;
     /// Returns whether this host keeps the log on its own disk. Answered before the site
     /// exists, as the hosts that bootstrap it are found by this call.
     async fn keeps_log() -> bool;
--- a/src/routing/view.rs
+++ b/src/routing/view.rs
@@ -7,9 +7,10 @@
 use crate::consensus::crashes::CrashCounts;
 use crate::consensus::directory::ReplicaRecord;
 use crate::consensus::part_crashes::{PartStanding, PartStandings};
+use crate::consensus::software_versions::{self, NamedVersions, SoftwareVersion, VersionMix};
 use crate::consensus::state::{Change, HallStanding, HomeInfo, HomePhase, MemberInfo, SiteState};
 use crate::ids::{
-    HallName, HostName, ModelName, PartnerName, Position, ReplicaId, RowId, TargetName,
+    HallName, HostName, ModelName, PartnerName, Position, ReplicaId, RowId, ServiceName, TargetName,
 };
 use crate::table::configuration::Configuration;
 use crate::table::rows::Row;
@@ -60,6 +61,10 @@
     pub configuration: Option<Box<Configuration>>,
     /// Registered replicas.
     pub replicas: BTreeMap<ReplicaId, ReplicaRecord>,
+    /// Software versions that known incarnations of replicas named.
+    pub versions: NamedVersions,
+    /// Which software versions each service runs.
+    pub version_mixes: BTreeMap<ServiceName, VersionMix>,
     /// Number of replica crashes during each suspect or quarantined content.
     pub contents: CrashCounts,
     /// Standings of the prompt parts that ran when replicas crashed.
@@ -87,6 +92,11 @@
         true
     }
 
+    /// Returns the software version of a replica.
+    pub fn version(&self, record: &ReplicaRecord) -> SoftwareVersion {
+        software_versions::version_of(&self.versions, record)
+    }
+
     /// Returns the row for a partner, model and class.
     pub fn find_row(
         &self,
@@ -135,6 +145,14 @@
             }
             Change::Replica(id, None) => {
                 self.replicas.remove(id);
+                software_versions::forget(&mut self.versions, id);
+            }
+            Change::ReplicaVersion(incarnation, version) => {
+                software_versions::forget(&mut self.versions, &incarnation.id);
+                self.versions.insert(incarnation.clone(), version.clone());
+            }
+            Change::VersionMix(service, mix) => {
+                self.version_mixes.insert(service.clone(), mix.clone());
             }
             Change::Contents(counts) => self.apply_contents(counts),
             Change::Parts(standings) => self.apply_parts(standings),
--- a/tests/replica_changes.rs
+++ b/tests/replica_changes.rs
@@ -32,6 +32,8 @@
 fn a_page_holds_only_the_newest_record_of_each_replica() {
     let mut state = SiteState::default();
     commit(&mut state, &record("a", 1));
+    // With its first replica beside "a", the service has several software versions.
+    commit(&mut state, &record("b", 99));
     let cursor = state.changed();
     for number in 0..20 {
         let mut changed = record("a", 1);
--- a/tests/support_names/mod.rs
+++ b/tests/support_names/mod.rs
@@ -19,5 +19,6 @@
     key: "Authorization",
     account: "Account",
     last_event: "Last-Event",
+    resumes: "Resumes",
     reserved: &[],
 };
