--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod pauses;
 mod support;
+mod versions;
 mod waiting;
 
 use std::cell::RefCell;
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -10,7 +10,7 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -20,6 +20,7 @@
 use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
 use dunlinspring::consensus::part_crashes::{PartCrashReport, PartStore};
 use dunlinspring::consensus::raft::RaftTiming;
+use dunlinspring::consensus::software_versions::ReplicaHeartbeat;
 use dunlinspring::consensus::state::{Command, HallStanding, Reply};
 use dunlinspring::control::bootstrap;
 use dunlinspring::control::registry::{LogAccess, Registry, RegistryError};
@@ -31,6 +32,7 @@
 use dunlinspring::forward::need::ChoicePolicy;
 use dunlinspring::ids::{
     ContentDigest, HallName, HostName, ModelName, ReplicaId, ReplicaIncarnation, ServiceName,
+    VersionName,
 };
 use dunlinspring::process::peers::{ControlLink, SiteSecret};
 use dunlinspring::process::settings::{CommonSettings, ControlSettings, VoterSettings};
@@ -48,6 +50,9 @@
 /// Response header line of a replica that drains.
 pub const DRAINING: &str = "Leaving: 1\r\n";
 
+/// Software version of replicas whose version does not matter.
+const SOFTWARE: &str = "v1";
+
 /// Longest wait for a condition; a test fails once it has passed.
 const MAX_WAIT: Duration = Duration::from_secs(60);
 
@@ -581,6 +586,29 @@
         self.add("plain", name, BTreeMap::new(), script).await;
     }
 
+    /// Starts a replica that runs a software version and waits until the first entry knows it.
+    pub async fn add_versioned_replica(
+        &mut self,
+        name: &str,
+        version: &str,
+        script: Vec<Behaviour>,
+    ) {
+        let record = ReplicaRecord {
+            slots: 8,
+            ..ready_replica(name, "plain")
+        };
+        self.register(record, version, script).await;
+    }
+
+    /// Waits until an entry knows a replica.
+    pub async fn known_at(&self, entry: usize, name: &str) {
+        wait_for("the entry to know the replica", async || {
+            let known = self.entries[entry].knows(&ReplicaId::from(name));
+            known.then_some(())
+        })
+        .await;
+    }
+
     /// Starts a replica that holds a model and responds with one event.
     pub async fn add_model_replica(&mut self, name: &str, model: &str) {
         let models = BTreeMap::from([(ModelName::from(model), Default::default())]);
@@ -619,23 +647,40 @@
         models: BTreeMap<ModelName, BTreeSet<String>>,
         script: Vec<Behaviour>,
     ) {
-        let listener = small_listener(ip);
         let record = ReplicaRecord {
-            address: listener.local_addr().unwrap(),
+            address: (ip, 0).into(),
             slots: 8,
             models,
             ..ready_replica(name, service)
         };
+        self.register(record, SOFTWARE, script).await;
+    }
+
+    /// Starts a replica at a free port of the record's address.
+    async fn register(&mut self, record: ReplicaRecord, version: &str, script: Vec<Behaviour>) {
+        let IpAddr::V4(ip) = record.address.ip() else {
+            panic!("replicas of these tests have IPv4 addresses");
+        };
+        let listener = small_listener(ip);
+        let record = ReplicaRecord {
+            address: listener.local_addr().unwrap(),
+            ..record
+        };
+        let name = record.id.0.clone();
         let state = SharedReplica::default();
         state.borrow_mut().script = script.into();
-        ntex::rt::spawn(serve_replica(listener, name.to_owned(), state.clone()));
+        ntex::rt::spawn(serve_replica(listener, name.clone(), state.clone()));
+        let heartbeat = ReplicaHeartbeat {
+            record: record.clone(),
+            version: Some(VersionName::from(version)),
+        };
         // Heartbeats repeat, so one that no quorum took is simply sent again.
         wait_for("the entry to know the replica", async || {
-            let _ = unless_no_quorum(self.registry.heartbeat(record.clone()).await)?;
-            self.entries[0].knows(&ReplicaId::from(name)).then_some(())
+            let _ = unless_no_quorum(self.registry.heartbeat(heartbeat.clone()).await)?;
+            self.entries[0].knows(&record.id).then_some(())
         })
         .await;
-        self.replicas.insert(name.to_owned(), (record, state));
+        self.replicas.insert(name, (record, state));
     }
 
     /// Stops a replica from accepting connections until `open` is called. Returns the
@@ -721,6 +766,48 @@
         self.send_raw_at(entry, &text).await
     }
 
+    /// Sends a request for a stream to the given entry and reads the response until `count` events
+    /// are complete. Returns the events and disconnects.
+    pub async fn begin_stream(&self, entry: usize, target: &str, id: &str, count: u32) -> String {
+        let text = format!(
+            "POST {target} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\n\
+             Deadline-Ms: {TIMEOUT_MS}\r\nContent-Length: 0\r\n\r\n"
+        );
+        let mut stream = TcpStream::connect(self.entries[entry].address)
+            .await
+            .unwrap();
+        stream.write_all(text.as_bytes()).await.unwrap();
+        let mut bytes = Vec::new();
+        loop {
+            assert!(stream.read_buf(&mut bytes).await.unwrap() > 0, "{id} ended");
+            let is_head_whole = head::parse_response(&bytes, "GET").unwrap().is_some();
+            if is_head_whole {
+                let body = decode_response(&bytes).body;
+                if body.matches("\n\n").count() >= count as usize {
+                    return body;
+                }
+            }
+        }
+    }
+
+    /// Sends a request to the given entry that takes up the stream which the client's attempt
+    /// `resumes` began, after the event `last`.
+    pub async fn send_take_up(
+        &self,
+        entry: usize,
+        target: &str,
+        id: &str,
+        resumes: &str,
+        last: u32,
+    ) -> Response {
+        let text = format!(
+            "POST {target} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\n\
+             Resumes: {resumes}\r\nLast-Event: {last}\r\nDeadline-Ms: {TIMEOUT_MS}\r\n\
+             Connection: close\r\nContent-Length: 0\r\n\r\n"
+        );
+        self.send_raw_at(entry, &text).await
+    }
+
     /// Sends a GET request with an API key and more header lines.
     pub async fn send_as(&self, target: &str, id: &str, key: &str, more: &str) -> Response {
         let text = format!(
