A broken stream is continued within its answer only at the software version that began it

Callers saw one answer with events of two software versions of a back end, ended as complete.

Cause: an entry that continues a broken stream chooses a replica as for a new request. The only thing it kept of the run that began the stream was the id of its last event and the replicas it had tried.

Change: the first event that is passed on binds the request to the software version of the incarnation that the request was sent to, and replicas of other versions are no candidates any more, in each place that filters them. If the replica was replaced under its id since the request was sent, the version of its events is not known: a continuation is not passed on, a new stream is bound to that incarnation alone. If no replica of the version can go on, the answer is broken off at once.

Ruled out: checking the version before the send only, as a replica may be replaced in between.

--- a/src/forward/need.rs
+++ b/src/forward/need.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::admission::quote::PromptPart;
+use crate::consensus::software_versions::SoftwareVersion;
 use crate::forward::locality::AllowedRegions;
 use crate::ids::{ContentDigest, ModelName, ServiceName};
 use crate::table::configuration::SLACK_RANKS;
@@ -19,6 +20,8 @@
 pub struct Need {
     /// The service.
     pub service: Option<ServiceName>,
+    /// The software version that began the stream, if it is continued.
+    pub version: Option<SoftwareVersion>,
     /// The model.
     pub model: Option<ModelName>,
     /// An adapter of the model.
--- a/src/forward/own_answer.rs
+++ b/src/forward/own_answer.rs
@@ -44,6 +44,8 @@
     PartQuarantined,
     /// Two parts of its prompt are suspect, and a run would not tell which crashes replicas.
     PartsHeld,
+    /// No replica of the software version that began the stream can continue it.
+    VersionGone,
     /// The caller is not authorized, or not any more.
     Caller(CallerRefusal),
     /// The request could not be charged to its account.
@@ -70,6 +72,9 @@
                 "replicas ended under a part of its prompt: it is sent no more"
             }
             Self::PartsHeld => "replicas ended under parts of its prompt, which are tried first",
+            Self::VersionGone => {
+                "no replica of the software that began the stream can go on with it"
+            }
             Self::Caller(refusal) => refusal.text(),
             Self::Quota(QuotaRefusal::Over(_)) => "the account is at its limit",
             Self::Quota(QuotaRefusal::Unknown) => "what is left of the limit is not known",
--- a/src/forward/replica_table.rs
+++ b/src/forward/replica_table.rs
@@ -665,12 +665,17 @@
     }
 }
 
-/// Whether a replica serves the service and holds the model, and is not draining.
+/// Whether a replica serves the service at the required software version and holds the model, and is
+/// not draining.
 fn serves_need(state: &ReplicaState, need: &Need) -> bool {
     let record = &state.record;
     let model = need.model.as_ref();
     need.service.as_ref() == Some(&record.service)
         && record.phase != ReplicaPhase::Draining
+        && need
+            .version
+            .as_ref()
+            .is_none_or(|version| *version == state.version)
         && model.is_none_or(|model| record.models.contains_key(model))
 }
 
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -58,6 +58,9 @@
 const STREAM_TIME_FACTOR: f64 = 2.0;
 /// Retry time if all replicas are in evacuated data halls.
 const EVACUATED_RETRY: Duration = Duration::from_millis(1_000);
+/// Retry time of a stream that no replica can continue: only a replica of a version that was taken
+/// out of service could.
+const GONE_RETRY: Duration = Duration::from_millis(30_000);
 /// A request with less time left than this is not sent.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
@@ -430,6 +433,7 @@
             Refusal::Quarantined | Refusal::PartQuarantined | Refusal::NoRegion => {
                 Duration::from_millis(QUARANTINE_RETRY_MS)
             }
+            Refusal::VersionGone => GONE_RETRY,
             // The other attempt takes about this long.
             Refusal::Suspect | Refusal::PartsHeld => self.aim(),
             Refusal::Quota(QuotaRefusal::Over(short)) => short,
@@ -743,8 +747,13 @@
             if events.is_empty() {
                 continue;
             }
+            if !self.accept_event_source() {
+                guard.end = AttemptResult::Failed;
+                self.log
+                    .note("the replica restarted before its first event");
+                return self.broken(writer);
+            }
             self.log.first_event();
-            self.record_event_source();
             self.record_progress();
             let now = Instant::now();
             if let Some(last) = last.replace(now) {
--- a/src/forward/request/continuing.rs
+++ b/src/forward/request/continuing.rs
@@ -70,11 +70,26 @@
         });
     }
 
-    /// Records that an event of the stream has come.
-    pub(super) fn record_event_source(&mut self) {
-        if self.first_source.is_none() {
-            self.first_source = self.source.clone();
+    /// Accepts the events that come from the current attempt. Its first event binds the stream to the
+    /// software version, unless the replica was replaced since the request was sent. Returns whether
+    /// the events may be passed on.
+    pub(super) fn accept_event_source(&mut self) -> bool {
+        let Some(source) = self.source.take() else {
+            return true;
+        };
+        let replicas = self.core.replicas.borrow();
+        let record = replicas.record(&source.incarnation.id);
+        let replaced = record.is_some_and(|record| record.incarnation() != source.incarnation);
+        drop(replicas);
+        if replaced && self.need.version.is_some() {
+            return false;
         }
+        self.need.version = Some(match replaced {
+            true => SoftwareVersion::Unnamed(source.incarnation.clone()),
+            false => source.version.clone(),
+        });
+        self.first_source.get_or_insert(source);
+        true
     }
 
     fn log_continuation(
@@ -83,9 +98,9 @@
         incarnation: &ReplicaIncarnation,
         version: &SoftwareVersion,
     ) {
-        let first = self.first_source.as_ref();
+        let first = self.need.version.as_ref();
         let matches = match first {
-            Some(first) if first.version == *version => "same",
+            Some(first) if first == version => "same",
             Some(_) => "other",
             None => "unknown",
         };
@@ -103,7 +118,7 @@
                 .last_id()
                 .unwrap_or_else(|| header(self.core.names.last_event)),
             first_replica = self.first_source.as_ref().map(|first| first.incarnation.to_string()),
-            first_software = first.map(|first| first.version.to_string()),
+            first_software = first.map(ToString::to_string),
             replica = %incarnation,
             software = %version,
             view_age_ms = self.core.view_age_ms(),
--- a/src/forward/request/placing.rs
+++ b/src/forward/request/placing.rs
@@ -80,6 +80,8 @@
                     (refusal, self.wait_limit(refusal, waited, left_ms)?)
                 }
                 Choice::Evacuated => return Err(Refusal::Evacuated),
+                // Models are not loaded for the sake of a software version.
+                Choice::Absent if self.need.version.is_some() => return Err(Refusal::VersionGone),
                 Choice::Absent => {
                     let wait = max_wait::load_wait(self.load_time(), waited, self.left());
                     (Refusal::Absent, wait)
