A client's stream is taken up only at the software version that began it, at any entry

Callers saw streams with events of two software versions over their own attempts: a client whose connection broke named in Resumes the attempt that had brought its first event, and got any replica of the model.

Cause: the attempt that a client resumes was passed on unread. Nothing at an entry connected two requests as one stream, and no other entry knew what had begun it.

Change: - Each entry keeps the origin (service and version) of the streams it serves, by a digest of the account and of the attempt that brought the first event. The records of a stream that is taken up stay under that first attempt. - While the replicas of a service run several versions, an entry also stores origins at three control hosts chosen by rendezvous hashing, beside the first event and without waiting; as a second version appears, also those of the streams it served before. Failed calls are repeated for five seconds; calls are collected for a time that grows with the number of entries. - An entry that takes a stream up asks, in this order: its own memory; the leader, whether one version alone serves (the view may be old); the control hosts.

Ruled out: refusing all take-ups while several versions serve (callers lose what they have read); asking all entries (the one that knew may be dead; hosts x take-ups); a commit for each stream.

--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -10,9 +10,9 @@
 use crate::consensus::directory::HeartbeatStatus;
 use crate::consensus::part_crashes::PartStore;
 use crate::consensus::raft::RaftMessage;
-use crate::consensus::software_versions::ReplicaHeartbeat;
+use crate::consensus::software_versions::{ReplicaHeartbeat, VersionMix};
 use crate::consensus::state::{Command, Reply};
-use crate::ids::{HostName, NodeId, Position, ReplicaId, Term};
+use crate::ids::{HostName, NodeId, Position, ReplicaId, ServiceName, Term};
 use crate::placement::advertised_limits::{LimitPage, LimitReport};
 use crate::placement::congestion::{QueueReport, QueuedTokens};
 use crate::placement::order::{AdapterPlacement, OrderOutcome, ReplicaOrder};
@@ -113,6 +113,8 @@
     OrderPermit(Term, ReplySender<SendPermit>),
     /// An order of this leader has ended with that outcome.
     OrderDone(ReplicaOrder, OrderOutcome),
+    /// Returns which software versions a service runs; for the leader.
+    VersionMix(ServiceName, ReplySender<Option<VersionMix>>),
     /// Compares a replica's heartbeat with the state that is committed here.
     Compare(Box<ReplicaHeartbeat>, ReplySender<HeartbeatStatus>),
     /// Hands over the leadership and stops.
--- a/src/control/relay.rs
+++ b/src/control/relay.rs
@@ -21,10 +21,10 @@
 use crate::consensus::part_crashes::PartStore;
 use crate::consensus::paxos::{self, PaxosAcceptor, PaxosReply, PaxosRequest};
 use crate::consensus::raft::RaftMessage;
-use crate::consensus::software_versions::ReplicaHeartbeat;
+use crate::consensus::software_versions::{ReplicaHeartbeat, VersionMix};
 use crate::consensus::state::{Command, Reply};
 use crate::control::bootstrap;
-use crate::ids::{HallName, HostName, Incarnation, NodeId, Position, ReplicaId};
+use crate::ids::{HallName, HostName, Incarnation, NodeId, Position, ReplicaId, ServiceName};
 use crate::placement::advertised_limits::{LimitPage, LimitReport};
 use crate::placement::congestion::{QueueReport, QueuedTokens};
 use crate::placement::order::AdapterPlacement;
@@ -42,6 +42,7 @@
     AccountStatus, AgentHeartbeatReply, ControlRefusal, ControlStatus, ControlWire,
     ControlWireClient, EntryHeartbeatReply, PositionUpdate, TableStatus,
 };
+use crate::routing::stream_origins::{OriginBatch, OriginMemory, StreamKey, StreamOrigin};
 use crate::routing::view::SyncPage;
 use crate::table::configuration::ConfigurationRecord;
 use crate::table::quota::{QuotaGrants, QuotaRequest};
@@ -137,6 +138,7 @@
                 acceptor: acceptor.map(Mutex::new),
                 chosen: tokio::sync::Mutex::default(),
             }),
+            origins: Arc::default(),
         };
         serve(listener, secret, relay);
         let watch = serve_health(settings.watch, hosts.clone()).await?;
@@ -259,6 +261,8 @@
     /// Hosts with a disk that enrolled here to become voters.
     enrolled: Arc<Mutex<BTreeSet<HostName>>>,
     agreement: Arc<BootstrapAgreement>,
+    /// Origins of streams that entries stored here.
+    origins: Arc<Mutex<OriginMemory>>,
 }
 
 /// Agreement of the configured hosts on the bootstrap host, as far as this relay knows it.
@@ -457,6 +461,22 @@
         Err(self.not_leader())
     }
 
+    async fn store_origins(self, _: Context, batch: OriginBatch) {
+        peers::lock(&self.origins).record_batch(clock::monotonic_ms(), &batch);
+    }
+
+    async fn find_origin(self, _: Context, key: StreamKey) -> Option<StreamOrigin> {
+        peers::lock(&self.origins).find(&key).cloned()
+    }
+
+    async fn version_mix(
+        self,
+        _: Context,
+        _: ServiceName,
+    ) -> Result<Option<VersionMix>, ControlRefusal> {
+        Err(self.not_leader())
+    }
+
     async fn compare(
         self,
         _: Context,
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -19,14 +19,14 @@
 use crate::consensus::part_crashes::PartStore;
 use crate::consensus::paxos::{PaxosReply, PaxosRequest};
 use crate::consensus::raft::RaftMessage;
-use crate::consensus::software_versions::ReplicaHeartbeat;
+use crate::consensus::software_versions::{ReplicaHeartbeat, VersionMix};
 use crate::consensus::state::{Command, Reply};
 use crate::control::bootstrap::{self, InitialRole};
 use crate::control::event::{ControlEvent, ControlHandle};
 use crate::control::journal;
 use crate::control::outbox::{OpenPeer, PeerOutbox};
 use crate::control::voter::ControlLoop;
-use crate::ids::{HostName, NodeId, Position, ReplicaId};
+use crate::ids::{HostName, NodeId, Position, ReplicaId, ServiceName};
 use crate::placement::advertised_limits::{LimitPage, LimitReport};
 use crate::placement::congestion::{QueueReport, QueuedTokens};
 use crate::placement::order::{AdapterPlacement, ReplicaOrder};
@@ -44,6 +44,7 @@
     AccountStatus, AgentHeartbeatReply, ControlRefusal, ControlStatus, ControlWire,
     ControlWireClient, EntryHeartbeatReply, PositionUpdate, TableStatus,
 };
+use crate::routing::stream_origins::{OriginBatch, OriginMemory, StreamKey, StreamOrigin};
 use crate::routing::view::SyncPage;
 use crate::table::configuration::ConfigurationRecord;
 use crate::table::quota::{QuotaGrants, QuotaRequest};
@@ -362,6 +363,8 @@
     handle: ControlHandle,
     /// Slots for full snapshots in transit.
     full_snapshots: Arc<Semaphore>,
+    /// Origins of streams that entries stored here.
+    origins: Arc<Mutex<OriginMemory>>,
 }
 
 impl ControlServer {
@@ -553,6 +556,24 @@
         self.handle.request(ControlEvent::Parts).await
     }
 
+    async fn store_origins(self, _: Context, batch: OriginBatch) {
+        peers::lock(&self.origins).record_batch(clock::monotonic_ms(), &batch);
+    }
+
+    async fn find_origin(self, _: Context, key: StreamKey) -> Option<StreamOrigin> {
+        peers::lock(&self.origins).find(&key).cloned()
+    }
+
+    async fn version_mix(
+        self,
+        _: Context,
+        service: ServiceName,
+    ) -> Result<Option<VersionMix>, ControlRefusal> {
+        self.handle
+            .request(|answer| ControlEvent::VersionMix(service, answer))
+            .await
+    }
+
     async fn compare(
         self,
         _: Context,
@@ -591,6 +612,7 @@
     let server = ControlServer {
         handle,
         full_snapshots: Arc::new(Semaphore::new(MAX_FULL_SNAPSHOTS)),
+        origins: Arc::default(),
     };
     let serve = move |transport| {
         let server = server.clone();
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -336,6 +336,11 @@
                 let parts = newest.map(|state| state.parts().clone());
                 let _ = answer.send(parts.ok_or_else(|| self.not_leader()));
             }
+            ControlEvent::VersionMix(service, answer) => {
+                let newest = self.replica.newest(now_ms);
+                let mix = newest.map(|state| state.versions().mixes().get(&service).cloned());
+                let _ = answer.send(mix.ok_or_else(|| self.not_leader()));
+            }
             ControlEvent::OrderPermit(term, answer) => {
                 let _ = answer.send(self.permit_order(now_ms, term));
             }
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -27,6 +27,7 @@
 use crate::forward::quotas::{self, QuotaClient};
 use crate::forward::replica_table::{ChoicePolicy, Ejection, Need, ReplicaTable};
 use crate::forward::request_log::LogLineLimit;
+use crate::forward::stream_origins::OriginKeeper;
 use crate::forward::unknown_headers::UnknownHeaders;
 use crate::forward::upstream::ConnectionPool;
 use crate::ids::{HallName, HostName, ModelName, RegionName, ReplicaId, ServiceName};
@@ -183,6 +184,8 @@
     pub waiters: CapacityWaiters,
     /// Crashes, and the contents that are suspect because of them.
     pub crashes: CrashTracker,
+    /// What began the streams of this entry.
+    pub origins: OriginKeeper,
     /// Client for the agents beside replicas; `None` if none are to be asked.
     pub agents: Option<AgentClient>,
     settings: ForwardSettings,
@@ -513,6 +516,7 @@
     fn follow(self: &Rc<Self>) {
         let view = self.follower.view();
         self.update_crashes(&view);
+        self.update_version_mixes(&view);
         self.log_replicas(&view);
         let mut replicas = self.replicas.borrow_mut();
         if replicas.update_evacuated(&view.evacuated) {
@@ -676,6 +680,7 @@
             changed: Notify::new(),
             waiters: CapacityWaiters::default(),
             crashes: CrashTracker::default(),
+            origins: OriginKeeper::default(),
             agents,
             follower: follower.clone(),
             routing: RefCell::default(),
@@ -837,6 +842,7 @@
             Ok(reply) => {
                 core.budget.borrow_mut().set_entries(reply.entries);
                 core.replicas.borrow_mut().set_entries(reply.entries);
+                core.origins.set_entries(reply.entries);
                 core.apply_limits(&reply.limits);
             }
             Err(error) => tracing::debug!(%error, "report to the leader failed"),
--- a/src/forward/own_answer.rs
+++ b/src/forward/own_answer.rs
@@ -44,6 +44,8 @@
     PartQuarantined,
     /// Two parts of its prompt are suspect, and a run would not tell which crashes replicas.
     PartsHeld,
+    /// It is not known which software version began the stream that the client takes up.
+    OriginUnknown,
     /// No replica of the software version that began the stream can continue it.
     VersionGone,
     /// The caller is not authorized, or not any more.
@@ -72,6 +74,7 @@
                 "replicas ended under a part of its prompt: it is sent no more"
             }
             Self::PartsHeld => "replicas ended under parts of its prompt, which are tried first",
+            Self::OriginUnknown => "what began the stream is not known here",
             Self::VersionGone => {
                 "no replica of the software that began the stream can go on with it"
             }
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -210,7 +210,9 @@
         let id = head::find(headers, core.names.request_id)
             .unwrap_or_default()
             .to_owned();
-        let service = route.pick(id_hash(&id)).cloned();
+        // A stream goes on at the service that began it.
+        let first_id = head::find(headers, core.names.resumes).unwrap_or(&id);
+        let service = route.pick(id_hash(first_id)).cloned();
         let limit_ms = request_deadline_ms(core, request)
             .unwrap_or(u64::MAX)
             .min(route.timeout_ms);
@@ -288,6 +290,9 @@
         if self.need.regions.is_none() {
             return self.give_up(Refusal::NoRegion, writer).await;
         }
+        if let Err(refusal) = self.require_origin().await {
+            return self.give_up(refusal, writer).await;
+        }
         if let Err(refusal) = self.pay().await {
             return self.give_up(Refusal::Quota(refusal), writer).await;
         }
@@ -437,7 +442,9 @@
             // The other attempt takes about this long.
             Refusal::Suspect | Refusal::PartsHeld => self.aim(),
             Refusal::Quota(QuotaRefusal::Over(short)) => short,
-            Refusal::Quota(QuotaRefusal::Unknown) | Refusal::Caller(_) => UNKNOWN_RETRY,
+            Refusal::Quota(QuotaRefusal::Unknown) | Refusal::Caller(_) | Refusal::OriginUnknown => {
+                UNKNOWN_RETRY
+            }
             Refusal::Full
             | Refusal::BackingOff
             | Refusal::RateLimited
--- a/src/forward/request/continuing.rs
+++ b/src/forward/request/continuing.rs
@@ -1,14 +1,23 @@
 //! Continuation of streams: by this entry within one response, or by a client that takes up a stream
 //! which was broken off before.
 
+use std::time::Duration;
+
 use crate::consensus::software_versions::SoftwareVersion;
 use crate::forward::crashes::SentTo;
 use crate::forward::head;
+use crate::forward::own_answer::Refusal;
 use crate::ids::ReplicaIncarnation;
+use crate::routing::stream_origins::{StreamKey, StreamOrigin};
 use crate::table::configuration::RouteKind;
 
 use super::ForwardedRequest;
 
+/// The origin of a stream is looked up for the time left divided by this, at most.
+const ORIGIN_TIME_DIVISOR: u32 = 3;
+/// Longest time for which the origin of a stream is looked up: an election takes less.
+const MAX_ORIGIN_TIME: Duration = Duration::from_millis(1_500);
+
 /// The run of a replica from which events of a stream come.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct EventSource {
@@ -84,14 +93,57 @@
         if replaced && self.need.version.is_some() {
             return false;
         }
-        self.need.version = Some(match replaced {
-            true => SoftwareVersion::Unnamed(source.incarnation.clone()),
-            false => source.version.clone(),
-        });
+        let origin = StreamOrigin {
+            service: self.need.service.clone().unwrap_or_else(|| "".into()),
+            version: match replaced {
+                true => SoftwareVersion::Unnamed(source.incarnation.clone()),
+                false => source.version.clone(),
+            },
+        };
+        if let (Some(key), false) = (self.stream_key(), replaced) {
+            self.core.record_origin(key, &origin);
+        }
+        self.need.version = Some(origin.version);
         self.first_source.get_or_insert(source);
         true
     }
 
+    /// Key of the stream that this request begins or takes up; `None` if the client does not name
+    /// the stream.
+    fn stream_key(&self) -> Option<StreamKey> {
+        let first_id = match self.is_take_up() {
+            true => head::find(&self.request.head.headers, self.core.names.resumes)?,
+            false => &self.id,
+        };
+        let account = self.caller.as_ref().map_or("", |c| c.account.as_str());
+        Some(StreamKey::new(account, first_id))
+    }
+
+    /// Requires the software version that began the stream, if the client takes one up.
+    pub(super) async fn require_origin(&mut self) -> Result<(), Refusal> {
+        let (true, Some(service)) = (self.is_take_up(), self.need.service.clone()) else {
+            return Ok(());
+        };
+        let timeout = (self.left() / ORIGIN_TIME_DIVISOR).min(MAX_ORIGIN_TIME);
+        let key = self.stream_key();
+        let found = self.core.find_origin(key, &service, timeout).await;
+        let source = found
+            .as_ref()
+            .map_or("unknown", |(_, source)| source.name());
+        let labels = [("origin", source)];
+        self.core.count("dunlinspring_take_ups_total", &labels);
+        self.log
+            .note(&format!("takes a stream up: origin {source}"));
+        match found {
+            None => Err(Refusal::OriginUnknown),
+            Some((origin, _)) if origin.service != service => Err(Refusal::VersionGone),
+            Some((origin, _)) => {
+                self.need.version = Some(origin.version);
+                Ok(())
+            }
+        }
+    }
+
     fn log_continuation(
         &self,
         continuer: Continuer,
--- /dev/null
+++ b/src/forward/stream_origins.rs
@@ -0,0 +1,295 @@
+//! Origins of streams at an entry: those of its own streams, which it stores on control hosts while
+//! a service runs several software versions, and those that it asks control hosts for.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+
+use crate::clock;
+use crate::consensus::software_versions::VersionMix;
+use crate::forward::daemon::EntryCore;
+use crate::ids::ServiceName;
+use crate::process::{daemon, peers};
+use crate::routing::stream_origins::{
+    HOSTS_ASKED, ORIGIN_COPIES, OriginBatch, OriginMemory, StreamKey, StreamOrigin,
+};
+use crate::routing::view::SiteView;
+
+/// Timeout of one call to a control host.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time after which an origin that could not be stored is dropped, in milliseconds: the client has
+/// come back meanwhile.
+const STORE_TIME_MS: u64 = 5_000;
+/// Delay before a failed call to a control host is repeated.
+const STORE_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Most origins in one call.
+const MAX_BATCH_STREAMS: usize = 2_048;
+/// Most origins that wait for one control host.
+const MAX_QUEUED_STREAMS: usize = 16_384;
+/// Origins are collected for the number of entries divided by this, in milliseconds, so that the
+/// calls that control hosts receive do not grow with the number of entries.
+const ENTRIES_PER_MS: u32 = 4;
+/// Delay before control hosts are asked once more for an origin that may still be in transit.
+const ASK_AGAIN_DELAY: Duration = Duration::from_millis(60);
+/// Number of times that control hosts are asked for an origin.
+const MAX_ASKS: u32 = 3;
+
+/// How an entry knows what began a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OriginSource {
+    /// The stream was served by this entry.
+    Own,
+    /// One version alone serves, as the leader confirms.
+    SoleVersion,
+    /// A control host had it.
+    Stored,
+}
+
+impl OriginSource {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::SoleVersion => "sole-version",
+            Self::Stored => "stored",
+        }
+    }
+}
+
+/// Origins that wait to be stored on a control host.
+#[derive(Debug, Default)]
+struct StoreQueue {
+    /// Each with the time at which it was queued.
+    streams: Vec<(u64, StreamKey, StreamOrigin)>,
+    keep_ms: u64,
+    /// Whether a task sends them.
+    is_served: bool,
+}
+
+/// Origins of streams at one entry.
+#[derive(Debug, Default)]
+pub struct OriginKeeper {
+    memory: RefCell<OriginMemory>,
+    queues: RefCell<BTreeMap<String, StoreQueue>>,
+    /// Services that run several versions, as this entry knows.
+    several: RefCell<BTreeSet<ServiceName>>,
+    entries: Cell<u32>,
+}
+
+impl OriginKeeper {
+    /// Sets the number of entries.
+    pub fn set_entries(&self, entries: u32) {
+        self.entries.set(entries);
+    }
+
+    /// Returns the origin of a stream that this entry served.
+    fn own(&self, key: &StreamKey) -> Option<StreamOrigin> {
+        self.memory.borrow().find(key).cloned()
+    }
+
+    /// Queues an origin for a control host. Returns whether a task to send it must be started.
+    fn queue(
+        &self,
+        host: &str,
+        now_ms: u64,
+        keep_ms: u64,
+        stream: (StreamKey, StreamOrigin),
+    ) -> bool {
+        let mut queues = self.queues.borrow_mut();
+        let queue = queues.entry(host.to_owned()).or_default();
+        if queue.streams.len() < MAX_QUEUED_STREAMS {
+            queue.streams.push((now_ms, stream.0, stream.1));
+        }
+        queue.keep_ms = queue.keep_ms.max(keep_ms);
+        !std::mem::replace(&mut queue.is_served, true)
+    }
+
+    /// Takes the next origins for a control host; `None` if there are none, after which a new task
+    /// must be started for later ones.
+    fn take(&self, host: &str, now_ms: u64) -> Option<(u64, Vec<(u64, StreamKey, StreamOrigin)>)> {
+        let mut queues = self.queues.borrow_mut();
+        let queue = queues.get_mut(host)?;
+        queue
+            .streams
+            .retain(|(queued_ms, ..)| queued_ms + STORE_TIME_MS > now_ms);
+        if queue.streams.is_empty() {
+            queue.is_served = false;
+            return None;
+        }
+        let count = queue.streams.len().min(MAX_BATCH_STREAMS);
+        Some((queue.keep_ms, queue.streams.drain(..count).collect()))
+    }
+
+    fn put_back(&self, host: &str, mut streams: Vec<(u64, StreamKey, StreamOrigin)>) {
+        let mut queues = self.queues.borrow_mut();
+        let queue = queues.entry(host.to_owned()).or_default();
+        streams.append(&mut queue.streams);
+        queue.streams = streams;
+    }
+
+    /// Time for which origins are collected before they are sent.
+    fn collect_time(&self) -> Duration {
+        Duration::from_millis(u64::from(self.entries.get() / ENTRIES_PER_MS))
+    }
+}
+
+impl EntryCore {
+    /// Records what began a stream, or goes on with it. While its service runs several versions,
+    /// the origin is also stored on control hosts, without waiting for them.
+    pub fn record_origin(self: &Rc<Self>, key: StreamKey, origin: &StreamOrigin) {
+        let keep_ms = self.stream_memory_ms(&origin.service);
+        let now_ms = clock::monotonic_ms();
+        let mut memory = self.origins.memory.borrow_mut();
+        memory.record(now_ms, keep_ms, key, origin);
+        drop(memory);
+        if self.origins.several.borrow().contains(&origin.service) {
+            self.store_origin(key, origin, keep_ms);
+        }
+    }
+
+    /// Updates which services run several software versions. The origins of a service's streams are
+    /// stored once it does.
+    pub(super) fn update_version_mixes(self: &Rc<Self>, view: &SiteView) {
+        let mixes = view.version_mixes.iter();
+        let several = mixes.filter(|(_, mix)| **mix == VersionMix::Several);
+        let several: BTreeSet<ServiceName> = several.map(|(service, _)| service.clone()).collect();
+        let before = self.origins.several.replace(several.clone());
+        for service in several.difference(&before) {
+            let memory = self.origins.memory.borrow();
+            let streams = memory.of_service(service);
+            let streams: Vec<(StreamKey, StreamOrigin)> =
+                streams.map(|(key, origin)| (key, origin.clone())).collect();
+            drop(memory);
+            tracing::info!(%service, streams = streams.len(), "several software versions serve");
+            let keep_ms = self.stream_memory_ms(service);
+            for (key, origin) in streams {
+                self.store_origin(key, &origin, keep_ms);
+            }
+        }
+        for service in before.difference(&several) {
+            tracing::info!(%service, "one software version serves");
+        }
+    }
+
+    fn stream_memory_ms(&self, service: &ServiceName) -> u64 {
+        let routing = self.routing();
+        routing.map_or(0, |routing| routing.configuration.stream_memory_ms(service))
+    }
+
+    fn store_origin(self: &Rc<Self>, key: StreamKey, origin: &StreamOrigin, keep_ms: u64) {
+        let now_ms = clock::monotonic_ms();
+        let hosts = self.link().addresses();
+        for host in key.owners(&hosts).into_iter().take(ORIGIN_COPIES) {
+            let stream = (key, origin.clone());
+            if self.origins.queue(host, now_ms, keep_ms, stream) {
+                daemon::spawn_local(send_queued(self.clone(), host.clone()));
+            }
+        }
+    }
+
+    /// Returns what began a stream that a client takes up, and how that is known; `None` if it is
+    /// not known. `service` is the one that the route names.
+    pub async fn find_origin(
+        self: &Rc<Self>,
+        key: Option<StreamKey>,
+        service: &ServiceName,
+        timeout: Duration,
+    ) -> Option<(StreamOrigin, OriginSource)> {
+        if let Some(origin) = key.and_then(|key| self.origins.own(&key)) {
+            return Some((origin, OriginSource::Own));
+        }
+        let find = async {
+            let several = self.origins.several.borrow().contains(service);
+            if !several && let Some(origin) = self.confirm_sole_version(service, timeout).await {
+                return Some((origin, OriginSource::SoleVersion));
+            }
+            let origin = self.ask_hosts(key?).await?;
+            Some((origin, OriginSource::Stored))
+        };
+        tokio::time::timeout(timeout, find).await.ok().flatten()
+    }
+
+    /// Returns the version that alone serves, if the leader confirms that there is one: this
+    /// entry's view may be old.
+    async fn confirm_sole_version(
+        &self,
+        service: &ServiceName,
+        timeout: Duration,
+    ) -> Option<StreamOrigin> {
+        let call = |client: crate::process::wire::ControlWireClient, context| {
+            let service = service.clone();
+            async move { client.version_mix(context, service).await }
+        };
+        let mix = self.link().call_leader("version_mix", timeout, call).await;
+        match mix {
+            Ok(Some(VersionMix::Sole(version))) => Some(StreamOrigin {
+                service: service.clone(),
+                version,
+            }),
+            _ => None,
+        }
+    }
+
+    async fn ask_hosts(&self, key: StreamKey) -> Option<StreamOrigin> {
+        for asked in 0..MAX_ASKS {
+            if asked > 0 {
+                tokio::time::sleep(ASK_AGAIN_DELAY).await;
+            }
+            let hosts = self.link().addresses();
+            let asked = key.owners(&hosts).into_iter().take(HOSTS_ASKED);
+            let calls = asked.map(|host| {
+                self.link()
+                    .call_at(host, "find_origin", |client| async move {
+                        client.find_origin(peers::within(CALL_TIMEOUT), key).await
+                    })
+            });
+            let mut calls: FuturesUnordered<_> = calls.collect();
+            while let Some(reply) = calls.next().await {
+                if let Ok(Some(origin)) = reply {
+                    return Some(origin);
+                }
+            }
+        }
+        None
+    }
+}
+
+/// Sends the origins that are queued for a control host until there are none.
+async fn send_queued(core: Rc<EntryCore>, host: String) {
+    loop {
+        let pause = core.origins.collect_time();
+        if !pause.is_zero() {
+            tokio::time::sleep(pause).await;
+        }
+        let Some((keep_ms, streams)) = core.origins.take(&host, clock::monotonic_ms()) else {
+            return;
+        };
+        let mut batch = OriginBatch {
+            keep_ms,
+            ..OriginBatch::default()
+        };
+        for (_, key, origin) in &streams {
+            batch.streams.entry(origin.clone()).or_default().push(*key);
+        }
+        let sent = core
+            .link()
+            .call_at(&host, "store_origins", |client| async move {
+                client
+                    .store_origins(peers::within(CALL_TIMEOUT), batch)
+                    .await
+            })
+            .await;
+        let result = if sent.is_ok() { "stored" } else { "failed" };
+        let labels = [("result", result)];
+        core.count("dunlinspring_origin_batches_total", &labels);
+        if let Err(error) = sent {
+            tracing::info!(%error, streams = streams.len(), "origins of streams not stored");
+            core.origins.put_back(&host, streams);
+            tokio::time::sleep(STORE_RETRY_DELAY).await;
+        }
+    }
+}
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -19,6 +19,7 @@
 use crate::placement::fleet_plan::{self, PlanModel, PlanReplica, PlanStep};
 use crate::placement::order::{AdapterPlacement, OrderKind, OrderOutcome, ReplicaOrder};
 use crate::placement::report::EntryReport;
+use crate::placement::version_settlement::VersionSettlement;
 use crate::table::configuration::{ConfigurationRecord, EngineSpec};
 
 /// Settings of the fleet controller.
@@ -129,6 +130,7 @@
     pending: BTreeMap<ReplicaId, PendingOrder>,
     reservations: BTreeMap<ReplicaId, Reservation>,
     adapters: AdapterOrders,
+    version_settlement: VersionSettlement,
     /// Incarnations that refuse this leader's orders. An engine forgets fences when it restarts.
     fenced: BTreeSet<ReplicaIncarnation>,
     /// Incarnations that advertise a rate limit.
@@ -204,6 +206,7 @@
             pending: BTreeMap::new(),
             reservations: BTreeMap::new(),
             adapters: AdapterOrders::default(),
+            version_settlement: VersionSettlement::default(),
             fenced: BTreeSet::new(),
             limited: BTreeSet::new(),
             limits_revision: 0,
@@ -417,6 +420,8 @@
         let Some(record) = &state.configuration else {
             return actions;
         };
+        let settled = self.version_settlement.check(state, now_ms);
+        actions.commands.extend(self.propose_once(now_ms, settled));
         if self.must_wait_for_predecessor(now_ms) {
             return actions;
         }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -20,3 +20,4 @@
 pub mod report;
 pub mod suspect_leases;
 pub mod target_controller;
+pub mod version_settlement;
--- a/src/process/wire.rs
+++ b/src/process/wire.rs
@@ -11,11 +11,11 @@
 use crate::consensus::part_crashes::PartStore;
 use crate::consensus::paxos::{PaxosReply, PaxosRequest};
 use crate::consensus::raft::RaftMessage;
-use crate::consensus::software_versions::ReplicaHeartbeat;
+use crate::consensus::software_versions::{ReplicaHeartbeat, VersionMix};
 use crate::consensus::state::{Command, Reply, SiteState};
 use crate::ids::{
     AccountName, AttemptId, HallName, HostName, Incarnation, NodeId, Position, ReplicaId, RowId,
-    Term,
+    ServiceName, Term,
 };
 use crate::placement::advertised_limits::{LimitPage, LimitReport};
 use crate::placement::congestion::{QueueReport, QueuedTokens};
@@ -27,6 +27,7 @@
 };
 use crate::placement::target_controller::{AgentHeartbeat, EntryHeartbeat};
 use crate::routing::freshness::FreshnessProof;
+use crate::routing::stream_origins::{OriginBatch, StreamKey, StreamOrigin};
 use crate::routing::view::SyncPage;
 use crate::table::accounts::QuotaSpec;
 use crate::table::configuration::ConfigurationRecord;
@@ -248,6 +249,12 @@
     /// Sends a Paxos request of the agreement on the bootstrap host to a configured host without
     /// a disk.
     async fn naming(request: PaxosRequest) -> PaxosReply;
+    /// Stores the origins of streams on this host, whether or not it keeps the log.
+    async fn store_origins(batch: OriginBatch);
+    /// Returns the origin of a stream, if this host has stored it.
+    async fn find_origin(key: StreamKey) -> Option<StreamOrigin>;
+    /// Reads which software versions a service runs; linearizable.
+    async fn version_mix(service: ServiceName) -> Result<Option<VersionMix>, ControlRefusal>;
     /// Reads the prompt parts that ran when replicas crashed; linearizable.
     async fn parts() -> Result<PartStore, ControlRefusal>;
 }
--- /dev/null
+++ b/src/routing/stream_origins.rs
@@ -0,0 +1,157 @@
+//! What began a stream, so that it is continued only by the same software.
+//!
+//! Entries and control hosts keep the origins of recent streams; an entry that must know the origin
+//! of a stream which began elsewhere asks control hosts for it. Pure: the caller passes in the time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use crate::consensus::software_versions::SoftwareVersion;
+use crate::ids::ServiceName;
+
+/// Maximum number of origins in each of the two generations of an [`OriginMemory`].
+const MAX_ORIGINS: usize = 65_536;
+/// Number of control hosts at which an origin is stored.
+pub const ORIGIN_COPIES: usize = 3;
+/// Number of control hosts that are asked for an origin: the owners, and further ones in case an
+/// owner was unreachable when the origin was stored.
+pub const HOSTS_ASKED: usize = 5;
+
+/// Identifies a stream: a digest of the account and of the id of the client's attempt that brought
+/// its first event. A client cannot name the stream of another account.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct StreamKey([u8; 16]);
+
+impl StreamKey {
+    /// Returns the key of a stream; `account` is empty where callers need not identify themselves.
+    pub fn new(account: &str, first_attempt: &str) -> Self {
+        let mut hash = Sha256::new();
+        hash.update((account.len() as u64).to_be_bytes());
+        hash.update(account);
+        hash.update(first_attempt);
+        let full: [u8; 32] = hash.finalize().into();
+        let mut short = [0; 16];
+        short.copy_from_slice(&full[..16]);
+        Self(short)
+    }
+
+    /// Returns the hosts that own the origin of the stream, the first one first: by rendezvous
+    /// hashing, so that a host which comes or goes moves only its own share.
+    pub fn owners<'a>(&self, hosts: &'a [String]) -> Vec<&'a String> {
+        let weight = |host: &String| {
+            let mut hash = crc32fast::Hasher::new();
+            hash.update(&self.0);
+            hash.update(host.as_bytes());
+            hash.finalize()
+        };
+        let mut order: Vec<&String> = hosts.iter().collect();
+        order.sort_by_cached_key(|host| (weight(host), *host));
+        order
+    }
+}
+
+/// What began a stream.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct StreamOrigin {
+    /// Service of the replica that sent the first event.
+    pub service: ServiceName,
+    /// Its software version.
+    pub version: SoftwareVersion,
+}
+
+/// Origins of recent streams, bounded in number. They are kept in two generations, of which the
+/// older one is dropped after a time or once the newer one is full.
+#[derive(Clone, Debug, Default)]
+pub struct OriginMemory {
+    newer: Generation,
+    older: Generation,
+    rotated_ms: u64,
+    /// Each origin once: most streams share theirs.
+    origins: BTreeSet<Arc<StreamOrigin>>,
+}
+
+/// Streams with their origins; `None` for a stream that was recorded with two.
+type Generation = BTreeMap<StreamKey, Option<Arc<StreamOrigin>>>;
+
+impl OriginMemory {
+    /// Records an origin, and keeps it for at least `keep_ms` unless too many others follow. A
+    /// stream that is recorded with two origins has none that is known.
+    pub fn record(&mut self, now_ms: u64, keep_ms: u64, key: StreamKey, origin: &StreamOrigin) {
+        self.rotate(now_ms, keep_ms);
+        let known = self.newer.get(&key).or_else(|| self.older.get(&key));
+        let kept = match known {
+            Some(known) if known.as_deref() != Some(origin) => None,
+            _ => Some(self.intern(origin)),
+        };
+        self.newer.insert(key, kept);
+    }
+
+    fn intern(&mut self, origin: &StreamOrigin) -> Arc<StreamOrigin> {
+        match self.origins.get(origin) {
+            Some(known) => known.clone(),
+            None => {
+                let origin = Arc::new(origin.clone());
+                self.origins.insert(origin.clone());
+                origin
+            }
+        }
+    }
+
+    /// Records all origins of a batch.
+    pub fn record_batch(&mut self, now_ms: u64, batch: &OriginBatch) {
+        for (origin, keys) in &batch.streams {
+            for key in keys {
+                self.record(now_ms, batch.keep_ms, *key, origin);
+            }
+        }
+    }
+
+    /// Returns the origin of a stream, if it is known.
+    pub fn find(&self, key: &StreamKey) -> Option<&StreamOrigin> {
+        let found = self.newer.get(key).or_else(|| self.older.get(key));
+        found.and_then(Option::as_deref)
+    }
+
+    /// Returns the known origins of a service's streams.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = (StreamKey, &'a StreamOrigin)> {
+        let all = self.older.iter().chain(&self.newer);
+        let known = all.filter_map(|(key, origin)| Some((*key, origin.as_deref()?)));
+        known.filter(move |(_, origin)| origin.service == *service)
+    }
+
+    /// Returns the number of streams.
+    pub fn len(&self) -> usize {
+        self.newer.len() + self.older.len()
+    }
+
+    /// Returns whether no stream is kept.
+    pub fn is_empty(&self) -> bool {
+        self.newer.is_empty() && self.older.is_empty()
+    }
+
+    fn rotate(&mut self, now_ms: u64, keep_ms: u64) {
+        let is_due = now_ms >= self.rotated_ms.saturating_add(keep_ms);
+        if is_due || self.newer.len() >= MAX_ORIGINS {
+            self.rotated_ms = now_ms;
+            self.older = std::mem::take(&mut self.newer);
+            // Held by this set alone, no stream has the origin any more.
+            self.origins.retain(|origin| Arc::strong_count(origin) > 1);
+        }
+    }
+}
+
+/// Origins that an entry stores on a control host.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginBatch {
+    /// How long they are kept at least, in milliseconds.
+    pub keep_ms: u64,
+    /// The streams of each origin.
+    pub streams: BTreeMap<StreamOrigin, Vec<StreamKey>>,
+}
--- a/src/table/configuration.rs
+++ b/src/table/configuration.rs
@@ -221,7 +221,22 @@
     },
 }
 
+/// Time in which clients are expected to take up a broken stream, in milliseconds.
+const RETURN_TIME_MS: u64 = 10_000;
+
 impl Configuration {
+    /// Time for which it must be known what began the streams of a service, in milliseconds: a
+    /// client may take one up at its deadline, and again at the next one.
+    pub fn stream_memory_ms(&self, service: &ServiceName) -> u64 {
+        let routes = self.routes.iter();
+        let streams = routes.filter(|route| {
+            route.kind == RouteKind::Streaming
+                && route.split.iter().any(|(other, _)| other == service)
+        });
+        let longest_ms = streams.map(|route| route.timeout_ms).max().unwrap_or(0);
+        longest_ms.saturating_mul(2).saturating_add(RETURN_TIME_MS)
+    }
+
     /// Checks constraints that the types do not express.
     pub fn check(&self) -> Result<(), ConfigurationError> {
         if let Some(accounts) = &self.accounts {
