--- a/src/forward/stream_origins.rs
+++ b/src/forward/stream_origins.rs
@@ -13,6 +13,7 @@
 use crate::consensus::software_versions::VersionMix;
 use crate::forward::daemon::EntryCore;
 use crate::ids::ServiceName;
+use crate::process::wire::ControlWireClient;
 use crate::process::{daemon, peers};
 use crate::routing::stream_origins::{
     HOSTS_ASKED, ORIGIN_COPIES, OriginBatch, OriginMemory, StreamKey, StreamOrigin,
@@ -60,11 +61,18 @@
     }
 }
 
+/// Origin that waits to be stored.
+#[derive(Debug)]
+struct QueuedOrigin {
+    queued_ms: u64,
+    key: StreamKey,
+    origin: StreamOrigin,
+}
+
 /// Origins that wait to be stored on a control host.
 #[derive(Debug, Default)]
 struct StoreQueue {
-    /// Each with the time at which it was queued.
-    streams: Vec<(u64, StreamKey, StreamOrigin)>,
+    streams: Vec<QueuedOrigin>,
     keep_ms: u64,
     /// Whether a task sends them.
     is_served: bool,
@@ -92,30 +100,24 @@
     }
 
     /// Queues an origin for a control host. Returns whether a task to send it must be started.
-    fn queue(
-        &self,
-        host: &str,
-        now_ms: u64,
-        keep_ms: u64,
-        stream: (StreamKey, StreamOrigin),
-    ) -> bool {
+    fn queue(&self, host: &str, keep_ms: u64, stream: QueuedOrigin) -> bool {
         let mut queues = self.queues.borrow_mut();
         let queue = queues.entry(host.to_owned()).or_default();
         if queue.streams.len() < MAX_QUEUED_STREAMS {
-            queue.streams.push((now_ms, stream.0, stream.1));
+            queue.streams.push(stream);
         }
         queue.keep_ms = queue.keep_ms.max(keep_ms);
         !std::mem::replace(&mut queue.is_served, true)
     }
 
-    /// Takes the next origins for a control host; `None` if there are none, after which a new task
-    /// must be started for later ones.
-    fn take(&self, host: &str, now_ms: u64) -> Option<(u64, Vec<(u64, StreamKey, StreamOrigin)>)> {
+    /// Takes the next origins for a control host, with the time for which they are kept; `None` if
+    /// there are none, after which a new task must be started for later ones.
+    fn take(&self, host: &str, now_ms: u64) -> Option<(u64, Vec<QueuedOrigin>)> {
         let mut queues = self.queues.borrow_mut();
         let queue = queues.get_mut(host)?;
         queue
             .streams
-            .retain(|(queued_ms, ..)| queued_ms + STORE_TIME_MS > now_ms);
+            .retain(|stream| stream.queued_ms + STORE_TIME_MS > now_ms);
         if queue.streams.is_empty() {
             queue.is_served = false;
             return None;
@@ -124,7 +126,7 @@
         Some((queue.keep_ms, queue.streams.drain(..count).collect()))
     }
 
-    fn put_back(&self, host: &str, mut streams: Vec<(u64, StreamKey, StreamOrigin)>) {
+    fn put_back(&self, host: &str, mut streams: Vec<QueuedOrigin>) {
         let mut queues = self.queues.borrow_mut();
         let queue = queues.entry(host.to_owned()).or_default();
         streams.append(&mut queue.streams);
@@ -184,8 +186,12 @@
         let now_ms = clock::monotonic_ms();
         let hosts = self.link().addresses();
         for host in key.owners(&hosts).into_iter().take(ORIGIN_COPIES) {
-            let stream = (key, origin.clone());
-            if self.origins.queue(host, now_ms, keep_ms, stream) {
+            let stream = QueuedOrigin {
+                queued_ms: now_ms,
+                key,
+                origin: origin.clone(),
+            };
+            if self.origins.queue(host, keep_ms, stream) {
                 daemon::spawn_local(send_queued(self.clone(), host.clone()));
             }
         }
@@ -220,7 +226,7 @@
         service: &ServiceName,
         timeout: Duration,
     ) -> Option<StreamOrigin> {
-        let call = |client: crate::process::wire::ControlWireClient, context| {
+        let call = |client: ControlWireClient, context| {
             let service = service.clone();
             async move { client.version_mix(context, service).await }
         };
@@ -272,8 +278,9 @@
             keep_ms,
             ..OriginBatch::default()
         };
-        for (_, key, origin) in &streams {
-            batch.streams.entry(origin.clone()).or_default().push(*key);
+        for stream in &streams {
+            let keys = batch.streams.entry(stream.origin.clone()).or_default();
+            keys.push(stream.key);
         }
         let sent = core
             .link()
