A stream is continued only at the incarnation of the replica that was chosen

a_stream_is_not_continued_at_a_replica_that_restarted_unnoticed_under_its_id fails without the check (the take-up is served, 200) and passes with it.

Where replicas report their start time, a request that continues a stream first reads the replica's report on the connection that it then uses: a connection leads to one incarnation. A replica that does not confirm it is passed over like one that did not run the request. Requests that begin are not touched, and platforms whose replicas have a new id at each start do without.

Beside it: a blank last-event id takes no stream up, and a request that waits in line for a replica of its version lets others pass that any replica may serve.

--- a/src/forward/dialect.rs
+++ b/src/forward/dialect.rs
@@ -1,5 +1,5 @@
-//! Names of the HTTP headers shared by callers, replicas and this system. They are set by the
-//! deployment.
+//! Names of the HTTP headers shared by callers, replicas and this system, and how replicas report
+//! their start time. They are set by the deployment.
 
 /// Header names, in the case in which they are sent.
 #[derive(Clone, Copy, Debug)]
@@ -37,6 +37,17 @@
     pub last_event: &'static str,
     /// Id of the client's attempt that brought the first event of the stream that it takes up.
     pub resumes: &'static str,
+    /// How replicas report their start time; `None` if they don't.
+    pub start_time: Option<StartTimeReport>,
     /// Headers that only this system may set; removed from clients' requests.
     pub reserved: &'static [&'static str],
 }
+
+/// How a replica reports the start time of its incarnation.
+#[derive(Clone, Copy, Debug)]
+pub struct StartTimeReport {
+    /// Path of the report.
+    pub path: &'static str,
+    /// Reads the start time from the report, in milliseconds since the epoch.
+    pub read: fn(&[u8]) -> Option<u64>,
+}
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -9,6 +9,7 @@
 mod attempt_guard;
 mod continuing;
 mod crashes;
+mod incarnation;
 mod placing;
 mod waiting;
 mod wire_heads;
@@ -509,6 +510,10 @@
                 return AttemptOutcome::NotSent;
             }
         };
+        let Some(connection) = self.confirm_incarnation(connection, &sent).await else {
+            self.log.note("not the expected incarnation");
+            return AttemptOutcome::NotRun;
+        };
         if let Err(refusal) = caller::recheck_caller(core, self.caller.as_ref()) {
             core.pool.borrow_mut().put(replica, connection);
             return AttemptOutcome::CallerRefused(refusal);
--- a/src/forward/request/continuing.rs
+++ b/src/forward/request/continuing.rs
@@ -48,8 +48,8 @@
 impl ForwardedRequest<'_> {
     /// Whether the client takes up a stream of which it has events.
     pub(super) fn is_take_up(&self) -> bool {
-        self.route.kind == RouteKind::Streaming
-            && head::find(&self.request.head.headers, self.core.names.last_event).is_some()
+        let last = head::find(&self.request.head.headers, self.core.names.last_event);
+        self.route.kind == RouteKind::Streaming && last.is_some_and(|id| !id.trim().is_empty())
     }
 
     /// Who continues a stream by the next attempt; `None` if the attempt begins one.
--- a/src/forward/request/waiting.rs
+++ b/src/forward/request/waiting.rs
@@ -42,7 +42,9 @@
 
     /// Whether other requests of the same line may find capacity where this one finds none.
     pub(super) fn is_limited_to_some_replicas(&self) -> bool {
-        self.need.regions != AllowedRegions::All || !self.attempted.is_empty()
+        self.need.regions != AllowedRegions::All
+            || !self.attempted.is_empty()
+            || self.need.version.is_some()
     }
 
     /// How long the request waits in a line.
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -53,6 +53,9 @@
 /// Software version of replicas whose version does not matter.
 const SOFTWARE: &str = "v1";
 
+/// Start time of replicas whose version matters, in milliseconds.
+const FIRST_START_MS: u64 = 1_000;
+
 /// Longest wait for a condition; a test fails once it has passed.
 const MAX_WAIT: Duration = Duration::from_secs(60);
 
@@ -228,6 +231,8 @@
 #[derive(Default)]
 struct ReplicaState {
     script: VecDeque<Behaviour>,
+    /// Start time that it reports of itself, in milliseconds.
+    started_ms: u64,
     seen: Vec<ReceivedRequest>,
     closed: bool,
     /// Whether it accepts no connections for now.
@@ -595,9 +600,19 @@
     ) {
         let record = ReplicaRecord {
             slots: 8,
+            started_ms: FIRST_START_MS,
             ..ready_replica(name, "plain")
         };
         self.register(record, version, script).await;
+        self.replicas[name].1.borrow_mut().started_ms = FIRST_START_MS;
+    }
+
+    /// Restarts a replica under its id and address, without a heartbeat: the log still has the
+    /// incarnation before.
+    pub fn restart_unnoticed(&self, name: &str, script: Vec<Behaviour>) {
+        let mut state = self.replicas[name].1.borrow_mut();
+        state.started_ms += 1;
+        state.script = script.into();
     }
 
     /// Waits until an entry knows a replica.
@@ -910,6 +925,12 @@
 async fn serve_connection(mut stream: TcpStream, name: String, state: SharedReplica) {
     let mut buffer = Vec::new();
     while let Some(seen) = read_request(&mut stream, &mut buffer).await {
+        if seen.target == "/self" {
+            let started_ms = state.borrow().started_ms.to_string();
+            let report = full_response(200, &name, "", &started_ms, "");
+            let _ = stream.write_all(report.as_bytes()).await;
+            continue;
+        }
         let id = seen.header("request-id").unwrap_or_default().to_owned();
         let last = seen
             .header("last-event")
--- a/tests/forwarding/versions.rs
+++ b/tests/forwarding/versions.rs
@@ -78,3 +78,18 @@
     }
     assert!(site.seen("r0").is_empty());
 }
+
+#[ntex::test]
+async fn a_stream_is_not_continued_at_a_replica_that_restarted_unnoticed_under_its_id() {
+    let mut site = ForwardSite::start(&[RESUMED]).await;
+    site.add_versioned_replica("r1", "v1", vec![Behaviour::HangAfter(2)])
+        .await;
+    begin(&site, 0, "first", "r1", 0).await;
+    // The new incarnation may run other software; its heartbeat has not arrived yet.
+    site.restart_unnoticed("r1", vec![Behaviour::Events(4); 9]);
+    let answer = site
+        .send_take_up(0, "/resumed/x", "again", "first", 2)
+        .await;
+    assert_eq!(answer.status, 503);
+    assert_eq!(site.seen("r1").len(), 1);
+}
--- a/tests/support_names/mod.rs
+++ b/tests/support_names/mod.rs
@@ -1,6 +1,6 @@
 //! Header names of the deployment that the tests simulate.
 
-use dunlinspring::forward::dialect::HeaderNames;
+use dunlinspring::forward::dialect::{HeaderNames, StartTimeReport};
 
 /// Header names in the letter case that the tests use.
 pub const NAMES: HeaderNames = HeaderNames {
@@ -20,5 +20,14 @@
     account: "Account",
     last_event: "Last-Event",
     resumes: "Resumes",
+    start_time: Some(StartTimeReport {
+        path: "/self",
+        read: read_start_time,
+    }),
     reserved: &[],
 };
+
+/// Reads the start time of a replica from its report of itself: the number alone.
+fn read_start_time(body: &[u8]) -> Option<u64> {
+    std::str::from_utf8(body).ok()?.parse().ok()
+}
