The decision how a stream goes on is a pure core that entries call

Cause: the order in which an entry searches for what began a stream, the refusal that follows and the binding of events to a version were spread over asynchronous code, where no play without a network could run them.

Change: routing/stream_origins holds the steps (own memory, leader, control hosts, unknown), the required version and the binding of events; forward/ calls them. No change of behaviour.

--- a/src/forward/request/continuing.rs
+++ b/src/forward/request/continuing.rs
@@ -3,12 +3,15 @@
 
 use std::time::Duration;
 
+use crate::consensus::directory::ReplicaRecord;
 use crate::consensus::software_versions::SoftwareVersion;
 use crate::forward::crashes::SentTo;
 use crate::forward::head;
 use crate::forward::own_answer::Refusal;
 use crate::ids::ReplicaIncarnation;
-use crate::routing::stream_origins::{StreamKey, StreamOrigin};
+use crate::routing::stream_origins::{
+    self, EventBinding, OriginSearch, StreamKey, StreamOrigin, TakeUpRefusal,
+};
 use crate::table::configuration::RouteKind;
 
 use super::ForwardedRequest;
@@ -87,20 +90,24 @@
             return true;
         };
         let replicas = self.core.replicas.borrow();
-        let record = replicas.record(&source.incarnation.id);
-        let replaced = record.is_some_and(|record| record.incarnation() != source.incarnation);
+        let current = replicas.record(&source.incarnation.id);
+        let binding = stream_origins::bind_events(
+            self.need.version.as_ref(),
+            &source.incarnation,
+            &source.version,
+            current.map(ReplicaRecord::incarnation).as_ref(),
+        );
         drop(replicas);
-        if replaced && self.need.version.is_some() {
-            return false;
-        }
+        let (version, may_record) = match binding {
+            EventBinding::Known(version) => (version, true),
+            EventBinding::Replaced(version) => (version, false),
+            EventBinding::Rejected => return false,
+        };
         let origin = StreamOrigin {
             service: self.need.service.clone().unwrap_or_else(|| "".into()),
-            version: match replaced {
-                true => SoftwareVersion::Unnamed(source.incarnation.clone()),
-                false => source.version.clone(),
-            },
+            version,
         };
-        if let (Some(key), false) = (self.stream_key(), replaced) {
+        if let (Some(key), true) = (self.stream_key(), may_record) {
             self.core.record_origin(key, &origin);
         }
         self.need.version = Some(origin.version);
@@ -125,8 +132,11 @@
             return Ok(());
         };
         let timeout = (self.left() / ORIGIN_TIME_DIVISOR).min(MAX_ORIGIN_TIME);
-        let key = self.stream_key();
-        let found = self.core.find_origin(key, &service, timeout).await;
+        let search = OriginSearch {
+            key: self.stream_key(),
+            service,
+        };
+        let found = self.core.find_origin(&search, timeout).await;
         let source = found
             .as_ref()
             .map_or("unknown", |(_, source)| source.name());
@@ -134,14 +144,12 @@
         self.core.count("dunlinspring_take_ups_total", &labels);
         self.log
             .note(&format!("takes a stream up: origin {source}"));
-        match found {
-            None => Err(Refusal::OriginUnknown),
-            Some((origin, _)) if origin.service != service => Err(Refusal::VersionGone),
-            Some((origin, _)) => {
-                self.need.version = Some(origin.version);
-                Ok(())
-            }
-        }
+        let version = search.required_version(found.map(|(origin, _)| origin));
+        self.need.version = Some(version.map_err(|refusal| match refusal {
+            TakeUpRefusal::OriginUnknown => Refusal::OriginUnknown,
+            TakeUpRefusal::VersionGone => Refusal::VersionGone,
+        })?);
+        Ok(())
     }
 
     fn log_continuation(
--- a/src/forward/stream_origins.rs
+++ b/src/forward/stream_origins.rs
@@ -16,7 +16,8 @@
 use crate::process::wire::ControlWireClient;
 use crate::process::{daemon, peers};
 use crate::routing::stream_origins::{
-    HOSTS_ASKED, ORIGIN_COPIES, OriginBatch, OriginMemory, StreamKey, StreamOrigin,
+    self, OriginBatch, OriginMemory, OriginSearch, OriginSource, OriginStep, StreamKey,
+    StreamOrigin,
 };
 use crate::routing::view::SiteView;
 
@@ -39,28 +40,6 @@
 /// Number of times that control hosts are asked for an origin.
 const MAX_ASKS: u32 = 3;
 
-/// How an entry knows what began a stream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OriginSource {
-    /// The stream was served by this entry.
-    Own,
-    /// One version alone serves, as the leader confirms.
-    SoleVersion,
-    /// A control host had it.
-    Stored,
-}
-
-impl OriginSource {
-    /// Name in logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Own => "own",
-            Self::SoleVersion => "sole-version",
-            Self::Stored => "stored",
-        }
-    }
-}
-
 /// Origin that waits to be stored.
 #[derive(Debug)]
 struct QueuedOrigin {
@@ -156,9 +135,7 @@
     /// Updates which services run several software versions. The origins of a service's streams are
     /// stored once it does.
     pub(super) fn update_version_mixes(self: &Rc<Self>, view: &SiteView) {
-        let mixes = view.version_mixes.iter();
-        let several = mixes.filter(|(_, mix)| **mix == VersionMix::Several);
-        let several: BTreeSet<ServiceName> = several.map(|(service, _)| service.clone()).collect();
+        let several = stream_origins::mixed_services(view);
         let before = self.origins.several.replace(several.clone());
         for service in several.difference(&before) {
             let memory = self.origins.memory.borrow();
@@ -185,7 +162,7 @@
     fn store_origin(self: &Rc<Self>, key: StreamKey, origin: &StreamOrigin, keep_ms: u64) {
         let now_ms = clock::monotonic_ms();
         let hosts = self.link().addresses();
-        for host in key.owners(&hosts).into_iter().take(ORIGIN_COPIES) {
+        for host in key.storing_hosts(&hosts) {
             let stream = QueuedOrigin {
                 queued_ms: now_ms,
                 key,
@@ -198,46 +175,38 @@
     }
 
     /// Returns what began a stream that a client takes up, and how that is known; `None` if it is
-    /// not known. `service` is the one that the route names.
+    /// not known.
     pub async fn find_origin(
         self: &Rc<Self>,
-        key: Option<StreamKey>,
-        service: &ServiceName,
+        search: &OriginSearch,
         timeout: Duration,
     ) -> Option<(StreamOrigin, OriginSource)> {
-        if let Some(origin) = key.and_then(|key| self.origins.own(&key)) {
-            return Some((origin, OriginSource::Own));
-        }
+        let own = search.key.and_then(|key| self.origins.own(&key));
+        let several = self.origins.several.borrow().contains(&search.service);
+        let mut step = search.first_step(own, several);
         let find = async {
-            let several = self.origins.several.borrow().contains(service);
-            if !several && let Some(origin) = self.confirm_sole_version(service, timeout).await {
-                return Some((origin, OriginSource::SoleVersion));
+            loop {
+                step = match step {
+                    OriginStep::Known(origin, source) => return Some((origin, source)),
+                    OriginStep::AskLeader => {
+                        search.after_leader(self.ask_leader(&search.service, timeout).await)
+                    }
+                    OriginStep::AskHosts(key) => search.after_hosts(self.ask_hosts(key).await),
+                    OriginStep::Unknown => return None,
+                };
             }
-            let origin = self.ask_hosts(key?).await?;
-            Some((origin, OriginSource::Stored))
         };
         tokio::time::timeout(timeout, find).await.ok().flatten()
     }
 
-    /// Returns the version that alone serves, if the leader confirms that there is one: this
-    /// entry's view may be old.
-    async fn confirm_sole_version(
-        &self,
-        service: &ServiceName,
-        timeout: Duration,
-    ) -> Option<StreamOrigin> {
+    /// Returns which versions serve, as the leader knows.
+    async fn ask_leader(&self, service: &ServiceName, timeout: Duration) -> Option<VersionMix> {
         let call = |client: ControlWireClient, context| {
             let service = service.clone();
             async move { client.version_mix(context, service).await }
         };
         let mix = self.link().call_leader("version_mix", timeout, call).await;
-        match mix {
-            Ok(Some(VersionMix::Sole(version))) => Some(StreamOrigin {
-                service: service.clone(),
-                version,
-            }),
-            _ => None,
-        }
+        mix.ok().flatten()
     }
 
     async fn ask_hosts(&self, key: StreamKey) -> Option<StreamOrigin> {
@@ -246,7 +215,7 @@
                 tokio::time::sleep(ASK_AGAIN_DELAY).await;
             }
             let hosts = self.link().addresses();
-            let asked = key.owners(&hosts).into_iter().take(HOSTS_ASKED);
+            let asked = key.asked_hosts(&hosts);
             let calls = asked.map(|host| {
                 self.link()
                     .call_at(host, "find_origin", |client| async move {
--- a/src/routing/stream_origins.rs
+++ b/src/routing/stream_origins.rs
@@ -9,11 +9,12 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-use crate::consensus::software_versions::SoftwareVersion;
-use crate::ids::ServiceName;
+use crate::consensus::software_versions::{SoftwareVersion, VersionMix};
+use crate::ids::{ReplicaIncarnation, ServiceName};
+use crate::routing::view::SiteView;
 
 /// Maximum number of origins in each of the two generations of an [`OriginMemory`].
-const MAX_ORIGINS: usize = 65_536;
+pub const MAX_ORIGINS: usize = 65_536;
 /// Number of control hosts at which an origin is stored.
 pub const ORIGIN_COPIES: usize = 3;
 /// Number of control hosts that are asked for an origin: the owners, and further ones in case an
@@ -52,6 +53,16 @@
         order.sort_by_cached_key(|host| (weight(host), *host));
         order
     }
+
+    /// Returns the hosts on which the origin of the stream is stored.
+    pub fn storing_hosts<'a>(&self, hosts: &'a [String]) -> impl Iterator<Item = &'a String> {
+        self.owners(hosts).into_iter().take(ORIGIN_COPIES)
+    }
+
+    /// Returns the hosts that are asked for the origin of the stream.
+    pub fn asked_hosts<'a>(&self, hosts: &'a [String]) -> impl Iterator<Item = &'a String> {
+        self.owners(hosts).into_iter().take(HOSTS_ASKED)
+    }
 }
 
 /// What began a stream.
@@ -155,3 +166,140 @@
     /// The streams of each origin.
     pub streams: BTreeMap<StreamOrigin, Vec<StreamKey>>,
 }
+
+/// Returns the services that run several software versions.
+pub fn mixed_services(view: &SiteView) -> BTreeSet<ServiceName> {
+    let mixes = view.version_mixes.iter();
+    let several = mixes.filter(|(_, mix)| **mix == VersionMix::Several);
+    several.map(|(service, _)| service.clone()).collect()
+}
+
+/// How an entry knows what began a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum OriginSource {
+    /// The stream was served by this entry.
+    Own,
+    /// One version alone serves, as the leader confirms.
+    SoleVersion,
+    /// A control host had it.
+    Stored,
+}
+
+impl OriginSource {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::SoleVersion => "sole-version",
+            Self::Stored => "stored",
+        }
+    }
+}
+
+/// Search for the origin of a stream that a client takes up.
+#[derive(Clone, Debug)]
+pub struct OriginSearch {
+    /// The stream; `None` if the client does not name it.
+    pub key: Option<StreamKey>,
+    /// Service that the route names.
+    pub service: ServiceName,
+}
+
+/// Next step of an [`OriginSearch`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OriginStep {
+    /// The origin is known.
+    Known(StreamOrigin, OriginSource),
+    /// To ask the leader which versions serve: this entry's view may be old.
+    AskLeader,
+    /// To ask control hosts for the origin.
+    AskHosts(StreamKey),
+    /// Nobody knows the origin.
+    Unknown,
+}
+
+impl OriginSearch {
+    /// Returns the first step. `own` is the origin that this entry keeps; `several` is whether the
+    /// service runs several versions by this entry's view.
+    pub fn first_step(&self, own: Option<StreamOrigin>, several: bool) -> OriginStep {
+        match own {
+            Some(origin) => OriginStep::Known(origin, OriginSource::Own),
+            None if several => self.ask_hosts(),
+            None => OriginStep::AskLeader,
+        }
+    }
+
+    /// Returns the step after the leader's reply; `None` if there was none.
+    pub fn after_leader(&self, mix: Option<VersionMix>) -> OriginStep {
+        match mix {
+            Some(VersionMix::Sole(version)) => {
+                let service = self.service.clone();
+                let origin = StreamOrigin { service, version };
+                OriginStep::Known(origin, OriginSource::SoleVersion)
+            }
+            Some(VersionMix::Several) | None => self.ask_hosts(),
+        }
+    }
+
+    /// Returns the step after the replies of control hosts.
+    pub fn after_hosts(&self, stored: Option<StreamOrigin>) -> OriginStep {
+        match stored {
+            Some(origin) => OriginStep::Known(origin, OriginSource::Stored),
+            None => OriginStep::Unknown,
+        }
+    }
+
+    fn ask_hosts(&self) -> OriginStep {
+        self.key.map_or(OriginStep::Unknown, OriginStep::AskHosts)
+    }
+
+    /// Returns the version at which the stream must be continued, given its origin.
+    pub fn required_version(
+        &self,
+        origin: Option<StreamOrigin>,
+    ) -> Result<SoftwareVersion, TakeUpRefusal> {
+        match origin {
+            None => Err(TakeUpRefusal::OriginUnknown),
+            Some(origin) if origin.service != self.service => Err(TakeUpRefusal::VersionGone),
+            Some(origin) => Ok(origin.version),
+        }
+    }
+}
+
+/// Reason why a stream is not continued.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum TakeUpRefusal {
+    /// It is not known which software version began the stream.
+    OriginUnknown,
+    /// No replica of the software version that began the stream can continue it.
+    VersionGone,
+}
+
+/// What the first event of an attempt means for the software version of its stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EventBinding {
+    /// The stream has this version.
+    Known(SoftwareVersion),
+    /// The stream has the version of an incarnation that was replaced meanwhile, which must not be
+    /// recorded: only the current answer may go on with it.
+    Replaced(SoftwareVersion),
+    /// The events must not be passed on.
+    Rejected,
+}
+
+/// Binds a stream to the source of its events: `sent` is the incarnation to which the request was
+/// sent and `version` its version as known then; `current` is the one that is registered now under
+/// its id. `required` is the version that the stream has already.
+pub fn bind_events(
+    required: Option<&SoftwareVersion>,
+    sent: &ReplicaIncarnation,
+    version: &SoftwareVersion,
+    current: Option<&ReplicaIncarnation>,
+) -> EventBinding {
+    let replaced = current.is_some_and(|current| current != sent);
+    match required {
+        Some(_) if replaced => EventBinding::Rejected,
+        _ if replaced => EventBinding::Replaced(SoftwareVersion::Unnamed(sent.clone())),
+        _ => EventBinding::Known(version.clone()),
+    }
+}
