Drawn plays of streams that are taken up while several software versions serve

A seeded model of a site (log, late views, control hosts that lose their memory, leaderless times, lost calls, entries that die, freeze or are cut off, replicas that restart under their ids, clients that return at once, late and again) runs the real decisions: the log's state, members' views, the replica table, the memory of origins, the search and the settlement of a sole version.

The settlement does not see a version that registers and ends between two checks.

--- /dev/null
+++ b/tests/stream_take_ups/model.rs
@@ -0,0 +1,1090 @@
+//! Seeded discrete-event model of a site whose service runs several software versions: the log, the
+//! entries' copies of it, control hosts, replicas and clients that take broken streams up. Decisions
+//! are those of the library; messages, time and processes are simulated.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use dunlinspring::consensus::directory::ReplicaRecord;
+use dunlinspring::consensus::software_versions::{SoftwareVersion, VersionMix};
+use dunlinspring::consensus::state::{Command, SiteState, Stamped};
+use dunlinspring::forward::locality::EntryLocation;
+use dunlinspring::forward::need::{ChoicePolicy, Need};
+use dunlinspring::forward::replica_table::{Choice, EngineBounds, ReplicaTable};
+use dunlinspring::ids::{
+    ModelName, Position, ReplicaId, ReplicaIncarnation, ServiceName, VersionName,
+};
+use dunlinspring::placement::version_settlement::VersionSettlement;
+use dunlinspring::routing::stream_origins::{
+    EventBinding, OriginMemory, OriginSearch, OriginSource, OriginStep, StreamKey, StreamOrigin,
+    TakeUpRefusal, bind_events, mixed_services,
+};
+use dunlinspring::routing::view::{SiteView, SyncPage, page_after};
+use dunlinspring::table::configuration::{
+    Configuration, ConfigurationRecord, RouteKind, RouteSpec, ServiceSpec,
+};
+
+use crate::support_replicas::ready_replica;
+
+/// Maximum duration of a stream, in milliseconds.
+pub const STREAM_MS: u64 = 5_000;
+/// Time for which an entry looks an origin up, in milliseconds.
+const SEARCH_MS: u64 = 1_500;
+/// Timeout of one call to a control host, in milliseconds.
+const CALL_MS: u64 = 1_000;
+/// Delay before a failed call to the leader or a failed store is repeated, in milliseconds.
+const RETRY_MS: u64 = 100;
+/// Time after which an origin that could not be stored is dropped, in milliseconds.
+const STORE_MS: u64 = 5_000;
+/// Delay before control hosts are asked again, in milliseconds.
+const ASK_AGAIN_MS: u64 = 60;
+/// Number of times that control hosts are asked.
+const MAX_ASKS: u32 = 3;
+/// Number of replicas that one request is sent to.
+const MAX_TRIES: u32 = 3;
+/// Interval at which entries fetch the log, in milliseconds.
+const SYNC_MS: u64 = 500;
+/// Number of times that a client comes back with one stream.
+const MAX_RETURNS: u32 = 4;
+
+/// Random numbers of a play, by SplitMix64.
+#[derive(Clone, Debug)]
+pub struct Draw(pub u64);
+
+impl Draw {
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.0;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+
+    /// Draws a number from `from` to `to`, both included.
+    pub fn range(&mut self, from: u64, to: u64) -> u64 {
+        from + self.next() % (to - from + 1)
+    }
+
+    /// Draws whether something that happens in `percent` of cases happens.
+    pub fn percent(&mut self, percent: u64) -> bool {
+        self.range(1, 100) <= percent
+    }
+}
+
+/// A replica's process, as it is.
+#[derive(Clone, Debug)]
+struct ReplicaProcess {
+    record: ReplicaRecord,
+    version: SoftwareVersion,
+    drains: bool,
+}
+
+#[derive(Debug, Default)]
+struct ControlHost {
+    memory: OriginMemory,
+    is_down: bool,
+}
+
+#[derive(Debug)]
+struct EntryProcess {
+    life: u32,
+    is_down: bool,
+    cut_until_ms: u64,
+    frozen_until_ms: u64,
+    lag_ms: u64,
+    view: SiteView,
+    replicas: ReplicaTable,
+    several: BTreeSet<ServiceName>,
+    memory: OriginMemory,
+}
+
+impl EntryProcess {
+    fn new(life: u32, lag_ms: u64) -> Self {
+        Self {
+            life,
+            lag_ms,
+            is_down: false,
+            cut_until_ms: 0,
+            frozen_until_ms: 0,
+            view: SiteView::default(),
+            replicas: ReplicaTable::new(ChoicePolicy::default(), EntryLocation::default()),
+            several: BTreeSet::new(),
+            memory: OriginMemory::default(),
+        }
+    }
+
+    fn may_serve(&self) -> bool {
+        !self.is_down && self.view.configuration.is_some()
+    }
+}
+
+/// How a client names the stream that it takes up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Naming {
+    First,
+    OtherAccounts,
+    None,
+}
+
+/// A client's stream over all its attempts.
+#[derive(Clone, Debug)]
+struct ClientStream {
+    account: String,
+    naming: Naming,
+    home_entry: Option<usize>,
+    /// The attempt that brought the first event, with the version that it came from.
+    first: Option<(String, SoftwareVersion)>,
+    attempts: u32,
+    returns: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RequestPhase {
+    Waiting,
+    Running,
+    Ended,
+}
+
+/// One attempt of a client at an entry.
+#[derive(Clone, Debug)]
+struct ClientRequest {
+    stream: usize,
+    entry: usize,
+    life: u32,
+    id: String,
+    search: OriginSearch,
+    is_take_up: bool,
+    /// Whether the attempt counts for the shares.
+    counts: bool,
+    need: Need,
+    until_ms: u64,
+    attempted: BTreeSet<ReplicaId>,
+    tries: u32,
+    sent: Option<(ReplicaIncarnation, SoftwareVersion)>,
+    has_events: bool,
+    phase: RequestPhase,
+}
+
+/// Something that happens at a time.
+#[derive(Clone, Debug)]
+pub enum PlayEvent {
+    /// A replica starts.
+    Start {
+        /// Its id.
+        id: String,
+        /// The version that it names.
+        version: Option<&'static str>,
+        /// Whether it holds the streams' model.
+        holds: bool,
+    },
+    /// A replica drains.
+    Drain(String),
+    /// A replica ends.
+    End(String),
+    /// An entry is killed.
+    KillEntry(usize),
+    /// An entry starts.
+    StartEntry(usize),
+    /// An entry is cut off from all control hosts for a time.
+    CutEntry(usize, u64),
+    /// An entry is frozen for a time.
+    FreezeEntry(usize, u64),
+    /// A control host is killed, and started after a time.
+    KillHost(usize, u64),
+    /// There is no leader for a time.
+    LoseLeader(u64),
+    /// A client begins a stream, at a certain entry or any.
+    Begin(Option<usize>),
+    /// All clients of an entry are disconnected.
+    Reset(usize),
+    #[doc(hidden)]
+    Internal(InternalEvent),
+}
+
+/// Consequence of another event.
+#[derive(Clone, Debug)]
+pub enum InternalEvent {
+    StartHost(usize),
+    Commit(Command),
+    Settle,
+    Sync,
+    Page(usize, u32, SyncPage),
+    Return(usize),
+    AskLeader(usize),
+    AskHosts(usize, StreamKey, u32),
+    Found(usize, Option<StreamOrigin>),
+    Choose(usize),
+    Send(usize, ReplicaId),
+    Connected(usize),
+    Arrive(usize),
+    Break(usize),
+    Store(usize, u32, usize, StreamKey, StreamOrigin, u64),
+    Stored(usize, StreamKey, StreamOrigin),
+}
+
+use InternalEvent as In;
+
+/// Settings of a play.
+#[derive(Clone, Debug)]
+pub struct PlaySetup {
+    /// Number of entries.
+    pub entries: usize,
+    /// Number of control hosts.
+    pub hosts: usize,
+    /// Longest delay of an entry's view, in milliseconds; each entry draws its own.
+    pub max_lag_ms: u64,
+    /// Percentage of calls between entries and control hosts that are lost.
+    pub loss_percent: u64,
+    /// What happens, with times.
+    pub events: Vec<(u64, PlayEvent)>,
+}
+
+/// Counts of one or more plays.
+#[derive(Clone, Debug, Default)]
+pub struct PlayCounts {
+    /// Streams that clients began at entries in touch, and those of them that brought an event.
+    pub begins: (u64, u64),
+    /// Take-ups at entries in touch while two replicas of the version held the model, and those of
+    /// them that brought an event.
+    pub take_ups: (u64, u64),
+    /// All take-ups.
+    pub all_take_ups: u64,
+    /// Take-ups that went on, by how the origin was known.
+    pub sources: BTreeMap<&'static str, u64>,
+    /// Refused take-ups of those that count, by reason.
+    pub refusals: BTreeMap<&'static str, u64>,
+    /// All refused take-ups, by reason.
+    pub all_refusals: BTreeMap<&'static str, u64>,
+    /// Streams with events of two versions.
+    pub mixed: u64,
+    /// Answers with events that were sent without a version.
+    pub begun_anew: u64,
+    /// Take-ups that named another account's stream and were given its origin.
+    pub leaked: u64,
+    /// Continuations by entries within an answer.
+    pub continued: u64,
+}
+
+impl PlayCounts {
+    /// Adds the counts of another play.
+    pub fn add(&mut self, other: Self) {
+        let add_pair = |one: &mut (u64, u64), two: (u64, u64)| {
+            one.0 += two.0;
+            one.1 += two.1;
+        };
+        add_pair(&mut self.begins, other.begins);
+        add_pair(&mut self.take_ups, other.take_ups);
+        self.all_take_ups += other.all_take_ups;
+        self.mixed += other.mixed;
+        self.begun_anew += other.begun_anew;
+        self.leaked += other.leaked;
+        self.continued += other.continued;
+        let maps = [
+            (&mut self.sources, other.sources),
+            (&mut self.refusals, other.refusals),
+            (&mut self.all_refusals, other.all_refusals),
+        ];
+        for (counts, more) in maps {
+            for (name, count) in more {
+                *counts.entry(name).or_default() += count;
+            }
+        }
+    }
+
+    /// Share of begun streams that brought an event.
+    pub fn begin_share(&self) -> f64 {
+        self.begins.1 as f64 / self.begins.0.max(1) as f64
+    }
+
+    /// Share of take-ups that brought an event.
+    pub fn take_up_share(&self) -> f64 {
+        self.take_ups.1 as f64 / self.take_ups.0.max(1) as f64
+    }
+}
+
+/// One play.
+#[derive(Debug)]
+pub struct Play {
+    draw: Draw,
+    setup: PlaySetup,
+    now_ms: u64,
+    sequence: u64,
+    events: BTreeMap<(u64, u64), PlayEvent>,
+    state: SiteState,
+    settlement: VersionSettlement,
+    leaderless_until_ms: u64,
+    host_names: Vec<String>,
+    hosts: Vec<ControlHost>,
+    entries: Vec<EntryProcess>,
+    processes: BTreeMap<ReplicaId, ReplicaProcess>,
+    streams: Vec<ClientStream>,
+    requests: Vec<ClientRequest>,
+    sources: BTreeMap<usize, OriginSource>,
+    /// Accounts whose requests recorded an origin under a key.
+    recorders: BTreeMap<StreamKey, BTreeSet<String>>,
+    ports: u16,
+    counts: PlayCounts,
+}
+
+fn service() -> ServiceName {
+    ServiceName::from("llm")
+}
+
+fn model() -> ModelName {
+    ModelName::from("m")
+}
+
+fn configuration() -> Configuration {
+    let route = RouteSpec {
+        name: "streams".to_owned(),
+        host: "a.example".to_owned(),
+        prefix: "/".to_owned(),
+        kind: RouteKind::Streaming,
+        timeout_ms: STREAM_MS,
+        latency_goal_ms: 1_000,
+        max_event_gap_ms: 1_000,
+        priority: 0,
+        attempts: MAX_TRIES,
+        resumable: true,
+        public: true,
+        regions: BTreeSet::new(),
+        split: vec![(service(), 1)],
+    };
+    let spec = ServiceSpec {
+        max_connections: 1_000,
+        warm_up: None,
+        engine: None,
+    };
+    Configuration {
+        version: 1,
+        routes: vec![route],
+        services: BTreeMap::from([(service(), spec)]),
+        ..Configuration::default()
+    }
+}
+
+impl Play {
+    /// Prepares a play.
+    pub fn new(seed: u64, setup: PlaySetup) -> Self {
+        let mut play = Self {
+            draw: Draw(seed),
+            now_ms: 0,
+            sequence: 0,
+            events: BTreeMap::new(),
+            state: SiteState::default(),
+            settlement: VersionSettlement::default(),
+            leaderless_until_ms: 0,
+            host_names: (0..setup.hosts).map(|n| format!("control-{n}")).collect(),
+            hosts: (0..setup.hosts).map(|_| ControlHost::default()).collect(),
+            entries: Vec::new(),
+            processes: BTreeMap::new(),
+            streams: Vec::new(),
+            requests: Vec::new(),
+            sources: BTreeMap::new(),
+            recorders: BTreeMap::new(),
+            ports: 1_000,
+            counts: PlayCounts::default(),
+            setup,
+        };
+        for _ in 0..play.setup.entries {
+            let lag_ms = play.draw.range(1, play.setup.max_lag_ms);
+            play.entries.push(EntryProcess::new(0, lag_ms));
+        }
+        let record = ConfigurationRecord {
+            configuration: configuration(),
+            source: Vec::new(),
+        };
+        play.after(0, In::Commit(Command::Configure(Box::new(record))));
+        play.after(1, In::Sync);
+        play.after(1, In::Settle);
+        for (at_ms, event) in std::mem::take(&mut play.setup.events) {
+            play.push(at_ms, event);
+        }
+        play
+    }
+
+    /// Runs the play and returns its counts.
+    pub fn run(mut self) -> PlayCounts {
+        let last = self.events.keys().next_back();
+        let until_ms = last.map_or(0, |(at_ms, _)| at_ms + 4 * STREAM_MS);
+        while let Some(((at_ms, _), event)) = self.events.pop_first() {
+            if at_ms > until_ms {
+                break;
+            }
+            self.now_ms = at_ms;
+            match event {
+                PlayEvent::Internal(event) => self.handle_internal(event),
+                event => self.handle(event),
+            }
+        }
+        self.counts
+    }
+
+    fn push(&mut self, at_ms: u64, event: PlayEvent) {
+        self.sequence += 1;
+        self.events.insert((at_ms, self.sequence), event);
+    }
+
+    fn after(&mut self, delay_ms: u64, event: InternalEvent) {
+        self.push(self.now_ms + delay_ms, PlayEvent::Internal(event));
+    }
+
+    fn handle(&mut self, event: PlayEvent) {
+        match event {
+            PlayEvent::Start { id, version, holds } => self.start(&id, version, holds),
+            PlayEvent::Drain(id) => {
+                let id = ReplicaId::from(id.as_str());
+                if let Some(process) = self.processes.get_mut(&id) {
+                    process.drains = true;
+                }
+                self.after(5, In::Commit(Command::ReplicaDrains(id)));
+            }
+            PlayEvent::End(id) => self.end(&ReplicaId::from(id.as_str())),
+            PlayEvent::KillEntry(entry) => {
+                self.break_streams(entry);
+                let EntryProcess { life, lag_ms, .. } = self.entries[entry];
+                self.entries[entry] = EntryProcess::new(life + 1, lag_ms);
+                self.entries[entry].is_down = true;
+            }
+            PlayEvent::StartEntry(entry) => {
+                self.entries[entry].is_down = false;
+                self.send_page(entry);
+            }
+            PlayEvent::CutEntry(entry, ms) => self.entries[entry].cut_until_ms = self.now_ms + ms,
+            PlayEvent::FreezeEntry(entry, ms) => {
+                self.entries[entry].frozen_until_ms = self.now_ms + ms;
+                self.break_streams(entry);
+            }
+            PlayEvent::KillHost(host, ms) => {
+                self.hosts[host] = ControlHost::default();
+                self.hosts[host].is_down = true;
+                self.after(ms, In::StartHost(host));
+            }
+            PlayEvent::LoseLeader(ms) => {
+                self.leaderless_until_ms = self.now_ms + ms;
+                self.settlement = VersionSettlement::default();
+            }
+            PlayEvent::Begin(entry) => self.begin(entry),
+            PlayEvent::Reset(entry) => self.break_streams(entry),
+            PlayEvent::Internal(event) => self.handle_internal(event),
+        }
+    }
+
+    fn handle_internal(&mut self, event: InternalEvent) {
+        if let Some(thaw_ms) = self.frozen_until_ms(&event) {
+            return self.push(thaw_ms, PlayEvent::Internal(event));
+        }
+        match event {
+            In::StartHost(host) => self.hosts[host].is_down = false,
+            In::Commit(command) if self.is_leaderless() => {
+                self.after(RETRY_MS, In::Commit(command))
+            }
+            In::Commit(command) => self.commit(command),
+            In::Settle => self.settle(),
+            In::Sync => {
+                for entry in 0..self.entries.len() {
+                    self.send_page(entry);
+                }
+                self.after(SYNC_MS, In::Sync);
+            }
+            In::Page(entry, life, page) => self.follow(entry, life, &page),
+            In::Return(stream) => self.client_returns(stream),
+            In::AskLeader(request) => self.ask_leader(request),
+            In::AskHosts(request, key, asked) => self.ask_hosts(request, key, asked),
+            In::Found(request, origin) => {
+                let step = self.requests[request].search.after_hosts(origin);
+                self.take_step(request, step);
+            }
+            In::Choose(request) => self.choose(request),
+            In::Send(request, id) => self.send(request, &id),
+            In::Connected(request) => self.connected(request),
+            In::Arrive(request) => self.arrive(request),
+            In::Break(request) => self.break_stream(request),
+            In::Store(entry, life, host, key, origin, until_ms) => {
+                self.store(entry, life, host, key, origin, until_ms);
+            }
+            In::Stored(host, key, origin) => {
+                if !self.hosts[host].is_down {
+                    let keep_ms = self.stream_memory_ms();
+                    let memory = &mut self.hosts[host].memory;
+                    memory.record(self.now_ms, keep_ms, key, &origin);
+                }
+            }
+        }
+    }
+
+    /// Returns when an event's entry is continued, if it is frozen.
+    fn frozen_until_ms(&self, event: &InternalEvent) -> Option<u64> {
+        let entry = match event {
+            In::Page(entry, ..) | In::Store(entry, ..) => *entry,
+            In::AskLeader(request)
+            | In::AskHosts(request, ..)
+            | In::Found(request, _)
+            | In::Choose(request)
+            | In::Send(request, _)
+            | In::Connected(request)
+            | In::Arrive(request) => self.requests[*request].entry,
+            _ => return None,
+        };
+        let until_ms = self.entries[entry].frozen_until_ms;
+        (until_ms > self.now_ms).then_some(until_ms)
+    }
+
+    fn is_leaderless(&self) -> bool {
+        self.now_ms < self.leaderless_until_ms
+    }
+
+    fn is_cut(&self, entry: usize) -> bool {
+        self.now_ms < self.entries[entry].cut_until_ms
+    }
+
+    fn is_in_touch(&self, entry: usize) -> bool {
+        let frozen = self.now_ms < self.entries[entry].frozen_until_ms;
+        !self.is_cut(entry) && !frozen && self.entries[entry].may_serve()
+    }
+
+    fn is_lost(&mut self, entry: usize) -> bool {
+        let percent = self.setup.loss_percent;
+        self.draw.percent(percent) || self.is_cut(entry)
+    }
+
+    fn stream_memory_ms(&self) -> u64 {
+        configuration().stream_memory_ms(&service())
+    }
+
+    // The log and its copies.
+
+    fn commit(&mut self, command: Command) {
+        let position = Position(self.state.position.0 + 1);
+        let stamped = Stamped {
+            at_ms: self.now_ms,
+            command,
+        };
+        self.state.apply(position, &stamped);
+        for entry in 0..self.entries.len() {
+            self.send_page(entry);
+        }
+    }
+
+    fn settle(&mut self) {
+        if !self.is_leaderless() {
+            for command in self.settlement.check(&self.state, self.now_ms) {
+                self.commit(command);
+            }
+        }
+        self.after(SYNC_MS, In::Settle);
+    }
+
+    fn send_page(&mut self, entry: usize) {
+        let process = &self.entries[entry];
+        let (life, is_down) = (process.life, process.is_down);
+        if is_down || self.is_lost(entry) {
+            return;
+        }
+        let page = page_after(&self.state, self.entries[entry].view.position);
+        let lag_ms = self.entries[entry].lag_ms + self.draw.range(0, 20);
+        self.after(lag_ms, In::Page(entry, life, page));
+    }
+
+    fn follow(&mut self, entry: usize, life: u32, page: &SyncPage) {
+        let now_ms = self.now_ms;
+        let process = &mut self.entries[entry];
+        if process.life != life || !process.view.follow(page) {
+            return;
+        }
+        process
+            .replicas
+            .update_records(now_ms, &process.view.replicas);
+        process.replicas.update_versions(&process.view.versions);
+        let several = mixed_services(&process.view);
+        let before = std::mem::replace(&mut process.several, several.clone());
+        let mut streams = Vec::new();
+        for service in several.difference(&before) {
+            let all = process.memory.of_service(service);
+            streams.extend(all.map(|(key, origin)| (key, origin.clone())));
+        }
+        for (key, origin) in streams {
+            self.store_at_owners(entry, key, &origin);
+        }
+    }
+
+    // Replicas.
+
+    fn start(&mut self, id: &str, version: Option<&'static str>, holds: bool) {
+        let models = match holds {
+            true => BTreeMap::from([(model(), BTreeSet::new())]),
+            false => BTreeMap::new(),
+        };
+        self.ports += 1;
+        let record = ReplicaRecord {
+            address: ([127, 0, 0, 1], self.ports).into(),
+            started_ms: self.now_ms + 1,
+            slots: 4_000,
+            models,
+            ..ready_replica(id, "llm")
+        };
+        let (version, command) = match version {
+            Some(name) => {
+                let name = VersionName::from(name);
+                let record = Box::new(record.clone());
+                (
+                    SoftwareVersion::Named(name.clone()),
+                    Command::VersionedReplica(record, name),
+                )
+            }
+            None => (
+                SoftwareVersion::Unnamed(record.incarnation()),
+                Command::Replica(Box::new(record.clone())),
+            ),
+        };
+        self.end(&record.id);
+        let process = ReplicaProcess {
+            record,
+            version,
+            drains: false,
+        };
+        self.processes.insert(process.record.id.clone(), process);
+        let delay_ms = self.draw.range(2, 20);
+        self.after(delay_ms, In::Commit(command));
+    }
+
+    fn end(&mut self, id: &ReplicaId) {
+        let Some(process) = self.processes.remove(id) else {
+            return;
+        };
+        let incarnation = process.record.incarnation();
+        let delay_ms = self.draw.range(1, 1_000);
+        self.after(
+            delay_ms,
+            In::Commit(Command::ReplicaEnded(incarnation.clone())),
+        );
+        for number in 0..self.requests.len() {
+            let request = &mut self.requests[number];
+            let source = request.sent.as_ref().map(|(incarnation, _)| incarnation);
+            if request.phase == RequestPhase::Running && source == Some(&incarnation) {
+                // The entry continues the stream within the answer.
+                request.phase = RequestPhase::Waiting;
+                request.tries = 0;
+                self.counts.continued += 1;
+                self.after(1, In::Choose(number));
+            }
+        }
+    }
+
+    fn homes_of(&self, version: &SoftwareVersion) -> usize {
+        let serving = self.processes.values().filter(|process| {
+            !process.drains
+                && process.version == *version
+                && process.record.models.contains_key(&model())
+        });
+        serving.count()
+    }
+
+    // Clients.
+
+    fn begin(&mut self, home_entry: Option<usize>) {
+        let naming = match self.draw.range(1, 100) {
+            1..=4 => Naming::None,
+            5..=8 => Naming::OtherAccounts,
+            _ => Naming::First,
+        };
+        self.streams.push(ClientStream {
+            account: format!("account-{}", self.streams.len() % 7),
+            naming,
+            home_entry,
+            first: None,
+            attempts: 0,
+            returns: 0,
+        });
+        self.client_sends(self.streams.len() - 1, home_entry);
+    }
+
+    fn client_returns(&mut self, stream: usize) {
+        let same = self.draw.percent(20);
+        let entry = self.streams[stream].home_entry.filter(|_| same);
+        self.client_sends(stream, entry);
+    }
+
+    fn client_sends(&mut self, stream: usize, entry: Option<usize>) {
+        let serving = (0..self.entries.len()).filter(|entry| self.entries[*entry].may_serve());
+        let serving: Vec<usize> = serving.collect();
+        if serving.is_empty() {
+            return;
+        }
+        let drawn = serving[self.draw.range(0, serving.len() as u64 - 1) as usize];
+        let entry = entry.filter(|e| serving.contains(e)).unwrap_or(drawn);
+        let others = self.draw.range(0, self.streams.len() as u64 - 1) as usize;
+        let other = self.streams[others].clone();
+        let client = &mut self.streams[stream];
+        client.home_entry = Some(entry);
+        client.attempts += 1;
+        let id = format!("{stream}-{}", client.attempts);
+        let client = &self.streams[stream];
+        let is_take_up = client.first.is_some();
+        let named = match (&client.first, client.naming) {
+            (None, _) => Some(id.clone()),
+            (Some(_), Naming::None) => None,
+            (Some((first, _)), Naming::First) => Some(first.clone()),
+            (Some((first, _)), Naming::OtherAccounts) => match other.first {
+                Some((other_id, _)) if other.account != client.account => Some(other_id),
+                _ => Some(first.clone()),
+            },
+        };
+        let homes = client
+            .first
+            .as_ref()
+            .map(|(_, version)| self.homes_of(version));
+        let counts = self.is_in_touch(entry)
+            && homes.is_none_or(|homes| homes >= 2 && client.naming == Naming::First);
+        let key = named.map(|id| StreamKey::new(&client.account, &id));
+        let request = ClientRequest {
+            stream,
+            entry,
+            life: self.entries[entry].life,
+            id,
+            search: OriginSearch {
+                key,
+                service: service(),
+            },
+            is_take_up,
+            counts,
+            need: Need {
+                service: Some(service()),
+                model: Some(model()),
+                id_hash: self.draw.range(0, u64::MAX - 1),
+                ..Need::default()
+            },
+            until_ms: self.now_ms + SEARCH_MS,
+            attempted: BTreeSet::new(),
+            tries: 0,
+            sent: None,
+            has_events: false,
+            phase: RequestPhase::Waiting,
+        };
+        self.requests.push(request);
+        let number = self.requests.len() - 1;
+        if !is_take_up {
+            self.counts.begins.0 += u64::from(counts);
+            return self.after(1, In::Choose(number));
+        }
+        self.counts.all_take_ups += 1;
+        self.counts.take_ups.0 += u64::from(counts);
+        let search = &self.requests[number].search;
+        let process = &self.entries[entry];
+        let own = search
+            .key
+            .and_then(|key| process.memory.find(&key).cloned());
+        let step = search.first_step(own, process.several.contains(&service()));
+        self.take_step(number, step);
+    }
+
+    /// The client's connection breaks.
+    fn break_stream(&mut self, number: usize) {
+        if self.requests[number].phase == RequestPhase::Ended {
+            return;
+        }
+        self.requests[number].phase = RequestPhase::Ended;
+        self.come_back(self.requests[number].stream);
+    }
+
+    fn come_back(&mut self, stream: usize) {
+        self.streams[stream].returns += 1;
+        if self.streams[stream].returns > MAX_RETURNS {
+            return;
+        }
+        let delay_ms = match self.draw.range(0, 2) {
+            0 => 1,
+            1 => self.draw.range(10, 500),
+            _ => 2_000,
+        };
+        self.after(delay_ms, In::Return(stream));
+    }
+
+    fn break_streams(&mut self, entry: usize) {
+        for number in 0..self.requests.len() {
+            if self.requests[number].entry == entry {
+                self.break_stream(number);
+            }
+        }
+    }
+
+    // The entry's side of a request.
+
+    /// Whether the entry still serves the request.
+    fn is_open(&self, number: usize) -> bool {
+        let request = &self.requests[number];
+        request.phase != RequestPhase::Ended && request.life == self.entries[request.entry].life
+    }
+
+    fn take_step(&mut self, number: usize, step: OriginStep) {
+        if !self.is_open(number) {
+            return;
+        }
+        match step {
+            OriginStep::AskLeader => self.after(1, In::AskLeader(number)),
+            OriginStep::AskHosts(key) => self.after(1, In::AskHosts(number, key, 0)),
+            OriginStep::Known(..) | OriginStep::Unknown => {
+                let request = &mut self.requests[number];
+                let found = match step {
+                    OriginStep::Known(origin, source) => {
+                        self.sources.insert(number, source);
+                        Some(origin)
+                    }
+                    _ => None,
+                };
+                match request.search.required_version(found) {
+                    Ok(version) => {
+                        request.need.version = Some(version);
+                        self.after(1, In::Choose(number));
+                    }
+                    Err(TakeUpRefusal::OriginUnknown) => self.refuse(number, "unknown"),
+                    Err(TakeUpRefusal::VersionGone) => self.refuse(number, "other service"),
+                }
+            }
+        }
+        self.check_leak(number);
+    }
+
+    fn check_leak(&mut self, number: usize) {
+        let request = &self.requests[number];
+        let account = &self.streams[request.stream].account;
+        let source = self.sources.get(&number);
+        let knows = matches!(source, Some(OriginSource::Own | OriginSource::Stored));
+        let recorders = request.search.key.and_then(|key| self.recorders.get(&key));
+        let is_own = recorders.is_some_and(|accounts| accounts.iter().eq([account]));
+        if knows && !is_own {
+            self.counts.leaked += 1;
+        }
+    }
+
+    fn ask_leader(&mut self, number: usize) {
+        let request = &self.requests[number];
+        let (entry, until_ms) = (request.entry, request.until_ms);
+        if self.now_ms >= until_ms {
+            return self.take_step(number, OriginStep::Unknown);
+        }
+        if self.is_leaderless() || self.is_lost(entry) {
+            return self.after(RETRY_MS, In::AskLeader(number));
+        }
+        let mix: Option<VersionMix> = self.state.versions().mixes().get(&service()).cloned();
+        let step = self.requests[number].search.after_leader(mix);
+        self.take_step(number, step);
+    }
+
+    fn ask_hosts(&mut self, number: usize, key: StreamKey, asked: u32) {
+        let request = &self.requests[number];
+        let (entry, until_ms) = (request.entry, request.until_ms);
+        if self.now_ms >= until_ms {
+            return self.take_step(number, OriginStep::Unknown);
+        }
+        let hosts: Vec<usize> = key
+            .asked_hosts(&self.host_names)
+            .filter_map(|name| self.host_names.iter().position(|other| other == name))
+            .collect();
+        let mut found = None;
+        let mut wait_ms = ASK_AGAIN_MS;
+        for host in hosts {
+            if self.is_lost(entry) {
+                wait_ms = CALL_MS;
+            } else if !self.hosts[host].is_down {
+                found = found.or_else(|| self.hosts[host].memory.find(&key).cloned());
+            }
+        }
+        let delay_ms = self.draw.range(1, 5);
+        match found {
+            Some(origin) => self.after(delay_ms, In::Found(number, Some(origin))),
+            None if asked + 1 < MAX_ASKS => {
+                self.after(wait_ms, In::AskHosts(number, key, asked + 1));
+            }
+            None => self.after(delay_ms, In::Found(number, None)),
+        }
+    }
+
+    fn choose(&mut self, number: usize) {
+        if !self.is_open(number) {
+            return;
+        }
+        let request = &mut self.requests[number];
+        if request.has_events && request.need.version.is_none() {
+            self.counts.begun_anew += 1;
+        }
+        if request.tries >= MAX_TRIES {
+            return self.refuse(number, "tries");
+        }
+        request.tries += 1;
+        let bounds = EngineBounds::default();
+        let replicas = &self.entries[request.entry].replicas;
+        let choice = replicas.choose(self.now_ms, &request.need, &request.attempted, bounds);
+        match choice {
+            Choice::Send(id) => {
+                // A lease, a permit or a busy entry may lie between the choice and the attempt.
+                let delay_ms = match self.draw.percent(5) {
+                    true => self.draw.range(20, 500),
+                    false => 1,
+                };
+                self.after(delay_ms, In::Send(number, id));
+            }
+            Choice::Absent => self.refuse(number, "gone"),
+            Choice::Full => self.refuse(number, "full"),
+            _ => self.refuse(number, "other"),
+        }
+    }
+
+    fn send(&mut self, number: usize, id: &ReplicaId) {
+        if !self.is_open(number) {
+            return;
+        }
+        let request = &mut self.requests[number];
+        request.attempted.insert(id.clone());
+        let replicas = &self.entries[request.entry].replicas;
+        let Some(record) = replicas.record(id) else {
+            return self.after(1, In::Choose(number));
+        };
+        let incarnation = record.incarnation();
+        request.sent = Some((incarnation.clone(), SoftwareVersion::Unnamed(incarnation)));
+        let delay_ms = self.draw.range(1, 50);
+        self.after(delay_ms, In::Connected(number));
+    }
+
+    /// The connection to the replica is open, and the request is sent.
+    fn connected(&mut self, number: usize) {
+        if !self.is_open(number) {
+            return;
+        }
+        let request = &mut self.requests[number];
+        let replicas = &self.entries[request.entry].replicas;
+        if let Some((incarnation, version)) = &mut request.sent
+            && let Some(known) = replicas.version(&incarnation.id)
+        {
+            *version = known.clone();
+        }
+        let delay_ms = self.draw.range(1, 100);
+        self.after(delay_ms, In::Arrive(number));
+    }
+
+    /// The request has arrived at the replica, and the first event at the entry.
+    fn arrive(&mut self, number: usize) {
+        if !self.is_open(number) {
+            return;
+        }
+        let request = &self.requests[number];
+        let Some((sent, version)) = request.sent.clone() else {
+            return;
+        };
+        let process = self.processes.get(&sent.id);
+        let process = process.filter(|process| process.record.incarnation() == sent);
+        let Some(process) = process
+            .filter(|process| !process.drains && process.record.models.contains_key(&model()))
+        else {
+            return self.after(1, In::Choose(number));
+        };
+        let true_version = process.version.clone();
+        let current = self.entries[request.entry].replicas.record(&sent.id);
+        let current = current.map(ReplicaRecord::incarnation);
+        let required = request.need.version.as_ref();
+        let (bound, may_record) = match bind_events(required, &sent, &version, current.as_ref()) {
+            EventBinding::Known(version) => (version, true),
+            EventBinding::Replaced(version) => (version, false),
+            EventBinding::Rejected => return self.refuse(number, "rejected"),
+        };
+        let request = &mut self.requests[number];
+        request.need.version = Some(bound.clone());
+        request.phase = RequestPhase::Running;
+        let (entry, key) = (request.entry, request.search.key);
+        let is_first = !std::mem::replace(&mut request.has_events, true);
+        if let (Some(key), true) = (key, may_record) {
+            let account = self.streams[self.requests[number].stream].account.clone();
+            self.recorders.entry(key).or_default().insert(account);
+            self.record_origin(entry, key, bound);
+        }
+        self.client_receives(number, &true_version, is_first);
+    }
+
+    fn client_receives(&mut self, number: usize, version: &SoftwareVersion, is_first: bool) {
+        let request = &self.requests[number];
+        let counts = u64::from(request.counts && is_first);
+        match request.is_take_up {
+            true => self.counts.take_ups.1 += counts,
+            false => self.counts.begins.1 += counts,
+        }
+        // The first event of an answer may be lost with its connection.
+        if is_first && self.draw.percent(5) {
+            return self.break_stream(number);
+        }
+        let request = &self.requests[number];
+        let client = &mut self.streams[request.stream];
+        match &client.first {
+            None => client.first = Some((request.id.clone(), version.clone())),
+            Some((_, first)) => self.counts.mixed += u64::from(first != version),
+        }
+        if !is_first {
+            return;
+        }
+        if request.is_take_up {
+            let source = self.sources.get(&number).map_or("none", |s| s.name());
+            *self.counts.sources.entry(source).or_default() += 1;
+        }
+        let lasts_ms = self.draw.range(50, STREAM_MS - 1_000);
+        self.after(lasts_ms, In::Break(number));
+    }
+
+    fn refuse(&mut self, number: usize, reason: &'static str) {
+        let request = &mut self.requests[number];
+        request.phase = RequestPhase::Ended;
+        let stream = request.stream;
+        if request.is_take_up && !request.has_events {
+            if request.counts {
+                *self.counts.refusals.entry(reason).or_default() += 1;
+            }
+            *self.counts.all_refusals.entry(reason).or_default() += 1;
+        }
+        self.come_back(stream);
+    }
+
+    // Origins.
+
+    fn record_origin(&mut self, entry: usize, key: StreamKey, version: SoftwareVersion) {
+        let keep_ms = self.stream_memory_ms();
+        let origin = StreamOrigin {
+            service: service(),
+            version,
+        };
+        let process = &mut self.entries[entry];
+        process.memory.record(self.now_ms, keep_ms, key, &origin);
+        if process.several.contains(&service()) {
+            self.store_at_owners(entry, key, &origin);
+        }
+    }
+
+    fn store_at_owners(&mut self, entry: usize, key: StreamKey, origin: &StreamOrigin) {
+        let life = self.entries[entry].life;
+        let hosts: Vec<usize> = key
+            .storing_hosts(&self.host_names)
+            .filter_map(|name| self.host_names.iter().position(|other| other == name))
+            .collect();
+        for host in hosts {
+            let until_ms = self.now_ms + STORE_MS;
+            let event = In::Store(entry, life, host, key, origin.clone(), until_ms);
+            self.after(1, event);
+        }
+    }
+
+    fn store(
+        &mut self,
+        entry: usize,
+        life: u32,
+        host: usize,
+        key: StreamKey,
+        origin: StreamOrigin,
+        until_ms: u64,
+    ) {
+        if self.entries[entry].life != life || self.now_ms >= until_ms {
+            return;
+        }
+        if self.is_lost(entry) || self.hosts[host].is_down {
+            let event = In::Store(entry, life, host, key, origin, until_ms);
+            return self.after(RETRY_MS, event);
+        }
+        let delay_ms = self.draw.range(1, 5);
+        self.after(delay_ms, In::Stored(host, key, origin));
+    }
+}
--- /dev/null
+++ b/tests/version_settlement.rs
@@ -0,0 +1,150 @@
+//! When the leader lets one software version count as the only one again.
+
+mod support_replicas;
+
+use std::collections::BTreeSet;
+
+use dunlinspring::consensus::directory::ReplicaRecord;
+use dunlinspring::consensus::software_versions::{SoftwareVersion, VersionMix};
+use dunlinspring::consensus::state::{Command, SiteState, Stamped};
+use dunlinspring::ids::{Position, ServiceName, VersionName};
+use dunlinspring::placement::version_settlement::VersionSettlement;
+use dunlinspring::table::configuration::{
+    Configuration, ConfigurationRecord, RouteKind, RouteSpec, ServiceSpec,
+};
+use support_replicas::ready_replica;
+
+fn service() -> ServiceName {
+    ServiceName::from("llm")
+}
+
+fn configuration() -> Configuration {
+    let route = RouteSpec {
+        name: "streams".to_owned(),
+        host: "a.example".to_owned(),
+        prefix: "/".to_owned(),
+        kind: RouteKind::Streaming,
+        timeout_ms: 5_000,
+        latency_goal_ms: 1_000,
+        max_event_gap_ms: 1_000,
+        priority: 0,
+        attempts: 3,
+        resumable: true,
+        public: true,
+        regions: BTreeSet::new(),
+        split: vec![(service(), 1)],
+    };
+    let spec = ServiceSpec {
+        max_connections: 9,
+        warm_up: None,
+        engine: None,
+    };
+    Configuration {
+        version: 1,
+        routes: vec![route],
+        services: [(service(), spec)].into(),
+        ..Configuration::default()
+    }
+}
+
+/// Time for which one version must serve alone.
+fn memory_ms() -> u64 {
+    configuration().stream_memory_ms(&service())
+}
+
+fn commit(state: &mut SiteState, command: Command) {
+    let position = Position(state.position.0 + 1);
+    state.apply(position, &Stamped { at_ms: 0, command });
+}
+
+fn register(state: &mut SiteState, id: &str, version: &str) -> ReplicaRecord {
+    let port = id.bytes().map(u16::from).sum::<u16>();
+    let record = ReplicaRecord {
+        address: ([127, 0, 0, 1], port).into(),
+        ..ready_replica(id, "llm")
+    };
+    let version = VersionName::from(version);
+    let command = Command::VersionedReplica(Box::new(record.clone()), version);
+    commit(state, command);
+    record
+}
+
+fn end(state: &mut SiteState, record: &ReplicaRecord) {
+    commit(state, Command::ReplicaEnded(record.incarnation()));
+}
+
+/// State in which `v2` alone serves after `v1`, with its first replica.
+fn released() -> SiteState {
+    let mut state = SiteState::default();
+    let record = ConfigurationRecord {
+        configuration: configuration(),
+        source: Vec::new(),
+    };
+    commit(&mut state, Command::Configure(Box::new(record)));
+    let old = register(&mut state, "a", "v1");
+    register(&mut state, "b", "v2");
+    end(&mut state, &old);
+    state
+}
+
+fn settled() -> Vec<Command> {
+    let version = SoftwareVersion::Named(VersionName::from("v2"));
+    vec![Command::VersionSettled(service(), version)]
+}
+
+/// Returns when a leader settles the version, if it checks from `from_ms` on every second.
+fn settled_ms(settlement: &mut VersionSettlement, state: &SiteState, from_ms: u64) -> Option<u64> {
+    let mut checks = (0..200).map(|number| from_ms + number * 1_000);
+    checks.find(|now_ms| settlement.check(state, *now_ms) == settled())
+}
+
+#[test]
+fn a_version_that_serves_alone_is_settled_after_the_time_of_streams() {
+    let mut state = released();
+    let mut settlement = VersionSettlement::default();
+    assert!(memory_ms() >= 2 * 5_000);
+    let at_ms = settled_ms(&mut settlement, &state, 10_000);
+    assert_eq!(at_ms, Some(10_000 + memory_ms()));
+    commit(&mut state, settled().remove(0));
+    let mix = state.versions().mixes().get(&service());
+    let version = SoftwareVersion::Named(VersionName::from("v2"));
+    assert_eq!(mix, Some(&VersionMix::Sole(version)));
+    let later_ms = 10_000 + memory_ms() + 1_000;
+    assert_eq!(settlement.check(&state, later_ms), []);
+}
+
+#[test]
+fn a_new_leader_waits_anew() {
+    let state = released();
+    let mut first = VersionSettlement::default();
+    let last_ms = 10_000 + memory_ms() - 1_000;
+    for now_ms in (10_000..=last_ms).step_by(1_000) {
+        assert_eq!(first.check(&state, now_ms), []);
+    }
+    let mut second = VersionSettlement::default();
+    let at_ms = settled_ms(&mut second, &state, last_ms);
+    assert_eq!(at_ms, Some(last_ms + memory_ms()));
+}
+
+#[test]
+fn a_second_version_in_between_restarts_the_wait() {
+    let mut state = released();
+    let mut settlement = VersionSettlement::default();
+    assert_eq!(settlement.check(&state, 10_000), []);
+    let other = register(&mut state, "c", "v3");
+    assert_eq!(settlement.check(&state, 15_000), []);
+    end(&mut state, &other);
+    let at_ms = settled_ms(&mut settlement, &state, 16_000);
+    assert_eq!(at_ms, Some(16_000 + memory_ms()));
+}
+
+#[test]
+fn a_second_version_between_two_checks_restarts_the_wait() {
+    let mut state = released();
+    let mut settlement = VersionSettlement::default();
+    assert_eq!(settlement.check(&state, 10_000), []);
+    let other = register(&mut state, "c", "v3");
+    end(&mut state, &other);
+    let at_ms = settled_ms(&mut settlement, &state, 11_000);
+    assert_eq!(at_ms, Some(11_000 + memory_ms()));
+}
