A stream is not sent to a replica that restarted at another version since it was chosen

What callers would see: events of two software versions in one stream, where a replica restarts under its id while a request waits for a permit, a suspect lease or a busy entry.

Cause: the version was required at the choice, and read again by id, not by incarnation, as the request was sent. A replica that was replaced between the two bound the stream to its own version.

Change: the incarnation and its version are read together as the attempt begins; one of another version than the stream's is not sent to, and another replica is chosen.

Ruled out: rejecting the events as they arrive, which would break an answer that another replica can continue.

--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -489,6 +489,9 @@
         let Some(sent) = sent else {
             return AttemptOutcome::NotSent;
         };
+        let Some(source) = self.event_source(&sent) else {
+            return AttemptOutcome::NotSent;
+        };
         let mut guard = AttemptGuard::start(core, replica, &self.need);
         core.record_adapter_use(replica, &self.need);
         self.log.record_attempt(replica);
@@ -531,7 +534,7 @@
         guard.announced = self.announce_run(&sent);
         let id = self.id.clone();
         let observer = answer_heads::observer(core, &sent, &id, guard.permit);
-        self.begin_source(&sent);
+        self.begin_source(source);
         self.sent = Some(sent);
         let bytes = self.outgoing(replica);
         let paid = std::mem::take(&mut self.paid);
--- a/src/forward/request/continuing.rs
+++ b/src/forward/request/continuing.rs
@@ -64,22 +64,25 @@
         }
     }
 
-    /// Prepares an attempt at a replica, and logs it if it continues a stream.
-    pub(super) fn begin_source(&mut self, sent: &SentTo) {
+    /// Returns the source of events of an attempt at a replica, whose version is the one that the
+    /// stream has; `None` if the replica restarted at another one since it was chosen.
+    pub(super) fn event_source(&self, sent: &SentTo) -> Option<EventSource> {
         let incarnation = sent.incarnation.clone();
         let replicas = self.core.replicas.borrow();
-        let version = match replicas.version(&incarnation.id) {
-            Some(version) => version.clone(),
-            None => SoftwareVersion::Unnamed(incarnation.clone()),
-        };
-        drop(replicas);
-        if let Some(continuer) = self.continuer() {
-            self.log_continuation(continuer, &incarnation, &version);
-        }
-        self.source = Some(EventSource {
+        let version = replicas.version(&incarnation.id)?.clone();
+        let may_send = stream_origins::may_send(self.need.version.as_ref(), &version);
+        may_send.then_some(EventSource {
             incarnation,
             version,
-        });
+        })
+    }
+
+    /// Prepares an attempt that is sent now, and logs it if it continues a stream.
+    pub(super) fn begin_source(&mut self, source: EventSource) {
+        if let Some(continuer) = self.continuer() {
+            self.log_continuation(continuer, &source.incarnation, &source.version);
+        }
+        self.source = Some(source);
     }
 
     /// Accepts the events that come from the current attempt. Its first event binds the stream to the
--- a/src/routing/stream_origins.rs
+++ b/src/routing/stream_origins.rs
@@ -287,6 +287,12 @@
     Rejected,
 }
 
+/// Whether a request may be sent to a replica of a version: the replica may have restarted at another
+/// one since it was chosen. `required` is the version that the stream has already.
+pub fn may_send(required: Option<&SoftwareVersion>, version: &SoftwareVersion) -> bool {
+    required.is_none_or(|required| required == version)
+}
+
 /// Binds a stream to the source of its events: `sent` is the incarnation to which the request was
 /// sent and `version` its version as known then; `current` is the one that is registered now under
 /// its id. `required` is the version that the stream has already.
--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -7,7 +7,7 @@
 use dunlinspring::ids::{ReplicaIncarnation, ServiceName, VersionName};
 use dunlinspring::routing::stream_origins::{
     EventBinding, HOSTS_ASKED, MAX_ORIGINS, ORIGIN_COPIES, OriginBatch, OriginMemory, OriginSearch,
-    OriginSource, OriginStep, StreamKey, StreamOrigin, TakeUpRefusal, bind_events,
+    OriginSource, OriginStep, StreamKey, StreamOrigin, TakeUpRefusal, bind_events, may_send,
 };
 
 const KEEP_MS: u64 = 1_000;
@@ -237,3 +237,14 @@
     let rejected = bind_events(Some(&v1), &old, &v1, Some(&new));
     assert_eq!(rejected, EventBinding::Rejected);
 }
+
+#[test]
+fn a_stream_is_sent_only_to_a_replica_of_its_version() {
+    let unnamed = |started_ms| SoftwareVersion::Unnamed(incarnation(started_ms));
+    assert!(may_send(None, &named("v1")));
+    assert!(may_send(Some(&named("v1")), &named("v1")));
+    assert!(may_send(Some(&unnamed(1)), &unnamed(1)));
+    assert!(!may_send(Some(&named("v1")), &named("v2")));
+    assert!(!may_send(Some(&unnamed(1)), &unnamed(2)));
+    assert!(!may_send(Some(&named("v1")), &unnamed(1)));
+}
--- a/tests/stream_take_ups/model.rs
+++ b/tests/stream_take_ups/model.rs
@@ -16,7 +16,7 @@
 use dunlinspring::placement::version_settlement::VersionSettlement;
 use dunlinspring::routing::stream_origins::{
     EventBinding, OriginMemory, OriginSearch, OriginSource, OriginStep, StreamKey, StreamOrigin,
-    TakeUpRefusal, bind_events, mixed_services,
+    TakeUpRefusal, bind_events, may_send, mixed_services,
 };
 use dunlinspring::routing::view::{SiteView, SyncPage, page_after};
 use dunlinspring::table::configuration::{
@@ -214,7 +214,6 @@
     Found(usize, Option<StreamOrigin>),
     Choose(usize),
     Send(usize, ReplicaId),
-    Connected(usize),
     Arrive(usize),
     Break(usize),
     Store(usize, u32, usize, StreamKey, StreamOrigin, u64),
@@ -496,7 +495,6 @@
             }
             In::Choose(request) => self.choose(request),
             In::Send(request, id) => self.send(request, &id),
-            In::Connected(request) => self.connected(request),
             In::Arrive(request) => self.arrive(request),
             In::Break(request) => self.break_stream(request),
             In::Store(entry, life, host, key, origin, until_ms) => {
@@ -521,7 +519,6 @@
             | In::Found(request, _)
             | In::Choose(request)
             | In::Send(request, _)
-            | In::Connected(request)
             | In::Arrive(request) => self.requests[*request].entry,
             _ => return None,
         };
@@ -936,28 +933,15 @@
         let request = &mut self.requests[number];
         request.attempted.insert(id.clone());
         let replicas = &self.entries[request.entry].replicas;
-        let Some(record) = replicas.record(id) else {
+        let (Some(record), Some(version)) = (replicas.record(id), replicas.version(id)) else {
             return self.after(1, In::Choose(number));
         };
-        let incarnation = record.incarnation();
-        request.sent = Some((incarnation.clone(), SoftwareVersion::Unnamed(incarnation)));
-        let delay_ms = self.draw.range(1, 50);
-        self.after(delay_ms, In::Connected(number));
-    }
-
-    /// The connection to the replica is open, and the request is sent.
-    fn connected(&mut self, number: usize) {
-        if !self.is_open(number) {
-            return;
-        }
-        let request = &mut self.requests[number];
-        let replicas = &self.entries[request.entry].replicas;
-        if let Some((incarnation, version)) = &mut request.sent
-            && let Some(known) = replicas.version(&incarnation.id)
-        {
-            *version = known.clone();
+        if !may_send(request.need.version.as_ref(), version) {
+            return self.after(1, In::Choose(number));
         }
-        let delay_ms = self.draw.range(1, 100);
+        request.sent = Some((record.incarnation(), version.clone()));
+        // The connection is opened, and the replica begins.
+        let delay_ms = self.draw.range(1, 150);
         self.after(delay_ms, In::Arrive(number));
     }
 
