Drawn clients of one account don't name two streams alike

Traces: two streams of one account, each misnamed as the same stream of another account. The first one went on at the sole version, which was recorded under that name; the second one had begun at the other version. An account that names two streams alike says that they are one, and nothing of another account was learned. The check stays; each name is drawn for one stream of an account.

--- a/tests/stream_take_ups/model.rs
+++ b/tests/stream_take_ups/model.rs
@@ -320,6 +320,8 @@
     sources: BTreeMap<usize, OriginSource>,
     /// Accounts whose requests recorded an origin under a key.
     recorders: BTreeMap<StreamKey, BTreeSet<String>>,
+    /// Streams that name another account's stream, by the key that results.
+    claims: BTreeMap<StreamKey, usize>,
     ports: u16,
     counts: PlayCounts,
 }
@@ -380,6 +382,7 @@
             requests: Vec::new(),
             sources: BTreeMap::new(),
             recorders: BTreeMap::new(),
+            claims: BTreeMap::new(),
             ports: 1_000,
             counts: PlayCounts::default(),
             setup,
@@ -722,7 +725,14 @@
             (Some(_), Naming::None) => None,
             (Some((first, _)), Naming::First) => Some(first.clone()),
             (Some((first, _)), Naming::OtherAccounts) => match other.first {
-                Some((other_id, _)) if other.account != client.account => Some(other_id),
+                // Two streams of an account under one name would be one stream by its own word.
+                Some((other_id, _)) if other.account != client.account => {
+                    let key = StreamKey::new(&client.account, &other_id);
+                    match *self.claims.entry(key).or_insert(stream) == stream {
+                        true => Some(other_id),
+                        false => Some(first.clone()),
+                    }
+                }
                 _ => Some(first.clone()),
             },
         };
