The versions of a service are read from a leader that has applied all that was committed

A leader that has just been elected answers some reads before it has applied the registrations that its predecessor committed; the read that confirms a sole version was one of them. An entry that asks in that moment would take a stream of a newly registered version up at the old one. The read waits like those of configurations and contents now.

--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -132,6 +132,7 @@
             | Self::Confirm(_)
             | Self::Contents(_)
             | Self::Parts(_)
+            | Self::VersionMix(..)
             | Self::SuspectLease(..) => true,
             Self::Sync { fresh, .. } => *fresh,
             _ => false,
