A second software version begins streams only once the origins of earlier ones are stored

What callers would see: as an entry ended shortly before or after the first replica of a second version registered, the streams it had served could not be taken up; nobody knew what had begun them.

Cause: origins are stored once an entry sees that several versions serve; before that, only the entry knows them.

Change: a service whose second version registers is opening it for two seconds, or until no replica of the first version can begin streams. Streams begin at the first version alone in that time, so what nobody knows was begun by it, as the leader confirms, and entries store the origins of their streams. New replicas come empty, so that little is lost: their first load takes about as long.

A round of questions to control hosts takes 200 ms at most. - What a search found is kept. Origins are kept for 40 s beyond the longest streams, more than the 30 s after which a client of a version that is gone is told to return. - A version is gone only if no replica of its service runs it; a model that is missing there is waited for as for other requests.

--- a/src/consensus/software_versions.rs
+++ b/src/consensus/software_versions.rs
@@ -67,6 +67,31 @@
     Sole(SoftwareVersion),
     /// Several versions serve, or did so while streams that may still be continued began.
     Several,
+    /// A second version has registered. Streams still begin at this one alone: what nobody knows to
+    /// have begun a stream is thus known, and entries store the origins of the streams before.
+    Opening(SoftwareVersion),
+}
+
+impl VersionMix {
+    /// Whether the origins of streams must be stored, as several versions serve or will soon.
+    pub fn is_mixed(&self) -> bool {
+        !matches!(self, Self::Sole(_))
+    }
+
+    /// Returns the version that began all streams which may still be continued, if there is one.
+    pub fn only_origin(&self) -> Option<&SoftwareVersion> {
+        match self {
+            Self::Sole(version) | Self::Opening(version) => Some(version),
+            Self::Several => None,
+        }
+    }
+}
+
+/// Version of which a replica of a service was registered last, and how often that has changed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct ObservedVersion {
+    version: SoftwareVersion,
+    changes: u64,
 }
 
 /// Names of the versions of known incarnations.
@@ -77,6 +102,7 @@
 pub struct VersionStore {
     named: NamedVersions,
     mixes: BTreeMap<ServiceName, VersionMix>,
+    observed: BTreeMap<ServiceName, ObservedVersion>,
 }
 
 impl VersionStore {
@@ -90,6 +116,11 @@
         &self.mixes
     }
 
+    /// Returns how often replicas of a service registered at another version than the one before.
+    pub fn changes(&self, service: &ServiceName) -> u64 {
+        self.observed.get(service).map_or(0, |last| last.changes)
+    }
+
     /// Returns the version of a replica.
     pub fn version(&self, record: &ReplicaRecord) -> SoftwareVersion {
         version_of(&self.named, record)
@@ -98,17 +129,17 @@
     /// Whether a heartbeat names a version that is not stored.
     pub fn is_new(&self, heartbeat: &ReplicaHeartbeat) -> bool {
         let incarnation = heartbeat.record.incarnation();
-        heartbeat.version.is_some() && !self.named.contains_key(&incarnation)
+        let version = heartbeat.version.as_ref();
+        version.is_some_and(|version| self.named.get(&incarnation) != Some(version))
     }
 
-    /// Stores the name of an incarnation's version, and forgets earlier incarnations. The first
-    /// name stays.
+    /// Stores the name of an incarnation's version, and forgets earlier incarnations. Replicas that
+    /// do not report their start time may restart at another version unnoticed: the newest name
+    /// holds.
     pub fn name(&mut self, incarnation: &ReplicaIncarnation, version: &VersionName) {
         self.named
             .retain(|other, _| other.id != incarnation.id || other == incarnation);
-        self.named
-            .entry(incarnation.clone())
-            .or_insert_with(|| version.clone());
+        self.named.insert(incarnation.clone(), version.clone());
     }
 
     /// Forgets all incarnations of a replica.
@@ -124,28 +155,53 @@
         version: &SoftwareVersion,
         is_alone: bool,
     ) -> Option<&VersionMix> {
+        match self.observed.get_mut(service) {
+            Some(observed) if observed.version == *version => {}
+            Some(observed) => {
+                observed.version = version.clone();
+                observed.changes += 1;
+            }
+            None => {
+                let observed = ObservedVersion {
+                    version: version.clone(),
+                    changes: 0,
+                };
+                self.observed.insert(service.clone(), observed);
+            }
+        }
         let mix = match self.mixes.get(service) {
             None if is_alone => VersionMix::Sole(version.clone()),
             // The versions of the other replicas were registered before versions were stored.
             None => VersionMix::Several,
-            Some(VersionMix::Sole(sole)) if sole != version => VersionMix::Several,
+            Some(VersionMix::Sole(sole)) if sole != version => VersionMix::Opening(sole.clone()),
             Some(_) => return None,
         };
         self.mixes.insert(service.clone(), mix);
         self.mixes.get(service)
     }
 
+    /// Lets streams of a service begin at all of its versions. Returns whether that is a change.
+    pub fn open(&mut self, service: &ServiceName) -> bool {
+        let is_opening = matches!(self.mixes.get(service), Some(VersionMix::Opening(_)));
+        if is_opening {
+            self.mixes.insert(service.clone(), VersionMix::Several);
+        }
+        is_opening
+    }
+
     /// Records that one version alone has served a service for long enough. Returns whether that is
-    /// a change. Without effect if a replica of the service runs another version.
+    /// a change. Without effect if a replica of another version is registered, or if versions have
+    /// changed since there were `changes`.
     pub fn settle<'a>(
         &mut self,
         service: &ServiceName,
         version: &SoftwareVersion,
+        changes: u64,
         mut records: impl Iterator<Item = &'a ReplicaRecord>,
     ) -> bool {
         let several = self.mixes.get(service) == Some(&VersionMix::Several);
-        let alone =
-            records.all(|record| record.service != *service || self.version(record) == *version);
+        let alone = self.changes(service) == changes
+            && records.all(|record| record.service != *service || self.version(record) == *version);
         if several && alone {
             let mix = VersionMix::Sole(version.clone());
             self.mixes.insert(service.clone(), mix);
--- a/src/consensus/state.rs
+++ b/src/consensus/state.rs
@@ -157,8 +157,10 @@
     /// Stores the record of a replica that named its software version.
     VersionedReplica(Box<ReplicaRecord>, VersionName),
     /// Records that a service's replicas have run this version alone for longer than a stream may
-    /// last.
-    VersionSettled(ServiceName, SoftwareVersion),
+    /// last, since its versions changed for the last time by this count.
+    VersionSettled(ServiceName, SoftwareVersion, u64),
+    /// Lets streams of a service begin at all of its software versions.
+    VersionsOpened(ServiceName),
 }
 
 /// Result of [`Command::Configure`].
@@ -324,9 +326,16 @@
             Command::Configure(record) => Reply::Configured(self.apply_configuration(record)),
             Command::Replica(record) => self.apply_replica(record, None),
             Command::VersionedReplica(record, version) => self.apply_replica(record, Some(version)),
-            Command::VersionSettled(service, version) => {
+            Command::VersionsOpened(service) => {
+                if self.versions.open(service) {
+                    let mix = VersionMix::Several;
+                    self.record_change(Change::VersionMix(service.clone(), mix));
+                }
+                Reply::None
+            }
+            Command::VersionSettled(service, version, changes) => {
                 let records = self.replicas.records().values();
-                if self.versions.settle(service, version, records) {
+                if self.versions.settle(service, version, *changes, records) {
                     let mix = VersionMix::Sole(version.clone());
                     self.record_change(Change::VersionMix(service.clone(), mix));
                 }
@@ -598,10 +607,7 @@
         ConfigureResult::Held
     }
 
-    /// Returns the effect of a heartbeat. One for a service that is not configured comes from
-    /// an unrelated sender, and could end the replica whose address it names. A known replica
-    /// is still observed after its service is removed from the configuration, as it must learn
-    /// that it may shut down.
+    /// Returns the effect of a heartbeat.
     pub fn compare_versioned(&self, heartbeat: &ReplicaHeartbeat) -> HeartbeatStatus {
         let status = self.compare_heartbeat(&heartbeat.record);
         let names_version = self.versions.is_new(heartbeat);
@@ -613,7 +619,10 @@
         }
     }
 
-    /// Returns the effect of a heartbeat, apart from its software version.
+    /// Returns the effect of a heartbeat, apart from its software version. One for a service that
+    /// is not configured comes from an unrelated sender, and could end the replica whose address it
+    /// names. A known replica is still observed after its service is removed from the configuration,
+    /// as it must learn that it may shut down.
     pub fn compare_heartbeat(&self, record: &ReplicaRecord) -> HeartbeatStatus {
         let configured = self.configuration.as_ref().map(|held| &held.configuration);
         let named = configured.is_none_or(|c| c.services.contains_key(&record.service));
@@ -690,7 +699,7 @@
     fn observe_version(&mut self, record: &ReplicaRecord, version: Option<&VersionName>) {
         let incarnation = record.incarnation();
         if let Some(version) = version
-            && !self.versions.named().contains_key(&incarnation)
+            && self.versions.named().get(&incarnation) != Some(version)
         {
             self.versions.name(&incarnation, version);
             self.record_change(Change::ReplicaVersion(incarnation, version.clone()));
--- a/src/forward/replica_table.rs
+++ b/src/forward/replica_table.rs
@@ -243,6 +243,15 @@
         self.states.get(id).map(|state| &state.version)
     }
 
+    /// Whether a replica of a service that is not draining runs a software version.
+    pub fn runs_version(&self, service: &ServiceName, version: &SoftwareVersion) -> bool {
+        self.states.values().any(|state| {
+            state.record.service == *service
+                && state.record.phase != ReplicaPhase::Draining
+                && state.version == *version
+        })
+    }
+
     /// Returns the number of ready replicas by service and software version.
     pub fn versions(&self) -> BTreeMap<(&ServiceName, &SoftwareVersion), u64> {
         let mut counts = BTreeMap::new();
--- a/src/forward/request/continuing.rs
+++ b/src/forward/request/continuing.rs
@@ -28,6 +28,8 @@
     pub(super) incarnation: ReplicaIncarnation,
     /// Its software version, as known when the request was sent.
     pub(super) version: SoftwareVersion,
+    /// Whether it continues a stream.
+    continues: bool,
 }
 
 /// Who continues a stream.
@@ -64,6 +66,27 @@
         }
     }
 
+    /// Whether the next attempt continues a stream.
+    pub(super) fn is_continuing(&self) -> bool {
+        self.continuer().is_some()
+    }
+
+    /// Whether a stream is continued and no replica of its service runs its software version.
+    pub(super) fn version_is_gone(&self) -> bool {
+        let (Some(service), Some(version)) = (&self.need.service, &self.need.version) else {
+            return false;
+        };
+        self.is_continuing() && !self.core.replicas.borrow().runs_version(service, version)
+    }
+
+    /// Requires the software version at which streams begin, if this request begins one.
+    pub(super) fn require_beginning_version(&mut self) {
+        let service = self.need.service.as_ref();
+        if self.route.kind == RouteKind::Streaming && !self.is_continuing() {
+            self.need.version = service.and_then(|service| self.core.beginning_version(service));
+        }
+    }
+
     /// Returns the source of events of an attempt at a replica, whose version is the one that the
     /// stream has; `None` if the replica restarted at another one since it was chosen.
     pub(super) fn event_source(&self, sent: &SentTo) -> Option<EventSource> {
@@ -74,6 +97,7 @@
         may_send.then_some(EventSource {
             incarnation,
             version,
+            continues: self.is_continuing(),
         })
     }
 
@@ -94,13 +118,24 @@
         };
         let replicas = self.core.replicas.borrow();
         let current = replicas.record(&source.incarnation.id);
-        let binding = stream_origins::bind_events(
-            self.need.version.as_ref(),
-            &source.incarnation,
-            &source.version,
-            current.map(ReplicaRecord::incarnation).as_ref(),
-        );
+        let current = current.map(ReplicaRecord::incarnation);
+        let version = replicas.version(&source.incarnation.id);
+        let is_renamed = version.is_some_and(|version| *version != source.version);
         drop(replicas);
+        // A continuation confirms the incarnation. Where ids are reused, the view must be fresh enough
+        // to show a restart to a stream that begins.
+        let may_be_replaced =
+            !self.is_continuing() && source.incarnation.started_ms > 0 && self.core.has_old_view();
+        let binding = match is_renamed || may_be_replaced {
+            true if source.continues => EventBinding::Rejected,
+            true => EventBinding::Replaced(SoftwareVersion::Unnamed(source.incarnation.clone())),
+            false => stream_origins::bind_events(
+                self.need.version.as_ref(),
+                &source.incarnation,
+                &source.version,
+                current.as_ref(),
+            ),
+        };
         let (version, may_record) = match binding {
             EventBinding::Known(version) => (version, true),
             EventBinding::Replaced(version) => (version, false),
@@ -147,6 +182,9 @@
         self.core.count("dunlinspring_take_ups_total", &labels);
         self.log
             .note(&format!("takes a stream up: origin {source}"));
+        if let (Some(key), Some((origin, _))) = (search.key, &found) {
+            self.core.record_origin(key, origin);
+        }
         let version = search.required_version(found.map(|(origin, _)| origin));
         self.need.version = Some(version.map_err(|refusal| match refusal {
             TakeUpRefusal::OriginUnknown => Refusal::OriginUnknown,
--- a/src/forward/request/incarnation.rs
+++ b/src/forward/request/incarnation.rs
@@ -27,7 +27,7 @@
     ) -> Option<Connection> {
         let expected_ms = sent.incarnation.started_ms;
         let report = self.core.names.start_time;
-        match report.filter(|_| self.need.version.is_some() && expected_ms > 0) {
+        match report.filter(|_| self.is_continuing() && expected_ms > 0) {
             None => Some(connection),
             Some(report) => {
                 let reading = self.read_start_time(connection, sent, report);
--- a/src/forward/request/placing.rs
+++ b/src/forward/request/placing.rs
@@ -40,6 +40,7 @@
             let changed = self.core.changed.notified();
             // A verdict also applies to requests that wait.
             self.check_suspects()?;
+            self.require_beginning_version();
             let may_try = place.as_ref().is_none_or(LinePlace::is_first);
             let choice = match may_try {
                 true => self.choose().await,
@@ -80,8 +81,7 @@
                     (refusal, self.wait_limit(refusal, waited, left_ms)?)
                 }
                 Choice::Evacuated => return Err(Refusal::Evacuated),
-                // Models are not loaded for the sake of a software version.
-                Choice::Absent if self.need.version.is_some() => return Err(Refusal::VersionGone),
+                Choice::Absent if self.version_is_gone() => return Err(Refusal::VersionGone),
                 Choice::Absent => {
                     let wait = max_wait::load_wait(self.load_time(), waited, self.left());
                     (Refusal::Absent, wait)
--- a/src/forward/stream_origins.rs
+++ b/src/forward/stream_origins.rs
@@ -10,7 +10,7 @@
 use futures::stream::FuturesUnordered;
 
 use crate::clock;
-use crate::consensus::software_versions::VersionMix;
+use crate::consensus::software_versions::{SoftwareVersion, VersionMix};
 use crate::forward::daemon::EntryCore;
 use crate::ids::ServiceName;
 use crate::process::wire::ControlWireClient;
@@ -39,6 +39,13 @@
 const ASK_AGAIN_DELAY: Duration = Duration::from_millis(60);
 /// Number of times that control hosts are asked for an origin.
 const MAX_ASKS: u32 = 3;
+/// Longest wait for the replies of control hosts before they are asked once more.
+const ASK_TIMEOUT: Duration = Duration::from_millis(200);
+/// The leader is asked for the time of a search divided by this, at most: control hosts may know the
+/// origin while there is no leader.
+const LEADER_TIME_DIVISOR: u32 = 2;
+/// Age of the view from which origins are stored whatever it shows, in milliseconds.
+const OLD_VIEW_MS: u64 = 1_000;
 
 /// Origin that waits to be stored.
 #[derive(Debug)]
@@ -62,8 +69,10 @@
 pub struct OriginKeeper {
     memory: RefCell<OriginMemory>,
     queues: RefCell<BTreeMap<String, StoreQueue>>,
-    /// Services that run several versions, as this entry knows.
-    several: RefCell<BTreeSet<ServiceName>>,
+    /// Software versions of services, as this entry knows.
+    mixes: RefCell<BTreeMap<ServiceName, VersionMix>>,
+    /// Services whose streams' origins are stored on control hosts.
+    mixed: RefCell<BTreeSet<ServiceName>>,
     entries: Cell<u32>,
 }
 
@@ -127,17 +136,27 @@
         let mut memory = self.origins.memory.borrow_mut();
         memory.record(now_ms, keep_ms, key, origin);
         drop(memory);
-        if self.origins.several.borrow().contains(&origin.service) {
+        let mixed = self.origins.mixed.borrow().contains(&origin.service);
+        if mixed || self.has_old_view() {
             self.store_origin(key, origin, keep_ms);
         }
     }
 
+    /// Whether the view may lack replicas of another software version.
+    pub(super) fn has_old_view(&self) -> bool {
+        self.view_age_ms() > OLD_VIEW_MS
+    }
+
     /// Updates which services run several software versions. The origins of a service's streams are
     /// stored once it does.
     pub(super) fn update_version_mixes(self: &Rc<Self>, view: &SiteView) {
-        let several = stream_origins::mixed_services(view);
-        let before = self.origins.several.replace(several.clone());
-        for service in several.difference(&before) {
+        if *self.origins.mixes.borrow() == view.version_mixes {
+            return;
+        }
+        self.origins.mixes.replace(view.version_mixes.clone());
+        let mixed = stream_origins::mixed_services(view);
+        let before = self.origins.mixed.replace(mixed.clone());
+        for service in mixed.difference(&before) {
             let memory = self.origins.memory.borrow();
             let streams = memory.of_service(service);
             let streams: Vec<(StreamKey, StreamOrigin)> =
@@ -149,11 +168,16 @@
                 self.store_origin(key, &origin, keep_ms);
             }
         }
-        for service in before.difference(&several) {
+        for service in before.difference(&mixed) {
             tracing::info!(%service, "one software version serves");
         }
     }
 
+    /// Returns the software version at which streams of a service must begin; `None` for any.
+    pub fn beginning_version(&self, service: &ServiceName) -> Option<SoftwareVersion> {
+        stream_origins::beginning_version(self.origins.mixes.borrow().get(service))
+    }
+
     fn stream_memory_ms(&self, service: &ServiceName) -> u64 {
         let routing = self.routing();
         routing.map_or(0, |routing| routing.configuration.stream_memory_ms(service))
@@ -182,13 +206,15 @@
         timeout: Duration,
     ) -> Option<(StreamOrigin, OriginSource)> {
         let own = search.key.and_then(|key| self.origins.own(&key));
-        let several = self.origins.several.borrow().contains(&search.service);
-        let mut step = search.first_step(own, several);
+        let mixes = self.origins.mixes.borrow();
+        let mut step = search.first_step(own, mixes.get(&search.service));
+        drop(mixes);
         let find = async {
             loop {
                 step = match step {
                     OriginStep::Known(origin, source) => return Some((origin, source)),
                     OriginStep::AskLeader => {
+                        let timeout = timeout / LEADER_TIME_DIVISOR;
                         search.after_leader(self.ask_leader(&search.service, timeout).await)
                     }
                     OriginStep::AskHosts(key) => search.after_hosts(self.ask_hosts(key).await),
@@ -210,8 +236,8 @@
     }
 
     async fn ask_hosts(&self, key: StreamKey) -> Option<StreamOrigin> {
-        for asked in 0..MAX_ASKS {
-            if asked > 0 {
+        for round in 0..MAX_ASKS {
+            if round > 0 {
                 tokio::time::sleep(ASK_AGAIN_DELAY).await;
             }
             let hosts = self.link().addresses();
@@ -223,10 +249,16 @@
                     })
             });
             let mut calls: FuturesUnordered<_> = calls.collect();
-            while let Some(reply) = calls.next().await {
-                if let Ok(Some(origin)) = reply {
-                    return Some(origin);
+            let first_found = async {
+                while let Some(reply) = calls.next().await {
+                    if let Ok(Some(origin)) = reply {
+                        return Some(origin);
+                    }
                 }
+                None
+            };
+            if let Ok(Some(origin)) = tokio::time::timeout(ASK_TIMEOUT, first_found).await {
+                return Some(origin);
             }
         }
         None
--- a/src/routing/stream_origins.rs
+++ b/src/routing/stream_origins.rs
@@ -81,6 +81,8 @@
     newer: Generation,
     older: Generation,
     rotated_ms: u64,
+    /// Longest time for which an origin of the newer generation is kept, in milliseconds.
+    keep_ms: u64,
     /// Each origin once: most streams share theirs.
     origins: BTreeSet<Arc<StreamOrigin>>,
 }
@@ -92,7 +94,8 @@
     /// Records an origin, and keeps it for at least `keep_ms` unless too many others follow. A
     /// stream that is recorded with two origins has none that is known.
     pub fn record(&mut self, now_ms: u64, keep_ms: u64, key: StreamKey, origin: &StreamOrigin) {
-        self.rotate(now_ms, keep_ms);
+        self.keep_ms = self.keep_ms.max(keep_ms);
+        self.rotate(now_ms);
         let known = self.newer.get(&key).or_else(|| self.older.get(&key));
         let kept = match known {
             Some(known) if known.as_deref() != Some(origin) => None,
@@ -147,8 +150,8 @@
         self.newer.is_empty() && self.older.is_empty()
     }
 
-    fn rotate(&mut self, now_ms: u64, keep_ms: u64) {
-        let is_due = now_ms >= self.rotated_ms.saturating_add(keep_ms);
+    fn rotate(&mut self, now_ms: u64) {
+        let is_due = now_ms >= self.rotated_ms.saturating_add(self.keep_ms);
         if is_due || self.newer.len() >= MAX_ORIGINS {
             self.rotated_ms = now_ms;
             self.older = std::mem::take(&mut self.newer);
@@ -167,11 +170,20 @@
     pub streams: BTreeMap<StreamOrigin, Vec<StreamKey>>,
 }
 
-/// Returns the services that run several software versions.
+/// Returns the services whose streams' origins must be stored.
 pub fn mixed_services(view: &SiteView) -> BTreeSet<ServiceName> {
     let mixes = view.version_mixes.iter();
-    let several = mixes.filter(|(_, mix)| **mix == VersionMix::Several);
-    several.map(|(service, _)| service.clone()).collect()
+    let mixed = mixes.filter(|(_, mix)| mix.is_mixed());
+    mixed.map(|(service, _)| service.clone()).collect()
+}
+
+/// Returns the version at which streams must begin, by a view's versions of their service; `None` if
+/// they may begin at any.
+pub fn beginning_version(mix: Option<&VersionMix>) -> Option<SoftwareVersion> {
+    match mix {
+        Some(VersionMix::Opening(first)) => Some(first.clone()),
+        _ => None,
+    }
 }
 
 /// How an entry knows what began a stream.
@@ -219,25 +231,27 @@
 }
 
 impl OriginSearch {
-    /// Returns the first step. `own` is the origin that this entry keeps; `several` is whether the
-    /// service runs several versions by this entry's view.
-    pub fn first_step(&self, own: Option<StreamOrigin>, several: bool) -> OriginStep {
+    /// Returns the first step. `own` is the origin that this entry keeps, `mix` the versions of the
+    /// service by its view.
+    pub fn first_step(&self, own: Option<StreamOrigin>, mix: Option<&VersionMix>) -> OriginStep {
         match own {
             Some(origin) => OriginStep::Known(origin, OriginSource::Own),
-            None if several => self.ask_hosts(),
+            None if mix == Some(&VersionMix::Several) => self.ask_hosts(),
             None => OriginStep::AskLeader,
         }
     }
 
     /// Returns the step after the leader's reply; `None` if there was none.
     pub fn after_leader(&self, mix: Option<VersionMix>) -> OriginStep {
-        match mix {
-            Some(VersionMix::Sole(version)) => {
-                let service = self.service.clone();
-                let origin = StreamOrigin { service, version };
+        match mix.as_ref().and_then(VersionMix::only_origin) {
+            Some(version) => {
+                let origin = StreamOrigin {
+                    service: self.service.clone(),
+                    version: version.clone(),
+                };
                 OriginStep::Known(origin, OriginSource::SoleVersion)
             }
-            Some(VersionMix::Several) | None => self.ask_hosts(),
+            None => self.ask_hosts(),
         }
     }
 
--- a/src/table/configuration.rs
+++ b/src/table/configuration.rs
@@ -222,7 +222,7 @@
 }
 
 /// Time in which clients are expected to take up a broken stream, in milliseconds.
-const RETURN_TIME_MS: u64 = 10_000;
+const RETURN_TIME_MS: u64 = 40_000;
 
 impl Configuration {
     /// Time for which it must be known what began the streams of a service, in milliseconds: a
--- a/tests/software_versions.rs
+++ b/tests/software_versions.rs
@@ -71,7 +71,8 @@
     register(&mut state, &a, None);
     register(&mut state, &b, None);
     assert_ne!(state.versions().version(&a), state.versions().version(&b));
-    assert_eq!(mix(&state), Some(&VersionMix::Several));
+    let first = state.versions().version(&a);
+    assert_eq!(mix(&state), Some(&VersionMix::Opening(first)));
 }
 
 #[test]
@@ -81,8 +82,11 @@
     register(&mut state, &replica("b", 2, 0), Some("v1"));
     assert_eq!(mix(&state), Some(&VersionMix::Sole(named("v1"))));
     register(&mut state, &replica("c", 3, 0), Some("v2"));
+    assert_eq!(mix(&state), Some(&VersionMix::Opening(named("v1"))));
+    let opened = Command::VersionsOpened(ServiceName::from("llm"));
+    commit(&mut state, opened.clone());
     assert_eq!(mix(&state), Some(&VersionMix::Several));
-    let settled = Command::VersionSettled(ServiceName::from("llm"), named("v2"));
+    let settled = Command::VersionSettled(ServiceName::from("llm"), named("v2"), 1);
     commit(&mut state, settled.clone());
     assert_eq!(mix(&state), Some(&VersionMix::Several));
     for id in ["a", "b"] {
@@ -94,8 +98,14 @@
         // Streams of the replicas that have just ended may still be continued.
         assert_eq!(mix(&state), Some(&VersionMix::Several));
     }
+    // Another version that registered and ended meanwhile may have begun streams.
+    let outdated = Command::VersionSettled(ServiceName::from("llm"), named("v2"), 0);
+    commit(&mut state, outdated);
+    assert_eq!(mix(&state), Some(&VersionMix::Several));
     commit(&mut state, settled);
     assert_eq!(mix(&state), Some(&VersionMix::Sole(named("v2"))));
+    commit(&mut state, opened);
+    assert_eq!(mix(&state), Some(&VersionMix::Sole(named("v2"))));
 }
 
 #[test]
@@ -105,7 +115,7 @@
     let ended = replica("a", 1, 0).incarnation();
     commit(&mut state, Command::ReplicaEnded(ended));
     register(&mut state, &replica("b", 2, 0), Some("v2"));
-    assert_eq!(mix(&state), Some(&VersionMix::Several));
+    assert_eq!(mix(&state), Some(&VersionMix::Opening(named("v1"))));
 }
 
 #[test]
--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -180,9 +180,15 @@
 fn an_origin_is_searched_in_own_memory_then_at_the_leader_then_on_hosts() {
     let search = search(Some(key(0)));
     let known = OriginStep::Known(origin("v1"), OriginSource::Own);
-    assert_eq!(search.first_step(Some(origin("v1")), true), known);
-    assert_eq!(search.first_step(None, false), OriginStep::AskLeader);
-    assert_eq!(search.first_step(None, true), OriginStep::AskHosts(key(0)));
+    assert_eq!(
+        search.first_step(Some(origin("v1")), Some(&VersionMix::Several)),
+        known
+    );
+    assert_eq!(search.first_step(None, None), OriginStep::AskLeader);
+    assert_eq!(
+        search.first_step(None, Some(&VersionMix::Several)),
+        OriginStep::AskHosts(key(0))
+    );
     let sole = search.after_leader(Some(VersionMix::Sole(named("v1"))));
     let known = OriginStep::Known(origin("v1"), OriginSource::SoleVersion);
     assert_eq!(sole, known);
@@ -197,8 +203,11 @@
 #[test]
 fn a_stream_that_is_not_named_goes_on_only_at_a_sole_version() {
     let search = search(None);
-    assert_eq!(search.first_step(None, true), OriginStep::Unknown);
-    assert_eq!(search.first_step(None, false), OriginStep::AskLeader);
+    assert_eq!(
+        search.first_step(None, Some(&VersionMix::Several)),
+        OriginStep::Unknown
+    );
+    assert_eq!(search.first_step(None, None), OriginStep::AskLeader);
     let several = search.after_leader(Some(VersionMix::Several));
     assert_eq!(several, OriginStep::Unknown);
     assert_eq!(search.after_leader(None), OriginStep::Unknown);
--- a/tests/stream_take_ups/model.rs
+++ b/tests/stream_take_ups/model.rs
@@ -16,7 +16,7 @@
 use dunlinspring::placement::version_settlement::VersionSettlement;
 use dunlinspring::routing::stream_origins::{
     EventBinding, OriginMemory, OriginSearch, OriginSource, OriginStep, StreamKey, StreamOrigin,
-    TakeUpRefusal, bind_events, may_send, mixed_services,
+    TakeUpRefusal, beginning_version, bind_events, may_send, mixed_services,
 };
 use dunlinspring::routing::view::{SiteView, SyncPage, page_after};
 use dunlinspring::table::configuration::{
@@ -780,7 +780,8 @@
         let own = search
             .key
             .and_then(|key| process.memory.find(&key).cloned());
-        let step = search.first_step(own, process.several.contains(&service()));
+        let mix = process.view.version_mixes.get(&service());
+        let step = search.first_step(own, mix);
         self.take_step(number, step);
     }
 
@@ -918,6 +919,10 @@
             return self.refuse(number, "tries");
         }
         request.tries += 1;
+        if !request.is_take_up && !request.has_events {
+            let mixes = &self.entries[request.entry].view.version_mixes;
+            request.need.version = beginning_version(mixes.get(&service()));
+        }
         let bounds = EngineBounds::default();
         let replicas = &self.entries[request.entry].replicas;
         let choice = replicas.choose(self.now_ms, &request.need, &request.attempted, bounds);
--- a/tests/version_settlement.rs
+++ b/tests/version_settlement.rs
@@ -8,7 +8,7 @@
 use dunlinspring::consensus::software_versions::{SoftwareVersion, VersionMix};
 use dunlinspring::consensus::state::{Command, SiteState, Stamped};
 use dunlinspring::ids::{Position, ServiceName, VersionName};
-use dunlinspring::placement::version_settlement::VersionSettlement;
+use dunlinspring::placement::version_settlement::{OPENING_MS, VersionSettlement};
 use dunlinspring::table::configuration::{
     Configuration, ConfigurationRecord, RouteKind, RouteSpec, ServiceSpec,
 };
@@ -83,19 +83,23 @@
     commit(&mut state, Command::Configure(Box::new(record)));
     let old = register(&mut state, "a", "v1");
     register(&mut state, "b", "v2");
+    commit(&mut state, Command::VersionsOpened(service()));
     end(&mut state, &old);
     state
 }
 
-fn settled() -> Vec<Command> {
+/// The command after so many changes of the service's versions.
+fn settled(changes: u64) -> Vec<Command> {
     let version = SoftwareVersion::Named(VersionName::from("v2"));
-    vec![Command::VersionSettled(service(), version)]
+    vec![Command::VersionSettled(service(), version, changes)]
 }
 
 /// Returns when a leader settles the version, if it checks from `from_ms` on every second.
 fn settled_ms(settlement: &mut VersionSettlement, state: &SiteState, from_ms: u64) -> Option<u64> {
     let mut checks = (0..200).map(|number| from_ms + number * 1_000);
-    checks.find(|now_ms| settlement.check(state, *now_ms) == settled())
+    checks.find(|now_ms| {
+        settlement.check(state, *now_ms) == settled(state.versions().changes(&service()))
+    })
 }
 
 #[test]
@@ -105,7 +109,7 @@
     assert!(memory_ms() >= 2 * 5_000);
     let at_ms = settled_ms(&mut settlement, &state, 10_000);
     assert_eq!(at_ms, Some(10_000 + memory_ms()));
-    commit(&mut state, settled().remove(0));
+    commit(&mut state, settled(1).remove(0));
     let mix = state.versions().mixes().get(&service());
     let version = SoftwareVersion::Named(VersionName::from("v2"));
     assert_eq!(mix, Some(&VersionMix::Sole(version)));
@@ -148,3 +152,36 @@
     let at_ms = settled_ms(&mut settlement, &state, 11_000);
     assert_eq!(at_ms, Some(11_000 + memory_ms()));
 }
+
+/// A service at whose first version a replica serves and at whose second one another has registered.
+fn opening() -> SiteState {
+    let mut state = SiteState::default();
+    register(&mut state, "a", "v1");
+    register(&mut state, "b", "v2");
+    let record = ConfigurationRecord {
+        configuration: configuration(),
+        source: Vec::new(),
+    };
+    commit(&mut state, Command::Configure(Box::new(record)));
+    state
+}
+
+#[test]
+fn a_second_version_begins_streams_after_a_time() {
+    let state = opening();
+    let mut settlement = VersionSettlement::default();
+    let mut checks = (10_000..).step_by(100);
+    let opened = vec![Command::VersionsOpened(service())];
+    let opened_ms = checks.find(|now_ms| settlement.check(&state, *now_ms) == opened);
+    assert_eq!(opened_ms, Some(10_000 + OPENING_MS));
+}
+
+#[test]
+fn a_second_version_begins_streams_at_once_where_none_can_begin_at_the_first() {
+    let mut state = opening();
+    let mut settlement = VersionSettlement::default();
+    assert_eq!(settlement.check(&state, 10_000), []);
+    commit(&mut state, Command::ReplicaDrains("a".into()));
+    let opened = vec![Command::VersionsOpened(service())];
+    assert_eq!(settlement.check(&state, 10_100), opened);
+}
