Homes that streams of a software version may need again stay loaded

Streams that came back during a release found no home: while several versions of a service serve, a stream goes on only at a replica of its own version, and placement could unload the model there.

Cause: the plan counts the homes of a model over all replicas of a service, whatever they run. A model with a home at the new version counts as having one to spare at the old one.

Change: while the ready replicas of a service run several versions, the last two homes of a model at a named version are unloaded only for a model without any home, as long as streams of the model may come back. Among homes that can make room for such a model, others go first.

Ruled out: guarding the homes of replicas that name no version (each is a version of its own, so that no model would ever be exchanged); guarding models without recent requests.

--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::consensus::directory::{AdapterEffect, ReplicaDirectory, ReplicaPhase, ReplicaRecord};
+use crate::consensus::software_versions::{SoftwareVersion, VersionMix};
 use crate::consensus::state::{Command, SiteState};
 use crate::ids::{HostName, ModelName, ReplicaId, ReplicaIncarnation, ServiceName, Term};
 use crate::placement::adapters::{AdapterDecision, AdapterOrders};
@@ -123,6 +124,8 @@
     entries: BTreeMap<String, EntrySample>,
     queue_totals: QueueTotals,
     demand: DemandTracker,
+    /// When requests of each model were last reported.
+    last_busy_ms: BTreeMap<ModelName, u64>,
     last_sample_ms: u64,
     round_due_ms: u64,
     preload_due_ms: u64,
@@ -186,6 +189,28 @@
     records.filter(move |record| record.service == *service && open(record))
 }
 
+/// Returns the software version that a replica named. Without a name, no other replica can continue
+/// its streams, and its homes need not stay for them.
+fn named_version(state: &SiteState, record: &ReplicaRecord) -> Option<SoftwareVersion> {
+    match state.versions().version(record) {
+        SoftwareVersion::Unnamed(_) => None,
+        named => Some(named),
+    }
+}
+
+/// Whether the ready replicas of a service run several software versions, so that a stream cannot
+/// continue at any of them.
+fn binds_streams_to_versions(state: &SiteState, service: &ServiceName) -> bool {
+    let mix = state.versions().mixes().get(service);
+    if matches!(mix, None | Some(VersionMix::Sole(_))) {
+        return false;
+    }
+    let ready = open_records(state, service).filter(|record| record.phase == ReplicaPhase::Ready);
+    let mut versions = ready.map(|record| state.versions().version(record));
+    let first = versions.next();
+    versions.any(|version| Some(version) != first)
+}
+
 impl FleetController {
     /// Creates the controller of a new leader.
     pub fn new(policy: FleetPolicy, holder: HostName, term: Term, now_ms: u64) -> Self {
@@ -199,6 +224,7 @@
             entries: BTreeMap::new(),
             queue_totals: QueueTotals::default(),
             demand: DemandTracker::with_decay(policy.demand_fall),
+            last_busy_ms: BTreeMap::new(),
             last_sample_ms: now_ms,
             round_due_ms: now_ms,
             preload_due_ms: now_ms,
@@ -232,6 +258,9 @@
         for placement in report.adapters {
             self.adapters.record_use(placement, now_ms);
         }
+        let busy = report.busy.iter().filter(|(_, level)| **level > 0.0);
+        let busy = busy.map(|(model, _)| (model.clone(), now_ms));
+        self.last_busy_ms.extend(busy);
         let sample = EntrySample {
             received_ms: now_ms,
             busy: report.busy,
@@ -435,6 +464,10 @@
         let engines: Vec<(&ServiceName, &EngineSpec)> = engines.collect();
         if now_ms >= self.round_due_ms {
             self.round_due_ms = now_ms + self.policy.round_ms;
+            self.last_busy_ms.retain(|model, _| {
+                let mut known = engines.iter();
+                known.any(|(_, engine)| engine.models.contains_key(model))
+            });
             for (service, engine) in &engines {
                 self.plan_service(state, service, engine, now_ms, &mut actions);
             }
@@ -625,11 +658,18 @@
         now_ms: u64,
         actions: &mut FleetActions,
     ) {
-        let models = self.plan_models(engine);
+        let stream_memory_ms = match &state.configuration {
+            Some(record) => record.configuration.stream_memory_ms(service),
+            None => 0,
+        };
+        let streams_since_ms = now_ms.saturating_sub(stream_memory_ms);
+        let models = self.plan_models(engine, streams_since_ms);
+        let bound = binds_streams_to_versions(state, service);
         let largest_mb = models.values().map(|model| model.weights_mb).max();
         let demand_unknown = self.demand.is_empty() && now_ms < self.since_ms + NO_DEMAND_WAIT_MS;
         let replicas = open_records(state, service).map(|record| {
             let mut replica = self.plan_replica(state, record, engine);
+            replica.version = bound.then(|| named_version(state, record)).flatten();
             // Without known demand, only replicas that fit any model without an unload.
             replica.accepts_orders &= !demand_unknown || replica.free_mb >= largest_mb.unwrap_or(0);
             replica
@@ -686,12 +726,20 @@
         (steps, from_store)
     }
 
-    fn plan_models(&self, engine: &EngineSpec) -> BTreeMap<ModelName, PlanModel> {
+    /// `streams_since_ms` is the time from which streams that ran may be taken up again.
+    fn plan_models(
+        &self,
+        engine: &EngineSpec,
+        streams_since_ms: u64,
+    ) -> BTreeMap<ModelName, PlanModel> {
         let models = engine.models.iter().map(|(name, model)| {
             let plan = PlanModel {
                 weights_mb: model.weights_mb,
                 load_ms: model.load_ms,
                 level: self.demand.level(name),
+                // A new leader has not seen the streams of its predecessor's time.
+                has_streams: self.last_busy_ms.get(name).unwrap_or(&self.since_ms)
+                    >= &streams_since_ms,
             };
             (name.clone(), plan)
         });
@@ -756,6 +804,7 @@
         PlanReplica {
             id: record.id.clone(),
             hall: record.hall.clone(),
+            version: None,
             accepts_orders: open && !limited && self.accepts_orders(record),
             free_mb: engine.weights_mb.saturating_sub(adapters_mb + taken_mb),
             held,
--- a/src/placement/fleet_plan.rs
+++ b/src/placement/fleet_plan.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::consensus::software_versions::SoftwareVersion;
 use crate::ids::{HallName, ModelName, ReplicaId};
 use crate::placement::order::OrderKind;
 
@@ -26,6 +27,11 @@
 const REPLICA_DEMAND_WEIGHT: f64 = 0.1;
 /// Value of a home in a further hall.
 const NEW_HALL_VALUE: f64 = 0.05;
+/// Number of homes of a model that stay loaded at each software version for streams.
+const HOMES_FOR_STREAMS: usize = 2;
+/// Cost of unloading one of these homes, in concurrent requests. It only decides which home makes
+/// room for a model without any.
+const STREAM_HOME_VALUE: f64 = 0.5;
 /// Fixed time of a move in addition to the load, in milliseconds.
 const MOVE_OVERHEAD_MS: f64 = 1_000.0;
 
@@ -36,6 +42,8 @@
     pub id: ReplicaId,
     /// Data hall of the replica.
     pub hall: HallName,
+    /// Software version, if only replicas of the same one can continue its streams.
+    pub version: Option<SoftwareVersion>,
     /// The replica can take an order now.
     pub accepts_orders: bool,
     /// Memory that no model occupies or may come to occupy, in MB.
@@ -58,6 +66,8 @@
     pub load_ms: u64,
     /// Demand, in concurrent requests.
     pub level: f64,
+    /// Whether streams of it run or may be taken up again.
+    pub has_streams: bool,
 }
 
 /// A planned step.
@@ -84,6 +94,23 @@
     counts
 }
 
+/// Counts the replicas of each software version that hold each model.
+fn count_by_version(
+    replicas: &[PlanReplica],
+) -> BTreeMap<SoftwareVersion, BTreeMap<ModelName, usize>> {
+    let mut counts: BTreeMap<SoftwareVersion, BTreeMap<ModelName, usize>> = BTreeMap::new();
+    for replica in replicas {
+        let Some(version) = &replica.version else {
+            continue;
+        };
+        let holders = counts.entry(version.clone()).or_default();
+        for model in &replica.held {
+            *holders.entry(model.clone()).or_default() += 1;
+        }
+    }
+    counts
+}
+
 struct PlanState<'a> {
     replicas: Vec<PlanReplica>,
     models: &'a BTreeMap<ModelName, PlanModel>,
@@ -91,6 +118,8 @@
     homes: BTreeMap<ModelName, usize>,
     /// Number of replicas that hold a model now.
     holders: BTreeMap<ModelName, usize>,
+    /// As `holders`, for each software version.
+    version_holders: BTreeMap<SoftwareVersion, BTreeMap<ModelName, usize>>,
     price: f64,
     /// There is capacity for all models.
     all_fit: bool,
@@ -108,6 +137,16 @@
     evicted: Option<ModelName>,
 }
 
+/// What a load costs at a replica besides the load itself.
+struct Eviction {
+    /// The model to unload, if any.
+    model: Option<ModelName>,
+    /// Immediate loss of that model, in concurrent requests.
+    loss: f64,
+    /// Streams of the replica's software version may need the home.
+    takes_stream_home: bool,
+}
+
 /// Plans the steps to take now. `store_loads` is the maximum number of loads from the weight store,
 /// and `price` the minimum relief of a move, in concurrent requests.
 pub fn plan(
@@ -122,6 +161,7 @@
         .iter()
         .flat_map(|replica| replica.held.iter().chain(&replica.loading));
     let homes = count(known);
+    let version_holders = count_by_version(&replicas);
     let largest_mb = models.values().map(|model| model.weights_mb).max();
     let largest_mb = largest_mb.unwrap_or(0);
     let all_fit = model_capacity(&replicas, models, largest_mb) >= models.len();
@@ -130,6 +170,7 @@
         models,
         homes,
         holders,
+        version_holders,
         price,
         all_fit,
         largest_mb,
@@ -190,6 +231,16 @@
         self.holders.get(model).copied().unwrap_or(0)
     }
 
+    /// Whether streams may need a replica's home of a model: at most two of the replica's software
+    /// version are left.
+    fn is_stream_home(&self, replica: &PlanReplica, model: &ModelName) -> bool {
+        let has_streams = self.models.get(model).is_some_and(|m| m.has_streams);
+        let version = replica.version.as_ref().filter(|_| has_streams);
+        let holders = version.and_then(|version| self.version_holders.get(version));
+        let count = holders.and_then(|holders| holders.get(model));
+        count.is_some_and(|count| *count <= HOMES_FOR_STREAMS)
+    }
+
     fn gain(&self, model: &ModelName) -> f64 {
         let level = self.models.get(model).map_or(0.0, |model| model.level);
         let homes = self.homes(model);
@@ -265,15 +316,20 @@
                     None if store_load_allowed => spec.load_ms,
                     None => return None,
                 };
-                let (evicted, loss) =
+                let eviction =
                     self.eviction_for(replica, spec.weights_mb, self.homes(model) == 0)?;
+                let loss = eviction.loss;
                 let spread = if halls.contains(&replica.hall) {
                     0.0
                 } else {
                     NEW_HALL_VALUE
                 };
-                let value =
+                let mut value =
                     gain - loss + spread - self.replica_demand(replica) * REPLICA_DEMAND_WEIGHT;
+                if eviction.takes_stream_home {
+                    value -= STREAM_HOME_VALUE;
+                }
+                let evicted = eviction.model;
                 let price = self.price_of(model) * if evicted.is_some() { 2.0 } else { 1.0 };
                 let rank = value / ((load_ms as f64 + MOVE_OVERHEAD_MS) / MOVE_OVERHEAD_MS);
                 (gain - loss > price).then(|| Candidate {
@@ -288,15 +344,15 @@
 
     /// Returns the model to unload from a replica to free `need_mb`, if any, and the loss; `None`
     /// where no single unload frees enough. The last home of a model is unloaded only for the first
-    /// home of another, or, where capacity is short, if it has no demand.
-    fn eviction_for(
-        &self,
-        replica: &PlanReplica,
-        need_mb: u64,
-        first: bool,
-    ) -> Option<(Option<ModelName>, f64)> {
+    /// home of another, or, where capacity is short, if it has no demand. A home that streams may
+    /// need is unloaded only for the first home of another model.
+    fn eviction_for(&self, replica: &PlanReplica, need_mb: u64, first: bool) -> Option<Eviction> {
         if replica.free_mb >= need_mb {
-            return Some((None, 0.0));
+            return Some(Eviction {
+                model: None,
+                loss: 0.0,
+                takes_stream_home: false,
+            });
         }
         let weight = |model: &ModelName| self.models.get(model).map_or(0, |m| m.weights_mb);
         let fits = |model: &&ModelName| replica.free_mb + weight(model) >= need_mb;
@@ -305,9 +361,16 @@
         let evictable =
             |model: &&ModelName| first || self.holders(model) > 1 || may_lose_last_home(model);
         let held = replica.held.iter().filter(fits).filter(evictable);
-        let losses = held.map(|model| (self.loss(model), model));
-        let least = losses.min_by(|a, b| a.0.total_cmp(&b.0))?;
-        Some((Some(least.1.clone()), least.0))
+        let evictions = held.map(|model| Eviction {
+            model: Some(model.clone()),
+            loss: self.loss(model),
+            takes_stream_home: self.is_stream_home(replica, model),
+        });
+        let evictions = evictions.filter(|eviction| first || !eviction.takes_stream_home);
+        evictions.min_by(|a, b| {
+            let by_streams = a.takes_stream_home.cmp(&b.takes_stream_home);
+            by_streams.then(a.loss.total_cmp(&b.loss))
+        })
     }
 
     fn apply(&mut self, candidate: Candidate) -> PlanStep {
@@ -316,6 +379,11 @@
         match candidate.evicted {
             Some(evicted) => {
                 replica.held.remove(&evicted);
+                let version = replica.version.as_ref();
+                let holders = version.and_then(|version| self.version_holders.get_mut(version));
+                if let Some(count) = holders.and_then(|holders| holders.get_mut(&evicted)) {
+                    *count -= 1;
+                }
                 // The memory is claimed, although the load comes later.
                 replica.loading.insert(candidate.model.clone());
                 *self.homes.entry(evicted.clone()).or_default() -= 1;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -457,6 +457,7 @@
     PlanReplica {
         id: ReplicaId::from(id),
         hall: HallName::from("here"),
+        version: None,
         accepts_orders: true,
         free_mb,
         held: held.iter().map(|model| ModelName::from(*model)).collect(),
@@ -471,6 +472,7 @@
             weights_mb: 70,
             load_ms: 9_000,
             level: *level,
+            has_streams: true,
         };
         (ModelName::from(*name), model)
     });
