Streams begin at versions whose homes can continue them

Streams whose model had a single home at their software version were broken off when that home ended, while other homes of the model, at another version, had room for them from the start.

Cause: the choice of a replica for a new stream does not see versions, although only homes of the same version can continue it.

Change: a stream that may be resumed costs 0.2 waiting requests more at the only home of a version, while another version has several (1 ms where replicas are quoted). Less than the load of two more running streams at each other home, so that no version starves.

--- a/src/forward/need.rs
+++ b/src/forward/need.rs
@@ -22,6 +22,8 @@
     pub service: Option<ServiceName>,
     /// The software version that began the stream, if it is continued.
     pub version: Option<SoftwareVersion>,
+    /// Whether the request begins a stream that may be continued later.
+    pub begins_stream: bool,
     /// The model.
     pub model: Option<ModelName>,
     /// An adapter of the model.
--- a/src/forward/replica_table/cost.rs
+++ b/src/forward/replica_table/cost.rs
@@ -1,8 +1,9 @@
 //! Cost of sending a request to a replica, and the replicas that a request prefers.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::consensus::directory::ReplicaPhase;
+use crate::consensus::software_versions::SoftwareVersion;
 use crate::forward::home_order::{self, hash_rank};
 use crate::forward::locality::HallDistance;
 use crate::forward::need::Need;
@@ -17,10 +18,17 @@
 /// that is shared almost entirely would ignore the load.
 const MIN_LOAD_WEIGHT: f64 = 0.25;
 
+/// Cost of beginning a stream at a replica that no other one could continue it for, in waiting
+/// requests.
+const SOLE_HOME_COST: f64 = 0.2;
+
 /// Replicas that a request prefers or avoids.
 pub(super) struct HomePreferences<'a> {
     /// Reserved for requests of the other kind (long or short answers).
     pub(super) reserved: BTreeSet<&'a ReplicaId>,
+    /// Only homes of their software version, while another version has several: if one of them ends,
+    /// no other replica can continue its streams.
+    pub(super) sole_homes: BTreeSet<&'a ReplicaId>,
     /// Only for a request that calls for the reuse of cached prompt parts.
     reuse: Option<ReusePreference<'a>>,
 }
@@ -112,7 +120,38 @@
             let homes = self.in_shared_order(candidates, &reserved, need);
             self.reuse_preference(now_ms, homes, need, memory)
         });
-        HomePreferences { reserved, reuse }
+        HomePreferences {
+            reserved,
+            sole_homes: self.sole_homes_of_versions(candidates, need),
+            reuse,
+        }
+    }
+
+    /// Returns the candidates that are the only home at their software version, if another version
+    /// has several homes and the request begins a stream.
+    fn sole_homes_of_versions<'a>(
+        &self,
+        candidates: &[&'a ReplicaState],
+        need: &Need,
+    ) -> BTreeSet<&'a ReplicaId> {
+        let first = candidates.first().map(|state| &state.version);
+        let mut versions = candidates.iter().map(|state| &state.version);
+        if !need.begins_stream || versions.all(|version| Some(version) == first) {
+            return BTreeSet::new();
+        }
+        let mut homes: BTreeMap<&SoftwareVersion, Vec<&ReplicaId>> = BTreeMap::new();
+        for state in candidates {
+            let open = !self.is_evacuated(&state.record);
+            if open && state.record.phase == ReplicaPhase::Ready {
+                let homes = homes.entry(&state.version).or_default();
+                homes.push(&state.record.id);
+            }
+        }
+        if homes.values().all(|homes| homes.len() == 1) {
+            return BTreeSet::new();
+        }
+        let sole = homes.into_values().filter(|homes| homes.len() == 1);
+        sole.flatten().collect()
     }
 
     fn reuse_preference<'a>(
@@ -156,7 +195,10 @@
             } else {
                 0.0
             };
-            let cost = self.cost(state, need, preferences, now_ms) + reserved_cost;
+            let mut cost = self.cost(state, need, preferences, now_ms) + reserved_cost;
+            if preferences.sole_homes.contains(&state.record.id) {
+                cost += SOLE_HOME_COST;
+            }
             (cost, hash_rank(need.id_hash, &state.record.id), state)
         });
         let best = costs.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
--- a/src/forward/replica_table/quotes.rs
+++ b/src/forward/replica_table/quotes.rs
@@ -39,11 +39,15 @@
 /// Cost of a replica in another data hall, in milliseconds: about a round trip.
 const HALL_COST_MS: f64 = 1.0;
 
+/// Cost of beginning a stream at the only home of a software version, in milliseconds.
+const SOLE_HOME_COST_MS: f64 = 1.0;
+
 /// The homes for a request in the order that all entries share, and those among them that are
-/// reserved for requests of the other kind.
+/// reserved for requests of the other kind, or the only home of their software version.
 struct HomeOrder<'a> {
     homes: Vec<&'a ReplicaId>,
     reserved: BTreeSet<&'a ReplicaId>,
+    sole_homes: BTreeSet<&'a ReplicaId>,
 }
 
 /// A candidate with its quote.
@@ -117,6 +121,7 @@
         let order = HomeOrder {
             homes: self.homes_in_order(need),
             reserved: preferences.reserved,
+            sole_homes: preferences.sole_homes,
         };
         let homes = candidates.iter().filter_map(|state| {
             let quote = quotes.get(&state.record.id)?;
@@ -225,6 +230,10 @@
             true => need.limit_ms as f64 * RESERVED_FRACTION,
             false => 0.0,
         };
+        let sole_home_ms = match order.sole_homes.contains(id) {
+            true => SOLE_HOME_COST_MS,
+            false => 0.0,
+        };
         let uncached = u64::from(quote.uncached_tokens.min(shared_tokens(need)));
         let uncached_factor = UNCACHED_FACTORS[position.min(UNCACHED_FACTORS.len() - 1)];
         let uncached_ms = self.prefill_ms(need, uncached) * uncached_factor;
@@ -233,7 +242,7 @@
             state,
             quote,
             first_event_ms,
-            cost_ms: wait_ms + reserved_ms + uncached_ms + hall_ms + failure_ms,
+            cost_ms: wait_ms + reserved_ms + uncached_ms + hall_ms + failure_ms + sole_home_ms,
             position,
         }
     }
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -224,6 +224,7 @@
             RouteKind::Streaming => route.max_event_gap_ms,
             _ => 0,
         };
+        need.begins_stream = route.kind == RouteKind::Streaming && route.resumable;
         need.id_hash = id_hash(&id);
         let regions = caller.as_ref().map(|caller| &caller.regions);
         need.regions = AllowedRegions::of(&route.regions, regions);
