A busy model gets a second home at a software version from a copy at hand

While several versions serve, the streams of a model that has a single home at their version are broken off for good when it ends, although other replicas of that version could take the model within a second.

Change: at a replica whose version has one home of a model, and which has a copy in its memory or on its disk, the gain of a load includes the model's demand at one home, times the part of the longest stream that is left after the load. The price of moves is unchanged, and no other model's last home or home that streams need is unloaded for it.

Ruled out: loads from the weight store, which take over half of the longest stream and hold back other loads by their interval.

Services without streaming routes have no streams that come back, so that no home is kept for them.

Evidence: a_busy_model_gets_a_second_home_at_a_version_from_a_copy_at_hand; the same site on one version gets no load.

--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -658,12 +658,14 @@
         now_ms: u64,
         actions: &mut FleetActions,
     ) {
-        let stream_memory_ms = match &state.configuration {
-            Some(record) => record.configuration.stream_memory_ms(service),
-            None => 0,
-        };
-        let streams_since_ms = now_ms.saturating_sub(stream_memory_ms);
-        let models = self.plan_models(engine, streams_since_ms);
+        let configuration = state.configuration.as_ref();
+        let (stream_ms, memory_ms) = configuration.map_or((0, 0), |record| {
+            let configuration = &record.configuration;
+            let stream_ms = configuration.longest_stream_ms(service);
+            (stream_ms, configuration.stream_memory_ms(service))
+        });
+        let streams_since_ms = now_ms.saturating_sub(memory_ms);
+        let models = self.plan_models(engine, stream_ms, streams_since_ms);
         let bound = binds_streams_to_versions(state, service);
         let largest_mb = models.values().map(|model| model.weights_mb).max();
         let demand_unknown = self.demand.is_empty() && now_ms < self.since_ms + NO_DEMAND_WAIT_MS;
@@ -726,20 +728,23 @@
         (steps, from_store)
     }
 
-    /// `streams_since_ms` is the time from which streams that ran may be taken up again.
+    /// `stream_ms` is the longest time that a stream may last, and `streams_since_ms` the time from
+    /// which streams that ran may be taken up again.
     fn plan_models(
         &self,
         engine: &EngineSpec,
+        stream_ms: u64,
         streams_since_ms: u64,
     ) -> BTreeMap<ModelName, PlanModel> {
         let models = engine.models.iter().map(|(name, model)| {
+            // A new leader has not seen the streams of its predecessor's time.
+            let busy_ms = self.last_busy_ms.get(name).unwrap_or(&self.since_ms);
+            let has_streams = *busy_ms >= streams_since_ms;
             let plan = PlanModel {
                 weights_mb: model.weights_mb,
                 load_ms: model.load_ms,
                 level: self.demand.level(name),
-                // A new leader has not seen the streams of its predecessor's time.
-                has_streams: self.last_busy_ms.get(name).unwrap_or(&self.since_ms)
-                    >= &streams_since_ms,
+                stream_ms: if has_streams { stream_ms } else { 0 },
             };
             (name.clone(), plan)
         });
--- a/src/placement/fleet_plan.rs
+++ b/src/placement/fleet_plan.rs
@@ -66,8 +66,8 @@
     pub load_ms: u64,
     /// Demand, in concurrent requests.
     pub level: f64,
-    /// Whether streams of it run or may be taken up again.
-    pub has_streams: bool,
+    /// Longest time that its streams last, in milliseconds; 0 if none runs or may be taken up again.
+    pub stream_ms: u64,
 }
 
 /// A planned step.
@@ -94,18 +94,19 @@
     counts
 }
 
-/// Counts the replicas of each software version that hold each model.
+/// Counts the replicas of each software version that have each model, by the models of a replica.
 fn count_by_version(
     replicas: &[PlanReplica],
+    models: impl Fn(&PlanReplica) -> BTreeSet<ModelName>,
 ) -> BTreeMap<SoftwareVersion, BTreeMap<ModelName, usize>> {
     let mut counts: BTreeMap<SoftwareVersion, BTreeMap<ModelName, usize>> = BTreeMap::new();
     for replica in replicas {
         let Some(version) = &replica.version else {
             continue;
         };
-        let holders = counts.entry(version.clone()).or_default();
-        for model in &replica.held {
-            *holders.entry(model.clone()).or_default() += 1;
+        let counts = counts.entry(version.clone()).or_default();
+        for model in models(replica) {
+            *counts.entry(model).or_default() += 1;
         }
     }
     counts
@@ -118,6 +119,8 @@
     homes: BTreeMap<ModelName, usize>,
     /// Number of replicas that hold a model now.
     holders: BTreeMap<ModelName, usize>,
+    /// As `homes`, for each software version.
+    version_homes: BTreeMap<SoftwareVersion, BTreeMap<ModelName, usize>>,
     /// As `holders`, for each software version.
     version_holders: BTreeMap<SoftwareVersion, BTreeMap<ModelName, usize>>,
     price: f64,
@@ -161,7 +164,10 @@
         .iter()
         .flat_map(|replica| replica.held.iter().chain(&replica.loading));
     let homes = count(known);
-    let version_holders = count_by_version(&replicas);
+    let held = |replica: &PlanReplica| replica.held.iter().cloned().collect();
+    let version_holders = count_by_version(&replicas, held);
+    let known = |replica: &PlanReplica| replica.held.union(&replica.loading).cloned().collect();
+    let version_homes = count_by_version(&replicas, known);
     let largest_mb = models.values().map(|model| model.weights_mb).max();
     let largest_mb = largest_mb.unwrap_or(0);
     let all_fit = model_capacity(&replicas, models, largest_mb) >= models.len();
@@ -170,6 +176,7 @@
         models,
         homes,
         holders,
+        version_homes,
         version_holders,
         price,
         all_fit,
@@ -234,13 +241,42 @@
     /// Whether streams may need a replica's home of a model: at most two of the replica's software
     /// version are left.
     fn is_stream_home(&self, replica: &PlanReplica, model: &ModelName) -> bool {
-        let has_streams = self.models.get(model).is_some_and(|m| m.has_streams);
+        let has_streams = self.models.get(model).is_some_and(|m| m.stream_ms > 0);
         let version = replica.version.as_ref().filter(|_| has_streams);
         let holders = version.and_then(|version| self.version_holders.get(version));
         let count = holders.and_then(|holders| holders.get(model));
         count.is_some_and(|count| *count <= HOMES_FOR_STREAMS)
     }
 
+    /// Returns the models that have a single home at some software version.
+    fn sole_homes(&self) -> BTreeSet<&ModelName> {
+        let homes = self.version_homes.values().flatten();
+        let sole = homes.filter(|(_, count)| **count == 1);
+        sole.map(|(model, _)| model).collect()
+    }
+
+    /// Returns the streams at one home of a model that can be continued elsewhere if it ends, once
+    /// there is another home at its software version after `load_ms`.
+    fn stream_gain(&self, model: &ModelName, load_ms: u64) -> f64 {
+        let Some(spec) = self.models.get(model).filter(|spec| spec.stream_ms > 0) else {
+            return 0.0;
+        };
+        let outlast = 1.0 - (load_ms as f64 + MOVE_OVERHEAD_MS) / spec.stream_ms as f64;
+        spec.level / self.homes(model).max(1) as f64 * outlast.max(0.0)
+    }
+
+    /// Returns the gain of a second home at a replica's software version. A load from the weight
+    /// store takes too long for the streams that run.
+    fn version_gain(&self, replica: &PlanReplica, model: &ModelName) -> f64 {
+        let load_ms = replica.cached_load_ms.get(model);
+        let version = replica.version.as_ref();
+        let homes = version.and_then(|version| self.version_homes.get(version));
+        match (homes.and_then(|homes| homes.get(model)), load_ms) {
+            (Some(1), Some(load_ms)) => self.stream_gain(model, *load_ms),
+            _ => 0.0,
+        }
+    }
+
     fn gain(&self, model: &ModelName) -> f64 {
         let level = self.models.get(model).map_or(0.0, |model| model.level);
         let homes = self.homes(model);
@@ -276,25 +312,27 @@
     fn best_candidate(&mut self, store_load_allowed: bool) -> Option<Candidate> {
         // Computed once per step: all costs below use it, and only a step changes it.
         self.first_home_value = self.first_home_value_now();
+        let sole_homes = self.sole_homes();
+        // The gain at the best replica.
+        let most = |model: &ModelName| match sole_homes.contains(model) {
+            true => self.gain(model) + self.stream_gain(model, 0),
+            false => self.gain(model),
+        };
         let mut gains: Vec<(f64, &ModelName)> = self
             .models
             .keys()
-            .map(|model| (self.gain(model), model))
+            .map(|model| (most(model), model))
             .filter(|(gain, model)| *gain > self.price_of(model))
             .collect();
         gains.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(b.1)));
         let candidates = gains.into_iter().take(MAX_CANDIDATE_MODELS);
-        let candidates = candidates
-            .filter_map(|(gain, model)| self.best_candidate_for(model, gain, store_load_allowed));
+        let candidates =
+            candidates.filter_map(|(_, model)| self.best_candidate_for(model, store_load_allowed));
         candidates.max_by(|a, b| a.rank.total_cmp(&b.rank))
     }
 
-    fn best_candidate_for(
-        &self,
-        model: &ModelName,
-        gain: f64,
-        store_load_allowed: bool,
-    ) -> Option<Candidate> {
+    fn best_candidate_for(&self, model: &ModelName, store_load_allowed: bool) -> Option<Candidate> {
+        let model_gain = self.gain(model);
         let halls: BTreeSet<&HallName> = self
             .replicas
             .iter()
@@ -319,6 +357,7 @@
                 let eviction =
                     self.eviction_for(replica, spec.weights_mb, self.homes(model) == 0)?;
                 let loss = eviction.loss;
+                let gain = model_gain + self.version_gain(replica, model);
                 let spread = if halls.contains(&replica.hall) {
                     0.0
                 } else {
@@ -376,13 +415,18 @@
     fn apply(&mut self, candidate: Candidate) -> PlanStep {
         let replica = &mut self.replicas[candidate.replica];
         replica.accepts_orders = false;
+        if let Some(version) = &replica.version {
+            let homes = self.version_homes.entry(version.clone()).or_default();
+            *homes.entry(candidate.model.clone()).or_default() += 1;
+        }
         match candidate.evicted {
             Some(evicted) => {
                 replica.held.remove(&evicted);
-                let version = replica.version.as_ref();
-                let holders = version.and_then(|version| self.version_holders.get_mut(version));
-                if let Some(count) = holders.and_then(|holders| holders.get_mut(&evicted)) {
-                    *count -= 1;
+                if let Some(version) = &replica.version {
+                    for counts in [&mut self.version_holders, &mut self.version_homes] {
+                        let counts = counts.entry(version.clone()).or_default();
+                        *counts.entry(evicted.clone()).or_default() -= 1;
+                    }
                 }
                 // The memory is claimed, although the load comes later.
                 replica.loading.insert(candidate.model.clone());
--- a/src/table/configuration.rs
+++ b/src/table/configuration.rs
@@ -228,13 +228,18 @@
     /// Time for which it must be known what began the streams of a service, in milliseconds: a
     /// client may take one up at its deadline, and again at the next one.
     pub fn stream_memory_ms(&self, service: &ServiceName) -> u64 {
+        let longest_ms = self.longest_stream_ms(service);
+        longest_ms.saturating_mul(2).saturating_add(RETURN_TIME_MS)
+    }
+
+    /// Longest time that a stream of a service may last, in milliseconds; 0 if it serves none.
+    pub fn longest_stream_ms(&self, service: &ServiceName) -> u64 {
         let routes = self.routes.iter();
         let streams = routes.filter(|route| {
             route.kind == RouteKind::Streaming
                 && route.split.iter().any(|(other, _)| other == service)
         });
-        let longest_ms = streams.map(|route| route.timeout_ms).max().unwrap_or(0);
-        longest_ms.saturating_mul(2).saturating_add(RETURN_TIME_MS)
+        streams.map(|route| route.timeout_ms).max().unwrap_or(0)
     }
 
     /// Checks constraints that the types do not express.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -472,7 +472,7 @@
             weights_mb: 70,
             load_ms: 9_000,
             level: *level,
-            has_streams: true,
+            stream_ms: 15_000,
         };
         (ModelName::from(*name), model)
     });
--- a/tests/fleet_versions.rs
+++ b/tests/fleet_versions.rs
@@ -16,7 +16,7 @@
 use dunlinspring::placement::order::{OrderKind, OrderOutcome, ReplicaOrder};
 use dunlinspring::placement::report::EntryReport;
 use dunlinspring::table::configuration::{
-    Configuration, ConfigurationRecord, EngineModel, EngineSpec, ServiceSpec,
+    Configuration, ConfigurationRecord, EngineModel, EngineSpec, RouteKind, RouteSpec, ServiceSpec,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -28,9 +28,10 @@
 const MODEL_MB: u64 = 70;
 /// Time after which an order of a new leader may be sent, in milliseconds.
 const LEADER_WAIT_MS: u64 = 4_000;
-/// The service has no streaming route: streams may return for this time after they ran, in
-/// milliseconds.
-const RETURN_TIME_MS: u64 = 10_000;
+/// Longest time that a stream lasts, in milliseconds.
+const STREAM_MS: u64 = 15_000;
+/// Time for which streams may return after they ran, in milliseconds.
+const STREAM_MEMORY_MS: u64 = 2 * STREAM_MS + 10_000;
 
 fn home(id: &str, port: u16, models: &[&str]) -> ReplicaRecord {
     let models = models
@@ -44,6 +45,24 @@
     }
 }
 
+fn stream_route() -> RouteSpec {
+    RouteSpec {
+        name: "streams".to_owned(),
+        host: "a.example".to_owned(),
+        prefix: "/".to_owned(),
+        kind: RouteKind::Streaming,
+        timeout_ms: STREAM_MS,
+        latency_goal_ms: 1_000,
+        max_event_gap_ms: 500,
+        priority: 1,
+        attempts: 2,
+        resumable: true,
+        public: false,
+        regions: BTreeSet::new(),
+        split: vec![(ServiceName::from(SERVICE), 1)],
+    }
+}
+
 /// A leader's controller, and a state that applies commands as they are proposed.
 struct VersionedFleet {
     state: SiteState,
@@ -79,6 +98,7 @@
         let configuration = Configuration {
             version: 1,
             services: BTreeMap::from([(ServiceName::from(SERVICE), service)]),
+            routes: vec![stream_route()],
             ..Configuration::default()
         };
         let record = ConfigurationRecord {
@@ -221,7 +241,7 @@
         weights_mb: MODEL_MB,
         load_ms: 9_000,
         level,
-        has_streams: true,
+        stream_ms: STREAM_MS,
     };
     let levels = [("a", 3.0), ("b", 0.2), ("c", 1.0)];
     let models = levels.map(|(name, level)| (ModelName::from(name), model(level)));
@@ -244,7 +264,7 @@
     fleet.rounds(0, 2 * LEADER_WAIT_MS, &BUSY);
     assert_eq!(fleet.unloads(), []);
     let from_ms = 2 * LEADER_WAIT_MS;
-    let until_ms = from_ms + 2 * RETURN_TIME_MS;
+    let until_ms = from_ms + 2 * STREAM_MEMORY_MS;
     fleet.rounds(from_ms, until_ms, &[("b", 20.0), ("c", 0.5)]);
     let unloads = fleet.unloads();
     assert!(!unloads.is_empty());
@@ -254,6 +274,35 @@
     );
 }
 
+/// Returns what is loaded where model `a`, with this demand, has one home at each of two versions,
+/// and `copy` of it lies in the memory of another replica of `v1`.
+fn loads_beside_sole_homes(level: f64, versions: [&str; 2], copy: Option<&str>) -> Vec<String> {
+    let mut fleet = VersionedFleet::new(&["a", "b"]);
+    fleet.register(&home("r1", 1, &["a", "b"]), Some(versions[0]));
+    let mut free = home("r2", 2, &["b"]);
+    free.in_memory.extend(copy.map(ModelName::from));
+    fleet.register(&free, Some(versions[0]));
+    fleet.register(&home("r3", 3, &["a", "b"]), Some(versions[1]));
+    fleet.rounds(0, 2 * LEADER_WAIT_MS, &[("a", level), ("b", 0.1)]);
+    let loads = fleet
+        .orders
+        .iter()
+        .filter(|order| order.kind == OrderKind::Load);
+    loads
+        .map(|order| format!("{} at {}", order.model, order.replica))
+        .collect()
+}
+
+#[test]
+fn a_busy_model_gets_a_second_home_at_a_version_from_a_copy_at_hand() {
+    let loads = loads_beside_sole_homes(3.0, ["v1", "v2"], Some("a"));
+    assert_eq!(loads, ["a at r2"]);
+    let none: [&str; 0] = [];
+    assert_eq!(loads_beside_sole_homes(3.0, ["v1", "v1"], Some("a")), none);
+    assert_eq!(loads_beside_sole_homes(3.0, ["v1", "v2"], None), none);
+    assert_eq!(loads_beside_sole_homes(0.5, ["v1", "v2"], Some("a")), none);
+}
+
 /// Plays a drawn site whose replicas all name `version`, or none. Returns the actions of all rounds.
 fn play(seed: u64, version: Option<&str>) -> Vec<FleetActions> {
     let mut random = SmallRng::seed_from_u64(seed);
