--- a/tests/version_choice.rs
+++ b/tests/version_choice.rs
@@ -100,7 +100,7 @@
         free_tokens: 50_000,
         ..QuoteReply::default()
     };
-    let quotes = ids.map(|id| (ReplicaId::from(id), quote.clone()));
+    let quotes = ids.map(|id| (ReplicaId::from(id), quote));
     let chosen = |quotes: &Quotes, begins_stream| {
         let (need, none) = (need(1, begins_stream), BTreeSet::new());
         table.choose_quoted(0, &need, &none, EngineBounds::default(), quotes)
