--- a/src/agent/engine.rs
+++ b/src/agent/engine.rs
@@ -84,6 +84,10 @@
     pub text: String,
 }
 
+/// Header in which an engine names the boot ID of the process that a stream comes from.
+pub const BOOT_HEADER: &str = "x-engine-boot";
+/// Header in which an engine names the software version of that process.
+pub const VERSION_HEADER: &str = "x-engine-version";
 /// Marker after the last piece of a stream.
 pub const DONE_MARKER: &str = "[DONE]";
 
--- a/src/cli/demo.rs
+++ b/src/cli/demo.rs
@@ -23,7 +23,7 @@
 use crate::process::settings::*;
 use crate::standin::{
     EngineRecord, EngineStandin, EngineTraits, PlatformStandin, ServiceRecord, ServiceStandin,
-    StoreStandin, StoreTraits,
+    StoreStandin, StoreTraits, default_version,
 };
 use crate::table::limits::LimitPolicy;
 use crate::table::rows::{RowFields, Urgency};
@@ -83,6 +83,8 @@
                 batch_us: 60,
                 report_lag_ms: 100,
                 store_url: None,
+                version: default_version(),
+                marks_pieces: false,
             },
             route: RouteSettings::default(),
             queue: QueueSettings::default(),
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -5,6 +5,8 @@
 mod platform;
 mod service;
 
-pub use engine::{EngineRecord, EngineStandin, EngineTraits, RunRecord, piece_text};
+pub use engine::{
+    EngineRecord, EngineStandin, EngineTraits, RunRecord, default_version, piece_text,
+};
 pub use platform::{PlatformStandin, StoreStandin, StoreTraits};
 pub use service::{ServiceRecord, ServiceStandin};
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -14,7 +14,7 @@
 
 use crate::admission::controller::{EngineOrder, OrderAct};
 use crate::admission::ledger::{EngineReport, OrderSeq, ResidentInfo, RunningInfo};
-use crate::agent::engine::{DONE_MARKER, EnginePiece, EngineRun};
+use crate::agent::engine::{BOOT_HEADER, DONE_MARKER, EnginePiece, EngineRun, VERSION_HEADER};
 use crate::ids::{AttemptId, ModelName};
 use crate::process::daemon::{self, DaemonError};
 
@@ -45,6 +45,17 @@
     pub report_lag_ms: u64,
     /// HTTP URL of the weight store that is queried before each load, if any.
     pub store_url: Option<String>,
+    /// Software version that the engine names; it names none if this is null.
+    #[serde(default = "default_version")]
+    pub version: Option<String>,
+    /// Whether the text of each piece begins with the software version that generated it.
+    #[serde(default)]
+    pub marks_pieces: bool,
+}
+
+/// Returns the software version of engines whose traits don't say otherwise.
+pub fn default_version() -> Option<String> {
+    Some("v1".to_owned())
 }
 
 /// Record of one run.
@@ -85,6 +96,20 @@
     pub drop_orders: u32,
     /// Number of streams to cut after their next pieces.
     pub cut_streams: u32,
+    /// Replacement of the engine by another process at the same address.
+    pub replacement: Option<EngineReplacement>,
+}
+
+/// Process that takes the place of an engine at its address.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EngineReplacement {
+    /// Software version of the new process.
+    pub version: Option<String>,
+    /// Number of pieces that a stream must have before the engine is replaced; at once if 0.
+    pub after_pieces: u32,
+    /// Whether the new process still has the models and accepts the IDs of earlier runs.
+    pub keeps_runs: bool,
 }
 
 struct Run {
@@ -98,6 +123,7 @@
 #[derive(Default)]
 struct EngineState {
     boot: u64,
+    version: Option<String>,
     fence: OrderSeq,
     run_fence: OrderSeq,
     resident: BTreeMap<ModelName, ResidentInfo>,
@@ -122,6 +148,22 @@
         }
     }
 
+    /// Simulates that another process takes this one's place: all streams are cut.
+    fn replace(&mut self, replacement: EngineReplacement) {
+        self.boot = rand::random();
+        self.version = replacement.version;
+        for run in self.runs.values() {
+            run.progress.notify_waiters();
+        }
+        if !replacement.keeps_runs {
+            self.fence = OrderSeq::default();
+            self.run_fence = OrderSeq::default();
+            self.resident.clear();
+            self.runs.clear();
+            self.prefixes.clear();
+        }
+    }
+
     fn batch_size(&self) -> u64 {
         self.runs.values().filter(|run| !run.ended).count() as u64
     }
@@ -161,6 +203,7 @@
         let (listener, address) = daemon::bind_http("engine", address)?;
         let state = EngineState {
             boot: rand::random(),
+            version: traits.version.clone(),
             ..EngineState::default()
         };
         let shared = Arc::new(EngineShared {
@@ -314,14 +357,21 @@
 struct StreamReader {
     engine: Arc<EngineShared>,
     id: AttemptId,
+    /// Boot ID of the process that the stream comes from.
+    boot: u64,
     next: u32,
     finished: bool,
 }
 
 fn stream(engine: &Engine, id: AttemptId, from: u32) -> HttpResponse {
+    let (boot, version) = {
+        let state = engine.state();
+        (state.boot, state.version.clone())
+    };
     let reader = StreamReader {
         engine: Arc::clone(engine),
         id,
+        boot,
         next: from,
         finished: false,
     };
@@ -329,9 +379,13 @@
         let text = reader.next_events().await?;
         Some((Ok::<_, std::io::Error>(Bytes::from(text)), reader))
     });
-    HttpResponse::Ok()
-        .content_type("text/event-stream")
-        .streaming(Box::pin(events))
+    let mut response = HttpResponse::Ok();
+    response.content_type("text/event-stream");
+    response.set_header(BOOT_HEADER, boot.to_string());
+    if let Some(version) = version {
+        response.set_header(VERSION_HEADER, version);
+    }
+    response.streaming(Box::pin(events))
 }
 
 impl StreamReader {
@@ -357,12 +411,21 @@
 
     fn take_events(&mut self) -> Option<String> {
         let mut state = self.engine.state();
+        if state.boot != self.boot {
+            self.finished = true;
+            return None;
+        }
         let run = state.runs.get(&self.id)?;
+        let mark = match (&state.version, self.engine.traits.marks_pieces) {
+            (Some(version), true) => format!("{version}:"),
+            (_, _) => String::new(),
+        };
         let mut text = String::new();
         for index in self.next..run.pieces {
+            let piece = piece_text(&run.call.prompt, run.call.given + index);
             let piece = EnginePiece {
                 index,
-                text: piece_text(&run.call.prompt, run.call.given + index),
+                text: format!("{mark}{piece}"),
             };
             let json = serde_json::to_string(&piece).unwrap_or_default();
             text.push_str(&format!("data: {json}\n\n"));
@@ -383,6 +446,10 @@
             let cut = text.find("data: cut").unwrap_or(text.len());
             text.truncate(cut);
         }
+        let due = |replacement: &mut EngineReplacement| self.next >= replacement.after_pieces;
+        if let Some(replacement) = state.faults.replacement.take_if(due) {
+            state.replace(replacement);
+        }
         (!text.is_empty()).then_some(text)
     }
 }
@@ -535,7 +602,12 @@
 }
 
 async fn faults(engine: Engine, faults: types::Json<EngineFaults>) -> HttpResponse {
-    engine.state().faults = faults.into_inner();
+    let mut state = engine.state();
+    state.faults = faults.into_inner();
+    let at_once = |replacement: &mut EngineReplacement| replacement.after_pieces == 0;
+    if let Some(replacement) = state.faults.replacement.take_if(at_once) {
+        state.replace(replacement);
+    }
     status(StatusCode::OK)
 }
 
