A response before agents is continued only by the software version that began it

Callers of engines with agents could get one response with pieces of two software versions, ended as done, and a claim could record it.

Cause: the id of a run, by which an agent resumes it, names the attempt and not the engine's process; and the entry starts a broken call anew at any home, after the pieces that the caller has. Nothing carried what had generated them.

A resumed stream of other software is dropped, and the run ends as broken. An engine that names no version equals its own process alone; one that names neither equals nothing, so that its runs are not resumed. - A page names the software of its pieces. The entry binds the response to that of the first ones, sends it with each later attempt (`continues`), and accepts further pieces of the same alone. An agent refuses an attempt that continues other software than its engine last reported: not run. - A response of unknown software is not started anew.

What stays: entries don't know the versions of engines, so they ask homes in turn, up to `route.attempts`; the response ends as unknown if none of those has the version.

--- a/benches/core.rs
+++ b/benches/core.rs
@@ -249,6 +249,7 @@
                 call,
                 content: ContentDigest([0; ContentDigest::LEN]),
                 parts: Vec::new(),
+                continues: None,
             };
             controller.start(1, request);
             controller.next_run(1);
--- a/src/admission/controller.rs
+++ b/src/admission/controller.rs
@@ -11,9 +11,10 @@
 use crate::admission::queue::{QueuePolicy, QueuedRun, RunQueue};
 use crate::admission::runs::BEGINNING_MS;
 pub use crate::admission::runs::{
-    AnswerPage, AttemptStatus, EngineCall, NotRun, RefuseCause, RunDispatch, RunEnd, RunEvent,
-    RunRequest,
+    AnswerPage, AttemptStatus, EngineCall, EngineProcess, EngineSoftware, NotRun, RefuseCause,
+    RunDispatch, RunEnd, RunEvent, RunRequest,
 };
+use crate::consensus::software_versions::version_name;
 use crate::ids::{AttemptId, ContentDigest, Incarnation, ModelName, Position, RowId};
 
 /// How long an ended attempt is remembered after its last use, in milliseconds.
@@ -55,6 +56,8 @@
     /// Boot ID of the engine incarnation that it was sent to.
     boot: u64,
     resumed: bool,
+    /// Software that generated the pieces, or will generate them; `None` if it is not known.
+    software: Option<EngineSoftware>,
     /// When its first piece came.
     first_ms: Option<u64>,
     /// When its connection was lost first.
@@ -101,6 +104,8 @@
     fence: OrderSeq,
     fence_needed: bool,
     boot: Option<u64>,
+    /// Software of the engine by its newest report.
+    software: Option<EngineSoftware>,
     /// Runs that may have been lost to a crash of the engine.
     lost_runs: LostRuns,
     last_report_ms: u64,
@@ -140,6 +145,7 @@
             fence: OrderSeq { life, number: 0 },
             fence_needed: policy.check == OrderCheck::Fenced,
             boot: None,
+            software: None,
             lost_runs: LostRuns::default(),
             last_report_ms: now_ms,
             order_in_flight: false,
@@ -171,6 +177,11 @@
         self.running.len()
     }
 
+    /// Whether an attempt runs at the engine.
+    pub fn is_running(&self, attempt: AttemptId) -> bool {
+        self.running.contains(&attempt)
+    }
+
     /// Returns the number of waiting runs.
     pub fn queued(&self) -> usize {
         self.queue.len()
@@ -224,6 +235,9 @@
             _ if self.is_engine_silent(now_ms) => Some(RefuseCause::Engine),
             _ if self.is_lease_grace_over(now_ms) => Some(RefuseCause::NoLease),
             request if !self.serves(&request.call.model) => Some(RefuseCause::NotHome),
+            request if request.continues.is_some() && request.continues != self.software => {
+                Some(RefuseCause::OtherSoftware)
+            }
             _ => None,
         };
         let end = match refusal {
@@ -345,6 +359,18 @@
         }
         attempt.touched_ms = now_ms;
         match event {
+            RunEvent::Opened(process) => {
+                let software = process.map(|process| process.software(self.life));
+                let continues = software.is_some() && software == attempt.software;
+                match attempt.pieces.is_empty() {
+                    true => attempt.software = software,
+                    false if continues => {}
+                    false => {
+                        attempt.resumed = true;
+                        return self.on_run_event(now_ms, id, RunEvent::Lost);
+                    }
+                }
+            }
             RunEvent::Piece { index, text } => {
                 attempt.first_ms.get_or_insert(now_ms);
                 if index as usize == attempt.pieces.len() {
@@ -469,6 +495,11 @@
         let fenced = self.policy.check == OrderCheck::Fenced;
         let restarted = self.boot.is_some_and(|boot| boot != report.boot);
         self.boot = Some(report.boot);
+        let process = EngineProcess {
+            boot: report.boot,
+            version: report.version.as_deref().and_then(version_name),
+        };
+        self.software = Some(process.software(self.life));
         let unfenced = report.run_fence < self.fence && !self.order_in_flight;
         self.ledger.apply_report(report, requested_ms, self.life);
         let unproven = !self.order_in_flight && self.ledger.needs_fence(report);
@@ -567,6 +598,7 @@
             offset: 0,
             pieces: Vec::new(),
             end: Some(not_run(cause, retry_after_ms)),
+            software: None,
         })
     }
 
@@ -585,6 +617,7 @@
             started_ms: now_ms,
             boot: 0,
             resumed: false,
+            software: None,
             first_ms: None,
             lost_ms: None,
         };
@@ -614,6 +647,7 @@
             offset,
             pieces: pieces.to_vec(),
             end,
+            software: attempt.software.clone(),
         })
     }
 
--- a/src/admission/ledger.rs
+++ b/src/admission/ledger.rs
@@ -35,6 +35,9 @@
     pub resident: BTreeMap<ModelName, ResidentInfo>,
     /// Runs in progress.
     pub running: Vec<RunningInfo>,
+    /// Software version, if the engine names one.
+    #[serde(default)]
+    pub version: Option<String>,
 }
 
 /// Run in an engine's memory.
--- a/src/admission/runs.rs
+++ b/src/admission/runs.rs
@@ -3,8 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::admission::ledger::OrderSeq;
-use crate::ids::{AttemptId, ContentDigest, Incarnation, ModelName, Position, RowId};
-use crate::last_field;
+use crate::ids::{AttemptId, ContentDigest, Incarnation, ModelName, Position, RowId, VersionName};
 use crate::table::rows::Urgency;
 
 /// Time after its first piece at which a run is sound, and until which it may be the cause of a
@@ -35,8 +34,45 @@
     /// Digest of the content, which all attempts of the caller at this request share.
     pub content: ContentDigest,
     /// Digests of the parts of its prompt that other requests may share.
-    #[serde(deserialize_with = "last_field::read_or_default")]
     pub parts: Vec<ContentDigest>,
+    /// Software that generated the pieces which the caller already has; `None` if it has none.
+    pub continues: Option<EngineSoftware>,
+}
+
+/// Software of an engine's process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EngineSoftware {
+    /// The version that the engine named.
+    Named(VersionName),
+    /// The engine named none: its version equals that of no other process.
+    Unnamed {
+        /// Incarnation of the engine's agent.
+        agent: Incarnation,
+        /// Boot ID of the process.
+        boot: u64,
+    },
+}
+
+/// Process of an engine that a stream comes from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineProcess {
+    /// Boot ID.
+    pub boot: u64,
+    /// Software version, if the engine names one.
+    pub version: Option<VersionName>,
+}
+
+impl EngineProcess {
+    /// Returns the software of the process, whose agent has this incarnation.
+    pub fn software(&self, agent: Incarnation) -> EngineSoftware {
+        match &self.version {
+            Some(version) => EngineSoftware::Named(version.clone()),
+            None => EngineSoftware::Unnamed {
+                agent,
+                boot: self.boot,
+            },
+        }
+    }
 }
 
 /// Call to the engine or service.
@@ -79,6 +115,8 @@
     Engine,
     /// The agent has had no lease from control for a while.
     NoLease,
+    /// Another software version generated the pieces that the caller already has.
+    OtherSoftware,
 }
 
 /// Proof that an attempt did not and will not run.
@@ -115,6 +153,8 @@
     pub pieces: Vec<String>,
     /// End of the response, once it is known.
     pub end: Option<RunEnd>,
+    /// Software that generated the pieces; `None` if the engine does not name its process.
+    pub software: Option<EngineSoftware>,
 }
 
 /// An agent's status of an attempt.
@@ -147,6 +187,9 @@
 /// Event of a run at the engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RunEvent {
+    /// A stream of the run was opened, by this process of the engine if it names itself. A stream
+    /// of other software than that of the pieces so far ends the run.
+    Opened(Option<EngineProcess>),
     /// A piece arrived. Repeated pieces and pieces after a gap are dropped.
     Piece {
         /// Index of the piece.
--- a/src/agent/engine.rs
+++ b/src/agent/engine.rs
@@ -9,8 +9,9 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
-use crate::admission::controller::{EngineOrder, RunDispatch};
+use crate::admission::controller::{EngineOrder, EngineProcess, RunDispatch};
 use crate::admission::ledger::{EngineReport, OrderSeq};
+use crate::consensus::software_versions::version_name;
 use crate::ids::{AttemptId, ModelName};
 use crate::table::rows::Urgency;
 
@@ -100,6 +101,8 @@
 
 /// Stream of the pieces of a run.
 pub struct EngineStream {
+    /// Process that it comes from, if the engine names it.
+    pub process: Option<EngineProcess>,
     url: String,
     payload: Payload,
     buffer: Vec<u8>,
@@ -254,6 +257,7 @@
 
     fn stream(&self, response: ClientResponse) -> EngineStream {
         EngineStream {
+            process: process_of(&response),
             url: self.url.clone(),
             payload: response.take_payload(),
             buffer: Vec::new(),
@@ -308,6 +312,15 @@
     }
 }
 
+/// Returns the process that a response names.
+fn process_of(response: &ClientResponse) -> Option<EngineProcess> {
+    let header = |name| response.headers().get(name)?.to_str().ok();
+    Some(EngineProcess {
+        boot: header(BOOT_HEADER)?.parse().ok()?,
+        version: header(VERSION_HEADER).and_then(version_name),
+    })
+}
+
 /// Returns whether an error proves that nothing was sent, which only a refused connection does.
 /// The client also reports a failure to connect if a connection closes after the request.
 fn was_never_sent(error: &ClientError) -> bool {
--- a/src/agent/shell.rs
+++ b/src/agent/shell.rs
@@ -403,6 +403,11 @@
         Err(EngineError::Refused { .. }) => return RunEvent::Refused,
         Err(EngineError::Lost { .. }) => return RunEvent::Lost,
     };
+    apply_run_event(agent, attempt, RunEvent::Opened(stream.process.clone()));
+    if !agent.admission().is_running(attempt) {
+        tracing::info!(%attempt, process = ?stream.process, "stream of other software dropped");
+        return RunEvent::Lost;
+    }
     loop {
         match stream.next().await {
             Ok(StreamPart::Piece(index, text)) => {
@@ -418,7 +423,7 @@
 }
 
 fn apply_run_event(agent: &AgentShared, attempt: AttemptId, event: RunEvent) -> Option<u32> {
-    let ended = !matches!(event, RunEvent::Piece { .. });
+    let ended = !matches!(event, RunEvent::Opened(_) | RunEvent::Piece { .. });
     let resume = agent
         .admission()
         .on_run_event(clock::monotonic_ms(), attempt, event);
--- a/src/entry/request_driver.rs
+++ b/src/entry/request_driver.rs
@@ -561,6 +561,7 @@
             at_most_once: fields.at_most_once,
             content: self.content,
             parts: self.request.parts.clone(),
+            continues: self.lifecycle.software().cloned(),
             patience_ms: remaining.as_millis() as u64,
             call,
         };
--- a/src/routing/lifecycle.rs
+++ b/src/routing/lifecycle.rs
@@ -1,7 +1,9 @@
 //! State machine of one request, which ends with exactly one outcome. Pure: the entry's shell
 //! performs each [`RequestStep`] and returns the resulting [`RequestEvent`].
 
-use crate::admission::controller::{AnswerPage, AttemptStatus, NotRun, RefuseCause, RunEnd};
+use crate::admission::controller::{
+    AnswerPage, AttemptStatus, EngineSoftware, NotRun, RefuseCause, RunEnd,
+};
 use crate::consensus::claims::{ClaimRecord, ClaimReply, Settlement};
 use crate::ids::{AttemptId, Incarnation, TargetName};
 use crate::routing::suspects::QUARANTINE_RETRY_MS;
@@ -77,6 +79,7 @@
             Self::Refused(RefuseCause::Behind) => "table-changed",
             Self::Refused(RefuseCause::Engine) => "engine-refused",
             Self::Refused(RefuseCause::NoLease) => "no-lease",
+            Self::Refused(RefuseCause::OtherSoftware) => "other-software",
             Self::Quarantined => "targets-ended",
             Self::NoQuorum => "no-quorum",
             Self::KeyReused => "key-reused",
@@ -187,6 +190,8 @@
     stage: Stage,
     attempts_made: u32,
     sent: u32,
+    /// Software that generated the pieces delivered, if it is known.
+    software: Option<EngineSoftware>,
     /// Value of `sent` when the current attempt was chosen.
     base: u32,
     timeouts: u32,
@@ -206,6 +211,7 @@
             stage: Stage::Choosing,
             attempts_made: 0,
             sent: 0,
+            software: None,
             base: 0,
             timeouts: 0,
             maybe_ran: false,
@@ -220,6 +226,12 @@
         self.sent
     }
 
+    /// Returns the software that generated the pieces delivered; a new attempt must run on the
+    /// same one. `None` if no piece was delivered.
+    pub fn software(&self) -> Option<&EngineSoftware> {
+        self.software.as_ref()
+    }
+
     /// Returns the next step.
     pub fn step(&self) -> RequestStep {
         match &self.stage {
@@ -348,6 +360,10 @@
             Some(skip) => page.pieces.into_iter().skip(skip as usize).collect(),
             None => Vec::new(),
         };
+        if !new_pieces.is_empty() && !self.accept_software(page.software) {
+            self.on_attempt_lost(attempt);
+            return Vec::new();
+        }
         self.sent += new_pieces.len() as u32;
         let received = self.sent - self.base;
         match page.end {
@@ -359,6 +375,20 @@
         new_pieces
     }
 
+    /// Whether pieces that this software generated may follow those delivered. The first pieces
+    /// bind the response to their software; software that is not known equals no other.
+    fn accept_software(&mut self, software: Option<EngineSoftware>) -> bool {
+        let is_first_attempt = self.base == 0;
+        match (is_first_attempt, self.sent) {
+            (true, 0) => {
+                self.software = software;
+                true
+            }
+            (true, _) => self.software == software,
+            (false, _) => software.is_some() && self.software == software,
+        }
+    }
+
     fn on_complete(&mut self, attempt: TargetAttempt) {
         self.stage = match self.policy.at_most_once {
             true => {
@@ -442,7 +472,9 @@
             Some(refusal) => EndCause::Refused(refusal.cause),
             None => EndCause::TargetLost,
         };
-        match self.attempts_made < self.policy.max_attempts && !self.deadline_passed {
+        let is_bound = self.sent == 0 || self.software.is_some();
+        let may_retry = self.attempts_made < self.policy.max_attempts && !self.deadline_passed;
+        match may_retry && is_bound {
             true => self.stage = Stage::Choosing,
             false => self.end_not_run(cause),
         }
--- a/src/routing/refusals.rs
+++ b/src/routing/refusals.rs
@@ -79,7 +79,8 @@
             RefuseCause::Behind
             | RefuseCause::Expired
             | RefuseCause::Sealed
-            | RefuseCause::Cancelled => return,
+            | RefuseCause::Cancelled
+            | RefuseCause::OtherSoftware => return,
         };
         if ms > 0 {
             let id = (request.target.clone(), scope);
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -574,6 +574,7 @@
         let live = state.runs.iter().filter(|(_, run)| !run.ended);
         EngineReport {
             boot: state.boot,
+            version: state.version.clone(),
             fence: state.fence,
             run_fence: state.run_fence,
             resident: state.resident.clone(),
--- a/tests/fuzz/gate.rs
+++ b/tests/fuzz/gate.rs
@@ -25,6 +25,8 @@
 const MAX_CALL_DELAY_MS: u64 = 60;
 const CALL_TIMEOUT_MS: u64 = 30;
 const PIECES: u32 = 10;
+/// Software version of all engines.
+const VERSION: &str = "v1";
 
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -191,12 +193,20 @@
         }
     }
 
+    fn process(&self) -> EngineProcess {
+        EngineProcess {
+            boot: self.boot,
+            version: Some(VersionName::from(VERSION)),
+        }
+    }
+
     fn report(&self) -> EngineReport {
         let live = self.runs.iter().filter(|(_, run)| run.live);
         EngineReport {
             boot: self.boot,
             fence: self.fence,
             run_fence: self.run_fence,
+            version: Some(VERSION.to_owned()),
             resident: self.resident.clone(),
             running: live
                 .map(|(id, run)| RunningInfo {
@@ -279,6 +289,8 @@
     next: u32,
     /// Whether it closed while its agent was frozen and has not seen that yet.
     cut: bool,
+    /// Whether the agent knows which process it comes from.
+    opened: bool,
 }
 
 struct ActiveRequest {
@@ -545,10 +557,16 @@
             let (from, to) = (stream.next, run.pieces);
             let whole = run.call.given + run.pieces >= run.call.max_tokens;
             let (live, prompt, given) = (run.live, run.call.prompt.clone(), run.call.given);
+            let process = Some(engine.process());
             let Some(agent) = self.agent(stream.target, stream.incarnation) else {
                 self.streams.push(stream);
                 continue;
             };
+            if !std::mem::replace(&mut stream.opened, true) {
+                agent
+                    .controller
+                    .on_run_event(now, stream.attempt, RunEvent::Opened(process));
+            }
             // A resumed stream repeats its last piece.
             for index in from.saturating_sub(1)..to {
                 let text = piece(&prompt, given + index);
@@ -591,6 +609,7 @@
                 incarnation,
                 attempt,
                 next: from,
+                opened: false,
                 cut: false,
             }),
             false => {
@@ -723,6 +742,7 @@
             incarnation,
             attempt: run.attempt,
             next: 0,
+            opened: false,
             cut: false,
         };
         let engine = &mut self.engines[target];
@@ -826,6 +846,7 @@
                     incarnation: *incarnation,
                     attempt: run.attempt,
                     next: 0,
+                    opened: false,
                     cut: false,
                 };
                 self.lose_stream(stream);
@@ -999,6 +1020,7 @@
             },
             content: ContentDigest([7; ContentDigest::LEN]),
             parts: Vec::new(),
+            continues: request.lifecycle.software().cloned(),
         };
         self.call(at, attempt, Call::Start(run_request));
     }
