--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -7,6 +7,7 @@
 mod crashing_parts;
 mod halls;
 mod limits;
+mod moved_routes;
 mod pauses;
 mod support;
 mod versions;
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -73,7 +73,7 @@
     kind: RouteKind,
     resumable: bool,
     public: bool,
-    service: &'static str,
+    split: &'static [(&'static str, u32)],
     priority: u32,
 }
 
@@ -85,7 +85,7 @@
             kind: RouteKind::Streaming,
             resumable: false,
             public: false,
-            service: "llm",
+            split: &[("llm", 1)],
             priority: 1,
         }
     }
@@ -96,7 +96,7 @@
             kind: RouteKind::Safe,
             resumable: false,
             public: false,
-            service: "plain",
+            split: &[("plain", 1)],
             priority: 1,
         }
     }
@@ -115,7 +115,7 @@
             kind: RouteKind::Unsafe,
             resumable: false,
             public: false,
-            service: "plain",
+            split: &[("plain", 1)],
             priority: 1,
         }
     }
@@ -126,7 +126,7 @@
             kind: RouteKind::Streaming,
             resumable,
             public: false,
-            service: "plain",
+            split: &[("plain", 1)],
             priority: 1,
         }
     }
@@ -135,7 +135,14 @@
         Self { priority, ..self }
     }
 
+    /// The route with other services and their weights.
+    pub const fn split(self, split: &'static [(&'static str, u32)]) -> Self {
+        Self { split, ..self }
+    }
+
     fn spec(&self) -> RouteSpec {
+        let split = self.split.iter();
+        let split = split.map(|(service, weight)| (ServiceName::from(*service), *weight));
         RouteSpec {
             name: self.prefix.to_owned(),
             host: "h.example".to_owned(),
@@ -149,7 +156,7 @@
             resumable: self.resumable,
             public: self.public,
             regions: BTreeSet::new(),
-            split: vec![(ServiceName::from(self.service), 1)],
+            split: split.collect(),
         }
     }
 }
@@ -491,7 +498,8 @@
             version,
             routes: routes.iter().map(RouteShape::spec).collect(),
             services: BTreeMap::from([
-                (ServiceName::from("plain"), plain),
+                (ServiceName::from("plain"), plain.clone()),
+                (ServiceName::from("other"), plain),
                 (ServiceName::from("llm"), engine_service()),
             ]),
             accounts,
@@ -592,10 +600,22 @@
         name: &str,
         version: &str,
         script: Vec<Behaviour>,
+    ) {
+        self.add_replica_of("plain", name, version, script).await;
+    }
+
+    /// Starts a replica of a service that runs a software version and waits until the first entry
+    /// knows it.
+    pub async fn add_replica_of(
+        &mut self,
+        service: &str,
+        name: &str,
+        version: &str,
+        script: Vec<Behaviour>,
     ) {
         let record = ReplicaRecord {
             slots: 8,
-            ..ready_replica(name, "plain")
+            ..ready_replica(name, service)
         };
         self.register(record, version, script).await;
     }
