A stream whose route moved goes on at the service that began it, or is refused as gone

A client that took a stream up after the configuration had moved its route, or had changed its split, got events of another service's replica.

Cause: an entry that did not serve the stream took the one version that serves the service which the route names now for the stream's origin. That follows only if the route has led there since.

Change: - Origins are stored at control hosts also for services of routes that lead to several services, and for services whose routes lead elsewhere in a newer configuration, for as long as a stream that began before may be taken up; those of earlier streams are stored as the configuration comes into force. Routes are compared by paths, so that a new longer prefix counts. - A take-up at such a service asks control hosts in place of the leader. An entry that has just started does not know of earlier changes: it asks control hosts once before the leader. - The service of the origin decides: if the route still sends requests there, the request goes on there, with that service's prompt parts and limits; if not, it is refused as gone. - The line "stream continues" names who knew the origin.

Ruled out: taking the service from the id of the first attempt alone, which holds only while the split stays as it is.

--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -548,7 +548,11 @@
                 index,
                 keys,
             };
-            *self.routing.borrow_mut() = Some(Rc::new(routing));
+            let before = self.routing.replace(Some(Rc::new(routing)));
+            let before = before.as_ref().map(|before| &before.configuration);
+            if let Some(routing) = self.routing() {
+                self.update_rerouted(before, &routing.configuration);
+            }
             self.quotas.forget_short();
             let position = view.position;
             tracing::info!(version, held, routes, %position, "configuration in force");
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -29,15 +29,16 @@
     self, Refusal, UNKNOWN_RETRY, closes_connection, finish, refuse_unrouted,
 };
 use crate::forward::permits::RatePermit;
+use crate::forward::prompt_parts;
 use crate::forward::quotas::QuotaRefusal;
 use crate::forward::replica_table::{self, AttemptResult, EngineBounds, Need};
 use crate::forward::request_log::{Outcome, RequestLog};
 use crate::forward::suspect_leases::SuspectLeaseGuard;
 use crate::forward::upstream::{Connection, Exchange, ExchangeError, OutgoingRequest};
-use crate::ids::{ContentDigest, ReplicaId};
+use crate::ids::{ContentDigest, ReplicaId, ServiceName};
 use crate::routing::backoff::SlotOutcome;
 use crate::routing::suspects::QUARANTINE_RETRY_MS;
-use crate::table::configuration::{RouteKind, RouteSpec, SLACK_RANKS};
+use crate::table::configuration::{EngineSpec, RouteKind, RouteSpec, SLACK_RANKS};
 
 use asking::QuotesAtHand;
 use attempt_guard::AttemptGuard;
@@ -178,6 +179,8 @@
     source: Option<EventSource>,
     /// Where the first event of the response came from.
     first_source: Option<EventSource>,
+    /// How it is known what began the stream that the client takes up.
+    origin_source: Option<&'static str>,
     /// When the response of the current attempt began.
     begun: Option<Instant>,
     /// Whether the current attempt has run beyond its beginning.
@@ -198,6 +201,13 @@
     }
 }
 
+fn engine_bounds(engine: Option<&EngineSpec>) -> EngineBounds {
+    engine.map_or(EngineBounds::default(), |engine| EngineBounds {
+        memory: engine.kv_tokens,
+        adapter_slots: engine.adapter_slots,
+    })
+}
+
 impl<'a> ForwardedRequest<'a> {
     fn new(
         core: &'a Rc<EntryCore>,
@@ -246,10 +256,7 @@
             need,
             rank: rank.unwrap_or(route.priority),
             can_wait: slack + 1 >= SLACK_RANKS,
-            bounds: engine.map_or(EngineBounds::default(), |engine| EngineBounds {
-                memory: engine.kv_tokens,
-                adapter_slots: engine.adapter_slots,
-            }),
+            bounds: engine_bounds(engine),
             event_tokens: engine.map_or(0, |engine| engine.event_tokens),
             until_ms: request.since_ms.saturating_add(limit_ms),
             attempted: BTreeSet::new(),
@@ -263,6 +270,7 @@
             sent: None,
             source: None,
             first_source: None,
+            origin_source: None,
             begun: None,
             is_sound: false,
             has_ended: false,
@@ -271,6 +279,19 @@
         }
     }
 
+    /// Sends the request to another service of its route than the one that was drawn.
+    fn change_service(&mut self, service: ServiceName) {
+        let spec = self.routing.configuration.services.get(&service);
+        let engine = spec.and_then(|spec| spec.engine.as_ref());
+        self.bounds = engine_bounds(engine);
+        self.event_tokens = engine.map_or(0, |engine| engine.event_tokens);
+        let headers = &self.request.head.headers;
+        let prefix = head::find(headers, self.core.names.prefix).unwrap_or_default();
+        self.need.part_digests = prompt_parts::digests(service.as_str(), prefix);
+        self.log.service(&service);
+        self.need.service = Some(service);
+    }
+
     fn left(&self) -> Duration {
         Duration::from_millis(self.until_ms.saturating_sub(clock::monotonic_ms()))
     }
--- a/src/forward/request/continuing.rs
+++ b/src/forward/request/continuing.rs
@@ -134,12 +134,20 @@
         self.core.count("dunlinspring_take_ups_total", &labels);
         self.log
             .note(&format!("takes a stream up: origin {source}"));
+        self.origin_source = Some(source);
         match found {
             None => Err(Refusal::OriginUnknown),
-            Some((origin, _)) if origin.service != service => Err(Refusal::VersionGone),
+            Some((origin, _)) if !self.route.leads_to(&origin.service) => Err(Refusal::VersionGone),
             Some((origin, _)) => {
                 self.need.version = Some(origin.version);
-                Ok(())
+                match origin.service == service {
+                    true => Ok(()),
+                    // Parts of prompts are told apart by service.
+                    false => {
+                        self.change_service(origin.service);
+                        self.check_suspects()
+                    }
+                }
             }
         }
     }
@@ -171,6 +179,7 @@
                 .unwrap_or_else(|| header(self.core.names.last_event)),
             first_replica = self.first_source.as_ref().map(|first| first.incarnation.to_string()),
             first_software = first.map(ToString::to_string),
+            origin = self.origin_source.unwrap_or_default(),
             replica = %incarnation,
             software = %version,
             view_age_ms = self.core.view_age_ms(),
--- a/src/forward/request_log.rs
+++ b/src/forward/request_log.rs
@@ -7,7 +7,7 @@
 use crate::forward::caller::CallerIdentity;
 use crate::forward::daemon::EntryCore;
 use crate::forward::replica_table::Need;
-use crate::ids::{ContentDigest, ReplicaId};
+use crate::ids::{ContentDigest, ReplicaId, ServiceName};
 use crate::process::metrics::MetricKey;
 use crate::table::configuration::RouteSpec;
 
@@ -190,6 +190,11 @@
         self.content = Some(digest);
     }
 
+    /// Records the service, if it is another one than the request's route named first.
+    pub fn service(&mut self, service: &ServiceName) {
+        self.service = service.0.clone();
+    }
+
     /// Records the part of the prompt for which the request is refused or withdrawn.
     pub fn part(&mut self, part: ContentDigest) {
         self.part = Some(part);
--- a/src/forward/stream_origins.rs
+++ b/src/forward/stream_origins.rs
@@ -19,6 +19,7 @@
     HOSTS_ASKED, ORIGIN_COPIES, OriginBatch, OriginMemory, StreamKey, StreamOrigin,
 };
 use crate::routing::view::SiteView;
+use crate::table::configuration::Configuration;
 
 /// Timeout of one call to a control host.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -78,6 +79,15 @@
     is_served: bool,
 }
 
+/// A change of the routes to a service.
+#[derive(Clone, Copy, Debug)]
+struct Rerouting {
+    /// How long origins of the service's streams are kept, in milliseconds.
+    keep_ms: u64,
+    /// Until when a stream that began before may be taken up.
+    until_ms: u64,
+}
+
 /// Origins of streams at one entry.
 #[derive(Debug, Default)]
 pub struct OriginKeeper {
@@ -85,6 +95,12 @@
     queues: RefCell<BTreeMap<String, StoreQueue>>,
     /// Services that run several versions, as this entry knows.
     several: RefCell<BTreeSet<ServiceName>>,
+    /// Services of routes that lead to several services.
+    split: RefCell<BTreeSet<ServiceName>>,
+    /// Services whose routes have led elsewhere.
+    rerouted: RefCell<BTreeMap<ServiceName, Rerouting>>,
+    /// Until when a route may have led elsewhere without this entry knowing of it.
+    unaware_until_ms: Cell<u64>,
     entries: Cell<u32>,
 }
 
@@ -99,6 +115,16 @@
         self.memory.borrow().find(key).cloned()
     }
 
+    /// Whether the origins of a service's streams are stored, as they follow neither from the route
+    /// nor from the version that serves.
+    fn is_stored(&self, service: &ServiceName, now_ms: u64) -> bool {
+        let rerouted = self.rerouted.borrow();
+        let rerouting = rerouted.get(service);
+        self.several.borrow().contains(service)
+            || self.split.borrow().contains(service)
+            || rerouting.is_some_and(|rerouting| now_ms < rerouting.until_ms)
+    }
+
     /// Queues an origin for a control host. Returns whether a task to send it must be started.
     fn queue(&self, host: &str, keep_ms: u64, stream: QueuedOrigin) -> bool {
         let mut queues = self.queues.borrow_mut();
@@ -148,11 +174,62 @@
         let mut memory = self.origins.memory.borrow_mut();
         memory.record(now_ms, keep_ms, key, origin);
         drop(memory);
-        if self.origins.several.borrow().contains(&origin.service) {
+        if self.origins.is_stored(&origin.service, now_ms) {
             self.store_origin(key, origin, keep_ms);
         }
     }
 
+    /// Updates which services are reached by routes that lead to several services, or lately led
+    /// elsewhere. The origins of their earlier streams are stored.
+    pub(super) fn update_rerouted(
+        self: &Rc<Self>,
+        before: Option<&Configuration>,
+        configuration: &Configuration,
+    ) {
+        let now_ms = clock::monotonic_ms();
+        let split = configuration.split_services();
+        let Some(before) = before else {
+            let services = configuration.services.keys();
+            let longest_ms = services.map(|service| configuration.stream_memory_ms(service));
+            let until_ms = now_ms.saturating_add(longest_ms.max().unwrap_or(0));
+            self.origins.unaware_until_ms.set(until_ms);
+            self.origins.split.replace(split);
+            return;
+        };
+        let rerouted = before.rerouted_services(configuration);
+        let moved = rerouted.union(&split);
+        let new: Vec<&ServiceName> = moved
+            .filter(|service| !self.origins.is_stored(service, now_ms))
+            .collect();
+        let mut known = self.origins.rerouted.borrow_mut();
+        known.retain(|_, rerouting| now_ms < rerouting.until_ms);
+        for service in &rerouted {
+            let earlier_ms = before.stream_memory_ms(service);
+            let keep_ms = earlier_ms.max(configuration.stream_memory_ms(service));
+            let until_ms = now_ms.saturating_add(keep_ms);
+            known.insert(service.clone(), Rerouting { keep_ms, until_ms });
+        }
+        drop(known);
+        self.origins.split.replace(split.clone());
+        for service in new {
+            self.store_known(service);
+        }
+    }
+
+    /// Stores the origins of the streams of a service that this entry has served.
+    fn store_known(self: &Rc<Self>, service: &ServiceName) {
+        let memory = self.origins.memory.borrow();
+        let streams = memory.of_service(service);
+        let streams: Vec<(StreamKey, StreamOrigin)> =
+            streams.map(|(key, origin)| (key, origin.clone())).collect();
+        drop(memory);
+        tracing::info!(%service, streams = streams.len(), "origins of streams are stored");
+        let keep_ms = self.stream_memory_ms(service);
+        for (key, origin) in streams {
+            self.store_origin(key, &origin, keep_ms);
+        }
+    }
+
     /// Updates which services run several software versions. The origins of a service's streams are
     /// stored once it does.
     pub(super) fn update_version_mixes(self: &Rc<Self>, view: &SiteView) {
@@ -161,16 +238,8 @@
         let several: BTreeSet<ServiceName> = several.map(|(service, _)| service.clone()).collect();
         let before = self.origins.several.replace(several.clone());
         for service in several.difference(&before) {
-            let memory = self.origins.memory.borrow();
-            let streams = memory.of_service(service);
-            let streams: Vec<(StreamKey, StreamOrigin)> =
-                streams.map(|(key, origin)| (key, origin.clone())).collect();
-            drop(memory);
-            tracing::info!(%service, streams = streams.len(), "several software versions serve");
-            let keep_ms = self.stream_memory_ms(service);
-            for (key, origin) in streams {
-                self.store_origin(key, &origin, keep_ms);
-            }
+            tracing::info!(%service, "several software versions serve");
+            self.store_known(service);
         }
         for service in before.difference(&several) {
             tracing::info!(%service, "one software version serves");
@@ -179,7 +248,12 @@
 
     fn stream_memory_ms(&self, service: &ServiceName) -> u64 {
         let routing = self.routing();
-        routing.map_or(0, |routing| routing.configuration.stream_memory_ms(service))
+        let keep_ms = routing.map_or(0, |routing| routing.configuration.stream_memory_ms(service));
+        let rerouted = self.origins.rerouted.borrow();
+        let earlier_ms = rerouted
+            .get(service)
+            .map_or(0, |rerouting| rerouting.keep_ms);
+        keep_ms.max(earlier_ms)
     }
 
     fn store_origin(self: &Rc<Self>, key: StreamKey, origin: &StreamOrigin, keep_ms: u64) {
@@ -209,11 +283,19 @@
             return Some((origin, OriginSource::Own));
         }
         let find = async {
-            let several = self.origins.several.borrow().contains(service);
-            if !several && let Some(origin) = self.confirm_sole_version(service, timeout).await {
+            let now_ms = clock::monotonic_ms();
+            let follows = !self.origins.is_stored(service, now_ms);
+            let is_unaware = now_ms < self.origins.unaware_until_ms.get();
+            // The other entries stored what a change before this entry's start concerned.
+            if let (true, true, Some(key)) = (follows, is_unaware, key)
+                && let Some(origin) = self.ask_hosts(key, 1).await
+            {
+                return Some((origin, OriginSource::Stored));
+            }
+            if follows && let Some(origin) = self.confirm_sole_version(service, timeout).await {
                 return Some((origin, OriginSource::SoleVersion));
             }
-            let origin = self.ask_hosts(key?).await?;
+            let origin = self.ask_hosts(key?, MAX_ASKS).await?;
             Some((origin, OriginSource::Stored))
         };
         tokio::time::timeout(timeout, find).await.ok().flatten()
@@ -240,8 +322,9 @@
         }
     }
 
-    async fn ask_hosts(&self, key: StreamKey) -> Option<StreamOrigin> {
-        for asked in 0..MAX_ASKS {
+    /// Asks control hosts for an origin, up to `asks` times.
+    async fn ask_hosts(&self, key: StreamKey, asks: u32) -> Option<StreamOrigin> {
+        for asked in 0..asks {
             if asked > 0 {
                 tokio::time::sleep(ASK_AGAIN_DELAY).await;
             }
--- a/src/table/configuration.rs
+++ b/src/table/configuration.rs
@@ -74,6 +74,26 @@
         }
         None
     }
+
+    /// Returns the services that requests of the route are sent to.
+    pub fn used_services(&self) -> impl Iterator<Item = &ServiceName> {
+        let used = self.split.iter().filter(|(_, weight)| *weight > 0);
+        used.map(|(service, _)| service)
+    }
+
+    /// Whether requests of the route are sent to a service.
+    pub fn leads_to(&self, service: &ServiceName) -> bool {
+        self.used_services().any(|used| used == service)
+    }
+
+    /// Whether requests to one path may match both routes, in different configurations.
+    fn overlaps(&self, other: &Self) -> bool {
+        let (short, long) = match self.prefix.len() < other.prefix.len() {
+            true => (&self.prefix, &other.prefix),
+            false => (&other.prefix, &self.prefix),
+        };
+        self.host.eq_ignore_ascii_case(&other.host) && long.starts_with(short.as_str())
+    }
 }
 
 /// Model offered by an engine service.
@@ -237,6 +257,43 @@
         longest_ms.saturating_mul(2).saturating_add(RETURN_TIME_MS)
     }
 
+    /// Returns the services of streaming routes that lead to several services: the service which
+    /// began a stream does not follow from its route.
+    pub fn split_services(&self) -> BTreeSet<ServiceName> {
+        let split = self.streaming_routes();
+        let split = split.filter(|route| route.used_services().count() > 1);
+        split.flat_map(RouteSpec::used_services).cloned().collect()
+    }
+
+    /// Returns the services of streaming routes that lead elsewhere in a later configuration, with
+    /// those to which they lead there.
+    pub fn rerouted_services(&self, later: &Self) -> BTreeSet<ServiceName> {
+        let is_in = |routes: &[RouteSpec], route: &RouteSpec| {
+            let same = |other: &RouteSpec| {
+                other.host.eq_ignore_ascii_case(&route.host)
+                    && other.prefix == route.prefix
+                    && other.split == route.split
+            };
+            routes.iter().any(same)
+        };
+        let removed = self.streaming_routes();
+        let removed = removed.filter(|route| !is_in(&later.routes, route));
+        let added = later.streaming_routes();
+        let added = added.filter(|route| !is_in(&self.routes, route));
+        let changed: Vec<&RouteSpec> = removed.chain(added).collect();
+        let all = self.streaming_routes().chain(later.streaming_routes());
+        let touched = all.filter(|route| changed.iter().any(|other| other.overlaps(route)));
+        touched
+            .flat_map(RouteSpec::used_services)
+            .cloned()
+            .collect()
+    }
+
+    fn streaming_routes(&self) -> impl Iterator<Item = &RouteSpec> {
+        let routes = self.routes.iter();
+        routes.filter(|route| route.kind == RouteKind::Streaming)
+    }
+
     /// Checks constraints that the types do not express.
     pub fn check(&self) -> Result<(), ConfigurationError> {
         if let Some(accounts) = &self.accounts {
