explain shows a stream over all attempts of its client

A request that takes a stream up is explained with the attempt that began it and with all continuations of the same stream, of any age, with the first and the next version and who knew the origin. The first attempt is explained with the same lines, also if its own line was not logged.

--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -32,6 +32,14 @@
         .into_iter()
         .map(|model| model.split('/').next().unwrap_or(model))
         .collect();
+    let resumed = named("resumes");
+    // Attempts of one client at the same stream, of any age.
+    let continues = |line: &LogLine| {
+        let resumes = line.field("resumes");
+        let is_taken_up = resumes == Some(id);
+        is_taken_up || resumes.is_some_and(|first| resumed.contains(first))
+    };
+    let begins = |line: &LogLine| line.field("request").is_some_and(|r| resumed.contains(r));
     let contents = named("content");
     let parts = named("part");
     let belongs = |line: &LogLine| {
@@ -62,10 +70,12 @@
             general && (hosts.contains(line.host.as_str()) || line.message.starts_with("leads"));
         let near = (from_s..=until_s).contains(&line.at_s);
         line.field("request") == Some(id)
+            || continues(line)
+            || begins(line)
             || ended
             || (near && !other && (replica || model || general))
     };
-    if own.is_empty() {
+    if own.is_empty() && !lines.iter().any(continues) {
         return Vec::new();
     }
     let mut timeline: Vec<&LogLine> = lines.iter().filter(|line| belongs(line)).collect();
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -49,6 +49,26 @@
     );
 }
 
+/// Log of a stream that one entry began, and that its client took up twice at another one.
+const STREAM_LOG: &str = r#"
+{"timestamp":"2026-01-01T10:00:00.000000Z","fields":{"message":"request","request":"first","replica":"r1","took_ms":900,"outcome":"cut"},"span":{"host":"e1"}}
+{"timestamp":"2026-01-01T10:00:08.000000Z","fields":{"message":"stream continues","request":"second","by":"client","resumes":"first","last_event":"4","first_software":"v1","origin":"stored","replica":"r2 of 7000","software":"v1","view_age_ms":40},"span":{"host":"e2"}}
+{"timestamp":"2026-01-01T10:00:08.500000Z","fields":{"message":"stream continues","request":"second","by":"entry","resumes":"first","last_event":"9","first_replica":"r2 of 7000","first_software":"v1","origin":"stored","replica":"r3 of 7100","software":"v1","view_age_ms":60},"span":{"host":"e2"}}
+{"timestamp":"2026-01-01T10:00:09.000000Z","fields":{"message":"request","request":"second","replica":"r3","took_ms":1000,"outcome":"cut","notes":"takes a stream up: origin stored"},"span":{"host":"e2"}}
+{"timestamp":"2026-01-01T10:00:20.000000Z","fields":{"message":"stream continues","request":"third","by":"client","resumes":"first","last_event":"12","first_software":"v1","origin":"own","replica":"r2 of 7000","software":"v1","view_age_ms":20},"span":{"host":"e2"}}
+{"timestamp":"2026-01-01T10:00:08.200000Z","fields":{"message":"stream continues","request":"other","by":"client","resumes":"another","last_event":"1","first_software":"v2","origin":"own","replica":"r9 of 7000","software":"v2","view_age_ms":20},"span":{"host":"e2"}}
+"#;
+
+/// Guards against an explanation of one attempt that leaves out what began its stream, or where its
+/// client went on with it.
+#[test]
+fn a_stream_is_explained_over_all_attempts_of_its_client() {
+    insta::assert_snapshot!(explain("second", STREAM_LOG.lines()).join("\n"));
+    let first = explain("first", STREAM_LOG.lines());
+    let at: Vec<&str> = first.iter().map(|line| &line[11..19]).collect();
+    assert_eq!(at, ["10:00:00", "10:00:08", "10:00:08", "10:00:20"]);
+}
+
 const CRASH_LOG: &str = r#"
 {"timestamp":"2026-01-01T10:00:00.000000Z","fields":{"message":"replica ended under requests","replica":"r1","contents":"c1,c2"},"span":{"host":"e1"}}
 {"timestamp":"2026-01-01T10:00:01.000000Z","fields":{"message":"replica ended under requests","replica":"r2","contents":"c3"},"span":{"host":"e2"}}
