Origins of streams are kept for the longest time that any of them needs

The two generations of origins changed places after the time that the origin recorded last needs, so that beside a service with short streams the origins of one with long streams were gone early. They change places after the longest time asked for.

--- a/src/routing/stream_origins.rs
+++ b/src/routing/stream_origins.rs
@@ -70,6 +70,8 @@
     newer: Generation,
     older: Generation,
     rotated_ms: u64,
+    /// Longest time for which an origin had to be kept, in milliseconds.
+    keep_ms: u64,
     /// Each origin once: most streams share theirs.
     origins: BTreeSet<Arc<StreamOrigin>>,
 }
@@ -137,7 +139,8 @@
     }
 
     fn rotate(&mut self, now_ms: u64, keep_ms: u64) {
-        let is_due = now_ms >= self.rotated_ms.saturating_add(keep_ms);
+        self.keep_ms = self.keep_ms.max(keep_ms);
+        let is_due = now_ms >= self.rotated_ms.saturating_add(self.keep_ms);
         if is_due || self.newer.len() >= MAX_ORIGINS {
             self.rotated_ms = now_ms;
             self.older = std::mem::take(&mut self.newer);
