--- a/tests/forwarding/moved_routes.rs
+++ b/tests/forwarding/moved_routes.rs
@@ -107,3 +107,15 @@
         assert_eq!(answer.header("stamp"), Some("r1"));
     }
 }
+
+#[ntex::test]
+async fn an_entry_that_started_after_a_route_moved_does_not_continue_its_streams_there() {
+    let mut site = site_with_a_broken_stream().await;
+    change_route(&site, MOVED).await;
+    // Until the first entry has stored the origin, the new one cannot learn of it.
+    assert_gone(&site).await;
+    let entry = site.add_entry().await;
+    site.known_at(entry, "r2").await;
+    let answer = take_up(&site, entry).await;
+    assert_eq!(answer.status, 503, "{}", answer.body);
+}
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -116,6 +116,10 @@
 mutant rivals-not-held src/consensus/part_crashes.rs 's/\(rivals\.is_empty\(\) \&\& !record\.is_doubtful\(\)\)/!record.is_doubtful()/' part_crashes parts_that_always_come_together_are_held_until_a_run_tells_them_apart
 mutant ends-not-confirmed src/forward/request/crashes.rs 's/_ if exchange\.is_delimited\(\)/_ if exchange.is_delimited() || true/' forwarding a_response_that_ends_with_its_replica_is_not_passed_on_as_complete
 mutant lifted-blames-others src/consensus/part_crashes.rs 's/record\.forget\(\&crashes\);/let _ = (record, \&crashes);/' part_crashes lifting_a_part_blames_none_whose_crashes_it_explained
+mutant resumed-at-other-software src/admission/controller.rs 's/false if continues => \{\}/false if true || continues => {}/' engine_versions a_response_is_not_resumed_at_a_replaced_engine
+mutant continued-at-other-software "src/entry/request_driver.rs src/routing/lifecycle.rs" 's/continues: self\.lifecycle\.software\(\)\.cloned\(\)/continues: None/; s/\(false, _\) => software\.is_some\(\) \&\& self\.software == software/(false, _) => true/' engine_versions a_response_is_continued_at_another_target
+mutant rerouting-not-known src/forward/stream_origins.rs 's/\|\| rerouting\.is_some_and\([^)]*\)/|| rerouting.is_some_and(|_| false)/' forwarding a_stream_whose_route_moved
+mutant origins-forgotten-early src/routing/stream_origins.rs 's/self\.keep_ms\.max\(keep_ms\)/keep_ms/' origin_memory an_origin_is_kept_for_its_time
 mutant later-life-unheard src/consensus/directory.rs 's/Some\(known\) if record\.started_ms > known\.started_ms => HeartbeatStatus::New,\n//' replica_born a_new_incarnation_is_accepted_though_its_numbers_restart
 mutant pause-not-kept src/routing/backoff.rs 's/peer if now_ms < peer\.until_ms => /peer if false \&\& now_ms < peer.until_ms => /' backoff at_most_two_requests_arrive_within_a_backoff_period
 mutant trials-without-bound src/routing/backoff.rs 's/peer\.probes >= MAX_PROBES/false/' backoff at_most_two_requests_arrive_within_a_backoff_period
