--- a/src/routing/lifecycle.rs
+++ b/src/routing/lifecycle.rs
@@ -378,14 +378,15 @@
     /// Whether pieces that this software generated may follow those delivered. The first pieces
     /// bind the response to their software; software that is not known equals no other.
     fn accept_software(&mut self, software: Option<EngineSoftware>) -> bool {
-        let is_first_attempt = self.base == 0;
-        match (is_first_attempt, self.sent) {
-            (true, 0) => {
+        // An agent binds each attempt to one software, known or not.
+        let is_same_attempt = self.base == 0;
+        match is_same_attempt {
+            true if self.sent == 0 => {
                 self.software = software;
                 true
             }
-            (true, _) => self.software == software,
-            (false, _) => software.is_some() && self.software == software,
+            true => self.software == software,
+            false => software.is_some() && self.software == software,
         }
     }
 
