--- a/src/forward/request/continuing.rs
+++ b/src/forward/request/continuing.rs
@@ -182,15 +182,25 @@
         self.core.count("dunlinspring_take_ups_total", &labels);
         self.log
             .note(&format!("takes a stream up: origin {source}"));
+        self.origin_source = Some(source);
         if let (Some(key), Some((origin, _))) = (search.key, &found) {
             self.core.record_origin(key, origin);
         }
-        let version = search.required_version(found.map(|(origin, _)| origin));
-        self.need.version = Some(version.map_err(|refusal| match refusal {
+        let found = found.map(|(origin, _)| origin);
+        let origin = search.required_origin(found, |service| self.route.leads_to(service));
+        let origin = origin.map_err(|refusal| match refusal {
             TakeUpRefusal::OriginUnknown => Refusal::OriginUnknown,
             TakeUpRefusal::VersionGone => Refusal::VersionGone,
-        })?);
-        Ok(())
+        })?;
+        self.need.version = Some(origin.version);
+        match origin.service == search.service {
+            true => Ok(()),
+            // Parts of prompts are told apart by service.
+            false => {
+                self.change_service(origin.service);
+                self.check_suspects()
+            }
+        }
     }
 
     fn log_continuation(
@@ -220,6 +230,7 @@
                 .unwrap_or_else(|| header(self.core.names.last_event)),
             first_replica = self.first_source.as_ref().map(|first| first.incarnation.to_string()),
             first_software = first.map(ToString::to_string),
+            origin = self.origin_source.unwrap_or_default(),
             replica = %incarnation,
             software = %version,
             view_age_ms = self.core.view_age_ms(),
--- a/src/routing/stream_origins.rs
+++ b/src/routing/stream_origins.rs
@@ -263,19 +263,21 @@
         }
     }
 
-    fn ask_hosts(&self) -> OriginStep {
+    /// Returns the step that asks control hosts, if the client names the stream.
+    pub fn ask_hosts(&self) -> OriginStep {
         self.key.map_or(OriginStep::Unknown, OriginStep::AskHosts)
     }
 
-    /// Returns the version at which the stream must be continued, given its origin.
-    pub fn required_version(
+    /// Returns the origin that binds the stream, if the route still leads to its service.
+    pub fn required_origin(
         &self,
         origin: Option<StreamOrigin>,
-    ) -> Result<SoftwareVersion, TakeUpRefusal> {
+        leads_to: impl Fn(&ServiceName) -> bool,
+    ) -> Result<StreamOrigin, TakeUpRefusal> {
         match origin {
             None => Err(TakeUpRefusal::OriginUnknown),
-            Some(origin) if origin.service != self.service => Err(TakeUpRefusal::VersionGone),
-            Some(origin) => Ok(origin.version),
+            Some(origin) if !leads_to(&origin.service) => Err(TakeUpRefusal::VersionGone),
+            Some(origin) => Ok(origin),
         }
     }
 }
--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -216,14 +216,15 @@
 #[test]
 fn a_stream_goes_on_only_at_its_service_and_version() {
     let search = search(Some(key(0)));
-    assert_eq!(search.required_version(Some(origin("v1"))), Ok(named("v1")));
-    let unknown = search.required_version(None);
+    let required = |origin| search.required_origin(origin, |other| *other == search.service);
+    assert_eq!(required(Some(origin("v1"))), Ok(origin("v1")));
+    let unknown = required(None);
     assert_eq!(unknown, Err(TakeUpRefusal::OriginUnknown));
     let other = StreamOrigin {
         service: ServiceName::from("other"),
         ..origin("v1")
     };
-    let gone = search.required_version(Some(other));
+    let gone = required(Some(other));
     assert_eq!(gone, Err(TakeUpRefusal::VersionGone));
 }
 
--- a/tests/stream_take_ups/model.rs
+++ b/tests/stream_take_ups/model.rs
@@ -839,7 +839,11 @@
                     }
                     _ => None,
                 };
-                match request.search.required_version(found) {
+                match request
+                    .search
+                    .required_origin(found, |other| *other == service())
+                    .map(|origin| origin.version)
+                {
                     Ok(version) => {
                         request.need.version = Some(version);
                         self.after(1, In::Choose(number));
