--- a/tests/stream_take_ups/main.rs
+++ b/tests/stream_take_ups/main.rs
@@ -228,6 +228,17 @@
     });
 }
 
+#[test]
+fn streams_go_on_while_views_are_late_and_no_leader_serves() {
+    check_plays("views late, no leader", |seed| {
+        let mut script = PlayScript::half_release(seed);
+        script.setup.max_lag_ms = 3_000;
+        script.streams(250, RELEASE_MS - 1_000, RELEASE_MS + 4_000, None);
+        script.add(RELEASE_MS + 100, PlayEvent::LoseLeader(2_500));
+        script
+    });
+}
+
 #[test]
 fn streams_go_on_while_views_are_late() {
     check_plays("views late", |seed| {
