--- a/src/forward/stream_origins.rs
+++ b/src/forward/stream_origins.rs
@@ -283,9 +283,8 @@
         timeout: Duration,
     ) -> Option<(StreamOrigin, OriginSource)> {
         let own = search.key.and_then(|key| self.origins.own(&key));
-        let mixes = self.origins.mixes.borrow();
-        let mut step = search.first_step(own, mixes.get(&search.service));
-        drop(mixes);
+        let mix = self.origins.mixes.borrow().get(&search.service).cloned();
+        let mut step = search.first_step(own, mix.as_ref());
         let find = async {
             let now_ms = clock::monotonic_ms();
             let moved = self.origins.is_moved(&search.service, now_ms);
