A stream that begins under an old view is told from one that goes on as the request is sent

Found in reading: whether a stream begins was asked after its first event had been buffered, so that none began, and a stream whose replica may have restarted unnoticed was recorded all the same. The source of events keeps it from the time of the send.

--- a/src/forward/request/continuing.rs
+++ b/src/forward/request/continuing.rs
@@ -125,7 +125,7 @@
         // A continuation confirms the incarnation. Where ids are reused, the view must be fresh enough
         // to show a restart to a stream that begins.
         let may_be_replaced =
-            !self.is_continuing() && source.incarnation.started_ms > 0 && self.core.has_old_view();
+            !source.continues && source.incarnation.started_ms > 0 && self.core.has_old_view();
         let binding = match is_renamed || may_be_replaced {
             true if source.continues => EventBinding::Rejected,
             true => EventBinding::Replaced(SoftwareVersion::Unnamed(source.incarnation.clone())),
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -142,7 +142,7 @@
 mutant version-not-required-at-the-choice src/forward/replica_table.rs 's/\.is_none_or\(\|version\| \*version == state\.version\)/.is_none_or(|_| true)/' stream_take_ups three_versions
 mutant version-not-required-at-the-send src/routing/stream_origins.rs 's/required\.is_none_or\(\|required\| required == version\)/required.is_none_or(|_| version == version)/' stream_take_ups under_their_ids
 mutant second-version-not-noticed src/consensus/software_versions.rs 's/Some\(VersionMix::Sole\(sole\)\) if sole != version/Some(VersionMix::Sole(sole)) if false \&\& sole != version/' stream_take_ups during_a_release
-mutant version-settled-at-once src/placement/version_settlement.rs 's/now_ms >= since_ms\.saturating_add/now_ms >= 0 * since_ms.saturating_add/' stream_take_ups one_version_alone
+mutant version-settled-at-once src/placement/version_settlement.rs 's/now_ms >= sole\.since_ms\.saturating_add/now_ms >= 0 * sole.since_ms.saturating_add/' stream_take_ups one_version_alone
 mutant origins-not-stored src/routing/stream_origins.rs 's/\.take\(ORIGIN_COPIES\)/.take(0)/' stream_take_ups after_their_entry_dies
 mutant one-host-asked src/routing/stream_origins.rs 's/\.take\(HOSTS_ASKED\)/.take(1)/' stream_origins copies_and_asked_hosts
 mutant account-not-in-the-key src/routing/stream_origins.rs 's/        hash\.update\(account\);\n//' stream_origins another_account
