--- a/src/consensus/software_versions.rs
+++ b/src/consensus/software_versions.rs
@@ -67,8 +67,8 @@
     Sole(SoftwareVersion),
     /// Several versions serve, or did so while streams that may still be continued began.
     Several,
-    /// A second version has registered. Streams still begin at this one alone: what nobody knows to
-    /// have begun a stream is thus known, and entries store the origins of the streams before.
+    /// A second version has registered. Streams still begin at this version alone, so that it is the
+    /// origin of all streams whose origin is not stored, while entries store those they serve.
     Opening(SoftwareVersion),
 }
 
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -221,7 +221,7 @@
         let id = head::find(headers, core.names.request_id)
             .unwrap_or_default()
             .to_owned();
-        // A stream goes on at the service that began it.
+        // A stream is continued at the service that began it.
         let first_id = head::find(headers, core.names.resumes).unwrap_or(&id);
         let service = route.pick(id_hash(first_id)).cloned();
         let limit_ms = request_deadline_ms(core, request)
--- a/src/forward/request/continuing.rs
+++ b/src/forward/request/continuing.rs
@@ -195,7 +195,7 @@
         self.need.version = Some(origin.version);
         match origin.service == search.service {
             true => Ok(()),
-            // Parts of prompts are told apart by service.
+            // The digests of prompt parts include the service.
             false => {
                 self.change_service(origin.service);
                 self.check_suspects()
--- a/src/forward/stream_origins.rs
+++ b/src/forward/stream_origins.rs
@@ -158,8 +158,8 @@
 }
 
 impl EntryCore {
-    /// Records what began a stream, or goes on with it. While its service runs several versions,
-    /// the origin is also stored on control hosts, without waiting for them.
+    /// Records the origin of a stream that begins or is continued. While it does not follow from the
+    /// view, it is also stored on control hosts, without waiting for them.
     pub fn record_origin(self: &Rc<Self>, key: StreamKey, origin: &StreamOrigin) {
         let keep_ms = self.stream_memory_ms(&origin.service);
         let now_ms = clock::monotonic_ms();
--- a/src/routing/stream_origins.rs
+++ b/src/routing/stream_origins.rs
@@ -226,7 +226,7 @@
     AskLeader,
     /// To ask control hosts for the origin.
     AskHosts(StreamKey),
-    /// Nobody knows the origin.
+    /// The origin is unknown.
     Unknown,
 }
 
