The test of placement without named versions begins as they are open

While a second version is being opened, the leader proposes its opening, which a service with one named version has no need of.

--- a/tests/fleet_versions.rs
+++ b/tests/fleet_versions.rs
@@ -326,6 +326,8 @@
         }
         fleet.register(&record, version);
     }
+    // Replicas that name no version have several, which are not being opened any more.
+    fleet.apply(Command::VersionsOpened(ServiceName::from(SERVICE)));
     let mut busy: Vec<(&str, f64)> = Vec::new();
     let mut actions = Vec::new();
     for now_ms in (0..20_000).step_by(100) {
