A view counts as old after 2.5 s

Control hosts hold their notices back for a second, so that the view of an entry in touch is often over a second old by its own count.

--- a/src/forward/stream_origins.rs
+++ b/src/forward/stream_origins.rs
@@ -45,8 +45,9 @@
 /// The leader is asked for the time of a search divided by this, at most: control hosts may know the
 /// origin while there is no leader.
 const LEADER_TIME_DIVISOR: u32 = 2;
-/// Age of the view from which origins are stored whatever it shows, in milliseconds.
-const OLD_VIEW_MS: u64 = 1_000;
+/// Age of the view from which origins are stored whatever it shows, in milliseconds: control hosts hold
+/// their notices back for a second.
+const OLD_VIEW_MS: u64 = 2_500;
 
 /// Origin that waits to be stored.
 #[derive(Debug)]
