The software version at which streams begin is required again as a request is sent

Cause: while a second version is opened, streams begin at the first one alone, so that every origin which is not stored is the first version, as the leader confirms. That version was required as a replica was chosen, and not as the request was sent. In between, a lease, a permit or a connection is waited for.

Change: `required_version` gives the version of a stream or the one at which streams begin, and is asked when a replica is chosen and when the request is sent, after all that is waited for. The incarnation and version that are registered then must be those to which the connection was opened. `bind_events` also decides on a replica whose version was renamed, so that the drawn plays run that decision.

--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -38,12 +38,12 @@
 use crate::forward::upstream::{Connection, Exchange, ExchangeError, OutgoingRequest};
 use crate::ids::{ContentDigest, ReplicaId, ServiceName};
 use crate::routing::backoff::SlotOutcome;
+use crate::routing::stream_origins::EventSource;
 use crate::routing::suspects::QUARANTINE_RETRY_MS;
 use crate::table::configuration::{EngineSpec, RouteKind, RouteSpec, SLACK_RANKS};
 
 use asking::QuotesAtHand;
 use attempt_guard::AttemptGuard;
-use continuing::EventSource;
 
 /// Largest response that is buffered until it is complete, in bytes.
 const MAX_BUFFERED_BYTES: usize = 1024 * 1024;
@@ -512,9 +512,6 @@
         let Some(sent) = sent else {
             return AttemptOutcome::NotSent;
         };
-        let Some(source) = self.event_source(&sent) else {
-            return AttemptOutcome::NotSent;
-        };
         let mut guard = AttemptGuard::start(core, replica, &self.need);
         core.record_adapter_use(replica, &self.need);
         self.log.record_attempt(replica);
@@ -547,6 +544,9 @@
             core.pool.borrow_mut().put(replica, connection);
             return AttemptOutcome::NotSent;
         }
+        let Some(source) = self.event_source(&sent) else {
+            return AttemptOutcome::NotSent;
+        };
         // The replica may have requested a backoff since it was chosen: waiting for a suspect
         // lease, a slow connection or a suspended process may lie between.
         let permit = self.permit.take();
--- a/src/forward/request/continuing.rs
+++ b/src/forward/request/continuing.rs
@@ -3,14 +3,13 @@
 
 use std::time::Duration;
 
-use crate::consensus::directory::ReplicaRecord;
 use crate::consensus::software_versions::SoftwareVersion;
 use crate::forward::crashes::SentTo;
 use crate::forward::head;
 use crate::forward::own_answer::Refusal;
-use crate::ids::ReplicaIncarnation;
+use crate::ids::{ReplicaId, ReplicaIncarnation};
 use crate::routing::stream_origins::{
-    self, EventBinding, OriginSearch, StreamKey, StreamOrigin, TakeUpRefusal,
+    self, EventBinding, EventSource, OriginSearch, StreamKey, StreamOrigin, TakeUpRefusal,
 };
 use crate::table::configuration::RouteKind;
 
@@ -21,17 +20,6 @@
 /// Longest time for which the origin of a stream is looked up: an election takes less.
 const MAX_ORIGIN_TIME: Duration = Duration::from_millis(1_500);
 
-/// The run of a replica from which events of a stream come.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct EventSource {
-    /// Incarnation of the replica.
-    pub(super) incarnation: ReplicaIncarnation,
-    /// Its software version, as known when the request was sent.
-    pub(super) version: SoftwareVersion,
-    /// Whether it continues a stream.
-    continues: bool,
-}
-
 /// Who continues a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Continuer {
@@ -79,25 +67,33 @@
         self.is_continuing() && !self.core.replicas.borrow().runs_version(service, version)
     }
 
-    /// Requires the software version at which streams begin, if this request begins one.
-    pub(super) fn require_beginning_version(&mut self) {
-        let service = self.need.service.as_ref();
-        if self.route.kind == RouteKind::Streaming && !self.is_continuing() {
-            self.need.version = service.and_then(|service| self.core.beginning_version(service));
+    /// Requires the software version of the stream, or the one at which streams begin.
+    pub(super) fn require_version(&mut self) {
+        if let (RouteKind::Streaming, Some(service)) = (self.route.kind, &self.need.service) {
+            let is_continuing = self.is_continuing();
+            let stream = self.need.version.as_ref().filter(|_| is_continuing);
+            self.need.version = self.core.required_version(service, stream);
         }
     }
 
-    /// Returns the source of events of an attempt at a replica, whose version is the one that the
-    /// stream has; `None` if the replica restarted at another one since it was chosen.
-    pub(super) fn event_source(&self, sent: &SentTo) -> Option<EventSource> {
-        let incarnation = sent.incarnation.clone();
+    /// Returns the source of events of an attempt that is sent now; `None` if the replica restarted
+    /// since it was chosen, or if its version is not the one that is required by now.
+    pub(super) fn event_source(&mut self, sent: &SentTo) -> Option<EventSource> {
+        self.require_version();
+        let required = self.need.version.as_ref();
+        let source = self.registered_source(&sent.incarnation.id)?;
+        let may_send = source.incarnation == sent.incarnation
+            && stream_origins::may_send(required, &source.version);
+        may_send.then_some(source)
+    }
+
+    /// Returns the run that is registered under the id of a replica.
+    fn registered_source(&self, id: &ReplicaId) -> Option<EventSource> {
         let replicas = self.core.replicas.borrow();
-        let version = replicas.version(&incarnation.id)?.clone();
-        let may_send = stream_origins::may_send(self.need.version.as_ref(), &version);
-        may_send.then_some(EventSource {
-            incarnation,
-            version,
-            continues: self.is_continuing(),
+        let (record, version) = replicas.record(id).zip(replicas.version(id))?;
+        Some(EventSource {
+            incarnation: record.incarnation(),
+            version: version.clone(),
         })
     }
 
@@ -116,25 +112,16 @@
         let Some(source) = self.source.take() else {
             return true;
         };
-        let replicas = self.core.replicas.borrow();
-        let current = replicas.record(&source.incarnation.id);
-        let current = current.map(ReplicaRecord::incarnation);
-        let version = replicas.version(&source.incarnation.id);
-        let is_renamed = version.is_some_and(|version| *version != source.version);
-        drop(replicas);
+        let current = self.registered_source(&source.incarnation.id);
         // A continuation confirms the incarnation. Where ids are reused, the view must be fresh enough
         // to show a restart to a stream that begins.
         let may_be_replaced =
-            !source.continues && source.incarnation.started_ms > 0 && self.core.has_old_view();
-        let binding = match is_renamed || may_be_replaced {
-            true if source.continues => EventBinding::Rejected,
+            !self.is_continuing() && source.incarnation.started_ms > 0 && self.core.has_old_view();
+        let binding = match may_be_replaced {
             true => EventBinding::Replaced(SoftwareVersion::Unnamed(source.incarnation.clone())),
-            false => stream_origins::bind_events(
-                self.need.version.as_ref(),
-                &source.incarnation,
-                &source.version,
-                current.as_ref(),
-            ),
+            false => {
+                stream_origins::bind_events(self.need.version.as_ref(), &source, current.as_ref())
+            }
         };
         let (version, may_record) = match binding {
             EventBinding::Known(version) => (version, true),
--- a/src/forward/request/placing.rs
+++ b/src/forward/request/placing.rs
@@ -40,7 +40,7 @@
             let changed = self.core.changed.notified();
             // A verdict also applies to requests that wait.
             self.check_suspects()?;
-            self.require_beginning_version();
+            self.require_version();
             let may_try = place.as_ref().is_none_or(LinePlace::is_first);
             let choice = match may_try {
                 true => self.choose().await,
--- a/src/forward/stream_origins.rs
+++ b/src/forward/stream_origins.rs
@@ -246,9 +246,15 @@
         }
     }
 
-    /// Returns the software version at which streams of a service must begin; `None` for any.
-    pub fn beginning_version(&self, service: &ServiceName) -> Option<SoftwareVersion> {
-        stream_origins::beginning_version(self.origins.mixes.borrow().get(service))
+    /// Returns the software version that an attempt requires; `stream` is that of a stream which has
+    /// begun. `None` for any.
+    pub(super) fn required_version(
+        &self,
+        service: &ServiceName,
+        stream: Option<&SoftwareVersion>,
+    ) -> Option<SoftwareVersion> {
+        let mixes = self.origins.mixes.borrow();
+        stream_origins::required_version(stream, mixes.get(service))
     }
 
     fn stream_memory_ms(&self, service: &ServiceName) -> u64 {
--- a/src/routing/stream_origins.rs
+++ b/src/routing/stream_origins.rs
@@ -179,7 +179,7 @@
 
 /// Returns the version at which streams must begin, by a view's versions of their service; `None` if
 /// they may begin at any.
-pub fn beginning_version(mix: Option<&VersionMix>) -> Option<SoftwareVersion> {
+fn beginning_version(mix: Option<&VersionMix>) -> Option<SoftwareVersion> {
     match mix {
         Some(VersionMix::Opening(first)) => Some(first.clone()),
         _ => None,
@@ -303,25 +303,43 @@
     Rejected,
 }
 
+/// The run of a replica from which events of a stream come.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EventSource {
+    /// Incarnation of the replica.
+    pub incarnation: ReplicaIncarnation,
+    /// Its software version, as known when the request was sent.
+    pub version: SoftwareVersion,
+}
+
+/// Returns the version that an attempt requires, as its replica is chosen and again as the request is
+/// sent: `stream` is the version of a stream that has begun, `mix` the versions of the service.
+pub fn required_version(
+    stream: Option<&SoftwareVersion>,
+    mix: Option<&VersionMix>,
+) -> Option<SoftwareVersion> {
+    stream.cloned().or_else(|| beginning_version(mix))
+}
+
 /// Whether a request may be sent to a replica of a version: the replica may have restarted at another
-/// one since it was chosen. `required` is the version that the stream has already.
+/// one since it was chosen. `required` is the version that the attempt requires.
 pub fn may_send(required: Option<&SoftwareVersion>, version: &SoftwareVersion) -> bool {
     required.is_none_or(|required| required == version)
 }
 
-/// Binds a stream to the source of its events: `sent` is the incarnation to which the request was
-/// sent and `version` its version as known then; `current` is the one that is registered now under
-/// its id. `required` is the version that the stream has already.
+/// Binds a stream to the source of its events; `current` is what is registered now under the id of
+/// the replica, and `required` the version that the attempt requires.
 pub fn bind_events(
     required: Option<&SoftwareVersion>,
-    sent: &ReplicaIncarnation,
-    version: &SoftwareVersion,
-    current: Option<&ReplicaIncarnation>,
+    source: &EventSource,
+    current: Option<&EventSource>,
 ) -> EventBinding {
-    let replaced = current.is_some_and(|current| current != sent);
+    let replaced = current.is_some_and(|current| current != source);
     match required {
         Some(_) if replaced => EventBinding::Rejected,
-        _ if replaced => EventBinding::Replaced(SoftwareVersion::Unnamed(sent.clone())),
-        _ => EventBinding::Known(version.clone()),
+        _ if replaced => {
+            EventBinding::Replaced(SoftwareVersion::Unnamed(source.incarnation.clone()))
+        }
+        _ => EventBinding::Known(source.version.clone()),
     }
 }
--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -6,8 +6,9 @@
 use dunlinspring::consensus::software_versions::{SoftwareVersion, VersionMix};
 use dunlinspring::ids::{ReplicaIncarnation, ServiceName, VersionName};
 use dunlinspring::routing::stream_origins::{
-    EventBinding, HOSTS_ASKED, MAX_ORIGINS, ORIGIN_COPIES, OriginBatch, OriginMemory, OriginSearch,
-    OriginSource, OriginStep, StreamKey, StreamOrigin, TakeUpRefusal, bind_events, may_send,
+    EventBinding, EventSource, HOSTS_ASKED, MAX_ORIGINS, ORIGIN_COPIES, OriginBatch, OriginMemory,
+    OriginSearch, OriginSource, OriginStep, StreamKey, StreamOrigin, TakeUpRefusal, bind_events,
+    may_send, required_version,
 };
 
 const KEEP_MS: u64 = 1_000;
@@ -238,14 +239,33 @@
 #[test]
 fn events_of_a_replaced_incarnation_bind_a_stream_to_it_alone() {
     let (old, new) = (incarnation(1), incarnation(2));
-    let (v1, unnamed) = (named("v1"), SoftwareVersion::Unnamed(old.clone()));
+    let unnamed = SoftwareVersion::Unnamed(old.clone());
+    let v1 = named("v1");
+    let source = |incarnation: &ReplicaIncarnation, version: &SoftwareVersion| EventSource {
+        incarnation: incarnation.clone(),
+        version: version.clone(),
+    };
+    let sent = source(&old, &v1);
     let known = EventBinding::Known(v1.clone());
-    assert_eq!(bind_events(None, &old, &v1, Some(&old)), known);
-    assert_eq!(bind_events(Some(&v1), &old, &v1, Some(&old)), known);
-    let replaced = EventBinding::Replaced(unnamed);
-    assert_eq!(bind_events(None, &old, &v1, Some(&new)), replaced);
-    let rejected = bind_events(Some(&v1), &old, &v1, Some(&new));
-    assert_eq!(rejected, EventBinding::Rejected);
+    assert_eq!(bind_events(None, &sent, Some(&sent)), known);
+    assert_eq!(bind_events(Some(&v1), &sent, Some(&sent)), known);
+    let renamed = source(&old, &named("v2"));
+    for current in [source(&new, &v1), renamed] {
+        let replaced = EventBinding::Replaced(unnamed.clone());
+        assert_eq!(bind_events(None, &sent, Some(&current)), replaced);
+        let rejected = bind_events(Some(&v1), &sent, Some(&current));
+        assert_eq!(rejected, EventBinding::Rejected);
+    }
+}
+
+#[test]
+fn a_stream_begins_at_the_first_version_until_the_second_one_is_opened() {
+    let (v1, v2) = (named("v1"), named("v2"));
+    let opening = VersionMix::Opening(v1.clone());
+    assert_eq!(required_version(None, Some(&opening)), Some(v1.clone()));
+    assert_eq!(required_version(None, Some(&VersionMix::Several)), None);
+    let continued = required_version(Some(&v2), Some(&opening));
+    assert_eq!(continued, Some(v2));
 }
 
 #[test]
--- a/tests/stream_take_ups/model.rs
+++ b/tests/stream_take_ups/model.rs
@@ -10,13 +10,11 @@
 use dunlinspring::forward::locality::EntryLocation;
 use dunlinspring::forward::need::{ChoicePolicy, Need};
 use dunlinspring::forward::replica_table::{Choice, EngineBounds, ReplicaTable};
-use dunlinspring::ids::{
-    ModelName, Position, ReplicaId, ReplicaIncarnation, ServiceName, VersionName,
-};
+use dunlinspring::ids::{ModelName, Position, ReplicaId, ServiceName, VersionName};
 use dunlinspring::placement::version_settlement::VersionSettlement;
 use dunlinspring::routing::stream_origins::{
-    EventBinding, OriginMemory, OriginSearch, OriginSource, OriginStep, StreamKey, StreamOrigin,
-    TakeUpRefusal, beginning_version, bind_events, may_send, mixed_services,
+    EventBinding, EventSource, OriginMemory, OriginSearch, OriginSource, OriginStep, StreamKey,
+    StreamOrigin, TakeUpRefusal, bind_events, may_send, mixed_services, required_version,
 };
 use dunlinspring::routing::view::{SiteView, SyncPage, page_after};
 use dunlinspring::table::configuration::{
@@ -159,7 +157,7 @@
     until_ms: u64,
     attempted: BTreeSet<ReplicaId>,
     tries: u32,
-    sent: Option<(ReplicaIncarnation, SoftwareVersion)>,
+    sent: Option<EventSource>,
     has_events: bool,
     phase: RequestPhase,
 }
@@ -659,7 +657,7 @@
         );
         for number in 0..self.requests.len() {
             let request = &mut self.requests[number];
-            let source = request.sent.as_ref().map(|(incarnation, _)| incarnation);
+            let source = request.sent.as_ref().map(|source| &source.incarnation);
             if request.phase == RequestPhase::Running && source == Some(&incarnation) {
                 // The entry continues the stream within the answer.
                 request.phase = RequestPhase::Waiting;
@@ -923,10 +921,8 @@
             return self.refuse(number, "tries");
         }
         request.tries += 1;
-        if !request.is_take_up && !request.has_events {
-            let mixes = &self.entries[request.entry].view.version_mixes;
-            request.need.version = beginning_version(mixes.get(&service()));
-        }
+        self.require_version(number);
+        let request = &self.requests[number];
         let bounds = EngineBounds::default();
         let replicas = &self.entries[request.entry].replicas;
         let choice = replicas.choose(self.now_ms, &request.need, &request.attempted, bounds);
@@ -945,20 +941,39 @@
         }
     }
 
+    /// Requires the version of the stream, or the one at which streams begin.
+    fn require_version(&mut self, number: usize) {
+        let request = &mut self.requests[number];
+        let is_continuing = request.is_take_up || request.has_events;
+        let stream = request.need.version.as_ref().filter(|_| is_continuing);
+        let mixes = &self.entries[request.entry].view.version_mixes;
+        request.need.version = required_version(stream, mixes.get(&service()));
+    }
+
+    /// Returns the run that an entry takes for registered under the id of a replica.
+    fn registered_source(&self, entry: usize, id: &ReplicaId) -> Option<EventSource> {
+        let replicas = &self.entries[entry].replicas;
+        let (record, version) = replicas.record(id).zip(replicas.version(id))?;
+        Some(EventSource {
+            incarnation: record.incarnation(),
+            version: version.clone(),
+        })
+    }
+
     fn send(&mut self, number: usize, id: &ReplicaId) {
         if !self.is_open(number) {
             return;
         }
+        self.require_version(number);
+        let registered = self.registered_source(self.requests[number].entry, id);
         let request = &mut self.requests[number];
         request.attempted.insert(id.clone());
-        let replicas = &self.entries[request.entry].replicas;
-        let (Some(record), Some(version)) = (replicas.record(id), replicas.version(id)) else {
+        let required = request.need.version.as_ref();
+        let source = registered.filter(|source| may_send(required, &source.version));
+        let Some(source) = source else {
             return self.after(1, In::Choose(number));
         };
-        if !may_send(request.need.version.as_ref(), version) {
-            return self.after(1, In::Choose(number));
-        }
-        request.sent = Some((record.incarnation(), version.clone()));
+        request.sent = Some(source);
         // The connection is opened, and the replica begins.
         let delay_ms = self.draw.range(1, 150);
         self.after(delay_ms, In::Arrive(number));
@@ -970,21 +985,20 @@
             return;
         }
         let request = &self.requests[number];
-        let Some((sent, version)) = request.sent.clone() else {
+        let Some(source) = request.sent.clone() else {
             return;
         };
-        let process = self.processes.get(&sent.id);
-        let process = process.filter(|process| process.record.incarnation() == sent);
+        let process = self.processes.get(&source.incarnation.id);
+        let process = process.filter(|process| process.record.incarnation() == source.incarnation);
         let Some(process) = process
             .filter(|process| !process.drains && process.record.models.contains_key(&model()))
         else {
             return self.after(1, In::Choose(number));
         };
         let true_version = process.version.clone();
-        let current = self.entries[request.entry].replicas.record(&sent.id);
-        let current = current.map(ReplicaRecord::incarnation);
+        let current = self.registered_source(request.entry, &source.incarnation.id);
         let required = request.need.version.as_ref();
-        let (bound, may_record) = match bind_events(required, &sent, &version, current.as_ref()) {
+        let (bound, may_record) = match bind_events(required, &source, current.as_ref()) {
             EventBinding::Known(version) => (version, true),
             EventBinding::Replaced(version) => (version, false),
             EventBinding::Rejected => return self.refuse(number, "rejected"),
