A response without a body keeps its own length

What callers saw: a HEAD request was answered with Content-Length: 0 whatever the replica had said, so that the resource looked empty; 204 and 304 responses got Content-Length: 0 as well, which a 204 may not have and by which a 304 tells a cache that the stored response is empty.

Cause: a whole response got the length of the bytes that had come, and for these there are none by definition.

Evidence: four tests on the code before: HEAD with Content-Length: 5 and with chunks, 204 and 304, each arrived with Content-Length: 0.

Ruled out: that the reader of the replica's response loses the length; it keeps the header, and the head for the client drops it as one of the hop's framing.

The length of the replica is passed on for HEAD and 304, none for 204, and none is invented. The other tests of answers that end with their connection passed on the code before.

--- a/src/forward/head.rs
+++ b/src/forward/head.rs
@@ -146,8 +146,7 @@
     };
     let headers = copy_headers(response.headers)?;
     let status = response.code.unwrap_or_default();
-    let bodiless = request_method == "HEAD" || matches!(status, 100..=199 | 204 | 304);
-    let framing = match bodiless {
+    let framing = match is_bodiless(request_method, status) {
         true => Framing::Length(0),
         false => response_framing(&headers)?,
     };
@@ -161,6 +160,11 @@
     Ok(Some((head, len)))
 }
 
+/// Whether a response ends with its head, whatever its headers say.
+pub fn is_bodiless(request_method: &str, status: u16) -> bool {
+    request_method == "HEAD" || matches!(status, 100..=199 | 204 | 304)
+}
+
 fn copy_headers(headers: &[httparse::Header<'_>]) -> Result<Vec<Header>, HeadError> {
     let copy = |header: &httparse::Header<'_>| {
         let value = std::str::from_utf8(header.value).map_err(|_| HeadError::Malformed)?;
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -733,11 +733,7 @@
         };
         put_back(self.core, &guard.replica, exchange);
         let close = closes_connection(self.core, self.request);
-        let length = body.len().to_string();
-        let mut bytes = self.response_head(head, &[("Content-Length", &length)], close);
-        if self.request.head.method != "HEAD" {
-            bytes.extend_from_slice(&body);
-        }
+        let bytes = self.whole_response(head, &body, close);
         self.log.answered(head.status);
         AttemptOutcome::Answered(finish(writer, &bytes, close).await)
     }
--- a/src/forward/request/wire_heads.rs
+++ b/src/forward/request/wire_heads.rs
@@ -33,6 +33,23 @@
         text.into_bytes()
     }
 
+    /// Builds the response for the client from a body that is complete.
+    pub(super) fn whole_response(&self, head: &ResponseHead, body: &[u8], close: bool) -> Vec<u8> {
+        let length = body.len().to_string();
+        let length = match head::is_bodiless(&self.request.head.method, head.status) {
+            // A length of this hop would claim that the resource is empty.
+            true => head::find(&head.headers, "content-length").filter(|_| head.status != 204),
+            false => Some(length.as_str()),
+        };
+        let framing: Vec<(&str, &str)> = length
+            .map(|length| ("Content-Length", length))
+            .into_iter()
+            .collect();
+        let mut bytes = self.response_head(head, &framing, close);
+        bytes.extend_from_slice(body);
+        bytes
+    }
+
     /// Builds the request that the replica gets.
     pub(super) fn outgoing(&self, replica: &ReplicaId) -> Vec<u8> {
         let names = &self.core.names;
--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -3,6 +3,7 @@
 
 mod accounts;
 mod agents;
+mod answers;
 mod crashes;
 mod crashing_parts;
 mod halls;
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -41,6 +41,7 @@
 use dunlinspring::table::configuration::{
     Configuration, EngineModel, EngineSpec, RouteKind, RouteSpec, ServiceSpec,
 };
+use socket2::SockRef;
 use support_names::NAMES;
 use support_replicas::ready_replica;
 use tempfile::TempDir;
@@ -201,6 +202,22 @@
     Flood,
     /// Sends this many events, then stays silent.
     HangAfter(u32),
+    /// Sends a status line and headers, to which it adds its own, a blank line and a body, and ends
+    /// in this way.
+    Wire(&'static str, &'static str, WireEnd),
+}
+
+/// How a replica ends a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WireEnd {
+    /// It keeps the connection.
+    Keep,
+    /// It closes the connection.
+    Close,
+    /// It resets the connection.
+    Reset,
+    /// It closes its direction of the connection and waits until the entry closes the other one.
+    HalfClose,
 }
 
 /// A request as a replica received it.
@@ -867,6 +884,31 @@
         decode_response(&bytes)
     }
 
+    /// Sends bytes on a new connection. Returns all bytes that came back, and whether the connection
+    /// was closed rather than reset.
+    pub async fn send_for_bytes(&self, text: &str) -> (String, bool) {
+        let mut stream = TcpStream::connect(self.entries[0].address).await.unwrap();
+        stream.write_all(text.as_bytes()).await.unwrap();
+        let mut bytes = Vec::new();
+        let ended = stream.read_to_end(&mut bytes).await;
+        (String::from_utf8(bytes).unwrap(), ended.is_ok())
+    }
+
+    /// Like [`Self::send_for_bytes`], but closes the client's direction once a condition holds.
+    pub async fn half_close_when(
+        &self,
+        text: &str,
+        condition: impl AsyncFnMut() -> Option<()>,
+    ) -> String {
+        let mut stream = TcpStream::connect(self.entries[0].address).await.unwrap();
+        stream.write_all(text.as_bytes()).await.unwrap();
+        wait_for("the condition before the half-close", condition).await;
+        stream.shutdown().await.unwrap();
+        let mut bytes = Vec::new();
+        let _ = stream.read_to_end(&mut bytes).await;
+        String::from_utf8(bytes).unwrap()
+    }
+
     /// Opens a connection, sends nothing, and returns once the entry closes it.
     pub async fn silent_connection(&self) {
         let mut stream = TcpStream::connect(self.entries[0].address).await.unwrap();
@@ -1022,6 +1064,24 @@
     true
 }
 
+/// Ends a response. Returns whether the connection stays open.
+async fn end_wire(stream: &mut TcpStream, end: WireEnd, state: &SharedReplica) -> bool {
+    match end {
+        WireEnd::Keep => return true,
+        WireEnd::Close => {}
+        WireEnd::Reset => SockRef::from(&*stream)
+            .set_linger(Some(Duration::ZERO))
+            .unwrap(),
+        WireEnd::HalfClose => {
+            let _ = stream.shutdown().await;
+            let mut probe = [0; 1];
+            let left = stream.read(&mut probe).await.unwrap_or(0) == 0;
+            state.borrow_mut().closed = left;
+        }
+    }
+    false
+}
+
 /// Sends the scripted response. Returns whether the connection stays open.
 async fn behave(
     stream: &mut TcpStream,
@@ -1078,9 +1138,13 @@
             return false;
         }
         Behaviour::HangAfter(count) => stream_head + &event_chunks(1, count),
+        Behaviour::Wire(head, body, _) => {
+            format!("{head}Request-Id: {id}\r\nStamp: {name}\r\n\r\n{body}")
+        }
     };
     let _ = stream.write_all(text.as_bytes()).await;
     match behaviour {
+        Behaviour::Wire(_, _, end) => end_wire(stream, end, state).await,
         Behaviour::CutBody | Behaviour::CutStream(_) => false,
         Behaviour::HangAfter(_) => {
             let mut probe = [0; 1];
