A response without a body is no stream

What callers saw: on a streaming route a HEAD request and a 204 response were answered with Transfer-Encoding: chunked and the end of a chunked body, bytes that the client takes for the next response on its connection.

Cause: every 2xx response of a streaming route was passed on as a stream.

Evidence: the two tests, each a second request on the same connection, failed on the code before: the bytes '0' and an empty line lay between the two responses.

Ruled out: a mend in the writing of chunks alone, as the head would still name a coding, which a 204 may not. Such a response now takes the way of whole ones.

--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -648,7 +648,8 @@
             drain_and_keep(core, &guard.replica, exchange).await;
             return AttemptOutcome::Unknown;
         }
-        let streams = self.route.kind == RouteKind::Streaming && good;
+        let bodiless = head::is_bodiless(&self.request.head.method, head.status);
+        let streams = self.route.kind == RouteKind::Streaming && good && !bodiless;
         if writer.has_begun() && !streams {
             guard.end = AttemptResult::Failed;
             self.log.note("the replica cannot resume the stream");
--- a/tests/forwarding/answers.rs
+++ b/tests/forwarding/answers.rs
@@ -149,12 +149,24 @@
     assert!(!has_header(&answer, "content-length"), "{answer}");
 }
 
+#[ntex::test]
+async fn a_head_response_on_a_streaming_route_has_no_body() {
+    bodiless("/stream/x", "HEAD", "HTTP/1.1 200 OK\r\n").await;
+}
+
 #[ntex::test]
 async fn a_204_response_has_neither_length_nor_body() {
     let answer = bodiless("/plain/x", "GET", "HTTP/1.1 204 No Content\r\n").await;
     assert!(!has_header(&answer, "content-length"), "{answer}");
 }
 
+#[ntex::test]
+async fn a_204_response_on_a_streaming_route_has_no_body() {
+    let answer = bodiless("/stream/x", "GET", "HTTP/1.1 204 No Content\r\n").await;
+    assert!(!has_header(&answer, "content-length"), "{answer}");
+    assert!(!has_header(&answer, "transfer-encoding"), "{answer}");
+}
+
 #[ntex::test]
 async fn a_304_response_has_no_body_and_no_length_of_the_entry() {
     let answer = bodiless("/plain/x", "GET", "HTTP/1.1 304 Not Modified\r\n").await;
