A stream broken off is reset for an HTTP/1.0 client

What callers saw: a client that speaks HTTP/1.0 got the events up to the break and then a graceful close, which is how a whole stream ends for it: a part looked complete.

Cause: a response that is cut closed its connection, which shows in the missing last chunk, but such a client reads no chunks. Dropping the writing half of the connection alone sends the close.

Evidence: the test got both events and a close on the code before, and a reset now. With the linger time alone it still got the close, as the writing half was dropped first; so it is forgotten.

Ruled out: a reset for all clients, as it may discard events that HTTP/1.1 clients can use.

--- a/src/forward/client.rs
+++ b/src/forward/client.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -45,6 +46,8 @@
     stream: OwnedWriteHalf,
     /// Whether bytes of the current response were sent.
     begun: bool,
+    /// Whether a close ends a stream, as the client speaks HTTP/1.0 and reads no chunks.
+    ends_by_close: bool,
     /// Longest time in which the client may accept no bytes.
     stall: Duration,
 }
@@ -73,6 +76,15 @@
         }
         Ok(())
     }
+
+    /// Ends the connection so that its last response does not look complete.
+    fn cut(self) {
+        if self.ends_by_close {
+            let _ = SockRef::from(self.stream.as_ref()).set_linger(Some(Duration::ZERO));
+            // Dropping this half would close it before the reset.
+            self.stream.forget();
+        }
+    }
 }
 
 /// What happens to the connection after a response.
@@ -230,6 +242,7 @@
     let mut writer = ClientWriter {
         stream: write,
         begun: false,
+        ends_by_close: false,
         stall: core.stall_time(),
     };
     loop {
@@ -241,7 +254,7 @@
                 reader.linger().await;
                 return;
             }
-            AfterResponse::Cut => return,
+            AfterResponse::Cut => return writer.cut(),
         }
     }
 }
@@ -265,6 +278,7 @@
             return AfterResponse::Close;
         }
     };
+    writer.ends_by_close = !request.head.is_http11;
     let answered = request::answer(core, &request, writer);
     tokio::select! {
         after = answered => after,
--- a/tests/forwarding/answers.rs
+++ b/tests/forwarding/answers.rs
@@ -203,6 +203,16 @@
     assert!(!has_header(&stream, "transfer-encoding"), "{stream}");
 }
 
+#[ntex::test]
+async fn a_stream_broken_off_never_looks_whole_to_an_http_1_0_client() {
+    let mut site = ForwardSite::start(&[STREAM]).await;
+    site.add_replica("r1", vec![Behaviour::CutStream(2)]).await;
+    let (stream, closed) = site
+        .send_for_bytes(&request("GET /stream/x HTTP/1.0", "a", ""))
+        .await;
+    assert!(!closed, "{stream}");
+}
+
 #[ntex::test]
 async fn a_client_that_half_closes_ends_its_run() {
     let mut site = ForwardSite::start(&[STREAM]).await;
