An HTTP/1.0 client gets no interim response

What callers saw: a client that speaks HTTP/1.0 and sent Expect: 100-continue got 100 Continue, which it takes for the answer to its request.

Cause: the header was heeded whatever the version. Evidence: the test read '100 Continue' before the response on the code before. HTTP/1.0 has no interim responses; the expectation is passed over.

--- a/src/forward/client.rs
+++ b/src/forward/client.rs
@@ -296,7 +296,8 @@
 ) -> Result<ClientRequest, ReadError> {
     let head = reader.read_head(limits, core, first_byte).await?;
     let (since, since_ms) = (Instant::now(), clock::monotonic_ms());
-    let expects = head::names_token(&head.headers, "expect", "100-continue");
+    // HTTP/1.0 has no interim responses: its clients would take one for the answer.
+    let expects = head.is_http11 && head::names_token(&head.headers, "expect", "100-continue");
     if expects && reader.buffer.is_empty() && head.framing != Framing::Length(0) {
         let sent = writer.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         sent.map_err(|_| ReadError::Disconnected)?;
--- a/tests/forwarding/answers.rs
+++ b/tests/forwarding/answers.rs
@@ -213,6 +213,19 @@
     assert!(!closed, "{stream}");
 }
 
+#[ntex::test]
+async fn an_http_1_0_client_gets_no_interim_response() {
+    let mut site = ForwardSite::start(&[UNSAFE]).await;
+    site.add_replica("r1", vec![Behaviour::Response(200, "done")])
+        .await;
+    let more = "Expect: 100-continue\r\nContent-Length: 2\r\n";
+    let text = request("POST /once/x HTTP/1.0", "a", more);
+    // The body comes later, so that the entry could ask for it.
+    let (answer, _) = site.send_in_two(&text, "hi").await;
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    assert_eq!(site.seen("r1")[0].body, "hi");
+}
+
 #[ntex::test]
 async fn a_client_that_half_closes_ends_its_run() {
     let mut site = ForwardSite::start(&[STREAM]).await;
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -894,6 +894,17 @@
         (String::from_utf8(bytes).unwrap(), ended.is_ok())
     }
 
+    /// Like [`Self::send_for_bytes`], with bytes that follow once the first have been read.
+    pub async fn send_in_two(&self, first: &str, second: &str) -> (String, bool) {
+        let mut stream = TcpStream::connect(self.entries[0].address).await.unwrap();
+        stream.write_all(first.as_bytes()).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        stream.write_all(second.as_bytes()).await.unwrap();
+        let mut bytes = Vec::new();
+        let ended = stream.read_to_end(&mut bytes).await;
+        (String::from_utf8(bytes).unwrap(), ended.is_ok())
+    }
+
     /// Like [`Self::send_for_bytes`], but closes the client's direction once a condition holds.
     pub async fn half_close_when(
         &self,
