A change of the view that changes no software version copies none

Each change of the log had an entry copy the name of every replica's version (and the id that it is looked up by), and count the versions of every service anew for the metrics, whatever had changed.

update_versions walks replicas and named incarnations side by side, both in the order of ids, compares without a copy, and says whether a version has changed; update_records says whether replicas came, went, restarted, or changed their service or phase. The metric is set only then. Which services run several versions is no longer stored beside the versions that it follows from.

Ruled out: a kept copy of all names, compared as a whole: a name may be in the log before its replica, which would then stay unnamed. The drawn test compares with the plain lookup for 2,000 views.

--- a/benches/core.rs
+++ b/benches/core.rs
@@ -2,6 +2,9 @@
 //!
 //! `cargo bench --bench core`
 
+#[path = "../tests/support_replicas/mod.rs"]
+mod support_replicas;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::hint::black_box;
 
@@ -9,7 +12,11 @@
 use dunlinspring::admission::controller::*;
 use dunlinspring::admission::ledger::OrderCheck;
 use dunlinspring::admission::queue::QueuePolicy;
+use dunlinspring::consensus::software_versions::NamedVersions;
 use dunlinspring::consensus::state::*;
+use dunlinspring::forward::locality::EntryLocation;
+use dunlinspring::forward::need::ChoicePolicy;
+use dunlinspring::forward::replica_table::ReplicaTable;
 use dunlinspring::ids::*;
 use dunlinspring::placement::moves::{self, DemandTracker, PlacementPolicy};
 use dunlinspring::routing::route::{self, HomeCandidate, LoadTracker, RoutePolicy, RouteRequest};
@@ -21,6 +28,7 @@
 use dunlinspring::table::site::{ModelKind, ModelSpec, SiteSpec, TargetSpec};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use support_replicas::ready_replica;
 
 fn site(models: usize, targets: usize) -> SiteSpec {
     let model = |number: usize| {
@@ -352,6 +360,43 @@
     group.finish();
 }
 
+/// Applies a view that changes neither a replica nor a software version.
+fn follow_same_view(c: &mut Criterion) {
+    let mut group = c.benchmark_group("follow_same_view");
+    for replicas in [100usize, 1_000, 10_000] {
+        let records: BTreeMap<ReplicaId, _> = (0..replicas)
+            .map(|number| {
+                let record = ready_replica(format!("replica-{number:05}").as_str(), "llm");
+                (record.id.clone(), record)
+            })
+            .collect();
+        let named: NamedVersions = records
+            .values()
+            .map(|record| (record.incarnation(), VersionName::from("v1")))
+            .collect();
+        let policy = ChoicePolicy::default();
+        let mut table = ReplicaTable::new(policy, EntryLocation::default());
+        table.update_records(0, &records);
+        table.update_versions(&named);
+        group.bench_function(BenchmarkId::new("versions", replicas), |b| {
+            b.iter(|| {
+                if table.update_versions(&named) {
+                    black_box(table.versions().len());
+                }
+            });
+        });
+        group.bench_function(BenchmarkId::new("whole", replicas), |b| {
+            b.iter(|| {
+                let has_other_runs = table.update_records(0, &records);
+                if table.update_versions(&named) || has_other_runs {
+                    black_box(table.versions().len());
+                }
+            });
+        });
+    }
+    group.finish();
+}
+
 fn resident_kib() -> u64 {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
     let line = status.lines().find(|line| line.starts_with("VmRSS"));
@@ -417,6 +462,7 @@
     run_cycle,
     grant,
     grant_quota,
+    follow_same_view,
     sizes
 );
 criterion_main!(benches);
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -523,9 +523,11 @@
             let (evacuated, position) = (&view.evacuated, view.position);
             tracing::info!(?evacuated, %position, "evacuated halls changed");
         }
-        replicas.update_records(clock::monotonic_ms(), &view.replicas);
-        replicas.update_versions(&view.versions);
-        self.show_versions(&replicas);
+        let has_other_runs = replicas.update_records(clock::monotonic_ms(), &view.replicas);
+        let has_other_versions = replicas.update_versions(&view.versions);
+        if has_other_runs || has_other_versions {
+            self.show_versions(&replicas);
+        }
         drop(replicas);
         let held = self.version();
         let newer = view.configuration.as_ref().filter(|c| c.version > held);
--- a/src/forward/replica_table.rs
+++ b/src/forward/replica_table.rs
@@ -12,7 +12,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::consensus::directory::{ReplicaPhase, ReplicaRecord};
-use crate::consensus::software_versions::{self, NamedVersions, SoftwareVersion};
+use crate::consensus::software_versions::{NamedVersions, SoftwareVersion};
 use crate::forward::answer_separation::AnswerStats;
 use crate::forward::locality::EntryLocation;
 use crate::forward::need::URGENCY_LEVELS;
@@ -21,7 +21,7 @@
 use crate::forward::replica_state::{
     CONGESTION_TTL_MS, CongestionSample, PrefillTime, ReplicaState, ReportedLoad, START_FRACTION,
 };
-use crate::ids::{HallName, ReplicaId, ServiceName};
+use crate::ids::{HallName, ReplicaId, ReplicaIncarnation, ServiceName};
 use crate::placement::congestion::QueuedTokens;
 use crate::routing::backoff::{BackoffTracker, Blocked};
 use crate::routing::limited_peers::LimitedPeers;
@@ -207,15 +207,23 @@
     }
 
     /// Replaces the replica records by those of the log and drops replicas that are gone. A replica
-    /// that restarted under its id begins with fresh state.
-    pub fn update_records(&mut self, now_ms: u64, records: &BTreeMap<ReplicaId, ReplicaRecord>) {
+    /// that restarted under its id begins with fresh state. Returns whether replicas have come, gone,
+    /// restarted, or changed their service or phase.
+    pub fn update_records(
+        &mut self,
+        now_ms: u64,
+        records: &BTreeMap<ReplicaId, ReplicaRecord>,
+    ) -> bool {
+        let before = self.states.len();
         self.states.retain(|id, _| records.contains_key(id));
+        let mut changed = self.states.len() < before;
         for (id, record) in records {
             let state = self.states.get_mut(id);
             let known = state.as_ref().map(|state| &state.record);
             if known == Some(record) {
                 continue;
             }
+            changed |= known.is_none_or(|known| is_other_run(known, record));
             if known.is_none_or(|known| known.warm_up_report() != record.warm_up_report()) {
                 self.warm_ups.record_report(now_ms, id, record.cold_ms);
             }
@@ -228,14 +236,35 @@
                 }
             }
         }
+        changed
     }
 
     /// Replaces the names of the replicas' software versions by those of the log. To be called after
-    /// [`Self::update_records`], which resets the version of a replica that restarted.
-    pub fn update_versions(&mut self, named: &NamedVersions) {
-        for state in self.states.values_mut() {
-            state.version = software_versions::version_of(named, &state.record);
+    /// [`Self::update_records`], which resets the version of a replica that restarted. Returns whether
+    /// a version has changed.
+    pub fn update_versions(&mut self, named: &NamedVersions) -> bool {
+        let mut changed = false;
+        // Both are in the order of ids, so that nothing is looked up.
+        let mut named = named.iter().peekable();
+        for (id, state) in &mut self.states {
+            let run = (id, state.record.started_ms);
+            let is_before = |other: &ReplicaIncarnation| (&other.id, other.started_ms) < run;
+            while named.next_if(|(other, _)| is_before(other)).is_some() {}
+            let is_run = |other: &ReplicaIncarnation| (&other.id, other.started_ms) == run;
+            let name = named.next_if(|(other, _)| is_run(other));
+            let is_same = match (name, &state.version) {
+                (Some((_, name)), SoftwareVersion::Named(known)) => known == name,
+                (None, SoftwareVersion::Unnamed(known)) => is_run(known),
+                _ => false,
+            };
+            if !is_same {
+                let name = name.map(|(_, name)| SoftwareVersion::Named(name.clone()));
+                let unnamed = || SoftwareVersion::Unnamed(state.record.incarnation());
+                state.version = name.unwrap_or_else(unnamed);
+                changed = true;
+            }
         }
+        changed
     }
 
     /// Returns the software version of a replica's current incarnation.
@@ -688,6 +717,12 @@
         && model.is_none_or(|model| record.models.contains_key(model))
 }
 
+/// Whether a record is that of another incarnation than the known one, or of another service or phase.
+fn is_other_run(known: &ReplicaRecord, record: &ReplicaRecord) -> bool {
+    let run = |record: &ReplicaRecord| (record.started_ms, record.phase);
+    run(known) != run(record) || known.service != record.service
+}
+
 fn eject(
     state: &mut ReplicaState,
     policy: &ChoicePolicy,
--- a/src/forward/stream_origins.rs
+++ b/src/forward/stream_origins.rs
@@ -82,8 +82,6 @@
     queues: RefCell<BTreeMap<String, StoreQueue>>,
     /// Software versions of services, as this entry knows.
     mixes: RefCell<BTreeMap<ServiceName, VersionMix>>,
-    /// Services that run several versions, or are about to.
-    mixed: RefCell<BTreeSet<ServiceName>>,
     /// Services of routes that lead to several services.
     split: RefCell<BTreeSet<ServiceName>>,
     /// Services whose routes have led elsewhere.
@@ -107,7 +105,8 @@
     /// Whether the origins of a service's streams are stored, as they follow neither from the route
     /// nor from the version that serves.
     fn is_stored(&self, service: &ServiceName, now_ms: u64) -> bool {
-        self.mixed.borrow().contains(service) || self.is_moved(service, now_ms)
+        let mixes = self.mixes.borrow();
+        mixes.get(service).is_some_and(VersionMix::is_mixed) || self.is_moved(service, now_ms)
     }
 
     /// Whether routes lead, or lately led, to this service and to others.
@@ -234,9 +233,9 @@
         if *self.origins.mixes.borrow() == view.version_mixes {
             return;
         }
-        self.origins.mixes.replace(view.version_mixes.clone());
-        let mixed = stream_origins::mixed_services(view);
-        let before = self.origins.mixed.replace(mixed.clone());
+        let before = self.origins.mixes.replace(view.version_mixes.clone());
+        let before = stream_origins::mixed_services(&before);
+        let mixed = stream_origins::mixed_services(&view.version_mixes);
         for service in mixed.difference(&before) {
             tracing::info!(%service, "several software versions serve");
             self.store_known(service);
--- a/src/routing/stream_origins.rs
+++ b/src/routing/stream_origins.rs
@@ -11,7 +11,6 @@
 
 use crate::consensus::software_versions::{SoftwareVersion, VersionMix};
 use crate::ids::{ReplicaIncarnation, ServiceName};
-use crate::routing::view::SiteView;
 
 /// Maximum number of origins in each of the two generations of an [`OriginMemory`].
 pub const MAX_ORIGINS: usize = 65_536;
@@ -171,9 +170,8 @@
 }
 
 /// Returns the services whose streams' origins must be stored.
-pub fn mixed_services(view: &SiteView) -> BTreeSet<ServiceName> {
-    let mixes = view.version_mixes.iter();
-    let mixed = mixes.filter(|(_, mix)| mix.is_mixed());
+pub fn mixed_services(mixes: &BTreeMap<ServiceName, VersionMix>) -> BTreeSet<ServiceName> {
+    let mixed = mixes.iter().filter(|(_, mix)| mix.is_mixed());
     mixed.map(|(service, _)| service.clone()).collect()
 }
 
--- a/tests/stream_take_ups/model.rs
+++ b/tests/stream_take_ups/model.rs
@@ -593,7 +593,7 @@
             .replicas
             .update_records(now_ms, &process.view.replicas);
         process.replicas.update_versions(&process.view.versions);
-        let several = mixed_services(&process.view);
+        let several = mixed_services(&process.view.version_mixes);
         let before = std::mem::replace(&mut process.several, several.clone());
         let mut streams = Vec::new();
         for service in several.difference(&before) {
--- a/tests/version_choice.rs
+++ b/tests/version_choice.rs
@@ -7,7 +7,7 @@
 
 use dunlinspring::admission::quote::QuoteReply;
 use dunlinspring::consensus::directory::ReplicaRecord;
-use dunlinspring::consensus::software_versions::NamedVersions;
+use dunlinspring::consensus::software_versions::{self, NamedVersions};
 use dunlinspring::forward::replica_table::{
     Choice, ChoicePolicy, EngineBounds, LoadReport, Need, Quotes, ReplicaTable,
 };
@@ -169,3 +169,48 @@
     }
     assert!(affected > 0, "several versions change some choices");
 }
+
+#[test]
+fn each_replica_has_the_version_that_the_log_names_for_its_incarnation() {
+    const VIEWS: u64 = 2_000;
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut table = table_of(Vec::new(), &[]);
+    let (mut homes, mut named) = (BTreeMap::new(), NamedVersions::new());
+    for view in 0..VIEWS {
+        let id = rng.random_range(0..12);
+        let started_ms = rng.random_range(0..4);
+        let record = ReplicaRecord {
+            started_ms,
+            ..home(id, HALLS[0])
+        };
+        match rng.random_range(0..6) {
+            0 => drop(homes.remove(&record.id)),
+            1 => drop(named.remove(&record.incarnation())),
+            2 => named.clear(),
+            3 => drop(homes.insert(record.id.clone(), record)),
+            _ => {
+                let name = format!("v{}", rng.random_range(0..3));
+                named.insert(record.incarnation(), VersionName(name));
+            }
+        }
+        let versions = |table: &ReplicaTable| {
+            let all = table
+                .ids()
+                .map(|id| (id.clone(), table.version(id).cloned()));
+            all.collect::<BTreeMap<_, _>>()
+        };
+        let before = versions(&table);
+        let has_other_runs = table.update_records(view, &homes);
+        let has_other_versions = table.update_versions(&named);
+        let after = versions(&table);
+        let expected = homes.iter().map(|(id, home)| {
+            let version = software_versions::version_of(&named, home);
+            (id.clone(), Some(version))
+        });
+        assert_eq!(after, expected.collect(), "view {view}");
+        let changed = has_other_runs || has_other_versions;
+        assert!(changed || before == after, "view {view}");
+        // The same view changes nothing.
+        assert!(!table.update_records(view, &homes) && !table.update_versions(&named));
+    }
+}
