Whether the route of a stream moved is decided in the pure search for its origin

Whether a route had led elsewhere, and whether an entry had started too lately to know, was decided in the I/O part of an entry, so no drawn play ran it: in the plays one route led to one service.

route_changes keeps what an entry knows of its routes, the search takes it with its first step, and asking control hosts before the leader is a step of its own (AskHostsFirst). Behaviour is as before. Unit tests cover the steps and how long a change is remembered. Drawn plays gain a second service, routes that change, and what entries that start during a play do not know; a stream is mixed if its service differs, too. Two kinds of play: the route is split, or moves, during a release, and entries start just after.

--- a/src/forward/stream_origins.rs
+++ b/src/forward/stream_origins.rs
@@ -2,7 +2,7 @@
 //! a service runs several software versions, and those that it asks control hosts for.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,6 +15,7 @@
 use crate::ids::ServiceName;
 use crate::process::wire::ControlWireClient;
 use crate::process::{daemon, peers};
+use crate::routing::route_changes::RouteChanges;
 use crate::routing::stream_origins::{
     self, OriginBatch, OriginMemory, OriginSearch, OriginSource, OriginStep, StreamKey,
     StreamOrigin,
@@ -66,15 +67,6 @@
     is_served: bool,
 }
 
-/// A change of the routes to a service.
-#[derive(Clone, Copy, Debug)]
-struct Rerouting {
-    /// How long origins of the service's streams are kept, in milliseconds.
-    keep_ms: u64,
-    /// Until when a stream that began before may be taken up.
-    until_ms: u64,
-}
-
 /// Origins of streams at one entry.
 #[derive(Debug, Default)]
 pub struct OriginKeeper {
@@ -82,12 +74,7 @@
     queues: RefCell<BTreeMap<String, StoreQueue>>,
     /// Software versions of services, as this entry knows.
     mixes: RefCell<BTreeMap<ServiceName, VersionMix>>,
-    /// Services of routes that lead to several services.
-    split: RefCell<BTreeSet<ServiceName>>,
-    /// Services whose routes have led elsewhere.
-    rerouted: RefCell<BTreeMap<ServiceName, Rerouting>>,
-    /// Until when a route may have led elsewhere without this entry knowing of it.
-    unaware_until_ms: Cell<u64>,
+    routes: RefCell<RouteChanges>,
     entries: Cell<u32>,
 }
 
@@ -97,24 +84,26 @@
         self.entries.set(entries);
     }
 
-    /// Returns the origin of a stream that this entry served.
-    fn own(&self, key: &StreamKey) -> Option<StreamOrigin> {
-        self.memory.borrow().find(key).cloned()
+    /// Returns the first step of a search.
+    fn first_step(&self, search: &OriginSearch) -> OriginStep {
+        let memory = self.memory.borrow();
+        let own = search.key.and_then(|key| memory.find(&key).cloned());
+        let mixes = self.mixes.borrow();
+        let routes = self.routes.borrow();
+        let history = routes.history(&search.service, clock::monotonic_ms());
+        search.first_step(own, mixes.get(&search.service), history)
     }
 
-    /// Whether the origins of a service's streams are stored, as they follow neither from the route
-    /// nor from the version that serves.
-    fn is_stored(&self, service: &ServiceName, now_ms: u64) -> bool {
+    /// Whether a service runs several versions, or is about to.
+    fn is_mixed(&self, service: &ServiceName) -> bool {
         let mixes = self.mixes.borrow();
-        mixes.get(service).is_some_and(VersionMix::is_mixed) || self.is_moved(service, now_ms)
+        mixes.get(service).is_some_and(VersionMix::is_mixed)
     }
 
-    /// Whether routes lead, or lately led, to this service and to others.
-    fn is_moved(&self, service: &ServiceName, now_ms: u64) -> bool {
-        let rerouted = self.rerouted.borrow();
-        let rerouting = rerouted.get(service);
-        self.split.borrow().contains(service)
-            || rerouting.is_some_and(|rerouting| now_ms < rerouting.until_ms)
+    /// Whether the origins of a service's streams are stored, as they follow neither from the route
+    /// nor from the version that serves.
+    fn is_stored(&self, service: &ServiceName, now_ms: u64) -> bool {
+        self.is_mixed(service) || self.routes.borrow().is_moved(service, now_ms)
     }
 
     /// Queues an origin for a control host. Returns whether a task to send it must be started.
@@ -184,32 +173,14 @@
         configuration: &Configuration,
     ) {
         let now_ms = clock::monotonic_ms();
-        let split = configuration.split_services();
-        let Some(before) = before else {
-            let services = configuration.services.keys();
-            let longest_ms = services.map(|service| configuration.stream_memory_ms(service));
-            let until_ms = now_ms.saturating_add(longest_ms.max().unwrap_or(0));
-            self.origins.unaware_until_ms.set(until_ms);
-            self.origins.split.replace(split);
-            return;
-        };
-        let rerouted = before.rerouted_services(configuration);
-        let moved = rerouted.union(&split);
-        let new: Vec<&ServiceName> = moved
-            .filter(|service| !self.origins.is_stored(service, now_ms))
-            .collect();
-        let mut known = self.origins.rerouted.borrow_mut();
-        known.retain(|_, rerouting| now_ms < rerouting.until_ms);
-        for service in &rerouted {
-            let earlier_ms = before.stream_memory_ms(service);
-            let keep_ms = earlier_ms.max(configuration.stream_memory_ms(service));
-            let until_ms = now_ms.saturating_add(keep_ms);
-            known.insert(service.clone(), Rerouting { keep_ms, until_ms });
-        }
-        drop(known);
-        self.origins.split.replace(split.clone());
-        for service in new {
-            self.store_known(service);
+        let mut routes = self.origins.routes.borrow_mut();
+        let moved = routes.update(now_ms, before, configuration);
+        drop(routes);
+        for service in moved {
+            // Those of a service that runs several versions are stored already.
+            if !self.origins.is_mixed(&service) {
+                self.store_known(&service);
+            }
         }
     }
 
@@ -259,11 +230,7 @@
     fn stream_memory_ms(&self, service: &ServiceName) -> u64 {
         let routing = self.routing();
         let keep_ms = routing.map_or(0, |routing| routing.configuration.stream_memory_ms(service));
-        let rerouted = self.origins.rerouted.borrow();
-        let earlier_ms = rerouted
-            .get(service)
-            .map_or(0, |rerouting| rerouting.keep_ms);
-        keep_ms.max(earlier_ms)
+        keep_ms.max(self.origins.routes.borrow().keep_ms(service))
     }
 
     fn store_origin(self: &Rc<Self>, key: StreamKey, origin: &StreamOrigin, keep_ms: u64) {
@@ -288,24 +255,15 @@
         search: &OriginSearch,
         timeout: Duration,
     ) -> Option<(StreamOrigin, OriginSource)> {
-        let own = search.key.and_then(|key| self.origins.own(&key));
-        let mix = self.origins.mixes.borrow().get(&search.service).cloned();
-        let mut step = search.first_step(own, mix.as_ref());
+        let mut step = self.origins.first_step(search);
         let find = async {
-            let now_ms = clock::monotonic_ms();
-            let moved = self.origins.is_moved(&search.service, now_ms);
-            let is_unaware = now_ms < self.origins.unaware_until_ms.get();
             loop {
                 step = match step {
                     OriginStep::Known(origin, source) => return Some((origin, source)),
-                    OriginStep::AskLeader if moved => search.ask_hosts(),
+                    OriginStep::AskHostsFirst(key) => {
+                        search.after_first_hosts(self.ask_hosts(key, 1).await)
+                    }
                     OriginStep::AskLeader => {
-                        // The other entries stored what a change before this entry's start concerned.
-                        if let (true, Some(key)) = (is_unaware, search.key)
-                            && let Some(origin) = self.ask_hosts(key, 1).await
-                        {
-                            return Some((origin, OriginSource::Stored));
-                        }
                         let timeout = timeout / LEADER_TIME_DIVISOR;
                         search.after_leader(self.ask_leader(&search.service, timeout).await)
                     }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -12,6 +12,7 @@
 pub mod refusals;
 pub mod retry;
 pub mod route;
+pub mod route_changes;
 pub mod stream_origins;
 pub mod suspects;
 pub mod view;
--- a/src/routing/stream_origins.rs
+++ b/src/routing/stream_origins.rs
@@ -11,6 +11,7 @@
 
 use crate::consensus::software_versions::{SoftwareVersion, VersionMix};
 use crate::ids::{ReplicaIncarnation, ServiceName};
+use crate::routing::route_changes::RouteHistory;
 
 /// Maximum number of origins in each of the two generations of an [`OriginMemory`].
 pub const MAX_ORIGINS: usize = 65_536;
@@ -220,6 +221,9 @@
 pub enum OriginStep {
     /// The origin is known.
     Known(StreamOrigin, OriginSource),
+    /// To ask control hosts for the origin once, before the leader: this entry has just started, and
+    /// others stored the origins that a change of routes before its start concerned.
+    AskHostsFirst(StreamKey),
     /// To ask the leader which versions serve: this entry's view may be old.
     AskLeader,
     /// To ask control hosts for the origin.
@@ -230,11 +234,26 @@
 
 impl OriginSearch {
     /// Returns the first step. `own` is the origin that this entry keeps, `mix` the versions of the
-    /// service by its view.
-    pub fn first_step(&self, own: Option<StreamOrigin>, mix: Option<&VersionMix>) -> OriginStep {
-        match own {
-            Some(origin) => OriginStep::Known(origin, OriginSource::Own),
-            None if mix == Some(&VersionMix::Several) => self.ask_hosts(),
+    /// service by its view, and `history` where the routes to the service led.
+    pub fn first_step(
+        &self,
+        own: Option<StreamOrigin>,
+        mix: Option<&VersionMix>,
+        history: RouteHistory,
+    ) -> OriginStep {
+        match (own, history, self.key) {
+            (Some(origin), _, _) => OriginStep::Known(origin, OriginSource::Own),
+            (None, RouteHistory::Moved, _) => self.ask_hosts(),
+            (None, _, _) if mix == Some(&VersionMix::Several) => self.ask_hosts(),
+            (None, RouteHistory::Unaware, Some(key)) => OriginStep::AskHostsFirst(key),
+            (None, _, _) => OriginStep::AskLeader,
+        }
+    }
+
+    /// Returns the step after the replies of control hosts that were asked before the leader.
+    pub fn after_first_hosts(&self, stored: Option<StreamOrigin>) -> OriginStep {
+        match stored {
+            Some(origin) => OriginStep::Known(origin, OriginSource::Stored),
             None => OriginStep::AskLeader,
         }
     }
@@ -262,7 +281,7 @@
     }
 
     /// Returns the step that asks control hosts, if the client names the stream.
-    pub fn ask_hosts(&self) -> OriginStep {
+    fn ask_hosts(&self) -> OriginStep {
         self.key.map_or(OriginStep::Unknown, OriginStep::AskHosts)
     }
 
--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -1,15 +1,17 @@
 //! Origins of streams: their bounded memory, the control hosts that own them, and the steps of an
 //! entry that searches for one.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use dunlinspring::consensus::software_versions::{SoftwareVersion, VersionMix};
 use dunlinspring::ids::{ReplicaIncarnation, ServiceName, VersionName};
+use dunlinspring::routing::route_changes::{RouteChanges, RouteHistory};
 use dunlinspring::routing::stream_origins::{
     EventBinding, EventSource, HOSTS_ASKED, MAX_ORIGINS, ORIGIN_COPIES, OriginBatch, OriginMemory,
     OriginSearch, OriginSource, OriginStep, StreamKey, StreamOrigin, TakeUpRefusal, bind_events,
     may_send, required_version,
 };
+use dunlinspring::table::configuration::{Configuration, RouteKind, RouteSpec, ServiceSpec};
 
 const KEEP_MS: u64 = 1_000;
 
@@ -182,12 +184,17 @@
     let search = search(Some(key(0)));
     let known = OriginStep::Known(origin("v1"), OriginSource::Own);
     assert_eq!(
-        search.first_step(Some(origin("v1")), Some(&VersionMix::Several)),
+        search.first_step(
+            Some(origin("v1")),
+            Some(&VersionMix::Several),
+            RouteHistory::Moved
+        ),
         known
     );
-    assert_eq!(search.first_step(None, None), OriginStep::AskLeader);
+    let steady = |mix| search.first_step(None, mix, RouteHistory::Steady);
+    assert_eq!(steady(None), OriginStep::AskLeader);
     assert_eq!(
-        search.first_step(None, Some(&VersionMix::Several)),
+        steady(Some(&VersionMix::Several)),
         OriginStep::AskHosts(key(0))
     );
     let sole = search.after_leader(Some(VersionMix::Sole(named("v1"))));
@@ -204,16 +211,100 @@
 #[test]
 fn a_stream_that_is_not_named_goes_on_only_at_a_sole_version() {
     let search = search(None);
-    assert_eq!(
-        search.first_step(None, Some(&VersionMix::Several)),
-        OriginStep::Unknown
-    );
-    assert_eq!(search.first_step(None, None), OriginStep::AskLeader);
+    let steady = |mix| search.first_step(None, mix, RouteHistory::Steady);
+    assert_eq!(steady(Some(&VersionMix::Several)), OriginStep::Unknown);
+    assert_eq!(steady(None), OriginStep::AskLeader);
     let several = search.after_leader(Some(VersionMix::Several));
     assert_eq!(several, OriginStep::Unknown);
     assert_eq!(search.after_leader(None), OriginStep::Unknown);
 }
 
+#[test]
+fn a_stream_whose_route_moved_is_not_taken_for_one_of_the_sole_version() {
+    let sole = VersionMix::Sole(named("v1"));
+    for mix in [None, Some(&sole), Some(&VersionMix::Several)] {
+        let step = search(Some(key(0))).first_step(None, mix, RouteHistory::Moved);
+        assert_eq!(step, OriginStep::AskHosts(key(0)));
+        let unnamed = search(None).first_step(None, mix, RouteHistory::Moved);
+        assert_eq!(unnamed, OriginStep::Unknown);
+    }
+}
+
+#[test]
+fn an_entry_that_has_just_started_asks_hosts_before_the_leader() {
+    let search = search(Some(key(0)));
+    let sole = VersionMix::Sole(named("v1"));
+    let step = search.first_step(None, Some(&sole), RouteHistory::Unaware);
+    assert_eq!(step, OriginStep::AskHostsFirst(key(0)));
+    let known = OriginStep::Known(origin("v2"), OriginSource::Stored);
+    assert_eq!(search.after_first_hosts(Some(origin("v2"))), known);
+    assert_eq!(search.after_first_hosts(None), OriginStep::AskLeader);
+    // Several versions: hosts are asked repeatedly, and nobody else.
+    let step = search.first_step(None, Some(&VersionMix::Several), RouteHistory::Unaware);
+    assert_eq!(step, OriginStep::AskHosts(key(0)));
+}
+
+const STREAM_MS: u64 = 5_000;
+
+fn routed(split: &[(&str, u32)]) -> Configuration {
+    let split = split.iter();
+    let split = split.map(|(service, weight)| (ServiceName::from(*service), *weight));
+    let route = RouteSpec {
+        name: "streams".to_owned(),
+        host: "a.example".to_owned(),
+        prefix: "/".to_owned(),
+        kind: RouteKind::Streaming,
+        timeout_ms: STREAM_MS,
+        latency_goal_ms: 1_000,
+        max_event_gap_ms: 1_000,
+        priority: 0,
+        attempts: 3,
+        resumable: true,
+        public: true,
+        regions: BTreeSet::new(),
+        split: split.collect(),
+    };
+    let spec = ServiceSpec {
+        max_connections: 1_000,
+        warm_up: None,
+        engine: None,
+    };
+    let services = ["llm", "other"].map(|name| (ServiceName::from(name), spec.clone()));
+    Configuration {
+        routes: vec![route],
+        services: BTreeMap::from(services),
+        ..Configuration::default()
+    }
+}
+
+#[test]
+fn routes_that_lead_elsewhere_are_remembered_while_their_streams_may_return() {
+    let (llm, other) = (ServiceName::from("llm"), ServiceName::from("other"));
+    let (before, after) = (routed(&[("llm", 1)]), routed(&[("other", 1)]));
+    let memory_ms = before.stream_memory_ms(&llm);
+    let mut changes = RouteChanges::default();
+    assert!(changes.update(0, None, &before).is_empty());
+    assert_eq!(changes.history(&llm, memory_ms - 1), RouteHistory::Unaware);
+    assert_eq!(changes.history(&llm, memory_ms), RouteHistory::Steady);
+    let now_ms = 2 * memory_ms;
+    let moved = changes.update(now_ms, Some(&before), &after);
+    assert_eq!(moved, BTreeSet::from([llm.clone(), other.clone()]));
+    assert_eq!(changes.keep_ms(&llm), memory_ms);
+    let until_ms = now_ms + memory_ms;
+    for service in [&llm, &other] {
+        assert_eq!(changes.history(service, now_ms), RouteHistory::Moved);
+        let last = changes.history(service, until_ms - 1);
+        assert_eq!(last, RouteHistory::Moved);
+        let later = changes.history(service, until_ms);
+        assert_eq!(later, RouteHistory::Steady);
+    }
+    // A split lasts, and concerns no stream that is not stored already.
+    let split = routed(&[("llm", 1), ("other", 1)]);
+    assert!(changes.update(now_ms + 1, Some(&after), &split).is_empty());
+    let later_ms = 9 * until_ms;
+    assert_eq!(changes.history(&llm, later_ms), RouteHistory::Moved);
+}
+
 #[test]
 fn a_stream_goes_on_only_at_its_service_and_version() {
     let search = search(Some(key(0)));
--- a/tests/stream_take_ups/main.rs
+++ b/tests/stream_take_ups/main.rs
@@ -375,3 +375,34 @@
         with_kill_near_release(seed, RELEASE_MS + 25)
     });
 }
+
+/// The route moves from one service to another, or to both, during a release of the first one, and
+/// entries start just after.
+fn with_rerouting(seed: u64, first: u32) -> PlayScript {
+    let mut script = PlayScript::half_release(seed);
+    for number in 0..REPLICAS {
+        let event = PlayEvent::StartOther {
+            id: format!("o{number}"),
+            version: "v1",
+        };
+        script.add(20, event);
+    }
+    let moves_ms = script.draw.range(RELEASE_MS - 500, RELEASE_MS + 3_000);
+    script.add(moves_ms, PlayEvent::Reroute { first, other: 3 });
+    for entry in 0..script.setup.entries - 1 {
+        let at_ms = moves_ms + 200 + 700 * entry as u64;
+        script.add(at_ms, PlayEvent::KillEntry(entry));
+        script.add(at_ms + 300, PlayEvent::StartEntry(entry));
+    }
+    script
+}
+
+#[test]
+fn streams_go_on_at_their_service_as_their_route_is_split_and_entries_start() {
+    check_plays("route split", |seed| with_rerouting(seed, 1));
+}
+
+#[test]
+fn streams_are_not_mixed_as_their_route_moves_to_another_service_and_entries_start() {
+    play("route moved", |seed| with_rerouting(seed, 0));
+}
--- a/tests/stream_take_ups/model.rs
+++ b/tests/stream_take_ups/model.rs
@@ -12,6 +12,7 @@
 use dunlinspring::forward::replica_table::{Choice, EngineBounds, ReplicaTable};
 use dunlinspring::ids::{ModelName, Position, ReplicaId, ServiceName, VersionName};
 use dunlinspring::placement::version_settlement::VersionSettlement;
+use dunlinspring::routing::route_changes::RouteChanges;
 use dunlinspring::routing::stream_origins::{
     EventBinding, EventSource, OriginMemory, OriginSearch, OriginSource, OriginStep, StreamKey,
     StreamOrigin, TakeUpRefusal, bind_events, may_send, mixed_services, required_version,
@@ -35,6 +36,8 @@
 const STORE_MS: u64 = 5_000;
 /// Delay before control hosts are asked again, in milliseconds.
 const ASK_AGAIN_MS: u64 = 60;
+/// Longest wait for the replies of control hosts that are asked before the leader, in milliseconds.
+const ASK_TIMEOUT_MS: u64 = 200;
 /// Number of times that control hosts are asked.
 const MAX_ASKS: u32 = 3;
 /// Number of replicas that one request is sent to.
@@ -92,6 +95,9 @@
     view: SiteView,
     replicas: ReplicaTable,
     several: BTreeSet<ServiceName>,
+    /// Configuration in force.
+    applied: Option<Configuration>,
+    routes: RouteChanges,
     memory: OriginMemory,
 }
 
@@ -106,6 +112,8 @@
             view: SiteView::default(),
             replicas: ReplicaTable::new(ChoicePolicy::default(), EntryLocation::default()),
             several: BTreeSet::new(),
+            applied: None,
+            routes: RouteChanges::default(),
             memory: OriginMemory::default(),
         }
     }
@@ -113,6 +121,30 @@
     fn may_serve(&self) -> bool {
         !self.is_down && self.view.configuration.is_some()
     }
+
+    /// Version of the configuration in force.
+    fn version(&self) -> u64 {
+        self.applied.as_ref().map_or(0, |applied| applied.version)
+    }
+
+    /// Whether the route of streams leads to a service, as the entry knows.
+    fn leads_to(&self, service: &ServiceName) -> bool {
+        let route = self
+            .applied
+            .as_ref()
+            .and_then(|applied| applied.routes.first());
+        route.is_some_and(|route| route.leads_to(service))
+    }
+
+    /// Service to which the route sends a request.
+    fn pick(&self, draw: u64) -> ServiceName {
+        let route = self
+            .applied
+            .as_ref()
+            .and_then(|applied| applied.routes.first());
+        let picked = route.and_then(|route| route.pick(draw));
+        picked.cloned().unwrap_or_else(service)
+    }
 }
 
 /// How a client names the stream that it takes up.
@@ -131,6 +163,8 @@
     home_entry: Option<usize>,
     /// The attempt that brought the first event, with the version that it came from.
     first: Option<(String, SoftwareVersion)>,
+    /// Service of the replica that sent the first event.
+    first_service: Option<ServiceName>,
     attempts: u32,
     returns: u32,
 }
@@ -174,6 +208,20 @@
         /// Whether it holds the streams' model.
         holds: bool,
     },
+    /// A replica of the second service starts.
+    StartOther {
+        /// Its id.
+        id: String,
+        /// The version that it names.
+        version: &'static str,
+    },
+    /// The route leads to the services with other weights, from a later configuration on.
+    Reroute {
+        /// Weight of the first service.
+        first: u32,
+        /// Weight of the second service.
+        other: u32,
+    },
     /// A replica drains.
     Drain(String),
     /// A replica ends.
@@ -208,8 +256,10 @@
     Page(usize, u32, SyncPage),
     Return(usize),
     AskLeader(usize),
+    AskHostsFirst(usize, StreamKey),
     AskHosts(usize, StreamKey, u32),
-    Found(usize, Option<StreamOrigin>),
+    /// What control hosts replied; the flag is whether they were asked before the leader.
+    Found(usize, Option<StreamOrigin>, bool),
     Choose(usize),
     Send(usize, ReplicaId),
     Arrive(usize),
@@ -328,11 +378,20 @@
     ServiceName::from("llm")
 }
 
+/// Service to which the route leads only after it was changed.
+fn other_service() -> ServiceName {
+    ServiceName::from("other")
+}
+
 fn model() -> ModelName {
     ModelName::from("m")
 }
 
 fn configuration() -> Configuration {
+    configuration_with(1, vec![(service(), 1)])
+}
+
+fn configuration_with(version: u64, split: Vec<(ServiceName, u32)>) -> Configuration {
     let route = RouteSpec {
         name: "streams".to_owned(),
         host: "a.example".to_owned(),
@@ -346,7 +405,7 @@
         resumable: true,
         public: true,
         regions: BTreeSet::new(),
-        split: vec![(service(), 1)],
+        split,
     };
     let spec = ServiceSpec {
         max_connections: 1_000,
@@ -354,9 +413,9 @@
         engine: None,
     };
     Configuration {
-        version: 1,
+        version,
         routes: vec![route],
-        services: BTreeMap::from([(service(), spec)]),
+        services: BTreeMap::from([(service(), spec.clone()), (other_service(), spec)]),
         ..Configuration::default()
     }
 }
@@ -387,13 +446,12 @@
         };
         for _ in 0..play.setup.entries {
             let lag_ms = play.draw.range(1, play.setup.max_lag_ms);
-            play.entries.push(EntryProcess::new(0, lag_ms));
+            let mut process = EntryProcess::new(0, lag_ms);
+            // It has served for long, unlike those that start during the play.
+            process.applied = Some(configuration());
+            play.entries.push(process);
         }
-        let record = ConfigurationRecord {
-            configuration: configuration(),
-            source: Vec::new(),
-        };
-        play.after(0, In::Commit(Command::Configure(Box::new(record))));
+        play.configure(configuration());
         play.after(1, In::Sync);
         play.after(1, In::Settle);
         for (at_ms, event) in std::mem::take(&mut play.setup.events) {
@@ -419,6 +477,14 @@
         self.counts
     }
 
+    fn configure(&mut self, configuration: Configuration) {
+        let record = ConfigurationRecord {
+            source: configuration.version.to_be_bytes().to_vec(),
+            configuration,
+        };
+        self.after(0, In::Commit(Command::Configure(Box::new(record))));
+    }
+
     fn push(&mut self, at_ms: u64, event: PlayEvent) {
         self.sequence += 1;
         self.events.insert((at_ms, self.sequence), event);
@@ -430,7 +496,16 @@
 
     fn handle(&mut self, event: PlayEvent) {
         match event {
-            PlayEvent::Start { id, version, holds } => self.start(&id, version, holds),
+            PlayEvent::Start { id, version, holds } => self.start(&id, "llm", version, holds),
+            PlayEvent::StartOther { id, version } => {
+                self.start(&id, "other", Some(version), true);
+            }
+            PlayEvent::Reroute { first, other } => {
+                let known = self.state.configuration.as_ref();
+                let known = known.map_or(0, |record| record.configuration.version);
+                let split = vec![(service(), first), (other_service(), other)];
+                self.configure(configuration_with(known + 1, split));
+            }
             PlayEvent::Drain(id) => {
                 let id = ReplicaId::from(id.as_str());
                 if let Some(process) = self.processes.get_mut(&id) {
@@ -489,9 +564,14 @@
             In::Page(entry, life, page) => self.follow(entry, life, &page),
             In::Return(stream) => self.client_returns(stream),
             In::AskLeader(request) => self.ask_leader(request),
+            In::AskHostsFirst(request, key) => self.ask_hosts_first(request, key),
             In::AskHosts(request, key, asked) => self.ask_hosts(request, key, asked),
-            In::Found(request, origin) => {
-                let step = self.requests[request].search.after_hosts(origin);
+            In::Found(request, origin, is_first) => {
+                let search = &self.requests[request].search;
+                let step = match is_first {
+                    true => search.after_first_hosts(origin),
+                    false => search.after_hosts(origin),
+                };
                 self.take_step(request, step);
             }
             In::Choose(request) => self.choose(request),
@@ -516,8 +596,9 @@
         let entry = match event {
             In::Page(entry, ..) | In::Store(entry, ..) => *entry,
             In::AskLeader(request)
+            | In::AskHostsFirst(request, _)
             | In::AskHosts(request, ..)
-            | In::Found(request, _)
+            | In::Found(request, ..)
             | In::Choose(request)
             | In::Send(request, _)
             | In::Arrive(request) => self.requests[*request].entry,
@@ -595,8 +676,15 @@
         process.replicas.update_versions(&process.view.versions);
         let several = mixed_services(&process.view.version_mixes);
         let before = std::mem::replace(&mut process.several, several.clone());
+        let mut stored = several.clone();
+        let configuration = process.view.configuration.as_deref();
+        if let Some(configuration) = configuration.filter(|c| c.version > process.version()) {
+            let routes = &mut process.routes;
+            stored.extend(routes.update(now_ms, process.applied.as_ref(), configuration));
+            process.applied = Some(configuration.clone());
+        }
         let mut streams = Vec::new();
-        for service in several.difference(&before) {
+        for service in stored.difference(&before) {
             let all = process.memory.of_service(service);
             streams.extend(all.map(|(key, origin)| (key, origin.clone())));
         }
@@ -607,7 +695,7 @@
 
     // Replicas.
 
-    fn start(&mut self, id: &str, version: Option<&'static str>, holds: bool) {
+    fn start(&mut self, id: &str, service: &str, version: Option<&'static str>, holds: bool) {
         let models = match holds {
             true => BTreeMap::from([(model(), BTreeSet::new())]),
             false => BTreeMap::new(),
@@ -618,7 +706,7 @@
             started_ms: self.now_ms + 1,
             slots: 4_000,
             models,
-            ..ready_replica(id, "llm")
+            ..ready_replica(id, service)
         };
         let (version, command) = match version {
             Some(name) => {
@@ -668,9 +756,10 @@
         }
     }
 
-    fn homes_of(&self, version: &SoftwareVersion) -> usize {
+    fn homes_of(&self, service: &ServiceName, version: &SoftwareVersion) -> usize {
         let serving = self.processes.values().filter(|process| {
             !process.drains
+                && process.record.service == *service
                 && process.version == *version
                 && process.record.models.contains_key(&model())
         });
@@ -690,6 +779,7 @@
             naming,
             home_entry,
             first: None,
+            first_service: None,
             attempts: 0,
             returns: 0,
         });
@@ -737,10 +827,18 @@
         let homes = client
             .first
             .as_ref()
-            .map(|(_, version)| self.homes_of(version));
+            .zip(client.first_service.as_ref())
+            .map(
+                |((_, version), service)| match self.entries[entry].leads_to(service) {
+                    true => self.homes_of(service, version),
+                    false => 0,
+                },
+            );
         let counts = self.is_in_touch(entry)
             && homes.is_none_or(|homes| homes >= 2 && client.naming == Naming::First);
         let key = named.map(|id| StreamKey::new(&client.account, &id));
+        let id_hash = self.draw.range(0, u64::MAX - 1);
+        let service = self.entries[entry].pick(id_hash);
         let request = ClientRequest {
             stream,
             entry,
@@ -748,14 +846,14 @@
             id,
             search: OriginSearch {
                 key,
-                service: service(),
+                service: service.clone(),
             },
             is_take_up,
             counts,
             need: Need {
-                service: Some(service()),
+                service: Some(service),
                 model: Some(model()),
-                id_hash: self.draw.range(0, u64::MAX - 1),
+                id_hash,
                 ..Need::default()
             },
             until_ms: self.now_ms + SEARCH_MS,
@@ -778,8 +876,9 @@
         let own = search
             .key
             .and_then(|key| process.memory.find(&key).cloned());
-        let mix = process.view.version_mixes.get(&service());
-        let step = search.first_step(own, mix);
+        let mix = process.view.version_mixes.get(&search.service);
+        let history = process.routes.history(&search.service, self.now_ms);
+        let step = search.first_step(own, mix, history);
         self.take_step(number, step);
     }
 
@@ -827,9 +926,11 @@
         }
         match step {
             OriginStep::AskLeader => self.after(1, In::AskLeader(number)),
+            OriginStep::AskHostsFirst(key) => self.after(1, In::AskHostsFirst(number, key)),
             OriginStep::AskHosts(key) => self.after(1, In::AskHosts(number, key, 0)),
             OriginStep::Known(..) | OriginStep::Unknown => {
                 let request = &mut self.requests[number];
+                let entry = &self.entries[request.entry];
                 let found = match step {
                     OriginStep::Known(origin, source) => {
                         self.sources.insert(number, source);
@@ -839,11 +940,11 @@
                 };
                 match request
                     .search
-                    .required_origin(found, |other| *other == service())
-                    .map(|origin| origin.version)
+                    .required_origin(found, |service| entry.leads_to(service))
                 {
-                    Ok(version) => {
-                        request.need.version = Some(version);
+                    Ok(origin) => {
+                        request.need.service = Some(origin.service);
+                        request.need.version = Some(origin.version);
                         self.after(1, In::Choose(number));
                     }
                     Err(TakeUpRefusal::OriginUnknown) => self.refuse(number, "unknown"),
@@ -875,8 +976,10 @@
         if self.is_leaderless() || self.is_lost(entry) {
             return self.after(RETRY_MS, In::AskLeader(number));
         }
-        let mix: Option<VersionMix> = self.state.versions().mixes().get(&service()).cloned();
-        let step = self.requests[number].search.after_leader(mix);
+        let search = &self.requests[number].search;
+        let mixes = self.state.versions().mixes();
+        let mix: Option<VersionMix> = mixes.get(&search.service).cloned();
+        let step = search.after_leader(mix);
         self.take_step(number, step);
     }
 
@@ -886,27 +989,46 @@
         if self.now_ms >= until_ms {
             return self.take_step(number, OriginStep::Unknown);
         }
+        let (found, is_whole) = self.stored_at_hosts(entry, key);
+        let wait_ms = match is_whole {
+            true => ASK_AGAIN_MS,
+            false => CALL_MS,
+        };
+        let delay_ms = self.draw.range(1, 5);
+        match found {
+            Some(origin) => self.after(delay_ms, In::Found(number, Some(origin), false)),
+            None if asked + 1 < MAX_ASKS => {
+                self.after(wait_ms, In::AskHosts(number, key, asked + 1));
+            }
+            None => self.after(delay_ms, In::Found(number, None, false)),
+        }
+    }
+
+    /// Asks control hosts once, before the leader.
+    fn ask_hosts_first(&mut self, number: usize, key: StreamKey) {
+        let (found, is_whole) = self.stored_at_hosts(self.requests[number].entry, key);
+        let delay_ms = match found.is_some() || is_whole {
+            true => self.draw.range(1, 5),
+            false => ASK_TIMEOUT_MS,
+        };
+        self.after(delay_ms, In::Found(number, found, true));
+    }
+
+    /// Returns the origin that control hosts have stored, and whether no call to them was lost.
+    fn stored_at_hosts(&mut self, entry: usize, key: StreamKey) -> (Option<StreamOrigin>, bool) {
         let hosts: Vec<usize> = key
             .asked_hosts(&self.host_names)
             .filter_map(|name| self.host_names.iter().position(|other| other == name))
             .collect();
-        let mut found = None;
-        let mut wait_ms = ASK_AGAIN_MS;
+        let (mut found, mut is_whole) = (None, true);
         for host in hosts {
             if self.is_lost(entry) {
-                wait_ms = CALL_MS;
+                is_whole = false;
             } else if !self.hosts[host].is_down {
                 found = found.or_else(|| self.hosts[host].memory.find(&key).cloned());
             }
         }
-        let delay_ms = self.draw.range(1, 5);
-        match found {
-            Some(origin) => self.after(delay_ms, In::Found(number, Some(origin))),
-            None if asked + 1 < MAX_ASKS => {
-                self.after(wait_ms, In::AskHosts(number, key, asked + 1));
-            }
-            None => self.after(delay_ms, In::Found(number, None)),
-        }
+        (found, is_whole)
     }
 
     fn choose(&mut self, number: usize) {
@@ -947,7 +1069,12 @@
         let is_continuing = request.is_take_up || request.has_events;
         let stream = request.need.version.as_ref().filter(|_| is_continuing);
         let mixes = &self.entries[request.entry].view.version_mixes;
-        request.need.version = required_version(stream, mixes.get(&service()));
+        let mix = request
+            .need
+            .service
+            .as_ref()
+            .and_then(|service| mixes.get(service));
+        request.need.version = required_version(stream, mix);
     }
 
     /// Returns the run that an entry takes for registered under the id of a replica.
@@ -1007,16 +1134,27 @@
         request.need.version = Some(bound.clone());
         request.phase = RequestPhase::Running;
         let (entry, key) = (request.entry, request.search.key);
+        let service = request.need.service.clone().unwrap_or_else(service);
         let is_first = !std::mem::replace(&mut request.has_events, true);
         if let (Some(key), true) = (key, may_record) {
             let account = self.streams[self.requests[number].stream].account.clone();
             self.recorders.entry(key).or_default().insert(account);
-            self.record_origin(entry, key, bound);
+            let origin = StreamOrigin {
+                service: service.clone(),
+                version: bound,
+            };
+            self.record_origin(entry, key, &origin);
         }
-        self.client_receives(number, &true_version, is_first);
+        self.client_receives(number, &service, &true_version, is_first);
     }
 
-    fn client_receives(&mut self, number: usize, version: &SoftwareVersion, is_first: bool) {
+    fn client_receives(
+        &mut self,
+        number: usize,
+        service: &ServiceName,
+        version: &SoftwareVersion,
+        is_first: bool,
+    ) {
         let request = &self.requests[number];
         let counts = u64::from(request.counts && is_first);
         match request.is_take_up {
@@ -1030,8 +1168,14 @@
         let request = &self.requests[number];
         let client = &mut self.streams[request.stream];
         match &client.first {
-            None => client.first = Some((request.id.clone(), version.clone())),
-            Some((_, first)) => self.counts.mixed += u64::from(first != version),
+            None => {
+                client.first = Some((request.id.clone(), version.clone()));
+                client.first_service = Some(service.clone());
+            }
+            Some((_, first)) => {
+                let is_same = first == version && client.first_service.as_ref() == Some(service);
+                self.counts.mixed += u64::from(!is_same);
+            }
         }
         if !is_first {
             return;
@@ -1059,16 +1203,13 @@
 
     // Origins.
 
-    fn record_origin(&mut self, entry: usize, key: StreamKey, version: SoftwareVersion) {
+    fn record_origin(&mut self, entry: usize, key: StreamKey, origin: &StreamOrigin) {
         let keep_ms = self.stream_memory_ms();
-        let origin = StreamOrigin {
-            service: service(),
-            version,
-        };
         let process = &mut self.entries[entry];
-        process.memory.record(self.now_ms, keep_ms, key, &origin);
-        if process.several.contains(&service()) {
-            self.store_at_owners(entry, key, &origin);
+        process.memory.record(self.now_ms, keep_ms, key, origin);
+        let is_moved = process.routes.is_moved(&origin.service, self.now_ms);
+        if process.several.contains(&origin.service) || is_moved {
+            self.store_at_owners(entry, key, origin);
         }
     }
 
