--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -648,7 +648,8 @@
             drain_and_keep(core, &guard.replica, exchange).await;
             return AttemptOutcome::Unknown;
         }
-        let streams = self.route.kind == RouteKind::Streaming && good;
+        let bodiless = head::is_bodiless(&self.request.head.method, head.status);
+        let streams = self.route.kind == RouteKind::Streaming && good && !bodiless;
         if writer.has_begun() && !streams {
             guard.end = AttemptResult::Failed;
             self.log.note("the replica cannot resume the stream");
@@ -733,11 +734,7 @@
         };
         put_back(self.core, &guard.replica, exchange);
         let close = closes_connection(self.core, self.request);
-        let length = body.len().to_string();
-        let mut bytes = self.response_head(head, &[("Content-Length", &length)], close);
-        if self.request.head.method != "HEAD" {
-            bytes.extend_from_slice(&body);
-        }
+        let bytes = self.whole_response(head, &body, close);
         self.log.answered(head.status);
         AttemptOutcome::Answered(finish(writer, &bytes, close).await)
     }
