--- a/tests/part_crashes.rs
+++ b/tests/part_crashes.rs
@@ -120,6 +120,66 @@
     ]
 }
 
+/// Troubles with crashes of other causes, which separate the guilty from the sound less well.
+fn unrelated_troubles() -> Vec<(&'static str, Trouble)> {
+    let nobody = Trouble {
+        guilty: 0,
+        mass_ends: 6,
+        ..Trouble::default()
+    };
+    vec![
+        ("many replicas end at once", nobody.clone()),
+        (
+            "many at once, first without leader",
+            Trouble {
+                leaderless: true,
+                ..nobody.clone()
+            },
+        ),
+        (
+            "many at once, one first part",
+            Trouble {
+                first_parts: 1,
+                leaderless: true,
+                ..nobody.clone()
+            },
+        ),
+        (
+            "many at once, one guilty part",
+            Trouble {
+                guilty: 1,
+                ..nobody
+            },
+        ),
+        (
+            "a new first part, other ends",
+            Trouble {
+                new_first: true,
+                other_ends_a_second: 0.3,
+                ..Trouble::default()
+            },
+        ),
+    ]
+}
+
+#[test]
+fn sound_parts_are_not_refused_as_replicas_end_for_other_reasons() {
+    let troubles = unrelated_troubles().into_iter();
+    let summaries = troubles.map(|(name, trouble)| (name, played(name, trouble, Signals::ALL)));
+    let summaries: Vec<(&str, Summary)> = summaries.collect();
+    for (name, summary) in summaries {
+        assert_eq!(
+            summary.late_sends_over_3, 0,
+            "{name}: sends later than 3 s after the fifth crash"
+        );
+        assert_eq!(
+            summary.sound_parts_barred, 0,
+            "{name}: sound parts held back for good"
+        );
+        assert!(summary.sound_share >= 0.9, "{name}: sound requests");
+    }
+}
+
 #[test]
 fn guilty_parts_are_found_by_their_fifth_crash_and_sound_ones_set_free() {
     for (name, trouble) in troubles() {
--- a/tests/support_parts/mod.rs
+++ b/tests/support_parts/mod.rs
@@ -30,6 +30,17 @@
 /// From the beginning of an answer to the crash.
 const CRASH_AFTER_MS: u64 = 90;
 const DOWN_MS: u64 = 5_000;
+/// When many replicas end at once for the first time, and from one such moment to the next.
+const MASS_ENDS_FROM_MS: u64 = 12_000;
+const MASS_ENDS_EVERY_MS: u64 = 4_000;
+/// Share of the replicas that end at once.
+const MASS_SHARE: f64 = 0.75;
+/// Longest time from the first of these ends to the last.
+const MASS_SPREAD_MS: u64 = 30;
+/// Time for which the control hosts are without a leader when many replicas end first.
+const LEADERLESS_MS: std::ops::Range<u64> = 11_000..14_000;
+/// Most time in which a report reaches the log after a leader is elected.
+const REPORT_RETRY_MS: u64 = 1_000;
 /// `ContactMs` of the users' platform.
 const CONTACT_MS: u64 = 3_000;
 const MAX_WAIT_MS: u64 = 200;
@@ -54,6 +65,12 @@
     pub other_ends_a_second: f64,
     /// Time until which guilty parts run soundly, in seconds.
     pub sound_until_s: f64,
+    /// Number of moments at which many replicas end at once for another reason.
+    pub mass_ends: u64,
+    /// Whether the control hosts have no leader at the first of these moments.
+    pub leaderless: bool,
+    /// Whether the sound first part beside the guilty ones is as new as they are.
+    pub new_first: bool,
 }
 
 impl Default for Trouble {
@@ -70,6 +87,9 @@
             share: 1.0,
             other_ends_a_second: 0.0,
             sound_until_s: 0.0,
+            mass_ends: 0,
+            leaderless: false,
+            new_first: false,
         }
     }
 }
@@ -138,6 +158,8 @@
     /// Sends of each guilty part later than [`CONTACT_MS`] after its fifth crash.
     pub late_sends: Vec<usize>,
     pub sound_barred: usize,
+    /// Sound requests that are refused because a part is quarantined or held together with another.
+    pub sound_refused: usize,
     /// Share of sound requests with a guilty first part that begin, against the share of others.
     pub sound_share: f64,
 }
@@ -198,6 +220,9 @@
     sends: BTreeMap<ContentDigest, Vec<u64>>,
     /// Sound requests and those of them that began, by first part and second.
     sound: BTreeMap<(u64, u64), (u32, u32)>,
+    sound_refused: usize,
+    /// Replicas that end for another reason than their runs, by time.
+    struck: BTreeMap<u64, Vec<usize>>,
     crashes: usize,
     tickets: u64,
 }
@@ -231,6 +256,8 @@
             verdict_at: BTreeMap::new(),
             sends: BTreeMap::new(),
             sound: BTreeMap::new(),
+            sound_refused: 0,
+            struck: BTreeMap::new(),
             crashes: 0,
             tickets: 0,
             trouble,
@@ -239,6 +266,7 @@
     }
 
     pub fn run(mut self) -> Outcome {
+        self.draw_mass_ends();
         while self.now_ms < PLAY_MS {
             self.now_ms += STEP_MS;
             self.apply_log();
@@ -251,13 +279,36 @@
         self.outcome()
     }
 
+    fn draw_mass_ends(&mut self) {
+        for moment in 0..self.trouble.mass_ends {
+            let from_ms = MASS_ENDS_FROM_MS + moment * MASS_ENDS_EVERY_MS;
+            for replica in 0..self.trouble.replicas {
+                if self.random.random_bool(MASS_SHARE) {
+                    let at_ms = from_ms + self.random.random_range(0..MASS_SPREAD_MS);
+                    let struck = self.struck.entry(at_ms / STEP_MS * STEP_MS).or_default();
+                    struck.push(replica);
+                }
+            }
+        }
+    }
+
+    fn is_leaderless(&self, at_ms: u64) -> bool {
+        self.trouble.leaderless && LEADERLESS_MS.contains(&at_ms)
+    }
+
     fn chance(&mut self, a_second: f64) -> bool {
         self.random
             .random_bool((a_second * STEP_MS as f64 / 1000.0).min(1.0))
     }
 
     fn push(&mut self, item: LogItem) {
-        let at = self.now_ms + self.random.random_range(20..80);
+        let mut at = self.now_ms + self.random.random_range(20..80);
+        if self.is_leaderless(at) {
+            if matches!(item, LogItem::Sound(_)) {
+                return;
+            }
+            at = LEADERLESS_MS.end + self.random.random_range(0..REPORT_RETRY_MS);
+        }
         self.log_items += 1;
         self.log.insert((at, self.log_items), item);
     }
@@ -336,7 +387,9 @@
         if self.chance(REQUESTS_A_SECOND) {
             let request = self.request(None);
             let is_guilty = self.trouble.first_is_guilty && request.first == 0;
-            if !is_guilty {
+            let is_early =
+                self.trouble.new_first && request.first == 0 && self.now_ms < GUILTY_MS.start;
+            if !is_guilty && !is_early {
                 self.sound
                     .entry((request.first, self.now_ms / 1000))
                     .or_default()
@@ -362,7 +415,10 @@
             let standing = prompt_standing(&self.known[request.entry], &request.parts);
             let suspects = match standing {
                 PromptStanding::Free => Vec::new(),
-                PromptStanding::Quarantined(_) | PromptStanding::HeldTogether(_) => continue,
+                PromptStanding::Quarantined(_) | PromptStanding::HeldTogether(_) => {
+                    self.sound_refused += usize::from(request.guilty.is_empty());
+                    continue;
+                }
                 PromptStanding::OneAtATime(_) if !self.signals.leases => Vec::new(),
                 PromptStanding::OneAtATime(parts) => parts,
             };
@@ -403,6 +459,9 @@
         parts: &[ContentDigest],
         replica: usize,
     ) -> Result<Vec<SuspectLeaseRelease>, ContentStanding> {
+        if !parts.is_empty() && self.is_leaderless(self.now_ms) {
+            return Err(ContentStanding::Suspect(2));
+        }
         let mut held = Vec::new();
         for part in parts {
             self.tickets += 1;
@@ -457,6 +516,7 @@
         let others = self.trouble.other_ends_a_second;
         let other = self.now_ms < OTHER_ENDS_UNTIL_MS && self.chance(others);
         let struck = self.random.random_range(0..self.replicas.len());
+        let mass = self.struck.remove(&self.now_ms).unwrap_or_default();
         for number in 0..self.replicas.len() {
             let now_ms = self.now_ms;
             let replica = &self.replicas[number];
@@ -468,6 +528,11 @@
                 self.crash(number);
                 continue;
             }
+            if mass.contains(&number) && replica.down_until_ms <= now_ms {
+                self.excuse_lost(number);
+                self.crash(number);
+                continue;
+            }
             let (done, running): (Vec<Run>, Vec<Run>) =
                 std::mem::take(&mut self.replicas[number].runs)
                     .into_iter()
@@ -482,6 +547,16 @@
         }
     }
 
+    /// Leaves the runs that end with a replica for another reason out of the sound requests.
+    fn excuse_lost(&mut self, number: usize) {
+        let lost = self.replicas[number].runs.iter();
+        for run in lost.filter(|run| !run.counted && run.request.guilty.is_empty()) {
+            let second = (run.begins_ms / 1000).min(PLAY_MS / 1000);
+            let counts = self.sound.entry((run.request.first, second)).or_default();
+            counts.1 += 1;
+        }
+    }
+
     fn count_sound(&mut self, mut run: Run) -> Run {
         let sound_ms = run.ends_ms.min(run.begins_ms + BEGINNING_MS);
         if run.counted || run.crashes_ms.is_some() || sound_ms > self.now_ms {
@@ -589,6 +664,7 @@
             crashes: self.crashes,
             late_sends: late_sends.collect(),
             sound_barred: barred.count(),
+            sound_refused: self.sound_refused,
             sound_share: self.sound_share(),
         }
     }
@@ -602,9 +678,9 @@
         });
         let from = (counted.max().unwrap_or(GUILTY_MS.start) + 2 * CONTACT_MS) / 1000 + 1;
         let until = GUILTY_MS.end / 1000;
-        let share = |seconds: std::ops::Range<u64>| {
+        let share = |seconds: std::ops::Range<u64>, is_beside_guilty: bool| {
             let counts = self.sound.iter().filter(|((first, second), _)| {
-                seconds.contains(second) && (*first == 0) != self.trouble.first_is_guilty
+                seconds.contains(second) && (*first == 0) == is_beside_guilty
             });
             let (sent, begun) =
                 counts.fold((0, 0), |(sent, begun), (_, (s, b))| (sent + s, begun + b));
@@ -613,7 +689,10 @@
                 sent => Some(f64::from(begun) / f64::from(sent)),
             }
         };
-        match (share(2..GUILTY_MS.start / 1000 - 1), share(from..until)) {
+        let is_beside_guilty = !self.trouble.first_is_guilty;
+        let was_there = is_beside_guilty && !self.trouble.new_first;
+        let before = share(2..GUILTY_MS.start / 1000 - 1, was_there);
+        match (before, share(from..until, is_beside_guilty)) {
             (Some(before), Some(after)) => after / before,
             _ => 1.0,
         }
@@ -628,6 +707,8 @@
     pub late_sends_over_3: usize,
     pub sound_parts_barred: usize,
     pub sound_share: f64,
+    /// Mean number for each play.
+    sound_refused: f64,
     median_crashes: usize,
     max_crashes: usize,
     max_late_sends: usize,
@@ -637,7 +718,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "by 4th {:.3}, by 5th {:.3}, crashes median {} most {}, late sends most {} (over 3: {}), sound barred {}, sound share least {:.2}",
+            "by 4th {:.3}, by 5th {:.3}, crashes median {} most {}, late sends most {} (over 3: {}), sound barred {}, sound share least {:.2}, sound refused {:.1} a play",
             self.verdict_by_fourth,
             self.verdict_by_fifth,
             self.median_crashes,
@@ -645,11 +726,17 @@
             self.max_late_sends,
             self.late_sends_over_3,
             self.sound_parts_barred,
-            self.sound_share
+            self.sound_share,
+            self.sound_refused
         )
     }
 }
 
+fn mean(counts: impl ExactSizeIterator<Item = usize>) -> f64 {
+    let plays = counts.len().max(1);
+    counts.sum::<usize>() as f64 / plays as f64
+}
+
 pub fn summarize(plays: u64, play: impl Fn(u64) -> Outcome) -> Summary {
     let outcomes: Vec<Outcome> = (1..=plays).map(play).collect();
     let verdicts: Vec<Option<usize>> = outcomes
@@ -675,6 +762,7 @@
             .iter()
             .map(|o| o.sound_share)
             .fold(f64::MAX, f64::min),
+        sound_refused: mean(outcomes.iter().map(|outcome| outcome.sound_refused)),
         median_crashes: crashes[crashes.len() / 2],
         max_crashes: crashes.last().copied().unwrap_or(0),
         max_late_sends: late.into_iter().max().unwrap_or(0),
