--- a/tests/part_crashes.rs
+++ b/tests/part_crashes.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use dunlinspring::consensus::part_crashes::{
-    MAX_PARTS, PartCrashReport, PartStanding, PartStore, SoundReport,
+    MAX_PARTS, PartCrashReport, PartStanding, PartStore, SoundReport, TRIAL_MS,
 };
 use dunlinspring::consensus::state::{Command, SiteState, Stamped};
 use dunlinspring::ids::{
@@ -120,6 +120,66 @@
     ]
 }
 
+/// Troubles with crashes of other causes, which separate the guilty from the sound less well.
+fn unrelated_troubles() -> Vec<(&'static str, Trouble)> {
+    let nobody = Trouble {
+        guilty: 0,
+        mass_ends: 6,
+        ..Trouble::default()
+    };
+    vec![
+        ("many replicas end at once", nobody.clone()),
+        (
+            "many at once, first without leader",
+            Trouble {
+                leaderless: true,
+                ..nobody.clone()
+            },
+        ),
+        (
+            "many at once, one first part",
+            Trouble {
+                first_parts: 1,
+                leaderless: true,
+                ..nobody.clone()
+            },
+        ),
+        (
+            "many at once, one guilty part",
+            Trouble {
+                guilty: 1,
+                ..nobody
+            },
+        ),
+        (
+            "a new first part, other ends",
+            Trouble {
+                new_first: true,
+                other_ends_a_second: 0.3,
+                ..Trouble::default()
+            },
+        ),
+    ]
+}
+
+#[test]
+fn sound_parts_are_not_refused_as_replicas_end_for_other_reasons() {
+    let troubles = unrelated_troubles().into_iter();
+    let summaries = troubles.map(|(name, trouble)| (name, played(name, trouble, Signals::ALL)));
+    let summaries: Vec<(&str, Summary)> = summaries.collect();
+    for (name, summary) in summaries {
+        assert_eq!(
+            summary.late_sends_over_3, 0,
+            "{name}: sends later than 3 s after the fifth crash"
+        );
+        assert_eq!(
+            summary.sound_parts_barred, 0,
+            "{name}: sound parts held back for good"
+        );
+        assert!(summary.sound_share >= 0.9, "{name}: sound requests");
+    }
+}
+
 #[test]
 fn guilty_parts_are_found_by_their_fifth_crash_and_sound_ones_set_free() {
     for (name, trouble) in troubles() {
@@ -207,7 +267,7 @@
         leased: BTreeSet::from([part(1)]),
         ..sound(1, 1)
     };
-    store.record_sound(&run);
+    store.record_sound(&run, 0);
     assert_eq!(store.standing(&part(1)), PartStanding::Watched);
     assert_eq!(store.standing(&part(2)), PartStanding::Barred);
 }
@@ -218,8 +278,8 @@
     for replica in 1..=4 {
         store.record(&crash(replica, &[1]), 0);
     }
-    assert!(!store.lift(&part(1)).is_empty());
-    assert!(store.lift(&part(1)).is_empty());
+    assert!(!store.lift(&part(1), 0).is_empty());
+    assert!(store.lift(&part(1), 0).is_empty());
     assert_eq!(store.standing(&part(1)), PartStanding::Suspect);
     store.record(&crash(5, &[1]), 0);
     assert_eq!(store.standing(&part(1)), PartStanding::Barred);
@@ -237,7 +297,7 @@
     }
     assert_eq!(store.standing(&part(1)), PartStanding::Barred);
     assert_eq!(store.standing(&part(2)), PartStanding::Suspect);
-    store.lift(&part(1));
+    store.lift(&part(1), 0);
     assert_eq!(store.standing(&part(2)), PartStanding::Harmless);
 }
 
@@ -261,7 +321,7 @@
         store.record(&crash(replica, &[1]), 0);
     }
     store.record(&crash(4, &[2]), 0);
-    let changed = store.prune(1);
+    let changed = store.prune(1, 1);
     assert_eq!(changed, BTreeMap::from([(part(2), PartStanding::Harmless)]));
     assert_eq!(store.standing(&part(1)), PartStanding::Barred);
 }
@@ -298,6 +358,38 @@
     assert_eq!(read, state);
 }
 
+#[test]
+fn a_sound_part_is_free_again_after_a_trial() {
+    let mut store = PartStore::default();
+    for replica in 1..=4 {
+        store.record(&crash(replica, &[1]), 0);
+    }
+    assert_eq!(store.start_trials(TRIAL_MS - 1), BTreeMap::new());
+    let held = BTreeMap::from([(part(1), PartStanding::Held)]);
+    assert_eq!(store.start_trials(TRIAL_MS), held);
+    let run = SoundReport {
+        leased: BTreeSet::from([part(1)]),
+        ..sound(1, 1)
+    };
+    store.record_sound(&run, TRIAL_MS);
+    assert_eq!(store.standing(&part(1)), PartStanding::Watched);
+}
+
+#[test]
+fn a_guilty_part_has_three_trials() {
+    let mut store = PartStore::default();
+    for replica in 1..=4 {
+        store.record(&crash(replica, &[1]), 0);
+    }
+    for trial in 1..=3 {
+        store.start_trials(trial * TRIAL_MS);
+        assert_eq!(store.standing(&part(1)), PartStanding::Held);
+        store.record(&crash(4 + trial, &[1]), trial * TRIAL_MS);
+        assert_eq!(store.standing(&part(1)), PartStanding::Barred);
+    }
+    assert_eq!(store.start_trials(100 * TRIAL_MS), BTreeMap::new());
+}
+
 #[test]
 fn a_sound_part_is_not_quarantined_by_an_unrelated_crash_while_it_is_held() {
     let mut store = PartStore::default();
