A long line between chunks is refused in whatever pieces it comes

What callers saw: a chunked answer whose chunk extension or trailer line was longer than 1,024 bytes was passed on or broken off by how the network had cut it.

Cause: the limit was checked only while the line was incomplete; a line that came in one piece passed.

Ruled out: accepting longer lines, as the bound is on what an entry buffers.

--- a/src/forward/chunked.rs
+++ b/src/forward/chunked.rs
@@ -89,6 +89,8 @@
 /// Returns the first line without its end, and its length including the end.
 fn line(bytes: &[u8]) -> Result<Option<(&[u8], usize)>, ChunkError> {
     match bytes.iter().position(|byte| *byte == b'\n') {
+        // Refused in whatever pieces it comes.
+        Some(end) if end > MAX_LINE_BYTES => Err(ChunkError),
         Some(end) if end > 0 && bytes[end - 1] == b'\r' => Ok(Some((&bytes[..end - 1], end + 1))),
         Some(_) => Err(ChunkError),
         None if bytes.len() > MAX_LINE_BYTES => Err(ChunkError),
