An answer that came before the request was sent survives the close

What callers saw: a replica that refuses a long request from its head and closes the connection, as for want of room, was reported as lost: 502 "it may have run" in place of the next replica, by chance.

Cause: a failed write ended the exchange although the answer lay in the receive buffer.

Evidence: the test, 503 before a reset under a request of 64 MB, got no answer on the code before. Now reading goes on after a failed write, and only an end of the response ends the exchange. Such a connection isn't reused, as before, since the request was not sent whole.

Ruled out: that the kernel discards what came before a reset; it hands it out first.

--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -380,6 +380,7 @@
 ) -> Result<ResponseHead, ExchangeError> {
     let peer = connection.peer;
     let broken = |source| ExchangeError::Broken { peer, source };
+    let mut is_writable = true;
     loop {
         let parsed = head::parse_response(&connection.buffer, request.method);
         match parsed {
@@ -401,9 +402,11 @@
         connection.buffer.reserve(READ_SIZE);
         let (mut reader, mut writer) = connection.stream.split();
         tokio::select! {
-            sent = writer.write(left), if !left.is_empty() => {
-                *written += sent.map_err(broken)?;
-            }
+            sent = writer.write(left), if is_writable && !left.is_empty() => match sent {
+                Ok(count) => *written += count,
+                // The response may have come before the replica closed the connection.
+                Err(_) => is_writable = false,
+            },
             read = reader.read_buf(&mut connection.buffer) => {
                 if read.map_err(broken)? == 0 {
                     return Err(ExchangeError::Closed { peer });
--- a/tests/response_reader.rs
+++ b/tests/response_reader.rs
@@ -236,3 +236,35 @@
         prop_assert_eq!(read_as_sent(&response), response.expected());
     }
 }
+
+#[test]
+fn an_answer_that_came_before_the_request_was_sent_is_not_lost_to_the_close() {
+    let runtime = { tokio::runtime::Builder::new_current_thread() }
+        .enable_all()
+        .build()
+        .unwrap();
+    let read = runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let limit = Duration::from_secs(60);
+        let (opened, accepted) = tokio::join!(Connection::open(address, limit), listener.accept());
+        let (mut stream, _) = accepted.unwrap();
+        let answer = b"HTTP/1.1 503 Busy\r\nId: 1\r\nContent-Length: 0\r\n\r\n";
+        stream.write_all(answer).await.unwrap();
+        // Unread bytes make the close a reset; the request is longer than any socket buffer.
+        let bytes = vec![b'x'; 64 * 1024 * 1024];
+        let request = OutgoingRequest {
+            bytes: &bytes,
+            method: "POST",
+            identity: Some(("Id", "1")),
+            on_head: &|_| {},
+        };
+        let closes = async {
+            stream.read_exact(&mut [0; 1]).await.unwrap();
+            drop(stream);
+        };
+        let (sent, ()) = tokio::join!(Exchange::send(opened.unwrap(), &request), closes);
+        sent.map(|(_, head)| head.status).ok()
+    });
+    assert_eq!(read, Some(503));
+}
