Searches for origins of streams that run at once at an entry ask together

As an entry dies, clients take its streams up at others. Each search there asked the leader and up to five control hosts for itself: 1,000 take-ups at once were 1,000 calls to the leader and 1,000 to each control host and round.

A search adds its question to a queue: one for each service to the leader, one for each control host. The first question is sent at once, those that come within the next 10 ms go out with one call; a call to a control host names 2,048 streams at most (find_origins in place of find_origin; the protocol is 11). A reply serves only searches that waited as its call was sent: what it says may not hold for later ones. An unanswered call does not hold up the next one, and each search keeps its own time limits.

Ruled out: one call under way at a time: without a leader, a call retries for as long as its first search has time, and later searches would wait behind it.

a_herd_of_take_ups_does_not_ask_for_each_stream, 1,000 take-ups at once with one control host. Its bound is the rate of calls, whatever the machine.

--- a/src/control/relay.rs
+++ b/src/control/relay.rs
@@ -465,8 +465,8 @@
         peers::lock(&self.origins).record_batch(clock::monotonic_ms(), &batch);
     }
 
-    async fn find_origin(self, _: Context, key: StreamKey) -> Option<StreamOrigin> {
-        peers::lock(&self.origins).find(&key).cloned()
+    async fn find_origins(self, _: Context, keys: Vec<StreamKey>) -> Vec<Option<StreamOrigin>> {
+        peers::lock(&self.origins).find_all(&keys)
     }
 
     async fn version_mix(
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -23,6 +23,7 @@
 pub mod locality;
 pub mod max_wait;
 pub mod need;
+pub mod origin_questions;
 pub mod own_answer;
 pub mod permits;
 pub mod prefix_reuse;
--- a/src/forward/stream_origins.rs
+++ b/src/forward/stream_origins.rs
@@ -6,14 +6,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures::StreamExt;
-use futures::stream::FuturesUnordered;
-
 use crate::clock;
 use crate::consensus::software_versions::{SoftwareVersion, VersionMix};
 use crate::forward::daemon::EntryCore;
+use crate::forward::origin_questions::OriginQuestions;
 use crate::ids::ServiceName;
-use crate::process::wire::ControlWireClient;
 use crate::process::{daemon, peers};
 use crate::routing::route_changes::RouteChanges;
 use crate::routing::stream_origins::{
@@ -24,25 +21,21 @@
 use crate::table::configuration::Configuration;
 
 /// Timeout of one call to a control host.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time after which an origin that could not be stored is dropped, in milliseconds: the client has
 /// come back meanwhile.
 const STORE_TIME_MS: u64 = 5_000;
 /// Delay before a failed call to a control host is repeated.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Most origins in one call.
-const MAX_BATCH_STREAMS: usize = 2_048;
+/// Most origins in one call, and most streams whose origins are asked for in one.
+pub(super) const MAX_BATCH_STREAMS: usize = 2_048;
 /// Most origins that wait for one control host.
 const MAX_QUEUED_STREAMS: usize = 16_384;
 /// Origins are collected for the number of entries divided by this, in milliseconds, so that the
 /// calls that control hosts receive do not grow with the number of entries.
 const ENTRIES_PER_MS: u32 = 4;
-/// Delay before control hosts are asked once more for an origin that may still be in transit.
-const ASK_AGAIN_DELAY: Duration = Duration::from_millis(60);
 /// Number of times that control hosts are asked for an origin.
 const MAX_ASKS: u32 = 3;
-/// Longest wait for the replies of control hosts before they are asked once more.
-const ASK_TIMEOUT: Duration = Duration::from_millis(200);
 /// The leader is asked for the time of a search divided by this, at most: control hosts may know the
 /// origin while there is no leader.
 const LEADER_TIME_DIVISOR: u32 = 2;
@@ -75,6 +68,7 @@
     /// Software versions of services, as this entry knows.
     mixes: RefCell<BTreeMap<ServiceName, VersionMix>>,
     routes: RefCell<RouteChanges>,
+    pub(super) questions: OriginQuestions,
     entries: Cell<u32>,
 }
 
@@ -276,46 +270,6 @@
         };
         tokio::time::timeout(timeout, find).await.ok().flatten()
     }
-
-    /// Returns which versions serve, as the leader knows.
-    async fn ask_leader(&self, service: &ServiceName, timeout: Duration) -> Option<VersionMix> {
-        let call = |client: ControlWireClient, context| {
-            let service = service.clone();
-            async move { client.version_mix(context, service).await }
-        };
-        let mix = self.link().call_leader("version_mix", timeout, call).await;
-        mix.ok().flatten()
-    }
-
-    /// Asks control hosts for an origin, up to `rounds` times.
-    async fn ask_hosts(&self, key: StreamKey, rounds: u32) -> Option<StreamOrigin> {
-        for round in 0..rounds {
-            if round > 0 {
-                tokio::time::sleep(ASK_AGAIN_DELAY).await;
-            }
-            let hosts = self.link().addresses();
-            let asked = key.asked_hosts(&hosts);
-            let calls = asked.map(|host| {
-                self.link()
-                    .call_at(host, "find_origin", |client| async move {
-                        client.find_origin(peers::within(CALL_TIMEOUT), key).await
-                    })
-            });
-            let mut calls: FuturesUnordered<_> = calls.collect();
-            let first_found = async {
-                while let Some(reply) = calls.next().await {
-                    if let Ok(Some(origin)) = reply {
-                        return Some(origin);
-                    }
-                }
-                None
-            };
-            if let Ok(Some(origin)) = tokio::time::timeout(ASK_TIMEOUT, first_found).await {
-                return Some(origin);
-            }
-        }
-        None
-    }
 }
 
 /// Sends the origins that are queued for a control host until there are none.
--- a/src/process/wire.rs
+++ b/src/process/wire.rs
@@ -36,7 +36,7 @@
 
 /// Protocol version. Incremented with each change of a type on the wire; peers with another
 /// version are refused.
-pub const PROTOCOL: u32 = 10;
+pub const PROTOCOL: u32 = 11;
 
 /// Reason why a control host refused a call.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -251,8 +251,9 @@
     async fn naming(request: PaxosRequest) -> PaxosReply;
     /// Stores the origins of streams on this host, whether or not it keeps the log.
     async fn store_origins(batch: OriginBatch);
-    /// Returns the origin of a stream, if this host has stored it.
-    async fn find_origin(key: StreamKey) -> Option<StreamOrigin>;
+    /// Returns the origins of streams in the order of their keys, `None` for those that this host has
+    /// not stored.
+    async fn find_origins(keys: Vec<StreamKey>) -> Vec<Option<StreamOrigin>>;
     /// Reads which software versions a service runs; linearizable.
     async fn version_mix(service: ServiceName) -> Result<Option<VersionMix>, ControlRefusal>;
     /// Reads the prompt parts that ran when replicas crashed; linearizable.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -9,6 +9,7 @@
 pub mod lifecycle;
 pub mod limited_peers;
 pub mod permit_throttle;
+pub mod question_queue;
 pub mod refusals;
 pub mod retry;
 pub mod route;
--- a/src/routing/stream_origins.rs
+++ b/src/routing/stream_origins.rs
@@ -130,6 +130,12 @@
         found.and_then(Option::as_deref)
     }
 
+    /// Returns the origins of streams in the order of their keys, `None` for those that are not known.
+    pub fn find_all(&self, keys: &[StreamKey]) -> Vec<Option<StreamOrigin>> {
+        let origins = keys.iter().map(|key| self.find(key).cloned());
+        origins.collect()
+    }
+
     /// Returns the known origins of a service's streams.
     pub fn of_service<'a>(
         &'a self,
--- a/tests/forwarding/versions.rs
+++ b/tests/forwarding/versions.rs
@@ -1,6 +1,9 @@
 //! Streams whose replicas run several software versions.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+use dunlinspring::routing::question_queue::ASK_INTERVAL_MS;
+use futures::future::join_all;
 
 use super::support::{Behaviour, ForwardSite, Response, RouteShape, wait_for};
 
@@ -93,3 +96,76 @@
     assert_eq!(answer.status, 503);
     assert_eq!(site.seen("r1").len(), 1);
 }
+
+/// Number of streams that are taken up at once.
+const HERD: u32 = 1_000;
+
+/// Returns the sum of the first entry's counters whose series begin so.
+async fn counted(site: &ForwardSite, series: &str) -> u64 {
+    let metrics = site.metrics().await;
+    let lines = metrics.lines().filter(|line| line.starts_with(series));
+    let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok());
+    values.sum()
+}
+
+/// Takes up streams that began elsewhere, all at once, and checks the number of calls by which the
+/// entry learns of their origins.
+async fn check_herd(site: &ForwardSite, name: &str) {
+    let take_ups = "dunlinspring_take_ups_total";
+    let calls =
+        ["host", "leader"].map(|to| format!("dunlinspring_origin_calls_total{{to=\"{to}\"}}"));
+    let taken_up_before = counted(site, take_ups).await;
+    let mut before = Vec::new();
+    for series in &calls {
+        before.push(counted(site, series).await);
+    }
+    let started = Instant::now();
+    let herd = (0..HERD).map(|number| async move {
+        let (id, resumes) = (
+            format!("{name}-{number}"),
+            format!("elsewhere-{name}-{number}"),
+        );
+        site.send_take_up(0, "/resumed/x", &id, &resumes, 2).await
+    });
+    let answers = join_all(herd).await;
+    let elapsed_ms = started.elapsed().as_millis() as u64;
+    assert!(
+        answers
+            .iter()
+            .all(|answer| [200, 503].contains(&answer.status))
+    );
+    let taken_up = counted(site, take_ups).await - taken_up_before;
+    assert_eq!(taken_up, u64::from(HERD));
+    for (series, before) in calls.iter().zip(before) {
+        let count = counted(site, series).await - before;
+        println!("{name}: {series}: {count} calls for {HERD} take-ups in {elapsed_ms} ms");
+        assert!(
+            count <= elapsed_ms / ASK_INTERVAL_MS + 2,
+            "{series}: {count}"
+        );
+    }
+}
+
+/// Waits until streams of unknown origin are refused, as several versions serve.
+async fn until_several(site: &ForwardSite) {
+    let mut number = 0;
+    wait_for("two versions to serve", async || {
+        number += 1;
+        let (id, resumes) = (format!("probe-{number}"), format!("nowhere-{number}"));
+        let answer = site.send_take_up(0, "/resumed/x", &id, &resumes, 2).await;
+        (answer.status == 503).then_some(())
+    })
+    .await;
+}
+
+#[ntex::test]
+async fn a_herd_of_take_ups_does_not_ask_for_each_stream() {
+    let mut site = ForwardSite::start(&[RESUMED]).await;
+    site.add_versioned_replica("r1", "v1", vec![Behaviour::Events(4); 9 * HERD as usize])
+        .await;
+    check_herd(&site, "sole").await;
+    site.add_versioned_replica("r2", "v2", vec![Behaviour::Events(4); 9 * HERD as usize])
+        .await;
+    until_several(&site).await;
+    check_herd(&site, "several").await;
+}
