A leader confirms no version of a service whose routes have lately moved

Callers whose route had moved to another service, and who took their stream up at an entry that had just started, got events of the new service if the attempt that they named was known to nobody.

Cause: an entry that starts after a change of routes does not know of it. It asks control hosts once and then the leader, which confirmed that one version serves at the service of the route; from that follows nothing about a stream that began at another service. An entry with an older configuration had the same.

A leader now follows the configurations in its log, as entries do, and confirms no version of a service while streams may return that its routes sent elsewhere. Such a take-up is refused with a time to return.

A leader whose process started after the change knows as little as the entry.

--- a/src/routing/route_changes.rs
+++ b/src/routing/route_changes.rs
@@ -1,8 +1,9 @@
-//! Whether the service that began a stream follows from the route of its requests, as one entry
+//! Whether the service that began a stream follows from the route of its requests, as one process
 //! knows. Pure: the caller passes in the time.
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::consensus::software_versions::VersionMix;
 use crate::ids::ServiceName;
 use crate::table::configuration::Configuration;
 
@@ -20,7 +21,7 @@
 pub enum RouteHistory {
     /// To this service alone.
     Steady,
-    /// Not known: this entry has just started.
+    /// Not known: this process has just started.
     Unaware,
     /// To this service and to others.
     Moved,
@@ -33,7 +34,7 @@
     split: BTreeSet<ServiceName>,
     /// Services whose routes have led elsewhere.
     rerouted: BTreeMap<ServiceName, Rerouting>,
-    /// Until when a route may have led elsewhere without this entry knowing of it.
+    /// Until when a route may have led elsewhere without this process knowing of it.
     unaware_until_ms: u64,
 }
 
@@ -94,3 +95,34 @@
         rerouting.map_or(0, |rerouting| rerouting.keep_ms)
     }
 }
+
+/// Changes of the routes as a voter sees them in the log.
+#[derive(Clone, Debug, Default)]
+pub struct RouteFollower {
+    changes: RouteChanges,
+    configuration: Option<Configuration>,
+}
+
+impl RouteFollower {
+    /// Records the configuration in force, if it is newer than the last one.
+    pub fn follow(&mut self, now_ms: u64, configuration: &Configuration) {
+        let known = self.configuration.as_ref();
+        if known.is_none_or(|known| known.version < configuration.version) {
+            self.changes.update(now_ms, known, configuration);
+            self.configuration = Some(configuration.clone());
+        }
+    }
+
+    /// Returns the versions of a service as a leader confirms them: nothing while a stream may return
+    /// that a route of the service led elsewhere, as its origin does not follow from them. An entry
+    /// may have started, or hear of the change, after the stream began.
+    pub fn confirmed_mix(
+        &self,
+        service: &ServiceName,
+        now_ms: u64,
+        mix: Option<&VersionMix>,
+    ) -> Option<VersionMix> {
+        let is_moved = self.changes.is_moved(service, now_ms);
+        mix.filter(|_| !is_moved).cloned()
+    }
+}
--- a/tests/forwarding/moved_routes.rs
+++ b/tests/forwarding/moved_routes.rs
@@ -119,3 +119,16 @@
     let answer = take_up(&site, entry).await;
     assert_eq!(answer.status, 503, "{}", answer.body);
 }
+
+#[ntex::test]
+async fn an_entry_that_started_after_a_route_moved_continues_no_stream_that_nobody_knows() {
+    let mut site = site_with_a_broken_stream().await;
+    change_route(&site, MOVED).await;
+    let entry = site.add_entry().await;
+    site.known_at(entry, "r2").await;
+    let answer = site
+        .send_take_up(entry, "/resumed/x", "again", "unknown", 2)
+        .await;
+    assert_eq!(answer.status, 503, "{}", answer.body);
+    assert!(answer.header("retry-after").is_some());
+}
--- a/tests/stream_take_ups/main.rs
+++ b/tests/stream_take_ups/main.rs
@@ -406,3 +406,8 @@
 fn streams_are_not_mixed_as_their_route_moves_to_another_service_and_entries_start() {
     play("route moved", |seed| with_rerouting(seed, 0));
 }
+
+#[test]
+fn streams_go_on_that_begin_at_entries_started_after_their_route_moved() {
+    check_plays("begun after a route moved", |seed| with_rerouting(seed, 0));
+}
--- a/tests/stream_take_ups/model.rs
+++ b/tests/stream_take_ups/model.rs
@@ -12,7 +12,7 @@
 use dunlinspring::forward::replica_table::{Choice, EngineBounds, ReplicaTable};
 use dunlinspring::ids::{ModelName, Position, ReplicaId, ServiceName, VersionName};
 use dunlinspring::placement::version_settlement::VersionSettlement;
-use dunlinspring::routing::route_changes::RouteChanges;
+use dunlinspring::routing::route_changes::{RouteChanges, RouteFollower};
 use dunlinspring::routing::stream_origins::{
     EventBinding, EventSource, OriginMemory, OriginSearch, OriginSource, OriginStep, StreamKey,
     StreamOrigin, TakeUpRefusal, bind_events, may_send, mixed_services, required_version,
@@ -358,6 +358,8 @@
     events: BTreeMap<(u64, u64), PlayEvent>,
     state: SiteState,
     settlement: VersionSettlement,
+    /// Routes as all voters have seen them.
+    routes: RouteFollower,
     leaderless_until_ms: u64,
     host_names: Vec<String>,
     hosts: Vec<ControlHost>,
@@ -430,6 +432,7 @@
             events: BTreeMap::new(),
             state: SiteState::default(),
             settlement: VersionSettlement::default(),
+            routes: RouteFollower::default(),
             leaderless_until_ms: 0,
             host_names: (0..setup.hosts).map(|n| format!("control-{n}")).collect(),
             hosts: (0..setup.hosts).map(|_| ControlHost::default()).collect(),
@@ -639,6 +642,9 @@
             command,
         };
         self.state.apply(position, &stamped);
+        if let Some(record) = &self.state.configuration {
+            self.routes.follow(self.now_ms, &record.configuration);
+        }
         for entry in 0..self.entries.len() {
             self.send_page(entry);
         }
@@ -977,8 +983,9 @@
             return self.after(RETRY_MS, In::AskLeader(number));
         }
         let search = &self.requests[number].search;
-        let mixes = self.state.versions().mixes();
-        let mix: Option<VersionMix> = mixes.get(&search.service).cloned();
+        let mix: Option<&VersionMix> = self.state.versions().mixes().get(&search.service);
+        let routes = &self.routes;
+        let mix = routes.confirmed_mix(&search.service, self.now_ms, mix);
         let step = search.after_leader(mix);
         self.take_step(number, step);
     }
