dunlinspring versions shows the software versions of each service

Which versions the replicas of a service run could be read from logs and metrics alone. The verb reads the leader's state as `halls` does (the read is shared now) and lists, by service, whether one version is sole, a second one is opening, or several serve, and for each version its replicas, the ready and the draining ones, and the earliest start that one of them reports.

--- a/src/bin/dunlinspring.rs
+++ b/src/bin/dunlinspring.rs
@@ -1,6 +1,6 @@
 //! The operators' command line, including the demo and the load generator.
 
-use dunlinspring::cli::{accounts, commands, contents, halls};
+use dunlinspring::cli::{accounts, commands, contents, halls, versions};
 use dunlinspring::process::arguments;
 
 #[ntex::main]
@@ -19,6 +19,7 @@
         Some("accounts") => accounts::accounts(rest).await,
         Some("contents") => contents::contents(rest).await,
         Some("halls") => halls::halls(rest).await,
+        Some("versions") => versions::versions(rest).await,
         Some("check") => commands::check(rest),
         Some("demo") => commands::demo(rest).await,
         Some("load") => commands::load(rest).await,
--- a/src/cli/commands.rs
+++ b/src/cli/commands.rs
@@ -37,6 +37,8 @@
   halls evacuate NAME --control IP:PORT --secret-file FILE
   halls restore NAME --control IP:PORT --secret-file FILE
                                      stop or resume sending requests to a data hall
+  versions --control IP:PORT --secret-file FILE [--json]
+                                     software versions of each service
   explain ID FILE...                 timeline of a request, from the logs of all processes
   explain --day FILE...              counts of late, refused and lost requests
   explain --target ID [--lease-ms N] FILE...
--- a/src/cli/halls.rs
+++ b/src/cli/halls.rs
@@ -4,7 +4,7 @@
 
 use crate::cli::{commands, control};
 use crate::consensus::state::Command;
-use crate::ids::{HallName, Position};
+use crate::ids::HallName;
 use crate::process::peers::ControlLink;
 use crate::process::wire::ControlWireClient;
 use crate::routing::view::SiteView;
@@ -68,21 +68,8 @@
     text
 }
 
-async fn read(link: &ControlLink) -> Result<SiteView, String> {
-    let call = |client: ControlWireClient, context| async move {
-        client.sync(context, Position(0), 0, true).await
-    };
-    let reply = link
-        .call_leader("sync", control::LEADER_TIMEOUT, call)
-        .await;
-    let page = reply.map_err(|error| error.to_string())?;
-    let mut view = SiteView::default();
-    view.follow(&page);
-    Ok(view)
-}
-
 async fn list(link: &ControlLink, as_json: bool) -> Result<i32, String> {
-    let rows = rows(&read(link).await?);
+    let rows = rows(&control::read_view(link).await?);
     match as_json {
         true => println!("{}", control::json(&rows)?),
         false => print!("{}", table(&rows)),
@@ -91,7 +78,7 @@
 }
 
 async fn propose(link: &ControlLink, name: &str, command: Command) -> Result<i32, String> {
-    let rows = rows(&read(link).await?);
+    let rows = rows(&control::read_view(link).await?);
     if !rows.contains_key(&HallName::from(name)) {
         let known: Vec<&str> = rows.keys().map(HallName::as_str).collect();
         let known = known.join(", ");
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -13,3 +13,4 @@
 pub mod load;
 mod log_line;
 pub mod order_audit;
+pub mod versions;
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -4,10 +4,13 @@
 
 use std::process::Command;
 
-use dunlinspring::cli::{accounts, contents, halls};
+use dunlinspring::cli::{accounts, contents, halls, versions};
 use dunlinspring::consensus::crashes::{CrashReport, CrashStore};
-use dunlinspring::consensus::directory::ReplicaRecord;
-use dunlinspring::ids::{AccountName, ContentDigest, HallName, ReplicaId, ReplicaIncarnation};
+use dunlinspring::consensus::directory::{ReplicaPhase, ReplicaRecord};
+use dunlinspring::consensus::software_versions::{SoftwareVersion, VersionMix};
+use dunlinspring::ids::{
+    AccountName, ContentDigest, HallName, ReplicaId, ReplicaIncarnation, ServiceName, VersionName,
+};
 use dunlinspring::process::wire::{AccountStatus, LimitStatus};
 use dunlinspring::routing::view::SiteView;
 use dunlinspring::table::accounts::{QuotaSpec, QuotaUnit};
@@ -24,7 +27,8 @@
 #[test]
 fn every_command_prints_help() {
     for command in [
-        "table", "status", "accounts", "contents", "halls", "check", "demo", "load", "explain",
+        "table", "status", "accounts", "contents", "halls", "versions", "check", "demo", "load",
+        "explain",
     ] {
         let (success, text) = run(&[command, "--help"]);
         assert!(success, "{command}: {text}");
@@ -170,6 +174,64 @@
     assert!(!success && text.contains("evacuate NAME"), "{text}");
 }
 
+#[test]
+fn versions_are_shown_a_line_each_with_the_state_of_their_service() {
+    let named = |name: &str| SoftwareVersion::Named(VersionName::from(name));
+    let mut view = SiteView::default();
+    let mixes = [
+        ("drafts", VersionMix::Opening(named("v1"))),
+        ("gone", VersionMix::Sole(named("v3"))),
+        ("llm", VersionMix::Several),
+    ];
+    for (service, mix) in mixes {
+        view.version_mixes.insert(ServiceName::from(service), mix);
+    }
+    let replicas = [
+        ("r1", "drafts", "v1", ReplicaPhase::Draining, 7_000),
+        ("r2", "drafts", "v1", ReplicaPhase::Ready, 6_000),
+        ("r3", "drafts", "v2", ReplicaPhase::Ready, 9_000),
+        ("r4", "llm", "", ReplicaPhase::Silent, 5_000),
+        ("r5", "llm", "v2", ReplicaPhase::Ready, 0),
+        ("r6", "new", "v1", ReplicaPhase::Ready, 8_000),
+    ];
+    for (id, service, version, phase, started_ms) in replicas {
+        let record = ReplicaRecord {
+            phase,
+            started_ms,
+            ..ready_replica(id, service)
+        };
+        if !version.is_empty() {
+            let incarnation = record.incarnation();
+            view.versions
+                .insert(incarnation, VersionName::from(version));
+        }
+        view.replicas.insert(record.id.clone(), record);
+    }
+    insta::assert_snapshot!(versions::table(&versions::rows(&view)), @r"
+service                  state    version                  replicas  ready draining   first start ms
+drafts                   opening  v1                              2      1        1             6000
+drafts                   opening  v2                              1      1        0             9000
+gone                     sole     v3                              0      0        0                -
+llm                      several  unnamed, r4@5000                1      0        0             5000
+llm                      several  v2                              1      1        0                -
+new                      unknown  v1                              1      1        0             8000
+");
+}
+
+#[test]
+fn versions_names_a_missing_option_or_an_unexpected_argument() {
+    let (success, text) = run(&["versions", "-c", "127.0.0.1:1"]);
+    assert!(!success && text.contains("secret-file"), "{text}");
+    let secret = tempfile::NamedTempFile::new().unwrap();
+    std::fs::write(secret.path(), "a secret that is long enough").unwrap();
+    let file = secret.path().to_str().unwrap();
+    let (success, text) = run(&["versions", "v1", "-c", "127.0.0.1:1", "-s", file]);
+    assert!(
+        !success && text.contains("unexpected argument 'v1'"),
+        "{text}"
+    );
+}
+
 #[test]
 fn contents_names_a_missing_option_or_invalid_digest() {
     let (success, text) = run(&["contents", "-c", "127.0.0.1:1"]);
