A crash during one run by itself no longer quarantines a sound part for good

The part had run in the three crashes of the guilty one, so both were held; a replica was restarted as a run of the sound part by itself began there, and one such crash was enough, whatever ended the replica.

A crash of a held part now convicts it only if no other part that may be guilty explains the same crashes; else two are needed. And a quarantined part is tried again, held, 10 s later if it had run soundly and has fewer than five crashes, else 10 minutes later; after three crashes of a run by itself it stays quarantined until an operator lifts it. So no part is held back for one coincidence, and a guilty one has at most three requests more.

Not built: to count a held crash only some time after the one before, which by reasoning delays the verdict on a guilty part by a crash.

--- a/src/consensus/part_crashes.rs
+++ b/src/consensus/part_crashes.rs
@@ -6,6 +6,10 @@
 //! proves nothing by itself. Two more signals separate a guilty part from those that ran beside it:
 //! runs of the part that went on after their beginning, and crashes that another guilty part explains
 //! already. Where neither decides, a part is held: it runs one at a time until a run shows which it is.
+//!
+//! A replica may also end for another reason as a held part begins to run. So a crash of a held part
+//! convicts it only if no other part explains the same crashes, and a quarantined part is held once
+//! more after a while, for a trial.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -26,6 +30,16 @@
 const DISTINGUISHING_CRASHES: usize = 2;
 /// Sound runs for each crash after which a part is no longer watched.
 const CLEARING_SOUND_PER_CRASH: u32 = 16;
+/// Crashes of a held part that convict it while another part explains the same crashes.
+const RIVAL_HELD_CRASHES: usize = 2;
+/// Time from the quarantine of a part that had run soundly to its first trial, in milliseconds.
+const DOUBTFUL_TRIAL_MS: u64 = 10_000;
+/// Time from the quarantine to a trial otherwise, in milliseconds.
+pub const TRIAL_MS: u64 = 600_000;
+/// Crashes from which a part has no early trial: guilty ones cost a replica.
+const MAX_EARLY_TRIAL_CRASHES: u32 = 5;
+/// Crashes of a held part after which it has no trial.
+const MAX_HELD_CRASHES: usize = 3;
 /// Crashes remembered for each part, the newest.
 const MAX_KNOWN_CRASHES: usize = 8;
 /// Maximum number of watched parts: 400 kB of state.
@@ -61,7 +75,7 @@
     Suspect,
     /// Runs one at a time, and not together with another held part.
     Held,
-    /// Not sent again until an operator lifts the quarantine.
+    /// Not sent, until a trial after a while or until an operator lifts the quarantine.
     Barred,
 }
 
@@ -159,6 +173,18 @@
         self.sound_before || (self.sound > 0 && self.crashes < CERTAIN_CRASHES)
     }
 
+    /// Whether a quarantined part is tried again. It may have been quarantined as replicas ended for
+    /// other reasons.
+    fn is_trial_due(&self, clock_ms: u64) -> bool {
+        let held_crashes = self.held_crashes.len();
+        let is_early = held_crashes <= 1 && self.crashes < MAX_EARLY_TRIAL_CRASHES;
+        let wait_ms = match self.is_doubtful() && is_early {
+            true => DOUBTFUL_TRIAL_MS,
+            false => TRIAL_MS,
+        };
+        held_crashes < MAX_HELD_CRASHES && clock_ms >= self.last_ms.saturating_add(wait_ms)
+    }
+
     fn has_crashed(&mut self, replica: &ReplicaIncarnation, clock_ms: u64) {
         self.known_crashes.push_back(replica.clone());
         if self.known_crashes.len() > MAX_KNOWN_CRASHES {
@@ -239,20 +265,26 @@
         while self.records.len() > MAX_PARTS {
             self.evict_least();
         }
-        self.judge(&before)
+        self.judge(&before, clock_ms)
     }
 
-    /// Whether nothing but this part can be guilty of a crash that happened while it was held.
+    /// Whether nothing but this part can be guilty of enough crashes that happened while it was held.
     fn is_convicted(&self, part: &ContentDigest, record: &PartRecord) -> bool {
-        let alone = |crash: &ReplicaIncarnation| {
-            let mut others = self.records.iter().filter(|(other, _)| *other != part);
-            others.all(|(_, other)| !other.known_crashes.contains(crash) || !other.is_suspicious())
+        let others = || self.records.iter().filter(|(other, _)| *other != part);
+        let alone = |crash: &&ReplicaIncarnation| {
+            others()
+                .all(|(_, other)| !other.known_crashes.contains(crash) || !other.is_suspicious())
         };
-        record.held_crashes.iter().any(alone)
+        let held = record.held_crashes.iter().filter(alone).count();
+        let mut may_be_guilty = others().filter(|(_, other)| other.may_be_guilty());
+        match may_be_guilty.any(|(_, other)| record.rivals(other, &BTreeSet::new())) {
+            true => held >= RIVAL_HELD_CRASHES,
+            false => held > 0,
+        }
     }
 
     /// Records sound runs. Returns the changed standings.
-    pub fn record_sound(&mut self, report: &SoundReport) -> PartStandings {
+    pub fn record_sound(&mut self, report: &SoundReport, clock_ms: u64) -> PartStandings {
         let before = self.standings();
         for (part, runs) in &report.runs {
             let Some(record) = self.records.get_mut(part) else {
@@ -269,12 +301,12 @@
                 && record.sound >= CLEARING_SOUND_PER_CRASH * record.crashes
         };
         self.records.retain(|_, record| !is_clear(record));
-        self.judge(&before)
+        self.judge(&before, clock_ms)
     }
 
     /// Lifts the quarantine of a part at an operator's request. It remains suspect, and one more
     /// crash quarantines it again. Returns the changed standings, none if it was not quarantined.
-    pub fn lift(&mut self, part: &ContentDigest) -> PartStandings {
+    pub fn lift(&mut self, part: &ContentDigest, clock_ms: u64) -> PartStandings {
         if self.standing(part) != PartStanding::Barred {
             return PartStandings::new();
         }
@@ -286,17 +318,28 @@
             record.forget(&crashes);
         }
         self.records.retain(|_, record| record.crashes > 0);
-        self.judge(&before)
+        self.judge(&before, clock_ms)
     }
 
     /// Removes parts without a crash since `before_ms`, except quarantined ones. Returns the changed
     /// standings.
-    pub fn prune(&mut self, before_ms: u64) -> PartStandings {
+    pub fn prune(&mut self, before_ms: u64, clock_ms: u64) -> PartStandings {
         let before = self.standings();
         self.records.retain(|_, record| {
             record.standing() == PartStanding::Barred || record.last_ms >= before_ms
         });
-        self.judge(&before)
+        self.judge(&before, clock_ms)
+    }
+
+    /// Holds quarantined parts whose trial is due. Returns the changed standings.
+    pub fn start_trials(&mut self, clock_ms: u64) -> PartStandings {
+        let is_due = |record: &PartRecord| {
+            record.standing() == PartStanding::Barred && record.is_trial_due(clock_ms)
+        };
+        match self.records.values().any(is_due) {
+            true => self.judge(&self.standings(), clock_ms),
+            false => PartStandings::new(),
+        }
     }
 
     /// Evicts the part with the fewest crashes, the oldest among these; quarantined ones last.
@@ -312,11 +355,12 @@
     }
 
     /// Judges all parts anew. Returns the standings that differ from those before.
-    fn judge(&mut self, before: &PartStandings) -> PartStandings {
+    fn judge(&mut self, before: &PartStandings, clock_ms: u64) -> PartStandings {
         let verdicts = self.verdicts();
         let mut changed = PartStandings::new();
         for (part, record) in &mut self.records {
             let standing = match verdicts.get(part) {
+                Some(PartStanding::Barred) if record.is_trial_due(clock_ms) => PartStanding::Held,
                 Some(standing) => *standing,
                 None if record.is_suspect() => PartStanding::Suspect,
                 None => PartStanding::Watched,
--- a/src/consensus/state.rs
+++ b/src/consensus/state.rs
@@ -415,7 +415,7 @@
                     let count = self.crashes.count(digest);
                     self.record_content_changes(CrashCounts::from([(*digest, count)]));
                 }
-                let changed = self.parts.lift(digest);
+                let changed = self.parts.lift(digest, self.clock_ms);
                 let part = !changed.is_empty();
                 self.record_part_changes(changed);
                 Reply::Lifted(content || part)
@@ -426,7 +426,7 @@
                 Reply::None
             }
             Command::PartsSound(report) => {
-                let changed = self.parts.record_sound(report);
+                let changed = self.parts.record_sound(report, self.clock_ms);
                 self.record_part_changes(changed);
                 Reply::None
             }
@@ -526,6 +526,8 @@
     fn advance_clock(&mut self, at_ms: u64) {
         let last_ms = self.clock_ms;
         self.clock_ms = self.clock_ms.max(at_ms);
+        let tried = self.parts.start_trials(self.clock_ms);
+        self.record_part_changes(tried);
         if self.clock_ms / PRUNE_INTERVAL_MS == last_ms / PRUNE_INTERVAL_MS {
             return;
         }
@@ -534,7 +536,7 @@
         self.claims.prune(before_ms);
         let forgotten = self.crashes.prune(before_ms);
         self.record_content_changes(forgotten);
-        let forgotten = self.parts.prune(before_ms);
+        let forgotten = self.parts.prune(before_ms, self.clock_ms);
         self.record_part_changes(forgotten);
     }
 
--- a/tests/part_crashes.rs
+++ b/tests/part_crashes.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use dunlinspring::consensus::part_crashes::{
-    MAX_PARTS, PartCrashReport, PartStanding, PartStore, SoundReport,
+    MAX_PARTS, PartCrashReport, PartStanding, PartStore, SoundReport, TRIAL_MS,
 };
 use dunlinspring::consensus::state::{Command, SiteState, Stamped};
 use dunlinspring::ids::{
@@ -267,7 +267,7 @@
         leased: BTreeSet::from([part(1)]),
         ..sound(1, 1)
     };
-    store.record_sound(&run);
+    store.record_sound(&run, 0);
     assert_eq!(store.standing(&part(1)), PartStanding::Watched);
     assert_eq!(store.standing(&part(2)), PartStanding::Barred);
 }
@@ -278,8 +278,8 @@
     for replica in 1..=4 {
         store.record(&crash(replica, &[1]), 0);
     }
-    assert!(!store.lift(&part(1)).is_empty());
-    assert!(store.lift(&part(1)).is_empty());
+    assert!(!store.lift(&part(1), 0).is_empty());
+    assert!(store.lift(&part(1), 0).is_empty());
     assert_eq!(store.standing(&part(1)), PartStanding::Suspect);
     store.record(&crash(5, &[1]), 0);
     assert_eq!(store.standing(&part(1)), PartStanding::Barred);
@@ -297,7 +297,7 @@
     }
     assert_eq!(store.standing(&part(1)), PartStanding::Barred);
     assert_eq!(store.standing(&part(2)), PartStanding::Suspect);
-    store.lift(&part(1));
+    store.lift(&part(1), 0);
     assert_eq!(store.standing(&part(2)), PartStanding::Harmless);
 }
 
@@ -321,7 +321,7 @@
         store.record(&crash(replica, &[1]), 0);
     }
     store.record(&crash(4, &[2]), 0);
-    let changed = store.prune(1);
+    let changed = store.prune(1, 1);
     assert_eq!(changed, BTreeMap::from([(part(2), PartStanding::Harmless)]));
     assert_eq!(store.standing(&part(1)), PartStanding::Barred);
 }
@@ -358,6 +358,38 @@
     assert_eq!(read, state);
 }
 
+#[test]
+fn a_sound_part_is_free_again_after_a_trial() {
+    let mut store = PartStore::default();
+    for replica in 1..=4 {
+        store.record(&crash(replica, &[1]), 0);
+    }
+    assert_eq!(store.start_trials(TRIAL_MS - 1), BTreeMap::new());
+    let held = BTreeMap::from([(part(1), PartStanding::Held)]);
+    assert_eq!(store.start_trials(TRIAL_MS), held);
+    let run = SoundReport {
+        leased: BTreeSet::from([part(1)]),
+        ..sound(1, 1)
+    };
+    store.record_sound(&run, TRIAL_MS);
+    assert_eq!(store.standing(&part(1)), PartStanding::Watched);
+}
+
+#[test]
+fn a_guilty_part_has_three_trials() {
+    let mut store = PartStore::default();
+    for replica in 1..=4 {
+        store.record(&crash(replica, &[1]), 0);
+    }
+    for trial in 1..=3 {
+        store.start_trials(trial * TRIAL_MS);
+        assert_eq!(store.standing(&part(1)), PartStanding::Held);
+        store.record(&crash(4 + trial, &[1]), trial * TRIAL_MS);
+        assert_eq!(store.standing(&part(1)), PartStanding::Barred);
+    }
+    assert_eq!(store.start_trials(100 * TRIAL_MS), BTreeMap::new());
+}
+
 #[test]
 fn a_sound_part_is_not_quarantined_by_an_unrelated_crash_while_it_is_held() {
     let mut store = PartStore::default();
--- a/tests/support_parts/mod.rs
+++ b/tests/support_parts/mod.rs
@@ -314,11 +314,15 @@
     }
 
     fn apply_log(&mut self) {
+        let tried = self.store.start_trials(self.now_ms);
+        if !tried.is_empty() {
+            self.history.push_back((self.now_ms, tried));
+        }
         let later = self.log.split_off(&(self.now_ms + 1, 0));
         for item in std::mem::replace(&mut self.log, later).into_values() {
             let changed = match item {
                 LogItem::Crash(report) => self.store.record(&report, self.now_ms),
-                LogItem::Sound(report) => self.store.record_sound(&report),
+                LogItem::Sound(report) => self.store.record_sound(&report, self.now_ms),
             };
             for part in &self.guilty {
                 let together: &[ContentDigest] = match self.trouble.together {
