Replicas that crash at the same moment count once for a part of prompts

The log now knows when a crash was observed (its age goes with the report, as reports wait for a leader), and crashes of four or more replicas within 100 ms count once for each part, and nothing as a run by itself. Whether a part had run soundly before its first crash is taken from all reports of that moment: it was lost where another replica of the moment was reported between two of them.

Not built: to count such crashes not at all, which would leave a part that reaches many replicas at once without a verdict.

--- a/src/agent/shell.rs
+++ b/src/agent/shell.rs
@@ -24,7 +24,7 @@
 use crate::consensus::state::MemberRole;
 use crate::ids::{AttemptId, Incarnation, ModelName, Position, ReplicaId, ReplicaIncarnation};
 use crate::placement::target_controller::AgentHeartbeat;
-use crate::process::crash_report;
+use crate::process::crash_report::{self, BegunParts};
 use crate::process::daemon::{self, DaemonError};
 use crate::process::member::{self, SiteFollower};
 use crate::process::metrics::{MetricKey, MetricRegistry};
@@ -325,7 +325,11 @@
     );
     // Entries report sound runs, and this process knows of none before.
     let parts = crashed.parts.into_iter().map(|part| (part, false));
-    crash_report::report_crash(&agent.link, &report, parts.collect()).await;
+    let begun = BegunParts {
+        parts: parts.collect(),
+        observed_ms: clock::monotonic_ms(),
+    };
+    crash_report::report_crash(&agent.link, &report, begun).await;
 }
 
 /// Starts the runs that the engine can take, and sends due orders one at a time.
--- a/src/consensus/mod.rs
+++ b/src/consensus/mod.rs
@@ -6,6 +6,7 @@
 //! and socket I/O is in [`crate::control`].
 
 pub mod claims;
+pub mod crash_causes;
 pub mod crashes;
 pub mod directory;
 pub mod entries;
--- a/src/consensus/part_crashes.rs
+++ b/src/consensus/part_crashes.rs
@@ -15,6 +15,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::consensus::crash_causes::MANY_CRASHES;
 use crate::consensus::crashes::ContentStanding;
 use crate::ids::{ContentDigest, ReplicaIncarnation};
 
@@ -54,6 +55,15 @@
     pub parts: BTreeMap<ContentDigest, bool>,
 }
 
+/// Crash of a replica, and when it was observed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ObservedPartCrash {
+    /// Parts that had just begun.
+    pub report: PartCrashReport,
+    /// Time from the crash to this report, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// Runs of watched parts at one entry that went on after their beginning.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SoundReport {
@@ -197,6 +207,27 @@
         self.last_ms = clock_ms;
     }
 
+    /// Whether it is known to have crashed no replica before these.
+    fn began_with(&self, crashes: &BTreeSet<ReplicaIncarnation>) -> bool {
+        self.crashes as usize == self.known_crashes.len()
+            && self
+                .known_crashes
+                .iter()
+                .all(|crash| crashes.contains(crash))
+    }
+
+    /// Counts crashes of the same moment, which have a cause in common, as one that proves nothing
+    /// of a run by itself.
+    fn merge(&mut self, moment: &BTreeSet<ReplicaIncarnation>) {
+        let known = self.known_crashes.len();
+        let mut is_first = true;
+        self.known_crashes
+            .retain(|crash| !moment.contains(crash) || std::mem::take(&mut is_first));
+        self.held_crashes.retain(|crash| !moment.contains(crash));
+        let merged = known - self.known_crashes.len();
+        self.crashes = self.crashes.saturating_sub(merged as u32);
+    }
+
     /// Makes a quarantined part a suspect with two crashes. Returns its known crashes before.
     fn lift(&mut self) -> VecDeque<ReplicaIncarnation> {
         let known = self.known_crashes.clone();
@@ -253,6 +284,17 @@
     /// Records the crash of a replica. A crash counts once per part, however many entries report it
     /// and however often. Returns the changed standings.
     pub fn record(&mut self, report: &PartCrashReport, clock_ms: u64) -> PartStandings {
+        let moment = BTreeSet::from([report.replica.clone()]);
+        self.record_moment(report, &moment, clock_ms)
+    }
+
+    /// Records the crash of a replica, given all replicas that crashed at the same moment.
+    pub fn record_moment(
+        &mut self,
+        report: &PartCrashReport,
+        moment: &BTreeSet<ReplicaIncarnation>,
+        clock_ms: u64,
+    ) -> PartStandings {
         let before = self.standings();
         for (part, sound_before) in &report.parts {
             let record = self.records.entry(*part).or_default();
@@ -260,7 +302,12 @@
                 record.has_crashed(&report.replica, clock_ms);
             }
             // Entries that saw the same first crash may know more.
-            record.sound_before |= *sound_before && record.crashes == 1;
+            record.sound_before |= *sound_before && record.began_with(moment);
+        }
+        if moment.len() >= MANY_CRASHES {
+            self.records
+                .values_mut()
+                .for_each(|record| record.merge(moment));
         }
         while self.records.len() > MAX_PARTS {
             self.evict_least();
--- a/src/consensus/state.rs
+++ b/src/consensus/state.rs
@@ -6,12 +6,13 @@
 use serde::{Deserialize, Serialize};
 
 use crate::consensus::claims::{ClaimKey, ClaimReply, ClaimRequest, ClaimStore, Settlement};
+use crate::consensus::crash_causes::CrashCauses;
 use crate::consensus::crashes::{ContentStanding, CrashCounts, CrashReport, CrashStore};
 use crate::consensus::directory::{
     AdapterEffect, HeartbeatStatus, ReplicaDirectory, ReplicaRecord,
 };
 use crate::consensus::part_crashes::{
-    PartCrashReport, PartStanding, PartStandings, PartStore, SoundReport,
+    ObservedPartCrash, PartCrashReport, PartStanding, PartStandings, PartStore, SoundReport,
 };
 use crate::consensus::software_versions::{
     ReplicaHeartbeat, SoftwareVersion, VersionMix, VersionStore,
@@ -161,6 +162,8 @@
     VersionSettled(ServiceName, SoftwareVersion, u64),
     /// Lets streams of a service begin at all of its software versions.
     VersionsOpened(ServiceName),
+    /// The same as [`Command::PartsCrashed`], with the time of the crash.
+    PartCrashObserved(ObservedPartCrash),
 }
 
 /// Result of [`Command::Configure`].
@@ -286,12 +289,15 @@
     journal: VecDeque<(Position, Change)>,
     journal_from: Position,
     /// Prompt parts that ran when replicas crashed. Snapshots of earlier versions end before this
-    /// field or the next one.
+    /// field or one of the next.
     #[serde(deserialize_with = "last_field::read_or_default")]
     parts: PartStore,
     /// Software versions of the replicas.
     #[serde(deserialize_with = "last_field::read_or_default")]
     versions: VersionStore,
+    /// Causes of recent crashes.
+    #[serde(deserialize_with = "last_field::read_or_default")]
+    crash_causes: CrashCauses,
 }
 
 impl SiteState {
@@ -425,6 +431,15 @@
                 self.record_part_changes(changed);
                 Reply::None
             }
+            Command::PartCrashObserved(crash) => {
+                let at_ms = self.clock_ms.saturating_sub(crash.age_ms);
+                let moment = self.crash_causes.record(&crash.report.replica, at_ms);
+                let changed = self
+                    .parts
+                    .record_moment(&crash.report, &moment, self.clock_ms);
+                self.record_part_changes(changed);
+                Reply::None
+            }
             Command::PartsSound(report) => {
                 let changed = self.parts.record_sound(report, self.clock_ms);
                 self.record_part_changes(changed);
--- a/src/forward/crashes.rs
+++ b/src/forward/crashes.rs
@@ -23,6 +23,7 @@
 use crate::forward::sound_runs::SoundRuns;
 use crate::forward::upstream::{Connection, ExchangeError};
 use crate::ids::{ContentDigest, ReplicaIncarnation};
+use crate::process::crash_report::BegunParts;
 use crate::process::{crash_report, daemon};
 use crate::routing::suspects::{PromptStanding, SuspectIndex, prompt_standing};
 use crate::routing::view::SiteView;
@@ -90,6 +91,8 @@
 /// investigation.
 pub struct CrashInvestigation {
     at: SentTo,
+    /// When the first connection was lost, by the monotonic clock.
+    lost_ms: u64,
     runs: RefCell<ExposedRuns>,
     finished: Cell<bool>,
     done: Notify,
@@ -112,6 +115,8 @@
 struct WatchedReplica {
     at: SentTo,
     runs: ExposedRuns,
+    /// When its connections were lost, by the monotonic clock; `None` if none was.
+    lost_ms: Option<u64>,
     until_ms: u64,
 }
 
@@ -153,11 +158,12 @@
         }
     }
 
-    fn watch(&self, at: SentTo, runs: ExposedRuns, for_ms: u64) {
+    fn watch(&self, at: SentTo, runs: ExposedRuns, lost_ms: Option<u64>, for_ms: u64) {
         let mut watched = self.watched.borrow_mut();
         watched.push_back(WatchedReplica {
             at,
             runs,
+            lost_ms,
             until_ms: clock::monotonic_ms() + for_ms,
         });
         if watched.len() > MAX_WATCHED {
@@ -165,18 +171,21 @@
         }
     }
 
-    /// Removes a crashed incarnation from the watch list and returns what may have run there.
-    fn take_watched(&self, ended: &ReplicaIncarnation) -> ExposedRuns {
+    /// Removes a crashed incarnation from the watch list. Returns what may have run there, and when
+    /// its connections were lost.
+    fn take_watched(&self, ended: &ReplicaIncarnation) -> (ExposedRuns, Option<u64>) {
         let now_ms = clock::monotonic_ms();
         let mut watched = self.watched.borrow_mut();
         let same =
             |other: &WatchedReplica| other.at.incarnation == *ended && other.until_ms > now_ms;
+        let lost_ms = watched.iter().filter(|other| same(other));
+        let lost_ms = lost_ms.filter_map(|other| other.lost_ms).min();
         let mut runs = ExposedRuns::default();
         for other in watched.iter().filter(|other| same(other)) {
             runs.extend(other.runs.clone());
         }
         watched.retain(|other| other.at.incarnation != *ended);
-        runs
+        (runs, lost_ms)
     }
 
     /// Returns the standing of a content: harmless, suspect or quarantined.
@@ -201,6 +210,7 @@
         let investigation = known.unwrap_or_else(|| {
             let investigation = Rc::new(CrashInvestigation {
                 at: at.clone(),
+                lost_ms: clock::monotonic_ms(),
                 runs: RefCell::default(),
                 finished: Cell::new(false),
                 done: Notify::new(),
@@ -216,7 +226,7 @@
     /// Watches a replica for which a sent request was abandoned, as the caller left or the time ran
     /// out: it may still run the request.
     pub fn abandon_run(&self, at: SentTo, runs: ExposedRuns) {
-        self.crashes.watch(at, runs, ABANDONED_MS);
+        self.crashes.watch(at, runs, None, ABANDONED_MS);
     }
 
     /// Whether a replica still runs that has just closed a connection without telling whether its
@@ -260,9 +270,16 @@
             .collect();
         drop(watched);
         for incarnation in ended {
-            let runs = self.crashes.take_watched(&incarnation);
+            let (runs, lost_ms) = self.crashes.take_watched(&incarnation);
+            let lost_ms = lost_ms.unwrap_or(now_ms);
             let proof = "replica restarted";
-            daemon::spawn_local(report_crash(self.clone(), incarnation, runs, proof));
+            daemon::spawn_local(report_crash(
+                self.clone(),
+                incarnation,
+                runs,
+                lost_ms,
+                proof,
+            ));
         }
     }
 }
@@ -286,15 +303,19 @@
     let probe = probe_repeatedly(&core, &investigation.at).await;
     core.crashes.open.borrow_mut().remove(&incarnation);
     let mut runs = investigation.runs.borrow().clone();
+    let lost_ms = investigation.lost_ms;
+    let watch = |runs, for_ms| {
+        let at = investigation.at.clone();
+        core.crashes.watch(at, runs, Some(lost_ms), for_ms);
+    };
     match probe {
         Probe::Ended => {
-            runs.extend(core.crashes.take_watched(&incarnation));
-            report_crash(core.clone(), incarnation, runs, "connection refused").await;
+            runs.extend(core.crashes.take_watched(&incarnation).0);
+            let proof = "connection refused";
+            report_crash(core.clone(), incarnation, runs, lost_ms, proof).await;
         }
-        Probe::Alive => core
-            .crashes
-            .watch(investigation.at.clone(), runs, SHORT_WATCH_MS),
-        Probe::Silent => core.crashes.watch(investigation.at.clone(), runs, WATCH_MS),
+        Probe::Alive => watch(runs, SHORT_WATCH_MS),
+        Probe::Silent => watch(runs, WATCH_MS),
     }
     investigation.finished.set(true);
     investigation.done.notify_waiters();
@@ -358,13 +379,17 @@
     core: Rc<EntryCore>,
     replica: ReplicaIncarnation,
     runs: ExposedRuns,
+    lost_ms: u64,
     proof: &'static str,
 ) {
     core.count("dunlinspring_replica_crashes_total", &[]);
     log_crash(&replica, &runs, proof);
     let parts = runs.parts.iter();
     let parts = parts.map(|part| (*part, core.crashes.sound_runs.has_run(part)));
-    let parts = parts.collect();
+    let begun = BegunParts {
+        parts: parts.collect(),
+        observed_ms: lost_ms,
+    };
     let report = CrashReport {
         replica,
         contents: runs.contents,
@@ -373,7 +398,7 @@
         .suspects
         .borrow_mut()
         .record_crash(&report, None);
-    if let Some(position) = crash_report::report_crash(core.link(), &report, parts).await {
+    if let Some(position) = crash_report::report_crash(core.link(), &report, begun).await {
         let mut suspects = core.crashes.suspects.borrow_mut();
         suspects.record_crash(&report, Some(position));
     }
--- a/src/process/crash_report.rs
+++ b/src/process/crash_report.rs
@@ -4,8 +4,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::clock;
 use crate::consensus::crashes::CrashReport;
-use crate::consensus::part_crashes::{PartCrashReport, SoundReport};
+use crate::consensus::part_crashes::{ObservedPartCrash, PartCrashReport, SoundReport};
 use crate::consensus::state::Command;
 use crate::ids::{ContentDigest, Position, ReplicaIncarnation};
 use crate::process::member;
@@ -19,26 +20,44 @@
 /// leader.
 const MAX_REPORT_ATTEMPTS: u32 = 60;
 
+/// Prompt parts that had just begun at a replica when it crashed.
+#[derive(Clone, Debug)]
+pub struct BegunParts {
+    /// The parts, and whether each had run soundly before.
+    pub parts: BTreeMap<ContentDigest, bool>,
+    /// When the crash was observed, by the monotonic clock.
+    pub observed_ms: u64,
+}
+
+impl BegunParts {
+    fn report(&self, replica: &ReplicaIncarnation) -> ObservedPartCrash {
+        ObservedPartCrash {
+            report: PartCrashReport {
+                replica: replica.clone(),
+                parts: self.parts.clone(),
+            },
+            age_ms: clock::monotonic_ms().saturating_sub(self.observed_ms),
+        }
+    }
+}
+
 /// Reports a crash to the log until it is committed: the contents that ran and, if there are any, the
-/// prompt parts that had just begun, each with whether it had run soundly before. Returns the
-/// position of the contents, or `None` after the last attempt.
+/// prompt parts that had just begun. Returns the position of the contents, or `None` after the last
+/// attempt.
 pub async fn report_crash(
     link: &ControlLink,
     report: &CrashReport,
-    parts: BTreeMap<ContentDigest, bool>,
+    begun: BegunParts,
 ) -> Option<Position> {
     let replica = &report.replica;
     let commit_parts = async {
-        if !parts.is_empty() {
-            let report = PartCrashReport {
-                replica: replica.clone(),
-                parts,
-            };
-            commit_crash(link, replica, &Command::PartsCrashed(report)).await;
+        if !begun.parts.is_empty() {
+            let parts = || Command::PartCrashObserved(begun.report(replica));
+            commit_crash(link, replica, parts).await;
         }
     };
-    let contents = Command::Crashed(report.clone());
-    let commit_contents = commit_crash(link, replica, &contents);
+    let contents = || Command::Crashed(report.clone());
+    let commit_contents = commit_crash(link, replica, contents);
     let (position, ()) = futures::join!(commit_contents, commit_parts);
     position
 }
@@ -46,10 +65,10 @@
 async fn commit_crash(
     link: &ControlLink,
     replica: &ReplicaIncarnation,
-    command: &Command,
+    command: impl Fn() -> Command,
 ) -> Option<Position> {
     for _ in 0..MAX_REPORT_ATTEMPTS {
-        match member::propose_at(link, "crash", REPORT_TIMEOUT, command.clone()).await {
+        match member::propose_at(link, "crash", REPORT_TIMEOUT, command()).await {
             Ok((position, _)) => return Some(position),
             Err(error) => {
                 tracing::warn!(%error, %replica, "crash report not committed");
