A quarantined part that has run soundly is tried again early, however many of four crashes it has

A part with five crashes still waits 10 minutes, so that a guilty one has no early request after its fifth crash.

--- a/src/consensus/part_crashes.rs
+++ b/src/consensus/part_crashes.rs
@@ -188,7 +188,8 @@
     fn is_trial_due(&self, clock_ms: u64) -> bool {
         let held_crashes = self.held_crashes.len();
         let is_early = held_crashes <= 1 && self.crashes < MAX_EARLY_TRIAL_CRASHES;
-        let wait_ms = match self.is_doubtful() && is_early {
+        let has_run_soundly = self.sound_before || self.sound > 0;
+        let wait_ms = match has_run_soundly && is_early {
             true => DOUBTFUL_TRIAL_MS,
             false => TRIAL_MS,
         };
