The end of a replica that had drained is no crash in the log, however late it is reported

Callers of a harmless content were refused in soaks of releases, as planned ends counted as crashes. An entry asks whether the replica drains as the connection breaks, by its own view: one that has not followed the drain yet, or whose view no longer has the replica, reports a crash. The log, which has the drain before its answer is sent, now remembers the last 1,024 replicas that drained by incarnation, and drops reports of contents and of parts of prompts on them.

The test the_end_of_a_replica_that_had_drained_is_no_crash guards the log's side; the soaks of releases were not traced again, so that this is their cause is suspected. Replicas that end without a drain, or before it is committed, count as before.

--- a/src/consensus/crash_causes.rs
+++ b/src/consensus/crash_causes.rs
@@ -1,5 +1,7 @@
 //! Causes of replica crashes other than what ran there, as far as the replicated log shows.
 //!
+//! The end of a replica that drains is planned, however late an entry observes it.
+//!
 //! A request crashes the replicas that it reaches one after the other. Many that crash at the same
 //! moment have a cause in common, such as a loss of power or of the network.
 
@@ -15,6 +17,8 @@
 const MOMENT_MS: u64 = 100;
 /// Maximum number of remembered crashes.
 const MAX_RECENT: usize = 1_024;
+/// Maximum number of remembered replicas that are leaving or have left.
+const MAX_LEAVING: usize = 1_024;
 
 /// Crash of one replica.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -29,9 +33,27 @@
 pub struct CrashCauses {
     /// In the order of their reports.
     recent: VecDeque<RecentCrash>,
+    /// Replicas that drain or have drained, oldest first.
+    leaving: VecDeque<ReplicaIncarnation>,
 }
 
 impl CrashCauses {
+    /// Records that a replica drains: its end is planned.
+    pub fn leaves(&mut self, replica: &ReplicaIncarnation) {
+        if self.leaving.contains(replica) {
+            return;
+        }
+        self.leaving.push_back(replica.clone());
+        if self.leaving.len() > MAX_LEAVING {
+            self.leaving.pop_front();
+        }
+    }
+
+    /// Whether the end of a replica is planned.
+    pub fn is_planned(&self, replica: &ReplicaIncarnation) -> bool {
+        self.leaving.contains(replica)
+    }
+
     /// Records a crash that was observed at a time by the state's clock. Returns the replicas that
     /// crashed at the same moment, with this one.
     pub fn record(
--- a/src/consensus/state.rs
+++ b/src/consensus/state.rs
@@ -9,7 +9,7 @@
 use crate::consensus::crash_causes::CrashCauses;
 use crate::consensus::crashes::{ContentStanding, CrashCounts, CrashReport, CrashStore};
 use crate::consensus::directory::{
-    AdapterEffect, HeartbeatStatus, ReplicaDirectory, ReplicaRecord,
+    AdapterEffect, HeartbeatStatus, ReplicaDirectory, ReplicaPhase, ReplicaRecord,
 };
 use crate::consensus::part_crashes::{
     ObservedPartCrash, PartCrashReport, PartStanding, PartStandings, PartStore, SoundReport,
@@ -396,6 +396,7 @@
             Command::ReplicaDrains(id) => {
                 if self.replicas.mark_draining(id) {
                     self.record_replica_change(id);
+                    self.remember_leaving(id);
                 }
                 Reply::None
             }
@@ -404,6 +405,12 @@
                 self.voter_hosts.insert(*node, host.clone());
                 Reply::None
             }
+            Command::Crashed(CrashReport { replica, .. })
+            | Command::PartsCrashed(PartCrashReport { replica, .. })
+            | Command::PartCrashObserved(ObservedPartCrash {
+                report: PartCrashReport { replica, .. },
+                ..
+            }) if self.crash_causes.is_planned(replica) => Reply::None,
             Command::Crashed(report) => {
                 let changed = self.crashes.record(report, self.clock_ms);
                 self.record_content_changes(changed);
@@ -709,9 +716,18 @@
         if before != after {
             self.record_change(Change::Replica(record.id.clone(), after));
         }
+        self.remember_leaving(&record.id);
         Reply::None
     }
 
+    fn remember_leaving(&mut self, id: &ReplicaId) {
+        let record = self.replicas.records().get(id);
+        let record = record.filter(|record| record.phase == ReplicaPhase::Draining);
+        if let Some(incarnation) = record.map(ReplicaRecord::incarnation) {
+            self.crash_causes.leaves(&incarnation);
+        }
+    }
+
     /// Records the software version of a replica's current incarnation.
     fn observe_version(&mut self, record: &ReplicaRecord, version: Option<&VersionName>) {
         let incarnation = record.incarnation();
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -1,15 +1,22 @@
 //! Contents during whose runs replicas crashed: crash counts in the log, leases for attempts of
 //! suspects, and the counts that a member uses before it has followed the log.
 
+#[path = "support_replicas/mod.rs"]
+mod support_replicas;
+
+use std::collections::{BTreeMap, BTreeSet};
+
 use dunlinspring::consensus::crashes::{
     ContentStanding, CrashCounts, CrashReport, CrashStore, MAX_CONTENTS,
 };
+use dunlinspring::consensus::part_crashes::{ObservedPartCrash, PartCrashReport, PartStanding};
 use dunlinspring::consensus::state::{Change, Command, Reply, SiteState, Stamped};
 use dunlinspring::ids::{ContentDigest, Position, ReplicaId, ReplicaIncarnation};
 use dunlinspring::placement::suspect_leases::{
     SuspectLeaseRelease, SuspectLeaseReply, SuspectLeaseRequest, SuspectLeases,
 };
 use dunlinspring::routing::suspects::SuspectIndex;
+use support_replicas::ready_replica;
 
 const DAY_MS: u64 = 24 * 3600 * 1000;
 
@@ -129,6 +136,41 @@
     assert!(all.contains(&expected));
 }
 
+#[test]
+fn the_end_of_a_replica_that_had_drained_is_no_crash() {
+    let mut state = SiteState::default();
+    let mut apply = |command: Command| {
+        let position = Position(state.position.0 + 1);
+        state.apply(position, &Stamped { at_ms: 1, command });
+    };
+    for born_ms in 1..=3 {
+        let mut leaving = ready_replica("r", "s");
+        leaving.started_ms = born_ms;
+        let replica = leaving.incarnation();
+        let parts = BTreeMap::from([(content(2), false)]);
+        let parts_crash = PartCrashReport {
+            replica: replica.clone(),
+            parts,
+        };
+        let crash = CrashReport {
+            replica,
+            contents: BTreeSet::from([content(1)]),
+        };
+        apply(Command::Replica(Box::new(leaving.clone())));
+        apply(Command::ReplicaDrains(leaving.id.clone()));
+        apply(Command::ReplicaEnded(leaving.incarnation()));
+        apply(Command::Crashed(crash));
+        apply(Command::PartsCrashed(parts_crash.clone()));
+        let observed = ObservedPartCrash {
+            report: parts_crash,
+            age_ms: 0,
+        };
+        apply(Command::PartCrashObserved(observed));
+    }
+    assert_eq!(state.crashes.count(&content(1)), 0);
+    assert_eq!(state.parts().standing(&content(2)), PartStanding::Harmless);
+}
+
 fn lease_request(number: u64, replica: &str, ticket: u64) -> SuspectLeaseRequest {
     SuspectLeaseRequest {
         content: content(number),
