--- a/tests/part_crashes.rs
+++ b/tests/part_crashes.rs
@@ -9,8 +9,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use dunlinspring::consensus::crash_causes::CrashCauses;
 use dunlinspring::consensus::part_crashes::{
-    MAX_PARTS, PartCrashReport, PartStanding, PartStore, SoundReport, TRIAL_MS,
+    MAX_PARTS, ObservedPartCrash, PartCrashReport, PartStanding, PartStore, SoundReport, TRIAL_MS,
 };
 use dunlinspring::consensus::state::{Command, SiteState, Stamped};
 use dunlinspring::ids::{
@@ -272,6 +273,23 @@
     assert_eq!(store.standing(&part(2)), PartStanding::Barred);
 }
 
+#[test]
+fn crashes_of_one_moment_count_once_however_late_they_are_reported() {
+    let mut state = SiteState::default();
+    let mut crashes = |at_ms: u64, age_ms: u64, replica: u64| {
+        let report = crash(replica, &[1]);
+        let command = Command::PartCrashObserved(ObservedPartCrash { report, age_ms });
+        let position = Position(state.position.0 + 1);
+        state.apply(position, &Stamped { at_ms, command });
+        state.parts().records()[&part(1)].crashes()
+    };
+    for (replica, counted) in [(1, 1), (2, 2), (3, 3), (4, 1), (5, 1), (4, 1)] {
+        let at_ms = 1_000 * replica;
+        assert_eq!(crashes(at_ms, at_ms - 20 * replica, replica), counted);
+    }
+    assert_eq!(crashes(9_000, 0, 6), 2);
+}
+
 #[test]
 fn a_lifted_part_is_quarantined_by_one_more_crash() {
     let mut store = PartStore::default();
@@ -358,6 +376,21 @@
     assert_eq!(read, state);
 }
 
+#[test]
+fn snapshots_that_end_before_each_of_the_last_fields_are_read() {
+    let mut state = SiteState::default();
+    let command = Command::Leave(HostName::from("h"), Incarnation(1));
+    state.apply(Position(7), &Stamped { at_ms: 9, command });
+    let bytes = bincode::serialize(&state).unwrap();
+    let causes = bincode::serialize(&CrashCauses::default()).unwrap().len();
+    let versions = bincode::serialize(state.versions()).unwrap().len();
+    let parts = bincode::serialize(state.parts()).unwrap().len();
+    for missing in [causes, causes + versions, causes + versions + parts] {
+        let read: SiteState = bincode::deserialize(&bytes[..bytes.len() - missing]).unwrap();
+        assert_eq!(read, state);
+    }
+}
+
 #[test]
 fn a_sound_part_is_free_again_after_a_trial() {
     let mut store = PartStore::default();
