A stream begins only at the incarnation that the entry's view has

What callers saw: on a site whose replicas keep their ids, streams went on at another software version than the one that began them, over the client's attempts.

Cause: requests name a replica's id. A replica that restarts under it at another version takes them, and until a view shows the restart the entry counts the stream as begun by the version before. Continuations read the start time on their connection; streams that begin did not.

What is done: lives under an id follow one another. So a report that was asked for after a connection was opened, and shows the expected start time, proves that connection and all opened before (prove_connection). A stream that begins is sent at once; the report is asked for beside it, on an idle connection if there is one, and the first event waits for it, a second at most. Continuations wait before they are sent. One report of a replica is under way at most; none without start times, for plain requests, or for streams that begin where they can't be resumed. A later start time shows that the incarnation has ended: no stream is sent to it. The exception for old views is gone.

Only what is passed on counts now; continuations that were rejected before had the same fault.

Tests: a_stream_begun_at_an_unnoticed_restart_... failed before: the stream begun at the restarted r1 went on at r2, v1. The stand-in closes its idle connections as it restarts, as a process does: before, a connection outlived the incarnation. forward_parts records what it pushes, by the new step.

Open: such a run is watched as one of the incarnation before, so its content may be taken for what ended it (as before).

--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -27,6 +27,7 @@
 use crate::forward::quotas::{self, QuotaClient};
 use crate::forward::replica_table::{ChoicePolicy, Ejection, Need, ReplicaTable};
 use crate::forward::request_log::LogLineLimit;
+use crate::forward::start_reports::StartReports;
 use crate::forward::stream_origins::OriginKeeper;
 use crate::forward::unknown_headers::UnknownHeaders;
 use crate::forward::upstream::ConnectionPool;
@@ -186,6 +187,8 @@
     pub crashes: CrashTracker,
     /// What began the streams of this entry.
     pub origins: OriginKeeper,
+    /// Start times that replicas reported.
+    pub(super) start_reports: StartReports,
     /// Client for the agents beside replicas; `None` if none are to be asked.
     pub agents: Option<AgentClient>,
     settings: ForwardSettings,
@@ -685,6 +688,7 @@
             waiters: CapacityWaiters::default(),
             crashes: CrashTracker::default(),
             origins: OriginKeeper::default(),
+            start_reports: StartReports::default(),
             agents,
             follower: follower.clone(),
             routing: RefCell::default(),
@@ -895,6 +899,7 @@
         replicas.prune(clock::monotonic_ms());
         let mut pool = core.pool.borrow_mut();
         pool.prune(|id| replicas.record(id).is_some());
+        core.start_reports.prune(|id| replicas.record(id).is_some());
         core.waiters.prune();
         if let Some(agents) = &core.agents {
             agents.prune(|id| replicas.record(id).is_some());
--- a/src/forward/events.rs
+++ b/src/forward/events.rs
@@ -4,7 +4,7 @@
 /// Longest event that is buffered until it is complete, in bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
-/// Counts complete events and buffers the start of the next one.
+/// Counts events that are passed on and buffers the start of the next one.
 #[derive(Clone, Debug, Default)]
 pub struct EventBuffer {
     buffer: Vec<u8>,
@@ -17,12 +17,12 @@
 pub struct EventTooLong;
 
 impl EventBuffer {
-    /// Id of the last complete event.
+    /// Id of the last event that was passed on.
     pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
     }
 
-    /// Number of complete events so far.
+    /// Number of events that were passed on.
     pub fn count(&self) -> u64 {
         self.count
     }
@@ -48,12 +48,11 @@
             };
         };
         let rest = self.buffer.split_off(end);
-        let complete = std::mem::replace(&mut self.buffer, rest);
-        self.observe(&complete);
-        Ok(complete)
+        Ok(std::mem::replace(&mut self.buffer, rest))
     }
 
-    fn observe(&mut self, complete: &[u8]) {
+    /// Records complete events that are passed on.
+    pub fn record(&mut self, complete: &[u8]) {
         let text = String::from_utf8_lossy(complete);
         let mut blank = true;
         for line in text.lines() {
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -34,6 +34,7 @@
 pub mod request;
 pub mod request_log;
 pub mod sound_runs;
+pub mod start_reports;
 pub mod stream_origins;
 pub mod suspect_leases;
 pub mod unknown_headers;
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -784,10 +784,10 @@
             if events.is_empty() {
                 continue;
             }
-            if !self.accept_event_source() {
+            if !self.accept_events(&events, exchange.opened()).await {
                 guard.end = AttemptResult::Failed;
                 self.log
-                    .note("the replica restarted before its first event");
+                    .note("the first event is not from the expected incarnation");
                 return self.broken(writer);
             }
             self.log.first_event();
--- a/src/forward/request/continuing.rs
+++ b/src/forward/request/continuing.rs
@@ -1,7 +1,7 @@
 //! Continuation of streams: by this entry within one response, or by a client that takes up a stream
 //! which was broken off before.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::consensus::software_versions::SoftwareVersion;
 use crate::forward::crashes::SentTo;
@@ -105,24 +105,28 @@
         self.source = Some(source);
     }
 
-    /// Accepts the events that come from the current attempt. Its first event binds the stream to the
-    /// software version, unless the replica was replaced since the request was sent. Returns whether
-    /// the events may be passed on.
-    pub(super) fn accept_event_source(&mut self) -> bool {
+    /// Returns whether complete events of the current attempt, on a connection opened at `opened`, may
+    /// be passed on, and records them if so: the stream would be continued after them.
+    pub(super) async fn accept_events(&mut self, events: &[u8], opened: Instant) -> bool {
+        let may_pass = self.accept_event_source(opened).await;
+        if may_pass {
+            self.event_buffer.record(events);
+        }
+        may_pass
+    }
+
+    /// Accepts the source of the current attempt's events. Its first event binds the stream to the
+    /// software version, unless the replica was replaced since the request was sent.
+    async fn accept_event_source(&mut self, opened: Instant) -> bool {
         let Some(source) = self.source.take() else {
             return true;
         };
+        if !self.has_expected_incarnation(opened).await {
+            return false;
+        }
         let current = self.registered_source(&source.incarnation.id);
-        // A continuation confirms the incarnation. Where ids are reused, the view must be fresh enough
-        // to show a restart to a stream that begins.
-        let may_be_replaced =
-            !self.is_continuing() && source.incarnation.started_ms > 0 && self.core.has_old_view();
-        let binding = match may_be_replaced {
-            true => EventBinding::Replaced(SoftwareVersion::Unnamed(source.incarnation.clone())),
-            false => {
-                stream_origins::bind_events(self.need.version.as_ref(), &source, current.as_ref())
-            }
-        };
+        let binding =
+            stream_origins::bind_events(self.need.version.as_ref(), &source, current.as_ref());
         let (version, may_record) = match binding {
             EventBinding::Known(version) => (version, true),
             EventBinding::Replaced(version) => (version, false),
--- a/src/forward/request/incarnation.rs
+++ b/src/forward/request/incarnation.rs
@@ -1,69 +1,59 @@
-//! Confirmation that a connection leads to the expected incarnation of a replica, before a stream is
-//! continued on it. A replica that restarts under its id accepts requests that name the id, and the
-//! view may not have the new incarnation yet.
+//! Confirmation that a connection leads to the expected incarnation of a replica. A replica that
+//! restarts under its id accepts requests that name the id, and the view may not have the new
+//! incarnation yet.
+//!
+//! A stream is continued only on a connection that is confirmed. A stream that begins is sent at once,
+//! and its first event waits for the confirmation, which the replica is asked for meanwhile.
 
-use std::time::Duration;
+use std::time::Instant;
 
 use crate::forward::crashes::SentTo;
-use crate::forward::dialect::StartTimeReport;
-use crate::forward::head;
-use crate::forward::upstream::{Connection, Exchange, OutgoingRequest};
+use crate::forward::upstream::Connection;
+use crate::routing::stream_origins::ConnectionProof;
 
 use super::ForwardedRequest;
 
-/// Time limit of the report.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Longest report that is read, in bytes.
-const MAX_REPORT_BYTES: usize = 256 * 1024;
-
 impl ForwardedRequest<'_> {
-    /// Returns the connection if the stream may be continued on it; `None` if the replica is not
-    /// shown to be the expected incarnation. One connection leads to one incarnation, so what is
-    /// shown holds for the request that follows.
+    /// Whether the next attempt requires a certain incarnation: a stream that is continued, or that
+    /// begins and may be continued later, where replicas report their start time.
+    fn requires_incarnation(&self, sent: &SentTo) -> bool {
+        let is_reported = self.core.names.start_time.is_some() && sent.incarnation.started_ms > 0;
+        is_reported && (self.is_continuing() || self.need.begins_stream)
+    }
+
+    /// Returns the connection if the request may be sent on it; `None` if the replica is not shown to
+    /// be the expected incarnation.
     pub(super) async fn confirm_incarnation(
         &self,
         connection: Connection,
         sent: &SentTo,
     ) -> Option<Connection> {
-        let expected_ms = sent.incarnation.started_ms;
-        let report = self.core.names.start_time;
-        match report.filter(|_| self.is_continuing() && expected_ms > 0) {
-            None => Some(connection),
-            Some(report) => {
-                let reading = self.read_start_time(connection, sent, report);
-                let read = tokio::time::timeout(REPORT_TIMEOUT, reading).await.ok()?;
-                let (connection, started_ms) = read?;
-                (started_ms == expected_ms).then_some(connection)
-            }
+        if !self.requires_incarnation(sent) {
+            return Some(connection);
         }
+        let opened = connection.opened();
+        let may_send = match self.core.connection_proof(sent, opened) {
+            ConnectionProof::Expected => true,
+            ConnectionProof::Other => false,
+            ConnectionProof::Unknown if self.is_continuing() => {
+                self.core.await_connection_proof(sent, opened).await
+            }
+            ConnectionProof::Unknown => {
+                self.core.ask_start_time(sent, opened);
+                true
+            }
+        };
+        may_send.then_some(connection)
     }
 
-    async fn read_start_time(
-        &self,
-        connection: Connection,
-        sent: &SentTo,
-        report: StartTimeReport,
-    ) -> Option<(Connection, u64)> {
-        let mut text = format!("GET {} HTTP/1.1\r\n", report.path);
-        head::push_header(&mut text, "Host", &sent.address.to_string());
-        let replica = sent.incarnation.id.as_str();
-        head::push_header(&mut text, self.core.names.expect_replica, replica);
-        text.push_str("Content-Length: 0\r\n\r\n");
-        let request = OutgoingRequest {
-            bytes: text.as_bytes(),
-            method: "GET",
-            identity: None,
-            on_head: &|_| {},
-        };
-        let (mut exchange, head) = Exchange::send(connection, &request).await.ok()?;
-        let mut body = Vec::new();
-        while let Some(bytes) = exchange.next().await.ok()? {
-            body.extend_from_slice(&bytes);
-            if body.len() > MAX_REPORT_BYTES {
-                return None;
+    /// Whether events on a connection opened at `opened` come from the expected incarnation, as far as
+    /// the attempt requires it.
+    pub(super) async fn has_expected_incarnation(&self, opened: Instant) -> bool {
+        match &self.sent {
+            Some(sent) if self.requires_incarnation(sent) => {
+                self.core.await_connection_proof(sent, opened).await
             }
+            _ => true,
         }
-        let started_ms = (report.read)(&body).filter(|_| head.status == 200)?;
-        Some((exchange.finish()?, started_ms))
     }
 }
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use snafu::Snafu;
 use socket2::SockRef;
@@ -81,6 +81,7 @@
 pub struct Connection {
     peer: SocketAddr,
     stream: TcpStream,
+    opened: Instant,
     buffer: Vec<u8>,
     /// Start of the idle time, on the clock of [`clock::monotonic_ms`]: the replica's idle time
     /// also counts while this machine is suspended.
@@ -99,12 +100,18 @@
         Ok(Self {
             peer,
             stream,
+            opened: Instant::now(),
             buffer: Vec::new(),
             idle_since_ms: clock::monotonic_ms(),
             keep_alive: DEFAULT_KEEP_ALIVE,
         })
     }
 
+    /// Returns when it was opened.
+    pub fn opened(&self) -> Instant {
+        self.opened
+    }
+
     /// Limits how long unacknowledged data may be in transit: dropping the connection resets it. If
     /// this process is suspended meanwhile, the kernel gives up by itself; without the limit it
     /// would retransmit for minutes. The kernel checks the limit only when it retransmits, first
@@ -294,6 +301,11 @@
         }
     }
 
+    /// Returns when its connection was opened.
+    pub fn opened(&self) -> Instant {
+        self.connection.opened
+    }
+
     /// Whether the body tells by itself where it ends. One that ends with its connection may have
     /// been cut off.
     pub fn is_delimited(&self) -> bool {
--- a/src/routing/stream_origins.rs
+++ b/src/routing/stream_origins.rs
@@ -5,6 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Instant;
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -312,6 +313,47 @@
     pub version: SoftwareVersion,
 }
 
+/// What a replica reported of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StartReport {
+    /// Start time of the incarnation that answered, in milliseconds since the epoch.
+    pub started_ms: u64,
+    /// When the report was asked for.
+    pub asked: Instant,
+}
+
+/// What is known of the incarnation of a replica that a connection leads to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionProof {
+    /// It is the expected one.
+    Expected,
+    /// It is another one.
+    Other,
+    /// A report must be asked for.
+    Unknown,
+}
+
+/// Returns what a replica's newest report shows of a connection that was opened at `opened`, and on
+/// which requests are sent that expect the incarnation started at `expected_ms`.
+///
+/// A connection leads to one incarnation, and the incarnations under an id follow one another. The
+/// one that answers was asked for its report after the connection was opened, so the connection does
+/// not lead to a later one. Nor does it lead to an earlier one than the expected, which had ended
+/// before the request was sent.
+pub fn prove_connection(
+    newest: Option<&StartReport>,
+    expected_ms: u64,
+    opened: Instant,
+) -> ConnectionProof {
+    match newest {
+        Some(report) if report.started_ms > expected_ms => ConnectionProof::Other,
+        Some(report) if report.asked <= opened => ConnectionProof::Unknown,
+        Some(report) if report.started_ms == expected_ms => ConnectionProof::Expected,
+        Some(_) => ConnectionProof::Other,
+        None => ConnectionProof::Unknown,
+    }
+}
+
 /// Returns the version that an attempt requires, as its replica is chosen and again as the request is
 /// sent: `stream` is the version of a stream that has begun, `mix` the versions of the service.
 pub fn required_version(
--- a/tests/forward_parts.rs
+++ b/tests/forward_parts.rs
@@ -115,6 +115,7 @@
         for cut in cuts {
             let (part, after) = rest.split_at(cut.min(rest.len()));
             let events = buffer.push(part).unwrap();
+            buffer.record(&events);
             prop_assert!(events.is_empty() || events.ends_with(b"\n\n"));
             forwarded.extend(events);
             rest = after;
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -46,6 +46,7 @@
 use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::Notify;
 
 /// Response header line of a replica that drains.
 pub const DRAINING: &str = "Leaving: 1\r\n";
@@ -240,6 +241,14 @@
     script: VecDeque<Behaviour>,
     /// Start time that it reports of itself, in milliseconds.
     started_ms: u64,
+    /// Number of connections that it accepted.
+    opened: usize,
+    /// Number of reports of itself that it was asked for.
+    reports: usize,
+    /// Whether it answers them.
+    withholds_reports: bool,
+    /// Notified as it restarts, which closes its idle connections.
+    restarted: Rc<Notify>,
     seen: Vec<ReceivedRequest>,
     closed: bool,
     /// Whether it accepts no connections for now.
@@ -633,6 +642,22 @@
         let mut state = self.replicas[name].1.borrow_mut();
         state.started_ms += 1;
         state.script = script.into();
+        state.restarted.notify_waiters();
+    }
+
+    /// A replica answers no requests for reports of itself from now on.
+    pub fn withhold_reports(&self, name: &str) {
+        self.replicas[name].1.borrow_mut().withholds_reports = true;
+    }
+
+    /// Returns how many connections a replica accepted.
+    pub fn opened(&self, name: &str) -> usize {
+        self.replicas[name].1.borrow().opened
+    }
+
+    /// Returns how often a replica was asked for a report of itself.
+    pub fn reports(&self, name: &str) -> usize {
+        self.replicas[name].1.borrow().reports
     }
 
     /// Waits until an entry knows a replica.
@@ -944,8 +969,21 @@
 
 async fn serve_connection(mut stream: TcpStream, name: String, state: SharedReplica) {
     let mut buffer = Vec::new();
-    while let Some(seen) = read_request(&mut stream, &mut buffer).await {
+    state.borrow_mut().opened += 1;
+    let restarted = state.borrow().restarted.clone();
+    loop {
+        let seen = tokio::select! {
+            seen = read_request(&mut stream, &mut buffer) => seen,
+            () = restarted.notified() => return,
+        };
+        let Some(seen) = seen else {
+            return;
+        };
         if seen.target == "/self" {
+            state.borrow_mut().reports += 1;
+            if state.borrow().withholds_reports {
+                continue;
+            }
             let started_ms = state.borrow().started_ms.to_string();
             let report = full_response(200, &name, "", &started_ms, "");
             let _ = stream.write_all(report.as_bytes()).await;
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -147,3 +147,9 @@
 mutant one-host-asked src/routing/stream_origins.rs 's/\.take\(HOSTS_ASKED\)/.take(1)/' stream_origins copies_and_asked_hosts
 mutant account-not-in-the-key src/routing/stream_origins.rs 's/        hash\.update\(account\);\n//' stream_origins another_account
 mutant second-origin-replaces-the-first src/routing/stream_origins.rs 's/Some\(known\) if known\.as_deref\(\) != Some\(origin\) => None/Some(known) if false \&\& known.as_deref() != Some(origin) => None/' stream_origins with_two_origins
+mutant connection-not-proven src/routing/stream_origins.rs 's/(report\.asked <= opened => ConnectionProof::)Unknown/$1Expected/; s/None => ConnectionProof::Unknown/None => ConnectionProof::Expected/' stream_take_ups under_their_ids
+mutant earlier-report-proves src/routing/stream_origins.rs 's/if report\.asked <= opened =>/if false \&\& report.asked <= opened =>/' stream_origins a_report_proves_connections
+mutant ended-incarnation-not-seen src/routing/stream_origins.rs 's/if report\.started_ms > expected_ms =>/if false \&\& report.started_ms > expected_ms =>/' stream_origins a_report_proves_connections
+mutant first-event-not-held src/forward/request/incarnation.rs 's/Some\(sent\) if self\.requires/Some(sent) if false \&\& self.requires/' forwarding a_stream_begun_at_an_unnoticed_restart
+mutant continued-without-proof src/forward/request/incarnation.rs 's/Unknown if self\.is_continuing\(\)/Unknown if false \&\& self.is_continuing()/' forwarding a_stream_is_not_continued_at_a_replica_that_restarted
+mutant rejected-events-counted src/forward/request/continuing.rs 's/if may_pass \{/if may_pass || true {/' forwarding a_stream_begins_elsewhere_if
--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -2,13 +2,14 @@
 //! entry that searches for one.
 
 use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
 
 use dunlinspring::consensus::software_versions::{SoftwareVersion, VersionMix};
 use dunlinspring::ids::{ReplicaIncarnation, ServiceName, VersionName};
 use dunlinspring::routing::stream_origins::{
-    EventBinding, EventSource, HOSTS_ASKED, MAX_ORIGINS, ORIGIN_COPIES, OriginBatch, OriginMemory,
-    OriginSearch, OriginSource, OriginStep, StreamKey, StreamOrigin, TakeUpRefusal, bind_events,
-    may_send, required_version,
+    ConnectionProof, EventBinding, EventSource, HOSTS_ASKED, MAX_ORIGINS, ORIGIN_COPIES,
+    OriginBatch, OriginMemory, OriginSearch, OriginSource, OriginStep, StartReport, StreamKey,
+    StreamOrigin, TakeUpRefusal, bind_events, may_send, prove_connection, required_version,
 };
 
 const KEEP_MS: u64 = 1_000;
@@ -278,3 +279,25 @@
     assert!(!may_send(Some(&unnamed(1)), &unnamed(2)));
     assert!(!may_send(Some(&named("v1")), &unnamed(1)));
 }
+
+#[test]
+fn a_report_proves_connections_that_were_opened_before_it_was_asked_for() {
+    let zero = Instant::now();
+    let at = |ms| zero + Duration::from_millis(ms);
+    let report = |started_ms, asked| StartReport {
+        started_ms,
+        asked: at(asked),
+    };
+    let prove =
+        |report: Option<StartReport>, opened| prove_connection(report.as_ref(), 50, at(opened));
+    assert_eq!(prove(None, 1), ConnectionProof::Unknown);
+    assert_eq!(prove(Some(report(50, 2)), 1), ConnectionProof::Expected);
+    assert_eq!(prove(Some(report(50, 2)), 2), ConnectionProof::Unknown);
+    assert_eq!(prove(Some(report(50, 2)), 3), ConnectionProof::Unknown);
+    // An earlier incarnation's report says nothing of connections that were opened since.
+    assert_eq!(prove(Some(report(40, 2)), 1), ConnectionProof::Other);
+    assert_eq!(prove(Some(report(40, 2)), 3), ConnectionProof::Unknown);
+    // A later incarnation shows that the expected one has ended.
+    assert_eq!(prove(Some(report(60, 2)), 1), ConnectionProof::Other);
+    assert_eq!(prove(Some(report(60, 2)), 3), ConnectionProof::Other);
+}
--- a/tests/stream_take_ups/model.rs
+++ b/tests/stream_take_ups/model.rs
@@ -3,6 +3,7 @@
 //! are those of the library; messages, time and processes are simulated.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
 
 use dunlinspring::consensus::directory::ReplicaRecord;
 use dunlinspring::consensus::software_versions::{SoftwareVersion, VersionMix};
@@ -10,11 +11,14 @@
 use dunlinspring::forward::locality::EntryLocation;
 use dunlinspring::forward::need::{ChoicePolicy, Need};
 use dunlinspring::forward::replica_table::{Choice, EngineBounds, ReplicaTable};
-use dunlinspring::ids::{ModelName, Position, ReplicaId, ServiceName, VersionName};
+use dunlinspring::ids::{
+    ModelName, Position, ReplicaId, ReplicaIncarnation, ServiceName, VersionName,
+};
 use dunlinspring::placement::version_settlement::VersionSettlement;
 use dunlinspring::routing::stream_origins::{
-    EventBinding, EventSource, OriginMemory, OriginSearch, OriginSource, OriginStep, StreamKey,
-    StreamOrigin, TakeUpRefusal, bind_events, may_send, mixed_services, required_version,
+    ConnectionProof, EventBinding, EventSource, OriginMemory, OriginSearch, OriginSource,
+    OriginStep, StartReport, StreamKey, StreamOrigin, TakeUpRefusal, bind_events, may_send,
+    mixed_services, prove_connection, required_version,
 };
 use dunlinspring::routing::view::{SiteView, SyncPage, page_after};
 use dunlinspring::table::configuration::{
@@ -41,6 +45,12 @@
 const MAX_TRIES: u32 = 3;
 /// Interval at which entries fetch the log, in milliseconds.
 const SYNC_MS: u64 = 500;
+/// Longest wait for the proof that a connection leads to the expected incarnation, in milliseconds.
+const PROOF_MS: u64 = 1_000;
+/// Interval at which an attempt looks for that proof, in milliseconds.
+const PROOF_CHECK_MS: u64 = 5;
+/// Percentage of attempts that use a kept connection, if there is one.
+const KEPT_PERCENT: u64 = 70;
 /// Number of times that a client comes back with one stream.
 const MAX_RETURNS: u32 = 4;
 
@@ -93,6 +103,20 @@
     replicas: ReplicaTable,
     several: BTreeSet<ServiceName>,
     memory: OriginMemory,
+    /// The newest report of each replica's start time.
+    reports: BTreeMap<ReplicaId, StartReport>,
+    /// Replicas that are being asked for a report.
+    asked: BTreeSet<ReplicaId>,
+    /// A kept connection to each replica.
+    kept: BTreeMap<ReplicaId, ReplicaConnection>,
+}
+
+/// A connection of an entry to a replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct ReplicaConnection {
+    opened: Instant,
+    /// The incarnation that it leads to, which the entry does not see.
+    leads_to: ReplicaIncarnation,
 }
 
 impl EntryProcess {
@@ -107,6 +131,9 @@
             replicas: ReplicaTable::new(ChoicePolicy::default(), EntryLocation::default()),
             several: BTreeSet::new(),
             memory: OriginMemory::default(),
+            reports: BTreeMap::new(),
+            asked: BTreeSet::new(),
+            kept: BTreeMap::new(),
         }
     }
 
@@ -158,6 +185,9 @@
     attempted: BTreeSet<ReplicaId>,
     tries: u32,
     sent: Option<EventSource>,
+    connection: Option<ReplicaConnection>,
+    /// Until when the attempt waits for the proof of its connection.
+    proof_until_ms: u64,
     has_events: bool,
     phase: RequestPhase,
 }
@@ -213,6 +243,8 @@
     Choose(usize),
     Send(usize, ReplicaId),
     Arrive(usize),
+    ReadReport(usize, u32, ReplicaId, Instant),
+    Reported(usize, u32, ReplicaId, Option<StartReport>),
     Break(usize),
     Store(usize, u32, usize, StreamKey, StreamOrigin, u64),
     Stored(usize, StreamKey, StreamOrigin),
@@ -304,6 +336,8 @@
     draw: Draw,
     setup: PlaySetup,
     now_ms: u64,
+    /// The instant of time 0.
+    origin: Instant,
     sequence: u64,
     events: BTreeMap<(u64, u64), PlayEvent>,
     state: SiteState,
@@ -367,6 +401,7 @@
         let mut play = Self {
             draw: Draw(seed),
             now_ms: 0,
+            origin: Instant::now(),
             sequence: 0,
             events: BTreeMap::new(),
             state: SiteState::default(),
@@ -497,6 +532,22 @@
             In::Choose(request) => self.choose(request),
             In::Send(request, id) => self.send(request, &id),
             In::Arrive(request) => self.arrive(request),
+            In::ReadReport(entry, life, id, asked) => {
+                let process = self.processes.get(&id);
+                let report = process.map(|process| StartReport {
+                    started_ms: process.record.started_ms,
+                    asked,
+                });
+                let delay_ms = self.draw.range(1, 60);
+                self.after(delay_ms, In::Reported(entry, life, id, report));
+            }
+            In::Reported(entry, life, id, report) => {
+                let process = &mut self.entries[entry];
+                if process.life == life {
+                    process.asked.remove(&id);
+                    process.reports.extend(report.map(|report| (id, report)));
+                }
+            }
             In::Break(request) => self.break_stream(request),
             In::Store(entry, life, host, key, origin, until_ms) => {
                 self.store(entry, life, host, key, origin, until_ms);
@@ -514,7 +565,7 @@
     /// Returns when an event's entry is continued, if it is frozen.
     fn frozen_until_ms(&self, event: &InternalEvent) -> Option<u64> {
         let entry = match event {
-            In::Page(entry, ..) | In::Store(entry, ..) => *entry,
+            In::Page(entry, ..) | In::Store(entry, ..) | In::Reported(entry, ..) => *entry,
             In::AskLeader(request)
             | In::AskHosts(request, ..)
             | In::Found(request, _)
@@ -762,6 +813,8 @@
             attempted: BTreeSet::new(),
             tries: 0,
             sent: None,
+            connection: None,
+            proof_until_ms: 0,
             has_events: false,
             phase: RequestPhase::Waiting,
         };
@@ -973,29 +1026,98 @@
         let Some(source) = source else {
             return self.after(1, In::Choose(number));
         };
-        request.sent = Some(source);
-        // The connection is opened, and the replica begins.
+        request.sent = Some(source.clone());
+        let entry = request.entry;
+        let Some(connection) = self.connect(entry, id) else {
+            return self.after(1, In::Choose(number));
+        };
+        if self.proof(entry, &source, &connection) == ConnectionProof::Other {
+            return self.after(1, In::Choose(number));
+        }
+        self.ask_start_time(entry, &source, &connection);
+        self.requests[number].connection = Some(connection);
+        self.requests[number].proof_until_ms = 0;
+        // The replica begins.
         let delay_ms = self.draw.range(1, 150);
         self.after(delay_ms, In::Arrive(number));
     }
 
+    /// Takes a kept connection to a replica that is still open, or opens one: to the process that
+    /// runs now under the id.
+    fn connect(&mut self, entry: usize, id: &ReplicaId) -> Option<ReplicaConnection> {
+        let leads_to = self.processes.get(id)?.record.incarnation();
+        let may_keep = self.draw.percent(KEPT_PERCENT);
+        let kept = self.entries[entry].kept.get(id);
+        let kept = kept.filter(|kept| may_keep && kept.leads_to == leads_to);
+        let connection = kept.cloned().unwrap_or(ReplicaConnection {
+            opened: self.now(),
+            leads_to,
+        });
+        self.entries[entry]
+            .kept
+            .insert(id.clone(), connection.clone());
+        Some(connection)
+    }
+
+    fn now(&self) -> Instant {
+        self.origin + Duration::from_millis(self.now_ms)
+    }
+
+    fn proof(
+        &self,
+        entry: usize,
+        source: &EventSource,
+        connection: &ReplicaConnection,
+    ) -> ConnectionProof {
+        let EventSource { incarnation, .. } = source;
+        let report = self.entries[entry].reports.get(&incarnation.id);
+        prove_connection(report, incarnation.started_ms, connection.opened)
+    }
+
+    /// Asks a replica for its start time, unless its connection is proven or it is being asked.
+    fn ask_start_time(
+        &mut self,
+        entry: usize,
+        source: &EventSource,
+        connection: &ReplicaConnection,
+    ) {
+        let id = &source.incarnation.id;
+        let is_proven = self.proof(entry, source, connection) != ConnectionProof::Unknown;
+        if is_proven || !self.entries[entry].asked.insert(id.clone()) {
+            return;
+        }
+        let life = self.entries[entry].life;
+        let asked = self.now() + Duration::from_millis(1);
+        let delay_ms = self.draw.range(1, 60);
+        let event = In::ReadReport(entry, life, id.clone(), asked);
+        self.after(1 + delay_ms, event);
+    }
+
     /// The request has arrived at the replica, and the first event at the entry.
     fn arrive(&mut self, number: usize) {
         if !self.is_open(number) {
             return;
         }
         let request = &self.requests[number];
-        let Some(source) = request.sent.clone() else {
+        let sent = request.sent.clone().zip(request.connection.clone());
+        let Some((source, connection)) = sent else {
             return;
         };
+        // A replica that restarted accepts requests that name its id.
         let process = self.processes.get(&source.incarnation.id);
-        let process = process.filter(|process| process.record.incarnation() == source.incarnation);
+        let process = process.filter(|process| process.record.incarnation() == connection.leads_to);
         let Some(process) = process
             .filter(|process| !process.drains && process.record.models.contains_key(&model()))
         else {
             return self.after(1, In::Choose(number));
         };
         let true_version = process.version.clone();
+        match self.proof(request.entry, &source, &connection) {
+            ConnectionProof::Expected => {}
+            ConnectionProof::Other => return self.after(1, In::Choose(number)),
+            ConnectionProof::Unknown => return self.await_proof(number, &source, &connection),
+        }
+        let request = &self.requests[number];
         let current = self.registered_source(request.entry, &source.incarnation.id);
         let required = request.need.version.as_ref();
         let (bound, may_record) = match bind_events(required, &source, current.as_ref()) {
@@ -1016,6 +1138,21 @@
         self.client_receives(number, &true_version, is_first);
     }
 
+    /// Holds the first event back until the connection is proven, for a bounded time.
+    fn await_proof(&mut self, number: usize, source: &EventSource, connection: &ReplicaConnection) {
+        let now_ms = self.now_ms;
+        let request = &mut self.requests[number];
+        if request.proof_until_ms == 0 {
+            request.proof_until_ms = now_ms + PROOF_MS;
+        }
+        if now_ms >= request.proof_until_ms {
+            return self.after(1, In::Choose(number));
+        }
+        let entry = request.entry;
+        self.ask_start_time(entry, source, connection);
+        self.after(PROOF_CHECK_MS, In::Arrive(number));
+    }
+
     fn client_receives(&mut self, number: usize, version: &SoftwareVersion, is_first: bool) {
         let request = &self.requests[number];
         let counts = u64::from(request.counts && is_first);
