The first event and the calls for origins, with one version and with two, side by side

The goal that one version alone costs not a byte and not a wait was not measured. The test runs two sites at once, one of one version and one of two, begins 500 streams at each in turn, prints the time to the first event, and checks that with one version nothing is stored or asked for. A second one prints the bytes of a call that stores origins.

--- a/tests/forwarding/versions.rs
+++ b/tests/forwarding/versions.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
+use dunlinspring::consensus::software_versions::SoftwareVersion;
 use dunlinspring::routing::question_queue::ASK_INTERVAL_MS;
+use dunlinspring::routing::stream_origins::{OriginBatch, StreamKey, StreamOrigin};
 use futures::future::join_all;
 
 use super::support::{Behaviour, ForwardSite, Response, RouteShape, wait_for};
@@ -169,3 +171,86 @@
     until_several(&site).await;
     check_herd(&site, "several").await;
 }
+
+/// Number of streams whose first event is timed.
+const TIMED: usize = 500;
+
+/// Starts a site with two replicas of these versions.
+async fn site_of(versions: [&str; 2]) -> ForwardSite {
+    let mut site = ForwardSite::start(&[RESUMED]).await;
+    for (name, version) in ["r1", "r2"].into_iter().zip(versions) {
+        let script = vec![Behaviour::Events(4); 2 * TIMED];
+        site.add_versioned_replica(name, version, script).await;
+    }
+    site
+}
+
+/// Prints the time to the first event beside that of a service of two versions.
+#[ntex::test]
+async fn with_one_version_alone_nothing_is_stored_or_asked_for() {
+    let sites = [site_of(["v1", "v1"]).await, site_of(["v1", "v2"]).await];
+    until_several(&sites[1]).await;
+    let asked =
+        ["host", "leader"].map(|to| format!("dunlinspring_origin_calls_total{{to=\"{to}\"}}"));
+    let stored = "dunlinspring_origin_batches_total{result=\"stored\"}".to_owned();
+    let calls = [&asked[0], &asked[1], &stored];
+    let mut before = [0; 2];
+    for (sum, site) in before.iter_mut().zip(&sites) {
+        for series in calls {
+            *sum += counted(site, series).await;
+        }
+    }
+    let mut times_us = [const { Vec::new() }; 2];
+    for number in 0..TIMED {
+        for (times_us, site) in times_us.iter_mut().zip(&sites) {
+            let started = Instant::now();
+            site.begin_stream(0, "/resumed/x", &format!("timed-{number}"), 1)
+                .await;
+            times_us.push(started.elapsed().as_micros());
+        }
+    }
+    let mut sent = [0; 2];
+    for (number, site) in sites.iter().enumerate() {
+        for series in calls {
+            sent[number] += counted(site, series).await;
+        }
+        sent[number] -= before[number];
+        let times_us = &mut times_us[number];
+        times_us.sort_unstable();
+        let at = |percent: usize| times_us[(TIMED - 1) * percent / 100];
+        println!(
+            "{} versions: first event of {TIMED} streams: p50 {} us, p90 {} us, p99 {} us; {} calls",
+            number + 1,
+            at(50),
+            at(90),
+            at(99),
+            sent[number]
+        );
+    }
+    assert_eq!(sent[0], 0);
+    assert!(sent[1] > 0);
+}
+
+/// Prints the bytes that one call stores on a control host.
+#[test]
+fn a_call_that_stores_origins_names_each_origin_once() {
+    let sizes = [1, 10, 100, 2_048].map(|streams| {
+        let origin = StreamOrigin {
+            service: "review-models".into(),
+            version: SoftwareVersion::Named("v1.2.3".into()),
+        };
+        let keys = (0..streams).map(|number: usize| StreamKey::new("", &number.to_string()));
+        let batch = OriginBatch {
+            keep_ms: 1,
+            streams: [(origin, keys.collect())].into(),
+        };
+        let bytes = bincode::serialized_size(&batch).unwrap();
+        println!(
+            "{streams} streams: {bytes} bytes, {:.1} a stream",
+            bytes as f64 / streams as f64
+        );
+        bytes
+    });
+    let (bytes_a_stream, of_origin) = (16, sizes[0] - 16);
+    assert_eq!(sizes[3], 2_048 * bytes_a_stream + of_origin);
+}
