Relays and hosts with a log keep the origins of streams in one type

Both held a locked memory and had the same two calls around it. OriginStore has the lock, the clock and both calls; the answers are as before (tests relay and forwarding).

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -10,6 +10,7 @@
 pub mod journal;
 mod log_writer;
 pub mod order_dispatcher;
+pub mod origin_store;
 pub mod outbox;
 pub mod registry;
 pub mod relay;
--- a/src/control/relay.rs
+++ b/src/control/relay.rs
@@ -24,6 +24,7 @@
 use crate::consensus::software_versions::{ReplicaHeartbeat, VersionMix};
 use crate::consensus::state::{Command, Reply};
 use crate::control::bootstrap;
+use crate::control::origin_store::OriginStore;
 use crate::ids::{HallName, HostName, Incarnation, NodeId, Position, ReplicaId, ServiceName};
 use crate::placement::advertised_limits::{LimitPage, LimitReport};
 use crate::placement::congestion::{QueueReport, QueuedTokens};
@@ -42,7 +43,7 @@
     AccountStatus, AgentHeartbeatReply, ControlRefusal, ControlStatus, ControlWire,
     ControlWireClient, EntryHeartbeatReply, PositionUpdate, TableStatus,
 };
-use crate::routing::stream_origins::{OriginBatch, OriginMemory, StreamKey, StreamOrigin};
+use crate::routing::stream_origins::{OriginBatch, StreamKey, StreamOrigin};
 use crate::routing::view::SyncPage;
 use crate::table::configuration::ConfigurationRecord;
 use crate::table::quota::{QuotaGrants, QuotaRequest};
@@ -138,7 +139,7 @@
                 acceptor: acceptor.map(Mutex::new),
                 chosen: tokio::sync::Mutex::default(),
             }),
-            origins: Arc::default(),
+            origins: OriginStore::default(),
         };
         serve(listener, secret, relay);
         let watch = serve_health(settings.watch, hosts.clone()).await?;
@@ -262,7 +263,7 @@
     enrolled: Arc<Mutex<BTreeSet<HostName>>>,
     agreement: Arc<BootstrapAgreement>,
     /// Origins of streams that entries stored here.
-    origins: Arc<Mutex<OriginMemory>>,
+    origins: OriginStore,
 }
 
 /// Agreement of the configured hosts on the bootstrap host, as far as this relay knows it.
@@ -462,11 +463,11 @@
     }
 
     async fn store_origins(self, _: Context, batch: OriginBatch) {
-        peers::lock(&self.origins).record_batch(clock::monotonic_ms(), &batch);
+        self.origins.store(&batch);
     }
 
     async fn find_origins(self, _: Context, keys: Vec<StreamKey>) -> Vec<Option<StreamOrigin>> {
-        peers::lock(&self.origins).find_all(&keys)
+        self.origins.find_all(&keys)
     }
 
     async fn version_mix(
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -24,6 +24,7 @@
 use crate::control::bootstrap::{self, InitialRole};
 use crate::control::event::{ControlEvent, ControlHandle};
 use crate::control::journal;
+use crate::control::origin_store::OriginStore;
 use crate::control::outbox::{OpenPeer, PeerOutbox};
 use crate::control::voter::ControlLoop;
 use crate::ids::{HostName, NodeId, Position, ReplicaId, ServiceName};
@@ -44,7 +45,7 @@
     AccountStatus, AgentHeartbeatReply, ControlRefusal, ControlStatus, ControlWire,
     ControlWireClient, EntryHeartbeatReply, PositionUpdate, TableStatus,
 };
-use crate::routing::stream_origins::{OriginBatch, OriginMemory, StreamKey, StreamOrigin};
+use crate::routing::stream_origins::{OriginBatch, StreamKey, StreamOrigin};
 use crate::routing::view::SyncPage;
 use crate::table::configuration::ConfigurationRecord;
 use crate::table::quota::{QuotaGrants, QuotaRequest};
@@ -364,7 +365,7 @@
     /// Slots for full snapshots in transit.
     full_snapshots: Arc<Semaphore>,
     /// Origins of streams that entries stored here.
-    origins: Arc<Mutex<OriginMemory>>,
+    origins: OriginStore,
 }
 
 impl ControlServer {
@@ -557,11 +558,11 @@
     }
 
     async fn store_origins(self, _: Context, batch: OriginBatch) {
-        peers::lock(&self.origins).record_batch(clock::monotonic_ms(), &batch);
+        self.origins.store(&batch);
     }
 
     async fn find_origins(self, _: Context, keys: Vec<StreamKey>) -> Vec<Option<StreamOrigin>> {
-        peers::lock(&self.origins).find_all(&keys)
+        self.origins.find_all(&keys)
     }
 
     async fn version_mix(
@@ -612,7 +613,7 @@
     let server = ControlServer {
         handle,
         full_snapshots: Arc::new(Semaphore::new(MAX_FULL_SNAPSHOTS)),
-        origins: Arc::default(),
+        origins: OriginStore::default(),
     };
     let serve = move |transport| {
         let server = server.clone();
