--- a/benches/core.rs
+++ b/benches/core.rs
@@ -12,7 +12,7 @@
 use dunlinspring::admission::controller::*;
 use dunlinspring::admission::ledger::OrderCheck;
 use dunlinspring::admission::queue::QueuePolicy;
-use dunlinspring::consensus::software_versions::NamedVersions;
+use dunlinspring::consensus::software_versions::{NamedVersions, SoftwareVersion};
 use dunlinspring::consensus::state::*;
 use dunlinspring::forward::locality::EntryLocation;
 use dunlinspring::forward::need::ChoicePolicy;
@@ -20,6 +20,7 @@
 use dunlinspring::ids::*;
 use dunlinspring::placement::moves::{self, DemandTracker, PlacementPolicy};
 use dunlinspring::routing::route::{self, HomeCandidate, LoadTracker, RoutePolicy, RouteRequest};
+use dunlinspring::routing::stream_origins::{MAX_ORIGINS, OriginMemory, StreamKey, StreamOrigin};
 use dunlinspring::routing::view;
 use dunlinspring::table::accounts::{AccountList, AccountSpec, QuotaSpec, QuotaUnit};
 use dunlinspring::table::limits::{LimitClaim, LimitPolicy, ShareGrantor};
@@ -453,8 +454,26 @@
     }
 }
 
+/// Prints the memory of the origins of streams.
+fn origin_sizes(_: &mut Criterion) {
+    let origin = StreamOrigin {
+        service: ServiceName::from("review-models"),
+        version: SoftwareVersion::Named(VersionName::from("v1")),
+    };
+    let before = resident_kib();
+    let mut memory = OriginMemory::default();
+    for number in 0..2 * MAX_ORIGINS {
+        let key = StreamKey::new("account", &number.to_string());
+        memory.record(0, u64::MAX, key, &origin);
+    }
+    let grown = resident_kib().saturating_sub(before);
+    println!("memory of {} origins: {grown} KiB", memory.len());
+}
+
 criterion_group!(
     benches,
+    // Measures the process: first, before others have allocated.
+    origin_sizes,
     choose,
     accept,
     place,
