Mutants of the search for origins follow the code that moved, and two are new

Two named code that is in route_changes now, or has another variable. New: a leader that confirms versions after a change of routes, and questions that don't wait for one another. Checked that each expression applies; the script was not run.

--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -118,8 +118,10 @@
 mutant lifted-blames-others src/consensus/part_crashes.rs 's/record\.forget\(\&crashes\);/let _ = (record, \&crashes);/' part_crashes lifting_a_part_blames_none_whose_crashes_it_explained
 mutant resumed-at-other-software src/admission/controller.rs 's/false if continues => \{\}/false if true || continues => {}/' engine_versions a_response_is_not_resumed_at_a_replaced_engine
 mutant continued-at-other-software "src/entry/request_driver.rs src/routing/lifecycle.rs" 's/continues: self\.lifecycle\.software\(\)\.cloned\(\)/continues: None/; s/false => software\.is_some\(\) \&\& self\.software == software/false => true/' engine_versions a_response_is_continued_at_another_target
-mutant rerouting-not-known src/forward/stream_origins.rs 's/\|\| rerouting\.is_some_and\([^)]*\)/|| rerouting.is_some_and(|_| false)/; s/now_ms < self\.origins\.unaware_until_ms\.get\(\)/false/' forwarding a_stream_whose_route_moved
-mutant earlier-streams-not-stored src/forward/stream_origins.rs 's/for service in new \{/for service in new.into_iter().take(0) {/' forwarding a_stream_goes_on_at_its_service_after
+mutant rerouting-not-known src/routing/route_changes.rs 's/\|\| rerouting\.is_some_and\([^)]*\)/|| rerouting.is_some_and(|_| false)/; s/now_ms < self\.unaware_until_ms/false/' forwarding a_stream_whose_route_moved
+mutant earlier-streams-not-stored src/forward/stream_origins.rs 's/for service in moved \{/for service in moved.into_iter().take(0) {/' forwarding a_stream_goes_on_at_its_service_after
+mutant rerouted-versions-confirmed src/routing/route_changes.rs 's/mix\.filter\(\|_\| !is_moved\)/mix.filter(|_| true)/' forwarding an_entry_that_started_after_a_route_moved_continues
+mutant origins-asked-for-each src/routing/question_queue.rs 's/now_ms \+ ASK_INTERVAL_MS/now_ms/' question_queue a_question_is_not_served_by
 mutant origins-forgotten-early src/routing/stream_origins.rs 's/self\.keep_ms\.max\(keep_ms\)/keep_ms/' origin_memory an_origin_is_kept_for_its_time
 mutant later-life-unheard src/consensus/directory.rs 's/Some\(known\) if record\.started_ms > known\.started_ms => HeartbeatStatus::New,\n//' replica_born a_new_incarnation_is_accepted_though_its_numbers_restart
 mutant pause-not-kept src/routing/backoff.rs 's/peer if now_ms < peer\.until_ms => /peer if false \&\& now_ms < peer.until_ms => /' backoff at_most_two_requests_arrive_within_a_backoff_period
