Load tool: a crowd at an entry

A phase of a mix may name an entry and the share of requests that it gets; it moves with the phases. It skews requests: the client pools connections by entry. Without a crowd the draws are as before.

Tested on the draws alone; no run of the tool with a crowd yet.

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -449,6 +449,7 @@
             .iter()
             .map(|(class, factor)| ((*class).to_owned(), *factor))
             .collect(),
+        crowd: None,
     };
     let all = [
         "filing-review",
--- a/src/cli/load.rs
+++ b/src/cli/load.rs
@@ -65,14 +65,28 @@
     1
 }
 
-/// Phase of the run in which some request rates are multiplied.
+/// Phase of the run in which some request rates are multiplied, or an entry is crowded.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LoadPhase {
     /// Start of the phase, in seconds since the start of the run.
     pub from_s: f64,
     /// Factors by class; 1 for a class that is not listed.
+    #[serde(default)]
     pub factors: BTreeMap<String, f64>,
+    /// Entry that gets more requests than others; by default all get the same.
+    #[serde(default)]
+    pub crowd: Option<EntryCrowd>,
+}
+
+/// Skew of the requests over entries.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntryCrowd {
+    /// Index of the crowded entry among those of the run, modulo their number.
+    pub entry: usize,
+    /// Fraction of the requests that it gets beyond an even share of the others.
+    pub share: f64,
 }
 
 /// Request mix to send.
@@ -110,11 +124,37 @@
                 invalid("classes.tokens", "must be at least 1")
             }
             _ if !sorted => invalid("phases.from_s", "must be sorted"),
+            mix if mix.crowds().any(|c| !(0.0..=1.0).contains(&c.share)) => {
+                invalid("phases.crowd.share", "must be from 0 to 1")
+            }
             _ => Ok(()),
         }
     }
 }
 
+impl LoadMix {
+    fn crowds(&self) -> impl Iterator<Item = EntryCrowd> {
+        self.phases.iter().filter_map(|phase| phase.crowd)
+    }
+
+    fn phase_at(&self, second: f64) -> Option<&LoadPhase> {
+        self.phases
+            .iter()
+            .rev()
+            .find(|phase| phase.from_s <= second)
+    }
+
+    /// Draws which of `entries` entries gets a request that is due at this second.
+    pub fn draw_entry(&self, second: f64, entries: usize, random: &mut SmallRng) -> usize {
+        let even = random.random_range(0..entries);
+        let crowd = self.phase_at(second).and_then(|phase| phase.crowd);
+        match crowd {
+            Some(crowd) if random.random_bool(crowd.share) => crowd.entry % entries,
+            _ => even,
+        }
+    }
+}
+
 /// Loads and validates a mix.
 pub fn load_mix(path: &Path) -> Result<LoadMix, SettingsError> {
     crate::process::settings::load(path)
@@ -314,8 +354,9 @@
 }
 
 fn factor_at(mix: &LoadMix, class: &str, second: f64) -> f64 {
-    let now = mix.phases.iter().rev().find(|phase| phase.from_s <= second);
-    let factor = now.and_then(|phase| phase.factors.get(class));
+    let factor = mix
+        .phase_at(second)
+        .and_then(|phase| phase.factors.get(class));
     factor.copied().unwrap_or(1.0)
 }
 
@@ -347,7 +388,7 @@
         }
         number += 1;
         let prefix = rng.random_range(0..spec.prefixes.max(1));
-        let entry = rng.random_range(0..plan.entries.len());
+        let entry = plan.mix.draw_entry(due, plan.entries.len(), &mut rng);
         *state.in_flight.borrow_mut() += 1;
         let state = state.clone();
         ntex::rt::spawn(async move {
