An answer whose events have no ids is not begun anew after a break

What callers saw: one answer held the first events of several runs, each from its beginning, and of any software version: "data: 1" three times in the new test, on the code before.

Cause: whether a stream is continued was judged by the id of the last event that was passed on. Without one, the next attempt counted as a beginning: it was sent without a last event's id, at any version, and its events followed those that the client already had.

Now an answer that has passed an event with data on is continued, or broken off: it is sent again only if the last such event has an id. Comments between events don't count.

--- a/src/forward/events.rs
+++ b/src/forward/events.rs
@@ -9,6 +9,8 @@
 pub struct EventBuffer {
     buffer: Vec<u8>,
     last_id: Option<String>,
+    /// Whether the last event that was passed on has data and no id.
+    ends_unnamed: bool,
     count: u64,
 }
 
@@ -22,6 +24,16 @@
         self.last_id.as_deref()
     }
 
+    /// Whether events were passed on that a continuation would have to follow.
+    pub fn has_begun(&self) -> bool {
+        self.last_id.is_some() || self.ends_unnamed
+    }
+
+    /// Whether a replica can be told where to go on: the last event has an id, or none was passed on.
+    pub fn can_resume(&self) -> bool {
+        !self.ends_unnamed
+    }
+
     /// Number of events that were passed on.
     pub fn count(&self) -> u64 {
         self.count
@@ -54,13 +66,22 @@
     /// Records complete events that are passed on.
     pub fn record(&mut self, complete: &[u8]) {
         let text = String::from_utf8_lossy(complete);
+        let (mut has_id, mut has_data) = (false, false);
         let mut blank = true;
         for line in text.lines() {
             if let Some(id) = line.strip_prefix("id:") {
                 self.last_id = Some(id.trim().to_owned());
+                has_id = true;
             }
+            has_data |= line.starts_with("data:");
             if line.is_empty() && !blank {
                 self.count += 1;
+                // Without data it is a comment, and no event of the stream.
+                self.ends_unnamed = match has_id || has_data {
+                    true => !has_id,
+                    false => self.ends_unnamed,
+                };
+                (has_id, has_data) = (false, false);
             }
             blank = line.is_empty();
         }
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -403,7 +403,9 @@
 
     /// Whether a request that may have run may run once more.
     fn may_rerun(&mut self) -> Result<(), Refusal> {
-        let allowed = self.route.is_repeatable() && self.runs < self.route.attempts;
+        let allowed = self.route.is_repeatable()
+            && self.runs < self.route.attempts
+            && self.event_buffer.can_resume();
         match allowed && self.spend() {
             true => Ok(()),
             false => Err(Refusal::Budget),
@@ -782,7 +784,7 @@
                 continue;
             }
             if !self.accept_events(&events, exchange.opened()).await {
-                guard.end = AttemptResult::Failed;
+                guard.end = AttemptResult::Neutral;
                 self.log
                     .note("the first event is not from the expected incarnation");
                 return self.broken(writer);
--- a/src/forward/request/continuing.rs
+++ b/src/forward/request/continuing.rs
@@ -47,10 +47,10 @@
 
     /// Who continues a stream by the next attempt; `None` if the attempt begins one.
     fn continuer(&self) -> Option<Continuer> {
-        match self.event_buffer.last_id() {
-            Some(_) => Some(Continuer::Entry),
-            None if self.is_take_up() => Some(Continuer::Client),
-            None => None,
+        match self.event_buffer.has_begun() {
+            true => Some(Continuer::Entry),
+            false if self.is_take_up() => Some(Continuer::Client),
+            false => None,
         }
     }
 
--- a/src/routing/stream_origins.rs
+++ b/src/routing/stream_origins.rs
@@ -137,12 +137,12 @@
         origins.collect()
     }
 
-    /// Returns the known origins of a service's streams.
+    /// Returns the known origins of a service's streams, the newer ones first.
     pub fn of_service<'a>(
         &'a self,
         service: &'a ServiceName,
     ) -> impl Iterator<Item = (StreamKey, &'a StreamOrigin)> {
-        let all = self.older.iter().chain(&self.newer);
+        let all = self.newer.iter().chain(&self.older);
         let known = all.filter_map(|(key, origin)| Some((*key, origin.as_deref()?)));
         known.filter(move |(_, origin)| origin.service == *service)
     }
--- a/tests/forwarding/answers.rs
+++ b/tests/forwarding/answers.rs
@@ -239,3 +239,18 @@
     })
     .await;
 }
+
+/// Guards against events of two runs in one answer.
+#[ntex::test]
+async fn a_stream_of_events_without_ids_is_not_begun_anew_in_its_answer() {
+    const UNNAMED: &str = "data: 1\n\ndata: 2\n";
+    let mut site = ForwardSite::start(&[RESUMED]).await;
+    for name in ["r1", "r2"] {
+        let script = vec![Behaviour::Wire(BARE, UNNAMED, WireEnd::Close); 9];
+        site.add_replica(name, script).await;
+    }
+    let answer = site.send("POST", "/resumed/x", "first", "").await;
+    assert!(!answer.complete);
+    assert_eq!(answer.body, "data: 1\n\n");
+    assert_eq!(site.seen("r1").len() + site.seen("r2").len(), 1);
+}
