The error of a failed write is kept while an early response is looked for

Cause: since a response that came before a failed write is read, the write's error was dropped. The kernel reports an error once; if the write got it, the read that followed found the end of the stream, which was told as a close by the replica. Which of the two gets it is chance. An order that the kernel gave up was so told as one that its target had ended.

Now the write's error is kept, and returned if no response follows.

--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -392,7 +392,7 @@
 ) -> Result<ResponseHead, ExchangeError> {
     let peer = connection.peer;
     let broken = |source| ExchangeError::Broken { peer, source };
-    let mut is_writable = true;
+    let mut write_error = None;
     loop {
         let parsed = head::parse_response(&connection.buffer, request.method);
         match parsed {
@@ -414,15 +414,16 @@
         connection.buffer.reserve(READ_SIZE);
         let (mut reader, mut writer) = connection.stream.split();
         tokio::select! {
-            sent = writer.write(left), if is_writable && !left.is_empty() => match sent {
+            sent = writer.write(left), if write_error.is_none() && !left.is_empty() => match sent {
                 Ok(count) => *written += count,
                 // The response may have come before the replica closed the connection.
-                Err(_) => is_writable = false,
+                Err(error) => write_error = Some(error),
             },
-            read = reader.read_buf(&mut connection.buffer) => {
-                if read.map_err(broken)? == 0 {
-                    return Err(ExchangeError::Closed { peer });
-                }
+            // The kernel reports an error once, to the write or to the read.
+            read = reader.read_buf(&mut connection.buffer) => match (read, write_error.take()) {
+                (Ok(0), None) => return Err(ExchangeError::Closed { peer }),
+                (Ok(0), Some(source)) | (Err(source), _) => return Err(broken(source)),
+                (Ok(_), earlier) => write_error = earlier,
             }
         }
     }
