--- a/src/forward/events.rs
+++ b/src/forward/events.rs
@@ -29,7 +29,7 @@
         self.last_id.is_some() || self.ends_unnamed
     }
 
-    /// Whether a replica can be told where to go on: the last event has an id, or none was passed on.
+    /// Whether a replica can continue after the last event: it has an id, or none was passed on.
     pub fn can_resume(&self) -> bool {
         !self.ends_unnamed
     }
--- a/src/routing/question_queue.rs
+++ b/src/routing/question_queue.rs
@@ -30,7 +30,7 @@
 
 impl<Q> QuestionQueue<Q> {
     /// Adds a question. Returns the delay in milliseconds after which the caller must have what waits
-    /// taken; `None` if that was told to an earlier caller.
+    /// taken; `None` if an earlier caller does so.
     pub fn push(&mut self, now_ms: u64, question: Q) -> Option<u64> {
         self.waiting.push(question);
         let is_scheduled = std::mem::replace(&mut self.is_scheduled, true);
--- a/src/routing/route_changes.rs
+++ b/src/routing/route_changes.rs
@@ -115,7 +115,7 @@
 
     /// Returns the versions of a service as a leader confirms them: nothing while a stream may return
     /// that a route of the service led elsewhere, as its origin does not follow from them. An entry
-    /// may have started, or hear of the change, after the stream began.
+    /// may have started, or learned of the change, after the stream began.
     pub fn confirmed_mix(
         &self,
         service: &ServiceName,
--- a/src/routing/stream_origins.rs
+++ b/src/routing/stream_origins.rs
@@ -42,7 +42,7 @@
     }
 
     /// Returns the hosts that own the origin of the stream, the first one first: by rendezvous
-    /// hashing, so that a host which comes or goes moves only its own share.
+    /// hashing, so that a host which joins or leaves changes the owners of its own share alone.
     pub fn owners<'a>(&self, hosts: &'a [String]) -> Vec<&'a String> {
         let weight = |host: &String| {
             let mut hash = crc32fast::Hasher::new();
