The metric of software versions collects them without counts

ReplicaTable::versions counted the ready replicas of each version, and its only caller, which shows how many versions a service runs, dropped the counts. It returns the set of versions now; the metric is the same.

Clippy and fmt are clean; version_choice passes, forwarding passes but for the known red a_request_that_no_home_can_take_spends_no_resend.

--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -602,7 +602,7 @@
     /// Shows the software versions of each service in the metrics.
     fn show_versions(&self, replicas: &ReplicaTable) {
         let mut counts: BTreeMap<&ServiceName, u64> = BTreeMap::new();
-        for (service, _) in replicas.versions().into_keys() {
+        for (service, _) in replicas.versions() {
             *counts.entry(service).or_default() += 1;
         }
         let mut metrics = self.metrics.lock().unwrap_or_else(|b| b.into_inner());
--- a/src/forward/replica_table.rs
+++ b/src/forward/replica_table.rs
@@ -281,15 +281,13 @@
         })
     }
 
-    /// Returns the number of ready replicas by service and software version.
-    pub fn versions(&self) -> BTreeMap<(&ServiceName, &SoftwareVersion), u64> {
-        let mut counts = BTreeMap::new();
+    /// Returns the software versions that ready replicas of each service run.
+    pub fn versions(&self) -> BTreeSet<(&ServiceName, &SoftwareVersion)> {
         let ready = self.states.values();
-        for state in ready.filter(|state| state.record.phase == ReplicaPhase::Ready) {
-            let slot = (&state.record.service, &state.version);
-            *counts.entry(slot).or_default() += 1;
-        }
-        counts
+        let ready = ready.filter(|state| state.record.phase == ReplicaPhase::Ready);
+        ready
+            .map(|state| (&state.record.service, &state.version))
+            .collect()
     }
 
     /// Returns the prompt and answer tokens of this entry's waiting requests, by replica.
