Names that are requested without being served are reported and logged

Entries now report the 32 names that they have refused for longest, the leader merges the reports, logs the first eight every five seconds with the orders their homes wait for, and shows number and longest time as metrics. Protocol 12: a report has one field more.

--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -662,6 +662,11 @@
         ("dunlinspring_members", status.members.len() as u64),
         ("dunlinspring_moves_total", status.moves),
         ("dunlinspring_claims", status.claims as u64),
+        ("dunlinspring_unserved_names", status.unserved.names),
+        (
+            "dunlinspring_unserved_longest_ms",
+            status.unserved.longest_ms,
+        ),
     ];
     for (name, value) in gauges {
         metrics.gauge(MetricKey::new(name, &[]), value);
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -50,6 +50,8 @@
 const SHED_VOTER_MS: u64 = 3_000;
 /// The first term, whose leader has no predecessor.
 const FIRST_TERM: Term = Term(1);
+/// Time between two groups of log lines on names without service, in milliseconds.
+const UNSERVED_LOG_INTERVAL_MS: u64 = 5_000;
 /// Time for which events are discarded while the disk is full.
 const DISK_FULL_PAUSE: Duration = Duration::from_millis(100);
 /// A voter waits for a write for its heartbeat interval divided by this, then goes on.
@@ -119,6 +121,8 @@
     hosts: BTreeMap<NodeId, HostName>,
     /// Hosts of disks that this leader has proposed to record.
     proposed_hosts: BTreeSet<(NodeId, HostName)>,
+    /// When names without service were last logged.
+    unserved_logged_ms: u64,
     outbox: PeerOutbox,
     /// Linearizable reads that wait for the end of this batch of events.
     deferred: Vec<ControlEvent>,
@@ -176,6 +180,7 @@
             notified_ms: 0,
             hosts,
             proposed_hosts: BTreeSet::new(),
+            unserved_logged_ms: 0,
             outbox: PeerOutbox::default(),
             deferred: Vec::new(),
             stopping: None,
@@ -636,6 +641,30 @@
         for order in actions.orders {
             self.send_order(now_ms, order);
         }
+        self.log_unserved(now_ms);
+    }
+
+    fn log_unserved(&mut self, now_ms: u64) {
+        let (Some(state), Some(fleet)) = (self.replica.newest(now_ms), &self.fleet) else {
+            return;
+        };
+        let summary = fleet.unserved_summary(now_ms);
+        if summary.names == 0 || now_ms < self.unserved_logged_ms + UNSERVED_LOG_INTERVAL_MS {
+            return;
+        }
+        self.unserved_logged_ms = now_ms;
+        let (names, longest_ms) = (summary.names, summary.longest_ms);
+        tracing::warn!(
+            names,
+            longest_ms,
+            "models and adapters requested without service"
+        );
+        for status in fleet.unserved_status(state, now_ms) {
+            tracing::warn!(
+                name = %status.name, unserved_ms = status.unserved_ms, homes = status.homes,
+                holders = status.holders, waits_for = status.waits_for, "requested without service"
+            );
+        }
     }
 
     fn on_agent(
@@ -698,6 +727,8 @@
         let raft = self.replica.raft();
         let state = self.replica.state();
         let leader = raft.leader().and_then(|node| self.hosts.get(&node));
+        let fleet = self.fleet.as_ref();
+        let fleet = fleet.map(|fleet| fleet.unserved_summary(now_ms));
         ControlStatus {
             host: self.settings.common.host.clone(),
             node: raft.id(),
@@ -709,6 +740,7 @@
             members: state.members.clone(),
             moves: state.moves,
             claims: state.claims.len(),
+            unserved: fleet.unwrap_or_default(),
         }
     }
 
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -34,6 +34,7 @@
 use crate::ids::{HallName, HostName, ModelName, RegionName, ReplicaId, ServiceName};
 use crate::placement::order::AdapterPlacement;
 use crate::placement::report::EntryReport;
+use crate::placement::unserved::{RefusedNames, ServedName};
 use crate::process::daemon::{self, DaemonError};
 use crate::process::follow::ControlFollower;
 use crate::process::metrics::{MetricKey, MetricRegistry};
@@ -198,6 +199,7 @@
     recent_demand: RefCell<BTreeMap<ModelName, f64>>,
     adapters: RefCell<BTreeSet<AdapterPlacement>>,
     adapter_requests: RefCell<BTreeMap<AdapterPlacement, u64>>,
+    refused_names: RefCell<RefusedNames>,
     /// Quotas drawn for accounts.
     pub quotas: QuotaClient,
     /// Notified when this entry sees a congested replica.
@@ -467,6 +469,23 @@
         daemon::spawn_local(send_adapter_request(self.clone(), request));
     }
 
+    /// Records that a request was refused because no replica could take it.
+    pub fn record_refusal(&self, need: &Need) {
+        if let Some(name) = served_name(need) {
+            let now_ms = clock::monotonic_ms();
+            self.refused_names
+                .borrow_mut()
+                .record_refusal(now_ms, &name);
+        }
+    }
+
+    /// Records that a replica answered a request.
+    pub fn record_service(&self, need: &Need) {
+        if let Some(name) = served_name(need) {
+            self.refused_names.borrow_mut().record_service(&name);
+        }
+    }
+
     /// Counts a connection opened to a replica.
     pub fn count_opened(&self) {
         self.count("dunlinspring_replica_connections_total", &[]);
@@ -641,6 +660,10 @@
             host: self.settings.host.0.clone(),
             busy,
             adapters: std::mem::take(&mut *self.adapters.borrow_mut()),
+            unserved: self
+                .refused_names
+                .borrow_mut()
+                .report(clock::monotonic_ms()),
             limits: self.replicas.borrow().limits().cursor(),
         }
     }
@@ -698,6 +721,7 @@
             recent_demand: RefCell::default(),
             adapters: RefCell::default(),
             adapter_requests: RefCell::default(),
+            refused_names: RefCell::default(),
             quotas: QuotaClient::new(QuotaHolder::new(incarnation, clock::monotonic_ms())),
             congestion_seen: Notify::new(),
             limit_changed: Notify::new(),
@@ -868,6 +892,13 @@
     })
 }
 
+fn served_name(need: &Need) -> Option<ServedName> {
+    Some(ServedName {
+        model: need.model.clone()?,
+        adapter: need.adapter.clone(),
+    })
+}
+
 async fn send_adapter_request(core: Rc<EntryCore>, request: AdapterPlacement) {
     let link = core.follower.link();
     let reply = link
--- a/src/forward/own_answer.rs
+++ b/src/forward/own_answer.rs
@@ -55,6 +55,14 @@
 }
 
 impl Refusal {
+    /// Whether the request was refused because no replica could take it.
+    pub(super) fn is_for_lack_of_replicas(self) -> bool {
+        matches!(
+            self,
+            Self::Full | Self::Absent | Self::Adapter | Self::DeadlinePassed | Self::Budget
+        )
+    }
+
     /// Returns the reason shown to the caller.
     pub(super) fn text(self) -> &'static str {
         match self {
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -332,7 +332,12 @@
             self.end_attempt(&outcome);
             self.attempted.insert(replica);
             let again = match outcome {
-                AttemptOutcome::Answered(after) => return after,
+                AttemptOutcome::Answered(after) => {
+                    if self.log.is_answered() {
+                        core.record_service(&self.need);
+                    }
+                    return after;
+                }
                 AttemptOutcome::NotSent => Ok(()),
                 AttemptOutcome::NotRun | AttemptOutcome::Misplaced => self.may_resend(),
                 AttemptOutcome::CallerRefused(refusal) => Err(Refusal::Caller(refusal)),
@@ -436,6 +441,9 @@
             (_, true) => (504, "no answer in time; it may have run"),
             (_, false) => (502, "the replica failed; it may have run"),
         };
+        if self.runs == 0 && refusal.is_for_lack_of_replicas() {
+            self.core.record_refusal(&self.need);
+        }
         if self.runs == 0 {
             let replicas = self.core.replicas.borrow();
             self.log
--- a/src/placement/adapters.rs
+++ b/src/placement/adapters.rs
@@ -50,6 +50,8 @@
     expires_ms: Option<u64>,
     /// When the order is to be sent; `None` while a response or its effect is awaited.
     send_at_ms: Option<u64>,
+    /// When the order was given to be sent; `None` once it has an outcome.
+    sent_ms: Option<u64>,
     /// The order was sent without a response, by this leader or the previous one, and may still
     /// take effect.
     may_be_running: bool,
@@ -271,6 +273,29 @@
         self.insert_pending(placement, OrderKind::Load, now_ms);
     }
 
+    /// Returns the orders at a replica that are being sent, and since when the first of them is, in
+    /// milliseconds.
+    pub fn unanswered(&self, id: &ReplicaId) -> Option<(usize, u64)> {
+        let here = self.pending_at(id);
+        let sent = here.filter_map(|(_, order)| order.sent_ms);
+        let since_ms = sent.clone().min()?;
+        Some((sent.count(), since_ms))
+    }
+
+    /// Returns the pending orders of a replica.
+    fn pending_at<'a>(
+        &'a self,
+        id: &'a ReplicaId,
+    ) -> impl Iterator<Item = (&'a AdapterPlacement, &'a PendingOrder)> + Clone {
+        let first = AdapterPlacement {
+            replica: id.clone(),
+            model: ModelName(String::new()),
+            adapter: String::new(),
+        };
+        let from_here = self.pending.range(first..);
+        from_here.take_while(move |(placement, _)| placement.replica == *id)
+    }
+
     /// Returns the adapters whose loads are pending.
     pub fn pending_loads(&self) -> impl Iterator<Item = &AdapterPlacement> {
         let loads = self.pending.iter();
@@ -289,6 +314,7 @@
         let Some(order) = self.pending.get_mut(placement) else {
             return false;
         };
+        order.sent_ms = None;
         match outcome {
             OrderOutcome::Held if order.kind == OrderKind::Unload => {
                 self.pending.remove(placement);
@@ -346,6 +372,7 @@
             let is_due = order.send_at_ms.is_some_and(|at_ms| at_ms <= now_ms) && !unloading;
             if is_due && is_load_committed(replicas, placement) {
                 order.send_at_ms = None;
+                order.sent_ms = Some(now_ms);
                 due.push(placement.clone());
             }
         }
@@ -393,6 +420,7 @@
                     kind: OrderKind::Load,
                     expires_ms: None,
                     send_at_ms: Some(now_ms + UNKNOWN_OUTCOME_MS),
+                    sent_ms: None,
                     may_be_running: true,
                 };
                 self.pending.entry(placement).or_insert(order);
@@ -406,25 +434,24 @@
             expires_ms: None,
             // The caller sends an unload immediately.
             send_at_ms: (kind == OrderKind::Load).then_some(now_ms),
+            sent_ms: (kind == OrderKind::Unload).then_some(now_ms),
             may_be_running: false,
         };
         self.pending.insert(placement, order);
     }
 
     fn pending_load_count(&self, id: &ReplicaId) -> usize {
-        let here = self
-            .pending
-            .iter()
-            .filter(|(placement, _)| placement.replica == *id);
-        here.filter(|(_, order)| order.kind == OrderKind::Load)
+        let loads = self.pending_at(id);
+        loads
+            .filter(|(_, order)| order.kind == OrderKind::Load)
             .count()
     }
 
     /// Number of slots that are occupied, or claimed by an order that may still take effect.
     fn occupied_slots(&self, record: &ReplicaRecord, replicas: &ReplicaDirectory) -> usize {
         let held: usize = record.models.values().map(BTreeSet::len).sum();
-        let pending = self.pending.keys().cloned();
-        let pending = pending.filter(|placement| placement.replica == record.id);
+        let pending = self.pending_at(&record.id);
+        let pending = pending.map(|(placement, _)| placement.clone());
         let ordered = replicas.adapters_ordered(&record.id);
         let ordered = ordered.map(|(model, adapter)| placement_of(&record.id, model, adapter));
         let ordered: BTreeSet<AdapterPlacement> = pending.chain(ordered).collect();
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -5,6 +5,7 @@
 //! of a previous leader may still arrive or may have arrived too recently.
 
 mod preload_adapters;
+mod unserved_status;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -20,6 +21,7 @@
 use crate::placement::fleet_plan::{self, PlanModel, PlanReplica, PlanStep};
 use crate::placement::order::{AdapterPlacement, OrderKind, OrderOutcome, ReplicaOrder};
 use crate::placement::report::EntryReport;
+use crate::placement::unserved::{ServedName, UnservedNames};
 use crate::placement::version_settlement::VersionSettlement;
 use crate::table::configuration::{ConfigurationRecord, EngineSpec};
 
@@ -133,6 +135,7 @@
     pending: BTreeMap<ReplicaId, PendingOrder>,
     reservations: BTreeMap<ReplicaId, Reservation>,
     adapters: AdapterOrders,
+    unserved: UnservedNames,
     version_settlement: VersionSettlement,
     /// Incarnations that refuse this leader's orders. An engine forgets fences when it restarts.
     fenced: BTreeSet<ReplicaIncarnation>,
@@ -170,6 +173,13 @@
 /// Time between two rounds of preloading, in milliseconds.
 const PRELOAD_INTERVAL_MS: u64 = 500;
 
+fn adapter_name(placement: &AdapterPlacement) -> ServedName {
+    ServedName {
+        model: placement.model.clone(),
+        adapter: Some(placement.adapter.clone()),
+    }
+}
+
 /// Returns whether an order is in the log and its effect does not show yet.
 fn is_under_way(replicas: &ReplicaDirectory, id: &ReplicaId, order: &PendingOrder) -> bool {
     match order.kind {
@@ -232,6 +242,7 @@
             pending: BTreeMap::new(),
             reservations: BTreeMap::new(),
             adapters: AdapterOrders::default(),
+            unserved: UnservedNames::default(),
             version_settlement: VersionSettlement::default(),
             fenced: BTreeSet::new(),
             limited: BTreeSet::new(),
@@ -255,7 +266,10 @@
 
     /// Records an entry's report. Returns the number of entries that report.
     pub fn on_report(&mut self, now_ms: u64, report: EntryReport) -> u32 {
+        self.unserved.record_report(now_ms, &report.unserved);
         for placement in report.adapters {
+            let name = adapter_name(&placement);
+            self.unserved.record_service(now_ms, &name);
             self.adapters.record_use(placement, now_ms);
         }
         let busy = report.busy.iter().filter(|(_, level)| **level > 0.0);
@@ -308,6 +322,10 @@
         let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
             return (false, None);
         };
+        if !record.holds_adapter(&request.model, &request.adapter) {
+            let name = adapter_name(request);
+            self.unserved.record_refusals(&name, now_ms, now_ms);
+        }
         if self.must_wait_for_predecessor(now_ms) || !self.accepts_adapter_orders(state, record) {
             return (false, None);
         }
@@ -468,6 +486,10 @@
                 let mut known = engines.iter();
                 known.any(|(_, engine)| engine.models.contains_key(model))
             });
+            self.unserved.prune(now_ms, |name| {
+                let mut known = engines.iter();
+                known.any(|(_, engine)| engine.models.contains_key(&name.model))
+            });
             for (service, engine) in &engines {
                 self.plan_service(state, service, engine, now_ms, &mut actions);
             }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -20,4 +20,5 @@
 pub mod report;
 pub mod suspect_leases;
 pub mod target_controller;
+pub mod unserved;
 pub mod version_settlement;
--- a/src/placement/report.rs
+++ b/src/placement/report.rs
@@ -8,6 +8,7 @@
 use crate::ids::ModelName;
 use crate::placement::advertised_limits::{LimitCursor, LimitPage};
 use crate::placement::order::AdapterPlacement;
+use crate::placement::unserved::NameWait;
 
 /// Periodic report of an entry to the leader.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -18,6 +19,8 @@
     pub busy: BTreeMap<ModelName, f64>,
     /// Adapters in use, by replica.
     pub adapters: BTreeSet<AdapterPlacement>,
+    /// Names that the entry has refused for longest without serving them.
+    pub unserved: Vec<NameWait>,
     /// Changes of rate limits that the entry has.
     pub limits: LimitCursor,
 }
--- a/src/process/wire.rs
+++ b/src/process/wire.rs
@@ -26,6 +26,7 @@
     SuspectLeaseRelease, SuspectLeaseReply, SuspectLeaseRequest,
 };
 use crate::placement::target_controller::{AgentHeartbeat, EntryHeartbeat};
+use crate::placement::unserved::UnservedSummary;
 use crate::routing::freshness::FreshnessProof;
 use crate::routing::stream_origins::{OriginBatch, StreamKey, StreamOrigin};
 use crate::routing::view::SyncPage;
@@ -36,7 +37,7 @@
 
 /// Protocol version. Incremented with each change of a type on the wire; peers with another
 /// version are refused.
-pub const PROTOCOL: u32 = 11;
+pub const PROTOCOL: u32 = 12;
 
 /// Reason why a control host refused a call.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -141,6 +142,8 @@
     pub moves: u64,
     /// Number of claims kept.
     pub claims: usize,
+    /// Models and adapters that are requested without being served, as the leader knows.
+    pub unserved: UnservedSummary,
 }
 
 impl ControlStatus {
@@ -157,6 +160,7 @@
             members: BTreeMap::new(),
             moves: 0,
             claims: 0,
+            unserved: UnservedSummary::default(),
         }
     }
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -139,6 +139,7 @@
         host: "e1".to_owned(),
         busy: BTreeMap::from([(ModelName::from(model), level)]),
         adapters: BTreeSet::new(),
+        unserved: Vec::new(),
     }
 }
 
