--- /dev/null
+++ b/tests/never_served/main.rs
@@ -0,0 +1,108 @@
+//! Callers of each model and adapter are served in the end, while replicas are lost and their
+//! orders are carried out late.
+
+#[path = "../support_replicas/mod.rs"]
+mod support_replicas;
+#[path = "../support_state/mod.rs"]
+mod support_state;
+mod world;
+
+use world::{LOAD_MS, SiteSize, World};
+
+/// Number of plays of each history; `DUNLINSPRING_CASES` draws more.
+const CASES: u64 = 8;
+/// Mean time until a late order takes effect, in milliseconds: two seconds at least, and several
+/// attempts a second apart.
+const LATE_ORDER_MS: u64 = 4_500;
+
+fn cases() -> u64 {
+    let cases = std::env::var("DUNLINSPRING_CASES").ok();
+    cases.and_then(|cases| cases.parse().ok()).unwrap_or(CASES)
+}
+
+/// Time until the leader counts a replica as silent, and the first entries report, in milliseconds.
+const NOTICE_MS: u64 = 6_000;
+
+/// A site with as many places as requested models once replicas are lost, with a skewed demand.
+fn site() -> SiteSize {
+    let mut adapters = vec![20, 6, 5, 4, 4, 3, 3];
+    adapters.resize(26, 0);
+    let mut homes = vec![5, 3, 3, 2, 2];
+    homes.resize(26, 1);
+    let mut demand = Vec::new();
+    for (number, count) in adapters.iter().enumerate().take(22) {
+        let rate = 2.0 / (1.0 + number as f64 / 3.0);
+        demand.push((number, None, rate.max(0.4)));
+        demand.extend((1..=*count).map(|name| (number, Some(name), (rate / 2.0).max(0.4))));
+    }
+    SiteSize {
+        replicas: 14,
+        adapters,
+        homes,
+        demand,
+    }
+}
+
+/// What callers got in one play.
+struct PlayResult {
+    never_served: Vec<String>,
+    asked: usize,
+    longest_ms: u64,
+    bound_ms: u64,
+}
+
+/// Plays a history, which returns the longest time that a name may go without service.
+fn play(seed: u64, size: SiteSize, history: impl Fn(&mut World) -> u64) -> PlayResult {
+    let mut world = World::new(seed, size);
+    world.run(14_000, false);
+    world.run(1_000, true);
+    let bound_ms = history(&mut world);
+    let never_served = world
+        .asked_names()
+        .filter(|(_, record)| record.served == 0)
+        .map(|(name, record)| format!("{name} asked {}", record.asked));
+    let longest = world.asked_names().map(|(_, record)| record.longest_ms);
+    PlayResult {
+        never_served: never_served.collect(),
+        asked: world.asked_names().count(),
+        longest_ms: longest.max().unwrap_or(0),
+        bound_ms,
+    }
+}
+
+fn check(from_seed: u64, size: &SiteSize, history: impl Fn(&mut World) -> u64) {
+    let mut failures = Vec::new();
+    for seed in from_seed..from_seed + cases() {
+        let result = play(seed, size.clone(), &history);
+        let (never, longest_ms, bound_ms) =
+            (&result.never_served, result.longest_ms, result.bound_ms);
+        let text = format!(
+            "seed {seed}: {} of {} never served, longest {longest_ms} ms of {bound_ms}",
+            never.len(),
+            result.asked
+        );
+        println!("{text}");
+        if !never.is_empty() || longest_ms > bound_ms {
+            failures.push(format!("{text} {never:?}"));
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
+
+/// Longest time without service that two orders for each lost name allow, one that frees a place and
+/// one that takes it, shared by the replicas that live.
+fn late_bound_ms(world: &World) -> u64 {
+    let rounds = world.lost_names().div_ceil(world.alive()) as u64;
+    NOTICE_MS + rounds * 2 * LATE_ORDER_MS + LOAD_MS
+}
+
+#[test]
+fn every_name_is_served_while_replicas_are_lost_and_orders_are_late() {
+    check(1, &site(), |world| {
+        world.lose_replicas(0.4);
+        world.late_share = 0.9;
+        let bound_ms = late_bound_ms(world);
+        world.run(60_000, true);
+        bound_ms
+    });
+}
