What a silent replica was ordered to load counts as no home

Cause: a silent replica's models count as gone, but not what it was ordered to load, nor the model that an unload there makes room for, nor its adapters for preloading, until it is removed after 30 s. Memory there stays claimed as before. Orders to a silent replica wait until it sends heartbeats again.

a_model_that_a_silent_replica_was_to_load_is_loaded_elsewhere failed before (no order to the other replica in 7 s).

--- a/src/placement/adapters.rs
+++ b/src/placement/adapters.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::consensus::directory::{ReplicaDirectory, ReplicaRecord};
+use crate::consensus::directory::{ReplicaDirectory, ReplicaPhase, ReplicaRecord};
 use crate::ids::{ModelName, ReplicaId};
 use crate::placement::order::{AdapterPlacement, OrderKind, OrderOutcome};
 
@@ -366,10 +366,16 @@
     /// Returns the loads that are due and whose slots are committed to the log. A later leader must
     /// know that a slot is claimed before an order fills it.
     pub fn take_due(&mut self, replicas: &ReplicaDirectory, now_ms: u64) -> Vec<AdapterPlacement> {
+        let silent = |placement: &AdapterPlacement| {
+            let record = replicas.records().get(&placement.replica);
+            record.is_some_and(|record| record.phase == ReplicaPhase::Silent)
+        };
         let mut due = Vec::new();
         for (placement, order) in &mut self.pending {
             let unloading = replicas.is_unloading(&placement.replica, &placement.model);
-            let is_due = order.send_at_ms.is_some_and(|at_ms| at_ms <= now_ms) && !unloading;
+            let is_due = order.send_at_ms.is_some_and(|at_ms| at_ms <= now_ms)
+                && !unloading
+                && !silent(placement);
             if is_due && is_load_committed(replicas, placement) {
                 order.send_at_ms = None;
                 order.sent_ms = Some(now_ms);
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -173,6 +173,12 @@
 /// Time between two rounds of preloading, in milliseconds.
 const PRELOAD_INTERVAL_MS: u64 = 500;
 
+/// Whether a replica sends no heartbeats: orders to it wait until it does.
+fn is_silent(records: &BTreeMap<ReplicaId, ReplicaRecord>, id: &ReplicaId) -> bool {
+    let record = records.get(id);
+    record.is_some_and(|record| record.phase == ReplicaPhase::Silent)
+}
+
 fn adapter_name(placement: &AdapterPlacement) -> ServedName {
     ServedName {
         model: placement.model.clone(),
@@ -603,15 +609,16 @@
 
     /// Returns the orders that are due and whose commands are committed.
     fn send_due(&mut self, replicas: &ReplicaDirectory, now_ms: u64) -> Vec<ReplicaOrder> {
+        let records = replicas.records();
         let mut due = Vec::new();
         for (id, order) in &mut self.pending {
-            let is_due = order.send_ms.is_some_and(|at_ms| at_ms <= now_ms);
+            let is_due =
+                order.send_ms.is_some_and(|at_ms| at_ms <= now_ms) && !is_silent(records, id);
             if is_due && is_under_way(replicas, id, order) {
                 order.send_ms = None;
                 due.push((id.clone(), order.kind, order.model.clone()));
             }
         }
-        let records = replicas.records();
         let mut orders = Vec::new();
         for (id, kind, model) in due {
             let record = records.get(&id);
@@ -806,6 +813,11 @@
         let taken_mb: u64 = taken.into_iter().map(weight).sum();
         let open = !self.pending.contains_key(&record.id) && reserved.is_none();
         loading.extend(unload_for.or(reserved));
+        let stays = record.phase == ReplicaPhase::Ready;
+        if !stays {
+            // What such a replica was ordered to load may never be there.
+            loading.clear();
+        }
         let load_ms = |name: &ModelName, memory: bool| {
             let model = engine.models.get(name)?;
             Some((
@@ -821,7 +833,6 @@
             .in_memory
             .iter()
             .filter_map(|name| load_ms(name, true));
-        let stays = record.phase == ReplicaPhase::Ready;
         let limited = self.limited.contains(&record.incarnation());
         if !stays {
             held.clear();
--- a/src/placement/fleet/preload_adapters.rs
+++ b/src/placement/fleet/preload_adapters.rs
@@ -2,9 +2,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::consensus::directory::ReplicaRecord;
+use crate::consensus::directory::{ReplicaPhase, ReplicaRecord};
 use crate::consensus::state::SiteState;
-use crate::ids::{ModelName, ServiceName};
+use crate::ids::{ModelName, ReplicaId, ServiceName};
+use crate::placement::order::AdapterPlacement;
 use crate::placement::preload::{self, MissingAdapters, PreloadReplica};
 use crate::table::configuration::EngineSpec;
 
@@ -24,14 +25,19 @@
         engine: &EngineSpec,
         now_ms: u64,
     ) {
-        let pending = self.adapters.pending_loads().count();
-        let limit = MAX_LOADS_WITH_PRELOADS.saturating_sub(pending);
-        if limit == 0 || engine.adapter_slots == 0 {
+        if engine.adapter_slots == 0 {
             return;
         }
-        let records: Vec<&ReplicaRecord> = open_records(state, service).collect();
-        let missing = self.missing_adapters(engine, &records);
-        if missing.is_empty() {
+        let ready = |record: &&ReplicaRecord| record.phase == ReplicaPhase::Ready;
+        let records = open_records(state, service).filter(ready);
+        let records: Vec<&ReplicaRecord> = records.collect();
+        let ids: BTreeSet<&ReplicaId> = records.iter().map(|record| &record.id).collect();
+        let loads = self.adapters.pending_loads();
+        let loads = loads.filter(|placement| ids.contains(&placement.replica));
+        let loads: Vec<&AdapterPlacement> = loads.collect();
+        let limit = MAX_LOADS_WITH_PRELOADS.saturating_sub(loads.len());
+        let missing = self.missing_adapters(engine, &records, &loads);
+        if limit == 0 || missing.is_empty() {
             return;
         }
         let replicas = records
@@ -44,15 +50,15 @@
         }
     }
 
-    /// Returns the adapters that none of these replicas holds and for which no load is pending,
-    /// with the models of highest demand first.
+    /// Returns the adapters that none of these replicas holds and none of these loads brings, with the models of highest demand first.
     fn missing_adapters(
         &self,
         engine: &EngineSpec,
         records: &[&ReplicaRecord],
+        loads: &[&AdapterPlacement],
     ) -> Vec<MissingAdapters> {
         let mut loaded_or_loading: BTreeMap<&ModelName, BTreeSet<&str>> = BTreeMap::new();
-        for placement in self.adapters.pending_loads() {
+        for placement in loads {
             let names = loaded_or_loading.entry(&placement.model).or_default();
             names.insert(&placement.adapter);
         }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -630,6 +630,36 @@
     assert_eq!(idle.orders[0].kind, OrderKind::Unload);
 }
 
+/// A model that a lost replica had been ordered to load got no other home until the replica was
+/// removed, half a minute later.
+#[test]
+fn a_model_that_a_silent_replica_was_to_load_is_loaded_elsewhere() {
+    let mut fleet = TestFleet::new(&["a", "b"]);
+    fleet.heartbeat(&record("r1", 1, &["b"]));
+    fleet.controller.on_report(3_900, busy("a", 2.0));
+    fleet.rounds(3_900, 4_100);
+    assert_eq!(fleet.orders[0].model, ModelName::from("a"));
+    fleet.heartbeat(&record("r2", 2, &["b"]));
+    let seen = |fleet: &mut TestFleet, now_ms: u64| {
+        fleet
+            .controller
+            .on_heartbeats(now_ms, &[ReplicaId::from("r2")]);
+        fleet.controller.on_report(now_ms, busy("a", 2.0));
+        let actions = fleet.controller.round(&fleet.state, now_ms);
+        for command in actions.commands {
+            fleet.apply(command);
+        }
+        fleet.orders.extend(actions.orders);
+    };
+    for now_ms in (4_200..11_000).step_by(100) {
+        seen(&mut fleet, now_ms);
+    }
+    let at_r2 = fleet.orders.iter();
+    let at_r2 = at_r2.filter(|order| order.replica == ReplicaId::from("r2"));
+    let loads: Vec<&str> = at_r2.map(|order| order.model.as_str()).collect();
+    assert_eq!(loads, ["a"]);
+}
+
 fn placement(adapter: &str) -> AdapterPlacement {
     AdapterPlacement {
         replica: ReplicaId::from("r1"),
