Names that have gone without service for longest are loaded first

Cause: nothing aged. A refused request for an adapter left no trace, and what was loaded next followed from which request came when a replica was free; a slot that was freed for an adapter was forgotten after a second, before a late unload was done; an unload without a response claimed its slot for 13 s although heartbeats showed the adapter gone; and orders were decided early and stood in line at the replica, 21 s in the trace, while a pending model order there refused every adapter. Models were chosen by present demand: one that is asked for every few seconds counted as idle in between and lost its last home to a further home of another.

Now the leader keeps since when each name has gone without service, and gives slots, and the next order of a replica, to the oldest. An order is decided when the replica can take it: one at a time if it answers late, two otherwise. Model orders and adapters take turns, and a replica that adapters wait for takes only first homes. An adapter keeps its slot for 6 s, or 8 s in use; a last home for two loads. Adapters count as a loss of a home, and those without service as a gain of a further one.

Ruled out: a change of leader, quarantine, ejection (the trace shows one leader, and no refusal by either).

--- a/src/placement/adapters.rs
+++ b/src/placement/adapters.rs
@@ -42,6 +42,23 @@
 const REQUEST_TTL_MS: u64 = 1_000;
 /// Delay before a load without a response is sent again, in milliseconds.
 const RESEND_DELAY_MS: u64 = 1_000;
+/// Maximum number of orders to a replica that are being sent. They are sent one at a time, so a
+/// later decision is based on newer requests.
+const MAX_UNANSWERED_ORDERS: usize = 2;
+/// The same for a replica that answers late.
+const MAX_UNANSWERED_LATE_ORDERS: usize = 1;
+/// Time without a response after which a replica counts as answering late, in milliseconds.
+const LATE_ANSWER_MS: u64 = 300;
+/// Time for which a replica counts as answering late, in milliseconds, unless it answers sooner.
+const LATE_TTL_MS: u64 = 10_000;
+/// Longest time that an order is being sent, in milliseconds: some attempts of it, and of the order
+/// before it. The outcome of one that takes longer is lost.
+const MAX_SENDING_MS: u64 = 15_000;
+/// Time for which an adapter stays loaded before an adapter without service may take its slot, in
+/// milliseconds: its own callers come back within it.
+const MIN_TURN_MS: u64 = 6_000;
+/// The same if the adapter is in use. Loads take a fraction of it, so that turns cost little.
+const IN_USE_TURN_MS: u64 = 8_000;
 
 #[derive(Clone, Copy, Debug)]
 struct PendingOrder {
@@ -52,6 +69,8 @@
     send_at_ms: Option<u64>,
     /// When the order was given to be sent; `None` once it has an outcome.
     sent_ms: Option<u64>,
+    /// Since when the adapter has been requested: the first one is sent first.
+    requested_ms: u64,
     /// The order was sent without a response, by this leader or the previous one, and may still
     /// take effect.
     may_be_running: bool,
@@ -71,6 +90,8 @@
 /// A requested load that waits for a slot.
 #[derive(Clone, Debug)]
 struct WaitingLoad {
+    /// Since when the adapter has been requested.
+    since_ms: u64,
     /// When the adapter was last requested.
     requested_ms: u64,
     slot: SlotState,
@@ -99,6 +120,10 @@
     waiting: BTreeMap<AdapterPlacement, WaitingLoad>,
     used_ms: BTreeMap<AdapterPlacement, u64>,
     busy_ms: BTreeMap<ReplicaId, u64>,
+    /// Until when each replica counts as answering late.
+    late_until_ms: BTreeMap<ReplicaId, u64>,
+    /// When each adapter was loaded, as far as this leader ordered it.
+    loaded_ms: BTreeMap<AdapterPlacement, u64>,
     /// The loads of the previous leader have been taken over.
     adopted: bool,
 }
@@ -148,23 +173,85 @@
         match self.capacity(record, slots, replicas, now_ms) {
             capacity if capacity.loads_allowed == 0 => AdapterDecision::Refused,
             capacity if capacity.free_slots > 0 => {
-                self.start_requested_load(request.clone(), now_ms);
+                self.start_requested_load(request.clone(), now_ms, now_ms);
                 AdapterDecision::Load
             }
-            _ => self.start_eviction(record, request, now_ms),
+            _ => {
+                let victim = self.least_recently_used(record, now_ms);
+                self.start_eviction(victim, request, (now_ms, now_ms))
+            }
         }
     }
 
-    fn start_eviction(
+    /// Starts the load, or the eviction that it needs, of an adapter that has gone without service
+    /// since `since_ms`. The caller has checked that the replica holds its model and not the adapter.
+    pub fn serve_unserved(
         &mut self,
         record: &ReplicaRecord,
+        slots: usize,
+        replicas: &ReplicaDirectory,
         request: &AdapterPlacement,
-        now_ms: u64,
+        (since_ms, now_ms): (u64, u64),
     ) -> AdapterDecision {
-        match self.least_recently_used(record, now_ms) {
+        let is_leaving =
+            replicas.is_adapter_unloading(&record.id, &request.model, &request.adapter)
+                || self.pending.contains_key(request);
+        match self.capacity(record, slots, replicas, now_ms) {
+            _ if is_leaving => AdapterDecision::Refused,
+            capacity if capacity.loads_allowed == 0 => AdapterDecision::Refused,
+            capacity if capacity.free_slots > 0 => {
+                self.start_requested_load(request.clone(), since_ms, now_ms);
+                AdapterDecision::Load
+            }
+            _ => {
+                let idle = self.least_recently_used(record, now_ms);
+                let victim = idle.or_else(|| self.longest_loaded(record, now_ms));
+                self.start_eviction(victim, request, (since_ms, now_ms))
+            }
+        }
+    }
+
+    /// Whether a load of this adapter is pending, or a slot is being freed for it.
+    pub fn is_coming(&self, placement: &AdapterPlacement) -> bool {
+        self.is_loading(placement) || self.waiting.contains_key(placement)
+    }
+
+    /// Whether a load of this adapter is pending.
+    pub fn is_loading(&self, placement: &AdapterPlacement) -> bool {
+        let order = self.pending.get(placement);
+        order.is_some_and(|order| order.kind == OrderKind::Load)
+    }
+
+    /// Whether a slot is being freed for this adapter.
+    pub fn waits_for_slot(&self, placement: &AdapterPlacement) -> bool {
+        let waiting = self.waiting.get(placement);
+        waiting.is_some_and(|waiting| waiting.slot != SlotState::Open)
+    }
+
+    /// Gives up a load that waits for a slot, as the adapter is loaded elsewhere.
+    pub fn stop_waiting(&mut self, placement: &AdapterPlacement) {
+        self.waiting.remove(placement);
+    }
+
+    /// Keeps a load that waits for a slot, as its adapter is still without service.
+    pub fn renew_waiting(&mut self, placement: &AdapterPlacement, now_ms: u64) {
+        if let Some(waiting) = self.waiting.get_mut(placement) {
+            waiting.requested_ms = now_ms;
+        }
+    }
+
+    fn start_eviction(
+        &mut self,
+        victim: Option<AdapterPlacement>,
+        request: &AdapterPlacement,
+        (since_ms, now_ms): (u64, u64),
+    ) -> AdapterDecision {
+        let may_send = self.sends_allowed(&request.replica, now_ms) > 0;
+        match victim.filter(|_| may_send) {
             Some(victim) => {
                 self.insert_pending(victim.clone(), OrderKind::Unload, now_ms);
                 let waiting = WaitingLoad {
+                    since_ms,
                     requested_ms: now_ms,
                     slot: SlotState::Unloading(victim.clone()),
                 };
@@ -202,7 +289,9 @@
             }
         }
         let mut started = Vec::new();
-        for (request, waiting) in self.waiting.clone() {
+        let mut oldest_first: Vec<_> = self.waiting.clone().into_iter().collect();
+        oldest_first.sort_by_key(|(_, waiting)| waiting.since_ms);
+        for (request, waiting) in oldest_first {
             let record = &records[&request.replica];
             let Some(slots) = slots(record) else {
                 continue;
@@ -211,7 +300,7 @@
             self.waiting.remove(&request);
             let capacity = self.capacity(record, slots, replicas, now_ms);
             if capacity.free_slots > 0 && capacity.loads_allowed > 0 {
-                self.start_requested_load(request.clone(), now_ms);
+                self.start_requested_load(request.clone(), waiting.since_ms, now_ms);
                 started.push(request);
             } else {
                 self.waiting.insert(request, waiting);
@@ -239,9 +328,53 @@
 
     /// Starts a load for a request that waits for it. It counts as a use: entries report uses only
     /// twice a second, and the adapter would be the next one to be evicted.
-    fn start_requested_load(&mut self, request: AdapterPlacement, now_ms: u64) {
+    fn start_requested_load(&mut self, request: AdapterPlacement, since_ms: u64, now_ms: u64) {
         self.record_use(request.clone(), now_ms);
-        self.start_load(request, now_ms);
+        self.start_load(request.clone(), now_ms);
+        if let Some(order) = self.pending.get_mut(&request) {
+            order.requested_ms = since_ms;
+        }
+    }
+
+    /// Records that an adapter has been loaded. Its callers are given time to use it.
+    fn record_loaded(&mut self, placement: AdapterPlacement, now_ms: u64) {
+        self.record_use(placement.clone(), now_ms);
+        self.loaded_ms.insert(placement, now_ms);
+    }
+
+    /// Records that a replica answered an order late or not at all, or promptly.
+    pub fn record_answer(&mut self, id: &ReplicaId, is_late: bool, now_ms: u64) {
+        match is_late {
+            true => self.late_until_ms.insert(id.clone(), now_ms + LATE_TTL_MS),
+            false => self.late_until_ms.remove(id),
+        };
+    }
+
+    /// Whether a replica answers orders late.
+    pub fn is_late(&self, id: &ReplicaId, now_ms: u64) -> bool {
+        let until_ms = self.late_until_ms.get(id).copied().unwrap_or(0);
+        let unanswered = self.unanswered(id, now_ms);
+        until_ms > now_ms
+            || unanswered.is_some_and(|(_, since_ms)| since_ms + LATE_ANSWER_MS <= now_ms)
+    }
+
+    /// Number of orders that may be sent to a replica now, before one of those that are being sent
+    /// has an outcome.
+    fn sends_allowed(&self, id: &ReplicaId, now_ms: u64) -> usize {
+        let limit = match self.is_late(id, now_ms) {
+            true => MAX_UNANSWERED_LATE_ORDERS,
+            false => MAX_UNANSWERED_ORDERS,
+        };
+        let unanswered = self.unanswered(id, now_ms).map_or(0, |(count, _)| count);
+        limit.saturating_sub(unanswered)
+    }
+
+    /// Number of loads at a replica that have not been sent yet.
+    fn unsent_loads(&self, id: &ReplicaId) -> usize {
+        let unsent = |order: &PendingOrder| order.send_at_ms.is_some() && !order.may_be_running;
+        self.pending_at(id)
+            .filter(|(_, order)| unsent(order))
+            .count()
     }
 
     /// Returns how many more loads may be started at a replica, and how many of its slots are
@@ -255,9 +388,15 @@
         now_ms: u64,
     ) -> AdapterCapacity {
         let busy_ms = self.busy_ms.get(&record.id);
-        let loads_allowed = match busy_ms.is_some_and(|expires_ms| *expires_ms > now_ms) {
-            true => 0,
-            false => MAX_LOADS_PER_REPLICA.saturating_sub(self.pending_load_count(&record.id)),
+        let is_late = self.is_late(&record.id, now_ms);
+        let open = MAX_LOADS_PER_REPLICA.saturating_sub(self.pending_load_count(&record.id));
+        let loads_allowed = match busy_ms {
+            Some(expires_ms) if *expires_ms > now_ms => 0,
+            _ if is_late => {
+                let sends = self.sends_allowed(&record.id, now_ms);
+                open.min(sends.saturating_sub(self.unsent_loads(&record.id)))
+            }
+            _ => open,
         };
         let taken = self.occupied_slots(record, replicas) + self.reserved_slots(&record.id);
         let free_slots = slots.saturating_sub(taken);
@@ -275,9 +414,10 @@
 
     /// Returns the orders at a replica that are being sent, and since when the first of them is, in
     /// milliseconds.
-    pub fn unanswered(&self, id: &ReplicaId) -> Option<(usize, u64)> {
+    pub fn unanswered(&self, id: &ReplicaId, now_ms: u64) -> Option<(usize, u64)> {
         let here = self.pending_at(id);
         let sent = here.filter_map(|(_, order)| order.sent_ms);
+        let sent = sent.filter(|sent_ms| sent_ms + MAX_SENDING_MS > now_ms);
         let since_ms = sent.clone().min()?;
         Some((sent.count(), since_ms))
     }
@@ -314,7 +454,13 @@
         let Some(order) = self.pending.get_mut(placement) else {
             return false;
         };
-        order.sent_ms = None;
+        let sent_ms = order.sent_ms.take();
+        let took_ms = sent_ms.map_or(0, |sent_ms| now_ms.saturating_sub(sent_ms));
+        let is_late = outcome == OrderOutcome::Unknown || took_ms > LATE_ANSWER_MS;
+        self.record_answer(&placement.replica, is_late, now_ms);
+        let Some(order) = self.pending.get_mut(placement) else {
+            return false;
+        };
         match outcome {
             OrderOutcome::Held if order.kind == OrderKind::Unload => {
                 self.pending.remove(placement);
@@ -328,10 +474,14 @@
                 };
                 order.expires_ms = Some(now_ms + effect_ms);
                 order.may_be_running = false;
+                if order.kind == OrderKind::Load {
+                    self.record_loaded(placement.clone(), now_ms);
+                }
                 self.set_slot(placement, SlotState::Open);
                 true
             }
             OrderOutcome::Unknown if order.kind == OrderKind::Unload => {
+                order.may_be_running = true;
                 order.expires_ms = Some(now_ms + UNKNOWN_OUTCOME_MS);
                 self.set_slot(placement, SlotState::Open);
                 false
@@ -370,19 +520,29 @@
             let record = replicas.records().get(&placement.replica);
             record.is_some_and(|record| record.phase == ReplicaPhase::Silent)
         };
-        let mut due = Vec::new();
-        for (placement, order) in &mut self.pending {
-            let unloading = replicas.is_unloading(&placement.replica, &placement.model);
-            let is_due = order.send_at_ms.is_some_and(|at_ms| at_ms <= now_ms)
-                && !unloading
-                && !silent(placement);
-            if is_due && is_load_committed(replicas, placement) {
+        let is_due = |placement: &AdapterPlacement, order: &PendingOrder| {
+            order.send_at_ms.is_some_and(|at_ms| at_ms <= now_ms)
+                && !replicas.is_unloading(&placement.replica, &placement.model)
+                && !silent(placement)
+                && is_load_committed(replicas, placement)
+        };
+        let due = self.pending.iter();
+        let due = due.filter(|(placement, order)| is_due(placement, order));
+        let due = due.map(|(placement, order)| (order.requested_ms, placement.clone()));
+        let mut due: Vec<(u64, AdapterPlacement)> = due.collect();
+        due.sort();
+        let mut sent = Vec::new();
+        for (_, placement) in due {
+            if self.sends_allowed(&placement.replica, now_ms) == 0 {
+                continue;
+            }
+            if let Some(order) = self.pending.get_mut(&placement) {
                 order.send_at_ms = None;
                 order.sent_ms = Some(now_ms);
-                due.push(placement.clone());
+                sent.push(placement);
             }
         }
-        due
+        sent
     }
 
     /// Removes orders that have expired or whose effect shows in the directory, and takes over the
@@ -391,6 +551,7 @@
     pub fn settle(&mut self, replicas: &ReplicaDirectory, now_ms: u64) -> Vec<AdapterPlacement> {
         let records = replicas.records();
         self.adopt(replicas, now_ms);
+        let mut loaded = Vec::new();
         self.pending.retain(|placement, order| {
             let record = records.get(&placement.replica);
             let expired = order
@@ -398,20 +559,38 @@
                 .is_some_and(|expires_ms| expires_ms <= now_ms);
             let visible = record.is_some_and(|record| holds(record, placement));
             let has_outcome = order.expires_ms.is_some() || order.may_be_running;
-            let done = order.kind == OrderKind::Load && visible && has_outcome;
+            let done = match order.kind {
+                OrderKind::Load => visible && has_outcome,
+                // The heartbeat shows what no response did: the slot is free.
+                OrderKind::Unload => !visible && order.may_be_running,
+            };
             // Without its model the adapter cannot be loaded. An order that loads the model again
             // raises the engine's order count beyond all earlier orders.
+            if done && order.kind == OrderKind::Load && order.may_be_running {
+                loaded.push(placement.clone());
+            }
             let has_model = record
                 .is_some_and(|record| record.models.contains_key(&placement.model))
                 || replicas.is_unloading(&placement.replica, &placement.model);
             has_model && !expired && !done
         });
+        for placement in loaded {
+            self.record_loaded(placement, now_ms);
+        }
         let ordered = records.keys().flat_map(|id| ordered_adapters(replicas, id));
         let settled = ordered.filter(|placement| !self.pending.contains_key(placement));
         let settled = settled.collect();
         self.used_ms
             .retain(|placement, _| records.contains_key(&placement.replica));
+        let pending = &self.pending;
+        self.loaded_ms.retain(|placement, _| {
+            let record = records.get(&placement.replica);
+            let held = record.is_some_and(|record| holds(record, placement));
+            held || pending.contains_key(placement)
+        });
         self.busy_ms.retain(|_, expires_ms| *expires_ms > now_ms);
+        self.late_until_ms
+            .retain(|_, expires_ms| *expires_ms > now_ms);
         settled
     }
 
@@ -427,6 +606,7 @@
                     expires_ms: None,
                     send_at_ms: Some(now_ms + UNKNOWN_OUTCOME_MS),
                     sent_ms: None,
+                    requested_ms: now_ms,
                     may_be_running: true,
                 };
                 self.pending.entry(placement).or_insert(order);
@@ -441,6 +621,7 @@
             // The caller sends an unload immediately.
             send_at_ms: (kind == OrderKind::Load).then_some(now_ms),
             sent_ms: (kind == OrderKind::Unload).then_some(now_ms),
+            requested_ms: now_ms,
             may_be_running: false,
         };
         self.pending.insert(placement, order);
@@ -467,22 +648,38 @@
             .count()
     }
 
-    fn least_recently_used(&self, record: &ReplicaRecord, now_ms: u64) -> Option<AdapterPlacement> {
+    /// Returns the adapters of a replica that no order concerns, each with the time since which it
+    /// has been there, as far as known.
+    fn evictable<'a>(
+        &'a self,
+        record: &'a ReplicaRecord,
+    ) -> impl Iterator<Item = (u64, AdapterPlacement)> + 'a {
         let held = record.models.iter();
         let held = held.flat_map(|(model, names)| names.iter().map(move |name| (model, name)));
-        let placements = held.map(|(model, name)| AdapterPlacement {
-            replica: record.id.clone(),
-            model: model.clone(),
-            adapter: name.clone(),
-        });
-        let idle = placements.filter_map(|placement| {
+        let placements = held.map(|(model, name)| placement_of(&record.id, model, name));
+        let settled = placements.filter(|placement| !self.pending.contains_key(placement));
+        settled.map(|placement| {
+            let loaded_ms = self.loaded_ms.get(&placement).copied();
+            (loaded_ms.unwrap_or(0), placement)
+        })
+    }
+
+    fn least_recently_used(&self, record: &ReplicaRecord, now_ms: u64) -> Option<AdapterPlacement> {
+        let idle = self.evictable(record).filter_map(|(loaded_ms, placement)| {
             let used_ms = self.used_ms.get(&placement).copied().unwrap_or(0);
-            let evictable =
-                !self.pending.contains_key(&placement) && used_ms + RECENT_USE_MS <= now_ms;
-            evictable.then_some((used_ms, placement))
+            let is_idle = used_ms + RECENT_USE_MS <= now_ms;
+            let had_turn = loaded_ms == 0 || loaded_ms + MIN_TURN_MS <= now_ms;
+            (is_idle && had_turn).then_some((used_ms, placement))
         });
         idle.min().map(|(_, placement)| placement)
     }
+
+    /// Returns the adapter that has been loaded for longest, even if it is in use.
+    fn longest_loaded(&self, record: &ReplicaRecord, now_ms: u64) -> Option<AdapterPlacement> {
+        let adapters = self.evictable(record);
+        let had_turn = adapters.filter(|(loaded_ms, _)| loaded_ms + IN_USE_TURN_MS <= now_ms);
+        had_turn.min().map(|(_, placement)| placement)
+    }
 }
 
 /// Returns the adapters that the log lists as ordered into a replica.
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -4,7 +4,9 @@
 //! Pure code with soft state: a new leader starts with no state. It sends no order while an order
 //! of a previous leader may still arrive or may have arrived too recently.
 
+mod plan_input;
 mod preload_adapters;
+mod serve_unserved;
 mod unserved_status;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -136,6 +138,15 @@
     reservations: BTreeMap<ReplicaId, Reservation>,
     adapters: AdapterOrders,
     unserved: UnservedNames,
+    unserved_due_ms: u64,
+    /// Replicas that are to load an adapter without service before the next model order.
+    owed_adapters: BTreeSet<ReplicaId>,
+    /// Replicas whose last order concerned a model.
+    last_order_was_model: BTreeSet<ReplicaId>,
+    /// When each model last had a ready home.
+    home_ms: BTreeMap<ModelName, u64>,
+    /// When this leader's loads of models took effect.
+    loaded_ms: BTreeMap<(ReplicaId, ModelName), u64>,
     version_settlement: VersionSettlement,
     /// Incarnations that refuse this leader's orders. An engine forgets fences when it restarts.
     fenced: BTreeSet<ReplicaIncarnation>,
@@ -164,12 +175,11 @@
 /// Time for which a new leader without any known demand unloads no model, in milliseconds. It would
 /// replace further homes of models that will be busy by models that will not.
 const NO_DEMAND_WAIT_MS: u64 = 30_000;
-/// Demand for a model from which a home that advertises a rate limit does not count as a home, in
-/// concurrent requests.
-const LIMITED_HOME_MAX_DEMAND: f64 = 1.0;
 /// Time for which freed memory is reserved for a model, in milliseconds.
 const RESERVATION_MS: u64 = 4_000;
 
+/// Time between two rounds of loading adapters that have gone without service, in milliseconds.
+const UNSERVED_INTERVAL_MS: u64 = 50;
 /// Time between two rounds of preloading, in milliseconds.
 const PRELOAD_INTERVAL_MS: u64 = 500;
 
@@ -249,6 +259,11 @@
             reservations: BTreeMap::new(),
             adapters: AdapterOrders::default(),
             unserved: UnservedNames::default(),
+            unserved_due_ms: now_ms,
+            owed_adapters: BTreeSet::new(),
+            last_order_was_model: BTreeSet::new(),
+            home_ms: BTreeMap::new(),
+            loaded_ms: BTreeMap::new(),
             version_settlement: VersionSettlement::default(),
             fenced: BTreeSet::new(),
             limited: BTreeSet::new(),
@@ -335,6 +350,10 @@
         if self.must_wait_for_predecessor(now_ms) || !self.accepts_adapter_orders(state, record) {
             return (false, None);
         }
+        let is_late = self.adapters.is_late(&record.id, now_ms);
+        if is_late && !self.adapters.is_coming(request) && self.others_come_first(record, request) {
+            return (false, None);
+        }
         let slots = engine.adapter_slots as usize;
         match self
             .adapters
@@ -358,6 +377,7 @@
 
     /// Queues the command that must be committed before the order of an adapter load is sent.
     fn queue_adapter_load(&mut self, placement: AdapterPlacement) {
+        self.last_order_was_model.remove(&placement.replica);
         let (id, model) = (placement.replica, placement.model);
         let command = Command::ReplicaAdapterOrdered(id, model, placement.adapter);
         self.queued_commands.push(command);
@@ -428,6 +448,9 @@
         outcome: OrderOutcome,
     ) -> Vec<Command> {
         let id = &order.replica;
+        if outcome == OrderOutcome::Unknown {
+            self.adapters.record_answer(id, true, now_ms);
+        }
         let Some(pending) = self.pending.get_mut(id) else {
             return Vec::new();
         };
@@ -486,12 +509,24 @@
         let engines = record.configuration.services.iter();
         let engines = engines.filter_map(|(name, spec)| Some((name, spec.engine.as_ref()?)));
         let engines: Vec<(&ServiceName, &EngineSpec)> = engines.collect();
+        if now_ms >= self.unserved_due_ms {
+            self.unserved_due_ms = now_ms + UNSERVED_INTERVAL_MS;
+            self.owed_adapters.clear();
+            for (service, engine) in &engines {
+                let orders = self.serve_unserved_adapters(state, service, engine, now_ms);
+                actions.orders.extend(orders);
+            }
+        }
         if now_ms >= self.round_due_ms {
             self.round_due_ms = now_ms + self.policy.round_ms;
             self.last_busy_ms.retain(|model, _| {
                 let mut known = engines.iter();
                 known.any(|(_, engine)| engine.models.contains_key(model))
             });
+            self.home_ms.retain(|model, _| {
+                let mut known = engines.iter();
+                known.any(|(_, engine)| engine.models.contains_key(model))
+            });
             self.unserved.prune(now_ms, |name| {
                 let mut known = engines.iter();
                 known.any(|(_, engine)| engine.models.contains_key(&name.model))
@@ -547,6 +582,7 @@
         let records = replicas.records();
         let mut commands = Vec::new();
         let mut to_reserve = Vec::new();
+        let mut loaded = Vec::new();
         self.pending.retain(|id, order| {
             if !records.contains_key(id) {
                 return false;
@@ -562,12 +598,21 @@
             order.committed |= open;
             let awaits_commit = !order.committed && order.since_ms + COMMIT_TIMEOUT_MS > now_ms;
             let stays = awaits_commit || open;
+            if !stays && order.kind == OrderKind::Load {
+                loaded.push((id.clone(), order.model.clone()));
+            }
             if !stays {
                 let model = order.for_model.take();
                 to_reserve.extend(model.map(|model| (id.clone(), model)));
             }
             stays
         });
+        self.loaded_ms
+            .extend(loaded.into_iter().map(|home| (home, now_ms)));
+        self.loaded_ms.retain(|(id, model), _| {
+            let record = records.get(id);
+            record.is_some_and(|record| record.models.contains_key(model))
+        });
         for (id, model) in to_reserve {
             let until_ms = now_ms + RESERVATION_MS;
             self.reservations
@@ -599,6 +644,8 @@
             let (id, model) = (placement.replica, placement.model);
             commands.push(Command::ReplicaAdapterSettled(id, model, placement.adapter));
         }
+        self.last_order_was_model
+            .retain(|id| records.contains_key(id));
         self.fenced.retain(|incarnation| {
             records
                 .get(&incarnation.id)
@@ -694,12 +741,19 @@
             (stream_ms, configuration.stream_memory_ms(service))
         });
         let streams_since_ms = now_ms.saturating_sub(memory_ms);
-        let models = self.plan_models(engine, stream_ms, streams_since_ms);
+        for record in open_records(state, service) {
+            if record.phase == ReplicaPhase::Ready {
+                let models = record.models.keys();
+                self.home_ms
+                    .extend(models.map(|model| (model.clone(), now_ms)));
+            }
+        }
+        let models = self.plan_models(engine, stream_ms, streams_since_ms, now_ms);
         let bound = binds_streams_to_versions(state, service);
         let largest_mb = models.values().map(|model| model.weights_mb).max();
         let demand_unknown = self.demand.is_empty() && now_ms < self.since_ms + NO_DEMAND_WAIT_MS;
         let replicas = open_records(state, service).map(|record| {
-            let mut replica = self.plan_replica(state, record, engine);
+            let mut replica = self.plan_replica(state, record, engine, now_ms);
             replica.version = bound.then(|| named_version(state, record)).flatten();
             // Without known demand, only replicas that fit any model without an unload.
             replica.accepts_orders &= !demand_unknown || replica.free_mb >= largest_mb.unwrap_or(0);
@@ -757,100 +811,6 @@
         (steps, from_store)
     }
 
-    /// `stream_ms` is the longest time that a stream may last, and `streams_since_ms` the time from
-    /// which streams that ran may be taken up again.
-    fn plan_models(
-        &self,
-        engine: &EngineSpec,
-        stream_ms: u64,
-        streams_since_ms: u64,
-    ) -> BTreeMap<ModelName, PlanModel> {
-        let models = engine.models.iter().map(|(name, model)| {
-            // A new leader has not seen the streams of its predecessor's time.
-            let busy_ms = self.last_busy_ms.get(name).unwrap_or(&self.since_ms);
-            let has_streams = *busy_ms >= streams_since_ms;
-            let plan = PlanModel {
-                weights_mb: model.weights_mb,
-                load_ms: model.load_ms,
-                level: self.demand.level(name),
-                stream_ms: if has_streams { stream_ms } else { 0 },
-            };
-            (name.clone(), plan)
-        });
-        models.collect()
-    }
-
-    fn plan_replica(
-        &self,
-        state: &SiteState,
-        record: &ReplicaRecord,
-        engine: &EngineSpec,
-    ) -> PlanReplica {
-        let adapter_mb = engine.models.values().map(|model| model.adapter_mb).max();
-        let adapters_mb = adapter_mb.unwrap_or(0) * u64::from(engine.adapter_slots);
-        let mut loading: BTreeSet<ModelName> =
-            state.replicas.loading(&record.id).cloned().collect();
-        let mut unloading: BTreeSet<ModelName> =
-            state.replicas.unloading(&record.id).cloned().collect();
-        let mut held: BTreeSet<ModelName> = record.models.keys().cloned().collect();
-        match self.pending.get(&record.id) {
-            Some(order) if order.kind == OrderKind::Load => {
-                loading.insert(order.model.clone());
-            }
-            Some(order) => {
-                held.remove(&order.model);
-                unloading.insert(order.model.clone());
-            }
-            None => {}
-        }
-        let unload_for = self.pending.get(&record.id);
-        let unload_for = unload_for.and_then(|order| order.for_model.clone());
-        let reserved = self.reservations.get(&record.id);
-        let reserved = reserved.map(|reservation| reservation.model.clone());
-        let weight = |model: &ModelName| engine.models.get(model).map_or(0, |m| m.weights_mb);
-        // Models that may occupy memory, whether or not their orders are carried out.
-        let taken: BTreeSet<&ModelName> = held.iter().chain(&loading).chain(&unloading).collect();
-        let taken_mb: u64 = taken.into_iter().map(weight).sum();
-        let open = !self.pending.contains_key(&record.id) && reserved.is_none();
-        loading.extend(unload_for.or(reserved));
-        let stays = record.phase == ReplicaPhase::Ready;
-        if !stays {
-            // What such a replica was ordered to load may never be there.
-            loading.clear();
-        }
-        let load_ms = |name: &ModelName, memory: bool| {
-            let model = engine.models.get(name)?;
-            Some((
-                name.clone(),
-                if memory { model.warm_ms } else { model.disk_ms }?,
-            ))
-        };
-        let disk = record
-            .on_disk
-            .iter()
-            .filter_map(|name| load_ms(name, false));
-        let memory = record
-            .in_memory
-            .iter()
-            .filter_map(|name| load_ms(name, true));
-        let limited = self.limited.contains(&record.incarnation());
-        if !stays {
-            held.clear();
-        } else if limited {
-            held.retain(|model| self.demand.level(model) < LIMITED_HOME_MAX_DEMAND);
-        }
-        PlanReplica {
-            id: record.id.clone(),
-            hall: record.hall.clone(),
-            version: None,
-            accepts_orders: open && !limited && self.accepts_orders(record),
-            free_mb: engine.weights_mb.saturating_sub(adapters_mb + taken_mb),
-            held,
-            loading,
-            cached_load_ms: disk.chain(memory).collect(),
-        }
-    }
-
     fn start_step(
         &mut self,
         service: &ServiceName,
@@ -859,6 +819,7 @@
         actions: &mut FleetActions,
     ) {
         let id = step.replica;
+        self.last_order_was_model.insert(id.clone());
         let pending = PendingOrder {
             kind: step.kind,
             model: step.model.clone(),
--- a/src/placement/fleet/unserved_status.rs
+++ b/src/placement/fleet/unserved_status.rs
@@ -66,10 +66,13 @@
             let (kind, model, age_ms) = (order.kind, &order.model, age_ms(order.since_ms));
             format!("{kind:?} of {model} for {age_ms} ms")
         });
-        let adapters = self.adapters.unanswered(id).map(|(count, since_ms)| {
-            let age_ms = age_ms(since_ms);
-            format!("{count} adapter orders unanswered, the first for {age_ms} ms")
-        });
+        let adapters = self
+            .adapters
+            .unanswered(id, now_ms)
+            .map(|(count, since_ms)| {
+                let age_ms = age_ms(since_ms);
+                format!("{count} adapter orders unanswered, the first for {age_ms} ms")
+            });
         let held: usize = record.models.values().map(|names| names.len()).sum();
         let claimed = state.replicas.adapters_ordered(id).count();
         let slots = format!("{held} adapters held, {claimed} ordered");
--- a/src/placement/fleet_plan.rs
+++ b/src/placement/fleet_plan.rs
@@ -32,6 +32,17 @@
 /// Cost of unloading one of these homes, in concurrent requests. It only decides which home makes
 /// room for a model without any.
 const STREAM_HOME_VALUE: f64 = 0.5;
+/// Cost of unloading the last home of a model that is requested now and then, in concurrent
+/// requests.
+const REQUESTED_HOME_VALUE: f64 = 2.0;
+/// Cost of unloading an adapter together with its model, in concurrent requests: it has to be
+/// loaded at another home, in the place of another one.
+const ADAPTER_VALUE: f64 = 0.1;
+/// Cost of a model without a home for each second in which its requests were refused, in concurrent
+/// requests: it exceeds any other cost in the end.
+const UNSERVED_COST_PER_S: f64 = 0.25;
+/// Gain of a further home for each adapter of the model without service, in concurrent requests.
+const UNSERVED_ADAPTER_VALUE: f64 = 0.3;
 /// Fixed time of a move in addition to the load, in milliseconds.
 const MOVE_OVERHEAD_MS: f64 = 1_000.0;
 
@@ -46,10 +57,16 @@
     pub version: Option<SoftwareVersion>,
     /// The replica can take an order now.
     pub accepts_orders: bool,
+    /// Only a model without a home may be loaded: adapters without service wait for the replica.
+    pub first_homes_only: bool,
     /// Memory that no model occupies or may come to occupy, in MB.
     pub free_mb: u64,
     /// Models that the replica holds and keeps.
     pub held: BTreeSet<ModelName>,
+    /// Number of adapters that the replica holds of each model.
+    pub adapters: BTreeMap<ModelName, usize>,
+    /// Models that were loaded so recently that their last homes stay.
+    pub protected: BTreeSet<ModelName>,
     /// Models that are being loaded.
     pub loading: BTreeSet<ModelName>,
     /// Models with a copy in host memory or on disk, with the time of a load from it, in
@@ -66,6 +83,12 @@
     pub load_ms: u64,
     /// Demand, in concurrent requests.
     pub level: f64,
+    /// Requests for it came lately, even if none runs now.
+    pub is_requested: bool,
+    /// Number of its adapters that have gone without service.
+    pub unserved_adapters: usize,
+    /// Time for which it has gone without service while no ready replica held it, in milliseconds.
+    pub unserved_ms: u64,
     /// Longest time that its streams last, in milliseconds; 0 if none runs or may be taken up again.
     pub stream_ms: u64,
 }
@@ -212,9 +235,13 @@
 
 impl PlanState<'_> {
     /// Returns the cost of a model with this number of homes.
-    fn cost(&self, level: f64, homes: usize) -> f64 {
+    fn cost(&self, model: &ModelName, homes: usize) -> f64 {
+        let spec = self.models.get(model);
+        let level = spec.map_or(0.0, |spec| spec.level);
+        let unserved_ms = spec.map_or(0, |spec| spec.unserved_ms);
+        let unserved_cost = unserved_ms as f64 / 1_000.0 * UNSERVED_COST_PER_S;
         match homes {
-            0 => level * ABSENCE_COST_FACTOR + self.first_home_value,
+            0 => level * ABSENCE_COST_FACTOR + self.first_home_value + unserved_cost,
             homes => level / homes as f64,
         }
     }
@@ -278,9 +305,11 @@
     }
 
     fn gain(&self, model: &ModelName) -> f64 {
-        let level = self.models.get(model).map_or(0.0, |model| model.level);
         let homes = self.homes(model);
-        self.cost(level, homes) - self.cost(level, homes + 1)
+        // A further home has slots for adapters that the others have none for.
+        let unserved = self.models.get(model).map_or(0, |m| m.unserved_adapters);
+        let adapters_gain = unserved as f64 * UNSERVED_ADAPTER_VALUE;
+        self.cost(model, homes) - self.cost(model, homes + 1) + adapters_gain
     }
 
     /// Returns the minimum relief of a move for a model. It is lower for the first home, as each
@@ -295,9 +324,14 @@
     /// Returns the immediate loss when a replica unloads a model. A home that is still loading
     /// serves no requests yet and does not count.
     fn loss(&self, model: &ModelName) -> f64 {
-        let level = self.models.get(model).map_or(0.0, |model| model.level);
         let holders = self.holders(model);
-        self.cost(level, holders.saturating_sub(1)) - self.cost(level, holders.max(1))
+        let is_requested = self.models.get(model).is_some_and(|m| m.is_requested);
+        let last_home = match is_requested && holders <= 1 && !self.all_fit {
+            true => REQUESTED_HOME_VALUE,
+            false => 0.0,
+        };
+        let without = self.cost(model, holders.saturating_sub(1));
+        without - self.cost(model, holders.max(1)) + last_home
     }
 
     /// Returns the demand on a replica, where each model's demand is split evenly over its homes.
@@ -346,7 +380,8 @@
             .enumerate()
             .filter_map(|(number, replica)| {
                 let there = replica.held.contains(model) || replica.loading.contains(model);
-                if there || !replica.accepts_orders {
+                let is_first = self.homes(model) == 0;
+                if there || !replica.accepts_orders || (replica.first_homes_only && !is_first) {
                     return None;
                 }
                 let load_ms = match replica.cached_load_ms.get(model) {
@@ -354,8 +389,7 @@
                     None if store_load_allowed => spec.load_ms,
                     None => return None,
                 };
-                let eviction =
-                    self.eviction_for(replica, spec.weights_mb, self.homes(model) == 0)?;
+                let eviction = self.eviction_for(replica, spec.weights_mb, is_first)?;
                 let loss = eviction.loss;
                 let gain = model_gain + self.version_gain(replica, model);
                 let spread = if halls.contains(&replica.hall) {
@@ -395,14 +429,18 @@
         }
         let weight = |model: &ModelName| self.models.get(model).map_or(0, |m| m.weights_mb);
         let fits = |model: &&ModelName| replica.free_mb + weight(model) >= need_mb;
-        let idle = |model: &ModelName| self.models.get(model).is_none_or(|m| m.level <= 0.0);
+        let is_idle = |model: &PlanModel| model.level <= 0.0 && !model.is_requested;
+        let idle = |model: &ModelName| self.models.get(model).is_none_or(is_idle);
         let may_lose_last_home = |model: &ModelName| !self.all_fit && idle(model);
-        let evictable =
-            |model: &&ModelName| first || self.holders(model) > 1 || may_lose_last_home(model);
+        let stays = |model: &ModelName| replica.protected.contains(model);
+        let evictable = |model: &&ModelName| {
+            self.holders(model) > 1 || (!stays(model) && (first || may_lose_last_home(model)))
+        };
         let held = replica.held.iter().filter(fits).filter(evictable);
+        let adapters = |model: &ModelName| replica.adapters.get(model).copied().unwrap_or(0);
         let evictions = held.map(|model| Eviction {
             model: Some(model.clone()),
-            loss: self.loss(model),
+            loss: self.loss(model) + adapters(model) as f64 * ADAPTER_VALUE,
             takes_stream_home: self.is_stream_home(replica, model),
         });
         let evictions = evictions.filter(|eviction| first || !eviction.takes_stream_home);
--- a/src/placement/preload.rs
+++ b/src/placement/preload.rs
@@ -15,6 +15,11 @@
 /// Number of adapter slots of a replica that preloading leaves free for adapter requests.
 pub const RESERVED_SLOTS: usize = 2;
 
+/// Returns the names of a model's adapters.
+pub fn adapter_names(count: u32) -> impl Iterator<Item = String> {
+    (1..=count).map(|number| format!("a{number}"))
+}
+
 /// The adapters of one model that no replica holds.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MissingAdapters {
@@ -29,7 +34,7 @@
     /// loaded; `None` if there are none. The model has `count` adapters, named `a1`, `a2` and so
     /// on.
     pub fn of(model: &ModelName, count: u32, known: &BTreeSet<&str>) -> Option<Self> {
-        let all = (1..=count).map(|number| format!("a{number}"));
+        let all = adapter_names(count);
         let names: Vec<String> = all.filter(|name| !known.contains(name.as_str())).collect();
         let model = model.clone();
         (!names.is_empty()).then_some(Self { model, names })
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -109,6 +109,13 @@
 
     fn round(&mut self, now_ms: u64) {
         let ids: Vec<ReplicaId> = self.state.replicas.records().keys().cloned().collect();
+        let ids: Vec<&str> = ids.iter().map(ReplicaId::as_str).collect();
+        self.round_with(now_ms, &ids);
+    }
+
+    /// Runs a round in which only these replicas have sent heartbeats.
+    fn round_with(&mut self, now_ms: u64, ids: &[&str]) {
+        let ids: Vec<ReplicaId> = ids.iter().map(|id| ReplicaId::from(*id)).collect();
         self.controller.on_heartbeats(now_ms, &ids);
         let actions = self.controller.round(&self.state, now_ms);
         for command in actions.commands {
@@ -460,6 +467,9 @@
         hall: HallName::from("here"),
         version: None,
         accepts_orders: true,
+        first_homes_only: false,
+        adapters: BTreeMap::new(),
+        protected: BTreeSet::new(),
         free_mb,
         held: held.iter().map(|model| ModelName::from(*model)).collect(),
         loading: BTreeSet::new(),
@@ -473,6 +483,9 @@
             weights_mb: 70,
             load_ms: 9_000,
             level: *level,
+            unserved_adapters: 0,
+            unserved_ms: 0,
+            is_requested: false,
             stream_ms: 15_000,
         };
         (ModelName::from(*name), model)
@@ -640,19 +653,9 @@
     fleet.rounds(3_900, 4_100);
     assert_eq!(fleet.orders[0].model, ModelName::from("a"));
     fleet.heartbeat(&record("r2", 2, &["b"]));
-    let seen = |fleet: &mut TestFleet, now_ms: u64| {
-        fleet
-            .controller
-            .on_heartbeats(now_ms, &[ReplicaId::from("r2")]);
-        fleet.controller.on_report(now_ms, busy("a", 2.0));
-        let actions = fleet.controller.round(&fleet.state, now_ms);
-        for command in actions.commands {
-            fleet.apply(command);
-        }
-        fleet.orders.extend(actions.orders);
-    };
     for now_ms in (4_200..11_000).step_by(100) {
-        seen(&mut fleet, now_ms);
+        fleet.controller.on_report(now_ms, busy("a", 2.0));
+        fleet.round_with(now_ms, &["r2"]);
     }
     let at_r2 = fleet.orders.iter();
     let at_r2 = at_r2.filter(|order| order.replica == ReplicaId::from("r2"));
--- a/tests/fleet_versions.rs
+++ b/tests/fleet_versions.rs
@@ -232,6 +232,9 @@
         hall: HallName::from("here"),
         version: version.map(|name| SoftwareVersion::Named(VersionName::from(name))),
         accepts_orders: held.len() > 1,
+        first_homes_only: false,
+        adapters: BTreeMap::new(),
+        protected: BTreeSet::new(),
         free_mb: 0,
         held: held.iter().map(|model| ModelName::from(*model)).collect(),
         loading: BTreeSet::new(),
@@ -241,6 +244,9 @@
         weights_mb: MODEL_MB,
         load_ms: 9_000,
         level,
+        unserved_adapters: 0,
+        unserved_ms: 0,
+        is_requested: false,
         stream_ms: STREAM_MS,
     };
     let levels = [("a", 3.0), ("b", 0.2), ("c", 1.0)];
