The memory of lost replicas is no capacity for models

What callers saw: adapters of a model with one home left were refused for half a minute while models that nobody asked for kept their places.

Cause: the free memory of a silent replica counted as capacity until it was removed after 30 s, so that the site seemed to have places for all models, and no idle model lost its last home. It is the class of the moves at silent replicas: what is lost counts as there.

the_memory_of_silent_replicas_is_no_capacity failed before: no order at all in 7 s.

--- a/src/placement/fleet/plan_input.rs
+++ b/src/placement/fleet/plan_input.rs
@@ -133,7 +133,10 @@
                 && !self.adapters_come_first(&record.id, now_ms)
                 && self.accepts_orders(record),
             first_homes_only: self.owed_adapters.contains(&record.id),
-            free_mb: engine.weights_mb.saturating_sub(adapters_mb + taken_mb),
+            free_mb: match stays {
+                true => engine.weights_mb.saturating_sub(adapters_mb + taken_mb),
+                false => 0,
+            },
             adapters: record
                 .models
                 .iter()
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -663,6 +663,25 @@
     assert_eq!(loads, ["a"]);
 }
 
+/// The free memory of lost replicas counted as capacity, so that models without demand kept their
+/// places until the replicas were removed.
+#[test]
+fn the_memory_of_silent_replicas_is_no_capacity() {
+    let mut fleet = TestFleet::new(&["a", "b", "c", "d", "e"]);
+    fleet.heartbeat(&record("r1", 1, &["b", "c"]));
+    fleet.heartbeat(&record("r2", 2, &["a", "d"]));
+    fleet.heartbeat(&record("r3", 3, &[]));
+    fleet.round(0);
+    for now_ms in (100..12_000).step_by(100) {
+        fleet.controller.on_report(now_ms, busy("a", 30.0));
+        fleet.round_with(now_ms, &["r1", "r2"]);
+    }
+    let at_r1 = |order: &&ReplicaOrder| order.replica == ReplicaId::from("r1");
+    let orders: Vec<&ReplicaOrder> = fleet.orders.iter().filter(at_r1).collect();
+    assert!(!orders.is_empty());
+    assert_eq!(orders[0].kind, OrderKind::Unload);
+}
+
 fn placement(adapter: &str) -> AdapterPlacement {
     AdapterPlacement {
         replica: ReplicaId::from("r1"),
