Copies of an order are sent to an engine that is silent

What callers saw: with orders in the right order a name still waited for up to a minute, as an engine that is late took one order in 4 to 5 s.

Cause: each attempt waited 800 ms for a response and 300 ms for a report before the next. Now a copy follows after 100 ms of silence, three in all, and a call ends after 400 ms. All copies expect the same count, so that at most one takes effect; a refusal of a later copy says nothing of an earlier one, which counts as sent. An engine that answers or closes the connection gets one copy as before.

Weighed: several different orders at once.

Two further histories: leaders that change with a quorum lost, and adapters all in use in too few slots.

--- a/src/control/order_dispatcher.rs
+++ b/src/control/order_dispatcher.rs
@@ -16,6 +16,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use snafu::Snafu;
 use tokio::sync::{Mutex, mpsc};
 
@@ -27,10 +29,16 @@
 use crate::placement::order::{OrderKind, OrderOutcome, ReplicaOrder};
 use crate::process::daemon;
 
-/// Timeout of one call to an engine.
-const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Timeout of one call to an engine. Engines respond within milliseconds, and an order without a
+/// response can be sent again safely.
+const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Timeout of a connection to an engine.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time without a response after which a further copy of an order is sent. At most one copy takes
+/// effect, as they expect the same count.
+const COPY_DELAY: Duration = Duration::from_millis(100);
+/// Number of copies of an order in one attempt.
+const MAX_COPIES: u32 = 3;
 /// Delay until an engine's report includes the effect of earlier orders.
 const REPORT_DELAY: Duration = Duration::from_millis(300);
 /// Time that an adapter takes to load after its order was taken.
@@ -193,7 +201,11 @@
             order,
             number,
         };
-        let outcome = match attempt_once(permits, expected, dialect).await {
+        let (end, copies) = attempt_copies(permits, expected, dialect).await;
+        let outcome = match end {
+            // The refusal may follow from an earlier copy, which was executed.
+            AttemptEnd::Answered(OrderOutcome::Busy) if copies > 1 => OrderOutcome::Unknown,
+            AttemptEnd::NotSent if copies > 1 => OrderOutcome::Unknown,
             AttemptEnd::Answered(outcome) => outcome,
             AttemptEnd::NoReply => OrderOutcome::Unknown,
             AttemptEnd::NotSent if unconfirmed.is_some() => return OrderOutcome::Unknown,
@@ -282,6 +294,43 @@
     NotSent,
 }
 
+/// Sends an order, and further copies while the engine is silent. Returns the first response, and the
+/// number of copies sent until then.
+async fn attempt_copies(
+    permits: PermitClient<'_>,
+    expected: u64,
+    dialect: &EngineDialect,
+) -> (AttemptEnd, u32) {
+    let mut copies = FuturesUnordered::new();
+    let mut sent = 0;
+    loop {
+        copies.push(attempt_once(permits, expected, dialect));
+        sent += 1;
+        let silence = match sent < MAX_COPIES {
+            true => COPY_DELAY,
+            false => CALL_TIMEOUT,
+        };
+        match tokio::time::timeout(silence, first_end(&mut copies)).await {
+            Ok(end) => return (end, sent),
+            Err(_) if sent == MAX_COPIES => return (AttemptEnd::NoReply, sent),
+            Err(_) => {}
+        }
+    }
+}
+
+/// Waits for the first response to one of the copies, or until all have ended without one.
+async fn first_end(copies: &mut FuturesUnordered<impl Future<Output = AttemptEnd>>) -> AttemptEnd {
+    let mut last = AttemptEnd::NoReply;
+    while let Some(end) = copies.next().await {
+        match end {
+            AttemptEnd::Answered(_) => return end,
+            // An earlier copy may have been sent.
+            AttemptEnd::NotSent | AttemptEnd::NoReply => last = end,
+        }
+    }
+    last
+}
+
 async fn attempt_once(
     permits: PermitClient<'_>,
     expected: u64,
--- a/tests/never_served/main.rs
+++ b/tests/never_served/main.rs
@@ -7,7 +7,7 @@
 mod support_state;
 mod world;
 
-use world::{LOAD_MS, SiteSize, World};
+use world::{LOAD_MS, SLOTS, SiteSize, World};
 
 /// Number of plays of each history; `DUNLINSPRING_CASES` draws more.
 const CASES: u64 = 8;
@@ -23,6 +23,13 @@
 /// Time until the leader counts a replica as silent, and the first entries report, in milliseconds.
 const NOTICE_MS: u64 = 6_000;
 
+/// Longest time that a new leader waits for its predecessor's lease, in milliseconds.
+const LEASE_MS: u64 = 4_000;
+/// Time without a quorum, in milliseconds.
+const NO_QUORUM_MS: u64 = 8_000;
+/// Time for which an adapter in use keeps its slot while others wait, in milliseconds.
+const TURN_MS: u64 = 8_000;
+
 /// A site with as many places as requested models once replicas are lost, with a skewed demand.
 fn site() -> SiteSize {
     let mut adapters = vec![20, 6, 5, 4, 4, 3, 3];
@@ -106,3 +113,40 @@
         bound_ms
     });
 }
+
+/// A leader decides after its predecessor's lease, and without a quorum nothing is decided.
+#[test]
+fn every_name_is_served_while_leaders_change_and_a_quorum_is_lost() {
+    check(1_001, &site(), |world| {
+        world.lose_replicas(0.4);
+        world.late_share = 0.5;
+        let bound_ms = late_bound_ms(world) + NO_QUORUM_MS + 2 * LEASE_MS;
+        world.run(8_000, true);
+        world.change_leader();
+        world.run(10_000, true);
+        world.has_quorum = false;
+        world.run(NO_QUORUM_MS, true);
+        world.has_quorum = true;
+        world.change_leader();
+        world.run(50_000, true);
+        bound_ms
+    });
+}
+
+#[test]
+fn adapters_that_are_all_in_use_take_turns_in_too_few_slots() {
+    let mut demand: Vec<_> = (0..9).map(|number| (number, None, 1.0)).collect();
+    demand.extend((1..=24).map(|adapter| (0, Some(adapter), 1.0)));
+    let mut adapters = vec![24];
+    adapters.resize(9, 0);
+    let size = SiteSize {
+        replicas: 3,
+        adapters,
+        homes: vec![1; 9],
+        demand,
+    };
+    check(2_001, &size, |world| {
+        world.run(60_000, true);
+        24_u64.div_ceil(SLOTS as u64) * TURN_MS + TURN_MS / 4
+    });
+}
