Models without a home and adapters take turns in both directions

Cause: an adapter without service takes a replica within 50 ms of its last outcome, the plan looks every 100 ms and finds it taken again. Model orders gave way to adapters, not the reverse. Evidence: nolo93344 and three more at 0 homes from 2 to 32 s in the log of names without service.

Now an adapter leaves a replica whose last order was an adapter's to the plan for 150 ms, if a model without a home has waited for longer.

--- a/src/placement/adapters.rs
+++ b/src/placement/adapters.rs
@@ -122,6 +122,8 @@
     busy_ms: BTreeMap<ReplicaId, u64>,
     /// Until when each replica counts as answering late.
     late_until_ms: BTreeMap<ReplicaId, u64>,
+    /// When an order to each replica last had an outcome.
+    answered_ms: BTreeMap<ReplicaId, u64>,
     /// When each adapter was loaded, as far as this leader ordered it.
     loaded_ms: BTreeMap<AdapterPlacement, u64>,
     /// The loads of the previous leader have been taken over.
@@ -344,12 +346,18 @@
 
     /// Records that a replica answered an order late or not at all, or promptly.
     pub fn record_answer(&mut self, id: &ReplicaId, is_late: bool, now_ms: u64) {
+        self.answered_ms.insert(id.clone(), now_ms);
         match is_late {
             true => self.late_until_ms.insert(id.clone(), now_ms + LATE_TTL_MS),
             false => self.late_until_ms.remove(id),
         };
     }
 
+    /// When an order to a replica last had an outcome, in milliseconds; 0 if none had.
+    pub fn answered_ms(&self, id: &ReplicaId) -> u64 {
+        self.answered_ms.get(id).copied().unwrap_or(0)
+    }
+
     /// Whether a replica answers orders late.
     pub fn is_late(&self, id: &ReplicaId, now_ms: u64) -> bool {
         let until_ms = self.late_until_ms.get(id).copied().unwrap_or(0);
@@ -589,6 +597,7 @@
             held || pending.contains_key(placement)
         });
         self.busy_ms.retain(|_, expires_ms| *expires_ms > now_ms);
+        self.answered_ms.retain(|id, _| records.contains_key(id));
         self.late_until_ms
             .retain(|_, expires_ms| *expires_ms > now_ms);
         settled
--- a/src/placement/fleet/serve_unserved.rs
+++ b/src/placement/fleet/serve_unserved.rs
@@ -5,11 +5,11 @@
 //! takes few orders, and none of them may be for what happened to be requested when the last one
 //! ended.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::consensus::directory::{ReplicaPhase, ReplicaRecord};
 use crate::consensus::state::SiteState;
-use crate::ids::{ModelName, ServiceName};
+use crate::ids::{ModelName, ReplicaId, ServiceName};
 use crate::placement::adapters::AdapterDecision;
 use crate::placement::order::{AdapterPlacement, OrderKind, ReplicaOrder};
 use crate::placement::preload;
@@ -17,6 +17,10 @@
 
 use super::{FleetController, open_records};
 
+/// Time after an adapter order in which a model that has gone without service for longer may take the
+/// replica, in milliseconds: longer than the time between two rounds of the plan.
+const MODEL_TURN_MS: u64 = 150;
+
 /// An adapter without service.
 struct UnservedAdapter {
     model: ModelName,
@@ -60,10 +64,12 @@
                 }
             }
         }
+        let absent_since_ms = self.absent_since_ms(state, service, engine);
         let mut orders = Vec::new();
         for adapter in &adapters {
             let homes = &homes[&adapter.model];
-            let unload = self.serve_adapter(state, engine, adapter, homes, now_ms);
+            let model_waits = absent_since_ms.is_some_and(|since_ms| since_ms < adapter.since_ms);
+            let unload = self.serve_adapter(state, engine, adapter, homes, (model_waits, now_ms));
             orders.extend(unload);
         }
         orders
@@ -88,6 +94,36 @@
         first.is_some_and(|name| *name != super::adapter_name(request))
     }
 
+    /// Whether an adapter order was the last one at a replica, and the plan has had no time since.
+    fn is_turn_of_models(&self, id: &ReplicaId, now_ms: u64) -> bool {
+        !self.last_order_was_model.contains(id)
+            && self.adapters.answered_ms(id) + MODEL_TURN_MS > now_ms
+    }
+
+    /// Returns the earliest time since which a model has gone without service that no ready replica
+    /// holds, and that none is to load.
+    fn absent_since_ms(
+        &self,
+        state: &SiteState,
+        service: &ServiceName,
+        engine: &EngineSpec,
+    ) -> Option<u64> {
+        let mut present: BTreeSet<&ModelName> = BTreeSet::new();
+        let ready = |record: &&ReplicaRecord| record.phase == ReplicaPhase::Ready;
+        for record in open_records(state, service).filter(ready) {
+            present.extend(record.models.keys());
+            let pending = self.pending.get(&record.id);
+            present.extend(pending.map(|order| order.for_model.as_ref().unwrap_or(&order.model)));
+            let reserved = self.reservations.get(&record.id);
+            present.extend(reserved.map(|reservation| &reservation.model));
+        }
+        let oldest = self.unserved.oldest_first().into_iter();
+        let mut absent = oldest.filter(|(name, _)| {
+            engine.models.contains_key(&name.model) && !present.contains(&name.model)
+        });
+        absent.next().map(|(_, since_ms)| since_ms)
+    }
+
     /// Returns the adapters of an engine that have gone without service, those for longest first.
     fn unserved_adapters(&self, engine: &EngineSpec) -> Vec<UnservedAdapter> {
         let oldest = self.unserved.oldest_first().into_iter();
@@ -105,14 +141,15 @@
     }
 
     /// Starts to load an adapter at one of the homes of its model, unless it is loaded or being
-    /// loaded at one. Returns the unload to send, if it needs one.
+    /// loaded at one. Returns the unload to send, if it needs one. `model_waits` is whether a model
+    /// without a home has waited for longer.
     fn serve_adapter(
         &mut self,
         state: &SiteState,
         engine: &EngineSpec,
         adapter: &UnservedAdapter,
         homes: &[&ReplicaRecord],
-        now_ms: u64,
+        (model_waits, now_ms): (bool, u64),
     ) -> Option<ReplicaOrder> {
         let held =
             |record: &&&ReplicaRecord| record.holds_adapter(&adapter.model, &adapter.adapter);
@@ -127,7 +164,8 @@
         let slots = engine.adapter_slots as usize;
         let mut open = Vec::new();
         for record in homes {
-            if self.accepts_adapter_orders(state, record) {
+            let is_left_to_models = model_waits && self.is_turn_of_models(&record.id, now_ms);
+            if self.accepts_adapter_orders(state, record) && !is_left_to_models {
                 let capacity = self
                     .adapters
                     .capacity(record, slots, &state.replicas, now_ms);
