--- a/src/placement/adapters.rs
+++ b/src/placement/adapters.rs
@@ -1,12 +1,17 @@
 //! The leader's adapter orders: loads adapters on request and evicts the least recently used one
 //! where a replica has no free slot.
 
+mod late_answers;
+mod turns;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::consensus::directory::{ReplicaDirectory, ReplicaPhase, ReplicaRecord};
 use crate::ids::{ModelName, ReplicaId};
 use crate::placement::order::{AdapterPlacement, OrderKind, OrderOutcome};
 
+use late_answers::LATE_ANSWER_MS;
+
 /// Decision on an adapter request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AdapterDecision {
@@ -23,8 +28,6 @@
 
 /// Maximum number of pending adapter loads at one replica.
 const MAX_LOADS_PER_REPLICA: usize = 4;
-/// An adapter used within this time is not evicted, in milliseconds.
-const RECENT_USE_MS: u64 = 2_000;
 /// Time within which an accepted load shows in the directory, in milliseconds.
 const LOAD_EFFECT_MS: u64 = 4_000;
 /// Time after an accepted unload within which heartbeats show whether the adapter is still there,
@@ -42,23 +45,6 @@
 const REQUEST_TTL_MS: u64 = 1_000;
 /// Delay before a load without a response is sent again, in milliseconds.
 const RESEND_DELAY_MS: u64 = 1_000;
-/// Maximum number of orders to a replica that are being sent. They are sent one at a time, so a
-/// later decision is based on newer requests.
-const MAX_UNANSWERED_ORDERS: usize = 2;
-/// The same for a replica that answers late.
-const MAX_UNANSWERED_LATE_ORDERS: usize = 1;
-/// Time without a response after which a replica counts as answering late, in milliseconds.
-const LATE_ANSWER_MS: u64 = 300;
-/// Time for which a replica counts as answering late, in milliseconds, unless it answers sooner.
-const LATE_TTL_MS: u64 = 10_000;
-/// Longest time that an order is being sent, in milliseconds: some attempts of it, and of the order
-/// before it. The outcome of one that takes longer is lost.
-const MAX_SENDING_MS: u64 = 15_000;
-/// Time for which an adapter stays loaded before an adapter without service may take its slot, in
-/// milliseconds: its own callers come back within it.
-const MIN_TURN_MS: u64 = 6_000;
-/// The same if the adapter is in use. Loads take a fraction of it, so that turns cost little.
-const IN_USE_TURN_MS: u64 = 8_000;
 
 #[derive(Clone, Copy, Debug)]
 struct PendingOrder {
@@ -344,39 +330,6 @@
         self.loaded_ms.insert(placement, now_ms);
     }
 
-    /// Records that a replica answered an order late or not at all, or promptly.
-    pub fn record_answer(&mut self, id: &ReplicaId, is_late: bool, now_ms: u64) {
-        self.answered_ms.insert(id.clone(), now_ms);
-        match is_late {
-            true => self.late_until_ms.insert(id.clone(), now_ms + LATE_TTL_MS),
-            false => self.late_until_ms.remove(id),
-        };
-    }
-
-    /// When an order to a replica last had an outcome, in milliseconds; 0 if none had.
-    pub fn answered_ms(&self, id: &ReplicaId) -> u64 {
-        self.answered_ms.get(id).copied().unwrap_or(0)
-    }
-
-    /// Whether a replica answers orders late.
-    pub fn is_late(&self, id: &ReplicaId, now_ms: u64) -> bool {
-        let until_ms = self.late_until_ms.get(id).copied().unwrap_or(0);
-        let unanswered = self.unanswered(id, now_ms);
-        until_ms > now_ms
-            || unanswered.is_some_and(|(_, since_ms)| since_ms + LATE_ANSWER_MS <= now_ms)
-    }
-
-    /// Number of orders that may be sent to a replica now, before one of those that are being sent
-    /// has an outcome.
-    fn sends_allowed(&self, id: &ReplicaId, now_ms: u64) -> usize {
-        let limit = match self.is_late(id, now_ms) {
-            true => MAX_UNANSWERED_LATE_ORDERS,
-            false => MAX_UNANSWERED_ORDERS,
-        };
-        let unanswered = self.unanswered(id, now_ms).map_or(0, |(count, _)| count);
-        limit.saturating_sub(unanswered)
-    }
-
     /// Number of loads at a replica that have not been sent yet.
     fn unsent_loads(&self, id: &ReplicaId) -> usize {
         let unsent = |order: &PendingOrder| order.send_at_ms.is_some() && !order.may_be_running;
@@ -420,16 +373,6 @@
         self.insert_pending(placement, OrderKind::Load, now_ms);
     }
 
-    /// Returns the orders at a replica that are being sent, and since when the first of them is, in
-    /// milliseconds.
-    pub fn unanswered(&self, id: &ReplicaId, now_ms: u64) -> Option<(usize, u64)> {
-        let here = self.pending_at(id);
-        let sent = here.filter_map(|(_, order)| order.sent_ms);
-        let sent = sent.filter(|sent_ms| sent_ms + MAX_SENDING_MS > now_ms);
-        let since_ms = sent.clone().min()?;
-        Some((sent.count(), since_ms))
-    }
-
     /// Returns the pending orders of a replica.
     fn pending_at<'a>(
         &'a self,
@@ -656,39 +599,6 @@
             .filter(|placement| !holds(record, placement))
             .count()
     }
-
-    /// Returns the adapters of a replica that no order concerns, each with the time since which it
-    /// has been there, as far as known.
-    fn evictable<'a>(
-        &'a self,
-        record: &'a ReplicaRecord,
-    ) -> impl Iterator<Item = (u64, AdapterPlacement)> + 'a {
-        let held = record.models.iter();
-        let held = held.flat_map(|(model, names)| names.iter().map(move |name| (model, name)));
-        let placements = held.map(|(model, name)| placement_of(&record.id, model, name));
-        let settled = placements.filter(|placement| !self.pending.contains_key(placement));
-        settled.map(|placement| {
-            let loaded_ms = self.loaded_ms.get(&placement).copied();
-            (loaded_ms.unwrap_or(0), placement)
-        })
-    }
-
-    fn least_recently_used(&self, record: &ReplicaRecord, now_ms: u64) -> Option<AdapterPlacement> {
-        let idle = self.evictable(record).filter_map(|(loaded_ms, placement)| {
-            let used_ms = self.used_ms.get(&placement).copied().unwrap_or(0);
-            let is_idle = used_ms + RECENT_USE_MS <= now_ms;
-            let had_turn = loaded_ms == 0 || loaded_ms + MIN_TURN_MS <= now_ms;
-            (is_idle && had_turn).then_some((used_ms, placement))
-        });
-        idle.min().map(|(_, placement)| placement)
-    }
-
-    /// Returns the adapter that has been loaded for longest, even if it is in use.
-    fn longest_loaded(&self, record: &ReplicaRecord, now_ms: u64) -> Option<AdapterPlacement> {
-        let adapters = self.evictable(record);
-        let had_turn = adapters.filter(|(loaded_ms, _)| loaded_ms + IN_USE_TURN_MS <= now_ms);
-        had_turn.min().map(|(_, placement)| placement)
-    }
 }
 
 /// Returns the adapters that the log lists as ordered into a replica.
