One question for silent replicas; names without service are summed only when they are logged

Found by reading the change again. Whether a replica is silent was asked by a function in the fleet controller and by the same lines in the adapter orders; the directory answers both now. No behaviour changes.

--- a/src/consensus/directory.rs
+++ b/src/consensus/directory.rs
@@ -155,6 +155,12 @@
         &self.records
     }
 
+    /// Returns whether a replica sends no heartbeats: orders to it wait until it does.
+    pub fn is_silent(&self, id: &ReplicaId) -> bool {
+        let record = self.records.get(id);
+        record.is_some_and(|record| record.phase == ReplicaPhase::Silent)
+    }
+
     /// Returns whether a model that was ordered to unload is still loaded.
     pub fn is_unloading(&self, id: &ReplicaId, model: &ModelName) -> bool {
         let unloading = self.unloading.get(id);
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -645,11 +645,14 @@
     }
 
     fn log_unserved(&mut self, now_ms: u64) {
+        if now_ms < self.unserved_logged_ms + UNSERVED_LOG_INTERVAL_MS {
+            return;
+        }
         let (Some(state), Some(fleet)) = (self.replica.newest(now_ms), &self.fleet) else {
             return;
         };
         let summary = fleet.unserved_summary(now_ms);
-        if summary.names == 0 || now_ms < self.unserved_logged_ms + UNSERVED_LOG_INTERVAL_MS {
+        if summary.names == 0 {
             return;
         }
         self.unserved_logged_ms = now_ms;
--- a/src/placement/adapters.rs
+++ b/src/placement/adapters.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::consensus::directory::{ReplicaDirectory, ReplicaPhase, ReplicaRecord};
+use crate::consensus::directory::{ReplicaDirectory, ReplicaRecord};
 use crate::ids::{ModelName, ReplicaId};
 use crate::placement::order::{AdapterPlacement, OrderKind, OrderOutcome};
 
@@ -467,14 +467,10 @@
     /// Returns the loads that are due and whose slots are committed to the log. A later leader must
     /// know that a slot is claimed before an order fills it.
     pub fn take_due(&mut self, replicas: &ReplicaDirectory, now_ms: u64) -> Vec<AdapterPlacement> {
-        let silent = |placement: &AdapterPlacement| {
-            let record = replicas.records().get(&placement.replica);
-            record.is_some_and(|record| record.phase == ReplicaPhase::Silent)
-        };
         let is_due = |placement: &AdapterPlacement, order: &PendingOrder| {
             order.send_at_ms.is_some_and(|at_ms| at_ms <= now_ms)
                 && !replicas.is_unloading(&placement.replica, &placement.model)
-                && !silent(placement)
+                && !replicas.is_silent(&placement.replica)
                 && is_load_committed(replicas, placement)
         };
         let due = self.pending.iter();
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -183,12 +183,6 @@
 /// Time between two rounds of preloading, in milliseconds.
 const PRELOAD_INTERVAL_MS: u64 = 500;
 
-/// Whether a replica sends no heartbeats: orders to it wait until it does.
-fn is_silent(records: &BTreeMap<ReplicaId, ReplicaRecord>, id: &ReplicaId) -> bool {
-    let record = records.get(id);
-    record.is_some_and(|record| record.phase == ReplicaPhase::Silent)
-}
-
 fn adapter_name(placement: &AdapterPlacement) -> ServedName {
     ServedName {
         model: placement.model.clone(),
@@ -660,7 +654,7 @@
         let mut due = Vec::new();
         for (id, order) in &mut self.pending {
             let is_due =
-                order.send_ms.is_some_and(|at_ms| at_ms <= now_ms) && !is_silent(records, id);
+                order.send_ms.is_some_and(|at_ms| at_ms <= now_ms) && !replicas.is_silent(id);
             if is_due && is_under_way(replicas, id, order) {
                 order.send_ms = None;
                 due.push((id.clone(), order.kind, order.model.clone()));
