Silent voters are logged and counted; hypotheses on a set of voters without a leader

Logs and metrics could not tell them apart: the number of voters was shown, live or not.

Added, without any change of decisions: the metrics dunlinspring_voters_silent and dunlinspring_bearable_losses, and the log line "silent voters" with hosts and times. A leader judges by replies, a voter without a leader by the messages of elections.

--- a/src/consensus/raft.rs
+++ b/src/consensus/raft.rs
@@ -122,6 +122,8 @@
     granted: BTreeSet<NodeId>,
     progress: BTreeMap<NodeId, Progress>,
     learners: BTreeSet<NodeId>,
+    /// When a message of each voter last arrived.
+    heard_ms: BTreeMap<NodeId, u64>,
     /// Last index and commit index most recently sent to all followers.
     broadcast: (Position, Position),
     /// First entry that may not be on disk yet; `None` if all are.
@@ -158,6 +160,7 @@
             granted: BTreeSet::new(),
             progress: BTreeMap::new(),
             learners: BTreeSet::new(),
+            heard_ms: BTreeMap::new(),
             broadcast: (Position(0), Position(0)),
             unsaved_from: None,
             output: Output::default(),
@@ -358,6 +361,27 @@
         }
     }
 
+    /// Returns the other voters that have been silent for at least `min_ms`, with the time since
+    /// their last message. A follower of a leader hears no other voter, and returns none.
+    pub fn silent_voters(&self, now_ms: u64, min_ms: u64) -> Vec<(NodeId, u64)> {
+        let leads = self.role == Role::Leader;
+        if !leads && self.leaderless_ms(now_ms) < min_ms {
+            return Vec::new();
+        }
+        let silence_ms = |node: NodeId| match leads {
+            true => self.silence_ms(node, now_ms),
+            false => {
+                let heard_ms = self.heard_ms.get(&node).copied().unwrap_or(0);
+                now_ms.saturating_sub(heard_ms.max(self.leader_seen_ms.unwrap_or(0)))
+            }
+        };
+        let others = self.other_voters().into_iter();
+        let timed = others.map(|node| (node, silence_ms(node)));
+        timed
+            .filter(|(_, silent_ms)| *silent_ms >= min_ms)
+            .collect()
+    }
+
     /// Returns the time since this voter last received a message from a leader, in
     /// milliseconds.
     pub fn leaderless_ms(&self, now_ms: u64) -> u64 {
@@ -436,6 +460,9 @@
 
     /// Handles a message from another voter.
     pub fn receive(&mut self, now_ms: u64, from: NodeId, message: RaftMessage) {
+        if self.voters().contains(&from) {
+            self.heard_ms.insert(from, now_ms);
+        }
         let speculative = matches!(
             message,
             RaftMessage::PreVote { .. } | RaftMessage::PreVoteReply { granted: true, .. }
@@ -668,6 +695,8 @@
         self.election_decided();
         self.leader_since_ms = now_ms;
         self.leader = Some(self.id);
+        let voters = self.voters().clone();
+        self.heard_ms.retain(|node, _| voters.contains(node));
         let next = Position(self.last().index.0 + 1);
         let fresh = Progress {
             next,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -17,3 +17,4 @@
 pub mod shell;
 mod stall_monitor;
 pub mod voter;
+pub mod voter_watch;
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -655,6 +655,14 @@
         ("dunlinspring_term", status.term.0),
         ("dunlinspring_leads", u64::from(status.decides)),
         ("dunlinspring_voters", status.voters.len() as u64),
+        (
+            "dunlinspring_voters_silent",
+            status.silent_voters.len() as u64,
+        ),
+        (
+            "dunlinspring_bearable_losses",
+            status.bearable_losses() as u64,
+        ),
         (
             "dunlinspring_votes",
             u64::from(status.voters.contains(&status.node)),
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -17,6 +17,7 @@
 use crate::control::log_writer::{LogWriter, WriteProgress};
 use crate::control::outbox::PeerOutbox;
 use crate::control::stall_monitor::StallMonitor;
+use crate::control::voter_watch::{self, VoterWatch};
 use crate::ids::{HostName, NodeId, Position, ReplicaIncarnation, TargetName, Term};
 use crate::placement::advertised_limits::{IncarnationState, LimitPage, LimitReport};
 use crate::placement::fleet::FleetController;
@@ -28,7 +29,7 @@
 use crate::process::settings::ControlSettings;
 use crate::process::wire::{
     self, AccountStatus, AgentHeartbeatReply, ControlRefusal, ControlStatus, EntryHeartbeatReply,
-    LimitStatus, PositionUpdate, TableStatus,
+    LimitStatus, PositionUpdate, SilentVoter, TableStatus,
 };
 use crate::routing::freshness::FreshnessProof;
 use crate::routing::route_changes::RouteFollower;
@@ -130,6 +131,7 @@
     /// Latest expiry of all send permits that were given.
     permitted_until_ms: u64,
     stalls: StallMonitor,
+    watch: VoterWatch,
 }
 
 /// A requested stop.
@@ -185,6 +187,7 @@
             deferred: Vec::new(),
             stopping: None,
             permitted_until_ms: 0,
+            watch: VoterWatch::default(),
         })
     }
 
@@ -744,9 +747,21 @@
             moves: state.moves,
             claims: state.claims.len(),
             unserved: fleet.unwrap_or_default(),
+            silent_voters: self.silent_voters(now_ms),
         }
     }
 
+    fn silent_voters(&self, now_ms: u64) -> Vec<SilentVoter> {
+        let raft = self.replica.raft();
+        let silent = raft.silent_voters(now_ms, voter_watch::SILENT_MS);
+        let named = silent.into_iter().map(|(node, silent_ms)| SilentVoter {
+            node,
+            host: self.hosts.get(&node).cloned(),
+            silent_ms,
+        });
+        named.collect()
+    }
+
     fn not_leader(&self) -> ControlRefusal {
         let leader = self.replica.raft().leader();
         let host = leader.and_then(|node| self.hosts.get(&node));
@@ -786,6 +801,8 @@
             let voters = self.replica.raft().voters();
             tracing::info!(?voters, "change of the voters proposed");
         }
+        let silent = self.silent_voters(now_ms);
+        self.watch.observe(now_ms, self.replica.raft(), &silent);
     }
 
     fn update_leadership(&mut self, now_ms: u64) {
--- a/src/process/wire.rs
+++ b/src/process/wire.rs
@@ -144,6 +144,19 @@
     pub claims: usize,
     /// Models and adapters that are requested without being served, as the leader knows.
     pub unserved: UnservedSummary,
+    /// Other voters that this voter should hear from and does not.
+    pub silent_voters: Vec<SilentVoter>,
+}
+
+/// A voter that another one has not heard from for some time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SilentVoter {
+    /// Identity of its disk.
+    pub node: NodeId,
+    /// Its host, if known.
+    pub host: Option<HostName>,
+    /// Time since its last message, in milliseconds.
+    pub silent_ms: u64,
 }
 
 impl ControlStatus {
@@ -161,8 +174,15 @@
             moves: 0,
             claims: 0,
             unserved: UnservedSummary::default(),
+            silent_voters: Vec::new(),
         }
     }
+
+    /// Returns how many more voters may be lost before there is no quorum.
+    pub fn bearable_losses(&self) -> usize {
+        let live = self.voters.len() - self.silent_voters.len();
+        live.saturating_sub(self.voters.len() / 2 + 1)
+    }
 }
 
 /// Position of a control host in the log, without the changes themselves.
