Lost voters are dropped from a set of any size that can spare them

Cause: a learner was added before a silent voter was dropped, and only a set of even size dropped one. Two successors make 5 voters 6, then 7: odd, with both lost voters in it for good. Three of seven live after the next pair. A set at its maximum kept them too.

Change: membership where any host may enrol has a module of its own. The minimum size follows from the losses that the settings name (bearable_losses; the platform's Tolerate): twice that plus one. Above it a silent voter goes, whatever parity and maximum.

Protocol 13, as the status of a control host names silent voters.

--- a/src/cli/demo.rs
+++ b/src/cli/demo.rs
@@ -576,6 +576,7 @@
             compact_after: 2000,
             platform_url: Some(format!("http://{}/hosts", platform.address)),
             open_membership: false,
+            bearable_losses: 1,
             fleet: Default::default(),
             site: site_spec(config),
         };
--- a/src/consensus/mod.rs
+++ b/src/consensus/mod.rs
@@ -10,6 +10,7 @@
 pub mod crashes;
 pub mod directory;
 pub mod entries;
+pub mod membership;
 pub mod part_crashes;
 pub mod paxos;
 pub mod raft;
--- a/src/consensus/replica.rs
+++ b/src/consensus/replica.rs
@@ -9,9 +9,6 @@
 use crate::consensus::state::{Command, Reply, SiteState, Stamped};
 use crate::ids::{HostName, NodeId, Position, Term};
 
-/// Maximum number of voters where any host may enrol; more would only slow down each commit.
-const MAX_VOTERS: usize = 9;
-
 /// Actions for the caller after a step. Records must be synced before messages are sent.
 #[derive(Debug, Default)]
 pub struct ReplicaOutput {
@@ -137,48 +134,6 @@
         alive * 2 > voters.len() && self.raft.propose_voters(voters).is_ok()
     }
 
-    /// Proposes one membership step towards a set of all live voters, where any host may enrol.
-    /// Returns whether a step was proposed.
-    ///
-    /// A new disk on the host of another voter replaces that voter, a learner that has caught
-    /// up becomes a voter, and a set of even size removes a voter that has been silent for
-    /// `silent_ms`, whose successor has already joined.
-    pub fn adjust_voters(
-        &mut self,
-        now_ms: u64,
-        silent_ms: u64,
-        host_of: impl Fn(NodeId) -> Option<HostName>,
-    ) -> bool {
-        if !self.raft.may_decide(now_ms) {
-            return false;
-        }
-        let mut voters: BTreeSet<NodeId> = self.raft.voters().clone();
-        let learner = self.raft.ready_learners().first().copied();
-        let same_host = learner.and_then(|learner| {
-            let host = host_of(learner);
-            let mut others = voters.iter().copied();
-            others.find(|node| host.is_some() && host_of(*node) == host)
-        });
-        let raft = &self.raft;
-        let most_silent = voters
-            .iter()
-            .copied()
-            .map(|node| (raft.silence_ms(node, now_ms), node))
-            .max();
-        let silent = most_silent.filter(|(silence_ms, _)| *silence_ms >= silent_ms);
-        match (same_host, learner, silent) {
-            (Some(old), _, _) => voters.remove(&old),
-            (None, Some(learner), _) if voters.len() < MAX_VOTERS => voters.insert(learner),
-            (None, _, Some((_, old))) if voters.len().is_multiple_of(2) && voters.len() > 2 => {
-                voters.remove(&old)
-            }
-            _ => return false,
-        };
-        let replied = |node: &&NodeId| **node == raft.id() || raft.replied_recently(**node, now_ms);
-        let alive = voters.iter().filter(replied).count();
-        alive * 2 > voters.len() && self.raft.propose_voters(voters).is_ok()
-    }
-
     /// Handles a message from another voter.
     pub fn receive(&mut self, now_ms: u64, from: NodeId, message: RaftMessage) {
         self.raft.receive(now_ms, from, message);
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -8,6 +8,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::clock;
+use crate::consensus::membership::{VoterPolicy, VoterRoster};
 use crate::consensus::replica::LogReplica;
 use crate::consensus::state::{Command, Reply, SiteState};
 use crate::consensus::write_queue::{ReleasedOutput, WriteQueue};
@@ -47,8 +48,8 @@
 /// reported at once; where replicas change hundreds of times a second, a member queries and
 /// pulls ten times a second rather than for each change.
 const NOTIFY_INTERVAL_MS: u64 = 100;
-/// Silence of a voter after which an even set of voters drops it, in milliseconds.
-const SHED_VOTER_MS: u64 = 3_000;
+/// Silence after which a voter counts as lost, in milliseconds.
+const LOST_VOTER_MS: u64 = 3_000;
 /// The first term, whose leader has no predecessor.
 const FIRST_TERM: Term = Term(1);
 /// Time between two groups of log lines on names without service, in milliseconds.
@@ -119,9 +120,7 @@
     waiters: Vec<SyncWaiter>,
     /// When members were last notified of a change.
     notified_ms: u64,
-    hosts: BTreeMap<NodeId, HostName>,
-    /// Hosts of disks that this leader has proposed to record.
-    proposed_hosts: BTreeSet<(NodeId, HostName)>,
+    roster: VoterRoster,
     /// When names without service were last logged.
     unserved_logged_ms: u64,
     outbox: PeerOutbox,
@@ -163,6 +162,10 @@
         // The latest hosts may be in entries that are not yet known to be committed.
         hosts.extend(replica.logged_hosts());
         hosts.insert(node, settings.common.host.clone());
+        let policy = VoterPolicy {
+            bearable_losses: settings.bearable_losses,
+            silent_ms: LOST_VOTER_MS,
+        };
         Ok(Self {
             stalls: StallMonitor::new(settings.timing.heartbeat_ms),
             settings,
@@ -180,8 +183,7 @@
             pending_proposals: BTreeMap::new(),
             waiters: Vec::new(),
             notified_ms: 0,
-            hosts,
-            proposed_hosts: BTreeSet::new(),
+            roster: VoterRoster::new(policy, hosts),
             unserved_logged_ms: 0,
             outbox: PeerOutbox::default(),
             deferred: Vec::new(),
@@ -249,7 +251,7 @@
         match event {
             event if event.needs_newest() && self.replica.is_behind() => self.deferred.push(event),
             ControlEvent::Raft(from, host, message) => {
-                self.hosts.insert(from, host);
+                self.roster.learn(from, host);
                 self.replica.receive(now_ms, from, message);
             }
             ControlEvent::Enroll(node, host, answer) => {
@@ -440,22 +442,19 @@
 
     /// Makes a disk a learner and records its host, if this voter leads.
     fn enroll(&mut self, node: NodeId, host: HostName) {
-        self.hosts.insert(node, host.clone());
+        self.roster.learn(node, host);
         if !self.replica.raft().is_leader() {
             return;
         }
         self.replica.raft_mut().add_learner(node);
-        self.record_host(node, host);
+        self.record_host(node);
     }
 
-    /// Records in the log on which host a disk is reached, for a restart of all voters.
-    fn record_host(&mut self, node: NodeId, host: HostName) {
-        let known = self.replica.state().voter_hosts.get(&node) == Some(&host);
-        if self.settings.open_membership
-            && !known
-            && self.proposed_hosts.insert((node, host.clone()))
-        {
-            self.propose(Command::VoterHost(node, host), None);
+    fn record_host(&mut self, node: NodeId) {
+        let open = self.settings.open_membership;
+        let command = open.then(|| self.roster.record(&self.replica, node));
+        if let Some(command) = command.flatten() {
+            self.propose(command, None);
         }
     }
 
@@ -732,7 +731,7 @@
     fn status(&self, now_ms: u64) -> ControlStatus {
         let raft = self.replica.raft();
         let state = self.replica.state();
-        let leader = raft.leader().and_then(|node| self.hosts.get(&node));
+        let leader = raft.leader().and_then(|node| self.roster.host_of(node));
         let fleet = self.fleet.as_ref();
         let fleet = fleet.map(|fleet| fleet.unserved_summary(now_ms));
         ControlStatus {
@@ -756,7 +755,7 @@
         let silent = raft.silent_voters(now_ms, voter_watch::SILENT_MS);
         let named = silent.into_iter().map(|(node, silent_ms)| SilentVoter {
             node,
-            host: self.hosts.get(&node).cloned(),
+            host: self.roster.host_of(node).cloned(),
             silent_ms,
         });
         named.collect()
@@ -764,7 +763,7 @@
 
     fn not_leader(&self) -> ControlRefusal {
         let leader = self.replica.raft().leader();
-        let host = leader.and_then(|node| self.hosts.get(&node));
+        let host = leader.and_then(|node| self.roster.host_of(node));
         let own = &self.settings.common.host;
         if self.settings.open_membership {
             let other = host.filter(|host| *host != own);
@@ -791,10 +790,9 @@
         let _ = self.with_rates(now_ms, |rates, state| {
             rates.prune(now_ms, |incarnation| incarnation_state(state, incarnation));
         });
-        let hosts = &self.hosts;
-        let host_of = |node: NodeId| hosts.get(&node).cloned();
+        let host_of = |node: NodeId| self.roster.host_of(node).cloned();
         let changed = match self.settings.open_membership {
-            true => self.replica.adjust_voters(now_ms, SHED_VOTER_MS, host_of),
+            true => self.roster.adjust(&mut self.replica, now_ms),
             false => self.replica.replace_voter(now_ms, host_of),
         };
         if changed {
@@ -826,11 +824,9 @@
                 });
                 tracing::info!(%term, "leads");
                 self.propose(Command::Site(self.settings.site.clone()), None);
-                self.proposed_hosts.clear();
+                self.roster.lead();
                 for voter in self.replica.raft().voters().clone() {
-                    if let Some(host) = self.hosts.get(&voter).cloned() {
-                        self.record_host(voter, host);
-                    }
+                    self.record_host(voter);
                 }
             }
             false => {
@@ -955,7 +951,7 @@
     fn deliver(&mut self, released: ReleasedOutput) {
         for (node, message) in released.messages {
             let known = self.replica.state().voter_hosts.get(&node);
-            if let Some(host) = self.hosts.get(&node).or(known) {
+            if let Some(host) = self.roster.host_of(node).or(known) {
                 self.outbox.send(host, message);
             }
         }
@@ -999,7 +995,7 @@
         let mut hosts: BTreeSet<HostName> = state.voter_hosts.values().cloned().collect();
         hosts.insert(self.settings.common.host.clone());
         let leader = self.replica.raft().leader();
-        hosts.extend(leader.and_then(|node| self.hosts.get(&node)).cloned());
+        hosts.extend(leader.and_then(|node| self.roster.host_of(node)).cloned());
         PositionUpdate {
             hall: self.settings.common.hall.clone(),
             position: state.changed(),
--- a/src/control/voter_watch.rs
+++ b/src/control/voter_watch.rs
@@ -30,9 +30,11 @@
         let voters = raft.voters().len();
         let (live, quorum) = (voters - nodes.len(), voters / 2 + 1);
         let leads = raft.is_leader();
+        let silent: Vec<String> = silent.iter().map(SilentVoter::to_string).collect();
+        let silent = silent.join(", ");
         match nodes.is_empty() {
             true => tracing::info!(leads, voters, "no silent voters"),
-            false => tracing::warn!(leads, voters, live, quorum, ?silent, "silent voters"),
+            false => tracing::warn!(leads, voters, live, quorum, silent, "silent voters"),
         }
         self.logged = nodes;
         self.logged_ms = now_ms;
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -182,6 +182,10 @@
     /// names bootstrap the site, and are the first ones to be searched for others.
     #[serde(default)]
     pub open_membership: bool,
+    /// Number of control hosts with a disk that may be lost at the same time. Where any host may
+    /// become a voter, the set of voters does not shrink below twice this plus one.
+    #[serde(default = "default_bearable_losses")]
+    pub bearable_losses: usize,
     /// Policy for replicas that register themselves.
     #[serde(default)]
     pub fleet: FleetPolicy,
@@ -190,6 +194,9 @@
     pub site: SiteSpec,
 }
 
+/// Maximum of [`ControlSettings::bearable_losses`].
+const MAX_BEARABLE_LOSSES: usize = 32;
+
 fn default_timing() -> RaftTiming {
     RaftTiming {
         election_ms: 500,
@@ -201,6 +208,10 @@
     2000
 }
 
+fn default_bearable_losses() -> usize {
+    1
+}
+
 /// Keys of one partner, each as the hexadecimal SHA-256 digest of the key.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -403,6 +414,9 @@
             }
             _ if duties.spread == 0 => wrong("duties.spread", "must be at least 1"),
             s if s.compact_after == 0 => wrong("compact_after", "must be at least 1"),
+            s if s.bearable_losses > MAX_BEARABLE_LOSSES => {
+                wrong("bearable_losses", "must be at most 32")
+            }
             s => check_site(&s.site),
         }
     }
--- a/src/process/wire.rs
+++ b/src/process/wire.rs
@@ -1,6 +1,7 @@
 //! Calls between the system's own processes.
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
@@ -37,7 +38,7 @@
 
 /// Protocol version. Incremented with each change of a type on the wire; peers with another
 /// version are refused.
-pub const PROTOCOL: u32 = 12;
+pub const PROTOCOL: u32 = 13;
 
 /// Reason why a control host refused a call.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -159,6 +160,15 @@
     pub silent_ms: u64,
 }
 
+impl fmt::Display for SilentVoter {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.host {
+            Some(host) => write!(f, "{host} for {} ms", self.silent_ms),
+            None => write!(f, "disk {} for {} ms", self.node, self.silent_ms),
+        }
+    }
+}
+
 impl ControlStatus {
     /// Returns the status of a host that keeps no log, or whose voter has stopped.
     pub fn without_log(host: HostName) -> Self {
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -355,6 +355,7 @@
         compact_after: 50,
         platform_url: None,
         open_membership: true,
+        bearable_losses: 1,
         fleet: Default::default(),
         site: Default::default(),
     };
--- a/tests/full_disk.rs
+++ b/tests/full_disk.rs
@@ -43,6 +43,7 @@
         compact_after: 400,
         platform_url: None,
         open_membership: false,
+        bearable_losses: 1,
         fleet: Default::default(),
         site: Default::default(),
     }
--- a/tests/fuzz/members.rs
+++ b/tests/fuzz/members.rs
@@ -8,6 +8,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use dunlinspring::consensus::membership::{VoterPolicy, VoterRoster};
 use dunlinspring::consensus::raft::{
     DiskImage, LogEntry, LogMark, Payload, RaftMessage, RaftTiming,
 };
@@ -25,9 +26,11 @@
 };
 /// Clock rates in thousandths: up to 5% off true time.
 const RATES: [u64; HOSTS] = [1000, 950, 1050, 1050, 950, 1000];
-/// Silence of a voter after which an even set of voters removes it. The same multiple of the
-/// election timeout as in production.
-const SHED_MS: u64 = 600;
+/// The silence is the same multiple of the election timeout as in production.
+const POLICY: VoterPolicy = VoterPolicy {
+    bearable_losses: 1,
+    silent_ms: 600,
+};
 /// Number of entries after which the log is compacted.
 const COMPACT_AFTER: usize = 12;
 /// Delivery passes in a fault-free round, which bound the length of a chain of messages.
@@ -298,11 +301,12 @@
 
     fn tick(&mut self, host: usize) {
         let clock = self.clock(host);
-        let (shared_name, host_of_node) = (self.shared_name, self.host_of_node.clone());
-        let host_of = |node| Some(name(shared_name, *host_of_node.get(&node)?));
+        let hosts = self.host_of_node.iter();
+        let hosts = hosts.map(|(node, host)| (*node, name(self.shared_name, *host)));
+        let roster = VoterRoster::new(POLICY, hosts.collect());
         if let Some(replica) = self.running(host) {
             replica.tick(clock);
-            replica.adjust_voters(clock, SHED_MS, host_of);
+            roster.adjust(replica, clock);
             self.flush(host);
         }
     }
--- a/tests/support_control/mod.rs
+++ b/tests/support_control/mod.rs
@@ -40,6 +40,7 @@
         compact_after: 100,
         platform_url: None,
         open_membership: true,
+        bearable_losses: 1,
         fleet: Default::default(),
         site: Default::default(),
     }
