A new leader knows from the log which voter a new disk replaces

Cause: a leader looked for the old voter of a host only among the disks that it had heard of itself. A voter that began with an empty disk has heard of few. And the log dropped the record of the old disk as soon as the new one asked to vote, so no later leader could know. The new disk then became a voter beside the old one.

Change: the roster falls back on the log's records, and a new disk is recorded only once no voter on its host is left; it joins once that record is in the log before it. Learners must have replied of late: one that is gone could be counted as caught up where nothing is written.

--- a/src/consensus/membership.rs
+++ b/src/consensus/membership.rs
@@ -1,16 +1,17 @@
 //! Membership of the voters where any host may enrol: which host each voter's disk is on, which
 //! learners become voters, and which voters are dropped.
 //!
-//! Changes one voter at a time. Adding a live voter and dropping a lost one never lowers the number
-//! of further losses that leave a quorum: either the quorum stays, or it changes together with the
-//! number of live voters. So a voter and its successor need no joint step, and either may be first.
+//! Changes one voter at a time. Dropping a lost voter never raises the quorum. Adding a voter raises
+//! it only where the set was odd, and that waits until no voter is silent. So no single step lowers
+//! the number of further losses that leave a quorum, even if the new voter is the next one lost, and
+//! no joint step is needed.
 //!
 //! Pure: the caller passes in the time and proposes the returned commands.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::consensus::replica::LogReplica;
-use crate::consensus::state::Command;
+use crate::consensus::state::{Command, SiteState};
 use crate::ids::{HostName, NodeId};
 
 /// Maximum number of voters, unless the losses to be borne need more: each further voter slows down
@@ -65,9 +66,17 @@
         self.hosts.insert(node, host);
     }
 
-    /// Returns the host of a disk, if it is known.
-    pub fn host_of(&self, node: NodeId) -> Option<&HostName> {
-        self.hosts.get(&node)
+    /// Returns the host of a disk: as this process heard it, or else as the log has it. A voter that
+    /// began with an empty disk has heard of few others when it becomes leader.
+    pub fn host_of<'a>(&'a self, state: &'a SiteState, node: NodeId) -> Option<&'a HostName> {
+        self.hosts
+            .get(&node)
+            .or_else(|| state.voter_hosts.get(&node))
+    }
+
+    /// Returns the hosts of disks as this process heard them.
+    pub fn hosts(&self) -> &BTreeMap<NodeId, HostName> {
+        &self.hosts
     }
 
     /// Starts a term of this voter as leader.
@@ -75,13 +84,40 @@
         self.proposed.clear();
     }
 
-    /// Returns a command that records the host of a disk, for a restart of all voters, unless the
-    /// log has it or this leader has proposed it.
-    pub fn record(&mut self, replica: &LogReplica, node: NodeId) -> Option<Command> {
-        let host = self.hosts.get(&node)?.clone();
-        let known = replica.state().voter_hosts.get(&node) == Some(&host);
-        let new = !known && self.proposed.insert((node, host.clone()));
-        new.then_some(Command::VoterHost(node, host))
+    /// Returns commands that record the hosts of voters and learners that neither the log has nor
+    /// this leader has proposed.
+    ///
+    /// The log keeps one disk of each host, so the new disk of a host is recorded only once the old
+    /// one votes no more. Until then a new leader needs the old record to know what the new disk
+    /// replaces.
+    pub fn unrecorded(&mut self, replica: &LogReplica) -> Vec<Command> {
+        let (raft, state) = (replica.raft(), replica.state());
+        if !raft.is_leader() {
+            return Vec::new();
+        }
+        let voters = raft.voters();
+        let mut commands = Vec::new();
+        for node in voters.iter().chain(raft.learners()) {
+            let Some(host) = self.hosts.get(node) else {
+                continue;
+            };
+            let mut others = voters.iter().filter(|other| *other != node);
+            let replaces = others.any(|other| self.host_of(state, *other) == Some(host));
+            let known = state.voter_hosts.get(node) == Some(host);
+            if !known && !replaces && self.proposed.insert((*node, host.clone())) {
+                commands.push(Command::VoterHost(*node, host.clone()));
+            }
+        }
+        commands
+    }
+
+    /// Returns whether the log has the host of a disk, or will have it before what is proposed next.
+    fn is_recorded(&self, state: &SiteState, node: NodeId) -> bool {
+        let host = self.host_of(state, node);
+        host.is_some_and(|host| {
+            state.voter_hosts.get(&node) == Some(host)
+                || self.proposed.contains(&(node, host.clone()))
+        })
     }
 
     /// Proposes one change of the voters. Returns whether one was proposed.
@@ -90,18 +126,19 @@
     /// long is dropped, unless the set has no voter to spare. A learner that has caught up becomes a
     /// voter.
     pub fn adjust(&self, replica: &mut LogReplica, now_ms: u64) -> bool {
-        let raft = replica.raft();
+        let (raft, state) = (replica.raft(), replica.state());
         if !raft.may_decide(now_ms) {
             return false;
         }
+        let replied = |node: &NodeId| *node == raft.id() || raft.replied_recently(*node, now_ms);
         let mut voters = raft.voters().clone();
-        let learner = raft.ready_learners().first().copied();
+        let learner = raft.ready_learners().into_iter().find(replied);
         let same_host = learner.and_then(|learner| {
-            let host = self.host_of(learner)?;
-            voters
-                .iter()
-                .find(|node| self.host_of(**node) == Some(host))
+            let host = self.host_of(state, learner)?;
+            let mut others = voters.iter().copied();
+            others.find(|node| self.host_of(state, *node) == Some(host))
         });
+        let learner = learner.filter(|learner| self.is_recorded(state, *learner));
         let silences = voters
             .iter()
             .map(|node| (raft.silence_ms(*node, now_ms), *node));
@@ -109,14 +146,13 @@
         let lost = most_silent.filter(|(silent_ms, _)| *silent_ms >= self.policy.silent_ms);
         let can_spare = voters.len() > self.policy.min_voters();
         let has_room = voters.len() < self.policy.max_voters();
-        match (same_host.copied(), lost, learner) {
+        match (same_host, lost, learner) {
             (Some(old), _, _) => voters.remove(&old),
             (None, Some((_, lost)), _) if can_spare => voters.remove(&lost),
             (None, _, Some(learner)) if has_room => voters.insert(learner),
             _ => return false,
         };
-        let replied = |node: &&NodeId| **node == raft.id() || raft.replied_recently(**node, now_ms);
-        let live = voters.iter().filter(replied).count();
+        let live = voters.iter().filter(|node| replied(node)).count();
         live * 2 > voters.len() && replica.raft_mut().propose_voters(voters).is_ok()
     }
 }
--- a/src/consensus/raft.rs
+++ b/src/consensus/raft.rs
@@ -332,6 +332,11 @@
         }
     }
 
+    /// Returns the processes that this leader replicates to although they do not vote.
+    pub fn learners(&self) -> &BTreeSet<NodeId> {
+        &self.learners
+    }
+
     /// Returns the learners that have caught up with the commit index.
     pub fn ready_learners(&self) -> Vec<NodeId> {
         let voters = self.voters();
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -440,21 +440,22 @@
         }
     }
 
-    /// Makes a disk a learner and records its host, if this voter leads.
+    /// Makes a disk a learner, if this voter leads.
     fn enroll(&mut self, node: NodeId, host: HostName) {
         self.roster.learn(node, host);
         if !self.replica.raft().is_leader() {
             return;
         }
         self.replica.raft_mut().add_learner(node);
-        self.record_host(node);
     }
 
-    fn record_host(&mut self, node: NodeId) {
-        let open = self.settings.open_membership;
-        let command = open.then(|| self.roster.record(&self.replica, node));
-        if let Some(command) = command.flatten() {
-            self.propose(command, None);
+    /// Records in the log on which host each disk is reached, for a restart of all voters and for
+    /// the next leader.
+    fn record_hosts(&mut self) {
+        if self.settings.open_membership {
+            for command in self.roster.unrecorded(&self.replica) {
+                self.propose(command, None);
+            }
         }
     }
 
@@ -731,7 +732,9 @@
     fn status(&self, now_ms: u64) -> ControlStatus {
         let raft = self.replica.raft();
         let state = self.replica.state();
-        let leader = raft.leader().and_then(|node| self.roster.host_of(node));
+        let leader = raft
+            .leader()
+            .and_then(|node| self.roster.host_of(state, node));
         let fleet = self.fleet.as_ref();
         let fleet = fleet.map(|fleet| fleet.unserved_summary(now_ms));
         ControlStatus {
@@ -755,15 +758,19 @@
         let silent = raft.silent_voters(now_ms, voter_watch::SILENT_MS);
         let named = silent.into_iter().map(|(node, silent_ms)| SilentVoter {
             node,
-            host: self.roster.host_of(node).cloned(),
+            host: self.host_of(node).cloned(),
             silent_ms,
         });
         named.collect()
     }
 
+    fn host_of(&self, node: NodeId) -> Option<&HostName> {
+        self.roster.host_of(self.replica.state(), node)
+    }
+
     fn not_leader(&self) -> ControlRefusal {
         let leader = self.replica.raft().leader();
-        let host = leader.and_then(|node| self.roster.host_of(node));
+        let host = leader.and_then(|node| self.host_of(node));
         let own = &self.settings.common.host;
         if self.settings.open_membership {
             let other = host.filter(|host| *host != own);
@@ -790,10 +797,14 @@
         let _ = self.with_rates(now_ms, |rates, state| {
             rates.prune(now_ms, |incarnation| incarnation_state(state, incarnation));
         });
-        let host_of = |node: NodeId| self.roster.host_of(node).cloned();
+        self.record_hosts();
         let changed = match self.settings.open_membership {
             true => self.roster.adjust(&mut self.replica, now_ms),
-            false => self.replica.replace_voter(now_ms, host_of),
+            false => {
+                let known = self.roster.hosts();
+                self.replica
+                    .replace_voter(now_ms, |node| known.get(&node).cloned())
+            }
         };
         if changed {
             let voters = self.replica.raft().voters();
@@ -825,9 +836,6 @@
                 tracing::info!(%term, "leads");
                 self.propose(Command::Site(self.settings.site.clone()), None);
                 self.roster.lead();
-                for voter in self.replica.raft().voters().clone() {
-                    self.record_host(voter);
-                }
             }
             false => {
                 if let Some(fleet) = self.fleet.take() {
@@ -950,8 +958,8 @@
 
     fn deliver(&mut self, released: ReleasedOutput) {
         for (node, message) in released.messages {
-            let known = self.replica.state().voter_hosts.get(&node);
-            if let Some(host) = self.roster.host_of(node).or(known) {
+            let host = self.roster.host_of(self.replica.state(), node);
+            if let Some(host) = host {
                 self.outbox.send(host, message);
             }
         }
@@ -995,7 +1003,7 @@
         let mut hosts: BTreeSet<HostName> = state.voter_hosts.values().cloned().collect();
         hosts.insert(self.settings.common.host.clone());
         let leader = self.replica.raft().leader();
-        hosts.extend(leader.and_then(|node| self.roster.host_of(node)).cloned());
+        hosts.extend(leader.and_then(|node| self.host_of(node)).cloned());
         PositionUpdate {
             hall: self.settings.common.hall.clone(),
             position: state.changed(),
--- a/tests/lost_voters/main.rs
+++ b/tests/lost_voters/main.rs
@@ -104,3 +104,19 @@
     );
     assert_no_findings(&reports);
 }
+
+/// Disks are lost one after the other, each host back after 3 s: a leader that never heard of the
+/// old disk of a host must not keep it as a voter beside the new one.
+#[test]
+fn disks_lost_one_after_the_other_leave_a_quorum() {
+    let reports = play_all(|seed| {
+        let mut world = LossWorld::new(seed);
+        for loss in 0..12 {
+            world.run_until(10_000 + loss * 3_550);
+            world.strike(Fault::LoseDisk { down_ms: 3_000 });
+        }
+        world.run_until(60_000);
+        world.into_report()
+    });
+    assert_no_findings(&reports);
+}
--- a/tests/lost_voters/world.rs
+++ b/tests/lost_voters/world.rs
@@ -119,7 +119,7 @@
 #[derive(Debug)]
 enum Action {
     Start { host: usize },
-    StartSuccessor { of: usize },
+    StartSuccessor,
     Stop { host: usize },
 }
 
@@ -131,8 +131,11 @@
     next_node: u64,
     in_flight: Vec<Envelope>,
     actions: Vec<(u64, Action)>,
-    /// Ends of the times for which hosts count as lost; `u64::MAX` while the end is not known.
+    /// Ends of the times for which hosts count as lost.
     lost_until_ms: BTreeMap<usize, u64>,
+    /// Ends of the times for which successors count as new. Their predecessors count as lost
+    /// meanwhile, so they are no further losses, and no voters to rely on.
+    new_until_ms: BTreeMap<usize, u64>,
     /// When a host was last struck, or came back, or a leader was asked to hand over.
     disrupted_ms: u64,
     /// Successors that the set does not hold yet, with their start and their predecessor.
@@ -164,6 +167,7 @@
             in_flight: Vec::new(),
             actions: Vec::new(),
             lost_until_ms: BTreeMap::new(),
+            new_until_ms: BTreeMap::new(),
             disrupted_ms: 0,
             joining: Vec::new(),
             agreed: BTreeMap::new(),
@@ -241,9 +245,13 @@
         counted.filter(|until_ms| **until_ms > self.now_ms).count()
     }
 
-    fn is_lost(&self, host: usize) -> bool {
-        let until_ms = self.lost_until_ms.get(&host);
-        until_ms.is_some_and(|until_ms| *until_ms > self.now_ms)
+    fn is_sound(&self, host: usize) -> bool {
+        let mut ends = [&self.lost_until_ms, &self.new_until_ms].into_iter();
+        let is_over = |ends: &BTreeMap<usize, u64>| {
+            let until_ms = ends.get(&host);
+            until_ms.is_none_or(|until_ms| *until_ms <= self.now_ms)
+        };
+        ends.all(is_over)
     }
 
     /// Disrupts a host that does not count as lost, if one more may be lost now.
@@ -253,7 +261,7 @@
         }
         let sound = |host: &usize| {
             let machine = &self.hosts[*host];
-            machine.process.is_some() && machine.gone_ms.is_none() && !self.is_lost(*host)
+            machine.process.is_some() && machine.gone_ms.is_none() && self.is_sound(*host)
         };
         let sound: Vec<usize> = (0..self.hosts.len()).filter(sound).collect();
         let leader = self.leader();
@@ -273,15 +281,16 @@
             Fault::Replace(Replacement::Unplanned { pause_ms }) => {
                 self.hosts[host].process = None;
                 self.hosts[host].gone_ms = Some(now_ms);
-                let start = Action::StartSuccessor { of: host };
+                let start = Action::StartSuccessor;
                 self.actions.push((now_ms + pause_ms, start));
                 now_ms + pause_ms
             }
             Fault::Replace(Replacement::Planned { overlap_ms }) => {
-                self.start_successor(host);
+                let successor = self.start_successor();
                 self.actions
                     .push((now_ms + overlap_ms, Action::Stop { host }));
-                now_ms + overlap_ms.saturating_sub(CATCH_UP_MS)
+                self.lost_until_ms.insert(successor, now_ms + CATCH_UP_MS);
+                return;
             }
             Fault::LoseDisk { down_ms } => {
                 self.hosts[host].process = None;
@@ -309,7 +318,7 @@
         self.lost_until_ms.insert(host, back_ms + CATCH_UP_MS);
     }
 
-    fn start_successor(&mut self, of: usize) {
+    fn start_successor(&mut self) -> usize {
         let seeds = self.drawn_seeds();
         let node = self.fresh_node();
         self.hosts.push(Host {
@@ -324,8 +333,8 @@
         let host = self.hosts.len() - 1;
         self.start(host);
         self.joining.push((host, self.now_ms));
-        // The predecessor counts as lost meanwhile; its successor is no further loss.
-        let _ = of;
+        self.new_until_ms.insert(host, self.now_ms + CATCH_UP_MS);
+        host
     }
 
     /// Strikes at drawn times for that long, then lets all come back.
@@ -375,6 +384,7 @@
     fn hand_over(&mut self) {
         if let Some(leader) = self.leader() {
             self.disrupted_ms = self.now_ms;
+            self.note(format!("{} hands over", name(leader)));
             let now_ms = self.now_ms;
             let process = self.hosts[leader].process.as_mut().unwrap();
             let clock_ms = now_ms - process.started_ms;
@@ -410,7 +420,9 @@
             self.note(format!("{action:?}"));
             match action {
                 Action::Start { host } => self.start(host),
-                Action::StartSuccessor { of } => self.start_successor(of),
+                Action::StartSuccessor => {
+                    self.start_successor();
+                }
                 Action::Stop { host } => self.stop(host),
             }
         }
@@ -453,16 +465,13 @@
                 process.roster.learn(node, name(peer));
                 if process.replica.raft().is_leader() {
                     process.replica.raft_mut().add_learner(node);
-                    if let Some(command) = process.roster.record(&process.replica, node) {
-                        let _ = process.replica.propose(now_ms, command);
-                    }
                 }
                 let state = process.replica.state();
                 let mut named: BTreeSet<usize> = state.voter_hosts.values().map(number).collect();
                 let leader = process.replica.raft().leader();
                 named.extend(
                     leader
-                        .and_then(|node| process.roster.host_of(node))
+                        .and_then(|node| process.roster.host_of(state, node))
                         .map(number),
                 );
                 named.insert(to);
@@ -492,14 +501,12 @@
             true => {
                 process.led = Some(term);
                 process.roster.lead();
-                for voter in process.replica.raft().voters().clone() {
-                    if let Some(command) = process.roster.record(&process.replica, voter) {
-                        let _ = process.replica.propose(now_ms, command);
-                    }
-                }
             }
             false => process.led = None,
         }
+        for command in process.roster.unrecorded(&process.replica) {
+            let _ = process.replica.propose(now_ms, command);
+        }
         process.roster.adjust(&mut process.replica, clock_ms);
         if process.replica.raft().is_leader() && clock_ms >= process.propose_due_ms {
             process.propose_due_ms = clock_ms + PROPOSE_MS;
@@ -533,8 +540,7 @@
             machine.disk.apply(record);
         }
         for (node, message) in output.messages {
-            let known = process.replica.state().voter_hosts.get(&node);
-            if let Some(to) = process.roster.host_of(node).or(known) {
+            if let Some(to) = process.roster.host_of(process.replica.state(), node) {
                 self.in_flight.push(Envelope {
                     from: (host, machine.node),
                     to: number(to),
@@ -621,7 +627,7 @@
             hosts.position(|host| host.node == *node && host.process.is_some())
         };
         let live = voters.iter().filter_map(host_of);
-        let sound = live.filter(|host| !self.is_lost(*host)).count();
+        let sound = live.filter(|host| self.is_sound(*host)).count();
         let further = BEARABLE - self.lost_now().min(BEARABLE);
         let quorum = voters.len() / 2 + 1;
         // The first hosts need their time as well.
