A lost voter goes before its successor joins, after 1.5 s of silence

Cause, by drawn histories (tests/lost_voters): silence counts from the start of a term, and with leaders among the lost an election of 1 to 2 s came before 3 s of silence. And a successor that joins an odd set raises its quorum before it can be relied on: 5 voters with one lost bear one more, 6 with a successor that is lost next bear none.

Change: 1.5 s of silence, three election timeouts. At the size that the settings need, a lost voter goes once a learner waits, then the learner joins; a learner joins an odd set of that size only while all voters reply.

--- a/src/consensus/membership.rs
+++ b/src/consensus/membership.rs
@@ -10,6 +10,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::consensus::raft::RaftCore;
 use crate::consensus::replica::LogReplica;
 use crate::consensus::state::{Command, SiteState};
 use crate::ids::{HostName, NodeId};
@@ -29,16 +30,27 @@
 }
 
 impl VoterPolicy {
-    /// Returns the size that a lost voter must not shrink the set below. A quorum of this size has
-    /// more disks than may be lost.
-    pub fn min_voters(&self) -> usize {
+    /// Returns the number of voters that bears these losses.
+    fn min_voters(&self) -> usize {
         2 * self.bearable_losses + 1
     }
 
-    /// Returns the size up to which learners are added. One more than the minimum, so that a
-    /// successor can always join before the lost voter goes.
-    pub fn max_voters(&self) -> usize {
-        MAX_VOTERS.max(self.min_voters() + 1)
+    /// Returns whether a set of this size may lose a voter without a successor.
+    fn can_spare(&self, voters: usize) -> bool {
+        voters > self.min_voters()
+    }
+
+    /// Returns whether a set of this size may lose a voter for a moment, until its successor joins:
+    /// a quorum must not shrink to as many disks as may be lost. That of an odd set stays.
+    fn may_drop(&self, voters: usize) -> bool {
+        voters > 1 && (!voters.is_multiple_of(2) || voters > 2 * self.bearable_losses)
+    }
+
+    /// Returns whether a learner may join a set of this size. The quorum of an odd set grows with
+    /// it, so a silent voter must return or go first, where the set is large enough.
+    fn may_add(&self, voters: usize, all_reply: bool) -> bool {
+        let has_room = voters < MAX_VOTERS.max(self.min_voters() + 1);
+        has_room && (all_reply || voters.is_multiple_of(2) || voters < self.min_voters())
     }
 }
 
@@ -123,8 +135,8 @@
     /// Proposes one change of the voters. Returns whether one was proposed.
     ///
     /// A new disk on the host of a voter replaces that voter. A voter that has been silent for too
-    /// long is dropped, unless the set has no voter to spare. A learner that has caught up becomes a
-    /// voter.
+    /// long is dropped if the set has one to spare, or a learner to take its place. A learner that
+    /// has caught up becomes a voter.
     pub fn adjust(&self, replica: &mut LogReplica, now_ms: u64) -> bool {
         let (raft, state) = (replica.raft(), replica.state());
         if !raft.may_decide(now_ms) {
@@ -139,20 +151,26 @@
             others.find(|node| self.host_of(state, *node) == Some(host))
         });
         let learner = learner.filter(|learner| self.is_recorded(state, *learner));
-        let silences = voters
-            .iter()
-            .map(|node| (raft.silence_ms(*node, now_ms), *node));
-        let most_silent = silences.max();
-        let lost = most_silent.filter(|(silent_ms, _)| *silent_ms >= self.policy.silent_ms);
-        let can_spare = voters.len() > self.policy.min_voters();
-        let has_room = voters.len() < self.policy.max_voters();
+        let lost = self.lost_voter(raft, now_ms);
+        let all_reply = voters.iter().all(replied);
         match (same_host, lost, learner) {
-            (Some(old), _, _) => voters.remove(&old),
-            (None, Some((_, lost)), _) if can_spare => voters.remove(&lost),
-            (None, _, Some(learner)) if has_room => voters.insert(learner),
+            (Some(old), _, _) if self.policy.may_drop(voters.len()) => voters.remove(&old),
+            (_, Some(lost), None) if self.policy.can_spare(voters.len()) => voters.remove(&lost),
+            (_, Some(lost), Some(_)) if self.policy.may_drop(voters.len()) => voters.remove(&lost),
+            (_, _, Some(learner)) if self.policy.may_add(voters.len(), all_reply) => {
+                voters.insert(learner)
+            }
             _ => return false,
         };
         let live = voters.iter().filter(|node| replied(node)).count();
         live * 2 > voters.len() && replica.raft_mut().propose_voters(voters).is_ok()
     }
+
+    /// Returns the voter that has been silent for longest, if that is too long.
+    fn lost_voter(&self, raft: &RaftCore, now_ms: u64) -> Option<NodeId> {
+        let voters = raft.voters().iter();
+        let timed = voters.map(|node| (raft.silence_ms(*node, now_ms), *node));
+        let lost = timed.filter(|(silent_ms, _)| *silent_ms >= self.policy.silent_ms);
+        lost.max().map(|(_, node)| node)
+    }
 }
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -49,7 +49,7 @@
 /// pulls ten times a second rather than for each change.
 const NOTIFY_INTERVAL_MS: u64 = 100;
 /// Silence after which a voter counts as lost, in milliseconds.
-const LOST_VOTER_MS: u64 = 3_000;
+const LOST_VOTER_MS: u64 = 1_500;
 /// The first term, whose leader has no predecessor.
 const FIRST_TERM: Term = Term(1);
 /// Time between two groups of log lines on names without service, in milliseconds.
