A voter that was dropped finds the others by its log

What callers would see: one control host fewer than there are, for good, and no quorum after the next losses.

Cause: a disk that does not vote asks the hosts of its settings, and those named in answers to it. A voter that was dropped while it was cut off had asked nobody since its first start. Where all hosts of its settings had been replaced since, it asked only hosts that were gone for good.

Change: it asks the hosts of its own log as well, at each round.

--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -302,6 +302,16 @@
         if status.as_ref().is_some_and(is_settled) {
             continue;
         }
+        // The first contacts of a voter that comes back may all be gone for good.
+        if settings.open_membership {
+            let logged = handle.request(|answer| ControlEvent::PositionUpdate {
+                cursor: Position(0),
+                wait_ms: 0,
+                answer,
+            });
+            let hosts = logged.await.into_iter().flat_map(|update| update.hosts);
+            peers::lock(&known).extend(hosts.map(|host| host.0));
+        }
         let peers = peers::lock(&known).clone();
         for peer in peers.into_iter().filter(|peer| *peer != own.0) {
             let (pool, known, own) = (pool.clone(), known.clone(), own.clone());
--- a/tests/lost_voters/main.rs
+++ b/tests/lost_voters/main.rs
@@ -120,3 +120,24 @@
     });
     assert_no_findings(&reports);
 }
+
+/// A voter that was dropped while it was cut off joins again, although all hosts that its settings
+/// named are gone for good.
+#[test]
+fn a_voter_whose_first_contacts_are_gone_comes_back() {
+    let reports = play_all(|seed| {
+        let mut world = LossWorld::new(seed);
+        let lost = Fault::Replace(Replacement::Unplanned { pause_ms: 500 });
+        for founder in 0..3 {
+            world.run_until(10_000 + founder as u64 * 6_000);
+            world.strike_at(founder, lost);
+        }
+        world.run_until(30_000);
+        world.strike_at(4, Fault::Cut { ms: 6_000 });
+        world.run_until(30_300);
+        world.strike_at(3, lost);
+        world.run_until(45_000);
+        world.into_report()
+    });
+    assert_no_findings(&reports);
+}
--- a/tests/lost_voters/world.rs
+++ b/tests/lost_voters/world.rs
@@ -271,9 +271,13 @@
             Some(leader) if self.rng.random_bool(0.3) => Some(leader),
             _ => drawn,
         };
-        let Some(host) = host else {
-            return;
-        };
+        if let Some(host) = host {
+            self.strike_at(host, fault);
+        }
+    }
+
+    /// Disrupts that host.
+    pub fn strike_at(&mut self, host: usize, fault: Fault) {
         let now_ms = self.now_ms;
         self.disrupted_ms = now_ms;
         self.note(format!("{} {fault:?}", name(host)));
@@ -517,6 +521,8 @@
         let settled = raft.voters().contains(&node) && raft.leader().is_some();
         if clock_ms >= process.enroll_due_ms {
             process.enroll_due_ms = clock_ms + ENROLL_MS;
+            let logged = process.replica.state().voter_hosts.values();
+            process.known.extend(logged.map(number));
             let asked = process.known.iter().filter(|_| !settled).copied();
             let asked: Vec<usize> = asked.filter(|peer| *peer != host).collect();
             self.in_flight.extend(asked.into_iter().map(|to| Envelope {
