Voters that stop leave first; silence of 1 s; later settings name contacts

A stopped voter was dropped only after its silence, which a new leader counts from the start of its term.

Change: a voter that is told to stop hands over, tells the leader so (ControlWire::leave), and ends once it is dropped, or the set has none to spare and no learner waits, or after 1 s. It counts until it is dropped: an odd set drops its silent voters first. Where a set is too small to drop a lost disk first, its successor joins beside it. Hosts named by later settings are asked for a vote as well: of the three of the first settings all may be gone, by plan and otherwise, within the age of the operator's list.

--- a/src/consensus/membership.rs
+++ b/src/consensus/membership.rs
@@ -10,6 +10,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use serde::{Deserialize, Serialize};
+
 use crate::consensus::raft::RaftCore;
 use crate::consensus::replica::LogReplica;
 use crate::consensus::state::{Command, SiteState};
@@ -19,6 +21,10 @@
 /// each commit.
 const MAX_VOTERS: usize = 9;
 
+/// Time for which an announced stop counts: longer than a process takes to stop, and over before
+/// one that was started again would be dropped for it.
+const LEAVING_MS: u64 = 1_500;
+
 /// When voters are added and dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct VoterPolicy {
@@ -47,13 +53,24 @@
     }
 
     /// Returns whether a learner may join a set of this size. The quorum of an odd set grows with
-    /// it, so a silent voter must return or go first, where the set is large enough.
-    fn may_add(&self, voters: usize, all_reply: bool) -> bool {
+    /// it, so a voter that is silent or stops must return or go first, where the set is large enough.
+    fn may_add(&self, voters: usize, all_stay: bool) -> bool {
         let has_room = voters < MAX_VOTERS.max(self.min_voters() + 1);
-        has_room && (all_reply || voters.is_multiple_of(2) || voters < self.min_voters())
+        has_room && (all_stay || voters.is_multiple_of(2) || voters < self.min_voters())
     }
 }
 
+/// Reply to a voter that is about to stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LeaveStatus {
+    /// It does not vote any more.
+    Left,
+    /// It is being dropped.
+    Pending,
+    /// The set has no voter to spare: it stays a voter while it is stopped.
+    Stays,
+}
+
 /// Hosts of the disks that vote or ask to vote, and the next change of the voters.
 #[derive(Debug)]
 pub struct VoterRoster {
@@ -61,6 +78,8 @@
     hosts: BTreeMap<NodeId, HostName>,
     /// Hosts of disks that this leader has proposed to record.
     proposed: BTreeSet<(NodeId, HostName)>,
+    /// Voters that are about to stop, with the time until which this counts.
+    leaving: BTreeMap<NodeId, u64>,
 }
 
 impl VoterRoster {
@@ -70,10 +89,11 @@
             policy,
             hosts,
             proposed: BTreeSet::new(),
+            leaving: BTreeMap::new(),
         }
     }
 
-    /// Records the host of a disk that sent a message or asked to vote.
+    /// Records the host of a disk that sent a message.
     pub fn learn(&mut self, node: NodeId, host: HostName) {
         self.hosts.insert(node, host);
     }
@@ -86,6 +106,12 @@
             .or_else(|| state.voter_hosts.get(&node))
     }
 
+    /// Records that a disk asks to vote, after a stop that it had announced as well.
+    pub fn enroll(&mut self, node: NodeId, host: HostName) {
+        self.leaving.remove(&node);
+        self.learn(node, host);
+    }
+
     /// Returns the hosts of disks as this process heard them.
     pub fn hosts(&self) -> &BTreeMap<NodeId, HostName> {
         &self.hosts
@@ -100,8 +126,8 @@
     /// this leader has proposed.
     ///
     /// The log keeps one disk of each host, so the new disk of a host is recorded only once the old
-    /// one votes no more. Until then a new leader needs the old record to know what the new disk
-    /// replaces.
+    /// one votes no more, or must stay until the new one votes. Before that a new leader needs the old
+    /// record to know what the new disk replaces.
     pub fn unrecorded(&mut self, replica: &LogReplica) -> Vec<Command> {
         let (raft, state) = (replica.raft(), replica.state());
         if !raft.is_leader() {
@@ -114,7 +140,8 @@
                 continue;
             };
             let mut others = voters.iter().filter(|other| *other != node);
-            let replaces = others.any(|other| self.host_of(state, *other) == Some(host));
+            let replaces = others.any(|other| self.host_of(state, *other) == Some(host))
+                && self.policy.may_drop(voters.len());
             let known = state.voter_hosts.get(node) == Some(host);
             if !known && !replaces && self.proposed.insert((*node, host.clone())) {
                 commands.push(Command::VoterHost(*node, host.clone()));
@@ -132,11 +159,26 @@
         })
     }
 
+    /// Records that a voter is about to stop. If the set can spare it, it is dropped while it still
+    /// replies, so that the set bears as many losses when it is gone.
+    pub fn leave(&mut self, replica: &LogReplica, node: NodeId, now_ms: u64) -> LeaveStatus {
+        let raft = replica.raft();
+        let voters = raft.voters().len();
+        let has_successor = !raft.ready_learners().is_empty();
+        self.leaving.insert(node, now_ms + LEAVING_MS);
+        match raft.voters().contains(&node) {
+            false if raft.has_pending_voters() => LeaveStatus::Pending,
+            false => LeaveStatus::Left,
+            true if self.policy.can_spare(voters) || has_successor => LeaveStatus::Pending,
+            true => LeaveStatus::Stays,
+        }
+    }
+
     /// Proposes one change of the voters. Returns whether one was proposed.
     ///
-    /// A new disk on the host of a voter replaces that voter. A voter that has been silent for too
-    /// long is dropped if the set has one to spare, or a learner to take its place. A learner that
-    /// has caught up becomes a voter.
+    /// A new disk on the host of a voter replaces that voter. A voter that stops or has been silent
+    /// for too long is dropped if the set has one to spare, or a learner to take its place. A learner
+    /// that has caught up becomes a voter.
     pub fn adjust(&self, replica: &mut LogReplica, now_ms: u64) -> bool {
         let (raft, state) = (replica.raft(), replica.state());
         if !raft.may_decide(now_ms) {
@@ -152,12 +194,13 @@
         });
         let learner = learner.filter(|learner| self.is_recorded(state, *learner));
         let lost = self.lost_voter(raft, now_ms);
-        let all_reply = voters.iter().all(replied);
+        let stays = |node: &NodeId| replied(node) && !self.leaves(*node, now_ms);
+        let all_stay = voters.iter().all(stays);
         match (same_host, lost, learner) {
             (Some(old), _, _) if self.policy.may_drop(voters.len()) => voters.remove(&old),
             (_, Some(lost), None) if self.policy.can_spare(voters.len()) => voters.remove(&lost),
             (_, Some(lost), Some(_)) if self.policy.may_drop(voters.len()) => voters.remove(&lost),
-            (_, _, Some(learner)) if self.policy.may_add(voters.len(), all_reply) => {
+            (_, _, Some(learner)) if self.policy.may_add(voters.len(), all_stay) => {
                 voters.insert(learner)
             }
             _ => return false,
@@ -166,11 +209,28 @@
         live * 2 > voters.len() && replica.raft_mut().propose_voters(voters).is_ok()
     }
 
-    /// Returns the voter that has been silent for longest, if that is too long.
+    fn leaves(&self, node: NodeId, now_ms: u64) -> bool {
+        let until_ms = self.leaving.get(&node);
+        until_ms.is_some_and(|until_ms| *until_ms > now_ms)
+    }
+
+    /// Returns the voter that has been silent for longest, if that is too long, or else one that is
+    /// about to stop. The latter still counts: it stays in an odd set while another voter is silent.
     fn lost_voter(&self, raft: &RaftCore, now_ms: u64) -> Option<NodeId> {
-        let voters = raft.voters().iter();
-        let timed = voters.map(|node| (raft.silence_ms(*node, now_ms), *node));
-        let lost = timed.filter(|(silent_ms, _)| *silent_ms >= self.policy.silent_ms);
-        lost.max().map(|(_, node)| node)
+        let voters = raft.voters();
+        let others = voters.iter().filter(|node| **node != raft.id());
+        let timed = others.map(|node| (raft.silence_ms(*node, now_ms), *node));
+        let most_silent = timed.max();
+        let silent = most_silent.filter(|(silent_ms, _)| *silent_ms >= self.policy.silent_ms);
+        let mut others = voters.iter().filter(|node| **node != raft.id());
+        let all_reply = others
+            .clone()
+            .all(|node| raft.replied_recently(*node, now_ms));
+        let leaver = others.find(|node| self.leaves(**node, now_ms));
+        match silent {
+            Some((_, node)) => Some(node),
+            None if all_reply || voters.len().is_multiple_of(2) => leaver.copied(),
+            None => None,
+        }
     }
 }
--- a/src/consensus/raft.rs
+++ b/src/consensus/raft.rs
@@ -310,16 +310,20 @@
             return Err(ProposeError::NotLeader(self.leader));
         }
         let steps = self.voters().symmetric_difference(&voters).count();
-        let pending = self.entries.iter().any(|entry| {
-            entry.mark.index > self.commit && matches!(entry.payload, Payload::Voters(_))
-        });
         let settled = self.term_at(self.commit) == Some(self.term);
-        if steps != 1 || pending || !settled || voters.is_empty() {
+        if steps != 1 || self.has_pending_voters() || !settled || voters.is_empty() {
             return Err(ProposeError::VotersBusy);
         }
         Ok(self.append_own(Payload::Voters(voters)))
     }
 
+    /// Returns whether the newest set of voters is not committed yet.
+    pub fn has_pending_voters(&self) -> bool {
+        let newest = self.entries.iter().rev();
+        let mut pending = newest.take_while(|entry| entry.mark.index > self.commit);
+        pending.any(|entry| matches!(entry.payload, Payload::Voters(_)))
+    }
+
     /// Starts to replicate to a process that is not a voter yet.
     pub fn add_learner(&mut self, node: NodeId) {
         if self.role == Role::Leader && !self.voters().contains(&node) {
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -8,6 +8,7 @@
 use crate::consensus::claims::{ClaimKey, ClaimRecord};
 use crate::consensus::crashes::CrashStore;
 use crate::consensus::directory::HeartbeatStatus;
+use crate::consensus::membership::LeaveStatus;
 use crate::consensus::part_crashes::PartStore;
 use crate::consensus::raft::RaftMessage;
 use crate::consensus::software_versions::{ReplicaHeartbeat, VersionMix};
@@ -117,6 +118,11 @@
     VersionMix(ServiceName, ReplySender<Option<VersionMix>>),
     /// Compares a replica's heartbeat with the state that is committed here.
     Compare(Box<ReplicaHeartbeat>, ReplySender<HeartbeatStatus>),
+    /// A voter is about to stop; for the leader.
+    Leave(NodeId, ReplySender<LeaveStatus>),
+    /// Hands over the leadership and takes no more proposals. The reply comes once another voter
+    /// leads, or after a while.
+    HandOver(oneshot::Sender<()>),
     /// Hands over the leadership and stops.
     Stop(oneshot::Sender<()>),
 }
--- a/src/control/relay.rs
+++ b/src/control/relay.rs
@@ -18,6 +18,7 @@
 use crate::consensus::claims::{ClaimKey, ClaimRecord};
 use crate::consensus::crashes::CrashStore;
 use crate::consensus::directory::HeartbeatStatus;
+use crate::consensus::membership::LeaveStatus;
 use crate::consensus::part_crashes::PartStore;
 use crate::consensus::paxos::{self, PaxosAcceptor, PaxosReply, PaxosRequest};
 use crate::consensus::raft::RaftMessage;
@@ -458,6 +459,10 @@
         Err(self.not_leader())
     }
 
+    async fn leave(self, _: Context, _: NodeId) -> Result<LeaveStatus, ControlRefusal> {
+        Err(self.not_leader())
+    }
+
     async fn parts(self, _: Context) -> Result<PartStore, ControlRefusal> {
         Err(self.not_leader())
     }
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -11,11 +11,13 @@
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::task::AbortHandle;
 
 use crate::clock;
 use crate::consensus::claims::{ClaimKey, ClaimRecord};
 use crate::consensus::crashes::CrashStore;
 use crate::consensus::directory::HeartbeatStatus;
+use crate::consensus::membership::LeaveStatus;
 use crate::consensus::part_crashes::PartStore;
 use crate::consensus::paxos::{PaxosReply, PaxosRequest};
 use crate::consensus::raft::RaftMessage;
@@ -59,7 +61,10 @@
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval of reads of the platform's list, of enrolments and of announcements.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
-
+/// Longest time for which a stopping voter asks the leader to drop it.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Pause between two such requests.
+const LEAVE_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Maximum number of full snapshots in transit. After a power loss all members request one at
 /// once, and each is a megabyte with thousands of replicas.
 const MAX_FULL_SNAPSHOTS: usize = 24;
@@ -71,6 +76,22 @@
 /// Maximum number of concurrent calls on one connection.
 const MAX_CALLS_PER_PEER: usize = 4096;
 
+/// Addresses of control hosts. Those named at the start may be gone for good by now, so later
+/// settings add to them.
+#[derive(Clone, Debug, Default)]
+pub struct ContactList(Arc<Mutex<BTreeSet<String>>>);
+
+impl ContactList {
+    /// Adds addresses.
+    pub fn add(&self, addresses: impl IntoIterator<Item = String>) {
+        peers::lock(&self.0).extend(addresses);
+    }
+
+    fn all(&self) -> BTreeSet<String> {
+        peers::lock(&self.0).clone()
+    }
+}
+
 /// A running control daemon.
 pub struct ControlDaemon {
     /// Address for peers.
@@ -78,6 +99,13 @@
     /// Address that serves metrics and health.
     pub watch: SocketAddr,
     handle: ControlHandle,
+    pool: Arc<PeerPool<ControlWireClient>>,
+    node: NodeId,
+    open_membership: bool,
+    /// Control hosts that are asked to let this one vote.
+    contacts: ContactList,
+    /// The task that asks to vote.
+    enrolment: Option<AbortHandle>,
     orders: Option<mpsc::UnboundedReceiver<ReplicaOrder>>,
     ended: oneshot::Receiver<Result<(), DaemonError>>,
 }
@@ -150,24 +178,46 @@
                 let _ = end.send(result);
             });
         spawned.map_err(|source| DaemonError::Thread { source })?;
-        if learner || settings.open_membership {
-            tokio::spawn(enroll(pool.clone(), settings.clone(), node, handle.clone()));
-        }
+        let contacts = ContactList::default();
+        let named = settings.common.control.iter();
+        contacts.add(named.map(|voter| voter.address.to_string()));
+        let enrolment = (learner || settings.open_membership).then(|| {
+            let contacts = contacts.clone();
+            let enrolled = enroll(
+                pool.clone(),
+                settings.clone(),
+                node,
+                handle.clone(),
+                contacts,
+            );
+            tokio::spawn(enrolled).abort_handle()
+        });
         if let Some(url) = settings.platform_url.clone() {
             daemon::spawn_local(watch_platform(url, handle.clone()));
         }
         tokio::spawn(confirm(pool.clone(), handle.clone()));
+        let open_membership = settings.open_membership;
         let watch = serve_health(&settings, handle.clone()).await?;
         tracing::info!(%address, %watch, %node, learner, "control started");
         Ok(Self {
             address,
             watch,
             handle,
+            pool,
+            node,
+            open_membership,
+            contacts,
+            enrolment,
             orders: Some(ordered),
             ended,
         })
     }
 
+    /// Returns the control hosts that this one asks to let it vote, to add further ones.
+    pub fn contacts(&self) -> ContactList {
+        self.contacts.clone()
+    }
+
     /// Returns the handle of the voter's thread.
     pub fn handle(&self) -> ControlHandle {
         self.handle.clone()
@@ -189,14 +239,47 @@
         (&mut self.ended).await.unwrap_or(Ok(()))
     }
 
-    /// Hands over the leadership and stops.
+    /// Hands over the leadership, leaves the voters if they can spare this one, and stops.
     pub async fn stop(&self) {
+        if let Some(enrolment) = &self.enrolment {
+            enrolment.abort();
+        }
+        if self.open_membership {
+            let (answer, handed_over) = oneshot::channel();
+            self.handle.notify(ControlEvent::HandOver(answer));
+            let _ = handed_over.await;
+            let left = leave(&self.pool, &self.handle, self.node);
+            if tokio::time::timeout(LEAVE_TIMEOUT, left).await.is_err() {
+                tracing::info!("stops as a voter: no leader replied in time");
+            }
+        }
         let (answer, done) = oneshot::channel();
         self.handle.notify(ControlEvent::Stop(answer));
         let _ = done.await;
     }
 }
 
+/// Asks the leader to drop this voter, until it has done so or has none to spare.
+async fn leave(pool: &PeerPool<ControlWireClient>, handle: &ControlHandle, node: NodeId) {
+    loop {
+        let local = handle.request(|answer| ControlEvent::Leave(node, answer));
+        if let Err(ControlRefusal::NotLeader(Some(leader))) = local.await {
+            let context = peers::within(MESSAGE_TIMEOUT);
+            let call = |client: ControlWireClient| async move { client.leave(context, node).await };
+            match pool.call(&leader, "leave", call).await {
+                Ok(Ok(LeaveStatus::Pending)) => {}
+                Ok(Ok(status)) => {
+                    tracing::info!(?status, peer = %leader, "stop announced to the leader");
+                    return;
+                }
+                Ok(Err(refusal)) => tracing::debug!(?refusal, peer = %leader, "stop not announced"),
+                Err(error) => tracing::debug!(%error, "stop not announced"),
+            }
+        }
+        tokio::time::sleep(LEAVE_RETRY_DELAY).await;
+    }
+}
+
 /// Takes part in the site's first start, with the hosts that were configured then.
 async fn bootstrap_site(
     secret: SiteSecret,
@@ -289,10 +372,8 @@
     settings: ControlSettings,
     node: NodeId,
     handle: ControlHandle,
+    contacts: ContactList,
 ) {
-    let configured = settings.common.control.iter();
-    let configured = configured.map(|voter| voter.address.to_string());
-    let known: Arc<Mutex<BTreeSet<String>>> = Arc::new(Mutex::new(configured.collect()));
     let own = settings.common.host.clone();
     loop {
         tokio::time::sleep(POLL_INTERVAL).await;
@@ -310,11 +391,10 @@
                 answer,
             });
             let hosts = logged.await.into_iter().flat_map(|update| update.hosts);
-            peers::lock(&known).extend(hosts.map(|host| host.0));
+            contacts.add(hosts.map(|host| host.0));
         }
-        let peers = peers::lock(&known).clone();
-        for peer in peers.into_iter().filter(|peer| *peer != own.0) {
-            let (pool, known, own) = (pool.clone(), known.clone(), own.clone());
+        for peer in contacts.all().into_iter().filter(|peer| *peer != own.0) {
+            let (pool, contacts, own) = (pool.clone(), contacts.clone(), own.clone());
             let open = settings.open_membership;
             tokio::spawn(async move {
                 let context = peers::within(MESSAGE_TIMEOUT);
@@ -323,8 +403,7 @@
                 };
                 let answer = pool.call(&peer, "enroll", call).await;
                 if let (Ok(Ok(update)), true) = (answer, open) {
-                    let hosts = update.hosts.into_iter();
-                    peers::lock(&known).extend(hosts.map(|host| host.0));
+                    contacts.add(update.hosts.into_iter().map(|host| host.0));
                 }
             });
         }
@@ -563,6 +642,12 @@
         self.handle.request(ControlEvent::Contents).await
     }
 
+    async fn leave(self, _: Context, node: NodeId) -> Result<LeaveStatus, ControlRefusal> {
+        self.handle
+            .request(|answer| ControlEvent::Leave(node, answer))
+            .await
+    }
+
     async fn parts(self, _: Context) -> Result<PartStore, ControlRefusal> {
         self.handle.request(ControlEvent::Parts).await
     }
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -49,7 +49,7 @@
 /// pulls ten times a second rather than for each change.
 const NOTIFY_INTERVAL_MS: u64 = 100;
 /// Silence after which a voter counts as lost, in milliseconds.
-const LOST_VOTER_MS: u64 = 1_500;
+const LOST_VOTER_MS: u64 = 1_000;
 /// The first term, whose leader has no predecessor.
 const FIRST_TERM: Term = Term(1);
 /// Time between two groups of log lines on names without service, in milliseconds.
@@ -136,7 +136,10 @@
 /// A requested stop.
 struct StopRequest {
     since_ms: u64,
-    answer: oneshot::Sender<()>,
+    /// Receives the end of the handover.
+    handed_over_reply: Option<oneshot::Sender<()>>,
+    /// Receives the end of the event loop, which follows the handover.
+    stopped_reply: Option<oneshot::Sender<()>>,
     /// A successor has been asked to stand for election. Until then the handover is retried:
     /// this voter may win an election in progress, or receive replies of its
     /// followers again.
@@ -366,12 +369,16 @@
             ControlEvent::Compare(heartbeat, answer) => {
                 let _ = answer.send(Ok(self.replica.state().compare_versioned(&heartbeat)));
             }
+            ControlEvent::Leave(node, answer) => {
+                let decides = self.replica.newest(now_ms).is_some() && self.stopping.is_none();
+                let status = decides.then(|| self.roster.leave(&self.replica, node, now_ms));
+                let _ = answer.send(status.ok_or_else(|| self.not_leader()));
+            }
+            ControlEvent::HandOver(answer) => {
+                self.stop_request(now_ms).handed_over_reply = Some(answer);
+            }
             ControlEvent::Stop(answer) => {
-                self.stopping = Some(StopRequest {
-                    since_ms: now_ms,
-                    answer,
-                    handed_over: false,
-                });
+                self.stop_request(now_ms).stopped_reply = Some(answer);
             }
         }
     }
@@ -442,7 +449,7 @@
 
     /// Makes a disk a learner, if this voter leads.
     fn enroll(&mut self, node: NodeId, host: HostName) {
-        self.roster.learn(node, host);
+        self.roster.enroll(node, host);
         if !self.replica.raft().is_leader() {
             return;
         }
@@ -1028,19 +1035,31 @@
         }
     }
 
+    fn stop_request(&mut self, now_ms: u64) -> &mut StopRequest {
+        self.stopping.get_or_insert(StopRequest {
+            since_ms: now_ms,
+            handed_over_reply: None,
+            stopped_reply: None,
+            handed_over: false,
+        })
+    }
+
+    /// Answers requests to hand over and to stop, once another voter leads or has had its time.
+    /// Returns whether the event loop ends.
     fn is_stopped(&mut self) -> bool {
         let now_ms = clock::monotonic_ms();
         let raft = self.replica.raft();
         let has_successor = raft.leader().is_some_and(|leader| leader != raft.id());
-        let done =
-            |stop: &mut StopRequest| has_successor || stop.since_ms + HANDOVER_TIMEOUT_MS < now_ms;
-        match self.stopping.take_if(done) {
-            Some(stop) => {
-                let _ = stop.answer.send(());
-                true
-            }
-            None => false,
+        let Some(stop) = &mut self.stopping else {
+            return false;
+        };
+        if !has_successor && stop.since_ms + HANDOVER_TIMEOUT_MS >= now_ms {
+            return false;
         }
+        let replies = [stop.handed_over_reply.take(), stop.stopped_reply.take()];
+        let [handed_over, stopped] = replies.map(|reply| reply.map(|reply| reply.send(())));
+        let _ = handed_over;
+        stopped.is_some()
     }
 }
 
--- a/src/process/wire.rs
+++ b/src/process/wire.rs
@@ -9,6 +9,7 @@
 use crate::consensus::claims::ClaimRecord;
 use crate::consensus::crashes::CrashStore;
 use crate::consensus::directory::HeartbeatStatus;
+use crate::consensus::membership::LeaveStatus;
 use crate::consensus::part_crashes::PartStore;
 use crate::consensus::paxos::{PaxosReply, PaxosRequest};
 use crate::consensus::raft::RaftMessage;
@@ -292,6 +293,8 @@
     async fn version_mix(service: ServiceName) -> Result<Option<VersionMix>, ControlRefusal>;
     /// Reads the prompt parts that ran when replicas crashed; linearizable.
     async fn parts() -> Result<PartStore, ControlRefusal>;
+    /// Announces that a voter is about to stop; for the leader.
+    async fn leave(node: NodeId) -> Result<LeaveStatus, ControlRefusal>;
 }
 
 /// An agent's reply, with its load.
--- a/tests/open_membership.rs
+++ b/tests/open_membership.rs
@@ -8,7 +8,7 @@
 
 use dunlinspring::control::shell::ControlDaemon;
 
-use support_control::{leader_of, listeners, secret, settings, status_where};
+use support_control::{leader_of, listeners, secret, settings, status_where, until};
 use support_founders::start_control_hosts;
 
 async fn start_host(folder: &Path, contacts: &[SocketAddr]) -> ControlDaemon {
@@ -33,3 +33,29 @@
     let fifth = start_host(folder.path(), &[*follower]).await;
     status_where(&fifth, "five voters", |s| s.voters.len() == 5).await;
 }
+
+/// A set that counts a host that was told to stop for good bears one loss fewer than its size shows.
+#[ntex::test]
+async fn a_voter_that_is_told_to_stop_votes_no_more_where_others_suffice() {
+    let folder = tempfile::tempdir().unwrap();
+    let (daemons, addresses) = start_control_hosts(folder.path()).await;
+    leader_of(&daemons).await;
+    let fourth = start_host(folder.path(), &addresses).await;
+    let own = fourth.status().await.unwrap().node;
+    for daemon in &daemons {
+        status_where(daemon, "four voters", |s| s.voters.contains(&own)).await;
+    }
+    fourth.stop().await;
+    let leader = until("the leader", async || {
+        for daemon in &daemons {
+            let status = daemon.status().await?;
+            if status.decides {
+                return Some(status);
+            }
+        }
+        None
+    })
+    .await;
+    assert_eq!(leader.voters.len(), 3);
+    assert!(!leader.voters.contains(&own));
+}
