Readers of answers bound bytes that never end

Each reader was read and given a server of its own whose bytes never end: heads, header lines, interim responses, bodies by length, chunks, extensions, trailers and close.

Faults found and mended: - An entry skipped the body of a response to another request without a limit; now 1 MiB. an_endless_response_to_another_request_is_one_failure failed before. - Comments counted as the first events of a stream: the client was given a head and comments until its deadline, and no other replica was tried. Comments before the first event are held, 64 KiB without an event end the attempt. On the code before, endless_bytes_without_an_event... and a_stream_that_ends_in_endless_comments... had not ended after a minute, and their client's memory grew until the run was killed. - Before agents, a stream of an engine whose lines are no events went on for ever, as any byte counted as progress. Now 1 MiB or 10 s without a piece. Not run on the code before. - A document of the platform had no time limit. Not run on the code before.

Bounded as they were, and now tested: heads, interim responses and bodies at an entry, reports of engines and replicas. Open: up to 1 MiB is held for each stream and each plain answer, with no bound over all of an entry.

--- a/src/agent/engine.rs
+++ b/src/agent/engine.rs
@@ -8,6 +8,7 @@
 use ntex::time::Seconds;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
+use tokio::time::Instant;
 
 use crate::admission::controller::{EngineOrder, EngineProcess, RunDispatch};
 use crate::admission::ledger::{EngineReport, OrderSeq};
@@ -19,9 +20,9 @@
 pub const ORDER_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Timeout of a report request.
 pub const REPORT_TIMEOUT: Duration = Duration::from_millis(1000);
-/// Time without data after which a stream is considered lost.
+/// Time without a piece after which a stream is considered lost.
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Maximum size of an incomplete line of a stream.
+/// Maximum number of bytes of a stream without a piece: of an incomplete line, or of others.
 const MAX_LINE_BYTES: usize = 1 << 20;
 /// Maximum size of a response of a plain service, and of a report.
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
@@ -106,6 +107,10 @@
     url: String,
     payload: Payload,
     buffer: Vec<u8>,
+    /// Bytes since the last piece.
+    without_piece: usize,
+    /// Time until which the next piece must come.
+    idle_until: Instant,
 }
 
 /// Part of a stream.
@@ -261,6 +266,8 @@
             url: self.url.clone(),
             payload: response.take_payload(),
             buffer: Vec::new(),
+            without_piece: 0,
+            idle_until: Instant::now() + STREAM_IDLE_TIMEOUT,
         }
     }
 }
@@ -270,11 +277,19 @@
     pub async fn next(&mut self) -> Result<StreamPart, EngineError> {
         loop {
             if let Some(part) = self.take_event()? {
+                self.without_piece = 0;
+                self.idle_until = Instant::now() + STREAM_IDLE_TIMEOUT;
                 return Ok(part);
             }
-            let chunk = tokio::time::timeout(STREAM_IDLE_TIMEOUT, self.payload.recv()).await;
+            if self.without_piece > MAX_LINE_BYTES {
+                return Err(self.lost("too many bytes without a piece".to_owned()));
+            }
+            let chunk = tokio::time::timeout_at(self.idle_until, self.payload.recv()).await;
             match chunk {
-                Ok(Some(Ok(bytes))) => self.buffer.extend_from_slice(&bytes),
+                Ok(Some(Ok(bytes))) => {
+                    self.without_piece += bytes.len();
+                    self.buffer.extend_from_slice(&bytes);
+                }
                 Ok(Some(Err(error))) => return Err(self.lost(error.to_string())),
                 Ok(None) => return Err(self.lost("stream ended without its end marker".to_owned())),
                 Err(_) => return Err(self.lost("stream idle past its timeout".to_owned())),
@@ -297,10 +312,7 @@
                 },
             };
         }
-        match self.buffer.len() > MAX_LINE_BYTES {
-            true => Err(self.lost("stream line exceeds the length limit".to_owned())),
-            false => Ok(None),
-        }
+        Ok(None)
     }
 
     fn lost(&self, reason: String) -> EngineError {
--- a/src/forward/events.rs
+++ b/src/forward/events.rs
@@ -88,6 +88,12 @@
     }
 }
 
+/// Returns whether complete blocks of a stream have an event, rather than comments alone.
+pub fn has_event(complete: &[u8]) -> bool {
+    let mut lines = complete.split(|byte| *byte == b'\n');
+    lines.any(|line| line.starts_with(b"id:") || line.starts_with(b"data:"))
+}
+
 /// Returns the end of the last event, searched from `from` on.
 fn last_boundary(bytes: &[u8], from: usize) -> Option<usize> {
     let ends_at = |end: usize| {
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -23,7 +23,7 @@
 use crate::forward::client::{AfterResponse, ClientRequest, ClientWriter};
 use crate::forward::crashes::{CrashInvestigation, SentTo};
 use crate::forward::daemon::{EntryCore, Routing};
-use crate::forward::events::EventBuffer;
+use crate::forward::events::{self, EventBuffer};
 use crate::forward::head::{self, ResponseHead};
 use crate::forward::locality::AllowedRegions;
 use crate::forward::own_answer::{
@@ -47,6 +47,8 @@
 
 /// Largest response that is buffered until it is complete, in bytes.
 const MAX_BUFFERED_BYTES: usize = 1024 * 1024;
+/// Most bytes of comments in a stream without an event.
+const MAX_COMMENT_BYTES: usize = 64 * 1024;
 /// A refused request is told to retry no sooner than its latency target divided by this.
 const RETRY_DIVISOR: u32 = 4;
 /// Replica refusals after which a request may still be resent.
@@ -767,6 +769,10 @@
         }
         self.event_buffer.discard_partial();
         let mut last: Option<Instant> = None;
+        // Comments before the first event: as long as nothing is passed on, another replica may
+        // still answer.
+        let mut held = Vec::new();
+        let mut commented = 0;
         loop {
             let next = clock::wait_until(self.until_ms, exchange.next()).await;
             let bytes = match next {
@@ -791,6 +797,24 @@
             if events.is_empty() {
                 continue;
             }
+            let has_event = events::has_event(&events);
+            commented = match has_event {
+                true => 0,
+                false => commented + events.len(),
+            };
+            if commented > MAX_COMMENT_BYTES {
+                guard.end = AttemptResult::Failed;
+                self.log.note("too many comments without an event");
+                return self.broken(writer);
+            }
+            if !has_event && !self.event_buffer.has_begun() {
+                held.extend_from_slice(&events);
+                continue;
+            }
+            let events = match held.is_empty() {
+                true => events,
+                false => [std::mem::take(&mut held), events].concat(),
+            };
             if !self.accept_events(&events, exchange.opened()).await {
                 guard.end = AttemptResult::Neutral;
                 self.log
@@ -826,6 +850,9 @@
         }
         guard.end = AttemptResult::Good;
         put_back(self.core, &guard.replica, exchange);
+        if !held.is_empty() {
+            push_chunk(&mut out, &held, chunked);
+        }
         if chunked {
             out.extend_from_slice(b"0\r\n\r\n");
         }
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -22,6 +22,8 @@
 const READ_SIZE: usize = 16 * 1024;
 /// Responses to other requests that are skipped while the due one is awaited.
 const MAX_SURPLUS_RESPONSES: usize = 4;
+/// Bytes of the bodies of such responses that are skipped.
+const MAX_SURPLUS_BYTES: usize = 1024 * 1024;
 /// An idle connection is dropped after this fraction of the peer's keep-alive time.
 const KEEP_ALIVE_FRACTION: f64 = 0.8;
 /// Longest idle time if the peer gives no keep-alive time.
@@ -240,6 +242,7 @@
         request: &OutgoingRequest<'_>,
     ) -> Result<(Self, ResponseHead), ExchangeError> {
         let mut written = 0;
+        let mut skipped = 0;
         for _ in 0..=MAX_SURPLUS_RESPONSES {
             let head = read_head(&mut connection, request, &mut written).await?;
             (request.on_head)(&head);
@@ -267,7 +270,14 @@
                     );
                 }
                 // A response to another request; its body is skipped.
-                _ => while exchange.next().await?.is_some() {},
+                _ => {
+                    while let Some(bytes) = exchange.next().await? {
+                        skipped += bytes.len();
+                        if skipped > MAX_SURPLUS_BYTES {
+                            return Err(exchange.malformed("it belongs to another request"));
+                        }
+                    }
+                }
             }
             connection = exchange.connection;
         }
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -32,6 +32,8 @@
 pub const START_FAILED: i32 = 2;
 /// Limit on a response of a platform service, in bytes.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
+/// Timeout of a response of a platform service, body included.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Reason why a daemon cannot start or continue.
 #[derive(Debug, Snafu)]
@@ -203,12 +205,18 @@
         url: url.to_owned(),
         reason,
     };
-    let client = Client::new().await;
-    let answer = client.get(url).send().await;
-    let answer = answer.map_err(|error| failed("get", error.to_string()))?;
-    let body = answer.body().limit(MAX_RESPONSE_BYTES).await;
-    let body = body.map_err(|error| failed("read", error.to_string()))?;
-    serde_json::from_slice(&body).map_err(|error| failed("decode", error.to_string()))
+    let read = async {
+        let client = Client::new().await;
+        let answer = client.get(url).send().await;
+        let answer = answer.map_err(|error| failed("get", error.to_string()))?;
+        let body = answer.body().limit(MAX_RESPONSE_BYTES).await;
+        let body = body.map_err(|error| failed("read", error.to_string()))?;
+        serde_json::from_slice(&body).map_err(|error| failed("decode", error.to_string()))
+    };
+    let late = |_| failed("read", "timed out".to_owned());
+    tokio::time::timeout(RESPONSE_TIMEOUT, read)
+        .await
+        .map_err(late)?
 }
 
 /// Initializes logging; every line names the process, host and hall.
--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -6,6 +6,7 @@
 mod answers;
 mod crashes;
 mod crashing_parts;
+mod endless;
 mod halls;
 mod limits;
 mod moved_routes;
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -206,6 +206,9 @@
     /// Sends a status line and headers, to which it adds its own, a blank line and a body, and ends
     /// in this way.
     Wire(&'static str, &'static str, WireEnd),
+    /// Sends this text, in which `ID` stands for the request's id, then the other one again and again
+    /// until the entry closes the connection.
+    Endless(&'static str, &'static str),
 }
 
 /// How a replica ends a response.
@@ -1114,6 +1117,16 @@
     true
 }
 
+/// Sends a text, then another one again and again until a write fails.
+async fn repeat(stream: &mut TcpStream, begin: &str, unit: &str) -> bool {
+    let block = unit.repeat(4096 / unit.len());
+    let mut written = stream.write_all(begin.as_bytes()).await;
+    while written.is_ok() {
+        written = stream.write_all(block.as_bytes()).await;
+    }
+    true
+}
+
 /// Ends a response. Returns whether the connection stays open.
 async fn end_wire(stream: &mut TcpStream, end: WireEnd, state: &SharedReplica) -> bool {
     match end {
@@ -1187,6 +1200,11 @@
             state.borrow_mut().closed = flood(stream, &stream_head).await;
             return false;
         }
+        Behaviour::Endless(begin, unit) => {
+            let begin = begin.replace("ID", id);
+            state.borrow_mut().closed = repeat(stream, &begin, unit).await;
+            return false;
+        }
         Behaviour::HangAfter(count) => stream_head + &event_chunks(1, count),
         Behaviour::Wire(head, body, _) => {
             format!("{head}Request-Id: {id}\r\nStamp: {name}\r\n\r\n{body}")
