The log is compacted by its size, and large entries are sent a megabyte at a time

Cause of both: the log was compacted after 400 entries, of whatever size, and each entry of a change carries the configuration twice. 1,024 compacted entries were kept in memory and up to 512 sent in a message, again of whatever size.

--- a/src/consensus/entries.rs
+++ b/src/consensus/entries.rs
@@ -35,6 +35,18 @@
     pub payload: Payload,
 }
 
+impl LogEntry {
+    /// Returns the approximate size of the entry, in memory and on disk, in bytes.
+    pub fn size(&self) -> usize {
+        let payload = match &self.payload {
+            Payload::Noop => 0,
+            Payload::Voters(voters) => voters.len() * size_of::<NodeId>(),
+            Payload::Command(bytes) => bytes.len(),
+        };
+        size_of::<Self>() + payload
+    }
+}
+
 /// Encoded state machine up to an index.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LogSnapshot {
--- a/src/consensus/raft.rs
+++ b/src/consensus/raft.rs
@@ -24,6 +24,11 @@
 /// all followers one round trip behind; without these entries, each of them was sent the whole
 /// state: 5 MB/s per voter at 3,000 replicas.
 const MAX_RETAINED_ENTRIES: usize = 1024;
+/// Maximum size of these entries, in bytes: with large configurations, their number does not bound
+/// them.
+const MAX_RETAINED_BYTES: usize = 8 * 1024 * 1024;
+/// Size of an append message from which no further entry is added, in bytes.
+const MAX_APPEND_BYTES: usize = 1024 * 1024;
 /// Time allowed for a snapshot to arrive before it is sent again, in milliseconds. When sent
 /// with every heartbeat, copies of several megabytes filled the leader's memory.
 const SNAPSHOT_RESEND_MS: u64 = 1_000;
@@ -215,6 +220,18 @@
         len as usize
     }
 
+    /// Returns the size of the entries after the snapshot that a new snapshot could include, in
+    /// bytes.
+    pub fn compactable_bytes(&self) -> usize {
+        let delivered = self.entries.iter().take(self.compactable_len());
+        delivered.map(LogEntry::size).sum()
+    }
+
+    /// Returns the size of the state machine in the snapshot, in bytes.
+    pub fn snapshot_bytes(&self) -> usize {
+        self.snapshot.state.len()
+    }
+
     /// Returns the voters set by the newest membership entry, committed or not.
     pub fn voters(&self) -> &BTreeSet<NodeId> {
         let named = |entry: &'_ LogEntry| matches!(entry.payload, Payload::Voters(_));
@@ -441,7 +458,15 @@
         };
         let kept = self.entries.partition_point(|e| e.mark.index <= index);
         self.retained.extend(self.entries.drain(..kept));
-        let old = self.retained.len().saturating_sub(MAX_RETAINED_ENTRIES);
+        let newest = self.retained.iter().rev().take(MAX_RETAINED_ENTRIES);
+        let sizes = newest.scan(0, |total, entry| {
+            *total += entry.size();
+            Some(*total)
+        });
+        let kept = sizes
+            .take_while(|total| *total <= MAX_RETAINED_BYTES)
+            .count();
+        let old = self.retained.len() - kept;
         self.retained.drain(..old);
         let record = DiskRecord::Install(self.snapshot.clone());
         self.output.records.push(record);
@@ -809,7 +834,13 @@
         let from = self.retained.partition_point(|e| e.mark.index <= index);
         let all = self.retained[from..].iter().chain(&self.entries);
         let later = all.filter(|entry| entry.mark.index > index);
-        later.take(MAX_APPEND_ENTRIES).cloned().collect()
+        let mut bytes = 0;
+        let sized = later.take_while(|entry| {
+            let has_room = bytes < MAX_APPEND_BYTES;
+            bytes += entry.size();
+            has_room
+        });
+        sized.take(MAX_APPEND_ENTRIES).cloned().collect()
     }
 
     fn step_down_without_quorum(&mut self, now_ms: u64) {
--- a/src/consensus/replica.rs
+++ b/src/consensus/replica.rs
@@ -9,6 +9,12 @@
 use crate::consensus::state::{Command, Reply, SiteState, Stamped};
 use crate::ids::{HostName, NodeId, Position, Term};
 
+/// Size of applied entries up to which the log is not compacted for its size, in bytes.
+const MIN_COMPACTED_BYTES: usize = 4 * 1024 * 1024;
+/// Size of applied entries from which the log is compacted, in snapshots: each compaction writes
+/// one.
+const COMPACTED_SNAPSHOTS: usize = 2;
+
 /// Actions for the caller after a step. Records must be synced before messages are sent.
 #[derive(Debug, Default)]
 pub struct ReplicaOutput {
@@ -159,13 +165,22 @@
                 all.replies.push((entry.mark, reply));
             }
         }
-        if self.raft.compactable_len() > self.compact_after {
+        if self.must_compact() {
             self.raft.compact(encode_state(&self.state));
             all.records.extend(self.raft.take_output().records);
         }
         all
     }
 
+    /// Returns whether the applied entries are too many, or their size exceeds that of several
+    /// snapshots: entries that each carry a whole configuration would fill disk and memory long
+    /// before they are many.
+    fn must_compact(&self) -> bool {
+        let max_bytes = MIN_COMPACTED_BYTES.max(COMPACTED_SNAPSHOTS * self.raft.snapshot_bytes());
+        self.raft.compactable_len() > self.compact_after
+            || self.raft.compactable_bytes() > max_bytes
+    }
+
     /// Returns the current term. A proposed entry whose mark has another term may have been
     /// replaced.
     pub fn term(&self) -> Term {
