--- a/src/consensus/membership.rs
+++ b/src/consensus/membership.rs
@@ -78,6 +78,8 @@
     hosts: BTreeMap<NodeId, HostName>,
     /// Hosts of disks that this leader has proposed to record.
     proposed: BTreeSet<(NodeId, HostName)>,
+    /// Disks whose hosts this leader has proposed to remove.
+    removed: BTreeSet<NodeId>,
     /// Voters that are about to stop, with the time until which this counts.
     leaving: BTreeMap<NodeId, u64>,
 }
@@ -89,6 +91,7 @@
             policy,
             hosts,
             proposed: BTreeSet::new(),
+            removed: BTreeSet::new(),
             leaving: BTreeMap::new(),
         }
     }
@@ -120,15 +123,16 @@
     /// Starts a term of this voter as leader.
     pub fn lead(&mut self) {
         self.proposed.clear();
+        self.removed.clear();
     }
 
-    /// Returns commands that record the hosts of voters and learners that neither the log has nor
-    /// this leader has proposed.
+    /// Returns commands that bring the log's hosts in line with the voters and learners: they record
+    /// those that the log lacks, and remove those of disks that are neither.
     ///
     /// The log keeps one disk of each host, so the new disk of a host is recorded only once the old
     /// one votes no more, or must stay until the new one votes. Before that a new leader needs the old
     /// record to know what the new disk replaces.
-    pub fn unrecorded(&mut self, replica: &LogReplica) -> Vec<Command> {
+    pub fn update_hosts(&mut self, replica: &LogReplica, now_ms: u64) -> Vec<Command> {
         let (raft, state) = (replica.raft(), replica.state());
         if !raft.is_leader() {
             return Vec::new();
@@ -144,9 +148,23 @@
                 && self.policy.may_drop(voters.len());
             let known = state.voter_hosts.get(node) == Some(host);
             if !known && !replaces && self.proposed.insert((*node, host.clone())) {
+                self.removed.remove(node);
                 commands.push(Command::VoterHost(*node, host.clone()));
             }
         }
+        let is_gone = |node: &NodeId| !voters.contains(node) && !raft.learners().contains(node);
+        // A set that is not committed may be replaced by an earlier one.
+        let settled = raft.may_decide(now_ms) && !raft.has_pending_voters();
+        let gone = state
+            .voter_hosts
+            .keys()
+            .filter(|node| settled && is_gone(node));
+        for node in gone {
+            if self.removed.insert(*node) {
+                self.proposed.retain(|(other, _)| other != node);
+                commands.push(Command::VoterHostGone(*node));
+            }
+        }
         commands
     }
 
--- a/src/consensus/state.rs
+++ b/src/consensus/state.rs
@@ -164,6 +164,8 @@
     VersionsOpened(ServiceName),
     /// The same as [`Command::PartsCrashed`], with the time of the crash.
     PartCrashObserved(ObservedPartCrash),
+    /// Removes the host of a disk that votes no more.
+    VoterHostGone(NodeId),
 }
 
 /// Result of [`Command::Configure`].
@@ -405,6 +407,10 @@
                 self.voter_hosts.insert(*node, host.clone());
                 Reply::None
             }
+            Command::VoterHostGone(node) => {
+                self.voter_hosts.remove(node);
+                Reply::None
+            }
             Command::Crashed(CrashReport { replica, .. })
             | Command::PartsCrashed(PartCrashReport { replica, .. })
             | Command::PartCrashObserved(ObservedPartCrash {
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -458,9 +458,9 @@
 
     /// Records in the log on which host each disk is reached, for a restart of all voters and for
     /// the next leader.
-    fn record_hosts(&mut self) {
+    fn update_hosts(&mut self, now_ms: u64) {
         if self.settings.open_membership {
-            for command in self.roster.unrecorded(&self.replica) {
+            for command in self.roster.update_hosts(&self.replica, now_ms) {
                 self.propose(command, None);
             }
         }
@@ -804,7 +804,7 @@
         let _ = self.with_rates(now_ms, |rates, state| {
             rates.prune(now_ms, |incarnation| incarnation_state(state, incarnation));
         });
-        self.record_hosts();
+        self.update_hosts(now_ms);
         let changed = match self.settings.open_membership {
             true => self.roster.adjust(&mut self.replica, now_ms),
             false => {
--- a/tests/lost_voters/world.rs
+++ b/tests/lost_voters/world.rs
@@ -35,6 +35,8 @@
 const SEEDS: usize = 3;
 /// Age of the operator's list of seeds, in milliseconds.
 const SEED_LAG_MS: u64 = 3_000;
+/// Most hosts of voters that the log may name: more are gone for good.
+const MAX_RECORDED_HOSTS: usize = 12;
 /// Number of events shown with a finding.
 const MAX_FINDING_EVENTS: usize = 16;
 /// Interval in which the settings name the operator's seeds anew.
@@ -579,7 +581,7 @@
             }
             false => process.led = None,
         }
-        for command in process.roster.unrecorded(&process.replica) {
+        for command in process.roster.update_hosts(&process.replica, clock_ms) {
             let _ = process.replica.propose(now_ms, command);
         }
         process.roster.adjust(&mut process.replica, clock_ms);
@@ -656,6 +658,11 @@
         (0..self.hosts.len()).find(decides)
     }
 
+    fn recorded_hosts(&self, host: usize) -> usize {
+        let process = self.hosts[host].process.as_ref();
+        process.map_or(0, |process| process.replica.state().voter_hosts.len())
+    }
+
     fn note(&mut self, event: String) {
         self.events.push(format!("{} {event}", self.now_ms));
     }
@@ -721,6 +728,11 @@
                 voters.len()
             ));
         }
+        // Each host that may vote, its successor, and one that came back with another disk.
+        let recorded = self.recorded_hosts(leader);
+        if recorded > MAX_RECORDED_HOSTS {
+            self.find(format!("the log names {recorded} hosts"));
+        }
         let is_gone = |node: &NodeId| {
             let host = self.hosts.iter().position(|host| host.node == *node);
             host.is_none_or(|host| self.hosts[host].gone_ms.is_some())
