Membership: one rule for a majority that replies, names of silent voters only where logged

Read once more, no behaviour meant to change. Mended: - The check that a majority of a proposed set has replied stood in replace_voter and in the roster: LogReplica::propose_voters serves both. That a leader has replied to itself was written three times beside RaftCore::replied_recently, which now says so. - On each turn the voter's thread named all silent voters and built a set of them, to compare with those logged. It compares node ids now, and names them only for the line. - The hosts of voters were compared pairwise on each turn of a leader, also where the log has them all already. - The end of a stop, and hosts looked up in two ways, in one place each. - tests/lost_voters: four histories opened and closed their world alike; play_all does. HostMessage in place of Letter. No assertion, bound or history changed.

Ruled out: one path for named and open membership. replace_voter would get the roster's rules, which changes what sites with named voters do.

--- a/src/consensus/membership.rs
+++ b/src/consensus/membership.rs
@@ -101,8 +101,8 @@
         self.hosts.insert(node, host);
     }
 
-    /// Returns the host of a disk: as this process heard it, or else as the log has it. A voter that
-    /// began with an empty disk has heard of few others when it becomes leader.
+    /// Returns the host of a disk, from its messages or else from the log. A voter that began with an
+    /// empty disk may become leader before it has received a message of each other voter.
     pub fn host_of<'a>(&'a self, state: &'a SiteState, node: NodeId) -> Option<&'a HostName> {
         self.hosts
             .get(&node)
@@ -115,7 +115,7 @@
         self.learn(node, host);
     }
 
-    /// Returns the hosts of disks as this process heard them.
+    /// Returns the hosts of disks that are known without the log.
     pub fn hosts(&self) -> &BTreeMap<NodeId, HostName> {
         &self.hosts
     }
@@ -143,11 +143,13 @@
             let Some(host) = self.hosts.get(node) else {
                 continue;
             };
+            if state.voter_hosts.get(node) == Some(host) {
+                continue;
+            }
             let mut others = voters.iter().filter(|other| *other != node);
-            let replaces = others.any(|other| self.host_of(state, *other) == Some(host))
-                && self.policy.may_drop(voters.len());
-            let known = state.voter_hosts.get(node) == Some(host);
-            if !known && !replaces && self.proposed.insert((*node, host.clone())) {
+            let replaces = self.policy.may_drop(voters.len())
+                && others.any(|other| self.host_of(state, *other) == Some(host));
+            if !replaces && self.proposed.insert((*node, host.clone())) {
                 self.removed.remove(node);
                 commands.push(Command::VoterHost(*node, host.clone()));
             }
@@ -202,7 +204,7 @@
         if !raft.may_decide(now_ms) {
             return false;
         }
-        let replied = |node: &NodeId| *node == raft.id() || raft.replied_recently(*node, now_ms);
+        let replied = |node: &NodeId| raft.replied_recently(*node, now_ms);
         let mut voters = raft.voters().clone();
         let learner = raft.ready_learners().into_iter().find(replied);
         let same_host = learner.and_then(|learner| {
@@ -223,8 +225,7 @@
             }
             _ => return false,
         };
-        let live = voters.iter().filter(|node| replied(node)).count();
-        live * 2 > voters.len() && replica.raft_mut().propose_voters(voters).is_ok()
+        replica.propose_voters(now_ms, voters)
     }
 
     fn leaves(&self, node: NodeId, now_ms: u64) -> bool {
@@ -236,18 +237,21 @@
     /// about to stop. The latter still counts: it stays in an odd set while another voter is silent.
     fn lost_voter(&self, raft: &RaftCore, now_ms: u64) -> Option<NodeId> {
         let voters = raft.voters();
-        let others = voters.iter().filter(|node| **node != raft.id());
-        let timed = others.map(|node| (raft.silence_ms(*node, now_ms), *node));
-        let most_silent = timed.max();
-        let silent = most_silent.filter(|(silent_ms, _)| *silent_ms >= self.policy.silent_ms);
-        let mut others = voters.iter().filter(|node| **node != raft.id());
-        let all_reply = others
-            .clone()
+        let timed = voters
+            .iter()
+            .map(|node| (raft.silence_ms(*node, now_ms), *node));
+        let silent = timed
+            .filter(|(silent_ms, _)| *silent_ms >= self.policy.silent_ms)
+            .max();
+        let all_reply = voters
+            .iter()
             .all(|node| raft.replied_recently(*node, now_ms));
-        let leaver = others.find(|node| self.leaves(**node, now_ms));
+        let leaves = |node: &&NodeId| **node != raft.id() && self.leaves(**node, now_ms);
         match silent {
             Some((_, node)) => Some(node),
-            None if all_reply || voters.len().is_multiple_of(2) => leaver.copied(),
+            None if all_reply || voters.len().is_multiple_of(2) => {
+                voters.iter().find(leaves).copied()
+            }
             None => None,
         }
     }
--- a/src/consensus/raft.rs
+++ b/src/consensus/raft.rs
@@ -128,7 +128,7 @@
     progress: BTreeMap<NodeId, Progress>,
     learners: BTreeSet<NodeId>,
     /// When a message of each voter last arrived.
-    heard_ms: BTreeMap<NodeId, u64>,
+    contact_ms: BTreeMap<NodeId, u64>,
     /// Last index and commit index most recently sent to all followers.
     broadcast: (Position, Position),
     /// First entry that may not be on disk yet; `None` if all are.
@@ -165,7 +165,7 @@
             granted: BTreeSet::new(),
             progress: BTreeMap::new(),
             learners: BTreeSet::new(),
-            heard_ms: BTreeMap::new(),
+            contact_ms: BTreeMap::new(),
             broadcast: (Position(0), Position(0)),
             unsaved_from: None,
             output: Output::default(),
@@ -371,10 +371,11 @@
         self.learners.iter().filter(caught_up).copied().collect()
     }
 
-    /// Returns whether a voter has replied within one election timeout.
+    /// Returns whether a node is this leader itself, or has replied to it within one election
+    /// timeout.
     pub fn replied_recently(&self, node: NodeId, now_ms: u64) -> bool {
         let echoed = self.progress.get(&node).and_then(|p| p.echoed_ms);
-        echoed.is_some_and(|at| at + self.timing.election_ms > now_ms)
+        node == self.id || echoed.is_some_and(|at| at + self.timing.election_ms > now_ms)
     }
 
     /// Returns the time since a voter last replied to this leader, in milliseconds.
@@ -388,7 +389,7 @@
     }
 
     /// Returns the other voters that have been silent for at least `min_ms`, with the time since
-    /// their last message. A follower of a leader hears no other voter, and returns none.
+    /// their last message. A follower of a leader gets messages of no other voter, and returns none.
     pub fn silent_voters(&self, now_ms: u64, min_ms: u64) -> Vec<(NodeId, u64)> {
         let leads = self.role == Role::Leader;
         if !leads && self.leaderless_ms(now_ms) < min_ms {
@@ -397,8 +398,8 @@
         let silence_ms = |node: NodeId| match leads {
             true => self.silence_ms(node, now_ms),
             false => {
-                let heard_ms = self.heard_ms.get(&node).copied().unwrap_or(0);
-                now_ms.saturating_sub(heard_ms.max(self.leader_seen_ms.unwrap_or(0)))
+                let contact_ms = self.contact_ms.get(&node).copied().unwrap_or(0);
+                now_ms.saturating_sub(contact_ms.max(self.leader_seen_ms.unwrap_or(0)))
             }
         };
         let others = self.other_voters().into_iter();
@@ -495,7 +496,7 @@
     /// Handles a message from another voter.
     pub fn receive(&mut self, now_ms: u64, from: NodeId, message: RaftMessage) {
         if self.voters().contains(&from) {
-            self.heard_ms.insert(from, now_ms);
+            self.contact_ms.insert(from, now_ms);
         }
         let speculative = matches!(
             message,
@@ -730,7 +731,7 @@
         self.leader_since_ms = now_ms;
         self.leader = Some(self.id);
         let voters = self.voters().clone();
-        self.heard_ms.retain(|node, _| voters.contains(node));
+        self.contact_ms.retain(|node, _| voters.contains(node));
         let next = Position(self.last().index.0 + 1);
         let fresh = Progress {
             next,
--- a/src/consensus/replica.rs
+++ b/src/consensus/replica.rs
@@ -134,10 +134,14 @@
             Some(old) => voters.remove(&old),
             None => voters.insert(learner),
         };
-        let raft = &self.raft;
-        let replied = |node: &&NodeId| **node == raft.id() || raft.replied_recently(**node, now_ms);
-        let alive = voters.iter().filter(replied).count();
-        alive * 2 > voters.len() && self.raft.propose_voters(voters).is_ok()
+        self.propose_voters(now_ms, voters)
+    }
+
+    /// Proposes a set of voters if a majority of it has replied of late. Returns whether it did.
+    pub(super) fn propose_voters(&mut self, now_ms: u64, voters: BTreeSet<NodeId>) -> bool {
+        let replied = |node: &&NodeId| self.raft.replied_recently(**node, now_ms);
+        let live = voters.iter().filter(replied).count();
+        live * 2 > voters.len() && self.raft.propose_voters(voters).is_ok()
     }
 
     /// Handles a message from another voter.
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -739,9 +739,7 @@
     fn status(&self, now_ms: u64) -> ControlStatus {
         let raft = self.replica.raft();
         let state = self.replica.state();
-        let leader = raft
-            .leader()
-            .and_then(|node| self.roster.host_of(state, node));
+        let leader = raft.leader().and_then(|node| self.host_of(node));
         let fleet = self.fleet.as_ref();
         let fleet = fleet.map(|fleet| fleet.unserved_summary(now_ms));
         ControlStatus {
@@ -817,8 +815,11 @@
             let voters = self.replica.raft().voters();
             tracing::info!(?voters, "change of the voters proposed");
         }
-        let silent = self.silent_voters(now_ms);
-        self.watch.observe(now_ms, self.replica.raft(), &silent);
+        let raft = self.replica.raft();
+        let silent = raft.silent_voters(now_ms, voter_watch::SILENT_MS);
+        if self.watch.is_due(now_ms, &silent) {
+            voter_watch::log(raft, &self.silent_voters(now_ms));
+        }
     }
 
     fn update_leadership(&mut self, now_ms: u64) {
@@ -965,8 +966,7 @@
 
     fn deliver(&mut self, released: ReleasedOutput) {
         for (node, message) in released.messages {
-            let host = self.roster.host_of(self.replica.state(), node);
-            if let Some(host) = host {
+            if let Some(host) = self.roster.host_of(self.replica.state(), node) {
                 self.outbox.send(host, message);
             }
         }
@@ -1050,16 +1050,16 @@
         let now_ms = clock::monotonic_ms();
         let raft = self.replica.raft();
         let has_successor = raft.leader().is_some_and(|leader| leader != raft.id());
-        let Some(stop) = &mut self.stopping else {
+        let is_over =
+            |stop: &StopRequest| has_successor || stop.since_ms + HANDOVER_TIMEOUT_MS < now_ms;
+        let Some(stop) = self.stopping.as_mut().filter(|stop| is_over(stop)) else {
             return false;
         };
-        if !has_successor && stop.since_ms + HANDOVER_TIMEOUT_MS >= now_ms {
-            return false;
+        if let Some(reply) = stop.handed_over_reply.take() {
+            let _ = reply.send(());
         }
-        let replies = [stop.handed_over_reply.take(), stop.stopped_reply.take()];
-        let [handed_over, stopped] = replies.map(|reply| reply.map(|reply| reply.send(())));
-        let _ = handed_over;
-        stopped.is_some()
+        let stopped = stop.stopped_reply.take();
+        stopped.map(|reply| reply.send(())).is_some()
     }
 }
 
--- a/src/process/wire.rs
+++ b/src/process/wire.rs
@@ -146,11 +146,11 @@
     pub claims: usize,
     /// Models and adapters that are requested without being served, as the leader knows.
     pub unserved: UnservedSummary,
-    /// Other voters that this voter should hear from and does not.
+    /// Other voters whose messages this voter expects and does not receive.
     pub silent_voters: Vec<SilentVoter>,
 }
 
-/// A voter that another one has not heard from for some time.
+/// A voter that has sent no message to another one for some time.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SilentVoter {
     /// Identity of its disk.
--- a/tests/lost_voters/main.rs
+++ b/tests/lost_voters/main.rs
@@ -25,13 +25,19 @@
     first..first + environment("DUNLINSPRING_CASES").unwrap_or(HISTORIES)
 }
 
-/// Plays all seeds, on several threads, and returns the reports in the order of the seeds.
-fn play_all(play: impl Fn(u64) -> HistoryReport + Sync) -> Vec<(u64, HistoryReport)> {
+/// Plays a history with each seed, on several threads, and returns the reports in the order of the
+/// seeds.
+fn play_all(play: impl Fn(&mut LossWorld) + Sync) -> Vec<(u64, HistoryReport)> {
     let seeds: Vec<u64> = seeds().collect();
     let threads = thread::available_parallelism().map_or(1, |count| count.get());
     let share = seeds.len().div_ceil(threads).max(1);
+    let play_seed = |seed: u64| {
+        let mut world = LossWorld::new(seed);
+        play(&mut world);
+        (seed, world.into_report())
+    };
     let play_share = |share: &[u64]| -> Vec<(u64, HistoryReport)> {
-        share.iter().map(|seed| (*seed, play(*seed))).collect()
+        share.iter().map(|seed| play_seed(*seed)).collect()
     };
     thread::scope(|scope| {
         let shares = seeds.chunks(share);
@@ -62,8 +68,7 @@
 /// stay in the set would leave no quorum.
 #[test]
 fn pairs_of_hosts_lost_for_good_leave_a_quorum() {
-    let reports = play_all(|seed| {
-        let mut world = LossWorld::new(seed);
+    let reports = play_all(|world| {
         world.run_until(10_000);
         for pair in 0..4 {
             let at_ms = 10_000 + pair * (1_700 + CATCH_UP_MS + 100);
@@ -73,7 +78,6 @@
             }
         }
         world.run_until(40_000);
-        world.into_report()
     });
     assert_no_findings(&reports);
 }
@@ -82,11 +86,9 @@
 /// name, whatever was lost, cut off, frozen or restarted before.
 #[test]
 fn drawn_losses_leave_a_set_that_bears_the_next_ones() {
-    let reports = play_all(|seed| {
-        let mut world = LossWorld::new(seed);
+    let reports = play_all(|world| {
         world.run_until(10_000);
         world.run_drawn(HISTORY_MS);
-        world.into_report()
     });
     let mut settled: Vec<u64> = reports
         .iter()
@@ -109,14 +111,12 @@
 /// old disk of a host must not keep it as a voter beside the new one.
 #[test]
 fn disks_lost_one_after_the_other_leave_a_quorum() {
-    let reports = play_all(|seed| {
-        let mut world = LossWorld::new(seed);
+    let reports = play_all(|world| {
         for loss in 0..12 {
             world.run_until(10_000 + loss * 3_550);
             world.strike(Fault::LoseDisk { down_ms: 3_000 });
         }
         world.run_until(60_000);
-        world.into_report()
     });
     assert_no_findings(&reports);
 }
@@ -125,8 +125,7 @@
 /// named are gone for good.
 #[test]
 fn a_voter_whose_first_contacts_are_gone_comes_back() {
-    let reports = play_all(|seed| {
-        let mut world = LossWorld::new(seed);
+    let reports = play_all(|world| {
         let lost = Fault::Replace(Replacement::Unplanned { pause_ms: 500 });
         for founder in 0..3 {
             world.run_until(10_000 + founder as u64 * 6_000);
@@ -137,7 +136,6 @@
         world.run_until(30_300);
         world.strike_at(3, lost);
         world.run_until(45_000);
-        world.into_report()
     });
     assert_no_findings(&reports);
 }
--- a/tests/lost_voters/world.rs
+++ b/tests/lost_voters/world.rs
@@ -112,7 +112,7 @@
     cut_until_ms: u64,
 }
 
-enum Letter {
+enum HostMessage {
     Raft(RaftMessage),
     Enroll,
     Named(BTreeSet<usize>),
@@ -123,7 +123,7 @@
 struct Envelope {
     from: (usize, NodeId),
     to: usize,
-    letter: Letter,
+    message: HostMessage,
 }
 
 /// A later action of a fault.
@@ -149,7 +149,7 @@
     new_until_ms: BTreeMap<usize, u64>,
     /// When a host was last struck, or came back, or a leader was asked to hand over.
     disrupted_ms: u64,
-    /// Successors that the set does not hold yet, with their start and their predecessor.
+    /// Successors that the set does not hold yet, with their start.
     joining: Vec<(usize, u64)>,
     agreed: BTreeMap<Position, LogEntry>,
     acknowledged: Position,
@@ -486,7 +486,7 @@
             self.in_flight.push(Envelope {
                 from: (host, node),
                 to,
-                letter: Letter::Leave,
+                message: HostMessage::Leave,
             });
         }
     }
@@ -508,7 +508,7 @@
     }
 
     fn deliver(&mut self, envelope: Envelope) {
-        let Envelope { from, to, letter } = envelope;
+        let Envelope { from, to, message } = envelope;
         let (peer, node) = from;
         if !self.runs(to) || self.is_cut(to) || self.is_cut(peer) {
             return;
@@ -517,24 +517,24 @@
         let own = self.hosts[to].node;
         let process = self.hosts[to].process.as_mut().unwrap();
         let clock_ms = now_ms - process.started_ms;
-        match letter {
-            Letter::Raft(message) => {
+        match message {
+            HostMessage::Raft(message) => {
                 process.roster.learn(node, name(peer));
                 process.replica.receive(clock_ms, node, message);
             }
-            Letter::Leave => {
+            HostMessage::Leave => {
                 if process.replica.raft().may_decide(clock_ms) && process.stopping.is_none() {
                     let status = process.roster.leave(&process.replica, node, clock_ms);
                     self.in_flight.push(Envelope {
                         from: (to, own),
                         to: peer,
-                        letter: Letter::LeaveReply(status),
+                        message: HostMessage::LeaveReply(status),
                     });
                 }
             }
-            Letter::LeaveReply(LeaveStatus::Pending) => {}
-            Letter::LeaveReply(_) => return self.end(to),
-            Letter::Enroll => {
+            HostMessage::LeaveReply(LeaveStatus::Pending) => {}
+            HostMessage::LeaveReply(_) => return self.end(to),
+            HostMessage::Enroll => {
                 process.roster.enroll(node, name(peer));
                 if process.replica.raft().is_leader() {
                     process.replica.raft_mut().add_learner(node);
@@ -551,10 +551,10 @@
                 self.in_flight.push(Envelope {
                     from: (to, own),
                     to: peer,
-                    letter: Letter::Named(named),
+                    message: HostMessage::Named(named),
                 });
             }
-            Letter::Named(hosts) => process.known.extend(hosts),
+            HostMessage::Named(hosts) => process.known.extend(hosts),
         }
         self.flush(to);
     }
@@ -603,7 +603,7 @@
             self.in_flight.extend(asked.into_iter().map(|to| Envelope {
                 from: (host, node),
                 to,
-                letter: Letter::Enroll,
+                message: HostMessage::Enroll,
             }));
         }
         self.flush(host);
@@ -625,7 +625,7 @@
                 self.in_flight.push(Envelope {
                     from: (host, machine.node),
                     to: number(to),
-                    letter: Letter::Raft(message),
+                    message: HostMessage::Raft(message),
                 });
             }
         }
