Logs and metrics tell where the memory of a control host goes

Added: dunlinspring_log_bytes by part, dunlinspring_memory_bytes (resident and peak), and a line at each compaction with the sizes, both memory figures and the number of unsaved batches. The status of a voter carries the sizes, so the protocol version rises. No behaviour changes.

--- a/src/consensus/entries.rs
+++ b/src/consensus/entries.rs
@@ -47,6 +47,17 @@
     }
 }
 
+/// Sizes of the parts of a log that a voter holds in memory, in bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogUsage {
+    /// Entries after the snapshot.
+    pub entry_bytes: usize,
+    /// Entries that the snapshot includes, kept for followers that lag slightly.
+    pub retained_bytes: usize,
+    /// State machine in the snapshot.
+    pub snapshot_bytes: usize,
+}
+
 /// Encoded state machine up to an index.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LogSnapshot {
--- a/src/consensus/raft.rs
+++ b/src/consensus/raft.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use crate::consensus::entries::{
-    DiskImage, DiskRecord, LogEntry, LogMark, LogSnapshot, Payload, RaftMessage,
+    DiskImage, DiskRecord, LogEntry, LogMark, LogSnapshot, LogUsage, Payload, RaftMessage,
 };
 use crate::ids::{NodeId, Position, Term};
 
@@ -232,6 +232,16 @@
         self.snapshot.state.len()
     }
 
+    /// Returns what this voter holds of the log, by its part.
+    pub fn log_usage(&self) -> LogUsage {
+        let bytes = |entries: &[LogEntry]| entries.iter().map(LogEntry::size).sum();
+        LogUsage {
+            entry_bytes: bytes(&self.entries),
+            retained_bytes: bytes(&self.retained),
+            snapshot_bytes: self.snapshot_bytes(),
+        }
+    }
+
     /// Returns the voters set by the newest membership entry, committed or not.
     pub fn voters(&self) -> &BTreeSet<NodeId> {
         let named = |entry: &'_ LogEntry| matches!(entry.payload, Payload::Voters(_));
--- a/src/consensus/replica.rs
+++ b/src/consensus/replica.rs
@@ -24,6 +24,8 @@
     pub messages: Vec<(NodeId, RaftMessage)>,
     /// Replies to committed commands, to be delivered after the sync.
     pub replies: Vec<(LogMark, Reply)>,
+    /// Whether the log was compacted in this step.
+    pub compacted: bool,
 }
 
 /// One voter of the replicated log.
@@ -172,6 +174,7 @@
         if self.must_compact() {
             self.raft.compact(encode_state(&self.state));
             all.records.extend(self.raft.take_output().records);
+            all.compacted = true;
         }
         all
     }
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -40,6 +40,7 @@
 };
 use crate::placement::target_controller::{AgentHeartbeat, EntryHeartbeat};
 use crate::process::daemon::{self, DaemonError};
+use crate::process::memory::MemoryUse;
 use crate::process::metrics::{MetricKey, MetricRegistry};
 use crate::process::peers::{self, ControlLink, PeerPool, SiteSecret};
 use crate::process::settings::{ControlSettings, VoterSettings};
@@ -774,5 +775,19 @@
     for (name, value) in gauges {
         metrics.gauge(MetricKey::new(name, &[]), value);
     }
+    let log = &status.log;
+    let parts = [
+        ("entries", log.entry_bytes),
+        ("retained", log.retained_bytes),
+        ("snapshot", log.snapshot_bytes),
+    ];
+    for (part, bytes) in parts {
+        let key = MetricKey::new("dunlinspring_log_bytes", &[("part", part)]);
+        metrics.gauge(key, bytes as u64);
+    }
+    for (kind, bytes) in MemoryUse::read().into_iter().flat_map(MemoryUse::by_kind) {
+        let key = MetricKey::new("dunlinspring_memory_bytes", &[("kind", kind)]);
+        metrics.gauge(key, bytes);
+    }
     metrics.render()
 }
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -27,6 +27,7 @@
 use crate::placement::report::{EntryReport, ReportReply};
 use crate::placement::suspect_leases::{SuspectLeaseReply, SuspectLeaseRequest, SuspectLeases};
 use crate::placement::target_controller::{AgentHeartbeat, EntryHeartbeat, TargetController};
+use crate::process::memory::MemoryUse;
 use crate::process::settings::ControlSettings;
 use crate::process::wire::{
     self, AccountStatus, AgentHeartbeatReply, ControlRefusal, ControlStatus, EntryHeartbeatReply,
@@ -755,6 +756,7 @@
             claims: state.claims.len(),
             unserved: fleet.unwrap_or_default(),
             silent_voters: self.silent_voters(now_ms),
+            log: raft.log_usage(),
         }
     }
 
@@ -880,6 +882,9 @@
         let was_behind = !self.writes.is_empty();
         let now_ms = clock::monotonic_ms();
         let output = self.replica.finish(now_ms);
+        if output.compacted {
+            self.log_compaction();
+        }
         let (batch, released) = self.writes.push(output);
         self.deliver(released);
         if let Some(batch) = batch {
@@ -893,6 +898,19 @@
         Ok(RunState::Runs)
     }
 
+    fn log_compaction(&self) {
+        let usage = self.replica.raft().log_usage();
+        let memory = MemoryUse::read().unwrap_or_default();
+        tracing::info!(
+            snapshot_bytes = usage.snapshot_bytes,
+            retained_bytes = usage.retained_bytes,
+            resident_bytes = memory.resident_bytes,
+            peak_bytes = memory.peak_bytes,
+            unsaved_batches = self.writes.len(),
+            "log compacted"
+        );
+    }
+
     /// Waits for the write of this turn, not much longer than a write usually takes: the followers
     /// of a leader with a slow disk must not miss its heartbeats. A voter that is its own quorum
     /// waits until the write is done, as its state holds entries that no other disk has.
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -13,6 +13,7 @@
 pub mod follow;
 pub mod log_limit;
 pub mod member;
+pub mod memory;
 pub mod metrics;
 pub mod peers;
 pub mod settings;
--- a/src/process/wire.rs
+++ b/src/process/wire.rs
@@ -12,7 +12,7 @@
 use crate::consensus::membership::LeaveStatus;
 use crate::consensus::part_crashes::PartStore;
 use crate::consensus::paxos::{PaxosReply, PaxosRequest};
-use crate::consensus::raft::RaftMessage;
+use crate::consensus::raft::{LogUsage, RaftMessage};
 use crate::consensus::software_versions::{ReplicaHeartbeat, VersionMix};
 use crate::consensus::state::{Command, Reply, SiteState};
 use crate::ids::{
@@ -39,7 +39,7 @@
 
 /// Protocol version. Incremented with each change of a type on the wire; peers with another
 /// version are refused.
-pub const PROTOCOL: u32 = 13;
+pub const PROTOCOL: u32 = 14;
 
 /// Reason why a control host refused a call.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -148,6 +148,8 @@
     pub unserved: UnservedSummary,
     /// Other voters whose messages this voter expects and does not receive.
     pub silent_voters: Vec<SilentVoter>,
+    /// Sizes of the log in the voter's memory.
+    pub log: LogUsage,
 }
 
 /// A voter that has sent no message to another one for some time.
@@ -186,6 +188,7 @@
             claims: 0,
             unserved: UnservedSummary::default(),
             silent_voters: Vec::new(),
+            log: LogUsage::default(),
         }
     }
 
--- a/tests/slow_disks.rs
+++ b/tests/slow_disks.rs
@@ -139,6 +139,7 @@
             records: output.records,
             messages: output.messages,
             replies: Vec::new(),
+            compacted: false,
         });
         voter.core.set_unsaved_from(voter.writes.unsaved_from());
         voter.queued = batch.map(|batch| batch.number).or(voter.queued);
