Compaction and start read the log a frame at a time

Cause, one part of it: DiskJournal::install read the whole log file back and decoded every entry, only to write the later ones again, while the voter held the same entries; a start held the file, its records and the image at once.

Compaction copies the frames of later entries through a buffer, a start decodes one frame at a time, and frames are encoded into the file, not into memory first (the body is encoded twice, for its checksum and for the file). The format on disk is the same.

--- a/src/control/journal.rs
+++ b/src/control/journal.rs
@@ -5,9 +5,10 @@
 //! dropped. A complete frame with a wrong checksum is corruption, and the voter refuses to
 //! start on it.
 
+use std::collections::VecDeque;
 use std::fmt;
 use std::fs::{self, File, OpenOptions};
-use std::io::{self, Read, Write};
+use std::io::{self, BufRead, BufReader, BufWriter, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 
 use rand::Rng;
@@ -16,7 +17,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::consensus::raft::{DiskImage, DiskRecord, LogSnapshot};
-use crate::ids::NodeId;
+use crate::ids::{NodeId, Position, Term};
 use crate::process::daemon::DaemonError;
 use crate::process::settings::VoterSettings;
 
@@ -24,6 +25,8 @@
 /// Maximum length of a frame body: the largest snapshot fits, and a corrupted length does not
 /// allocate more.
 const MAX_FRAME_BYTES: usize = 1 << 30;
+/// Size of the buffer of a file that is read or written, in bytes.
+const BUFFER_BYTES: usize = 64 * 1024;
 const LOG_FILE: &str = "log";
 const SNAPSHOT_FILE: &str = "snapshot";
 const IDENTITY_FILE: &str = "identity";
@@ -92,7 +95,7 @@
     folder: PathBuf,
     log: File,
     identity: DiskIdentity,
-    written: u64,
+    contents: LogContents,
     write_check: Option<WriteCheck>,
 }
 
@@ -101,7 +104,7 @@
         f.debug_struct("DiskJournal")
             .field("folder", &self.folder)
             .field("identity", &self.identity)
-            .field("written", &self.written)
+            .field("written", &self.contents.len)
             .finish_non_exhaustive()
     }
 }
@@ -120,9 +123,9 @@
 /// was the first start, and may have other hosts in its settings.
 pub fn begin_first_start(folder: &Path, configured: &[VoterSettings]) -> Result<()> {
     make_folder(folder)?;
-    let mut frame = Vec::new();
-    push_frame(&mut frame, &configured);
-    replace(folder, FIRST_START_FILE, &frame)
+    replace(folder, FIRST_START_FILE, |writer| {
+        write_frame(writer, &configured)
+    })
 }
 
 /// Returns what [`begin_first_start`] recorded, as long as the folder holds no log and no
@@ -149,9 +152,9 @@
         let mut image = DiskImage::default();
         load_snapshot(folder, &mut image)?;
         let path = folder.join(LOG_FILE);
-        let valid_len = load_log(&path, &mut image)?;
+        let contents = load_log(&path, &mut image)?;
         let log = open_log(&path)?;
-        log.set_len(valid_len as u64).context(IoSnafu {
+        log.set_len(contents.len).context(IoSnafu {
             step: "truncate the torn tail of",
             path: &path,
         })?;
@@ -164,7 +167,7 @@
             folder: folder.to_owned(),
             log,
             identity,
-            written: valid_len as u64,
+            contents,
             write_check: None,
         };
         Ok((journal, image))
@@ -177,7 +180,7 @@
 
     /// Returns the length of the log file in bytes.
     pub fn written(&self) -> u64 {
-        self.written
+        self.contents.len
     }
 
     /// Installs a check before each write, for tests of failing disks.
@@ -206,36 +209,39 @@
             self.install(snapshot)?;
             return Ok(1);
         }
-        let appended = records
-            .iter()
-            .take_while(|record| !matches!(record, DiskRecord::Install(_)));
-        let mut bytes = Vec::new();
-        let mut count = 0;
-        for record in appended {
-            push_frame(&mut bytes, record);
-            count += 1;
-        }
-        self.append(&bytes)?;
+        let is_snapshot = |record: &DiskRecord| matches!(record, DiskRecord::Install(_));
+        let next_snapshot = records.iter().position(is_snapshot);
+        let count = next_snapshot.unwrap_or(records.len());
+        self.append(&records[..count])?;
         Ok(count)
     }
 
-    fn append(&mut self, bytes: &[u8]) -> Result<()> {
-        let appended = self.try_append(bytes);
+    fn append(&mut self, records: &[DiskRecord]) -> Result<()> {
+        let appended = self.try_append(records);
         match &appended {
-            Ok(()) => self.written += bytes.len() as u64,
+            Ok(()) => records.iter().for_each(|record| self.contents.add(record)),
             Err(error) if error.is_full() => self.truncate_torn_tail()?,
             Err(_) => {}
         }
         appended
     }
 
-    fn try_append(&mut self, bytes: &[u8]) -> Result<()> {
+    fn try_append(&mut self, records: &[DiskRecord]) -> Result<()> {
         let path = self.folder.join(LOG_FILE);
-        self.check_write(bytes.len()).context(IoSnafu {
+        let len: u64 = records.iter().map(frame_len).sum();
+        self.check_write(len).context(IoSnafu {
             step: "append to",
             path: &path,
         })?;
-        self.log.write_all(bytes).context(IoSnafu {
+        let buffer_len = len.min(BUFFER_BYTES as u64) as usize;
+        let mut writer = BufWriter::with_capacity(buffer_len, &self.log);
+        let written = records
+            .iter()
+            .try_for_each(|record| write_frame(&mut writer, record))
+            .and_then(|()| writer.flush());
+        // A writer that is dropped after an error would try to write its rest again.
+        let _ = writer.into_parts();
+        written.context(IoSnafu {
             step: "append to",
             path: &path,
         })?;
@@ -248,47 +254,118 @@
     /// Removes the partial write that a full disk has left at the end of the log.
     fn truncate_torn_tail(&mut self) -> Result<()> {
         let path = self.folder.join(LOG_FILE);
-        self.log.set_len(self.written).context(IoSnafu {
+        self.log.set_len(self.contents.len).context(IoSnafu {
             step: "truncate the torn tail of",
             path: &path,
         })
     }
 
-    fn check_write(&mut self, len: usize) -> io::Result<()> {
+    fn check_write(&mut self, len: u64) -> io::Result<()> {
         match &mut self.write_check {
-            Some(check) => check(len),
+            Some(check) => check(len as usize),
             None => Ok(()),
         }
     }
 
     /// Replaces the snapshot first: until the log is rewritten, reading skips the entries that
-    /// the snapshot includes.
+    /// the snapshot includes. The frames of later entries are copied without being decoded.
     fn install(&mut self, snapshot: &LogSnapshot) -> Result<()> {
-        let path = self.folder.join(LOG_FILE);
-        let mut image = DiskImage::default();
-        load_snapshot(&self.folder, &mut image)?;
-        load_log(&path, &mut image)?;
-        let mut frame = Vec::new();
-        push_frame(&mut frame, snapshot);
-        self.check_write(frame.len()).context(IoSnafu {
+        self.check_write(frame_len(snapshot)).context(IoSnafu {
             step: "write",
             path: self.folder.join(SNAPSHOT_FILE),
         })?;
-        replace(&self.folder, SNAPSHOT_FILE, &frame)?;
-        image.apply(DiskRecord::Install(snapshot.clone()));
-        let mut bytes = Vec::new();
-        push_frame(&mut bytes, &DiskRecord::Vote(image.vote.0, image.vote.1));
-        for entry in image.entries {
-            push_frame(&mut bytes, &DiskRecord::Append(entry));
-        }
-        push_frame(&mut bytes, &DiskRecord::Commit(image.commit));
-        replace(&self.folder, LOG_FILE, &bytes)?;
+        replace(&self.folder, SNAPSHOT_FILE, |writer| {
+            write_frame(writer, snapshot)
+        })?;
+        let path = self.folder.join(LOG_FILE);
+        let kept = self.contents.after(snapshot.last.index);
+        let vote = DiskRecord::Vote(kept.vote.0, kept.vote.1);
+        let commit = DiskRecord::Commit(kept.commit);
+        let mut old_log = File::open(&path).context(IoSnafu {
+            step: "open",
+            path: &path,
+        })?;
+        replace(&self.folder, LOG_FILE, |writer| {
+            write_frame(writer, &vote)?;
+            for frame in &kept.frames {
+                copy_frame(&mut old_log, frame, writer)?;
+            }
+            write_frame(writer, &commit)
+        })?;
         self.log = open_log(&path)?;
-        self.written = bytes.len() as u64;
+        self.contents = kept.rewritten(&vote, &commit);
         Ok(())
     }
 }
 
+/// Place of an entry in the log file.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct EntryFrame {
+    index: Position,
+    offset: u64,
+    len: u64,
+}
+
+/// What the log file holds, without the payloads of its entries.
+#[derive(Clone, Debug, Default)]
+struct LogContents {
+    vote: (Term, Option<NodeId>),
+    commit: Position,
+    /// Entries that are not truncated, in order.
+    frames: VecDeque<EntryFrame>,
+    /// Length of the file in bytes.
+    len: u64,
+}
+
+impl LogContents {
+    /// Adds a record that was appended.
+    fn add(&mut self, record: &DiskRecord) {
+        let len = frame_len(record);
+        match record {
+            DiskRecord::Vote(term, vote) => self.vote = (*term, *vote),
+            DiskRecord::Commit(index) => self.commit = self.commit.max(*index),
+            DiskRecord::Truncate(from) => self.frames.retain(|frame| frame.index < *from),
+            DiskRecord::Append(entry) => self.frames.push_back(EntryFrame {
+                index: entry.mark.index,
+                offset: self.len,
+                len,
+            }),
+            DiskRecord::Install(_) => {}
+        }
+        self.len += len;
+    }
+
+    /// Returns the contents that remain after a snapshot of the entries up to `index`.
+    fn after(&self, index: Position) -> Self {
+        let later = self.frames.iter().filter(|frame| frame.index > index);
+        Self {
+            frames: later.copied().collect(),
+            ..self.clone()
+        }
+    }
+
+    /// Returns the same contents in a file that has the entries between two records.
+    fn rewritten(mut self, first: &DiskRecord, last: &DiskRecord) -> Self {
+        self.len = frame_len(first);
+        for frame in &mut self.frames {
+            frame.offset = self.len;
+            self.len += frame.len;
+        }
+        self.len += frame_len(last);
+        self
+    }
+}
+
+/// Copies a frame from the log to `writer`, a buffer at a time.
+fn copy_frame(log: &mut File, frame: &EntryFrame, writer: &mut impl Write) -> io::Result<()> {
+    log.seek(SeekFrom::Start(frame.offset))?;
+    let copied = io::copy(&mut log.take(frame.len), writer)?;
+    match copied == frame.len {
+        true => Ok(()),
+        false => Err(io::ErrorKind::UnexpectedEof.into()),
+    }
+}
+
 fn open_log(path: &Path) -> Result<File> {
     OpenOptions::new()
         .create(true)
@@ -298,69 +375,142 @@
         .context(IoSnafu { step: "open", path })
 }
 
-fn push_frame<T: Serialize>(bytes: &mut Vec<u8>, value: &T) {
-    let body = bincode::serialize(value).expect("records encode into memory");
-    let len = (body.len() as u32).to_le_bytes();
-    bytes.extend_from_slice(&len);
-    bytes.extend_from_slice(&crc32fast::hash(&len).to_le_bytes());
-    bytes.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
-    bytes.extend_from_slice(&body);
+/// Returns the length of the frame of a value, in bytes.
+fn frame_len<T: Serialize>(value: &T) -> u64 {
+    let body_len = bincode::serialized_size(value).expect("records encode");
+    HEADER_BYTES as u64 + body_len
 }
 
-enum Frame<'a> {
-    Complete { body: &'a [u8], next: usize },
+/// Writes a frame. Its body is encoded twice, for the checksum and for the file, rather than held
+/// in memory: snapshots and entries may be as large as the state.
+fn write_frame<T: Serialize>(writer: &mut impl Write, value: &T) -> io::Result<()> {
+    let body_len = frame_len(value) - HEADER_BYTES as u64;
+    let len = (body_len as u32).to_le_bytes();
+    let mut checksum = ChecksumWriter::default();
+    encode_into(&mut checksum, value)?;
+    writer.write_all(&len)?;
+    writer.write_all(&crc32fast::hash(&len).to_le_bytes())?;
+    writer.write_all(&checksum.0.finalize().to_le_bytes())?;
+    encode_into(writer, value)
+}
+
+fn encode_into<T: Serialize>(writer: &mut impl Write, value: &T) -> io::Result<()> {
+    bincode::serialize_into(writer, value).map_err(|error| match *error {
+        bincode::ErrorKind::Io(source) => source,
+        other => unreachable!("records encode: {other}"),
+    })
+}
+
+/// Computes the checksum of what is written to it.
+#[derive(Default)]
+struct ChecksumWriter(crc32fast::Hasher);
+
+impl Write for ChecksumWriter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.update(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+enum Frame {
+    Complete(Vec<u8>),
     Torn,
     Damaged(&'static str),
 }
 
-fn read_u32(bytes: &[u8], at: usize) -> u32 {
-    let mut le_bytes = [0; 4];
-    le_bytes.copy_from_slice(&bytes[at..at + 4]);
-    u32::from_le_bytes(le_bytes)
+/// Reads the frames of a file one after the other.
+struct FrameReader<'a> {
+    path: &'a Path,
+    file: BufReader<File>,
+    len: u64,
+    /// Offset of the next frame.
+    offset: u64,
 }
 
-fn read_frame(bytes: &[u8], offset: usize) -> Frame<'_> {
-    let rest = &bytes[offset..];
-    // A file that was extended by a write that never reached the disk reads as zeros.
-    if rest.len() < HEADER_BYTES || rest.iter().all(|byte| *byte == 0) {
-        return Frame::Torn;
-    }
-    let len = read_u32(rest, 0) as usize;
-    if crc32fast::hash(&rest[..4]) != read_u32(rest, 4) || len > MAX_FRAME_BYTES {
-        return Frame::Damaged("length checksum mismatch");
+impl<'a> FrameReader<'a> {
+    /// Opens a file; returns `None` if there is none.
+    fn open(path: &'a Path) -> Result<Option<Self>> {
+        let file = match File::open(path) {
+            Ok(file) => file,
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+            Err(source) => {
+                return Err(JournalError::Io {
+                    step: "open",
+                    path: path.to_owned(),
+                    source,
+                });
+            }
+        };
+        let metadata = file.metadata().context(IoSnafu { step: "read", path })?;
+        Ok(Some(Self {
+            path,
+            file: BufReader::with_capacity(BUFFER_BYTES, file),
+            len: metadata.len(),
+            offset: 0,
+        }))
     }
-    let next = HEADER_BYTES + len;
-    if rest.len() < next {
-        return Frame::Torn;
+
+    fn is_at_end(&self) -> bool {
+        self.offset >= self.len
     }
-    let body = &rest[HEADER_BYTES..next];
-    match crc32fast::hash(body) == read_u32(rest, 8) {
-        true => Frame::Complete {
-            body,
-            next: offset + next,
-        },
-        false if body.iter().all(|byte| *byte == 0) && rest.len() == next => Frame::Torn,
-        false => Frame::Damaged("record checksum mismatch"),
+
+    fn read_frame(&mut self) -> Result<Frame> {
+        let path = self.path;
+        self.try_read_frame()
+            .context(IoSnafu { step: "read", path })
     }
-}
 
-fn read_file(path: &Path) -> Result<Vec<u8>> {
-    let mut bytes = Vec::new();
-    match File::open(path) {
-        Ok(mut file) => {
-            file.read_to_end(&mut bytes)
-                .context(IoSnafu { step: "read", path })?;
+    fn try_read_frame(&mut self) -> io::Result<Frame> {
+        let left = self.len - self.offset;
+        if left < HEADER_BYTES as u64 {
+            return Ok(Frame::Torn);
+        }
+        let mut header = [0; HEADER_BYTES];
+        self.file.read_exact(&mut header)?;
+        // A file that was extended by a write that never reached the disk reads as zeros.
+        if header == [0; HEADER_BYTES] && self.rest_is_zero()? {
+            return Ok(Frame::Torn);
+        }
+        let len = read_u32(&header, 0) as usize;
+        if crc32fast::hash(&header[..4]) != read_u32(&header, 4) || len > MAX_FRAME_BYTES {
+            return Ok(Frame::Damaged("length checksum mismatch"));
         }
-        Err(error) if error.kind() == io::ErrorKind::NotFound => {}
-        Err(source) => {
-            return Err(JournalError::Io {
-                step: "open",
-                path: path.to_owned(),
-                source,
-            });
+        let next = (HEADER_BYTES + len) as u64;
+        if left < next {
+            return Ok(Frame::Torn);
+        }
+        let mut body = vec![0; len];
+        self.file.read_exact(&mut body)?;
+        match crc32fast::hash(&body) == read_u32(&header, 8) {
+            true => {
+                self.offset += next;
+                Ok(Frame::Complete(body))
+            }
+            false if left == next && body.iter().all(|byte| *byte == 0) => Ok(Frame::Torn),
+            false => Ok(Frame::Damaged("record checksum mismatch")),
         }
     }
-    Ok(bytes)
+
+    fn rest_is_zero(&mut self) -> io::Result<bool> {
+        loop {
+            let bytes = self.file.fill_buf()?;
+            let len = bytes.len();
+            if len == 0 || bytes.iter().any(|byte| *byte != 0) {
+                return Ok(len == 0);
+            }
+            self.file.consume(len);
+        }
+    }
+}
+
+fn read_u32(bytes: &[u8], at: usize) -> u32 {
+    let mut le_bytes = [0; 4];
+    le_bytes.copy_from_slice(&bytes[at..at + 4]);
+    u32::from_le_bytes(le_bytes)
 }
 
 fn damage_error<T>(path: &Path, offset: usize, what: &'static str) -> Result<T> {
@@ -371,24 +521,28 @@
     })
 }
 
-/// Replays the log into `image` and returns the length of its valid part.
-fn load_log(path: &Path, image: &mut DiskImage) -> Result<usize> {
-    let bytes = read_file(path)?;
-    let mut offset = 0;
-    while offset < bytes.len() {
-        match read_frame(&bytes, offset) {
+/// Replays the log into `image`, one frame at a time, and returns its contents.
+fn load_log(path: &Path, image: &mut DiskImage) -> Result<LogContents> {
+    let mut contents = LogContents::default();
+    let Some(mut reader) = FrameReader::open(path)? else {
+        return Ok(contents);
+    };
+    while !reader.is_at_end() {
+        let offset = reader.offset as usize;
+        match reader.read_frame()? {
             Frame::Torn => break,
             Frame::Damaged(what) => return damage_error(path, offset, what),
-            Frame::Complete { body, next } => {
-                let Ok(record) = bincode::deserialize(body) else {
+            Frame::Complete(body) => {
+                let Ok(record) = bincode::deserialize(&body) else {
                     return damage_error(path, offset, "record cannot be decoded");
                 };
+                drop(body);
+                contents.add(&record);
                 replay(image, record);
-                offset = next;
             }
         }
     }
-    Ok(offset)
+    Ok(contents.after(image.snapshot.last.index))
 }
 
 /// Applies a record, except for entries that the snapshot includes: the log may be older than
@@ -403,12 +557,11 @@
 /// Loads the snapshot. It is replaced atomically, so an incomplete one is corruption too.
 fn load_snapshot(folder: &Path, image: &mut DiskImage) -> Result<()> {
     let path = folder.join(SNAPSHOT_FILE);
-    let bytes = read_file(&path)?;
-    if bytes.is_empty() {
+    let Some(mut reader) = FrameReader::open(&path)?.filter(|reader| !reader.is_at_end()) else {
         return Ok(());
-    }
-    match read_frame(&bytes, 0) {
-        Frame::Complete { body, .. } => match bincode::deserialize(body) {
+    };
+    match reader.read_frame()? {
+        Frame::Complete(body) => match bincode::deserialize(&body) {
             Ok(snapshot) => image.snapshot = snapshot,
             Err(_) => return damage_error(&path, 0, "snapshot cannot be decoded"),
         },
@@ -440,16 +593,15 @@
 /// file.
 fn read_framed<T: DeserializeOwned>(folder: &Path, name: &str) -> Result<Option<T>> {
     let path = folder.join(name);
-    let bytes = read_file(&path)?;
-    match bytes.is_empty() {
-        true => Ok(None),
-        false => match read_frame(&bytes, 0) {
-            Frame::Complete { body, .. } => match bincode::deserialize(body) {
-                Ok(value) => Ok(Some(value)),
-                Err(_) => damage_error(&path, 0, "value cannot be decoded"),
-            },
-            _ => damage_error(&path, 0, "value is truncated or corrupted"),
+    let Some(mut reader) = FrameReader::open(&path)?.filter(|reader| !reader.is_at_end()) else {
+        return Ok(None);
+    };
+    match reader.read_frame()? {
+        Frame::Complete(body) => match bincode::deserialize(&body) {
+            Ok(value) => Ok(Some(value)),
+            Err(_) => damage_error(&path, 0, "value cannot be decoded"),
         },
+        _ => damage_error(&path, 0, "value is truncated or corrupted"),
     }
 }
 
@@ -459,21 +611,28 @@
     }
     let node = bootstrap_id.unwrap_or_else(|| NodeId(rand::rng().random()));
     let identity = DiskIdentity { node };
-    let mut frame = Vec::new();
-    push_frame(&mut frame, &identity);
-    replace(folder, IDENTITY_FILE, &frame)?;
+    replace(folder, IDENTITY_FILE, |writer| {
+        write_frame(writer, &identity)
+    })?;
     Ok(identity)
 }
 
 /// Replaces a file atomically: after a crash it has either the old or the new content.
-fn replace(folder: &Path, name: &str, bytes: &[u8]) -> Result<()> {
+fn replace(
+    folder: &Path,
+    name: &str,
+    write: impl FnOnce(&mut BufWriter<File>) -> io::Result<()>,
+) -> Result<()> {
     let path = folder.join(name);
     let temp_path = folder.join(format!("{name}.new"));
-    let mut file = File::create(&temp_path).context(IoSnafu {
+    let file = File::create(&temp_path).context(IoSnafu {
         step: "create",
         path: &temp_path,
     })?;
-    file.write_all(bytes).context(IoSnafu {
+    let mut writer = BufWriter::with_capacity(BUFFER_BYTES, file);
+    let written = write(&mut writer).and_then(|()| writer.flush());
+    let (file, _) = writer.into_parts();
+    written.context(IoSnafu {
         step: "write",
         path: &temp_path,
     })?;
--- /dev/null
+++ b/tests/control_memory/main.rs
@@ -0,0 +1,155 @@
+//! Memory of a voter with large configurations: each phase holds a bounded number of copies.
+
+mod counting;
+
+use std::collections::BTreeSet;
+use std::path::Path;
+
+use dunlinspring::consensus::raft::{
+    DiskImage, DiskRecord, LogEntry, LogMark, LogSnapshot, Payload, RaftCore, RaftMessage,
+    RaftTiming,
+};
+use dunlinspring::consensus::replica::LogReplica;
+use dunlinspring::consensus::state::{Command, SiteState, Stamped};
+use dunlinspring::control::journal::DiskJournal;
+use dunlinspring::ids::{NodeId, Position, ServiceName, Term};
+use dunlinspring::routing::view;
+use dunlinspring::table::configuration::{
+    Configuration, ConfigurationRecord, RouteKind, RouteSpec, ServiceSpec,
+};
+use tempfile::TempDir;
+
+use counting::{CountingAllocator, peak_of};
+
+#[global_allocator]
+static ALLOCATOR: CountingAllocator = CountingAllocator;
+
+const MIB: usize = 1024 * 1024;
+const TIMING: RaftTiming = RaftTiming {
+    election_ms: 100,
+    heartbeat_ms: 20,
+};
+const NODE: NodeId = NodeId(1);
+/// Size of the text of the largest configuration, in bytes.
+const TEXT_BYTES: usize = 4 * MIB;
+/// Number of its routes.
+const ROUTES: usize = 18_000;
+/// What a step may allocate beside the values that it is about, in bytes.
+const SLACK_BYTES: usize = MIB;
+
+fn route(number: usize) -> RouteSpec {
+    RouteSpec {
+        name: format!("r-{number:07}"),
+        host: format!("host{}.example", number % 40),
+        prefix: format!("/path{number:07}/"),
+        kind: RouteKind::Safe,
+        timeout_ms: 800,
+        latency_goal_ms: 100,
+        max_event_gap_ms: 400,
+        priority: 1,
+        attempts: 2,
+        resumable: false,
+        public: false,
+        regions: BTreeSet::new(),
+        split: vec![(ServiceName::from("service"), 1_000)],
+    }
+}
+
+fn configure(version: u64) -> Command {
+    let service = ServiceSpec {
+        max_connections: 96,
+        warm_up: None,
+        engine: None,
+    };
+    let configuration = Configuration {
+        version,
+        routes: (0..ROUTES).map(route).collect(),
+        services: [(ServiceName::from("service"), service)].into(),
+        ..Configuration::default()
+    };
+    let record = ConfigurationRecord {
+        configuration: configuration.into(),
+        source: vec![b'a'; TEXT_BYTES].into(),
+    };
+    Command::Configure(Box::new(record))
+}
+
+fn stamped(command: Command) -> Vec<u8> {
+    bincode::serialize(&Stamped { at_ms: 0, command }).unwrap()
+}
+
+/// Size of a change in the log, in bytes.
+fn entry_bytes() -> usize {
+    stamped(configure(1)).len()
+}
+
+/// Size of the parsed configuration and its text in memory, in bytes.
+fn state_bytes() -> usize {
+    let encoded = stamped(configure(1));
+    let (decoded, peak) = peak_of(|| bincode::deserialize::<Stamped>(&encoded).unwrap());
+    drop(decoded);
+    peak
+}
+
+fn large_entry(index: u64) -> LogEntry {
+    LogEntry {
+        mark: LogMark {
+            term: Term(1),
+            index: Position(index),
+        },
+        payload: Payload::Command(stamped(configure(index)).into()),
+    }
+}
+
+/// Writes a log of large changes, as a voter has it before it compacts.
+fn write_log(folder: &Path, entries: u64) {
+    let (mut journal, _) = DiskJournal::open(folder, Some(NODE)).unwrap();
+    let voters = BTreeSet::from([NODE]);
+    let snapshot = LogReplica::bootstrap_image(voters).snapshot;
+    let vote = DiskRecord::Vote(Term(1), Some(NODE));
+    journal
+        .save(&[DiskRecord::Install(snapshot), vote])
+        .unwrap();
+    for index in 1..=entries {
+        let append = DiskRecord::Append(large_entry(index));
+        let commit = DiskRecord::Commit(Position(index));
+        journal.save(&[append, commit]).unwrap();
+    }
+}
+
+/// Compaction read the log back and decoded it, beside the entries that the voter holds.
+#[test]
+fn compaction_of_a_large_log_reads_nothing_back_into_memory() {
+    let folder = TempDir::new().unwrap();
+    write_log(folder.path(), 6);
+    let (mut journal, _) = DiskJournal::open(folder.path(), None).unwrap();
+    let install = DiskRecord::Install(LogSnapshot {
+        last: large_entry(4).mark,
+        voters: BTreeSet::from([NODE]),
+        state: vec![1; entry_bytes()].into(),
+    });
+    let (saved, peak) = peak_of(|| journal.save(std::slice::from_ref(&install)));
+    saved.unwrap();
+    assert!(peak <= SLACK_BYTES, "{peak}");
+    drop(journal);
+    let (_, image) = DiskJournal::open(folder.path(), None).unwrap();
+    assert_eq!(image.entries, vec![large_entry(5), large_entry(6)]);
+    assert_eq!(image.commit, Position(6));
+}
+
+/// A start read the whole log into memory, held it decoded beside that, and copied the committed
+/// entries once more.
+#[test]
+fn a_start_holds_the_log_once() {
+    let folder = TempDir::new().unwrap();
+    let entries = 6;
+    write_log(folder.path(), entries);
+    let (replica, peak) = peak_of(|| {
+        let (_, image) = DiskJournal::open(folder.path(), None).unwrap();
+        LogReplica::new(NODE, TIMING, image, 0, 1, 400)
+    });
+    assert_eq!(replica.position(), Position(entries));
+    // The log, one frame as it is read, and the state before and after a change.
+    let bound = (entries as usize + 1) * entry_bytes() + 2 * state_bytes() + SLACK_BYTES;
+    assert!(peak <= bound, "{peak} of {bound}");
+}
