Copies of a configuration share one

At 4 MiB a leader held some 70 times the size of the text.

Commands, encoded states and the text are now reference-counted bytes, and the parsed configuration is shared.

Tests that build configurations and entries say .into() now; no check has changed.

--- a/src/consensus/entries.rs
+++ b/src/consensus/entries.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{NodeId, Position, Term};
@@ -22,8 +23,8 @@
     Noop,
     /// Voters from this entry on.
     Voters(BTreeSet<NodeId>),
-    /// Encoded command for the state machine.
-    Command(Vec<u8>),
+    /// Encoded command for the state machine. Copies of an entry share it.
+    Command(Bytes),
 }
 
 /// Log entry.
@@ -65,8 +66,8 @@
     pub last: LogMark,
     /// Voters as of that entry.
     pub voters: BTreeSet<NodeId>,
-    /// Encoded state.
-    pub state: Vec<u8>,
+    /// Encoded state. Copies of a snapshot share it.
+    pub state: Bytes,
 }
 
 /// Record of a durable change. Synced before dependent messages are sent; see
--- a/src/consensus/raft.rs
+++ b/src/consensus/raft.rs
@@ -9,6 +9,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use bytes::Bytes;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
@@ -314,11 +315,11 @@
     }
 
     /// Appends a command if this voter is the leader, and returns its log position.
-    pub fn propose(&mut self, command: Vec<u8>) -> Result<LogMark, ProposeError> {
+    pub fn propose(&mut self, command: impl Into<Bytes>) -> Result<LogMark, ProposeError> {
         if self.role != Role::Leader {
             return Err(ProposeError::NotLeader(self.leader));
         }
-        Ok(self.append_own(Payload::Command(command)))
+        Ok(self.append_own(Payload::Command(command.into())))
     }
 
     /// Sends what was proposed or committed since the last call. Separate from `propose`, so
@@ -456,7 +457,7 @@
 
     /// Compacts the log up to the last delivered entry; `state` is the encoded state machine at
     /// that entry.
-    pub fn compact(&mut self, state: Vec<u8>) {
+    pub fn compact(&mut self, state: impl Into<Bytes>) {
         let index = self.delivered;
         let Some(term) = self.term_at(index) else {
             return;
@@ -465,7 +466,7 @@
         self.snapshot = LogSnapshot {
             last: LogMark { term, index },
             voters,
-            state,
+            state: state.into(),
         };
         let kept = self.entries.partition_point(|e| e.mark.index <= index);
         self.retained.extend(self.entries.drain(..kept));
--- a/src/consensus/replica.rs
+++ b/src/consensus/replica.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use bytes::Bytes;
+
 use crate::consensus::raft::{
     DiskImage, DiskRecord, LogEntry, LogMark, LogSnapshot, Payload, ProposeError, RaftCore,
     RaftMessage, RaftTiming,
@@ -216,8 +218,9 @@
     }
 }
 
-fn encode_state(state: &SiteState) -> Vec<u8> {
-    bincode::serialize(state).expect("the state encodes into memory")
+fn encode_state(state: &SiteState) -> Bytes {
+    let bytes = bincode::serialize(state).expect("the state encodes into memory");
+    bytes.into()
 }
 
 fn decode_state(snapshot: &LogSnapshot) -> SiteState {
--- a/src/consensus/state.rs
+++ b/src/consensus/state.rs
@@ -2,6 +2,7 @@
 
 use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -222,7 +223,7 @@
     /// A home changed or, with `None`, ended.
     Home(TargetName, ModelName, Option<HomeInfo>),
     /// The configuration was replaced.
-    Configuration(Box<Configuration>),
+    Configuration(Arc<Configuration>),
     /// A replica was stored or, with `None`, ended.
     Replica(ReplicaId, Option<ReplicaRecord>),
     /// The crash counts of these contents changed.
@@ -495,12 +496,22 @@
                 Change::Replica(id, _) => newest.insert(id),
                 _ => true,
             })
-            .cloned()
+            .map(|change| self.with_contents(change))
             .collect();
         kept.reverse();
         Some(kept)
     }
 
+    /// Returns a journaled change; one of the configuration has the contents in force.
+    fn with_contents(&self, change: &Change) -> Change {
+        match (change, &self.configuration) {
+            (Change::Configuration(_), Some(record)) => {
+                Change::Configuration(record.configuration.clone())
+            }
+            (change, _) => change.clone(),
+        }
+    }
+
     /// Returns the position of the last change that members follow; measures how far they lag.
     pub fn changed(&self) -> Position {
         self.changed
@@ -520,8 +531,8 @@
             models.iter().map(change)
         });
         let configuration = self.configuration.iter();
-        let configuration = configuration
-            .map(|record| Change::Configuration(Box::new(record.configuration.clone())));
+        let configuration =
+            configuration.map(|record| Change::Configuration(record.configuration.clone()));
         let versions = self.versions.named().iter();
         let versions = versions.map(|(incarnation, version)| {
             Change::ReplicaVersion(incarnation.clone(), version.clone())
@@ -629,11 +640,11 @@
 
     fn configure(&mut self, record: &ConfigurationRecord) -> ConfigureResult {
         self.configuration = Some(Box::new(record.clone()));
-        // Keep only the newest configuration, as each one is large.
+        // Keep only the newest change, without its contents: members need the configuration in
+        // force, which a snapshot would otherwise hold twice.
         let is_other = |change: &Change| !matches!(change, Change::Configuration(_));
         self.journal.retain(|(_, change)| is_other(change));
-        let configuration = Box::new(record.configuration.clone());
-        self.record_change(Change::Configuration(configuration));
+        self.record_change(Change::Configuration(Arc::default()));
         ConfigureResult::Held
     }
 
--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -10,6 +10,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use snafu::Snafu;
 use tarpc::client::RpcError;
 use tokio::sync::oneshot;
@@ -152,13 +153,13 @@
     pub async fn configure(
         &self,
         configuration: Configuration,
-        source: Vec<u8>,
+        source: impl Into<Bytes>,
     ) -> Result<ConfigureResult, RegistryError> {
         configuration.check()?;
         let version = configuration.version;
         let record = ConfigurationRecord {
-            configuration,
-            source,
+            configuration: Arc::new(configuration),
+            source: source.into(),
         };
         let command = Command::Configure(Box::new(record));
         let reply = self.commit(command, CONFIGURE_TIMEOUT).await;
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -160,8 +160,8 @@
 /// A configuration with its indexes.
 #[derive(Debug)]
 pub struct Routing {
-    /// The configuration.
-    pub configuration: Configuration,
+    /// The configuration, shared with the copy of the log.
+    pub configuration: Arc<Configuration>,
     /// Index of its routes.
     pub index: RouteIndex,
     /// Slack rank of each route: how well its requests can wait.
@@ -557,7 +557,7 @@
             let index = RouteIndex::new(&configuration.routes);
             let version = configuration.version;
             let routes = configuration.routes.len();
-            let configuration = (**configuration).clone();
+            let configuration = configuration.clone();
             let services = &configuration.services;
             let mut replicas = self.replicas.borrow_mut();
             replicas.update_services(services);
@@ -573,7 +573,7 @@
                 keys,
             };
             let before = self.routing.replace(Some(Rc::new(routing)));
-            let before = before.as_ref().map(|before| &before.configuration);
+            let before = before.as_ref().map(|before| &*before.configuration);
             if let Some(routing) = self.routing() {
                 self.update_rerouted(before, &routing.configuration);
             }
--- a/src/routing/route_changes.rs
+++ b/src/routing/route_changes.rs
@@ -2,6 +2,7 @@
 //! knows. Pure: the caller passes in the time.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use crate::consensus::software_versions::VersionMix;
 use crate::ids::ServiceName;
@@ -100,13 +101,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct RouteFollower {
     changes: RouteChanges,
-    configuration: Option<Configuration>,
+    configuration: Option<Arc<Configuration>>,
 }
 
 impl RouteFollower {
     /// Records the configuration in force, if it is newer than the last one.
-    pub fn follow(&mut self, now_ms: u64, configuration: &Configuration) {
-        let known = self.configuration.as_ref();
+    pub fn follow(&mut self, now_ms: u64, configuration: &Arc<Configuration>) {
+        let known = self.configuration.as_deref();
         if known.is_none_or(|known| known.version < configuration.version) {
             self.changes.update(now_ms, known, configuration);
             self.configuration = Some(configuration.clone());
--- a/src/routing/view.rs
+++ b/src/routing/view.rs
@@ -1,6 +1,7 @@
 //! A member's copy of the site state, which follows the log and never goes back.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -58,7 +59,7 @@
     /// Homes by model.
     pub homes: BTreeMap<ModelName, BTreeMap<TargetName, HomeInfo>>,
     /// Configuration in force, once there is one.
-    pub configuration: Option<Box<Configuration>>,
+    pub configuration: Option<Arc<Configuration>>,
     /// Registered replicas.
     pub replicas: BTreeMap<ReplicaId, ReplicaRecord>,
     /// Software versions that known incarnations of replicas named.
--- a/src/table/configuration.rs
+++ b/src/table/configuration.rs
@@ -3,7 +3,9 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
+use std::sync::Arc;
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
@@ -343,13 +345,14 @@
 }
 
 /// Configuration together with the text that the operator sent, which can be read back. The
-/// text contains keys: only hosts that store the log hold it, and debug output omits it.
+/// text contains keys: only hosts that store the log hold it, and debug output omits it. Copies
+/// share both.
 #[derive(Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigurationRecord {
     /// Parsed configuration.
-    pub configuration: Configuration,
+    pub configuration: Arc<Configuration>,
     /// Text as sent.
-    pub source: Vec<u8>,
+    pub source: Bytes,
 }
 
 impl fmt::Debug for ConfigurationRecord {
--- a/tests/control_memory/main.rs
+++ b/tests/control_memory/main.rs
@@ -117,6 +117,72 @@
     }
 }
 
+/// A change of the configuration was copied for its record, for each follower and for its
+/// application: a leader held each change nine times.
+#[test]
+fn a_large_change_is_held_once_by_records_messages_and_log() {
+    let mut image = DiskImage::default();
+    image.snapshot.voters = (1..=5).map(NodeId).collect();
+    let mut core = RaftCore::new(NODE, TIMING, image, 0, 1);
+    elect(&mut core);
+    let command = stamped(configure(1));
+    let len = command.len();
+    let (output, peak) = peak_of(|| {
+        core.propose(command).unwrap();
+        core.flush(1_000);
+        core.take_output()
+    });
+    assert_eq!(output.messages.len(), 4);
+    assert!(peak <= SLACK_BYTES, "{peak} beside a change of {len}");
+}
+
+/// Makes a voter of five lead.
+fn elect(core: &mut RaftCore) {
+    let mut now_ms = 0;
+    while !core.is_leader() {
+        now_ms += 1;
+        core.tick(now_ms);
+        let term = core.term();
+        for (to, message) in core.take_output().messages {
+            let reply = match message {
+                RaftMessage::PreVote { term, .. } => RaftMessage::PreVoteReply {
+                    term,
+                    granted: true,
+                },
+                RaftMessage::Vote { .. } => RaftMessage::VoteReply {
+                    term,
+                    granted: true,
+                },
+                _ => continue,
+            };
+            core.receive(now_ms, to, reply);
+        }
+    }
+    core.take_output();
+}
+
+/// A configuration was copied for the state, for the changes that members follow, for each of
+/// their pages, and stood twice in a snapshot.
+#[test]
+fn a_configuration_is_held_once_by_the_state_and_its_pages() {
+    let change = Stamped {
+        at_ms: 0,
+        command: configure(1),
+    };
+    let mut state = SiteState::default();
+    let (_, peak) = peak_of(|| state.apply(Position(1), &change));
+    assert!(peak <= SLACK_BYTES, "state: {peak}");
+    let (pages, peak) = peak_of(|| {
+        let cursors = [0, 1, 0, 0].map(Position);
+        cursors.map(|cursor| view::page_after(&state, cursor))
+    });
+    assert!(peak <= SLACK_BYTES, "pages: {peak}");
+    assert_eq!(pages[0].changes.len(), 2);
+    let snapshot = bincode::serialize(&state).unwrap();
+    let entry = entry_bytes();
+    assert!(snapshot.len() <= entry + SLACK_BYTES, "{}", snapshot.len());
+}
+
 /// Compaction read the log back and decoded it, beside the entries that the voter holds.
 #[test]
 fn compaction_of_a_large_log_reads_nothing_back_into_memory() {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -85,8 +85,8 @@
             ..Configuration::default()
         };
         let record = ConfigurationRecord {
-            configuration,
-            source: Vec::new(),
+            configuration: configuration.into(),
+            source: Default::default(),
         };
         let mut fleet = Self {
             state: SiteState::default(),
--- a/tests/fleet_versions.rs
+++ b/tests/fleet_versions.rs
@@ -102,8 +102,8 @@
             ..Configuration::default()
         };
         let record = ConfigurationRecord {
-            configuration,
-            source: Vec::new(),
+            configuration: configuration.into(),
+            source: Default::default(),
         };
         let policy = FleetPolicy::default();
         let mut fleet = Self {
--- a/tests/full_disk.rs
+++ b/tests/full_disk.rs
@@ -55,8 +55,8 @@
         ..Configuration::default()
     };
     let record = ConfigurationRecord {
-        configuration,
-        source: Vec::new(),
+        configuration: configuration.into(),
+        source: Default::default(),
     };
     Command::Configure(Box::new(record))
 }
--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -18,7 +18,7 @@
             term: Term(1),
             index: Position(index),
         },
-        payload: Payload::Command(vec![index as u8; 40]),
+        payload: Payload::Command(vec![index as u8; 40].into()),
     }
 }
 
@@ -97,7 +97,7 @@
     let install = DiskRecord::Install(LogSnapshot {
         last: entry(4).mark,
         voters: [NodeId(7)].into(),
-        state: vec![1, 2, 3],
+        state: vec![1, 2, 3].into(),
     });
     journal
         .save(&[install.clone(), DiskRecord::Append(entry(7))])
@@ -126,7 +126,7 @@
     let install = DiskRecord::Install(LogSnapshot {
         last: entry(4).mark,
         voters: [NodeId(7)].into(),
-        state: Vec::new(),
+        state: Default::default(),
     });
     journal.save(&[install]).unwrap();
     // The new snapshot reached the disk, the new log did not.
@@ -144,7 +144,7 @@
     let install = DiskRecord::Install(LogSnapshot {
         last: entry(2).mark,
         voters: [NodeId(7)].into(),
-        state: vec![9; 64],
+        state: vec![9; 64].into(),
     });
     let records = [
         DiskRecord::Append(entry(4)),
--- a/tests/log_bytes.rs
+++ b/tests/log_bytes.rs
@@ -3,6 +3,7 @@
 mod support_raft;
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use dunlinspring::consensus::raft::{DiskImage, LogEntry, RaftCore, RaftMessage, RaftTiming};
 use dunlinspring::consensus::replica::LogReplica;
@@ -22,11 +23,11 @@
 
 fn configure(version: u64, bytes: usize) -> Command {
     let record = ConfigurationRecord {
-        configuration: Configuration {
+        configuration: Arc::new(Configuration {
             version,
             ..Configuration::default()
-        },
-        source: vec![b'a'; bytes],
+        }),
+        source: vec![b'a'; bytes].into(),
     };
     Command::Configure(Box::new(record))
 }
--- a/tests/replica_changes.rs
+++ b/tests/replica_changes.rs
@@ -99,10 +99,9 @@
             services: services.collect(),
             ..Configuration::default()
         };
-        let source = Vec::new();
         Command::Configure(Box::new(ConfigurationRecord {
-            configuration,
-            source,
+            configuration: configuration.into(),
+            source: Default::default(),
         }))
     };
     let apply = |state: &mut SiteState, command: Command| {
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -1,6 +1,7 @@
 //! State of a restarted voter before it has received any message.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use dunlinspring::consensus::raft::{DiskImage, RaftTiming};
 use dunlinspring::consensus::replica::LogReplica;
@@ -28,11 +29,11 @@
         .into_iter()
         .for_each(|r| disk.apply(r));
     let record = ConfigurationRecord {
-        configuration: Configuration {
+        configuration: Arc::new(Configuration {
             version: 3,
             ..Configuration::default()
-        },
-        source: b"three".to_vec(),
+        }),
+        source: b"three".to_vec().into(),
     };
     first
         .propose(0, Command::Configure(Box::new(record)))
--- a/tests/stream_take_ups/model.rs
+++ b/tests/stream_take_ups/model.rs
@@ -517,8 +517,8 @@
 
     fn configure(&mut self, configuration: Configuration) {
         let record = ConfigurationRecord {
-            source: configuration.version.to_be_bytes().to_vec(),
-            configuration,
+            source: configuration.version.to_be_bytes().to_vec().into(),
+            configuration: configuration.into(),
         };
         self.after(0, In::Commit(Command::Configure(Box::new(record))));
     }
--- a/tests/support_state/mod.rs
+++ b/tests/support_state/mod.rs
@@ -20,8 +20,8 @@
         ..Configuration::default()
     };
     let record = ConfigurationRecord {
-        configuration,
-        source: Vec::new(),
+        configuration: configuration.into(),
+        source: Default::default(),
     };
     let mut state = SiteState::default();
     apply(&mut state, 0, Command::Configure(Box::new(record)));
--- a/tests/version_settlement.rs
+++ b/tests/version_settlement.rs
@@ -77,8 +77,8 @@
 fn released() -> SiteState {
     let mut state = SiteState::default();
     let record = ConfigurationRecord {
-        configuration: configuration(),
-        source: Vec::new(),
+        configuration: configuration().into(),
+        source: Default::default(),
     };
     commit(&mut state, Command::Configure(Box::new(record)));
     let old = register(&mut state, "a", "v1");
@@ -159,8 +159,8 @@
     register(&mut state, "a", "v1");
     register(&mut state, "b", "v2");
     let record = ConfigurationRecord {
-        configuration: configuration(),
-        source: Vec::new(),
+        configuration: configuration().into(),
+        source: Default::default(),
     };
     commit(&mut state, Command::Configure(Box::new(record)));
     state
