--- a/benches/figures.rs
+++ b/benches/figures.rs
@@ -329,7 +329,7 @@
             client.sync(context, cursor, wait, false).await
         });
         let mut page = page.await;
-        let changed = matches!(&page, Ok(Ok(page)) if page.to > cursor);
+        let changed = matches!(&page, Ok(Ok(reply)) if reply.page.to > cursor);
         if method == "whole_table" && changed {
             page = link
                 .call_any(number, "sync", |client| async move {
@@ -338,8 +338,8 @@
                 })
                 .await;
         }
-        if let Ok(Ok(page)) = page {
-            follower.view().follow(&page);
+        if let Ok(Ok(reply)) = page {
+            follower.view().follow(&reply.page);
         }
         if method == "poll_1s" {
             tokio::time::sleep(Duration::from_secs(1)).await;
@@ -360,7 +360,7 @@
     match method {
         "whole_table" => bincode::serialize(&snapshot).unwrap().len(),
         _ => {
-            let rows = snapshot.changes.iter();
+            let rows = snapshot.page.changes.iter();
             let row = rows.filter(|change| {
                 matches!(
                     change,
--- a/src/cli/control.rs
+++ b/src/cli/control.rs
@@ -5,10 +5,9 @@
 use getopts::{Matches, Options};
 use serde::Serialize;
 
-use crate::ids::Position;
+use crate::process::pages;
 use crate::process::peers::ControlLink;
 use crate::process::settings;
-use crate::process::wire::ControlWireClient;
 use crate::routing::view::SiteView;
 
 /// Time limit of a call to the leader, over all attempts.
@@ -33,11 +32,8 @@
 
 /// Reads the whole state that members follow, as the leader has it.
 pub(super) async fn read_view(link: &ControlLink) -> Result<SiteView, String> {
-    let call = |client: ControlWireClient, context| async move {
-        client.sync(context, Position(0), 0, true).await
-    };
-    let reply = link.call_leader("sync", LEADER_TIMEOUT, call).await;
-    let page = reply.map_err(|error| error.to_string())?;
+    let page = pages::read_newest(link, LEADER_TIMEOUT).await;
+    let page = page.map_err(|error| error.to_string())?;
     let mut view = SiteView::default();
     view.follow(&page);
     Ok(view)
--- a/src/consensus/entries.rs
+++ b/src/consensus/entries.rs
@@ -27,6 +27,22 @@
     Command(Bytes),
 }
 
+impl Payload {
+    fn bytes(&self) -> &[u8] {
+        match self {
+            Self::Command(bytes) => bytes,
+            Self::Noop | Self::Voters(_) => &[],
+        }
+    }
+
+    fn bytes_mut(&mut self) -> Option<&mut Bytes> {
+        match self {
+            Self::Command(bytes) => Some(bytes),
+            Self::Noop | Self::Voters(_) => None,
+        }
+    }
+}
+
 /// Log entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LogEntry {
@@ -87,6 +103,17 @@
     Commit(Position),
 }
 
+impl DiskRecord {
+    /// Returns the approximate size of the record, in memory and on disk, in bytes.
+    pub fn size(&self) -> usize {
+        match self {
+            Self::Append(entry) => entry.size(),
+            Self::Install(snapshot) => size_of::<Self>() + snapshot.state.len(),
+            Self::Vote(..) | Self::Truncate(_) | Self::Commit(_) => size_of::<Self>(),
+        }
+    }
+}
+
 /// Contents of a voter's disk, as read on a restart.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct DiskImage {
@@ -190,6 +217,50 @@
 }
 
 impl RaftMessage {
+    /// Returns the size of the commands and the state in the message, in bytes.
+    pub fn payload_bytes(&self) -> usize {
+        match self {
+            Self::Append { entries, .. } => entries
+                .iter()
+                .map(|entry| entry.payload.bytes().len())
+                .sum(),
+            Self::Install { snapshot, .. } => snapshot.state.len(),
+            _ => 0,
+        }
+    }
+
+    /// Takes the commands and the state out of the message, to be sent apart from it.
+    pub fn detach_payloads(&mut self) -> Vec<Bytes> {
+        self.payloads_mut().map(std::mem::take).collect()
+    }
+
+    /// Puts back what [`Self::detach_payloads`] took out; `lens` are the lengths. Returns whether
+    /// the bytes fit.
+    pub fn attach_payloads(&mut self, lens: &[usize], mut bytes: Bytes) -> bool {
+        let fits = lens.len() == self.payloads_mut().count()
+            && lens
+                .iter()
+                .try_fold(0, |sum: usize, len| sum.checked_add(*len))
+                == Some(bytes.len());
+        if fits {
+            for (payload, len) in self.payloads_mut().zip(lens) {
+                *payload = bytes.split_to(*len);
+            }
+        }
+        fits
+    }
+
+    fn payloads_mut(&mut self) -> Box<dyn Iterator<Item = &mut Bytes> + '_> {
+        match self {
+            Self::Append { entries, .. } => {
+                let payloads = entries.iter_mut().map(|entry| &mut entry.payload);
+                Box::new(payloads.filter_map(Payload::bytes_mut))
+            }
+            Self::Install { snapshot, .. } => Box::new(std::iter::once(&mut snapshot.state)),
+            _ => Box::new(std::iter::empty()),
+        }
+    }
+
     /// Returns the sender's term.
     pub fn term(&self) -> Term {
         match self {
--- a/src/consensus/raft.rs
+++ b/src/consensus/raft.rs
@@ -30,6 +30,15 @@
 const MAX_RETAINED_BYTES: usize = 8 * 1024 * 1024;
 /// Size of an append message from which no further entry is added, in bytes.
 const MAX_APPEND_BYTES: usize = 1024 * 1024;
+/// Size of the entries that a follower has not confirmed from which it is sent no further one, in
+/// bytes. What is under way to a slow follower, and waits for its disk, is at most this and an entry.
+const MAX_IN_FLIGHT_BYTES: usize = 1024 * 1024;
+/// Size from which a command counts as large, in bytes.
+const LARGE_COMMAND_BYTES: usize = 1024 * 1024;
+/// Size of the uncommitted entries from which no large command is accepted, in bytes.
+const MAX_UNCOMMITTED_BYTES: usize = 1024 * 1024;
+/// Size of the records to be written from which no large command is accepted, in bytes.
+const MAX_UNSAVED_BYTES: usize = 8 * 1024 * 1024;
 /// Time allowed for a snapshot to arrive before it is sent again, in milliseconds. When sent
 /// with every heartbeat, copies of several megabytes filled the leader's memory.
 const SNAPSHOT_RESEND_MS: u64 = 1_000;
@@ -71,6 +80,8 @@
     NotLeader(Option<NodeId>),
     /// A membership change is still in progress, or the proposed one is not a single step.
     VotersBusy,
+    /// Too many bytes are not committed or not on disk yet.
+    Backlog,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -85,12 +96,25 @@
 struct Progress {
     matched: Position,
     next: Position,
+    /// First entry that counts as sent and not lost.
+    sent_from: Position,
     /// Latest timestamp of the leader's own clock that this follower has echoed.
     echoed_ms: Option<u64>,
     /// Time until which a sent snapshot counts as in flight.
     install_until_ms: u64,
 }
 
+impl Progress {
+    /// Progress of a follower that is presumed to have all entries before `next`.
+    fn starting_at(next: Position) -> Self {
+        Self {
+            next,
+            sent_from: next,
+            ..Self::default()
+        }
+    }
+}
+
 /// Raft state of one voter, or of one learner that is not a voter yet.
 #[derive(Debug)]
 pub struct RaftCore {
@@ -134,6 +158,8 @@
     broadcast: (Position, Position),
     /// First entry that may not be on disk yet; `None` if all are.
     unsaved_from: Option<Position>,
+    /// Size of the records that are not on disk yet.
+    unsaved_bytes: usize,
     output: Output,
 }
 
@@ -169,6 +195,7 @@
             contact_ms: BTreeMap::new(),
             broadcast: (Position(0), Position(0)),
             unsaved_from: None,
+            unsaved_bytes: 0,
             output: Output::default(),
         };
         core.schedule_election(now_ms);
@@ -274,6 +301,11 @@
         }
     }
 
+    /// Sets the size of the records that are not on disk yet, in bytes.
+    pub fn set_unsaved_bytes(&mut self, bytes: usize) {
+        self.unsaved_bytes = bytes;
+    }
+
     /// Records that a vote is on disk: the time for its election counts from here.
     pub fn vote_saved(&mut self, now_ms: u64) {
         if self.election_open {
@@ -319,7 +351,20 @@
         if self.role != Role::Leader {
             return Err(ProposeError::NotLeader(self.leader));
         }
-        Ok(self.append_own(Payload::Command(command.into())))
+        let command = command.into();
+        if command.len() >= LARGE_COMMAND_BYTES && self.has_backlog() {
+            return Err(ProposeError::Backlog);
+        }
+        Ok(self.append_own(Payload::Command(command)))
+    }
+
+    /// Returns whether so many bytes are not committed or not on disk yet that a large command must
+    /// wait.
+    fn has_backlog(&self) -> bool {
+        let newest = self.entries.iter().rev();
+        let uncommitted = newest.take_while(|entry| entry.mark.index > self.commit);
+        let uncommitted: usize = uncommitted.map(LogEntry::size).sum();
+        uncommitted >= MAX_UNCOMMITTED_BYTES || self.unsaved_bytes >= MAX_UNSAVED_BYTES
     }
 
     /// Sends what was proposed or committed since the last call. Separate from `propose`, so
@@ -357,10 +402,8 @@
         if self.role == Role::Leader && !self.voters().contains(&node) {
             self.learners.insert(node);
             let next = Position(self.last().index.0 + 1);
-            self.progress.entry(node).or_insert(Progress {
-                next,
-                ..Progress::default()
-            });
+            let entry = self.progress.entry(node);
+            entry.or_insert(Progress::starting_at(next));
         }
     }
 
@@ -744,10 +787,7 @@
         let voters = self.voters().clone();
         self.contact_ms.retain(|node, _| voters.contains(node));
         let next = Position(self.last().index.0 + 1);
-        let fresh = Progress {
-            next,
-            ..Progress::default()
-        };
+        let fresh = Progress::starting_at(next);
         self.progress = self
             .other_voters()
             .into_iter()
@@ -784,10 +824,8 @@
         peers.extend(&self.learners);
         let next = Position(self.last().index.0 + 1);
         for peer in &peers {
-            self.progress.entry(*peer).or_insert(Progress {
-                next,
-                ..Progress::default()
-            });
+            let entry = self.progress.entry(*peer);
+            entry.or_insert(Progress::starting_at(next));
             self.send_append(now_ms, *peer);
         }
         self.progress.retain(|node, _| peers.contains(node));
@@ -800,6 +838,7 @@
         };
         let index = Position(progress.next.0.saturating_sub(1));
         let (prev, entries) = match self.sendable_term_at(index) {
+            Some(term) if self.is_window_full(&progress) => (LogMark { term, index }, Vec::new()),
             Some(term) => (LogMark { term, index }, self.entries_after(index)),
             None if progress.install_until_ms <= now_ms => return self.send_install(now_ms, peer),
             // While a snapshot is in flight, send only a heartbeat.
@@ -841,13 +880,31 @@
         known.or_else(|| retained().ok().map(|at| self.retained[at].mark.term))
     }
 
+    /// Returns whether a follower has to confirm entries before it is sent further ones.
+    fn is_window_full(&self, progress: &Progress) -> bool {
+        let from = progress.sent_from.max(Position(progress.matched.0 + 1));
+        let sent = self.later_entries(Position(from.0.saturating_sub(1)));
+        let sent = sent.take_while(|entry| entry.mark.index < progress.next);
+        let mut bytes = 0;
+        sent.map(LogEntry::size).any(|size| {
+            bytes += size;
+            bytes >= MAX_IN_FLIGHT_BYTES
+        })
+    }
+
+    /// Returns the entries after an index, those included that the snapshot covers.
+    fn later_entries(&self, index: Position) -> impl Iterator<Item = &LogEntry> {
+        let from = self.retained.partition_point(|e| e.mark.index <= index);
+        let first = self.snapshot.last.index.0;
+        let skipped = index.0.saturating_sub(first) as usize;
+        let kept = self.entries.iter().skip(skipped);
+        self.retained[from..].iter().chain(kept)
+    }
+
     /// Returns the next entries after one that [`Self::sendable_term_at`] knows.
     fn entries_after(&self, index: Position) -> Vec<LogEntry> {
-        let from = self.retained.partition_point(|e| e.mark.index <= index);
-        let all = self.retained[from..].iter().chain(&self.entries);
-        let later = all.filter(|entry| entry.mark.index > index);
         let mut bytes = 0;
-        let sized = later.take_while(|entry| {
+        let sized = self.later_entries(index).take_while(|entry| {
             let has_room = bytes < MAX_APPEND_BYTES;
             bytes += entry.size();
             has_room
@@ -997,7 +1054,10 @@
                 progress.next = progress.next.max(Position(at.0 + 1));
             }
             // A late rejection must not move `next` below what has matched since.
-            false => progress.next = Position(at.0.max(progress.matched.0) + 1),
+            false => {
+                progress.next = Position(at.0.max(progress.matched.0) + 1);
+                progress.sent_from = progress.next;
+            }
         }
         let behind = progress.next <= last;
         self.advance_commit();
--- a/src/consensus/replica.rs
+++ b/src/consensus/replica.rs
@@ -8,7 +8,7 @@
     DiskImage, DiskRecord, LogEntry, LogMark, LogSnapshot, Payload, ProposeError, RaftCore,
     RaftMessage, RaftTiming,
 };
-use crate::consensus::state::{Command, Reply, SiteState, Stamped};
+use crate::consensus::state::{Command, EncodedCommand, Reply, SiteState, Stamped};
 use crate::ids::{HostName, NodeId, Position, Term};
 
 /// Size of applied entries up to which the log is not compacted for its size, in bytes.
@@ -118,6 +118,16 @@
         self.raft.propose(bytes)
     }
 
+    /// Proposes an encoded command if this voter is the leader. One that cannot be decoded is
+    /// skipped by all voters.
+    pub fn propose_encoded(
+        &mut self,
+        at_ms: u64,
+        command: &EncodedCommand,
+    ) -> Result<LogMark, ProposeError> {
+        self.raft.propose(command.stamp(at_ms))
+    }
+
     /// Replaces the old disk of a host that came back with a blank one: first removes the old
     /// voter, then adds the new one, one step at a time. Returns whether a step was proposed.
     pub fn replace_voter(
--- a/src/consensus/state.rs
+++ b/src/consensus/state.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
+use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 
 use crate::consensus::claims::{ClaimKey, ClaimReply, ClaimRequest, ClaimStore, Settlement};
@@ -190,6 +191,27 @@
     pub command: Command,
 }
 
+/// Encoded command without the proposer's clock, so that it can be passed on without being decoded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EncodedCommand(pub Bytes);
+
+impl EncodedCommand {
+    /// Encodes a command.
+    pub fn new(command: &Command) -> Self {
+        let bytes = bincode::serialize(command).expect("commands encode into memory");
+        Self(bytes.into())
+    }
+
+    /// Returns the encoded [`Stamped`] with this command: the clock, then the command.
+    pub fn stamp(&self, at_ms: u64) -> Bytes {
+        let clock = at_ms.to_le_bytes();
+        let mut bytes = BytesMut::with_capacity(clock.len() + self.0.len());
+        bytes.extend_from_slice(&clock);
+        bytes.extend_from_slice(&self.0);
+        bytes.freeze()
+    }
+}
+
 /// Reply to a command.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
--- a/src/consensus/write_queue.rs
+++ b/src/consensus/write_queue.rs
@@ -43,6 +43,8 @@
     changes_from: Option<Position>,
     /// Whether the records change the term or the vote.
     has_vote: bool,
+    /// Size of the records.
+    bytes: usize,
     messages: Vec<(NodeId, RaftMessage)>,
     replies: Vec<(LogMark, Reply)>,
 }
@@ -111,6 +113,11 @@
         changed.min()
     }
 
+    /// Returns the size of the records that are not saved, in bytes.
+    pub fn unsaved_bytes(&self) -> usize {
+        self.unsaved.iter().map(|held| held.bytes).sum()
+    }
+
     /// Returns the number of batches that are not saved.
     pub fn len(&self) -> usize {
         self.unsaved.len()
@@ -130,6 +137,7 @@
             number: self.batches,
             changes_from: records.iter().filter_map(changed_position).min(),
             has_vote: records.iter().any(|r| matches!(r, DiskRecord::Vote(..))),
+            bytes: records.iter().map(DiskRecord::size).sum(),
             messages: Vec::new(),
             replies: Vec::new(),
         });
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -12,7 +12,7 @@
 use crate::consensus::part_crashes::PartStore;
 use crate::consensus::raft::RaftMessage;
 use crate::consensus::software_versions::{ReplicaHeartbeat, VersionMix};
-use crate::consensus::state::{Command, Reply};
+use crate::consensus::state::{Command, EncodedCommand, Reply};
 use crate::ids::{HostName, NodeId, Position, ReplicaId, ServiceName, Term};
 use crate::placement::advertised_limits::{LimitPage, LimitReport};
 use crate::placement::congestion::{QueueReport, QueuedTokens};
@@ -42,6 +42,8 @@
     Enroll(NodeId, HostName, ReplySender<PositionUpdate>),
     /// Commits a command.
     Propose(Command, ReplySender<(Position, Reply)>),
+    /// Commits an encoded command.
+    ProposeEncoded(EncodedCommand, ReplySender<(Position, Reply)>),
     /// Reads the changes after a cursor.
     Sync {
         /// Position of the last change that the caller has.
@@ -74,7 +76,7 @@
         /// Receives the position.
         answer: ReplySender<PositionUpdate>,
     },
-    /// Reads the configuration; linearizable.
+    /// Reads the configuration as this voter has it.
     Configuration(ReplySender<Option<ConfigurationRecord>>),
     /// Reads the version of the newest configuration; linearizable, for the leader.
     Confirm(ReplySender<u64>),
@@ -132,8 +134,7 @@
     /// this voter has applied all that is committed.
     pub(super) fn needs_newest(&self) -> bool {
         match self {
-            Self::Configuration(_)
-            | Self::Table(_)
+            Self::Table(_)
             | Self::Claim(..)
             | Self::Confirm(_)
             | Self::Contents(_)
--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -13,14 +13,16 @@
 use bytes::Bytes;
 use snafu::Snafu;
 use tarpc::client::RpcError;
-use tokio::sync::oneshot;
+use tokio::sync::{Semaphore, SemaphorePermit, oneshot};
 
 use crate::consensus::directory::{HeartbeatStatus, ReplicaPhase};
 use crate::consensus::software_versions::ReplicaHeartbeat;
-use crate::consensus::state::{Command, ConfigureResult, HallStanding, Reply};
-use crate::control::event::{ControlEvent, ControlHandle};
-use crate::ids::{HallName, ReplicaId, ServiceName, VersionName};
+use crate::consensus::state::{Command, ConfigureResult, EncodedCommand, HallStanding, Reply};
+use crate::control::event::{ControlEvent, ControlHandle, ReplySender};
+use crate::ids::{HallName, Position, ReplicaId, ServiceName, VersionName};
+use crate::process::pages;
 use crate::process::peers::{self, ControlLink, PeerError};
+use crate::process::transfer::LARGE_BYTES;
 use crate::process::wire::{ControlRefusal, ControlWireClient};
 use crate::table::configuration::{Configuration, ConfigurationError, ConfigurationRecord};
 
@@ -72,6 +74,32 @@
     NoQuorum,
 }
 
+/// Command on its way to the log.
+#[derive(Clone)]
+enum Proposal {
+    Small(Command),
+    /// Encoded once, and passed on to another host in pieces.
+    Large(EncodedCommand),
+}
+
+impl Proposal {
+    fn into_event(self, answer: ReplySender<(Position, Reply)>) -> ControlEvent {
+        match self {
+            Self::Small(command) => ControlEvent::Propose(command, answer),
+            Self::Large(command) => ControlEvent::ProposeEncoded(command, answer),
+        }
+    }
+}
+
+/// Text of the configuration in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeldConfiguration {
+    /// Version of the configuration.
+    pub version: u64,
+    /// Text as the operator sent it.
+    pub source: Bytes,
+}
+
 /// Access of a control host to the log.
 pub enum LogAccess {
     /// The host keeps the log itself.
@@ -87,6 +115,8 @@
     /// All data halls; empty if they are not configured.
     halls: BTreeSet<HallName>,
     seen: Mutex<BTreeSet<ReplicaId>>,
+    /// Admits one large configuration at a time.
+    large_configurations: Semaphore,
 }
 
 impl Registry {
@@ -97,6 +127,7 @@
             link,
             halls,
             seen: Mutex::default(),
+            large_configurations: Semaphore::new(1),
         }
     }
 
@@ -149,6 +180,16 @@
         self.commit(command, HEARTBEAT_TIMEOUT).await.map(|_| ())
     }
 
+    /// Waits until this host handles no other large configuration. What is returned is held while
+    /// its text is received, parsed and committed.
+    pub async fn admit_large_configuration(&self) -> Result<SemaphorePermit<'_>, RegistryError> {
+        let permit = self.large_configurations.acquire();
+        match tokio::time::timeout(CONFIGURE_TIMEOUT, permit).await {
+            Ok(Ok(permit)) => Ok(permit),
+            _ => Err(RegistryError::NoQuorum),
+        }
+    }
+
     /// Commits an operator's configuration, together with its source text.
     pub async fn configure(
         &self,
@@ -157,12 +198,19 @@
     ) -> Result<ConfigureResult, RegistryError> {
         configuration.check()?;
         let version = configuration.version;
+        let source = source.into();
+        let is_large = source.len() >= LARGE_BYTES;
         let record = ConfigurationRecord {
             configuration: Arc::new(configuration),
-            source: source.into(),
+            source,
         };
         let command = Command::Configure(Box::new(record));
-        let reply = self.commit(command, CONFIGURE_TIMEOUT).await;
+        // The parsed form is not kept while the command is committed.
+        let proposal = match is_large {
+            true => Proposal::Large(EncodedCommand::new(&command)),
+            false => Proposal::Small(command),
+        };
+        let reply = self.commit_proposal(proposal, CONFIGURE_TIMEOUT).await;
         tracing::info!(version, ?reply, "configuration proposed");
         match reply? {
             Reply::Configured(ConfigureResult::Conflict) => {
@@ -192,29 +240,63 @@
     }
 
     /// Reads the configuration; linearizable.
-    pub async fn configuration(&self) -> Result<Option<ConfigurationRecord>, RegistryError> {
+    pub async fn configuration(&self) -> Result<Option<HeldConfiguration>, RegistryError> {
         let deadline = Instant::now() + CONFIGURE_TIMEOUT;
         loop {
-            let held = match self.request_local(ControlEvent::Configuration).await {
-                Err(ControlRefusal::NotLeader(Some(leader))) => {
-                    let context = peers::within(self.leader_timeout());
-                    let call = |client: ControlWireClient| async move {
-                        client.configuration(context).await
-                    };
-                    self.request_leader(&leader, "configuration", call).await
-                }
-                held => held,
-            };
-            match held {
-                Ok(record) => return Ok(record),
-                Err(_) if Instant::now() + RETRY_DELAY >= deadline => {
-                    return Err(RegistryError::NoQuorum);
+            let read = tokio::time::timeout_at(deadline.into(), self.read_newest()).await;
+            match read {
+                Ok(Ok(held)) => return Ok(held),
+                Ok(Err(_)) if Instant::now() + RETRY_DELAY < deadline => {
+                    tokio::time::sleep(RETRY_DELAY).await
                 }
-                Err(_) => tokio::time::sleep(RETRY_DELAY).await,
+                _ => return Err(RegistryError::NoQuorum),
             }
         }
     }
 
+    /// Reads the newest configuration: the leader confirms its version, and the text comes from
+    /// this host if it keeps the log.
+    async fn read_newest(&self) -> Result<Option<HeldConfiguration>, ControlRefusal> {
+        let (version, leader) = match self.request_local(ControlEvent::Confirm).await {
+            Err(ControlRefusal::NotLeader(Some(leader))) => {
+                let context = peers::within(self.leader_timeout());
+                let call = |client: ControlWireClient| async move { client.confirm(context).await };
+                let version = self.request_leader(&leader, "confirm", call).await?;
+                (version, Some(leader))
+            }
+            confirmed => (confirmed?, None),
+        };
+        match (&self.access, leader) {
+            _ if version == 0 => Ok(None),
+            (LogAccess::Remote, Some(leader)) => {
+                let source = self.fetch_text(&leader, version).await?;
+                Ok(Some(HeldConfiguration { version, source }))
+            }
+            _ => {
+                let held = self.request_local(ControlEvent::Configuration).await?;
+                let newest = held.filter(|record| record.configuration.version >= version);
+                // This host has not applied the change yet.
+                let record = newest.ok_or(ControlRefusal::Busy)?;
+                Ok(Some(HeldConfiguration {
+                    version: record.configuration.version,
+                    source: record.source,
+                }))
+            }
+        }
+    }
+
+    /// Fetches the text of a configuration in pieces.
+    async fn fetch_text(&self, leader: &str, version: u64) -> Result<Bytes, ControlRefusal> {
+        let timeout = self.leader_timeout();
+        let call = |client: ControlWireClient, offset| async move {
+            let context = peers::within(timeout);
+            client.configuration_text(context, version, offset).await
+        };
+        let fetched = pages::fetch(&self.link, leader, "configuration_text", call).await;
+        self.link
+            .record_reply(leader, flatten_reply(fetched.map(Ok)))
+    }
+
     /// Reports periodically to the leader which replicas sent heartbeats to this host.
     pub async fn report_seen_replicas(&self) {
         loop {
@@ -305,23 +387,26 @@
         }
     }
 
+    async fn commit(&self, command: Command, timeout: Duration) -> Result<Reply, RegistryError> {
+        self.commit_proposal(Proposal::Small(command), timeout)
+            .await
+    }
+
     /// Commits a command here or through the leader. The command may be committed more than
     /// once, so it must be safe to repeat.
-    async fn commit(&self, command: Command, timeout: Duration) -> Result<Reply, RegistryError> {
+    async fn commit_proposal(
+        &self,
+        proposal: Proposal,
+        timeout: Duration,
+    ) -> Result<Reply, RegistryError> {
         let deadline = Instant::now() + timeout;
         loop {
-            let propose = |answer| ControlEvent::Propose(command.clone(), answer);
+            let propose = |answer| proposal.clone().into_event(answer);
             let own = tokio::time::timeout_at(deadline.into(), self.request_local(propose)).await;
             let reply = match own {
                 Err(_) => return Err(RegistryError::NoQuorum),
                 Ok(Err(ControlRefusal::NotLeader(Some(leader)))) => {
-                    let command = command.clone();
-                    let left = deadline.saturating_duration_since(Instant::now());
-                    let context = peers::within(self.leader_timeout().min(left));
-                    let call = |client: ControlWireClient| async move {
-                        client.propose(context, command).await
-                    };
-                    let request = self.request_leader(&leader, "propose", call);
+                    let request = self.propose_at(&leader, &proposal, deadline);
                     match tokio::time::timeout_at(deadline.into(), request).await {
                         Ok(answer) => answer,
                         Err(_) => return Err(RegistryError::NoQuorum),
@@ -338,6 +423,39 @@
             }
         }
     }
+
+    async fn propose_at(
+        &self,
+        leader: &str,
+        proposal: &Proposal,
+        deadline: Instant,
+    ) -> Result<(Position, Reply), ControlRefusal> {
+        let context = || {
+            let left = deadline.saturating_duration_since(Instant::now());
+            peers::within(self.leader_timeout().min(left))
+        };
+        match proposal {
+            Proposal::Small(command) => {
+                let (command, context) = (command.clone(), context());
+                let call = |client: ControlWireClient| async move {
+                    client.propose(context, command).await
+                };
+                self.request_leader(leader, "propose", call).await
+            }
+            Proposal::Large(command) => {
+                let parts = [command.0.clone()];
+                let sent = self.link.send_value_to(leader, &parts).await;
+                let transfer = self
+                    .link
+                    .record_reply(leader, flatten_reply(sent.map(Ok)))?;
+                let context = context();
+                let call = |client: ControlWireClient| async move {
+                    client.propose_large(context, transfer).await
+                };
+                self.request_leader(leader, "propose_large", call).await
+            }
+        }
+    }
 }
 
 fn flatten_reply<T>(
--- a/src/control/relay.rs
+++ b/src/control/relay.rs
@@ -38,15 +38,15 @@
 use crate::placement::target_controller::{AgentHeartbeat, EntryHeartbeat};
 use crate::process::daemon::{self, DaemonError};
 use crate::process::metrics::{MetricKey, MetricRegistry};
+use crate::process::pages::{SyncReply, ValueSlice};
 use crate::process::peers::{self, ControlLink, PeerError, SiteSecret};
 use crate::process::settings::CommonSettings;
+use crate::process::transfer::{PieceError, TransferId, ValuePiece};
 use crate::process::wire::{
     AccountStatus, AgentHeartbeatReply, ControlRefusal, ControlStatus, ControlWire,
-    ControlWireClient, EntryHeartbeatReply, PositionUpdate, TableStatus,
+    ControlWireClient, DetachedPayloads, EntryHeartbeatReply, PositionUpdate, TableStatus,
 };
 use crate::routing::stream_origins::{OriginBatch, StreamKey, StreamOrigin};
-use crate::routing::view::SyncPage;
-use crate::table::configuration::ConfigurationRecord;
 use crate::table::quota::{QuotaGrants, QuotaRequest};
 
 /// Delay of the reply to a caller that knows nothing yet: such a caller calls again at once.
@@ -332,6 +332,21 @@
         tracing::debug!(%from, "Raft message received by a host without a log");
     }
 
+    async fn transfer(self, _: Context, _: ValuePiece) -> Result<(), PieceError> {
+        Err(PieceError::Busy)
+    }
+
+    async fn raft_large(
+        self,
+        _: Context,
+        from: NodeId,
+        _: HostName,
+        _: RaftMessage,
+        _: DetachedPayloads,
+    ) {
+        tracing::debug!(%from, "Raft message received by a host without a log");
+    }
+
     async fn enroll(
         self,
         _: Context,
@@ -352,7 +367,7 @@
         _: Position,
         _: u64,
         _: bool,
-    ) -> Result<SyncPage, ControlRefusal> {
+    ) -> Result<SyncReply, ControlRefusal> {
         Err(self.not_leader())
     }
 
@@ -360,6 +375,14 @@
         Err(self.not_leader())
     }
 
+    async fn propose_large(
+        self,
+        _: Context,
+        _: TransferId,
+    ) -> Result<(Position, Reply), ControlRefusal> {
+        Err(self.not_leader())
+    }
+
     async fn agent_beat(
         self,
         _: Context,
@@ -400,10 +423,16 @@
         Ok(self.known_hosts())
     }
 
-    async fn configuration(
+    async fn configuration_text(
         self,
         _: Context,
-    ) -> Result<Option<ConfigurationRecord>, ControlRefusal> {
+        _: u64,
+        _: u64,
+    ) -> Result<ValueSlice, ControlRefusal> {
+        Err(self.not_leader())
+    }
+
+    async fn configuration(self, _: Context, _: u64, _: u64) -> Result<ValueSlice, ControlRefusal> {
         Err(self.not_leader())
     }
 
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -6,6 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures::StreamExt;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
@@ -22,12 +23,12 @@
 use crate::consensus::paxos::{PaxosReply, PaxosRequest};
 use crate::consensus::raft::RaftMessage;
 use crate::consensus::software_versions::{ReplicaHeartbeat, VersionMix};
-use crate::consensus::state::{Command, Reply};
+use crate::consensus::state::{Command, EncodedCommand, Reply};
 use crate::control::bootstrap::{self, InitialRole};
 use crate::control::event::{ControlEvent, ControlHandle};
 use crate::control::journal;
 use crate::control::origin_store::OriginStore;
-use crate::control::outbox::{OpenPeer, PeerOutbox};
+use crate::control::outbox::{self, OpenPeer, PeerOutbox};
 use crate::control::voter::ControlLoop;
 use crate::ids::{HostName, NodeId, Position, ReplicaId, ServiceName};
 use crate::placement::advertised_limits::{LimitPage, LimitReport};
@@ -42,19 +43,17 @@
 use crate::process::daemon::{self, DaemonError};
 use crate::process::memory::MemoryUse;
 use crate::process::metrics::{MetricKey, MetricRegistry};
-use crate::process::peers::{self, ControlLink, PeerPool, SiteSecret};
+use crate::process::pages::{EncodedConfigurations, SyncReply, ValueSlice};
+use crate::process::peers::{self, ControlLink, PeerError, PeerPool, SiteSecret};
 use crate::process::settings::{ControlSettings, VoterSettings};
+use crate::process::transfer::{PieceError, TransferId, TransferStore, ValuePiece};
 use crate::process::wire::{
     AccountStatus, AgentHeartbeatReply, ControlRefusal, ControlStatus, ControlWire,
-    ControlWireClient, EntryHeartbeatReply, PositionUpdate, TableStatus,
+    ControlWireClient, DetachedPayloads, EntryHeartbeatReply, PositionUpdate, TableStatus,
 };
 use crate::routing::stream_origins::{OriginBatch, StreamKey, StreamOrigin};
-use crate::routing::view::SyncPage;
-use crate::table::configuration::ConfigurationRecord;
 use crate::table::quota::{QuotaGrants, QuotaRequest};
 
-/// Maximum number of messages queued for one peer.
-const OUTBOX_CAPACITY: usize = 64;
 /// Timeout of one message to a peer.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval of queries to the leader for the newest configuration; it adds to the age of the
@@ -306,9 +305,15 @@
     let runtime = tokio::runtime::Handle::current();
     let pool = pool.clone();
     let open = move |peer: String| {
-        let (sender, receiver) = mpsc::channel(OUTBOX_CAPACITY);
+        let (sender, receiver) = outbox::peer_channel();
         tracing::debug!(%peer, "channel to a voter opened");
-        runtime.spawn(send_messages(pool.clone(), from.clone(), peer, receiver));
+        let link = PeerLink {
+            pool: pool.clone(),
+            from: from.clone(),
+            peer,
+        };
+        runtime.spawn(send_messages(link.clone(), receiver.messages));
+        runtime.spawn(send_large_messages(link, receiver.large_messages));
         sender
     };
     let configured = settings.common.control.iter();
@@ -322,28 +327,60 @@
     }
 }
 
-/// Sends the messages for one peer in order. A lost message is made up for by the next
-/// heartbeat.
-async fn send_messages(
+/// Way to one peer.
+#[derive(Clone)]
+struct PeerLink {
     pool: Arc<PeerPool<ControlWireClient>>,
+    /// This voter and its host.
     from: (NodeId, HostName),
     peer: String,
-    mut messages: mpsc::Receiver<RaftMessage>,
-) {
-    while let Some(message) = messages.recv().await {
-        let (node, host) = from.clone();
+}
+
+impl PeerLink {
+    async fn send(&self, message: RaftMessage) -> Result<(), PeerError> {
+        let (node, host) = self.from.clone();
+        let context = peers::within(MESSAGE_TIMEOUT);
+        let call = |client: ControlWireClient| async move {
+            client.raft(context, node, host, message).await
+        };
+        self.pool.call(&self.peer, "raft", call).await
+    }
+
+    /// Sends the payloads of a message in pieces, then the rest of it.
+    async fn send_large(&self, mut message: RaftMessage) -> Result<(), PeerError> {
+        let payloads = message.detach_payloads();
+        let transfer = self.pool.send_value(&self.peer, &payloads).await?;
+        let lens = payloads.iter().map(Bytes::len).collect();
+        let (node, host) = self.from.clone();
         let context = peers::within(MESSAGE_TIMEOUT);
-        let sent = pool
-            .call(&peer, "raft", |client| async move {
-                client.raft(context, node, host, message).await
-            })
-            .await;
-        if let Err(error) = sent {
+        let call = |client: ControlWireClient| async move {
+            let parts = DetachedPayloads { transfer, lens };
+            client.raft_large(context, node, host, message, parts).await
+        };
+        self.pool.call(&self.peer, "raft_large", call).await
+    }
+}
+
+/// Sends the messages for one peer in order. A lost message is made up for by the next
+/// heartbeat.
+async fn send_messages(link: PeerLink, mut messages: mpsc::Receiver<RaftMessage>) {
+    while let Some(message) = messages.recv().await {
+        if let Err(error) = link.send(message).await {
             tracing::debug!(%error, "Raft message lost");
         }
     }
 }
 
+/// Sends the large messages for one peer in order. The reply to a heartbeat shows that one was
+/// lost.
+async fn send_large_messages(link: PeerLink, mut messages: mpsc::Receiver<RaftMessage>) {
+    while let Some(message) = messages.recv().await {
+        if let Err(error) = link.send_large(message).await {
+            tracing::debug!(%error, "large Raft message lost");
+        }
+    }
+}
+
 /// Announces this host periodically to the control hosts of `link`: after a restart of all
 /// hosts, those without a disk know no host that keeps the log.
 pub async fn announce(own: HostName, link: Arc<ControlLink>) {
@@ -454,6 +491,10 @@
     handle: ControlHandle,
     /// Slots for full snapshots in transit.
     full_snapshots: Arc<Semaphore>,
+    /// Values that arrive in pieces.
+    transfers: Arc<Mutex<TransferStore>>,
+    /// Configurations that were left out of pages.
+    encoded: Arc<Mutex<EncodedConfigurations>>,
     /// Origins of streams that entries stored here.
     origins: OriginStore,
 }
@@ -478,6 +519,26 @@
         self.handle.notify(ControlEvent::Raft(from, host, message));
     }
 
+    async fn transfer(self, _: Context, piece: ValuePiece) -> Result<(), PieceError> {
+        peers::lock(&self.transfers).add(clock::monotonic_ms(), &piece)
+    }
+
+    async fn raft_large(
+        self,
+        _: Context,
+        from: NodeId,
+        host: HostName,
+        mut message: RaftMessage,
+        payloads: DetachedPayloads,
+    ) {
+        let bytes = peers::lock(&self.transfers).take(payloads.transfer);
+        let attached = bytes.map(|bytes| message.attach_payloads(&payloads.lens, bytes));
+        match attached {
+            Some(true) => self.handle.notify(ControlEvent::Raft(from, host, message)),
+            _ => tracing::debug!(%host, "large Raft message without its payloads"),
+        }
+    }
+
     async fn enroll(
         self,
         _: Context,
@@ -495,7 +556,7 @@
         cursor: Position,
         wait_ms: u64,
         fresh: bool,
-    ) -> Result<SyncPage, ControlRefusal> {
+    ) -> Result<SyncReply, ControlRefusal> {
         if cursor == Position(0) {
             self.acquire_snapshot_slot().await?;
         }
@@ -505,7 +566,8 @@
             fresh,
             answer,
         };
-        self.handle.request(event).await
+        let page = self.handle.request(event).await?;
+        Ok(peers::lock(&self.encoded).detach(page))
     }
 
     async fn propose(
@@ -518,6 +580,18 @@
             .await
     }
 
+    async fn propose_large(
+        self,
+        _: Context,
+        transfer: TransferId,
+    ) -> Result<(Position, Reply), ControlRefusal> {
+        let bytes = peers::lock(&self.transfers).take(transfer);
+        let command = bytes.map(EncodedCommand).ok_or(ControlRefusal::Busy)?;
+        self.handle
+            .request(|answer| ControlEvent::ProposeEncoded(command, answer))
+            .await
+    }
+
     async fn agent_beat(
         self,
         _: Context,
@@ -562,11 +636,27 @@
         self.handle.request(event).await
     }
 
+    async fn configuration_text(
+        self,
+        _: Context,
+        version: u64,
+        offset: u64,
+    ) -> Result<ValueSlice, ControlRefusal> {
+        let held = self.handle.request(ControlEvent::Configuration).await?;
+        let held = held.filter(|record| record.configuration.version == version);
+        let record = held.ok_or(ControlRefusal::Busy)?;
+        Ok(ValueSlice::new(&record.source, offset))
+    }
+
     async fn configuration(
         self,
         _: Context,
-    ) -> Result<Option<ConfigurationRecord>, ControlRefusal> {
-        self.handle.request(ControlEvent::Configuration).await
+        version: u64,
+        offset: u64,
+    ) -> Result<ValueSlice, ControlRefusal> {
+        let encoded = peers::lock(&self.encoded);
+        let bytes = encoded.get(version).ok_or(ControlRefusal::Busy)?;
+        Ok(ValueSlice::new(bytes, offset))
     }
 
     async fn confirm(self, _: Context) -> Result<u64, ControlRefusal> {
@@ -709,6 +799,8 @@
     let server = ControlServer {
         handle,
         full_snapshots: Arc::new(Semaphore::new(MAX_FULL_SNAPSHOTS)),
+        transfers: Arc::default(),
+        encoded: Arc::default(),
         origins: OriginStore::default(),
     };
     let serve = move |transport| {
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -9,6 +9,7 @@
 
 use crate::clock;
 use crate::consensus::membership::{VoterPolicy, VoterRoster};
+use crate::consensus::raft::{LogMark, ProposeError};
 use crate::consensus::replica::LogReplica;
 use crate::consensus::state::{Command, Reply, SiteState};
 use crate::consensus::write_queue::{ReleasedOutput, WriteQueue};
@@ -263,6 +264,11 @@
                 let _ = answer.send(Ok(self.position_update(now_ms)));
             }
             ControlEvent::Propose(command, answer) => self.propose(command, Some(answer)),
+            ControlEvent::ProposeEncoded(command, answer) => {
+                let propose =
+                    |replica: &mut LogReplica, at_ms| replica.propose_encoded(at_ms, &command);
+                self.propose_with(propose, Some(answer));
+            }
             ControlEvent::Sync {
                 cursor,
                 wait_ms,
@@ -297,9 +303,8 @@
                 answer: WaiterReply::PositionUpdate(answer),
             }),
             ControlEvent::Configuration(answer) => {
-                let newest = self.replica.newest(now_ms);
-                let held = newest.map(|state| state.configuration.as_deref().cloned());
-                let _ = answer.send(held.ok_or_else(|| self.not_leader()));
+                let held = self.replica.state().configuration.as_deref().cloned();
+                let _ = answer.send(Ok(held));
             }
             ControlEvent::Confirm(answer) => {
                 let newest = self.replica.newest(now_ms);
@@ -391,11 +396,22 @@
     }
 
     fn propose(&mut self, command: Command, answer: Option<ReplySender<(Position, Reply)>>) {
+        self.propose_with(|replica, at_ms| replica.propose(at_ms, command), answer);
+    }
+
+    fn propose_with(
+        &mut self,
+        propose: impl FnOnce(&mut LogReplica, u64) -> Result<LogMark, ProposeError>,
+        answer: Option<ReplySender<(Position, Reply)>>,
+    ) {
         let refusal = match self.stopping {
             Some(_) => Err(ControlRefusal::Stopping),
             None => {
-                let mark = self.replica.propose(clock::stamp_ms(), command);
-                mark.map_err(|_| self.not_leader())
+                let mark = propose(&mut self.replica, clock::stamp_ms());
+                mark.map_err(|error| match error {
+                    ProposeError::Backlog => ControlRefusal::Busy,
+                    ProposeError::NotLeader(_) | ProposeError::VotersBusy => self.not_leader(),
+                })
             }
         };
         match (refusal, answer) {
@@ -906,7 +922,7 @@
             retained_bytes = usage.retained_bytes,
             resident_bytes = memory.resident_bytes,
             peak_bytes = memory.peak_bytes,
-            unsaved_batches = self.writes.len(),
+            unsaved_bytes = self.writes.unsaved_bytes(),
             "log compacted"
         );
     }
@@ -978,8 +994,9 @@
     }
 
     fn update_unsaved(&mut self) {
-        let unsaved_from = self.writes.unsaved_from();
-        self.replica.raft_mut().set_unsaved_from(unsaved_from);
+        let raft = self.replica.raft_mut();
+        raft.set_unsaved_bytes(self.writes.unsaved_bytes());
+        raft.set_unsaved_from(self.writes.unsaved_from());
     }
 
     fn deliver(&mut self, released: ReleasedOutput) {
--- a/src/process/follow.rs
+++ b/src/process/follow.rs
@@ -13,6 +13,7 @@
 
 use crate::clock;
 use crate::ids::{HallName, Position};
+use crate::process::pages;
 use crate::process::peers::{self, ControlLink, PeerError};
 use crate::process::wire::{ControlRefusal, PositionUpdate};
 use crate::routing::freshness::ProofCache;
@@ -170,7 +171,10 @@
                 client.sync(context, cursor, 0, false).await
             })
             .await;
-        if let Ok(Ok(page)) = pulled
+        let Ok(Ok(reply)) = pulled else {
+            return;
+        };
+        if let Ok(page) = pages::complete(&self.link, address, reply).await
             && self.view().follow(&page)
         {
             self.changed.notify_one();
--- a/src/process/member.rs
+++ b/src/process/member.rs
@@ -9,9 +9,11 @@
 use crate::consensus::state::{Command, MemberRole, Reply};
 use crate::ids::{HostName, Incarnation, Position};
 use crate::process::daemon::DaemonError;
+use crate::process::pages;
 use crate::process::peers::{self, ControlLink, PeerError};
 use crate::process::settings::CommonSettings;
-use crate::routing::view::SiteView;
+use crate::process::wire::ControlWireClient;
+use crate::routing::view::{SiteView, SyncPage};
 
 /// Longest time for which a control host may hold back its reply, in milliseconds.
 const SYNC_WAIT_MS: u64 = 1_000;
@@ -76,32 +78,39 @@
 
     /// Fills the copy with a linearizable read.
     pub async fn start(&self) -> Result<(), PeerError> {
-        let page = self
-            .link
-            .call_leader("sync", JOIN_TIMEOUT, |client, context| async move {
-                client.sync(context, Position(0), 0, true).await
-            })
-            .await?;
+        let page = pages::read_newest(&self.link, JOIN_TIMEOUT).await?;
         self.view().follow(&page);
         Ok(())
     }
 
+    /// Pulls the changes after a cursor from the control host with that index.
+    async fn pull(&self, number: usize, cursor: Position) -> Result<SyncPage, PeerError> {
+        let address = self.link.address(number);
+        let call = |client: ControlWireClient| async move {
+            let context = peers::within(SYNC_TIMEOUT);
+            client.sync(context, cursor, SYNC_WAIT_MS, false).await
+        };
+        let reply = self.link.call_at(&address, "sync", call).await?;
+        let reply = reply.map_err(|refusal| PeerError::Refused {
+            step: "sync",
+            peer: address.clone(),
+            refusal,
+        })?;
+        pages::complete(&self.link, &address, reply).await
+    }
+
     /// Follows the log forever. `seed` spreads members over the control hosts; `changed` is
     /// called after each page that was applied.
     pub async fn run(&self, seed: usize, mut changed: impl FnMut(&SiteView)) {
         let mut number = seed;
         loop {
             let cursor = self.position();
-            let asked = self.link.call_any(number, "sync", |client| async move {
-                let context = peers::within(SYNC_TIMEOUT);
-                client.sync(context, cursor, SYNC_WAIT_MS, false).await
-            });
             let answer = tokio::select! {
-                answer = asked => Some(answer),
+                answer = self.pull(number, cursor) => Some(answer),
                 () = self.sync_overdue() => None,
             };
             match answer {
-                Some(Ok(Ok(page))) => {
+                Some(Ok(page)) => {
                     let mut view = self.view();
                     if view.follow(&page) {
                         changed(&view);
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -15,6 +15,8 @@
 pub mod member;
 pub mod memory;
 pub mod metrics;
+pub mod pages;
 pub mod peers;
 pub mod settings;
+pub mod transfer;
 pub mod wire;
--- a/src/process/peers.rs
+++ b/src/process/peers.rs
@@ -23,6 +23,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::process::call_trace::CallTrace;
+use crate::process::transfer::{self, PIECE_TIMEOUT, PieceError, TransferId, ValuePiece};
 use crate::process::wire::{AgentWireClient, ControlRefusal, ControlWireClient, PROTOCOL};
 
 /// Maximum length of a frame during the handshake.
@@ -92,6 +93,14 @@
         /// The cause.
         source: RpcError,
     },
+    /// The peer refused a piece of a large value.
+    #[snafu(display("peer {peer} refused a piece of a large value: {source}"))]
+    Transfer {
+        /// Address of the peer.
+        peer: String,
+        /// The cause.
+        source: PieceError,
+    },
     /// No control host accepted a call.
     #[snafu(display("call {step} to control failed at {peer}: {refusal:?}"))]
     Refused {
@@ -113,6 +122,7 @@
             Self::Proof { .. } => "failed proof".to_owned(),
             Self::Handshake { .. } => "no handshake".to_owned(),
             Self::Call { source, .. } => source.to_string(),
+            Self::Transfer { source, .. } => source.to_string(),
             Self::Refused { refusal, .. } => format!("{refusal:?}"),
         }
     }
@@ -495,6 +505,29 @@
     }
 }
 
+impl PeerPool<ControlWireClient> {
+    /// Sends a value in pieces, which the control host keeps until a call refers to them.
+    pub async fn send_value(
+        &self,
+        address: &str,
+        parts: &[Bytes],
+    ) -> Result<TransferId, PeerError> {
+        let transfer = TransferId(rand::rng().random());
+        let send = async |piece: ValuePiece| {
+            let context = within(PIECE_TIMEOUT);
+            let call =
+                |client: ControlWireClient| async move { client.transfer(context, piece).await };
+            let stored = self.call(address, "transfer", call).await?;
+            stored.map_err(|source| PeerError::Transfer {
+                peer: address.to_owned(),
+                source,
+            })
+        };
+        transfer::send_pieces(transfer::split(transfer, parts), send).await?;
+        Ok(transfer)
+    }
+}
+
 /// Sends calls to the control hosts: to the leader for decisions, to any of them for other
 /// calls.
 pub struct ControlLink {
@@ -568,6 +601,15 @@
         (!self.is_empty()).then(|| self.address(number))
     }
 
+    /// Sends a large value to one control host in pieces; see [`PeerPool::send_value`].
+    pub async fn send_value_to(
+        &self,
+        address: &str,
+        parts: &[Bytes],
+    ) -> Result<TransferId, PeerError> {
+        self.pool.send_value(address, parts).await
+    }
+
     /// Calls one control host by its address.
     pub async fn call_at<T, F>(
         &self,
@@ -587,7 +629,8 @@
             .unwrap_or_else(|broken| broken.into_inner())
     }
 
-    fn address(&self, number: usize) -> String {
+    /// Returns the address of the control host with that index.
+    pub(super) fn address(&self, number: usize) -> String {
         let known = self.known();
         known[number % known.len()].clone()
     }
@@ -686,6 +729,8 @@
                 self.add_host(address);
                 self.known().iter().position(|known| known == address)
             }
+            // It still leads.
+            ControlRefusal::Busy => Some(number),
             _ => None,
         };
         *self.lock() = named.unwrap_or(number + 1);
--- a/src/process/wire.rs
+++ b/src/process/wire.rs
@@ -29,11 +29,11 @@
 };
 use crate::placement::target_controller::{AgentHeartbeat, EntryHeartbeat};
 use crate::placement::unserved::UnservedSummary;
+use crate::process::pages::{SyncReply, ValueSlice};
+use crate::process::transfer::{PieceError, TransferId, ValuePiece};
 use crate::routing::freshness::FreshnessProof;
 use crate::routing::stream_origins::{OriginBatch, StreamKey, StreamOrigin};
-use crate::routing::view::SyncPage;
 use crate::table::accounts::QuotaSpec;
-use crate::table::configuration::ConfigurationRecord;
 use crate::table::quota::{QuotaGrants, QuotaRequest, QuotaUsage};
 use crate::table::rows::Row;
 
@@ -215,19 +215,40 @@
     pub proof: Option<FreshnessProof>,
 }
 
+/// Payloads of a message that were sent in pieces before it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DetachedPayloads {
+    /// Transfer of all of them.
+    pub transfer: TransferId,
+    /// Length of each, in bytes.
+    pub lens: Vec<usize>,
+}
+
 /// Calls to control hosts.
 #[tarpc::service]
 pub trait ControlWire {
     /// Sends a Raft message to another voter.
     async fn raft(from: NodeId, host: HostName, message: RaftMessage);
+    /// Sends a piece of a value that a later call refers to.
+    async fn transfer(piece: ValuePiece) -> Result<(), PieceError>;
+    /// Sends a Raft message whose payloads have been transferred.
+    async fn raft_large(
+        from: NodeId,
+        host: HostName,
+        message: RaftMessage,
+        payloads: DetachedPayloads,
+    );
     /// Requests that a process with a blank disk becomes a voter. Only the leader acts on it;
     /// every host replies with the control hosts that it knows.
     async fn enroll(node: NodeId, host: HostName) -> Result<PositionUpdate, ControlRefusal>;
     /// Returns the changes after a cursor, and waits up to `wait_ms` for one. With `fresh`, the
     /// read is linearizable.
-    async fn sync(cursor: Position, wait_ms: u64, fresh: bool) -> Result<SyncPage, ControlRefusal>;
+    async fn sync(cursor: Position, wait_ms: u64, fresh: bool)
+    -> Result<SyncReply, ControlRefusal>;
     /// Commits a command.
     async fn propose(command: Command) -> Result<(Position, Reply), ControlRefusal>;
+    /// Commits an encoded command that has been transferred.
+    async fn propose_large(transfer: TransferId) -> Result<(Position, Reply), ControlRefusal>;
     /// Sends an agent's heartbeat.
     async fn agent_beat(beat: AgentHeartbeat) -> Result<AgentHeartbeatReply, ControlRefusal>;
     /// Sends an entry's heartbeat.
@@ -243,8 +264,11 @@
     /// Returns the position of this host, and waits up to `wait_ms` for a change after a
     /// cursor.
     async fn notice(cursor: Position, wait_ms: u64) -> Result<PositionUpdate, ControlRefusal>;
-    /// Reads the configuration; linearizable.
-    async fn configuration() -> Result<Option<ConfigurationRecord>, ControlRefusal>;
+    /// Returns a slice of the text of the configuration with that version, from a host that has
+    /// it.
+    async fn configuration_text(version: u64, offset: u64) -> Result<ValueSlice, ControlRefusal>;
+    /// Returns a slice of the encoded configuration that a page of this host left out.
+    async fn configuration(version: u64, offset: u64) -> Result<ValueSlice, ControlRefusal>;
     /// Returns the version of the newest configuration, 0 for none; only from a leader whose
     /// lease is valid.
     async fn confirm() -> Result<u64, ControlRefusal>;
--- a/src/table/configuration.rs
+++ b/src/table/configuration.rs
@@ -10,7 +10,7 @@
 use snafu::Snafu;
 
 use crate::ids::{ModelName, RegionName, ServiceName};
-use crate::table::accounts::{AccountError, AccountList};
+use crate::table::accounts::{AccountError, AccountList, AccountSpec, KeyDigest};
 
 /// Whether requests of a route may be repeated, and whether responses are streamed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -235,6 +235,14 @@
         /// Invalid prefix.
         prefix: String,
     },
+    /// The parsed configuration takes more memory than the hosts that keep it can spare.
+    #[snafu(display(
+        "the configuration takes {bytes} bytes of memory, more than {MAX_HEAP_BYTES}"
+    ))]
+    TooLarge {
+        /// Estimated size of its parsed form, in bytes.
+        bytes: usize,
+    },
     /// The accounts are invalid.
     #[snafu(display("{source}"), context(false))]
     Accounts {
@@ -243,6 +251,14 @@
     },
 }
 
+/// Maximum size of the text of a configuration, in bytes.
+pub const MAX_SOURCE_BYTES: usize = 4 * 1024 * 1024;
+/// Maximum size of a parsed configuration in memory, in bytes: four times that of its text. Texts
+/// of many short names take more.
+pub const MAX_HEAP_BYTES: usize = 4 * MAX_SOURCE_BYTES;
+/// Size of an allocation beyond its contents, in bytes.
+const ALLOCATION_BYTES: usize = 16;
+
 /// Time in which clients are expected to take up a broken stream, in milliseconds.
 const RETURN_TIME_MS: u64 = 40_000;
 
@@ -301,8 +317,45 @@
         routes.filter(|route| route.kind == RouteKind::Streaming)
     }
 
+    /// Returns the approximate size of the configuration in memory, in bytes.
+    pub fn heap_bytes(&self) -> usize {
+        let text = |text: &str| size_of::<String>() + ALLOCATION_BYTES + text.len();
+        let split = |split: &[(ServiceName, u32)]| -> usize {
+            split.iter().map(|(name, _)| text(name.as_str())).sum()
+        };
+        let regions = |regions: &BTreeSet<RegionName>| -> usize {
+            regions.iter().map(|region| text(region.as_str())).sum()
+        };
+        let routes = self.routes.iter().map(|route| {
+            let texts = [&route.name, &route.host, &route.prefix];
+            let texts: usize = texts.into_iter().map(|name| text(name)).sum();
+            size_of::<RouteSpec>() + texts + regions(&route.regions) + split(&route.split)
+        });
+        let services = self.services.iter().map(|(name, service)| {
+            let models = service
+                .engine
+                .iter()
+                .flat_map(|engine| engine.models.keys());
+            let models = models.map(|model| size_of::<EngineModel>() + text(model.as_str()));
+            size_of::<ServiceSpec>() + text(name.as_str()) + models.sum::<usize>()
+        });
+        let accounts = self.accounts.iter().flat_map(|list| &list.accounts);
+        let accounts = accounts.map(|account| {
+            let keys = account.keys.len() * size_of::<KeyDigest>();
+            size_of::<AccountSpec>()
+                + text(account.name.as_str())
+                + keys
+                + regions(&account.regions)
+        });
+        routes.chain(services).chain(accounts).sum()
+    }
+
     /// Checks constraints that the types do not express.
     pub fn check(&self) -> Result<(), ConfigurationError> {
+        let bytes = self.heap_bytes();
+        if bytes > MAX_HEAP_BYTES {
+            return Err(ConfigurationError::TooLarge { bytes });
+        }
         if let Some(accounts) = &self.accounts {
             accounts.check()?;
         }
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -560,7 +560,7 @@
     pub async fn configuration_read(&self) -> u64 {
         let read = async || unless_no_quorum(self.registry.configuration().await);
         let record = wait_for("a quorum", read).await.unwrap();
-        record.unwrap().configuration.version
+        record.unwrap().version
     }
 
     /// Returns the client accounts as the control host reports them to operators.
--- a/tests/raft.rs
+++ b/tests/raft.rs
@@ -5,7 +5,9 @@
 
 use std::collections::BTreeSet;
 
-use dunlinspring::consensus::raft::{DiskImage, RaftCore, RaftMessage, RaftTiming};
+use dunlinspring::consensus::raft::{
+    DiskImage, LogEntry, ProposeError, RaftCore, RaftMessage, RaftTiming,
+};
 use dunlinspring::ids::{NodeId, Position};
 
 use support_raft::take_sent;
@@ -17,6 +19,7 @@
 const LEADER: NodeId = NodeId(1);
 const FOLLOWER: NodeId = NodeId(2);
 const LAGGARD: NodeId = NodeId(3);
+const MIB: usize = 1024 * 1024;
 
 /// Two connected voters, and a third one to which nothing is delivered.
 struct LoggedPair {
@@ -156,3 +159,87 @@
     core.flush(now_ms + TIMING.heartbeat_ms);
     assert_eq!(core.commit(), mark.index);
 }
+
+/// Size of a large command, in bytes.
+const LARGE_COMMAND_BYTES: usize = 3_000_000;
+
+fn entry_bytes(messages: &[RaftMessage]) -> usize {
+    let entries = messages.iter().flat_map(|message| match message {
+        RaftMessage::Append { entries, .. } => &entries[..],
+        _ => &[],
+    });
+    entries.map(LogEntry::size).sum()
+}
+
+/// A follower that confirmed nothing was sent every large change, which piled up at the leader, on
+/// the way and before the follower's disk.
+#[test]
+fn a_follower_that_confirms_nothing_is_sent_a_bounded_number_of_bytes() {
+    let mut pair = LoggedPair::new();
+    pair.to_laggard.clear();
+    for _ in 0..40 {
+        let command = vec![7; LARGE_COMMAND_BYTES];
+        pair.cores[0].propose(command).unwrap();
+        pair.deliver();
+        pair.advance(40);
+    }
+    let sent = entry_bytes(&pair.to_laggard);
+    let bound = MIB + LARGE_COMMAND_BYTES + 1_000;
+    assert!(sent <= bound, "{sent} of {bound}");
+    // Its confirmation opens the way for the next entries.
+    let last_sent = pair
+        .to_laggard
+        .iter()
+        .rev()
+        .find_map(|message| match message {
+            RaftMessage::Append { entries, .. } => entries.last().map(|entry| entry.mark.index),
+            _ => None,
+        });
+    pair.to_laggard.clear();
+    let confirmation = RaftMessage::AppendReply {
+        term: pair.cores[0].term(),
+        at: last_sent.unwrap(),
+        matched: true,
+        sent_ms: pair.now_ms,
+    };
+    pair.cores[0].receive(pair.now_ms, LAGGARD, confirmation);
+    pair.deliver();
+    assert!(entry_bytes(&pair.to_laggard) >= LARGE_COMMAND_BYTES);
+}
+
+/// A message that is lost must not close the way for good.
+#[test]
+fn a_follower_that_lost_a_large_entry_is_sent_it_again() {
+    let mut pair = LoggedPair::new();
+    for _ in 0..3 {
+        let command = vec![7; LARGE_COMMAND_BYTES];
+        pair.cores[0].propose(command).unwrap();
+        pair.deliver();
+        pair.to_laggard.clear();
+        pair.refuse(1);
+        assert!(entry_bytes(&pair.to_laggard) >= LARGE_COMMAND_BYTES);
+    }
+}
+
+/// Without a quorum, or with a slow disk, large changes piled up at the leader.
+#[test]
+fn a_leader_takes_a_bounded_number_of_large_commands_that_are_not_committed() {
+    let mut pair = LoggedPair::new();
+    let accepted = (0..40).filter(|_| {
+        let command = vec![7; LARGE_COMMAND_BYTES];
+        pair.cores[0].propose(command).is_ok()
+    });
+    assert_eq!(accepted.count(), 1);
+    let refused = pair.cores[0].propose(vec![7; LARGE_COMMAND_BYTES]);
+    assert_eq!(refused, Err(ProposeError::Backlog));
+    // Small commands are taken meanwhile, and large ones once the first is committed.
+    pair.commit(1);
+    assert!(pair.cores[0].propose(vec![7; LARGE_COMMAND_BYTES]).is_ok());
+    pair.deliver();
+    pair.cores[0].set_unsaved_bytes(8 * MIB);
+    let refused = pair.cores[0].propose(vec![7; LARGE_COMMAND_BYTES]);
+    assert_eq!(refused, Err(ProposeError::Backlog));
+    pair.commit(1);
+    pair.cores[0].set_unsaved_bytes(0);
+    assert!(pair.cores[0].propose(vec![7; LARGE_COMMAND_BYTES]).is_ok());
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -142,7 +142,7 @@
     });
     taken.await;
     let held = registry.configuration().await.unwrap().unwrap();
-    assert_eq!((held.configuration.version, &held.source[..]), (3, &source[..]));
+    assert_eq!((held.version, &held.source[..]), (3, &source[..]));
 
     registry.heartbeat(replica("i-1")).await.unwrap();
     let mut foreign = replica("i-3");
