Control processes return freed memory to the system

Cause, by hypothesis H5: glibc raises the size from which it maps an allocation, and the free memory that a heap keeps, with what is freed: up to 32 and 64 MiB for each thread's heap.

The thresholds are fixed at the start of a control process.

--- a/src/bin/dunlinspring-control.rs
+++ b/src/bin/dunlinspring-control.rs
@@ -3,12 +3,13 @@
 use dunlinspring::control::bootstrap;
 use dunlinspring::control::shell::ControlDaemon;
 use dunlinspring::process::settings::ControlSettings;
-use dunlinspring::process::{arguments, daemon};
+use dunlinspring::process::{arguments, daemon, memory};
 
 const PROGRAM: &str = "dunlinspring-control";
 
 #[ntex::main]
 async fn main() {
+    memory::return_freed_memory();
     let start = arguments::start::<ControlSettings>(PROGRAM, |settings| &settings.common);
     if start.bootstrap {
         match bootstrap::bootstrap(&start.settings) {
--- a/src/process/memory.rs
+++ b/src/process/memory.rs
@@ -1,4 +1,4 @@
-//! Memory of this process, as the operating system counts it.
+//! Memory of this process: what the operating system counts, and how freed memory goes back to it.
 
 use std::fs;
 
@@ -32,9 +32,24 @@
 
     /// Returns both figures with their names.
     pub fn by_kind(self) -> [(&'static str, u64); 2] {
-        [
-            ("resident", self.resident_bytes),
-            ("peak", self.peak_bytes),
-        ]
+        [("resident", self.resident_bytes), ("peak", self.peak_bytes)]
+    }
+}
+
+/// Size from which an allocation is returned to the system as soon as it is freed, in bytes.
+#[cfg(target_env = "gnu")]
+const MMAP_THRESHOLD_BYTES: libc::c_int = 256 * 1024;
+/// Free memory at the end of a heap from which it is returned to the system, in bytes.
+#[cfg(target_env = "gnu")]
+const TRIM_THRESHOLD_BYTES: libc::c_int = 1024 * 1024;
+
+/// Has the allocator return freed memory to the system. By default glibc raises both thresholds
+/// with the size of what is freed, up to 32 and 64 MiB for each thread's heap.
+pub fn return_freed_memory() {
+    #[cfg(target_env = "gnu")]
+    // SAFETY: `mallopt` may be called at any time, with any values.
+    unsafe {
+        libc::mallopt(libc::M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
+        libc::mallopt(libc::M_TRIM_THRESHOLD, TRIM_THRESHOLD_BYTES);
     }
 }
