Earlier routes stand in the log, and outlive all processes

Callers saw, by a report from a system like ours: streams taken up after all entries were killed at once were joined from two software versions.

Cause: that a route had moved was known to processes that ran at that moment only. And the time after which one version alone counts came from the configuration of the moment: shorter time-outs, or a route that moves away, let the leader settle while longer streams could return.

Ruled out: the herd alone. With all entries killed three times beside a release, as the old version leaves, or with all control hosts twice beside a release and back, none of the drawn plays mixes, before this commit too.

The log holds for each service whether earlier routes led elsewhere, and the longest time for which their streams may return; the leader settles it after that time on its own steady clock, and a new one waits anew. Entries follow it, and the leader confirms versions by it. The changed routes are found by sorted prefixes, as voters compare all configurations now.

The model asks the leader by the same function as the voter, and kills control processes with all that they know.

--- a/src/consensus/mod.rs
+++ b/src/consensus/mod.rs
@@ -17,4 +17,5 @@
 pub mod replica;
 pub mod software_versions;
 pub mod state;
+pub mod stream_history;
 pub mod write_queue;
--- a/src/consensus/state.rs
+++ b/src/consensus/state.rs
@@ -19,6 +19,7 @@
 use crate::consensus::software_versions::{
     ReplicaHeartbeat, SoftwareVersion, VersionMix, VersionStore,
 };
+use crate::consensus::stream_history::{EarlierRoutes, StreamHistory};
 use crate::ids::{
     AttemptId, ContentDigest, HallName, HostName, Incarnation, ModelName, NodeId, Position,
     ReplicaId, ReplicaIncarnation, ServiceName, TargetName, VersionName,
@@ -168,6 +169,9 @@
     PartCrashObserved(ObservedPartCrash),
     /// Removes the host of a disk that votes no more.
     VoterHostGone(NodeId),
+    /// Records that no stream of a service which began under earlier routes may be continued any
+    /// more, since they changed for the last time by this count.
+    EarlierRoutesSettled(ServiceName, u64),
 }
 
 /// Result of [`Command::Configure`].
@@ -258,6 +262,8 @@
     ReplicaVersion(ReplicaIncarnation, VersionName),
     /// The software versions of a service changed.
     VersionMix(ServiceName, VersionMix),
+    /// The earlier routes to a service changed or, with `None`, matter no more.
+    EarlierRoutes(ServiceName, Option<EarlierRoutes>),
 }
 
 /// Whether the replicas of a data hall receive requests.
@@ -323,6 +329,9 @@
     /// Causes of recent crashes.
     #[serde(deserialize_with = "last_field::read_or_default")]
     crash_causes: CrashCauses,
+    /// Earlier routes to services.
+    #[serde(deserialize_with = "last_field::read_or_default")]
+    streams: StreamHistory,
 }
 
 impl SiteState {
@@ -364,6 +373,12 @@
                 }
                 Reply::None
             }
+            Command::EarlierRoutesSettled(service, changes) => {
+                if self.streams.settle(service, *changes) {
+                    self.record_change(Change::EarlierRoutes(service.clone(), None));
+                }
+                Reply::None
+            }
             Command::VersionSettled(service, version, changes) => {
                 let records = self.replicas.records().values();
                 if self.versions.settle(service, version, *changes, records) {
@@ -572,7 +587,10 @@
         let halls = self.evacuated.iter().cloned();
         let halls = halls.map(|hall| Change::Hall(hall, HallStanding::Evacuated));
         let table = site.chain(rows).chain(members).chain(homes);
-        let fleet = configuration.chain(replicas).chain(halls);
+        let earlier = self.streams.by_service().iter();
+        let earlier =
+            earlier.map(|(service, routes)| Change::EarlierRoutes(service.clone(), Some(*routes)));
+        let fleet = configuration.chain(earlier).chain(replicas).chain(halls);
         let suspects = contents.into_iter().chain(parts);
         table.chain(fleet).chain(suspects).collect()
     }
@@ -612,6 +630,11 @@
         &self.versions
     }
 
+    /// Returns the earlier routes to services.
+    pub fn streams(&self) -> &StreamHistory {
+        &self.streams
+    }
+
     /// Returns the prompt parts that ran when replicas crashed.
     pub fn parts(&self) -> &PartStore {
         &self.parts
@@ -661,6 +684,13 @@
     }
 
     fn configure(&mut self, record: &ConfigurationRecord) -> ConfigureResult {
+        let before = self.configuration.as_ref();
+        let before = before.map(|before| before.configuration.clone());
+        let concerned = before.map(|before| self.streams.record(&before, &record.configuration));
+        for service in concerned.into_iter().flatten() {
+            let earlier = self.streams.by_service().get(&service).copied();
+            self.record_change(Change::EarlierRoutes(service, earlier));
+        }
         self.configuration = Some(Box::new(record.clone()));
         // Keep only the newest change, without its contents: members need the configuration in
         // force, which a snapshot would otherwise hold twice.
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -35,7 +35,7 @@
     LimitStatus, PositionUpdate, SilentVoter, TableStatus,
 };
 use crate::routing::freshness::FreshnessProof;
-use crate::routing::route_changes::RouteFollower;
+use crate::routing::route_changes;
 use crate::routing::view::{self, SyncPage};
 use crate::table::accounts::{AccountList, AccountSpec};
 use crate::table::quota::QuotaGrantor;
@@ -112,8 +112,6 @@
     quotas: Option<QuotaGrantor>,
     suspect_leases: Option<SuspectLeases>,
     rates: Option<ReplicaRateLimits>,
-    /// Changes of routes since this voter started.
-    routes: RouteFollower,
     /// Version of the newest configuration that a leader confirmed, and when this host queried
     /// it.
     confirmed: Option<(u64, u64)>,
@@ -182,7 +180,6 @@
             quotas: None,
             suspect_leases: None,
             rates: None,
-            routes: RouteFollower::default(),
             confirmed: None,
             orders: None,
             pending_proposals: BTreeMap::new(),
@@ -360,12 +357,8 @@
                 let _ = answer.send(parts.ok_or_else(|| self.not_leader()));
             }
             ControlEvent::VersionMix(service, answer) => {
-                self.follow_routes(now_ms);
                 let newest = self.replica.newest(now_ms);
-                let mix = newest.map(|state| {
-                    let mix = state.versions().mixes().get(&service);
-                    self.routes.confirmed_mix(&service, now_ms, mix)
-                });
+                let mix = newest.map(|state| route_changes::confirmed_mix(state, &service));
                 let _ = answer.send(mix.ok_or_else(|| self.not_leader()));
             }
             ControlEvent::OrderPermit(term, answer) => {
@@ -389,12 +382,6 @@
         }
     }
 
-    fn follow_routes(&mut self, now_ms: u64) {
-        if let Some(record) = &self.replica.state().configuration {
-            self.routes.follow(now_ms, &record.configuration);
-        }
-    }
-
     fn propose(&mut self, command: Command, answer: Option<ReplySender<(Position, Reply)>>) {
         self.propose_with(|replica, at_ms| replica.propose(at_ms, command), answer);
     }
@@ -810,7 +797,6 @@
         self.hand_over_after_permits(now_ms);
         self.replica.tick(now_ms);
         self.update_leadership(now_ms);
-        self.follow_routes(now_ms);
         let commands = match (self.replica.newest(now_ms), &mut self.targets) {
             (Some(state), Some(targets)) => targets.round(state, now_ms, clock::stamp_ms()),
             _ => Vec::new(),
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -581,6 +581,7 @@
             let position = view.position;
             tracing::info!(version, held, routes, %position, "configuration in force");
         }
+        self.update_earlier_routes(&view);
         drop(view);
         self.update_readiness();
         self.notify_changed();
--- a/src/forward/stream_origins.rs
+++ b/src/forward/stream_origins.rs
@@ -178,6 +178,20 @@
         }
     }
 
+    /// Updates the earlier routes that the log has. The origins of the earlier streams of services
+    /// whose routes moved are stored.
+    pub(super) fn update_earlier_routes(self: &Rc<Self>, view: &SiteView) {
+        let now_ms = clock::monotonic_ms();
+        let mut routes = self.origins.routes.borrow_mut();
+        let moved = routes.set_logged(now_ms, &view.earlier_routes);
+        drop(routes);
+        for service in moved {
+            if !self.origins.is_mixed(&service) {
+                self.store_known(&service);
+            }
+        }
+    }
+
     /// Stores the origins of the streams of a service that this entry has served.
     fn store_known(self: &Rc<Self>, service: &ServiceName) {
         let memory = self.origins.memory.borrow();
--- a/src/placement/version_settlement.rs
+++ b/src/placement/version_settlement.rs
@@ -34,6 +34,8 @@
     opening: BTreeMap<ServiceName, u64>,
     checked_ms: u64,
     sole: BTreeMap<ServiceName, SoleVersion>,
+    /// Since when the earlier routes to services are as they are, with the count of their changes.
+    earlier: BTreeMap<ServiceName, (u64, u64)>,
 }
 
 impl VersionSettlement {
@@ -43,6 +45,7 @@
         if now_ms >= self.checked_ms + CHECK_INTERVAL_MS {
             self.checked_ms = now_ms;
             commands.extend(self.check_sole(state, now_ms));
+            commands.extend(self.check_earlier(state, now_ms));
         }
         commands
     }
@@ -96,7 +99,8 @@
             return Vec::new();
         };
         let due = self.sole.iter().filter(|(service, sole)| {
-            let keep_ms = configuration.stream_memory_ms(service);
+            let present_ms = configuration.stream_memory_ms(service);
+            let keep_ms = present_ms.max(state.streams().keep_ms(service));
             now_ms >= sole.since_ms.saturating_add(keep_ms)
         });
         due.map(|(service, sole)| {
@@ -106,6 +110,27 @@
     }
 }
 
+impl VersionSettlement {
+    /// Returns the commands for services whose earlier routes matter no more.
+    fn check_earlier(&mut self, state: &SiteState, now_ms: u64) -> Vec<Command> {
+        let known = std::mem::take(&mut self.earlier);
+        let mut commands = Vec::new();
+        for (service, routes) in state.streams().by_service() {
+            let since_ms = match known.get(service) {
+                Some((changes, since_ms)) if *changes == routes.changes => *since_ms,
+                _ => now_ms,
+            };
+            self.earlier
+                .insert(service.clone(), (routes.changes, since_ms));
+            if now_ms >= since_ms.saturating_add(routes.keep_ms) {
+                let command = Command::EarlierRoutesSettled(service.clone(), routes.changes);
+                commands.push(command);
+            }
+        }
+        commands
+    }
+}
+
 /// Whether a ready replica of a service runs a version.
 fn is_served_by(state: &SiteState, service: &ServiceName, version: &SoftwareVersion) -> bool {
     let mut records = state.replicas.records().values();
--- a/src/routing/route_changes.rs
+++ b/src/routing/route_changes.rs
@@ -2,9 +2,10 @@
 //! knows. Pure: the caller passes in the time.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 
 use crate::consensus::software_versions::VersionMix;
+use crate::consensus::state::SiteState;
+use crate::consensus::stream_history::EarlierRoutesByService;
 use crate::ids::ServiceName;
 use crate::table::configuration::Configuration;
 
@@ -35,6 +36,8 @@
     split: BTreeSet<ServiceName>,
     /// Services whose routes have led elsewhere.
     rerouted: BTreeMap<ServiceName, Rerouting>,
+    /// Earlier routes that the log has.
+    logged: EarlierRoutesByService,
     /// Until when a route may have led elsewhere without this process knowing of it.
     unaware_until_ms: u64,
 }
@@ -73,6 +76,22 @@
         new
     }
 
+    /// Sets the earlier routes that the log has. Returns the services whose history is
+    /// [`RouteHistory::Moved`] only from now on.
+    pub fn set_logged(
+        &mut self,
+        now_ms: u64,
+        logged: &EarlierRoutesByService,
+    ) -> BTreeSet<ServiceName> {
+        let moved = logged.iter().filter(|(_, routes)| routes.is_moved);
+        let new = moved.filter(|(service, _)| !self.is_moved(service, now_ms));
+        let new = new.map(|(service, _)| service.clone()).collect();
+        if self.logged != *logged {
+            self.logged = logged.clone();
+        }
+        new
+    }
+
     /// Returns where the routes to a service led.
     pub fn history(&self, service: &ServiceName, now_ms: u64) -> RouteHistory {
         match self.is_moved(service, now_ms) {
@@ -85,7 +104,9 @@
     /// Whether routes lead, or lately led, to this service and to others.
     pub fn is_moved(&self, service: &ServiceName, now_ms: u64) -> bool {
         let rerouting = self.rerouted.get(service);
+        let logged = self.logged.get(service);
         self.split.contains(service)
+            || logged.is_some_and(|routes| routes.is_moved)
             || rerouting.is_some_and(|rerouting| now_ms < rerouting.until_ms)
     }
 
@@ -93,37 +114,19 @@
     /// milliseconds; 0 if there was none.
     pub fn keep_ms(&self, service: &ServiceName) -> u64 {
         let rerouting = self.rerouted.get(service);
-        rerouting.map_or(0, |rerouting| rerouting.keep_ms)
+        let known_ms = rerouting.map_or(0, |rerouting| rerouting.keep_ms);
+        let logged = self.logged.get(service);
+        logged.map_or(known_ms, |routes| routes.keep_ms.max(known_ms))
     }
 }
 
-/// Changes of the routes as a voter sees them in the log.
-#[derive(Clone, Debug, Default)]
-pub struct RouteFollower {
-    changes: RouteChanges,
-    configuration: Option<Arc<Configuration>>,
-}
-
-impl RouteFollower {
-    /// Records the configuration in force, if it is newer than the last one.
-    pub fn follow(&mut self, now_ms: u64, configuration: &Arc<Configuration>) {
-        let known = self.configuration.as_deref();
-        if known.is_none_or(|known| known.version < configuration.version) {
-            self.changes.update(now_ms, known, configuration);
-            self.configuration = Some(configuration.clone());
-        }
-    }
-
-    /// Returns the versions of a service as a leader confirms them: nothing while a stream may return
-    /// that a route of the service led elsewhere, as its origin does not follow from them. An entry
-    /// may have started, or learned of the change, after the stream began.
-    pub fn confirmed_mix(
-        &self,
-        service: &ServiceName,
-        now_ms: u64,
-        mix: Option<&VersionMix>,
-    ) -> Option<VersionMix> {
-        let is_moved = self.changes.is_moved(service, now_ms);
-        mix.filter(|_| !is_moved).cloned()
-    }
+/// Returns the versions of a service as a leader confirms them: nothing while a stream may return
+/// that a route of the service led elsewhere, as its origin does not follow from them. An entry may
+/// have learned of the change after the stream began.
+pub fn confirmed_mix(state: &SiteState, service: &ServiceName) -> Option<VersionMix> {
+    let record = state.configuration.as_ref();
+    let is_split = record.is_some_and(|record| record.configuration.is_split(service));
+    let is_moved = is_split || state.streams().is_moved(service);
+    let mix = state.versions().mixes().get(service);
+    mix.filter(|_| !is_moved).cloned()
 }
--- a/src/routing/view.rs
+++ b/src/routing/view.rs
@@ -10,6 +10,7 @@
 use crate::consensus::part_crashes::{PartStanding, PartStandings};
 use crate::consensus::software_versions::{self, NamedVersions, SoftwareVersion, VersionMix};
 use crate::consensus::state::{Change, HallStanding, HomeInfo, HomePhase, MemberInfo, SiteState};
+use crate::consensus::stream_history::EarlierRoutesByService;
 use crate::ids::{
     HallName, HostName, ModelName, PartnerName, Position, ReplicaId, RowId, ServiceName, TargetName,
 };
@@ -66,6 +67,8 @@
     pub versions: NamedVersions,
     /// Which software versions each service runs.
     pub version_mixes: BTreeMap<ServiceName, VersionMix>,
+    /// Earlier routes to services, while streams that began under them may be continued.
+    pub earlier_routes: EarlierRoutesByService,
     /// Number of replica crashes during each suspect or quarantined content.
     pub contents: CrashCounts,
     /// Standings of the prompt parts that ran when replicas crashed.
@@ -155,6 +158,12 @@
             Change::VersionMix(service, mix) => {
                 self.version_mixes.insert(service.clone(), mix.clone());
             }
+            Change::EarlierRoutes(service, Some(routes)) => {
+                self.earlier_routes.insert(service.clone(), *routes);
+            }
+            Change::EarlierRoutes(service, None) => {
+                self.earlier_routes.remove(service);
+            }
             Change::Contents(counts) => self.apply_contents(counts),
             Change::Parts(standings) => self.apply_parts(standings),
             Change::Hall(hall, HallStanding::Evacuated) => {
--- a/src/table/configuration.rs
+++ b/src/table/configuration.rs
@@ -1,7 +1,7 @@
 //! Configuration that operators replace as a unit: routes, services, client limits and
 //! accounts, under one increasing version.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::fmt;
 use std::sync::Arc;
 
@@ -87,14 +87,50 @@
     pub fn leads_to(&self, service: &ServiceName) -> bool {
         self.used_services().any(|used| used == service)
     }
+}
+
+/// Where a route matches and leads.
+#[derive(PartialEq, Eq, Hash)]
+struct RouteKey<'a> {
+    host: String,
+    prefix: &'a str,
+    split: &'a [(ServiceName, u32)],
+}
 
-    /// Whether requests to one path may match both routes, in different configurations.
-    fn overlaps(&self, other: &Self) -> bool {
-        let (short, long) = match self.prefix.len() < other.prefix.len() {
-            true => (&self.prefix, &other.prefix),
-            false => (&other.prefix, &self.prefix),
+impl<'a> From<&'a RouteSpec> for RouteKey<'a> {
+    fn from(route: &'a RouteSpec) -> Self {
+        Self {
+            host: route.host.to_ascii_lowercase(),
+            prefix: &route.prefix,
+            split: &route.split,
+        }
+    }
+}
+
+/// Path prefixes by host.
+struct PrefixSet<'a>(HashMap<String, BTreeSet<&'a str>>);
+
+impl<'a> PrefixSet<'a> {
+    fn new(routes: impl Iterator<Item = &'a RouteSpec>) -> Self {
+        let mut by_host: HashMap<String, BTreeSet<&str>> = HashMap::new();
+        for route in routes {
+            let prefixes = by_host.entry(route.host.to_ascii_lowercase()).or_default();
+            prefixes.insert(&route.prefix);
+        }
+        Self(by_host)
+    }
+
+    /// Whether requests to one path may match a route and one of these prefixes.
+    fn overlaps(&self, route: &RouteSpec) -> bool {
+        let Some(prefixes) = self.0.get(&route.host.to_ascii_lowercase()) else {
+            return false;
         };
-        self.host.eq_ignore_ascii_case(&other.host) && long.starts_with(short.as_str())
+        let own = route.prefix.as_str();
+        let mut longer = prefixes.range(own..);
+        let is_longer = longer.next().is_some_and(|prefix| prefix.starts_with(own));
+        // Prefixes end with a slash.
+        let mut shorter = own.match_indices('/').map(|(at, _)| &own[..=at]);
+        is_longer || shorter.any(|prefix| prefixes.contains(prefix))
     }
 }
 
@@ -262,12 +298,35 @@
 /// Time in which clients are expected to take up a broken stream, in milliseconds.
 const RETURN_TIME_MS: u64 = 40_000;
 
+/// Returns the time for which it must be known what began streams that last up to `longest_ms`, in
+/// milliseconds.
+pub fn memory_of_streams_ms(longest_ms: u64) -> u64 {
+    longest_ms.saturating_mul(2).saturating_add(RETURN_TIME_MS)
+}
+
 impl Configuration {
     /// Time for which it must be known what began the streams of a service, in milliseconds: a
     /// client may take one up at its deadline, and again at the next one.
     pub fn stream_memory_ms(&self, service: &ServiceName) -> u64 {
-        let longest_ms = self.longest_stream_ms(service);
-        longest_ms.saturating_mul(2).saturating_add(RETURN_TIME_MS)
+        memory_of_streams_ms(self.longest_stream_ms(service))
+    }
+
+    /// Returns the longest time that a stream of each service may last, in milliseconds.
+    pub fn longest_streams(&self) -> BTreeMap<&ServiceName, u64> {
+        let mut longest = BTreeMap::new();
+        for route in self.streaming_routes() {
+            for (service, _) in &route.split {
+                let known_ms = longest.entry(service).or_insert(0);
+                *known_ms = route.timeout_ms.max(*known_ms);
+            }
+        }
+        longest
+    }
+
+    /// Whether a streaming route leads to a service and to others.
+    pub fn is_split(&self, service: &ServiceName) -> bool {
+        self.streaming_routes()
+            .any(|route| route.leads_to(service) && route.used_services().count() > 1)
     }
 
     /// Longest time that a stream of a service may last, in milliseconds; 0 if it serves none.
@@ -291,21 +350,15 @@
     /// Returns the services of streaming routes that lead elsewhere in a later configuration, with
     /// those to which they lead there.
     pub fn rerouted_services(&self, later: &Self) -> BTreeSet<ServiceName> {
-        let is_in = |routes: &[RouteSpec], route: &RouteSpec| {
-            let same = |other: &RouteSpec| {
-                other.host.eq_ignore_ascii_case(&route.host)
-                    && other.prefix == route.prefix
-                    && other.split == route.split
-            };
-            routes.iter().any(same)
-        };
+        let known: HashSet<RouteKey> = self.routes.iter().map(RouteKey::from).collect();
+        let kept: HashSet<RouteKey> = later.routes.iter().map(RouteKey::from).collect();
         let removed = self.streaming_routes();
-        let removed = removed.filter(|route| !is_in(&later.routes, route));
+        let removed = removed.filter(|route| !kept.contains(&RouteKey::from(*route)));
         let added = later.streaming_routes();
-        let added = added.filter(|route| !is_in(&self.routes, route));
-        let changed: Vec<&RouteSpec> = removed.chain(added).collect();
+        let added = added.filter(|route| !known.contains(&RouteKey::from(*route)));
+        let changed = PrefixSet::new(removed.chain(added));
         let all = self.streaming_routes().chain(later.streaming_routes());
-        let touched = all.filter(|route| changed.iter().any(|other| other.overlaps(route)));
+        let touched = all.filter(|route| changed.overlaps(route));
         touched
             .flat_map(RouteSpec::used_services)
             .cloned()
--- a/tests/stream_take_ups/main.rs
+++ b/tests/stream_take_ups/main.rs
@@ -411,3 +411,78 @@
 fn streams_go_on_that_begin_at_entries_started_after_their_route_moved() {
     check_plays("begun after a route moved", |seed| with_rerouting(seed, 0));
 }
+
+/// Kills all entries at one moment and starts them again.
+fn kill_all_entries(script: &mut PlayScript, at_ms: u64) {
+    for entry in 0..script.setup.entries {
+        let down_ms = script.draw.range(100, 600);
+        script.add(at_ms, PlayEvent::KillEntry(entry));
+        script.add(at_ms + down_ms, PlayEvent::StartEntry(entry));
+    }
+}
+
+/// Time at which a herd of kills strikes a release that begins at [`RELEASE_MS`].
+fn herd_ms(script: &mut PlayScript) -> u64 {
+    script.draw.range(RELEASE_MS - 500, RELEASE_MS + 10_000)
+}
+
+#[test]
+fn streams_are_not_mixed_after_all_entries_are_killed_at_once() {
+    play("all entries killed", |seed| {
+        let mut script = PlayScript::half_release(seed);
+        for _ in 0..3 {
+            let at_ms = herd_ms(&mut script);
+            kill_all_entries(&mut script, at_ms);
+        }
+        script
+    });
+}
+
+#[test]
+fn streams_are_not_mixed_after_all_entries_are_killed_as_the_old_version_leaves() {
+    play("all entries killed as a version leaves", |seed| {
+        let mut script = PlayScript::new(seed);
+        script.streams(400, 1_000, 20_000, None);
+        script.release(RELEASE_MS, 0, 10, REPLICAS, "v2");
+        let left_ms = RELEASE_MS + 1_500 * REPLICAS;
+        for after_ms in [0, 1_000, 3_600] {
+            let at_ms = left_ms + after_ms + script.draw.range(0, 800);
+            kill_all_entries(&mut script, at_ms);
+        }
+        script
+    });
+}
+
+#[test]
+fn streams_are_not_mixed_after_all_entries_and_control_hosts_are_killed_at_once() {
+    play("all entries and control hosts killed", |seed| {
+        let mut script = PlayScript::half_release(seed);
+        script.release(RELEASE_MS + 6_000, 10, 20, REPLICAS / 2, "v1");
+        for _ in 0..2 {
+            let (at_ms, down_ms) = (herd_ms(&mut script), script.draw.range(200, 1_500));
+            script.add(at_ms, PlayEvent::KillAll(down_ms));
+        }
+        script
+    });
+}
+
+/// A leader and entries that all started after a route had moved did not know of it: an unknown
+/// stream was confirmed as one of the service to which the route leads now.
+#[test]
+fn streams_are_not_mixed_after_all_are_killed_as_their_route_has_moved() {
+    play("all killed after a route moved", |seed| {
+        let mut script = PlayScript::half_release(seed);
+        for number in 0..REPLICAS {
+            let event = PlayEvent::StartOther {
+                id: format!("o{number}"),
+                version: "v1",
+            };
+            script.add(20, event);
+        }
+        let moves_ms = script.draw.range(RELEASE_MS - 500, RELEASE_MS + 6_000);
+        script.add(moves_ms, PlayEvent::Reroute { first: 0, other: 3 });
+        let killed_ms = moves_ms + script.draw.range(50, 2_000);
+        script.add(killed_ms, PlayEvent::KillAll(500));
+        script
+    });
+}
--- a/tests/stream_take_ups/model.rs
+++ b/tests/stream_take_ups/model.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use dunlinspring::consensus::directory::ReplicaRecord;
-use dunlinspring::consensus::software_versions::{SoftwareVersion, VersionMix};
+use dunlinspring::consensus::software_versions::SoftwareVersion;
 use dunlinspring::consensus::state::{Command, SiteState, Stamped};
 use dunlinspring::forward::locality::EntryLocation;
 use dunlinspring::forward::need::{ChoicePolicy, Need};
@@ -15,7 +15,7 @@
     ModelName, Position, ReplicaId, ReplicaIncarnation, ServiceName, VersionName,
 };
 use dunlinspring::placement::version_settlement::VersionSettlement;
-use dunlinspring::routing::route_changes::{RouteChanges, RouteFollower};
+use dunlinspring::routing::route_changes::{self, RouteChanges};
 use dunlinspring::routing::stream_origins::{
     ConnectionProof, EventBinding, EventSource, OriginMemory, OriginSearch, OriginSource,
     OriginStep, StartReport, StreamKey, StreamOrigin, TakeUpRefusal, bind_events, may_send,
@@ -266,6 +266,8 @@
     FreezeEntry(usize, u64),
     /// A control host is killed, and started after a time.
     KillHost(usize, u64),
+    /// All entries and all control processes are killed, and start after a time.
+    KillAll(u64),
     /// There is no leader for a time.
     LoseLeader(u64),
     /// A client begins a stream, at a certain entry or any.
@@ -392,8 +394,6 @@
     events: BTreeMap<(u64, u64), PlayEvent>,
     state: SiteState,
     settlement: VersionSettlement,
-    /// Routes as all voters have seen them.
-    routes: RouteFollower,
     leaderless_until_ms: u64,
     host_names: Vec<String>,
     hosts: Vec<ControlHost>,
@@ -467,7 +467,6 @@
             events: BTreeMap::new(),
             state: SiteState::default(),
             settlement: VersionSettlement::default(),
-            routes: RouteFollower::default(),
             leaderless_until_ms: 0,
             host_names: (0..setup.hosts).map(|n| format!("control-{n}")).collect(),
             hosts: (0..setup.hosts).map(|_| ControlHost::default()).collect(),
@@ -572,6 +571,17 @@
                 self.hosts[host].is_down = true;
                 self.after(ms, In::StartHost(host));
             }
+            PlayEvent::KillAll(ms) => {
+                for entry in 0..self.entries.len() {
+                    self.handle(PlayEvent::KillEntry(entry));
+                    let start_ms = ms + self.draw.range(0, 200);
+                    self.push(self.now_ms + start_ms, PlayEvent::StartEntry(entry));
+                }
+                for host in 0..self.hosts.len() {
+                    self.handle(PlayEvent::KillHost(host, ms));
+                }
+                self.handle(PlayEvent::LoseLeader(ms + 500));
+            }
             PlayEvent::LoseLeader(ms) => {
                 self.leaderless_until_ms = self.now_ms + ms;
                 self.settlement = VersionSettlement::default();
@@ -693,9 +703,6 @@
             command,
         };
         self.state.apply(position, &stamped);
-        if let Some(record) = &self.state.configuration {
-            self.routes.follow(self.now_ms, &record.configuration);
-        }
         for entry in 0..self.entries.len() {
             self.send_page(entry);
         }
@@ -740,6 +747,8 @@
             stored.extend(routes.update(now_ms, process.applied.as_ref(), configuration));
             process.applied = Some(configuration.clone());
         }
+        let logged = &process.view.earlier_routes;
+        stored.extend(process.routes.set_logged(now_ms, logged));
         let mut streams = Vec::new();
         for service in stored.difference(&before) {
             let all = process.memory.of_service(service);
@@ -1036,9 +1045,7 @@
             return self.after(RETRY_MS, In::AskLeader(number));
         }
         let search = &self.requests[number].search;
-        let mix: Option<&VersionMix> = self.state.versions().mixes().get(&search.service);
-        let routes = &self.routes;
-        let mix = routes.confirmed_mix(&search.service, self.now_ms, mix);
+        let mix = route_changes::confirmed_mix(&self.state, &search.service);
         let step = search.after_leader(mix);
         self.take_step(number, step);
     }
--- a/tests/version_settlement.rs
+++ b/tests/version_settlement.rs
@@ -185,3 +185,95 @@
     let opened = vec![Command::VersionsOpened(service())];
     assert_eq!(settlement.check(&state, 10_100), opened);
 }
+
+fn configure(state: &mut SiteState, configuration: Configuration) {
+    let record = ConfigurationRecord {
+        configuration: configuration.into(),
+        source: Default::default(),
+    };
+    commit(state, Command::Configure(Box::new(record)));
+}
+
+/// The second configuration, with another time-out and other services of the route.
+fn changed(timeout_ms: u64, split: Vec<(ServiceName, u32)>) -> Configuration {
+    let mut changed = configuration();
+    changed.version = 2;
+    let other = changed.services[&service()].clone();
+    changed.services.insert(ServiceName::from("other"), other);
+    changed.routes[0].timeout_ms = timeout_ms;
+    changed.routes[0].split = split;
+    changed
+}
+
+/// Returns when a leader first issues a command, if it checks from `from_ms` on every second.
+fn issued_ms(
+    settlement: &mut VersionSettlement,
+    state: &SiteState,
+    from_ms: u64,
+    is_wanted: impl Fn(&Command) -> bool,
+) -> Option<u64> {
+    let mut checks = (0..200).map(|number| from_ms + number * 1_000);
+    checks.find(|now_ms| settlement.check(state, *now_ms).iter().any(&is_wanted))
+}
+
+/// A configuration with shorter time-outs, or one whose routes lead elsewhere, had the leader settle
+/// a version while streams of the version before might still return.
+#[test]
+fn a_version_is_not_settled_while_streams_of_an_earlier_configuration_may_return() {
+    let elsewhere = vec![(ServiceName::from("other"), 1)];
+    for later in [changed(100, vec![(service(), 1)]), changed(100, elsewhere)] {
+        let mut state = released();
+        let mut settlement = VersionSettlement::default();
+        assert_eq!(settlement.check(&state, 10_000), []);
+        configure(&mut state, later);
+        let is_settled = |command: &Command| matches!(command, Command::VersionSettled(..));
+        let at_ms = issued_ms(&mut settlement, &state, 11_000, is_settled);
+        assert_eq!(at_ms, Some(10_000 + memory_ms()));
+    }
+}
+
+#[test]
+fn earlier_routes_are_settled_after_the_time_of_their_streams_and_a_new_leader_waits_anew() {
+    let mut state = SiteState::default();
+    configure(&mut state, configuration());
+    let elsewhere = vec![(ServiceName::from("other"), 1)];
+    configure(&mut state, changed(100, elsewhere));
+    assert!(state.streams().is_moved(&service()));
+    let changes = state.streams().by_service()[&service()].changes;
+    let is_settled = |command: &Command| {
+        matches!(command, Command::EarlierRoutesSettled(name, count)
+            if *name == service() && *count == changes)
+    };
+    let mut first = VersionSettlement::default();
+    let at_ms = issued_ms(&mut first, &state, 10_000, is_settled);
+    assert_eq!(at_ms, Some(10_000 + memory_ms()));
+    let mut second = VersionSettlement::default();
+    let at_ms = issued_ms(&mut second, &state, 40_000, is_settled);
+    assert_eq!(at_ms, Some(40_000 + memory_ms()));
+    commit(
+        &mut state,
+        Command::EarlierRoutesSettled(service(), changes),
+    );
+    assert!(!state.streams().is_moved(&service()));
+}
+
+#[test]
+fn a_further_change_of_the_routes_restarts_the_wait() {
+    let mut state = SiteState::default();
+    configure(&mut state, configuration());
+    let elsewhere = vec![(ServiceName::from("other"), 1)];
+    configure(&mut state, changed(100, elsewhere));
+    let before = state.streams().by_service()[&service()];
+    let mut back = changed(200, vec![(service(), 1)]);
+    back.version = 3;
+    configure(&mut state, back);
+    let after = state.streams().by_service()[&service()];
+    assert!(after.changes > before.changes);
+    // Streams that began under the first configuration may last longest.
+    assert_eq!(after.keep_ms, memory_ms());
+    commit(
+        &mut state,
+        Command::EarlierRoutesSettled(service(), before.changes),
+    );
+    assert!(state.streams().is_moved(&service()));
+}
