--- a/tests/control_memory/main.rs
+++ b/tests/control_memory/main.rs
@@ -14,8 +14,10 @@
 use dunlinspring::control::journal::DiskJournal;
 use dunlinspring::ids::{NodeId, Position, ServiceName, Term};
 use dunlinspring::routing::view;
+use dunlinspring::table::accounts::{AccountList, AccountSpec, KeyDigest};
 use dunlinspring::table::configuration::{
-    Configuration, ConfigurationRecord, RouteKind, RouteSpec, ServiceSpec,
+    Configuration, ConfigurationError, ConfigurationRecord, MAX_HEAP_BYTES, RouteKind, RouteSpec,
+    ServiceSpec,
 };
 use tempfile::TempDir;
 
@@ -55,20 +57,23 @@
     }
 }
 
-fn configure(version: u64) -> Command {
+fn largest_configuration(version: u64) -> Configuration {
     let service = ServiceSpec {
         max_connections: 96,
         warm_up: None,
         engine: None,
     };
-    let configuration = Configuration {
+    Configuration {
         version,
         routes: (0..ROUTES).map(route).collect(),
         services: [(ServiceName::from("service"), service)].into(),
         ..Configuration::default()
-    };
+    }
+}
+
+fn configure(version: u64) -> Command {
     let record = ConfigurationRecord {
-        configuration: configuration.into(),
+        configuration: largest_configuration(version).into(),
         source: vec![b'a'; TEXT_BYTES].into(),
     };
     Command::Configure(Box::new(record))
@@ -219,3 +224,30 @@
     let bound = (entries as usize + 1) * entry_bytes() + 2 * state_bytes() + SLACK_BYTES;
     assert!(peak <= bound, "{peak} of {bound}");
 }
+
+/// Texts of very many short names take many times their size in memory.
+#[test]
+fn a_configuration_that_takes_too_much_memory_is_refused() {
+    let (largest, peak) = peak_of(|| largest_configuration(1));
+    let estimate = largest.heap_bytes();
+    assert!(estimate >= peak / 2, "{estimate} of {peak}");
+    assert_eq!(largest.check(), Ok(()));
+    let account = AccountSpec {
+        name: "many".into(),
+        keys: vec![KeyDigest::of("key"); MAX_HEAP_BYTES / size_of::<KeyDigest>()],
+        priority: None,
+        quota: None,
+        regions: BTreeSet::new(),
+    };
+    let accounts = AccountList {
+        accounts: vec![account],
+    };
+    let many = Configuration {
+        accounts: Some(accounts),
+        ..Configuration::default()
+    };
+    let refused = many.check();
+    let bytes = many.heap_bytes();
+    assert!(bytes > MAX_HEAP_BYTES);
+    assert_eq!(refused, Err(ConfigurationError::TooLarge { bytes }));
+}
