--- a/tests/stream_take_ups/main.rs
+++ b/tests/stream_take_ups/main.rs
@@ -57,6 +57,17 @@
         self.add(at_ms, event);
     }
 
+    /// Starts the replicas of the service to which the route may move.
+    fn start_other_service(&mut self) {
+        for number in 0..REPLICAS {
+            let event = PlayEvent::StartOther {
+                id: format!("o{number}"),
+                version: "v1",
+            };
+            self.add(20, event);
+        }
+    }
+
     fn drain(&mut self, at_ms: u64, number: u64) {
         let lasts_ms = self.draw.range(1_000, 4_000);
         self.add(at_ms, PlayEvent::Drain(format!("r{number}")));
@@ -380,13 +391,7 @@
 /// entries start just after.
 fn with_rerouting(seed: u64, first: u32) -> PlayScript {
     let mut script = PlayScript::half_release(seed);
-    for number in 0..REPLICAS {
-        let event = PlayEvent::StartOther {
-            id: format!("o{number}"),
-            version: "v1",
-        };
-        script.add(20, event);
-    }
+    script.start_other_service();
     let moves_ms = script.draw.range(RELEASE_MS - 500, RELEASE_MS + 3_000);
     script.add(moves_ms, PlayEvent::Reroute { first, other: 3 });
     for entry in 0..script.setup.entries - 1 {
@@ -472,13 +477,7 @@
 fn streams_are_not_mixed_after_all_are_killed_as_their_route_has_moved() {
     play("all killed after a route moved", |seed| {
         let mut script = PlayScript::half_release(seed);
-        for number in 0..REPLICAS {
-            let event = PlayEvent::StartOther {
-                id: format!("o{number}"),
-                version: "v1",
-            };
-            script.add(20, event);
-        }
+        script.start_other_service();
         let moves_ms = script.draw.range(RELEASE_MS - 500, RELEASE_MS + 6_000);
         script.add(moves_ms, PlayEvent::Reroute { first: 0, other: 3 });
         let killed_ms = moves_ms + script.draw.range(50, 2_000);
