Log what keeps each replica from taking the first home of a model

The log named eight names without service; for a model without a home it said nothing of why no replica loads it. It now names 32, and, where a model has no home, counts the replicas by what keeps them from loading it: an order under way, adapter orders, models that stay, models valued more, the interval between loads. The choice of a move at one replica has a function of its own for that.

--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -728,13 +728,6 @@
         now_ms: u64,
         actions: &mut FleetActions,
     ) {
-        let configuration = state.configuration.as_ref();
-        let (stream_ms, memory_ms) = configuration.map_or((0, 0), |record| {
-            let configuration = &record.configuration;
-            let stream_ms = configuration.longest_stream_ms(service);
-            (stream_ms, configuration.stream_memory_ms(service))
-        });
-        let streams_since_ms = now_ms.saturating_sub(memory_ms);
         for record in open_records(state, service) {
             if record.phase == ReplicaPhase::Ready {
                 let models = record.models.keys();
@@ -742,18 +735,7 @@
                     .extend(models.map(|model| (model.clone(), now_ms)));
             }
         }
-        let models = self.plan_models(engine, stream_ms, streams_since_ms, now_ms);
-        let bound = binds_streams_to_versions(state, service);
-        let largest_mb = models.values().map(|model| model.weights_mb).max();
-        let demand_unknown = self.demand.is_empty() && now_ms < self.since_ms + NO_DEMAND_WAIT_MS;
-        let replicas = open_records(state, service).map(|record| {
-            let mut replica = self.plan_replica(state, record, engine, now_ms);
-            replica.version = bound.then(|| named_version(state, record)).flatten();
-            // Without known demand, only replicas that fit any model without an unload.
-            replica.accepts_orders &= !demand_unknown || replica.free_mb >= largest_mb.unwrap_or(0);
-            replica
-        });
-        let replicas: Vec<PlanReplica> = replicas.collect();
+        let (replicas, models) = self.plan_input(state, service, engine, now_ms);
         let last_ms = self.last_load_ms.get(service).copied();
         let due = last_ms.is_none_or(|at_ms| at_ms + engine.load_gap_ms <= now_ms);
         let store_loads = match engine.load_gap_ms {
--- a/src/placement/fleet/plan_input.rs
+++ b/src/placement/fleet/plan_input.rs
@@ -4,12 +4,14 @@
 
 use crate::consensus::directory::{ReplicaPhase, ReplicaRecord};
 use crate::consensus::state::SiteState;
-use crate::ids::{ModelName, ReplicaId};
+use crate::ids::{ModelName, ReplicaId, ServiceName};
 use crate::placement::fleet_plan::{PlanModel, PlanReplica};
 use crate::placement::order::OrderKind;
 use crate::table::configuration::EngineSpec;
 
-use super::FleetController;
+use super::{
+    FleetController, NO_DEMAND_WAIT_MS, binds_streams_to_versions, named_version, open_records,
+};
 
 /// Time after the last request for a model for which it counts as requested, in milliseconds.
 const REQUESTED_MS: u64 = 15_000;
@@ -20,10 +22,39 @@
 const LIMITED_HOME_MAX_DEMAND: f64 = 1.0;
 
 impl FleetController {
+    /// Returns the replicas and the models of a service as input of the plan.
+    pub(super) fn plan_input(
+        &self,
+        state: &SiteState,
+        service: &ServiceName,
+        engine: &EngineSpec,
+        now_ms: u64,
+    ) -> (Vec<PlanReplica>, BTreeMap<ModelName, PlanModel>) {
+        let configuration = state.configuration.as_ref();
+        let (stream_ms, memory_ms) = configuration.map_or((0, 0), |record| {
+            let configuration = &record.configuration;
+            let stream_ms = configuration.longest_stream_ms(service);
+            (stream_ms, configuration.stream_memory_ms(service))
+        });
+        let streams_since_ms = now_ms.saturating_sub(memory_ms);
+        let models = self.plan_models(engine, stream_ms, streams_since_ms, now_ms);
+        let bound = binds_streams_to_versions(state, service);
+        let largest_mb = models.values().map(|model| model.weights_mb).max();
+        let demand_unknown = self.demand.is_empty() && now_ms < self.since_ms + NO_DEMAND_WAIT_MS;
+        let replicas = open_records(state, service).map(|record| {
+            let mut replica = self.plan_replica(state, record, engine, now_ms);
+            replica.version = bound.then(|| named_version(state, record)).flatten();
+            // Without known demand, only replicas that fit any model without an unload.
+            replica.accepts_orders &= !demand_unknown || replica.free_mb >= largest_mb.unwrap_or(0);
+            replica
+        });
+        (replicas.collect(), models)
+    }
+
     /// Returns the models of an engine as input of the plan. `stream_ms` is the longest time that a
     /// stream may last, and `streams_since_ms` the time from which streams that ran may be taken up
     /// again.
-    pub(super) fn plan_models(
+    fn plan_models(
         &self,
         engine: &EngineSpec,
         stream_ms: u64,
@@ -64,7 +95,7 @@
 
     /// Returns a replica as input of the plan. What a replica that is not ready holds, or was ordered to
     /// load, counts as gone; its memory stays claimed.
-    pub(super) fn plan_replica(
+    fn plan_replica(
         &self,
         state: &SiteState,
         record: &ReplicaRecord,
@@ -168,7 +199,7 @@
 
     /// Whether a model order would go stale behind an adapter order that is being sent, or an adapter
     /// without service is to be loaded first. Model orders and adapters take turns.
-    fn adapters_come_first(&self, id: &ReplicaId, now_ms: u64) -> bool {
+    pub(super) fn adapters_come_first(&self, id: &ReplicaId, now_ms: u64) -> bool {
         let owed = self.owed_adapters.contains(id) && self.last_order_was_model.contains(id);
         owed || self.adapters.unanswered(id, now_ms).is_some()
     }
--- a/src/placement/fleet/unserved_status.rs
+++ b/src/placement/fleet/unserved_status.rs
@@ -1,13 +1,18 @@
 //! What the models and adapters that are not served wait for, for the log and the metrics.
 
+use std::collections::BTreeMap;
+
 use crate::consensus::directory::{ReplicaPhase, ReplicaRecord};
 use crate::consensus::state::SiteState;
+use crate::ids::{ModelName, ReplicaId};
+use crate::placement::fleet_plan;
+use crate::placement::order::OrderKind;
 use crate::placement::unserved::{ServedName, UnservedSummary};
 
-use super::FleetController;
+use super::{FleetController, open_records};
 
 /// Maximum number of names that are described at once.
-const MAX_DESCRIBED_NAMES: usize = 8;
+const MAX_DESCRIBED_NAMES: usize = 32;
 /// Maximum number of homes that are described for a name.
 const MAX_DESCRIBED_HOMES: usize = 4;
 
@@ -22,7 +27,8 @@
     pub homes: usize,
     /// Number of these that hold the adapter as well, if one is requested.
     pub holders: usize,
-    /// What the first of these replicas are waiting for.
+    /// What the first of these replicas are waiting for, or, without any, how many replicas do not
+    /// load the model, by reason.
     pub waits_for: String,
 }
 
@@ -46,18 +52,67 @@
                 None => true,
             };
             let first = homes.iter().take(MAX_DESCRIBED_HOMES);
-            let waits = first.map(|record| self.describe_lane(state, record, now_ms));
+            let mut waits: Vec<String> = first
+                .map(|record| self.describe_lane(state, record, now_ms))
+                .collect();
+            if homes.is_empty() {
+                let obstacles = self.first_home_obstacles(state, &name.model, now_ms);
+                let obstacles = obstacles.into_iter();
+                waits
+                    .extend(obstacles.map(|(reason, count)| format!("{count} replicas: {reason}")));
+            }
             UnservedStatus {
                 name: name.clone(),
                 unserved_ms: now_ms.saturating_sub(since_ms),
                 holders: homes.iter().filter(holds).count(),
-                waits_for: waits.collect::<Vec<String>>().join("; "),
+                waits_for: waits.join("; "),
                 homes: homes.len(),
             }
         });
         described.collect()
     }
 
+    /// Counts the replicas that do not load a model without a home, by reason.
+    fn first_home_obstacles(
+        &self,
+        state: &SiteState,
+        model: &ModelName,
+        now_ms: u64,
+    ) -> BTreeMap<&'static str, usize> {
+        let mut counts = BTreeMap::new();
+        let configuration = state.configuration.as_ref().map(|held| &held.configuration);
+        let services = configuration.into_iter().flat_map(|held| &held.services);
+        let engines = services.filter_map(|(name, spec)| Some((name, spec.engine.as_ref()?)));
+        for (service, engine) in engines.filter(|(_, engine)| engine.models.contains_key(model)) {
+            let (replicas, models) = self.plan_input(state, service, engine, now_ms);
+            let price = self.policy.move_price;
+            let limits = fleet_plan::first_home_limits(replicas, &models, price, model);
+            for record in open_records(state, service) {
+                let reason = self.order_obstacle(record, now_ms);
+                let limit = limits.get(&record.id).map(|limit| limit.text());
+                *counts
+                    .entry(reason.or(limit).unwrap_or("no demand known"))
+                    .or_default() += 1;
+            }
+        }
+        counts
+    }
+
+    /// Returns why a replica takes no model order now, if it does not.
+    fn order_obstacle(&self, record: &ReplicaRecord, now_ms: u64) -> Option<&'static str> {
+        let id: &ReplicaId = &record.id;
+        match self.pending.get(id).map(|order| order.kind) {
+            _ if record.phase != ReplicaPhase::Ready => Some("silent or draining"),
+            _ if self.fenced.contains(&record.incarnation()) => Some("refuses this leader"),
+            Some(OrderKind::Load) => Some("a load under way"),
+            Some(OrderKind::Unload) => Some("an unload under way"),
+            None if self.reservations.contains_key(id) => Some("memory freed for another model"),
+            None if self.adapters_come_first(id, now_ms) => Some("adapter orders"),
+            None if self.limited.contains(&record.incarnation()) => Some("a rate limit"),
+            None => None,
+        }
+    }
+
     /// Describes the orders that are under way at a replica.
     fn describe_lane(&self, state: &SiteState, record: &ReplicaRecord, now_ms: u64) -> String {
         let id = &record.id;
--- a/src/placement/fleet_plan.rs
+++ b/src/placement/fleet_plan.rs
@@ -4,12 +4,16 @@
 //! its demand, any other model its demand per home. A replica takes one order at a time, so the
 //! order of the moves matters as much as the moves themselves.
 
+mod first_home_limits;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::consensus::software_versions::SoftwareVersion;
 use crate::ids::{HallName, ModelName, ReplicaId};
 use crate::placement::order::OrderKind;
 
+pub use first_home_limits::{FirstHomeLimit, first_home_limits};
+
 /// Cost of a model without a home, as a multiple of its demand.
 const ABSENCE_COST_FACTOR: f64 = 4.0;
 /// Cost of a model without a home and without demand, in concurrent requests, where there is
@@ -74,6 +78,12 @@
     pub cached_load_ms: BTreeMap<ModelName, u64>,
 }
 
+impl PlanReplica {
+    fn has_or_loads(&self, model: &ModelName) -> bool {
+        self.held.contains(model) || self.loading.contains(model)
+    }
+}
+
 /// A model as input of the plan.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlanModel {
@@ -181,31 +191,7 @@
     price: f64,
     store_loads: usize,
 ) -> Vec<PlanStep> {
-    let held = replicas.iter().flat_map(|replica| &replica.held);
-    let holders = count(held);
-    let known = replicas
-        .iter()
-        .flat_map(|replica| replica.held.iter().chain(&replica.loading));
-    let homes = count(known);
-    let held = |replica: &PlanReplica| replica.held.iter().cloned().collect();
-    let version_holders = count_by_version(&replicas, held);
-    let known = |replica: &PlanReplica| replica.held.union(&replica.loading).cloned().collect();
-    let version_homes = count_by_version(&replicas, known);
-    let largest_mb = models.values().map(|model| model.weights_mb).max();
-    let largest_mb = largest_mb.unwrap_or(0);
-    let all_fit = model_capacity(&replicas, models, largest_mb) >= models.len();
-    let mut plan_state = PlanState {
-        replicas,
-        models,
-        homes,
-        holders,
-        version_homes,
-        version_holders,
-        price,
-        all_fit,
-        largest_mb,
-        first_home_value: 0.0,
-    };
+    let mut plan_state = PlanState::new(replicas, models, price);
     let mut left = store_loads;
     let mut steps = Vec::new();
     while steps.len() < MAX_STEPS_PER_ROUND {
@@ -233,7 +219,39 @@
     capacities.sum::<u64>() as usize
 }
 
-impl PlanState<'_> {
+impl<'a> PlanState<'a> {
+    fn new(
+        replicas: Vec<PlanReplica>,
+        models: &'a BTreeMap<ModelName, PlanModel>,
+        price: f64,
+    ) -> Self {
+        let held = replicas.iter().flat_map(|replica| &replica.held);
+        let holders = count(held);
+        let known = replicas
+            .iter()
+            .flat_map(|replica| replica.held.iter().chain(&replica.loading));
+        let homes = count(known);
+        let held = |replica: &PlanReplica| replica.held.iter().cloned().collect();
+        let version_holders = count_by_version(&replicas, held);
+        let known = |replica: &PlanReplica| replica.held.union(&replica.loading).cloned().collect();
+        let version_homes = count_by_version(&replicas, known);
+        let largest_mb = models.values().map(|model| model.weights_mb).max();
+        let largest_mb = largest_mb.unwrap_or(0);
+        let all_fit = model_capacity(&replicas, models, largest_mb) >= models.len();
+        Self {
+            replicas,
+            models,
+            homes,
+            holders,
+            version_homes,
+            version_holders,
+            price,
+            all_fit,
+            largest_mb,
+            first_home_value: 0.0,
+        }
+    }
+
     /// Returns the cost of a model with this number of homes.
     fn cost(&self, model: &ModelName, homes: usize) -> f64 {
         let spec = self.models.get(model);
@@ -366,53 +384,63 @@
     }
 
     fn best_candidate_for(&self, model: &ModelName, store_load_allowed: bool) -> Option<Candidate> {
-        let model_gain = self.gain(model);
-        let halls: BTreeSet<&HallName> = self
+        let halls = self.halls_of(model);
+        let numbers = 0..self.replicas.len();
+        let candidates = numbers
+            .filter_map(|number| self.candidate_at(number, model, &halls, store_load_allowed));
+        candidates.max_by(|a, b| a.rank.total_cmp(&b.rank))
+    }
+
+    /// Returns the data halls in which a model has homes.
+    fn halls_of(&self, model: &ModelName) -> BTreeSet<&HallName> {
+        let homes = self
             .replicas
             .iter()
-            .filter(|replica| replica.held.contains(model) || replica.loading.contains(model))
-            .map(|replica| &replica.hall)
-            .collect();
+            .filter(|replica| replica.has_or_loads(model));
+        homes.map(|replica| &replica.hall).collect()
+    }
+
+    /// Returns the move of a model, with homes in `halls`, to a replica, if it is possible and worth
+    /// its price.
+    fn candidate_at(
+        &self,
+        number: usize,
+        model: &ModelName,
+        halls: &BTreeSet<&HallName>,
+        store_load_allowed: bool,
+    ) -> Option<Candidate> {
+        let replica = &self.replicas[number];
         let spec = self.models.get(model)?;
-        let candidates = self
-            .replicas
-            .iter()
-            .enumerate()
-            .filter_map(|(number, replica)| {
-                let there = replica.held.contains(model) || replica.loading.contains(model);
-                let is_first = self.homes(model) == 0;
-                if there || !replica.accepts_orders || (replica.first_homes_only && !is_first) {
-                    return None;
-                }
-                let load_ms = match replica.cached_load_ms.get(model) {
-                    Some(load_ms) => *load_ms,
-                    None if store_load_allowed => spec.load_ms,
-                    None => return None,
-                };
-                let eviction = self.eviction_for(replica, spec.weights_mb, is_first)?;
-                let loss = eviction.loss;
-                let gain = model_gain + self.version_gain(replica, model);
-                let spread = if halls.contains(&replica.hall) {
-                    0.0
-                } else {
-                    NEW_HALL_VALUE
-                };
-                let mut value =
-                    gain - loss + spread - self.replica_demand(replica) * REPLICA_DEMAND_WEIGHT;
-                if eviction.takes_stream_home {
-                    value -= STREAM_HOME_VALUE;
-                }
-                let evicted = eviction.model;
-                let price = self.price_of(model) * if evicted.is_some() { 2.0 } else { 1.0 };
-                let rank = value / ((load_ms as f64 + MOVE_OVERHEAD_MS) / MOVE_OVERHEAD_MS);
-                (gain - loss > price).then(|| Candidate {
-                    rank,
-                    replica: number,
-                    model: model.clone(),
-                    evicted,
-                })
-            });
-        candidates.max_by(|a, b| a.rank.total_cmp(&b.rank))
+        let is_first = self.homes(model) == 0;
+        let is_closed = !replica.accepts_orders || (replica.first_homes_only && !is_first);
+        if is_closed || replica.has_or_loads(model) {
+            return None;
+        }
+        let load_ms = match replica.cached_load_ms.get(model) {
+            Some(load_ms) => *load_ms,
+            None if store_load_allowed => spec.load_ms,
+            None => return None,
+        };
+        let eviction = self.eviction_for(replica, spec.weights_mb, is_first)?;
+        let loss = eviction.loss;
+        let gain = self.gain(model) + self.version_gain(replica, model);
+        let spread = match halls.contains(&replica.hall) {
+            true => 0.0,
+            false => NEW_HALL_VALUE,
+        };
+        let mut value = gain - loss + spread - self.replica_demand(replica) * REPLICA_DEMAND_WEIGHT;
+        if eviction.takes_stream_home {
+            value -= STREAM_HOME_VALUE;
+        }
+        let evicted = eviction.model;
+        let price = self.price_of(model) * if evicted.is_some() { 2.0 } else { 1.0 };
+        let rank = value / ((load_ms as f64 + MOVE_OVERHEAD_MS) / MOVE_OVERHEAD_MS);
+        (gain - loss > price).then(|| Candidate {
+            rank,
+            replica: number,
+            model: model.clone(),
+            evicted,
+        })
     }
 
     /// Returns the model to unload from a replica to free `need_mb`, if any, and the loss; `None`
