--- a/tests/never_served/main.rs
+++ b/tests/never_served/main.rs
@@ -30,6 +30,18 @@
 /// Time for which an adapter in use keeps its slot while others wait, in milliseconds.
 const TURN_MS: u64 = 8_000;
 
+/// Time to unload a model in use, in milliseconds.
+const UNLOAD_MS: u64 = 2_000;
+/// Time between the rounds of the leader and until heartbeats and outcomes show in them, in
+/// milliseconds.
+const NOTICE_ROUNDS_MS: u64 = 1_500;
+/// Interval between loads from the weight store, in milliseconds.
+const LOAD_INTERVAL_MS: u64 = 120;
+/// Time for which the last home of a model stays loaded: two loads, in milliseconds.
+const MODEL_TURN_MS: u64 = 2 * LOAD_MS;
+/// Models that a replica holds.
+const MODELS_PER_REPLICA: usize = 3;
+
 /// A site with as many places as requested models once replicas are lost, with a skewed demand.
 fn site() -> SiteSize {
     let mut adapters = vec![20, 6, 5, 4, 4, 3, 3];
@@ -47,6 +59,39 @@
         adapters,
         homes,
         demand,
+        entries: 3,
+        unload_ms: 200,
+        disk_ms: None,
+    }
+}
+
+/// A site of which half of the replicas can hold three quarters of the requested models. Few models
+/// get most requests and most homes, the others are requested each few seconds, at any of five entries.
+fn crowded_site() -> SiteSize {
+    let mut adapters = vec![12, 0, 4, 0, 3];
+    adapters.resize(39, 0);
+    let mut homes = vec![8, 3, 3, 2, 2];
+    homes.resize(39, 1);
+    let mut demand: Vec<_> = [40.0, 15.0, 10.0, 8.0, 8.0]
+        .into_iter()
+        .enumerate()
+        .collect();
+    demand.extend((5..36).map(|number| (number, 0.2)));
+    let mut names: Vec<_> = demand
+        .iter()
+        .map(|(number, rate)| (*number, None, *rate))
+        .collect();
+    for (number, count) in adapters.iter().enumerate() {
+        names.extend((1..=*count).map(|name| (number, Some(name), 0.3)));
+    }
+    SiteSize {
+        replicas: 18,
+        adapters,
+        homes,
+        demand: names,
+        entries: 5,
+        unload_ms: UNLOAD_MS,
+        disk_ms: Some(1_700),
     }
 }
 
@@ -103,6 +148,35 @@
     NOTICE_MS + rounds * 2 * LATE_ORDER_MS + LOAD_MS
 }
 
+/// Longest time without service while orders are prompt. The names that wait are served oldest first.
+/// A replica exchanges one model at a time, and keeps a model for its turn; the store takes one load
+/// per interval. The names that wait at once are those that were lost, or, where the models that are
+/// requested do not all fit, those for which there is no place and those that are being exchanged.
+/// Adapters wait for their model, for the replica, and for their turns in the slots.
+fn prompt_bound_ms(world: &World) -> u64 {
+    let alive = world.alive();
+    let exchange_ms = NOTICE_ROUNDS_MS + UNLOAD_MS + LOAD_MS;
+    let places = alive * MODELS_PER_REPLICA;
+    let requested = world.requested_models().count();
+    let without_place = (requested + alive).saturating_sub(places);
+    let waiting = world.lost_models().max(without_place);
+    let per_replica_ms = exchange_ms.max((exchange_ms + MODEL_TURN_MS) / MODELS_PER_REPLICA as u64);
+    let models_ms =
+        waiting.div_ceil(alive) as u64 * per_replica_ms + waiting as u64 * LOAD_INTERVAL_MS;
+    let adapter_turns = world.most_adapters().div_ceil(SLOTS) as u64;
+    NOTICE_MS + models_ms + exchange_ms + adapter_turns * TURN_MS
+}
+
+#[test]
+fn every_name_is_served_while_half_of_the_replicas_are_lost_and_orders_are_prompt() {
+    check(3_001, &crowded_site(), |world| {
+        world.lose_replicas(0.5);
+        let bound_ms = prompt_bound_ms(world);
+        world.run(90_000, true);
+        bound_ms
+    });
+}
+
 #[test]
 fn every_name_is_served_while_replicas_are_lost_and_orders_are_late() {
     check(1, &site(), |world| {
@@ -144,6 +218,9 @@
         adapters,
         homes: vec![1; 9],
         demand,
+        entries: 3,
+        unload_ms: 200,
+        disk_ms: None,
     };
     check(2_001, &size, |world| {
         world.run(60_000, true);
--- a/tests/never_served/world.rs
+++ b/tests/never_served/world.rs
@@ -20,8 +20,6 @@
 const STEP_MS: u64 = 10;
 /// Time between two heartbeats of a replica, and two reports of an entry, in milliseconds.
 const REPORT_MS: u64 = 500;
-/// Number of entries.
-const ENTRIES: usize = 3;
 /// Time after which an order without a response is sent again: the timeout of a call, and the time
 /// until the engine's report shows the effect of the order, in milliseconds.
 const RETRY_MS: u64 = 700;
@@ -31,8 +29,6 @@
 const MAX_ATTEMPTS: u32 = 4;
 /// When a late order is carried out, in milliseconds after it was sent.
 const LATE_MS: std::ops::Range<u64> = 2_000..12_000;
-/// Time that a model takes to be unloaded, in milliseconds.
-const UNLOAD_MS: u64 = 200;
 /// Share of the requests that find a replica of their model with free capacity.
 const ROOM_SHARE: f64 = 0.7;
 /// Memory of a replica, in MB: three models and its adapters.
@@ -55,6 +51,12 @@
     pub homes: Vec<usize>,
     /// Requested names: model, adapter, and requests per second.
     pub demand: Vec<(usize, Option<u32>, f64)>,
+    /// Number of entries, over which requests are balanced.
+    pub entries: usize,
+    /// Time that a model takes to be unloaded, in milliseconds: its runs end first.
+    pub unload_ms: u64,
+    /// Time to load a model that the replica has held before, in milliseconds, if it keeps copies.
+    pub disk_ms: Option<u64>,
 }
 
 pub fn model(number: usize) -> ModelName {
@@ -65,6 +67,8 @@
 struct Engine {
     record: ReplicaRecord,
     alive: bool,
+    unload_ms: u64,
+    disk_ms: Option<u64>,
     orders_taken: u64,
     /// The model order that is being executed, and when it ends.
     executing: Option<(u64, OrderKind, ModelName)>,
@@ -102,9 +106,12 @@
                 return OrderOutcome::Held;
             }
             (None, kind) => {
+                let disk_ms = self
+                    .disk_ms
+                    .filter(|_| self.record.on_disk.contains(&order.model));
                 let takes_ms = match kind {
-                    OrderKind::Load => LOAD_MS,
-                    OrderKind::Unload => UNLOAD_MS,
+                    OrderKind::Load => disk_ms.unwrap_or(LOAD_MS),
+                    OrderKind::Unload => self.unload_ms,
                 };
                 self.executing = Some((now_ms + takes_ms, kind, order.model.clone()));
                 OrderOutcome::Taken
@@ -131,6 +138,8 @@
                 match kind {
                     OrderKind::Load => {
                         self.record.models.insert(model.clone(), BTreeSet::new());
+                        let copies = self.disk_ms.map(|_| model.clone());
+                        self.record.on_disk.extend(copies);
                     }
                     OrderKind::Unload => {
                         self.record.models.remove(model);
@@ -225,7 +234,7 @@
                 weights_mb: MODEL_MB,
                 load_ms: LOAD_MS,
                 warm_ms: None,
-                disk_ms: None,
+                disk_ms: size.disk_ms,
                 adapters: *adapters,
                 adapter_mb: 60,
             };
@@ -255,7 +264,7 @@
             late_share: 0.0,
             engines: BTreeMap::new(),
             lanes: BTreeMap::new(),
-            refused: vec![RefusedNames::default(); ENTRIES],
+            refused: vec![RefusedNames::default(); size.entries],
             busy: BTreeMap::new(),
             used: BTreeSet::new(),
             records: BTreeMap::new(),
@@ -276,6 +285,8 @@
             let engine = Engine {
                 record,
                 alive: true,
+                unload_ms: self.size.unload_ms,
+                disk_ms: self.size.disk_ms,
                 orders_taken: 0,
                 executing: None,
                 late: Vec::new(),
@@ -292,6 +303,8 @@
             for engine in free.into_iter().take(count) {
                 let models = &mut engine.record.models;
                 models.insert(model(number), BTreeSet::new());
+                let copies = self.size.disk_ms.map(|_| model(number));
+                engine.record.on_disk.extend(copies);
             }
         }
     }
@@ -451,7 +464,7 @@
 
     /// One request, as an entry handles it.
     fn request(&mut self, name: ServedName) {
-        let entry = self.rng.random_range(0..ENTRIES);
+        let entry = self.rng.random_range(0..self.size.entries);
         let now_ms = self.now_ms;
         let homes = self.state.replicas.records().values().filter(|record| {
             let engine = &self.engines[&record.id];
@@ -546,6 +559,32 @@
             .count()
     }
 
+    /// Number of requested models that no living replica holds.
+    pub fn lost_models(&self) -> usize {
+        let alive = self.engines.values().filter(|engine| engine.alive);
+        let held: BTreeSet<&ModelName> = alive.flat_map(|e| e.record.models.keys()).collect();
+        self.requested_models()
+            .filter(|name| !held.contains(name))
+            .count()
+    }
+
+    /// Largest number of requested adapters of one model.
+    pub fn most_adapters(&self) -> usize {
+        let demand = self.size.demand.iter();
+        let count = |base: usize| {
+            let same = self.size.demand.iter().filter(|(other, ..)| *other == base);
+            same.filter(|(_, adapter, _)| adapter.is_some()).count()
+        };
+        demand.map(|(base, ..)| count(*base)).max().unwrap_or(0)
+    }
+
+    /// Models of the requested names.
+    pub fn requested_models(&self) -> impl Iterator<Item = ModelName> {
+        let demand = self.size.demand.iter();
+        let models: BTreeSet<ModelName> = demand.map(|(base, _, _)| model(*base)).collect();
+        models.into_iter()
+    }
+
     /// Number of replicas that live.
     pub fn alive(&self) -> usize {
         self.engines.values().filter(|engine| engine.alive).count()
