Refusals of a name at different entries are one claim

What callers saw: a model requested each few seconds had no home for half a minute, while others got further homes. Cause: an entry reported a name once it had refused it twice, a second or more apart. Ruled out: the age is lost at the leader; it merges what it gets.

A name is remembered for 30 s after its last request. Adapters that a ready replica holds no longer count as missing: a refusal at one entry, while another serves, is no reason for a further home.

--- a/src/placement/fleet/plan_input.rs
+++ b/src/placement/fleet/plan_input.rs
@@ -21,6 +21,10 @@
 /// concurrent requests.
 const LIMITED_HOME_MAX_DEMAND: f64 = 1.0;
 
+fn is_ready(record: &ReplicaRecord) -> bool {
+    record.phase == ReplicaPhase::Ready
+}
+
 impl FleetController {
     /// Returns the replicas and the models of a service as input of the plan.
     pub(super) fn plan_input(
@@ -37,7 +41,7 @@
             (stream_ms, configuration.stream_memory_ms(service))
         });
         let streams_since_ms = now_ms.saturating_sub(memory_ms);
-        let models = self.plan_models(engine, stream_ms, streams_since_ms, now_ms);
+        let models = self.plan_models(state, service, engine, stream_ms, streams_since_ms, now_ms);
         let bound = binds_streams_to_versions(state, service);
         let largest_mb = models.values().map(|model| model.weights_mb).max();
         let demand_unknown = self.demand.is_empty() && now_ms < self.since_ms + NO_DEMAND_WAIT_MS;
@@ -56,19 +60,15 @@
     /// again.
     fn plan_models(
         &self,
+        state: &SiteState,
+        service: &ServiceName,
         engine: &EngineSpec,
         stream_ms: u64,
         streams_since_ms: u64,
         now_ms: u64,
     ) -> BTreeMap<ModelName, PlanModel> {
-        let mut unserved_adapters: BTreeMap<&ModelName, usize> = BTreeMap::new();
-        let mut since_ms: BTreeMap<&ModelName, u64> = BTreeMap::new();
-        for (name, unserved_since_ms) in self.unserved.oldest_first() {
-            since_ms.entry(&name.model).or_insert(unserved_since_ms);
-            if name.adapter.is_some() {
-                *unserved_adapters.entry(&name.model).or_default() += 1;
-            }
-        }
+        let since_ms = self.unserved.models_since_ms();
+        let unserved_adapters = self.unheld_adapters(state, service);
         let models = engine.models.iter().map(|(name, model)| {
             // A new leader has not seen the streams of its predecessor's time.
             let busy_ms = self.last_busy_ms.get(name).unwrap_or(&self.since_ms);
@@ -93,6 +93,38 @@
         models.collect()
     }
 
+    /// Counts the adapters of each model that have gone without service and that no ready replica of
+    /// the service holds.
+    fn unheld_adapters(
+        &self,
+        state: &SiteState,
+        service: &ServiceName,
+    ) -> BTreeMap<ModelName, usize> {
+        let mut missing: BTreeSet<(&ModelName, &str)> = BTreeSet::new();
+        for (name, _) in self.unserved.oldest_first() {
+            missing.extend(
+                name.adapter
+                    .as_deref()
+                    .map(|adapter| (&name.model, adapter)),
+            );
+        }
+        for record in open_records(state, service) {
+            if missing.is_empty() {
+                break;
+            }
+            for (model, adapters) in record.models.iter().filter(|_| is_ready(record)) {
+                for adapter in adapters {
+                    missing.remove(&(model, adapter.as_str()));
+                }
+            }
+        }
+        let mut counts = BTreeMap::new();
+        for (model, _) in missing {
+            *counts.entry(model.clone()).or_default() += 1;
+        }
+        counts
+    }
+
     /// Returns a replica as input of the plan. What a replica that is not ready holds, or was ordered to
     /// load, counts as gone; its memory stays claimed.
     fn plan_replica(
@@ -129,7 +161,7 @@
         let taken_mb: u64 = taken.into_iter().map(weight).sum();
         let open = !self.pending.contains_key(&record.id) && reserved.is_none();
         loading.extend(unload_for.or(reserved));
-        let stays = record.phase == ReplicaPhase::Ready;
+        let stays = is_ready(record);
         if !stays {
             // What such a replica was ordered to load may never be there.
             loading.clear();
--- a/src/placement/unserved.rs
+++ b/src/placement/unserved.rs
@@ -1,8 +1,9 @@
 //! Names, of models and adapters, that are requested without being served, and for how long.
 //!
 //! Pure code with soft state. An entry records the requests that it refused ([`RefusedNames`]) and
-//! reports those names that have gone without service for longest. The leader merges the reports of
-//! all entries ([`UnservedNames`]); a new leader learns the same times from the next reports.
+//! reports their names, even of a single request: a caller that comes back may be refused by another
+//! entry. The leader merges the reports of all entries ([`UnservedNames`]); a new leader learns the
+//! same times from the next reports.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -17,7 +18,7 @@
 /// refused as before, but these names do not age.
 const MAX_NAMES: usize = 1_024;
 /// Time after the last request for a name until it is forgotten, in milliseconds.
-const FORGET_MS: u64 = 20_000;
+const FORGET_MS: u64 = 30_000;
 /// Time between the first and the last refused request from which a name counts as unserved, in
 /// milliseconds. Until then its callers may not have come back.
 const MIN_UNSERVED_MS: u64 = 1_000;
@@ -62,7 +63,7 @@
 
 impl RefusedSpan {
     /// Whether requests have been refused for long enough that their callers came back.
-    pub fn is_unserved(&self) -> bool {
+    fn is_unserved(&self) -> bool {
         self.last_ms >= self.since_ms + MIN_UNSERVED_MS
     }
 
@@ -93,6 +94,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct RefusedNames {
     spans: SpanMap,
+    /// When the last report was made.
+    reported_ms: u64,
 }
 
 impl RefusedNames {
@@ -106,15 +109,15 @@
         self.spans.remove(name);
     }
 
-    /// Returns the names that have gone without service for longest, and forgets those that are no
-    /// longer requested.
+    /// Returns names without service: those refused since the last report, then the others, of each
+    /// those for longest first. Forgets names that are no longer requested.
     pub fn report(&mut self, now_ms: u64) -> Vec<NameWait> {
+        let reported_ms = std::mem::replace(&mut self.reported_ms, now_ms);
         self.spans.retain(|_, span| span.is_current(now_ms));
-        let unserved = self.spans.iter().filter(|(_, span)| span.is_unserved());
-        let mut unserved: Vec<_> = unserved.collect();
-        unserved.sort_by_key(|(_, span)| span.since_ms);
-        let longest = unserved.into_iter().take(MAX_REPORTED_NAMES);
-        let waits = longest.map(|(name, span)| NameWait {
+        let mut unserved: Vec<_> = self.spans.iter().collect();
+        unserved.sort_by_key(|(_, span)| (span.last_ms < reported_ms, span.since_ms));
+        let first = unserved.into_iter().take(MAX_REPORTED_NAMES);
+        let waits = first.map(|(name, span)| NameWait {
             name: name.clone(),
             unserved_ms: now_ms.saturating_sub(span.since_ms),
             idle_ms: now_ms.saturating_sub(span.last_ms),
@@ -188,6 +191,16 @@
         unserved
     }
 
+    /// Returns the time since which requests for each model, or for an adapter of it, have been refused.
+    pub fn models_since_ms(&self) -> BTreeMap<&ModelName, u64> {
+        let mut models: BTreeMap<&ModelName, u64> = BTreeMap::new();
+        for (name, span) in &self.spans {
+            let since_ms = models.entry(&name.model).or_insert(span.since_ms);
+            *since_ms = span.since_ms.min(*since_ms);
+        }
+        models
+    }
+
     /// Returns the number of names without service, and the longest time.
     pub fn summary(&self, now_ms: u64) -> UnservedSummary {
         let unserved = self.spans.values().filter(|span| span.is_unserved());
