First homes come before further ones, the longest wait first

What callers saw: half of the replicas were lost, orders prompt; models waited up to 28 s for a home, while busy ones got further homes. Cause: the wait of a model was a term in one sum with demand, a quarter of a request for each second. Ruled out: orders at lost replicas; replicas that only hold models in their turn (one).

A model that is requested without a home is placed first, oldest first, at the replica where it costs least; if only the interval between loads is in the way, the replica is kept for it. Meanwhile no other model gets a further home, unless adapters of it wait: these are names too, and count in the loss of a home as they did in its gain. Until it has waited for two loads, demand decides what makes room; then the cheapest home that is not in its turn does. A home that nobody has requested since it was loaded stays for four loads instead of two.

--- a/src/placement/fleet/plan_input.rs
+++ b/src/placement/fleet/plan_input.rs
@@ -17,6 +17,9 @@
 const REQUESTED_MS: u64 = 15_000;
 /// Time for which the last home of a model stays loaded, as a multiple of the time of a load.
 const MIN_TURN_LOADS: u64 = 2;
+/// The same if no request for the model has come since it was loaded. Callers of a rare model come
+/// back some seconds after a refusal, and others took their turn meanwhile.
+const UNUSED_TURN_LOADS: u64 = 4;
 /// Demand for a model from which a home that advertises a rate limit does not count as a home, in
 /// concurrent requests.
 const LIMITED_HOME_MAX_DEMAND: f64 = 1.0;
@@ -224,9 +227,19 @@
         engine: &EngineSpec,
         now_ms: u64,
     ) -> bool {
-        let loaded_ms = self.loaded_ms.get(&(id.clone(), model.clone()));
+        let Some(loaded_ms) = self.loaded_ms.get(&(id.clone(), model.clone())) else {
+            return false;
+        };
+        let is_used = self
+            .last_busy_ms
+            .get(model)
+            .is_some_and(|busy_ms| busy_ms > loaded_ms);
+        let loads = match is_used {
+            true => MIN_TURN_LOADS,
+            false => UNUSED_TURN_LOADS,
+        };
         let load_ms = engine.models.get(model).map_or(0, |model| model.load_ms);
-        loaded_ms.is_some_and(|loaded_ms| loaded_ms + MIN_TURN_LOADS * load_ms > now_ms)
+        loaded_ms + loads * load_ms > now_ms
     }
 
     /// Whether a model order would go stale behind an adapter order that is being sent, or an adapter
--- a/src/placement/fleet_plan.rs
+++ b/src/placement/fleet_plan.rs
@@ -1,10 +1,12 @@
 //! Decides which model is loaded at which replica of an engine service.
 //!
-//! Pure code. A greedy choice by the value of each move: a model without a home costs a multiple of
-//! its demand, any other model its demand per home. A replica takes one order at a time, so the
-//! order of the moves matters as much as the moves themselves.
+//! Pure code. Models that are requested without having a home come first; see `first_homes`. Then a
+//! greedy choice by the value of each move: a model without a home costs a multiple of its demand,
+//! any other model its demand per home. A replica takes one order at a time, so the order of the
+//! moves matters as much as the moves themselves.
 
 mod first_home_limits;
+mod first_homes;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -325,11 +327,15 @@
     fn gain(&self, model: &ModelName) -> f64 {
         let homes = self.homes(model);
         // A further home has slots for adapters that the others have none for.
-        let unserved = self.models.get(model).map_or(0, |m| m.unserved_adapters);
-        let adapters_gain = unserved as f64 * UNSERVED_ADAPTER_VALUE;
+        let adapters_gain = self.unserved_adapters(model) as f64 * UNSERVED_ADAPTER_VALUE;
         self.cost(model, homes) - self.cost(model, homes + 1) + adapters_gain
     }
 
+    /// Number of adapters of a model that have gone without service.
+    fn unserved_adapters(&self, model: &ModelName) -> usize {
+        self.models.get(model).map_or(0, |m| m.unserved_adapters)
+    }
+
     /// Returns the minimum relief of a move for a model. It is lower for the first home, as each
     /// model should stay reachable.
     fn price_of(&self, model: &ModelName) -> f64 {
@@ -349,7 +355,8 @@
             false => 0.0,
         };
         let without = self.cost(model, holders.saturating_sub(1));
-        without - self.cost(model, holders.max(1)) + last_home
+        let adapters_loss = self.unserved_adapters(model) as f64 * UNSERVED_ADAPTER_VALUE;
+        without - self.cost(model, holders.max(1)) + last_home + adapters_loss
     }
 
     /// Returns the demand on a replica, where each model's demand is split evenly over its homes.
@@ -364,6 +371,14 @@
     fn best_candidate(&mut self, store_load_allowed: bool) -> Option<Candidate> {
         // Computed once per step: all costs below use it, and only a step changes it.
         self.first_home_value = self.first_home_value_now();
+        let waiting = self.waiting_models();
+        let first_home = self.first_home(&waiting, store_load_allowed);
+        if first_home.is_some() {
+            return first_home;
+        }
+        // No further home takes a replica that a waiting model may take next, unless adapters wait.
+        let may_have_more =
+            |model: &ModelName| waiting.is_empty() || self.unserved_adapters(model) > 0;
         let sole_homes = self.sole_homes();
         // The gain at the best replica.
         let most = |model: &ModelName| match sole_homes.contains(model) {
@@ -373,6 +388,7 @@
         let mut gains: Vec<(f64, &ModelName)> = self
             .models
             .keys()
+            .filter(|model| may_have_more(model))
             .map(|model| (most(model), model))
             .filter(|(gain, model)| *gain > self.price_of(model))
             .collect();
@@ -421,7 +437,9 @@
             None if store_load_allowed => spec.load_ms,
             None => return None,
         };
-        let eviction = self.eviction_for(replica, spec.weights_mb, is_first)?;
+        let eviction = self.eviction_for(replica, spec.weights_mb, |evicted| {
+            self.may_evict(replica, evicted, is_first)
+        })?;
         let loss = eviction.loss;
         let gain = self.gain(model) + self.version_gain(replica, model);
         let spread = match halls.contains(&replica.hall) {
@@ -443,11 +461,27 @@
         })
     }
 
+    /// Whether a home may be unloaded for a model without demand, or for a further home of one with
+    /// demand. The last home of a model is unloaded only for the first home of another, or, where
+    /// capacity is short, if it has no demand. A home that streams may need is unloaded only for the
+    /// first home of another model.
+    fn may_evict(&self, replica: &PlanReplica, evicted: &ModelName, is_first: bool) -> bool {
+        let is_idle = |model: &PlanModel| model.level <= 0.0 && !model.is_requested;
+        let idle = self.models.get(evicted).is_none_or(is_idle);
+        let stays = replica.protected.contains(evicted);
+        let is_last = self.holders(evicted) <= 1;
+        let for_streams = !is_first && self.is_stream_home(replica, evicted);
+        !for_streams && (!is_last || (!stays && (is_first || (!self.all_fit && idle))))
+    }
+
     /// Returns the model to unload from a replica to free `need_mb`, if any, and the loss; `None`
-    /// where no single unload frees enough. The last home of a model is unloaded only for the first
-    /// home of another, or, where capacity is short, if it has no demand. A home that streams may
-    /// need is unloaded only for the first home of another model.
-    fn eviction_for(&self, replica: &PlanReplica, need_mb: u64, first: bool) -> Option<Eviction> {
+    /// where no single unload that `may_evict` accepts frees enough.
+    fn eviction_for(
+        &self,
+        replica: &PlanReplica,
+        need_mb: u64,
+        may_evict: impl Fn(&ModelName) -> bool,
+    ) -> Option<Eviction> {
         if replica.free_mb >= need_mb {
             return Some(Eviction {
                 model: None,
@@ -457,21 +491,14 @@
         }
         let weight = |model: &ModelName| self.models.get(model).map_or(0, |m| m.weights_mb);
         let fits = |model: &&ModelName| replica.free_mb + weight(model) >= need_mb;
-        let is_idle = |model: &PlanModel| model.level <= 0.0 && !model.is_requested;
-        let idle = |model: &ModelName| self.models.get(model).is_none_or(is_idle);
-        let may_lose_last_home = |model: &ModelName| !self.all_fit && idle(model);
-        let stays = |model: &ModelName| replica.protected.contains(model);
-        let evictable = |model: &&ModelName| {
-            self.holders(model) > 1 || (!stays(model) && (first || may_lose_last_home(model)))
-        };
-        let held = replica.held.iter().filter(fits).filter(evictable);
+        let held = replica.held.iter().filter(fits);
+        let held = held.filter(|model| may_evict(model));
         let adapters = |model: &ModelName| replica.adapters.get(model).copied().unwrap_or(0);
         let evictions = held.map(|model| Eviction {
             model: Some(model.clone()),
             loss: self.loss(model) + adapters(model) as f64 * ADAPTER_VALUE,
             takes_stream_home: self.is_stream_home(replica, model),
         });
-        let evictions = evictions.filter(|eviction| first || !eviction.takes_stream_home);
         evictions.min_by(|a, b| {
             let by_streams = a.takes_stream_home.cmp(&b.takes_stream_home);
             by_streams.then(a.loss.total_cmp(&b.loss))
--- a/src/placement/fleet_plan/first_home_limits.rs
+++ b/src/placement/fleet_plan/first_home_limits.rs
@@ -42,16 +42,14 @@
     let Some(spec) = models.get(model) else {
         return BTreeMap::new();
     };
-    let halls = plan_state.halls_of(model);
     let replicas = plan_state.replicas.iter().enumerate();
     let open = replicas.filter(|(_, replica)| replica.accepts_orders);
     let limits = open.map(|(number, replica)| {
-        let limit = match plan_state.eviction_for(replica, spec.weights_mb, true) {
+        let may_evict = |evicted: &ModelName| plan_state.may_evict(replica, evicted, true);
+        let limit = match plan_state.eviction_for(replica, spec.weights_mb, may_evict) {
             None => FirstHomeLimit::Memory,
-            Some(_) => match plan_state.candidate_at(number, model, &halls, true) {
-                None => FirstHomeLimit::Value,
-                Some(_) => FirstHomeLimit::LoadInterval,
-            },
+            Some(_) if plan_state.first_home_at(number, model).is_none() => FirstHomeLimit::Value,
+            Some(_) => FirstHomeLimit::LoadInterval,
         };
         (replica.id.clone(), limit)
     });
