--- a/src/cli/daily_summary.rs
+++ b/src/cli/daily_summary.rs
@@ -1,5 +1,5 @@
 //! Counts late, refused and lost requests by time, route, account, reason, replica and model, from
-//! the logs of all entries.
+//! the logs of all entries, and lists models and adapters that were never served.
 //!
 //! Pure: log lines in, text out. Entries limit the lines they write per second, so the counts
 //! under heavy load cover only some of the requests.
@@ -8,6 +8,7 @@
 use std::fmt::Write;
 
 use crate::cli::log_line::LogLine;
+use crate::cli::unserved_names::unserved_names;
 
 /// Time covered by one row, in seconds.
 const BUCKET_S: f64 = 2.0;
@@ -156,6 +157,7 @@
         Some(table("reason", reasons.into_iter())),
         Some(table("replica", most_late(replicas))),
         Some(table("model", most_late(models))),
+        unserved_names(&requests, first_s),
     ];
     let tables: Vec<String> = tables.into_iter().flatten().collect();
     Some(tables.join("\n"))
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -13,4 +13,5 @@
 pub mod load;
 mod log_line;
 pub mod order_audit;
+mod unserved_names;
 pub mod versions;
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -107,6 +107,29 @@
 
 /// Guards against outcomes that are counted for another account or rank, and against a request of
 /// an entry without ranks in its log being counted for rank 0.
+#[test]
+fn a_day_lists_the_names_that_were_never_served() {
+    let request = |second: u32, model: &str, outcome: &str| {
+        format!(
+            r#"{{"timestamp":"2026-01-01T10:00:{second:02}.000000Z","fields":{{"message":"request","request":"r","route":"chat","model":"{model}","took_ms":0,"outcome":"{outcome}"}},"span":{{"host":"e1"}}}}"#
+        )
+    };
+    let mut lines = Vec::new();
+    for second in [0, 3, 6, 9] {
+        lines.push(request(second, "never", "refused"));
+        lines.push(request(
+            second,
+            "once/a1",
+            if second == 6 { "answered" } else { "refused" },
+        ));
+        lines.push(request(second / 3, "briefly", "refused"));
+    }
+    let summary = daily_summary(lines.iter().map(String::as_str)).unwrap();
+    let listed = "never served: 1 of 2 names requested all along\n\
+                  never                       4 requests, 0.0 to 9.0 s\n";
+    assert!(summary.ends_with(listed), "{summary}");
+}
+
 #[test]
 fn a_day_is_summarized_by_account_and_rank() {
     insta::assert_snapshot!(daily_summary(RANKED_LOG.lines()).unwrap());
