The reasons why no replica loads a model are computed once per service

A newcomer's reading of the diff: the log line on a model without a home built the input of the plan for each of 32 names. The input is built once per service, for eight models at most; the memory that the largest replica could have is computed only while a model waits. No decision changes.

--- a/src/placement/fleet/plan_input.rs
+++ b/src/placement/fleet/plan_input.rs
@@ -105,11 +105,8 @@
     ) -> BTreeMap<ModelName, usize> {
         let mut missing: BTreeSet<(&ModelName, &str)> = BTreeSet::new();
         for (name, _) in self.unserved.oldest_first() {
-            missing.extend(
-                name.adapter
-                    .as_deref()
-                    .map(|adapter| (&name.model, adapter)),
-            );
+            let adapter = name.adapter.as_deref();
+            missing.extend(adapter.map(|adapter| (&name.model, adapter)));
         }
         for record in open_records(state, service) {
             if missing.is_empty() {
--- a/src/placement/fleet/unserved_status.rs
+++ b/src/placement/fleet/unserved_status.rs
@@ -1,6 +1,6 @@
 //! What the models and adapters that are not served wait for, for the log and the metrics.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::consensus::directory::{ReplicaPhase, ReplicaRecord};
 use crate::consensus::state::SiteState;
@@ -8,11 +8,15 @@
 use crate::placement::fleet_plan;
 use crate::placement::order::OrderKind;
 use crate::placement::unserved::{ServedName, UnservedSummary};
+use crate::table::configuration::EngineSpec;
 
 use super::{FleetController, open_records};
 
 /// Maximum number of names that are described at once.
 const MAX_DESCRIBED_NAMES: usize = 32;
+/// Maximum number of models without a home of which it is described what keeps replicas from loading
+/// them.
+const MAX_DESCRIBED_MODELS: usize = 8;
 /// Maximum number of homes that are described for a name.
 const MAX_DESCRIBED_HOMES: usize = 4;
 
@@ -40,8 +44,19 @@
 
     /// Describes the names that have gone without service for longest.
     pub fn unserved_status(&self, state: &SiteState, now_ms: u64) -> Vec<UnservedStatus> {
-        let oldest = self.unserved.oldest_first().into_iter();
-        let described = oldest.take(MAX_DESCRIBED_NAMES).map(|(name, since_ms)| {
+        let mut oldest = self.unserved.oldest_first();
+        oldest.truncate(MAX_DESCRIBED_NAMES);
+        let mut held: BTreeSet<&ModelName> = BTreeSet::new();
+        for record in state.replicas.records().values() {
+            if record.phase == ReplicaPhase::Ready {
+                held.extend(record.models.keys());
+            }
+        }
+        let absent = oldest.iter().map(|(name, _)| &name.model);
+        let absent = absent.filter(|model| !held.contains(model)).cloned();
+        let absent: BTreeSet<ModelName> = absent.take(MAX_DESCRIBED_MODELS).collect();
+        let obstacles = self.first_home_obstacles(state, &absent, now_ms);
+        let described = oldest.into_iter().map(|(name, since_ms)| {
             let records = state.replicas.records().values();
             let homes = records.filter(|record| {
                 record.phase == ReplicaPhase::Ready && record.models.contains_key(&name.model)
@@ -55,12 +70,8 @@
             let mut waits: Vec<String> = first
                 .map(|record| self.describe_lane(state, record, now_ms))
                 .collect();
-            if homes.is_empty() {
-                let obstacles = self.first_home_obstacles(state, &name.model, now_ms);
-                let obstacles = obstacles.into_iter();
-                waits
-                    .extend(obstacles.map(|(reason, count)| format!("{count} replicas: {reason}")));
-            }
+            let obstacles = obstacles.get(&name.model).into_iter().flatten();
+            waits.extend(obstacles.map(|(reason, count)| format!("{count} replicas: {reason}")));
             UnservedStatus {
                 name: name.clone(),
                 unserved_ms: now_ms.saturating_sub(since_ms),
@@ -72,30 +83,37 @@
         described.collect()
     }
 
-    /// Counts the replicas that do not load a model without a home, by reason.
+    /// Counts, for each of these models without a home, the replicas that do not load it, by reason.
     fn first_home_obstacles(
         &self,
         state: &SiteState,
-        model: &ModelName,
+        absent: &BTreeSet<ModelName>,
         now_ms: u64,
-    ) -> BTreeMap<&'static str, usize> {
-        let mut counts = BTreeMap::new();
+    ) -> BTreeMap<ModelName, BTreeMap<&'static str, usize>> {
+        let mut obstacles: BTreeMap<ModelName, BTreeMap<&'static str, usize>> = BTreeMap::new();
         let configuration = state.configuration.as_ref().map(|held| &held.configuration);
         let services = configuration.into_iter().flat_map(|held| &held.services);
         let engines = services.filter_map(|(name, spec)| Some((name, spec.engine.as_ref()?)));
-        for (service, engine) in engines.filter(|(_, engine)| engine.models.contains_key(model)) {
+        let has_absent = |engine: &EngineSpec| {
+            let mut models = absent.iter();
+            models.any(|model| engine.models.contains_key(model))
+        };
+        for (service, engine) in engines.filter(|(_, engine)| has_absent(engine)) {
             let (replicas, models) = self.plan_input(state, service, engine, now_ms);
             let price = self.policy.move_price;
-            let limits = fleet_plan::first_home_limits(replicas, &models, price, model);
-            for record in open_records(state, service) {
-                let reason = self.order_obstacle(record, now_ms);
-                let limit = limits.get(&record.id).map(|limit| limit.text());
-                *counts
-                    .entry(reason.or(limit).unwrap_or("no demand known"))
-                    .or_default() += 1;
+            let limits = fleet_plan::first_home_limits(replicas, &models, price, absent);
+            for (model, limits) in limits {
+                let counts = obstacles.entry(model).or_default();
+                for record in open_records(state, service) {
+                    let limit = limits.get(&record.id).map(|limit| limit.text());
+                    let reason = self.order_obstacle(record, now_ms).or(limit);
+                    *counts
+                        .entry(reason.unwrap_or("no demand known"))
+                        .or_default() += 1;
+                }
             }
         }
-        counts
+        obstacles
     }
 
     /// Returns why a replica takes no model order now, if it does not.
--- a/src/placement/fleet_plan/first_homes.rs
+++ b/src/placement/fleet_plan/first_homes.rs
@@ -4,8 +4,10 @@
 
 use crate::ids::ModelName;
 
-use super::{Candidate, MAX_CANDIDATE_MODELS, PlanReplica, PlanState, REPLICA_DEMAND_WEIGHT};
-use super::{STREAM_HOME_VALUE, UNSERVED_COST_PER_S};
+use super::{
+    Candidate, MAX_CANDIDATE_MODELS, PlanState, REPLICA_DEMAND_WEIGHT, STREAM_HOME_VALUE,
+    UNSERVED_COST_PER_S,
+};
 
 /// Number of loads for which a model waits before a home of another model may give way to it whatever
 /// the demand. Models of which adapters wait keep theirs: these are names without service as well.
@@ -25,18 +27,26 @@
     /// Returns the models that wait for their first home, those for longest first. A model for which
     /// no replica has enough memory does not count.
     pub(super) fn waiting_models(&self) -> Vec<&ModelName> {
+        let waiting = self.models.iter();
+        let waiting =
+            waiting.filter(|(model, spec)| spec.unserved_ms > 0 && self.homes(model) == 0);
+        let mut waiting: Vec<_> = waiting.collect();
+        if !waiting.is_empty() {
+            let largest_mb = self.largest_capacity_mb();
+            waiting.retain(|(_, spec)| spec.weights_mb <= largest_mb);
+        }
+        waiting.sort_by_key(|(_, spec)| std::cmp::Reverse(spec.unserved_ms));
+        waiting.into_iter().map(|(model, _)| model).collect()
+    }
+
+    /// Returns the memory of the replica that could have most for models, in MB.
+    fn largest_capacity_mb(&self) -> u64 {
         let weight = |model: &ModelName| self.models.get(model).map_or(0, |m| m.weights_mb);
-        let capacity_mb = |replica: &PlanReplica| {
+        let capacities = self.replicas.iter().map(|replica| {
             let loaded = replica.held.union(&replica.loading).map(weight);
             replica.free_mb + loaded.sum::<u64>()
-        };
-        let largest_mb = self.replicas.iter().map(capacity_mb).max().unwrap_or(0);
-        let waiting = self.models.iter().filter(|(model, spec)| {
-            self.homes(model) == 0 && spec.unserved_ms > 0 && spec.weights_mb <= largest_mb
         });
-        let mut waiting: Vec<_> = waiting.collect();
-        waiting.sort_by_key(|(_, spec)| std::cmp::Reverse(spec.unserved_ms));
-        waiting.into_iter().map(|(model, _)| model).collect()
+        capacities.max().unwrap_or(0)
     }
 
     /// Returns the move for the model that has waited longest of those that a replica can take.
