The comment on which homes may be unloaded says what its parameter means

Found on reading the whole change: the comment described is_first the wrong way round, and a type was spelled out that is plain. No behaviour changes; formatter, linter and the tests of the fleet, first homes, unserved names, drawn plays and explain pass.

--- a/src/placement/fleet/unserved_status.rs
+++ b/src/placement/fleet/unserved_status.rs
@@ -4,7 +4,7 @@
 
 use crate::consensus::directory::{ReplicaPhase, ReplicaRecord};
 use crate::consensus::state::SiteState;
-use crate::ids::{ModelName, ReplicaId};
+use crate::ids::ModelName;
 use crate::placement::fleet_plan;
 use crate::placement::order::OrderKind;
 use crate::placement::unserved::{ServedName, UnservedSummary};
@@ -118,7 +118,7 @@
 
     /// Returns why a replica takes no model order now, if it does not.
     fn order_obstacle(&self, record: &ReplicaRecord, now_ms: u64) -> Option<&'static str> {
-        let id: &ReplicaId = &record.id;
+        let id = &record.id;
         match self.pending.get(id).map(|order| order.kind) {
             _ if record.phase != ReplicaPhase::Ready => Some("silent or draining"),
             _ if self.fenced.contains(&record.incarnation()) => Some("refuses this leader"),
--- a/src/placement/fleet_plan.rs
+++ b/src/placement/fleet_plan.rs
@@ -461,10 +461,10 @@
         })
     }
 
-    /// Whether a home may be unloaded for a model without demand, or for a further home of one with
-    /// demand. The last home of a model is unloaded only for the first home of another, or, where
-    /// capacity is short, if it has no demand. A home that streams may need is unloaded only for the
-    /// first home of another model.
+    /// Whether a replica's home of a model may be unloaded for another model, whose first home it is
+    /// if `is_first`. The last home of a model is unloaded only for the first home of another, or,
+    /// where capacity is short, if it has no demand. A home that streams may need is unloaded only for
+    /// the first home of another model.
     fn may_evict(&self, replica: &PlanReplica, evicted: &ModelName, is_first: bool) -> bool {
         let is_idle = |model: &PlanModel| model.level <= 0.0 && !model.is_requested;
         let idle = self.models.get(evicted).is_none_or(is_idle);
