Test fails: a copy of a refusal is believed for the next arrival of its request

A replica turns a request away, and keeps the connection. The entry has no other replica and sends the request there again, on that connection. The replica's second copy of its refusal comes first, then it runs the request. Seen over real sockets: the client gets 503 (replicas refused it) and the replica has run it, which is what the users saw.

--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod moved_routes;
 mod pauses;
+mod promises;
 mod support;
 mod versions;
 mod waiting;
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -68,6 +68,9 @@
 /// SYN retransmissions to a full listener.
 const CONNECT_MS: u64 = 10_000;
 
+/// Time between the copy of a refusal and the response due.
+const COPY_LEAD: Duration = Duration::from_millis(50);
+
 /// Time without progress after which an entry cuts off a client, in milliseconds.
 const STALL_MS: u64 = 300;
 
@@ -177,6 +180,9 @@
     Unsigned,
     /// Responds with 503 and `Not-Executed`.
     NotExecuted,
+    /// Repeats the refusal of the request before on its connection, if there was one, then runs this
+    /// one and responds with 200.
+    RunAfterCopy(&'static str),
     /// As `NotExecuted`, with one more header line.
     Refuse(&'static str),
     /// As `Refuse`, after a delay in milliseconds.
@@ -270,6 +276,8 @@
     /// Notified as it restarts, which closes its idle connections.
     restarted: Rc<Notify>,
     seen: Vec<ReceivedRequest>,
+    /// Requests that it ran under `RunAfterCopy`.
+    copied_runs: usize,
     closed: bool,
     /// Whether it accepts no connections for now.
     shut: bool,
@@ -671,6 +679,11 @@
         self.replicas[name].1.borrow_mut().withholds_reports = true;
     }
 
+    /// Returns how many requests a replica ran under `RunAfterCopy`.
+    pub fn copied_runs(&self, name: &str) -> usize {
+        self.replicas[name].1.borrow().copied_runs
+    }
+
     /// Returns how many connections a replica accepted.
     pub fn opened(&self, name: &str) -> usize {
         self.replicas[name].1.borrow().opened
@@ -1028,6 +1041,7 @@
     let mut buffer = Vec::new();
     state.borrow_mut().opened += 1;
     let restarted = state.borrow().restarted.clone();
+    let mut previous: Option<String> = None;
     loop {
         let seen = tokio::select! {
             seen = read_request(&mut stream, &mut buffer) => seen,
@@ -1054,6 +1068,13 @@
         state.borrow_mut().seen.push(seen);
         let next = state.borrow_mut().script.pop_front();
         let behaviour = next.unwrap_or(Behaviour::Response(200, "unscripted"));
+        let before = previous.replace(id.clone());
+        if let (Behaviour::RunAfterCopy(_), Some(before)) = (behaviour, before) {
+            let copy = refusal(&name, &before, "");
+            let _ = stream.write_all(copy.as_bytes()).await;
+            // Apart from the response due, as it was sent on its own.
+            tokio::time::sleep(COPY_LEAD).await;
+        }
         if !behave(&mut stream, behaviour, &name, &id, last, &state).await {
             return;
         }
@@ -1167,6 +1188,10 @@
             format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: 2\r\n\r\nhi")
         }
         Behaviour::NotExecuted => refusal(name, id, ""),
+        Behaviour::RunAfterCopy(body) => {
+            state.borrow_mut().copied_runs += 1;
+            full_response(200, name, id, body, "")
+        }
         Behaviour::Refuse(line) => refusal(name, id, line),
         Behaviour::RefuseLater(millis, line) => {
             tokio::time::sleep(Duration::from_millis(millis)).await;
