A request is not sent twice on one connection: its answers could not be told apart

What callers saw: 503 (replicas refused it), which promises that the request has not run and never will, for a request that a replica ran.

Cause: a response is matched to its request by the id alone. A request that every replica has turned away is sent to one of them again, and the pool gave out the connection of its first arrival, the one used last. A second copy of the first refusal, which replicas may send late in the place of the answer due next, has the same id: it was believed for the second arrival, which ran.

Change: SendTally holds the connections on which a request was sent, and the pool gives out none of them for it again. A late copy then meets another request, whose id tells them apart, or nobody. Costs one new connection for a repeat at the same replica if no other one is idle.

Ruled out: matching by incarnation (the replica is the same), by order of arrival (a copy may be lost or come twice), a check that nothing is readable (it is made already; the copy comes after it).

--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -550,7 +550,8 @@
         let mut guard = AttemptGuard::start(core, replica, &self.need);
         core.record_adapter_use(replica, &self.need);
         self.log.record_attempt(replica);
-        let kept = core.pool.borrow_mut().take(replica);
+        let may_use = |connection| self.tally.may_use(connection);
+        let kept = core.pool.borrow_mut().take_where(replica, may_use);
         let opened = match kept {
             Some(connection) => Ok(connection),
             None => {
@@ -610,13 +611,9 @@
             progress: &progress,
         };
         self.begin_attempt();
-        self.tally.record_sent();
-        let arrival = ReplicaArrival::new(
-            replica,
-            connection.describe(),
-            bytes.len(),
-            progress.clone(),
-        );
+        let used = connection.describe();
+        self.tally.record_sent(used.number);
+        let arrival = ReplicaArrival::new(replica, used, bytes.len(), progress.clone());
         self.log.record_arrival(arrival);
         let sent = Exchange::send(connection, &outgoing);
         let sent = clock::wait_until(self.attempt_until_ms(), sent);
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -190,13 +190,23 @@
 impl ConnectionPool {
     /// Takes the most recently used connection that is still usable.
     pub fn take(&mut self, id: &ReplicaId) -> Option<Connection> {
+        self.take_where(id, |_| true)
+    }
+
+    /// Like [`Self::take`], of the connections whose number `may_use` accepts.
+    pub fn take_where(
+        &mut self,
+        id: &ReplicaId,
+        may_use: impl Fn(u64) -> bool,
+    ) -> Option<Connection> {
         let idle = self.idle.get_mut(id)?;
-        while let Some(connection) = idle.pop() {
+        loop {
+            let newest = idle.iter().rposition(|kept| may_use(kept.number))?;
+            let connection = idle.remove(newest);
             if connection.is_reusable() {
                 return Some(connection);
             }
         }
-        None
     }
 
     /// Closes the idle connections to a replica that is draining.
--- a/src/routing/run_proof.rs
+++ b/src/routing/run_proof.rs
@@ -45,17 +45,24 @@
     }
 }
 
-/// Counts where a request was sent and which replicas turned it away.
+/// Records on which connections a request was sent and how often it was turned away.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SendTally {
-    sent: u32,
-    turned_away: u32,
+    /// Numbers of the connections.
+    connections: Vec<u64>,
+    turned_away: usize,
 }
 
 impl SendTally {
-    /// Records that the request is about to be sent: from now on it may run there.
-    pub fn record_sent(&mut self) {
-        self.sent += 1;
+    /// Records that the request is about to be sent on a connection: from now on it may run there.
+    pub fn record_sent(&mut self, connection: u64) {
+        self.connections.push(connection);
+    }
+
+    /// Whether the request may be sent on a connection. The id of a response does not tell which of
+    /// two arrivals on the same connection it answers.
+    pub fn may_use(&self, connection: u64) -> bool {
+        !self.connections.contains(&connection)
     }
 
     /// Records that the last replica it was sent to turned it away.
@@ -63,21 +70,11 @@
         self.turned_away += 1;
     }
 
-    /// Number of arrivals that were not turned away.
-    pub fn unproven(&self) -> u32 {
-        self.sent - self.turned_away
-    }
-
-    /// Number of arrivals.
-    pub fn sent(&self) -> u32 {
-        self.sent
-    }
-
     /// Returns the proof that the request did not run anywhere, if there is one.
     pub fn proof(&self) -> Option<NotRunProof> {
-        match (self.sent, self.unproven()) {
-            (0, _) => Some(NotRunProof(ProofKind::Unsent)),
-            (_, 0) => Some(NotRunProof(ProofKind::TurnedAway)),
+        match self.connections.len() {
+            0 => Some(NotRunProof(ProofKind::Unsent)),
+            sent if sent == self.turned_away => Some(NotRunProof(ProofKind::TurnedAway)),
             _ => None,
         }
     }
--- a/tests/run_proof.rs
+++ b/tests/run_proof.rs
@@ -7,7 +7,7 @@
 /// Histories that are drawn.
 const HISTORIES: u64 = 10_000;
 /// Most arrivals of one request.
-const MAX_ARRIVALS: u32 = 6;
+const MAX_ARRIVALS: u64 = 6;
 /// Statuses that replicas and middle boxes send.
 const STATUSES: [u16; 12] = [200, 204, 301, 400, 404, 408, 421, 429, 500, 502, 503, 504];
 
@@ -19,8 +19,10 @@
         let mut random = SmallRng::seed_from_u64(seed);
         let mut tally = SendTally::default();
         let mut may_run = false;
-        for _ in 0..random.random_range(0..=MAX_ARRIVALS) {
-            tally.record_sent();
+        for connection in 0..random.random_range(0..=MAX_ARRIVALS) {
+            assert!(tally.may_use(connection), "seed {seed}");
+            tally.record_sent(connection);
+            assert!(!tally.may_use(connection), "seed {seed}");
             let status = STATUSES[random.random_range(0..STATUSES.len())];
             let (is_answered, is_marked) = (random.random_bool(0.9), random.random_bool(0.7));
             let turned_away = status == 421 || (is_marked && status >= 400);
@@ -51,7 +53,7 @@
 fn proofs_are_named_for_operators() {
     let mut tally = SendTally::default();
     let unsent = tally.proof().map(NotRunProof::name);
-    tally.record_sent();
+    tally.record_sent(7);
     tally.record_refusal(ReplicaRefusal::read(503, true).unwrap());
     let names = [unsent, tally.proof().map(NotRunProof::name)];
     assert_eq!(names, [Some("not sent"), Some("turned away")]);
