A copy of an answer is not read as what its replica reports of itself

A late copy of an earlier answer could so prove an incarnation, or disprove the right one. Seen in a test: the stream's first replica was rejected and four connections were opened in place of two.

Change: the answer to a request without an id must have none; one that has belongs to another request and is skipped. A client's request without an id is answered by the answer without one, which was skipped before.

--- a/src/forward/request_log.rs
+++ b/src/forward/request_log.rs
@@ -19,8 +19,8 @@
 const MAX_SUCCESS_LINES: u32 = 10;
 /// Log lines per second for failed or refused requests.
 const MAX_FAILURE_LINES: u32 = 40;
-/// Log lines per second for requests that were refused although they were sent to a replica.
-const MAX_TURNED_AWAY_LINES: u32 = 40;
+/// Log lines per second for requests that were sent more than once, or sent and then refused.
+const MAX_RESENT_LINES: u32 = 40;
 /// Longest part of a header value shown in a log line, in characters.
 const MAX_SHOWN_CHARS: usize = 32;
 
@@ -266,8 +266,9 @@
     /// Which limit on log lines applies.
     fn line_kind(&self) -> LineKind {
         match self.end {
+            _ if self.arrivals.len() > 1 => LineKind::Resent,
+            (Outcome::Refused, ..) if !self.arrivals.is_empty() => LineKind::Resent,
             (Outcome::Answered, ..500, _) => LineKind::Answered,
-            (Outcome::Refused, ..) if !self.arrivals.is_empty() => LineKind::TurnedAway,
             _ => LineKind::Failed,
         }
     }
@@ -379,8 +380,9 @@
     Answered,
     /// The request failed, or was refused before it was sent.
     Failed,
-    /// The request was refused, as each replica that it was sent to turned it away.
-    TurnedAway,
+    /// The request was sent more than once, or refused as the replica that it was sent to turned it
+    /// away.
+    Resent,
 }
 
 /// Counts the log lines of the current second.
@@ -389,7 +391,7 @@
     second: u64,
     answered: u32,
     failed: u32,
-    turned_away: u32,
+    resent: u32,
     suppressed: u32,
 }
 
@@ -409,7 +411,7 @@
         let (count, most) = match kind {
             LineKind::Answered => (&mut self.answered, MAX_SUCCESS_LINES),
             LineKind::Failed => (&mut self.failed, MAX_FAILURE_LINES),
-            LineKind::TurnedAway => (&mut self.turned_away, MAX_TURNED_AWAY_LINES),
+            LineKind::Resent => (&mut self.resent, MAX_RESENT_LINES),
         };
         *count += 1;
         let allowed = *count <= most;
--- a/src/forward/start_reports.rs
+++ b/src/forward/start_reports.rs
@@ -130,7 +130,7 @@
         let request = OutgoingRequest {
             bytes: text.as_bytes(),
             method: "GET",
-            identity: None,
+            identity: Some((self.names.request_id, "")),
             on_head: &|_| {},
             progress: &SendProgress::default(),
         };
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -251,8 +251,9 @@
     pub bytes: &'a [u8],
     /// The method.
     pub method: &'a str,
-    /// Name and value of the header that matches a response to its request; `None` if the
-    /// connection carries no other request.
+    /// Name and value of the header that matches a response to its request; the value is empty if
+    /// the response to this request has no such header. `None` if the connection carries no other
+    /// request.
     pub identity: Option<(&'a str, &'a str)>,
     /// Called with each head before it is processed.
     pub on_head: HeadObserver<'a>,
@@ -312,7 +313,7 @@
                 delimited: head.framing != Framing::Close,
             };
             let belongs = match request.identity {
-                Some((name, value)) => head::find(&head.headers, name) == Some(value),
+                Some((name, value)) => head::find(&head.headers, name).unwrap_or_default() == value,
                 None => true,
             };
             match head.status {
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -275,6 +275,9 @@
     reports: usize,
     /// Whether it answers them.
     withholds_reports: bool,
+    /// Whether it answers the request before on the connection once more, with this body, before it
+    /// answers them.
+    copy_before_report: Option<&'static str>,
     /// Notified as it restarts, which closes its idle connections.
     restarted: Rc<Notify>,
     seen: Vec<ReceivedRequest>,
@@ -690,6 +693,12 @@
         self.replicas[name].1.borrow().copied_runs
     }
 
+    /// A replica answers the request before on a connection once more, with this body, before it
+    /// answers one for a report of itself.
+    pub fn copy_before_report(&self, name: &str, body: &'static str) {
+        self.replicas[name].1.borrow_mut().copy_before_report = Some(body);
+    }
+
     /// Returns how many connections a replica accepted.
     pub fn opened(&self, name: &str) -> usize {
         self.replicas[name].1.borrow().opened
@@ -1068,6 +1077,11 @@
             if state.borrow().withholds_reports {
                 continue;
             }
+            let copied = state.borrow().copy_before_report;
+            if let (Some(body), Some(before)) = (copied, &previous) {
+                let copy = full_response(200, &name, before, body, "");
+                let _ = stream.write_all(copy.as_bytes()).await;
+            }
             let started_ms = state.borrow().started_ms.to_string();
             let report = full_response(200, &name, "", &started_ms, "");
             let _ = stream.write_all(report.as_bytes()).await;
--- a/tests/forwarding/versions.rs
+++ b/tests/forwarding/versions.rs
@@ -157,6 +157,27 @@
     assert_eq!(site.reports("r1"), 1);
 }
 
+/// Guards against a late copy of an answer that is read as what its replica reports of itself.
+#[ntex::test]
+async fn a_copy_of_an_answer_is_not_taken_for_a_report() {
+    let mut site = ForwardSite::start(&[RESUMED, PLAIN]).await;
+    let script = vec![
+        Behaviour::Slow(100, "x"),
+        Behaviour::Slow(100, "x"),
+        Behaviour::Events(2),
+    ];
+    site.add_versioned_replica("r1", "v1", script).await;
+    site.copy_before_report("r1", "9999");
+    // Two connections are idle then: the stream takes one, and the report the other.
+    futures::join!(
+        site.send("GET", "/plain/x", "a", ""),
+        site.send("GET", "/plain/x", "b", "")
+    );
+    let stream = site.send("POST", "/resumed/x", "c", "").await;
+    assert_eq!(site.opened("r1"), 2);
+    assert_eq!((stream.complete, stream.body), (true, events(1, 2)));
+}
+
 #[ntex::test]
 async fn no_report_is_asked_of_replicas_without_a_start_time() {
     let mut site = ForwardSite::start(&[RESUMED]).await;
