--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -158,4 +158,9 @@
 mutant ended-incarnation-not-seen src/routing/stream_origins.rs 's/if report\.started_ms > expected_ms =>/if false \&\& report.started_ms > expected_ms =>/' stream_origins a_report_proves_connections
 mutant first-event-not-held src/forward/request/incarnation.rs 's/Some\(sent\) if self\.requires/Some(sent) if false \&\& self.requires/' forwarding a_stream_begun_at_an_unnoticed_restart
 mutant continued-without-proof src/forward/request/incarnation.rs 's/Unknown if self\.is_continuing\(\)/Unknown if false \&\& self.is_continuing()/' forwarding a_stream_is_not_continued_at_a_replica_that_restarted
+mutant repeat-on-one-connection src/routing/run_proof.rs 's/!self\.connections\.contains\(&connection\)/true/' forwarding a_copy_of_a_refusal
+mutant promise-without-proof src/routing/run_proof.rs 's/sent if sent == self\.turned_away/_/' run_proof no_history
+mutant report-of-another-request src/forward/start_reports.rs 's/identity: Some\(\(self\.names\.request_id, ""\)\)/identity: None/' forwarding a_copy_of_an_answer
+mutant silent-replica-believed src/forward/request/crashes.rs 's/Some\(false\) => \{/Some(false) if false => {/; s/None => \{\n                self\.log\.note\("not known whether the response is complete"\);\n                false/_ => {\n                true/' forwarding leaving_replica_that_ended
+mutant empty-success-believed src/forward/request/crashes.rs 's/Some\(true\) if is_success && is_empty/Some(true) if false \&\& is_success \&\& is_empty/' forwarding a_success_without_length
 mutant rejected-events-counted src/forward/request/continuing.rs 's/if may_pass \{/if may_pass || true {/' forwarding a_stream_begins_elsewhere_if
