--- a/src/forward/arrivals.rs
+++ b/src/forward/arrivals.rs
@@ -91,6 +91,7 @@
                 f.write_str(" stamped")?;
             }
         }
+        // Nothing is concluded if the client disconnects first.
         write!(f, ": {}", self.end.unwrap_or("left"))
     }
 }
--- a/src/forward/client.rs
+++ b/src/forward/client.rs
@@ -111,7 +111,9 @@
 /// A request that is refused before it was read to its end.
 #[derive(Debug)]
 pub(super) struct UnreadRequest {
+    /// Status of the response.
     pub(super) status: u16,
+    /// Reason shown to the client.
     pub(super) reason: &'static str,
     /// Its id, if its head was read.
     pub(super) id: Option<String>,
@@ -122,12 +124,13 @@
 pub(super) struct ReadProgress {
     /// Bytes received, with the framing.
     pub(super) bytes: usize,
-    /// When its first byte was there.
+    /// When its first byte arrived.
     pub(super) since: Instant,
     /// Requests that were served on the connection before.
     pub(super) served: u32,
 }
 
+/// Refuses a request whose id is not known.
 fn refused(status: u16, reason: &'static str) -> ReadError {
     let id = None;
     ReadError::Refused(UnreadRequest { status, reason, id })
