Review: a page that was asked for while three replicas crashed is refused for good

Seen: three of twelve replicas crash at the same moment while all answer the same lookup. Every later request for it is answered 503, though all replicas run (RECOVER): its content counts as what crashed them.

--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -302,6 +302,9 @@
             continue;
         }
         note(record, &format!("run {id} at {own}"));
+        if path.contains("/slow/") {
+            sleep(ms(300));
+        }
         let streams = path.starts_with("/draft/");
         let pieces = whole_body(&id, streams);
         let kind = if streams {
@@ -515,7 +518,7 @@
         let block = (0..200).map(|n| start.wrapping_add(n * 977));
         let mut block = block.map(|n| [(n / 250 % 200 + 20) as u8, (n % 250 + 2) as u8]);
         let free = |block: &[u8; 2]| {
-            (1..=20).all(|host| {
+            (1..=30).all(|host| {
                 let ip = Ipv4Addr::new(127, block[0], block[1], host);
                 [INTERNAL, SERVED, READY, REPLICA, 9100]
                     .iter()
@@ -988,6 +991,131 @@
     site.finish(!read, "CONFIG")
 }
 
+/// Three of twelve replicas crash at the same moment, while all of them answer the same lookup, which
+/// many clients make.
+fn popular(site: &Arc<Site>, trouble: bool) -> ! {
+    let entry = site.start(CONFIGURATION);
+    let start = |n: u8, life: &str| {
+        let own = site.at(11 + n, REPLICA);
+        let id = format!("i-{n}-{life}");
+        site.start_replica(11 + n, own, &id, "register", &site.control())
+    };
+    let processes: Vec<u32> = (0..12).map(|n| start(n, "first")).collect();
+    site.await_service(entry, "/look/slow/popular", 10);
+    let before = site.lookups(entry, "/look/slow/popular", ms(5_000));
+    let stop = Instant::now() + ms(3_000);
+    let mut clients = Vec::new();
+    for _ in 0..48 {
+        let client = site.clone();
+        clients.push(spawn(move || {
+            while Instant::now() < stop {
+                client.request(entry, "GET", "/look/slow/popular", 1_500);
+            }
+        }));
+    }
+    sleep(ms(1_500));
+    if trouble {
+        site.note("three replicas of twelve crash at the same moment (SIGKILL)");
+        (0..3).for_each(|n| kill(processes[n]));
+    }
+    clients
+        .into_iter()
+        .for_each(|client| client.join().unwrap());
+    if trouble {
+        (0..3).for_each(|n| {
+            start(n, "second");
+        });
+        site.note("they have started again");
+    }
+    sleep(RECOVER);
+    let after = site.lookups(entry, "/look/slow/popular", ms(10_000));
+    site.lookups(entry, "/look/slow/other", ms(5_000));
+    if before.1 * 4 < before.0 {
+        cannot("under a quarter was served before the disruption");
+    }
+    site.finish(after.1 * 4 < after.0, "RECOVER")
+}
+
+/// One of five control hosts, of which two may be lost at once, is lost for good at the first start
+/// of the site.
+fn first_start(site: &Site, trouble: bool) -> ! {
+    site.tolerated.store(2, Ordering::SeqCst);
+    let mut control = Vec::new();
+    for host in 1..=5 {
+        let id = site.start_node("control", host, "hall-a", true);
+        if trouble && host == 2 {
+            sleep(ms(50));
+            kill(id);
+            site.note("control host 2, one of the three seeds, is lost for good (SIGKILL)");
+        } else {
+            control.push(site.at(host, SERVED));
+        }
+        sleep(ms(20));
+    }
+    site.start_node("entry", 6, "hall-a", true);
+    site.note("all hosts have been started");
+    let entry = site.at(6, SERVED);
+    for n in 0..3 {
+        let own = site.at(11 + n, REPLICA);
+        site.start_replica(11 + n, own, &format!("i-{n}"), "register", &control);
+    }
+    let until = Instant::now() + ms(60_000);
+    let mut tries = 0;
+    let mut acknowledged = false;
+    while Instant::now() < until && !acknowledged {
+        let to = control[tries % control.len()];
+        let status = put(to, "/config", CONFIGURATION, ms(1_000));
+        note(
+            &site.record,
+            &format!("configuration sent to {to}, answered {status} (0: nothing)"),
+        );
+        acknowledged = status == 200;
+        tries += 1;
+        sleep(ms(200));
+    }
+    site.note(&format!(
+        "first configuration acknowledged: {acknowledged}, after {tries} tries"
+    ));
+    sleep(ms(2_000));
+    let after = site.lookups(entry, "/look/plain/1", ms(20_000));
+    site.finish(after.1 == 0, "Fault (no request is served)")
+}
+
+/// A request for the head of a page that no route leads to, then one that a replica serves, on one
+/// connection. The answer to the first has no body, as it must not.
+fn head_alone(site: &Site, trouble: bool) -> ! {
+    let entry = site.start(CONFIGURATION);
+    for n in 0..3 {
+        let own = site.at(11 + n, REPLICA);
+        site.start_replica(11 + n, own, &format!("i-{n}"), "register", &site.control());
+    }
+    site.await_service(entry, "/look/plain/1", 10);
+    let path = if trouble { "/never/1" } else { "/look/plain/1" };
+    let Ok(mut stream) = TcpStream::connect(entry) else {
+        cannot("the entry does not accept connections");
+    };
+    let _ = stream.set_read_timeout(Some(ms(1_500)));
+    let request = |method: &str, path: &str, id: &str| {
+        format!("{method} {path} HTTP/1.1\r\nHost: api.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 1500\r\n\r\n")
+    };
+    let _ = stream.write_all(request("HEAD", path, "aaaa").as_bytes());
+    let mut buffer = Vec::new();
+    let first = read_head(&mut stream, &mut buffer);
+    sleep(ms(300));
+    let _ = stream.write_all(request("GET", "/look/plain/1", "bbbb").as_bytes());
+    let second = read_head(&mut stream, &mut buffer);
+    let line = |head: &Option<Head>| {
+        head.as_ref()
+            .map_or_else(String::new, |head| head.line.clone())
+    };
+    site.note(&format!("HEAD {path}: {:?}", line(&first)));
+    site.note(&format!(
+        "GET /look/plain/1, next on the connection: {:?}",
+        line(&second)
+    ));
+    site.finish(!line(&second).starts_with("HTTP/1.1 "), "MIXED")
+}
+
 fn main() {
     let args: Vec<String> = std::env::args().skip(1).collect();
     match args.first().map(String::as_str) {
@@ -1004,6 +1132,9 @@
             match args[1].as_str() {
                 "unframed" => unframed(&site, trouble),
                 "forgotten" => forgotten(&site, trouble),
+                "first-start" => first_start(&site, trouble),
+                "head" => head_alone(&site, trouble),
+                "popular" => popular(&site, trouble),
                 "first-ack" => first_ack(&site, trouble),
                 "late-beat" => late_beat(&site, trouble),
                 other => cannot(&format!("no case {other}")),
