--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -1,7 +1,7 @@
 //! Test rig of the second review: starts the platform's programs as separate processes on loopback
 //! addresses, with stand-ins for replicas, clients, the operator and the links between them.
 //!
-//! `rig case NAME FOLDER TROUBLE` plays a case and writes `record.txt` into the folder. It exits
+//! `rig case NAME RECORD TROUBLE` plays a case and writes what was sent, answered and run to the file RECORD. It exits
 //! with 0 if the rule held, 1 if it was broken, 2 if the case could not run. `rig replica ...` is
 //! the stand-in of a replica, a process of its own, so that it can be killed.
 
@@ -497,6 +497,20 @@
     }
 }
 
+/// Counts of one kind of request.
+#[derive(Clone, Default)]
+struct Kind {
+    sent: Arc<AtomicU64>,
+    served: Arc<AtomicU64>,
+}
+
+impl Kind {
+    fn counts(&self) -> (f64, f64) {
+        let get = |count: &AtomicU64| count.load(Ordering::SeqCst) as f64;
+        (get(&self.sent), get(&self.served))
+    }
+}
+
 struct Site {
     block: [u8; 2],
     folder: PathBuf,
@@ -508,9 +522,11 @@
 }
 
 impl Site {
-    fn new(case: &Path) -> Self {
-        let record = case.join("record.txt");
-        let _ = fs::remove_file(&record);
+    fn new(record: &Path) -> Self {
+        let record = record.to_owned();
+        if let Err(error) = File::create(&record) {
+            cannot(&format!("{}: {error}", record.display()));
+        }
         let folder = std::env::temp_dir().join(format!("dunlinspring-rig-{}", std::process::id()));
         fs::create_dir_all(&folder).unwrap_or_else(|e| cannot(&e.to_string()));
         // A block of loopback addresses whose ports are free.
@@ -717,6 +733,60 @@
         (sent, served)
     }
 
+    /// Sends requests of one kind, one after the other with a pause, until a time.
+    fn send_kind(
+        self: &Arc<Self>,
+        entry: SocketAddr,
+        path: &str,
+        pause: u64,
+        until: Instant,
+    ) -> Kind {
+        let kind = Kind::default();
+        let (site, counts, path) = (self.clone(), kind.clone(), path.to_owned());
+        spawn(move || {
+            while Instant::now() < until {
+                // A path that ends with a slash gets a name of its own for each request.
+                let number = site.sent.load(Ordering::SeqCst);
+                let path = match path.ends_with('/') {
+                    true => format!("{path}{number:x}"),
+                    false => path.clone(),
+                };
+                site.count(&counts, entry, &path);
+                sleep(ms(pause));
+            }
+        });
+        kind
+    }
+
+    /// Sends one request and counts it.
+    fn count(&self, kind: &Kind, entry: SocketAddr, path: &str) {
+        kind.sent.fetch_add(1, Ordering::SeqCst);
+        let (id, answer) = self.request(entry, "GET", path, 1_500);
+        let whole = answer.body == whole_body(&id, false).concat();
+        if answer.status == 200 && answer.stamped && answer.complete && whole {
+            kind.served.fetch_add(1, Ordering::SeqCst);
+        }
+    }
+
+    /// Whether a kind is served under a quarter as often as all requests.
+    fn is_starved(&self, name: &str, kind: &Kind, other_name: &str, other: &Kind) -> bool {
+        let (sent, served) = kind.counts();
+        let (other_sent, other_served) = other.counts();
+        let all = (served + other_served) / (sent + other_sent);
+        self.note(&format!("{name}: {sent} sent, {served} served"));
+        self.note(&format!(
+            "{other_name}: {other_sent} sent, {other_served} served"
+        ));
+        self.note(&format!(
+            "{name} is served at {:.3}, all requests at {all:.3}",
+            served / sent
+        ));
+        if other_served * 2.0 < other_sent {
+            cannot("the other kind is not served either");
+        }
+        served / sent < all / 4.0
+    }
+
     /// Waits until lookups are served.
     fn await_service(&self, entry: SocketAddr, path: &str, times: u32) {
         let until = Instant::now() + ms(20_000);
@@ -748,12 +818,17 @@
 }
 
 const CONFIGURATION: &str = "{\"Version\":1,\"Routes\":[\
+{\"Name\":\"page\",\"Host\":\"api.example\",\"PathPrefix\":\"/page/\",\"Kind\":\"safe\",\"TimeoutMs\":15000,\
+\"TargetLatencyMs\":800,\"Priority\":2,\"Service\":\"register\",\"MaxAttempts\":2,\"Sticky\":false,\"Resumable\":false},\
+{\"Name\":\"desk\",\"Host\":\"api.example\",\"PathPrefix\":\"/desk/\",\"Kind\":\"safe\",\"TimeoutMs\":15000,\
+\"TargetLatencyMs\":800,\"Priority\":2,\"Service\":\"desk\",\"MaxAttempts\":2,\"Sticky\":false,\"Resumable\":false},\
 {\"Name\":\"look\",\"Host\":\"api.example\",\"PathPrefix\":\"/look/\",\"Kind\":\"safe\",\"TimeoutMs\":15000,\
 \"TargetLatencyMs\":800,\"Priority\":2,\"Service\":\"register\",\"MaxAttempts\":2,\"Sticky\":false,\"Resumable\":false},\
 {\"Name\":\"draft\",\"Host\":\"api.example\",\"PathPrefix\":\"/draft/\",\"Kind\":\"streaming\",\"TimeoutMs\":15000,\
 \"TargetLatencyMs\":800,\"Priority\":0,\"Service\":\"register\",\"MaxAttempts\":1,\"Sticky\":false,\"Resumable\":false,\
 \"TargetGapMs\":400}],\
-\"Services\":[{\"Name\":\"register\",\"HealthPath\":\"/health\",\"MaxConns\":96,\"Protocol\":\"h1\",\"Tls\":false}],\
+\"Services\":[{\"Name\":\"desk\",\"HealthPath\":\"/health\",\"MaxConns\":96,\"Protocol\":\"h1\",\"Tls\":false},\
+{\"Name\":\"register\",\"HealthPath\":\"/health\",\"MaxConns\":96,\"Protocol\":\"h1\",\"Tls\":false}],\
 \"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}}";
 
 // --- The cases -------------------------------------------------------------------------------------
@@ -763,17 +838,24 @@
 fn unframed(site: &Arc<Site>, trouble: bool) -> ! {
     let entry = site.start(CONFIGURATION);
     let mut links = Vec::new();
+    // The struck replica is cut off from all machines: its heartbeats pass links of their own.
+    let mut beats = Vec::new();
+    let mut control = Vec::new();
+    for host in 1..=3 {
+        let shown = site.at(4 + host, SERVED);
+        beats.push(Link::new(shown, site.at(host, SERVED)));
+        control.push(shown);
+    }
     let mut processes = Vec::new();
     for n in 0..3 {
         let (own, shown) = (site.at(11 + n, REPLICA), site.at(15 + n, REPLICA));
         links.push(Link::new(shown, own));
-        processes.push(site.start_replica(
-            11 + n,
-            shown,
-            &format!("i-{n}-first"),
-            "register",
-            &site.control(),
-        ));
+        let to = if n == 0 {
+            control.clone()
+        } else {
+            site.control()
+        };
+        processes.push(site.start_replica(11 + n, shown, &format!("i-{n}-first"), "register", &to));
     }
     site.await_service(entry, "/look/plain/1", 20);
     let results = Arc::new(Mutex::new(Vec::new()));
@@ -794,21 +876,17 @@
     site.note("16 requests under way: 8 streams, 8 lookups; each answer ends with its connection");
     sleep(ms(700));
     if trouble {
-        site.note("the link to i-0-first is cut");
+        site.note("i-0-first is cut off from all machines");
+        beats.iter().for_each(|link| link.set(CUT));
         links[0].set(CUT);
         sleep(ms(300));
         kill(processes[0]);
         site.note("i-0-first has crashed behind the cut (SIGKILL)");
         sleep(ms(700));
-        site.start_replica(
-            11,
-            site.at(15, REPLICA),
-            "i-0-second",
-            "register",
-            &site.control(),
-        );
+        site.start_replica(11, site.at(15, REPLICA), "i-0-second", "register", &control);
         sleep(ms(1_300));
         links[0].set(PASS);
+        beats.iter().for_each(|link| link.set(PASS));
         site.note("the link is back");
     }
     clients
@@ -871,10 +949,24 @@
     site.finish(after.1 * 4 < after.0, "RECOVER")
 }
 
-/// Replicas crash twice. A cut holds up the first heartbeats of the incarnations in between, which
-/// arrive once others have registered at their addresses.
-fn late_beat(site: &Site, trouble: bool) -> ! {
+/// Replicas crash twice, one replica after the other. A cut holds up the first heartbeats of the
+/// incarnations in between, which arrive once others have registered at their addresses.
+fn late_beat(site: &Arc<Site>, trouble: bool) -> ! {
     let entry = site.start(CONFIGURATION);
+    let start = |n: u8, life: &str, control: &[SocketAddr]| {
+        let own = site.at(11 + n, REPLICA);
+        site.start_replica(11 + n, own, &format!("i-{n}-{life}"), "register", control)
+    };
+    let first: Vec<u32> = (0..3).map(|n| start(n, "first", &site.control())).collect();
+    for n in 14..16 {
+        site.start_replica(
+            n,
+            site.at(n, REPLICA),
+            &format!("d-{n}"),
+            "desk",
+            &site.control(),
+        );
+    }
     let mut links = Vec::new();
     let mut control = Vec::new();
     for host in 1..=3 {
@@ -882,39 +974,36 @@
         links.push(Link::new(shown, site.at(host, SERVED)));
         control.push(shown);
     }
-    let start = |n: u8, life: &str| {
-        let own = site.at(11 + n, REPLICA);
-        site.start_replica(11 + n, own, &format!("i-{n}-{life}"), "register", &control)
-    };
-    let first: Vec<u32> = (0..3).map(|n| start(n, "first")).collect();
-    site.await_service(entry, "/look/plain/1", 10);
-    let before = site.lookups(entry, "/look/plain/1", ms(5_000));
-    site.note("the replicas crash");
-    first.into_iter().for_each(kill);
-    sleep(ms(1_000));
-    if trouble {
-        site.note("the links from the replicas to control are cut");
-        links.iter().for_each(|link| link.set(HOLD));
-    }
-    let second: Vec<u32> = (0..3).map(|n| start(n, "second")).collect();
-    sleep(ms(800));
-    site.note("the replicas crash once more");
-    second.into_iter().for_each(kill);
-    links.iter().for_each(|link| link.set(PASS));
-    site.note("the links pass what is new");
-    sleep(ms(1_000));
-    (0..3).for_each(|n| {
-        start(n, "third");
-    });
+    site.await_service(entry, "/look/plain/1", 3);
+    site.await_service(entry, "/desk/plain/1", 3);
+    let until = Instant::now() + ms(72_000);
+    let looks = site.send_kind(entry, "/look/plain/", 200, until);
+    let desks = site.send_kind(entry, "/desk/plain/", 50, until);
     sleep(ms(1_500));
-    site.note("what the cut has held up arrives");
-    links.iter().for_each(|link| link.deliver(site));
-    sleep(RECOVER);
-    let after = site.lookups(entry, "/look/plain/1", ms(40_000));
-    if before.1 * 4 < before.0 {
-        cannot("under a quarter was served before the disruption");
+    for (n, process) in (0..3).zip(first) {
+        kill(process);
+        site.note(&format!("replica {n} has crashed"));
+        sleep(ms(600));
+        if trouble {
+            links.iter().for_each(|link| link.set(HOLD));
+        }
+        let second = start(n, "second", &control);
+        sleep(ms(700));
+        kill(second);
+        site.note(&format!("replica {n} has crashed once more"));
+        links.iter().for_each(|link| link.set(PASS));
+        sleep(ms(600));
+        start(n, "third", &control);
+        sleep(ms(1_300));
+        site.note("what a cut has held up arrives");
+        links.iter().for_each(|link| link.deliver(site));
+        sleep(ms(300));
     }
-    site.finish(after.1 * 4 < after.0, "RECOVER")
+    sleep(until.saturating_duration_since(Instant::now()) + ms(2_000));
+    site.finish(
+        site.is_starved("lookups", &looks, "desk", &desks),
+        "Starved",
+    )
 }
 
 /// Two of five control hosts, as many as may be lost at once, lose their disks right after the first
@@ -991,8 +1080,8 @@
     site.finish(!read, "CONFIG")
 }
 
-/// Three of twelve replicas crash at the same moment, while all of them answer the same lookup, which
-/// many clients make.
+/// Three of twelve replicas crash at the same moment, while all of them answer the same page, which
+/// many clients ask for.
 fn popular(site: &Arc<Site>, trouble: bool) -> ! {
     let entry = site.start(CONFIGURATION);
     let start = |n: u8, life: &str| {
@@ -1001,37 +1090,45 @@
         site.start_replica(11 + n, own, &id, "register", &site.control())
     };
     let processes: Vec<u32> = (0..12).map(|n| start(n, "first")).collect();
-    site.await_service(entry, "/look/slow/popular", 3);
-    let before = site.lookups(entry, "/look/slow/popular", ms(5_000));
+    site.await_service(entry, "/page/slow/popular", 3);
+    let until = Instant::now() + ms(50_000);
+    let looks = site.send_kind(entry, "/look/plain/", 100, until);
     // As many clients as a page that is looked at each full minute has.
+    let pages = Kind::default();
     let mut clients = Vec::new();
     for _ in 0..36 {
-        let client = site.clone();
+        let (client, kind) = (site.clone(), pages.clone());
         clients.push(spawn(move || {
-            client.request(entry, "GET", "/look/slow/popular", 5_000);
+            client.count(&kind, entry, "/page/slow/popular")
         }));
     }
     sleep(ms(400));
     if trouble {
-        site.note("three replicas of twelve crash at the same moment (SIGKILL)");
         (0..3).for_each(|n| kill(processes[n]));
+        site.note("three replicas of twelve have crashed at the same moment (SIGKILL)");
     }
-    clients
-        .into_iter()
-        .for_each(|client| client.join().unwrap());
+    sleep(ms(2_000));
     if trouble {
         (0..3).for_each(|n| {
             start(n, "second");
         });
-        site.note("they have started again");
+        site.note("they start again");
     }
-    sleep(RECOVER);
-    let after = site.lookups(entry, "/look/slow/popular", ms(10_000));
-    site.lookups(entry, "/look/slow/other", ms(5_000));
-    if before.1 * 4 < before.0 {
-        cannot("under a quarter was served before the disruption");
+    for client in clients {
+        let _ = client.join();
     }
-    site.finish(after.1 * 4 < after.0, "RECOVER")
+    let later = site.send_kind(entry, "/page/slow/popular", 100, until);
+    sleep(until.saturating_duration_since(Instant::now()) + ms(2_000));
+    pages
+        .sent
+        .fetch_add(later.sent.load(Ordering::SeqCst), Ordering::SeqCst);
+    pages
+        .served
+        .fetch_add(later.served.load(Ordering::SeqCst), Ordering::SeqCst);
+    site.finish(
+        site.is_starved("pages", &pages, "lookups", &looks),
+        "Starved",
+    )
 }
 
 /// One of five control hosts, of which two may be lost at once, is lost for good at the first start
@@ -1139,7 +1236,7 @@
             }
         }
         _ => {
-            eprintln!("usage: rig case NAME FOLDER TROUBLE");
+            eprintln!("usage: rig case NAME RECORD TROUBLE");
             exit(2);
         }
     }
