Control hosts log why they end, and what they read from their disk

A process that could not start wrote one line to standard error and none to its log, and a panic reached standard error alone; what a voter found on its disk was not logged. So the record could not tell a refused log from a lack of memory, of descriptors, or a panic, nor a new disk from an old one.

Now: an error line "process ends by itself" with the reason, flushed before the exit, in all programs; a line for a panic; "data folder read" with the identity and what was found; "unsynced tail of the log cut" with offset and bytes. No decision is changed.

--- a/src/bin/dunlinspring-control.rs
+++ b/src/bin/dunlinspring-control.rs
@@ -28,7 +28,7 @@
         () = daemon::stop_signal() => control.stop().await,
         ended = control.ended() => {
             if let Err(error) = ended {
-                daemon::flush_logs();
+                daemon::log_failure(&error);
                 eprintln!("{PROGRAM}: {error}");
                 std::process::exit(1);
             }
--- a/src/control/journal.rs
+++ b/src/control/journal.rs
@@ -530,7 +530,11 @@
     while !reader.is_at_end() {
         let offset = reader.offset as usize;
         match reader.read_frame()? {
-            Frame::Torn => break,
+            Frame::Torn => {
+                let cut_bytes = reader.len - reader.offset;
+                tracing::warn!(path = %path.display(), offset, cut_bytes, "unsynced tail of the log cut");
+                break;
+            }
             Frame::Damaged(what) => return damage_error(path, offset, what),
             Frame::Complete(body) => {
                 let Ok(record) = bincode::deserialize(&body) else {
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -151,6 +151,14 @@
     pub fn open(settings: ControlSettings) -> Result<Self, JournalError> {
         let (journal, image) = DiskJournal::open(&settings.data_folder, None)?;
         let node = journal.identity().node;
+        tracing::info!(
+            %node,
+            log_bytes = journal.written(),
+            entries = image.entries.len(),
+            snapshot = image.snapshot.last.index.0,
+            commit = image.commit.0,
+            "data folder read"
+        );
         let replica = LogReplica::new(
             node,
             settings.timing,
--- a/src/process/arguments.rs
+++ b/src/process/arguments.rs
@@ -23,6 +23,7 @@
 
 /// Exits the process because its start failed for this reason.
 pub fn fail(program: &str, reason: impl std::fmt::Display) -> ! {
+    daemon::log_failure(&reason);
     eprintln!("{program}: {reason}");
     exit(START_FAILED)
 }
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -270,6 +270,7 @@
     let span = tracing::error_span!("daemon", process, %host, %hall);
     let _ = LOG_SPAN.set(span);
     enter_log_span();
+    log_panics();
     tracing::info!("logs started");
 }
 
@@ -301,6 +302,21 @@
     drop(lock_guard().take());
 }
 
+/// Logs the reason why the process ends by itself, and writes the buffered lines.
+pub fn log_failure(reason: &impl std::fmt::Display) {
+    tracing::error!(%reason, "process ends by itself");
+    flush_logs();
+}
+
+/// Logs panics, which otherwise reach standard error alone.
+fn log_panics() {
+    let print = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        tracing::error!(%panic, "panic");
+        print(panic);
+    }));
+}
+
 /// Span that names the process, host and hall of a daemon in every log line.
 static LOG_SPAN: OnceLock<tracing::Span> = OnceLock::new();
 
