A power loss that tears a write of the log no longer ends its voter for good

Cause: a batch is one sync but, above 64 KiB, several writes, and one write spans many sectors. A loss of power may keep any of them. The reader took only a file that is too short, or zeros to its end, for an unsynced tail; a hole before bytes that are there was refused as corruption, at each start. Nothing that was synced was lost. Two lost disks beside one such voter leave no quorum of five.

Why it works: each batch begins with a sync mark, which holds the offset up to which the log was synced before. A frame that cannot be read is damage only if a mark follows it, as that batch was written after the sync; otherwise it is a tail that nobody was told of, and is cut with a log line. A log begins with a mark, so those of earlier versions are known and keep their rule. A mark is stored as a truncation above all positions: an earlier version applies it without an effect, so it reads these logs.

Ruled out: reading each bad frame as a tail, which would drop acknowledged entries in silence; a new kind of record, which earlier versions refuse.

Not told apart any more: damage of the last batch of a process that was killed.

--- a/src/control/journal.rs
+++ b/src/control/journal.rs
@@ -1,14 +1,18 @@
 //! Files of a voter: an append-only log of records, and the latest snapshot.
 //!
 //! A frame is `length | crc of length | crc of body | body`, with all lengths and checksums as
-//! little-endian `u32`. An incomplete frame at the end of the file is an unsynced write and is
-//! dropped. A complete frame with a wrong checksum is corruption, and the voter refuses to
-//! start on it.
+//! little-endian `u32`.
+//!
+//! Each batch of the log begins with a sync mark, which states that all bytes before it were
+//! synced. A power loss may keep any part of the writes since the last sync, so a frame that
+//! cannot be read begins the unsynced tail, which is cut. If a sync mark follows, the frame was
+//! synced before and is corrupted, and the folder is not opened.
 
 use std::collections::VecDeque;
 use std::fmt;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, BufRead, BufReader, BufWriter, Read, Seek, SeekFrom, Write};
+use std::iter;
 use std::path::{Path, PathBuf};
 
 use rand::Rng;
@@ -22,11 +26,15 @@
 use crate::process::settings::VoterSettings;
 
 const HEADER_BYTES: usize = 12;
+/// Length of the part of a frame that is the same for all sync marks: the length and its checksum.
+const MARK_HEAD_BYTES: usize = 8;
 /// Maximum length of a frame body: the largest snapshot fits, and a corrupted length does not
 /// allocate more.
 const MAX_FRAME_BYTES: usize = 1 << 30;
 /// Size of the buffer of a file that is read or written, in bytes.
 const BUFFER_BYTES: usize = 64 * 1024;
+/// Distinguishes sync marks among truncations; no entry has a position as high.
+const SYNC_MARK_BIT: u64 = 1 << 63;
 const LOG_FILE: &str = "log";
 const SNAPSHOT_FILE: &str = "snapshot";
 const IDENTITY_FILE: &str = "identity";
@@ -111,11 +119,8 @@
 
 /// Returns whether a data folder holds neither a snapshot nor a log record.
 pub fn is_blank(folder: &Path) -> bool {
-    let is_empty = |name: &str| {
-        let data = fs::metadata(folder.join(name));
-        data.map_or(true, |data| data.len() == 0)
-    };
-    is_empty(SNAPSHOT_FILE) && is_empty(LOG_FILE)
+    let len = |name: &str| fs::metadata(folder.join(name)).map_or(0, |data| data.len());
+    len(SNAPSHOT_FILE) == 0 && len(LOG_FILE) <= encoded_mark(0).len() as u64
 }
 
 /// Records in a blank folder that its host takes part in the site's first start, with the
@@ -163,16 +168,34 @@
             path: &path,
         })?;
         sync_folder(folder)?;
-        let journal = Self {
+        let mut journal = Self {
             folder: folder.to_owned(),
             log,
             identity,
             contents,
             write_check: None,
         };
+        journal.mark_synced()?;
         Ok((journal, image))
     }
 
+    /// Ends the use of the folder. Damage of the log shows at its next use, also in the last batch.
+    pub fn close(mut self) -> Result<()> {
+        self.mark_synced()
+    }
+
+    /// Marks the end of the log as synced, if it is not; every log begins with a mark. One that a
+    /// full disk refuses is written with the next batch.
+    fn mark_synced(&mut self) -> Result<()> {
+        if !self.contents.is_unmarked() && self.contents.len == self.contents.marked {
+            return Ok(());
+        }
+        match self.append(&[]) {
+            Err(error) if error.is_full() => Ok(()),
+            result => result,
+        }
+    }
+
     /// Returns the identity of the folder.
     pub fn identity(&self) -> DiskIdentity {
         self.identity
@@ -217,26 +240,30 @@
     }
 
     fn append(&mut self, records: &[DiskRecord]) -> Result<()> {
-        let appended = self.try_append(records);
+        let mark = sync_mark(self.contents.len);
+        let batch = || iter::once(&mark).chain(records);
+        let appended = self.try_append(batch());
         match &appended {
-            Ok(()) => records.iter().for_each(|record| self.contents.add(record)),
+            Ok(()) => batch().for_each(|record| self.contents.add(record)),
             Err(error) if error.is_full() => self.truncate_torn_tail()?,
             Err(_) => {}
         }
         appended
     }
 
-    fn try_append(&mut self, records: &[DiskRecord]) -> Result<()> {
+    fn try_append<'a>(
+        &mut self,
+        mut batch: impl Iterator<Item = &'a DiskRecord> + Clone,
+    ) -> Result<()> {
         let path = self.folder.join(LOG_FILE);
-        let len: u64 = records.iter().map(frame_len).sum();
+        let len: u64 = batch.clone().map(frame_len).sum();
         self.check_write(len).context(IoSnafu {
             step: "append to",
             path: &path,
         })?;
         let buffer_len = len.min(BUFFER_BYTES as u64) as usize;
         let mut writer = BufWriter::with_capacity(buffer_len, &self.log);
-        let written = records
-            .iter()
+        let written = batch
             .try_for_each(|record| write_frame(&mut writer, record))
             .and_then(|()| writer.flush());
         // A writer that is dropped after an error would try to write its rest again.
@@ -285,15 +312,20 @@
             step: "open",
             path: &path,
         })?;
+        let mut rewritten = kept.clone().rewritten(&vote, &commit);
+        let mark = sync_mark(rewritten.len);
         replace(&self.folder, LOG_FILE, |writer| {
             write_frame(writer, &vote)?;
             for frame in &kept.frames {
                 copy_frame(&mut old_log, frame, writer)?;
             }
-            write_frame(writer, &commit)
+            write_frame(writer, &commit)?;
+            // The file replaces the log only after it was synced.
+            write_frame(writer, &mark)
         })?;
         self.log = open_log(&path)?;
-        self.contents = kept.rewritten(&vote, &commit);
+        rewritten.add(&mark);
+        self.contents = rewritten;
         Ok(())
     }
 }
@@ -315,6 +347,8 @@
     frames: VecDeque<EntryFrame>,
     /// Length of the file in bytes.
     len: u64,
+    /// End of the last sync mark; 0 if there is none.
+    marked: u64,
 }
 
 impl LogContents {
@@ -333,6 +367,14 @@
             DiskRecord::Install(_) => {}
         }
         self.len += len;
+        if synced_len(record).is_some() {
+            self.marked = self.len;
+        }
+    }
+
+    /// Whether the log was begun by a version that writes no sync marks.
+    fn is_unmarked(&self) -> bool {
+        self.marked == 0
     }
 
     /// Returns the contents that remain after a snapshot of the entries up to `index`.
@@ -352,10 +394,27 @@
             self.len += frame.len;
         }
         self.len += frame_len(last);
+        self.marked = 0;
         self
     }
 }
 
+/// Returns a record which states that the first `len` bytes of the log are synced. Versions that
+/// write none take it for a truncation without an effect.
+fn sync_mark(len: u64) -> DiskRecord {
+    DiskRecord::Truncate(Position(SYNC_MARK_BIT | len))
+}
+
+/// Returns the length that a sync mark states.
+fn synced_len(record: &DiskRecord) -> Option<u64> {
+    match record {
+        DiskRecord::Truncate(Position(from)) if from & SYNC_MARK_BIT != 0 => {
+            Some(from & !SYNC_MARK_BIT)
+        }
+        _ => None,
+    }
+}
+
 /// Copies a frame from the log to `writer`, a buffer at a time.
 fn copy_frame(log: &mut File, frame: &EntryFrame, writer: &mut impl Write) -> io::Result<()> {
     log.seek(SeekFrom::Start(frame.offset))?;
@@ -418,6 +477,7 @@
 
 enum Frame {
     Complete(Vec<u8>),
+    /// The file ends before the frame, or holds only zeros from there on.
     Torn,
     Damaged(&'static str),
 }
@@ -530,25 +590,73 @@
     while !reader.is_at_end() {
         let offset = reader.offset as usize;
         match reader.read_frame()? {
-            Frame::Torn => {
+            Frame::Damaged(what) if contents.is_unmarked() => {
+                return damage_error(path, offset, what);
+            }
+            frame @ (Frame::Torn | Frame::Damaged(_)) => {
+                let what = match frame {
+                    Frame::Damaged(what) => what,
+                    _ => "incomplete record",
+                };
+                if has_sync_mark(path, reader.offset)? {
+                    return damage_error(path, offset, what);
+                }
                 let cut_bytes = reader.len - reader.offset;
-                tracing::warn!(path = %path.display(), offset, cut_bytes, "unsynced tail of the log cut");
+                let path = path.display();
+                tracing::warn!(%path, offset, cut_bytes, what, "unsynced tail of the log cut");
                 break;
             }
-            Frame::Damaged(what) => return damage_error(path, offset, what),
             Frame::Complete(body) => {
                 let Ok(record) = bincode::deserialize(&body) else {
                     return damage_error(path, offset, "record cannot be decoded");
                 };
                 drop(body);
                 contents.add(&record);
-                replay(image, record);
+                if synced_len(&record).is_none() {
+                    replay(image, record);
+                }
             }
         }
     }
     Ok(contents.after(image.snapshot.last.index))
 }
 
+/// Whether a sync mark stands behind an offset of the log, at whatever byte.
+fn has_sync_mark(path: &Path, offset: u64) -> Result<bool> {
+    find_sync_mark(path, offset).context(IoSnafu { step: "read", path })
+}
+
+fn find_sync_mark(path: &Path, offset: u64) -> io::Result<bool> {
+    let mark_len = encoded_mark(0).len();
+    let head = &encoded_mark(0)[..MARK_HEAD_BYTES];
+    let mut start = offset + 1;
+    let mut file = File::open(path)?;
+    file.seek(SeekFrom::Start(start))?;
+    let mut bytes = Vec::new();
+    loop {
+        let read = (&file).take(BUFFER_BYTES as u64).read_to_end(&mut bytes)?;
+        let is_mark = |(at, window): (usize, &[u8])| {
+            window.starts_with(head) && window == encoded_mark(start + at as u64)
+        };
+        if bytes.windows(mark_len).enumerate().any(is_mark) {
+            return Ok(true);
+        }
+        if read == 0 {
+            return Ok(false);
+        }
+        let searched = bytes.len().saturating_sub(mark_len - 1);
+        bytes.drain(..searched);
+        start += searched as u64;
+    }
+}
+
+/// Returns the frame of the sync mark at an offset.
+fn encoded_mark(offset: u64) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    write_frame(&mut bytes, &sync_mark(offset)).expect("a vector takes all bytes");
+    bytes
+}
+
 /// Applies a record, except for entries that the snapshot includes: the log may be older than
 /// the snapshot.
 fn replay(image: &mut DiskImage, record: DiskRecord) {
--- a/src/control/log_writer.rs
+++ b/src/control/log_writer.rs
@@ -140,7 +140,7 @@
         // A voter that has ended still has its last batches written.
         let _ = outbox.send(WriteProgress::Saved(number));
     }
-    Ok(())
+    journal.close()
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/tests/power_loss.rs
+++ b/tests/power_loss.rs
@@ -248,3 +248,41 @@
         }
     }
 }
+
+/// Length of the frame that begins a log and each of its batches.
+const SYNC_MARK_BYTES: usize = 24;
+
+#[test]
+fn logs_of_the_version_without_sync_marks_are_read_as_before() {
+    let folder = TempDir::new().unwrap();
+    let (mut journal, mut image) = open(folder.path());
+    let records = [1, 2, 3].map(|index| DiskRecord::Append(entry(index, 40)));
+    journal.save(&records).unwrap();
+    drop(journal);
+    records.into_iter().for_each(|record| image.apply(record));
+    let path = folder.path().join("log");
+    let unmarked = fs::read(&path).unwrap().split_off(2 * SYNC_MARK_BYTES);
+    let mut damaged = unmarked.clone();
+    damaged[30] ^= 1;
+    fs::write(&path, damaged).unwrap();
+    assert!(DiskJournal::open(folder.path(), None).is_err());
+    let torn = [&unmarked[..], &[0; 100]].concat();
+    fs::write(&path, torn).unwrap();
+    assert_eq!(open(folder.path()).1, image);
+    assert_eq!(open(folder.path()).1, image);
+}
+
+/// A version without sync marks applies them as records.
+#[test]
+fn sync_marks_change_nothing_where_they_are_not_known() {
+    let folder = TempDir::new().unwrap();
+    let (mut journal, _) = open(folder.path());
+    journal.save(&[DiskRecord::Append(entry(1, 40))]).unwrap();
+    let bytes = fs::read(folder.path().join("log")).unwrap();
+    let mark: DiskRecord = bincode::deserialize(&bytes[12..SYNC_MARK_BYTES]).unwrap();
+    let mut image = DiskImage::default();
+    image.apply(DiskRecord::Append(entry(1, 40)));
+    let unchanged = image.clone();
+    image.apply(mark);
+    assert_eq!(image, unchanged);
+}
