A control host whose files are damaged continues as one with a new disk

Cause: damage of a file was answered by ending the process, which its supervisor starts again.

So neither a vote nor an entry is lost under the former identity: the other voters bear it as a lost disk, as they do today, and the host enrols. A crash between the steps leaves the new identity with a folder that is set aside at the next start. Without a quorum it stays up and decides nothing.

--- a/src/control/journal.rs
+++ b/src/control/journal.rs
@@ -39,6 +39,8 @@
 const SNAPSHOT_FILE: &str = "snapshot";
 const IDENTITY_FILE: &str = "identity";
 const FIRST_START_FILE: &str = "first-start";
+/// Files that are set aside if one of them is damaged.
+const SET_ASIDE_FILES: [&str; 3] = [LOG_FILE, SNAPSHOT_FILE, FIRST_START_FILE];
 
 /// Reason why the files cannot be used.
 #[derive(Debug, Snafu)]
@@ -148,6 +150,48 @@
     }
 }
 
+/// Runs `open` on a data folder. If it finds damage, sets the files aside and runs it again: the
+/// host then continues as one with a new disk, which the other voters bear as a lost one.
+pub fn set_aside_damage<T>(folder: &Path, open: impl Fn() -> Result<T>) -> Result<T> {
+    match open() {
+        Err(error @ JournalError::Damaged { .. }) => {
+            tracing::error!(%error, "damaged files set aside; the host starts with a new disk");
+            set_aside(folder)?;
+            open()
+        }
+        opened => opened,
+    }
+}
+
+/// Sets all files of a folder aside. The new identity is saved first, so that neither a vote nor
+/// an entry is ever lost under the former one.
+fn set_aside(folder: &Path) -> Result<()> {
+    save_identity(folder, new_identity())?;
+    for name in SET_ASIDE_FILES {
+        let path = folder.join(name);
+        match fs::rename(&path, folder.join(damaged_name(name))) {
+            Err(error) if error.kind() == io::ErrorKind::NotFound => {}
+            renamed => renamed.context(IoSnafu {
+                step: "rename",
+                path: &path,
+            })?,
+        }
+    }
+    sync_folder(folder)
+}
+
+/// Returns the number of files that were set aside and not removed since.
+pub fn damaged_files(folder: &Path) -> usize {
+    let names = SET_ASIDE_FILES.iter().copied();
+    names
+        .filter(|name| folder.join(damaged_name(name)).exists())
+        .count()
+}
+
+fn damaged_name(name: &str) -> String {
+    format!("{name}.damaged")
+}
+
 impl DiskJournal {
     /// Opens a data folder, or creates it: with `bootstrap_id` as its identity at the bootstrap of
     /// the site, otherwise with a random one.
@@ -721,12 +765,20 @@
     if let Some(identity) = read_framed(folder, IDENTITY_FILE)? {
         return Ok(identity);
     }
-    let node = bootstrap_id.unwrap_or_else(|| NodeId(rand::rng().random()));
-    let identity = DiskIdentity { node };
+    let identity = bootstrap_id.map_or_else(new_identity, |node| DiskIdentity { node });
+    save_identity(folder, identity)?;
+    Ok(identity)
+}
+
+fn new_identity() -> DiskIdentity {
+    let node = NodeId(rand::rng().random());
+    DiskIdentity { node }
+}
+
+fn save_identity(folder: &Path, identity: DiskIdentity) -> Result<()> {
     replace(folder, IDENTITY_FILE, |writer| {
         write_frame(writer, &identity)
-    })?;
-    Ok(identity)
+    })
 }
 
 /// Replaces a file atomically: after a crash it has either the old or the new content.
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -26,7 +26,7 @@
 use crate::consensus::state::{Command, EncodedCommand, Reply};
 use crate::control::bootstrap::{self, InitialRole};
 use crate::control::event::{ControlEvent, ControlHandle};
-use crate::control::journal;
+use crate::control::journal::{self, JournalError};
 use crate::control::origin_store::OriginStore;
 use crate::control::outbox::{self, OpenPeer, PeerOutbox};
 use crate::control::voter::ControlLoop;
@@ -134,7 +134,7 @@
         secret: SiteSecret,
     ) -> Result<Self, DaemonError> {
         let blank = journal::is_blank(&settings.data_folder);
-        let begun = bootstrap::unfinished_first_start(&settings)?;
+        let begun = unfinished_first_start(&settings)?;
         if blank && begun.is_none() {
             journal::begin_first_start(&settings.data_folder, &settings.common.control)?;
         }
@@ -154,7 +154,7 @@
         // The bootstrap hosts query each other before any of them has a log.
         serve(listener, secret.clone(), handle.clone());
         // Also resumes an interrupted first start, which only this disk still records.
-        if let Some(initial) = bootstrap::unfinished_first_start(&settings)? {
+        if let Some(initial) = unfinished_first_start(&settings)? {
             bootstrap_site(secret, &settings, &initial).await?;
             // Until there is a leader, the bootstrap hosts know each other only from these
             // names.
@@ -163,7 +163,8 @@
             let others: Vec<VoterSettings> = others.collect();
             control.extend(others);
         }
-        let mut control = ControlLoop::open(settings.clone())?;
+        let open = || ControlLoop::open(settings.clone());
+        let mut control = journal::set_aside_damage(&settings.data_folder, open)?;
         let node = control.node();
         control.send_messages(open_outbox(&settings, node, &pool));
         let (orders, ordered) = mpsc::unbounded_channel();
@@ -280,6 +281,14 @@
     }
 }
 
+/// Returns the hosts of a first start that was interrupted.
+fn unfinished_first_start(
+    settings: &ControlSettings,
+) -> Result<Option<Vec<VoterSettings>>, JournalError> {
+    let read = || bootstrap::unfinished_first_start(settings);
+    journal::set_aside_damage(&settings.data_folder, read)
+}
+
 /// Takes part in the site's first start, with the hosts that were configured then.
 async fn bootstrap_site(
     secret: SiteSecret,
@@ -824,19 +833,22 @@
     settings: &ControlSettings,
     handle: ControlHandle,
 ) -> Result<SocketAddr, DaemonError> {
+    let folder = settings.data_folder.clone();
     let read = move || {
         let handle = handle.clone();
+        let damaged = journal::damaged_files(&folder);
         Box::pin(async move {
             let status = status(&handle).await;
             let ready = status.as_ref().is_some_and(|s| s.leader.is_some());
-            let metrics = status.map(|status| render(&status)).unwrap_or_default();
+            let metrics = status.map(|status| render(&status, damaged));
+            let metrics = metrics.unwrap_or_default();
             daemon::HealthPage { ready, metrics }
         }) as daemon::HealthFuture
     };
     daemon::serve_health(settings.common.watch, Arc::new(read)).await
 }
 
-fn render(status: &ControlStatus) -> String {
+fn render(status: &ControlStatus, damaged_files: usize) -> String {
     let mut metrics = MetricRegistry::default();
     let gauges = [
         ("dunlinspring_log_position", status.position.0),
@@ -855,6 +867,7 @@
             "dunlinspring_votes",
             u64::from(status.voters.contains(&status.node)),
         ),
+        ("dunlinspring_damaged_files", damaged_files as u64),
         ("dunlinspring_members", status.members.len() as u64),
         ("dunlinspring_moves_total", status.moves),
         ("dunlinspring_claims", status.claims as u64),
