A document of the platform is read from an answer with status 200 alone

What operators would see: a control host that takes the body of a failure for the list of leaving hosts, if it decodes as one.

Cause: get_json did not look at the status. The client below it hands on every status from 100 to 999 as an answer; 000 and 042 it refuses.

Evidence: a_document_is_read_from_a_success_alone failed at 103, the first status tried ("panicked at tests/broken_answers.rs:102:9: 103"), and passes now, as does endless_bytes.

Why it works: any other status is an error before the body is read; the caller keeps what it knew.

--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -10,7 +10,7 @@
 use ntex::SharedCfg;
 use ntex::client::Client;
 use ntex::http::body::MessageBody;
-use ntex::http::{Request, Response, ResponseError};
+use ntex::http::{Request, Response, ResponseError, StatusCode};
 use ntex::server::Server;
 use ntex::web::{self, HttpResponse};
 use ntex::{IntoServiceFactory, ServiceFactory};
@@ -198,7 +198,7 @@
         .body(page.metrics + &logs)
 }
 
-/// Reads a JSON document of at most `MAX_RESPONSE_BYTES`.
+/// Reads a JSON document of at most `MAX_RESPONSE_BYTES` from a response with status 200.
 pub async fn get_json<T: DeserializeOwned>(url: &str) -> Result<T, DaemonError> {
     let failed = |step: &'static str, reason: String| DaemonError::Http {
         step,
@@ -209,6 +209,9 @@
         let client = Client::new().await;
         let answer = client.get(url).send().await;
         let answer = answer.map_err(|error| failed("get", error.to_string()))?;
+        if answer.status() != StatusCode::OK {
+            return Err(failed("get", format!("status {}", answer.status())));
+        }
         let body = answer.body().limit(MAX_RESPONSE_BYTES).await;
         let body = body.map_err(|error| failed("read", error.to_string()))?;
         serde_json::from_slice(&body).map_err(|error| failed("decode", error.to_string()))
