An answer whose status is none is no answer

What callers saw: a replica in trouble answered with status 000, and the client got it as an answer ("HTTP/1.1 0 Any", which is not even HTTP).

Cause: httparse takes any three digits, and parse_response handed them on. So did 042, 600 and 999; 101 was taken for an interim response, though no request asks to switch protocols.

Change: parse_response takes 100 and 102 to 599, anything else is malformed: 502, or another replica where the request may be repeated. Orders, reports of start times and agents read by the same function.

--- a/src/forward/head.rs
+++ b/src/forward/head.rs
@@ -144,8 +144,11 @@
         Err(httparse::Error::TooManyHeaders) => return Err(HeadError::TooMany),
         Err(_) => return Err(HeadError::Malformed),
     };
-    let headers = copy_headers(response.headers)?;
     let status = response.code.unwrap_or_default();
+    if !is_status(status) {
+        return Err(HeadError::Malformed);
+    }
+    let headers = copy_headers(response.headers)?;
     let framing = match is_bodiless(request_method, status) {
         true => Framing::Length(0),
         false => response_framing(&headers)?,
@@ -160,6 +163,11 @@
     Ok(Some((head, len)))
 }
 
+/// Whether a response may have this status. Nothing asks to switch protocols (101).
+fn is_status(status: u16) -> bool {
+    matches!(status, 100 | 102..=599)
+}
+
 /// Whether a response ends with its head, whatever its headers say.
 pub fn is_bodiless(request_method: &str, status: u16) -> bool {
     request_method == "HEAD" || matches!(status, 100..=199 | 204 | 304)
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -6,6 +6,7 @@
 
 use dunlinspring::agent::engine::EngineClient;
 use dunlinspring::agent::report_connection::ReportConnection;
+use dunlinspring::forward::head::{self, HeadError};
 use dunlinspring::forward::upstream::{Connection, Exchange, OutgoingRequest, SendProgress};
 use dunlinspring::ids::{AttemptId, Incarnation};
 use dunlinspring::process::daemon;
@@ -14,6 +15,8 @@
 
 /// Body of all answers; each reader takes it.
 const BODY: &str = r#"{"orders":5}"#;
+/// Statuses that no final answer has.
+const BAD_STATUSES: [u16; 10] = [0, 1, 42, 99, 101, 600, 700, 900, 998, 999];
 
 fn answer(status: &str, line: &str) -> String {
     let length = BODY.len();
@@ -94,6 +97,30 @@
     assert_eq!(readers_of(&answer("200", "X: a\r\n")).await, [true; 4]);
 }
 
+/// Guards against a status that is none and is passed on as one.
+#[test]
+fn a_head_with_a_status_that_is_none_is_malformed() {
+    let parse = |status: &str| head::parse_response(answer(status, "").as_bytes(), "GET");
+    for status in 0..=999 {
+        let parsed = parse(&format!("{status:03}"));
+        match status {
+            100 | 102..=599 => assert_eq!(parsed.unwrap().unwrap().0.status, status),
+            _ => assert_eq!(parsed, Err(HeadError::Malformed), "{status}"),
+        }
+    }
+    for status in ["", "2", "20", "2000", "-20", "+20", "2 0", "0x1", "２００"] {
+        assert_eq!(parse(status), Err(HeadError::Malformed), "{status:?}");
+    }
+}
+
+#[ntex::test]
+async fn no_reader_takes_an_answer_whose_status_is_none() {
+    for status in BAD_STATUSES {
+        let bytes = answer(&format!("{status:03}"), "");
+        assert_eq!(readers_of(&bytes).await, [false; 4], "{status:03}");
+    }
+}
+
 /// Guards against the document of an error that is read as the one that was asked for.
 #[ntex::test]
 async fn a_document_is_read_from_a_success_alone() {
--- a/tests/forwarding/answers.rs
+++ b/tests/forwarding/answers.rs
@@ -291,3 +291,46 @@
     assert_eq!(answer.body, "data: 1\n\n");
     assert_eq!(site.seen("r1").len() + site.seen("r2").len(), 1);
 }
+
+/// Sends requests to a replica whose answers begin with this status line and these headers. Each of
+/// them must be one failure without the replica's mark.
+async fn fails(site: &ForwardSite, head: &'static str) {
+    let script = vec![Behaviour::Wire(head, "whole", WireEnd::Close); 2];
+    site.set_script("r1", script);
+    for target in ["/once/x", "/stream/x"] {
+        let answer = site.send("POST", target, "a", "").await;
+        let seen = (answer.status, answer.header("stamp"));
+        assert_eq!(seen, (502, None), "{target} {head:?}");
+    }
+}
+
+/// Guards against a status that is none and is passed on as one.
+#[ntex::test]
+async fn an_answer_whose_status_is_none_is_no_answer() {
+    let mut site = ForwardSite::start(&[UNSAFE, STREAM]).await;
+    site.add_replica("r1", Vec::new()).await;
+    for head in [
+        "HTTP/1.1 000 Any\r\nContent-Length: 5\r\n",
+        "HTTP/1.1 042 Any\r\nContent-Length: 5\r\n",
+        "HTTP/1.1 101 Any\r\nContent-Length: 5\r\n",
+        "HTTP/1.1 150 Any\r\nContent-Length: 5\r\n",
+        "HTTP/1.1 600 Any\r\nContent-Length: 5\r\n",
+        "HTTP/1.1 999 Any\r\nContent-Length: 5\r\n",
+        "HTTP/1.1 000 Any\r\n",
+    ] {
+        fails(&site, head).await;
+    }
+}
+
+#[ntex::test]
+async fn a_request_whose_answer_had_no_status_goes_to_another_replica() {
+    const HEAD: &str = "HTTP/1.1 000 Any\r\nContent-Length: 5\r\n";
+    let mut site = ForwardSite::start(&[PLAIN]).await;
+    // Of two equal replicas the first by name is chosen.
+    let script = vec![Behaviour::Wire(HEAD, "whole", WireEnd::Close)];
+    site.add_replica("r1", script).await;
+    site.add_replica("r2", vec![Behaviour::Response(200, "well")])
+        .await;
+    let answer = site.send("GET", "/plain/x", "a", "").await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "well"));
+}
