Forwarding: a stopping entry sends no request that may outlive it

What callers saw: a request whose body ended late in the grace of a stopping entry, or that a replica turned away then, was sent on; at the end of the grace its connection was cut without an answer, also where the request may not be repeated. A run that was sent before the stop and took longer was cut in the same way, and a stream of an HTTP/1.0 client then looked complete.

Cause: only streams of engines were compared with the time left, and only once, as they were read. The body of a request may take the idle time (15 s) to arrive, a refusal of a replica any time, and nothing was answered at the end of the grace.

Ruled out: connections that come late (the listener closes with `stop_ms`), and requests that wait for capacity (they were refused at once).

Now each request is compared with the time left as it is read, before each choice of a replica and right before it is sent. Until callers must have noticed the stop, the expected time counts: twice the latency target, or the predicted length of a stream; a stream of unknown length is bounded by its deadline alone. A request that may have run goes on, as its refusal could promise nothing. 200 ms before the exit, what is left is answered: 504 without a promise for what was sent, 503 for what is not read; a stream that began is cut, by a reset for HTTP/1.0.

--- a/src/forward/client.rs
+++ b/src/forward/client.rs
@@ -136,6 +136,11 @@
     ReadError::Refused(UnreadRequest { status, reason, id })
 }
 
+/// Refuses a request that is not read by the time at which a stopping entry gives its last answers.
+fn entry_stops() -> ReadError {
+    refused(503, "this entry stops before the request is read")
+}
+
 struct ClientReader {
     stream: OwnedReadHalf,
     buffer: Vec<u8>,
@@ -217,9 +222,11 @@
         };
         let limit = Duration::from_millis(limits.header_ms);
         let timed_out = refused(408, "the head took too long");
-        tokio::time::timeout(limit, complete)
-            .await
-            .map_err(|_| timed_out)?
+        tokio::select! {
+            biased;
+            head = tokio::time::timeout(limit, complete) => head.map_err(|_| timed_out)?,
+            () = core.last_answers_due() => Err(entry_stops()),
+        }
     }
 
     async fn read_body(
@@ -318,7 +325,9 @@
             core.log_unread(&unread, &reader.progress);
             let own = OwnStatus::not_run(unread.status, NotRunProof::unread());
             let id = unread.id.as_deref();
-            let answer = own_answer::own_answer(core, own, unread.reason, id, None, true);
+            // Another entry takes it at once.
+            let retry = (unread.status == 503).then_some(Duration::ZERO);
+            let answer = own_answer::own_answer(core, own, unread.reason, id, retry, true);
             let _ = writer.write(&answer).await;
             return AfterResponse::Close;
         }
@@ -329,6 +338,7 @@
         after = answered => after,
         // Dropping the response closes the connection to the replica.
         () = reader.disconnected() => AfterResponse::Cut,
+        () = core.cut_due() => AfterResponse::Cut,
     }
 }
 
@@ -351,16 +361,18 @@
     let limit = Duration::from_millis(limits.idle_ms);
     let body = reader.read_body(head.framing, limits);
     let timed_out = |_| Err(refused(408, "the body took too long"));
-    let body = tokio::time::timeout(limit, body).await;
-    let body = body
-        .unwrap_or_else(timed_out)
-        .map_err(|error| match error {
-            ReadError::Refused(unread) => {
-                let id = head::find(&head.headers, core.names.request_id).map(str::to_owned);
-                ReadError::Refused(UnreadRequest { id, ..unread })
-            }
-            other => other,
-        })?;
+    let body = tokio::select! {
+        biased;
+        body = tokio::time::timeout(limit, body) => body.unwrap_or_else(timed_out),
+        () = core.last_answers_due() => Err(entry_stops()),
+    };
+    let body = body.map_err(|error| match error {
+        ReadError::Refused(unread) => {
+            let id = head::find(&head.headers, core.names.request_id).map(str::to_owned);
+            ReadError::Refused(UnreadRequest { id, ..unread })
+        }
+        other => other,
+    })?;
     Ok(ClientRequest {
         head,
         body,
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -61,6 +62,9 @@
 const PRUNE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between two checks whether a stopping entry is idle.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time before the exit of a stopping entry at which it gives up the requests that are left, so that
+/// their answers are written.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(200);
 
 /// Default of [`ForwardSettings::connect_ms`].
 pub const CONNECT_MS: u64 = 400;
@@ -348,11 +352,46 @@
         self.stopping.load(Ordering::SeqCst)
     }
 
-    /// Time until a stopping entry exits; `None` if it is not stopping.
-    pub fn time_to_end(&self) -> Option<Duration> {
+    /// Time in which a stopping entry still answers requests; `None` if it is not stopping.
+    pub fn time_to_answer(&self) -> Option<Duration> {
         let since = self.stopped_at.get()?;
         let grace = Duration::from_millis(self.settings.grace_ms);
-        Some(grace.saturating_sub(since.elapsed()))
+        Some(grace.saturating_sub(LAST_ANSWER_TIME + since.elapsed()))
+    }
+
+    /// Whether callers must have noticed that the entry stops.
+    pub fn is_stop_noticed(&self) -> bool {
+        let notice = Duration::from_millis(self.settings.stop_ms);
+        let since = self.stopped_at.get();
+        since.is_some_and(|since| since.elapsed() >= notice)
+    }
+
+    /// Waits for a future until the deadline `until_ms` on the clock of [`clock::monotonic_ms`], or
+    /// until a stopping entry gives up the requests that are left; returns `None` then.
+    pub async fn wait_until<T>(&self, until_ms: u64, future: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            done = clock::wait_until(until_ms, future) => done,
+            () = self.last_answers_due() => None,
+        }
+    }
+
+    /// Returns once a stopping entry gives up the requests that are left.
+    pub async fn last_answers_due(&self) {
+        self.before_exit(LAST_ANSWER_TIME).await;
+    }
+
+    /// Returns once a stopping entry cuts the answers that their clients do not read.
+    pub async fn cut_due(&self) {
+        self.before_exit(LAST_ANSWER_TIME / 2).await;
+    }
+
+    /// Returns at some time before a stopping entry exits.
+    async fn before_exit(&self, time: Duration) {
+        self.stop_begins().await;
+        let since = self.stopped_at.get().unwrap_or_else(Instant::now);
+        let grace = Duration::from_millis(self.settings.grace_ms);
+        tokio::time::sleep_until((since + grace.saturating_sub(time)).into()).await;
     }
 
     /// Returns once the entry stops and an idle connection should be closed: immediately if it has
--- a/src/forward/own_answer.rs
+++ b/src/forward/own_answer.rs
@@ -71,7 +71,7 @@
     DeadlinePassed,
     /// Replicas refused the request, and the retry budget or the limit of refusals is exhausted.
     Budget,
-    /// This entry stops before the stream is likely to end.
+    /// This entry stops, and the request may last longer than it.
     Stopping,
     /// A replica crashed during the request, and another attempt of it holds the lease.
     Suspect,
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -64,6 +64,8 @@
 const MIN_EVENT_GAP_MS: f64 = 50.0;
 /// Factor on the predicted duration of a stream: gaps grow while load shifts between replicas.
 const STREAM_TIME_FACTOR: f64 = 2.0;
+/// Factor on the latency target of a route for the expected duration of its plain requests.
+const TARGET_TIME_FACTOR: u32 = 2;
 /// Retry time if all replicas are in evacuated data halls.
 const EVACUATED_RETRY: Duration = Duration::from_millis(1_000);
 /// Retry time of a stream that no replica can continue: only a replica of a version that was taken
@@ -405,21 +407,38 @@
         }
     }
 
-    /// Whether this entry is stopping and the stream would probably last longer than the entry, at
-    /// the event gap that other streams show.
+    /// Whether this entry is stopping and the request might last longer than the entry. One that may
+    /// have run goes on as long as the entry answers: its refusal could promise nothing.
     fn would_outlive_entry(&self) -> bool {
-        let Some(left) = self.core.time_to_end() else {
+        let Some(left) = self.core.time_to_answer() else {
             return false;
         };
-        if self.route.kind != RouteKind::Streaming || self.event_tokens == 0 {
-            return false;
+        if left.is_zero() || self.tally.proof().is_none() {
+            return left.is_zero();
+        }
+        // Callers that have noticed the stop send only what crosses it: such a request is taken if
+        // its deadline bounds it.
+        let expected = match self.core.is_stop_noticed() {
+            true => None,
+            false => self.expected_time(),
+        };
+        expected.map_or(self.left(), |time| time.min(self.left())) > left
+    }
+
+    /// Expected duration of a run; `None` if nothing but the deadline is known to bound it.
+    fn expected_time(&self) -> Option<Duration> {
+        match self.route.kind {
+            RouteKind::Streaming if self.event_tokens == 0 => None,
+            RouteKind::Streaming => {
+                let now_ms = clock::monotonic_ms();
+                let gap_ms = self.core.replicas.borrow().event_gap_ms(now_ms, &self.need);
+                let answer_tokens = self.need.tokens.saturating_sub(self.need.prompt_tokens);
+                let events = answer_tokens as f64 / f64::from(self.event_tokens);
+                let lasts_ms = events * gap_ms.max(MIN_EVENT_GAP_MS) * STREAM_TIME_FACTOR;
+                Some(Duration::from_millis(lasts_ms as u64))
+            }
+            RouteKind::Safe | RouteKind::Unsafe => Some(self.aim() * TARGET_TIME_FACTOR),
         }
-        let now_ms = clock::monotonic_ms();
-        let gap_ms = self.core.replicas.borrow().event_gap_ms(now_ms, &self.need);
-        let answer_tokens = self.need.tokens.saturating_sub(self.need.prompt_tokens);
-        let events = answer_tokens as f64 / f64::from(self.event_tokens);
-        let lasts_ms = events * gap_ms.max(MIN_EVENT_GAP_MS) * STREAM_TIME_FACTOR;
-        lasts_ms > left.as_millis() as f64
     }
 
     /// Whether a request that did not run may be sent to another replica.
@@ -460,7 +479,11 @@
             Refusal::PartQuarantined => self.core.count("dunlinspring_barred_parts_total", &[]),
             _ => {}
         }
-        let late = self.left() < MIN_TIME_LEFT;
+        let is_entry_over = self
+            .core
+            .time_to_answer()
+            .is_some_and(|left| left.is_zero());
+        let late = is_entry_over || self.left() < MIN_TIME_LEFT;
         let proof = self.tally.proof();
         let (own, reason) = match (proof, late) {
             (Some(proof), _) => (OwnStatus::not_run(refusal.status(), proof), refusal.text()),
@@ -576,7 +599,7 @@
             core.pool.borrow_mut().put(replica, connection);
             return AttemptOutcome::CallerRefused(refusal);
         }
-        if self.check_suspects().is_err() {
+        if self.check_suspects().is_err() || self.would_outlive_entry() {
             core.pool.borrow_mut().put(replica, connection);
             return AttemptOutcome::NotSent;
         }
@@ -616,7 +639,7 @@
         let arrival = ReplicaArrival::new(replica, used, bytes.len(), progress.clone());
         self.log.record_arrival(arrival);
         let sent = Exchange::send(connection, &outgoing);
-        let sent = clock::wait_until(self.attempt_until_ms(), sent);
+        let sent = core.wait_until(self.attempt_until_ms(), sent);
         let sent = tokio::select! {
             sent = sent => sent,
             // Most replicas drop a request whose connection closes.
@@ -744,7 +767,7 @@
     ) -> AttemptOutcome {
         let mut body = Vec::new();
         loop {
-            let next = clock::wait_until(self.until_ms, exchange.next()).await;
+            let next = self.core.wait_until(self.until_ms, exchange.next()).await;
             match next {
                 Some(Ok(Some(bytes))) => {
                     self.record_progress();
@@ -806,7 +829,7 @@
         let mut held = Vec::new();
         let mut commented = 0;
         loop {
-            let next = clock::wait_until(self.until_ms, exchange.next()).await;
+            let next = core.wait_until(self.until_ms, exchange.next()).await;
             let bytes = match next {
                 Some(Ok(Some(bytes))) => bytes,
                 Some(Ok(None)) => break,
--- a/src/forward/request/placing.rs
+++ b/src/forward/request/placing.rs
@@ -37,6 +37,9 @@
             if self.left() < MIN_TIME_LEFT {
                 return Err(Refusal::DeadlinePassed);
             }
+            if self.would_outlive_entry() {
+                return Err(Refusal::Stopping);
+            }
             let changed = self.core.changed.notified();
             // A verdict also applies to requests that wait.
             self.check_suspects()?;
--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -12,6 +12,7 @@
 mod moved_routes;
 mod pauses;
 mod promises;
+mod stops;
 mod support;
 mod versions;
 mod waiting;
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -962,6 +962,28 @@
         (String::from_utf8(bytes).unwrap(), ended.is_ok())
     }
 
+    /// Sends bytes on a new connection and further ones once a condition holds. Returns all bytes that
+    /// came back.
+    pub async fn send_rest_when(
+        &self,
+        first: &str,
+        condition: impl AsyncFnMut() -> Option<()>,
+        rest: &str,
+    ) -> String {
+        let mut stream = TcpStream::connect(self.entries[0].address).await.unwrap();
+        stream.write_all(first.as_bytes()).await.unwrap();
+        wait_for("the condition before the rest", condition).await;
+        let _ = stream.write_all(rest.as_bytes()).await;
+        let mut bytes = Vec::new();
+        let _ = stream.read_to_end(&mut bytes).await;
+        String::from_utf8(bytes).unwrap()
+    }
+
+    /// Whether the first entry accepts no more connections.
+    pub async fn is_listener_closed(&self) -> bool {
+        TcpStream::connect(self.entries[0].address).await.is_err()
+    }
+
     /// Like [`Self::send_for_bytes`], but closes the client's direction once a condition holds.
     pub async fn half_close_when(
         &self,
