A chunked body with a malformed trailer is refused

What callers could see: an answer in chunks whose trailers hold no header lines (names with a blank or a control byte, no colon, continued lines) was passed on as whole. The trailers themselves are dropped.

Cause: the decoder of chunks took any text for a trailer.

Requests in chunks are read by the same decoder: such a trailer is a 400.

Why it works: a trailer is parsed as a header of a head is.

--- a/src/forward/chunked.rs
+++ b/src/forward/chunked.rs
@@ -78,7 +78,7 @@
             },
             Step::DataEnd if text.is_empty() => Ok(Step::Size),
             Step::Trailers(_) if text.is_empty() => Ok(Step::Done),
-            Step::Trailers(so_far) if so_far + len <= MAX_TRAILER_BYTES => {
+            Step::Trailers(so_far) if so_far + len <= MAX_TRAILER_BYTES && is_header(text) => {
                 Ok(Step::Trailers(so_far + len))
             }
             _ => Err(ChunkError),
@@ -109,3 +109,12 @@
         false => Err(ChunkError),
     }
 }
+
+/// Whether a line without its end is one header: not the continuation of the line before, with a name
+/// that is a token and a value without control bytes.
+fn is_header(text: &[u8]) -> bool {
+    let mut headers = [httparse::EMPTY_HEADER; 1];
+    let line = [text, b"\r\n\r\n"].concat();
+    let parsed = httparse::parse_headers(&line, &mut headers);
+    matches!(parsed, Ok(httparse::Status::Complete((len, [_]))) if len == line.len())
+}
