A reset that a write has met does not end an answer without length

What callers saw: a replica answered a long upload at once with a 200 without length, sent part of its body and reset the connection while the upload was being written. The client got that part as complete.

Cause: the kernel reports a reset once. If the write met it, the bytes that had come were still read, the error was forgotten as soon as they held a head, and the next read gave the end of the connection. A reset that follows the peer's end in one burst is not reported to reads at all.

Change: the error of a write is kept with the connection, and at an end the socket is asked for an error that is still pending (SO_ERROR). Either makes the end a lost connection. An answer without length that ends before the request was written is not whole either: a close with unread bytes is a reset, and which of the two comes first is chance.

Ruled out: reading on with the rest of the request written after the head (a matter of its own); TCP_INFO (SO_ERROR and the kept error cover all orders that the test draws).

Elsewhere: orders and start times are read by the same code. The agent's reports are asked for by requests that are written whole before the read, and a failed write ends them.

--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -98,6 +98,8 @@
     /// also counts while this machine is suspended.
     idle_since_ms: u64,
     keep_alive: Duration,
+    /// Error of a write. The kernel reports an error once, to the write or to the read.
+    write_error: Option<io::Error>,
 }
 
 impl Connection {
@@ -117,6 +119,7 @@
             buffer: Vec::new(),
             idle_since_ms: clock::monotonic_ms(),
             keep_alive: DEFAULT_KEEP_ALIVE,
+            write_error: None,
         })
     }
 
@@ -162,11 +165,31 @@
         quiet && self.buffer.is_empty() && Duration::from_millis(idle_ms) < self.keep_alive
     }
 
-    async fn fill(&mut self) -> Result<usize, ExchangeError> {
+    /// Reads more bytes. Returns whether any came before the end of the connection.
+    async fn fill(&mut self) -> Result<bool, ExchangeError> {
         self.buffer.reserve(READ_SIZE);
-        let peer = self.peer;
         let read = self.stream.read_buf(&mut self.buffer).await;
-        read.map_err(|source| ExchangeError::Broken { peer, source })
+        self.conclude_read(read)
+    }
+
+    /// Returns whether bytes were read. An end is an error if the connection was reset.
+    fn conclude_read(&mut self, read: io::Result<usize>) -> Result<bool, ExchangeError> {
+        let peer = self.peer;
+        let broken = |source| Err(ExchangeError::Broken { peer, source });
+        match read {
+            Ok(0) => {
+                let reset = self.write_error.take().or_else(|| self.pending_error());
+                reset.map_or(Ok(false), broken)
+            }
+            Ok(_) => Ok(true),
+            Err(source) => broken(source),
+        }
+    }
+
+    /// Returns the error that the kernel has not reported yet. A reset after the end of the
+    /// connection is not reported to reads.
+    fn pending_error(&self) -> Option<io::Error> {
+        self.stream.take_error().unwrap_or_else(Some)
     }
 }
 
@@ -286,6 +309,8 @@
     reusable: bool,
     /// Whether the body has a length or chunks, so that its end shows.
     delimited: bool,
+    /// Whether the whole request was written.
+    is_written: bool,
 }
 
 impl Exchange {
@@ -311,6 +336,7 @@
                 body,
                 reusable,
                 delimited: head.framing != Framing::Close,
+                is_written,
             };
             let belongs = match request.identity {
                 Some((name, value)) => head::find(&head.headers, name).unwrap_or_default() == value,
@@ -343,7 +369,9 @@
         })
     }
 
-    /// Returns the next bytes of the body, or `None` after its end.
+    /// Returns the next bytes of the body, or `None` after its end. A body that ends with its
+    /// connection has no end if the connection was reset, or if it was closed before the request was
+    /// written, as the close becomes a reset once the rest arrives.
     pub async fn next(&mut self) -> Result<Option<Vec<u8>>, ExchangeError> {
         loop {
             if let Some(bytes) = self.decode()? {
@@ -352,9 +380,9 @@
             if matches!(self.body, BodyState::Done) {
                 return Ok(None);
             }
-            if self.connection.fill().await? == 0 {
+            if !self.connection.fill().await? {
                 return match self.body {
-                    BodyState::Close => {
+                    BodyState::Close if self.is_written => {
                         self.body = BodyState::Done;
                         self.reusable = false;
                         Ok(None)
@@ -457,8 +485,6 @@
 ) -> Result<ResponseHead, ExchangeError> {
     let written = &request.progress.written;
     let peer = connection.peer;
-    let broken = |source| ExchangeError::Broken { peer, source };
-    let mut write_error = None;
     loop {
         let parsed = head::parse_response(&connection.buffer, request.method);
         match parsed {
@@ -478,19 +504,21 @@
         }
         let left = &request.bytes[written.get()..];
         connection.buffer.reserve(READ_SIZE);
+        let may_write = connection.write_error.is_none() && !left.is_empty();
         let (mut reader, mut writer) = connection.stream.split();
-        tokio::select! {
-            sent = writer.write(left), if write_error.is_none() && !left.is_empty() => match sent {
-                Ok(count) => written.set(written.get() + count),
-                // The response may have come before the replica closed the connection.
-                Err(error) => write_error = Some(error),
-            },
-            // The kernel reports an error once, to the write or to the read.
-            read = reader.read_buf(&mut connection.buffer) => match (read, write_error.take()) {
-                (Ok(0), None) => return Err(ExchangeError::Closed { peer }),
-                (Ok(0), Some(source)) | (Err(source), _) => return Err(broken(source)),
-                (Ok(_), earlier) => write_error = earlier,
+        let read = tokio::select! {
+            sent = writer.write(left), if may_write => {
+                match sent {
+                    Ok(count) => written.set(written.get() + count),
+                    // The response may have come before the replica closed the connection.
+                    Err(error) => connection.write_error = Some(error),
+                }
+                continue;
             }
+            read = reader.read_buf(&mut connection.buffer) => read,
+        };
+        if !connection.conclude_read(read)? {
+            return Err(ExchangeError::Closed { peer });
         }
     }
 }
