Bound the bytes of all clients' bodies together

What callers saw: many bodies of legal size at once, by length or in chunks, most stopping just short of their end, ended an entry by its memory. Cause: the limit on a body is one of a single request; nothing bounded the sum, bodies grew by doubling, each was copied to be sent, and a body that stood still was kept for IdleTimeoutMs. The class: limits by request without a limit of the process.

Bodies take from one budget as their bytes arrive, in steps of 32 to 128 KiB, and a guard gives them back on each path, after the answer for those that arrived whole. Without room a client is not read on, for 4 s at most; the request that got no further part for 2 s, and for longest, gives way with a 503 that promises, which is true as it was not read to its end. Two that wait for each other's room stand still as well, so one of them gives way. A request alone may pass the budget, so that each within its own limit is served. Bodies up to 16 KiB are outside of the budget, so that ordinary requests pass a full one. Bodies above 16 KiB are written from where they are; smaller ones are copied behind the head as before, in one write.

Processor time per request was not measured: a request with a small body gets one more comparison.

--- a/src/control/order_dispatcher.rs
+++ b/src/control/order_dispatcher.rs
@@ -500,6 +500,7 @@
 ) -> Result<(u16, Vec<u8>), CallError> {
     let outgoing = OutgoingRequest {
         bytes: text.as_bytes(),
+        body: &[],
         method,
         identity: None,
         on_head: &|_| {},
--- a/src/forward/client.rs
+++ b/src/forward/client.rs
@@ -12,6 +12,7 @@
 
 use crate::clock;
 use crate::forward::chunked::ChunkDecoder;
+use crate::forward::client_bytes::{ByteHold, ClientBytes};
 use crate::forward::daemon::EntryCore;
 #[cfg(doc)]
 use crate::forward::daemon::ForwardSettings;
@@ -25,6 +26,14 @@
 const READ_SIZE: usize = 16 * 1024;
 /// Bytes of later requests that are read while one is being served.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
+/// Longest body that is outside of the budget for clients' bytes: ordinary requests are read even if
+/// large ones have exhausted it.
+const FREE_BODY_BYTES: usize = 16 * 1024;
+/// Bytes by which the room for a larger body grows: half of it, between these bounds.
+const MIN_GROWTH_BYTES: usize = 32 * 1024;
+const MAX_GROWTH_BYTES: usize = 128 * 1024;
+/// Retry time of a request for whose body there was no room.
+const ROOM_RETRY: Duration = Duration::from_millis(1_000);
 /// How long the bytes of a refused client are read before its connection is closed, so that the
 /// client can read the refusal.
 const LINGER_TIME: Duration = Duration::from_millis(300);
@@ -36,6 +45,8 @@
     pub head: RequestHead,
     /// The body.
     pub body: Vec<u8>,
+    /// Its bytes in the budget; `None` for a small body.
+    pub hold: Option<ByteHold>,
     /// When the head was complete.
     pub since: Instant,
     /// The same on the clock of [`clock::monotonic_ms`], which the deadline is based on.
@@ -141,16 +152,57 @@
     refused(503, "this entry stops before the request is read")
 }
 
+fn no_room() -> ReadError {
+    refused(503, "no room for the body")
+}
+
+/// Makes room for `needed` bytes of a body of up to `longest` bytes, as far as the budget has any.
+async fn make_room(
+    budget: &Rc<ClientBytes>,
+    hold: &mut Option<ByteHold>,
+    body: &mut Vec<u8>,
+    needed: usize,
+    longest: usize,
+) -> Result<(), ReadError> {
+    let held = body.capacity();
+    if needed <= held {
+        return Ok(());
+    }
+    let growth = (held / 2).clamp(MIN_GROWTH_BYTES, MAX_GROWTH_BYTES);
+    let capacity = (held + growth).min(longest).max(needed);
+    let hold = hold.get_or_insert_with(|| budget.begin(Instant::now()));
+    let grown = hold.grow(capacity - held).await;
+    grown.map_err(|_| no_room())?;
+    body.reserve_exact(capacity - body.len());
+    Ok(())
+}
+
 struct ClientReader {
     stream: OwnedReadHalf,
     buffer: Vec<u8>,
+    /// Bytes of the request that is being read in the budget.
+    hold: Option<ByteHold>,
     progress: ReadProgress,
 }
 
 impl ClientReader {
     async fn fill(&mut self) -> Result<(), ReadError> {
         self.buffer.reserve(READ_SIZE);
-        match self.stream.read_buf(&mut self.buffer).await {
+        self.read().await
+    }
+
+    /// Reads what the buffer has room for.
+    async fn read(&mut self) -> Result<(), ReadError> {
+        let read = self.stream.read_buf(&mut self.buffer);
+        let read = match &self.hold {
+            None => read.await,
+            Some(hold) => tokio::select! {
+                biased;
+                () = hold.yielded() => return Err(no_room()),
+                read = read => read,
+            },
+        };
+        match read {
             Ok(0) | Err(_) => Err(ReadError::Disconnected),
             Ok(count) => {
                 self.progress.bytes += count;
@@ -165,6 +217,12 @@
         self.progress.since = Instant::now();
     }
 
+    /// Frees what was read of a request that is refused.
+    fn discard(&mut self) {
+        self.buffer = Vec::new();
+        self.hold = None;
+    }
+
     /// Returns when the client has disconnected.
     async fn disconnected(&mut self) {
         loop {
@@ -233,6 +291,7 @@
         &mut self,
         framing: Framing,
         limits: &ClientLimits,
+        budget: &Rc<ClientBytes>,
     ) -> Result<Vec<u8>, ReadError> {
         let too_long = || refused(413, "the body is too long");
         match framing {
@@ -240,7 +299,14 @@
             Framing::Length(length) => {
                 let length = length as usize;
                 while self.buffer.len() < length {
-                    self.fill().await?;
+                    if length <= FREE_BODY_BYTES {
+                        self.fill().await?;
+                        continue;
+                    }
+                    let (buffer, hold) = (&mut self.buffer, &mut self.hold);
+                    let needed = buffer.len() + 1;
+                    make_room(budget, hold, buffer, needed, length).await?;
+                    self.read().await?;
                 }
                 let rest = self.buffer.split_off(length);
                 Ok(std::mem::replace(&mut self.buffer, rest))
@@ -249,6 +315,12 @@
                 let mut decoder = ChunkDecoder::default();
                 let mut body = Vec::new();
                 loop {
+                    // The decoded bytes are no more than the received ones.
+                    let needed = body.len() + self.buffer.len();
+                    if needed > FREE_BODY_BYTES {
+                        let longest = limits.body_bytes;
+                        make_room(budget, &mut self.hold, &mut body, needed, longest).await?;
+                    }
                     let taken = decoder.decode(&self.buffer, &mut body);
                     let malformed = |_| refused(400, "the chunks are malformed");
                     let taken = taken.map_err(malformed)?;
@@ -266,6 +338,7 @@
 
     /// Reads and discards what the client still sends, so that it can read the refusal.
     async fn linger(&mut self) {
+        self.discard();
         let drain = async {
             while self.fill().await.is_ok() {
                 self.buffer.clear();
@@ -282,6 +355,7 @@
     let mut reader = ClientReader {
         stream: read,
         buffer: Vec::new(),
+        hold: None,
         progress: ReadProgress {
             bytes: 0,
             since: Instant::now(),
@@ -322,11 +396,16 @@
         Err(ReadError::Disconnected) => return AfterResponse::Cut,
         Err(ReadError::Idle) => return AfterResponse::Close,
         Err(ReadError::Refused(unread)) => {
+            reader.discard();
             core.log_unread(&unread, &reader.progress);
             let own = OwnStatus::not_run(unread.status, NotRunProof::unread());
             let id = unread.id.as_deref();
-            // Another entry takes it at once.
-            let retry = (unread.status == 503).then_some(Duration::ZERO);
+            // While this entry stops, another one takes it at once.
+            let retry = match unread.status {
+                503 if core.is_stopping() => Some(Duration::ZERO),
+                503 => Some(ROOM_RETRY),
+                _ => None,
+            };
             let answer = own_answer::own_answer(core, own, unread.reason, id, retry, true);
             let _ = writer.write(&answer).await;
             return AfterResponse::Close;
@@ -359,7 +438,7 @@
         writer.begun = false;
     }
     let limit = Duration::from_millis(limits.idle_ms);
-    let body = reader.read_body(head.framing, limits);
+    let body = reader.read_body(head.framing, limits, &core.client_bytes);
     let timed_out = |_| Err(refused(408, "the body took too long"));
     let body = tokio::select! {
         biased;
@@ -373,9 +452,14 @@
         }
         other => other,
     })?;
+    let hold = reader.hold.take();
+    if let Some(hold) = &hold {
+        hold.end_reading();
+    }
     Ok(ClientRequest {
         head,
         body,
+        hold,
         since,
         since_ms,
     })
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -20,6 +20,7 @@
 use crate::forward::budget::{ResendBudget, ResendPolicy};
 use crate::forward::capacity_waiters::CapacityWaiters;
 use crate::forward::client::{self, ReadProgress, UnreadRequest};
+use crate::forward::client_bytes::ClientBytes;
 use crate::forward::crashes::CrashTracker;
 use crate::forward::dialect::HeaderNames;
 use crate::forward::limits;
@@ -76,6 +77,9 @@
 /// Default of [`ForwardSettings::config_wait_ms`].
 pub const CONFIG_WAIT_MS: u64 = 1_000;
 
+/// Default of [`ForwardSettings::client_bytes`].
+pub const CLIENT_BYTES: usize = 256 * 1024 * 1024;
+
 /// Settings of an entry that forwards to replicas that register themselves.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -125,6 +129,9 @@
     /// its connection is cut.
     #[serde(default = "default_stall")]
     pub stall_ms: u64,
+    /// Bytes of the bodies of all requests that may be held at once, without small ones.
+    #[serde(default = "default_client_bytes")]
+    pub client_bytes: usize,
     /// Shortest time from a stop request to the exit, in milliseconds: callers must have noticed
     /// the stop by then.
     #[serde(default = "default_stop")]
@@ -154,6 +161,10 @@
     STALL_MS
 }
 
+fn default_client_bytes() -> usize {
+    CLIENT_BYTES
+}
+
 fn default_stop() -> u64 {
     3_000
 }
@@ -195,6 +206,8 @@
     pub origins: OriginKeeper,
     /// Start times that replicas reported.
     pub(super) start_reports: StartReports,
+    /// Budget for the bytes of clients.
+    pub client_bytes: Rc<ClientBytes>,
     /// Client for the agents beside replicas; `None` if none are to be asked.
     pub agents: Option<AgentClient>,
     settings: ForwardSettings,
@@ -536,6 +549,13 @@
         metrics.count(MetricKey::new(name, labels), 1);
     }
 
+    /// Shows in the metrics how many bytes of clients are held.
+    fn show_client_bytes(&self) {
+        let mut metrics = self.metrics.lock().unwrap_or_else(|b| b.into_inner());
+        let key = MetricKey::new("dunlinspring_client_bytes", &[]);
+        metrics.gauge(key, self.client_bytes.held() as u64);
+    }
+
     /// Logs a request that was refused before forwarding began.
     pub fn log_plain(&self, id: &str, status: u16, reason: &str) {
         let text = status.to_string();
@@ -767,6 +787,7 @@
             crashes: CrashTracker::default(),
             origins: OriginKeeper::default(),
             start_reports: StartReports::default(),
+            client_bytes: Rc::new(ClientBytes::new(settings.client_bytes)),
             agents,
             follower: follower.clone(),
             routing: RefCell::default(),
@@ -987,6 +1008,7 @@
         pool.prune(|id| replicas.record(id).is_some());
         core.start_reports.prune(|id| replicas.record(id).is_some());
         core.waiters.prune();
+        core.show_client_bytes();
         if let Some(agents) = &core.agents {
             agents.prune(|id| replicas.record(id).is_some());
         }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -14,6 +14,7 @@
 pub mod capacity_waiters;
 pub mod chunked;
 pub mod client;
+pub mod client_bytes;
 pub mod crashes;
 pub mod daemon;
 pub mod dialect;
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -622,12 +622,13 @@
         let observer = answer_heads::observer(core, &sent, &id, guard.permit);
         self.begin_source(source);
         self.sent = Some(sent);
-        let bytes = self.outgoing(replica);
+        let (bytes, body) = self.outgoing(replica);
         let paid = std::mem::take(&mut self.paid);
         let method = self.request.head.method.clone();
         let progress = Rc::new(SendProgress::default());
         let outgoing = OutgoingRequest {
             bytes: &bytes,
+            body,
             method: &method,
             identity: Some((core.names.request_id, &id)),
             on_head: &observer,
@@ -636,7 +637,7 @@
         self.begin_attempt();
         let used = connection.describe();
         self.tally.record_sent(used.number);
-        let arrival = ReplicaArrival::new(replica, used, bytes.len(), progress.clone());
+        let arrival = ReplicaArrival::new(replica, used, outgoing.size(), progress.clone());
         self.log.record_arrival(arrival);
         let sent = Exchange::send(connection, &outgoing);
         let sent = core.wait_until(self.attempt_until_ms(), sent);
--- a/src/forward/request/wire_heads.rs
+++ b/src/forward/request/wire_heads.rs
@@ -9,7 +9,10 @@
 
 use super::ForwardedRequest;
 
-impl ForwardedRequest<'_> {
+/// Longest body that is copied behind the head, so that both are written at once.
+const MAX_COPIED_BYTES: usize = 16 * 1024;
+
+impl<'a> ForwardedRequest<'a> {
     /// Builds the response head for the client, with the framing of this hop.
     pub(super) fn response_head(
         &self,
@@ -50,8 +53,8 @@
         bytes
     }
 
-    /// Builds the request that the replica gets.
-    pub(super) fn outgoing(&self, replica: &ReplicaId) -> Vec<u8> {
+    /// Builds the request that the replica gets, and returns it with the body that follows it.
+    pub(super) fn outgoing(&self, replica: &ReplicaId) -> (Vec<u8>, &'a [u8]) {
         let names = &self.core.names;
         let head = &self.request.head;
         let mut text = format!("{} {} HTTP/1.1\r\n", head.method, head.target);
@@ -94,8 +97,12 @@
         }
         text.push_str("\r\n");
         let mut bytes = text.into_bytes();
-        bytes.extend_from_slice(&self.request.body);
-        bytes
+        let body = self.request.body.as_slice();
+        if body.len() > MAX_COPIED_BYTES {
+            return (bytes, body);
+        }
+        bytes.extend_from_slice(body);
+        (bytes, &[])
     }
 }
 
--- a/src/forward/start_reports.rs
+++ b/src/forward/start_reports.rs
@@ -129,6 +129,7 @@
         text.push_str("Content-Length: 0\r\n\r\n");
         let request = OutgoingRequest {
             bytes: text.as_bytes(),
+            body: &[],
             method: "GET",
             identity: Some((self.names.request_id, "")),
             on_head: &|_| {},
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -270,8 +270,10 @@
 
 /// A request to be sent.
 pub struct OutgoingRequest<'a> {
-    /// Head and body.
+    /// Head, and the body unless it follows.
     pub bytes: &'a [u8],
+    /// Body that follows the bytes.
+    pub body: &'a [u8],
     /// The method.
     pub method: &'a str,
     /// Name and value of the header that matches a response to its request; the value is empty if
@@ -284,6 +286,22 @@
     pub progress: &'a SendProgress,
 }
 
+impl OutgoingRequest<'_> {
+    /// Number of bytes of head and body.
+    pub fn size(&self) -> usize {
+        self.bytes.len() + self.body.len()
+    }
+
+    /// Returns bytes that are still to be written; empty if there are none.
+    fn left(&self) -> &[u8] {
+        let written = self.progress.written.get();
+        match written.checked_sub(self.bytes.len()) {
+            Some(written) => &self.body[written..],
+            None => &self.bytes[written..],
+        }
+    }
+}
+
 enum BodyState {
     Length(u64),
     Chunked(ChunkDecoder),
@@ -325,7 +343,7 @@
         for _ in 0..=MAX_SURPLUS_RESPONSES {
             let head = read_head(&mut connection, request).await?;
             (request.on_head)(&head);
-            let is_written = progress.written.get() == request.bytes.len();
+            let is_written = progress.written.get() == request.size();
             let reusable = keeps_alive(&head) && is_written;
             if let Some(time) = keep_alive_time(&head) {
                 connection.keep_alive = time;
@@ -502,7 +520,7 @@
                 return Err(ExchangeError::Malformed { peer, reason });
             }
         }
-        let left = &request.bytes[written.get()..];
+        let left = request.left();
         connection.buffer.reserve(READ_SIZE);
         let may_write = connection.write_error.is_none() && !left.is_empty();
         let (mut reader, mut writer) = connection.stream.split();
--- a/tests/bounded_sending.rs
+++ b/tests/bounded_sending.rs
@@ -31,6 +31,7 @@
     let bytes = vec![b'a'; LARGE_BYTES];
     let outgoing = OutgoingRequest {
         bytes: &bytes,
+        body: &[],
         method: "POST",
         identity: None,
         on_head: &|_| {},
@@ -70,6 +71,7 @@
         let started = Instant::now();
         let outgoing = OutgoingRequest {
             bytes: b"an order",
+            body: &[],
             method: "POST",
             identity: None,
             on_head: &|_| {},
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -108,6 +108,7 @@
         .unwrap();
     let request = OutgoingRequest {
         bytes: b"GET / HTTP/1.1\r\n\r\n",
+        body: &[],
         method: "GET",
         identity: None,
         on_head: &|_| {},
--- a/tests/early_answers.rs
+++ b/tests/early_answers.rs
@@ -133,6 +133,7 @@
 async fn read_whole(connection: Connection, request: &[u8]) -> Option<usize> {
     let outgoing = OutgoingRequest {
         bytes: request,
+        body: &[],
         method: "POST",
         identity: Some(("Id", "1")),
         on_head: &|_| {},
--- a/tests/response_reader.rs
+++ b/tests/response_reader.rs
@@ -197,6 +197,7 @@
 async fn read_whole(connection: Connection, method: &str) -> Option<Vec<u8>> {
     let request = OutgoingRequest {
         bytes: b"POST / HTTP/1.1\r\n\r\n",
+        body: &[],
         method,
         identity: Some(("Id", "1")),
         on_head: &|_| {},
@@ -256,6 +257,7 @@
         let bytes = vec![b'x'; 64 * 1024 * 1024];
         let request = OutgoingRequest {
             bytes: &bytes,
+            body: &[],
             method: "POST",
             identity: Some(("Id", "1")),
             on_head: &|_| {},
