HTTP: a chunk extension without end no longer fills the memory

What an operator would see: a process whose memory grows by 100 MB a second until it ends, once a peer sends `1;aaaa...` in a chunked body. Any client or replica can do so to a control host (heartbeats, configurations), the own interface and the health pages; an engine that answers an agent of the own interface can, and so can the platform's documents.

Cause: the decoder of chunked bodies in the HTTP library takes no byte of an extension before its line ends, and its connection reads on as long as the decoder asks for more.

Ruled out: the entry's own reader and the agent's report reader have a decoder of their own, which refuses a line of over 1 KiB. Heads, interim responses, bodies of every framing, trailers and lines of streams stay within a bound in all readers counted here.

A layer between the socket and the decoder fails the connection once 256 KiB wait to be decoded. Nothing else can wait for so long: heads are limited to 64 KiB, bodies are decoded as they are read, and reading pauses while decoded bytes are not taken.

--- a/src/agent/engine.rs
+++ b/src/agent/engine.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ntex::client::error::{ClientError, ConnectError};
-use ntex::client::{Client, ClientResponse, Connector};
+use ntex::client::{Client, ClientResponse};
 use ntex::http::{Payload, StatusCode};
 use ntex::time::Seconds;
 use serde::{Deserialize, Serialize};
@@ -14,6 +14,7 @@
 use crate::admission::ledger::{EngineReport, OrderSeq};
 use crate::consensus::software_versions::version_name;
 use crate::ids::{AttemptId, ModelName};
+use crate::process::read_limit;
 use crate::table::rows::Urgency;
 
 /// Timeout of an order. The engine responds to a load when it begins, not when it is done.
@@ -125,7 +126,7 @@
 impl EngineClient {
     /// Creates a client for the target at an HTTP URL without a path.
     pub async fn new(url: &str) -> Self {
-        let connector = Connector::new()
+        let connector = read_limit::connector()
             .limit(MAX_CONNECTIONS)
             .keep_alive(Seconds(60));
         let client = Client::builder()
--- a/src/cli/commands.rs
+++ b/src/cli/commands.rs
@@ -14,6 +14,7 @@
 use crate::cli::explain_target;
 use crate::cli::load::{self, LoadMix, LoadPlan, LoadReport};
 use crate::ids::ReplicaId;
+use crate::process::read_limit;
 use crate::process::settings::{
     self, AgentSettings, ControlSettings, EntrySettings, ValidatedSettings,
 };
@@ -159,7 +160,7 @@
         let file = matches.opt_str("key-file").unwrap_or_default();
         let key = std::fs::read_to_string(&file).map_err(|error| format!("{file}: {error}"))?;
         Ok(Self {
-            client: Client::new().await,
+            client: read_limit::client().await,
             base: format!("http://{}", matches.opt_str("entry").unwrap_or_default()),
             key: key.trim().to_owned(),
         })
--- a/src/cli/demo.rs
+++ b/src/cli/demo.rs
@@ -5,7 +5,6 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use ntex::client::Client;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 
@@ -20,6 +19,7 @@
 use crate::process::auth;
 use crate::process::daemon::{self, DaemonError};
 use crate::process::peers::SiteSecret;
+use crate::process::read_limit;
 use crate::process::settings::*;
 use crate::standin::{
     EngineRecord, EngineStandin, EngineTraits, PlatformStandin, ServiceRecord, ServiceStandin,
@@ -446,7 +446,7 @@
             url: url.clone(),
             reason,
         };
-        let client = Client::new().await;
+        let client = read_limit::client().await;
         let response = client
             .put(&url)
             .bearer_auth(KEYS[partner].2)
@@ -467,7 +467,7 @@
 
     /// Returns the table as operators read it.
     pub async fn table(&self) -> Option<Value> {
-        let client = Client::new().await;
+        let client = read_limit::client().await;
         let url = format!("http://{}/v1/table", self.entries[0]);
         let response = client.get(url).bearer_auth(KEYS[0].2).send().await.ok()?;
         let body = response.body().limit(16 << 20).await.ok()?;
--- a/src/cli/load.rs
+++ b/src/cli/load.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
-use ntex::client::{Client, ClientResponse, Connector};
+use ntex::client::{Client, ClientResponse};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use crate::ids::ModelName;
+use crate::process::read_limit;
 use crate::process::settings::{SettingsError, ValidatedSettings};
 use crate::standin;
 
@@ -317,7 +318,7 @@
 
 /// Sends the mix and waits for the responses. Runs on the current thread.
 pub async fn run(plan: LoadPlan) -> LoadReport {
-    let connector = Connector::new().limit(MAX_CONNECTIONS);
+    let connector = read_limit::connector().limit(MAX_CONNECTIONS);
     let client = Client::builder()
         .connector::<()>(connector)
         .disable_timeout();
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -8,12 +8,11 @@
 use std::time::Duration;
 
 use ntex::SharedCfg;
-use ntex::client::Client;
 use ntex::http::body::MessageBody;
-use ntex::http::{Request, Response, ResponseError, StatusCode};
+use ntex::http::{HttpService, Request, Response, ResponseError, StatusCode};
 use ntex::server::Server;
 use ntex::web::{self, HttpResponse};
-use ntex::{IntoServiceFactory, ServiceFactory};
+use ntex::{IntoServiceFactory, ServiceFactory, chain_factory};
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
@@ -26,6 +25,7 @@
 use crate::ids::{HallName, HostName};
 use crate::process::log_limit::{self, LineLimiter};
 use crate::process::peers::PeerError;
+use crate::process::read_limit;
 use crate::process::settings::{LogSettings, SettingsError};
 
 /// Exit status of a process whose start failed.
@@ -134,8 +134,15 @@
     S::Response: Into<Response<B>>,
     B: MessageBody + 'static,
 {
-    let server = web::server(factory).workers(workers).disable_signals();
-    let server = server.listen(listener).context(ListenSnafu {
+    let server = ntex::server::build().workers(workers).disable_signals();
+    let service = async move |_| {
+        let http = HttpService::new(factory().await);
+        chain_factory(read_limit::acceptor())
+            .map_err(|never| match never {})
+            .and_then(http)
+    };
+    let server = server.listen("http", listener, service);
+    let server = server.context(ListenSnafu {
         field: "http",
         address: "a new socket",
     })?;
@@ -206,7 +213,7 @@
         reason,
     };
     let read = async {
-        let client = Client::new().await;
+        let client = read_limit::client().await;
         let answer = client.get(url).send().await;
         let answer = answer.map_err(|error| failed("get", error.to_string()))?;
         if answer.status() != StatusCode::OK {
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -17,6 +17,7 @@
 pub mod metrics;
 pub mod pages;
 pub mod peers;
+pub mod read_limit;
 pub mod settings;
 pub mod transfer;
 pub mod wire;
