An answer without length is whole only if the same incarnation lives on

Cause: the end of such an answer was believed once a connection to the replica's address opened. Any process that listens there opens it, also the next incarnation.

Change: the connection is then asked who listens. Where start times are known, the replica must report the expected one, asked for after the end; where they are not, each incarnation has an id of its own, and one that answers 421 to it is another. Costs one report for each answer without length, on the connection that was opened anyway, and none for others. The wait is bounded by the request's deadline.

Ruled out: heartbeats (they come later than the answer is due); idle connections (their own close may be on the way); the health check (takes a slot, and its path is not in the configuration that is kept).

--- a/src/forward/crashes.rs
+++ b/src/forward/crashes.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::Notify;
 
@@ -229,13 +229,15 @@
         self.crashes.watch(at, runs, None, ABANDONED_MS);
     }
 
-    /// Whether a replica still runs that has just closed a connection without telling whether its
-    /// response was complete. `None` if that is not known.
-    pub(super) async fn outlives_close(&self, at: &SentTo) -> Option<bool> {
+    /// Whether the incarnation of a replica still runs that has just closed a connection without
+    /// telling whether its response was complete. `None` if that is not known.
+    pub(super) async fn outlives_close(self: &Rc<Self>, at: &SentTo) -> Option<bool> {
+        let closed = Instant::now();
         // An idle connection would not prove it: its own close may still be on the way.
         let opened = open_probe(self, at).await;
         match conclude_probe(self, at, opened) {
-            Probe::Alive => Some(true),
+            // Another incarnation may listen at the address by now.
+            Probe::Alive => self.has_run_since(at, closed).await,
             Probe::Ended => Some(false),
             Probe::Silent => None,
         }
--- a/src/forward/request/crashes.rs
+++ b/src/forward/request/crashes.rs
@@ -156,7 +156,10 @@
         let is_success = (200..300).contains(&head.status);
         let outlives = match &self.sent {
             _ if is_delimited => Some(true),
-            Some(sent) => self.core.outlives_close(sent).await,
+            Some(sent) => {
+                let outlives = self.core.outlives_close(sent);
+                clock::wait_until(self.until_ms, outlives).await.flatten()
+            }
             None => None,
         };
         match outlives {
--- a/src/forward/start_reports.rs
+++ b/src/forward/start_reports.rs
@@ -11,7 +11,7 @@
 use crate::forward::crashes::SentTo;
 use crate::forward::daemon::EntryCore;
 use crate::forward::dialect::StartTimeReport;
-use crate::forward::head;
+use crate::forward::head::{self, ResponseHead};
 use crate::forward::upstream::{Connection, Exchange, OutgoingRequest, SendProgress};
 use crate::ids::ReplicaId;
 use crate::process::daemon;
@@ -95,33 +95,80 @@
         proven.unwrap_or(false)
     }
 
+    /// Whether an incarnation of a replica ran after `since`, as it reports. `None` if that is not
+    /// known. Where start times are not known, each incarnation has an id of its own, and another one
+    /// turns away a request that expects it.
+    pub(super) async fn has_run_since(
+        self: &Rc<Self>,
+        at: &SentTo,
+        since: Instant,
+    ) -> Option<bool> {
+        if self.names.start_time.is_none() {
+            return Some(true);
+        }
+        if at.incarnation.started_ms == 0 {
+            let answers = tokio::time::timeout(REPORT_TIMEOUT, self.answers_to_id(at)).await;
+            return answers.ok().flatten();
+        }
+        let is_expected = self.await_connection_proof(at, since).await;
+        match self.connection_proof(at, since) {
+            _ if is_expected => Some(true),
+            ConnectionProof::Other => Some(false),
+            _ => None,
+        }
+    }
+
+    /// Whether the replica at an address answers to the id.
+    async fn answers_to_id(&self, at: &SentTo) -> Option<bool> {
+        let report = self.names.start_time?;
+        let connection = self.connect_for_report(at).await?;
+        let (mut exchange, head) = self.request_report(connection, at, report).await?;
+        read_report(&mut exchange).await?;
+        if let Some(connection) = exchange.finish() {
+            self.pool.borrow_mut().put(&at.incarnation.id, connection);
+        }
+        Some(head.status != 421)
+    }
+
     /// Reads a replica's report, rather on an idle connection than on a new one.
     async fn read_start_report(&self, at: &SentTo) -> Option<StartReport> {
         let report = self.names.start_time?;
-        let replica = &at.incarnation.id;
-        let kept = self.pool.borrow_mut().take(replica);
-        let connection = match kept {
-            Some(connection) => connection,
-            None => {
-                self.count_opened();
-                let opened = Connection::open(at.address, self.connect_time()).await;
-                opened.ok()?
-            }
-        };
+        let connection = self.connect_for_report(at).await?;
         let asked = Instant::now();
         let (exchange, started_ms) = self.read_start_time(connection, at, report).await?;
         if let Some(connection) = exchange.finish() {
-            self.pool.borrow_mut().put(replica, connection);
+            self.pool.borrow_mut().put(&at.incarnation.id, connection);
         }
         Some(StartReport { started_ms, asked })
     }
 
+    async fn connect_for_report(&self, at: &SentTo) -> Option<Connection> {
+        let kept = self.pool.borrow_mut().take(&at.incarnation.id);
+        if kept.is_some() {
+            return kept;
+        }
+        self.count_opened();
+        Connection::open(at.address, self.connect_time()).await.ok()
+    }
+
     async fn read_start_time(
         &self,
         connection: Connection,
         at: &SentTo,
         report: StartTimeReport,
     ) -> Option<(Exchange, u64)> {
+        let (mut exchange, head) = self.request_report(connection, at, report).await?;
+        let body = read_report(&mut exchange).await?;
+        let started_ms = (report.read)(&body).filter(|_| head.status == 200)?;
+        Some((exchange, started_ms))
+    }
+
+    async fn request_report(
+        &self,
+        connection: Connection,
+        at: &SentTo,
+        report: StartTimeReport,
+    ) -> Option<(Exchange, ResponseHead)> {
         let mut text = format!("GET {} HTTP/1.1\r\n", report.path);
         head::push_header(&mut text, "Host", &at.address.to_string());
         let replica = at.incarnation.id.as_str();
@@ -135,17 +182,19 @@
             on_head: &|_| {},
             progress: &SendProgress::default(),
         };
-        let (mut exchange, head) = Exchange::send(connection, &request).await.ok()?;
-        let mut body = Vec::new();
-        while let Some(bytes) = exchange.next().await.ok()? {
-            body.extend_from_slice(&bytes);
-            if body.len() > MAX_REPORT_BYTES {
-                return None;
-            }
+        Exchange::send(connection, &request).await.ok()
+    }
+}
+
+async fn read_report(exchange: &mut Exchange) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    while let Some(bytes) = exchange.next().await.ok()? {
+        body.extend_from_slice(&bytes);
+        if body.len() > MAX_REPORT_BYTES {
+            return None;
         }
-        let started_ms = (report.read)(&body).filter(|_| head.status == 200)?;
-        Some((exchange, started_ms))
     }
+    Some(body)
 }
 
 /// Reads reports until one was asked for after each connection that needs a proof was opened, or one
--- a/tests/forwarding/answers.rs
+++ b/tests/forwarding/answers.rs
@@ -334,3 +334,35 @@
     let answer = site.send("GET", "/plain/x", "a", "").await;
     assert_eq!((answer.status, answer.body.as_str()), (200, "well"));
 }
+
+/// Guards against a part of a response that is passed on as whole, as its replica has started again.
+#[ntex::test]
+async fn a_response_without_length_is_not_whole_if_another_incarnation_listens() {
+    for (started, end) in [(true, WireEnd::Restart), (false, WireEnd::Replace)] {
+        let mut site = ForwardSite::start(&[UNSAFE, STREAM]).await;
+        for (number, target) in ["/once/x", "/stream/x"].into_iter().enumerate() {
+            let name = format!("r{number}");
+            let script = vec![Behaviour::Wire(BARE, TWO_EVENTS, end)];
+            match started {
+                true => site.add_versioned_replica(&name, "v1", script).await,
+                false => site.add_replica(&name, script).await,
+            }
+            let answer = site.send("POST", target, "a", "").await;
+            assert!(!(answer.status == 200 && answer.complete), "{answer:?}");
+            site.drain(&name).await;
+        }
+    }
+}
+
+#[ntex::test]
+async fn a_response_without_length_of_an_incarnation_that_reports_is_whole() {
+    let mut site = ForwardSite::start(&[UNSAFE, STREAM]).await;
+    let script = vec![Behaviour::Wire(BARE, TWO_EVENTS, WireEnd::Close); 2];
+    site.add_versioned_replica("r1", "v1", script).await;
+    for target in ["/once/x", "/stream/x"] {
+        let answer = site.send("POST", target, "a", "").await;
+        assert_eq!((answer.status, answer.complete), (200, true));
+        assert_eq!(answer.body, TWO_EVENTS);
+    }
+    assert_eq!(site.reports("r1"), 2);
+}
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -230,6 +230,10 @@
     HalfClose,
     /// Its process ends: it closes its listener and the connection.
     End,
+    /// Its process ends and starts again under its id and address.
+    Restart,
+    /// Its process ends, and one with another id starts at its address.
+    Replace,
 }
 
 /// A request as a replica received it.
@@ -290,6 +294,8 @@
     ending: Rc<Notify>,
     /// Whether its process has ended.
     has_ended: bool,
+    /// Whether it has another id than the one it was registered under.
+    is_replaced: bool,
 }
 
 type SharedReplica = Rc<RefCell<ReplicaState>>;
@@ -1105,6 +1111,11 @@
                 let copy = full_response(200, &name, before, body, "");
                 let _ = stream.write_all(copy.as_bytes()).await;
             }
+            if state.borrow().is_replaced {
+                let refusal = full_response(421, &name, "", "", "Not-Executed: 1\r\n");
+                let _ = stream.write_all(refusal.as_bytes()).await;
+                continue;
+            }
             let started_ms = state.borrow().started_ms.to_string();
             let report = full_response(200, &name, "", &started_ms, "");
             let _ = stream.write_all(report.as_bytes()).await;
@@ -1211,6 +1222,8 @@
             let has_ended = async || state.borrow().has_ended.then_some(());
             wait_for("the end of the replica", has_ended).await;
         }
+        WireEnd::Restart => state.borrow_mut().started_ms += 1,
+        WireEnd::Replace => state.borrow_mut().is_replaced = true,
         WireEnd::HalfClose => {
             let _ = stream.shutdown().await;
             let mut probe = [0; 1];
