A first start whose opening write was torn no longer ends at each start

What callers would see: a host that loses power at its first start ends at each start with "log is damaged at byte 0", and the site is founded without it, or not at all.

Cause: the mark with which a log begins is a write like any other. If it was torn, the log has no mark yet, and the rule of the earlier version refused it; at a first start that happens outside of the code that sets damage aside.

Change: a log without a mark that is no longer than one holds nothing but a torn one, and is cut. Logs of the earlier version begin with a vote or an entry, which are longer.

The test draws 20 tears for each length.

--- a/src/control/journal.rs
+++ b/src/control/journal.rs
@@ -122,7 +122,7 @@
 /// Returns whether a data folder holds neither a snapshot nor a log record.
 pub fn is_blank(folder: &Path) -> bool {
     let len = |name: &str| fs::metadata(folder.join(name)).map_or(0, |data| data.len());
-    len(SNAPSHOT_FILE) == 0 && len(LOG_FILE) <= encoded_mark(0).len() as u64
+    len(SNAPSHOT_FILE) == 0 && len(LOG_FILE) <= sync_mark_len()
 }
 
 /// Records in a blank folder that its host takes part in the site's first start, with the
@@ -634,7 +634,8 @@
     while !reader.is_at_end() {
         let offset = reader.offset as usize;
         match reader.read_frame()? {
-            Frame::Damaged(what) if contents.is_unmarked() => {
+            // A log that is not longer than its first mark may be a torn one.
+            Frame::Damaged(what) if contents.is_unmarked() && reader.len > sync_mark_len() => {
                 return damage_error(path, offset, what);
             }
             frame @ (Frame::Torn | Frame::Damaged(_)) => {
@@ -671,7 +672,7 @@
 }
 
 fn find_sync_mark(path: &Path, offset: u64) -> io::Result<bool> {
-    let mark_len = encoded_mark(0).len();
+    let mark_len = sync_mark_len() as usize;
     let head = &encoded_mark(0)[..MARK_HEAD_BYTES];
     let mut start = offset + 1;
     let mut file = File::open(path)?;
@@ -694,6 +695,11 @@
     }
 }
 
+/// Returns the length of the frame of a sync mark, in bytes.
+fn sync_mark_len() -> u64 {
+    frame_len(&sync_mark(0))
+}
+
 /// Returns the frame of the sync mark at an offset.
 fn encoded_mark(offset: u64) -> Vec<u8> {
     let mut bytes = Vec::new();
--- a/tests/power_loss.rs
+++ b/tests/power_loss.rs
@@ -252,6 +252,30 @@
 /// Length of the frame that begins a log and each of its batches.
 const SYNC_MARK_BYTES: usize = 24;
 
+/// A first start ended at each start if its first write was torn.
+#[test]
+fn a_folder_opens_whatever_is_left_of_its_first_write() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let folder = TempDir::new().unwrap();
+    drop(open(folder.path()));
+    let path = folder.path().join("log");
+    let written = fs::read(&path).unwrap();
+    assert_eq!(written.len(), SYNC_MARK_BYTES);
+    for kept in 0..=written.len() {
+        for _ in 0..20 {
+            let mut bytes = written.clone();
+            match rng.random_range(0..3) {
+                0 => bytes[kept..].fill(0),
+                1 => bytes[..kept].fill(0),
+                _ => rng.fill(&mut bytes[kept..]),
+            }
+            fs::write(&path, bytes).unwrap();
+            assert!(dunlinspring::control::journal::is_blank(folder.path()));
+            assert_eq!(open(folder.path()).1, DiskImage::default(), "{kept}");
+        }
+    }
+}
+
 #[test]
 fn logs_of_the_version_without_sync_marks_are_read_as_before() {
     let folder = TempDir::new().unwrap();
