--- a/src/control/journal.rs
+++ b/src/control/journal.rs
@@ -663,6 +663,10 @@
             }
         }
     }
+    let first = image.entries.first().map(|entry| entry.mark.index.0);
+    if first.is_some_and(|first| first != image.snapshot.last.index.0 + 1) {
+        return damage_error(path, 0, "the snapshot before its first entry is missing");
+    }
     Ok(contents.after(image.snapshot.last.index))
 }
 
--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -125,6 +125,26 @@
     assert!(error.contains("snapshot is damaged"), "{error}");
 }
 
+/// The entries were applied to an empty state, under the former identity.
+#[test]
+fn a_log_whose_snapshot_is_missing_or_empty_is_refused() {
+    let folder = TempDir::new().unwrap();
+    saved(folder.path(), 6);
+    let (mut journal, _) = DiskJournal::open(folder.path(), None).unwrap();
+    let install = DiskRecord::Install(LogSnapshot {
+        last: entry(4).mark,
+        voters: [NodeId(7)].into(),
+        state: vec![1, 2, 3].into(),
+    });
+    journal.save(&[install]).unwrap();
+    journal.close().unwrap();
+    let path = folder.path().join("snapshot");
+    fs::write(&path, "").unwrap();
+    assert!(DiskJournal::open(folder.path(), None).is_err(), "empty");
+    fs::remove_file(&path).unwrap();
+    assert!(DiskJournal::open(folder.path(), None).is_err(), "missing");
+}
+
 #[test]
 fn a_crash_between_snapshot_and_log_loses_nothing() {
     let folder = TempDir::new().unwrap();
