Files that were set aside are kept, and the identity with them

What operators would see: a second damage overwrote what the first had set aside, and the identity was not kept at all, so that nobody could restore a site by hand that had lost its quorum.

Change: the identity is copied aside before the new one is saved; a file that is set aside already is kept and the later one, of a host that was new by then, is removed, which bounds the room too. The folder is synced after each rename: a loss of power could keep or lose each by itself.

--- a/src/control/journal.rs
+++ b/src/control/journal.rs
@@ -164,20 +164,42 @@
 }
 
 /// Sets all files of a folder aside. The new identity is saved first, so that neither a vote nor
-/// an entry is ever lost under the former one.
+/// an entry is ever lost under the former one. Files that were set aside before are kept: they may
+/// be all that is left of the site's state.
 fn set_aside(folder: &Path) -> Result<()> {
+    let identity = folder.join(IDENTITY_FILE);
+    let kept_identity = folder.join(damaged_name(IDENTITY_FILE));
+    if identity.exists() && !kept_identity.exists() {
+        fs::copy(&identity, &kept_identity).context(IoSnafu {
+            step: "copy",
+            path: &identity,
+        })?;
+        File::open(&kept_identity)
+            .and_then(|file| file.sync_all())
+            .context(IoSnafu {
+                step: "sync",
+                path: &kept_identity,
+            })?;
+    }
     save_identity(folder, new_identity())?;
     for name in SET_ASIDE_FILES {
         let path = folder.join(name);
-        match fs::rename(&path, folder.join(damaged_name(name))) {
+        let kept_path = folder.join(damaged_name(name));
+        let moved = match kept_path.exists() {
+            true => fs::remove_file(&path),
+            false => fs::rename(&path, &kept_path),
+        };
+        match moved {
             Err(error) if error.kind() == io::ErrorKind::NotFound => {}
-            renamed => renamed.context(IoSnafu {
-                step: "rename",
+            moved => moved.context(IoSnafu {
+                step: "set aside",
                 path: &path,
             })?,
         }
+        // Each name would be kept or lost by itself.
+        sync_folder(folder)?;
     }
-    sync_folder(folder)
+    Ok(())
 }
 
 /// Returns the number of files that were set aside and not removed since.
--- a/tests/damaged_disk.rs
+++ b/tests/damaged_disk.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::path::Path;
 
-use dunlinspring::consensus::raft::{DiskRecord, LogEntry, LogMark, Payload};
+use dunlinspring::consensus::raft::{DiskRecord, LogEntry, LogMark, LogSnapshot, Payload};
 use dunlinspring::control::bootstrap;
 use dunlinspring::control::journal::{self, DiskJournal};
 use dunlinspring::control::shell::ControlDaemon;
@@ -63,15 +63,38 @@
     journal.close().unwrap();
 }
 
+/// An operator may need them if no quorum is left.
+#[test]
+fn files_that_were_set_aside_are_not_overwritten() {
+    const ID: NodeId = NodeId(7);
+    let folder = TempDir::new().unwrap();
+    let read = |name: &str| fs::read(folder.path().join(name)).unwrap();
+    let open = || DiskJournal::open(folder.path(), None);
+    saved(folder.path(), ID);
+    flip_byte(&folder.path().join("log"), 5);
+    let (log, identity) = (read("log"), read("identity"));
+    drop(journal::set_aside_damage(folder.path(), open).unwrap());
+    saved(folder.path(), ID);
+    flip_byte(&folder.path().join("log"), 5);
+    drop(journal::set_aside_damage(folder.path(), open).unwrap());
+    assert_eq!(read("log.damaged"), log);
+    assert_eq!(read("identity.damaged"), identity);
+}
+
 #[test]
 fn each_damaged_file_is_set_aside() {
     const ID: NodeId = NodeId(7);
-    for name in ["log", "identity", "first-start"] {
+    for name in ["log", "snapshot", "identity", "first-start"] {
         let folder = TempDir::new().unwrap();
         journal::begin_first_start(folder.path(), &[]).unwrap();
         if name != "first-start" {
             saved(folder.path(), ID);
         }
+        if name == "snapshot" {
+            let (mut journal, _) = DiskJournal::open(folder.path(), None).unwrap();
+            let snapshot = LogSnapshot::default();
+            journal.save(&[DiskRecord::Install(snapshot)]).unwrap();
+        }
         flip_byte(&folder.path().join(name), 5);
         let open = || {
             journal::unfinished_first_start(folder.path(), ID)?;
