Bound the connections of clients below the descriptors

What callers saw: clients that open connections and stop short take all descriptors of an entry, whose connections to replicas need some too. Cause: connections were accepted without a bound; only the time for a head ends one. The class: limits by connection without a limit of the process.

A connection takes a slot. Without a free one, the connection that has been idle for longest is closed for the new one, or else the one whose request has been arriving for longest; those that are being served stay, and if all are, the new one is closed. Nothing of a request that is still arriving was sent. A request costs three writes of cells; its processor time was not measured.

--- a/src/forward/client.rs
+++ b/src/forward/client.rs
@@ -13,6 +13,7 @@
 use crate::clock;
 use crate::forward::chunked::ChunkDecoder;
 use crate::forward::client_bytes::{ByteHold, ClientBytes};
+use crate::forward::client_slots::{ClientSlot, SlotState};
 use crate::forward::daemon::EntryCore;
 #[cfg(doc)]
 use crate::forward::daemon::ForwardSettings;
@@ -349,7 +350,7 @@
 }
 
 /// Serves one client connection until it ends.
-pub async fn serve(core: Rc<EntryCore>, stream: TcpStream) {
+pub async fn serve(core: Rc<EntryCore>, stream: TcpStream, slot: ClientSlot) {
     let _ = stream.set_nodelay(true);
     let (read, write) = stream.into_split();
     let mut reader = ClientReader {
@@ -369,7 +370,8 @@
         stall: core.stall_time(),
     };
     loop {
-        let after = serve_one(&core, &mut reader, &mut writer).await;
+        let after = serve_one(&core, &mut reader, &mut writer, &slot).await;
+        slot.set(SlotState::Idle);
         match after {
             AfterResponse::Keep => reader.progress.served += 1,
             AfterResponse::Close => {
@@ -386,12 +388,17 @@
     core: &Rc<EntryCore>,
     reader: &mut ClientReader,
     writer: &mut ClientWriter,
+    slot: &ClientSlot,
 ) -> AfterResponse {
     writer.begun = false;
     reader.begin();
     let limits = core.limits();
     let busy = core.busy_guard();
-    let request = match read_request(core, reader, writer, &limits, &|| busy.mark()).await {
+    let first_byte = || {
+        busy.mark();
+        slot.set(SlotState::Reading);
+    };
+    let request = match read_request(core, reader, writer, &limits, &first_byte).await {
         Ok(request) => request,
         Err(ReadError::Disconnected) => return AfterResponse::Cut,
         Err(ReadError::Idle) => return AfterResponse::Close,
@@ -411,6 +418,7 @@
             return AfterResponse::Close;
         }
     };
+    slot.set(SlotState::Serving);
     writer.ends_by_close = !request.head.is_http11;
     let answered = request::answer(core, &request, writer);
     tokio::select! {
--- a/src/forward/daemon.rs
+++ b/src/forward/daemon.rs
@@ -9,9 +9,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use futures::future::Abortable;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
 use crate::clock;
@@ -21,6 +22,7 @@
 use crate::forward::capacity_waiters::CapacityWaiters;
 use crate::forward::client::{self, ReadProgress, UnreadRequest};
 use crate::forward::client_bytes::ClientBytes;
+use crate::forward::client_slots::ClientSlots;
 use crate::forward::crashes::CrashTracker;
 use crate::forward::dialect::HeaderNames;
 use crate::forward::limits;
@@ -79,6 +81,8 @@
 
 /// Default of [`ForwardSettings::client_bytes`].
 pub const CLIENT_BYTES: usize = 256 * 1024 * 1024;
+/// Default of [`ForwardSettings::max_clients`].
+pub const MAX_CLIENTS: usize = 16_384;
 
 /// Settings of an entry that forwards to replicas that register themselves.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -132,6 +136,9 @@
     /// Bytes of the bodies of all requests that may be held at once, without small ones.
     #[serde(default = "default_client_bytes")]
     pub client_bytes: usize,
+    /// Most connections of clients; connections to replicas need further descriptors.
+    #[serde(default = "default_max_clients")]
+    pub max_clients: usize,
     /// Shortest time from a stop request to the exit, in milliseconds: callers must have noticed
     /// the stop by then.
     #[serde(default = "default_stop")]
@@ -165,6 +172,10 @@
     CLIENT_BYTES
 }
 
+fn default_max_clients() -> usize {
+    MAX_CLIENTS
+}
+
 fn default_stop() -> u64 {
     3_000
 }
@@ -208,6 +219,7 @@
     pub(super) start_reports: StartReports,
     /// Budget for the bytes of clients.
     pub client_bytes: Rc<ClientBytes>,
+    client_slots: Rc<ClientSlots>,
     /// Client for the agents beside replicas; `None` if none are to be asked.
     pub agents: Option<AgentClient>,
     settings: ForwardSettings,
@@ -549,11 +561,13 @@
         metrics.count(MetricKey::new(name, labels), 1);
     }
 
-    /// Shows in the metrics how many bytes of clients are held.
+    /// Shows in the metrics how many bytes and connections of clients are held.
     fn show_client_bytes(&self) {
         let mut metrics = self.metrics.lock().unwrap_or_else(|b| b.into_inner());
         let key = MetricKey::new("dunlinspring_client_bytes", &[]);
         metrics.gauge(key, self.client_bytes.held() as u64);
+        let key = MetricKey::new("dunlinspring_client_connections", &[]);
+        metrics.gauge(key, self.client_slots.taken() as u64);
     }
 
     /// Logs a request that was refused before forwarding began.
@@ -787,6 +801,7 @@
             crashes: CrashTracker::default(),
             origins: OriginKeeper::default(),
             start_reports: StartReports::default(),
+            client_slots: Rc::new(ClientSlots::new(settings.max_clients)),
             client_bytes: Rc::new(ClientBytes::new(settings.client_bytes)),
             agents,
             follower: follower.clone(),
@@ -917,7 +932,7 @@
             () = core.listener_close_due() => return,
         };
         match accepted {
-            Ok((stream, _)) => daemon::spawn_local(client::serve(core.clone(), stream)),
+            Ok((stream, _)) => serve_client(&core, stream).await,
             Err(error) => {
                 tracing::warn!(%error, "cannot accept a client connection");
                 tokio::time::sleep(Duration::from_millis(20)).await;
@@ -926,6 +941,24 @@
     }
 }
 
+/// Serves a client in a task of its own if there is a slot for it.
+async fn serve_client(core: &Rc<EntryCore>, stream: TcpStream) {
+    let Some((slot, registration, closes)) = core.client_slots.take() else {
+        core.count("dunlinspring_clients_closed_total", &[("which", "new")]);
+        return;
+    };
+    let served = client::serve(core.clone(), stream, slot);
+    let served = Abortable::new(served, registration);
+    daemon::spawn_local(async move {
+        let _ = served.await;
+    });
+    if closes {
+        core.count("dunlinspring_clients_closed_total", &[("which", "waiting")]);
+        // The connection is closed by its own task.
+        tokio::task::yield_now().await;
+    }
+}
+
 async fn follow(core: Rc<EntryCore>) {
     loop {
         let changed = core.follower.changed();
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -15,6 +15,7 @@
 pub mod chunked;
 pub mod client;
 pub mod client_bytes;
+pub mod client_slots;
 pub mod crashes;
 pub mod daemon;
 pub mod dialect;
--- a/tests/forwarding/support/mod.rs
+++ b/tests/forwarding/support/mod.rs
@@ -27,7 +27,7 @@
 use dunlinspring::control::shell::ControlDaemon;
 use dunlinspring::forward::budget::ResendPolicy;
 use dunlinspring::forward::chunked::ChunkDecoder;
-use dunlinspring::forward::daemon::{CLIENT_BYTES, ForwardDaemon, ForwardSettings};
+use dunlinspring::forward::daemon::{CLIENT_BYTES, ForwardDaemon, ForwardSettings, MAX_CLIENTS};
 use dunlinspring::forward::head::{self, Framing, Header};
 use dunlinspring::forward::need::ChoicePolicy;
 use dunlinspring::ids::{
@@ -490,6 +490,7 @@
             config_wait_ms,
             stall_ms: STALL_MS,
             client_bytes: CLIENT_BYTES,
+            max_clients: MAX_CLIENTS,
             stop_ms: 1_000,
             grace_ms: 5_000,
         };
