--- a/tests/reader_memory/main.rs
+++ b/tests/reader_memory/main.rs
@@ -151,6 +151,7 @@
         let connection = Connection::open(address, READ_TIME).await.unwrap();
         let request = OutgoingRequest {
             bytes: b"GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+            body: &[],
             method: "GET",
             identity: Some(("request-id", "id-1")),
             on_head: &|_| {},
