The test of readers' memory starts no logger

Traced: the captured output of that run holds four million lines "[TRACE ntex::http::h1::decoder] Chunked read": another test of the same program was an ntex::test, which starts a logger of all levels, and whether it began first was chance. The lines that a test writes are kept by the test's own thread, and so were counted as the reader's.

The one ntex::test is a plain test that builds its runtime as the others do. All checks and bounds are the same; no lines are written, and the memory that is counted is the readers'.

--- a/tests/reader_memory/main.rs
+++ b/tests/reader_memory/main.rs
@@ -175,8 +175,14 @@
 }
 
 /// The extension of a chunk was kept until its end.
-#[ntex::test]
-async fn servers_take_a_bounded_number_of_bytes() {
+#[test]
+fn servers_take_a_bounded_number_of_bytes() {
+    // `ntex::test` would start a logger whose captured lines count as memory of all tests.
+    let system = ntex::rt::System::build().build(ntex::rt::DefaultRuntime);
+    system.block_on(check_endless_requests());
+}
+
+async fn check_endless_requests() {
     let (listener, address) = daemon::bind_http("test", "127.0.0.1:0".parse().unwrap()).unwrap();
     let app = async || {
         let post = web::post().to(async |body: Bytes| body.len().to_string());
