--- /dev/null
+++ b/src/control/journal/error.rs
@@ -0,0 +1,63 @@
+//! Errors of a voter's data folder.
+
+use std::io;
+use std::path::{Path, PathBuf};
+
+use snafu::Snafu;
+
+use crate::process::daemon::DaemonError;
+
+/// Reason why the files cannot be used.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(super)))]
+pub enum JournalError {
+    /// The operating system refused an operation.
+    #[snafu(display("cannot {step} {}: {source}", path.display()))]
+    Io {
+        /// The operation.
+        step: &'static str,
+        /// The file or folder.
+        path: PathBuf,
+        /// The error of the operating system.
+        source: io::Error,
+    },
+    /// A file is corrupted.
+    #[snafu(display("{} is damaged at byte {offset}: {what}", path.display()))]
+    Damaged {
+        /// The file.
+        path: PathBuf,
+        /// Offset of the frame, in bytes.
+        offset: usize,
+        /// The check that failed.
+        what: &'static str,
+    },
+}
+
+impl From<JournalError> for DaemonError {
+    fn from(error: JournalError) -> Self {
+        Self::Storage {
+            source: Box::new(error),
+        }
+    }
+}
+
+impl JournalError {
+    /// Returns whether the disk is full. Nothing that was saved before is lost, and the write
+    /// may be retried.
+    pub fn is_full(&self) -> bool {
+        match self {
+            Self::Io { source, .. } => source.kind() == io::ErrorKind::StorageFull,
+            Self::Damaged { .. } => false,
+        }
+    }
+}
+
+pub(super) type Result<T> = std::result::Result<T, JournalError>;
+
+pub(super) fn damage_error<T>(path: &Path, offset: usize, what: &'static str) -> Result<T> {
+    Err(JournalError::Damaged {
+        path: path.to_owned(),
+        offset,
+        what,
+    })
+}
--- a/src/control/log_writer.rs
+++ b/src/control/log_writer.rs
@@ -7,7 +7,7 @@
 use crate::clock;
 use crate::consensus::raft::DiskRecord;
 use crate::consensus::write_queue::WriteBatch;
-use crate::control::journal::{DiskJournal, JournalError, WriteCheck};
+use crate::control::journal::{DiskCheck, DiskJournal, JournalError};
 use crate::ids::NodeId;
 use crate::process::daemon;
 
@@ -56,11 +56,11 @@
         self.node
     }
 
-    /// Installs a check before each write, for tests of failing disks. Has no effect once the
+    /// Installs a check before each call on the disk, for tests of failing disks. Has no effect once the
     /// thread is started.
-    pub fn set_write_check(&mut self, check: WriteCheck) {
+    pub fn set_disk_check(&mut self, disk_check: DiskCheck) {
         if let Some(journal) = &mut self.journal {
-            journal.set_write_check(check);
+            journal.set_disk_check(disk_check);
         }
     }
 
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -15,7 +15,7 @@
 use crate::consensus::write_queue::{ReleasedOutput, WriteQueue};
 use crate::control::bootstrap;
 use crate::control::event::{ControlEvent, ReplySender, SendPermit};
-use crate::control::journal::{DiskJournal, JournalError, WriteCheck};
+use crate::control::journal::{DiskCheck, DiskJournal, JournalError};
 use crate::control::log_writer::{LogWriter, WriteProgress};
 use crate::control::outbox::PeerOutbox;
 use crate::control::stall_monitor::StallMonitor;
@@ -213,9 +213,9 @@
         self.orders = Some(orders);
     }
 
-    /// Installs a check before each write to the disk, for tests of failing disks.
-    pub fn set_write_check(&mut self, check: WriteCheck) {
-        self.writer.set_write_check(check);
+    /// Installs a check before each call on the disk, for tests of failing disks.
+    pub fn set_disk_check(&mut self, disk_check: DiskCheck) {
+        self.writer.set_disk_check(disk_check);
     }
 
     /// Returns the identity of this voter's disk.
--- a/tests/full_disk.rs
+++ b/tests/full_disk.rs
@@ -11,7 +11,7 @@
 use dunlinspring::consensus::state::{Command, ConfigureResult, Reply};
 use dunlinspring::control::bootstrap;
 use dunlinspring::control::event::{ControlEvent, ControlHandle};
-use dunlinspring::control::journal::JournalError;
+use dunlinspring::control::journal::{DiskCall, JournalError};
 use dunlinspring::control::voter::ControlLoop;
 use dunlinspring::ids::{HallName, HostName};
 use dunlinspring::process::settings::{CommonSettings, ControlSettings, VoterSettings};
@@ -94,12 +94,11 @@
     let mut voter = ControlLoop::open(settings).unwrap();
     let full = Arc::new(AtomicU32::new(0));
     let left = full.clone();
-    voter.set_write_check(Box::new(move |_| {
-        let refuse = left.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| n.checked_sub(1));
-        match refuse {
-            Ok(_) => Err(ErrorKind::StorageFull.into()),
-            Err(_) => Ok(()),
-        }
+    let refuse =
+        move || left.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| n.checked_sub(1));
+    voter.set_disk_check(Arc::new(move |call| match call {
+        DiskCall::Append(..) if refuse().is_ok() => Err(ErrorKind::StorageFull.into()),
+        _ => Ok(()),
     }));
     let voter = start(voter);
     let held = Reply::Configured(ConfigureResult::Held);
@@ -119,8 +118,10 @@
     let slow = Duration::from_millis(3 * settings.timing.election_ms);
     bootstrap::bootstrap(&settings).unwrap();
     let mut voter = ControlLoop::open(settings).unwrap();
-    voter.set_write_check(Box::new(move |_| {
-        thread::sleep(slow);
+    voter.set_disk_check(Arc::new(move |call| {
+        if let DiskCall::Append(..) = call {
+            thread::sleep(slow);
+        }
         Ok(())
     }));
     let voter = start(voter);
--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -3,11 +3,13 @@
 use std::fs;
 use std::io::ErrorKind;
 use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use dunlinspring::consensus::raft::{
     DiskImage, DiskRecord, LogEntry, LogMark, LogSnapshot, Payload,
 };
-use dunlinspring::control::journal::{self, DiskJournal};
+use dunlinspring::control::journal::{self, DiskCall, DiskJournal};
 use dunlinspring::ids::{HostName, NodeId, Position, Term};
 use dunlinspring::process::settings::VoterSettings;
 use tempfile::TempDir;
@@ -180,13 +182,12 @@
         DiskRecord::Append(entry(5)),
     ];
     for refused in 0..records.len() {
-        let mut writes = 0;
-        journal.set_write_check(Box::new(move |_| {
-            writes += 1;
-            match writes > 1 {
-                true => Ok(()),
-                false => Err(ErrorKind::StorageFull.into()),
+        let full = AtomicBool::new(true);
+        journal.set_disk_check(Arc::new(move |call| match call {
+            DiskCall::Append(..) if full.swap(false, Ordering::SeqCst) => {
+                Err(ErrorKind::StorageFull.into())
             }
+            _ => Ok(()),
         }));
         let left = &records[refused..];
         assert!(journal.save_prefix(left).unwrap_err().is_full());
