--- a/src/control/journal/data_folder.rs
+++ b/src/control/journal/data_folder.rs
@@ -173,6 +173,17 @@
         &self,
         name: &str,
         write: impl FnOnce(&mut BufWriter<DataFile>) -> io::Result<()>,
+    ) -> Result<()> {
+        self.replace_unsynced(name, write)?;
+        self.sync()
+    }
+
+    /// Replaces a file by one whose content is synced. A loss of power may undo this until the
+    /// folder is synced.
+    pub(super) fn replace_unsynced(
+        &self,
+        name: &str,
+        write: impl FnOnce(&mut BufWriter<DataFile>) -> io::Result<()>,
     ) -> Result<()> {
         let temp_name = format!("{name}.new");
         let file = self.create(&temp_name)?;
@@ -184,8 +195,7 @@
             path: &file.path,
         })?;
         file.sync()?;
-        self.rename(&temp_name, name)?;
-        self.sync()
+        self.rename(&temp_name, name)
     }
 
     pub(super) fn rename(&self, from: &str, to: &str) -> Result<()> {
--- a/src/control/journal/mod.rs
+++ b/src/control/journal/mod.rs
@@ -234,7 +234,7 @@
         })?;
         let mut rewritten = kept.clone().rewritten(&vote, &commit);
         let mark = sync_mark(rewritten.len);
-        self.folder.replace(LOG_FILE, |writer| {
+        self.folder.replace_unsynced(LOG_FILE, |writer| {
             write_frame(writer, &vote)?;
             for frame in &kept.frames {
                 copy_frame(&mut old_log, frame, writer)?;
@@ -243,10 +243,11 @@
             // The file replaces the log only after it was synced.
             write_frame(writer, &mark)
         })?;
+        // The new file is the log from here on, even if the folder cannot be synced yet.
         self.log = self.folder.open_append(LOG_FILE)?;
         rewritten.add(&mark);
         self.contents = rewritten;
-        Ok(())
+        self.folder.sync()
     }
 }
 
--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -198,6 +198,42 @@
     }
 }
 
+/// The retry read the entries of the new log at their places in the old one, and wrote what stood
+/// there, or appended to the file that had lost its name.
+#[test]
+fn a_snapshot_is_installed_again_after_a_full_disk_refused_to_sync_its_folder() {
+    let folder = TempDir::new().unwrap();
+    let mut image = saved(folder.path(), 6);
+    let (mut journal, _) = DiskJournal::open(folder.path(), None).unwrap();
+    let install = DiskRecord::Install(LogSnapshot {
+        last: entry(4).mark,
+        voters: [NodeId(7)].into(),
+        state: vec![1, 2, 3].into(),
+    });
+    let renamed = AtomicBool::new(false);
+    let refused = Arc::new(AtomicBool::new(false));
+    let refused_sync = refused.clone();
+    journal.set_disk_check(Arc::new(move |call| match call {
+        DiskCall::Rename(_, to) if to.ends_with("log") => {
+            renamed.store(true, Ordering::SeqCst);
+            Ok(())
+        }
+        DiskCall::SyncFolder(_) if renamed.swap(false, Ordering::SeqCst) => {
+            match refused_sync.swap(true, Ordering::SeqCst) {
+                true => Ok(()),
+                false => Err(ErrorKind::StorageFull.into()),
+            }
+        }
+        _ => Ok(()),
+    }));
+    let records = [install, DiskRecord::Append(entry(7))];
+    assert!(journal.save(&records).unwrap_err().is_full());
+    assert!(refused.load(Ordering::SeqCst));
+    journal.save(&records).unwrap();
+    records.into_iter().for_each(|record| image.apply(record));
+    assert_eq!(reopened(folder.path()), image);
+}
+
 #[test]
 fn a_new_folder_gets_an_identity_of_its_own_and_keeps_it() {
     let (one, two) = (TempDir::new().unwrap(), TempDir::new().unwrap());
