A data folder that its process was killed in making is synced by the next start

What callers saw: nothing so far; found by a model of the disk. A control host is killed (not without power) at its first start, between creating its data folder and syncing the folder above. It starts again, votes and acknowledges changes. The next loss of power takes the whole folder: the host comes back without its vote and its log. If its settings still ask for a first start it founds its site once more, under the identity of its name, and may vote a second time in a term; else it is a disk lost that nobody counts.

Each open syncs the log and the folder before it is used.

Fix: each folder is synced right after it is made, before the next one, so that one at most is not; and each start syncs the last one that it finds.

--- a/src/control/journal/data_folder.rs
+++ b/src/control/journal/data_folder.rs
@@ -92,24 +92,31 @@
         }
     }
 
-    /// Creates the folder and syncs its parents. Without the sync, the folder could be missing after
-    /// a power loss, and its host would pass for one with a new disk although it had acknowledged
-    /// entries.
+    /// Creates the folder and syncs the names of all folders that it creates, and of the last one that
+    /// exists: an earlier process may have ended between creating and syncing it. Without the sync,
+    /// the folder could be missing after a power loss, and its host would pass for one with a new
+    /// disk although it had acknowledged entries.
     pub(super) fn make(&self) -> Result<()> {
         let is_missing = |path: &&Path| !path.as_os_str().is_empty() && !path.exists();
-        let created = self.path.ancestors().take_while(is_missing);
-        let created: Vec<&Path> = created.collect();
-        for folder in created.iter().rev() {
+        let missing = self.path.ancestors().take_while(is_missing);
+        let missing: Vec<&Path> = missing.collect();
+        let existing = self.path.ancestors().nth(missing.len());
+        match existing
+            .and_then(Path::parent)
+            .map(|up| self.sync_names(up))
+        {
+            // A folder that this user may not list is not one in which it creates others.
+            Some(Err(error)) if !error.is_permission_denied() => return Err(error),
+            _ => {}
+        }
+        for folder in missing.into_iter().rev() {
             let made = self.check(DiskCall::MakeFolder(folder));
             made.and_then(|()| fs::create_dir_all(folder))
                 .context(IoSnafu {
                     step: "create",
-                    path: *folder,
+                    path: folder,
                 })?;
-        }
-        let parents = created.into_iter().filter_map(Path::parent);
-        for parent in parents {
-            self.sync_names(parent)?;
+            self.sync_names(folder.parent().unwrap_or(folder))?;
         }
         Ok(())
     }
--- a/src/control/journal/error.rs
+++ b/src/control/journal/error.rs
@@ -50,6 +50,13 @@
             Self::Damaged { .. } => false,
         }
     }
+
+    pub(super) fn is_permission_denied(&self) -> bool {
+        match self {
+            Self::Io { source, .. } => source.kind() == io::ErrorKind::PermissionDenied,
+            Self::Damaged { .. } => false,
+        }
+    }
 }
 
 pub(super) type Result<T> = std::result::Result<T, JournalError>;
--- /dev/null
+++ b/tests/support_disk/mod.rs
@@ -0,0 +1,348 @@
+//! A disk that knows what was synced, and draws what a loss of power leaves.
+//!
+//! It follows the calls on a data folder below a root. Whatever was not synced is there, missing or
+//! torn afterwards: each write, each change of a length, and each name that was made, renamed or
+//! removed since the last sync of its folder.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+
+use dunlinspring::control::journal::{DataFolder, DiskCall};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// Units in which a disk keeps or loses bytes: a sector, a page, a large page, a write of a large
+/// record.
+const UNIT_BYTES: [usize; 4] = [512, 4_096, 16_384, 64 * 1024];
+
+/// Number of a file or folder, which keeps it when it is renamed.
+type NodeNumber = usize;
+
+#[derive(Clone, Debug)]
+enum FileChange {
+    Written { offset: usize, bytes: Vec<u8> },
+    Truncated(usize),
+}
+
+/// A file, or a folder, whose names stand in [`DiskModel`].
+#[derive(Clone, Debug, Default)]
+struct DiskNode {
+    is_folder: bool,
+    synced: Vec<u8>,
+    unsynced: Vec<FileChange>,
+}
+
+#[derive(Clone, Debug)]
+enum NameChange {
+    Added(PathBuf, NodeNumber),
+    Renamed(PathBuf, PathBuf, NodeNumber),
+    Removed(PathBuf),
+}
+
+impl NameChange {
+    fn folder(&self) -> Option<&Path> {
+        match self {
+            Self::Added(path, _) | Self::Renamed(path, _, _) | Self::Removed(path) => path.parent(),
+        }
+    }
+
+    fn apply(&self, names: &mut BTreeMap<PathBuf, NodeNumber>) {
+        match self {
+            Self::Added(path, node) => {
+                names.insert(path.clone(), *node);
+            }
+            Self::Renamed(from, to, node) => {
+                names.remove(from);
+                names.insert(to.clone(), *node);
+            }
+            Self::Removed(path) => {
+                names.remove(path);
+            }
+        }
+    }
+}
+
+fn apply_change(bytes: &mut Vec<u8>, change: &FileChange) {
+    match change {
+        FileChange::Written {
+            offset,
+            bytes: written,
+        } => {
+            let end = offset + written.len();
+            if bytes.len() < end {
+                bytes.resize(end, 0);
+            }
+            bytes[*offset..end].copy_from_slice(written);
+        }
+        FileChange::Truncated(len) => bytes.truncate(*len),
+    }
+}
+
+impl DiskNode {
+    fn bytes(&self) -> Vec<u8> {
+        let mut bytes = self.synced.clone();
+        let changes = self.unsynced.iter();
+        changes.for_each(|change| apply_change(&mut bytes, change));
+        bytes
+    }
+
+    /// Returns what a loss of power may leave.
+    fn after_power_loss(&self, random: &mut SmallRng) -> Vec<u8> {
+        let kept_fraction = draw_fraction(random);
+        let unit = UNIT_BYTES[random.random_range(0..UNIT_BYTES.len())];
+        let mut bytes = self.synced.clone();
+        for change in &self.unsynced {
+            match change {
+                _ if random.random_bool(kept_fraction) => apply_change(&mut bytes, change),
+                FileChange::Written {
+                    offset,
+                    bytes: written,
+                } if random.random_bool(0.5) => tear(&mut bytes, *offset, written, unit, random),
+                _ => {}
+            }
+        }
+        // A length may reach the disk without the bytes.
+        let len = self.bytes().len();
+        if bytes.len() < len && random.random_bool(0.3) {
+            bytes.resize(len, 0);
+        }
+        bytes
+    }
+}
+
+/// Applies a part of the units of a write.
+fn tear(bytes: &mut Vec<u8>, offset: usize, written: &[u8], unit: usize, random: &mut SmallRng) {
+    let end = offset + written.len();
+    let mut at = offset;
+    while at < end {
+        let unit_end = ((at / unit + 1) * unit).min(end);
+        let mut part = written[at - offset..unit_end - offset].to_vec();
+        let kind = random.random_range(0..4);
+        match kind {
+            0 => random.fill(&mut part[..]),
+            1 => part.fill(0),
+            _ => {}
+        }
+        if kind < 3 {
+            let change = FileChange::Written {
+                offset: at,
+                bytes: part,
+            };
+            apply_change(bytes, &change);
+        }
+        at = unit_end;
+    }
+}
+
+/// All, none or some of the unsynced changes are kept.
+fn draw_fraction(random: &mut SmallRng) -> f64 {
+    match random.random_range(0..6) {
+        0 => 0.0,
+        1 => 1.0,
+        _ => random.random_range(0.0..1.0),
+    }
+}
+
+/// What the disk does with the next calls.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DiskPlan {
+    /// Number of calls until the process is killed, if it is.
+    pub calls_left: Option<u64>,
+    /// Probability that a call that needs room finds the disk full.
+    pub full: f64,
+}
+
+/// The state of a disk, and of what it will do.
+#[derive(Debug)]
+pub struct DiskModel {
+    root: PathBuf,
+    nodes: Vec<DiskNode>,
+    names: BTreeMap<PathBuf, NodeNumber>,
+    synced_names: BTreeMap<PathBuf, NodeNumber>,
+    unsynced_names: Vec<NameChange>,
+    plan: DiskPlan,
+    random: SmallRng,
+}
+
+pub type SharedDisk = Arc<Mutex<DiskModel>>;
+
+impl DiskModel {
+    /// Returns a disk whose files stand in an empty folder.
+    pub fn shared(root: &Path, seed: u64) -> SharedDisk {
+        let root = root.to_owned();
+        Arc::new(Mutex::new(Self {
+            nodes: Vec::new(),
+            names: BTreeMap::new(),
+            synced_names: BTreeMap::new(),
+            unsynced_names: Vec::new(),
+            plan: DiskPlan::default(),
+            random: SmallRng::seed_from_u64(seed),
+            root,
+        }))
+    }
+
+    pub fn set_plan(&mut self, plan: DiskPlan) {
+        self.plan = plan;
+    }
+
+    /// Returns whether the process has been killed by the plan.
+    pub fn is_killed(&self) -> bool {
+        self.plan.calls_left == Some(0)
+    }
+
+    fn add(&mut self, path: &Path, is_folder: bool) {
+        let node = DiskNode {
+            is_folder,
+            ..DiskNode::default()
+        };
+        self.nodes.push(node);
+        self.rename(NameChange::Added(path.to_owned(), self.nodes.len() - 1));
+    }
+
+    fn rename(&mut self, change: NameChange) {
+        change.apply(&mut self.names);
+        self.unsynced_names.push(change);
+    }
+
+    fn node(&mut self, path: &Path) -> &mut DiskNode {
+        let number = self.names[path];
+        &mut self.nodes[number]
+    }
+
+    fn on_call(&mut self, call: DiskCall<'_>) -> io::Result<()> {
+        match &mut self.plan.calls_left {
+            Some(0) => return Err(io::Error::other("the process was killed")),
+            Some(left) => *left -= 1,
+            None => {}
+        }
+        if self.is_killed() {
+            return Err(io::Error::other("the process was killed"));
+        }
+        let needs_room = !matches!(call, DiskCall::SetLen(..) | DiskCall::Remove(_));
+        if needs_room && self.random.random_bool(self.plan.full) {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        match call {
+            DiskCall::MakeFolder(path) => self.add(path, true),
+            DiskCall::Create(path) if self.names.contains_key(path) => {
+                self.node(path).unsynced.push(FileChange::Truncated(0));
+            }
+            DiskCall::Create(path) => self.add(path, false),
+            DiskCall::Append(path, bytes) => {
+                let node = self.node(path);
+                let change = FileChange::Written {
+                    offset: node.bytes().len(),
+                    bytes: bytes.to_vec(),
+                };
+                node.unsynced.push(change);
+            }
+            DiskCall::SetLen(path, len) => {
+                let change = FileChange::Truncated(len as usize);
+                self.node(path).unsynced.push(change);
+            }
+            DiskCall::SyncFile(path) => {
+                let node = self.node(path);
+                node.synced = node.bytes();
+                node.unsynced.clear();
+            }
+            DiskCall::Rename(from, to) => {
+                let node = self.names[from];
+                self.rename(NameChange::Renamed(from.to_owned(), to.to_owned(), node));
+            }
+            DiskCall::Remove(path) => self.rename(NameChange::Removed(path.to_owned())),
+            DiskCall::SyncFolder(path) => {
+                let synced_names = &mut self.synced_names;
+                self.unsynced_names.retain(|change| {
+                    let stays = change.folder() != Some(path);
+                    if !stays {
+                        change.apply(synced_names);
+                    }
+                    stays
+                });
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the names below the root, those without a folder left out.
+    fn reachable(&self, names: &BTreeMap<PathBuf, NodeNumber>) -> Vec<(PathBuf, NodeNumber)> {
+        let has_folder = |path: &Path| {
+            let mut parents = path.ancestors().skip(1).take_while(|up| *up != self.root);
+            parents.all(|up| names.contains_key(up))
+        };
+        let reachable = names.iter().filter(|(path, _)| has_folder(path));
+        reachable
+            .map(|(path, node)| (path.clone(), *node))
+            .collect()
+    }
+
+    /// Checks that the files are what the calls have made of them: no call is missing.
+    pub fn check_files(&self) {
+        for (path, number) in self.reachable(&self.names) {
+            let node = &self.nodes[number];
+            if !node.is_folder {
+                assert_eq!(fs::read(&path).unwrap(), node.bytes(), "{}", path.display());
+            }
+        }
+    }
+
+    /// Leaves of the files what a loss of power may leave.
+    pub fn lose_power(&mut self) {
+        let kept_fraction = draw_fraction(&mut self.random);
+        let mut names = self.synced_names.clone();
+        for change in &self.unsynced_names {
+            if self.random.random_bool(kept_fraction) {
+                change.apply(&mut names);
+            }
+        }
+        let mut random = SmallRng::seed_from_u64(self.random.random());
+        self.restore(&names, |node| node.after_power_loss(&mut random));
+    }
+
+    /// Leaves of the files what was synced.
+    pub fn lose_unsynced(&mut self) {
+        let names = self.synced_names.clone();
+        self.restore(&names, |node| node.synced.clone());
+    }
+
+    fn restore(
+        &mut self,
+        names: &BTreeMap<PathBuf, NodeNumber>,
+        mut bytes_of: impl FnMut(&DiskNode) -> Vec<u8>,
+    ) {
+        for entry in fs::read_dir(&self.root).unwrap() {
+            let path = entry.unwrap().path();
+            match path.is_dir() {
+                true => fs::remove_dir_all(path).unwrap(),
+                false => fs::remove_file(path).unwrap(),
+            }
+        }
+        // A name whose folder is lost is lost with it.
+        let reachable = self.reachable(names);
+        self.names.clear();
+        for (path, number) in reachable {
+            let node = &mut self.nodes[number];
+            node.synced = bytes_of(node);
+            node.unsynced.clear();
+            match node.is_folder {
+                true => fs::create_dir(&path).unwrap(),
+                false => fs::write(&path, &node.synced).unwrap(),
+            }
+            self.names.insert(path, number);
+        }
+        self.synced_names = self.names.clone();
+        self.unsynced_names.clear();
+    }
+}
+
+/// Returns a data folder whose calls go to the disk.
+pub fn data_folder(path: &Path, disk: &SharedDisk) -> DataFolder {
+    let disk = disk.clone();
+    DataFolder::checked(
+        path,
+        Arc::new(move |call| disk.lock().unwrap().on_call(call)),
+    )
+}
