Control hosts can be started on a data folder whose calls are checked

So far a test could check the calls on the disk of a voter's thread, but not those that a control host makes before: its first start, the opening of its files, and setting damaged ones aside. ControlDaemon::start_in takes the folder with its check; the other starts use it. No call is changed.

--- a/src/control/bootstrap.rs
+++ b/src/control/bootstrap.rs
@@ -19,7 +19,7 @@
 use crate::consensus::paxos::{PaxosReply, PaxosRequest};
 use crate::consensus::raft::{DiskImage, DiskRecord};
 use crate::consensus::replica::LogReplica;
-use crate::control::journal::{self, DiskJournal, JournalError};
+use crate::control::journal::{DataFolder, DiskJournal, JournalError};
 use crate::ids::{HostName, NodeId};
 use crate::process::peers::{self, ControlLink};
 use crate::process::settings::{ControlSettings, VoterSettings};
@@ -48,16 +48,18 @@
 /// was lost.
 pub fn bootstrap(settings: &ControlSettings) -> Result<(), JournalError> {
     let configured = settings.common.control.iter();
-    init_voter(settings, configured.map(|voter| &voter.host))
+    let folder = DataFolder::from(&settings.data_folder);
+    init_voter(&folder, settings, configured.map(|voter| &voter.host))
 }
 
 /// Bootstraps the voter of this host in an empty data folder, as one of `founders`.
 pub fn init_voter<'a>(
+    folder: &DataFolder,
     settings: &ControlSettings,
     founders: impl Iterator<Item = &'a HostName>,
 ) -> Result<(), JournalError> {
     let own = voter_id(&settings.common.host);
-    let (mut journal, image) = DiskJournal::open(&settings.data_folder, Some(own))?;
+    let (mut journal, image) = DiskJournal::open(folder, Some(own))?;
     if image != DiskImage::default() {
         return Ok(());
     }
@@ -66,14 +68,6 @@
     journal.save(&[DiskRecord::Install(image.snapshot)])
 }
 
-/// Returns the hosts that were configured at this host's first start, if its process ended before
-/// it had bootstrapped the site or joined it. The disk has not voted then, under any identity.
-pub fn unfinished_first_start(
-    settings: &ControlSettings,
-) -> Result<Option<Vec<VoterSettings>>, JournalError> {
-    journal::unfinished_first_start(&settings.data_folder, voter_id(&settings.common.host))
-}
-
 /// Role of a host with a blank disk at the site's first start.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum InitialRole {
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -26,7 +26,7 @@
 use crate::consensus::state::{Command, EncodedCommand, Reply};
 use crate::control::bootstrap::{self, InitialRole};
 use crate::control::event::{ControlEvent, ControlHandle};
-use crate::control::journal::{self, JournalError};
+use crate::control::journal::{self, DataFolder, JournalError};
 use crate::control::origin_store::OriginStore;
 use crate::control::outbox::{self, OpenPeer, PeerOutbox};
 use crate::control::voter::ControlLoop;
@@ -92,6 +92,15 @@
     }
 }
 
+/// Whether a host starts with its site or after it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartKind {
+    /// The first start of the whole site.
+    First,
+    /// Any later start.
+    Later,
+}
+
 /// A running control daemon.
 pub struct ControlDaemon {
     /// Address for peers.
@@ -133,20 +142,32 @@
         settings: ControlSettings,
         secret: SiteSecret,
     ) -> Result<Self, DaemonError> {
-        let blank = journal::is_blank(&settings.data_folder);
-        let begun = unfinished_first_start(&settings)?;
-        if blank && begun.is_none() {
-            journal::begin_first_start(&settings.data_folder, &settings.common.control)?;
-        }
-        Self::start_on(listener, settings, secret).await
+        let folder = DataFolder::from(&settings.data_folder);
+        Self::start_in(folder, StartKind::First, listener, settings, secret).await
     }
 
     /// Starts on a listener that is already bound.
     pub async fn start_on(
+        listener: TcpListener,
+        settings: ControlSettings,
+        secret: SiteSecret,
+    ) -> Result<Self, DaemonError> {
+        let folder = DataFolder::from(&settings.data_folder);
+        Self::start_in(folder, StartKind::Later, listener, settings, secret).await
+    }
+
+    /// Starts on a listener that is already bound, with the data folder given, in place of that of
+    /// the settings.
+    pub async fn start_in(
+        folder: DataFolder,
+        kind: StartKind,
         listener: TcpListener,
         mut settings: ControlSettings,
         secret: SiteSecret,
     ) -> Result<Self, DaemonError> {
+        if kind == StartKind::First {
+            begin_first_start(&folder, &settings)?;
+        }
         let address = daemon::address_of("listen", &listener)?;
         let pool = Arc::new(PeerPool::new(secret.clone(), peers::dial_control));
         let (events, inbox) = std::sync::mpsc::channel();
@@ -154,8 +175,8 @@
         // The bootstrap hosts query each other before any of them has a log.
         serve(listener, secret.clone(), handle.clone());
         // Also resumes an interrupted first start, which only this disk still records.
-        if let Some(initial) = unfinished_first_start(&settings)? {
-            bootstrap_site(secret, &settings, &initial).await?;
+        if let Some(initial) = unfinished_first_start(&folder, &settings)? {
+            bootstrap_site(secret, &folder, &settings, &initial).await?;
             // Until there is a leader, the bootstrap hosts know each other only from these
             // names.
             let control = &mut settings.common.control;
@@ -163,8 +184,8 @@
             let others: Vec<VoterSettings> = others.collect();
             control.extend(others);
         }
-        let open = || ControlLoop::open(settings.clone());
-        let mut control = journal::set_aside_damage(&settings.data_folder, open)?;
+        let open = || ControlLoop::open_in(&folder, settings.clone());
+        let mut control = journal::set_aside_damage(&folder, open)?;
         let node = control.node();
         control.send_messages(open_outbox(&settings, node, &pool));
         let (orders, ordered) = mpsc::unbounded_channel();
@@ -283,15 +304,27 @@
 
 /// Returns the hosts of a first start that was interrupted.
 fn unfinished_first_start(
+    folder: &DataFolder,
     settings: &ControlSettings,
 ) -> Result<Option<Vec<VoterSettings>>, JournalError> {
-    let read = || bootstrap::unfinished_first_start(settings);
-    journal::set_aside_damage(&settings.data_folder, read)
+    let own = bootstrap::voter_id(&settings.common.host);
+    let read = || journal::unfinished_first_start(folder, own);
+    journal::set_aside_damage(folder, read)
+}
+
+/// Records that this host takes part in the first start, unless its disk has been in use.
+fn begin_first_start(folder: &DataFolder, settings: &ControlSettings) -> Result<(), JournalError> {
+    let is_blank = journal::is_blank(folder.path());
+    match unfinished_first_start(folder, settings)? {
+        None if is_blank => journal::begin_first_start(folder, &settings.common.control),
+        _ => Ok(()),
+    }
 }
 
 /// Takes part in the site's first start, with the hosts that were configured then.
 async fn bootstrap_site(
     secret: SiteSecret,
+    folder: &DataFolder,
     settings: &ControlSettings,
     configured: &[VoterSettings],
 ) -> Result<(), DaemonError> {
@@ -299,7 +332,7 @@
     let part = bootstrap::determine_role(&link, &settings.common.host, configured).await;
     tracing::info!(?part, "the site starts for the first time");
     match part {
-        InitialRole::Founds(hosts) => Ok(bootstrap::init_voter(settings, hosts.iter())?),
+        InitialRole::Founds(hosts) => Ok(bootstrap::init_voter(folder, settings, hosts.iter())?),
         InitialRole::Joins => Ok(()),
     }
 }
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -15,7 +15,7 @@
 use crate::consensus::write_queue::{ReleasedOutput, WriteQueue};
 use crate::control::bootstrap;
 use crate::control::event::{ControlEvent, ReplySender, SendPermit};
-use crate::control::journal::{DiskCheck, DiskJournal, JournalError};
+use crate::control::journal::{DataFolder, DiskCheck, DiskJournal, JournalError};
 use crate::control::log_writer::{LogWriter, WriteProgress};
 use crate::control::outbox::PeerOutbox;
 use crate::control::stall_monitor::StallMonitor;
@@ -147,9 +147,14 @@
 }
 
 impl ControlLoop {
-    /// Opens the data folder.
+    /// Opens the data folder of the settings.
     pub fn open(settings: ControlSettings) -> Result<Self, JournalError> {
-        let (journal, image) = DiskJournal::open(&settings.data_folder, None)?;
+        Self::open_in(&DataFolder::from(&settings.data_folder), settings)
+    }
+
+    /// Opens a data folder.
+    pub fn open_in(folder: &DataFolder, settings: ControlSettings) -> Result<Self, JournalError> {
+        let (journal, image) = DiskJournal::open(folder, None)?;
         let node = journal.identity().node;
         tracing::info!(
             %node,
