A control host that starts on a full disk waits for room

A control host whose disk is full when it starts for the first time, or when it sets damaged files aside, ended with "cannot write identity.new: no storage space", was started again, and ended again, for as long as the disk was full. A running voter waits instead.

Cause: the steps of the start passed the error of a full disk on; only the thread that writes the log retries.

Fix: the steps of the start that write (beginning the first start, setting aside, founding, opening) are repeated every 100 ms while the disk is full, with one line in the log. Each of them may be repeated: the model of tests/crash_states.rs ends them at any call and runs them again. Requests of other hosts are refused meanwhile and don't pile up.

a_host_whose_disk_is_full_at_its_first_start_waits_for_room and a_host_with_damaged_files_on_a_full_disk_waits_for_room fail on the code before (it ended at the first of three refused calls) and pass now.

Not changed: another error of the disk than a full one still ends the process.

--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::mpsc::Receiver;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -63,6 +64,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest time for which a stopping voter asks the leader to drop it.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Delay before a step of the start that found the disk full is tried again.
+const DISK_FULL_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Pause between two such requests.
 const LEAVE_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Maximum number of full snapshots in transit. After a power loss all members request one at
@@ -165,18 +168,22 @@
         mut settings: ControlSettings,
         secret: SiteSecret,
     ) -> Result<Self, DaemonError> {
-        if kind == StartKind::First {
-            begin_first_start(&folder, &settings)?;
-        }
         let address = daemon::address_of("listen", &listener)?;
         let pool = Arc::new(PeerPool::new(secret.clone(), peers::dial_control));
         let (events, inbox) = std::sync::mpsc::channel();
         let handle = ControlHandle(events);
         // The bootstrap hosts query each other before any of them has a log.
         serve(listener, secret.clone(), handle.clone());
+        if kind == StartKind::First {
+            await_room(&inbox, || begin_first_start(&folder, &settings)).await?;
+        }
         // Also resumes an interrupted first start, which only this disk still records.
-        if let Some(initial) = unfinished_first_start(&folder, &settings)? {
-            bootstrap_site(secret, &folder, &settings, &initial).await?;
+        let unfinished = || unfinished_first_start(&folder, &settings);
+        if let Some(initial) = await_room(&inbox, unfinished).await? {
+            if let InitialRole::Founds(hosts) = determine_role(secret, &settings, &initial).await {
+                let init_voter = || bootstrap::init_voter(&folder, &settings, hosts.iter());
+                await_room(&inbox, init_voter).await?;
+            }
             // Until there is a leader, the bootstrap hosts know each other only from these
             // names.
             let control = &mut settings.common.control;
@@ -185,7 +192,8 @@
             control.extend(others);
         }
         let open = || ControlLoop::open_in(&folder, settings.clone());
-        let mut control = journal::set_aside_damage(&folder, open)?;
+        let open = || journal::set_aside_damage(&folder, open);
+        let mut control = await_room(&inbox, open).await?;
         let node = control.node();
         control.send_messages(open_outbox(&settings, node, &pool));
         let (orders, ordered) = mpsc::unbounded_channel();
@@ -321,19 +329,36 @@
     }
 }
 
-/// Takes part in the site's first start, with the hosts that were configured then.
-async fn bootstrap_site(
+/// Returns this host's role in the site's first start, among the hosts that were configured then.
+async fn determine_role(
     secret: SiteSecret,
-    folder: &DataFolder,
     settings: &ControlSettings,
     configured: &[VoterSettings],
-) -> Result<(), DaemonError> {
+) -> InitialRole {
     let link = ControlLink::new(secret, Vec::new());
-    let part = bootstrap::determine_role(&link, &settings.common.host, configured).await;
-    tracing::info!(?part, "the site starts for the first time");
-    match part {
-        InitialRole::Founds(hosts) => Ok(bootstrap::init_voter(folder, settings, hosts.iter())?),
-        InitialRole::Joins => Ok(()),
+    let role = bootstrap::determine_role(&link, &settings.common.host, configured).await;
+    tracing::info!(?role, "the site starts for the first time");
+    role
+}
+
+/// Repeats a step of the start until the disk has room for it: a process that ended would find the
+/// same disk at its next start. Requests that come meanwhile are refused.
+async fn await_room<T>(
+    events: &Receiver<ControlEvent>,
+    step: impl Fn() -> Result<T, JournalError>,
+) -> Result<T, JournalError> {
+    let mut is_logged = false;
+    loop {
+        match step() {
+            Err(error) if error.is_full() && !is_logged => {
+                tracing::warn!(%error, "disk is full; the start waits for free space");
+                is_logged = true;
+            }
+            Err(error) if error.is_full() => {}
+            done => return done,
+        }
+        events.try_iter().for_each(drop);
+        tokio::time::sleep(DISK_FULL_RETRY_DELAY).await;
     }
 }
 
--- a/tests/full_disk.rs
+++ b/tests/full_disk.rs
@@ -1,7 +1,8 @@
-//! A voter whose disk is temporarily full, or slow.
+//! A voter whose disk is temporarily full, or slow, and control hosts that start on a full one.
 
+use std::fs;
 use std::io::ErrorKind;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread::{self, JoinHandle};
@@ -11,12 +12,17 @@
 use dunlinspring::consensus::state::{Command, ConfigureResult, Reply};
 use dunlinspring::control::bootstrap;
 use dunlinspring::control::event::{ControlEvent, ControlHandle};
-use dunlinspring::control::journal::{DiskCall, JournalError};
+use dunlinspring::control::journal::{DataFolder, DiskCall, JournalError};
+use dunlinspring::control::shell::{ControlDaemon, StartKind};
 use dunlinspring::control::voter::ControlLoop;
 use dunlinspring::ids::{HallName, HostName};
 use dunlinspring::process::settings::{CommonSettings, ControlSettings, VoterSettings};
 use dunlinspring::table::configuration::{Configuration, ConfigurationRecord};
 use tempfile::TempDir;
+use tokio::net::TcpListener;
+
+mod support_control;
+use support_control::{leader_of, listeners, secret, status_where};
 
 /// Number of writes that the disk refuses.
 const REFUSED_WRITES: u32 = 3;
@@ -130,3 +136,56 @@
     drop(voter.handle);
     voter.thread.join().unwrap().unwrap();
 }
+
+/// Returns a data folder on a full disk, and the number of calls that it refuses before it has room.
+fn full_folder(path: &Path) -> (DataFolder, Arc<AtomicU32>) {
+    let left = Arc::new(AtomicU32::new(REFUSED_WRITES));
+    let check_left = left.clone();
+    let refuse =
+        move || check_left.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| n.checked_sub(1));
+    let folder = DataFolder::checked(
+        path,
+        Arc::new(move |call| match call {
+            DiskCall::Create(_) | DiskCall::Append(..) if refuse().is_ok() => {
+                Err(ErrorKind::StorageFull.into())
+            }
+            _ => Ok(()),
+        }),
+    );
+    (folder, left)
+}
+
+/// Starts a control host on a disk that is full at first.
+async fn start_on_full_disk(path: &Path, kind: StartKind, listener: TcpListener) -> ControlDaemon {
+    let own = listener.local_addr().unwrap();
+    let (folder, left) = full_folder(&path.join(own.port().to_string()));
+    let settings = support_control::settings(path, own, &[own]);
+    let started = ControlDaemon::start_in(folder, kind, listener, settings, secret()).await;
+    assert_eq!(left.load(Ordering::SeqCst), 0, "the disk was not full");
+    started.unwrap()
+}
+
+/// It ended at each start while the disk was full.
+#[ntex::test]
+async fn a_host_whose_disk_is_full_at_its_first_start_waits_for_room() {
+    let folder = TempDir::new().unwrap();
+    let (listener, _) = listeners(1).await.remove(0);
+    let daemon = start_on_full_disk(folder.path(), StartKind::First, listener).await;
+    leader_of(std::slice::from_ref(&daemon)).await;
+    daemon.stop().await;
+}
+
+/// Setting damaged files aside needs room: the host ended at each start while the disk was full.
+#[ntex::test]
+async fn a_host_with_damaged_files_on_a_full_disk_waits_for_room() {
+    let folder = TempDir::new().unwrap();
+    let (listener, own) = listeners(1).await.remove(0);
+    let settings = support_control::settings(folder.path(), own, &[own]);
+    bootstrap::bootstrap(&settings).unwrap();
+    fs::write(settings.data_folder.join("snapshot"), "damaged").unwrap();
+    let daemon = start_on_full_disk(folder.path(), StartKind::Later, listener).await;
+    let enrols = status_where(&daemon, "a new disk", |status| status.voters.is_empty());
+    enrols.await;
+    assert!(settings.data_folder.join("snapshot.damaged").exists());
+    daemon.stop().await;
+}
