A control host whose voter panics ends with an error

What callers saw: a control host whose voter panicked ended with status 0, as after a planned stop, and its log didn't say that it ended by itself.

Cause: the end of the voter's thread is reported through a channel, and a channel that was closed without a report was taken for an end without an error.

Fix: such an end is the error "thread voter panicked"; the daemons log it and end with status 1 like after a failed disk.

a_voter_that_panics_ends_its_process_with_an_error fails on the code before (Ok(()) in place of the error) and passes now.

--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -264,9 +264,10 @@
         status(&self.handle).await
     }
 
-    /// Waits until the voter's thread ends by itself because its disk failed.
+    /// Waits until the voter's thread ends by itself because its disk failed or it panicked.
     pub async fn ended(&mut self) -> Result<(), DaemonError> {
-        (&mut self.ended).await.unwrap_or(Ok(()))
+        let ended = (&mut self.ended).await;
+        ended.unwrap_or(Err(DaemonError::ThreadPanicked { thread: "voter" }))
     }
 
     /// Hands over the leadership, leaves the voters if they can spare this one, and stops.
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -66,6 +66,12 @@
         /// The error of the operating system.
         source: std::io::Error,
     },
+    /// A thread that the daemon cannot do without panicked.
+    #[snafu(display("thread {thread} panicked"))]
+    ThreadPanicked {
+        /// The name of the thread.
+        thread: &'static str,
+    },
     /// No control host can be reached.
     #[snafu(display("{source}"), context(false))]
     Peer {
--- a/tests/full_disk.rs
+++ b/tests/full_disk.rs
@@ -1,4 +1,4 @@
-//! A voter whose disk is temporarily full, or slow, and control hosts that start on a full one.
+//! Control hosts whose disk is temporarily full, or slow, and one whose thread panics at it.
 
 use std::fs;
 use std::io::ErrorKind;
@@ -189,3 +189,22 @@
     assert!(settings.data_folder.join("snapshot.damaged").exists());
     daemon.stop().await;
 }
+
+/// Its process ended with status 0, as after a planned stop.
+#[ntex::test]
+async fn a_voter_that_panics_ends_its_process_with_an_error() {
+    let folder = TempDir::new().unwrap();
+    let (listener, own) = listeners(1).await.remove(0);
+    let settings = support_control::settings(folder.path(), own, &[own]);
+    bootstrap::bootstrap(&settings).unwrap();
+    let check = |call: DiskCall<'_>| match call {
+        DiskCall::Append(..) => panic!("a test"),
+        _ => Ok(()),
+    };
+    let path = settings.data_folder.clone();
+    let folder = DataFolder::checked(&path, Arc::new(check));
+    let started = ControlDaemon::start_in(folder, StartKind::Later, listener, settings, secret());
+    let mut daemon = started.await.unwrap();
+    let error = daemon.ended().await.unwrap_err();
+    assert_eq!(error.to_string(), "thread voter panicked");
+}
