Damaged files are set aside whole, whatever is lost on the way: a test

Power is lost at each of the calls by which damaged files are set aside, and the host starts again: it never votes under its former identity, and the log and the identity that an operator needs are kept as they were.

The check of a call is shown a sync once it is done, no longer before, so that what a process has synced is known from outside too.

--- a/src/control/journal/data_folder.rs
+++ b/src/control/journal/data_folder.rs
@@ -10,7 +10,7 @@
 use super::error::{IoSnafu, Result};
 use super::frames::BUFFER_BYTES;
 
-/// A call that changes the data folder or syncs a change.
+/// A call that changes the data folder, before it is made, or a sync, once it is done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DiskCall<'a> {
     /// Creates a folder whose parent exists.
@@ -31,7 +31,7 @@
     SyncFolder(&'a Path),
 }
 
-/// Called before each call on the disk; its error is handled like an error of the disk.
+/// Is shown each call on the disk; its error is handled like an error of the disk.
 pub type DiskCheck = Arc<dyn Fn(DiskCall<'_>) -> io::Result<()> + Send + Sync>;
 
 /// A data folder and the check of its calls, if there is one.
@@ -129,8 +129,8 @@
     fn sync_names(&self, folder: &Path) -> Result<()> {
         let is_relative = folder.as_os_str().is_empty();
         let path = if is_relative { Path::new(".") } else { folder };
-        let synced = self.check(DiskCall::SyncFolder(path));
-        let synced = synced.and_then(|()| File::open(path)?.sync_all());
+        let synced = File::open(path).and_then(|handle| handle.sync_all());
+        let synced = synced.and_then(|()| self.check(DiskCall::SyncFolder(path)));
         synced.context(IoSnafu { step: "sync", path })
     }
 
@@ -257,8 +257,8 @@
 
     /// Syncs the content and the length.
     pub(super) fn sync(&self) -> Result<()> {
-        let synced = self.check(DiskCall::SyncFile(&self.path));
-        let synced = synced.and_then(|()| self.file.sync_data());
+        let synced = self.file.sync_data();
+        let synced = synced.and_then(|()| self.check(DiskCall::SyncFile(&self.path)));
         synced.context(IoSnafu {
             step: "sync",
             path: &self.path,
--- a/src/control/journal/mod.rs
+++ b/src/control/journal/mod.rs
@@ -154,7 +154,7 @@
         self.contents.len
     }
 
-    /// Installs a check before each call on the disk, for tests of failing disks.
+    /// Installs a check of each call on the disk, for tests of failing disks.
     pub fn set_disk_check(&mut self, disk_check: DiskCheck) {
         self.folder.set_check(disk_check.clone());
         self.log.set_check(disk_check);
--- a/src/control/log_writer.rs
+++ b/src/control/log_writer.rs
@@ -56,7 +56,7 @@
         self.node
     }
 
-    /// Installs a check before each call on the disk, for tests of failing disks. Has no effect once the
+    /// Installs a check of each call on the disk, for tests of failing disks. Has no effect once the
     /// thread is started.
     pub fn set_disk_check(&mut self, disk_check: DiskCheck) {
         if let Some(journal) = &mut self.journal {
--- a/src/control/voter.rs
+++ b/src/control/voter.rs
@@ -218,7 +218,7 @@
         self.orders = Some(orders);
     }
 
-    /// Installs a check before each call on the disk, for tests of failing disks.
+    /// Installs a check of each call on the disk, for tests of failing disks.
     pub fn set_disk_check(&mut self, disk_check: DiskCheck) {
         self.writer.set_disk_check(disk_check);
     }
--- a/tests/crash_states.rs
+++ b/tests/crash_states.rs
@@ -3,6 +3,7 @@
 //!
 //! `DUNLINSPRING_CASES` sets the number of histories and `DUNLINSPRING_SEED` the first seed.
 
+use std::fs;
 use std::path::PathBuf;
 
 use dunlinspring::consensus::raft::{
@@ -14,6 +15,7 @@
 use rand::{Rng, SeedableRng};
 use tempfile::TempDir;
 
+#[allow(dead_code, reason = "for calls that another process records")]
 mod support_disk;
 use support_disk::{DiskModel, DiskPlan, SharedDisk, data_folder};
 
@@ -270,3 +272,51 @@
         history.start().unwrap();
     }
 }
+
+/// Calls within which damaged files are set aside and the folder is opened.
+const SET_ASIDE_CALLS: u64 = 30;
+
+/// Whatever is lost on the way, the host votes under another identity, and what an operator needs
+/// to restore its state is kept.
+#[test]
+fn damaged_files_are_set_aside_whole_if_power_is_lost_at_any_call() {
+    for killed_at in 1..=SET_ASIDE_CALLS {
+        for seed in 0..6 {
+            let case = format!("killed at call {killed_at}, seed {seed}");
+            let root = TempDir::new().unwrap();
+            let mut history = history(seed, &root);
+            let mut journal = history.start().unwrap();
+            let vote = DiskRecord::Vote(Term(3), Some(BOOTSTRAP_NODE));
+            journal.save(&[vote]).unwrap();
+            journal.close().unwrap();
+            let path = |name: &str| history.folder.path().join(name);
+            let files = ["log", "identity"].map(|name| fs::read(path(name)).unwrap());
+            history.disk.lock().unwrap().damage(&path("log"), 5);
+            let open = || {
+                let opened = || {
+                    journal::unfinished_first_start(&history.folder, BOOTSTRAP_NODE)?;
+                    DiskJournal::open(&history.folder, None)
+                };
+                journal::set_aside_damage(&history.folder, opened)
+            };
+            let plan = DiskPlan {
+                calls_left: Some(killed_at),
+                full: 0.0,
+            };
+            history.disk.lock().unwrap().set_plan(plan);
+            let _ = open();
+            history.disk.lock().unwrap().set_plan(DiskPlan::default());
+            history.disk.lock().unwrap().lose_power();
+            let (journal, image) = open().unwrap();
+            assert_ne!(journal.identity().node, BOOTSTRAP_NODE, "{case}");
+            assert_eq!(image.vote, DiskImage::default().vote, "{case}");
+            let unfinished = journal::unfinished_first_start(&history.folder, BOOTSTRAP_NODE);
+            assert_eq!(unfinished.unwrap(), None, "{case}");
+            let mut kept_log = fs::read(path("log.damaged")).unwrap();
+            kept_log[5] ^= 0x10;
+            assert_eq!(kept_log, files[0], "{case}");
+            let kept_identity = fs::read(path("identity.damaged"));
+            assert_eq!(kept_identity.unwrap(), files[1], "{case}");
+        }
+    }
+}
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -164,3 +164,12 @@
 mutant silent-replica-believed src/forward/request/crashes.rs 's/Some\(false\) => \{/Some(false) if false => {/; s/None => \{\n                self\.log\.note\("not known whether the response is complete"\);\n                false/_ => {\n                true/' forwarding leaving_replica_that_ended
 mutant empty-success-believed src/forward/request/crashes.rs 's/Some\(true\) if is_success && is_empty/Some(true) if false \&\& is_success \&\& is_empty/' forwarding a_success_without_length
 mutant rejected-events-counted src/forward/request/continuing.rs 's/if may_pass \{/if may_pass || true {/' forwarding a_stream_begins_elsewhere_if
+power=what_a_voter_knew_outlives_kills_and_losses_of_power_at_any_call
+mutant batch-not-synced src/control/journal/mod.rs 's/        self\.log\.sync\(\)\n    \}/        Ok(())\n    }/' crash_states $power
+mutant replaced-name-not-synced src/control/journal/data_folder.rs 's/self\.replace_unsynced\(name, write\)\?;\n        self\.sync\(\)/self.replace_unsynced(name, write)/' crash_states $power
+mutant replacement-not-synced src/control/journal/data_folder.rs 's/        file\.sync\(\)\?;\n        self\.rename/        self.rename/' crash_states $power
+mutant opened-log-not-synced src/control/journal/mod.rs 's/        log\.sync\(\)\?;\n//' crash_states $power
+mutant opened-folder-not-synced src/control/journal/mod.rs 's/        folder\.sync\(\)\?;\n        let mut journal/        let mut journal/' crash_states $power
+mutant found-folder-not-synced src/control/journal/data_folder.rs 's/match existing.*?sync_names\(up\)\)/match None::<Result<()>>/s' crash_states $power
+mutant torn-tail-is-damage src/control/journal/mod.rs 's/if has_sync_mark\(path, reader\.offset\)\? \{/if true {/' crash_states $power
+mutant old-log-kept-at-install src/control/journal/mod.rs 's/        self\.folder\.sync\(\)\n    \}\n\}\n\n\/\/\/ Place/        Ok(())\n    }\n}\n\n\/\/\/ Place/' crash_states $power
--- a/tests/support_disk/mod.rs
+++ b/tests/support_disk/mod.rs
@@ -212,7 +212,8 @@
         &mut self.nodes[number]
     }
 
-    fn on_call(&mut self, call: DiskCall<'_>) -> io::Result<()> {
+    /// Follows a call, or refuses it as planned.
+    pub fn on_call(&mut self, call: DiskCall<'_>) -> io::Result<()> {
         match &mut self.plan.calls_left {
             Some(0) => return Err(io::Error::other("the process was killed")),
             Some(left) => *left -= 1,
@@ -279,6 +280,66 @@
             .collect()
     }
 
+    /// Changes a byte that was synced.
+    pub fn damage(&mut self, path: &Path, at: usize) {
+        let node = self.node(path);
+        node.synced[at] ^= 0x10;
+        fs::write(path, node.bytes()).unwrap();
+    }
+
+    /// Returns whether the last call of a killed process was made, as far as that makes a difference.
+    pub fn was_made(&self, call: DiskCall<'_>) -> bool {
+        let len = |path: &Path| fs::metadata(path).map_or(0, |data| data.len());
+        match call {
+            DiskCall::Create(path) if self.names.contains_key(path) => len(path) == 0,
+            DiskCall::Create(path) | DiskCall::MakeFolder(path) => path.exists(),
+            DiskCall::SetLen(path, kept) => len(path) == kept,
+            DiskCall::Rename(from, _) => !from.exists(),
+            DiskCall::Remove(path) => !path.exists(),
+            DiskCall::Append(..) | DiskCall::SyncFile(_) | DiskCall::SyncFolder(_) => true,
+        }
+    }
+
+    /// Cuts off what a killed process did not come to append.
+    pub fn cut_appends(&mut self) {
+        for (path, number) in self.reachable(&self.names) {
+            let node = &mut self.nodes[number];
+            if !node.is_folder {
+                let len = fs::metadata(&path).unwrap().len() as usize;
+                node.unsynced.push(FileChange::Truncated(len));
+            }
+        }
+    }
+
+    /// Takes the files as they are, all of them synced.
+    pub fn adopt_files(&mut self) {
+        self.nodes.clear();
+        self.names.clear();
+        self.adopt_folder(&self.root.clone());
+        self.synced_names = self.names.clone();
+        self.unsynced_names.clear();
+    }
+
+    fn adopt_folder(&mut self, folder: &Path) {
+        for entry in fs::read_dir(folder).unwrap() {
+            let path = entry.unwrap().path();
+            let is_folder = path.is_dir();
+            self.names.insert(path.clone(), self.nodes.len());
+            self.nodes.push(DiskNode {
+                is_folder,
+                synced: if is_folder {
+                    Vec::new()
+                } else {
+                    fs::read(&path).unwrap()
+                },
+                unsynced: Vec::new(),
+            });
+            if is_folder {
+                self.adopt_folder(&path);
+            }
+        }
+    }
+
     /// Checks that the files are what the calls have made of them: no call is missing.
     pub fn check_files(&self) {
         for (path, number) in self.reachable(&self.names) {
