A quota that is used up is a full disk

A control host whose data folder has a quota ended at the first write beyond it, and at each start until there was room, as if the disk had failed.

Cause: only "no storage space" counted as a full disk, not "quota exceeded".

Fix: both do, so that the voter, and a host that starts, wait for room.

a_quota_that_is_used_up_is_a_full_disk fails on the code before and passes now.

--- a/src/control/journal/error.rs
+++ b/src/control/journal/error.rs
@@ -42,11 +42,12 @@
 }
 
 impl JournalError {
-    /// Returns whether the disk is full. Nothing that was saved before is lost, and the write
-    /// may be retried.
+    /// Returns whether the disk or a quota is full. Nothing that was saved before is lost, and the
+    /// write may be retried.
     pub fn is_full(&self) -> bool {
+        use io::ErrorKind::{QuotaExceeded, StorageFull};
         match self {
-            Self::Io { source, .. } => source.kind() == io::ErrorKind::StorageFull,
+            Self::Io { source, .. } => matches!(source.kind(), StorageFull | QuotaExceeded),
             Self::Damaged { .. } => false,
         }
     }
--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -234,6 +234,26 @@
     assert_eq!(reopened(folder.path()), image);
 }
 
+/// A voter whose quota was used up ended at its next write.
+#[test]
+fn a_quota_that_is_used_up_is_a_full_disk() {
+    let folder = TempDir::new().unwrap();
+    let mut image = saved(folder.path(), 3);
+    let (mut journal, _) = DiskJournal::open(folder.path(), None).unwrap();
+    let full = AtomicBool::new(true);
+    journal.set_disk_check(Arc::new(move |call| match call {
+        DiskCall::Append(..) if full.swap(false, Ordering::SeqCst) => {
+            Err(ErrorKind::QuotaExceeded.into())
+        }
+        _ => Ok(()),
+    }));
+    let records = [DiskRecord::Append(entry(4))];
+    assert!(journal.save(&records).unwrap_err().is_full());
+    journal.save(&records).unwrap();
+    records.into_iter().for_each(|record| image.apply(record));
+    assert_eq!(reopened(folder.path()), image);
+}
+
 #[test]
 fn a_new_folder_gets_an_identity_of_its_own_and_keeps_it() {
     let (one, two) = (TempDir::new().unwrap(), TempDir::new().unwrap());
