A control host that starts on a failing disk waits for it

A control host whose disk refuses a write at its start, with an error other than a full disk, ended with status 1, was started again and ended again, for as long as the disk refused.

Cause: as for the full disk, the steps of the start passed the error on.

Fix: the start waits for an input/output error of the disk as for a full one, and logs it each 10 s. Errors that no waiting mends (a path that is a file, a folder that may not be read) still end it. A voter that is running still ends when a write or a sync fails, once: what its disk holds then is not known, and the next start reads it.

a_host_whose_disk_fails_at_its_start_waits_for_it fails on the code before (it ended at the first of three refused calls) and passes now. That the voter ends at a failed sync had no test; a_voter_whose_sync_failed_ends is one.

--- a/src/control/journal/error.rs
+++ b/src/control/journal/error.rs
@@ -52,6 +52,14 @@
         }
     }
 
+    /// Returns whether the disk refused a call that it may take later: it is full, or it failed.
+    pub fn may_pass(&self) -> bool {
+        match self {
+            Self::Io { source, .. } => self.is_full() || source.raw_os_error() == Some(libc::EIO),
+            Self::Damaged { .. } => false,
+        }
+    }
+
     pub(super) fn is_permission_denied(&self) -> bool {
         match self {
             Self::Io { source, .. } => source.kind() == io::ErrorKind::PermissionDenied,
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -64,8 +64,10 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest time for which a stopping voter asks the leader to drop it.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Delay before a step of the start that found the disk full is tried again.
-const DISK_FULL_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Delay before a step of the start that the disk refused is tried again.
+const DISK_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Attempts of such a step between two log lines.
+const ATTEMPTS_PER_LOG_LINE: u64 = 100;
 /// Pause between two such requests.
 const LEAVE_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Maximum number of full snapshots in transit. After a power loss all members request one at
@@ -175,14 +177,14 @@
         // The bootstrap hosts query each other before any of them has a log.
         serve(listener, secret.clone(), handle.clone());
         if kind == StartKind::First {
-            await_room(&inbox, || begin_first_start(&folder, &settings)).await?;
+            await_disk(&inbox, || begin_first_start(&folder, &settings)).await?;
         }
         // Also resumes an interrupted first start, which only this disk still records.
         let unfinished = || unfinished_first_start(&folder, &settings);
-        if let Some(initial) = await_room(&inbox, unfinished).await? {
+        if let Some(initial) = await_disk(&inbox, unfinished).await? {
             if let InitialRole::Founds(hosts) = determine_role(secret, &settings, &initial).await {
                 let init_voter = || bootstrap::init_voter(&folder, &settings, hosts.iter());
-                await_room(&inbox, init_voter).await?;
+                await_disk(&inbox, init_voter).await?;
             }
             // Until there is a leader, the bootstrap hosts know each other only from these
             // names.
@@ -193,7 +195,7 @@
         }
         let open = || ControlLoop::open_in(&folder, settings.clone());
         let open = || journal::set_aside_damage(&folder, open);
-        let mut control = await_room(&inbox, open).await?;
+        let mut control = await_disk(&inbox, open).await?;
         let node = control.node();
         control.send_messages(open_outbox(&settings, node, &pool));
         let (orders, ordered) = mpsc::unbounded_channel();
@@ -342,25 +344,24 @@
     role
 }
 
-/// Repeats a step of the start until the disk has room for it: a process that ended would find the
-/// same disk at its next start. Requests that come meanwhile are refused.
-async fn await_room<T>(
+/// Repeats a step of the start until the disk takes it: a process that ended would find the same
+/// disk at its next start. Requests that come meanwhile are refused.
+async fn await_disk<T>(
     events: &Receiver<ControlEvent>,
     step: impl Fn() -> Result<T, JournalError>,
 ) -> Result<T, JournalError> {
-    let mut is_logged = false;
-    loop {
+    for attempt in 0u64.. {
         match step() {
-            Err(error) if error.is_full() && !is_logged => {
-                tracing::warn!(%error, "disk is full; the start waits for free space");
-                is_logged = true;
+            Err(error) if error.may_pass() && attempt % ATTEMPTS_PER_LOG_LINE == 0 => {
+                tracing::warn!(%error, attempt, "the start waits for the disk");
             }
-            Err(error) if error.is_full() => {}
+            Err(error) if error.may_pass() => {}
             done => return done,
         }
         events.try_iter().for_each(drop);
-        tokio::time::sleep(DISK_FULL_RETRY_DELAY).await;
+        tokio::time::sleep(DISK_RETRY_DELAY).await;
     }
+    unreachable!("the attempts end only with a result")
 }
 
 fn open_outbox(
--- a/tests/full_disk.rs
+++ b/tests/full_disk.rs
@@ -1,10 +1,10 @@
-//! Control hosts whose disk is temporarily full, or slow, and one whose thread panics at it.
+//! Control hosts whose disk is temporarily full, slow or fails, and one whose thread panics at it.
 
 use std::fs;
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -137,8 +137,8 @@
     voter.thread.join().unwrap().unwrap();
 }
 
-/// Returns a data folder on a full disk, and the number of calls that it refuses before it has room.
-fn full_folder(path: &Path) -> (DataFolder, Arc<AtomicU32>) {
+/// Returns a data folder on a disk that refuses calls, and the number of calls that it still refuses.
+fn refusing_folder(path: &Path, code: i32) -> (DataFolder, Arc<AtomicU32>) {
     let left = Arc::new(AtomicU32::new(REFUSED_WRITES));
     let check_left = left.clone();
     let refuse =
@@ -147,7 +147,7 @@
         path,
         Arc::new(move |call| match call {
             DiskCall::Create(_) | DiskCall::Append(..) if refuse().is_ok() => {
-                Err(ErrorKind::StorageFull.into())
+                Err(io::Error::from_raw_os_error(code))
             }
             _ => Ok(()),
         }),
@@ -155,13 +155,18 @@
     (folder, left)
 }
 
-/// Starts a control host on a disk that is full at first.
-async fn start_on_full_disk(path: &Path, kind: StartKind, listener: TcpListener) -> ControlDaemon {
+/// Starts a control host on a disk that refuses its first calls with this error.
+async fn start_on_refusing_disk(
+    path: &Path,
+    code: i32,
+    kind: StartKind,
+    listener: TcpListener,
+) -> ControlDaemon {
     let own = listener.local_addr().unwrap();
-    let (folder, left) = full_folder(&path.join(own.port().to_string()));
+    let (folder, left) = refusing_folder(&path.join(own.port().to_string()), code);
     let settings = support_control::settings(path, own, &[own]);
     let started = ControlDaemon::start_in(folder, kind, listener, settings, secret()).await;
-    assert_eq!(left.load(Ordering::SeqCst), 0, "the disk was not full");
+    assert_eq!(left.load(Ordering::SeqCst), 0, "the disk refused nothing");
     started.unwrap()
 }
 
@@ -170,11 +175,49 @@
 async fn a_host_whose_disk_is_full_at_its_first_start_waits_for_room() {
     let folder = TempDir::new().unwrap();
     let (listener, _) = listeners(1).await.remove(0);
-    let daemon = start_on_full_disk(folder.path(), StartKind::First, listener).await;
+    let (path, kind) = (folder.path(), StartKind::First);
+    let daemon = start_on_refusing_disk(path, libc::ENOSPC, kind, listener).await;
     leader_of(std::slice::from_ref(&daemon)).await;
     daemon.stop().await;
 }
 
+/// It ended at each start for as long as the disk refused to write.
+#[ntex::test]
+async fn a_host_whose_disk_fails_at_its_start_waits_for_it() {
+    let folder = TempDir::new().unwrap();
+    let (listener, _) = listeners(1).await.remove(0);
+    let (path, kind) = (folder.path(), StartKind::First);
+    let daemon = start_on_refusing_disk(path, libc::EIO, kind, listener).await;
+    leader_of(std::slice::from_ref(&daemon)).await;
+    daemon.stop().await;
+}
+
+/// What the disk holds after a sync that failed is not known, so the voter may say nothing more.
+#[ntex::test]
+async fn a_voter_whose_sync_failed_ends() {
+    let folder = TempDir::new().unwrap();
+    let (listener, own) = listeners(1).await.remove(0);
+    let settings = support_control::settings(folder.path(), own, &[own]);
+    bootstrap::bootstrap(&settings).unwrap();
+    let has_appended = AtomicBool::new(false);
+    let check = move |call: DiskCall<'_>| match call {
+        DiskCall::Append(..) => {
+            has_appended.store(true, Ordering::SeqCst);
+            Ok(())
+        }
+        DiskCall::SyncFile(_) if has_appended.load(Ordering::SeqCst) => {
+            Err(io::Error::from_raw_os_error(libc::EIO))
+        }
+        _ => Ok(()),
+    };
+    let path = settings.data_folder.clone();
+    let folder = DataFolder::checked(&path, Arc::new(check));
+    let started = ControlDaemon::start_in(folder, StartKind::Later, listener, settings, secret());
+    let mut daemon = started.await.unwrap();
+    let error = daemon.ended().await.unwrap_err();
+    assert!(error.to_string().contains("cannot sync"), "{error}");
+}
+
 /// Setting damaged files aside needs room: the host ended at each start while the disk was full.
 #[ntex::test]
 async fn a_host_with_damaged_files_on_a_full_disk_waits_for_room() {
@@ -183,7 +226,8 @@
     let settings = support_control::settings(folder.path(), own, &[own]);
     bootstrap::bootstrap(&settings).unwrap();
     fs::write(settings.data_folder.join("snapshot"), "damaged").unwrap();
-    let daemon = start_on_full_disk(folder.path(), StartKind::Later, listener).await;
+    let (path, kind) = (folder.path(), StartKind::Later);
+    let daemon = start_on_refusing_disk(path, libc::ENOSPC, kind, listener).await;
     let enrols = status_where(&daemon, "a new disk", |status| status.voters.is_empty());
     enrols.await;
     assert!(settings.data_folder.join("snapshot.damaged").exists());
