A refused HEAD request gets no body

What callers saw: a HEAD request that this system refuses itself (no route, no replica, a body that is too large) was answered with a body.

Cause: responses of replicas are cut to their heads by is_bodiless; responses of this system's own were built without a look at the method.

Fix: own_answer is told the request that it answers, and leaves the body out by the same rule. Its length stays in the head, as for a replica's response. Related paths: a request that is refused before it is read to its end (its method is known once its head is) and a refusal before forwarding begins.

--- a/src/forward/client.rs
+++ b/src/forward/client.rs
@@ -18,7 +18,7 @@
 #[cfg(doc)]
 use crate::forward::daemon::ForwardSettings;
 use crate::forward::head::{self, Framing, HeadError, RequestHead};
-use crate::forward::own_answer::{self, OwnStatus};
+use crate::forward::own_answer::{self, AnsweredRequest, OwnStatus};
 use crate::forward::request;
 use crate::routing::run_proof::NotRunProof;
 use crate::table::configuration::ClientLimits;
@@ -127,6 +127,8 @@
     pub(super) status: u16,
     /// Reason shown to the client.
     pub(super) reason: &'static str,
+    /// Its method; empty if its head was not read.
+    pub(super) method: String,
     /// Its id, if its head was read.
     pub(super) id: Option<String>,
 }
@@ -142,10 +144,14 @@
     pub(super) served: u32,
 }
 
-/// Refuses a request whose id is not known.
+/// Refuses a request whose head is not known.
 fn refused(status: u16, reason: &'static str) -> ReadError {
-    let id = None;
-    ReadError::Refused(UnreadRequest { status, reason, id })
+    ReadError::Refused(UnreadRequest {
+        status,
+        reason,
+        method: String::new(),
+        id: None,
+    })
 }
 
 /// Refuses a request that is not read by the time at which a stopping entry gives its last answers.
@@ -406,14 +412,17 @@
             reader.discard();
             core.log_unread(&unread, &reader.progress);
             let own = OwnStatus::not_run(unread.status, NotRunProof::unread());
-            let id = unread.id.as_deref();
+            let answered = AnsweredRequest {
+                method: &unread.method,
+                id: unread.id.as_deref(),
+            };
             // While this entry stops, another one takes it at once.
             let retry = match unread.status {
                 503 if core.is_stopping() => Some(Duration::ZERO),
                 503 => Some(ROOM_RETRY),
                 _ => None,
             };
-            let answer = own_answer::own_answer(core, own, unread.reason, id, retry, true);
+            let answer = own_answer::own_answer(core, own, unread.reason, answered, retry, true);
             let _ = writer.write(&answer).await;
             return AfterResponse::Close;
         }
@@ -456,7 +465,12 @@
     let body = body.map_err(|error| match error {
         ReadError::Refused(unread) => {
             let id = head::find(&head.headers, core.names.request_id).map(str::to_owned);
-            ReadError::Refused(UnreadRequest { id, ..unread })
+            let method = head.method.clone();
+            ReadError::Refused(UnreadRequest {
+                method,
+                id,
+                ..unread
+            })
         }
         other => other,
     })?;
--- a/src/forward/own_answer.rs
+++ b/src/forward/own_answer.rs
@@ -151,7 +151,9 @@
     let close = closes_connection(core, request);
     let retry = (status == 503).then_some(UNKNOWN_RETRY);
     let own = OwnStatus::not_run(status, NotRunProof::unrouted());
-    let bytes = own_answer(core, own, reason, id, retry, close);
+    let method = request.head.method.as_str();
+    let answered = AnsweredRequest { method, id };
+    let bytes = own_answer(core, own, reason, answered, retry, close);
     core.log_plain(id.unwrap_or_default(), status, reason);
     finish(writer, &bytes, close).await
 }
@@ -173,12 +175,21 @@
         || core.is_stopping()
 }
 
+/// The request that a response of this system's own is for.
+#[derive(Clone, Copy, Debug)]
+pub struct AnsweredRequest<'a> {
+    /// Its method; empty if its head was not read.
+    pub method: &'a str,
+    /// Its id, if it has one and its head was read.
+    pub id: Option<&'a str>,
+}
+
 /// Builds a response of this system's own.
 pub fn own_answer(
     core: &EntryCore,
     own: OwnStatus,
     reason: &str,
-    id: Option<&str>,
+    request: AnsweredRequest<'_>,
     retry: Option<Duration>,
     close: bool,
 ) -> Vec<u8> {
@@ -191,7 +202,7 @@
     let mut text = format!("HTTP/1.1 {status} {}\r\n", head::reason(status));
     head::push_header(&mut text, "Content-Type", "application/json");
     head::push_header(&mut text, "Content-Length", &body.len().to_string());
-    if let Some(id) = id {
+    if let Some(id) = request.id {
         head::push_header(&mut text, core.names.request_id, id);
     }
     if status == 401 {
@@ -205,6 +216,8 @@
         head::push_header(&mut text, "Connection", "close");
     }
     text.push_str("\r\n");
-    text.push_str(&body);
+    if !head::is_bodiless(request.method, status) {
+        text.push_str(&body);
+    }
     text.into_bytes()
 }
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -28,7 +28,8 @@
 use crate::forward::head::{self, ResponseHead};
 use crate::forward::locality::AllowedRegions;
 use crate::forward::own_answer::{
-    self, OwnStatus, Refusal, UNKNOWN_RETRY, closes_connection, finish, refuse_unrouted,
+    self, AnsweredRequest, OwnStatus, Refusal, UNKNOWN_RETRY, closes_connection, finish,
+    refuse_unrouted,
 };
 use crate::forward::permits::RatePermit;
 use crate::forward::prompt_parts;
@@ -504,7 +505,11 @@
             None => self.log.set_end(Outcome::Unknown, own.code(), reason),
         }
         let close = closes_connection(self.core, self.request);
-        let bytes = own_answer::own_answer(self.core, own, reason, Some(&self.id), retry, close);
+        let answered = AnsweredRequest {
+            method: &self.request.head.method,
+            id: Some(&self.id),
+        };
+        let bytes = own_answer::own_answer(self.core, own, reason, answered, retry, close);
         finish(writer, &bytes, close).await
     }
 
--- a/tests/forwarding/answers.rs
+++ b/tests/forwarding/answers.rs
@@ -172,6 +172,34 @@
     assert_eq!(site.seen("r2")[0].header("last-event"), Some("1"));
 }
 
+/// The body stood where the next response on the connection was due.
+#[ntex::test]
+async fn a_refused_head_request_gets_no_body() {
+    let site = ForwardSite::start(&[PLAIN]).await;
+    // There is no replica.
+    for (target, status) in [("/plain/x", "503"), ("/nowhere/x", "404")] {
+        let line = format!("HEAD {target} HTTP/1.1");
+        let (text, _) = site.send_for_bytes(&then_another(&line)).await;
+        let answers = responses(&text);
+        assert_eq!(answers.len(), 2, "{text}");
+        let (head, body) = answers[0].split_once("\r\n\r\n").unwrap();
+        assert!(head.starts_with(&format!("HTTP/1.1 {status}")), "{text}");
+        assert_eq!(body, "", "{text}");
+    }
+}
+
+/// So did the body of the refusal of a request that was not read to its end.
+#[ntex::test]
+async fn a_head_request_that_is_refused_unread_gets_no_body() {
+    let site = ForwardSite::start(&[PLAIN]).await;
+    let line = "HEAD /plain/x HTTP/1.1";
+    let text = request(line, "a", "Content-Length: 99999999999\r\n");
+    let (answer, _) = site.send_for_bytes(&text).await;
+    let (head, body) = answer.split_once("\r\n\r\n").unwrap();
+    assert!(head.starts_with("HTTP/1.1 413"), "{answer}");
+    assert_eq!(body, "", "{answer}");
+}
+
 #[ntex::test]
 async fn a_head_response_keeps_its_length() {
     let head = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n";
