An exchange with a replica that is given up is reset

The replica had gone dark; its client's deadline had passed three seconds before.

Cause: an entry that gives up on a replica dropped the connection, which closes it. The kernel goes on sending what was written to a closed connection, for minutes, and the replica got the request as its link came back. Orders to replicas have been reset for that reason since they were bounded in time; requests were not. Ruled out: a second attempt, and an entry that had not heard of the leave (nothing was sent after it).

Fix: a connection knows whether it carries a request whose response is not complete, and resets itself if it is dropped then: nothing is left to send. It costs no call otherwise; a whole response still ends in a close. Related paths that use the same type: reads of start times, probes, orders.

Evidence: a_request_that_was_given_up_does_not_arrive_later (packets lost, the exchange dropped, the link back) fails on the code before and passes now; a_connection_is_closed_without_a_reset_after_a_whole_response guards the other side and passes on both.

--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -100,6 +100,18 @@
     keep_alive: Duration,
     /// Error of a write. The kernel reports an error once, to the write or to the read.
     write_error: Option<io::Error>,
+    /// Whether a request was sent whose response is not complete.
+    is_exchanging: bool,
+}
+
+impl Drop for Connection {
+    /// Resets the connection if its exchange is given up. After a close the kernel would go on
+    /// sending the request to a replica that is silent, which would get it long after its deadline.
+    fn drop(&mut self) {
+        if self.is_exchanging {
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
 }
 
 impl Connection {
@@ -120,6 +132,7 @@
             idle_since_ms: clock::monotonic_ms(),
             keep_alive: DEFAULT_KEEP_ALIVE,
             write_error: None,
+            is_exchanging: false,
         })
     }
 
@@ -338,6 +351,7 @@
         request: &OutgoingRequest<'_>,
     ) -> Result<(Self, ResponseHead), ExchangeError> {
         connection.carried += 1;
+        connection.is_exchanging = true;
         let progress = request.progress;
         let mut skipped = 0;
         for _ in 0..=MAX_SURPLUS_RESPONSES {
@@ -426,14 +440,16 @@
 
     /// Closes the connection gracefully once the complete response has arrived, which proves that
     /// the request did.
-    pub fn close(self) {
+    pub fn close(mut self) {
+        self.connection.is_exchanging = false;
         // If this fails, the connection is reset, which the peer tolerates as well.
         let _ = SockRef::from(&self.connection.stream).set_linger(None);
     }
 
     /// Returns the connection if it may carry another request.
-    pub fn finish(self) -> Option<Connection> {
+    pub fn finish(mut self) -> Option<Connection> {
         let done = matches!(self.body, BodyState::Done);
+        self.connection.is_exchanging = !done;
         let clean = self.connection.buffer.is_empty();
         (done && clean && self.reusable).then_some(self.connection)
     }
--- a/tests/bounded_sending.rs
+++ b/tests/bounded_sending.rs
@@ -1,5 +1,5 @@
-//! Time limit of the kernel for data that a connection has written and its peer has not
-//! acknowledged.
+//! Data that a connection has written and its peer has not acknowledged: the kernel's time limit for
+//! it, and its end with an exchange that is given up.
 
 use std::io::ErrorKind;
 use std::time::{Duration, Instant};
@@ -9,7 +9,7 @@
 };
 use dunlinspring::placement::fleet::FleetPolicy;
 use socket2::{SockFilter, SockRef};
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
 /// Time for which the kernel may keep trying to send.
@@ -94,3 +94,63 @@
         );
     }
 }
+
+/// The kernel went on sending it after the close, and a silent replica got it when its link was back:
+/// long after its deadline, and after the replica had said that it leaves.
+#[ntex::test]
+async fn a_request_that_was_given_up_does_not_arrive_later() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer = listener.local_addr().unwrap();
+    let connection = Connection::open(peer, WAIT_TIMEOUT).await.unwrap();
+    let (mut remote, _) = listener.accept().await.unwrap();
+    drop_incoming_packets(&remote);
+    let outgoing = OutgoingRequest {
+        bytes: b"a request",
+        body: &[],
+        method: "POST",
+        identity: None,
+        on_head: &|_| {},
+        progress: &SendProgress::default(),
+    };
+    let sent = tokio::time::timeout(SEND_TIME_LIMIT, Exchange::send(connection, &outgoing));
+    assert!(sent.await.is_err(), "a silent peer responded");
+    SockRef::from(&remote).detach_filter().unwrap();
+    let received = tokio::time::timeout(Duration::from_secs(2), remote.read(&mut [0; 16])).await;
+    assert!(!matches!(received, Ok(Ok(1..))), "the request arrived");
+}
+
+/// Reads a request and responds.
+async fn respond(remote: &mut TcpStream, response: &[u8]) {
+    let read = remote.read(&mut [0; 16]).await.unwrap();
+    assert!(read > 0, "no request arrived");
+    remote.write_all(response).await.unwrap();
+}
+
+/// A reset could take the end of a response that the replica has not sent whole, or be counted as a
+/// failure there.
+#[ntex::test]
+async fn a_connection_is_closed_without_a_reset_after_a_whole_response() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer = listener.local_addr().unwrap();
+    for response in [
+        &b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"[..],
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok",
+    ] {
+        let connection = Connection::open(peer, WAIT_TIMEOUT).await.unwrap();
+        let (mut remote, _) = listener.accept().await.unwrap();
+        let outgoing = OutgoingRequest {
+            bytes: b"a request",
+            body: &[],
+            method: "POST",
+            identity: None,
+            on_head: &|_| {},
+            progress: &SendProgress::default(),
+        };
+        let send = Exchange::send(connection, &outgoing);
+        let (sent, ()) = tokio::join!(send, respond(&mut remote, response));
+        let (mut exchange, _) = sent.unwrap();
+        while exchange.next().await.unwrap().is_some() {}
+        drop(exchange.finish());
+        assert_eq!(remote.read(&mut [0; 16]).await.unwrap(), 0);
+    }
+}
