A resend that no replica can take is refunded

Cause: a resend is spent before a replica is chosen. With all other homes in a backoff period the request was refused, and the resend was gone.

Fix: a resend that was paid and not sent is refunded when its request ends, also if the client leaves. The budget's bound holds, as what is refunded was spent before.

--- a/src/forward/budget.rs
+++ b/src/forward/budget.rs
@@ -74,4 +74,11 @@
         }
         enough
     }
+
+    /// Returns a resend that was not used.
+    pub fn refund(&mut self, service: &ServiceName) {
+        let capacity = self.capacity();
+        let balance = self.balances.entry(service.clone()).or_insert(capacity);
+        *balance = (*balance + 1.0).min(capacity);
+    }
 }
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -192,6 +192,8 @@
     /// Arrivals at replicas, and how many of them were turned away.
     tally: SendTally,
     refusals: u32,
+    /// Whether a resend was spent that has not been sent.
+    resend_paid: bool,
     event_buffer: EventBuffer,
     log: RequestLog,
     /// Digest of the content, computed on first use.
@@ -224,6 +226,7 @@
     fn drop(&mut self) {
         self.abandon_run();
         self.refund();
+        self.refund_resend();
         self.log.write(self.core);
     }
 }
@@ -292,6 +295,7 @@
             runs: 0,
             tally: SendTally::default(),
             refusals: 0,
+            resend_paid: false,
             event_buffer: EventBuffer::default(),
             content: None,
             leases: Vec::new(),
@@ -358,6 +362,7 @@
             let outcome = self.attempt(&replica, writer).await;
             self.log.end_arrival(outcome.name());
             self.end_attempt(&outcome);
+            self.record_resend(&outcome);
             self.attempted.insert(replica);
             let again = match outcome {
                 AttemptOutcome::Answered(after) => {
@@ -464,9 +469,26 @@
 
     fn spend(&mut self) -> bool {
         let service = self.need.service.as_ref();
-        let spent = service.is_some_and(|s| self.core.budget.borrow_mut().spend(s));
-        self.log.resent(spent);
-        spent
+        self.resend_paid = service.is_some_and(|s| self.core.budget.borrow_mut().spend(s));
+        if !self.resend_paid {
+            self.log.resent(false);
+        }
+        self.resend_paid
+    }
+
+    /// Counts a resend once it was sent.
+    fn record_resend(&mut self, outcome: &AttemptOutcome) {
+        if !matches!(outcome, AttemptOutcome::NotSent) && std::mem::take(&mut self.resend_paid) {
+            self.log.resent(true);
+        }
+    }
+
+    /// Refunds a resend that no replica could take.
+    fn refund_resend(&mut self) {
+        if let (Some(service), true) = (&self.need.service, self.resend_paid) {
+            self.resend_paid = false;
+            self.core.budget.borrow_mut().refund(service);
+        }
     }
 
     /// Sends the final response of a request that no replica completed.
