--- a/src/control/journal/data_folder.rs
+++ b/src/control/journal/data_folder.rs
@@ -34,6 +34,13 @@
 /// Is shown each call on the disk; its error is handled like an error of the disk.
 pub type DiskCheck = Arc<dyn Fn(DiskCall<'_>) -> io::Result<()> + Send + Sync>;
 
+fn show(disk_check: &Option<DiskCheck>, call: DiskCall<'_>) -> io::Result<()> {
+    match disk_check {
+        Some(disk_check) => disk_check(call),
+        None => Ok(()),
+    }
+}
+
 /// A data folder and the check of its calls, if there is one.
 #[derive(Clone)]
 pub struct DataFolder {
@@ -86,10 +93,7 @@
     }
 
     fn check(&self, call: DiskCall<'_>) -> io::Result<()> {
-        match &self.disk_check {
-            Some(disk_check) => disk_check(call),
-            None => Ok(()),
-        }
+        show(&self.disk_check, call)
     }
 
     /// Creates the folder and syncs the names of all folders that it creates, and of the last one that
@@ -152,11 +156,15 @@
             step: "open",
             path: &path,
         })?;
-        Ok(DataFile {
+        Ok(self.data_file(path, file))
+    }
+
+    fn data_file(&self, path: PathBuf, file: File) -> DataFile {
+        DataFile {
             path,
             file,
             disk_check: self.disk_check.clone(),
-        })
+        }
     }
 
     /// Creates an empty file, or empties it.
@@ -168,11 +176,7 @@
             step: "create",
             path: &path,
         })?;
-        Ok(DataFile {
-            path,
-            file,
-            disk_check: self.disk_check.clone(),
-        })
+        Ok(self.data_file(path, file))
     }
 
     /// Replaces a file atomically: after a crash it has either the old or the new content.
@@ -239,10 +243,7 @@
     }
 
     fn check(&self, call: DiskCall<'_>) -> io::Result<()> {
-        match &self.disk_check {
-            Some(disk_check) => disk_check(call),
-            None => Ok(()),
-        }
+        show(&self.disk_check, call)
     }
 
     /// Truncates the file to a length in bytes.
--- a/tests/bounded_sending.rs
+++ b/tests/bounded_sending.rs
@@ -19,6 +19,17 @@
 /// More bytes than the kernel buffers for a peer that does not read.
 const LARGE_BYTES: usize = 32 << 20;
 
+fn outgoing<'a>(bytes: &'a [u8], progress: &'a SendProgress) -> OutgoingRequest<'a> {
+    OutgoingRequest {
+        bytes,
+        body: &[],
+        method: "POST",
+        identity: None,
+        on_head: &|_| {},
+        progress,
+    }
+}
+
 /// A suspended process closes no connection: only its kernel can discard what it wrote. Here the
 /// peer reads nothing, so its receive window is full.
 #[ntex::test]
@@ -29,14 +40,8 @@
     let (_unread, _) = listener.accept().await.unwrap();
     connection.limit_send_time(SEND_TIME_LIMIT).unwrap();
     let bytes = vec![b'a'; LARGE_BYTES];
-    let outgoing = OutgoingRequest {
-        bytes: &bytes,
-        body: &[],
-        method: "POST",
-        identity: None,
-        on_head: &|_| {},
-        progress: &SendProgress::default(),
-    };
+    let progress = SendProgress::default();
+    let outgoing = outgoing(&bytes, &progress);
     let sent = tokio::time::timeout(WAIT_TIMEOUT, Exchange::send(connection, &outgoing)).await;
     let error = sent.expect("the kernel gives up").err();
     assert!(
@@ -69,14 +74,8 @@
         drop_incoming_packets(&remote);
         connection.limit_send_time(time_limit).unwrap();
         let started = Instant::now();
-        let outgoing = OutgoingRequest {
-            bytes: b"an order",
-            body: &[],
-            method: "POST",
-            identity: None,
-            on_head: &|_| {},
-            progress: &SendProgress::default(),
-        };
+        let progress = SendProgress::default();
+        let outgoing = outgoing(b"an order", &progress);
         let mut sending = std::pin::pin!(Exchange::send(connection, &outgoing));
         let deadline = time_limit + transit;
         let gave_up = tokio::time::timeout(deadline, &mut sending).await;
@@ -104,14 +103,8 @@
     let connection = Connection::open(peer, WAIT_TIMEOUT).await.unwrap();
     let (mut remote, _) = listener.accept().await.unwrap();
     drop_incoming_packets(&remote);
-    let outgoing = OutgoingRequest {
-        bytes: b"a request",
-        body: &[],
-        method: "POST",
-        identity: None,
-        on_head: &|_| {},
-        progress: &SendProgress::default(),
-    };
+    let progress = SendProgress::default();
+    let outgoing = outgoing(b"a request", &progress);
     let sent = tokio::time::timeout(SEND_TIME_LIMIT, Exchange::send(connection, &outgoing));
     assert!(sent.await.is_err(), "a silent peer responded");
     SockRef::from(&remote).detach_filter().unwrap();
@@ -138,14 +131,8 @@
     ] {
         let connection = Connection::open(peer, WAIT_TIMEOUT).await.unwrap();
         let (mut remote, _) = listener.accept().await.unwrap();
-        let outgoing = OutgoingRequest {
-            bytes: b"a request",
-            body: &[],
-            method: "POST",
-            identity: None,
-            on_head: &|_| {},
-            progress: &SendProgress::default(),
-        };
+        let progress = SendProgress::default();
+        let outgoing = outgoing(b"a request", &progress);
         let send = Exchange::send(connection, &outgoing);
         let (sent, ()) = tokio::join!(send, respond(&mut remote, response));
         let (mut exchange, _) = sent.unwrap();
