A host's first start is recorded before other hosts can ask it

A founder that they counted, and that was restarted then without the option for a first start, would not have known that it is one: a voter missing from the start.

a_host_tells_nobody_that_it_keeps_the_log_before_its_first_start_is_recorded fails without the fix and passes with it.

--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -174,11 +174,12 @@
         let pool = Arc::new(PeerPool::new(secret.clone(), peers::dial_control));
         let (events, inbox) = std::sync::mpsc::channel();
         let handle = ControlHandle(events);
-        // The bootstrap hosts query each other before any of them has a log.
-        serve(listener, secret.clone(), handle.clone());
+        // Recorded before other hosts count this one among the founders.
         if kind == StartKind::First {
             await_disk(&inbox, || begin_first_start(&folder, &settings)).await?;
         }
+        // The bootstrap hosts query each other before any of them has a log.
+        serve(listener, secret.clone(), handle.clone());
         // Also resumes an interrupted first start, which only this disk still records.
         let unfinished = || unfinished_first_start(&folder, &settings);
         if let Some(initial) = await_disk(&inbox, unfinished).await? {
--- a/tests/full_disk.rs
+++ b/tests/full_disk.rs
@@ -16,13 +16,15 @@
 use dunlinspring::control::shell::{ControlDaemon, StartKind};
 use dunlinspring::control::voter::ControlLoop;
 use dunlinspring::ids::{HallName, HostName};
+use dunlinspring::process::peers::{self, ControlLink};
 use dunlinspring::process::settings::{CommonSettings, ControlSettings, VoterSettings};
+use dunlinspring::process::wire::ControlWireClient;
 use dunlinspring::table::configuration::{Configuration, ConfigurationRecord};
 use tempfile::TempDir;
 use tokio::net::TcpListener;
 
 mod support_control;
-use support_control::{leader_of, listeners, secret, status_where};
+use support_control::{leader_of, listeners, secret, status_where, until};
 
 /// Number of writes that the disk refuses.
 const REFUSED_WRITES: u32 = 3;
@@ -181,6 +183,33 @@
     daemon.stop().await;
 }
 
+/// A host that other hosts have counted among the founders, and that does not know it after a restart,
+/// would be missing among the voters.
+#[ntex::test]
+async fn a_host_tells_nobody_that_it_keeps_the_log_before_its_first_start_is_recorded() {
+    let folder = TempDir::new().unwrap();
+    let (listener, own) = listeners(1).await.remove(0);
+    let (data_folder, left) = refusing_folder(&folder.path().join("data"), libc::ENOSPC);
+    left.store(u32::MAX, Ordering::SeqCst);
+    let settings = support_control::settings(folder.path(), own, &[own]);
+    let kind = StartKind::First;
+    let started = ControlDaemon::start_in(data_folder, kind, listener, settings, secret());
+    let started = ntex::rt::spawn(started);
+    until("a call that the disk refuses", async || {
+        (left.load(Ordering::SeqCst) < u32::MAX).then_some(())
+    })
+    .await;
+    let link = ControlLink::new(secret(), Vec::new());
+    let context = peers::within(Duration::from_millis(300));
+    let call = |client: ControlWireClient| async move { client.keeps_log(context).await };
+    let told = link.call_at(&own.to_string(), "keeps_log", call).await;
+    assert!(told.is_err(), "told {told:?}");
+    left.store(0, Ordering::SeqCst);
+    let daemon = started.await.unwrap().unwrap();
+    leader_of(std::slice::from_ref(&daemon)).await;
+    daemon.stop().await;
+}
+
 /// It ended at each start for as long as the disk refused to write.
 #[ntex::test]
 async fn a_host_whose_disk_fails_at_its_start_waits_for_it() {
