Tests of the disk: one copy of what two of them wrote

Found on reading the change again. crash_states and power_loss each had the same three functions (the environment, the last index, the images after each prefix of records); they stand in support_images now. Two tests of full_disk started a founded host on a checked disk and waited for the end of its voter in the same lines; end_of_voter does that for both.

--- a/tests/crash_states.rs
+++ b/tests/crash_states.rs
@@ -18,6 +18,8 @@
 #[allow(dead_code, reason = "for calls that another process records")]
 mod support_disk;
 use support_disk::{DiskModel, DiskPlan, SharedDisk, data_folder};
+mod support_images;
+use support_images::{environment, last_index, prefixes};
 
 const HISTORIES: u64 = 400;
 /// Identity of the host at the bootstrap of its site.
@@ -29,26 +31,6 @@
 /// Longest payload of an entry, in bytes.
 const MAX_PAYLOAD_BYTES: usize = 150_000;
 
-fn environment(name: &str) -> Option<u64> {
-    std::env::var(name).ok().and_then(|text| text.parse().ok())
-}
-
-fn last_index(image: &DiskImage) -> u64 {
-    let last = image.entries.last();
-    last.map_or(image.snapshot.last.index.0, |entry| entry.mark.index.0)
-}
-
-/// Returns the images after each prefix of the records.
-fn prefixes(image: &DiskImage, records: &[DiskRecord]) -> Vec<DiskImage> {
-    let mut images = vec![image.clone()];
-    for record in records {
-        let mut image = images.last().unwrap().clone();
-        image.apply(record.clone());
-        images.push(image);
-    }
-    images
-}
-
 fn draw_payload(random: &mut SmallRng) -> Payload {
     let len = match random.random_range(0..8) {
         0 => random.random_range(0..MAX_PAYLOAD_BYTES),
--- a/tests/full_disk.rs
+++ b/tests/full_disk.rs
@@ -12,10 +12,11 @@
 use dunlinspring::consensus::state::{Command, ConfigureResult, Reply};
 use dunlinspring::control::bootstrap;
 use dunlinspring::control::event::{ControlEvent, ControlHandle};
-use dunlinspring::control::journal::{DataFolder, DiskCall, JournalError};
+use dunlinspring::control::journal::{DataFolder, DiskCall, DiskCheck, JournalError};
 use dunlinspring::control::shell::{ControlDaemon, StartKind};
 use dunlinspring::control::voter::ControlLoop;
 use dunlinspring::ids::{HallName, HostName};
+use dunlinspring::process::daemon::DaemonError;
 use dunlinspring::process::peers::{self, ControlLink};
 use dunlinspring::process::settings::{CommonSettings, ControlSettings, VoterSettings};
 use dunlinspring::process::wire::ControlWireClient;
@@ -221,13 +222,22 @@
     daemon.stop().await;
 }
 
-/// What the disk holds after a sync that failed is not known, so the voter may say nothing more.
-#[ntex::test]
-async fn a_voter_whose_sync_failed_ends() {
+/// Starts a control host that has founded its site, on a disk with this check, and returns the error
+/// with which its voter ends.
+async fn end_of_voter(disk_check: DiskCheck) -> DaemonError {
     let folder = TempDir::new().unwrap();
     let (listener, own) = listeners(1).await.remove(0);
     let settings = support_control::settings(folder.path(), own, &[own]);
     bootstrap::bootstrap(&settings).unwrap();
+    let data_folder = DataFolder::checked(&settings.data_folder, disk_check);
+    let kind = StartKind::Later;
+    let started = ControlDaemon::start_in(data_folder, kind, listener, settings, secret());
+    started.await.unwrap().ended().await.unwrap_err()
+}
+
+/// What the disk holds after a sync that failed is not known, so the voter may say nothing more.
+#[ntex::test]
+async fn a_voter_whose_sync_failed_ends() {
     let has_appended = AtomicBool::new(false);
     let check = move |call: DiskCall<'_>| match call {
         DiskCall::Append(..) => {
@@ -239,11 +249,7 @@
         }
         _ => Ok(()),
     };
-    let path = settings.data_folder.clone();
-    let folder = DataFolder::checked(&path, Arc::new(check));
-    let started = ControlDaemon::start_in(folder, StartKind::Later, listener, settings, secret());
-    let mut daemon = started.await.unwrap();
-    let error = daemon.ended().await.unwrap_err();
+    let error = end_of_voter(Arc::new(check)).await;
     assert!(error.to_string().contains("cannot sync"), "{error}");
 }
 
@@ -266,18 +272,10 @@
 /// Its process ended with status 0, as after a planned stop.
 #[ntex::test]
 async fn a_voter_that_panics_ends_its_process_with_an_error() {
-    let folder = TempDir::new().unwrap();
-    let (listener, own) = listeners(1).await.remove(0);
-    let settings = support_control::settings(folder.path(), own, &[own]);
-    bootstrap::bootstrap(&settings).unwrap();
     let check = |call: DiskCall<'_>| match call {
         DiskCall::Append(..) => panic!("a test"),
         _ => Ok(()),
     };
-    let path = settings.data_folder.clone();
-    let folder = DataFolder::checked(&path, Arc::new(check));
-    let started = ControlDaemon::start_in(folder, StartKind::Later, listener, settings, secret());
-    let mut daemon = started.await.unwrap();
-    let error = daemon.ended().await.unwrap_err();
+    let error = end_of_voter(Arc::new(check)).await;
     assert_eq!(error.to_string(), "thread voter panicked");
 }
--- a/tests/power_loss.rs
+++ b/tests/power_loss.rs
@@ -15,6 +15,9 @@
 use rand::{Rng, SeedableRng};
 use tempfile::TempDir;
 
+mod support_images;
+use support_images::{environment, last_index, prefixes};
+
 const HISTORIES: u64 = 300;
 const NODE: NodeId = NodeId(7);
 /// Losses of power in a history.
@@ -24,10 +27,6 @@
 /// Bytes of one write of a large record.
 const WRITE_BYTES: usize = 64 * 1024;
 
-fn environment(name: &str) -> Option<u64> {
-    std::env::var(name).ok().and_then(|text| text.parse().ok())
-}
-
 fn entry(index: u64, len: usize) -> LogEntry {
     LogEntry {
         mark: LogMark {
@@ -42,22 +41,6 @@
     DiskJournal::open(folder, Some(NODE)).unwrap()
 }
 
-fn last_index(image: &DiskImage) -> u64 {
-    let last = image.entries.last();
-    last.map_or(image.snapshot.last.index.0, |entry| entry.mark.index.0)
-}
-
-/// Returns the images after each prefix of the records.
-fn prefixes(image: &DiskImage, records: &[DiskRecord]) -> Vec<DiskImage> {
-    let mut images = vec![image.clone()];
-    for record in records {
-        let mut image = images.last().unwrap().clone();
-        image.apply(record.clone());
-        images.push(image);
-    }
-    images
-}
-
 fn draw_batch(rng: &mut SmallRng, image: &DiskImage) -> Vec<DiskRecord> {
     let mut next = last_index(image) + 1;
     let mut records = Vec::new();
